--- /dev/null
+++ b/src/bin/cloverstile-wirehost/host.rs
@@ -0,0 +1,260 @@
+//! Instance table: records to events of the module, its actions to replies. Translates only.
+
+use crate::settings::{parse_settings, Parsed, SettingError};
+use crate::wire::{Entry, FinishedRecord, Record, Reply, WireError};
+use cloverstile::*;
+use std::collections::BTreeMap;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::time::Duration;
+
+struct Instance {
+    courier: Courier,
+    left_at: Option<usize>,
+    limit_at: Option<usize>,
+}
+
+/// All instances of this process, and the numbered lists that they refer to.
+#[derive(Default)]
+pub struct Host {
+    instances: BTreeMap<u16, Instance>,
+    sheets: BTreeMap<u16, Vec<Endpoint>>,
+}
+
+/// A batch that cannot be carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum HostError {
+    #[error("instance {who}: {error}")]
+    Setting { who: u16, error: SettingError },
+    #[error(transparent)]
+    Wire(#[from] WireError),
+}
+
+impl Host {
+    /// Hands the records of a batch to their instances and returns what these do.
+    pub fn run(&mut self, clock: u64, records: Vec<Record>) -> Result<Vec<Reply>, HostError> {
+        let now = Time(clock);
+        let mut touched = Vec::new();
+        let mut replies = Vec::new();
+        for record in records {
+            let Some((who, event)) = self.translate(record)? else {
+                continue;
+            };
+            if let Some(instance) = self.instances.get_mut(&who) {
+                if !touched.contains(&who) {
+                    touched.push(who);
+                }
+                guarded(who, &mut replies, || instance.courier.handle(now, event));
+            }
+        }
+        let mut actions = Vec::new();
+        for who in touched {
+            let Some(instance) = self.instances.get_mut(&who) else {
+                continue;
+            };
+            guarded(who, &mut replies, || instance.courier.decide(now, &mut actions));
+            replies.extend(actions.drain(..).map(|action| reply(who, action)));
+        }
+        Ok(replies)
+    }
+
+    /// The event of a record, or none where the record concerns the table alone.
+    fn translate(&mut self, record: Record) -> Result<Option<(u16, Event)>, HostError> {
+        Ok(Some(match record {
+            Record::NewInstance { who, nonce, config } => {
+                let Parsed {
+                    settings,
+                    left_at,
+                    limit_at,
+                } = parse_settings(&config).map_err(|error| HostError::Setting { who, error })?;
+                let courier = Courier::new(settings, nonce);
+                self.instances.insert(
+                    who,
+                    Instance {
+                        courier,
+                        left_at,
+                        limit_at,
+                    },
+                );
+                return Ok(None);
+            }
+            Record::Teardown { who } => {
+                self.instances.remove(&who);
+                return Ok(None);
+            }
+            Record::Sheet { slot, entries } => {
+                let entries = entries.iter().map(endpoint).collect::<Result<_, _>>()?;
+                self.sheets.insert(slot, entries);
+                return Ok(None);
+            }
+            Record::Members { who, slot, kind, .. } => {
+                let entries = || self.sheets.get(&slot).cloned().unwrap_or_default();
+                let listing = match kind {
+                    0 => Listing::Changes(entries()),
+                    1 | 2 => Listing::Whole(entries()),
+                    3 => Listing::Failed,
+                    other => return Err(unknown("Kind", u32::from(other))),
+                };
+                (who, Event::Listed(listing))
+            }
+            Record::Accept {
+                who,
+                call,
+                profile,
+                dest,
+                key,
+                deadline,
+                opts,
+                owner,
+                ..
+            } => {
+                let accepted = Accepted {
+                    id: MessageId(call),
+                    class: ClassId(profile),
+                    destination: DestinationId(dest as u16),
+                    key: (key != 0).then_some(OrderKey(key)),
+                    deadline: Time(deadline),
+                    from_dead_courier: opts & 16 != 0,
+                    tenant: TenantId(owner),
+                };
+                (who, Event::Accept(accepted))
+            }
+            Record::ProbeDone {
+                who,
+                code,
+                delay,
+                endpoint,
+                ..
+            } => {
+                let outcome = outcome(code, 0)?;
+                let endpoint = EndpointId(endpoint);
+                (
+                    who,
+                    Event::Probed {
+                        endpoint,
+                        outcome,
+                        latency: Duration::from_nanos(delay),
+                    },
+                )
+            }
+            Record::ClientGone { who, call } => (who, Event::ClientGone(MessageId(call))),
+            Record::FirstByte { who, call, .. } => (who, Event::FirstByte(MessageId(call))),
+            Record::Finished(record) => (record.who, self.finished(&record)?),
+            Record::TickDue { who, cookie } => (who, Event::TickDue(cookie)),
+            Record::NoteFrom { who, from, msg } => (who, Event::Note { from, text: msg }),
+        }))
+    }
+
+    fn finished(&self, record: &FinishedRecord) -> Result<Event, HostError> {
+        let instance = self.instances.get(&record.who);
+        let value = |at: Option<usize>| at.and_then(|at| record.report.get(at)).map(|v| f64::from(*v));
+        let left = value(instance.and_then(|i| i.left_at));
+        let limit = value(instance.and_then(|i| i.limit_at));
+        Ok(Event::Finished(Finished {
+            message: MessageId(record.call),
+            endpoint: EndpointId(record.endpoint),
+            attempt: record.trial,
+            outcome: outcome(record.code, record.detail)?,
+            latency: Duration::from_nanos(record.delay),
+            complete: record.complete,
+            allowance: left.zip(limit).map(|(left, limit)| Allowance { left, limit }),
+        }))
+    }
+}
+
+/// Runs a step of the module; its panic becomes a reply with the text.
+fn guarded(who: u16, replies: &mut Vec<Reply>, step: impl FnOnce()) {
+    if let Err(cause) = catch_unwind(AssertUnwindSafe(step)) {
+        let text = cause.downcast_ref::<&str>().map(|s| (*s).to_owned());
+        let text = text.or_else(|| cause.downcast_ref::<String>().cloned());
+        replies.push(Reply::Panic {
+            who,
+            words: text.unwrap_or_else(|| "panic without a text".to_owned()),
+        });
+    }
+}
+
+fn unknown(field: &'static str, value: u32) -> HostError {
+    HostError::Wire(WireError::Value { at: 0, field, value })
+}
+
+fn outcome(code: u16, detail: u32) -> Result<Outcome, HostError> {
+    Ok(match code {
+        100 => Outcome::Ok,
+        301 => Outcome::Error,
+        302 => Outcome::Full((detail > 0).then(|| Duration::from_millis(u64::from(detail)))),
+        303 => Outcome::Timeout,
+        304 => Outcome::ConnectFailed,
+        305 => Outcome::Reset,
+        306 => Outcome::Cancelled,
+        307 => Outcome::Moot,
+        other => return Err(unknown("Code", u32::from(other))),
+    })
+}
+
+fn endpoint(entry: &Entry) -> Result<Endpoint, HostError> {
+    Ok(Endpoint {
+        id: EndpointId(entry.endpoint),
+        zone: ZoneId(entry.zone),
+        kind: KindId(entry.kind),
+        destination: DestinationId(entry.cell),
+        mode: match entry.mode {
+            3 => Mode::Ready,
+            1 => Mode::Draining,
+            2 => Mode::Gone,
+            other => return Err(unknown("Mode", u32::from(other))),
+        },
+        weight: f64::from(entry.weight),
+    })
+}
+
+fn nanos(span: Duration) -> u64 {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
+fn reply(who: u16, action: Action) -> Reply {
+    match action {
+        Action::Route {
+            message,
+            endpoint,
+            try_for,
+        } => Reply::Route {
+            who,
+            call: message.0,
+            endpoint: endpoint.0,
+            try_for: nanos(try_for).max(1),
+        },
+        Action::Busy { message } => Reply::Busy {
+            who,
+            call: message.0,
+            stay_away: 0,
+        },
+        Action::ReportFailure { message } => Reply::ReportFailure { who, call: message.0 },
+        Action::StopAttempt { message, attempt } => Reply::StopAttempt {
+            who,
+            call: message.0,
+            trial: attempt,
+        },
+        Action::Wake { after, token } => Reply::After {
+            who,
+            after: nanos(after),
+            cookie: token,
+        },
+        Action::CloseIdle { endpoint } => Reply::CloseIdle {
+            who,
+            endpoint: endpoint.0,
+        },
+        Action::Probe { endpoint } => Reply::SoundOut {
+            who,
+            endpoint: endpoint.0,
+        },
+        Action::Tell { to, text } => Reply::Tell {
+            who,
+            peer: to.unwrap_or(u16::MAX),
+            msg: text,
+        },
+        Action::Log { text } => Reply::Log { who, words: text },
+        Action::KeepInformed { active } => Reply::KeepInformed { who, active },
+        Action::Refresh => Reply::Refresh { who },
+    }
+}
--- /dev/null
+++ b/src/bin/cloverstile-wirehost/main.rs
@@ -0,0 +1,68 @@
+//! Puts the decision module on the bench's wire: batches on standard input, one reply each on standard output.
+
+mod host;
+mod settings;
+mod wire;
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::process::ExitCode;
+
+/// Reads one frame's body; none at a clean end of input.
+fn read_frame(input: &mut impl Read) -> Result<Option<Vec<u8>>, String> {
+    let mut length = [0; 4];
+    let mut have = 0;
+    while have < length.len() {
+        match input.read(&mut length[have..]) {
+            Ok(0) if have == 0 => return Ok(None),
+            Ok(0) => return Err(format!("input ends after {have} of 4 bytes of a frame's length")),
+            Ok(count) => have += count,
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) => return Err(format!("cannot read a frame's length: {error}")),
+        }
+    }
+    let length = u64::from(u32::from_be_bytes(length));
+    // Grows with what really comes, whatever the length field says.
+    let mut body = Vec::new();
+    input
+        .take(length)
+        .read_to_end(&mut body)
+        .map_err(|error| format!("cannot read a frame: {error}"))?;
+    if (body.len() as u64) < length {
+        return Err(format!(
+            "input ends after {} of {length} bytes of a frame",
+            body.len()
+        ));
+    }
+    Ok(Some(body))
+}
+
+fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
+    let mut host = host::Host::default();
+    let mut batch = 0_u64;
+    while let Some(body) = read_frame(input).map_err(|error| format!("batch {batch}: {error}"))? {
+        let (clock, records) = wire::read_batch(&body).map_err(|error| format!("batch {batch}: {error}"))?;
+        let replies = host
+            .run(clock, records)
+            .map_err(|error| format!("batch {batch}: {error}"))?;
+        let sent = output
+            .write_all(&wire::write_frame(&replies))
+            .and_then(|()| output.flush());
+        sent.map_err(|error| format!("batch {batch}: cannot write the reply: {error}"))?;
+        batch += 1;
+    }
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    let input = io::stdin().lock();
+    match serve(
+        &mut io::BufReader::with_capacity(1 << 16, input),
+        &mut io::stdout().lock(),
+    ) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("cloverstile-wirehost: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/cloverstile-wirehost/settings.rs
@@ -0,0 +1,186 @@
+//! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped.
+
+use cloverstile::{Class, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+use std::time::Duration;
+use thiserror::Error;
+
+/// A setting that cannot be read.
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum SettingError {
+    #[error("line {line}: '{text}' is not path=value")]
+    Line { line: usize, text: String },
+    #[error("setting {path}: '{value}' cannot be read")]
+    Value { path: String, value: String },
+}
+
+/// The settings, and where the load report keeps its two values.
+#[derive(Debug)]
+pub struct Parsed {
+    pub settings: Settings,
+    pub left_at: Option<usize>,
+    pub limit_at: Option<usize>,
+}
+
+struct Lines<'a>(BTreeMap<&'a str, &'a str>);
+
+impl Lines<'_> {
+    fn get<T: FromStr>(&self, path: &str) -> Result<Option<T>, SettingError> {
+        self.0.get(path).map(|value| parse(path, value)).transpose()
+    }
+
+    fn or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, SettingError> {
+        Ok(self.get(path)?.unwrap_or(absent))
+    }
+
+    fn span(&self, path: &str, absent: Duration) -> Result<Duration, SettingError> {
+        Ok(self.get(path)?.map_or(absent, Duration::from_nanos))
+    }
+
+    fn words(&self, path: &str) -> Vec<&str> {
+        self.0
+            .get(path)
+            .map_or(Vec::new(), |v| v.split(',').filter(|w| !w.is_empty()).collect())
+    }
+
+    fn choice<T>(&self, path: &str, absent: T, known: &[(&str, T)]) -> Result<T, SettingError>
+    where
+        T: Copy,
+    {
+        let Some(value) = self.0.get(path) else {
+            return Ok(absent);
+        };
+        known
+            .iter()
+            .find(|(word, _)| word == value)
+            .map(|(_, meaning)| *meaning)
+            .ok_or_else(|| bad(path, value))
+    }
+}
+
+fn bad(path: &str, value: &str) -> SettingError {
+    SettingError::Value {
+        path: path.to_owned(),
+        value: value.to_owned(),
+    }
+}
+
+fn parse<T: FromStr>(path: &str, value: &str) -> Result<T, SettingError> {
+    value.parse().map_err(|_| bad(path, value))
+}
+
+/// Reads the text of a `Config` field.
+pub fn parse_settings(text: &str) -> Result<Parsed, SettingError> {
+    let mut map = BTreeMap::new();
+    for (index, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+        let unreadable = || SettingError::Line {
+            line: index + 1,
+            text: line.to_owned(),
+        };
+        let (path, value) = line.split_once('=').ok_or_else(unreadable)?;
+        map.insert(path, value);
+    }
+    let lines = Lines(map);
+    let base = Settings::default();
+    let rules = base.rules;
+    let fields = lines.words("Report.Fields");
+    let place = |name: &str| fields.iter().position(|field| *field == name);
+    let settings = Settings {
+        couriers: lines.or("Balancers", base.couriers)?,
+        classes: list(&lines, "Lanes", class)?,
+        tenants: list(&lines, "Projects", tenant)?,
+        kinds: kinds(&lines)?,
+        weights: lines.choice(
+            "WeightSource",
+            WeightSource::Silent,
+            &[
+                ("silent", WeightSource::Silent),
+                ("nominal", WeightSource::Nominal),
+                ("rough", WeightSource::Rough),
+                ("live", WeightSource::Silent),
+            ],
+        )?,
+        call_slots: lines.or("FamilyInfo.CallsOut", base.call_slots)?,
+        most_held: lines.or("Permissions.MostHeld", base.most_held)?,
+        send_cap: lines.or("Permissions.SendCap", base.send_cap)?,
+        cancel: lines.or("Permissions.Cancel", false)?,
+        second_copies: lines.or("Permissions.SecondCopies", false)?,
+        over_share_worth: lines.or("OverShareWorth", base.over_share_worth)?,
+        connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
+        rules: Rules {
+            answer_slack: lines.span("Rules.AnswerSlack", rules.answer_slack)?,
+            cold_from: lines.or("Rules.ColdFrom", rules.cold_from)?,
+            cold: lines.span("Rules.Cold", rules.cold)?,
+            tip_multiple: lines.or("Rules.TipMultiple", rules.tip_multiple)?,
+            fall: lines.span("Rules.Fall", rules.fall)?,
+            order_settle: lines.span("Rules.OrderSettle", rules.order_settle)?,
+        },
+    };
+    Ok(Parsed {
+        settings,
+        left_at: place("x0"),
+        limit_at: place("x1"),
+    })
+}
+
+fn list<T>(
+    lines: &Lines,
+    path: &str,
+    item: fn(&Lines, &str) -> Result<T, SettingError>,
+) -> Result<Vec<T>, SettingError> {
+    let count: u16 = lines.or(&format!("{path}.count"), 0)?;
+    (0..count)
+        .map(|index| item(lines, &format!("{path}.{index}")))
+        .collect()
+}
+
+fn class(lines: &Lines, path: &str) -> Result<Class, SettingError> {
+    let at = |name: &str| format!("{path}.{name}");
+    let base = Class::default();
+    Ok(Class {
+        aim: lines.span(&at("Aim"), base.aim)?,
+        deadline: lines.span(&at("Deadline"), base.deadline)?,
+        effect: lines.choice(
+            &at("Effect"),
+            Effect::Unsafe,
+            &[
+                ("read_like", Effect::Safe),
+                ("idempotency_key", Effect::Keyed),
+                ("non_idempotent", Effect::Unsafe),
+            ],
+        )?,
+        group: lines.choice(
+            &at("Group"),
+            Group::Zone,
+            &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::All)],
+        )?,
+        repeat_window: lines.span(&at("RepeatWindow"), Duration::ZERO)?,
+        in_order: lines.or(&at("OneAtATime"), false)?,
+        worth: lines.or(&at("Worth"), base.worth)?,
+        late_share: lines.or(&at("LateShare"), 0.0)?,
+    })
+}
+
+fn tenant(lines: &Lines, path: &str) -> Result<Tenant, SettingError> {
+    Ok(Tenant {
+        quota: lines.or(&format!("{path}.QuotaPerS"), f64::INFINITY)?,
+    })
+}
+
+fn kinds(lines: &Lines) -> Result<Vec<Kind>, SettingError> {
+    let batches = lines.words("FamilyInfo.KindBatch");
+    let apart = lines.words("FamilyInfo.OwnLimits");
+    (0..batches.len().max(apart.len()))
+        .map(|index| {
+            Ok(Kind {
+                batch: batches
+                    .get(index)
+                    .map_or(Ok(1), |v| parse("FamilyInfo.KindBatch", v))?,
+                own_limits: apart
+                    .get(index)
+                    .map_or(Ok(false), |v| parse("FamilyInfo.OwnLimits", v))?,
+            })
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,836 @@
+//! Every decision of a courier. Its types, events and actions are in `interface.rs`; nothing is decided there.
+//!
+//! The ordinary path: a message waits in the queue of its destination; a free call slot goes to the waiting
+//! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
+//! inside group, window and attempt limit, after a full-jitter exponential gap. All else here guards that path.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// First gap before a repeat, as a part of the class's aim: short enough to leave time for several on time.
+const BACKOFF_BASE_OF_AIM: f64 = 0.05;
+/// Longest gap before a repeat, as a part of the class's aim: a repeat rarely pays if it waits longer.
+const BACKOFF_CAP_OF_AIM: f64 = 0.7;
+/// A keyed message is not resent in the last part of its window: the call must still arrive inside it.
+const WINDOW_MARGIN: f64 = 0.1;
+/// Time-out of a repeatable attempt, in latencies (mean and deviation below) of its destination ...
+const TIMEOUT_LATENCIES: f64 = 4.0;
+/// ... and at least this part of the aim, at most this multiple of it.
+const TIMEOUT_AIMS: (f64, f64) = (0.6, 1.5);
+/// A destination has stalled when none of its calls was answered for so many latencies ...
+const STALL_LATENCIES: f64 = 3.0;
+/// ... and at least for this part of the shortest aim: short pauses of a partner pass unnoticed.
+const STALL_AIM: f64 = 0.25;
+/// First gap between trial calls, as a part of the fall window, and the longest one; both are jittered.
+const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
+/// A spell without success shorter than this part of the fall window needs no slow start.
+const BLIP_OF_FALL: f64 = 0.6;
+/// Errors or refusals in a row that count as a spell; one alone is everyday life.
+const SPELL_AFTER: u32 = 3;
+/// Part of the fall budget that is used: refused calls, batches and chance need the rest.
+const FALL_BUDGET_USED: f64 = 0.7;
+/// Starting rate as a multiple of an even part of the weight: traffic is never quite even.
+const START_SHARE: f64 = 1.5;
+/// On `full` the rate falls to this part of itself, at most once in `CUT_EVERY`.
+const RATE_CUT: f64 = 0.75;
+const CUT_EVERY: Duration = Duration::from_millis(500);
+/// Growth of the rate in a second in which it bound, as a part of the weight.
+const RATE_GROWTH: f64 = 0.06;
+/// The rate stays above this part of an even part of the weight, else it could never learn better.
+const RATE_FLOOR: f64 = 0.25;
+/// Tokens that may be saved up, in seconds of the rate; one call at least.
+const BURST_S: f64 = 0.4;
+/// Weight of the newest latency in the running mean.
+const LATENCY_GAIN: f64 = 0.15;
+/// Share of the messages that may be held above which the least worth are shed.
+const SHED_ABOVE: f64 = 0.93;
+
+/// A message between its hand-in and its end (and the end of its last attempt).
+struct Message {
+    taken: Accepted,
+    born: Time,
+    attempts: u32,
+    out: Option<Out>,
+    /// When the first attempt that may have run was sent, and where: it fixes window and group.
+    maybe_ran: Option<(Time, Option<ZoneId>)>,
+    not_before: Time,
+    closed: bool,
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    sent: Time,
+    zone: ZoneId,
+    route: RouteId,
+    call: u64,
+}
+
+/// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct RouteId(DestinationId, Option<EndpointId>);
+
+struct Address {
+    entry: Endpoint,
+    calls_out: usize,
+    failures: u32,
+    avoid_until: Time,
+}
+
+/// A time without any success on a route, from its last success on.
+struct Spell {
+    began: Time,
+    next_trial: Time,
+    trials: u32,
+}
+
+/// Pace and health of a route: one mechanism for limits, outages and cold return.
+struct Route {
+    weight: f64,
+    rate: f64,
+    tokens: f64,
+    filled: Time,
+    bound: bool,
+    last_cut: Time,
+    told_wait: Time,
+    mean: f64,
+    deviation: f64,
+    last_answer: Time,
+    failures: u32,
+    spell: Option<Spell>,
+    /// When the slow start began, if one is on.
+    returned: Option<Time>,
+    /// Calls out, the oldest first.
+    out: BTreeSet<(Time, u64)>,
+}
+
+/// A courier: records events in `handle`, acts in `decide`.
+pub struct Courier {
+    settings: Settings,
+    rng: fastrand::Rng,
+    addresses: BTreeMap<EndpointId, Address>,
+    routes: BTreeMap<RouteId, Route>,
+    queues: BTreeMap<DestinationId, Vec<MessageId>>,
+    messages: BTreeMap<MessageId, Message>,
+    open: usize,
+    deadlines: BTreeSet<(Time, MessageId)>,
+    keys: BTreeMap<OrderKey, VecDeque<MessageId>>,
+    rests: BTreeMap<OrderKey, Time>,
+    calls_out: usize,
+    /// Messages that each call out still carries.
+    calls: BTreeMap<u64, usize>,
+    call: u64,
+    wake: Option<(Time, u64)>,
+    token: u64,
+}
+
+impl Courier {
+    /// A courier that knows only its settings; `seed` is its one source of chance.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Courier {
+            settings,
+            rng: fastrand::Rng::with_seed(seed),
+            addresses: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            queues: BTreeMap::new(),
+            messages: BTreeMap::new(),
+            open: 0,
+            deadlines: BTreeSet::new(),
+            keys: BTreeMap::new(),
+            rests: BTreeMap::new(),
+            calls_out: 0,
+            calls: BTreeMap::new(),
+            call: 0,
+            wake: None,
+            token: 0,
+        }
+    }
+
+    /// Records one event. Call [`Courier::decide`] after the last one of a batch.
+    pub fn handle(&mut self, now: Time, event: Event) {
+        match event {
+            Event::Listed(listing) => self.on_listing(now, listing),
+            Event::Accept(message) => self.on_accept(now, message),
+            Event::Finished(finished) => self.on_finished(now, finished),
+            Event::ClientGone(id) => self.close(id),
+            Event::TickDue(token) => {
+                if self.wake.is_some_and(|(_, t)| t == token) {
+                    self.wake = None;
+                }
+            }
+            Event::FirstByte(_) | Event::Probed { .. } | Event::Note { .. } => {}
+        }
+    }
+
+    /// Acts on all that was recorded.
+    pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
+        self.answer_due(now, actions);
+        self.shed(now, actions);
+        let next = self.send_ready(now, actions);
+        self.set_wake(now, next, actions);
+    }
+
+    // ---- Events ----
+
+    fn on_listing(&mut self, now: Time, listing: Listing) {
+        let entries = match listing {
+            Listing::Failed => return,
+            Listing::Changes(entries) => entries,
+            Listing::Whole(entries) => {
+                // What a whole list does not name is gone: it gets nothing new from now on.
+                for address in self.addresses.values_mut() {
+                    address.entry.mode = Mode::Gone;
+                }
+                entries
+            }
+        };
+        for entry in entries {
+            let known = self.addresses.entry(entry.id).or_insert_with(|| Address {
+                entry: entry.clone(),
+                calls_out: 0,
+                failures: 0,
+                avoid_until: Time::ZERO,
+            });
+            known.entry = entry.clone();
+            let weight = self.weight_of(&entry);
+            let even = weight / f64::from(self.settings.couriers.max(1));
+            let latency = self.shortest_aim().as_secs_f64() * 0.1;
+            let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| Route {
+                weight,
+                rate: (even * START_SHARE).min(weight),
+                tokens: 1.0,
+                filled: now,
+                bound: false,
+                last_cut: Time::ZERO,
+                told_wait: Time::ZERO,
+                mean: latency,
+                deviation: latency,
+                last_answer: now,
+                failures: 0,
+                spell: None,
+                returned: None,
+                out: BTreeSet::new(),
+            });
+            route.weight = weight;
+        }
+    }
+
+    fn on_accept(&mut self, now: Time, taken: Accepted) {
+        let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else {
+            return;
+        };
+        let born = taken.deadline - class.deadline;
+        // A keyed message of a courier that died may have run there at any time since it was handed in.
+        let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
+        if let (true, Some(key)) = (class.in_order, taken.key) {
+            self.keys.entry(key).or_default().push_back(taken.id);
+        }
+        self.deadlines.insert((taken.deadline, taken.id));
+        self.queues.entry(taken.destination).or_default().push(taken.id);
+        self.open += 1;
+        let message = Message {
+            born,
+            attempts: 0,
+            out: None,
+            maybe_ran: may_have_run.then_some((born, None)),
+            not_before: now,
+            closed: false,
+            taken,
+        };
+        self.messages.insert(message.taken.id, message);
+    }
+
+    fn on_finished(&mut self, now: Time, finished: Finished) {
+        let Some(message) = self.messages.get_mut(&finished.message) else {
+            return;
+        };
+        let Some(out) = message.out.take() else { return };
+        let class = &self.settings.classes[usize::from(message.taken.class.0)];
+        let never_ran = matches!(
+            finished.outcome,
+            Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot
+        );
+        if !never_ran && message.maybe_ran.is_none() {
+            message.maybe_ran = Some((out.sent, Some(out.zone)));
+        }
+        let gap = BACKOFF_BASE_OF_AIM * f64::from(2u32.saturating_pow(message.attempts.min(16)));
+        let gap = class.aim.mul_f64(gap.min(BACKOFF_CAP_OF_AIM));
+        message.not_before = now + gap.mul_f64(self.rng.f64());
+        // A call that may still be running lets its key rest before the next message of the key.
+        let unsettled = matches!(
+            finished.outcome,
+            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled
+        );
+        if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
+            self.rests.insert(key, now + self.settings.rules.order_settle);
+        }
+        self.end_call(now, &finished, out);
+        if finished.complete {
+            self.close(finished.message);
+        }
+        self.forget_if_over(finished.message);
+    }
+
+    /// Frees the slot of a call with its last outcome and lets address and route learn, once a call.
+    fn end_call(&mut self, now: Time, finished: &Finished, out: Out) {
+        let Some(carried) = self.calls.get_mut(&out.call) else {
+            return;
+        };
+        *carried = carried.saturating_sub(1);
+        if *carried > 0 {
+            return;
+        }
+        // Only a call's last outcome counts: its messages share one fate.
+        self.calls.remove(&out.call);
+        if let Some(route) = self.routes.get_mut(&out.route) {
+            route.out.remove(&(out.sent, out.call));
+        }
+        self.calls_out = self.calls_out.saturating_sub(1);
+        let cold = self.settings.rules.cold;
+        let fall = self.settings.rules.fall;
+        if let Some(address) = self.addresses.get_mut(&finished.endpoint) {
+            address.calls_out = address.calls_out.saturating_sub(1);
+            match finished.outcome {
+                Outcome::Ok => address.failures = 0,
+                Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
+                    address.failures += 1;
+                    let gap = fall.mul_f64(TRIAL_GAPS_OF_FALL.0 * f64::from(address.failures.min(30)).exp2());
+                    address.avoid_until = now + gap.min(cold).mul_f64(0.5 + self.rng.f64() / 2.0);
+                }
+                Outcome::Full(_) | Outcome::Cancelled | Outcome::Moot => {}
+            }
+        }
+        self.learn(now, finished, out);
+    }
+
+    /// Health and pace of a route, from the outcome of one call.
+    fn learn(&mut self, now: Time, finished: &Finished, out: Out) {
+        let couriers = f64::from(self.settings.couriers.max(1));
+        let blip = self.settings.rules.fall.mul_f64(BLIP_OF_FALL);
+        let chance = self.rng.f64();
+        let rules = &self.settings.rules;
+        let Some(route) = self.routes.get_mut(&out.route) else {
+            return;
+        };
+        if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
+            route.weight = limit;
+        }
+        if let Outcome::Full(Some(wait)) = finished.outcome {
+            route.told_wait = route.told_wait.max(now + wait);
+        }
+        let alone = out.sent >= route.last_answer;
+        match finished.outcome {
+            Outcome::Ok => {
+                let latency = finished.latency.as_secs_f64();
+                route.deviation += LATENCY_GAIN * ((latency - route.mean).abs() - route.deviation);
+                route.mean += LATENCY_GAIN * (latency - route.mean);
+                // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
+                // that saw only the end of an outage are covered by counting from the last success.
+                if route.spell.as_ref().is_some_and(|s| now - s.began > blip) {
+                    route.returned = Some(now);
+                    route.tokens = 0.0;
+                }
+                route.spell = None;
+                route.failures = 0;
+                route.last_answer = now;
+                return;
+            }
+            Outcome::Full(_) => {
+                route.failures += 1;
+                if now - route.last_cut > CUT_EVERY {
+                    let floor = route.weight / couriers * RATE_FLOOR;
+                    route.rate = (route.rate * RATE_CUT).max(floor);
+                    route.last_cut = now;
+                }
+                route.tokens = route.tokens.min(0.0);
+            }
+            Outcome::Error => route.failures += 1,
+            // No connection, no answer or a broken one, with no success since it was sent: it may be down.
+            Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset if alone => {
+                route.failures = route.failures.max(SPELL_AFTER);
+            }
+            _ => {}
+        }
+        if route.failures >= SPELL_AFTER {
+            let began = route.last_answer;
+            let spell = route.spell.get_or_insert(Spell {
+                began,
+                next_trial: now,
+                trials: 0,
+            });
+            let gap = TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2();
+            let gap = rules.fall.mul_f64(gap.min(TRIAL_GAPS_OF_FALL.1));
+            spell.next_trial = (now + gap.mul_f64(0.5 + chance / 2.0)).max(route.told_wait);
+            route.returned = None;
+        }
+    }
+
+    fn close(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.get_mut(&id) {
+            if !message.closed {
+                message.closed = true;
+                self.open -= 1;
+                if let Some(queue) = self.queues.get_mut(&message.taken.destination) {
+                    queue.retain(|m| *m != id);
+                }
+            }
+        }
+        self.forget_if_over(id);
+    }
+
+    /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
+    fn forget_if_over(&mut self, id: MessageId) {
+        let Some(message) = self.messages.get(&id).filter(|m| m.closed && m.out.is_none()) else {
+            return;
+        };
+        if let Some(key) = message.taken.key {
+            if let Some(turn) = self.keys.get_mut(&key) {
+                turn.retain(|m| *m != id);
+                if turn.is_empty() {
+                    self.keys.remove(&key);
+                }
+            }
+        }
+        self.messages.remove(&id);
+    }
+
+    // ---- Answers ----
+
+    /// The final answer that a message may be given now; none while an attempt may still deliver it.
+    fn permitted_answer(&self, id: MessageId) -> Option<Action> {
+        let message = self.messages.get(&id).filter(|m| !m.closed)?;
+        let class = &self.settings.classes[usize::from(message.taken.class.0)];
+        let refusable = match class.effect {
+            Effect::Safe => true,
+            _ => message.maybe_ran.is_none() && message.out.is_none(),
+        };
+        Some(if refusable {
+            Action::Busy { message: id }
+        } else {
+            Action::ReportFailure { message: id }
+        })
+    }
+
+    fn answer(&mut self, id: MessageId, actions: &mut Vec<Action>) {
+        if let Some(action) = self.permitted_answer(id) {
+            actions.push(action);
+            self.close(id);
+        }
+    }
+
+    /// Every message has a deadline that answers it in time; one that is out is left half of the slack.
+    fn answer_due(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some(&(due, id)) = self.deadlines.first().filter(|(due, _)| *due <= now) {
+            self.deadlines.remove(&(due, id));
+            let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else {
+                continue;
+            };
+            let last_call = message.taken.deadline + self.settings.rules.answer_slack / 2;
+            if message.out.is_some() && now < last_call {
+                self.deadlines.insert((last_call, id));
+            } else {
+                self.answer(id, actions);
+            }
+        }
+    }
+
+    /// Nearly full: the least worth go, before new messages are turned away unseen.
+    fn shed(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
+        while self.open > most {
+            let least = self
+                .messages
+                .values()
+                .filter(|m| !m.closed && m.out.is_none())
+                .map(|m| (self.worth(now, m), m.taken.id))
+                .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+            let Some((_, id)) = least else { return };
+            self.answer(id, actions);
+        }
+    }
+
+    // ---- Choice ----
+
+    /// Fills free slots: each goes to the waiting destination with fewest calls out. Tells when to look again.
+    fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
+        let mut next: Option<Time> = None;
+        let mut waiting: Vec<DestinationId> = self
+            .queues
+            .iter()
+            .filter(|(_, q)| !q.is_empty())
+            .map(|(d, _)| *d)
+            .collect();
+        while self.calls_out < self.settings.call_slots && !waiting.is_empty() {
+            let Some(place) = (0..waiting.len()).min_by_key(|i| self.calls_to(waiting[*i])) else {
+                break;
+            };
+            match self.send_one(now, waiting[place], actions) {
+                Ok(()) => {}
+                Err(again) => {
+                    waiting.swap_remove(place);
+                    next = [next, again].into_iter().flatten().min();
+                }
+            }
+            waiting.sort_unstable();
+        }
+        next
+    }
+
+    fn calls_to(&self, destination: DestinationId) -> usize {
+        self.addresses
+            .values()
+            .filter(|a| a.entry.destination == destination)
+            .map(|a| a.calls_out)
+            .sum()
+    }
+
+    /// Sends the best message of a destination, or tells when that may become possible.
+    fn send_one(
+        &mut self,
+        now: Time,
+        to: DestinationId,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Option<Time>> {
+        let mut again: Option<Time> = None;
+        let routes: Vec<RouteId> = self
+            .routes
+            .range(RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX))))
+            .map(|r| *r.0)
+            .collect();
+        for id in routes {
+            match self.route_free_at(now, id) {
+                Some(at) if at <= now => {}
+                at => {
+                    again = [again, at].into_iter().flatten().min();
+                    continue;
+                }
+            }
+            let Some(first) = self.pick(now, to, id, &mut again) else {
+                continue;
+            };
+            let Some(endpoint) = self.address_for(now, id, first) else {
+                continue;
+            };
+            self.send_call(now, id, endpoint, first, actions);
+            return Ok(());
+        }
+        Err(again)
+    }
+
+    /// When a route may take one more call: now, later, or only after some outcome (none).
+    fn route_free_at(&mut self, now: Time, id: RouteId) -> Option<Time> {
+        let stall = self.stall_patience(id);
+        let slots_free = self.settings.call_slots.saturating_sub(self.calls_out);
+        let rate = self.pace(now, id);
+        let route = self.routes.get_mut(&id)?;
+        if route.told_wait > now {
+            return Some(route.told_wait);
+        }
+        // Hung or dead destinations answer nothing: the silence itself opens the circuit, long before a
+        // time-out would, so that only few calls are risked.
+        if let (None, Some((sent, _))) = (&route.spell, route.out.first()) {
+            let silent_since = (*sent).max(route.last_answer);
+            if now - silent_since > stall {
+                route.spell = Some(Spell {
+                    began: route.last_answer.min(*sent),
+                    next_trial: now + stall,
+                    trials: 0,
+                });
+            }
+        }
+        if let Some(spell) = &route.spell {
+            return Some(spell.next_trial);
+        }
+        // Bulkhead: no destination has more calls out than slots are left for all others.
+        if !route.out.is_empty() && route.out.len() >= slots_free.max(1) {
+            return None;
+        }
+        let burst = if route.returned.is_some() {
+            1.0
+        } else {
+            (rate * BURST_S).max(1.0)
+        };
+        let passed = (now - route.filled).as_secs_f64();
+        if route.bound && route.returned.is_none() {
+            route.rate = (route.rate + passed * RATE_GROWTH * route.weight).min(route.weight);
+        }
+        route.tokens = (route.tokens + passed * rate).min(burst);
+        route.filled = now;
+        route.bound = route.tokens < 1.0;
+        if route.bound {
+            return Some(now + Duration::from_secs_f64(((1.0 - route.tokens) / rate).clamp(0.001, 10.0)));
+        }
+        Some(now)
+    }
+
+    /// Calls a second that this courier may send a route now.
+    fn pace(&mut self, now: Time, id: RouteId) -> f64 {
+        let rules = &self.settings.rules;
+        let Some(route) = self.routes.get_mut(&id) else {
+            return 1.0;
+        };
+        let Some(returned) = route.returned else {
+            return route.rate;
+        };
+        let warmth = (now - returned).as_secs_f64() / rules.cold.as_secs_f64().max(0.001);
+        if warmth >= 1.0 {
+            route.returned = None;
+            return route.rate;
+        }
+        // This courier's part of what a returning destination survives, were all others to do the same.
+        let part =
+            (rules.tip_multiple * FALL_BUDGET_USED / f64::from(self.settings.couriers.max(1))).min(1.0);
+        let share = rules.cold_from + (1.0 - rules.cold_from) * warmth;
+        (route.weight * share * part).min(route.rate)
+    }
+
+    fn stall_patience(&self, id: RouteId) -> Duration {
+        let least = self.shortest_aim().mul_f64(STALL_AIM);
+        let Some(route) = self.routes.get(&id) else {
+            return least;
+        };
+        least.max(Duration::from_secs_f64(
+            STALL_LATENCIES * (route.mean + route.deviation),
+        ))
+    }
+
+    /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
+    fn pick(&self, now: Time, to: DestinationId, id: RouteId, again: &mut Option<Time>) -> Option<MessageId> {
+        let trial = self.routes.get(&id).is_some_and(|r| r.spell.is_some());
+        let mut best: Option<(f64, MessageId)> = None;
+        for message in self
+            .queues
+            .get(&to)
+            .into_iter()
+            .flatten()
+            .filter_map(|m| self.messages.get(m))
+        {
+            match self.sendable_at(now, message) {
+                Some(at) if at <= now => {}
+                at => {
+                    *again = [*again, at].into_iter().flatten().min();
+                    continue;
+                }
+            }
+            let mut worth = self.worth(now, message);
+            if trial && self.class(message).effect == Effect::Unsafe {
+                worth -= 1e6;
+            }
+            if best.is_none_or(|(most, _)| worth > most) {
+                best = Some((worth, message.taken.id));
+            }
+        }
+        best.map(|(_, id)| id)
+    }
+
+    fn class(&self, message: &Message) -> &Class {
+        &self.settings.classes[usize::from(message.taken.class.0)]
+    }
+
+    /// The one gate for every send: when this message may be sent; none if not before some event, or never.
+    fn sendable_at(&self, now: Time, message: &Message) -> Option<Time> {
+        if message.closed || message.out.is_some() || message.attempts >= self.settings.send_cap {
+            return None;
+        }
+        let class = self.class(message);
+        if let Some((first, _)) = message.maybe_ran {
+            match class.effect {
+                Effect::Safe => {}
+                Effect::Unsafe => return None,
+                Effect::Keyed if now > first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN) => {
+                    return None
+                }
+                Effect::Keyed => {}
+            }
+        }
+        let mut at = message.not_before;
+        if let (true, Some(key)) = (class.in_order, message.taken.key) {
+            if self.keys.get(&key).and_then(|turn| turn.front()) != Some(&message.taken.id) {
+                return None;
+            }
+            // The rest after an unsettled attempt binds the next messages of the key, not the same one.
+            if message.attempts == 0 {
+                at = at.max(self.rests.get(&key).copied().unwrap_or(Time::ZERO));
+            }
+        }
+        Some(at)
+    }
+
+    /// Worth still to be won: on time before late, then worth; among equals the one that is late first.
+    fn worth(&self, now: Time, message: &Message) -> f64 {
+        let class = self.class(message);
+        let age = (now - message.born).as_secs_f64();
+        let aim = class.aim.as_secs_f64();
+        let span = class.deadline.as_secs_f64().max(0.001);
+        if age < aim {
+            class.worth * (2.0 + 0.1 * age / span)
+        } else {
+            class.worth * class.late_share * (1.0 + 0.1 * age / span)
+        }
+    }
+
+    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat.
+    fn address_for(&self, now: Time, id: RouteId, message: MessageId) -> Option<EndpointId> {
+        let message = self.messages.get(&message)?;
+        let class = self.class(message);
+        let zone = match (class.effect, class.group, message.maybe_ran) {
+            (Effect::Keyed, Group::Zone, Some((_, zone))) => Some(zone?),
+            _ => None,
+        };
+        self.addresses
+            .values()
+            .filter(|a| a.entry.mode == Mode::Ready && self.route_of(&a.entry) == id)
+            .filter(|a| zone.is_none_or(|z| a.entry.zone == z))
+            .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.entry.id))
+            .map(|a| a.entry.id)
+    }
+
+    /// One call: the message that was picked and, where a call may carry more, others that wait.
+    fn send_call(
+        &mut self,
+        now: Time,
+        id: RouteId,
+        to: EndpointId,
+        first: MessageId,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(address) = self.addresses.get_mut(&to) else {
+            return;
+        };
+        address.calls_out += 1;
+        let kind = usize::from(address.entry.kind.0);
+        let zone = address.entry.zone;
+        self.calls_out += 1;
+        let Some(route) = self.routes.get_mut(&id) else {
+            return;
+        };
+        route.tokens -= 1.0;
+        let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
+        if let Some(spell) = &mut route.spell {
+            spell.trials += 1;
+            let gap =
+                (TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2()).min(TRIAL_GAPS_OF_FALL.1);
+            spell.next_trial = now
+                + self
+                    .settings
+                    .rules
+                    .fall
+                    .mul_f64(gap * (0.5 + self.rng.f64() / 2.0));
+            room = 1;
+        }
+        self.call += 1;
+        route.out.insert((now, self.call));
+        let mut carried = 0;
+        let mut next = Some(first);
+        while let Some(message) = next {
+            self.send_message(now, id, to, zone, message, actions);
+            carried += 1;
+            room -= 1;
+            next = if room == 0 {
+                None
+            } else {
+                self.pick(now, id.0, id, &mut None)
+            };
+        }
+        self.calls.insert(self.call, carried);
+    }
+
+    fn send_message(
+        &mut self,
+        now: Time,
+        id: RouteId,
+        to: EndpointId,
+        zone: ZoneId,
+        message: MessageId,
+        actions: &mut Vec<Action>,
+    ) {
+        let try_for = self.time_out(now, id, message);
+        let Some(m) = self.messages.get_mut(&message) else {
+            return;
+        };
+        m.attempts += 1;
+        m.out = Some(Out {
+            sent: now,
+            zone,
+            route: id,
+            call: self.call,
+        });
+        actions.push(Action::Route {
+            message,
+            endpoint: to,
+            try_for,
+        });
+    }
+
+    /// Follows the destination's own latency. An attempt that could not be followed by another gets all the
+    /// time that the message has: its time-out would be final.
+    fn time_out(&self, now: Time, id: RouteId, message: MessageId) -> Duration {
+        let Some(m) = self.messages.get(&message) else {
+            return Duration::ZERO;
+        };
+        let class = self.class(m);
+        let left = m.taken.deadline - now;
+        let Some(route) = self.routes.get(&id) else {
+            return left;
+        };
+        let usual = TIMEOUT_LATENCIES * (route.mean + route.deviation);
+        let aim = class.aim.as_secs_f64();
+        let span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
+        let first = m.maybe_ran.map_or(now, |(first, _)| first);
+        let window = class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN);
+        let last = m.attempts + 1 >= self.settings.send_cap
+            || class.effect == Effect::Unsafe
+            || (class.effect == Effect::Keyed && now + span > first + window);
+        if last {
+            left
+        } else {
+            span.min(left)
+        }
+    }
+
+    // ---- Settings and timers ----
+
+    fn route_of(&self, entry: &Endpoint) -> RouteId {
+        let apart = self
+            .settings
+            .kinds
+            .get(usize::from(entry.kind.0))
+            .is_some_and(|k| k.own_limits);
+        RouteId(entry.destination, apart.then_some(entry.id))
+    }
+
+    fn weight_of(&self, entry: &Endpoint) -> f64 {
+        match self.settings.weights {
+            WeightSource::Silent => self.settings.call_slots as f64,
+            // Up to half too low: the rate is found from above, by refusals.
+            WeightSource::Rough => entry.weight * 1.5,
+            WeightSource::Nominal => entry.weight,
+        }
+        .max(0.1)
+    }
+
+    fn shortest_aim(&self) -> Duration {
+        self.settings
+            .classes
+            .iter()
+            .map(|c| c.aim)
+            .min()
+            .unwrap_or(Duration::from_secs(1))
+    }
+
+    /// One timer is outstanding: the earliest moment at which something could be done without an event.
+    fn set_wake(&mut self, now: Time, next: Option<Time>, actions: &mut Vec<Action>) {
+        let due = self.deadlines.first().map(|(due, _)| *due);
+        let Some(at) = [next, due].into_iter().flatten().min() else {
+            return;
+        };
+        if self.wake.is_none_or(|(set, _)| at < set || set <= now) {
+            self.token += 1;
+            self.wake = Some((at, self.token));
+            actions.push(Action::Wake {
+                after: at - now,
+                token: self.token,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,439 @@
+//! What a courier is told and what it may answer. Types only; every decision is in `choice.rs`.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+/// A moment on the caller's clock, in nanoseconds from any fixed start. Never goes backwards.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// The clock's own zero.
+    pub const ZERO: Time = Time(0);
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+    /// Saturates at the end of the clock.
+    fn add(self, span: Duration) -> Time {
+        Time(
+            self.0
+                .saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+impl Sub for Time {
+    type Output = Duration;
+    /// Time since `earlier`; zero if that is in the future.
+    fn sub(self, earlier: Time) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Sub<Duration> for Time {
+    type Output = Time;
+    /// Saturates at zero.
+    fn sub(self, span: Duration) -> Time {
+        Time(
+            self.0
+                .saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// A message, unique for the life of a courier. It is also the idempotency key that travels with a call.
+    MessageId(u32);
+    /// One address of a destination.
+    EndpointId(u32);
+    /// A partner's system; a message names the one that it is for.
+    DestinationId(u16);
+    /// Index into [`Settings::classes`].
+    ClassId(u8);
+    /// Index into [`Settings::tenants`].
+    TenantId(u32);
+    /// Index into [`Settings::kinds`].
+    KindId(u16);
+    /// A location.
+    ZoneId(u8);
+    /// What messages of an ordered class are about; those with one key go in turn.
+    OrderKey(u64);
+}
+
+/// What a repeat of a message does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// A repeat does no harm.
+    Safe,
+    /// A repeat under the same key is dropped, inside a group of endpoints and for a time.
+    Keyed,
+    /// A repeat takes effect again.
+    Unsafe,
+}
+
+/// Which endpoints of a destination drop repeats of one key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All of them.
+    All,
+    /// Those of the zone that was called first.
+    Zone,
+}
+
+/// A class of message.
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Delivered within this time after the hand-in, it earns its full worth.
+    pub aim: Duration,
+    /// How long after the hand-in it may be delivered at all.
+    pub deadline: Duration,
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Keyed classes: who drops repeats.
+    pub group: Group,
+    /// Keyed classes: for how long from the sending of the first attempt that may have run.
+    pub repeat_window: Duration,
+    /// Messages with one key go one at a time, in the order taken.
+    pub in_order: bool,
+    /// Worth of a message delivered on time.
+    pub worth: f64,
+    /// Share of the worth that is left at the deadline.
+    pub late_share: f64,
+}
+
+impl Default for Class {
+    fn default() -> Self {
+        Class {
+            aim: Duration::from_secs(3),
+            deadline: Duration::from_secs(20),
+            effect: Effect::Keyed,
+            group: Group::All,
+            repeat_window: Duration::from_secs(10),
+            in_order: false,
+            worth: 1.0,
+            late_share: 0.5,
+        }
+    }
+}
+
+/// A client with a share of the service.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Messages a second over all couriers inside its share; what is beyond is worth little.
+    pub quota: f64,
+}
+
+/// A kind of destination.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Messages that one call may carry.
+    pub batch: usize,
+    /// The endpoints of a destination are separate routes, each with its own limit, pace and outages.
+    pub own_limits: bool,
+}
+
+/// What an endpoint's weight means.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WeightSource {
+    /// Nothing.
+    Silent,
+    /// Calls a second that the destination takes from all couriers together.
+    Nominal,
+    /// The same, up to half too high or too low.
+    Rough,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    /// A final answer still counts this long after the deadline.
+    pub answer_slack: Duration,
+    /// A destination back from an outage can do at least this share of its capacity.
+    pub cold_from: f64,
+    /// It is warm after this at the latest.
+    pub cold: Duration,
+    /// Sent more than this multiple of what it can do just now ...
+    pub tip_multiple: f64,
+    /// ... for this long, a cold destination falls over.
+    pub fall: Duration,
+    /// A key rests this long after an attempt that may still be running.
+    pub order_settle: Duration,
+}
+
+/// What a courier is handed at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Couriers that share the destinations, this one included.
+    pub couriers: u32,
+    /// Classes of message.
+    pub classes: Vec<Class>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// Kinds of destination.
+    pub kinds: Vec<Kind>,
+    /// What weights mean.
+    pub weights: WeightSource,
+    /// Calls that may be out at once.
+    pub call_slots: usize,
+    /// Messages that may be held; further ones are turned away before the courier.
+    pub most_held: usize,
+    /// Most attempts for one message.
+    pub send_cap: u32,
+    /// [`Action::StopAttempt`] is permitted.
+    pub cancel: bool,
+    /// A message may have two attempts out at once.
+    pub second_copies: bool,
+    /// Worth of a message beyond its tenant's share, as a part of its class's worth.
+    pub over_share_worth: f64,
+    /// A connection that takes longer has failed.
+    pub connect_timeout: Duration,
+    /// The figures of the rules.
+    pub rules: Rules,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            couriers: 2,
+            classes: vec![Class::default()],
+            tenants: Vec::new(),
+            kinds: vec![Kind {
+                batch: 1,
+                own_limits: false,
+            }],
+            weights: WeightSource::Nominal,
+            call_slots: 16,
+            most_held: 400,
+            send_cap: 8,
+            cancel: true,
+            second_copies: false,
+            over_share_worth: 1.0,
+            connect_timeout: Duration::from_secs(1),
+            rules: Rules {
+                answer_slack: Duration::from_millis(20),
+                cold_from: 0.2,
+                cold: Duration::from_secs(10),
+                tip_multiple: 2.0,
+                fall: Duration::from_secs(2),
+                order_settle: Duration::ZERO,
+            },
+        }
+    }
+}
+
+/// Whether an endpoint may be given new work. It says nothing of health.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Listed.
+    Ready,
+    /// To be sent nothing new.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// An entry of the list of endpoints.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    /// Its id.
+    pub id: EndpointId,
+    /// Where it stands.
+    pub zone: ZoneId,
+    /// What kind of destination it belongs to.
+    pub kind: KindId,
+    /// The destination that it belongs to.
+    pub destination: DestinationId,
+    /// Whether it may be given new work.
+    pub mode: Mode,
+    /// See [`WeightSource`].
+    pub weight: f64,
+}
+
+/// News of the list of endpoints.
+#[derive(Clone, Debug)]
+pub enum Listing {
+    /// Altered entries only.
+    Changes(Vec<Endpoint>),
+    /// The whole list; what it does not name is gone.
+    Whole(Vec<Endpoint>),
+    /// The list could not be had; the prior one remains valid.
+    Failed,
+}
+
+/// A message that the courier now owes one final answer.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// Its id, which never comes twice.
+    pub id: MessageId,
+    /// Its class.
+    pub class: ClassId,
+    /// Where it must go.
+    pub destination: DestinationId,
+    /// Its key, if it has one.
+    pub key: Option<OrderKey>,
+    /// When it is given up.
+    pub deadline: Time,
+    /// A courier that died held it before; a keyed one may have run there.
+    pub from_dead_courier: bool,
+    /// Whose it is.
+    pub tenant: TenantId,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Delivered.
+    Ok,
+    /// Answered with an error; may have run.
+    Error,
+    /// Turned away unseen: above the limit, queue full, shut or draining. Told to wait for this long, if at all.
+    Full(Option<Duration>),
+    /// No answer in time; may have run, or may still run.
+    Timeout,
+    /// No connection; never ran.
+    ConnectFailed,
+    /// The connection broke; may have run.
+    Reset,
+    /// Called off by the courier; may have run.
+    Cancelled,
+    /// Not sent at all (no free slot, message over, attempts used up).
+    Moot,
+}
+
+/// What a destination told of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Share of the limit that is left just now.
+    pub left: f64,
+    /// The limit in calls a second over all couriers; zero where there is none.
+    pub limit: f64,
+}
+
+/// The end of one attempt. Each routed attempt has exactly one.
+#[derive(Clone, Debug)]
+pub struct Finished {
+    /// The message.
+    pub message: MessageId,
+    /// Where the attempt went.
+    pub endpoint: EndpointId,
+    /// The how-manieth attempt of the message, from 0.
+    pub attempt: u16,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time since it was sent.
+    pub latency: Duration,
+    /// The message is over; if not, its final answer is still owed.
+    pub complete: bool,
+    /// What was told of the limit.
+    pub allowance: Option<Allowance>,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// News of the list.
+    Listed(Listing),
+    /// A message was taken.
+    Accept(Accepted),
+    /// An attempt ended.
+    Finished(Finished),
+    /// Nobody wants this message any more; no answer is owed.
+    ClientGone(MessageId),
+    /// A timer asked for by [`Action::Wake`] has come due.
+    TickDue(u64),
+    /// The answer of a streamed message has begun; the attempt now belongs to the client.
+    FirstByte(MessageId),
+    /// A probe's result.
+    Probed {
+        /// Which endpoint.
+        endpoint: EndpointId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Time since it was sent.
+        latency: Duration,
+    },
+    /// A note of another courier.
+    Note {
+        /// Its number.
+        from: u32,
+        /// What it says.
+        text: Vec<u8>,
+    },
+}
+
+/// Something to do, in the order given.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Call this endpoint with this message. Routes of one `decide` to one endpoint share a call as far as
+    /// [`Kind::batch`] allows.
+    Route {
+        /// The message.
+        message: MessageId,
+        /// Where to.
+        endpoint: EndpointId,
+        /// The attempt's time-out.
+        try_for: Duration,
+    },
+    /// Final answer: handed back; the client may safely hand it in again.
+    Busy {
+        /// The message.
+        message: MessageId,
+    },
+    /// Final answer: given up; the client is not told whether it took effect.
+    ReportFailure {
+        /// The message.
+        message: MessageId,
+    },
+    /// Stop waiting for an attempt.
+    StopAttempt {
+        /// The message.
+        message: MessageId,
+        /// Which attempt, from 0.
+        attempt: u16,
+    },
+    /// Ask for a [`Event::TickDue`] with this token after this time.
+    Wake {
+        /// How long from now.
+        after: Duration,
+        /// Comes back with the event.
+        token: u64,
+    },
+    /// Close the idle connections to an endpoint.
+    CloseIdle {
+        /// Which endpoint.
+        endpoint: EndpointId,
+    },
+    /// Probe an endpoint. It counts as a call there.
+    Probe {
+        /// Which endpoint.
+        endpoint: EndpointId,
+    },
+    /// Send a note of at most 256 bytes to one courier, or to all.
+    Tell {
+        /// A courier's number; all of them where absent.
+        to: Option<u16>,
+        /// What it says.
+        text: Vec<u8>,
+    },
+    /// A line for the operators.
+    Log {
+        /// What it says.
+        text: String,
+    },
+    /// Subscribe to changes of the list, or end the subscription.
+    KeepInformed {
+        /// On or off.
+        active: bool,
+    },
+    /// Ask for the whole list once.
+    Refresh,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,35 @@
+//! Decisions of an outbound delivery gateway ("courier") that calls many partners' systems.
+//!
+//! [`Courier`] is told what happens ([`Event`]) and answers with what to do ([`Action`]). It opens no
+//! socket, reads no clock and shares nothing: its randomness comes from the seed, its time from the caller.
+//! Call [`Courier::handle`] for every event, then [`Courier::decide`] once.
+//!
+//! ```
+//! use cloverstile::{Accepted, Action, Class, Courier, Effect, Endpoint, Event, Listing, Mode, Settings, Time};
+//! use cloverstile::{ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
+//! use std::time::Duration;
+//!
+//! let class = Class { effect: Effect::Unsafe, ..Class::default() };
+//! let settings = Settings { classes: vec![class], ..Settings::default() };
+//! let mut courier = Courier::new(settings, 7);
+//! let now = Time::ZERO + Duration::from_secs(1);
+//! courier.handle(now, Event::Listed(Listing::Whole(vec![Endpoint {
+//!     id: EndpointId(11), zone: ZoneId(0), kind: KindId(0), destination: DestinationId(3),
+//!     mode: Mode::Ready, weight: 10.0,
+//! }])));
+//! courier.handle(now, Event::Accept(Accepted {
+//!     id: MessageId(1), class: ClassId(0), destination: DestinationId(3), key: None,
+//!     deadline: now + Duration::from_secs(20), from_dead_courier: false, tenant: TenantId(0),
+//! }));
+//! let mut actions = Vec::new();
+//! courier.decide(now, &mut actions);
+//! assert!(matches!(actions[0], Action::Route { message: MessageId(1), endpoint: EndpointId(11), .. }));
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod choice;
+mod interface;
+
+pub use choice::Courier;
+pub use interface::*;
