Waits bind from every outcome of a call; hung calls no longer pin the slots

Also catches: slow spells, overlapping hangs. May harm: a call that would still have answered is called off when all slots are taken.

--- a/src/bin/cloverstile-wirehost/host.rs
+++ b/src/bin/cloverstile-wirehost/host.rs
@@ -61,20 +61,10 @@
     fn translate(&mut self, record: Record) -> Result<Option<(u16, Event)>, HostError> {
         Ok(Some(match record {
             Record::NewInstance { who, nonce, config } => {
-                let Parsed {
-                    settings,
-                    left_at,
-                    limit_at,
-                } = parse_settings(&config).map_err(|error| HostError::Setting { who, error })?;
+                let Parsed { settings, left_at, limit_at } =
+                    parse_settings(&config).map_err(|error| HostError::Setting { who, error })?;
                 let courier = Courier::new(settings, nonce);
-                self.instances.insert(
-                    who,
-                    Instance {
-                        courier,
-                        left_at,
-                        limit_at,
-                    },
-                );
+                self.instances.insert(who, Instance { courier, left_at, limit_at });
                 return Ok(None);
             }
             Record::Teardown { who } => {
@@ -96,17 +86,7 @@
                 };
                 (who, Event::Listed(listing))
             }
-            Record::Accept {
-                who,
-                call,
-                profile,
-                dest,
-                key,
-                deadline,
-                opts,
-                owner,
-                ..
-            } => {
+            Record::Accept { who, call, profile, dest, key, deadline, opts, owner, .. } => {
                 let accepted = Accepted {
                     id: MessageId(call),
                     class: ClassId(profile),
@@ -118,23 +98,10 @@
                 };
                 (who, Event::Accept(accepted))
             }
-            Record::ProbeDone {
-                who,
-                code,
-                delay,
-                endpoint,
-                ..
-            } => {
+            Record::ProbeDone { who, code, delay, endpoint, .. } => {
                 let outcome = outcome(code, 0)?;
                 let endpoint = EndpointId(endpoint);
-                (
-                    who,
-                    Event::Probed {
-                        endpoint,
-                        outcome,
-                        latency: Duration::from_nanos(delay),
-                    },
-                )
+                (who, Event::Probed { endpoint, outcome, latency: Duration::from_nanos(delay) })
             }
             Record::ClientGone { who, call } => (who, Event::ClientGone(MessageId(call))),
             Record::FirstByte { who, call, .. } => (who, Event::FirstByte(MessageId(call))),
@@ -166,10 +133,7 @@
     if let Err(cause) = catch_unwind(AssertUnwindSafe(step)) {
         let text = cause.downcast_ref::<&str>().map(|s| (*s).to_owned());
         let text = text.or_else(|| cause.downcast_ref::<String>().cloned());
-        replies.push(Reply::Panic {
-            who,
-            words: text.unwrap_or_else(|| "panic without a text".to_owned()),
-        });
+        replies.push(Reply::Panic { who, words: text.unwrap_or_else(|| "panic without a text".to_owned()) });
     }
 }
 
@@ -214,45 +178,18 @@
 /// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
 fn reply(who: u16, action: Action) -> Reply {
     match action {
-        Action::Route {
-            message,
-            endpoint,
-            try_for,
-        } => Reply::Route {
-            who,
-            call: message.0,
-            endpoint: endpoint.0,
-            try_for: nanos(try_for).max(1),
-        },
-        Action::Busy { message } => Reply::Busy {
-            who,
-            call: message.0,
-            stay_away: 0,
-        },
+        Action::Route { message, endpoint, try_for } => {
+            Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
+        }
+        Action::Busy { message } => Reply::Busy { who, call: message.0, stay_away: 0 },
         Action::ReportFailure { message } => Reply::ReportFailure { who, call: message.0 },
-        Action::StopAttempt { message, attempt } => Reply::StopAttempt {
-            who,
-            call: message.0,
-            trial: attempt,
-        },
-        Action::Wake { after, token } => Reply::After {
-            who,
-            after: nanos(after),
-            cookie: token,
-        },
-        Action::CloseIdle { endpoint } => Reply::CloseIdle {
-            who,
-            endpoint: endpoint.0,
-        },
-        Action::Probe { endpoint } => Reply::SoundOut {
-            who,
-            endpoint: endpoint.0,
-        },
-        Action::Tell { to, text } => Reply::Tell {
-            who,
-            peer: to.unwrap_or(u16::MAX),
-            msg: text,
-        },
+        Action::StopAttempt { message, attempt } => {
+            Reply::StopAttempt { who, call: message.0, trial: attempt }
+        }
+        Action::Wake { after, token } => Reply::After { who, after: nanos(after), cookie: token },
+        Action::CloseIdle { endpoint } => Reply::CloseIdle { who, endpoint: endpoint.0 },
+        Action::Probe { endpoint } => Reply::SoundOut { who, endpoint: endpoint.0 },
+        Action::Tell { to, text } => Reply::Tell { who, peer: to.unwrap_or(u16::MAX), msg: text },
         Action::Log { text } => Reply::Log { who, words: text },
         Action::KeepInformed { active } => Reply::KeepInformed { who, active },
         Action::Refresh => Reply::Refresh { who },
--- a/src/bin/cloverstile-wirehost/main.rs
+++ b/src/bin/cloverstile-wirehost/main.rs
@@ -23,15 +23,9 @@
     let length = u64::from(u32::from_be_bytes(length));
     // Grows with what really comes, whatever the length field says.
     let mut body = Vec::new();
-    input
-        .take(length)
-        .read_to_end(&mut body)
-        .map_err(|error| format!("cannot read a frame: {error}"))?;
+    input.take(length).read_to_end(&mut body).map_err(|error| format!("cannot read a frame: {error}"))?;
     if (body.len() as u64) < length {
-        return Err(format!(
-            "input ends after {} of {length} bytes of a frame",
-            body.len()
-        ));
+        return Err(format!("input ends after {} of {length} bytes of a frame", body.len()));
     }
     Ok(Some(body))
 }
@@ -41,12 +35,8 @@
     let mut batch = 0_u64;
     while let Some(body) = read_frame(input).map_err(|error| format!("batch {batch}: {error}"))? {
         let (clock, records) = wire::read_batch(&body).map_err(|error| format!("batch {batch}: {error}"))?;
-        let replies = host
-            .run(clock, records)
-            .map_err(|error| format!("batch {batch}: {error}"))?;
-        let sent = output
-            .write_all(&wire::write_frame(&replies))
-            .and_then(|()| output.flush());
+        let replies = host.run(clock, records).map_err(|error| format!("batch {batch}: {error}"))?;
+        let sent = output.write_all(&wire::write_frame(&replies)).and_then(|()| output.flush());
         sent.map_err(|error| format!("batch {batch}: cannot write the reply: {error}"))?;
         batch += 1;
     }
@@ -55,10 +45,7 @@
 
 fn main() -> ExitCode {
     let input = io::stdin().lock();
-    match serve(
-        &mut io::BufReader::with_capacity(1 << 16, input),
-        &mut io::stdout().lock(),
-    ) {
+    match serve(&mut io::BufReader::with_capacity(1 << 16, input), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("cloverstile-wirehost: {error}");
--- a/src/bin/cloverstile-wirehost/settings.rs
+++ b/src/bin/cloverstile-wirehost/settings.rs
@@ -39,9 +39,7 @@
     }
 
     fn words(&self, path: &str) -> Vec<&str> {
-        self.0
-            .get(path)
-            .map_or(Vec::new(), |v| v.split(',').filter(|w| !w.is_empty()).collect())
+        self.0.get(path).map_or(Vec::new(), |v| v.split(',').filter(|w| !w.is_empty()).collect())
     }
 
     fn choice<T>(&self, path: &str, absent: T, known: &[(&str, T)]) -> Result<T, SettingError>
@@ -60,10 +58,7 @@
 }
 
 fn bad(path: &str, value: &str) -> SettingError {
-    SettingError::Value {
-        path: path.to_owned(),
-        value: value.to_owned(),
-    }
+    SettingError::Value { path: path.to_owned(), value: value.to_owned() }
 }
 
 fn parse<T: FromStr>(path: &str, value: &str) -> Result<T, SettingError> {
@@ -74,10 +69,7 @@
 pub fn parse_settings(text: &str) -> Result<Parsed, SettingError> {
     let mut map = BTreeMap::new();
     for (index, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
-        let unreadable = || SettingError::Line {
-            line: index + 1,
-            text: line.to_owned(),
-        };
+        let unreadable = || SettingError::Line { line: index + 1, text: line.to_owned() };
         let (path, value) = line.split_once('=').ok_or_else(unreadable)?;
         map.insert(path, value);
     }
@@ -117,11 +109,7 @@
             order_settle: lines.span("Rules.OrderSettle", rules.order_settle)?,
         },
     };
-    Ok(Parsed {
-        settings,
-        left_at: place("x0"),
-        limit_at: place("x1"),
-    })
+    Ok(Parsed { settings, left_at: place("x0"), limit_at: place("x1") })
 }
 
 fn list<T>(
@@ -130,9 +118,7 @@
     item: fn(&Lines, &str) -> Result<T, SettingError>,
 ) -> Result<Vec<T>, SettingError> {
     let count: u16 = lines.or(&format!("{path}.count"), 0)?;
-    (0..count)
-        .map(|index| item(lines, &format!("{path}.{index}")))
-        .collect()
+    (0..count).map(|index| item(lines, &format!("{path}.{index}"))).collect()
 }
 
 fn class(lines: &Lines, path: &str) -> Result<Class, SettingError> {
@@ -163,9 +149,7 @@
 }
 
 fn tenant(lines: &Lines, path: &str) -> Result<Tenant, SettingError> {
-    Ok(Tenant {
-        quota: lines.or(&format!("{path}.QuotaPerS"), f64::INFINITY)?,
-    })
+    Ok(Tenant { quota: lines.or(&format!("{path}.QuotaPerS"), f64::INFINITY)? })
 }
 
 fn kinds(lines: &Lines) -> Result<Vec<Kind>, SettingError> {
@@ -174,12 +158,8 @@
     (0..batches.len().max(apart.len()))
         .map(|index| {
             Ok(Kind {
-                batch: batches
-                    .get(index)
-                    .map_or(Ok(1), |v| parse("FamilyInfo.KindBatch", v))?,
-                own_limits: apart
-                    .get(index)
-                    .map_or(Ok(false), |v| parse("FamilyInfo.OwnLimits", v))?,
+                batch: batches.get(index).map_or(Ok(1), |v| parse("FamilyInfo.KindBatch", v))?,
+                own_limits: apart.get(index).map_or(Ok(false), |v| parse("FamilyInfo.OwnLimits", v))?,
             })
         })
         .collect()
--- a/src/bin/cloverstile-wirehost/wire.rs
+++ b/src/bin/cloverstile-wirehost/wire.rs
@@ -10,11 +10,7 @@
     #[error("byte {at}: record {index} has the unknown code {code}")]
     Code { at: usize, index: u32, code: u8 },
     #[error("byte {at}: {field} has the unknown value {value}")]
-    Value {
-        at: usize,
-        field: &'static str,
-        value: u32,
-    },
+    Value { at: usize, field: &'static str, value: u32 },
     #[error("byte {at}: {left} bytes left over after the last record")]
     Left { at: usize, left: usize },
     #[error("byte {at}: the settings are not UTF-8 text")]
@@ -112,59 +108,18 @@
 /// A record of a reply.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    Route {
-        who: u16,
-        call: u32,
-        endpoint: u32,
-        try_for: u64,
-    },
-    Busy {
-        who: u16,
-        call: u32,
-        stay_away: u64,
-    },
-    ReportFailure {
-        who: u16,
-        call: u32,
-    },
-    StopAttempt {
-        who: u16,
-        call: u32,
-        trial: u16,
-    },
-    After {
-        who: u16,
-        after: u64,
-        cookie: u64,
-    },
-    SoundOut {
-        who: u16,
-        endpoint: u32,
-    },
-    CloseIdle {
-        who: u16,
-        endpoint: u32,
-    },
-    Tell {
-        who: u16,
-        peer: u16,
-        msg: Vec<u8>,
-    },
-    Log {
-        who: u16,
-        words: String,
-    },
-    Panic {
-        who: u16,
-        words: String,
-    },
-    KeepInformed {
-        who: u16,
-        active: bool,
-    },
-    Refresh {
-        who: u16,
-    },
+    Route { who: u16, call: u32, endpoint: u32, try_for: u64 },
+    Busy { who: u16, call: u32, stay_away: u64 },
+    ReportFailure { who: u16, call: u32 },
+    StopAttempt { who: u16, call: u32, trial: u16 },
+    After { who: u16, after: u64, cookie: u64 },
+    SoundOut { who: u16, endpoint: u32 },
+    CloseIdle { who: u16, endpoint: u32 },
+    Tell { who: u16, peer: u16, msg: Vec<u8> },
+    Log { who: u16, words: String },
+    Panic { who: u16, words: String },
+    KeepInformed { who: u16, active: bool },
+    Refresh { who: u16 },
 }
 
 struct Reader<'a> {
@@ -175,11 +130,7 @@
 impl<'a> Reader<'a> {
     fn take(&mut self, count: usize, field: &'static str) -> Result<&'a [u8], WireError> {
         let short = WireError::Short { at: self.at, field };
-        let end = self
-            .at
-            .checked_add(count)
-            .filter(|end| *end <= self.body.len())
-            .ok_or(short)?;
+        let end = self.at.checked_add(count).filter(|end| *end <= self.body.len()).ok_or(short)?;
         let bytes = &self.body[self.at..end];
         self.at = end;
         Ok(bytes)
@@ -248,9 +199,7 @@
                 let count = self.u32("Config count")? as usize;
                 let at = self.at;
                 let text = self.take(count, "Config")?;
-                let config = std::str::from_utf8(text)
-                    .map_err(|_| WireError::Text { at })?
-                    .to_owned();
+                let config = std::str::from_utf8(text).map_err(|_| WireError::Text { at })?.to_owned();
                 Record::NewInstance { who, nonce, config }
             }
             20 => Record::Members {
@@ -288,14 +237,8 @@
                 detail: self.u32("Detail")?,
                 report: self.report()?,
             }),
-            60 => Record::ClientGone {
-                who,
-                call: self.u32("Call")?,
-            },
-            70 => Record::TickDue {
-                who,
-                cookie: self.u64("Cookie")?,
-            },
+            60 => Record::ClientGone { who, call: self.u32("Call")? },
+            70 => Record::TickDue { who, cookie: self.u64("Cookie")? },
             80 => Record::ProbeDone {
                 who,
                 code: self.u16("Code")?,
@@ -306,11 +249,7 @@
             90 => {
                 let from = self.u32("From")?;
                 let count = usize::from(self.u16("Msg count")?);
-                Record::NoteFrom {
-                    who,
-                    from,
-                    msg: self.take(count, "Msg")?.to_vec(),
-                }
+                Record::NoteFrom { who, from, msg: self.take(count, "Msg")?.to_vec() }
             }
             _ => Record::Teardown { who },
         })
@@ -345,12 +284,7 @@
         out.extend(who.to_be_bytes());
     };
     match reply {
-        Reply::Route {
-            who,
-            call,
-            endpoint,
-            try_for,
-        } => {
+        Reply::Route { who, call, endpoint, try_for } => {
             head(10, who);
             out.extend(call.to_be_bytes());
             out.extend(endpoint.to_be_bytes());
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 const BURST_S: f64 = 0.4;
 /// Weight of the newest latency in the running mean.
 const LATENCY_GAIN: f64 = 0.15;
+/// Calls out to a destination in a spell, as a part of the free slots; one at least.
+const TRIAL_SLOTS: f64 = 0.25;
 /// Share of the messages that may be held above which the least worth are shed.
 const SHED_ABOVE: f64 = 0.93;
 
@@ -166,6 +168,7 @@
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.answer_due(now, actions);
         self.shed(now, actions);
+        self.free_pinned_slot(now, actions);
         let next = self.send_ready(now, actions);
         self.set_wake(now, next, actions);
     }
@@ -241,15 +244,20 @@
     }
 
     fn on_finished(&mut self, now: Time, finished: Finished) {
+        // A wait binds from the batch that tells it, whichever message of a call brings it and whatever became
+        // of that message.
+        if let Outcome::Full(Some(wait)) = finished.outcome {
+            let route = self.addresses.get(&finished.endpoint).map(|a| self.route_of(&a.entry));
+            if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
+                route.told_wait = route.told_wait.max(now + wait);
+            }
+        }
         let Some(message) = self.messages.get_mut(&finished.message) else {
             return;
         };
         let Some(out) = message.out.take() else { return };
         let class = &self.settings.classes[usize::from(message.taken.class.0)];
-        let never_ran = matches!(
-            finished.outcome,
-            Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot
-        );
+        let never_ran = matches!(finished.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
         if !never_ran && message.maybe_ran.is_none() {
             message.maybe_ran = Some((out.sent, Some(out.zone)));
         }
@@ -257,10 +265,7 @@
         let gap = class.aim.mul_f64(gap.min(BACKOFF_CAP_OF_AIM));
         message.not_before = now + gap.mul_f64(self.rng.f64());
         // A call that may still be running lets its key rest before the next message of the key.
-        let unsettled = matches!(
-            finished.outcome,
-            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled
-        );
+        let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
             self.rests.insert(key, now + self.settings.rules.order_settle);
         }
@@ -315,9 +320,6 @@
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             route.weight = limit;
         }
-        if let Outcome::Full(Some(wait)) = finished.outcome {
-            route.told_wait = route.told_wait.max(now + wait);
-        }
         let alone = out.sent >= route.last_answer;
         match finished.outcome {
             Outcome::Ok => {
@@ -353,11 +355,7 @@
         }
         if route.failures >= SPELL_AFTER {
             let began = route.last_answer;
-            let spell = route.spell.get_or_insert(Spell {
-                began,
-                next_trial: now,
-                trials: 0,
-            });
+            let spell = route.spell.get_or_insert(Spell { began, next_trial: now, trials: 0 });
             let gap = TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2();
             let gap = rules.fall.mul_f64(gap.min(TRIAL_GAPS_OF_FALL.1));
             spell.next_trial = (now + gap.mul_f64(0.5 + chance / 2.0)).max(route.told_wait);
@@ -404,11 +402,7 @@
             Effect::Safe => true,
             _ => message.maybe_ran.is_none() && message.out.is_none(),
         };
-        Some(if refusable {
-            Action::Busy { message: id }
-        } else {
-            Action::ReportFailure { message: id }
-        })
+        Some(if refusable { Action::Busy { message: id } } else { Action::ReportFailure { message: id } })
     }
 
     fn answer(&mut self, id: MessageId, actions: &mut Vec<Action>) {
@@ -449,17 +443,29 @@
         }
     }
 
+    /// All slots taken while others wait: the oldest call that hangs at a destination in a spell is called off.
+    fn free_pinned_slot(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if !self.settings.cancel || self.calls_out < self.settings.call_slots {
+            return;
+        }
+        let sick = self.routes.iter().filter(|(_, r)| r.spell.is_some());
+        let oldest = sick.filter_map(|(id, r)| r.out.first().map(|out| (*out, *id))).min();
+        let Some(((sent, call), id)) = oldest else { return };
+        if now - sent <= self.stall_patience(id) {
+            return;
+        }
+        for (message, m) in self.messages.iter().filter(|(_, m)| m.out.is_some_and(|out| out.call == call)) {
+            actions.push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
+        }
+    }
+
     // ---- Choice ----
 
     /// Fills free slots: each goes to the waiting destination with fewest calls out. Tells when to look again.
     fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
         let mut next: Option<Time> = None;
-        let mut waiting: Vec<DestinationId> = self
-            .queues
-            .iter()
-            .filter(|(_, q)| !q.is_empty())
-            .map(|(d, _)| *d)
-            .collect();
+        let mut waiting: Vec<DestinationId> =
+            self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(d, _)| *d).collect();
         while self.calls_out < self.settings.call_slots && !waiting.is_empty() {
             let Some(place) = (0..waiting.len()).min_by_key(|i| self.calls_to(waiting[*i])) else {
                 break;
@@ -477,11 +483,7 @@
     }
 
     fn calls_to(&self, destination: DestinationId) -> usize {
-        self.addresses
-            .values()
-            .filter(|a| a.entry.destination == destination)
-            .map(|a| a.calls_out)
-            .sum()
+        self.addresses.values().filter(|a| a.entry.destination == destination).map(|a| a.calls_out).sum()
     }
 
     /// Sends the best message of a destination, or tells when that may become possible.
@@ -531,25 +533,20 @@
         if let (None, Some((sent, _))) = (&route.spell, route.out.first()) {
             let silent_since = (*sent).max(route.last_answer);
             if now - silent_since > stall {
-                route.spell = Some(Spell {
-                    began: route.last_answer.min(*sent),
-                    next_trial: now + stall,
-                    trials: 0,
-                });
+                route.spell =
+                    Some(Spell { began: route.last_answer.min(*sent), next_trial: now + stall, trials: 0 });
             }
         }
         if let Some(spell) = &route.spell {
-            return Some(spell.next_trial);
+            // Trials that hang must not gather until they pin the slots of the healthy.
+            let room = ((slots_free as f64 * TRIAL_SLOTS) as usize).max(1);
+            return (route.out.len() < room).then_some(spell.next_trial);
         }
         // Bulkhead: no destination has more calls out than slots are left for all others.
         if !route.out.is_empty() && route.out.len() >= slots_free.max(1) {
             return None;
         }
-        let burst = if route.returned.is_some() {
-            1.0
-        } else {
-            (rate * BURST_S).max(1.0)
-        };
+        let burst = if route.returned.is_some() { 1.0 } else { (rate * BURST_S).max(1.0) };
         let passed = (now - route.filled).as_secs_f64();
         if route.bound && route.returned.is_none() {
             route.rate = (route.rate + passed * RATE_GROWTH * route.weight).min(route.weight);
@@ -589,22 +586,14 @@
         let Some(route) = self.routes.get(&id) else {
             return least;
         };
-        least.max(Duration::from_secs_f64(
-            STALL_LATENCIES * (route.mean + route.deviation),
-        ))
+        least.max(Duration::from_secs_f64(STALL_LATENCIES * (route.mean + route.deviation)))
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
     fn pick(&self, now: Time, to: DestinationId, id: RouteId, again: &mut Option<Time>) -> Option<MessageId> {
         let trial = self.routes.get(&id).is_some_and(|r| r.spell.is_some());
         let mut best: Option<(f64, MessageId)> = None;
-        for message in self
-            .queues
-            .get(&to)
-            .into_iter()
-            .flatten()
-            .filter_map(|m| self.messages.get(m))
-        {
+        for message in self.queues.get(&to).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
             match self.sendable_at(now, message) {
                 Some(at) if at <= now => {}
                 at => {
@@ -710,12 +699,7 @@
             spell.trials += 1;
             let gap =
                 (TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2()).min(TRIAL_GAPS_OF_FALL.1);
-            spell.next_trial = now
-                + self
-                    .settings
-                    .rules
-                    .fall
-                    .mul_f64(gap * (0.5 + self.rng.f64() / 2.0));
+            spell.next_trial = now + self.settings.rules.fall.mul_f64(gap * (0.5 + self.rng.f64() / 2.0));
             room = 1;
         }
         self.call += 1;
@@ -726,11 +710,7 @@
             self.send_message(now, id, to, zone, message, actions);
             carried += 1;
             room -= 1;
-            next = if room == 0 {
-                None
-            } else {
-                self.pick(now, id.0, id, &mut None)
-            };
+            next = if room == 0 { None } else { self.pick(now, id.0, id, &mut None) };
         }
         self.calls.insert(self.call, carried);
     }
@@ -749,17 +729,8 @@
             return;
         };
         m.attempts += 1;
-        m.out = Some(Out {
-            sent: now,
-            zone,
-            route: id,
-            call: self.call,
-        });
-        actions.push(Action::Route {
-            message,
-            endpoint: to,
-            try_for,
-        });
+        m.out = Some(Out { sent: now, zone, route: id, call: self.call });
+        actions.push(Action::Route { message, endpoint: to, try_for });
     }
 
     /// Follows the destination's own latency. An attempt that could not be followed by another gets all the
@@ -791,11 +762,7 @@
     // ---- Settings and timers ----
 
     fn route_of(&self, entry: &Endpoint) -> RouteId {
-        let apart = self
-            .settings
-            .kinds
-            .get(usize::from(entry.kind.0))
-            .is_some_and(|k| k.own_limits);
+        let apart = self.settings.kinds.get(usize::from(entry.kind.0)).is_some_and(|k| k.own_limits);
         RouteId(entry.destination, apart.then_some(entry.id))
     }
 
@@ -810,12 +777,7 @@
     }
 
     fn shortest_aim(&self) -> Duration {
-        self.settings
-            .classes
-            .iter()
-            .map(|c| c.aim)
-            .min()
-            .unwrap_or(Duration::from_secs(1))
+        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1))
     }
 
     /// One timer is outstanding: the earliest moment at which something could be done without an event.
@@ -827,10 +789,7 @@
         if self.wake.is_none_or(|(set, _)| at < set || set <= now) {
             self.token += 1;
             self.wake = Some((at, self.token));
-            actions.push(Action::Wake {
-                after: at - now,
-                token: self.token,
-            });
+            actions.push(Action::Wake { after: at - now, token: self.token });
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -16,10 +16,7 @@
     type Output = Time;
     /// Saturates at the end of the clock.
     fn add(self, span: Duration) -> Time {
-        Time(
-            self.0
-                .saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
-        )
+        Time(self.0.saturating_add(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
     }
 }
 
@@ -35,10 +32,7 @@
     type Output = Time;
     /// Saturates at zero.
     fn sub(self, span: Duration) -> Time {
-        Time(
-            self.0
-                .saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)),
-        )
+        Time(self.0.saturating_sub(u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)))
     }
 }
 
@@ -206,10 +200,7 @@
             couriers: 2,
             classes: vec![Class::default()],
             tenants: Vec::new(),
-            kinds: vec![Kind {
-                batch: 1,
-                own_limits: false,
-            }],
+            kinds: vec![Kind { batch: 1, own_limits: false }],
             weights: WeightSource::Nominal,
             call_slots: 16,
             most_held: 400,
