--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,8 +35,8 @@
 /// On `full` the rate falls to this part of itself, at most once in `CUT_EVERY`.
 const RATE_CUT: f64 = 0.75;
 const CUT_EVERY: Duration = Duration::from_millis(500);
-/// Growth of the rate in a second in which it bound, as a part of the weight.
-const RATE_GROWTH: f64 = 0.06;
+/// Growth of the rate in a second in which it bound, as a part of an even part of the weight.
+const RATE_GROWTH: f64 = 0.08;
 /// The rate stays above this part of an even part of the weight, else it could never learn better.
 const RATE_FLOOR: f64 = 0.25;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
@@ -88,7 +88,9 @@
 
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
 struct Route {
+    /// Calls a second that it takes from all couriers together, as told; and the most that may be meant.
     weight: f64,
+    ceiling: f64,
     rate: f64,
     tokens: f64,
     filled: Time,
@@ -195,11 +197,12 @@
                 avoid_until: Time::ZERO,
             });
             known.entry = entry.clone();
-            let weight = self.weight_of(&entry);
+            let (weight, ceiling) = self.weight_of(&entry);
             let even = weight / f64::from(self.settings.couriers.max(1));
             let latency = self.shortest_aim().as_secs_f64() * 0.1;
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| Route {
                 weight,
+                ceiling,
                 rate: (even * START_SHARE).min(weight),
                 tokens: 1.0,
                 filled: now,
@@ -214,7 +217,7 @@
                 returned: None,
                 out: BTreeSet::new(),
             });
-            route.weight = weight;
+            (route.weight, route.ceiling) = (weight, ceiling);
         }
     }
 
@@ -318,7 +321,7 @@
             return;
         };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
-            route.weight = limit;
+            (route.weight, route.ceiling) = (limit, limit);
         }
         let alone = out.sent >= route.last_answer;
         match finished.outcome {
@@ -524,6 +527,7 @@
         let stall = self.stall_patience(id);
         let slots_free = self.settings.call_slots.saturating_sub(self.calls_out);
         let rate = self.pace(now, id);
+        let couriers = f64::from(self.settings.couriers.max(1));
         let route = self.routes.get_mut(&id)?;
         if route.told_wait > now {
             return Some(route.told_wait);
@@ -549,7 +553,7 @@
         let burst = if route.returned.is_some() { 1.0 } else { (rate * BURST_S).max(1.0) };
         let passed = (now - route.filled).as_secs_f64();
         if route.bound && route.returned.is_none() {
-            route.rate = (route.rate + passed * RATE_GROWTH * route.weight).min(route.weight);
+            route.rate = (route.rate + passed * RATE_GROWTH * route.weight / couriers).min(route.ceiling);
         }
         route.tokens = (route.tokens + passed * rate).min(burst);
         route.filled = now;
@@ -766,14 +770,14 @@
         RouteId(entry.destination, apart.then_some(entry.id))
     }
 
-    fn weight_of(&self, entry: &Endpoint) -> f64 {
+    /// Told weight of a route, and its highest meaning: a rough one may be half of the truth.
+    fn weight_of(&self, entry: &Endpoint) -> (f64, f64) {
+        let told = entry.weight.max(0.1);
         match self.settings.weights {
-            WeightSource::Silent => self.settings.call_slots as f64,
-            // Up to half too low: the rate is found from above, by refusals.
-            WeightSource::Rough => entry.weight * 1.5,
-            WeightSource::Nominal => entry.weight,
+            WeightSource::Silent => (self.settings.call_slots as f64, self.settings.call_slots as f64),
+            WeightSource::Rough => (told, told * 2.0),
+            WeightSource::Nominal => (told, told),
         }
-        .max(0.1)
     }
 
     fn shortest_aim(&self) -> Duration {
