--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,7 +27,7 @@
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Errors or refusals in a row that count as a spell; one alone is everyday life.
-const SPELL_AFTER: u32 = 3;
+const SPELL_AFTER: u32 = 6;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.7;
 /// Starting rate as a multiple of an even part of the weight: traffic is never quite even.
@@ -43,6 +43,9 @@
 const BURST_S: f64 = 0.4;
 /// Weight of the newest latency in the running mean.
 const LATENCY_GAIN: f64 = 0.15;
+/// Weight of what waiting would lose, against the worth itself, and how far it looks ahead, in aims.
+const WAITING_LOSS: f64 = 2.0;
+const LOOK_AHEAD: f64 = 1.0;
 /// Calls out to a destination in a spell, as a part of the free slots; one at least.
 const TRIAL_SLOTS: f64 = 0.25;
 /// Share of the messages that may be held above which the least worth are shed.
@@ -649,17 +652,21 @@
         Some(at)
     }
 
-    /// Worth still to be won: on time before late, then worth; among equals the one that is late first.
+    /// Worth still to be won, and what of it waiting would lose: on time before late, what is about to be
+    /// late before what is fresh, and what is about to run out before what may wait.
     fn worth(&self, now: Time, message: &Message) -> f64 {
         let class = self.class(message);
+        let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
+        let value = |age: f64| {
+            let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
+            if late > 1.0 {
+                0.0
+            } else {
+                1.0 - (1.0 - class.late_share) * late
+            }
+        };
         let age = (now - message.born).as_secs_f64();
-        let aim = class.aim.as_secs_f64();
-        let span = class.deadline.as_secs_f64().max(0.001);
-        if age < aim {
-            class.worth * (2.0 + 0.1 * age / span)
-        } else {
-            class.worth * class.late_share * (1.0 + 0.1 * age / span)
-        }
+        class.worth * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim * LOOK_AHEAD))
     }
 
     /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat.
