Time-outs learn from time-outs; slow start only after a seen failure; later first time-outs

Told from an outage: late answers did come, no connects failed. Also catches: slow classes, pauses. May harm: a hang is noticed as failed later.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,7 +17,7 @@
 /// Time-out of a repeatable attempt, in latencies (mean and deviation below) of its destination ...
 const TIMEOUT_LATENCIES: f64 = 4.0;
 /// ... and at least this part of the aim, at most this multiple of it.
-const TIMEOUT_AIMS: (f64, f64) = (0.6, 1.5);
+const TIMEOUT_AIMS: (f64, f64) = (1.0, 3.0);
 /// A destination has stalled when none of its calls was answered for so many latencies ...
 const STALL_LATENCIES: f64 = 3.0;
 /// ... and at least for this part of the shortest aim: short pauses of a partner pass unnoticed.
@@ -29,7 +29,7 @@
 /// Errors or refusals in a row that count as a spell; one alone is everyday life.
 const SPELL_AFTER: u32 = 6;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
-const FALL_BUDGET_USED: f64 = 0.7;
+const FALL_BUDGET_USED: f64 = 0.8;
 /// Starting rate as a multiple of an even part of the weight: traffic is never quite even.
 const START_SHARE: f64 = 1.5;
 /// On `full` the rate falls to this part of itself, at most once in `CUT_EVERY`.
@@ -87,6 +87,8 @@
     began: Time,
     next_trial: Time,
     trials: u32,
+    /// Some call failed or was refused; else it is silence alone.
+    failed: bool,
 }
 
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
@@ -327,14 +329,18 @@
             (route.weight, route.ceiling) = (limit, limit);
         }
         let alone = out.sent >= route.last_answer;
+        // A time-out is a sample too, of at least its length: else it would stay too short all through a slow
+        // spell, and each repeat would meet the first call still running.
+        if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout) {
+            let latency = finished.latency.as_secs_f64();
+            route.deviation += LATENCY_GAIN * ((latency - route.mean).abs() - route.deviation);
+            route.mean += LATENCY_GAIN * (latency - route.mean);
+        }
         match finished.outcome {
             Outcome::Ok => {
-                let latency = finished.latency.as_secs_f64();
-                route.deviation += LATENCY_GAIN * ((latency - route.mean).abs() - route.deviation);
-                route.mean += LATENCY_GAIN * (latency - route.mean);
                 // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
                 // that saw only the end of an outage are covered by counting from the last success.
-                if route.spell.as_ref().is_some_and(|s| now - s.began > blip) {
+                if route.spell.as_ref().is_some_and(|s| s.failed && now - s.began > blip) {
                     route.returned = Some(now);
                     route.tokens = 0.0;
                 }
@@ -361,7 +367,8 @@
         }
         if route.failures >= SPELL_AFTER {
             let began = route.last_answer;
-            let spell = route.spell.get_or_insert(Spell { began, next_trial: now, trials: 0 });
+            let spell = route.spell.get_or_insert(Spell { began, next_trial: now, trials: 0, failed: true });
+            spell.failed = true;
             let gap = TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2();
             let gap = rules.fall.mul_f64(gap.min(TRIAL_GAPS_OF_FALL.1));
             spell.next_trial = (now + gap.mul_f64(0.5 + chance / 2.0)).max(route.told_wait);
@@ -540,8 +547,12 @@
         if let (None, Some((sent, _))) = (&route.spell, route.out.first()) {
             let silent_since = (*sent).max(route.last_answer);
             if now - silent_since > stall {
-                route.spell =
-                    Some(Spell { began: route.last_answer.min(*sent), next_trial: now + stall, trials: 0 });
+                route.spell = Some(Spell {
+                    began: route.last_answer.min(*sent),
+                    next_trial: now + stall,
+                    trials: 0,
+                    failed: false,
+                });
             }
         }
         if let Some(spell) = &route.spell {
