--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,8 @@
-//! Every decision of a courier. Its types, events and actions are in `interface.rs`; nothing is decided there.
+//! Every decision of a courier. Types, events and actions are in `interface.rs`; nothing is decided there.
 //!
 //! The ordinary path: a message waits in the queue of its destination; a free call slot goes to the waiting
 //! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
-//! inside group, window and attempt limit, after a full-jitter exponential gap. All else here guards that path.
+//! inside group, window and attempt limit, after a full-jitter exponential gap. All else guards that path.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -252,8 +252,8 @@
     }
 
     fn on_finished(&mut self, now: Time, finished: Finished) {
-        // A wait binds from the batch that tells it, whichever message of a call brings it and whatever became
-        // of that message.
+        // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
+        // became of that message.
         if let Outcome::Full(Some(wait)) = finished.outcome {
             let route = self.addresses.get(&finished.endpoint).map(|a| self.route_of(&a.entry));
             if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
@@ -275,6 +275,7 @@
         // A call that may still be running lets its key rest before the next message of the key.
         let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
+            self.rests.retain(|_, until| *until > now);
             self.rests.insert(key, now + self.settings.rules.order_settle);
         }
         self.end_call(now, &finished, out);
@@ -456,7 +457,7 @@
         }
     }
 
-    /// All slots taken while others wait: the oldest call that hangs at a destination in a spell is called off.
+    /// All slots taken while others wait: the oldest call that hangs at a sick destination is called off.
     fn free_pinned_slot(&mut self, now: Time, actions: &mut Vec<Action>) {
         if !self.settings.cancel || self.calls_out < self.settings.call_slots {
             return;
@@ -474,7 +475,7 @@
 
     // ---- Choice ----
 
-    /// Fills free slots: each goes to the waiting destination with fewest calls out. Tells when to look again.
+    /// Fills free slots: each to the waiting destination with fewest calls out. Says when to look again.
     fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
         let mut next: Option<Time> = None;
         let mut waiting: Vec<DestinationId> =
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,8 +5,8 @@
 //! Call [`Courier::handle`] for every event, then [`Courier::decide`] once.
 //!
 //! ```
-//! use cloverstile::{Accepted, Action, Class, Courier, Effect, Endpoint, Event, Listing, Mode, Settings, Time};
-//! use cloverstile::{ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
+//! use cloverstile::{Accepted, Action, Class, Courier, Effect, Endpoint, Event, Listing, Mode};
+//! use cloverstile::{Settings, Time, ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
 //! use std::time::Duration;
 //!
 //! let class = Class { effect: Effect::Unsafe, ..Class::default() };
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,122 @@
+//! A courier under test, with a clock of its own and a record of what it did.
+#![allow(dead_code)]
+
+use cloverstile::*;
+use std::time::Duration;
+
+pub fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+pub fn keyed() -> Class {
+    Class::default()
+}
+
+pub fn unsafe_class() -> Class {
+    Class { effect: Effect::Unsafe, ..Class::default() }
+}
+
+pub fn safe() -> Class {
+    Class { effect: Effect::Safe, ..Class::default() }
+}
+
+pub fn settings(classes: Vec<Class>) -> Settings {
+    Settings { classes, couriers: 1, ..Settings::default() }
+}
+
+pub fn endpoint(id: u32, destination: u16) -> Endpoint {
+    Endpoint {
+        id: EndpointId(id),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        destination: DestinationId(destination),
+        mode: Mode::Ready,
+        weight: 100.0,
+    }
+}
+
+/// A route that the courier asked for: message, endpoint, time-out.
+pub type Sent = (u32, u32, Duration);
+
+pub struct Bench {
+    pub courier: Courier,
+    pub now: Time,
+    pub settings: Settings,
+    attempts: std::collections::BTreeMap<u32, u16>,
+}
+
+impl Bench {
+    pub fn new(settings: Settings, endpoints: Vec<Endpoint>) -> Self {
+        let mut bench = Bench {
+            courier: Courier::new(settings.clone(), 1),
+            now: Time::ZERO + Duration::from_secs(100),
+            settings,
+            attempts: Default::default(),
+        };
+        bench.tell(Event::Listed(Listing::Whole(endpoints)));
+        bench
+    }
+
+    pub fn tell(&mut self, event: Event) {
+        self.courier.handle(self.now, event);
+    }
+
+    pub fn accept(&mut self, id: u32, class: u8, destination: u16, key: Option<u64>) {
+        let deadline = self.now + self.settings.classes[usize::from(class)].deadline;
+        self.tell(Event::Accept(Accepted {
+            id: MessageId(id),
+            class: ClassId(class),
+            destination: DestinationId(destination),
+            key: key.map(OrderKey),
+            deadline,
+            from_dead_courier: false,
+            tenant: TenantId(0),
+        }));
+    }
+
+    pub fn decide(&mut self) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.courier.decide(self.now, &mut actions);
+        for action in &actions {
+            if let Action::Route { message, .. } = action {
+                *self.attempts.entry(message.0).or_default() += 1;
+            }
+        }
+        actions
+    }
+
+    pub fn routes(&mut self) -> Vec<Sent> {
+        let routed = |action: &Action| match action {
+            Action::Route { message, endpoint, try_for } => Some((message.0, endpoint.0, *try_for)),
+            _ => None,
+        };
+        self.decide().iter().filter_map(routed).collect()
+    }
+
+    /// Lets time pass in small steps, deciding at each; stops at the first step with a route or a final answer.
+    pub fn until_action(&mut self, limit: Duration) -> Vec<Action> {
+        let end = self.now + limit;
+        while self.now < end {
+            self.now = self.now + ms(5);
+            let mut actions = self.decide();
+            actions.retain(|a| !matches!(a, Action::Wake { .. }));
+            if !actions.is_empty() {
+                return actions;
+            }
+        }
+        Vec::new()
+    }
+
+    pub fn finish(&mut self, message: u32, endpoint: u32, outcome: Outcome, latency: Duration) {
+        let attempt = self.attempts.get(&message).map_or(0, |count| count - 1);
+        self.tell(Event::Finished(Finished {
+            message: MessageId(message),
+            endpoint: EndpointId(endpoint),
+            attempt,
+            outcome,
+            latency,
+            complete: outcome == Outcome::Ok,
+            allowance: None,
+        }));
+    }
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,349 @@
+//! One test for each rule and each failure found; no bench needed.
+
+mod common;
+
+use cloverstile::*;
+use common::*;
+use std::time::Duration;
+
+const MAYBE_RAN: [Outcome; 4] = [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled];
+const NEVER_RAN: [Outcome; 3] = [Outcome::Full(None), Outcome::ConnectFailed, Outcome::Moot];
+
+fn one(class: Class) -> Bench {
+    Bench::new(settings(vec![class]), vec![endpoint(7, 1)])
+}
+
+#[test]
+fn a_message_without_any_endpoint_is_handed_back_by_its_deadline() {
+    let mut bench = Bench::new(settings(vec![keyed()]), vec![]);
+    bench.accept(1, 0, 1, None);
+    let deadline = bench.now + bench.settings.classes[0].deadline;
+    assert_eq!(bench.until_action(Duration::from_secs(30)), [Action::Busy { message: MessageId(1) }]);
+    assert!(bench.now <= deadline + bench.settings.rules.answer_slack);
+    assert!(bench.until_action(Duration::from_secs(30)).is_empty());
+}
+
+#[test]
+fn an_unsafe_message_that_may_have_run_is_never_resent_and_ends_as_failed() {
+    for outcome in MAYBE_RAN {
+        let mut bench = one(unsafe_class());
+        bench.accept(1, 0, 1, None);
+        assert_eq!(bench.routes().len(), 1);
+        bench.now = bench.now + ms(50);
+        bench.finish(1, 7, outcome, ms(50));
+        let end = bench.until_action(Duration::from_secs(30));
+        assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }], "{outcome:?}");
+    }
+}
+
+#[test]
+fn an_unsafe_message_that_never_ran_goes_again() {
+    for outcome in NEVER_RAN {
+        let mut bench = one(unsafe_class());
+        bench.accept(1, 0, 1, None);
+        assert_eq!(bench.routes().len(), 1);
+        bench.now = bench.now + ms(50);
+        bench.finish(1, 7, outcome, ms(50));
+        let next = bench.until_action(Duration::from_secs(15));
+        assert!(matches!(next[0], Action::Route { message: MessageId(1), .. }), "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_keyed_message_is_resent_inside_its_window_only() {
+    let mut bench = one(keyed());
+    bench.accept(1, 0, 1, None);
+    let sent = bench.now;
+    assert_eq!(bench.routes().len(), 1);
+    let mut repeats = 0;
+    loop {
+        bench.now = bench.now + ms(30);
+        bench.finish(1, 7, Outcome::Error, ms(30));
+        match bench.until_action(Duration::from_secs(30)).first() {
+            Some(Action::Route { .. }) => {
+                assert!(bench.now < sent + bench.settings.classes[0].repeat_window);
+                repeats += 1;
+            }
+            Some(Action::ReportFailure { .. }) => break,
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!(repeats > 0);
+    assert!(repeats < bench.settings.send_cap);
+}
+
+#[test]
+fn a_keyed_message_stays_in_the_zone_that_drops_its_repeats() {
+    let mut other = endpoint(8, 1);
+    other.zone = ZoneId(1);
+    let class = Class { group: Group::Zone, ..keyed() };
+    let mut bench = Bench::new(settings(vec![class]), vec![endpoint(7, 1), other.clone()]);
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes()[0].1, 7);
+    bench.now = bench.now + ms(50);
+    bench.finish(1, 7, Outcome::Reset, ms(50));
+    let drained = Endpoint { mode: Mode::Draining, ..endpoint(7, 1) };
+    bench.tell(Event::Listed(Listing::Changes(vec![drained])));
+    let end = bench.until_action(Duration::from_secs(30));
+    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+}
+
+#[test]
+fn gaps_before_repeats_are_drawn_by_chance_and_grow() {
+    let mean_gap = |failures: u32| {
+        let gaps: Vec<u64> = (0..40)
+            .map(|seed| {
+                let mut bench = one(safe());
+                bench.courier = Courier::new(bench.settings.clone(), seed);
+                bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+                bench.accept(1, 0, 1, None);
+                bench.routes();
+                for attempt in 0..failures {
+                    bench.finish(1, 7, Outcome::Error, ms(10));
+                    let failed = bench.now;
+                    assert!(!bench.until_action(Duration::from_secs(10)).is_empty());
+                    if attempt + 1 == failures {
+                        return (bench.now - failed).as_millis() as u64;
+                    }
+                }
+                0
+            })
+            .collect();
+        assert!(gaps.iter().min() < gaps.iter().max());
+        gaps.iter().sum::<u64>() / 40
+    };
+    assert!(mean_gap(3) > mean_gap(1));
+}
+
+#[test]
+fn a_message_from_a_dead_courier_counts_its_window_from_its_hand_in() {
+    let mut bench = one(keyed());
+    let class = bench.settings.classes[0].clone();
+    bench.tell(Event::Accept(Accepted {
+        id: MessageId(1),
+        class: ClassId(0),
+        destination: DestinationId(1),
+        key: None,
+        deadline: bench.now + (class.deadline - class.repeat_window),
+        from_dead_courier: true,
+        tenant: TenantId(0),
+    }));
+    let end = bench.until_action(Duration::from_secs(30));
+    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+}
+
+#[test]
+fn a_drained_or_gone_endpoint_gets_nothing_new() {
+    for mode in [Mode::Draining, Mode::Gone] {
+        let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
+        bench.tell(Event::Listed(Listing::Changes(vec![Endpoint { mode, ..endpoint(7, 1) }])));
+        (0..4).for_each(|id| bench.accept(id, 0, 1, None));
+        let routes = bench.routes();
+        assert!(!routes.is_empty() && routes.iter().all(|r| r.1 == 8));
+    }
+    let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1)]);
+    bench.tell(Event::Listed(Listing::Whole(vec![endpoint(8, 1)])));
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes()[0].1, 8);
+}
+
+#[test]
+fn a_told_wait_binds_every_message_of_the_destination() {
+    let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].1;
+    bench.finish(1, first, Outcome::Full(Some(ms(800))), ms(20));
+    let told = bench.now;
+    bench.accept(2, 0, 1, None);
+    assert!(bench.routes().is_empty());
+    assert!(!bench.until_action(Duration::from_secs(5)).is_empty());
+    assert!(bench.now - told >= ms(800));
+}
+
+/// Incident ie8d4eb: a wait told by the first outcomes of a batched call was dropped.
+#[test]
+fn a_wait_told_by_any_message_of_a_call_is_kept() {
+    let base = settings(vec![safe()]);
+    let mut bench = Bench::new(
+        Settings { kinds: vec![Kind { batch: 5, own_limits: false }], ..base },
+        vec![endpoint(7, 1)],
+    );
+    (1..=3).for_each(|id| bench.accept(id, 0, 1, None));
+    assert_eq!(bench.routes().len(), 3);
+    bench.finish(1, 7, Outcome::Full(Some(ms(900))), ms(20));
+    bench.finish(2, 7, Outcome::Full(None), ms(20));
+    bench.finish(3, 7, Outcome::Full(None), ms(20));
+    let told = bench.now;
+    assert!(!bench.until_action(Duration::from_secs(5)).is_empty());
+    assert!(bench.now - told >= ms(900));
+}
+
+#[test]
+fn keys_go_strictly_in_turn_and_rest_after_an_unsettled_attempt() {
+    let class = Class { in_order: true, ..unsafe_class() };
+    let base = settings(vec![class]);
+    let rules = Rules { order_settle: ms(300), ..base.rules.clone() };
+    let mut bench = Bench::new(Settings { rules, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
+    bench.accept(1, 0, 1, Some(5));
+    bench.accept(2, 0, 1, Some(5));
+    let sent = bench.routes();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].0, 1);
+    // The client goes, the attempt runs on: the key stays taken until its outcome is known, and rests after it.
+    bench.tell(Event::ClientGone(MessageId(1)));
+    assert!(bench.until_action(ms(100)).is_empty());
+    bench.finish(1, sent[0].1, Outcome::Reset, ms(100));
+    let settled = bench.now;
+    let next = bench.until_action(Duration::from_secs(10));
+    assert!(matches!(next[0], Action::Route { message: MessageId(2), .. }));
+    assert!(bench.now - settled >= ms(300));
+}
+
+#[test]
+fn a_dead_destination_gets_single_trials_and_a_slow_start() {
+    let mut bench = one(safe());
+    (0..30).for_each(|id| bench.accept(id, 0, 1, None));
+    for (id, to, _) in bench.routes() {
+        bench.finish(id, to, Outcome::ConnectFailed, ms(10));
+    }
+    let began = bench.now;
+    let mut trials = 0;
+    while bench.now - began < Duration::from_secs(6) {
+        let routed = bench.until_action(Duration::from_secs(6));
+        assert_eq!(routed.len(), 1, "one trial at a time");
+        let Action::Route { message, .. } = routed[0] else { panic!("{routed:?}") };
+        trials += 1;
+        bench.finish(message.0, 7, Outcome::ConnectFailed, ms(5));
+    }
+    assert!((3..20).contains(&trials), "{trials}");
+    // It is back: all that is sent in the fall window stays inside the budget of a cold destination.
+    let (mut sent, back) = (0.0, bench.now);
+    let rules = bench.settings.rules.clone();
+    while bench.now - back < rules.fall {
+        bench.now = bench.now + ms(5);
+        for (id, to, _) in bench.routes() {
+            sent += 1.0;
+            bench.finish(id, to, Outcome::Ok, ms(5));
+        }
+    }
+    let capacity = 100.0 * (rules.cold_from + (1.0 - rules.cold_from) * 0.2);
+    assert!(sent > 0.0 && sent <= rules.tip_multiple * capacity * rules.fall.as_secs_f64(), "{sent}");
+}
+
+/// Hang of a destination: the silence stops further calls long before a time-out would.
+#[test]
+fn a_silent_destination_is_sent_no_more_than_trials() {
+    let mut bench = one(unsafe_class());
+    for id in 0..20 {
+        bench.accept(id, 0, 1, None);
+        bench.routes();
+        bench.now = bench.now + ms(200);
+    }
+    bench.now = bench.now + ms(1000);
+    let mut late = 0;
+    for id in 20..60 {
+        bench.accept(id, 0, 1, None);
+        late += bench.routes().len();
+        bench.now = bench.now + ms(100);
+    }
+    assert!(late <= 6, "{late} unsafe messages risked");
+}
+
+/// Incident id37437: hung destinations pinned all slots.
+#[test]
+fn hung_destinations_leave_slots_for_the_healthy() {
+    let all = (1..=5).map(|d| endpoint(u32::from(d), d)).collect();
+    let mut bench = Bench::new(settings(vec![unsafe_class()]), all);
+    let mut healthy = 0;
+    for id in 0..400 {
+        bench.now = bench.now + ms(25);
+        bench.accept(id, 0, 1 + (id % 5) as u16, None);
+        for (message, to, _) in bench.routes() {
+            // Only the fifth destination answers.
+            if to == 5 {
+                healthy += 1;
+                bench.finish(message, to, Outcome::Ok, ms(5));
+            }
+        }
+    }
+    assert!(healthy >= 70, "{healthy} of 80 delivered at the healthy destination");
+}
+
+#[test]
+fn nearly_full_the_least_worth_are_handed_back() {
+    let rich = Class { worth: 5.0, ..safe() };
+    let base = settings(vec![safe(), rich]);
+    let mut bench = Bench::new(Settings { most_held: 20, ..base }, vec![]);
+    (0..10).for_each(|id| bench.accept(id, 0, 1, None));
+    (10..20).for_each(|id| bench.accept(id, 1, 1, None));
+    let shed = bench.until_action(ms(5));
+    assert!(!shed.is_empty());
+    assert!(shed.iter().all(|a| matches!(a, Action::Busy { message } if message.0 < 10)), "{shed:?}");
+}
+
+#[test]
+fn a_free_slot_goes_to_the_destination_with_fewest_calls_out() {
+    let base = settings(vec![safe()]);
+    let mut bench =
+        Bench::new(Settings { call_slots: 4, ..base }, vec![endpoint(1, 1), endpoint(2, 2), endpoint(3, 3)]);
+    (0..4).for_each(|id| bench.accept(id, 0, 1, None));
+    (4..8).for_each(|id| bench.accept(id, 0, 2, None));
+    (8..12).for_each(|id| bench.accept(id, 0, 3, None));
+    let mut first: Vec<u32> = bench.routes().iter().take(3).map(|r| r.1).collect();
+    first.sort_unstable();
+    assert_eq!(first, [1, 2, 3]);
+}
+
+#[test]
+fn one_call_carries_many_where_the_kind_allows_it() {
+    let base = settings(vec![safe()]);
+    let kinds = vec![Kind { batch: 5, own_limits: false }];
+    let mut bench = Bench::new(Settings { call_slots: 1, kinds, ..base }, vec![endpoint(7, 1)]);
+    (0..8).for_each(|id| bench.accept(id, 0, 1, None));
+    assert_eq!(bench.routes().len(), 5);
+}
+
+/// Incident i10b789: in a slow spell the time-outs stayed short and repeats met the first call still running.
+#[test]
+fn time_outs_stretch_with_time_outs() {
+    let mut bench = one(safe());
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].2;
+    let mut last = first;
+    for _ in 0..6 {
+        bench.now = bench.now + last;
+        bench.finish(1, 7, Outcome::Timeout, last);
+        bench.accept(1000 + bench.now.0 as u32, 0, 1, None);
+        match bench.until_action(Duration::from_secs(5)).first() {
+            Some(Action::Route { message, try_for, .. }) => {
+                last = *try_for;
+                if message.0 != 1 {
+                    break;
+                }
+            }
+            _ => break,
+        }
+    }
+    assert!(last > first, "{first:?} {last:?}");
+}
+
+#[test]
+fn events_for_unknown_things_are_ignored() {
+    let mut bench = one(safe());
+    bench.finish(99, 7, Outcome::Ok, ms(5));
+    bench.finish(99, 98, Outcome::Full(Some(ms(5))), ms(5));
+    bench.tell(Event::ClientGone(MessageId(99)));
+    bench.tell(Event::TickDue(12345));
+    bench.accept(1, 0, 1, None);
+    assert_eq!(bench.routes().len(), 1);
+}
+
+#[test]
+fn the_clock_may_jump_far_ahead() {
+    let mut bench = one(keyed());
+    (0..5).for_each(|id| bench.accept(id, 0, 1, None));
+    bench.routes();
+    bench.now = bench.now + Duration::from_secs(100_000);
+    let answers = bench.decide().iter().filter(|a| !matches!(a, Action::Wake { .. })).count();
+    assert_eq!(answers, 5);
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,225 @@
+//! The wire page's byte examples, a round trip for every record, and bad input.
+
+#[path = "../src/bin/cloverstile-wirehost/host.rs"]
+#[allow(dead_code)]
+mod host;
+#[path = "../src/bin/cloverstile-wirehost/settings.rs"]
+#[allow(dead_code)]
+mod settings;
+#[path = "../src/bin/cloverstile-wirehost/wire.rs"]
+#[allow(dead_code)]
+mod wire;
+
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+use wire::*;
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap()).collect()
+}
+
+fn frame(clock: u64, records: &[Vec<u8>]) -> Vec<u8> {
+    let mut body = clock.to_be_bytes().to_vec();
+    body.extend((records.len() as u32).to_be_bytes());
+    body.extend(records.concat());
+    let mut out = (body.len() as u32).to_be_bytes().to_vec();
+    out.extend(body);
+    out
+}
+
+fn host_with(input: &[u8]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cloverstile-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    // The host may end before it has read all of a bad input.
+    let _ = child.stdin.take().unwrap().write_all(input);
+    child.wait_with_output().unwrap()
+}
+
+#[test]
+fn an_empty_batch_has_an_empty_reply() {
+    let out = host_with(&hex("0000000c 00000001f568bf90 00000000"));
+    assert!(out.status.success());
+    assert_eq!(out.stdout, hex("00000000"));
+}
+
+#[test]
+fn events_of_the_wire_page() {
+    let body = hex("00000001f568bf90 00000003
+        1e 0003 5d3a91c4 00 42640000 91f03b7c55d20a64 0000000203b6db90 0000000000b71b00 01 00000000
+        46 0003 000000000000004d  3c 0005 0e6f2b19");
+    assert_eq!(body.len(), 0x47);
+    let (clock, records) = read_batch(&body).unwrap();
+    assert_eq!(clock, 0x1_f568_bf90);
+    let accept = Record::Accept {
+        who: 3,
+        call: 0x5d3a_91c4,
+        profile: 0,
+        dest: 57.0,
+        key: 0x91f0_3b7c_55d2_0a64,
+        deadline: 0x2_03b6_db90,
+        hint: 12_000_000,
+        opts: 1,
+        owner: 0,
+    };
+    let tick = Record::TickDue { who: 3, cookie: 77 };
+    assert_eq!(records, [accept, tick, Record::ClientGone { who: 5, call: 0x0e6f_2b19 }]);
+}
+
+#[test]
+fn list_and_outcome_of_the_wire_page() {
+    let body = hex("00000001f568bf90 00000003
+        6e 0000 00000002
+        03124a07 00 0000 0039 03 3f800000 0000000000000000
+        2c9011f2 00 0000 0039 03 3fc00000 000000016b969d00
+        14 0003 0000 00000029 02
+        32 0003 5d3a91c4 0064 00000000011a49a0 01 03124a07 0000 00000000 02 3ecccccd3fa00000");
+    let (_, records) = read_batch(&body).unwrap();
+    let entry = |endpoint, weight, up_since| Entry {
+        endpoint,
+        zone: 0,
+        kind: 0,
+        cell: 57,
+        mode: 3,
+        weight,
+        up_since,
+    };
+    let entries = vec![entry(0x0312_4a07, 1.0, 0), entry(0x2c90_11f2, 1.5, 0x1_6b96_9d00)];
+    assert_eq!(records[0], Record::Sheet { slot: 0, entries });
+    assert_eq!(records[1], Record::Members { who: 3, slot: 0, generation: 41, kind: 2 });
+    let Record::Finished(finished) = &records[2] else { panic!("{records:?}") };
+    assert_eq!((finished.code, finished.delay, finished.complete), (100, 18_500_000, true));
+    assert_eq!(finished.report, [0.4, 1.25]);
+}
+
+#[test]
+fn actions_of_the_wire_page() {
+    let words = "two servers known".to_owned();
+    let replies = [
+        Reply::Route { who: 3, call: 0x5d3a_91c4, endpoint: 0x0312_4a07, try_for: 80_000_000 },
+        Reply::After { who: 3, after: 500_000_000, cookie: 77 },
+        Reply::Log { who: 5, words },
+        Reply::Tell { who: 3, peer: 0xffff, msg: b"h7 !".to_vec() },
+    ];
+    let expected = hex("0000004b
+        0a 0003 5d3a91c4 03124a07 0000000004c4b400
+        32 0003 000000001dcd6500 000000000000004d
+        5a 0005 0011 74776f2073657276657273206b6e6f776e
+        50 0003 ffff 0004 68372021");
+    let mut got = write_frame(&replies);
+    assert_eq!(&got[4..got.len() - 4], &expected[4..expected.len() - 4]);
+    got.truncate(4);
+    assert_eq!(u32::from_be_bytes(got.try_into().unwrap()) as usize, expected.len() - 4);
+}
+
+#[test]
+fn every_other_action_has_its_bytes() {
+    let cases = [
+        (Reply::Busy { who: 1, call: 2, stay_away: 3 }, "14 0001 00000002 0000000000000003"),
+        (Reply::ReportFailure { who: 1, call: 2 }, "1e 0001 00000002"),
+        (Reply::StopAttempt { who: 1, call: 2, trial: 3 }, "28 0001 00000002 0003"),
+        (Reply::SoundOut { who: 1, endpoint: 2 }, "3c 0001 00000002"),
+        (Reply::CloseIdle { who: 1, endpoint: 2 }, "46 0001 00000002"),
+        (Reply::Panic { who: 1, words: "x".to_owned() }, "64 0001 0001 78"),
+        (Reply::KeepInformed { who: 1, active: true }, "6e 0001 01"),
+        (Reply::Refresh { who: 1 }, "78 0001"),
+    ];
+    for (reply, bytes) in cases {
+        let mut out = Vec::new();
+        write_reply(&mut out, &reply);
+        assert_eq!(out, hex(bytes), "{reply:?}");
+    }
+}
+
+#[test]
+fn every_other_event_is_read() {
+    let cases = [
+        (
+            "0a 0001 0000000000000002 00000003 613d62",
+            Record::NewInstance { who: 1, nonce: 2, config: "a=b".into() },
+        ),
+        ("64 0001", Record::Teardown { who: 1 }),
+        (
+            "50 0001 012f 0000000000000002 00000003 01 3f800000",
+            Record::ProbeDone { who: 1, code: 303, delay: 2, endpoint: 3, report: vec![1.0] },
+        ),
+        (
+            "28 0001 00000002 00000003 0004 0000000000000005",
+            Record::FirstByte { who: 1, call: 2, endpoint: 3, trial: 4, delay: 5 },
+        ),
+        ("5a 0001 00000002 0002 6869", Record::NoteFrom { who: 1, from: 2, msg: b"hi".to_vec() }),
+    ];
+    for (bytes, record) in cases {
+        let bytes = hex(bytes);
+        let whole = &frame(9, std::slice::from_ref(&bytes))[4..];
+        assert_eq!(read_batch(whole), Ok((9, vec![record])));
+        // Every truncation is an error, never a panic.
+        for cut in 1..bytes.len() {
+            let body = &frame(9, &[bytes[..cut].to_vec()])[4..];
+            assert!(matches!(read_batch(body), Err(WireError::Short { .. })), "{cut}");
+        }
+    }
+}
+
+#[test]
+fn bad_input_ends_with_one_plain_line() {
+    let bad_setting = {
+        let config = b"Balancers=two";
+        let mut record = hex("0a 0001 0000000000000002");
+        record.extend((config.len() as u32).to_be_bytes());
+        record.extend(config);
+        frame(9, &[record])
+    };
+    let cases = [
+        (hex("0000"), "2 of 4 bytes"),
+        (hex("ffffffff 00"), "1 of 4294967295 bytes"),
+        (hex("00000004 00000000"), "clock is cut short"),
+        (frame(9, &[hex("ff 0001")]), "unknown code 255"),
+        (frame(9, &[hex("6e 0000 ffffffff")]), "entry Endpoint is cut short"),
+        (frame(9, &[hex("64 0001"), hex("64 0001 00")]), "left over"),
+        (bad_setting, "Balancers: 'two'"),
+    ];
+    for (input, says) in cases {
+        let out = host_with(&input);
+        let error = String::from_utf8(out.stderr).unwrap();
+        if says == "left over" {
+            // The declared count ends before the bytes do.
+            assert!(error.contains(says), "{error}");
+        }
+        assert!(!out.status.success(), "{says}");
+        assert!(error.contains(says), "{error}");
+        assert_eq!(error.lines().count(), 1, "{error}");
+    }
+}
+
+#[test]
+fn unknown_settings_are_skipped_and_lists_follow_their_sheet() {
+    let config =
+        "Balancers=3\nLanes.count=1\nLanes.0.Effect=read_like\nNew.Thing=1,2\nFamilyInfo.KindBatch=1,4\n";
+    let parsed = settings::parse_settings(config).unwrap();
+    assert_eq!(parsed.settings.couriers, 3);
+    assert_eq!(parsed.settings.kinds[1].batch, 4);
+    // A sheet's number taken over later in a batch does not touch what referred to it before.
+    let sheet = |endpoint| {
+        let entry = Entry { endpoint, zone: 0, kind: 0, cell: 1, mode: 3, weight: 9.0, up_since: 0 };
+        Record::Sheet { slot: 0, entries: vec![entry] }
+    };
+    let members = |who| Record::Members { who, slot: 0, generation: 1, kind: 2 };
+    let start = |who| Record::NewInstance { who, nonce: 1, config: config.to_owned() };
+    let (key, hint, opts, owner, deadline) = (0, 0, 0, 0, 60_000_000_000);
+    let accept =
+        |who| Record::Accept { who, call: 5, profile: 0, dest: 1.0, key, deadline, hint, opts, owner };
+    let mut host = host::Host::default();
+    let batch = vec![start(1), start(2), sheet(10), members(1), sheet(20), members(2), accept(1), accept(2)];
+    let replies = host.run(50_000_000_000, batch).unwrap();
+    let routed = |who, to| {
+        let is =
+            |r: &&Reply| matches!(r, Reply::Route { who: w, endpoint, .. } if (*w, *endpoint) == (who, to));
+        replies.iter().filter(is).count()
+    };
+    assert_eq!((routed(1, 10), routed(2, 20)), (1, 1));
+}
