--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,8 @@
 const STALL_AIM: f64 = 0.25;
 /// First gap between trial calls, as a part of the fall window, and the longest one; both are jittered.
 const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
+/// Trial calls are at least as far apart as so many calls at an even part of the told rate.
+const TRIAL_PART: f64 = 2.0;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Errors or refusals in a row that count as a spell; one alone is everyday life.
@@ -37,8 +39,6 @@
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of the rate in a second in which it bound, as a part of an even part of the weight.
 const RATE_GROWTH: f64 = 0.08;
-/// The rate stays above this part of an even part of the weight, else it could never learn better.
-const RATE_FLOOR: f64 = 0.25;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
 /// Weight of the newest latency in the running mean.
@@ -89,6 +89,8 @@
     trials: u32,
     /// Some call failed or was refused; else it is silence alone.
     failed: bool,
+    /// Some call was lost, not just refused.
+    lost: bool,
 }
 
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
@@ -353,8 +355,7 @@
             Outcome::Full(_) => {
                 route.failures += 1;
                 if now - route.last_cut > CUT_EVERY {
-                    let floor = route.weight / couriers * RATE_FLOOR;
-                    route.rate = (route.rate * RATE_CUT).max(floor);
+                    route.rate *= RATE_CUT;
                     route.last_cut = now;
                 }
                 route.tokens = route.tokens.min(0.0);
@@ -368,11 +369,17 @@
         }
         if route.failures >= SPELL_AFTER {
             let began = route.last_answer;
-            let spell = route.spell.get_or_insert(Spell { began, next_trial: now, trials: 0, failed: true });
+            let spell = route.spell.get_or_insert(Spell {
+                began,
+                next_trial: now,
+                trials: 0,
+                failed: true,
+                lost: false,
+            });
             spell.failed = true;
-            let gap = TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2();
-            let gap = rules.fall.mul_f64(gap.min(TRIAL_GAPS_OF_FALL.1));
-            spell.next_trial = (now + gap.mul_f64(0.5 + chance / 2.0)).max(route.told_wait);
+            spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
+            let gap = trial_gap(rules, spell.trials, couriers / route.weight, chance);
+            spell.next_trial = (now + gap).max(route.told_wait);
             route.returned = None;
         }
     }
@@ -553,6 +560,7 @@
                     next_trial: now + stall,
                     trials: 0,
                     failed: false,
+                    lost: false,
                 });
             }
         }
@@ -717,13 +725,16 @@
             return;
         };
         route.tokens -= 1.0;
+        let couriers = f64::from(self.settings.couriers.max(1));
         let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
-            let gap =
-                (TRIAL_GAPS_OF_FALL.0 * f64::from(spell.trials.min(16)).exp2()).min(TRIAL_GAPS_OF_FALL.1);
-            spell.next_trial = now + self.settings.rules.fall.mul_f64(gap * (0.5 + self.rng.f64() / 2.0));
-            room = 1;
+            let gap = trial_gap(&self.settings.rules, spell.trials, couriers / route.weight, self.rng.f64());
+            spell.next_trial = now + gap;
+            // What is only refused comes back unharmed, so that a trial may carry all that a call can.
+            if spell.lost || !spell.failed {
+                room = 1;
+            }
         }
         self.call += 1;
         route.out.insert((now, self.call));
@@ -816,3 +827,11 @@
         }
     }
 }
+
+/// Gap before the next trial call: growing and jittered, and never more calls than this courier's even part,
+/// as trials that are refused can use up a small limit all by themselves (incident i2aa64d).
+fn trial_gap(rules: &Rules, trials: u32, even_s: f64, chance: f64) -> Duration {
+    let gap = TRIAL_GAPS_OF_FALL.0 * f64::from(trials.min(16)).exp2();
+    let gap = rules.fall.mul_f64(gap.min(TRIAL_GAPS_OF_FALL.1));
+    gap.max(Duration::from_secs_f64(even_s.min(10.0) * TRIAL_PART)).mul_f64(0.5 + chance / 2.0)
+}
