--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,7 +38,7 @@
 const RATE_CUT: f64 = 0.75;
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of the rate in a second in which it bound, as a part of an even part of the weight.
-const RATE_GROWTH: f64 = 0.08;
+const RATE_GROWTH: f64 = 0.16;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
 /// Weight of the newest latency in the running mean.
