--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 const BURST_S: f64 = 0.4;
 /// Weight of the newest latency in the running mean.
 const LATENCY_GAIN: f64 = 0.15;
+/// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
+const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting would lose, against the worth itself, and how far it looks ahead, in aims.
 const WAITING_LOSS: f64 = 2.0;
 const LOOK_AHEAD: f64 = 1.0;
@@ -61,6 +63,8 @@
     maybe_ran: Option<(Time, Option<ZoneId>)>,
     not_before: Time,
     closed: bool,
+    /// Beyond its tenant's share, and so worth little.
+    over_share: bool,
 }
 
 #[derive(Clone, Copy)]
@@ -123,6 +127,8 @@
     routes: BTreeMap<RouteId, Route>,
     queues: BTreeMap<DestinationId, Vec<MessageId>>,
     messages: BTreeMap<MessageId, Message>,
+    /// What is left of each tenant's share, and since when.
+    shares: BTreeMap<TenantId, (f64, Time)>,
     open: usize,
     deadlines: BTreeSet<(Time, MessageId)>,
     keys: BTreeMap<OrderKey, VecDeque<MessageId>>,
@@ -145,6 +151,7 @@
             routes: BTreeMap::new(),
             queues: BTreeMap::new(),
             messages: BTreeMap::new(),
+            shares: BTreeMap::new(),
             open: 0,
             deadlines: BTreeSet::new(),
             keys: BTreeMap::new(),
@@ -241,8 +248,10 @@
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
         self.open += 1;
+        let over_share = self.is_over_share(now, taken.tenant);
         let message = Message {
             born,
+            over_share,
             attempts: 0,
             out: None,
             maybe_ran: may_have_run.then_some((born, None)),
@@ -253,6 +262,19 @@
         self.messages.insert(message.taken.id, message);
     }
 
+    /// Whether a tenant is past its quota for certain. The quota is for all couriers together, and other
+    /// couriers' part of it cannot be seen: what passes the assumed part at this one alone counts as beyond.
+    fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
+        let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
+        let part = (QUOTA_PART / f64::from(self.settings.couriers.max(1))).min(1.0);
+        let (left, since) = self.shares.entry(tenant).or_insert((quota * part, now));
+        *left = (*left + (now - *since).as_secs_f64() * quota * part).min(quota * part);
+        *since = now;
+        let over = *left < 1.0;
+        *left -= if over { 0.0 } else { 1.0 };
+        over
+    }
+
     fn on_finished(&mut self, now: Time, finished: Finished) {
         // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
         // became of that message.
@@ -686,7 +708,10 @@
             }
         };
         let age = (now - message.born).as_secs_f64();
-        class.worth * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim * LOOK_AHEAD))
+        let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
+        class.worth
+            * share
+            * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim * LOOK_AHEAD))
     }
 
     /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -347,3 +347,39 @@
     let answers = bench.decide().iter().filter(|a| !matches!(a, Action::Wake { .. })).count();
     assert_eq!(answers, 5);
 }
+
+#[test]
+fn what_is_beyond_a_tenants_share_is_shed_first() {
+    let base = settings(vec![safe()]);
+    let tenants = vec![Tenant { quota: 5.0 }, Tenant { quota: 1000.0 }];
+    let mut bench = Bench::new(Settings { most_held: 40, tenants, over_share_worth: 0.1, ..base }, vec![]);
+    let deadline = bench.now + bench.settings.classes[0].deadline;
+    for id in 0..40 {
+        let tenant = TenantId(u32::from(id >= 20));
+        let (class, destination) = (ClassId(0), DestinationId(1));
+        let id = MessageId(id);
+        let from_dead_courier = false;
+        let taken = Accepted { id, class, destination, key: None, deadline, from_dead_courier, tenant };
+        bench.tell(Event::Accept(taken));
+    }
+    let shed = bench.until_action(ms(5));
+    assert!(!shed.is_empty());
+    assert!(
+        shed.iter().all(|a| matches!(a, Action::Busy { message } if (6..20).contains(&message.0))),
+        "{shed:?}"
+    );
+}
+
+#[test]
+fn where_routes_are_apart_a_wait_holds_for_its_route_only() {
+    let base = settings(vec![safe()]);
+    let kinds = vec![Kind { batch: 1, own_limits: true }];
+    let mut bench = Bench::new(Settings { kinds, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
+    bench.accept(1, 0, 1, None);
+    let first = bench.routes()[0].1;
+    bench.finish(1, first, Outcome::Full(Some(ms(900))), ms(20));
+    bench.accept(2, 0, 1, None);
+    let other = bench.routes();
+    assert_eq!(other.len(), 1);
+    assert_ne!(other[0].1, first);
+}
