--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -202,7 +202,7 @@
 #[test]
 fn a_dead_destination_gets_single_trials_and_a_slow_start() {
     let mut bench = one(safe());
-    (0..30).for_each(|id| bench.accept(id, 0, 1, None));
+    (0..390).for_each(|id| bench.accept(id, 0, 1, None));
     for (id, to, _) in bench.routes() {
         bench.finish(id, to, Outcome::ConnectFailed, ms(10));
     }
