--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -217,11 +217,14 @@
     }
     assert!((3..20).contains(&trials), "{trials}");
     // It is back: all that is sent in the fall window stays inside the budget of a cold destination.
-    let (mut sent, back) = (0.0, bench.now);
+    let (mut sent, mut back) = (0.0, bench.now);
     let rules = bench.settings.rules.clone();
     while bench.now - back < rules.fall {
         bench.now = bench.now + ms(5);
         for (id, to, _) in bench.routes() {
+            if sent == 0.0 {
+                back = bench.now;
+            }
             sent += 1.0;
             bench.finish(id, to, Outcome::Ok, ms(5));
         }
