--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,21 +24,27 @@
 const STALL_AIM: f64 = 0.25;
 /// First gap between trial calls, as a part of the fall window, and the longest one; both are jittered.
 const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
-/// Trial calls are at least as far apart as so many calls at an even part of the told rate.
+/// Trial calls of a courier are at least so many of its own messages apart, but for the longest gap: so all
+/// couriers together try at a part of the usual demand, whoever carries most ...
 const TRIAL_PART: f64 = 2.0;
+/// ... and one with little traffic is not silenced past its messages: its gap is at most this many aims.
+const TRIAL_GAP_AIMS: f64 = 2.0;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Errors or refusals in a row that count as a spell; one alone is everyday life.
 const SPELL_AFTER: u32 = 6;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
-/// Starting rate as a multiple of an even part of the weight: traffic is never quite even.
-const START_SHARE: f64 = 1.5;
-/// On `full` the rate falls to this part of itself, at most once in `CUT_EVERY`.
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`.
 const RATE_CUT: f64 = 0.75;
 const CUT_EVERY: Duration = Duration::from_millis(500);
-/// Growth of the rate in a second in which it bound, as a part of an even part of the weight.
-const RATE_GROWTH: f64 = 0.16;
+/// The rate is not cut below one call in so many of the shortest aim: less would only make messages late.
+const SLOWEST_RATE_AIMS: f64 = 1.0;
+/// Growth of a rate that binds with each answer, as a part of itself or of one call in `CUT_EVERY`: with the
+/// cut it settles where a fixed part of the calls is refused, however many couriers share the limit.
+const RATE_GROWTH: f64 = 0.08;
+/// What was sent of late: calls over about so many seconds.
+const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
 /// Weight of the newest latency in the running mean.
@@ -114,6 +120,9 @@
     filled: Time,
     bound: bool,
     last_cut: Time,
+    /// Calls sent over about `LATE_S`, and messages taken over about the time that a cold return lasts.
+    sent: Decaying,
+    demand: Decaying,
     told_wait: Time,
     mean: f64,
     deviation: f64,
@@ -126,6 +135,22 @@
     out: BTreeSet<(Time, u64)>,
 }
 
+/// A count of events that fades with time.
+#[derive(Default)]
+struct Decaying {
+    count: f64,
+    at: Time,
+}
+
+impl Decaying {
+    /// Events a second over about `span` seconds; `more` are added first.
+    fn rate(&mut self, now: Time, span: f64, more: f64) -> f64 {
+        self.count = self.count * (-(now - self.at).as_secs_f64() / span).exp() + more;
+        self.at = now;
+        self.count / span
+    }
+}
+
 /// A courier: records events in `handle`, acts in `decide`.
 pub struct Courier {
     settings: Settings,
@@ -219,16 +244,17 @@
             });
             known.entry = entry.clone();
             let (weight, ceiling) = self.weight_of(&entry);
-            let even = weight / self.couriers();
             let latency = self.shortest_aim().as_secs_f64() * 0.1;
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| Route {
                 weight,
                 ceiling,
-                rate: (even * START_SHARE).min(weight),
+                rate: weight,
                 tokens: 1.0,
                 filled: now,
                 bound: false,
                 last_cut: Time::ZERO,
+                sent: Decaying::default(),
+                demand: Decaying::default(),
                 told_wait: Time::ZERO,
                 mean: latency,
                 deviation: latency,
@@ -253,6 +279,10 @@
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
         self.open += 1;
+        let cold = cold_s(&self.settings.rules);
+        for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
+            route.demand.rate(now, cold, 1.0);
+        }
         let over_share = self.is_over_share(now, taken.tenant);
         let message = Message {
             born,
@@ -345,6 +375,8 @@
 
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, out: Out) {
+        let slowest = 1.0 / (self.shortest_aim().as_secs_f64() * SLOWEST_RATE_AIMS).max(0.001);
+        let longest_gap = self.longest_trial_gap();
         let couriers = self.couriers();
         let blip = self.settings.rules.fall.mul_f64(BLIP_OF_FALL);
         let chance = self.rng.f64();
@@ -369,6 +401,10 @@
                     route.returned = Some(now);
                     route.tokens = 0.0;
                 }
+                if route.bound {
+                    let most = 1.0 / CUT_EVERY.as_secs_f64();
+                    route.rate = (route.rate + RATE_GROWTH * route.rate.min(most)).min(route.ceiling);
+                }
                 route.spell = None;
                 route.failures = 0;
                 route.last_answer = now;
@@ -377,7 +413,8 @@
             Outcome::Full(_) => {
                 route.failures += 1;
                 if now - route.last_cut > CUT_EVERY {
-                    route.rate *= RATE_CUT;
+                    let late = route.sent.rate(now, LATE_S, 0.0);
+                    route.rate = (RATE_CUT * route.rate.min(late)).max(slowest).min(route.ceiling);
                     route.last_cut = now;
                 }
                 route.tokens = route.tokens.min(0.0);
@@ -393,8 +430,8 @@
             let spell = route.spell.get_or_insert(Spell::new(route.last_answer, now));
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
-            let gap = trial_gap(rules, spell.trials, couriers / route.weight, chance);
-            spell.next_trial = now + gap;
+            let part = own_part(route.demand.rate(now, cold_s(rules), 0.0), route.weight, couriers);
+            spell.next_trial = now + trial_gap(rules, spell.trials, part, longest_gap, chance);
             route.returned = None;
         }
     }
@@ -524,7 +561,7 @@
         let mut again: Option<Time> = None;
         let routes: Vec<RouteId> = self
             .routes
-            .range(RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX))))
+            .range(routes_of(to))
             .map(|r| *r.0)
             .collect();
         for id in routes {
@@ -548,7 +585,6 @@
         let stall = self.stall_patience(id);
         let slots_free = self.settings.call_slots.saturating_sub(self.calls_out);
         let rate = self.pace(now, id);
-        let couriers = self.couriers();
         let route = self.routes.get_mut(&id)?;
         if route.told_wait > now {
             return Some(route.told_wait);
@@ -572,9 +608,6 @@
         }
         let burst = if route.returned.is_some() { 1.0 } else { (rate * BURST_S).max(1.0) };
         let passed = (now - route.filled).as_secs_f64();
-        if route.bound && route.returned.is_none() {
-            route.rate = (route.rate + passed * RATE_GROWTH * route.weight / couriers).min(route.ceiling);
-        }
         route.tokens = (route.tokens + passed * rate).min(burst);
         route.filled = now;
         route.bound = route.tokens < 1.0;
@@ -586,6 +619,7 @@
 
     /// Calls a second that this courier may send a route now.
     fn pace(&mut self, now: Time, id: RouteId) -> f64 {
+        let longest_gap = self.longest_trial_gap();
         let couriers = self.couriers();
         let rules = &self.settings.rules;
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
@@ -595,10 +629,12 @@
             route.returned = None;
             return route.rate;
         }
-        // This courier's part of what a returning destination survives, were all others to do the same.
-        let part = (rules.tip_multiple * FALL_BUDGET_USED / couriers).min(1.0);
+        // This courier's part of what a returning destination survives goes by its own demand: an even part of
+        // the told rate is too little where a few couriers carry most, and were all to do the same, they
+        // would send no more than the budget together.
+        let part = own_part(route.demand.rate(now, cold_s(rules), 0.0), route.weight, couriers);
         let share = rules.cold_from + (1.0 - rules.cold_from) * warmth;
-        (route.weight * share * part).min(route.rate)
+        (part * share * rules.tip_multiple * FALL_BUDGET_USED).max(longest_gap.recip()).min(route.rate)
     }
 
     fn stall_patience(&self, id: RouteId) -> Duration {
@@ -708,6 +744,7 @@
         first: MessageId,
         actions: &mut Vec<Action>,
     ) {
+        let longest_gap = self.longest_trial_gap();
         let couriers = self.couriers();
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
@@ -716,11 +753,13 @@
         self.calls_out += 1;
         let Some(route) = self.routes.get_mut(&id) else { return };
         route.tokens -= 1.0;
+        route.sent.rate(now, LATE_S, 1.0);
         let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
-            let gap = trial_gap(&self.settings.rules, spell.trials, couriers / route.weight, self.rng.f64());
-            spell.next_trial = now + gap;
+            let rules = &self.settings.rules;
+            let part = own_part(route.demand.rate(now, cold_s(rules), 0.0), route.weight, couriers);
+            spell.next_trial = now + trial_gap(rules, spell.trials, part, longest_gap, self.rng.f64());
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
             if spell.lost || !spell.failed {
                 room = 1;
@@ -799,6 +838,11 @@
         f64::from(self.settings.couriers.max(1))
     }
 
+    /// Longest gap between trial calls, in seconds.
+    fn longest_trial_gap(&self) -> f64 {
+        self.shortest_aim().as_secs_f64() * TRIAL_GAP_AIMS
+    }
+
     fn shortest_aim(&self) -> Duration {
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1))
     }
@@ -820,10 +864,25 @@
     unit.mul_f64(first * f64::from(tries.min(16)).exp2())
 }
 
-/// Gap before the next trial call: growing and jittered, and never more calls than this courier's even part,
+/// The routes of a destination.
+fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+}
+
+fn cold_s(rules: &Rules) -> f64 {
+    rules.cold.as_secs_f64().max(1.0)
+}
+
+/// This courier's part of what a destination takes: its own demand, or an even part of the told rate.
+fn own_part(demand: f64, weight: f64, couriers: f64) -> f64 {
+    demand.max(weight / couriers)
+}
+
+/// Gap before the next trial call: growing and jittered, and by this courier's own demand (messages a second),
 /// as trials that are refused can use up a small limit all by themselves (incident i2aa64d).
-fn trial_gap(rules: &Rules, trials: u32, even_s: f64, chance: f64) -> Duration {
+fn trial_gap(rules: &Rules, trials: u32, demand: f64, longest_s: f64, chance: f64) -> Duration {
     let (first, longest) = TRIAL_GAPS_OF_FALL;
     let gap = growing_gap(rules.fall, first, trials).min(rules.fall.mul_f64(longest));
-    gap.max(Duration::from_secs_f64(even_s.min(10.0) * TRIAL_PART)).mul_f64(0.5 + chance / 2.0)
+    let own = (TRIAL_PART / demand.max(0.001)).min(longest_s);
+    gap.max(Duration::from_secs_f64(own)).mul_f64(0.5 + chance / 2.0)
 }
