--- a/src/bin/cloverstile-wirehost/settings.rs
+++ b/src/bin/cloverstile-wirehost/settings.rs
@@ -100,6 +100,7 @@
         second_copies: lines.or("Permissions.SecondCopies", false)?,
         over_share_worth: lines.or("OverShareWorth", base.over_share_worth)?,
         connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
+        conn_idle: lines.span("Permissions.ConnIdle", base.conn_idle)?,
         rules: Rules {
             answer_slack: lines.span("Rules.AnswerSlack", rules.answer_slack)?,
             cold_from: lines.or("Rules.ColdFrom", rules.cold_from)?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -3,25 +3,34 @@
 //! The ordinary path: a message waits in the queue of its destination; a free call slot goes to the waiting
 //! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
 //! inside group, window and attempt limit, after a full-jitter exponential gap. All else guards that path.
+//! Order below: tuned values, state, events, health and pace, choice, answers, settings.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+// ---- Tuned values ----
+
 /// First gap before a repeat, as a part of the class's aim: short enough to leave time for several on time.
 const BACKOFF_BASE_OF_AIM: f64 = 0.05;
 /// Longest gap before a repeat, as a part of the class's aim: a repeat rarely pays if it waits longer.
 const BACKOFF_CAP_OF_AIM: f64 = 0.7;
 /// A keyed message is not resent in the last part of its window: the call must still arrive inside it.
 const WINDOW_MARGIN: f64 = 0.1;
-/// Time-out of a repeatable attempt, in latencies (mean and deviation below) of its destination ...
+/// Latency assumed before the first answer, as a part of the shortest aim.
+const FIRST_LATENCY_OF_AIM: f64 = 0.1;
+/// Least weight of the newest latency in the running mean; the first few weigh more.
+const LATENCY_GAIN: f64 = 0.15;
+/// Time-out of a repeatable attempt, in latencies (mean and deviation) of its destination ...
 const TIMEOUT_LATENCIES: f64 = 4.0;
 /// ... and at least this part of the aim, at most this multiple of it.
-const TIMEOUT_AIMS: (f64, f64) = (1.0, 3.0);
-/// A destination has stalled when none of its calls was answered for so many latencies ...
+const TIMEOUT_AIMS: (f64, f64) = (0.5, 3.0);
+/// A call is stalled when it was not answered for so many latencies ...
 const STALL_LATENCIES: f64 = 3.0;
 /// ... and at least for this part of the shortest aim: short pauses of a partner pass unnoticed.
 const STALL_AIM: f64 = 0.25;
+/// An unsafe call gets so many times that patience before it is called off: what it carries is lost then.
+const UNSAFE_PATIENCE: u32 = 2;
 /// First gap between trial calls, as a part of the fall window, and the longest one; both are jittered.
 const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
 /// Trial calls of a courier are at least so many of its own messages apart, but for the longest gap: so all
@@ -31,8 +40,12 @@
 const TRIAL_GAP_AIMS: f64 = 2.0;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
-/// Errors or refusals in a row that count as a spell; one alone is everyday life.
+/// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
+/// only hints at it, single errors and refusals are everyday life.
 const SPELL_AFTER: u32 = 6;
+const EVIDENCE_NO_CONNECTION: u32 = 6;
+const EVIDENCE_LOST: u32 = 3;
+const EVIDENCE_OTHER: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
 /// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`.
@@ -47,8 +60,8 @@
 const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
-/// Weight of the newest latency in the running mean.
-const LATENCY_GAIN: f64 = 0.15;
+/// A rough weight may be this part of the truth, and no more.
+const ROUGH_WEIGHT: f64 = 0.5;
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting would lose, against the worth itself, and how far it looks ahead, in aims.
@@ -58,13 +71,24 @@
 const TRIAL_SLOTS: f64 = 0.25;
 /// Share of the messages that may be held above which the least worth are shed.
 const SHED_ABOVE: f64 = 0.93;
+/// Losses on idle connections, less answers on such, from which on they are closed before use; and the most
+/// that count, so that the suspicion can end.
+const REAPED_AFTER: u32 = 3;
+const REAPED_MOST: u32 = 5;
+/// Connections idle for this part of the shortest time that lost a call are trusted.
+const REAPED_MARGIN: f64 = 0.7;
+/// While idle connections are closed, one in so many of the shortest aim is tried to see if that is over.
+const REAPED_CHECK_AIMS: f64 = 1.0;
+
+// ---- State ----
 
 /// A message between its hand-in and its end (and the end of its last attempt).
 struct Message {
     taken: Accepted,
     born: Time,
     attempts: u32,
-    out: Option<Out>,
+    /// The call that carries it now.
+    out: Option<u64>,
     /// When the first attempt that may have run was sent, and where: it fixes window and group.
     maybe_ran: Option<(Time, Option<ZoneId>)>,
     not_before: Time,
@@ -73,12 +97,18 @@
     over_share: bool,
 }
 
-#[derive(Clone, Copy)]
-struct Out {
-    sent: Time,
-    zone: ZoneId,
+/// A call out: one slot, one fate, however many messages it carries.
+struct Call {
     route: RouteId,
-    call: u64,
+    to: EndpointId,
+    zone: ZoneId,
+    sent: Time,
+    carried: Vec<MessageId>,
+    unanswered: usize,
+    /// How long the connection that it went out on had been idle; none on a new or busy one.
+    idle: Option<Duration>,
+    stalled: bool,
+    called_off: bool,
 }
 
 /// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
@@ -90,6 +120,45 @@
     calls_out: usize,
     failures: u32,
     avoid_until: Time,
+    /// When a call last ended there with its connection left open.
+    used: Option<Time>,
+}
+
+/// Running mean and mean deviation of latencies, in seconds.
+#[derive(Clone, Copy)]
+struct Latency {
+    mean: f64,
+    deviation: f64,
+    samples: u32,
+}
+
+impl Latency {
+    fn learn(&mut self, sample: Duration) {
+        let (sample, gain) = (sample.as_secs_f64(), LATENCY_GAIN.max(1.0 / f64::from(self.samples + 2)));
+        self.deviation += gain * ((sample - self.mean).abs() - self.deviation);
+        self.mean += gain * (sample - self.mean);
+        self.samples += 1;
+    }
+
+    fn times(&self, multiple: f64) -> f64 {
+        (self.mean + self.deviation) * multiple
+    }
+}
+
+/// A count of events that fades with time.
+#[derive(Default)]
+struct Decaying {
+    count: f64,
+    at: Time,
+}
+
+impl Decaying {
+    /// Events a second over about `span` seconds; `more` are added first.
+    fn rate(&mut self, now: Time, span: f64, more: f64) -> f64 {
+        self.count = self.count * (-(now - self.at).as_secs_f64() / span).exp() + more;
+        self.at = now;
+        self.count / span
+    }
 }
 
 /// A time without any success on a route, from its last success on.
@@ -115,6 +184,7 @@
     /// Calls a second that it takes from all couriers together, as told; and the most that may be meant.
     weight: f64,
     ceiling: f64,
+    endpoints: Vec<EndpointId>,
     rate: f64,
     tokens: f64,
     filled: Time,
@@ -124,31 +194,23 @@
     sent: Decaying,
     demand: Decaying,
     told_wait: Time,
-    mean: f64,
-    deviation: f64,
+    latency: Latency,
     last_answer: Time,
-    failures: u32,
+    evidence: u32,
     spell: Option<Spell>,
     /// When the slow start began, if one is on.
     returned: Option<Time>,
     /// Calls out, the oldest first.
-    out: BTreeSet<(Time, u64)>,
-}
-
-/// A count of events that fades with time.
-#[derive(Default)]
-struct Decaying {
-    count: f64,
-    at: Time,
+    out: BTreeSet<u64>,
 }
 
-impl Decaying {
-    /// Events a second over about `span` seconds; `more` are added first.
-    fn rate(&mut self, now: Time, span: f64, more: f64) -> f64 {
-        self.count = self.count * (-(now - self.at).as_secs_f64() / span).exp() + more;
-        self.at = now;
-        self.count / span
-    }
+/// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
+/// one courier meets each partner too seldom to learn it there.
+struct Reaping {
+    losses: u32,
+    /// Shortest idle time that lost a call.
+    idle: Duration,
+    next_check: Time,
 }
 
 /// A courier: records events in `handle`, acts in `decide`.
@@ -157,6 +219,7 @@
     rng: fastrand::Rng,
     addresses: BTreeMap<EndpointId, Address>,
     routes: BTreeMap<RouteId, Route>,
+    /// Messages not answered, by destination; no empty ones.
     queues: BTreeMap<DestinationId, Vec<MessageId>>,
     messages: BTreeMap<MessageId, Message>,
     /// What is left of each tenant's share, and since when.
@@ -165,10 +228,11 @@
     deadlines: BTreeSet<(Time, MessageId)>,
     keys: BTreeMap<OrderKey, VecDeque<MessageId>>,
     rests: BTreeMap<OrderKey, Time>,
-    calls_out: usize,
-    /// Messages that each call out still carries.
-    calls: BTreeMap<u64, usize>,
-    call: u64,
+    calls: BTreeMap<u64, Call>,
+    last_call: u64,
+    /// Latency over all destinations: what one that was never called is assumed to need.
+    usual: Latency,
+    reaping: Reaping,
     wake: Option<(Time, u64)>,
     token: u64,
 }
@@ -176,6 +240,7 @@
 impl Courier {
     /// A courier that knows only its settings; `seed` is its one source of chance.
     pub fn new(settings: Settings, seed: u64) -> Self {
+        let first = shortest_aim(&settings).as_secs_f64() * FIRST_LATENCY_OF_AIM;
         Courier {
             settings,
             rng: fastrand::Rng::with_seed(seed),
@@ -188,9 +253,10 @@
             deadlines: BTreeSet::new(),
             keys: BTreeMap::new(),
             rests: BTreeMap::new(),
-            calls_out: 0,
             calls: BTreeMap::new(),
-            call: 0,
+            last_call: 0,
+            usual: Latency { mean: first, deviation: first, samples: 0 },
+            reaping: Reaping { losses: 0, idle: Duration::MAX, next_check: Time::ZERO },
             wake: None,
             token: 0,
         }
@@ -216,9 +282,10 @@
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.answer_due(now, actions);
         self.shed(now, actions);
+        let stall = self.note_stalls(now);
         self.free_pinned_slot(now, actions);
         let next = self.send_ready(now, actions);
-        self.set_wake(now, next, actions);
+        self.set_wake(now, [stall, next].into_iter().flatten().min(), actions);
     }
 
     // ---- Events ----
@@ -236,18 +303,12 @@
             }
         };
         for entry in entries {
-            let known = self.addresses.entry(entry.id).or_insert_with(|| Address {
-                entry: entry.clone(),
-                calls_out: 0,
-                failures: 0,
-                avoid_until: Time::ZERO,
-            });
-            known.entry = entry.clone();
             let (weight, ceiling) = self.weight_of(&entry);
-            let latency = self.shortest_aim().as_secs_f64() * 0.1;
+            let usual = self.usual;
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| Route {
                 weight,
                 ceiling,
+                endpoints: Vec::new(),
                 rate: weight,
                 tokens: 1.0,
                 filled: now,
@@ -256,15 +317,22 @@
                 sent: Decaying::default(),
                 demand: Decaying::default(),
                 told_wait: Time::ZERO,
-                mean: latency,
-                deviation: latency,
+                latency: usual,
                 last_answer: now,
-                failures: 0,
+                evidence: 0,
                 spell: None,
                 returned: None,
                 out: BTreeSet::new(),
             });
             (route.weight, route.ceiling) = (weight, ceiling);
+            if let Some(known) = self.addresses.get_mut(&entry.id) {
+                known.entry = entry;
+                continue;
+            }
+            route.endpoints.push(entry.id);
+            let id = entry.id;
+            let address = Address { entry, calls_out: 0, failures: 0, avoid_until: Time::ZERO, used: None };
+            self.addresses.insert(id, address);
         }
     }
 
@@ -322,11 +390,12 @@
             }
         }
         let Some(message) = self.messages.get_mut(&finished.message) else { return };
-        let Some(out) = message.out.take() else { return };
+        let Some(call_id) = message.out.take() else { return };
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
         let class = &self.settings.classes[usize::from(message.taken.class.0)];
         let never_ran = matches!(finished.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
         if !never_ran && message.maybe_ran.is_none() {
-            message.maybe_ran = Some((out.sent, Some(out.zone)));
+            message.maybe_ran = Some((call.sent, Some(call.zone)));
         }
         let gap = growing_gap(class.aim, BACKOFF_BASE_OF_AIM, message.attempts)
             .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM));
@@ -337,66 +406,113 @@
             self.rests.retain(|_, until| *until > now);
             self.rests.insert(key, now + self.settings.rules.order_settle);
         }
-        self.end_call(now, &finished, out);
+        // Only a call's last outcome counts for the route: its messages share one fate.
+        call.unanswered -= 1;
+        if call.unanswered == 0 {
+            if let Some(call) = self.calls.remove(&call_id) {
+                self.end_call(now, call_id, call, &finished);
+            }
+        }
         if finished.complete {
             self.close(finished.message);
+        } else if let Some(end) = self.last_send(finished.message) {
+            // What can never be sent again is answered at once: it would only fill what may be held and keep
+            // its order key from the messages behind it.
+            self.deadlines.insert((end.max(now), finished.message));
         }
         self.forget_if_over(finished.message);
     }
 
-    /// Frees the slot of a call with its last outcome and lets address and route learn, once a call.
-    fn end_call(&mut self, now: Time, finished: &Finished, out: Out) {
-        let Some(carried) = self.calls.get_mut(&out.call) else { return };
-        *carried = carried.saturating_sub(1);
-        if *carried > 0 {
-            return;
+    /// Until when a message may be sent again, if that ends before its deadline.
+    fn last_send(&self, id: MessageId) -> Option<Time> {
+        let message = self.messages.get(&id).filter(|m| !m.closed)?;
+        let class = self.class(message);
+        match (message.maybe_ran, class.effect) {
+            _ if message.attempts >= self.settings.send_cap => Some(Time::ZERO),
+            (Some(_), Effect::Unsafe) => Some(Time::ZERO),
+            (Some((first, _)), Effect::Keyed) => {
+                Some(first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN))
+            }
+            _ => None,
         }
-        // Only a call's last outcome counts: its messages share one fate.
-        self.calls.remove(&out.call);
-        if let Some(route) = self.routes.get_mut(&out.route) {
-            route.out.remove(&(out.sent, out.call));
+    }
+
+    /// Frees the slot of a call and lets address, connections and route learn from its outcome.
+    fn end_call(&mut self, now: Time, id: u64, call: Call, finished: &Finished) {
+        if let Some(route) = self.routes.get_mut(&call.route) {
+            route.out.remove(&id);
+        }
+        let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset);
+        let reaped = lost && call.idle.is_some() && self.reaping.losses >= REAPED_AFTER;
+        if !call.stalled {
+            self.learn_of_idle(call.idle, lost, finished.outcome == Outcome::Ok);
         }
-        self.calls_out = self.calls_out.saturating_sub(1);
         let rules = &self.settings.rules;
-        if let Some(address) = self.addresses.get_mut(&finished.endpoint) {
+        if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
             match finished.outcome {
-                Outcome::Ok => address.failures = 0,
+                Outcome::Ok | Outcome::Full(_) => {
+                    address.used = Some(now);
+                    address.failures = 0;
+                }
+                Outcome::Timeout | Outcome::Reset if reaped => {}
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     address.failures += 1;
                     let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
                     address.avoid_until = now + gap.mul_f64(0.5 + self.rng.f64() / 2.0);
                 }
-                Outcome::Full(_) | Outcome::Cancelled | Outcome::Moot => {}
+                Outcome::Cancelled | Outcome::Moot => {}
+            }
+        }
+        if !reaped {
+            self.learn(now, finished, &call);
+        }
+    }
+
+    /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
+    /// idle as long speaks against it.
+    fn learn_of_idle(&mut self, idle: Option<Duration>, lost: bool, answered: bool) {
+        let Some(idle) = idle else { return };
+        if lost {
+            self.reaping.losses = (self.reaping.losses + 1).min(REAPED_MOST);
+            self.reaping.idle = self.reaping.idle.min(idle);
+        } else if answered && idle >= self.reaping.idle {
+            self.reaping.losses = self.reaping.losses.saturating_sub(1);
+            if self.reaping.losses == 0 {
+                self.reaping.idle = Duration::MAX;
             }
         }
-        self.learn(now, finished, out);
     }
 
+    // ---- Health and pace ----
+
     /// Health and pace of a route, from the outcome of one call.
-    fn learn(&mut self, now: Time, finished: &Finished, out: Out) {
-        let slowest = 1.0 / (self.shortest_aim().as_secs_f64() * SLOWEST_RATE_AIMS).max(0.001);
-        let longest_gap = self.longest_trial_gap();
-        let couriers = self.couriers();
-        let blip = self.settings.rules.fall.mul_f64(BLIP_OF_FALL);
-        let chance = self.rng.f64();
+    fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
+        let slowest = 1.0 / (shortest_aim(&self.settings).as_secs_f64() * SLOWEST_RATE_AIMS).max(0.001);
+        let (couriers, chance) = (self.couriers(), self.rng.f64());
         let rules = &self.settings.rules;
-        let Some(route) = self.routes.get_mut(&out.route) else { return };
+        let longest_gap = self.longest_trial_gap();
+        let Some(route) = self.routes.get_mut(&call.route) else { return };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             (route.weight, route.ceiling) = (limit, limit);
         }
-        let alone = out.sent >= route.last_answer;
         // A time-out is a sample too, of at least its length: else it would stay too short all through a slow
         // spell, and each repeat would meet the first call still running.
-        if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout) {
-            let latency = finished.latency.as_secs_f64();
-            route.deviation += LATENCY_GAIN * ((latency - route.mean).abs() - route.deviation);
-            route.mean += LATENCY_GAIN * (latency - route.mean);
+        if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout | Outcome::Cancelled) {
+            if route.latency.samples == 0 {
+                route.latency = self.usual;
+                route.latency.samples = 0;
+            }
+            route.latency.learn(finished.latency);
         }
+        // With a success since it was sent, a lost call says nothing of the route.
+        let alone = call.sent >= route.last_answer;
         match finished.outcome {
             Outcome::Ok => {
+                self.usual.learn(finished.latency);
                 // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
                 // that saw only the end of an outage are covered by counting from the last success.
+                let blip = rules.fall.mul_f64(BLIP_OF_FALL);
                 if route.spell.as_ref().is_some_and(|s| s.failed && now - s.began > blip) {
                     route.returned = Some(now);
                     route.tokens = 0.0;
@@ -406,12 +522,12 @@
                     route.rate = (route.rate + RATE_GROWTH * route.rate.min(most)).min(route.ceiling);
                 }
                 route.spell = None;
-                route.failures = 0;
+                route.evidence = 0;
                 route.last_answer = now;
                 return;
             }
             Outcome::Full(_) => {
-                route.failures += 1;
+                route.evidence += EVIDENCE_OTHER;
                 if now - route.last_cut > CUT_EVERY {
                     let late = route.sent.rate(now, LATE_S, 0.0);
                     route.rate = (RATE_CUT * route.rate.min(late)).max(slowest).min(route.ceiling);
@@ -419,14 +535,12 @@
                 }
                 route.tokens = route.tokens.min(0.0);
             }
-            Outcome::Error => route.failures += 1,
-            // No connection, no answer or a broken one, with no success since it was sent: it may be down.
-            Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset if alone => {
-                route.failures = route.failures.max(SPELL_AFTER);
-            }
+            Outcome::Error => route.evidence += EVIDENCE_OTHER,
+            Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
+            Outcome::Timeout | Outcome::Reset if alone => route.evidence += EVIDENCE_LOST,
             _ => {}
         }
-        if route.failures >= SPELL_AFTER {
+        if route.evidence >= SPELL_AFTER {
             let spell = route.spell.get_or_insert(Spell::new(route.last_answer, now));
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
@@ -436,154 +550,37 @@
         }
     }
 
-    fn close(&mut self, id: MessageId) {
-        if let Some(message) = self.messages.get_mut(&id) {
-            if !message.closed {
-                message.closed = true;
-                self.open -= 1;
-                if let Some(queue) = self.queues.get_mut(&message.taken.destination) {
-                    queue.retain(|m| *m != id);
-                }
-            }
-        }
-        self.forget_if_over(id);
-    }
-
-    /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
-    fn forget_if_over(&mut self, id: MessageId) {
-        let Some(message) = self.messages.get(&id).filter(|m| m.closed && m.out.is_none()) else { return };
-        if let Some(key) = message.taken.key {
-            if let Some(turn) = self.keys.get_mut(&key) {
-                turn.retain(|m| *m != id);
-                if turn.is_empty() {
-                    self.keys.remove(&key);
-                }
-            }
-        }
-        self.messages.remove(&id);
-    }
-
-    // ---- Answers ----
-
-    /// The final answer that a message may be given now; none while an attempt may still deliver it.
-    fn permitted_answer(&self, id: MessageId) -> Option<Action> {
-        let message = self.messages.get(&id).filter(|m| !m.closed)?;
-        let refusable = match self.class(message).effect {
-            Effect::Safe => true,
-            _ => message.maybe_ran.is_none() && message.out.is_none(),
-        };
-        Some(if refusable { Action::Busy { message: id } } else { Action::ReportFailure { message: id } })
-    }
-
-    fn answer(&mut self, id: MessageId, actions: &mut Vec<Action>) {
-        if let Some(action) = self.permitted_answer(id) {
-            actions.push(action);
-            self.close(id);
-        }
-    }
-
-    /// Every message has a deadline that answers it in time; one that is out is left half of the slack.
-    fn answer_due(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while let Some(&(due, id)) = self.deadlines.first().filter(|(due, _)| *due <= now) {
-            self.deadlines.remove(&(due, id));
-            let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { continue };
-            let last_call = message.taken.deadline + self.settings.rules.answer_slack / 2;
-            if message.out.is_some() && now < last_call {
-                self.deadlines.insert((last_call, id));
-            } else {
-                self.answer(id, actions);
-            }
-        }
-    }
-
-    /// Nearly full: the least worth go, before new messages are turned away unseen.
-    fn shed(&mut self, now: Time, actions: &mut Vec<Action>) {
-        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
-        while self.open > most {
-            let least = self
-                .messages
-                .values()
-                .filter(|m| !m.closed && m.out.is_none())
-                .map(|m| (self.worth(now, m), m.taken.id))
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-            let Some((_, id)) = least else { return };
-            self.answer(id, actions);
-        }
-    }
-
-    /// All slots taken: the oldest call that hangs at a sick destination is called off.
-    fn free_pinned_slot(&mut self, now: Time, actions: &mut Vec<Action>) {
-        if !self.settings.cancel || self.calls_out < self.settings.call_slots {
-            return;
-        }
-        let sick = self.routes.iter().filter(|(_, r)| r.spell.is_some());
-        let oldest = sick.filter_map(|(id, r)| r.out.first().map(|out| (*out, *id))).min();
-        let Some(((sent, call), id)) = oldest else { return };
-        if now - sent <= self.stall_patience(id) {
-            return;
-        }
-        for (message, m) in self.messages.iter().filter(|(_, m)| m.out.is_some_and(|out| out.call == call)) {
-            actions.push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
-        }
-    }
-
-    // ---- Choice ----
-
-    /// Fills free slots: each to the waiting destination with fewest calls out. Says when to look again.
-    fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
+    /// Marks the calls that have been silent for too long, and says when the next one will have been.
+    fn note_stalls(&mut self, now: Time) -> Option<Time> {
         let mut next: Option<Time> = None;
-        let mut waiting: Vec<DestinationId> =
-            self.queues.iter().filter(|(_, q)| !q.is_empty()).map(|(d, _)| *d).collect();
-        while self.calls_out < self.settings.call_slots && !waiting.is_empty() {
-            let Some(place) = (0..waiting.len()).min_by_key(|i| self.calls_to(waiting[*i])) else { break };
-            match self.send_one(now, waiting[place], actions) {
-                Ok(()) => {}
-                Err(again) => {
-                    waiting.remove(place);
-                    next = [next, again].into_iter().flatten().min();
-                }
+        let due: Vec<(u64, Time)> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| !call.stalled)
+            .map(|(id, call)| (*id, call.sent + self.stall_patience(call.route)))
+            .collect();
+        for (id, at) in due {
+            if at > now {
+                next = Some(next.map_or(at, |n| n.min(at)));
+            } else if let Some(call) = self.calls.get_mut(&id) {
+                call.stalled = true;
+                let idle = call.idle;
+                self.learn_of_idle(idle, true, false);
             }
         }
         next
     }
 
-    fn calls_to(&self, destination: DestinationId) -> usize {
-        self.addresses.values().filter(|a| a.entry.destination == destination).map(|a| a.calls_out).sum()
-    }
-
-    /// Sends the best message of a destination, or tells when that may become possible.
-    fn send_one(
-        &mut self,
-        now: Time,
-        to: DestinationId,
-        actions: &mut Vec<Action>,
-    ) -> Result<(), Option<Time>> {
-        let mut again: Option<Time> = None;
-        let routes: Vec<RouteId> = self
-            .routes
-            .range(routes_of(to))
-            .map(|r| *r.0)
-            .collect();
-        for id in routes {
-            match self.route_free_at(now, id) {
-                Some(at) if at <= now => {}
-                at => {
-                    again = [again, at].into_iter().flatten().min();
-                    continue;
-                }
-            }
-            let Some(first) = self.pick(now, to, id, &mut again) else { continue };
-            let Some(endpoint) = self.address_for(now, id, first) else { continue };
-            self.send_call(now, id, endpoint, first, actions);
-            return Ok(());
-        }
-        Err(again)
+    fn stall_patience(&self, id: RouteId) -> Duration {
+        let least = shortest_aim(&self.settings).mul_f64(STALL_AIM);
+        let Some(route) = self.routes.get(&id) else { return least };
+        least.max(Duration::from_secs_f64(route.latency.times(STALL_LATENCIES)))
     }
 
     /// When a route may take one more call: now, later, or only after some outcome (none).
     fn route_free_at(&mut self, now: Time, id: RouteId) -> Option<Time> {
         let stall = self.stall_patience(id);
-        let slots_free = self.settings.call_slots.saturating_sub(self.calls_out);
+        let slots_free = self.slots_free();
         let rate = self.pace(now, id);
         let route = self.routes.get_mut(&id)?;
         if route.told_wait > now {
@@ -591,10 +588,10 @@
         }
         // Hung or dead destinations answer nothing: the silence itself opens the circuit, long before a
         // time-out would, so that only few calls are risked.
-        if let (None, Some((sent, _))) = (&route.spell, route.out.first()) {
-            let silent_since = (*sent).max(route.last_answer);
-            if now - silent_since > stall {
-                route.spell = Some(Spell::new(route.last_answer.min(*sent), now + stall));
+        let oldest = route.out.first().and_then(|call| self.calls.get(call)).map(|call| call.sent);
+        if let (None, Some(sent)) = (&route.spell, oldest) {
+            if now - sent.max(route.last_answer) > stall {
+                route.spell = Some(Spell::new(route.last_answer.min(sent), now + stall));
             }
         }
         if let Some(spell) = &route.spell {
@@ -624,7 +621,7 @@
         let rules = &self.settings.rules;
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
         let Some(returned) = route.returned else { return route.rate };
-        let warmth = (now - returned).as_secs_f64() / rules.cold.as_secs_f64().max(0.001);
+        let warmth = (now - returned).as_secs_f64() / cold_s(rules);
         if warmth >= 1.0 {
             route.returned = None;
             return route.rate;
@@ -637,16 +634,55 @@
         (part * share * rules.tip_multiple * FALL_BUDGET_USED).max(longest_gap.recip()).min(route.rate)
     }
 
-    fn stall_patience(&self, id: RouteId) -> Duration {
-        let least = self.shortest_aim().mul_f64(STALL_AIM);
-        let Some(route) = self.routes.get(&id) else { return least };
-        least.max(Duration::from_secs_f64(STALL_LATENCIES * (route.mean + route.deviation)))
+    // ---- Choice ----
+
+    /// Fills free slots: each to the waiting destination with fewest calls out. Says when to look again.
+    fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
+        let mut next: Option<Time> = None;
+        let mut waiting: Vec<DestinationId> = self.queues.keys().copied().collect();
+        while self.slots_free() > 0 && !waiting.is_empty() {
+            let Some(place) = (0..waiting.len()).min_by_key(|i| self.calls_to(waiting[*i])) else { break };
+            if let Err(again) = self.send_one(now, waiting[place], actions) {
+                waiting.remove(place);
+                next = [next, again].into_iter().flatten().min();
+            }
+        }
+        next
+    }
+
+    fn calls_to(&self, destination: DestinationId) -> usize {
+        self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
+    }
+
+    /// Sends the best message of a destination, or tells when that may become possible.
+    fn send_one(
+        &mut self,
+        now: Time,
+        to: DestinationId,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Option<Time>> {
+        let mut again: Option<Time> = None;
+        let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
+        for id in routes {
+            match self.route_free_at(now, id) {
+                Some(at) if at <= now => {}
+                at => {
+                    again = [again, at].into_iter().flatten().min();
+                    continue;
+                }
+            }
+            let Some(first) = self.pick(now, to, id, &mut again) else { continue };
+            let Some(endpoint) = self.address_for(now, id, first) else { continue };
+            self.send_call(now, id, endpoint, first, actions);
+            return Ok(());
+        }
+        Err(again)
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
     fn pick(&self, now: Time, to: DestinationId, id: RouteId, again: &mut Option<Time>) -> Option<MessageId> {
         let trial = self.routes.get(&id).is_some_and(|r| r.spell.is_some());
-        let mut best: Option<(f64, MessageId)> = None;
+        let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&to).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
             match self.sendable_at(now, message) {
                 Some(at) if at <= now => {}
@@ -655,15 +691,13 @@
                     continue;
                 }
             }
-            let mut worth = self.worth(now, message);
-            if trial && self.class(message).effect == Effect::Unsafe {
-                worth -= 1e6;
-            }
-            if best.is_none_or(|(most, _)| worth > most) {
-                best = Some((worth, message.taken.id));
+            let fit = !trial || self.class(message).effect != Effect::Unsafe;
+            let worth = self.worth(now, message);
+            if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
+                best = Some((fit, worth, message.taken.id));
             }
         }
-        best.map(|(_, id)| id)
+        best.map(|(_, _, id)| id)
     }
 
     fn class(&self, message: &Message) -> &Class {
@@ -672,20 +706,13 @@
 
     /// The one gate for every send: when this message may be sent; none if not before some event, or never.
     fn sendable_at(&self, now: Time, message: &Message) -> Option<Time> {
-        if message.closed || message.out.is_some() || message.attempts >= self.settings.send_cap {
+        if message.closed || message.out.is_some() {
             return None;
         }
-        let class = self.class(message);
-        if let Some((first, _)) = message.maybe_ran {
-            match class.effect {
-                Effect::Safe => {}
-                Effect::Unsafe => return None,
-                Effect::Keyed if now > first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN) => {
-                    return None
-                }
-                Effect::Keyed => {}
-            }
+        if self.last_send(message.taken.id).is_some_and(|end| now > end) {
+            return None;
         }
+        let class = self.class(message);
         let mut at = message.not_before;
         if let (true, Some(key)) = (class.in_order, message.taken.key) {
             if self.keys.get(&key).and_then(|turn| turn.front()) != Some(&message.taken.id) {
@@ -727,10 +754,10 @@
             (Effect::Keyed, Group::Zone, Some((_, zone))) => Some(zone?),
             _ => None,
         };
-        self.addresses
-            .values()
-            .filter(|a| a.entry.mode == Mode::Ready && self.route_of(&a.entry) == id)
-            .filter(|a| zone.is_none_or(|z| a.entry.zone == z))
+        let endpoints = self.routes.get(&id)?.endpoints.iter();
+        endpoints
+            .filter_map(|endpoint| self.addresses.get(endpoint))
+            .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
             .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.entry.id))
             .map(|a| a.entry.id)
     }
@@ -744,13 +771,13 @@
         first: MessageId,
         actions: &mut Vec<Action>,
     ) {
+        let idle = self.idle_connection(now, to, first, actions);
         let longest_gap = self.longest_trial_gap();
         let couriers = self.couriers();
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
         let kind = usize::from(address.entry.kind.0);
         let zone = address.entry.zone;
-        self.calls_out += 1;
         let Some(route) = self.routes.get_mut(&id) else { return };
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
@@ -765,17 +792,19 @@
                 room = 1;
             }
         }
-        self.call += 1;
-        route.out.insert((now, self.call));
-        let mut carried = 0;
+        self.last_call += 1;
+        route.out.insert(self.last_call);
+        let mut carried = Vec::new();
         let mut next = Some(first);
         while let Some(message) = next {
-            self.send_message(now, id, to, zone, message, actions);
-            carried += 1;
-            room -= 1;
-            next = if room == 0 { None } else { self.pick(now, id.0, id, &mut None) };
+            self.send_message(now, id, to, message, actions);
+            carried.push(message);
+            next = if carried.len() == room { None } else { self.pick(now, id.0, id, &mut None) };
         }
-        self.calls.insert(self.call, carried);
+        let (sent, unanswered) = (now, carried.len());
+        let call =
+            Call { route: id, to, zone, sent, carried, unanswered, idle, stalled: false, called_off: false };
+        self.calls.insert(self.last_call, call);
     }
 
     fn send_message(
@@ -783,17 +812,42 @@
         now: Time,
         id: RouteId,
         to: EndpointId,
-        zone: ZoneId,
         message: MessageId,
         actions: &mut Vec<Action>,
     ) {
         let try_for = self.time_out(now, id, message);
         let Some(m) = self.messages.get_mut(&message) else { return };
         m.attempts += 1;
-        m.out = Some(Out { sent: now, zone, route: id, call: self.call });
+        m.out = Some(self.last_call);
         actions.push(Action::Route { message, endpoint: to, try_for });
     }
 
+    /// How long the connection has been idle that the next call to an endpoint would use. Where idle ones are
+    /// dropped unseen, they are closed first; now and then one is tried, with a message that can be repeated.
+    fn idle_connection(
+        &mut self,
+        now: Time,
+        to: EndpointId,
+        first: MessageId,
+        actions: &mut Vec<Action>,
+    ) -> Option<Duration> {
+        let address = self.addresses.get(&to).filter(|a| a.calls_out == 0)?;
+        let idle = now - address.used.filter(|used| now - *used < self.settings.conn_idle)?;
+        let suspected =
+            self.reaping.losses >= REAPED_AFTER && idle > self.reaping.idle.mul_f64(REAPED_MARGIN);
+        if !suspected {
+            return Some(idle);
+        }
+        let repeatable = self.messages.get(&first).is_some_and(|m| self.class(m).effect != Effect::Unsafe);
+        if repeatable && idle >= self.reaping.idle && now >= self.reaping.next_check {
+            let gap = shortest_aim(&self.settings).mul_f64(REAPED_CHECK_AIMS);
+            self.reaping.next_check = now + gap;
+            return Some(idle);
+        }
+        actions.push(Action::CloseIdle { endpoint: to });
+        None
+    }
+
     /// Follows the destination's own latency. An attempt that could not be followed by another gets all the
     /// time that the message has: its time-out would be final.
     fn time_out(&self, now: Time, id: RouteId, message: MessageId) -> Duration {
@@ -801,7 +855,7 @@
         let class = self.class(m);
         let left = m.taken.deadline - now;
         let Some(route) = self.routes.get(&id) else { return left };
-        let usual = TIMEOUT_LATENCIES * (route.mean + route.deviation);
+        let usual = route.latency.times(TIMEOUT_LATENCIES);
         let aim = class.aim.as_secs_f64();
         let span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
         let first = m.maybe_ran.map_or(now, |(first, _)| first);
@@ -816,6 +870,105 @@
         }
     }
 
+    /// All slots taken while messages wait: the oldest call that hangs is called off, an unsafe one later.
+    fn free_pinned_slot(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if !self.settings.cancel || self.slots_free() > 0 || self.open <= self.calls.len() {
+            return;
+        }
+        let hanging = |call: &Call| {
+            let repeatable = |m: &Message| self.class(m).effect != Effect::Unsafe;
+            let safe = call.carried.iter().filter_map(|m| self.messages.get(m)).all(repeatable);
+            let patience = self.stall_patience(call.route) * if safe { 1 } else { UNSAFE_PATIENCE };
+            !call.called_off && now - call.sent > patience
+        };
+        let Some(id) = self.calls.iter().find(|(_, call)| hanging(call)).map(|(id, _)| *id) else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.called_off = true;
+        for message in &call.carried {
+            if let Some(m) = self.messages.get(message).filter(|m| m.out == Some(id)) {
+                actions.push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
+            }
+        }
+    }
+
+    // ---- Answers ----
+
+    /// The final answer that a message may be given now; none while an attempt may still deliver it.
+    fn permitted_answer(&self, id: MessageId) -> Option<Action> {
+        let message = self.messages.get(&id).filter(|m| !m.closed)?;
+        let refusable = match self.class(message).effect {
+            Effect::Safe => true,
+            _ => message.maybe_ran.is_none() && message.out.is_none(),
+        };
+        Some(if refusable { Action::Busy { message: id } } else { Action::ReportFailure { message: id } })
+    }
+
+    fn answer(&mut self, id: MessageId, actions: &mut Vec<Action>) {
+        if let Some(action) = self.permitted_answer(id) {
+            actions.push(action);
+            self.close(id);
+        }
+    }
+
+    /// Every message has a deadline that answers it in time; one that is out is left half of the slack.
+    fn answer_due(&mut self, now: Time, actions: &mut Vec<Action>) {
+        while let Some(&(due, id)) = self.deadlines.first().filter(|(due, _)| *due <= now) {
+            self.deadlines.remove(&(due, id));
+            let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { continue };
+            let last_call = message.taken.deadline + self.settings.rules.answer_slack / 2;
+            if message.out.is_some() && now < last_call {
+                self.deadlines.insert((last_call, id));
+            } else {
+                self.answer(id, actions);
+            }
+        }
+    }
+
+    /// Nearly full: the least worth go, before new messages are turned away unseen.
+    fn shed(&mut self, now: Time, actions: &mut Vec<Action>) {
+        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
+        while self.open > most {
+            let least = self
+                .messages
+                .values()
+                .filter(|m| !m.closed && m.out.is_none())
+                .map(|m| (self.worth(now, m), m.taken.id))
+                .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
+            let Some((_, id)) = least else { return };
+            self.answer(id, actions);
+        }
+    }
+
+    fn close(&mut self, id: MessageId) {
+        if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
+            message.closed = true;
+            self.open -= 1;
+            self.deadlines.remove(&(message.taken.deadline, id));
+            let to = message.taken.destination;
+            if let Some(queue) = self.queues.get_mut(&to) {
+                queue.retain(|m| *m != id);
+                if queue.is_empty() {
+                    self.queues.remove(&to);
+                }
+            }
+        }
+        self.forget_if_over(id);
+    }
+
+    /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
+    fn forget_if_over(&mut self, id: MessageId) {
+        let Some(message) = self.messages.get(&id).filter(|m| m.closed && m.out.is_none()) else { return };
+        if let Some(key) = message.taken.key {
+            if let Some(turn) = self.keys.get_mut(&key) {
+                turn.retain(|m| *m != id);
+                if turn.is_empty() {
+                    self.keys.remove(&key);
+                }
+            }
+        }
+        self.messages.remove(&id);
+    }
+
     // ---- Settings and timers ----
 
     fn route_of(&self, entry: &Endpoint) -> RouteId {
@@ -823,12 +976,12 @@
         RouteId(entry.destination, apart.then_some(entry.id))
     }
 
-    /// Told weight of a route, and its highest meaning: a rough one may be half of the truth.
+    /// Told weight of a route, and its highest meaning.
     fn weight_of(&self, entry: &Endpoint) -> (f64, f64) {
         let told = entry.weight.max(0.1);
         match self.settings.weights {
             WeightSource::Silent => (self.settings.call_slots as f64, self.settings.call_slots as f64),
-            WeightSource::Rough => (told, told * 2.0),
+            WeightSource::Rough => (told, told / ROUGH_WEIGHT),
             WeightSource::Nominal => (told, told),
         }
     }
@@ -838,13 +991,13 @@
         f64::from(self.settings.couriers.max(1))
     }
 
-    /// Longest gap between trial calls, in seconds.
-    fn longest_trial_gap(&self) -> f64 {
-        self.shortest_aim().as_secs_f64() * TRIAL_GAP_AIMS
+    fn slots_free(&self) -> usize {
+        self.settings.call_slots.saturating_sub(self.calls.len())
     }
 
-    fn shortest_aim(&self) -> Duration {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1))
+    /// Longest gap between trial calls, in seconds.
+    fn longest_trial_gap(&self) -> f64 {
+        shortest_aim(&self.settings).as_secs_f64() * TRIAL_GAP_AIMS
     }
 
     /// One timer is outstanding: the earliest moment at which something could be done without an event.
@@ -859,6 +1012,10 @@
     }
 }
 
+fn shortest_aim(settings: &Settings) -> Duration {
+    settings.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1))
+}
+
 /// A gap that doubles from try to try.
 fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
     unit.mul_f64(first * f64::from(tries.min(16)).exp2())
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -190,6 +190,8 @@
     pub over_share_worth: f64,
     /// A connection that takes longer has failed.
     pub connect_timeout: Duration,
+    /// An idle connection is closed after this.
+    pub conn_idle: Duration,
     /// The figures of the rules.
     pub rules: Rules,
 }
@@ -209,6 +211,7 @@
             second_copies: false,
             over_share_worth: 1.0,
             connect_timeout: Duration::from_secs(1),
+            conn_idle: Duration::from_secs(15),
             rules: Rules {
                 answer_slack: Duration::from_millis(20),
                 cold_from: 0.2,
