--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,14 +71,17 @@
 const TRIAL_SLOTS: f64 = 0.25;
 /// Share of the messages that may be held above which the least worth are shed.
 const SHED_ABOVE: f64 = 0.93;
-/// Losses on idle connections, less answers on such, from which on they are closed before use; and the most
-/// that count, so that the suspicion can end.
-const REAPED_AFTER: u32 = 3;
-const REAPED_MOST: u32 = 5;
+/// Weight of the newest loss or answer on an idle connection in the risk that such are dropped unseen.
+const REAPED_GAIN: f64 = 0.15;
+/// Risk from which on idle connections are closed before use: by an unsafe message, which would be lost, and
+/// by one that can be repeated, which would only be late.
+const REAPED_RISKS: (f64, f64) = (0.03, 0.25);
+/// A connection in use until this part of the shortest aim ago was not idle: what it loses has other causes.
+const REAPED_LEAST_AIM: f64 = 0.1;
 /// Connections idle for this part of the shortest time that lost a call are trusted.
 const REAPED_MARGIN: f64 = 0.7;
-/// While idle connections are closed, one in so many of the shortest aim is tried to see if that is over.
-const REAPED_CHECK_AIMS: f64 = 1.0;
+/// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
+const REAPED_CHECK_AIMS: f64 = 4.0;
 
 // ---- State ----
 
@@ -207,7 +210,7 @@
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
 struct Reaping {
-    losses: u32,
+    risk: f64,
     /// Shortest idle time that lost a call.
     idle: Duration,
     next_check: Time,
@@ -256,7 +259,7 @@
             calls: BTreeMap::new(),
             last_call: 0,
             usual: Latency { mean: first, deviation: first, samples: 0 },
-            reaping: Reaping { losses: 0, idle: Duration::MAX, next_check: Time::ZERO },
+            reaping: Reaping { risk: 0.0, idle: Duration::MAX, next_check: Time::ZERO },
             wake: None,
             token: 0,
         }
@@ -442,10 +445,10 @@
         if let Some(route) = self.routes.get_mut(&call.route) {
             route.out.remove(&id);
         }
-        let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset);
-        let reaped = lost && call.idle.is_some() && self.reaping.losses >= REAPED_AFTER;
-        if !call.stalled {
-            self.learn_of_idle(call.idle, lost, finished.outcome == Outcome::Ok);
+        let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        let reaped = lost && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
+        if !(lost && call.stalled) {
+            self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
         }
         let rules = &self.settings.rules;
         if let Some(address) = self.addresses.get_mut(&call.to) {
@@ -455,7 +458,7 @@
                     address.used = Some(now);
                     address.failures = 0;
                 }
-                Outcome::Timeout | Outcome::Reset if reaped => {}
+                _ if reaped => {}
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     address.failures += 1;
                     let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
@@ -471,15 +474,20 @@
 
     /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
     /// idle as long speaks against it.
-    fn learn_of_idle(&mut self, idle: Option<Duration>, lost: bool, answered: bool) {
-        let Some(idle) = idle else { return };
+    fn learn_of_idle(&mut self, now: Time, idle: Option<Duration>, lost: bool, answered: bool) {
+        let Some(idle) = idle.filter(|i| *i > shortest_aim(&self.settings).mul_f64(REAPED_LEAST_AIM)) else {
+            return;
+        };
+        let reaping = &mut self.reaping;
         if lost {
-            self.reaping.losses = (self.reaping.losses + 1).min(REAPED_MOST);
-            self.reaping.idle = self.reaping.idle.min(idle);
-        } else if answered && idle >= self.reaping.idle {
-            self.reaping.losses = self.reaping.losses.saturating_sub(1);
-            if self.reaping.losses == 0 {
-                self.reaping.idle = Duration::MAX;
+            reaping.risk += REAPED_GAIN * (1.0 - reaping.risk);
+            reaping.idle = reaping.idle.min(idle);
+            reaping.next_check = now + shortest_aim(&self.settings).mul_f64(REAPED_CHECK_AIMS);
+        } else if answered && idle >= reaping.idle {
+            reaping.risk -= REAPED_GAIN * reaping.risk;
+            reaping.next_check = now;
+            if reaping.risk < REAPED_RISKS.0 {
+                *reaping = Reaping { risk: 0.0, idle: Duration::MAX, next_check: Time::ZERO };
             }
         }
     }
@@ -537,10 +545,12 @@
             }
             Outcome::Error => route.evidence += EVIDENCE_OTHER,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
-            Outcome::Timeout | Outcome::Reset if alone => route.evidence += EVIDENCE_LOST,
+            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled if alone => {
+                route.evidence += EVIDENCE_LOST
+            }
             _ => {}
         }
-        if route.evidence >= SPELL_AFTER {
+        if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
             let spell = route.spell.get_or_insert(Spell::new(route.last_answer, now));
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
@@ -565,7 +575,7 @@
             } else if let Some(call) = self.calls.get_mut(&id) {
                 call.stalled = true;
                 let idle = call.idle;
-                self.learn_of_idle(idle, true, false);
+                self.learn_of_idle(now, idle, true, false);
             }
         }
         next
@@ -831,17 +841,19 @@
         first: MessageId,
         actions: &mut Vec<Action>,
     ) -> Option<Duration> {
-        let address = self.addresses.get(&to).filter(|a| a.calls_out == 0)?;
+        let address = self.addresses.get(&to)?;
         let idle = now - address.used.filter(|used| now - *used < self.settings.conn_idle)?;
-        let suspected =
-            self.reaping.losses >= REAPED_AFTER && idle > self.reaping.idle.mul_f64(REAPED_MARGIN);
-        if !suspected {
-            return Some(idle);
-        }
+        // With calls out, a second connection may have been idle for longer than was seen.
+        let alone = address.calls_out == 0;
         let repeatable = self.messages.get(&first).is_some_and(|m| self.class(m).effect != Effect::Unsafe);
-        if repeatable && idle >= self.reaping.idle && now >= self.reaping.next_check {
-            let gap = shortest_aim(&self.settings).mul_f64(REAPED_CHECK_AIMS);
-            self.reaping.next_check = now + gap;
+        let bearable = if repeatable { REAPED_RISKS.1 } else { REAPED_RISKS.0 };
+        let reaping = &mut self.reaping;
+        let short = alone && idle < reaping.idle.mul_f64(REAPED_MARGIN);
+        if reaping.risk < bearable || short {
+            return alone.then_some(idle);
+        }
+        if repeatable && alone && idle >= reaping.idle && now >= reaping.next_check {
+            reaping.next_check = now + shortest_aim(&self.settings).mul_f64(REAPED_CHECK_AIMS);
             return Some(idle);
         }
         actions.push(Action::CloseIdle { endpoint: to });
