--- a/src/choice.rs
+++ b/src/choice.rs
@@ -164,6 +164,14 @@
     }
 }
 
+/// What could be sent next to a destination; `value` is worth for the time that a slot is taken.
+struct Candidate {
+    route: RouteId,
+    endpoint: EndpointId,
+    message: MessageId,
+    value: f64,
+}
+
 /// A time without any success on a route, from its last success on.
 struct Spell {
     began: Time,
@@ -646,17 +654,28 @@
 
     // ---- Choice ----
 
-    /// Fills free slots: each to the waiting destination with fewest calls out. Says when to look again.
+    /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many, to
+    /// the one whose best message is worth most for the time that it takes. Says when to look again.
     fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
         let mut next: Option<Time> = None;
-        let mut waiting: Vec<DestinationId> = self.queues.keys().copied().collect();
-        while self.slots_free() > 0 && !waiting.is_empty() {
-            let Some(place) = (0..waiting.len()).min_by_key(|i| self.calls_to(waiting[*i])) else { break };
-            if let Err(again) = self.send_one(now, waiting[place], actions) {
-                waiting.remove(place);
-                next = [next, again].into_iter().flatten().min();
+        let mut ready: Vec<Candidate> = Vec::new();
+        let waiting: Vec<DestinationId> = self.queues.keys().copied().collect();
+        for to in waiting {
+            if self.slots_free() > 0 {
+                ready.extend(self.candidate(now, to, &mut next));
             }
         }
+        while self.slots_free() > 0 {
+            let order = |a: &Candidate, b: &Candidate| {
+                self.calls_to(a.route.0).cmp(&self.calls_to(b.route.0)).then(b.value.total_cmp(&a.value))
+            };
+            let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
+            // Slots have gone since: what was free may not be so now.
+            let to = ready.swap_remove(place).route.0;
+            let Some(chosen) = self.candidate(now, to, &mut next) else { continue };
+            self.send_call(now, chosen.route, chosen.endpoint, chosen.message, actions);
+            ready.extend(self.candidate(now, to, &mut next));
+        }
         next
     }
 
@@ -664,33 +683,33 @@
         self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
     }
 
-    /// Sends the best message of a destination, or tells when that may become possible.
-    fn send_one(
-        &mut self,
-        now: Time,
-        to: DestinationId,
-        actions: &mut Vec<Action>,
-    ) -> Result<(), Option<Time>> {
-        let mut again: Option<Time> = None;
+    /// The best message of a destination that may be sent now; if none, `next` tells when that may be.
+    fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
         let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
-        for id in routes {
-            match self.route_free_at(now, id) {
+        for route in routes {
+            match self.route_free_at(now, route) {
                 Some(at) if at <= now => {}
                 at => {
-                    again = [again, at].into_iter().flatten().min();
+                    *next = [*next, at].into_iter().flatten().min();
                     continue;
                 }
             }
-            let Some(first) = self.pick(now, to, id, &mut again) else { continue };
-            let Some(endpoint) = self.address_for(now, id, first) else { continue };
-            self.send_call(now, id, endpoint, first, actions);
-            return Ok(());
+            let Some((message, worth)) = self.pick(now, to, route, next) else { continue };
+            let Some(endpoint) = self.address_for(now, route, message) else { continue };
+            let takes = self.routes.get(&route).map_or(1.0, |r| r.latency.mean).max(0.001);
+            return Some(Candidate { route, endpoint, message, value: worth / takes });
         }
-        Err(again)
+        None
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
-    fn pick(&self, now: Time, to: DestinationId, id: RouteId, again: &mut Option<Time>) -> Option<MessageId> {
+    fn pick(
+        &self,
+        now: Time,
+        to: DestinationId,
+        id: RouteId,
+        again: &mut Option<Time>,
+    ) -> Option<(MessageId, f64)> {
         let trial = self.routes.get(&id).is_some_and(|r| r.spell.is_some());
         let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&to).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
@@ -707,7 +726,7 @@
                 best = Some((fit, worth, message.taken.id));
             }
         }
-        best.map(|(_, _, id)| id)
+        best.map(|(_, worth, id)| (id, worth))
     }
 
     fn class(&self, message: &Message) -> &Class {
@@ -809,7 +828,11 @@
         while let Some(message) = next {
             self.send_message(now, id, to, message, actions);
             carried.push(message);
-            next = if carried.len() == room { None } else { self.pick(now, id.0, id, &mut None) };
+            next = if carried.len() == room {
+                None
+            } else {
+                self.pick(now, id.0, id, &mut None).map(|(m, _)| m)
+            };
         }
         let (sent, unanswered) = (now, carried.len());
         let call =
