--- a/src/choice.rs
+++ b/src/choice.rs
@@ -76,6 +76,8 @@
 /// Risk from which on idle connections are closed before use: by an unsafe message, which would be lost, and
 /// by one that can be repeated, which would only be late.
 const REAPED_RISKS: (f64, f64) = (0.03, 0.25);
+/// ... beyond so many times the risk of a call on a new connection, which chance moves too.
+const REAPED_OTHER: f64 = 2.0;
 /// A connection in use until this part of the shortest aim ago was not idle: what it loses has other causes.
 const REAPED_LEAST_AIM: f64 = 0.1;
 /// Connections idle for this part of the shortest time that lost a call are trusted.
@@ -219,6 +221,8 @@
 /// one courier meets each partner too seldom to learn it there.
 struct Reaping {
     risk: f64,
+    /// Risk of losing a call on a new connection: what is lost there is not for idleness.
+    other: f64,
     /// Shortest idle time that lost a call.
     idle: Duration,
     next_check: Time,
@@ -267,7 +271,7 @@
             calls: BTreeMap::new(),
             last_call: 0,
             usual: Latency { mean: first, deviation: first, samples: 0 },
-            reaping: Reaping { risk: 0.0, idle: Duration::MAX, next_check: Time::ZERO },
+            reaping: Reaping { risk: 0.0, other: 0.0, idle: Duration::MAX, next_check: Time::ZERO },
             wake: None,
             token: 0,
         }
@@ -483,7 +487,11 @@
     /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
     /// idle as long speaks against it.
     fn learn_of_idle(&mut self, now: Time, idle: Option<Duration>, lost: bool, answered: bool) {
-        let Some(idle) = idle.filter(|i| *i > shortest_aim(&self.settings).mul_f64(REAPED_LEAST_AIM)) else {
+        let least = shortest_aim(&self.settings).mul_f64(REAPED_LEAST_AIM);
+        let Some(idle) = idle.filter(|idle| *idle > least) else {
+            if lost || answered {
+                self.reaping.other += REAPED_GAIN * (f64::from(u8::from(lost)) - self.reaping.other);
+            }
             return;
         };
         let reaping = &mut self.reaping;
@@ -495,7 +503,7 @@
             reaping.risk -= REAPED_GAIN * reaping.risk;
             reaping.next_check = now;
             if reaping.risk < REAPED_RISKS.0 {
-                *reaping = Reaping { risk: 0.0, idle: Duration::MAX, next_check: Time::ZERO };
+                (reaping.risk, reaping.idle) = (0.0, Duration::MAX);
             }
         }
     }
@@ -758,11 +766,13 @@
     /// Worth still to be won, and what of it waiting would lose: on time before late, what is about to be
     /// late before what is fresh, and what is about to run out before what may wait.
     fn worth(&self, now: Time, message: &Message) -> f64 {
+        // A repeat that must go before its window ends has nothing left after that.
+        let last = self.last_send(message.taken.id).map(|end| (end - message.born).as_secs_f64());
         let class = self.class(message);
         let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
         let value = |age: f64| {
             let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
-            if late > 1.0 {
+            if late > 1.0 || last.is_some_and(|end| age > end) {
                 0.0
             } else {
                 1.0 - (1.0 - class.late_share) * late
@@ -872,7 +882,7 @@
         let bearable = if repeatable { REAPED_RISKS.1 } else { REAPED_RISKS.0 };
         let reaping = &mut self.reaping;
         let short = alone && idle < reaping.idle.mul_f64(REAPED_MARGIN);
-        if reaping.risk < bearable || short {
+        if reaping.risk < bearable + reaping.other * REAPED_OTHER || short {
             return alone.then_some(idle);
         }
         if repeatable && alone && idle >= reaping.idle && now >= reaping.next_check {
