--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,8 +36,9 @@
 /// Trial calls of a courier are at least so many of its own messages apart, but for the longest gap: so all
 /// couriers together try at a part of the usual demand, whoever carries most ...
 const TRIAL_PART: f64 = 2.0;
-/// ... and one with little traffic is not silenced past its messages: its gap is at most this many aims.
-const TRIAL_GAP_AIMS: f64 = 2.0;
+/// ... and one with little traffic is not silenced past its messages: its gap is at most this part of the
+/// shortest deadline.
+const TRIAL_GAP_OF_DEADLINE: f64 = 0.4;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
@@ -48,14 +49,13 @@
 const EVIDENCE_OTHER: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
-/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`.
-const RATE_CUT: f64 = 0.75;
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`; after the
+/// second one in a row to the lower part: where refused calls use up the limit too, too many get nothing.
+const RATE_CUTS: (f64, f64) = (0.75, 0.5);
 const CUT_EVERY: Duration = Duration::from_millis(500);
-/// The rate is not cut below one call in so many of the shortest aim: less would only make messages late.
-const SLOWEST_RATE_AIMS: f64 = 1.0;
-/// Growth of a rate that binds with each answer, as a part of itself or of one call in `CUT_EVERY`: with the
-/// cut it settles where a fixed part of the calls is refused, however many couriers share the limit.
-const RATE_GROWTH: f64 = 0.08;
+/// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
+/// settles where a fixed part of the calls is refused, however many couriers share the limit.
+const RATE_GROWTH: f64 = 0.25;
 /// What was sent of late: calls over about so many seconds.
 const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
@@ -512,7 +512,7 @@
 
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
-        let slowest = 1.0 / (shortest_aim(&self.settings).as_secs_f64() * SLOWEST_RATE_AIMS).max(0.001);
+        let an_aim = shortest_aim(&self.settings).as_secs_f64().max(0.001).recip();
         let (couriers, chance) = (self.couriers(), self.rng.f64());
         let rules = &self.settings.rules;
         let longest_gap = self.longest_trial_gap();
@@ -542,8 +542,7 @@
                     route.tokens = 0.0;
                 }
                 if route.bound {
-                    let most = 1.0 / CUT_EVERY.as_secs_f64();
-                    route.rate = (route.rate + RATE_GROWTH * route.rate.min(most)).min(route.ceiling);
+                    route.rate = (route.rate + RATE_GROWTH * route.rate.min(an_aim)).min(route.ceiling);
                 }
                 route.spell = None;
                 route.evidence = 0;
@@ -554,7 +553,10 @@
                 route.evidence += EVIDENCE_OTHER;
                 if now - route.last_cut > CUT_EVERY {
                     let late = route.sent.rate(now, LATE_S, 0.0);
-                    route.rate = (RATE_CUT * route.rate.min(late)).max(slowest).min(route.ceiling);
+                    let cut = if route.evidence > EVIDENCE_OTHER { RATE_CUTS.1 } else { RATE_CUTS.0 };
+                    // All couriers at their slowest stay inside the limit together.
+                    let slowest = an_aim.min(route.weight / couriers);
+                    route.rate = (cut * route.rate.min(late)).max(slowest).min(route.ceiling);
                     route.last_cut = now;
                 }
                 route.tokens = route.tokens.min(0.0);
@@ -1042,7 +1044,8 @@
 
     /// Longest gap between trial calls, in seconds.
     fn longest_trial_gap(&self) -> f64 {
-        shortest_aim(&self.settings).as_secs_f64() * TRIAL_GAP_AIMS
+        let deadline = self.settings.classes.iter().map(|c| c.deadline).min().unwrap_or_default();
+        deadline.as_secs_f64().max(1.0) * TRIAL_GAP_OF_DEADLINE
     }
 
     /// One timer is outstanding: the earliest moment at which something could be done without an event.
