--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,9 +49,10 @@
 const EVIDENCE_OTHER: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
-/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`; after the
-/// second one in a row to the lower part: where refused calls use up the limit too, too many get nothing.
-const RATE_CUTS: (f64, f64) = (0.75, 0.5);
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first, the
+/// second and the third time without a success between, then to the slowest. Where refused calls use up the
+/// limit too, nobody gets anything until all have slowed down that far.
+const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
@@ -203,6 +204,8 @@
     filled: Time,
     bound: bool,
     last_cut: Time,
+    /// Cuts since the last success.
+    cuts: usize,
     /// Calls sent over about `LATE_S`, and messages taken over about the time that a cold return lasts.
     sent: Decaying,
     demand: Decaying,
@@ -329,6 +332,7 @@
                 filled: now,
                 bound: false,
                 last_cut: Time::ZERO,
+                cuts: 0,
                 sent: Decaying::default(),
                 demand: Decaying::default(),
                 told_wait: Time::ZERO,
@@ -545,7 +549,7 @@
                     route.rate = (route.rate + RATE_GROWTH * route.rate.min(an_aim)).min(route.ceiling);
                 }
                 route.spell = None;
-                route.evidence = 0;
+                (route.evidence, route.cuts) = (0, 0);
                 route.last_answer = now;
                 return;
             }
@@ -553,7 +557,8 @@
                 route.evidence += EVIDENCE_OTHER;
                 if now - route.last_cut > CUT_EVERY {
                     let late = route.sent.rate(now, LATE_S, 0.0);
-                    let cut = if route.evidence > EVIDENCE_OTHER { RATE_CUTS.1 } else { RATE_CUTS.0 };
+                    let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
+                    route.cuts += 1;
                     // All couriers at their slowest stay inside the limit together.
                     let slowest = an_aim.min(route.weight / couriers);
                     route.rate = (cut * route.rate.min(late)).max(slowest).min(route.ceiling);
