--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,6 +53,8 @@
 /// second and the third time without a success between, then to the slowest. Where refused calls use up the
 /// limit too, nobody gets anything until all have slowed down that far.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
+/// The slowest rate, in even parts of the told one: all couriers together stay inside a limit told too high.
+const SLOWEST_PART: f64 = 0.5;
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
@@ -560,7 +562,7 @@
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
                     // All couriers at their slowest stay inside the limit together.
-                    let slowest = an_aim.min(route.weight / couriers);
+                    let slowest = an_aim.min(SLOWEST_PART * route.weight / couriers);
                     route.rate = (cut * route.rate.min(late)).max(slowest).min(route.ceiling);
                     route.last_cut = now;
                 }
