--- a/src/choice.rs
+++ b/src/choice.rs
@@ -59,6 +59,8 @@
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
 const RATE_GROWTH: f64 = 0.25;
+/// Growth where the share of the limit that is left is told: so many times that share.
+const TOLD_GROWTH: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
 const LATE_S: f64 = 1.0;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
@@ -547,8 +549,11 @@
                     route.returned = Some(now);
                     route.tokens = 0.0;
                 }
+                let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left.clamp(0.0, 1.0));
                 if route.bound {
-                    route.rate = (route.rate + RATE_GROWTH * route.rate.min(an_aim)).min(route.ceiling);
+                    let growth = RATE_GROWTH * route.rate.min(an_aim);
+                    let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
+                    route.rate = (route.rate + growth).min(route.ceiling);
                 }
                 route.spell = None;
                 (route.evidence, route.cuts) = (0, 0);
