--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,8 +53,8 @@
 /// second and the third time without a success between, then to the slowest. Where refused calls use up the
 /// limit too, nobody gets anything until all have slowed down that far.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
-/// The slowest rate, in even parts of the told one: all couriers together stay inside a limit told too high.
-const SLOWEST_PART: f64 = 0.5;
+/// The slowest rate, as a part of this courier's own part: all together then send so much of what is asked.
+const SLOWEST_PART: f64 = 0.33;
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
@@ -224,6 +224,13 @@
     out: BTreeSet<u64>,
 }
 
+impl Route {
+    /// This courier's part of what a destination takes, a second: its own demand, or an even part.
+    fn own_part(&mut self, now: Time, rules: &Rules, couriers: f64) -> f64 {
+        self.demand.rate(now, cold_s(rules), 0.0).max(self.weight / couriers)
+    }
+}
+
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
 struct Reaping {
@@ -566,12 +573,12 @@
                     let late = route.sent.rate(now, LATE_S, 0.0);
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    // All couriers at their slowest stay inside the limit together.
-                    let slowest = an_aim.min(SLOWEST_PART * route.weight / couriers);
-                    route.rate = (cut * route.rate.min(late)).max(slowest).min(route.ceiling);
+                    let slowest = SLOWEST_PART * route.own_part(now, rules, couriers);
+                    route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
                 }
-                route.tokens = route.tokens.min(0.0);
+                // By chance, as all that were refused together would come back together.
+                route.tokens = route.tokens.min(-chance);
             }
             Outcome::Error => route.evidence += EVIDENCE_OTHER,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
@@ -584,8 +591,11 @@
             let spell = route.spell.get_or_insert(Spell::new(route.last_answer, now));
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
-            let part = own_part(route.demand.rate(now, cold_s(rules), 0.0), route.weight, couriers);
-            spell.next_trial = now + trial_gap(rules, spell.trials, part, longest_gap, chance);
+            let (trials, longest) = (spell.trials, if spell.lost { longest_gap } else { f64::MAX });
+            let part = route.own_part(now, rules, couriers);
+            if let Some(spell) = &mut route.spell {
+                spell.next_trial = now + trial_gap(rules, trials, part, longest, chance);
+            }
             route.returned = None;
         }
     }
@@ -669,7 +679,7 @@
         // This courier's part of what a returning destination survives goes by its own demand: an even part of
         // the told rate is too little where a few couriers carry most, and were all to do the same, they
         // would send no more than the budget together.
-        let part = own_part(route.demand.rate(now, cold_s(rules), 0.0), route.weight, couriers);
+        let part = route.own_part(now, rules, couriers);
         let share = rules.cold_from + (1.0 - rules.cold_from) * warmth;
         (part * share * rules.tip_multiple * FALL_BUDGET_USED).max(longest_gap.recip()).min(route.rate)
     }
@@ -835,11 +845,12 @@
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
         let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
+        let part = route.own_part(now, &self.settings.rules, couriers);
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
-            let rules = &self.settings.rules;
-            let part = own_part(route.demand.rate(now, cold_s(rules), 0.0), route.weight, couriers);
-            spell.next_trial = now + trial_gap(rules, spell.trials, part, longest_gap, self.rng.f64());
+            let longest = if spell.lost || !spell.failed { longest_gap } else { f64::MAX };
+            let gap = trial_gap(&self.settings.rules, spell.trials, part, longest, self.rng.f64());
+            spell.next_trial = now + gap;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
             if spell.lost || !spell.failed {
                 room = 1;
@@ -1090,11 +1101,6 @@
     rules.cold.as_secs_f64().max(1.0)
 }
 
-/// This courier's part of what a destination takes: its own demand, or an even part of the told rate.
-fn own_part(demand: f64, weight: f64, couriers: f64) -> f64 {
-    demand.max(weight / couriers)
-}
-
 /// Gap before the next trial call: growing and jittered, and by this courier's own demand (messages a second),
 /// as trials that are refused can use up a small limit all by themselves (incident i2aa64d).
 fn trial_gap(rules: &Rules, trials: u32, demand: f64, longest_s: f64, chance: f64) -> Duration {
