--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,8 +36,7 @@
 /// Trial calls of a courier are at least so many of its own messages apart, but for the longest gap: so all
 /// couriers together try at a part of the usual demand, whoever carries most ...
 const TRIAL_PART: f64 = 2.0;
-/// ... and one with little traffic is not silenced past its messages: its gap is at most this part of the
-/// shortest deadline.
+/// ... and where calls are lost, one with little traffic waits for this part of the deadline at most.
 const TRIAL_GAP_OF_DEADLINE: f64 = 0.4;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
@@ -49,9 +48,9 @@
 const EVIDENCE_OTHER: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
-/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first, the
-/// second and the third time without a success between, then to the slowest. Where refused calls use up the
-/// limit too, nobody gets anything until all have slowed down that far.
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first and
+/// the second time without a success, then to the slowest, as where refused calls use up the limit too, nobody
+/// gets anything until all have slowed down.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
 /// The slowest rate, as a part of this courier's own part: all together then send so much of what is asked.
 const SLOWEST_PART: f64 = 0.33;
@@ -125,6 +124,9 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct RouteId(DestinationId, Option<EndpointId>);
 
+/// What may be sent next: by which route to which endpoint, which message, at what value.
+type Candidate = (RouteId, EndpointId, MessageId, f64);
+
 struct Address {
     entry: Endpoint,
     calls_out: usize,
@@ -135,7 +137,7 @@
 }
 
 /// Running mean and mean deviation of latencies, in seconds.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 struct Latency {
     mean: f64,
     deviation: f64,
@@ -171,33 +173,20 @@
     }
 }
 
-/// What could be sent next to a destination; `value` is worth for the time that a slot is taken.
-struct Candidate {
-    route: RouteId,
-    endpoint: EndpointId,
-    message: MessageId,
-    value: f64,
-}
-
-/// A time without any success on a route, from its last success on.
+/// A time without any success on a route, from its last success on: silence alone, until a call fails.
+#[derive(Default)]
 struct Spell {
     began: Time,
     next_trial: Time,
     trials: u32,
     /// Some call failed or was refused; else it is silence alone.
     failed: bool,
-    /// Some call was lost, not just refused.
+    /// Calls were lost or are silent, not just refused.
     lost: bool,
 }
 
-impl Spell {
-    /// A spell of silence, until some call is seen to fail.
-    fn new(began: Time, next_trial: Time) -> Self {
-        Spell { began, next_trial, trials: 0, failed: false, lost: false }
-    }
-}
-
 /// Pace and health of a route: one mechanism for limits, outages and cold return.
+#[derive(Default)]
 struct Route {
     /// Calls a second that it takes from all couriers together, as told; and the most that may be meant.
     weight: f64,
@@ -226,13 +215,28 @@
 
 impl Route {
     /// This courier's part of what a destination takes, a second: its own demand, or an even part.
-    fn own_part(&mut self, now: Time, rules: &Rules, couriers: f64) -> f64 {
-        self.demand.rate(now, cold_s(rules), 0.0).max(self.weight / couriers)
+    fn own_part(&mut self, now: Time, settings: &Settings) -> f64 {
+        let even = self.weight / f64::from(settings.couriers.max(1));
+        self.demand.rate(now, cold_s(settings), 0.0).max(even)
+    }
+
+    /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's own
+    /// part, as trials that are refused can use up a small limit all by themselves (incident i2aa64d). Only
+    /// where calls are lost a light courier tries sooner, for its messages would run out.
+    fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
+        let own = TRIAL_PART / self.own_part(now, settings).max(0.001);
+        let Some(spell) = &mut self.spell else { return };
+        let own = if spell.lost { own.min(longest_gap(settings)) } else { own };
+        let (first, longest) = TRIAL_GAPS_OF_FALL;
+        let gap =
+            growing_gap(settings.rules.fall, first, spell.trials).min(settings.rules.fall.mul_f64(longest));
+        spell.next_trial = now + gap.max(Duration::from_secs_f64(own)).mul_f64(0.5 + chance / 2.0);
     }
 }
 
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
+#[derive(Default)]
 struct Reaping {
     risk: f64,
     /// Risk of losing a call on a new connection: what is lost there is not for idleness.
@@ -243,6 +247,7 @@
 }
 
 /// A courier: records events in `handle`, acts in `decide`.
+#[derive(Default)]
 pub struct Courier {
     settings: Settings,
     rng: fastrand::Rng,
@@ -264,31 +269,16 @@
     reaping: Reaping,
     wake: Option<(Time, u64)>,
     token: u64,
+    /// What is to be done, until `decide` hands it over.
+    actions: Vec<Action>,
 }
 
 impl Courier {
     /// A courier that knows only its settings; `seed` is its one source of chance.
     pub fn new(settings: Settings, seed: u64) -> Self {
-        let first = shortest_aim(&settings).as_secs_f64() * FIRST_LATENCY_OF_AIM;
-        Courier {
-            settings,
-            rng: fastrand::Rng::with_seed(seed),
-            addresses: BTreeMap::new(),
-            routes: BTreeMap::new(),
-            queues: BTreeMap::new(),
-            messages: BTreeMap::new(),
-            shares: BTreeMap::new(),
-            open: 0,
-            deadlines: BTreeSet::new(),
-            keys: BTreeMap::new(),
-            rests: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            last_call: 0,
-            usual: Latency { mean: first, deviation: first, samples: 0 },
-            reaping: Reaping { risk: 0.0, other: 0.0, idle: Duration::MAX, next_check: Time::ZERO },
-            wake: None,
-            token: 0,
-        }
+        let first = shortest_aim(&settings) * FIRST_LATENCY_OF_AIM;
+        let usual = Latency { mean: first, deviation: first, samples: 0 };
+        Courier { settings, rng: fastrand::Rng::with_seed(seed), usual, ..Courier::default() }
     }
 
     /// Records one event. Call [`Courier::decide`] after the last one of a batch.
@@ -309,12 +299,13 @@
 
     /// Acts on all that was recorded.
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.answer_due(now, actions);
-        self.shed(now, actions);
+        self.answer_due(now);
+        self.shed(now);
         let stall = self.note_stalls(now);
-        self.free_pinned_slot(now, actions);
-        let next = self.send_ready(now, actions);
-        self.set_wake(now, [stall, next].into_iter().flatten().min(), actions);
+        self.free_pinned_slot(now);
+        let next = self.send_ready(now);
+        self.set_wake(now, [stall, next].into_iter().flatten().min());
+        actions.append(&mut self.actions);
     }
 
     // ---- Events ----
@@ -334,25 +325,9 @@
         for entry in entries {
             let (weight, ceiling) = self.weight_of(&entry);
             let usual = self.usual;
-            let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| Route {
-                weight,
-                ceiling,
-                endpoints: Vec::new(),
-                rate: weight,
-                tokens: 1.0,
-                filled: now,
-                bound: false,
-                last_cut: Time::ZERO,
-                cuts: 0,
-                sent: Decaying::default(),
-                demand: Decaying::default(),
-                told_wait: Time::ZERO,
-                latency: usual,
-                last_answer: now,
-                evidence: 0,
-                spell: None,
-                returned: None,
-                out: BTreeSet::new(),
+            let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
+                let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
+                Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
             });
             (route.weight, route.ceiling) = (weight, ceiling);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
@@ -377,9 +352,8 @@
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
         self.open += 1;
-        let cold = cold_s(&self.settings.rules);
         for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
-            route.demand.rate(now, cold, 1.0);
+            route.demand.rate(now, cold_s(&self.settings), 1.0);
         }
         let over_share = self.is_over_share(now, taken.tenant);
         let message = Message {
@@ -399,7 +373,7 @@
     /// cannot be seen: what passes the part assumed to be this courier's counts as beyond.
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
-        let part = (QUOTA_PART / self.couriers()).min(1.0);
+        let part = (QUOTA_PART / f64::from(self.settings.couriers.max(1))).min(1.0);
         let (left, since) = self.shares.entry(tenant).or_insert((quota * part, now));
         *left = (*left + (now - *since).as_secs_f64() * quota * part).min(quota * part);
         *since = now;
@@ -473,7 +447,8 @@
             route.out.remove(&id);
         }
         let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        let reaped = lost && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
+        let reaped =
+            lost && self.reaping.risk > 0.0 && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
         if !(lost && call.stalled) {
             self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
         }
@@ -502,8 +477,9 @@
     /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
     /// idle as long speaks against it.
     fn learn_of_idle(&mut self, now: Time, idle: Option<Duration>, lost: bool, answered: bool) {
-        let least = shortest_aim(&self.settings).mul_f64(REAPED_LEAST_AIM);
-        let Some(idle) = idle.filter(|idle| *idle > least) else {
+        let Some(idle) =
+            idle.filter(|idle| idle.as_secs_f64() > shortest_aim(&self.settings) * REAPED_LEAST_AIM)
+        else {
             if lost || answered {
                 self.reaping.other += REAPED_GAIN * (f64::from(u8::from(lost)) - self.reaping.other);
             }
@@ -511,14 +487,15 @@
         };
         let reaping = &mut self.reaping;
         if lost {
+            reaping.idle = if reaping.risk > 0.0 { reaping.idle.min(idle) } else { idle };
             reaping.risk += REAPED_GAIN * (1.0 - reaping.risk);
-            reaping.idle = reaping.idle.min(idle);
-            reaping.next_check = now + shortest_aim(&self.settings).mul_f64(REAPED_CHECK_AIMS);
+            reaping.next_check =
+                now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
         } else if answered && idle >= reaping.idle {
             reaping.risk -= REAPED_GAIN * reaping.risk;
             reaping.next_check = now;
             if reaping.risk < REAPED_RISKS.0 {
-                (reaping.risk, reaping.idle) = (0.0, Duration::MAX);
+                reaping.risk = 0.0;
             }
         }
     }
@@ -527,10 +504,7 @@
 
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
-        let an_aim = shortest_aim(&self.settings).as_secs_f64().max(0.001).recip();
-        let (couriers, chance) = (self.couriers(), self.rng.f64());
-        let rules = &self.settings.rules;
-        let longest_gap = self.longest_trial_gap();
+        let (settings, chance) = (&self.settings, self.rng.f64());
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             (route.weight, route.ceiling) = (limit, limit);
@@ -539,8 +513,7 @@
         // spell, and each repeat would meet the first call still running.
         if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout | Outcome::Cancelled) {
             if route.latency.samples == 0 {
-                route.latency = self.usual;
-                route.latency.samples = 0;
+                route.latency = Latency { samples: 0, ..self.usual };
             }
             route.latency.learn(finished.latency);
         }
@@ -551,14 +524,14 @@
                 self.usual.learn(finished.latency);
                 // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
                 // that saw only the end of an outage are covered by counting from the last success.
-                let blip = rules.fall.mul_f64(BLIP_OF_FALL);
+                let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
                 if route.spell.as_ref().is_some_and(|s| s.failed && now - s.began > blip) {
                     route.returned = Some(now);
                     route.tokens = 0.0;
                 }
                 let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left.clamp(0.0, 1.0));
                 if route.bound {
-                    let growth = RATE_GROWTH * route.rate.min(an_aim);
+                    let growth = RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
                     let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
                     route.rate = (route.rate + growth).min(route.ceiling);
                 }
@@ -573,7 +546,7 @@
                     let late = route.sent.rate(now, LATE_S, 0.0);
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    let slowest = SLOWEST_PART * route.own_part(now, rules, couriers);
+                    let slowest = SLOWEST_PART * route.own_part(now, settings);
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
                 }
@@ -588,30 +561,21 @@
             _ => {}
         }
         if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
-            let spell = route.spell.get_or_insert(Spell::new(route.last_answer, now));
+            let spell = route.spell.get_or_insert(Spell { began: route.last_answer, ..Spell::default() });
             spell.failed = true;
             spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
-            let (trials, longest) = (spell.trials, if spell.lost { longest_gap } else { f64::MAX });
-            let part = route.own_part(now, rules, couriers);
-            if let Some(spell) = &mut route.spell {
-                spell.next_trial = now + trial_gap(rules, trials, part, longest, chance);
-            }
+            route.plan_trial(now, settings, chance);
             route.returned = None;
         }
     }
 
     /// Marks the calls that have been silent for too long, and says when the next one will have been.
     fn note_stalls(&mut self, now: Time) -> Option<Time> {
-        let mut next: Option<Time> = None;
-        let due: Vec<(u64, Time)> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| !call.stalled)
-            .map(|(id, call)| (*id, call.sent + self.stall_patience(call.route)))
-            .collect();
-        for (id, at) in due {
+        let mut next = None;
+        for id in self.calls.iter().filter(|(_, call)| !call.stalled).map(|(id, _)| *id).collect::<Vec<_>>() {
+            let at = self.calls[&id].sent + self.stall_patience(self.calls[&id].route);
             if at > now {
-                next = Some(next.map_or(at, |n| n.min(at)));
+                earliest(&mut next, Some(at));
             } else if let Some(call) = self.calls.get_mut(&id) {
                 call.stalled = true;
                 let idle = call.idle;
@@ -622,9 +586,8 @@
     }
 
     fn stall_patience(&self, id: RouteId) -> Duration {
-        let least = shortest_aim(&self.settings).mul_f64(STALL_AIM);
-        let Some(route) = self.routes.get(&id) else { return least };
-        least.max(Duration::from_secs_f64(route.latency.times(STALL_LATENCIES)))
+        let usual = self.routes.get(&id).map_or(0.0, |route| route.latency.times(STALL_LATENCIES));
+        Duration::from_secs_f64(usual.max(shortest_aim(&self.settings) * STALL_AIM))
     }
 
     /// When a route may take one more call: now, later, or only after some outcome (none).
@@ -641,7 +604,8 @@
         let oldest = route.out.first().and_then(|call| self.calls.get(call)).map(|call| call.sent);
         if let (None, Some(sent)) = (&route.spell, oldest) {
             if now - sent.max(route.last_answer) > stall {
-                route.spell = Some(Spell::new(route.last_answer.min(sent), now + stall));
+                let (began, next_trial) = (route.last_answer.min(sent), now + stall);
+                route.spell = Some(Spell { began, next_trial, lost: true, ..Spell::default() });
             }
         }
         if let Some(spell) = &route.spell {
@@ -666,12 +630,10 @@
 
     /// Calls a second that this courier may send a route now.
     fn pace(&mut self, now: Time, id: RouteId) -> f64 {
-        let longest_gap = self.longest_trial_gap();
-        let couriers = self.couriers();
-        let rules = &self.settings.rules;
+        let (settings, rules) = (&self.settings, &self.settings.rules);
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
         let Some(returned) = route.returned else { return route.rate };
-        let warmth = (now - returned).as_secs_f64() / cold_s(rules);
+        let warmth = (now - returned).as_secs_f64() / cold_s(settings);
         if warmth >= 1.0 {
             route.returned = None;
             return route.rate;
@@ -679,34 +641,35 @@
         // This courier's part of what a returning destination survives goes by its own demand: an even part of
         // the told rate is too little where a few couriers carry most, and were all to do the same, they
         // would send no more than the budget together.
-        let part = route.own_part(now, rules, couriers);
+        let part = route.own_part(now, settings);
         let share = rules.cold_from + (1.0 - rules.cold_from) * warmth;
-        (part * share * rules.tip_multiple * FALL_BUDGET_USED).max(longest_gap.recip()).min(route.rate)
+        (part * share * rules.tip_multiple * FALL_BUDGET_USED)
+            .max(longest_gap(settings).recip())
+            .min(route.rate)
     }
 
     // ---- Choice ----
 
     /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many, to
     /// the one whose best message is worth most for the time that it takes. Says when to look again.
-    fn send_ready(&mut self, now: Time, actions: &mut Vec<Action>) -> Option<Time> {
-        let mut next: Option<Time> = None;
-        let mut ready: Vec<Candidate> = Vec::new();
-        let waiting: Vec<DestinationId> = self.queues.keys().copied().collect();
-        for to in waiting {
-            if self.slots_free() > 0 {
-                ready.extend(self.candidate(now, to, &mut next));
+    fn send_ready(&mut self, now: Time) -> Option<Time> {
+        let mut next = None;
+        let mut ready: Vec<(DestinationId, f64)> = Vec::new();
+        if self.slots_free() > 0 {
+            for to in self.queues.keys().copied().collect::<Vec<_>>() {
+                ready.extend(self.candidate(now, to, &mut next).map(|(.., value)| (to, value)));
             }
         }
         while self.slots_free() > 0 {
-            let order = |a: &Candidate, b: &Candidate| {
-                self.calls_to(a.route.0).cmp(&self.calls_to(b.route.0)).then(b.value.total_cmp(&a.value))
+            let order = |a: &(DestinationId, f64), b: &(DestinationId, f64)| {
+                self.calls_to(a.0).cmp(&self.calls_to(b.0)).then(b.1.total_cmp(&a.1))
             };
             let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
             // Slots have gone since: what was free may not be so now.
-            let to = ready.swap_remove(place).route.0;
-            let Some(chosen) = self.candidate(now, to, &mut next) else { continue };
-            self.send_call(now, chosen.route, chosen.endpoint, chosen.message, actions);
-            ready.extend(self.candidate(now, to, &mut next));
+            let (to, _) = ready.swap_remove(place);
+            let Some((route, endpoint, message, _)) = self.candidate(now, to, &mut next) else { continue };
+            self.send_call(now, route, endpoint, message);
+            ready.extend(self.candidate(now, to, &mut next).map(|(.., value)| (to, value)));
         }
         next
     }
@@ -715,42 +678,32 @@
         self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
     }
 
-    /// The best message of a destination that may be sent now; if none, `next` tells when that may be.
+    /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
+    /// the time that a slot is taken; if none, `next` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
-        let routes: Vec<RouteId> = self.routes.range(routes_of(to)).map(|(id, _)| *id).collect();
-        for route in routes {
-            match self.route_free_at(now, route) {
-                Some(at) if at <= now => {}
-                at => {
-                    *next = [*next, at].into_iter().flatten().min();
-                    continue;
-                }
+        for route in self.routes.range(routes_of(to)).map(|(id, _)| *id).collect::<Vec<_>>() {
+            let free = self.route_free_at(now, route);
+            if free.is_none_or(|at| at > now) {
+                earliest(next, free);
+                continue;
             }
-            let Some((message, worth)) = self.pick(now, to, route, next) else { continue };
+            let Some((message, worth)) = self.pick(now, route, next) else { continue };
             let Some(endpoint) = self.address_for(now, route, message) else { continue };
-            let takes = self.routes.get(&route).map_or(1.0, |r| r.latency.mean).max(0.001);
-            return Some(Candidate { route, endpoint, message, value: worth / takes });
+            let takes = self.routes[&route].latency.mean.max(0.001);
+            return Some((route, endpoint, message, worth / takes));
         }
         None
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
-    fn pick(
-        &self,
-        now: Time,
-        to: DestinationId,
-        id: RouteId,
-        again: &mut Option<Time>,
-    ) -> Option<(MessageId, f64)> {
-        let trial = self.routes.get(&id).is_some_and(|r| r.spell.is_some());
+    fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
+        let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
         let mut best: Option<(bool, f64, MessageId)> = None;
-        for message in self.queues.get(&to).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
-            match self.sendable_at(now, message) {
-                Some(at) if at <= now => {}
-                at => {
-                    *again = [*again, at].into_iter().flatten().min();
-                    continue;
-                }
+        for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
+            let at = self.sendable_at(now, message);
+            if at.is_none_or(|at| at > now) {
+                earliest(next, at);
+                continue;
             }
             let fit = !trial || self.class(message).effect != Effect::Unsafe;
             let worth = self.worth(now, message);
@@ -796,7 +749,8 @@
         let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
         let value = |age: f64| {
             let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
-            if late > 1.0 || last.is_some_and(|end| age > end) {
+            let over = late > 1.0 || last.is_some_and(|end| age > end);
+            if over {
                 0.0
             } else {
                 1.0 - (1.0 - class.late_share) * late
@@ -826,17 +780,8 @@
     }
 
     /// One call: the message that was picked and, where a call may carry more, others that wait.
-    fn send_call(
-        &mut self,
-        now: Time,
-        id: RouteId,
-        to: EndpointId,
-        first: MessageId,
-        actions: &mut Vec<Action>,
-    ) {
-        let idle = self.idle_connection(now, to, first, actions);
-        let longest_gap = self.longest_trial_gap();
-        let couriers = self.couriers();
+    fn send_call(&mut self, now: Time, id: RouteId, to: EndpointId, first: MessageId) {
+        let idle = self.idle_connection(now, to, first);
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
         let kind = usize::from(address.entry.kind.0);
@@ -845,60 +790,37 @@
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
         let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
-        let part = route.own_part(now, &self.settings.rules, couriers);
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
-            let longest = if spell.lost || !spell.failed { longest_gap } else { f64::MAX };
-            let gap = trial_gap(&self.settings.rules, spell.trials, part, longest, self.rng.f64());
-            spell.next_trial = now + gap;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
-            if spell.lost || !spell.failed {
+            if spell.lost {
                 room = 1;
             }
         }
+        route.plan_trial(now, &self.settings, self.rng.f64());
         self.last_call += 1;
         route.out.insert(self.last_call);
         let mut carried = Vec::new();
         let mut next = Some(first);
         while let Some(message) = next {
-            self.send_message(now, id, to, message, actions);
+            let try_for = self.time_out(now, id, message);
+            if let Some(m) = self.messages.get_mut(&message) {
+                m.attempts += 1;
+                m.out = Some(self.last_call);
+                self.actions.push(Action::Route { message, endpoint: to, try_for });
+            }
             carried.push(message);
-            next = if carried.len() == room {
-                None
-            } else {
-                self.pick(now, id.0, id, &mut None).map(|(m, _)| m)
-            };
+            next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
         }
-        let (sent, unanswered) = (now, carried.len());
-        let call =
-            Call { route: id, to, zone, sent, carried, unanswered, idle, stalled: false, called_off: false };
+        let (route, sent, unanswered) = (id, now, carried.len());
+        let (stalled, called_off) = (false, false);
+        let call = Call { route, to, zone, sent, carried, unanswered, idle, stalled, called_off };
         self.calls.insert(self.last_call, call);
     }
 
-    fn send_message(
-        &mut self,
-        now: Time,
-        id: RouteId,
-        to: EndpointId,
-        message: MessageId,
-        actions: &mut Vec<Action>,
-    ) {
-        let try_for = self.time_out(now, id, message);
-        let Some(m) = self.messages.get_mut(&message) else { return };
-        m.attempts += 1;
-        m.out = Some(self.last_call);
-        actions.push(Action::Route { message, endpoint: to, try_for });
-    }
-
     /// How long the connection has been idle that the next call to an endpoint would use. Where idle ones are
     /// dropped unseen, they are closed first; now and then one is tried, with a message that can be repeated.
-    fn idle_connection(
-        &mut self,
-        now: Time,
-        to: EndpointId,
-        first: MessageId,
-        actions: &mut Vec<Action>,
-    ) -> Option<Duration> {
+    fn idle_connection(&mut self, now: Time, to: EndpointId, first: MessageId) -> Option<Duration> {
         let address = self.addresses.get(&to)?;
         let idle = now - address.used.filter(|used| now - *used < self.settings.conn_idle)?;
         // With calls out, a second connection may have been idle for longer than was seen.
@@ -911,10 +833,11 @@
             return alone.then_some(idle);
         }
         if repeatable && alone && idle >= reaping.idle && now >= reaping.next_check {
-            reaping.next_check = now + shortest_aim(&self.settings).mul_f64(REAPED_CHECK_AIMS);
+            reaping.next_check =
+                now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
             return Some(idle);
         }
-        actions.push(Action::CloseIdle { endpoint: to });
+        self.actions.push(Action::CloseIdle { endpoint: to });
         None
     }
 
@@ -941,7 +864,7 @@
     }
 
     /// All slots taken while messages wait: the oldest call that hangs is called off, an unsafe one later.
-    fn free_pinned_slot(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn free_pinned_slot(&mut self, now: Time) {
         if !self.settings.cancel || self.slots_free() > 0 || self.open <= self.calls.len() {
             return;
         }
@@ -956,7 +879,8 @@
         call.called_off = true;
         for message in &call.carried {
             if let Some(m) = self.messages.get(message).filter(|m| m.out == Some(id)) {
-                actions.push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
+                self.actions
+                    .push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
             }
         }
     }
@@ -973,15 +897,13 @@
         Some(if refusable { Action::Busy { message: id } } else { Action::ReportFailure { message: id } })
     }
 
-    fn answer(&mut self, id: MessageId, actions: &mut Vec<Action>) {
-        if let Some(action) = self.permitted_answer(id) {
-            actions.push(action);
-            self.close(id);
-        }
+    fn answer(&mut self, id: MessageId) {
+        self.actions.extend(self.permitted_answer(id));
+        self.close(id);
     }
 
     /// Every message has a deadline that answers it in time; one that is out is left half of the slack.
-    fn answer_due(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn answer_due(&mut self, now: Time) {
         while let Some(&(due, id)) = self.deadlines.first().filter(|(due, _)| *due <= now) {
             self.deadlines.remove(&(due, id));
             let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { continue };
@@ -989,13 +911,13 @@
             if message.out.is_some() && now < last_call {
                 self.deadlines.insert((last_call, id));
             } else {
-                self.answer(id, actions);
+                self.answer(id);
             }
         }
     }
 
     /// Nearly full: the least worth go, before new messages are turned away unseen.
-    fn shed(&mut self, now: Time, actions: &mut Vec<Action>) {
+    fn shed(&mut self, now: Time) {
         let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
         while self.open > most {
             let least = self
@@ -1005,7 +927,7 @@
                 .map(|m| (self.worth(now, m), m.taken.id))
                 .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
             let Some((_, id)) = least else { return };
-            self.answer(id, actions);
+            self.answer(id);
         }
     }
 
@@ -1027,8 +949,10 @@
 
     /// A message is forgotten once it is answered and has nothing out; until then its key stays taken.
     fn forget_if_over(&mut self, id: MessageId) {
-        let Some(message) = self.messages.get(&id).filter(|m| m.closed && m.out.is_none()) else { return };
-        if let Some(key) = message.taken.key {
+        if self.messages.get(&id).is_none_or(|m| !m.closed || m.out.is_some()) {
+            return;
+        }
+        if let Some(key) = self.messages.remove(&id).and_then(|m| m.taken.key) {
             if let Some(turn) = self.keys.get_mut(&key) {
                 turn.retain(|m| *m != id);
                 if turn.is_empty() {
@@ -1036,7 +960,6 @@
                 }
             }
         }
-        self.messages.remove(&id);
     }
 
     // ---- Settings and timers ----
@@ -1056,35 +979,29 @@
         }
     }
 
-    /// Couriers that share a destination: an even part is one over this.
-    fn couriers(&self) -> f64 {
-        f64::from(self.settings.couriers.max(1))
-    }
-
     fn slots_free(&self) -> usize {
         self.settings.call_slots.saturating_sub(self.calls.len())
     }
 
-    /// Longest gap between trial calls, in seconds.
-    fn longest_trial_gap(&self) -> f64 {
-        let deadline = self.settings.classes.iter().map(|c| c.deadline).min().unwrap_or_default();
-        deadline.as_secs_f64().max(1.0) * TRIAL_GAP_OF_DEADLINE
-    }
-
     /// One timer is outstanding: the earliest moment at which something could be done without an event.
-    fn set_wake(&mut self, now: Time, next: Option<Time>, actions: &mut Vec<Action>) {
+    fn set_wake(&mut self, now: Time, next: Option<Time>) {
         let due = self.deadlines.first().map(|(due, _)| *due);
         let Some(at) = [next, due].into_iter().flatten().min() else { return };
         if self.wake.is_none_or(|(set, _)| at < set || set <= now) {
             self.token += 1;
             self.wake = Some((at, self.token));
-            actions.push(Action::Wake { after: at - now, token: self.token });
+            self.actions.push(Action::Wake { after: at - now, token: self.token });
         }
     }
 }
 
-fn shortest_aim(settings: &Settings) -> Duration {
-    settings.classes.iter().map(|c| c.aim).min().unwrap_or(Duration::from_secs(1))
+/// The routes of a destination.
+fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+}
+
+fn earliest(next: &mut Option<Time>, at: Option<Time>) {
+    *next = [*next, at].into_iter().flatten().min();
 }
 
 /// A gap that doubles from try to try.
@@ -1092,20 +1009,19 @@
     unit.mul_f64(first * f64::from(tries.min(16)).exp2())
 }
 
-/// The routes of a destination.
-fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
-    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+/// Shortest aim of a class, in seconds.
+fn shortest_aim(settings: &Settings) -> f64 {
+    let aim = settings.classes.iter().map(|c| c.aim).min();
+    aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
 }
 
-fn cold_s(rules: &Rules) -> f64 {
-    rules.cold.as_secs_f64().max(1.0)
+/// Longest gap between trial calls where calls are lost, in seconds.
+fn longest_gap(settings: &Settings) -> f64 {
+    let deadline = settings.classes.iter().map(|c| c.deadline).min();
+    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0) * TRIAL_GAP_OF_DEADLINE
 }
 
-/// Gap before the next trial call: growing and jittered, and by this courier's own demand (messages a second),
-/// as trials that are refused can use up a small limit all by themselves (incident i2aa64d).
-fn trial_gap(rules: &Rules, trials: u32, demand: f64, longest_s: f64, chance: f64) -> Duration {
-    let (first, longest) = TRIAL_GAPS_OF_FALL;
-    let gap = growing_gap(rules.fall, first, trials).min(rules.fall.mul_f64(longest));
-    let own = (TRIAL_PART / demand.max(0.001)).min(longest_s);
-    gap.max(Duration::from_secs_f64(own)).mul_f64(0.5 + chance / 2.0)
+/// How long a cold return lasts, in seconds.
+fn cold_s(settings: &Settings) -> f64 {
+    settings.rules.cold.as_secs_f64().max(1.0)
 }
