--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,9 +35,9 @@
 const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
 /// Trial calls of a courier are at least so many of its own messages apart, but for the longest gap: so all
 /// couriers together try at a part of the usual demand, whoever carries most ...
-const TRIAL_PART: f64 = 2.0;
+const TRIAL_PART: f64 = 3.0;
 /// ... and where calls are lost, one with little traffic waits for this part of the deadline at most.
-const TRIAL_GAP_OF_DEADLINE: f64 = 0.4;
+const TRIAL_GAP_OF_DEADLINE: f64 = 0.8;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
