--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,10 +48,10 @@
 const EVIDENCE_OTHER: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
-/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first and
-/// the second time without a success, then to the slowest, as where refused calls use up the limit too, nobody
-/// gets anything until all have slowed down.
-const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`; a second time
+/// without a success between to the slowest, as where refused calls use up the limit too, or a hung partner's
+/// queue is full, nobody gets anything until all have slowed down.
+const RATE_CUT: f64 = 0.6;
 /// The slowest rate, as a part of this courier's own part: all together then send so much of what is asked.
 const SLOWEST_PART: f64 = 0.33;
 const CUT_EVERY: Duration = Duration::from_millis(500);
@@ -197,8 +197,8 @@
     filled: Time,
     bound: bool,
     last_cut: Time,
-    /// Cuts since the last success.
-    cuts: usize,
+    /// No success since the last cut.
+    cut_before: bool,
     /// Calls sent over about `LATE_S`, and messages taken over about the time that a cold return lasts.
     sent: Decaying,
     demand: Decaying,
@@ -536,7 +536,7 @@
                     route.rate = (route.rate + growth).min(route.ceiling);
                 }
                 route.spell = None;
-                (route.evidence, route.cuts) = (0, 0);
+                (route.evidence, route.cut_before) = (0, false);
                 route.last_answer = now;
                 return;
             }
@@ -544,8 +544,8 @@
                 route.evidence += EVIDENCE_OTHER;
                 if now - route.last_cut > CUT_EVERY {
                     let late = route.sent.rate(now, LATE_S, 0.0);
-                    let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
-                    route.cuts += 1;
+                    let cut = if route.cut_before { 0.0 } else { RATE_CUT };
+                    route.cut_before = true;
                     let slowest = SLOWEST_PART * route.own_part(now, settings);
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
