--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,16 +48,18 @@
 const EVIDENCE_OTHER: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
-/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`; a second time
-/// without a success between to the slowest, as where refused calls use up the limit too, or a hung partner's
-/// queue is full, nobody gets anything until all have slowed down.
-const RATE_CUT: f64 = 0.6;
+/// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first and
+/// the second time without a success, then to the slowest, as where refused calls use up the limit too, nobody
+/// gets anything until all have slowed down.
+const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
 /// The slowest rate, as a part of this courier's own part: all together then send so much of what is asked.
 const SLOWEST_PART: f64 = 0.33;
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
 const RATE_GROWTH: f64 = 0.25;
+/// A refusal with more than this share of the limit left, as told, is not for the limit.
+const ROOM_LEFT: f64 = 0.3;
 /// Growth where the share of the limit that is left is told: so many times that share.
 const TOLD_GROWTH: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
@@ -197,8 +199,8 @@
     filled: Time,
     bound: bool,
     last_cut: Time,
-    /// No success since the last cut.
-    cut_before: bool,
+    /// Cuts since the last success.
+    cuts: usize,
     /// Calls sent over about `LATE_S`, and messages taken over about the time that a cold return lasts.
     sent: Decaying,
     demand: Decaying,
@@ -536,16 +538,18 @@
                     route.rate = (route.rate + growth).min(route.ceiling);
                 }
                 route.spell = None;
-                (route.evidence, route.cut_before) = (0, false);
+                (route.evidence, route.cuts) = (0, 0);
                 route.last_answer = now;
                 return;
             }
             Outcome::Full(_) => {
-                route.evidence += EVIDENCE_OTHER;
+                // Refused though there is room inside the limit: it is shut or hangs with its queue full.
+                let room = finished.allowance.is_some_and(|a| a.limit > 0.0 && a.left > ROOM_LEFT);
+                route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_OTHER };
                 if now - route.last_cut > CUT_EVERY {
                     let late = route.sent.rate(now, LATE_S, 0.0);
-                    let cut = if route.cut_before { 0.0 } else { RATE_CUT };
-                    route.cut_before = true;
+                    let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
+                    route.cuts += 1;
                     let slowest = SLOWEST_PART * route.own_part(now, settings);
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
