--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,6 +64,10 @@
 const TOLD_GROWTH: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
 const LATE_S: f64 = 1.0;
+/// Where a call carries many, calls go at most once in this part of the aim, or at the pace that own demand
+/// needs with calls filled to this part: what waits meanwhile goes together, and limits count calls.
+const GATHER_OF_AIM: f64 = 0.3;
+const GATHER_FILL: f64 = 0.4;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
 /// A rough weight may be this part of the truth, and no more.
@@ -194,6 +198,8 @@
     weight: f64,
     ceiling: f64,
     endpoints: Vec<EndpointId>,
+    /// Messages that one call may carry.
+    batch: usize,
     rate: f64,
     tokens: f64,
     filled: Time,
@@ -327,11 +333,12 @@
         for entry in entries {
             let (weight, ceiling) = self.weight_of(&entry);
             let usual = self.usual;
+            let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
                 let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
                 Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
             });
-            (route.weight, route.ceiling) = (weight, ceiling);
+            (route.weight, route.ceiling, route.batch) = (weight, ceiling, batch);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -636,20 +643,23 @@
     fn pace(&mut self, now: Time, id: RouteId) -> f64 {
         let (settings, rules) = (&self.settings, &self.settings.rules);
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
-        let Some(returned) = route.returned else { return route.rate };
+        let mut rate = route.rate;
+        if route.batch > 1 {
+            let needed = route.demand.rate(now, cold_s(settings), 0.0) / (route.batch as f64 * GATHER_FILL);
+            rate = rate.min(needed.max(1.0 / (GATHER_OF_AIM * shortest_aim(settings))));
+        }
+        let Some(returned) = route.returned else { return rate };
         let warmth = (now - returned).as_secs_f64() / cold_s(settings);
         if warmth >= 1.0 {
             route.returned = None;
-            return route.rate;
+            return rate;
         }
         // This courier's part of what a returning destination survives goes by its own demand: an even part of
         // the told rate is too little where a few couriers carry most, and were all to do the same, they
         // would send no more than the budget together.
         let part = route.own_part(now, settings);
         let share = rules.cold_from + (1.0 - rules.cold_from) * warmth;
-        (part * share * rules.tip_multiple * FALL_BUDGET_USED)
-            .max(longest_gap(settings).recip())
-            .min(route.rate)
+        (part * share * rules.tip_multiple * FALL_BUDGET_USED).max(longest_gap(settings).recip()).min(rate)
     }
 
     // ---- Choice ----
@@ -788,12 +798,11 @@
         let idle = self.idle_connection(now, to, first);
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
-        let kind = usize::from(address.entry.kind.0);
         let zone = address.entry.zone;
         let Some(route) = self.routes.get_mut(&id) else { return };
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
-        let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
+        let mut room = route.batch;
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
