--- /dev/null
+++ b/src/books.rs
@@ -0,0 +1,139 @@
+//! What a courier keeps in mind: types and sums only. Every decision and tuned value is in `choice.rs`.
+
+use crate::interface::*;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A message between its hand-in and its end (and the end of its last attempt).
+pub struct Message {
+    pub taken: Accepted,
+    pub born: Time,
+    pub attempts: u32,
+    /// The call that carries it now.
+    pub out: Option<u64>,
+    /// When the first attempt that may have run was sent, and where: it fixes window and group.
+    pub maybe_ran: Option<(Time, Option<ZoneId>)>,
+    pub not_before: Time,
+    pub closed: bool,
+    /// Beyond its tenant's share, and so worth little.
+    pub over_share: bool,
+}
+
+/// A call out: one slot, one fate, however many messages it carries.
+pub struct Call {
+    pub route: RouteId,
+    pub to: EndpointId,
+    pub zone: ZoneId,
+    pub sent: Time,
+    pub carried: Vec<MessageId>,
+    pub unanswered: usize,
+    /// How long the connection that it went out on had been idle; none on a new or busy one.
+    pub idle: Option<Duration>,
+    pub stalled: bool,
+    pub called_off: bool,
+}
+
+/// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RouteId(pub DestinationId, pub Option<EndpointId>);
+
+/// What may be sent next: by which route to which endpoint, which message, at what value.
+pub type Candidate = (RouteId, EndpointId, MessageId, f64);
+
+pub struct Address {
+    pub entry: Endpoint,
+    pub calls_out: usize,
+    pub failures: u32,
+    pub avoid_until: Time,
+    /// When a call last ended there with its connection left open.
+    pub used: Option<Time>,
+}
+
+/// Running mean and mean deviation of latencies, in seconds.
+#[derive(Clone, Copy, Default)]
+pub struct Latency {
+    pub mean: f64,
+    pub deviation: f64,
+    pub samples: u32,
+}
+
+impl Latency {
+    pub fn learn(&mut self, sample: Duration, least_gain: f64) {
+        let (sample, gain) = (sample.as_secs_f64(), least_gain.max(1.0 / f64::from(self.samples + 2)));
+        self.deviation += gain * ((sample - self.mean).abs() - self.deviation);
+        self.mean += gain * (sample - self.mean);
+        self.samples += 1;
+    }
+
+    /// So many times the mean and the deviation together.
+    pub fn times(&self, multiple: f64) -> f64 {
+        (self.mean + self.deviation) * multiple
+    }
+}
+
+/// A count of events that fades with time.
+#[derive(Default)]
+pub struct Decaying {
+    pub count: f64,
+    pub at: Time,
+}
+
+impl Decaying {
+    /// Events a second over about `span` seconds; `more` are added first.
+    pub fn rate(&mut self, now: Time, span: f64, more: f64) -> f64 {
+        self.count = self.count * (-(now - self.at).as_secs_f64() / span).exp() + more;
+        self.at = now;
+        self.count / span
+    }
+}
+
+/// A time without any success on a route, from its last success on: silence alone, until a call fails.
+#[derive(Default)]
+pub struct Spell {
+    pub began: Time,
+    pub next_trial: Time,
+    pub trials: u32,
+    /// Some call failed or was refused; else it is silence alone.
+    pub failed: bool,
+    /// Calls were lost or are silent, not just refused.
+    pub lost: bool,
+}
+
+/// Pace and health of a route: one mechanism for limits, outages and cold return.
+#[derive(Default)]
+pub struct Route {
+    /// Calls a second that it takes from all couriers together, as told.
+    pub weight: f64,
+    pub endpoints: Vec<EndpointId>,
+    pub rate: f64,
+    pub tokens: f64,
+    pub filled: Time,
+    pub bound: bool,
+    pub last_cut: Time,
+    /// Cuts since the last success.
+    pub cuts: usize,
+    /// Calls sent of late, and messages taken over about the time that a cold return lasts.
+    pub sent: Decaying,
+    pub demand: Decaying,
+    pub told_wait: Time,
+    pub latency: Latency,
+    pub last_answer: Time,
+    pub evidence: u32,
+    pub spell: Option<Spell>,
+    /// When the slow start began, if one is on.
+    pub returned: Option<Time>,
+    /// Calls out, the oldest first.
+    pub out: BTreeSet<u64>,
+}
+
+/// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
+/// one courier meets each partner too seldom to learn it there.
+#[derive(Default)]
+pub struct Reaping {
+    pub risk: f64,
+    /// Risk of losing a call on a new connection: what is lost there is not for idleness.
+    pub other: f64,
+    /// Shortest idle time that lost a call.
+    pub idle: Duration,
+    pub next_check: Time,
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,10 +1,12 @@
-//! Every decision of a courier. Types, events and actions are in `interface.rs`; nothing is decided there.
+//! Every decision of a courier. Types, events and actions are in `interface.rs`, what it keeps in mind in
+//! `books.rs`; nothing is decided there.
 //!
 //! The ordinary path: a message waits in the queue of its destination; a free call slot goes to the waiting
 //! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
 //! inside group, window and attempt limit, after a full-jitter exponential gap. All else guards that path.
 //! Order below: tuned values, state, events, health and pace, choice, answers, settings.
 
+use crate::books::*;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -49,11 +51,9 @@
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
 /// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first and
-/// the second time without a success, then to the slowest, as where refused calls use up the limit too, nobody
-/// gets anything until all have slowed down.
+/// second time without a success, then to the slowest (`TRIAL_PART`): where refused calls use up the limit too,
+/// nobody gets anything until all have slowed down.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
-/// The slowest rate, as a part of this courier's own part: all together then send so much of what is asked.
-const SLOWEST_PART: f64 = 0.33;
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
@@ -64,14 +64,8 @@
 const TOLD_GROWTH: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
 const LATE_S: f64 = 1.0;
-/// Where a call carries many, calls go at most once in this part of the aim, or at the pace that own demand
-/// needs with calls filled to this part: what waits meanwhile goes together, and limits count calls.
-const GATHER_OF_AIM: f64 = 0.3;
-const GATHER_FILL: f64 = 0.4;
 /// Tokens that may be saved up, in seconds of the rate; one call at least.
 const BURST_S: f64 = 0.4;
-/// A rough weight may be this part of the truth, and no more.
-const ROUGH_WEIGHT: f64 = 0.5;
 /// Part of a tenant's quota assumed to be this courier's, in even parts; traffic is not even.
 const QUOTA_PART: f64 = 1.25;
 /// Weight of what waiting would lose, against the worth itself, and how far it looks ahead, in aims.
@@ -97,163 +91,6 @@
 
 // ---- State ----
 
-/// A message between its hand-in and its end (and the end of its last attempt).
-struct Message {
-    taken: Accepted,
-    born: Time,
-    attempts: u32,
-    /// The call that carries it now.
-    out: Option<u64>,
-    /// When the first attempt that may have run was sent, and where: it fixes window and group.
-    maybe_ran: Option<(Time, Option<ZoneId>)>,
-    not_before: Time,
-    closed: bool,
-    /// Beyond its tenant's share, and so worth little.
-    over_share: bool,
-}
-
-/// A call out: one slot, one fate, however many messages it carries.
-struct Call {
-    route: RouteId,
-    to: EndpointId,
-    zone: ZoneId,
-    sent: Time,
-    carried: Vec<MessageId>,
-    unanswered: usize,
-    /// How long the connection that it went out on had been idle; none on a new or busy one.
-    idle: Option<Duration>,
-    stalled: bool,
-    called_off: bool,
-}
-
-/// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct RouteId(DestinationId, Option<EndpointId>);
-
-/// What may be sent next: by which route to which endpoint, which message, at what value.
-type Candidate = (RouteId, EndpointId, MessageId, f64);
-
-struct Address {
-    entry: Endpoint,
-    calls_out: usize,
-    failures: u32,
-    avoid_until: Time,
-    /// When a call last ended there with its connection left open.
-    used: Option<Time>,
-}
-
-/// Running mean and mean deviation of latencies, in seconds.
-#[derive(Clone, Copy, Default)]
-struct Latency {
-    mean: f64,
-    deviation: f64,
-    samples: u32,
-}
-
-impl Latency {
-    fn learn(&mut self, sample: Duration) {
-        let (sample, gain) = (sample.as_secs_f64(), LATENCY_GAIN.max(1.0 / f64::from(self.samples + 2)));
-        self.deviation += gain * ((sample - self.mean).abs() - self.deviation);
-        self.mean += gain * (sample - self.mean);
-        self.samples += 1;
-    }
-
-    fn times(&self, multiple: f64) -> f64 {
-        (self.mean + self.deviation) * multiple
-    }
-}
-
-/// A count of events that fades with time.
-#[derive(Default)]
-struct Decaying {
-    count: f64,
-    at: Time,
-}
-
-impl Decaying {
-    /// Events a second over about `span` seconds; `more` are added first.
-    fn rate(&mut self, now: Time, span: f64, more: f64) -> f64 {
-        self.count = self.count * (-(now - self.at).as_secs_f64() / span).exp() + more;
-        self.at = now;
-        self.count / span
-    }
-}
-
-/// A time without any success on a route, from its last success on: silence alone, until a call fails.
-#[derive(Default)]
-struct Spell {
-    began: Time,
-    next_trial: Time,
-    trials: u32,
-    /// Some call failed or was refused; else it is silence alone.
-    failed: bool,
-    /// Calls were lost or are silent, not just refused.
-    lost: bool,
-}
-
-/// Pace and health of a route: one mechanism for limits, outages and cold return.
-#[derive(Default)]
-struct Route {
-    /// Calls a second that it takes from all couriers together, as told; and the most that may be meant.
-    weight: f64,
-    ceiling: f64,
-    endpoints: Vec<EndpointId>,
-    /// Messages that one call may carry.
-    batch: usize,
-    rate: f64,
-    tokens: f64,
-    filled: Time,
-    bound: bool,
-    last_cut: Time,
-    /// Cuts since the last success.
-    cuts: usize,
-    /// Calls sent over about `LATE_S`, and messages taken over about the time that a cold return lasts.
-    sent: Decaying,
-    demand: Decaying,
-    told_wait: Time,
-    latency: Latency,
-    last_answer: Time,
-    evidence: u32,
-    spell: Option<Spell>,
-    /// When the slow start began, if one is on.
-    returned: Option<Time>,
-    /// Calls out, the oldest first.
-    out: BTreeSet<u64>,
-}
-
-impl Route {
-    /// This courier's part of what a destination takes, a second: its own demand, or an even part.
-    fn own_part(&mut self, now: Time, settings: &Settings) -> f64 {
-        let even = self.weight / f64::from(settings.couriers.max(1));
-        self.demand.rate(now, cold_s(settings), 0.0).max(even)
-    }
-
-    /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's own
-    /// part, as trials that are refused can use up a small limit all by themselves (incident i2aa64d). Only
-    /// where calls are lost a light courier tries sooner, for its messages would run out.
-    fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
-        let own = TRIAL_PART / self.own_part(now, settings).max(0.001);
-        let Some(spell) = &mut self.spell else { return };
-        let own = if spell.lost { own.min(longest_gap(settings)) } else { own };
-        let (first, longest) = TRIAL_GAPS_OF_FALL;
-        let gap =
-            growing_gap(settings.rules.fall, first, spell.trials).min(settings.rules.fall.mul_f64(longest));
-        spell.next_trial = now + gap.max(Duration::from_secs_f64(own)).mul_f64(0.5 + chance / 2.0);
-    }
-}
-
-/// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
-/// one courier meets each partner too seldom to learn it there.
-#[derive(Default)]
-struct Reaping {
-    risk: f64,
-    /// Risk of losing a call on a new connection: what is lost there is not for idleness.
-    other: f64,
-    /// Shortest idle time that lost a call.
-    idle: Duration,
-    next_check: Time,
-}
-
 /// A courier: records events in `handle`, acts in `decide`.
 #[derive(Default)]
 pub struct Courier {
@@ -296,11 +133,7 @@
             Event::Accept(message) => self.on_accept(now, message),
             Event::Finished(finished) => self.on_finished(now, finished),
             Event::ClientGone(id) => self.close(id),
-            Event::TickDue(token) => {
-                if self.wake.is_some_and(|(_, t)| t == token) {
-                    self.wake = None;
-                }
-            }
+            Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
             Event::FirstByte(_) | Event::Probed { .. } | Event::Note { .. } => {}
         }
     }
@@ -331,14 +164,13 @@
             }
         };
         for entry in entries {
-            let (weight, ceiling) = self.weight_of(&entry);
+            let weight = self.weight_of(&entry);
             let usual = self.usual;
-            let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
                 let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
                 Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
             });
-            (route.weight, route.ceiling, route.batch) = (weight, ceiling, batch);
+            route.weight = weight;
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -516,7 +348,7 @@
         let (settings, chance) = (&self.settings, self.rng.f64());
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
-            (route.weight, route.ceiling) = (limit, limit);
+            route.weight = limit;
         }
         // A time-out is a sample too, of at least its length: else it would stay too short all through a slow
         // spell, and each repeat would meet the first call still running.
@@ -524,13 +356,13 @@
             if route.latency.samples == 0 {
                 route.latency = Latency { samples: 0, ..self.usual };
             }
-            route.latency.learn(finished.latency);
+            route.latency.learn(finished.latency, LATENCY_GAIN);
         }
         // With a success since it was sent, a lost call says nothing of the route.
         let alone = call.sent >= route.last_answer;
         match finished.outcome {
             Outcome::Ok => {
-                self.usual.learn(finished.latency);
+                self.usual.learn(finished.latency, LATENCY_GAIN);
                 // A destination that gave no success for a while may be cold: it gets a slow start. Couriers
                 // that saw only the end of an outage are covered by counting from the last success.
                 let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
@@ -542,7 +374,7 @@
                 if route.bound {
                     let growth = RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
                     let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
-                    route.rate = (route.rate + growth).min(route.ceiling);
+                    route.rate += growth;
                 }
                 route.spell = None;
                 (route.evidence, route.cuts) = (0, 0);
@@ -557,7 +389,7 @@
                     let late = route.sent.rate(now, LATE_S, 0.0);
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    let slowest = SLOWEST_PART * route.own_part(now, settings);
+                    let slowest = route.own_part(now, settings) / TRIAL_PART;
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
                 }
@@ -643,29 +475,25 @@
     fn pace(&mut self, now: Time, id: RouteId) -> f64 {
         let (settings, rules) = (&self.settings, &self.settings.rules);
         let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
-        let mut rate = route.rate;
-        if route.batch > 1 {
-            let needed = route.demand.rate(now, cold_s(settings), 0.0) / (route.batch as f64 * GATHER_FILL);
-            rate = rate.min(needed.max(1.0 / (GATHER_OF_AIM * shortest_aim(settings))));
-        }
-        let Some(returned) = route.returned else { return rate };
+        let Some(returned) = route.returned else { return route.rate };
         let warmth = (now - returned).as_secs_f64() / cold_s(settings);
         if warmth >= 1.0 {
             route.returned = None;
-            return rate;
+            return route.rate;
         }
-        // This courier's part of what a returning destination survives goes by its own demand: an even part of
-        // the told rate is too little where a few couriers carry most, and were all to do the same, they
-        // would send no more than the budget together.
+        // This courier's part of what a returning destination survives goes by its own demand: an even part
+        // is too little where a few couriers carry most, and all together still send no more than the budget.
         let part = route.own_part(now, settings);
         let share = rules.cold_from + (1.0 - rules.cold_from) * warmth;
-        (part * share * rules.tip_multiple * FALL_BUDGET_USED).max(longest_gap(settings).recip()).min(rate)
+        (part * share * rules.tip_multiple * FALL_BUDGET_USED)
+            .max(longest_gap(settings).recip())
+            .min(route.rate)
     }
 
     // ---- Choice ----
 
-    /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many, to
-    /// the one whose best message is worth most for the time that it takes. Says when to look again.
+    /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many,
+    /// to the one whose best message is worth most for the time that it takes. Says when to look again.
     fn send_ready(&mut self, now: Time) -> Option<Time> {
         let mut next = None;
         let mut ready: Vec<(DestinationId, f64)> = Vec::new();
@@ -798,11 +626,12 @@
         let idle = self.idle_connection(now, to, first);
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
+        let kind = usize::from(address.entry.kind.0);
         let zone = address.entry.zone;
         let Some(route) = self.routes.get_mut(&id) else { return };
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
-        let mut room = route.batch;
+        let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
@@ -982,13 +811,10 @@
         RouteId(entry.destination, apart.then_some(entry.id))
     }
 
-    /// Told weight of a route, and its highest meaning.
-    fn weight_of(&self, entry: &Endpoint) -> (f64, f64) {
-        let told = entry.weight.max(0.1);
+    fn weight_of(&self, entry: &Endpoint) -> f64 {
         match self.settings.weights {
-            WeightSource::Silent => (self.settings.call_slots as f64, self.settings.call_slots as f64),
-            WeightSource::Rough => (told, told / ROUGH_WEIGHT),
-            WeightSource::Nominal => (told, told),
+            WeightSource::Silent => self.settings.call_slots as f64,
+            WeightSource::Rough | WeightSource::Nominal => entry.weight.max(0.1),
         }
     }
 
@@ -1013,6 +839,27 @@
     RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
 }
 
+impl Route {
+    /// This courier's part of what a destination takes, a second: its own demand, or an even part.
+    fn own_part(&mut self, now: Time, settings: &Settings) -> f64 {
+        let even = self.weight / f64::from(settings.couriers.max(1));
+        self.demand.rate(now, cold_s(settings), 0.0).max(even)
+    }
+
+    /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's own
+    /// part, as trials that are refused can use up a small limit all by themselves (incident i2aa64d). Only
+    /// where calls are lost a light courier tries sooner, for its messages would run out.
+    fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
+        let own = TRIAL_PART / self.own_part(now, settings).max(0.001);
+        let Some(spell) = &mut self.spell else { return };
+        let own = if spell.lost { own.min(longest_gap(settings)) } else { own };
+        let (first, longest) = TRIAL_GAPS_OF_FALL;
+        let gap =
+            growing_gap(settings.rules.fall, first, spell.trials).min(settings.rules.fall.mul_f64(longest));
+        spell.next_trial = now + gap.max(Duration::from_secs_f64(own)).mul_f64(0.5 + chance / 2.0);
+    }
+}
+
 fn earliest(next: &mut Option<Time>, at: Option<Time>) {
     *next = [*next, at].into_iter().flatten().min();
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,6 +28,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod books;
 mod choice;
 mod interface;
 
