--- a/src/choice.rs
+++ b/src/choice.rs
@@ -51,7 +51,7 @@
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
 /// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first and
-/// second time without a success, then to the slowest (`TRIAL_PART`): where refused calls use up the limit too,
+/// second time without a success, then to the slowest (`TRIAL_PART`): where refused calls use up the limit,
 /// nobody gets anything until all have slowed down.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
 const CUT_EVERY: Duration = Duration::from_millis(500);
