--- a/src/books.rs
+++ b/src/books.rs
@@ -105,6 +105,8 @@
     /// Calls a second that it takes from all couriers together, as told.
     pub weight: f64,
     pub endpoints: Vec<EndpointId>,
+    /// Messages that one call may carry.
+    pub batch: usize,
     pub rate: f64,
     pub tokens: f64,
     pub filled: Time,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -166,11 +166,12 @@
         for entry in entries {
             let weight = self.weight_of(&entry);
             let usual = self.usual;
+            let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
                 let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
                 Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
             });
-            route.weight = weight;
+            (route.weight, route.batch) = (weight, batch);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -346,6 +347,7 @@
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
         let (settings, chance) = (&self.settings, self.rng.f64());
+        let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             route.weight = limit;
@@ -386,10 +388,13 @@
                 let room = finished.allowance.is_some_and(|a| a.limit > 0.0 && a.left > ROOM_LEFT);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_OTHER };
                 if now - route.last_cut > CUT_EVERY {
-                    let late = route.sent.rate(now, LATE_S, 0.0);
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    let slowest = route.own_part(now, settings) / TRIAL_PART;
+                    // A clump must not wait at the pace of usual days until it has run out.
+                    let (part, calls) = (route.own_part(now, settings), waiting / route.batch as f64);
+                    let late =
+                        route.sent.rate(now, LATE_S, 0.0).max(part).max(calls / shortest_aim(settings));
+                    let slowest = (part / TRIAL_PART).max(calls / longest_gap(settings));
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
                 }
@@ -626,12 +631,11 @@
         let idle = self.idle_connection(now, to, first);
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
-        let kind = usize::from(address.entry.kind.0);
         let zone = address.entry.zone;
         let Some(route) = self.routes.get_mut(&id) else { return };
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
-        let mut room = self.settings.kinds.get(kind).map_or(1, |k| k.batch.max(1));
+        let mut room = route.batch;
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
