--- a/src/books.rs
+++ b/src/books.rs
@@ -43,6 +43,8 @@
 pub struct Address {
     pub entry: Endpoint,
     pub calls_out: usize,
+    /// Drawn once: orders endpoints that are else alike, for this courier only.
+    pub preference: u32,
     pub failures: u32,
     pub avoid_until: Time,
     /// When a call last ended there with its connection left open.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -178,7 +178,8 @@
             }
             route.endpoints.push(entry.id);
             let id = entry.id;
-            let address = Address { entry, calls_out: 0, failures: 0, avoid_until: Time::ZERO, used: None };
+            let (preference, avoid_until) = (self.rng.u32(..), Time::ZERO);
+            let address = Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used: None };
             self.addresses.insert(id, address);
         }
     }
@@ -610,7 +611,8 @@
             * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim * LOOK_AHEAD))
     }
 
-    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat.
+    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties go
+    /// by a preference drawn once: where each courier has few calls, all of them would pick the same one.
     fn address_for(&self, now: Time, id: RouteId, message: MessageId) -> Option<EndpointId> {
         let message = self.messages.get(&message)?;
         let class = self.class(message);
@@ -622,7 +624,7 @@
         endpoints
             .filter_map(|endpoint| self.addresses.get(endpoint))
             .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
-            .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.entry.id))
+            .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.preference))
             .map(|a| a.entry.id)
     }
 
