--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,6 +54,8 @@
 /// second time without a success, then to the slowest (`TRIAL_PART`): where refused calls use up the limit,
 /// nobody gets anything until all have slowed down.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
+/// The slowest rate still lets what waits go within so many aims.
+const SLOWEST_AIMS: f64 = 2.0;
 const CUT_EVERY: Duration = Duration::from_millis(500);
 /// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
 /// settles where a fixed part of the calls is refused, however many couriers share the limit.
@@ -395,7 +397,7 @@
                     let (part, calls) = (route.own_part(now, settings), waiting / route.batch as f64);
                     let late =
                         route.sent.rate(now, LATE_S, 0.0).max(part).max(calls / shortest_aim(settings));
-                    let slowest = (part / TRIAL_PART).max(calls / longest_gap(settings));
+                    let slowest = (part / TRIAL_PART).max(calls / (shortest_aim(settings) * SLOWEST_AIMS));
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
                 }
