--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -119,4 +119,18 @@
             allowance: None,
         }));
     }
+
+    /// A refusal that tells which share of which limit is left.
+    pub fn refuse(&mut self, message: u32, endpoint: u32, left: f64, limit: f64) {
+        let attempt = self.attempts.get(&message).map_or(0, |count| count - 1);
+        self.tell(Event::Finished(Finished {
+            message: MessageId(message),
+            endpoint: EndpointId(endpoint),
+            attempt,
+            outcome: Outcome::Full(None),
+            latency: ms(20),
+            complete: false,
+            allowance: Some(Allowance { left, limit }),
+        }));
+    }
 }
