--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,11 +43,11 @@
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
-/// only hints at it, single errors and refusals are everyday life.
+/// or an error hints at it (two in a row, as a light courier has few), single refusals are everyday life.
 const SPELL_AFTER: u32 = 6;
 const EVIDENCE_NO_CONNECTION: u32 = 6;
 const EVIDENCE_LOST: u32 = 3;
-const EVIDENCE_OTHER: u32 = 1;
+const EVIDENCE_REFUSED: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
 /// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: the first and
@@ -389,7 +389,7 @@
             Outcome::Full(_) => {
                 // Refused though there is room inside the limit: it is shut or hangs with its queue full.
                 let room = finished.allowance.is_some_and(|a| a.limit > 0.0 && a.left > ROOM_LEFT);
-                route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_OTHER };
+                route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
@@ -404,7 +404,7 @@
                 // By chance, as all that were refused together would come back together.
                 route.tokens = route.tokens.min(-chance);
             }
-            Outcome::Error => route.evidence += EVIDENCE_OTHER,
+            Outcome::Error => route.evidence += EVIDENCE_LOST,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
             Outcome::Timeout | Outcome::Reset | Outcome::Cancelled if alone => {
                 route.evidence += EVIDENCE_LOST
@@ -613,8 +613,8 @@
             * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim * LOOK_AHEAD))
     }
 
-    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties go
-    /// by a preference drawn once: where each courier has few calls, all of them would pick the same one.
+    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties
+    /// go by a preference drawn once: where each courier has few calls, all would pick the same one.
     fn address_for(&self, now: Time, id: RouteId, message: MessageId) -> Option<EndpointId> {
         let message = self.messages.get(&message)?;
         let class = self.class(message);
