--- a/src/choice.rs
+++ b/src/choice.rs
@@ -301,10 +301,8 @@
         if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
             match finished.outcome {
-                Outcome::Ok | Outcome::Full(_) => {
-                    address.used = Some(now);
-                    address.failures = 0;
-                }
+                Outcome::Ok => (address.used, address.failures) = (Some(now), 0),
+                Outcome::Full(_) => address.used = Some(now),
                 _ if reaped => {}
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     address.failures += 1;
@@ -363,8 +361,11 @@
             }
             route.latency.learn(finished.latency, LATENCY_GAIN);
         }
-        // With a success since it was sent, a lost call says nothing of the route.
+        // With a success since it was sent, a lost call says nothing of the route; while an endpoint is left that
+        // did not fail, only a missing connection does, as most outages take all endpoints.
+        let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
         let alone = call.sent >= route.last_answer;
+        let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
         match finished.outcome {
             Outcome::Ok => {
                 self.usual.learn(finished.latency, LATENCY_GAIN);
@@ -404,9 +405,9 @@
                 // By chance, as all that were refused together would come back together.
                 route.tokens = route.tokens.min(-chance);
             }
-            Outcome::Error => route.evidence += EVIDENCE_LOST,
+            Outcome::Error if all_sick => route.evidence += EVIDENCE_LOST,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
-            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled if alone => {
+            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled if all_sick => {
                 route.evidence += EVIDENCE_LOST
             }
             _ => {}
