--- a/src/choice.rs
+++ b/src/choice.rs
@@ -361,8 +361,8 @@
             }
             route.latency.learn(finished.latency, LATENCY_GAIN);
         }
-        // With a success since it was sent, a lost call says nothing of the route; while an endpoint is left that
-        // did not fail, only a missing connection does, as most outages take all endpoints.
+        // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets while
+        // an endpoint is left that did not fail; silence does, as a hang mostly takes all.
         let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
         let alone = call.sent >= route.last_answer;
         let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
@@ -405,11 +405,9 @@
                 // By chance, as all that were refused together would come back together.
                 route.tokens = route.tokens.min(-chance);
             }
-            Outcome::Error if all_sick => route.evidence += EVIDENCE_LOST,
+            Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
-            Outcome::Timeout | Outcome::Reset | Outcome::Cancelled if all_sick => {
-                route.evidence += EVIDENCE_LOST
-            }
+            Outcome::Timeout | Outcome::Cancelled if alone => route.evidence += EVIDENCE_LOST,
             _ => {}
         }
         if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
