--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,7 +39,9 @@
 /// couriers together try at a part of the usual demand, whoever carries most ...
 const TRIAL_PART: f64 = 3.0;
 /// ... and where calls are lost, one with little traffic waits for this part of the deadline at most.
-const TRIAL_GAP_OF_DEADLINE: f64 = 0.8;
+const TRIAL_GAP_OF_DEADLINE: f64 = 1.2;
+/// Shortest part of a gap that chance may leave: who failed together must not come back together.
+const TRIAL_JITTER_FROM: f64 = 0.25;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
 /// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
@@ -307,7 +309,7 @@
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     address.failures += 1;
                     let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
-                    address.avoid_until = now + gap.mul_f64(0.5 + self.rng.f64() / 2.0);
+                    address.avoid_until = now + gap.mul_f64(self.rng.f64());
                 }
                 Outcome::Cancelled | Outcome::Moot => {}
             }
@@ -361,8 +363,8 @@
             }
             route.latency.learn(finished.latency, LATENCY_GAIN);
         }
-        // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets while
-        // an endpoint is left that did not fail; silence does, as a hang mostly takes all.
+        // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets
+        // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
         let sound = |a: &Address| a.entry.mode == Mode::Ready && a.failures == 0;
         let alone = call.sent >= route.last_answer;
         let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
@@ -863,7 +865,10 @@
         let (first, longest) = TRIAL_GAPS_OF_FALL;
         let gap =
             growing_gap(settings.rules.fall, first, spell.trials).min(settings.rules.fall.mul_f64(longest));
-        spell.next_trial = now + gap.max(Duration::from_secs_f64(own)).mul_f64(0.5 + chance / 2.0);
+        spell.next_trial = now
+            + gap
+                .max(Duration::from_secs_f64(own))
+                .mul_f64(TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM));
     }
 }
 
