--- a/src/choice.rs
+++ b/src/choice.rs
@@ -396,11 +396,14 @@
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    // A clump must not wait at the pace of usual days until it has run out.
-                    let (part, calls) = (route.own_part(now, settings), waiting / route.batch as f64);
-                    let late =
-                        route.sent.rate(now, LATE_S, 0.0).max(part).max(calls / shortest_aim(settings));
-                    let slowest = (part / TRIAL_PART).max(calls / (shortest_aim(settings) * SLOWEST_AIMS));
+                    // A clump must not wait at the pace of usual days until it has run out; where a call
+                    // carries many, what waits goes together, and a call an aim is enough.
+                    let (part, an_aim) = (route.own_part(now, settings), shortest_aim(settings).recip());
+                    let waiting = if route.batch > 1 { 0.0 } else { waiting };
+                    let late = route.sent.rate(now, LATE_S, 0.0);
+                    let late = if route.batch > 1 { late.min(an_aim) } else { late };
+                    let late = late.max(part).max(waiting * an_aim);
+                    let slowest = (part / TRIAL_PART).max(waiting * an_aim / SLOWEST_AIMS);
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
                 }
