--- a/src/choice.rs
+++ b/src/choice.rs
@@ -401,7 +401,7 @@
                     let (part, an_aim) = (route.own_part(now, settings), shortest_aim(settings).recip());
                     let waiting = if route.batch > 1 { 0.0 } else { waiting };
                     let late = route.sent.rate(now, LATE_S, 0.0);
-                    let late = if route.batch > 1 { late.min(an_aim / SLOWEST_AIMS) } else { late };
+                    let late = if route.batch > 1 { late.min(an_aim) } else { late };
                     let late = late.max(part).max(waiting * an_aim);
                     let slowest = (part / TRIAL_PART).max(waiting * an_aim / SLOWEST_AIMS);
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -562,3 +562,27 @@
         bench.finish(id, 7, Outcome::Ok, ms(30));
     }
 }
+
+/// Incident i4182c2: refused calls use up the limit, and first and second attempts alone kept it used up.
+#[test]
+fn where_calls_carry_many_one_refusal_slows_down_to_a_call_an_aim() {
+    let sends_after_a_refusal = |batch: usize| {
+        let base = settings(vec![safe()]);
+        let kinds = vec![Kind { batch, own_limits: false }];
+        let mut bench = Bench::new(Settings { couriers: 400, kinds, ..base }, vec![endpoint(7, 1)]);
+        bench.accept(1, 0, 1, None);
+        let mut calls = 0;
+        let began = bench.now;
+        while bench.now - began < Duration::from_secs(3) {
+            let sent = bench.routes();
+            calls += sent.len();
+            for (id, to, _) in sent {
+                bench.finish(id, to, Outcome::Full(None), ms(20));
+            }
+            bench.now = bench.now + ms(20);
+        }
+        calls
+    };
+    assert!(sends_after_a_refusal(20) < sends_after_a_refusal(1));
+    assert_eq!(sends_after_a_refusal(20), 1);
+}
