--- a/src/choice.rs
+++ b/src/choice.rs
@@ -398,8 +398,7 @@
                     route.cuts += 1;
                     // A clump must not wait at the pace of usual days until it has run out; where a call
                     // carries many, what waits goes together, and a call an aim is enough.
-                    let part = route.own_part(now, settings) / route.batch as f64;
-                    let an_aim = shortest_aim(settings).recip();
+                    let (part, an_aim) = (route.own_part(now, settings), shortest_aim(settings).recip());
                     let waiting = if route.batch > 1 { 0.0 } else { waiting };
                     let late = route.sent.rate(now, LATE_S, 0.0);
                     let late = if route.batch > 1 { late.min(an_aim) } else { late };
