--- a/src/choice.rs
+++ b/src/choice.rs
@@ -146,10 +146,10 @@
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         self.answer_due(now);
         self.shed(now);
-        let stall = self.note_stalls(now);
+        let mut next = self.note_stalls(now);
         self.free_pinned_slot(now);
-        let next = self.send_ready(now);
-        self.set_wake(now, [stall, next].into_iter().flatten().min());
+        self.send_ready(now, &mut next);
+        self.set_wake(now, next);
         actions.append(&mut self.actions);
     }
 
@@ -220,7 +220,7 @@
     /// cannot be seen: what passes the part assumed to be this courier's counts as beyond.
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
-        let part = (QUOTA_PART / f64::from(self.settings.couriers.max(1))).min(1.0);
+        let part = (QUOTA_PART / couriers(&self.settings)).min(1.0);
         let (left, since) = self.shares.entry(tenant).or_insert((quota * part, now));
         *left = (*left + (now - *since).as_secs_f64() * quota * part).min(quota * part);
         *since = now;
@@ -266,7 +266,7 @@
         }
         if finished.complete {
             self.close(finished.message);
-        } else if let Some(end) = self.last_send(finished.message) {
+        } else if let Some(end) = self.messages.get(&finished.message).and_then(|m| self.last_send(m)) {
             // What can never be sent again is answered at once: it would only fill what may be held and keep
             // its order key from the messages behind it.
             self.deadlines.insert((end.max(now), finished.message));
@@ -275,15 +275,12 @@
     }
 
     /// Until when a message may be sent again, if that ends before its deadline.
-    fn last_send(&self, id: MessageId) -> Option<Time> {
-        let message = self.messages.get(&id).filter(|m| !m.closed)?;
+    fn last_send(&self, message: &Message) -> Option<Time> {
         let class = self.class(message);
         match (message.maybe_ran, class.effect) {
             _ if message.attempts >= self.settings.send_cap => Some(Time::ZERO),
             (Some(_), Effect::Unsafe) => Some(Time::ZERO),
-            (Some((first, _)), Effect::Keyed) => {
-                Some(first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN))
-            }
+            (Some((first, _)), Effect::Keyed) => Some(window_end(class, first)),
             _ => None,
         }
     }
@@ -505,13 +502,12 @@
     // ---- Choice ----
 
     /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many,
-    /// to the one whose best message is worth most for the time that it takes. Says when to look again.
-    fn send_ready(&mut self, now: Time) -> Option<Time> {
-        let mut next = None;
+    /// to the one whose best message is worth most for its time. `next` tells when to look again.
+    fn send_ready(&mut self, now: Time, next: &mut Option<Time>) {
         let mut ready: Vec<(DestinationId, f64)> = Vec::new();
         if self.slots_free() > 0 {
             for to in self.queues.keys().copied().collect::<Vec<_>>() {
-                ready.extend(self.candidate(now, to, &mut next).map(|(.., value)| (to, value)));
+                ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
             }
         }
         while self.slots_free() > 0 {
@@ -521,11 +517,10 @@
             let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
             // Slots have gone since: what was free may not be so now.
             let (to, _) = ready.swap_remove(place);
-            let Some((route, endpoint, message, _)) = self.candidate(now, to, &mut next) else { continue };
+            let Some((route, endpoint, message, _)) = self.candidate(now, to, next) else { continue };
             self.send_call(now, route, endpoint, message);
-            ready.extend(self.candidate(now, to, &mut next).map(|(.., value)| (to, value)));
+            ready.extend(self.candidate(now, to, next).map(|(.., value)| (to, value)));
         }
-        next
     }
 
     fn calls_to(&self, destination: DestinationId) -> usize {
@@ -559,7 +554,7 @@
                 earliest(next, at);
                 continue;
             }
-            let fit = !trial || self.class(message).effect != Effect::Unsafe;
+            let fit = !trial || self.repeatable(message);
             let worth = self.worth(now, message);
             if best.is_none_or(|(best_fit, most, _)| (fit, worth) > (best_fit, most)) {
                 best = Some((fit, worth, message.taken.id));
@@ -572,12 +567,14 @@
         &self.settings.classes[usize::from(message.taken.class.0)]
     }
 
+    fn repeatable(&self, message: &Message) -> bool {
+        self.class(message).effect != Effect::Unsafe
+    }
+
     /// The one gate for every send: when this message may be sent; none if not before some event, or never.
     fn sendable_at(&self, now: Time, message: &Message) -> Option<Time> {
-        if message.closed || message.out.is_some() {
-            return None;
-        }
-        if self.last_send(message.taken.id).is_some_and(|end| now > end) {
+        let over = |end| now > end;
+        if message.closed || message.out.is_some() || self.last_send(message).is_some_and(over) {
             return None;
         }
         let class = self.class(message);
@@ -598,7 +595,7 @@
     /// late before what is fresh, and what is about to run out before what may wait.
     fn worth(&self, now: Time, message: &Message) -> f64 {
         // A repeat that must go before its window ends has nothing left after that.
-        let last = self.last_send(message.taken.id).map(|end| (end - message.born).as_secs_f64());
+        let last = self.last_send(message).map(|end| (end - message.born).as_secs_f64());
         let class = self.class(message);
         let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
         let value = |age: f64| {
@@ -679,7 +676,7 @@
         let idle = now - address.used.filter(|used| now - *used < self.settings.conn_idle)?;
         // With calls out, a second connection may have been idle for longer than was seen.
         let alone = address.calls_out == 0;
-        let repeatable = self.messages.get(&first).is_some_and(|m| self.class(m).effect != Effect::Unsafe);
+        let repeatable = self.messages.get(&first).is_some_and(|m| self.repeatable(m));
         let bearable = if repeatable { REAPED_RISKS.1 } else { REAPED_RISKS.0 };
         let reaping = &mut self.reaping;
         let short = alone && idle < reaping.idle.mul_f64(REAPED_MARGIN);
@@ -706,10 +703,9 @@
         let aim = class.aim.as_secs_f64();
         let span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
         let first = m.maybe_ran.map_or(now, |(first, _)| first);
-        let window = class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN);
         let last = m.attempts + 1 >= self.settings.send_cap
             || class.effect == Effect::Unsafe
-            || (class.effect == Effect::Keyed && now + span > first + window);
+            || (class.effect == Effect::Keyed && now + span > window_end(class, first));
         if last {
             left
         } else {
@@ -723,8 +719,8 @@
             return;
         }
         let hanging = |call: &Call| {
-            let repeatable = |m: &Message| self.class(m).effect != Effect::Unsafe;
-            let safe = call.carried.iter().filter_map(|m| self.messages.get(m)).all(repeatable);
+            let mut carried = call.carried.iter().filter_map(|m| self.messages.get(m));
+            let safe = carried.all(|m| self.repeatable(m));
             let patience = self.stall_patience(call.route) * if safe { 1 } else { UNSAFE_PATIENCE };
             !call.called_off && now - call.sent > patience
         };
@@ -854,7 +850,7 @@
 impl Route {
     /// This courier's part of what a destination takes, a second: its own demand, or an even part.
     fn own_part(&mut self, now: Time, settings: &Settings) -> f64 {
-        let even = self.weight / f64::from(settings.couriers.max(1));
+        let even = self.weight / couriers(settings);
         self.demand.rate(now, cold_s(settings), 0.0).max(even)
     }
 
@@ -868,13 +864,21 @@
         let (first, longest) = TRIAL_GAPS_OF_FALL;
         let gap =
             growing_gap(settings.rules.fall, first, spell.trials).min(settings.rules.fall.mul_f64(longest));
-        spell.next_trial = now
-            + gap
-                .max(Duration::from_secs_f64(own))
-                .mul_f64(TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM));
+        let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
+        spell.next_trial = now + gap.max(Duration::from_secs_f64(own)).mul_f64(jitter);
     }
 }
 
+/// Couriers that share the destinations: an even part is one over this.
+fn couriers(settings: &Settings) -> f64 {
+    f64::from(settings.couriers.max(1))
+}
+
+/// Until when a keyed message may be resent that may first have run in an attempt sent then.
+fn window_end(class: &Class, first: Time) -> Time {
+    first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
+}
+
 fn earliest(next: &mut Option<Time>, at: Option<Time>) {
     *next = [*next, at].into_iter().flatten().min();
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,30 +107,39 @@
         Vec::new()
     }
 
+    /// The same world with a courier of other settings and another seed.
+    pub fn restart(&mut self, settings: Settings, seed: u64, endpoints: Vec<Endpoint>) {
+        self.courier = Courier::new(settings.clone(), seed);
+        self.settings = settings;
+        self.tell(Event::Listed(Listing::Whole(endpoints)));
+    }
+
     pub fn finish(&mut self, message: u32, endpoint: u32, outcome: Outcome, latency: Duration) {
-        let attempt = self.attempts.get(&message).map_or(0, |count| count - 1);
-        self.tell(Event::Finished(Finished {
-            message: MessageId(message),
-            endpoint: EndpointId(endpoint),
-            attempt,
-            outcome,
-            latency,
-            complete: outcome == Outcome::Ok,
-            allowance: None,
-        }));
+        self.finish_telling(message, endpoint, outcome, latency, None);
     }
 
     /// A refusal that tells which share of which limit is left.
     pub fn refuse(&mut self, message: u32, endpoint: u32, left: f64, limit: f64) {
+        self.finish_telling(message, endpoint, Outcome::Full(None), ms(20), Some(Allowance { left, limit }));
+    }
+
+    fn finish_telling(
+        &mut self,
+        message: u32,
+        endpoint: u32,
+        outcome: Outcome,
+        latency: Duration,
+        allowance: Option<Allowance>,
+    ) {
         let attempt = self.attempts.get(&message).map_or(0, |count| count - 1);
         self.tell(Event::Finished(Finished {
             message: MessageId(message),
             endpoint: EndpointId(endpoint),
             attempt,
-            outcome: Outcome::Full(None),
-            latency: ms(20),
-            complete: false,
-            allowance: Some(Allowance { left, limit }),
+            outcome,
+            latency,
+            complete: outcome == Outcome::Ok,
+            allowance,
         }));
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -424,9 +424,7 @@
 #[test]
 fn a_message_whose_attempts_are_used_up_is_handed_back_at_once() {
     let mut bench = one(unsafe_class());
-    bench.settings.send_cap = 1;
-    bench.courier = Courier::new(bench.settings.clone(), 1);
-    bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+    bench.restart(Settings { send_cap: 1, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
     bench.accept(1, 0, 1, None);
     bench.routes();
     bench.finish(1, 7, Outcome::Full(None), ms(20));
@@ -466,9 +464,7 @@
 fn a_single_reset_opens_no_spell_but_a_missing_connection_does() {
     let next_send = |outcome: Outcome| {
         let mut bench = one(safe());
-        bench.settings.couriers = 100;
-        bench.courier = Courier::new(bench.settings.clone(), 1);
-        bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+        bench.restart(Settings { couriers: 100, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
         bench.now = bench.now + ms(20);
@@ -529,9 +525,7 @@
     let mut trials = 0;
     for seed in 0..100 {
         let mut bench = one(safe());
-        bench.settings.couriers = 400;
-        bench.courier = Courier::new(bench.settings.clone(), seed);
-        bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+        bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
         bench.finish(1, 7, Outcome::ConnectFailed, ms(20));
@@ -552,9 +546,7 @@
 #[test]
 fn a_light_courier_sends_at_once_while_nothing_was_refused() {
     let mut bench = one(safe());
-    bench.settings.couriers = 400;
-    bench.courier = Courier::new(bench.settings.clone(), 1);
-    bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+    bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
     for id in 0..10 {
         bench.accept(id, 0, 1, None);
         assert_eq!(bench.routes().len(), 1);
