Subscribe where the list must be asked for; worth by halves; close idle connections where endpoints have no room

Change: a risk by kind, raised by 304 and lowered by answers; from 2% on a connection that no call takes at once is closed after use, unless the next call is due within two calls' time. Other symptoms: partners that refuse connections for other reasons; harm: after an outage by refused connections some hundred messages pay for a new connection. Taken for granted before: that an idle connection harms nobody; that news of the list comes unasked; that worth falls evenly; that a message with little time left is an old one.

--- a/src/bin/cloverstile-wirehost/host.rs
+++ b/src/bin/cloverstile-wirehost/host.rs
@@ -94,6 +94,7 @@
                     key: (key != 0).then_some(OrderKey(key)),
                     deadline: Time(deadline),
                     from_dead_courier: opts & 16 != 0,
+                    again: opts & 2 != 0,
                     tenant: TenantId(owner),
                 };
                 (who, Event::Accept(accepted))
@@ -181,7 +182,9 @@
         Action::Route { message, endpoint, try_for } => {
             Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
         }
-        Action::Busy { message } => Reply::Busy { who, call: message.0, stay_away: 0 },
+        Action::Busy { message, stay_away } => {
+            Reply::Busy { who, call: message.0, stay_away: nanos(stay_away) }
+        }
         Action::ReportFailure { message } => Reply::ReportFailure { who, call: message.0 },
         Action::StopAttempt { message, attempt } => {
             Reply::StopAttempt { who, call: message.0, trial: attempt }
--- a/src/bin/cloverstile-wirehost/settings.rs
+++ b/src/bin/cloverstile-wirehost/settings.rs
@@ -1,6 +1,6 @@
 //! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped.
 
-use cloverstile::{Class, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
+use cloverstile::{Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 use std::time::Duration;
@@ -93,6 +93,22 @@
                 ("live", WeightSource::Silent),
             ],
         )?,
+        discovery: lines.choice(
+            "Discovery",
+            base.discovery,
+            &[("push", Discovery::Push), ("ask", Discovery::Ask)],
+        )?,
+        decay: lines.choice(
+            "FamilyInfo.Decay",
+            base.decay,
+            &[("line", Decay::Line), ("halves", Decay::Halves)],
+        )?,
+        marks_again: lines.or("ClientHabits.MarksRetry", base.marks_again)?,
+        stay_away_most: if lines.or("Permissions.RetryAfter", false)? {
+            lines.get("Permissions.MaxRetryAfter")?.map(Duration::from_nanos)
+        } else {
+            None
+        },
         call_slots: lines.or("FamilyInfo.CallsOut", base.call_slots)?,
         most_held: lines.or("Permissions.MostHeld", base.most_held)?,
         send_cap: lines.or("Permissions.SendCap", base.send_cap)?,
@@ -108,6 +124,7 @@
             tip_multiple: lines.or("Rules.TipMultiple", rules.tip_multiple)?,
             fall: lines.span("Rules.Fall", rules.fall)?,
             order_settle: lines.span("Rules.OrderSettle", rules.order_settle)?,
+            ask_every: lines.span("Rules.AskEvery", rules.ask_every)?,
         },
     };
     Ok(Parsed { settings, left_at: place("x0"), limit_at: place("x1") })
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,10 @@
 const LIGHT: f64 = 2.0;
 /// After a refusal its next call comes by chance within so many calls of its pace more, for they are many.
 const LIGHT_SPREAD: f64 = 3.0;
+/// Gaps before asking for the list, as parts of the time that may pass without asking: the first one, which
+/// doubles with each failure, and the longest; full jitter.
+const ASK_FIRST: f64 = 0.5;
+const ASK_LONGEST: f64 = 1.5;
 /// Shortest part of a gap that chance may leave: who failed together must not come back together.
 const TRIAL_JITTER_FROM: f64 = 0.25;
 /// A spell without success shorter than this part of the fall window needs no slow start.
@@ -90,6 +94,14 @@
 /// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
 const REAPED_CHECK_AIMS: f64 = 4.0;
 
+/// Weight of a failed connection, and of an answer, in the risk that endpoints of a kind have no room for one: it
+/// is to outlast some hundred answers, as closing idle connections makes the room that speaks against it.
+const CROWDING_GAINS: (f64, f64) = (0.3, 0.03);
+/// Risk from which on idle connections of that kind are closed ...
+const CROWDED: f64 = 0.02;
+/// ... unless the next call there is expected within so many times what one takes.
+const KEEP_LATENCIES: f64 = 2.0;
+
 // ---- State ----
 
 /// A courier: records events in `handle`, acts in `decide`.
@@ -113,6 +125,12 @@
     /// Latency over all destinations: what one that was never called is assumed to need.
     usual: Latency,
     reaping: Reaping,
+    /// How likely an endpoint of a kind has no room for a connection, and where a call just ended.
+    crowding: BTreeMap<KindId, f64>,
+    ended: BTreeSet<EndpointId>,
+    /// When to ask to be kept informed of the list, and calls for it that failed in a row.
+    ask_at: Option<Time>,
+    asks_failed: u32,
     wake: Option<(Time, u64)>,
     token: u64,
     /// What is to be done, until `decide` hands it over.
@@ -141,11 +159,15 @@
 
     /// Acts on all that was recorded.
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.ask_at.take_if(|at| *at <= now).is_some() {
+            self.actions.push(Action::KeepInformed { active: true });
+        }
         self.answer_due(now);
         self.shed(now);
         let mut next = self.note_stalls(now);
         self.free_pinned_slot(now);
         self.send_ready(now, &mut next);
+        self.close_crowding(now);
         self.set_wake(now, next);
         actions.append(&mut self.actions);
     }
@@ -153,6 +175,15 @@
     // ---- Events ----
 
     fn on_listing(&mut self, now: Time, listing: Listing) {
+        // Without a subscription no drain is told. All couriers start at once and the list answers only so many:
+        // they ask spread over half of what the rules let pass, and after a failure later still.
+        let (first, failed) = (self.addresses.is_empty(), matches!(listing, Listing::Failed));
+        self.asks_failed = if failed { self.asks_failed + 1 } else { 0 };
+        if self.settings.discovery == Discovery::Ask && (failed || first) {
+            let gap = growing_gap(self.settings.rules.ask_every, ASK_FIRST, self.asks_failed);
+            let gap = gap.min(self.settings.rules.ask_every.mul_f64(ASK_LONGEST));
+            self.ask_at = Some(now + gap.mul_f64(self.rng.f64()));
+        }
         let entries = match listing {
             Listing::Failed => return,
             Listing::Changes(entries) => entries,
@@ -186,7 +217,9 @@
 
     fn on_accept(&mut self, now: Time, taken: Accepted) {
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
-        let born = taken.deadline - class.deadline;
+        // Where clients mark what they hand in again, a fresh one with little time left is not an old one.
+        let fresh = self.settings.marks_again && !taken.again && !taken.from_dead_courier;
+        let born = if fresh { now } else { taken.deadline - class.deadline };
         // A keyed message of a courier that died may have run there at any time since it was handed in.
         let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
         if let (true, Some(key)) = (class.in_order, taken.key) {
@@ -295,6 +328,13 @@
         let rules = &self.settings.rules;
         if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
+            self.ended.insert(call.to);
+            let crowding = self.crowding.entry(address.entry.kind).or_default();
+            match finished.outcome {
+                Outcome::Ok => *crowding -= CROWDING_GAINS.1 * *crowding,
+                Outcome::ConnectFailed => *crowding += CROWDING_GAINS.0 * (1.0 - *crowding),
+                _ => {}
+            }
             match finished.outcome {
                 Outcome::Ok => (address.used, address.failures) = (Some(now), 0),
                 Outcome::Full(_) => address.used = Some(now),
@@ -595,16 +635,17 @@
     /// Worth still to be won, and what of it waiting would lose: on time before late, what is about to be
     /// late before what is fresh, and what is about to run out before what may wait.
     fn worth(&self, now: Time, message: &Message) -> f64 {
-        // A repeat that must go before its window ends has nothing left after that.
-        let last = self.last_send(message).map(|end| (end - message.born).as_secs_f64());
+        // Nothing is left after the deadline, nor of a repeat after its window.
+        let end =
+            self.last_send(message).map_or(message.taken.deadline, |end| end.min(message.taken.deadline));
+        let end = (end - message.born).as_secs_f64();
         let class = self.class(message);
-        let (aim, span) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
-        let value = |age: f64| {
-            let late = ((age - aim) / (span - aim).max(0.001)).max(0.0);
-            if late > 1.0 || last.is_some_and(|end| age > end) {
-                return 0.0;
-            }
-            1.0 - (1.0 - class.late_share) * late
+        let (aim, span) = (class.aim.as_secs_f64().max(0.001), class.deadline.as_secs_f64());
+        let value = |age: f64| match self.settings.decay {
+            _ if age > end => 0.0,
+            _ if age <= aim => 1.0,
+            Decay::Line => 1.0 - (1.0 - class.late_share) * (age - aim) / (span - aim).max(0.001),
+            Decay::Halves => ((aim - age) / aim).exp2().max(class.late_share),
         };
         let age = (now - message.born).as_secs_f64();
         let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
@@ -688,6 +729,24 @@
         None
     }
 
+    /// Where endpoints have no room for a connection, those that would idle here are closed once no call takes
+    /// them: idle ones count, and with hundreds of couriers they fill the room while nobody is being served.
+    fn close_crowding(&mut self, now: Time) {
+        for id in std::mem::take(&mut self.ended) {
+            let Some(address) = self.addresses.get(&id).filter(|a| a.calls_out == 0 && a.used.is_some())
+            else {
+                continue;
+            };
+            let crowding = self.crowding.get(&address.entry.kind).copied().unwrap_or(0.0);
+            let Some(route) = self.routes.get_mut(&self.route_of(&address.entry)) else { continue };
+            let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
+            if crowding > CROWDED && calls * route.latency.mean * KEEP_LATENCIES < 1.0 {
+                self.actions.push(Action::CloseIdle { endpoint: id });
+                self.addresses.entry(id).and_modify(|a| a.used = None);
+            }
+        }
+    }
+
     /// Follows the destination's own latency. An attempt that could not be followed by another gets all the
     /// time that the message has: its time-out would be final.
     fn time_out(&self, now: Time, id: RouteId, message: MessageId) -> Duration {
@@ -737,7 +796,9 @@
             Effect::Safe => true,
             _ => message.maybe_ran.is_none() && message.out.is_none(),
         };
-        Some(if refusable { Action::Busy { message: id } } else { Action::ReportFailure { message: id } })
+        let stay_away = Duration::ZERO;
+        let busy = Action::Busy { message: id, stay_away };
+        Some(if refusable { busy } else { Action::ReportFailure { message: id } })
     }
 
     fn answer(&mut self, id: MessageId) {
@@ -826,7 +887,7 @@
     /// One timer is outstanding: the earliest moment at which something could be done without an event.
     fn set_wake(&mut self, now: Time, next: Option<Time>) {
         let due = self.deadlines.first().map(|(due, _)| *due);
-        let Some(at) = [next, due].into_iter().flatten().min() else { return };
+        let Some(at) = [next, due, self.ask_at].into_iter().flatten().min() else { return };
         if self.wake.is_none_or(|(set, _)| at < set || set <= now) {
             self.token += 1;
             self.wake = Some((at, self.token));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,6 +146,24 @@
     Rough,
 }
 
+/// How news of the list of endpoints comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Unasked.
+    Push,
+    /// Only to those who asked ([`Action::KeepInformed`], [`Action::Refresh`]).
+    Ask,
+}
+
+/// How the worth of a message falls after its aim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decay {
+    /// Evenly, down to [`Class::late_share`] at the deadline.
+    Line,
+    /// By half with each further aim, but not under [`Class::late_share`].
+    Halves,
+}
+
 /// The figures of the rules.
 #[derive(Clone, Debug)]
 pub struct Rules {
@@ -161,6 +179,8 @@
     pub fall: Duration,
     /// A key rests this long after an attempt that may still be running.
     pub order_settle: Duration,
+    /// Where the list must be asked for: who has not asked for this long counts as told what was listed then.
+    pub ask_every: Duration,
 }
 
 /// What a courier is handed at its start.
@@ -176,6 +196,14 @@
     pub kinds: Vec<Kind>,
     /// What weights mean.
     pub weights: WeightSource,
+    /// How news of the list comes.
+    pub discovery: Discovery,
+    /// How worth falls after the aim.
+    pub decay: Decay,
+    /// Clients mark what they hand in again.
+    pub marks_again: bool,
+    /// Longest time that clients stay away when told to; none where they are not told.
+    pub stay_away_most: Option<Duration>,
     /// Calls that may be out at once.
     pub call_slots: usize,
     /// Messages that may be held; further ones are turned away before the courier.
@@ -204,6 +232,10 @@
             tenants: Vec::new(),
             kinds: vec![Kind { batch: 1, own_limits: false }],
             weights: WeightSource::Nominal,
+            discovery: Discovery::Push,
+            decay: Decay::Line,
+            marks_again: false,
+            stay_away_most: None,
             call_slots: 16,
             most_held: 400,
             send_cap: 8,
@@ -219,6 +251,7 @@
                 tip_multiple: 2.0,
                 fall: Duration::from_secs(2),
                 order_settle: Duration::ZERO,
+                ask_every: Duration::from_secs(10),
             },
         }
     }
@@ -278,6 +311,8 @@
     pub deadline: Time,
     /// A courier that died held it before; a keyed one may have run there.
     pub from_dead_courier: bool,
+    /// Marked as handed in again (see [`Settings::marks_again`]).
+    pub again: bool,
     /// Whose it is.
     pub tenant: TenantId,
 }
@@ -381,6 +416,8 @@
     Busy {
         /// The message.
         message: MessageId,
+        /// How long the client should stay away; zero for no advice.
+        stay_away: Duration,
     },
     /// Final answer: given up; the client is not told whether it took effect.
     ReportFailure {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 //! }])));
 //! courier.handle(now, Event::Accept(Accepted {
 //!     id: MessageId(1), class: ClassId(0), destination: DestinationId(3), key: None,
-//!     deadline: now + Duration::from_secs(20), from_dead_courier: false, tenant: TenantId(0),
+//!     deadline: now + Duration::from_secs(20), from_dead_courier: false, again: false, tenant: TenantId(0),
 //! }));
 //! let mut actions = Vec::new();
 //! courier.decide(now, &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,6 +52,7 @@
         key: key.map(OrderKey),
         deadline: now + rules.deadline,
         from_dead_courier: false,
+        again: false,
         tenant: TenantId(0),
     }
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -72,7 +72,7 @@
         for action in actions {
             match action {
                 Action::Route { message, endpoint, .. } => self.route(now, message.0, endpoint.0),
-                Action::Busy { message } => {
+                Action::Busy { message, .. } => {
                     let held = self.end(now, message.0);
                     let effect = self.settings.classes[self.held[&held].class].effect;
                     let held = &self.held[&held];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -28,7 +28,10 @@
     let mut bench = Bench::new(settings(vec![keyed()]), vec![]);
     bench.accept(1, 0, 1, None);
     let deadline = bench.now + bench.settings.classes[0].deadline;
-    assert_eq!(bench.until_action(Duration::from_secs(30)), [Action::Busy { message: MessageId(1) }]);
+    assert_eq!(
+        bench.until_action(Duration::from_secs(30)),
+        [Action::Busy { message: MessageId(1), stay_away: Duration::ZERO }]
+    );
     assert!(bench.now <= deadline + bench.settings.rules.answer_slack);
     assert!(bench.until_action(Duration::from_secs(30)).is_empty());
 }
@@ -129,6 +132,7 @@
         key: None,
         deadline: bench.now + (class.deadline - class.repeat_window),
         from_dead_courier: true,
+        again: true,
         tenant: TenantId(0),
     }));
     let end = bench.until_action(Duration::from_secs(30));
@@ -284,7 +288,7 @@
     (10..20).for_each(|id| bench.accept(id, 1, 1, None));
     let shed = bench.until_action(ms(5));
     assert!(!shed.is_empty());
-    assert!(shed.iter().all(|a| matches!(a, Action::Busy { message } if message.0 < 10)), "{shed:?}");
+    assert!(shed.iter().all(|a| matches!(a, Action::Busy { message, .. } if message.0 < 10)), "{shed:?}");
 }
 
 #[test]
@@ -365,13 +369,14 @@
         let (class, destination) = (ClassId(0), DestinationId(1));
         let id = MessageId(id);
         let from_dead_courier = false;
-        let taken = Accepted { id, class, destination, key: None, deadline, from_dead_courier, tenant };
+        let taken =
+            Accepted { id, class, destination, key: None, deadline, from_dead_courier, again: false, tenant };
         bench.tell(Event::Accept(taken));
     }
     let shed = bench.until_action(ms(5));
     assert!(!shed.is_empty());
     assert!(
-        shed.iter().all(|a| matches!(a, Action::Busy { message } if (6..20).contains(&message.0))),
+        shed.iter().all(|a| matches!(a, Action::Busy { message, .. } if (6..20).contains(&message.0))),
         "{shed:?}"
     );
 }
@@ -428,7 +433,7 @@
     bench.accept(1, 0, 1, None);
     bench.routes();
     bench.finish(1, 7, Outcome::Full(None), ms(20));
-    assert!(bench.decide().contains(&Action::Busy { message: MessageId(1) }));
+    assert!(bench.decide().contains(&Action::Busy { message: MessageId(1), stay_away: Duration::ZERO }));
 }
 
 /// Sends a message to each of `count` destinations in turn, each with a connection idle for two seconds; calls
