304 at a crowded kind is a lost call, not an outage; light couriers' trials by own demand, gaps without memory

The earlier sites' shortest deadline of 20 s had been taken for granted. Now a light courier's own demand, up to 1.5 times, stands for what was served to it, and the gap is drawn without memory, so that all trials together are a Poisson stream of the budget's rate whenever they began.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -326,6 +326,7 @@
             self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
         }
         let rules = &self.settings.rules;
+        let crowded = self.addresses.get(&call.to).is_some_and(|a| self.is_crowded(a.entry.kind));
         if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
             self.ended.insert(call.to);
@@ -348,7 +349,7 @@
             }
         }
         if !reaped {
-            self.learn(now, finished, &call);
+            self.learn(now, finished, &call, crowded);
         }
     }
 
@@ -381,7 +382,7 @@
     // ---- Health and pace ----
 
     /// Health and pace of a route, from the outcome of one call.
-    fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
+    fn learn(&mut self, now: Time, finished: &Finished, call: &Call, crowded: bool) {
         let (settings, chance) = (&self.settings, self.rng.f64());
         let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
         let Some(route) = self.routes.get_mut(&call.route) else { return };
@@ -457,6 +458,8 @@
                 route.tokens = route.tokens.min(-chance * spread);
             }
             Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
+            // Where endpoints have no room for a connection, one that failed is no outage yet.
+            Outcome::ConnectFailed if alone && crowded => route.evidence += EVIDENCE_LOST,
             Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
             Outcome::Timeout | Outcome::Cancelled if alone => route.evidence += EVIDENCE_LOST,
             _ => {}
@@ -729,6 +732,10 @@
         None
     }
 
+    fn is_crowded(&self, kind: KindId) -> bool {
+        self.crowding.get(&kind).is_some_and(|risk| *risk > CROWDED)
+    }
+
     /// Where endpoints have no room for a connection, those that would idle here are closed once no call takes
     /// them: idle ones count, and with hundreds of couriers they fill the room while nobody is being served.
     fn close_crowding(&mut self, now: Time) {
@@ -737,10 +744,10 @@
             else {
                 continue;
             };
-            let crowding = self.crowding.get(&address.entry.kind).copied().unwrap_or(0.0);
+            let crowded = self.is_crowded(address.entry.kind);
             let Some(route) = self.routes.get_mut(&self.route_of(&address.entry)) else { continue };
             let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
-            if crowding > CROWDED && calls * route.latency.mean * KEEP_LATENCIES < 1.0 {
+            if crowded && calls * route.latency.mean * KEEP_LATENCIES < 1.0 {
                 self.actions.push(Action::CloseIdle { endpoint: id });
                 self.addresses.entry(id).and_modify(|a| a.used = None);
             }
@@ -913,23 +920,24 @@
     /// times the limit), or by the even part. Trials, slow starts and last cuts share this one budget.
     fn fall_part(&mut self, now: Time, settings: &Settings, warmth: f64) -> f64 {
         let demand = self.demand.rate(now, cold_s(settings), 0.0);
-        let least = if self.is_light(now, settings) { shortest_deadline(settings).recip() } else { 0.0 };
-        let own = demand.clamp(self.share, self.share * DEMAND_OF_SERVED);
+        let most = if self.is_light(now, settings) { demand } else { self.share } * DEMAND_OF_SERVED;
+        let own = demand.min(most).max(self.share);
         let part = own.max(self.weight / couriers(settings));
         let share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * warmth;
-        (part * share * settings.rules.tip_multiple * FALL_BUDGET_USED).max(least)
+        part * share * settings.rules.tip_multiple * FALL_BUDGET_USED
     }
 
     /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
     /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
-        let own = Duration::from_secs_f64(self.fall_part(now, settings, 0.0).max(0.001).recip());
+        // Chance without memory: the trials of all couriers add up to the budget, however they began.
+        let own = Duration::from_secs_f64(-chance.max(0.01).ln() / self.fall_part(now, settings, 0.0).max(0.001));
         let Some(spell) = &mut self.spell else { return };
         let (fall, (first, longest)) = (settings.rules.fall, TRIAL_GAPS_OF_FALL);
         let gap = growing_gap(fall, first, spell.trials).min(fall.mul_f64(longest));
         let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
         // Behind a told wait no gap runs out: who waits together must not come back together.
-        spell.next_trial = now.max(self.told_wait) + gap.max(own).mul_f64(jitter);
+        spell.next_trial = now.max(self.told_wait) + gap.mul_f64(jitter).max(own);
     }
 }
 
@@ -958,12 +966,6 @@
     aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
 }
 
-/// Shortest deadline of a class, in seconds.
-fn shortest_deadline(settings: &Settings) -> f64 {
-    let deadline = settings.classes.iter().map(|c| c.deadline).min();
-    deadline.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(1.0)
-}
-
 /// How long a cold return lasts, in seconds.
 fn cold_s(settings: &Settings) -> f64 {
     settings.rules.cold.as_secs_f64().max(1.0)
