--- a/src/books.rs
+++ b/src/books.rs
@@ -49,6 +49,8 @@
     pub avoid_until: Time,
     /// When a call last ended there with its connection left open.
     pub used: Option<Time>,
+    /// Since when connections fail there, without an answer since.
+    pub no_room: Option<Time>,
 }
 
 /// Running mean and mean deviation of latencies, in seconds.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,10 +49,9 @@
 const TRIAL_JITTER_FROM: f64 = 0.25;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
-/// Evidence that opens a spell, and what each outcome adds: no connection says that it is down, a lost call
-/// or an error hints at it (two in a row, as a light courier has few), single refusals are everyday life.
+/// Evidence that opens a spell, and what each outcome adds: a lost call, an error or no connection hints at an
+/// outage (two in a row, as a light courier has few), single refusals are everyday life.
 const SPELL_AFTER: u32 = 6;
-const EVIDENCE_NO_CONNECTION: u32 = 6;
 const EVIDENCE_LOST: u32 = 3;
 const EVIDENCE_REFUSED: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
@@ -210,7 +209,9 @@
             }
             route.endpoints.push(entry.id);
             let (id, preference, avoid_until) = (entry.id, self.rng.u32(..), Time::ZERO);
-            let address = Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used: None };
+            let (used, no_room) = (None, None);
+            let address =
+                Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used, no_room };
             self.addresses.insert(id, address);
         }
     }
@@ -326,21 +327,31 @@
             self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
         }
         let rules = &self.settings.rules;
-        let crowded = self.addresses.get(&call.to).is_some_and(|a| self.is_crowded(a.entry.kind));
         if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
             self.ended.insert(call.to);
-            let crowding = self.crowding.entry(address.entry.kind).or_default();
             match finished.outcome {
-                Outcome::Ok => *crowding -= CROWDING_GAINS.1 * *crowding,
-                Outcome::ConnectFailed => *crowding += CROWDING_GAINS.0 * (1.0 - *crowding),
-                _ => {}
-            }
-            match finished.outcome {
-                Outcome::Ok => (address.used, address.failures) = (Some(now), 0),
+                Outcome::Ok => {
+                    let crowding = self.crowding.entry(address.entry.kind).or_default();
+                    *crowding -= CROWDING_GAINS.1 * *crowding;
+                    address.no_room = None;
+                    (address.used, address.failures) = (Some(now), 0);
+                }
                 Outcome::Full(_) => address.used = Some(now),
                 _ if reaped => {}
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
+                    // One that fails may lack room; what goes on failing for a fall window is down.
+                    if finished.outcome == Outcome::ConnectFailed {
+                        let crowding = self.crowding.entry(address.entry.kind).or_default();
+                        match address.no_room {
+                            Some(since) if now - since > rules.fall => {
+                                *crowding -= CROWDING_GAINS.0 * *crowding
+                            }
+                            Some(_) => {}
+                            None => *crowding += CROWDING_GAINS.0 * (1.0 - *crowding),
+                        }
+                        address.no_room.get_or_insert(now);
+                    }
                     address.failures += 1;
                     let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
                     address.avoid_until = now + gap.mul_f64(self.rng.f64());
@@ -349,7 +360,7 @@
             }
         }
         if !reaped {
-            self.learn(now, finished, &call, crowded);
+            self.learn(now, finished, &call);
         }
     }
 
@@ -382,7 +393,7 @@
     // ---- Health and pace ----
 
     /// Health and pace of a route, from the outcome of one call.
-    fn learn(&mut self, now: Time, finished: &Finished, call: &Call, crowded: bool) {
+    fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
         let (settings, chance) = (&self.settings, self.rng.f64());
         let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
         let Some(route) = self.routes.get_mut(&call.route) else { return };
@@ -458,10 +469,9 @@
                 route.tokens = route.tokens.min(-chance * spread);
             }
             Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
-            // Where endpoints have no room for a connection, one that failed is no outage yet.
-            Outcome::ConnectFailed if alone && crowded => route.evidence += EVIDENCE_LOST,
-            Outcome::ConnectFailed if alone => route.evidence += EVIDENCE_NO_CONNECTION,
-            Outcome::Timeout | Outcome::Cancelled if alone => route.evidence += EVIDENCE_LOST,
+            Outcome::ConnectFailed | Outcome::Timeout | Outcome::Cancelled if alone => {
+                route.evidence += EVIDENCE_LOST
+            }
             _ => {}
         }
         if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
@@ -732,10 +742,6 @@
         None
     }
 
-    fn is_crowded(&self, kind: KindId) -> bool {
-        self.crowding.get(&kind).is_some_and(|risk| *risk > CROWDED)
-    }
-
     /// Where endpoints have no room for a connection, those that would idle here are closed once no call takes
     /// them: idle ones count, and with hundreds of couriers they fill the room while nobody is being served.
     fn close_crowding(&mut self, now: Time) {
@@ -744,7 +750,7 @@
             else {
                 continue;
             };
-            let crowded = self.is_crowded(address.entry.kind);
+            let crowded = self.crowding.get(&address.entry.kind).is_some_and(|risk| *risk > CROWDED);
             let Some(route) = self.routes.get_mut(&self.route_of(&address.entry)) else { continue };
             let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
             if crowded && calls * route.latency.mean * KEEP_LATENCIES < 1.0 {
@@ -931,7 +937,8 @@
     /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
         // Chance without memory: the trials of all couriers add up to the budget, however they began.
-        let own = Duration::from_secs_f64(-chance.max(0.01).ln() / self.fall_part(now, settings, 0.0).max(0.001));
+        let own =
+            Duration::from_secs_f64(-chance.max(0.01).ln() / self.fall_part(now, settings, 0.0).max(0.001));
         let Some(spell) = &mut self.spell else { return };
         let (fall, (first, longest)) = (settings.rules.fall, TRIAL_GAPS_OF_FALL);
         let gap = growing_gap(fall, first, spell.trials).min(fall.mul_f64(longest));
