--- a/src/choice.rs
+++ b/src/choice.rs
@@ -251,8 +251,10 @@
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
         let part = (QUOTA_PART / couriers(&self.settings)).min(1.0);
-        let (left, since) = self.shares.entry(tenant).or_insert((quota * part, now));
-        *left = (*left + (now - *since).as_secs_f64() * quota * part).min(quota * part);
+        // What comes over a cold return's length, as a second's part is under one message at full size.
+        let most = quota * part * cold_s(&self.settings);
+        let (left, since) = self.shares.entry(tenant).or_insert((most, now));
+        *left = (*left + (now - *since).as_secs_f64() * quota * part).min(most);
         *since = now;
         let over = *left < 1.0;
         if !over {
