Routes apart: the least used first, demand in even parts; no rate invented where weights are silent

Cause (sede; simulated servers): candidate() took the first free route in order of id, so all couriers filled the same endpoint of a partner with routes apart; and each route counted the whole destination's demand and queue. Where weights are silent the courier's own slots stood for a rate.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -56,6 +56,8 @@
 const EVIDENCE_REFUSED: u32 = 1;
 /// Part of the fall budget that is used: refused calls, batches and chance need the rest.
 const FALL_BUDGET_USED: f64 = 0.8;
+/// Calls a second where no limit was told: more than any courier sends, so that only a refusal sets a pace.
+const UNTOLD_RATE: f64 = 1e4;
 /// On `full` the rate falls to this part of what was sent of late, at most once in `CUT_EVERY`: twice without
 /// a success, then to the part of the fall budget, as it may be an outage, or all may have to slow down.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
@@ -199,7 +201,8 @@
             let usual = self.usual;
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
-                let (rate, tokens, filled, latency, last_answer) = (weight, 1.0, now, usual, now);
+                let rate = if weight > 0.0 { weight } else { UNTOLD_RATE };
+                let (tokens, filled, latency, last_answer) = (1.0, now, usual, now);
                 Route { rate, tokens, filled, latency, last_answer, ..Route::default() }
             });
             (route.weight, route.batch) = (weight, batch);
@@ -229,8 +232,9 @@
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
         self.open += 1;
+        let part = self.routes_to(taken.destination).recip();
         for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
-            route.demand.rate(now, cold_s(&self.settings), 1.0);
+            route.demand.rate(now, cold_s(&self.settings), part);
         }
         let over_share = self.is_over_share(now, taken.tenant);
         let message = Message {
@@ -397,7 +401,8 @@
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
         let (settings, chance) = (&self.settings, self.rng.f64());
-        let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
+        let waiting =
+            self.queues.get(&call.route.0).map_or(0, Vec::len) as f64 / self.routes_to(call.route.0);
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             route.weight = limit;
@@ -580,6 +585,11 @@
         }
     }
 
+    /// How many routes a destination has: what is its own is theirs in even parts.
+    fn routes_to(&self, to: DestinationId) -> f64 {
+        self.routes.range(routes_of(to)).count().max(1) as f64
+    }
+
     fn calls_to(&self, destination: DestinationId) -> usize {
         self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
     }
@@ -587,6 +597,8 @@
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
     /// the time that a slot is taken; if none, `next` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
+        // Where routes are apart, the least used one that works goes first, as among the endpoints of a route.
+        let mut best: Option<(AddressOrder, Candidate)> = None;
         for route in self.routes.range(routes_of(to)).map(|(id, _)| *id).collect::<Vec<_>>() {
             let free = self.route_free_at(now, route);
             if free.is_none_or(|at| at > now) {
@@ -594,11 +606,21 @@
                 continue;
             }
             let Some((message, worth)) = self.pick(now, route, next) else { continue };
-            let Some(endpoint) = self.address_for(now, route, message) else { continue };
+            let chosen = self.messages.get(&message).and_then(|m| self.address_for(now, route, m));
+            let Some(endpoint) = chosen else { continue };
             let takes = self.routes[&route].latency.mean.max(0.001);
-            return Some((route, endpoint, message, worth / takes));
+            let order = (self.routes[&route].spell.is_some(), self.order_of(now, &self.addresses[&endpoint]));
+            if best.as_ref().is_none_or(|(least, _)| order < *least) {
+                best = Some((order, (route, endpoint, message, worth / takes)));
+            }
         }
-        None
+        best.map(|(_, candidate)| candidate)
+    }
+
+    /// Endpoints with fewest calls out first, sick ones last. Ties go by a preference drawn once: where each
+    /// courier has few calls, all would pick the same one.
+    fn order_of(&self, now: Time, a: &Address) -> (bool, usize, u32, u32) {
+        (a.avoid_until > now, a.calls_out, a.failures, a.preference)
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
@@ -606,7 +628,8 @@
         let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
         let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
-            let at = self.sendable_at(now, message);
+            let at =
+                self.sendable_at(now, message).filter(|_| self.address_for(now, route, message).is_some());
             if at.is_none_or(|at| at > now) {
                 earliest(next, at);
                 continue;
@@ -667,10 +690,8 @@
         class.worth * share * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
     }
 
-    /// The address of a route with the fewest calls out, sick ones last; inside the group of a repeat. Ties
-    /// go by a preference drawn once: where each courier has few calls, all would pick the same one.
-    fn address_for(&self, now: Time, id: RouteId, message: MessageId) -> Option<EndpointId> {
-        let message = self.messages.get(&message)?;
+    /// The best address of a route, inside the group of a repeat.
+    fn address_for(&self, now: Time, id: RouteId, message: &Message) -> Option<EndpointId> {
         let class = self.class(message);
         let zone = match (class.effect, class.group, message.maybe_ran) {
             (Effect::Keyed, Group::Zone, Some((_, zone))) => Some(zone?),
@@ -680,7 +701,7 @@
         endpoints
             .filter_map(|endpoint| self.addresses.get(endpoint))
             .filter(|a| a.entry.mode == Mode::Ready && zone.is_none_or(|z| a.entry.zone == z))
-            .min_by_key(|a| (a.avoid_until > now, a.calls_out, a.failures, a.preference))
+            .min_by_key(|a| self.order_of(now, a))
             .map(|a| a.entry.id)
     }
 
@@ -890,7 +911,7 @@
 
     fn weight_of(&self, entry: &Endpoint) -> f64 {
         match self.settings.weights {
-            WeightSource::Silent => self.settings.call_slots as f64,
+            WeightSource::Silent => 0.0,
             WeightSource::Rough | WeightSource::Nominal => entry.weight.max(0.1),
         }
     }
@@ -911,6 +932,9 @@
     }
 }
 
+/// Spell or none, then the order of an address.
+type AddressOrder = (bool, (bool, usize, u32, u32));
+
 /// The routes of a destination.
 fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
     RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
