--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,6 +67,8 @@
 const RATE_GROWTH: f64 = 0.25;
 /// A refusal with more than this share of the limit left, as told, is not for the limit.
 const ROOM_LEFT: f64 = 0.3;
+/// A refusal with less than this share left is for a limit that is used up: a clump must wait too.
+const USED_UP: f64 = 0.05;
 /// Growth where the share of the limit that is left is told: so many times that share.
 const TOLD_GROWTH: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
@@ -467,7 +469,9 @@
             }
             Outcome::Full(_) => {
                 // Refused though there is room inside the limit: it is shut or hangs with its queue full.
-                let room = finished.allowance.is_some_and(|a| a.limit > 0.0 && a.left > ROOM_LEFT);
+                let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left);
+                let room = left.is_some_and(|left| left > ROOM_LEFT);
+                let used_up = left.is_some_and(|left| left < USED_UP);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
@@ -475,7 +479,11 @@
                     // A clump must not wait at the pace of usual days until it has run out; where a call
                     // carries many, what waits goes together, and a call an aim is enough.
                     let an_aim = shortest_aim(settings).recip();
-                    let (waiting, most) = if route.batch > 1 { (0.0, an_aim) } else { (waiting, f64::MAX) };
+                    let (waiting, most) = match route.batch {
+                        _ if used_up => (0.0, 0.0),
+                        1 => (waiting, f64::MAX),
+                        _ => (0.0, an_aim),
+                    };
                     let late = route.sent.rate(now, LATE_S, 0.0).min(most);
                     let own = route.demand.rate(now, cold_s(settings), 0.0);
                     let late = late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim);
