--- a/src/books.rs
+++ b/src/books.rs
@@ -15,8 +15,6 @@
     pub maybe_ran: Option<(Time, Option<ZoneId>)>,
     pub not_before: Time,
     pub closed: bool,
-    /// Was refused for want of room before.
-    pub refused: bool,
     /// Beyond its tenant's share, and so worth little.
     pub over_share: bool,
 }
@@ -26,7 +24,6 @@
     pub route: RouteId,
     pub to: EndpointId,
     pub zone: ZoneId,
-    pub kind: KindId,
     pub sent: Time,
     pub carried: Vec<MessageId>,
     pub unanswered: usize,
@@ -112,7 +109,6 @@
     /// Calls a second that it takes from all couriers together, as told.
     pub weight: f64,
     pub endpoints: Vec<EndpointId>,
-    pub kind: KindId,
     /// Messages that one call may carry.
     pub batch: usize,
     pub rate: f64,
@@ -140,14 +136,6 @@
     pub out: BTreeSet<u64>,
 }
 
-/// What is learned over all destinations of a kind, as one courier meets each too seldom.
-pub struct Habits {
-    /// How likely an endpoint has no room for a connection.
-    pub crowding: f64,
-    /// Repeats of refused messages that may be sent.
-    pub repeats: f64,
-}
-
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default)]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,12 +105,6 @@
 /// ... unless the next call there is expected within so many times what one takes.
 const KEEP_LATENCIES: f64 = 2.0;
 
-/// Repeats of refused messages, for each message taken; one that is delivered costs nothing. Where refused calls
-/// use up the limit, repeats alone keep it used up.
-const REPEATS_PART: f64 = 0.2;
-/// What is assumed of a kind at first, repeats saved up included.
-const FIRST_HABITS: Habits = Habits { crowding: 0.0, repeats: 3.0 };
-
 // ---- State ----
 
 /// A courier: records events in `handle`, acts in `decide`.
@@ -134,8 +128,8 @@
     /// Latency over all destinations: what one that was never called is assumed to need.
     usual: Latency,
     reaping: Reaping,
-    habits: BTreeMap<KindId, Habits>,
-    /// Where a call just ended.
+    /// How likely an endpoint of a kind has no room for a connection, and where a call just ended.
+    crowding: BTreeMap<KindId, f64>,
     ended: BTreeSet<EndpointId>,
     /// When to ask to be kept informed of the list, and calls for it that failed in a row.
     ask_at: Option<Time>,
@@ -211,7 +205,7 @@
                 let rate = if weight > 0.0 { weight } else { UNTOLD_RATE };
                 Route { rate, tokens: 1.0, filled: now, last_answer: now, ..Route::default() }
             });
-            (route.weight, route.batch, route.kind) = (weight, batch, entry.kind);
+            (route.weight, route.batch) = (weight, batch);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -241,8 +235,6 @@
         let part = self.routes_to(taken.destination).recip();
         for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
             route.demand.rate(now, cold_s(&self.settings), part);
-            let habits = self.habits.entry(route.kind).or_insert(FIRST_HABITS);
-            habits.repeats = (habits.repeats + part * REPEATS_PART).min(FIRST_HABITS.repeats);
         }
         let over_share = self.is_over_share(now, taken.tenant);
         let message = Message {
@@ -253,7 +245,6 @@
             maybe_ran: may_have_run.then_some((born, None)),
             not_before: now,
             closed: false,
-            refused: false,
             taken,
         };
         self.messages.insert(message.taken.id, message);
@@ -296,11 +287,6 @@
         let gap = growing_gap(class.aim, BACKOFF_BASE_OF_AIM, message.attempts)
             .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM));
         message.not_before = now + gap.mul_f64(self.rng.f64());
-        let habits = self.habits.entry(call.kind).or_insert(FIRST_HABITS);
-        if finished.outcome == Outcome::Ok && message.refused {
-            habits.repeats = (habits.repeats + 1.0).min(FIRST_HABITS.repeats);
-        }
-        message.refused |= matches!(finished.outcome, Outcome::Full(_));
         // A call that may still be running lets its key rest before the next message of the key.
         let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
@@ -350,10 +336,10 @@
         if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
             self.ended.insert(call.to);
-            let habits = self.habits.entry(address.entry.kind).or_insert(FIRST_HABITS);
             match finished.outcome {
                 Outcome::Ok => {
-                    habits.crowding -= CROWDING_GAINS.1 * habits.crowding;
+                    let crowding = self.crowding.entry(address.entry.kind).or_default();
+                    *crowding -= CROWDING_GAINS.1 * *crowding;
                     address.no_room = None;
                     (address.used, address.failures) = (Some(now), 0);
                 }
@@ -362,7 +348,7 @@
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     // One that fails may lack room; what goes on failing for a fall window is down.
                     if finished.outcome == Outcome::ConnectFailed {
-                        let crowding = &mut habits.crowding;
+                        let crowding = self.crowding.entry(address.entry.kind).or_default();
                         match address.no_room {
                             Some(since) if now - since > rules.fall => {
                                 *crowding -= CROWDING_GAINS.0 * *crowding
@@ -650,15 +636,11 @@
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
     fn pick(&self, now: Time, route: RouteId, next: &mut Option<Time>) -> Option<(MessageId, f64)> {
-        let known = self.routes.get(&route)?;
-        let trial = known.spell.is_some();
-        let spent = !trial && self.habits.get(&known.kind).is_some_and(|h| h.repeats < 1.0);
+        let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
         let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
-            if spent && message.refused || self.address_for(now, route, message).is_none() {
-                continue;
-            }
-            let at = self.sendable_at(now, message);
+            let at =
+                self.sendable_at(now, message).filter(|_| self.address_for(now, route, message).is_some());
             if at.is_none_or(|at| at > now) {
                 earliest(next, at);
                 continue;
@@ -740,11 +722,7 @@
         let Some(address) = self.addresses.get_mut(&to) else { return };
         address.calls_out += 1;
         let zone = address.entry.zone;
-        let kind = address.entry.kind;
         let Some(route) = self.routes.get_mut(&id) else { return };
-        if route.spell.is_none() && self.messages.get(&first).is_some_and(|m| m.refused) {
-            self.habits.entry(kind).and_modify(|h| h.repeats -= 1.0);
-        }
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
         let mut room = route.batch;
@@ -771,7 +749,7 @@
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
         }
         let (route, sent, unanswered, stalled, called_off) = (id, now, carried.len(), false, false);
-        let call = Call { route, to, zone, kind, sent, carried, unanswered, idle, stalled, called_off };
+        let call = Call { route, to, zone, sent, carried, unanswered, idle, stalled, called_off };
         self.calls.insert(self.last_call, call);
     }
 
@@ -806,7 +784,7 @@
             else {
                 continue;
             };
-            let crowded = self.habits.get(&address.entry.kind).is_some_and(|h| h.crowding > CROWDED);
+            let crowded = self.crowding.get(&address.entry.kind).is_some_and(|risk| *risk > CROWDED);
             let Some(route) = self.routes.get_mut(&self.route_of(&address.entry)) else { continue };
             let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
             if crowded && calls * route.latency.mean * KEEP_LATENCIES < 1.0 {
