--- a/src/books.rs
+++ b/src/books.rs
@@ -109,6 +109,7 @@
     /// Calls a second that it takes from all couriers together, as told.
     pub weight: f64,
     pub endpoints: Vec<EndpointId>,
+    pub kind: KindId,
     /// Messages that one call may carry.
     pub batch: usize,
     pub rate: f64,
@@ -136,6 +137,15 @@
     pub out: BTreeSet<u64>,
 }
 
+/// What is learned over all destinations of a kind, as a courier meets each of them too seldom.
+#[derive(Default)]
+pub struct Habits {
+    /// How likely an endpoint has no room for a connection.
+    pub crowding: f64,
+    /// How likely a refusal is followed by another one with nothing left of the limit.
+    pub jam: f64,
+}
+
 /// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default)]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,6 +69,10 @@
 const ROOM_LEFT: f64 = 0.3;
 /// A refusal with less than this share left is for a limit that is used up: a clump must wait too.
 const USED_UP: f64 = 0.05;
+/// Weight of what follows a refusal in the risk that the next one finds nothing left either, and the risk from
+/// which on the first one counts as such: refused calls then use up the limit, and repeats keep it used up.
+const JAM_GAIN: f64 = 0.1;
+const JAMMED: f64 = 0.1;
 /// Growth where the share of the limit that is left is told: so many times that share.
 const TOLD_GROWTH: f64 = 2.0;
 /// What was sent of late: calls over about so many seconds.
@@ -128,8 +132,8 @@
     /// Latency over all destinations: what one that was never called is assumed to need.
     usual: Latency,
     reaping: Reaping,
-    /// How likely an endpoint of a kind has no room for a connection, and where a call just ended.
-    crowding: BTreeMap<KindId, f64>,
+    habits: BTreeMap<KindId, Habits>,
+    /// Where a call just ended.
     ended: BTreeSet<EndpointId>,
     /// When to ask to be kept informed of the list, and calls for it that failed in a row.
     ask_at: Option<Time>,
@@ -205,7 +209,7 @@
                 let rate = if weight > 0.0 { weight } else { UNTOLD_RATE };
                 Route { rate, tokens: 1.0, filled: now, last_answer: now, ..Route::default() }
             });
-            (route.weight, route.batch) = (weight, batch);
+            (route.weight, route.batch, route.kind) = (weight, batch, entry.kind);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -338,7 +342,7 @@
             self.ended.insert(call.to);
             match finished.outcome {
                 Outcome::Ok => {
-                    let crowding = self.crowding.entry(address.entry.kind).or_default();
+                    let crowding = &mut self.habits.entry(address.entry.kind).or_default().crowding;
                     *crowding -= CROWDING_GAINS.1 * *crowding;
                     address.no_room = None;
                     (address.used, address.failures) = (Some(now), 0);
@@ -348,7 +352,7 @@
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     // One that fails may lack room; what goes on failing for a fall window is down.
                     if finished.outcome == Outcome::ConnectFailed {
-                        let crowding = self.crowding.entry(address.entry.kind).or_default();
+                        let crowding = &mut self.habits.entry(address.entry.kind).or_default().crowding;
                         match address.no_room {
                             Some(since) if now - since > rules.fall => {
                                 *crowding -= CROWDING_GAINS.0 * *crowding
@@ -404,6 +408,7 @@
         let waiting =
             self.queues.get(&call.route.0).map_or(0, Vec::len) as f64 / self.routes_to(call.route.0);
         let Some(route) = self.routes.get_mut(&call.route) else { return };
+        let habits = self.habits.entry(route.kind).or_default();
         if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
             route.weight = limit;
         }
@@ -440,6 +445,9 @@
                     let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
                     route.rate += growth;
                 }
+                if route.cuts > 0 {
+                    habits.jam -= JAM_GAIN * habits.jam;
+                }
                 route.spell = None;
                 (route.evidence, route.cuts) = (0, 0);
                 route.last_answer = now;
@@ -458,6 +466,10 @@
                 let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left);
                 let room = left.is_some_and(|left| left > ROOM_LEFT);
                 let used_up = left.is_some_and(|left| left < USED_UP);
+                if route.cuts > 0 {
+                    habits.jam += JAM_GAIN * (f64::from(u8::from(used_up)) - habits.jam);
+                }
+                let used_up = used_up && (route.cuts > 0 || habits.jam > JAMMED);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
@@ -784,7 +796,7 @@
             else {
                 continue;
             };
-            let crowded = self.crowding.get(&address.entry.kind).is_some_and(|risk| *risk > CROWDED);
+            let crowded = self.habits.get(&address.entry.kind).is_some_and(|h| h.crowding > CROWDED);
             let Some(route) = self.routes.get_mut(&self.route_of(&address.entry)) else { continue };
             let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
             if crowded && calls * route.latency.mean * KEEP_LATENCIES < 1.0 {
@@ -962,8 +974,8 @@
     /// times the limit), or by the even part. Trials, slow starts and last cuts share this one budget.
     fn fall_part(&mut self, now: Time, settings: &Settings, warmth: f64) -> f64 {
         let demand = self.demand.rate(now, cold_s(settings), 0.0);
-        let most = if self.is_light(now, settings) { demand } else { self.share } * DEMAND_OF_SERVED;
-        let own = demand.min(most).max(self.share);
+        let most = if self.is_light(now, settings) { demand * 2.5 } else { self.share * DEMAND_OF_SERVED };
+        let own = if self.is_light(now, settings) { most } else { demand.min(most) }.max(self.share);
         let part = own.max(self.weight / couriers(settings));
         let share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * warmth;
         part * share * settings.rules.tip_multiple * FALL_BUDGET_USED
