--- a/src/books.rs
+++ b/src/books.rs
@@ -1,7 +1,7 @@
 //! What a courier keeps in mind: types and sums only. Every decision and tuned value is in `choice.rs`.
 
 use crate::interface::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A message between its hand-in and its end (and the end of its last attempt).
@@ -19,6 +19,21 @@
     pub over_share: bool,
 }
 
+impl Message {
+    pub fn new(taken: Accepted, born: Time, now: Time) -> Self {
+        Message {
+            taken,
+            born,
+            attempts: 0,
+            out: None,
+            maybe_ran: None,
+            not_before: now,
+            closed: false,
+            over_share: false,
+        }
+    }
+}
+
 /// A call out: one slot, one fate, however many messages it carries.
 pub struct Call {
     pub route: RouteId,
@@ -53,6 +68,28 @@
     pub no_room: Option<Time>,
 }
 
+impl Address {
+    pub fn new(entry: Endpoint, preference: u32) -> Self {
+        let (avoid_until, used, no_room) = (Time::ZERO, None, None);
+        Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used, no_room }
+    }
+}
+
+/// Takes a message out of the list that it stands in; no empty list is left.
+pub fn take_out<K: Ord>(lists: &mut BTreeMap<K, Vec<MessageId>>, of: K, id: MessageId) {
+    if let Some(list) = lists.get_mut(&of) {
+        list.retain(|m| *m != id);
+        if list.is_empty() {
+            lists.remove(&of);
+        }
+    }
+}
+
+/// Moves a mean towards a sample.
+pub fn lean(mean: &mut f64, sample: f64, gain: f64) {
+    *mean += gain * (sample - *mean);
+}
+
 /// Running mean and mean deviation of latencies, in seconds.
 #[derive(Clone, Copy, Default)]
 pub struct Latency {
@@ -64,8 +101,8 @@
 impl Latency {
     pub fn learn(&mut self, sample: Duration, least_gain: f64) {
         let (sample, gain) = (sample.as_secs_f64(), least_gain.max(1.0 / f64::from(self.samples + 2)));
-        self.deviation += gain * ((sample - self.mean).abs() - self.deviation);
-        self.mean += gain * (sample - self.mean);
+        lean(&mut self.deviation, (sample - self.mean).abs(), gain);
+        lean(&mut self.mean, sample, gain);
         self.samples += 1;
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -7,28 +7,24 @@
 
 use crate::books::*;
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 // ---- Tuned values ----
 
-/// First gap before a repeat, as a part of the class's aim: short enough to leave time for several on time.
-const BACKOFF_BASE_OF_AIM: f64 = 0.05;
-/// Longest gap before a repeat, as a part of the class's aim: a repeat rarely pays if it waits longer.
-const BACKOFF_CAP_OF_AIM: f64 = 0.7;
+/// First and longest gap before a repeat, as parts of the class's aim.
+const BACKOFF_OF_AIM: (f64, f64) = (0.05, 0.7);
 /// A keyed message is not resent in the last part of its window: the call must still arrive inside it.
 const WINDOW_MARGIN: f64 = 0.1;
 /// Latency assumed before the first answer, as a part of the shortest aim.
 const FIRST_LATENCY_OF_AIM: f64 = 0.2;
 /// Least weight of the newest latency in the running mean; the first few weigh more.
 const LATENCY_GAIN: f64 = 0.15;
-/// Time-out of a repeatable attempt, in latencies (mean and deviation) of its destination ...
+/// Time-out of a repeatable attempt, in latencies (mean and deviation) of its destination, bounded in aims.
 const TIMEOUT_LATENCIES: f64 = 4.0;
-/// ... and at least this part of the aim, at most this multiple of it.
 const TIMEOUT_AIMS: (f64, f64) = (0.5, 3.0);
-/// A call is stalled when it was not answered for so many latencies ...
+/// A call is stalled after so many latencies, and at least this part of the shortest aim: pauses pass by.
 const STALL_LATENCIES: f64 = 3.0;
-/// ... and at least for this part of the shortest aim: short pauses of a partner pass unnoticed.
 const STALL_AIM: f64 = 0.25;
 /// An unsafe call gets so many times that patience before it is called off: what it carries is lost then.
 const UNSAFE_PATIENCE: u32 = 2;
@@ -36,21 +32,20 @@
 const TRIAL_GAPS_OF_FALL: (f64, f64) = (0.1, 0.6);
 /// Own demand counts towards the fall budget up to so many times what was served here before.
 const DEMAND_OF_SERVED: f64 = 1.5;
-/// With fewer messages than this over a cold return's length a courier is light: it waits for a deadline at
-/// most, lest its messages run out untried, and such couriers are few enough at any one destination.
+/// With fewer messages than this over a cold return's length a courier is light: what was served to it tells
+/// nothing, and so many times its demand stands for its part, as its messages would run out untried.
 const LIGHT: f64 = 2.0;
+const LIGHT_DEMAND: f64 = 2.5;
 /// After a refusal its next call comes by chance within so many calls of its pace more, for they are many.
 const LIGHT_SPREAD: f64 = 3.0;
-/// Gaps before asking for the list, as parts of the time that may pass without asking: the first one, which
-/// doubles with each failure, and the longest; full jitter.
-const ASK_FIRST: f64 = 0.5;
-const ASK_LONGEST: f64 = 1.5;
+/// First and longest gap before asking for the list, as parts of the time that may pass without; full jitter.
+const ASK_GAPS: (f64, f64) = (0.5, 1.5);
 /// Shortest part of a gap that chance may leave: who failed together must not come back together.
 const TRIAL_JITTER_FROM: f64 = 0.25;
 /// A spell without success shorter than this part of the fall window needs no slow start.
 const BLIP_OF_FALL: f64 = 0.6;
-/// Evidence that opens a spell, and what each outcome adds: a lost call, an error or no connection hints at an
-/// outage (two in a row, as a light courier has few), single refusals are everyday life.
+/// Evidence that opens a spell, and what each outcome adds: a lost call, an error or no connection hints at
+/// an outage (two in a row, as a light courier has few), single refusals are everyday life.
 const SPELL_AFTER: u32 = 6;
 const EVIDENCE_LOST: u32 = 3;
 const EVIDENCE_REFUSED: u32 = 1;
@@ -62,15 +57,14 @@
 /// a success, then to the part of the fall budget, as it may be an outage, or all may have to slow down.
 const RATE_CUTS: [f64; 3] = [0.75, 0.5, 0.0];
 const CUT_EVERY: Duration = Duration::from_millis(500);
-/// Growth of a rate that binds with each answer, as a part of itself or of one call an aim: with the cuts it
-/// settles where a fixed part of the calls is refused, however many couriers share the limit.
+/// Growth of a rate that binds with each answer, as a part of itself or of one call an aim.
 const RATE_GROWTH: f64 = 0.25;
 /// A refusal with more than this share of the limit left, as told, is not for the limit.
 const ROOM_LEFT: f64 = 0.3;
 /// A refusal with less than this share left is for a limit that is used up: a clump must wait too.
 const USED_UP: f64 = 0.05;
-/// Weight of what follows a refusal in the risk that the next one finds nothing left either, and the risk from
-/// which on the first one counts as such: refused calls then use up the limit, and repeats keep it used up.
+/// Weight of what follows a refusal in the risk that refused calls use up the limit (the next one finds
+/// nothing left either), and the risk from which on a first refusal counts as such.
 const JAM_GAIN: f64 = 0.1;
 const JAMMED: f64 = 0.1;
 /// Growth where the share of the limit that is left is told: so many times that share.
@@ -89,8 +83,7 @@
 const SHED_ABOVE: f64 = 0.93;
 /// Weight of the newest loss or answer on an idle connection in the risk that such are dropped unseen.
 const REAPED_GAIN: f64 = 0.15;
-/// Risk from which on idle connections are closed before use: by an unsafe message, which would be lost, and
-/// by one that can be repeated, which would only be late.
+/// Risk from which on idle connections are closed before use: by unsafe messages, and by repeatable ones.
 const REAPED_RISKS: (f64, f64) = (0.03, 0.25);
 /// ... beyond so many times the risk of a call on a new connection, which chance moves too.
 const REAPED_OTHER: f64 = 2.0;
@@ -101,12 +94,11 @@
 /// While idle connections are closed, one is tried so many of the shortest aim after the last loss.
 const REAPED_CHECK_AIMS: f64 = 4.0;
 
-/// Weight of a failed connection, and of an answer, in the risk that endpoints of a kind have no room for one: it
-/// is to outlast some hundred answers, as closing idle connections makes the room that speaks against it.
+/// Weight of a failed connection, and of an answer, in the risk that a kind has no room for one. It outlasts
+/// a hundred answers, as closing idle connections makes the room that speaks against it.
 const CROWDING_GAINS: (f64, f64) = (0.3, 0.03);
-/// Risk from which on idle connections of that kind are closed ...
+/// Risk from which on they are closed, unless the next call is expected within so many times what one takes.
 const CROWDED: f64 = 0.02;
-/// ... unless the next call there is expected within so many times what one takes.
 const KEEP_LATENCIES: f64 = 2.0;
 
 // ---- State ----
@@ -125,7 +117,7 @@
     shares: BTreeMap<TenantId, (f64, Time)>,
     open: usize,
     deadlines: BTreeSet<(Time, MessageId)>,
-    keys: BTreeMap<OrderKey, VecDeque<MessageId>>,
+    keys: BTreeMap<OrderKey, Vec<MessageId>>,
     rests: BTreeMap<OrderKey, Time>,
     calls: BTreeMap<u64, Call>,
     last_call: u64,
@@ -182,13 +174,12 @@
     // ---- Events ----
 
     fn on_listing(&mut self, now: Time, listing: Listing) {
-        // Without a subscription no drain is told. All couriers start at once and the list answers only so many:
-        // they ask spread over half of what the rules let pass, and after a failure later still.
+        // Without a subscription no drain is told. All couriers start at once and the list answers only so
+        // many: they ask spread over half of what the rules let pass, and after a failure later still.
         let (first, failed) = (self.addresses.is_empty(), matches!(listing, Listing::Failed));
         self.asks_failed = if failed { self.asks_failed + 1 } else { 0 };
         if self.settings.discovery == Discovery::Ask && (failed || first) {
-            let gap = growing_gap(self.settings.rules.ask_every, ASK_FIRST, self.asks_failed);
-            let gap = gap.min(self.settings.rules.ask_every.mul_f64(ASK_LONGEST));
+            let gap = growing_gap(self.settings.rules.ask_every, ASK_GAPS, self.asks_failed);
             self.ask_at = Some(now + gap.mul_f64(self.rng.f64()));
         }
         let entries = match listing {
@@ -203,23 +194,22 @@
             }
         };
         for entry in entries {
-            let weight = self.weight_of(&entry);
+            let told = self.settings.weights != WeightSource::Silent;
+            let weight = if told { entry.weight.max(0.1) } else { 0.0 };
             let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
-                let rate = if weight > 0.0 { weight } else { UNTOLD_RATE };
+                let rate = if told { weight } else { UNTOLD_RATE };
                 Route { rate, tokens: 1.0, filled: now, last_answer: now, ..Route::default() }
             });
-            (route.weight, route.batch, route.kind) = (weight, batch, entry.kind);
+            // Where the list is silent, what answers told of the limit stays.
+            route.weight = if told { weight } else { route.weight };
+            (route.batch, route.kind) = (batch, entry.kind);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
             }
             route.endpoints.push(entry.id);
-            let (id, preference, avoid_until) = (entry.id, self.rng.u32(..), Time::ZERO);
-            let (used, no_room) = (None, None);
-            let address =
-                Address { entry, calls_out: 0, preference, failures: 0, avoid_until, used, no_room };
-            self.addresses.insert(id, address);
+            self.addresses.insert(entry.id, Address::new(entry, self.rng.u32(..)));
         }
     }
 
@@ -231,7 +221,7 @@
         // A keyed message of a courier that died may have run there at any time since it was handed in.
         let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
         if let (true, Some(key)) = (class.in_order, taken.key) {
-            self.keys.entry(key).or_default().push_back(taken.id);
+            self.keys.entry(key).or_default().push(taken.id);
         }
         self.deadlines.insert((taken.deadline, taken.id));
         self.queues.entry(taken.destination).or_default().push(taken.id);
@@ -240,17 +230,9 @@
         for (_, route) in self.routes.range_mut(routes_of(taken.destination)) {
             route.demand.rate(now, cold_s(&self.settings), part);
         }
-        let over_share = self.is_over_share(now, taken.tenant);
-        let message = Message {
-            born,
-            over_share,
-            attempts: 0,
-            out: None,
-            maybe_ran: may_have_run.then_some((born, None)),
-            not_before: now,
-            closed: false,
-            taken,
-        };
+        let mut message = Message::new(taken, born, now);
+        message.over_share = self.is_over_share(now, message.taken.tenant);
+        message.maybe_ran = may_have_run.then_some((born, None));
         self.messages.insert(message.taken.id, message);
     }
 
@@ -265,15 +247,12 @@
         *left = (*left + (now - *since).as_secs_f64() * quota * part).min(most);
         *since = now;
         let over = *left < 1.0;
-        if !over {
-            *left -= 1.0;
-        }
+        *left -= f64::from(!over);
         over
     }
 
     fn on_finished(&mut self, now: Time, finished: Finished) {
-        // A wait binds from the batch that tells it, whichever message of a call brings it, and whatever
-        // became of that message.
+        // A wait binds from the batch that tells it, whatever became of the message that brings it.
         if let Outcome::Full(Some(wait)) = finished.outcome {
             let route = self.addresses.get(&finished.endpoint).map(|a| self.route_of(&a.entry));
             if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
@@ -288,8 +267,7 @@
         if !never_ran && message.maybe_ran.is_none() {
             message.maybe_ran = Some((call.sent, Some(call.zone)));
         }
-        let gap = growing_gap(class.aim, BACKOFF_BASE_OF_AIM, message.attempts)
-            .min(class.aim.mul_f64(BACKOFF_CAP_OF_AIM));
+        let gap = growing_gap(class.aim, BACKOFF_OF_AIM, message.attempts);
         message.not_before = now + gap.mul_f64(self.rng.f64());
         // A call that may still be running lets its key rest before the next message of the key.
         let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
@@ -306,22 +284,23 @@
         }
         if finished.complete {
             self.close(finished.message);
-        } else if let Some(end) = self.messages.get(&finished.message).and_then(|m| self.last_send(m)) {
-            // What can never be sent again is answered at once: it would only fill what may be held and keep
-            // its order key from the messages behind it.
-            self.deadlines.insert((end.max(now), finished.message));
+        } else if let Some(message) = self.messages.get(&finished.message) {
+            // What can never be sent again is answered at once: it would fill the hold and keep its key.
+            let end = self.last_send(message);
+            let due = if message.not_before > end { now } else { end.max(now) };
+            self.deadlines.insert((due, finished.message));
         }
         self.forget_if_over(finished.message);
     }
 
-    /// Until when a message may be sent again, if that ends before its deadline.
-    fn last_send(&self, message: &Message) -> Option<Time> {
+    /// Until when a message may be sent again.
+    fn last_send(&self, message: &Message) -> Time {
         let class = self.class(message);
         match (message.maybe_ran, class.effect) {
-            _ if message.attempts >= self.settings.send_cap => Some(Time::ZERO),
-            (Some(_), Effect::Unsafe) => Some(Time::ZERO),
-            (Some((first, _)), Effect::Keyed) => Some(window_end(class, first)),
-            _ => None,
+            _ if message.attempts >= self.settings.send_cap => Time::ZERO,
+            (Some(_), Effect::Unsafe) => Time::ZERO,
+            (Some((first, _)), Effect::Keyed) => window_end(class, first).min(message.taken.deadline),
+            _ => message.taken.deadline,
         }
     }
 
@@ -340,10 +319,10 @@
         if let Some(address) = self.addresses.get_mut(&call.to) {
             address.calls_out = address.calls_out.saturating_sub(1);
             self.ended.insert(call.to);
+            let habits = self.habits.entry(address.entry.kind).or_default();
             match finished.outcome {
                 Outcome::Ok => {
-                    let crowding = &mut self.habits.entry(address.entry.kind).or_default().crowding;
-                    *crowding -= CROWDING_GAINS.1 * *crowding;
+                    lean(&mut habits.crowding, 0.0, CROWDING_GAINS.1);
                     address.no_room = None;
                     (address.used, address.failures) = (Some(now), 0);
                 }
@@ -352,18 +331,14 @@
                 Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
                     // One that fails may lack room; what goes on failing for a fall window is down.
                     if finished.outcome == Outcome::ConnectFailed {
-                        let crowding = &mut self.habits.entry(address.entry.kind).or_default().crowding;
-                        match address.no_room {
-                            Some(since) if now - since > rules.fall => {
-                                *crowding -= CROWDING_GAINS.0 * *crowding
-                            }
-                            Some(_) => {}
-                            None => *crowding += CROWDING_GAINS.0 * (1.0 - *crowding),
+                        let since = *address.no_room.get_or_insert(now);
+                        if since == now || now - since > rules.fall {
+                            lean(&mut habits.crowding, f64::from(since == now), CROWDING_GAINS.0);
                         }
-                        address.no_room.get_or_insert(now);
                     }
                     address.failures += 1;
-                    let gap = growing_gap(rules.fall, TRIAL_GAPS_OF_FALL.0, address.failures).min(rules.cold);
+                    let longest = rules.cold.as_secs_f64() / rules.fall.as_secs_f64();
+                    let gap = growing_gap(rules.fall, (TRIAL_GAPS_OF_FALL.0, longest), address.failures);
                     address.avoid_until = now + gap.mul_f64(self.rng.f64());
                 }
                 Outcome::Cancelled | Outcome::Moot => {}
@@ -374,25 +349,22 @@
         }
     }
 
-    /// A loss on an idle connection speaks for connections that are dropped unseen, an answer on one that was
-    /// idle as long speaks against it.
+    /// A loss on an idle connection speaks for ones dropped unseen, an answer on one idle as long against it.
     fn learn_of_idle(&mut self, now: Time, idle: Option<Duration>, lost: bool, answered: bool) {
-        let Some(idle) =
-            idle.filter(|idle| idle.as_secs_f64() > shortest_aim(&self.settings) * REAPED_LEAST_AIM)
-        else {
+        let aim = shortest_aim(&self.settings);
+        let Some(idle) = idle.filter(|idle| idle.as_secs_f64() > aim * REAPED_LEAST_AIM) else {
             if lost || answered {
-                self.reaping.other += REAPED_GAIN * (f64::from(u8::from(lost)) - self.reaping.other);
+                lean(&mut self.reaping.other, f64::from(lost), REAPED_GAIN);
             }
             return;
         };
         let reaping = &mut self.reaping;
         if lost {
             reaping.idle = if reaping.risk > 0.0 { reaping.idle.min(idle) } else { idle };
-            reaping.risk += REAPED_GAIN * (1.0 - reaping.risk);
-            reaping.next_check =
-                now + Duration::from_secs_f64(shortest_aim(&self.settings) * REAPED_CHECK_AIMS);
+            lean(&mut reaping.risk, 1.0, REAPED_GAIN);
+            reaping.next_check = now + Duration::from_secs_f64(aim * REAPED_CHECK_AIMS);
         } else if answered && idle >= reaping.idle {
-            reaping.risk -= REAPED_GAIN * reaping.risk;
+            lean(&mut reaping.risk, 0.0, REAPED_GAIN);
             reaping.next_check = now;
             if reaping.risk < REAPED_RISKS.0 {
                 reaping.risk = 0.0;
@@ -405,15 +377,15 @@
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
         let (settings, chance) = (&self.settings, self.rng.f64());
-        let waiting =
-            self.queues.get(&call.route.0).map_or(0, Vec::len) as f64 / self.routes_to(call.route.0);
+        let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
+        let waiting = waiting / self.routes_to(call.route.0);
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         let habits = self.habits.entry(route.kind).or_default();
-        if let Some(limit) = finished.allowance.map(|a| a.limit).filter(|limit| *limit > 0.0) {
-            route.weight = limit;
-        }
-        // A time-out is a sample too, of at least its length: else it would stay too short all through a slow
-        // spell, and each repeat would meet the first call still running.
+        let told = finished.allowance.filter(|a| a.limit > 0.0);
+        route.weight = told.map_or(route.weight, |a| a.limit);
+        let left = told.map(|a| a.left.clamp(0.0, 1.0));
+        let an_aim = shortest_aim(settings).recip();
+        // A time-out is a sample too: else repeats would meet first calls still running in slow spells.
         if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout | Outcome::Cancelled) {
             if route.latency.samples == 0 {
                 route.latency = Latency { samples: 0, ..self.usual };
@@ -439,23 +411,20 @@
                     route.returned = Some(now);
                     route.tokens = 0.0;
                 }
-                let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left.clamp(0.0, 1.0));
                 if route.bound {
-                    let growth = RATE_GROWTH * route.rate.min(shortest_aim(settings).recip());
-                    let growth = left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
-                    route.rate += growth;
+                    let growth = RATE_GROWTH * route.rate.min(an_aim);
+                    route.rate += left.map_or(growth, |left| TOLD_GROWTH * left * route.rate);
                 }
                 if route.cuts > 0 {
-                    habits.jam -= JAM_GAIN * habits.jam;
+                    lean(&mut habits.jam, 0.0, JAM_GAIN);
                 }
                 route.spell = None;
                 (route.evidence, route.cuts) = (0, 0);
                 route.last_answer = now;
                 return;
             }
-            // Shut, and told until when: all whom the door refused come back at one moment (issue of later
-            // mandeville: 480 of 490 calls at the fall). So the slow start begins there, by chance inside a
-            // call of its pace, and nothing is saved up behind the door.
+            // Shut, and told until when: all whom the door refused come back at one moment. So the slow start
+            // begins there, by chance inside a call of its pace, with nothing saved behind the door.
             Outcome::Full(Some(wait)) if wait > blip => {
                 (route.spell, route.returned) = (None, Some(route.told_wait));
                 (route.filled, route.tokens) = (route.told_wait, chance);
@@ -463,28 +432,26 @@
             }
             Outcome::Full(_) => {
                 // Refused though there is room inside the limit: it is shut or hangs with its queue full.
-                let left = finished.allowance.filter(|a| a.limit > 0.0).map(|a| a.left);
                 let room = left.is_some_and(|left| left > ROOM_LEFT);
                 let used_up = left.is_some_and(|left| left < USED_UP);
                 if route.cuts > 0 {
-                    habits.jam += JAM_GAIN * (f64::from(u8::from(used_up)) - habits.jam);
+                    lean(&mut habits.jam, f64::from(used_up), JAM_GAIN);
                 }
                 let used_up = used_up && (route.cuts > 0 || habits.jam > JAMMED);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    // A clump must not wait at the pace of usual days until it has run out; where a call
-                    // carries many, what waits goes together, and a call an aim is enough.
-                    let an_aim = shortest_aim(settings).recip();
-                    let (waiting, most) = match route.batch {
-                        _ if used_up => (0.0, 0.0),
-                        1 => (waiting, f64::MAX),
-                        _ => (0.0, an_aim),
+                    // A clump must not wait at the pace of usual days; where a call carries many, a call an
+                    // aim is enough.
+                    let late = route.sent.rate(now, LATE_S, 0.0).max(waiting * an_aim);
+                    let late = match route.batch {
+                        _ if used_up => 0.0,
+                        1 => late,
+                        _ => route.sent.rate(now, LATE_S, 0.0).min(an_aim),
                     };
-                    let late = route.sent.rate(now, LATE_S, 0.0).min(most);
                     let own = route.demand.rate(now, cold_s(settings), 0.0);
-                    let late = late.max(own).max(route.weight / couriers(settings)).max(waiting * an_aim);
+                    let late = late.max(own).max(route.weight / couriers(settings));
                     let slowest = route.fall_part(now, settings, 0.0);
                     route.rate = (cut * route.rate.min(late)).max(slowest.min(route.rate));
                     route.last_cut = now;
@@ -494,9 +461,8 @@
                 route.tokens = route.tokens.min(-chance * spread);
             }
             Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
-            Outcome::ConnectFailed | Outcome::Timeout | Outcome::Cancelled if alone => {
-                route.evidence += EVIDENCE_LOST
-            }
+            Outcome::Error | Outcome::Reset | Outcome::Moot => {}
+            _ if alone => route.evidence += EVIDENCE_LOST,
             _ => {}
         }
         if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
@@ -538,13 +504,12 @@
     fn route_free_at(&mut self, now: Time, id: RouteId) -> Option<Time> {
         let stall = self.stall_patience(id);
         let slots_free = self.slots_free();
-        let rate = self.pace(now, id);
         let route = self.routes.get_mut(&id)?;
+        let rate = route.pace(now, &self.settings);
         if route.told_wait > now {
             return Some(route.told_wait);
         }
-        // Hung or dead destinations answer nothing: the silence itself opens the circuit, long before a
-        // time-out would, so that only few calls are risked.
+        // Hung destinations answer nothing: the silence itself opens the spell, long before a time-out would.
         let oldest = route.out.first().and_then(|call| self.calls.get(call)).map(|call| call.sent);
         if let (None, Some(sent)) = (&route.spell, oldest) {
             if now - sent.max(route.last_answer) > stall {
@@ -572,18 +537,6 @@
         Some(now)
     }
 
-    /// Calls a second that this courier may send a route now.
-    fn pace(&mut self, now: Time, id: RouteId) -> f64 {
-        let Some(route) = self.routes.get_mut(&id) else { return 1.0 };
-        let Some(returned) = route.returned else { return route.rate };
-        let warmth = (now - returned).as_secs_f64() / cold_s(&self.settings);
-        if warmth >= 1.0 {
-            route.returned = None;
-            return route.rate;
-        }
-        route.fall_part(now, &self.settings, warmth).min(route.rate)
-    }
-
     // ---- Choice ----
 
     /// Fills free slots: each to the waiting destination with fewest calls out; of those with equally many,
@@ -620,8 +573,8 @@
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
     /// the time that a slot is taken; if none, `next` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
-        // Where routes are apart, the least used one that works goes first, as among the endpoints of a route.
-        let mut best: Option<(AddressOrder, Candidate)> = None;
+        // Of routes apart the least used one that works goes first, as among the endpoints of a route.
+        let mut best: Option<Candidate> = None;
         for route in self.routes.range(routes_of(to)).map(|(id, _)| *id).collect::<Vec<_>>() {
             let free = self.route_free_at(now, route);
             if free.is_none_or(|at| at > now) {
@@ -632,18 +585,19 @@
             let chosen = self.messages.get(&message).and_then(|m| self.address_for(now, route, m));
             let Some(endpoint) = chosen else { continue };
             let takes = self.latency(route).mean.max(0.001);
-            let order = (self.routes[&route].spell.is_some(), self.order_of(now, &self.addresses[&endpoint]));
-            if best.as_ref().is_none_or(|(least, _)| order < *least) {
-                best = Some((order, (route, endpoint, message, worth / takes)));
+            let order = |endpoint| self.order_of(now, &self.addresses[&endpoint]);
+            if best.is_none_or(|(_, least, ..)| order(endpoint) < order(least)) {
+                best = Some((route, endpoint, message, worth / takes));
             }
         }
-        best.map(|(_, candidate)| candidate)
+        best
     }
 
-    /// Endpoints with fewest calls out first, sick ones last. Ties go by a preference drawn once: where each
-    /// courier has few calls, all would pick the same one.
-    fn order_of(&self, now: Time, a: &Address) -> (bool, usize, u32, u32) {
-        (a.avoid_until > now, a.calls_out, a.failures, a.preference)
+    /// Fewest calls out first, sick ones last; ties by a preference drawn once, lest all couriers pick the
+    /// same.
+    fn order_of(&self, now: Time, a: &Address) -> (bool, bool, usize, u32, u32) {
+        let spell = self.routes.get(&self.route_of(&a.entry)).is_some_and(|route| route.spell.is_some());
+        (spell, a.avoid_until > now, a.calls_out, a.failures, a.preference)
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
@@ -651,8 +605,8 @@
         let trial = self.routes.get(&route).is_some_and(|r| r.spell.is_some());
         let mut best: Option<(bool, f64, MessageId)> = None;
         for message in self.queues.get(&route.0).into_iter().flatten().filter_map(|m| self.messages.get(m)) {
-            let at =
-                self.sendable_at(now, message).filter(|_| self.address_for(now, route, message).is_some());
+            let at = self.sendable_at(now, message);
+            let at = at.filter(|_| self.address_for(now, route, message).is_some());
             if at.is_none_or(|at| at > now) {
                 earliest(next, at);
                 continue;
@@ -676,13 +630,13 @@
 
     /// The one gate for every send: when this message may be sent; none if not before some event, or never.
     fn sendable_at(&self, now: Time, message: &Message) -> Option<Time> {
-        if message.closed || message.out.is_some() || self.last_send(message).is_some_and(|end| now > end) {
+        if message.closed || message.out.is_some() || now > self.last_send(message) {
             return None;
         }
         let class = self.class(message);
         let mut at = message.not_before;
         if let (true, Some(key)) = (class.in_order, message.taken.key) {
-            if self.keys.get(&key).and_then(|turn| turn.front()) != Some(&message.taken.id) {
+            if self.keys.get(&key).and_then(|turn| turn.first()) != Some(&message.taken.id) {
                 return None;
             }
             // The rest after an unsettled attempt binds the next messages of the key, not the same one.
@@ -697,9 +651,7 @@
     /// late before what is fresh, and what is about to run out before what may wait.
     fn worth(&self, now: Time, message: &Message) -> f64 {
         // Nothing is left after the deadline, nor of a repeat after its window.
-        let end =
-            self.last_send(message).map_or(message.taken.deadline, |end| end.min(message.taken.deadline));
-        let end = (end - message.born).as_secs_f64();
+        let end = (self.last_send(message) - message.born).as_secs_f64();
         let class = self.class(message);
         let (aim, span) = (class.aim.as_secs_f64().max(0.001), class.deadline.as_secs_f64());
         let value = |age: f64| match self.settings.decay {
@@ -741,9 +693,7 @@
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
-            if spell.lost {
-                room = 1;
-            }
+            room = if spell.lost { 1 } else { room };
         }
         route.plan_trial(now, &self.settings, self.rng.f64());
         self.last_call += 1;
@@ -788,14 +738,12 @@
         None
     }
 
-    /// Where endpoints have no room for a connection, those that would idle here are closed once no call takes
-    /// them: idle ones count, and with hundreds of couriers they fill the room while nobody is being served.
+    /// Where endpoints have no room for a connection, those that would idle are closed unless a call takes
+    /// them at once: others' idle ones count, and fill the room while nobody is served.
     fn close_crowding(&mut self, now: Time) {
         for id in std::mem::take(&mut self.ended) {
-            let Some(address) = self.addresses.get(&id).filter(|a| a.calls_out == 0 && a.used.is_some())
-            else {
-                continue;
-            };
+            let unused = |a: &&Address| a.calls_out == 0 && a.used.is_some();
+            let Some(address) = self.addresses.get(&id).filter(unused) else { continue };
             let crowded = self.habits.get(&address.entry.kind).is_some_and(|h| h.crowding > CROWDED);
             let Some(route) = self.routes.get_mut(&self.route_of(&address.entry)) else { continue };
             let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
@@ -806,8 +754,8 @@
         }
     }
 
-    /// Follows the destination's own latency. An attempt that could not be followed by another gets all the
-    /// time that the message has: its time-out would be final.
+    /// Follows the destination's own latency; the last possible attempt gets all the time that the message
+    /// has.
     fn time_out(&self, now: Time, id: RouteId, message: MessageId) -> Duration {
         let Some(m) = self.messages.get(&message) else { return Duration::ZERO };
         let class = self.class(m);
@@ -848,19 +796,25 @@
     // ---- Answers ----
 
     /// The final answer that a message may be given now; none while an attempt may still deliver it.
-    fn permitted_answer(&self, id: MessageId) -> Option<Action> {
+    fn permitted_answer(&self, now: Time, id: MessageId) -> Option<Action> {
         let message = self.messages.get(&id).filter(|m| !m.closed)?;
         let refusable = match self.class(message).effect {
             Effect::Safe => true,
             _ => message.maybe_ran.is_none() && message.out.is_none(),
         };
-        let stay_away = Duration::ZERO;
-        let busy = Action::Busy { message: id, stay_away };
+        let busy = Action::Busy { message: id, stay_away: self.stay_away(now, message.taken.destination) };
         Some(if refusable { busy } else { Action::ReportFailure { message: id } })
     }
 
-    fn answer(&mut self, id: MessageId) {
-        self.actions.extend(self.permitted_answer(id));
+    /// How long a client had better stay away: until this courier may next call the destination.
+    fn stay_away(&self, now: Time, to: DestinationId) -> Duration {
+        let free = |r: &Route| r.told_wait.max(r.spell.as_ref().map_or(now, |spell| spell.next_trial));
+        let soonest = self.routes.range(routes_of(to)).map(|(_, route)| free(route)).min();
+        soonest.map_or(Duration::ZERO, |at| at - now).min(self.settings.stay_away_most.unwrap_or_default())
+    }
+
+    fn answer(&mut self, now: Time, id: MessageId) {
+        self.actions.extend(self.permitted_answer(now, id));
         self.close(id);
     }
 
@@ -873,7 +827,7 @@
             if message.out.is_some() && now < last_call {
                 self.deadlines.insert((last_call, id));
             } else {
-                self.answer(id);
+                self.answer(now, id);
             }
         }
     }
@@ -889,7 +843,7 @@
                 .map(|m| (self.worth(now, m), m.taken.id))
                 .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
             let Some((_, id)) = least else { return };
-            self.answer(id);
+            self.answer(now, id);
         }
     }
 
@@ -899,12 +853,7 @@
             self.open -= 1;
             self.deadlines.remove(&(message.taken.deadline, id));
             let to = message.taken.destination;
-            if let Some(queue) = self.queues.get_mut(&to) {
-                queue.retain(|m| *m != id);
-                if queue.is_empty() {
-                    self.queues.remove(&to);
-                }
-            }
+            take_out(&mut self.queues, to, id);
         }
         self.forget_if_over(id);
     }
@@ -915,12 +864,7 @@
             return;
         }
         if let Some(key) = self.messages.remove(&id).and_then(|m| m.taken.key) {
-            if let Some(turn) = self.keys.get_mut(&key) {
-                turn.retain(|m| *m != id);
-                if turn.is_empty() {
-                    self.keys.remove(&key);
-                }
-            }
+            take_out(&mut self.keys, key, id);
         }
     }
 
@@ -931,13 +875,6 @@
         RouteId(entry.destination, apart.then_some(entry.id))
     }
 
-    fn weight_of(&self, entry: &Endpoint) -> f64 {
-        match self.settings.weights {
-            WeightSource::Silent => 0.0,
-            WeightSource::Rough | WeightSource::Nominal => entry.weight.max(0.1),
-        }
-    }
-
     fn slots_free(&self) -> usize {
         self.settings.call_slots.saturating_sub(self.calls.len())
     }
@@ -954,9 +891,6 @@
     }
 }
 
-/// Spell or none, then the order of an address.
-type AddressOrder = (bool, (bool, usize, u32, u32));
-
 /// The routes of a destination.
 fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
     RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
@@ -968,15 +902,25 @@
         self.demand.rate(now, cold_s(settings), 0.0) * cold_s(settings) < LIGHT
     }
 
+    /// Calls a second that this courier may send now.
+    fn pace(&mut self, now: Time, settings: &Settings) -> f64 {
+        let warmth = self.returned.map_or(1.0, |since| (now - since).as_secs_f64() / cold_s(settings));
+        if warmth >= 1.0 {
+            self.returned = None;
+            return self.rate;
+        }
+        self.fall_part(now, settings, warmth).min(self.rate)
+    }
+
     /// This courier's part of what all may send together, a second, so that a destination survives a return;
-    /// `warmth` runs from 0 to 1 over a cold one. It goes by what was served here before, which adds up to
-    /// what the destination can do however many want it (own demand does not: hunted day h1c8921, thirty
-    /// times the limit), or by the even part. Trials, slow starts and last cuts share this one budget.
+    /// `warmth` runs from 0 to 1. It goes by what was served here before, which adds up to what the
+    /// destination can do (demand does not: h1c8921), or by the even part. Trials, slow starts and last cuts
+    /// share it.
     fn fall_part(&mut self, now: Time, settings: &Settings, warmth: f64) -> f64 {
         let demand = self.demand.rate(now, cold_s(settings), 0.0);
-        let most = if self.is_light(now, settings) { demand * 2.5 } else { self.share * DEMAND_OF_SERVED };
-        let own = if self.is_light(now, settings) { most } else { demand.min(most) }.max(self.share);
-        let part = own.max(self.weight / couriers(settings));
+        let most = self.share * DEMAND_OF_SERVED;
+        let own = if self.is_light(now, settings) { demand * LIGHT_DEMAND } else { demand.min(most) };
+        let part = own.max(self.share).max(self.weight / couriers(settings));
         let share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * warmth;
         part * share * settings.rules.tip_multiple * FALL_BUDGET_USED
     }
@@ -985,11 +929,10 @@
     /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
         // Chance without memory: the trials of all couriers add up to the budget, however they began.
-        let own =
-            Duration::from_secs_f64(-chance.max(0.01).ln() / self.fall_part(now, settings, 0.0).max(0.001));
+        let part = self.fall_part(now, settings, 0.0).max(0.001);
+        let own = Duration::from_secs_f64(-chance.max(0.01).ln() / part);
         let Some(spell) = &mut self.spell else { return };
-        let (fall, (first, longest)) = (settings.rules.fall, TRIAL_GAPS_OF_FALL);
-        let gap = growing_gap(fall, first, spell.trials).min(fall.mul_f64(longest));
+        let gap = growing_gap(settings.rules.fall, TRIAL_GAPS_OF_FALL, spell.trials);
         let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
         // Behind a told wait no gap runs out: who waits together must not come back together.
         spell.next_trial = now.max(self.told_wait) + gap.mul_f64(jitter).max(own);
@@ -1010,9 +953,9 @@
     *next = [*next, at].into_iter().flatten().min();
 }
 
-/// A gap that doubles from try to try.
-fn growing_gap(unit: Duration, first: f64, tries: u32) -> Duration {
-    unit.mul_f64(first * f64::from(tries.min(16)).exp2())
+/// A gap that doubles from try to try, up to the longest one.
+fn growing_gap(unit: Duration, (first, longest): (f64, f64), tries: u32) -> Duration {
+    unit.mul_f64((first * f64::from(tries.min(16)).exp2()).min(longest))
 }
 
 /// Shortest aim of a class, in seconds.
