--- a/tests/full_size.rs
+++ b/tests/full_size.rs
@@ -5,6 +5,7 @@
 use cloverstile::*;
 use common::{endpoint, ms, safe, settings, Bench};
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// A bench of one of many couriers, with so many destinations of one endpoint each.
 fn one_of_many(base: Settings, destinations: u32) -> Bench {
@@ -171,3 +172,21 @@
     };
     assert_eq!((order(true), order(false)), (1, 2));
 }
+
+/// Incident i068f88 (riga): a clump met a partner without a limit that was out, and as many couriers, each refused
+/// once, came back within some seconds, on its return.
+#[test]
+fn couriers_refused_where_there_is_no_limit_do_not_come_back_together() {
+    let mut soon = 0;
+    for seed in 0..70 {
+        let mut bench = one_of_many(settings(vec![safe()]), 0);
+        let silent = Settings { weights: WeightSource::Silent, ..bench.settings.clone() };
+        bench.restart(silent, seed, vec![endpoint(1, 1)]);
+        bench.accept(1, 0, 1, None);
+        assert_eq!(bench.routes().len(), 1);
+        bench.refuse(1, 1, 0.0, 0.0);
+        let routed = |a: &Action| matches!(a, Action::Route { .. });
+        soon += usize::from(bench.until_action(Duration::from_secs(8)).iter().any(routed));
+    }
+    assert!(soon <= 14, "{soon} of 70 couriers came back within 8 s");
+}
