--- a/src/choice.rs
+++ b/src/choice.rs
@@ -438,7 +438,7 @@
                     lean(&mut habits.jam, f64::from(used_up), JAM_GAIN);
                 }
                 let used_up = used_up && (route.cuts > 0 || habits.jam > JAMMED);
-                // Where there is no limit at all, a refusal tells of a full queue or an outage: no clump may go on.
+                // Without any limit a refusal tells of a full queue or an outage: no clump may go on.
                 let used_up = used_up || finished.allowance.is_some_and(|a| a.limit <= 0.0);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
