Of endpoints that are else alike the near one is called

It decides ties alone, after calls out and failures, so that a near endpoint does not take the calls of all. Harm: where a zone has few of a destination's endpoints and many couriers, its endpoint is refused first, and failures then lead away from it.

--- a/src/bin/cloverstile-wirehost/settings.rs
+++ b/src/bin/cloverstile-wirehost/settings.rs
@@ -1,6 +1,8 @@
 //! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped.
 
-use cloverstile::{Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
+use cloverstile::{
+    Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource, ZoneId,
+};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 use std::time::Duration;
@@ -80,6 +82,7 @@
     let place = |name: &str| fields.iter().position(|field| *field == name);
     let settings = Settings {
         couriers: lines.or("Balancers", base.couriers)?,
+        zone: lines.get("Locality")?.map_or(base.zone, ZoneId),
         classes: list(&lines, "Lanes", class)?,
         tenants: list(&lines, "Projects", tenant)?,
         kinds: kinds(&lines)?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -595,11 +595,11 @@
         best
     }
 
-    /// Fewest calls out first, sick ones last; ties by a preference drawn once, lest all couriers pick the
-    /// same.
-    fn order_of(&self, now: Time, a: &Address) -> (bool, bool, usize, u32, u32) {
+    /// Fewest calls out first, sick ones last, near before far; ties by a preference drawn once a courier.
+    fn order_of(&self, now: Time, a: &Address) -> (bool, bool, usize, u32, bool, u32) {
         let spell = self.routes.get(&self.route_of(&a.entry)).is_some_and(|route| route.spell.is_some());
-        (spell, a.avoid_until > now, a.calls_out, a.failures, a.preference)
+        let far = a.entry.zone != self.settings.zone;
+        (spell, a.avoid_until > now, a.calls_out, a.failures, far, a.preference)
     }
 
     /// The waiting message of most worth that may be sent now. A trial goes by whether it may be repeated.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -188,6 +188,8 @@
 pub struct Settings {
     /// Couriers that share the destinations, this one included.
     pub couriers: u32,
+    /// Where this courier stands.
+    pub zone: ZoneId,
     /// Classes of message.
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
@@ -228,6 +230,7 @@
     fn default() -> Self {
         Settings {
             couriers: 2,
+            zone: ZoneId(0),
             classes: vec![Class::default()],
             tenants: Vec::new(),
             kinds: vec![Kind { batch: 1, own_limits: false }],
--- a/tests/full_size.rs
+++ b/tests/full_size.rs
@@ -190,3 +190,17 @@
     }
     assert!(soon <= 14, "{soon} of 70 couriers came back within 8 s");
 }
+
+/// Each call that crosses zones costs time and a price, and a repeat may be bound to the zone of its first attempt.
+#[test]
+fn of_endpoints_that_are_else_alike_the_near_one_is_called() {
+    for seed in 0..20 {
+        let base = Settings { zone: ZoneId(1), ..settings(vec![safe()]) };
+        let far = endpoint(7, 1);
+        let near = Endpoint { zone: ZoneId(1), ..endpoint(8, 1) };
+        let mut bench = Bench::new(base.clone(), vec![]);
+        bench.restart(base, seed, vec![far, near]);
+        bench.accept(1, 0, 1, None);
+        assert_eq!(bench.routes()[0].1, 8);
+    }
+}
