--- a/src/choice.rs
+++ b/src/choice.rs
@@ -930,12 +930,13 @@
     /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
     /// of the fall budget; trials that are refused can also use up a small limit by themselves (i2aa64d).
     fn plan_trial(&mut self, now: Time, settings: &Settings, chance: f64) {
-        // Chance without memory: the trials of all couriers add up to the budget, however they began.
+        // Chance without memory: the trials of light couriers add up to the budget, however they began.
+        let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
         let part = self.fall_part(now, settings, 0.0).max(0.001);
-        let own = Duration::from_secs_f64(-chance.max(0.01).ln() / part);
+        let drawn = if self.is_light(now, settings) { -chance.max(0.01).ln() } else { jitter };
+        let own = Duration::from_secs_f64(drawn / part);
         let Some(spell) = &mut self.spell else { return };
         let gap = growing_gap(settings.rules.fall, TRIAL_GAPS_OF_FALL, spell.trials);
-        let jitter = TRIAL_JITTER_FROM + chance * (1.0 - TRIAL_JITTER_FROM);
         // Behind a told wait no gap runs out: who waits together must not come back together.
         spell.next_trial = now.max(self.told_wait) + gap.mul_f64(jitter).max(own);
     }
