Nearly full, what waits for partners in a spell is shed first

It should hold against any outage that outlasts the hold; harm: a partner back at that moment has fewer messages to prove it with.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -236,12 +236,11 @@
         self.messages.insert(message.taken.id, message);
     }
 
-    /// Whether a tenant is past its quota. The quota is for all couriers together, and what others take of it
-    /// cannot be seen: what passes the part assumed to be this courier's counts as beyond.
+    /// Whether a tenant is past its quota for all couriers together: what passes the part assumed to be this
+    /// courier's, saved up over a cold return's length (a second's is under one message), counts as beyond.
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
         let Some(quota) = self.settings.tenants.get(tenant.0 as usize).map(|t| t.quota) else { return false };
         let part = (QUOTA_PART / couriers(&self.settings)).min(1.0);
-        // What comes over a cold return's length, as a second's part is under one message at full size.
         let most = quota * part * cold_s(&self.settings);
         let (left, since) = self.shares.entry(tenant).or_insert((most, now));
         *left = (*left + (now - *since).as_secs_f64() * quota * part).min(most);
@@ -366,9 +365,7 @@
         } else if answered && idle >= reaping.idle {
             lean(&mut reaping.risk, 0.0, REAPED_GAIN);
             reaping.next_check = now;
-            if reaping.risk < REAPED_RISKS.0 {
-                reaping.risk = 0.0;
-            }
+            reaping.risk *= f64::from(reaping.risk >= REAPED_RISKS.0);
         }
     }
 
@@ -834,7 +831,7 @@
         }
     }
 
-    /// Nearly full: the least worth go, before new messages are turned away unseen.
+    /// Nearly full: what waits for the sick and the least worth go, before new messages are turned away unseen.
     fn shed(&mut self, now: Time) {
         let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
         while self.open > most {
@@ -842,13 +839,17 @@
                 .messages
                 .values()
                 .filter(|m| !m.closed && m.out.is_none())
-                .map(|m| (self.worth(now, m), m.taken.id))
-                .min_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
-            let Some((_, id)) = least else { return };
+                .map(|m| (!self.is_sick(m.taken.destination), self.worth(now, m), m.taken.id))
+                .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2)));
+            let Some((.., id)) = least else { return };
             self.answer(now, id);
         }
     }
 
+    fn is_sick(&self, to: DestinationId) -> bool {
+        self.routes.range(routes_of(to)).all(|(_, route)| route.spell.is_some())
+    }
+
     fn close(&mut self, id: MessageId) {
         if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
             message.closed = true;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -650,3 +650,29 @@
     assert_eq!(told(Some(ms(2000))), ms(900));
     assert_eq!(told(Some(ms(500))), ms(500));
 }
+
+/// sede: what waited for partners in an outage filled the hold, and messages for healthy ones were turned away.
+#[test]
+fn nearly_full_what_waits_for_the_sick_goes_first() {
+    let rich = Class { worth: 5.0, ..safe() };
+    let base = settings(vec![safe(), rich]);
+    let settings = Settings { most_held: 20, call_slots: 1, ..base };
+    let mut bench = Bench::new(settings, vec![endpoint(1, 1), endpoint(2, 2)]);
+    for id in 100..102 {
+        bench.accept(id, 0, 1, None);
+        assert_eq!(bench.routes().len(), 1);
+        bench.finish(id, 1, Outcome::ConnectFailed, ms(20));
+        bench.tell(Event::ClientGone(MessageId(id)));
+    }
+    (0..10).for_each(|id| bench.accept(id, 1, 1, None));
+    (10..20).for_each(|id| bench.accept(id, 0, 2, None));
+    let shed: Vec<u32> = bench.decide().iter().filter_map(busy).collect();
+    assert!(!shed.is_empty() && shed.iter().all(|id| *id < 10), "{shed:?}");
+}
+
+fn busy(action: &Action) -> Option<u32> {
+    match action {
+        Action::Busy { message, .. } => Some(message.0),
+        _ => None,
+    }
+}
