--- a/src/choice.rs
+++ b/src/choice.rs
@@ -831,7 +831,7 @@
         }
     }
 
-    /// Nearly full: what waits for the sick and the least worth go, before new messages are turned away unseen.
+    /// Nearly full: what waits for the sick and the least worth go, before new messages are turned away.
     fn shed(&mut self, now: Time) {
         let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
         while self.open > most {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -659,6 +659,7 @@
     let settings = Settings { most_held: 20, call_slots: 1, ..base };
     let mut bench = Bench::new(settings, vec![endpoint(1, 1), endpoint(2, 2)]);
     for id in 100..102 {
+        bench.now = bench.now + ms(50);
         bench.accept(id, 0, 1, None);
         assert_eq!(bench.routes().len(), 1);
         bench.finish(id, 1, Outcome::ConnectFailed, ms(20));
