--- a/tests/falls.rs
+++ b/tests/falls.rs
@@ -3,7 +3,10 @@
 
 mod common;
 
+use cloverstile::*;
 use common::crowd::{live_through, Outage, Plan};
+use common::{endpoint, ms, safe, settings, Bench};
+use std::time::Duration;
 
 const CROWD: Plan =
     Plan { outage: Outage::Down, couriers: 200, capacity: 60.0, told: 1.0, load: 0.8, batch: 1, seed: 1 };
@@ -56,3 +59,29 @@
         keeps_budget(&[out, hot, hotter, listed_too_high, tiny, few, Plan { batch: 20, ..out }]);
     }
 }
+
+/// nairobi big-1: a class with a short deadline made every light courier try a dead partner once each of these, many
+/// times what the partner survives cold.
+#[test]
+fn a_short_deadline_of_one_class_does_not_hasten_trials() {
+    let hurried = Class { deadline: Duration::from_secs(6), ..safe() };
+    let base = settings(vec![hurried, safe()]);
+    let rules = Rules { tip_multiple: 1.5, cold_from: 0.26, ..base.rules.clone() };
+    let base = Settings { couriers: 300, rules, ..base };
+    let mut sends = 0;
+    for seed in 0..100 {
+        let mut bench = Bench::new(base.clone(), vec![]);
+        bench.restart(base.clone(), seed, vec![Endpoint { weight: 5.0, ..endpoint(7, 1) }]);
+        bench.accept(1, 1, 1, None);
+        let began = bench.now;
+        while bench.now - began < Duration::from_secs(14) {
+            for (id, to, _) in bench.routes() {
+                sends += 1;
+                bench.finish(id, to, Outcome::ConnectFailed, ms(20));
+            }
+            bench.now = bench.now + ms(50);
+        }
+    }
+    // A first try, a repeat that tells an outage from a lack of room, and less than one trial each.
+    assert!((201..300).contains(&sends), "{sends} calls of 100 couriers in 14 s");
+}
