--- a/tests/full_size.rs
+++ b/tests/full_size.rs
@@ -204,3 +204,33 @@
         assert_eq!(bench.routes()[0].1, 8);
     }
 }
+
+/// Where refusals with nothing left follow each other at a kind, the first one at a further destination of that kind
+/// counts as a used-up limit: a light courier meets each of them too seldom to learn it there.
+#[test]
+fn a_jam_is_learned_over_the_destinations_of_a_kind() {
+    let soon = |learned: bool| {
+        let mut soon = 0;
+        for seed in 0..40 {
+            let mut bench = one_of_many(settings(vec![safe()]), 1);
+            let all: Vec<Endpoint> = (1..=20).map(|d| endpoint(d, d as u16)).collect();
+            bench.restart(bench.settings.clone(), seed, all);
+            for id in 1..=if learned { 15 } else { 0 } {
+                bench.accept(id, 0, id as u16, None);
+                assert_eq!(bench.routes().len(), 1);
+                bench.refuse(id, id, 0.0, 100.0);
+                while let [Action::Route { .. }] = bench.until_action(Duration::from_secs(25))[..] {
+                    bench.refuse(id, id, 0.0, 100.0);
+                }
+            }
+            bench.accept(100, 0, 20, None);
+            assert_eq!(bench.routes().len(), 1);
+            bench.refuse(100, 20, 0.0, 100.0);
+            let routed = |a: &Action| matches!(a, Action::Route { .. });
+            soon += usize::from(bench.until_action(Duration::from_secs(8)).iter().any(routed));
+        }
+        soon
+    };
+    let (learned, fresh) = (soon(true), soon(false));
+    assert!(learned * 2 < fresh, "{learned} against {fresh} of 40 came back within 8 s");
+}
