--- a/tests/full_size.rs
+++ b/tests/full_size.rs
@@ -9,13 +9,26 @@
 
 /// A bench of one of many couriers, with so many destinations of one endpoint each.
 fn one_of_many(base: Settings, destinations: u32) -> Bench {
+    seeded(base, destinations, 1)
+}
+
+/// The same with a seed of its own.
+fn seeded(base: Settings, destinations: u32, seed: u64) -> Bench {
     let all: Vec<Endpoint> = (1..=destinations).map(|d| endpoint(d, d as u16)).collect();
     let settings = Settings { couriers: 300, ..base };
     let mut bench = Bench::new(settings.clone(), vec![]);
-    bench.restart(settings, 1, all);
+    bench.restart(settings, seed, all);
     bench
 }
 
+/// Sends the one message to a destination, has it refused with so much told, and says whether it goes again soon.
+fn comes_back_soon(bench: &mut Bench, id: u32, to: u32, (left, limit): (f64, f64)) -> bool {
+    bench.accept(id, 0, to as u16, None);
+    assert_eq!(bench.routes().len(), 1);
+    bench.refuse(id, to, left, limit);
+    bench.until_action(Duration::from_secs(8)).iter().any(|a| matches!(a, Action::Route { .. }))
+}
+
 /// Sends one message to a destination; its attempt ends so. Returns what was done with it.
 fn call(bench: &mut Bench, id: u32, to: u32, outcome: Outcome) -> Vec<Action> {
     bench.accept(id, 0, to as u16, None);
@@ -127,8 +140,7 @@
     let sends = |left: f64| {
         let mut sends = 0;
         for seed in 0..40 {
-            let mut bench = one_of_many(settings(vec![safe()]), 1);
-            bench.restart(bench.settings.clone(), seed, vec![endpoint(1, 1)]);
+            let mut bench = seeded(settings(vec![safe()]), 1, seed);
             bench.accept(1, 0, 1, None);
             let began = bench.now;
             while bench.now - began < safe().deadline {
@@ -179,14 +191,8 @@
 fn couriers_refused_where_there_is_no_limit_do_not_come_back_together() {
     let mut soon = 0;
     for seed in 0..70 {
-        let mut bench = one_of_many(settings(vec![safe()]), 0);
-        let silent = Settings { weights: WeightSource::Silent, ..bench.settings.clone() };
-        bench.restart(silent, seed, vec![endpoint(1, 1)]);
-        bench.accept(1, 0, 1, None);
-        assert_eq!(bench.routes().len(), 1);
-        bench.refuse(1, 1, 0.0, 0.0);
-        let routed = |a: &Action| matches!(a, Action::Route { .. });
-        soon += usize::from(bench.until_action(Duration::from_secs(8)).iter().any(routed));
+        let silent = Settings { weights: WeightSource::Silent, ..settings(vec![safe()]) };
+        soon += usize::from(comes_back_soon(&mut seeded(silent, 1, seed), 1, 1, (0.0, 0.0)));
     }
     assert!(soon <= 14, "{soon} of 70 couriers came back within 8 s");
 }
@@ -212,9 +218,7 @@
     let soon = |learned: bool| {
         let mut soon = 0;
         for seed in 0..40 {
-            let mut bench = one_of_many(settings(vec![safe()]), 1);
-            let all: Vec<Endpoint> = (1..=20).map(|d| endpoint(d, d as u16)).collect();
-            bench.restart(bench.settings.clone(), seed, all);
+            let mut bench = seeded(settings(vec![safe()]), 20, seed);
             for id in 1..=if learned { 15 } else { 0 } {
                 bench.accept(id, 0, id as u16, None);
                 assert_eq!(bench.routes().len(), 1);
@@ -223,11 +227,7 @@
                     bench.refuse(id, id, 0.0, 100.0);
                 }
             }
-            bench.accept(100, 0, 20, None);
-            assert_eq!(bench.routes().len(), 1);
-            bench.refuse(100, 20, 0.0, 100.0);
-            let routed = |a: &Action| matches!(a, Action::Route { .. });
-            soon += usize::from(bench.until_action(Duration::from_secs(8)).iter().any(routed));
+            soon += usize::from(comes_back_soon(&mut bench, 100, 20, (0.0, 100.0)));
         }
         soon
     };
