Workspace; AS2 messages and receipts and HTTP/1.1 framing, both free of I/O

The decisions stay in the root package; everything else gets a package by concern under crates/.

Change: crates/as2 composes and opens plain, signed, encrypted and compressed messages in every order that RFC 4130 allows, and receipts with all dispositions; BER with indefinite lengths and octet strings in pieces becomes DER first, as products that stream write that. crates/http reads and writes HTTP/1.1 with limits on head, fields, body and time; lengths that disagree are refused.

Tried: a PSS signature whose salt is as long as the key allows; the cryptographic library takes digest-long salts only, so that is refused.

--- /dev/null
+++ b/crates/as2/src/receipt.rs
@@ -0,0 +1,226 @@
+//! Receipts: message disposition notifications (RFC 8098) as AS2 has them (RFC 4130, section 7).
+
+use crate::message::{boundary, quote_name, signed_part};
+use crate::mime::{split_multipart, ContentType, Part};
+use crate::{secure, As2Error, Certificate, Composed, Digest, Identity, Mic};
+use cloverstile_http::Headers;
+
+/// What became of a message, in a receipt's words.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Disposition {
+    /// Processed.
+    Processed,
+    /// Processed, but for what the text says.
+    Warning(String),
+    /// Not processed (`processed/error: ...`).
+    Error(String),
+    /// Failed (`failed/failure: ...`).
+    Failure(String),
+}
+
+impl Disposition {
+    fn write(&self) -> String {
+        let told = match self {
+            Disposition::Processed => "processed".to_owned(),
+            Disposition::Warning(text) => format!("processed/warning: {text}"),
+            Disposition::Error(text) => format!("processed/error: {text}"),
+            Disposition::Failure(text) => format!("failed/failure: {text}"),
+        };
+        format!("automatic-action/MDN-sent-automatically; {told}")
+    }
+
+    /// Reads the value of `Disposition`, in any case and spacing.
+    fn read(value: &str) -> Option<Disposition> {
+        let told = value.split_once(';').map_or(value, |(_, told)| told).trim();
+        let (kind, modifier) = told.split_once('/').unwrap_or((told, ""));
+        let (modifier, text) = modifier.split_once(':').unwrap_or((modifier, ""));
+        let text = text.trim().to_owned();
+        match (kind.trim().to_ascii_lowercase().as_str(), modifier.trim().to_ascii_lowercase().as_str()) {
+            ("processed", "") => Some(Disposition::Processed),
+            ("processed", "warning") => Some(Disposition::Warning(text)),
+            ("processed", _) => Some(Disposition::Error(text)),
+            ("failed", _) => Some(Disposition::Failure(text)),
+            _ => None,
+        }
+    }
+}
+
+/// A courier's final answer, as a receipt tells it to programs in a field of its own
+/// (`X-Cloverstile-Answer`, an extension field of RFC 8098, section 3.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The partner's own receipt says so.
+    Delivered,
+    /// It never took effect; handing it in again is safe.
+    Refused,
+    /// It may have taken effect.
+    Failed,
+}
+
+impl Outcome {
+    /// The word in the field.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Delivered => "delivered",
+            Outcome::Refused => "refused",
+            Outcome::Failed => "failed",
+        }
+    }
+
+    /// Reads the word.
+    pub fn read(word: &str) -> Option<Outcome> {
+        [Outcome::Delivered, Outcome::Refused, Outcome::Failed].into_iter().find(|o| o.name() == word.trim())
+    }
+}
+
+/// What a receipt tells.
+#[derive(Clone, Debug)]
+pub struct ReceiptFacts<'a> {
+    /// `Message-ID` of the receipt itself, without angle brackets.
+    pub receipt_id: &'a str,
+    /// AS2 name of who sent the message that this is the receipt for.
+    pub to: &'a str,
+    /// That message's `Message-ID`, without angle brackets.
+    pub original_id: &'a str,
+    /// What became of it.
+    pub disposition: Disposition,
+    /// Its integrity check, where it was opened.
+    pub mic: Option<&'a Mic>,
+    /// For people.
+    pub text: &'a str,
+    /// A courier's final answer.
+    pub answer: Option<Outcome>,
+}
+
+/// Composes a receipt, signed where `sign` names a digest.
+pub fn compose_receipt(
+    facts: &ReceiptFacts,
+    from: &Identity,
+    sign: Option<Digest>,
+) -> Result<Composed, As2Error> {
+    let mut fields = Headers::new()
+        .with("Reporting-UA", "cloverstile")
+        .with("Original-Recipient", format!("rfc822; {}", quote_name(&from.name)))
+        .with("Final-Recipient", format!("rfc822; {}", quote_name(&from.name)))
+        .with("Original-Message-ID", format!("<{}>", facts.original_id))
+        .with("Disposition", facts.disposition.write());
+    if let Some(mic) = facts.mic {
+        fields.add("Received-Content-MIC", mic.write());
+    }
+    if let Some(answer) = facts.answer {
+        fields.add("X-Cloverstile-Answer", answer.name());
+    }
+    let text = format!("Content-Type: text/plain; charset=us-ascii\r\n\r\n{}\r\n", facts.text);
+    let machine = Part { headers: fields, body: Vec::new() }.write();
+    let boundary = boundary(&[text.as_bytes(), &machine]);
+    let mut body = format!("--{boundary}\r\n{text}\r\n--{boundary}\r\n").into_bytes();
+    body.extend_from_slice(b"Content-Type: message/disposition-notification\r\n\r\n");
+    body.extend_from_slice(&machine);
+    body.extend_from_slice(format!("\r\n--{boundary}--\r\n").as_bytes());
+    let kind = format!("multipart/report; report-type=disposition-notification; boundary=\"{boundary}\"");
+    let report = Part { headers: Headers::new().with("Content-Type", kind), body };
+    let digest = sign.unwrap_or(Digest::Sha256);
+    let part = match sign {
+        Some(digest) => signed_part(&report.write(), from, digest)?,
+        None => report,
+    };
+    let mut headers = Headers::new()
+        .with("AS2-Version", "1.2")
+        .with("AS2-From", quote_name(&from.name))
+        .with("AS2-To", quote_name(facts.to))
+        .with("Message-ID", format!("<{}>", facts.receipt_id))
+        .with("MIME-Version", "1.0");
+    for (name, value) in part.headers.iter() {
+        headers.add(name, value);
+    }
+    let mic = Mic { value: digest.of(&part.body), digest };
+    Ok(Composed { headers, body: part.body, mic })
+}
+
+/// A receipt that was read, its signature checked where it has one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Receipt {
+    /// Message that it is for, without angle brackets.
+    pub original_id: String,
+    /// What became of it.
+    pub disposition: Disposition,
+    /// The integrity check returned.
+    pub mic: Option<Mic>,
+    /// It was signed, and the signature is that of the certificate given.
+    pub signed: bool,
+    /// A courier's final answer, if it was one.
+    pub answer: Option<Outcome>,
+}
+
+impl Receipt {
+    /// Whether it counts as proof that this message was processed: the right message, signed where that was
+    /// asked for, and for a processed one the very bytes that were sent.
+    pub fn check(&self, message_id: &str, mic: &Mic, signed: bool) -> Result<(), As2Error> {
+        if self.original_id != message_id {
+            return Err(As2Error::OtherReceipt(self.original_id.clone()));
+        }
+        if signed && !self.signed {
+            return Err(As2Error::Unprotected("signed"));
+        }
+        match (&self.disposition, &self.mic) {
+            (Disposition::Processed | Disposition::Warning(_), Some(told)) if told != mic => {
+                Err(As2Error::Digest)
+            }
+            (Disposition::Processed | Disposition::Warning(_), None) if signed => {
+                Err(As2Error::Missing("Received-Content-MIC"))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// Reads a receipt from the station that the certificate is held for.
+pub fn read_receipt(headers: &Headers, body: &[u8], from: &Certificate) -> Result<Receipt, As2Error> {
+    let mut content = Headers::new();
+    content.add("Content-Type", headers.get("content-type").ok_or(As2Error::Missing("Content-Type"))?);
+    let mut part = Part { headers: content, body: body.to_vec() };
+    let mut signed = false;
+    let kind = part.content_type();
+    if kind.name == "multipart/signed" {
+        let parts = split_multipart(&part.body, boundary_of(&kind)?)?;
+        let [report, signature] = parts[..] else {
+            return Err(As2Error::Mime("multipart/signed needs two parts"));
+        };
+        let signature = Part::read(signature)?.decoded()?;
+        secure::verify(&signature, Some(report), from)?;
+        signed = true;
+        part = Part::read(report)?;
+    }
+    let kind = part.content_type();
+    if kind.name != "multipart/report" {
+        return Err(As2Error::Mime("a receipt must be a multipart/report"));
+    }
+    for piece in split_multipart(&part.body, boundary_of(&kind)?)? {
+        let piece = Part::read(piece)?;
+        if piece.content_type().name == "message/disposition-notification" {
+            return read_fields(&piece, signed);
+        }
+    }
+    Err(As2Error::Mime("a report without a disposition notification"))
+}
+
+fn boundary_of(kind: &ContentType) -> Result<&str, As2Error> {
+    kind.parameter("boundary").ok_or(As2Error::Mime("a multipart without a boundary"))
+}
+
+fn read_fields(piece: &Part, signed: bool) -> Result<Receipt, As2Error> {
+    // Some products leave out the empty line after the last field.
+    let mut text = piece.decoded()?;
+    text.extend_from_slice(b"\r\n\r\n");
+    let fields = Part::read(&text)?.headers;
+    let original = fields.get("original-message-id").ok_or(As2Error::Missing("Original-Message-ID"))?;
+    let disposition = fields.get("disposition").ok_or(As2Error::Missing("Disposition"))?;
+    Ok(Receipt {
+        original_id: original.trim().trim_start_matches('<').trim_end_matches('>').to_owned(),
+        disposition: Disposition::read(disposition)
+            .ok_or(As2Error::Mime("a disposition of no known kind"))?,
+        mic: fields.get("received-content-mic").and_then(Mic::read),
+        signed,
+        answer: fields.get("x-cloverstile-answer").and_then(Outcome::read),
+    })
+}
--- /dev/null
+++ b/crates/as2/src/secure.rs
@@ -0,0 +1,468 @@
+//! CMS (RFC 5652, 3274, 5083): signed, encrypted and compressed content.
+
+use crate::ber::to_der;
+use crate::keys::{KeyKind, PrivateKey};
+use crate::message::{Cipher, Digest};
+use crate::mime::BOUNDS;
+use crate::{As2Error, Certificate, Identity};
+use aws_lc_rs::aead::{Aad, LessSafeKey, Nonce, UnboundKey, AES_128_GCM, AES_256_GCM};
+use aws_lc_rs::cipher::{
+    DecryptionContext, PaddedBlockDecryptingKey, PaddedBlockEncryptingKey, UnboundCipherKey, AES_128,
+    AES_192, AES_256,
+};
+use aws_lc_rs::iv::FixedLength;
+use aws_lc_rs::rsa::{OaepAlgorithm, Pkcs1PublicEncryptingKey, OAEP_SHA1_MGF1SHA1, OAEP_SHA256_MGF1SHA256};
+use aws_lc_rs::signature::{self, UnparsedPublicKey, VerificationAlgorithm};
+use cms::compressed_data::CompressedData;
+use cms::content_info::{CmsVersion, ContentInfo};
+use cms::enveloped_data::{
+    EncryptedContentInfo, EnvelopedData, KeyTransRecipientInfo, RecipientIdentifier, RecipientInfo,
+    RecipientInfos,
+};
+use cms::signed_data::{EncapsulatedContentInfo, SignedData, SignerIdentifier, SignerInfo, SignerInfos};
+use const_oid::db::{rfc5911, rfc5912, rfc6268};
+use const_oid::ObjectIdentifier;
+use der::asn1::{Any, Null, OctetString, SetOfVec};
+use der::{Decode, Encode};
+use spki::AlgorithmIdentifierOwned;
+use std::io::{Read, Write};
+use x509_cert::attr::Attribute;
+
+const OAEP: ObjectIdentifier = ObjectIdentifier::new_unwrap("1.2.840.113549.1.1.7");
+const PSS: ObjectIdentifier = ObjectIdentifier::new_unwrap("1.2.840.113549.1.1.10");
+const ZLIB: ObjectIdentifier = ObjectIdentifier::new_unwrap("1.2.840.113549.1.9.16.3.8");
+const COMPRESSED: ObjectIdentifier = ObjectIdentifier::new_unwrap("1.2.840.113549.1.9.16.1.9");
+const AUTH_ENVELOPED: ObjectIdentifier = rfc6268::ID_CT_AUTH_ENVELOPED_DATA;
+
+/// What a CMS structure holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wrapping {
+    /// Signed content, the content inside.
+    Signed,
+    /// Encrypted content.
+    Encrypted,
+    /// Compressed content.
+    Compressed,
+}
+
+fn cms(what: &'static str) -> impl Fn(der::Error) -> As2Error {
+    move |error| As2Error::Cms(what, error.to_string())
+}
+
+fn algorithm(oid: ObjectIdentifier, parameters: Option<Any>) -> AlgorithmIdentifierOwned {
+    AlgorithmIdentifierOwned { oid, parameters }
+}
+
+fn info(content_type: ObjectIdentifier, content: &impl Encode) -> Result<Vec<u8>, As2Error> {
+    let content = content.to_der().and_then(|der| Any::from_der(&der)).map_err(cms("structure"))?;
+    ContentInfo { content_type, content }.to_der().map_err(cms("structure"))
+}
+
+fn read_info(bytes: &[u8]) -> Result<(ObjectIdentifier, Vec<u8>), As2Error> {
+    let der = to_der(bytes)?;
+    let info = ContentInfo::from_der(&der).map_err(cms("content"))?;
+    Ok((info.content_type, info.content.to_der().map_err(cms("content"))?))
+}
+
+/// What a structure holds, read off its own type: the MIME fields are often wrong.
+pub fn wrapping(bytes: &[u8]) -> Result<Wrapping, As2Error> {
+    match read_info(bytes)?.0 {
+        rfc5911::ID_SIGNED_DATA => Ok(Wrapping::Signed),
+        rfc5911::ID_ENVELOPED_DATA | AUTH_ENVELOPED => Ok(Wrapping::Encrypted),
+        COMPRESSED => Ok(Wrapping::Compressed),
+        other => Err(As2Error::Algorithm("CMS content type", other.to_string())),
+    }
+}
+
+// ---- Signatures ----
+
+fn digest_of(oid: ObjectIdentifier) -> Result<Digest, As2Error> {
+    match oid {
+        rfc5912::ID_SHA_1 => Ok(Digest::Sha1),
+        rfc5912::ID_SHA_256 => Ok(Digest::Sha256),
+        rfc5912::ID_SHA_384 => Ok(Digest::Sha384),
+        rfc5912::ID_SHA_512 => Ok(Digest::Sha512),
+        other => Err(As2Error::Algorithm("digest", other.to_string())),
+    }
+}
+
+fn digest_oid(digest: Digest) -> ObjectIdentifier {
+    match digest {
+        Digest::Sha1 => rfc5912::ID_SHA_1,
+        Digest::Sha256 => rfc5912::ID_SHA_256,
+        Digest::Sha384 => rfc5912::ID_SHA_384,
+        Digest::Sha512 => rfc5912::ID_SHA_512,
+    }
+}
+
+fn attribute(oid: ObjectIdentifier, value: &impl Encode) -> Result<Attribute, der::Error> {
+    let mut values = SetOfVec::new();
+    values.insert(Any::from_der(&value.to_der()?)?)?;
+    Ok(Attribute { oid, values })
+}
+
+/// A signature over content that stands beside it.
+pub fn sign(content: &[u8], signer: &Identity, digest: Digest) -> Result<Vec<u8>, As2Error> {
+    let der_error = cms("signature");
+    let digest_alg = algorithm(digest_oid(digest), None);
+    let hash = OctetString::new(digest.of(content)).map_err(&der_error)?;
+    let mut attributes = SetOfVec::new();
+    let content_type = attribute(rfc5911::ID_CONTENT_TYPE, &rfc5911::ID_DATA).map_err(&der_error)?;
+    attributes.insert(content_type).map_err(&der_error)?;
+    attributes
+        .insert(attribute(rfc5911::ID_MESSAGE_DIGEST, &hash).map_err(&der_error)?)
+        .map_err(&der_error)?;
+    let signed = attributes.to_der().map_err(&der_error)?;
+    let (value, signature_algorithm) = raw_signature(&signed, signer, digest)?;
+    let mut digest_algorithms = SetOfVec::new();
+    digest_algorithms.insert(digest_alg.clone()).map_err(&der_error)?;
+    let mut signer_infos = SetOfVec::new();
+    let signer_info = SignerInfo {
+        version: CmsVersion::V1,
+        sid: SignerIdentifier::IssuerAndSerialNumber(signer.certificate.issuer_and_serial()),
+        digest_alg,
+        signed_attrs: Some(attributes),
+        signature_algorithm,
+        signature: OctetString::new(value).map_err(&der_error)?,
+        unsigned_attrs: None,
+    };
+    signer_infos.insert(signer_info).map_err(&der_error)?;
+    let mut certificates = SetOfVec::new();
+    let own = cms::cert::CertificateChoices::Certificate(signer.certificate.x509.clone());
+    certificates.insert(own).map_err(&der_error)?;
+    let data = SignedData {
+        version: CmsVersion::V1,
+        digest_algorithms,
+        encap_content_info: EncapsulatedContentInfo { econtent_type: rfc5911::ID_DATA, econtent: None },
+        certificates: Some(cms::signed_data::CertificateSet(certificates)),
+        crls: None,
+        signer_infos: SignerInfos(signer_infos),
+    };
+    info(rfc5911::ID_SIGNED_DATA, &data)
+}
+
+fn raw_signature(
+    signed: &[u8],
+    signer: &Identity,
+    digest: Digest,
+) -> Result<(Vec<u8>, AlgorithmIdentifierOwned), As2Error> {
+    let failed = |_| As2Error::Key("private key", "signing failed".into());
+    let random = aws_lc_rs::rand::SystemRandom::new();
+    match &signer.key {
+        PrivateKey::Rsa { sign, .. } => {
+            let padding: &dyn signature::RsaEncoding = match digest {
+                Digest::Sha1 => return Err(As2Error::Algorithm("signing with", "sha-1".into())),
+                Digest::Sha256 => &signature::RSA_PKCS1_SHA256,
+                Digest::Sha384 => &signature::RSA_PKCS1_SHA384,
+                Digest::Sha512 => &signature::RSA_PKCS1_SHA512,
+            };
+            let mut value = vec![0; sign.public_modulus_len()];
+            sign.sign(padding, &random, signed, &mut value).map_err(failed)?;
+            Ok((value, algorithm(rfc5912::RSA_ENCRYPTION, Some(Null.into()))))
+        }
+        PrivateKey::P256(pair) if digest == Digest::Sha256 => {
+            let value = pair.sign(&random, signed).map_err(failed)?;
+            Ok((value.as_ref().to_vec(), algorithm(rfc5912::ECDSA_WITH_SHA_256, None)))
+        }
+        PrivateKey::P256(_) => Err(As2Error::Algorithm("signing on P-256 with", digest.name().into())),
+    }
+}
+
+/// Checks a signature over content that stands beside it (or inside, where `content` is none) and returns the
+/// digest used and the content that was signed. Only `certificate` counts; those inside are not looked at.
+pub fn verify(
+    bytes: &[u8],
+    content: Option<&[u8]>,
+    certificate: &Certificate,
+) -> Result<(Digest, Vec<u8>), As2Error> {
+    let (content_type, der) = read_info(bytes)?;
+    if content_type != rfc5911::ID_SIGNED_DATA {
+        return Err(As2Error::Cms("signature", format!("content type {content_type}")));
+    }
+    let data = SignedData::from_der(&der).map_err(cms("signature"))?;
+    let inside = match (content, &data.encap_content_info.econtent) {
+        (Some(beside), _) => beside.to_vec(),
+        (None, Some(any)) => any.decode_as::<OctetString>().map_err(cms("signed content"))?.into_bytes(),
+        (None, None) => return Err(As2Error::Cms("signature", "no content inside".into())),
+    };
+    // Several signers may have signed; that of the sender's certificate is the one that counts.
+    let mut found = Err(As2Error::Signature);
+    for signer in data.signer_infos.0.iter() {
+        found = verify_signer(signer, &inside, certificate);
+        if found.is_ok() {
+            break;
+        }
+    }
+    found.map(|digest| (digest, inside))
+}
+
+fn verify_signer(signer: &SignerInfo, content: &[u8], certificate: &Certificate) -> Result<Digest, As2Error> {
+    let digest = digest_of(signer.digest_alg.oid)?;
+    let signed = match &signer.signed_attrs {
+        None => content.to_vec(),
+        Some(attributes) => {
+            let told = attributes.iter().find(|a| a.oid == rfc5911::ID_MESSAGE_DIGEST);
+            let told = told.and_then(|a| a.values.iter().next()).ok_or(As2Error::Digest)?;
+            let told = told.decode_as::<OctetString>().map_err(cms("signed digest"))?;
+            if told.as_bytes() != digest.of(content) {
+                return Err(As2Error::Digest);
+            }
+            attributes.to_der().map_err(cms("signed attributes"))?
+        }
+    };
+    let scheme: &'static dyn VerificationAlgorithm =
+        match (certificate.kind, digest, signer.signature_algorithm.oid) {
+            (KeyKind::Rsa, Digest::Sha256, PSS) => &signature::RSA_PSS_2048_8192_SHA256,
+            (KeyKind::Rsa, Digest::Sha384, PSS) => &signature::RSA_PSS_2048_8192_SHA384,
+            (KeyKind::Rsa, Digest::Sha512, PSS) => &signature::RSA_PSS_2048_8192_SHA512,
+            (KeyKind::Rsa, Digest::Sha1, _) => &signature::RSA_PKCS1_2048_8192_SHA1_FOR_LEGACY_USE_ONLY,
+            (KeyKind::Rsa, Digest::Sha256, _) => &signature::RSA_PKCS1_2048_8192_SHA256,
+            (KeyKind::Rsa, Digest::Sha384, _) => &signature::RSA_PKCS1_2048_8192_SHA384,
+            (KeyKind::Rsa, Digest::Sha512, _) => &signature::RSA_PKCS1_2048_8192_SHA512,
+            (KeyKind::P256, Digest::Sha256, _) => &signature::ECDSA_P256_SHA256_ASN1,
+            (KeyKind::P256, other, _) => return Err(As2Error::Algorithm("P-256 with", other.name().into())),
+        };
+    UnparsedPublicKey::new(scheme, &certificate.public_key)
+        .verify(&signed, signer.signature.as_bytes())
+        .map_err(|_| As2Error::Signature)?;
+    Ok(digest)
+}
+
+// ---- Encryption ----
+
+/// RFC 5084, section 3.2.
+#[derive(der::Sequence)]
+struct GcmParameters {
+    nonce: OctetString,
+    #[asn1(default = "default_tag")]
+    tag_length: u8,
+}
+
+fn default_tag() -> u8 {
+    12
+}
+
+/// RFC 5083, section 2.1.
+#[derive(der::Sequence)]
+struct AuthEnvelopedData {
+    version: CmsVersion,
+    #[asn1(context_specific = "0", tag_mode = "IMPLICIT", optional = "true", constructed = "true")]
+    originator: Option<cms::enveloped_data::OriginatorInfo>,
+    recipients: RecipientInfos,
+    content: EncryptedContentInfo,
+    #[asn1(context_specific = "1", tag_mode = "IMPLICIT", optional = "true", constructed = "true")]
+    attributes: Option<x509_cert::attr::Attributes>,
+    mac: OctetString,
+    #[asn1(context_specific = "2", tag_mode = "IMPLICIT", optional = "true", constructed = "true")]
+    other_attributes: Option<x509_cert::attr::Attributes>,
+}
+
+/// Length of the authentication tag; the library takes no other.
+const TAG: usize = 16;
+
+fn unspecified(_: aws_lc_rs::error::Unspecified) -> As2Error {
+    As2Error::Decrypt
+}
+
+/// Content encrypted for the holder of a certificate.
+pub fn encrypt(content: &[u8], to: &Certificate, cipher: Cipher) -> Result<Vec<u8>, As2Error> {
+    let der_error = cms("encryption");
+    let mut key = [0; 32];
+    let key = &mut key[..cipher.key_length()];
+    aws_lc_rs::rand::fill(key).map_err(unspecified)?;
+    let transport = Pkcs1PublicEncryptingKey::new(to.encrypting_key()?).map_err(unspecified)?;
+    let mut wrapped = vec![0; transport.ciphertext_size()];
+    let wrapped = transport.encrypt(key, &mut wrapped).map_err(unspecified)?;
+    let recipient = KeyTransRecipientInfo {
+        version: CmsVersion::V0,
+        rid: RecipientIdentifier::IssuerAndSerialNumber(to.issuer_and_serial()),
+        key_enc_alg: algorithm(rfc5912::RSA_ENCRYPTION, Some(Null.into())),
+        enc_key: OctetString::new(&*wrapped).map_err(&der_error)?,
+    };
+    let mut recip_infos = SetOfVec::new();
+    recip_infos.insert(RecipientInfo::Ktri(recipient)).map_err(&der_error)?;
+    let recip_infos = RecipientInfos(recip_infos);
+    let mut body = content.to_vec();
+    let described = |oid, parameters: Any, body: &[u8]| -> Result<EncryptedContentInfo, As2Error> {
+        Ok(EncryptedContentInfo {
+            content_type: rfc5911::ID_DATA,
+            content_enc_alg: algorithm(oid, Some(parameters)),
+            encrypted_content: Some(OctetString::new(body).map_err(&der_error)?),
+        })
+    };
+    match cipher {
+        Cipher::Aes128Cbc | Cipher::Aes256Cbc => {
+            let (suite, oid) = match cipher {
+                Cipher::Aes128Cbc => (&AES_128, rfc5911::ID_AES_128_CBC),
+                _ => (&AES_256, rfc5911::ID_AES_256_CBC),
+            };
+            let key = UnboundCipherKey::new(suite, key).map_err(unspecified)?;
+            let key = PaddedBlockEncryptingKey::cbc_pkcs7(key).map_err(unspecified)?;
+            let context = key.encrypt(&mut body).map_err(unspecified)?;
+            let iv: &[u8] = (&context).try_into().map_err(unspecified)?;
+            let iv = OctetString::new(iv).and_then(|iv| Any::encode_from(&iv)).map_err(&der_error)?;
+            let encrypted_content = described(oid, iv, &body)?;
+            let data = EnvelopedData {
+                version: CmsVersion::V0,
+                originator_info: None,
+                recip_infos,
+                encrypted_content,
+                unprotected_attrs: None,
+            };
+            info(rfc5911::ID_ENVELOPED_DATA, &data)
+        }
+        Cipher::Aes128Gcm | Cipher::Aes256Gcm => {
+            let (suite, oid) = match cipher {
+                Cipher::Aes128Gcm => (&AES_128_GCM, rfc5911::ID_AES_128_GCM),
+                _ => (&AES_256_GCM, rfc5911::ID_AES_256_GCM),
+            };
+            let mut nonce = [0; 12];
+            aws_lc_rs::rand::fill(&mut nonce).map_err(unspecified)?;
+            let key = LessSafeKey::new(UnboundKey::new(suite, key).map_err(unspecified)?);
+            let tag = key
+                .seal_in_place_separate_tag(Nonce::assume_unique_for_key(nonce), Aad::empty(), &mut body)
+                .map_err(unspecified)?;
+            let nonce = OctetString::new(nonce).map_err(&der_error)?;
+            let parameters =
+                Any::encode_from(&GcmParameters { nonce, tag_length: TAG as u8 }).map_err(&der_error)?;
+            let data = AuthEnvelopedData {
+                version: CmsVersion::V0,
+                originator: None,
+                recipients: recip_infos,
+                content: described(oid, parameters, &body)?,
+                attributes: None,
+                mac: OctetString::new(tag.as_ref()).map_err(&der_error)?,
+                other_attributes: None,
+            };
+            info(AUTH_ENVELOPED, &data)
+        }
+    }
+}
+
+/// Opens content encrypted for this station.
+pub fn decrypt(bytes: &[u8], me: &Identity) -> Result<Vec<u8>, As2Error> {
+    let (content_type, der) = read_info(bytes)?;
+    if content_type == AUTH_ENVELOPED {
+        let data = AuthEnvelopedData::from_der(&der).map_err(cms("encryption"))?;
+        return decrypt_gcm(&data, me);
+    }
+    let data = EnvelopedData::from_der(&der).map_err(cms("encryption"))?;
+    let content = data.encrypted_content;
+    let (suite, length) = match content.content_enc_alg.oid {
+        rfc5911::ID_AES_128_CBC => (&AES_128, 16),
+        rfc5911::ID_AES_192_CBC => (&AES_192, 24),
+        rfc5911::ID_AES_256_CBC => (&AES_256, 32),
+        other => return Err(As2Error::Algorithm("content encryption", other.to_string())),
+    };
+    let key = content_key(&data.recip_infos, me, length)?;
+    let iv = content.content_enc_alg.parameters.and_then(|any| any.decode_as::<OctetString>().ok());
+    let iv: [u8; 16] = iv.and_then(|iv| iv.as_bytes().try_into().ok()).ok_or(As2Error::Decrypt)?;
+    let mut body = content.encrypted_content.ok_or(As2Error::Decrypt)?.into_bytes();
+    let key = UnboundCipherKey::new(suite, &key).map_err(unspecified)?;
+    let key = PaddedBlockDecryptingKey::cbc_pkcs7(key).map_err(unspecified)?;
+    let context = DecryptionContext::Iv128(FixedLength::from(iv));
+    let length = key.decrypt(&mut body, context).map_err(unspecified)?.len();
+    body.truncate(length);
+    Ok(body)
+}
+
+fn decrypt_gcm(data: &AuthEnvelopedData, me: &Identity) -> Result<Vec<u8>, As2Error> {
+    let (suite, length) = match data.content.content_enc_alg.oid {
+        rfc5911::ID_AES_128_GCM => (&AES_128_GCM, 16),
+        rfc5911::ID_AES_256_GCM => (&AES_256_GCM, 32),
+        other => return Err(As2Error::Algorithm("content encryption", other.to_string())),
+    };
+    let key = content_key(&data.recipients, me, length)?;
+    let parameters = data.content.content_enc_alg.parameters.as_ref();
+    let parameters =
+        parameters.and_then(|any| any.decode_as::<GcmParameters>().ok()).ok_or(As2Error::Decrypt)?;
+    if usize::from(parameters.tag_length) != TAG {
+        return Err(As2Error::Algorithm("tag length", parameters.tag_length.to_string()));
+    }
+    let nonce = Nonce::try_assume_unique_for_key(parameters.nonce.as_bytes()).map_err(unspecified)?;
+    let attributes = match &data.attributes {
+        Some(attributes) => attributes.to_der().map_err(cms("attributes"))?,
+        None => Vec::new(),
+    };
+    let mut body = data.content.encrypted_content.as_ref().ok_or(As2Error::Decrypt)?.as_bytes().to_vec();
+    body.extend_from_slice(data.mac.as_bytes());
+    let key = LessSafeKey::new(UnboundKey::new(suite, &key).map_err(unspecified)?);
+    let length = key.open_in_place(nonce, Aad::from(attributes), &mut body).map_err(unspecified)?.len();
+    body.truncate(length);
+    Ok(body)
+}
+
+/// The content key that a recipient entry carries for this station. Where the transport does not decrypt, a
+/// random key goes on in its place (RFC 3218, section 2.3.2): what fails then fails alike for every sender, so
+/// that answers can't be used to decrypt step by step.
+fn content_key(recipients: &RecipientInfos, me: &Identity, length: usize) -> Result<Vec<u8>, As2Error> {
+    let PrivateKey::Rsa { pkcs1, oaep, .. } = &me.key else { return Err(As2Error::Decrypt) };
+    let mine = recipients.0.iter().find_map(|recipient| match recipient {
+        RecipientInfo::Ktri(entry) => match &entry.rid {
+            RecipientIdentifier::IssuerAndSerialNumber(rid) if me.certificate.is(rid) => Some(entry),
+            RecipientIdentifier::SubjectKeyIdentifier(_) => Some(entry),
+            _ => None,
+        },
+        _ => None,
+    });
+    let entry = mine.ok_or(As2Error::Decrypt)?;
+    let mut key = vec![0; length];
+    aws_lc_rs::rand::fill(&mut key).map_err(unspecified)?;
+    let mut plain = vec![0; pkcs1.key_size_bytes()];
+    let opened = match entry.key_enc_alg.oid {
+        rfc5912::RSA_ENCRYPTION => pkcs1.decrypt(entry.enc_key.as_bytes(), &mut plain),
+        OAEP => oaep.decrypt(oaep_scheme(&entry.key_enc_alg)?, entry.enc_key.as_bytes(), &mut plain, None),
+        other => return Err(As2Error::Algorithm("key transport", other.to_string())),
+    };
+    if let Ok(opened) = opened {
+        if opened.len() == length {
+            key.copy_from_slice(opened);
+        }
+    }
+    Ok(key)
+}
+
+/// RSAES-OAEP with the digests that are in use (RFC 4055, section 4.1): SHA-1 where none is told, else SHA-256.
+fn oaep_scheme(told: &AlgorithmIdentifierOwned) -> Result<&'static OaepAlgorithm, As2Error> {
+    let parameters = told.parameters.as_ref().and_then(|any| any.to_der().ok()).unwrap_or_default();
+    match parameters.as_slice() {
+        [] | [0x30, 0x00] => Ok(&OAEP_SHA1_MGF1SHA1),
+        _ => Ok(&OAEP_SHA256_MGF1SHA256),
+    }
+}
+
+// ---- Compression ----
+
+/// Content compressed with zlib (RFC 3274).
+pub fn compress(content: &[u8]) -> Result<Vec<u8>, As2Error> {
+    let failed = |error: std::io::Error| As2Error::Cms("compression", error.to_string());
+    let mut encoder = flate2::write::ZlibEncoder::new(Vec::new(), flate2::Compression::default());
+    encoder.write_all(content).map_err(failed)?;
+    let packed = OctetString::new(encoder.finish().map_err(failed)?).map_err(cms("compression"))?;
+    let data = CompressedData {
+        version: CmsVersion::V0,
+        compression_alg: algorithm(ZLIB, None),
+        encap_content_info: EncapsulatedContentInfo {
+            econtent_type: rfc5911::ID_DATA,
+            econtent: Some(Any::encode_from(&packed).map_err(cms("compression"))?),
+        },
+    };
+    info(COMPRESSED, &data)
+}
+
+/// Unpacks compressed content, up to the bound: a few kilobytes can stand for gigabytes.
+pub fn decompress(bytes: &[u8]) -> Result<Vec<u8>, As2Error> {
+    let (_, der) = read_info(bytes)?;
+    let data = CompressedData::from_der(&der).map_err(cms("compression"))?;
+    let packed = data.encap_content_info.econtent.ok_or(As2Error::Mime("compressed without content"))?;
+    let packed = packed.decode_as::<OctetString>().map_err(cms("compression"))?;
+    let mut content = Vec::new();
+    flate2::read::ZlibDecoder::new(packed.as_bytes())
+        .take(BOUNDS.unpacked as u64 + 1)
+        .read_to_end(&mut content)
+        .map_err(|error| As2Error::Cms("compression", error.to_string()))?;
+    match content.len() > BOUNDS.unpacked {
+        true => Err(As2Error::Bound("unpacked bytes", BOUNDS.unpacked)),
+        false => Ok(content),
+    }
+}
--- /dev/null
+++ b/crates/as2/tests/whole.rs
@@ -0,0 +1,308 @@
+//! Messages and receipts in every protection, ours and what other products write, whole and damaged.
+
+use cloverstile_as2::*;
+use cloverstile_http::Headers;
+use proptest::prelude::*;
+use std::sync::LazyLock;
+
+macro_rules! data {
+    ($name:literal) => {
+        include_bytes!(concat!("data/", $name))
+    };
+}
+
+fn text(bytes: &[u8]) -> &str {
+    std::str::from_utf8(bytes).unwrap()
+}
+
+fn station(name: &str, key: &[u8], certificate: &[u8]) -> Identity {
+    Identity::from_pem(name, text(key), text(certificate)).unwrap()
+}
+
+static A: LazyLock<Identity> = LazyLock::new(|| station("station a", data!("a.key"), data!("a.crt")));
+static E: LazyLock<Identity> = LazyLock::new(|| station("E", data!("e.key"), data!("e.crt")));
+static OTHER: LazyLock<Identity> = LazyLock::new(|| {
+    let pair = rcgen::KeyPair::generate_for(&rcgen::PKCS_ECDSA_P256_SHA256).unwrap();
+    let certificate = rcgen::CertificateParams::new(vec![]).unwrap().self_signed(&pair).unwrap();
+    Identity::from_pem("other", &pair.serialize_pem(), &certificate.pem()).unwrap()
+});
+
+fn payload(body: &[u8]) -> Part {
+    Part { headers: Headers::new().with("Content-Type", "application/edi-x12"), body: body.to_vec() }
+}
+
+fn to_a() -> Addressee<'static> {
+    Addressee { name: "station a", certificate: &A.certificate }
+}
+
+fn sent(security: &Security, body: &[u8]) -> Composed {
+    let payload = payload(body);
+    let outgoing = Outgoing { message_id: "m1@e", payload: &payload, subject: Some("pay") };
+    compose(&outgoing, &E, to_a(), security).unwrap()
+}
+
+fn opened(headers: &Headers, body: &[u8]) -> Result<Opened, As2Error> {
+    let envelope = Envelope::read(headers)?;
+    open(headers, body, &A, &E.certificate, envelope.receipt.as_ref())
+}
+
+fn every_protection() -> Vec<Security> {
+    let mut all = Vec::new();
+    for sign in [None, Some(Digest::Sha256)] {
+        for encrypt in [
+            None,
+            Some(Cipher::Aes128Cbc),
+            Some(Cipher::Aes256Cbc),
+            Some(Cipher::Aes128Gcm),
+            Some(Cipher::Aes256Gcm),
+        ] {
+            for compress in [false, true] {
+                all.push(Security { sign, encrypt, compress, ..Security::default() });
+            }
+        }
+    }
+    all
+}
+
+#[test]
+fn every_protection_opens_to_what_was_sent_with_the_same_integrity_check() {
+    for security in every_protection() {
+        let composed = sent(&security, b"line one\nline two\r\n--\r\n");
+        let envelope = Envelope::read(&composed.headers).unwrap();
+        assert_eq!(
+            (&envelope.from[..], &envelope.to[..], &envelope.message_id[..]),
+            ("E", "station a", "m1@e")
+        );
+        let opened = opened(&composed.headers, &composed.body).unwrap();
+        assert_eq!(opened.payload, payload(b"line one\nline two\r\n--\r\n"), "{security:?}");
+        assert_eq!(opened.mic, composed.mic, "{security:?}");
+        let protection = (opened.signed, opened.encrypted, opened.compressed);
+        assert_eq!(protection, (security.sign, security.encrypt.is_some(), security.compress));
+    }
+}
+
+#[test]
+fn rsa_signs_with_every_longer_digest_and_never_with_sha_1() {
+    let payload = payload(b"x");
+    let outgoing = Outgoing { message_id: "m", payload: &payload, subject: None };
+    let to = Addressee { name: "A", certificate: &A.certificate };
+    for digest in [Digest::Sha256, Digest::Sha384, Digest::Sha512] {
+        let security = Security { sign: Some(digest), ..Security::default() };
+        let composed = compose(&outgoing, &A, to, &security).unwrap();
+        let opened = open(&composed.headers, &composed.body, &A, &A.certificate, None).unwrap();
+        assert_eq!((opened.signed, opened.mic), (Some(digest), composed.mic));
+    }
+    let security = Security { sign: Some(Digest::Sha1), ..Security::default() };
+    assert!(matches!(compose(&outgoing, &A, to, &security), Err(As2Error::Algorithm(..))));
+}
+
+#[test]
+fn what_other_products_write_is_opened() {
+    let part = data!("part.bin");
+    let mail = |bytes: &[u8]| Part::read(bytes).unwrap();
+    for (name, bytes, from) in [
+        ("detached", &data!("signed.eml")[..], &*A),
+        ("probabilistic padding", data!("pss.eml"), &*A),
+        ("opaque, indefinite lengths", data!("opaque.eml"), &*E),
+    ] {
+        let message = mail(bytes);
+        let opened = open(&message.headers, &message.body, &A, &from.certificate, None).expect(name);
+        assert!(opened.signed.is_some(), "{name}");
+        assert_eq!(opened.payload.body, b"ISA*00*salary*42~\r\n", "{name}");
+        assert_eq!(opened.mic.value, opened.mic.digest.of(part), "{name}");
+    }
+    let kind = Headers::new().with("CONTENT-TYPE", "application/x-pkcs7-mime; smime-type=enveloped-data");
+    for (name, bytes) in [
+        ("cbc, pieces of indefinite length", &data!("enc-ber.p7m")[..]),
+        ("gcm, pieces of indefinite length", data!("gcm-ber.p7m")),
+        ("oaep", data!("oaep.p7m")),
+        ("zlib, pieces of indefinite length", data!("zip-ber.p7m")),
+    ] {
+        let opened = open(&kind, bytes, &A, &A.certificate, None).expect(name);
+        assert_eq!(opened.payload.body, b"ISA*00*salary*42~\r\n", "{name}");
+        assert_eq!(opened.mic.value, Digest::Sha256.of(part), "{name}");
+        let lines = base64_lines(bytes);
+        let coded = kind.clone().with("Content-Transfer-Encoding", "Base64");
+        assert!(open(&coded, lines.as_bytes(), &A, &A.certificate, None).is_ok(), "{name} in base64");
+    }
+}
+
+fn base64_lines(bytes: &[u8]) -> String {
+    let digits = Mic { value: bytes.to_vec(), digest: Digest::Sha256 }.write();
+    digits
+        .split(',')
+        .next()
+        .unwrap()
+        .as_bytes()
+        .chunks(60)
+        .map(|line| format!("{}\r\n", text(line)))
+        .collect()
+}
+
+#[test]
+fn a_message_signed_with_crlf_that_travelled_with_lf_is_opened() {
+    let message = Part::read(data!("signed.eml")).unwrap();
+    let body: Vec<u8> = message.body.iter().copied().filter(|b| *b != b'\r').collect();
+    assert!(open(&message.headers, &body, &A, &A.certificate, None).unwrap().signed.is_some());
+}
+
+#[test]
+fn another_signer_changed_content_and_another_addressee_are_told_apart() {
+    let signed = sent(&Security { encrypt: None, ..Security::default() }, b"amount=100");
+    assert_eq!(
+        open(&signed.headers, &signed.body, &A, &A.certificate, None).unwrap_err(),
+        As2Error::Signature
+    );
+    let changed = String::from_utf8(signed.body.clone()).unwrap().replace("amount=100", "amount=999");
+    assert_eq!(opened(&signed.headers, changed.as_bytes()).unwrap_err(), As2Error::Digest);
+    let encrypted = sent(&Security::default(), b"x");
+    let error = open(&encrypted.headers, &encrypted.body, &E, &E.certificate, None).unwrap_err();
+    assert_eq!(error, As2Error::Decrypt);
+}
+
+#[test]
+fn what_fails_inside_a_decryption_looks_alike_whatever_it_is() {
+    let security = Security { sign: None, encrypt: Some(Cipher::Aes128Cbc), ..Security::default() };
+    let composed = sent(&security, &[b'a'; 100]);
+    let mut seen = std::collections::BTreeSet::new();
+    for at in composed.body.len() - 130..composed.body.len() {
+        let mut body = composed.body.clone();
+        body[at] ^= 0x41;
+        if let Err(error) = opened(&composed.headers, &body) {
+            seen.insert(error.to_string());
+        }
+    }
+    assert_eq!(seen.len(), 1, "{seen:?}");
+}
+
+#[test]
+fn a_small_message_that_unpacks_to_gigabytes_ends_in_an_error() {
+    let security = Security { sign: None, encrypt: None, compress: true, receipt: None };
+    let composed = sent(&security, &vec![0; BOUNDS.unpacked + 1]);
+    assert!(composed.body.len() < 200_000);
+    assert!(matches!(opened(&composed.headers, &composed.body), Err(As2Error::Bound("unpacked bytes", _))));
+}
+
+#[test]
+fn wrappings_nested_without_end_are_an_error() {
+    let mut part = payload(b"x");
+    for _ in 0..BOUNDS.depth + 1 {
+        let security = Security { sign: None, encrypt: None, compress: true, receipt: None };
+        let composed =
+            compose(&Outgoing { message_id: "m", payload: &part, subject: None }, &E, to_a(), &security)
+                .unwrap();
+        part = Part {
+            headers: Headers::new().with("Content-Type", "application/pkcs7-mime"),
+            body: composed.body,
+        };
+    }
+    assert!(matches!(open(&part.headers, &part.body, &A, &E.certificate, None), Err(As2Error::Bound(..))));
+}
+
+#[test]
+fn requests_for_receipts_are_read_in_the_spellings_in_use() {
+    let headers = Headers::new()
+        .with("as2-from", "\"Bank \\\"North\\\"\"")
+        .with("AS2-TO", " me ")
+        .with("Message-Id", "<1@x>")
+        .with("Disposition-Notification-To", "x@y")
+        .with(
+            "Disposition-notification-options",
+            "signed-receipt-protocol=optional, pkcs7-signature; signed-receipt-micalg=optional, sha256,SHA1",
+        )
+        .with("Receipt-Delivery-Option", "http://127.0.0.1:9/r");
+    let envelope = Envelope::read(&headers).unwrap();
+    assert_eq!((&envelope.from[..], &envelope.to[..]), ("Bank \"North\"", "me"));
+    let receipt = envelope.receipt.unwrap();
+    assert_eq!(receipt.signed, [Digest::Sha256, Digest::Sha1]);
+    assert_eq!(receipt.deliver_to.as_deref(), Some("http://127.0.0.1:9/r"));
+    assert_eq!(Envelope::read(&Headers::new()), Err(As2Error::Missing("AS2-From")));
+}
+
+fn facts<'a>(disposition: Disposition, mic: &'a Mic) -> ReceiptFacts<'a> {
+    ReceiptFacts {
+        receipt_id: "r1@a",
+        to: "E",
+        original_id: "m1@e",
+        disposition,
+        mic: Some(mic),
+        text: "as told",
+        answer: Some(Outcome::Failed),
+    }
+}
+
+#[test]
+fn receipts_come_back_as_they_were_composed_and_count_only_if_all_is_right() {
+    let mic = sent(&Security::default(), b"x").mic;
+    let other = Mic { value: vec![0; 32], digest: Digest::Sha256 };
+    for disposition in [
+        Disposition::Processed,
+        Disposition::Warning("duplicate-document".into()),
+        Disposition::Error("authentication-failed".into()),
+        Disposition::Failure("unsupported format".into()),
+    ] {
+        for sign in [None, Some(Digest::Sha256), Some(Digest::Sha512)] {
+            let composed = compose_receipt(&facts(disposition.clone(), &mic), &A, sign).unwrap();
+            let receipt = read_receipt(&composed.headers, &composed.body, &A.certificate).unwrap();
+            assert_eq!((&receipt.disposition, receipt.signed), (&disposition, sign.is_some()));
+            assert_eq!((receipt.answer, receipt.mic.as_ref()), (Some(Outcome::Failed), Some(&mic)));
+            assert_eq!(receipt.check("m1@e", &mic, true).is_ok(), sign.is_some());
+            assert!(receipt.check("m2@e", &mic, false).is_err());
+            let processed = matches!(disposition, Disposition::Processed | Disposition::Warning(_));
+            assert_eq!(receipt.check("m1@e", &other, false).is_err(), processed);
+            if sign.is_some() {
+                let by_other = read_receipt(&composed.headers, &composed.body, &OTHER.certificate);
+                assert_eq!(
+                    by_other,
+                    Err(if sign == Some(Digest::Sha256) {
+                        As2Error::Signature
+                    } else {
+                        As2Error::Algorithm("P-256 with", "sha-512".into())
+                    })
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn a_key_of_another_certificate_is_refused_with_a_reason() {
+    let error = Identity::from_pem("x", text(data!("e.key")), text(data!("a.crt"))).unwrap_err();
+    assert!(matches!(error, As2Error::Key("private key", _)), "{error}");
+    assert!(matches!(Certificate::from_pem("nonsense"), Err(As2Error::Key("certificate", _))));
+    assert!(!E.certificate.can_receive_encrypted() && A.certificate.can_receive_encrypted());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(96))]
+
+    #[test]
+    fn damage_anywhere_ends_in_an_error_or_the_same_content(
+        which in 0usize..20, at in any::<prop::sample::Index>(), byte: u8, cut: bool,
+    ) {
+        let security = &every_protection()[which];
+        let composed = sent(security, b"amount=100");
+        let mut body = composed.body.clone();
+        let at = at.index(body.len());
+        if cut { body.truncate(at) } else { body[at] = byte }
+        if let Ok(opened) = opened(&composed.headers, &body) {
+            if security.sign.is_some() {
+                prop_assert_eq!(opened.payload.body, b"amount=100");
+            }
+        }
+    }
+
+    #[test]
+    fn no_bytes_make_it_panic(
+        body in proptest::collection::vec(any::<u8>(), 0..300),
+        kind in prop::sample::select(vec![
+            "application/pkcs7-mime", "multipart/signed; boundary=a", "multipart/report; boundary=\"a\"", "text/plain",
+        ]),
+        encoding in prop::sample::select(vec!["base64", "quoted-printable", "binary"]),
+    ) {
+        let headers = Headers::new().with("Content-Type", kind).with("Content-Transfer-Encoding", encoding);
+        let _ = open(&headers, &body, &A, &E.certificate, None);
+        let _ = read_receipt(&headers, &body, &E.certificate);
+        let _ = Part::read(&body);
+    }
+}
--- /dev/null
+++ b/crates/http/tests/framing.rs
@@ -0,0 +1,109 @@
+//! What a peer may send, whole and in pieces, and what is refused.
+
+use cloverstile_http::*;
+use proptest::prelude::*;
+use std::time::Duration;
+
+const T: Duration = Duration::ZERO;
+
+fn read(decoder: &mut Decoder, bytes: &[u8]) -> Result<Vec<Item>, HttpError> {
+    decoder.feed(T, bytes);
+    let mut items = Vec::new();
+    while let Some(item) = decoder.next(T)? {
+        items.push(item);
+    }
+    Ok(items)
+}
+
+fn server() -> Decoder {
+    Decoder::server(Limits { body: 4096, head: 1024, fields: 10, ..Limits::default() })
+}
+
+#[test]
+fn conflicting_lengths_are_refused() {
+    for head in [
+        "Content-Length: 3\r\nContent-Length: 4\r\n",
+        "Content-Length: 3, 4\r\n",
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: +3\r\n",
+        "Content-Length: -3\r\n",
+    ] {
+        let text = format!("POST / HTTP/1.1\r\n{head}\r\nabcd");
+        assert!(matches!(read(&mut server(), text.as_bytes()), Err(HttpError::Length(_))), "{head}");
+    }
+}
+
+#[test]
+fn what_is_over_a_limit_is_refused_before_it_is_held() {
+    let huge = "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n";
+    assert_eq!(read(&mut server(), huge.as_bytes()), Err(HttpError::Limit("body", 4096)));
+    let chunk = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n";
+    assert_eq!(read(&mut server(), chunk.as_bytes()), Err(HttpError::Limit("body", 4096)));
+    let endless = format!("POST / HTTP/1.1\r\nA: {}", "x".repeat(2000));
+    assert_eq!(read(&mut server(), endless.as_bytes()), Err(HttpError::Limit("head", 1024)));
+}
+
+#[test]
+fn a_client_that_waits_for_leave_is_told_of_once() {
+    let mut decoder = server();
+    let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    assert_eq!(read(&mut decoder, head).unwrap(), [Item::ExpectsContinue]);
+    let items = read(&mut decoder, b"ok").unwrap();
+    assert!(matches!(&items[..], [Item::Message(m)] if m.body == b"ok"));
+}
+
+#[test]
+fn a_message_that_trickles_runs_out_of_time() {
+    let mut decoder = server();
+    decoder.feed(T, b"POST / HT");
+    assert_eq!(decoder.next(T).unwrap(), None);
+    assert!(decoder.check_time(Duration::from_secs(9)).is_ok());
+    assert!(matches!(decoder.check_time(Duration::from_secs(10)), Err(HttpError::Slow("head", _))));
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection_and_interim_ones_are_passed_over() {
+    let mut decoder = Decoder::client(Limits::default());
+    assert_eq!(read(&mut decoder, b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc").unwrap(), []);
+    assert_eq!(decoder.end().unwrap().unwrap().body, b"abc");
+    let mut cut = Decoder::client(Limits::default());
+    assert_eq!(read(&mut cut, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").unwrap(), []);
+    assert_eq!(cut.end(), Err(HttpError::Cut));
+}
+
+proptest! {
+    #[test]
+    fn pieces_do_not_matter(
+        bodies in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..300), 1..4),
+        chunk in 1usize..100,
+        cuts in proptest::collection::vec(1usize..40, 1..60),
+    ) {
+        let mut wire = Vec::new();
+        for (index, body) in bodies.iter().enumerate() {
+            wire.extend(match index % 2 {
+                0 => request("POST", "/as2", &Headers::new().with("A", "b"), body),
+                _ => chunked_request("POST", "/as2", &Headers::new(), body, chunk),
+            });
+        }
+        let mut decoder = server();
+        let (mut seen, mut at) = (Vec::new(), 0);
+        for cut in cuts.iter().cycle() {
+            if at >= wire.len() { break }
+            let end = (at + cut).min(wire.len());
+            for item in read(&mut decoder, &wire[at..end]).unwrap() {
+                if let Item::Message(m) = item { seen.push(m.body) }
+            }
+            at = end;
+        }
+        prop_assert_eq!(seen, bodies);
+    }
+
+    #[test]
+    fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600), server_side: bool) {
+        let mut decoder = if server_side { server() } else { Decoder::client(Limits::default()) };
+        let _ = read(&mut decoder, &bytes);
+        let _ = decoder.end();
+    }
+}
