Engine: message table around the module, one answer each; non-blocking connections on calloop

Sockets need one place.

A repeated hand-in meets the held message or its answer; other content under one name is a conflict; a late receipt proves delivery or goes to the trail; what a lost courier held goes again only where that is safe. crates/net turns readiness into events and bounds what it holds.

--- /dev/null
+++ b/crates/engine/src/book.rs
@@ -0,0 +1,189 @@
+//! What goes in, what comes out, and what is kept of a message.
+
+use cloverstile::{
+    Accepted, Allowance, ClassId, DestinationId, EndpointId, MessageId, OrderKey, TenantId, Time,
+};
+use std::time::Duration;
+
+/// A message as a front hands it in.
+#[derive(Clone, Debug)]
+pub struct HandIn {
+    /// Whose it is: its own names count apart from those of all others.
+    pub client: u32,
+    /// Its `Message-ID`: the idempotency key from hand-in to receipt.
+    pub name: String,
+    /// Digest of its content: one name with other content is a mistake of the client's.
+    pub fingerprint: [u8; 32],
+    /// Its class.
+    pub class: ClassId,
+    /// Whom it is for.
+    pub destination: DestinationId,
+    /// What it is about, for classes in order.
+    pub key: Option<OrderKey>,
+    /// When it is given up.
+    pub deadline: Time,
+    /// Whose share it counts towards.
+    pub tenant: TenantId,
+    /// Marked as handed in again after a refusal.
+    pub again: bool,
+    /// Marked as handed in again after the courier that held it was lost: it may have run.
+    pub after_loss: bool,
+}
+
+/// What became of a hand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// Held; a final answer will come.
+    New(MessageId),
+    /// The same message is held already; its one answer is for this hand-in too.
+    Held(MessageId),
+    /// It has its final answer, which stays.
+    Answered(MessageId, Answer),
+    /// That name was used for other content; nothing is done.
+    Conflict,
+    /// As much is held as may be; nothing is done, and the client may come again.
+    Full,
+    /// The courier stops; nothing is done, and the client may come again.
+    Stopping,
+}
+
+/// The one final answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The partner's own receipt says so.
+    Delivered,
+    /// It never took effect; handing it in again is safe, best after this time.
+    Refused(Duration),
+    /// It may have taken effect.
+    Failed,
+}
+
+/// One attempt of one message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Attempt {
+    /// The message.
+    pub message: MessageId,
+    /// The how-manieth, from 0.
+    pub number: u16,
+}
+
+/// How an attempt ended, as far as the wire can tell; time-outs are the engine's.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reported {
+    /// The partner's receipt says processed, and all of it is right.
+    Processed,
+    /// A receipt of another kind, an answer that is none, or a receipt that does not count.
+    Error,
+    /// Turned away unseen; told to wait for this long, if at all.
+    Full(Option<Duration>),
+    /// No connection; nothing was sent.
+    ConnectFailed,
+    /// The connection broke after something was sent.
+    Reset,
+    /// Nothing was sent, as an earlier message of the same call broke its connection.
+    Unsent,
+}
+
+/// Something for the shell to do, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Make one call: these messages, one after another on one connection.
+    Send {
+        /// Where to.
+        endpoint: EndpointId,
+        /// What, in this order.
+        attempts: Vec<Attempt>,
+    },
+    /// Nobody waits for this attempt any longer: close its connection. Report nothing for it.
+    Abandon {
+        /// Which.
+        attempt: Attempt,
+    },
+    /// The final answer of a message. Comes once.
+    Answer {
+        /// Which message.
+        message: MessageId,
+        /// What.
+        answer: Answer,
+        /// Attempts made.
+        attempts: u32,
+    },
+    /// A partner's receipt came for a message that has its answer already: for the trail.
+    Late {
+        /// Which message.
+        message: MessageId,
+        /// What had been answered.
+        answer: Answer,
+    },
+    /// Close idle connections.
+    CloseIdle {
+        /// To where.
+        endpoint: EndpointId,
+    },
+    /// Open a connection, close it and tell.
+    Probe {
+        /// To where.
+        endpoint: EndpointId,
+    },
+    /// A line for the operators.
+    Log {
+        /// What it says.
+        text: String,
+    },
+}
+
+/// A message, from its hand-in until its answer is forgotten.
+pub(crate) struct Entry {
+    pub client: u32,
+    pub name: String,
+    pub fingerprint: [u8; 32],
+    pub deadline: Time,
+    pub attempts: u16,
+    /// The attempt that is out, where to, since when and until when it may take.
+    pub out: Option<Out>,
+    /// Some attempt may have run.
+    pub may_have_run: bool,
+    pub answer: Option<Answer>,
+    /// Out of the row of kept answers; goes once nothing is out.
+    pub forget: bool,
+}
+
+#[derive(Clone, Copy)]
+pub(crate) struct Out {
+    pub call: u64,
+    pub endpoint: EndpointId,
+    pub sent: Time,
+    pub until: Time,
+}
+
+impl Entry {
+    pub fn new(taken: &HandIn) -> Self {
+        Entry {
+            client: taken.client,
+            name: taken.name.clone(),
+            fingerprint: taken.fingerprint,
+            deadline: taken.deadline,
+            attempts: 0,
+            out: None,
+            may_have_run: taken.after_loss,
+            answer: None,
+            forget: false,
+        }
+    }
+}
+
+pub(crate) fn accepted(id: MessageId, taken: &HandIn) -> Accepted {
+    Accepted {
+        id,
+        class: taken.class,
+        destination: taken.destination,
+        key: taken.key,
+        deadline: taken.deadline,
+        from_dead_courier: taken.after_loss,
+        again: taken.again,
+        tenant: taken.tenant,
+    }
+}
+
+/// An outcome with what the partner told of its limit.
+pub(crate) type Ending = (cloverstile::Outcome, Option<Allowance>);
--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,493 @@
+//! The table of messages and the turn of the module.
+
+use crate::book::{accepted, Answer, Attempt, Command, Ending, Entry, HandIn, Out, Reported, Taken};
+use cloverstile::{
+    Action, Allowance, Courier, Effect as ClassEffect, Endpoint, EndpointId, Event, Finished, Listing,
+    MessageId, Mode, Outcome, Settings, Time,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+/// Bounds of what is kept beside the messages held.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Final answers kept for repeated hand-ins, at most.
+    pub remembered: usize,
+    /// ... and for how long after the message's deadline.
+    pub answers_kept: Duration,
+}
+
+/// Running sums, for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Messages taken.
+    pub taken: u64,
+    /// Answered as delivered, refused, failed.
+    pub answered: [u64; 3],
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Hand-ins that met a message already known.
+    pub repeats: u64,
+    /// Answers that only the last safeguard gave in time. Not zero: a defect.
+    pub forced: u64,
+}
+
+/// A message table around one module.
+pub struct Engine {
+    courier: Courier,
+    settings: Settings,
+    bounds: Bounds,
+    last_id: u32,
+    last_call: u64,
+    entries: BTreeMap<MessageId, Entry>,
+    names: HashMap<(u32, String), MessageId>,
+    held: usize,
+    /// Messages still unanswered in each call out.
+    calls: BTreeMap<u64, usize>,
+    time_outs: BTreeSet<(Time, MessageId)>,
+    /// When an unanswered message is answered by the engine itself, come what may.
+    last_resort: BTreeSet<(Time, MessageId)>,
+    /// Answered messages, the oldest first.
+    answered: VecDeque<(Time, MessageId)>,
+    wakes: BTreeSet<(Time, u64)>,
+    listed: BTreeMap<EndpointId, Endpoint>,
+    stop: Option<Time>,
+    effects: Vec<Command>,
+    counts: Counts,
+    /// Something happened that the module has not acted on.
+    dirty: bool,
+}
+
+impl Engine {
+    /// An engine that holds nothing; `seed` is the module's one source of chance.
+    pub fn new(settings: Settings, bounds: Bounds, seed: u64) -> Self {
+        Engine {
+            courier: Courier::new(settings.clone(), seed),
+            settings,
+            bounds,
+            last_id: 0,
+            last_call: 0,
+            entries: BTreeMap::new(),
+            names: HashMap::new(),
+            held: 0,
+            calls: BTreeMap::new(),
+            time_outs: BTreeSet::new(),
+            last_resort: BTreeSet::new(),
+            answered: VecDeque::new(),
+            wakes: BTreeSet::new(),
+            listed: BTreeMap::new(),
+            stop: None,
+            effects: Vec::new(),
+            counts: Counts::default(),
+            dirty: false,
+        }
+    }
+
+    /// Running sums.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Messages held without a final answer.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Calls out.
+    pub fn calls_out(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Whether nothing is held and no call is out.
+    pub fn is_idle(&self) -> bool {
+        self.held == 0 && self.calls.is_empty()
+    }
+
+    // ---- What happens ----
+
+    /// A front hands a message in.
+    pub fn hand_in(&mut self, now: Time, taken: HandIn) -> Taken {
+        let name = (taken.client, taken.name.clone());
+        if let Some(id) = self.names.get(&name).copied() {
+            if let Some(entry) = self.entries.get(&id) {
+                self.counts.repeats += 1;
+                return match entry.answer {
+                    // One token with other parameters is another intention: nobody can say which was meant.
+                    _ if entry.fingerprint != taken.fingerprint => Taken::Conflict,
+                    // The client was told that it may hand in again, and so it does. While an earlier attempt is
+                    // still out (a safe message may be refused then) a second one must not go beside it.
+                    Some(Answer::Refused(_)) if entry.out.is_none() => {
+                        self.forget(id);
+                        return self.take(now, HandIn { again: true, ..taken });
+                    }
+                    Some(answer) => Taken::Answered(id, answer),
+                    None => Taken::Held(id),
+                };
+            }
+        }
+        self.take(now, taken)
+    }
+
+    fn take(&mut self, now: Time, taken: HandIn) -> Taken {
+        if self.stop.is_some() {
+            return Taken::Stopping;
+        }
+        if self.held >= self.settings.most_held {
+            return Taken::Full;
+        }
+        self.last_id += 1;
+        let id = MessageId(self.last_id);
+        self.counts.taken += 1;
+        self.held += 1;
+        self.names.insert((taken.client, taken.name.clone()), id);
+        self.entries.insert(id, Entry::new(&taken));
+        self.last_resort.insert((self.resort_at(taken.deadline), id));
+        // What a lost courier held may have taken effect there. An unsafe message must not go again; the module
+        // is never asked.
+        let class = self.settings.classes.get(usize::from(taken.class.0));
+        if taken.after_loss && class.is_none_or(|class| class.effect == ClassEffect::Unsafe) {
+            self.answer(now, id, Answer::Failed);
+            return Taken::New(id);
+        }
+        self.tell(now, Event::Accept(accepted(id, &taken)));
+        Taken::New(id)
+    }
+
+    /// A new version of the list of endpoints, whole.
+    pub fn list(&mut self, now: Time, endpoints: Vec<Endpoint>) {
+        self.listed = endpoints.iter().map(|endpoint| (endpoint.id, endpoint.clone())).collect();
+        self.tell(now, Event::Listed(Listing::Whole(endpoints)));
+    }
+
+    /// An attempt ended on the wire, with what the partner told of its limit.
+    pub fn ended(&mut self, now: Time, attempt: Attempt, reported: Reported, allowance: Option<Allowance>) {
+        let outcome = match reported {
+            Reported::Processed => Outcome::Ok,
+            Reported::Error => Outcome::Error,
+            Reported::Full(wait) => Outcome::Full(wait),
+            Reported::ConnectFailed => Outcome::ConnectFailed,
+            Reported::Reset => Outcome::Reset,
+            Reported::Unsent => Outcome::Moot,
+        };
+        if self.is_out(attempt) {
+            self.finish(now, attempt.message, (outcome, allowance));
+        } else if reported == Reported::Processed {
+            self.proved(now, attempt.message);
+        }
+    }
+
+    /// A receipt that counts came on a connection of its own, perhaps after its attempt was given up.
+    pub fn receipt(&mut self, now: Time, message: MessageId, reported: Reported) {
+        let Some(entry) = self.entries.get(&message) else { return };
+        match (entry.out, reported) {
+            (Some(_), reported) => {
+                let attempt = Attempt { message, number: entry.attempts.saturating_sub(1) };
+                self.ended(now, attempt, reported, None);
+            }
+            (None, Reported::Processed) => self.proved(now, message),
+            (None, _) => {}
+        }
+    }
+
+    /// A probe's result.
+    pub fn probed(&mut self, now: Time, endpoint: EndpointId, opened: bool, latency: Duration) {
+        let outcome = if opened { Outcome::Ok } else { Outcome::ConnectFailed };
+        self.tell(now, Event::Probed { endpoint, outcome, latency });
+    }
+
+    /// Takes no more work from now on; at `until` the rest is answered as it stands.
+    pub fn stop(&mut self, until: Time) {
+        self.stop.get_or_insert(until);
+    }
+
+    /// The message that a client's name stands for, while it is known.
+    pub fn known(&self, client: u32, name: &str) -> Option<MessageId> {
+        self.names.get(&(client, name.to_owned())).copied()
+    }
+
+    /// The name of a message and its client, while it is known.
+    pub fn name(&self, id: MessageId) -> Option<(u32, &str)> {
+        self.entries.get(&id).map(|entry| (entry.client, entry.name.as_str()))
+    }
+
+    /// When [`Engine::advance`] must be called at the latest.
+    pub fn next_wake(&self) -> Option<Time> {
+        let firsts = [
+            self.wakes.first().map(|(at, _)| *at),
+            self.time_outs.first().map(|(at, _)| *at),
+            self.last_resort.first().map(|(at, _)| *at),
+            self.stop.filter(|_| self.held > 0),
+        ];
+        firsts.into_iter().flatten().min()
+    }
+
+    /// Lets the module act on all that happened up to `now`, and returns what is to be done. Call it after
+    /// every batch of events and at [`Engine::next_wake`].
+    pub fn advance(&mut self, now: Time) -> Vec<Command> {
+        while let Some(&(at, token)) = self.wakes.first().filter(|(at, _)| *at <= now) {
+            self.wakes.remove(&(at, token));
+            self.tell(now, Event::TickDue(token));
+        }
+        while let Some(&(_, id)) = self.time_outs.first().filter(|(at, _)| *at <= now) {
+            self.abandon(now, id, Outcome::Timeout);
+        }
+        if self.stop.is_some_and(|until| until <= now) && self.held > 0 {
+            self.answer_all(now);
+        }
+        // What an outcome leads to may end at once (a route without a slot), which leads to more.
+        while std::mem::take(&mut self.dirty) {
+            let mut actions = Vec::new();
+            self.courier.decide(now, &mut actions);
+            self.carry_out(now, actions);
+        }
+        self.resort(now);
+        self.forget_old(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    // ---- The module's turn ----
+
+    fn tell(&mut self, now: Time, event: Event) {
+        self.dirty = true;
+        self.courier.handle(now, event);
+    }
+
+    fn carry_out(&mut self, now: Time, actions: Vec<Action>) {
+        // The call that is being filled; only routes that follow each other share one.
+        let mut filling: Option<(EndpointId, u64, Vec<Attempt>)> = None;
+        for action in actions {
+            if let Action::Route { message, endpoint, try_for } = action {
+                self.route(now, message, endpoint, try_for, &mut filling);
+                continue;
+            }
+            match action {
+                Action::Busy { message, stay_away } => self.answer(now, message, Answer::Refused(stay_away)),
+                Action::ReportFailure { message } => self.answer(now, message, Answer::Failed),
+                Action::StopAttempt { message, attempt } => {
+                    if self.is_out(Attempt { message, number: attempt }) {
+                        self.flush(&mut filling);
+                        self.abandon(now, message, Outcome::Cancelled);
+                    }
+                }
+                Action::Wake { after, token } => {
+                    self.wakes.insert((now + after, token));
+                }
+                Action::CloseIdle { endpoint } => {
+                    self.flush(&mut filling);
+                    self.effects.push(Command::CloseIdle { endpoint });
+                }
+                Action::Probe { endpoint } => self.effects.push(Command::Probe { endpoint }),
+                Action::Log { text } => self.effects.push(Command::Log { text }),
+                Action::KeepInformed { .. } | Action::Refresh => {
+                    let all = self.listed.values().cloned().collect();
+                    self.tell(now, Event::Listed(Listing::Whole(all)));
+                }
+                Action::Tell { .. } | Action::Route { .. } => {}
+            }
+        }
+        self.flush(&mut filling);
+    }
+
+    fn flush(&mut self, filling: &mut Option<(EndpointId, u64, Vec<Attempt>)>) {
+        if let Some((endpoint, _, attempts)) = filling.take() {
+            self.effects.push(Command::Send { endpoint, attempts });
+        }
+    }
+
+    fn route(
+        &mut self,
+        now: Time,
+        message: MessageId,
+        endpoint: EndpointId,
+        try_for: Duration,
+        filling: &mut Option<(EndpointId, u64, Vec<Attempt>)>,
+    ) {
+        let listed = self.listed.get(&endpoint);
+        let sendable = listed.is_some_and(|endpoint| endpoint.mode == Mode::Ready);
+        let batch =
+            listed.and_then(|e| self.settings.kinds.get(usize::from(e.kind.0))).map_or(1, |kind| kind.batch);
+        if filling.as_ref().is_some_and(|(to, _, carried)| *to != endpoint || carried.len() >= batch.max(1)) {
+            self.flush(filling);
+        }
+        let slot_free = filling.is_some() || self.calls.len() < self.settings.call_slots;
+        let cap = self.settings.send_cap;
+        let Some(entry) = self.entries.get_mut(&message) else { return };
+        let number = entry.attempts;
+        entry.attempts += 1;
+        let open = entry.answer.is_none() && entry.out.is_none() && u32::from(number) < cap;
+        let (_, call, carried) = match filling {
+            Some(call) => call,
+            None => {
+                self.last_call += 1;
+                filling.insert((endpoint, self.last_call, Vec::new()))
+            }
+        };
+        if !(sendable && slot_free && open) {
+            let empty = carried.is_empty();
+            if empty {
+                *filling = None;
+            }
+            return self.tell_finished(now, message, endpoint, number, Duration::ZERO, (Outcome::Moot, None));
+        }
+        let until = now + try_for;
+        entry.out = Some(Out { call: *call, endpoint, sent: now, until });
+        carried.push(Attempt { message, number });
+        *self.calls.entry(*call).or_default() += 1;
+        self.time_outs.insert((until, message));
+        self.counts.attempts += 1;
+    }
+
+    fn is_out(&self, attempt: Attempt) -> bool {
+        let entry = self.entries.get(&attempt.message);
+        entry.is_some_and(|entry| entry.out.is_some() && entry.attempts == attempt.number + 1)
+    }
+
+    fn abandon(&mut self, now: Time, id: MessageId, outcome: Outcome) {
+        let number = self.entries.get(&id).map_or(0, |entry| entry.attempts.saturating_sub(1));
+        self.effects.push(Command::Abandon { attempt: Attempt { message: id, number } });
+        self.finish(now, id, (outcome, None));
+    }
+
+    /// Ends the attempt that is out.
+    fn finish(&mut self, now: Time, id: MessageId, (outcome, allowance): Ending) {
+        let Some(entry) = self.entries.get_mut(&id) else { return };
+        let Some(out) = entry.out.take() else { return };
+        let never_ran = matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
+        entry.may_have_run |= !never_ran;
+        let number = entry.attempts.saturating_sub(1);
+        self.time_outs.remove(&(out.until, id));
+        if let Some(left) = self.calls.get_mut(&out.call) {
+            *left -= 1;
+            if *left == 0 {
+                self.calls.remove(&out.call);
+            }
+        }
+        self.tell_finished(now, id, out.endpoint, number, now - out.sent, (outcome, allowance));
+        if outcome == Outcome::Ok {
+            self.answer(now, id, Answer::Delivered);
+        }
+        self.forget_if_over(id);
+    }
+
+    fn tell_finished(
+        &mut self,
+        now: Time,
+        message: MessageId,
+        endpoint: EndpointId,
+        attempt: u16,
+        latency: Duration,
+        (outcome, allowance): Ending,
+    ) {
+        let answered = self.entries.get(&message).is_none_or(|entry| entry.answer.is_some());
+        let complete = outcome == Outcome::Ok || answered;
+        let finished = Finished { message, endpoint, attempt, outcome, latency, complete, allowance };
+        self.tell(now, Event::Finished(finished));
+    }
+
+    /// A receipt proves that a message took effect though its attempt was given up as lost.
+    fn proved(&mut self, now: Time, id: MessageId) {
+        let Some(entry) = self.entries.get(&id) else { return };
+        match entry.answer {
+            Some(Answer::Delivered) => {}
+            Some(answer) => self.effects.push(Command::Late { message: id, answer }),
+            None => {
+                // Nobody wants it any more: what is out runs on, nothing new is sent.
+                self.tell(now, Event::ClientGone(id));
+                self.answer(now, id, Answer::Delivered);
+            }
+        }
+    }
+
+    // ---- Answers ----
+
+    /// Gives the one final answer; later ones are dropped.
+    fn answer(&mut self, now: Time, id: MessageId, answer: Answer) {
+        let resort_at = self.entries.get(&id).map(|entry| self.resort_at(entry.deadline));
+        let Some(entry) = self.entries.get_mut(&id).filter(|entry| entry.answer.is_none()) else { return };
+        entry.answer = Some(answer);
+        let attempts = u32::from(entry.attempts);
+        let keep_until = entry.deadline.max(now) + self.bounds.answers_kept;
+        self.held -= 1;
+        self.answered.push_back((keep_until, id));
+        if let Some(at) = resort_at {
+            self.last_resort.remove(&(at, id));
+        }
+        let place = match answer {
+            Answer::Delivered => 0,
+            Answer::Refused(_) => 1,
+            Answer::Failed => 2,
+        };
+        self.counts.answered[place] += 1;
+        self.effects.push(Command::Answer { message: id, answer, attempts });
+    }
+
+    /// What a message may be told that the module no longer decides on: refused only if nothing can have run.
+    fn honest_answer(entry: &Entry) -> Answer {
+        match entry.may_have_run || entry.out.is_some() {
+            true => Answer::Failed,
+            false => Answer::Refused(Duration::ZERO),
+        }
+    }
+
+    fn answer_all(&mut self, now: Time) {
+        let open: Vec<(MessageId, Answer)> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.answer.is_none())
+            .map(|(id, entry)| (*id, Self::honest_answer(entry)))
+            .collect();
+        for (id, answer) in open {
+            self.tell(now, Event::ClientGone(id));
+            self.answer(now, id, answer);
+        }
+    }
+
+    /// Three quarters of the slack after the deadline: the module has answered by its half.
+    fn resort_at(&self, deadline: Time) -> Time {
+        deadline + self.settings.rules.answer_slack.mul_f64(0.75)
+    }
+
+    /// Guards against a message that the module forgot: it is answered all the same, and counted.
+    fn resort(&mut self, now: Time) {
+        while let Some(&(_, id)) = self.last_resort.first().filter(|(at, _)| *at <= now) {
+            let Some(answer) = self.entries.get(&id).map(Self::honest_answer) else {
+                self.last_resort.pop_first();
+                continue;
+            };
+            self.counts.forced += 1;
+            self.tell(now, Event::ClientGone(id));
+            self.answer(now, id, answer);
+        }
+    }
+
+    // ---- Forgetting ----
+
+    /// Drops the oldest answers, by age and by number; one whose attempt is still out when that has ended.
+    fn forget_old(&mut self, now: Time) {
+        while let Some(&(until, id)) = self.answered.front() {
+            if until > now && self.answered.len() <= self.bounds.remembered {
+                return;
+            }
+            self.answered.pop_front();
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.forget = true;
+            }
+            self.forget_if_over(id);
+        }
+    }
+
+    fn forget_if_over(&mut self, id: MessageId) {
+        if self.entries.get(&id).is_some_and(|entry| entry.forget && entry.out.is_none()) {
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: MessageId) {
+        if let Some(entry) = self.entries.remove(&id) {
+            let name = (entry.client, entry.name);
+            if self.names.get(&name) == Some(&id) {
+                self.names.remove(&name);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/table.rs
@@ -0,0 +1,303 @@
+//! The table around the real module: one answer each, one attempt at a time, nothing after the answer.
+
+use cloverstile::*;
+use cloverstile_engine::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const UNSAFE: u8 = 0;
+const KEYED: u8 = 1;
+const SAFE: u8 = 2;
+
+fn settings() -> Settings {
+    let class =
+        |effect, in_order| Class { effect, in_order, deadline: Duration::from_secs(12), ..Class::default() };
+    let classes = vec![class(Effect::Unsafe, false), class(Effect::Keyed, true), class(Effect::Safe, false)];
+    Settings {
+        classes,
+        couriers: 1,
+        kinds: vec![Kind { batch: 3, own_limits: false }],
+        ..Settings::default()
+    }
+}
+
+fn endpoint(id: u32, mode: Mode) -> Endpoint {
+    let (zone, kind, destination) = (ZoneId(0), KindId(0), DestinationId(1));
+    Endpoint { id: EndpointId(id), zone, kind, destination, mode, weight: 50.0 }
+}
+
+struct Bench {
+    engine: Engine,
+    now: Time,
+}
+
+impl Bench {
+    fn new(remembered: usize) -> Self {
+        let bounds = Bounds { remembered, answers_kept: Duration::from_secs(60) };
+        let mut engine = Engine::new(settings(), bounds, 7);
+        let now = Time(1_000_000_000);
+        engine.list(now, vec![endpoint(1, Mode::Ready), endpoint(2, Mode::Ready)]);
+        Bench { engine, now }
+    }
+
+    fn message(&self, name: &str, class: u8) -> HandIn {
+        HandIn {
+            client: 0,
+            name: name.to_owned(),
+            fingerprint: [1; 32],
+            class: ClassId(class),
+            destination: DestinationId(1),
+            key: None,
+            deadline: self.now + Duration::from_secs(12),
+            tenant: TenantId(0),
+            again: false,
+            after_loss: false,
+        }
+    }
+
+    fn hand_in(&mut self, name: &str, class: u8) -> Taken {
+        let message = self.message(name, class);
+        self.engine.hand_in(self.now, message)
+    }
+
+    fn advance(&mut self) -> Vec<Command> {
+        self.engine.advance(self.now)
+    }
+
+    /// Lets time pass from wake to wake until some effect is wanted.
+    fn until<T>(&mut self, limit: Duration, wanted: impl Fn(&Command) -> Option<T>) -> Option<T> {
+        let end = self.now + limit;
+        loop {
+            if let Some(found) = self.advance().iter().find_map(&wanted) {
+                return Some(found);
+            }
+            self.now = self.engine.next_wake().filter(|at| *at <= end)?.max(self.now + ms(1));
+        }
+    }
+
+    fn sent(&mut self) -> Attempt {
+        let sent = |effect: &Command| match effect {
+            Command::Send { attempts, .. } => Some(attempts[0]),
+            _ => None,
+        };
+        self.until(Duration::from_secs(20), sent).expect("a send")
+    }
+
+    fn answer(&mut self) -> Answer {
+        let answered = |effect: &Command| match effect {
+            Command::Answer { answer, .. } => Some(*answer),
+            _ => None,
+        };
+        self.until(Duration::from_secs(30), answered).expect("an answer")
+    }
+}
+
+#[test]
+fn a_repeated_hand_in_gets_the_one_answer_and_other_content_a_conflict() {
+    let mut bench = Bench::new(100);
+    let Taken::New(id) = bench.hand_in("a", UNSAFE) else { panic!() };
+    assert_eq!(bench.hand_in("a", UNSAFE), Taken::Held(id));
+    let attempt = bench.sent();
+    bench.engine.ended(bench.now, attempt, Reported::Processed, None);
+    assert_eq!(bench.answer(), Answer::Delivered);
+    assert_eq!(bench.hand_in("a", UNSAFE), Taken::Answered(id, Answer::Delivered));
+    let other = HandIn { fingerprint: [2; 32], ..bench.message("a", UNSAFE) };
+    assert_eq!(bench.engine.hand_in(bench.now, other), Taken::Conflict);
+    let of_another_client = HandIn { client: 1, ..bench.message("a", UNSAFE) };
+    assert!(matches!(bench.engine.hand_in(bench.now, of_another_client), Taken::New(_)));
+}
+
+#[test]
+fn an_unsafe_message_whose_answer_is_lost_fails_and_a_late_receipt_is_told_apart() {
+    let mut bench = Bench::new(100);
+    let Taken::New(id) = bench.hand_in("a", UNSAFE) else { panic!() };
+    let attempt = bench.sent();
+    bench.engine.ended(bench.now, attempt, Reported::Reset, None);
+    assert_eq!(bench.answer(), Answer::Failed);
+    bench.engine.receipt(bench.now, id, Reported::Processed);
+    assert_eq!(bench.advance(), [Command::Late { message: id, answer: Answer::Failed }]);
+    assert_eq!(bench.hand_in("a", UNSAFE), Taken::Answered(id, Answer::Failed));
+}
+
+#[test]
+fn a_late_receipt_ends_a_keyed_message_that_would_go_again() {
+    let mut bench = Bench::new(100);
+    let Taken::New(id) = bench.hand_in("a", KEYED) else { panic!() };
+    bench.sent();
+    let abandoned = |effect: &Command| matches!(effect, Command::Abandon { .. }).then_some(());
+    bench.until(Duration::from_secs(12), abandoned).expect("a time-out");
+    bench.engine.receipt(bench.now, id, Reported::Processed);
+    bench.engine.receipt(bench.now, id, Reported::Processed);
+    let effects = bench.advance();
+    let answers = effects.iter().filter(|e| matches!(e, Command::Answer { answer: Answer::Delivered, .. }));
+    assert_eq!(answers.count(), 1, "{effects:?}");
+    let more = bench.until(Duration::from_secs(30), |e| matches!(e, Command::Send { .. }).then_some(()));
+    assert_eq!((more, bench.engine.held()), (None, 0));
+}
+
+#[test]
+fn what_a_lost_courier_held_is_not_sent_again_if_it_is_unsafe() {
+    let mut bench = Bench::new(100);
+    let lost = HandIn { after_loss: true, ..bench.message("a", UNSAFE) };
+    let Taken::New(id) = bench.engine.hand_in(bench.now, lost) else { panic!() };
+    assert_eq!(bench.advance(), [Command::Answer { message: id, answer: Answer::Failed, attempts: 0 }]);
+}
+
+#[test]
+fn messages_of_one_turn_share_a_call_as_far_as_the_kind_allows() {
+    let mut bench = Bench::new(100);
+    for name in ["a", "b", "c", "d", "e"] {
+        bench.hand_in(name, SAFE);
+    }
+    let effects = bench.advance();
+    let sizes: Vec<usize> = effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Command::Send { attempts, .. } => Some(attempts.len()),
+            _ => None,
+        })
+        .collect();
+    // One call is saved up at the start; it carries what the kind allows, the rest waits for the pace.
+    assert_eq!((sizes, bench.engine.calls_out()), (vec![3], 1));
+}
+
+#[test]
+fn a_stop_takes_nothing_more_and_answers_the_rest_as_it_stands() {
+    let mut bench = Bench::new(100);
+    bench.hand_in("out", UNSAFE);
+    bench.sent();
+    bench.engine.list(bench.now, vec![]);
+    bench.hand_in("waits", UNSAFE);
+    bench.advance();
+    bench.engine.stop(bench.now + ms(500));
+    assert_eq!(bench.hand_in("new", UNSAFE), Taken::Stopping);
+    assert!(bench.advance().iter().all(|effect| !matches!(effect, Command::Answer { .. })));
+    bench.now = bench.now + ms(500);
+    let answers: Vec<Answer> = bench
+        .advance()
+        .iter()
+        .filter_map(|effect| match effect {
+            Command::Answer { answer, .. } => Some(*answer),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(answers, [Answer::Failed, Answer::Refused(Duration::ZERO)]);
+}
+
+#[test]
+fn kept_answers_are_bounded_and_a_refused_message_may_come_again() {
+    let mut bench = Bench::new(3);
+    bench.engine.list(bench.now, vec![]);
+    for round in 0..10 {
+        bench.hand_in(&format!("m{round}"), SAFE);
+        assert!(matches!(bench.answer(), Answer::Refused(_)));
+    }
+    let kept = (0..10).filter(|round| bench.engine.known(0, &format!("m{round}")).is_some()).count();
+    assert_eq!(kept, 3);
+    assert!(matches!(bench.hand_in("m9", SAFE), Taken::New(_)));
+}
+
+#[derive(Default)]
+struct Seen {
+    class: u8,
+    out: Option<(Attempt, bool)>,
+    ran: Option<Time>,
+    answered: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    /// Whatever partners, clients and the list do, for many seeds and days.
+    #[test]
+    fn the_rules_hold_on_any_day(steps in proptest::collection::vec((0u8..12, any::<u16>(), 1u64..900), 20..200)) {
+        let mut bench = Bench::new(1000);
+        let mut seen: BTreeMap<MessageId, Seen> = BTreeMap::new();
+        let mut deadlines: BTreeMap<MessageId, Time> = BTreeMap::new();
+        let slack = settings().rules.answer_slack;
+        let mut step = |bench: &mut Bench, kind: u8, pick: u16| {
+            let outs: Vec<Attempt> = seen.values().filter_map(|s| s.out.map(|(attempt, _)| attempt)).collect();
+            let out = (!outs.is_empty()).then(|| outs[usize::from(pick) % outs.len()]);
+            let report = |bench: &mut Bench, reported| if let Some(attempt) = out {
+                bench.engine.ended(bench.now, attempt, reported, None);
+            };
+            match kind {
+                0..=3 => {
+                    let class = (pick % 3) as u8;
+                    let key = (class == KEYED).then_some(OrderKey(u64::from(pick % 4)));
+                    let message = HandIn { key, ..bench.message(&format!("m{pick}"), class) };
+                    if let Taken::New(id) = bench.engine.hand_in(bench.now, message) {
+                        deadlines.insert(id, bench.now + Duration::from_secs(12));
+                        seen.insert(id, Seen { class, ..Seen::default() });
+                    }
+                }
+                4 | 5 => report(bench, Reported::Processed),
+                6 => report(bench, Reported::Error),
+                7 => report(bench, Reported::Full((pick % 2 == 0).then(|| ms(400)))),
+                8 => report(bench, Reported::ConnectFailed),
+                9 => report(bench, Reported::Reset),
+                10 => {
+                    let mode = if pick % 2 == 0 { Mode::Ready } else { Mode::Draining };
+                    bench.engine.list(bench.now, vec![endpoint(1, mode), endpoint(2, Mode::Ready)]);
+                }
+                _ => {}
+            }
+            let now = bench.now;
+            let ended = out.filter(|_| (4..=9).contains(&kind));
+            if let Some(s) = ended.and_then(|attempt| seen.get_mut(&attempt.message)) {
+                s.out = None;
+                if !matches!(kind, 7 | 8) {
+                    s.ran.get_or_insert(now);
+                }
+            }
+            for effect in bench.advance() {
+                match effect {
+                    Command::Send { attempts, .. } => for attempt in attempts {
+                        let s = seen.get_mut(&attempt.message).unwrap();
+                        assert!(!s.answered, "sent after its answer");
+                        assert!(s.out.is_none(), "two attempts side by side");
+                        assert!(s.class != UNSAFE || s.ran.is_none(), "an unsafe message again");
+                        if let (KEYED, Some(ran)) = (s.class, s.ran) {
+                            assert!(now < ran + Duration::from_secs(10), "outside its window");
+                        }
+                        s.out = Some((attempt, true));
+                    },
+                    Command::Abandon { attempt } => {
+                        let s = seen.get_mut(&attempt.message).unwrap();
+                        s.out = None;
+                        s.ran.get_or_insert(now);
+                    }
+                    Command::Answer { message, answer, .. } => {
+                        let s = seen.get_mut(&message).unwrap();
+                        assert!(!std::mem::replace(&mut s.answered, true), "two answers");
+                        assert!(now <= deadlines[&message] + slack, "late");
+                        if let Answer::Refused(_) = answer {
+                            assert!(s.class == SAFE || (s.ran.is_none() && s.out.is_none()), "refused though it may run");
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        };
+        for (kind, pick, wait) in steps {
+            step(&mut bench, kind, pick);
+            let until = bench.now + ms(wait);
+            while let Some(at) = bench.engine.next_wake().filter(|at| *at <= until) {
+                bench.now = at.max(bench.now);
+                step(&mut bench, 11, 0);
+            }
+            bench.now = until;
+        }
+        while let Some(at) = bench.engine.next_wake().filter(|_| bench.engine.held() > 0) {
+            bench.now = at.max(bench.now);
+            step(&mut bench, 11, 0);
+        }
+        prop_assert!(seen.values().all(|s| s.answered));
+        prop_assert_eq!(bench.engine.counts().forced, 0);
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,491 @@
-//! .
+//! Non-blocking TCP connections on calloop: the one place that touches sockets.
+//!
+//! [`Net`] turns readiness into [`NetEvent`]s and knows nothing of what the bytes mean. Each connection holds
+//! at most what its owner has queued for writing; reading can be paused, which the peer feels as a full
+//! receive window.
+#![forbid(unsafe_code)]
+
+use calloop::generic::Generic;
+use calloop::ping::{make_ping, Ping};
+use calloop::signals::{Signal, Signals};
+use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use socket2::{Domain, SockRef, Socket, Type};
+use std::collections::HashMap;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A connection, unique for the life of a [`Net`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnId(pub u64);
+
+/// A listener, unique for the life of a [`Net`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ListenerId(pub u64);
+
+/// Something that happened.
+#[derive(Debug)]
+pub enum NetEvent {
+    /// A peer connected.
+    Accepted {
+        /// At which listener.
+        listener: ListenerId,
+        /// The connection.
+        conn: ConnId,
+    },
+    /// An outbound connection is there.
+    Connected(ConnId),
+    /// An outbound connection could not be made; it is gone.
+    ConnectFailed(ConnId, ErrorKind),
+    /// Bytes came.
+    Bytes(ConnId, Vec<u8>),
+    /// All that was queued has been handed to the system.
+    Flushed(ConnId),
+    /// The peer closed, or the connection broke; it is gone.
+    Closed {
+        /// Which.
+        conn: ConnId,
+        /// It ended in order, not by a reset.
+        clean: bool,
+    },
+    /// A signal.
+    Signal(Signal),
+    /// A [`Waker`] was used.
+    Woken,
+}
+
+pub use calloop::signals::Signal as SignalKind;
+
+/// Wakes a [`Net`] from another thread.
+#[derive(Clone)]
+pub struct Waker(Ping);
+
+impl Waker {
+    /// Lets the current or next poll return.
+    pub fn wake(&self) {
+        self.0.ping();
+    }
+}
+
+enum Ready {
+    Listener(u64),
+    Conn(u64, bool, bool),
+    Signal(Signal),
+    Woken,
+}
+
+type Shared = Vec<Ready>;
+type StreamDispatcher = Dispatcher<'static, Generic<Rc<TcpStream>>, Shared>;
+
+struct Conn {
+    stream: Rc<TcpStream>,
+    source: StreamDispatcher,
+    token: RegistrationToken,
+    connecting: bool,
+    paused: bool,
+    close_after: bool,
+    out: Vec<u8>,
+    written: usize,
+}
+
+struct Listening {
+    listener: Rc<TcpListener>,
+    token: RegistrationToken,
+}
+
+/// All connections of one thread.
+pub struct Net {
+    event_loop: EventLoop<'static, Shared>,
+    handle: LoopHandle<'static, Shared>,
+    conns: HashMap<u64, Conn>,
+    listeners: HashMap<u64, Listening>,
+    waker: Waker,
+    last: u64,
+    /// Events of things done outside a poll.
+    pending: Vec<NetEvent>,
+}
+
+/// Bytes read from one connection in one turn: a fast peer must not keep the others waiting.
+const READ_AT_ONCE: usize = 256 << 10;
+
+fn other(error: impl std::fmt::Display) -> io::Error {
+    io::Error::other(error.to_string())
+}
+
+impl Net {
+    /// A loop without connections.
+    pub fn new() -> io::Result<Net> {
+        let event_loop: EventLoop<Shared> = EventLoop::try_new().map_err(other)?;
+        let handle = event_loop.handle();
+        let (ping, source) = make_ping()?;
+        handle.insert_source(source, |(), (), ready: &mut Shared| ready.push(Ready::Woken)).map_err(other)?;
+        Ok(Net {
+            event_loop,
+            handle,
+            conns: HashMap::new(),
+            listeners: HashMap::new(),
+            waker: Waker(ping),
+            last: 0,
+            pending: Vec::new(),
+        })
+    }
+
+    /// For other threads.
+    pub fn waker(&self) -> Waker {
+        self.waker.clone()
+    }
+
+    /// Reports these signals as events from now on. Call before other threads are started.
+    pub fn watch_signals(&mut self, signals: &[Signal]) -> io::Result<()> {
+        let source = Signals::new(signals)?;
+        let note = |event: calloop::signals::Event, _: &mut (), ready: &mut Shared| {
+            ready.push(Ready::Signal(event.signal()));
+        };
+        self.handle.insert_source(source, note).map_err(other)?;
+        Ok(())
+    }
+
+    fn next(&mut self) -> u64 {
+        self.last += 1;
+        self.last
+    }
+
+    /// Listens; port 0 draws a free one. Returns the address with its port.
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<(ListenerId, SocketAddr)> {
+        // Not the standard library's: its queue of 128 overflows when thousands connect at once.
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        socket.listen(4096)?;
+        let listener: TcpListener = socket.into();
+        listener.set_nonblocking(true)?;
+        let bound = listener.local_addr()?;
+        let listener = Rc::new(listener);
+        let id = self.next();
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Level);
+        let note = move |_, _: &mut _, ready: &mut Shared| {
+            ready.push(Ready::Listener(id));
+            Ok(PostAction::Continue)
+        };
+        let token = self.handle.insert_source(source, note).map_err(other)?;
+        self.listeners.insert(id, Listening { listener, token });
+        Ok((ListenerId(id), bound))
+    }
+
+    /// Stops listening: further connections are refused.
+    pub fn unlisten(&mut self, id: ListenerId) {
+        if let Some(listening) = self.listeners.remove(&id.0) {
+            self.handle.remove(listening.token);
+        }
+    }
+
+    /// Begins a connection. What became of it comes as an event, never at once.
+    pub fn connect(&mut self, address: SocketAddr) -> ConnId {
+        let id = self.next();
+        let begun = begin_connect(address).and_then(|stream| self.register(id, stream, true));
+        if let Err(error) = begun {
+            self.pending.push(NetEvent::ConnectFailed(ConnId(id), error.kind()));
+        }
+        ConnId(id)
+    }
+
+    fn register(&mut self, id: u64, stream: TcpStream, connecting: bool) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        let interest = if connecting { Interest::WRITE } else { Interest::READ };
+        let note = move |readiness: calloop::Readiness, _: &mut _, ready: &mut Shared| {
+            ready.push(Ready::Conn(id, readiness.readable, readiness.writable));
+            Ok(PostAction::Continue)
+        };
+        let source = Dispatcher::new(Generic::new(stream.clone(), interest, Mode::Level), note);
+        let token = self.handle.register_dispatcher(source.clone()).map_err(other)?;
+        let conn = Conn {
+            stream,
+            source,
+            token,
+            connecting,
+            paused: false,
+            close_after: false,
+            out: Vec::new(),
+            written: 0,
+        };
+        self.conns.insert(id, conn);
+        Ok(())
+    }
+
+    /// Queues bytes and writes what the system takes at once.
+    pub fn send(&mut self, id: ConnId, bytes: &[u8]) {
+        let Some(conn) = self.conns.get_mut(&id.0) else { return };
+        conn.out.extend_from_slice(bytes);
+        if !conn.connecting {
+            self.write(id.0);
+        }
+    }
+
+    /// Bytes queued that the system has not taken.
+    pub fn unsent(&self, id: ConnId) -> usize {
+        self.conns.get(&id.0).map_or(0, |conn| conn.out.len() - conn.written)
+    }
+
+    /// Whether a connection is known and not gone.
+    pub fn is_open(&self, id: ConnId) -> bool {
+        self.conns.contains_key(&id.0)
+    }
+
+    /// Connections, those being made included.
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Reads no more from a connection until told otherwise.
+    pub fn pause(&mut self, id: ConnId, paused: bool) {
+        if let Some(conn) = self.conns.get_mut(&id.0) {
+            if conn.paused != paused {
+                conn.paused = paused;
+                self.set_interest(id.0);
+            }
+        }
+    }
+
+    /// Closes once all that is queued has been written.
+    pub fn close_when_sent(&mut self, id: ConnId) {
+        let Some(conn) = self.conns.get_mut(&id.0) else { return };
+        conn.close_after = true;
+        if conn.out.len() == conn.written && !conn.connecting {
+            self.close(id);
+        }
+    }
+
+    /// Closes at once; what is queued is lost. No event follows.
+    pub fn close(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.remove(&id.0) {
+            self.handle.remove(conn.token);
+        }
+    }
+
+    /// Breaks a connection, so that the peer sees a reset. No event follows.
+    pub fn reset(&mut self, id: ConnId) {
+        if let Some(conn) = self.conns.get(&id.0) {
+            // Without it the close is an orderly one, which is the lesser fault.
+            let _ = SockRef::from(&*conn.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close(id);
+    }
+
+    fn set_interest(&mut self, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let write = conn.connecting || conn.written < conn.out.len();
+        let read = !conn.connecting && !conn.paused;
+        conn.source.as_source_mut().interest = Interest { readable: read, writable: write };
+        if self.handle.update(&conn.token).is_err() {
+            self.gone(id, false);
+        }
+    }
+
+    fn gone(&mut self, id: u64, clean: bool) {
+        self.close(ConnId(id));
+        self.pending.push(NetEvent::Closed { conn: ConnId(id), clean });
+    }
+
+    fn write(&mut self, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        let wanted = conn.out.len() > conn.written;
+        while conn.written < conn.out.len() {
+            match (&*conn.stream).write(&conn.out[conn.written..]) {
+                Ok(0) => return self.gone(id, false),
+                Ok(count) => conn.written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return self.gone(id, false),
+            }
+        }
+        if conn.written == conn.out.len() {
+            conn.out.clear();
+            conn.out.shrink_to(READ_AT_ONCE);
+            conn.written = 0;
+            if wanted {
+                self.pending.push(NetEvent::Flushed(ConnId(id)));
+            }
+            if conn.close_after {
+                return self.close(ConnId(id));
+            }
+        }
+        self.set_interest(id);
+    }
+
+    fn read(&mut self, id: u64) {
+        let mut bytes = Vec::new();
+        let mut buffer = [0; 64 << 10];
+        let ended = loop {
+            let Some(conn) = self.conns.get(&id) else { return };
+            match (&*conn.stream).read(&mut buffer) {
+                Ok(0) => break Some(true),
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break None,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => break Some(false),
+            }
+            if bytes.len() >= READ_AT_ONCE {
+                break None;
+            }
+        };
+        if !bytes.is_empty() {
+            self.pending.push(NetEvent::Bytes(ConnId(id), bytes));
+        }
+        if let Some(clean) = ended {
+            self.gone(id, clean);
+        }
+    }
+
+    fn connected(&mut self, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id) else { return };
+        match conn.stream.take_error() {
+            Ok(None) => {
+                conn.connecting = false;
+                self.pending.push(NetEvent::Connected(ConnId(id)));
+                self.write(id);
+            }
+            Ok(Some(error)) | Err(error) => {
+                self.close(ConnId(id));
+                self.pending.push(NetEvent::ConnectFailed(ConnId(id), error.kind()));
+            }
+        }
+    }
+
+    fn accept(&mut self, id: u64) {
+        loop {
+            let Some(listening) = self.listeners.get(&id) else { return };
+            match listening.listener.accept() {
+                Ok((stream, _)) => {
+                    let conn = self.next();
+                    if self.register(conn, stream, false).is_ok() {
+                        let (listener, conn) = (ListenerId(id), ConnId(conn));
+                        self.pending.push(NetEvent::Accepted { listener, conn });
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                // Out of descriptors, or none left to accept: the next turn tries again.
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Waits until something happens, at most for `timeout`, and returns what did.
+    pub fn poll(&mut self, timeout: Option<Duration>) -> io::Result<Vec<NetEvent>> {
+        let timeout = if self.pending.is_empty() { timeout } else { Some(Duration::ZERO) };
+        let mut ready = Shared::new();
+        self.event_loop.dispatch(timeout, &mut ready).map_err(other)?;
+        for ready in ready {
+            match ready {
+                Ready::Listener(id) => self.accept(id),
+                Ready::Signal(signal) => self.pending.push(NetEvent::Signal(signal)),
+                Ready::Woken => self.pending.push(NetEvent::Woken),
+                Ready::Conn(id, readable, writable) => {
+                    if self.conns.get(&id).is_some_and(|conn| conn.connecting) {
+                        self.connected(id);
+                        continue;
+                    }
+                    if writable {
+                        self.write(id);
+                    }
+                    if readable {
+                        self.read(id);
+                    }
+                }
+            }
+        }
+        Ok(std::mem::take(&mut self.pending))
+    }
+}
+
+fn begin_connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Ok(()) => {}
+        // EINPROGRESS: it goes on by itself.
+        Err(error) if error.raw_os_error() == Some(115) || error.kind() == ErrorKind::WouldBlock => {}
+        Err(error) => return Err(error),
+    }
+    Ok(socket.into())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Polls until something is wanted; a bound on rounds ends a test that would hang.
+    fn until<T>(net: &mut Net, mut wanted: impl FnMut(NetEvent) -> Option<T>) -> T {
+        for _ in 0..1000 {
+            for event in net.poll(Some(Duration::from_millis(100))).unwrap() {
+                if let Some(found) = wanted(event) {
+                    return found;
+                }
+            }
+        }
+        panic!("it never happened");
+    }
+
+    fn pair(net: &mut Net) -> (ConnId, ConnId) {
+        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let client = net.connect(address);
+        let server = until(net, |event| match event {
+            NetEvent::Accepted { conn, .. } => Some(conn),
+            _ => None,
+        });
+        (client, server)
+    }
+
+    #[test]
+    fn bytes_cross_whole_however_many_there_are() {
+        let mut net = Net::new().unwrap();
+        let (client, server) = pair(&mut net);
+        let sent: Vec<u8> = (0..3_000_000u32).map(|i| (i % 251) as u8).collect();
+        net.send(client, &sent);
+        net.close_when_sent(client);
+        let mut seen = Vec::new();
+        until(&mut net, |event| match event {
+            NetEvent::Bytes(conn, bytes) if conn == server => {
+                seen.extend(bytes);
+                None
+            }
+            NetEvent::Closed { conn, clean } if conn == server => Some(assert!(clean)),
+            _ => None,
+        });
+        assert!(seen == sent);
+    }
+
+    #[test]
+    fn a_paused_reader_is_felt_by_the_writer() {
+        let mut net = Net::new().unwrap();
+        let (client, server) = pair(&mut net);
+        net.pause(server, true);
+        net.send(client, &vec![7; 64 << 20]);
+        while !net.poll(Some(Duration::from_millis(50))).unwrap().is_empty() {}
+        assert!(net.unsent(client) > 16 << 20);
+        net.pause(server, false);
+        until(&mut net, |event| matches!(event, NetEvent::Flushed(conn) if conn == client).then_some(()));
+    }
+
+    #[test]
+    fn refused_and_reset_connections_are_told_apart_from_closed_ones() {
+        let mut net = Net::new().unwrap();
+        let (listener, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        net.unlisten(listener);
+        let refused = net.connect(address);
+        let kind = until(&mut net, |event| match event {
+            NetEvent::ConnectFailed(conn, kind) if conn == refused => Some(kind),
+            _ => None,
+        });
+        assert_eq!(kind, ErrorKind::ConnectionRefused);
+        let (client, server) = pair(&mut net);
+        net.reset(server);
+        let clean = until(&mut net, |event| match event {
+            NetEvent::Closed { conn, clean } if conn == client => Some(clean),
+            _ => None,
+        });
+        assert!(!clean);
+    }
+}
