The courier runs: AS2 in, the module's decisions, AS2 out, signed receipts back; demo on loopback

Change: crates/courier with front, wire, admission and the meaning of answers (the latter two free of I/O), threads for cryptography where the settings ask for them, and the commands serve, check, keys, send, demo; crates/standin with partners (capacity, queue, limit, repeats, cold return, faults) and clients that record what passes on their sockets; a rig of fresh keys and settings around both.

--- /dev/null
+++ b/crates/as2/src/issue.rs
@@ -0,0 +1,41 @@
+//! New stations: a key and a certificate signed by itself, as AS2 partners exchange them.
+
+use crate::As2Error;
+use rcgen::{CertificateParams, DnType, KeyPair, RsaKeySize};
+
+/// What key a new station gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NewKey {
+    /// RSA with 2048 bits.
+    Rsa2048,
+    /// RSA with 3072 bits.
+    Rsa3072,
+    /// RSA with 4096 bits.
+    Rsa4096,
+    /// ECDSA on P-256: signs faster, but nothing can be encrypted for it.
+    P256,
+}
+
+/// Makes a key and a certificate, both in PEM: the key first. The certificate is valid from `from` to `to`,
+/// each year, month and day.
+pub fn new_station(
+    name: &str,
+    key: NewKey,
+    from: (i32, u8, u8),
+    to: (i32, u8, u8),
+) -> Result<(String, String), As2Error> {
+    let failed = |error: rcgen::Error| As2Error::Key("new station", error.to_string());
+    let pair = match key {
+        NewKey::Rsa2048 => KeyPair::generate_rsa_for(&rcgen::PKCS_RSA_SHA256, RsaKeySize::_2048),
+        NewKey::Rsa3072 => KeyPair::generate_rsa_for(&rcgen::PKCS_RSA_SHA256, RsaKeySize::_3072),
+        NewKey::Rsa4096 => KeyPair::generate_rsa_for(&rcgen::PKCS_RSA_SHA256, RsaKeySize::_4096),
+        NewKey::P256 => KeyPair::generate_for(&rcgen::PKCS_ECDSA_P256_SHA256),
+    }
+    .map_err(failed)?;
+    let mut params = CertificateParams::new(Vec::new()).map_err(failed)?;
+    params.distinguished_name.push(DnType::CommonName, name);
+    params.not_before = rcgen::date_time_ymd(from.0, from.1, from.2);
+    params.not_after = rcgen::date_time_ymd(to.0, to.1, to.2);
+    let certificate = params.self_signed(&pair).map_err(failed)?;
+    Ok((pair.serialize_pem(), certificate.pem()))
+}
--- a/crates/as2/src/lib.rs
+++ b/crates/as2/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod ber;
 mod error;
+mod issue;
 mod keys;
 mod message;
 mod mime;
@@ -15,6 +16,7 @@
 mod secure;
 
 pub use error::As2Error;
+pub use issue::{new_station, NewKey};
 pub use keys::{Certificate, Identity};
 pub use message::{
     compose, open, sender, unquote_name, Addressee, Cipher, Composed, Digest, Envelope, Mic, Opened,
--- a/crates/as2/src/message.rs
+++ b/crates/as2/src/message.rs
@@ -238,11 +238,9 @@
     to: Addressee,
     security: &Security,
 ) -> Result<Composed, As2Error> {
-    let digest = match (&security.receipt, security.sign) {
-        (_, Some(digest)) => digest,
-        (Some(request), None) => request.signed.first().copied().unwrap_or(Digest::Sha256),
-        (None, None) => Digest::Sha256,
-    };
+    // The receipt's integrity check is by the digest asked for first, as `open` has it.
+    let asked = security.receipt.as_ref().and_then(|request| request.signed.first().copied());
+    let digest = asked.or(security.sign).unwrap_or(Digest::Sha256);
     let mut part = message.payload.clone();
     if part.headers.get("content-transfer-encoding").is_none() {
         part.headers.add("Content-Transfer-Encoding", "binary");
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -1,1 +1,19 @@
-//! .
+//! The courier on sockets: AS2 messages come in, the module decides, AS2 messages go out, and each hand-in gets
+//! one signed receipt back.
+//!
+//! This package is the shell: sockets, clocks, files, signals and threads are here, decisions are not. What an
+//! answer of a partner means is in [`meaning`], free of I/O; what a message needs before it is taken is in
+//! [`admission`].
+#![forbid(unsafe_code)]
+
+pub mod admission;
+mod directory;
+mod front;
+pub mod meaning;
+mod pool;
+pub mod rig;
+mod service;
+mod wire;
+
+pub use directory::{load_config, load_identity, Directory, LoadError};
+pub use service::{Ending, Service, ServiceError, Stopper};
--- /dev/null
+++ b/crates/courier/src/service.rs
@@ -0,0 +1,420 @@
+//! The courier's loop: events in, the engine's turn, commands out.
+
+use crate::directory::{load_config, Directory, LoadError};
+use crate::front::{Front, Waiter};
+use crate::pool::Pool;
+use crate::wire::Wire;
+use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, MessageId, Time, ZoneId};
+use cloverstile_as2::{As2Error, Composed, Envelope, Opened, Part, Receipt};
+use cloverstile_engine::{Answer, Attempt, Bounds, Command, Counts, Engine, Reported};
+use cloverstile_http::Headers;
+use cloverstile_net::{ConnId, Net, NetEvent, SignalKind, Waker};
+use cloverstile_settings::Config;
+use std::collections::{BTreeSet, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tracing::{debug, error, info, warn};
+
+/// Why a courier could not start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum ServiceError {
+    /// The system refused.
+    #[error("{what}: {error}")]
+    Io {
+        /// What was tried.
+        what: String,
+        /// Why not.
+        error: io::Error,
+    },
+    /// Settings that can't be used.
+    #[error(transparent)]
+    Load(#[from] LoadError),
+}
+
+fn io_error(what: impl Into<String>) -> impl FnOnce(io::Error) -> ServiceError {
+    let what = what.into();
+    move |error| ServiceError::Io { what, error }
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    /// Running sums of the engine.
+    pub counts: Counts,
+    /// Messages without an answer at the end; zero unless it was told twice to stop.
+    pub unanswered: usize,
+    /// Time spent in the module and its table.
+    pub deciding: Duration,
+    /// Time spent in the loop without waiting.
+    pub working: Duration,
+}
+
+/// A message, from its hand-in until its answer is forgotten.
+pub(crate) struct Held {
+    pub partner: usize,
+    /// What is carried; gone once it is composed.
+    pub payload: Option<Part>,
+    pub composed: Option<Arc<Composed>>,
+    /// Its composition has begun.
+    pub composing: bool,
+    pub waiters: Vec<Waiter>,
+}
+
+/// What a thread for cryptography returns.
+pub(crate) enum Done {
+    /// A client's message was opened, or not.
+    Opened {
+        conn: ConnId,
+        request: u64,
+        client: usize,
+        envelope: Box<Envelope>,
+        http: Headers,
+        opened: Result<Box<Opened>, As2Error>,
+    },
+    /// A message for a partner was composed.
+    Composed { message: MessageId, composed: Result<Box<Composed>, As2Error> },
+    /// A partner's receipt in an answer was read.
+    Judged { call: u64, attempt: Attempt, reported: Reported, why: Option<As2Error> },
+    /// A partner's receipt on a connection of its own was read.
+    Receipt { conn: ConnId, request: u64, partner: usize, receipt: Result<Box<Receipt>, As2Error> },
+    /// A receipt for a client was composed.
+    Told { waiter: Box<Waiter>, answer: Answer, receipt: Result<Box<Composed>, As2Error> },
+    /// A receipt that says why a message was rejected was composed.
+    Rejected { conn: ConnId, request: u64, status: u16, why: String, receipt: Option<Box<Composed>> },
+}
+
+/// Something due at a moment; whether it still matters is looked at then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// A message is coming in too slowly.
+    Inbound(ConnId),
+    /// An outbound connection takes too long.
+    Connect(ConnId),
+    /// An outbound connection has been idle for long.
+    Idle(ConnId),
+    /// A receipt for a client is tried again.
+    Redeliver(u64),
+}
+
+/// An endpoint as the shell needs it.
+#[derive(Clone)]
+pub(crate) struct Place {
+    pub partner: usize,
+    pub name: String,
+    pub address: SocketAddr,
+    pub path: String,
+}
+
+/// A running courier.
+pub struct Service {
+    pub(crate) config: Config,
+    pub(crate) directory: Arc<Directory>,
+    pub(crate) engine: Engine,
+    pub(crate) net: Net,
+    pub(crate) pool: Pool<Done>,
+    pub(crate) front: Front,
+    pub(crate) wire: Wire,
+    pub(crate) held: HashMap<MessageId, Held>,
+    pub(crate) places: HashMap<EndpointId, Place>,
+    pub(crate) timers: BTreeSet<(Time, Timer)>,
+    endpoint_ids: HashMap<(String, String), EndpointId>,
+    file: Option<PathBuf>,
+    clock: Instant,
+    address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    stopping: Option<Time>,
+    deciding: Duration,
+    working: Duration,
+}
+
+/// Tells a running courier to stop, from another thread.
+#[derive(Clone)]
+pub struct Stopper {
+    flag: Arc<AtomicBool>,
+    waker: Waker,
+}
+
+impl Stopper {
+    /// As a signal would.
+    pub fn stop(&self) {
+        self.flag.store(true, Ordering::SeqCst);
+        self.waker.wake();
+    }
+}
+
+impl Service {
+    /// Starts listening. `file` is read again on SIGHUP; `seed` is the module's chance.
+    pub fn start(
+        config: Config,
+        directory: Directory,
+        file: Option<&Path>,
+        seed: u64,
+    ) -> Result<Service, ServiceError> {
+        let mut net = Net::new().map_err(io_error("event loop"))?;
+        let listen = config.front.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let (listener, address) = net.listen(listen).map_err(io_error(format!("listening on {listen}")))?;
+        let pool = Pool::new(config.limits.workers, &net.waker()).map_err(io_error("threads"))?;
+        let bounds =
+            Bounds { remembered: config.limits.remembered, answers_kept: config.limits.answers_kept };
+        let mut service = Service {
+            engine: Engine::new(config.module.clone(), bounds, seed),
+            directory: Arc::new(directory),
+            net,
+            pool,
+            front: Front::new(listener, address),
+            wire: Wire::default(),
+            held: HashMap::new(),
+            places: HashMap::new(),
+            timers: BTreeSet::new(),
+            endpoint_ids: HashMap::new(),
+            file: file.map(Path::to_owned),
+            clock: Instant::now(),
+            address,
+            stop: Arc::default(),
+            stopping: None,
+            deciding: Duration::ZERO,
+            working: Duration::ZERO,
+            config,
+        };
+        service.list();
+        info!(address = %address, partners = service.config.partners.len(), "listening");
+        Ok(service)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// For stopping it from another thread.
+    pub fn stopper(&self) -> Stopper {
+        Stopper { flag: self.stop.clone(), waker: self.net.waker() }
+    }
+
+    /// Heeds SIGTERM and SIGINT (stop) and SIGHUP (read the partners again). Call before other threads start.
+    pub fn watch_signals(&mut self) -> Result<(), ServiceError> {
+        self.net
+            .watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
+            .map_err(io_error("signals"))
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        Time(u64::try_from(self.clock.elapsed().as_nanos()).unwrap_or(u64::MAX))
+    }
+
+    pub(crate) fn set_timer(&mut self, at: Time, timer: Timer) {
+        self.timers.insert((at, timer));
+    }
+
+    /// Serves until it is told to stop and all is answered.
+    pub fn run(&mut self) -> Result<Ending, ServiceError> {
+        loop {
+            let now = self.now();
+            let next = [self.engine.next_wake(), self.timers.first().map(|(at, _)| *at), self.stopping];
+            let timeout = next.into_iter().flatten().min().map(|at| at - now);
+            let events = self.net.poll(timeout).map_err(io_error("event loop"))?;
+            let began = Instant::now();
+            for event in events {
+                if self.on_event(event) {
+                    return Ok(self.ending());
+                }
+            }
+            if self.stop.load(Ordering::SeqCst) {
+                self.begin_stop();
+            }
+            self.fire_timers();
+            self.turn();
+            self.working += began.elapsed();
+            if self.is_finished() {
+                return Ok(self.ending());
+            }
+        }
+    }
+
+    /// Lets results, the engine and its commands act on each other until nothing is left to do.
+    fn turn(&mut self) {
+        loop {
+            while let Some(done) = self.pool.result() {
+                self.on_done(done);
+            }
+            let began = Instant::now();
+            let now = self.now();
+            let commands = self.engine.advance(now);
+            self.deciding += began.elapsed();
+            if commands.is_empty() {
+                return;
+            }
+            for command in commands {
+                self.carry_out(command);
+            }
+        }
+    }
+
+    /// True where the run must end at once.
+    fn on_event(&mut self, event: NetEvent) -> bool {
+        match event {
+            NetEvent::Signal(SignalKind::SIGHUP) => self.reload(),
+            NetEvent::Signal(_) if self.stopping.is_some() => return true,
+            NetEvent::Signal(_) => self.begin_stop(),
+            NetEvent::Accepted { conn, .. } => self.front_accepted(conn),
+            NetEvent::Bytes(conn, bytes) if self.front.owns(conn) => self.front_bytes(conn, &bytes),
+            NetEvent::Bytes(conn, bytes) => self.wire_bytes(conn, &bytes),
+            NetEvent::Connected(conn) => self.wire_connected(conn),
+            NetEvent::ConnectFailed(conn, _) => self.wire_connect_failed(conn),
+            NetEvent::Closed { conn, .. } if self.front.owns(conn) => self.front_closed(conn),
+            NetEvent::Closed { conn, .. } => self.wire_closed(conn),
+            NetEvent::Flushed(_) | NetEvent::Woken => {}
+        }
+        false
+    }
+
+    fn on_done(&mut self, done: Done) {
+        match done {
+            Done::Opened { conn, request, client, envelope, http, opened } => {
+                self.front_opened(conn, request, client, *envelope, &http, opened);
+            }
+            Done::Composed { message, composed } => self.wire_composed(message, composed),
+            Done::Judged { call, attempt, reported, why } => self.wire_judged(call, attempt, reported, why),
+            Done::Receipt { conn, request, partner, receipt } => {
+                self.front_receipt(conn, request, partner, receipt);
+            }
+            Done::Told { waiter, answer, receipt } => self.front_told(*waiter, answer, receipt),
+            Done::Rejected { conn, request, status, why, receipt } => {
+                self.front_rejected(conn, request, status, &why, receipt);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Send { endpoint, attempts } => self.wire_send(endpoint, attempts),
+            Command::Abandon { attempt } => self.wire_abandon(attempt),
+            Command::Answer { message, answer, attempts } => self.answer(message, answer, attempts),
+            Command::Late { message, answer } => {
+                warn!(message = message.0, ?answer, "a receipt came after the final answer");
+            }
+            Command::Forget { message } => {
+                self.held.remove(&message);
+            }
+            Command::CloseIdle { endpoint } => self.wire_close_idle(endpoint),
+            Command::Probe { endpoint } => self.wire_probe(endpoint),
+            Command::Log { text } => info!("{text}"),
+        }
+    }
+
+    fn answer(&mut self, message: MessageId, answer: Answer, attempts: u32) {
+        let Some(held) = self.held.get_mut(&message) else { return };
+        held.payload = None;
+        let partner = &self.config.partners[held.partner].name;
+        debug!(message = message.0, partner = %partner, attempts, ?answer, "answered");
+        let waiters = std::mem::take(&mut held.waiters);
+        // A composed message is kept for late receipts: their integrity check is compared with it. Its body is
+        // not needed for that.
+        if let Some(composed) = held.composed.take() {
+            let (headers, body, mic) = (Headers::new(), Vec::new(), composed.mic.clone());
+            held.composed = Some(Arc::new(Composed { headers, body, mic }));
+        }
+        for waiter in waiters {
+            self.tell(waiter, answer);
+        }
+    }
+
+    fn fire_timers(&mut self) {
+        let now = self.now();
+        while let Some(&(at, timer)) = self.timers.first().filter(|(at, _)| *at <= now) {
+            self.timers.remove(&(at, timer));
+            match timer {
+                Timer::Inbound(conn) => self.front_overdue(conn),
+                Timer::Connect(conn) => self.wire_connect_overdue(conn),
+                Timer::Idle(conn) => self.wire_idle_overdue(conn),
+                Timer::Redeliver(delivery) => self.redeliver(delivery),
+            }
+        }
+    }
+
+    // ---- The list of endpoints ----
+
+    /// Hands the settings' endpoints to the engine. An endpoint keeps its id as long as the program runs.
+    fn list(&mut self) {
+        let mut listed = Vec::new();
+        for (number, partner) in self.config.partners.iter().enumerate() {
+            for endpoint in &partner.endpoints {
+                let next = EndpointId(self.endpoint_ids.len() as u32);
+                let name = (partner.name.clone(), endpoint.name.clone());
+                let id = *self.endpoint_ids.entry(name).or_insert(next);
+                let place = Place {
+                    partner: number,
+                    name: endpoint.name.clone(),
+                    address: endpoint.address,
+                    path: endpoint.path.clone(),
+                };
+                self.places.insert(id, place);
+                listed.push(Endpoint {
+                    id,
+                    zone: ZoneId(endpoint.zone),
+                    kind: KindId(partner.kind),
+                    destination: DestinationId(number as u16),
+                    mode: endpoint.mode,
+                    weight: partner.rate,
+                });
+            }
+        }
+        let now = self.now();
+        self.engine.list(now, listed);
+    }
+
+    /// Takes a new version of the partners' endpoints and rates, whole or not at all.
+    fn reload(&mut self) {
+        let Some(file) = self.file.clone() else { return };
+        let read = match load_config(&file) {
+            Ok(read) => read,
+            Err(error) => return error!("settings not taken, the old ones stay: {error}"),
+        };
+        let mut partners = self.config.partners.clone();
+        for partner in &mut partners {
+            match read.partners.iter().find(|new| new.name == partner.name) {
+                Some(new) => (partner.endpoints, partner.rate) = (new.endpoints.clone(), new.rate),
+                None => partner.endpoints.clear(),
+            }
+        }
+        let known = |name: &str| self.config.partners.iter().any(|partner| partner.name == name);
+        if let Some(new) = read.partners.iter().find(|partner| !known(&partner.name)) {
+            return error!(partner = %new.name, "settings not taken, the old ones stay: a new partner needs a restart");
+        }
+        self.config.partners = partners;
+        self.list();
+        info!("endpoints and rates taken from the settings; all else needs a restart");
+    }
+
+    // ---- The end ----
+
+    fn begin_stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        let now = self.now();
+        let within = self.config.limits.stop_within;
+        info!(held = self.engine.held(), ?within, "stopping: nothing more is taken");
+        // The last fifth is for signing and sending what is answered at the end.
+        self.engine.stop(now + within.mul_f64(0.8));
+        self.stopping = Some(now + within);
+        self.net.unlisten(self.front.listener);
+    }
+
+    fn is_finished(&self) -> bool {
+        let Some(until) = self.stopping else { return false };
+        self.now() >= until
+            || (self.engine.held() == 0 && !self.front.is_busy() && self.front.unsent(&self.net) == 0)
+    }
+
+    fn ending(&self) -> Ending {
+        let counts = self.engine.counts();
+        let unanswered = self.engine.held();
+        info!(?counts, unanswered, "ended");
+        Ending { counts, unanswered, deciding: self.deciding, working: self.working }
+    }
+}
--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -8,7 +8,7 @@
 /// A message as a front hands it in.
 #[derive(Clone, Debug)]
 pub struct HandIn {
-    /// Whose it is: its own names count apart from those of all others.
+    /// Whose it is.
     pub client: u32,
     /// Its `Message-ID`: the idempotency key from hand-in to receipt.
     pub name: String,
@@ -59,7 +59,7 @@
 }
 
 /// One attempt of one message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Attempt {
     /// The message.
     pub message: MessageId,
@@ -115,6 +115,11 @@
         /// What had been answered.
         answer: Answer,
     },
+    /// A message's answer is no longer kept: let go of all that is held for it.
+    Forget {
+        /// Which message.
+        message: MessageId,
+    },
     /// Close idle connections.
     CloseIdle {
         /// To where.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -40,7 +40,7 @@
     last_id: u32,
     last_call: u64,
     entries: BTreeMap<MessageId, Entry>,
-    names: HashMap<(u32, String), MessageId>,
+    names: HashMap<String, MessageId>,
     held: usize,
     /// Messages still unanswered in each call out.
     calls: BTreeMap<u64, usize>,
@@ -107,13 +107,16 @@
 
     /// A front hands a message in.
     pub fn hand_in(&mut self, now: Time, taken: HandIn) -> Taken {
-        let name = (taken.client, taken.name.clone());
-        if let Some(id) = self.names.get(&name).copied() {
+        if let Some(id) = self.names.get(&taken.name).copied() {
             if let Some(entry) = self.entries.get(&id) {
                 self.counts.repeats += 1;
                 return match entry.answer {
-                    // One token with other parameters is another intention: nobody can say which was meant.
-                    _ if entry.fingerprint != taken.fingerprint => Taken::Conflict,
+                    // One token with other parameters is another intention: nobody can say which was meant. The
+                    // partner sees the name alone, so that another client's message under it would be dropped
+                    // there as a repeat.
+                    _ if entry.fingerprint != taken.fingerprint || entry.client != taken.client => {
+                        Taken::Conflict
+                    }
                     // The client was told that it may hand in again, and so it does. While an earlier attempt is
                     // still out (a safe message may be refused then) a second one must not go beside it.
                     Some(Answer::Refused(_)) if entry.out.is_none() => {
@@ -139,7 +142,7 @@
         let id = MessageId(self.last_id);
         self.counts.taken += 1;
         self.held += 1;
-        self.names.insert((taken.client, taken.name.clone()), id);
+        self.names.insert(taken.name.clone(), id);
         self.entries.insert(id, Entry::new(&taken));
         self.last_resort.insert((self.resort_at(taken.deadline), id));
         // What a lost courier held may have taken effect there. An unsafe message must not go again; the module
@@ -200,14 +203,19 @@
         self.stop.get_or_insert(until);
     }
 
-    /// The message that a client's name stands for, while it is known.
-    pub fn known(&self, client: u32, name: &str) -> Option<MessageId> {
-        self.names.get(&(client, name.to_owned())).copied()
+    /// The message that a name stands for, while it is known.
+    pub fn known(&self, name: &str) -> Option<MessageId> {
+        self.names.get(name).copied()
+    }
+
+    /// The name of a message, while it is known.
+    pub fn name(&self, id: MessageId) -> Option<&str> {
+        self.entries.get(&id).map(|entry| entry.name.as_str())
     }
 
-    /// The name of a message and its client, while it is known.
-    pub fn name(&self, id: MessageId) -> Option<(u32, &str)> {
-        self.entries.get(&id).map(|entry| (entry.client, entry.name.as_str()))
+    /// Whether a message has no final answer yet: nothing may be sent for it afterwards.
+    pub fn is_open(&self, id: MessageId) -> bool {
+        self.entries.get(&id).is_some_and(|entry| entry.answer.is_none())
     }
 
     /// When [`Engine::advance`] must be called at the latest.
@@ -484,10 +492,10 @@
 
     fn forget(&mut self, id: MessageId) {
         if let Some(entry) = self.entries.remove(&id) {
-            let name = (entry.client, entry.name);
-            if self.names.get(&name) == Some(&id) {
-                self.names.remove(&name);
+            if self.names.get(&entry.name) == Some(&id) {
+                self.names.remove(&entry.name);
             }
+            self.effects.push(Command::Forget { message: id });
         }
     }
 }
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -2,6 +2,7 @@
 
 use cloverstile_http::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::time::Duration;
 
 const T: Duration = Duration::ZERO;
@@ -74,6 +75,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Default::default() })]
+
     #[test]
     fn pieces_do_not_matter(
         bodies in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..300), 1..4),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -246,7 +246,9 @@
     let encrypt = block.choice("encrypt", &[("required", true), ("optional", false)], false);
     let as2_name = block.text("as2_name").unwrap_or_else(|| name.clone());
     let sha1 = block.flag("sha1", false);
+    let receipts = block.text("receipts");
     Some(Client {
+        receipts,
         as2_name,
         certificate: certificate?.into(),
         tenant: tenant as u32,
--- a/crates/settings/src/types.rs
+++ b/crates/settings/src/types.rs
@@ -91,6 +91,8 @@
     pub encrypt: bool,
     /// Signatures with SHA-1 are taken.
     pub sha1: bool,
+    /// Asynchronous receipts may go to addresses that begin so; none: to none.
+    pub receipts: Option<String>,
 }
 
 /// Digests by name.
--- /dev/null
+++ b/crates/standin/src/model.rs
@@ -0,0 +1,360 @@
+//! How a partner behaves: capacity, queue, limit, repeats, outages and the cold time after them. No I/O; time
+//! is an argument, chance comes from a seed.
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// What a partner is like on an ordinary day.
+#[derive(Clone, Debug)]
+pub struct Nature {
+    /// Calls that it serves at once, over all its endpoints.
+    pub servers: usize,
+    /// Calls that may wait for one.
+    pub queue: usize,
+    /// Least time of a call, and the mean of what chance adds.
+    pub service: (Duration, Duration),
+    /// Calls a second that it takes from all couriers together; none: its capacity is the only limit.
+    pub limit: Option<f64>,
+    /// Refusals say how long to wait.
+    pub tells_wait: bool,
+    /// How long a repeat of a message is dropped.
+    pub repeat_window: Duration,
+    /// After an outage: share of its capacity at first, and how long until it is warm.
+    pub cold: (f64, Duration),
+    /// Sent more than this multiple of its present capacity ...
+    pub tip_multiple: f64,
+    /// ... over this time while it is cold, it falls over.
+    pub fall: Duration,
+}
+
+impl Default for Nature {
+    fn default() -> Self {
+        Nature {
+            servers: 8,
+            queue: 16,
+            service: (Duration::from_millis(10), Duration::from_millis(20)),
+            limit: None,
+            tells_wait: false,
+            repeat_window: Duration::from_secs(10),
+            cold: (0.2, Duration::from_secs(4)),
+            tip_multiple: 2.0,
+            fall: Duration::from_secs(1),
+        }
+    }
+}
+
+impl Nature {
+    /// Calls a second that it can serve when warm.
+    pub fn capacity(&self) -> f64 {
+        self.servers as f64 / (self.service.0 + self.service.1).as_secs_f64().max(1e-6)
+    }
+}
+
+/// What goes wrong at a partner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fault {
+    /// It takes messages, they take effect, and it never answers.
+    Silent,
+    /// Messages take effect; this share of the answers breaks off halfway.
+    LoseAnswers(f64),
+    /// Connections are refused.
+    Refuse,
+    /// Requests are cut off as they come; nothing takes effect.
+    Reset,
+    /// Answers come so much later.
+    Late(Duration),
+    /// This share of the messages is answered by an error at once.
+    Errors(f64),
+    /// All are turned away, with a wait to the end of it where waits are told.
+    Shut,
+    /// Everything takes so many times as long.
+    Slow(f64),
+}
+
+impl Fault {
+    /// Whether nothing gets through, so that the partner comes back cold.
+    pub fn is_outage(self) -> bool {
+        matches!(self, Fault::Silent | Fault::Refuse | Fault::Reset | Fault::Shut)
+    }
+}
+
+/// What is done with a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Verdict {
+    /// When the answer leaves; none: never.
+    pub answer_at: Option<Duration>,
+    /// What it says.
+    pub reply: Reply,
+    /// It takes effect, now or while it is served.
+    pub effect: bool,
+}
+
+/// An answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Reply {
+    /// A receipt: processed.
+    Processed,
+    /// A receipt: an error.
+    Error,
+    /// Turned away, told to wait, or not.
+    Full(Option<Duration>),
+    /// A receipt that breaks off halfway.
+    Half,
+    /// The connection is reset.
+    Reset,
+}
+
+/// One partner, all its endpoints together.
+pub struct Partner {
+    nature: Nature,
+    rng: ChaCha8Rng,
+    /// When each server is free.
+    free: Vec<Duration>,
+    /// Ends of calls taken and not served yet.
+    taken: VecDeque<Duration>,
+    tokens: f64,
+    filled: Duration,
+    /// First taken when, by message.
+    known: HashMap<String, Duration>,
+    fault: Option<(Fault, Duration)>,
+    returned: Option<Duration>,
+    /// Requests since the return, within the last fall time.
+    since_return: VecDeque<Duration>,
+    fallen: bool,
+}
+
+impl Partner {
+    /// A warm partner with nothing to do.
+    pub fn new(nature: Nature, rng: ChaCha8Rng) -> Self {
+        let tokens = nature.limit.unwrap_or(0.0).max(1.0);
+        Partner {
+            free: vec![Duration::ZERO; nature.servers.max(1)],
+            nature,
+            rng,
+            taken: VecDeque::new(),
+            tokens,
+            filled: Duration::ZERO,
+            known: HashMap::new(),
+            fault: None,
+            returned: None,
+            since_return: VecDeque::new(),
+            fallen: false,
+        }
+    }
+
+    /// What it is like.
+    pub fn nature(&self) -> &Nature {
+        &self.nature
+    }
+
+    /// The fault in force.
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault.map(|(fault, _)| fault)
+    }
+
+    /// Whether it was pushed over.
+    pub fn is_fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// A fault begins, to end at a time known to it alone.
+    pub fn begin(&mut self, fault: Fault, until: Duration) {
+        self.fault = Some((fault, until));
+    }
+
+    /// The fault ends; after an outage it is cold.
+    pub fn end(&mut self, now: Duration) {
+        if self.fault.take().is_some_and(|(fault, _)| fault.is_outage()) {
+            self.returned = Some(now);
+            self.since_return.clear();
+            self.free.fill(now);
+            self.taken.clear();
+        }
+    }
+
+    /// Share of its capacity that it has just now.
+    pub fn warmth(&self, now: Duration) -> f64 {
+        let (from, whole) = self.nature.cold;
+        match self.returned {
+            None => 1.0,
+            Some(since) => {
+                let part = now.saturating_sub(since).as_secs_f64() / whole.as_secs_f64().max(1e-6);
+                (from + (1.0 - from) * part).min(1.0)
+            }
+        }
+    }
+
+    /// Share of the limit that is left and the limit, as the answers tell them.
+    pub fn allowance(&self) -> Option<(f64, f64)> {
+        self.nature.limit.map(|limit| ((self.tokens / limit.max(1.0)).clamp(0.0, 1.0), limit))
+    }
+
+    /// A request has come whole.
+    pub fn request(&mut self, now: Duration, id: &str) -> Verdict {
+        let verdict = |reply, effect| Verdict { answer_at: Some(now), reply, effect };
+        self.weigh(now);
+        if self.fallen {
+            return verdict(Reply::Full(None), false);
+        }
+        let window = self.nature.repeat_window;
+        let fresh = self.known.get(id).is_none_or(|first| now.saturating_sub(*first) >= window);
+        match self.fault {
+            Some((Fault::Silent, _)) => {
+                self.note_known(now, id, fresh);
+                return Verdict { answer_at: None, reply: Reply::Processed, effect: fresh };
+            }
+            Some((Fault::Shut, until)) => {
+                let wait = self.nature.tells_wait.then(|| until.saturating_sub(now));
+                return verdict(Reply::Full(wait), false);
+            }
+            Some((Fault::Reset | Fault::Refuse, _)) => return verdict(Reply::Reset, false),
+            Some((Fault::Errors(share), _)) if self.rng.random_bool(share.clamp(0.0, 1.0)) => {
+                return verdict(Reply::Error, false);
+            }
+            _ => {}
+        }
+        if let Some(wait) = self.over_limit(now) {
+            return verdict(Reply::Full(self.nature.tells_wait.then_some(wait)), false);
+        }
+        while self.taken.front().is_some_and(|end| *end <= now) {
+            self.taken.pop_front();
+        }
+        let room = (self.free.len() as f64 * self.warmth(now)).ceil() as usize + self.nature.queue;
+        if self.taken.len() >= room {
+            return verdict(Reply::Full(None), false);
+        }
+        let end = self.serve(now);
+        self.note_known(now, id, fresh);
+        let (answer_at, reply) = match self.fault {
+            Some((Fault::LoseAnswers(share), _)) if self.rng.random_bool(share.clamp(0.0, 1.0)) => {
+                (end, Reply::Half)
+            }
+            Some((Fault::Late(more), _)) => (end + more, Reply::Processed),
+            _ => (end, Reply::Processed),
+        };
+        Verdict { answer_at: Some(answer_at), reply, effect: fresh }
+    }
+
+    fn note_known(&mut self, now: Duration, id: &str, fresh: bool) {
+        if fresh {
+            self.known.insert(id.to_owned(), now);
+        }
+    }
+
+    /// Counts a request against what a cold partner survives.
+    fn weigh(&mut self, now: Duration) {
+        let Some(since) = self.returned else { return };
+        if now.saturating_sub(since) > self.nature.cold.1 {
+            self.returned = None;
+            return;
+        }
+        self.since_return.push_back(now);
+        let fall = self.nature.fall;
+        while self.since_return.front().is_some_and(|at| now.saturating_sub(*at) > fall) {
+            self.since_return.pop_front();
+        }
+        if self.since_return.len() as f64 > self.budget(now) {
+            self.fallen = true;
+        }
+    }
+
+    /// Requests over a fall time that it survives at this moment; four more for chance.
+    pub fn budget(&self, now: Duration) -> f64 {
+        let nature = &self.nature;
+        let capacity = nature.limit.map_or(nature.capacity(), |limit| limit.min(nature.capacity()));
+        nature.tip_multiple * capacity * self.warmth(now) * nature.fall.as_secs_f64() + 4.0
+    }
+
+    /// Takes a token; without one, tells when there will be.
+    fn over_limit(&mut self, now: Duration) -> Option<Duration> {
+        let limit = self.nature.limit?;
+        let passed = now.saturating_sub(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * limit).min(limit.max(1.0));
+        self.filled = now;
+        if self.tokens < 1.0 {
+            return Some(Duration::from_secs_f64((1.0 - self.tokens) / limit));
+        }
+        self.tokens -= 1.0;
+        None
+    }
+
+    /// Gives the call to the server that is free first; returns when it is served.
+    fn serve(&mut self, now: Duration) -> Duration {
+        let (least, more) = self.nature.service;
+        let drawn: f64 = -(1.0 - self.rng.random::<f64>()).max(1e-9).ln();
+        let factor = match self.fault {
+            Some((Fault::Slow(times), _)) => times,
+            _ => 1.0,
+        };
+        let time = (least + more.mul_f64(drawn)).mul_f64(factor / self.warmth(now).max(0.01));
+        let server = (0..self.free.len()).min_by_key(|server| self.free[*server]).unwrap_or(0);
+        let end = self.free[server].max(now) + time;
+        self.free[server] = end;
+        let place = self.taken.partition_point(|other| *other <= end);
+        self.taken.insert(place, end);
+        end
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    fn partner(nature: Nature) -> Partner {
+        Partner::new(nature, ChaCha8Rng::seed_from_u64(1))
+    }
+
+    fn s(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    #[test]
+    fn a_repeat_takes_effect_again_only_after_the_window() {
+        let mut partner = partner(Nature::default());
+        assert!(partner.request(s(0.0), "a").effect);
+        assert!(!partner.request(s(9.9), "a").effect);
+        assert!(partner.request(s(10.0), "a").effect);
+    }
+
+    #[test]
+    fn what_is_over_the_limit_or_the_queue_is_turned_away() {
+        let mut limited = partner(Nature { limit: Some(2.0), tells_wait: true, ..Nature::default() });
+        let replies: Vec<Reply> = (0..3).map(|i| limited.request(s(0.0), &i.to_string()).reply).collect();
+        assert_eq!(replies, [Reply::Processed, Reply::Processed, Reply::Full(Some(s(0.5)))]);
+        let mut small = partner(Nature { servers: 1, queue: 1, ..Nature::default() });
+        let replies: Vec<Reply> = (0..3).map(|i| small.request(s(0.0), &i.to_string()).reply).collect();
+        assert_eq!(replies, [Reply::Processed, Reply::Processed, Reply::Full(None)]);
+    }
+
+    #[test]
+    fn a_cold_partner_that_is_pushed_falls_over_and_stays_down() {
+        let nature = Nature { servers: 3, service: (s(0.1), s(0.0)), ..Nature::default() };
+        let mut pushed = partner(nature.clone());
+        pushed.begin(Fault::Shut, s(1.0));
+        pushed.end(s(1.0));
+        for i in 0..100 {
+            pushed.request(s(1.0 + f64::from(i) / 1000.0), &i.to_string());
+        }
+        assert!(pushed.is_fallen());
+        let mut gentle = partner(nature);
+        gentle.begin(Fault::Shut, s(1.0));
+        gentle.end(s(1.0));
+        for i in 0..30 {
+            gentle.request(s(1.0 + f64::from(i) / 6.0), &i.to_string());
+        }
+        assert!(!gentle.is_fallen());
+    }
+
+    #[test]
+    fn silent_partners_let_messages_take_effect_and_shut_ones_do_not() {
+        let mut partner = partner(Nature::default());
+        partner.begin(Fault::Silent, s(5.0));
+        let verdict = partner.request(s(1.0), "a");
+        assert_eq!((verdict.answer_at, verdict.effect), (None, true));
+        partner.begin(Fault::Shut, s(5.0));
+        assert!(!partner.request(s(2.0), "b").effect);
+    }
+}
