--- a/crates/as2/tests/whole.rs
+++ b/crates/as2/tests/whole.rs
@@ -89,7 +89,8 @@
     for digest in [Digest::Sha256, Digest::Sha384, Digest::Sha512] {
         let security = Security { sign: Some(digest), ..Security::default() };
         let composed = compose(&outgoing, &A, to, &security).unwrap();
-        let opened = open(&composed.headers, &composed.body, &A, &A.certificate, None).unwrap();
+        let receipt = Envelope::read(&composed.headers).unwrap().receipt;
+        let opened = open(&composed.headers, &composed.body, &A, &A.certificate, receipt.as_ref()).unwrap();
         assert_eq!((opened.signed, opened.mic), (Some(digest), composed.mic));
     }
     let security = Security { sign: Some(Digest::Sha1), ..Security::default() };
--- a/crates/courier/src/rig.rs
+++ b/crates/courier/src/rig.rs
@@ -105,7 +105,7 @@
     /// The partners, running.
     pub partners: Partners,
     /// The clients' stations.
-    pub clients: Vec<Identity>,
+    pub clients: Arc<Vec<Identity>>,
     /// Settings files, one a courier.
     pub files: Vec<PathBuf>,
     folder: PathBuf,
@@ -159,7 +159,7 @@
             spec,
             recorder,
             partners,
-            clients: clients?,
+            clients: Arc::new(clients?),
             files,
             folder: folder.to_owned(),
             certificates,
@@ -214,7 +214,7 @@
                 class.worth,
             );
         }
-        for client in &self.clients {
+        for client in self.clients.iter() {
             let _ = write!(
                 text,
                 "\nclient \"{0}\" {{\n  certificate = \"{0}.crt\"\n  receipts = \"http://127.0.0.1:\"\n}}\n",
--- a/crates/engine/tests/table.rs
+++ b/crates/engine/tests/table.rs
@@ -239,11 +239,11 @@
                 }
                 4 | 5 => report(bench, Reported::Processed),
                 6 => report(bench, Reported::Error),
-                7 => report(bench, Reported::Full((pick % 2 == 0).then(|| ms(400)))),
+                7 => report(bench, Reported::Full(pick.is_multiple_of(2).then(|| ms(400)))),
                 8 => report(bench, Reported::ConnectFailed),
                 9 => report(bench, Reported::Reset),
                 10 => {
-                    let mode = if pick % 2 == 0 { Mode::Ready } else { Mode::Draining };
+                    let mode = if pick.is_multiple_of(2) { Mode::Ready } else { Mode::Draining };
                     bench.engine.list(bench.now, vec![endpoint(1, mode), endpoint(2, Mode::Ready)]);
                 }
                 _ => {}
--- /dev/null
+++ b/crates/lab/src/bin/cloverstile-lab.rs
@@ -0,0 +1,299 @@
+//! The laboratory's command line. See `cloverstile-lab --help`.
+#![forbid(unsafe_code)]
+
+use clap::{Args, Parser, Subcommand};
+use cloverstile_courier::{load_config, Directory, Service};
+use cloverstile_lab::day::{read, Day, BUILT_IN};
+use cloverstile_lab::replay::{self, Scale};
+use cloverstile_lab::run::{play, Launch, Played};
+use cloverstile_standin::record::{Line, Seen};
+use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
+use hdrhistogram::Histogram;
+use indicatif::{ProgressBar, ProgressStyle};
+use std::collections::HashMap;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Plays bad days through real couriers on loopback and judges the six rules.
+#[derive(Parser)]
+#[command(
+    name = "cloverstile-lab",
+    version,
+    after_help = "Exit codes: 0 no rule broken, 1 a rule was broken, 2 wrong command line, 3 the day can't be played."
+)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Plays a day: the name of one that comes along (payday, quiet, receipts), or a file.
+    Day {
+        /// Name or file (HCL).
+        day: String,
+        #[command(flatten)]
+        options: Options,
+    },
+    /// Plays the kinds of trouble of a bench day, scaled to this machine.
+    Replay {
+        /// The day as the bench draws it (JSON).
+        file: PathBuf,
+        /// Messages a second.
+        #[arg(long, default_value_t = 200.0)]
+        rate: f64,
+        /// Bench seconds in one of ours.
+        #[arg(long, default_value_t = 3.0)]
+        pace: f64,
+        #[command(flatten)]
+        options: Options,
+    },
+    /// Judges a record that was written before.
+    Judge {
+        /// The day that it is of: name or file.
+        day: String,
+        /// The record (JSON lines).
+        record: PathBuf,
+    },
+    /// Runs one courier; used by the laboratory itself.
+    #[command(hide = true)]
+    Courier {
+        /// Settings.
+        file: PathBuf,
+        /// What is logged.
+        #[arg(long, default_value = "error")]
+        log: String,
+    },
+}
+
+#[derive(Args)]
+struct Options {
+    /// Seed of chance.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Days in a row, each with the next seed.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Courier processes; the day's own number where left out.
+    #[arg(long)]
+    couriers: Option<usize>,
+    /// Messages; the day's own number where left out.
+    #[arg(long)]
+    messages: Option<u32>,
+    /// Writes all that was seen, as JSON lines.
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// One line of JSON for each day.
+    #[arg(long)]
+    json: bool,
+    /// What the couriers log on standard error.
+    #[arg(long, default_value = "error")]
+    log: String,
+}
+
+fn main() -> ExitCode {
+    let code = match Arguments::parse().command {
+        Command::Day { day, options } => match find(&day) {
+            Ok(day) => play_all(day, &options),
+            Err(why) => cant(&why),
+        },
+        Command::Replay { file, rate, pace, options } => replay_day(&file, rate, pace, &options),
+        Command::Judge { day, record } => judge_record(&day, &record),
+        Command::Courier { file, log } => courier(&file, &log),
+    };
+    ExitCode::from(code)
+}
+
+fn cant(why: &str) -> u8 {
+    eprintln!("cloverstile-lab: {why}");
+    3
+}
+
+fn find(day: &str) -> Result<Day, String> {
+    let text = match BUILT_IN.iter().find(|(name, _)| *name == day) {
+        Some((_, text)) => (*text).to_owned(),
+        None => std::fs::read_to_string(day).map_err(|error| {
+            let names: Vec<&str> = BUILT_IN.iter().map(|(name, _)| *name).collect();
+            format!("{day}: {error}; days that come along: {}", names.join(", "))
+        })?,
+    };
+    read(&text).map_err(|error| format!("{day}: {error}"))
+}
+
+fn replay_day(file: &Path, rate: f64, pace: f64, options: &Options) -> u8 {
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => return cant(&format!("{}: {error}", file.display())),
+    };
+    match replay::read(&text, Scale { rate, pace, ..Scale::default() }) {
+        Ok(replay) => {
+            for line in &replay.left_out {
+                eprintln!("left out or changed: {line}");
+            }
+            play_all(replay.day, options)
+        }
+        Err(error) => cant(&format!("{}: {error}", file.display())),
+    }
+}
+
+fn play_all(mut day: Day, options: &Options) -> u8 {
+    day.couriers = options.couriers.unwrap_or(day.couriers).max(1);
+    day.messages = options.messages.unwrap_or(day.messages).max(1);
+    let Ok(program) = std::env::current_exe() else { return cant("the own program is not found") };
+    let launch = Launch { program, log: options.log.clone() };
+    let mut worst = 0;
+    for seed in options.seed..options.seed + options.seeds.max(1) {
+        let folder = std::env::temp_dir().join(format!("cloverstile-lab-{}-{seed}", std::process::id()));
+        let bar =
+            if options.json { ProgressBar::hidden() } else { ProgressBar::new(u64::from(day.messages)) };
+        let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
+        bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
+        let played = play(&day, seed, &folder, &launch, &|done| bar.set_position(done as u64));
+        bar.finish_and_clear();
+        match played {
+            Ok(played) => worst = worst.max(report(&played, seed, options)),
+            Err(error) => return cant(&error.to_string()),
+        }
+    }
+    worst
+}
+
+fn report(played: &Played, seed: u64, options: &Options) -> u8 {
+    if let Some(path) = &options.record {
+        if let Err(error) = write_record(path, &played.lines) {
+            return cant(&format!("{}: {error}", path.display()));
+        }
+    }
+    let verdict = &played.verdict;
+    let times = answer_times(&played.lines);
+    let ms = |quantile: f64| times.value_at_quantile(quantile) as f64 / 1000.0;
+    if options.json {
+        let told = serde_json::json!({
+            "seed": seed, "messages": verdict.messages, "answered": verdict.answered,
+            "delivered": verdict.delivered, "refused": verdict.refused, "failed": verdict.failed,
+            "lost_with_courier": verdict.lost_with_courier, "never_taken": verdict.never_taken,
+            "late_answers": verdict.late_answers, "effects_twice": verdict.effects_twice,
+            "requests": verdict.requests, "rules_broken": verdict.broken.len(), "broken": verdict.broken,
+            "p50_ms": ms(0.5), "p99_ms": ms(0.99), "seconds": played.took.as_secs_f64(),
+        });
+        println!("{told}");
+    } else {
+        let mut table = Table::new();
+        table.load_preset(UTF8_BORDERS_ONLY);
+        table.set_header([
+            "seed",
+            "messages",
+            "delivered",
+            "refused",
+            "failed",
+            "lost",
+            "late",
+            "twice",
+            "broken",
+        ]);
+        let numbers = [
+            seed as usize,
+            verdict.messages,
+            verdict.delivered,
+            verdict.refused,
+            verdict.failed,
+            verdict.lost_with_courier,
+            verdict.late_answers,
+            verdict.effects_twice,
+            verdict.broken.len(),
+        ];
+        table.add_row(numbers.iter().map(usize::to_string));
+        println!("{table}");
+        println!("answers: half within {:.0} ms, 99 of 100 within {:.0} ms", ms(0.5), ms(0.99));
+        for broken in verdict.broken.iter().take(20) {
+            println!(
+                "rule {}: {} at {:.3} s: {}",
+                broken.rule,
+                broken.who,
+                broken.at as f64 / 1e6,
+                broken.what
+            );
+        }
+    }
+    u8::from(!verdict.broken.is_empty())
+}
+
+/// Times from a message's first hand-in to its first answer, in microseconds.
+fn answer_times(lines: &[Line]) -> Histogram<u64> {
+    let mut handed: HashMap<&str, u64> = HashMap::new();
+    let mut times = Histogram::new_with_bounds(1, 600_000_000, 3)
+        .unwrap_or_else(|_| Histogram::new(3).expect("valid precision"));
+    for line in lines {
+        match &line.seen {
+            Seen::HandIn { id, .. } => {
+                handed.entry(id).or_insert(line.at);
+            }
+            Seen::Answer { id, .. } => {
+                if let Some(from) = handed.remove(id.as_str()) {
+                    times.saturating_record(line.at.saturating_sub(from).max(1));
+                }
+            }
+            _ => {}
+        }
+    }
+    times
+}
+
+fn write_record(path: &Path, lines: &[Line]) -> std::io::Result<()> {
+    let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
+    for line in lines {
+        serde_json::to_writer(&mut file, line)?;
+        file.write_all(b"\n")?;
+    }
+    file.flush()
+}
+
+fn judge_record(day: &str, record: &Path) -> u8 {
+    let day = match find(day) {
+        Ok(day) => day,
+        Err(why) => return cant(&why),
+    };
+    let text = match std::fs::read_to_string(record) {
+        Ok(text) => text,
+        Err(error) => return cant(&format!("{}: {error}", record.display())),
+    };
+    let lines: Result<Vec<Line>, _> = text.lines().map(serde_json::from_str).collect();
+    match lines {
+        Ok(lines) => {
+            let verdict = cloverstile_lab::judge::judge(&lines, &cloverstile_lab::run::figures(&day));
+            match serde_json::to_string(&verdict) {
+                Ok(told) => println!("{told}"),
+                Err(error) => return cant(&error.to_string()),
+            }
+            u8::from(!verdict.broken.is_empty())
+        }
+        Err(error) => cant(&format!("{}: {error}", record.display())),
+    }
+}
+
+/// What `cloverstile serve --announce` does, in this program's own file: the laboratory needs no other one.
+fn courier(file: &Path, log: &str) -> u8 {
+    let filter = tracing_subscriber::EnvFilter::new(log);
+    tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
+    let loaded = load_config(file).and_then(|config| {
+        let directory = Directory::load(&config)?;
+        Ok((config, directory))
+    });
+    let (config, directory) = match loaded {
+        Ok(loaded) => loaded,
+        Err(error) => return cant(&error.to_string()),
+    };
+    let run = || {
+        let mut service = Service::start(config, directory, Some(file), rand::random())?;
+        service.watch_signals()?;
+        println!("{{\"listening\":\"{}\"}}", service.address());
+        // Whoever waits for the line reads it from a pipe.
+        let _ = std::io::stdout().flush();
+        service.run()
+    };
+    match run() {
+        Ok(ending) => u8::from(ending.unanswered > 0),
+        Err(error) => cant(&error.to_string()),
+    }
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -128,6 +128,8 @@
     /// Messages of a key that wait until the one before was taken.
     lines: HashMap<String, VecDeque<usize>>,
     left: usize,
+    /// Couriers that just took no connection or no work, and until when they are passed over.
+    shunned: HashMap<usize, Duration>,
     /// Couriers that ran when last looked at.
     ran: Vec<bool>,
 }
@@ -164,6 +166,7 @@
             receipts_at,
             lines: HashMap::new(),
             left: plan.len(),
+            shunned: HashMap::new(),
             ran: vec![true; couriers.running.len()],
         };
         for (place, planned) in plan.into_iter().enumerate() {
@@ -233,6 +236,9 @@
 
     /// Hands in now, or behind the one before of the same key.
     fn begin(&mut self, place: usize) {
+        if self.jobs[place].done {
+            return;
+        }
         let Some(key) = self.jobs[place].planned.key.clone() else { return self.hand_in(place) };
         let line = self.lines.entry(key).or_default();
         if !line.contains(&place) {
@@ -247,11 +253,16 @@
     fn taken(&mut self, place: usize) {
         let Some(key) = &self.jobs[place].planned.key else { return };
         let Some(line) = self.lines.get_mut(key) else { return };
-        if line.front() == Some(&place) {
+        if line.front() != Some(&place) {
+            return;
+        }
+        line.pop_front();
+        // What ended meanwhile must not hold up those behind it.
+        while line.front().is_some_and(|next| self.jobs[*next].done) {
             line.pop_front();
-            if let Some(next) = line.front().copied() {
-                self.hand_in(next);
-            }
+        }
+        if let Some(next) = line.front().copied() {
+            self.hand_in(next);
         }
     }
 
@@ -265,12 +276,17 @@
 
     /// A courier that runs; messages of one key stay with theirs while it runs.
     fn choose(&self, place: usize) -> Option<usize> {
+        let now = self.recorder.now();
         let running = |courier: &usize| self.couriers.running[*courier].load(Ordering::Relaxed);
+        let welcome = |courier: &usize| self.shunned.get(courier).is_none_or(|until| *until <= now);
         let job = &self.jobs[place];
-        if let Some(courier) = job.courier.filter(running) {
+        if let Some(courier) = job.courier.filter(running).filter(welcome) {
             return Some(courier);
         }
-        let up: Vec<usize> = (0..self.couriers.addresses.len()).filter(running).collect();
+        let mut up: Vec<usize> = (0..self.couriers.addresses.len()).filter(running).collect();
+        if up.iter().any(welcome) {
+            up.retain(welcome);
+        }
         let number = match &job.planned.key {
             Some(key) => {
                 key.bytes().fold(7_usize, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()))
@@ -431,6 +447,9 @@
         let courier = known.courier;
         self.recorder.note(Seen::Lost { id: self.jobs[place].planned.id.clone(), courier });
         let running = self.couriers.running[courier].load(Ordering::Relaxed);
+        if !sent {
+            self.shunned.insert(courier, self.recorder.now() + Duration::from_millis(500));
+        }
         let job = &mut self.jobs[place];
         if sent && !running {
             // What the courier did with it died with it.
@@ -497,6 +516,7 @@
         let job = &mut self.jobs[place];
         match told {
             Told::NotTaken => {
+                self.shunned.insert(courier, now + Duration::from_millis(500));
                 self.due.insert((now + self.habits.pause, place), ());
             }
             Told::Refused if job.refused < self.habits.again && job.planned.key.is_none() => {
--- a/crates/standin/src/model.rs
+++ b/crates/standin/src/model.rs
@@ -71,6 +71,8 @@
     Shut,
     /// Everything takes so many times as long.
     Slow(f64),
+    /// Connections are dropped unseen after so long without use: the next request on one is cut off.
+    Reap(Duration),
 }
 
 impl Fault {
--- a/crates/standin/src/partner.rs
+++ b/crates/standin/src/partner.rs
@@ -134,6 +134,8 @@
     decoder: Decoder,
     /// The call that waits for its answer.
     call: Option<u64>,
+    /// When its last answer left.
+    used: Option<Duration>,
 }
 
 /// An answer on its way out.
@@ -312,7 +314,7 @@
             NetEvent::Accepted { listener, conn } => {
                 let Some(&(partner, endpoint)) = self.listeners.get(&listener) else { return };
                 let decoder = Decoder::server(Limits::default());
-                self.conns.insert(conn, Conn { partner, endpoint, decoder, call: None });
+                self.conns.insert(conn, Conn { partner, endpoint, decoder, call: None, used: None });
             }
             NetEvent::Bytes(conn, bytes) => {
                 let now = self.recorder.now();
@@ -367,6 +369,11 @@
             endpoint,
             call,
         });
+        if let (Some(Fault::Reap(after)), Some(used)) = (served.model[0].fault(), known.used) {
+            if now.saturating_sub(used) > after {
+                return self.drop_conn(conn, true);
+            }
+        }
         let group = served.plan.groups.get(endpoint).copied().unwrap_or(0);
         let fell = served.model.iter().any(Partner::is_fallen);
         let verdict = served.model[group].request(now, &id);
@@ -450,8 +457,10 @@
                 (bytes, if due.reply == Reply::Error { End::Error } else { End::Processed })
             }
         };
+        let now = self.recorder.now();
         if let Some(known) = self.conns.get_mut(&conn) {
             known.call = None;
+            known.used = Some(now);
         }
         self.recorder.note(Seen::End { call: due.call, how });
         self.net.send(conn, &bytes);
