--- a/crates/courier/src/front.rs
+++ b/crates/courier/src/front.rs
@@ -24,6 +24,9 @@
 /// Receipts on their way to clients' own addresses, at most.
 const MOST_DELIVERIES: usize = 10_000;
 
+/// Bytes of answers that a client may leave unread before nothing more is read from it.
+const MOST_UNREAD: usize = 256 << 10;
+
 /// Somebody who waits for a message's final answer.
 pub(crate) struct Waiter {
     /// The connection and request that wait; none: the receipt goes to an address.
@@ -131,9 +134,13 @@
     }
 
     /// Reads what is there, one request at a time.
-    fn front_read(&mut self, conn: ConnId) {
+    pub(crate) fn front_read(&mut self, conn: ConnId) {
         let now = self.since_start();
         while let Some(inbound) = self.front.conns.get_mut(&conn) {
+            // Guards against a client that asks on and on and never reads: its answers would pile up here.
+            if self.net.unsent(conn) > MOST_UNREAD {
+                return self.net.pause(conn, true);
+            }
             if inbound.busy.is_some() {
                 // What comes behind a request that is worked on waits in the peer's own buffers.
                 let paused = inbound.decoder.held() > self.config.front.head;
--- a/crates/courier/src/service.rs
+++ b/crates/courier/src/service.rs
@@ -267,6 +267,7 @@
             NetEvent::ConnectFailed(conn, _) => self.wire_connect_failed(conn),
             NetEvent::Closed { conn, .. } if self.front.owns(conn) => self.front_closed(conn),
             NetEvent::Closed { conn, .. } => self.wire_closed(conn),
+            NetEvent::Flushed(conn) if self.front.owns(conn) => self.front_read(conn),
             NetEvent::Flushed(_) | NetEvent::Woken => {}
         }
         false
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -150,7 +150,7 @@
             Stage::Head => self.limits.head_time,
             Stage::Body { .. } => self.limits.message_time,
         };
-        self.began.map(|began| began + span)
+        self.began.map(|began| began.saturating_add(span))
     }
 
     /// An error once the message being read has run out of time: a byte every few seconds is no message.
--- a/crates/lab/src/bin/cloverstile-lab.rs
+++ b/crates/lab/src/bin/cloverstile-lab.rs
@@ -3,6 +3,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use cloverstile_courier::{load_config, Directory, Service};
+use cloverstile_lab::bench;
 use cloverstile_lab::day::{read, Day, BUILT_IN};
 use cloverstile_lab::replay::{self, Scale};
 use cloverstile_lab::run::{play, Launch, Played};
@@ -56,6 +57,18 @@
         /// The record (JSON lines).
         record: PathBuf,
     },
+    /// Measures what a courier costs; one line of JSON for each part.
+    Bench {
+        /// Messages of the path without sockets.
+        #[arg(long, default_value_t = 1000)]
+        messages: u32,
+        /// Messages over sockets.
+        #[arg(long, default_value_t = 3000)]
+        socket_messages: u32,
+        /// Messages held for the measurement of memory.
+        #[arg(long, default_value_t = 10_000)]
+        held: u32,
+    },
     /// Runs one courier; used by the laboratory itself.
     #[command(hide = true)]
     Courier {
@@ -100,6 +113,12 @@
         },
         Command::Replay { file, rate, pace, options } => replay_day(&file, rate, pace, &options),
         Command::Judge { day, record } => judge_record(&day, &record),
+        Command::Bench { messages, socket_messages, held } => {
+            match measure(messages, socket_messages, held) {
+                Ok(()) => 0,
+                Err(why) => cant(&why),
+            }
+        }
         Command::Courier { file, log } => courier(&file, &log),
     };
     ExitCode::from(code)
@@ -272,6 +291,29 @@
     }
 }
 
+fn json(value: &impl serde::Serialize) -> Result<serde_json::Value, String> {
+    serde_json::to_value(value).map_err(|error| error.to_string())
+}
+
+fn measure(messages: u32, socket_messages: u32, held: u32) -> Result<(), String> {
+    let print = |name: &str, value: serde_json::Value| println!("{}", serde_json::json!({ name: value }));
+    let folder =
+        |name: &str| std::env::temp_dir().join(format!("cloverstile-bench-{}-{name}", std::process::id()));
+    for body in [400, 20_000] {
+        print("path", json(&bench::path(messages, body).map_err(|error| error.to_string())?)?);
+    }
+    for workers in [0, 2] {
+        let cost = bench::sockets(socket_messages, workers, &folder("sockets"))
+            .map_err(|error| error.to_string())?;
+        print("sockets", json(&cost)?);
+    }
+    let program = std::env::current_exe().map_err(|error| error.to_string())?;
+    let launch = Launch { program, log: "error".into() };
+    let cost = bench::memory(held, 4000, &folder("memory"), &launch).map_err(|error| error.to_string())?;
+    print("memory", json(&cost)?);
+    Ok(())
+}
+
 /// What `cloverstile serve --announce` does, in this program's own file: the laboratory needs no other one.
 fn courier(file: &Path, log: &str) -> u8 {
     let filter = tracing_subscriber::EnvFilter::new(log);
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -53,7 +53,8 @@
 /// How far a day is, for people who wait: answered messages.
 pub type Watch<'a> = &'a (dyn Fn(usize) + Sync);
 
-struct Process {
+/// A courier process; killed where it is dropped.
+pub(crate) struct Process {
     child: Child,
 }
 
@@ -67,7 +68,11 @@
 
 impl Process {
     /// Starts a courier and waits until it listens.
-    fn start(launch: &Launch, file: &Path, number: usize) -> Result<(Process, SocketAddr), RunError> {
+    pub(crate) fn start(
+        launch: &Launch,
+        file: &Path,
+        number: usize,
+    ) -> Result<(Process, SocketAddr), RunError> {
         let mut child = Command::new(&launch.program)
             .arg("courier")
             .arg(file)
@@ -86,6 +91,10 @@
         told.map(|address| (process, address)).ok_or(RunError::Rig(RigError::Start(number)))
     }
 
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
             // One that has ended needs no signal.
