--- a/crates/courier/src/front.rs
+++ b/crates/courier/src/front.rs
@@ -589,7 +589,7 @@
                 self.respond(conn, request, (200, "OK"), Headers::new(), b"");
             }
             Err(error) => {
-                warn!(message = id.0, partner = %self.config.partners[partner].name, %error, "a receipt does not count");
+                warn!(message = %receipt.original_id, partner = %self.config.partners[partner].name, %error, "a receipt does not count");
                 self.reject(conn, request, 400, error.to_string(), None, None);
             }
         }
--- a/crates/courier/src/service.rs
+++ b/crates/courier/src/service.rs
@@ -296,7 +296,9 @@
             Command::Abandon { attempt } => self.wire_abandon(attempt),
             Command::Answer { message, answer, attempts } => self.answer(message, answer, attempts),
             Command::Late { message, answer } => {
-                warn!(message = message.0, ?answer, "a receipt came after the final answer");
+                let partner = self.held.get(&message).map(|held| &self.config.partners[held.partner].name);
+                let id = self.engine.name(message).unwrap_or_default();
+                warn!(message = id, ?partner, ?answer, "a receipt came after the final answer");
             }
             Command::Forget { message } => {
                 self.held.remove(&message);
@@ -311,7 +313,8 @@
         let Some(held) = self.held.get_mut(&message) else { return };
         held.payload = None;
         let partner = &self.config.partners[held.partner].name;
-        debug!(message = message.0, partner = %partner, attempts, ?answer, "answered");
+        let id = self.engine.name(message).unwrap_or_default();
+        debug!(message = id, partner = %partner, attempts, ?answer, "answered");
         let waiters = std::mem::take(&mut held.waiters);
         // A composed message is kept for late receipts: their integrity check is compared with it. Its body is
         // not needed for that.
--- a/crates/courier/src/wire.rs
+++ b/crates/courier/src/wire.rs
@@ -137,7 +137,8 @@
             }
             Err(error) => {
                 // The settings are checked for this; nothing was sent.
-                warn!(message = message.0, %error, "a message could not be composed");
+                let id = self.engine.name(message).unwrap_or_default();
+                warn!(message = id, %error, "a message could not be composed");
                 if let Some(number) = number {
                     self.end_attempt(number, Reported::Unsent, None);
                 }
@@ -184,7 +185,8 @@
         let Some(place) = self.places.get(&call.endpoint) else { return };
         call.stage = Stage::Waiting;
         let partner = &self.config.partners[place.partner].name;
-        debug!(message = attempt.message.0, attempt = attempt.number, partner = %partner, endpoint = %place.name, "sent");
+        let id = self.engine.name(attempt.message).unwrap_or_default();
+        debug!(message = id, attempt = attempt.number, partner = %partner, endpoint = %place.name, "sent");
         let mut headers = composed.headers.clone();
         headers.add("Host", place.address.to_string()).add("User-Agent", "cloverstile");
         let bytes = request("POST", &place.path, &headers, &composed.body);
@@ -341,7 +343,8 @@
         if let Some(error) = why {
             let place = self.places.get(&call.endpoint);
             let partner = place.map_or("", |place| &self.config.partners[place.partner].name);
-            warn!(message = attempt.message.0, attempt = attempt.number, partner, %error, "an answer does not count");
+            let id = self.engine.name(attempt.message).unwrap_or_default();
+            warn!(message = id, attempt = attempt.number, partner, %error, "an answer does not count");
         }
         self.report(attempt, reported, allowance);
         self.next_of_call(number);
--- a/crates/lab/src/replay.rs
+++ b/crates/lab/src/replay.rs
@@ -57,8 +57,11 @@
     deadline: f64,
     worth: f64,
     effect: String,
+    #[serde(default)]
     group: String,
+    #[serde(default)]
     window: f64,
+    #[serde(default)]
     in_order: bool,
 }
 
@@ -102,6 +105,7 @@
 
 #[derive(Deserialize)]
 struct Gate {
+    dest: usize,
     limit: f64,
     room: f64,
 }
@@ -193,11 +197,13 @@
     for place in by_share {
         let share = drawn.fam.share[*place];
         let habit = drawn.fam.kind.get(*place).and_then(|kind| drawn.fam.habits.get(*kind));
-        let gate = drawn.fam.gates.get(*place);
+        // Where routes are apart, a destination has a gate for each; ours has one for all of them.
+        let gates: Vec<&Gate> = drawn.fam.gates.iter().filter(|gate| gate.dest == *place).collect();
+        let sum = |of: fn(&Gate) -> f64| gates.iter().map(|gate| of(gate)).sum::<f64>();
         // What it takes, over what it is sent on this day: kept, whatever the size.
         let wanted = (share * drawn.fam.capacity * drawn.traffic.load).max(1e-6);
         let ours = scale.rate * share / kept.max(1e-6);
-        let room = gate.map_or(1.5, |gate| gate.room / wanted) * ours;
+        let room = if gates.is_empty() { 1.5 } else { sum(|gate| gate.room) / wanted } * ours;
         let limited = habit.is_some_and(|habit| habit.limit != "none");
         let mean_ms = 25.0;
         let partner = PartnerDay {
@@ -206,7 +212,7 @@
             servers: ((room * mean_ms / 1000.0).ceil() as usize).max(1),
             queue: ((room * 0.4) as usize).max(4),
             service_ms: [10, 15],
-            limit: gate.filter(|_| limited).map(|gate| (gate.limit / wanted * ours).max(3.0)),
+            limit: limited.then(|| (sum(|gate| gate.limit) / wanted * ours).max(3.0)),
             tells_wait: habit.is_some_and(|habit| habit.tells_wait > 0.5),
             encrypted: false,
             deferred: false,
