Signals are watched before threads start; clients mark what a lost courier may have had

Cause: SIGHUP (endpoints listed anew) was blocked in the main thread only after the threads had been started; one of them took it by itself and the whole courier died of it. Ruled out: the order of results, abandoned calls while a message is being composed, receipts still being checked; a courier without threads never showed it.

Change: signals are watched first of all. The client stand-in marks what it takes to another courier as handed in after a loss, whether or not it was told of a death.

--- a/crates/courier/src/bin/cloverstile/main.rs
+++ b/crates/courier/src/bin/cloverstile/main.rs
@@ -126,7 +126,6 @@
     };
     let run = || {
         let mut service = Service::start(config, directory, Some(file), rand::random())?;
-        service.watch_signals()?;
         if announce {
             println!("{{\"listening\":\"{}\"}}", service.address());
             // Whoever waits for the line reads it from a pipe.
--- a/crates/courier/src/service.rs
+++ b/crates/courier/src/service.rs
@@ -147,7 +147,8 @@
 }
 
 impl Service {
-    /// Starts listening. `file` is read again on SIGHUP; `seed` is the module's chance.
+    /// Starts listening. `seed` is the module's chance. With a `file` it is a program's own courier: it heeds
+    /// SIGTERM and SIGINT (stop) and SIGHUP (the file's endpoints and rates are read again).
     pub fn start(
         config: Config,
         directory: Directory,
@@ -155,6 +156,12 @@
         seed: u64,
     ) -> Result<Service, ServiceError> {
         let mut net = Net::new().map_err(io_error("event loop"))?;
+        if file.is_some() {
+            // Before any thread is started: one that was there already would take a signal by itself, and die
+            // of it with the whole courier.
+            net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
+                .map_err(io_error("signals"))?;
+        }
         let listen = config.front.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
         let (listener, address) = net.listen(listen).map_err(io_error(format!("listening on {listen}")))?;
         let pool = Pool::new(config.limits.workers, &net.waker()).map_err(io_error("threads"))?;
@@ -195,13 +202,6 @@
         Stopper { flag: self.stop.clone(), waker: self.net.waker() }
     }
 
-    /// Heeds SIGTERM and SIGINT (stop) and SIGHUP (read the partners again). Call before other threads start.
-    pub fn watch_signals(&mut self) -> Result<(), ServiceError> {
-        self.net
-            .watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
-            .map_err(io_error("signals"))
-    }
-
     pub(crate) fn now(&self) -> Time {
         Time(u64::try_from(self.clock.elapsed().as_nanos()).unwrap_or(u64::MAX))
     }
--- a/crates/lab/src/bin/cloverstile-lab.rs
+++ b/crates/lab/src/bin/cloverstile-lab.rs
@@ -91,6 +91,9 @@
     /// Courier processes; the day's own number where left out.
     #[arg(long)]
     couriers: Option<usize>,
+    /// Threads for cryptography in each courier; the day's own number where left out.
+    #[arg(long)]
+    workers: Option<usize>,
     /// Messages; the day's own number where left out.
     #[arg(long)]
     messages: Option<u32>,
@@ -158,6 +161,7 @@
 
 fn play_all(mut day: Day, options: &Options) -> u8 {
     day.couriers = options.couriers.unwrap_or(day.couriers).max(1);
+    day.workers = options.workers.unwrap_or(day.workers);
     day.messages = options.messages.unwrap_or(day.messages).max(1);
     let Ok(program) = std::env::current_exe() else { return cant("the own program is not found") };
     let launch = Launch { program, log: options.log.clone() };
@@ -328,7 +332,6 @@
     };
     let run = || {
         let mut service = Service::start(config, directory, Some(file), rand::random())?;
-        service.watch_signals()?;
         println!("{{\"listening\":\"{}\"}}", service.address());
         // Whoever waits for the line reads it from a pipe.
         let _ = std::io::stdout().flush();
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -37,6 +37,9 @@
     /// Figures of the rules.
     #[serde(default)]
     pub rules: Rules,
+    /// Threads for cryptography in each courier.
+    #[serde(default)]
+    pub workers: usize,
     /// Share of clients' messages of which the connection is dropped right after the hand-in.
     #[serde(default)]
     pub drops: f64,
@@ -363,7 +366,10 @@
                 })
                 .collect(),
             zones: self.partner.values().flat_map(PartnerDay::zones).max().map_or(1, |most| most + 1),
-            courier_lines: format!("  call_slots = {slots}\n  most_held = 4000\n  stop_within = \"4s\""),
+            courier_lines: format!(
+                "  call_slots = {slots}\n  most_held = 4000\n  stop_within = \"4s\"\n  workers = {}",
+                self.workers
+            ),
             blocks: format!(
                 "rules {{\n  answer_slack = \"{}ms\"\n  order_settle = \"{}ms\"\n  cold = \"{}ms\"\n  \
                  cold_from = {}\n  tip_multiple = {}\n  fall = \"{}ms\"\n}}\n{}",
--- a/crates/lab/src/replay.rs
+++ b/crates/lab/src/replay.rs
@@ -171,6 +171,7 @@
         trouble,
         rules,
         drops: 0.0,
+        workers: 0,
     };
     day.acts()?;
     Ok(Replay { day, left_out })
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -26,6 +26,9 @@
     /// Keys, files or partners.
     #[error(transparent)]
     Rig(#[from] RigError),
+    /// A courier that nobody told to end.
+    #[error("run: courier {0} ended by itself; its standard error says why")]
+    Died(usize),
     /// Processes or sockets.
     #[error("run: {0}")]
     Io(#[from] std::io::Error),
@@ -225,6 +228,10 @@
                 }
             }
             stage.note_stopped(&couriers);
+            if let Some(number) = stage.died() {
+                progress.stop.store(true, Ordering::Relaxed);
+                return Err(RunError::Died(number));
+            }
             if recorder.now() > most {
                 progress.stop.store(true, Ordering::Relaxed);
             }
@@ -328,6 +335,11 @@
         self.stopping = left;
     }
 
+    fn died(&mut self) -> Option<usize> {
+        let ended = |process: &mut Option<Process>| process.as_mut().is_some_and(|p| p.ended(Duration::ZERO));
+        self.processes.iter_mut().position(ended)
+    }
+
     fn start_again(&mut self, courier: usize, couriers: &Couriers) -> Result<(), RunError> {
         let (process, _) = Process::start(self.launch, &self.rig.files[courier], courier)?;
         self.processes[courier] = Some(process);
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -147,7 +147,8 @@
 fn calls_in_flight_at_a_draining_endpoint_end_in_peace_and_nothing_new_goes_there() {
     let rest = "partner \"bank\" {\n share = 1\n servers = 40\n service_ms = [250, 50]\n}\n\
                 trouble \"x\" {\n kind = \"drain\"\n partner = \"bank\"\n endpoint = 1\n at = 0.6\n lasts = 3\n}\n";
-    let played = day("drain", &script(120, 60.0, &format!("{UNSAFE}{rest}")));
+    // With threads: a signal that one of them takes by itself ends the courier.
+    let played = day("drain", &script(120, 60.0, &format!("workers = 2\n{UNSAFE}{rest}")));
     let drained = played.lines.iter().find_map(|line| match line.seen {
         Seen::Listed { ready: false, .. } => Some(line.at),
         _ => None,
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -93,6 +93,8 @@
     courier: Option<usize>,
     deadline: Option<Duration>,
     refused: u32,
+    /// Its courier has it, or may have it.
+    sent: bool,
     after_loss: bool,
     handed_in: u32,
     done: bool,
@@ -178,6 +180,7 @@
                 courier: None,
                 deadline: None,
                 refused: 0,
+                sent: false,
                 after_loss: false,
                 handed_in: 0,
                 done: false,
@@ -308,8 +311,9 @@
             return;
         }
         if job.courier != Some(courier) {
-            // Another courier is another addressee.
+            // Another courier is another addressee, and knows nothing of what the one before did.
             job.composed = None;
+            job.after_loss |= job.sent;
         }
         job.courier = Some(courier);
         let deadline = *job.deadline.get_or_insert(now + job.planned.deadline);
@@ -451,6 +455,7 @@
             self.shunned.insert(courier, self.recorder.now() + Duration::from_millis(500));
         }
         let job = &mut self.jobs[place];
+        job.sent |= sent;
         if sent && !running {
             // What the courier did with it died with it.
             job.after_loss = true;
@@ -473,6 +478,7 @@
         if self.receipts_at.is_some() && is_success(message) && !told_answer {
             let id = self.jobs[place].planned.id.clone();
             self.recorder.note(Seen::Taken { id, courier });
+            self.jobs[place].sent = true;
             return self.taken(place);
         }
         let told = self.read_answer(place, courier, message);
