A planner of tiers: a lost site spills its stated share, and comes back over a ramp; runs over sockets

Some banks serve from more than one site; a whole site can vanish.

Change: crates/tiers gives each message its tier once, at its hand-in; each tier is a destination of its own to the module, which goes on deciding health, pace, repeats and answers.

--- a/crates/courier/src/bin/cloverstile/demo.rs
+++ b/crates/courier/src/bin/cloverstile/demo.rs
@@ -99,8 +99,13 @@
         let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
         bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
         let trouble = span.mul_f64(0.3);
-        rig.partners.order(Order::Fault { partner: 1, fault: Fault::Silent, lasts: trouble });
-        rig.partners.order(Order::Fault { partner: 2, fault: Fault::LoseAnswers(0.2), lasts: trouble });
+        rig.partners.order(Order::Fault { partner: 1, fault: Fault::Silent, zone: None, lasts: trouble });
+        rig.partners.order(Order::Fault {
+            partner: 2,
+            fault: Fault::LoseAnswers(0.2),
+            zone: None,
+            lasts: trouble,
+        });
         std::thread::scope(|scope| {
             let client = scope.spawn(|| {
                 let habits = Habits::default();
@@ -195,6 +200,7 @@
         key,
         deferred,
         mismatched: false,
+        spill_share: None,
     };
     Spec {
         couriers,
--- a/crates/courier/src/rig.rs
+++ b/crates/courier/src/rig.rs
@@ -56,6 +56,8 @@
     pub deferred: bool,
     /// The couriers hold another certificate than its own.
     pub mismatched: bool,
+    /// Its zones are tiers in their order, and this share spills; none: all endpoints are alike.
+    pub spill_share: Option<f64>,
 }
 
 /// A class of the rig.
@@ -239,6 +241,12 @@
                  encrypt = \"{encrypt}\"\n  receipt = \"{receipt}\"\n",
                 partner.name, partner.kind,
             );
+            if let Some(share) = partner.spill_share {
+                let _ = writeln!(text, "  spill_share = {share}\n  lost_after = \"500ms\"\n  ramp = \"5s\"");
+                for zone in partner.zones.iter().collect::<BTreeSet<_>>() {
+                    let _ = writeln!(text, "  tier \"zone-{zone}\" {{ rate = {rate} }}");
+                }
+            }
             for (endpoint, zone) in partner.zones.iter().enumerate() {
                 let mode = if draining.contains(&(number, endpoint)) { "draining" } else { "ready" };
                 let _ = writeln!(
--- a/crates/courier/src/service.rs
+++ b/crates/courier/src/service.rs
@@ -10,6 +10,7 @@
 use cloverstile_http::Headers;
 use cloverstile_net::{ConnId, Net, NetEvent, SignalKind, Waker};
 use cloverstile_settings::Config;
+use cloverstile_tiers::{Planner, Tiers};
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -131,6 +132,31 @@
     working: Duration,
 }
 
+/// The module's destination for a partner's tier: the first one has the partner's own number, further ones come
+/// behind those of all partners.
+fn destination(config: &Config, partner: usize, tier: usize) -> DestinationId {
+    if tier == 0 {
+        return DestinationId(partner as u16);
+    }
+    let before: usize =
+        config.partners[..partner].iter().map(|partner| partner.tiers.len().saturating_sub(1)).sum();
+    DestinationId((config.partners.len() + before + tier - 1) as u16)
+}
+
+fn planner(config: &Config) -> Planner {
+    let couriers = f64::from(config.module.couriers.max(1));
+    let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
+    let tiers = tiered.map(|(number, partner)| Tiers {
+        destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
+        spill_share: partner.spill_share,
+        // Couriers share nothing: each keeps to an even part of what all may spill together.
+        spill_rate: partner.spill_rate.map(|rate| rate / couriers),
+        lost_after: partner.lost_after,
+        ramp: partner.ramp,
+    });
+    Planner::new(Time::ZERO, tiers.collect())
+}
+
 /// Tells a running courier to stop, from another thread.
 #[derive(Clone)]
 pub struct Stopper {
@@ -168,7 +194,7 @@
         let bounds =
             Bounds { remembered: config.limits.remembered, answers_kept: config.limits.answers_kept };
         let mut service = Service {
-            engine: Engine::new(config.module.clone(), bounds, seed),
+            engine: Engine::new(config.module.clone(), bounds, seed).with_planner(planner(&config)),
             directory: Arc::new(directory),
             net,
             pool,
@@ -350,6 +376,7 @@
                 let next = EndpointId(self.endpoint_ids.len() as u32);
                 let name = (partner.name.clone(), endpoint.name.clone());
                 let id = *self.endpoint_ids.entry(name).or_insert(next);
+                let tier = partner.tiers.iter().position(|tier| tier.zone == endpoint.zone).unwrap_or(0);
                 let place = Place {
                     partner: number,
                     name: endpoint.name.clone(),
@@ -361,9 +388,9 @@
                     id,
                     zone: ZoneId(endpoint.zone),
                     kind: KindId(partner.kind),
-                    destination: DestinationId(number as u16),
+                    destination: destination(&self.config, number, tier),
                     mode: endpoint.mode,
-                    weight: partner.rate,
+                    weight: partner.tiers.get(tier).map_or(partner.rate, |tier| tier.rate),
                 });
             }
         }
--- a/crates/courier/tests/program.rs
+++ b/crates/courier/tests/program.rs
@@ -38,6 +38,7 @@
         key: NewKey::P256,
         deferred: false,
         mismatched: false,
+        spill_share: None,
     };
     let class = ClassSpec {
         name: "pay".into(),
@@ -186,7 +187,8 @@
     // The courier's answer must be the courier's: another certificate is none that counts.
     let other = world.folder.join("client-0.crt").display().to_string();
     assert_eq!(world.code(&["--to-certificate", &other]), 13);
-    let silent = Order::Fault { partner: 0, fault: Fault::Silent, lasts: Duration::from_secs(60) };
+    let silent =
+        Order::Fault { partner: 0, fault: Fault::Silent, zone: None, lasts: Duration::from_secs(60) };
     world.rig.partners.order(silent);
     assert_eq!(world.code(&["--id", "two@client-0"]), 11);
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,6 +5,7 @@
     Action, Allowance, Courier, Effect as ClassEffect, Endpoint, EndpointId, Event, Finished, Listing,
     MessageId, Mode, Outcome, Settings, Time,
 };
+use cloverstile_tiers::{Planner, Standing};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -35,6 +36,7 @@
 /// A message table around one module.
 pub struct Engine {
     courier: Courier,
+    planner: Planner,
     settings: Settings,
     bounds: Bounds,
     last_id: u32,
@@ -63,6 +65,7 @@
     pub fn new(settings: Settings, bounds: Bounds, seed: u64) -> Self {
         Engine {
             courier: Courier::new(settings.clone(), seed),
+            planner: Planner::default(),
             settings,
             bounds,
             last_id: 0,
@@ -83,6 +86,16 @@
         }
     }
 
+    /// The same with partners of several tiers.
+    pub fn with_planner(self, planner: Planner) -> Self {
+        Engine { planner, ..self }
+    }
+
+    /// How a partner's tiers stand; empty where it has but one.
+    pub fn standing(&self, partner: cloverstile::DestinationId) -> Vec<Standing> {
+        self.planner.standing(partner)
+    }
+
     /// Running sums.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -152,7 +165,8 @@
             self.answer(now, id, Answer::Failed);
             return Taken::New(id);
         }
-        self.tell(now, Event::Accept(accepted(id, &taken)));
+        let destination = self.planner.choose(now, taken.destination);
+        self.tell(now, Event::Accept(accepted(id, &HandIn { destination, ..taken })));
         Taken::New(id)
     }
 
@@ -386,6 +400,9 @@
         latency: Duration,
         (outcome, allowance): Ending,
     ) {
+        if let Some(listed) = self.listed.get(&endpoint) {
+            self.planner.note(now, listed.destination, outcome, latency);
+        }
         let answered = self.entries.get(&message).is_none_or(|entry| entry.answer.is_some());
         let complete = outcome == Outcome::Ok || answered;
         let finished = Finished { message, endpoint, attempt, outcome, latency, complete, allowance };
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -287,7 +287,12 @@
     std::thread::sleep(Duration::from_millis(300));
     let with_connections = resident(process.id())?;
     drop(open);
-    rig.partners.order(Order::Fault { partner: 0, fault: Fault::Silent, lasts: Duration::from_secs(600) });
+    rig.partners.order(Order::Fault {
+        partner: 0,
+        fault: Fault::Silent,
+        zone: None,
+        lasts: Duration::from_secs(600),
+    });
     let couriers = rig.couriers(vec![address]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let [mut plan, _] = day.plan(&mut rng, 1, recorder.now());
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -11,9 +11,10 @@
 use std::time::Duration;
 
 /// Days that come with the program, by name.
-pub const BUILT_IN: [(&str, &str); 3] = [
+pub const BUILT_IN: [(&str, &str); 4] = [
     ("payday", include_str!("../days/payday.hcl")),
     ("quiet", include_str!("../days/quiet.hcl")),
+    ("zone", include_str!("../days/zone.hcl")),
     ("receipts", include_str!("../days/receipts.hcl")),
 ];
 
@@ -155,6 +156,9 @@
     /// Zone of each endpoint; all in the first one where left out. Each zone drops repeats by itself.
     #[serde(default)]
     pub zones: Vec<usize>,
+    /// Its zones are tiers in their order, and this share spills to the next where one is lost.
+    #[serde(default)]
+    pub spill_share: Option<f64>,
     /// It drops repeats for so long; longer than any class's window.
     #[serde(default = "long")]
     pub repeats_s: f64,
@@ -208,6 +212,9 @@
     /// Partner struck.
     #[serde(default)]
     pub partner: Option<String>,
+    /// Zone of the partner that is struck; all of them where left out.
+    #[serde(default)]
+    pub zone: Option<usize>,
     /// Endpoint of the partner, for drains.
     #[serde(default)]
     pub endpoint: usize,
@@ -226,7 +233,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Act {
     /// A partner's fault.
-    Fault(usize, Fault),
+    Fault(usize, Fault, Option<usize>),
     /// A partner's receipts.
     Receipts(usize, cloverstile_standin::partner::Twist),
     /// An endpoint drains and comes back.
@@ -288,15 +295,15 @@
             let span = Duration::from_secs_f64(trouble.size.clamp(0.0, 1e6));
             use cloverstile_standin::partner::Twist;
             let act = match trouble.kind.as_str() {
-                "silent" => Act::Fault(partner()?, Fault::Silent),
-                "lose-answers" => Act::Fault(partner()?, Fault::LoseAnswers(trouble.size)),
-                "refuse" => Act::Fault(partner()?, Fault::Refuse),
-                "reset" => Act::Fault(partner()?, Fault::Reset),
-                "late" => Act::Fault(partner()?, Fault::Late(span)),
-                "errors" => Act::Fault(partner()?, Fault::Errors(trouble.size)),
-                "shut" => Act::Fault(partner()?, Fault::Shut),
-                "slow" => Act::Fault(partner()?, Fault::Slow(trouble.size)),
-                "reap" => Act::Fault(partner()?, Fault::Reap(span)),
+                "silent" => Act::Fault(partner()?, Fault::Silent, trouble.zone),
+                "lose-answers" => Act::Fault(partner()?, Fault::LoseAnswers(trouble.size), trouble.zone),
+                "refuse" => Act::Fault(partner()?, Fault::Refuse, trouble.zone),
+                "reset" => Act::Fault(partner()?, Fault::Reset, trouble.zone),
+                "late" => Act::Fault(partner()?, Fault::Late(span), trouble.zone),
+                "errors" => Act::Fault(partner()?, Fault::Errors(trouble.size), trouble.zone),
+                "shut" => Act::Fault(partner()?, Fault::Shut, trouble.zone),
+                "slow" => Act::Fault(partner()?, Fault::Slow(trouble.size), trouble.zone),
+                "reap" => Act::Fault(partner()?, Fault::Reap(span), trouble.zone),
                 "wrong-mic" => Act::Receipts(partner()?, Twist::WrongMic),
                 "wrong-signer" => Act::Receipts(partner()?, Twist::WrongSigner),
                 "twice" => Act::Receipts(partner()?, Twist::Twice),
@@ -349,6 +356,7 @@
                     key: if partner.encrypted { NewKey::Rsa2048 } else { NewKey::P256 },
                     deferred: partner.deferred,
                     mismatched: partner.mismatched,
+                    spill_share: partner.spill_share,
                 })
                 .collect(),
             classes: self
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -464,21 +464,34 @@
         let mut began: HashMap<&str, u64> = HashMap::new();
         for line in self.lines {
             match &line.seen {
-                Seen::Outage { partner, began: true } => {
+                Seen::Outage { partner, began: true, .. } => {
                     began.insert(partner, line.at);
                 }
-                Seen::Outage { partner, began: false } => {
+                Seen::Fell { partner } => {
+                    self.broken("fail-back", partner, line.at, "it was pushed over as it came back".into());
+                }
+                Seen::Outage { partner, zone, began: false } => {
                     let from = began.remove(partner.as_str()).unwrap_or(0);
                     let list = requests.get(partner.as_str()).map_or(&[][..], Vec::as_slice);
-                    self.one_return(partner, list, from, line.at);
+                    self.one_return(partner, *zone, list, from, line.at);
                 }
                 _ => {}
             }
         }
     }
 
-    fn one_return(&mut self, partner: &str, requests: &[&Request], from: u64, back: u64) {
+    fn one_return(
+        &mut self,
+        partner: &str,
+        zone: Option<usize>,
+        requests: &[&Request],
+        from: u64,
+        back: u64,
+    ) {
         let Some(rule) = self.figures.partners.get(partner).cloned() else { return };
+        // Where one site was out, what went to the others does not count.
+        let struck = |r: &&&Request| zone.is_none_or(|zone| rule.zones.get(r.endpoint) == Some(&zone));
+        let requests: Vec<&Request> = requests.iter().filter(struck).copied().collect();
         let during: Vec<&&Request> = requests.iter().filter(|r| (from..back).contains(&r.at)).collect();
         // Refused connections leave no request: where none came through, everybody may have been refused.
         let saw: HashSet<&str> = during.iter().map(|request| request.courier).collect();
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -270,8 +270,8 @@
 impl Stage<'_> {
     fn take(&mut self, step: &Step, couriers: &Couriers) -> Result<(), RunError> {
         match (step.act, step.begins) {
-            (Act::Fault(partner, fault), true) => {
-                self.rig.partners.order(Order::Fault { partner, fault, lasts: step.lasts });
+            (Act::Fault(partner, fault, zone), true) => {
+                self.rig.partners.order(Order::Fault { partner, fault, zone, lasts: step.lasts });
             }
             (Act::Receipts(partner, twist), begins) => {
                 self.rig.partners.order(Order::Twist { partner, twist: begins.then_some(twist) });
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -192,7 +192,7 @@
 
 #[test]
 fn a_returning_partner_that_is_pushed_over_is_found() {
-    let outage = |began| Seen::Outage { partner: "bank".into(), began };
+    let outage = |began| Seen::Outage { partner: "bank".into(), zone: None, began };
     let day = |every: u64| {
         let mut record = Record::default();
         record.at(1000, outage(true)).at(2000, outage(false));
--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -211,3 +211,28 @@
     let played = day("payday", &text);
     assert!(played.verdict.delivered > 1300, "{:?}", played.verdict);
 }
+
+#[test]
+fn a_lost_site_spills_its_stated_share_in_every_second_and_comes_back_gently() {
+    let zone = cloverstile_lab::day::BUILT_IN.iter().find(|(name, _)| *name == "zone").unwrap().1;
+    let text = zone.replace("messages = 3000", "messages = 2000");
+    let played = day("zone", &text);
+    let requests = requests(&played);
+    let mut seconds: HashMap<u64, (f64, f64)> = HashMap::new();
+    let mut seen = std::collections::HashSet::new();
+    for line in &played.lines {
+        if let Seen::HandIn { id, .. } = &line.seen {
+            if seen.insert(id.as_str()) {
+                let spilt = requests.get(id.as_str()).is_some_and(|tries| tries[0].1 >= 2);
+                let (all, spills) = seconds.entry(line.at / 1_000_000).or_default();
+                (*all, *spills) = (*all + 1.0, *spills + f64::from(u8::from(spilt)));
+            }
+        }
+    }
+    // A share of whole messages: each of the three couriers may be one ahead.
+    for (second, (all, spills)) in &seconds {
+        assert!(*spills <= all * 0.3 + 3.0, "second {second}: {spills} of {all}");
+    }
+    assert!(seconds.values().any(|(all, spills)| *spills > all * 0.2), "{seconds:?}");
+    assert!(played.verdict.delivered > 1950, "{:?}", played.verdict);
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -336,6 +336,22 @@
             "add a block such as endpoint \"a\" { address = \"...\" }",
         );
     }
+    let tiers: Vec<Tier> = block
+        .labelled("tier")
+        .into_iter()
+        .filter_map(|(zone, inner)| {
+            let rate = inner.number("rate", 0.001, 1e9, rate);
+            inner.finish();
+            Some(Tier { zone: place(&inner, "zone", &zone, zones)? as u8, rate })
+        })
+        .collect();
+    let outside = |endpoint: &&Endpoint| !tiers.iter().any(|tier| tier.zone == endpoint.zone);
+    if let Some(endpoint) = endpoints.iter().find(outside).filter(|_| !tiers.is_empty()) {
+        let what = format!("leaves out the zone of endpoint \"{}\"", endpoint.name);
+        block.problem_at("tier", &what, "add a block such as tier \"zone\" { rate = 20 }");
+    }
+    let spill_share = block.number("spill_share", 0.0, 1.0, 0.0);
+    let spill_rate = block.number("spill_rate", 0.0, 1e9, f64::INFINITY);
     let as2_name = block.text("as2_name").unwrap_or_else(|| name.clone());
     let compress = block.flag("compress", false);
     Some(Partner {
@@ -348,6 +364,11 @@
         compress,
         receipt,
         mic,
+        tiers,
+        spill_share,
+        spill_rate: spill_rate.is_finite().then_some(spill_rate),
+        lost_after: block.span("lost_after", Duration::from_secs(1)),
+        ramp: block.span("ramp", Duration::from_secs(30)),
         endpoints,
         name,
     })
--- a/crates/settings/src/types.rs
+++ b/crates/settings/src/types.rs
@@ -149,10 +149,29 @@
     pub receipt: Receipt,
     /// Digest asked for in receipts, where it is not that of our signature.
     pub mic: Option<Digest>,
+    /// Its tiers, the preferred one first; none: all its endpoints are alike.
+    pub tiers: Vec<Tier>,
+    /// Share of the messages for a lost tier that may go to the next one.
+    pub spill_share: f64,
+    /// Messages a second, from all couriers together, that may spill; none: the share alone binds.
+    pub spill_rate: Option<f64>,
+    /// A tier counts as lost only after so long without an answer.
+    pub lost_after: Duration,
+    /// From a lost tier's first answer until nothing spills any more.
+    pub ramp: Duration,
     /// Its addresses.
     pub endpoints: Vec<Endpoint>,
 }
 
+/// A site that a partner serves from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tier {
+    /// Place in [`Config::zones`].
+    pub zone: u8,
+    /// Calls a second that it takes from all couriers together; zero where rates are not told.
+    pub rate: f64,
+}
+
 /// One address of a partner.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Endpoint {
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -97,6 +97,13 @@
         ("kind        = \"banks\"", "kind = \"bank\"", "kind = ", "partner \"bank-north\".kind", "banks"),
         ("rate        = 12.5", "", "partner \"bank", "partner \"bank-north\".rate", "none"),
         ("repeat_window = \"10s\"", "", "class \"pay-n", "class \"pay-notice\".repeat_window", "10s"),
+        (
+            "receipt     = \"async\"",
+            "tier \"mobay\" {}",
+            "partner \"bank",
+            "partner \"bank-north\".tier",
+            "tier \"zone\"",
+        ),
         ("tenant \"bayside\"", "tenants \"bayside\"", "tenants", "tenants", "tenant"),
         (
             "endpoint \"b\"",
--- a/crates/standin/src/partner.rs
+++ b/crates/standin/src/partner.rs
@@ -52,6 +52,8 @@
         partner: usize,
         /// What.
         fault: Fault,
+        /// Group of endpoints that is struck; all of them where there is none.
+        zone: Option<usize>,
         /// For how long.
         lasts: Duration,
     },
@@ -126,6 +128,8 @@
     listeners: Vec<(Option<ListenerId>, SocketAddr)>,
     twist: Option<Twist>,
     fault_ends: Option<Duration>,
+    /// The group that the fault strikes; all of them where there is none.
+    struck: Option<usize>,
 }
 
 struct Conn {
@@ -197,7 +201,14 @@
                     Partner::new(plan.nature.clone(), ChaCha8Rng::seed_from_u64(seed))
                 })
                 .collect();
-            shell.partners.push(Served { plan, model, listeners, twist: None, fault_ends: None });
+            shell.partners.push(Served {
+                plan,
+                model,
+                listeners,
+                twist: None,
+                fault_ends: None,
+                struck: None,
+            });
         }
         Ok((shell, addresses))
     }
@@ -217,7 +228,7 @@
             }
             while let Ok(order) = inbox.try_recv() {
                 match order {
-                    Order::Fault { partner, fault, lasts } => self.begin(partner, fault, lasts),
+                    Order::Fault { partner, fault, zone, lasts } => self.begin(partner, fault, zone, lasts),
                     Order::Twist { partner, twist } => self.partners[partner].twist = twist,
                     Order::Stop => return,
                 }
@@ -242,26 +253,38 @@
         }
     }
 
-    fn begin(&mut self, partner: usize, fault: Fault, lasts: Duration) {
+    fn begin(&mut self, partner: usize, fault: Fault, zone: Option<usize>, lasts: Duration) {
         let until = self.recorder.now() + lasts;
+        self.partners[partner].struck = zone;
         if fault.is_outage() {
             self.note_outage(partner, true);
         }
         let served = &mut self.partners[partner];
+        let groups = served.plan.groups.clone();
+        let hit = |endpoint: usize| zone.is_none_or(|zone| groups.get(endpoint) == Some(&zone));
         served.fault_ends = Some(until);
-        for model in &mut served.model {
-            model.begin(fault, until);
+        for (group, model) in served.model.iter_mut().enumerate() {
+            if zone.is_none_or(|zone| zone == group) {
+                model.begin(fault, until);
+            }
         }
         if fault == Fault::Refuse {
-            for (listener, _) in &mut served.listeners {
+            for (endpoint, (listener, _)) in served.listeners.iter_mut().enumerate() {
+                if !hit(endpoint) {
+                    continue;
+                }
                 if let Some(listener) = listener.take() {
                     self.net.unlisten(listener);
                 }
             }
         }
         if matches!(fault, Fault::Refuse | Fault::Reset) {
-            let conns: Vec<ConnId> =
-                self.conns.iter().filter(|(_, conn)| conn.partner == partner).map(|(id, _)| *id).collect();
+            let conns: Vec<ConnId> = self
+                .conns
+                .iter()
+                .filter(|(_, conn)| conn.partner == partner && hit(conn.endpoint))
+                .map(|(id, _)| *id)
+                .collect();
             for conn in conns {
                 self.drop_conn(conn, true);
             }
@@ -272,7 +295,7 @@
         let now = self.recorder.now();
         let served = &mut self.partners[partner];
         served.fault_ends = None;
-        let outage = served.model.first().and_then(Partner::fault).is_some_and(Fault::is_outage);
+        let outage = served.model.iter().filter_map(Partner::fault).any(Fault::is_outage);
         for model in &mut served.model {
             model.end(now);
         }
@@ -291,8 +314,8 @@
     }
 
     fn note_outage(&self, partner: usize, began: bool) {
-        let partner = self.partners[partner].plan.name.clone();
-        self.recorder.note(Seen::Outage { partner, began });
+        let (zone, partner) = (self.partners[partner].struck, self.partners[partner].plan.name.clone());
+        self.recorder.note(Seen::Outage { partner, zone, began });
     }
 
     /// Breaks a connection; the call on it is over for the courier.
@@ -368,7 +391,9 @@
             endpoint,
             call,
         });
-        if let (Some(Fault::Reap(after)), Some(used)) = (served.model[0].fault(), known.used) {
+        if let (Some(Fault::Reap(after)), Some(used)) =
+            (served.model[served.plan.groups.get(endpoint).copied().unwrap_or(0)].fault(), known.used)
+        {
             if now.saturating_sub(used) > after {
                 return self.drop_conn(conn, true);
             }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -120,6 +120,9 @@
     Outage {
         /// Partner.
         partner: String,
+        /// Its zone that is struck; all of them where there is none.
+        #[serde(default)]
+        zone: Option<usize>,
         /// Began.
         began: bool,
     },
