--- a/crates/courier/tests/program.rs
+++ b/crates/courier/tests/program.rs
@@ -174,6 +174,16 @@
     assert!(world.ask(b"").starts_with("HTTP/1.1 503 "));
 }
 
+#[test]
+fn a_client_that_asks_on_and_on_and_never_reads_is_no_longer_read_from() {
+    let world = world("unread");
+    let mut stream = TcpStream::connect(world.address).unwrap();
+    stream.set_write_timeout(Some(Duration::from_millis(400))).unwrap();
+    let asked = "GET /as2 HTTP/1.1\r\n\r\n".repeat(4000);
+    let taken = (0..400).take_while(|_| stream.write_all(asked.as_bytes()).is_ok()).count();
+    assert!(taken < 400, "{} bytes were read from it", taken * asked.len());
+}
+
 #[test]
 fn the_exit_code_of_send_tells_the_answer() {
     let world = world("send");
