Requests by the thousand in one piece no longer end the stack, and the courier with it

Cause: a request that is answered at once read the next one of its connection a few frames deeper.

Change: a connection is read by one loop, never from inside an answer to it. The test now also demands that the courier still answers others.

--- a/crates/courier/src/front.rs
+++ b/crates/courier/src/front.rs
@@ -61,6 +61,8 @@
     delivering: HashMap<ConnId, (u64, Decoder)>,
     last_request: u64,
     last_delivery: u64,
+    /// The connection whose requests are being read just now.
+    reading: Option<ConnId>,
     /// Requests being opened, answered or signed.
     working: usize,
 }
@@ -75,6 +77,7 @@
             delivering: HashMap::new(),
             last_request: 0,
             last_delivery: 0,
+            reading: None,
             working: 0,
         }
     }
@@ -135,6 +138,17 @@
 
     /// Reads what is there, one request at a time.
     pub(crate) fn front_read(&mut self, conn: ConnId) {
+        // Guards against requests sent by the thousand in one piece: each that is answered at once would read the
+        // next one a few frames deeper, until the stack ends and the courier with it.
+        if self.front.reading == Some(conn) {
+            return;
+        }
+        self.front.reading = Some(conn);
+        self.front_read_all(conn);
+        self.front.reading = None;
+    }
+
+    fn front_read_all(&mut self, conn: ConnId) {
         let now = self.since_start();
         while let Some(inbound) = self.front.conns.get_mut(&conn) {
             // Guards against a client that asks on and on and never reads: its answers would pile up here.
--- a/crates/courier/tests/program.rs
+++ b/crates/courier/tests/program.rs
@@ -182,6 +182,8 @@
     let asked = "GET /as2 HTTP/1.1\r\n\r\n".repeat(4000);
     let taken = (0..400).take_while(|_| stream.write_all(asked.as_bytes()).is_ok()).count();
     assert!(taken < 400, "{} bytes were read from it", taken * asked.len());
+    // It was left waiting, not the courier brought down.
+    assert!(world.ask(b"nonsense\r\n\r\n").starts_with("HTTP/1.1 400 "));
 }
 
 #[test]
