One way to load and serve, one to join header fields; what nobody used is gone

Change: `load` and `serve` stand in the courier's library, `Headers::extend` in http; the dead pieces are out. Behaviour and tests are as they were.

--- a/crates/as2/src/message.rs
+++ b/crates/as2/src/message.rs
@@ -285,9 +285,7 @@
             headers.add("Receipt-Delivery-Option", url.as_str());
         }
     }
-    for (name, value) in part.headers.iter() {
-        headers.add(name, value);
-    }
+    headers.extend(&part.headers);
     Ok(Composed { headers, body: part.body, mic: Mic { value: digest.of(&covered), digest } })
 }
 
--- a/crates/as2/src/receipt.rs
+++ b/crates/as2/src/receipt.rs
@@ -130,9 +130,7 @@
         .with("AS2-To", quote_name(facts.to))
         .with("Message-ID", format!("<{}>", facts.receipt_id))
         .with("MIME-Version", "1.0");
-    for (name, value) in part.headers.iter() {
-        headers.add(name, value);
-    }
+    headers.extend(&part.headers);
     let mic = Mic { value: digest.of(&part.body), digest };
     Ok(Composed { headers, body: part.body, mic })
 }
--- a/crates/courier/src/bin/cloverstile/demo.rs
+++ b/crates/courier/src/bin/cloverstile/demo.rs
@@ -4,7 +4,7 @@
 use clap::Args;
 use cloverstile_as2::NewKey;
 use cloverstile_courier::rig::{ClassSpec, PartnerSpec, Rig, RigError, Spec};
-use cloverstile_courier::{load_config, Directory, Ending, Service, Stopper};
+use cloverstile_courier::{load, Ending, Service, Stopper};
 use cloverstile_standin::client::{Client, Couriers, Habits, Planned, Progress};
 use cloverstile_standin::model::{Fault, Nature};
 use cloverstile_standin::partner::Order;
@@ -66,8 +66,7 @@
         let mut running = Vec::new();
         let mut addresses = Vec::new();
         for (number, file) in rig.files.iter().enumerate() {
-            let config = load_config(file)?;
-            let directory = Directory::load(&config)?;
+            let (config, directory) = load(file)?;
             let (tell, told) = std::sync::mpsc::channel();
             let seed = self.seed ^ number as u64;
             // The loop of a courier lives in the thread that made it.
@@ -236,7 +235,6 @@
                 partner: names[partner].into(),
                 key: (!pays).then(|| format!("employee-{}", rng.random_range(0..400))),
                 deadline: Duration::from_secs(6),
-                unsafe_to_repeat: pays,
                 body: format!("payday message {number} for {}\n", names[partner]).into_bytes(),
                 drops: false,
             }
--- a/crates/courier/src/bin/cloverstile/main.rs
+++ b/crates/courier/src/bin/cloverstile/main.rs
@@ -6,8 +6,8 @@
 mod send;
 
 use clap::{Parser, Subcommand, ValueEnum};
-use cloverstile_courier::{load_config, Directory, Service};
-use std::io::{IsTerminal, Write};
+use cloverstile_courier::{load, ServiceError};
+use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tracing::error;
@@ -113,29 +113,13 @@
 }
 
 fn serve(file: &Path, announce: bool) -> u8 {
-    let loaded = load_config(file).and_then(|config| {
-        let directory = Directory::load(&config)?;
-        Ok((config, directory))
-    });
-    let (config, directory) = match loaded {
-        Ok(loaded) => loaded,
-        Err(error) => {
-            eprintln!("{error}");
-            return exit::SETTINGS;
-        }
-    };
-    let run = || {
-        let mut service = Service::start(config, directory, Some(file), rand::random())?;
-        if announce {
-            println!("{{\"listening\":\"{}\"}}", service.address());
-            // Whoever waits for the line reads it from a pipe.
-            let _ = std::io::stdout().flush();
-        }
-        service.run()
-    };
-    match run() {
+    match cloverstile_courier::serve(file, announce, rand::random()) {
         Ok(ending) if ending.unanswered == 0 => exit::OK,
         Ok(_) => exit::UNANSWERED,
+        Err(ServiceError::Load(error)) => {
+            eprintln!("{error}");
+            exit::SETTINGS
+        }
         Err(error) => {
             error!(%error, "the courier can't go on");
             exit::FAILED
@@ -144,12 +128,8 @@
 }
 
 fn check(file: &Path, json: bool) -> u8 {
-    let loaded = load_config(file).and_then(|config| {
-        Directory::load(&config)?;
-        Ok(config)
-    });
-    match loaded {
-        Ok(config) => {
+    match load(file) {
+        Ok((config, _)) => {
             let endpoints: usize = config.partners.iter().map(|partner| partner.endpoints.len()).sum();
             if json {
                 let told = serde_json::json!({
--- a/crates/courier/src/directory.rs
+++ b/crates/courier/src/directory.rs
@@ -76,6 +76,13 @@
         .map_err(|error| LoadError::Key { path: key.to_owned(), error })
 }
 
+/// Settings with all keys and certificates that they name.
+pub fn load(path: &Path) -> Result<(Config, Directory), LoadError> {
+    let config = load_config(path)?;
+    let directory = Directory::load(&config)?;
+    Ok((config, directory))
+}
+
 /// All stations that a courier deals with.
 pub struct Directory {
     /// Its own.
--- a/crates/courier/src/front.rs
+++ b/crates/courier/src/front.rs
@@ -416,9 +416,7 @@
         let mut headers = Headers::new().with("Cloverstile-Answer", "rejected");
         match receipt {
             Some(receipt) => {
-                receipt.headers.iter().for_each(|(name, value)| {
-                    headers.add(name, value);
-                });
+                headers.extend(&receipt.headers);
                 self.respond(conn, request, (status, reason), headers, &receipt.body);
             }
             None => {
@@ -468,9 +466,7 @@
         let (mut status, mut body) = (told.status, Vec::new());
         match receipt {
             Ok(receipt) => {
-                receipt.headers.iter().for_each(|(name, value)| {
-                    headers.add(name, value);
-                });
+                headers.extend(&receipt.headers);
                 body = receipt.body;
             }
             Err(error) if wanted => warn!(%error, "a receipt could not be signed"),
--- a/crates/courier/src/lib.rs
+++ b/crates/courier/src/lib.rs
@@ -15,5 +15,5 @@
 mod service;
 mod wire;
 
-pub use directory::{load_config, load_identity, Directory, LoadError};
-pub use service::{Ending, Service, ServiceError, Stopper};
+pub use directory::{load, load_identity, Directory, LoadError};
+pub use service::{serve, Ending, Service, ServiceError, Stopper};
--- a/crates/courier/src/service.rs
+++ b/crates/courier/src/service.rs
@@ -1,6 +1,6 @@
 //! The courier's loop: events in, the engine's turn, commands out.
 
-use crate::directory::{load_config, Directory, LoadError};
+use crate::directory::{load, load_config, Directory, LoadError};
 use crate::front::{Front, Waiter};
 use crate::pool::Pool;
 use crate::wire::Wire;
@@ -12,7 +12,7 @@
 use cloverstile_settings::Config;
 use cloverstile_tiers::{Planner, Tiers};
 use std::collections::{BTreeSet, HashMap};
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -157,6 +157,19 @@
     Planner::new(Time::ZERO, tiers.collect())
 }
 
+/// Runs a program's own courier from its settings to its end. With `announce` the address that it listens on is
+/// printed as a line of JSON, for whoever started the program.
+pub fn serve(file: &Path, announce: bool, seed: u64) -> Result<Ending, ServiceError> {
+    let (config, directory) = load(file)?;
+    let mut service = Service::start(config, directory, Some(file), seed)?;
+    if announce {
+        println!("{{\"listening\":\"{}\"}}", service.address());
+        // Whoever waits for the line reads it from a pipe.
+        let _ = io::stdout().flush();
+    }
+    service.run()
+}
+
 /// Tells a running courier to stop, from another thread.
 #[derive(Clone)]
 pub struct Stopper {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -111,11 +111,6 @@
         self.calls.len()
     }
 
-    /// Whether nothing is held and no call is out.
-    pub fn is_idle(&self) -> bool {
-        self.held == 0 && self.calls.is_empty()
-    }
-
     // ---- What happens ----
 
     /// A front hands a message in.
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -134,11 +134,6 @@
         }
     }
 
-    /// Whether part of a message is held.
-    pub fn inside_message(&self) -> bool {
-        self.began.is_some()
-    }
-
     /// Bytes held.
     pub fn held(&self) -> usize {
         self.buffer.len()
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -25,6 +25,12 @@
         self
     }
 
+    /// Appends all fields of another list.
+    pub fn extend(&mut self, other: &Headers) -> &mut Self {
+        self.0.extend_from_slice(&other.0);
+        self
+    }
+
     /// First value of a field.
     pub fn get(&self, name: &str) -> Option<&str> {
         self.0.iter().find(|(known, _)| known.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -11,7 +11,7 @@
     Disposition, Envelope, Identity, NewKey, Outcome, Outgoing, Part, ReceiptFacts, Security,
 };
 use cloverstile_courier::rig::{Rig, RigError};
-use cloverstile_courier::{load_config, Directory, Service};
+use cloverstile_courier::{load, Service};
 use cloverstile_http::Headers;
 use cloverstile_standin::client::{Client, Habits, Progress};
 use cloverstile_standin::model::Fault;
@@ -211,8 +211,7 @@
         format!("  call_slots = 64\n  most_held = 1000000\n  stop_within = \"5s\"\n  workers = {workers}");
     let recorder = Recorder::default();
     let rig = Rig::build(folder, spec, recorder.clone(), 1)?;
-    let config = load_config(&rig.files[0]).map_err(RigError::Load)?;
-    let directory = Directory::load(&config).map_err(RigError::Load)?;
+    let (config, directory) = load(&rig.files[0]).map_err(RigError::Load)?;
     let (tell, told) = std::sync::mpsc::channel();
     let courier = std::thread::spawn(move || {
         let mut service = Service::start(config, directory, None, 1).ok()?;
--- a/crates/lab/src/bin/cloverstile-lab.rs
+++ b/crates/lab/src/bin/cloverstile-lab.rs
@@ -2,7 +2,6 @@
 #![forbid(unsafe_code)]
 
 use clap::{Args, Parser, Subcommand};
-use cloverstile_courier::{load_config, Directory, Service};
 use cloverstile_lab::bench;
 use cloverstile_lab::day::{read, Day, BUILT_IN};
 use cloverstile_lab::replay::{self, Scale};
@@ -322,22 +321,7 @@
 fn courier(file: &Path, log: &str) -> u8 {
     let filter = tracing_subscriber::EnvFilter::new(log);
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    let loaded = load_config(file).and_then(|config| {
-        let directory = Directory::load(&config)?;
-        Ok((config, directory))
-    });
-    let (config, directory) = match loaded {
-        Ok(loaded) => loaded,
-        Err(error) => return cant(&error.to_string()),
-    };
-    let run = || {
-        let mut service = Service::start(config, directory, Some(file), rand::random())?;
-        println!("{{\"listening\":\"{}\"}}", service.address());
-        // Whoever waits for the line reads it from a pipe.
-        let _ = std::io::stdout().flush();
-        service.run()
-    };
-    match run() {
+    match cloverstile_courier::serve(file, true, rand::random()) {
         Ok(ending) => u8::from(ending.unanswered > 0),
         Err(error) => cant(&error.to_string()),
     }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -423,7 +423,6 @@
                 partner: key.as_ref().map_or(partner.clone(), |key| self.partner_of(key)),
                 key,
                 deadline: Duration::from_secs_f64(class.deadline),
-                unsafe_to_repeat: class.effect == "unsafe",
                 body: vec![b'a' + (number % 26) as u8; length],
                 drops: rng.random_bool(self.drops.clamp(0.0, 1.0)),
             });
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -234,11 +234,6 @@
         self.conns.contains_key(&id.0)
     }
 
-    /// Connections, those being made included.
-    pub fn connections(&self) -> usize {
-        self.conns.len()
-    }
-
     /// Reads no more from a connection until told otherwise.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
         if let Some(conn) = self.conns.get_mut(&id.0) {
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -30,8 +30,6 @@
     pub key: Option<String>,
     /// Given up so long after its first hand-in.
     pub deadline: Duration,
-    /// It must not take effect twice, and nobody drops a repeat.
-    pub unsafe_to_repeat: bool,
     /// What is carried.
     pub body: Vec<u8>,
     /// The client drops its connection right after the first hand-in, and hands in again.
--- a/crates/standin/src/partner.rs
+++ b/crates/standin/src/partner.rs
@@ -123,8 +123,8 @@
 
 struct Served {
     plan: Plan,
+    /// One for each group of endpoints.
     model: Vec<Partner>,
-    /// Model of each endpoint's group; one model for all limits and outages: the first.
     listeners: Vec<(Option<ListenerId>, SocketAddr)>,
     twist: Option<Twist>,
     fault_ends: Option<Duration>,
@@ -404,7 +404,6 @@
         if !fell && served.model[group].is_fallen() {
             self.recorder.note(Seen::Fell { partner: served.plan.name.clone() });
         }
-        // One that is down for good is down at all its endpoints, and the effect is noted as it happens.
         let Some(at) = verdict.answer_at else {
             if verdict.effect {
                 self.note_effect(partner, &id);
@@ -462,9 +461,7 @@
                     return self.drop_conn(conn, true);
                 };
                 let mut all = headers;
-                for (name, value) in receipt.headers.iter() {
-                    all.add(name, value);
-                }
+                all.extend(&receipt.headers);
                 let bytes = response(200, "OK", &all, &receipt.body);
                 if due.reply == Reply::Half {
                     self.net.send(conn, &bytes[..bytes.len() / 2]);
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -109,13 +109,6 @@
         /// Partner.
         partner: String,
     },
-    /// A connection of a courier was refused or dropped before a request came.
-    TurnedAway {
-        /// Partner.
-        partner: String,
-        /// Its endpoint.
-        endpoint: usize,
-    },
     /// A partner's outage began or ended, as the script says.
     Outage {
         /// Partner.
