--- a/crates/courier/src/bin/cloverstile/main.rs
+++ b/crates/courier/src/bin/cloverstile/main.rs
@@ -87,6 +87,9 @@
     Keys(keys::Keys),
     /// Hands one message in and prints the verified receipt.
     Send(Box<send::Send>),
+    /// Runs a courier on the users' platform, as ROUTER_CONFIG and ROUTER_STATE say, until SIGTERM; SIGHUP reads the
+    /// configuration again.
+    Node,
     /// Shows a payday on loopback: couriers, stand-in partners and clients with fresh keys.
     Demo(demo::Demo),
 }
@@ -104,6 +107,7 @@
         Command::Keys(keys) => keys.run(),
         Command::Send(send) => send.run(),
         Command::Demo(demo) => demo.run(),
+        Command::Node => node(),
     };
     ExitCode::from(code)
 }
@@ -133,6 +137,20 @@
     }
 }
 
+fn node() -> u8 {
+    match cloverstile_node::Variables::from_env().and_then(|variables| cloverstile_node::run(&variables)) {
+        Ok(()) => exit::OK,
+        Err(error @ cloverstile_node::NodeError::Io { .. }) => {
+            error!(%error, "the courier can't go on");
+            exit::FAILED
+        }
+        Err(error) => {
+            eprintln!("cloverstile node: {error}");
+            exit::SETTINGS
+        }
+    }
+}
+
 fn check(file: &Path, json: bool) -> u8 {
     match load(file) {
         Ok((config, _)) => {
--- a/crates/courier/src/meaning.rs
+++ b/crates/courier/src/meaning.rs
@@ -103,7 +103,8 @@
             text: "The message was not delivered and had no effect. Handing it in again is safe.",
             retry_after: Some(stay_away.as_secs_f64().ceil().max(1.0) as u64),
         },
-        Answer::Failed => Told {
+        // No front of this courier lets a client withdraw; one that did would be told no more than this.
+        Answer::Failed | Answer::Withdrawn => Told {
             status: (200, "OK"),
             outcome: Outcome::Failed,
             disposition: Disposition::Failure("may-have-taken-effect".into()),
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -579,7 +579,7 @@
                             let class = &self.settings.classes[usize::from(message.class)];
                             message.effects > 0 && class.effect != Effect::Safe
                         }
-                        Answer::Failed => false,
+                        Answer::Failed | Answer::Withdrawn => false,
                     };
                     audit.late_or_untrue += u64::from(untrue || at > message.deadline + slack);
                     audit.unanswered += u64::from(message.more_answers > 0);
--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -56,6 +56,8 @@
     Refused(Duration),
     /// It may have taken effect.
     Failed,
+    /// Nobody wants it any more: nothing is owed.
+    Withdrawn,
 }
 
 /// One attempt of one message.
@@ -82,6 +84,8 @@
     Reset,
     /// Nothing was sent, as an earlier message of the same call broke its connection.
     Unsent,
+    /// Nothing was done, and the message is over: withdrawn, or out of time. Nothing is owed.
+    Over,
 }
 
 /// Something for the shell to do, in the order given.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,7 +4,7 @@
 use crate::moves::Places;
 use cloverstile::{
     Accepted, Action, Allowance, Courier, Effect as ClassEffect, Endpoint, EndpointId, Event, Finished,
-    MessageId, Mode, Outcome, Settings, Time,
+    MessageId, Mode, Outcome, Past, Settings, Time,
 };
 use cloverstile_tiers::{Call, Planner, Policy, Standing};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
@@ -58,6 +58,7 @@
     wakes: BTreeSet<(Time, u64)>,
     pub(crate) listed: BTreeMap<EndpointId, Endpoint>,
     stop: Option<Time>,
+    held_back: bool,
     effects: Vec<Command>,
     pub(crate) counts: Counts,
     /// Something happened that the module has not acted on.
@@ -85,6 +86,7 @@
             wakes: BTreeSet::new(),
             listed: BTreeMap::new(),
             stop: None,
+            held_back: false,
             effects: Vec::new(),
             counts: Counts::default(),
             dirty: false,
@@ -151,13 +153,7 @@
         if self.held >= self.settings.most_held {
             return Taken::Full;
         }
-        self.last_id += 1;
-        let id = MessageId(self.last_id);
-        self.counts.taken += 1;
-        self.held += 1;
-        self.names.insert(taken.name.clone(), id);
-        self.entries.insert(id, Entry::new(id, &taken));
-        self.last_resort.insert((self.resort_at(taken.deadline), id));
+        let id = self.book(&taken);
         // What a lost courier held may have taken effect there. An unsafe message must not go again; the module
         // is never asked.
         let class = self.settings.classes.get(usize::from(taken.class.0));
@@ -172,6 +168,61 @@
         Taken::New(id)
     }
 
+    fn book(&mut self, taken: &HandIn) -> MessageId {
+        self.last_id += 1;
+        let id = MessageId(self.last_id);
+        self.counts.taken += 1;
+        self.held += 1;
+        self.names.insert(taken.name.clone(), id);
+        self.entries.insert(id, Entry::new(id, taken));
+        self.last_resort.insert((self.resort_at(taken.deadline), id));
+        id
+    }
+
+    /// A message that was taken before a restart and is owed still. Call it in the order taken, before all else.
+    pub fn recover(&mut self, now: Time, taken: HandIn, past: Past) -> MessageId {
+        let id = self.book(&taken);
+        // Nothing is final at once for one whose time ran out meanwhile: the module gives the answer.
+        self.last_resort.remove(&(self.resort_at(taken.deadline), id));
+        let resort = self.resort_at(taken.deadline.max(now));
+        self.last_resort.insert((resort, id));
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.deadline = taken.deadline.max(now);
+            entry.attempts = u16::try_from(past.attempts).unwrap_or(u16::MAX);
+            entry.may_have_run = past.may_have_run.is_some();
+        }
+        self.place(now, id);
+        if let Some(accepted) = self.entries.get(&id).map(Entry::accepted) {
+            self.tell(now, Event::Recovered(Accepted { from_dead_courier: false, ..accepted }, past));
+        }
+        id
+    }
+
+    /// Nobody wants this message any more: no answer is owed, and nothing new is sent for it.
+    pub fn withdraw(&mut self, now: Time, id: MessageId) {
+        if self.is_open(id) {
+            self.tell(now, Event::ClientGone(self.inner(id)));
+            self.answer(now, id, Answer::Withdrawn);
+        }
+    }
+
+    /// Holds the module back, or lets it go on: while held back nothing new is sent, calls out end as ever.
+    pub fn hold_back(&mut self, held_back: bool) {
+        self.held_back = held_back;
+        self.dirty = true;
+    }
+
+    /// Whether the module has something to act on that happened since [`Engine::advance`].
+    pub fn has_news(&self) -> bool {
+        self.dirty && !self.held_back
+    }
+
+    /// Until when an attempt that is out will be waited for.
+    pub fn waits_until(&self, attempt: Attempt) -> Option<Time> {
+        let entry = self.entries.get(&attempt.message).filter(|_| self.is_out(attempt))?;
+        entry.out.map(|out| out.until)
+    }
+
     /// A new version of the list of endpoints, whole.
     pub fn list(&mut self, now: Time, endpoints: Vec<Endpoint>) {
         self.listed = endpoints.into_iter().map(|endpoint| (endpoint.id, endpoint)).collect();
@@ -186,8 +237,11 @@
             Reported::Full(wait) => Outcome::Full(wait),
             Reported::ConnectFailed => Outcome::ConnectFailed,
             Reported::Reset => Outcome::Reset,
-            Reported::Unsent => Outcome::Moot,
+            Reported::Unsent | Reported::Over => Outcome::Moot,
         };
+        if reported == Reported::Over && self.is_out(attempt) {
+            self.withdraw(now, attempt.message);
+        }
         if self.is_out(attempt) {
             self.finish(now, attempt.message, (outcome, allowance));
         } else if reported == Reported::Processed {
@@ -261,7 +315,7 @@
         }
         self.reconsider(now);
         // What an outcome leads to may end at once (a route without a slot), which leads to more.
-        while self.tell_doors(now) {
+        while !self.held_back && self.tell_doors(now) {
             let mut actions = Vec::new();
             self.courier.decide(now, &mut actions);
             self.carry_out(now, actions);
@@ -457,11 +511,14 @@
             self.last_resort.remove(&(at, id));
         }
         let place = match answer {
-            Answer::Delivered => 0,
-            Answer::Refused(_) => 1,
-            Answer::Failed => 2,
+            Answer::Delivered => Some(0),
+            Answer::Refused(_) => Some(1),
+            Answer::Failed => Some(2),
+            Answer::Withdrawn => None,
         };
-        self.counts.answered[place] += 1;
+        if let Some(place) = place {
+            self.counts.answered[place] += 1;
+        }
         self.effects.push(Command::Answer { message: id, answer, attempts });
     }
 
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -113,12 +113,14 @@
     buffer: Vec<u8>,
     stage: Stage,
     began: Option<Duration>,
+    /// Status of the answer being read, once its head is whole.
+    status: Option<u16>,
 }
 
 impl Decoder {
     /// Reads requests.
     pub fn server(limits: Limits) -> Self {
-        Decoder { server: true, limits, buffer: Vec::new(), stage: Stage::Head, began: None }
+        Decoder { server: true, limits, buffer: Vec::new(), stage: Stage::Head, began: None, status: None }
     }
 
     /// Reads answers to requests other than HEAD.
@@ -139,6 +141,19 @@
         self.buffer.len()
     }
 
+    /// The status that the answer being read begins with, as soon as its first line is there, whatever the rest of
+    /// it is like; interim answers are passed over.
+    pub fn status(&self) -> Option<u16> {
+        self.status.or_else(|| {
+            let line = self.buffer.strip_prefix(b"HTTP/1.").filter(|_| !self.server)?;
+            let digits = line.get(2..5).filter(|_| line[0].is_ascii_digit() && line[1] == b' ')?;
+            let ended =
+                matches!(line.get(5), Some(b' ' | b'\r' | b'\n')) && digits.iter().all(u8::is_ascii_digit);
+            let status = std::str::from_utf8(digits).ok()?.parse().ok()?;
+            (ended && status >= 200).then_some(status)
+        })
+    }
+
     /// When the message being read runs out of time, if one is.
     pub fn due(&self) -> Option<Duration> {
         let span = match self.stage {
@@ -171,6 +186,7 @@
                 Stage::Body { .. } => {
                     let Some(message) = self.read_body()? else { return Ok(None) };
                     self.began = (!self.buffer.is_empty()).then_some(now);
+                    self.status = None;
                     return Ok(Some(Item::Message(message)));
                 }
             }
@@ -225,6 +241,9 @@
             (start, head.version.unwrap_or(0), length, collect(head.headers))
         };
         self.buffer.drain(..length);
+        if let Start::Response { status: status @ 200.. } = start {
+            self.status = Some(status);
+        }
         let kind = body_kind(&start, minor, &headers)?;
         if let Body::Length(length) = kind {
             if length > self.limits.body {
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,559 @@
+//! The node's turn: events in, the module's decisions, the log, bytes out.
+
+use crate::start::{load, NodeError, Variables};
+use crate::{Clock, Sockets};
+use cloverstile::{Class, MessageId, Past, Time};
+use cloverstile_engine::{Answer, Attempt, Bounds, Command, Engine, HandIn, Reported, Taken};
+use cloverstile_http::Headers;
+use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
+use cloverstile_platform::answer::ReportFields;
+use cloverstile_platform::calls::{Calls, Terms};
+use cloverstile_platform::config::{Config, Names};
+use cloverstile_platform::guests::{Guests, Why};
+use cloverstile_platform::handin::{self, Asked, Put};
+use cloverstile_platform::leaving::{Leaving, Left, Stage};
+use cloverstile_platform::list::{List, ListAnswer};
+use cloverstile_platform::notices::{Notice, Notices};
+use cloverstile_platform::watch::Watch;
+use cloverstile_platform::Wire;
+use cloverstile_resp::{error, simple};
+use cloverstile_wal::store::Dir;
+use cloverstile_wal::{Ending, Living, Log, Record};
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::time::Duration;
+use tracing::{debug, info, warn};
+
+/// Answers kept for a message that comes again under its id: longer than a client sends one once more.
+const ANSWERS: Bounds = Bounds { remembered: 4096, answers_kept: Duration::from_secs(2) };
+/// Parts of the descriptors: for clients, and for connections to endpoints. The rest is for files and discovery.
+const CLIENTS_PART: f64 = 0.55;
+const CALLS_PART: f64 = 0.35;
+/// Answers that a client has not read, in bytes, above which it is closed.
+const UNREAD: usize = 256 << 10;
+/// Rounds of one turn: what a decision leads to at once may lead to more.
+const ROUNDS: usize = 16;
+
+/// An answer to a client's command, in the order of its commands.
+enum Reply {
+    Bytes(Vec<u8>),
+    /// Of a message that this turn took.
+    Of(MessageId),
+}
+
+/// A call that waits until a notice of its key is answered.
+struct Parked {
+    attempt: Attempt,
+    endpoint: cloverstile::EndpointId,
+}
+
+/// A running courier.
+pub struct Node {
+    clock: Clock,
+    net: Net,
+    listener: Option<ListenerId>,
+    path: PathBuf,
+    names: Names,
+    classes: Vec<Class>,
+    engine: Engine,
+    log: Log<Dir>,
+    log_works: bool,
+    list: List,
+    guests: Guests,
+    calls: Calls,
+    parked: Vec<Parked>,
+    watch: Watch,
+    notices: Notices,
+    leaving: Option<Leaving>,
+    /// Answers of this turn, and what the messages that it took are answered where they ended at once.
+    replies: Vec<(Wire, Reply)>,
+    fresh: BTreeMap<MessageId, Option<Vec<u8>>>,
+    launching: Vec<Attempt>,
+    closing: Vec<Wire>,
+}
+
+fn busy(again: Duration) -> Vec<u8> {
+    match again.as_millis() {
+        0 => error("BUSY"),
+        ms => error(&format!("BUSY {ms}")),
+    }
+}
+
+impl Node {
+    /// Takes on what an earlier process left, and listens.
+    pub fn start(config: Config, variables: &Variables) -> Result<Node, NodeError> {
+        let clock = Clock::new();
+        let now = clock.now();
+        let failed = |what: String| move |error| NodeError::Io { what, error };
+        let mut net = Net::new().map_err(failed("event loop".into()))?;
+        net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
+            .map_err(failed("signals".into()))?;
+        let parsed = &config.parsed;
+        let settings = parsed.settings.clone();
+        let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
+        let sockets = config.limits.sockets as f64;
+        let terms = Terms {
+            connect_timeout: settings.connect_timeout,
+            idle: settings.conn_idle,
+            most: ((sockets * CALLS_PART) as usize).max(8),
+            fields: ReportFields { left: field(parsed.left_at), limit: field(parsed.limit_at) },
+        };
+        let bound = (config.limits.disk_mb * 1e6) as u64;
+        let state = variables.state.display().to_string();
+        let (log, recovered) = Log::open(Dir::new(&variables.state), bound).map_err(failed(state))?;
+        if recovered.torn > 0 {
+            warn!(bytes = recovered.torn, "the log's last record was torn or damaged and is given up");
+        }
+        let seed = config.seed.unwrap_or_else(rand::random);
+        let mut node = Node {
+            classes: settings.classes.clone(),
+            engine: Engine::new(settings, ANSWERS, seed),
+            clock,
+            net,
+            listener: None,
+            path: variables.config.clone(),
+            names: config.names,
+            log,
+            log_works: true,
+            list: List::default(),
+            guests: Guests::new(((sockets * CLIENTS_PART) as usize).max(8)),
+            calls: Calls::new(terms),
+            parked: Vec::new(),
+            watch: Watch::new(config.discovery, config.known.as_ref().map_or(0, |known| known.generation)),
+            notices: Notices::new(config.discovery),
+            leaving: None,
+            replies: Vec::new(),
+            fresh: BTreeMap::new(),
+            launching: Vec::new(),
+            closing: Vec::new(),
+        };
+        if let Some(known) = &config.known {
+            node.take_list(now, known);
+        }
+        let found = recovered.living.len();
+        for (place, living) in recovered.living.into_iter().enumerate() {
+            node.recover(now, place, living);
+        }
+        node.turn(now);
+        let listening = node.net.listen(config.listen);
+        let (listener, address) = listening.map_err(failed(format!("listen on {}", config.listen)))?;
+        node.listener = Some(listener);
+        info!(name = %config.name, %address, recovered = found, "ready");
+        Ok(node)
+    }
+
+    /// Takes a message on again that an earlier process owes.
+    fn recover(&mut self, now: Time, place: usize, mut living: Living) {
+        let class = self.classes.get(usize::from(living.class));
+        let key = (living.order != 0).then_some(cloverstile::OrderKey(living.order));
+        if let Some(ending) = living.owed {
+            // Numbers from the far end: those of the engine begin at one.
+            let number = u32::MAX - u32::try_from(place).unwrap_or(0);
+            let notice = notice(&living, ending);
+            self.log.record(Record::Taken(number, Box::new(living)));
+            return self.notices.owe(number, notice);
+        }
+        // An attempt without an outcome may have run, from the moment when it was begun.
+        let unsettled = living.open.take();
+        living.may_have_run = living.may_have_run.or(unsettled);
+        let mut since = living.may_have_run.map(Time);
+        if let (true, Some(class)) = (living.after_loss, class) {
+            let handed_in = (Time(living.deadline) - class.deadline).min(Time(living.taken_at));
+            since = Some(since.map_or(handed_in, |since| since.min(handed_in)));
+        }
+        let past = Past {
+            taken_at: Time(living.taken_at),
+            attempts: u32::from(living.attempts),
+            may_have_run: since,
+            unsettled: unsettled.is_some(),
+        };
+        let hand_in = HandIn {
+            client: 0,
+            name: String::from_utf8_lossy(&living.id).into_owned(),
+            fingerprint: [0; 32],
+            class: cloverstile::ClassId(living.class),
+            destination: cloverstile::DestinationId(living.destination),
+            key,
+            deadline: Time(living.deadline),
+            tenant: Default::default(),
+            again: false,
+            after_loss: living.after_loss,
+        };
+        let id = self.engine.recover(now, hand_in, past);
+        self.log.record(Record::Taken(id.0, Box::new(living)));
+    }
+
+    /// Runs until told to stop and done.
+    pub fn run(mut self) -> Result<(), NodeError> {
+        loop {
+            let now = self.clock.now();
+            if self.leave(now) {
+                info!(held = self.engine.held(), "ends; what is held stays in the log");
+                return Ok(());
+            }
+            let timeout = self.next_wake(now).map(|at| at - now);
+            let events =
+                self.net.poll(timeout).map_err(|error| NodeError::Io { what: "event loop".into(), error })?;
+            let now = self.clock.now();
+            for event in events {
+                self.on_event(now, event);
+            }
+            self.tick(now);
+            self.turn(now);
+        }
+    }
+
+    fn next_wake(&self, now: Time) -> Option<Time> {
+        if self.calls.has_news() || self.engine.has_news() {
+            return Some(now);
+        }
+        let dues = [
+            self.engine.next_wake(),
+            self.calls.due(),
+            self.guests.due(),
+            Some(self.watch.due()),
+            self.notices.due(),
+            self.leaving.map(|leaving| leaving.due(now)),
+        ];
+        dues.into_iter().flatten().min()
+    }
+
+    fn tick(&mut self, now: Time) {
+        let mut sockets = Sockets(&mut self.net);
+        self.watch.tick(now, &mut sockets);
+        self.calls.tick(now, &mut sockets);
+        for (wire, why) in self.guests.tick(now) {
+            self.dismiss(wire, &why);
+        }
+    }
+
+    /// What is still done after a signal to stop; true once the process should end.
+    fn leave(&mut self, now: Time) -> bool {
+        let Some(leaving) = self.leaving else { return false };
+        let left = Left { held: self.engine.held(), out: self.calls.out(), notices: self.notices.len() };
+        let stage = leaving.stage(now, left);
+        if stage >= Stage::Delivering {
+            if let Some(listener) = self.listener.take() {
+                info!(?left, "stops listening");
+                self.net.unlisten(listener);
+                for wire in self.guests.resting() {
+                    self.net.close_when_sent(ConnId(wire.0));
+                }
+            }
+        }
+        if stage == Stage::Waiting {
+            self.engine.hold_back(true);
+        }
+        stage == Stage::Over
+    }
+
+    fn on_event(&mut self, now: Time, event: NetEvent) {
+        match event {
+            NetEvent::Accepted { conn, .. } => {
+                if let Some(leaves) = self.guests.welcome(now, Wire(conn.0)) {
+                    self.dismiss(leaves, &Why::Crowded);
+                }
+            }
+            NetEvent::Connected(conn) => {
+                let wire = Wire(conn.0);
+                self.calls.connected(wire);
+                self.notices.connected(now, wire);
+                self.watch.connected(now, wire, &mut Sockets(&mut self.net));
+            }
+            NetEvent::ConnectFailed(conn, _) => self.lost(now, Wire(conn.0), false),
+            NetEvent::Closed { conn, clean } => self.lost(now, Wire(conn.0), clean),
+            NetEvent::Flushed(conn) => self.calls.written(Wire(conn.0)),
+            NetEvent::Bytes(conn, bytes) => self.on_bytes(now, Wire(conn.0), &bytes),
+            NetEvent::Signal(SignalKind::SIGHUP) => self.reload(now),
+            NetEvent::Signal(signal) => {
+                info!(?signal, held = self.engine.held(), "told to stop");
+                self.leaving.get_or_insert(Leaving::new(now));
+            }
+            NetEvent::Woken => {}
+        }
+    }
+
+    fn lost(&mut self, now: Time, wire: Wire, clean: bool) {
+        self.guests.left(wire);
+        self.calls.lost(wire, clean);
+        self.watch.lost(now, wire);
+        self.notices.lost(now, wire);
+    }
+
+    fn on_bytes(&mut self, now: Time, wire: Wire, bytes: &[u8]) {
+        if self.guests.owns(wire) {
+            return self.client_bytes(now, wire, bytes);
+        }
+        let mut sockets = Sockets(&mut self.net);
+        if self.calls.owns(wire) {
+            self.calls.bytes(now, wire, bytes, &mut sockets);
+        } else if self.watch.owns(wire) {
+            match self.watch.bytes(now, wire, bytes, &mut sockets) {
+                Ok(Some(answer)) => self.take_list(now, &answer),
+                Ok(None) => {}
+                Err(error) => warn!(%error, "the list of endpoints can't be read; asked again"),
+            }
+        } else if self.notices.owns(wire) {
+            let (done, refused) = self.notices.bytes(now, wire, bytes, &mut sockets);
+            for number in &refused {
+                warn!(number, "the platform can't read a notice; it is not told again");
+            }
+            for number in done.into_iter().chain(refused) {
+                self.log.record(Record::Over(number));
+            }
+            self.unpark(now);
+        }
+    }
+
+    fn take_list(&mut self, now: Time, answer: &ListAnswer) {
+        if answer.instances.is_empty() && !answer.reset {
+            return;
+        }
+        for id in self.list.take(answer, &self.names) {
+            warn!(instance = %id, "an entry of the list can't be read and is left out");
+        }
+        debug!(
+            generation = answer.generation,
+            whole = answer.reset,
+            entries = answer.instances.len(),
+            "list"
+        );
+        self.engine.list(now, self.list.endpoints());
+        let list = &self.list;
+        self.calls.keep_listed(|id| list.address(id), &mut Sockets(&mut self.net));
+    }
+
+    fn reload(&mut self, now: Time) {
+        match load(&self.path) {
+            Ok(config) => {
+                info!(discovery = %config.discovery, "configuration read anew");
+                let mut sockets = Sockets(&mut self.net);
+                self.watch.moved(now, config.discovery, &mut sockets);
+                self.notices.moved(now, config.discovery, &mut sockets);
+            }
+            Err(error) => warn!(%error, "the new configuration can't be used; the old one stays"),
+        }
+    }
+
+    // ---- Clients ----
+
+    fn client_bytes(&mut self, now: Time, wire: Wire, bytes: &[u8]) {
+        let (commands, why) = self.guests.bytes(now, wire, bytes);
+        for words in commands {
+            let known = |to| self.list.has_destination(to);
+            let reply = match handin::read(now, &words, (&self.classes, &self.names.classes), known) {
+                Ok(Asked::Ping) => Reply::Bytes(simple("PONG")),
+                Ok(Asked::Put(put)) => self.take(now, *put),
+                Err(wrong) => Reply::Bytes(error(&wrong.to_string())),
+            };
+            self.replies.push((wire, reply));
+        }
+        if let Some(why) = why {
+            debug!(?why, "a client is closed");
+            if let Some(line) = why.line() {
+                self.replies.push((wire, Reply::Bytes(error(&line))));
+            }
+            self.closing.push(wire);
+        }
+    }
+
+    fn take(&mut self, now: Time, put: Put) -> Reply {
+        let Put { hand_in, idempotency, body } = put;
+        if !self.log_works || !self.log.has_room(body.len()) {
+            return Reply::Bytes(busy(Duration::ZERO));
+        }
+        let living = Living {
+            id: hand_in.name.clone().into_bytes(),
+            idempotency,
+            class: hand_in.class.0,
+            destination: hand_in.destination.0,
+            order: hand_in.key.map_or(0, |key| key.0),
+            taken_at: now.0,
+            deadline: hand_in.deadline.0,
+            after_loss: hand_in.after_loss,
+            body,
+            ..Living::default()
+        };
+        match self.engine.hand_in(now, hand_in) {
+            Taken::New(id) => {
+                self.log.record(Record::Taken(id.0, Box::new(living)));
+                self.fresh.insert(id, None);
+                Reply::Of(id)
+            }
+            // The same id once more: its first answer was lost on the way, or is in this very turn.
+            Taken::Held(id) if self.fresh.contains_key(&id) => Reply::Of(id),
+            Taken::Held(_) | Taken::Answered(_, Answer::Delivered) => Reply::Bytes(simple("OK")),
+            Taken::Answered(..) => Reply::Bytes(simple("OK")),
+            Taken::Conflict => Reply::Bytes(error("ERR id: in use for another message")),
+            Taken::Full | Taken::Stopping => Reply::Bytes(busy(Duration::ZERO)),
+        }
+    }
+
+    /// Closes a client that is no longer among the guests.
+    fn dismiss(&mut self, wire: Wire, why: &Why) {
+        if let Some(line) = why.line() {
+            self.net.send(ConnId(wire.0), &error(&line));
+        }
+        self.net.close_when_sent(ConnId(wire.0));
+    }
+
+    // ---- The turn ----
+
+    fn turn(&mut self, now: Time) {
+        for _ in 0..ROUNDS {
+            for (attempt, (reported, allowance)) in self.calls.take_ended() {
+                let never = matches!(
+                    reported,
+                    Reported::Full(_) | Reported::ConnectFailed | Reported::Unsent | Reported::Over
+                );
+                self.log.record(Record::Settled(attempt.message.0, !never));
+                self.engine.ended(now, attempt, reported, allowance);
+            }
+            for command in self.engine.advance(now) {
+                self.carry_out(now, command);
+            }
+            for attempt in self.calls.take_ready() {
+                self.log.record(Record::Begun(attempt.message.0, now.0));
+                self.launching.push(attempt);
+            }
+            if !self.calls.has_news() && !self.engine.has_news() {
+                break;
+            }
+        }
+        match self.log.commit() {
+            Ok(()) => {
+                if !std::mem::replace(&mut self.log_works, true) {
+                    info!("the log can be written again");
+                }
+            }
+            Err(error) => self.undo(now, &error),
+        }
+        self.launch(now);
+        self.reply();
+        self.notices.tick(now, &mut Sockets(&mut self.net));
+    }
+
+    /// Guards against effects that the log knows nothing of: without a log nothing is taken on and nothing sent.
+    fn undo(&mut self, now: Time, error: &std::io::Error) {
+        if std::mem::replace(&mut self.log_works, false) {
+            warn!(%error, "the log can't be written: nothing is taken on or sent until it can");
+        }
+        for attempt in std::mem::take(&mut self.launching) {
+            self.log.record(Record::Settled(attempt.message.0, false));
+            self.calls.drop_ready(now, attempt);
+        }
+        for (id, answer) in &mut self.fresh {
+            if answer.is_none() {
+                *answer = Some(busy(Duration::ZERO));
+                self.engine.withdraw(now, *id);
+                self.log.record(Record::Over(id.0));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Time, command: Command) {
+        match command {
+            Command::Send { endpoint, attempts } => {
+                for attempt in attempts {
+                    self.parked.push(Parked { attempt, endpoint });
+                }
+                self.unpark(now);
+            }
+            Command::Abandon { attempt } => {
+                self.parked.retain(|parked| parked.attempt != attempt);
+                self.launching.retain(|launching| *launching != attempt);
+                self.log.record(Record::Settled(attempt.message.0, true));
+                self.calls.abandon(attempt, &mut Sockets(&mut self.net));
+            }
+            Command::Answer { message, answer, .. } => self.answered(message, answer),
+            Command::CloseIdle { endpoint } => self.calls.close_idle(endpoint, &mut Sockets(&mut self.net)),
+            Command::Log { text } => info!("{text}"),
+            Command::Late { .. } | Command::Forget { .. } | Command::Probe { .. } => {}
+        }
+    }
+
+    fn answered(&mut self, message: MessageId, answer: Answer) {
+        let (reply, ending) = match answer {
+            Answer::Delivered | Answer::Withdrawn => return self.log.record(Record::Over(message.0)),
+            Answer::Refused(again) => {
+                let ms = u64::try_from(again.as_millis()).ok().filter(|ms| *ms > 0);
+                (busy(again), Ending::Deferred(ms))
+            }
+            Answer::Failed => (error("ERR given up: it can't be delivered"), Ending::Undeliverable),
+        };
+        // Refused in the turn of its hand-in: the client is told, and the platform need not be.
+        if let Some(told) = self.fresh.get_mut(&message) {
+            *told = Some(reply);
+            return self.log.record(Record::Over(message.0));
+        }
+        let Some(living) = self.log.living(message.0) else { return };
+        self.notices.owe(message.0, notice(living, ending));
+        self.log.record(Record::Owed(message.0, ending));
+    }
+
+    /// Gets connections for calls whose key has no notice out: until it is answered, the message before is not over.
+    fn unpark(&mut self, now: Time) {
+        for parked in std::mem::take(&mut self.parked) {
+            let Some(living) = self.log.living(parked.attempt.message.0) else { continue };
+            if living.order != 0 && self.notices.holds(cloverstile::OrderKey(living.order)) {
+                self.parked.push(parked);
+                continue;
+            }
+            let Parked { attempt, endpoint } = parked;
+            match self.list.address(endpoint) {
+                Some(address) => {
+                    self.calls.begin(now, attempt, endpoint, address, &mut Sockets(&mut self.net))
+                }
+                None => self.engine.ended(now, attempt, Reported::Unsent, None),
+            }
+        }
+    }
+
+    /// Writes the calls whose beginning the log has.
+    fn launch(&mut self, now: Time) {
+        for attempt in std::mem::take(&mut self.launching) {
+            let until = self.engine.waits_until(attempt);
+            let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { continue };
+            let left = (until - now).as_millis().max(1);
+            let mut headers = Headers::new().with("Host", "partner");
+            headers.add("Req-Id", String::from_utf8_lossy(&living.id));
+            if let Some(key) = &living.idempotency {
+                headers.add("Idempotency-Key", String::from_utf8_lossy(key));
+            }
+            headers.add("Req-Deadline", format!("{left}m"));
+            let bytes = cloverstile_http::request("POST", "/hook", &headers, &living.body);
+            self.calls.launch(attempt, &bytes, &mut Sockets(&mut self.net));
+        }
+    }
+
+    fn reply(&mut self) {
+        let leaving = self.listener.is_none() && self.leaving.is_some();
+        for (wire, reply) in std::mem::take(&mut self.replies) {
+            let bytes = match reply {
+                Reply::Bytes(bytes) => bytes,
+                Reply::Of(id) => self.fresh.get(&id).cloned().flatten().unwrap_or_else(|| simple("OK")),
+            };
+            self.net.send(ConnId(wire.0), &bytes);
+            if self.net.unsent(ConnId(wire.0)) > UNREAD {
+                self.guests.left(wire);
+                self.net.close(ConnId(wire.0));
+            } else if leaving {
+                self.closing.push(wire);
+            }
+        }
+        for wire in std::mem::take(&mut self.closing) {
+            self.guests.left(wire);
+            self.net.close_when_sent(ConnId(wire.0));
+        }
+        self.fresh.clear();
+    }
+}
+
+fn notice(living: &Living, ending: Ending) -> Notice {
+    let (failed, again_ms) = match ending {
+        Ending::Undeliverable => (true, None),
+        Ending::Deferred(again) => (false, again),
+    };
+    let key = (living.order != 0).then_some(cloverstile::OrderKey(living.order));
+    Notice { id: String::from_utf8_lossy(&living.id).into_owned(), failed, again_ms, key }
+}
--- /dev/null
+++ b/crates/platform/src/answer.rs
@@ -0,0 +1,149 @@
+//! An endpoint's answer: how the attempt ended, whether it may have run, whether its connection is of further use.
+//!
+//! | first line | the rest | reported |
+//! | --- | --- | --- |
+//! | 200 | anything | delivered, as soon as that line is there |
+//! | 429 | whole | turned away; told to wait, where `Retry-After` can be read |
+//! | 503 | whole | turned away; with `X-Line-Busy: 1` not sent |
+//! | 504 | whole | not sent: attempts used up |
+//! | 410 | whole | not sent: the message is over |
+//! | another | whole | error, may have run |
+//! | not 200 | can't be read, over a limit | error, may have run: even "turned away" proves nothing there |
+
+use cloverstile::Allowance;
+use cloverstile_engine::Reported;
+use cloverstile_http::{Decoder, Headers, Limits, Message, Start};
+use std::time::Duration;
+
+/// Longest wait that is heeded as told.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
+/// Largest head, and largest body that the platform carries.
+const LIMITS: (usize, usize) = (8 << 10, 64 << 10);
+
+/// Where a load report keeps what the module wants: the names of the share left and of the limit.
+#[derive(Clone, Debug, Default)]
+pub struct ReportFields {
+    /// Share of the limit that is left.
+    pub left: Option<String>,
+    /// The limit, in calls a second.
+    pub limit: Option<String>,
+}
+
+/// How an attempt ended.
+pub type Told = (Reported, Option<Allowance>);
+
+/// What some bytes meant.
+#[derive(Debug, PartialEq)]
+pub struct Read {
+    /// The outcome, once.
+    pub told: Option<Told>,
+    /// The connection.
+    pub line: Line,
+}
+
+/// What a connection is good for after some bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Line {
+    /// The answer goes on.
+    Open,
+    /// The answer is over; another call may go out on it.
+    Free,
+    /// Of no further use: close it.
+    Spoilt,
+}
+
+/// Reads the answer to one call.
+pub struct Reader {
+    decoder: Decoder,
+    told: bool,
+}
+
+impl Default for Reader {
+    fn default() -> Self {
+        Reader::new()
+    }
+}
+
+impl Reader {
+    /// A reader of an answer not begun.
+    pub fn new() -> Self {
+        let limits = Limits { head: LIMITS.0, body: LIMITS.1, ..Limits::default() };
+        Reader { decoder: Decoder::client(limits), told: false }
+    }
+
+    fn tell(&mut self, told: Told) -> Option<Told> {
+        (!std::mem::replace(&mut self.told, true)).then_some(told)
+    }
+
+    /// Takes bytes as they came, `clock` from any fixed start.
+    pub fn bytes(&mut self, clock: Duration, bytes: &[u8], fields: &ReportFields) -> Read {
+        self.decoder.feed(clock, bytes);
+        let next = self.decoder.next(clock);
+        match next {
+            Ok(Some(cloverstile_http::Item::Message(message))) => {
+                // What comes behind an answer belongs to nobody: the next call would take it for its own.
+                let free = message.keep_alive && self.decoder.held() == 0;
+                let told = self.tell(meaning(&message, fields));
+                Read { told, line: if free { Line::Free } else { Line::Spoilt } }
+            }
+            Ok(_) => {
+                let delivered = self.decoder.status() == Some(200);
+                let told = if delivered { self.tell((Reported::Processed, None)) } else { None };
+                Read { told, line: Line::Open }
+            }
+            Err(_) => {
+                let delivered = self.decoder.status() == Some(200);
+                let reported = if delivered { Reported::Processed } else { Reported::Error };
+                Read { told: self.tell((reported, None)), line: Line::Spoilt }
+            }
+        }
+    }
+
+    /// The connection has ended, in order or not; the outcome, if it was not told before.
+    pub fn end(&mut self, clean: bool, fields: &ReportFields) -> Option<Told> {
+        let message = self.decoder.end().ok().flatten().filter(|_| clean);
+        let told = message.map_or((Reported::Reset, None), |message| meaning(&message, fields));
+        self.tell(told)
+    }
+}
+
+/// What a whole answer means.
+fn meaning(message: &Message, fields: &ReportFields) -> Told {
+    let Start::Response { status } = message.start else { return (Reported::Error, None) };
+    let headers = &message.headers;
+    let reported = match status {
+        200 => Reported::Processed,
+        429 => Reported::Full(wait(headers)),
+        503 if headers.get("x-line-busy") == Some("1") => Reported::Unsent,
+        503 => Reported::Full(wait(headers)),
+        504 => Reported::Unsent,
+        410 => Reported::Over,
+        _ => Reported::Error,
+    };
+    (reported, allowance(headers, fields))
+}
+
+fn wait(headers: &Headers) -> Option<Duration> {
+    let seconds: f64 = headers.get("retry-after")?.parse().ok()?;
+    let told = seconds.is_finite() && seconds > 0.0;
+    told.then(|| Duration::from_secs_f64(seconds.min(LONGEST_WAIT.as_secs_f64())))
+}
+
+/// `Srv-Load: NAME=VALUE,...`; one that can't be read is none.
+fn allowance(headers: &Headers, fields: &ReportFields) -> Option<Allowance> {
+    let report = headers.get("srv-load")?;
+    let value = |name: &Option<String>| -> Option<f64> {
+        let name = name.as_deref()?;
+        let mut found = None;
+        for pair in report.split(',') {
+            let (key, value) = pair.split_once('=')?;
+            let value: f64 =
+                value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)?;
+            if key.trim() == name {
+                found = Some(value);
+            }
+        }
+        found
+    };
+    value(&fields.left).zip(value(&fields.limit)).map(|(left, limit)| Allowance { left, limit })
+}
--- /dev/null
+++ b/crates/platform/src/calls.rs
@@ -0,0 +1,305 @@
+//! Calls out and the connections that they travel on: one call at a time on each.
+
+use crate::answer::{Line, Reader, ReportFields, Told};
+use crate::{Wire, Wires};
+use cloverstile::{EndpointId, Time};
+use cloverstile_engine::{Attempt, Reported};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// An idle connection is closed by us after this part of the time after which the other side may close it: a
+/// request that crosses its close would end as a reset, which may have run.
+const IDLE_PART: f64 = 0.7;
+/// How long the rest of an answer may take whose outcome is known already.
+const REST: Duration = Duration::from_secs(1);
+
+enum State {
+    Connecting {
+        until: Time,
+    },
+    /// Connected, for an attempt whose bytes wait for the log.
+    Ready,
+    /// Bytes were handed over; whether all of them are with the system.
+    Sent {
+        written: bool,
+    },
+    /// The outcome is told, the answer not over.
+    Finishing {
+        until: Time,
+    },
+    Idle {
+        until: Time,
+    },
+}
+
+struct Conn {
+    endpoint: EndpointId,
+    address: SocketAddr,
+    attempt: Option<Attempt>,
+    state: State,
+    reader: Reader,
+}
+
+/// What the platform allows of connections.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// One that takes longer to come up has failed.
+    pub connect_timeout: Duration,
+    /// Idle ones are closed by the other side after this.
+    pub idle: Duration,
+    /// Connections to endpoints at once; a call beyond them is not sent.
+    pub most: usize,
+    /// Where load reports keep what.
+    pub fields: ReportFields,
+}
+
+/// All calls out.
+pub struct Calls {
+    terms: Terms,
+    conns: BTreeMap<Wire, Conn>,
+    attempts: HashMap<Attempt, Wire>,
+    /// Idle ones of an endpoint, the one used last behind.
+    idle: HashMap<EndpointId, Vec<Wire>>,
+    ready: Vec<Attempt>,
+    ended: Vec<(Attempt, Told)>,
+}
+
+impl Calls {
+    /// No calls.
+    pub fn new(terms: Terms) -> Self {
+        let (conns, attempts, idle) = (BTreeMap::new(), HashMap::new(), HashMap::new());
+        Calls { terms, conns, attempts, idle, ready: Vec::new(), ended: Vec::new() }
+    }
+
+    /// Attempts that are out or on their way.
+    pub fn out(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Connections open or coming up.
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// Attempts whose connection is there, and whose bytes may go once the log has them.
+    pub fn take_ready(&mut self) -> Vec<Attempt> {
+        std::mem::take(&mut self.ready)
+    }
+
+    /// Attempts that ended, in order.
+    pub fn take_ended(&mut self) -> Vec<(Attempt, Told)> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Whether something ended or is ready and was not taken.
+    pub fn has_news(&self) -> bool {
+        !self.ready.is_empty() || !self.ended.is_empty()
+    }
+
+    /// Gets a connection for an attempt; it is ready at once where one is idle.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        wires: &mut impl Wires,
+    ) {
+        while let Some(wire) = self.idle.get_mut(&endpoint).and_then(Vec::pop) {
+            let Some(conn) = self.conns.get_mut(&wire) else { continue };
+            // Past its time by now: the other side may be closing it at this moment.
+            let late = matches!(conn.state, State::Idle { until } if until <= now);
+            if late || conn.address != address {
+                self.close(wire, wires);
+                continue;
+            }
+            (conn.attempt, conn.state, conn.reader) = (Some(attempt), State::Ready, Reader::new());
+            self.attempts.insert(attempt, wire);
+            self.ready.push(attempt);
+            return;
+        }
+        if self.conns.len() >= self.terms.most && !self.close_longest_idle(wires) {
+            self.ended.push((attempt, (Reported::Unsent, None)));
+            return;
+        }
+        let wire = wires.connect(address);
+        let state = State::Connecting { until: now + self.terms.connect_timeout };
+        self.conns
+            .insert(wire, Conn { endpoint, address, attempt: Some(attempt), state, reader: Reader::new() });
+        self.attempts.insert(attempt, wire);
+    }
+
+    fn close_longest_idle(&mut self, wires: &mut impl Wires) -> bool {
+        let until = |conn: &Conn| match conn.state {
+            State::Idle { until } | State::Finishing { until } => Some(until),
+            _ => None,
+        };
+        let longest = self.conns.iter().filter_map(|(wire, conn)| Some((until(conn)?, *wire))).min();
+        longest.map(|(_, wire)| self.close(wire, wires)).is_some()
+    }
+
+    /// Writes a ready attempt's call. The log has its beginning.
+    pub fn launch(&mut self, attempt: Attempt, bytes: &[u8], wires: &mut impl Wires) {
+        let Some(wire) = self.attempts.get(&attempt).copied() else { return };
+        if let Some(conn) = self.conns.get_mut(&wire).filter(|conn| matches!(conn.state, State::Ready)) {
+            conn.state = State::Sent { written: false };
+            wires.write(wire, bytes);
+        }
+    }
+
+    /// A ready attempt is not sent after all; its connection stays.
+    pub fn drop_ready(&mut self, now: Time, attempt: Attempt) {
+        if let Some(wire) = self.attempts.remove(&attempt) {
+            self.rest(now, wire);
+            self.ended.push((attempt, (Reported::Unsent, None)));
+        }
+    }
+
+    /// Nobody waits for an attempt any longer. Its answer must not be taken for another's, so its connection goes.
+    pub fn abandon(&mut self, attempt: Attempt, wires: &mut impl Wires) {
+        self.ready.retain(|ready| *ready != attempt);
+        if let Some(wire) = self.attempts.remove(&attempt) {
+            self.conns.remove(&wire);
+            wires.close(wire);
+        }
+    }
+
+    fn close(&mut self, wire: Wire, wires: &mut impl Wires) {
+        self.remove(wire);
+        wires.close(wire);
+    }
+
+    fn remove(&mut self, wire: Wire) -> Option<Conn> {
+        let conn = self.conns.remove(&wire)?;
+        if let Some(idle) = self.idle.get_mut(&conn.endpoint) {
+            idle.retain(|other| *other != wire);
+            if idle.is_empty() {
+                self.idle.remove(&conn.endpoint);
+            }
+        }
+        Some(conn)
+    }
+
+    /// A connection becomes idle.
+    fn rest(&mut self, now: Time, wire: Wire) {
+        if let Some(conn) = self.conns.get_mut(&wire) {
+            (conn.attempt, conn.state) =
+                (None, State::Idle { until: now + self.terms.idle.mul_f64(IDLE_PART) });
+            conn.reader = Reader::new();
+            self.idle.entry(conn.endpoint).or_default().push(wire);
+        }
+    }
+
+    /// Idle connections to an endpoint are closed.
+    pub fn close_idle(&mut self, endpoint: EndpointId, wires: &mut impl Wires) {
+        for wire in self.idle.remove(&endpoint).unwrap_or_default() {
+            self.conns.remove(&wire);
+            wires.close(wire);
+        }
+    }
+
+    /// The list has changed: idle connections to what is gone, or elsewhere now, are closed.
+    pub fn keep_listed(
+        &mut self,
+        address: impl Fn(EndpointId) -> Option<SocketAddr>,
+        wires: &mut impl Wires,
+    ) {
+        let moved = |conn: &Conn| conn.attempt.is_none() && address(conn.endpoint) != Some(conn.address);
+        let gone: Vec<Wire> =
+            self.conns.iter().filter(|(_, conn)| moved(conn)).map(|(wire, _)| *wire).collect();
+        gone.into_iter().for_each(|wire| self.close(wire, wires));
+    }
+
+    /// Whether a connection is one of these.
+    pub fn owns(&self, wire: Wire) -> bool {
+        self.conns.contains_key(&wire)
+    }
+
+    /// A connection is there.
+    pub fn connected(&mut self, wire: Wire) {
+        let Some(conn) = self.conns.get_mut(&wire) else { return };
+        if let (State::Connecting { .. }, Some(attempt)) = (&conn.state, conn.attempt) {
+            conn.state = State::Ready;
+            self.ready.push(attempt);
+        }
+    }
+
+    /// All bytes of a call are with the system.
+    pub fn written(&mut self, wire: Wire) {
+        if let Some(State::Sent { written }) = self.conns.get_mut(&wire).map(|conn| &mut conn.state) {
+            *written = true;
+        }
+    }
+
+    /// A connection failed to come up, or ended.
+    pub fn lost(&mut self, wire: Wire, clean: bool) {
+        let Some(mut conn) = self.remove(wire) else { return };
+        let Some(attempt) = conn.attempt else { return };
+        let told = match conn.state {
+            // What broke before the call's last byte was written never ran.
+            State::Connecting { .. } | State::Ready | State::Sent { written: false } => {
+                Some((Reported::ConnectFailed, None))
+            }
+            _ => conn.reader.end(clean, &self.terms.fields),
+        };
+        self.ready.retain(|ready| *ready != attempt);
+        self.attempts.remove(&attempt);
+        self.ended.extend(told.map(|told| (attempt, told)));
+    }
+
+    /// Bytes came.
+    pub fn bytes(&mut self, now: Time, wire: Wire, bytes: &[u8], wires: &mut impl Wires) {
+        let Some(conn) = self.conns.get_mut(&wire) else { return };
+        let sent = match conn.state {
+            State::Sent { written } => written,
+            State::Finishing { .. } => true,
+            // Nothing was asked: a late copy or noise, which a later call would take for its answer.
+            State::Idle { .. } => return self.close(wire, wires),
+            State::Connecting { .. } | State::Ready => {
+                // Noise on a connection that an attempt was about to use: that one has not been sent.
+                let Some(attempt) = conn.attempt else { return self.close(wire, wires) };
+                self.close(wire, wires);
+                self.ready.retain(|ready| *ready != attempt);
+                self.attempts.remove(&attempt);
+                return self.ended.push((attempt, (Reported::ConnectFailed, None)));
+            }
+        };
+        let read = conn.reader.bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
+        if let (Some(told), Some(attempt)) = (read.told, conn.attempt) {
+            self.attempts.remove(&attempt);
+            self.ended.push((attempt, told));
+            conn.state = State::Finishing { until: now + REST };
+            conn.attempt = None;
+        }
+        match read.line {
+            Line::Open => {}
+            // An answer that came before the call was written whole leaves the rest of it in the way.
+            Line::Free if sent => self.rest(now, wire),
+            Line::Free | Line::Spoilt => self.close(wire, wires),
+        }
+    }
+
+    /// When [`Calls::tick`] must be called at the latest.
+    pub fn due(&self) -> Option<Time> {
+        let due = |conn: &Conn| match conn.state {
+            State::Connecting { until } | State::Finishing { until } | State::Idle { until } => Some(until),
+            State::Ready | State::Sent { .. } => None,
+        };
+        self.conns.values().filter_map(due).min()
+    }
+
+    /// Ends what has taken too long.
+    pub fn tick(&mut self, now: Time, wires: &mut impl Wires) {
+        let late = |conn: &Conn| match conn.state {
+            State::Connecting { until } | State::Finishing { until } | State::Idle { until } => until <= now,
+            State::Ready | State::Sent { .. } => false,
+        };
+        let gone: Vec<Wire> =
+            self.conns.iter().filter(|(_, conn)| late(conn)).map(|(wire, _)| *wire).collect();
+        for wire in gone {
+            wires.close(wire);
+            self.lost(wire, false);
+        }
+    }
+}
--- /dev/null
+++ b/crates/platform/src/guests.rs
@@ -0,0 +1,164 @@
+//! Clients' connections: their commands, and who is closed when. None of it may slow the usual clients.
+
+use crate::Wire;
+use cloverstile::Time;
+use cloverstile_resp::{Command, Decoder, Limits, RespError};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long a connection may say nothing from its start on.
+const SILENT: Duration = Duration::from_millis(2000);
+/// How long a command may take from its first byte to its last.
+const HALF: Duration = Duration::from_millis(1200);
+/// How long a connection may rest after its last answer.
+const RESTING: Duration = Duration::from_millis(5000);
+/// Commands that one connection may hand over in one turn: a usual client waits for its answers.
+const AT_ONCE: usize = 128;
+
+struct Guest {
+    decoder: Decoder,
+    since: Time,
+    /// Its last byte.
+    last: Time,
+    /// It has sent a whole command.
+    spoke: bool,
+    /// Since when it is in the middle of a command.
+    half: Option<Time>,
+}
+
+impl Guest {
+    /// When it is closed if nothing more comes.
+    fn due(&self) -> Time {
+        match self.half {
+            Some(since) => since + HALF,
+            None if self.spoke => self.last + RESTING,
+            None => self.since + SILENT,
+        }
+    }
+}
+
+/// Why a client is closed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// What it sent can't be read.
+    Unreadable(RespError),
+    /// It handed over more commands at once than are answered.
+    TooMany,
+    /// It stayed in the middle of a command.
+    Half,
+    /// It said nothing for long.
+    Silent,
+    /// Another took its place.
+    Crowded,
+}
+
+impl Why {
+    /// The error line that goes ahead of the close.
+    pub fn line(&self) -> Option<String> {
+        Some(match self {
+            Why::Unreadable(error) => format!("ERR protocol: {error}"),
+            Why::TooMany => format!("ERR more than {AT_ONCE} commands at once"),
+            Why::Half => format!("ERR a command took longer than {HALF:?}"),
+            Why::Silent | Why::Crowded => return None,
+        })
+    }
+}
+
+/// All clients' connections.
+pub struct Guests {
+    all: BTreeMap<Wire, Guest>,
+    most: usize,
+    limits: Limits,
+}
+
+impl Guests {
+    /// At most so many.
+    pub fn new(most: usize) -> Self {
+        Guests { all: BTreeMap::new(), most, limits: Limits::default() }
+    }
+
+    /// Connections.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// Whether a connection is a client's.
+    pub fn owns(&self, wire: Wire) -> bool {
+        self.all.contains_key(&wire)
+    }
+
+    /// A client connected. Where there are too many, who must go for it: those that never spoke first, then those
+    /// that rest, the longest first.
+    pub fn welcome(&mut self, now: Time, wire: Wire) -> Option<Wire> {
+        let decoder = Decoder::new(self.limits);
+        self.all.insert(wire, Guest { decoder, since: now, last: now, spoke: false, half: None });
+        if self.all.len() <= self.most {
+            return None;
+        }
+        let order = |guest: &Guest| (guest.spoke, guest.half.is_some(), guest.last);
+        let leaves = self.all.iter().min_by_key(|(_, guest)| order(guest)).map(|(wire, _)| *wire)?;
+        self.all.remove(&leaves);
+        Some(leaves)
+    }
+
+    /// A connection is gone.
+    pub fn left(&mut self, wire: Wire) {
+        self.all.remove(&wire);
+    }
+
+    /// Bytes came: the whole commands among them, and whether the client must be closed after their answers.
+    pub fn bytes(&mut self, now: Time, wire: Wire, bytes: &[u8]) -> (Vec<Command>, Option<Why>) {
+        let Some(guest) = self.all.get_mut(&wire) else { return (Vec::new(), None) };
+        guest.last = now;
+        guest.decoder.feed(bytes);
+        let mut commands = Vec::new();
+        let why = loop {
+            match guest.decoder.take() {
+                Ok(Some(_)) if commands.len() == AT_ONCE => break Some(Why::TooMany),
+                Ok(Some(command)) => commands.push(command),
+                Ok(None) => break None,
+                Err(error) => break Some(Why::Unreadable(error)),
+            }
+        };
+        if !commands.is_empty() {
+            guest.spoke = true;
+            guest.half = None;
+        }
+        let half = guest.half.unwrap_or(now);
+        guest.half = (guest.decoder.held() > 0).then_some(half);
+        if why.is_some() {
+            self.all.remove(&wire);
+        }
+        (commands, why)
+    }
+
+    /// When [`Guests::tick`] has something to do next.
+    pub fn due(&self) -> Option<Time> {
+        self.all.values().map(Guest::due).min()
+    }
+
+    /// Who has to go now, and why.
+    pub fn tick(&mut self, now: Time) -> Vec<(Wire, Why)> {
+        let late: Vec<(Wire, Why)> = self
+            .all
+            .iter()
+            .filter(|(_, guest)| guest.due() <= now)
+            .map(|(wire, guest)| (*wire, if guest.half.is_some() { Why::Half } else { Why::Silent }))
+            .collect();
+        late.iter().for_each(|(wire, _)| self.left(*wire));
+        late
+    }
+
+    /// Those between two requests, who may be closed at any time; they are let go of.
+    pub fn resting(&mut self) -> Vec<Wire> {
+        let resting: Vec<Wire> =
+            self.all.iter().filter(|(_, guest)| guest.half.is_none()).map(|(wire, _)| *wire).collect();
+        resting.iter().for_each(|wire| self.left(*wire));
+        resting
+    }
+}
--- /dev/null
+++ b/crates/platform/src/leaving.rs
@@ -0,0 +1,70 @@
+//! What a courier that was told to stop still does, and when it ends by itself.
+//!
+//! New connections keep coming for a moment, and a killed process loses whatever call is out: so it listens on,
+//! then sends its clients elsewhere while it delivers on, then sends nothing new, and ends before it is killed.
+
+use cloverstile::Time;
+use std::time::Duration;
+
+/// Until when new connections keep coming.
+const LISTENS: Duration = Duration::from_millis(450);
+/// From when on nothing new is sent: what is out then has this much less than the last moment to end.
+const SENDS: Duration = Duration::from_millis(2200);
+/// When the courier ends, whatever is out: it is killed a little later.
+const ENDS: Duration = Duration::from_millis(3400);
+
+/// What is still done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// Everything.
+    Listening,
+    /// Clients are closed between requests; what is held is delivered on.
+    Delivering,
+    /// Nothing new is sent; calls out may end.
+    Waiting,
+    /// Nothing: the process ends.
+    Over,
+}
+
+/// What is left.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Left {
+    /// Messages without an end.
+    pub held: usize,
+    /// Calls out.
+    pub out: usize,
+    /// Notices not answered.
+    pub notices: usize,
+}
+
+/// A stop that was asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Leaving {
+    since: Time,
+}
+
+impl Leaving {
+    /// Asked for at this moment.
+    pub fn new(since: Time) -> Self {
+        Leaving { since }
+    }
+
+    /// What is still done now.
+    pub fn stage(&self, now: Time, left: Left) -> Stage {
+        let passed = now - self.since;
+        match passed {
+            _ if passed < LISTENS => Stage::Listening,
+            _ if passed >= ENDS || left == Left::default() => Stage::Over,
+            _ if passed < SENDS => Stage::Delivering,
+            // What is held stays in the log; only what is out or owed is worth waiting for.
+            _ if left.out == 0 && left.notices == 0 => Stage::Over,
+            _ => Stage::Waiting,
+        }
+    }
+
+    /// When the stage changes next, if nothing else happens.
+    pub fn due(&self, now: Time) -> Time {
+        let next = [LISTENS, SENDS, ENDS].into_iter().map(|span| self.since + span).find(|at| *at > now);
+        next.unwrap_or(now)
+    }
+}
--- /dev/null
+++ b/crates/platform/src/list.rs
@@ -0,0 +1,129 @@
+//! The list of endpoints, as discovery tells it.
+
+use crate::config::Names;
+use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Mode, ZoneId};
+use serde::Deserialize;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// An answer of discovery: the whole list, or what changed.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+pub struct ListAnswer {
+    /// Its version.
+    pub generation: u64,
+    /// The list is whole: what it does not name is gone.
+    #[serde(default)]
+    pub reset: bool,
+    /// The entries.
+    #[serde(default)]
+    pub instances: Vec<Instance>,
+}
+
+/// An entry of the list.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
+pub struct Instance {
+    /// The endpoint's id, the same for all couriers.
+    pub instance_id: String,
+    /// Where this courier reaches it.
+    pub host_port: String,
+    /// Its zone's name.
+    #[serde(default)]
+    pub zone: String,
+    /// Its kind's name.
+    #[serde(default)]
+    pub machine_type: String,
+    /// The destination that it belongs to.
+    pub cell: u16,
+    /// `SERVING`, `DRAINING` or, among changes, `DELETED`.
+    pub lifecycle: String,
+    /// See the settings.
+    #[serde(default)]
+    pub weight: f64,
+}
+
+struct Known {
+    endpoint: Endpoint,
+    address: SocketAddr,
+}
+
+/// The list held, with the module's id of each endpoint.
+#[derive(Default)]
+pub struct List {
+    known: BTreeMap<String, Known>,
+    addresses: BTreeMap<EndpointId, SocketAddr>,
+    destinations: BTreeSet<DestinationId>,
+    last: u32,
+    generation: u64,
+}
+
+impl List {
+    /// Version of the list held.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Where an endpoint is, if it is listed.
+    pub fn address(&self, id: EndpointId) -> Option<SocketAddr> {
+        self.addresses.get(&id).copied()
+    }
+
+    /// Whether a destination was ever listed: while its endpoints are replaced it still is one.
+    pub fn has_destination(&self, to: DestinationId) -> bool {
+        self.destinations.contains(&to)
+    }
+
+    /// The whole list, as the engine takes it.
+    pub fn endpoints(&self) -> Vec<Endpoint> {
+        self.known.values().map(|known| known.endpoint.clone()).collect()
+    }
+
+    /// Takes an answer. Entries that can't be read are left out and told by their ids; the rest counts.
+    pub fn take(&mut self, answer: &ListAnswer, names: &Names) -> Vec<String> {
+        let mut unread = Vec::new();
+        self.generation = answer.generation;
+        if answer.reset {
+            let listed: BTreeSet<&str> = answer.instances.iter().map(|i| i.instance_id.as_str()).collect();
+            self.known.retain(|id, _| listed.contains(id.as_str()));
+        }
+        for instance in &answer.instances {
+            let mode = match instance.lifecycle.as_str() {
+                "SERVING" => Mode::Ready,
+                "DRAINING" => Mode::Draining,
+                "DELETED" => {
+                    self.known.remove(&instance.instance_id);
+                    continue;
+                }
+                _ => {
+                    unread.push(instance.instance_id.clone());
+                    continue;
+                }
+            };
+            let Ok(address) = instance.host_port.parse::<SocketAddr>() else {
+                unread.push(instance.instance_id.clone());
+                continue;
+            };
+            let place = |names: &[String], name: &str| names.iter().position(|known| known == name);
+            // A name that the settings don't have gets a place that they don't have either.
+            let zone = place(&names.zones, &instance.zone).and_then(|zone| u8::try_from(zone).ok());
+            let kind = place(&names.kinds, &instance.machine_type).and_then(|kind| u16::try_from(kind).ok());
+            let known = self.known.get(&instance.instance_id).map(|known| known.endpoint.id);
+            let id = known.unwrap_or_else(|| {
+                self.last += 1;
+                EndpointId(self.last)
+            });
+            let endpoint = Endpoint {
+                id,
+                zone: ZoneId(zone.unwrap_or(u8::MAX)),
+                kind: KindId(kind.unwrap_or(u16::MAX)),
+                destination: DestinationId(instance.cell),
+                mode,
+                weight: instance.weight,
+            };
+            self.destinations.insert(endpoint.destination);
+            self.known.insert(instance.instance_id.clone(), Known { endpoint, address });
+        }
+        self.addresses = self.known.values().map(|known| (known.endpoint.id, known.address)).collect();
+        unread
+    }
+}
--- /dev/null
+++ b/crates/wal/src/record.rs
@@ -0,0 +1,246 @@
+//! Records and their bytes: length, checksum, kind, fields. Little-endian.
+
+/// What is owed to a message that ended undelivered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It may have taken effect.
+    Undeliverable,
+    /// It never took effect; come again after so many milliseconds, where that is told.
+    Deferred(Option<u64>),
+}
+
+/// What the log knows of a message that is not over.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Living {
+    /// The client's id of it.
+    pub id: Vec<u8>,
+    /// Its idempotency key, if its class has one.
+    pub idempotency: Option<Vec<u8>>,
+    /// Its class, by place.
+    pub class: u8,
+    /// Its destination.
+    pub destination: u16,
+    /// Its order key; 0 for none.
+    pub order: u64,
+    /// When it was taken and when it is given up, in Unix nanoseconds.
+    pub taken_at: u64,
+    /// See `taken_at`.
+    pub deadline: u64,
+    /// A courier that died held it before.
+    pub after_loss: bool,
+    /// Attempts begun.
+    pub attempts: u16,
+    /// When the first attempt was begun that may have run, in Unix nanoseconds.
+    pub may_have_run: Option<u64>,
+    /// When the attempt was begun that has no outcome yet.
+    pub open: Option<u64>,
+    /// It has ended, and the platform was not told yet.
+    pub owed: Option<Ending>,
+    /// What is delivered; empty once it has ended.
+    pub body: Vec<u8>,
+}
+
+/// One step of a message. `seq` is the courier's own number of it, unique while it lives.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Record {
+    /// Taken on; in a fresh segment, as it stands.
+    Taken(u32, Box<Living>),
+    /// An attempt begins, at this Unix time in nanoseconds.
+    Begun(u32, u64),
+    /// The attempt that was out has its outcome; whether it may have run.
+    Settled(u32, bool),
+    /// It ended undelivered; the notice is owed.
+    Owed(u32, Ending),
+    /// Over: delivered, withdrawn, or its notice answered.
+    Over(u32),
+}
+
+/// Bytes before a record's payload: its length and its checksum.
+pub const HEAD: usize = 8;
+/// No record is longer: what says so is damaged.
+pub const LONGEST: usize = 256 << 10;
+
+struct Out<'a>(&'a mut Vec<u8>);
+
+impl Out<'_> {
+    fn u8(&mut self, value: u8) {
+        self.0.push(value);
+    }
+    fn u16(&mut self, value: u16) {
+        self.0.extend(value.to_le_bytes());
+    }
+    fn u32(&mut self, value: u32) {
+        self.0.extend(value.to_le_bytes());
+    }
+    fn u64(&mut self, value: u64) {
+        self.0.extend(value.to_le_bytes());
+    }
+    fn option(&mut self, value: Option<u64>) {
+        self.u8(u8::from(value.is_some()));
+        self.u64(value.unwrap_or(0));
+    }
+    fn bytes(&mut self, value: &[u8]) {
+        self.u32(u32::try_from(value.len()).unwrap_or(u32::MAX));
+        self.0.extend_from_slice(value);
+    }
+    fn ending(&mut self, ending: Ending) {
+        match ending {
+            Ending::Undeliverable => self.u8(1),
+            Ending::Deferred(again) => {
+                self.u8(2);
+                self.option(again);
+            }
+        }
+    }
+}
+
+impl Record {
+    /// Appends the record's bytes.
+    pub fn write(&self, out: &mut Vec<u8>) {
+        let start = out.len();
+        out.extend([0; HEAD]);
+        let mut to = Out(out);
+        match self {
+            Record::Taken(seq, living) => {
+                to.u8(1);
+                to.u32(*seq);
+                to.bytes(&living.id);
+                to.u8(u8::from(living.idempotency.is_some()));
+                to.bytes(living.idempotency.as_deref().unwrap_or_default());
+                to.u8(living.class);
+                to.u16(living.destination);
+                to.u64(living.order);
+                to.u64(living.taken_at);
+                to.u64(living.deadline);
+                to.u8(u8::from(living.after_loss));
+                to.u16(living.attempts);
+                to.option(living.may_have_run);
+                to.option(living.open);
+                match living.owed {
+                    None => to.u8(0),
+                    Some(ending) => to.ending(ending),
+                }
+                to.bytes(&living.body);
+            }
+            Record::Begun(seq, at) => {
+                to.u8(2);
+                to.u32(*seq);
+                to.u64(*at);
+            }
+            Record::Settled(seq, may_have_run) => {
+                to.u8(3);
+                to.u32(*seq);
+                to.u8(u8::from(*may_have_run));
+            }
+            Record::Owed(seq, ending) => {
+                to.u8(4);
+                to.u32(*seq);
+                to.ending(*ending);
+            }
+            Record::Over(seq) => {
+                to.u8(5);
+                to.u32(*seq);
+            }
+        }
+        let length = u32::try_from(out.len() - start - HEAD).unwrap_or(u32::MAX);
+        let checksum = crc32fast::hash(&out[start + HEAD..]);
+        out[start..start + 4].copy_from_slice(&length.to_le_bytes());
+        out[start + 4..start + HEAD].copy_from_slice(&checksum.to_le_bytes());
+    }
+
+    /// The record that the bytes begin with, and how many they are; none where they are torn or damaged.
+    pub fn read(bytes: &[u8]) -> Option<(Record, usize)> {
+        let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
+        let checksum = u32::from_le_bytes(bytes.get(4..HEAD)?.try_into().ok()?);
+        if length > LONGEST {
+            return None;
+        }
+        let payload = bytes.get(HEAD..HEAD + length)?;
+        if crc32fast::hash(payload) != checksum {
+            return None;
+        }
+        let mut from = In(payload);
+        let record = from.record()?;
+        from.0.is_empty().then_some((record, HEAD + length))
+    }
+}
+
+struct In<'a>(&'a [u8]);
+
+impl<'a> In<'a> {
+    fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(count)?;
+        self.0 = rest;
+        Some(head)
+    }
+    fn u8(&mut self) -> Option<u8> {
+        Some(self.take(1)?[0])
+    }
+    fn flag(&mut self) -> Option<bool> {
+        match self.u8()? {
+            0 => Some(false),
+            1 => Some(true),
+            _ => None,
+        }
+    }
+    fn u16(&mut self) -> Option<u16> {
+        Some(u16::from_le_bytes(self.take(2)?.try_into().ok()?))
+    }
+    fn u32(&mut self) -> Option<u32> {
+        Some(u32::from_le_bytes(self.take(4)?.try_into().ok()?))
+    }
+    fn u64(&mut self) -> Option<u64> {
+        Some(u64::from_le_bytes(self.take(8)?.try_into().ok()?))
+    }
+    fn option(&mut self) -> Option<Option<u64>> {
+        let there = self.flag()?;
+        let value = self.u64()?;
+        Some(there.then_some(value))
+    }
+    fn bytes(&mut self) -> Option<Vec<u8>> {
+        let count = self.u32()? as usize;
+        self.take(count).map(<[u8]>::to_vec)
+    }
+    fn ending(&mut self) -> Option<Option<Ending>> {
+        Some(match self.u8()? {
+            0 => None,
+            1 => Some(Ending::Undeliverable),
+            2 => Some(Ending::Deferred(self.option()?)),
+            _ => return None,
+        })
+    }
+    fn record(&mut self) -> Option<Record> {
+        let kind = self.u8()?;
+        let seq = self.u32()?;
+        Some(match kind {
+            1 => {
+                let id = self.bytes()?;
+                let keyed = self.flag()?;
+                let key = self.bytes()?;
+                Record::Taken(
+                    seq,
+                    Box::new(Living {
+                        id,
+                        idempotency: keyed.then_some(key),
+                        class: self.u8()?,
+                        destination: self.u16()?,
+                        order: self.u64()?,
+                        taken_at: self.u64()?,
+                        deadline: self.u64()?,
+                        after_loss: self.flag()?,
+                        attempts: self.u16()?,
+                        may_have_run: self.option()?,
+                        open: self.option()?,
+                        owed: self.ending()?,
+                        body: self.bytes()?,
+                    }),
+                )
+            }
+            2 => Record::Begun(seq, self.u64()?),
+            3 => Record::Settled(seq, self.flag()?),
+            4 => Record::Owed(seq, self.ending()??),
+            5 => Record::Over(seq),
+            _ => return None,
+        })
+    }
+}
--- a/src/bin/cloverstile-wirehost/host.rs
+++ b/src/bin/cloverstile-wirehost/host.rs
@@ -1,6 +1,5 @@
 //! Instance table: records to events of the module, its actions to replies. Translates only.
 
-use crate::settings::{parse_settings, Parsed, SettingError};
 use crate::wire::{Entry, FinishedRecord, Record, Reply, WireError};
 use cloverstile::*;
 use std::collections::BTreeMap;
--- a/src/bin/cloverstile-wirehost/main.rs
+++ b/src/bin/cloverstile-wirehost/main.rs
@@ -1,7 +1,6 @@
 //! Puts the decision module on the bench's wire: batches on standard input, one reply each on standard output.
 
 mod host;
-mod settings;
 mod wire;
 
 use std::io::{self, ErrorKind, Read, Write};
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -149,6 +149,7 @@
         match event {
             Event::Listed(listing) => self.on_listing(now, listing),
             Event::Accept(message) => self.on_accept(now, message),
+            Event::Recovered(message, past) => self.on_recovered(now, message, past),
             Event::Finished(finished) => self.on_finished(now, finished),
             Event::ClientGone(id) => self.close(id),
             Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
@@ -236,6 +237,22 @@
         self.messages.insert(message.taken.id, message);
     }
 
+    /// A restart forgives nothing: attempts used stay used, the window runs from the first one that may have
+    /// run, and a call that was out then lets its key rest. What can never go again is answered at once.
+    fn on_recovered(&mut self, now: Time, taken: Accepted, past: Past) {
+        let (id, key, settle) = (taken.id, taken.key, self.settings.rules.order_settle);
+        self.on_accept(now, taken);
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        (message.born, message.attempts) = (past.taken_at, past.attempts);
+        message.maybe_ran = past.may_have_run.map(|at| (at, None));
+        if let (true, Some(key)) = (past.unsettled, key) {
+            self.rests.insert(key, now + settle);
+        }
+        if let Some(message) = self.messages.get(&id) {
+            self.deadlines.insert((self.last_send(message).max(now).min(message.taken.deadline), id));
+        }
+    }
+
     /// Whether a tenant is past its quota for all couriers together: what passes the part assumed to be this
     /// courier's, saved up over a cold return's length (a second's is under one message), counts as beyond.
     fn is_over_share(&mut self, now: Time, tenant: TenantId) -> bool {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -329,6 +329,19 @@
     pub tenant: TenantId,
 }
 
+/// What a message went through under a courier that is no more, as its log has it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Past {
+    /// When it was handed in.
+    pub taken_at: Time,
+    /// Attempts begun.
+    pub attempts: u32,
+    /// When the first attempt was sent that may have run.
+    pub may_have_run: Option<Time>,
+    /// Its last attempt was out when the courier ended.
+    pub unsettled: bool,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -385,6 +398,8 @@
     Listed(Listing),
     /// A message was taken.
     Accept(Accepted),
+    /// A message that this courier took before it was started again; it owes it still. In the order taken.
+    Recovered(Accepted, Past),
     /// An attempt ended.
     Finished(Finished),
     /// Nobody wants this message any more; no answer is owed.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,6 +31,8 @@
 mod books;
 mod choice;
 mod interface;
+mod settings;
 
 pub use choice::Courier;
 pub use interface::*;
+pub use settings::{parse_settings, Parsed, SettingError};
--- a/src/bin/cloverstile-wirehost/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,6 @@
-//! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped.
+//! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped. One parser serves every adapter.
 
-use cloverstile::{
+use crate::interface::{
     Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource, ZoneId,
 };
 use std::collections::BTreeMap;
@@ -11,17 +11,32 @@
 /// A setting that cannot be read.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum SettingError {
+    /// A line without an equals sign.
     #[error("line {line}: '{text}' is not path=value")]
-    Line { line: usize, text: String },
+    Line {
+        /// Which, from 1.
+        line: usize,
+        /// What it says.
+        text: String,
+    },
+    /// A value of another type.
     #[error("setting {path}: '{value}' cannot be read")]
-    Value { path: String, value: String },
+    Value {
+        /// Of which setting.
+        path: String,
+        /// What it says.
+        value: String,
+    },
 }
 
 /// The settings, and where the load report keeps its two values.
 #[derive(Debug)]
 pub struct Parsed {
+    /// What the module is handed.
     pub settings: Settings,
+    /// Place of the share that is left of a limit.
     pub left_at: Option<usize>,
+    /// Place of the limit itself.
     pub limit_at: Option<usize>,
 }
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,9 +3,6 @@
 #[path = "../src/bin/cloverstile-wirehost/host.rs"]
 #[allow(dead_code)]
 mod host;
-#[path = "../src/bin/cloverstile-wirehost/settings.rs"]
-#[allow(dead_code)]
-mod settings;
 #[path = "../src/bin/cloverstile-wirehost/wire.rs"]
 #[allow(dead_code)]
 mod wire;
@@ -193,7 +190,7 @@
 fn unknown_settings_are_skipped_and_lists_follow_their_sheet() {
     let config =
         "Balancers=3\nLanes.count=1\nLanes.0.Effect=read_like\nNew.Thing=1,2\nFamilyInfo.KindBatch=1,4\n";
-    let parsed = settings::parse_settings(config).unwrap();
+    let parsed = cloverstile::parse_settings(config).unwrap();
     assert_eq!(parsed.settings.couriers, 3);
     assert_eq!(parsed.settings.kinds[1].batch, 4);
     // A sheet's number taken over later in a batch does not touch what referred to it before.
