--- /dev/null
+++ b/crates/courier/tests/node.rs
@@ -0,0 +1,292 @@
+//! `cloverstile node` as the platform runs it: killed, stopped, told of another discovery, beside bad clients, with
+//! spoilt answers. Judged from what passed on the stand-ins' sockets.
+
+use cloverstile_standin::platform::{judge, read_line, Manner, Platform, PutSpec, Seen};
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
+const SOON: Duration = Duration::from_secs(20);
+
+struct World {
+    platform: Platform,
+    folder: PathBuf,
+    listen: SocketAddr,
+    courier: Option<Child>,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        self.kill();
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn signal(child: &Child, name: &str) {
+    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
+}
+
+impl World {
+    fn new(name: &str, cells: &[u16]) -> World {
+        let folder = std::env::temp_dir().join(format!("cloverstile-node-{}-{name}", std::process::id()));
+        fs::create_dir_all(folder.join("state")).unwrap();
+        // A port that was free a moment ago: the courier's address must outlast its processes.
+        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let world = World { platform: Platform::start(cells).unwrap(), folder, listen, courier: None };
+        world.configure(0);
+        world
+    }
+
+    fn config(&self) -> PathBuf {
+        self.folder.join("config.json")
+    }
+
+    fn configure(&self, discovery: usize) {
+        let lane = |name: &str, effect: &str, in_order: bool| {
+            serde_json::json!({"Name": name, "Effect": effect, "Group": "all", "Aim": 1_000_000_000u64, "Deadline": 12_000_000_000u64,
+                "RepeatWindow": 8_000_000_000u64, "OneAtATime": in_order, "Worth": 1.0, "LateShare": 0.4})
+        };
+        let text = serde_json::json!({
+            "name": "n0", "listen": self.listen.to_string(), "discovery": self.platform.discovery[discovery].to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1},
+            "known": self.platform.known(),
+            "settings": {"Balancers": 1, "Discovery": "push", "FamilyInfo": {"CallsOut": 16, "KindBatch": [1]},
+                "Lanes": [lane("notice", "idempotency_key", true), lane("payment", "non_idempotent", false)],
+                "MachineTypes": ["any"], "Zones": ["here"], "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true,
+                "ConnIdle": 5_000_000_000u64, "ConnectTimeout": 1_000_000_000u64}, "WeightSource": "nominal",
+                "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000}},
+        });
+        let fresh = self.folder.join("config.new");
+        fs::write(&fresh, text.to_string()).unwrap();
+        fs::rename(fresh, self.config()).unwrap();
+    }
+
+    fn command(&self) -> Command {
+        let mut command = Command::new(PROGRAM);
+        command
+            .arg("node")
+            .env("ROUTER_CONFIG", self.config())
+            .env("ROUTER_STATE", self.folder.join("state"));
+        command.stdout(Stdio::null()).stderr(Stdio::null());
+        command
+    }
+
+    fn start(&mut self) {
+        self.courier = Some(self.command().spawn().unwrap());
+        let end = Instant::now() + SOON;
+        loop {
+            if let Ok(mut stream) = TcpStream::connect(self.listen) {
+                stream.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+                if read_line(&mut stream).is_ok_and(|line| line == "+PONG") {
+                    return;
+                }
+            }
+            assert!(Instant::now() < end, "it never answered a PING");
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    fn kill(&mut self) {
+        if let Some(mut courier) = self.courier.take() {
+            let _ = courier.kill();
+            let _ = courier.wait();
+        }
+    }
+
+    fn client(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.listen).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
+        stream
+    }
+
+    /// Waits until the judge finds every message over, and then what else it finds.
+    fn broken_in_the_end(&self) -> Vec<String> {
+        self.platform.until(SOON, |seen| !judge(seen).iter().any(|broken| broken.ends_with("is lost")));
+        judge(&self.platform.seen())
+    }
+
+    fn calls(&self, id: &str) -> usize {
+        let of = |seen: &Seen| matches!(seen, Seen::Call { id: other, .. } if other == id);
+        self.platform.seen().iter().filter(|(_, seen)| of(seen)).count()
+    }
+}
+
+fn notice(id: String, key: u64) -> PutSpec {
+    let body = [b"slip \r\n\x00\xff ".as_slice(), id.as_bytes()].concat();
+    let idempotency = Some(format!("k-{id}"));
+    PutSpec { id, key, class: "notice".into(), left: 9000, destination: 3, idempotency, body }
+}
+
+fn payment(id: String) -> PutSpec {
+    PutSpec { key: 0, class: "payment".into(), idempotency: None, ..notice(id, 0) }
+}
+
+#[test]
+fn what_is_handed_in_arrives_unchanged_and_bad_input_takes_nothing_on() {
+    let mut world = World::new("calm", &[3, 3, 4]);
+    world.start();
+    let mut client = world.client();
+    let bad: [&[u8]; 9] = [
+        b"GET / HTTP/1.1\r\n\r\n",
+        b"*5\r\n$7\r\nMSG.PUT\r\n$60000000\r\n",
+        b"*-3\r\n",
+        b"*2\r\n$-9\r\nxx",
+        b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\na\r\n$20\r\nc=other,d=9,dest=300\r\n$0\r\n\r\n",
+        b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$0\r\n\r\n$21\r\nc=payment,d=9,dest=03\r\n$0\r\n\r\n",
+        b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0",
+        b"*99999999999999999999999999999999999999999",
+        b"",
+    ];
+    let mut others: Vec<TcpStream> = bad.iter().map(|_| world.client()).collect();
+    for (stream, bytes) in others.iter_mut().zip(bad) {
+        stream.write_all(bytes).unwrap();
+    }
+    for number in 0..20 {
+        let put =
+            if number % 2 == 0 { notice(format!("n{number}"), 7) } else { payment(format!("p{number}")) };
+        assert_eq!(world.platform.hand_in(&mut client, &put).unwrap(), "+OK");
+    }
+    // Two commands at once are answered in order.
+    client.write_all(&[b"*1\r\n$4\r\nPING\r\n".to_vec(), payment("late".into()).command()].concat()).unwrap();
+    assert_eq!([read_line(&mut client).unwrap(), read_line(&mut client).unwrap()], ["+PONG", "+OK"]);
+    assert_eq!(world.broken_in_the_end(), [""; 0]);
+    for (_, seen) in world.platform.seen() {
+        if let Seen::Call { id, idempotency, endpoint, body } = seen {
+            assert_eq!(body, notice(id.clone(), 0).body);
+            assert_eq!(idempotency, id.starts_with('n').then(|| format!("k-{id}")));
+            assert_ne!(endpoint, 2, "that one is of another destination");
+        }
+    }
+    let end = Instant::now() + Duration::from_secs(3);
+    for (stream, bytes) in others.iter_mut().zip(bad) {
+        let mut answer = [0; 4];
+        // An error line, or the end of the connection.
+        let told = stream.read(&mut answer).map_or(true, |count| count == 0 || answer[0] == b'-');
+        assert!(told, "{}", String::from_utf8_lossy(bytes));
+    }
+    assert!(Instant::now() < end, "within 3 s");
+}
+
+#[test]
+fn killed_under_load_it_loses_nothing_and_repeats_nothing_that_may_not_be() {
+    let mut world = World::new("killed", &[3, 3]);
+    world.start();
+    world.platform.set(0, Manner::Deliver(Duration::from_millis(30)));
+    world.platform.set(1, Manner::Silent);
+    for round in 0..3 {
+        let mut client = world.client();
+        for number in 0..40 {
+            let id = format!("{round}-{number}");
+            let put = if number % 2 == 0 { notice(id, number % 3 + 1) } else { payment(id) };
+            let _ = world.platform.hand_in(&mut client, &put);
+        }
+        world.kill();
+        if round == 2 {
+            world.platform.set(1, Manner::Deliver(Duration::ZERO));
+        }
+        world.start();
+    }
+    assert_eq!(world.broken_in_the_end(), [""; 0]);
+    let (_, again) = world.platform.seen().iter().fold((0, 0), |(calls, again), (_, seen)| match seen {
+        Seen::Call { id, .. } if world.calls(id) > 1 => (calls + 1, again + 1),
+        _ => (calls, again),
+    });
+    assert!(again > 0, "no keyed message met a restart: nothing was tested");
+}
+
+#[test]
+fn told_to_stop_it_ends_by_itself_and_the_next_process_goes_on() {
+    let mut world = World::new("stopped", &[3]);
+    world.start();
+    world.platform.set(0, Manner::Deliver(Duration::from_millis(150)));
+    let mut client = world.client();
+    for number in 0..60 {
+        let put =
+            if number % 2 == 0 { notice(format!("n{number}"), 0) } else { payment(format!("p{number}")) };
+        assert_eq!(world.platform.hand_in(&mut client, &put).unwrap(), "+OK");
+    }
+    let mut courier = world.courier.take().unwrap();
+    let told = Instant::now();
+    signal(&courier, "-TERM");
+    assert!(TcpStream::connect(world.listen).is_ok(), "new connections keep coming for a moment");
+    assert!(courier.wait().unwrap().success());
+    assert!(told.elapsed() < Duration::from_millis(3700), "{:?}: it would have been killed", told.elapsed());
+    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    world.start();
+    assert_eq!(world.broken_in_the_end(), [""; 0]);
+    let undeliverable =
+        |seen: &Seen| matches!(seen, Seen::Notice { status, .. } if status == "undeliverable");
+    let lost = world.platform.seen().iter().filter(|(_, seen)| undeliverable(seen)).count();
+    assert_eq!(lost, 0, "calls out had time to end");
+}
+
+#[test]
+fn a_hangup_moves_list_and_notices_to_the_new_address_and_a_bad_file_changes_nothing() {
+    let mut world = World::new("moved", &[3, 4]);
+    world.start();
+    let asked = |seen: &Seen, at: usize| matches!(seen, Seen::Asked { address } if *address == at);
+    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| asked(seen, 0))));
+    fs::write(world.config(), "{ not json").unwrap();
+    signal(world.courier.as_ref().unwrap(), "-HUP");
+    let mut client = world.client();
+    assert_eq!(world.platform.hand_in(&mut client, &payment("p1".into())).unwrap(), "+OK");
+    world.configure(1);
+    signal(world.courier.as_ref().unwrap(), "-HUP");
+    assert!(world.platform.until(Duration::from_secs(4), |seen| seen.iter().any(|(_, seen)| asked(seen, 1))));
+    // From here on what it does shows that it heard of the change at the new address.
+    world.platform.list(1, "DRAINING");
+    world.platform.set(0, Manner::Break);
+    assert_eq!(world.platform.hand_in(&mut client, &payment("p2".into())).unwrap(), "+OK");
+    assert_eq!(world.broken_in_the_end(), [""; 0]);
+    let told = |seen: &Seen| matches!(seen, Seen::Notice { id, address: 1, status } if id == "p2" && status == "undeliverable");
+    assert!(world.platform.seen().iter().any(|(_, seen)| told(seen)));
+}
+
+#[test]
+fn spoilt_answers_are_attempts_that_may_have_run_unless_they_say_200() {
+    let mut world = World::new("spoilt", &[3]);
+    world.start();
+    let mut client = world.client();
+    let rest = "Content-Length: 3000000000\r\n\r\n";
+    for (name, answer, calls, ends) in [
+        ("noise", "\x01\x02\x03\r\n\r\n".to_owned(), 1, "undeliverable"),
+        ("busy", format!("HTTP/1.1 429 Slow\r\nRetry-After: 1\r\n{rest}"), 1, "undeliverable"),
+        ("true", format!("HTTP/1.1 200 OK\r\n{rest}"), 1, ""),
+        (
+            "twice",
+            "HTTP/1.1 100 Go on\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200".to_owned(),
+            1,
+            "",
+        ),
+    ] {
+        world.platform.set(0, Manner::Say(answer.into_bytes()));
+        assert_eq!(world.platform.hand_in(&mut client, &payment(name.into())).unwrap(), "+OK");
+        assert_eq!(world.broken_in_the_end(), [""; 0]);
+        assert_eq!(world.calls(name), calls, "{name}");
+        let told =
+            |seen: &Seen| matches!(seen, Seen::Notice { id, status, .. } if id == name && status == ends);
+        let noticed = || world.platform.seen().iter().any(|(_, seen)| told(seen));
+        assert_eq!(noticed(), !ends.is_empty(), "{name}");
+    }
+}
+
+#[test]
+fn what_is_missing_or_wrong_is_named() {
+    let world = World::new("wrong", &[3]);
+    let says = |command: &mut Command| {
+        let output = command.stderr(Stdio::piped()).output().unwrap();
+        assert_eq!(output.status.code(), Some(3));
+        String::from_utf8_lossy(&output.stderr).into_owned()
+    };
+    assert!(says(world.command().env_remove("ROUTER_CONFIG")).contains("ROUTER_CONFIG"));
+    assert!(says(world.command().env_remove("ROUTER_STATE")).contains("ROUTER_STATE"));
+    assert!(says(world.command().env("ROUTER_STATE", Path::new("/nowhere"))).contains("ROUTER_STATE"));
+    let text = fs::read_to_string(world.config()).unwrap();
+    fs::write(world.config(), text.replace("\"listen\":\"127", "\"listen\":\"here 127")).unwrap();
+    let told = says(&mut world.command());
+    assert!(told.contains("listen") && told.contains("config.json"), "{told}");
+}
--- a/crates/engine/tests/table.rs
+++ b/crates/engine/tests/table.rs
@@ -302,3 +302,40 @@
         prop_assert_eq!(bench.engine.counts().forced, 0);
     }
 }
+
+#[test]
+fn a_recovered_message_keeps_its_attempts_and_is_answered_even_if_its_time_is_up() {
+    let mut bench = Bench::new(10);
+    let past = Past { taken_at: bench.now, attempts: 2, ..Past::default() };
+    let message = bench.message("a", KEYED);
+    let id = bench.engine.recover(bench.now, message, past);
+    assert_eq!(bench.sent(), Attempt { message: id, number: 2 });
+    let message = HandIn { deadline: bench.now - ms(1), ..bench.message("b", KEYED) };
+    bench.engine.recover(bench.now, message, past);
+    assert!(matches!(bench.answer(), Answer::Refused(_)));
+    assert_eq!(bench.engine.counts().forced, 0);
+}
+
+#[test]
+fn a_message_that_is_over_at_the_endpoint_owes_nothing() {
+    let mut bench = Bench::new(10);
+    bench.hand_in("a", UNSAFE);
+    let attempt = bench.sent();
+    bench.engine.ended(bench.now, attempt, Reported::Over, None);
+    assert_eq!(bench.answer(), Answer::Withdrawn);
+    assert_eq!(bench.engine.held(), 0);
+}
+
+#[test]
+fn held_back_nothing_is_sent_and_what_is_out_ends() {
+    let mut bench = Bench::new(10);
+    bench.hand_in("a", UNSAFE);
+    let attempt = bench.sent();
+    bench.engine.hold_back(true);
+    bench.hand_in("b", UNSAFE);
+    assert!(bench.advance().is_empty());
+    bench.engine.ended(bench.now, attempt, Reported::Processed, None);
+    assert!(matches!(bench.advance()[..], [Command::Answer { answer: Answer::Delivered, .. }]));
+    bench.engine.hold_back(false);
+    bench.sent();
+}
--- /dev/null
+++ b/crates/platform/tests/answers.rs
@@ -0,0 +1,161 @@
+//! Outcomes row by row, spoilt answers, and answers in any pieces.
+
+use cloverstile::Allowance;
+use cloverstile_engine::Reported;
+use cloverstile_platform::answer::{Line, Reader, ReportFields, Told};
+use std::time::Duration;
+
+fn fields() -> ReportFields {
+    ReportFields { left: Some("x0".into()), limit: Some("x1".into()) }
+}
+
+/// Feeds pieces; the outcome, how many pieces it took, and the connection's state at the end.
+fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> (Option<Told>, usize, Line) {
+    let mut reader = Reader::new();
+    let (mut told, mut after, mut line) = (None, 0, Line::Open);
+    for (place, piece) in pieces.into_iter().enumerate() {
+        let read = reader.bytes(Duration::from_millis(place as u64), piece, &fields());
+        line = read.line;
+        if let Some(outcome) = read.told {
+            assert!(told.is_none(), "an outcome is told once");
+            (told, after) = (Some(outcome), place + 1);
+        }
+        if line == Line::Spoilt {
+            break;
+        }
+    }
+    (told, after, line)
+}
+
+fn whole(status: &str, head: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status}\r\n{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn outcome(text: &str) -> Reported {
+    read([text.as_bytes()]).0.expect("an outcome").0
+}
+
+#[test]
+fn each_row_of_the_table() {
+    let ms = |ms| Some(Duration::from_millis(ms));
+    for (status, head, reported) in [
+        ("200 OK", "", Reported::Processed),
+        ("500 Oops", "", Reported::Error),
+        ("429 Too Many Requests", "Retry-After: 0.25\r\n", Reported::Full(ms(250))),
+        ("429 Too Many Requests", "Retry-After: 3\r\n", Reported::Full(ms(3000))),
+        ("429 Too Many Requests", "Retry-After: soon\r\n", Reported::Full(None)),
+        ("429 Too Many Requests", "Retry-After: -1\r\n", Reported::Full(None)),
+        ("429 Too Many Requests", "Retry-After: inf\r\n", Reported::Full(None)),
+        ("503 Service Unavailable", "", Reported::Full(None)),
+        ("503 Service Unavailable", "Retry-After: 1\r\n", Reported::Full(ms(1000))),
+        ("503 Service Unavailable", "X-Line-Busy: 1\r\n", Reported::Unsent),
+        ("503 Service Unavailable", "X-Line-Busy: 0\r\n", Reported::Full(None)),
+        ("504 Gateway Timeout", "", Reported::Unsent),
+        ("410 Gone", "", Reported::Over),
+        ("400 Bad Request", "", Reported::Error),
+        ("302 Found", "", Reported::Error),
+    ] {
+        let text = whole(status, head, "{}");
+        let (told, _, line) = read([text.as_bytes()]);
+        assert_eq!((told, line), (Some((reported, None)), Line::Free), "{text}");
+    }
+}
+
+#[test]
+fn what_is_not_200_counts_only_when_it_is_whole() {
+    let text = whole("429 Too Many Requests", "Retry-After: 1\r\n", "body");
+    for cut in 0..text.len() {
+        let (told, ..) = read([&text.as_bytes()[..cut]]);
+        assert_eq!(told, None, "{cut}");
+        let mut reader = Reader::new();
+        reader.bytes(Duration::ZERO, &text.as_bytes()[..cut], &fields());
+        // It may have run: the answer that said otherwise never came whole.
+        assert_eq!(reader.end(true, &fields()), Some((Reported::Reset, None)), "{cut}");
+    }
+}
+
+#[test]
+fn a_first_line_of_200_is_true_whatever_follows() {
+    for rest in [
+        "Content-Length: -5\r\n\r\n",
+        "Content-Length: 3000000000\r\n\r\n",
+        "Content-Length: 3\r\nContent-Length: 4\r\n\r\n",
+        "\x00\x01\x02 noise",
+        "no colon here\r\n\r\n",
+        "Transfer-Encoding: gzip\r\n\r\n",
+    ] {
+        let (told, _, line) = read([format!("HTTP/1.1 200 OK\r\n{rest}").as_bytes()]);
+        assert_eq!((told, line), (Some((Reported::Processed, None)), Line::Spoilt), "{rest:?}");
+    }
+    let endless = [b"HTTP/1.1 200 OK\r\nX: ".to_vec(), vec![b'a'; 20 << 10]].concat();
+    let (told, after, line) = read(endless.chunks(1000));
+    assert_eq!((told, after, line), (Some((Reported::Processed, None)), 1, Line::Spoilt));
+    // Once the first line is there, a break changes nothing.
+    let mut reader = Reader::new();
+    let read = reader.bytes(Duration::ZERO, b"HTTP/1.1 200 O", &fields());
+    assert_eq!(read.told, Some((Reported::Processed, None)));
+    assert_eq!(reader.end(false, &fields()), None);
+}
+
+#[test]
+fn spoilt_answers_may_have_run_even_where_they_say_that_they_were_turned_away() {
+    for text in [
+        "\x16\x03\x01 noise\r\n\r\n".to_owned(),
+        "HTTP/1.1 2000 OK\r\n\r\n".to_owned(),
+        "HTTP/1.1 429 Slow\r\nContent-Length: many\r\n\r\n".to_owned(),
+        "HTTP/1.1 503 Full\r\nContent-Length: 99999999999999999999999\r\n\r\n".to_owned(),
+        "HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n".to_owned(),
+        format!("HTTP/1.1 429 Slow\r\nX: {}", "a".repeat(9000)),
+    ] {
+        let (told, _, line) = read([text.as_bytes()]);
+        assert_eq!((told, line), (Some((Reported::Error, None)), Line::Spoilt), "{text:.60}");
+    }
+}
+
+#[test]
+fn surplus_spoils_the_connection_and_not_the_answer() {
+    let full = whole("429 Too Many Requests", "Retry-After: 1\r\n", "");
+    for text in [format!("{full}{full}"), format!("{full}noise")] {
+        let (told, _, line) = read([text.as_bytes()]);
+        assert_eq!(told.map(|told| told.0), Some(Reported::Full(Some(Duration::from_secs(1)))));
+        assert_eq!(line, Line::Spoilt);
+    }
+    assert_eq!(read([whole("200 OK", "Connection: close\r\n", "").as_bytes()]).2, Line::Spoilt);
+}
+
+#[test]
+fn interim_answers_are_passed_over_in_any_pieces() {
+    let text = format!(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: 1\r\n\r\n{}",
+        whole("503 Full", "", "{\"a\":1}")
+    );
+    for size in [1, 2, 3, 7, 1000] {
+        let (told, _, line) = read(text.as_bytes().chunks(size));
+        assert_eq!((told, line), (Some((Reported::Full(None), None)), Line::Free), "{size}");
+    }
+    assert_eq!(
+        outcome("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n"),
+        Reported::Processed
+    );
+}
+
+#[test]
+fn reports_that_can_t_be_read_are_none() {
+    let told = |report: &str| {
+        read([whole("200 OK", &format!("Srv-Load: {report}\r\n"), "").as_bytes()]).0.unwrap().1
+    };
+    assert_eq!(told("x0=0.4,x1=25"), Some(Allowance { left: 0.4, limit: 25.0 }));
+    assert_eq!(told("x1=25, x0=0.4, x9=1"), Some(Allowance { left: 0.4, limit: 25.0 }));
+    for nonsense in [
+        "",
+        "x0=0.4",
+        "x0=a,x1=25",
+        "x0=NaN,x1=25",
+        "x0=-1,x1=25",
+        "x0",
+        "x0=0.4,x1=inf",
+        "x0=0.4,x1=25,\u{1}",
+    ] {
+        assert_eq!(told(nonsense), None, "{nonsense:?}");
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/machines.rs
@@ -0,0 +1,298 @@
+//! Calls, notices, watch, clients and stopping on a list of what they did to connections.
+
+use cloverstile::{EndpointId, MessageId, OrderKey, Time};
+use cloverstile_engine::{Attempt, Reported};
+use cloverstile_platform::answer::ReportFields;
+use cloverstile_platform::calls::{Calls, Terms};
+use cloverstile_platform::guests::{Guests, Why};
+use cloverstile_platform::leaving::{Leaving, Left, Stage};
+use cloverstile_platform::notices::{Notice, Notices};
+use cloverstile_platform::watch::Watch;
+use cloverstile_platform::{Wire, Wires};
+use cloverstile_resp::command;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+#[derive(Default)]
+struct Fake {
+    connected: Vec<SocketAddr>,
+    written: Vec<(Wire, String)>,
+    closed: Vec<Wire>,
+}
+
+impl Wires for Fake {
+    fn connect(&mut self, to: SocketAddr) -> Wire {
+        self.connected.push(to);
+        Wire(self.connected.len() as u64)
+    }
+    fn write(&mut self, wire: Wire, bytes: &[u8]) {
+        self.written.push((wire, String::from_utf8_lossy(bytes).into_owned()));
+    }
+    fn close(&mut self, wire: Wire) {
+        self.closed.push(wire);
+    }
+}
+
+fn at(ms: u64) -> Time {
+    Time::ZERO + Duration::from_millis(ms)
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn attempt(message: u32) -> Attempt {
+    Attempt { message: MessageId(message), number: 0 }
+}
+
+const E: EndpointId = EndpointId(5);
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+fn calls(most: usize) -> Calls {
+    let (connect_timeout, idle) = (Duration::from_secs(1), Duration::from_secs(10));
+    Calls::new(Terms { connect_timeout, idle, most, fields: ReportFields::default() })
+}
+
+/// A call sent on a new connection, which is its number.
+fn sent(calls: &mut Calls, wires: &mut Fake, now: Time, message: u32) -> Wire {
+    calls.begin(now, attempt(message), E, address(1), wires);
+    let wire = Wire(wires.connected.len() as u64);
+    calls.connected(wire);
+    assert_eq!(calls.take_ready(), [attempt(message)]);
+    calls.launch(attempt(message), b"call", wires);
+    wire
+}
+
+fn ended(calls: &mut Calls) -> Vec<(u32, Reported)> {
+    calls.take_ended().into_iter().map(|(attempt, told)| (attempt.message.0, told.0)).collect()
+}
+
+#[test]
+fn a_break_before_the_last_byte_never_ran_and_after_it_may_have() {
+    let (mut calls, mut wires) = (calls(9), Fake::default());
+    calls.begin(at(0), attempt(1), E, address(1), &mut wires);
+    calls.lost(Wire(1), false);
+    assert_eq!(ended(&mut calls), [(1, Reported::ConnectFailed)]);
+    let wire = sent(&mut calls, &mut wires, at(0), 2);
+    calls.lost(wire, false);
+    assert_eq!(ended(&mut calls), [(2, Reported::ConnectFailed)]);
+    for clean in [false, true] {
+        let wire = sent(&mut calls, &mut wires, at(0), 3);
+        calls.written(wire);
+        calls.lost(wire, clean);
+        assert_eq!(ended(&mut calls), [(3, Reported::Reset)]);
+    }
+    calls.begin(at(0), attempt(4), E, address(1), &mut wires);
+    calls.tick(at(999), &mut wires);
+    assert_eq!(ended(&mut calls), []);
+    calls.tick(at(1000), &mut wires);
+    assert_eq!(ended(&mut calls), [(4, Reported::ConnectFailed)]);
+    assert_eq!((calls.out(), calls.connections()), (0, 0));
+}
+
+#[test]
+fn one_call_at_a_time_travels_on_a_connection_and_it_is_closed_before_the_other_side_would() {
+    let (mut calls, mut wires) = (calls(9), Fake::default());
+    let wire = sent(&mut calls, &mut wires, at(0), 1);
+    calls.written(wire);
+    calls.bytes(at(10), wire, OK, &mut wires);
+    assert_eq!(ended(&mut calls), [(1, Reported::Processed)]);
+    calls.begin(at(20), attempt(2), E, address(1), &mut wires);
+    calls.begin(at(20), attempt(3), E, address(1), &mut wires);
+    assert_eq!(calls.take_ready(), [attempt(2)]);
+    assert_eq!(wires.connected.len(), 2);
+    calls.launch(attempt(2), b"call", &mut wires);
+    calls.written(wire);
+    calls.bytes(at(30), wire, OK, &mut wires);
+    assert_eq!(calls.due(), Some(at(1020)));
+    calls.tick(at(1020), &mut wires);
+    assert!(!wires.closed.contains(&wire));
+    calls.tick(at(7030), &mut wires);
+    assert!(wires.closed.contains(&wire), "closed by us at 0.7 of the ten seconds");
+}
+
+#[test]
+fn a_connection_with_bytes_that_nobody_asked_for_is_of_no_use() {
+    let (mut calls, mut wires) = (calls(9), Fake::default());
+    let wire = sent(&mut calls, &mut wires, at(0), 1);
+    calls.written(wire);
+    calls.bytes(at(1), wire, OK, &mut wires);
+    calls.bytes(at(2), wire, OK, &mut wires);
+    assert_eq!(wires.closed, [wire]);
+    // Between its choice and its writing it is no better: the second copy would answer the next call.
+    let wire = sent(&mut calls, &mut wires, at(3), 2);
+    calls.written(wire);
+    calls.bytes(at(4), wire, OK, &mut wires);
+    calls.begin(at(5), attempt(3), E, address(1), &mut wires);
+    calls.bytes(at(5), wire, OK, &mut wires);
+    ended(&mut calls);
+    assert_eq!((calls.take_ready(), calls.out()), (vec![], 0));
+}
+
+#[test]
+fn an_abandoned_call_takes_its_connection_with_it() {
+    let (mut calls, mut wires) = (calls(9), Fake::default());
+    let wire = sent(&mut calls, &mut wires, at(0), 1);
+    calls.abandon(attempt(1), &mut wires);
+    assert_eq!((wires.closed.clone(), calls.out(), ended(&mut calls)), (vec![wire], 0, vec![]));
+    calls.begin(at(1), attempt(2), E, address(1), &mut wires);
+    assert_eq!(wires.connected.len(), 2);
+}
+
+#[test]
+fn idle_connections_go_where_the_list_moves_or_room_is_needed() {
+    let (mut calls, mut wires) = (calls(2), Fake::default());
+    for message in [1, 2] {
+        let wire = sent(&mut calls, &mut wires, at(0), message);
+        calls.written(wire);
+    }
+    calls.begin(at(0), attempt(3), E, address(1), &mut wires);
+    assert_eq!(ended(&mut calls), [(3, Reported::Unsent)]);
+    calls.bytes(at(1), Wire(1), OK, &mut wires);
+    calls.begin(at(2), attempt(4), EndpointId(6), address(2), &mut wires);
+    assert_eq!((wires.closed.clone(), calls.connections()), (vec![Wire(1)], 2));
+    calls.bytes(at(3), Wire(2), OK, &mut wires);
+    calls.keep_listed(|_| Some(address(1)), &mut wires);
+    assert_eq!(calls.connections(), 2);
+    calls.keep_listed(|_| Some(address(9)), &mut wires);
+    assert_eq!(wires.closed, [Wire(1), Wire(2)]);
+}
+
+fn notice(id: &str, failed: bool, key: u64) -> Notice {
+    Notice { id: id.into(), failed, again_ms: Some(40), key: Some(OrderKey(key)) }
+}
+
+const DONE: &[u8] = b"HTTP/1.1 204 No Content\r\n\r\n";
+
+#[test]
+fn notices_are_told_until_answered_and_hold_their_keys() {
+    let (mut notices, mut wires) = (Notices::new(address(1)), Fake::default());
+    assert_eq!(notices.due(), None);
+    notices.owe(7, notice("a", true, 3));
+    notices.owe(8, notice("b", false, 4));
+    notices.tick(at(0), &mut wires);
+    notices.connected(at(1), Wire(1));
+    notices.tick(at(1), &mut wires);
+    let lines = "{\"id\":\"a\",\"status\":\"undeliverable\"}\n{\"again_ms\":40,\"id\":\"b\",\"status\":\"deferred\"}\n";
+    assert!(wires.written[0].1.ends_with(lines), "{}", wires.written[0].1);
+    // It breaks: told again on a new connection.
+    notices.lost(at(2), Wire(1));
+    notices.tick(at(60), &mut wires);
+    notices.connected(at(61), Wire(2));
+    notices.tick(at(61), &mut wires);
+    assert!(notices.holds(OrderKey(3)) && notices.holds(OrderKey(4)));
+    assert_eq!(notices.bytes(at(62), Wire(2), DONE, &mut wires), (vec![7, 8], vec![]));
+    assert!(notices.is_empty() && !notices.holds(OrderKey(3)));
+}
+
+#[test]
+fn a_notice_that_can_t_be_read_does_not_keep_the_others() {
+    let (mut notices, mut wires) = (Notices::new(address(1)), Fake::default());
+    (1..=2).for_each(|number| notices.owe(number, notice(&format!("n{number}"), true, 0)));
+    let (mut done, mut refused) = (vec![], vec![]);
+    for round in 0..8u64 {
+        let now = at(round * 100);
+        notices.tick(now, &mut wires);
+        let wire = Wire(wires.connected.len() as u64);
+        notices.connected(now, wire);
+        notices.tick(now, &mut wires);
+        let bad = wires.written.last().unwrap().1.contains("n1");
+        let answer = if bad { &b"HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"[..] } else { DONE };
+        let (more, never) = notices.bytes(now, wire, answer, &mut wires);
+        done.extend(more);
+        refused.extend(never);
+        if notices.is_empty() {
+            break;
+        }
+    }
+    assert_eq!((done, refused), (vec![2], vec![1]));
+}
+
+#[test]
+fn notices_not_answered_go_to_the_new_address() {
+    let (mut notices, mut wires) = (Notices::new(address(1)), Fake::default());
+    notices.owe(1, notice("a", true, 3));
+    notices.tick(at(0), &mut wires);
+    notices.connected(at(0), Wire(1));
+    notices.tick(at(0), &mut wires);
+    notices.moved(at(1), address(2), &mut wires);
+    notices.tick(at(1), &mut wires);
+    assert_eq!((wires.connected.clone(), wires.closed), (vec![address(1), address(2)], vec![Wire(1)]));
+}
+
+#[test]
+fn the_watch_asks_again_in_the_turn_of_the_answer_and_gives_up_what_is_silent() {
+    let (mut watch, mut wires) = (Watch::new(address(1), 41), Fake::default());
+    watch.tick(at(0), &mut wires);
+    watch.connected(at(1), Wire(1), &mut wires);
+    assert!(wires.written[0].1.starts_with("GET /registry/instances?after=41&wait_ms="));
+    let body = r#"{"generation":43,"reset":false,"instances":[]}"#;
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let (head, rest) = answer.split_at(30);
+    assert_eq!(watch.bytes(at(2), Wire(1), head.as_bytes(), &mut wires), Ok(None));
+    let told = watch.bytes(at(3), Wire(1), rest.as_bytes(), &mut wires).unwrap().unwrap();
+    assert_eq!(told.generation, 43);
+    assert!(wires.written[1].1.contains("after=43"));
+    let silent = watch.due();
+    assert!(silent <= at(3) + Duration::from_secs(5));
+    watch.tick(silent, &mut wires);
+    assert_eq!((wires.closed.clone(), wires.connected.len()), (vec![Wire(1)], 2));
+    watch.moved(silent, address(2), &mut wires);
+    assert_eq!(wires.connected.last(), Some(&address(2)));
+    watch.connected(silent, Wire(3), &mut wires);
+    assert!(watch
+        .bytes(silent, Wire(3), b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", &mut wires)
+        .is_err());
+    watch.tick(watch.due(), &mut wires);
+    assert_eq!(wires.connected.len(), 4);
+}
+
+#[test]
+fn clients_that_say_nothing_stay_in_the_middle_or_crowd_are_closed() {
+    let mut guests = Guests::new(2);
+    assert_eq!(guests.welcome(at(0), Wire(1)), None);
+    let ping = command(&["PING"]);
+    assert_eq!(guests.bytes(at(1), Wire(1), &ping).0.len(), 1);
+    guests.welcome(at(2), Wire(2));
+    // Who never spoke goes for a new one, not who is served.
+    assert_eq!(guests.welcome(at(3), Wire(3)), Some(Wire(2)));
+    guests.bytes(at(10), Wire(3), &ping[..5]);
+    let due = guests.due().unwrap();
+    assert!(due <= at(10) + Duration::from_millis(2500));
+    assert_eq!(guests.tick(due), [(Wire(3), Why::Half)]);
+    guests.welcome(due, Wire(4));
+    assert_eq!(guests.tick(due + Duration::from_millis(2500)), [(Wire(4), Why::Silent)]);
+    // A byte now and then does not make half a command last.
+    guests.welcome(at(5000), Wire(5));
+    (0..5).for_each(|n| drop(guests.bytes(at(5000 + n * 300), Wire(5), &ping[n as usize..=n as usize])));
+    assert!(guests.tick(at(6400)).contains(&(Wire(5), Why::Half)));
+}
+
+#[test]
+fn what_can_t_be_read_or_comes_by_the_hundred_is_closed_behind_what_was_good() {
+    let mut guests = Guests::new(9);
+    guests.welcome(at(0), Wire(1));
+    let (good, why) = guests.bytes(at(1), Wire(1), &[command(&["PING"]), b"noise".to_vec()].concat());
+    assert!(good.len() == 1 && matches!(why, Some(Why::Unreadable(_))) && !guests.owns(Wire(1)));
+    guests.welcome(at(0), Wire(2));
+    let (good, why) = guests.bytes(at(1), Wire(2), &command(&["PING"]).repeat(500));
+    assert!(good.len() < 500 && why == Some(Why::TooMany));
+}
+
+#[test]
+fn a_stop_listens_on_delivers_waits_and_ends_in_time() {
+    let leaving = Leaving::new(at(1000));
+    let busy = Left { held: 5, out: 2, notices: 0 };
+    let stage = |ms: u64, left| leaving.stage(at(1000 + ms), left);
+    assert_eq!(stage(100, Left::default()), Stage::Listening);
+    assert_eq!(stage(1000, busy), Stage::Delivering);
+    assert_eq!(stage(1000, Left::default()), Stage::Over);
+    assert_eq!(stage(2500, busy), Stage::Waiting);
+    assert_eq!(stage(2500, Left { out: 0, ..busy }), Stage::Over);
+    assert_eq!(stage(3600, busy), Stage::Over);
+    let mut now = at(1000);
+    for _ in 0..10 {
+        now = leaving.due(now);
+    }
+    assert!(now < at(1000 + 3700), "it is killed then");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod client;
 pub mod model;
 pub mod partner;
+pub mod platform;
 pub mod record;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,6 +1,6 @@
 //! The log as state: what lives, what a turn adds, when a new segment is due, and what a start finds.
 
-use crate::record::{Ending, Living, Record};
+use crate::record::{Living, Record};
 use crate::store::Folder;
 use std::collections::BTreeMap;
 use std::io;
@@ -146,9 +146,14 @@
         self.living.get(&seq)
     }
 
-    /// All that live and what is owed for them, in the order taken.
-    pub fn owed(&self) -> impl Iterator<Item = (u32, Ending)> + '_ {
-        self.living.iter().filter_map(|(seq, living)| Some((*seq, living.owed?)))
+    /// Its folder.
+    pub fn folder(&self) -> &F {
+        &self.folder
+    }
+
+    /// The same, to be changed.
+    pub fn folder_mut(&mut self) -> &mut F {
+        &mut self.folder
     }
 
     /// Messages that live.
--- /dev/null
+++ b/crates/wal/tests/log.rs
@@ -0,0 +1,184 @@
+//! Recovery after a cut at every byte, damage, a full folder, and segments under the bound.
+
+use cloverstile_wal::store::{Dir, Folder, Memory};
+use cloverstile_wal::{Ending, Living, Log, Record};
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+const BOUND: u64 = 1 << 20;
+
+fn message(number: u32, body: usize) -> Living {
+    Living {
+        id: format!("m{number}").into_bytes(),
+        idempotency: number.is_multiple_of(2).then(|| b"key".to_vec()),
+        class: 1,
+        destination: 7,
+        order: u64::from(number % 3),
+        taken_at: 10,
+        deadline: 20,
+        body: vec![number as u8; body],
+        ..Living::default()
+    }
+}
+
+fn open(folder: Memory) -> (Log<Memory>, Vec<Living>, usize) {
+    let (log, recovered) = Log::open(folder, BOUND).unwrap();
+    (log, recovered.living, recovered.torn)
+}
+
+fn newest(folder: &Memory) -> String {
+    folder.files.keys().next_back().unwrap().clone()
+}
+
+/// A log's steps, each in a turn of its own, with the folder as it stood after each.
+fn steps() -> Vec<Memory> {
+    let records = vec![
+        Record::Taken(1, Box::new(message(1, 30))),
+        Record::Taken(2, Box::new(message(2, 300))),
+        Record::Begun(1, 11),
+        Record::Settled(1, false),
+        Record::Begun(2, 12),
+        Record::Settled(2, true),
+        Record::Begun(2, 13),
+        Record::Begun(1, 14),
+        Record::Owed(2, Ending::Deferred(Some(700))),
+        Record::Over(1),
+        Record::Over(2),
+    ];
+    let (mut log, ..) = open(Memory::default());
+    log.commit().unwrap();
+    records
+        .iter()
+        .map(|record| {
+            log.record(record.clone());
+            log.commit().unwrap();
+            log.folder().clone()
+        })
+        .collect()
+}
+
+#[test]
+fn a_cut_at_any_byte_costs_the_torn_record_only() {
+    let states = steps();
+    let whole = states.last().unwrap();
+    let name = newest(whole);
+    let ends: Vec<usize> = states.iter().map(|state| state.files[&name].len()).collect();
+    for cut in ends[0]..=whole.files[&name].len() {
+        let mut folder = whole.clone();
+        folder.files.get_mut(&name).unwrap().truncate(cut);
+        let steps_left = ends.iter().filter(|end| **end <= cut).count();
+        let (_, living, torn) = open(folder);
+        let (_, expected, none) = open(states[steps_left - 1].clone());
+        assert_eq!(living, expected, "cut at {cut}");
+        assert_eq!((torn, none), (cut - ends[steps_left - 1], 0), "cut at {cut}");
+    }
+}
+
+#[test]
+fn a_damaged_byte_costs_its_record_and_what_follows() {
+    let states = steps();
+    let (before, whole) = (&states[3], &states[10]);
+    let name = newest(whole);
+    let at = before.files[&name].len();
+    for damaged in at..states[4].files[&name].len() {
+        let mut folder = whole.clone();
+        folder.files.get_mut(&name).unwrap()[damaged] ^= 0x41;
+        assert_eq!(open(folder).1, open(before.clone()).1, "byte {damaged}");
+    }
+}
+
+#[test]
+fn a_restart_knows_attempts_first_sending_and_what_is_owed() {
+    let states = steps();
+    let at = |step: usize| open(states[step].clone()).1;
+    let second = &at(7)[1];
+    assert_eq!((second.attempts, second.may_have_run, second.open), (2, Some(12), Some(13)));
+    let first = &at(7)[0];
+    assert_eq!((first.attempts, first.may_have_run, first.open), (2, None, Some(14)));
+    assert_eq!(at(8)[1].owed, Some(Ending::Deferred(Some(700))));
+    assert!(at(8)[1].body.is_empty());
+    assert!(at(10).is_empty());
+}
+
+#[test]
+fn segments_stay_under_the_bound_and_lose_nothing() {
+    let (mut log, ..) = open(Memory::default());
+    let mut living = BTreeMap::new();
+    for number in 1..6000u32 {
+        let body = (number as usize * 37) % 1500;
+        if log.has_room(body) {
+            log.record(Record::Taken(number, Box::new(message(number, body))));
+            log.record(Record::Begun(number, 5));
+            living.insert(number, body);
+        }
+        if number % 5 != 0 && number > 200 {
+            log.record(Record::Over(number - 200));
+            living.remove(&(number - 200));
+        }
+        log.commit().unwrap();
+    }
+    let folder = log.folder().clone();
+    assert!(folder.most <= BOUND as usize, "{} of {BOUND}", folder.most);
+    assert!(folder.most > BOUND as usize / 3, "the bound was never near");
+    let found: Vec<usize> = open(folder).1.iter().map(|living| living.body.len()).collect();
+    assert_eq!(found, living.into_values().collect::<Vec<_>>());
+}
+
+#[test]
+fn a_start_between_the_new_segment_and_the_end_of_the_old_one_reads_the_new() {
+    let (mut log, ..) = open(Memory::default());
+    log.record(Record::Taken(1, Box::new(message(1, 9))));
+    log.commit().unwrap();
+    let mut folder = log.folder().clone();
+    let name = newest(&folder);
+    let old = folder.files[&name].clone();
+    folder.files.insert("log.0".into(), old.clone());
+    folder.files.insert("log.tmp".into(), old[..old.len() / 2].to_vec());
+    let (_, living, torn) = open(folder);
+    assert_eq!((living.len(), torn), (1, 0));
+}
+
+#[test]
+fn a_full_folder_is_an_error_and_the_next_commit_writes_all_anew() {
+    let (mut log, ..) = open(Memory::default());
+    log.record(Record::Taken(1, Box::new(message(1, 100))));
+    log.commit().unwrap();
+    log.folder_mut().room = Some(20);
+    log.record(Record::Over(1));
+    log.record(Record::Taken(2, Box::new(message(2, 100))));
+    assert!(log.commit().is_err());
+    // Nothing of the turn is there: half of it would hide what comes later.
+    assert_eq!(open(log.folder_mut().clone()).1.len(), 1);
+    assert!(log.commit().is_err(), "still full");
+    log.folder_mut().room = None;
+    log.record(Record::Over(2));
+    log.commit().unwrap();
+    assert!(open(log.folder().clone()).1.is_empty());
+}
+
+#[test]
+fn files_are_written_renamed_and_removed() {
+    let path = std::env::temp_dir().join(format!("cloverstile-wal-{}", std::process::id()));
+    std::fs::create_dir_all(&path).unwrap();
+    for round in 0..3u32 {
+        let (mut log, recovered) = Log::open(Dir::new(&path), BOUND).unwrap();
+        assert_eq!(recovered.living.len() as u32, round);
+        for (place, living) in recovered.living.into_iter().enumerate() {
+            log.record(Record::Taken(place as u32, Box::new(living)));
+        }
+        log.commit().unwrap();
+        log.record(Record::Taken(100, Box::new(message(100, 10))));
+        log.commit().unwrap();
+        assert_eq!(Dir::new(&path).names().unwrap().len(), 1);
+    }
+    std::fs::remove_dir_all(&path).unwrap();
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_are_a_log_that_can_be_read(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let head = b"cloverstile-log 1\n".to_vec();
+        let files = BTreeMap::from([("log.3".to_owned(), [head, bytes].concat())]);
+        open(Memory { files, ..Memory::default() });
+    }
+}
