Calls that were overtaken teach no latency

Ruled out: endpoints (45 refusals, few failed connections), CPU (0.05 of 0.2). A call on a connection that fell silent ends after a time-out, which learn() took as a sample of latency: patience with the next one grew with each.

Change: a time-out or calling off is a sample only if no later success came on the route beyond the patience. Test: calls_that_were_overtaken_teach_no_latency, red before.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -392,6 +392,7 @@
 
     /// Health and pace of a route, from the outcome of one call.
     fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
+        let patience = self.stall_patience(call.route);
         let (settings, chance) = (&self.settings, self.rng.f64());
         let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
         let waiting = waiting / self.routes_to(call.route.0);
@@ -401,8 +402,14 @@
         route.weight = told.map_or(route.weight, |a| a.limit);
         let left = told.map(|a| a.left.clamp(0.0, 1.0));
         let an_aim = shortest_aim(settings).recip();
-        // A time-out is a sample too: else repeats would meet first calls still running in slow spells.
-        if matches!(finished.outcome, Outcome::Ok | Outcome::Timeout | Outcome::Cancelled) {
+        // A time-out is a sample too: else repeats would meet first calls still running in slow spells. Not of one
+        // that was overtaken: it was lost with its connection, and would teach ever longer patience with such.
+        let sample = match finished.outcome {
+            Outcome::Ok => true,
+            Outcome::Timeout | Outcome::Cancelled => route.last_answer <= call.sent + patience,
+            _ => false,
+        };
+        if sample {
             if route.latency.samples == 0 {
                 route.latency = Latency { samples: 0, ..self.usual };
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -687,8 +687,8 @@
     let mut bench = Bench::new(settings, (1..=3).map(|d| endpoint(u32::from(d), d)).collect());
     let mut id = 0;
     // Each destination goes on answering all calls but those on connections that fell silent.
-    let mut out: Vec<(u32, u32, bool)> = Vec::new();
-    let (mut called_off, mut least_free) = (0, usize::MAX);
+    let mut out: Vec<(u32, u32, Option<Time>)> = Vec::new();
+    let (mut called_off, mut least_free, mut longest) = (0, usize::MAX, Duration::ZERO);
     for step in 0..2000u32 {
         bench.now = bench.now + ms(5);
         if step % 5 == 0 {
@@ -697,20 +697,22 @@
         }
         for (message, endpoint, silent) in std::mem::take(&mut out) {
             match silent {
-                true => out.push((message, endpoint, true)),
-                false => bench.finish(message, endpoint, Outcome::Ok, ms(5)),
+                Some(sent) => out.push((message, endpoint, Some(sent))),
+                None => bench.finish(message, endpoint, Outcome::Ok, ms(5)),
             }
         }
         for action in bench.decide() {
             match action {
                 Action::Route { message, endpoint, .. } => {
-                    out.push((message.0, endpoint.0, message.0 % 20 == 0))
+                    let silent = (message.0 % 20 == 0).then_some(bench.now);
+                    out.push((message.0, endpoint.0, silent));
                 }
                 Action::StopAttempt { message, .. } => {
                     let place = out.iter().position(|(other, ..)| *other == message.0).unwrap();
                     let (_, endpoint, silent) = out.remove(place);
-                    assert!(silent, "a call that was answered in time");
-                    bench.finish(message.0, endpoint, Outcome::Cancelled, ms(800));
+                    let waited = bench.now - silent.expect("a call that was answered in time");
+                    bench.finish(message.0, endpoint, Outcome::Cancelled, waited);
+                    longest = longest.max(waited);
                     called_off += 1;
                 }
                 _ => {}
@@ -720,5 +722,36 @@
     }
     assert!(least_free > 0, "the slots ran out: not the case that is tested");
     assert!(called_off > 3, "{called_off}");
-    assert!(out.iter().filter(|(.., silent)| !silent).count() <= 3, "{out:?}");
+    assert!(longest < Duration::from_secs(3), "{longest:?}");
+    assert!(out.iter().filter(|(.., silent)| silent.is_none()).count() <= 3, "{out:?}");
+}
+
+/// Seen on sockets (incident r217acb): each call on a connection that fell silent made patience with the next one longer,
+/// until nearly all slots were held by such.
+#[test]
+fn calls_that_were_overtaken_teach_no_latency() {
+    let mut bench = one(keyed());
+    let mut id = 0;
+    let mut waits = Vec::new();
+    for _ in 0..20 {
+        id += 1;
+        let silent = id;
+        bench.accept(silent, 0, 1, None);
+        let sent = bench.now;
+        let wait = bench.routes().iter().find(|sent| sent.0 == silent).map(|sent| sent.2).expect("a send");
+        // Others are answered meanwhile, a few a second.
+        while bench.now < sent + wait {
+            bench.now = bench.now + ms(250);
+            id += 1;
+            bench.accept(id, 0, 1, None);
+            for (message, ..) in bench.routes() {
+                bench.now = bench.now + ms(20);
+                bench.finish(message, 7, Outcome::Ok, ms(20));
+            }
+        }
+        bench.finish(silent, 7, Outcome::Timeout, wait);
+        bench.tell(Event::ClientGone(MessageId(silent)));
+        waits.push(wait);
+    }
+    assert!(waits[19] <= waits[1], "{waits:?}");
 }
