--- a/src/choice.rs
+++ b/src/choice.rs
@@ -402,8 +402,8 @@
         route.weight = told.map_or(route.weight, |a| a.limit);
         let left = told.map(|a| a.left.clamp(0.0, 1.0));
         let an_aim = shortest_aim(settings).recip();
-        // A time-out is a sample too: else repeats would meet first calls still running in slow spells. Not of one
-        // that was overtaken: it was lost with its connection, and would teach ever longer patience with such.
+        // A time-out is a sample too: else repeats would meet first calls still running in slow spells. Not
+        // of one that was overtaken: it was lost with its connection, and would teach ever longer patience.
         let sample = match finished.outcome {
             Outcome::Ok => true,
             Outcome::Timeout | Outcome::Cancelled => route.last_answer <= call.sent + patience,
@@ -798,9 +798,9 @@
         span.min(left)
     }
 
-    /// All slots taken while messages wait: the oldest call that hangs is called off, an unsafe one later. Behind a
-    /// full bulkhead only one that was overtaken: its route answers, so that it is lost with its connection; at a
-    /// partner that hangs as a whole it may be answered yet.
+    /// All slots taken while messages wait: the oldest call that hangs is called off, an unsafe one later.
+    /// Behind a full bulkhead only one that was overtaken: its route answers, so that it is lost with its
+    /// connection; at a partner that hangs as a whole it may be answered yet.
     fn free_pinned_slot(&mut self, now: Time) {
         let pinned = std::mem::take(&mut self.pinned) || self.slots_free() == 0;
         if !self.settings.cancel || !pinned || self.open <= self.calls.len() {
