Node tests listen on an address of their own, and wait for a PING with a bound

It drew a port, freed it, and by the courier's next start another party of the run held it, accepted the PING and never answered. Each world now has an address of 127.0.0.0/8 to itself, and the reading of the answer a time-out. Four runs of the seven tests: green, 5.6 s.

--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -4,9 +4,10 @@
 use cloverstile_standin::platform::{judge, read_line, Manner, Platform, PutSpec, Seen};
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
@@ -34,8 +35,12 @@
     fn new(name: &str, cells: &[u16]) -> World {
         let folder = std::env::temp_dir().join(format!("cloverstile-node-{}-{name}", std::process::id()));
         fs::create_dir_all(folder.join("state")).unwrap();
-        // A port that was free a moment ago: the courier's address must outlast its processes.
-        let listen = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        // The courier's address must outlast its processes. Guards against a port that was free a moment ago and is
+        // another's when the courier starts again: this whole address is nobody else's.
+        static WORLDS: AtomicU8 = AtomicU8::new(64);
+        let process = std::process::id();
+        let place = WORLDS.fetch_add(1, Ordering::Relaxed);
+        let listen = SocketAddr::from(([127, place, (process >> 8) as u8, process as u8], 6379));
         let world = World { platform: Platform::start(cells).unwrap(), folder, listen, courier: None };
         world.configure(0);
         world
@@ -80,7 +85,8 @@
         let end = Instant::now() + SOON;
         loop {
             if let Ok(mut stream) = TcpStream::connect(self.listen) {
-                stream.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+                stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+                let _ = stream.write_all(b"*1\r\n$4\r\nPING\r\n");
                 if read_line(&mut stream).is_ok_and(|line| line == "+PONG") {
                     return;
                 }
