A hand-in that the log could not take is refused, and its id may come again

Found by a new test of a folder that can't be written (files held to 20 KiB, endpoint silent): the first hand-in that did not fit was answered -BUSY, the same id once more +OK, and it was lost. Node::undo withdrew it, and take() answers the id of a withdrawn message as one that was taken on. It is turned away now (Engine::turn_away), so that its id starts anew. An id that was given up is answered as such again. A first form of the test removed the folder: an open segment then still takes bytes that no restart finds, which is a lost machine and no failed write.

--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -81,7 +81,12 @@
     }
 
     fn start(&mut self) {
-        self.courier = Some(self.command().spawn().unwrap());
+        let mut command = self.command();
+        self.start_as(&mut command);
+    }
+
+    fn start_as(&mut self, command: &mut Command) {
+        self.courier = Some(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap());
         let end = Instant::now() + SOON;
         loop {
             if let Ok(mut stream) = TcpStream::connect(self.listen) {
@@ -332,3 +337,31 @@
     let passed = began.elapsed().as_millis() as u64 / 10;
     assert!(used * 4 < passed, "{used} of {passed} hundredths of a second");
 }
+
+#[test]
+fn a_folder_that_can_t_be_written_means_busy_and_not_the_end() {
+    let mut world = World::new("folder", &[3]);
+    world.platform.set(0, Manner::Silent);
+    // No file may grow beyond 20 KiB: writes fail part of the way, as on a full disk.
+    let mut command = Command::new("sh");
+    command.args(["-c", &format!("ulimit -f 40; trap '' XFSZ; exec {PROGRAM} node")]);
+    command.env("ROUTER_CONFIG", world.config()).env("ROUTER_STATE", world.folder.join("state"));
+    world.start_as(&mut command);
+    let mut client = world.client();
+    let mut hand_in = |number: usize| {
+        let put = PutSpec { body: vec![7; 2000], ..notice(format!("m{number}"), 0) };
+        world.platform.hand_in(&mut client, &put).unwrap()
+    };
+    let refused = (0..100).find(|number| hand_in(*number) != "+OK").expect("a refusal");
+    assert!((3..20).contains(&refused), "{refused} of 2 KB in 20 KiB");
+    assert!(hand_in(refused).starts_with("-BUSY"));
+    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    let end = Instant::now() + SOON;
+    while hand_in(refused) != "+OK" {
+        assert!(Instant::now() < end, "it never took a message again");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    world.kill();
+    world.start();
+    assert_eq!(world.broken_in_the_end(), [""; 0]);
+}
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -206,6 +206,14 @@
         }
     }
 
+    /// A message that was just taken can't be kept after all: it is refused, and may come again under its name.
+    pub fn turn_away(&mut self, now: Time, id: MessageId) {
+        if self.is_open(id) {
+            self.tell(now, Event::ClientGone(self.inner(id)));
+            self.answer(now, id, Answer::Refused(Duration::ZERO));
+        }
+    }
+
     /// Holds the module back, or lets it go on: while held back nothing new is sent, calls out end as ever.
     pub fn hold_back(&mut self, held_back: bool) {
         self.held_back = held_back;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -79,6 +79,10 @@
     }
 }
 
+fn given_up() -> Vec<u8> {
+    error("ERR given up: it can't be delivered")
+}
+
 impl Node {
     /// Takes on what an earlier process left, and listens.
     pub fn start(config: Config, variables: &Variables) -> Result<Node, NodeError> {
@@ -388,8 +392,11 @@
             }
             // The same id once more: its first answer was lost on the way, or is in this very turn.
             Taken::Held(id) if self.fresh.contains_key(&id) => Reply::Of(id),
-            Taken::Held(_) | Taken::Answered(_, Answer::Delivered) => Reply::Bytes(simple("OK")),
-            Taken::Answered(..) => Reply::Bytes(simple("OK")),
+            Taken::Held(_) | Taken::Answered(_, Answer::Delivered | Answer::Withdrawn) => {
+                Reply::Bytes(simple("OK"))
+            }
+            Taken::Answered(_, Answer::Refused(again)) => Reply::Bytes(busy(again)),
+            Taken::Answered(_, Answer::Failed) => Reply::Bytes(given_up()),
             Taken::Conflict => Reply::Bytes(error("ERR id: in use for another message")),
             Taken::Full | Taken::Stopping => {
                 trace!("no room for a message more");
@@ -474,7 +481,8 @@
         for (id, answer) in &mut self.fresh {
             if answer.is_none() {
                 *answer = Some(busy(Duration::ZERO));
-                self.engine.withdraw(now, *id);
+                // Guards against a "+OK" for the same id once more, as of one that was taken on.
+                self.engine.turn_away(now, *id);
                 self.log.record(Record::Over(id.0));
             }
         }
@@ -510,7 +518,7 @@
                 let ms = u64::try_from(again.as_millis()).ok().filter(|ms| *ms > 0);
                 (busy(again), Ending::Deferred(ms))
             }
-            Answer::Failed => (error("ERR given up: it can't be delivered"), Ending::Undeliverable),
+            Answer::Failed => (given_up(), Ending::Undeliverable),
         };
         // Refused in the turn of its hand-in: the client is told, and the platform need not be.
         if let Some(told) = self.fresh.get_mut(&message) {
