Read-through: one agent connection, one ending in the engine, recovery out of the shell

Behaviour unchanged; what the change had written twice or in the wrong place: - watch and notices each had the same connection to the agent (connect, give up, feed, keep alive): platform::agent. - Engine: five places told the module that nobody wants a message and answered it: Engine::end. Whether an outcome may have run stood in the engine and in the node: Reported::may_have_run. recover booked a message and then rebooked it. - What a restart makes of a logged message (window, open attempt) was decided in the shell: node's kept.rs, free of I/O, with tests; the order key of a logged message stood there three times. - A new segment copied every body first (Log::replace); it is written from where it lies. - Calls: two matches over states for the same moments; a call given up left an empty row of its endpoint behind. - Module: one check for overtaken calls (Route::overtook). Load reports are read once, not once a field. - Stand-in: a command's bytes written by hand beside resp::command; two loops over the same records. - Unused Log::len, is_empty, written.

Left alone: meaning::retry_after of the AS2 front takes whole seconds only, the platform's decimals; one of the two would have to be loosened. watch and notices still share a parameter list.

--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -1,7 +1,7 @@
 //! What goes in, what comes out, and what is kept of a message.
 
 use cloverstile::{
-    Accepted, Allowance, ClassId, DestinationId, EndpointId, MessageId, OrderKey, TenantId, Time,
+    Accepted, Allowance, ClassId, DestinationId, EndpointId, MessageId, OrderKey, Outcome, TenantId, Time,
 };
 use std::time::Duration;
 
@@ -88,6 +88,30 @@
     Over,
 }
 
+impl Reported {
+    /// As the module is told.
+    pub(crate) fn outcome(self) -> Outcome {
+        match self {
+            Reported::Processed => Outcome::Ok,
+            Reported::Error => Outcome::Error,
+            Reported::Full(wait) => Outcome::Full(wait),
+            Reported::ConnectFailed => Outcome::ConnectFailed,
+            Reported::Reset => Outcome::Reset,
+            Reported::Unsent | Reported::Over => Outcome::Moot,
+        }
+    }
+
+    /// Whether the attempt may have taken effect.
+    pub fn may_have_run(self) -> bool {
+        may_have_run(self.outcome())
+    }
+}
+
+/// Whether an attempt that ended so may have taken effect.
+pub(crate) fn may_have_run(outcome: Outcome) -> bool {
+    !matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
+}
+
 /// Something for the shell to do, in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -216,4 +240,4 @@
 }
 
 /// An outcome with what the partner told of its limit.
-pub(crate) type Ending = (cloverstile::Outcome, Option<Allowance>);
+pub(crate) type Ending = (Outcome, Option<Allowance>);
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The table of messages and the turn of the module.
 
-use crate::book::{Answer, Attempt, Command, Ending, Entry, HandIn, Out, Reported, Taken};
+use crate::book::{may_have_run, Answer, Attempt, Command, Ending, Entry, HandIn, Out, Reported, Taken};
 use crate::moves::Places;
 use cloverstile::{
     Accepted, Action, Allowance, Courier, Effect as ClassEffect, Endpoint, EndpointId, Event, Finished,
@@ -181,13 +181,10 @@
 
     /// A message that was taken before a restart and is owed still. Call it in the order taken, before all else.
     pub fn recover(&mut self, now: Time, taken: HandIn, past: Past) -> MessageId {
-        let id = self.book(&taken);
         // Nothing is final at once for one whose time ran out meanwhile: the module gives the answer.
-        self.last_resort.remove(&(self.resort_at(taken.deadline), id));
-        let resort = self.resort_at(taken.deadline.max(now));
-        self.last_resort.insert((resort, id));
+        let deadline = taken.deadline.max(now);
+        let id = self.book(&HandIn { deadline, ..taken });
         if let Some(entry) = self.entries.get_mut(&id) {
-            entry.deadline = taken.deadline.max(now);
             entry.attempts = u16::try_from(past.attempts).unwrap_or(u16::MAX);
             entry.may_have_run = past.may_have_run.is_some();
         }
@@ -200,17 +197,19 @@
 
     /// Nobody wants this message any more: no answer is owed, and nothing new is sent for it.
     pub fn withdraw(&mut self, now: Time, id: MessageId) {
-        if self.is_open(id) {
-            self.tell(now, Event::ClientGone(self.inner(id)));
-            self.answer(now, id, Answer::Withdrawn);
-        }
+        self.end(now, id, Answer::Withdrawn);
     }
 
     /// A message that was just taken can't be kept after all: it is refused, and may come again under its name.
     pub fn turn_away(&mut self, now: Time, id: MessageId) {
+        self.end(now, id, Answer::Refused(Duration::ZERO));
+    }
+
+    /// Answers a message without the module, which is told that nobody wants it any more.
+    fn end(&mut self, now: Time, id: MessageId, answer: Answer) {
         if self.is_open(id) {
             self.tell(now, Event::ClientGone(self.inner(id)));
-            self.answer(now, id, Answer::Refused(Duration::ZERO));
+            self.answer(now, id, answer);
         }
     }
 
@@ -239,19 +238,11 @@
 
     /// An attempt ended on the wire, with what the partner told of its limit.
     pub fn ended(&mut self, now: Time, attempt: Attempt, reported: Reported, allowance: Option<Allowance>) {
-        let outcome = match reported {
-            Reported::Processed => Outcome::Ok,
-            Reported::Error => Outcome::Error,
-            Reported::Full(wait) => Outcome::Full(wait),
-            Reported::ConnectFailed => Outcome::ConnectFailed,
-            Reported::Reset => Outcome::Reset,
-            Reported::Unsent | Reported::Over => Outcome::Moot,
-        };
-        if reported == Reported::Over && self.is_out(attempt) {
-            self.withdraw(now, attempt.message);
-        }
         if self.is_out(attempt) {
-            self.finish(now, attempt.message, (outcome, allowance));
+            if reported == Reported::Over {
+                self.withdraw(now, attempt.message);
+            }
+            self.finish(now, attempt.message, (reported.outcome(), allowance));
         } else if reported == Reported::Processed {
             self.proved(now, attempt.message);
         }
@@ -451,8 +442,7 @@
     fn finish(&mut self, now: Time, id: MessageId, (outcome, allowance): Ending) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let Some(out) = entry.out.take() else { return };
-        let never_ran = matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
-        entry.may_have_run |= !never_ran;
+        entry.may_have_run |= may_have_run(outcome);
         let number = entry.attempts.saturating_sub(1);
         self.time_outs.remove(&(out.until, id));
         if let Some(left) = self.calls.get_mut(&out.call) {
@@ -497,8 +487,7 @@
             Some(answer) => self.effects.push(Command::Late { message: id, answer }),
             None => {
                 // Nobody wants it any more: what is out runs on, nothing new is sent.
-                self.tell(now, Event::ClientGone(self.inner(id)));
-                self.answer(now, id, Answer::Delivered);
+                self.end(now, id, Answer::Delivered);
             }
         }
     }
@@ -546,8 +535,7 @@
             .map(|(id, entry)| (*id, Self::honest_answer(entry)))
             .collect();
         for (id, answer) in open {
-            self.tell(now, Event::ClientGone(self.inner(id)));
-            self.answer(now, id, answer);
+            self.end(now, id, answer);
         }
     }
 
@@ -564,8 +552,7 @@
                 continue;
             };
             self.counts.forced += 1;
-            self.tell(now, Event::ClientGone(self.inner(id)));
-            self.answer(now, id, answer);
+            self.end(now, id, answer);
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! anything means is decided in `cloverstile-platform`; which message goes where and when, in the module.
 #![forbid(unsafe_code)]
 
+mod kept;
 mod node;
 mod start;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,10 +1,9 @@
 //! The node's turn: events in, the module's decisions, the log, bytes out.
 
 use crate::start::{load, NodeError, Variables};
-use crate::{Clock, Sockets};
-use cloverstile::{Class, MessageId, Past, Time};
-use cloverstile_engine::{Answer, Attempt, Bounds, Command, Engine, HandIn, Reported, Taken};
-use cloverstile_http::Headers;
+use crate::{kept, Clock, Sockets};
+use cloverstile::{Class, MessageId, Time};
+use cloverstile_engine::{Answer, Attempt, Bounds, Command, Engine, Reported, Taken};
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
 use cloverstile_platform::answer::ReportFields;
 use cloverstile_platform::calls::{Calls, Terms};
@@ -13,7 +12,7 @@
 use cloverstile_platform::handin::{self, Asked, Put};
 use cloverstile_platform::leaving::{Leaving, Left, Stage};
 use cloverstile_platform::list::{List, ListAnswer};
-use cloverstile_platform::notices::{Notice, Notices};
+use cloverstile_platform::notices::Notices;
 use cloverstile_platform::watch::Watch;
 use cloverstile_platform::Wire;
 use cloverstile_resp::{error, simple};
@@ -148,41 +147,14 @@
 
     /// Takes a message on again that an earlier process owes.
     fn recover(&mut self, now: Time, place: usize, mut living: Living) {
-        let class = self.classes.get(usize::from(living.class));
-        let key = (living.order != 0).then_some(cloverstile::OrderKey(living.order));
         if let Some(ending) = living.owed {
             // Numbers from the far end: those of the engine begin at one.
             let number = u32::MAX - u32::try_from(place).unwrap_or(0);
-            let notice = notice(&living, ending);
-            self.log.record(Record::Taken(number, Box::new(living)));
-            return self.notices.owe(number, notice);
-        }
-        // An attempt without an outcome may have run, from the moment when it was begun.
-        let unsettled = living.open.take();
-        living.may_have_run = living.may_have_run.or(unsettled);
-        let mut since = living.may_have_run.map(Time);
-        if let (true, Some(class)) = (living.after_loss, class) {
-            let handed_in = (Time(living.deadline) - class.deadline).min(Time(living.taken_at));
-            since = Some(since.map_or(handed_in, |since| since.min(handed_in)));
+            self.notices.owe(number, kept::notice(&living, ending));
+            return self.log.record(Record::Taken(number, Box::new(living)));
         }
-        let past = Past {
-            taken_at: Time(living.taken_at),
-            attempts: u32::from(living.attempts),
-            may_have_run: since,
-            unsettled: unsettled.is_some(),
-        };
-        let hand_in = HandIn {
-            client: 0,
-            name: String::from_utf8_lossy(&living.id).into_owned(),
-            fingerprint: [0; 32],
-            class: cloverstile::ClassId(living.class),
-            destination: cloverstile::DestinationId(living.destination),
-            key,
-            deadline: Time(living.deadline),
-            tenant: Default::default(),
-            again: false,
-            after_loss: living.after_loss,
-        };
+        let class = self.classes.get(usize::from(living.class));
+        let (hand_in, past) = kept::recovered(&mut living, class);
         let id = self.engine.recover(now, hand_in, past);
         self.log.record(Record::Taken(id.0, Box::new(living)));
     }
@@ -366,23 +338,11 @@
     }
 
     fn take(&mut self, now: Time, put: Put) -> Reply {
-        let Put { hand_in, idempotency, body } = put;
-        if !self.log_works || !self.log.has_room(body.len()) {
-            trace!(works = self.log_works, body = body.len(), "no room in the log");
+        if !self.log_works || !self.log.has_room(put.body.len()) {
+            trace!(works = self.log_works, body = put.body.len(), "no room in the log");
             return Reply::Bytes(busy(Duration::ZERO));
         }
-        let living = Living {
-            id: hand_in.name.clone().into_bytes(),
-            idempotency,
-            class: hand_in.class.0,
-            destination: hand_in.destination.0,
-            order: hand_in.key.map_or(0, |key| key.0),
-            taken_at: now.0,
-            deadline: hand_in.deadline.0,
-            after_loss: hand_in.after_loss,
-            body,
-            ..Living::default()
-        };
+        let (living, hand_in) = kept::taken(now, put);
         match self.engine.hand_in(now, hand_in) {
             Taken::New(id) => {
                 trace!(id = id.0, to = living.destination, class = living.class, "taken");
@@ -419,10 +379,6 @@
     fn turn(&mut self, now: Time) {
         for _ in 0..ROUNDS {
             for (attempt, (reported, allowance)) in self.calls.take_ended() {
-                let never = matches!(
-                    reported,
-                    Reported::Full(_) | Reported::ConnectFailed | Reported::Unsent | Reported::Over
-                );
                 if let Some(living) = self.log.living(attempt.message.0) {
                     let sent = living.open.map_or(0, |at| now.0.saturating_sub(at) / 1_000_000);
                     let (class, to) = (living.class, living.destination);
@@ -437,7 +393,7 @@
                         "ended"
                     );
                 }
-                self.log.record(Record::Settled(attempt.message.0, !never));
+                self.log.record(Record::Settled(attempt.message.0, reported.may_have_run()));
                 self.engine.ended(now, attempt, reported, allowance);
             }
             for command in self.engine.advance(now) {
@@ -526,7 +482,7 @@
             return self.log.record(Record::Over(message.0));
         }
         let Some(living) = self.log.living(message.0) else { return };
-        self.notices.owe(message.0, notice(living, ending));
+        self.notices.owe(message.0, kept::notice(living, ending));
         self.log.record(Record::Owed(message.0, ending));
     }
 
@@ -534,7 +490,7 @@
     fn unpark(&mut self, now: Time) {
         for parked in std::mem::take(&mut self.parked) {
             let Some(living) = self.log.living(parked.attempt.message.0) else { continue };
-            if living.order != 0 && self.notices.holds(cloverstile::OrderKey(living.order)) {
+            if kept::order_key(living).is_some_and(|key| self.notices.holds(key)) {
                 self.parked.push(parked);
                 continue;
             }
@@ -552,15 +508,9 @@
     fn open(&mut self, now: Time, attempt: Attempt) {
         let until = self.engine.waits_until(attempt);
         let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { return };
-        let left = (until - now).as_millis().max(1);
-        trace!(id = attempt.message.0, to = living.destination, number = attempt.number, left, "sent");
-        let mut headers = Headers::new().with("Host", "partner");
-        headers.add("Req-Id", String::from_utf8_lossy(&living.id));
-        if let Some(key) = &living.idempotency {
-            headers.add("Idempotency-Key", String::from_utf8_lossy(key));
-        }
-        headers.add("Req-Deadline", format!("{left}m"));
-        let bytes = cloverstile_http::request("POST", "/hook", &headers, &living.body);
+        let left = until - now;
+        trace!(id = attempt.message.0, to = living.destination, number = attempt.number, ?left, "sent");
+        let bytes = kept::call(living, left);
         self.calls.open(now, attempt, &bytes, &mut Sockets(&mut self.net));
     }
 
@@ -586,12 +536,3 @@
         self.fresh.clear();
     }
 }
-
-fn notice(living: &Living, ending: Ending) -> Notice {
-    let (failed, again_ms) = match ending {
-        Ending::Undeliverable => (true, None),
-        Ending::Deferred(again) => (false, again),
-    };
-    let key = (living.order != 0).then_some(cloverstile::OrderKey(living.order));
-    Notice { id: String::from_utf8_lossy(&living.id).into_owned(), failed, again_ms, key }
-}
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -10,15 +10,16 @@
 //! | another | whole | error, may have run |
 //! | not 200 | can't be read, over a limit | error, may have run: even "turned away" proves nothing there |
 
+use crate::LONGEST_BODY;
 use cloverstile::Allowance;
 use cloverstile_engine::Reported;
-use cloverstile_http::{Decoder, Headers, Limits, Message, Start};
+use cloverstile_http::{Decoder, Headers, Item, Limits, Message, Start};
 use std::time::Duration;
 
 /// Longest wait that is heeded as told.
 const LONGEST_WAIT: Duration = Duration::from_secs(3600);
-/// Largest head, and largest body that the platform carries.
-const LIMITS: (usize, usize) = (8 << 10, 64 << 10);
+/// Largest head.
+const LONGEST_HEAD: usize = 8 << 10;
 
 /// Where a load report keeps what the module wants: the names of the share left and of the limit.
 #[derive(Clone, Debug, Default)]
@@ -67,7 +68,7 @@
 impl Reader {
     /// A reader of an answer not begun.
     pub fn new() -> Self {
-        let limits = Limits { head: LIMITS.0, body: LIMITS.1, ..Limits::default() };
+        let limits = Limits { head: LONGEST_HEAD, body: LONGEST_BODY, ..Limits::default() };
         Reader { decoder: Decoder::client(limits), told: false }
     }
 
@@ -79,20 +80,17 @@
     pub fn bytes(&mut self, clock: Duration, bytes: &[u8], fields: &ReportFields) -> Read {
         self.decoder.feed(clock, bytes);
         let next = self.decoder.next(clock);
+        let delivered = self.decoder.status() == Some(200);
         match next {
-            Ok(Some(cloverstile_http::Item::Message(message))) => {
+            Ok(Some(Item::Message(message))) => {
                 // What comes behind an answer belongs to nobody: the next call would take it for its own.
                 let free = message.keep_alive && self.decoder.held() == 0;
                 let told = self.tell(meaning(&message, fields));
                 Read { told, line: if free { Line::Free } else { Line::Spoilt } }
             }
-            Ok(_) => {
-                let delivered = self.decoder.status() == Some(200);
-                let told = if delivered { self.tell((Reported::Processed, None)) } else { None };
-                Read { told, line: Line::Open }
-            }
+            Ok(_) if delivered => Read { told: self.tell((Reported::Processed, None)), line: Line::Open },
+            Ok(_) => Read { told: None, line: Line::Open },
             Err(_) => {
-                let delivered = self.decoder.status() == Some(200);
                 let reported = if delivered { Reported::Processed } else { Reported::Error };
                 Read { told: self.tell((reported, None)), line: Line::Spoilt }
             }
@@ -130,20 +128,18 @@
 }
 
 /// `Srv-Load: NAME=VALUE,...`; one that can't be read is none.
-fn allowance(headers: &Headers, fields: &ReportFields) -> Option<Allowance> {
+fn allowance<'a>(headers: &'a Headers, fields: &ReportFields) -> Option<Allowance> {
     let report = headers.get("srv-load")?;
-    let value = |name: &Option<String>| -> Option<f64> {
-        let name = name.as_deref()?;
-        let mut found = None;
-        for pair in report.split(',') {
-            let (key, value) = pair.split_once('=')?;
-            let value: f64 =
-                value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)?;
-            if key.trim() == name {
-                found = Some(value);
-            }
-        }
-        found
+    let pair = |pair: &'a str| {
+        let (name, value) = pair.split_once('=')?;
+        let value: f64 =
+            value.trim().parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0)?;
+        Some((name.trim(), value))
+    };
+    let told: Vec<(&str, f64)> = report.split(',').map(pair).collect::<Option<_>>()?;
+    let value = |name: &Option<String>| {
+        let named = |(known, _): &&(&str, f64)| Some(*known) == name.as_deref();
+        told.iter().rev().find(named).map(|(_, value)| *value)
     };
     value(&fields.left).zip(value(&fields.limit)).map(|(left, limit)| Allowance { left, limit })
 }
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -47,6 +47,19 @@
     },
 }
 
+impl State {
+    /// When it has taken long enough, where that is for us to say.
+    fn until(&self) -> Option<Time> {
+        match self {
+            State::Connecting { until }
+            | State::Held { until, .. }
+            | State::Finishing { until }
+            | State::Idle { until } => Some(*until),
+            State::Ready | State::Due { .. } | State::Sent { .. } => None,
+        }
+    }
+}
+
 struct Conn {
     endpoint: EndpointId,
     address: SocketAddr,
@@ -207,8 +220,8 @@
     pub fn abandon(&mut self, attempt: Attempt, wires: &mut impl Wires) {
         self.forget(attempt);
         if let Some(wire) = self.attempts.remove(&attempt) {
-            self.conns.remove(&wire);
-            wires.close(wire);
+            // A kept connection may have left an empty row of its endpoint behind.
+            self.close(wire, wires);
         }
     }
 
@@ -334,31 +347,21 @@
 
     /// When [`Calls::tick`] must be called at the latest.
     pub fn due(&self) -> Option<Time> {
-        let due = |conn: &Conn| match conn.state {
-            State::Connecting { until }
-            | State::Held { until, .. }
-            | State::Finishing { until }
-            | State::Idle { until } => Some(until),
-            State::Ready | State::Due { .. } | State::Sent { .. } => None,
-        };
-        self.conns.values().filter_map(due).min()
+        self.conns.values().filter_map(|conn| conn.state.until()).min()
     }
 
     /// Ends what has taken too long, and tells whose last byte is due.
     pub fn tick(&mut self, now: Time, wires: &mut impl Wires) {
         let mut late = Vec::new();
         for (wire, conn) in &mut self.conns {
-            match conn.state {
-                State::Held { last, until } if until <= now => {
-                    conn.state = State::Due { last };
-                    self.due.extend(conn.attempt);
-                }
-                State::Connecting { until } | State::Finishing { until } | State::Idle { until }
-                    if until <= now =>
-                {
-                    late.push(*wire);
-                }
-                _ => {}
+            if conn.state.until().is_none_or(|until| until > now) {
+                continue;
+            }
+            if let State::Held { last, .. } = conn.state {
+                conn.state = State::Due { last };
+                self.due.extend(conn.attempt);
+            } else {
+                late.push(*wire);
             }
         }
         for wire in late {
--- a/crates/platform/src/handin.rs
+++ b/crates/platform/src/handin.rs
@@ -1,5 +1,6 @@
 //! A client's command: what it asks for, and what is wrong with it.
 
+use crate::LONGEST_BODY;
 use cloverstile::{Class, ClassId, DestinationId, Effect, OrderKey, Time};
 use cloverstile_engine::HandIn;
 use std::time::Duration;
@@ -8,8 +9,6 @@
 const LONGEST_ID: usize = 64;
 /// Longest list of names and values.
 const LONGEST_FIELDS: usize = 4096;
-/// Longest body that the platform carries.
-pub const LONGEST_BODY: usize = 64 << 10;
 /// No message may be delivered for longer than this.
 const LONGEST_TIME: Duration = Duration::from_secs(24 * 3600);
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`config`] | the JSON configuration, its settings for the module's one parser |
 //! | [`handin`] | what a client's command asks for, and what is wrong with it |
 //! | [`list`] | the list of endpoints: whole lists, changes, ids for the module |
+//! | `agent` | the connection to the agent on this machine, which [`watch`] and [`notices`] ask on |
 //! | [`watch`] | the watch of that list: when to ask, when discovery counts as silent |
 //! | [`notices`] | what the platform must be told, until it has answered |
 //! | [`answer`] | an endpoint's answer: outcome, whether it may have run, whether its connection is of use |
@@ -16,6 +17,7 @@
 //! | [`leaving`] | what a courier that was told to stop still does |
 #![forbid(unsafe_code)]
 
+mod agent;
 pub mod answer;
 pub mod calls;
 pub mod config;
@@ -28,6 +30,9 @@
 
 use std::net::SocketAddr;
 
+/// Bytes of the longest body that the platform carries.
+pub const LONGEST_BODY: usize = 64 << 10;
+
 /// A connection, as the shell numbers them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Wire(pub u64);
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -193,7 +193,7 @@
 
     /// The list in discovery's form, as a configuration's `known`.
     pub fn known(&self) -> serde_json::Value {
-        list_json(&self.shared.state(), &self.endpoints, true)
+        list_json(&self.shared.state(), &self.endpoints)
     }
 }
 
@@ -232,20 +232,10 @@
     pub fn command(&self) -> Vec<u8> {
         let keyed = self.idempotency.as_ref().map_or(String::new(), |key| format!(",k={key}"));
         let fields = format!("c={},d={}{keyed},dest={}", self.class, self.left, self.destination);
-        let words: [&[u8]; 5] = [
-            b"MSG.PUT",
-            &format!("{:016x}", self.key).into_bytes(),
-            self.id.as_bytes(),
-            fields.as_bytes(),
-            &self.body,
-        ];
-        let mut out = b"*5\r\n".to_vec();
-        for word in words {
-            out.extend(format!("${}\r\n", word.len()).into_bytes());
-            out.extend_from_slice(word);
-            out.extend_from_slice(b"\r\n");
-        }
-        out
+        let key = format!("{:016x}", self.key);
+        let words: [&[u8]; 5] =
+            [b"MSG.PUT", key.as_bytes(), self.id.as_bytes(), fields.as_bytes(), &self.body];
+        cloverstile_resp::command(&words)
     }
 }
 
@@ -323,10 +313,7 @@
         }
         Manner::Say(bytes) => {
             stream.write_all(&bytes)?;
-            let says = |status: &str| {
-                bytes.windows(13).any(|part| part.starts_with(format!("HTTP/1.1 {status}").as_bytes()))
-            };
-            if says("200") {
+            if String::from_utf8_lossy(&bytes).contains("HTTP/1.1 200") {
                 shared.note(Seen::Delivered { id });
             } else if bytes.starts_with(b"HTTP/1.1 429") || bytes.starts_with(b"HTTP/1.1 503") {
                 shared.note(Seen::NeverRan { id });
@@ -339,7 +326,7 @@
     Ok(true)
 }
 
-fn list_json(state: &State, addresses: &[SocketAddr], whole: bool) -> serde_json::Value {
+fn list_json(state: &State, addresses: &[SocketAddr]) -> serde_json::Value {
     let instances: Vec<serde_json::Value> = state
         .entries
         .iter()
@@ -350,7 +337,7 @@
             })
         })
         .collect();
-    serde_json::json!({ "generation": state.generation, "reset": whole, "instances": instances })
+    serde_json::json!({ "generation": state.generation, "reset": true, "instances": instances })
 }
 
 fn ask(
@@ -387,7 +374,7 @@
             Err(error) => error.into_inner().0,
         };
     }
-    let list = list_json(&state, addresses, true).to_string();
+    let list = list_json(&state, addresses).to_string();
     drop(state);
     stream.write_all(&response(200, "OK", &Headers::new(), list.as_bytes()))?;
     Ok(true)
@@ -400,14 +387,11 @@
     let mut over: BTreeSet<&str> = BTreeSet::new();
     let mut may_have_run: BTreeMap<&str, bool> = BTreeMap::new();
     let mut taken: BTreeMap<&str, (u64, bool)> = BTreeMap::new();
+    let mut turns: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
+    // A call may be seen before its client has read that the message is taken on.
     for (_, event) in seen {
         if let Seen::Taken { id, key, once } = event {
             taken.insert(id, (*key, *once));
-        }
-    }
-    let mut turns: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
-    for (_, event) in seen {
-        if let Seen::Taken { id, key, .. } = event {
             if *key != 0 {
                 turns.entry(*key).or_default().push(id);
             }
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,6 +1,6 @@
 //! The log as state: what lives, what a turn adds, when a new segment is due, and what a start finds.
 
-use crate::record::{Living, Record};
+use crate::record::{write_taken, Living, Record};
 use crate::store::Folder;
 use std::collections::BTreeMap;
 use std::io;
@@ -156,21 +156,6 @@
         &mut self.folder
     }
 
-    /// Messages that live.
-    pub fn len(&self) -> usize {
-        self.living.len()
-    }
-
-    /// Whether nothing lives.
-    pub fn is_empty(&self) -> bool {
-        self.living.is_empty()
-    }
-
-    /// Bytes of the segment.
-    pub fn written(&self) -> u64 {
-        self.length
-    }
-
     /// Whether a message with such a body may be taken on: it must fit with all that lives.
     pub fn has_room(&self, body: usize) -> bool {
         self.living_bytes + body as u64 + 512 <= (self.bound as f64 * LIVING_PART) as u64
@@ -184,7 +169,7 @@
         }
         let batch = std::mem::take(&mut self.batch);
         let full = self.length + batch.len() as u64 > (self.bound as f64 * SEGMENT_PART) as u64
-            || (self.length > self.living_bytes * 4 + LEAST_DEAD);
+            || self.length > self.living_bytes * 4 + LEAST_DEAD;
         if self.torn || full {
             return self.replace();
         }
@@ -203,7 +188,7 @@
         self.torn = true;
         let mut bytes = MAGIC.to_vec();
         for (seq, living) in &self.living {
-            Record::Taken(*seq, Box::new(living.clone())).write(&mut bytes);
+            write_taken(*seq, living, &mut bytes);
         }
         self.folder.remove(TEMPORARY)?;
         let next = self.segment + 1;
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -94,58 +94,67 @@
     }
 }
 
+/// Appends a record's length and checksum, and behind them what `fields` writes.
+fn framed(out: &mut Vec<u8>, fields: impl FnOnce(&mut Out)) {
+    let start = out.len();
+    out.extend([0; HEAD]);
+    fields(&mut Out(out));
+    let length = u32::try_from(out.len() - start - HEAD).unwrap_or(u32::MAX);
+    let checksum = crc32fast::hash(&out[start + HEAD..]);
+    out[start..start + 4].copy_from_slice(&length.to_le_bytes());
+    out[start + 4..start + HEAD].copy_from_slice(&checksum.to_le_bytes());
+}
+
+/// Appends [`Record::Taken`] of a message as it stands, without a copy of its body.
+pub fn write_taken(seq: u32, living: &Living, out: &mut Vec<u8>) {
+    framed(out, |to| {
+        to.u8(1);
+        to.u32(seq);
+        to.bytes(&living.id);
+        to.u8(u8::from(living.idempotency.is_some()));
+        to.bytes(living.idempotency.as_deref().unwrap_or_default());
+        to.u8(living.class);
+        to.u16(living.destination);
+        to.u64(living.order);
+        to.u64(living.taken_at);
+        to.u64(living.deadline);
+        to.u8(u8::from(living.after_loss));
+        to.u16(living.attempts);
+        to.option(living.may_have_run);
+        to.option(living.open);
+        match living.owed {
+            None => to.u8(0),
+            Some(ending) => to.ending(ending),
+        }
+        to.bytes(&living.body);
+    });
+}
+
 impl Record {
     /// Appends the record's bytes.
     pub fn write(&self, out: &mut Vec<u8>) {
-        let start = out.len();
-        out.extend([0; HEAD]);
-        let mut to = Out(out);
         match self {
-            Record::Taken(seq, living) => {
-                to.u8(1);
-                to.u32(*seq);
-                to.bytes(&living.id);
-                to.u8(u8::from(living.idempotency.is_some()));
-                to.bytes(living.idempotency.as_deref().unwrap_or_default());
-                to.u8(living.class);
-                to.u16(living.destination);
-                to.u64(living.order);
-                to.u64(living.taken_at);
-                to.u64(living.deadline);
-                to.u8(u8::from(living.after_loss));
-                to.u16(living.attempts);
-                to.option(living.may_have_run);
-                to.option(living.open);
-                match living.owed {
-                    None => to.u8(0),
-                    Some(ending) => to.ending(ending),
-                }
-                to.bytes(&living.body);
-            }
-            Record::Begun(seq, at) => {
+            Record::Taken(seq, living) => write_taken(*seq, living, out),
+            Record::Begun(seq, at) => framed(out, |to| {
                 to.u8(2);
                 to.u32(*seq);
                 to.u64(*at);
-            }
-            Record::Settled(seq, may_have_run) => {
+            }),
+            Record::Settled(seq, may_have_run) => framed(out, |to| {
                 to.u8(3);
                 to.u32(*seq);
                 to.u8(u8::from(*may_have_run));
-            }
-            Record::Owed(seq, ending) => {
+            }),
+            Record::Owed(seq, ending) => framed(out, |to| {
                 to.u8(4);
                 to.u32(*seq);
                 to.ending(*ending);
-            }
-            Record::Over(seq) => {
+            }),
+            Record::Over(seq) => framed(out, |to| {
                 to.u8(5);
                 to.u32(*seq);
-            }
+            }),
         }
-        let length = u32::try_from(out.len() - start - HEAD).unwrap_or(u32::MAX);
-        let checksum = crc32fast::hash(&out[start + HEAD..]);
-        out[start..start + 4].copy_from_slice(&length.to_le_bytes());
-        out[start + 4..start + HEAD].copy_from_slice(&checksum.to_le_bytes());
     }
 
     /// The record that the bytes begin with, and how many they are; none where they are torn or damaged.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -406,7 +406,7 @@
         // of one that was overtaken: it was lost with its connection, and would teach ever longer patience.
         let sample = match finished.outcome {
             Outcome::Ok => true,
-            Outcome::Timeout | Outcome::Cancelled => route.last_answer <= call.sent + patience,
+            Outcome::Timeout | Outcome::Cancelled => !route.overtook(call, patience),
             _ => false,
         };
         if sample {
@@ -802,17 +802,17 @@
     /// Behind a full bulkhead only one that was overtaken: its route answers, so that it is lost with its
     /// connection; at a partner that hangs as a whole it may be answered yet.
     fn free_pinned_slot(&mut self, now: Time) {
-        let pinned = std::mem::take(&mut self.pinned) || self.slots_free() == 0;
+        let any = self.slots_free() == 0;
+        let pinned = std::mem::take(&mut self.pinned) || any;
         if !self.settings.cancel || !pinned || self.open <= self.calls.len() {
             return;
         }
-        let any = self.slots_free() == 0;
         let hanging = |call: &Call| {
             let mut carried = call.carried.iter().filter_map(|m| self.messages.get(m));
             let safe = carried.all(|m| self.repeatable(m));
             let patience = self.stall_patience(call.route) * if safe { 1 } else { UNSAFE_PATIENCE };
-            let overtaken = |route: &Route| route.last_answer > call.sent + patience;
-            let lost = any || self.routes.get(&call.route).is_some_and(overtaken);
+            let lost =
+                any || self.routes.get(&call.route).is_some_and(|route| route.overtook(call, patience));
             !call.called_off && lost && now - call.sent > patience
         };
         let Some(id) = self.calls.iter().find(|(_, call)| hanging(call)).map(|(id, _)| *id) else { return };
@@ -934,6 +934,11 @@
 }
 
 impl Route {
+    /// Whether a success came on the route beyond the patience with a call: it answers, and the call is lost.
+    fn overtook(&self, call: &Call, patience: Duration) -> bool {
+        self.last_answer > call.sent + patience
+    }
+
     /// Whether this courier has too few messages here for a figure of its own (`LIGHT`).
     fn is_light(&mut self, now: Time, settings: &Settings) -> bool {
         self.demand.rate(now, cold_s(settings), 0.0) * cold_s(settings) < LIGHT
