A repeat whose connection came up behind its window is not sent

Ruled out by reading: an attempt taken as never run that may have run (order of Flushed before Closed in net, states of calls, outcomes in the module). The module decides a repeat up to 0.9 of the window; the call then waits for its connection, up to connect_timeout (1 s) and longer behind a stale one, and nothing looked at the window again (crates/node/src/node.rs, `open`).

Change: at the moment of writing the node asks the module (`window_end`, now public) and does not send what is past it; the attempt ends as not sent, which teaches nothing.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -508,6 +508,12 @@
     fn open(&mut self, now: Time, attempt: Attempt) {
         let until = self.engine.waits_until(attempt);
         let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { return };
+        // Guards against a second effect: the module decided inside the window, and the connection came up behind it.
+        let class = self.classes.get(usize::from(living.class));
+        if let Some(late) = class.and_then(|class| kept::past_window(now, living, class)) {
+            debug!(id = attempt.message.0, number = attempt.number, ?late, "past its window, not sent");
+            return self.calls.drop_due(attempt, &mut Sockets(&mut self.net));
+        }
         let left = until - now;
         trace!(id = attempt.message.0, to = living.destination, number = attempt.number, ?left, "sent");
         let bytes = kept::call(living, left);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,6 @@
 mod interface;
 mod settings;
 
-pub use choice::Courier;
+pub use choice::{window_end, Courier};
 pub use interface::*;
 pub use settings::{parse_settings, Parsed, SettingError};
