--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -359,9 +359,9 @@
     for number in 0..60 {
         assert_eq!(world.platform.hand_in(&mut client, &payment(format!("p{number}"))).unwrap(), "+OK");
     }
-    let fold = PathBuf::from(format!("/proc/{id}"));
+    let about = PathBuf::from(format!("/proc/{id}"));
     let mut open = 0;
-    for entry in fs::read_dir(fold.join("fd")).unwrap() {
+    for entry in fs::read_dir(about.join("fd")).unwrap() {
         let Ok(target) = fs::read_link(entry.unwrap().path()) else { continue };
         let target = target.display().to_string();
         assert!(!target.contains("io_uring"), "{target}");
@@ -369,7 +369,7 @@
             continue;
         };
         let listed = |table: &str, place: usize| {
-            let text = fs::read_to_string(fold.join("net").join(table)).unwrap();
+            let text = fs::read_to_string(about.join("net").join(table)).unwrap();
             text.lines().any(|line| line.split_whitespace().nth(place) == Some(inode))
         };
         // A connection that closed since has left both tables: only what is listed elsewhere is wrong.
