--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -208,7 +208,7 @@
         }
     }
 
-    /// An attempt is not sent after all. Its connection holds the better part of a call, and goes.
+    /// An attempt is not sent after all. Its connection goes: it may hold the better part of a call.
     pub fn drop_due(&mut self, attempt: Attempt, wires: &mut impl Wires) {
         if self.attempts.contains_key(&attempt) {
             self.abandon(attempt, wires);
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -42,7 +42,7 @@
     pub worst: f64,
     /// Share of the messages handed in since the return that were delivered.
     pub delivered: f64,
-    /// Calls delivered from the first second on, over what the limit allows.
+    /// Calls delivered over the whole run, over what the limit allows.
     pub used: f64,
 }
 
@@ -180,15 +180,19 @@
         }
     }
 
+    fn stays_well(&self) -> bool {
+        self.plan.outage == Outage::Never
+    }
+
     fn out(&self) -> bool {
-        self.plan.outage != Outage::Never && self.now >= self.out_from && self.now < self.back
+        !self.stays_well() && self.now >= self.out_from && self.now < self.back
     }
 
     /// Calls a second that the partner can do at this moment.
     fn capacity(&self) -> f64 {
         let rules = &self.settings.rules;
         let warmth = ((self.now - self.back).as_secs_f64() / rules.cold.as_secs_f64()).min(1.0);
-        let cold = self.plan.outage != Outage::Never && self.now >= self.back;
+        let cold = !self.stays_well() && self.now >= self.back;
         self.plan.capacity * if cold { rules.cold_from + (1.0 - rules.cold_from) * warmth } else { 1.0 }
     }
 
@@ -228,7 +232,7 @@
             self.delivered += usize::from(complete && self.since_return.contains(&message));
             self.all_delivered += usize::from(complete);
             let told = Allowance { left: self.left.0, limit: self.plan.capacity };
-            let allowance = (self.plan.outage == Outage::Never).then_some(told);
+            let allowance = self.stays_well().then_some(told);
             let latency = self.now - sent;
             let finished = Finished { message, endpoint: TO, attempt, outcome, latency, complete, allowance };
             let member = &mut self.members[member];
@@ -272,7 +276,7 @@
         let soon = ms(50);
         if !self.out() {
             if self.room < 1.0 {
-                self.room -= f64::from(self.plan.outage == Outage::Never);
+                self.room -= f64::from(self.stays_well());
                 return (Outcome::Full(None), soon);
             }
             self.room -= 1.0;
