--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -6,6 +6,7 @@
 mod baseline;
 mod record;
 mod scenario;
+mod spread;
 mod world;
 
 pub use baseline::{Checks, HealthyShare, PolicyKind};
@@ -13,6 +14,10 @@
 pub use scenario::{
     read, Act, BankSpec, ClassSpec, RuleSpec, Scenario, ScenarioError, SiteSpec, TroubleSpec,
 };
+pub use spread::{
+    play_spread, read_spread, Choice, Limiter, PartnerSpec, Scene, SpreadAudit, SpreadRun, StrikeKind,
+    StrikeSpec, Who, SCENES,
+};
 pub use world::play;
 
 /// Scenarios that come with the program, by name.
--- /dev/null
+++ b/crates/emulator/src/spread/plain.rs
@@ -0,0 +1,483 @@
+//! Other couriers, to compare the module with: each rule for the choice of an endpoint, and for a limit that all share,
+//! as it is published. A plain queue around them: oldest first, repeats after a full-jitter exponential gap. Not for
+//! service.
+
+use super::site::Load;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// How an endpoint is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Choice {
+    /// By chance.
+    Random,
+    /// In turn, all couriers from the same start.
+    RoundRobin,
+    /// Fewest own calls out, the first listed of equals.
+    LeastOut,
+    /// Of two by chance the one with fewer own calls out.
+    TwoChoices,
+    /// Least in hand by the last report.
+    LeastReported,
+    /// In turn within a deterministic subset of two: couriers in rounds, each round a shuffle that all compute alike.
+    Subsets,
+    /// Two choices within a slice of a ring: of two endpoints' width, where the courier stands by its number.
+    Ring,
+    /// By chance, weighted by served calls over calls in hand, as last reported.
+    WeightedByReports,
+    /// Probed: a pool of fresh answers; coldest by latency of those not hot by calls in hand, else fewest in hand.
+    Probed,
+}
+
+impl Choice {
+    /// All of them.
+    pub const ALL: [Choice; 9] = [
+        Choice::Random,
+        Choice::RoundRobin,
+        Choice::LeastOut,
+        Choice::TwoChoices,
+        Choice::LeastReported,
+        Choice::Subsets,
+        Choice::Ring,
+        Choice::WeightedByReports,
+        Choice::Probed,
+    ];
+
+    /// The name that command lines use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Choice::Random => "random",
+            Choice::RoundRobin => "round-robin",
+            Choice::LeastOut => "least-out",
+            Choice::TwoChoices => "two-choices",
+            Choice::LeastReported => "least-reported",
+            Choice::Subsets => "subsets",
+            Choice::Ring => "ring",
+            Choice::WeightedByReports => "weighted-by-reports",
+            Choice::Probed => "probed",
+        }
+    }
+}
+
+/// How a courier keeps to a limit that others share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Limiter {
+    /// Not at all.
+    None,
+    /// Additive increase, multiplicative decrease: a call a second more each second, half at a refusal.
+    Aimd,
+    /// The told rate over the number of couriers.
+    Even,
+    /// Adaptive throttling: refuses by itself with the chance `(asked - 2 accepted) / (asked + 1)`.
+    Adaptive,
+}
+
+impl Limiter {
+    /// All of them.
+    pub const ALL: [Limiter; 4] = [Limiter::None, Limiter::Aimd, Limiter::Even, Limiter::Adaptive];
+
+    /// The name that command lines use.
+    pub fn name(self) -> &'static str {
+        match self {
+            Limiter::None => "none",
+            Limiter::Aimd => "aimd",
+            Limiter::Even => "even",
+            Limiter::Adaptive => "adaptive",
+        }
+    }
+}
+
+/// Width of subsets and slices, in endpoints.
+const SLICE: usize = 2;
+/// Probes with each call, how many answers are kept, and for how long one is fresh.
+const PROBES: usize = 2;
+const POOL: usize = 16;
+const FRESH: Duration = Duration::from_secs(1);
+/// Calls in hand above this quantile of the pool are hot.
+const HOT: f64 = 0.8;
+/// Seconds over which adaptive throttling counts.
+const COUNTED_S: f64 = 30.0;
+/// First and longest gap before a repeat.
+const GAPS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// One try lasts so long at most.
+const TRY: Duration = Duration::from_secs(2);
+
+/// What a courier is and what it knows from the start.
+#[derive(Clone, Copy, Debug)]
+pub struct Nature {
+    pub number: usize,
+    pub couriers: usize,
+    pub choice: Choice,
+    pub limiter: Limiter,
+    pub slots: usize,
+    pub held: usize,
+}
+
+/// What is to be done.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Do {
+    /// Send a message.
+    Send { message: u32, endpoint: usize },
+    /// Ask an endpoint for its load.
+    Probe { endpoint: usize },
+    /// Give it up: by then it was sent or not.
+    GiveUp { message: u32, may_have_run: bool },
+}
+
+struct Waiting {
+    partner: usize,
+    deadline: Duration,
+    repeatable: bool,
+    tries: u32,
+    may_have_run: bool,
+    out: Option<(usize, Duration)>,
+}
+
+#[derive(Default)]
+struct Partner {
+    endpoints: Vec<usize>,
+    told_rate: Option<f64>,
+    turn: usize,
+    queue: VecDeque<u32>,
+    /// Pace of a limiter, and tokens.
+    rate: f64,
+    tokens: f64,
+    filled: Duration,
+    asked: f64,
+    accepted: f64,
+    counted: Duration,
+    wait: Duration,
+}
+
+/// What is known of an endpoint.
+#[derive(Default)]
+struct Known {
+    out: u32,
+    load: Load,
+    latency: f64,
+}
+
+/// A plain courier.
+pub struct Plain {
+    nature: Nature,
+    rng: ChaCha8Rng,
+    partners: Vec<Partner>,
+    known: BTreeMap<usize, Known>,
+    /// Answers of probes: endpoint, calls in hand, latency, when.
+    pool: VecDeque<(usize, f64, f64, Duration)>,
+    messages: BTreeMap<u32, Waiting>,
+    later: BTreeSet<(Duration, u32)>,
+    deadlines: BTreeSet<(Duration, u32)>,
+    out: usize,
+    first: usize,
+}
+
+impl Plain {
+    pub fn new(nature: Nature, seed: u64) -> Plain {
+        Plain {
+            nature,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            partners: Vec::new(),
+            known: BTreeMap::new(),
+            pool: VecDeque::new(),
+            messages: BTreeMap::new(),
+            later: BTreeSet::new(),
+            deadlines: BTreeSet::new(),
+            out: 0,
+            first: 0,
+        }
+    }
+
+    /// The endpoints of each partner that take work, and the told limit of each partner.
+    pub fn list(&mut self, lists: Vec<(Vec<usize>, Option<f64>)>) {
+        self.partners.resize_with(lists.len(), Partner::default);
+        let even = 1.0 / self.nature.couriers.max(1) as f64;
+        for (partner, (endpoints, rate)) in self.partners.iter_mut().zip(lists) {
+            if partner.told_rate.is_none() {
+                // A call may go at once; a pace begins at the even part.
+                partner.rate = rate.map_or(f64::INFINITY, |rate| rate * even);
+                partner.tokens = 1.0;
+            }
+            partner.told_rate = rate;
+            partner.endpoints = endpoints;
+        }
+    }
+
+    /// Takes a message; false if as many are held as may be.
+    pub fn take(&mut self, message: u32, partner: usize, deadline: Duration, repeatable: bool) -> bool {
+        if self.messages.len() >= self.nature.held {
+            return false;
+        }
+        let waiting = Waiting { partner, deadline, repeatable, tries: 0, may_have_run: false, out: None };
+        self.messages.insert(message, waiting);
+        self.deadlines.insert((deadline, message));
+        if let Some(partner) = self.partners.get_mut(partner) {
+            partner.queue.push_back(message);
+        }
+        true
+    }
+
+    fn forget(&mut self, message: u32) {
+        let Some(waiting) = self.messages.remove(&message) else { return };
+        self.deadlines.remove(&(waiting.deadline, message));
+        if let Some(partner) = self.partners.get_mut(waiting.partner) {
+            partner.queue.retain(|other| *other != message);
+        }
+        if let Some((endpoint, _)) = waiting.out {
+            self.out -= 1;
+            self.known.entry(endpoint).and_modify(|known| known.out = known.out.saturating_sub(1));
+        }
+    }
+
+    /// A call ended: delivered, surely not run (with a wait, if one was told), or of unknown fate. True if that is the
+    /// message's end.
+    pub fn ended(&mut self, now: Duration, message: u32, how: Ended, load: Option<Load>) -> bool {
+        let Some(waiting) = self.messages.get_mut(&message) else { return false };
+        let Some((endpoint, sent)) = waiting.out.take() else { return false };
+        self.out -= 1;
+        let known = self.known.entry(endpoint).or_default();
+        known.out = known.out.saturating_sub(1);
+        known.load = load.unwrap_or(known.load);
+        let partner = &mut self.partners[waiting.partner];
+        match how {
+            Ended::Delivered => {
+                known.latency = 0.8 * known.latency + 0.2 * (now - sent).as_secs_f64();
+                partner.accepted += 1.0;
+                self.forget(message);
+                return true;
+            }
+            Ended::Refused(wait) => {
+                partner.wait = partner.wait.max(now + wait.unwrap_or_default());
+                if self.nature.limiter == Limiter::Aimd {
+                    partner.rate = (partner.rate.min(1e6) / 2.0).max(0.05);
+                }
+            }
+            Ended::Unknown => waiting.may_have_run = true,
+        }
+        let gap = (GAPS.0 * 2u32.saturating_pow(waiting.tries.min(10))).min(GAPS.1);
+        let gap = gap.mul_f64(self.rng.random::<f64>());
+        self.later.insert((now + gap, message));
+        false
+    }
+
+    /// A probe came back.
+    pub fn probed(&mut self, now: Duration, endpoint: usize, in_hand: f64) {
+        let latency = self.known.entry(endpoint).or_default().latency;
+        self.pool.push_back((endpoint, in_hand, latency, now));
+        if self.pool.len() > POOL {
+            self.pool.pop_front();
+        }
+    }
+
+    /// All that can be done now, and when to ask again.
+    pub fn advance(&mut self, now: Duration) -> (Vec<Do>, Option<Duration>) {
+        let mut done = Vec::new();
+        while let Some(&(at, message)) = self.later.first().filter(|(at, _)| *at <= now) {
+            self.later.remove(&(at, message));
+            let Some(waiting) = self.messages.get(&message) else { continue };
+            if waiting.may_have_run && !waiting.repeatable {
+                done.push(Do::GiveUp { message, may_have_run: true });
+                self.forget(message);
+            } else if waiting.out.is_none() {
+                // Repeats go first: they are the oldest.
+                self.partners[waiting.partner].queue.push_front(message);
+            }
+        }
+        let slow: Vec<u32> = self
+            .messages
+            .iter()
+            .filter(|(_, waiting)| waiting.out.is_some_and(|(_, sent)| now >= sent + TRY))
+            .map(|(message, _)| *message)
+            .collect();
+        for message in slow {
+            self.ended(now, message, Ended::Unknown, None);
+        }
+        while let Some(&(at, message)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
+            self.deadlines.remove(&(at, message));
+            let ran = self.messages.get(&message).is_some_and(|w| w.may_have_run || w.out.is_some());
+            done.push(Do::GiveUp { message, may_have_run: ran });
+            self.forget(message);
+        }
+        let mut next: Option<Duration> = None;
+        let mut earlier = |at: Duration| next = Some(next.map_or(at, |next| next.min(at)));
+        let count = self.partners.len();
+        for place in (0..count).map(|place| (place + self.first) % count.max(1)).collect::<Vec<_>>() {
+            while self.out < self.nature.slots && !self.partners[place].queue.is_empty() {
+                if let Err(at) = self.permitted(now, place) {
+                    if let Some(at) = at {
+                        earlier(at);
+                    }
+                    break;
+                }
+                let Some(endpoint) = self.choose(now, place, &mut done) else { break };
+                let Some(message) = self.partners[place].queue.pop_front() else { break };
+                let Some(waiting) = self.messages.get_mut(&message) else { continue };
+                waiting.tries += 1;
+                waiting.out = Some((endpoint, now));
+                self.out += 1;
+                self.known.entry(endpoint).or_default().out += 1;
+                earlier(now + TRY);
+                done.push(Do::Send { message, endpoint });
+            }
+        }
+        self.first = self.first.wrapping_add(1);
+        if let Some((at, _)) = self.later.first() {
+            earlier(*at);
+        }
+        if let Some((at, _)) = self.deadlines.first() {
+            earlier(*at);
+        }
+        (done, next)
+    }
+
+    /// Whether a call to a partner may go now; if not, when to ask again.
+    fn permitted(&mut self, now: Duration, place: usize) -> Result<(), Option<Duration>> {
+        let limiter = self.nature.limiter;
+        let partner = &mut self.partners[place];
+        if partner.wait > now {
+            return Err(Some(partner.wait));
+        }
+        let passed = now.saturating_sub(partner.filled).as_secs_f64();
+        partner.filled = now;
+        match limiter {
+            Limiter::None => Ok(()),
+            _ if partner.told_rate.is_none() && limiter != Limiter::Adaptive => Ok(()),
+            Limiter::Aimd | Limiter::Even => {
+                if limiter == Limiter::Aimd {
+                    partner.rate = (partner.rate + passed).min(partner.told_rate.unwrap_or(1e6));
+                }
+                partner.tokens = (partner.tokens + passed * partner.rate).min((partner.rate * 0.4).max(1.0));
+                if partner.tokens < 1.0 {
+                    let wait = ((1.0 - partner.tokens) / partner.rate.max(1e-3)).clamp(0.001, 60.0);
+                    return Err(Some(now + Duration::from_secs_f64(wait)));
+                }
+                partner.tokens -= 1.0;
+                Ok(())
+            }
+            Limiter::Adaptive => {
+                let fade = (-now.saturating_sub(partner.counted).as_secs_f64() / COUNTED_S).exp();
+                (partner.asked, partner.accepted) = (partner.asked * fade + 1.0, partner.accepted * fade);
+                partner.counted = now;
+                let refuse = (partner.asked - 2.0 * partner.accepted) / (partner.asked + 1.0);
+                if self.rng.random::<f64>() < refuse {
+                    // Refused by itself: asked again after a gap.
+                    return Err(Some(now + GAPS.0.mul_f64(0.5 + self.rng.random::<f64>())));
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn choose(&mut self, now: Duration, place: usize, done: &mut Vec<Do>) -> Option<usize> {
+        let Plain { nature, rng, partners, known, pool, .. } = self;
+        let partner = &mut partners[place];
+        let endpoints = &partner.endpoints;
+        let count = endpoints.len();
+        if count == 0 {
+            return None;
+        }
+        let out = |endpoint: usize| known.get(&endpoint).map_or(0, |known| known.out);
+        let load = |endpoint: usize| known.get(&endpoint).map_or(Load::default(), |known| known.load);
+        let two = |rng: &mut ChaCha8Rng, among: &[usize]| {
+            let first = among[rng.random_range(0..among.len())];
+            let second = among[rng.random_range(0..among.len())];
+            if out(second) < out(first) {
+                second
+            } else {
+                first
+            }
+        };
+        Some(match nature.choice {
+            Choice::Random => endpoints[rng.random_range(0..count)],
+            Choice::RoundRobin => {
+                partner.turn += 1;
+                endpoints[(partner.turn - 1) % count]
+            }
+            Choice::LeastOut => endpoints.iter().copied().min_by_key(|e| out(*e))?,
+            Choice::TwoChoices => two(rng, endpoints),
+            Choice::LeastReported => {
+                let least = endpoints.iter().map(|e| load(*e).in_hand).fold(f64::INFINITY, f64::min);
+                let equal: Vec<usize> =
+                    endpoints.iter().copied().filter(|e| load(*e).in_hand <= least).collect();
+                equal[rng.random_range(0..equal.len())]
+            }
+            Choice::Subsets => {
+                // So many couriers share out all endpoints; each such round is shuffled by its number.
+                let parts = (count / SLICE).max(1);
+                let (round, part) = (nature.number / parts, nature.number % parts);
+                let mut order = endpoints.clone();
+                order.shuffle(&mut ChaCha8Rng::seed_from_u64(round as u64));
+                let own: Vec<usize> = order.into_iter().skip(part * SLICE).take(SLICE).collect();
+                partner.turn += 1;
+                own[(partner.turn - 1) % own.len()]
+            }
+            Choice::Ring => {
+                let start = nature.number * count / nature.couriers.max(1);
+                let own: Vec<usize> = (0..SLICE.min(count)).map(|n| endpoints[(start + n) % count]).collect();
+                two(rng, &own)
+            }
+            Choice::WeightedByReports => {
+                let weight = |e: &usize| {
+                    let load = load(*e);
+                    if load.served > 0.0 {
+                        load.served / load.in_hand.max(0.5)
+                    } else {
+                        f64::NAN
+                    }
+                };
+                let told: Vec<f64> = endpoints.iter().map(weight).filter(|w| w.is_finite()).collect();
+                // One that has told nothing counts as the mean of the others.
+                let mean = if told.is_empty() { 1.0 } else { told.iter().sum::<f64>() / told.len() as f64 };
+                let weights: Vec<f64> = endpoints
+                    .iter()
+                    .map(|e| Some(weight(e)).filter(|w| w.is_finite()).unwrap_or(mean))
+                    .collect();
+                let mut left = rng.random::<f64>() * weights.iter().sum::<f64>();
+                let drawn = endpoints.iter().zip(&weights).find(|(_, weight)| {
+                    left -= **weight;
+                    left <= 0.0
+                });
+                drawn.map_or(endpoints[count - 1], |(endpoint, _)| *endpoint)
+            }
+            Choice::Probed => {
+                for _ in 0..PROBES {
+                    done.push(Do::Probe { endpoint: endpoints[rng.random_range(0..count)] });
+                }
+                pool.retain(|(_, _, _, at)| now.saturating_sub(*at) < FRESH);
+                let mut of: Vec<(usize, f64, f64)> = pool
+                    .iter()
+                    .filter(|(endpoint, ..)| endpoints.contains(endpoint))
+                    .map(|(endpoint, in_hand, latency, _)| (*endpoint, *in_hand, *latency))
+                    .collect();
+                of.sort_by(|a, b| a.1.total_cmp(&b.1));
+                let hot = of.get(((of.len() as f64 * HOT) as usize).min(of.len().saturating_sub(1)));
+                let hot = hot.map_or(f64::INFINITY, |probe| probe.1);
+                let cold = of.iter().filter(|probe| probe.1 < hot).min_by(|a, b| a.2.total_cmp(&b.2));
+                match cold.or(of.first()).map(|probe| probe.0) {
+                    Some(endpoint) => {
+                        // Used once: the answer is true for one call.
+                        if let Some(place) = pool.iter().position(|probe| probe.0 == endpoint) {
+                            pool.remove(place);
+                        }
+                        endpoint
+                    }
+                    None => endpoints[rng.random_range(0..count)],
+                }
+            }
+        })
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ended {
+    /// Delivered.
+    Delivered,
+    /// It surely has not run; told to wait so long, if at all.
+    Refused(Option<Duration>),
+    /// It may have run.
+    Unknown,
+}
--- /dev/null
+++ b/crates/emulator/src/spread/scenario.rs
@@ -0,0 +1,346 @@
+//! Scenes of even load: HCL in. Times are in seconds, rates in a second.
+
+use crate::scenario::{ClassSpec, RuleSpec, ScenarioError};
+use cloverstile::{Class, Effect, Group, Rules};
+use cloverstile_standin::limit::{Counting, Terms};
+use cloverstile_standin::model::Nature;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// A scene.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scene {
+    /// Couriers.
+    pub couriers: usize,
+    /// Messages are handed in for so long; what is left is answered afterwards.
+    pub seconds: f64,
+    /// Messages a second from all clients together.
+    pub rate: f64,
+    /// Unevenness of the couriers' load: courier n gets a part that goes by `1 / (n + 1) ^ skew`.
+    #[serde(default)]
+    pub skew: f64,
+    /// Share of all messages that the first courier gets beside its part.
+    #[serde(default)]
+    pub hot: f64,
+    /// Calls out at once from a courier.
+    #[serde(default = "call_slots")]
+    pub call_slots: usize,
+    /// Messages that a courier holds.
+    #[serde(default = "most_held")]
+    pub most_held: usize,
+    /// Least time on the way between courier and endpoint, and the mean of what chance adds, in milliseconds.
+    #[serde(default = "way")]
+    pub way_ms: [f64; 2],
+    /// A new connection takes so much longer, in milliseconds.
+    #[serde(default = "connect")]
+    pub connect_ms: f64,
+    /// An idle connection is closed after so long.
+    #[serde(default = "conn_idle")]
+    pub conn_idle: f64,
+    /// How old what answers tell of limits and load may be, in milliseconds.
+    #[serde(default = "report")]
+    pub report_ms: f64,
+    /// Windows of the yardstick.
+    #[serde(default = "window")]
+    pub window: f64,
+    /// Class blocks, by name.
+    pub class: BTreeMap<String, ClassSpec>,
+    /// Partner blocks, by name.
+    pub partner: BTreeMap<String, PartnerSpec>,
+    /// What goes wrong, by a name for people.
+    #[serde(default)]
+    pub trouble: BTreeMap<String, StrikeSpec>,
+    /// Figures of the rules.
+    #[serde(default)]
+    pub rules: RuleSpec,
+}
+
+fn call_slots() -> usize {
+    6
+}
+
+fn most_held() -> usize {
+    24
+}
+
+fn way() -> [f64; 2] {
+    [0.4, 0.4]
+}
+
+fn connect() -> f64 {
+    5.0
+}
+
+fn conn_idle() -> f64 {
+    10.0
+}
+
+fn report() -> f64 {
+    500.0
+}
+
+fn window() -> f64 {
+    5.0
+}
+
+/// A partner, or many that are alike.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PartnerSpec {
+    /// So many of them.
+    #[serde(default = "one_partner")]
+    pub copies: usize,
+    /// Share of the messages, of all copies together.
+    pub share: f64,
+    /// Its endpoints.
+    pub endpoints: usize,
+    /// Paces of its endpoints, drawn between these evenly on a logarithmic scale: a pace of two has twice the servers.
+    #[serde(default = "alike")]
+    pub pace: [f64; 2],
+    /// Each endpoint has a limit of its own, by its pace, that the list tells.
+    #[serde(default)]
+    pub apart: bool,
+    /// Calls that an endpoint of pace 1 serves at once.
+    #[serde(default = "servers")]
+    pub servers: usize,
+    /// Calls that may wait at an endpoint.
+    #[serde(default = "queue")]
+    pub queue: usize,
+    /// Least time of a call and the mean of what chance adds, in milliseconds.
+    #[serde(default = "service")]
+    pub service_ms: [f64; 2],
+    /// Calls a second that it takes from all couriers together (where apart, all endpoints together).
+    #[serde(default)]
+    pub limit: Option<f64>,
+    /// The limit is a count in each span of so many seconds; left out, a plain rate.
+    #[serde(default)]
+    pub span: Option<f64>,
+    /// Refused calls use the limit up.
+    #[serde(default)]
+    pub refused_count: bool,
+    /// Refusals tell how long to wait.
+    #[serde(default)]
+    pub tells_wait: bool,
+    /// Answers do not tell of the limit.
+    #[serde(default)]
+    pub silent: bool,
+}
+
+fn one_partner() -> usize {
+    1
+}
+
+fn alike() -> [f64; 2] {
+    [1.0, 1.0]
+}
+
+fn servers() -> usize {
+    4
+}
+
+fn queue() -> usize {
+    20
+}
+
+fn service() -> [f64; 2] {
+    [10.0, 20.0]
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StrikeSpec {
+    /// `burst`, `limit`, `errors`, `silent`, `slow`, `slow-for`, `still`, `replace` or `restart`.
+    pub kind: String,
+    /// When it begins.
+    pub at: f64,
+    /// How long it lasts; of `replace`, how far the couriers' hearing of it is spread.
+    #[serde(default = "one")]
+    pub lasts: f64,
+    /// Partners struck; all copies together. None: all.
+    #[serde(default)]
+    pub partner: Option<String>,
+    /// A factor, or a share of the endpoints or couriers.
+    #[serde(default = "one")]
+    pub size: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// What a trouble does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StrikeKind {
+    /// Traffic of all, or for one partner, is multiplied.
+    Burst,
+    /// Limits are multiplied.
+    Limit,
+    /// This share of each partner's endpoints answers errors at once.
+    Errors,
+    /// This share says nothing; cold afterwards.
+    Silent,
+    /// This share takes three times as long.
+    Slow,
+    /// The first endpoint of each partner is reached half a second later by this share of the couriers.
+    SlowFor,
+    /// Reports of load and limits stand still.
+    Still,
+    /// This share is replaced by cold ones.
+    Replace,
+    /// This share of the couriers is lost and starts again.
+    Restart,
+}
+
+impl StrikeSpec {
+    /// What it does; none if the kind is not known.
+    pub fn act(&self) -> Option<StrikeKind> {
+        Some(match self.kind.as_str() {
+            "burst" => StrikeKind::Burst,
+            "limit" => StrikeKind::Limit,
+            "errors" => StrikeKind::Errors,
+            "silent" => StrikeKind::Silent,
+            "slow" => StrikeKind::Slow,
+            "slow-for" => StrikeKind::SlowFor,
+            "still" => StrikeKind::Still,
+            "replace" => StrikeKind::Replace,
+            "restart" => StrikeKind::Restart,
+            _ => return None,
+        })
+    }
+}
+
+/// Reads a scene and checks it.
+pub fn read_spread(text: &str) -> Result<Scene, ScenarioError> {
+    let scene: Scene = hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
+    scene.check()?;
+    Ok(scene)
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
+}
+
+impl Scene {
+    /// Whether it can be played; also for scenes that a program put together.
+    pub fn check(&self) -> Result<(), ScenarioError> {
+        let wrong = |block: &'static str, name: &str, what: &str| ScenarioError::Block {
+            block,
+            name: name.to_owned(),
+            what: what.to_owned(),
+        };
+        for (name, value) in [("seconds", self.seconds), ("rate", self.rate), ("window", self.window)] {
+            if !(value > 0.0 && value.is_finite()) {
+                return Err(ScenarioError::Read(format!("{name} must be above zero")));
+            }
+        }
+        if self.couriers == 0 || self.class.is_empty() || self.partner.is_empty() {
+            return Err(ScenarioError::Read("there must be a courier, a class and a partner".into()));
+        }
+        if !(0.0..1.0).contains(&self.hot) {
+            return Err(ScenarioError::Read("hot must be from 0 to below 1".into()));
+        }
+        for (name, class) in &self.class {
+            if !["safe", "keyed", "unsafe"].contains(&class.effect.as_str()) || class.in_order {
+                return Err(wrong(
+                    "class",
+                    name,
+                    "effect may be safe, keyed or unsafe, and none is in order",
+                ));
+            }
+        }
+        for (name, partner) in &self.partner {
+            if partner.endpoints == 0 || partner.copies == 0 || partner.servers == 0 {
+                return Err(wrong("partner", name, "copies, endpoints and servers must be above zero"));
+            }
+            if !(partner.pace[0] > 0.0 && partner.pace[1] >= partner.pace[0]) {
+                return Err(wrong("partner", name, "pace must be two numbers above zero, the least first"));
+            }
+            if partner.limit.is_some_and(|limit| limit <= 0.0) || (partner.apart && partner.limit.is_none()) {
+                return Err(wrong("partner", name, "limit must be above zero, and be there where apart"));
+            }
+        }
+        for (name, trouble) in &self.trouble {
+            if trouble.act().is_none() {
+                return Err(wrong("trouble", name, "this kind is not known"));
+            }
+            if trouble.partner.as_ref().is_some_and(|partner| !self.partner.contains_key(partner)) {
+                return Err(wrong("trouble", name, "there is no such partner"));
+            }
+        }
+        Ok(())
+    }
+
+    /// The same scene with another number of couriers, each with the same load: traffic and limits go with them.
+    pub fn scaled(mut self, couriers: usize) -> Scene {
+        let factor = couriers as f64 / self.couriers.max(1) as f64;
+        self.couriers = couriers;
+        self.rate *= factor;
+        for partner in self.partner.values_mut() {
+            partner.limit = partner.limit.map(|limit| limit * factor);
+            partner.servers = ((partner.servers as f64 * factor).ceil() as usize).max(1);
+        }
+        self
+    }
+
+    /// The classes as the module wants them, in the order of their names.
+    pub fn classes(&self) -> Vec<Class> {
+        let class = |spec: &ClassSpec| Class {
+            aim: span(spec.aim),
+            deadline: span(spec.deadline),
+            effect: match spec.effect.as_str() {
+                "safe" => Effect::Safe,
+                "keyed" => Effect::Keyed,
+                _ => Effect::Unsafe,
+            },
+            group: Group::All,
+            repeat_window: span(spec.window),
+            in_order: false,
+            worth: spec.worth,
+            late_share: spec.late_share,
+        };
+        self.class.values().map(class).collect()
+    }
+
+    /// What the couriers are told of the rules.
+    pub fn rules(&self) -> Rules {
+        let rules = &self.rules;
+        Rules {
+            answer_slack: span(rules.answer_slack),
+            cold_from: rules.cold_from,
+            cold: span(rules.cold),
+            tip_multiple: rules.tip_multiple,
+            fall: span(rules.fall),
+            order_settle: span(rules.order_settle),
+            ask_every: span(10.0),
+        }
+    }
+
+    /// What an endpoint of this pace is like; its partner's limit is not its own.
+    pub fn nature(&self, partner: &PartnerSpec, pace: f64) -> Nature {
+        let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
+        Nature {
+            servers: ((partner.servers as f64 * pace).round() as usize).max(1),
+            queue: partner.queue,
+            service: (span(partner.service_ms[0] / 1e3), span(partner.service_ms[1] / 1e3)),
+            limit: None,
+            tells_wait: false,
+            repeat_window: span(longest),
+            cold: (self.rules.cold_from, span(self.rules.cold)),
+            tip_multiple: self.rules.tip_multiple,
+            fall: span(self.rules.fall),
+        }
+    }
+
+    /// What a limit of so many calls a second is like at a partner.
+    pub fn terms(&self, partner: &PartnerSpec, rate: f64) -> Terms {
+        Terms {
+            rate,
+            counting: partner.span.map_or(Counting::Rate, |seconds| Counting::Span(span(seconds))),
+            refused_count: partner.refused_count,
+            refresh: span(self.report_ms / 1e3),
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/spread/site.rs
@@ -0,0 +1,206 @@
+//! Partners of a scene: endpoints with capacity of their own behind limits that are shared, or apart.
+
+use super::scenario::{PartnerSpec, Scene};
+use cloverstile_standin::limit::{SharedLimit, Told};
+use cloverstile_standin::model::{Fault, Partner, Reply, Verdict};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+/// What an endpoint is told to do wrong.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Wrong {
+    /// Errors at once.
+    Errors,
+    /// Silence.
+    Silent,
+    /// Three times as slow.
+    Slow,
+}
+
+/// An endpoint.
+pub struct EndpointAt {
+    pub partner: usize,
+    pub pace: f64,
+    pub model: Partner,
+    /// In service from then until then.
+    pub from: Duration,
+    pub until: Duration,
+    /// Connections are refused.
+    pub gone: bool,
+    pub errors: bool,
+    /// Calls in hand, and what was last told of them: when, how many, and served a second.
+    pub in_hand: u32,
+    served: u32,
+    report: (Duration, Load),
+}
+
+/// A report of load, some time old.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Calls in hand.
+    pub in_hand: f64,
+    /// Calls served a second.
+    pub served: f64,
+}
+
+/// A partner.
+pub struct PartnerAt {
+    pub spec: PartnerSpec,
+    pub endpoints: Vec<usize>,
+    /// One for all, or one for each endpoint in the order of `endpoints`; none without a limit.
+    pub limits: Vec<SharedLimit>,
+}
+
+/// All partners.
+pub struct Sites {
+    pub partners: Vec<PartnerAt>,
+    pub endpoints: Vec<EndpointAt>,
+    report: Duration,
+    pub still: bool,
+}
+
+/// What became of a call that reached an endpoint.
+pub struct Reached {
+    pub verdict: Verdict,
+    pub told: Option<Told>,
+    pub load: Load,
+}
+
+impl Sites {
+    /// All partners of a scene.
+    pub fn new(scene: &Scene, rng: &mut ChaCha8Rng) -> Sites {
+        let report = Duration::from_secs_f64(scene.report_ms / 1e3);
+        let mut sites = Sites { partners: Vec::new(), endpoints: Vec::new(), report, still: false };
+        for spec in scene.partner.values() {
+            for _ in 0..spec.copies {
+                let number = sites.partners.len();
+                let partner = PartnerAt { spec: spec.clone(), endpoints: Vec::new(), limits: Vec::new() };
+                sites.partners.push(partner);
+                for _ in 0..spec.endpoints {
+                    let [least, most] = spec.pace;
+                    let pace = least * (most / least).powf(rng.random::<f64>());
+                    sites.add(scene, number, pace, Duration::ZERO, rng);
+                }
+                let partner = &mut sites.partners[number];
+                let paces: Vec<f64> = partner.endpoints.iter().map(|e| sites.endpoints[*e].pace).collect();
+                let (all, count) = (paces.iter().sum::<f64>(), paces.len());
+                partner.limits = match spec.limit {
+                    None => Vec::new(),
+                    Some(limit) if spec.apart => {
+                        let own = |pace: &f64| SharedLimit::new(scene.terms(spec, limit * pace / all), 1);
+                        paces.iter().map(own).collect()
+                    }
+                    Some(limit) => vec![SharedLimit::new(scene.terms(spec, limit), count)],
+                };
+            }
+        }
+        sites
+    }
+
+    /// One more endpoint of a partner; returns its place.
+    pub fn add(
+        &mut self,
+        scene: &Scene,
+        partner: usize,
+        pace: f64,
+        now: Duration,
+        rng: &mut ChaCha8Rng,
+    ) -> usize {
+        let spec = &self.partners[partner].spec;
+        let mut model = Partner::new(scene.nature(spec, pace), ChaCha8Rng::seed_from_u64(rng.random()));
+        if now > Duration::ZERO {
+            // What is new is cold, as one is that comes back.
+            model.begin(Fault::Refuse, now);
+            model.end(now);
+        }
+        let place = self.endpoints.len();
+        self.endpoints.push(EndpointAt {
+            partner,
+            pace,
+            model,
+            from: now,
+            until: Duration::MAX,
+            gone: false,
+            errors: false,
+            in_hand: 0,
+            served: 0,
+            report: (now, Load::default()),
+        });
+        let partner = &mut self.partners[partner];
+        partner.endpoints.push(place);
+        if partner.spec.apart && !partner.limits.is_empty() {
+            // It takes over the limit of the one that it replaces: the same pace, and the same terms.
+            let rate = partner.limits[0].rate();
+            partner.limits.push(SharedLimit::new(scene.terms(&partner.spec, rate), 1));
+        } else if let Some(limit) = partner.limits.first_mut() {
+            limit.add_endpoint();
+        }
+        place
+    }
+
+    fn limit(&mut self, endpoint: usize) -> Option<(&mut SharedLimit, usize)> {
+        let partner = &mut self.partners[self.endpoints[endpoint].partner];
+        let place = partner.endpoints.iter().position(|e| *e == endpoint)?;
+        match partner.spec.apart {
+            true => partner.limits.get_mut(place).map(|limit| (limit, 0)),
+            false => partner.limits.first_mut().map(|limit| (limit, place)),
+        }
+    }
+
+    /// What the list tells of an endpoint: calls a second of its limit, or of its partner's.
+    pub fn weight(&mut self, endpoint: usize) -> Option<f64> {
+        self.limit(endpoint).map(|(limit, _)| limit.rate())
+    }
+
+    /// What an endpoint tells of its load now.
+    pub fn load(&mut self, now: Duration, endpoint: usize) -> Load {
+        let (report, still) = (self.report, self.still);
+        let at = &mut self.endpoints[endpoint];
+        let age = now.saturating_sub(at.report.0);
+        if age >= report && !still {
+            let served = f64::from(std::mem::take(&mut at.served)) / age.as_secs_f64().max(1e-3);
+            at.report = (now, Load { in_hand: f64::from(at.in_hand), served });
+        }
+        at.report.1
+    }
+
+    /// A call has come whole. An answer at a known time has to be told to [`Sites::answered`] then.
+    pub fn reach(&mut self, now: Duration, endpoint: usize, id: &str) -> Reached {
+        let at_once = |reply| Verdict { answer_at: Some(now), reply, effect: false };
+        let tells = self.partners[self.endpoints[endpoint].partner].spec.tells_wait;
+        let silent = self.partners[self.endpoints[endpoint].partner].spec.silent;
+        let verdict = if self.endpoints[endpoint].errors {
+            at_once(Reply::Error)
+        } else {
+            let taken = self.limit(endpoint).map_or(Ok(()), |(limit, _)| limit.take(now));
+            match taken {
+                Err(wait) => at_once(Reply::Full(tells.then_some(wait))),
+                Ok(()) => self.endpoints[endpoint].model.request(now, id),
+            }
+        };
+        let told = self.limit(endpoint).and_then(|(limit, place)| limit.told(now, place));
+        if verdict.answer_at.is_some_and(|at| at > now) {
+            self.endpoints[endpoint].in_hand += 1;
+        }
+        Reached { verdict, told: told.filter(|_| !silent), load: self.load(now, endpoint) }
+    }
+
+    /// The answer of a call that took a while has left.
+    pub fn answered(&mut self, endpoint: usize) {
+        let at = &mut self.endpoints[endpoint];
+        at.in_hand = at.in_hand.saturating_sub(1);
+        at.served += 1;
+    }
+
+    /// An endpoint does something wrong, or no longer.
+    pub fn wrong(&mut self, now: Duration, endpoint: usize, wrong: Wrong, begins: bool) {
+        let at = &mut self.endpoints[endpoint];
+        match (wrong, begins) {
+            (Wrong::Errors, begins) => at.errors = begins,
+            (Wrong::Silent, true) => at.model.begin(Fault::Silent, Duration::MAX),
+            (Wrong::Slow, true) => at.model.begin(Fault::Slow(3.0), Duration::MAX),
+            (_, false) => at.model.end(now),
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/spread/world.rs
@@ -0,0 +1,561 @@
+//! The run: an agenda of events, couriers, partners, and the way between them.
+
+mod couriers;
+
+use super::plain::{Choice, Do, Ended, Limiter, Plain};
+use super::scenario::{Scene, StrikeKind};
+use super::site::{Load, Sites, Wrong};
+use cloverstile::{Allowance, Effect, EndpointId, MessageId, Settings, Time};
+use cloverstile_engine::{Attempt, Engine, Reported};
+use cloverstile_spread::{Call, Endpoint, Outcome, Partner, Record, Stay};
+use cloverstile_standin::limit::Told;
+use cloverstile_standin::model::Reply;
+use rand::distr::weighted::WeightedIndex;
+use rand::distr::Distribution;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::Exp1;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::Duration;
+
+/// News of the list reach each courier within so long.
+const NEWS: Duration = Duration::from_secs(2);
+/// A lost courier is back after so long, and its clients come again.
+const RESTARTED_AFTER: Duration = Duration::from_millis(300);
+/// By so much later the struck couriers reach the endpoint of a `slow-for`.
+const FAR: Duration = Duration::from_millis(500);
+
+/// Who decides at all couriers of a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Who {
+    /// The engine and module of the running courier.
+    Module,
+    /// A plain courier.
+    Plain(Choice, Limiter),
+}
+
+impl Who {
+    /// The name that reports use.
+    pub fn name(self) -> String {
+        match self {
+            Who::Module => "module".into(),
+            Who::Plain(choice, limiter) => format!("{}+{}", choice.name(), limiter.name()),
+        }
+    }
+}
+
+/// What broke. All zero on a good run; for plain couriers it tells what they cost.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SpreadAudit {
+    /// Messages without exactly one answer in time.
+    pub unanswered: u64,
+    /// ... that took effect twice, or were refused although they took effect.
+    pub twice: u64,
+    /// Calls to endpoints told as gone, after the grace.
+    pub after_drain: u64,
+    /// Calls before the end of a wait that this courier was told.
+    pub waits_broken: u64,
+    /// Endpoints pushed over after an outage.
+    pub pushed_over: u64,
+}
+
+impl SpreadAudit {
+    /// Of all kinds together.
+    pub fn broken(&self) -> u64 {
+        self.unanswered + self.twice + self.after_drain + self.waits_broken + self.pushed_over
+    }
+}
+
+/// A whole run.
+#[derive(Clone, Debug, Default)]
+pub struct SpreadRun {
+    /// For the yardstick.
+    pub record: Record,
+    /// Worth of all messages on time, and of those delivered by their age.
+    pub offered: f64,
+    /// ...
+    pub earned: f64,
+    /// Messages delivered, refused and failed.
+    pub answers: [u64; 3],
+    /// Probes sent.
+    pub probes: u64,
+    /// What broke.
+    pub audit: SpreadAudit,
+    /// Turns of couriers.
+    pub turns: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    HandIn,
+    Reach { call: usize },
+    Leave { call: usize },
+    Answer { call: usize },
+    Probed { courier: u32, epoch: u32, endpoint: usize },
+    Wake { courier: u32 },
+    Strike { place: usize, begins: bool },
+    Hear { courier: u32 },
+    Restarted { courier: u32 },
+}
+
+/// A message between hand-in and end.
+struct Message {
+    partner: usize,
+    class: usize,
+    handed: Duration,
+    deadline: Duration,
+    answered: bool,
+    effect_at: Option<Duration>,
+    /// Waits in a courier since then.
+    waits: Option<Duration>,
+    may_have_run: bool,
+}
+
+/// A call on its way.
+struct CallAt {
+    courier: u32,
+    epoch: u32,
+    endpoint: usize,
+    message: u32,
+    attempt: Option<Attempt>,
+    /// Its place in the record, once it has arrived.
+    recorded: Option<usize>,
+    reply: Reply,
+    refused_connection: bool,
+    told: Option<Told>,
+    load: Load,
+}
+
+enum Mind {
+    Module(Box<Engine>),
+    Plain(Box<Plain>),
+}
+
+struct Seat {
+    mind: Mind,
+    epoch: u32,
+    wake: Option<Duration>,
+    /// Ends of waits that it was told, by partner, or by endpoint where those are apart.
+    waits: HashMap<(usize, Option<usize>), Duration>,
+    held: HashMap<MessageId, u32>,
+    holds: Vec<u32>,
+    /// Idle connections by endpoint, since when.
+    idle: HashMap<usize, Vec<Duration>>,
+    /// The list as it knows it: how many endpoints, and when it heard that one is gone.
+    hears: usize,
+    down: bool,
+}
+
+struct World<'a> {
+    scene: &'a Scene,
+    who: Who,
+    settings: Settings,
+    now: Duration,
+    agenda: BinaryHeap<Reverse<(Duration, u64, What)>>,
+    entered: u64,
+    rng: ChaCha8Rng,
+    seats: Vec<Seat>,
+    by_load: WeightedIndex<f64>,
+    by_class: WeightedIndex<f64>,
+    by_partner: WeightedIndex<f64>,
+    shares: Vec<f64>,
+    factors: Vec<f64>,
+    limit_factor: Vec<f64>,
+    sites: Sites,
+    /// Changes of the list, the earliest first.
+    news: Vec<News>,
+    messages: Vec<Message>,
+    calls: Vec<CallAt>,
+    run: SpreadRun,
+    /// Endpoints that came back from an outage.
+    returned: Vec<usize>,
+    /// Couriers struck by `slow-for` while it lasts.
+    far: Option<usize>,
+}
+
+/// A change of the list: an endpoint is replaced.
+#[derive(Clone, Copy)]
+struct News {
+    gone: usize,
+    at: Duration,
+}
+
+/// Plays a scene once. One scene, courier and seed give the same run.
+pub fn play_spread(scene: &Scene, who: Who, seed: u64) -> SpreadRun {
+    let mut world = World::new(scene, who, seed);
+    let longest = scene.class.values().map(|class| class.deadline).fold(0.0, f64::max);
+    let end = Duration::from_secs_f64(scene.seconds + longest + 2.0 * scene.rules.answer_slack + 1.0);
+    while let Some(Reverse((at, _, what))) = world.agenda.pop() {
+        if at > end {
+            break;
+        }
+        world.now = at;
+        world.happen(what);
+    }
+    world.finish()
+}
+
+fn time(span: Duration) -> Time {
+    Time::ZERO + span
+}
+
+fn weighted(shares: &[f64]) -> WeightedIndex<f64> {
+    // Scenes are checked: shares that add up to nothing fall back to even ones.
+    let even = vec![1.0; shares.len().max(1)];
+    WeightedIndex::new(shares.iter().copied())
+        .or_else(|_| WeightedIndex::new(even))
+        .unwrap_or_else(|_| WeightedIndex::new([1.0]).expect("one weight above zero"))
+}
+
+impl<'a> World<'a> {
+    fn new(scene: &'a Scene, who: Who, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let loads: Vec<f64> = (0..scene.couriers).map(|n| ((n + 1) as f64).powf(-scene.skew)).collect();
+        let all: f64 = loads.iter().sum();
+        let load =
+            |(n, load): (usize, &f64)| load / all * (1.0 - scene.hot) + if n == 0 { scene.hot } else { 0.0 };
+        let by_load = weighted(&loads.iter().enumerate().map(load).collect::<Vec<_>>());
+        let by_class = weighted(&scene.class.values().map(|class| class.share).collect::<Vec<_>>());
+        let shares: Vec<f64> = scene
+            .partner
+            .values()
+            .flat_map(|p| std::iter::repeat_n(p.share / p.copies as f64, p.copies))
+            .collect();
+        let sites = Sites::new(scene, &mut rng);
+        let mut world = World {
+            settings: couriers::settings(scene),
+            by_load,
+            by_class,
+            by_partner: weighted(&shares),
+            factors: vec![1.0; shares.len()],
+            limit_factor: vec![1.0; shares.len()],
+            shares,
+            scene,
+            who,
+            now: Duration::ZERO,
+            agenda: BinaryHeap::new(),
+            entered: 0,
+            seats: Vec::new(),
+            sites,
+            news: Vec::new(),
+            messages: Vec::new(),
+            calls: Vec::new(),
+            run: SpreadRun::default(),
+            returned: Vec::new(),
+            far: None,
+            rng: ChaCha8Rng::seed_from_u64(rng.random()),
+        };
+        world.run.record.partners = vec![Partner::default(); world.sites.partners.len()];
+        for partner in 0..world.sites.partners.len() {
+            world.note_limit(partner);
+        }
+        for endpoint in 0..world.sites.endpoints.len() {
+            world.note_endpoint(endpoint);
+        }
+        for courier in 0..scene.couriers {
+            let seed = world.rng.random();
+            let seat = world.seat(courier, seed);
+            world.seats.push(seat);
+        }
+        for (place, strike) in scene.trouble.values().enumerate() {
+            world.enter(Duration::from_secs_f64(strike.at), What::Strike { place, begins: true });
+            let end = Duration::from_secs_f64(strike.at + strike.lasts);
+            world.enter(end, What::Strike { place, begins: false });
+        }
+        world.enter(Duration::ZERO, What::HandIn);
+        world
+    }
+
+    fn enter(&mut self, at: Duration, what: What) {
+        self.entered += 1;
+        self.agenda.push(Reverse((at, self.entered, what)));
+    }
+
+    fn way(&mut self) -> Duration {
+        let [least, more] = self.scene.way_ms;
+        let drawn: f64 = Exp1.sample(&mut self.rng);
+        Duration::from_secs_f64((least + more * drawn) / 1e3)
+    }
+
+    fn note_limit(&mut self, partner: usize) {
+        let limits = &self.sites.partners[partner].limits;
+        if !limits.is_empty() {
+            let limit = limits.iter().map(|limit| limit.rate()).sum();
+            self.run.record.partners[partner].limit.push((self.now, limit));
+        }
+    }
+
+    fn note_endpoint(&mut self, endpoint: usize) {
+        let at = &self.sites.endpoints[endpoint];
+        self.run.record.endpoints.push(Endpoint {
+            partner: at.partner,
+            weight: at.pace,
+            from: at.from,
+            until: at.until,
+        });
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::HandIn => self.hand_in_next(),
+            What::Reach { call } => self.reach(call),
+            What::Leave { call } => self.leave(call),
+            What::Answer { call } => self.answer(call),
+            What::Probed { courier, epoch, endpoint } => {
+                let in_hand = f64::from(self.sites.endpoints[endpoint].in_hand);
+                let seat = &mut self.seats[courier as usize];
+                if let (Mind::Plain(plain), true) = (&mut seat.mind, seat.epoch == epoch) {
+                    plain.probed(self.now, endpoint, in_hand);
+                }
+            }
+            What::Wake { courier } => {
+                let seat = &mut self.seats[courier as usize];
+                if !seat.down && seat.wake == Some(self.now) {
+                    seat.wake = None;
+                    self.turn(courier);
+                }
+            }
+            What::Strike { place, begins } => self.strike(place, begins),
+            What::Hear { courier } => self.hear(courier),
+            What::Restarted { courier } => self.restarted(courier),
+        }
+    }
+
+    // ---- Clients ----
+
+    fn hand_in_next(&mut self) {
+        let asked: f64 = self.shares.iter().zip(&self.factors).map(|(share, factor)| share * factor).sum();
+        let usual: f64 = self.shares.iter().sum();
+        let gap: f64 = Exp1.sample(&mut self.rng);
+        let rate = self.scene.rate * asked / usual.max(1e-9);
+        let next = self.now + Duration::from_secs_f64(gap / rate.max(1e-6));
+        if next.as_secs_f64() < self.scene.seconds {
+            self.enter(next, What::HandIn);
+        }
+        let class = self.by_class.sample(&mut self.rng);
+        let partner = self.by_partner.sample(&mut self.rng);
+        let courier = self.by_load.sample(&mut self.rng) as u32;
+        let Some(spec) = self.scene.class.values().nth(class) else { return };
+        let deadline = self.now + Duration::from_secs_f64(spec.deadline);
+        self.run.offered += spec.worth;
+        self.run.record.messages += 1;
+        let number = self.messages.len() as u32;
+        self.messages.push(Message {
+            partner,
+            class,
+            handed: self.now,
+            deadline,
+            answered: false,
+            effect_at: None,
+            waits: None,
+            may_have_run: false,
+        });
+        self.hand_in(courier, number, false);
+    }
+
+    fn stop_waiting(&mut self, number: u32) {
+        let message = &mut self.messages[number as usize];
+        if let Some(from) = message.waits.take() {
+            let stay = Stay { partner: message.partner, from, until: self.now };
+            self.run.record.stays.push(stay);
+        }
+    }
+
+    /// The final answer: 0 delivered, 1 refused, 2 failed.
+    fn give_answer(&mut self, number: u32, answer: usize) {
+        self.stop_waiting(number);
+        let slack = Duration::from_secs_f64(self.scene.rules.answer_slack);
+        let now = self.now;
+        let message = &mut self.messages[number as usize];
+        if message.answered || now > message.deadline + slack {
+            self.run.audit.unanswered += 1;
+        }
+        if message.answered {
+            return;
+        }
+        message.answered = true;
+        self.run.answers[answer] += 1;
+        // Refused tells that it never ran.
+        self.run.audit.twice += u64::from(answer == 1 && message.effect_at.is_some());
+        if let (0, Some(class)) = (answer, self.scene.class.values().nth(message.class)) {
+            self.run.earned += class.worth_at((now - message.handed).as_secs_f64());
+        }
+    }
+
+    // ---- Partners ----
+
+    fn reach(&mut self, call: usize) {
+        let now = self.now;
+        let (endpoint, message) = (self.calls[call].endpoint, self.calls[call].message);
+        if self.sites.endpoints[endpoint].gone {
+            self.calls[call].refused_connection = true;
+            return self.enter(now, What::Answer { call });
+        }
+        let reached = self.sites.reach(now, endpoint, &message.to_string());
+        if self.returned.contains(&endpoint) && self.sites.endpoints[endpoint].model.is_fallen() {
+            self.returned.retain(|other| *other != endpoint);
+            self.run.audit.pushed_over += 1;
+        }
+        let outcome = match reached.verdict.reply {
+            Reply::Full(_) => Outcome::TurnedAway,
+            Reply::Processed if reached.verdict.answer_at.is_some() => Outcome::Served,
+            _ => Outcome::Failed,
+        };
+        let took = reached.verdict.answer_at.map_or(Duration::ZERO, |at| at - now);
+        let courier = self.calls[call].courier;
+        self.calls[call].recorded = Some(self.run.record.calls.len());
+        self.run.record.calls.push(Call { at: now, endpoint, courier, outcome, took });
+        if reached.verdict.effect {
+            self.take_effect(message);
+        }
+        let at = &mut self.calls[call];
+        (at.reply, at.told, at.load) = (reached.verdict.reply, reached.told, reached.load);
+        match reached.verdict.answer_at {
+            Some(at) if at > now => self.enter(at, What::Leave { call }),
+            Some(_) => {
+                let at = now + self.way();
+                self.enter(at, What::Answer { call });
+            }
+            None => {}
+        }
+    }
+
+    fn take_effect(&mut self, number: u32) {
+        let message = &mut self.messages[number as usize];
+        let class = &self.settings.classes[message.class];
+        let again = message.effect_at.is_some_and(|at| match class.effect {
+            Effect::Safe => false,
+            // Inside the window a repeat is dropped, at whichever endpoint.
+            Effect::Keyed => self.now - at >= class.repeat_window,
+            Effect::Unsafe => true,
+        });
+        self.run.audit.twice += u64::from(again);
+        message.effect_at.get_or_insert(self.now);
+    }
+
+    fn leave(&mut self, call: usize) {
+        let endpoint = self.calls[call].endpoint;
+        self.sites.answered(endpoint);
+        // What a report tells is from the moment in which the answer leaves.
+        let load = self.sites.load(self.now, endpoint);
+        self.calls[call].load = load;
+        let at = self.now + self.way();
+        self.enter(at, What::Answer { call });
+    }
+
+    // ---- Troubles ----
+
+    fn strike(&mut self, place: usize, begins: bool) {
+        let Some(spec) = self.scene.trouble.values().nth(place) else { return };
+        let Some(kind) = spec.act() else { return };
+        let mut first = 0;
+        let mut struck = Vec::new();
+        for (name, partner) in &self.scene.partner {
+            if spec.partner.as_ref().is_none_or(|wanted| wanted == name) {
+                struck.extend(first..first + partner.copies);
+            }
+            first += partner.copies;
+        }
+        // The first of each partner's endpoints in service, as many as the share says.
+        let part = |world: &Self, partner: &usize| -> Vec<usize> {
+            let of = &world.sites.partners[*partner].endpoints;
+            let there: Vec<usize> = of.iter().copied().filter(|e| !world.sites.endpoints[*e].gone).collect();
+            let count = (there.len() as f64 * spec.size).ceil() as usize;
+            there.into_iter().take(count).collect()
+        };
+        let wrong = match kind {
+            StrikeKind::Errors => Some(Wrong::Errors),
+            StrikeKind::Silent => Some(Wrong::Silent),
+            StrikeKind::Slow => Some(Wrong::Slow),
+            _ => None,
+        };
+        if let Some(wrong) = wrong {
+            let endpoints: Vec<usize> = struck.iter().flat_map(|partner| part(self, partner)).collect();
+            for endpoint in endpoints {
+                self.sites.wrong(self.now, endpoint, wrong, begins);
+                if wrong == Wrong::Silent && !begins {
+                    self.returned.push(endpoint);
+                }
+            }
+            return;
+        }
+        match kind {
+            StrikeKind::Burst => {
+                for partner in struck {
+                    self.factors[partner] = if begins { spec.size } else { 1.0 };
+                }
+                let now: Vec<f64> = self.shares.iter().zip(&self.factors).map(|(s, f)| s * f).collect();
+                self.by_partner = weighted(&now);
+            }
+            StrikeKind::Limit => {
+                for partner in struck {
+                    let before = std::mem::replace(
+                        &mut self.limit_factor[partner],
+                        if begins { spec.size } else { 1.0 },
+                    );
+                    let change = self.limit_factor[partner] / before.max(1e-9);
+                    for limit in &mut self.sites.partners[partner].limits {
+                        limit.set_rate(self.now, limit.rate() * change);
+                    }
+                    self.note_limit(partner);
+                }
+                self.spread_news(NEWS);
+            }
+            StrikeKind::Still => {
+                self.sites.still = begins;
+                for limit in self.sites.partners.iter_mut().flat_map(|partner| &mut partner.limits) {
+                    limit.stand_still(begins);
+                }
+            }
+            StrikeKind::SlowFor => {
+                let count = (self.seats.len() as f64 * spec.size) as usize;
+                self.far = begins.then_some(count);
+            }
+            StrikeKind::Replace if begins => {
+                let old: Vec<usize> = struck.iter().flat_map(|partner| part(self, partner)).collect();
+                for gone in old {
+                    let (partner, pace) =
+                        (self.sites.endpoints[gone].partner, self.sites.endpoints[gone].pace);
+                    let mut rng = ChaCha8Rng::seed_from_u64(self.rng.random());
+                    let added = self.sites.add(self.scene, partner, pace, self.now, &mut rng);
+                    self.note_endpoint(added);
+                    self.news.push(News { gone, at: self.now });
+                }
+                self.spread_news(Duration::from_secs_f64(spec.lasts));
+            }
+            StrikeKind::Replace => {
+                // All have heard of it: what was replaced goes.
+                for News { gone, at, .. } in self.news.clone() {
+                    if at + Duration::from_secs_f64(spec.lasts) <= self.now {
+                        let until = self.now;
+                        self.sites.endpoints[gone].gone = true;
+                        self.sites.endpoints[gone].until = until;
+                        self.run.record.endpoints[gone].until = until;
+                    }
+                }
+            }
+            StrikeKind::Restart if begins => {
+                let count = (self.seats.len() as f64 * spec.size) as u32;
+                (0..count).for_each(|courier| self.lose(courier));
+            }
+            _ => {}
+        }
+    }
+
+    /// Each courier hears of the list as it is now within so long.
+    fn spread_news(&mut self, within: Duration) {
+        for courier in 0..self.seats.len() as u32 {
+            let at = self.now + within.mul_f64(self.rng.random::<f64>());
+            self.enter(at, What::Hear { courier });
+        }
+    }
+
+    fn finish(mut self) -> SpreadRun {
+        for number in 0..self.messages.len() as u32 {
+            self.stop_waiting(number);
+        }
+        self.run.audit.unanswered += self.messages.iter().filter(|message| !message.answered).count() as u64;
+        self.run
+    }
+}
--- a/crates/lab/src/bin/cloverstile-lab/main.rs
+++ b/crates/lab/src/bin/cloverstile-lab/main.rs
@@ -3,6 +3,7 @@
 
 mod emulate;
 mod experiment;
+mod fleet;
 
 use clap::{Args, Parser, Subcommand};
 use cloverstile_lab::bench;
@@ -57,6 +58,9 @@
     Emulate(emulate::Options),
     /// Plays a grid of scenarios, policies and seeds on virtual time, and keeps its record as Parquet.
     Experiment(experiment::Experiment),
+    /// Plays many couriers at once.
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Makes one HTML page and SVG plots of an experiment's record.
     Report(experiment::Report),
     /// Measures speed, memory and the cost of a decision as endpoints grow.
@@ -131,6 +135,7 @@
         Command::Replay { file, rate, pace, options } => replay_day(&file, rate, pace, &options),
         Command::Emulate(options) => verdict(emulate::emulate(&options)),
         Command::Experiment(experiment) => verdict(experiment.play()),
+        Command::Fleet(fleet) => verdict(fleet.play()),
         Command::Report(report) => verdict(report.write()),
         Command::Scale(scale) => verdict(scale.measure()),
         Command::Judge { day, record } => judge_record(&day, &record),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod report;
 pub mod returns;
 pub mod run;
+pub mod spread;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 pub mod client;
+pub mod limit;
 pub mod model;
 pub mod partner;
 pub mod platform;
