Hundreds of real processes on one ground: cloverstile-lab fleet spread

Need: issue on even load alone: shown with hundreds of processes, thin and unequal traffic, kills and faults by a script, judged from sockets; the same scenes on virtual time. Change: crates/lab/src/fleet: endpoints, discovery and clients of one loop, N processes of `cloverstile node`, books of what passed (each rule broken in a test and found), killed and started again on their folders; ended by a signal, the laboratory ends them first (seen: those of a killed one lived on). Idling is counted in calls that reached the partner: a partner that waits as a whole idles nowhere. Per-partner and per-second views, nine scenes, docs/spread.md with design note and operators' part. First tries: two fleets of one process shared addresses (32 false double effects, a courier that ended at once); each fleet has its own now. Tests: crates/lab/tests/fleet.rs, 6 processes, kills, a replaced endpoint, a burst.

--- a/crates/emulator/scenarios/spread/skew.hcl
+++ b/crates/emulator/scenarios/spread/skew.hcl
@@ -4,6 +4,9 @@
 rate      = 600
 skew      = 0.5
 hot       = 0.33
+# Room for the busiest: all couriers are alike.
+call_slots = 40
+most_held  = 400
 report_ms = 500
 
 class "salary-payment" {
--- a/crates/emulator/src/spread.rs
+++ b/crates/emulator/src/spread.rs
@@ -9,10 +9,11 @@
 
 pub use plain::{Choice, Limiter};
 pub use scenario::{read_spread, PartnerSpec, Scene, StrikeKind, StrikeSpec};
+pub use site::{EndpointAt, Load, PartnerAt, Reached, Sites, Wrong};
 pub use world::{play_spread, SpreadAudit, SpreadRun, Who};
 
 /// Scenes that come with the program, by name.
-pub const SCENES: [(&str, &str); 8] = [
+pub const SCENES: [(&str, &str); 9] = [
     ("calm", include_str!("../scenarios/spread/calm.hcl")),
     ("skew", include_str!("../scenarios/spread/skew.hcl")),
     ("still", include_str!("../scenarios/spread/still.hcl")),
@@ -21,4 +22,5 @@
     ("lowered", include_str!("../scenarios/spread/lowered.hcl")),
     ("burst", include_str!("../scenarios/spread/burst.hcl")),
     ("clump", include_str!("../scenarios/spread/clump.hcl")),
+    ("wide", include_str!("../scenarios/spread/wide.hcl")),
 ];
--- a/crates/emulator/src/spread/site.rs
+++ b/crates/emulator/src/spread/site.rs
@@ -20,16 +20,20 @@
 
 /// An endpoint.
 pub struct EndpointAt {
+    /// Its partner.
     pub partner: usize,
+    /// Its pace.
     pub pace: f64,
+    /// How it behaves.
     pub model: Partner,
-    /// In service from then until then.
+    /// In service from then ...
     pub from: Duration,
+    /// ... until then.
     pub until: Duration,
     /// Connections are refused.
     pub gone: bool,
-    pub errors: bool,
-    /// Calls in hand, and what was last told of them: when, how many, and served a second.
+    errors: bool,
+    /// Calls in hand.
     pub in_hand: u32,
     served: u32,
     report: (Duration, Load),
@@ -46,7 +50,9 @@
 
 /// A partner.
 pub struct PartnerAt {
+    /// What it is like.
     pub spec: PartnerSpec,
+    /// Places of its endpoints.
     pub endpoints: Vec<usize>,
     /// One for all, or one for each endpoint in the order of `endpoints`; none without a limit.
     pub limits: Vec<SharedLimit>,
@@ -54,16 +60,23 @@
 
 /// All partners.
 pub struct Sites {
+    /// By number.
     pub partners: Vec<PartnerAt>,
+    /// By place.
     pub endpoints: Vec<EndpointAt>,
     report: Duration,
-    pub still: bool,
+    still: bool,
+    /// What the list tells where a partner has no limit: calls a second that it can serve, by endpoint.
+    able: Vec<f64>,
 }
 
 /// What became of a call that reached an endpoint.
 pub struct Reached {
+    /// What becomes of it.
     pub verdict: Verdict,
+    /// What the answer tells of the limit.
     pub told: Option<Told>,
+    /// What it tells of the load.
     pub load: Load,
 }
 
@@ -71,7 +84,8 @@
     /// All partners of a scene.
     pub fn new(scene: &Scene, rng: &mut ChaCha8Rng) -> Sites {
         let report = Duration::from_secs_f64(scene.report_ms / 1e3);
-        let mut sites = Sites { partners: Vec::new(), endpoints: Vec::new(), report, still: false };
+        let mut sites =
+            Sites { partners: Vec::new(), endpoints: Vec::new(), report, still: false, able: Vec::new() };
         for spec in scene.partner.values() {
             for _ in 0..spec.copies {
                 let number = sites.partners.len();
@@ -108,7 +122,9 @@
         rng: &mut ChaCha8Rng,
     ) -> usize {
         let spec = &self.partners[partner].spec;
-        let mut model = Partner::new(scene.nature(spec, pace), ChaCha8Rng::seed_from_u64(rng.random()));
+        let nature = scene.nature(spec, pace);
+        self.able.push(nature.capacity() * spec.endpoints as f64);
+        let mut model = Partner::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
         if now > Duration::ZERO {
             // What is new is cold, as one is that comes back.
             model.begin(Fault::Refuse, now);
@@ -148,9 +164,27 @@
         }
     }
 
-    /// What the list tells of an endpoint: calls a second of its limit, or of its partner's.
-    pub fn weight(&mut self, endpoint: usize) -> Option<f64> {
-        self.limit(endpoint).map(|(limit, _)| limit.rate())
+    /// What the list tells of an endpoint: calls a second of its limit, or of its partner's; without a limit, what its
+    /// partner can serve.
+    pub fn told_weight(&mut self, endpoint: usize) -> f64 {
+        let able = self.able[endpoint];
+        self.limit(endpoint).map_or(able, |(limit, _)| limit.rate())
+    }
+
+    /// Reports of load and limits stand still, or go on.
+    pub fn stand_still(&mut self, still: bool) {
+        self.still = still;
+        for limit in self.partners.iter_mut().flat_map(|partner| &mut partner.limits) {
+            limit.stand_still(still);
+        }
+    }
+
+    /// The first of a partner's endpoints in service, as many as the share says.
+    pub fn part(&self, partner: usize, share: f64) -> Vec<usize> {
+        let of = self.partners[partner].endpoints.iter().copied();
+        let there: Vec<usize> = of.filter(|e| !self.endpoints[*e].gone).collect();
+        let count = (there.len() as f64 * share).ceil() as usize;
+        there.into_iter().take(count).collect()
     }
 
     /// What an endpoint tells of its load now.
--- a/crates/lab/src/bin/cloverstile-lab/main.rs
+++ b/crates/lab/src/bin/cloverstile-lab/main.rs
@@ -84,6 +84,9 @@
         #[arg(long, default_value_t = 10_000)]
         held: u32,
     },
+    /// Runs one courier on the users' platform, as `cloverstile node` does; used by the laboratory itself.
+    #[command(hide = true)]
+    Node,
     /// Runs one courier; used by the laboratory itself.
     #[command(hide = true)]
     Courier {
@@ -145,6 +148,12 @@
                 Err(why) => cant(&why),
             }
         }
+        Command::Node => {
+            match cloverstile_node::Variables::from_env().and_then(|v| cloverstile_node::run(&v)) {
+                Ok(()) => 0,
+                Err(error) => cant(&error.to_string()),
+            }
+        }
         Command::Courier { file, log } => courier(&file, &log),
     };
     ExitCode::from(code)
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod day;
 pub mod experiment;
 pub mod figures;
+pub mod fleet;
 pub mod judge;
 pub mod replay;
 pub mod report;
--- a/crates/spread/src/lib.rs
+++ b/crates/spread/src/lib.rs
@@ -92,3 +92,12 @@
     /// Connections opened to endpoints.
     pub connections: u64,
 }
+
+impl Record {
+    /// What concerns one partner; messages and connections stay those of all.
+    pub fn of(&self, partner: usize) -> Record {
+        let calls = self.calls.iter().filter(|call| self.endpoints[call.endpoint].partner == partner);
+        let stays = self.stays.iter().filter(|stay| stay.partner == partner);
+        Record { calls: calls.copied().collect(), stays: stays.copied().collect(), ..self.clone() }
+    }
+}
--- a/crates/spread/src/yardstick.rs
+++ b/crates/spread/src/yardstick.rs
@@ -1,7 +1,7 @@
 //! The figures.
 
 use crate::deal::{by_partner, deal, Dealer};
-use crate::{Outcome, Record};
+use crate::{Call, Outcome, Record};
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -176,29 +176,39 @@
     }
 }
 
+/// Counted in calls: an endpoint idles from one call to its next while so many reach its partner that ten of them were
+/// its own by weight. What keeps a whole partner waiting is nobody's idling.
 fn idle_share(record: &Record) -> f64 {
-    let mut times: Vec<Vec<Duration>> = vec![Vec::new(); record.endpoints.len()];
-    record.calls.iter().for_each(|call| times[call.endpoint].push(call.at));
+    let mut calls: Vec<Vec<&Call>> = vec![Vec::new(); record.partners.len()];
+    record.calls.iter().for_each(|call| calls[record.endpoints[call.endpoint].partner].push(call));
     let (mut idle, mut busy) = (0.0, 0.0);
-    for of in by_partner(record) {
-        let all = || of.iter().flat_map(|e| times[*e].iter().copied());
-        let (Some(first), Some(last)) = (all().min(), all().max()) else { continue };
-        let weights: f64 = of.iter().map(|e| record.endpoints[*e].weight).sum();
-        let rate = all().count() as f64 / (last - first).as_secs_f64().max(1e-9);
-        for e in of.iter().copied() {
+    for (of, calls) in by_partner(record).into_iter().zip(calls) {
+        let (Some(first), Some(last)) = (calls.first(), calls.last()) else { continue };
+        // What each call adds to what is due to an endpoint, over its weight: running sums, in the order of the calls.
+        let mut due = vec![0.0];
+        for call in &calls {
+            let open = of.iter().map(|e| &record.endpoints[*e]);
+            let open = open.filter(|e| e.from <= call.at && call.at < e.until);
+            let weights: f64 = open.map(|e| e.weight).sum();
+            due.push(due[due.len() - 1] + 1.0 / weights.max(1e-9));
+        }
+        let place = |at: Duration| calls.partition_point(|call| call.at < at);
+        let mut own: BTreeMap<usize, Vec<usize>> = of.iter().map(|e| (*e, Vec::new())).collect();
+        for (place, call) in calls.iter().enumerate() {
+            own.entry(call.endpoint).or_default().push(place);
+        }
+        for (e, own) in own {
             let endpoint = &record.endpoints[e];
-            let (from, until) = (endpoint.from.max(first), endpoint.until.min(last));
-            let span = until.saturating_sub(from).as_secs_f64();
-            let due = rate * endpoint.weight / weights.max(1e-9);
-            // One that was not there long enough for ten gaps can't idle so long.
-            if span * due < IDLE_GAPS {
-                continue;
+            let (from, until) = (endpoint.from.max(first.at), endpoint.until.min(last.at));
+            let (mut since, mut at) = (place(from), from);
+            let ends = own.iter().map(|place| (*place, calls[*place].at)).chain([(place(until), until)]);
+            for (next, next_at) in ends.filter(|(_, next_at)| from <= *next_at && *next_at <= until) {
+                if endpoint.weight * (due[next.max(since)] - due[since]) > IDLE_GAPS {
+                    idle += next_at.saturating_sub(at).as_secs_f64();
+                }
+                (since, at) = (next, next_at);
             }
-            busy += span;
-            let marks = std::iter::once(from).chain(times[e].iter().copied()).chain(std::iter::once(until));
-            let marks: Vec<Duration> = marks.collect();
-            let gaps = marks.windows(2).map(|pair| pair[1].saturating_sub(pair[0]).as_secs_f64());
-            idle += gaps.filter(|gap| gap * due > IDLE_GAPS).sum::<f64>();
+            busy += until.saturating_sub(from).as_secs_f64();
         }
     }
     idle / f64::max(busy, 1e-9)
