Read-through: one traffic, one limit and one outcome for emulated couriers and processes

Found on reading the change once more: the ground of the real fleet and the emulator's world each drew gaps, classes, partners and couriers, kept factors of bursts and of limits, summed a partner's limits, wrote endpoints into the record, and read an outcome from a verdict. Traffic, PartnerAt::limit and multiply_limits, EndpointAt::entry and Reached::outcome stand once now; the ground no longer builds its table of partners anew for each message; a field that nobody read is out.

--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -15,8 +15,8 @@
     read, Act, BankSpec, ClassSpec, RuleSpec, Scenario, ScenarioError, SiteSpec, TroubleSpec,
 };
 pub use spread::{
-    play_spread, read_spread, Choice, EndpointAt, Limiter, Load, PartnerAt, PartnerSpec, Reached, Scene,
-    Sites, SpreadAudit, SpreadRun, StrikeKind, StrikeSpec, Who, Wrong, SCENES,
+    play_spread, read_spread, Choice, Drawn, EndpointAt, Limiter, Load, PartnerAt, PartnerSpec, Reached,
+    Scene, Sites, SpreadAudit, SpreadRun, StrikeKind, StrikeSpec, Traffic, Who, Wrong, SCENES,
 };
 pub use world::play;
 
--- a/crates/emulator/src/spread.rs
+++ b/crates/emulator/src/spread.rs
@@ -5,11 +5,13 @@
 mod plain;
 mod scenario;
 mod site;
+mod traffic;
 mod world;
 
 pub use plain::{Choice, Limiter};
 pub use scenario::{read_spread, PartnerSpec, Scene, StrikeKind, StrikeSpec};
 pub use site::{EndpointAt, Load, PartnerAt, Reached, Sites, Wrong};
+pub use traffic::{Drawn, Traffic};
 pub use world::{play_spread, SpreadAudit, SpreadRun, Who};
 
 /// Scenes that come with the program, by name.
--- a/crates/emulator/src/spread/site.rs
+++ b/crates/emulator/src/spread/site.rs
@@ -1,6 +1,7 @@
 //! Partners of a scene: endpoints with capacity of their own behind limits that are shared, or apart.
 
 use super::scenario::{PartnerSpec, Scene};
+use cloverstile_spread::{Endpoint, Outcome};
 use cloverstile_standin::limit::{SharedLimit, Told};
 use cloverstile_standin::model::{Fault, Partner, Reply, Verdict};
 use rand::{Rng, SeedableRng};
@@ -56,6 +57,30 @@
     pub endpoints: Vec<usize>,
     /// One for all, or one for each endpoint in the order of `endpoints`; none without a limit.
     pub limits: Vec<SharedLimit>,
+    /// How many times their usual rate those have now.
+    factor: f64,
+}
+
+impl PartnerAt {
+    /// Calls a second that it takes from all couriers together, where it has a limit.
+    pub fn limit(&self) -> Option<f64> {
+        (!self.limits.is_empty()).then(|| self.limits.iter().map(SharedLimit::rate).sum())
+    }
+
+    /// Its limits are so many times their usual rate from now on.
+    pub fn multiply_limits(&mut self, now: Duration, factor: f64) {
+        let before = std::mem::replace(&mut self.factor, factor);
+        for limit in &mut self.limits {
+            limit.set_rate(now, limit.rate() * (factor / before.max(1e-9)));
+        }
+    }
+}
+
+impl EndpointAt {
+    /// As the yardstick's record has it.
+    pub fn entry(&self) -> Endpoint {
+        Endpoint { partner: self.partner, weight: self.pace, from: self.from, until: self.until }
+    }
 }
 
 /// All partners.
@@ -80,6 +105,17 @@
     pub load: Load,
 }
 
+impl Reached {
+    /// How the call ends, as the endpoint sees it.
+    pub fn outcome(&self) -> Outcome {
+        match self.verdict.reply {
+            Reply::Full(_) => Outcome::TurnedAway,
+            Reply::Processed if self.verdict.answer_at.is_some() => Outcome::Served,
+            _ => Outcome::Failed,
+        }
+    }
+}
+
 impl Sites {
     /// All partners of a scene.
     pub fn new(scene: &Scene, rng: &mut ChaCha8Rng) -> Sites {
@@ -89,7 +125,8 @@
         for spec in scene.partner.values() {
             for _ in 0..spec.copies {
                 let number = sites.partners.len();
-                let partner = PartnerAt { spec: spec.clone(), endpoints: Vec::new(), limits: Vec::new() };
+                let (endpoints, limits) = (Vec::new(), Vec::new());
+                let partner = PartnerAt { spec: spec.clone(), endpoints, limits, factor: 1.0 };
                 sites.partners.push(partner);
                 for _ in 0..spec.endpoints {
                     let [least, most] = spec.pace;
--- a/crates/emulator/src/spread/world.rs
+++ b/crates/emulator/src/spread/world.rs
@@ -5,12 +5,12 @@
 use super::plain::{Choice, Do, Ended, Limiter, Plain};
 use super::scenario::{Scene, StrikeKind};
 use super::site::{Load, Sites, Wrong};
+use super::traffic::{Drawn, Traffic};
 use cloverstile::{Allowance, Effect, EndpointId, MessageId, Settings, Time};
 use cloverstile_engine::{Attempt, Engine, Reported};
-use cloverstile_spread::{Call, Endpoint, Outcome, Partner, Record, Stay};
+use cloverstile_spread::{Call, Partner, Record, Stay};
 use cloverstile_standin::limit::Told;
 use cloverstile_standin::model::Reply;
-use rand::distr::weighted::WeightedIndex;
 use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -119,8 +119,6 @@
     endpoint: usize,
     message: u32,
     attempt: Option<Attempt>,
-    /// Its place in the record, once it has arrived.
-    recorded: Option<usize>,
     reply: Reply,
     refused_connection: bool,
     told: Option<Told>,
@@ -156,12 +154,7 @@
     entered: u64,
     rng: ChaCha8Rng,
     seats: Vec<Seat>,
-    by_load: WeightedIndex<f64>,
-    by_class: WeightedIndex<f64>,
-    by_partner: WeightedIndex<f64>,
-    shares: Vec<f64>,
-    factors: Vec<f64>,
-    limit_factor: Vec<f64>,
+    traffic: Traffic,
     sites: Sites,
     /// Changes of the list, the earliest first.
     news: Vec<News>,
@@ -200,29 +193,13 @@
     Time::ZERO + span
 }
 
-fn weighted(shares: &[f64]) -> WeightedIndex<f64> {
-    // Scenes are checked: shares that add up to nothing fall back to even ones.
-    let even = vec![1.0; shares.len().max(1)];
-    WeightedIndex::new(shares.iter().copied())
-        .or_else(|_| WeightedIndex::new(even))
-        .unwrap_or_else(|_| WeightedIndex::new([1.0]).expect("one weight above zero"))
-}
-
 impl<'a> World<'a> {
     fn new(scene: &'a Scene, who: Who, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let by_load = weighted(&scene.courier_loads());
-        let by_class = weighted(&scene.class.values().map(|class| class.share).collect::<Vec<_>>());
-        let shares = scene.partner_shares();
         let sites = Sites::new(scene, &mut rng);
         let mut world = World {
             settings: couriers::settings(scene),
-            by_load,
-            by_class,
-            by_partner: weighted(&shares),
-            factors: vec![1.0; shares.len()],
-            limit_factor: vec![1.0; shares.len()],
-            shares,
+            traffic: Traffic::new(scene),
             scene,
             who,
             now: Duration::ZERO,
@@ -271,21 +248,13 @@
     }
 
     fn note_limit(&mut self, partner: usize) {
-        let limits = &self.sites.partners[partner].limits;
-        if !limits.is_empty() {
-            let limit = limits.iter().map(|limit| limit.rate()).sum();
+        if let Some(limit) = self.sites.partners[partner].limit() {
             self.run.record.partners[partner].limit.push((self.now, limit));
         }
     }
 
     fn note_endpoint(&mut self, endpoint: usize) {
-        let at = &self.sites.endpoints[endpoint];
-        self.run.record.endpoints.push(Endpoint {
-            partner: at.partner,
-            weight: at.pace,
-            from: at.from,
-            until: at.until,
-        });
+        self.run.record.endpoints.push(self.sites.endpoints[endpoint].entry());
     }
 
     fn happen(&mut self, what: What) {
@@ -317,17 +286,11 @@
     // ---- Clients ----
 
     fn hand_in_next(&mut self) {
-        let asked: f64 = self.shares.iter().zip(&self.factors).map(|(share, factor)| share * factor).sum();
-        let usual: f64 = self.shares.iter().sum();
-        let gap: f64 = Exp1.sample(&mut self.rng);
-        let rate = self.scene.rate * asked / usual.max(1e-9);
-        let next = self.now + Duration::from_secs_f64(gap / rate.max(1e-6));
+        let next = self.now + self.traffic.gap(&mut self.rng);
         if next.as_secs_f64() < self.scene.seconds {
             self.enter(next, What::HandIn);
         }
-        let class = self.by_class.sample(&mut self.rng);
-        let partner = self.by_partner.sample(&mut self.rng);
-        let courier = self.by_load.sample(&mut self.rng) as u32;
+        let Drawn { class, partner, courier } = self.traffic.draw(&mut self.rng);
         let Some(spec) = self.scene.class.values().nth(class) else { return };
         let deadline = self.now + Duration::from_secs_f64(spec.deadline);
         self.run.offered += spec.worth;
@@ -343,7 +306,7 @@
             waits: None,
             may_have_run: false,
         });
-        self.hand_in(courier, number, false);
+        self.hand_in(courier as u32, number, false);
     }
 
     fn stop_waiting(&mut self, number: u32) {
@@ -389,14 +352,9 @@
             self.returned.retain(|other| *other != endpoint);
             self.run.audit.pushed_over += 1;
         }
-        let outcome = match reached.verdict.reply {
-            Reply::Full(_) => Outcome::TurnedAway,
-            Reply::Processed if reached.verdict.answer_at.is_some() => Outcome::Served,
-            _ => Outcome::Failed,
-        };
+        let outcome = reached.outcome();
         let took = reached.verdict.answer_at.map_or(Duration::ZERO, |at| at - now);
         let courier = self.calls[call].courier;
-        self.calls[call].recorded = Some(self.run.record.calls.len());
         self.run.record.calls.push(Call { at: now, endpoint, courier, outcome, took });
         if reached.verdict.effect {
             self.take_effect(message);
@@ -460,23 +418,11 @@
             return;
         }
         match kind {
-            StrikeKind::Burst => {
-                for partner in struck {
-                    self.factors[partner] = if begins { spec.size } else { 1.0 };
-                }
-                let now: Vec<f64> = self.shares.iter().zip(&self.factors).map(|(s, f)| s * f).collect();
-                self.by_partner = weighted(&now);
-            }
+            StrikeKind::Burst => self.traffic.multiply(&struck, if begins { spec.size } else { 1.0 }),
             StrikeKind::Limit => {
                 for partner in struck {
-                    let before = std::mem::replace(
-                        &mut self.limit_factor[partner],
-                        if begins { spec.size } else { 1.0 },
-                    );
-                    let change = self.limit_factor[partner] / before.max(1e-9);
-                    for limit in &mut self.sites.partners[partner].limits {
-                        limit.set_rate(self.now, limit.rate() * change);
-                    }
+                    let factor = if begins { spec.size } else { 1.0 };
+                    self.sites.partners[partner].multiply_limits(self.now, factor);
                     self.note_limit(partner);
                 }
                 self.spread_news(NEWS);
@@ -500,7 +446,7 @@
             }
             StrikeKind::Replace => {
                 // All have heard of it: what was replaced goes.
-                for News { gone, at, .. } in self.news.clone() {
+                for News { gone, at } in self.news.clone() {
                     if at + Duration::from_secs_f64(spec.lasts) <= self.now {
                         let until = self.now;
                         self.sites.endpoints[gone].gone = true;
--- a/crates/emulator/src/spread/world/couriers.rs
+++ b/crates/emulator/src/spread/world/couriers.rs
@@ -83,9 +83,8 @@
             Mind::Plain(plain) => {
                 let list = (0..self.sites.partners.len()).map(|partner| {
                     let of = &self.sites.partners[partner];
-                    let rate: f64 = of.limits.iter().map(|limit| limit.rate()).sum();
                     let there = of.endpoints.iter().copied().filter(|e| !replaced.contains(e)).collect();
-                    (there, (!of.limits.is_empty()).then_some(rate))
+                    (there, of.limit())
                 });
                 plain.list(list.collect());
             }
@@ -268,7 +267,6 @@
             endpoint,
             message: number,
             attempt,
-            recorded: None,
             reply: Reply::Reset,
             refused_connection: false,
             told: None,
--- a/crates/lab/src/fleet/ground.rs
+++ b/crates/lab/src/fleet/ground.rs
@@ -5,17 +5,14 @@
 use super::judge::{Books, End};
 use super::platform::{query, List};
 use super::processes::{FleetError, Processes};
-use cloverstile_emulator::{Scene, Sites, SpreadRun};
+use cloverstile_emulator::{Drawn, Scene, Sites, SpreadRun, Traffic};
 use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message, Start};
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
-use cloverstile_spread::{Call, Endpoint, Outcome, Partner};
+use cloverstile_spread::{Call, Outcome, Partner};
 use cloverstile_standin::limit::Told;
 use cloverstile_standin::model::Reply;
-use rand::distr::weighted::WeightedIndex;
-use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_distr::Exp1;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::net::SocketAddr;
@@ -94,11 +91,7 @@
     calls: Vec<CallAt>,
     books: Books,
     processes: Option<Processes>,
-    by_load: WeightedIndex<f64>,
-    by_class: WeightedIndex<f64>,
-    shares: Vec<f64>,
-    factors: Vec<f64>,
-    limit_factor: Vec<f64>,
+    traffic: Traffic,
     /// Couriers struck by `slow-for` while it lasts.
     far: usize,
     failed: Option<FleetError>,
@@ -112,18 +105,10 @@
     ground.play()
 }
 
-fn weighted(shares: &[f64]) -> WeightedIndex<f64> {
-    let even = vec![1.0; shares.len().max(1)];
-    WeightedIndex::new(shares.iter().copied())
-        .or_else(|_| WeightedIndex::new(even))
-        .unwrap_or_else(|_| WeightedIndex::new([1.0]).expect("one weight above zero"))
-}
-
 impl<'a> Ground<'a> {
     fn new(scene: &'a Scene, seed: u64) -> Result<Self, FleetError> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let sites = Sites::new(scene, &mut rng);
-        let shares = scene.partner_shares();
         let mut net = Net::new().map_err(FleetError::io("event loop"))?;
         // Guards against couriers that outlive the laboratory: told to end, it ends them first.
         net.watch_signals(&[SignalKind::SIGINT, SignalKind::SIGTERM]).map_err(FleetError::io("signals"))?;
@@ -142,11 +127,7 @@
             calls: Vec::new(),
             books: Books::new(scene.classes()),
             processes: None,
-            by_load: weighted(&scene.courier_loads()),
-            by_class: weighted(&scene.class.values().map(|class| class.share).collect::<Vec<_>>()),
-            factors: vec![1.0; shares.len()],
-            limit_factor: vec![1.0; shares.len()],
-            shares,
+            traffic: Traffic::new(scene),
             far: 0,
             failed: None,
             scene,
@@ -174,16 +155,12 @@
         self.listeners.insert(listener, Some(place));
         self.by_place.push(Some(listener));
         self.list.add(address);
-        let at = &self.sites.endpoints[place];
-        let (partner, weight, from, until) = (at.partner, at.pace, at.from, at.until);
-        self.books.run.record.endpoints.push(Endpoint { partner, weight, from, until });
+        self.books.run.record.endpoints.push(self.sites.endpoints[place].entry());
         Ok(())
     }
 
     fn note_limit(&mut self, now: Duration, partner: usize) {
-        let limits = &self.sites.partners[partner].limits;
-        if !limits.is_empty() {
-            let limit = limits.iter().map(|limit| limit.rate()).sum();
+        if let Some(limit) = self.sites.partners[partner].limit() {
             self.books.run.record.partners[partner].limit.push((now, limit));
         }
     }
@@ -340,17 +317,11 @@
     // ---- Clients ----
 
     fn hand_in_next(&mut self, now: Duration) {
-        let asked: f64 = self.shares.iter().zip(&self.factors).map(|(share, factor)| share * factor).sum();
-        let usual: f64 = self.shares.iter().sum();
-        let gap: f64 = Exp1.sample(&mut self.rng);
-        let rate = self.scene.rate * asked / usual.max(1e-9);
-        let next = now + Duration::from_secs_f64(gap / rate.max(1e-6));
+        let next = now + self.traffic.gap(&mut self.rng);
         if next.as_secs_f64() < self.scene.seconds {
             self.enter(next, Due::HandIn);
         }
-        let weights: Vec<f64> = self.shares.iter().zip(&self.factors).map(|(s, f)| s * f).collect();
-        let partner = weighted(&weights).sample(&mut self.rng);
-        let (class, courier) = (self.by_class.sample(&mut self.rng), self.by_load.sample(&mut self.rng));
+        let Drawn { class, partner, courier } = self.traffic.draw(&mut self.rng);
         let number = self.books.handed(now, courier, partner, class);
         self.hand_in(now, number);
     }
@@ -424,11 +395,7 @@
         self.books.call(now, number, place, route);
         let reached = self.sites.reach(now, place, &number.to_string());
         let (reply, answer_at) = (reached.verdict.reply, reached.verdict.answer_at);
-        let outcome = match reply {
-            Reply::Full(_) => Outcome::TurnedAway,
-            Reply::Processed if answer_at.is_some() => Outcome::Served,
-            _ => Outcome::Failed,
-        };
+        let outcome = reached.outcome();
         self.books.called(now, number, !matches!(reply, Reply::Full(_)), reached.verdict.effect);
         let took = answer_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
         let courier = self.books.message(number).map_or(0, |message| message.courier);
--- a/crates/lab/src/fleet/ground/troubles.rs
+++ b/crates/lab/src/fleet/ground/troubles.rs
@@ -22,17 +22,11 @@
             StrikeKind::Errors => wrong(Wrong::Errors),
             StrikeKind::Silent => wrong(Wrong::Silent),
             StrikeKind::Slow => wrong(Wrong::Slow),
-            StrikeKind::Burst => {
-                let factor = if begins { spec.size } else { 1.0 };
-                struck.into_iter().for_each(|partner| self.factors[partner] = factor);
-            }
+            StrikeKind::Burst => self.traffic.multiply(&struck, if begins { spec.size } else { 1.0 }),
             StrikeKind::Limit => {
                 for partner in struck {
                     let factor = if begins { spec.size } else { 1.0 };
-                    let before = std::mem::replace(&mut self.limit_factor[partner], factor);
-                    for limit in &mut self.sites.partners[partner].limits {
-                        limit.set_rate(now, limit.rate() * factor / before.max(1e-9));
-                    }
+                    self.sites.partners[partner].multiply_limits(now, factor);
                     self.note_limit(now, partner);
                 }
                 self.list.changed();
