What was decided is asked again when it leaves: waits, drains, outages, windows, stops

Ruled out: the module's own choice (it was made before the wait was told; no other line of the 100 logs has a sending inside a wait), answers not whole (18 spoilt ones, none with a wait), units. At fault: Node::open asked about the repeat's window only (kept::past_window), nothing asked about waits, drains, addresses, outages, time or the stop once a call was decided on. Mend: Courier::may_go, one question, asked before a call's first byte and before its last.

--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -1,140 +1,16 @@
 //! `cloverstile node` as the platform runs it: killed, stopped, told of another discovery, beside bad clients, with
 //! spoilt answers. Judged from what passed on the stand-ins' sockets.
 
-use cloverstile_standin::platform::{judge, read_line, Manner, Platform, PutSpec, Seen};
+mod world;
+
+use cloverstile_standin::platform::{judge, read_line, Manner, PutSpec, Seen};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
-const SOON: Duration = Duration::from_secs(20);
-
-struct World {
-    platform: Platform,
-    folder: PathBuf,
-    listen: SocketAddr,
-    courier: Option<Child>,
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        self.kill();
-        let _ = fs::remove_dir_all(&self.folder);
-    }
-}
-
-fn signal(child: &Child, name: &str) {
-    assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
-}
-
-impl World {
-    fn new(name: &str, cells: &[u16]) -> World {
-        let folder = std::env::temp_dir().join(format!("cloverstile-node-{}-{name}", std::process::id()));
-        fs::create_dir_all(folder.join("state")).unwrap();
-        // The courier's address must outlast its processes. Guards against a port that was free a moment ago and is
-        // another's when the courier starts again: this whole address is nobody else's.
-        static WORLDS: AtomicU8 = AtomicU8::new(64);
-        let process = std::process::id();
-        let place = WORLDS.fetch_add(1, Ordering::Relaxed);
-        let listen = SocketAddr::from(([127, place, (process >> 8) as u8, process as u8], 6379));
-        let world = World { platform: Platform::start(cells).unwrap(), folder, listen, courier: None };
-        world.configure(0);
-        world
-    }
-
-    fn config(&self) -> PathBuf {
-        self.folder.join("config.json")
-    }
-
-    fn configure(&self, discovery: usize) {
-        let lane = |name: &str, effect: &str, in_order: bool| {
-            serde_json::json!({"Name": name, "Effect": effect, "Group": "all", "Aim": 1_000_000_000u64, "Deadline": 12_000_000_000u64,
-                "RepeatWindow": 8_000_000_000u64, "OneAtATime": in_order, "Worth": 1.0, "LateShare": 0.4})
-        };
-        let text = serde_json::json!({
-            "name": "n0", "listen": self.listen.to_string(), "discovery": self.platform.discovery[discovery].to_string(),
-            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1},
-            "known": self.platform.known(),
-            "settings": {"Balancers": 1, "Discovery": "push", "FamilyInfo": {"CallsOut": 16, "KindBatch": [1]},
-                "Lanes": [lane("notice", "idempotency_key", true), lane("payment", "non_idempotent", false)],
-                "MachineTypes": ["any"], "Zones": ["here"], "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true,
-                "ConnIdle": 5_000_000_000u64, "ConnectTimeout": 1_000_000_000u64}, "WeightSource": "nominal",
-                "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000}},
-        });
-        let fresh = self.folder.join("config.new");
-        fs::write(&fresh, text.to_string()).unwrap();
-        fs::rename(fresh, self.config()).unwrap();
-    }
-
-    fn command(&self) -> Command {
-        let mut command = Command::new(PROGRAM);
-        command
-            .arg("node")
-            .env("ROUTER_CONFIG", self.config())
-            .env("ROUTER_STATE", self.folder.join("state"));
-        command.stdout(Stdio::null()).stderr(Stdio::null());
-        command
-    }
-
-    fn start(&mut self) {
-        let mut command = self.command();
-        self.start_as(&mut command);
-    }
-
-    fn start_as(&mut self, command: &mut Command) {
-        self.courier = Some(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap());
-        let end = Instant::now() + SOON;
-        loop {
-            if let Ok(mut stream) = TcpStream::connect(self.listen) {
-                stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
-                let _ = stream.write_all(b"*1\r\n$4\r\nPING\r\n");
-                if read_line(&mut stream).is_ok_and(|line| line == "+PONG") {
-                    return;
-                }
-            }
-            assert!(Instant::now() < end, "it never answered a PING");
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-
-    fn kill(&mut self) {
-        if let Some(mut courier) = self.courier.take() {
-            let _ = courier.kill();
-            let _ = courier.wait();
-        }
-    }
-
-    fn client(&self) -> TcpStream {
-        let stream = TcpStream::connect(self.listen).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(8))).unwrap();
-        stream
-    }
-
-    /// Waits until the judge finds every message over, and then what else it finds.
-    fn broken_in_the_end(&self) -> Vec<String> {
-        self.platform.until(SOON, |seen| !judge(seen).iter().any(|broken| broken.ends_with("is lost")));
-        judge(&self.platform.seen())
-    }
-
-    fn calls(&self, id: &str) -> usize {
-        let of = |seen: &Seen| matches!(seen, Seen::Call { id: other, .. } if other == id);
-        self.platform.seen().iter().filter(|(_, seen)| of(seen)).count()
-    }
-}
-
-fn notice(id: String, key: u64) -> PutSpec {
-    let body = [b"slip \r\n\x00\xff ".as_slice(), id.as_bytes()].concat();
-    let idempotency = Some(format!("k-{id}"));
-    PutSpec { id, key, class: "notice".into(), left: 9000, destination: 3, idempotency, body }
-}
-
-fn payment(id: String) -> PutSpec {
-    PutSpec { key: 0, class: "payment".into(), idempotency: None, ..notice(id, 0) }
-}
+use world::*;
 
 #[test]
 fn what_is_handed_in_arrives_unchanged_and_bad_input_takes_nothing_on() {
--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -86,6 +86,8 @@
     Unsent,
     /// Nothing was done, and the message is over: withdrawn, or out of time. Nothing is owed.
     Over,
+    /// Nothing was begun, as [`crate::Engine::may_go`] forbade it. It counts as no attempt.
+    Withheld,
 }
 
 impl Reported {
@@ -98,20 +100,24 @@
             Reported::ConnectFailed => Outcome::ConnectFailed,
             Reported::Reset => Outcome::Reset,
             Reported::Unsent | Reported::Over => Outcome::Moot,
+            Reported::Withheld => Outcome::Withheld,
+        }
+    }
+
+    /// The wait that it told.
+    pub fn wait(self) -> Option<Duration> {
+        match self {
+            Reported::Full(wait) => wait,
+            _ => None,
         }
     }
 
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
-        may_have_run(self.outcome())
+        self.outcome().may_have_run()
     }
 }
 
-/// Whether an attempt that ended so may have taken effect.
-pub(crate) fn may_have_run(outcome: Outcome) -> bool {
-    !matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot)
-}
-
 /// Something for the shell to do, in the order given.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
@@ -183,7 +189,9 @@
     pub name: String,
     pub fingerprint: [u8; 32],
     pub deadline: Time,
+    /// Attempts by number; those withheld have one, and used none up.
     pub attempts: u16,
+    pub withheld: u16,
     /// The attempt that is out, where to, since when and until when it may take.
     pub out: Option<Out>,
     /// Some attempt may have run.
@@ -217,6 +225,7 @@
             fingerprint: taken.fingerprint,
             deadline: taken.deadline,
             attempts: 0,
+            withheld: 0,
             out: None,
             may_have_run: taken.after_loss,
             answer: None,
@@ -224,6 +233,11 @@
         }
     }
 
+    /// Attempts used up.
+    pub fn used(&self) -> u32 {
+        u32::from(self.attempts.saturating_sub(self.withheld))
+    }
+
     /// What the module is told when it takes the message.
     pub fn accepted(&self) -> Accepted {
         Accepted {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -1,6 +1,6 @@
 //! The table of messages and the turn of the module.
 
-use crate::book::{may_have_run, Answer, Attempt, Command, Ending, Entry, HandIn, Out, Reported, Taken};
+use crate::book::{Answer, Attempt, Command, Ending, Entry, HandIn, Out, Reported, Taken};
 use crate::moves::Places;
 use cloverstile::{
     Accepted, Action, Allowance, Courier, Effect as ClassEffect, Endpoint, EndpointId, Event, Finished,
@@ -230,6 +230,21 @@
         entry.out.map(|out| out.until)
     }
 
+    /// Whether an attempt may still go that was decided on earlier: ask before its first byte, and again before its
+    /// last. Guards against all that comes between decision and bytes: a wait told, a drain, an outage, a window's
+    /// end, a stop. One that may not ends as [`Reported::Withheld`].
+    pub fn may_go(&self, now: Time, attempt: Attempt) -> bool {
+        let entry = self.entries.get(&attempt.message).filter(|entry| entry.answer.is_none());
+        let out = entry.and_then(|entry| entry.out).filter(|_| self.is_out(attempt) && !self.held_back);
+        let listed = out.and_then(|out| self.listed.get(&out.endpoint));
+        listed.is_some_and(|e| e.mode == Mode::Ready) && self.courier.may_go(now, self.inner(attempt.message))
+    }
+
+    /// The head of an answer told to wait. It binds though the answer is never whole, and nobody waits for it.
+    pub fn told_to_wait(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
+        self.tell(now, Event::ToldToWait { endpoint, wait });
+    }
+
     /// A new version of the list of endpoints, whole.
     pub fn list(&mut self, now: Time, endpoints: Vec<Endpoint>) {
         self.listed = endpoints.into_iter().map(|endpoint| (endpoint.id, endpoint)).collect();
@@ -399,9 +414,9 @@
         let slot_free = filling.is_some() || self.calls.len() < self.settings.call_slots;
         let cap = self.settings.send_cap;
         let Some(entry) = self.entries.get_mut(&message) else { return };
+        let open = entry.answer.is_none() && entry.out.is_none() && entry.used() < cap;
         let number = entry.attempts;
         entry.attempts += 1;
-        let open = entry.answer.is_none() && entry.out.is_none() && u32::from(number) < cap;
         let (_, call, carried) = match filling {
             Some(call) => call,
             None => {
@@ -442,8 +457,10 @@
     fn finish(&mut self, now: Time, id: MessageId, (outcome, allowance): Ending) {
         let Some(entry) = self.entries.get_mut(&id) else { return };
         let Some(out) = entry.out.take() else { return };
-        entry.may_have_run |= may_have_run(outcome);
+        entry.may_have_run |= outcome.may_have_run();
         let number = entry.attempts.saturating_sub(1);
+        let withheld = outcome == Outcome::Withheld;
+        entry.withheld += u16::from(withheld);
         self.time_outs.remove(&(out.until, id));
         if let Some(left) = self.calls.get_mut(&out.call) {
             *left -= 1;
@@ -452,6 +469,10 @@
             }
         }
         self.tell_finished(now, id, out.endpoint, number, now - out.sent, (outcome, allowance));
+        if let Some(entry) = self.entries.get_mut(&id).filter(|_| withheld) {
+            // The module counts it as none: its numbers begin one later.
+            entry.before += 1;
+        }
         if outcome == Outcome::Ok {
             self.answer(now, id, Answer::Delivered);
         }
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -71,7 +71,7 @@
         (true, Effect::Keyed) => class.group == Group::All,
         (true, Effect::Unsafe) => false,
     };
-    fate && entry.answer.is_none() && entry.out.is_none() && u32::from(entry.attempts) < settings.send_cap
+    fate && entry.answer.is_none() && entry.out.is_none() && entry.used() < settings.send_cap
 }
 
 impl Engine {
--- a/crates/engine/tests/table.rs
+++ b/crates/engine/tests/table.rs
@@ -339,3 +339,36 @@
     bench.engine.hold_back(false);
     bench.sent();
 }
+
+/// Between decision and bytes: what is withheld costs no attempt, and numbers never come twice.
+#[test]
+fn what_is_withheld_counts_as_no_attempt() {
+    let mut bench = Bench::new(10);
+    bench.hand_in("a", KEYED);
+    let cap = settings().send_cap;
+    let mut numbers = Vec::new();
+    for _ in 0..cap + 2 {
+        let attempt = bench.sent();
+        numbers.push(attempt.number);
+        assert!(bench.engine.may_go(bench.now, attempt));
+        bench.engine.told_to_wait(bench.now, EndpointId(1), ms(40));
+        assert!(!bench.engine.may_go(bench.now, attempt));
+        bench.engine.ended(bench.now, attempt, Reported::Withheld, None);
+        assert!(!bench.engine.may_go(bench.now, attempt), "it is not out any more");
+    }
+    assert!(numbers.windows(2).all(|two| two[0] < two[1]), "{numbers:?}");
+    let attempt = bench.sent();
+    bench.engine.hold_back(true);
+    assert!(!bench.engine.may_go(bench.now, attempt), "the stop has come so far");
+    bench.engine.hold_back(false);
+    bench.engine.list(bench.now, vec![endpoint(1, Mode::Draining), endpoint(2, Mode::Draining)]);
+    assert!(!bench.engine.may_go(bench.now, attempt));
+    bench.engine.list(bench.now, vec![endpoint(1, Mode::Ready), endpoint(2, Mode::Ready)]);
+    bench.engine.ended(bench.now, attempt, Reported::Full(None), None);
+    // All other attempts are still there.
+    for _ in 1..cap {
+        let attempt = bench.sent();
+        bench.engine.ended(bench.now, attempt, Reported::Full(None), None);
+    }
+    assert!(matches!(bench.answer(), Answer::Refused(_)));
+}
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -113,14 +113,14 @@
     buffer: Vec<u8>,
     stage: Stage,
     began: Option<Duration>,
-    /// Status of the answer being read, once its head is whole.
-    status: Option<u16>,
+    /// Status and fields of the answer being read, once its head is whole.
+    head: Option<(u16, Headers)>,
 }
 
 impl Decoder {
     /// Reads requests.
     pub fn server(limits: Limits) -> Self {
-        Decoder { server: true, limits, buffer: Vec::new(), stage: Stage::Head, began: None, status: None }
+        Decoder { server: true, limits, buffer: Vec::new(), stage: Stage::Head, began: None, head: None }
     }
 
     /// Reads answers to requests other than HEAD.
@@ -144,7 +144,7 @@
     /// The status that the answer being read begins with, as soon as its first line is there, whatever the rest of
     /// it is like; interim answers are passed over.
     pub fn status(&self) -> Option<u16> {
-        self.status.or_else(|| {
+        self.head.as_ref().map(|(status, _)| *status).or_else(|| {
             let line = self.buffer.strip_prefix(b"HTTP/1.").filter(|_| !self.server)?;
             let digits = line.get(2..5).filter(|_| line[0].is_ascii_digit() && line[1] == b' ')?;
             let ended =
@@ -154,6 +154,11 @@
         })
     }
 
+    /// Status and fields of the answer being read, as soon as its head is whole: they stand, whatever its body is like.
+    pub fn head(&self) -> Option<(u16, &Headers)> {
+        self.head.as_ref().map(|(status, headers)| (*status, headers))
+    }
+
     /// When the message being read runs out of time, if one is.
     pub fn due(&self) -> Option<Duration> {
         let span = match self.stage {
@@ -186,7 +191,7 @@
                 Stage::Body { .. } => {
                     let Some(message) = self.read_body()? else { return Ok(None) };
                     self.began = (!self.buffer.is_empty()).then_some(now);
-                    self.status = None;
+                    self.head = None;
                     return Ok(Some(Item::Message(message)));
                 }
             }
@@ -242,7 +247,7 @@
         };
         self.buffer.drain(..length);
         if let Start::Response { status: status @ 200.. } = start {
-            self.status = Some(status);
+            self.head = Some((status, headers.clone()));
         }
         let kind = body_kind(&start, minor, &headers)?;
         if let Body::Length(length) = kind {
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -1,6 +1,6 @@
 //! A message as the log keeps it, and what the engine, the platform and an endpoint are told of it. Free of I/O.
 
-use cloverstile::{window_end, Class, ClassId, DestinationId, Effect, OrderKey, Past, Time};
+use cloverstile::{Class, ClassId, DestinationId, OrderKey, Past, Time};
 use cloverstile_engine::HandIn;
 use cloverstile_http::Headers;
 use cloverstile_platform::handin::Put;
@@ -71,13 +71,6 @@
     Some(since.map_or(handed_in, |since| since.min(handed_in)))
 }
 
-/// How late a call would be that was decided on inside its window: connections take their time to come up, a second
-/// or more behind a cut, and what runs once the window is over takes effect again.
-pub fn past_window(now: Time, living: &Living, class: &Class) -> Option<Duration> {
-    let since = may_have_run_since(living, Some(class)).filter(|_| class.effect == Effect::Keyed)?;
-    Some(now - window_end(class, since)).filter(|late| !late.is_zero())
-}
-
 /// What the platform is told of a message that ended so.
 pub fn notice(living: &Living, ending: Ending) -> Notice {
     let (failed, again_ms) = match ending {
@@ -121,20 +114,6 @@
         assert_eq!(since(Some(101 * S), None), (Some(101 * S), false, 2));
     }
 
-    /// Fleet day split, seed 3: a repeat was decided on in time, and its connection came up after the window.
-    #[test]
-    fn a_call_whose_connection_came_up_too_late_is_past_its_window() {
-        let class = Class { repeat_window: Duration::from_secs(5), ..Class::default() };
-        let late = |at: u64, living: &Living, class: &Class| past_window(Time(at), living, class);
-        let ran = Living { may_have_run: Some(101 * S), ..kept() };
-        assert_eq!(late(105 * S, &ran, &class), None);
-        assert_eq!(late(106 * S, &ran, &class), Some(Duration::from_millis(500)));
-        assert_eq!(late(106 * S, &kept(), &class), None, "it never ran");
-        assert_eq!(late(106 * S, &ran, &Class { effect: Effect::Safe, ..class.clone() }), None);
-        let lost = Living { after_loss: true, ..kept() };
-        assert!(late(106 * S, &lost, &class).is_some(), "it may have run where it was lost");
-    }
-
     #[test]
     fn what_a_lost_courier_held_counts_from_its_first_hand_in() {
         let class = Class { deadline: Duration::from_secs(12), ..Class::default() };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -378,6 +378,9 @@
 
     fn turn(&mut self, now: Time) {
         for _ in 0..ROUNDS {
+            for (endpoint, wait) in self.calls.take_waits() {
+                self.engine.told_to_wait(now, endpoint, wait);
+            }
             for (attempt, (reported, allowance)) in self.calls.take_ended() {
                 if let Some(living) = self.log.living(attempt.message.0) {
                     let sent = living.open.map_or(0, |at| now.0.saturating_sub(at) / 1_000_000);
@@ -403,6 +406,9 @@
                 self.open(now, attempt);
             }
             for attempt in self.calls.take_due() {
+                if self.is_withheld(now, attempt) {
+                    continue;
+                }
                 self.log.record(Record::Begun(attempt.message.0, now.0));
                 self.launching.push(attempt);
             }
@@ -499,21 +505,33 @@
                 Some(address) => {
                     self.calls.begin(now, attempt, endpoint, address, &mut Sockets(&mut self.net))
                 }
-                None => self.engine.ended(now, attempt, Reported::Unsent, None),
+                None => self.engine.ended(now, attempt, Reported::Withheld, None),
             }
         }
     }
 
+    /// Asks once more whether a call may go, and takes it back if not. Guards against what came since it was decided
+    /// on, while its connection came up or a notice of its key was out: a wait, a drain, another address, an outage,
+    /// the end of its window or its time, a stop (fleet day join, seed 2: 0.74 s for a connection, and inside them a
+    /// wait of 0.67 s).
+    fn is_withheld(&mut self, now: Time, attempt: Attempt) -> bool {
+        let list = &self.list;
+        let listed = self.calls.leads_to_listed(attempt, |id| list.address(id));
+        if listed && self.engine.may_go(now, attempt) {
+            return false;
+        }
+        debug!(id = attempt.message.0, number = attempt.number, listed, "withheld");
+        self.calls.withhold(now, attempt, listed, &mut Sockets(&mut self.net));
+        true
+    }
+
     /// Writes a call but for its last byte.
     fn open(&mut self, now: Time, attempt: Attempt) {
         let until = self.engine.waits_until(attempt);
-        let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { return };
-        // Guards against a second effect: the module decided inside the window, and the connection came up behind it.
-        let class = self.classes.get(usize::from(living.class));
-        if let Some(late) = class.and_then(|class| kept::past_window(now, living, class)) {
-            debug!(id = attempt.message.0, number = attempt.number, ?late, "past its window, not sent");
-            return self.calls.drop_due(attempt, &mut Sockets(&mut self.net));
+        if self.is_withheld(now, attempt) {
+            return;
         }
+        let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { return };
         let left = until - now;
         trace!(id = attempt.message.0, to = living.destination, number = attempt.number, ?left, "sent");
         let bytes = kept::call(living, left);
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -9,6 +9,9 @@
 //! | 410 | whole | not sent: the message is over |
 //! | another | whole | error, may have run |
 //! | not 200 | can't be read, over a limit | error, may have run: even "turned away" proves nothing there |
+//!
+//! What outcome it is and what wait it told are two facts: a wait counts from when its head is there, whatever becomes
+//! of the rest.
 
 use crate::LONGEST_BODY;
 use cloverstile::Allowance;
@@ -38,6 +41,8 @@
 pub struct Read {
     /// The outcome, once.
     pub told: Option<Told>,
+    /// A wait that the head of an answer told which is not whole yet, or never will be; once.
+    pub wait: Option<Duration>,
     /// The connection.
     pub line: Line,
 }
@@ -57,6 +62,7 @@
 pub struct Reader {
     decoder: Decoder,
     told: bool,
+    waited: bool,
 }
 
 impl Default for Reader {
@@ -69,7 +75,7 @@
     /// A reader of an answer not begun.
     pub fn new() -> Self {
         let limits = Limits { head: LONGEST_HEAD, body: LONGEST_BODY, ..Limits::default() };
-        Reader { decoder: Decoder::client(limits), told: false }
+        Reader { decoder: Decoder::client(limits), told: false, waited: false }
     }
 
     fn tell(&mut self, told: Told) -> Option<Told> {
@@ -81,20 +87,24 @@
         self.decoder.feed(clock, bytes);
         let next = self.decoder.next(clock);
         let delivered = self.decoder.status() == Some(200);
-        match next {
+        let told = self.decoder.head().filter(|(status, _)| is_turned_away(*status));
+        let wait = told.and_then(|(_, headers)| wait(headers)).filter(|_| !self.waited);
+        self.waited |= wait.is_some();
+        let (told, line) = match next {
             Ok(Some(Item::Message(message))) => {
                 // What comes behind an answer belongs to nobody: the next call would take it for its own.
                 let free = message.keep_alive && self.decoder.held() == 0;
                 let told = self.tell(meaning(&message, fields));
-                Read { told, line: if free { Line::Free } else { Line::Spoilt } }
+                (told, if free { Line::Free } else { Line::Spoilt })
             }
-            Ok(_) if delivered => Read { told: self.tell((Reported::Processed, None)), line: Line::Open },
-            Ok(_) => Read { told: None, line: Line::Open },
+            Ok(_) if delivered => (self.tell((Reported::Processed, None)), Line::Open),
+            Ok(_) => (None, Line::Open),
             Err(_) => {
                 let reported = if delivered { Reported::Processed } else { Reported::Error };
-                Read { told: self.tell((reported, None)), line: Line::Spoilt }
+                (self.tell((reported, None)), Line::Spoilt)
             }
-        }
+        };
+        Read { told, wait, line }
     }
 
     /// The connection has ended, in order or not; the outcome, if it was not told before.
@@ -111,9 +121,8 @@
     let headers = &message.headers;
     let reported = match status {
         200 => Reported::Processed,
-        429 => Reported::Full(wait(headers)),
         503 if headers.get("x-line-busy") == Some("1") => Reported::Unsent,
-        503 => Reported::Full(wait(headers)),
+        _ if is_turned_away(status) => Reported::Full(wait(headers)),
         504 => Reported::Unsent,
         410 => Reported::Over,
         _ => Reported::Error,
@@ -121,6 +130,10 @@
     (reported, allowance(headers, fields))
 }
 
+fn is_turned_away(status: u16) -> bool {
+    matches!(status, 429 | 503)
+}
+
 fn wait(headers: &Headers) -> Option<Duration> {
     let seconds: f64 = headers.get("retry-after")?.parse().ok()?;
     let told = seconds.is_finite() && seconds > 0.0;
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -95,13 +95,15 @@
     ready: Vec<Attempt>,
     due: Vec<Attempt>,
     ended: Vec<(Attempt, Told)>,
+    waits: Vec<(EndpointId, Duration)>,
 }
 
 impl Calls {
     /// No calls.
     pub fn new(terms: Terms) -> Self {
         let (conns, attempts, idle) = (BTreeMap::new(), HashMap::new(), HashMap::new());
-        Calls { terms, conns, attempts, idle, ready: Vec::new(), due: Vec::new(), ended: Vec::new() }
+        let (ready, due, ended, waits) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        Calls { terms, conns, attempts, idle, ready, due, ended, waits }
     }
 
     /// Attempts that are out or on their way.
@@ -129,6 +131,11 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Waits that heads of answers told, from now on.
+    pub fn take_waits(&mut self) -> Vec<(EndpointId, Duration)> {
+        std::mem::take(&mut self.waits)
+    }
+
     /// Whether something ended or is ready and was not taken.
     pub fn has_news(&self) -> bool {
         !self.ready.is_empty() || !self.due.is_empty() || !self.ended.is_empty()
@@ -208,6 +215,28 @@
         }
     }
 
+    /// An attempt that is ready or due may not go: it is as if it had never been decided on. Its connection stays for
+    /// the next one, where nothing was written on it and its endpoint is listed there.
+    pub fn withhold(&mut self, now: Time, attempt: Attempt, listed: bool, wires: &mut impl Wires) {
+        self.forget(attempt);
+        let Some(wire) = self.attempts.remove(&attempt) else { return };
+        match self.conns.get(&wire).map(|conn| &conn.state) {
+            Some(State::Ready) if listed => self.rest(now, wire),
+            _ => self.close(wire, wires),
+        }
+        self.ended.push((attempt, (Reported::Withheld, None)));
+    }
+
+    /// Whether an attempt's endpoint is still listed where its connection leads.
+    pub fn leads_to_listed(
+        &self,
+        attempt: Attempt,
+        address: impl Fn(EndpointId) -> Option<SocketAddr>,
+    ) -> bool {
+        let conn = self.attempts.get(&attempt).and_then(|wire| self.conns.get(wire));
+        conn.is_some_and(|conn| address(conn.endpoint) == Some(conn.address))
+    }
+
     /// An attempt is not sent after all. Its connection goes: it may hold the better part of a call.
     pub fn drop_due(&mut self, attempt: Attempt, wires: &mut impl Wires) {
         if self.attempts.contains_key(&attempt) {
@@ -324,13 +353,21 @@
             State::Finishing { .. } => true,
             // Nothing was asked: a late copy or noise, which a later call would take for its answer.
             State::Idle { .. } => return self.close(wire, wires),
-            // What comes before the call is whole answers nothing: it is noise, or a refusal of the connection.
+            // What comes before the call is whole answers nothing: it is noise, or a refusal of the connection. A wait
+            // that it tells binds all the same.
             State::Connecting { .. } | State::Ready | State::Held { .. } | State::Due { .. } => {
+                let read = conn.reader.bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
+                self.waits.extend(
+                    read.wait
+                        .or(read.told.and_then(|(reported, _)| reported.wait()))
+                        .map(|wait| (conn.endpoint, wait)),
+                );
                 wires.close(wire);
                 return self.lost(now, wire, false, wires);
             }
         };
         let read = conn.reader.bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
+        self.waits.extend(read.wait.map(|wait| (conn.endpoint, wait)));
         if let (Some(told), Some(attempt)) = (read.told, conn.attempt) {
             self.attempts.remove(&attempt);
             self.ended.push((attempt, told));
--- a/crates/platform/tests/answers.rs
+++ b/crates/platform/tests/answers.rs
@@ -159,3 +159,30 @@
         assert_eq!(told(nonsense), None, "{nonsense:?}");
     }
 }
+
+/// Outcome and wait are two facts: the wait counts from the head on, spoilt as the rest may be.
+#[test]
+fn a_head_tells_its_wait_though_the_rest_is_spoilt_cut_or_never_ends() {
+    let ms = |ms| Some(Duration::from_millis(ms));
+    for (head, wait) in [
+        ("429 Wait\r\nRetry-After: 0.25\r\nContent-Length: 3000000000", ms(250)),
+        ("429 Wait\r\nRetry-After: 2\r\nTransfer-Encoding: chunked", ms(2000)),
+        ("503 Wait\r\nRetry-After: 1\r\nContent-Length: 10", ms(1000)),
+        ("429 Wait\r\nRetry-After: 1e300\r\nContent-Length: 10", ms(3_600_000)),
+        ("429 Wait\r\nRetry-After: 0.0004\r\nContent-Length: 10", Some(Duration::from_micros(400))),
+        ("429 Wait\r\nRetry-After: soon\r\nContent-Length: 10", None),
+        ("429 Wait\r\nRetry-After: NaN\r\nContent-Length: 10", None),
+        ("500 Oops\r\nRetry-After: 1\r\nContent-Length: 10", None),
+        ("200 OK\r\nRetry-After: 1\r\nContent-Length: 10", None),
+    ] {
+        let text = format!("HTTP/1.1 {head}\r\n\r\nzz\r\n");
+        for cut in [text.len(), 30] {
+            let mut reader = Reader::new();
+            let waits: Vec<Duration> = [&text.as_bytes()[..cut], &text.as_bytes()[cut..], b"noise"]
+                .iter()
+                .filter_map(|piece| reader.bytes(Duration::ZERO, piece, &fields()).wait)
+                .collect();
+            assert_eq!(waits, wait.into_iter().collect::<Vec<_>>(), "{head}");
+        }
+    }
+}
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -372,3 +372,64 @@
     }
     assert!(now < at(1000 + 3700), "it is killed then");
 }
+
+/// Asked before its first byte, a call that may not go leaves its connection to the next; before its last, it takes the
+/// connection with it, as the better part of it is written.
+#[test]
+fn what_is_withheld_ends_as_such_and_its_connection_serves_the_next_where_it_is_clean() {
+    let (mut calls, mut wires) = (calls(9), Fake::default());
+    calls.begin(at(0), attempt(1), E, address(1), &mut wires);
+    calls.connected(Wire(1));
+    assert!(calls.leads_to_listed(attempt(1), |_| Some(address(1))));
+    assert!(!calls.leads_to_listed(attempt(1), |_| Some(address(2))), "it is elsewhere now");
+    assert!(!calls.leads_to_listed(attempt(1), |_| None), "it is gone");
+    calls.withhold(at(5), attempt(1), true, &mut wires);
+    assert_eq!(
+        (ended(&mut calls), calls.out(), calls.take_ready()),
+        (vec![(1, Reported::Withheld)], 0, vec![])
+    );
+    assert_eq!(wires.written.len() + wires.closed.len(), 0);
+    calls.begin(at(6), attempt(2), E, address(1), &mut wires);
+    assert_eq!((calls.take_ready(), wires.connected.len()), (vec![attempt(2)], 1));
+    calls.open(at(6), attempt(2), b"call", &mut wires);
+    calls.tick(at(7), &mut wires);
+    assert_eq!(calls.take_due(), [attempt(2)]);
+    calls.withhold(at(7), attempt(2), true, &mut wires);
+    calls.launch(attempt(2), &mut wires);
+    assert_eq!((ended(&mut calls), wires.closed), (vec![(2, Reported::Withheld)], vec![Wire(1)]));
+    assert_eq!(wires.written, [(Wire(1), "cal".to_owned())], "never its last byte");
+    // One that is gone from the list keeps no connection.
+    let mut wires = Fake { connected: vec![address(1)], ..Fake::default() };
+    calls.begin(at(8), attempt(3), E, address(1), &mut wires);
+    calls.connected(Wire(2));
+    calls.withhold(at(9), attempt(3), false, &mut wires);
+    assert_eq!((wires.closed, calls.connections()), (vec![Wire(2)], 0));
+}
+
+/// A wait binds from the head that told it, whatever its answer comes to.
+#[test]
+fn waits_are_told_by_heads_alone_and_by_answers_that_come_too_soon() {
+    let head = b"HTTP/1.1 429 Wait\r\nRetry-After: 0.7\r\nContent-Length: 9\r\n\r\nhalf";
+    let told = vec![(E, Duration::from_millis(700))];
+    let (mut calls, mut wires) = (calls(9), Fake::default());
+    let wire = sent(&mut calls, &mut wires, at(0), 1);
+    calls.written(wire);
+    calls.bytes(at(1), wire, head, &mut wires);
+    assert_eq!((calls.take_waits(), ended(&mut calls)), (told.clone(), vec![]));
+    calls.bytes(at(2), wire, b"more", &mut wires);
+    assert_eq!(calls.take_waits(), vec![], "once");
+    calls.lost(at(3), wire, false, &mut wires);
+    assert_eq!(ended(&mut calls), [(1, Reported::Reset)]);
+    for text in [&head[..], b"HTTP/1.1 429 Wait\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n\r\n"] {
+        calls.begin(at(4), attempt(2), E, address(1), &mut wires);
+        let wire = Wire(wires.connected.len() as u64);
+        calls.connected(wire);
+        calls.take_ready();
+        calls.open(at(4), attempt(2), b"call", &mut wires);
+        calls.bytes(at(4), wire, text, &mut wires);
+        assert_eq!(
+            (calls.take_waits(), ended(&mut calls)),
+            (told.clone(), vec![(2, Reported::ConnectFailed)])
+        );
+    }
+}
--- a/src/books.rs
+++ b/src/books.rs
@@ -46,12 +46,19 @@
     pub idle: Option<Duration>,
     pub stalled: bool,
     pub called_off: bool,
+    /// It went out to learn whether an outage is over.
+    pub trial: bool,
 }
 
 /// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RouteId(pub DestinationId, pub Option<EndpointId>);
 
+/// The routes of a destination.
+pub fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+}
+
 /// What may be sent next: by which route to which endpoint, which message, at what value.
 pub type Candidate = (RouteId, EndpointId, MessageId, f64);
 
@@ -85,6 +92,16 @@
     }
 }
 
+/// Couriers that share the destinations: an even part is one over this.
+pub fn couriers(settings: &Settings) -> f64 {
+    f64::from(settings.couriers.max(1))
+}
+
+/// The sooner of two times, where there is one.
+pub fn earliest(next: &mut Option<Time>, at: Option<Time>) {
+    *next = [*next, at].into_iter().flatten().min();
+}
+
 /// Moves a mean towards a sample.
 pub fn lean(mean: &mut f64, sample: f64, gain: f64) {
     *mean += gain * (sample - *mean);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -160,6 +160,7 @@
             Event::Accept(message) => self.on_accept(now, message),
             Event::Recovered(message, past) => self.on_recovered(now, message, past),
             Event::Finished(finished) => self.on_finished(now, finished),
+            Event::ToldToWait { endpoint, wait } => self.heed(now, endpoint, wait),
             Event::ClientGone(id) => self.close(id),
             Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
             Event::FirstByte(_) | Event::Probed { .. } | Event::Note { .. } => {}
@@ -181,6 +182,16 @@
         actions.append(&mut self.actions);
     }
 
+    /// Whether what was decided may still go: a connection may come up late, and a wait, a drain or an outage
+    /// come before it. Asked as late as the bytes allow; what may not is `Withheld`, and goes when it may.
+    pub fn may_go(&self, now: Time, id: MessageId) -> bool {
+        let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { return false };
+        let Some(call) = message.out.and_then(|call| self.calls.get(&call)) else { return false };
+        let takes_work = self.addresses.get(&call.to).is_some_and(|a| a.entry.mode.takes_work());
+        let changed = self.routes.get(&call.route).is_none_or(|route| route.changed_since(now, call));
+        takes_work && !changed && now <= self.last_send(message)
+    }
+
     // ---- Events ----
 
     fn on_listing(&mut self, now: Time, listing: Listing) {
@@ -228,7 +239,7 @@
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
         // Where clients mark what they hand in again, a fresh one with little time left is not an old one.
         let fresh = self.settings.marks_again && !taken.again && !taken.from_dead_courier;
-        let born = if fresh { now } else { taken.deadline - class.deadline };
+        let born = if fresh { now } else { (taken.deadline - class.deadline).min(now) };
         // A keyed message of a courier that died may have run there at any time since it was handed in.
         let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
         if let (true, Some(key)) = (class.in_order, taken.key) {
@@ -277,24 +288,31 @@
         over
     }
 
+    /// A wait binds from the batch that tells it, whatever became of the message that brings it.
+    fn heed(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
+        let route = self.addresses.get(&endpoint).map(|a| self.route_of(&a.entry));
+        if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
+            route.told_wait = route.told_wait.max(now + wait);
+        }
+    }
+
     fn on_finished(&mut self, now: Time, finished: Finished) {
-        // A wait binds from the batch that tells it, whatever became of the message that brings it.
         if let Outcome::Full(Some(wait)) = finished.outcome {
-            let route = self.addresses.get(&finished.endpoint).map(|a| self.route_of(&a.entry));
-            if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
-                route.told_wait = route.told_wait.max(now + wait);
-            }
+            self.heed(now, finished.endpoint, wait);
         }
         let Some(message) = self.messages.get_mut(&finished.message) else { return };
         let Some(call_id) = message.out.take() else { return };
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         let class = &self.settings.classes[usize::from(message.taken.class.0)];
-        let never_ran = matches!(finished.outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
-        if !never_ran && message.maybe_ran.is_none() {
+        if finished.outcome.may_have_run() && message.maybe_ran.is_none() {
             message.maybe_ran = Some((call.sent, Some(call.zone)));
         }
-        let gap = growing_gap(class.aim, BACKOFF_OF_AIM, message.attempts);
-        message.not_before = now + gap.mul_f64(self.rng.f64());
+        if finished.outcome == Outcome::Withheld {
+            message.attempts -= 1;
+        } else {
+            let gap = growing_gap(class.aim, BACKOFF_OF_AIM, message.attempts);
+            message.not_before = now + gap.mul_f64(self.rng.f64());
+        }
         // A call that may still be running lets its key rest before the next message of the key.
         let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
@@ -323,7 +341,7 @@
     fn last_send(&self, message: &Message) -> Time {
         let class = self.class(message);
         match (message.maybe_ran, class.effect) {
-            _ if message.attempts >= self.settings.send_cap => Time::ZERO,
+            _ if message.attempts - u32::from(message.out.is_some()) >= self.settings.send_cap => Time::ZERO,
             (Some(_), Effect::Unsafe) => Time::ZERO,
             (Some((first, _)), Effect::Keyed) => window_end(class, first).min(message.taken.deadline),
             _ => message.taken.deadline,
@@ -349,8 +367,7 @@
             match finished.outcome {
                 Outcome::Ok => {
                     lean(&mut habits.crowding, 0.0, CROWDING_GAINS.1);
-                    address.no_room = None;
-                    (address.used, address.failures) = (Some(now), 0);
+                    (address.no_room, address.used, address.failures) = (None, Some(now), 0);
                 }
                 Outcome::Full(_) => address.used = Some(now),
                 _ if reaped => {}
@@ -367,7 +384,7 @@
                     let gap = growing_gap(rules.fall, (TRIAL_GAPS_OF_FALL.0, longest), address.failures);
                     address.avoid_until = now + gap.mul_f64(self.rng.f64());
                 }
-                Outcome::Cancelled | Outcome::Moot => {}
+                Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
             }
         }
         if !reaped {
@@ -480,8 +497,7 @@
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
                     route.cuts += 1;
-                    // A clump must not wait at the pace of usual days; where a call carries many, a call an
-                    // aim is enough.
+                    // A clump must not wait at usual pace; where one call carries many, one an aim will do.
                     let late = route.sent.rate(now, LATE_S, 0.0).max(waiting * an_aim);
                     let late = match route.batch {
                         _ if used_up => 0.0,
@@ -500,6 +516,9 @@
                 let spread = if route.is_light(now, settings) { LIGHT_SPREAD } else { 1.0 };
                 route.tokens = route.tokens.min(-chance * spread);
             }
+            // A pace set since was meant for what is still to go.
+            Outcome::Withheld if route.changed_since(now, call) => return,
+            Outcome::Withheld => return route.tokens += 1.0,
             Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
             Outcome::Error | Outcome::Reset | Outcome::Moot => {}
             _ if alone => route.evidence += EVIDENCE_LOST,
@@ -591,8 +610,10 @@
             }
         }
         while self.slots_free() > 0 {
+            let calls =
+                |to| self.routes.range(routes_of(to)).map(|(_, route)| route.out.len()).sum::<usize>();
             let order = |a: &(DestinationId, f64), b: &(DestinationId, f64)| {
-                self.calls_to(a.0).cmp(&self.calls_to(b.0)).then(b.1.total_cmp(&a.1))
+                calls(a.0).cmp(&calls(b.0)).then(b.1.total_cmp(&a.1))
             };
             let Some(place) = (0..ready.len()).min_by(|a, b| order(&ready[*a], &ready[*b])) else { break };
             // Slots have gone since: what was free may not be so now.
@@ -608,10 +629,6 @@
         self.routes.range(routes_of(to)).count().max(1) as f64
     }
 
-    fn calls_to(&self, destination: DestinationId) -> usize {
-        self.routes.range(routes_of(destination)).map(|(_, route)| route.out.len()).sum()
-    }
-
     /// The best message of a destination that may be sent now, by which route and endpoint, and its worth for
     /// the time that a slot is taken; if none, `next` tells when that may be.
     fn candidate(&mut self, now: Time, to: DestinationId, next: &mut Option<Time>) -> Option<Candidate> {
@@ -745,12 +762,9 @@
             (Effect::Keyed, Group::Zone, Some((_, zone))) => Some(zone?),
             _ => None,
         };
-        let endpoints = self.routes.get(&id)?.endpoints.iter();
-        endpoints
-            .filter_map(|endpoint| self.addresses.get(endpoint))
-            .filter(|a| a.entry.mode.takes_work() && zone.is_none_or(|z| a.entry.zone == z))
-            .min_by_key(|a| self.order_of(now, a))
-            .map(|a| a.entry.id)
+        let of = self.routes.get(&id)?.endpoints.iter().filter_map(|endpoint| self.addresses.get(endpoint));
+        let fit = |a: &&Address| a.entry.mode.takes_work() && zone.is_none_or(|z| a.entry.zone == z);
+        of.filter(fit).min_by_key(|a| self.order_of(now, a)).map(|a| a.entry.id)
     }
 
     /// One call: the message that was picked and, where a call may carry more, others that wait.
@@ -763,7 +777,7 @@
         let Some(route) = self.routes.get_mut(&id) else { return };
         route.tokens -= 1.0;
         route.sent.rate(now, LATE_S, 1.0);
-        let mut room = route.batch;
+        let (mut room, trial) = (route.batch, route.spell.is_some());
         if let Some(spell) = &mut route.spell {
             spell.trials += 1;
             // What is only refused comes back unharmed, so that a trial may carry all that a call can.
@@ -772,20 +786,18 @@
         route.plan_trial(now, &self.settings, self.rng.f64());
         self.last_call += 1;
         route.out.insert(self.last_call);
-        let mut carried = Vec::new();
-        let mut next = Some(first);
+        let (mut carried, mut next) = (Vec::new(), Some(first));
         while let Some(message) = next {
             let try_for = self.time_out(now, id, message);
             if let Some(m) = self.messages.get_mut(&message) {
-                m.attempts += 1;
-                m.out = Some(self.last_call);
+                (m.attempts, m.out) = (m.attempts + 1, Some(self.last_call));
                 self.actions.push(Action::Route { message, endpoint: to, try_for });
             }
             carried.push(message);
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
         }
         let (route, sent, unanswered, stalled, called_off) = (id, now, carried.len(), false, false);
-        let call = Call { route, to, zone, sent, carried, unanswered, idle, stalled, called_off };
+        let call = Call { route, to, zone, sent, carried, unanswered, idle, stalled, called_off, trial };
         self.calls.insert(self.last_call, call);
     }
 
@@ -828,8 +840,7 @@
         }
     }
 
-    /// Follows the destination's own latency; the last possible attempt gets all the time that the message
-    /// has.
+    /// Follows the destination's own latency; the last possible attempt gets all the time that is left.
     fn time_out(&self, now: Time, id: RouteId, message: MessageId) -> Duration {
         let Some(m) = self.messages.get(&message) else { return Duration::ZERO };
         let class = self.class(m);
@@ -916,21 +927,15 @@
     fn shed(&mut self, now: Time) {
         let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
         while self.open > most {
-            let least = self
-                .messages
-                .values()
-                .filter(|m| !m.closed && m.out.is_none())
-                .map(|m| (!self.is_sick(m.taken.destination), self.worth(now, m), m.taken.id))
-                .min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2)));
+            let sick = |to| self.routes.range(routes_of(to)).all(|(_, route)| route.spell.is_some());
+            let waiting = self.messages.values().filter(|m| !m.closed && m.out.is_none());
+            let ranked = waiting.map(|m| (!sick(m.taken.destination), self.worth(now, m), m.taken.id));
+            let least = ranked.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(b.2.cmp(&a.2)));
             let Some((.., id)) = least else { return };
             self.answer(now, id);
         }
     }
 
-    fn is_sick(&self, to: DestinationId) -> bool {
-        self.routes.range(routes_of(to)).all(|(_, route)| route.spell.is_some())
-    }
-
     fn close(&mut self, id: MessageId) {
         if let Some(message) = self.messages.get_mut(&id).filter(|m| !m.closed) {
             message.closed = true;
@@ -975,12 +980,13 @@
     }
 }
 
-/// The routes of a destination.
-fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
-    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
-}
-
 impl Route {
+    /// Whether a wait was told, or an outage was seen or ended, since a call was decided on.
+    fn changed_since(&self, now: Time, call: &Call) -> bool {
+        let lost = !call.trial && self.spell.as_ref().is_some_and(|spell| spell.failed);
+        lost || self.told_wait > now || self.returned.is_some_and(|at| at > call.sent)
+    }
+
     /// Whether a success came on the route beyond the patience with a call: it answers, and the call is lost.
     fn overtook(&self, call: &Call, patience: Duration) -> bool {
         self.last_answer > call.sent + patience
@@ -1003,8 +1009,7 @@
 
     /// This courier's part of what all may send together, a second, so that a destination survives a return;
     /// `warmth` runs from 0 to 1. It goes by what was served here before, which adds up to what the
-    /// destination can do (demand does not: h1c8921), or by the even part. Trials, slow starts and last cuts
-    /// share it.
+    /// destination can do (demand does not: h1c8921), or by the even part. Trials, returns and cuts share it.
     fn fall_part(&mut self, now: Time, settings: &Settings, warmth: f64) -> f64 {
         let demand = self.demand.rate(now, cold_s(settings), 0.0);
         let most = self.share * DEMAND_OF_SERVED;
@@ -1029,20 +1034,11 @@
     }
 }
 
-/// Couriers that share the destinations: an even part is one over this.
-fn couriers(settings: &Settings) -> f64 {
-    f64::from(settings.couriers.max(1))
-}
-
 /// Until when a keyed message may be resent that may first have run in an attempt sent then.
 pub fn window_end(class: &Class, first: Time) -> Time {
     first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
 }
 
-fn earliest(next: &mut Option<Time>, at: Option<Time>) {
-    *next = [*next, at].into_iter().flatten().min();
-}
-
 /// A gap that doubles from try to try, up to the longest one.
 fn growing_gap(unit: Duration, (first, longest): (f64, f64), tries: u32) -> Duration {
     unit.mul_f64((first * f64::from(tries.min(16)).exp2()).min(longest))
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -361,6 +361,16 @@
     Cancelled,
     /// Not sent at all (no free slot, message over, attempts used up).
     Moot,
+    /// Not begun, as [`crate::Courier::may_go`] forbade it when it was about to leave: it counts as no attempt.
+    Withheld,
+}
+
+impl Outcome {
+    /// Whether an attempt that ended so may have taken effect.
+    pub fn may_have_run(self) -> bool {
+        let never = [Outcome::ConnectFailed, Outcome::Moot, Outcome::Withheld];
+        !matches!(self, Outcome::Full(_)) && !never.contains(&self)
+    }
 }
 
 /// What a destination told of its limit.
@@ -402,6 +412,13 @@
     Recovered(Accepted, Past),
     /// An attempt ended.
     Finished(Finished),
+    /// The head of an answer told to wait: known before the answer is whole, and if it never is.
+    ToldToWait {
+        /// Whose answer.
+        endpoint: EndpointId,
+        /// For how long, from now.
+        wait: Duration,
+    },
     /// Nobody wants this message any more; no answer is owed.
     ClientGone(MessageId),
     /// A timer asked for by [`Action::Wake`] has come due.
