--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use cloverstile_standin::platform::{judge, read_line, Manner, PutSpec, Seen};
+use cloverstile_standin::platform::{read_line, Manner, PutSpec, Seen};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
