A stop answers whom it took for itself; what never left has not run; closes are orderly

Faults, each seen as a failing test on the code before (moments.rs): - Clients that connected, or whose first request came, just as a stop closed the listener got a reset: leave() closed the listener with connections in its backlog and, in the same step, all clients 'between two requests', those that never spoke among them; with nothing held it ended the process there. Now the backlog is accepted, everyone is read once more, clients that never spoke are waited for, and the end waits up to 150 ms for answers to be read. - A close with unread bytes is a reset: Net closed at once after the last byte. Now our side is shut down, what still comes is read and dropped: half a second, 256 KiB, 32 connections at most. - An attempt given up before its connection was up counted as one that may have run: an unsafe message ended as 'undeliverable' though it never left. The node tells the engine what is begun. Ruled out by reading: Flushed behind Closed or Bytes in one poll (it is queued when the bytes are written, ahead of what the next poll reads).

--- a/crates/courier/src/service.rs
+++ b/crates/courier/src/service.rs
@@ -341,7 +341,7 @@
     fn carry_out(&mut self, command: Command) {
         match command {
             Command::Send { endpoint, attempts } => self.wire_send(endpoint, attempts),
-            Command::Abandon { attempt } => self.wire_abandon(attempt),
+            Command::Abandon { attempt, .. } => self.wire_abandon(attempt),
             Command::Answer { message, answer, attempts } => self.answer(message, answer, attempts),
             Command::Late { message, answer } => {
                 let partner = self.held.get(&message).map(|held| &self.config.partners[held.partner].name);
--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -3,8 +3,8 @@
 
 mod world;
 
-use cloverstile_standin::platform::{Manner, Seen};
-use std::io::Write;
+use cloverstile_standin::platform::{read_line, Manner, Seen};
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -161,3 +161,95 @@
     let untried: Vec<usize> = (0..30).filter(|number| world.calls(&format!("p{number}")) == 0).collect();
     assert!(untried.is_empty(), "given up with no call: {untried:?}");
 }
+
+/// An unsafe message whose connection never came up has surely not run when its time is up.
+#[test]
+fn what_never_left_ends_as_deferred_not_as_undeliverable() {
+    let (mut world, slow) = with_slow("never-left");
+    world.start();
+    let _filler = slow.fill();
+    hand_in(&world, &cloverstile_standin::platform::PutSpec { left: 800, ..payment("only".into()) });
+    let told = |seen: &Seen| match seen {
+        Seen::Notice { id, status, .. } if id == "only" => Some(status.clone()),
+        _ => None,
+    };
+    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen).is_some())));
+    let seen = world.platform.seen();
+    assert_eq!(seen.iter().find_map(|(_, seen)| told(seen)).as_deref(), Some("deferred"));
+}
+
+fn freeze(world: &World) {
+    signal(world.courier.as_ref().unwrap(), "-STOP");
+}
+
+fn thaw(world: &World) {
+    signal(world.courier.as_ref().unwrap(), "-CONT");
+}
+
+/// Waits until the courier has begun to stop: it answers on, and holds no rest any more.
+fn stop_begun(world: &World) -> Instant {
+    let told = world.stop();
+    // The signal is handled in the turn of this answer at the latest.
+    let mut client = world.client();
+    client.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
+    assert_eq!(read_line(&mut client).unwrap(), "+PONG");
+    told
+}
+
+/// Clients that connect, and whose first request comes, just as a stop closes the listener: each gets its answer, and
+/// what was taken on outlasts the process. The courier is held still over that moment, so that all of it is in the
+/// system's buffers when it looks.
+#[test]
+fn requests_that_come_as_the_listener_closes_are_answered() {
+    let mut world = World::new("closing", &[3]);
+    world.start();
+    let mut known = world.client();
+    assert_eq!(world.platform.hand_in(&mut known, &payment("before".into())).unwrap(), "+OK");
+    let told = stop_begun(&world);
+    freeze(&world);
+    let mut fresh: Vec<_> = (0..5).map(|_| world.client()).collect();
+    for (number, stream) in fresh.iter_mut().enumerate() {
+        stream.write_all(&payment(format!("fresh{number}")).command()).unwrap();
+    }
+    let mut silent = world.client();
+    known.write_all(&payment("known".into()).command()).unwrap();
+    std::thread::sleep(Duration::from_millis(600).saturating_sub(told.elapsed()));
+    thaw(&world);
+    for stream in fresh.iter_mut().chain([&mut known]) {
+        assert_eq!(read_line(stream).unwrap(), "+OK");
+        assert_eq!(
+            read_until(stream, Instant::now() + Duration::from_secs(1)),
+            "",
+            "and then an orderly end"
+        );
+    }
+    // One that connected and speaks only now is answered as well.
+    silent.write_all(&payment("late".into()).command()).unwrap();
+    assert_eq!(read_line(&mut silent).unwrap(), "+OK");
+    drop(silent);
+    world.ended(told);
+    let ok = |id: &str| world.calls(id) == 1;
+    assert!(ok("before") && ok("known") && ok("late") && (0..5).all(|n| ok(&format!("fresh{n}"))));
+}
+
+/// A stop ends with a request half sent and others behind it: the courier does not wait for ever, and what it said is
+/// not taken away by a reset.
+#[test]
+fn a_stop_ends_in_time_beside_clients_that_never_finish_and_its_answers_arrive() {
+    let mut world = World::new("half", &[3]);
+    world.start();
+    let mut half = world.client();
+    let command = payment("half".into()).command();
+    half.write_all(&command[..command.len() - 3]).unwrap();
+    let told = world.stop();
+    let mut silent = world.client();
+    std::thread::sleep(Duration::from_millis(600).saturating_sub(told.elapsed()));
+    half.write_all(&command[command.len() - 3..]).unwrap();
+    // More than one turn reads stands behind it.
+    let more: Vec<u8> = command.iter().copied().cycle().take(command.len() * 40).collect();
+    half.write_all(&more).unwrap();
+    assert_eq!(read_line(&mut half).unwrap(), "+OK");
+    silent.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+    assert_eq!(silent.read(&mut [0; 16]).expect("an orderly end"), 0);
+    world.ended(told);
+}
--- a/crates/emulator/src/spread/world/couriers.rs
+++ b/crates/emulator/src/spread/world/couriers.rs
@@ -201,7 +201,7 @@
                     }
                 }
             }
-            Command::Abandon { attempt } => {
+            Command::Abandon { attempt, .. } => {
                 // Its message waits again, if it is not over.
                 let held = self.seats[courier as usize].held.get(&attempt.message).copied();
                 if let Some(number) = held.filter(|number| !self.messages[*number as usize].answered) {
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -359,7 +359,7 @@
                     self.enter(at, What::Reach { courier, epoch, endpoint, attempt });
                 }
             }
-            Command::Abandon { attempt } => {
+            Command::Abandon { attempt, .. } => {
                 self.in_flight.remove(&(courier, epoch, attempt));
             }
             Command::Answer { message, answer, .. } => {
--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -132,6 +132,8 @@
     Abandon {
         /// Which.
         attempt: Attempt,
+        /// It was begun, as far as the engine was told: it may have run.
+        begun: bool,
     },
     /// The final answer of a message. Comes once.
     Answer {
@@ -207,6 +209,8 @@
     pub endpoint: EndpointId,
     pub sent: Time,
     pub until: Time,
+    /// False while its bytes are known to wait: it can't have run.
+    pub begun: bool,
 }
 
 impl Entry {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -240,6 +240,14 @@
         listed.is_some_and(|e| e.mode == Mode::Ready) && self.courier.may_go(now, self.inner(attempt.message))
     }
 
+    /// Whether an attempt's bytes are on their way; a wire that never says so has begun when it is told to send.
+    pub fn set_begun(&mut self, attempt: Attempt, begun: bool) {
+        if self.is_out(attempt) {
+            let out = self.entries.get_mut(&attempt.message).and_then(|entry| entry.out.as_mut());
+            out.into_iter().for_each(|out| out.begun = begun);
+        }
+    }
+
     /// The head of an answer told to wait. It binds though the answer is never whole, and nobody waits for it.
     pub fn told_to_wait(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
         self.tell(now, Event::ToldToWait { endpoint, wait });
@@ -432,7 +440,7 @@
             return self.tell_finished(now, message, endpoint, number, Duration::ZERO, (Outcome::Moot, None));
         }
         let until = now + try_for;
-        entry.out = Some(Out { call: *call, endpoint, sent: now, until });
+        entry.out = Some(Out { call: *call, endpoint, sent: now, until, begun: true });
         carried.push(Attempt { message, number });
         *self.calls.entry(*call).or_default() += 1;
         self.time_outs.insert((until, message));
@@ -448,9 +456,12 @@
     }
 
     fn abandon(&mut self, now: Time, id: MessageId, outcome: Outcome) {
-        let number = self.entries.get(&id).map_or(0, |entry| entry.attempts.saturating_sub(1));
-        self.effects.push(Command::Abandon { attempt: Attempt { message: id, number } });
-        self.finish(now, id, (outcome, None));
+        let entry = self.entries.get(&id);
+        let number = entry.map_or(0, |entry| entry.attempts.saturating_sub(1));
+        let begun = entry.and_then(|entry| entry.out).is_none_or(|out| out.begun);
+        self.effects.push(Command::Abandon { attempt: Attempt { message: id, number }, begun });
+        // Guards against a message that ends as "may have taken effect" though its connection never came up.
+        self.finish(now, id, (if begun { outcome } else { Outcome::ConnectFailed }, None));
     }
 
     /// Ends the attempt that is out.
--- a/crates/engine/tests/table.rs
+++ b/crates/engine/tests/table.rs
@@ -268,7 +268,7 @@
                         }
                         s.out = Some((attempt, true));
                     },
-                    Command::Abandon { attempt } => {
+                    Command::Abandon { attempt, .. } => {
                         let s = seen.get_mut(&attempt.message).unwrap();
                         s.out = None;
                         s.ran.get_or_insert(now);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -11,10 +11,11 @@
 use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A connection, unique for the life of a [`Net`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -85,6 +86,8 @@
     connecting: bool,
     paused: bool,
     close_after: bool,
+    /// Over for its owner: our side is closed, and what still comes is read and dropped, so many bytes at most.
+    lingers: Option<usize>,
     out: Vec<u8>,
     written: usize,
 }
@@ -102,6 +105,8 @@
     handle: LoopHandle<'static, Shared>,
     conns: HashMap<u64, Conn>,
     listeners: HashMap<u64, Listening>,
+    /// Connections that linger, the oldest first, and until when.
+    lingering: VecDeque<(Instant, u64)>,
     waker: Waker,
     last: u64,
     /// Events of things done outside a poll.
@@ -110,6 +115,10 @@
 
 /// How long a listener rests that found no descriptor: one may become free elsewhere than here.
 const LISTENER_RESTS: Duration = Duration::from_millis(50);
+/// How long a closed connection is still read from, how much of it, and how many such there may be.
+const LINGERS: Duration = Duration::from_millis(500);
+const LINGER_MOST: usize = 256 << 10;
+const LINGERING_MOST: usize = 32;
 /// Bytes read from one connection in one turn: a fast peer must not keep the others waiting.
 const READ_AT_ONCE: usize = 256 << 10;
 
@@ -129,6 +138,7 @@
             handle,
             conns: HashMap::new(),
             listeners: HashMap::new(),
+            lingering: VecDeque::new(),
             waker: Waker(ping),
             last: 0,
             pending: Vec::new(),
@@ -177,8 +187,10 @@
         Ok((ListenerId(id), bound))
     }
 
-    /// Stops listening: further connections are refused.
+    /// Stops listening: further connections are refused. Those that the system took for us are accepted first: they
+    /// would be reset with the listener.
     pub fn unlisten(&mut self, id: ListenerId) {
+        self.accept(id.0);
         if let Some(listening) = self.listeners.remove(&id.0) {
             self.handle.remove(listening.token);
         }
@@ -212,6 +224,7 @@
             connecting,
             paused: false,
             close_after: false,
+            lingers: None,
             out: Vec::new(),
             written: 0,
         };
@@ -235,7 +248,7 @@
 
     /// Whether a connection is known and not gone.
     pub fn is_open(&self, id: ConnId) -> bool {
-        self.conns.contains_key(&id.0)
+        self.conns.get(&id.0).is_some_and(|conn| conn.lingers.is_none())
     }
 
     /// Reads no more from a connection until told otherwise.
@@ -248,12 +261,46 @@
         }
     }
 
-    /// Closes once all that is queued has been written.
+    /// Closes once all that is queued has been written. No event follows.
+    ///
+    /// Our side is closed then, and what the peer still sends is read and dropped for a moment, until it closes too.
+    /// Guards against a reset: closing with bytes unread sends one, and it overtakes the answer that the peer has not
+    /// read yet.
     pub fn close_when_sent(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get_mut(&id.0) else { return };
         conn.close_after = true;
         if conn.out.len() == conn.written && !conn.connecting {
-            self.close(id);
+            self.linger(id.0);
+        }
+    }
+
+    fn linger(&mut self, id: u64) {
+        let Some(conn) = self.conns.get_mut(&id).filter(|conn| conn.lingers.is_none()) else { return };
+        // Where the peer has gone meanwhile there is nothing to wait for.
+        if conn.stream.shutdown(Shutdown::Write).is_err() {
+            return self.close(ConnId(id));
+        }
+        (conn.lingers, conn.paused) = (Some(0), false);
+        self.lingering.push_back((Instant::now() + LINGERS, id));
+        self.set_interest(id);
+        self.end_lingering(None);
+    }
+
+    /// Connections closed by [`Net::close_when_sent`] that have bytes to write, or whose peers have not closed yet.
+    pub fn closing(&self) -> usize {
+        self.conns.values().filter(|conn| conn.close_after).count()
+    }
+
+    /// Lets go of what has lingered long enough, and of the oldest where there are too many.
+    fn end_lingering(&mut self, now: Option<Instant>) {
+        let gone = |conns: &HashMap<u64, Conn>, id| !conns.contains_key(&id);
+        while let Some(&(until, id)) = self.lingering.front() {
+            let over = now.is_some_and(|now| until <= now) || self.lingering.len() > LINGERING_MOST;
+            if !over && !gone(&self.conns, id) {
+                return;
+            }
+            self.lingering.pop_front();
+            self.close(ConnId(id));
         }
     }
 
@@ -284,8 +331,11 @@
     }
 
     fn gone(&mut self, id: u64, clean: bool) {
+        let lingered = self.conns.get(&id).is_some_and(|conn| conn.lingers.is_some());
         self.close(ConnId(id));
-        self.pending.push(NetEvent::Closed { conn: ConnId(id), clean });
+        if !lingered {
+            self.pending.push(NetEvent::Closed { conn: ConnId(id), clean });
+        }
     }
 
     fn write(&mut self, id: u64) {
@@ -308,7 +358,7 @@
                 self.pending.push(NetEvent::Flushed(ConnId(id)));
             }
             if conn.close_after {
-                return self.close(ConnId(id));
+                return self.linger(id);
             }
         }
         self.set_interest(id);
@@ -330,7 +380,12 @@
                 break None;
             }
         };
-        if !bytes.is_empty() {
+        if let Some(dropped) = self.conns.get_mut(&id).and_then(|conn| conn.lingers.as_mut()) {
+            *dropped += bytes.len();
+            if *dropped > LINGER_MOST {
+                return self.close(ConnId(id));
+            }
+        } else if !bytes.is_empty() {
             self.pending.push(NetEvent::Bytes(ConnId(id), bytes));
         }
         if let Some(clean) = ended {
@@ -381,6 +436,10 @@
         let resting = self.listeners.values().any(|listening| listening.paused);
         let timeout =
             if resting { Some(timeout.unwrap_or(LISTENER_RESTS).min(LISTENER_RESTS)) } else { timeout };
+        self.end_lingering(Some(Instant::now()));
+        let lingers =
+            self.lingering.front().map(|(until, _)| until.saturating_duration_since(Instant::now()));
+        let timeout = [timeout, lingers].into_iter().flatten().min();
         let mut ready = Shared::new();
         self.event_loop.dispatch(timeout, &mut ready).map_err(other)?;
         for listening in self.listeners.values_mut().filter(|listening| listening.paused) {
@@ -497,4 +556,63 @@
         });
         assert!(!clean);
     }
+
+    /// A courier that is told to stop answers and closes while its client sends on. Guards against the reset that a close
+    /// with unread bytes is: the client must read the answer and then an orderly end.
+    #[test]
+    fn an_answer_ahead_of_a_close_arrives_though_bytes_stand_unread() {
+        let mut net = Net::new().unwrap();
+        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut client = TcpStream::connect(address).unwrap();
+        let server = until(&mut net, |event| match event {
+            NetEvent::Accepted { conn, .. } => Some(conn),
+            _ => None,
+        });
+        net.pause(server, true);
+        client.write_all(b"one more request").unwrap();
+        net.send(server, b"+OK\r\n");
+        net.close_when_sent(server);
+        assert_eq!((net.is_open(server), net.closing()), (false, 1));
+        // Its own events are over; what it sends on is dropped.
+        let reader = std::thread::spawn(move || {
+            client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+            let mut text = Vec::new();
+            let ended = client.read_to_end(&mut text);
+            (text, ended.is_ok())
+        });
+        let end = Instant::now() + Duration::from_secs(5);
+        while net.closing() > 0 {
+            assert!(Instant::now() < end);
+            for event in net.poll(Some(Duration::from_millis(20))).unwrap() {
+                assert!(matches!(event, NetEvent::Flushed(_)), "{event:?}");
+            }
+        }
+        assert_eq!(reader.join().unwrap(), (b"+OK\r\n".to_vec(), true));
+    }
+
+    #[test]
+    fn what_lingers_is_bounded_in_number_time_and_bytes() {
+        let mut net = Net::new().unwrap();
+        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut clients: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(address).unwrap()).collect();
+        let mut servers = Vec::new();
+        until(&mut net, |event| {
+            if let NetEvent::Accepted { conn, .. } = event {
+                servers.push(conn);
+            }
+            (servers.len() == 40).then_some(())
+        });
+        servers.iter().for_each(|conn| net.close_when_sent(*conn));
+        assert_eq!(net.closing(), LINGERING_MOST);
+        // The last one sends without end, and is closed for it; the rest say nothing until their time is up.
+        clients[39].set_write_timeout(Some(Duration::from_secs(5))).unwrap();
+        let mut last = clients.pop().unwrap();
+        let sender = std::thread::spawn(move || while last.write_all(&[7; 64 << 10]).is_ok() {});
+        let end = Instant::now() + Duration::from_secs(5);
+        while net.closing() > 0 {
+            assert!(Instant::now() < end);
+            net.poll(Some(Duration::from_millis(20))).unwrap();
+        }
+        sender.join().unwrap();
+    }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use cloverstile_platform::config::{Config, Names};
 use cloverstile_platform::guests::{Guests, Why};
 use cloverstile_platform::handin::{self, Asked, Put};
-use cloverstile_platform::leaving::{Leaving, Left, Stage};
+use cloverstile_platform::leaving::{Leaving, Left, Stage, LAST};
 use cloverstile_platform::list::{List, ListAnswer};
 use cloverstile_platform::notices::Notices;
 use cloverstile_platform::watch::Watch;
@@ -64,6 +64,10 @@
     watch: Watch,
     notices: Notices,
     leaving: Option<Leaving>,
+    /// Clients between two requests were closed for the stop.
+    rest_closed: bool,
+    /// All is over but for what clients have not read yet; the process ends then at the latest.
+    ends: Option<Time>,
     /// Answers of this turn, and what the messages that it took are answered where they ended at once.
     replies: Vec<(Wire, Reply)>,
     fresh: BTreeMap<MessageId, Option<Vec<u8>>>,
@@ -125,6 +129,8 @@
             watch: Watch::new(config.discovery, config.known.as_ref().map_or(0, |known| known.generation)),
             notices: Notices::new(config.discovery),
             leaving: None,
+            rest_closed: false,
+            ends: None,
             replies: Vec::new(),
             fresh: BTreeMap::new(),
             launching: Vec::new(),
@@ -191,7 +197,8 @@
             self.guests.due(),
             Some(self.watch.due()),
             self.notices.due(),
-            self.leaving.map(|leaving| leaving.due(now)),
+            self.leaving.map(|leaving| leaving.due(now)).filter(|_| self.ends.is_none()),
+            self.ends,
         ];
         dues.into_iter().flatten().min()
     }
@@ -208,21 +215,39 @@
     /// What is still done after a signal to stop; true once the process should end.
     fn leave(&mut self, now: Time) -> bool {
         let Some(leaving) = self.leaving else { return false };
-        let left = Left { held: self.engine.held(), out: self.calls.out(), notices: self.notices.len() };
+        if let Some(ends) = self.ends {
+            return ends <= now || self.net.closing() == 0;
+        }
+        let (held, out, notices) = (self.engine.held(), self.calls.out(), self.notices.len());
+        let left = Left { held, out, notices, clients: self.guests.len() };
         let stage = leaving.stage(now, left);
         if stage >= Stage::Delivering {
             if let Some(listener) = self.listener.take() {
                 info!(?left, "stops listening");
+                // Guards against clients that are closed with a request in the system's buffers: those that the system
+                // took for us are welcomed, and all are read once more, before anyone is closed.
                 self.net.unlisten(listener);
+                self.net.waker().wake();
+                return false;
+            }
+            if !std::mem::replace(&mut self.rest_closed, true) {
                 for wire in self.guests.resting() {
                     self.net.close_when_sent(ConnId(wire.0));
                 }
+                return self.leave(now);
             }
         }
-        if stage == Stage::Waiting {
+        if stage >= Stage::Waiting {
             self.engine.hold_back(true);
         }
-        stage == Stage::Over
+        if stage == Stage::Over {
+            for wire in self.guests.all() {
+                self.net.close_when_sent(ConnId(wire.0));
+            }
+            self.ends = Some(now + LAST);
+            return self.net.closing() == 0;
+        }
+        false
     }
 
     fn on_event(&mut self, now: Time, event: NetEvent) {
@@ -427,6 +452,7 @@
             Err(error) => self.undo(now, &error),
         }
         for attempt in std::mem::take(&mut self.launching) {
+            self.engine.set_begun(attempt, true);
             self.calls.launch(attempt, &mut Sockets(&mut self.net));
         }
         self.reply();
@@ -456,15 +482,16 @@
         match command {
             Command::Send { endpoint, attempts } => {
                 for attempt in attempts {
+                    self.engine.set_begun(attempt, false);
                     self.parked.push(Parked { attempt, endpoint });
                 }
                 self.unpark(now);
             }
-            Command::Abandon { attempt } => {
+            Command::Abandon { attempt, begun } => {
                 trace!(id = attempt.message.0, number = attempt.number, "given up waiting");
                 self.parked.retain(|parked| parked.attempt != attempt);
                 self.launching.retain(|launching| *launching != attempt);
-                self.log.record(Record::Settled(attempt.message.0, true));
+                self.log.record(Record::Settled(attempt.message.0, begun));
                 self.calls.abandon(attempt, &mut Sockets(&mut self.net));
             }
             Command::Answer { message, answer, .. } => self.answered(message, answer),
--- a/crates/platform/src/guests.rs
+++ b/crates/platform/src/guests.rs
@@ -115,6 +115,11 @@
         Some(leaves)
     }
 
+    /// All of them; they are let go of.
+    pub fn all(&mut self) -> Vec<Wire> {
+        std::mem::take(&mut self.all).into_keys().collect()
+    }
+
     /// A connection is gone.
     pub fn left(&mut self, wire: Wire) {
         self.all.remove(&wire);
@@ -163,10 +168,12 @@
         late
     }
 
-    /// Those between two requests, who may be closed at any time; they are let go of.
+    /// Those between two requests, who may be closed at any time; they are let go of. Not those who never spoke: their
+    /// first request is on its way, and would fail with its connection.
     pub fn resting(&mut self) -> Vec<Wire> {
+        let rests = |guest: &Guest| guest.spoke && guest.half.is_none();
         let resting: Vec<Wire> =
-            self.all.iter().filter(|(_, guest)| guest.half.is_none()).map(|(wire, _)| *wire).collect();
+            self.all.iter().filter(|(_, guest)| rests(guest)).map(|(wire, _)| *wire).collect();
         resting.iter().for_each(|wire| self.left(*wire));
         resting
     }
--- a/crates/platform/src/leaving.rs
+++ b/crates/platform/src/leaving.rs
@@ -12,6 +12,9 @@
 const SENDS: Duration = Duration::from_millis(2200);
 /// When the courier ends, whatever is out: it is killed a little later.
 const ENDS: Duration = Duration::from_millis(3400);
+/// How long the end waits for clients to read their last answers and close. Ending before them with bytes unread resets
+/// their connections; the kill comes no sooner than 3.7 s after the signal (protocol page).
+pub const LAST: Duration = Duration::from_millis(150);
 
 /// What is still done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -35,6 +38,8 @@
     pub out: usize,
     /// Notices not answered.
     pub notices: usize,
+    /// Clients whose request is on its way, once nobody else is left: new ones, and those in the middle of one.
+    pub clients: usize,
 }
 
 /// A stop that was asked for.
@@ -57,7 +62,7 @@
             _ if passed >= ENDS || left == Left::default() => Stage::Over,
             _ if passed < SENDS => Stage::Delivering,
             // What is held stays in the log; only what is out or owed is worth waiting for.
-            _ if left.out == 0 && left.notices == 0 => Stage::Over,
+            _ if left.out == 0 && left.notices == 0 && left.clients == 0 => Stage::Over,
             _ => Stage::Waiting,
         }
     }
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -358,13 +358,16 @@
 #[test]
 fn a_stop_listens_on_delivers_waits_and_ends_in_time() {
     let leaving = Leaving::new(at(1000));
-    let busy = Left { held: 5, out: 2, notices: 0 };
+    let busy = Left { held: 5, out: 2, ..Left::default() };
     let stage = |ms: u64, left| leaving.stage(at(1000 + ms), left);
     assert_eq!(stage(100, Left::default()), Stage::Listening);
     assert_eq!(stage(1000, busy), Stage::Delivering);
     assert_eq!(stage(1000, Left::default()), Stage::Over);
     assert_eq!(stage(2500, busy), Stage::Waiting);
     assert_eq!(stage(2500, Left { out: 0, ..busy }), Stage::Over);
+    // A client whose first request is on its way is waited for, as long as there is time.
+    assert_eq!(stage(1000, Left { clients: 1, ..Left::default() }), Stage::Delivering);
+    assert_eq!(stage(2500, Left { clients: 1, ..Left::default() }), Stage::Waiting);
     assert_eq!(stage(3600, busy), Stage::Over);
     let mut now = at(1000);
     for _ in 0..10 {
