--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -5,6 +5,7 @@
 
 use cloverstile_standin::platform::{read_line, Manner, Seen};
 use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 use world::*;
 
@@ -271,3 +272,74 @@
     stream.set_read_timeout(Some(Duration::from_secs(2))).unwrap();
     assert_eq!(stream.read(&mut [0; 16]).expect("closed after its answer"), 0);
 }
+
+/// Discovery in the hands of the test: its next question, at most `SOON` from now.
+fn question(agent: &TcpListener) -> (TcpStream, String) {
+    let mut stream = agent.accept().unwrap().0;
+    stream.set_read_timeout(Some(SOON)).unwrap();
+    let text = read_call(&mut stream);
+    (stream, text)
+}
+
+/// A watch that falls silent before its answer's head, in the middle of its body, or at once when it is opened anew, is
+/// opened anew in time: what it misses counts as told 6 s after it fell silent, or 2 s after its wait is over.
+#[test]
+fn a_watch_that_falls_silent_is_opened_anew_before_what_it_misses_counts_as_told() {
+    let pieces = [
+        "",
+        "HTTP/1.1 200 OK\r\nContent-Le",
+        "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"generation\":1,",
+    ];
+    let each = |(place, piece): (usize, &'static str)| {
+        let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut world = World::new(&format!("silent-{place}"), &[3]);
+        world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+        std::thread::spawn(move || {
+            world.start();
+            let (mut stream, text) = question(&agent);
+            assert!(text.contains("GET /registry/instances?after="), "{text}");
+            stream.write_all(piece.as_bytes()).unwrap();
+            let silent = Instant::now();
+            let (_again, text) = question(&agent);
+            assert!(text.contains("GET /registry/instances?after="), "{text}");
+            assert!(
+                silent.elapsed() < Duration::from_millis(5500),
+                "{piece:?}: after {:?}",
+                silent.elapsed()
+            );
+        })
+    };
+    let threads: Vec<_> = pieces.into_iter().enumerate().map(each).collect();
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+}
+
+/// An agent that takes connections and says nothing, at the start and after each new one: the courier serves on what it
+/// knows, and hears of a drain as soon as the agent speaks again.
+#[test]
+fn a_courier_that_starts_beside_a_silent_discovery_serves_and_hears_of_a_drain_at_once() {
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut world = World::new("silent-start", &[3, 3]);
+    world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+    world.start();
+    hand_in(&world, &payment("first".into()));
+    let (first, _) = question(&agent);
+    let (mut second, _) = question(&agent);
+    let mut known = world.platform.known();
+    known["generation"] = 7.into();
+    known["reset"] = true.into();
+    known["instances"][0]["lifecycle"] = "DRAINING".into();
+    let body = serde_json::to_string_pretty(&known).unwrap();
+    write!(second, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len()).unwrap();
+    drop(first);
+    let text = read_call(&mut second);
+    assert!(text.contains("after=7"), "asked again at once, from there on: {text}");
+    for number in 0..6 {
+        hand_in(&world, &payment(format!("p{number}")));
+    }
+    let delivered = |seen: &[(Duration, Seen)]| {
+        seen.iter().filter(|(_, seen)| matches!(seen, Seen::Delivered { .. })).count()
+    };
+    assert!(world.platform.until(SOON, |seen| delivered(seen) == 7));
+    let drained = |seen: &Seen| matches!(seen, Seen::Call { id, endpoint: 0, .. } if id != "first");
+    assert!(!world.platform.seen().iter().any(|(_, seen)| drained(seen)));
+}
