The log keeps the names of classes: another order of them changes nothing for what was taken on

Fault, found by reading and seen as a failing test on the code before: classes were logged by their place, so that settings in another order let an unsafe message whose call was out go on as a keyed one. A segment now begins with the names; a class that is gone has no place, and its messages end at their time.

--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -343,3 +343,21 @@
     let drained = |seen: &Seen| matches!(seen, Seen::Call { id, endpoint: 0, .. } if id != "first");
     assert!(!world.platform.seen().iter().any(|(_, seen)| drained(seen)));
 }
+
+/// Settings whose classes changed their order between two processes: what may not be repeated still may not.
+#[test]
+fn classes_in_another_order_after_a_restart_change_nothing_for_what_was_taken_on() {
+    let mut world = World::new("classes", &[3]);
+    world.platform.set(0, Manner::Silent);
+    world.start();
+    hand_in(&world, &payment("once".into()));
+    let called = |seen: &Seen| matches!(seen, Seen::Call { id, .. } if id == "once");
+    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| called(seen))));
+    world.kill();
+    world.edit(|config| config["settings"]["Lanes"].as_array_mut().unwrap().reverse());
+    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    world.start();
+    let told = |seen: &Seen| matches!(seen, Seen::Notice { id, status, .. } if id == "once" && status == "undeliverable");
+    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))));
+    assert_eq!(world.calls("once"), 1);
+}
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -62,6 +62,15 @@
     (hand_in, past)
 }
 
+/// The place that a class has now which had another when its message was taken on; none that any class has, where there
+/// is none of its name. Guards against settings that changed between two processes: by its place alone what may not be
+/// repeated could come under another effect.
+pub fn class_now(place: u8, then: &[String], now: &[String]) -> u8 {
+    let Some(name) = then.get(usize::from(place)) else { return place };
+    let found = now.iter().position(|known| known == name);
+    found.and_then(|place| u8::try_from(place).ok()).unwrap_or(u8::MAX)
+}
+
 /// When the first attempt was sent that may have run, here or at a courier that was lost.
 fn may_have_run_since(living: &Living, class: Option<&Class>) -> Option<Time> {
     let since = living.may_have_run.map(Time);
@@ -114,6 +123,15 @@
         assert_eq!(since(Some(101 * S), None), (Some(101 * S), false, 2));
     }
 
+    #[test]
+    fn classes_are_found_by_their_names() {
+        let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+        let (then, now) = (names(&["notice", "payment", "gone"]), names(&["payment", "new", "notice"]));
+        let places: Vec<u8> = (0..3).map(|place| class_now(place, &then, &now)).collect();
+        assert_eq!(places, [2, 0, u8::MAX]);
+        assert_eq!(class_now(1, &[], &now), 1, "a log of before names were kept");
+    }
+
     #[test]
     fn what_a_lost_courier_held_counts_from_its_first_hand_in() {
         let class = Class { deadline: Duration::from_secs(12), ..Class::default() };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -140,7 +140,9 @@
             node.take_list(now, known);
         }
         let found = recovered.living.len();
-        for (place, living) in recovered.living.into_iter().enumerate() {
+        node.log.record(Record::Classes(node.names.classes.clone()));
+        for (place, mut living) in recovered.living.into_iter().enumerate() {
+            living.class = kept::class_now(living.class, &recovered.classes, &node.names.classes);
             node.recover(now, place, living);
         }
         node.turn(now);
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -22,6 +22,8 @@
     pub living: Vec<Living>,
     /// Bytes of a torn or damaged tail that were given up.
     pub torn: usize,
+    /// Names of the classes at that time, by place; none in a log of before they were kept.
+    pub classes: Vec<String>,
 }
 
 /// A log in a folder.
@@ -34,6 +36,7 @@
     living: BTreeMap<u32, Living>,
     living_bytes: u64,
     batch: Vec<u8>,
+    classes: Vec<String>,
     /// Records were dropped: nothing is appended before a new segment says how all stands.
     torn: bool,
 }
@@ -63,6 +66,7 @@
             living: BTreeMap::new(),
             living_bytes: 0,
             batch: Vec::new(),
+            classes: Vec::new(),
             torn: true,
         };
         log.folder.remove(TEMPORARY)?;
@@ -75,6 +79,7 @@
             recovered.torn = log.replay(&bytes);
             recovered.living = std::mem::take(&mut log.living).into_values().collect();
             log.living_bytes = 0;
+            recovered.classes = std::mem::take(&mut log.classes);
         }
         for old in segments {
             log.folder.remove(&name(old))?;
@@ -124,13 +129,14 @@
                     self.living_bytes -= size(&living);
                 }
             }
+            Record::Classes(names) => self.classes = names,
         }
     }
 
     /// Adds a record to the turn. A record of a message that is not living is dropped.
     pub fn record(&mut self, record: Record) {
         let known = match &record {
-            Record::Taken(..) => true,
+            Record::Taken(..) | Record::Classes(_) => true,
             Record::Begun(seq, _) | Record::Settled(seq, _) | Record::Owed(seq, _) | Record::Over(seq) => {
                 self.living.contains_key(seq)
             }
@@ -187,6 +193,9 @@
     fn replace(&mut self) -> io::Result<()> {
         self.torn = true;
         let mut bytes = MAGIC.to_vec();
+        if !self.classes.is_empty() {
+            Record::Classes(self.classes.clone()).write(&mut bytes);
+        }
         for (seq, living) in &self.living {
             write_taken(*seq, living, &mut bytes);
         }
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -53,6 +53,8 @@
     Owed(u32, Ending),
     /// Over: delivered, withdrawn, or its notice answered.
     Over(u32),
+    /// Names of the classes, by place: what the places of messages in this segment mean.
+    Classes(Vec<String>),
 }
 
 /// Bytes before a record's payload: its length and its checksum.
@@ -154,6 +156,11 @@
                 to.u8(5);
                 to.u32(*seq);
             }),
+            Record::Classes(names) => framed(out, |to| {
+                to.u8(6);
+                to.u32(u32::try_from(names.len()).unwrap_or(u32::MAX));
+                names.iter().for_each(|name| to.bytes(name.as_bytes()));
+            }),
         }
     }
 
@@ -249,6 +256,10 @@
             3 => Record::Settled(seq, self.flag()?),
             4 => Record::Owed(seq, self.ending()??),
             5 => Record::Over(seq),
+            6 => {
+                let name = |_| self.bytes().and_then(|name| String::from_utf8(name).ok());
+                Record::Classes((0..seq).map_while(name).collect())
+            }
             _ => return None,
         })
     }
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -182,3 +182,18 @@
         open(Memory { files, ..Memory::default() });
     }
 }
+
+/// Names of classes outlast the process and each new segment.
+#[test]
+fn names_of_classes_come_back_from_whichever_segment() {
+    let mut folder = Memory::default();
+    for round in 0..3 {
+        let (mut log, recovered) = Log::open(folder, 1 << 20).unwrap();
+        let names = |round: usize| vec![format!("a{round}"), "b".to_owned()];
+        assert_eq!(recovered.classes, if round == 0 { vec![] } else { names(round - 1) });
+        log.record(Record::Classes(names(round)));
+        log.record(Record::Taken(1, Box::new(message(1, 30))));
+        log.commit().unwrap();
+        folder = log.folder().clone();
+    }
+}
