Read-through: one reading of early and late answers, one look at the list, one flag less in a stop

Calls::bytes read an answer that came too soon apart from the others, to hear its wait: the reader now tells a wait however whole its answer is, and both go one way. Engine::may_go looked at list and answer, which the module knows from the same turn: it asks the module alone. Withheld attempts are counted in one place. A stop closes resting clients wherever the listener is gone, without a flag and a second pass. Behaviour as before: tests of engine, net, node and platform, and the 22 on real connections, pass unchanged.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -234,10 +234,8 @@
     /// last. Guards against all that comes between decision and bytes: a wait told, a drain, an outage, a window's
     /// end, a stop. One that may not ends as [`Reported::Withheld`].
     pub fn may_go(&self, now: Time, attempt: Attempt) -> bool {
-        let entry = self.entries.get(&attempt.message).filter(|entry| entry.answer.is_none());
-        let out = entry.and_then(|entry| entry.out).filter(|_| self.is_out(attempt) && !self.held_back);
-        let listed = out.and_then(|out| self.listed.get(&out.endpoint));
-        listed.is_some_and(|e| e.mode == Mode::Ready) && self.courier.may_go(now, self.inner(attempt.message))
+        let out = self.is_out(attempt) && !self.held_back;
+        out && self.courier.may_go(now, self.inner(attempt.message))
     }
 
     /// Whether an attempt's bytes are on their way; a wire that never says so has begun when it is told to send.
@@ -470,8 +468,6 @@
         let Some(out) = entry.out.take() else { return };
         entry.may_have_run |= outcome.may_have_run();
         let number = entry.attempts.saturating_sub(1);
-        let withheld = outcome == Outcome::Withheld;
-        entry.withheld += u16::from(withheld);
         self.time_outs.remove(&(out.until, id));
         if let Some(left) = self.calls.get_mut(&out.call) {
             *left -= 1;
@@ -480,9 +476,9 @@
             }
         }
         self.tell_finished(now, id, out.endpoint, number, now - out.sent, (outcome, allowance));
-        if let Some(entry) = self.entries.get_mut(&id).filter(|_| withheld) {
+        if let Some(entry) = self.entries.get_mut(&id).filter(|_| outcome == Outcome::Withheld) {
             // The module counts it as none: its numbers begin one later.
-            entry.before += 1;
+            (entry.withheld, entry.before) = (entry.withheld + 1, entry.before + 1);
         }
         if outcome == Outcome::Ok {
             self.answer(now, id, Answer::Delivered);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,8 +10,7 @@
 use calloop::signals::{Signal, Signals};
 use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, SockRef, Socket, Type};
-use std::collections::HashMap;
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -293,10 +292,9 @@
 
     /// Lets go of what has lingered long enough, and of the oldest where there are too many.
     fn end_lingering(&mut self, now: Option<Instant>) {
-        let gone = |conns: &HashMap<u64, Conn>, id| !conns.contains_key(&id);
         while let Some(&(until, id)) = self.lingering.front() {
             let over = now.is_some_and(|now| until <= now) || self.lingering.len() > LINGERING_MOST;
-            if !over && !gone(&self.conns, id) {
+            if !over && self.conns.contains_key(&id) {
                 return;
             }
             self.lingering.pop_front();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -64,8 +64,6 @@
     watch: Watch,
     notices: Notices,
     leaving: Option<Leaving>,
-    /// Clients between two requests were closed for the stop.
-    rest_closed: bool,
     /// All is over but for what clients have not read yet; the process ends then at the latest.
     ends: Option<Time>,
     /// Answers of this turn, and what the messages that it took are answered where they ended at once.
@@ -129,7 +127,6 @@
             watch: Watch::new(config.discovery, config.known.as_ref().map_or(0, |known| known.generation)),
             notices: Notices::new(config.discovery),
             leaving: None,
-            rest_closed: false,
             ends: None,
             replies: Vec::new(),
             fresh: BTreeMap::new(),
@@ -220,6 +217,11 @@
         if let Some(ends) = self.ends {
             return ends <= now || self.net.closing() == 0;
         }
+        if self.listener.is_none() {
+            for wire in self.guests.resting() {
+                self.net.close_when_sent(ConnId(wire.0));
+            }
+        }
         let (held, out, notices) = (self.engine.held(), self.calls.out(), self.notices.len());
         let left = Left { held, out, notices, clients: self.guests.len() };
         let stage = leaving.stage(now, left);
@@ -232,12 +234,6 @@
                 self.net.waker().wake();
                 return false;
             }
-            if !std::mem::replace(&mut self.rest_closed, true) {
-                for wire in self.guests.resting() {
-                    self.net.close_when_sent(ConnId(wire.0));
-                }
-                return self.leave(now);
-            }
         }
         if stage >= Stage::Waiting {
             self.engine.hold_back(true);
--- a/crates/platform/src/answer.rs
+++ b/crates/platform/src/answer.rs
@@ -42,7 +42,7 @@
 pub struct Read {
     /// The outcome, once.
     pub told: Option<Told>,
-    /// A wait that the head of an answer told which is not whole yet, or never will be; once.
+    /// A wait that it told, as soon as its head is there, and whether it is ever whole; once.
     pub wait: Option<Duration>,
     /// The connection.
     pub line: Line,
@@ -88,9 +88,8 @@
         self.decoder.feed(clock, bytes);
         let next = self.decoder.next(clock);
         let delivered = self.decoder.status() == Some(200);
-        let told = self.decoder.head().filter(|(status, _)| is_turned_away(*status));
-        let wait = told.and_then(|(_, headers)| wait(headers)).filter(|_| !self.waited);
-        self.waited |= wait.is_some();
+        let head = self.decoder.head().filter(|(status, _)| is_turned_away(*status));
+        let early = head.and_then(|(_, headers)| wait(headers));
         let (told, line) = match next {
             Ok(Some(Item::Message(message))) => {
                 // What comes behind an answer belongs to nobody: the next call would take it for its own.
@@ -105,6 +104,9 @@
                 (self.tell((reported, None)), Line::Spoilt)
             }
         };
+        let whole = told.and_then(|(reported, _)| reported.wait());
+        let wait = early.or(whole).filter(|_| !self.waited);
+        self.waited |= wait.is_some();
         Read { told, wait, line }
     }
 
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -349,25 +349,19 @@
     pub fn bytes(&mut self, now: Time, wire: Wire, bytes: &[u8], wires: &mut impl Wires) {
         let Some(conn) = self.conns.get_mut(&wire) else { return };
         let sent = match conn.state {
-            State::Sent { written } => written,
-            State::Finishing { .. } => true,
+            State::Sent { written } => Some(written),
+            State::Finishing { .. } => Some(true),
             // Nothing was asked: a late copy or noise, which a later call would take for its answer.
             State::Idle { .. } => return self.close(wire, wires),
-            // What comes before the call is whole answers nothing: it is noise, or a refusal of the connection. A wait
-            // that it tells binds all the same.
-            State::Connecting { .. } | State::Ready | State::Held { .. } | State::Due { .. } => {
-                let read = conn.reader.bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
-                self.waits.extend(
-                    read.wait
-                        .or(read.told.and_then(|(reported, _)| reported.wait()))
-                        .map(|wait| (conn.endpoint, wait)),
-                );
-                wires.close(wire);
-                return self.lost(now, wire, false, wires);
-            }
+            State::Connecting { .. } | State::Ready | State::Held { .. } | State::Due { .. } => None,
         };
         let read = conn.reader.bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
         self.waits.extend(read.wait.map(|wait| (conn.endpoint, wait)));
+        let Some(sent) = sent else {
+            // What comes before the call is whole answers nothing: it is noise, or a refusal of the connection.
+            wires.close(wire);
+            return self.lost(now, wire, false, wires);
+        };
         if let (Some(told), Some(attempt)) = (read.told, conn.attempt) {
             self.attempts.remove(&attempt);
             self.ended.push((attempt, told));
