Tests of rare moments share their slow endpoint and the way into a late connection

Need: the endpoint whose next connection comes up a second late, and the reading from it, stood once in the world of the tests and once more in the test of a repeat behind its window; the way into "one call out, one connection waiting" twice.

Change: tests only; both tests keep their assertions.

--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -23,19 +23,26 @@
     assert_eq!(world.platform.hand_in(&mut world.client(), put).unwrap(), "+OK");
 }
 
-/// Fleet day join, seed 2 (100 couriers): a call waited 0.74 s for its connection, was decided on before a 429 with
-/// 0.67 s came, and left 0.57 s before that wait was over.
-#[test]
-fn a_wait_told_while_a_connection_comes_up_is_heeded() {
-    let (mut world, slow) = with_slow("told");
+/// A message is out on a connection, and another one's connection was asked for and is not there: it comes up a second
+/// after that, once the room that the last of these takes is let go of.
+fn one_out_and_one_waiting(world: &mut World, slow: &Slow) -> (TcpStream, TcpStream) {
     world.start();
-    hand_in(&world, &payment("first".into()));
+    hand_in(world, &payment("first".into()));
     let mut first = slow.accept();
     assert!(read_call(&mut first).contains("Req-Id: first"));
     let filler = slow.fill();
-    hand_in(&world, &payment("second".into()));
-    // Its connection was asked for and is not there. Now the wait is told, and then there is room.
+    hand_in(world, &payment("second".into()));
     std::thread::sleep(Duration::from_millis(100));
+    (first, filler)
+}
+
+/// Fleet day join, seed 2 (100 couriers): a call waited 0.74 s for its connection, was decided on before a 429 with
+/// 0.67 s came, and left 0.57 s before that wait was over.
+#[test]
+fn a_wait_told_while_a_connection_comes_up_is_heeded() {
+    let (mut world, slow) = with_slow("told");
+    let (mut first, filler) = one_out_and_one_waiting(&mut world, &slow);
+    // Now the wait is told, and then there is room.
     first.write_all(b"HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n").unwrap();
     let over = Instant::now() + Duration::from_millis(2500);
     drop((slow.accept(), filler));
@@ -81,13 +88,7 @@
 #[test]
 fn an_endpoint_that_drains_while_its_connection_comes_up_gets_nothing() {
     let (mut world, slow) = with_slow("drained");
-    world.start();
-    hand_in(&world, &payment("first".into()));
-    let mut first = slow.accept();
-    assert!(read_call(&mut first).contains("Req-Id: first"));
-    let filler = slow.fill();
-    hand_in(&world, &payment("second".into()));
-    std::thread::sleep(Duration::from_millis(100));
+    let (mut first, filler) = one_out_and_one_waiting(&mut world, &slow);
     // The list tells that the endpoint drains; then its connection comes up.
     world.platform.list(0, "DRAINING");
     let asked = |seen: &[(Duration, Seen)]| {
--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -6,7 +6,7 @@
 use cloverstile_standin::platform::{read_line, Manner, PutSpec, Seen};
 use std::fs;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -186,39 +186,29 @@
 #[test]
 fn a_repeat_whose_connection_comes_up_behind_its_window_is_not_sent() {
     let mut world = World::new("window", &[3]);
-    // An endpoint with room for one connection that nobody accepted: the next one comes up only when asked again.
-    let endpoint = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    endpoint.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
-    endpoint.listen(0).unwrap();
-    let address = endpoint.local_addr().unwrap().as_socket().unwrap();
-    let mut config: serde_json::Value =
-        serde_json::from_str(&fs::read_to_string(world.config()).unwrap()).unwrap();
-    config["known"]["instances"][0]["hostPort"] = address.to_string().into();
-    config["settings"]["Lanes"][0]["RepeatWindow"] = 1_500_000_000u64.into();
-    config["settings"]["Permissions"]["ConnectTimeout"] = 6_000_000_000u64.into();
-    fs::write(world.config(), config.to_string()).unwrap();
+    let slow = Slow::new();
+    world.edit(|config| {
+        config["known"]["instances"][0]["hostPort"] = slow.address.to_string().into();
+        config["settings"]["Lanes"][0]["RepeatWindow"] = 1_500_000_000u64.into();
+        config["settings"]["Permissions"]["ConnectTimeout"] = 6_000_000_000u64.into();
+    });
     world.start();
     let mut client = world.client();
     assert_eq!(world.platform.hand_in(&mut client, &notice("late".into(), 7)).unwrap(), "+OK");
 
-    let read = |stream: &mut TcpStream| {
-        stream.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
-        let mut text = Vec::new();
-        let _ = stream.take(4096).read_to_end(&mut text);
-        String::from_utf8_lossy(&text).into_owned()
-    };
-    let mut first: TcpStream = endpoint.accept().unwrap().0.into();
+    let mut first = slow.accept();
     let began = Instant::now();
-    assert!(read(&mut first).contains("Req-Id: late"));
-    let filler = TcpStream::connect(address).unwrap();
+    assert!(read_call(&mut first).contains("Req-Id: late"));
+    let filler = slow.fill();
     drop(first);
     // The window passes while the repeat's connection is not there.
     while began.elapsed() < Duration::from_millis(1600) {
         std::thread::sleep(Duration::from_millis(10));
     }
-    drop((endpoint.accept().unwrap(), filler));
-    let mut second: TcpStream = endpoint.accept().unwrap().0.into();
-    assert_eq!(read(&mut second), "", "sent {:?} after the first call", began.elapsed());
+    drop((slow.accept(), filler));
+    let mut second = slow.accept();
+    let text = read_until(&mut second, Instant::now() + Duration::from_millis(300));
+    assert_eq!(text, "", "sent {:?} after the first call", began.elapsed());
     let told = |seen: &Seen| matches!(seen, Seen::Notice { id, .. } if id == "late");
     assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "no notice");
 }
