A wait is heard though its call was given up, or its last byte met a reset

Ruled out: answers and their reset in one poll (read before the write fails), answers in the poll before a time-out (heard, as take_waits comes ahead of the module's turn).

Change: a call that left whole is given up by ending our sending, as the protocol page allows; its connection is listened to for a second at most, until a wait or an outcome is there, and goes first where room is needed. A failed write tells what has come before the end of its connection. Tests of waits peek, so that a late read counts nothing that came in time.

--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -51,7 +51,7 @@
         Instant::now() + Duration::from_millis(500) < over,
         "the connection came too late to test anything"
     );
-    assert_eq!(read_until(&mut second, over - Duration::from_millis(20)), "", "before the wait was over");
+    assert_eq!(ahead_of(&second, over - Duration::from_millis(20)), "", "before the wait was over");
     // It costs no attempt and the message goes when it may, as does the one that was turned away.
     let calls = [read_call(&mut second), {
         second.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
@@ -75,15 +75,48 @@
     stream.write_all(answer).unwrap();
     let over = Instant::now() + Duration::from_millis(1800);
     let mut again = slow.accept();
-    let early = over.saturating_duration_since(Instant::now());
-    let text = read_until(&mut again, over.max(Instant::now()) - Duration::from_millis(20));
-    assert!(
-        early < Duration::from_millis(20) || text.is_empty(),
-        "{early:?} before the wait was over: {text}"
-    );
+    assert_eq!(ahead_of(&again, over - Duration::from_millis(20)), "", "before the wait was over");
     assert!(read_call(&mut again).contains("Req-Id: first"), "it goes again under its key");
 }
 
+/// A 429 is on its way when its call is given up: the endpoint writes it once it has read the end of the call, so that the
+/// courier has it only afterwards. Others are answered meanwhile, so that nothing but the wait speaks against more.
+#[test]
+fn a_wait_that_comes_after_its_call_was_given_up_is_heeded() {
+    const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    let (mut world, slow) = with_slow("given-up");
+    // A discovery that says nothing: the list stays as it is in the configuration.
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+    world.start();
+    hand_in(&world, &notice("first".into(), 0));
+    let mut first = slow.accept();
+    assert!(read_call(&mut first).contains("Req-Id: first"));
+    hand_in(&world, &payment("p0".into()));
+    let mut others = slow.accept();
+    first.set_read_timeout(Some(Duration::from_millis(20))).unwrap();
+    let given_up = (1..500).any(|number| {
+        assert!(read_call(&mut others).contains("Req-Id: p"));
+        others.write_all(OK).unwrap();
+        let ended = matches!(first.read(&mut [0; 16]), Ok(0));
+        hand_in(&world, &payment(format!("p{number}")));
+        ended
+    });
+    assert!(given_up, "it never was");
+    // The call that is out by now came before the wait. What has closed altogether can't be told anything any more.
+    read_call(&mut others);
+    let _ = first.write_all(b"HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n");
+    let over = Instant::now() + Duration::from_millis(2500);
+    first.set_read_timeout(Some(SOON)).unwrap();
+    assert_eq!(first.read(&mut [0; 16]).expect("closed once it is heard"), 0);
+    others.write_all(OK).unwrap();
+    hand_in(&world, &payment("after".into()));
+    assert_eq!(ahead_of(&others, over - Duration::from_millis(20)), "", "before the wait was over");
+    drop(others);
+    let text = read_call(&mut slow.accept());
+    assert!(text.contains("Req-Id: after") || text.contains("Req-Id: first"), "what waited goes on: {text}");
+}
+
 /// A drain is told while a connection comes up: the call goes to another endpoint, not to the one that drains.
 #[test]
 fn an_endpoint_that_drains_while_its_connection_comes_up_gets_nothing() {
--- a/crates/courier/tests/world/mod.rs
+++ b/crates/courier/tests/world/mod.rs
@@ -208,6 +208,25 @@
     }
 }
 
+/// What has come ahead of a moment, which it waits for; it stays to be read. Guards against a read that returns late and
+/// counts what came behind that moment.
+pub fn ahead_of(stream: &TcpStream, end: Instant) -> String {
+    let mut buffer = [0; 4096];
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return String::new();
+        }
+        stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).unwrap();
+        match stream.peek(&mut buffer) {
+            _ if Instant::now() >= end => {}
+            Ok(0) => return "closed".into(),
+            Ok(count) => return String::from_utf8_lossy(&buffer[..count]).into_owned(),
+            Err(_) => {}
+        }
+    }
+}
+
 /// All that comes until a moment, or until the connection ends.
 pub fn read_until(stream: &mut TcpStream, end: Instant) -> String {
     let mut text = Vec::new();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -285,6 +285,12 @@
         self.end_lingering(None);
     }
 
+    /// Ends our side of a connection; bytes and the end of the other side are still told. What is queued is lost.
+    pub fn end_sending(&mut self, id: ConnId) {
+        // Where it fails the peer has gone, which is told as its end.
+        let _ = self.conns.get(&id.0).map(|conn| conn.stream.shutdown(Shutdown::Write));
+    }
+
     /// Connections closed by [`Net::close_when_sent`] that have bytes to write, or whose peers have not closed yet.
     pub fn closing(&self) -> usize {
         self.conns.values().filter(|conn| conn.close_after).count()
@@ -329,7 +335,7 @@
     }
 
     fn gone(&mut self, id: u64, clean: bool) {
-        let lingered = self.conns.get(&id).is_some_and(|conn| conn.lingers.is_some());
+        let lingered = self.conns.get(&id).is_none_or(|conn| conn.lingers.is_some());
         self.close(ConnId(id));
         if !lingered {
             self.pending.push(NetEvent::Closed { conn: ConnId(id), clean });
@@ -341,11 +347,11 @@
         let wanted = conn.out.len() > conn.written;
         while conn.written < conn.out.len() {
             match (&*conn.stream).write(&conn.out[conn.written..]) {
-                Ok(0) => return self.gone(id, false),
+                Ok(0) => return self.broken(id),
                 Ok(count) => conn.written += count,
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return self.gone(id, false),
+                Err(_) => return self.broken(id),
             }
         }
         if conn.written == conn.out.len() {
@@ -362,12 +368,25 @@
         self.set_interest(id);
     }
 
+    /// The system takes no more of our bytes. Guards against an answer that is lost with them: what the other side sent
+    /// ahead of its reset is still there, and is told first.
+    fn broken(&mut self, id: u64) {
+        self.take_bytes(id);
+        self.gone(id, false);
+    }
+
     fn read(&mut self, id: u64) {
+        if let Some(clean) = self.take_bytes(id) {
+            self.gone(id, clean);
+        }
+    }
+
+    /// Tells the bytes that have come; whether the other side has ended, and if so in order.
+    fn take_bytes(&mut self, id: u64) -> Option<bool> {
         let mut bytes = Vec::new();
         let mut buffer = [0; 64 << 10];
         let ended = loop {
-            let Some(conn) = self.conns.get(&id) else { return };
-            match (&*conn.stream).read(&mut buffer) {
+            match (&*self.conns.get(&id)?.stream).read(&mut buffer) {
                 Ok(0) => break Some(true),
                 Ok(count) => bytes.extend_from_slice(&buffer[..count]),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break None,
@@ -381,14 +400,12 @@
         if let Some(dropped) = self.conns.get_mut(&id).and_then(|conn| conn.lingers.as_mut()) {
             *dropped += bytes.len();
             if *dropped > LINGER_MOST {
-                return self.close(ConnId(id));
+                self.close(ConnId(id));
             }
         } else if !bytes.is_empty() {
             self.pending.push(NetEvent::Bytes(ConnId(id), bytes));
         }
-        if let Some(clean) = ended {
-            self.gone(id, clean);
-        }
+        ended
     }
 
     fn connected(&mut self, id: u64) {
@@ -588,6 +605,34 @@
         assert_eq!(reader.join().unwrap(), (b"+OK\r\n".to_vec(), true));
     }
 
+    /// An endpoint refuses a call before it is whole, and resets the connection: the call's last byte finds it broken.
+    #[test]
+    fn what_was_sent_ahead_of_a_reset_is_told_though_a_write_meets_the_reset_first() {
+        let mut net = Net::new().unwrap();
+        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
+        let mut peer = TcpStream::connect(address).unwrap();
+        let conn = until(&mut net, |event| match event {
+            NetEvent::Accepted { conn, .. } => Some(conn),
+            _ => None,
+        });
+        peer.write_all(b"429").unwrap();
+        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(peer);
+        let end = Instant::now() + Duration::from_secs(5);
+        while net.is_open(conn) {
+            assert!(Instant::now() < end, "no write met the reset");
+            net.send(conn, b"x");
+        }
+        let mut told = Vec::new();
+        until(&mut net, |event| {
+            told.push(event);
+            matches!(told.last(), Some(NetEvent::Closed { .. })).then_some(())
+        });
+        told.retain(|event| !matches!(event, NetEvent::Flushed(_)));
+        assert!(matches!(&told[0], NetEvent::Bytes(_, bytes) if bytes == b"429"), "{told:?}");
+        assert!(matches!(told[1..], [NetEvent::Closed { clean: false, .. }]), "{told:?}");
+    }
+
     #[test]
     fn what_lingers_is_bounded_in_number_time_and_bytes() {
         let mut net = Net::new().unwrap();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -45,7 +45,72 @@
     fn write(&mut self, wire: Wire, bytes: &[u8]) {
         self.0.send(ConnId(wire.0), bytes);
     }
+    fn end_sending(&mut self, wire: Wire) {
+        self.0.end_sending(ConnId(wire.0));
+    }
     fn close(&mut self, wire: Wire) {
         self.0.close(ConnId(wire.0));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use cloverstile::{EndpointId, MessageId};
+    use cloverstile_engine::{Attempt, Reported};
+    use cloverstile_net::NetEvent;
+    use cloverstile_platform::answer::ReportFields;
+    use cloverstile_platform::calls::{Calls, Terms};
+    use std::io::{Read, Write};
+    use std::net::TcpListener;
+
+    const SECOND: Duration = Duration::from_secs(1);
+
+    /// An endpoint refuses a call that is not whole yet and resets the connection, both between a look at the sockets and
+    /// the call's last byte. Guards against a wait that is lost with the byte that met the reset.
+    #[test]
+    fn a_wait_told_ahead_of_a_reset_is_heard_though_the_last_byte_meets_the_reset() {
+        let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut net = Net::new().unwrap();
+        let terms =
+            Terms { connect_timeout: SECOND, idle: SECOND * 9, most: 4, fields: ReportFields::default() };
+        let (mut calls, now) = (Calls::new(terms), Time::ZERO + SECOND);
+        let (attempt, to) = (Attempt { message: MessageId(1), number: 0 }, EndpointId(1));
+        calls.begin(now, attempt, to, endpoint.local_addr().unwrap(), &mut Sockets(&mut net));
+        let (mut stream, _) = endpoint.accept().unwrap();
+        while calls.take_ready().is_empty() {
+            for event in net.poll(Some(SECOND)).unwrap() {
+                if let NetEvent::Connected(conn) = event {
+                    calls.connected(Wire(conn.0));
+                }
+            }
+        }
+        calls.open(now, attempt, b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n1", &mut Sockets(&mut net));
+        let mut head = [0; 38];
+        stream.read_exact(&mut head).unwrap();
+        stream.write_all(b"HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n").unwrap();
+        socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(stream);
+        // No look at the sockets in between.
+        calls.tick(now + SECOND, &mut Sockets(&mut net));
+        assert_eq!(calls.take_due(), [attempt]);
+        calls.launch(attempt, &mut Sockets(&mut net));
+        while calls.connections() > 0 {
+            for event in net.poll(Some(SECOND)).unwrap() {
+                match event {
+                    NetEvent::Bytes(conn, bytes) => {
+                        calls.bytes(now, Wire(conn.0), &bytes, &mut Sockets(&mut net));
+                    }
+                    NetEvent::Flushed(conn) => calls.written(Wire(conn.0)),
+                    NetEvent::Closed { conn, clean } => {
+                        calls.lost(now, Wire(conn.0), clean, &mut Sockets(&mut net));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let wait = Duration::from_millis(2500);
+        assert_eq!(calls.take_waits(), [(to, wait)]);
+        assert_eq!(calls.take_ended(), [(attempt, (Reported::Full(Some(wait)), None))]);
+    }
+}
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -490,7 +490,7 @@
                 self.parked.retain(|parked| parked.attempt != attempt);
                 self.launching.retain(|launching| *launching != attempt);
                 self.log.record(Record::Settled(attempt.message.0, begun));
-                self.calls.abandon(attempt, &mut Sockets(&mut self.net));
+                self.calls.abandon(now, attempt, &mut Sockets(&mut self.net));
             }
             Command::Answer { message, answer, .. } => self.answered(message, answer),
             Command::CloseIdle { endpoint } => self.calls.close_idle(endpoint, &mut Sockets(&mut self.net)),
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -16,7 +16,7 @@
 const HELD_BACK: Duration = Duration::from_millis(1);
 /// Kept connections that one attempt may find closed before it counts as failed.
 const MOST_STALE: u8 = 2;
-/// How long the rest of an answer may take whose outcome is known already.
+/// How long the rest of an answer may take whose outcome is known already, and one that nobody waits for any more.
 const REST: Duration = Duration::from_secs(1);
 
 enum State {
@@ -42,6 +42,10 @@
     Finishing {
         until: Time,
     },
+    /// Given up, and told so by the end of our sending: only a wait that the answer tells still counts.
+    GivenUp {
+        until: Time,
+    },
     Idle {
         until: Time,
     },
@@ -54,6 +58,7 @@
             State::Connecting { until }
             | State::Held { until, .. }
             | State::Finishing { until }
+            | State::GivenUp { until }
             | State::Idle { until } => Some(*until),
             State::Ready | State::Due { .. } | State::Sent { .. } => None,
         }
@@ -188,7 +193,7 @@
 
     fn close_longest_idle(&mut self, wires: &mut impl Wires) -> bool {
         let until = |conn: &Conn| match conn.state {
-            State::Idle { until } | State::Finishing { until } => Some(until),
+            State::Idle { until } | State::Finishing { until } | State::GivenUp { until } => Some(until),
             _ => None,
         };
         let longest = self.conns.iter().filter_map(|(wire, conn)| Some((until(conn)?, *wire))).min();
@@ -239,18 +244,25 @@
 
     /// An attempt is not sent after all. Its connection goes: it may hold the better part of a call.
     pub fn drop_due(&mut self, attempt: Attempt, wires: &mut impl Wires) {
-        if self.attempts.contains_key(&attempt) {
-            self.abandon(attempt, wires);
+        if let Some(wire) = self.attempts.remove(&attempt) {
+            self.forget(attempt);
+            self.close(wire, wires);
             self.ended.push((attempt, (Reported::Unsent, None)));
         }
     }
 
-    /// Nobody waits for an attempt any longer. Its answer must not be taken for another's, so its connection goes.
-    pub fn abandon(&mut self, attempt: Attempt, wires: &mut impl Wires) {
+    /// Nobody waits for an attempt any longer. Its answer must not be taken for another's, so its connection goes; where
+    /// the call left whole, only our side of it at first. Guards against a wait that is on its way at this moment: it
+    /// binds from its writing on, whoever still reads it.
+    pub fn abandon(&mut self, now: Time, attempt: Attempt, wires: &mut impl Wires) {
         self.forget(attempt);
-        if let Some(wire) = self.attempts.remove(&attempt) {
-            // A kept connection may have left an empty row of its endpoint behind.
-            self.close(wire, wires);
+        let Some(wire) = self.attempts.remove(&attempt) else { return };
+        match self.conns.get_mut(&wire) {
+            Some(conn) if matches!(conn.state, State::Sent { written: true }) => {
+                (conn.attempt, conn.state) = (None, State::GivenUp { until: now + REST });
+                wires.end_sending(wire);
+            }
+            _ => self.close(wire, wires),
         }
     }
 
@@ -299,7 +311,10 @@
         address: impl Fn(EndpointId) -> Option<SocketAddr>,
         wires: &mut impl Wires,
     ) {
-        let moved = |conn: &Conn| conn.attempt.is_none() && address(conn.endpoint) != Some(conn.address);
+        let moved = |conn: &Conn| {
+            let listens = matches!(conn.state, State::GivenUp { .. });
+            conn.attempt.is_none() && !listens && address(conn.endpoint) != Some(conn.address)
+        };
         let gone: Vec<Wire> =
             self.conns.iter().filter(|(_, conn)| moved(conn)).map(|(wire, _)| *wire).collect();
         gone.into_iter().for_each(|wire| self.close(wire, wires));
@@ -350,7 +365,7 @@
         let Some(conn) = self.conns.get_mut(&wire) else { return };
         let sent = match conn.state {
             State::Sent { written } => Some(written),
-            State::Finishing { .. } => Some(true),
+            State::Finishing { .. } | State::GivenUp { .. } => Some(true),
             // Nothing was asked: a late copy or noise, which a later call would take for its answer.
             State::Idle { .. } => return self.close(wire, wires),
             State::Connecting { .. } | State::Ready | State::Held { .. } | State::Due { .. } => None,
@@ -368,7 +383,10 @@
             conn.state = State::Finishing { until: now + REST };
             conn.attempt = None;
         }
+        let given_up = matches!(conn.state, State::GivenUp { .. });
         match read.line {
+            // Its outcome is settled; what follows tells nothing more.
+            _ if given_up && (read.told.is_some() || read.wait.is_some()) => self.close(wire, wires),
             Line::Open => {}
             // An answer that came before the call was written whole leaves the rest of it in the way.
             Line::Free if sent => self.rest(now, wire),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -43,6 +43,8 @@
     fn connect(&mut self, to: SocketAddr) -> Wire;
     /// Queues bytes.
     fn write(&mut self, wire: Wire, bytes: &[u8]);
+    /// Ends what we send; what comes is still told, and so is the end.
+    fn end_sending(&mut self, wire: Wire);
     /// Closes at once; no event follows.
     fn close(&mut self, wire: Wire);
 }
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -17,6 +17,7 @@
 struct Fake {
     connected: Vec<SocketAddr>,
     written: Vec<(Wire, String)>,
+    ended: Vec<Wire>,
     closed: Vec<Wire>,
 }
 
@@ -28,6 +29,9 @@
     fn write(&mut self, wire: Wire, bytes: &[u8]) {
         self.written.push((wire, String::from_utf8_lossy(bytes).into_owned()));
     }
+    fn end_sending(&mut self, wire: Wire) {
+        self.ended.push(wire);
+    }
     fn close(&mut self, wire: Wire) {
         self.closed.push(wire);
     }
@@ -185,12 +189,42 @@
 fn an_abandoned_call_takes_its_connection_with_it() {
     let (mut calls, mut wires) = (calls(9), Fake::default());
     let wire = sent(&mut calls, &mut wires, at(0), 1);
-    calls.abandon(attempt(1), &mut wires);
+    calls.abandon(at(0), attempt(1), &mut wires);
     assert_eq!((wires.closed.clone(), calls.out(), ended(&mut calls)), (vec![wire], 0, vec![]));
     calls.begin(at(1), attempt(2), E, address(1), &mut wires);
     assert_eq!(wires.connected.len(), 2);
 }
 
+/// A call that left whole is given up: its connection is none for others, and is closed a second later at the latest, or
+/// where room is needed; until then a wait that comes is heard, from an endpoint that left the list as well.
+#[test]
+fn a_call_given_up_still_hears_the_wait_that_was_on_its_way() {
+    let wait = b"HTTP/1.1 429 Wait\r\nRetry-After: 0.7\r\nContent-Length: 9\r\n\r\nhalf";
+    for bytes in [&wait[..], OK, b"noise"] {
+        let (mut calls, mut wires) = (calls(1), Fake::default());
+        let wire = sent(&mut calls, &mut wires, at(0), 1);
+        calls.written(wire);
+        calls.abandon(at(500), attempt(1), &mut wires);
+        assert_eq!((&wires.ended[..], wires.closed.len(), calls.out()), (&[wire][..], 0, 0));
+        calls.keep_listed(|_| None, &mut wires);
+        calls.close_idle(E, &mut wires);
+        calls.bytes(at(600), wire, bytes, &mut wires);
+        let told: Vec<_> = (bytes == wait).then_some((E, Duration::from_millis(700))).into_iter().collect();
+        assert_eq!((calls.take_waits(), ended(&mut calls)), (told, vec![]));
+        assert_eq!((&wires.closed[..], calls.connections()), (&[wire][..], 0));
+    }
+    let (mut calls, mut wires) = (calls(1), Fake::default());
+    for message in [1, 2] {
+        let wire = sent(&mut calls, &mut wires, at(0), message);
+        calls.written(wire);
+        calls.abandon(at(500), attempt(message), &mut wires);
+    }
+    assert_eq!(wires.closed, [Wire(1)], "there was room for one");
+    assert_eq!(calls.due(), Some(at(1500)));
+    calls.tick(at(1500), &mut wires);
+    assert_eq!((calls.connections(), ended(&mut calls)), (0, vec![]));
+}
+
 #[test]
 fn idle_connections_go_where_the_list_moves_or_room_is_needed() {
     let (mut calls, mut wires) = (calls(2), Fake::default());
