After a restart classes are held to their old effect or a stricter one, and zones are known

Change: the log's record of names has effects and zones as well, and an attempt's beginning its zone; kept::moved carries a message's places over by name. Behind the settings' classes stands one of no name that may not be repeated and keeps order: what is gone or has become more lenient comes under it. Past tells the module the zone as a fact. Logs of the landed version are read (a test cuts the new fields off).

--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -378,20 +378,84 @@
     assert!(!world.platform.seen().iter().any(|(_, seen)| drained(seen)));
 }
 
-/// Settings whose classes changed their order between two processes: what may not be repeated still may not.
-#[test]
-fn classes_in_another_order_after_a_restart_change_nothing_for_what_was_taken_on() {
-    let mut world = World::new("classes", &[3]);
+/// A message is out at an endpoint that says nothing, and the courier is killed.
+fn killed_with_one_out(world: &mut World, put: &cloverstile_standin::platform::PutSpec) {
     world.platform.set(0, Manner::Silent);
     world.start();
-    hand_in(&world, &payment("once".into()));
-    let called = |seen: &Seen| matches!(seen, Seen::Call { id, .. } if id == "once");
+    hand_in(world, put);
+    let called = |seen: &Seen| matches!(seen, Seen::Call { id, .. } if *id == put.id);
     assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| called(seen))));
     world.kill();
-    world.edit(|config| config["settings"]["Lanes"].as_array_mut().unwrap().reverse());
     world.platform.set(0, Manner::Deliver(Duration::ZERO));
+}
+
+fn ends_as(world: &World, id: &str, wanted: &str) {
+    let told =
+        |seen: &Seen| matches!(seen, Seen::Notice { id: of, status, .. } if of == id && status == wanted);
+    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "{id} {wanted}");
+}
+
+/// Settings whose classes changed their order between two processes, or one of them its effect: what may not be repeated
+/// still may not.
+#[test]
+fn classes_in_another_order_or_more_lenient_after_a_restart_change_nothing_for_what_was_taken_on() {
+    let changes: [(&str, fn(&mut serde_json::Value)); 3] = [
+        ("reversed", |lanes| lanes.as_array_mut().unwrap().reverse()),
+        ("keyed", |lanes| lanes[1]["Effect"] = "idempotency_key".into()),
+        ("safe", |lanes| lanes[1]["Effect"] = "read_like".into()),
+    ];
+    for (name, change) in changes {
+        let mut world = World::new(&format!("classes-{name}"), &[3]);
+        killed_with_one_out(&mut world, &payment("once".into()));
+        world.edit(|config| change(&mut config["settings"]["Lanes"]));
+        world.start();
+        ends_as(&world, "once", "undeliverable");
+        assert_eq!(world.calls("once"), 1, "{name}");
+    }
+}
+
+/// Settings that have no class any more of what was taken on and never tried: it is still tried.
+#[test]
+fn what_is_left_untried_of_a_class_that_is_gone_is_tried() {
+    let mut world = World::new("class-gone", &[3]);
+    world.platform.list(0, "DRAINING");
+    world.edit(|config| config["known"] = world.platform.known());
+    world.start();
+    hand_in(&world, &payment("left".into()));
+    world.kill();
+    world.platform.list(0, "SERVING");
+    world.edit(|config| {
+        config["known"] = world.platform.known();
+        config["settings"]["Lanes"].as_array_mut().unwrap().pop();
+    });
+    world.start();
+    assert_eq!(world.broken_in_the_end(), [""; 0]);
+    assert_eq!(world.calls("left"), 1);
+}
+
+/// Endpoints of one zone drop a repeat, and the settings name the zones in another order after a restart: what may have run
+/// before it goes again, to the zone where it may have run and to no other.
+#[test]
+fn a_keyed_message_goes_again_after_a_restart_in_the_zone_where_it_may_have_run() {
+    let mut world = World::new("zones", &[3, 3]);
+    // A discovery that says nothing: the list stays as it is in the configuration.
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.edit(|config| {
+        config["discovery"] = agent.local_addr().unwrap().to_string().into();
+        config["settings"]["Zones"] = serde_json::json!(["here", "there"]);
+        config["settings"]["Lanes"][0]["Group"] = "zone".into();
+        config["known"]["instances"][0]["zone"] = "there".into();
+        config["known"]["instances"][1]["lifecycle"] = "DRAINING".into();
+    });
+    killed_with_one_out(&mut world, &notice("again".into(), 0));
+    world.edit(|config| {
+        config["settings"]["Zones"] = serde_json::json!(["there", "here"]);
+        config["known"]["instances"][1]["lifecycle"] = "SERVING".into();
+    });
     world.start();
-    let told = |seen: &Seen| matches!(seen, Seen::Notice { id, status, .. } if id == "once" && status == "undeliverable");
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))));
-    assert_eq!(world.calls("once"), 1);
+    let delivered = |seen: &Seen| matches!(seen, Seen::Delivered { id } if id == "again");
+    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| delivered(seen))));
+    let there = |seen: &Seen| matches!(seen, Seen::Call { id, endpoint: 0, .. } if id == "again");
+    let calls = world.platform.seen().iter().filter(|(_, seen)| there(seen)).count();
+    assert_eq!((calls, world.calls("again")), (2, 2));
 }
--- a/crates/node/src/kept.rs
+++ b/crates/node/src/kept.rs
@@ -1,11 +1,12 @@
 //! A message as the log keeps it, and what the engine, the platform and an endpoint are told of it. Free of I/O.
 
-use cloverstile::{Class, ClassId, DestinationId, OrderKey, Past, Time};
+use cloverstile::{Class, ClassId, DestinationId, Effect, OrderKey, Past, Time, ZoneId};
 use cloverstile_engine::HandIn;
 use cloverstile_http::Headers;
+use cloverstile_platform::config;
 use cloverstile_platform::handin::Put;
 use cloverstile_platform::notices::Notice;
-use cloverstile_wal::{Ending, Living};
+use cloverstile_wal::{Began, Ending, Living, Names, UNKNOWN};
 use std::time::Duration;
 
 fn text(bytes: &[u8]) -> String {
@@ -62,22 +63,66 @@
     (hand_in, past)
 }
 
-/// The place that a class has now which had another when its message was taken on; none that any class has, where there
-/// is none of its name. Guards against settings that changed between two processes: by its place alone what may not be
-/// repeated could come under another effect.
-pub fn class_now(place: u8, then: &[String], now: &[String]) -> u8 {
-    let Some(name) = then.get(usize::from(place)) else { return place };
-    let found = now.iter().position(|known| known == name);
-    found.and_then(|place| u8::try_from(place).ok()).unwrap_or(u8::MAX)
+/// The log's number of an effect: not its place in the code, which may change.
+fn mark(effect: Effect) -> u8 {
+    match effect {
+        Effect::Safe => 1,
+        Effect::Keyed => 2,
+        Effect::Unsafe => 3,
+    }
+}
+
+/// What holds for messages whose class is gone, or has become more lenient, since they were taken on: a class of no name
+/// behind all others, which nobody can hand in under. Its aim and time are the longest, so that no sum over classes moves.
+pub fn strictest(classes: &[Class]) -> Class {
+    let longest = |span: fn(&Class) -> Duration| classes.iter().map(span).max();
+    let base = Class::default();
+    let aim = longest(|class| class.aim).unwrap_or(base.aim);
+    let deadline = longest(|class| class.deadline).unwrap_or(base.deadline);
+    Class { effect: Effect::Unsafe, in_order: true, aim, deadline, ..base }
+}
+
+/// What places mean in this process; the last class is [`strictest`].
+pub fn names(names: &config::Names, classes: &[Class]) -> Names {
+    let named = names.classes.iter().map(String::as_str).chain([""]);
+    let classes = named.zip(classes).map(|(name, class)| (name.to_owned(), mark(class.effect))).collect();
+    Names { classes, zones: names.zones.clone() }
+}
+
+/// Moves a message's places from what they meant when it was written to what they mean now. Guards against settings that
+/// changed between two processes: what may not be repeated could come under another effect, by its place alone or because
+/// its class has one now; and what no class is left for would end untried.
+pub fn moved(living: &mut Living, then: &Names, now: &Names) {
+    let last = now.classes.len().saturating_sub(1);
+    let place = usize::from(living.class);
+    let class = match then.classes.get(place) {
+        // A log of before names were kept.
+        None => place.min(last),
+        Some((name, effect)) => {
+            let found = now.classes.iter().position(|(known, _)| known == name);
+            let holds = |place: &usize| {
+                let now = now.classes[*place].1;
+                *effect == UNKNOWN || *effect == now || now == mark(Effect::Unsafe)
+            };
+            found.filter(holds).unwrap_or(last)
+        }
+    };
+    living.class = u8::try_from(class).unwrap_or(u8::MAX);
+    for began in [&mut living.may_have_run, &mut living.open].into_iter().flatten() {
+        let name = then.zones.get(usize::from(began.zone));
+        let found = name.and_then(|name| now.zones.iter().position(|known| known == name));
+        began.zone = found.and_then(|place| u8::try_from(place).ok()).unwrap_or(UNKNOWN);
+    }
 }
 
-/// When the first attempt was sent that may have run, here or at a courier that was lost.
-fn may_have_run_since(living: &Living, class: Option<&Class>) -> Option<Time> {
-    let since = living.may_have_run.map(Time);
+/// When the first attempt was sent that may have run, and in which zone, here or at a courier that was lost.
+fn may_have_run_since(living: &Living, class: Option<&Class>) -> Option<(Time, Option<ZoneId>)> {
+    let zone = |began: Began| Some(ZoneId(began.zone)).filter(|_| began.zone != UNKNOWN);
+    let since = living.may_have_run.map(|began| (Time(began.at), zone(began)));
     let Some(class) = class.filter(|_| living.after_loss) else { return since };
-    // It may have run at the courier that was lost at any time since it was first handed in.
+    // It may have run at the courier that was lost at any time since it was first handed in, nobody knows where.
     let handed_in = (Time(living.deadline) - class.deadline).min(Time(living.taken_at));
-    Some(since.map_or(handed_in, |since| since.min(handed_in)))
+    Some((since.map_or(handed_in, |(since, _)| since.min(handed_in)), None))
 }
 
 /// What the platform is told of a message that ended so.
@@ -109,33 +154,81 @@
         Living { id: b"a".to_vec(), taken_at: 100 * S, deadline: 108 * S, attempts: 2, ..Living::default() }
     }
 
+    fn began(s: u64) -> Began {
+        Began { at: s * S, zone: 1 }
+    }
+
     #[test]
     fn an_attempt_without_an_outcome_may_have_run_unless_an_earlier_one_did() {
-        let since = |may_have_run, open| {
+        let since = |may_have_run: Option<u64>, open: Option<u64>| {
+            let (may_have_run, open) = (may_have_run.map(began), open.map(began));
             let mut living = Living { may_have_run, open, ..kept() };
             let (_, past) = recovered(&mut living, None);
-            assert_eq!((living.open, living.may_have_run.map(Time)), (None, past.may_have_run));
-            (past.may_have_run.map(|at| at.0), past.unsettled, past.attempts)
+            let kept = living.may_have_run.map(|began| (Time(began.at), Some(ZoneId(1))));
+            assert_eq!((living.open, kept), (None, past.may_have_run));
+            (past.may_have_run.map(|(at, _)| at.0 / S), past.unsettled, past.attempts)
         };
         assert_eq!(since(None, None), (None, false, 2));
-        assert_eq!(since(None, Some(103 * S)), (Some(103 * S), true, 2));
-        assert_eq!(since(Some(101 * S), Some(103 * S)), (Some(101 * S), true, 2));
-        assert_eq!(since(Some(101 * S), None), (Some(101 * S), false, 2));
+        assert_eq!(since(None, Some(103)), (Some(103), true, 2));
+        assert_eq!(since(Some(101), Some(103)), (Some(101), true, 2));
+        assert_eq!(since(Some(101), None), (Some(101), false, 2));
+    }
+
+    fn settings(classes: &[(&str, Effect)], zones: &[&str]) -> Names {
+        let (names, effects): (Vec<&str>, Vec<Effect>) = classes.iter().copied().unzip();
+        let text = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
+        let effects = effects.into_iter().map(|effect| Class { effect, ..Class::default() });
+        let mut classes: Vec<Class> = effects.collect();
+        classes.push(strictest(&classes));
+        super::names(
+            &config::Names { classes: text(&names), zones: text(zones), ..Default::default() },
+            &classes,
+        )
+    }
+
+    #[test]
+    fn places_are_found_by_their_names_and_what_became_more_lenient_is_held_to_the_strictest() {
+        use Effect::{Keyed, Safe, Unsafe};
+        let then = settings(
+            &[
+                ("notice", Keyed),
+                ("payment", Unsafe),
+                ("gone", Safe),
+                ("eased", Unsafe),
+                ("tightened", Keyed),
+            ],
+            &["a", "b"],
+        );
+        let now = settings(
+            &[("payment", Unsafe), ("eased", Keyed), ("notice", Keyed), ("tightened", Unsafe)],
+            &["b", "c"],
+        );
+        let after = |class: u8, zone: u8| {
+            let mut living = Living { class, open: Some(Began { at: 1, zone }), ..kept() };
+            moved(&mut living, &then, &now);
+            (living.class, living.open.unwrap().zone)
+        };
+        let all: Vec<u8> = (0..6).map(|class| after(class, 0).0).collect();
+        assert_eq!(all, [2, 0, 4, 4, 3, 4], "the last one is of no name in both");
+        assert_eq!([after(0, 0).1, after(0, 1).1, after(0, UNKNOWN).1], [UNKNOWN, 0, UNKNOWN]);
+        let mut old = Living { class: 1, ..kept() };
+        moved(&mut old, &Names::default(), &now);
+        assert_eq!(old.class, 1, "a log of before names were kept");
     }
 
     #[test]
-    fn classes_are_found_by_their_names() {
-        let names = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
-        let (then, now) = (names(&["notice", "payment", "gone"]), names(&["payment", "new", "notice"]));
-        let places: Vec<u8> = (0..3).map(|place| class_now(place, &then, &now)).collect();
-        assert_eq!(places, [2, 0, u8::MAX]);
-        assert_eq!(class_now(1, &[], &now), 1, "a log of before names were kept");
+    fn the_strictest_class_moves_no_sum_over_classes() {
+        let short = Class { aim: Duration::from_millis(300), ..Class::default() };
+        let long = Class { deadline: Duration::from_secs(99), ..Class::default() };
+        let strictest = strictest(&[short.clone(), long.clone()]);
+        assert!(strictest.aim >= short.aim.max(long.aim) && strictest.deadline == long.deadline);
+        assert_eq!((strictest.effect, strictest.in_order), (Effect::Unsafe, true));
     }
 
     #[test]
     fn what_a_lost_courier_held_counts_from_its_first_hand_in() {
         let class = Class { deadline: Duration::from_secs(12), ..Class::default() };
-        let mut living = Living { after_loss: true, may_have_run: Some(101 * S), ..kept() };
-        assert_eq!(recovered(&mut living, Some(&class)).1.may_have_run, Some(Time(96 * S)));
+        let mut living = Living { after_loss: true, may_have_run: Some(began(101)), ..kept() };
+        assert_eq!(recovered(&mut living, Some(&class)).1.may_have_run, Some((Time(96 * S), None)));
     }
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
 use cloverstile_platform::Wire;
 use cloverstile_resp::{error, simple};
 use cloverstile_wal::store::Dir;
-use cloverstile_wal::{Ending, Living, Log, Record};
+use cloverstile_wal::{Began, Ending, Living, Log, Record, UNKNOWN};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -94,7 +94,8 @@
         net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
             .map_err(failed("signals".into()))?;
         let parsed = &config.parsed;
-        let settings = parsed.settings.clone();
+        let mut settings = parsed.settings.clone();
+        settings.classes.push(kept::strictest(&settings.classes));
         let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
         let sockets = config.limits.sockets as f64;
         let terms = Terms {
@@ -137,9 +138,10 @@
             node.take_list(now, known);
         }
         let found = recovered.living.len();
-        node.log.record(Record::Classes(node.names.classes.clone()));
+        let names = kept::names(&node.names, &node.classes);
+        node.log.record(Record::Names(names.clone()));
         for (place, mut living) in recovered.living.into_iter().enumerate() {
-            living.class = kept::class_now(living.class, &recovered.classes, &node.names.classes);
+            kept::moved(&mut living, &recovered.names, &names);
             node.recover(now, place, living);
         }
         node.turn(now);
@@ -408,7 +410,7 @@
             }
             for (attempt, (reported, allowance)) in self.calls.take_ended() {
                 if let Some(living) = self.log.living(attempt.message.0) {
-                    let sent = living.open.map_or(0, |at| now.0.saturating_sub(at) / 1_000_000);
+                    let sent = living.open.map_or(0, |began| now.0.saturating_sub(began.at) / 1_000_000);
                     let (class, to) = (living.class, living.destination);
                     trace!(
                         id = attempt.message.0,
@@ -434,7 +436,9 @@
                 if self.is_withheld(now, attempt) {
                     continue;
                 }
-                self.log.record(Record::Begun(attempt.message.0, now.0));
+                let zone = self.calls.endpoint(attempt).and_then(|endpoint| self.list.zone(endpoint));
+                let began = Began { at: now.0, zone: zone.map_or(UNKNOWN, |zone| zone.0) };
+                self.log.record(Record::Begun(attempt.message.0, began));
                 self.launching.push(attempt);
             }
             if !self.calls.has_news() && !self.engine.has_news() {
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -232,6 +232,12 @@
         self.ended.push((attempt, (Reported::Withheld, None)));
     }
 
+    /// Where an attempt goes.
+    pub fn endpoint(&self, attempt: Attempt) -> Option<EndpointId> {
+        let wire = self.attempts.get(&attempt)?;
+        self.conns.get(wire).map(|conn| conn.endpoint)
+    }
+
     /// Whether an attempt's endpoint is still listed where its connection leads.
     pub fn leads_to_listed(
         &self,
--- a/crates/platform/src/list.rs
+++ b/crates/platform/src/list.rs
@@ -51,7 +51,7 @@
 #[derive(Default)]
 pub struct List {
     known: BTreeMap<String, Known>,
-    addresses: BTreeMap<EndpointId, SocketAddr>,
+    addresses: BTreeMap<EndpointId, (SocketAddr, ZoneId)>,
     destinations: BTreeSet<DestinationId>,
     last: u32,
     generation: u64,
@@ -65,7 +65,12 @@
 
     /// Where an endpoint is, if it is listed.
     pub fn address(&self, id: EndpointId) -> Option<SocketAddr> {
-        self.addresses.get(&id).copied()
+        self.addresses.get(&id).map(|(address, _)| *address)
+    }
+
+    /// In which zone an endpoint is, if it is listed.
+    pub fn zone(&self, id: EndpointId) -> Option<ZoneId> {
+        self.addresses.get(&id).map(|(_, zone)| *zone)
     }
 
     /// Whether a destination was ever listed: while its endpoints are replaced it still is one.
@@ -123,7 +128,8 @@
             self.destinations.insert(endpoint.destination);
             self.known.insert(instance.instance_id.clone(), Known { endpoint, address });
         }
-        self.addresses = self.known.values().map(|known| (known.endpoint.id, known.address)).collect();
+        let at = |known: &Known| (known.endpoint.id, (known.address, known.endpoint.zone));
+        self.addresses = self.known.values().map(at).collect();
         unread
     }
 }
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod store;
 
 pub use log::{Log, Recovered};
-pub use record::{Ending, Living, Record};
+pub use record::{Began, Ending, Living, Names, Record, UNKNOWN};
 pub use store::Folder;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,6 +1,6 @@
 //! The log as state: what lives, what a turn adds, when a new segment is due, and what a start finds.
 
-use crate::record::{write_taken, Living, Record};
+use crate::record::{write_taken, Living, Names, Record};
 use crate::store::Folder;
 use std::collections::BTreeMap;
 use std::io;
@@ -22,8 +22,8 @@
     pub living: Vec<Living>,
     /// Bytes of a torn or damaged tail that were given up.
     pub torn: usize,
-    /// Names of the classes at that time, by place; none in a log of before they were kept.
-    pub classes: Vec<String>,
+    /// What places meant at that time; nothing in a log of before that was kept.
+    pub names: Names,
 }
 
 /// A log in a folder.
@@ -36,7 +36,7 @@
     living: BTreeMap<u32, Living>,
     living_bytes: u64,
     batch: Vec<u8>,
-    classes: Vec<String>,
+    names: Names,
     /// Records were dropped: nothing is appended before a new segment says how all stands.
     torn: bool,
 }
@@ -66,7 +66,7 @@
             living: BTreeMap::new(),
             living_bytes: 0,
             batch: Vec::new(),
-            classes: Vec::new(),
+            names: Names::default(),
             torn: true,
         };
         log.folder.remove(TEMPORARY)?;
@@ -79,7 +79,7 @@
             recovered.torn = log.replay(&bytes);
             recovered.living = std::mem::take(&mut log.living).into_values().collect();
             log.living_bytes = 0;
-            recovered.classes = std::mem::take(&mut log.classes);
+            recovered.names = std::mem::take(&mut log.names);
         }
         for old in segments {
             log.folder.remove(&name(old))?;
@@ -103,10 +103,10 @@
                 self.living_bytes += size(&living);
                 self.living.insert(seq, *living);
             }
-            Record::Begun(seq, at) => {
+            Record::Begun(seq, began) => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     living.attempts = living.attempts.saturating_add(1);
-                    living.open = Some(at);
+                    living.open = Some(began);
                 }
             }
             Record::Settled(seq, may_have_run) => {
@@ -129,14 +129,14 @@
                     self.living_bytes -= size(&living);
                 }
             }
-            Record::Classes(names) => self.classes = names,
+            Record::Names(names) => self.names = names,
         }
     }
 
     /// Adds a record to the turn. A record of a message that is not living is dropped.
     pub fn record(&mut self, record: Record) {
         let known = match &record {
-            Record::Taken(..) | Record::Classes(_) => true,
+            Record::Taken(..) | Record::Names(_) => true,
             Record::Begun(seq, _) | Record::Settled(seq, _) | Record::Owed(seq, _) | Record::Over(seq) => {
                 self.living.contains_key(seq)
             }
@@ -193,8 +193,8 @@
     fn replace(&mut self) -> io::Result<()> {
         self.torn = true;
         let mut bytes = MAGIC.to_vec();
-        if !self.classes.is_empty() {
-            Record::Classes(self.classes.clone()).write(&mut bytes);
+        if self.names != Names::default() {
+            Record::Names(self.names.clone()).write(&mut bytes);
         }
         for (seq, living) in &self.living {
             write_taken(*seq, living, &mut bytes);
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -30,31 +30,52 @@
     pub after_loss: bool,
     /// Attempts begun.
     pub attempts: u16,
-    /// When the first attempt was begun that may have run, in Unix nanoseconds.
-    pub may_have_run: Option<u64>,
-    /// When the attempt was begun that has no outcome yet.
-    pub open: Option<u64>,
+    /// The first attempt that was begun and may have run.
+    pub may_have_run: Option<Began>,
+    /// The attempt that was begun and has no outcome yet.
+    pub open: Option<Began>,
     /// It has ended, and the platform was not told yet.
     pub owed: Option<Ending>,
     /// What is delivered; empty once it has ended.
     pub body: Vec<u8>,
 }
 
+/// A place that a log of before places were kept doesn't tell, or that the settings had no name for.
+pub const UNKNOWN: u8 = u8::MAX;
+
+/// An attempt that was begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Began {
+    /// When, in Unix nanoseconds.
+    pub at: u64,
+    /// In which zone, by place.
+    pub zone: u8,
+}
+
+/// What places meant when they were written: settings may have changed since.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Names {
+    /// Names of the classes, and what a second run of theirs does, in a number of the writer's.
+    pub classes: Vec<(String, u8)>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+}
+
 /// One step of a message. `seq` is the courier's own number of it, unique while it lives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
     /// Taken on; in a fresh segment, as it stands.
     Taken(u32, Box<Living>),
-    /// An attempt begins, at this Unix time in nanoseconds.
-    Begun(u32, u64),
+    /// An attempt begins.
+    Begun(u32, Began),
     /// The attempt that was out has its outcome; whether it may have run.
     Settled(u32, bool),
     /// It ended undelivered; the notice is owed.
     Owed(u32, Ending),
     /// Over: delivered, withdrawn, or its notice answered.
     Over(u32),
-    /// Names of the classes, by place: what the places of messages in this segment mean.
-    Classes(Vec<String>),
+    /// What the places of messages in this segment mean.
+    Names(Names),
 }
 
 /// Bytes before a record's payload: its length and its checksum.
@@ -122,13 +143,16 @@
         to.u64(living.deadline);
         to.u8(u8::from(living.after_loss));
         to.u16(living.attempts);
-        to.option(living.may_have_run);
-        to.option(living.open);
+        to.option(living.may_have_run.map(|began| began.at));
+        to.option(living.open.map(|began| began.at));
         match living.owed {
             None => to.u8(0),
             Some(ending) => to.ending(ending),
         }
         to.bytes(&living.body);
+        for began in [living.may_have_run, living.open] {
+            to.u8(began.map_or(UNKNOWN, |began| began.zone));
+        }
     });
 }
 
@@ -137,10 +161,11 @@
     pub fn write(&self, out: &mut Vec<u8>) {
         match self {
             Record::Taken(seq, living) => write_taken(*seq, living, out),
-            Record::Begun(seq, at) => framed(out, |to| {
+            Record::Begun(seq, began) => framed(out, |to| {
                 to.u8(2);
                 to.u32(*seq);
-                to.u64(*at);
+                to.u64(began.at);
+                to.u8(began.zone);
             }),
             Record::Settled(seq, may_have_run) => framed(out, |to| {
                 to.u8(3);
@@ -156,10 +181,12 @@
                 to.u8(5);
                 to.u32(*seq);
             }),
-            Record::Classes(names) => framed(out, |to| {
+            Record::Names(names) => framed(out, |to| {
                 to.u8(6);
-                to.u32(u32::try_from(names.len()).unwrap_or(u32::MAX));
-                names.iter().for_each(|name| to.bytes(name.as_bytes()));
+                to.u32(u32::try_from(names.classes.len()).unwrap_or(u32::MAX));
+                names.classes.iter().for_each(|(name, _)| to.bytes(name.as_bytes()));
+                names.classes.iter().for_each(|(_, effect)| to.u8(*effect));
+                names.zones.iter().for_each(|name| to.bytes(name.as_bytes()));
             }),
         }
     }
@@ -181,6 +208,10 @@
     }
 }
 
+fn began(at: Option<u64>, zone: u8) -> Option<Began> {
+    at.map(|at| Began { at, zone })
+}
+
 struct In<'a>(&'a [u8]);
 
 impl<'a> In<'a> {
@@ -217,6 +248,13 @@
         let count = self.u32()? as usize;
         self.take(count).map(<[u8]>::to_vec)
     }
+    /// A place that records of before it was kept end without.
+    fn place(&mut self) -> u8 {
+        self.u8().unwrap_or(UNKNOWN)
+    }
+    fn text(&mut self) -> Option<String> {
+        self.bytes().and_then(|text| String::from_utf8(text).ok())
+    }
     fn ending(&mut self) -> Option<Option<Ending>> {
         Some(match self.u8()? {
             0 => None,
@@ -233,32 +271,37 @@
                 let id = self.bytes()?;
                 let keyed = self.flag()?;
                 let key = self.bytes()?;
-                Record::Taken(
-                    seq,
-                    Box::new(Living {
-                        id,
-                        idempotency: keyed.then_some(key),
-                        class: self.u8()?,
-                        destination: self.u16()?,
-                        order: self.u64()?,
-                        taken_at: self.u64()?,
-                        deadline: self.u64()?,
-                        after_loss: self.flag()?,
-                        attempts: self.u16()?,
-                        may_have_run: self.option()?,
-                        open: self.option()?,
-                        owed: self.ending()?,
-                        body: self.bytes()?,
-                    }),
-                )
+                let mut living = Living {
+                    id,
+                    idempotency: keyed.then_some(key),
+                    class: self.u8()?,
+                    destination: self.u16()?,
+                    order: self.u64()?,
+                    taken_at: self.u64()?,
+                    deadline: self.u64()?,
+                    after_loss: self.flag()?,
+                    attempts: self.u16()?,
+                    ..Living::default()
+                };
+                let (may_have_run, open) = (self.option()?, self.option()?);
+                (living.owed, living.body) = (self.ending()?, self.bytes()?);
+                living.may_have_run = began(may_have_run, self.place());
+                living.open = began(open, self.place());
+                Record::Taken(seq, Box::new(living))
             }
-            2 => Record::Begun(seq, self.u64()?),
+            2 => Record::Begun(seq, Began { at: self.u64()?, zone: self.place() }),
             3 => Record::Settled(seq, self.flag()?),
             4 => Record::Owed(seq, self.ending()??),
             5 => Record::Over(seq),
             6 => {
-                let name = |_| self.bytes().and_then(|name| String::from_utf8(name).ok());
-                Record::Classes((0..seq).map_while(name).collect())
+                let names: Vec<String> = (0..seq).map(|_| self.text()).collect::<Option<_>>()?;
+                let classes = names.into_iter().map(|name| (name, 0)).collect();
+                let mut names = Names { classes, zones: Vec::new() };
+                names.classes.iter_mut().for_each(|(_, effect)| *effect = self.place());
+                while !self.0.is_empty() {
+                    names.zones.push(self.text()?);
+                }
+                Record::Names(names)
             }
             _ => return None,
         })
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -1,7 +1,7 @@
 //! Recovery after a cut at every byte, damage, a full folder, and segments under the bound.
 
 use cloverstile_wal::store::{Dir, Folder, Memory};
-use cloverstile_wal::{Ending, Living, Log, Record};
+use cloverstile_wal::{Began, Ending, Living, Log, Names, Record, UNKNOWN};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -21,6 +21,10 @@
     }
 }
 
+fn began(at: u64) -> Began {
+    Began { at, zone: at as u8 % 3 }
+}
+
 fn open(folder: Memory) -> (Log<Memory>, Vec<Living>, usize) {
     let (log, recovered) = Log::open(folder, BOUND).unwrap();
     (log, recovered.living, recovered.torn)
@@ -35,12 +39,12 @@
     let records = vec![
         Record::Taken(1, Box::new(message(1, 30))),
         Record::Taken(2, Box::new(message(2, 300))),
-        Record::Begun(1, 11),
+        Record::Begun(1, began(11)),
         Record::Settled(1, false),
-        Record::Begun(2, 12),
+        Record::Begun(2, began(12)),
         Record::Settled(2, true),
-        Record::Begun(2, 13),
-        Record::Begun(1, 14),
+        Record::Begun(2, began(13)),
+        Record::Begun(1, began(14)),
         Record::Owed(2, Ending::Deferred(Some(700))),
         Record::Over(1),
         Record::Over(2),
@@ -92,9 +96,9 @@
     let states = steps();
     let at = |step: usize| open(states[step].clone()).1;
     let second = &at(7)[1];
-    assert_eq!((second.attempts, second.may_have_run, second.open), (2, Some(12), Some(13)));
+    assert_eq!((second.attempts, second.may_have_run, second.open), (2, Some(began(12)), Some(began(13))));
     let first = &at(7)[0];
-    assert_eq!((first.attempts, first.may_have_run, first.open), (2, None, Some(14)));
+    assert_eq!((first.attempts, first.may_have_run, first.open), (2, None, Some(began(14))));
     assert_eq!(at(8)[1].owed, Some(Ending::Deferred(Some(700))));
     assert!(at(8)[1].body.is_empty());
     assert!(at(10).is_empty());
@@ -108,7 +112,7 @@
         let body = (number as usize * 37) % 1500;
         if log.has_room(body) {
             log.record(Record::Taken(number, Box::new(message(number, body))));
-            log.record(Record::Begun(number, 5));
+            log.record(Record::Begun(number, began(5)));
             living.insert(number, body);
         }
         if number % 5 != 0 && number > 200 {
@@ -183,17 +187,47 @@
     }
 }
 
-/// Names of classes outlast the process and each new segment.
+/// What places mean outlasts the process and each new segment.
 #[test]
-fn names_of_classes_come_back_from_whichever_segment() {
+fn names_of_classes_and_zones_come_back_from_whichever_segment() {
     let mut folder = Memory::default();
     for round in 0..3 {
         let (mut log, recovered) = Log::open(folder, 1 << 20).unwrap();
-        let names = |round: usize| vec![format!("a{round}"), "b".to_owned()];
-        assert_eq!(recovered.classes, if round == 0 { vec![] } else { names(round - 1) });
-        log.record(Record::Classes(names(round)));
+        let names = |round: u8| Names {
+            classes: vec![(format!("a{round}"), round), ("b".to_owned(), 3)],
+            zones: vec!["here".to_owned(), format!("z{round}")],
+        };
+        assert_eq!(recovered.names, if round == 0 { Names::default() } else { names(round - 1) });
+        log.record(Record::Names(names(round)));
         log.record(Record::Taken(1, Box::new(message(1, 30))));
         log.commit().unwrap();
         folder = log.folder().clone();
     }
 }
+
+/// A log of the version before zones and effects were kept: nothing of it is lost by the change of versions.
+#[test]
+fn records_of_before_zones_were_kept_are_read() {
+    let shorter = |record: Record, by: usize| {
+        let mut bytes = Vec::new();
+        record.write(&mut bytes);
+        let payload = bytes[8..bytes.len() - by].to_vec();
+        let length = (payload.len() as u32).to_le_bytes();
+        [&length[..], &crc32fast::hash(&payload).to_le_bytes(), &payload].concat()
+    };
+    let taken = Living { may_have_run: Some(began(11)), open: Some(began(12)), ..message(1, 30) };
+    let names = Names { classes: vec![("a".to_owned(), 1), ("b".to_owned(), 2)], zones: Vec::new() };
+    let bytes = [
+        b"cloverstile-log 1\n".to_vec(),
+        shorter(Record::Names(names), 2),
+        shorter(Record::Taken(1, Box::new(taken)), 2),
+        shorter(Record::Taken(2, Box::new(message(2, 30))), 2),
+        shorter(Record::Begun(2, began(13)), 1),
+    ];
+    let files = BTreeMap::from([("log.3".to_owned(), bytes.concat())]);
+    let (_, recovered) = Log::open(Memory { files, ..Memory::default() }, BOUND).unwrap();
+    let old = |at| Some(Began { at, zone: UNKNOWN });
+    let found: Vec<_> = recovered.living.iter().map(|living| (living.may_have_run, living.open)).collect();
+    assert_eq!((found, recovered.torn), (vec![(old(11), old(12)), (None, old(13))], 0));
+    assert_eq!(recovered.names.classes, [("a".to_owned(), UNKNOWN), ("b".to_owned(), UNKNOWN)]);
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -264,8 +264,7 @@
         self.on_accept(now, taken);
         let Some(message) = self.messages.get_mut(&id) else { return };
         (message.born, message.attempts) = (past.taken_at, past.attempts);
-        (message.maybe_ran, message.left_untried) =
-            (past.may_have_run.map(|at| (at, None)), past.attempts == 0);
+        (message.maybe_ran, message.left_untried) = (past.may_have_run, past.attempts == 0);
         self.rests.extend(key.filter(|_| past.unsettled).map(|key| (key, now + settle)));
         let Some(message) = self.messages.get(&id) else { return };
         self.deadlines.insert((self.last_send(message).max(now).min(message.taken.deadline), id));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -336,8 +336,8 @@
     pub taken_at: Time,
     /// Attempts begun.
     pub attempts: u32,
-    /// When the first attempt was sent that may have run.
-    pub may_have_run: Option<Time>,
+    /// When the first attempt was sent that may have run, and in which zone, if that is known.
+    pub may_have_run: Option<(Time, Option<ZoneId>)>,
     /// Its last attempt was out when the courier ended.
     pub unsettled: bool,
 }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -27,7 +27,8 @@
 
 #[test]
 fn an_unsafe_one_that_may_have_run_ends_as_failed_at_once() {
-    let past = |now| Past { attempts: 1, may_have_run: Some(now - ms(700)), unsettled: true, ..fresh(now) };
+    let past =
+        |now| Past { attempts: 1, may_have_run: Some((now - ms(700), None)), unsettled: true, ..fresh(now) };
     let mut bench = recovered(unsafe_class(), past, None);
     let actions = bench.decide();
     assert!(actions.contains(&Action::ReportFailure { message: MessageId(1) }), "{actions:?}");
@@ -38,7 +39,7 @@
 fn a_keyed_one_goes_again_inside_its_window_alone() {
     let class = keyed();
     let past = |since: Duration| {
-        move |now: Time| Past { attempts: 1, may_have_run: Some(now - since), ..fresh(now) }
+        move |now: Time| Past { attempts: 1, may_have_run: Some((now - since, None)), ..fresh(now) }
     };
     let inside = class.repeat_window.mul_f64(0.8);
     assert_eq!(recovered(class.clone(), past(inside), None).routes().len(), 1);
@@ -59,7 +60,8 @@
 #[test]
 fn a_key_whose_call_was_out_rests_before_its_next_message() {
     let class = Class { in_order: true, ..keyed() };
-    let past = |now| Past { attempts: 1, may_have_run: Some(now - ms(700)), unsettled: true, ..fresh(now) };
+    let past =
+        |now| Past { attempts: 1, may_have_run: Some((now - ms(700), None)), unsettled: true, ..fresh(now) };
     let mut bench = recovered(class, past, Some(5));
     bench.settings.rules.order_settle = ms(100);
     bench.courier = Courier::new(bench.settings.clone(), 1);
