--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -399,7 +399,8 @@
 /// still may not.
 #[test]
 fn classes_in_another_order_or_more_lenient_after_a_restart_change_nothing_for_what_was_taken_on() {
-    let changes: [(&str, fn(&mut serde_json::Value)); 3] = [
+    type Change = fn(&mut serde_json::Value);
+    let changes: [(&str, Change); 3] = [
         ("reversed", |lanes| lanes.as_array_mut().unwrap().reverse()),
         ("keyed", |lanes| lanes[1]["Effect"] = "idempotency_key".into()),
         ("safe", |lanes| lanes[1]["Effect"] = "read_like".into()),
