A setting that is missing or of no use is refused at the start with its name

Change: cloverstile_platform::needed, asked by the node's configuration alone; the parser, which the simulator's adapter shares, stays lenient.

Measured: a test takes each of 34 paths out, and empties it, and tries 13 values of no use; the real program ends with 3 and the name.

--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -179,6 +179,10 @@
     fs::write(world.config(), text.replace("\"listen\":\"127", "\"listen\":\"here 127")).unwrap();
     let told = says(&mut world.command());
     assert!(told.contains("listen") && told.contains("config.json"), "{told}");
+    // Another customer's settings that leave one out: no default of somebody else's stands in for it.
+    fs::write(world.config(), text.replace("\"SendCap\":8", "\"Sendcap\":8")).unwrap();
+    let told = says(&mut world.command());
+    assert!(told.contains("Permissions.SendCap is missing") && told.contains("config.json"), "{told}");
 }
 
 /// Fleet day split, seed 3: a repeat was decided on in time and its connection came up when a cut was over. Guards
--- a/crates/courier/tests/world/mod.rs
+++ b/crates/courier/tests/world/mod.rs
@@ -59,11 +59,13 @@
             "name": "n0", "listen": self.listen.to_string(), "discovery": self.platform.discovery[discovery].to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1},
             "known": self.platform.known(),
-            "settings": {"Balancers": 1, "Discovery": "push", "FamilyInfo": {"CallsOut": 16, "KindBatch": [1]},
+            "settings": {"Balancers": 1, "ClientHabits": {"MarksRetry": false}, "Discovery": "push", "Locality": 0,
+                "FamilyInfo": {"CallsOut": 16, "KindBatch": [1], "OwnLimits": [false], "Decay": "line"},
                 "Lanes": [lane("notice", "idempotency_key", true), lane("payment", "non_idempotent", false)],
-                "MachineTypes": ["any"], "Zones": ["here"], "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true,
+                "MachineTypes": ["any"], "Zones": ["here"], "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true, "RetryAfter": false,
                 "ConnIdle": 5_000_000_000u64, "ConnectTimeout": 1_000_000_000u64}, "WeightSource": "nominal",
-                "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000}},
+                "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Cold": 10_000_000_000u64, "ColdFrom": 0.2,
+                "TipMultiple": 2.0, "Fall": 2_000_000_000u64}},
         });
         let fresh = self.folder.join("config.new");
         fs::write(&fresh, text.to_string()).unwrap();
--- a/crates/lab/src/fleet/processes.rs
+++ b/crates/lab/src/fleet/processes.rs
@@ -113,8 +113,8 @@
         "seed": format!("{:x}", seed.wrapping_add(courier as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         "limits": {"cores": 0.2, "memory_mb": 64, "sockets": 256, "disk_mb": 2}, "known": known,
         "settings": {
-            "Balancers": scene.couriers, "Discovery": "push",
-            "FamilyInfo": {"CallsOut": scene.call_slots, "KindBatch": [1, 1], "OwnLimits": [false, true],
+            "Balancers": scene.couriers, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
+            "FamilyInfo": {"CallsOut": scene.call_slots, "KindBatch": [1, 1], "OwnLimits": [false, true], "Decay": "line",
                 "ReportX0": "share_of_the_allowance_that_is_left", "ReportX1": "calls_a_second"},
             "Lanes": scene.class.iter().map(lane).collect::<Vec<_>>(),
             "MachineTypes": ["shared", "apart"], "Zones": ["here"], "WeightSource": "nominal",
--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -1,6 +1,7 @@
 //! The JSON configuration. Settings become the path=value lines that the module's one parser reads.
 
 use crate::list::ListAnswer;
+use crate::needed::{check, Unusable};
 use cloverstile::{parse_settings, Parsed, SettingError};
 use serde::Deserialize;
 use serde_json::Value;
@@ -25,6 +26,9 @@
     /// A setting of the module's.
     #[error("settings: {0}")]
     Setting(#[from] SettingError),
+    /// A setting that is missing, or that nothing can be done with.
+    #[error("settings: {0}")]
+    Unusable(#[from] Unusable),
 }
 
 /// What the machine gives the courier.
@@ -119,6 +123,8 @@
         zones: texts(&settings["Zones"]),
         fields: texts(&settings["Report"]["Fields"]),
     };
+    let lines = lines(settings);
+    check(&lines)?;
     Ok(Config {
         name: raw.name,
         listen: address("listen", &raw.listen)?,
@@ -126,7 +132,7 @@
         seed: seed.transpose()?,
         limits: raw.limits,
         known: raw.known,
-        parsed: parse_settings(&lines(settings))?,
+        parsed: parse_settings(&lines)?,
         names,
     })
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,6 +6,7 @@
 //! | module | holds |
 //! | --- | --- |
 //! | [`config`] | the JSON configuration, its settings for the module's one parser |
+//! | [`needed`] | what the settings must tell |
 //! | [`handin`] | what a client's command asks for, and what is wrong with it |
 //! | [`list`] | the list of endpoints: whole lists, changes, ids for the module |
 //! | `agent` | the connection to the agent on this machine, which [`watch`] and [`notices`] ask on |
@@ -25,6 +26,7 @@
 pub mod handin;
 pub mod leaving;
 pub mod list;
+pub mod needed;
 pub mod notices;
 pub mod watch;
 
--- a/crates/platform/tests/meaning.rs
+++ b/crates/platform/tests/meaning.rs
@@ -145,11 +145,126 @@
     assert_eq!((nested.left_at, nested.limit_at, nested.settings.kinds[1].batch), (Some(0), Some(1), 4));
 }
 
+/// Settings that tell all that is needed.
+fn whole() -> serde_json::Value {
+    let lane = |name: &str, effect: &str| {
+        serde_json::json!({"Name": name, "Effect": effect, "Group": "all", "Aim": 3_000_000_000u64,
+            "Deadline": 24_000_000_000u64, "RepeatWindow": 10_000_000_000u64, "Worth": 1.0, "LateShare": 0.5})
+    };
+    serde_json::json!({
+        "Balancers": 3, "ClientHabits": {"MarksRetry": true}, "Discovery": "push", "Locality": 0,
+        "FamilyInfo": {"CallsOut": 28, "Decay": "line", "KindBatch": [1, 4], "OwnLimits": [false, true]},
+        "Lanes": [lane("notice", "idempotency_key"), lane("pay", "non_idempotent")], "OverShareWorth": 0.1,
+        "MachineTypes": ["banks", "other"], "Zones": ["z"], "WeightSource": "nominal",
+        "Permissions": {"Cancel": true, "ConnIdle": 15_000_000_000u64, "ConnectTimeout": 1_000_000_000u64, "MostHeld": 519,
+            "RetryAfter": true, "MaxRetryAfter": 2_000_000_000u64, "SendCap": 8},
+        "Projects": [{"Name": "a", "QuotaPerS": 10.0, "Fraction": 0.3}],
+        "Rules": {"AnswerSlack": 20_000_000, "AskEvery": 10_000_000_000u64, "Cold": 14_000_000_000u64, "ColdFrom": 0.16,
+            "Fall": 2_000_000_000u64, "TipMultiple": 2.5},
+    })
+}
+
+/// A setting that is missing, empty or of no use is refused with its path, whichever it is: none is guessed.
+#[test]
+fn a_setting_that_is_missing_or_of_no_use_is_named() {
+    let says = |settings: &serde_json::Value| {
+        let text = format!(
+            r#"{{"name":"n3","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{settings}}}"#
+        );
+        parse(&text).map(|_| ()).map_err(|error| error.to_string())
+    };
+    assert_eq!(says(&whole()), Ok(()));
+    let paths = [
+        "/Balancers",
+        "/ClientHabits/MarksRetry",
+        "/Discovery",
+        "/FamilyInfo/CallsOut",
+        "/FamilyInfo/Decay",
+        "/FamilyInfo/KindBatch",
+        "/FamilyInfo/OwnLimits",
+        "/Lanes",
+        "/Lanes/0/Aim",
+        "/Lanes/1/Deadline",
+        "/Lanes/0/Effect",
+        "/Lanes/0/Group",
+        "/Lanes/1/LateShare",
+        "/Lanes/0/Name",
+        "/Lanes/0/RepeatWindow",
+        "/Lanes/1/Worth",
+        "/Locality",
+        "/MachineTypes",
+        "/OverShareWorth",
+        "/Permissions/Cancel",
+        "/Permissions/ConnIdle",
+        "/Permissions/ConnectTimeout",
+        "/Permissions/MaxRetryAfter",
+        "/Permissions/MostHeld",
+        "/Permissions/RetryAfter",
+        "/Permissions/SendCap",
+        "/Projects/0/QuotaPerS",
+        "/Rules/AnswerSlack",
+        "/Rules/Cold",
+        "/Rules/ColdFrom",
+        "/Rules/Fall",
+        "/Rules/TipMultiple",
+        "/WeightSource",
+        "/Zones",
+    ];
+    let named = |pointer: &str| pointer[1..].replace('/', ".");
+    for pointer in paths {
+        let (at, name) = pointer.rsplit_once('/').unwrap();
+        let mut without = whole();
+        without.pointer_mut(at).unwrap().as_object_mut().unwrap().remove(name);
+        let mut empty = whole();
+        *empty.pointer_mut(pointer).unwrap() = serde_json::Value::Null;
+        for settings in [without, empty] {
+            let told = says(&settings).expect_err(pointer);
+            assert!(told.contains(&named(pointer)) && told.contains("missing"), "{pointer}: {told}");
+        }
+    }
+    let of_no_use = [
+        ("/Balancers", serde_json::json!(0)),
+        ("/FamilyInfo/CallsOut", serde_json::json!(0)),
+        ("/Permissions/SendCap", serde_json::json!(0)),
+        ("/Permissions/MostHeld", serde_json::json!(-3)),
+        ("/Permissions/Cancel", serde_json::json!("perhaps")),
+        ("/Lanes/1/Aim", serde_json::json!(0)),
+        ("/Lanes/0/LateShare", serde_json::json!(1.5)),
+        ("/Lanes/0/Worth", serde_json::json!("NaN")),
+        ("/Lanes/0/Effect", serde_json::json!("often")),
+        ("/Rules/TipMultiple", serde_json::json!(0.0)),
+        ("/Rules/TipMultiple", serde_json::json!("inf")),
+        ("/Rules/Fall", serde_json::json!(1.5)),
+        ("/WeightSource", serde_json::json!("felt")),
+    ];
+    for (pointer, value) in of_no_use {
+        let mut settings = whole();
+        *settings.pointer_mut(pointer).unwrap() = value.clone();
+        let told = says(&settings).expect_err(pointer);
+        let value = value.as_str().map_or(value.to_string(), str::to_owned);
+        assert!(told.contains(&named(pointer)) && told.contains(&value), "{pointer}: {told}");
+    }
+    // What the pages call optional, or what nothing needs where something else is not set, may be absent.
+    for (at, name) in [("/Projects", ""), ("/Rules", "AskEvery"), ("/Lanes/1", "RepeatWindow")] {
+        let mut settings = whole();
+        match settings.pointer_mut(at).unwrap() {
+            serde_json::Value::Array(items) => items.clear(),
+            object => drop(object.as_object_mut().unwrap().remove(name)),
+        }
+        assert_eq!(says(&settings), Ok(()), "{at} {name}");
+    }
+    let mut asks = whole();
+    asks["Discovery"] = "ask".into();
+    asks["Rules"].as_object_mut().unwrap().remove("AskEvery");
+    assert!(says(&asks).unwrap_err().contains("Rules.AskEvery"));
+}
+
 #[test]
 fn a_configuration_that_can_t_be_used_names_the_field() {
     let with = |listen: &str, rest: &str| {
         parse(&format!(
-            r#"{{"name":"n3","listen":"{listen}","discovery":"127.0.0.1:8500",{rest}"settings":{SETTINGS}}}"#
+            r#"{{"name":"n3","listen":"{listen}","discovery":"127.0.0.1:8500",{rest}"settings":{}}}"#,
+            whole()
         ))
     };
     let good = with("127.0.0.1:6379", r#""seed":"8c1f30d27a5be964","limits":{"sockets":300},"#).unwrap();
@@ -167,7 +282,7 @@
     says(with("127.0.0.1:1", r#""limits":{"sockets":-1},"#), "-1");
     says(parse(r#"{"name":"n"}"#), "listen");
     says(parse("not json"), "line 1");
-    let odd = SETTINGS.replace("push", "pray");
+    let odd = whole().to_string().replace("push", "pray");
     let head = r#""name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2""#;
     says(parse(&format!(r#"{{{head},"settings":{odd}}}"#)), "Discovery");
 }
