The AS2 courier asks again before a call leaves, as the node does

A test on the real program shows a keyed repeat 2.4 s after its first call with a window of 1.5 s.

Change: the same question as at the node, Engine::may_go, asked when message and connection are both there; what may not go is withheld and costs no attempt; an attempt given up before its request was written has not run. Mode::Shut now says what it is: nothing new, and what was decided on goes.

The node has no planner, nothing of its decisions changes.

--- a/crates/courier/src/wire.rs
+++ b/crates/courier/src/wire.rs
@@ -68,6 +68,7 @@
         let number = self.wire.last_call;
         for attempt in std::iter::once(&current).chain(&queue) {
             self.wire.attempts.insert(*attempt, number);
+            self.engine.set_begun(*attempt, false);
         }
         let call = Call {
             endpoint,
@@ -173,6 +174,7 @@
     }
 
     fn send_if_ready(&mut self, number: u64) {
+        let now = self.now();
         let Some(call) = self.wire.calls.get_mut(&number) else { return };
         let attempt = call.current;
         let (Some(conn), true, Stage::Preparing) = (call.conn, call.connected, call.stage) else { return };
@@ -182,7 +184,13 @@
         if !self.engine.is_open(attempt.message) {
             return self.end_attempt(number, Reported::Unsent, None);
         }
+        // Guards against what came since it was decided on, while its message was composed or its connection came up: a
+        // wait, a drain, an outage, the end of its window.
+        if !self.engine.may_go(now, attempt) {
+            return self.end_attempt(number, Reported::Withheld, None);
+        }
         let Some(place) = self.places.get(&call.endpoint) else { return };
+        self.engine.set_begun(attempt, true);
         call.stage = Stage::Waiting;
         let partner = &self.config.partners[place.partner].name;
         let id = self.engine.name(attempt.message).unwrap_or_default();
--- a/crates/courier/tests/program.rs
+++ b/crates/courier/tests/program.rs
@@ -10,7 +10,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+#[path = "world/mod.rs"]
+mod stage;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
 
@@ -62,12 +65,16 @@
 }
 
 fn world(name: &str) -> World {
+    world_of(name, spec(), |text| {
+        text.replace("connections = 4000", "connections = 3\n  body = \"4KiB\"\n  head_time = \"300ms\"")
+    })
+}
+
+fn world_of(name: &str, spec: Spec, settings: impl Fn(String) -> String) -> World {
     let folder = std::env::temp_dir().join(format!("cloverstile-program-{}-{name}", std::process::id()));
-    let rig = Rig::build(&folder, spec(), Recorder::default(), 1).unwrap();
+    let rig = Rig::build(&folder, spec, Recorder::default(), 1).unwrap();
     let text = fs::read_to_string(&rig.files[0]).unwrap();
-    let text =
-        text.replace("connections = 4000", "connections = 3\n  body = \"4KiB\"\n  head_time = \"300ms\"");
-    fs::write(&rig.files[0], text).unwrap();
+    fs::write(&rig.files[0], settings(text)).unwrap();
     let mut courier = Command::new(PROGRAM)
         .arg("serve")
         .arg(&rig.files[0])
@@ -285,3 +292,40 @@
     let (code, _, why) = plan(&["--wanted", "delta=1"]);
     assert!(code == Some(3) && why.contains("'delta'") && why.contains("alpha, beta, gamma"), "{why}");
 }
+
+/// A partner whose first connection breaks behind a call, and whose next one comes up when the window for repeats is over:
+/// nothing goes out on it. Guards against a second effect, as it did at the node.
+#[test]
+fn a_repeat_whose_connection_comes_up_behind_its_window_is_not_sent() {
+    let slow = stage::Slow::new();
+    let mut spec = spec();
+    let (window, deadline) = (Duration::from_millis(1500), Duration::from_secs(9));
+    spec.classes[0] = ClassSpec {
+        effect: "keyed".into(),
+        window,
+        deadline,
+        aim: Duration::from_secs(1),
+        ..spec.classes[0].clone()
+    };
+    spec.courier_lines += "\n  connect_timeout = \"6s\"";
+    let world = world_of("window", spec, |text| {
+        let (head, tail) = text.split_once("address = \"").unwrap();
+        let (_, tail) = tail.split_once('"').unwrap();
+        format!("{head}address = \"{}\"{tail}", slow.address)
+    });
+    std::thread::scope(|scope| {
+        let sent = scope.spawn(|| world.code(&["--id", "late@client-0"]));
+        let mut first = slow.accept();
+        let began = Instant::now();
+        assert!(stage::read_call(&mut first).contains("late@client-0"));
+        let filler = slow.fill();
+        drop(first);
+        // The window passes while the repeat's connection is not there.
+        std::thread::sleep(Duration::from_millis(1600).saturating_sub(began.elapsed()));
+        drop((slow.accept(), filler));
+        let mut second = slow.accept();
+        let text = stage::read_until(&mut second, Instant::now() + Duration::from_millis(300));
+        assert_eq!(text, "", "sent {:?} after the first call", began.elapsed());
+        assert_eq!(sent.join().unwrap(), 11, "it may have taken effect, and is told so");
+    });
+}
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -210,7 +210,8 @@
             endpoint.mode = match self.planner.door(endpoint.destination) {
                 None => Mode::Ready,
                 Some(true) => Mode::Gentle,
-                Some(false) => Mode::Draining,
+                // No drain: the call that its opening was for may still be on its way to a connection.
+                Some(false) => Mode::Shut,
             };
         }
         endpoint
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -186,9 +186,9 @@
     pub fn may_go(&self, now: Time, id: MessageId) -> bool {
         let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { return false };
         let Some(call) = message.out.and_then(|call| self.calls.get(&call)) else { return false };
-        let takes_work = self.addresses.get(&call.to).is_some_and(|a| a.entry.mode.takes_work());
+        let keeps_work = self.addresses.get(&call.to).is_some_and(|a| a.entry.mode.keeps_work());
         let changed = self.routes.get(&call.route).is_none_or(|route| route.changed_since(now, call));
-        takes_work && !changed && now <= self.last_send(message)
+        keeps_work && !changed && now <= self.last_send(message)
     }
 
     // ---- Events ----
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -267,6 +267,8 @@
     Ready,
     /// Listed, for one call at a time: others are let in as well at this moment.
     Gentle,
+    /// Listed, and to be given nothing new for the moment; what was decided on before goes.
+    Shut,
     /// To be sent nothing new.
     Draining,
     /// Removed.
@@ -278,6 +280,11 @@
     pub fn takes_work(self) -> bool {
         matches!(self, Mode::Ready | Mode::Gentle)
     }
+
+    /// Whether what was decided on may still go there.
+    pub fn keeps_work(self) -> bool {
+        self.takes_work() || self == Mode::Shut
+    }
 }
 
 /// An entry of the list of endpoints.
