Growth at a told limit is slower only where an even part of it is a call an aim

Change: as many aims as an even part of the limit is calls an aim, times three, one to three. Where it is no call an aim, few couriers share the limit at a time, and what they overshoot is little. From settings and told limits; no new constant.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,8 +68,8 @@
 const JAM_GAIN: f64 = 0.1;
 const JAMMED: f64 = 0.1;
 /// Growth where the share of a limit that is left is told: to this use of it, if all do as this courier,
-/// in so many aims (what is told is old, and where spans are counted all is left as each begins), and as if
-/// this share were used at least: one answer does not tell how little is.
+/// in so many aims (what is told is old, and where spans are counted all is left as each begins; one where
+/// an even part is no call an aim), as if this share were used at least: one answer does not tell how little.
 const TOLD_USE: (f64, f64) = (0.1, 0.9);
 const TOLD_AIMS: f64 = 3.0;
 /// Where a limit is told, what waits raises the pace after a refusal to so many calls an aim at most.
@@ -458,10 +458,11 @@
                 if route.bound {
                     let growth = RATE_GROWTH * route.rate.min(an_aim);
                     // By the time that passed, not by the answer: what is left comes late, and hundreds that
-                    // double with each answer stand above the limit before one of them hears of it.
+                    // double with each answer stand far above it at once. Fewer share less than a call each.
                     let aims = ((now - route.last_answer).as_secs_f64() * an_aim).min(1.0);
                     let room = |left: f64| (TOLD_USE.1 / (1.0 - left).max(TOLD_USE.0)).max(1.0);
-                    let told_growth = |left| route.rate * (room(left).powf(aims / TOLD_AIMS) - 1.0);
+                    let slow = (TOLD_AIMS * route.weight / an_aim / couriers(settings)).clamp(1.0, TOLD_AIMS);
+                    let told_growth = |left| route.rate * (room(left).powf(aims / slow) - 1.0);
                     route.rate += left.map_or(growth, told_growth);
                 }
                 if route.cuts > 0 {
