What one turn reads is bounded over all connections, and what is held fits the descriptors

Cause, by reading: one poll read up to 256 KiB from every connection at once (a test: 30 fast peers, 6.1 MB in one turn; a hundred would pass a limit of 32 MB), and clients (0.55), connections to endpoints (0.35) and the 32 closed ones that are read from a moment longer add up to 273 of 256 descriptors.

Change: 2 MiB a turn and one connection's more, the rest in the next; parts of the descriptors that add up, closed ones among them; once the listener is closed all of those may linger, as nobody comes any more. Tests of crates/net have a file of their own, the parts of the limits as well.

Measured: without the bound what_one_turn_reads_... fails (6,144,000 bytes); with the old parts what_is_held_at_once_... would (273 of 256). moments and node: 15 and 10 passed.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -106,6 +106,9 @@
     listeners: HashMap<u64, Listening>,
     /// Connections that linger, the oldest first, and until when.
     lingering: VecDeque<(Instant, u64)>,
+    lingering_most: usize,
+    /// Bytes read in this turn.
+    taken: usize,
     waker: Waker,
     last: u64,
     /// Events of things done outside a poll.
@@ -114,12 +117,15 @@
 
 /// How long a listener rests that found no descriptor: one may become free elsewhere than here.
 const LISTENER_RESTS: Duration = Duration::from_millis(50);
-/// How long a closed connection is still read from, how much of it, and how many such there may be.
+/// How long a closed connection is still read from, how much of it, and how many such there may be unless told otherwise.
 const LINGERS: Duration = Duration::from_millis(500);
 const LINGER_MOST: usize = 256 << 10;
 const LINGERING_MOST: usize = 32;
 /// Bytes read from one connection in one turn: a fast peer must not keep the others waiting.
 const READ_AT_ONCE: usize = 256 << 10;
+/// Bytes read in one turn from all of them, and one connection's more. Guards against memory that many fast peers take
+/// together: what is read stands in events until it is handled. The rest is read in the next turn.
+const READ_IN_ALL: usize = 2 << 20;
 
 fn other(error: impl std::fmt::Display) -> io::Error {
     io::Error::other(error.to_string())
@@ -138,6 +144,8 @@
             conns: HashMap::new(),
             listeners: HashMap::new(),
             lingering: VecDeque::new(),
+            lingering_most: LINGERING_MOST,
+            taken: 0,
             waker: Waker(ping),
             last: 0,
             pending: Vec::new(),
@@ -291,6 +299,11 @@
         let _ = self.conns.get(&id.0).map(|conn| conn.stream.shutdown(Shutdown::Write));
     }
 
+    /// How many connections may linger, the oldest of more are closed at once: each holds a descriptor.
+    pub fn linger_at_most(&mut self, most: usize) {
+        self.lingering_most = most;
+    }
+
     /// Connections closed by [`Net::close_when_sent`] that have bytes to write, or whose peers have not closed yet.
     pub fn closing(&self) -> usize {
         self.conns.values().filter(|conn| conn.close_after).count()
@@ -299,7 +312,7 @@
     /// Lets go of what has lingered long enough, and of the oldest where there are too many.
     fn end_lingering(&mut self, now: Option<Instant>) {
         while let Some(&(until, id)) = self.lingering.front() {
-            let over = now.is_some_and(|now| until <= now) || self.lingering.len() > LINGERING_MOST;
+            let over = now.is_some_and(|now| until <= now) || self.lingering.len() > self.lingering_most;
             if !over && self.conns.contains_key(&id) {
                 return;
             }
@@ -397,6 +410,7 @@
                 break None;
             }
         };
+        self.taken += bytes.len();
         if let Some(dropped) = self.conns.get_mut(&id).and_then(|conn| conn.lingers.as_mut()) {
             *dropped += bytes.len();
             if *dropped > LINGER_MOST {
@@ -460,6 +474,7 @@
         for listening in self.listeners.values_mut().filter(|listening| listening.paused) {
             listening.paused = self.handle.enable(&listening.token).is_err();
         }
+        self.taken = 0;
         for ready in ready {
             match ready {
                 Ready::Listener(id) => self.accept(id),
@@ -473,7 +488,7 @@
                     if writable {
                         self.write(id);
                     }
-                    if readable {
+                    if readable && self.taken < READ_IN_ALL {
                         self.read(id);
                     }
                 }
@@ -496,166 +511,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Polls until something is wanted; a bound on rounds ends a test that would hang.
-    fn until<T>(net: &mut Net, mut wanted: impl FnMut(NetEvent) -> Option<T>) -> T {
-        for _ in 0..1000 {
-            for event in net.poll(Some(Duration::from_millis(100))).unwrap() {
-                if let Some(found) = wanted(event) {
-                    return found;
-                }
-            }
-        }
-        panic!("it never happened");
-    }
-
-    fn pair(net: &mut Net) -> (ConnId, ConnId) {
-        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let client = net.connect(address);
-        let server = until(net, |event| match event {
-            NetEvent::Accepted { conn, .. } => Some(conn),
-            _ => None,
-        });
-        (client, server)
-    }
-
-    #[test]
-    fn bytes_cross_whole_however_many_there_are() {
-        let mut net = Net::new().unwrap();
-        let (client, server) = pair(&mut net);
-        let sent: Vec<u8> = (0..3_000_000u32).map(|i| (i % 251) as u8).collect();
-        net.send(client, &sent);
-        net.close_when_sent(client);
-        let mut seen = Vec::new();
-        until(&mut net, |event| match event {
-            NetEvent::Bytes(conn, bytes) if conn == server => {
-                seen.extend(bytes);
-                None
-            }
-            NetEvent::Closed { conn, clean } if conn == server && clean => Some(()),
-            _ => None,
-        });
-        assert!(seen == sent);
-    }
-
-    #[test]
-    fn a_paused_reader_is_felt_by_the_writer() {
-        let mut net = Net::new().unwrap();
-        let (client, server) = pair(&mut net);
-        net.pause(server, true);
-        net.send(client, &vec![7; 64 << 20]);
-        while !net.poll(Some(Duration::from_millis(50))).unwrap().is_empty() {}
-        assert!(net.unsent(client) > 16 << 20);
-        net.pause(server, false);
-        until(&mut net, |event| matches!(event, NetEvent::Flushed(conn) if conn == client).then_some(()));
-    }
-
-    #[test]
-    fn refused_and_reset_connections_are_told_apart_from_closed_ones() {
-        let mut net = Net::new().unwrap();
-        let (listener, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        net.unlisten(listener);
-        let refused = net.connect(address);
-        let kind = until(&mut net, |event| match event {
-            NetEvent::ConnectFailed(conn, kind) if conn == refused => Some(kind),
-            _ => None,
-        });
-        assert_eq!(kind, ErrorKind::ConnectionRefused);
-        let (client, server) = pair(&mut net);
-        net.reset(server);
-        let clean = until(&mut net, |event| match event {
-            NetEvent::Closed { conn, clean } if conn == client => Some(clean),
-            _ => None,
-        });
-        assert!(!clean);
-    }
-
-    /// A courier that is told to stop answers and closes while its client sends on. Guards against the reset that a close
-    /// with unread bytes is: the client must read the answer and then an orderly end.
-    #[test]
-    fn an_answer_ahead_of_a_close_arrives_though_bytes_stand_unread() {
-        let mut net = Net::new().unwrap();
-        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let mut client = TcpStream::connect(address).unwrap();
-        let server = until(&mut net, |event| match event {
-            NetEvent::Accepted { conn, .. } => Some(conn),
-            _ => None,
-        });
-        net.pause(server, true);
-        client.write_all(b"one more request").unwrap();
-        net.send(server, b"+OK\r\n");
-        net.close_when_sent(server);
-        assert_eq!((net.is_open(server), net.closing()), (false, 1));
-        // Its own events are over; what it sends on is dropped.
-        let reader = std::thread::spawn(move || {
-            client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-            let mut text = Vec::new();
-            let ended = client.read_to_end(&mut text);
-            (text, ended.is_ok())
-        });
-        let end = Instant::now() + Duration::from_secs(5);
-        while net.closing() > 0 {
-            assert!(Instant::now() < end);
-            for event in net.poll(Some(Duration::from_millis(20))).unwrap() {
-                assert!(matches!(event, NetEvent::Flushed(_)), "{event:?}");
-            }
-        }
-        assert_eq!(reader.join().unwrap(), (b"+OK\r\n".to_vec(), true));
-    }
-
-    /// An endpoint refuses a call before it is whole, and resets the connection: the call's last byte finds it broken.
-    #[test]
-    fn what_was_sent_ahead_of_a_reset_is_told_though_a_write_meets_the_reset_first() {
-        let mut net = Net::new().unwrap();
-        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let mut peer = TcpStream::connect(address).unwrap();
-        let conn = until(&mut net, |event| match event {
-            NetEvent::Accepted { conn, .. } => Some(conn),
-            _ => None,
-        });
-        peer.write_all(b"429").unwrap();
-        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
-        drop(peer);
-        let end = Instant::now() + Duration::from_secs(5);
-        while net.is_open(conn) {
-            assert!(Instant::now() < end, "no write met the reset");
-            net.send(conn, b"x");
-        }
-        let mut told = Vec::new();
-        until(&mut net, |event| {
-            told.push(event);
-            matches!(told.last(), Some(NetEvent::Closed { .. })).then_some(())
-        });
-        told.retain(|event| !matches!(event, NetEvent::Flushed(_)));
-        assert!(matches!(&told[0], NetEvent::Bytes(_, bytes) if bytes == b"429"), "{told:?}");
-        assert!(matches!(told[1..], [NetEvent::Closed { clean: false, .. }]), "{told:?}");
-    }
-
-    #[test]
-    fn what_lingers_is_bounded_in_number_time_and_bytes() {
-        let mut net = Net::new().unwrap();
-        let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-        let mut clients: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(address).unwrap()).collect();
-        let mut servers = Vec::new();
-        until(&mut net, |event| {
-            if let NetEvent::Accepted { conn, .. } = event {
-                servers.push(conn);
-            }
-            (servers.len() == 40).then_some(())
-        });
-        servers.iter().for_each(|conn| net.close_when_sent(*conn));
-        assert_eq!(net.closing(), LINGERING_MOST);
-        // The last one sends without end, and is closed for it; the rest say nothing until their time is up.
-        clients[39].set_write_timeout(Some(Duration::from_secs(5))).unwrap();
-        let mut last = clients.pop().unwrap();
-        let sender = std::thread::spawn(move || while last.write_all(&[7; 64 << 10]).is_ok() {});
-        let end = Instant::now() + Duration::from_secs(5);
-        while net.closing() > 0 {
-            assert!(Instant::now() < end);
-            net.poll(Some(Duration::from_millis(20))).unwrap();
-        }
-        sender.join().unwrap();
-    }
-}
+mod tests;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 
 mod kept;
+mod limits;
 mod node;
 mod start;
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,5 +1,6 @@
 //! The node's turn: events in, the module's decisions, the log, bytes out.
 
+use crate::limits::descriptors;
 use crate::start::{load, NodeError, Variables};
 use crate::{kept, Clock, Sockets};
 use cloverstile::{Class, MessageId, Time};
@@ -25,9 +26,6 @@
 
 /// Answers kept for a message that comes again under its id: longer than a client sends one once more.
 const ANSWERS: Bounds = Bounds { remembered: 4096, answers_kept: Duration::from_secs(2) };
-/// Parts of the descriptors: for clients, and for connections to endpoints. The rest is for files and discovery.
-const CLIENTS_PART: f64 = 0.55;
-const CALLS_PART: f64 = 0.35;
 /// Answers that a client has not read, in bytes, above which it is closed.
 const UNREAD: usize = 256 << 10;
 /// Rounds of one turn: what a decision leads to at once may lead to more.
@@ -97,11 +95,12 @@
         let mut settings = parsed.settings.clone();
         settings.classes.push(kept::strictest(&settings.classes));
         let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
-        let sockets = config.limits.sockets as f64;
+        let [clients, closed, calls] = descriptors(config.limits.sockets);
+        net.linger_at_most(closed);
         let terms = Terms {
             connect_timeout: settings.connect_timeout,
             idle: settings.conn_idle,
-            most: ((sockets * CALLS_PART) as usize).max(8),
+            most: calls,
             fields: ReportFields { left: field(parsed.left_at), limit: field(parsed.limit_at) },
         };
         let bound = (config.limits.disk_mb * 1e6) as u64;
@@ -122,7 +121,7 @@
             log,
             log_works: true,
             list: List::default(),
-            guests: Guests::new(((sockets * CLIENTS_PART) as usize).max(8)),
+            guests: Guests::new(clients),
             calls: Calls::new(terms),
             parked: Vec::new(),
             watch: Watch::new(config.discovery, config.known.as_ref().map_or(0, |known| known.generation)),
@@ -233,6 +232,8 @@
                 // Guards against clients that are closed with a request in the system's buffers: those that the system
                 // took for us are welcomed, and all are read once more, before anyone is closed.
                 self.net.unlisten(listener);
+                // No client comes any more: all that are closed now may be read from until they have their answers.
+                self.net.linger_at_most(usize::MAX);
                 self.net.waker().wake();
                 return false;
             }
