An agent that answers at once with nothing rests; kills while recovering and signals in a stop have tests

Cause, by reading: the watch asked again in the turn of each answer, whatever it brought; an agent that answers every question at once, with nothing, was asked as quickly as it answered.

Change: an answer without news within 2 s rests 50 ms, inside the 200 ms that keep a watch.

--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -460,3 +460,32 @@
     let calls = world.platform.seen().iter().filter(|(_, seen)| there(seen)).count();
     assert_eq!((calls, world.calls("again")), (2, 2));
 }
+
+/// A stop with a notice out that nobody answers, a hangup and the same signal again: it ends in time all the same, and the
+/// next process tells the notice, once.
+#[test]
+fn a_stop_with_a_notice_out_and_more_signals_ends_in_time_and_the_notice_is_told_by_the_next_process() {
+    let mut world = World::new("notice-out", &[3]);
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+    world.platform.set(0, Manner::Silent);
+    world.start();
+    hand_in(&world, &cloverstile_standin::platform::PutSpec { left: 700, ..payment("owed".into()) });
+    // The watch and the notice come on connections of their own; neither is answered.
+    let mut held = Vec::new();
+    while !held.last().is_some_and(|(_, text): &(TcpStream, String)| text.contains("POST /v1/notices")) {
+        held.push(question(&agent));
+    }
+    let told = world.stop();
+    for name in ["-HUP", "-TERM"] {
+        signal(world.courier.as_ref().unwrap(), name);
+    }
+    world.ended(told);
+    drop((held, agent));
+    world.edit(|config| config["discovery"] = world.platform.discovery[0].to_string().into());
+    world.start();
+    ends_as(&world, "owed", "undeliverable");
+    let notices = |seen: &Seen| matches!(seen, Seen::Notice { id, .. } if id == "owed");
+    assert_eq!(world.platform.seen().iter().filter(|(_, seen)| notices(seen)).count(), 1);
+    assert_eq!(world.calls("owed"), 1);
+}
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -12,6 +12,9 @@
 const WAIT: Duration = Duration::from_secs(4);
 /// How long after that an answer may take before the connection counts as dead.
 const GRACE: Duration = Duration::from_millis(500);
+/// An answer without news that comes sooner than this was no wait: the next question rests for [`RETRY`], well inside the
+/// 200 ms that keep a watch. Guards against an agent that is asked as quickly as it answers.
+const SOON: Duration = Duration::from_secs(2);
 /// Largest list that is read.
 const LARGEST: usize = 2 << 20;
 
@@ -19,12 +22,14 @@
 pub struct Watch {
     agent: Agent,
     after: u64,
+    /// When it asked last.
+    asked: Time,
 }
 
 impl Watch {
     /// A watch of what is newer than a version.
     pub fn new(to: SocketAddr, after: u64) -> Self {
-        Watch { agent: Agent::new(to, LARGEST), after }
+        Watch { agent: Agent::new(to, LARGEST), after, asked: Time::ZERO }
     }
 
     /// When [`Watch::tick`] must be called at the latest.
@@ -35,8 +40,12 @@
     /// Connects where it is time. Guards against an agent that went silent: a question that it never answers must not
     /// blind us.
     pub fn tick(&mut self, now: Time, wires: &mut impl Wires) {
-        if self.due() <= now {
-            self.agent.connect(now + GRACE, wires);
+        if self.due() > now {
+            return;
+        }
+        match self.agent.doing() {
+            Doing::Idle => self.ask(now, wires),
+            _ => self.agent.connect(now + GRACE, wires),
         }
     }
 
@@ -60,6 +69,7 @@
     }
 
     fn ask(&mut self, now: Time, wires: &mut impl Wires) {
+        self.asked = now;
         let target = format!("/registry/instances?after={}&wait_ms={}", self.after, WAIT.as_millis());
         let headers = Headers::new().with("Host", self.agent.address().to_string());
         let request = cloverstile_http::request("GET", &target, &headers, b"");
@@ -84,7 +94,7 @@
         if !self.owns(wire) {
             return Ok(None);
         }
-        let Some(answer) = self.agent.bytes(now, bytes, now, wires) else { return Ok(None) };
+        let Some(answer) = self.agent.bytes(now, bytes, now + RETRY, wires) else { return Ok(None) };
         let read = answer.map_err(|error| error.to_string()).and_then(|message| match message.start {
             Start::Response { status: 200 } => {
                 serde_json::from_slice::<ListAnswer>(&message.body).map_err(|error| error.to_string())
@@ -93,8 +103,11 @@
         });
         match read {
             Ok(answer) => {
+                let empty = answer.generation == self.after && now < self.asked + SOON;
                 self.after = answer.generation;
                 match self.agent.doing() {
+                    // Asked again when its rest is over.
+                    Doing::Idle | Doing::Closed if empty => {}
                     Doing::Idle => self.ask(now, wires),
                     _ => self.agent.connect(now + GRACE, wires),
                 }
--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -333,6 +333,53 @@
     assert_eq!(wires.connected.len(), 4);
 }
 
+/// An agent that answers every question at once, with nothing, on a connection that stays or not: it is asked twenty times a
+/// second, which keeps the watch; news, and a wait that was one, are followed at once.
+#[test]
+fn an_agent_that_answers_at_once_with_nothing_is_not_asked_without_a_pause() {
+    for header in ["", "Connection: close\r\n"] {
+        let (mut watch, mut wires) = (Watch::new(address(1), 41), Fake::default());
+        let answer = |watch: &mut Watch, wires: &mut Fake, now: u64, generation: u64| {
+            let body = format!(r#"{{"generation":{generation},"reset":false,"instances":[]}}"#);
+            let text = format!("HTTP/1.1 200 OK\r\n{header}Content-Length: {}\r\n\r\n{body}", body.len());
+            let wire = Wire(wires.connected.len() as u64);
+            assert!(watch.bytes(at(now), wire, text.as_bytes(), wires).unwrap().is_some());
+        };
+        // A connection is there as soon as it is asked for.
+        let go_on = |watch: &mut Watch, wires: &mut Fake, now: u64| {
+            let asked = wires.connected.len();
+            watch.tick(at(now), wires);
+            if wires.connected.len() > asked || wires.written.is_empty() {
+                watch.connected(at(now), Wire(wires.connected.len() as u64), wires);
+            }
+        };
+        let mut questions = vec![];
+        for now in 0..1000 {
+            let before = wires.written.len();
+            go_on(&mut watch, &mut wires, now);
+            if wires.written.len() > before {
+                questions.push(now);
+                answer(&mut watch, &mut wires, now, 41);
+            }
+        }
+        assert_eq!(questions.len(), 20, "{questions:?}");
+        let before = wires.written.len();
+        go_on(&mut watch, &mut wires, 1000);
+        assert_eq!(wires.written.len(), before + 1);
+        answer(&mut watch, &mut wires, 1001, 42);
+        go_on(&mut watch, &mut wires, 1001);
+        if !header.is_empty() {
+            watch.connected(at(1001), Wire(wires.connected.len() as u64), &mut wires);
+        }
+        assert_eq!(wires.written.len(), before + 2, "news are followed at once");
+        answer(&mut watch, &mut wires, 5001, 42);
+        if !header.is_empty() {
+            watch.connected(at(5001), Wire(wires.connected.len() as u64), &mut wires);
+        }
+        assert_eq!(wires.written.len(), before + 3, "a wait that was one is followed at once");
+    }
+}
+
 #[test]
 fn clients_that_say_nothing_stay_in_the_middle_or_crowd_are_closed() {
     let mut guests = Guests::new(2);
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -231,3 +231,88 @@
     assert_eq!((found, recovered.torn), (vec![(old(11), old(12)), (None, old(13))], 0));
     assert_eq!(recovered.names.classes, [("a".to_owned(), UNKNOWN), ("b".to_owned(), UNKNOWN)]);
 }
+
+/// A folder of a process that is killed at its Nth change: a write is done by half then, and nothing after it.
+struct Dying<'a> {
+    folder: &'a mut Memory,
+    left: usize,
+}
+
+impl Dying<'_> {
+    fn lives(&mut self) -> std::io::Result<&mut Memory> {
+        self.left = self.left.saturating_sub(1);
+        if self.left == 0 {
+            Err(std::io::Error::other("killed"))
+        } else {
+            Ok(self.folder)
+        }
+    }
+}
+
+impl Folder for Dying<'_> {
+    fn names(&self) -> std::io::Result<Vec<String>> {
+        self.folder.names()
+    }
+    fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
+        self.folder.read(name)
+    }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+        if self.left == 1 {
+            self.folder.append(name, &bytes[..bytes.len() / 2])?;
+        }
+        self.lives()?.append(name, bytes)
+    }
+    fn truncate(&mut self, name: &str, length: u64) -> std::io::Result<()> {
+        self.lives()?.truncate(name, length)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
+        self.lives()?.rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> std::io::Result<()> {
+        self.lives()?.remove(name)
+    }
+}
+
+/// One process: takes the living on again, and then one message more; whether that was written.
+fn process(folder: &mut Memory, left: usize, fresh: u32) -> bool {
+    let Ok((mut log, recovered)) = Log::open(Dying { folder, left }, BOUND) else { return false };
+    log.record(Record::Names(Names { zones: vec!["here".to_owned()], ..Names::default() }));
+    for (seq, living) in (1..).zip(recovered.living) {
+        log.record(Record::Taken(seq, Box::new(living)));
+    }
+    if log.commit().is_err() {
+        return false;
+    }
+    log.record(Record::Taken(90 + fresh, Box::new(message(fresh, 40))));
+    log.commit().is_ok()
+}
+
+/// Kills at every change of the folder, in one process, and in the next one as well: what was written is found by the
+/// third, once each.
+#[test]
+fn a_kill_at_any_step_of_recovering_and_another_one_lose_and_double_nothing() {
+    let (mut log, ..) = open(Memory::default());
+    (1..4).for_each(|number| log.record(Record::Taken(number, Box::new(message(number, 30)))));
+    log.commit().unwrap();
+    let mut start = log.folder().clone();
+    // Left by a process before: an older segment and one half written.
+    let name = newest(&start);
+    let old = start.files[&name].clone();
+    start.files.insert("log.0".into(), old.clone());
+    start.files.insert("log.tmp".into(), old[..old.len() / 2].to_vec());
+    let (mut kills, mut wrote) = (0, 0);
+    for first in 1..10 {
+        for second in 1..10 {
+            let mut expected: Vec<Vec<u8>> = (1..4).map(|number| message(number, 30).id).collect();
+            let mut folder = start.clone();
+            for (left, fresh) in [(first, 10), (second, 11)] {
+                let written = process(&mut folder, left, fresh);
+                expected.extend(written.then(|| message(fresh, 40).id));
+                (kills, wrote) = (kills + u32::from(!written), wrote + u32::from(written));
+            }
+            let found: Vec<Vec<u8>> = open(folder).1.into_iter().map(|living| living.id).collect();
+            assert_eq!(found, expected, "killed at {first} and {second}");
+        }
+    }
+    assert!(kills > 60 && wrote > 40, "{kills} kills, {wrote} that lived on");
+}
