--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -303,8 +303,9 @@
     let field = |name: &str| message.headers.get(name).map(str::to_owned);
     let id = field("req-id").unwrap_or_default();
     let idempotency = field("idempotency-key");
-    shared.note(Seen::Call { id: id.clone(), idempotency, endpoint, body: message.body });
+    // Before the call is seen: who sees it may change the manner, for the next one.
     let manner = shared.state().manner[endpoint].clone();
+    shared.note(Seen::Call { id: id.clone(), idempotency, endpoint, body: message.body });
     match manner {
         Manner::Deliver(after) => {
             std::thread::sleep(after);
