--- a/crates/platform/tests/machines.rs
+++ b/crates/platform/tests/machines.rs
@@ -333,6 +333,29 @@
     assert_eq!(wires.connected.len(), 4);
 }
 
+/// Discovery moves while a question is out, and the old agent answers after that: it tells nothing any more, and the new one
+/// is asked at once, from where the old one had come. One that is behind and tells the whole list is taken at its word.
+#[test]
+fn an_old_agent_that_answers_after_a_move_tells_nothing_and_one_that_is_behind_counts() {
+    let (mut watch, mut wires) = (Watch::new(address(1), 41), Fake::default());
+    watch.tick(at(0), &mut wires);
+    watch.connected(at(0), Wire(1), &mut wires);
+    watch.moved(at(10), address(2), &mut wires);
+    assert_eq!((&wires.closed[..], wires.connected.last()), (&[Wire(1)][..], Some(&address(2))));
+    let answer = |generation: u64| {
+        let body = format!(r#"{{"generation":{generation},"reset":true,"instances":[]}}"#);
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    // The old agent's answer, and the end of its connection, come crosswise.
+    assert_eq!(watch.bytes(at(11), Wire(1), answer(50).as_bytes(), &mut wires), Ok(None));
+    watch.lost(at(11), Wire(1));
+    watch.connected(at(12), Wire(2), &mut wires);
+    assert!(wires.written[1].1.contains("after=41"), "{:?}", wires.written);
+    let told = watch.bytes(at(13), Wire(2), answer(7).as_bytes(), &mut wires).unwrap().unwrap();
+    assert_eq!((told.generation, told.reset), (7, true));
+    assert!(wires.written[2].1.contains("after=7"), "{:?}", wires.written);
+}
+
 /// An agent that answers every question at once, with nothing, on a connection that stays or not: it is asked twenty times a
 /// second, which keeps the watch; news, and a wait that was one, are followed at once.
 #[test]
