Read-through: one look-up of a call's connection, one way into a late repeat, one silent discovery

Change: Calls looks an attempt's connection up in one place; what an end tells in Net is said directly; OverShareWorth is asked for once, not once a tenant.

--- a/crates/courier/tests/moments.rs
+++ b/crates/courier/tests/moments.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use cloverstile_standin::platform::{read_line, Manner, Seen};
+use cloverstile_standin::platform::{read_line, Manner, PutSpec, Seen};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -19,7 +19,14 @@
     (world, slow)
 }
 
-fn hand_in(world: &World, put: &cloverstile_standin::platform::PutSpec) {
+/// A discovery that says nothing unless the test does: the list stays as it is in the configuration.
+fn silent_discovery(world: &World) -> TcpListener {
+    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+    agent
+}
+
+fn hand_in(world: &World, put: &PutSpec) {
     assert_eq!(world.platform.hand_in(&mut world.client(), put).unwrap(), "+OK");
 }
 
@@ -84,9 +91,7 @@
 #[test]
 fn a_wait_that_comes_after_its_call_was_given_up_is_heeded() {
     let (mut world, slow) = with_slow("given-up");
-    // A discovery that says nothing: the list stays as it is in the configuration.
-    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
-    world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+    let _agent = silent_discovery(&world);
     world.start();
     hand_in(&world, &notice("first".into(), 0));
     let mut first = slow.accept();
@@ -183,7 +188,7 @@
     world.start();
     let mut client = world.client();
     for number in 0..30 {
-        let put = cloverstile_standin::platform::PutSpec { left: 4000, ..payment(format!("p{number}")) };
+        let put = PutSpec { left: 4000, ..payment(format!("p{number}")) };
         assert_eq!(world.platform.hand_in(&mut client, &put).unwrap(), "+OK");
     }
     world.kill();
@@ -205,7 +210,7 @@
     let (mut world, slow) = with_slow("never-left");
     world.start();
     let _filler = slow.fill();
-    hand_in(&world, &cloverstile_standin::platform::PutSpec { left: 800, ..payment("only".into()) });
+    hand_in(&world, &PutSpec { left: 800, ..payment("only".into()) });
     let told = |seen: &Seen| match seen {
         Seen::Notice { id, status, .. } if id == "only" => Some(status.clone()),
         _ => None,
@@ -327,9 +332,8 @@
         "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{\"generation\":1,",
     ];
     let each = |(place, piece): (usize, &'static str)| {
-        let agent = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut world = World::new(&format!("silent-{place}"), &[3]);
-        world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+        let agent = silent_discovery(&world);
         std::thread::spawn(move || {
             world.start();
             let (mut stream, text) = question(&agent);
@@ -381,7 +385,7 @@
 }
 
 /// A message is out at an endpoint that says nothing, and the courier is killed.
-fn killed_with_one_out(world: &mut World, put: &cloverstile_standin::platform::PutSpec) {
+fn killed_with_one_out(world: &mut World, put: &PutSpec) {
     world.platform.set(0, Manner::Silent);
     world.start();
     hand_in(world, put);
@@ -441,10 +445,8 @@
 #[test]
 fn a_keyed_message_goes_again_after_a_restart_in_the_zone_where_it_may_have_run() {
     let mut world = World::new("zones", &[3, 3]);
-    // A discovery that says nothing: the list stays as it is in the configuration.
-    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let _agent = silent_discovery(&world);
     world.edit(|config| {
-        config["discovery"] = agent.local_addr().unwrap().to_string().into();
         config["settings"]["Zones"] = serde_json::json!(["here", "there"]);
         config["settings"]["Lanes"][0]["Group"] = "zone".into();
         config["known"]["instances"][0]["zone"] = "there".into();
@@ -468,11 +470,10 @@
 #[test]
 fn a_stop_with_a_notice_out_and_more_signals_ends_in_time_and_the_notice_is_told_by_the_next_process() {
     let mut world = World::new("notice-out", &[3]);
-    let agent = TcpListener::bind("127.0.0.1:0").unwrap();
-    world.edit(|config| config["discovery"] = agent.local_addr().unwrap().to_string().into());
+    let agent = silent_discovery(&world);
     world.platform.set(0, Manner::Silent);
     world.start();
-    hand_in(&world, &cloverstile_standin::platform::PutSpec { left: 700, ..payment("owed".into()) });
+    hand_in(&world, &PutSpec { left: 700, ..payment("owed".into()) });
     // The watch and the notice come on connections of their own; neither is answered.
     let mut held = Vec::new();
     while !held.last().is_some_and(|(_, text): &(TcpStream, String)| text.contains("POST /v1/notices")) {
--- a/crates/courier/tests/node.rs
+++ b/crates/courier/tests/node.rs
@@ -200,19 +200,8 @@
     let mut client = world.client();
     assert_eq!(world.platform.hand_in(&mut client, &notice("late".into(), 7)).unwrap(), "+OK");
 
-    let mut first = slow.accept();
-    let began = Instant::now();
-    assert!(read_call(&mut first).contains("Req-Id: late"));
-    let filler = slow.fill();
-    drop(first);
-    // The window passes while the repeat's connection is not there.
-    while began.elapsed() < Duration::from_millis(1600) {
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    drop((slow.accept(), filler));
-    let mut second = slow.accept();
-    let text = read_until(&mut second, Instant::now() + Duration::from_millis(300));
-    assert_eq!(text, "", "sent {:?} after the first call", began.elapsed());
+    let (text, late) = slow.late_repeat("Req-Id: late", Duration::from_millis(1600));
+    assert_eq!(text, "", "sent {late:?} after the first call");
     let told = |seen: &Seen| matches!(seen, Seen::Notice { id, .. } if id == "late");
     assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "no notice");
 }
--- a/crates/courier/tests/program.rs
+++ b/crates/courier/tests/program.rs
@@ -10,7 +10,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 #[path = "world/mod.rs"]
 mod stage;
@@ -315,17 +315,8 @@
     });
     std::thread::scope(|scope| {
         let sent = scope.spawn(|| world.code(&["--id", "late@client-0"]));
-        let mut first = slow.accept();
-        let began = Instant::now();
-        assert!(stage::read_call(&mut first).contains("late@client-0"));
-        let filler = slow.fill();
-        drop(first);
-        // The window passes while the repeat's connection is not there.
-        std::thread::sleep(Duration::from_millis(1600).saturating_sub(began.elapsed()));
-        drop((slow.accept(), filler));
-        let mut second = slow.accept();
-        let text = stage::read_until(&mut second, Instant::now() + Duration::from_millis(300));
-        assert_eq!(text, "", "sent {:?} after the first call", began.elapsed());
+        let (text, late) = slow.late_repeat("late@client-0", Duration::from_millis(1600));
+        assert_eq!(text, "", "sent {late:?} after the first call");
         assert_eq!(sent.join().unwrap(), 11, "it may have taken effect, and is told so");
     });
 }
--- a/crates/courier/tests/world/mod.rs
+++ b/crates/courier/tests/world/mod.rs
@@ -195,6 +195,20 @@
 }
 
 impl Slow {
+    /// The first call breaks, and the next connection comes up when so much time has passed: what came on it within 0.3 s,
+    /// and how long that is after the first call.
+    pub fn late_repeat(&self, id: &str, passed: Duration) -> (String, Duration) {
+        let mut first = self.accept();
+        let began = Instant::now();
+        assert!(read_call(&mut first).contains(id));
+        let filler = self.fill();
+        drop(first);
+        std::thread::sleep(passed.saturating_sub(began.elapsed()));
+        drop((self.accept(), filler));
+        let mut second = self.accept();
+        (read_until(&mut second, Instant::now() + Duration::from_millis(300)), began.elapsed())
+    }
+
     /// From here on every call is answered at once, on whichever connection; what they were and when they had come.
     pub fn answer_all(self) -> Arc<Mutex<Vec<(Instant, String)>>> {
         let calls = Arc::new(Mutex::new(Vec::new()));
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -348,9 +348,10 @@
     }
 
     fn gone(&mut self, id: u64, clean: bool) {
-        let lingered = self.conns.get(&id).is_none_or(|conn| conn.lingers.is_some());
+        // Not of one that is gone already, nor of one that was over for its owner.
+        let told = self.conns.get(&id).is_some_and(|conn| conn.lingers.is_none());
         self.close(ConnId(id));
-        if !lingered {
+        if told {
             self.pending.push(NetEvent::Closed { conn: ConnId(id), clean });
         }
     }
--- a/crates/platform/src/calls.rs
+++ b/crates/platform/src/calls.rs
@@ -232,10 +232,13 @@
         self.ended.push((attempt, (Reported::Withheld, None)));
     }
 
+    fn conn_of(&self, attempt: Attempt) -> Option<&Conn> {
+        self.attempts.get(&attempt).and_then(|wire| self.conns.get(wire))
+    }
+
     /// Where an attempt goes.
     pub fn endpoint(&self, attempt: Attempt) -> Option<EndpointId> {
-        let wire = self.attempts.get(&attempt)?;
-        self.conns.get(wire).map(|conn| conn.endpoint)
+        self.conn_of(attempt).map(|conn| conn.endpoint)
     }
 
     /// Whether an attempt's endpoint is still listed where its connection leads.
@@ -244,8 +247,7 @@
         attempt: Attempt,
         address: impl Fn(EndpointId) -> Option<SocketAddr>,
     ) -> bool {
-        let conn = self.attempts.get(&attempt).and_then(|wire| self.conns.get(wire));
-        conn.is_some_and(|conn| address(conn.endpoint) == Some(conn.address))
+        self.conn_of(attempt).is_some_and(|conn| address(conn.endpoint) == Some(conn.address))
     }
 
     /// An attempt is not sent after all. Its connection goes: it may hold the better part of a call.
--- a/crates/platform/src/needed.rs
+++ b/crates/platform/src/needed.rs
@@ -112,12 +112,12 @@
 /// Whether the settings, as lines of path=value, tell all that is needed.
 pub fn check(lines: &str) -> Result<(), Unusable> {
     let values: HashMap<&str, &str> = lines.lines().filter_map(|line| line.split_once('=')).collect();
-    let holds = |path: &str, holds: Holds| match values.get(path).filter(|value| !value.is_empty()) {
-        None => Err(Unusable::Missing { path: path.to_owned(), wanted: holds.wanted() }),
-        Some(value) if holds.takes(value) => Ok(()),
+    let holds = |path: &str, what: Holds| match values.get(path).filter(|value| !value.is_empty()) {
+        None => Err(Unusable::Missing { path: path.to_owned(), wanted: what.wanted() }),
+        Some(value) if what.takes(value) => Ok(()),
         Some(value) => {
             let value = (*value).to_owned();
-            Err(Unusable::Value { path: path.to_owned(), value, wanted: holds.wanted() })
+            Err(Unusable::Value { path: path.to_owned(), value, wanted: what.wanted() })
         }
     };
     NEEDED.iter().try_for_each(|(path, what)| holds(path, *what))?;
@@ -133,6 +133,8 @@
     }
     for tenant in 0..count("Projects.count") {
         holds(&format!("Projects.{tenant}.QuotaPerS"), Number(0.0, ANY))?;
+    }
+    if count("Projects.count") > 0 {
         holds("OverShareWorth", Number(0.0, ANY))?;
     }
     if is("Permissions.RetryAfter", "true") {
