--- a/crates/node/src/node.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -1,24 +1,24 @@
 //! The node's turn: events in, the module's decisions, the log, bytes out.
 
-use crate::limits::descriptors;
-use crate::start::{load, NodeError, Variables};
-use crate::{kept, Clock, Sockets};
+use crate::descriptor_limits::descriptors;
+use crate::startup::{load, Environment, GatewayError};
+use crate::{message_record, Clock, Sockets};
 use cloverstile::{Class, MessageId, Time};
-use cloverstile_engine::{Answer, Attempt, Bounds, Command, Engine, Reported, Taken};
+use cloverstile_engine::{Admission, Attempt, Bounds, Command, Engine, FinalOutcome, TransportOutcome};
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
-use cloverstile_platform::answer::ReportFields;
-use cloverstile_platform::calls::{Calls, Terms};
-use cloverstile_platform::config::{Config, Names};
-use cloverstile_platform::guests::{Guests, Why};
-use cloverstile_platform::handin::{self, Asked, Put};
-use cloverstile_platform::leaving::{Leaving, Left, Stage, LAST};
-use cloverstile_platform::list::{List, ListAnswer};
-use cloverstile_platform::notices::Notices;
-use cloverstile_platform::watch::Watch;
-use cloverstile_platform::Wire;
+use cloverstile_platform::client_request::{self, ClientRequest, PutRequest};
+use cloverstile_platform::client_sessions::{ClientSessions, DisconnectReason};
+use cloverstile_platform::config::{Config, SettingNames};
+use cloverstile_platform::endpoint_list::{EndpointList, EndpointListResponse};
+use cloverstile_platform::endpoint_watch::EndpointWatch;
+use cloverstile_platform::notifications::Notifications;
+use cloverstile_platform::requests::{ConnectionLimits, Requests};
+use cloverstile_platform::response::ReportFields;
+use cloverstile_platform::shutdown::{GracefulShutdown, PendingWork, ShutdownPhase, FINAL_FLUSH_TIMEOUT};
+use cloverstile_platform::ConnectionId;
 use cloverstile_resp::{error, simple};
-use cloverstile_wal::store::Dir;
-use cloverstile_wal::{Began, Ending, Living, Log, Record, UNKNOWN};
+use cloverstile_wal::store::DirectoryStore;
+use cloverstile_wal::{AttemptStart, LiveMessage, Log, Record, TerminalState, UNKNOWN_INDEX};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -39,36 +39,36 @@
 }
 
 /// A call that waits until a notice of its key is answered.
-struct Parked {
+struct AwaitingNotification {
     attempt: Attempt,
     endpoint: cloverstile::EndpointId,
 }
 
 /// A running courier.
-pub struct Node {
+pub struct Gateway {
     clock: Clock,
     net: Net,
     listener: Option<ListenerId>,
     path: PathBuf,
-    names: Names,
+    names: SettingNames,
     classes: Vec<Class>,
     engine: Engine,
-    log: Log<Dir>,
+    log: Log<DirectoryStore>,
     log_works: bool,
-    list: List,
-    guests: Guests,
-    calls: Calls,
-    parked: Vec<Parked>,
-    watch: Watch,
-    notices: Notices,
-    leaving: Option<Leaving>,
+    list: EndpointList,
+    guests: ClientSessions,
+    calls: Requests,
+    parked: Vec<AwaitingNotification>,
+    watch: EndpointWatch,
+    notices: Notifications,
+    leaving: Option<GracefulShutdown>,
     /// All is over but for what clients have not read yet; the process ends then at the latest.
     ends: Option<Time>,
     /// Answers of this turn, and what the messages that it took are answered where they ended at once.
-    replies: Vec<(Wire, Reply)>,
+    replies: Vec<(ConnectionId, Reply)>,
     fresh: BTreeMap<MessageId, Option<Vec<u8>>>,
     launching: Vec<Attempt>,
-    closing: Vec<Wire>,
+    closing: Vec<ConnectionId>,
 }
 
 fn busy(again: Duration) -> Vec<u8> {
@@ -82,22 +82,22 @@
     error("ERR given up: it can't be delivered")
 }
 
-impl Node {
+impl Gateway {
     /// Takes on what an earlier process left, and listens.
-    pub fn start(config: Config, variables: &Variables) -> Result<Node, NodeError> {
+    pub fn start(config: Config, variables: &Environment) -> Result<Gateway, GatewayError> {
         let clock = Clock::new();
         let now = clock.now();
-        let failed = |what: String| move |error| NodeError::Io { what, error };
+        let failed = |what: String| move |error| GatewayError::Io { what, error };
         let mut net = Net::new().map_err(failed("event loop".into()))?;
         net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
             .map_err(failed("signals".into()))?;
         let parsed = &config.parsed;
         let mut settings = parsed.settings.clone();
-        settings.classes.push(kept::strictest(&settings.classes));
+        settings.classes.push(message_record::strictest(&settings.classes));
         let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
         let [clients, closed, calls] = descriptors(config.limits.sockets);
         net.linger_at_most(closed);
-        let terms = Terms {
+        let terms = ConnectionLimits {
             connect_timeout: settings.connect_timeout,
             idle: settings.conn_idle,
             most: calls,
@@ -105,12 +105,13 @@
         };
         let bound = (config.limits.disk_mb * 1e6) as u64;
         let state = variables.state.display().to_string();
-        let (log, recovered) = Log::open(Dir::new(&variables.state), bound).map_err(failed(state))?;
+        let (log, recovered) =
+            Log::open(DirectoryStore::new(&variables.state), bound).map_err(failed(state))?;
         if recovered.torn > 0 {
             warn!(bytes = recovered.torn, "the log's last record was torn or damaged and is given up");
         }
         let seed = config.seed.unwrap_or_else(rand::random);
-        let mut node = Node {
+        let mut node = Gateway {
             classes: settings.classes.clone(),
             engine: Engine::new(settings, ANSWERS, seed),
             clock,
@@ -120,12 +121,15 @@
             names: config.names,
             log,
             log_works: true,
-            list: List::default(),
-            guests: Guests::new(clients),
-            calls: Calls::new(terms),
+            list: EndpointList::default(),
+            guests: ClientSessions::new(clients),
+            calls: Requests::new(terms),
             parked: Vec::new(),
-            watch: Watch::new(config.discovery, config.known.as_ref().map_or(0, |known| known.generation)),
-            notices: Notices::new(config.discovery),
+            watch: EndpointWatch::new(
+                config.discovery,
+                config.known.as_ref().map_or(0, |known| known.generation),
+            ),
+            notices: Notifications::new(config.discovery),
             leaving: None,
             ends: None,
             replies: Vec::new(),
@@ -137,10 +141,10 @@
             node.take_list(now, known);
         }
         let found = recovered.living.len();
-        let names = kept::names(&node.names, &node.classes);
-        node.log.record(Record::Names(names.clone()));
+        let names = message_record::names(&node.names, &node.classes);
+        node.log.record(Record::NameTable(names.clone()));
         for (place, mut living) in recovered.living.into_iter().enumerate() {
-            kept::moved(&mut living, &recovered.names, &names);
+            message_record::moved(&mut living, &recovered.names, &names);
             node.recover(now, place, living);
         }
         node.turn(now);
@@ -152,23 +156,23 @@
     }
 
     /// Takes a message on again that an earlier process owes.
-    fn recover(&mut self, now: Time, place: usize, mut living: Living) {
+    fn recover(&mut self, now: Time, place: usize, mut living: LiveMessage) {
         if let Some(ending) = living.owed {
             // Numbers from the far end: those of the engine begin at one.
             let number = u32::MAX - u32::try_from(place).unwrap_or(0);
-            self.notices.owe(number, kept::notice(&living, ending));
-            return self.log.record(Record::Taken(number, Box::new(living)));
+            self.notices.owe(number, message_record::notice(&living, ending));
+            return self.log.record(Record::Submitted(number, Box::new(living)));
         }
         let class = self.classes.get(usize::from(living.class));
-        let (hand_in, past) = kept::recovered(&mut living, class);
+        let (hand_in, past) = message_record::recovered(&mut living, class);
         let (left, to) = (hand_in.deadline - now, living.destination);
         let id = self.engine.recover(now, hand_in, past);
         trace!(id = id.0, to, attempts = past.attempts, ran = ?past.may_have_run, ?left, "recovered");
-        self.log.record(Record::Taken(id.0, Box::new(living)));
+        self.log.record(Record::Submitted(id.0, Box::new(living)));
     }
 
     /// Runs until told to stop and done.
-    pub fn run(mut self) -> Result<(), NodeError> {
+    pub fn run(mut self) -> Result<(), GatewayError> {
         loop {
             let now = self.clock.now();
             if self.leave(now) {
@@ -176,8 +180,10 @@
                 return Ok(());
             }
             let timeout = self.next_wake(now).map(|at| at - now);
-            let events =
-                self.net.poll(timeout).map_err(|error| NodeError::Io { what: "event loop".into(), error })?;
+            let events = self
+                .net
+                .poll(timeout)
+                .map_err(|error| GatewayError::Io { what: "event loop".into(), error })?;
             let now = self.clock.now();
             for event in events {
                 self.on_event(now, event);
@@ -224,9 +230,9 @@
             }
         }
         let (held, out, notices) = (self.engine.held(), self.calls.out(), self.notices.len());
-        let left = Left { held, out, notices, clients: self.guests.len() };
+        let left = PendingWork { held, out, notices, clients: self.guests.len() };
         let stage = leaving.stage(now, left);
-        if stage >= Stage::Delivering {
+        if stage >= ShutdownPhase::Draining {
             if let Some(listener) = self.listener.take() {
                 info!(?left, "stops listening");
                 // Guards against clients that are closed with a request in the system's buffers: those that the system
@@ -238,14 +244,14 @@
                 return false;
             }
         }
-        if stage >= Stage::Waiting {
+        if stage >= ShutdownPhase::AwaitingResponses {
             self.engine.hold_back(true);
         }
-        if stage == Stage::Over {
+        if stage == ShutdownPhase::Finished {
             for wire in self.guests.all() {
                 self.net.close_when_sent(ConnId(wire.0));
             }
-            self.ends = Some(now + LAST);
+            self.ends = Some(now + FINAL_FLUSH_TIMEOUT);
             return self.net.closing() == 0;
         }
         false
@@ -255,37 +261,37 @@
         match event {
             NetEvent::Accepted { conn, .. } => {
                 trace!(?conn, clients = self.guests.len(), "connected");
-                if let Some(leaves) = self.guests.welcome(now, Wire(conn.0)) {
-                    self.dismiss(leaves, &Why::Crowded);
+                if let Some(leaves) = self.guests.welcome(now, ConnectionId(conn.0)) {
+                    self.dismiss(leaves, &DisconnectReason::Crowded);
                 }
             }
             NetEvent::Connected(conn) => {
-                let wire = Wire(conn.0);
+                let wire = ConnectionId(conn.0);
                 self.calls.connected(wire);
                 self.notices.connected(now, wire);
                 self.watch.connected(now, wire, &mut Sockets(&mut self.net));
             }
-            NetEvent::ConnectFailed(conn, _) => self.lost(now, Wire(conn.0), false),
-            NetEvent::Closed { conn, clean } => self.lost(now, Wire(conn.0), clean),
-            NetEvent::Flushed(conn) => self.calls.written(Wire(conn.0)),
-            NetEvent::Bytes(conn, bytes) => self.on_bytes(now, Wire(conn.0), &bytes),
+            NetEvent::ConnectFailed(conn, _) => self.lost(now, ConnectionId(conn.0), false),
+            NetEvent::Closed { conn, clean } => self.lost(now, ConnectionId(conn.0), clean),
+            NetEvent::Flushed(conn) => self.calls.written(ConnectionId(conn.0)),
+            NetEvent::Bytes(conn, bytes) => self.on_bytes(now, ConnectionId(conn.0), &bytes),
             NetEvent::Signal(SignalKind::SIGHUP) => self.reload(now),
             NetEvent::Signal(signal) => {
                 info!(?signal, held = self.engine.held(), "told to stop");
-                self.leaving.get_or_insert(Leaving::new(now));
+                self.leaving.get_or_insert(GracefulShutdown::new(now));
             }
             NetEvent::Woken => {}
         }
     }
 
-    fn lost(&mut self, now: Time, wire: Wire, clean: bool) {
+    fn lost(&mut self, now: Time, wire: ConnectionId, clean: bool) {
         self.guests.left(wire);
         self.calls.lost(now, wire, clean, &mut Sockets(&mut self.net));
         self.watch.lost(now, wire);
         self.notices.lost(now, wire);
     }
 
-    fn on_bytes(&mut self, now: Time, wire: Wire, bytes: &[u8]) {
+    fn on_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8]) {
         if self.guests.owns(wire) {
             return self.client_bytes(now, wire, bytes);
         }
@@ -304,13 +310,13 @@
                 warn!(number, "the platform can't read a notice; it is not told again");
             }
             for number in done.into_iter().chain(refused) {
-                self.log.record(Record::Over(number));
+                self.log.record(Record::Completed(number));
             }
             self.unpark(now);
         }
     }
 
-    fn take_list(&mut self, now: Time, answer: &ListAnswer) {
+    fn take_list(&mut self, now: Time, answer: &EndpointListResponse) {
         if answer.instances.is_empty() && !answer.reset {
             return;
         }
@@ -342,13 +348,13 @@
 
     // ---- Clients ----
 
-    fn client_bytes(&mut self, now: Time, wire: Wire, bytes: &[u8]) {
+    fn client_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8]) {
         let (commands, why) = self.guests.bytes(now, wire, bytes);
         for words in commands {
             let known = |to| self.list.has_destination(to);
-            let reply = match handin::read(now, &words, (&self.classes, &self.names.classes), known) {
-                Ok(Asked::Ping) => Reply::Bytes(simple("PONG")),
-                Ok(Asked::Put(put)) => self.take(now, *put),
+            let reply = match client_request::read(now, &words, (&self.classes, &self.names.classes), known) {
+                Ok(ClientRequest::Ping) => Reply::Bytes(simple("PONG")),
+                Ok(ClientRequest::Put(put)) => self.take(now, *put),
                 Err(wrong) => {
                     trace!(?wire, %wrong, "turned away");
                     Reply::Bytes(error(&wrong.to_string()))
@@ -365,28 +371,29 @@
         }
     }
 
-    fn take(&mut self, now: Time, put: Put) -> Reply {
+    fn take(&mut self, now: Time, put: PutRequest) -> Reply {
         if !self.log_works || !self.log.has_room(put.body.len()) {
             trace!(works = self.log_works, body = put.body.len(), "no room in the log");
             return Reply::Bytes(busy(Duration::ZERO));
         }
-        let (living, hand_in) = kept::taken(now, put);
+        let (living, hand_in) = message_record::taken(now, put);
         match self.engine.hand_in(now, hand_in) {
-            Taken::New(id) => {
+            Admission::New(id) => {
                 trace!(id = id.0, to = living.destination, class = living.class, "taken");
-                self.log.record(Record::Taken(id.0, Box::new(living)));
+                self.log.record(Record::Submitted(id.0, Box::new(living)));
                 self.fresh.insert(id, None);
                 Reply::Of(id)
             }
             // The same id once more: its first answer was lost on the way, or is in this very turn.
-            Taken::Held(id) if self.fresh.contains_key(&id) => Reply::Of(id),
-            Taken::Held(_) | Taken::Answered(_, Answer::Delivered | Answer::Withdrawn) => {
+            Admission::InFlight(id) if self.fresh.contains_key(&id) => Reply::Of(id),
+            Admission::InFlight(_)
+            | Admission::Completed(_, FinalOutcome::Delivered | FinalOutcome::Cancelled) => {
                 Reply::Bytes(simple("OK"))
             }
-            Taken::Answered(_, Answer::Refused(again)) => Reply::Bytes(busy(again)),
-            Taken::Answered(_, Answer::Failed) => Reply::Bytes(given_up()),
-            Taken::Conflict => Reply::Bytes(error("ERR id: in use for another message")),
-            Taken::Full | Taken::Stopping => {
+            Admission::Completed(_, FinalOutcome::Rejected(again)) => Reply::Bytes(busy(again)),
+            Admission::Completed(_, FinalOutcome::Failed) => Reply::Bytes(given_up()),
+            Admission::Conflict => Reply::Bytes(error("ERR id: in use for another message")),
+            Admission::Overloaded | Admission::ShuttingDown => {
                 trace!("no room for a message more");
                 Reply::Bytes(busy(Duration::ZERO))
             }
@@ -394,7 +401,7 @@
     }
 
     /// Closes a client that is no longer among the guests.
-    fn dismiss(&mut self, wire: Wire, why: &Why) {
+    fn dismiss(&mut self, wire: ConnectionId, why: &DisconnectReason) {
         trace!(?wire, ?why, clients = self.guests.len(), "dismissed");
         if let Some(line) = why.line() {
             self.net.send(ConnId(wire.0), &error(&line));
@@ -424,7 +431,7 @@
                         "ended"
                     );
                 }
-                self.log.record(Record::Settled(attempt.message.0, reported.may_have_run()));
+                self.log.record(Record::AttemptCompleted(attempt.message.0, reported.may_have_run()));
                 self.engine.ended(now, attempt, reported, allowance);
             }
             for command in self.engine.advance(now) {
@@ -438,8 +445,8 @@
                     continue;
                 }
                 let zone = self.calls.endpoint(attempt).and_then(|endpoint| self.list.zone(endpoint));
-                let began = Began { at: now.0, zone: zone.map_or(UNKNOWN, |zone| zone.0) };
-                self.log.record(Record::Begun(attempt.message.0, began));
+                let began = AttemptStart { at: now.0, zone: zone.map_or(UNKNOWN_INDEX, |zone| zone.0) };
+                self.log.record(Record::AttemptStarted(attempt.message.0, began));
                 self.launching.push(attempt);
             }
             if !self.calls.has_news() && !self.engine.has_news() {
@@ -468,7 +475,7 @@
             warn!(%error, "the log can't be written: nothing is taken on or sent until it can");
         }
         for attempt in std::mem::take(&mut self.launching) {
-            self.log.record(Record::Settled(attempt.message.0, false));
+            self.log.record(Record::AttemptCompleted(attempt.message.0, false));
             self.calls.drop_due(attempt, &mut Sockets(&mut self.net));
         }
         for (id, answer) in &mut self.fresh {
@@ -476,7 +483,7 @@
                 *answer = Some(busy(Duration::ZERO));
                 // Guards against a "+OK" for the same id once more, as of one that was taken on.
                 self.engine.turn_away(now, *id);
-                self.log.record(Record::Over(id.0));
+                self.log.record(Record::Completed(id.0));
             }
         }
     }
@@ -486,7 +493,7 @@
             Command::Send { endpoint, attempts } => {
                 for attempt in attempts {
                     self.engine.set_begun(attempt, false);
-                    self.parked.push(Parked { attempt, endpoint });
+                    self.parked.push(AwaitingNotification { attempt, endpoint });
                 }
                 self.unpark(now);
             }
@@ -494,50 +501,52 @@
                 trace!(id = attempt.message.0, number = attempt.number, "given up waiting");
                 self.parked.retain(|parked| parked.attempt != attempt);
                 self.launching.retain(|launching| *launching != attempt);
-                self.log.record(Record::Settled(attempt.message.0, begun));
+                self.log.record(Record::AttemptCompleted(attempt.message.0, begun));
                 self.calls.abandon(now, attempt, &mut Sockets(&mut self.net));
             }
-            Command::Answer { message, answer, .. } => self.answered(message, answer),
+            Command::Complete { message, answer, .. } => self.answered(message, answer),
             Command::CloseIdle { endpoint } => self.calls.close_idle(endpoint, &mut Sockets(&mut self.net)),
             Command::Log { text } => info!("{text}"),
-            Command::Late { .. } | Command::Forget { .. } | Command::Probe { .. } => {}
+            Command::LateReceipt { .. } | Command::Evicted { .. } | Command::Probe { .. } => {}
         }
     }
 
-    fn answered(&mut self, message: MessageId, answer: Answer) {
+    fn answered(&mut self, message: MessageId, answer: FinalOutcome) {
         trace!(id = message.0, ?answer, fresh = self.fresh.contains_key(&message), "answered");
         let (reply, ending) = match answer {
-            Answer::Delivered | Answer::Withdrawn => return self.log.record(Record::Over(message.0)),
-            Answer::Refused(again) => {
+            FinalOutcome::Delivered | FinalOutcome::Cancelled => {
+                return self.log.record(Record::Completed(message.0))
+            }
+            FinalOutcome::Rejected(again) => {
                 let ms = u64::try_from(again.as_millis()).ok().filter(|ms| *ms > 0);
-                (busy(again), Ending::Deferred(ms))
+                (busy(again), TerminalState::Deferred(ms))
             }
-            Answer::Failed => (given_up(), Ending::Undeliverable),
+            FinalOutcome::Failed => (given_up(), TerminalState::Undeliverable),
         };
         // Refused in the turn of its hand-in: the client is told, and the platform need not be.
         if let Some(told) = self.fresh.get_mut(&message) {
             *told = Some(reply);
-            return self.log.record(Record::Over(message.0));
+            return self.log.record(Record::Completed(message.0));
         }
         let Some(living) = self.log.living(message.0) else { return };
-        self.notices.owe(message.0, kept::notice(living, ending));
-        self.log.record(Record::Owed(message.0, ending));
+        self.notices.owe(message.0, message_record::notice(living, ending));
+        self.log.record(Record::NotificationPending(message.0, ending));
     }
 
     /// Gets connections for calls whose key has no notice out: until it is answered, the message before is not over.
     fn unpark(&mut self, now: Time) {
         for parked in std::mem::take(&mut self.parked) {
             let Some(living) = self.log.living(parked.attempt.message.0) else { continue };
-            if kept::order_key(living).is_some_and(|key| self.notices.holds(key)) {
+            if message_record::order_key(living).is_some_and(|key| self.notices.holds(key)) {
                 self.parked.push(parked);
                 continue;
             }
-            let Parked { attempt, endpoint } = parked;
+            let AwaitingNotification { attempt, endpoint } = parked;
             match self.list.address(endpoint) {
                 Some(address) => {
                     self.calls.begin(now, attempt, endpoint, address, &mut Sockets(&mut self.net))
                 }
-                None => self.engine.ended(now, attempt, Reported::Withheld, None),
+                None => self.engine.ended(now, attempt, TransportOutcome::NotStarted, None),
             }
         }
     }
@@ -566,7 +575,7 @@
         let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { return };
         let left = until - now;
         trace!(id = attempt.message.0, to = living.destination, number = attempt.number, ?left, "sent");
-        let bytes = kept::call(living, left);
+        let bytes = message_record::call(living, left);
         self.calls.open(now, attempt, &bytes, &mut Sockets(&mut self.net));
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -5,17 +5,17 @@
 //! anything means is decided in `cloverstile-platform`; which message goes where and when, in the module.
 #![forbid(unsafe_code)]
 
-mod kept;
-mod limits;
-mod node;
-mod start;
+mod descriptor_limits;
+mod gateway;
+mod message_record;
+mod startup;
 
-pub use node::Node;
-pub use start::{run, NodeError, Variables};
+pub use gateway::Gateway;
+pub use startup::{run, Environment, GatewayError};
 
 use cloverstile::Time;
 use cloverstile_net::{ConnId, Net};
-use cloverstile_platform::{Wire, Wires};
+use cloverstile_platform::{ConnectionId, Transport};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -39,17 +39,17 @@
 /// Connections of the state machines, on sockets.
 struct Sockets<'a>(&'a mut Net);
 
-impl Wires for Sockets<'_> {
-    fn connect(&mut self, to: SocketAddr) -> Wire {
-        Wire(self.0.connect(to).0)
+impl Transport for Sockets<'_> {
+    fn connect(&mut self, to: SocketAddr) -> ConnectionId {
+        ConnectionId(self.0.connect(to).0)
     }
-    fn write(&mut self, wire: Wire, bytes: &[u8]) {
+    fn write(&mut self, wire: ConnectionId, bytes: &[u8]) {
         self.0.send(ConnId(wire.0), bytes);
     }
-    fn end_sending(&mut self, wire: Wire) {
+    fn end_sending(&mut self, wire: ConnectionId) {
         self.0.end_sending(ConnId(wire.0));
     }
-    fn close(&mut self, wire: Wire) {
+    fn close(&mut self, wire: ConnectionId) {
         self.0.close(ConnId(wire.0));
     }
 }
@@ -58,10 +58,10 @@
 mod tests {
     use super::*;
     use cloverstile::{EndpointId, MessageId};
-    use cloverstile_engine::{Attempt, Reported};
+    use cloverstile_engine::{Attempt, TransportOutcome};
     use cloverstile_net::NetEvent;
-    use cloverstile_platform::answer::ReportFields;
-    use cloverstile_platform::calls::{Calls, Terms};
+    use cloverstile_platform::requests::{ConnectionLimits, Requests};
+    use cloverstile_platform::response::ReportFields;
     use std::io::{Read, Write};
     use std::net::TcpListener;
 
@@ -73,16 +73,20 @@
     fn a_wait_told_ahead_of_a_reset_is_heard_though_the_last_byte_meets_the_reset() {
         let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut net = Net::new().unwrap();
-        let terms =
-            Terms { connect_timeout: SECOND, idle: SECOND * 9, most: 4, fields: ReportFields::default() };
-        let (mut calls, now) = (Calls::new(terms), Time::ZERO + SECOND);
+        let terms = ConnectionLimits {
+            connect_timeout: SECOND,
+            idle: SECOND * 9,
+            most: 4,
+            fields: ReportFields::default(),
+        };
+        let (mut calls, now) = (Requests::new(terms), Time::ZERO + SECOND);
         let (attempt, to) = (Attempt { message: MessageId(1), number: 0 }, EndpointId(1));
         calls.begin(now, attempt, to, endpoint.local_addr().unwrap(), &mut Sockets(&mut net));
         let (mut stream, _) = endpoint.accept().unwrap();
         while calls.take_ready().is_empty() {
             for event in net.poll(Some(SECOND)).unwrap() {
                 if let NetEvent::Connected(conn) = event {
-                    calls.connected(Wire(conn.0));
+                    calls.connected(ConnectionId(conn.0));
                 }
             }
         }
@@ -100,11 +104,11 @@
             for event in net.poll(Some(SECOND)).unwrap() {
                 match event {
                     NetEvent::Bytes(conn, bytes) => {
-                        calls.bytes(now, Wire(conn.0), &bytes, &mut Sockets(&mut net));
+                        calls.bytes(now, ConnectionId(conn.0), &bytes, &mut Sockets(&mut net));
                     }
-                    NetEvent::Flushed(conn) => calls.written(Wire(conn.0)),
+                    NetEvent::Flushed(conn) => calls.written(ConnectionId(conn.0)),
                     NetEvent::Closed { conn, clean } => {
-                        calls.lost(now, Wire(conn.0), clean, &mut Sockets(&mut net));
+                        calls.lost(now, ConnectionId(conn.0), clean, &mut Sockets(&mut net));
                     }
                     _ => {}
                 }
@@ -112,6 +116,6 @@
         }
         let wait = Duration::from_millis(2500);
         assert_eq!(calls.take_waits(), [(to, wait)]);
-        assert_eq!(calls.take_ended(), [(attempt, (Reported::Full(Some(wait)), None))]);
+        assert_eq!(calls.take_ended(), [(attempt, (TransportOutcome::Rejected(Some(wait)), None))]);
     }
 }
--- a/crates/node/src/kept.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -1,12 +1,12 @@
 //! A message as the log keeps it, and what the engine, the platform and an endpoint are told of it. Free of I/O.
 
-use cloverstile::{Class, ClassId, DestinationId, Effect, OrderKey, Past, Time, ZoneId};
-use cloverstile_engine::HandIn;
+use cloverstile::{Class, ClassId, DestinationId, Effect, OrderKey, RecoveredAttempts, Time, ZoneId};
+use cloverstile_engine::SubmitRequest;
 use cloverstile_http::Headers;
+use cloverstile_platform::client_request::PutRequest;
 use cloverstile_platform::config;
-use cloverstile_platform::handin::Put;
-use cloverstile_platform::notices::Notice;
-use cloverstile_wal::{Began, Ending, Living, Names, UNKNOWN};
+use cloverstile_platform::notifications::Notification;
+use cloverstile_wal::{AttemptStart, LiveMessage, NameTable, TerminalState, UNKNOWN_INDEX};
 use std::time::Duration;
 
 fn text(bytes: &[u8]) -> String {
@@ -14,9 +14,9 @@
 }
 
 /// What the log keeps of a message that is taken on now, and what the engine is handed.
-pub fn taken(now: Time, put: Put) -> (Living, HandIn) {
-    let Put { hand_in, idempotency, body } = put;
-    let living = Living {
+pub fn taken(now: Time, put: PutRequest) -> (LiveMessage, SubmitRequest) {
+    let PutRequest { hand_in, idempotency, body } = put;
+    let living = LiveMessage {
         id: hand_in.name.clone().into_bytes(),
         idempotency,
         class: hand_in.class.0,
@@ -26,29 +26,29 @@
         deadline: hand_in.deadline.0,
         after_loss: hand_in.after_loss,
         body,
-        ..Living::default()
+        ..LiveMessage::default()
     };
     (living, hand_in)
 }
 
 /// What it is about, for classes in order.
-pub fn order_key(living: &Living) -> Option<OrderKey> {
+pub fn order_key(living: &LiveMessage) -> Option<OrderKey> {
     (living.order != 0).then_some(OrderKey(living.order))
 }
 
 /// What the engine is handed of a message that an earlier process owes. An attempt without an outcome may have run
 /// from the moment when it was begun; the log keeps that from here on.
-pub fn recovered(living: &mut Living, class: Option<&Class>) -> (HandIn, Past) {
+pub fn recovered(living: &mut LiveMessage, class: Option<&Class>) -> (SubmitRequest, RecoveredAttempts) {
     let unsettled = living.open.take();
     living.may_have_run = living.may_have_run.or(unsettled);
     let since = may_have_run_since(living, class);
-    let past = Past {
+    let past = RecoveredAttempts {
         taken_at: Time(living.taken_at),
         attempts: u32::from(living.attempts),
         may_have_run: since,
         unsettled: unsettled.is_some(),
     };
-    let hand_in = HandIn {
+    let hand_in = SubmitRequest {
         client: 0,
         name: text(&living.id),
         fingerprint: [0; 32],
@@ -83,16 +83,16 @@
 }
 
 /// What places mean in this process; the last class is [`strictest`].
-pub fn names(names: &config::Names, classes: &[Class]) -> Names {
+pub fn names(names: &config::SettingNames, classes: &[Class]) -> NameTable {
     let named = names.classes.iter().map(String::as_str).chain([""]);
     let classes = named.zip(classes).map(|(name, class)| (name.to_owned(), mark(class.effect))).collect();
-    Names { classes, zones: names.zones.clone() }
+    NameTable { classes, zones: names.zones.clone() }
 }
 
 /// Moves a message's places from what they meant when it was written to what they mean now. Guards against settings that
 /// changed between two processes: what may not be repeated could come under another effect, by its place alone or because
 /// its class has one now; and what no class is left for would end untried.
-pub fn moved(living: &mut Living, then: &Names, now: &Names) {
+pub fn moved(living: &mut LiveMessage, then: &NameTable, now: &NameTable) {
     let last = now.classes.len().saturating_sub(1);
     let place = usize::from(living.class);
     let class = match then.classes.get(place) {
@@ -102,7 +102,7 @@
             let found = now.classes.iter().position(|(known, _)| known == name);
             let holds = |place: &usize| {
                 let now = now.classes[*place].1;
-                *effect == UNKNOWN || *effect == now || now == mark(Effect::Unsafe)
+                *effect == UNKNOWN_INDEX || *effect == now || now == mark(Effect::Unsafe)
             };
             found.filter(holds).unwrap_or(last)
         }
@@ -111,13 +111,13 @@
     for began in [&mut living.may_have_run, &mut living.open].into_iter().flatten() {
         let name = then.zones.get(usize::from(began.zone));
         let found = name.and_then(|name| now.zones.iter().position(|known| known == name));
-        began.zone = found.and_then(|place| u8::try_from(place).ok()).unwrap_or(UNKNOWN);
+        began.zone = found.and_then(|place| u8::try_from(place).ok()).unwrap_or(UNKNOWN_INDEX);
     }
 }
 
 /// When the first attempt was sent that may have run, and in which zone, here or at a courier that was lost.
-fn may_have_run_since(living: &Living, class: Option<&Class>) -> Option<(Time, Option<ZoneId>)> {
-    let zone = |began: Began| Some(ZoneId(began.zone)).filter(|_| began.zone != UNKNOWN);
+fn may_have_run_since(living: &LiveMessage, class: Option<&Class>) -> Option<(Time, Option<ZoneId>)> {
+    let zone = |began: AttemptStart| Some(ZoneId(began.zone)).filter(|_| began.zone != UNKNOWN_INDEX);
     let since = living.may_have_run.map(|began| (Time(began.at), zone(began)));
     let Some(class) = class.filter(|_| living.after_loss) else { return since };
     // It may have run at the courier that was lost at any time since it was first handed in, nobody knows where.
@@ -126,16 +126,16 @@
 }
 
 /// What the platform is told of a message that ended so.
-pub fn notice(living: &Living, ending: Ending) -> Notice {
+pub fn notice(living: &LiveMessage, ending: TerminalState) -> Notification {
     let (failed, again_ms) = match ending {
-        Ending::Undeliverable => (true, None),
-        Ending::Deferred(again) => (false, again),
+        TerminalState::Undeliverable => (true, None),
+        TerminalState::Deferred(again) => (false, again),
     };
-    Notice { id: text(&living.id), failed, again_ms, key: order_key(living) }
+    Notification { id: text(&living.id), failed, again_ms, key: order_key(living) }
 }
 
 /// The call that an endpoint gets, waited for so long.
-pub fn call(living: &Living, wait: Duration) -> Vec<u8> {
+pub fn call(living: &LiveMessage, wait: Duration) -> Vec<u8> {
     let mut headers = Headers::new().with("Host", "partner").with("Req-Id", text(&living.id));
     if let Some(key) = &living.idempotency {
         headers.add("Idempotency-Key", text(key));
@@ -150,19 +150,25 @@
 
     const S: u64 = 1_000_000_000;
 
-    fn kept() -> Living {
-        Living { id: b"a".to_vec(), taken_at: 100 * S, deadline: 108 * S, attempts: 2, ..Living::default() }
+    fn kept() -> LiveMessage {
+        LiveMessage {
+            id: b"a".to_vec(),
+            taken_at: 100 * S,
+            deadline: 108 * S,
+            attempts: 2,
+            ..LiveMessage::default()
+        }
     }
 
-    fn began(s: u64) -> Began {
-        Began { at: s * S, zone: 1 }
+    fn began(s: u64) -> AttemptStart {
+        AttemptStart { at: s * S, zone: 1 }
     }
 
     #[test]
     fn an_attempt_without_an_outcome_may_have_run_unless_an_earlier_one_did() {
         let since = |may_have_run: Option<u64>, open: Option<u64>| {
             let (may_have_run, open) = (may_have_run.map(began), open.map(began));
-            let mut living = Living { may_have_run, open, ..kept() };
+            let mut living = LiveMessage { may_have_run, open, ..kept() };
             let (_, past) = recovered(&mut living, None);
             let kept = living.may_have_run.map(|began| (Time(began.at), Some(ZoneId(1))));
             assert_eq!((living.open, kept), (None, past.may_have_run));
@@ -174,14 +180,14 @@
         assert_eq!(since(Some(101), None), (Some(101), false, 2));
     }
 
-    fn settings(classes: &[(&str, Effect)], zones: &[&str]) -> Names {
+    fn settings(classes: &[(&str, Effect)], zones: &[&str]) -> NameTable {
         let (names, effects): (Vec<&str>, Vec<Effect>) = classes.iter().copied().unzip();
         let text = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect::<Vec<_>>();
         let effects = effects.into_iter().map(|effect| Class { effect, ..Class::default() });
         let mut classes: Vec<Class> = effects.collect();
         classes.push(strictest(&classes));
         super::names(
-            &config::Names { classes: text(&names), zones: text(zones), ..Default::default() },
+            &config::SettingNames { classes: text(&names), zones: text(zones), ..Default::default() },
             &classes,
         )
     }
@@ -204,15 +210,18 @@
             &["b", "c"],
         );
         let after = |class: u8, zone: u8| {
-            let mut living = Living { class, open: Some(Began { at: 1, zone }), ..kept() };
+            let mut living = LiveMessage { class, open: Some(AttemptStart { at: 1, zone }), ..kept() };
             moved(&mut living, &then, &now);
             (living.class, living.open.unwrap().zone)
         };
         let all: Vec<u8> = (0..6).map(|class| after(class, 0).0).collect();
         assert_eq!(all, [2, 0, 4, 4, 3, 4], "the last one is of no name in both");
-        assert_eq!([after(0, 0).1, after(0, 1).1, after(0, UNKNOWN).1], [UNKNOWN, 0, UNKNOWN]);
-        let mut old = Living { class: 1, ..kept() };
-        moved(&mut old, &Names::default(), &now);
+        assert_eq!(
+            [after(0, 0).1, after(0, 1).1, after(0, UNKNOWN_INDEX).1],
+            [UNKNOWN_INDEX, 0, UNKNOWN_INDEX]
+        );
+        let mut old = LiveMessage { class: 1, ..kept() };
+        moved(&mut old, &NameTable::default(), &now);
         assert_eq!(old.class, 1, "a log of before names were kept");
     }
 
@@ -228,7 +237,7 @@
     #[test]
     fn what_a_lost_courier_held_counts_from_its_first_hand_in() {
         let class = Class { deadline: Duration::from_secs(12), ..Class::default() };
-        let mut living = Living { after_loss: true, may_have_run: Some(began(101)), ..kept() };
+        let mut living = LiveMessage { after_loss: true, may_have_run: Some(began(101)), ..kept() };
         assert_eq!(recovered(&mut living, Some(&class)).1.may_have_run, Some((Time(96 * S), None)));
     }
 }
--- a/crates/node/src/start.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -1,13 +1,13 @@
 //! From the environment to a running courier.
 
-use crate::node::Node;
+use crate::gateway::Gateway;
 use cloverstile_platform::config::{parse, Config, ConfigError};
 use std::io;
 use std::path::{Path, PathBuf};
 
 /// Why a courier could not start or go on.
 #[derive(Debug, thiserror::Error)]
-pub enum NodeError {
+pub enum GatewayError {
     /// A variable is missing.
     #[error("{name}: not set; it names {wanted}")]
     Variable {
@@ -44,38 +44,38 @@
 
 /// What the platform tells a courier in its environment.
 #[derive(Clone, Debug)]
-pub struct Variables {
+pub struct Environment {
     /// `ROUTER_CONFIG`: the configuration.
     pub config: PathBuf,
     /// `ROUTER_STATE`: the folder that lasts.
     pub state: PathBuf,
 }
 
-impl Variables {
+impl Environment {
     /// Reads them.
-    pub fn from_env() -> Result<Self, NodeError> {
+    pub fn from_env() -> Result<Self, GatewayError> {
         let path = |name, wanted| {
-            std::env::var_os(name).map(PathBuf::from).ok_or(NodeError::Variable { name, wanted })
+            std::env::var_os(name).map(PathBuf::from).ok_or(GatewayError::Variable { name, wanted })
         };
         let state = path("ROUTER_STATE", "the folder that outlasts the process")?;
         if !state.is_dir() {
             let error =
                 io::Error::new(io::ErrorKind::NotADirectory, "ROUTER_STATE must name a folder that is there");
-            return Err(NodeError::Read { path: state, error });
+            return Err(GatewayError::Read { path: state, error });
         }
-        Ok(Variables { config: path("ROUTER_CONFIG", "the configuration, a file of JSON")?, state })
+        Ok(Environment { config: path("ROUTER_CONFIG", "the configuration, a file of JSON")?, state })
     }
 }
 
 /// Reads a configuration.
-pub(crate) fn load(path: &Path) -> Result<Config, NodeError> {
+pub(crate) fn load(path: &Path) -> Result<Config, GatewayError> {
     let text =
-        std::fs::read_to_string(path).map_err(|error| NodeError::Read { path: path.to_owned(), error })?;
-    parse(&text).map_err(|error| NodeError::Config { path: path.to_owned(), error })
+        std::fs::read_to_string(path).map_err(|error| GatewayError::Read { path: path.to_owned(), error })?;
+    parse(&text).map_err(|error| GatewayError::Config { path: path.to_owned(), error })
 }
 
 /// Runs a courier until it was told to stop and is done.
-pub fn run(variables: &Variables) -> Result<(), NodeError> {
+pub fn run(variables: &Environment) -> Result<(), GatewayError> {
     let config = load(&variables.config)?;
-    Node::start(config, variables)?.run()
+    Gateway::start(config, variables)?.run()
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -222,7 +222,7 @@
         kinds: if kinds.is_empty() { base.kinds } else { kinds },
         weights,
         discovery: Discovery::Push,
-        decay: courier.choice("decay", &[("line", Decay::Line), ("halves", Decay::Halves)], Decay::Line),
+        decay: courier.choice("decay", &[("line", Decay::Linear), ("halves", Decay::Halving)], Decay::Linear),
         marks_again: true,
         stay_away_most: (!stay_away.is_zero()).then_some(stay_away),
         call_slots: courier.number("call_slots", 1, 100_000, 64),
@@ -338,8 +338,11 @@
             let zone = inner.text("zone").map_or(Some(0), |zone| place(&inner, "zone", &zone, zones));
             let mode = inner.choice(
                 "mode",
-                &[("ready", cloverstile::Mode::Ready), ("draining", cloverstile::Mode::Draining)],
-                cloverstile::Mode::Ready,
+                &[
+                    ("ready", cloverstile::EndpointState::Ready),
+                    ("draining", cloverstile::EndpointState::Draining),
+                ],
+                cloverstile::EndpointState::Ready,
             );
             let address = inner.address("address");
             let path = inner.text("path").unwrap_or_else(|| "/as2".to_owned());
--- a/crates/settings/src/types.rs
+++ b/crates/settings/src/types.rs
@@ -192,5 +192,5 @@
     /// Place in [`Config::zones`].
     pub zone: u8,
     /// Whether it may be given new work.
-    pub mode: cloverstile::Mode,
+    pub mode: cloverstile::EndpointState,
 }
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -76,7 +76,10 @@
     assert_eq!(config.front.body, 2 << 20);
     let partner = &config.partners[0];
     assert_eq!((partner.rate, partner.receipt), (12.5, Receipt::Async));
-    assert_eq!((partner.endpoints[1].zone, partner.endpoints[1].mode), (1, cloverstile::Mode::Draining));
+    assert_eq!(
+        (partner.endpoints[1].zone, partner.endpoints[1].mode),
+        (1, cloverstile::EndpointState::Draining)
+    );
 }
 
 /// The problems of the good file with one line replaced.
--- a/crates/emulator/src/baseline.rs
+++ b/crates/simulator/src/baseline.rs
@@ -1,7 +1,7 @@
 //! Other ways to spread messages over tiers, to compare the planner with. Not for service.
 
-use cloverstile::{DestinationId, EndpointId, Outcome, Time};
-use cloverstile_tiers::{Call, Policy, Standing, Tiers};
+use cloverstile::{AttemptOutcome, DestinationId, EndpointId, Time};
+use cloverstile_failover::{Call, Policy, Standing, Tiers};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -151,13 +151,13 @@
     fn note(&mut self, now: Time, call: Call) {
         let health = self.health.entry(call.endpoint).or_default();
         match call.outcome {
-            Outcome::Ok => {
+            AttemptOutcome::Ok => {
                 health.failures = 0;
                 if std::mem::take(&mut health.out) {
                     health.back = Some(now);
                 }
             }
-            Outcome::Full(_) | Outcome::Moot => {}
+            AttemptOutcome::Rejected(_) | AttemptOutcome::Unsent => {}
             _ => {
                 health.failures += 1;
                 health.out |= health.failures >= FAILURES;
--- a/crates/emulator/src/record.rs
+++ b/crates/simulator/src/record.rs
@@ -1,6 +1,6 @@
 //! What a run leaves behind, as it passed between couriers and sites.
 
-use cloverstile_engine::Answer;
+use cloverstile_engine::FinalOutcome;
 use std::time::Duration;
 
 /// A message, from its hand-in to its answer. Times count from the run's beginning.
@@ -27,7 +27,7 @@
     /// When it last did, for windows of repeats.
     pub effect_at: Option<Duration>,
     /// Its final answer, and when.
-    pub answer: Option<(Answer, Duration)>,
+    pub answer: Option<(FinalOutcome, Duration)>,
     /// Answers beyond the first.
     pub more_answers: u32,
 }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios: HCL in, couriers, banks, classes and troubles out. Times are in seconds, rates in a second.
 
 use cloverstile::{Class, Effect, Group, Rules};
-use cloverstile_standin::model::{Fault, Nature};
+use cloverstile_fakes::model::{Fault, Nature};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/emulator/src/spread.rs
+++ b/crates/simulator/src/spread.rs
@@ -1,6 +1,6 @@
 //! Many couriers and many endpoints on a day of even load: thin and unequal traffic, limits that all share, endpoints of
 //! unequal pace, reports that come late. The engine and module of the running courier against published rules for the
-//! choice of an endpoint and for shared limits, as a record for the yardstick of `cloverstile-spread`.
+//! choice of an endpoint and for shared limits, as a record for the yardstick of `cloverstile-load-metrics`.
 
 mod plain;
 mod scenario;
--- a/crates/emulator/src/spread/scenario.rs
+++ b/crates/simulator/src/spread/scenario.rs
@@ -2,8 +2,8 @@
 
 use crate::scenario::{ClassSpec, RuleSpec, ScenarioError};
 use cloverstile::{Class, Effect, Group, Rules};
-use cloverstile_standin::limit::{Counting, Terms};
-use cloverstile_standin::model::Nature;
+use cloverstile_fakes::limit::{Counting, Terms};
+use cloverstile_fakes::model::Nature;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/emulator/src/spread/site.rs
+++ b/crates/simulator/src/spread/site.rs
@@ -1,9 +1,9 @@
 //! Partners of a scene: endpoints with capacity of their own behind limits that are shared, or apart.
 
 use super::scenario::{PartnerSpec, Scene};
-use cloverstile_spread::{Endpoint, Outcome};
-use cloverstile_standin::limit::{SharedLimit, Told};
-use cloverstile_standin::model::{Fault, Partner, Reply, Verdict};
+use cloverstile_fakes::limit::{SharedLimit, Told};
+use cloverstile_fakes::model::{Fault, Partner, Reply, Verdict};
+use cloverstile_load_metrics::{Endpoint, Outcome};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
--- a/crates/emulator/src/spread/world.rs
+++ b/crates/simulator/src/spread/world.rs
@@ -6,11 +6,11 @@
 use super::scenario::{Scene, StrikeKind};
 use super::site::{Load, Sites, Wrong};
 use super::traffic::{Drawn, Traffic};
-use cloverstile::{Allowance, Effect, EndpointId, MessageId, Settings, Time};
-use cloverstile_engine::{Attempt, Engine, Reported};
-use cloverstile_spread::{Call, Partner, Record, Stay};
-use cloverstile_standin::limit::Told;
-use cloverstile_standin::model::Reply;
+use cloverstile::{Effect, EndpointId, MessageId, RateLimitStatus, Settings, Time};
+use cloverstile_engine::{Attempt, Engine, TransportOutcome};
+use cloverstile_fakes::limit::Told;
+use cloverstile_fakes::model::Reply;
+use cloverstile_load_metrics::{Call, Partner, Record, Stay};
 use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -88,10 +88,10 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
-    HandIn,
+    Submission,
     Reach { call: usize },
     Leave { call: usize },
-    Answer { call: usize },
+    Response { call: usize },
     Probed { courier: u32, epoch: u32, endpoint: usize },
     Wake { courier: u32 },
     Strike { place: usize, begins: bool },
@@ -232,7 +232,7 @@
             let end = Duration::from_secs_f64(strike.at + strike.lasts);
             world.enter(end, What::Strike { place, begins: false });
         }
-        world.enter(Duration::ZERO, What::HandIn);
+        world.enter(Duration::ZERO, What::Submission);
         world
     }
 
@@ -259,10 +259,10 @@
 
     fn happen(&mut self, what: What) {
         match what {
-            What::HandIn => self.hand_in_next(),
+            What::Submission => self.hand_in_next(),
             What::Reach { call } => self.reach(call),
             What::Leave { call } => self.leave(call),
-            What::Answer { call } => self.answer(call),
+            What::Response { call } => self.answer(call),
             What::Probed { courier, epoch, endpoint } => {
                 let in_hand = f64::from(self.sites.endpoints[endpoint].in_hand);
                 let seat = &mut self.seats[courier as usize];
@@ -288,7 +288,7 @@
     fn hand_in_next(&mut self) {
         let next = self.now + self.traffic.gap(&mut self.rng);
         if next.as_secs_f64() < self.scene.seconds {
-            self.enter(next, What::HandIn);
+            self.enter(next, What::Submission);
         }
         let Drawn { class, partner, courier } = self.traffic.draw(&mut self.rng);
         let Some(spec) = self.scene.class.values().nth(class) else { return };
@@ -345,7 +345,7 @@
         let (endpoint, message) = (self.calls[call].endpoint, self.calls[call].message);
         if self.sites.endpoints[endpoint].gone {
             self.calls[call].refused_connection = true;
-            return self.enter(now, What::Answer { call });
+            return self.enter(now, What::Response { call });
         }
         let reached = self.sites.reach(now, endpoint, &message.to_string());
         if self.returned.contains(&endpoint) && self.sites.endpoints[endpoint].model.is_fallen() {
@@ -365,7 +365,7 @@
             Some(at) if at > now => self.enter(at, What::Leave { call }),
             Some(_) => {
                 let at = now + self.way();
-                self.enter(at, What::Answer { call });
+                self.enter(at, What::Response { call });
             }
             None => {}
         }
@@ -391,7 +391,7 @@
         let load = self.sites.load(self.now, endpoint);
         self.calls[call].load = load;
         let at = self.now + self.way();
-        self.enter(at, What::Answer { call });
+        self.enter(at, What::Response { call });
     }
 
     // ---- Troubles ----
--- a/crates/emulator/src/spread/world/couriers.rs
+++ b/crates/simulator/src/spread/world/couriers.rs
@@ -2,8 +2,8 @@
 
 use super::super::plain::Nature;
 use super::*;
-use cloverstile::{ClassId, DestinationId, KindId, Mode, TenantId, ZoneId};
-use cloverstile_engine::{Answer, Bounds, Command, HandIn, Taken};
+use cloverstile::{ClassId, DestinationId, EndpointState, KindId, TenantId, ZoneId};
+use cloverstile_engine::{Admission, Bounds, Command, FinalOutcome, SubmitRequest};
 
 /// Share of the couriers' tries that a deadline leaves: attempts for a message.
 const SEND_CAP: u32 = 8;
@@ -73,7 +73,11 @@
                         zone: ZoneId(0),
                         kind: KindId(u16::from(apart)),
                         destination: DestinationId(partner as u16),
-                        mode: if replaced.contains(&place) { Mode::Draining } else { Mode::Ready },
+                        mode: if replaced.contains(&place) {
+                            EndpointState::Draining
+                        } else {
+                            EndpointState::Ready
+                        },
                         weight,
                     }
                 });
@@ -113,7 +117,7 @@
         let seat = &mut self.seats[courier as usize];
         let taken = match &mut seat.mind {
             Mind::Module(engine) => {
-                let taken = HandIn {
+                let taken = SubmitRequest {
                     client: 0,
                     name: number.to_string(),
                     fingerprint: [0; 32],
@@ -126,7 +130,7 @@
                     after_loss,
                 };
                 match engine.hand_in(time(now), taken) {
-                    Taken::New(id) | Taken::Held(id) => {
+                    Admission::New(id) | Admission::InFlight(id) => {
                         seat.held.insert(id, number);
                         true
                     }
@@ -208,24 +212,24 @@
                     self.messages[number as usize].waits.get_or_insert(self.now);
                 }
             }
-            Command::Answer { message, answer, .. } => {
+            Command::Complete { message, answer, .. } => {
                 if let Some(number) = self.seats[courier as usize].held.get(&message).copied() {
                     self.let_go(courier, number);
                     let place = match answer {
-                        Answer::Delivered => 0,
-                        Answer::Refused(_) => 1,
+                        FinalOutcome::Delivered => 0,
+                        FinalOutcome::Rejected(_) => 1,
                         _ => 2,
                     };
                     self.give_answer(number, place);
                 }
             }
-            Command::Forget { message } => {
+            Command::Evicted { message } => {
                 self.seats[courier as usize].held.remove(&message);
             }
             Command::CloseIdle { endpoint } => {
                 self.seats[courier as usize].idle.remove(&(endpoint.0 as usize));
             }
-            Command::Late { .. } | Command::Probe { .. } | Command::Log { .. } => {}
+            Command::LateReceipt { .. } | Command::Probe { .. } | Command::Log { .. } => {}
         }
     }
 
@@ -297,13 +301,13 @@
         match &mut seat.mind {
             Mind::Module(engine) => {
                 let reported = match reply {
-                    _ if at.refused_connection => Reported::ConnectFailed,
-                    Reply::Processed => Reported::Processed,
-                    Reply::Error => Reported::Error,
-                    Reply::Full(wait) => Reported::Full(wait),
-                    Reply::Half | Reply::Reset => Reported::Reset,
+                    _ if at.refused_connection => TransportOutcome::ConnectFailed,
+                    Reply::Processed => TransportOutcome::Processed,
+                    Reply::Error => TransportOutcome::Error,
+                    Reply::Full(wait) => TransportOutcome::Rejected(wait),
+                    Reply::Half | Reply::Reset => TransportOutcome::Reset,
                 };
-                let allowance = at.told.map(|told| Allowance { left: told.left, limit: told.limit });
+                let allowance = at.told.map(|told| RateLimitStatus { left: told.left, limit: told.limit });
                 if let Some(attempt) = at.attempt {
                     engine.ended(time(now), attempt, reported, allowance);
                 }
--- a/crates/emulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -7,12 +7,14 @@
 use crate::record::{Audit, Handed, Message, Run, Second};
 use crate::scenario::{Act, Scenario, TroubleSpec};
 use cloverstile::{
-    Allowance, ClassId, DestinationId, Effect, EndpointId, Group, MessageId, OrderKey, Settings, TenantId,
-    Time, ZoneId,
+    ClassId, DestinationId, Effect, EndpointId, Group, MessageId, OrderKey, RateLimitStatus, Settings,
+    TenantId, Time, ZoneId,
 };
-use cloverstile_engine::{Answer, Attempt, Command, Engine, HandIn, Reported, Taken};
-use cloverstile_standin::model::{Partner, Reply};
-use cloverstile_tiers::Tiers;
+use cloverstile_engine::{
+    Admission, Attempt, Command, Engine, FinalOutcome, SubmitRequest, TransportOutcome,
+};
+use cloverstile_failover::Tiers;
+use cloverstile_fakes::model::{Partner, Reply};
 use rand::distr::weighted::WeightedIndex;
 use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
@@ -32,9 +34,9 @@
 /// Something due.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum What {
-    HandIn,
+    Submission,
     Reach { courier: u32, epoch: u32, endpoint: EndpointId, attempt: Attempt },
-    Answer { courier: u32, epoch: u32, attempt: Attempt, site: u32, reply: Told },
+    Response { courier: u32, epoch: u32, attempt: Attempt, site: u32, reply: Told },
     Wake { courier: u32 },
     Trouble { place: usize, begins: bool },
     Restarted { courier: u32 },
@@ -186,7 +188,7 @@
             world.seats.push(Seat { engine, epoch: 0, wake: None, waits, held, down: false });
         }
         world.rng = rng;
-        world.enter(Duration::ZERO, What::HandIn);
+        world.enter(Duration::ZERO, What::Submission);
         world
     }
 
@@ -213,11 +215,11 @@
 
     fn happen(&mut self, what: What) {
         match what {
-            What::HandIn => self.hand_in_next(),
+            What::Submission => self.hand_in_next(),
             What::Reach { courier, epoch, endpoint, attempt } => {
                 self.reach(courier, epoch, endpoint, attempt);
             }
-            What::Answer { courier, epoch, attempt, site, reply } => {
+            What::Response { courier, epoch, attempt, site, reply } => {
                 self.answered(courier, epoch, attempt, site, reply);
             }
             What::Wake { courier } => {
@@ -238,7 +240,7 @@
         let gap: f64 = Exp1.sample(&mut self.rng);
         let next = self.now + Duration::from_secs_f64(gap / (self.scenario.rate * self.burst).max(1e-6));
         if next.as_secs_f64() < self.scenario.seconds {
-            self.enter(next, What::HandIn);
+            self.enter(next, What::Submission);
         }
         let class = self.by_class.sample(&mut self.rng);
         let bank = self.by_bank.sample(&mut self.rng) as u32;
@@ -278,7 +280,7 @@
 
     fn hand_in(&mut self, courier: u32, number: u32, after_loss: bool) {
         let message = &self.run.messages[number as usize];
-        let taken = HandIn {
+        let taken = SubmitRequest {
             client: 0,
             name: number.to_string(),
             fingerprint: [0; 32],
@@ -293,21 +295,21 @@
         self.run.hand_ins.push(Handed { courier, bank: message.bank, message: number });
         let seat = &mut self.seats[courier as usize];
         if seat.down {
-            return self.give_answer(number, Answer::Refused(Duration::ZERO));
+            return self.give_answer(number, FinalOutcome::Rejected(Duration::ZERO));
         }
         match seat.engine.hand_in(time(self.now), taken) {
-            Taken::New(id) | Taken::Held(id) => {
+            Admission::New(id) | Admission::InFlight(id) => {
                 seat.held.insert(id, number);
                 self.turn(courier);
             }
-            Taken::Answered(_, answer) => self.give_answer(number, answer),
-            Taken::Conflict | Taken::Full | Taken::Stopping => {
-                self.give_answer(number, Answer::Refused(Duration::ZERO));
+            Admission::Completed(_, answer) => self.give_answer(number, answer),
+            Admission::Conflict | Admission::Overloaded | Admission::ShuttingDown => {
+                self.give_answer(number, FinalOutcome::Rejected(Duration::ZERO));
             }
         }
     }
 
-    fn give_answer(&mut self, number: u32, answer: Answer) {
+    fn give_answer(&mut self, number: u32, answer: FinalOutcome) {
         let message = &mut self.run.messages[number as usize];
         if message.answer.is_some() {
             message.more_answers += 1;
@@ -318,7 +320,7 @@
         let worth = class.worth_at((self.now - message.handed).as_secs_f64());
         let second = self.second();
         match answer {
-            Answer::Delivered => {
+            FinalOutcome::Delivered => {
                 second.delivered += 1;
                 second.worth += worth;
             }
@@ -362,15 +364,15 @@
             Command::Abandon { attempt, .. } => {
                 self.in_flight.remove(&(courier, epoch, attempt));
             }
-            Command::Answer { message, answer, .. } => {
+            Command::Complete { message, answer, .. } => {
                 if let Some(number) = seat.held.get(&message).copied() {
                     self.give_answer(number, answer);
                 }
             }
-            Command::Forget { message } => {
+            Command::Evicted { message } => {
                 seat.held.remove(&message);
             }
-            Command::Late { .. }
+            Command::LateReceipt { .. }
             | Command::CloseIdle { .. }
             | Command::Probe { .. }
             | Command::Log { .. } => {}
@@ -392,9 +394,9 @@
         self.second().requests += 1;
         let site = &mut self.sites[id as usize];
         site.count(now);
-        if down || matches!(site.model.fault(), Some(cloverstile_standin::model::Fault::Refuse)) {
+        if down || matches!(site.model.fault(), Some(cloverstile_fakes::model::Fault::Refuse)) {
             let reply = Told::NoConnection;
-            return self.reply(now, What::Answer { courier, epoch, attempt, site: id, reply });
+            return self.reply(now, What::Response { courier, epoch, attempt, site: id, reply });
         }
         // A message that its courier has forgotten, or a lost courier's: the site sees it all the same.
         let Some(number) = number else { return };
@@ -412,7 +414,7 @@
             Reply::Half | Reply::Reset => Told::Reset,
         };
         if let Some(at) = verdict.answer_at {
-            self.reply(at, What::Answer { courier, epoch, attempt, site: id, reply });
+            self.reply(at, What::Response { courier, epoch, attempt, site: id, reply });
         }
     }
 
@@ -458,19 +460,19 @@
             return;
         }
         let limit = self.sites[site as usize].model.nature().limit.unwrap_or(0.0);
-        let told = |left: u32| Allowance { left: f64::from(left) / 1e6, limit };
+        let told = |left: u32| RateLimitStatus { left: f64::from(left) / 1e6, limit };
         let (reported, allowance) = match reply {
-            Told::Processed(left) => (Reported::Processed, left.map(told)),
-            Told::Error => (Reported::Error, None),
-            Told::Full(wait, left) => (Reported::Full(wait), left.map(told)),
-            Told::Reset => (Reported::Reset, None),
-            Told::NoConnection => (Reported::ConnectFailed, None),
+            Told::Processed(left) => (TransportOutcome::Processed, left.map(told)),
+            Told::Error => (TransportOutcome::Error, None),
+            Told::Full(wait, left) => (TransportOutcome::Rejected(wait), left.map(told)),
+            Told::Reset => (TransportOutcome::Reset, None),
+            Told::NoConnection => (TransportOutcome::ConnectFailed, None),
         };
         let seat = &mut self.seats[courier as usize];
         if seat.down || seat.epoch != epoch {
             return;
         }
-        if let Reported::Full(Some(wait)) = reported {
+        if let TransportOutcome::Rejected(Some(wait)) = reported {
             let until = seat.waits.entry(site).or_default();
             *until = (*until).max(self.now + wait);
         }
@@ -574,12 +576,12 @@
                 None => audit.unanswered += 1,
                 Some((answer, at)) => {
                     let untrue = match answer {
-                        Answer::Delivered => message.effects == 0,
-                        Answer::Refused(_) => {
+                        FinalOutcome::Delivered => message.effects == 0,
+                        FinalOutcome::Rejected(_) => {
                             let class = &self.settings.classes[usize::from(message.class)];
                             message.effects > 0 && class.effect != Effect::Safe
                         }
-                        Answer::Failed | Answer::Withdrawn => false,
+                        FinalOutcome::Failed | FinalOutcome::Cancelled => false,
                     };
                     audit.late_or_untrue += u64::from(untrue || at > message.deadline + slack);
                     audit.unanswered += u64::from(message.more_answers > 0);
--- a/crates/emulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -3,10 +3,10 @@
 use super::{time, Address, Site, Strike, What, World};
 use crate::baseline::{HealthyShare, PolicyKind};
 use crate::scenario::SiteSpec;
-use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, Mode, ZoneId};
+use cloverstile::{DestinationId, Endpoint, EndpointId, EndpointState, KindId, ZoneId};
 use cloverstile_engine::{Bounds, Engine};
-use cloverstile_standin::model::Partner;
-use cloverstile_tiers::{Fleet, Planner, Tiers};
+use cloverstile_failover::{Fleet, Planner, Tiers};
+use cloverstile_fakes::model::Partner;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -139,7 +139,7 @@
                 zone: site.zone,
                 kind: KindId(0),
                 destination: self.banks[site.bank as usize].1.destinations[site.tier],
-                mode: if address.draining.is_some() { Mode::Draining } else { Mode::Ready },
+                mode: if address.draining.is_some() { EndpointState::Draining } else { EndpointState::Ready },
                 weight: site.rate,
             }
         };
--- a/crates/emulator/tests/runs.rs
+++ b/crates/simulator/tests/runs.rs
@@ -1,6 +1,6 @@
 //! Runs are the same for one seed, keep the rules, and tell broken ones.
 
-use cloverstile_emulator::{play, read, PolicyKind, Scenario, BUILT_IN};
+use cloverstile_simulator::{play, read, PolicyKind, Scenario, BUILT_IN};
 
 fn built_in(name: &str) -> Scenario {
     let (_, text) = BUILT_IN.iter().find(|(known, _)| *known == name).expect("a scenario of that name");
--- a/crates/emulator/tests/spread.rs
+++ b/crates/simulator/tests/spread.rs
@@ -1,7 +1,7 @@
 //! Scenes of even load: the same run again, the rules kept, and what the yardstick is there to tell apart.
 
-use cloverstile_emulator::{play_spread, read_spread, Choice, Limiter, Scene, SpreadRun, Who, SCENES};
-use cloverstile_spread::{measure, Figures};
+use cloverstile_load_metrics::{measure, Figures};
+use cloverstile_simulator::{play_spread, read_spread, Choice, Limiter, Scene, SpreadRun, Who, SCENES};
 use std::time::Duration;
 
 fn scene(name: &str, couriers: usize) -> Scene {
--- a/crates/lab/src/bench.rs
+++ b/crates/testbench/src/bench.rs
@@ -10,13 +10,13 @@
     compose, compose_receipt, new_station, open, read_receipt, Addressee, As2Error, Composed, Digest,
     Disposition, Envelope, Identity, NewKey, Outcome, Outgoing, Part, ReceiptFacts, Security,
 };
-use cloverstile_courier::rig::{Rig, RigError};
-use cloverstile_courier::{load, Service};
+use cloverstile_as2_gateway::rig::{Rig, RigError};
+use cloverstile_as2_gateway::{load, Service};
+use cloverstile_fakes::client::{Client, Habits, Progress};
+use cloverstile_fakes::model::Fault;
+use cloverstile_fakes::partner::Order;
+use cloverstile_fakes::record::{Line, Recorder, Seen};
 use cloverstile_http::Headers;
-use cloverstile_standin::client::{Client, Habits, Progress};
-use cloverstile_standin::model::Fault;
-use cloverstile_standin::partner::Order;
-use cloverstile_standin::record::{Line, Recorder, Seen};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use rustix::time::{clock_gettime, ClockId};
--- a/crates/lab/src/bin/cloverstile-lab/emulate.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/emulate.rs
@@ -1,8 +1,8 @@
-//! `cloverstile-lab emulate`: scenarios on virtual time.
+//! `cloverstile-testbench emulate`: scenarios on virtual time.
 
 use clap::Args;
-use cloverstile_emulator::{play, read, PolicyKind, Run, Scenario, BUILT_IN};
-use cloverstile_lab::figures::{figures, worth_by_second, Figures};
+use cloverstile_simulator::{play, read, PolicyKind, Run, Scenario, BUILT_IN};
+use cloverstile_testbench::figures::{figures, worth_by_second, Figures};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::time::{Duration, Instant};
 
--- a/crates/lab/src/bin/cloverstile-lab/experiment.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
@@ -1,11 +1,11 @@
-//! `cloverstile-lab experiment`, `report` and `scale`.
+//! `cloverstile-testbench experiment`, `report` and `scale`.
 
 use crate::emulate::find;
 use clap::Args;
-use cloverstile_emulator::{play, PolicyKind, Scenario};
-use cloverstile_lab::columns::Table as Columns;
-use cloverstile_lab::experiment::{apply, read, run};
-use cloverstile_lab::report::{self, FILES};
+use cloverstile_simulator::{play, PolicyKind, Scenario};
+use cloverstile_testbench::columns::Table as Columns;
+use cloverstile_testbench::experiment::{apply, read, run};
+use cloverstile_testbench::report::{self, FILES};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
--- a/crates/lab/src/bin/cloverstile-lab/main.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/main.rs
@@ -1,4 +1,4 @@
-//! The laboratory's command line. See `cloverstile-lab --help`.
+//! The laboratory's command line. See `cloverstile-testbench --help`.
 #![forbid(unsafe_code)]
 
 mod emulate;
@@ -6,12 +6,12 @@
 mod fleet;
 
 use clap::{Args, Parser, Subcommand};
-use cloverstile_lab::bench;
-use cloverstile_lab::day::{read, Day, BUILT_IN};
-use cloverstile_lab::replay::{self, Scale};
-use cloverstile_lab::returns;
-use cloverstile_lab::run::{play, Launch, Played};
-use cloverstile_standin::record::{Line, Seen};
+use cloverstile_fakes::record::{Line, Seen};
+use cloverstile_testbench::bench;
+use cloverstile_testbench::day::{read, Day, BUILT_IN};
+use cloverstile_testbench::replay::{self, Scale};
+use cloverstile_testbench::returns;
+use cloverstile_testbench::run::{play, Launch, Played};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -23,7 +23,7 @@
 /// Plays bad days through real couriers on loopback and judges the six rules.
 #[derive(Parser)]
 #[command(
-    name = "cloverstile-lab",
+    name = "cloverstile-testbench",
     version,
     after_help = "Exit codes: 0 no rule broken, 1 a rule was broken, 2 wrong command line, 3 the day can't be played."
 )]
@@ -149,7 +149,9 @@
             }
         }
         Command::Node => {
-            match cloverstile_node::Variables::from_env().and_then(|v| cloverstile_node::run(&v)) {
+            match cloverstile_resp_gateway::Environment::from_env()
+                .and_then(|v| cloverstile_resp_gateway::run(&v))
+            {
                 Ok(()) => 0,
                 Err(error) => cant(&error.to_string()),
             }
@@ -165,7 +167,7 @@
 }
 
 fn cant(why: &str) -> u8 {
-    eprintln!("cloverstile-lab: {why}");
+    eprintln!("cloverstile-testbench: {why}");
     3
 }
 
@@ -204,7 +206,8 @@
     let launch = Launch { program, log: options.log.clone() };
     let mut worst = 0;
     for seed in options.seed..options.seed + options.seeds.max(1) {
-        let folder = std::env::temp_dir().join(format!("cloverstile-lab-{}-{seed}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("cloverstile-testbench-{}-{seed}", std::process::id()));
         let bar =
             if options.json { ProgressBar::hidden() } else { ProgressBar::new(u64::from(day.messages)) };
         let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
@@ -328,7 +331,8 @@
     let lines: Result<Vec<Line>, _> = text.lines().map(serde_json::from_str).collect();
     match lines {
         Ok(lines) => {
-            let verdict = cloverstile_lab::judge::judge(&lines, &cloverstile_lab::run::figures(&day));
+            let verdict =
+                cloverstile_testbench::judge::judge(&lines, &cloverstile_testbench::run::figures(&day));
             match serde_json::to_string(&verdict) {
                 Ok(told) => println!("{told}"),
                 Err(error) => return cant(&error.to_string()),
@@ -366,7 +370,7 @@
 fn courier(file: &Path, log: &str) -> u8 {
     let filter = tracing_subscriber::EnvFilter::new(log);
     tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false).init();
-    match cloverstile_courier::serve(file, true, rand::random()) {
+    match cloverstile_as2_gateway::serve(file, true, rand::random()) {
         Ok(ending) => u8::from(ending.unanswered > 0),
         Err(error) => cant(&error.to_string()),
     }
--- a/crates/lab/src/day.rs
+++ b/crates/testbench/src/day.rs
@@ -1,9 +1,9 @@
 //! Scripts of days: HCL in, partners, messages and troubles out.
 
 use cloverstile_as2::NewKey;
-use cloverstile_courier::rig::{ClassSpec, PartnerSpec, Spec};
-use cloverstile_standin::client::Planned;
-use cloverstile_standin::model::{Fault, Nature};
+use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Spec};
+use cloverstile_fakes::client::Planned;
+use cloverstile_fakes::model::{Fault, Nature};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -235,7 +235,7 @@
     /// A partner's fault.
     Fault(usize, Fault, Option<usize>),
     /// A partner's receipts.
-    Receipts(usize, cloverstile_standin::partner::Twist),
+    Receipts(usize, cloverstile_fakes::partner::Twist),
     /// An endpoint drains and comes back.
     Drain(usize, usize),
     /// A courier is killed and started again.
@@ -301,7 +301,7 @@
                 Some(courier) if courier < self.couriers => Ok(courier),
                 _ => Err(wrong("names no courier that there is")),
             };
-            use cloverstile_standin::partner::Twist;
+            use cloverstile_fakes::partner::Twist;
             let act = match trouble.kind.as_str() {
                 "wrong-mic" => Act::Receipts(partner()?, Twist::WrongMic),
                 "wrong-signer" => Act::Receipts(partner()?, Twist::WrongSigner),
--- a/crates/lab/src/experiment.rs
+++ b/crates/testbench/src/experiment.rs
@@ -2,8 +2,8 @@
 
 use crate::columns::Table;
 use crate::figures::{figures, worth_by_second, Figures};
-use cloverstile_emulator::{play, PolicyKind, Run, Scenario};
-use cloverstile_engine::Answer;
+use cloverstile_engine::FinalOutcome;
+use cloverstile_simulator::{play, PolicyKind, Run, Scenario};
 use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::BTreeMap;
@@ -206,7 +206,7 @@
         let mut all = 0.0_f64;
         for message in of_class {
             all += 1.0;
-            if let Some((Answer::Delivered, at)) = message.answer {
+            if let Some((FinalOutcome::Delivered, at)) = message.answer {
                 ages.push(at.saturating_sub(message.handed).as_secs_f64());
             }
         }
@@ -275,8 +275,8 @@
 
     #[test]
     fn a_record_does_not_depend_on_threads_and_bad_files_say_why() {
-        let (_, text) = cloverstile_emulator::BUILT_IN[0];
-        let mut scenario = cloverstile_emulator::read(text).unwrap();
+        let (_, text) = cloverstile_simulator::BUILT_IN[0];
+        let mut scenario = cloverstile_simulator::read(text).unwrap();
         apply(&mut scenario, &Changes { seconds: Some(4.0), rate: Some(100.0), ..Changes::default() });
         let scenarios = [("surge".to_owned(), scenario)];
         let played = |threads| run(&scenarios, &PolicyKind::ALL, 2, threads, &|_, _| {});
--- a/crates/lab/src/figures.rs
+++ b/crates/testbench/src/figures.rs
@@ -1,7 +1,7 @@
 //! Figures of an emulated run: worth, the worst ten seconds, time to full service, load at returning sites, spill.
 
-use cloverstile_emulator::{Run, Scenario};
-use cloverstile_engine::Answer;
+use cloverstile_engine::FinalOutcome;
+use cloverstile_simulator::{Run, Scenario};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -53,10 +53,12 @@
 /// Worth that each message earned, in the order of hand-ins.
 fn earned(scenario: &Scenario, run: &Run) -> Vec<(usize, f64, f64)> {
     let classes: Vec<_> = scenario.class.values().collect();
-    let of = |message: &cloverstile_emulator::Message| {
+    let of = |message: &cloverstile_simulator::Message| {
         let class = classes[usize::from(message.class)];
         let earned = match message.answer {
-            Some((Answer::Delivered, at)) => class.worth_at(at.saturating_sub(message.handed).as_secs_f64()),
+            Some((FinalOutcome::Delivered, at)) => {
+                class.worth_at(at.saturating_sub(message.handed).as_secs_f64())
+            }
             _ => 0.0,
         };
         (message.handed.as_secs() as usize, class.worth, earned)
@@ -95,10 +97,11 @@
         let starts = tail.windows(FULL_SECONDS).position(|three| ratio(three) >= FULL)?;
         Some(((from + starts) as f64 - back.as_secs_f64()).max(0.0))
     };
-    let delivered = run.messages.iter().filter(|m| matches!(m.answer, Some((Answer::Delivered, _)))).count();
+    let delivered =
+        run.messages.iter().filter(|m| matches!(m.answer, Some((FinalOutcome::Delivered, _)))).count();
     let audit = &run.audit;
     let most =
-        |of: &dyn Fn(&cloverstile_emulator::Window) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
+        |of: &dyn Fn(&cloverstile_simulator::Window) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
     Figures {
         messages: run.messages.len(),
         delivered: delivered as f64 / run.messages.len().max(1) as f64,
--- a/crates/lab/src/fleet/ground.rs
+++ b/crates/testbench/src/fleet/ground.rs
@@ -5,12 +5,12 @@
 use super::judge::{Books, End};
 use super::platform::{query, List};
 use super::processes::{FleetError, Processes};
-use cloverstile_emulator::{Drawn, Scene, Sites, SpreadRun, Traffic};
+use cloverstile_fakes::limit::Told;
+use cloverstile_fakes::model::Reply;
 use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message, Start};
+use cloverstile_load_metrics::{Call, Outcome, Partner};
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
-use cloverstile_spread::{Call, Outcome, Partner};
-use cloverstile_standin::limit::Told;
-use cloverstile_standin::model::Reply;
+use cloverstile_simulator::{Drawn, Scene, Sites, SpreadRun, Traffic};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -36,11 +36,11 @@
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    HandIn,
+    Submission,
     Again {
         number: usize,
     },
-    Answer {
+    Response {
         call: usize,
     },
     /// A watch hears of what is newer, or that nothing is.
@@ -177,7 +177,7 @@
             let end = Duration::from_secs_f64(strike.at + strike.lasts);
             self.enter(end, Due::Strike { place, begins: false });
         }
-        self.enter(Duration::ZERO, Due::HandIn);
+        self.enter(Duration::ZERO, Due::Submission);
         self.enter(LOOK, Due::Look);
         let handed = Duration::from_secs_f64(self.scene.seconds);
         let longest = self.scene.class.values().map(|class| class.deadline).fold(0.0, f64::max);
@@ -218,9 +218,9 @@
 
     fn happen(&mut self, now: Duration, due: Due) {
         match due {
-            Due::HandIn => self.hand_in_next(now),
+            Due::Submission => self.hand_in_next(now),
             Due::Again { number } => self.hand_in(now, number),
-            Due::Answer { call } => self.answer(now, call),
+            Due::Response { call } => self.answer(now, call),
             Due::Watch { conn, asked } => self.tell_watch(conn, asked),
             Due::Strike { place, begins } => self.strike(now, place, begins),
             Due::Start { courier } => {
@@ -319,7 +319,7 @@
     fn hand_in_next(&mut self, now: Duration) {
         let next = now + self.traffic.gap(&mut self.rng);
         if next.as_secs_f64() < self.scene.seconds {
-            self.enter(next, Due::HandIn);
+            self.enter(next, Due::Submission);
         }
         let Drawn { class, partner, courier } = self.traffic.draw(&mut self.rng);
         let number = self.books.handed(now, courier, partner, class);
@@ -412,7 +412,7 @@
         let first = self.sites.partners[partner].endpoints.first() == Some(&place);
         let far = if first && courier < self.far { troubles::FAR } else { Duration::ZERO };
         match answer_at {
-            Some(at) if at + far > now => self.enter(at + far, Due::Answer { call }),
+            Some(at) if at + far > now => self.enter(at + far, Due::Response { call }),
             Some(_) => self.answer(now, call),
             None => {}
         }
--- a/crates/lab/src/fleet/ground/troubles.rs
+++ b/crates/testbench/src/fleet/ground/troubles.rs
@@ -1,7 +1,7 @@
 //! What goes wrong, by the clock.
 
 use super::{Due, Ground};
-use cloverstile_emulator::{StrikeKind, Wrong};
+use cloverstile_simulator::{StrikeKind, Wrong};
 use std::time::Duration;
 
 /// By so much later the struck couriers are answered by the endpoint of a `slow-for`.
--- a/crates/lab/src/fleet/judge.rs
+++ b/crates/testbench/src/fleet/judge.rs
@@ -2,8 +2,8 @@
 //! sockets, in its order; free of I/O.
 
 use cloverstile::{Class, Effect};
-use cloverstile_emulator::{SpreadAudit, SpreadRun};
-use cloverstile_spread::Stay;
+use cloverstile_load_metrics::Stay;
+use cloverstile_simulator::{SpreadAudit, SpreadRun};
 use std::collections::HashMap;
 use std::time::Duration;
 
--- a/crates/lab/src/fleet/platform.rs
+++ b/crates/testbench/src/fleet/platform.rs
@@ -1,6 +1,6 @@
 //! What discovery tells, and when each courier hears of a change.
 
-use cloverstile_emulator::Sites;
+use cloverstile_simulator::Sites;
 use std::net::SocketAddr;
 
 /// The list, with its version.
--- a/crates/lab/src/fleet/processes.rs
+++ b/crates/testbench/src/fleet/processes.rs
@@ -1,6 +1,6 @@
 //! The processes: their settings, start, loss and end.
 
-use cloverstile_emulator::Scene;
+use cloverstile_simulator::Scene;
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -95,7 +95,7 @@
     seed: u64,
 ) -> serde_json::Value {
     let nanos = |seconds: f64| (seconds * 1e9) as u64;
-    let lane = |(name, class): (&String, &cloverstile_emulator::ClassSpec)| {
+    let lane = |(name, class): (&String, &cloverstile_simulator::ClassSpec)| {
         let effect = match class.effect.as_str() {
             "safe" => "read_like",
             "keyed" => "idempotency_key",
--- a/crates/lab/src/judge.rs
+++ b/crates/testbench/src/judge.rs
@@ -4,8 +4,8 @@
 //! Times at stand-ins are a little later than what caused them, and those of different threads don't line up to
 //! the microsecond: what lies within [`SKEW`] of a bound is let pass.
 
-use cloverstile_courier::rig::courier_name;
-use cloverstile_standin::record::{End, Line, Seen, Told};
+use cloverstile_as2_gateway::rig::courier_name;
+use cloverstile_fakes::record::{End, Line, Seen, Told};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
--- a/crates/lab/src/returns.rs
+++ b/crates/testbench/src/returns.rs
@@ -1,8 +1,8 @@
 //! Load of returning sites in short windows, from the record of a day over sockets.
 
 use crate::day::Day;
-use cloverstile_standin::model::Nature;
-use cloverstile_standin::record::{Line, Seen};
+use cloverstile_fakes::model::Nature;
+use cloverstile_fakes::record::{Line, Seen};
 use serde::Serialize;
 use std::time::Duration;
 
--- a/crates/lab/src/run.rs
+++ b/crates/testbench/src/run.rs
@@ -2,10 +2,10 @@
 
 use crate::day::{Act, Day, DayError};
 use crate::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
-use cloverstile_courier::rig::{Rig, RigError};
-use cloverstile_standin::client::{Client, Couriers, Habits, Progress};
-use cloverstile_standin::partner::Order;
-use cloverstile_standin::record::{Line, Recorder, Seen};
+use cloverstile_as2_gateway::rig::{Rig, RigError};
+use cloverstile_fakes::client::{Client, Couriers, Habits, Progress};
+use cloverstile_fakes::partner::Order;
+use cloverstile_fakes::record::{Line, Recorder, Seen};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::{kill_process, Pid, Signal};
--- a/crates/lab/src/spread.rs
+++ b/crates/testbench/src/spread.rs
@@ -1,7 +1,7 @@
 //! Figures of a run of even load, whoever played it.
 
-use cloverstile_emulator::{Scene, SpreadRun};
-use cloverstile_spread::measure;
+use cloverstile_load_metrics::measure;
+use cloverstile_simulator::{Scene, SpreadRun};
 use serde::Serialize;
 use std::time::Duration;
 
--- a/crates/lab/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -1,9 +1,9 @@
 //! A small fleet of real processes on loopback: couriers killed, endpoints replaced, limits lowered. Judged from what
 //! passed on our sockets.
 
-use cloverstile_emulator::{read_spread, Scene};
-use cloverstile_lab::fleet::play_fleet;
-use cloverstile_lab::spread::figures;
+use cloverstile_simulator::{read_spread, Scene};
+use cloverstile_testbench::fleet::play_fleet;
+use cloverstile_testbench::spread::figures;
 use std::path::Path;
 use std::time::Duration;
 
--- a/crates/lab/tests/judge.rs
+++ b/crates/testbench/tests/judge.rs
@@ -1,7 +1,7 @@
 //! Each rule is broken in a doctored record, and found out; the record without the doctoring is clean.
 
-use cloverstile_lab::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
-use cloverstile_standin::record::{End, Line, Seen, Told};
+use cloverstile_fakes::record::{End, Line, Seen, Told};
+use cloverstile_testbench::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
 use std::collections::HashMap;
 
 const MS: u64 = 1000;
--- a/crates/lab/tests/replay.rs
+++ b/crates/testbench/tests/replay.rs
@@ -1,8 +1,8 @@
 //! A bench day becomes a script; what can't be played is said.
 
-use cloverstile_lab::day::Act;
-use cloverstile_lab::replay::{read, Scale};
-use cloverstile_standin::model::Fault;
+use cloverstile_fakes::model::Fault;
+use cloverstile_testbench::day::Act;
+use cloverstile_testbench::replay::{read, Scale};
 use serde_json::json;
 use std::time::Duration;
 
--- a/crates/lab/tests/sockets.rs
+++ b/crates/testbench/tests/sockets.rs
@@ -1,8 +1,8 @@
 //! The hard cases, each a small day over sockets with real courier processes, judged from the records.
 
-use cloverstile_lab::day::read;
-use cloverstile_lab::run::{play, Launch, Played};
-use cloverstile_standin::record::{End, Seen, Told};
+use cloverstile_fakes::record::{End, Seen, Told};
+use cloverstile_testbench::day::read;
+use cloverstile_testbench::run::{play, Launch, Played};
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
@@ -208,7 +208,7 @@
 
 #[test]
 fn a_payday_in_small_keeps_every_rule() {
-    let payday = cloverstile_lab::day::BUILT_IN[0].1;
+    let payday = cloverstile_testbench::day::BUILT_IN[0].1;
     let text = payday.replace("messages = 5000", "messages = 1500").replace("rate     = 380", "rate = 150");
     let played = day("payday", &text);
     assert!(played.verdict.delivered > 1300, "{:?}", played.verdict);
@@ -216,7 +216,7 @@
 
 #[test]
 fn a_lost_site_spills_its_stated_share_in_every_second_and_comes_back_gently() {
-    let zone = cloverstile_lab::day::BUILT_IN.iter().find(|(name, _)| *name == "zone").unwrap().1;
+    let zone = cloverstile_testbench::day::BUILT_IN.iter().find(|(name, _)| *name == "zone").unwrap().1;
     let text = zone.replace("messages = 3000", "messages = 2000");
     let played = day("zone", &text);
     let requests = requests(&played);
@@ -263,10 +263,11 @@
         trouble \"gone\" {\n kind = \"refuse\"\n partner = \"bank\"\n zone = 0\n at = 3\n lasts = 4\n}\n\
         trouble \"surge\" {\n kind = \"burst\"\n at = 6\n lasts = 5\n size = 1.4\n}\n";
     let played = day("return", text);
-    let windows = cloverstile_lab::returns::windows(&read(text).unwrap(), &played.lines);
+    let windows = cloverstile_testbench::returns::windows(&read(text).unwrap(), &played.lines);
     assert!(windows.len() >= 70, "{} windows", windows.len());
     let received: u32 = windows.iter().map(|window| window.received).sum();
     assert!(received > 200, "{received} requests at the returning site");
-    let over: Vec<_> = windows.iter().filter(|window| cloverstile_lab::returns::is_over(window)).collect();
+    let over: Vec<_> =
+        windows.iter().filter(|window| cloverstile_testbench::returns::is_over(window)).collect();
     assert!(over.is_empty(), "{over:?}");
 }
--- a/crates/lab/tests/zones.rs
+++ b/crates/testbench/tests/zones.rs
@@ -1,8 +1,8 @@
 //! The hard cases of losing and regaining a zone, on virtual time: rules kept, spill inside its share, returns inside
 //! what a site survives.
 
-use cloverstile_emulator::{play, read, PolicyKind, BUILT_IN};
-use cloverstile_lab::figures::{figures, Figures};
+use cloverstile_simulator::{play, read, PolicyKind, BUILT_IN};
+use cloverstile_testbench::figures::{figures, Figures};
 
 /// The surge in small, with other troubles.
 fn surge(couriers: usize, rate: f64, troubles: &str) -> Figures {
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,7 +1,7 @@
 //! The log as state: what lives, what a turn adds, when a new segment is due, and what a start finds.
 
-use crate::record::{write_taken, Living, Names, Record};
-use crate::store::Folder;
+use crate::record::{write_taken, LiveMessage, NameTable, Record};
+use crate::store::SegmentStore;
 use std::collections::BTreeMap;
 use std::io;
 
@@ -19,11 +19,11 @@
 #[derive(Debug, Default)]
 pub struct Recovered {
     /// The living, in the order in which they were taken.
-    pub living: Vec<Living>,
+    pub living: Vec<LiveMessage>,
     /// Bytes of a torn or damaged tail that were given up.
     pub torn: usize,
     /// What places meant at that time; nothing in a log of before that was kept.
-    pub names: Names,
+    pub names: NameTable,
 }
 
 /// A log in a folder.
@@ -33,16 +33,16 @@
     segment: u64,
     /// Bytes of the segment that count.
     length: u64,
-    living: BTreeMap<u32, Living>,
+    living: BTreeMap<u32, LiveMessage>,
     living_bytes: u64,
     batch: Vec<u8>,
-    names: Names,
+    names: NameTable,
     /// Records were dropped: nothing is appended before a new segment says how all stands.
     torn: bool,
 }
 
 /// What a message takes in a segment, at most.
-fn size(living: &Living) -> u64 {
+fn size(living: &LiveMessage) -> u64 {
     (living.id.len() + living.idempotency.as_ref().map_or(0, Vec::len) + living.body.len() + 96) as u64
 }
 
@@ -54,9 +54,9 @@
     name.strip_prefix("log.")?.parse().ok()
 }
 
-impl<F: Folder> Log<F> {
+impl<F: SegmentStore> Log<F> {
     /// Reads what an earlier process left, and begins an empty segment. The caller takes the living on again,
-    /// under numbers of its own, with [`Record::Taken`], and commits. Until then the old segment stays.
+    /// under numbers of its own, with [`Record::Submitted`], and commits. Until then the old segment stays.
     pub fn open(folder: F, bound: u64) -> io::Result<(Self, Recovered)> {
         let mut log = Log {
             folder,
@@ -66,7 +66,7 @@
             living: BTreeMap::new(),
             living_bytes: 0,
             batch: Vec::new(),
-            names: Names::default(),
+            names: NameTable::default(),
             torn: true,
         };
         log.folder.remove(TEMPORARY)?;
@@ -99,17 +99,17 @@
 
     fn apply(&mut self, record: Record) {
         match record {
-            Record::Taken(seq, living) => {
+            Record::Submitted(seq, living) => {
                 self.living_bytes += size(&living);
                 self.living.insert(seq, *living);
             }
-            Record::Begun(seq, began) => {
+            Record::AttemptStarted(seq, began) => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     living.attempts = living.attempts.saturating_add(1);
                     living.open = Some(began);
                 }
             }
-            Record::Settled(seq, may_have_run) => {
+            Record::AttemptCompleted(seq, may_have_run) => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     let begun = living.open.take();
                     if may_have_run && living.may_have_run.is_none() {
@@ -117,29 +117,30 @@
                     }
                 }
             }
-            Record::Owed(seq, ending) => {
+            Record::NotificationPending(seq, ending) => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     self.living_bytes -= living.body.len() as u64;
                     living.body = Vec::new();
                     living.owed = Some(ending);
                 }
             }
-            Record::Over(seq) => {
+            Record::Completed(seq) => {
                 if let Some(living) = self.living.remove(&seq) {
                     self.living_bytes -= size(&living);
                 }
             }
-            Record::Names(names) => self.names = names,
+            Record::NameTable(names) => self.names = names,
         }
     }
 
     /// Adds a record to the turn. A record of a message that is not living is dropped.
     pub fn record(&mut self, record: Record) {
         let known = match &record {
-            Record::Taken(..) | Record::Names(_) => true,
-            Record::Begun(seq, _) | Record::Settled(seq, _) | Record::Owed(seq, _) | Record::Over(seq) => {
-                self.living.contains_key(seq)
-            }
+            Record::Submitted(..) | Record::NameTable(_) => true,
+            Record::AttemptStarted(seq, _)
+            | Record::AttemptCompleted(seq, _)
+            | Record::NotificationPending(seq, _)
+            | Record::Completed(seq) => self.living.contains_key(seq),
         };
         if known {
             record.write(&mut self.batch);
@@ -148,7 +149,7 @@
     }
 
     /// What is known of a message that lives.
-    pub fn living(&self, seq: u32) -> Option<&Living> {
+    pub fn living(&self, seq: u32) -> Option<&LiveMessage> {
         self.living.get(&seq)
     }
 
@@ -193,8 +194,8 @@
     fn replace(&mut self) -> io::Result<()> {
         self.torn = true;
         let mut bytes = MAGIC.to_vec();
-        if self.names != Names::default() {
-            Record::Names(self.names.clone()).write(&mut bytes);
+        if self.names != NameTable::default() {
+            Record::NameTable(self.names.clone()).write(&mut bytes);
         }
         for (seq, living) in &self.living {
             write_taken(*seq, living, &mut bytes);
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -2,7 +2,7 @@
 
 /// What is owed to a message that ended undelivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ending {
+pub enum TerminalState {
     /// It may have taken effect.
     Undeliverable,
     /// It never took effect; come again after so many milliseconds, where that is told.
@@ -11,7 +11,7 @@
 
 /// What the log knows of a message that is not over.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Living {
+pub struct LiveMessage {
     /// The client's id of it.
     pub id: Vec<u8>,
     /// Its idempotency key, if its class has one.
@@ -31,21 +31,21 @@
     /// Attempts begun.
     pub attempts: u16,
     /// The first attempt that was begun and may have run.
-    pub may_have_run: Option<Began>,
+    pub may_have_run: Option<AttemptStart>,
     /// The attempt that was begun and has no outcome yet.
-    pub open: Option<Began>,
+    pub open: Option<AttemptStart>,
     /// It has ended, and the platform was not told yet.
-    pub owed: Option<Ending>,
+    pub owed: Option<TerminalState>,
     /// What is delivered; empty once it has ended.
     pub body: Vec<u8>,
 }
 
 /// A place that a log of before places were kept doesn't tell, or that the settings had no name for.
-pub const UNKNOWN: u8 = u8::MAX;
+pub const UNKNOWN_INDEX: u8 = u8::MAX;
 
 /// An attempt that was begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Began {
+pub struct AttemptStart {
     /// When, in Unix nanoseconds.
     pub at: u64,
     /// In which zone, by place.
@@ -54,10 +54,10 @@
 
 /// What places meant when they were written: settings may have changed since.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Names {
-    /// Names of the classes, and what a second run of theirs does, in a number of the writer's.
+pub struct NameTable {
+    /// NameTable of the classes, and what a second run of theirs does, in a number of the writer's.
     pub classes: Vec<(String, u8)>,
-    /// Names of the zones.
+    /// NameTable of the zones.
     pub zones: Vec<String>,
 }
 
@@ -65,17 +65,17 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
     /// Taken on; in a fresh segment, as it stands.
-    Taken(u32, Box<Living>),
+    Submitted(u32, Box<LiveMessage>),
     /// An attempt begins.
-    Begun(u32, Began),
+    AttemptStarted(u32, AttemptStart),
     /// The attempt that was out has its outcome; whether it may have run.
-    Settled(u32, bool),
+    AttemptCompleted(u32, bool),
     /// It ended undelivered; the notice is owed.
-    Owed(u32, Ending),
+    NotificationPending(u32, TerminalState),
     /// Over: delivered, withdrawn, or its notice answered.
-    Over(u32),
+    Completed(u32),
     /// What the places of messages in this segment mean.
-    Names(Names),
+    NameTable(NameTable),
 }
 
 /// Bytes before a record's payload: its length and its checksum.
@@ -106,10 +106,10 @@
         self.u32(u32::try_from(value.len()).unwrap_or(u32::MAX));
         self.0.extend_from_slice(value);
     }
-    fn ending(&mut self, ending: Ending) {
+    fn ending(&mut self, ending: TerminalState) {
         match ending {
-            Ending::Undeliverable => self.u8(1),
-            Ending::Deferred(again) => {
+            TerminalState::Undeliverable => self.u8(1),
+            TerminalState::Deferred(again) => {
                 self.u8(2);
                 self.option(again);
             }
@@ -128,8 +128,8 @@
     out[start + 4..start + HEAD].copy_from_slice(&checksum.to_le_bytes());
 }
 
-/// Appends [`Record::Taken`] of a message as it stands, without a copy of its body.
-pub fn write_taken(seq: u32, living: &Living, out: &mut Vec<u8>) {
+/// Appends [`Record::Submitted`] of a message as it stands, without a copy of its body.
+pub fn write_taken(seq: u32, living: &LiveMessage, out: &mut Vec<u8>) {
     framed(out, |to| {
         to.u8(1);
         to.u32(seq);
@@ -151,7 +151,7 @@
         }
         to.bytes(&living.body);
         for began in [living.may_have_run, living.open] {
-            to.u8(began.map_or(UNKNOWN, |began| began.zone));
+            to.u8(began.map_or(UNKNOWN_INDEX, |began| began.zone));
         }
     });
 }
@@ -160,28 +160,28 @@
     /// Appends the record's bytes.
     pub fn write(&self, out: &mut Vec<u8>) {
         match self {
-            Record::Taken(seq, living) => write_taken(*seq, living, out),
-            Record::Begun(seq, began) => framed(out, |to| {
+            Record::Submitted(seq, living) => write_taken(*seq, living, out),
+            Record::AttemptStarted(seq, began) => framed(out, |to| {
                 to.u8(2);
                 to.u32(*seq);
                 to.u64(began.at);
                 to.u8(began.zone);
             }),
-            Record::Settled(seq, may_have_run) => framed(out, |to| {
+            Record::AttemptCompleted(seq, may_have_run) => framed(out, |to| {
                 to.u8(3);
                 to.u32(*seq);
                 to.u8(u8::from(*may_have_run));
             }),
-            Record::Owed(seq, ending) => framed(out, |to| {
+            Record::NotificationPending(seq, ending) => framed(out, |to| {
                 to.u8(4);
                 to.u32(*seq);
                 to.ending(*ending);
             }),
-            Record::Over(seq) => framed(out, |to| {
+            Record::Completed(seq) => framed(out, |to| {
                 to.u8(5);
                 to.u32(*seq);
             }),
-            Record::Names(names) => framed(out, |to| {
+            Record::NameTable(names) => framed(out, |to| {
                 to.u8(6);
                 to.u32(u32::try_from(names.classes.len()).unwrap_or(u32::MAX));
                 names.classes.iter().for_each(|(name, _)| to.bytes(name.as_bytes()));
@@ -208,8 +208,8 @@
     }
 }
 
-fn began(at: Option<u64>, zone: u8) -> Option<Began> {
-    at.map(|at| Began { at, zone })
+fn began(at: Option<u64>, zone: u8) -> Option<AttemptStart> {
+    at.map(|at| AttemptStart { at, zone })
 }
 
 struct In<'a>(&'a [u8]);
@@ -250,16 +250,16 @@
     }
     /// A place that records of before it was kept end without.
     fn place(&mut self) -> u8 {
-        self.u8().unwrap_or(UNKNOWN)
+        self.u8().unwrap_or(UNKNOWN_INDEX)
     }
     fn text(&mut self) -> Option<String> {
         self.bytes().and_then(|text| String::from_utf8(text).ok())
     }
-    fn ending(&mut self) -> Option<Option<Ending>> {
+    fn ending(&mut self) -> Option<Option<TerminalState>> {
         Some(match self.u8()? {
             0 => None,
-            1 => Some(Ending::Undeliverable),
-            2 => Some(Ending::Deferred(self.option()?)),
+            1 => Some(TerminalState::Undeliverable),
+            2 => Some(TerminalState::Deferred(self.option()?)),
             _ => return None,
         })
     }
@@ -271,7 +271,7 @@
                 let id = self.bytes()?;
                 let keyed = self.flag()?;
                 let key = self.bytes()?;
-                let mut living = Living {
+                let mut living = LiveMessage {
                     id,
                     idempotency: keyed.then_some(key),
                     class: self.u8()?,
@@ -281,27 +281,27 @@
                     deadline: self.u64()?,
                     after_loss: self.flag()?,
                     attempts: self.u16()?,
-                    ..Living::default()
+                    ..LiveMessage::default()
                 };
                 let (may_have_run, open) = (self.option()?, self.option()?);
                 (living.owed, living.body) = (self.ending()?, self.bytes()?);
                 living.may_have_run = began(may_have_run, self.place());
                 living.open = began(open, self.place());
-                Record::Taken(seq, Box::new(living))
+                Record::Submitted(seq, Box::new(living))
             }
-            2 => Record::Begun(seq, Began { at: self.u64()?, zone: self.place() }),
-            3 => Record::Settled(seq, self.flag()?),
-            4 => Record::Owed(seq, self.ending()??),
-            5 => Record::Over(seq),
+            2 => Record::AttemptStarted(seq, AttemptStart { at: self.u64()?, zone: self.place() }),
+            3 => Record::AttemptCompleted(seq, self.flag()?),
+            4 => Record::NotificationPending(seq, self.ending()??),
+            5 => Record::Completed(seq),
             6 => {
                 let names: Vec<String> = (0..seq).map(|_| self.text()).collect::<Option<_>>()?;
                 let classes = names.into_iter().map(|name| (name, 0)).collect();
-                let mut names = Names { classes, zones: Vec::new() };
+                let mut names = NameTable { classes, zones: Vec::new() };
                 names.classes.iter_mut().for_each(|(_, effect)| *effect = self.place());
                 while !self.0.is_empty() {
                     names.zones.push(self.text()?);
                 }
-                Record::Names(names)
+                Record::NameTable(names)
             }
             _ => return None,
         })
--- a/crates/wal/src/store.rs
+++ b/crates/wal/src/store.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 /// A folder of files that outlast the process.
-pub trait Folder {
+pub trait SegmentStore {
     /// Names of all files.
     fn names(&self) -> io::Result<Vec<String>>;
     /// A file whole.
@@ -22,15 +22,15 @@
 }
 
 /// A folder of the file system.
-pub struct Dir {
+pub struct DirectoryStore {
     path: PathBuf,
     open: Option<(String, File)>,
 }
 
-impl Dir {
+impl DirectoryStore {
     /// The folder at this path, which must be there.
     pub fn new(path: impl Into<PathBuf>) -> Self {
-        Dir { path: path.into(), open: None }
+        DirectoryStore { path: path.into(), open: None }
     }
 
     fn forget(&mut self, name: &str) {
@@ -38,7 +38,7 @@
     }
 }
 
-impl Folder for Dir {
+impl SegmentStore for DirectoryStore {
     fn names(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.path)? {
@@ -86,7 +86,7 @@
 
 /// A folder in memory, which can be told to run full.
 #[derive(Clone, Debug, Default)]
-pub struct Memory {
+pub struct MemoryStore {
     /// What the files hold.
     pub files: BTreeMap<String, Vec<u8>>,
     /// Bytes that may still be written; beyond, a write fails part of the way.
@@ -95,14 +95,14 @@
     pub most: usize,
 }
 
-impl Memory {
+impl MemoryStore {
     fn note(&mut self) {
         let size = self.files.values().map(|file| file.len().div_ceil(512) * 512).sum();
         self.most = self.most.max(size);
     }
 }
 
-impl Folder for Memory {
+impl SegmentStore for MemoryStore {
     fn names(&self) -> io::Result<Vec<String>> {
         Ok(self.files.keys().cloned().collect())
     }
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -1,14 +1,14 @@
 //! Recovery after a cut at every byte, damage, a full folder, and segments under the bound.
 
-use cloverstile_wal::store::{Dir, Folder, Memory};
-use cloverstile_wal::{Began, Ending, Living, Log, Names, Record, UNKNOWN};
+use cloverstile_wal::store::{DirectoryStore, MemoryStore, SegmentStore};
+use cloverstile_wal::{AttemptStart, LiveMessage, Log, NameTable, Record, TerminalState, UNKNOWN_INDEX};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 const BOUND: u64 = 1 << 20;
 
-fn message(number: u32, body: usize) -> Living {
-    Living {
+fn message(number: u32, body: usize) -> LiveMessage {
+    LiveMessage {
         id: format!("m{number}").into_bytes(),
         idempotency: number.is_multiple_of(2).then(|| b"key".to_vec()),
         class: 1,
@@ -17,39 +17,39 @@
         taken_at: 10,
         deadline: 20,
         body: vec![number as u8; body],
-        ..Living::default()
+        ..LiveMessage::default()
     }
 }
 
-fn began(at: u64) -> Began {
-    Began { at, zone: at as u8 % 3 }
+fn began(at: u64) -> AttemptStart {
+    AttemptStart { at, zone: at as u8 % 3 }
 }
 
-fn open(folder: Memory) -> (Log<Memory>, Vec<Living>, usize) {
+fn open(folder: MemoryStore) -> (Log<MemoryStore>, Vec<LiveMessage>, usize) {
     let (log, recovered) = Log::open(folder, BOUND).unwrap();
     (log, recovered.living, recovered.torn)
 }
 
-fn newest(folder: &Memory) -> String {
+fn newest(folder: &MemoryStore) -> String {
     folder.files.keys().next_back().unwrap().clone()
 }
 
 /// A log's steps, each in a turn of its own, with the folder as it stood after each.
-fn steps() -> Vec<Memory> {
+fn steps() -> Vec<MemoryStore> {
     let records = vec![
-        Record::Taken(1, Box::new(message(1, 30))),
-        Record::Taken(2, Box::new(message(2, 300))),
-        Record::Begun(1, began(11)),
-        Record::Settled(1, false),
-        Record::Begun(2, began(12)),
-        Record::Settled(2, true),
-        Record::Begun(2, began(13)),
-        Record::Begun(1, began(14)),
-        Record::Owed(2, Ending::Deferred(Some(700))),
-        Record::Over(1),
-        Record::Over(2),
+        Record::Submitted(1, Box::new(message(1, 30))),
+        Record::Submitted(2, Box::new(message(2, 300))),
+        Record::AttemptStarted(1, began(11)),
+        Record::AttemptCompleted(1, false),
+        Record::AttemptStarted(2, began(12)),
+        Record::AttemptCompleted(2, true),
+        Record::AttemptStarted(2, began(13)),
+        Record::AttemptStarted(1, began(14)),
+        Record::NotificationPending(2, TerminalState::Deferred(Some(700))),
+        Record::Completed(1),
+        Record::Completed(2),
     ];
-    let (mut log, ..) = open(Memory::default());
+    let (mut log, ..) = open(MemoryStore::default());
     log.commit().unwrap();
     records
         .iter()
@@ -99,24 +99,24 @@
     assert_eq!((second.attempts, second.may_have_run, second.open), (2, Some(began(12)), Some(began(13))));
     let first = &at(7)[0];
     assert_eq!((first.attempts, first.may_have_run, first.open), (2, None, Some(began(14))));
-    assert_eq!(at(8)[1].owed, Some(Ending::Deferred(Some(700))));
+    assert_eq!(at(8)[1].owed, Some(TerminalState::Deferred(Some(700))));
     assert!(at(8)[1].body.is_empty());
     assert!(at(10).is_empty());
 }
 
 #[test]
 fn segments_stay_under_the_bound_and_lose_nothing() {
-    let (mut log, ..) = open(Memory::default());
+    let (mut log, ..) = open(MemoryStore::default());
     let mut living = BTreeMap::new();
     for number in 1..6000u32 {
         let body = (number as usize * 37) % 1500;
         if log.has_room(body) {
-            log.record(Record::Taken(number, Box::new(message(number, body))));
-            log.record(Record::Begun(number, began(5)));
+            log.record(Record::Submitted(number, Box::new(message(number, body))));
+            log.record(Record::AttemptStarted(number, began(5)));
             living.insert(number, body);
         }
         if number % 5 != 0 && number > 200 {
-            log.record(Record::Over(number - 200));
+            log.record(Record::Completed(number - 200));
             living.remove(&(number - 200));
         }
         log.commit().unwrap();
@@ -130,8 +130,8 @@
 
 #[test]
 fn a_start_between_the_new_segment_and_the_end_of_the_old_one_reads_the_new() {
-    let (mut log, ..) = open(Memory::default());
-    log.record(Record::Taken(1, Box::new(message(1, 9))));
+    let (mut log, ..) = open(MemoryStore::default());
+    log.record(Record::Submitted(1, Box::new(message(1, 9))));
     log.commit().unwrap();
     let mut folder = log.folder().clone();
     let name = newest(&folder);
@@ -144,18 +144,18 @@
 
 #[test]
 fn a_full_folder_is_an_error_and_the_next_commit_writes_all_anew() {
-    let (mut log, ..) = open(Memory::default());
-    log.record(Record::Taken(1, Box::new(message(1, 100))));
+    let (mut log, ..) = open(MemoryStore::default());
+    log.record(Record::Submitted(1, Box::new(message(1, 100))));
     log.commit().unwrap();
     log.folder_mut().room = Some(20);
-    log.record(Record::Over(1));
-    log.record(Record::Taken(2, Box::new(message(2, 100))));
+    log.record(Record::Completed(1));
+    log.record(Record::Submitted(2, Box::new(message(2, 100))));
     assert!(log.commit().is_err());
     // Nothing of the turn is there: half of it would hide what comes later.
     assert_eq!(open(log.folder_mut().clone()).1.len(), 1);
     assert!(log.commit().is_err(), "still full");
     log.folder_mut().room = None;
-    log.record(Record::Over(2));
+    log.record(Record::Completed(2));
     log.commit().unwrap();
     assert!(open(log.folder().clone()).1.is_empty());
 }
@@ -165,15 +165,15 @@
     let path = std::env::temp_dir().join(format!("cloverstile-wal-{}", std::process::id()));
     std::fs::create_dir_all(&path).unwrap();
     for round in 0..3u32 {
-        let (mut log, recovered) = Log::open(Dir::new(&path), BOUND).unwrap();
+        let (mut log, recovered) = Log::open(DirectoryStore::new(&path), BOUND).unwrap();
         assert_eq!(recovered.living.len() as u32, round);
         for (place, living) in recovered.living.into_iter().enumerate() {
-            log.record(Record::Taken(place as u32, Box::new(living)));
+            log.record(Record::Submitted(place as u32, Box::new(living)));
         }
         log.commit().unwrap();
-        log.record(Record::Taken(100, Box::new(message(100, 10))));
+        log.record(Record::Submitted(100, Box::new(message(100, 10))));
         log.commit().unwrap();
-        assert_eq!(Dir::new(&path).names().unwrap().len(), 1);
+        assert_eq!(DirectoryStore::new(&path).names().unwrap().len(), 1);
     }
     std::fs::remove_dir_all(&path).unwrap();
 }
@@ -183,23 +183,23 @@
     fn any_bytes_are_a_log_that_can_be_read(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
         let head = b"cloverstile-log 1\n".to_vec();
         let files = BTreeMap::from([("log.3".to_owned(), [head, bytes].concat())]);
-        open(Memory { files, ..Memory::default() });
+        open(MemoryStore { files, ..MemoryStore::default() });
     }
 }
 
 /// What places mean outlasts the process and each new segment.
 #[test]
 fn names_of_classes_and_zones_come_back_from_whichever_segment() {
-    let mut folder = Memory::default();
+    let mut folder = MemoryStore::default();
     for round in 0..3 {
         let (mut log, recovered) = Log::open(folder, 1 << 20).unwrap();
-        let names = |round: u8| Names {
+        let names = |round: u8| NameTable {
             classes: vec![(format!("a{round}"), round), ("b".to_owned(), 3)],
             zones: vec!["here".to_owned(), format!("z{round}")],
         };
-        assert_eq!(recovered.names, if round == 0 { Names::default() } else { names(round - 1) });
-        log.record(Record::Names(names(round)));
-        log.record(Record::Taken(1, Box::new(message(1, 30))));
+        assert_eq!(recovered.names, if round == 0 { NameTable::default() } else { names(round - 1) });
+        log.record(Record::NameTable(names(round)));
+        log.record(Record::Submitted(1, Box::new(message(1, 30))));
         log.commit().unwrap();
         folder = log.folder().clone();
     }
@@ -215,31 +215,31 @@
         let length = (payload.len() as u32).to_le_bytes();
         [&length[..], &crc32fast::hash(&payload).to_le_bytes(), &payload].concat()
     };
-    let taken = Living { may_have_run: Some(began(11)), open: Some(began(12)), ..message(1, 30) };
-    let names = Names { classes: vec![("a".to_owned(), 1), ("b".to_owned(), 2)], zones: Vec::new() };
+    let taken = LiveMessage { may_have_run: Some(began(11)), open: Some(began(12)), ..message(1, 30) };
+    let names = NameTable { classes: vec![("a".to_owned(), 1), ("b".to_owned(), 2)], zones: Vec::new() };
     let bytes = [
         b"cloverstile-log 1\n".to_vec(),
-        shorter(Record::Names(names), 2),
-        shorter(Record::Taken(1, Box::new(taken)), 2),
-        shorter(Record::Taken(2, Box::new(message(2, 30))), 2),
-        shorter(Record::Begun(2, began(13)), 1),
+        shorter(Record::NameTable(names), 2),
+        shorter(Record::Submitted(1, Box::new(taken)), 2),
+        shorter(Record::Submitted(2, Box::new(message(2, 30))), 2),
+        shorter(Record::AttemptStarted(2, began(13)), 1),
     ];
     let files = BTreeMap::from([("log.3".to_owned(), bytes.concat())]);
-    let (_, recovered) = Log::open(Memory { files, ..Memory::default() }, BOUND).unwrap();
-    let old = |at| Some(Began { at, zone: UNKNOWN });
+    let (_, recovered) = Log::open(MemoryStore { files, ..MemoryStore::default() }, BOUND).unwrap();
+    let old = |at| Some(AttemptStart { at, zone: UNKNOWN_INDEX });
     let found: Vec<_> = recovered.living.iter().map(|living| (living.may_have_run, living.open)).collect();
     assert_eq!((found, recovered.torn), (vec![(old(11), old(12)), (None, old(13))], 0));
-    assert_eq!(recovered.names.classes, [("a".to_owned(), UNKNOWN), ("b".to_owned(), UNKNOWN)]);
+    assert_eq!(recovered.names.classes, [("a".to_owned(), UNKNOWN_INDEX), ("b".to_owned(), UNKNOWN_INDEX)]);
 }
 
 /// A folder of a process that is killed at its Nth change: a write is done by half then, and nothing after it.
 struct Dying<'a> {
-    folder: &'a mut Memory,
+    folder: &'a mut MemoryStore,
     left: usize,
 }
 
 impl Dying<'_> {
-    fn lives(&mut self) -> std::io::Result<&mut Memory> {
+    fn lives(&mut self) -> std::io::Result<&mut MemoryStore> {
         self.left = self.left.saturating_sub(1);
         if self.left == 0 {
             Err(std::io::Error::other("killed"))
@@ -249,7 +249,7 @@
     }
 }
 
-impl Folder for Dying<'_> {
+impl SegmentStore for Dying<'_> {
     fn names(&self) -> std::io::Result<Vec<String>> {
         self.folder.names()
     }
@@ -274,16 +274,16 @@
 }
 
 /// One process: takes the living on again, and then one message more; whether that was written.
-fn process(folder: &mut Memory, left: usize, fresh: u32) -> bool {
+fn process(folder: &mut MemoryStore, left: usize, fresh: u32) -> bool {
     let Ok((mut log, recovered)) = Log::open(Dying { folder, left }, BOUND) else { return false };
-    log.record(Record::Names(Names { zones: vec!["here".to_owned()], ..Names::default() }));
+    log.record(Record::NameTable(NameTable { zones: vec!["here".to_owned()], ..NameTable::default() }));
     for (seq, living) in (1..).zip(recovered.living) {
-        log.record(Record::Taken(seq, Box::new(living)));
+        log.record(Record::Submitted(seq, Box::new(living)));
     }
     if log.commit().is_err() {
         return false;
     }
-    log.record(Record::Taken(90 + fresh, Box::new(message(fresh, 40))));
+    log.record(Record::Submitted(90 + fresh, Box::new(message(fresh, 40))));
     log.commit().is_ok()
 }
 
@@ -291,8 +291,8 @@
 /// third, once each.
 #[test]
 fn a_kill_at_any_step_of_recovering_and_another_one_lose_and_double_nothing() {
-    let (mut log, ..) = open(Memory::default());
-    (1..4).for_each(|number| log.record(Record::Taken(number, Box::new(message(number, 30)))));
+    let (mut log, ..) = open(MemoryStore::default());
+    (1..4).for_each(|number| log.record(Record::Submitted(number, Box::new(message(number, 30)))));
     log.commit().unwrap();
     let mut start = log.folder().clone();
     // Left by a process before: an older segment and one half written.
--- a/src/bin/cloverstile-wirehost/host.rs
+++ b/src/bin/cloverstile-sim-adapter/host.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 struct Instance {
-    courier: Courier,
+    courier: DeliveryPolicy,
     left_at: Option<usize>,
     limit_at: Option<usize>,
 }
@@ -60,9 +60,9 @@
     fn translate(&mut self, record: Record) -> Result<Option<(u16, Event)>, HostError> {
         Ok(Some(match record {
             Record::NewInstance { who, nonce, config } => {
-                let Parsed { settings, left_at, limit_at } =
+                let ParsedSettings { settings, left_at, limit_at } =
                     parse_settings(&config).map_err(|error| HostError::Setting { who, error })?;
-                let courier = Courier::new(settings, nonce);
+                let courier = DeliveryPolicy::new(settings, nonce);
                 self.instances.insert(who, Instance { courier, left_at, limit_at });
                 return Ok(None);
             }
@@ -78,15 +78,15 @@
             Record::Members { who, slot, kind, .. } => {
                 let entries = || self.sheets.get(&slot).cloned().unwrap_or_default();
                 let listing = match kind {
-                    0 => Listing::Changes(entries()),
-                    1 | 2 => Listing::Whole(entries()),
-                    3 => Listing::Failed,
+                    0 => EndpointListUpdate::Delta(entries()),
+                    1 | 2 => EndpointListUpdate::Snapshot(entries()),
+                    3 => EndpointListUpdate::Unavailable,
                     other => return Err(unknown("Kind", u32::from(other))),
                 };
-                (who, Event::Listed(listing))
+                (who, Event::EndpointsUpdated(listing))
             }
             Record::Accept { who, call, profile, dest, key, deadline, opts, owner, .. } => {
-                let accepted = Accepted {
+                let accepted = Submission {
                     id: MessageId(call),
                     class: ClassId(profile),
                     destination: DestinationId(dest as u16),
@@ -96,18 +96,18 @@
                     again: opts & 2 != 0,
                     tenant: TenantId(owner),
                 };
-                (who, Event::Accept(accepted))
+                (who, Event::Submitted(accepted))
             }
             Record::ProbeDone { who, code, delay, endpoint, .. } => {
                 let outcome = outcome(code, 0)?;
                 let endpoint = EndpointId(endpoint);
-                (who, Event::Probed { endpoint, outcome, latency: Duration::from_nanos(delay) })
+                (who, Event::ProbeCompleted { endpoint, outcome, latency: Duration::from_nanos(delay) })
             }
-            Record::ClientGone { who, call } => (who, Event::ClientGone(MessageId(call))),
+            Record::ClientGone { who, call } => (who, Event::Cancelled(MessageId(call))),
             Record::FirstByte { who, call, .. } => (who, Event::FirstByte(MessageId(call))),
             Record::Finished(record) => (record.who, self.finished(&record)?),
-            Record::TickDue { who, cookie } => (who, Event::TickDue(cookie)),
-            Record::NoteFrom { who, from, msg } => (who, Event::Note { from, text: msg }),
+            Record::TickDue { who, cookie } => (who, Event::TimerFired(cookie)),
+            Record::NoteFrom { who, from, msg } => (who, Event::NoteReceived { from, text: msg }),
         }))
     }
 
@@ -116,14 +116,14 @@
         let value = |at: Option<usize>| at.and_then(|at| record.report.get(at)).map(|v| f64::from(*v));
         let left = value(instance.and_then(|i| i.left_at));
         let limit = value(instance.and_then(|i| i.limit_at));
-        Ok(Event::Finished(Finished {
+        Ok(Event::AttemptCompleted(AttemptCompleted {
             message: MessageId(record.call),
             endpoint: EndpointId(record.endpoint),
             attempt: record.trial,
             outcome: outcome(record.code, record.detail)?,
             latency: Duration::from_nanos(record.delay),
             complete: record.complete,
-            allowance: left.zip(limit).map(|(left, limit)| Allowance { left, limit }),
+            allowance: left.zip(limit).map(|(left, limit)| RateLimitStatus { left, limit }),
         }))
     }
 }
@@ -141,16 +141,16 @@
     HostError::Wire(WireError::Value { at: 0, field, value })
 }
 
-fn outcome(code: u16, detail: u32) -> Result<Outcome, HostError> {
+fn outcome(code: u16, detail: u32) -> Result<AttemptOutcome, HostError> {
     Ok(match code {
-        100 => Outcome::Ok,
-        301 => Outcome::Error,
-        302 => Outcome::Full((detail > 0).then(|| Duration::from_millis(u64::from(detail)))),
-        303 => Outcome::Timeout,
-        304 => Outcome::ConnectFailed,
-        305 => Outcome::Reset,
-        306 => Outcome::Cancelled,
-        307 => Outcome::Moot,
+        100 => AttemptOutcome::Ok,
+        301 => AttemptOutcome::Error,
+        302 => AttemptOutcome::Rejected((detail > 0).then(|| Duration::from_millis(u64::from(detail)))),
+        303 => AttemptOutcome::Timeout,
+        304 => AttemptOutcome::ConnectFailed,
+        305 => AttemptOutcome::Reset,
+        306 => AttemptOutcome::Abandoned,
+        307 => AttemptOutcome::Unsent,
         other => return Err(unknown("Code", u32::from(other))),
     })
 }
@@ -162,9 +162,9 @@
         kind: KindId(entry.kind),
         destination: DestinationId(entry.cell),
         mode: match entry.mode {
-            3 => Mode::Ready,
-            1 => Mode::Draining,
-            2 => Mode::Gone,
+            3 => EndpointState::Ready,
+            1 => EndpointState::Draining,
+            2 => EndpointState::Removed,
             other => return Err(unknown("Mode", u32::from(other))),
         },
         weight: f64::from(entry.weight),
@@ -178,22 +178,22 @@
 /// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
 fn reply(who: u16, action: Action) -> Reply {
     match action {
-        Action::Route { message, endpoint, try_for } => {
+        Action::Send { message, endpoint, try_for } => {
             Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
         }
-        Action::Busy { message, stay_away } => {
+        Action::Reject { message, stay_away } => {
             Reply::Busy { who, call: message.0, stay_away: nanos(stay_away) }
         }
-        Action::ReportFailure { message } => Reply::ReportFailure { who, call: message.0 },
-        Action::StopAttempt { message, attempt } => {
+        Action::Fail { message } => Reply::ReportFailure { who, call: message.0 },
+        Action::AbandonAttempt { message, attempt } => {
             Reply::StopAttempt { who, call: message.0, trial: attempt }
         }
         Action::Wake { after, token } => Reply::After { who, after: nanos(after), cookie: token },
         Action::CloseIdle { endpoint } => Reply::CloseIdle { who, endpoint: endpoint.0 },
         Action::Probe { endpoint } => Reply::SoundOut { who, endpoint: endpoint.0 },
-        Action::Tell { to, text } => Reply::Tell { who, peer: to.unwrap_or(u16::MAX), msg: text },
+        Action::SendNote { to, text } => Reply::Tell { who, peer: to.unwrap_or(u16::MAX), msg: text },
         Action::Log { text } => Reply::Log { who, words: text },
-        Action::KeepInformed { active } => Reply::KeepInformed { who, active },
-        Action::Refresh => Reply::Refresh { who },
+        Action::SubscribeEndpoints { active } => Reply::KeepInformed { who, active },
+        Action::RefreshEndpoints => Reply::Refresh { who },
     }
 }
--- a/src/bin/cloverstile-wirehost/main.rs
+++ b/src/bin/cloverstile-sim-adapter/main.rs
@@ -47,7 +47,7 @@
     match serve(&mut io::BufReader::with_capacity(1 << 16, input), &mut io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("cloverstile-wirehost: {error}");
+            eprintln!("cloverstile-sim-adapter: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/books.rs
+++ b/src/books.rs
@@ -6,7 +6,7 @@
 
 /// A message between its hand-in and its end (and the end of its last attempt).
 pub struct Message {
-    pub taken: Accepted,
+    pub taken: Submission,
     pub born: Time,
     pub attempts: u32,
     /// The call that carries it now.
@@ -17,7 +17,7 @@
     pub closed: bool,
     /// Beyond its tenant's share, and so worth little.
     pub over_share: bool,
-    /// Taken on by an earlier process, which never tried it.
+    /// Admission on by an earlier process, which never tried it.
     pub left_untried: bool,
 }
 
@@ -27,7 +27,7 @@
         self.left_untried && self.attempts == 0
     }
 
-    pub fn new(taken: Accepted, born: Time, now: Time) -> Self {
+    pub fn new(taken: Submission, born: Time, now: Time) -> Self {
         Message {
             taken,
             born,
@@ -214,7 +214,7 @@
     pub jam: f64,
 }
 
-/// Whether idle connections are being dropped unseen, so that the next call on one is lost. Courier-wide, as
+/// Whether idle connections are being dropped unseen, so that the next call on one is lost. DeliveryPolicy-wide, as
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default)]
 pub struct Reaping {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,7 +112,7 @@
 
 /// A courier: records events in `handle`, acts in `decide`.
 #[derive(Default)]
-pub struct Courier {
+pub struct DeliveryPolicy {
     settings: Settings,
     rng: fastrand::Rng,
     addresses: BTreeMap<EndpointId, Address>,
@@ -145,32 +145,32 @@
     actions: Vec<Action>,
 }
 
-impl Courier {
+impl DeliveryPolicy {
     /// A courier that knows only its settings; `seed` is its one source of chance.
     pub fn new(settings: Settings, seed: u64) -> Self {
         let first = shortest_aim(&settings) * FIRST_LATENCY_OF_AIM;
         let usual = Latency { mean: first, deviation: first, samples: 0 };
-        Courier { settings, rng: fastrand::Rng::with_seed(seed), usual, ..Courier::default() }
+        DeliveryPolicy { settings, rng: fastrand::Rng::with_seed(seed), usual, ..DeliveryPolicy::default() }
     }
 
-    /// Records one event. Call [`Courier::decide`] after the last one of a batch.
+    /// Records one event. Call [`DeliveryPolicy::decide`] after the last one of a batch.
     pub fn handle(&mut self, now: Time, event: Event) {
         match event {
-            Event::Listed(listing) => self.on_listing(now, listing),
-            Event::Accept(message) => self.on_accept(now, message),
+            Event::EndpointsUpdated(listing) => self.on_listing(now, listing),
+            Event::Submitted(message) => self.on_accept(now, message),
             Event::Recovered(message, past) => self.on_recovered(now, message, past),
-            Event::Finished(finished) => self.on_finished(now, finished),
-            Event::ToldToWait { endpoint, wait } => self.heed(now, endpoint, wait),
-            Event::ClientGone(id) => self.close(id),
-            Event::TickDue(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
-            Event::FirstByte(_) | Event::Probed { .. } | Event::Note { .. } => {}
+            Event::AttemptCompleted(finished) => self.on_finished(now, finished),
+            Event::RetryAfter { endpoint, wait } => self.heed(now, endpoint, wait),
+            Event::Cancelled(id) => self.close(id),
+            Event::TimerFired(token) => self.wake = self.wake.filter(|(_, set)| *set != token),
+            Event::FirstByte(_) | Event::ProbeCompleted { .. } | Event::NoteReceived { .. } => {}
         }
     }
 
     /// Acts on all that was recorded.
     pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
         let ask = self.ask_at.take_if(|at| *at <= now);
-        self.actions.extend(ask.map(|_| Action::KeepInformed { active: true }));
+        self.actions.extend(ask.map(|_| Action::SubscribeEndpoints { active: true }));
         self.answer_due(now);
         self.shed(now);
         let mut next = self.note_stalls(now);
@@ -193,22 +193,22 @@
 
     // ---- Events ----
 
-    fn on_listing(&mut self, now: Time, listing: Listing) {
+    fn on_listing(&mut self, now: Time, listing: EndpointListUpdate) {
         // Without a subscription no drain is told. All couriers start at once and the list answers only so
         // many: they ask spread over half of what the rules let pass, and after a failure later still.
-        let (first, failed) = (self.addresses.is_empty(), matches!(listing, Listing::Failed));
+        let (first, failed) = (self.addresses.is_empty(), matches!(listing, EndpointListUpdate::Unavailable));
         self.asks_failed = if failed { self.asks_failed + 1 } else { 0 };
         if self.settings.discovery == Discovery::Ask && (failed || first) {
             let gap = growing_gap(self.settings.rules.ask_every, ASK_GAPS, self.asks_failed);
             self.ask_at = Some(now + gap.mul_f64(self.rng.f64()));
         }
         let entries = match listing {
-            Listing::Failed => return,
-            Listing::Changes(entries) => entries,
-            Listing::Whole(entries) => {
+            EndpointListUpdate::Unavailable => return,
+            EndpointListUpdate::Delta(entries) => entries,
+            EndpointListUpdate::Snapshot(entries) => {
                 // What a whole list does not name is gone: it gets nothing new from now on.
                 for address in self.addresses.values_mut() {
-                    address.entry.mode = Mode::Gone;
+                    address.entry.mode = EndpointState::Removed;
                 }
                 entries
             }
@@ -223,7 +223,8 @@
             });
             // Where the list is silent, what answers told of the limit stays.
             route.weight = if told { weight } else { route.weight };
-            (route.batch, route.kind, route.gentle) = (batch, entry.kind, entry.mode == Mode::Gentle);
+            (route.batch, route.kind, route.gentle) =
+                (batch, entry.kind, entry.mode == EndpointState::OneAtATime);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -234,7 +235,7 @@
         }
     }
 
-    fn on_accept(&mut self, now: Time, taken: Accepted) {
+    fn on_accept(&mut self, now: Time, taken: Submission) {
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
         // Where clients mark what they hand in again, a fresh one with little time left is not an old one.
         let fresh = self.settings.marks_again && !taken.again && !taken.from_dead_courier;
@@ -259,7 +260,7 @@
 
     /// A restart forgives nothing: attempts used stay used, the window runs from the first one that may have
     /// run, and a call that was out then lets its key rest. What can never go again is answered at once.
-    fn on_recovered(&mut self, now: Time, taken: Accepted, past: Past) {
+    fn on_recovered(&mut self, now: Time, taken: Submission, past: RecoveredAttempts) {
         let (id, key, settle) = (taken.id, taken.key, self.settings.rules.order_settle);
         self.on_accept(now, taken);
         let Some(message) = self.messages.get_mut(&id) else { return };
@@ -292,8 +293,8 @@
         }
     }
 
-    fn on_finished(&mut self, now: Time, finished: Finished) {
-        if let Outcome::Full(Some(wait)) = finished.outcome {
+    fn on_finished(&mut self, now: Time, finished: AttemptCompleted) {
+        if let AttemptOutcome::Rejected(Some(wait)) = finished.outcome {
             self.heed(now, finished.endpoint, wait);
         }
         let Some(message) = self.messages.get_mut(&finished.message) else { return };
@@ -303,14 +304,17 @@
         if finished.outcome.may_have_run() && message.maybe_ran.is_none() {
             message.maybe_ran = Some((call.sent, Some(call.zone)));
         }
-        if finished.outcome == Outcome::Withheld {
+        if finished.outcome == AttemptOutcome::NotStarted {
             message.attempts -= 1;
         } else {
             let gap = growing_gap(class.aim, BACKOFF_OF_AIM, message.attempts);
             message.not_before = now + gap.mul_f64(self.rng.f64());
         }
         // A call that may still be running lets its key rest before the next message of the key.
-        let unsettled = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        let unsettled = matches!(
+            finished.outcome,
+            AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned
+        );
         if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
             self.rests.retain(|_, until| *until > now);
             self.rests.insert(key, now + self.settings.rules.order_settle);
@@ -345,15 +349,18 @@
     }
 
     /// Frees the slot of a call and lets address, connections and route learn from its outcome.
-    fn end_call(&mut self, now: Time, id: u64, call: Call, finished: &Finished) {
+    fn end_call(&mut self, now: Time, id: u64, call: Call, finished: &AttemptCompleted) {
         if let Some(route) = self.routes.get_mut(&call.route) {
             route.out.remove(&id);
         }
-        let lost = matches!(finished.outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
+        let lost = matches!(
+            finished.outcome,
+            AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned
+        );
         let reaped =
             lost && self.reaping.risk > 0.0 && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
         if !(lost && call.stalled) {
-            self.learn_of_idle(now, call.idle, lost, finished.outcome == Outcome::Ok);
+            self.learn_of_idle(now, call.idle, lost, finished.outcome == AttemptOutcome::Ok);
         }
         let rules = &self.settings.rules;
         if let Some(address) = self.addresses.get_mut(&call.to) {
@@ -361,15 +368,18 @@
             self.ended.insert(call.to);
             let habits = self.habits.entry(address.entry.kind).or_default();
             match finished.outcome {
-                Outcome::Ok => {
+                AttemptOutcome::Ok => {
                     lean(&mut habits.crowding, 0.0, CROWDING_GAINS.1);
                     (address.no_room, address.used, address.failures) = (None, Some(now), 0);
                 }
-                Outcome::Full(_) => address.used = Some(now),
+                AttemptOutcome::Rejected(_) => address.used = Some(now),
                 _ if reaped => {}
-                Outcome::ConnectFailed | Outcome::Timeout | Outcome::Reset | Outcome::Error => {
+                AttemptOutcome::ConnectFailed
+                | AttemptOutcome::Timeout
+                | AttemptOutcome::Reset
+                | AttemptOutcome::Error => {
                     // One that fails may lack room; what goes on failing for a fall window is down.
-                    if finished.outcome == Outcome::ConnectFailed {
+                    if finished.outcome == AttemptOutcome::ConnectFailed {
                         let since = *address.no_room.get_or_insert(now);
                         if since == now || now - since > rules.fall {
                             lean(&mut habits.crowding, f64::from(since == now), CROWDING_GAINS.0);
@@ -380,7 +390,7 @@
                     let gap = growing_gap(rules.fall, (TRIAL_GAPS_OF_FALL.0, longest), address.failures);
                     address.avoid_until = now + gap.mul_f64(self.rng.f64());
                 }
-                Outcome::Cancelled | Outcome::Moot | Outcome::Withheld => {}
+                AttemptOutcome::Abandoned | AttemptOutcome::Unsent | AttemptOutcome::NotStarted => {}
             }
         }
         if !reaped {
@@ -412,7 +422,7 @@
     // ---- Health and pace ----
 
     /// Health and pace of a route, from the outcome of one call.
-    fn learn(&mut self, now: Time, finished: &Finished, call: &Call) {
+    fn learn(&mut self, now: Time, finished: &AttemptCompleted, call: &Call) {
         let patience = self.stall_patience(call.route);
         let (settings, chance) = (&self.settings, self.rng.f64());
         let waiting = self.queues.get(&call.route.0).map_or(0, Vec::len) as f64;
@@ -426,8 +436,8 @@
         // A time-out is a sample too: else repeats would meet first calls still running in slow spells. Not
         // of one that was overtaken: it was lost with its connection, and would teach ever longer patience.
         let sample = match finished.outcome {
-            Outcome::Ok => true,
-            Outcome::Timeout | Outcome::Cancelled => !route.overtook(call, patience),
+            AttemptOutcome::Ok => true,
+            AttemptOutcome::Timeout | AttemptOutcome::Abandoned => !route.overtook(call, patience),
             _ => false,
         };
         if sample {
@@ -443,7 +453,7 @@
         let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
         let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
         match finished.outcome {
-            Outcome::Ok => {
+            AttemptOutcome::Ok => {
                 self.usual.learn(finished.latency, LATENCY_GAIN);
                 let served = route.served.rate(now, cold_s(settings), 0.0);
                 let sick = route.spell.is_some() || route.returned.is_some();
@@ -475,12 +485,12 @@
             }
             // Shut, and told until when: all whom the door refused come back at one moment. So the slow start
             // begins there, by chance inside a call of its pace, with nothing saved behind the door.
-            Outcome::Full(Some(wait)) if wait > blip => {
+            AttemptOutcome::Rejected(Some(wait)) if wait > blip => {
                 (route.spell, route.returned) = (None, Some(route.told_wait));
                 (route.filled, route.tokens) = (route.told_wait, chance);
                 return;
             }
-            Outcome::Full(_) => {
+            AttemptOutcome::Rejected(_) => {
                 // Refused though there is room inside the limit: it is shut or hangs with its queue full.
                 let room = left.is_some_and(|left| left > ROOM_LEFT);
                 let used_up = left.is_some_and(|left| left < USED_UP);
@@ -514,16 +524,16 @@
                 route.tokens = route.tokens.min(-chance * spread);
             }
             // A pace set since was meant for what is still to go.
-            Outcome::Withheld => return route.tokens += f64::from(!route.changed_since(now, call)),
-            Outcome::Error | Outcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
-            Outcome::Error | Outcome::Reset | Outcome::Moot => {}
+            AttemptOutcome::NotStarted => return route.tokens += f64::from(!route.changed_since(now, call)),
+            AttemptOutcome::Error | AttemptOutcome::Reset if all_sick => route.evidence += EVIDENCE_LOST,
+            AttemptOutcome::Error | AttemptOutcome::Reset | AttemptOutcome::Unsent => {}
             _ if alone => route.evidence += EVIDENCE_LOST,
             _ => {}
         }
         if route.evidence >= SPELL_AFTER || (route.spell.is_some() && route.evidence >= EVIDENCE_LOST) {
             let spell = route.spell.get_or_insert(Spell { began: route.last_answer, ..Spell::default() });
             spell.failed = true;
-            spell.lost |= !matches!(finished.outcome, Outcome::Full(_));
+            spell.lost |= !matches!(finished.outcome, AttemptOutcome::Rejected(_));
             route.plan_trial(now, settings, chance);
             route.returned = None;
         }
@@ -750,8 +760,8 @@
         let value = |age: f64| match self.settings.decay {
             _ if age > end => 0.0,
             _ if age <= aim => 1.0,
-            Decay::Line => 1.0 - (1.0 - class.late_share) * (age - aim) / (span - aim).max(0.001),
-            Decay::Halves => ((aim - age) / aim).exp2().max(class.late_share),
+            Decay::Linear => 1.0 - (1.0 - class.late_share) * (age - aim) / (span - aim).max(0.001),
+            Decay::Halving => ((aim - age) / aim).exp2().max(class.late_share),
         };
         let age = (now - message.born).as_secs_f64();
         let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
@@ -794,7 +804,7 @@
             let try_for = self.time_out(now, id, message);
             if let Some(m) = self.messages.get_mut(&message) {
                 (m.attempts, m.out) = (m.attempts + 1, Some(self.last_call));
-                self.actions.push(Action::Route { message, endpoint: to, try_for });
+                self.actions.push(Action::Send { message, endpoint: to, try_for });
             }
             carried.push(message);
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
@@ -882,7 +892,7 @@
         for message in &call.carried {
             if let Some(m) = self.messages.get(message).filter(|m| m.out == Some(id)) {
                 self.actions
-                    .push(Action::StopAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
+                    .push(Action::AbandonAttempt { message: *message, attempt: (m.attempts - 1) as u16 });
             }
         }
     }
@@ -896,8 +906,8 @@
             Effect::Safe => true,
             _ => message.maybe_ran.is_none() && message.out.is_none(),
         };
-        let busy = Action::Busy { message: id, stay_away: self.stay_away(now, message.taken.destination) };
-        Some(if refusable { busy } else { Action::ReportFailure { message: id } })
+        let busy = Action::Reject { message: id, stay_away: self.stay_away(now, message.taken.destination) };
+        Some(if refusable { busy } else { Action::Fail { message: id } })
     }
 
     /// How long a client had better stay away: until this courier may next call the destination.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -151,7 +151,7 @@
 pub enum Discovery {
     /// Unasked.
     Push,
-    /// Only to those who asked ([`Action::KeepInformed`], [`Action::Refresh`]).
+    /// Only to those who asked ([`Action::SubscribeEndpoints`], [`Action::RefreshEndpoints`]).
     Ask,
 }
 
@@ -159,9 +159,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decay {
     /// Evenly, down to [`Class::late_share`] at the deadline.
-    Line,
+    Linear,
     /// By half with each further aim, but not under [`Class::late_share`].
-    Halves,
+    Halving,
 }
 
 /// The figures of the rules.
@@ -212,7 +212,7 @@
     pub most_held: usize,
     /// Most attempts for one message.
     pub send_cap: u32,
-    /// [`Action::StopAttempt`] is permitted.
+    /// [`Action::AbandonAttempt`] is permitted.
     pub cancel: bool,
     /// A message may have two attempts out at once.
     pub second_copies: bool,
@@ -236,7 +236,7 @@
             kinds: vec![Kind { batch: 1, own_limits: false }],
             weights: WeightSource::Nominal,
             discovery: Discovery::Push,
-            decay: Decay::Line,
+            decay: Decay::Linear,
             marks_again: false,
             stay_away_most: None,
             call_slots: 16,
@@ -262,28 +262,28 @@
 
 /// Whether an endpoint may be given new work. It says nothing of health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mode {
+pub enum EndpointState {
     /// Listed.
     Ready,
     /// Listed, for one call at a time: others are let in as well at this moment.
-    Gentle,
+    OneAtATime,
     /// Listed, and to be given nothing new for the moment; what was decided on before goes.
-    Shut,
+    Paused,
     /// To be sent nothing new.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
-impl Mode {
+impl EndpointState {
     /// Whether it may be given new work at all.
     pub fn takes_work(self) -> bool {
-        matches!(self, Mode::Ready | Mode::Gentle)
+        matches!(self, EndpointState::Ready | EndpointState::OneAtATime)
     }
 
     /// Whether what was decided on may still go there.
     pub fn keeps_work(self) -> bool {
-        self.takes_work() || self == Mode::Shut
+        self.takes_work() || self == EndpointState::Paused
     }
 }
 
@@ -299,25 +299,25 @@
     /// The destination that it belongs to.
     pub destination: DestinationId,
     /// Whether it may be given new work.
-    pub mode: Mode,
+    pub mode: EndpointState,
     /// See [`WeightSource`].
     pub weight: f64,
 }
 
 /// News of the list of endpoints.
 #[derive(Clone, Debug)]
-pub enum Listing {
+pub enum EndpointListUpdate {
     /// Altered entries only.
-    Changes(Vec<Endpoint>),
+    Delta(Vec<Endpoint>),
     /// The whole list; what it does not name is gone.
-    Whole(Vec<Endpoint>),
+    Snapshot(Vec<Endpoint>),
     /// The list could not be had; the prior one remains valid.
-    Failed,
+    Unavailable,
 }
 
 /// A message that the courier now owes one final answer.
 #[derive(Clone, Debug)]
-pub struct Accepted {
+pub struct Submission {
     /// Its id, which never comes twice.
     pub id: MessageId,
     /// Its class.
@@ -338,7 +338,7 @@
 
 /// What a message went through under a courier that is no more, as its log has it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Past {
+pub struct RecoveredAttempts {
     /// When it was handed in.
     pub taken_at: Time,
     /// Attempts begun.
@@ -351,13 +351,13 @@
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
+pub enum AttemptOutcome {
     /// Delivered.
     Ok,
     /// Answered with an error; may have run.
     Error,
     /// Turned away unseen: above the limit, queue full, shut or draining. Told to wait for this long, if at all.
-    Full(Option<Duration>),
+    Rejected(Option<Duration>),
     /// No answer in time; may have run, or may still run.
     Timeout,
     /// No connection; never ran.
@@ -365,24 +365,24 @@
     /// The connection broke; may have run.
     Reset,
     /// Called off by the courier; may have run.
-    Cancelled,
+    Abandoned,
     /// Not sent at all (no free slot, message over, attempts used up).
-    Moot,
-    /// Not begun, as [`crate::Courier::may_go`] forbade it when it was about to leave: it counts as no attempt.
-    Withheld,
+    Unsent,
+    /// Not begun, as [`crate::DeliveryPolicy::may_go`] forbade it when it was about to leave: it counts as no attempt.
+    NotStarted,
 }
 
-impl Outcome {
+impl AttemptOutcome {
     /// Whether an attempt that ended so may have taken effect.
     pub fn may_have_run(self) -> bool {
-        let never = [Outcome::ConnectFailed, Outcome::Moot, Outcome::Withheld];
-        !matches!(self, Outcome::Full(_)) && !never.contains(&self)
+        let never = [AttemptOutcome::ConnectFailed, AttemptOutcome::Unsent, AttemptOutcome::NotStarted];
+        !matches!(self, AttemptOutcome::Rejected(_)) && !never.contains(&self)
     }
 }
 
 /// What a destination told of its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Allowance {
+pub struct RateLimitStatus {
     /// Share of the limit that is left just now.
     pub left: f64,
     /// The limit in calls a second over all couriers; zero where there is none.
@@ -391,7 +391,7 @@
 
 /// The end of one attempt. Each routed attempt has exactly one.
 #[derive(Clone, Debug)]
-pub struct Finished {
+pub struct AttemptCompleted {
     /// The message.
     pub message: MessageId,
     /// Where the attempt went.
@@ -399,50 +399,50 @@
     /// The how-manieth attempt of the message, from 0.
     pub attempt: u16,
     /// How it ended.
-    pub outcome: Outcome,
+    pub outcome: AttemptOutcome,
     /// Time since it was sent.
     pub latency: Duration,
     /// The message is over; if not, its final answer is still owed.
     pub complete: bool,
     /// What was told of the limit.
-    pub allowance: Option<Allowance>,
+    pub allowance: Option<RateLimitStatus>,
 }
 
 /// Something that happened.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// News of the list.
-    Listed(Listing),
+    EndpointsUpdated(EndpointListUpdate),
     /// A message was taken.
-    Accept(Accepted),
+    Submitted(Submission),
     /// A message that this courier took before it was started again; it owes it still. In the order taken.
-    Recovered(Accepted, Past),
+    Recovered(Submission, RecoveredAttempts),
     /// An attempt ended.
-    Finished(Finished),
+    AttemptCompleted(AttemptCompleted),
     /// The head of an answer told to wait: known before the answer is whole, and if it never is.
-    ToldToWait {
+    RetryAfter {
         /// Whose answer.
         endpoint: EndpointId,
         /// For how long, from now.
         wait: Duration,
     },
     /// Nobody wants this message any more; no answer is owed.
-    ClientGone(MessageId),
+    Cancelled(MessageId),
     /// A timer asked for by [`Action::Wake`] has come due.
-    TickDue(u64),
+    TimerFired(u64),
     /// The answer of a streamed message has begun; the attempt now belongs to the client.
     FirstByte(MessageId),
     /// A probe's result.
-    Probed {
+    ProbeCompleted {
         /// Which endpoint.
         endpoint: EndpointId,
         /// How it ended.
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         /// Time since it was sent.
         latency: Duration,
     },
     /// A note of another courier.
-    Note {
+    NoteReceived {
         /// Its number.
         from: u32,
         /// What it says.
@@ -455,7 +455,7 @@
 pub enum Action {
     /// Call this endpoint with this message. Routes of one `decide` to one endpoint share a call as far as
     /// [`Kind::batch`] allows.
-    Route {
+    Send {
         /// The message.
         message: MessageId,
         /// Where to.
@@ -464,25 +464,25 @@
         try_for: Duration,
     },
     /// Final answer: handed back; the client may safely hand it in again.
-    Busy {
+    Reject {
         /// The message.
         message: MessageId,
         /// How long the client should stay away; zero for no advice.
         stay_away: Duration,
     },
     /// Final answer: given up; the client is not told whether it took effect.
-    ReportFailure {
+    Fail {
         /// The message.
         message: MessageId,
     },
     /// Stop waiting for an attempt.
-    StopAttempt {
+    AbandonAttempt {
         /// The message.
         message: MessageId,
         /// Which attempt, from 0.
         attempt: u16,
     },
-    /// Ask for a [`Event::TickDue`] with this token after this time.
+    /// Ask for a [`Event::TimerFired`] with this token after this time.
     Wake {
         /// How long from now.
         after: Duration,
@@ -500,7 +500,7 @@
         endpoint: EndpointId,
     },
     /// Send a note of at most 256 bytes to one courier, or to all.
-    Tell {
+    SendNote {
         /// A courier's number; all of them where absent.
         to: Option<u16>,
         /// What it says.
@@ -512,10 +512,10 @@
         text: String,
     },
     /// Subscribe to changes of the list, or end the subscription.
-    KeepInformed {
+    SubscribeEndpoints {
         /// On or off.
         active: bool,
     },
     /// Ask for the whole list once.
-    Refresh,
+    RefreshEndpoints,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,29 +1,29 @@
 //! Decisions of an outbound delivery gateway ("courier") that calls many partners' systems.
 //!
-//! [`Courier`] is told what happens ([`Event`]) and answers with what to do ([`Action`]). It opens no
+//! [`DeliveryPolicy`] is told what happens ([`Event`]) and answers with what to do ([`Action`]). It opens no
 //! socket, reads no clock and shares nothing: its randomness comes from the seed, its time from the caller.
-//! Call [`Courier::handle`] for every event, then [`Courier::decide`] once.
+//! Call [`DeliveryPolicy::handle`] for every event, then [`DeliveryPolicy::decide`] once.
 //!
 //! ```
-//! use cloverstile::{Accepted, Action, Class, Courier, Effect, Endpoint, Event, Listing, Mode};
+//! use cloverstile::{Submission, Action, Class, DeliveryPolicy, Effect, Endpoint, Event, EndpointListUpdate, EndpointState};
 //! use cloverstile::{Settings, Time, ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
 //! use std::time::Duration;
 //!
 //! let class = Class { effect: Effect::Unsafe, ..Class::default() };
 //! let settings = Settings { classes: vec![class], ..Settings::default() };
-//! let mut courier = Courier::new(settings, 7);
+//! let mut courier = DeliveryPolicy::new(settings, 7);
 //! let now = Time::ZERO + Duration::from_secs(1);
-//! courier.handle(now, Event::Listed(Listing::Whole(vec![Endpoint {
+//! courier.handle(now, Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![Endpoint {
 //!     id: EndpointId(11), zone: ZoneId(0), kind: KindId(0), destination: DestinationId(3),
-//!     mode: Mode::Ready, weight: 10.0,
+//!     mode: EndpointState::Ready, weight: 10.0,
 //! }])));
-//! courier.handle(now, Event::Accept(Accepted {
+//! courier.handle(now, Event::Submitted(Submission {
 //!     id: MessageId(1), class: ClassId(0), destination: DestinationId(3), key: None,
 //!     deadline: now + Duration::from_secs(20), from_dead_courier: false, again: false, tenant: TenantId(0),
 //! }));
 //! let mut actions = Vec::new();
 //! courier.decide(now, &mut actions);
-//! assert!(matches!(actions[0], Action::Route { message: MessageId(1), endpoint: EndpointId(11), .. }));
+//! assert!(matches!(actions[0], Action::Send { message: MessageId(1), endpoint: EndpointId(11), .. }));
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -33,6 +33,6 @@
 mod interface;
 mod settings;
 
-pub use choice::{window_end, Courier};
+pub use choice::{window_end, DeliveryPolicy};
 pub use interface::*;
-pub use settings::{parse_settings, Parsed, SettingError};
+pub use settings::{parse_settings, ParsedSettings, SettingError};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,7 +31,7 @@
 
 /// The settings, and where the load report keeps its two values.
 #[derive(Debug)]
-pub struct Parsed {
+pub struct ParsedSettings {
     /// What the module is handed.
     pub settings: Settings,
     /// Place of the share that is left of a limit.
@@ -83,7 +83,7 @@
 }
 
 /// Reads the text of a `Config` field.
-pub fn parse_settings(text: &str) -> Result<Parsed, SettingError> {
+pub fn parse_settings(text: &str) -> Result<ParsedSettings, SettingError> {
     let mut map = BTreeMap::new();
     for (index, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
         let unreadable = || SettingError::Line { line: index + 1, text: line.to_owned() };
@@ -119,7 +119,7 @@
         decay: lines.choice(
             "FamilyInfo.Decay",
             base.decay,
-            &[("line", Decay::Line), ("halves", Decay::Halves)],
+            &[("line", Decay::Linear), ("halves", Decay::Halving)],
         )?,
         marks_again: lines.or("ClientHabits.MarksRetry", base.marks_again)?,
         stay_away_most: if lines.or("Permissions.RetryAfter", false)? {
@@ -145,7 +145,7 @@
             ask_every: lines.span("Rules.AskEvery", rules.ask_every)?,
         },
     };
-    Ok(Parsed { settings, left_at: place("x0"), limit_at: place("x1") })
+    Ok(ParsedSettings { settings, left_at: place("x0"), limit_at: place("x1") })
 }
 
 fn list<T>(
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -58,7 +58,7 @@
 const TOLD_EVERY: Duration = Duration::from_millis(500);
 
 struct Member {
-    courier: Courier,
+    courier: DeliveryPolicy,
     wake: Option<(Time, u64)>,
     /// Its part of all messages.
     part: f64,
@@ -73,7 +73,7 @@
     member: usize,
     message: MessageId,
     attempt: u16,
-    outcome: Outcome,
+    outcome: AttemptOutcome,
     sent: Time,
 }
 
@@ -155,8 +155,9 @@
         let shares: Vec<f64> = (0..plan.couriers).map(|n| f64::from(n + 1).powf(-SKEW)).collect();
         let all: f64 = shares.iter().sum();
         let member = |(number, share): (usize, &f64)| {
-            let mut courier = Courier::new(settings.clone(), plan.seed * 1000 + number as u64);
-            courier.handle(start, Event::Listed(Listing::Whole(vec![listed.clone()])));
+            let mut courier = DeliveryPolicy::new(settings.clone(), plan.seed * 1000 + number as u64);
+            courier
+                .handle(start, Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![listed.clone()])));
             Member { courier, wake: None, part: share / all, touched: true, aware: false }
         };
         let members = shares.iter().enumerate().map(member).collect();
@@ -210,7 +211,7 @@
             }
             let class = (ClassId(0), &self.settings.classes[0]);
             let accepted = accepted(self.now, id.0, class, 1, None);
-            member.courier.handle(self.now, Event::Accept(accepted));
+            member.courier.handle(self.now, Event::Submitted(accepted));
             member.touched = true;
         }
     }
@@ -218,7 +219,7 @@
     fn wake(&mut self) {
         for member in &mut self.members {
             if let Some((_, token)) = member.wake.take_if(|(at, _)| *at <= self.now) {
-                member.courier.handle(self.now, Event::TickDue(token));
+                member.courier.handle(self.now, Event::TimerFired(token));
                 member.touched = true;
             }
         }
@@ -228,15 +229,16 @@
         let out = self.out();
         while let Some(entry) = self.coming.first_entry().filter(|entry| entry.key().0 <= self.now) {
             let Coming { member, message, attempt, outcome, sent } = entry.remove();
-            let complete = outcome == Outcome::Ok;
+            let complete = outcome == AttemptOutcome::Ok;
             self.delivered += usize::from(complete && self.since_return.contains(&message));
             self.all_delivered += usize::from(complete);
-            let told = Allowance { left: self.left.0, limit: self.plan.capacity };
+            let told = RateLimitStatus { left: self.left.0, limit: self.plan.capacity };
             let allowance = self.stays_well().then_some(told);
             let latency = self.now - sent;
-            let finished = Finished { message, endpoint: TO, attempt, outcome, latency, complete, allowance };
+            let finished =
+                AttemptCompleted { message, endpoint: TO, attempt, outcome, latency, complete, allowance };
             let member = &mut self.members[member];
-            member.courier.handle(self.now, Event::Finished(finished));
+            member.courier.handle(self.now, Event::AttemptCompleted(finished));
             member.aware |= out && !complete;
             member.touched = true;
         }
@@ -255,7 +257,7 @@
                 Action::Wake { after, token } => {
                     self.members[member].wake = Some((self.now + after, token));
                 }
-                Action::Route { message, try_for, .. } => {
+                Action::Send { message, try_for, .. } => {
                     if self.members[member].aware && self.now >= self.back {
                         self.weights.push((self.now, if fate.is_none() { 1.0 } else { ITEM }));
                     }
@@ -272,22 +274,24 @@
     }
 
     /// What becomes of a call sent now, and when that is known.
-    fn call(&mut self, try_for: Duration) -> (Outcome, Duration) {
+    fn call(&mut self, try_for: Duration) -> (AttemptOutcome, Duration) {
         let soon = ms(50);
         if !self.out() {
             if self.room < 1.0 {
                 self.room -= f64::from(self.stays_well());
-                return (Outcome::Full(None), soon);
+                return (AttemptOutcome::Rejected(None), soon);
             }
             self.room -= 1.0;
-            return (Outcome::Ok, ms(200));
+            return (AttemptOutcome::Ok, ms(200));
         }
         match self.plan.outage {
             // A wait counts from its answer.
-            Outage::ShutAndTells => (Outcome::Full(Some((self.back - self.now).saturating_sub(soon))), soon),
-            Outage::Shut => (Outcome::Full(None), soon),
-            Outage::Down => (Outcome::ConnectFailed, soon),
-            Outage::Hung | Outage::Never => (Outcome::Timeout, try_for),
+            Outage::ShutAndTells => {
+                (AttemptOutcome::Rejected(Some((self.back - self.now).saturating_sub(soon))), soon)
+            }
+            Outage::Shut => (AttemptOutcome::Rejected(None), soon),
+            Outage::Down => (AttemptOutcome::ConnectFailed, soon),
+            Outage::Hung | Outage::Never => (AttemptOutcome::Timeout, try_for),
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,7 +32,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         destination: DestinationId(destination),
-        mode: Mode::Ready,
+        mode: EndpointState::Ready,
         weight: 100.0,
     }
 }
@@ -44,8 +44,8 @@
     (class, rules): (ClassId, &Class),
     destination: u16,
     key: Option<u64>,
-) -> Accepted {
-    Accepted {
+) -> Submission {
+    Submission {
         id: MessageId(id),
         class,
         destination: DestinationId(destination),
@@ -61,7 +61,7 @@
 pub type Sent = (u32, u32, Duration);
 
 pub struct Bench {
-    pub courier: Courier,
+    pub courier: DeliveryPolicy,
     pub now: Time,
     pub settings: Settings,
     attempts: std::collections::BTreeMap<u32, u16>,
@@ -70,12 +70,12 @@
 impl Bench {
     pub fn new(settings: Settings, endpoints: Vec<Endpoint>) -> Self {
         let mut bench = Bench {
-            courier: Courier::new(settings.clone(), 1),
+            courier: DeliveryPolicy::new(settings.clone(), 1),
             now: Time::ZERO + Duration::from_secs(100),
             settings,
             attempts: Default::default(),
         };
-        bench.tell(Event::Listed(Listing::Whole(endpoints)));
+        bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints)));
         bench
     }
 
@@ -85,7 +85,7 @@
 
     pub fn accept(&mut self, id: u32, class: u8, destination: u16, key: Option<u64>) {
         let class = (ClassId(class), &self.settings.classes[usize::from(class)]);
-        self.tell(Event::Accept(accepted(self.now, id, class, destination, key)));
+        self.tell(Event::Submitted(accepted(self.now, id, class, destination, key)));
     }
 
     /// Messages that were sent so far.
@@ -97,7 +97,7 @@
         let mut actions = Vec::new();
         self.courier.decide(self.now, &mut actions);
         for action in &actions {
-            if let Action::Route { message, .. } = action {
+            if let Action::Send { message, .. } = action {
                 *self.attempts.entry(message.0).or_default() += 1;
             }
         }
@@ -106,7 +106,7 @@
 
     pub fn routes(&mut self) -> Vec<Sent> {
         let routed = |action: &Action| match action {
-            Action::Route { message, endpoint, try_for } => Some((message.0, endpoint.0, *try_for)),
+            Action::Send { message, endpoint, try_for } => Some((message.0, endpoint.0, *try_for)),
             _ => None,
         };
         self.decide().iter().filter_map(routed).collect()
@@ -128,36 +128,42 @@
 
     /// The same world with a courier of other settings and another seed.
     pub fn restart(&mut self, settings: Settings, seed: u64, endpoints: Vec<Endpoint>) {
-        self.courier = Courier::new(settings.clone(), seed);
+        self.courier = DeliveryPolicy::new(settings.clone(), seed);
         self.settings = settings;
-        self.tell(Event::Listed(Listing::Whole(endpoints)));
+        self.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints)));
     }
 
-    pub fn finish(&mut self, message: u32, endpoint: u32, outcome: Outcome, latency: Duration) {
+    pub fn finish(&mut self, message: u32, endpoint: u32, outcome: AttemptOutcome, latency: Duration) {
         self.finish_telling(message, endpoint, outcome, latency, None);
     }
 
     /// A refusal that tells which share of which limit is left.
     pub fn refuse(&mut self, message: u32, endpoint: u32, left: f64, limit: f64) {
-        self.finish_telling(message, endpoint, Outcome::Full(None), ms(20), Some(Allowance { left, limit }));
+        self.finish_telling(
+            message,
+            endpoint,
+            AttemptOutcome::Rejected(None),
+            ms(20),
+            Some(RateLimitStatus { left, limit }),
+        );
     }
 
     fn finish_telling(
         &mut self,
         message: u32,
         endpoint: u32,
-        outcome: Outcome,
+        outcome: AttemptOutcome,
         latency: Duration,
-        allowance: Option<Allowance>,
+        allowance: Option<RateLimitStatus>,
     ) {
         let attempt = self.attempts.get(&message).map_or(0, |count| count - 1);
-        self.tell(Event::Finished(Finished {
+        self.tell(Event::AttemptCompleted(AttemptCompleted {
             message: MessageId(message),
             endpoint: EndpointId(endpoint),
             attempt,
             outcome,
             latency,
-            complete: outcome == Outcome::Ok,
+            complete: outcome == AttemptOutcome::Ok,
             allowance,
         }));
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -17,7 +17,7 @@
 fn asks_after(bench: &mut Bench, limit: Duration) -> Option<Duration> {
     let began = bench.now;
     while bench.now - began < limit {
-        if bench.decide().contains(&Action::KeepInformed { active: true }) {
+        if bench.decide().contains(&Action::SubscribeEndpoints { active: true }) {
             return Some(bench.now - began);
         }
         bench.now = bench.now + ms(5);
@@ -48,11 +48,11 @@
     let mut bench = bench(Discovery::Ask, 1);
     for _ in 0..5 {
         assert!(asks_after(&mut bench, every * 2).is_some());
-        bench.tell(Event::Listed(Listing::Failed));
+        bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Unavailable));
     }
     assert!(asks_after(&mut bench, every * 2).is_some());
-    bench.tell(Event::Listed(Listing::Changes(vec![])));
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![])));
     assert_eq!(asks_after(&mut bench, every * 6), None);
-    bench.tell(Event::Listed(Listing::Failed));
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Unavailable));
     assert!(asks_after(&mut bench, every * 2).is_some());
 }
--- a/tests/falls.rs
+++ b/tests/falls.rs
@@ -92,7 +92,7 @@
         while bench.now - began < Duration::from_secs(14) {
             for (id, to, _) in bench.routes() {
                 sends += 1;
-                bench.finish(id, to, Outcome::ConnectFailed, ms(20));
+                bench.finish(id, to, AttemptOutcome::ConnectFailed, ms(20));
             }
             bench.now = bench.now + ms(50);
         }
--- a/tests/full_size.rs
+++ b/tests/full_size.rs
@@ -26,18 +26,18 @@
     bench.accept(id, 0, to as u16, None);
     assert_eq!(bench.routes().len(), 1);
     bench.refuse(id, to, left, limit);
-    bench.until_action(Duration::from_secs(8)).iter().any(|a| matches!(a, Action::Route { .. }))
+    bench.until_action(Duration::from_secs(8)).iter().any(|a| matches!(a, Action::Send { .. }))
 }
 
 /// Sends one message to a destination; its attempt ends so. Returns what was done with it.
-fn call(bench: &mut Bench, id: u32, to: u32, outcome: Outcome) -> Vec<Action> {
+fn call(bench: &mut Bench, id: u32, to: u32, outcome: AttemptOutcome) -> Vec<Action> {
     bench.accept(id, 0, to as u16, None);
     let mut actions = bench.decide();
     bench.now = bench.now + ms(20);
     bench.finish(id, to, outcome, ms(20));
     actions.extend(bench.decide());
-    if outcome != Outcome::Ok {
-        bench.tell(Event::ClientGone(MessageId(id)));
+    if outcome != AttemptOutcome::Ok {
+        bench.tell(Event::Cancelled(MessageId(id)));
     }
     actions
 }
@@ -50,10 +50,10 @@
 #[test]
 fn where_connections_find_no_room_idle_ones_are_closed_after_use() {
     let mut bench = one_of_many(settings(vec![safe()]), 20);
-    let quiet: usize = (1..=9).map(|to| closes(&call(&mut bench, to, to, Outcome::Ok))).sum();
+    let quiet: usize = (1..=9).map(|to| closes(&call(&mut bench, to, to, AttemptOutcome::Ok))).sum();
     assert_eq!(quiet, 0);
-    call(&mut bench, 10, 10, Outcome::ConnectFailed);
-    let crowded: usize = (11..=20).map(|to| closes(&call(&mut bench, to, to, Outcome::Ok))).sum();
+    call(&mut bench, 10, 10, AttemptOutcome::ConnectFailed);
+    let crowded: usize = (11..=20).map(|to| closes(&call(&mut bench, to, to, AttemptOutcome::Ok))).sum();
     assert_eq!(crowded, 10);
 }
 
@@ -61,9 +61,9 @@
 #[test]
 fn a_connection_in_steady_use_stays_open_even_where_room_is_short() {
     let mut bench = one_of_many(settings(vec![safe()]), 2);
-    call(&mut bench, 1, 1, Outcome::ConnectFailed);
-    (2..200).for_each(|id| drop(call(&mut bench, id, 2, Outcome::Ok)));
-    let busy: usize = (200..220).map(|id| closes(&call(&mut bench, id, 2, Outcome::Ok))).sum();
+    call(&mut bench, 1, 1, AttemptOutcome::ConnectFailed);
+    (2..200).for_each(|id| drop(call(&mut bench, id, 2, AttemptOutcome::Ok)));
+    let busy: usize = (200..220).map(|id| closes(&call(&mut bench, id, 2, AttemptOutcome::Ok))).sum();
     assert_eq!(busy, 0);
 }
 
@@ -72,7 +72,10 @@
 fn a_single_failed_connection_opens_no_spell_but_two_do() {
     let mut bench = one_of_many(settings(vec![safe()]), 1);
     for id in 1..=2 {
-        assert!(!call(&mut bench, id, 1, Outcome::ConnectFailed).is_empty(), "attempt {id} was not sent");
+        assert!(
+            !call(&mut bench, id, 1, AttemptOutcome::ConnectFailed).is_empty(),
+            "attempt {id} was not sent"
+        );
     }
     bench.accept(3, 0, 1, None);
     assert!(bench.routes().is_empty());
@@ -87,13 +90,13 @@
         bench.accept(id, 0, id as u16, None);
         assert_eq!(bench.routes().len(), 1);
         bench.now = bench.now + ms(900);
-        bench.finish(id, id, Outcome::Ok, ms(900));
+        bench.finish(id, id, AttemptOutcome::Ok, ms(900));
     }
     (21..=23).for_each(|id| bench.accept(id, 0, id as u16, None));
     assert_eq!(bench.routes().len(), 2);
     let off = bench.until_action(ms(2500));
     assert!(off.is_empty(), "{off:?}");
-    assert!(matches!(bench.until_action(ms(2500))[..], [Action::StopAttempt { .. }]));
+    assert!(matches!(bench.until_action(ms(2500))[..], [Action::AbandonAttempt { .. }]));
 }
 
 /// sede: a quota's part a second is under one message at full size, so that all counted as beyond the share.
@@ -106,14 +109,14 @@
     let class = (ClassId(0), &bench.settings.classes[0].clone());
     let hand_in = |bench: &mut Bench, id: u32, tenant: u32| {
         let taken = common::accepted(bench.now, id, class, 1, None);
-        bench.tell(Event::Accept(Accepted { tenant: TenantId(tenant), ..taken }));
+        bench.tell(Event::Submitted(Submission { tenant: TenantId(tenant), ..taken }));
     };
     (0..3).for_each(|id| hand_in(&mut bench, id, 0));
     (3..20).for_each(|id| hand_in(&mut bench, id, 1));
     bench.now = bench.now + ms(5);
     let shed = bench.decide();
-    assert!(shed.iter().any(|a| matches!(a, Action::Busy { .. })));
-    assert!(!shed.iter().any(|a| matches!(a, Action::Busy { message, .. } if message.0 < 3)), "{shed:?}");
+    assert!(shed.iter().any(|a| matches!(a, Action::Reject { .. })));
+    assert!(!shed.iter().any(|a| matches!(a, Action::Reject { message, .. } if message.0 < 3)), "{shed:?}");
 }
 
 /// sede: all couriers filled the endpoint of the lowest id, as each of a destination's routes has its own limit.
@@ -165,7 +168,7 @@
         bench.accept(id, 0, 1, None);
         assert_eq!(bench.routes().len(), 1, "message {id}");
         bench.now = bench.now + ms(10);
-        bench.finish(id, 1, Outcome::Ok, ms(10));
+        bench.finish(id, 1, AttemptOutcome::Ok, ms(10));
     }
 }
 
@@ -178,7 +181,7 @@
         let mut bench = one_of_many(base, 2);
         let class = (ClassId(0), &bench.settings.classes[0].clone());
         let short = common::accepted(bench.now, 1, class, 1, None);
-        bench.tell(Event::Accept(Accepted { deadline: bench.now + ms(800), ..short }));
+        bench.tell(Event::Submitted(Submission { deadline: bench.now + ms(800), ..short }));
         bench.accept(2, 0, 2, None);
         bench.routes()[0].0
     };
@@ -223,7 +226,7 @@
                 bench.accept(id, 0, id as u16, None);
                 assert_eq!(bench.routes().len(), 1);
                 bench.refuse(id, id, 0.0, 100.0);
-                while let [Action::Route { .. }] = bench.until_action(Duration::from_secs(25))[..] {
+                while let [Action::Send { .. }] = bench.until_action(Duration::from_secs(25))[..] {
                     bench.refuse(id, id, 0.0, 100.0);
                 }
             }
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -21,33 +21,33 @@
     bench
 }
 
-fn list(bench: &mut Bench, mode: Mode) {
-    bench.tell(Event::Listed(Listing::Changes(vec![Endpoint { mode, ..endpoint(7, 1) }])));
+fn list(bench: &mut Bench, mode: EndpointState) {
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![Endpoint { mode, ..endpoint(7, 1) }])));
 }
 
 /// Each thing that may come in between, on its own.
 #[test]
 fn a_wait_a_drain_an_outage_and_a_return_hold_back_what_was_decided_before() {
     let wait = |bench: &mut Bench| {
-        bench.tell(Event::ToldToWait { endpoint: EndpointId(7), wait: ms(600) });
+        bench.tell(Event::RetryAfter { endpoint: EndpointId(7), wait: ms(600) });
     };
-    let refused = |bench: &mut Bench| bench.finish(2, 7, Outcome::Full(Some(ms(600))), ms(30));
+    let refused = |bench: &mut Bench| bench.finish(2, 7, AttemptOutcome::Rejected(Some(ms(600))), ms(30));
     let shut = |bench: &mut Bench| {
         let long = bench.settings.rules.fall * 2;
-        bench.finish(2, 7, Outcome::Full(Some(long)), ms(30));
+        bench.finish(2, 7, AttemptOutcome::Rejected(Some(long)), ms(30));
         // The wait is over, and what is behind the door starts slowly.
         bench.now = bench.now + long + ms(1);
     };
-    let drains = |bench: &mut Bench| list(bench, Mode::Draining);
+    let drains = |bench: &mut Bench| list(bench, EndpointState::Draining);
     let gone = |bench: &mut Bench| {
-        bench.tell(Event::Listed(Listing::Whole(vec![endpoint(8, 2)])));
+        bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(8, 2)])));
     };
     let fails = |bench: &mut Bench| {
-        bench.finish(2, 7, Outcome::ConnectFailed, ms(30));
+        bench.finish(2, 7, AttemptOutcome::ConnectFailed, ms(30));
         for id in 10..14 {
             bench.accept(id, 0, 1, None);
             bench.until_action(Duration::from_secs(2));
-            bench.finish(id, 7, Outcome::ConnectFailed, ms(30));
+            bench.finish(id, 7, AttemptOutcome::ConnectFailed, ms(30));
         }
     };
     let cases: [(&str, Happens); 6] = [
@@ -65,9 +65,9 @@
         assert!(!bench.courier.may_go(bench.now, MessageId(1)), "{name}");
     }
     let mut bench = on_its_way(keyed());
-    bench.tell(Event::ToldToWait { endpoint: EndpointId(8), wait: ms(600) });
+    bench.tell(Event::RetryAfter { endpoint: EndpointId(8), wait: ms(600) });
     assert!(bench.courier.may_go(bench.now, MessageId(1)), "that was another destination");
-    bench.tell(Event::ClientGone(MessageId(1)));
+    bench.tell(Event::Cancelled(MessageId(1)));
     assert!(!bench.courier.may_go(bench.now, MessageId(1)), "nobody wants it any more");
 }
 
@@ -78,10 +78,10 @@
     for id in 1..9 {
         bench.accept(id, 0, 1, None);
         let sent = bench.until_action(Duration::from_secs(20));
-        let Some(Action::Route { message, .. }) = sent.first() else { panic!("{sent:?}") };
+        let Some(Action::Send { message, .. }) = sent.first() else { panic!("{sent:?}") };
         assert!(bench.courier.may_go(bench.now, *message), "{id}");
         let message = message.0;
-        bench.finish(message, 7, Outcome::ConnectFailed, ms(30));
+        bench.finish(message, 7, AttemptOutcome::ConnectFailed, ms(30));
     }
 }
 
@@ -95,7 +95,7 @@
     bench.now = first + class.repeat_window;
     assert!(bench.courier.may_go(bench.now, MessageId(1)), "it never ran");
     bench.now = first + ms(50);
-    bench.finish(1, 7, Outcome::Reset, ms(50));
+    bench.finish(1, 7, AttemptOutcome::Reset, ms(50));
     bench.until_action(Duration::from_secs(3));
     assert_eq!(bench.attempts_made(), 1, "one message");
     assert!(bench.courier.may_go(bench.now, MessageId(1)));
@@ -105,7 +105,7 @@
     taken.from_dead_courier = true;
     taken.deadline = bench.now + class.deadline - ms(200);
     let handed_in = bench.now - ms(200);
-    bench.tell(Event::Accept(taken));
+    bench.tell(Event::Submitted(taken));
     assert_eq!(bench.routes().len(), 1);
     assert!(bench.courier.may_go(bench.now, MessageId(2)));
     assert!(!bench.courier.may_go(window_end(&class, handed_in) + ms(1), MessageId(2)));
@@ -120,10 +120,10 @@
     bench.accept(1, 0, 1, None);
     for round in 0..cap + 3 {
         let sent = bench.until_action(Duration::from_secs(3));
-        assert!(matches!(sent[..], [Action::Route { message: MessageId(1), .. }]), "{round}: {sent:?}");
-        bench.tell(Event::ToldToWait { endpoint: EndpointId(7), wait: ms(300) });
+        assert!(matches!(sent[..], [Action::Send { message: MessageId(1), .. }]), "{round}: {sent:?}");
+        bench.tell(Event::RetryAfter { endpoint: EndpointId(7), wait: ms(300) });
         assert!(!bench.courier.may_go(bench.now, MessageId(1)));
-        bench.finish(1, 7, Outcome::Withheld, ms(5));
+        bench.finish(1, 7, AttemptOutcome::NotStarted, ms(5));
         // Not at once again: no loop without a pause.
         let told = bench.now;
         assert!(bench.routes().is_empty());
@@ -131,7 +131,7 @@
         assert!(bench.routes().is_empty(), "the wait is not over");
     }
     bench.until_action(Duration::from_secs(3));
-    bench.finish(1, 7, Outcome::Reset, ms(5));
+    bench.finish(1, 7, AttemptOutcome::Reset, ms(5));
     let end = bench.until_action(Duration::from_secs(3));
-    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }], "that one may have run");
+    assert_eq!(end, [Action::Fail { message: MessageId(1) }], "that one may have run");
 }
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -64,21 +64,21 @@
     held: BTreeMap<u32, Held>,
     waits: BTreeMap<u16, Time>,
     rests: BTreeMap<u64, Time>,
-    modes: BTreeMap<u32, Mode>,
+    modes: BTreeMap<u32, EndpointState>,
 }
 
 impl Judge {
     fn check(&mut self, now: Time, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Route { message, endpoint, .. } => self.route(now, message.0, endpoint.0),
-                Action::Busy { message, .. } => {
+                Action::Send { message, endpoint, .. } => self.route(now, message.0, endpoint.0),
+                Action::Reject { message, .. } => {
                     let held = self.end(now, message.0);
                     let effect = self.settings.classes[self.held[&held].class].effect;
                     let held = &self.held[&held];
                     assert!(effect == Effect::Safe || (held.first_maybe.is_none() && held.out.is_none()));
                 }
-                Action::ReportFailure { message } => {
+                Action::Fail { message } => {
                     self.end(now, message.0);
                 }
                 _ => {}
@@ -98,7 +98,7 @@
         let held = &self.held[&id];
         let class = &self.settings.classes[held.class];
         assert!(!held.ended && held.out.is_none(), "never two attempts, nothing after the end");
-        assert_eq!(self.modes[&endpoint], Mode::Ready, "nothing to a drained endpoint");
+        assert_eq!(self.modes[&endpoint], EndpointState::Ready, "nothing to a drained endpoint");
         assert!(self.waits.get(&held.destination).is_none_or(|until| *until <= now), "waits are kept");
         assert!(held.sends < self.settings.send_cap);
         if let Some(first) = held.first_maybe {
@@ -119,16 +119,16 @@
     }
 }
 
-fn outcome(how: usize) -> Outcome {
+fn outcome(how: usize) -> AttemptOutcome {
     match how {
-        0 => Outcome::Full(None),
-        1 => Outcome::Full(Some(ms(700))),
-        2 => Outcome::Error,
-        3 => Outcome::Timeout,
-        4 => Outcome::ConnectFailed,
-        5 => Outcome::Reset,
-        6 => Outcome::Cancelled,
-        _ => Outcome::Ok,
+        0 => AttemptOutcome::Rejected(None),
+        1 => AttemptOutcome::Rejected(Some(ms(700))),
+        2 => AttemptOutcome::Error,
+        3 => AttemptOutcome::Timeout,
+        4 => AttemptOutcome::ConnectFailed,
+        5 => AttemptOutcome::Reset,
+        6 => AttemptOutcome::Abandoned,
+        _ => AttemptOutcome::Ok,
     }
 }
 
@@ -136,8 +136,8 @@
 fn play(steps: &[Step], seed: u64) -> Vec<Action> {
     let (settings, endpoints) = world();
     let mut bench = Bench::new(settings.clone(), endpoints.clone());
-    bench.courier = Courier::new(settings.clone(), seed);
-    bench.tell(Event::Listed(Listing::Whole(endpoints.clone())));
+    bench.courier = DeliveryPolicy::new(settings.clone(), seed);
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints.clone())));
     let modes = endpoints.iter().map(|e| (e.id.0, e.mode)).collect();
     let (held, waits, rests) = Default::default();
     let mut judge = Judge { settings, held, waits, rests, modes };
@@ -156,7 +156,7 @@
                         .filter(|(_, h)| h.out.is_some() && h.deadline <= bench.now)
                         .map(|(id, _)| *id)
                         .collect();
-                    due.iter().for_each(|id| finish(&mut bench, &mut judge, *id, Outcome::Timeout));
+                    due.iter().for_each(|id| finish(&mut bench, &mut judge, *id, AttemptOutcome::Timeout));
                     let actions = bench.decide();
                     judge.check(bench.now, &actions);
                     all.extend(actions);
@@ -187,14 +187,14 @@
                 let open: Vec<u32> = judge.held.iter().filter(|(_, h)| !h.ended).map(|(i, _)| *i).collect();
                 if !open.is_empty() {
                     let gone = open[which % open.len()];
-                    bench.tell(Event::ClientGone(MessageId(gone)));
+                    bench.tell(Event::Cancelled(MessageId(gone)));
                     judge.held.get_mut(&gone).expect("open").ended = true;
                 }
             }
             Step::Mode { endpoint, mode } => {
-                let mode = [Mode::Ready, Mode::Draining, Mode::Gone][mode];
+                let mode = [EndpointState::Ready, EndpointState::Draining, EndpointState::Removed][mode];
                 let entry = Endpoint { mode, ..endpoints[endpoint as usize].clone() };
-                bench.tell(Event::Listed(Listing::Changes(vec![entry])));
+                bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![entry])));
                 judge.modes.insert(endpoint, mode);
             }
         }
@@ -206,22 +206,27 @@
     all
 }
 
-fn finish(bench: &mut Bench, judge: &mut Judge, id: u32, outcome: Outcome) {
+fn finish(bench: &mut Bench, judge: &mut Judge, id: u32, outcome: AttemptOutcome) {
     let held = judge.held.get_mut(&id).expect("known");
     let (endpoint, sent) = held.out.take().expect("out");
-    let never = matches!(outcome, Outcome::Full(_) | Outcome::ConnectFailed | Outcome::Moot);
+    let never = matches!(
+        outcome,
+        AttemptOutcome::Rejected(_) | AttemptOutcome::ConnectFailed | AttemptOutcome::Unsent
+    );
     if !never && held.first_maybe.is_none() {
         held.first_maybe = Some(sent);
     }
-    if outcome == Outcome::Ok {
+    if outcome == AttemptOutcome::Ok {
         held.ended = true;
     }
-    if let Outcome::Full(Some(wait)) = outcome {
+    if let AttemptOutcome::Rejected(Some(wait)) = outcome {
         let until = judge.waits.entry(held.destination).or_insert(Time::ZERO);
         *until = (*until).max(bench.now + wait);
     }
     let in_order = judge.settings.classes[held.class].in_order;
-    if in_order && matches!(outcome, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) {
+    if in_order
+        && matches!(outcome, AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned)
+    {
         judge.rests.insert(held.key, bench.now + judge.settings.rules.order_settle);
     }
     bench.finish(id, endpoint, outcome, bench.now - sent);
@@ -258,7 +263,7 @@
         bench.accept(step, 2, 1 + (step % 3) as u16, None);
         let actions = bench.decide();
         for action in &actions {
-            if let Action::Route { message, endpoint, .. } = action {
+            if let Action::Send { message, endpoint, .. } = action {
                 bench.finish(message.0, endpoint.0, outcome((step % 9) as usize), ms(7));
             }
         }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -7,15 +7,15 @@
 use std::time::Duration;
 
 /// Message 1 of class 0 comes back with this past into a courier just started.
-fn recovered(class: Class, past: impl FnOnce(Time) -> Past, key: Option<u64>) -> Bench {
+fn recovered(class: Class, past: impl FnOnce(Time) -> RecoveredAttempts, key: Option<u64>) -> Bench {
     let mut bench = Bench::new(settings(vec![class.clone()]), vec![endpoint(7, 1)]);
     let taken = accepted(bench.now, 1, (ClassId(0), &class), 1, key);
     bench.tell(Event::Recovered(taken, past(bench.now)));
     bench
 }
 
-fn fresh(now: Time) -> Past {
-    Past { taken_at: now - ms(900), ..Past::default() }
+fn fresh(now: Time) -> RecoveredAttempts {
+    RecoveredAttempts { taken_at: now - ms(900), ..RecoveredAttempts::default() }
 }
 
 #[test]
@@ -27,45 +27,57 @@
 
 #[test]
 fn an_unsafe_one_that_may_have_run_ends_as_failed_at_once() {
-    let past =
-        |now| Past { attempts: 1, may_have_run: Some((now - ms(700), None)), unsettled: true, ..fresh(now) };
+    let past = |now| RecoveredAttempts {
+        attempts: 1,
+        may_have_run: Some((now - ms(700), None)),
+        unsettled: true,
+        ..fresh(now)
+    };
     let mut bench = recovered(unsafe_class(), past, None);
     let actions = bench.decide();
-    assert!(actions.contains(&Action::ReportFailure { message: MessageId(1) }), "{actions:?}");
-    assert!(!actions.iter().any(|action| matches!(action, Action::Route { .. })));
+    assert!(actions.contains(&Action::Fail { message: MessageId(1) }), "{actions:?}");
+    assert!(!actions.iter().any(|action| matches!(action, Action::Send { .. })));
 }
 
 #[test]
 fn a_keyed_one_goes_again_inside_its_window_alone() {
     let class = keyed();
     let past = |since: Duration| {
-        move |now: Time| Past { attempts: 1, may_have_run: Some((now - since, None)), ..fresh(now) }
+        move |now: Time| RecoveredAttempts {
+            attempts: 1,
+            may_have_run: Some((now - since, None)),
+            ..fresh(now)
+        }
     };
     let inside = class.repeat_window.mul_f64(0.8);
     assert_eq!(recovered(class.clone(), past(inside), None).routes().len(), 1);
     let mut late = recovered(class.clone(), past(class.repeat_window), None);
-    assert!(late.decide().contains(&Action::ReportFailure { message: MessageId(1) }));
+    assert!(late.decide().contains(&Action::Fail { message: MessageId(1) }));
 }
 
 #[test]
 fn attempts_used_stay_used() {
     let cap = Settings::default().send_cap;
-    let past = |attempts| move |now| Past { attempts, ..fresh(now) };
+    let past = |attempts| move |now| RecoveredAttempts { attempts, ..fresh(now) };
     assert_eq!(recovered(keyed(), past(cap - 1), None).routes().len(), 1);
     let mut used_up = recovered(keyed(), past(cap), None);
     let actions = used_up.decide();
-    assert!(matches!(actions[0], Action::Busy { message: MessageId(1), .. }), "{actions:?}");
+    assert!(matches!(actions[0], Action::Reject { message: MessageId(1), .. }), "{actions:?}");
 }
 
 #[test]
 fn a_key_whose_call_was_out_rests_before_its_next_message() {
     let class = Class { in_order: true, ..keyed() };
-    let past =
-        |now| Past { attempts: 1, may_have_run: Some((now - ms(700), None)), unsettled: true, ..fresh(now) };
+    let past = |now| RecoveredAttempts {
+        attempts: 1,
+        may_have_run: Some((now - ms(700), None)),
+        unsettled: true,
+        ..fresh(now)
+    };
     let mut bench = recovered(class, past, Some(5));
     bench.settings.rules.order_settle = ms(100);
-    bench.courier = Courier::new(bench.settings.clone(), 1);
-    bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+    bench.courier = DeliveryPolicy::new(bench.settings.clone(), 1);
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(7, 1)])));
     let classes = bench.settings.classes.clone();
     for id in [1, 2] {
         let taken = accepted(bench.now, id, (ClassId(0), &classes[0]), 1, Some(5));
@@ -76,10 +88,10 @@
     assert_eq!(bench.routes().iter().map(|sent| sent.0).collect::<Vec<_>>(), [1]);
     let begun = bench.now;
     bench.now = bench.now + ms(20);
-    bench.finish(1, 7, Outcome::Ok, ms(20));
+    bench.finish(1, 7, AttemptOutcome::Ok, ms(20));
     assert!(bench.routes().is_empty());
     let next = bench.until_action(Duration::from_secs(5));
-    assert!(matches!(next[0], Action::Route { message: MessageId(2), .. }), "{next:?}");
+    assert!(matches!(next[0], Action::Send { message: MessageId(2), .. }), "{next:?}");
     assert!(bench.now >= begun + ms(100));
 }
 
@@ -92,16 +104,16 @@
         bench.now = bench.now + ms(10);
         let due: Vec<_> = out.extract_if(.., |(at, ..)| *at <= bench.now).collect();
         for (_, message, endpoint) in due {
-            bench.finish(message, endpoint, Outcome::Ok, ms(20));
+            bench.finish(message, endpoint, AttemptOutcome::Ok, ms(20));
         }
         each(bench);
         for action in bench.decide() {
             match action {
-                Action::Route { message, endpoint, .. } => {
+                Action::Send { message, endpoint, .. } => {
                     sent.push(message.0);
                     out.push((bench.now + ms(20), message.0, endpoint.0));
                 }
-                Action::Busy { message, .. } | Action::ReportFailure { message } => answered.push(message.0),
+                Action::Reject { message, .. } | Action::Fail { message } => answered.push(message.0),
                 _ => {}
             }
         }
@@ -120,7 +132,8 @@
     for id in 1..=40 {
         let mut taken = accepted(bench.now, id, (ClassId(0), &class), 1, None);
         taken.deadline = bench.now + ms(3000 + u64::from(id) * 50);
-        let past = Past { taken_at: taken.deadline - class.deadline, ..Past::default() };
+        let past =
+            RecoveredAttempts { taken_at: taken.deadline - class.deadline, ..RecoveredAttempts::default() };
         bench.tell(Event::Recovered(taken, past));
     }
     let mut next = 100;
@@ -146,7 +159,7 @@
     let mut bench = Bench::new(settings, vec![]);
     for id in 1..=20 {
         let taken = accepted(bench.now, id, (ClassId(0), &class), 1, None);
-        let past = Past { taken_at: bench.now - ms(5000), ..Past::default() };
+        let past = RecoveredAttempts { taken_at: bench.now - ms(5000), ..RecoveredAttempts::default() };
         bench.tell(Event::Recovered(taken, past));
     }
     bench.accept(21, 0, 1, None);
