--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -6,15 +6,17 @@
 use common::*;
 use std::time::Duration;
 
-const MAYBE_RAN: [Outcome; 4] = [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled];
-const NEVER_RAN: [Outcome; 3] = [Outcome::Full(None), Outcome::ConnectFailed, Outcome::Moot];
+const MAYBE_RAN: [AttemptOutcome; 4] =
+    [AttemptOutcome::Error, AttemptOutcome::Timeout, AttemptOutcome::Reset, AttemptOutcome::Abandoned];
+const NEVER_RAN: [AttemptOutcome; 3] =
+    [AttemptOutcome::Rejected(None), AttemptOutcome::ConnectFailed, AttemptOutcome::Unsent];
 
 fn one(class: Class) -> Bench {
     Bench::new(settings(vec![class]), vec![endpoint(7, 1)])
 }
 
 /// Message 1 was sent to endpoint 7, and its attempt ended so.
-fn after_one_attempt(class: Class, outcome: Outcome) -> Bench {
+fn after_one_attempt(class: Class, outcome: AttemptOutcome) -> Bench {
     let mut bench = one(class);
     bench.accept(1, 0, 1, None);
     assert_eq!(bench.routes().len(), 1);
@@ -30,7 +32,7 @@
     let deadline = bench.now + bench.settings.classes[0].deadline;
     assert_eq!(
         bench.until_action(Duration::from_secs(30)),
-        [Action::Busy { message: MessageId(1), stay_away: Duration::ZERO }]
+        [Action::Reject { message: MessageId(1), stay_away: Duration::ZERO }]
     );
     assert!(bench.now <= deadline + bench.settings.rules.answer_slack);
     assert!(bench.until_action(Duration::from_secs(30)).is_empty());
@@ -41,7 +43,7 @@
     for outcome in MAYBE_RAN {
         let mut bench = after_one_attempt(unsafe_class(), outcome);
         let end = bench.until_action(Duration::from_secs(30));
-        assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }], "{outcome:?}");
+        assert_eq!(end, [Action::Fail { message: MessageId(1) }], "{outcome:?}");
     }
 }
 
@@ -50,7 +52,7 @@
     for outcome in NEVER_RAN {
         let mut bench = after_one_attempt(unsafe_class(), outcome);
         let next = bench.until_action(Duration::from_secs(15));
-        assert!(matches!(next[0], Action::Route { message: MessageId(1), .. }), "{outcome:?}");
+        assert!(matches!(next[0], Action::Send { message: MessageId(1), .. }), "{outcome:?}");
     }
 }
 
@@ -63,13 +65,13 @@
     let mut repeats = 0;
     loop {
         bench.now = bench.now + ms(30);
-        bench.finish(1, 7, Outcome::Error, ms(30));
+        bench.finish(1, 7, AttemptOutcome::Error, ms(30));
         match bench.until_action(Duration::from_secs(30)).first() {
-            Some(Action::Route { .. }) => {
+            Some(Action::Send { .. }) => {
                 assert!(bench.now < sent + bench.settings.classes[0].repeat_window);
                 repeats += 1;
             }
-            Some(Action::ReportFailure { .. }) => break,
+            Some(Action::Fail { .. }) => break,
             other => panic!("{other:?}"),
         }
     }
@@ -86,12 +88,12 @@
     bench.accept(1, 0, 1, None);
     let first = bench.routes()[0].1;
     bench.now = bench.now + ms(50);
-    bench.finish(1, first, Outcome::Reset, ms(50));
+    bench.finish(1, first, AttemptOutcome::Reset, ms(50));
     let zone = if first == 7 { ZoneId(0) } else { ZoneId(1) };
-    let drained = Endpoint { mode: Mode::Draining, zone, ..endpoint(first, 1) };
-    bench.tell(Event::Listed(Listing::Changes(vec![drained])));
+    let drained = Endpoint { mode: EndpointState::Draining, zone, ..endpoint(first, 1) };
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![drained])));
     let end = bench.until_action(Duration::from_secs(30));
-    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+    assert_eq!(end, [Action::Fail { message: MessageId(1) }]);
 }
 
 #[test]
@@ -100,12 +102,12 @@
         let gaps: Vec<u64> = (0..40)
             .map(|seed| {
                 let mut bench = one(safe());
-                bench.courier = Courier::new(bench.settings.clone(), seed);
-                bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1)])));
+                bench.courier = DeliveryPolicy::new(bench.settings.clone(), seed);
+                bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(7, 1)])));
                 bench.accept(1, 0, 1, None);
                 bench.routes();
                 for attempt in 0..failures {
-                    bench.finish(1, 7, Outcome::Error, ms(10));
+                    bench.finish(1, 7, AttemptOutcome::Error, ms(10));
                     let failed = bench.now;
                     assert!(!bench.until_action(Duration::from_secs(10)).is_empty());
                     if attempt + 1 == failures {
@@ -125,7 +127,7 @@
 fn a_message_from_a_dead_courier_counts_its_window_from_its_hand_in() {
     let mut bench = one(keyed());
     let class = bench.settings.classes[0].clone();
-    bench.tell(Event::Accept(Accepted {
+    bench.tell(Event::Submitted(Submission {
         id: MessageId(1),
         class: ClassId(0),
         destination: DestinationId(1),
@@ -136,20 +138,23 @@
         tenant: TenantId(0),
     }));
     let end = bench.until_action(Duration::from_secs(30));
-    assert_eq!(end, [Action::ReportFailure { message: MessageId(1) }]);
+    assert_eq!(end, [Action::Fail { message: MessageId(1) }]);
 }
 
 #[test]
 fn a_drained_or_gone_endpoint_gets_nothing_new() {
-    for mode in [Mode::Draining, Mode::Gone] {
+    for mode in [EndpointState::Draining, EndpointState::Removed] {
         let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
-        bench.tell(Event::Listed(Listing::Changes(vec![Endpoint { mode, ..endpoint(7, 1) }])));
+        bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![Endpoint {
+            mode,
+            ..endpoint(7, 1)
+        }])));
         (0..4).for_each(|id| bench.accept(id, 0, 1, None));
         let routes = bench.routes();
         assert!(!routes.is_empty() && routes.iter().all(|r| r.1 == 8));
     }
     let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1)]);
-    bench.tell(Event::Listed(Listing::Whole(vec![endpoint(8, 1)])));
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(8, 1)])));
     bench.accept(1, 0, 1, None);
     assert_eq!(bench.routes()[0].1, 8);
 }
@@ -159,7 +164,7 @@
     let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
     bench.accept(1, 0, 1, None);
     let first = bench.routes()[0].1;
-    bench.finish(1, first, Outcome::Full(Some(ms(800))), ms(20));
+    bench.finish(1, first, AttemptOutcome::Rejected(Some(ms(800))), ms(20));
     let told = bench.now;
     bench.accept(2, 0, 1, None);
     assert!(bench.routes().is_empty());
@@ -177,9 +182,9 @@
     );
     (1..=3).for_each(|id| bench.accept(id, 0, 1, None));
     assert_eq!(bench.routes().len(), 3);
-    bench.finish(1, 7, Outcome::Full(Some(ms(900))), ms(20));
-    bench.finish(2, 7, Outcome::Full(None), ms(20));
-    bench.finish(3, 7, Outcome::Full(None), ms(20));
+    bench.finish(1, 7, AttemptOutcome::Rejected(Some(ms(900))), ms(20));
+    bench.finish(2, 7, AttemptOutcome::Rejected(None), ms(20));
+    bench.finish(3, 7, AttemptOutcome::Rejected(None), ms(20));
     let told = bench.now;
     assert!(!bench.until_action(Duration::from_secs(5)).is_empty());
     assert!(bench.now - told >= ms(900));
@@ -197,12 +202,12 @@
     assert_eq!(sent.len(), 1);
     assert_eq!(sent[0].0, 1);
     // The client goes, the attempt runs on: the key stays taken until its outcome is known, and rests after it.
-    bench.tell(Event::ClientGone(MessageId(1)));
+    bench.tell(Event::Cancelled(MessageId(1)));
     assert!(bench.until_action(ms(100)).is_empty());
-    bench.finish(1, sent[0].1, Outcome::Reset, ms(100));
+    bench.finish(1, sent[0].1, AttemptOutcome::Reset, ms(100));
     let settled = bench.now;
     let next = bench.until_action(Duration::from_secs(10));
-    assert!(matches!(next[0], Action::Route { message: MessageId(2), .. }));
+    assert!(matches!(next[0], Action::Send { message: MessageId(2), .. }));
     assert!(bench.now - settled >= ms(300));
 }
 
@@ -211,16 +216,16 @@
     let mut bench = one(safe());
     (0..390).for_each(|id| bench.accept(id, 0, 1, None));
     for (id, to, _) in bench.routes() {
-        bench.finish(id, to, Outcome::ConnectFailed, ms(10));
+        bench.finish(id, to, AttemptOutcome::ConnectFailed, ms(10));
     }
     let began = bench.now;
     let mut trials = 0;
     while bench.now - began < Duration::from_secs(6) {
         let routed = bench.until_action(Duration::from_secs(6));
         assert_eq!(routed.len(), 1, "one trial at a time");
-        let Action::Route { message, .. } = routed[0] else { panic!("{routed:?}") };
+        let Action::Send { message, .. } = routed[0] else { panic!("{routed:?}") };
         trials += 1;
-        bench.finish(message.0, 7, Outcome::ConnectFailed, ms(5));
+        bench.finish(message.0, 7, AttemptOutcome::ConnectFailed, ms(5));
     }
     assert!((3..20).contains(&trials), "{trials}");
     // It is back: all that is sent in the fall window stays inside the budget of a cold destination.
@@ -233,7 +238,7 @@
                 back = bench.now;
             }
             sent += 1.0;
-            bench.finish(id, to, Outcome::Ok, ms(5));
+            bench.finish(id, to, AttemptOutcome::Ok, ms(5));
         }
     }
     let capacity = 100.0 * (rules.cold_from + (1.0 - rules.cold_from) * 0.2);
@@ -272,7 +277,7 @@
             // Only the fifth destination answers.
             if to == 5 {
                 healthy += 1;
-                bench.finish(message, to, Outcome::Ok, ms(5));
+                bench.finish(message, to, AttemptOutcome::Ok, ms(5));
             }
         }
     }
@@ -288,7 +293,7 @@
     (10..20).for_each(|id| bench.accept(id, 1, 1, None));
     let shed = bench.until_action(ms(5));
     assert!(!shed.is_empty());
-    assert!(shed.iter().all(|a| matches!(a, Action::Busy { message, .. } if message.0 < 10)), "{shed:?}");
+    assert!(shed.iter().all(|a| matches!(a, Action::Reject { message, .. } if message.0 < 10)), "{shed:?}");
 }
 
 #[test]
@@ -322,10 +327,10 @@
     let mut last = first;
     for _ in 0..6 {
         bench.now = bench.now + last;
-        bench.finish(1, 7, Outcome::Timeout, last);
+        bench.finish(1, 7, AttemptOutcome::Timeout, last);
         bench.accept(1000 + bench.now.0 as u32, 0, 1, None);
         match bench.until_action(Duration::from_secs(5)).first() {
-            Some(Action::Route { message, try_for, .. }) => {
+            Some(Action::Send { message, try_for, .. }) => {
                 last = *try_for;
                 if message.0 != 1 {
                     break;
@@ -340,10 +345,10 @@
 #[test]
 fn events_for_unknown_things_are_ignored() {
     let mut bench = one(safe());
-    bench.finish(99, 7, Outcome::Ok, ms(5));
-    bench.finish(99, 98, Outcome::Full(Some(ms(5))), ms(5));
-    bench.tell(Event::ClientGone(MessageId(99)));
-    bench.tell(Event::TickDue(12345));
+    bench.finish(99, 7, AttemptOutcome::Ok, ms(5));
+    bench.finish(99, 98, AttemptOutcome::Rejected(Some(ms(5))), ms(5));
+    bench.tell(Event::Cancelled(MessageId(99)));
+    bench.tell(Event::TimerFired(12345));
     bench.accept(1, 0, 1, None);
     assert_eq!(bench.routes().len(), 1);
 }
@@ -369,14 +374,22 @@
         let (class, destination) = (ClassId(0), DestinationId(1));
         let id = MessageId(id);
         let from_dead_courier = false;
-        let taken =
-            Accepted { id, class, destination, key: None, deadline, from_dead_courier, again: false, tenant };
-        bench.tell(Event::Accept(taken));
+        let taken = Submission {
+            id,
+            class,
+            destination,
+            key: None,
+            deadline,
+            from_dead_courier,
+            again: false,
+            tenant,
+        };
+        bench.tell(Event::Submitted(taken));
     }
     let shed = bench.until_action(ms(5));
     assert!(!shed.is_empty());
     assert!(
-        shed.iter().all(|a| matches!(a, Action::Busy { message, .. } if (6..20).contains(&message.0))),
+        shed.iter().all(|a| matches!(a, Action::Reject { message, .. } if (6..20).contains(&message.0))),
         "{shed:?}"
     );
 }
@@ -388,7 +401,7 @@
     let mut bench = Bench::new(Settings { kinds, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
     bench.accept(1, 0, 1, None);
     let first = bench.routes()[0].1;
-    bench.finish(1, first, Outcome::Full(Some(ms(900))), ms(20));
+    bench.finish(1, first, AttemptOutcome::Rejected(Some(ms(900))), ms(20));
     bench.accept(2, 0, 1, None);
     let other = bench.routes();
     assert_eq!(other.len(), 1);
@@ -401,8 +414,12 @@
     let chosen: std::collections::BTreeSet<u32> = (0..30)
         .map(|seed| {
             let mut bench = Bench::new(settings(vec![safe()]), vec![]);
-            bench.courier = Courier::new(bench.settings.clone(), seed);
-            bench.tell(Event::Listed(Listing::Whole(vec![endpoint(7, 1), endpoint(8, 1), endpoint(9, 1)])));
+            bench.courier = DeliveryPolicy::new(bench.settings.clone(), seed);
+            bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![
+                endpoint(7, 1),
+                endpoint(8, 1),
+                endpoint(9, 1),
+            ])));
             bench.accept(1, 0, 1, None);
             bench.routes()[0].1
         })
@@ -419,11 +436,11 @@
     bench.accept(2, 0, 1, Some(5));
     assert_eq!(bench.routes().len(), 1);
     bench.now = bench.now + ms(50);
-    bench.finish(1, 7, Outcome::Reset, ms(50));
+    bench.finish(1, 7, AttemptOutcome::Reset, ms(50));
     let mut actions = bench.decide();
     actions.extend(bench.until_action(ms(500)));
-    assert!(actions.contains(&Action::ReportFailure { message: MessageId(1) }), "{actions:?}");
-    assert!(actions.iter().any(|a| matches!(a, Action::Route { message: MessageId(2), .. })), "{actions:?}");
+    assert!(actions.contains(&Action::Fail { message: MessageId(1) }), "{actions:?}");
+    assert!(actions.iter().any(|a| matches!(a, Action::Send { message: MessageId(2), .. })), "{actions:?}");
 }
 
 #[test]
@@ -432,27 +449,27 @@
     bench.restart(Settings { send_cap: 1, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
     bench.accept(1, 0, 1, None);
     bench.routes();
-    bench.finish(1, 7, Outcome::Full(None), ms(20));
-    assert!(bench.decide().contains(&Action::Busy { message: MessageId(1), stay_away: Duration::ZERO }));
+    bench.finish(1, 7, AttemptOutcome::Rejected(None), ms(20));
+    assert!(bench.decide().contains(&Action::Reject { message: MessageId(1), stay_away: Duration::ZERO }));
 }
 
 /// Sends a message to each of `count` destinations in turn, each with a connection idle for two seconds; calls
 /// on these end so, those on new ones well. Returns how often idle connections were closed before use.
-fn closes_after(outcome: Outcome, count: u32) -> usize {
+fn closes_after(outcome: AttemptOutcome, count: u32) -> usize {
     let all = (1..=count).map(|d| endpoint(d, d as u16)).collect();
     let mut bench = Bench::new(settings(vec![safe()]), all);
     let mut id = 0;
-    let mut call = |bench: &mut Bench, to: u32, outcome: Outcome| {
+    let mut call = |bench: &mut Bench, to: u32, outcome: AttemptOutcome| {
         id += 1;
         bench.accept(id, 0, to as u16, None);
         let actions = bench.decide();
         let closes = actions.iter().filter(|a| matches!(a, Action::CloseIdle { .. })).count();
         bench.now = bench.now + ms(20);
-        bench.finish(id, to, if closes > 0 { Outcome::Ok } else { outcome }, ms(20));
-        bench.tell(Event::ClientGone(MessageId(id)));
+        bench.finish(id, to, if closes > 0 { AttemptOutcome::Ok } else { outcome }, ms(20));
+        bench.tell(Event::Cancelled(MessageId(id)));
         closes
     };
-    (1..=count).for_each(|to| assert_eq!(call(&mut bench, to, Outcome::Ok), 0));
+    (1..=count).for_each(|to| assert_eq!(call(&mut bench, to, AttemptOutcome::Ok), 0));
     bench.now = bench.now + Duration::from_secs(2);
     (1..=count).map(|to| call(&mut bench, to, outcome)).sum()
 }
@@ -460,14 +477,14 @@
 /// Idle connections dropped unseen: the next call on one is lost.
 #[test]
 fn idle_connections_are_closed_before_use_once_calls_on_them_get_lost() {
-    assert_eq!(closes_after(Outcome::Ok, 12), 0);
-    assert!(closes_after(Outcome::Reset, 12) >= 6);
+    assert_eq!(closes_after(AttemptOutcome::Ok, 12), 0);
+    assert!(closes_after(AttemptOutcome::Reset, 12) >= 6);
 }
 
 /// One lost answer is not an outage: with a share of the answers lost, messages must not wait for trials.
 #[test]
 fn a_single_loss_opens_no_spell() {
-    let next_send = |outcome: Outcome| {
+    let next_send = |outcome: AttemptOutcome| {
         let mut bench = one(safe());
         bench.restart(Settings { couriers: 100, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
@@ -477,8 +494,8 @@
         bench.accept(2, 0, 1, None);
         !bench.routes().is_empty()
     };
-    assert!(next_send(Outcome::Reset));
-    assert!(next_send(Outcome::ConnectFailed));
+    assert!(next_send(AttemptOutcome::Reset));
+    assert!(next_send(AttemptOutcome::ConnectFailed));
 }
 
 /// Hunt h560941: a hung partner with its queue full refuses although its limit has room.
@@ -510,7 +527,7 @@
     assert_eq!(bench.routes().len(), 2);
     bench.accept(5, 0, 2, None);
     let off = bench.until_action(Duration::from_secs(5));
-    assert_eq!(off, [Action::StopAttempt { message: MessageId(0), attempt: 0 }]);
+    assert_eq!(off, [Action::AbandonAttempt { message: MessageId(0), attempt: 0 }]);
 }
 
 /// A slot is worth most where a message of more worth waits, not where the list starts.
@@ -533,13 +550,13 @@
         bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
-        bench.finish(1, 7, Outcome::ConnectFailed, ms(20));
+        bench.finish(1, 7, AttemptOutcome::ConnectFailed, ms(20));
         let began = bench.now;
         while bench.now - began < Duration::from_secs(12) {
             for action in bench.until_action(Duration::from_secs(1)) {
-                if let Action::Route { message, .. } = action {
+                if let Action::Send { message, .. } = action {
                     trials += 1;
-                    bench.finish(message.0, 7, Outcome::ConnectFailed, ms(20));
+                    bench.finish(message.0, 7, AttemptOutcome::ConnectFailed, ms(20));
                 }
             }
         }
@@ -557,7 +574,7 @@
         bench.accept(id, 0, 1, None);
         assert_eq!(bench.routes().len(), 1);
         bench.now = bench.now + ms(30);
-        bench.finish(id, 7, Outcome::Ok, ms(30));
+        bench.finish(id, 7, AttemptOutcome::Ok, ms(30));
     }
 }
 
@@ -575,7 +592,7 @@
             let sent = bench.routes();
             calls += sent.len();
             for (id, to, _) in sent {
-                bench.finish(id, to, Outcome::Full(None), ms(20));
+                bench.finish(id, to, AttemptOutcome::Rejected(None), ms(20));
             }
             bench.now = bench.now + ms(20);
         }
@@ -594,9 +611,9 @@
         bench.restart(Settings { couriers: 200, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
-        bench.finish(1, 7, Outcome::Full(None), ms(20));
+        bench.finish(1, 7, AttemptOutcome::Rejected(None), ms(20));
         let refused = bench.now;
-        assert!(matches!(bench.until_action(Duration::from_secs(30))[..], [Action::Route { .. }]));
+        assert!(matches!(bench.until_action(Duration::from_secs(30))[..], [Action::Send { .. }]));
         bench.now - refused
     };
     let mut gaps: Vec<Duration> = (0..40).map(back_after).collect();
@@ -616,15 +633,12 @@
         bench.accept(1, 0, 1, None);
         bench.routes();
         bench.now = bench.now + ms(860);
-        bench.finish(1, 7, Outcome::Reset, ms(860));
-        let ended = |a: &Action| matches!(a, Action::ReportFailure { .. } | Action::Busy { .. });
+        bench.finish(1, 7, AttemptOutcome::Reset, ms(860));
+        let ended = |a: &Action| matches!(a, Action::Fail { .. } | Action::Reject { .. });
         if bench.decide().iter().any(ended) {
             given_up += 1;
         } else {
-            assert!(
-                matches!(bench.until_action(ms(45))[..], [Action::Route { .. }]),
-                "seed {seed} held back"
-            );
+            assert!(matches!(bench.until_action(ms(45))[..], [Action::Send { .. }]), "seed {seed} held back");
         }
     }
     assert!((20..40).contains(&given_up), "{given_up}");
@@ -638,10 +652,10 @@
         let mut bench = Bench::new(Settings { most_held: 20, stay_away_most, ..base }, vec![endpoint(7, 1)]);
         bench.accept(100, 0, 1, None);
         bench.routes();
-        bench.finish(100, 7, Outcome::Full(Some(ms(900))), ms(20));
+        bench.finish(100, 7, AttemptOutcome::Rejected(Some(ms(900))), ms(20));
         (0..20).for_each(|id| bench.accept(id, 0, 1, None));
         let stays = |a: &Action| match a {
-            Action::Busy { stay_away, .. } => Some(*stay_away),
+            Action::Reject { stay_away, .. } => Some(*stay_away),
             _ => None,
         };
         bench.decide().iter().find_map(stays).expect("nothing was shed")
@@ -662,8 +676,8 @@
         bench.now = bench.now + ms(50);
         bench.accept(id, 0, 1, None);
         assert_eq!(bench.routes().len(), 1);
-        bench.finish(id, 1, Outcome::ConnectFailed, ms(20));
-        bench.tell(Event::ClientGone(MessageId(id)));
+        bench.finish(id, 1, AttemptOutcome::ConnectFailed, ms(20));
+        bench.tell(Event::Cancelled(MessageId(id)));
     }
     (0..10).for_each(|id| bench.accept(id, 1, 1, None));
     (10..20).for_each(|id| bench.accept(id, 0, 2, None));
@@ -673,7 +687,7 @@
 
 fn busy(action: &Action) -> Option<u32> {
     match action {
-        Action::Busy { message, .. } => Some(message.0),
+        Action::Reject { message, .. } => Some(message.0),
         _ => None,
     }
 }
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -26,20 +26,20 @@
         for (message, endpoint, silent) in std::mem::take(&mut out) {
             match silent {
                 Some(sent) => out.push((message, endpoint, Some(sent))),
-                None => bench.finish(message, endpoint, Outcome::Ok, ms(5)),
+                None => bench.finish(message, endpoint, AttemptOutcome::Ok, ms(5)),
             }
         }
         for action in bench.decide() {
             match action {
-                Action::Route { message, endpoint, .. } => {
+                Action::Send { message, endpoint, .. } => {
                     let silent = (message.0 % 20 == 0).then_some(bench.now);
                     out.push((message.0, endpoint.0, silent));
                 }
-                Action::StopAttempt { message, .. } => {
+                Action::AbandonAttempt { message, .. } => {
                     let place = out.iter().position(|(other, ..)| *other == message.0).unwrap();
                     let (_, endpoint, silent) = out.remove(place);
                     let waited = bench.now - silent.expect("a call that was answered in time");
-                    bench.finish(message.0, endpoint, Outcome::Cancelled, waited);
+                    bench.finish(message.0, endpoint, AttemptOutcome::Abandoned, waited);
                     longest = longest.max(waited);
                     called_off += 1;
                 }
@@ -74,11 +74,11 @@
             bench.accept(id, 0, 1, None);
             for (message, ..) in bench.routes() {
                 bench.now = bench.now + ms(20);
-                bench.finish(message, 7, Outcome::Ok, ms(20));
+                bench.finish(message, 7, AttemptOutcome::Ok, ms(20));
             }
         }
-        bench.finish(silent, 7, Outcome::Timeout, wait);
-        bench.tell(Event::ClientGone(MessageId(silent)));
+        bench.finish(silent, 7, AttemptOutcome::Timeout, wait);
+        bench.tell(Event::Cancelled(MessageId(silent)));
         waits.push(wait);
     }
     assert!(waits[19] <= waits[1], "{waits:?}");
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -17,7 +17,7 @@
         let sent = bench.routes();
         assert_eq!(sent.len(), 1, "message {id}: {sent:?}");
         went.push(sent[0].1);
-        bench.finish(id, sent[0].1, Outcome::Ok, ms(5));
+        bench.finish(id, sent[0].1, AttemptOutcome::Ok, ms(5));
         bench.decide();
     }
     went
@@ -91,13 +91,13 @@
     let mut endpoints: Vec<Endpoint> = (1..=3).map(|id| endpoint(id, 1)).collect();
     let mut bench = bench(1, endpoints.clone());
     one_by_one(&mut bench, 60, ms(50));
-    endpoints[1].mode = Mode::Draining;
-    bench.tell(Event::Listed(Listing::Whole(endpoints.clone())));
+    endpoints[1].mode = EndpointState::Draining;
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints.clone())));
     assert_eq!(counts(&one_by_one(&mut bench, 60, ms(50))).get(&2), None);
-    endpoints[1].mode = Mode::Ready;
+    endpoints[1].mode = EndpointState::Ready;
     // A new one comes with it, and starts level.
     endpoints.push(endpoint(4, 1));
-    bench.tell(Event::Listed(Listing::Whole(endpoints)));
+    bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints)));
     let went = one_by_one(&mut bench, 12, ms(50));
     let most = counts(&went).into_values().max();
     assert!(most <= Some(4), "{went:?}");
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,9 +1,9 @@
 //! The wire page's byte examples, a round trip for every record, and bad input.
 
-#[path = "../src/bin/cloverstile-wirehost/host.rs"]
+#[path = "../src/bin/cloverstile-sim-adapter/host.rs"]
 #[allow(dead_code)]
 mod host;
-#[path = "../src/bin/cloverstile-wirehost/wire.rs"]
+#[path = "../src/bin/cloverstile-sim-adapter/wire.rs"]
 #[allow(dead_code)]
 mod wire;
 
@@ -26,7 +26,7 @@
 }
 
 fn host_with(input: &[u8]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_cloverstile-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_cloverstile-sim-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
