--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 /// Its `node` is what `cloverstile node` runs.
-const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile-lab");
+const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile-testbench");
 
 fn scene(seconds: f64, rate: f64, troubles: &str) -> Scene {
     let text = format!(
--- a/crates/testbench/tests/sockets.rs
+++ b/crates/testbench/tests/sockets.rs
@@ -14,7 +14,7 @@
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let day = read(text).unwrap();
     let folder = std::env::temp_dir().join(format!("cloverstile-test-{}-{name}", std::process::id()));
-    let launch = Launch { program: env!("CARGO_BIN_EXE_cloverstile-lab").into(), log: "error".into() };
+    let launch = Launch { program: env!("CARGO_BIN_EXE_cloverstile-testbench").into(), log: "error".into() };
     let played = play(&day, 5, &folder, &launch, &|_| {}).unwrap();
     let verdict = &played.verdict;
     assert!(verdict.broken.is_empty(), "{:?}", &verdict.broken[..verdict.broken.len().min(5)]);
--- /dev/null
+++ b/crates/wal/tests/stored_data.rs
@@ -0,0 +1,98 @@
+//! Logs that earlier versions wrote are recovered to the same messages, byte for byte (`tests/data/README.md`).
+
+use cloverstile_wal::store::DirectoryStore;
+use cloverstile_wal::{AttemptStart, LiveMessage, Log, Recovered, TerminalState};
+use std::fmt::Write;
+use std::fs;
+use std::path::{Path, PathBuf};
+
+const CAPACITY_BYTES: u64 = 1 << 20;
+
+/// A private copy of a stored folder: opening a log changes its folder.
+fn copy_of(folder: &str) -> PathBuf {
+    let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/data").join(folder);
+    let copy = std::env::temp_dir().join(format!("cloverstile-stored-{}-{folder}", std::process::id()));
+    let _ = fs::remove_dir_all(&copy);
+    fs::create_dir_all(&copy).unwrap();
+    for entry in fs::read_dir(source).unwrap() {
+        let entry = entry.unwrap();
+        fs::copy(entry.path(), copy.join(entry.file_name())).unwrap();
+    }
+    copy
+}
+
+fn start_text(start: Option<AttemptStart>) -> String {
+    start.map_or_else(|| "-".to_owned(), |start| format!("{}@{}", start.at, start.zone))
+}
+
+fn owed_text(owed: Option<TerminalState>) -> String {
+    match owed {
+        None => "-".to_owned(),
+        Some(TerminalState::Undeliverable) => "undeliverable".to_owned(),
+        Some(TerminalState::Deferred(None)) => "deferred".to_owned(),
+        Some(TerminalState::Deferred(Some(milliseconds))) => format!("deferred:{milliseconds}"),
+    }
+}
+
+fn message_text(message: &LiveMessage) -> String {
+    let key = message.idempotency.as_deref().map_or("-".into(), String::from_utf8_lossy);
+    let body: String = message.body.iter().map(|byte| format!("{byte:02x}")).collect();
+    format!(
+        "id={} key={key} class={} destination={} order={} taken_at={} deadline={} after_loss={} attempts={} \
+         may_have_run={} open={} owed={} body={body}",
+        String::from_utf8_lossy(&message.id),
+        message.class,
+        message.destination,
+        message.order,
+        message.taken_at,
+        message.deadline,
+        message.after_loss,
+        message.attempts,
+        start_text(message.may_have_run),
+        start_text(message.open),
+        owed_text(message.owed),
+    )
+}
+
+/// What was recovered, in the form of `recovered.txt`.
+fn text_of(recovered: &Recovered) -> String {
+    let mut text = format!("discarded_bytes={}\n", recovered.torn);
+    for (name, effect) in &recovered.names.classes {
+        writeln!(text, "class={name} effect={effect}").unwrap();
+    }
+    for zone in &recovered.names.zones {
+        writeln!(text, "zone={zone}").unwrap();
+    }
+    for message in &recovered.living {
+        writeln!(text, "{}", message_text(message)).unwrap();
+    }
+    text
+}
+
+fn assert_recovers(folder: &str) {
+    let copy = copy_of(folder);
+    let expected = fs::read_to_string(copy.join("recovered.txt")).unwrap();
+    let (_, recovered) = Log::open(DirectoryStore::new(&copy), CAPACITY_BYTES).unwrap();
+    assert_eq!(text_of(&recovered), expected, "{folder}");
+    fs::remove_dir_all(copy).unwrap();
+}
+
+#[test]
+fn stored_log_with_every_record_kind_and_a_torn_end_is_recovered() {
+    assert_recovers("every-record-torn");
+}
+
+#[test]
+fn stored_log_with_two_segments_is_recovered_from_the_newer() {
+    assert_recovers("two-segments");
+}
+
+#[test]
+fn stored_log_with_time_left_is_recovered() {
+    assert_recovers("time-left");
+}
+
+#[test]
+fn stored_log_of_a_killed_gateway_is_recovered() {
+    assert_recovers("gateway-killed");
+}
