--- a/crates/as2-gateway/src/admission.rs
+++ b/crates/as2-gateway/src/admission.rs
@@ -58,7 +58,7 @@
     let class = find_class(config, field("cloverstile-class"))?;
     let rules = &config.module.classes[class];
     let key = field("cloverstile-order-key").filter(|key| !key.is_empty());
-    if rules.in_order && key.is_none() {
+    if rules.ordered && key.is_none() {
         return Err(Rejection::NoKey(config.classes[class].clone()));
     }
     let left = match field("cloverstile-time-left") {
@@ -80,15 +80,15 @@
     fingerprint.copy_from_slice(aws_lc_rs::digest::digest(&aws_lc_rs::digest::SHA256, &intention).as_ref());
     Ok(SubmitRequest {
         client: client as u32,
-        name: message_id.to_owned(),
+        idempotency_key: message_id.to_owned(),
         fingerprint,
         class: ClassId(class as u8),
         destination: DestinationId(destination as u16),
-        key: key.map(|key| OrderKey(hash(key))),
+        order_key: key.map(|key| OrderKey(hash(key))),
         deadline: now + left,
         tenant: TenantId(who.tenant),
-        again,
-        after_loss,
+        resubmitted: again,
+        from_lost_instance: after_loss,
     })
 }
 
--- a/crates/as2-gateway/src/front.rs
+++ b/crates/as2-gateway/src/front.rs
@@ -93,7 +93,7 @@
 
     /// Bytes of answers that the system has not taken.
     pub fn unsent(&self, net: &Net) -> usize {
-        self.conns.keys().map(|conn| net.unsent(*conn)).sum()
+        self.conns.keys().map(|conn| net.unsent_bytes(*conn)).sum()
     }
 
     /// Where partners send receipts that come on connections of their own.
@@ -111,7 +111,7 @@
         if self.front.conns.len() >= self.config.front.connections {
             let headers = Headers::new().with("Connection", "close").with("Retry-After", "1");
             self.net.send(conn, &response(503, "Service Unavailable", &headers, b"too many connections\n"));
-            self.net.close_when_sent(conn);
+            self.net.close_after_flush(conn);
             return;
         }
         let front = &self.config.front;
@@ -152,7 +152,7 @@
         let now = self.since_start();
         while let Some(inbound) = self.front.conns.get_mut(&conn) {
             // Guards against a client that asks on and on and never reads: its answers would pile up here.
-            if self.net.unsent(conn) > MOST_UNREAD {
+            if self.net.unsent_bytes(conn) > MOST_UNREAD {
                 return self.net.pause(conn, true);
             }
             if inbound.busy.is_some() {
@@ -212,7 +212,7 @@
         debug!(status, why, "request refused");
         let headers = Headers::new().with("Connection", "close").with("Content-Type", "text/plain");
         self.net.send(conn, &response(status, reason, &headers, format!("{why}\n").as_bytes()));
-        self.net.close_when_sent(conn);
+        self.net.close_after_flush(conn);
         self.front.conns.remove(&conn);
     }
 
@@ -267,7 +267,7 @@
             self.front_read(conn);
         } else {
             self.front.conns.remove(&conn);
-            self.net.close_when_sent(conn);
+            self.net.close_after_flush(conn);
         }
     }
 
@@ -324,7 +324,7 @@
             }
         };
         let partner = usize::from(hand_in.destination.0);
-        let taken = self.engine.hand_in(now, hand_in);
+        let taken = self.engine.submit(now, hand_in);
         let deferred = receipt.is_some_and(|receipt| receipt.deliver_to.is_some());
         let waits = (!deferred).then_some((conn, request));
         let waiter = Waiter { conn: waits, envelope, mic: opened.mic };
@@ -360,7 +360,7 @@
             }
         }
         if deferred {
-            self.respond(conn, request, (202, "Submission"), Headers::new(), b"");
+            self.respond(conn, request, (202, "Accepted"), Headers::new(), b"");
         }
     }
 
@@ -585,7 +585,7 @@
             }
         };
         // Only a receipt of the very partner, for the very bytes, says anything of a message.
-        let known = self.engine.known(&receipt.original_id);
+        let known = self.engine.message_id(&receipt.original_id);
         let held =
             known.and_then(|id| Some((id, self.held.get(&id).filter(|held| held.partner == partner)?)));
         let sent = held.and_then(|(id, held)| Some((id, held.composed.clone()?)));
@@ -596,7 +596,7 @@
         match receipt.check(&receipt.original_id, &composed.mic, true) {
             Ok(()) => {
                 let now = self.now();
-                self.engine.receipt(now, id, crate::meaning::of_receipt(&receipt));
+                self.engine.on_receipt(now, id, crate::meaning::of_receipt(&receipt));
                 self.respond(conn, request, (200, "OK"), Headers::new(), b"");
             }
             Err(error) => {
--- a/crates/as2-gateway/src/meaning.rs
+++ b/crates/as2-gateway/src/meaning.rs
@@ -51,7 +51,7 @@
     let quota = parameter(policy, "q").filter(|q| q.is_finite() && *q > 0.0)?;
     let window = parameter(policy, "w").filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0);
     let left = parameter(headers.get("ratelimit")?, "r").filter(|r| r.is_finite() && *r >= 0.0)?;
-    Some(RateLimitStatus { left: (left / quota).min(1.0), limit: quota / window })
+    Some(RateLimitStatus { remaining: (left / quota).min(1.0), limit: quota / window })
 }
 
 /// What an answer's status means before its body is looked at; none: the body decides.
@@ -125,9 +125,9 @@
         };
         assert_eq!(
             told("\"calls\";q=100;w=10", "\"calls\";r=25;t=3"),
-            Some(RateLimitStatus { left: 0.25, limit: 10.0 })
+            Some(RateLimitStatus { remaining: 0.25, limit: 10.0 })
         );
-        assert_eq!(told("\"a\";q=8", "\"a\";r=16"), Some(RateLimitStatus { left: 1.0, limit: 8.0 }));
+        assert_eq!(told("\"a\";q=8", "\"a\";r=16"), Some(RateLimitStatus { remaining: 1.0, limit: 8.0 }));
         for (policy, left) in
             [("\"a\";q=0", "\"a\";r=1"), ("\"a\";w=1", "\"a\";r=1"), ("\"a\";q=5", "x"), ("q=NaN", "r=1")]
         {
--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -6,7 +6,9 @@
 use crate::wire::Wire;
 use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, MessageId, Time, ZoneId};
 use cloverstile_as2::{As2Error, Composed, Envelope, Opened, Part, Receipt};
-use cloverstile_engine::{Attempt, Bounds, Command, Counts, Engine, FinalOutcome, TransportOutcome};
+use cloverstile_engine::{
+    Attempt, Command, Counters, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
+};
 use cloverstile_failover::{Fleet, Planner, Tiers};
 use cloverstile_http::Headers;
 use cloverstile_net::{ConnId, Net, NetEvent, SignalKind, Waker};
@@ -45,7 +47,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ending {
     /// Running sums of the engine.
-    pub counts: Counts,
+    pub counts: Counters,
     /// Messages without an answer at the end; zero unless it was told twice to stop.
     pub unanswered: usize,
     /// Time spent in the module and its table.
@@ -144,7 +146,7 @@
 }
 
 fn planner(config: &Config, seed: u64) -> Planner {
-    let couriers = config.module.couriers.max(1);
+    let couriers = config.module.instance_count.max(1);
     let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
     let tiers = tiered.map(|(number, partner)| Tiers {
         destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
@@ -213,8 +215,10 @@
         let listen = config.front.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
         let (listener, address) = net.listen(listen).map_err(io_error(format!("listening on {listen}")))?;
         let pool = Pool::new(config.limits.workers, &net.waker()).map_err(io_error("threads"))?;
-        let bounds =
-            Bounds { remembered: config.limits.remembered, answers_kept: config.limits.answers_kept };
+        let bounds = ResultCacheLimits {
+            max_results: config.limits.remembered,
+            retention: config.limits.answers_kept,
+        };
         let mut service = Service {
             engine: Engine::new(config.module.clone(), bounds, seed).with_planner(planner(&config, seed)),
             directory: Arc::new(directory),
@@ -262,7 +266,7 @@
     pub fn run(&mut self) -> Result<Ending, ServiceError> {
         loop {
             let now = self.now();
-            let next = [self.engine.next_wake(), self.timers.first().map(|(at, _)| *at), self.stopping];
+            let next = [self.engine.next_timeout(), self.timers.first().map(|(at, _)| *at), self.stopping];
             let timeout = next.into_iter().flatten().min().map(|at| at - now);
             let events = self.net.poll(timeout).map_err(io_error("event loop"))?;
             let began = Instant::now();
@@ -342,10 +346,12 @@
         match command {
             Command::Send { endpoint, attempts } => self.wire_send(endpoint, attempts),
             Command::Abandon { attempt, .. } => self.wire_abandon(attempt),
-            Command::Complete { message, answer, attempts } => self.answer(message, answer, attempts),
-            Command::LateReceipt { message, answer } => {
+            Command::Complete { message, outcome: answer, attempts } => {
+                self.answer(message, answer, attempts)
+            }
+            Command::LateReceipt { message, outcome: answer } => {
                 let partner = self.held.get(&message).map(|held| &self.config.partners[held.partner].name);
-                let id = self.engine.name(message).unwrap_or_default();
+                let id = self.engine.idempotency_key(message).unwrap_or_default();
                 warn!(message = id, ?partner, ?answer, "a receipt came after the final answer");
             }
             Command::Evicted { message } => {
@@ -361,7 +367,7 @@
         let Some(held) = self.held.get_mut(&message) else { return };
         held.payload = None;
         let partner = &self.config.partners[held.partner].name;
-        let id = self.engine.name(message).unwrap_or_default();
+        let id = self.engine.idempotency_key(message).unwrap_or_default();
         debug!(message = id, partner = %partner, attempts, ?answer, "answered");
         let waiters = std::mem::take(&mut held.waiters);
         // A composed message is kept for late receipts: their integrity check is compared with it. Its body is
@@ -411,13 +417,13 @@
                     zone: ZoneId(endpoint.zone),
                     kind: KindId(partner.kind),
                     destination: destination(&self.config, number, tier),
-                    mode: endpoint.mode,
+                    state: endpoint.mode,
                     weight: partner.tiers.get(tier).map_or(partner.rate, |tier| tier.rate),
                 });
             }
         }
         let now = self.now();
-        self.engine.list(now, listed);
+        self.engine.update_endpoints(now, listed);
     }
 
     /// Takes a new version of the partners' endpoints and rates, whole or not at all.
@@ -451,22 +457,24 @@
         }
         let now = self.now();
         let within = self.config.limits.stop_within;
-        info!(held = self.engine.held(), ?within, "stopping: nothing more is taken");
+        info!(held = self.engine.pending_messages(), ?within, "stopping: nothing more is taken");
         // The last fifth is for signing and sending what is answered at the end.
-        self.engine.stop(now + within.mul_f64(0.8));
+        self.engine.shut_down_by(now + within.mul_f64(0.8));
         self.stopping = Some(now + within);
-        self.net.unlisten(self.front.listener);
+        self.net.stop_listening(self.front.listener);
     }
 
     fn is_finished(&self) -> bool {
         let Some(until) = self.stopping else { return false };
         self.now() >= until
-            || (self.engine.held() == 0 && !self.front.is_busy() && self.front.unsent(&self.net) == 0)
+            || (self.engine.pending_messages() == 0
+                && !self.front.is_busy()
+                && self.front.unsent(&self.net) == 0)
     }
 
     fn ending(&self) -> Ending {
-        let counts = self.engine.counts();
-        let unanswered = self.engine.held();
+        let counts = self.engine.counters();
+        let unanswered = self.engine.pending_messages();
         info!(?counts, unanswered, "ended");
         Ending { counts, unanswered, deciding: self.deciding, working: self.working }
     }
--- a/crates/as2-gateway/src/wire.rs
+++ b/crates/as2-gateway/src/wire.rs
@@ -68,7 +68,7 @@
         let number = self.wire.last_call;
         for attempt in std::iter::once(&current).chain(&queue) {
             self.wire.attempts.insert(*attempt, number);
-            self.engine.set_begun(*attempt, false);
+            self.engine.set_attempt_started(*attempt, false);
         }
         let call = Call {
             endpoint,
@@ -89,7 +89,7 @@
         let Some(call) = self.wire.calls.get(&number) else { return };
         let attempt = call.current;
         // A late receipt or a stop may have answered it since: nothing is sent after the final answer.
-        if !self.engine.is_open(attempt.message) {
+        if !self.engine.is_pending(attempt.message) {
             return self.end_attempt(number, TransportOutcome::Unsent, None);
         }
         let composed = match self.held.get_mut(&attempt.message) {
@@ -116,7 +116,7 @@
         let security = security_for(partner, receipts_url);
         let certificate = self.directory.partners[held.partner].clone();
         let (me, to) = (self.directory.me.clone(), partner.as2_name.clone());
-        let id = self.engine.name(message).unwrap_or_default().to_owned();
+        let id = self.engine.idempotency_key(message).unwrap_or_default().to_owned();
         self.pool.run(move || {
             let outgoing = Outgoing { message_id: &id, payload: &payload, subject: None };
             let addressee = Addressee { name: &to, certificate: &certificate };
@@ -138,7 +138,7 @@
             }
             Err(error) => {
                 // The settings are checked for this; nothing was sent.
-                let id = self.engine.name(message).unwrap_or_default();
+                let id = self.engine.idempotency_key(message).unwrap_or_default();
                 warn!(message = id, %error, "a message could not be composed");
                 if let Some(number) = number {
                     self.end_attempt(number, TransportOutcome::Unsent, None);
@@ -181,19 +181,19 @@
         let Some(composed) = self.held.get(&attempt.message).and_then(|held| held.composed.clone()) else {
             return;
         };
-        if !self.engine.is_open(attempt.message) {
+        if !self.engine.is_pending(attempt.message) {
             return self.end_attempt(number, TransportOutcome::Unsent, None);
         }
         // Guards against what came since it was decided on, while its message was composed or its connection came up: a
         // wait, a drain, an outage, the end of its window.
-        if !self.engine.may_go(now, attempt) {
+        if !self.engine.may_send_now(now, attempt) {
             return self.end_attempt(number, TransportOutcome::NotStarted, None);
         }
         let Some(place) = self.places.get(&call.endpoint) else { return };
-        self.engine.set_begun(attempt, true);
+        self.engine.set_attempt_started(attempt, true);
         call.stage = Stage::Waiting;
         let partner = &self.config.partners[place.partner].name;
-        let id = self.engine.name(attempt.message).unwrap_or_default();
+        let id = self.engine.idempotency_key(attempt.message).unwrap_or_default();
         debug!(message = id, attempt = attempt.number, partner = %partner, endpoint = %place.name, "sent");
         let mut headers = composed.headers.clone();
         headers.add("Host", place.address.to_string()).add("User-Agent", "cloverstile");
@@ -304,7 +304,7 @@
         let Some(composed) = held.composed.clone() else { return };
         let certificate = self.directory.partners[held.partner].clone();
         let signed = partner.receipt != Receipt::Unsigned;
-        let id = self.engine.name(attempt.message).unwrap_or_default().to_owned();
+        let id = self.engine.idempotency_key(attempt.message).unwrap_or_default().to_owned();
         call.stage = Stage::Judging;
         self.pool.run(move || {
             let receipt = read_receipt(&message.headers, &message.body, &certificate);
@@ -333,14 +333,14 @@
         } else if reported == TransportOutcome::Processed {
             // The connection broke or the time ran out while the receipt was being checked.
             let now = self.now();
-            self.engine.receipt(now, attempt.message, reported);
+            self.engine.on_receipt(now, attempt.message, reported);
         }
     }
 
     fn report(&mut self, attempt: Attempt, reported: TransportOutcome, allowance: Option<RateLimitStatus>) {
         if self.wire.attempts.remove(&attempt).is_some() {
             let now = self.now();
-            self.engine.ended(now, attempt, reported, allowance);
+            self.engine.on_attempt_completed(now, attempt, reported, allowance);
         }
     }
 
@@ -351,7 +351,7 @@
         if let Some(error) = why {
             let place = self.places.get(&call.endpoint);
             let partner = place.map_or("", |place| &self.config.partners[place.partner].name);
-            let id = self.engine.name(attempt.message).unwrap_or_default();
+            let id = self.engine.idempotency_key(attempt.message).unwrap_or_default();
             warn!(message = id, attempt = attempt.number, partner, %error, "an answer does not count");
         }
         self.report(attempt, reported, allowance);
@@ -397,7 +397,7 @@
         self.wire.conns.insert(conn, Use::Idle(call.endpoint));
         self.wire.idle.entry(call.endpoint).or_default().push(conn);
         self.wire.idle_count += 1;
-        let at = self.now() + self.config.module.conn_idle;
+        let at = self.now() + self.config.module.connection_idle_timeout;
         self.set_timer(at, Timer::Idle(conn));
     }
 
@@ -501,7 +501,7 @@
         self.wire.conns.remove(&conn);
         self.net.close(conn);
         let now = self.now();
-        self.engine.probed(now, endpoint, opened, now - began);
+        self.engine.on_probe_completed(now, endpoint, opened, now - began);
     }
 }
 
--- a/crates/as2-gateway/tests/admission.rs
+++ b/crates/as2-gateway/tests/admission.rs
@@ -106,9 +106,9 @@
     let lost =
         [GOOD[0], GOOD[1], ("Cloverstile-Handed-In", "after-loss"), ("Cloverstile-Order-Key", "employee")];
     let hand_in = admitted(0, &opened(Some(Digest::Sha256), &[]), &lost).unwrap();
-    assert!(hand_in.after_loss && hand_in.again);
+    assert!(hand_in.from_lost_instance && hand_in.resubmitted);
     let again = admitted(0, &opened(Some(Digest::Sha256), &[]), &lost).unwrap();
-    assert!(hand_in.key.is_some_and(|OrderKey(key)| again.key == Some(OrderKey(key))));
+    assert!(hand_in.order_key.is_some_and(|OrderKey(key)| again.order_key == Some(OrderKey(key))));
 }
 
 #[test]
--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -12,7 +12,7 @@
     /// Whose it is.
     pub client: u32,
     /// Its `Message-ID`: the idempotency key from hand-in to receipt.
-    pub name: String,
+    pub idempotency_key: String,
     /// Digest of its content: one name with other content is a mistake of the client's.
     pub fingerprint: [u8; 32],
     /// Its class.
@@ -20,15 +20,15 @@
     /// Whom it is for.
     pub destination: DestinationId,
     /// What it is about, for classes in order.
-    pub key: Option<OrderKey>,
+    pub order_key: Option<OrderKey>,
     /// When it is given up.
     pub deadline: Time,
     /// Whose share it counts towards.
     pub tenant: TenantId,
     /// Marked as handed in again after a refusal.
-    pub again: bool,
+    pub resubmitted: bool,
     /// Marked as handed in again after the courier that held it was lost: it may have run.
-    pub after_loss: bool,
+    pub from_lost_instance: bool,
 }
 
 /// What became of a hand-in.
@@ -87,7 +87,7 @@
     Unsent,
     /// Nothing was done, and the message is over: withdrawn, or out of time. Nothing is owed.
     Obsolete,
-    /// Nothing was begun, as [`crate::Engine::may_go`] forbade it. It counts as no attempt.
+    /// Nothing was begun, as [`crate::Engine::may_send_now`] forbade it. It counts as no attempt.
     NotStarted,
 }
 
@@ -134,14 +134,14 @@
         /// Which.
         attempt: Attempt,
         /// It was begun, as far as the engine was told: it may have run.
-        begun: bool,
+        started: bool,
     },
     /// The final answer of a message. Comes once.
     Complete {
         /// Which message.
         message: MessageId,
         /// What.
-        answer: FinalOutcome,
+        outcome: FinalOutcome,
         /// Attempts made.
         attempts: u32,
     },
@@ -150,7 +150,7 @@
         /// Which message.
         message: MessageId,
         /// What had been answered.
-        answer: FinalOutcome,
+        outcome: FinalOutcome,
     },
     /// A message's answer is no longer kept: let go of all that is held for it.
     Evicted {
@@ -223,16 +223,16 @@
             partner: taken.destination,
             tier: taken.destination,
             undecided: true,
-            key: taken.key,
+            key: taken.order_key,
             tenant: taken.tenant,
             client: taken.client,
-            name: taken.name.clone(),
+            name: taken.idempotency_key.clone(),
             fingerprint: taken.fingerprint,
             deadline: taken.deadline,
             attempts: 0,
             withheld: 0,
             out: None,
-            may_have_run: taken.after_loss,
+            may_have_run: taken.from_lost_instance,
             answer: None,
             forget: false,
         }
@@ -251,8 +251,8 @@
             destination: self.tier,
             key: self.key,
             deadline: self.deadline,
-            from_dead_courier: self.may_have_run,
-            again: false,
+            from_lost_instance: self.may_have_run,
+            resubmitted: false,
             tenant: self.tenant,
         }
     }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,30 +12,30 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-/// Bounds of what is kept beside the messages held.
+/// ResultCacheLimits of what is kept beside the messages held.
 #[derive(Clone, Copy, Debug)]
-pub struct Bounds {
+pub struct ResultCacheLimits {
     /// Final answers kept for repeated hand-ins, at most.
-    pub remembered: usize,
+    pub max_results: usize,
     /// ... and for how long after the message's deadline.
-    pub answers_kept: Duration,
+    pub retention: Duration,
 }
 
 /// Running sums, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Counts {
+pub struct Counters {
     /// Messages taken.
-    pub taken: u64,
+    pub submitted: u64,
     /// Answered as delivered, refused, failed.
-    pub answered: [u64; 3],
+    pub completed: [u64; 3],
     /// Attempts sent.
     pub attempts: u64,
     /// Hand-ins that met a message already known.
-    pub repeats: u64,
+    pub duplicates: u64,
     /// Answers that only the last safeguard gave in time. Not zero: a defect.
-    pub forced: u64,
+    pub forced_completions: u64,
     /// Messages that changed their tier after the hand-in.
-    pub moved: u64,
+    pub relocated: u64,
 }
 
 /// A message table around one module.
@@ -43,7 +43,7 @@
     courier: DeliveryPolicy,
     pub(crate) planner: Box<dyn Policy>,
     pub(crate) settings: Settings,
-    bounds: Bounds,
+    bounds: ResultCacheLimits,
     pub(crate) last_id: u32,
     last_call: u64,
     pub(crate) entries: BTreeMap<MessageId, Entry>,
@@ -62,14 +62,14 @@
     stop: Option<Time>,
     held_back: bool,
     effects: Vec<Command>,
-    pub(crate) counts: Counts,
+    pub(crate) counts: Counters,
     /// Something happened that the module has not acted on.
     pub(crate) dirty: bool,
 }
 
 impl Engine {
     /// An engine that holds nothing; `seed` is the module's one source of chance.
-    pub fn new(settings: Settings, bounds: Bounds, seed: u64) -> Self {
+    pub fn new(settings: Settings, bounds: ResultCacheLimits, seed: u64) -> Self {
         Engine {
             courier: DeliveryPolicy::new(settings.clone(), seed),
             planner: Box::new(Planner::default()),
@@ -90,7 +90,7 @@
             stop: None,
             held_back: false,
             effects: Vec::new(),
-            counts: Counts::default(),
+            counts: Counters::default(),
             dirty: false,
         }
     }
@@ -101,32 +101,32 @@
     }
 
     /// How a partner's tiers stand; empty where it has but one.
-    pub fn standing(&self, partner: cloverstile::DestinationId) -> Vec<Standing> {
+    pub fn tier_statuses(&self, partner: cloverstile::DestinationId) -> Vec<Standing> {
         self.planner.standing(partner)
     }
 
     /// Running sums.
-    pub fn counts(&self) -> Counts {
+    pub fn counters(&self) -> Counters {
         self.counts
     }
 
     /// Messages held without a final answer.
-    pub fn held(&self) -> usize {
+    pub fn pending_messages(&self) -> usize {
         self.held
     }
 
     /// Calls out.
-    pub fn calls_out(&self) -> usize {
+    pub fn requests_in_flight(&self) -> usize {
         self.calls.len()
     }
 
     // ---- What happens ----
 
     /// A front hands a message in.
-    pub fn hand_in(&mut self, now: Time, taken: SubmitRequest) -> Admission {
-        if let Some(id) = self.names.get(&taken.name).copied() {
+    pub fn submit(&mut self, now: Time, taken: SubmitRequest) -> Admission {
+        if let Some(id) = self.names.get(&taken.idempotency_key).copied() {
             if let Some(entry) = self.entries.get(&id) {
-                self.counts.repeats += 1;
+                self.counts.duplicates += 1;
                 return match entry.answer {
                     // One token with other parameters is another intention: nobody can say which was meant. The
                     // partner sees the name alone, so that another client's message under it would be dropped
@@ -138,7 +138,7 @@
                     // still out (a safe message may be refused then) a second one must not go beside it.
                     Some(FinalOutcome::Rejected(_)) if entry.out.is_none() => {
                         self.forget(id);
-                        return self.take(now, SubmitRequest { again: true, ..taken });
+                        return self.take(now, SubmitRequest { resubmitted: true, ..taken });
                     }
                     Some(answer) => Admission::Completed(id, answer),
                     None => Admission::InFlight(id),
@@ -152,20 +152,20 @@
         if self.stop.is_some() {
             return Admission::ShuttingDown;
         }
-        if self.held >= self.settings.most_held {
+        if self.held >= self.settings.max_queued {
             return Admission::Overloaded;
         }
         let id = self.book(&taken);
         // What a lost courier held may have taken effect there. An unsafe message must not go again; the module
         // is never asked.
         let class = self.settings.classes.get(usize::from(taken.class.0));
-        if taken.after_loss && class.is_none_or(|class| class.effect == ClassEffect::Unsafe) {
+        if taken.from_lost_instance && class.is_none_or(|class| class.effect == ClassEffect::Unsafe) {
             self.answer(now, id, FinalOutcome::Failed);
             return Admission::New(id);
         }
         self.place(now, id);
         if let Some(accepted) = self.entries.get(&id).map(Entry::accepted) {
-            self.tell(now, Event::Submitted(Submission { again: taken.again, ..accepted }));
+            self.tell(now, Event::Submitted(Submission { resubmitted: taken.resubmitted, ..accepted }));
         }
         Admission::New(id)
     }
@@ -173,9 +173,9 @@
     fn book(&mut self, taken: &SubmitRequest) -> MessageId {
         self.last_id += 1;
         let id = MessageId(self.last_id);
-        self.counts.taken += 1;
+        self.counts.submitted += 1;
         self.held += 1;
-        self.names.insert(taken.name.clone(), id);
+        self.names.insert(taken.idempotency_key.clone(), id);
         self.entries.insert(id, Entry::new(id, taken));
         self.last_resort.insert((self.resort_at(taken.deadline), id));
         id
@@ -192,42 +192,42 @@
         }
         self.place(now, id);
         if let Some(accepted) = self.entries.get(&id).map(Entry::accepted) {
-            self.tell(now, Event::Recovered(Submission { from_dead_courier: false, ..accepted }, past));
+            self.tell(now, Event::Recovered(Submission { from_lost_instance: false, ..accepted }, past));
         }
         id
     }
 
     /// Nobody wants this message any more: no answer is owed, and nothing new is sent for it.
-    pub fn withdraw(&mut self, now: Time, id: MessageId) {
+    pub fn cancel(&mut self, now: Time, id: MessageId) {
         self.end(now, id, FinalOutcome::Cancelled);
     }
 
     /// A message that was just taken can't be kept after all: it is refused, and may come again under its name.
-    pub fn turn_away(&mut self, now: Time, id: MessageId) {
+    pub fn reject(&mut self, now: Time, id: MessageId) {
         self.end(now, id, FinalOutcome::Rejected(Duration::ZERO));
     }
 
     /// Answers a message without the module, which is told that nobody wants it any more.
     fn end(&mut self, now: Time, id: MessageId, answer: FinalOutcome) {
-        if self.is_open(id) {
+        if self.is_pending(id) {
             self.tell(now, Event::Cancelled(self.inner(id)));
             self.answer(now, id, answer);
         }
     }
 
     /// Holds the module back, or lets it go on: while held back nothing new is sent, calls out end as ever.
-    pub fn hold_back(&mut self, held_back: bool) {
+    pub fn set_sending_paused(&mut self, held_back: bool) {
         self.held_back = held_back;
         self.dirty = true;
     }
 
     /// Whether the module has something to act on that happened since [`Engine::advance`].
-    pub fn has_news(&self) -> bool {
+    pub fn has_pending_events(&self) -> bool {
         self.dirty && !self.held_back
     }
 
     /// Until when an attempt that is out will be waited for.
-    pub fn waits_until(&self, attempt: Attempt) -> Option<Time> {
+    pub fn attempt_deadline(&self, attempt: Attempt) -> Option<Time> {
         let entry = self.entries.get(&attempt.message).filter(|_| self.is_out(attempt))?;
         entry.out.map(|out| out.until)
     }
@@ -235,13 +235,13 @@
     /// Whether an attempt may still go that was decided on earlier: ask before its first byte, and again before its
     /// last. Guards against all that comes between decision and bytes: a wait told, a drain, an outage, a window's
     /// end, a stop. One that may not ends as [`TransportOutcome::NotStarted`].
-    pub fn may_go(&self, now: Time, attempt: Attempt) -> bool {
+    pub fn may_send_now(&self, now: Time, attempt: Attempt) -> bool {
         let out = self.is_out(attempt) && !self.held_back;
-        out && self.courier.may_go(now, self.inner(attempt.message))
+        out && self.courier.may_send_now(now, self.inner(attempt.message))
     }
 
     /// Whether an attempt's bytes are on their way; a wire that never says so has begun when it is told to send.
-    pub fn set_begun(&mut self, attempt: Attempt, begun: bool) {
+    pub fn set_attempt_started(&mut self, attempt: Attempt, begun: bool) {
         if self.is_out(attempt) {
             let out = self.entries.get_mut(&attempt.message).and_then(|entry| entry.out.as_mut());
             out.into_iter().for_each(|out| out.begun = begun);
@@ -249,18 +249,18 @@
     }
 
     /// The head of an answer told to wait. It binds though the answer is never whole, and nobody waits for it.
-    pub fn told_to_wait(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
+    pub fn on_retry_after(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
         self.tell(now, Event::RetryAfter { endpoint, wait });
     }
 
     /// A new version of the list of endpoints, whole.
-    pub fn list(&mut self, now: Time, endpoints: Vec<Endpoint>) {
+    pub fn update_endpoints(&mut self, now: Time, endpoints: Vec<Endpoint>) {
         self.listed = endpoints.into_iter().map(|endpoint| (endpoint.id, endpoint)).collect();
         self.tell_whole_list(now);
     }
 
     /// An attempt ended on the wire, with what the partner told of its limit.
-    pub fn ended(
+    pub fn on_attempt_completed(
         &mut self,
         now: Time,
         attempt: Attempt,
@@ -269,7 +269,7 @@
     ) {
         if self.is_out(attempt) {
             if reported == TransportOutcome::Obsolete {
-                self.withdraw(now, attempt.message);
+                self.cancel(now, attempt.message);
             }
             self.finish(now, attempt.message, (reported.outcome(), allowance));
         } else if reported == TransportOutcome::Processed {
@@ -278,12 +278,12 @@
     }
 
     /// A receipt that counts came on a connection of its own, perhaps after its attempt was given up.
-    pub fn receipt(&mut self, now: Time, message: MessageId, reported: TransportOutcome) {
+    pub fn on_receipt(&mut self, now: Time, message: MessageId, reported: TransportOutcome) {
         let Some(entry) = self.entries.get(&message) else { return };
         match (entry.out, reported) {
             (Some(_), reported) => {
                 let attempt = Attempt { message, number: entry.attempts.saturating_sub(1) };
-                self.ended(now, attempt, reported, None);
+                self.on_attempt_completed(now, attempt, reported, None);
             }
             (None, TransportOutcome::Processed) => self.proved(now, message),
             (None, _) => {}
@@ -291,33 +291,33 @@
     }
 
     /// A probe's result.
-    pub fn probed(&mut self, now: Time, endpoint: EndpointId, opened: bool, latency: Duration) {
+    pub fn on_probe_completed(&mut self, now: Time, endpoint: EndpointId, opened: bool, latency: Duration) {
         let outcome = if opened { AttemptOutcome::Ok } else { AttemptOutcome::ConnectFailed };
         self.tell(now, Event::ProbeCompleted { endpoint, outcome, latency });
     }
 
     /// Takes no more work from now on; at `until` the rest is answered as it stands.
-    pub fn stop(&mut self, until: Time) {
+    pub fn shut_down_by(&mut self, until: Time) {
         self.stop.get_or_insert(until);
     }
 
     /// The message that a name stands for, while it is known.
-    pub fn known(&self, name: &str) -> Option<MessageId> {
+    pub fn message_id(&self, name: &str) -> Option<MessageId> {
         self.names.get(name).copied()
     }
 
     /// The name of a message, while it is known.
-    pub fn name(&self, id: MessageId) -> Option<&str> {
+    pub fn idempotency_key(&self, id: MessageId) -> Option<&str> {
         self.entries.get(&id).map(|entry| entry.name.as_str())
     }
 
     /// Whether a message has no final answer yet: nothing may be sent for it afterwards.
-    pub fn is_open(&self, id: MessageId) -> bool {
+    pub fn is_pending(&self, id: MessageId) -> bool {
         self.entries.get(&id).is_some_and(|entry| entry.answer.is_none())
     }
 
     /// When [`Engine::advance`] must be called at the latest.
-    pub fn next_wake(&self) -> Option<Time> {
+    pub fn next_timeout(&self) -> Option<Time> {
         let firsts = [
             self.planner.next_wake(),
             self.wakes.first().map(|(at, _)| *at),
@@ -329,7 +329,7 @@
     }
 
     /// Lets the module act on all that happened up to `now`, and returns what is to be done. Call it after
-    /// every batch of events and at [`Engine::next_wake`].
+    /// every batch of events and at [`Engine::next_timeout`].
     pub fn advance(&mut self, now: Time) -> Vec<Command> {
         while let Some(&(at, token)) = self.wakes.first().filter(|(at, _)| *at <= now) {
             self.wakes.remove(&(at, token));
@@ -345,7 +345,7 @@
         // What an outcome leads to may end at once (a route without a slot), which leads to more.
         while !self.held_back && self.tell_doors(now) {
             let mut actions = Vec::new();
-            self.courier.decide(now, &mut actions);
+            self.courier.next_actions(now, &mut actions);
             self.carry_out(now, actions);
         }
         self.resort(now);
@@ -357,20 +357,20 @@
 
     pub(crate) fn tell(&mut self, now: Time, event: Event) {
         self.dirty = true;
-        self.courier.handle(now, event);
+        self.courier.on_event(now, event);
     }
 
     fn carry_out(&mut self, now: Time, actions: Vec<Action>) {
         // The call that is being filled; only routes that follow each other share one.
         let mut filling: Option<(EndpointId, u64, Vec<Attempt>)> = None;
         for action in actions {
-            if let Action::Send { message, endpoint, try_for } = action {
+            if let Action::Send { message, endpoint, timeout: try_for } = action {
                 let message = self.places.outer(message);
                 self.route(now, message, endpoint, try_for, &mut filling);
                 continue;
             }
             match action {
-                Action::Reject { message, stay_away } => {
+                Action::Reject { message, retry_after: stay_away } => {
                     self.answer(now, self.places.outer(message), FinalOutcome::Rejected(stay_away));
                 }
                 Action::Fail { message } => {
@@ -418,16 +418,17 @@
     ) {
         let listed = self.listed.get(&endpoint);
         let sendable = listed.is_some_and(|e| {
-            e.mode == EndpointState::Ready && self.planner.door(e.destination) != Some(false)
+            e.state == EndpointState::Ready && self.planner.door(e.destination) != Some(false)
         });
         let destination = listed.map(|endpoint| endpoint.destination);
-        let batch =
-            listed.and_then(|e| self.settings.kinds.get(usize::from(e.kind.0))).map_or(1, |kind| kind.batch);
+        let batch = listed
+            .and_then(|e| self.settings.kinds.get(usize::from(e.kind.0)))
+            .map_or(1, |kind| kind.max_batch);
         if filling.as_ref().is_some_and(|(to, _, carried)| *to != endpoint || carried.len() >= batch.max(1)) {
             self.flush(filling);
         }
-        let slot_free = filling.is_some() || self.calls.len() < self.settings.call_slots;
-        let cap = self.settings.send_cap;
+        let slot_free = filling.is_some() || self.calls.len() < self.settings.concurrency_limit;
+        let cap = self.settings.max_attempts;
         let Some(entry) = self.entries.get_mut(&message) else { return };
         let open = entry.answer.is_none() && entry.out.is_none() && entry.used() < cap;
         let number = entry.attempts;
@@ -473,7 +474,7 @@
         let entry = self.entries.get(&id);
         let number = entry.map_or(0, |entry| entry.attempts.saturating_sub(1));
         let begun = entry.and_then(|entry| entry.out).is_none_or(|out| out.begun);
-        self.effects.push(Command::Abandon { attempt: Attempt { message: id, number }, begun });
+        self.effects.push(Command::Abandon { attempt: Attempt { message: id, number }, started: begun });
         // Guards against a message that ends as "may have taken effect" though its connection never came up.
         self.finish(now, id, (if begun { outcome } else { AttemptOutcome::ConnectFailed }, None));
     }
@@ -519,7 +520,15 @@
         let (message, before) =
             self.entries.get(&message).map_or((message, 0), |entry| (entry.inner, entry.before));
         let attempt = attempt.saturating_sub(before);
-        let finished = AttemptCompleted { message, endpoint, attempt, outcome, latency, complete, allowance };
+        let finished = AttemptCompleted {
+            message,
+            endpoint,
+            attempt,
+            outcome,
+            latency,
+            complete,
+            rate_limit: allowance,
+        };
         self.tell(now, Event::AttemptCompleted(finished));
     }
 
@@ -528,7 +537,7 @@
         let Some(entry) = self.entries.get(&id) else { return };
         match entry.answer {
             Some(FinalOutcome::Delivered) => {}
-            Some(answer) => self.effects.push(Command::LateReceipt { message: id, answer }),
+            Some(answer) => self.effects.push(Command::LateReceipt { message: id, outcome: answer }),
             None => {
                 // Nobody wants it any more: what is out runs on, nothing new is sent.
                 self.end(now, id, FinalOutcome::Delivered);
@@ -545,7 +554,7 @@
         entry.answer = Some(answer);
         self.places.answered(id, entry);
         let attempts = u32::from(entry.attempts);
-        let keep_until = entry.deadline.max(now) + self.bounds.answers_kept;
+        let keep_until = entry.deadline.max(now) + self.bounds.retention;
         self.held -= 1;
         self.answered.push_back((keep_until, id));
         if let Some(at) = resort_at {
@@ -558,9 +567,9 @@
             FinalOutcome::Cancelled => None,
         };
         if let Some(place) = place {
-            self.counts.answered[place] += 1;
+            self.counts.completed[place] += 1;
         }
-        self.effects.push(Command::Complete { message: id, answer, attempts });
+        self.effects.push(Command::Complete { message: id, outcome: answer, attempts });
     }
 
     /// What a message may be told that the module no longer decides on: refused only if nothing can have run.
@@ -585,7 +594,7 @@
 
     /// Three quarters of the slack after the deadline: the module has answered by its half.
     fn resort_at(&self, deadline: Time) -> Time {
-        deadline + self.settings.rules.answer_slack.mul_f64(0.75)
+        deadline + self.settings.rules.answer_grace.mul_f64(0.75)
     }
 
     /// Guards against a message that the module forgot: it is answered all the same, and counted.
@@ -595,7 +604,7 @@
                 self.last_resort.pop_first();
                 continue;
             };
-            self.counts.forced += 1;
+            self.counts.forced_completions += 1;
             self.end(now, id, answer);
         }
     }
@@ -605,7 +614,7 @@
     /// Drops the oldest answers, by age and by number; one whose attempt is still out when that has ended.
     fn forget_old(&mut self, now: Time) {
         while let Some(&(until, id)) = self.answered.front() {
-            if until > now && self.answered.len() <= self.bounds.remembered {
+            if until > now && self.answered.len() <= self.bounds.max_results {
                 return;
             }
             self.answered.pop_front();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -10,7 +10,7 @@
 //! | `Busy` | [`Command::Complete`] with [`FinalOutcome::Rejected`] |
 //! | `ReportFailure` | [`Command::Complete`] with [`FinalOutcome::Failed`] |
 //! | `StopAttempt` | [`Command::Abandon`], and `AttemptCompleted(Cancelled)` at once |
-//! | `Wake` | part of [`Engine::next_wake`], then `TickDue` |
+//! | `Wake` | part of [`Engine::next_timeout`], then `TickDue` |
 //! | `CloseIdle` | [`Command::CloseIdle`] |
 //! | `Probe` | [`Command::Probe`]: a connection opened and closed; `Probed` tells whether it opened |
 //! | `Tell` | nothing: couriers share nothing |
@@ -20,12 +20,12 @@
 //!
 //! | event for the module | comes from |
 //! | --- | --- |
-//! | `Listed` | [`Engine::list`]: a new version of the settings' partners |
-//! | `Accept` | [`Engine::hand_in`], where nothing of that name is known |
-//! | `AttemptCompleted` | [`Engine::ended`], an attempt's time-out, a `StopAttempt`, a route that could not be sent |
+//! | `Listed` | [`Engine::update_endpoints`]: a new version of the settings' partners |
+//! | `Accept` | [`Engine::submit`], where nothing of that name is known |
+//! | `AttemptCompleted` | [`Engine::on_attempt_completed`], an attempt's time-out, a `StopAttempt`, a route that could not be sent |
 //! | `ClientGone` | a message answered by the engine itself: a late receipt proved it delivered, or the courier stops. A client's lost connection is none: it comes again for its answer |
 //! | `TickDue` | [`Engine::advance`] |
-//! | `Probed` | [`Engine::probed`] |
+//! | `Probed` | [`Engine::on_probe_completed`] |
 //! | `FirstByte`, `Note` | never: answers are not streamed, couriers send no notes |
 #![forbid(unsafe_code)]
 
@@ -34,4 +34,4 @@
 mod moves;
 
 pub use book::{Admission, Attempt, Command, FinalOutcome, SubmitRequest, TransportOutcome};
-pub use engine::{Bounds, Counts, Engine};
+pub use engine::{Counters, Engine, ResultCacheLimits};
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -72,7 +72,7 @@
         (true, Effect::Keyed) => class.group == Group::All,
         (true, Effect::Unsafe) => false,
     };
-    fate && entry.answer.is_none() && entry.out.is_none() && entry.used() < settings.send_cap
+    fate && entry.answer.is_none() && entry.out.is_none() && entry.used() < settings.max_attempts
 }
 
 impl Engine {
@@ -83,7 +83,7 @@
         if !self.planner.has_tiers(partner) {
             return;
         }
-        let ordered = self.settings.classes.get(usize::from(entry.class.0)).is_some_and(|c| c.in_order);
+        let ordered = self.settings.classes.get(usize::from(entry.class.0)).is_some_and(|c| c.ordered);
         let key = entry.key.filter(|_| ordered);
         // Behind one that waits for a lost tier it would wait as well, wherever it goes: the spill would be wasted.
         let ahead = self.places.last_of(key).and_then(|id| self.entries.get(&id)).map(|entry| entry.tier);
@@ -109,7 +109,7 @@
 
     fn class_worth(&self, id: MessageId) -> f64 {
         let class = self.entries.get(&id).map_or(0, |entry| usize::from(entry.class.0));
-        self.settings.classes.get(class).map_or(0.0, |class| class.worth)
+        self.settings.classes.get(class).map_or(0.0, |class| class.priority_weight)
     }
 
     fn is_lost(&self, partner: DestinationId, tier: DestinationId) -> bool {
@@ -173,10 +173,11 @@
             (entry.inner, entry.before) = (inner, entry.attempts);
             // An attempt that may have run is known to the module like one of a lost courier's: its window counts
             // from the hand-in, the earliest that it can have been.
-            let taken = Submission { again: true, from_dead_courier: entry.may_have_run, ..entry.accepted() };
+            let taken =
+                Submission { resubmitted: true, from_lost_instance: entry.may_have_run, ..entry.accepted() };
             self.tell(now, Event::Submitted(taken));
         }
-        self.counts.moved += 1;
+        self.counts.relocated += 1;
     }
 
     /// The id by which the module knows a message.
@@ -189,7 +190,7 @@
         let doors = self.planner.doors(now);
         if !doors.is_empty() {
             let told = self.listed.values().filter(|endpoint| {
-                endpoint.mode == EndpointState::Ready && doors.contains(&endpoint.destination)
+                endpoint.state == EndpointState::Ready && doors.contains(&endpoint.destination)
             });
             let told = told.cloned().map(|endpoint| self.behind_door(endpoint)).collect();
             self.tell(now, Event::EndpointsUpdated(EndpointListUpdate::Delta(told)));
@@ -206,8 +207,8 @@
     /// An endpoint as the module sees it: behind a closed door it gets nothing new, behind an open one a call at a
     /// time, as many others have their doors opened just before and after.
     fn behind_door(&self, mut endpoint: cloverstile::Endpoint) -> cloverstile::Endpoint {
-        if endpoint.mode == EndpointState::Ready {
-            endpoint.mode = match self.planner.door(endpoint.destination) {
+        if endpoint.state == EndpointState::Ready {
+            endpoint.state = match self.planner.door(endpoint.destination) {
                 None => EndpointState::Ready,
                 Some(true) => EndpointState::OneAtATime,
                 // No drain: the call that its opening was for may still be on its way to a connection.
--- a/crates/engine/tests/tiers.rs
+++ b/crates/engine/tests/tiers.rs
@@ -31,10 +31,10 @@
         let class = |effect, group, in_order, worth| Class {
             effect,
             group,
-            in_order,
-            worth,
+            ordered: in_order,
+            priority_weight: worth,
             deadline: s(30),
-            repeat_window: s(25),
+            retry_window: s(25),
             ..Class::default()
         };
         let settings = Settings {
@@ -43,8 +43,8 @@
                 class(Effect::Keyed, Group::All, true, 1.0),
                 class(Effect::Keyed, Group::Zone, false, 1.0),
             ],
-            couriers: 1,
-            marks_again: true,
+            instance_count: 1,
+            clients_mark_retries: true,
             ..Settings::default()
         };
         let now = Time(1_000_000_000);
@@ -58,34 +58,34 @@
             ramp: s(5),
         };
         let planner = Planner::new(now, Fleet::of(&settings.rules), vec![tiers]);
-        let bounds = Bounds { remembered: 100, answers_kept: s(60) };
+        let bounds = ResultCacheLimits { max_results: 100, retention: s(60) };
         let mut engine = Engine::new(settings, bounds, 3).with_planner(planner);
         let endpoint = |id: u32| Endpoint {
             id: EndpointId(id),
             zone: ZoneId(id as u8 - 1),
             kind: KindId(0),
             destination: DestinationId(id as u16 - 1),
-            mode: EndpointState::Ready,
+            state: EndpointState::Ready,
             weight: 50.0,
         };
-        engine.list(now, vec![endpoint(1), endpoint(2)]);
+        engine.update_endpoints(now, vec![endpoint(1), endpoint(2)]);
         Pair { engine, now, north, south: Vec::new(), answers: Vec::new() }
     }
 
     fn hand_in(&mut self, name: &str, class: u8, key: Option<u64>) {
         let taken = SubmitRequest {
             client: 0,
-            name: name.to_owned(),
+            idempotency_key: name.to_owned(),
             fingerprint: [1; 32],
             class: ClassId(class),
             destination: DestinationId(0),
-            key: key.map(OrderKey),
+            order_key: key.map(OrderKey),
             deadline: self.now + s(30),
             tenant: TenantId(0),
-            again: false,
-            after_loss: false,
+            resubmitted: false,
+            from_lost_instance: false,
         };
-        assert!(matches!(self.engine.hand_in(self.now, taken), Admission::New(_)));
+        assert!(matches!(self.engine.submit(self.now, taken), Admission::New(_)));
     }
 
     /// Plays for so long: calls end after 5 ms, as the site that they went to has it.
@@ -98,15 +98,15 @@
                     Command::Send { endpoint, attempts } => {
                         out.extend(attempts.into_iter().map(|a| (self.now + s(1) / 200, endpoint, a)));
                     }
-                    Command::Complete { message, answer, .. } => {
-                        let name = self.engine.name(message).unwrap_or_default().to_owned();
+                    Command::Complete { message, outcome: answer, .. } => {
+                        let name = self.engine.idempotency_key(message).unwrap_or_default().to_owned();
                         self.answers.push((name, answer));
                     }
                     _ => {}
                 }
             }
             let ends = out.iter().map(|(at, ..)| *at).min();
-            let next = [ends, self.engine.next_wake()].into_iter().flatten().min();
+            let next = [ends, self.engine.next_timeout()].into_iter().flatten().min();
             let Some(next) = next.filter(|at| *at <= end) else {
                 self.now = end;
                 return;
@@ -117,9 +117,10 @@
             for (_, endpoint, attempt) in over {
                 let reported = if endpoint == NORTH { self.north } else { TransportOutcome::Processed };
                 if endpoint == SOUTH {
-                    self.south.push(self.engine.name(attempt.message).unwrap_or_default().to_owned());
+                    self.south
+                        .push(self.engine.idempotency_key(attempt.message).unwrap_or_default().to_owned());
                 }
-                self.engine.ended(self.now, attempt, reported, None);
+                self.engine.on_attempt_completed(self.now, attempt, reported, None);
             }
         }
     }
@@ -133,12 +134,12 @@
     }
     pair.hand_in("salary", UNSAFE, None);
     pair.play(s(20));
-    assert!(matches!(pair.engine.standing(DestinationId(0))[0], Standing::Lost(_)));
+    assert!(matches!(pair.engine.tier_statuses(DestinationId(0))[0], Standing::Lost(_)));
     assert_eq!(pair.answers.len(), 5, "{:?}", pair.answers);
     assert!(pair.answers.iter().all(|(_, answer)| *answer == FinalOutcome::Delivered), "{:?}", pair.answers);
     let ordered: Vec<&String> = pair.south.iter().filter(|name| *name != "salary").collect();
     assert_eq!(ordered, ["a", "b", "c", "d"]);
-    assert!(pair.engine.counts().moved >= 5, "{:?}", pair.engine.counts());
+    assert!(pair.engine.counters().relocated >= 5, "{:?}", pair.engine.counters());
 }
 
 #[test]
@@ -149,7 +150,7 @@
     pair.hand_in("zone", IN_ZONE, None);
     pair.hand_in("all", ORDERED, Some(1));
     pair.play(s(3));
-    assert!(matches!(pair.engine.standing(DestinationId(0))[0], Standing::Lost(_)));
+    assert!(matches!(pair.engine.tier_statuses(DestinationId(0))[0], Standing::Lost(_)));
     pair.play(s(40));
     assert_eq!(pair.south, ["all"], "{:?}", pair.answers);
     let answer =
--- a/crates/failover/src/gate.rs
+++ b/crates/failover/src/gate.rs
@@ -52,9 +52,9 @@
             couriers: 1,
             place: 0,
             epoch: Duration::ZERO,
-            cold_from: rules.cold_from,
-            cold: rules.cold,
-            blip: rules.fall.mul_f64(BLIP_OF_FALL),
+            cold_from: rules.warm_up_capacity,
+            cold: rules.warm_up_time,
+            blip: rules.overload_window.mul_f64(BLIP_OF_FALL),
         }
     }
 
--- a/crates/fakes/src/partner.rs
+++ b/crates/fakes/src/partner.rs
@@ -274,7 +274,7 @@
                     continue;
                 }
                 if let Some(listener) = listener.take() {
-                    self.net.unlisten(listener);
+                    self.net.stop_listening(listener);
                 }
             }
         }
@@ -361,7 +361,7 @@
             NetEvent::Connected(conn) => {
                 if let Some(bytes) = self.outbound.remove(&conn) {
                     self.net.send(conn, &bytes);
-                    self.net.close_when_sent(conn);
+                    self.net.close_after_flush(conn);
                 }
             }
             NetEvent::ConnectFailed(conn, _) => {
@@ -454,7 +454,7 @@
             Reply::Reset => return self.drop_conn(conn, true),
             Reply::Processed | Reply::Half | Reply::Error if deferred && due.reply != Reply::Half => {
                 self.deferred(due.partner, &message, due.reply, due.effect);
-                (response(202, "Submission", &headers, b""), End::Deferred)
+                (response(202, "Accepted", &headers, b""), End::Deferred)
             }
             Reply::Processed | Reply::Half | Reply::Error => {
                 let Some(receipt) = self.receipt(due.partner, &message, due.reply, due.effect) else {
@@ -469,7 +469,7 @@
                         let call = known.call.unwrap_or(due.call);
                         self.recorder.note(Seen::End { call, how: End::Broken });
                     }
-                    return self.net.close_when_sent(conn);
+                    return self.net.close_after_flush(conn);
                 }
                 (bytes, if due.reply == Reply::Error { End::Error } else { End::Processed })
             }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -196,7 +196,7 @@
 
     /// Stops listening: further connections are refused. Those that the system took for us are accepted first: they
     /// would be reset with the listener.
-    pub fn unlisten(&mut self, id: ListenerId) {
+    pub fn stop_listening(&mut self, id: ListenerId) {
         self.accept(id.0);
         if let Some(listening) = self.listeners.remove(&id.0) {
             self.handle.remove(listening.token);
@@ -249,7 +249,7 @@
     }
 
     /// Bytes queued that the system has not taken.
-    pub fn unsent(&self, id: ConnId) -> usize {
+    pub fn unsent_bytes(&self, id: ConnId) -> usize {
         self.conns.get(&id.0).map_or(0, |conn| conn.out.len() - conn.written)
     }
 
@@ -273,7 +273,7 @@
     /// Our side is closed then, and what the peer still sends is read and dropped for a moment, until it closes too.
     /// Guards against a reset: closing with bytes unread sends one, and it overtakes the answer that the peer has not
     /// read yet.
-    pub fn close_when_sent(&mut self, id: ConnId) {
+    pub fn close_after_flush(&mut self, id: ConnId) {
         let Some(conn) = self.conns.get_mut(&id.0) else { return };
         conn.close_after = true;
         if conn.out.len() == conn.written && !conn.connecting {
@@ -294,18 +294,18 @@
     }
 
     /// Ends our side of a connection; bytes and the end of the other side are still told. What is queued is lost.
-    pub fn end_sending(&mut self, id: ConnId) {
+    pub fn shutdown_write(&mut self, id: ConnId) {
         // Where it fails the peer has gone, which is told as its end.
         let _ = self.conns.get(&id.0).map(|conn| conn.stream.shutdown(Shutdown::Write));
     }
 
     /// How many connections may linger, the oldest of more are closed at once: each holds a descriptor.
-    pub fn linger_at_most(&mut self, most: usize) {
+    pub fn set_max_lingering(&mut self, most: usize) {
         self.lingering_most = most;
     }
 
-    /// Connections closed by [`Net::close_when_sent`] that have bytes to write, or whose peers have not closed yet.
-    pub fn closing(&self) -> usize {
+    /// Connections closed by [`Net::close_after_flush`] that have bytes to write, or whose peers have not closed yet.
+    pub fn lingering_count(&self) -> usize {
         self.conns.values().filter(|conn| conn.close_after).count()
     }
 
--- a/crates/net/src/tests.rs
+++ b/crates/net/src/tests.rs
@@ -30,7 +30,7 @@
     let (client, server) = pair(&mut net);
     let sent: Vec<u8> = (0..3_000_000u32).map(|i| (i % 251) as u8).collect();
     net.send(client, &sent);
-    net.close_when_sent(client);
+    net.close_after_flush(client);
     let mut seen = Vec::new();
     until(&mut net, |event| match event {
         NetEvent::Bytes(conn, bytes) if conn == server => {
@@ -50,7 +50,7 @@
     net.pause(server, true);
     net.send(client, &vec![7; 64 << 20]);
     while !net.poll(Some(Duration::from_millis(50))).unwrap().is_empty() {}
-    assert!(net.unsent(client) > 16 << 20);
+    assert!(net.unsent_bytes(client) > 16 << 20);
     net.pause(server, false);
     until(&mut net, |event| matches!(event, NetEvent::Flushed(conn) if conn == client).then_some(()));
 }
@@ -59,7 +59,7 @@
 fn refused_and_reset_connections_are_told_apart_from_closed_ones() {
     let mut net = Net::new().unwrap();
     let (listener, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
-    net.unlisten(listener);
+    net.stop_listening(listener);
     let refused = net.connect(address);
     let kind = until(&mut net, |event| match event {
         NetEvent::ConnectFailed(conn, kind) if conn == refused => Some(kind),
@@ -89,8 +89,8 @@
     net.pause(server, true);
     client.write_all(b"one more request").unwrap();
     net.send(server, b"+OK\r\n");
-    net.close_when_sent(server);
-    assert_eq!((net.is_open(server), net.closing()), (false, 1));
+    net.close_after_flush(server);
+    assert_eq!((net.is_open(server), net.lingering_count()), (false, 1));
     // Its own events are over; what it sends on is dropped.
     let reader = std::thread::spawn(move || {
         client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
@@ -99,7 +99,7 @@
         (text, ended.is_ok())
     });
     let end = Instant::now() + Duration::from_secs(5);
-    while net.closing() > 0 {
+    while net.lingering_count() > 0 {
         assert!(Instant::now() < end);
         for event in net.poll(Some(Duration::from_millis(20))).unwrap() {
             assert!(matches!(event, NetEvent::Flushed(_)), "{event:?}");
@@ -183,14 +183,14 @@
         }
         (servers.len() == 40).then_some(())
     });
-    servers.iter().for_each(|conn| net.close_when_sent(*conn));
-    assert_eq!(net.closing(), LINGERING_MOST);
+    servers.iter().for_each(|conn| net.close_after_flush(*conn));
+    assert_eq!(net.lingering_count(), LINGERING_MOST);
     // The last one sends without end, and is closed for it; the rest say nothing until their time is up.
     clients[39].set_write_timeout(Some(Duration::from_secs(5))).unwrap();
     let mut last = clients.pop().unwrap();
     let sender = std::thread::spawn(move || while last.write_all(&[7; 64 << 10]).is_ok() {});
     let end = Instant::now() + Duration::from_secs(5);
-    while net.closing() > 0 {
+    while net.lingering_count() > 0 {
         assert!(Instant::now() < end);
         net.poll(Some(Duration::from_millis(20))).unwrap();
     }
--- a/crates/platform/src/client_request.rs
+++ b/crates/platform/src/client_request.rs
@@ -25,9 +25,9 @@
 #[derive(Clone, Debug)]
 pub struct PutRequest {
     /// For the engine.
-    pub hand_in: SubmitRequest,
+    pub submission: SubmitRequest,
     /// Its idempotency key, in a keyed class.
-    pub idempotency: Option<Vec<u8>>,
+    pub idempotency_key: Option<Vec<u8>>,
     /// What is to be delivered.
     pub body: Vec<u8>,
 }
@@ -133,21 +133,21 @@
     }
     let hand_in = SubmitRequest {
         client: 0,
-        name: String::from_utf8_lossy(id).into_owned(),
+        idempotency_key: String::from_utf8_lossy(id).into_owned(),
         fingerprint: [0; 32],
         class: ClassId(u8::try_from(class).map_err(|_| wrong("c", "no class of that name"))?),
         destination,
-        key: (key != 0).then_some(OrderKey(key)),
+        order_key: (key != 0).then_some(OrderKey(key)),
         deadline: now + left,
         tenant: Default::default(),
-        again,
+        resubmitted: again,
         // A client hands in again what a courier that died held only where that may be: one that may not be
         // repeated did not run there. A keyed one may have.
-        after_loss: after_loss && effect == Effect::Keyed,
+        from_lost_instance: after_loss && effect == Effect::Keyed,
     };
     Ok(ClientRequest::Put(Box::new(PutRequest {
-        hand_in,
-        idempotency: idempotency.map(<[u8]>::to_vec),
+        submission: hand_in,
+        idempotency_key: idempotency.map(<[u8]>::to_vec),
         body: body.clone(),
     })))
 }
--- a/crates/platform/src/client_sessions.rs
+++ b/crates/platform/src/client_sessions.rs
@@ -55,7 +55,7 @@
 
 impl DisconnectReason {
     /// The error line that goes ahead of the close.
-    pub fn line(&self) -> Option<String> {
+    pub fn error_text(&self) -> Option<String> {
         Some(match self {
             DisconnectReason::Unreadable(error) => format!("ERR protocol: {error}"),
             DisconnectReason::TooMany => format!("ERR more than {AT_ONCE} commands at once"),
@@ -96,7 +96,7 @@
     /// A client connected. Where there are too many, who must go for it: those that rest between two requests, the
     /// longest first, as their next one only needs another connection; then those that never spoke, whose first one
     /// is lost with it.
-    pub fn welcome(&mut self, now: Time, wire: ConnectionId) -> Option<ConnectionId> {
+    pub fn accept(&mut self, now: Time, wire: ConnectionId) -> Option<ConnectionId> {
         let decoder = Decoder::new(self.limits);
         self.all.insert(wire, Guest { decoder, since: now, last: now, spoke: false, half: None });
         if self.all.len() <= self.most {
@@ -116,17 +116,17 @@
     }
 
     /// All of them; they are let go of.
-    pub fn all(&mut self) -> Vec<ConnectionId> {
+    pub fn take_all(&mut self) -> Vec<ConnectionId> {
         std::mem::take(&mut self.all).into_keys().collect()
     }
 
     /// A connection is gone.
-    pub fn left(&mut self, wire: ConnectionId) {
+    pub fn remove(&mut self, wire: ConnectionId) {
         self.all.remove(&wire);
     }
 
     /// Bytes came: the whole commands among them, and whether the client must be closed after their answers.
-    pub fn bytes(
+    pub fn on_bytes(
         &mut self,
         now: Time,
         wire: ConnectionId,
@@ -156,13 +156,13 @@
         (commands, why)
     }
 
-    /// When [`ClientSessions::tick`] has something to do next.
-    pub fn due(&self) -> Option<Time> {
+    /// When [`ClientSessions::on_tick`] has something to do next.
+    pub fn next_timeout(&self) -> Option<Time> {
         self.all.values().map(Guest::due).min()
     }
 
     /// Who has to go now, and why.
-    pub fn tick(&mut self, now: Time) -> Vec<(ConnectionId, DisconnectReason)> {
+    pub fn on_tick(&mut self, now: Time) -> Vec<(ConnectionId, DisconnectReason)> {
         let late: Vec<(ConnectionId, DisconnectReason)> = self
             .all
             .iter()
@@ -171,17 +171,17 @@
                 (*wire, if guest.half.is_some() { DisconnectReason::Half } else { DisconnectReason::Silent })
             })
             .collect();
-        late.iter().for_each(|(wire, _)| self.left(*wire));
+        late.iter().for_each(|(wire, _)| self.remove(*wire));
         late
     }
 
     /// Those between two requests, who may be closed at any time; they are let go of. Not those who never spoke: their
     /// first request is on its way, and would fail with its connection.
-    pub fn resting(&mut self) -> Vec<ConnectionId> {
+    pub fn take_idle(&mut self) -> Vec<ConnectionId> {
         let rests = |guest: &Guest| guest.spoke && guest.half.is_none();
         let resting: Vec<ConnectionId> =
             self.all.iter().filter(|(_, guest)| rests(guest)).map(|(wire, _)| *wire).collect();
-        resting.iter().for_each(|wire| self.left(*wire));
+        resting.iter().for_each(|wire| self.remove(*wire));
         resting
     }
 }
--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -84,7 +84,7 @@
     }
 
     /// Takes an answer. Entries that can't be read are left out and told by their ids; the rest counts.
-    pub fn take(&mut self, answer: &EndpointListResponse, names: &SettingNames) -> Vec<String> {
+    pub fn apply(&mut self, answer: &EndpointListResponse, names: &SettingNames) -> Vec<String> {
         let mut unread = Vec::new();
         self.generation = answer.generation;
         if answer.reset {
@@ -122,7 +122,7 @@
                 zone: ZoneId(zone.unwrap_or(u8::MAX)),
                 kind: KindId(kind.unwrap_or(u16::MAX)),
                 destination: DestinationId(instance.cell),
-                mode,
+                state: mode,
                 weight: instance.weight,
             };
             self.destinations.insert(endpoint.destination);
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -32,15 +32,15 @@
         EndpointWatch { agent: DiscoveryConnection::new(to, LARGEST), after, asked: Time::ZERO }
     }
 
-    /// When [`EndpointWatch::tick`] must be called at the latest.
-    pub fn due(&self) -> Time {
+    /// When [`EndpointWatch::on_tick`] must be called at the latest.
+    pub fn next_timeout(&self) -> Time {
         self.agent.until()
     }
 
     /// Connects where it is time. Guards against an agent that went silent: a question that it never answers must not
     /// blind us.
-    pub fn tick(&mut self, now: Time, wires: &mut impl Transport) {
-        if self.due() > now {
+    pub fn on_tick(&mut self, now: Time, wires: &mut impl Transport) {
+        if self.next_timeout() > now {
             return;
         }
         match self.agent.doing() {
@@ -50,9 +50,9 @@
     }
 
     /// Discovery is at another address: it is asked there at once.
-    pub fn moved(&mut self, now: Time, to: SocketAddr, wires: &mut impl Transport) {
+    pub fn set_address(&mut self, now: Time, to: SocketAddr, wires: &mut impl Transport) {
         if self.agent.moved(now, to, wires) {
-            self.tick(now, wires);
+            self.on_tick(now, wires);
         }
     }
 
@@ -62,7 +62,7 @@
     }
 
     /// Its connection is there.
-    pub fn connected(&mut self, now: Time, wire: ConnectionId, wires: &mut impl Transport) {
+    pub fn on_connected(&mut self, now: Time, wire: ConnectionId, wires: &mut impl Transport) {
         if self.agent.connected(wire, now) {
             self.ask(now, wires);
         }
@@ -77,14 +77,14 @@
     }
 
     /// Its connection failed or ended.
-    pub fn lost(&mut self, now: Time, wire: ConnectionId) {
+    pub fn on_closed(&mut self, now: Time, wire: ConnectionId) {
         if self.owns(wire) {
             self.agent.lost(now + RETRY);
         }
     }
 
     /// Bytes came; the answer, once it is whole. What can't be read ends the connection, and is told.
-    pub fn bytes(
+    pub fn on_bytes(
         &mut self,
         now: Time,
         wire: ConnectionId,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -46,7 +46,7 @@
     /// Queues bytes.
     fn write(&mut self, wire: ConnectionId, bytes: &[u8]);
     /// Ends what we send; what comes is still told, and so is the end.
-    fn end_sending(&mut self, wire: ConnectionId);
+    fn shutdown_write(&mut self, wire: ConnectionId);
     /// Closes at once; no event follows.
     fn close(&mut self, wire: ConnectionId);
 }
--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -47,7 +47,7 @@
     }
 
     /// One more is owed.
-    pub fn owe(&mut self, number: u32, notice: Notification) {
+    pub fn enqueue(&mut self, number: u32, notice: Notification) {
         if let Some(key) = notice.key {
             *self.keys.entry(key).or_default() += 1;
         }
@@ -55,7 +55,7 @@
     }
 
     /// Whether a message of this key has ended by a notice that is not answered yet.
-    pub fn holds(&self, key: OrderKey) -> bool {
+    pub fn is_key_blocked(&self, key: OrderKey) -> bool {
         self.keys.contains_key(&key)
     }
 
@@ -69,8 +69,8 @@
         self.owed.is_empty()
     }
 
-    /// When [`Notifications::tick`] must be called, if at all.
-    pub fn due(&self) -> Option<Time> {
+    /// When [`Notifications::on_tick`] must be called, if at all.
+    pub fn next_timeout(&self) -> Option<Time> {
         match (self.agent.doing(), self.owed.is_empty()) {
             (Doing::Closed, true) => None,
             (Doing::Idle, false) => Some(Time::ZERO),
@@ -79,8 +79,8 @@
     }
 
     /// Sends what is owed, or connects for it. Call it after the turn's records are in the log.
-    pub fn tick(&mut self, now: Time, wires: &mut impl Transport) {
-        if self.due().is_none_or(|at| at > now) {
+    pub fn on_tick(&mut self, now: Time, wires: &mut impl Transport) {
+        if self.next_timeout().is_none_or(|at| at > now) {
             return;
         }
         match self.agent.doing() {
@@ -111,7 +111,7 @@
     }
 
     /// Discovery is at another address: notices go there from now on, those not answered again.
-    pub fn moved(&mut self, now: Time, to: SocketAddr, wires: &mut impl Transport) {
+    pub fn set_address(&mut self, now: Time, to: SocketAddr, wires: &mut impl Transport) {
         self.agent.moved(now, to, wires);
     }
 
@@ -121,12 +121,12 @@
     }
 
     /// Their connection is there.
-    pub fn connected(&mut self, now: Time, wire: ConnectionId) {
+    pub fn on_connected(&mut self, now: Time, wire: ConnectionId) {
         self.agent.connected(wire, now + IDLE);
     }
 
     /// Their connection failed or ended; what was told and not answered is told again.
-    pub fn lost(&mut self, now: Time, wire: ConnectionId) {
+    pub fn on_closed(&mut self, now: Time, wire: ConnectionId) {
         if self.owns(wire) {
             let idle = self.agent.doing() == Doing::Idle;
             self.agent.lost(if idle { now } else { now + RETRY });
@@ -134,7 +134,7 @@
     }
 
     /// Bytes came; the numbers of those that are answered now, and of those that were refused for good.
-    pub fn bytes(
+    pub fn on_bytes(
         &mut self,
         now: Time,
         wire: ConnectionId,
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -112,7 +112,7 @@
     }
 
     /// Attempts that are out or on their way.
-    pub fn out(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.attempts.len()
     }
 
@@ -122,32 +122,32 @@
     }
 
     /// Attempts whose connection is there: their bytes are wanted.
-    pub fn take_ready(&mut self) -> Vec<Attempt> {
+    pub fn take_connected(&mut self) -> Vec<Attempt> {
         std::mem::take(&mut self.ready)
     }
 
     /// Attempts whose last byte is due, once the log has their beginning.
-    pub fn take_due(&mut self) -> Vec<Attempt> {
+    pub fn take_ready_to_commit(&mut self) -> Vec<Attempt> {
         std::mem::take(&mut self.due)
     }
 
     /// Attempts that ended, in order.
-    pub fn take_ended(&mut self) -> Vec<(Attempt, AttemptResult)> {
+    pub fn take_completed(&mut self) -> Vec<(Attempt, AttemptResult)> {
         std::mem::take(&mut self.ended)
     }
 
     /// Waits that heads of answers told, from now on.
-    pub fn take_waits(&mut self) -> Vec<(EndpointId, Duration)> {
+    pub fn take_retry_after(&mut self) -> Vec<(EndpointId, Duration)> {
         std::mem::take(&mut self.waits)
     }
 
     /// Whether something ended or is ready and was not taken.
-    pub fn has_news(&self) -> bool {
+    pub fn has_pending_events(&self) -> bool {
         !self.ready.is_empty() || !self.due.is_empty() || !self.ended.is_empty()
     }
 
     /// Gets a connection for an attempt; it is ready at once where one is idle.
-    pub fn begin(
+    pub fn connect(
         &mut self,
         now: Time,
         attempt: Attempt,
@@ -173,10 +173,10 @@
             self.ended.push((attempt, (TransportOutcome::Unsent, None)));
             return;
         }
-        self.connect(now, attempt, (endpoint, address), 0, wires);
+        self.open_connection(now, attempt, (endpoint, address), 0, wires);
     }
 
-    fn connect(
+    fn open_connection(
         &mut self,
         now: Time,
         attempt: Attempt,
@@ -201,7 +201,13 @@
     }
 
     /// Writes a ready attempt's call but for its last byte.
-    pub fn open(&mut self, now: Time, attempt: Attempt, bytes: &[u8], wires: &mut impl Transport) {
+    pub fn send_all_but_last_byte(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        bytes: &[u8],
+        wires: &mut impl Transport,
+    ) {
         let Some(wire) = self.attempts.get(&attempt).copied() else { return };
         let Some((last, first)) = bytes.split_last() else { return };
         if let Some(conn) = self.conns.get_mut(&wire).filter(|conn| matches!(conn.state, State::Ready)) {
@@ -211,7 +217,7 @@
     }
 
     /// Writes an attempt's last byte. The log has its beginning.
-    pub fn launch(&mut self, attempt: Attempt, wires: &mut impl Transport) {
+    pub fn commit(&mut self, attempt: Attempt, wires: &mut impl Transport) {
         let Some(wire) = self.attempts.get(&attempt).copied() else { return };
         let Some(conn) = self.conns.get_mut(&wire) else { return };
         if let State::Due { last } = conn.state {
@@ -222,7 +228,13 @@
 
     /// An attempt that is ready or due may not go: it is as if it had never been decided on. Its connection stays for
     /// the next one, where nothing was written on it and its endpoint is listed there.
-    pub fn withhold(&mut self, now: Time, attempt: Attempt, listed: bool, wires: &mut impl Transport) {
+    pub fn abort_before_send(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        listed: bool,
+        wires: &mut impl Transport,
+    ) {
         self.forget(attempt);
         let Some(wire) = self.attempts.remove(&attempt) else { return };
         match self.conns.get(&wire).map(|conn| &conn.state) {
@@ -242,7 +254,7 @@
     }
 
     /// Whether an attempt's endpoint is still listed where its connection leads.
-    pub fn leads_to_listed(
+    pub fn targets_listed_endpoint(
         &self,
         attempt: Attempt,
         address: impl Fn(EndpointId) -> Option<SocketAddr>,
@@ -251,7 +263,7 @@
     }
 
     /// An attempt is not sent after all. Its connection goes: it may hold the better part of a call.
-    pub fn drop_due(&mut self, attempt: Attempt, wires: &mut impl Transport) {
+    pub fn discard_uncommitted(&mut self, attempt: Attempt, wires: &mut impl Transport) {
         if let Some(wire) = self.attempts.remove(&attempt) {
             self.forget(attempt);
             self.close(wire, wires);
@@ -268,7 +280,7 @@
         match self.conns.get_mut(&wire) {
             Some(conn) if matches!(conn.state, State::Sent { written: true }) => {
                 (conn.attempt, conn.state) = (None, State::GivenUp { until: now + REST });
-                wires.end_sending(wire);
+                wires.shutdown_write(wire);
             }
             _ => self.close(wire, wires),
         }
@@ -314,7 +326,7 @@
     }
 
     /// The list has changed: idle connections to what is gone, or elsewhere now, are closed.
-    pub fn keep_listed(
+    pub fn retain_listed(
         &mut self,
         address: impl Fn(EndpointId) -> Option<SocketAddr>,
         wires: &mut impl Transport,
@@ -334,7 +346,7 @@
     }
 
     /// A connection is there.
-    pub fn connected(&mut self, wire: ConnectionId) {
+    pub fn on_connected(&mut self, wire: ConnectionId) {
         let Some(conn) = self.conns.get_mut(&wire) else { return };
         if let (State::Connecting { .. }, Some(attempt)) = (&conn.state, conn.attempt) {
             conn.state = State::Ready;
@@ -343,7 +355,7 @@
     }
 
     /// All bytes of a call are with the system.
-    pub fn written(&mut self, wire: ConnectionId) {
+    pub fn on_flushed(&mut self, wire: ConnectionId) {
         if let Some(State::Sent { written }) = self.conns.get_mut(&wire).map(|conn| &mut conn.state) {
             *written = true;
         }
@@ -351,7 +363,7 @@
 
     /// A connection failed to come up, or ended. Where it was kept and broke before the call's last byte, the attempt
     /// goes on with a new one: nothing was begun, and the endpoint need not be worse for it.
-    pub fn lost(&mut self, now: Time, wire: ConnectionId, clean: bool, wires: &mut impl Transport) {
+    pub fn on_closed(&mut self, now: Time, wire: ConnectionId, clean: bool, wires: &mut impl Transport) {
         let Some(mut conn) = self.remove(wire) else { return };
         let Some(attempt) = conn.attempt else { return };
         self.forget(attempt);
@@ -359,7 +371,7 @@
         let told = match conn.state {
             State::Ready | State::Held { .. } | State::Due { .. } if conn.kept && conn.stale < MOST_STALE => {
                 let to = (conn.endpoint, conn.address);
-                return self.connect(now, attempt, to, conn.stale + 1, wires);
+                return self.open_connection(now, attempt, to, conn.stale + 1, wires);
             }
             // What broke before the call's last byte was written never ran.
             State::Sent { written: true } => conn.reader.end(clean, &self.terms.fields),
@@ -369,7 +381,7 @@
     }
 
     /// Bytes came.
-    pub fn bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8], wires: &mut impl Transport) {
+    pub fn on_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8], wires: &mut impl Transport) {
         let Some(conn) = self.conns.get_mut(&wire) else { return };
         let sent = match conn.state {
             State::Sent { written } => Some(written),
@@ -378,12 +390,12 @@
             State::Idle { .. } => return self.close(wire, wires),
             State::Connecting { .. } | State::Ready | State::Held { .. } | State::Due { .. } => None,
         };
-        let read = conn.reader.bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
+        let read = conn.reader.on_bytes(Duration::from_nanos(now.0), bytes, &self.terms.fields);
         self.waits.extend(read.wait.map(|wait| (conn.endpoint, wait)));
         let Some(sent) = sent else {
             // What comes before the call is whole answers nothing: it is noise, or a refusal of the connection.
             wires.close(wire);
-            return self.lost(now, wire, false, wires);
+            return self.on_closed(now, wire, false, wires);
         };
         if let (Some(told), Some(attempt)) = (read.told, conn.attempt) {
             self.attempts.remove(&attempt);
@@ -402,13 +414,13 @@
         }
     }
 
-    /// When [`Requests::tick`] must be called at the latest.
-    pub fn due(&self) -> Option<Time> {
+    /// When [`Requests::on_tick`] must be called at the latest.
+    pub fn next_timeout(&self) -> Option<Time> {
         self.conns.values().filter_map(|conn| conn.state.until()).min()
     }
 
     /// Ends what has taken too long, and tells whose last byte is due.
-    pub fn tick(&mut self, now: Time, wires: &mut impl Transport) {
+    pub fn on_tick(&mut self, now: Time, wires: &mut impl Transport) {
         let mut late = Vec::new();
         for (wire, conn) in &mut self.conns {
             if conn.state.until().is_none_or(|until| until > now) {
@@ -423,7 +435,7 @@
         }
         for wire in late {
             wires.close(wire);
-            self.lost(now, wire, false, wires);
+            self.on_closed(now, wire, false, wires);
         }
     }
 }
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -84,7 +84,7 @@
     }
 
     /// Takes bytes as they came, `clock` from any fixed start.
-    pub fn bytes(&mut self, clock: Duration, bytes: &[u8], fields: &ReportFields) -> ResponseProgress {
+    pub fn on_bytes(&mut self, clock: Duration, bytes: &[u8], fields: &ReportFields) -> ResponseProgress {
         self.decoder.feed(clock, bytes);
         let next = self.decoder.next(clock);
         let delivered = self.decoder.status() == Some(200);
@@ -160,5 +160,7 @@
         let named = |(known, _): &&(&str, f64)| Some(*known) == name.as_deref();
         told.iter().rev().find(named).map(|(_, value)| *value)
     };
-    value(&fields.left).zip(value(&fields.limit)).map(|(left, limit)| RateLimitStatus { left, limit })
+    value(&fields.left)
+        .zip(value(&fields.limit))
+        .map(|(left, limit)| RateLimitStatus { remaining: left, limit })
 }
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -33,11 +33,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PendingWork {
     /// Messages without an end.
-    pub held: usize,
+    pub messages: usize,
     /// Calls out.
-    pub out: usize,
+    pub requests: usize,
     /// Notices not answered.
-    pub notices: usize,
+    pub notifications: usize,
     /// Clients whose request is on its way, once nobody else is left: new ones, and those in the middle of one.
     pub clients: usize,
 }
@@ -55,20 +55,22 @@
     }
 
     /// What is still done now.
-    pub fn stage(&self, now: Time, left: PendingWork) -> ShutdownPhase {
+    pub fn phase(&self, now: Time, left: PendingWork) -> ShutdownPhase {
         let passed = now - self.since;
         match passed {
             _ if passed < LISTENS => ShutdownPhase::Accepting,
             _ if passed >= ENDS || left == PendingWork::default() => ShutdownPhase::Finished,
             _ if passed < SENDS => ShutdownPhase::Draining,
             // What is held stays in the log; only what is out or owed is worth waiting for.
-            _ if left.out == 0 && left.notices == 0 && left.clients == 0 => ShutdownPhase::Finished,
+            _ if left.requests == 0 && left.notifications == 0 && left.clients == 0 => {
+                ShutdownPhase::Finished
+            }
             _ => ShutdownPhase::AwaitingResponses,
         }
     }
 
     /// When the stage changes next, if nothing else happens.
-    pub fn due(&self, now: Time) -> Time {
+    pub fn next_timeout(&self, now: Time) -> Time {
         let next = [LISTENS, SENDS, ENDS].into_iter().map(|span| self.since + span).find(|at| *at > now);
         next.unwrap_or(now)
     }
--- a/crates/platform/tests/answers.rs
+++ b/crates/platform/tests/answers.rs
@@ -14,7 +14,7 @@
     let mut reader = ResponseReader::new();
     let (mut told, mut after, mut line) = (None, 0, ConnectionReuse::Open);
     for (place, piece) in pieces.into_iter().enumerate() {
-        let read = reader.bytes(Duration::from_millis(place as u64), piece, &fields());
+        let read = reader.on_bytes(Duration::from_millis(place as u64), piece, &fields());
         line = read.line;
         if let Some(outcome) = read.told {
             assert!(told.is_none(), "an outcome is told once");
@@ -53,14 +53,10 @@
             "Connection: close\r\nRetry-After: 1\r\n",
             TransportOutcome::Rejected(ms(1000)),
         ),
-        (
-            "503 Service Unavailable",
-            "Connection: close\r\nX-ConnectionReuse-Busy: 1\r\n",
-            TransportOutcome::Unsent,
-        ),
+        ("503 Service Unavailable", "Connection: close\r\nX-Line-Busy: 1\r\n", TransportOutcome::Unsent),
         ("503 Service Unavailable", "Retry-After: 1\r\n", TransportOutcome::Rejected(ms(1000))),
-        ("503 Service Unavailable", "X-ConnectionReuse-Busy: 1\r\n", TransportOutcome::Unsent),
-        ("503 Service Unavailable", "X-ConnectionReuse-Busy: 0\r\n", TransportOutcome::Rejected(None)),
+        ("503 Service Unavailable", "X-Line-Busy: 1\r\n", TransportOutcome::Unsent),
+        ("503 Service Unavailable", "X-Line-Busy: 0\r\n", TransportOutcome::Rejected(None)),
         ("504 Gateway Timeout", "", TransportOutcome::Unsent),
         ("410 Gone", "", TransportOutcome::Obsolete),
         ("400 Bad Request", "", TransportOutcome::Error),
@@ -80,7 +76,7 @@
         let (told, ..) = read([&text.as_bytes()[..cut]]);
         assert_eq!(told, None, "{cut}");
         let mut reader = ResponseReader::new();
-        reader.bytes(Duration::ZERO, &text.as_bytes()[..cut], &fields());
+        reader.on_bytes(Duration::ZERO, &text.as_bytes()[..cut], &fields());
         // It may have run: the answer that said otherwise never came whole.
         assert_eq!(reader.end(true, &fields()), Some((TransportOutcome::Reset, None)), "{cut}");
     }
@@ -108,7 +104,7 @@
     assert_eq!((told, after, line), (Some((TransportOutcome::Processed, None)), 1, ConnectionReuse::Spoilt));
     // Once the first line is there, a break changes nothing.
     let mut reader = ResponseReader::new();
-    let read = reader.bytes(Duration::ZERO, b"HTTP/1.1 200 O", &fields());
+    let read = reader.on_bytes(Duration::ZERO, b"HTTP/1.1 200 O", &fields());
     assert_eq!(read.told, Some((TransportOutcome::Processed, None)));
     assert_eq!(reader.end(false, &fields()), None);
 }
@@ -168,8 +164,8 @@
     let told = |report: &str| {
         read([whole("200 OK", &format!("Srv-Load: {report}\r\n"), "").as_bytes()]).0.unwrap().1
     };
-    assert_eq!(told("x0=0.4,x1=25"), Some(RateLimitStatus { left: 0.4, limit: 25.0 }));
-    assert_eq!(told("x1=25, x0=0.4, x9=1"), Some(RateLimitStatus { left: 0.4, limit: 25.0 }));
+    assert_eq!(told("x0=0.4,x1=25"), Some(RateLimitStatus { remaining: 0.4, limit: 25.0 }));
+    assert_eq!(told("x1=25, x0=0.4, x9=1"), Some(RateLimitStatus { remaining: 0.4, limit: 25.0 }));
     for nonsense in [
         "",
         "x0=0.4",
@@ -184,7 +180,7 @@
     }
 }
 
-/// AttemptOutcome and wait are two facts: the wait counts from the head on, spoilt as the rest may be.
+/// Outcome and wait are two facts: the wait counts from the head on, spoilt as the rest may be.
 #[test]
 fn a_head_tells_its_wait_though_the_rest_is_spoilt_cut_or_never_ends() {
     let ms = |ms| Some(Duration::from_millis(ms));
@@ -204,7 +200,7 @@
             let mut reader = ResponseReader::new();
             let waits: Vec<Duration> = [&text.as_bytes()[..cut], &text.as_bytes()[cut..], b"noise"]
                 .iter()
-                .filter_map(|piece| reader.bytes(Duration::ZERO, piece, &fields()).wait)
+                .filter_map(|piece| reader.on_bytes(Duration::ZERO, piece, &fields()).wait)
                 .collect();
             assert_eq!(waits, wait.into_iter().collect::<Vec<_>>(), "{head}");
         }
--- a/crates/platform/tests/meaning.rs
+++ b/crates/platform/tests/meaning.rs
@@ -26,17 +26,25 @@
 fn a_hand_in_keeps_all_that_it_says() {
     let body = b"any \r\n bytes \x00\xff";
     let taken = put(&[b"msg.put", KEY, ID, b"c=notice,d=8000,k=5c0f,dest=7,new=1", body]).unwrap();
-    assert_eq!((taken.body.as_slice(), taken.idempotency.as_deref()), (&body[..], Some(&b"5c0f"[..])));
-    let hand_in = &taken.hand_in;
-    assert_eq!((hand_in.key, hand_in.destination), (Some(OrderKey(0x7f3a_9c21_e0b4_d655)), DestinationId(7)));
+    assert_eq!((taken.body.as_slice(), taken.idempotency_key.as_deref()), (&body[..], Some(&b"5c0f"[..])));
+    let hand_in = &taken.submission;
+    assert_eq!(
+        (hand_in.order_key, hand_in.destination),
+        (Some(OrderKey(0x7f3a_9c21_e0b4_d655)), DestinationId(7))
+    );
     assert_eq!(hand_in.deadline, Time(5) + Duration::from_secs(8));
-    assert_eq!((hand_in.again, hand_in.after_loss), (false, false));
+    assert_eq!((hand_in.resubmitted, hand_in.from_lost_instance), (false, false));
     let again = put(&[b"MSG.PUT", b"0000000000000000", ID, b"c=notice,d=1,k=5,dest=0,r=1,again=1", b""])
         .unwrap()
-        .hand_in;
-    assert_eq!((again.key, again.again, again.after_loss), (None, true, true));
+        .submission;
+    assert_eq!((again.order_key, again.resubmitted, again.from_lost_instance), (None, true, true));
     // A client hands in again what may not be repeated only where it did not run.
-    assert!(!put(&[b"MSG.PUT", b"0", ID, b"c=payment,d=1,dest=0,again=1", b""]).unwrap().hand_in.after_loss);
+    assert!(
+        !put(&[b"MSG.PUT", b"0", ID, b"c=payment,d=1,dest=0,again=1", b""])
+            .unwrap()
+            .submission
+            .from_lost_instance
+    );
 }
 
 #[test]
@@ -108,12 +116,12 @@
         ..SettingNames::default()
     };
     let mut list = EndpointList::default();
-    list.take(&answer(true, &[("s1", 1, "SERVING", 3), ("s2", 2, "SERVING", 3)]), &names);
+    list.apply(&answer(true, &[("s1", 1, "SERVING", 3), ("s2", 2, "SERVING", 3)]), &names);
     let port = |list: &EndpointList, id| list.address(EndpointId(id)).map(|address| address.port());
     assert_eq!((port(&list, 1), port(&list, 2)), (Some(1), Some(2)));
     assert_eq!((list.endpoints()[0].kind.0, list.endpoints()[0].weight), (1, 2.5));
     // One drains and moves, one goes, and a new one stands at its address: it is another endpoint.
-    let unread = list.take(
+    let unread = list.apply(
         &answer(
             false,
             &[
@@ -127,8 +135,8 @@
     );
     assert_eq!((unread, list.endpoints().len()), (vec!["s4".to_owned()], 2));
     assert_eq!((port(&list, 1), port(&list, 2), port(&list, 3)), (Some(5), None, Some(2)));
-    assert_eq!(list.endpoints()[0].mode, EndpointState::Draining);
-    list.take(&answer(true, &[("s3", 2, "SERVING", 4)]), &names);
+    assert_eq!(list.endpoints()[0].state, EndpointState::Draining);
+    list.apply(&answer(true, &[("s3", 2, "SERVING", 4)]), &names);
     assert_eq!((list.endpoints().len(), port(&list, 1)), (1, None));
     // A destination whose endpoints are being replaced is still one.
     assert!(list.has_destination(DestinationId(3)) && !list.has_destination(DestinationId(9)));
@@ -146,7 +154,10 @@
         Lanes.1.Name=pay\nLanes.1.Effect=non_idempotent\nProjects=\nReport.Fields=x0,x1\nRules.ColdFrom=0.16\nZones=z\nMachineTypes=banks,other\n";
     let flat = parse_settings(flat).unwrap();
     assert_eq!(format!("{:?}", nested.settings), format!("{:?}", flat.settings));
-    assert_eq!((nested.left_at, nested.limit_at, nested.settings.kinds[1].batch), (Some(0), Some(1), 4));
+    assert_eq!(
+        (nested.remaining_field, nested.limit_field, nested.settings.kinds[1].max_batch),
+        (Some(0), Some(1), 4)
+    );
 }
 
 /// Settings that tell all that is needed.
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -4,7 +4,9 @@
 use crate::startup::{load, Environment, GatewayError};
 use crate::{message_record, Clock, Sockets};
 use cloverstile::{Class, MessageId, Time};
-use cloverstile_engine::{Admission, Attempt, Bounds, Command, Engine, FinalOutcome, TransportOutcome};
+use cloverstile_engine::{
+    Admission, Attempt, Command, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
+};
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
 use cloverstile_platform::client_request::{self, ClientRequest, PutRequest};
 use cloverstile_platform::client_sessions::{ClientSessions, DisconnectReason};
@@ -25,7 +27,7 @@
 use tracing::{debug, info, trace, warn};
 
 /// Answers kept for a message that comes again under its id: longer than a client sends one once more.
-const ANSWERS: Bounds = Bounds { remembered: 4096, answers_kept: Duration::from_secs(2) };
+const ANSWERS: ResultCacheLimits = ResultCacheLimits { max_results: 4096, retention: Duration::from_secs(2) };
 /// Answers that a client has not read, in bytes, above which it is closed.
 const UNREAD: usize = 256 << 10;
 /// Rounds of one turn: what a decision leads to at once may lead to more.
@@ -96,19 +98,22 @@
         settings.classes.push(message_record::strictest(&settings.classes));
         let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
         let [clients, closed, calls] = descriptors(config.limits.sockets);
-        net.linger_at_most(closed);
+        net.set_max_lingering(closed);
         let terms = ConnectionLimits {
             connect_timeout: settings.connect_timeout,
-            idle: settings.conn_idle,
+            idle: settings.connection_idle_timeout,
             most: calls,
-            fields: ReportFields { left: field(parsed.left_at), limit: field(parsed.limit_at) },
+            fields: ReportFields { left: field(parsed.remaining_field), limit: field(parsed.limit_field) },
         };
         let bound = (config.limits.disk_mb * 1e6) as u64;
         let state = variables.state.display().to_string();
         let (log, recovered) =
             Log::open(DirectoryStore::new(&variables.state), bound).map_err(failed(state))?;
-        if recovered.torn > 0 {
-            warn!(bytes = recovered.torn, "the log's last record was torn or damaged and is given up");
+        if recovered.discarded_bytes > 0 {
+            warn!(
+                bytes = recovered.discarded_bytes,
+                "the log's last record was torn or damaged and is given up"
+            );
         }
         let seed = config.seed.unwrap_or_else(rand::random);
         let mut node = Gateway {
@@ -140,10 +145,10 @@
         if let Some(known) = &config.known {
             node.take_list(now, known);
         }
-        let found = recovered.living.len();
+        let found = recovered.messages.len();
         let names = message_record::names(&node.names, &node.classes);
         node.log.record(Record::NameTable(names.clone()));
-        for (place, mut living) in recovered.living.into_iter().enumerate() {
+        for (place, mut living) in recovered.messages.into_iter().enumerate() {
             message_record::moved(&mut living, &recovered.names, &names);
             node.recover(now, place, living);
         }
@@ -157,10 +162,10 @@
 
     /// Takes a message on again that an earlier process owes.
     fn recover(&mut self, now: Time, place: usize, mut living: LiveMessage) {
-        if let Some(ending) = living.owed {
+        if let Some(ending) = living.pending_notification {
             // Numbers from the far end: those of the engine begin at one.
             let number = u32::MAX - u32::try_from(place).unwrap_or(0);
-            self.notices.owe(number, message_record::notice(&living, ending));
+            self.notices.enqueue(number, message_record::notice(&living, ending));
             return self.log.record(Record::Submitted(number, Box::new(living)));
         }
         let class = self.classes.get(usize::from(living.class));
@@ -176,7 +181,7 @@
         loop {
             let now = self.clock.now();
             if self.leave(now) {
-                info!(held = self.engine.held(), "ends; what is held stays in the log");
+                info!(held = self.engine.pending_messages(), "ends; what is held stays in the log");
                 return Ok(());
             }
             let timeout = self.next_wake(now).map(|at| at - now);
@@ -194,16 +199,16 @@
     }
 
     fn next_wake(&self, now: Time) -> Option<Time> {
-        if self.calls.has_news() || self.engine.has_news() {
+        if self.calls.has_pending_events() || self.engine.has_pending_events() {
             return Some(now);
         }
         let dues = [
-            self.engine.next_wake(),
-            self.calls.due(),
-            self.guests.due(),
-            Some(self.watch.due()),
-            self.notices.due(),
-            self.leaving.map(|leaving| leaving.due(now)).filter(|_| self.ends.is_none()),
+            self.engine.next_timeout(),
+            self.calls.next_timeout(),
+            self.guests.next_timeout(),
+            Some(self.watch.next_timeout()),
+            self.notices.next_timeout(),
+            self.leaving.map(|leaving| leaving.next_timeout(now)).filter(|_| self.ends.is_none()),
             self.ends,
         ];
         dues.into_iter().flatten().min()
@@ -211,9 +216,9 @@
 
     fn tick(&mut self, now: Time) {
         let mut sockets = Sockets(&mut self.net);
-        self.watch.tick(now, &mut sockets);
-        self.calls.tick(now, &mut sockets);
-        for (wire, why) in self.guests.tick(now) {
+        self.watch.on_tick(now, &mut sockets);
+        self.calls.on_tick(now, &mut sockets);
+        for (wire, why) in self.guests.on_tick(now) {
             self.dismiss(wire, &why);
         }
     }
@@ -222,37 +227,39 @@
     fn leave(&mut self, now: Time) -> bool {
         let Some(leaving) = self.leaving else { return false };
         if let Some(ends) = self.ends {
-            return ends <= now || self.net.closing() == 0;
+            return ends <= now || self.net.lingering_count() == 0;
         }
         if self.listener.is_none() {
-            for wire in self.guests.resting() {
-                self.net.close_when_sent(ConnId(wire.0));
+            for wire in self.guests.take_idle() {
+                self.net.close_after_flush(ConnId(wire.0));
             }
         }
-        let (held, out, notices) = (self.engine.held(), self.calls.out(), self.notices.len());
-        let left = PendingWork { held, out, notices, clients: self.guests.len() };
-        let stage = leaving.stage(now, left);
+        let (held, out, notices) =
+            (self.engine.pending_messages(), self.calls.in_flight(), self.notices.len());
+        let left =
+            PendingWork { messages: held, requests: out, notifications: notices, clients: self.guests.len() };
+        let stage = leaving.phase(now, left);
         if stage >= ShutdownPhase::Draining {
             if let Some(listener) = self.listener.take() {
                 info!(?left, "stops listening");
                 // Guards against clients that are closed with a request in the system's buffers: those that the system
                 // took for us are welcomed, and all are read once more, before anyone is closed.
-                self.net.unlisten(listener);
+                self.net.stop_listening(listener);
                 // No client comes any more: all that are closed now may be read from until they have their answers.
-                self.net.linger_at_most(usize::MAX);
+                self.net.set_max_lingering(usize::MAX);
                 self.net.waker().wake();
                 return false;
             }
         }
         if stage >= ShutdownPhase::AwaitingResponses {
-            self.engine.hold_back(true);
+            self.engine.set_sending_paused(true);
         }
         if stage == ShutdownPhase::Finished {
-            for wire in self.guests.all() {
-                self.net.close_when_sent(ConnId(wire.0));
+            for wire in self.guests.take_all() {
+                self.net.close_after_flush(ConnId(wire.0));
             }
             self.ends = Some(now + FINAL_FLUSH_TIMEOUT);
-            return self.net.closing() == 0;
+            return self.net.lingering_count() == 0;
         }
         false
     }
@@ -261,23 +268,23 @@
         match event {
             NetEvent::Accepted { conn, .. } => {
                 trace!(?conn, clients = self.guests.len(), "connected");
-                if let Some(leaves) = self.guests.welcome(now, ConnectionId(conn.0)) {
+                if let Some(leaves) = self.guests.accept(now, ConnectionId(conn.0)) {
                     self.dismiss(leaves, &DisconnectReason::Crowded);
                 }
             }
             NetEvent::Connected(conn) => {
                 let wire = ConnectionId(conn.0);
-                self.calls.connected(wire);
-                self.notices.connected(now, wire);
-                self.watch.connected(now, wire, &mut Sockets(&mut self.net));
+                self.calls.on_connected(wire);
+                self.notices.on_connected(now, wire);
+                self.watch.on_connected(now, wire, &mut Sockets(&mut self.net));
             }
             NetEvent::ConnectFailed(conn, _) => self.lost(now, ConnectionId(conn.0), false),
             NetEvent::Closed { conn, clean } => self.lost(now, ConnectionId(conn.0), clean),
-            NetEvent::Flushed(conn) => self.calls.written(ConnectionId(conn.0)),
+            NetEvent::Flushed(conn) => self.calls.on_flushed(ConnectionId(conn.0)),
             NetEvent::Bytes(conn, bytes) => self.on_bytes(now, ConnectionId(conn.0), &bytes),
             NetEvent::Signal(SignalKind::SIGHUP) => self.reload(now),
             NetEvent::Signal(signal) => {
-                info!(?signal, held = self.engine.held(), "told to stop");
+                info!(?signal, held = self.engine.pending_messages(), "told to stop");
                 self.leaving.get_or_insert(GracefulShutdown::new(now));
             }
             NetEvent::Woken => {}
@@ -285,10 +292,10 @@
     }
 
     fn lost(&mut self, now: Time, wire: ConnectionId, clean: bool) {
-        self.guests.left(wire);
-        self.calls.lost(now, wire, clean, &mut Sockets(&mut self.net));
-        self.watch.lost(now, wire);
-        self.notices.lost(now, wire);
+        self.guests.remove(wire);
+        self.calls.on_closed(now, wire, clean, &mut Sockets(&mut self.net));
+        self.watch.on_closed(now, wire);
+        self.notices.on_closed(now, wire);
     }
 
     fn on_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8]) {
@@ -297,15 +304,15 @@
         }
         let mut sockets = Sockets(&mut self.net);
         if self.calls.owns(wire) {
-            self.calls.bytes(now, wire, bytes, &mut sockets);
+            self.calls.on_bytes(now, wire, bytes, &mut sockets);
         } else if self.watch.owns(wire) {
-            match self.watch.bytes(now, wire, bytes, &mut sockets) {
+            match self.watch.on_bytes(now, wire, bytes, &mut sockets) {
                 Ok(Some(answer)) => self.take_list(now, &answer),
                 Ok(None) => {}
                 Err(error) => warn!(%error, "the list of endpoints can't be read; asked again"),
             }
         } else if self.notices.owns(wire) {
-            let (done, refused) = self.notices.bytes(now, wire, bytes, &mut sockets);
+            let (done, refused) = self.notices.on_bytes(now, wire, bytes, &mut sockets);
             for number in &refused {
                 warn!(number, "the platform can't read a notice; it is not told again");
             }
@@ -320,7 +327,7 @@
         if answer.instances.is_empty() && !answer.reset {
             return;
         }
-        for id in self.list.take(answer, &self.names) {
+        for id in self.list.apply(answer, &self.names) {
             warn!(instance = %id, "an entry of the list can't be read and is left out");
         }
         debug!(
@@ -329,9 +336,9 @@
             entries = answer.instances.len(),
             "list"
         );
-        self.engine.list(now, self.list.endpoints());
+        self.engine.update_endpoints(now, self.list.endpoints());
         let list = &self.list;
-        self.calls.keep_listed(|id| list.address(id), &mut Sockets(&mut self.net));
+        self.calls.retain_listed(|id| list.address(id), &mut Sockets(&mut self.net));
     }
 
     fn reload(&mut self, now: Time) {
@@ -339,8 +346,8 @@
             Ok(config) => {
                 info!(discovery = %config.discovery, "configuration read anew");
                 let mut sockets = Sockets(&mut self.net);
-                self.watch.moved(now, config.discovery, &mut sockets);
-                self.notices.moved(now, config.discovery, &mut sockets);
+                self.watch.set_address(now, config.discovery, &mut sockets);
+                self.notices.set_address(now, config.discovery, &mut sockets);
             }
             Err(error) => warn!(%error, "the new configuration can't be used; the old one stays"),
         }
@@ -349,7 +356,7 @@
     // ---- Clients ----
 
     fn client_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8]) {
-        let (commands, why) = self.guests.bytes(now, wire, bytes);
+        let (commands, why) = self.guests.on_bytes(now, wire, bytes);
         for words in commands {
             let known = |to| self.list.has_destination(to);
             let reply = match client_request::read(now, &words, (&self.classes, &self.names.classes), known) {
@@ -364,7 +371,7 @@
         }
         if let Some(why) = why {
             trace!(?wire, ?why, "closed after its answers");
-            if let Some(line) = why.line() {
+            if let Some(line) = why.error_text() {
                 self.replies.push((wire, Reply::Bytes(error(&line))));
             }
             self.closing.push(wire);
@@ -377,7 +384,7 @@
             return Reply::Bytes(busy(Duration::ZERO));
         }
         let (living, hand_in) = message_record::taken(now, put);
-        match self.engine.hand_in(now, hand_in) {
+        match self.engine.submit(now, hand_in) {
             Admission::New(id) => {
                 trace!(id = id.0, to = living.destination, class = living.class, "taken");
                 self.log.record(Record::Submitted(id.0, Box::new(living)));
@@ -403,22 +410,24 @@
     /// Closes a client that is no longer among the guests.
     fn dismiss(&mut self, wire: ConnectionId, why: &DisconnectReason) {
         trace!(?wire, ?why, clients = self.guests.len(), "dismissed");
-        if let Some(line) = why.line() {
+        if let Some(line) = why.error_text() {
             self.net.send(ConnId(wire.0), &error(&line));
         }
-        self.net.close_when_sent(ConnId(wire.0));
+        self.net.close_after_flush(ConnId(wire.0));
     }
 
     // ---- The turn ----
 
     fn turn(&mut self, now: Time) {
         for _ in 0..ROUNDS {
-            for (endpoint, wait) in self.calls.take_waits() {
-                self.engine.told_to_wait(now, endpoint, wait);
+            for (endpoint, wait) in self.calls.take_retry_after() {
+                self.engine.on_retry_after(now, endpoint, wait);
             }
-            for (attempt, (reported, allowance)) in self.calls.take_ended() {
-                if let Some(living) = self.log.living(attempt.message.0) {
-                    let sent = living.open.map_or(0, |began| now.0.saturating_sub(began.at) / 1_000_000);
+            for (attempt, (reported, allowance)) in self.calls.take_completed() {
+                if let Some(living) = self.log.message(attempt.message.0) {
+                    let sent = living
+                        .open_attempt
+                        .map_or(0, |began| now.0.saturating_sub(began.started_at) / 1_000_000);
                     let (class, to) = (living.class, living.destination);
                     trace!(
                         id = attempt.message.0,
@@ -432,24 +441,25 @@
                     );
                 }
                 self.log.record(Record::AttemptCompleted(attempt.message.0, reported.may_have_run()));
-                self.engine.ended(now, attempt, reported, allowance);
+                self.engine.on_attempt_completed(now, attempt, reported, allowance);
             }
             for command in self.engine.advance(now) {
                 self.carry_out(now, command);
             }
-            for attempt in self.calls.take_ready() {
+            for attempt in self.calls.take_connected() {
                 self.open(now, attempt);
             }
-            for attempt in self.calls.take_due() {
+            for attempt in self.calls.take_ready_to_commit() {
                 if self.is_withheld(now, attempt) {
                     continue;
                 }
                 let zone = self.calls.endpoint(attempt).and_then(|endpoint| self.list.zone(endpoint));
-                let began = AttemptStart { at: now.0, zone: zone.map_or(UNKNOWN_INDEX, |zone| zone.0) };
+                let began =
+                    AttemptStart { started_at: now.0, zone: zone.map_or(UNKNOWN_INDEX, |zone| zone.0) };
                 self.log.record(Record::AttemptStarted(attempt.message.0, began));
                 self.launching.push(attempt);
             }
-            if !self.calls.has_news() && !self.engine.has_news() {
+            if !self.calls.has_pending_events() && !self.engine.has_pending_events() {
                 break;
             }
         }
@@ -462,11 +472,11 @@
             Err(error) => self.undo(now, &error),
         }
         for attempt in std::mem::take(&mut self.launching) {
-            self.engine.set_begun(attempt, true);
-            self.calls.launch(attempt, &mut Sockets(&mut self.net));
+            self.engine.set_attempt_started(attempt, true);
+            self.calls.commit(attempt, &mut Sockets(&mut self.net));
         }
         self.reply();
-        self.notices.tick(now, &mut Sockets(&mut self.net));
+        self.notices.on_tick(now, &mut Sockets(&mut self.net));
     }
 
     /// Guards against effects that the log knows nothing of: without a log nothing is taken on and nothing sent.
@@ -476,13 +486,13 @@
         }
         for attempt in std::mem::take(&mut self.launching) {
             self.log.record(Record::AttemptCompleted(attempt.message.0, false));
-            self.calls.drop_due(attempt, &mut Sockets(&mut self.net));
+            self.calls.discard_uncommitted(attempt, &mut Sockets(&mut self.net));
         }
         for (id, answer) in &mut self.fresh {
             if answer.is_none() {
                 *answer = Some(busy(Duration::ZERO));
                 // Guards against a "+OK" for the same id once more, as of one that was taken on.
-                self.engine.turn_away(now, *id);
+                self.engine.reject(now, *id);
                 self.log.record(Record::Completed(id.0));
             }
         }
@@ -492,19 +502,19 @@
         match command {
             Command::Send { endpoint, attempts } => {
                 for attempt in attempts {
-                    self.engine.set_begun(attempt, false);
+                    self.engine.set_attempt_started(attempt, false);
                     self.parked.push(AwaitingNotification { attempt, endpoint });
                 }
                 self.unpark(now);
             }
-            Command::Abandon { attempt, begun } => {
+            Command::Abandon { attempt, started: begun } => {
                 trace!(id = attempt.message.0, number = attempt.number, "given up waiting");
                 self.parked.retain(|parked| parked.attempt != attempt);
                 self.launching.retain(|launching| *launching != attempt);
                 self.log.record(Record::AttemptCompleted(attempt.message.0, begun));
                 self.calls.abandon(now, attempt, &mut Sockets(&mut self.net));
             }
-            Command::Complete { message, answer, .. } => self.answered(message, answer),
+            Command::Complete { message, outcome: answer, .. } => self.answered(message, answer),
             Command::CloseIdle { endpoint } => self.calls.close_idle(endpoint, &mut Sockets(&mut self.net)),
             Command::Log { text } => info!("{text}"),
             Command::LateReceipt { .. } | Command::Evicted { .. } | Command::Probe { .. } => {}
@@ -528,25 +538,25 @@
             *told = Some(reply);
             return self.log.record(Record::Completed(message.0));
         }
-        let Some(living) = self.log.living(message.0) else { return };
-        self.notices.owe(message.0, message_record::notice(living, ending));
+        let Some(living) = self.log.message(message.0) else { return };
+        self.notices.enqueue(message.0, message_record::notice(living, ending));
         self.log.record(Record::NotificationPending(message.0, ending));
     }
 
     /// Gets connections for calls whose key has no notice out: until it is answered, the message before is not over.
     fn unpark(&mut self, now: Time) {
         for parked in std::mem::take(&mut self.parked) {
-            let Some(living) = self.log.living(parked.attempt.message.0) else { continue };
-            if message_record::order_key(living).is_some_and(|key| self.notices.holds(key)) {
+            let Some(living) = self.log.message(parked.attempt.message.0) else { continue };
+            if message_record::order_key(living).is_some_and(|key| self.notices.is_key_blocked(key)) {
                 self.parked.push(parked);
                 continue;
             }
             let AwaitingNotification { attempt, endpoint } = parked;
             match self.list.address(endpoint) {
                 Some(address) => {
-                    self.calls.begin(now, attempt, endpoint, address, &mut Sockets(&mut self.net))
+                    self.calls.connect(now, attempt, endpoint, address, &mut Sockets(&mut self.net))
                 }
-                None => self.engine.ended(now, attempt, TransportOutcome::NotStarted, None),
+                None => self.engine.on_attempt_completed(now, attempt, TransportOutcome::NotStarted, None),
             }
         }
     }
@@ -557,26 +567,26 @@
     /// wait of 0.67 s).
     fn is_withheld(&mut self, now: Time, attempt: Attempt) -> bool {
         let list = &self.list;
-        let listed = self.calls.leads_to_listed(attempt, |id| list.address(id));
-        if listed && self.engine.may_go(now, attempt) {
+        let listed = self.calls.targets_listed_endpoint(attempt, |id| list.address(id));
+        if listed && self.engine.may_send_now(now, attempt) {
             return false;
         }
         debug!(id = attempt.message.0, number = attempt.number, listed, "withheld");
-        self.calls.withhold(now, attempt, listed, &mut Sockets(&mut self.net));
+        self.calls.abort_before_send(now, attempt, listed, &mut Sockets(&mut self.net));
         true
     }
 
     /// Writes a call but for its last byte.
     fn open(&mut self, now: Time, attempt: Attempt) {
-        let until = self.engine.waits_until(attempt);
+        let until = self.engine.attempt_deadline(attempt);
         if self.is_withheld(now, attempt) {
             return;
         }
-        let (Some(living), Some(until)) = (self.log.living(attempt.message.0), until) else { return };
+        let (Some(living), Some(until)) = (self.log.message(attempt.message.0), until) else { return };
         let left = until - now;
         trace!(id = attempt.message.0, to = living.destination, number = attempt.number, ?left, "sent");
         let bytes = message_record::call(living, left);
-        self.calls.open(now, attempt, &bytes, &mut Sockets(&mut self.net));
+        self.calls.send_all_but_last_byte(now, attempt, &bytes, &mut Sockets(&mut self.net));
     }
 
     fn reply(&mut self) {
@@ -587,16 +597,16 @@
                 Reply::Of(id) => self.fresh.get(&id).cloned().flatten().unwrap_or_else(|| simple("OK")),
             };
             self.net.send(ConnId(wire.0), &bytes);
-            if self.net.unsent(ConnId(wire.0)) > UNREAD {
-                self.guests.left(wire);
+            if self.net.unsent_bytes(ConnId(wire.0)) > UNREAD {
+                self.guests.remove(wire);
                 self.net.close(ConnId(wire.0));
             } else if leaving {
                 self.closing.push(wire);
             }
         }
         for wire in std::mem::take(&mut self.closing) {
-            self.guests.left(wire);
-            self.net.close_when_sent(ConnId(wire.0));
+            self.guests.remove(wire);
+            self.net.close_after_flush(ConnId(wire.0));
         }
         self.fresh.clear();
     }
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -46,8 +46,8 @@
     fn write(&mut self, wire: ConnectionId, bytes: &[u8]) {
         self.0.send(ConnId(wire.0), bytes);
     }
-    fn end_sending(&mut self, wire: ConnectionId) {
-        self.0.end_sending(ConnId(wire.0));
+    fn shutdown_write(&mut self, wire: ConnectionId) {
+        self.0.shutdown_write(ConnId(wire.0));
     }
     fn close(&mut self, wire: ConnectionId) {
         self.0.close(ConnId(wire.0));
@@ -81,41 +81,46 @@
         };
         let (mut calls, now) = (Requests::new(terms), Time::ZERO + SECOND);
         let (attempt, to) = (Attempt { message: MessageId(1), number: 0 }, EndpointId(1));
-        calls.begin(now, attempt, to, endpoint.local_addr().unwrap(), &mut Sockets(&mut net));
+        calls.connect(now, attempt, to, endpoint.local_addr().unwrap(), &mut Sockets(&mut net));
         let (mut stream, _) = endpoint.accept().unwrap();
-        while calls.take_ready().is_empty() {
+        while calls.take_connected().is_empty() {
             for event in net.poll(Some(SECOND)).unwrap() {
                 if let NetEvent::Connected(conn) = event {
-                    calls.connected(ConnectionId(conn.0));
+                    calls.on_connected(ConnectionId(conn.0));
                 }
             }
         }
-        calls.open(now, attempt, b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n1", &mut Sockets(&mut net));
+        calls.send_all_but_last_byte(
+            now,
+            attempt,
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n1",
+            &mut Sockets(&mut net),
+        );
         let mut head = [0; 38];
         stream.read_exact(&mut head).unwrap();
         stream.write_all(b"HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n").unwrap();
         socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
         drop(stream);
         // No look at the sockets in between.
-        calls.tick(now + SECOND, &mut Sockets(&mut net));
-        assert_eq!(calls.take_due(), [attempt]);
-        calls.launch(attempt, &mut Sockets(&mut net));
+        calls.on_tick(now + SECOND, &mut Sockets(&mut net));
+        assert_eq!(calls.take_ready_to_commit(), [attempt]);
+        calls.commit(attempt, &mut Sockets(&mut net));
         while calls.connections() > 0 {
             for event in net.poll(Some(SECOND)).unwrap() {
                 match event {
                     NetEvent::Bytes(conn, bytes) => {
-                        calls.bytes(now, ConnectionId(conn.0), &bytes, &mut Sockets(&mut net));
+                        calls.on_bytes(now, ConnectionId(conn.0), &bytes, &mut Sockets(&mut net));
                     }
-                    NetEvent::Flushed(conn) => calls.written(ConnectionId(conn.0)),
+                    NetEvent::Flushed(conn) => calls.on_flushed(ConnectionId(conn.0)),
                     NetEvent::Closed { conn, clean } => {
-                        calls.lost(now, ConnectionId(conn.0), clean, &mut Sockets(&mut net));
+                        calls.on_closed(now, ConnectionId(conn.0), clean, &mut Sockets(&mut net));
                     }
                     _ => {}
                 }
             }
         }
         let wait = Duration::from_millis(2500);
-        assert_eq!(calls.take_waits(), [(to, wait)]);
-        assert_eq!(calls.take_ended(), [(attempt, (TransportOutcome::Rejected(Some(wait)), None))]);
+        assert_eq!(calls.take_retry_after(), [(to, wait)]);
+        assert_eq!(calls.take_completed(), [(attempt, (TransportOutcome::Rejected(Some(wait)), None))]);
     }
 }
--- a/crates/resp-gateway/src/message_record.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -15,16 +15,16 @@
 
 /// What the log keeps of a message that is taken on now, and what the engine is handed.
 pub fn taken(now: Time, put: PutRequest) -> (LiveMessage, SubmitRequest) {
-    let PutRequest { hand_in, idempotency, body } = put;
+    let PutRequest { submission: hand_in, idempotency_key: idempotency, body } = put;
     let living = LiveMessage {
-        id: hand_in.name.clone().into_bytes(),
-        idempotency,
+        id: hand_in.idempotency_key.clone().into_bytes(),
+        idempotency_key: idempotency,
         class: hand_in.class.0,
         destination: hand_in.destination.0,
-        order: hand_in.key.map_or(0, |key| key.0),
-        taken_at: now.0,
+        order_key: hand_in.order_key.map_or(0, |key| key.0),
+        submitted_at: now.0,
         deadline: hand_in.deadline.0,
-        after_loss: hand_in.after_loss,
+        from_lost_instance: hand_in.from_lost_instance,
         body,
         ..LiveMessage::default()
     };
@@ -33,32 +33,32 @@
 
 /// What it is about, for classes in order.
 pub fn order_key(living: &LiveMessage) -> Option<OrderKey> {
-    (living.order != 0).then_some(OrderKey(living.order))
+    (living.order_key != 0).then_some(OrderKey(living.order_key))
 }
 
 /// What the engine is handed of a message that an earlier process owes. An attempt without an outcome may have run
 /// from the moment when it was begun; the log keeps that from here on.
 pub fn recovered(living: &mut LiveMessage, class: Option<&Class>) -> (SubmitRequest, RecoveredAttempts) {
-    let unsettled = living.open.take();
+    let unsettled = living.open_attempt.take();
     living.may_have_run = living.may_have_run.or(unsettled);
     let since = may_have_run_since(living, class);
     let past = RecoveredAttempts {
-        taken_at: Time(living.taken_at),
+        submitted_at: Time(living.submitted_at),
         attempts: u32::from(living.attempts),
         may_have_run: since,
-        unsettled: unsettled.is_some(),
+        last_attempt_open: unsettled.is_some(),
     };
     let hand_in = SubmitRequest {
         client: 0,
-        name: text(&living.id),
+        idempotency_key: text(&living.id),
         fingerprint: [0; 32],
         class: ClassId(living.class),
         destination: DestinationId(living.destination),
-        key: order_key(living),
+        order_key: order_key(living),
         deadline: Time(living.deadline),
         tenant: Default::default(),
-        again: false,
-        after_loss: living.after_loss,
+        resubmitted: false,
+        from_lost_instance: living.from_lost_instance,
     };
     (hand_in, past)
 }
@@ -77,9 +77,9 @@
 pub fn strictest(classes: &[Class]) -> Class {
     let longest = |span: fn(&Class) -> Duration| classes.iter().map(span).max();
     let base = Class::default();
-    let aim = longest(|class| class.aim).unwrap_or(base.aim);
+    let aim = longest(|class| class.latency_objective).unwrap_or(base.latency_objective);
     let deadline = longest(|class| class.deadline).unwrap_or(base.deadline);
-    Class { effect: Effect::Unsafe, in_order: true, aim, deadline, ..base }
+    Class { effect: Effect::Unsafe, ordered: true, latency_objective: aim, deadline, ..base }
 }
 
 /// What places mean in this process; the last class is [`strictest`].
@@ -108,7 +108,7 @@
         }
     };
     living.class = u8::try_from(class).unwrap_or(u8::MAX);
-    for began in [&mut living.may_have_run, &mut living.open].into_iter().flatten() {
+    for began in [&mut living.may_have_run, &mut living.open_attempt].into_iter().flatten() {
         let name = then.zones.get(usize::from(began.zone));
         let found = name.and_then(|name| now.zones.iter().position(|known| known == name));
         began.zone = found.and_then(|place| u8::try_from(place).ok()).unwrap_or(UNKNOWN_INDEX);
@@ -118,10 +118,10 @@
 /// When the first attempt was sent that may have run, and in which zone, here or at a courier that was lost.
 fn may_have_run_since(living: &LiveMessage, class: Option<&Class>) -> Option<(Time, Option<ZoneId>)> {
     let zone = |began: AttemptStart| Some(ZoneId(began.zone)).filter(|_| began.zone != UNKNOWN_INDEX);
-    let since = living.may_have_run.map(|began| (Time(began.at), zone(began)));
-    let Some(class) = class.filter(|_| living.after_loss) else { return since };
+    let since = living.may_have_run.map(|began| (Time(began.started_at), zone(began)));
+    let Some(class) = class.filter(|_| living.from_lost_instance) else { return since };
     // It may have run at the courier that was lost at any time since it was first handed in, nobody knows where.
-    let handed_in = (Time(living.deadline) - class.deadline).min(Time(living.taken_at));
+    let handed_in = (Time(living.deadline) - class.deadline).min(Time(living.submitted_at));
     Some((since.map_or(handed_in, |(since, _)| since.min(handed_in)), None))
 }
 
@@ -137,7 +137,7 @@
 /// The call that an endpoint gets, waited for so long.
 pub fn call(living: &LiveMessage, wait: Duration) -> Vec<u8> {
     let mut headers = Headers::new().with("Host", "partner").with("Req-Id", text(&living.id));
-    if let Some(key) = &living.idempotency {
+    if let Some(key) = &living.idempotency_key {
         headers.add("Idempotency-Key", text(key));
     }
     headers.add("Req-Deadline", format!("{}m", wait.as_millis().max(1)));
@@ -153,7 +153,7 @@
     fn kept() -> LiveMessage {
         LiveMessage {
             id: b"a".to_vec(),
-            taken_at: 100 * S,
+            submitted_at: 100 * S,
             deadline: 108 * S,
             attempts: 2,
             ..LiveMessage::default()
@@ -161,18 +161,18 @@
     }
 
     fn began(s: u64) -> AttemptStart {
-        AttemptStart { at: s * S, zone: 1 }
+        AttemptStart { started_at: s * S, zone: 1 }
     }
 
     #[test]
     fn an_attempt_without_an_outcome_may_have_run_unless_an_earlier_one_did() {
         let since = |may_have_run: Option<u64>, open: Option<u64>| {
             let (may_have_run, open) = (may_have_run.map(began), open.map(began));
-            let mut living = LiveMessage { may_have_run, open, ..kept() };
+            let mut living = LiveMessage { may_have_run, open_attempt: open, ..kept() };
             let (_, past) = recovered(&mut living, None);
-            let kept = living.may_have_run.map(|began| (Time(began.at), Some(ZoneId(1))));
-            assert_eq!((living.open, kept), (None, past.may_have_run));
-            (past.may_have_run.map(|(at, _)| at.0 / S), past.unsettled, past.attempts)
+            let kept = living.may_have_run.map(|began| (Time(began.started_at), Some(ZoneId(1))));
+            assert_eq!((living.open_attempt, kept), (None, past.may_have_run));
+            (past.may_have_run.map(|(at, _)| at.0 / S), past.last_attempt_open, past.attempts)
         };
         assert_eq!(since(None, None), (None, false, 2));
         assert_eq!(since(None, Some(103)), (Some(103), true, 2));
@@ -210,9 +210,10 @@
             &["b", "c"],
         );
         let after = |class: u8, zone: u8| {
-            let mut living = LiveMessage { class, open: Some(AttemptStart { at: 1, zone }), ..kept() };
+            let mut living =
+                LiveMessage { class, open_attempt: Some(AttemptStart { started_at: 1, zone }), ..kept() };
             moved(&mut living, &then, &now);
-            (living.class, living.open.unwrap().zone)
+            (living.class, living.open_attempt.unwrap().zone)
         };
         let all: Vec<u8> = (0..6).map(|class| after(class, 0).0).collect();
         assert_eq!(all, [2, 0, 4, 4, 3, 4], "the last one is of no name in both");
@@ -227,17 +228,20 @@
 
     #[test]
     fn the_strictest_class_moves_no_sum_over_classes() {
-        let short = Class { aim: Duration::from_millis(300), ..Class::default() };
+        let short = Class { latency_objective: Duration::from_millis(300), ..Class::default() };
         let long = Class { deadline: Duration::from_secs(99), ..Class::default() };
         let strictest = strictest(&[short.clone(), long.clone()]);
-        assert!(strictest.aim >= short.aim.max(long.aim) && strictest.deadline == long.deadline);
-        assert_eq!((strictest.effect, strictest.in_order), (Effect::Unsafe, true));
+        assert!(
+            strictest.latency_objective >= short.latency_objective.max(long.latency_objective)
+                && strictest.deadline == long.deadline
+        );
+        assert_eq!((strictest.effect, strictest.ordered), (Effect::Unsafe, true));
     }
 
     #[test]
     fn what_a_lost_courier_held_counts_from_its_first_hand_in() {
         let class = Class { deadline: Duration::from_secs(12), ..Class::default() };
-        let mut living = LiveMessage { after_loss: true, may_have_run: Some(began(101)), ..kept() };
+        let mut living = LiveMessage { from_lost_instance: true, may_have_run: Some(began(101)), ..kept() };
         assert_eq!(recovered(&mut living, Some(&class)).1.may_have_run, Some((Time(96 * S), None)));
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -147,7 +147,7 @@
     use cloverstile::{Class, Effect, Group};
     let base = Class::default();
     let class = Class {
-        aim: block.span("aim", base.aim),
+        latency_objective: block.span("aim", base.latency_objective),
         deadline: block.span("deadline", base.deadline),
         effect: block.choice(
             "effect",
@@ -155,15 +155,15 @@
             Effect::Unsafe,
         ),
         group: block.choice("group", &[("all", Group::All), ("zone", Group::Zone)], Group::Zone),
-        repeat_window: block.span("repeat_window", Duration::ZERO),
-        in_order: block.flag("in_order", false),
-        worth: block.number("worth", 0.0, 1e6, base.worth),
-        late_share: block.number("late_share", 0.0, 1.0, 0.0),
+        retry_window: block.span("repeat_window", Duration::ZERO),
+        ordered: block.flag("in_order", false),
+        priority_weight: block.number("worth", 0.0, 1e6, base.priority_weight),
+        late_value_ratio: block.number("late_share", 0.0, 1.0, 0.0),
     };
-    if class.aim > class.deadline {
+    if class.latency_objective > class.deadline {
         block.problem_at("aim", "is longer than the deadline", "make it at most as long as 'deadline'");
     }
-    if class.effect == Effect::Keyed && class.repeat_window.is_zero() {
+    if class.effect == Effect::Keyed && class.retry_window.is_zero() {
         let what = "is missing: partners drop repeats of a keyed message for some time only";
         block.problem_at("repeat_window", what, "set it to that time, such as \"10s\"");
     }
@@ -176,8 +176,8 @@
         .iter()
         .map(|(_, block)| {
             let kind = cloverstile::Kind {
-                batch: block.number("batch", 1, 1_000, 1),
-                own_limits: block.flag("own_limits", false),
+                max_batch: block.number("batch", 1, 1_000, 1),
+                per_endpoint_limits: block.flag("own_limits", false),
             };
             block.finish();
             kind
@@ -200,13 +200,13 @@
         None => base.rules,
         Some(block) => {
             let rules = Rules {
-                answer_slack: block.span("answer_slack", base.rules.answer_slack),
-                cold_from: block.number("cold_from", 0.01, 1.0, base.rules.cold_from),
-                cold: block.span("cold", base.rules.cold),
-                tip_multiple: block.number("tip_multiple", 1.0, 100.0, base.rules.tip_multiple),
-                fall: block.span("fall", base.rules.fall),
-                order_settle: block.span("order_settle", base.rules.order_settle),
-                ask_every: base.rules.ask_every,
+                answer_grace: block.span("answer_slack", base.rules.answer_grace),
+                warm_up_capacity: block.number("cold_from", 0.01, 1.0, base.rules.warm_up_capacity),
+                warm_up_time: block.span("cold", base.rules.warm_up_time),
+                overload_multiple: block.number("tip_multiple", 1.0, 100.0, base.rules.overload_multiple),
+                overload_window: block.span("fall", base.rules.overload_window),
+                key_cooldown: block.span("order_settle", base.rules.key_cooldown),
+                discovery_interval: base.rules.discovery_interval,
             };
             block.finish();
             rules
@@ -215,7 +215,7 @@
     let zone = courier.text("zone").map_or(Some(0), |name| place(courier, "zone", &name, zones));
     let stay_away: Duration = courier.span("stay_away_most", Duration::ZERO);
     Some(Settings {
-        couriers: courier.number("couriers", 1, 100_000, 1),
+        instance_count: courier.number("couriers", 1, 100_000, 1),
         zone: ZoneId(zone? as u8),
         classes: classes.iter().map(|(_, class)| class.clone()).collect(),
         tenants: tenants.iter().map(|(_, tenant)| tenant.clone()).collect(),
@@ -223,16 +223,16 @@
         weights,
         discovery: Discovery::Push,
         decay: courier.choice("decay", &[("line", Decay::Linear), ("halves", Decay::Halving)], Decay::Linear),
-        marks_again: true,
-        stay_away_most: (!stay_away.is_zero()).then_some(stay_away),
-        call_slots: courier.number("call_slots", 1, 100_000, 64),
-        most_held: courier.number("most_held", 1, 1_000_000, 2_000),
-        send_cap: courier.number("send_cap", 1, 100, base.send_cap),
-        cancel: courier.flag("cancel", true),
-        second_copies: false,
-        over_share_worth: courier.number("over_share_worth", 0.0, 1.0, base.over_share_worth),
+        clients_mark_retries: true,
+        max_retry_after: (!stay_away.is_zero()).then_some(stay_away),
+        concurrency_limit: courier.number("call_slots", 1, 100_000, 64),
+        max_queued: courier.number("most_held", 1, 1_000_000, 2_000),
+        max_attempts: courier.number("send_cap", 1, 100, base.max_attempts),
+        can_abandon: courier.flag("cancel", true),
+        allows_hedging: false,
+        over_quota_weight: courier.number("over_share_worth", 0.0, 1.0, base.over_quota_weight),
         connect_timeout: courier.span("connect_timeout", base.connect_timeout),
-        conn_idle: courier.span("idle_timeout", base.conn_idle),
+        connection_idle_timeout: courier.span("idle_timeout", base.connection_idle_timeout),
         rules,
     })
 }
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -66,12 +66,15 @@
 #[test]
 fn a_good_file_reaches_the_module_unchanged() {
     let config = parse("c.hcl", GOOD).unwrap_or_else(|problems| panic!("{problems}"));
-    assert_eq!((config.module.couriers, config.module.call_slots, config.module.zone.0), (3, 24, 1));
+    assert_eq!(
+        (config.module.instance_count, config.module.concurrency_limit, config.module.zone.0),
+        (3, 24, 1)
+    );
     assert_eq!(config.module.classes[0].effect, cloverstile::Effect::Unsafe);
-    assert_eq!(config.module.classes[1].repeat_window, Duration::from_secs(10));
-    assert!(config.module.classes[1].in_order);
-    assert_eq!(config.module.kinds[0].batch, 4);
-    assert_eq!(config.module.rules.order_settle, Duration::from_millis(100));
+    assert_eq!(config.module.classes[1].retry_window, Duration::from_secs(10));
+    assert!(config.module.classes[1].ordered);
+    assert_eq!(config.module.kinds[0].max_batch, 4);
+    assert_eq!(config.module.rules.key_cooldown, Duration::from_millis(100));
     assert_eq!(config.module.tenants[0].quota, 40.0);
     assert_eq!(config.front.body, 2 << 20);
     let partner = &config.partners[0];
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -372,7 +372,7 @@
     /// The classes as the module wants them, in the order of their names.
     pub fn classes(&self) -> Vec<Class> {
         let class = |spec: &ClassSpec| Class {
-            aim: span(spec.aim),
+            latency_objective: span(spec.aim),
             deadline: span(spec.deadline),
             effect: match spec.effect.as_str() {
                 "safe" => Effect::Safe,
@@ -380,10 +380,10 @@
                 _ => Effect::Unsafe,
             },
             group: if spec.group == "zone" { Group::Zone } else { Group::All },
-            repeat_window: span(spec.window),
-            in_order: spec.in_order,
-            worth: spec.worth,
-            late_share: spec.late_share,
+            retry_window: span(spec.window),
+            ordered: spec.in_order,
+            priority_weight: spec.worth,
+            late_value_ratio: spec.late_share,
         };
         self.class.values().map(class).collect()
     }
@@ -392,13 +392,13 @@
     pub fn rules(&self) -> Rules {
         let rules = &self.rules;
         Rules {
-            answer_slack: span(rules.answer_slack),
-            cold_from: rules.cold_from,
-            cold: span(rules.cold),
-            tip_multiple: rules.tip_multiple,
-            fall: span(rules.fall),
-            order_settle: span(rules.order_settle),
-            ask_every: span(10.0),
+            answer_grace: span(rules.answer_slack),
+            warm_up_capacity: rules.cold_from,
+            warm_up_time: span(rules.cold),
+            overload_multiple: rules.tip_multiple,
+            overload_window: span(rules.fall),
+            key_cooldown: span(rules.order_settle),
+            discovery_interval: span(10.0),
         }
     }
 
--- a/crates/simulator/src/spread/world.rs
+++ b/crates/simulator/src/spread/world.rs
@@ -377,7 +377,7 @@
         let again = message.effect_at.is_some_and(|at| match class.effect {
             Effect::Safe => false,
             // Inside the window a repeat is dropped, at whichever endpoint.
-            Effect::Keyed => self.now - at >= class.repeat_window,
+            Effect::Keyed => self.now - at >= class.retry_window,
             Effect::Unsafe => true,
         });
         self.run.audit.twice += u64::from(again);
--- a/crates/simulator/src/spread/world/couriers.rs
+++ b/crates/simulator/src/spread/world/couriers.rs
@@ -3,7 +3,7 @@
 use super::super::plain::Nature;
 use super::*;
 use cloverstile::{ClassId, DestinationId, EndpointState, KindId, TenantId, ZoneId};
-use cloverstile_engine::{Admission, Bounds, Command, FinalOutcome, SubmitRequest};
+use cloverstile_engine::{Admission, Command, FinalOutcome, ResultCacheLimits, SubmitRequest};
 
 /// Share of the couriers' tries that a deadline leaves: attempts for a message.
 const SEND_CAP: u32 = 8;
@@ -11,14 +11,16 @@
 /// What a module is handed at its start.
 pub(super) fn settings(scene: &Scene) -> Settings {
     Settings {
-        couriers: scene.couriers as u32,
+        instance_count: scene.couriers as u32,
         classes: scene.classes(),
-        kinds: [false, true].map(|own_limits| cloverstile::Kind { batch: 1, own_limits }).to_vec(),
-        call_slots: scene.call_slots,
-        most_held: scene.most_held,
-        send_cap: SEND_CAP,
-        conn_idle: Duration::from_secs_f64(scene.conn_idle),
-        stay_away_most: Some(Duration::from_secs(5)),
+        kinds: [false, true]
+            .map(|own_limits| cloverstile::Kind { max_batch: 1, per_endpoint_limits: own_limits })
+            .to_vec(),
+        concurrency_limit: scene.call_slots,
+        max_queued: scene.most_held,
+        max_attempts: SEND_CAP,
+        connection_idle_timeout: Duration::from_secs_f64(scene.conn_idle),
+        max_retry_after: Some(Duration::from_secs(5)),
         rules: scene.rules(),
         ..Settings::default()
     }
@@ -28,7 +30,7 @@
     pub(super) fn seat(&mut self, courier: usize, seed: u64) -> Seat {
         let mind = match self.who {
             Who::Module => {
-                let bounds = Bounds { remembered: 1000, answers_kept: Duration::from_secs(2) };
+                let bounds = ResultCacheLimits { max_results: 1000, retention: Duration::from_secs(2) };
                 Mind::Module(Box::new(Engine::new(self.settings.clone(), bounds, seed)))
             }
             Who::Plain(choice, limiter) => {
@@ -73,7 +75,7 @@
                         zone: ZoneId(0),
                         kind: KindId(u16::from(apart)),
                         destination: DestinationId(partner as u16),
-                        mode: if replaced.contains(&place) {
+                        state: if replaced.contains(&place) {
                             EndpointState::Draining
                         } else {
                             EndpointState::Ready
@@ -82,7 +84,7 @@
                     }
                 });
                 let entries: Vec<_> = entries.collect();
-                engine.list(time(self.now), entries);
+                engine.update_endpoints(time(self.now), entries);
             }
             Mind::Plain(plain) => {
                 let list = (0..self.sites.partners.len()).map(|partner| {
@@ -119,17 +121,17 @@
             Mind::Module(engine) => {
                 let taken = SubmitRequest {
                     client: 0,
-                    name: number.to_string(),
+                    idempotency_key: number.to_string(),
                     fingerprint: [0; 32],
                     class: ClassId(class as u8),
                     destination: DestinationId(partner as u16),
-                    key: None,
+                    order_key: None,
                     deadline: time(deadline),
                     tenant: TenantId(0),
-                    again: after_loss,
-                    after_loss,
+                    resubmitted: after_loss,
+                    from_lost_instance: after_loss,
                 };
-                match engine.hand_in(time(now), taken) {
+                match engine.submit(time(now), taken) {
                     Admission::New(id) | Admission::InFlight(id) => {
                         seat.held.insert(id, number);
                         true
@@ -160,7 +162,7 @@
                     self.carry_out(courier, command);
                 }
                 match &self.seats[courier as usize].mind {
-                    Mind::Module(engine) => engine.next_wake().map(|at| (at - Time::ZERO).max(now)),
+                    Mind::Module(engine) => engine.next_timeout().map(|at| (at - Time::ZERO).max(now)),
                     Mind::Plain(_) => None,
                 }
             }
@@ -212,7 +214,7 @@
                     self.messages[number as usize].waits.get_or_insert(self.now);
                 }
             }
-            Command::Complete { message, answer, .. } => {
+            Command::Complete { message, outcome: answer, .. } => {
                 if let Some(number) = self.seats[courier as usize].held.get(&message).copied() {
                     self.let_go(courier, number);
                     let place = match answer {
@@ -307,9 +309,10 @@
                     Reply::Full(wait) => TransportOutcome::Rejected(wait),
                     Reply::Half | Reply::Reset => TransportOutcome::Reset,
                 };
-                let allowance = at.told.map(|told| RateLimitStatus { left: told.left, limit: told.limit });
+                let allowance =
+                    at.told.map(|told| RateLimitStatus { remaining: told.left, limit: told.limit });
                 if let Some(attempt) = at.attempt {
-                    engine.ended(time(now), attempt, reported, allowance);
+                    engine.on_attempt_completed(time(now), attempt, reported, allowance);
                 }
             }
             Mind::Plain(plain) => {
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -140,10 +140,10 @@
     fn new(scenario: &'a Scenario, policy: PolicyKind, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let settings = Settings {
-            couriers: scenario.couriers as u32,
+            instance_count: scenario.couriers as u32,
             classes: scenario.classes(),
-            call_slots: scenario.call_slots,
-            most_held: scenario.most_held,
+            concurrency_limit: scenario.call_slots,
+            max_queued: scenario.most_held,
             rules: scenario.rules(),
             ..Settings::default()
         };
@@ -282,22 +282,22 @@
         let message = &self.run.messages[number as usize];
         let taken = SubmitRequest {
             client: 0,
-            name: number.to_string(),
+            idempotency_key: number.to_string(),
             fingerprint: [0; 32],
             class: ClassId(message.class),
             destination: DestinationId(message.bank as u16),
-            key: message.key.map(|(key, _)| OrderKey(key)),
+            order_key: message.key.map(|(key, _)| OrderKey(key)),
             deadline: time(message.deadline),
             tenant: TenantId(0),
-            again: after_loss,
-            after_loss,
+            resubmitted: after_loss,
+            from_lost_instance: after_loss,
         };
         self.run.hand_ins.push(Handed { courier, bank: message.bank, message: number });
         let seat = &mut self.seats[courier as usize];
         if seat.down {
             return self.give_answer(number, FinalOutcome::Rejected(Duration::ZERO));
         }
-        match seat.engine.hand_in(time(self.now), taken) {
+        match seat.engine.submit(time(self.now), taken) {
             Admission::New(id) | Admission::InFlight(id) => {
                 seat.held.insert(id, number);
                 self.turn(courier);
@@ -338,7 +338,7 @@
             self.carry_out(courier, command);
         }
         let seat = &mut self.seats[courier as usize];
-        let Some(next) = seat.engine.next_wake() else { return };
+        let Some(next) = seat.engine.next_timeout() else { return };
         let next = next.max(now);
         if seat.wake.is_none_or(|set| next < set) {
             seat.wake = Some(next);
@@ -364,7 +364,7 @@
             Command::Abandon { attempt, .. } => {
                 self.in_flight.remove(&(courier, epoch, attempt));
             }
-            Command::Complete { message, answer, .. } => {
+            Command::Complete { message, outcome: answer, .. } => {
                 if let Some(number) = seat.held.get(&message).copied() {
                     self.give_answer(number, answer);
                 }
@@ -460,7 +460,7 @@
             return;
         }
         let limit = self.sites[site as usize].model.nature().limit.unwrap_or(0.0);
-        let told = |left: u32| RateLimitStatus { left: f64::from(left) / 1e6, limit };
+        let told = |left: u32| RateLimitStatus { remaining: f64::from(left) / 1e6, limit };
         let (reported, allowance) = match reply {
             Told::Processed(left) => (TransportOutcome::Processed, left.map(told)),
             Told::Error => (TransportOutcome::Error, None),
@@ -476,7 +476,7 @@
             let until = seat.waits.entry(site).or_default();
             *until = (*until).max(self.now + wait);
         }
-        seat.engine.ended(time(self.now), attempt, reported, allowance);
+        seat.engine.on_attempt_completed(time(self.now), attempt, reported, allowance);
         self.turn(courier);
     }
 
@@ -520,7 +520,7 @@
                 if act == Act::Drain {
                     let list = self.list();
                     for courier in 0..self.seats.len() {
-                        self.seats[courier].engine.list(time(self.now), list.clone());
+                        self.seats[courier].engine.update_endpoints(time(self.now), list.clone());
                         self.turn(courier as u32);
                     }
                 }
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -4,7 +4,7 @@
 use crate::baseline::{HealthyShare, PolicyKind};
 use crate::scenario::SiteSpec;
 use cloverstile::{DestinationId, Endpoint, EndpointId, EndpointState, KindId, ZoneId};
-use cloverstile_engine::{Bounds, Engine};
+use cloverstile_engine::{Engine, ResultCacheLimits};
 use cloverstile_failover::{Fleet, Planner, Tiers};
 use cloverstile_fakes::model::Partner;
 use rand::{Rng, SeedableRng};
@@ -91,7 +91,7 @@
     }
 
     pub(super) fn engine(&self, courier: usize, seed: u64) -> Engine {
-        let bounds = Bounds { remembered: 1000, answers_kept: Duration::from_secs(2) };
+        let bounds = ResultCacheLimits { max_results: 1000, retention: Duration::from_secs(2) };
         let engine = Engine::new(self.settings.clone(), bounds, seed);
         let tiered = || self.banks.iter().filter(|(sites, _)| sites.len() > 1);
         let with = |change: &dyn Fn(&mut Tiers)| {
@@ -100,7 +100,7 @@
                 change(&mut tiers);
                 tiers
             });
-            let (couriers, place) = (self.settings.couriers, courier as u32);
+            let (couriers, place) = (self.settings.instance_count, courier as u32);
             let fleet = Fleet { couriers, place, ..Fleet::of(&self.settings.rules) };
             Planner::new(time(self.now), fleet, changed.collect())
         };
@@ -126,7 +126,7 @@
                 engine.with_planner(HealthyShare::new(self.checks.clone(), slow_start, banks))
             }
         };
-        engine.list(time(self.now), self.list());
+        engine.update_endpoints(time(self.now), self.list());
         engine
     }
 
@@ -139,7 +139,11 @@
                 zone: site.zone,
                 kind: KindId(0),
                 destination: self.banks[site.bank as usize].1.destinations[site.tier],
-                mode: if address.draining.is_some() { EndpointState::Draining } else { EndpointState::Ready },
+                state: if address.draining.is_some() {
+                    EndpointState::Draining
+                } else {
+                    EndpointState::Ready
+                },
                 weight: site.rate,
             }
         };
--- a/crates/testbench/src/fleet/ground/troubles.rs
+++ b/crates/testbench/src/fleet/ground/troubles.rs
@@ -73,7 +73,7 @@
         for place in 0..self.sites.endpoints.len() {
             if self.sites.endpoints[place].until <= now {
                 if let Some(listener) = self.by_place[place].take() {
-                    self.net.unlisten(listener);
+                    self.net.stop_listening(listener);
                 }
             }
         }
--- a/crates/testbench/src/fleet/judge.rs
+++ b/crates/testbench/src/fleet/judge.rs
@@ -58,7 +58,7 @@
     /// A client has a message for a courier; its number.
     pub fn handed(&mut self, now: Duration, courier: usize, partner: usize, class: usize) -> usize {
         let deadline = now + self.classes[class].deadline;
-        self.run.offered += self.classes[class].worth;
+        self.run.offered += self.classes[class].priority_weight;
         self.run.record.messages += 1;
         self.messages.push(Message {
             partner,
@@ -110,7 +110,7 @@
         let class = &classes[message.class];
         let again = message.doubt.is_some_and(|since| match class.effect {
             Effect::Safe => false,
-            Effect::Keyed => now.saturating_sub(since) > class.repeat_window,
+            Effect::Keyed => now.saturating_sub(since) > class.retry_window,
             Effect::Unsafe => true,
         });
         self.run.audit.twice += u64::from(again);
@@ -205,9 +205,9 @@
 
 /// Worth by age: all within the aim, then falling evenly to the late share at the deadline.
 fn worth(class: &Class, age: f64) -> f64 {
-    let (aim, deadline) = (class.aim.as_secs_f64(), class.deadline.as_secs_f64());
+    let (aim, deadline) = (class.latency_objective.as_secs_f64(), class.deadline.as_secs_f64());
     let late = ((age - aim) / (deadline - aim).max(0.001)).clamp(0.0, 1.0);
-    class.worth * (1.0 - (1.0 - class.late_share) * late)
+    class.priority_weight * (1.0 - (1.0 - class.late_value_ratio) * late)
 }
 
 #[cfg(test)]
@@ -219,8 +219,13 @@
     }
 
     fn books(effect: Effect) -> Books {
-        let class =
-            Class { effect, deadline: ms(5000), repeat_window: ms(2000), aim: ms(1000), ..Class::default() };
+        let class = Class {
+            effect,
+            deadline: ms(5000),
+            retry_window: ms(2000),
+            latency_objective: ms(1000),
+            ..Class::default()
+        };
         Books::new(vec![class])
     }
 
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -5,7 +5,7 @@
 //! one, which takes the old one's place by its name; both together stay under the bound. [`store::Dir`] is the
 //! one part that touches files.
 //!
-//! NameTable: `log.N` is a segment, complete from the moment it has that name; the highest `N` counts. `log.tmp` is
+//! Names: `log.N` is a segment, complete from the moment it has that name; the highest `N` counts. `log.tmp` is
 //! one that was being written when the process ended, and means nothing.
 #![forbid(unsafe_code)]
 
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,6 +1,6 @@
 //! The log as state: what lives, what a turn adds, when a new segment is due, and what a start finds.
 
-use crate::record::{write_taken, LiveMessage, NameTable, Record};
+use crate::record::{write_submitted, LiveMessage, NameTable, Record};
 use crate::store::SegmentStore;
 use std::collections::BTreeMap;
 use std::io;
@@ -19,9 +19,9 @@
 #[derive(Debug, Default)]
 pub struct Recovered {
     /// The living, in the order in which they were taken.
-    pub living: Vec<LiveMessage>,
+    pub messages: Vec<LiveMessage>,
     /// Bytes of a torn or damaged tail that were given up.
-    pub torn: usize,
+    pub discarded_bytes: usize,
     /// What places meant at that time; nothing in a log of before that was kept.
     pub names: NameTable,
 }
@@ -43,7 +43,7 @@
 
 /// What a message takes in a segment, at most.
 fn size(living: &LiveMessage) -> u64 {
-    (living.id.len() + living.idempotency.as_ref().map_or(0, Vec::len) + living.body.len() + 96) as u64
+    (living.id.len() + living.idempotency_key.as_ref().map_or(0, Vec::len) + living.body.len() + 96) as u64
 }
 
 fn name(segment: u64) -> String {
@@ -76,8 +76,8 @@
         if let Some(newest) = segments.pop() {
             log.segment = newest;
             let bytes = log.folder.read(&name(newest))?;
-            recovered.torn = log.replay(&bytes);
-            recovered.living = std::mem::take(&mut log.living).into_values().collect();
+            recovered.discarded_bytes = log.replay(&bytes);
+            recovered.messages = std::mem::take(&mut log.living).into_values().collect();
             log.living_bytes = 0;
             recovered.names = std::mem::take(&mut log.names);
         }
@@ -106,12 +106,12 @@
             Record::AttemptStarted(seq, began) => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     living.attempts = living.attempts.saturating_add(1);
-                    living.open = Some(began);
+                    living.open_attempt = Some(began);
                 }
             }
             Record::AttemptCompleted(seq, may_have_run) => {
                 if let Some(living) = self.living.get_mut(&seq) {
-                    let begun = living.open.take();
+                    let begun = living.open_attempt.take();
                     if may_have_run && living.may_have_run.is_none() {
                         living.may_have_run = begun;
                     }
@@ -121,7 +121,7 @@
                 if let Some(living) = self.living.get_mut(&seq) {
                     self.living_bytes -= living.body.len() as u64;
                     living.body = Vec::new();
-                    living.owed = Some(ending);
+                    living.pending_notification = Some(ending);
                 }
             }
             Record::Completed(seq) => {
@@ -149,17 +149,17 @@
     }
 
     /// What is known of a message that lives.
-    pub fn living(&self, seq: u32) -> Option<&LiveMessage> {
+    pub fn message(&self, seq: u32) -> Option<&LiveMessage> {
         self.living.get(&seq)
     }
 
     /// Its folder.
-    pub fn folder(&self) -> &F {
+    pub fn store(&self) -> &F {
         &self.folder
     }
 
     /// The same, to be changed.
-    pub fn folder_mut(&mut self) -> &mut F {
+    pub fn store_mut(&mut self) -> &mut F {
         &mut self.folder
     }
 
@@ -198,7 +198,7 @@
             Record::NameTable(self.names.clone()).write(&mut bytes);
         }
         for (seq, living) in &self.living {
-            write_taken(*seq, living, &mut bytes);
+            write_submitted(*seq, living, &mut bytes);
         }
         self.folder.remove(TEMPORARY)?;
         let next = self.segment + 1;
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -15,27 +15,27 @@
     /// The client's id of it.
     pub id: Vec<u8>,
     /// Its idempotency key, if its class has one.
-    pub idempotency: Option<Vec<u8>>,
+    pub idempotency_key: Option<Vec<u8>>,
     /// Its class, by place.
     pub class: u8,
     /// Its destination.
     pub destination: u16,
     /// Its order key; 0 for none.
-    pub order: u64,
+    pub order_key: u64,
     /// When it was taken and when it is given up, in Unix nanoseconds.
-    pub taken_at: u64,
+    pub submitted_at: u64,
     /// See `taken_at`.
     pub deadline: u64,
     /// A courier that died held it before.
-    pub after_loss: bool,
+    pub from_lost_instance: bool,
     /// Attempts begun.
     pub attempts: u16,
     /// The first attempt that was begun and may have run.
     pub may_have_run: Option<AttemptStart>,
     /// The attempt that was begun and has no outcome yet.
-    pub open: Option<AttemptStart>,
+    pub open_attempt: Option<AttemptStart>,
     /// It has ended, and the platform was not told yet.
-    pub owed: Option<TerminalState>,
+    pub pending_notification: Option<TerminalState>,
     /// What is delivered; empty once it has ended.
     pub body: Vec<u8>,
 }
@@ -47,7 +47,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AttemptStart {
     /// When, in Unix nanoseconds.
-    pub at: u64,
+    pub started_at: u64,
     /// In which zone, by place.
     pub zone: u8,
 }
@@ -55,9 +55,9 @@
 /// What places meant when they were written: settings may have changed since.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NameTable {
-    /// NameTable of the classes, and what a second run of theirs does, in a number of the writer's.
+    /// Names of the classes, and what a second run of theirs does, in a number of the writer's.
     pub classes: Vec<(String, u8)>,
-    /// NameTable of the zones.
+    /// Names of the zones.
     pub zones: Vec<String>,
 }
 
@@ -129,28 +129,28 @@
 }
 
 /// Appends [`Record::Submitted`] of a message as it stands, without a copy of its body.
-pub fn write_taken(seq: u32, living: &LiveMessage, out: &mut Vec<u8>) {
+pub fn write_submitted(seq: u32, living: &LiveMessage, out: &mut Vec<u8>) {
     framed(out, |to| {
         to.u8(1);
         to.u32(seq);
         to.bytes(&living.id);
-        to.u8(u8::from(living.idempotency.is_some()));
-        to.bytes(living.idempotency.as_deref().unwrap_or_default());
+        to.u8(u8::from(living.idempotency_key.is_some()));
+        to.bytes(living.idempotency_key.as_deref().unwrap_or_default());
         to.u8(living.class);
         to.u16(living.destination);
-        to.u64(living.order);
-        to.u64(living.taken_at);
+        to.u64(living.order_key);
+        to.u64(living.submitted_at);
         to.u64(living.deadline);
-        to.u8(u8::from(living.after_loss));
+        to.u8(u8::from(living.from_lost_instance));
         to.u16(living.attempts);
-        to.option(living.may_have_run.map(|began| began.at));
-        to.option(living.open.map(|began| began.at));
-        match living.owed {
+        to.option(living.may_have_run.map(|began| began.started_at));
+        to.option(living.open_attempt.map(|began| began.started_at));
+        match living.pending_notification {
             None => to.u8(0),
             Some(ending) => to.ending(ending),
         }
         to.bytes(&living.body);
-        for began in [living.may_have_run, living.open] {
+        for began in [living.may_have_run, living.open_attempt] {
             to.u8(began.map_or(UNKNOWN_INDEX, |began| began.zone));
         }
     });
@@ -160,11 +160,11 @@
     /// Appends the record's bytes.
     pub fn write(&self, out: &mut Vec<u8>) {
         match self {
-            Record::Submitted(seq, living) => write_taken(*seq, living, out),
+            Record::Submitted(seq, living) => write_submitted(*seq, living, out),
             Record::AttemptStarted(seq, began) => framed(out, |to| {
                 to.u8(2);
                 to.u32(*seq);
-                to.u64(began.at);
+                to.u64(began.started_at);
                 to.u8(began.zone);
             }),
             Record::AttemptCompleted(seq, may_have_run) => framed(out, |to| {
@@ -209,7 +209,7 @@
 }
 
 fn began(at: Option<u64>, zone: u8) -> Option<AttemptStart> {
-    at.map(|at| AttemptStart { at, zone })
+    at.map(|at| AttemptStart { started_at: at, zone })
 }
 
 struct In<'a>(&'a [u8]);
@@ -273,23 +273,23 @@
                 let key = self.bytes()?;
                 let mut living = LiveMessage {
                     id,
-                    idempotency: keyed.then_some(key),
+                    idempotency_key: keyed.then_some(key),
                     class: self.u8()?,
                     destination: self.u16()?,
-                    order: self.u64()?,
-                    taken_at: self.u64()?,
+                    order_key: self.u64()?,
+                    submitted_at: self.u64()?,
                     deadline: self.u64()?,
-                    after_loss: self.flag()?,
+                    from_lost_instance: self.flag()?,
                     attempts: self.u16()?,
                     ..LiveMessage::default()
                 };
                 let (may_have_run, open) = (self.option()?, self.option()?);
-                (living.owed, living.body) = (self.ending()?, self.bytes()?);
+                (living.pending_notification, living.body) = (self.ending()?, self.bytes()?);
                 living.may_have_run = began(may_have_run, self.place());
-                living.open = began(open, self.place());
+                living.open_attempt = began(open, self.place());
                 Record::Submitted(seq, Box::new(living))
             }
-            2 => Record::AttemptStarted(seq, AttemptStart { at: self.u64()?, zone: self.place() }),
+            2 => Record::AttemptStarted(seq, AttemptStart { started_at: self.u64()?, zone: self.place() }),
             3 => Record::AttemptCompleted(seq, self.flag()?),
             4 => Record::NotificationPending(seq, self.ending()??),
             5 => Record::Completed(seq),
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -10,11 +10,11 @@
 fn message(number: u32, body: usize) -> LiveMessage {
     LiveMessage {
         id: format!("m{number}").into_bytes(),
-        idempotency: number.is_multiple_of(2).then(|| b"key".to_vec()),
+        idempotency_key: number.is_multiple_of(2).then(|| b"key".to_vec()),
         class: 1,
         destination: 7,
-        order: u64::from(number % 3),
-        taken_at: 10,
+        order_key: u64::from(number % 3),
+        submitted_at: 10,
         deadline: 20,
         body: vec![number as u8; body],
         ..LiveMessage::default()
@@ -22,12 +22,12 @@
 }
 
 fn began(at: u64) -> AttemptStart {
-    AttemptStart { at, zone: at as u8 % 3 }
+    AttemptStart { started_at: at, zone: at as u8 % 3 }
 }
 
 fn open(folder: MemoryStore) -> (Log<MemoryStore>, Vec<LiveMessage>, usize) {
     let (log, recovered) = Log::open(folder, BOUND).unwrap();
-    (log, recovered.living, recovered.torn)
+    (log, recovered.messages, recovered.discarded_bytes)
 }
 
 fn newest(folder: &MemoryStore) -> String {
@@ -56,7 +56,7 @@
         .map(|record| {
             log.record(record.clone());
             log.commit().unwrap();
-            log.folder().clone()
+            log.store().clone()
         })
         .collect()
 }
@@ -96,10 +96,13 @@
     let states = steps();
     let at = |step: usize| open(states[step].clone()).1;
     let second = &at(7)[1];
-    assert_eq!((second.attempts, second.may_have_run, second.open), (2, Some(began(12)), Some(began(13))));
+    assert_eq!(
+        (second.attempts, second.may_have_run, second.open_attempt),
+        (2, Some(began(12)), Some(began(13)))
+    );
     let first = &at(7)[0];
-    assert_eq!((first.attempts, first.may_have_run, first.open), (2, None, Some(began(14))));
-    assert_eq!(at(8)[1].owed, Some(TerminalState::Deferred(Some(700))));
+    assert_eq!((first.attempts, first.may_have_run, first.open_attempt), (2, None, Some(began(14))));
+    assert_eq!(at(8)[1].pending_notification, Some(TerminalState::Deferred(Some(700))));
     assert!(at(8)[1].body.is_empty());
     assert!(at(10).is_empty());
 }
@@ -121,7 +124,7 @@
         }
         log.commit().unwrap();
     }
-    let folder = log.folder().clone();
+    let folder = log.store().clone();
     assert!(folder.most <= BOUND as usize, "{} of {BOUND}", folder.most);
     assert!(folder.most > BOUND as usize / 3, "the bound was never near");
     let found: Vec<usize> = open(folder).1.iter().map(|living| living.body.len()).collect();
@@ -133,7 +136,7 @@
     let (mut log, ..) = open(MemoryStore::default());
     log.record(Record::Submitted(1, Box::new(message(1, 9))));
     log.commit().unwrap();
-    let mut folder = log.folder().clone();
+    let mut folder = log.store().clone();
     let name = newest(&folder);
     let old = folder.files[&name].clone();
     folder.files.insert("log.0".into(), old.clone());
@@ -147,17 +150,17 @@
     let (mut log, ..) = open(MemoryStore::default());
     log.record(Record::Submitted(1, Box::new(message(1, 100))));
     log.commit().unwrap();
-    log.folder_mut().room = Some(20);
+    log.store_mut().room = Some(20);
     log.record(Record::Completed(1));
     log.record(Record::Submitted(2, Box::new(message(2, 100))));
     assert!(log.commit().is_err());
     // Nothing of the turn is there: half of it would hide what comes later.
-    assert_eq!(open(log.folder_mut().clone()).1.len(), 1);
+    assert_eq!(open(log.store_mut().clone()).1.len(), 1);
     assert!(log.commit().is_err(), "still full");
-    log.folder_mut().room = None;
+    log.store_mut().room = None;
     log.record(Record::Completed(2));
     log.commit().unwrap();
-    assert!(open(log.folder().clone()).1.is_empty());
+    assert!(open(log.store().clone()).1.is_empty());
 }
 
 #[test]
@@ -166,8 +169,8 @@
     std::fs::create_dir_all(&path).unwrap();
     for round in 0..3u32 {
         let (mut log, recovered) = Log::open(DirectoryStore::new(&path), BOUND).unwrap();
-        assert_eq!(recovered.living.len() as u32, round);
-        for (place, living) in recovered.living.into_iter().enumerate() {
+        assert_eq!(recovered.messages.len() as u32, round);
+        for (place, living) in recovered.messages.into_iter().enumerate() {
             log.record(Record::Submitted(place as u32, Box::new(living)));
         }
         log.commit().unwrap();
@@ -201,7 +204,7 @@
         log.record(Record::NameTable(names(round)));
         log.record(Record::Submitted(1, Box::new(message(1, 30))));
         log.commit().unwrap();
-        folder = log.folder().clone();
+        folder = log.store().clone();
     }
 }
 
@@ -215,7 +218,8 @@
         let length = (payload.len() as u32).to_le_bytes();
         [&length[..], &crc32fast::hash(&payload).to_le_bytes(), &payload].concat()
     };
-    let taken = LiveMessage { may_have_run: Some(began(11)), open: Some(began(12)), ..message(1, 30) };
+    let taken =
+        LiveMessage { may_have_run: Some(began(11)), open_attempt: Some(began(12)), ..message(1, 30) };
     let names = NameTable { classes: vec![("a".to_owned(), 1), ("b".to_owned(), 2)], zones: Vec::new() };
     let bytes = [
         b"cloverstile-log 1\n".to_vec(),
@@ -226,9 +230,10 @@
     ];
     let files = BTreeMap::from([("log.3".to_owned(), bytes.concat())]);
     let (_, recovered) = Log::open(MemoryStore { files, ..MemoryStore::default() }, BOUND).unwrap();
-    let old = |at| Some(AttemptStart { at, zone: UNKNOWN_INDEX });
-    let found: Vec<_> = recovered.living.iter().map(|living| (living.may_have_run, living.open)).collect();
-    assert_eq!((found, recovered.torn), (vec![(old(11), old(12)), (None, old(13))], 0));
+    let old = |at| Some(AttemptStart { started_at: at, zone: UNKNOWN_INDEX });
+    let found: Vec<_> =
+        recovered.messages.iter().map(|living| (living.may_have_run, living.open_attempt)).collect();
+    assert_eq!((found, recovered.discarded_bytes), (vec![(old(11), old(12)), (None, old(13))], 0));
     assert_eq!(recovered.names.classes, [("a".to_owned(), UNKNOWN_INDEX), ("b".to_owned(), UNKNOWN_INDEX)]);
 }
 
@@ -277,7 +282,7 @@
 fn process(folder: &mut MemoryStore, left: usize, fresh: u32) -> bool {
     let Ok((mut log, recovered)) = Log::open(Dying { folder, left }, BOUND) else { return false };
     log.record(Record::NameTable(NameTable { zones: vec!["here".to_owned()], ..NameTable::default() }));
-    for (seq, living) in (1..).zip(recovered.living) {
+    for (seq, living) in (1..).zip(recovered.messages) {
         log.record(Record::Submitted(seq, Box::new(living)));
     }
     if log.commit().is_err() {
@@ -294,7 +299,7 @@
     let (mut log, ..) = open(MemoryStore::default());
     (1..4).for_each(|number| log.record(Record::Submitted(number, Box::new(message(number, 30)))));
     log.commit().unwrap();
-    let mut start = log.folder().clone();
+    let mut start = log.store().clone();
     // Left by a process before: an older segment and one half written.
     let name = newest(&start);
     let old = start.files[&name].clone();
--- a/crates/wal/tests/stored_data.rs
+++ b/crates/wal/tests/stored_data.rs
@@ -22,7 +22,7 @@
 }
 
 fn start_text(start: Option<AttemptStart>) -> String {
-    start.map_or_else(|| "-".to_owned(), |start| format!("{}@{}", start.at, start.zone))
+    start.map_or_else(|| "-".to_owned(), |start| format!("{}@{}", start.started_at, start.zone))
 }
 
 fn owed_text(owed: Option<TerminalState>) -> String {
@@ -35,7 +35,7 @@
 }
 
 fn message_text(message: &LiveMessage) -> String {
-    let key = message.idempotency.as_deref().map_or("-".into(), String::from_utf8_lossy);
+    let key = message.idempotency_key.as_deref().map_or("-".into(), String::from_utf8_lossy);
     let body: String = message.body.iter().map(|byte| format!("{byte:02x}")).collect();
     format!(
         "id={} key={key} class={} destination={} order={} taken_at={} deadline={} after_loss={} attempts={} \
@@ -43,27 +43,27 @@
         String::from_utf8_lossy(&message.id),
         message.class,
         message.destination,
-        message.order,
-        message.taken_at,
+        message.order_key,
+        message.submitted_at,
         message.deadline,
-        message.after_loss,
+        message.from_lost_instance,
         message.attempts,
         start_text(message.may_have_run),
-        start_text(message.open),
-        owed_text(message.owed),
+        start_text(message.open_attempt),
+        owed_text(message.pending_notification),
     )
 }
 
 /// What was recovered, in the form of `recovered.txt`.
 fn text_of(recovered: &Recovered) -> String {
-    let mut text = format!("discarded_bytes={}\n", recovered.torn);
+    let mut text = format!("discarded_bytes={}\n", recovered.discarded_bytes);
     for (name, effect) in &recovered.names.classes {
         writeln!(text, "class={name} effect={effect}").unwrap();
     }
     for zone in &recovered.names.zones {
         writeln!(text, "zone={zone}").unwrap();
     }
-    for message in &recovered.living {
+    for message in &recovered.messages {
         writeln!(text, "{}", message_text(message)).unwrap();
     }
     text
--- a/src/bin/cloverstile-sim-adapter/host.rs
+++ b/src/bin/cloverstile-sim-adapter/host.rs
@@ -42,7 +42,7 @@
                 if !touched.contains(&who) {
                     touched.push(who);
                 }
-                guarded(who, &mut replies, || instance.courier.handle(now, event));
+                guarded(who, &mut replies, || instance.courier.on_event(now, event));
             }
         }
         let mut actions = Vec::new();
@@ -50,7 +50,7 @@
             let Some(instance) = self.instances.get_mut(&who) else {
                 continue;
             };
-            guarded(who, &mut replies, || instance.courier.decide(now, &mut actions));
+            guarded(who, &mut replies, || instance.courier.next_actions(now, &mut actions));
             replies.extend(actions.drain(..).map(|action| reply(who, action)));
         }
         Ok(replies)
@@ -60,7 +60,7 @@
     fn translate(&mut self, record: Record) -> Result<Option<(u16, Event)>, HostError> {
         Ok(Some(match record {
             Record::NewInstance { who, nonce, config } => {
-                let ParsedSettings { settings, left_at, limit_at } =
+                let ParsedSettings { settings, remaining_field: left_at, limit_field: limit_at } =
                     parse_settings(&config).map_err(|error| HostError::Setting { who, error })?;
                 let courier = DeliveryPolicy::new(settings, nonce);
                 self.instances.insert(who, Instance { courier, left_at, limit_at });
@@ -92,8 +92,8 @@
                     destination: DestinationId(dest as u16),
                     key: (key != 0).then_some(OrderKey(key)),
                     deadline: Time(deadline),
-                    from_dead_courier: opts & 16 != 0,
-                    again: opts & 2 != 0,
+                    from_lost_instance: opts & 16 != 0,
+                    resubmitted: opts & 2 != 0,
                     tenant: TenantId(owner),
                 };
                 (who, Event::Submitted(accepted))
@@ -123,7 +123,7 @@
             outcome: outcome(record.code, record.detail)?,
             latency: Duration::from_nanos(record.delay),
             complete: record.complete,
-            allowance: left.zip(limit).map(|(left, limit)| RateLimitStatus { left, limit }),
+            rate_limit: left.zip(limit).map(|(left, limit)| RateLimitStatus { remaining: left, limit }),
         }))
     }
 }
@@ -161,7 +161,7 @@
         zone: ZoneId(entry.zone),
         kind: KindId(entry.kind),
         destination: DestinationId(entry.cell),
-        mode: match entry.mode {
+        state: match entry.mode {
             3 => EndpointState::Ready,
             1 => EndpointState::Draining,
             2 => EndpointState::Removed,
@@ -178,10 +178,10 @@
 /// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
 fn reply(who: u16, action: Action) -> Reply {
     match action {
-        Action::Send { message, endpoint, try_for } => {
+        Action::Send { message, endpoint, timeout: try_for } => {
             Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
         }
-        Action::Reject { message, stay_away } => {
+        Action::Reject { message, retry_after: stay_away } => {
             Reply::Busy { who, call: message.0, stay_away: nanos(stay_away) }
         }
         Action::Fail { message } => Reply::ReportFailure { who, call: message.0 },
--- a/src/books.rs
+++ b/src/books.rs
@@ -17,7 +17,7 @@
     pub closed: bool,
     /// Beyond its tenant's share, and so worth little.
     pub over_share: bool,
-    /// Admission on by an earlier process, which never tried it.
+    /// Accepted by an earlier process, which never tried it.
     pub left_untried: bool,
 }
 
@@ -102,7 +102,7 @@
 
 /// Couriers that share the destinations: an even part is one over this.
 pub fn couriers(settings: &Settings) -> f64 {
-    f64::from(settings.couriers.max(1))
+    f64::from(settings.instance_count.max(1))
 }
 
 /// The sooner of two times, where there is one.
@@ -214,7 +214,7 @@
     pub jam: f64,
 }
 
-/// Whether idle connections are being dropped unseen, so that the next call on one is lost. DeliveryPolicy-wide, as
+/// Whether idle connections are being dropped unseen, so that the next call on one is lost. Process-wide, as
 /// one courier meets each partner too seldom to learn it there.
 #[derive(Default)]
 pub struct Reaping {
