--- a/src/choice.rs
+++ b/src/choice.rs
@@ -153,8 +153,8 @@
         DeliveryPolicy { settings, rng: fastrand::Rng::with_seed(seed), usual, ..DeliveryPolicy::default() }
     }
 
-    /// Records one event. Call [`DeliveryPolicy::decide`] after the last one of a batch.
-    pub fn handle(&mut self, now: Time, event: Event) {
+    /// Records one event. Call [`DeliveryPolicy::next_actions`] after the last one of a batch.
+    pub fn on_event(&mut self, now: Time, event: Event) {
         match event {
             Event::EndpointsUpdated(listing) => self.on_listing(now, listing),
             Event::Submitted(message) => self.on_accept(now, message),
@@ -168,7 +168,7 @@
     }
 
     /// Acts on all that was recorded.
-    pub fn decide(&mut self, now: Time, actions: &mut Vec<Action>) {
+    pub fn next_actions(&mut self, now: Time, actions: &mut Vec<Action>) {
         let ask = self.ask_at.take_if(|at| *at <= now);
         self.actions.extend(ask.map(|_| Action::SubscribeEndpoints { active: true }));
         self.answer_due(now);
@@ -183,10 +183,11 @@
 
     /// Whether what was decided may still go: a connection may come up late, and a wait, a drain or an outage
     /// come before it. Asked as late as the bytes allow; what may not is `Withheld`, and goes when it may.
-    pub fn may_go(&self, now: Time, id: MessageId) -> bool {
+    pub fn may_send_now(&self, now: Time, id: MessageId) -> bool {
         let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { return false };
         let Some(call) = message.out.and_then(|call| self.calls.get(&call)) else { return false };
-        let keeps_work = self.addresses.get(&call.to).is_some_and(|a| a.entry.mode.keeps_work());
+        let keeps_work =
+            self.addresses.get(&call.to).is_some_and(|a| a.entry.state.accepts_scheduled_requests());
         let changed = self.routes.get(&call.route).is_none_or(|route| route.changed_since(now, call));
         keeps_work && !changed && now <= self.last_send(message)
     }
@@ -199,7 +200,7 @@
         let (first, failed) = (self.addresses.is_empty(), matches!(listing, EndpointListUpdate::Unavailable));
         self.asks_failed = if failed { self.asks_failed + 1 } else { 0 };
         if self.settings.discovery == Discovery::Ask && (failed || first) {
-            let gap = growing_gap(self.settings.rules.ask_every, ASK_GAPS, self.asks_failed);
+            let gap = growing_gap(self.settings.rules.discovery_interval, ASK_GAPS, self.asks_failed);
             self.ask_at = Some(now + gap.mul_f64(self.rng.f64()));
         }
         let entries = match listing {
@@ -208,7 +209,7 @@
             EndpointListUpdate::Snapshot(entries) => {
                 // What a whole list does not name is gone: it gets nothing new from now on.
                 for address in self.addresses.values_mut() {
-                    address.entry.mode = EndpointState::Removed;
+                    address.entry.state = EndpointState::Removed;
                 }
                 entries
             }
@@ -216,7 +217,7 @@
         for entry in entries {
             let told = self.settings.weights != WeightSource::Silent;
             let weight = if told { entry.weight.max(0.1) } else { 0.0 };
-            let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.batch.max(1));
+            let batch = self.settings.kinds.get(usize::from(entry.kind.0)).map_or(1, |k| k.max_batch.max(1));
             let route = self.routes.entry(self.route_of(&entry)).or_insert_with(|| {
                 let rate = if told { weight } else { UNTOLD_RATE };
                 Route { rate, tokens: 1.0, filled: now, last_answer: now, ..Route::default() }
@@ -224,7 +225,7 @@
             // Where the list is silent, what answers told of the limit stays.
             route.weight = if told { weight } else { route.weight };
             (route.batch, route.kind, route.gentle) =
-                (batch, entry.kind, entry.mode == EndpointState::OneAtATime);
+                (batch, entry.kind, entry.state == EndpointState::OneAtATime);
             if let Some(known) = self.addresses.get_mut(&entry.id) {
                 known.entry = entry;
                 continue;
@@ -238,11 +239,11 @@
     fn on_accept(&mut self, now: Time, taken: Submission) {
         let Some(class) = self.settings.classes.get(usize::from(taken.class.0)) else { return };
         // Where clients mark what they hand in again, a fresh one with little time left is not an old one.
-        let fresh = self.settings.marks_again && !taken.again && !taken.from_dead_courier;
+        let fresh = self.settings.clients_mark_retries && !taken.resubmitted && !taken.from_lost_instance;
         let born = if fresh { now } else { (taken.deadline - class.deadline).min(now) };
         // A keyed message of a courier that died may have run there at any time since it was handed in.
-        let may_have_run = taken.from_dead_courier && class.effect == Effect::Keyed;
-        if let (true, Some(key)) = (class.in_order, taken.key) {
+        let may_have_run = taken.from_lost_instance && class.effect == Effect::Keyed;
+        if let (true, Some(key)) = (class.ordered, taken.key) {
             self.keys.entry(key).or_default().push(taken.id);
         }
         self.deadlines.insert((taken.deadline, taken.id));
@@ -261,12 +262,12 @@
     /// A restart forgives nothing: attempts used stay used, the window runs from the first one that may have
     /// run, and a call that was out then lets its key rest. What can never go again is answered at once.
     fn on_recovered(&mut self, now: Time, taken: Submission, past: RecoveredAttempts) {
-        let (id, key, settle) = (taken.id, taken.key, self.settings.rules.order_settle);
+        let (id, key, settle) = (taken.id, taken.key, self.settings.rules.key_cooldown);
         self.on_accept(now, taken);
         let Some(message) = self.messages.get_mut(&id) else { return };
-        (message.born, message.attempts) = (past.taken_at, past.attempts);
+        (message.born, message.attempts) = (past.submitted_at, past.attempts);
         (message.maybe_ran, message.left_untried) = (past.may_have_run, past.attempts == 0);
-        self.rests.extend(key.filter(|_| past.unsettled).map(|key| (key, now + settle)));
+        self.rests.extend(key.filter(|_| past.last_attempt_open).map(|key| (key, now + settle)));
         let Some(message) = self.messages.get(&id) else { return };
         self.deadlines.insert((self.last_send(message).max(now).min(message.taken.deadline), id));
     }
@@ -307,7 +308,7 @@
         if finished.outcome == AttemptOutcome::NotStarted {
             message.attempts -= 1;
         } else {
-            let gap = growing_gap(class.aim, BACKOFF_OF_AIM, message.attempts);
+            let gap = growing_gap(class.latency_objective, BACKOFF_OF_AIM, message.attempts);
             message.not_before = now + gap.mul_f64(self.rng.f64());
         }
         // A call that may still be running lets its key rest before the next message of the key.
@@ -315,9 +316,9 @@
             finished.outcome,
             AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned
         );
-        if let (true, true, Some(key)) = (unsettled, class.in_order, message.taken.key) {
+        if let (true, true, Some(key)) = (unsettled, class.ordered, message.taken.key) {
             self.rests.retain(|_, until| *until > now);
-            self.rests.insert(key, now + self.settings.rules.order_settle);
+            self.rests.insert(key, now + self.settings.rules.key_cooldown);
         }
         // Only a call's last outcome counts for the route: its messages share one fate.
         call.unanswered -= 1;
@@ -341,9 +342,11 @@
     fn last_send(&self, message: &Message) -> Time {
         let class = self.class(message);
         match (message.maybe_ran, class.effect) {
-            _ if message.attempts - u32::from(message.out.is_some()) >= self.settings.send_cap => Time::ZERO,
+            _ if message.attempts - u32::from(message.out.is_some()) >= self.settings.max_attempts => {
+                Time::ZERO
+            }
             (Some(_), Effect::Unsafe) => Time::ZERO,
-            (Some((first, _)), Effect::Keyed) => window_end(class, first).min(message.taken.deadline),
+            (Some((first, _)), Effect::Keyed) => retry_window_end(class, first).min(message.taken.deadline),
             _ => message.taken.deadline,
         }
     }
@@ -381,13 +384,14 @@
                     // One that fails may lack room; what goes on failing for a fall window is down.
                     if finished.outcome == AttemptOutcome::ConnectFailed {
                         let since = *address.no_room.get_or_insert(now);
-                        if since == now || now - since > rules.fall {
+                        if since == now || now - since > rules.overload_window {
                             lean(&mut habits.crowding, f64::from(since == now), CROWDING_GAINS.0);
                         }
                     }
                     address.failures += 1;
-                    let longest = rules.cold.as_secs_f64() / rules.fall.as_secs_f64();
-                    let gap = growing_gap(rules.fall, (TRIAL_GAPS_OF_FALL.0, longest), address.failures);
+                    let longest = rules.warm_up_time.as_secs_f64() / rules.overload_window.as_secs_f64();
+                    let gap =
+                        growing_gap(rules.overload_window, (TRIAL_GAPS_OF_FALL.0, longest), address.failures);
                     address.avoid_until = now + gap.mul_f64(self.rng.f64());
                 }
                 AttemptOutcome::Abandoned | AttemptOutcome::Unsent | AttemptOutcome::NotStarted => {}
@@ -429,9 +433,9 @@
         let waiting = waiting / self.routes_to(call.route.0);
         let Some(route) = self.routes.get_mut(&call.route) else { return };
         let habits = self.habits.entry(route.kind).or_default();
-        let told = finished.allowance.filter(|a| a.limit > 0.0);
+        let told = finished.rate_limit.filter(|a| a.limit > 0.0);
         route.weight = told.map_or(route.weight, |a| a.limit);
-        let left = told.map(|a| a.left.clamp(0.0, 1.0));
+        let left = told.map(|a| a.remaining.clamp(0.0, 1.0));
         let an_aim = shortest_aim(settings).recip();
         // A time-out is a sample too: else repeats would meet first calls still running in slow spells. Not
         // of one that was overtaken: it was lost with its connection, and would teach ever longer patience.
@@ -448,10 +452,10 @@
         }
         // With a success since it was sent, a lost call says nothing of the route. Nor do errors and resets
         // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
-        let sound = |a: &Address| a.entry.mode.takes_work() && a.failures == 0;
+        let sound = |a: &Address| a.entry.state.accepts_new_requests() && a.failures == 0;
         let alone = call.sent >= route.last_answer;
         let all_sick = alone && !route.endpoints.iter().filter_map(|id| self.addresses.get(id)).any(sound);
-        let blip = settings.rules.fall.mul_f64(BLIP_OF_FALL);
+        let blip = settings.rules.overload_window.mul_f64(BLIP_OF_FALL);
         match finished.outcome {
             AttemptOutcome::Ok => {
                 self.usual.learn(finished.latency, LATENCY_GAIN);
@@ -499,7 +503,7 @@
                 }
                 let used_up = used_up && (route.cuts > 0 || habits.jam > JAMMED);
                 // Without any limit a refusal tells of a full queue or an outage: no clump may go on.
-                let used_up = used_up || finished.allowance.is_some_and(|a| a.limit <= 0.0);
+                let used_up = used_up || finished.rate_limit.is_some_and(|a| a.limit <= 0.0);
                 route.evidence += if room { EVIDENCE_LOST } else { EVIDENCE_REFUSED };
                 if now - route.last_cut > CUT_EVERY {
                     let cut = RATE_CUTS[route.cuts.min(RATE_CUTS.len() - 1)];
@@ -667,7 +671,7 @@
         let spell = route.is_some_and(|route| route.spell.is_some());
         let far = a.entry.zone != self.settings.zone;
         let closed = |idle| a.used.is_none_or(|used| now - used >= idle);
-        let lapsed = route.is_none_or(|route| route.stays) && closed(self.settings.conn_idle);
+        let lapsed = route.is_none_or(|route| route.stays) && closed(self.settings.connection_idle_timeout);
         (spell, a.avoid_until > now, a.calls_out, a.failures, far, lapsed, a.turn)
     }
 
@@ -696,7 +700,7 @@
         };
         address.turn += turn * (1 + taken.saturating_sub(address.turn + turn).div_ceil(turn.max(1)));
         let calls = route.demand.rate(now, cold_s(&self.settings), 0.0) / route.endpoints.len() as f64;
-        route.stays = crowded || calls * self.settings.conn_idle.as_secs_f64() < TURN_CALLS;
+        route.stays = crowded || calls * self.settings.connection_idle_timeout.as_secs_f64() < TURN_CALLS;
     }
 
     /// The waiting message of most worth that may go now. A trial goes by whether it may be repeated. What an
@@ -738,7 +742,7 @@
         }
         let class = self.class(message);
         let mut at = message.not_before;
-        if let (true, Some(key)) = (class.in_order, message.taken.key) {
+        if let (true, Some(key)) = (class.ordered, message.taken.key) {
             if self.keys.get(&key).and_then(|turn| turn.first()) != Some(&message.taken.id) {
                 return None;
             }
@@ -756,16 +760,16 @@
         // Nothing is left after the deadline, nor of a repeat after its window.
         let end = (self.last_send(message) - message.born).as_secs_f64();
         let class = self.class(message);
-        let (aim, span) = (class.aim.as_secs_f64().max(0.001), class.deadline.as_secs_f64());
+        let (aim, span) = (class.latency_objective.as_secs_f64().max(0.001), class.deadline.as_secs_f64());
         let value = |age: f64| match self.settings.decay {
             _ if age > end => 0.0,
             _ if age <= aim => 1.0,
-            Decay::Linear => 1.0 - (1.0 - class.late_share) * (age - aim) / (span - aim).max(0.001),
-            Decay::Halving => ((aim - age) / aim).exp2().max(class.late_share),
+            Decay::Linear => 1.0 - (1.0 - class.late_value_ratio) * (age - aim) / (span - aim).max(0.001),
+            Decay::Halving => ((aim - age) / aim).exp2().max(class.late_value_ratio),
         };
         let age = (now - message.born).as_secs_f64();
-        let share = if message.over_share { self.settings.over_share_worth } else { 1.0 };
-        class.worth * share * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
+        let share = if message.over_share { self.settings.over_quota_weight } else { 1.0 };
+        class.priority_weight * share * ((1.0 + WAITING_LOSS) * value(age) - WAITING_LOSS * value(age + aim))
     }
 
     /// The best address of a route, inside the group of a repeat.
@@ -776,7 +780,8 @@
             _ => None,
         };
         let of = self.routes.get(&id)?.endpoints.iter().filter_map(|endpoint| self.addresses.get(endpoint));
-        let fit = |a: &&Address| a.entry.mode.takes_work() && zone.is_none_or(|z| a.entry.zone == z);
+        let fit =
+            |a: &&Address| a.entry.state.accepts_new_requests() && zone.is_none_or(|z| a.entry.zone == z);
         of.filter(fit).min_by_key(|a| self.order_of(now, a)).map(|a| a.entry.id)
     }
 
@@ -804,7 +809,7 @@
             let try_for = self.time_out(now, id, message);
             if let Some(m) = self.messages.get_mut(&message) {
                 (m.attempts, m.out) = (m.attempts + 1, Some(self.last_call));
-                self.actions.push(Action::Send { message, endpoint: to, try_for });
+                self.actions.push(Action::Send { message, endpoint: to, timeout: try_for });
             }
             carried.push(message);
             next = if carried.len() == room { None } else { self.pick(now, id, &mut None).map(|(m, _)| m) };
@@ -818,7 +823,7 @@
     /// dropped unseen, they are closed first; now and then one is tried, with a message that can be repeated.
     fn idle_connection(&mut self, now: Time, to: EndpointId, first: MessageId) -> Option<Duration> {
         let address = self.addresses.get(&to)?;
-        let idle = now - address.used.filter(|used| now - *used < self.settings.conn_idle)?;
+        let idle = now - address.used.filter(|used| now - *used < self.settings.connection_idle_timeout)?;
         // With calls out, a second connection may have been idle for longer than was seen.
         let alone = address.calls_out == 0;
         let repeatable = self.messages.get(&first).is_some_and(|m| self.repeatable(m));
@@ -859,12 +864,12 @@
         let class = self.class(m);
         let left = m.taken.deadline - now;
         let usual = self.latency(id).times(TIMEOUT_LATENCIES);
-        let aim = class.aim.as_secs_f64();
+        let aim = class.latency_objective.as_secs_f64();
         let span = Duration::from_secs_f64(usual.clamp(aim * TIMEOUT_AIMS.0, aim * TIMEOUT_AIMS.1));
         let first = m.maybe_ran.map_or(now, |(first, _)| first);
-        let last = m.attempts + 1 >= self.settings.send_cap
+        let last = m.attempts + 1 >= self.settings.max_attempts
             || class.effect == Effect::Unsafe
-            || (class.effect == Effect::Keyed && now + span > window_end(class, first));
+            || (class.effect == Effect::Keyed && now + span > retry_window_end(class, first));
         let span = if last { left } else { span };
         span.min(left)
     }
@@ -875,7 +880,7 @@
     fn free_pinned_slot(&mut self, now: Time) {
         let any = self.slots_free() == 0;
         let pinned = std::mem::take(&mut self.pinned) || any;
-        if !self.settings.cancel || !pinned || self.open <= self.calls.len() {
+        if !self.settings.can_abandon || !pinned || self.open <= self.calls.len() {
             return;
         }
         let hanging = |call: &Call| {
@@ -906,7 +911,8 @@
             Effect::Safe => true,
             _ => message.maybe_ran.is_none() && message.out.is_none(),
         };
-        let busy = Action::Reject { message: id, stay_away: self.stay_away(now, message.taken.destination) };
+        let busy =
+            Action::Reject { message: id, retry_after: self.stay_away(now, message.taken.destination) };
         Some(if refusable { busy } else { Action::Fail { message: id } })
     }
 
@@ -914,7 +920,7 @@
     fn stay_away(&self, now: Time, to: DestinationId) -> Duration {
         let free = |r: &Route| r.told_wait.max(r.spell.as_ref().map_or(now, |spell| spell.next_trial));
         let soonest = self.routes.range(routes_of(to)).map(|(_, route)| free(route)).min();
-        soonest.map_or(Duration::ZERO, |at| at - now).min(self.settings.stay_away_most.unwrap_or_default())
+        soonest.map_or(Duration::ZERO, |at| at - now).min(self.settings.max_retry_after.unwrap_or_default())
     }
 
     fn answer(&mut self, now: Time, id: MessageId) {
@@ -927,7 +933,7 @@
         while let Some(&(due, id)) = self.deadlines.first().filter(|(due, _)| *due <= now) {
             self.deadlines.remove(&(due, id));
             let Some(message) = self.messages.get(&id).filter(|m| !m.closed) else { continue };
-            let last_call = message.taken.deadline + self.settings.rules.answer_slack / 2;
+            let last_call = message.taken.deadline + self.settings.rules.answer_grace / 2;
             if message.out.is_some() && now < last_call {
                 self.deadlines.insert((last_call, id));
             } else {
@@ -938,7 +944,7 @@
 
     /// Nearly full: what waits for the sick and the least worth go, before new messages are turned away.
     fn shed(&mut self, now: Time) {
-        let most = (self.settings.most_held as f64 * SHED_ABOVE) as usize;
+        let most = (self.settings.max_queued as f64 * SHED_ABOVE) as usize;
         while self.open > most {
             let sick = |to| self.routes.range(routes_of(to)).all(|(_, route)| route.spell.is_some());
             let free = |m: &&Message| !m.closed && m.out.is_none() && !m.is_left_untried();
@@ -974,12 +980,12 @@
     // ---- Settings and timers ----
 
     fn route_of(&self, entry: &Endpoint) -> RouteId {
-        let apart = self.settings.kinds.get(usize::from(entry.kind.0)).is_some_and(|k| k.own_limits);
+        let apart = self.settings.kinds.get(usize::from(entry.kind.0)).is_some_and(|k| k.per_endpoint_limits);
         RouteId(entry.destination, apart.then_some(entry.id))
     }
 
     fn slots_free(&self) -> usize {
-        self.settings.call_slots.saturating_sub(self.calls.len())
+        self.settings.concurrency_limit.saturating_sub(self.calls.len())
     }
 
     /// One timer is outstanding: the earliest moment at which something could be done without an event.
@@ -1029,8 +1035,8 @@
         let most = self.share * DEMAND_OF_SERVED;
         let own = if self.is_light(now, settings) { demand * LIGHT_DEMAND } else { demand.min(most) };
         let part = own.max(self.share).max(self.weight / couriers(settings));
-        let share = settings.rules.cold_from + (1.0 - settings.rules.cold_from) * warmth;
-        part * share * settings.rules.tip_multiple * FALL_BUDGET_USED
+        let share = settings.rules.warm_up_capacity + (1.0 - settings.rules.warm_up_capacity) * warmth;
+        part * share * settings.rules.overload_multiple * FALL_BUDGET_USED
     }
 
     /// Sets when the next trial call of a spell may go: at growing, jittered gaps, and by this courier's part
@@ -1042,15 +1048,15 @@
         let drawn = if self.is_light(now, settings) { -chance.max(0.01).ln() } else { jitter };
         let own = Duration::from_secs_f64(drawn / part);
         let Some(spell) = &mut self.spell else { return };
-        let gap = growing_gap(settings.rules.fall, TRIAL_GAPS_OF_FALL, spell.trials);
+        let gap = growing_gap(settings.rules.overload_window, TRIAL_GAPS_OF_FALL, spell.trials);
         // Behind a told wait no gap runs out: who waits together must not come back together.
         spell.next_trial = now.max(self.told_wait) + gap.mul_f64(jitter).max(own);
     }
 }
 
 /// Until when a keyed message may be resent that may first have run in an attempt sent then.
-pub fn window_end(class: &Class, first: Time) -> Time {
-    first + class.repeat_window.mul_f64(1.0 - WINDOW_MARGIN)
+pub fn retry_window_end(class: &Class, first: Time) -> Time {
+    first + class.retry_window.mul_f64(1.0 - WINDOW_MARGIN)
 }
 
 /// A gap that doubles from try to try, up to the longest one.
@@ -1060,11 +1066,11 @@
 
 /// Shortest aim of a class, in seconds.
 fn shortest_aim(settings: &Settings) -> f64 {
-    let aim = settings.classes.iter().map(|c| c.aim).min();
+    let aim = settings.classes.iter().map(|c| c.latency_objective).min();
     aim.unwrap_or(Duration::from_secs(1)).as_secs_f64().max(0.001)
 }
 
 /// How long a cold return lasts, in seconds.
 fn cold_s(settings: &Settings) -> f64 {
-    settings.rules.cold.as_secs_f64().max(1.0)
+    settings.rules.warm_up_time.as_secs_f64().max(1.0)
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -87,7 +87,7 @@
 #[derive(Clone, Debug)]
 pub struct Class {
     /// Delivered within this time after the hand-in, it earns its full worth.
-    pub aim: Duration,
+    pub latency_objective: Duration,
     /// How long after the hand-in it may be delivered at all.
     pub deadline: Duration,
     /// What a repeat does.
@@ -95,26 +95,26 @@
     /// Keyed classes: who drops repeats.
     pub group: Group,
     /// Keyed classes: for how long from the sending of the first attempt that may have run.
-    pub repeat_window: Duration,
+    pub retry_window: Duration,
     /// Messages with one key go one at a time, in the order taken.
-    pub in_order: bool,
+    pub ordered: bool,
     /// Worth of a message delivered on time.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Share of the worth that is left at the deadline.
-    pub late_share: f64,
+    pub late_value_ratio: f64,
 }
 
 impl Default for Class {
     fn default() -> Self {
         Class {
-            aim: Duration::from_secs(3),
+            latency_objective: Duration::from_secs(3),
             deadline: Duration::from_secs(20),
             effect: Effect::Keyed,
             group: Group::All,
-            repeat_window: Duration::from_secs(10),
-            in_order: false,
-            worth: 1.0,
-            late_share: 0.5,
+            retry_window: Duration::from_secs(10),
+            ordered: false,
+            priority_weight: 1.0,
+            late_value_ratio: 0.5,
         }
     }
 }
@@ -130,9 +130,9 @@
 #[derive(Clone, Debug)]
 pub struct Kind {
     /// Messages that one call may carry.
-    pub batch: usize,
+    pub max_batch: usize,
     /// The endpoints of a destination are separate routes, each with its own limit, pace and outages.
-    pub own_limits: bool,
+    pub per_endpoint_limits: bool,
 }
 
 /// What an endpoint's weight means.
@@ -158,9 +158,9 @@
 /// How the worth of a message falls after its aim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Decay {
-    /// Evenly, down to [`Class::late_share`] at the deadline.
+    /// Evenly, down to [`Class::late_value_ratio`] at the deadline.
     Linear,
-    /// By half with each further aim, but not under [`Class::late_share`].
+    /// By half with each further aim, but not under [`Class::late_value_ratio`].
     Halving,
 }
 
@@ -168,26 +168,26 @@
 #[derive(Clone, Debug)]
 pub struct Rules {
     /// A final answer still counts this long after the deadline.
-    pub answer_slack: Duration,
+    pub answer_grace: Duration,
     /// A destination back from an outage can do at least this share of its capacity.
-    pub cold_from: f64,
+    pub warm_up_capacity: f64,
     /// It is warm after this at the latest.
-    pub cold: Duration,
+    pub warm_up_time: Duration,
     /// Sent more than this multiple of what it can do just now ...
-    pub tip_multiple: f64,
+    pub overload_multiple: f64,
     /// ... for this long, a cold destination falls over.
-    pub fall: Duration,
+    pub overload_window: Duration,
     /// A key rests this long after an attempt that may still be running.
-    pub order_settle: Duration,
+    pub key_cooldown: Duration,
     /// Where the list must be asked for: who has not asked for this long counts as told what was listed then.
-    pub ask_every: Duration,
+    pub discovery_interval: Duration,
 }
 
 /// What a courier is handed at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Couriers that share the destinations, this one included.
-    pub couriers: u32,
+    pub instance_count: u32,
     /// Where this courier stands.
     pub zone: ZoneId,
     /// Classes of message.
@@ -203,25 +203,25 @@
     /// How worth falls after the aim.
     pub decay: Decay,
     /// Clients mark what they hand in again.
-    pub marks_again: bool,
+    pub clients_mark_retries: bool,
     /// Longest time that clients stay away when told to; none where they are not told.
-    pub stay_away_most: Option<Duration>,
+    pub max_retry_after: Option<Duration>,
     /// Calls that may be out at once.
-    pub call_slots: usize,
+    pub concurrency_limit: usize,
     /// Messages that may be held; further ones are turned away before the courier.
-    pub most_held: usize,
+    pub max_queued: usize,
     /// Most attempts for one message.
-    pub send_cap: u32,
+    pub max_attempts: u32,
     /// [`Action::AbandonAttempt`] is permitted.
-    pub cancel: bool,
+    pub can_abandon: bool,
     /// A message may have two attempts out at once.
-    pub second_copies: bool,
+    pub allows_hedging: bool,
     /// Worth of a message beyond its tenant's share, as a part of its class's worth.
-    pub over_share_worth: f64,
+    pub over_quota_weight: f64,
     /// A connection that takes longer has failed.
     pub connect_timeout: Duration,
     /// An idle connection is closed after this.
-    pub conn_idle: Duration,
+    pub connection_idle_timeout: Duration,
     /// The figures of the rules.
     pub rules: Rules,
 }
@@ -229,32 +229,32 @@
 impl Default for Settings {
     fn default() -> Self {
         Settings {
-            couriers: 2,
+            instance_count: 2,
             zone: ZoneId(0),
             classes: vec![Class::default()],
             tenants: Vec::new(),
-            kinds: vec![Kind { batch: 1, own_limits: false }],
+            kinds: vec![Kind { max_batch: 1, per_endpoint_limits: false }],
             weights: WeightSource::Nominal,
             discovery: Discovery::Push,
             decay: Decay::Linear,
-            marks_again: false,
-            stay_away_most: None,
-            call_slots: 16,
-            most_held: 400,
-            send_cap: 8,
-            cancel: true,
-            second_copies: false,
-            over_share_worth: 1.0,
+            clients_mark_retries: false,
+            max_retry_after: None,
+            concurrency_limit: 16,
+            max_queued: 400,
+            max_attempts: 8,
+            can_abandon: true,
+            allows_hedging: false,
+            over_quota_weight: 1.0,
             connect_timeout: Duration::from_secs(1),
-            conn_idle: Duration::from_secs(15),
+            connection_idle_timeout: Duration::from_secs(15),
             rules: Rules {
-                answer_slack: Duration::from_millis(20),
-                cold_from: 0.2,
-                cold: Duration::from_secs(10),
-                tip_multiple: 2.0,
-                fall: Duration::from_secs(2),
-                order_settle: Duration::ZERO,
-                ask_every: Duration::from_secs(10),
+                answer_grace: Duration::from_millis(20),
+                warm_up_capacity: 0.2,
+                warm_up_time: Duration::from_secs(10),
+                overload_multiple: 2.0,
+                overload_window: Duration::from_secs(2),
+                key_cooldown: Duration::ZERO,
+                discovery_interval: Duration::from_secs(10),
             },
         }
     }
@@ -277,13 +277,13 @@
 
 impl EndpointState {
     /// Whether it may be given new work at all.
-    pub fn takes_work(self) -> bool {
+    pub fn accepts_new_requests(self) -> bool {
         matches!(self, EndpointState::Ready | EndpointState::OneAtATime)
     }
 
     /// Whether what was decided on may still go there.
-    pub fn keeps_work(self) -> bool {
-        self.takes_work() || self == EndpointState::Paused
+    pub fn accepts_scheduled_requests(self) -> bool {
+        self.accepts_new_requests() || self == EndpointState::Paused
     }
 }
 
@@ -299,7 +299,7 @@
     /// The destination that it belongs to.
     pub destination: DestinationId,
     /// Whether it may be given new work.
-    pub mode: EndpointState,
+    pub state: EndpointState,
     /// See [`WeightSource`].
     pub weight: f64,
 }
@@ -329,9 +329,9 @@
     /// When it is given up.
     pub deadline: Time,
     /// A courier that died held it before; a keyed one may have run there.
-    pub from_dead_courier: bool,
-    /// Marked as handed in again (see [`Settings::marks_again`]).
-    pub again: bool,
+    pub from_lost_instance: bool,
+    /// Marked as handed in again (see [`Settings::clients_mark_retries`]).
+    pub resubmitted: bool,
     /// Whose it is.
     pub tenant: TenantId,
 }
@@ -340,13 +340,13 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct RecoveredAttempts {
     /// When it was handed in.
-    pub taken_at: Time,
+    pub submitted_at: Time,
     /// Attempts begun.
     pub attempts: u32,
     /// When the first attempt was sent that may have run, and in which zone, if that is known.
     pub may_have_run: Option<(Time, Option<ZoneId>)>,
     /// Its last attempt was out when the courier ended.
-    pub unsettled: bool,
+    pub last_attempt_open: bool,
 }
 
 /// How an attempt ended.
@@ -384,7 +384,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateLimitStatus {
     /// Share of the limit that is left just now.
-    pub left: f64,
+    pub remaining: f64,
     /// The limit in calls a second over all couriers; zero where there is none.
     pub limit: f64,
 }
@@ -405,7 +405,7 @@
     /// The message is over; if not, its final answer is still owed.
     pub complete: bool,
     /// What was told of the limit.
-    pub allowance: Option<RateLimitStatus>,
+    pub rate_limit: Option<RateLimitStatus>,
 }
 
 /// Something that happened.
@@ -454,21 +454,21 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
     /// Call this endpoint with this message. Routes of one `decide` to one endpoint share a call as far as
-    /// [`Kind::batch`] allows.
+    /// [`Kind::max_batch`] allows.
     Send {
         /// The message.
         message: MessageId,
         /// Where to.
         endpoint: EndpointId,
         /// The attempt's time-out.
-        try_for: Duration,
+        timeout: Duration,
     },
     /// Final answer: handed back; the client may safely hand it in again.
     Reject {
         /// The message.
         message: MessageId,
         /// How long the client should stay away; zero for no advice.
-        stay_away: Duration,
+        retry_after: Duration,
     },
     /// Final answer: given up; the client is not told whether it took effect.
     Fail {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,24 +5,26 @@
 //! Call [`DeliveryPolicy::handle`] for every event, then [`DeliveryPolicy::decide`] once.
 //!
 //! ```
-//! use cloverstile::{Submission, Action, Class, DeliveryPolicy, Effect, Endpoint, Event, EndpointListUpdate, EndpointState};
-//! use cloverstile::{Settings, Time, ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
+//! use cloverstile::{Action, Class, DeliveryPolicy, Effect, Endpoint, EndpointListUpdate, EndpointState, Event};
+//! use cloverstile::{ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
+//! use cloverstile::{Settings, Submission, Time};
 //! use std::time::Duration;
 //!
 //! let class = Class { effect: Effect::Unsafe, ..Class::default() };
 //! let settings = Settings { classes: vec![class], ..Settings::default() };
-//! let mut courier = DeliveryPolicy::new(settings, 7);
+//! let mut policy = DeliveryPolicy::new(settings, 7);
 //! let now = Time::ZERO + Duration::from_secs(1);
-//! courier.handle(now, Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![Endpoint {
+//! policy.on_event(now, Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![Endpoint {
 //!     id: EndpointId(11), zone: ZoneId(0), kind: KindId(0), destination: DestinationId(3),
-//!     mode: EndpointState::Ready, weight: 10.0,
+//!     state: EndpointState::Ready, weight: 10.0,
 //! }])));
-//! courier.handle(now, Event::Submitted(Submission {
+//! policy.on_event(now, Event::Submitted(Submission {
 //!     id: MessageId(1), class: ClassId(0), destination: DestinationId(3), key: None,
-//!     deadline: now + Duration::from_secs(20), from_dead_courier: false, again: false, tenant: TenantId(0),
+//!     deadline: now + Duration::from_secs(20), from_lost_instance: false, resubmitted: false,
+//!     tenant: TenantId(0),
 //! }));
 //! let mut actions = Vec::new();
-//! courier.decide(now, &mut actions);
+//! policy.next_actions(now, &mut actions);
 //! assert!(matches!(actions[0], Action::Send { message: MessageId(1), endpoint: EndpointId(11), .. }));
 //! ```
 #![forbid(unsafe_code)]
@@ -33,6 +35,6 @@
 mod interface;
 mod settings;
 
-pub use choice::{window_end, DeliveryPolicy};
+pub use choice::{retry_window_end, DeliveryPolicy};
 pub use interface::*;
 pub use settings::{parse_settings, ParsedSettings, SettingError};
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,9 +35,9 @@
     /// What the module is handed.
     pub settings: Settings,
     /// Place of the share that is left of a limit.
-    pub left_at: Option<usize>,
+    pub remaining_field: Option<usize>,
     /// Place of the limit itself.
-    pub limit_at: Option<usize>,
+    pub limit_field: Option<usize>,
 }
 
 struct Lines<'a>(BTreeMap<&'a str, &'a str>);
@@ -96,7 +96,7 @@
     let fields = lines.words("Report.Fields");
     let place = |name: &str| fields.iter().position(|field| *field == name);
     let settings = Settings {
-        couriers: lines.or("Balancers", base.couriers)?,
+        instance_count: lines.or("Balancers", base.instance_count)?,
         zone: lines.get("Locality")?.map_or(base.zone, ZoneId),
         classes: list(&lines, "Lanes", class)?,
         tenants: list(&lines, "Projects", tenant)?,
@@ -121,31 +121,31 @@
             base.decay,
             &[("line", Decay::Linear), ("halves", Decay::Halving)],
         )?,
-        marks_again: lines.or("ClientHabits.MarksRetry", base.marks_again)?,
-        stay_away_most: if lines.or("Permissions.RetryAfter", false)? {
+        clients_mark_retries: lines.or("ClientHabits.MarksRetry", base.clients_mark_retries)?,
+        max_retry_after: if lines.or("Permissions.RetryAfter", false)? {
             lines.get("Permissions.MaxRetryAfter")?.map(Duration::from_nanos)
         } else {
             None
         },
-        call_slots: lines.or("FamilyInfo.CallsOut", base.call_slots)?,
-        most_held: lines.or("Permissions.MostHeld", base.most_held)?,
-        send_cap: lines.or("Permissions.SendCap", base.send_cap)?,
-        cancel: lines.or("Permissions.Cancel", false)?,
-        second_copies: lines.or("Permissions.SecondCopies", false)?,
-        over_share_worth: lines.or("OverShareWorth", base.over_share_worth)?,
+        concurrency_limit: lines.or("FamilyInfo.CallsOut", base.concurrency_limit)?,
+        max_queued: lines.or("Permissions.MostHeld", base.max_queued)?,
+        max_attempts: lines.or("Permissions.SendCap", base.max_attempts)?,
+        can_abandon: lines.or("Permissions.Cancel", false)?,
+        allows_hedging: lines.or("Permissions.SecondCopies", false)?,
+        over_quota_weight: lines.or("OverShareWorth", base.over_quota_weight)?,
         connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
-        conn_idle: lines.span("Permissions.ConnIdle", base.conn_idle)?,
+        connection_idle_timeout: lines.span("Permissions.ConnIdle", base.connection_idle_timeout)?,
         rules: Rules {
-            answer_slack: lines.span("Rules.AnswerSlack", rules.answer_slack)?,
-            cold_from: lines.or("Rules.ColdFrom", rules.cold_from)?,
-            cold: lines.span("Rules.Cold", rules.cold)?,
-            tip_multiple: lines.or("Rules.TipMultiple", rules.tip_multiple)?,
-            fall: lines.span("Rules.Fall", rules.fall)?,
-            order_settle: lines.span("Rules.OrderSettle", rules.order_settle)?,
-            ask_every: lines.span("Rules.AskEvery", rules.ask_every)?,
+            answer_grace: lines.span("Rules.AnswerSlack", rules.answer_grace)?,
+            warm_up_capacity: lines.or("Rules.ColdFrom", rules.warm_up_capacity)?,
+            warm_up_time: lines.span("Rules.Cold", rules.warm_up_time)?,
+            overload_multiple: lines.or("Rules.TipMultiple", rules.overload_multiple)?,
+            overload_window: lines.span("Rules.Fall", rules.overload_window)?,
+            key_cooldown: lines.span("Rules.OrderSettle", rules.key_cooldown)?,
+            discovery_interval: lines.span("Rules.AskEvery", rules.discovery_interval)?,
         },
     };
-    Ok(ParsedSettings { settings, left_at: place("x0"), limit_at: place("x1") })
+    Ok(ParsedSettings { settings, remaining_field: place("x0"), limit_field: place("x1") })
 }
 
 fn list<T>(
@@ -161,7 +161,7 @@
     let at = |name: &str| format!("{path}.{name}");
     let base = Class::default();
     Ok(Class {
-        aim: lines.span(&at("Aim"), base.aim)?,
+        latency_objective: lines.span(&at("Aim"), base.latency_objective)?,
         deadline: lines.span(&at("Deadline"), base.deadline)?,
         effect: lines.choice(
             &at("Effect"),
@@ -177,10 +177,10 @@
             Group::Zone,
             &[("all", Group::All), ("zone", Group::Zone), ("cell", Group::All)],
         )?,
-        repeat_window: lines.span(&at("RepeatWindow"), Duration::ZERO)?,
-        in_order: lines.or(&at("OneAtATime"), false)?,
-        worth: lines.or(&at("Worth"), base.worth)?,
-        late_share: lines.or(&at("LateShare"), 0.0)?,
+        retry_window: lines.span(&at("RepeatWindow"), Duration::ZERO)?,
+        ordered: lines.or(&at("OneAtATime"), false)?,
+        priority_weight: lines.or(&at("Worth"), base.priority_weight)?,
+        late_value_ratio: lines.or(&at("LateShare"), 0.0)?,
     })
 }
 
@@ -194,8 +194,10 @@
     (0..batches.len().max(apart.len()))
         .map(|index| {
             Ok(Kind {
-                batch: batches.get(index).map_or(Ok(1), |v| parse("FamilyInfo.KindBatch", v))?,
-                own_limits: apart.get(index).map_or(Ok(false), |v| parse("FamilyInfo.OwnLimits", v))?,
+                max_batch: batches.get(index).map_or(Ok(1), |v| parse("FamilyInfo.KindBatch", v))?,
+                per_endpoint_limits: apart
+                    .get(index)
+                    .map_or(Ok(false), |v| parse("FamilyInfo.OwnLimits", v))?,
             })
         })
         .collect()
--- a/tests/common/crowd.rs
+++ b/tests/common/crowd.rs
@@ -103,7 +103,7 @@
 /// Lets a crowd live through the outage and the cold return.
 pub fn live_through(plan: Plan) -> Seen {
     let mut crowd = Crowd::new(plan);
-    let (cold, fall) = (crowd.settings.rules.cold, crowd.settings.rules.fall);
+    let (cold, fall) = (crowd.settings.rules.warm_up_time, crowd.settings.rules.overload_window);
     let mut worst = 0.0_f64;
     while crowd.now < crowd.back + cold {
         crowd.now = crowd.now + STEP;
@@ -117,7 +117,7 @@
         crowd.tell_outcomes();
         (0..crowd.members.len()).for_each(|member| crowd.act(member));
         if crowd.now >= crowd.back {
-            let survives = crowd.settings.rules.tip_multiple * crowd.capacity() * fall.as_secs_f64();
+            let survives = crowd.settings.rules.overload_multiple * crowd.capacity() * fall.as_secs_f64();
             let recent = crowd.weights.iter().filter(|(at, _)| crowd.now - *at < fall);
             worst = worst.max(recent.map(|(_, weight)| weight).sum::<f64>() / survives);
         }
@@ -130,18 +130,23 @@
 fn settings_of(plan: &Plan) -> Settings {
     let (aim, span) = (Duration::from_secs(4), Duration::from_secs(20));
     let rules = Rules {
-        cold_from: 0.18,
-        cold: Duration::from_secs(12),
-        tip_multiple: 2.0,
-        fall: Duration::from_secs(3),
+        warm_up_capacity: 0.18,
+        warm_up_time: Duration::from_secs(12),
+        overload_multiple: 2.0,
+        overload_window: Duration::from_secs(3),
         ..Settings::default().rules
     };
     Settings {
-        classes: vec![Class { aim, deadline: span, repeat_window: span, ..Class::default() }],
-        couriers: plan.couriers,
-        kinds: vec![Kind { batch: plan.batch, own_limits: false }],
-        call_slots: 4,
-        most_held: 48,
+        classes: vec![Class {
+            latency_objective: aim,
+            deadline: span,
+            retry_window: span,
+            ..Class::default()
+        }],
+        instance_count: plan.couriers,
+        kinds: vec![Kind { max_batch: plan.batch, per_endpoint_limits: false }],
+        concurrency_limit: 4,
+        max_queued: 48,
         rules,
         ..Settings::default()
     }
@@ -157,7 +162,7 @@
         let member = |(number, share): (usize, &f64)| {
             let mut courier = DeliveryPolicy::new(settings.clone(), plan.seed * 1000 + number as u64);
             courier
-                .handle(start, Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![listed.clone()])));
+                .on_event(start, Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![listed.clone()])));
             Member { courier, wake: None, part: share / all, touched: true, aware: false }
         };
         let members = shares.iter().enumerate().map(member).collect();
@@ -192,9 +197,10 @@
     /// Calls a second that the partner can do at this moment.
     fn capacity(&self) -> f64 {
         let rules = &self.settings.rules;
-        let warmth = ((self.now - self.back).as_secs_f64() / rules.cold.as_secs_f64()).min(1.0);
+        let warmth = ((self.now - self.back).as_secs_f64() / rules.warm_up_time.as_secs_f64()).min(1.0);
         let cold = !self.stays_well() && self.now >= self.back;
-        self.plan.capacity * if cold { rules.cold_from + (1.0 - rules.cold_from) * warmth } else { 1.0 }
+        self.plan.capacity
+            * if cold { rules.warm_up_capacity + (1.0 - rules.warm_up_capacity) * warmth } else { 1.0 }
     }
 
     fn hand_in(&mut self) {
@@ -211,7 +217,7 @@
             }
             let class = (ClassId(0), &self.settings.classes[0]);
             let accepted = accepted(self.now, id.0, class, 1, None);
-            member.courier.handle(self.now, Event::Submitted(accepted));
+            member.courier.on_event(self.now, Event::Submitted(accepted));
             member.touched = true;
         }
     }
@@ -219,7 +225,7 @@
     fn wake(&mut self) {
         for member in &mut self.members {
             if let Some((_, token)) = member.wake.take_if(|(at, _)| *at <= self.now) {
-                member.courier.handle(self.now, Event::TimerFired(token));
+                member.courier.on_event(self.now, Event::TimerFired(token));
                 member.touched = true;
             }
         }
@@ -232,13 +238,20 @@
             let complete = outcome == AttemptOutcome::Ok;
             self.delivered += usize::from(complete && self.since_return.contains(&message));
             self.all_delivered += usize::from(complete);
-            let told = RateLimitStatus { left: self.left.0, limit: self.plan.capacity };
+            let told = RateLimitStatus { remaining: self.left.0, limit: self.plan.capacity };
             let allowance = self.stays_well().then_some(told);
             let latency = self.now - sent;
-            let finished =
-                AttemptCompleted { message, endpoint: TO, attempt, outcome, latency, complete, allowance };
+            let finished = AttemptCompleted {
+                message,
+                endpoint: TO,
+                attempt,
+                outcome,
+                latency,
+                complete,
+                rate_limit: allowance,
+            };
             let member = &mut self.members[member];
-            member.courier.handle(self.now, Event::AttemptCompleted(finished));
+            member.courier.on_event(self.now, Event::AttemptCompleted(finished));
             member.aware |= out && !complete;
             member.touched = true;
         }
@@ -249,7 +262,7 @@
             return;
         }
         let mut actions = Vec::new();
-        self.members[member].courier.decide(self.now, &mut actions);
+        self.members[member].courier.next_actions(self.now, &mut actions);
         // What goes in one turn is one call: one fate, a little weight for each further message.
         let mut fate = None;
         for action in actions {
@@ -257,7 +270,7 @@
                 Action::Wake { after, token } => {
                     self.members[member].wake = Some((self.now + after, token));
                 }
-                Action::Send { message, try_for, .. } => {
+                Action::Send { message, timeout: try_for, .. } => {
                     if self.members[member].aware && self.now >= self.back {
                         self.weights.push((self.now, if fate.is_none() { 1.0 } else { ITEM }));
                     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -23,7 +23,7 @@
 }
 
 pub fn settings(classes: Vec<Class>) -> Settings {
-    Settings { classes, couriers: 1, ..Settings::default() }
+    Settings { classes, instance_count: 1, ..Settings::default() }
 }
 
 pub fn endpoint(id: u32, destination: u16) -> Endpoint {
@@ -32,7 +32,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         destination: DestinationId(destination),
-        mode: EndpointState::Ready,
+        state: EndpointState::Ready,
         weight: 100.0,
     }
 }
@@ -51,8 +51,8 @@
         destination: DestinationId(destination),
         key: key.map(OrderKey),
         deadline: now + rules.deadline,
-        from_dead_courier: false,
-        again: false,
+        from_lost_instance: false,
+        resubmitted: false,
         tenant: TenantId(0),
     }
 }
@@ -80,7 +80,7 @@
     }
 
     pub fn tell(&mut self, event: Event) {
-        self.courier.handle(self.now, event);
+        self.courier.on_event(self.now, event);
     }
 
     pub fn accept(&mut self, id: u32, class: u8, destination: u16, key: Option<u64>) {
@@ -95,7 +95,7 @@
 
     pub fn decide(&mut self) -> Vec<Action> {
         let mut actions = Vec::new();
-        self.courier.decide(self.now, &mut actions);
+        self.courier.next_actions(self.now, &mut actions);
         for action in &actions {
             if let Action::Send { message, .. } = action {
                 *self.attempts.entry(message.0).or_default() += 1;
@@ -106,7 +106,7 @@
 
     pub fn routes(&mut self) -> Vec<Sent> {
         let routed = |action: &Action| match action {
-            Action::Send { message, endpoint, try_for } => Some((message.0, endpoint.0, *try_for)),
+            Action::Send { message, endpoint, timeout: try_for } => Some((message.0, endpoint.0, *try_for)),
             _ => None,
         };
         self.decide().iter().filter_map(routed).collect()
@@ -144,7 +144,7 @@
             endpoint,
             AttemptOutcome::Rejected(None),
             ms(20),
-            Some(RateLimitStatus { left, limit }),
+            Some(RateLimitStatus { remaining: left, limit }),
         );
     }
 
@@ -164,7 +164,7 @@
             outcome,
             latency,
             complete: outcome == AttemptOutcome::Ok,
-            allowance,
+            rate_limit: allowance,
         }));
     }
 }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -28,7 +28,7 @@
 /// Without a subscription no drain is told. All couriers start at once, and the list answers only so many.
 #[test]
 fn a_list_that_must_be_asked_for_is_asked_for_at_times_of_ones_own() {
-    let every = Settings::default().rules.ask_every;
+    let every = Settings::default().rules.discovery_interval;
     let mut gaps: Vec<Duration> = (0..40)
         .map(|seed| asks_after(&mut bench(Discovery::Ask, seed), every).expect("no subscription"))
         .collect();
@@ -44,7 +44,7 @@
 /// A failed call, or a subscription that broke, is mended by asking again, later from failure to failure.
 #[test]
 fn a_failure_is_followed_by_a_further_call_and_a_success_is_not() {
-    let every = Settings::default().rules.ask_every;
+    let every = Settings::default().rules.discovery_interval;
     let mut bench = bench(Discovery::Ask, 1);
     for _ in 0..5 {
         assert!(asks_after(&mut bench, every * 2).is_some());
--- a/tests/falls.rs
+++ b/tests/falls.rs
@@ -81,8 +81,8 @@
 fn a_short_deadline_of_one_class_does_not_hasten_trials() {
     let hurried = Class { deadline: Duration::from_secs(6), ..safe() };
     let base = settings(vec![hurried, safe()]);
-    let rules = Rules { tip_multiple: 1.5, cold_from: 0.26, ..base.rules.clone() };
-    let base = Settings { couriers: 300, rules, ..base };
+    let rules = Rules { overload_multiple: 1.5, warm_up_capacity: 0.26, ..base.rules.clone() };
+    let base = Settings { instance_count: 300, rules, ..base };
     let mut sends = 0;
     for seed in 0..100 {
         let mut bench = Bench::new(base.clone(), vec![]);
--- a/tests/full_size.rs
+++ b/tests/full_size.rs
@@ -15,7 +15,7 @@
 /// The same with a seed of its own.
 fn seeded(base: Settings, destinations: u32, seed: u64) -> Bench {
     let all: Vec<Endpoint> = (1..=destinations).map(|d| endpoint(d, d as u16)).collect();
-    let settings = Settings { couriers: 300, ..base };
+    let settings = Settings { instance_count: 300, ..base };
     let mut bench = Bench::new(settings.clone(), vec![]);
     bench.restart(settings, seed, all);
     bench
@@ -84,7 +84,7 @@
 /// sede: a fifth of the calls was called off at three times the guess made at the start.
 #[test]
 fn before_a_routes_first_answer_the_latency_of_all_stands() {
-    let base = Settings { call_slots: 2, ..settings(vec![safe()]) };
+    let base = Settings { concurrency_limit: 2, ..settings(vec![safe()]) };
     let mut bench = one_of_many(base, 30);
     for id in 1..=20 {
         bench.accept(id, 0, id as u16, None);
@@ -104,8 +104,10 @@
 fn a_small_tenant_is_not_beyond_its_share_at_full_size() {
     let tenants = vec![Tenant { quota: 120.0 }, Tenant { quota: 900.0 }];
     let base = settings(vec![safe()]);
-    let mut bench =
-        one_of_many(Settings { most_held: 20, tenants, over_share_worth: 0.1, couriers: 300, ..base }, 0);
+    let mut bench = one_of_many(
+        Settings { max_queued: 20, tenants, over_quota_weight: 0.1, instance_count: 300, ..base },
+        0,
+    );
     let class = (ClassId(0), &bench.settings.classes[0].clone());
     let hand_in = |bench: &mut Bench, id: u32, tenant: u32| {
         let taken = common::accepted(bench.now, id, class, 1, None);
@@ -122,7 +124,7 @@
 /// sede: all couriers filled the endpoint of the lowest id, as each of a destination's routes has its own limit.
 #[test]
 fn where_routes_are_apart_couriers_prefer_different_ones_and_spread_their_calls() {
-    let kinds = vec![Kind { batch: 1, own_limits: true }];
+    let kinds = vec![Kind { max_batch: 1, per_endpoint_limits: true }];
     let base = Settings { kinds, ..settings(vec![safe()]) };
     let all = vec![endpoint(7, 1), endpoint(8, 1), endpoint(9, 1)];
     let mut chosen = BTreeSet::new();
@@ -176,8 +178,9 @@
 #[test]
 fn a_fresh_message_with_little_time_left_is_worth_what_it_can_still_earn() {
     let order = |marks_again: bool| {
-        let falling = Class { late_share: 0.1, ..safe() };
-        let base = Settings { call_slots: 1, marks_again, ..settings(vec![falling]) };
+        let falling = Class { late_value_ratio: 0.1, ..safe() };
+        let base =
+            Settings { concurrency_limit: 1, clients_mark_retries: marks_again, ..settings(vec![falling]) };
         let mut bench = one_of_many(base, 2);
         let class = (ClassId(0), &bench.settings.classes[0].clone());
         let short = common::accepted(bench.now, 1, class, 1, None);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -31,11 +31,14 @@
 }
 
 fn world() -> (Settings, Vec<Endpoint>) {
-    let in_order = Class { in_order: true, ..unsafe_class() };
+    let in_order = Class { ordered: true, ..unsafe_class() };
     let base = settings(vec![keyed(), unsafe_class(), safe(), in_order]);
-    let kinds = vec![Kind { batch: 1, own_limits: false }, Kind { batch: 3, own_limits: false }];
-    let rules = Rules { order_settle: ms(120), ..base.rules.clone() };
-    let settings = Settings { call_slots: 5, most_held: 60, send_cap: 5, kinds, rules, ..base };
+    let kinds = vec![
+        Kind { max_batch: 1, per_endpoint_limits: false },
+        Kind { max_batch: 3, per_endpoint_limits: false },
+    ];
+    let rules = Rules { key_cooldown: ms(120), ..base.rules.clone() };
+    let settings = Settings { concurrency_limit: 5, max_queued: 60, max_attempts: 5, kinds, rules, ..base };
     let endpoints = (0..6)
         .map(|id| Endpoint {
             kind: KindId((id % 2) as u16),
@@ -89,7 +92,7 @@
     fn end(&mut self, now: Time, id: u32) -> u32 {
         let held = self.held.get_mut(&id).expect("answers only what it holds");
         assert!(!held.ended, "one final answer");
-        assert!(now <= held.deadline + self.settings.rules.answer_slack, "in time");
+        assert!(now <= held.deadline + self.settings.rules.answer_grace, "in time");
         held.ended = true;
         id
     }
@@ -100,14 +103,14 @@
         assert!(!held.ended && held.out.is_none(), "never two attempts, nothing after the end");
         assert_eq!(self.modes[&endpoint], EndpointState::Ready, "nothing to a drained endpoint");
         assert!(self.waits.get(&held.destination).is_none_or(|until| *until <= now), "waits are kept");
-        assert!(held.sends < self.settings.send_cap);
+        assert!(held.sends < self.settings.max_attempts);
         if let Some(first) = held.first_maybe {
             assert_ne!(class.effect, Effect::Unsafe, "no unsafe resend");
-            assert!(class.effect == Effect::Safe || now < first + class.repeat_window, "inside the window");
+            assert!(class.effect == Effect::Safe || now < first + class.retry_window, "inside the window");
         }
-        if class.in_order && held.key != 0 {
+        if class.ordered && held.key != 0 {
             let mut earlier = self.held.range(..id).map(|(_, h)| h);
-            let taken = |h: &Held| self.settings.classes[h.class].in_order && h.key == held.key;
+            let taken = |h: &Held| self.settings.classes[h.class].ordered && h.key == held.key;
             assert!(!earlier.any(|h| taken(h) && (!h.ended || h.out.is_some())), "keys in turn");
             assert!(held.sends > 0 || self.rests.get(&held.key).is_none_or(|until| *until <= now), "rest");
         }
@@ -115,7 +118,7 @@
         held.out = Some((endpoint, now));
         held.sends += 1;
         let out = self.held.values().filter(|h| h.out.is_some()).count();
-        assert!(out <= self.settings.call_slots * 3, "slots");
+        assert!(out <= self.settings.concurrency_limit * 3, "slots");
     }
 }
 
@@ -138,7 +141,7 @@
     let mut bench = Bench::new(settings.clone(), endpoints.clone());
     bench.courier = DeliveryPolicy::new(settings.clone(), seed);
     bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints.clone())));
-    let modes = endpoints.iter().map(|e| (e.id.0, e.mode)).collect();
+    let modes = endpoints.iter().map(|e| (e.id.0, e.state)).collect();
     let (held, waits, rests) = Default::default();
     let mut judge = Judge { settings, held, waits, rests, modes };
     let mut all = Vec::new();
@@ -164,7 +167,7 @@
                 continue;
             }
             Step::Accept { class, destination, key } => {
-                if judge.held.values().filter(|h| !h.ended).count() >= judge.settings.most_held {
+                if judge.held.values().filter(|h| !h.ended).count() >= judge.settings.max_queued {
                     continue;
                 }
                 id += 1;
@@ -193,7 +196,7 @@
             }
             Step::Mode { endpoint, mode } => {
                 let mode = [EndpointState::Ready, EndpointState::Draining, EndpointState::Removed][mode];
-                let entry = Endpoint { mode, ..endpoints[endpoint as usize].clone() };
+                let entry = Endpoint { state: mode, ..endpoints[endpoint as usize].clone() };
                 bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![entry])));
                 judge.modes.insert(endpoint, mode);
             }
@@ -223,11 +226,11 @@
         let until = judge.waits.entry(held.destination).or_insert(Time::ZERO);
         *until = (*until).max(bench.now + wait);
     }
-    let in_order = judge.settings.classes[held.class].in_order;
+    let in_order = judge.settings.classes[held.class].ordered;
     if in_order
         && matches!(outcome, AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned)
     {
-        judge.rests.insert(held.key, bench.now + judge.settings.rules.order_settle);
+        judge.rests.insert(held.key, bench.now + judge.settings.rules.key_cooldown);
     }
     bench.finish(id, endpoint, outcome, bench.now - sent);
 }
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -15,7 +15,7 @@
 }
 
 fn fresh(now: Time) -> RecoveredAttempts {
-    RecoveredAttempts { taken_at: now - ms(900), ..RecoveredAttempts::default() }
+    RecoveredAttempts { submitted_at: now - ms(900), ..RecoveredAttempts::default() }
 }
 
 #[test]
@@ -30,7 +30,7 @@
     let past = |now| RecoveredAttempts {
         attempts: 1,
         may_have_run: Some((now - ms(700), None)),
-        unsettled: true,
+        last_attempt_open: true,
         ..fresh(now)
     };
     let mut bench = recovered(unsafe_class(), past, None);
@@ -49,15 +49,15 @@
             ..fresh(now)
         }
     };
-    let inside = class.repeat_window.mul_f64(0.8);
+    let inside = class.retry_window.mul_f64(0.8);
     assert_eq!(recovered(class.clone(), past(inside), None).routes().len(), 1);
-    let mut late = recovered(class.clone(), past(class.repeat_window), None);
+    let mut late = recovered(class.clone(), past(class.retry_window), None);
     assert!(late.decide().contains(&Action::Fail { message: MessageId(1) }));
 }
 
 #[test]
 fn attempts_used_stay_used() {
-    let cap = Settings::default().send_cap;
+    let cap = Settings::default().max_attempts;
     let past = |attempts| move |now| RecoveredAttempts { attempts, ..fresh(now) };
     assert_eq!(recovered(keyed(), past(cap - 1), None).routes().len(), 1);
     let mut used_up = recovered(keyed(), past(cap), None);
@@ -67,15 +67,15 @@
 
 #[test]
 fn a_key_whose_call_was_out_rests_before_its_next_message() {
-    let class = Class { in_order: true, ..keyed() };
+    let class = Class { ordered: true, ..keyed() };
     let past = |now| RecoveredAttempts {
         attempts: 1,
         may_have_run: Some((now - ms(700), None)),
-        unsettled: true,
+        last_attempt_open: true,
         ..fresh(now)
     };
     let mut bench = recovered(class, past, Some(5));
-    bench.settings.rules.order_settle = ms(100);
+    bench.settings.rules.key_cooldown = ms(100);
     bench.courier = DeliveryPolicy::new(bench.settings.clone(), 1);
     bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(7, 1)])));
     let classes = bench.settings.classes.clone();
@@ -125,15 +125,21 @@
 /// call, as fresh ones were worth more and the pace of their destinations was low.
 #[test]
 fn what_was_left_untried_is_tried_before_its_time_is_up_whatever_pace_and_fresh_ones_say() {
-    let class = Class { deadline: Duration::from_secs(8), aim: Duration::from_secs(2), ..unsafe_class() };
+    let class = Class {
+        deadline: Duration::from_secs(8),
+        latency_objective: Duration::from_secs(2),
+        ..unsafe_class()
+    };
     let settings = Settings { weights: WeightSource::Nominal, ..settings(vec![class.clone()]) };
     let slow = Endpoint { weight: 2.0, ..endpoint(7, 1) };
     let mut bench = Bench::new(settings, vec![slow]);
     for id in 1..=40 {
         let mut taken = accepted(bench.now, id, (ClassId(0), &class), 1, None);
         taken.deadline = bench.now + ms(3000 + u64::from(id) * 50);
-        let past =
-            RecoveredAttempts { taken_at: taken.deadline - class.deadline, ..RecoveredAttempts::default() };
+        let past = RecoveredAttempts {
+            submitted_at: taken.deadline - class.deadline,
+            ..RecoveredAttempts::default()
+        };
         bench.tell(Event::Recovered(taken, past));
     }
     let mut next = 100;
@@ -155,11 +161,11 @@
 #[test]
 fn what_was_left_untried_is_not_shed_to_make_room() {
     let class = Class { deadline: Duration::from_secs(8), ..unsafe_class() };
-    let settings = Settings { most_held: 20, ..settings(vec![class.clone()]) };
+    let settings = Settings { max_queued: 20, ..settings(vec![class.clone()]) };
     let mut bench = Bench::new(settings, vec![]);
     for id in 1..=20 {
         let taken = accepted(bench.now, id, (ClassId(0), &class), 1, None);
-        let past = RecoveredAttempts { taken_at: bench.now - ms(5000), ..RecoveredAttempts::default() };
+        let past = RecoveredAttempts { submitted_at: bench.now - ms(5000), ..RecoveredAttempts::default() };
         bench.tell(Event::Recovered(taken, past));
     }
     bench.accept(21, 0, 1, None);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -32,9 +32,9 @@
     let deadline = bench.now + bench.settings.classes[0].deadline;
     assert_eq!(
         bench.until_action(Duration::from_secs(30)),
-        [Action::Reject { message: MessageId(1), stay_away: Duration::ZERO }]
+        [Action::Reject { message: MessageId(1), retry_after: Duration::ZERO }]
     );
-    assert!(bench.now <= deadline + bench.settings.rules.answer_slack);
+    assert!(bench.now <= deadline + bench.settings.rules.answer_grace);
     assert!(bench.until_action(Duration::from_secs(30)).is_empty());
 }
 
@@ -68,7 +68,7 @@
         bench.finish(1, 7, AttemptOutcome::Error, ms(30));
         match bench.until_action(Duration::from_secs(30)).first() {
             Some(Action::Send { .. }) => {
-                assert!(bench.now < sent + bench.settings.classes[0].repeat_window);
+                assert!(bench.now < sent + bench.settings.classes[0].retry_window);
                 repeats += 1;
             }
             Some(Action::Fail { .. }) => break,
@@ -76,7 +76,7 @@
         }
     }
     assert!(repeats > 0);
-    assert!(repeats < bench.settings.send_cap);
+    assert!(repeats < bench.settings.max_attempts);
 }
 
 #[test]
@@ -90,7 +90,7 @@
     bench.now = bench.now + ms(50);
     bench.finish(1, first, AttemptOutcome::Reset, ms(50));
     let zone = if first == 7 { ZoneId(0) } else { ZoneId(1) };
-    let drained = Endpoint { mode: EndpointState::Draining, zone, ..endpoint(first, 1) };
+    let drained = Endpoint { state: EndpointState::Draining, zone, ..endpoint(first, 1) };
     bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![drained])));
     let end = bench.until_action(Duration::from_secs(30));
     assert_eq!(end, [Action::Fail { message: MessageId(1) }]);
@@ -132,9 +132,9 @@
         class: ClassId(0),
         destination: DestinationId(1),
         key: None,
-        deadline: bench.now + (class.deadline - class.repeat_window),
-        from_dead_courier: true,
-        again: true,
+        deadline: bench.now + (class.deadline - class.retry_window),
+        from_lost_instance: true,
+        resubmitted: true,
         tenant: TenantId(0),
     }));
     let end = bench.until_action(Duration::from_secs(30));
@@ -146,7 +146,7 @@
     for mode in [EndpointState::Draining, EndpointState::Removed] {
         let mut bench = Bench::new(settings(vec![safe()]), vec![endpoint(7, 1), endpoint(8, 1)]);
         bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Delta(vec![Endpoint {
-            mode,
+            state: mode,
             ..endpoint(7, 1)
         }])));
         (0..4).for_each(|id| bench.accept(id, 0, 1, None));
@@ -177,7 +177,7 @@
 fn a_wait_told_by_any_message_of_a_call_is_kept() {
     let base = settings(vec![safe()]);
     let mut bench = Bench::new(
-        Settings { kinds: vec![Kind { batch: 5, own_limits: false }], ..base },
+        Settings { kinds: vec![Kind { max_batch: 5, per_endpoint_limits: false }], ..base },
         vec![endpoint(7, 1)],
     );
     (1..=3).for_each(|id| bench.accept(id, 0, 1, None));
@@ -192,9 +192,9 @@
 
 #[test]
 fn keys_go_strictly_in_turn_and_rest_after_an_unsettled_attempt() {
-    let class = Class { in_order: true, ..unsafe_class() };
+    let class = Class { ordered: true, ..unsafe_class() };
     let base = settings(vec![class]);
-    let rules = Rules { order_settle: ms(300), ..base.rules.clone() };
+    let rules = Rules { key_cooldown: ms(300), ..base.rules.clone() };
     let mut bench = Bench::new(Settings { rules, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
     bench.accept(1, 0, 1, Some(5));
     bench.accept(2, 0, 1, Some(5));
@@ -231,7 +231,7 @@
     // It is back: all that is sent in the fall window stays inside the budget of a cold destination.
     let (mut sent, mut back) = (0.0, bench.now);
     let rules = bench.settings.rules.clone();
-    while bench.now - back < rules.fall {
+    while bench.now - back < rules.overload_window {
         bench.now = bench.now + ms(5);
         for (id, to, _) in bench.routes() {
             if sent == 0.0 {
@@ -241,8 +241,11 @@
             bench.finish(id, to, AttemptOutcome::Ok, ms(5));
         }
     }
-    let capacity = 100.0 * (rules.cold_from + (1.0 - rules.cold_from) * 0.2);
-    assert!(sent > 0.0 && sent <= rules.tip_multiple * capacity * rules.fall.as_secs_f64(), "{sent}");
+    let capacity = 100.0 * (rules.warm_up_capacity + (1.0 - rules.warm_up_capacity) * 0.2);
+    assert!(
+        sent > 0.0 && sent <= rules.overload_multiple * capacity * rules.overload_window.as_secs_f64(),
+        "{sent}"
+    );
 }
 
 /// Hang of a destination: the silence stops further calls long before a time-out would.
@@ -286,9 +289,9 @@
 
 #[test]
 fn nearly_full_the_least_worth_are_handed_back() {
-    let rich = Class { worth: 5.0, ..safe() };
+    let rich = Class { priority_weight: 5.0, ..safe() };
     let base = settings(vec![safe(), rich]);
-    let mut bench = Bench::new(Settings { most_held: 20, ..base }, vec![]);
+    let mut bench = Bench::new(Settings { max_queued: 20, ..base }, vec![]);
     (0..10).for_each(|id| bench.accept(id, 0, 1, None));
     (10..20).for_each(|id| bench.accept(id, 1, 1, None));
     let shed = bench.until_action(ms(5));
@@ -299,8 +302,10 @@
 #[test]
 fn a_free_slot_goes_to_the_destination_with_fewest_calls_out() {
     let base = settings(vec![safe()]);
-    let mut bench =
-        Bench::new(Settings { call_slots: 4, ..base }, vec![endpoint(1, 1), endpoint(2, 2), endpoint(3, 3)]);
+    let mut bench = Bench::new(
+        Settings { concurrency_limit: 4, ..base },
+        vec![endpoint(1, 1), endpoint(2, 2), endpoint(3, 3)],
+    );
     (0..4).for_each(|id| bench.accept(id, 0, 1, None));
     (4..8).for_each(|id| bench.accept(id, 0, 2, None));
     (8..12).for_each(|id| bench.accept(id, 0, 3, None));
@@ -312,8 +317,8 @@
 #[test]
 fn one_call_carries_many_where_the_kind_allows_it() {
     let base = settings(vec![safe()]);
-    let kinds = vec![Kind { batch: 5, own_limits: false }];
-    let mut bench = Bench::new(Settings { call_slots: 1, kinds, ..base }, vec![endpoint(7, 1)]);
+    let kinds = vec![Kind { max_batch: 5, per_endpoint_limits: false }];
+    let mut bench = Bench::new(Settings { concurrency_limit: 1, kinds, ..base }, vec![endpoint(7, 1)]);
     (0..8).for_each(|id| bench.accept(id, 0, 1, None));
     assert_eq!(bench.routes().len(), 5);
 }
@@ -330,7 +335,7 @@
         bench.finish(1, 7, AttemptOutcome::Timeout, last);
         bench.accept(1000 + bench.now.0 as u32, 0, 1, None);
         match bench.until_action(Duration::from_secs(5)).first() {
-            Some(Action::Send { message, try_for, .. }) => {
+            Some(Action::Send { message, timeout: try_for, .. }) => {
                 last = *try_for;
                 if message.0 != 1 {
                     break;
@@ -367,7 +372,7 @@
 fn what_is_beyond_a_tenants_share_is_shed_first() {
     let base = settings(vec![safe()]);
     let tenants = vec![Tenant { quota: 0.6 }, Tenant { quota: 1000.0 }];
-    let mut bench = Bench::new(Settings { most_held: 40, tenants, over_share_worth: 0.1, ..base }, vec![]);
+    let mut bench = Bench::new(Settings { max_queued: 40, tenants, over_quota_weight: 0.1, ..base }, vec![]);
     let deadline = bench.now + bench.settings.classes[0].deadline;
     for id in 0..40 {
         let tenant = TenantId(u32::from(id >= 20));
@@ -380,8 +385,8 @@
             destination,
             key: None,
             deadline,
-            from_dead_courier,
-            again: false,
+            from_lost_instance: from_dead_courier,
+            resubmitted: false,
             tenant,
         };
         bench.tell(Event::Submitted(taken));
@@ -397,7 +402,7 @@
 #[test]
 fn where_routes_are_apart_a_wait_holds_for_its_route_only() {
     let base = settings(vec![safe()]);
-    let kinds = vec![Kind { batch: 1, own_limits: true }];
+    let kinds = vec![Kind { max_batch: 1, per_endpoint_limits: true }];
     let mut bench = Bench::new(Settings { kinds, ..base }, vec![endpoint(7, 1), endpoint(8, 1)]);
     bench.accept(1, 0, 1, None);
     let first = bench.routes()[0].1;
@@ -430,7 +435,7 @@
 /// A message that can never be sent again must not keep its order key from the messages behind it.
 #[test]
 fn a_hopeless_message_is_answered_at_once_and_frees_its_key() {
-    let class = Class { in_order: true, ..unsafe_class() };
+    let class = Class { ordered: true, ..unsafe_class() };
     let mut bench = one(class);
     bench.accept(1, 0, 1, Some(5));
     bench.accept(2, 0, 1, Some(5));
@@ -446,11 +451,11 @@
 #[test]
 fn a_message_whose_attempts_are_used_up_is_handed_back_at_once() {
     let mut bench = one(unsafe_class());
-    bench.restart(Settings { send_cap: 1, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+    bench.restart(Settings { max_attempts: 1, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
     bench.accept(1, 0, 1, None);
     bench.routes();
     bench.finish(1, 7, AttemptOutcome::Rejected(None), ms(20));
-    assert!(bench.decide().contains(&Action::Reject { message: MessageId(1), stay_away: Duration::ZERO }));
+    assert!(bench.decide().contains(&Action::Reject { message: MessageId(1), retry_after: Duration::ZERO }));
 }
 
 /// Sends a message to each of `count` destinations in turn, each with a connection idle for two seconds; calls
@@ -486,7 +491,7 @@
 fn a_single_loss_opens_no_spell() {
     let next_send = |outcome: AttemptOutcome| {
         let mut bench = one(safe());
-        bench.restart(Settings { couriers: 100, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+        bench.restart(Settings { instance_count: 100, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
         bench.now = bench.now + ms(20);
@@ -522,7 +527,8 @@
 #[test]
 fn with_all_slots_taken_a_stalled_call_is_called_off() {
     let base = settings(vec![safe()]);
-    let mut bench = Bench::new(Settings { call_slots: 2, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
+    let mut bench =
+        Bench::new(Settings { concurrency_limit: 2, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
     (0..2).for_each(|id| bench.accept(id, 0, 1 + id as u16, None));
     assert_eq!(bench.routes().len(), 2);
     bench.accept(5, 0, 2, None);
@@ -533,9 +539,10 @@
 /// A slot is worth most where a message of more worth waits, not where the list starts.
 #[test]
 fn ties_between_destinations_go_by_worth() {
-    let rich = Class { worth: 5.0, ..safe() };
+    let rich = Class { priority_weight: 5.0, ..safe() };
     let base = settings(vec![safe(), rich]);
-    let mut bench = Bench::new(Settings { call_slots: 1, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
+    let mut bench =
+        Bench::new(Settings { concurrency_limit: 1, ..base }, vec![endpoint(1, 1), endpoint(2, 2)]);
     bench.accept(1, 0, 1, None);
     bench.accept(2, 1, 2, None);
     assert_eq!(bench.routes()[0].0, 2);
@@ -547,7 +554,7 @@
     let mut trials = 0;
     for seed in 0..100 {
         let mut bench = one(safe());
-        bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
+        bench.restart(Settings { instance_count: 400, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
         bench.finish(1, 7, AttemptOutcome::ConnectFailed, ms(20));
@@ -569,7 +576,7 @@
 #[test]
 fn a_light_courier_sends_at_once_while_nothing_was_refused() {
     let mut bench = one(safe());
-    bench.restart(Settings { couriers: 400, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
+    bench.restart(Settings { instance_count: 400, ..bench.settings.clone() }, 1, vec![endpoint(7, 1)]);
     for id in 0..10 {
         bench.accept(id, 0, 1, None);
         assert_eq!(bench.routes().len(), 1);
@@ -583,8 +590,8 @@
 fn where_calls_carry_many_one_refusal_slows_down_to_a_call_an_aim() {
     let sends_after_a_refusal = |batch: usize, seconds: u64| {
         let base = settings(vec![safe()]);
-        let kinds = vec![Kind { batch, own_limits: false }];
-        let mut bench = Bench::new(Settings { couriers: 400, kinds, ..base }, vec![endpoint(7, 1)]);
+        let kinds = vec![Kind { max_batch: batch, per_endpoint_limits: false }];
+        let mut bench = Bench::new(Settings { instance_count: 400, kinds, ..base }, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         let mut calls = 0;
         let began = bench.now;
@@ -608,7 +615,7 @@
 fn light_couriers_refused_together_come_back_apart() {
     let back_after = |seed: u64| {
         let mut bench = one(safe());
-        bench.restart(Settings { couriers: 200, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
+        bench.restart(Settings { instance_count: 200, ..bench.settings.clone() }, seed, vec![endpoint(7, 1)]);
         bench.accept(1, 0, 1, None);
         bench.routes();
         bench.finish(1, 7, AttemptOutcome::Rejected(None), ms(20));
@@ -618,14 +625,14 @@
     };
     let mut gaps: Vec<Duration> = (0..40).map(back_after).collect();
     gaps.sort_unstable();
-    let aim = safe().aim;
+    let aim = safe().latency_objective;
     assert!(gaps[39] - gaps[0] > aim, "from {:?} to {:?}, aim {aim:?}", gaps[0], gaps[39]);
 }
 
 /// What is given up is answered in the same turn: a repeat whose gap ends after its window is never sent again.
 #[test]
 fn a_message_given_up_is_answered_at_once() {
-    let class = Class { repeat_window: ms(1000), ..keyed() };
+    let class = Class { retry_window: ms(1000), ..keyed() };
     let mut given_up = 0;
     for seed in 0..40 {
         let mut bench = one(class.clone());
@@ -649,13 +656,16 @@
 fn a_refused_client_is_told_how_long_to_stay_away() {
     let told = |stay_away_most: Option<Duration>| {
         let base = settings(vec![safe()]);
-        let mut bench = Bench::new(Settings { most_held: 20, stay_away_most, ..base }, vec![endpoint(7, 1)]);
+        let mut bench = Bench::new(
+            Settings { max_queued: 20, max_retry_after: stay_away_most, ..base },
+            vec![endpoint(7, 1)],
+        );
         bench.accept(100, 0, 1, None);
         bench.routes();
         bench.finish(100, 7, AttemptOutcome::Rejected(Some(ms(900))), ms(20));
         (0..20).for_each(|id| bench.accept(id, 0, 1, None));
         let stays = |a: &Action| match a {
-            Action::Reject { stay_away, .. } => Some(*stay_away),
+            Action::Reject { retry_after: stay_away, .. } => Some(*stay_away),
             _ => None,
         };
         bench.decide().iter().find_map(stays).expect("nothing was shed")
@@ -668,9 +678,9 @@
 /// sede: what waited for partners in an outage filled the hold, and messages for healthy ones were turned away.
 #[test]
 fn nearly_full_what_waits_for_the_sick_goes_first() {
-    let rich = Class { worth: 5.0, ..safe() };
+    let rich = Class { priority_weight: 5.0, ..safe() };
     let base = settings(vec![safe(), rich]);
-    let settings = Settings { most_held: 20, call_slots: 1, ..base };
+    let settings = Settings { max_queued: 20, concurrency_limit: 1, ..base };
     let mut bench = Bench::new(settings, vec![endpoint(1, 1), endpoint(2, 2)]);
     for id in 100..102 {
         bench.now = bench.now + ms(50);
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -11,7 +11,7 @@
 /// hanging calls off: 25% late and 10% refused while two of 32 slots were free.
 #[test]
 fn calls_that_hang_behind_bulkheads_are_called_off_though_a_slot_is_free() {
-    let settings = Settings { call_slots: 8, ..settings(vec![unsafe_class()]) };
+    let settings = Settings { concurrency_limit: 8, ..settings(vec![unsafe_class()]) };
     let mut bench = Bench::new(settings, (1..=3).map(|d| endpoint(u32::from(d), d)).collect());
     let mut id = 0;
     // Each destination goes on answering all calls but those on connections that fell silent.
--- a/tests/turns.rs
+++ b/tests/turns.rs
@@ -30,8 +30,11 @@
 }
 
 fn bench(seed: u64, endpoints: Vec<Endpoint>) -> Bench {
-    let kinds = vec![Kind { batch: 1, own_limits: false }, Kind { batch: 1, own_limits: true }];
-    let settings = Settings { kinds, couriers: 300, ..settings(vec![safe()]) };
+    let kinds = vec![
+        Kind { max_batch: 1, per_endpoint_limits: false },
+        Kind { max_batch: 1, per_endpoint_limits: true },
+    ];
+    let settings = Settings { kinds, instance_count: 300, ..settings(vec![safe()]) };
     let mut bench = Bench::new(settings.clone(), Vec::new());
     // Seeds that follow each other begin alike.
     bench.restart(settings, seed.wrapping_mul(0x9e37_79b9_7f4a_7c15), endpoints);
@@ -76,7 +79,7 @@
 #[test]
 fn a_light_courier_stays_where_its_connection_is_open() {
     let mut bench = bench(1, (1..=3).map(|id| endpoint(id, 1)).collect());
-    let idle = bench.settings.conn_idle;
+    let idle = bench.settings.connection_idle_timeout;
     let went = one_by_one(&mut bench, 6, idle.mul_f64(0.7));
     assert_eq!(counts(&went).len(), 1, "{went:?}");
     // Where it lapsed, the next call costs a connection anyhow: another's turn.
@@ -91,10 +94,10 @@
     let mut endpoints: Vec<Endpoint> = (1..=3).map(|id| endpoint(id, 1)).collect();
     let mut bench = bench(1, endpoints.clone());
     one_by_one(&mut bench, 60, ms(50));
-    endpoints[1].mode = EndpointState::Draining;
+    endpoints[1].state = EndpointState::Draining;
     bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints.clone())));
     assert_eq!(counts(&one_by_one(&mut bench, 60, ms(50))).get(&2), None);
-    endpoints[1].mode = EndpointState::Ready;
+    endpoints[1].state = EndpointState::Ready;
     // A new one comes with it, and starts level.
     endpoints.push(endpoint(4, 1));
     bench.tell(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints)));
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -191,8 +191,8 @@
     let config =
         "Balancers=3\nLanes.count=1\nLanes.0.Effect=read_like\nNew.Thing=1,2\nFamilyInfo.KindBatch=1,4\n";
     let parsed = cloverstile::parse_settings(config).unwrap();
-    assert_eq!(parsed.settings.couriers, 3);
-    assert_eq!(parsed.settings.kinds[1].batch, 4);
+    assert_eq!(parsed.settings.instance_count, 3);
+    assert_eq!(parsed.settings.kinds[1].max_batch, 4);
     // A sheet's number taken over later in a batch does not touch what referred to it before.
     let sheet = |endpoint| {
         let entry = Entry { endpoint, zone: 0, kind: 0, cell: 1, mode: 3, weight: 9.0, up_since: 0 };
