Delivery policy split into a file per concern, its state in policy_state

Change: src/policy/ has a file per concern (admission, completion, concurrency, discovery, dispatch, health, idle connections, priority, rate limiting, retry, selection), src/policy_state/ the types, look-ups and queue upkeep. All files with decisions are named under `policy` in the deploy file; the test of the limit counts them all together and fails where a file of src/policy/ is not named.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -30,11 +30,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod books;
-mod choice;
 mod interface;
+mod policy;
+mod policy_state;
 mod settings;
 
-pub use choice::{retry_window_end, DeliveryPolicy};
 pub use interface::*;
+pub use policy::{retry_window_end, DeliveryPolicy};
 pub use settings::{parse_settings, ParsedSettings, SettingError};
--- /dev/null
+++ b/tests/policy_limits.rs
@@ -0,0 +1,30 @@
+//! The files with decisions stay short enough to be read aloud: those that `policy` in the deploy file names.
+
+use std::path::Path;
+
+const ROOT: &str = env!("CARGO_MANIFEST_DIR");
+
+/// The files named by `policy` in deploy/balancer.toml.
+fn policy_files() -> Vec<String> {
+    let deploy = std::fs::read_to_string(Path::new(ROOT).join("deploy/balancer.toml")).unwrap();
+    let line = deploy.lines().find(|line| line.starts_with("policy = [")).unwrap();
+    line.split('"').skip(1).step_by(2).map(str::to_owned).collect()
+}
+
+#[test]
+fn policy_files_keep_their_limits_of_lines_and_columns() {
+    let files = policy_files();
+    let mut lines = 0;
+    for file in &files {
+        let text = std::fs::read_to_string(Path::new(ROOT).join(file)).unwrap();
+        lines += text.lines().filter(|line| !line.trim().is_empty()).count();
+        let widest = text.lines().map(|line| line.chars().count()).max().unwrap_or(0);
+        assert!(widest <= 110, "{file}: {widest} columns");
+    }
+    assert!(lines <= 1060, "{lines} non-blank lines");
+    // Every file of the policy is counted.
+    for entry in std::fs::read_dir(Path::new(ROOT).join("src/policy")).unwrap() {
+        let name = format!("src/policy/{}", entry.unwrap().file_name().to_string_lossy());
+        assert!(files.contains(&name), "{name} is not named by `policy` in deploy/balancer.toml");
+    }
+}
