--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`Log`] is state: records go in, and [`Log::commit`] hands a turn's bytes to a [`SegmentStore`] in one write. What
 //! was written outlives the process without a sync. When the segment has grown, the living are written to a new
-//! one, which takes the old one's place by its name; both together stay under the bound. [`store::Dir`] is the
+//! one, which takes the old one's place by its name; both together stay under the bound. [`store::DirectoryStore`] is the
 //! one part that touches files.
 //!
 //! Names: `log.N` is a segment, complete from the moment it has that name; the highest `N` counts. `log.tmp` is
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -368,7 +368,7 @@
     Abandoned,
     /// Not sent at all (no free slot, message over, attempts used up).
     Unsent,
-    /// Not begun, as [`crate::DeliveryPolicy::may_go`] forbade it when it was about to leave: it counts as no attempt.
+    /// Not begun, as [`crate::DeliveryPolicy::may_send_now`] forbade it when it was about to leave: it counts as no attempt.
     NotStarted,
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`DeliveryPolicy`] is told what happens ([`Event`]) and answers with what to do ([`Action`]). It opens no
 //! socket, reads no clock and shares nothing: its randomness comes from the seed, its time from the caller.
-//! Call [`DeliveryPolicy::handle`] for every event, then [`DeliveryPolicy::decide`] once.
+//! Call [`DeliveryPolicy::on_event`] for every event, then [`DeliveryPolicy::next_actions`] once.
 //!
 //! ```
 //! use cloverstile::{Action, Class, DeliveryPolicy, Effect, Endpoint, EndpointListUpdate, EndpointState, Event};
