--- a/src/policy_state/mod.rs
+++ b/src/policy_state/mod.rs
@@ -1,5 +1,5 @@
-//! What the delivery policy keeps in memory: types, bookkeeping and arithmetic only. Every decision and every tuned
-//! value is in `policy`.
+//! What the delivery policy keeps in memory: types, bookkeeping and arithmetic only. Every decision and every
+//! tuned value is in `policy`.
 
 mod message;
 mod route;
