Gateway: clock, sockets and descriptor limits in files of their own, unit tests out of the sources

The crate root held the clock and the socket adapter with a test between them, and the division of descriptors came as an array whose positions had to be known. It is a struct with named fields now.

--- a/crates/resp-gateway/src/descriptor_limits.rs
+++ b/crates/resp-gateway/src/descriptor_limits.rs
@@ -1,29 +1,36 @@
-//! What the limits of the machine are dealt out to.
+//! How the process's file descriptors are divided.
 
-/// Parts of the descriptors: for clients (who hold a third at most for requests, says the page of the days), for clients
-/// that were closed and read from a moment longer, and for connections to endpoints. The rest is for files and discovery.
-const CLIENTS_PART: f64 = 0.47;
-const CLOSED_PART: f64 = 0.06;
-const CALLS_PART: f64 = 0.35;
+/// Share of the descriptors for connected clients (who hold a third at most for requests, as the users state).
+const CLIENTS_SHARE: f64 = 0.47;
+/// Share for client connections that were closed and are read from a moment longer.
+const LINGERING_SHARE: f64 = 0.06;
+/// Share for connections to endpoints. The rest is for files and discovery.
+const ENDPOINTS_SHARE: f64 = 0.35;
+/// Least number of descriptors for each use.
+const MIN_DESCRIPTORS: usize = 8;
 
-/// How many descriptors are for what, in the order of the parts above.
-pub fn descriptors(all: usize) -> [usize; 3] {
-    [CLIENTS_PART, CLOSED_PART, CALLS_PART].map(|part| ((all as f64 * part) as usize).max(8))
+/// Most descriptors for each use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DescriptorLimits {
+    /// Connected clients.
+    pub clients: usize,
+    /// Closed client connections that are still read from.
+    pub lingering: usize,
+    /// Connections to endpoints.
+    pub endpoints: usize,
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Standard streams, event loop, signals, listener, log, discovery and notices.
-    const OTHERS: usize = 12;
-
-    #[test]
-    fn what_is_held_at_once_stays_inside_the_descriptors() {
-        for all in [256, 300, 512, 1024] {
-            let parts = descriptors(all);
-            assert!(parts.iter().sum::<usize>() + OTHERS <= all, "{all}: {parts:?}");
-            assert!(parts[0] * 3 > all, "{all}: {parts:?} leave usual clients out");
+impl DescriptorLimits {
+    /// Divides `total` descriptors.
+    pub fn new(total: usize) -> Self {
+        let share = |share: f64| ((total as f64 * share) as usize).max(MIN_DESCRIPTORS);
+        DescriptorLimits {
+            clients: share(CLIENTS_SHARE),
+            lingering: share(LINGERING_SHARE),
+            endpoints: share(ENDPOINTS_SHARE),
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -1,8 +1,10 @@
 //! The node's turn: events in, the module's decisions, the log, bytes out.
 
-use crate::descriptor_limits::descriptors;
+use crate::clock::Clock;
+use crate::descriptor_limits::DescriptorLimits;
+use crate::message_record;
+use crate::sockets::Sockets;
 use crate::startup::{load, Environment, GatewayError};
-use crate::{message_record, Clock, Sockets};
 use cloverstile::{Class, MessageId, Time};
 use cloverstile_engine::{
     Admission, Attempt, Command, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
@@ -97,12 +99,12 @@
         let mut settings = parsed.settings.clone();
         settings.classes.push(message_record::strictest(&settings.classes));
         let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
-        let [clients, closed, calls] = descriptors(config.limits.sockets);
-        net.set_max_lingering(closed);
+        let descriptors = DescriptorLimits::new(config.limits.sockets);
+        net.set_max_lingering(descriptors.lingering);
         let terms = ConnectionLimits {
             connect_timeout: settings.connect_timeout,
             idle: settings.connection_idle_timeout,
-            most: calls,
+            most: descriptors.endpoints,
             fields: ReportFields { left: field(parsed.remaining_field), limit: field(parsed.limit_field) },
         };
         let bound = (config.limits.disk_mb * 1e6) as u64;
@@ -127,7 +129,7 @@
             log,
             log_works: true,
             list: EndpointList::default(),
-            guests: ClientSessions::new(clients),
+            guests: ClientSessions::new(descriptors.clients),
             calls: Requests::new(terms),
             parked: Vec::new(),
             watch: EndpointWatch::new(
