Gateway: names of classes and zones in a file of their own, message conversions named for what they give

message_record.rs mixed two jobs: what engine, platform and endpoint need of a stored message, and the mapping of stored indexes of classes and zones to today's settings. The second is name_table.rs now (fallback_class, remap).

--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::Clock;
 use crate::descriptor_limits::DescriptorLimits;
-use crate::message_record;
 use crate::sockets::Sockets;
 use crate::startup::{load, Environment, GatewayError};
+use crate::{message_record, name_table};
 use cloverstile::{Class, MessageId, Time};
 use cloverstile_engine::{
     Admission, Attempt, Command, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
@@ -97,7 +97,7 @@
             .map_err(failed("signals".into()))?;
         let parsed = &config.parsed;
         let mut settings = parsed.settings.clone();
-        settings.classes.push(message_record::strictest(&settings.classes));
+        settings.classes.push(name_table::fallback_class(&settings.classes));
         let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
         let descriptors = DescriptorLimits::new(config.limits.sockets);
         net.set_max_lingering(descriptors.lingering);
@@ -148,10 +148,10 @@
             node.take_list(now, known);
         }
         let found = recovered.messages.len();
-        let names = message_record::names(&node.names, &node.classes);
+        let names = name_table::name_table(&node.names, &node.classes);
         node.log.record(Record::NameTable(names.clone()));
         for (place, mut living) in recovered.messages.into_iter().enumerate() {
-            message_record::moved(&mut living, &recovered.names, &names);
+            name_table::remap(&mut living, &recovered.names, &names);
             node.recover(now, place, living);
         }
         node.turn(now);
@@ -167,11 +167,12 @@
         if let Some(ending) = living.pending_notification {
             // Numbers from the far end: those of the engine begin at one.
             let number = u32::MAX - u32::try_from(place).unwrap_or(0);
-            self.notices.enqueue(number, message_record::notice(&living, ending));
+            self.notices.enqueue(number, message_record::notification(&living, ending));
             return self.log.record(Record::Submitted(number, Box::new(living)));
         }
         let class = self.classes.get(usize::from(living.class));
-        let (hand_in, past) = message_record::recovered(&mut living, class);
+        let message_record::RecoveredSubmission { request: hand_in, attempts: past } =
+            message_record::recover(&mut living, class);
         let (left, to) = (hand_in.deadline - now, living.destination);
         let id = self.engine.recover(now, hand_in, past);
         trace!(id = id.0, to, attempts = past.attempts, ran = ?past.may_have_run, ?left, "recovered");
@@ -385,7 +386,8 @@
             trace!(works = self.log_works, body = put.body.len(), "no room in the log");
             return Reply::Bytes(busy(Duration::ZERO));
         }
-        let (living, hand_in) = message_record::taken(now, put);
+        let PutRequest { submission: hand_in, idempotency_key, body } = put;
+        let living = message_record::from_submission(now, &hand_in, idempotency_key, body);
         match self.engine.submit(now, hand_in) {
             Admission::New(id) => {
                 trace!(id = id.0, to = living.destination, class = living.class, "taken");
@@ -541,7 +543,7 @@
             return self.log.record(Record::Completed(message.0));
         }
         let Some(living) = self.log.message(message.0) else { return };
-        self.notices.enqueue(message.0, message_record::notice(living, ending));
+        self.notices.enqueue(message.0, message_record::notification(living, ending));
         self.log.record(Record::NotificationPending(message.0, ending));
     }
 
@@ -587,7 +589,7 @@
         let (Some(living), Some(until)) = (self.log.message(attempt.message.0), until) else { return };
         let left = until - now;
         trace!(id = attempt.message.0, to = living.destination, number = attempt.number, ?left, "sent");
-        let bytes = message_record::call(living, left);
+        let bytes = message_record::http_request(living, left);
         self.calls.send_all_but_last_byte(now, attempt, &bytes, &mut Sockets(&mut self.net));
     }
 
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod descriptor_limits;
 mod gateway;
 mod message_record;
+mod name_table;
 mod sockets;
 mod startup;
 
--- a/crates/resp-gateway/src/message_record.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -1,147 +1,104 @@
-//! A message as the log keeps it, and what the engine, the platform and an endpoint are told of it. Free of I/O.
+//! Conversions between a message as the log stores it and what the engine, the platform and an endpoint need of it.
+//! Free of I/O.
 
-use cloverstile::{Class, ClassId, DestinationId, Effect, OrderKey, RecoveredAttempts, Time, ZoneId};
+use cloverstile::{Class, ClassId, DestinationId, OrderKey, RecoveredAttempts, Time, ZoneId};
 use cloverstile_engine::SubmitRequest;
 use cloverstile_http::Headers;
-use cloverstile_platform::client_request::PutRequest;
-use cloverstile_platform::config;
 use cloverstile_platform::notifications::Notification;
-use cloverstile_wal::{AttemptStart, LiveMessage, NameTable, TerminalState, UNKNOWN_INDEX};
+use cloverstile_wal::{AttemptStart, LiveMessage, TerminalState, UNKNOWN_INDEX};
 use std::time::Duration;
 
 fn text(bytes: &[u8]) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
 
-/// What the log keeps of a message that is taken on now, and what the engine is handed.
-pub fn taken(now: Time, put: PutRequest) -> (LiveMessage, SubmitRequest) {
-    let PutRequest { submission: hand_in, idempotency_key: idempotency, body } = put;
-    let living = LiveMessage {
-        id: hand_in.idempotency_key.clone().into_bytes(),
-        idempotency_key: idempotency,
-        class: hand_in.class.0,
-        destination: hand_in.destination.0,
-        order_key: hand_in.order_key.map_or(0, |key| key.0),
+/// What the log stores of a message that a client submits now, with its idempotency key at the partner and its body.
+pub fn from_submission(
+    now: Time,
+    submission: &SubmitRequest,
+    idempotency_key: Option<Vec<u8>>,
+    body: Vec<u8>,
+) -> LiveMessage {
+    LiveMessage {
+        id: submission.idempotency_key.clone().into_bytes(),
+        idempotency_key,
+        class: submission.class.0,
+        destination: submission.destination.0,
+        order_key: submission.order_key.map_or(0, |key| key.0),
         submitted_at: now.0,
-        deadline: hand_in.deadline.0,
-        from_lost_instance: hand_in.from_lost_instance,
+        deadline: submission.deadline.0,
+        from_lost_instance: submission.from_lost_instance,
         body,
         ..LiveMessage::default()
-    };
-    (living, hand_in)
+    }
+}
+
+/// The order key of a message; none where it has none.
+pub fn order_key(message: &LiveMessage) -> Option<OrderKey> {
+    (message.order_key != 0).then_some(OrderKey(message.order_key))
 }
 
-/// What it is about, for classes in order.
-pub fn order_key(living: &LiveMessage) -> Option<OrderKey> {
-    (living.order_key != 0).then_some(OrderKey(living.order_key))
+/// A message of an earlier process, as the engine takes it over.
+pub struct RecoveredSubmission {
+    /// The message.
+    pub request: SubmitRequest,
+    /// Its attempts so far.
+    pub attempts: RecoveredAttempts,
 }
 
-/// What the engine is handed of a message that an earlier process owes. An attempt without an outcome may have run
-/// from the moment when it was begun; the log keeps that from here on.
-pub fn recovered(living: &mut LiveMessage, class: Option<&Class>) -> (SubmitRequest, RecoveredAttempts) {
-    let unsettled = living.open_attempt.take();
-    living.may_have_run = living.may_have_run.or(unsettled);
-    let since = may_have_run_since(living, class);
-    let past = RecoveredAttempts {
-        submitted_at: Time(living.submitted_at),
-        attempts: u32::from(living.attempts),
-        may_have_run: since,
-        last_attempt_open: unsettled.is_some(),
+/// Prepares a message of an earlier process for the engine. An attempt without an outcome may have run from the moment
+/// when it was started; the stored message says so from here on.
+pub fn recover(message: &mut LiveMessage, class: Option<&Class>) -> RecoveredSubmission {
+    let open_attempt = message.open_attempt.take();
+    message.may_have_run = message.may_have_run.or(open_attempt);
+    let attempts = RecoveredAttempts {
+        submitted_at: Time(message.submitted_at),
+        attempts: u32::from(message.attempts),
+        may_have_run: first_possible_run(message, class),
+        last_attempt_open: open_attempt.is_some(),
     };
-    let hand_in = SubmitRequest {
+    let request = SubmitRequest {
         client: 0,
-        idempotency_key: text(&living.id),
+        idempotency_key: text(&message.id),
         fingerprint: [0; 32],
-        class: ClassId(living.class),
-        destination: DestinationId(living.destination),
-        order_key: order_key(living),
-        deadline: Time(living.deadline),
+        class: ClassId(message.class),
+        destination: DestinationId(message.destination),
+        order_key: order_key(message),
+        deadline: Time(message.deadline),
         tenant: Default::default(),
         resubmitted: false,
-        from_lost_instance: living.from_lost_instance,
+        from_lost_instance: message.from_lost_instance,
     };
-    (hand_in, past)
-}
-
-/// The log's number of an effect: not its place in the code, which may change.
-fn mark(effect: Effect) -> u8 {
-    match effect {
-        Effect::Safe => 1,
-        Effect::Keyed => 2,
-        Effect::Unsafe => 3,
-    }
-}
-
-/// What holds for messages whose class is gone, or has become more lenient, since they were taken on: a class of no name
-/// behind all others, which nobody can hand in under. Its aim and time are the longest, so that no sum over classes moves.
-pub fn strictest(classes: &[Class]) -> Class {
-    let longest = |span: fn(&Class) -> Duration| classes.iter().map(span).max();
-    let base = Class::default();
-    let aim = longest(|class| class.latency_objective).unwrap_or(base.latency_objective);
-    let deadline = longest(|class| class.deadline).unwrap_or(base.deadline);
-    Class { effect: Effect::Unsafe, ordered: true, latency_objective: aim, deadline, ..base }
-}
-
-/// What places mean in this process; the last class is [`strictest`].
-pub fn names(names: &config::SettingNames, classes: &[Class]) -> NameTable {
-    let named = names.classes.iter().map(String::as_str).chain([""]);
-    let classes = named.zip(classes).map(|(name, class)| (name.to_owned(), mark(class.effect))).collect();
-    NameTable { classes, zones: names.zones.clone() }
-}
-
-/// Moves a message's places from what they meant when it was written to what they mean now. Guards against settings that
-/// changed between two processes: what may not be repeated could come under another effect, by its place alone or because
-/// its class has one now; and what no class is left for would end untried.
-pub fn moved(living: &mut LiveMessage, then: &NameTable, now: &NameTable) {
-    let last = now.classes.len().saturating_sub(1);
-    let place = usize::from(living.class);
-    let class = match then.classes.get(place) {
-        // A log of before names were kept.
-        None => place.min(last),
-        Some((name, effect)) => {
-            let found = now.classes.iter().position(|(known, _)| known == name);
-            let holds = |place: &usize| {
-                let now = now.classes[*place].1;
-                *effect == UNKNOWN_INDEX || *effect == now || now == mark(Effect::Unsafe)
-            };
-            found.filter(holds).unwrap_or(last)
-        }
-    };
-    living.class = u8::try_from(class).unwrap_or(u8::MAX);
-    for began in [&mut living.may_have_run, &mut living.open_attempt].into_iter().flatten() {
-        let name = then.zones.get(usize::from(began.zone));
-        let found = name.and_then(|name| now.zones.iter().position(|known| known == name));
-        began.zone = found.and_then(|place| u8::try_from(place).ok()).unwrap_or(UNKNOWN_INDEX);
-    }
+    RecoveredSubmission { request, attempts }
 }
 
-/// When the first attempt was sent that may have run, and in which zone, here or at a courier that was lost.
-fn may_have_run_since(living: &LiveMessage, class: Option<&Class>) -> Option<(Time, Option<ZoneId>)> {
-    let zone = |began: AttemptStart| Some(ZoneId(began.zone)).filter(|_| began.zone != UNKNOWN_INDEX);
-    let since = living.may_have_run.map(|began| (Time(began.started_at), zone(began)));
-    let Some(class) = class.filter(|_| living.from_lost_instance) else { return since };
-    // It may have run at the courier that was lost at any time since it was first handed in, nobody knows where.
-    let handed_in = (Time(living.deadline) - class.deadline).min(Time(living.submitted_at));
-    Some((since.map_or(handed_in, |(since, _)| since.min(handed_in)), None))
+/// When the first attempt that may have run was sent, and in which zone; here or at a gateway instance that was lost.
+fn first_possible_run(message: &LiveMessage, class: Option<&Class>) -> Option<(Time, Option<ZoneId>)> {
+    let zone = |start: AttemptStart| Some(ZoneId(start.zone)).filter(|_| start.zone != UNKNOWN_INDEX);
+    let known = message.may_have_run.map(|start| (Time(start.started_at), zone(start)));
+    let Some(class) = class.filter(|_| message.from_lost_instance) else { return known };
+    // It may have run at the lost instance at any time since it was first submitted, in a zone that nobody knows.
+    let first_submitted = (Time(message.deadline) - class.deadline).min(Time(message.submitted_at));
+    Some((known.map_or(first_submitted, |(at, _)| at.min(first_submitted)), None))
 }
 
-/// What the platform is told of a message that ended so.
-pub fn notice(living: &LiveMessage, ending: TerminalState) -> Notification {
-    let (failed, again_ms) = match ending {
+/// The notification that reports a message's terminal state to the platform.
+pub fn notification(message: &LiveMessage, state: TerminalState) -> Notification {
+    let (failed, again_ms) = match state {
         TerminalState::Undeliverable => (true, None),
         TerminalState::Deferred(again) => (false, again),
     };
-    Notification { id: text(&living.id), failed, again_ms, key: order_key(living) }
+    Notification { id: text(&message.id), failed, again_ms, key: order_key(message) }
 }
 
-/// The call that an endpoint gets, waited for so long.
-pub fn call(living: &LiveMessage, wait: Duration) -> Vec<u8> {
-    let mut headers = Headers::new().with("Host", "partner").with("Req-Id", text(&living.id));
-    if let Some(key) = &living.idempotency_key {
+/// The HTTP request that delivers a message to an endpoint, which may take `time_left` to answer.
+pub fn http_request(message: &LiveMessage, time_left: Duration) -> Vec<u8> {
+    let mut headers = Headers::new().with("Host", "partner").with("Req-Id", text(&message.id));
+    if let Some(key) = &message.idempotency_key {
         headers.add("Idempotency-Key", text(key));
     }
-    headers.add("Req-Deadline", format!("{}m", wait.as_millis().max(1)));
-    cloverstile_http::request("POST", "/hook", &headers, &living.body)
+    headers.add("Req-Deadline", format!("{}m", time_left.as_millis().max(1)));
+    cloverstile_http::request("POST", "/hook", &headers, &message.body)
 }
 
 #[cfg(test)]
