Sockets: one file per job, and the state of a connection as an enum

lib.rs held ids, events, buffers, listeners, lingering closes and the poll loop in one file of 515 lines. They are event, connection, listener, lingering, readiness and net now; the flags connecting and lingers became ConnectionState, and poll is three functions. Seven tests before and after with the same assertions, renamed: cargo test -p cloverstile-net, 7 passed; clippy with the workspace's lints prints nothing.

--- /dev/null
+++ b/crates/net/src/connection.rs
@@ -0,0 +1,169 @@
+//! One connection: its state, its queued bytes, reading and writing.
+
+use crate::readiness::ReadyList;
+use calloop::generic::Generic;
+use calloop::{Dispatcher, Interest, RegistrationToken};
+use socket2::{Domain, Socket, Type};
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// Most bytes read from one connection in one poll, up to one read buffer more: a fast peer must not keep the others
+/// waiting.
+pub const MAX_READ_PER_CONNECTION: usize = 256 << 10;
+/// Bytes of the buffer of one read call.
+const READ_BUFFER: usize = 64 << 10;
+/// Linux's error number of a non-blocking connect that goes on by itself; `std::io::ErrorKind` has no stable name for it.
+const EINPROGRESS: i32 = 115;
+
+/// The event source of a connection.
+pub type StreamSource = Dispatcher<'static, Generic<Rc<TcpStream>>, ReadyList>;
+
+/// How far a connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionState {
+    /// An outbound connection is being established.
+    Connecting,
+    /// It carries bytes in both directions.
+    Open,
+    /// Closed by its owner and on our side; what the peer still sends is discarded.
+    Lingering {
+        /// Bytes discarded so far.
+        discarded: usize,
+    },
+}
+
+/// How the peer's side of a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// By an orderly close.
+    Orderly,
+    /// By a reset or another error.
+    Broken,
+}
+
+/// What could be read at once.
+pub struct ReadResult {
+    /// The bytes, in order.
+    pub bytes: Vec<u8>,
+    /// The end behind them, if it has come.
+    pub end: Option<StreamEnd>,
+}
+
+/// The system takes no more bytes: the connection is broken.
+#[derive(Debug)]
+pub struct WriteFailed;
+
+/// Bytes queued for writing.
+#[derive(Default)]
+struct OutputBuffer {
+    bytes: Vec<u8>,
+    written: usize,
+}
+
+/// A TCP connection that the event loop watches.
+pub struct Connection {
+    /// The socket, shared with its event source.
+    pub stream: Rc<TcpStream>,
+    /// Its event source.
+    pub source: StreamSource,
+    /// Its registration in the event loop.
+    pub token: RegistrationToken,
+    /// How far it has come.
+    pub state: ConnectionState,
+    /// Its owner wants no bytes for now.
+    pub read_paused: bool,
+    /// Its owner has closed it: it ends once all queued bytes are written.
+    pub close_after_flush: bool,
+    output: OutputBuffer,
+}
+
+impl Connection {
+    /// A connection with nothing queued.
+    pub fn new(
+        stream: Rc<TcpStream>,
+        source: StreamSource,
+        token: RegistrationToken,
+        state: ConnectionState,
+    ) -> Self {
+        let output = OutputBuffer::default();
+        Connection { stream, source, token, state, read_paused: false, close_after_flush: false, output }
+    }
+
+    /// Whether it is still being established.
+    pub fn is_connecting(&self) -> bool {
+        self.state == ConnectionState::Connecting
+    }
+
+    /// Whether its owner has closed it and only its peer's end is awaited.
+    pub fn is_lingering(&self) -> bool {
+        matches!(self.state, ConnectionState::Lingering { .. })
+    }
+
+    /// Queues bytes for writing.
+    pub fn queue(&mut self, bytes: &[u8]) {
+        self.output.bytes.extend_from_slice(bytes);
+    }
+
+    /// Bytes queued that the system has not taken.
+    pub fn unsent_bytes(&self) -> usize {
+        self.output.bytes.len() - self.output.written
+    }
+
+    /// What the event loop should report of it.
+    pub fn interest(&self) -> Interest {
+        let writable = self.is_connecting() || self.unsent_bytes() > 0;
+        let readable = !self.is_connecting() && !self.read_paused;
+        Interest { readable, writable }
+    }
+
+    /// Writes queued bytes until all are written or the system takes no more for now.
+    pub fn write_queued(&mut self) -> Result<(), WriteFailed> {
+        let OutputBuffer { bytes, written } = &mut self.output;
+        while *written < bytes.len() {
+            match (&*self.stream).write(&bytes[*written..]) {
+                Ok(0) => return Err(WriteFailed),
+                Ok(count) => *written += count,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(WriteFailed),
+            }
+        }
+        bytes.clear();
+        bytes.shrink_to(MAX_READ_PER_CONNECTION);
+        *written = 0;
+        Ok(())
+    }
+
+    /// Reads what has arrived, within the bound of one poll.
+    pub fn read_available(&self) -> ReadResult {
+        let mut bytes = Vec::new();
+        let mut buffer = [0; READ_BUFFER];
+        let end = loop {
+            match (&*self.stream).read(&mut buffer) {
+                Ok(0) => break Some(StreamEnd::Orderly),
+                Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break None,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => break Some(StreamEnd::Broken),
+            }
+            if bytes.len() >= MAX_READ_PER_CONNECTION {
+                break None;
+            }
+        };
+        ReadResult { bytes, end }
+    }
+}
+
+/// Starts a non-blocking connect.
+pub fn start_connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    let is_in_progress = |error: &io::Error| {
+        error.raw_os_error() == Some(EINPROGRESS) || error.kind() == ErrorKind::WouldBlock
+    };
+    match socket.connect(&address.into()) {
+        Err(error) if !is_in_progress(&error) => Err(error),
+        Ok(()) | Err(_) => Ok(socket.into()),
+    }
+}
--- /dev/null
+++ b/crates/net/src/net.rs
@@ -0,0 +1,402 @@
+//! All connections of one thread, and the poll of their event loop.
+
+use crate::connection::{start_connect, Connection, ConnectionState, StreamEnd};
+use crate::event::{ConnId, ListenerId, NetEvent};
+use crate::lingering::{LingerQueue, MAX_DISCARDED_BYTES};
+use crate::listener::{self, Listener, LISTENER_PAUSE};
+use crate::readiness::{Ready, ReadyList};
+use calloop::generic::Generic;
+use calloop::ping::{make_ping, Ping};
+use calloop::signals::{Signal, Signals};
+use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction};
+use socket2::SockRef;
+use std::collections::HashMap;
+use std::io::{self, ErrorKind};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// Most bytes read in one poll from all connections, and one connection's more. Guards against memory that many fast
+/// peers take together: what is read stands in events until it is handled. The rest is read in the next poll.
+pub(crate) const MAX_READ_PER_POLL: usize = 2 << 20;
+
+/// Wakes a [`Net`] from another thread.
+#[derive(Clone)]
+pub struct Waker(Ping);
+
+impl Waker {
+    /// Makes the current or next poll return.
+    pub fn wake(&self) {
+        self.0.ping();
+    }
+}
+
+/// All connections and listeners of one thread, on one event loop.
+pub struct Net {
+    event_loop: EventLoop<'static, ReadyList>,
+    handle: LoopHandle<'static, ReadyList>,
+    connections: HashMap<ConnId, Connection>,
+    listeners: HashMap<ListenerId, Listener>,
+    lingering: LingerQueue,
+    /// Bytes read in this poll.
+    bytes_read: usize,
+    waker: Waker,
+    /// The last id that was given to a connection or listener.
+    last_id: u64,
+    /// Events that the next poll returns, also those of operations outside a poll.
+    pending: Vec<NetEvent>,
+}
+
+fn other(error: impl std::fmt::Display) -> io::Error {
+    io::Error::other(error.to_string())
+}
+
+impl Net {
+    /// Creates an event loop without connections.
+    ///
+    /// # Errors
+    /// The system's, where it has no descriptor left for the event loop.
+    pub fn new() -> io::Result<Net> {
+        let event_loop: EventLoop<ReadyList> = EventLoop::try_new().map_err(other)?;
+        let handle = event_loop.handle();
+        let (ping, source) = make_ping()?;
+        let on_ping = |(), (): &mut (), ready: &mut ReadyList| ready.push(Ready::Woken);
+        handle.insert_source(source, on_ping).map_err(other)?;
+        Ok(Net {
+            event_loop,
+            handle,
+            connections: HashMap::new(),
+            listeners: HashMap::new(),
+            lingering: LingerQueue::new(),
+            bytes_read: 0,
+            waker: Waker(ping),
+            last_id: 0,
+            pending: Vec::new(),
+        })
+    }
+
+    /// A handle by which other threads make a poll return.
+    pub fn waker(&self) -> Waker {
+        self.waker.clone()
+    }
+
+    /// Reports these signals as events from now on. Call before other threads are started.
+    ///
+    /// # Errors
+    /// The system's, where it has no descriptor left for the signals.
+    pub fn watch_signals(&mut self, signals: &[Signal]) -> io::Result<()> {
+        let source = Signals::new(signals)?;
+        let on_signal = |event: calloop::signals::Event, _: &mut (), ready: &mut ReadyList| {
+            ready.push(Ready::Signal(event.signal()));
+        };
+        self.handle.insert_source(source, on_signal).map_err(other)?;
+        Ok(())
+    }
+
+    fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+
+    /// Listens on an address; port 0 chooses a free one. Returns the address with its port.
+    ///
+    /// # Errors
+    /// The system's, where the address is in use or not this machine's, or no descriptor is left.
+    pub fn listen(&mut self, address: SocketAddr) -> io::Result<(ListenerId, SocketAddr)> {
+        let socket = Rc::new(listener::bind(address)?);
+        let bound = socket.local_addr()?;
+        let id = ListenerId(self.next_id());
+        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
+        let on_ready = move |_, _: &mut _, ready: &mut ReadyList| {
+            ready.push(Ready::Listener(id));
+            Ok(PostAction::Continue)
+        };
+        let token = self.handle.insert_source(source, on_ready).map_err(other)?;
+        self.listeners.insert(id, Listener { socket, token, paused: false });
+        Ok((id, bound))
+    }
+
+    /// Stops listening: further connections are refused. Those that the system took for us are accepted first: they
+    /// would be reset with the listener.
+    pub fn stop_listening(&mut self, id: ListenerId) {
+        self.accept(id);
+        if let Some(listener) = self.listeners.remove(&id) {
+            self.handle.remove(listener.token);
+        }
+    }
+
+    /// Starts a connection. Its result comes as an event, never at once.
+    pub fn connect(&mut self, address: SocketAddr) -> ConnId {
+        let id = ConnId(self.next_id());
+        let started =
+            start_connect(address).and_then(|stream| self.register(id, stream, ConnectionState::Connecting));
+        if let Err(error) = started {
+            self.pending.push(NetEvent::ConnectFailed(id, error.kind()));
+        }
+        id
+    }
+
+    fn register(&mut self, id: ConnId, stream: TcpStream, state: ConnectionState) -> io::Result<()> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let stream = Rc::new(stream);
+        let interest = if state == ConnectionState::Connecting { Interest::WRITE } else { Interest::READ };
+        let on_ready = move |readiness: calloop::Readiness, _: &mut _, ready: &mut ReadyList| {
+            let calloop::Readiness { readable, writable, .. } = readiness;
+            ready.push(Ready::Connection { id, readable, writable });
+            Ok(PostAction::Continue)
+        };
+        let source = Dispatcher::new(Generic::new(stream.clone(), interest, Mode::Level), on_ready);
+        let token = self.handle.register_dispatcher(source.clone()).map_err(other)?;
+        self.connections.insert(id, Connection::new(stream, source, token, state));
+        Ok(())
+    }
+
+    /// Queues bytes and writes at once what the system takes.
+    pub fn send(&mut self, id: ConnId, bytes: &[u8]) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.queue(bytes);
+        if !connection.is_connecting() {
+            self.write(id);
+        }
+    }
+
+    /// Bytes queued that the system has not taken.
+    pub fn unsent_bytes(&self, id: ConnId) -> usize {
+        self.connections.get(&id).map_or(0, Connection::unsent_bytes)
+    }
+
+    /// Whether a connection is known and not closed.
+    pub fn is_open(&self, id: ConnId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| !connection.is_lingering())
+    }
+
+    /// Stops or resumes reading from a connection.
+    pub fn pause(&mut self, id: ConnId, paused: bool) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            if connection.read_paused != paused {
+                connection.read_paused = paused;
+                self.update_interest(id);
+            }
+        }
+    }
+
+    /// Closes a connection once all queued bytes have been written. No event follows.
+    ///
+    /// Our side is closed then, and what the peer still sends is read and discarded for a moment, until it closes too.
+    /// Guards against a reset: closing with bytes unread sends one, and it overtakes the response that the peer has not
+    /// read yet.
+    pub fn close_after_flush(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.close_after_flush = true;
+        if connection.unsent_bytes() == 0 && !connection.is_connecting() {
+            self.start_lingering(id);
+        }
+    }
+
+    fn start_lingering(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.is_lingering() {
+            return;
+        }
+        // Where the peer has gone meanwhile there is nothing to wait for.
+        if connection.stream.shutdown(Shutdown::Write).is_err() {
+            return self.close(id);
+        }
+        connection.state = ConnectionState::Lingering { discarded: 0 };
+        connection.read_paused = false;
+        self.lingering.push(id);
+        self.update_interest(id);
+        self.close_expired_lingering(None);
+    }
+
+    /// Closes our side of a connection; bytes and the end of the peer's side are still reported. Queued bytes are lost.
+    pub fn shutdown_write(&mut self, id: ConnId) {
+        if let Some(connection) = self.connections.get(&id) {
+            // Where it fails the peer has gone, which is reported as its end.
+            let _ = connection.stream.shutdown(Shutdown::Write);
+        }
+    }
+
+    /// Sets how many connections may linger; the oldest of more are closed at once, as each holds a descriptor.
+    pub fn set_max_lingering(&mut self, most: usize) {
+        self.lingering.set_max_entries(most);
+    }
+
+    /// Connections closed by [`Net::close_after_flush`] that have bytes to write, or whose peers have not closed yet.
+    pub fn lingering_count(&self) -> usize {
+        self.connections.values().filter(|connection| connection.close_after_flush).count()
+    }
+
+    /// Closes what has lingered long enough, and the oldest where there are too many.
+    fn close_expired_lingering(&mut self, now: Option<Instant>) {
+        while let Some(id) = self.lingering.pop_expired(now, |id| self.connections.contains_key(&id)) {
+            self.close(id);
+        }
+    }
+
+    /// Closes a connection at once; queued bytes are lost. No event follows.
+    pub fn close(&mut self, id: ConnId) {
+        if let Some(connection) = self.connections.remove(&id) {
+            self.handle.remove(connection.token);
+        }
+    }
+
+    /// Closes a connection so that the peer sees a reset. No event follows.
+    pub fn reset(&mut self, id: ConnId) {
+        if let Some(connection) = self.connections.get(&id) {
+            // Without it the close is an orderly one, which is the lesser fault.
+            let _ = SockRef::from(&*connection.stream).set_linger(Some(Duration::ZERO));
+        }
+        self.close(id);
+    }
+
+    fn update_interest(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let interest = connection.interest();
+        connection.source.as_source_mut().interest = interest;
+        if self.handle.update(&connection.token).is_err() {
+            self.on_ended(id, StreamEnd::Broken);
+        }
+    }
+
+    fn on_ended(&mut self, id: ConnId, end: StreamEnd) {
+        // Nothing is reported of one that is closed already, also where it only lingers.
+        let is_reported = self.is_open(id);
+        self.close(id);
+        if is_reported {
+            self.pending.push(NetEvent::Closed { conn: id, clean: end == StreamEnd::Orderly });
+        }
+    }
+
+    fn write(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let had_unsent_bytes = connection.unsent_bytes() > 0;
+        if connection.write_queued().is_err() {
+            return self.on_write_failed(id);
+        }
+        if connection.unsent_bytes() == 0 {
+            if had_unsent_bytes {
+                self.pending.push(NetEvent::Flushed(id));
+            }
+            if connection.close_after_flush {
+                return self.start_lingering(id);
+            }
+        }
+        self.update_interest(id);
+    }
+
+    /// The system takes no more of our bytes. Guards against a response that is lost with them: what the peer sent ahead
+    /// of its reset is still there, and is reported first.
+    fn on_write_failed(&mut self, id: ConnId) {
+        self.read_bytes(id);
+        self.on_ended(id, StreamEnd::Broken);
+    }
+
+    fn read(&mut self, id: ConnId) {
+        if let Some(end) = self.read_bytes(id) {
+            self.on_ended(id, end);
+        }
+    }
+
+    /// Reports the bytes that have arrived; returns the end of the peer's side, if it has come.
+    fn read_bytes(&mut self, id: ConnId) -> Option<StreamEnd> {
+        let connection = self.connections.get_mut(&id)?;
+        let read = connection.read_available();
+        self.bytes_read += read.bytes.len();
+        if let ConnectionState::Lingering { discarded } = &mut connection.state {
+            *discarded += read.bytes.len();
+            if *discarded > MAX_DISCARDED_BYTES {
+                self.close(id);
+            }
+        } else if !read.bytes.is_empty() {
+            self.pending.push(NetEvent::Bytes(id, read.bytes));
+        }
+        read.end
+    }
+
+    fn finish_connect(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        match connection.stream.take_error() {
+            Ok(None) => {
+                connection.state = ConnectionState::Open;
+                self.pending.push(NetEvent::Connected(id));
+                self.write(id);
+            }
+            Ok(Some(error)) | Err(error) => {
+                self.close(id);
+                self.pending.push(NetEvent::ConnectFailed(id, error.kind()));
+            }
+        }
+    }
+
+    fn accept(&mut self, id: ListenerId) {
+        loop {
+            let Some(listener) = self.listeners.get_mut(&id) else { return };
+            match listener.socket.accept() {
+                Ok((stream, _)) => {
+                    let conn = ConnId(self.next_id());
+                    if self.register(conn, stream, ConnectionState::Open).is_ok() {
+                        self.pending.push(NetEvent::Accepted { listener: id, conn });
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // Guards against a loop without a pause: out of descriptors, the listener stays ready all the time.
+                Err(_) => {
+                    listener.paused = self.handle.disable(&listener.token).is_ok();
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Waits until something happens, at most for `timeout`, and returns what did.
+    ///
+    /// # Errors
+    /// The event loop's, which are not to be expected while the process has its descriptors.
+    pub fn poll(&mut self, timeout: Option<Duration>) -> io::Result<Vec<NetEvent>> {
+        self.close_expired_lingering(Some(Instant::now()));
+        let timeout = self.dispatch_timeout(timeout);
+        let mut ready_list = ReadyList::new();
+        self.event_loop.dispatch(timeout, &mut ready_list).map_err(other)?;
+        for listener in self.listeners.values_mut().filter(|listener| listener.paused) {
+            listener.paused = self.handle.enable(&listener.token).is_err();
+        }
+        self.bytes_read = 0;
+        for ready in ready_list {
+            self.on_ready(ready);
+        }
+        Ok(std::mem::take(&mut self.pending))
+    }
+
+    /// How long the event loop may wait: until its caller's timeout, the end of a listener's pause, or the next lingering
+    /// connection's; not at all where events are pending.
+    fn dispatch_timeout(&self, timeout: Option<Duration>) -> Option<Duration> {
+        let timeout = if self.pending.is_empty() { timeout } else { Some(Duration::ZERO) };
+        let is_listener_paused = self.listeners.values().any(|listener| listener.paused);
+        let pause = is_listener_paused.then_some(LISTENER_PAUSE);
+        let lingering =
+            self.lingering.next_timeout().map(|until| until.saturating_duration_since(Instant::now()));
+        [timeout, pause, lingering].into_iter().flatten().min()
+    }
+
+    fn on_ready(&mut self, ready: Ready) {
+        match ready {
+            Ready::Listener(id) => self.accept(id),
+            Ready::Signal(signal) => self.pending.push(NetEvent::Signal(signal)),
+            Ready::Woken => self.pending.push(NetEvent::Woken),
+            Ready::Connection { id, readable, writable } => {
+                if self.connections.get(&id).is_some_and(Connection::is_connecting) {
+                    return self.finish_connect(id);
+                }
+                if writable {
+                    self.write(id);
+                }
+                if readable && self.bytes_read < MAX_READ_PER_POLL {
+                    self.read(id);
+                }
+            }
+        }
+    }
+}
--- a/crates/net/src/tests.rs
+++ b/crates/net/src/tests.rs
@@ -1,12 +1,19 @@
-//! Connections, closes and bounds, on sockets.
+//! Tests of connections, closes and bounds, on sockets.
 
-use super::*;
+use crate::connection::MAX_READ_PER_CONNECTION;
+use crate::lingering::DEFAULT_MAX_LINGERING;
+use crate::net::MAX_READ_PER_POLL;
+use crate::{ConnId, Net, NetEvent};
+use socket2::SockRef;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
-/// Polls until something is wanted; a bound on rounds ends a test that would hang.
-fn until<T>(net: &mut Net, mut wanted: impl FnMut(NetEvent) -> Option<T>) -> T {
+/// Polls until an event is the expected one; a bound on rounds ends a test that would hang.
+fn poll_until<T>(net: &mut Net, mut expected: impl FnMut(NetEvent) -> Option<T>) -> T {
     for _ in 0..1000 {
         for event in net.poll(Some(Duration::from_millis(100))).unwrap() {
-            if let Some(found) = wanted(event) {
+            if let Some(found) = expected(event) {
                 return found;
             }
         }
@@ -17,7 +24,7 @@
 fn pair(net: &mut Net) -> (ConnId, ConnId) {
     let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let client = net.connect(address);
-    let server = until(net, |event| match event {
+    let server = poll_until(net, |event| match event {
         NetEvent::Accepted { conn, .. } => Some(conn),
         _ => None,
     });
@@ -25,14 +32,14 @@
 }
 
 #[test]
-fn bytes_cross_whole_however_many_there_are() {
+fn connection_carries_three_million_bytes_unchanged() {
     let mut net = Net::new().unwrap();
     let (client, server) = pair(&mut net);
     let sent: Vec<u8> = (0..3_000_000u32).map(|i| (i % 251) as u8).collect();
     net.send(client, &sent);
     net.close_after_flush(client);
     let mut seen = Vec::new();
-    until(&mut net, |event| match event {
+    poll_until(&mut net, |event| match event {
         NetEvent::Bytes(conn, bytes) if conn == server => {
             seen.extend(bytes);
             None
@@ -44,7 +51,7 @@
 }
 
 #[test]
-fn a_paused_reader_is_felt_by_the_writer() {
+fn paused_reader_leaves_bytes_unsent_at_the_writer() {
     let mut net = Net::new().unwrap();
     let (client, server) = pair(&mut net);
     net.pause(server, true);
@@ -52,37 +59,37 @@
     while !net.poll(Some(Duration::from_millis(50))).unwrap().is_empty() {}
     assert!(net.unsent_bytes(client) > 16 << 20);
     net.pause(server, false);
-    until(&mut net, |event| matches!(event, NetEvent::Flushed(conn) if conn == client).then_some(()));
+    poll_until(&mut net, |event| matches!(event, NetEvent::Flushed(conn) if conn == client).then_some(()));
 }
 
 #[test]
-fn refused_and_reset_connections_are_told_apart_from_closed_ones() {
+fn refused_and_reset_connections_are_distinguished_from_closed_ones() {
     let mut net = Net::new().unwrap();
     let (listener, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     net.stop_listening(listener);
     let refused = net.connect(address);
-    let kind = until(&mut net, |event| match event {
+    let kind = poll_until(&mut net, |event| match event {
         NetEvent::ConnectFailed(conn, kind) if conn == refused => Some(kind),
         _ => None,
     });
     assert_eq!(kind, ErrorKind::ConnectionRefused);
     let (client, server) = pair(&mut net);
     net.reset(server);
-    let clean = until(&mut net, |event| match event {
+    let clean = poll_until(&mut net, |event| match event {
         NetEvent::Closed { conn, clean } if conn == client => Some(clean),
         _ => None,
     });
     assert!(!clean);
 }
 
-/// A courier that is told to stop answers and closes while its client sends on. Guards against the reset that a close
-/// with unread bytes is: the client must read the answer and then an orderly end.
+/// A gateway that shuts down responds and closes while its client still sends. Guards against the reset that a close
+/// with unread bytes is: the client must read the response and then an orderly end.
 #[test]
-fn an_answer_ahead_of_a_close_arrives_though_bytes_stand_unread() {
+fn close_after_flush_delivers_the_response_despite_unread_bytes() {
     let mut net = Net::new().unwrap();
     let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let mut client = TcpStream::connect(address).unwrap();
-    let server = until(&mut net, |event| match event {
+    let server = poll_until(&mut net, |event| match event {
         NetEvent::Accepted { conn, .. } => Some(conn),
         _ => None,
     });
@@ -91,7 +98,7 @@
     net.send(server, b"+OK\r\n");
     net.close_after_flush(server);
     assert_eq!((net.is_open(server), net.lingering_count()), (false, 1));
-    // Its own events are over; what it sends on is dropped.
+    // It has no events of its own any more; what its peer still sends is discarded.
     let reader = std::thread::spawn(move || {
         client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
         let mut text = Vec::new();
@@ -108,13 +115,13 @@
     assert_eq!(reader.join().unwrap(), (b"+OK\r\n".to_vec(), true));
 }
 
-/// An endpoint refuses a call before it is whole, and resets the connection: the call's last byte finds it broken.
+/// An endpoint rejects a request before it is complete, and resets the connection: the request's last byte finds it broken.
 #[test]
-fn what_was_sent_ahead_of_a_reset_is_told_though_a_write_meets_the_reset_first() {
+fn bytes_ahead_of_a_reset_are_reported_when_a_write_meets_the_reset_first() {
     let mut net = Net::new().unwrap();
     let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let mut peer = TcpStream::connect(address).unwrap();
-    let conn = until(&mut net, |event| match event {
+    let conn = poll_until(&mut net, |event| match event {
         NetEvent::Accepted { conn, .. } => Some(conn),
         _ => None,
     });
@@ -126,37 +133,37 @@
         assert!(Instant::now() < end, "no write met the reset");
         net.send(conn, b"x");
     }
-    let mut told = Vec::new();
-    until(&mut net, |event| {
-        told.push(event);
-        matches!(told.last(), Some(NetEvent::Closed { .. })).then_some(())
+    let mut events = Vec::new();
+    poll_until(&mut net, |event| {
+        events.push(event);
+        matches!(events.last(), Some(NetEvent::Closed { .. })).then_some(())
     });
-    told.retain(|event| !matches!(event, NetEvent::Flushed(_)));
-    assert!(matches!(&told[0], NetEvent::Bytes(_, bytes) if bytes == b"429"), "{told:?}");
-    assert!(matches!(told[1..], [NetEvent::Closed { clean: false, .. }]), "{told:?}");
+    events.retain(|event| !matches!(event, NetEvent::Flushed(_)));
+    assert!(matches!(&events[0], NetEvent::Bytes(_, bytes) if bytes == b"429"), "{events:?}");
+    assert!(matches!(events[1..], [NetEvent::Closed { clean: false, .. }]), "{events:?}");
 }
 
-/// Many peers that send at full speed: no turn holds more than its bound, and all that they sent comes.
+/// Many peers that send at full speed: no poll reads more than its bound, and all that they sent arrives.
 #[test]
-fn what_one_turn_reads_is_bounded_and_nothing_is_left_out() {
-    const EACH: usize = 200 << 10;
+fn one_poll_reads_a_bounded_number_of_bytes_and_none_are_lost() {
+    const BYTES_PER_CLIENT: usize = 200 << 10;
     let mut net = Net::new().unwrap();
     let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let mut clients: Vec<TcpStream> = (0..30).map(|_| TcpStream::connect(address).unwrap()).collect();
     let mut accepted = 0;
-    until(&mut net, |event| {
+    poll_until(&mut net, |event| {
         accepted += usize::from(matches!(event, NetEvent::Accepted { .. }));
         (accepted == 30).then_some(())
     });
-    // All of it is in the system's buffers, as far as they take it, before the first look.
+    // All of it is in the system's buffers, as far as they take it, before the first poll.
     for client in &mut clients {
         client.set_nonblocking(true).unwrap();
     }
-    let mut left = [EACH; 30];
-    let (mut come, mut most) = (0, 0);
+    let mut left = [BYTES_PER_CLIENT; 30];
+    let (mut received, mut most_per_poll) = (0, 0);
     let end = Instant::now() + Duration::from_secs(20);
-    while come < EACH * 30 {
-        assert!(Instant::now() < end, "{come} came");
+    while received < BYTES_PER_CLIENT * 30 {
+        assert!(Instant::now() < end, "{received} arrived");
         for (client, left) in clients.iter_mut().zip(&mut left) {
             while let Ok(count @ 1..) = client.write(&[7; 64 << 10][..(*left).min(64 << 10)]) {
                 *left -= count;
@@ -164,28 +171,31 @@
         }
         let events = net.poll(Some(Duration::from_millis(20))).unwrap();
         let bytes = |event: &NetEvent| if let NetEvent::Bytes(_, bytes) = event { bytes.len() } else { 0 };
-        let turn: usize = events.iter().map(bytes).sum();
-        (come, most) = (come + turn, most.max(turn));
+        let in_this_poll: usize = events.iter().map(bytes).sum();
+        (received, most_per_poll) = (received + in_this_poll, most_per_poll.max(in_this_poll));
     }
-    assert!(most <= READ_IN_ALL + READ_AT_ONCE + (64 << 10), "{most} in one turn");
-    assert!(most > READ_IN_ALL, "the bound was never met: {most}");
+    assert!(
+        most_per_poll <= MAX_READ_PER_POLL + MAX_READ_PER_CONNECTION + (64 << 10),
+        "{most_per_poll} in one poll"
+    );
+    assert!(most_per_poll > MAX_READ_PER_POLL, "the bound was never met: {most_per_poll}");
 }
 
 #[test]
-fn what_lingers_is_bounded_in_number_time_and_bytes() {
+fn lingering_connections_are_bounded_in_number_time_and_bytes() {
     let mut net = Net::new().unwrap();
     let (_, address) = net.listen("127.0.0.1:0".parse().unwrap()).unwrap();
     let mut clients: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(address).unwrap()).collect();
     let mut servers = Vec::new();
-    until(&mut net, |event| {
+    poll_until(&mut net, |event| {
         if let NetEvent::Accepted { conn, .. } = event {
             servers.push(conn);
         }
         (servers.len() == 40).then_some(())
     });
     servers.iter().for_each(|conn| net.close_after_flush(*conn));
-    assert_eq!(net.lingering_count(), LINGERING_MOST);
-    // The last one sends without end, and is closed for it; the rest say nothing until their time is up.
+    assert_eq!(net.lingering_count(), DEFAULT_MAX_LINGERING);
+    // The last one sends without end, and is closed for it; the rest are silent until their time is over.
     clients[39].set_write_timeout(Some(Duration::from_secs(5))).unwrap();
     let mut last = clients.pop().unwrap();
     let sender = std::thread::spawn(move || while last.write_all(&[7; 64 << 10]).is_ok() {});
