--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,5 @@
-//! The delivery policy: every decision of a gateway instance. Events and actions are in `interface`, the state
-//! that it keeps in `policy_state`; nothing is decided there.
+//! The delivery policy: every decision of a gateway instance. `interface` has its events and actions,
+//! `policy_state` the state that it keeps; nothing is decided there.
 //!
 //! The ordinary path: a message waits in the queue of its destination; a free call slot goes to the waiting
 //! destination with the fewest calls out; a message whose attempt may have run goes again under its one key,
