--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -9,7 +9,7 @@
 use cloverstile_engine::{
     Attempt, Command, Counters, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
 };
-use cloverstile_failover::{Fleet, Planner, Tiers};
+use cloverstile_failover::{FailoverPlanner, FleetParameters, TierConfig};
 use cloverstile_http::Headers;
 use cloverstile_net::{ConnId, Net, NetEvent, SignalKind, Waker};
 use cloverstile_settings::Config;
@@ -145,27 +145,27 @@
     DestinationId((config.partners.len() + before + tier - 1) as u16)
 }
 
-fn planner(config: &Config, seed: u64) -> Planner {
+fn planner(config: &Config, seed: u64) -> FailoverPlanner {
     let couriers = config.module.instance_count.max(1);
     let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
-    let tiers = tiered.map(|(number, partner)| Tiers {
+    let tiers = tiered.map(|(number, partner)| TierConfig {
         destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
         zones: partner.tiers.iter().map(|tier| ZoneId(tier.zone)).collect(),
-        rates: partner.tiers.iter().map(|tier| tier.rate).collect(),
+        capacities: partner.tiers.iter().map(|tier| tier.rate).collect(),
         spill_share: partner.spill_share,
         // Couriers share nothing: each keeps to an even part of what all may spill together.
         spill_rate: partner.spill_rate.map(|rate| rate / f64::from(couriers)),
-        lost_after: partner.lost_after,
-        ramp: partner.ramp,
+        down_after: partner.lost_after,
+        recovery_ramp: partner.ramp,
     });
-    let fleet = Fleet {
-        couriers,
-        place: config.station.place.unwrap_or((seed % u64::from(couriers)) as u32),
+    let fleet = FleetParameters {
+        instance_count: couriers,
+        instance_index: config.station.place.unwrap_or((seed % u64::from(couriers)) as u32),
         // Slots go by the time of day, which machines agree on as well as their clocks are kept.
         epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
-        ..Fleet::of(&config.module.rules)
+        ..FleetParameters::for_rules(&config.module.rules)
     };
-    Planner::new(Time::ZERO, fleet, tiers.collect())
+    FailoverPlanner::new(Time::ZERO, fleet, tiers.collect())
 }
 
 /// Runs a program's own courier from its settings to its end. With `announce` the address that it listens on is
@@ -220,7 +220,8 @@
             retention: config.limits.answers_kept,
         };
         let mut service = Service {
-            engine: Engine::new(config.module.clone(), bounds, seed).with_planner(planner(&config, seed)),
+            engine: Engine::new(config.module.clone(), bounds, seed)
+                .with_failover_policy(planner(&config, seed)),
             directory: Arc::new(directory),
             net,
             pool,
--- a/crates/engine/src/book.rs
+++ b/crates/engine/src/book.rs
@@ -106,7 +106,7 @@
     }
 
     /// The wait that it told.
-    pub fn wait(self) -> Option<Duration> {
+    pub fn retry_after(self) -> Option<Duration> {
         match self {
             TransportOutcome::Rejected(wait) => wait,
             _ => None,
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,7 +8,7 @@
     Action, AttemptCompleted, AttemptOutcome, DeliveryPolicy, Effect as ClassEffect, Endpoint, EndpointId,
     EndpointState, Event, MessageId, RateLimitStatus, RecoveredAttempts, Settings, Submission, Time,
 };
-use cloverstile_failover::{Call, Planner, Policy, Standing};
+use cloverstile_failover::{FailoverPlanner, FailoverPolicy, RequestResult, TierStatus};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
@@ -41,7 +41,7 @@
 /// A message table around one module.
 pub struct Engine {
     courier: DeliveryPolicy,
-    pub(crate) planner: Box<dyn Policy>,
+    pub(crate) planner: Box<dyn FailoverPolicy>,
     pub(crate) settings: Settings,
     bounds: ResultCacheLimits,
     pub(crate) last_id: u32,
@@ -72,7 +72,7 @@
     pub fn new(settings: Settings, bounds: ResultCacheLimits, seed: u64) -> Self {
         Engine {
             courier: DeliveryPolicy::new(settings.clone(), seed),
-            planner: Box::new(Planner::default()),
+            planner: Box::new(FailoverPlanner::default()),
             settings,
             bounds,
             last_id: 0,
@@ -96,13 +96,13 @@
     }
 
     /// The same with partners of several tiers.
-    pub fn with_planner(self, planner: impl Policy + 'static) -> Self {
+    pub fn with_failover_policy(self, planner: impl FailoverPolicy + 'static) -> Self {
         Engine { planner: Box::new(planner), ..self }
     }
 
     /// How a partner's tiers stand; empty where it has but one.
-    pub fn tier_statuses(&self, partner: cloverstile::DestinationId) -> Vec<Standing> {
-        self.planner.standing(partner)
+    pub fn tier_statuses(&self, partner: cloverstile::DestinationId) -> Vec<TierStatus> {
+        self.planner.tier_statuses(partner)
     }
 
     /// Running sums.
@@ -319,7 +319,7 @@
     /// When [`Engine::advance`] must be called at the latest.
     pub fn next_timeout(&self) -> Option<Time> {
         let firsts = [
-            self.planner.next_wake(),
+            self.planner.next_timeout(),
             self.wakes.first().map(|(at, _)| *at),
             self.time_outs.first().map(|(at, _)| *at),
             self.last_resort.first().map(|(at, _)| *at),
@@ -418,7 +418,7 @@
     ) {
         let listed = self.listed.get(&endpoint);
         let sendable = listed.is_some_and(|e| {
-            e.state == EndpointState::Ready && self.planner.door(e.destination) != Some(false)
+            e.state == EndpointState::Ready && self.planner.gate(e.destination) != Some(false)
         });
         let destination = listed.map(|endpoint| endpoint.destination);
         let batch = listed
@@ -461,7 +461,7 @@
         self.time_outs.insert((until, message));
         self.counts.attempts += 1;
         if let Some(destination) = destination.filter(|_| carried.len() == 1) {
-            self.planner.sent(now, destination);
+            self.planner.on_request_sent(now, destination);
         }
     }
 
@@ -513,7 +513,10 @@
         (outcome, allowance): Ending,
     ) {
         if let Some(listed) = self.listed.get(&endpoint) {
-            self.planner.note(now, Call { destination: listed.destination, endpoint, outcome, latency });
+            self.planner.on_request_completed(
+                now,
+                RequestResult { destination: listed.destination, endpoint, outcome, latency },
+            );
         }
         let answered = self.entries.get(&message).is_none_or(|entry| entry.answer.is_some());
         let complete = outcome == AttemptOutcome::Ok || answered;
--- a/crates/engine/src/moves.rs
+++ b/crates/engine/src/moves.rs
@@ -9,7 +9,7 @@
     DestinationId, Effect, EndpointListUpdate, EndpointState, Event, Group, MessageId, OrderKey, Settings,
     Submission, Time,
 };
-use cloverstile_failover::Standing;
+use cloverstile_failover::TierStatus;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Which messages stand where, as far as tiers are concerned.
@@ -88,7 +88,7 @@
         // Behind one that waits for a lost tier it would wait as well, wherever it goes: the spill would be wasted.
         let ahead = self.places.last_of(key).and_then(|id| self.entries.get(&id)).map(|entry| entry.tier);
         let waits = ahead.filter(|tier| self.is_lost(partner, *tier));
-        let mut tier = waits.unwrap_or_else(|| self.planner.choose(now, partner));
+        let mut tier = waits.unwrap_or_else(|| self.planner.select_tier(now, partner));
         let undecided = waits.is_some() || !self.is_lost(partner, tier);
         // What may spill is a share of all messages, but which ones is open: those of most worth.
         if tier != partner && self.is_lost(partner, partner) {
@@ -113,18 +113,18 @@
     }
 
     fn is_lost(&self, partner: DestinationId, tier: DestinationId) -> bool {
-        matches!(self.planner.standing_of(partner, tier), Some(Standing::Lost(_)))
+        matches!(self.planner.tier_status(partner, tier), Some(TierStatus::Down(_)))
     }
 
     /// Chooses again for what waits at lost tiers, as many as the planner asks for.
     pub(crate) fn reconsider(&mut self, now: Time) {
-        while let Some((from, partner)) = self.planner.reconsider(now) {
+        while let Some((from, partner)) = self.planner.next_reassignment(now) {
             // Each message counts once towards the share, whichever goes in the end.
             let Some(counted) = self.next_to_move(from, |entry, _| entry.undecided) else { continue };
             if let Some(entry) = self.entries.get_mut(&counted) {
                 entry.undecided = false;
             }
-            let to = self.planner.choose(now, partner);
+            let to = self.planner.select_tier(now, partner);
             if to != from && !self.is_lost(partner, to) {
                 let worth = self.class_worth(counted);
                 let better = self.next_to_move(from, |_, other| other > worth);
@@ -187,7 +187,7 @@
 
     /// Tells the module which doors opened or closed; true if it has something to act on.
     pub(crate) fn tell_doors(&mut self, now: Time) -> bool {
-        let doors = self.planner.doors(now);
+        let doors = self.planner.update_gates(now);
         if !doors.is_empty() {
             let told = self.listed.values().filter(|endpoint| {
                 endpoint.state == EndpointState::Ready && doors.contains(&endpoint.destination)
@@ -208,7 +208,7 @@
     /// time, as many others have their doors opened just before and after.
     fn behind_door(&self, mut endpoint: cloverstile::Endpoint) -> cloverstile::Endpoint {
         if endpoint.state == EndpointState::Ready {
-            endpoint.state = match self.planner.door(endpoint.destination) {
+            endpoint.state = match self.planner.gate(endpoint.destination) {
                 None => EndpointState::Ready,
                 Some(true) => EndpointState::OneAtATime,
                 // No drain: the call that its opening was for may still be on its way to a connection.
--- a/crates/engine/tests/tiers.rs
+++ b/crates/engine/tests/tiers.rs
@@ -2,7 +2,7 @@
 
 use cloverstile::*;
 use cloverstile_engine::*;
-use cloverstile_failover::{Fleet, Planner, Standing, Tiers};
+use cloverstile_failover::{FailoverPlanner, FleetParameters, TierConfig, TierStatus};
 use std::time::Duration;
 
 const UNSAFE: u8 = 0;
@@ -48,18 +48,18 @@
             ..Settings::default()
         };
         let now = Time(1_000_000_000);
-        let tiers = Tiers {
+        let tiers = TierConfig {
             destinations: vec![DestinationId(0), DestinationId(1)],
             zones: vec![ZoneId(0), ZoneId(1)],
-            rates: vec![50.0, 50.0],
+            capacities: vec![50.0, 50.0],
             spill_share: 1.0,
             spill_rate: None,
-            lost_after: s(1),
-            ramp: s(5),
+            down_after: s(1),
+            recovery_ramp: s(5),
         };
-        let planner = Planner::new(now, Fleet::of(&settings.rules), vec![tiers]);
+        let planner = FailoverPlanner::new(now, FleetParameters::for_rules(&settings.rules), vec![tiers]);
         let bounds = ResultCacheLimits { max_results: 100, retention: s(60) };
-        let mut engine = Engine::new(settings, bounds, 3).with_planner(planner);
+        let mut engine = Engine::new(settings, bounds, 3).with_failover_policy(planner);
         let endpoint = |id: u32| Endpoint {
             id: EndpointId(id),
             zone: ZoneId(id as u8 - 1),
@@ -134,7 +134,7 @@
     }
     pair.hand_in("salary", UNSAFE, None);
     pair.play(s(20));
-    assert!(matches!(pair.engine.tier_statuses(DestinationId(0))[0], Standing::Lost(_)));
+    assert!(matches!(pair.engine.tier_statuses(DestinationId(0))[0], TierStatus::Down(_)));
     assert_eq!(pair.answers.len(), 5, "{:?}", pair.answers);
     assert!(pair.answers.iter().all(|(_, answer)| *answer == FinalOutcome::Delivered), "{:?}", pair.answers);
     let ordered: Vec<&String> = pair.south.iter().filter(|name| *name != "salary").collect();
@@ -150,7 +150,7 @@
     pair.hand_in("zone", IN_ZONE, None);
     pair.hand_in("all", ORDERED, Some(1));
     pair.play(s(3));
-    assert!(matches!(pair.engine.tier_statuses(DestinationId(0))[0], Standing::Lost(_)));
+    assert!(matches!(pair.engine.tier_statuses(DestinationId(0))[0], TierStatus::Down(_)));
     pair.play(s(40));
     assert_eq!(pair.south, ["all"], "{:?}", pair.answers);
     let answer =
--- a/crates/failover/src/gate.rs
+++ b/crates/failover/src/gate.rs
@@ -21,52 +21,53 @@
 
 /// What a courier knows of all couriers together.
 #[derive(Clone, Debug)]
-pub struct Fleet {
+pub struct FleetParameters {
     /// How many there are, this one included.
-    pub couriers: u32,
+    pub instance_count: u32,
     /// This one's place among them, from 0.
-    pub place: u32,
+    pub instance_index: u32,
     /// The fleet's common clock at this courier's time zero: slots go by it.
     pub epoch: Duration,
     /// Share of its capacity with which a site returns.
-    pub cold_from: f64,
+    pub warm_up_capacity: f64,
     /// How long until it is warm.
-    pub cold: Duration,
+    pub warm_up_time: Duration,
     /// A site without an answer for less than this is not cold.
-    pub blip: Duration,
+    pub max_transient_outage: Duration,
 }
 
 /// A spell without an answer shorter than this part of the fall window leaves no site cold, as the module has it.
 const BLIP_OF_FALL: f64 = 0.6;
 
-impl Default for Fleet {
+impl Default for FleetParameters {
     fn default() -> Self {
-        Fleet::of(&cloverstile::Settings::default().rules)
+        FleetParameters::for_rules(&cloverstile::Settings::default().rules)
     }
 }
 
-impl Fleet {
+impl FleetParameters {
     /// A courier on its own, under these rules.
-    pub fn of(rules: &Rules) -> Fleet {
-        Fleet {
-            couriers: 1,
-            place: 0,
+    pub fn for_rules(rules: &Rules) -> FleetParameters {
+        FleetParameters {
+            instance_count: 1,
+            instance_index: 0,
             epoch: Duration::ZERO,
-            cold_from: rules.warm_up_capacity,
-            cold: rules.warm_up_time,
-            blip: rules.overload_window.mul_f64(BLIP_OF_FALL),
+            warm_up_capacity: rules.warm_up_capacity,
+            warm_up_time: rules.warm_up_time,
+            max_transient_outage: rules.overload_window.mul_f64(BLIP_OF_FALL),
         }
     }
 
     /// A number from 0 to 1 that differs evenly from courier to courier, and for different `salt`.
     pub(crate) fn phase(&self, salt: u64) -> f64 {
-        (f64::from(self.place + 1) * GOLDEN + salt as f64 * GOLDEN * GOLDEN).fract()
+        (f64::from(self.instance_index + 1) * GOLDEN + salt as f64 * GOLDEN * GOLDEN).fract()
     }
 
     /// Share of its capacity that a site has which first answered `since`; that of a cold one if it did not yet.
     pub(crate) fn warmth(&self, now: Time, since: Option<Time>) -> f64 {
-        let part = since.map_or(0.0, |at| (now - at).as_secs_f64() / self.cold.as_secs_f64().max(0.001));
-        (self.cold_from + (1.0 - self.cold_from) * part).clamp(0.0, 1.0)
+        let part =
+            since.map_or(0.0, |at| (now - at).as_secs_f64() / self.warm_up_time.as_secs_f64().max(0.001));
+        (self.warm_up_capacity + (1.0 - self.warm_up_capacity) * part).clamp(0.0, 1.0)
     }
 }
 
@@ -101,9 +102,9 @@
 }
 
 /// The next stretch, for a site that takes `rate` calls a second when it is warm, of which this courier had `served`.
-pub(crate) fn next(fleet: &Fleet, after: Time, rate: f64, served: f64, warmth: f64) -> Slot {
+pub(crate) fn next(fleet: &FleetParameters, after: Time, rate: f64, served: f64, warmth: f64) -> Slot {
     let pace = served * if warmth >= 1.0 { CATCH_UP } else { 1.0 };
-    if pace <= rate / f64::from(fleet.couriers.max(1)) {
+    if pace <= rate / f64::from(fleet.instance_count.max(1)) {
         return next_slot(fleet, after, rate, warmth);
     }
     let calls = (pace * LEAST_CYCLE.as_secs_f64()).ceil().max(1.0);
@@ -115,13 +116,13 @@
 
 /// This courier's next slot that begins after `after`, at a site that takes `rate` calls a second when warm and has
 /// this share of it now.
-fn next_slot(fleet: &Fleet, after: Time, rate: f64, warmth: f64) -> Slot {
-    let couriers = f64::from(fleet.couriers.max(1));
+fn next_slot(fleet: &FleetParameters, after: Time, rate: f64, warmth: f64) -> Slot {
+    let couriers = f64::from(fleet.instance_count.max(1));
     // One call in a slot, or as many as are needed for slots that timers can keep.
     let calls = (rate * LEAST_CYCLE.as_secs_f64() / couriers).ceil().max(1.0);
     let length = calls / rate;
     let cycle = length * couriers;
-    let offset = f64::from(fleet.place) * length;
+    let offset = f64::from(fleet.instance_index) * length;
     let clock = (fleet.epoch + (after - Time::ZERO)).as_secs_f64();
     let mut turn = ((clock - offset) / cycle).floor() + 1.0;
     let (phase, warmth) = (fleet.phase(0), warmth.clamp(0.01, 1.0));
@@ -144,8 +145,12 @@
     fn windows(couriers: u32, rate: f64, warmth: f64) -> Vec<u32> {
         let mut counts = vec![0; 100];
         for place in 0..couriers {
-            let fleet =
-                Fleet { couriers, place, epoch: Duration::from_millis(1_234_567), ..Fleet::default() };
+            let fleet = FleetParameters {
+                instance_count: couriers,
+                instance_index: place,
+                epoch: Duration::from_millis(1_234_567),
+                ..FleetParameters::default()
+            };
             let mut at = Time::ZERO;
             loop {
                 let slot = next_slot(&fleet, at, rate, warmth);
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -12,7 +12,7 @@
 mod zone;
 
 use cloverstile::{AttemptOutcome, DestinationId, EndpointId, Time, ZoneId};
-pub use gate::Fleet;
+pub use gate::FleetParameters;
 use gate::{Served, Slot};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -34,26 +34,26 @@
 
 /// What the settings say of a partner's tiers.
 #[derive(Clone, Debug)]
-pub struct Tiers {
+pub struct TierConfig {
     /// The destination of each tier, the preferred one first. The first also names the partner.
     pub destinations: Vec<DestinationId>,
     /// Where each tier stands. What is lost in one place at several partners is taken for a loss of the place.
     pub zones: Vec<ZoneId>,
     /// Calls a second that each tier takes from all couriers together when it is warm; zero where nobody knows.
-    pub rates: Vec<f64>,
+    pub capacities: Vec<f64>,
     /// Share of the messages for a lost tier that goes to the next one, from 0 to 1.
     pub spill_share: f64,
     /// Messages a second of this courier that may spill at most; none: the share alone binds.
     pub spill_rate: Option<f64>,
     /// A tier counts as lost only after so long without an answer.
-    pub lost_after: Duration,
+    pub down_after: Duration,
     /// From a lost tier's first answer until nothing of it spills any more.
-    pub ramp: Duration,
+    pub recovery_ramp: Duration,
 }
 
 /// How a call ended, as far as tiers are concerned.
 #[derive(Clone, Copy, Debug)]
-pub struct Call {
+pub struct RequestResult {
     /// The tier that it went to.
     pub destination: DestinationId,
     /// The address that it went to.
@@ -64,57 +64,57 @@
     pub latency: Duration,
 }
 
-/// What an engine asks of whoever spreads messages over tiers. [`Planner`] is the one in service; others are there
+/// What an engine asks of whoever spreads messages over tiers. [`FailoverPlanner`] is the one in service; others are there
 /// to be compared with it.
-pub trait Policy: Send {
+pub trait FailoverPolicy: Send {
     /// The tier for a message handed in now for a partner, named by its first destination.
-    fn choose(&mut self, now: Time, partner: DestinationId) -> DestinationId;
+    fn select_tier(&mut self, now: Time, partner: DestinationId) -> DestinationId;
     /// A call ended.
-    fn note(&mut self, now: Time, call: Call);
+    fn on_request_completed(&mut self, now: Time, call: RequestResult);
     /// How the tiers of a partner stand, the preferred one first; empty where it has but one.
-    fn standing(&self, partner: DestinationId) -> Vec<Standing>;
+    fn tier_statuses(&self, partner: DestinationId) -> Vec<TierStatus>;
     /// Whether a partner has several tiers.
     fn has_tiers(&self, _: DestinationId) -> bool {
         true
     }
     /// How one tier of a partner stands, where that is known.
-    fn standing_of(&self, _partner: DestinationId, _tier: DestinationId) -> Option<Standing> {
+    fn tier_status(&self, _partner: DestinationId, _tier: DestinationId) -> Option<TierStatus> {
         None
     }
     /// Destinations whose door opens, closes or goes now.
-    fn doors(&mut self, _: Time) -> Vec<DestinationId> {
+    fn update_gates(&mut self, _: Time) -> Vec<DestinationId> {
         Vec::new()
     }
     /// A destination's door, and whether it is open: nothing is sent while it is closed, and one call at a time while
     /// it is open. None: there is no door.
-    fn door(&self, _: DestinationId) -> Option<bool> {
+    fn gate(&self, _: DestinationId) -> Option<bool> {
         None
     }
     /// A call was sent to a destination.
-    fn sent(&mut self, _: Time, _: DestinationId) {}
+    fn on_request_sent(&mut self, _: Time, _: DestinationId) {}
     /// A lost tier of which one more waiting message is to be chosen for again, with the partner that it is of.
-    fn reconsider(&mut self, _: Time) -> Option<(DestinationId, DestinationId)> {
+    fn next_reassignment(&mut self, _: Time) -> Option<(DestinationId, DestinationId)> {
         None
     }
-    /// When [`Policy::doors`] or [`Policy::reconsider`] next have something to say.
-    fn next_wake(&self) -> Option<Time> {
+    /// When [`FailoverPolicy::update_gates`] or [`FailoverPolicy::next_reassignment`] next have something to say.
+    fn next_timeout(&self) -> Option<Time> {
         None
     }
 }
 
 /// How a tier stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Standing {
+pub enum TierStatus {
     /// It answers.
     Up,
     /// It does not, since then.
-    Lost(Time),
+    Down(Time),
     /// It answers again, since then; less spills with time.
-    Returning(Time),
+    Recovering(Time),
 }
 
 struct Tier {
-    standing: Standing,
+    standing: TierStatus,
     last_answer: Time,
     /// Lost calls since the last answer.
     lost_calls: u32,
@@ -153,7 +153,7 @@
 impl Tier {
     fn new(now: Time) -> Self {
         Tier {
-            standing: Standing::Up,
+            standing: TierStatus::Up,
             last_answer: now,
             lost_calls: 0,
             fresh: true,
@@ -172,22 +172,22 @@
 
     /// Silent for so long that it may come back cold. One lost call is enough to be careful: a light courier that
     /// waited for more would join the others' return without a slot.
-    fn may_be_cold(&self, now: Time, fleet: &Fleet) -> bool {
-        self.lost_calls > 0 && (self.fresh || now - self.last_answer > fleet.blip)
+    fn may_be_cold(&self, now: Time, fleet: &FleetParameters) -> bool {
+        self.lost_calls > 0 && (self.fresh || now - self.last_answer > fleet.max_transient_outage)
     }
 
-    fn is_gated(&self, now: Time, fleet: &Fleet) -> bool {
+    fn is_gated(&self, now: Time, fleet: &FleetParameters) -> bool {
         // One unused slot may be the module's own pace, or a message's gap. With slots rarer than that, few messages
         // can have gathered.
-        let light = self.door.as_ref().is_none_or(|door| door.slot.cycle > fleet.blip);
-        let idle = light || self.unused_since.is_some_and(|since| now - since >= fleet.blip);
-        let until = |since: Time| since + fleet.cold * if idle { 1 } else { GATED_MOST };
+        let light = self.door.as_ref().is_none_or(|door| door.slot.cycle > fleet.max_transient_outage);
+        let idle = light || self.unused_since.is_some_and(|since| now - since >= fleet.max_transient_outage);
+        let until = |since: Time| since + fleet.warm_up_time * if idle { 1 } else { GATED_MOST };
         self.may_be_cold(now, fleet) || self.cold_since.is_some_and(|since| now < until(since))
     }
 }
 
 struct Partner {
-    tiers: Tiers,
+    tiers: TierConfig,
     state: Vec<Tier>,
     /// Mean gap between hand-ins, and the last one.
     gap: Duration,
@@ -196,8 +196,8 @@
 
 /// The planner of one courier.
 #[derive(Default)]
-pub struct Planner {
-    fleet: Fleet,
+pub struct FailoverPlanner {
+    fleet: FleetParameters,
     partners: BTreeMap<DestinationId, Partner>,
     /// Partner and place of each tier's destination.
     places: BTreeMap<DestinationId, (DestinationId, usize)>,
@@ -206,10 +206,10 @@
     zones: BTreeMap<ZoneId, Zone>,
 }
 
-impl Planner {
+impl FailoverPlanner {
     /// A planner that knows these partners; all others have one tier, and it leaves them alone.
-    pub fn new(now: Time, fleet: Fleet, partners: Vec<Tiers>) -> Self {
-        let mut planner = Planner { fleet, ..Planner::default() };
+    pub fn new(now: Time, fleet: FleetParameters, partners: Vec<TierConfig>) -> Self {
+        let mut planner = FailoverPlanner { fleet, ..FailoverPlanner::default() };
         for tiers in partners {
             let Some(&name) = tiers.destinations.first() else { continue };
             for (place, destination) in tiers.destinations.iter().enumerate() {
@@ -219,7 +219,7 @@
                 }
             }
             let state = tiers.destinations.iter().map(|_| Tier::new(now)).collect();
-            let gap = tiers.lost_after;
+            let gap = tiers.down_after;
             planner.partners.insert(name, Partner { tiers, state, gap, handed: now });
         }
         planner
@@ -234,9 +234,9 @@
     fn watch(&mut self, now: Time, destination: DestinationId) {
         let Some((partner, place)) = self.places.get(&destination) else { return };
         let Some(Partner { tiers, state, .. }) = self.partners.get_mut(partner) else { return };
-        let (tier, rate) = (&mut state[*place], tiers.rates.get(*place).copied().unwrap_or_default());
+        let (tier, rate) = (&mut state[*place], tiers.capacities.get(*place).copied().unwrap_or_default());
         if tier.door.is_none() && rate > 0.0 && tier.is_gated(now, &self.fleet) {
-            let served = tier.served.add(now, 0.0, self.fleet.cold);
+            let served = tier.served.add(now, 0.0, self.fleet.warm_up_time);
             let slot = gate::next(&self.fleet, now, rate, served, self.fleet.warmth(now, tier.cold_since));
             tier.door =
                 Some(Door { open: true, used: true, served, slot: Slot { from: now, until: now, ..slot } });
@@ -252,11 +252,11 @@
         let Some((partner, place)) = self.places.get(&destination) else { return };
         let Some(Partner { tiers, state, .. }) = self.partners.get_mut(partner) else { return };
         let tier = &mut state[*place];
-        if back && matches!(tier.standing, Standing::Lost(_)) {
+        if back && matches!(tier.standing, TierStatus::Down(_)) {
             answered(now, fleet, tiers, tier);
             // That was another partner's answer: this site may still be without one of its own.
             tier.fresh = true;
-        } else if !back && (tier.fresh || now - tier.last_answer > fleet.blip) {
+        } else if !back && (tier.fresh || now - tier.last_answer > fleet.max_transient_outage) {
             tier.lost_calls = tier.lost_calls.max(LOST_CALLS - 1);
             lost(now, fleet, tiers, tier, u64::from(partner.0));
         }
@@ -269,19 +269,19 @@
     }
 }
 
-impl Policy for Planner {
-    fn choose(&mut self, now: Time, partner: DestinationId) -> DestinationId {
+impl FailoverPolicy for FailoverPlanner {
+    fn select_tier(&mut self, now: Time, partner: DestinationId) -> DestinationId {
         let Some(Partner { tiers, state, gap, handed }) = self.partners.get_mut(&partner) else {
             return partner;
         };
-        *gap = gap.mul_f64(1.0 - GAP_GAIN) + (now - *handed).min(tiers.lost_after).mul_f64(GAP_GAIN);
+        *gap = gap.mul_f64(1.0 - GAP_GAIN) + (now - *handed).min(tiers.down_after).mul_f64(GAP_GAIN);
         *handed = now;
         let last = tiers.destinations.len() - 1;
         let chosen = (0..last).find(|place| !spills(now, tiers, &mut state[*place])).unwrap_or(last);
         tiers.destinations[chosen]
     }
 
-    fn note(&mut self, now: Time, call: Call) {
+    fn on_request_completed(&mut self, now: Time, call: RequestResult) {
         let Some((partner, place)) = self.places.get(&call.destination).copied() else { return };
         let Some(Partner { tiers, state, .. }) = self.partners.get_mut(&partner) else { return };
         let Some(tier) = state.get_mut(place) else { return };
@@ -291,7 +291,7 @@
         match call.outcome {
             AttemptOutcome::Ok => {
                 answered(now, &self.fleet, tiers, tier);
-                tier.served.add(now, 1.0, self.fleet.cold);
+                tier.served.add(now, 1.0, self.fleet.warm_up_time);
                 if let Some(zone) = zone {
                     with = if zone.answered(now) { zone.tiers.clone() } else { Vec::new() };
                 }
@@ -306,7 +306,7 @@
             {
                 lost(now, &self.fleet, tiers, tier, u64::from(partner.0));
                 if let Some(zone) = zone {
-                    let begins = zone.lost_call(now, partner, sent, tiers.lost_after);
+                    let begins = zone.lost_call(now, partner, sent, tiers.down_after);
                     with = if begins { zone.tiers.clone() } else { Vec::new() };
                 }
             }
@@ -318,7 +318,7 @@
         }
     }
 
-    fn standing(&self, partner: DestinationId) -> Vec<Standing> {
+    fn tier_statuses(&self, partner: DestinationId) -> Vec<TierStatus> {
         self.partners
             .get(&partner)
             .map_or(Vec::new(), |partner| partner.state.iter().map(|t| t.standing).collect())
@@ -328,17 +328,18 @@
         self.partners.contains_key(&partner)
     }
 
-    fn standing_of(&self, _: DestinationId, tier: DestinationId) -> Option<Standing> {
+    fn tier_status(&self, _: DestinationId, tier: DestinationId) -> Option<TierStatus> {
         self.tier(tier).map(|tier| tier.standing)
     }
 
-    fn doors(&mut self, now: Time) -> Vec<DestinationId> {
+    fn update_gates(&mut self, now: Time) -> Vec<DestinationId> {
         let mut changed = Vec::new();
         let mut over = Vec::new();
         for destination in &self.watched {
             let Some((partner, place)) = self.places.get(destination) else { continue };
             let Some(Partner { tiers, state, .. }) = self.partners.get_mut(partner) else { continue };
-            let (tier, rate) = (&mut state[*place], tiers.rates.get(*place).copied().unwrap_or_default());
+            let (tier, rate) =
+                (&mut state[*place], tiers.capacities.get(*place).copied().unwrap_or_default());
             let (gated, warmth) = (tier.is_gated(now, &self.fleet), self.fleet.warmth(now, tier.cold_since));
             if let Some(door) = &mut tier.door {
                 let was = door.open;
@@ -358,7 +359,7 @@
                 }
             }
             tier.door.take_if(|_| !gated);
-            tier.again_at.take_if(|_| !matches!(tier.standing, Standing::Lost(_)));
+            tier.again_at.take_if(|_| !matches!(tier.standing, TierStatus::Down(_)));
             if tier.door.is_none() && tier.again_at.is_none() {
                 over.push(*destination);
             }
@@ -369,12 +370,12 @@
         changed
     }
 
-    fn door(&self, destination: DestinationId) -> Option<bool> {
+    fn gate(&self, destination: DestinationId) -> Option<bool> {
         let door = self.tier(destination)?.door.as_ref()?;
         Some(door.open && door.slot.calls > 0)
     }
 
-    fn sent(&mut self, _: Time, destination: DestinationId) {
+    fn on_request_sent(&mut self, _: Time, destination: DestinationId) {
         let Some(door) = self.tier_mut(destination).and_then(|tier| tier.door.as_mut()) else { return };
         door.used = true;
         door.slot.calls = door.slot.calls.saturating_sub(1);
@@ -383,20 +384,20 @@
         }
     }
 
-    fn reconsider(&mut self, now: Time) -> Option<(DestinationId, DestinationId)> {
+    fn next_reassignment(&mut self, now: Time) -> Option<(DestinationId, DestinationId)> {
         for destination in &self.watched {
             let Some((partner, place)) = self.places.get(destination) else { continue };
             let Some(Partner { tiers, state, gap, .. }) = self.partners.get_mut(partner) else { continue };
             let tier = &mut state[*place];
-            if tier.again_at.is_some_and(|at| at <= now) && matches!(tier.standing, Standing::Lost(_)) {
-                tier.again_at = Some(now + (*gap).clamp(Duration::from_millis(1), tiers.lost_after));
+            if tier.again_at.is_some_and(|at| at <= now) && matches!(tier.standing, TierStatus::Down(_)) {
+                tier.again_at = Some(now + (*gap).clamp(Duration::from_millis(1), tiers.down_after));
                 return Some((*destination, *partner));
             }
         }
         None
     }
 
-    fn next_wake(&self) -> Option<Time> {
+    fn next_timeout(&self) -> Option<Time> {
         let of = |destination: &DestinationId| {
             let tier = self.tier(*destination)?;
             let door =
@@ -408,15 +409,15 @@
 }
 
 /// Whether the next message for a tier goes on to the one behind it.
-fn spills(now: Time, tiers: &Tiers, tier: &mut Tier) -> bool {
+fn spills(now: Time, tiers: &TierConfig, tier: &mut Tier) -> bool {
     let share = match tier.standing {
-        Standing::Up => return false,
-        Standing::Lost(_) => tiers.spill_share,
-        Standing::Returning(since) => {
-            let whole = (tiers.ramp * tier.slowness).as_secs_f64().max(0.001);
+        TierStatus::Up => return false,
+        TierStatus::Down(_) => tiers.spill_share,
+        TierStatus::Recovering(since) => {
+            let whole = (tiers.recovery_ramp * tier.slowness).as_secs_f64().max(0.001);
             let part = (now - since).as_secs_f64() / whole;
             if part >= 1.0 {
-                (tier.standing, tier.slowness, tier.credit) = (Standing::Up, 1, 0.0);
+                (tier.standing, tier.slowness, tier.credit) = (TierStatus::Up, 1, 0.0);
                 return false;
             }
             tiers.spill_share * (1.0 - part)
@@ -438,34 +439,34 @@
     permitted
 }
 
-fn answered(now: Time, fleet: &Fleet, tiers: &Tiers, tier: &mut Tier) {
+fn answered(now: Time, fleet: &FleetParameters, tiers: &TierConfig, tier: &mut Tier) {
     if tier.may_be_cold(now, fleet) {
         (tier.cold_since, tier.unused_since) = (Some(now), None);
     }
     (tier.last_answer, tier.lost_calls, tier.fresh) = (now, 0, false);
     match tier.standing {
-        Standing::Lost(_) => tier.standing = Standing::Returning(now),
-        Standing::Returning(since) if now - since >= tiers.ramp * tier.slowness => {
-            (tier.standing, tier.slowness, tier.credit) = (Standing::Up, 1, 0.0);
+        TierStatus::Down(_) => tier.standing = TierStatus::Recovering(now),
+        TierStatus::Recovering(since) if now - since >= tiers.recovery_ramp * tier.slowness => {
+            (tier.standing, tier.slowness, tier.credit) = (TierStatus::Up, 1, 0.0);
         }
         _ => {}
     }
 }
 
-fn lost(now: Time, fleet: &Fleet, tiers: &Tiers, tier: &mut Tier, salt: u64) {
+fn lost(now: Time, fleet: &FleetParameters, tiers: &TierConfig, tier: &mut Tier, salt: u64) {
     tier.lost_calls += 1;
-    let silent = tier.fresh || now - tier.last_answer >= tiers.lost_after;
+    let silent = tier.fresh || now - tier.last_answer >= tiers.down_after;
     if tier.lost_calls < LOST_CALLS || !silent {
         return;
     }
     match tier.standing {
-        Standing::Lost(_) => return,
+        TierStatus::Down(_) => return,
         // A courier with one message must spill it or not; begun at nothing, no light one would ever spill. So each
         // begins at a phase of its own, and all together come to the share.
-        Standing::Up => tier.credit = fleet.phase(salt + u64::from(tier.losses)),
+        TierStatus::Up => tier.credit = fleet.phase(salt + u64::from(tier.losses)),
         // Guards against flapping: a site that answers its trials but not its load would be trusted again and again.
-        Standing::Returning(_) => tier.slowness = (tier.slowness * FLAP_FACTOR).min(FLAP_MOST),
+        TierStatus::Recovering(_) => tier.slowness = (tier.slowness * FLAP_FACTOR).min(FLAP_MOST),
     }
-    (tier.standing, tier.again_at) = (Standing::Lost(now), Some(now));
+    (tier.standing, tier.again_at) = (TierStatus::Down(now), Some(now));
     tier.losses += 1;
 }
--- a/crates/failover/tests/tiers.rs
+++ b/crates/failover/tests/tiers.rs
@@ -1,7 +1,9 @@
 //! A site is lost, spills its stated share and no more, and comes back gently.
 
 use cloverstile::{AttemptOutcome, DestinationId, EndpointId, Time, ZoneId};
-use cloverstile_failover::{Call, Fleet, Planner, Policy, Standing, Tiers};
+use cloverstile_failover::{
+    FailoverPlanner, FailoverPolicy, FleetParameters, RequestResult, TierConfig, TierStatus,
+};
 use std::time::Duration;
 
 const FIRST: DestinationId = DestinationId(4);
@@ -11,45 +13,50 @@
     Time::ZERO + Duration::from_secs_f64(seconds)
 }
 
-fn planner(spill_share: f64, spill_rate: Option<f64>) -> Planner {
-    let (lost_after, ramp) = (Duration::from_secs(1), Duration::from_secs(10));
-    Planner::new(
+fn planner(spill_share: f64, spill_rate: Option<f64>) -> FailoverPlanner {
+    let (down_after, recovery_ramp) = (Duration::from_secs(1), Duration::from_secs(10));
+    FailoverPlanner::new(
         s(0.0),
-        Fleet::default(),
-        vec![Tiers {
+        FleetParameters::default(),
+        vec![TierConfig {
             destinations: vec![FIRST, SECOND],
             zones: vec![ZoneId(0), ZoneId(1)],
-            rates: vec![50.0, 50.0],
+            capacities: vec![50.0, 50.0],
             spill_share,
             spill_rate,
-            lost_after,
-            ramp,
+            down_after,
+            recovery_ramp,
         }],
     )
 }
 
 /// A call to the first site ended.
-fn ended(planner: &mut Planner, at: f64, outcome: AttemptOutcome, latency: Duration) {
-    planner.note(s(at), Call { destination: FIRST, endpoint: EndpointId(1), outcome, latency });
+fn ended(planner: &mut FailoverPlanner, at: f64, outcome: AttemptOutcome, latency: Duration) {
+    planner.on_request_completed(
+        s(at),
+        RequestResult { destination: FIRST, endpoint: EndpointId(1), outcome, latency },
+    );
 }
 
-fn lose(planner: &mut Planner, at: f64) {
+fn lose(planner: &mut FailoverPlanner, at: f64) {
     for call in 0..3 {
         ended(planner, at + f64::from(call) * 0.1, AttemptOutcome::Timeout, Duration::from_millis(50));
     }
 }
 
 /// Messages that spill of some handed in evenly between two moments.
-fn spilt(planner: &mut Planner, from: f64, to: f64, messages: u32) -> Vec<bool> {
+fn spilt(planner: &mut FailoverPlanner, from: f64, to: f64, messages: u32) -> Vec<bool> {
     (0..messages)
-        .map(|n| planner.choose(s(from + (to - from) * f64::from(n) / f64::from(messages)), FIRST) == SECOND)
+        .map(|n| {
+            planner.select_tier(s(from + (to - from) * f64::from(n) / f64::from(messages)), FIRST) == SECOND
+        })
         .collect()
 }
 
 #[test]
 fn partners_of_one_tier_and_sites_that_answer_are_left_alone() {
     let mut planner = planner(0.5, None);
-    assert_eq!(planner.choose(s(1.0), DestinationId(1)), DestinationId(1));
+    assert_eq!(planner.select_tier(s(1.0), DestinationId(1)), DestinationId(1));
     assert!(spilt(&mut planner, 0.0, 5.0, 100).iter().all(|spills| !spills));
     // Refusals and errors are answers, and a call sent before the last answer says nothing new.
     for outcome in [AttemptOutcome::Rejected(None), AttemptOutcome::Error, AttemptOutcome::Unsent] {
@@ -57,7 +64,7 @@
     }
     ended(&mut planner, 7.0, AttemptOutcome::Ok, Duration::ZERO);
     (0..10).for_each(|_| ended(&mut planner, 9.0, AttemptOutcome::Timeout, Duration::from_secs(3)));
-    assert_eq!(planner.standing(FIRST), [Standing::Up, Standing::Up]);
+    assert_eq!(planner.tier_statuses(FIRST), [TierStatus::Up, TierStatus::Up]);
 }
 
 #[test]
@@ -86,14 +93,14 @@
     let mut planner = planner(0.5, None);
     lose(&mut planner, 2.0);
     ended(&mut planner, 5.0, AttemptOutcome::Ok, Duration::ZERO);
-    assert_eq!(planner.standing(FIRST)[0], Standing::Returning(s(5.0)));
+    assert_eq!(planner.tier_statuses(FIRST)[0], TierStatus::Recovering(s(5.0)));
     let mut counts = Vec::new();
     for second in [5.0, 8.0, 11.0, 14.0] {
         counts.push(spilt(&mut planner, second, second + 1.0, 100).iter().filter(|spills| **spills).count());
     }
     assert!(counts.windows(2).all(|pair| pair[0] > pair[1]), "{counts:?}");
     assert!(spilt(&mut planner, 15.0, 20.0, 100).iter().all(|spills| !spills));
-    assert_eq!(planner.standing(FIRST)[0], Standing::Up);
+    assert_eq!(planner.tier_statuses(FIRST)[0], TierStatus::Up);
 }
 
 #[test]
@@ -111,23 +118,26 @@
 }
 
 /// Two partners with a site in one zone, and a third whose site stands elsewhere.
-fn neighbours() -> Planner {
-    let tiers = |id: u16, zone: u8| Tiers {
+fn neighbours() -> FailoverPlanner {
+    let tiers = |id: u16, zone: u8| TierConfig {
         destinations: vec![DestinationId(id), DestinationId(id + 10)],
         zones: vec![ZoneId(zone), ZoneId(9)],
-        rates: vec![50.0, 50.0],
+        capacities: vec![50.0, 50.0],
         spill_share: 1.0,
         spill_rate: None,
-        lost_after: Duration::from_secs(1),
-        ramp: Duration::from_secs(10),
+        down_after: Duration::from_secs(1),
+        recovery_ramp: Duration::from_secs(10),
     };
-    let fleet = Fleet { couriers: 20, place: 3, ..Fleet::default() };
-    Planner::new(s(0.0), fleet, vec![tiers(1, 0), tiers(2, 0), tiers(3, 0), tiers(4, 1)])
+    let fleet = FleetParameters { instance_count: 20, instance_index: 3, ..FleetParameters::default() };
+    FailoverPlanner::new(s(0.0), fleet, vec![tiers(1, 0), tiers(2, 0), tiers(3, 0), tiers(4, 1)])
 }
 
-fn note(planner: &mut Planner, at: f64, destination: u16, outcome: AttemptOutcome) {
+fn note(planner: &mut FailoverPlanner, at: f64, destination: u16, outcome: AttemptOutcome) {
     let (destination, endpoint) = (DestinationId(destination), EndpointId(u32::from(destination)));
-    planner.note(s(at), Call { destination, endpoint, outcome, latency: Duration::from_millis(1) });
+    planner.on_request_completed(
+        s(at),
+        RequestResult { destination, endpoint, outcome, latency: Duration::from_millis(1) },
+    );
 }
 
 #[test]
@@ -136,19 +146,19 @@
     note(&mut planner, 2.0, 1, AttemptOutcome::ConnectFailed);
     note(&mut planner, 2.1, 1, AttemptOutcome::ConnectFailed);
     assert_eq!(
-        planner.standing(DestinationId(3))[0],
-        Standing::Up,
+        planner.tier_statuses(DestinationId(3))[0],
+        TierStatus::Up,
         "one partner alone may have its own trouble"
     );
     note(&mut planner, 2.2, 2, AttemptOutcome::ConnectFailed);
     // No call was ever made to the third partner's site, yet its messages spill and its door is shut between slots.
-    assert_eq!(planner.standing(DestinationId(3))[0], Standing::Lost(s(2.2)));
-    assert_eq!(planner.choose(s(2.3), DestinationId(3)), DestinationId(13));
-    planner.doors(s(2.3));
-    assert_eq!(planner.door(DestinationId(3)), Some(false));
-    assert_eq!(planner.standing(DestinationId(4))[0], Standing::Up, "another zone");
+    assert_eq!(planner.tier_statuses(DestinationId(3))[0], TierStatus::Down(s(2.2)));
+    assert_eq!(planner.select_tier(s(2.3), DestinationId(3)), DestinationId(13));
+    planner.update_gates(s(2.3));
+    assert_eq!(planner.gate(DestinationId(3)), Some(false));
+    assert_eq!(planner.tier_statuses(DestinationId(4))[0], TierStatus::Up, "another zone");
     note(&mut planner, 5.0, 1, AttemptOutcome::Ok);
-    assert_eq!(planner.standing(DestinationId(3))[0], Standing::Returning(s(5.0)));
+    assert_eq!(planner.tier_statuses(DestinationId(3))[0], TierStatus::Recovering(s(5.0)));
 }
 
 #[test]
@@ -159,12 +169,12 @@
     let (mut calls, mut at) = (Vec::new(), s(4.0));
     // Work waits for half a minute, longer than the site is cold.
     while let Some(next) = {
-        planner.doors(at);
-        planner.next_wake()
+        planner.update_gates(at);
+        planner.next_timeout()
     } {
-        if planner.door(DestinationId(1)) == Some(true) && at < s(34.0) {
+        if planner.gate(DestinationId(1)) == Some(true) && at < s(34.0) {
             calls.push(at);
-            planner.sent(at, DestinationId(1));
+            planner.on_request_sent(at, DestinationId(1));
         }
         at = next.max(at + Duration::from_millis(1));
     }
@@ -177,7 +187,7 @@
         calls.len()
     );
     assert!(
-        planner.door(DestinationId(1)).is_none() && at >= s(34.0),
+        planner.gate(DestinationId(1)).is_none() && at >= s(34.0),
         "left alone once nothing waits, not before"
     );
 }
@@ -193,10 +203,10 @@
     note(&mut planner, 24.0, 1, AttemptOutcome::Ok);
     let (mut calls, mut at) = (Vec::new(), s(24.0));
     while at < s(34.0) {
-        planner.doors(at);
-        if planner.door(DestinationId(1)) == Some(true) {
+        planner.update_gates(at);
+        if planner.gate(DestinationId(1)) == Some(true) {
             calls.push(at);
-            planner.sent(at, DestinationId(1));
+            planner.on_request_sent(at, DestinationId(1));
         }
         at = at + Duration::from_millis(5);
     }
@@ -210,20 +220,21 @@
 fn couriers_with_one_message_each_spill_the_share_together() {
     let spilt = (0..200)
         .filter(|place| {
-            let fleet = Fleet { couriers: 200, place: *place, ..Fleet::default() };
+            let fleet =
+                FleetParameters { instance_count: 200, instance_index: *place, ..FleetParameters::default() };
             let (destinations, zones) = (vec![FIRST, SECOND], vec![ZoneId(0), ZoneId(1)]);
-            let tiers = Tiers {
+            let tiers = TierConfig {
                 destinations,
                 zones,
-                rates: vec![50.0, 50.0],
+                capacities: vec![50.0, 50.0],
                 spill_share: 0.3,
                 spill_rate: None,
-                lost_after: Duration::from_secs(1),
-                ramp: Duration::from_secs(10),
+                down_after: Duration::from_secs(1),
+                recovery_ramp: Duration::from_secs(10),
             };
-            let mut planner = Planner::new(s(0.0), fleet, vec![tiers]);
+            let mut planner = FailoverPlanner::new(s(0.0), fleet, vec![tiers]);
             lose(&mut planner, 2.0);
-            planner.choose(s(3.0), FIRST) == SECOND
+            planner.select_tier(s(3.0), FIRST) == SECOND
         })
         .count();
     assert!((58..=62).contains(&spilt), "{spilt} of 200");
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -104,7 +104,7 @@
                 (self.tell((reported, None)), ConnectionReuse::Spoilt)
             }
         };
-        let whole = told.and_then(|(reported, _)| reported.wait());
+        let whole = told.and_then(|(reported, _)| reported.retry_after());
         let wait = early.or(whole).filter(|_| !self.waited);
         self.waited |= wait.is_some();
         ResponseProgress { told, wait, line }
--- a/crates/simulator/src/baseline.rs
+++ b/crates/simulator/src/baseline.rs
@@ -1,7 +1,7 @@
 //! Other ways to spread messages over tiers, to compare the planner with. Not for service.
 
 use cloverstile::{AttemptOutcome, DestinationId, EndpointId, Time};
-use cloverstile_failover::{Call, Policy, Standing, Tiers};
+use cloverstile_failover::{FailoverPolicy, RequestResult, TierConfig, TierStatus};
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -73,7 +73,7 @@
 }
 
 struct Spread {
-    tiers: Tiers,
+    tiers: TierConfig,
     /// Addresses of each tier.
     addresses: Vec<Vec<EndpointId>>,
     credit: f64,
@@ -91,8 +91,8 @@
 
 impl HealthyShare {
     /// For partners with the addresses of each of their tiers.
-    pub fn new(checks: Checks, slow_start: Duration, banks: Vec<(Tiers, Vec<Vec<EndpointId>>)>) -> Self {
-        let spread = |(tiers, addresses): (Tiers, Vec<Vec<EndpointId>>)| {
+    pub fn new(checks: Checks, slow_start: Duration, banks: Vec<(TierConfig, Vec<Vec<EndpointId>>)>) -> Self {
+        let spread = |(tiers, addresses): (TierConfig, Vec<Vec<EndpointId>>)| {
             let name = *tiers.destinations.first()?;
             Some((name, Spread { tiers, addresses, credit: 0.0 }))
         };
@@ -124,8 +124,8 @@
     }
 }
 
-impl Policy for HealthyShare {
-    fn choose(&mut self, now: Time, partner: DestinationId) -> DestinationId {
+impl FailoverPolicy for HealthyShare {
+    fn select_tier(&mut self, now: Time, partner: DestinationId) -> DestinationId {
         let Some(spread) = self.banks.get(&partner) else { return partner };
         let health = |addresses: &Vec<EndpointId>| {
             let sum: f64 = addresses.iter().map(|endpoint| self.weight(now, *endpoint)).sum();
@@ -148,7 +148,7 @@
         spread.tiers.destinations[last]
     }
 
-    fn note(&mut self, now: Time, call: Call) {
+    fn on_request_completed(&mut self, now: Time, call: RequestResult) {
         let health = self.health.entry(call.endpoint).or_default();
         match call.outcome {
             AttemptOutcome::Ok => {
@@ -165,7 +165,7 @@
         }
     }
 
-    fn standing(&self, _: DestinationId) -> Vec<Standing> {
+    fn tier_statuses(&self, _: DestinationId) -> Vec<TierStatus> {
         Vec::new()
     }
 }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -13,7 +13,7 @@
 use cloverstile_engine::{
     Admission, Attempt, Command, Engine, FinalOutcome, SubmitRequest, TransportOutcome,
 };
-use cloverstile_failover::Tiers;
+use cloverstile_failover::TierConfig;
 use cloverstile_fakes::model::{Partner, Reply};
 use rand::distr::weighted::WeightedIndex;
 use rand::distr::Distribution;
@@ -104,7 +104,7 @@
     by_class: WeightedIndex<f64>,
     by_bank: WeightedIndex<f64>,
     /// Sites of each bank, by tier, and what the planner is told of it.
-    banks: Vec<(Vec<u32>, Tiers)>,
+    banks: Vec<(Vec<u32>, TierConfig)>,
     sites: Vec<Site>,
     addresses: Vec<Address>,
     strikes: Vec<Strike>,
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -5,7 +5,7 @@
 use crate::scenario::SiteSpec;
 use cloverstile::{DestinationId, Endpoint, EndpointId, EndpointState, KindId, ZoneId};
 use cloverstile_engine::{Engine, ResultCacheLimits};
-use cloverstile_failover::{Fleet, Planner, Tiers};
+use cloverstile_failover::{FailoverPlanner, FleetParameters, TierConfig};
 use cloverstile_fakes::model::Partner;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -53,14 +53,14 @@
                 }
                 let couriers = scenario.couriers as f64;
                 let rates = sites.iter().map(|site| self.sites[*site as usize].rate).collect();
-                let tiers = Tiers {
+                let tiers = TierConfig {
                     destinations,
                     zones: sites.iter().map(|site| self.sites[*site as usize].zone).collect(),
-                    rates,
+                    capacities: rates,
                     spill_share: bank.spill_share,
                     spill_rate: bank.spill_rate.map(|rate| rate / couriers),
-                    lost_after: Duration::from_secs_f64(bank.lost_after),
-                    ramp: Duration::from_secs_f64(bank.ramp),
+                    down_after: Duration::from_secs_f64(bank.lost_after),
+                    recovery_ramp: Duration::from_secs_f64(bank.ramp),
                 };
                 self.banks.push((sites, tiers));
             }
@@ -94,25 +94,29 @@
         let bounds = ResultCacheLimits { max_results: 1000, retention: Duration::from_secs(2) };
         let engine = Engine::new(self.settings.clone(), bounds, seed);
         let tiered = || self.banks.iter().filter(|(sites, _)| sites.len() > 1);
-        let with = |change: &dyn Fn(&mut Tiers)| {
+        let with = |change: &dyn Fn(&mut TierConfig)| {
             let changed = tiered().map(|(_, tiers)| {
                 let mut tiers = tiers.clone();
                 change(&mut tiers);
                 tiers
             });
             let (couriers, place) = (self.settings.instance_count, courier as u32);
-            let fleet = Fleet { couriers, place, ..Fleet::of(&self.settings.rules) };
-            Planner::new(time(self.now), fleet, changed.collect())
+            let fleet = FleetParameters {
+                instance_count: couriers,
+                instance_index: place,
+                ..FleetParameters::for_rules(&self.settings.rules)
+            };
+            FailoverPlanner::new(time(self.now), fleet, changed.collect())
         };
         let mut engine = match self.policy {
-            PolicyKind::Planner => engine.with_planner(with(&|_| {})),
-            PolicyKind::Everything => engine.with_planner(with(&|tiers| {
-                (tiers.spill_share, tiers.spill_rate, tiers.ramp) = (1.0, None, Duration::ZERO);
-                tiers.rates.clear();
+            PolicyKind::Planner => engine.with_failover_policy(with(&|_| {})),
+            PolicyKind::Everything => engine.with_failover_policy(with(&|tiers| {
+                (tiers.spill_share, tiers.spill_rate, tiers.recovery_ramp) = (1.0, None, Duration::ZERO);
+                tiers.capacities.clear();
             })),
-            PolicyKind::Stays => engine.with_planner(with(&|tiers| {
+            PolicyKind::Stays => engine.with_failover_policy(with(&|tiers| {
                 tiers.spill_share = 0.0;
-                tiers.rates.clear();
+                tiers.capacities.clear();
             })),
             PolicyKind::HealthyShare => {
                 let addresses = |site: &u32| {
@@ -122,8 +126,8 @@
                 let banks: Vec<_> = tiered()
                     .map(|(sites, tiers)| (tiers.clone(), sites.iter().map(addresses).collect()))
                     .collect();
-                let slow_start = banks.first().map_or(Duration::ZERO, |(tiers, _)| tiers.ramp);
-                engine.with_planner(HealthyShare::new(self.checks.clone(), slow_start, banks))
+                let slow_start = banks.first().map_or(Duration::ZERO, |(tiers, _)| tiers.recovery_ramp);
+                engine.with_failover_policy(HealthyShare::new(self.checks.clone(), slow_start, banks))
             }
         };
         engine.update_endpoints(time(self.now), self.list());
