Public names of the AS2 test cluster and of the service's end in standard terms

The module `rig` and its types were named by a metaphor. It is `test_cluster` with `TestCluster`, `ClusterSpec` and fields named as in the core (`latency_objective`, `ordered`, `repeat_window`, `priority_weight`, `profile`, `gateways`). `Ending` is `RunSummary`, `Stopper` is `ShutdownHandle`.

--- a/crates/as2-gateway/src/lib.rs
+++ b/crates/as2-gateway/src/lib.rs
@@ -12,10 +12,10 @@
 mod losses;
 pub mod meaning;
 mod pool;
-pub mod rig;
 mod service;
+pub mod test_cluster;
 mod wire;
 
 pub use directory::{load, load_config, load_identity, Directory, LoadError};
 pub use losses::{network, warnings};
-pub use service::{serve, Ending, Service, ServiceError, Stopper};
+pub use service::{serve, RunSummary, Service, ServiceError, ShutdownHandle};
--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -45,15 +45,15 @@
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug)]
-pub struct Ending {
+pub struct RunSummary {
     /// Running sums of the engine.
     pub counts: Counters,
     /// Messages without an answer at the end; zero unless it was told twice to stop.
     pub unanswered: usize,
     /// Time spent in the module and its table.
-    pub deciding: Duration,
+    pub decision_time: Duration,
     /// Time spent in the loop without waiting.
-    pub working: Duration,
+    pub busy_time: Duration,
 }
 
 /// A message, from its hand-in until its answer is forgotten.
@@ -170,7 +170,7 @@
 
 /// Runs a program's own courier from its settings to its end. With `announce` the address that it listens on is
 /// printed as a line of JSON, for whoever started the program.
-pub fn serve(file: &Path, announce: bool, seed: u64) -> Result<Ending, ServiceError> {
+pub fn serve(file: &Path, announce: bool, seed: u64) -> Result<RunSummary, ServiceError> {
     let (config, directory) = load(file)?;
     let mut service = Service::start(config, directory, Some(file), seed)?;
     if announce {
@@ -183,14 +183,14 @@
 
 /// Tells a running courier to stop, from another thread.
 #[derive(Clone)]
-pub struct Stopper {
+pub struct ShutdownHandle {
     flag: Arc<AtomicBool>,
     waker: Waker,
 }
 
-impl Stopper {
+impl ShutdownHandle {
     /// As a signal would.
-    pub fn stop(&self) {
+    pub fn shut_down(&self) {
         self.flag.store(true, Ordering::SeqCst);
         self.waker.wake();
     }
@@ -250,8 +250,8 @@
     }
 
     /// For stopping it from another thread.
-    pub fn stopper(&self) -> Stopper {
-        Stopper { flag: self.stop.clone(), waker: self.net.waker() }
+    pub fn shutdown_handle(&self) -> ShutdownHandle {
+        ShutdownHandle { flag: self.stop.clone(), waker: self.net.waker() }
     }
 
     pub(crate) fn now(&self) -> Time {
@@ -263,7 +263,7 @@
     }
 
     /// Serves until it is told to stop and all is answered.
-    pub fn run(&mut self) -> Result<Ending, ServiceError> {
+    pub fn run(&mut self) -> Result<RunSummary, ServiceError> {
         loop {
             let now = self.now();
             let next = [self.engine.next_timeout(), self.timers.first().map(|(at, _)| *at), self.stopping];
@@ -472,10 +472,10 @@
                 && self.front.unsent(&self.net) == 0)
     }
 
-    fn ending(&self) -> Ending {
+    fn ending(&self) -> RunSummary {
         let counts = self.engine.counters();
         let unanswered = self.engine.pending_messages();
         info!(?counts, unanswered, "ended");
-        Ending { counts, unanswered, deciding: self.deciding, working: self.working }
+        RunSummary { counts, unanswered, decision_time: self.deciding, busy_time: self.working }
     }
 }
--- a/crates/as2-gateway/src/rig.rs
+++ b/crates/as2-gateway/src/test_cluster.rs
@@ -21,7 +21,7 @@
 
 /// Why a rig could not be built.
 #[derive(Debug, thiserror::Error)]
-pub enum RigError {
+pub enum TestClusterError {
     /// Files or sockets.
     #[error("rig: {0}")]
     Io(#[from] io::Error),
@@ -47,7 +47,7 @@
     /// Kind, as in the settings.
     pub kind: String,
     /// What it is like.
-    pub nature: Nature,
+    pub profile: Nature,
     /// Zone of each endpoint, by number.
     pub zones: Vec<usize>,
     /// What key it has; content is encrypted for it where that is RSA.
@@ -70,22 +70,22 @@
     /// `all` or `zone`.
     pub group: String,
     /// Keeps its order.
-    pub in_order: bool,
+    pub ordered: bool,
     /// Wanted within.
-    pub aim: Duration,
+    pub latency_objective: Duration,
     /// Given up after.
     pub deadline: Duration,
     /// For keyed ones.
-    pub window: Duration,
+    pub repeat_window: Duration,
     /// Worth.
-    pub worth: f64,
+    pub priority_weight: f64,
 }
 
 /// Everything around the couriers.
 #[derive(Clone, Debug)]
-pub struct Spec {
+pub struct ClusterSpec {
     /// Couriers.
-    pub couriers: usize,
+    pub gateways: usize,
     /// Client programs.
     pub clients: usize,
     /// Partners.
@@ -95,15 +95,15 @@
     /// Zones.
     pub zones: usize,
     /// Further lines for the block `courier`.
-    pub courier_lines: String,
+    pub gateway_settings: String,
     /// The block `rules` and kinds, as they stand in the settings.
     pub blocks: String,
 }
 
 /// A built rig. Its files go with it.
-pub struct Rig {
+pub struct TestCluster {
     /// What it was built from.
-    pub spec: Spec,
+    pub spec: ClusterSpec,
     /// All that is seen is written here.
     pub recorder: Recorder,
     /// The partners, running.
@@ -117,7 +117,7 @@
 }
 
 /// AS2 name of a courier.
-pub fn courier_name(number: usize) -> String {
+pub fn gateway_name(number: usize) -> String {
     format!("courier-{number}")
 }
 
@@ -127,25 +127,30 @@
 }
 
 /// Makes a station and writes its key and certificate as `NAME.key` and `NAME.crt`.
-fn make(folder: &Path, name: &str, key: NewKey) -> Result<Identity, RigError> {
+fn make(folder: &Path, name: &str, key: NewKey) -> Result<Identity, TestClusterError> {
     let (key_pem, certificate) = new_station(name, key, (2020, 1, 1), (2120, 1, 1))?;
     write_private(&folder.join(format!("{name}.key")), &key_pem)?;
     fs::write(folder.join(format!("{name}.crt")), &certificate)?;
     Ok(Identity::from_pem(name, &key_pem, &certificate)?)
 }
 
-impl Rig {
+impl TestCluster {
     /// Makes keys and settings in a new folder and starts the partners.
-    pub fn build(folder: &Path, spec: Spec, recorder: Recorder, seed: u64) -> Result<Rig, RigError> {
+    pub fn build(
+        folder: &Path,
+        spec: ClusterSpec,
+        recorder: Recorder,
+        seed: u64,
+    ) -> Result<TestCluster, TestClusterError> {
         fs::create_dir_all(folder)?;
-        let mut couriers = HashMap::new();
+        let mut gateway_certificates = HashMap::new();
         let mut certificates = Vec::new();
-        for number in 0..spec.couriers {
-            let identity = make(folder, &courier_name(number), NewKey::Rsa2048)?;
+        for number in 0..spec.gateways {
+            let identity = make(folder, &gateway_name(number), NewKey::Rsa2048)?;
             certificates.push(identity.certificate.clone());
-            couriers.insert(identity.name, identity.certificate);
+            gateway_certificates.insert(identity.name, identity.certificate);
         }
-        let clients: Result<Vec<Identity>, RigError> =
+        let clients: Result<Vec<Identity>, TestClusterError> =
             (0..spec.clients).map(|number| make(folder, &format!("client-{number}"), NewKey::P256)).collect();
         let mut plans = Vec::new();
         for partner in &spec.partners {
@@ -156,15 +161,15 @@
             plans.push(Plan {
                 name: partner.name.clone(),
                 identity,
-                nature: partner.nature.clone(),
+                nature: partner.profile.clone(),
                 endpoints: partner.zones.len(),
                 // Each site keeps its own memory of what it has seen.
                 groups: partner.zones.clone(),
             });
         }
-        let partners = Partners::start(plans, couriers, recorder.clone(), seed)?;
-        let files = (0..spec.couriers).map(|number| folder.join(format!("courier-{number}.hcl"))).collect();
-        let mut rig = Rig {
+        let partners = Partners::start(plans, gateway_certificates, recorder.clone(), seed)?;
+        let files = (0..spec.gateways).map(|number| folder.join(format!("courier-{number}.hcl"))).collect();
+        let mut rig = TestCluster {
             spec,
             recorder,
             partners,
@@ -173,7 +178,7 @@
             folder: folder.to_owned(),
             certificates,
         };
-        for number in 0..rig.spec.couriers {
+        for number in 0..rig.spec.gateways {
             rig.write_settings(number, SocketAddr::from(([127, 0, 0, 1], 0)), &BTreeSet::new())?;
         }
         Ok(rig)
@@ -186,7 +191,7 @@
         courier: usize,
         listen: SocketAddr,
         draining: &BTreeSet<(usize, usize)>,
-    ) -> Result<(), RigError> {
+    ) -> Result<(), TestClusterError> {
         let text = self.settings(courier, listen, draining);
         let new = self.folder.join(format!("courier-{courier}.new"));
         fs::write(&new, text)?;
@@ -196,15 +201,15 @@
 
     fn settings(&self, courier: usize, listen: SocketAddr, draining: &BTreeSet<(usize, usize)>) -> String {
         let spec = &self.spec;
-        let name = courier_name(courier);
+        let name = gateway_name(courier);
         let zones: Vec<String> = (0..spec.zones).map(|zone| format!("\"zone-{zone}\"")).collect();
         let mut text = format!(
             "zones = [{}]\n\ncourier {{\n  name = \"{name}\"\n  key = \"{name}.key\"\n  certificate = \"{name}.crt\"\n  \
              couriers = {}\n  place = {courier}\n  zone = \"zone-{}\"\n{}\n}}\n\nfront {{\n  listen = \"{listen}\"\n  connections = 4000\n}}\n\n{}\n",
             zones.join(", "),
-            spec.couriers,
+            spec.gateways,
             courier % spec.zones.max(1),
-            spec.courier_lines,
+            spec.gateway_settings,
             spec.blocks,
         );
         for class in &spec.classes {
@@ -214,13 +219,13 @@
                 "\nclass \"{}\" {{\n  aim = \"{}ms\"\n  deadline = \"{}ms\"\n  effect = \"{}\"\n  group = \"{}\"\n  \
                  repeat_window = \"{}ms\"\n  in_order = {}\n  worth = {}\n  late_share = 0.4\n}}\n",
                 class.name,
-                class.aim.as_millis(),
+                class.latency_objective.as_millis(),
                 class.deadline.as_millis(),
                 class.effect,
                 class.group,
-                class.window.as_millis(),
-                class.in_order,
-                class.worth,
+                class.repeat_window.as_millis(),
+                class.ordered,
+                class.priority_weight,
             );
         }
         for client in self.clients.iter() {
@@ -231,8 +236,8 @@
             );
         }
         for (number, partner) in spec.partners.iter().enumerate() {
-            let nature = &partner.nature;
-            let rate = nature.limit.unwrap_or_else(|| nature.capacity());
+            let profile = &partner.profile;
+            let rate = profile.limit.unwrap_or_else(|| profile.capacity());
             let encrypt = if partner.key == NewKey::P256 { "none" } else { "aes128-cbc" };
             let receipt = if partner.deferred { "async" } else { "signed" };
             let _ = write!(
@@ -261,17 +266,17 @@
     }
 
     /// What clients know of the couriers, once these listen.
-    pub fn couriers(&self, addresses: Vec<SocketAddr>) -> Couriers {
+    pub fn gateways(&self, addresses: Vec<SocketAddr>) -> Couriers {
         Couriers {
             running: addresses.iter().map(|_| AtomicBool::new(true)).collect(),
-            names: (0..addresses.len()).map(courier_name).collect(),
+            names: (0..addresses.len()).map(gateway_name).collect(),
             certificates: self.certificates.clone(),
             addresses,
         }
     }
 }
 
-impl Drop for Rig {
+impl Drop for TestCluster {
     fn drop(&mut self) {
         // The folder was made for this rig alone; what can't be removed is left for the system to tidy.
         let _ = fs::remove_dir_all(&self.folder);
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -3,8 +3,10 @@
 use crate::exit;
 use clap::Args;
 use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Rig, RigError, Spec};
-use cloverstile_as2_gateway::{load, Ending, Service, Stopper};
+use cloverstile_as2_gateway::test_cluster::{
+    ClassSpec, ClusterSpec, PartnerSpec, TestCluster, TestClusterError,
+};
+use cloverstile_as2_gateway::{load, RunSummary, Service, ShutdownHandle};
 use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
 use cloverstile_fakes::model::{Fault, Nature};
 use cloverstile_fakes::partner::Order;
@@ -39,8 +41,8 @@
 }
 
 struct Running {
-    stopper: Stopper,
-    thread: std::thread::JoinHandle<Option<Ending>>,
+    stopper: ShutdownHandle,
+    thread: std::thread::JoinHandle<Option<RunSummary>>,
 }
 
 impl Demo {
@@ -56,13 +58,13 @@
         }
     }
 
-    fn play(&self, folder: &Path) -> Result<Recorder, RigError> {
+    fn play(&self, folder: &Path) -> Result<Recorder, TestClusterError> {
         let recorder = Recorder::default();
         if !self.json {
             println!("Making keys, starting {} couriers and four partners on loopback ...", self.couriers);
         }
         let spec = spec(usize::from(self.couriers), self.rate);
-        let rig = Rig::build(folder, spec, recorder.clone(), self.seed)?;
+        let rig = TestCluster::build(folder, spec, recorder.clone(), self.seed)?;
         let mut running = Vec::new();
         let mut addresses = Vec::new();
         for (number, file) in rig.files.iter().enumerate() {
@@ -72,17 +74,17 @@
             // The loop of a courier lives in the thread that made it.
             let thread = std::thread::spawn(move || {
                 let mut service = Service::start(config, directory, None, seed).ok()?;
-                let _ = tell.send((service.address(), service.stopper()));
+                let _ = tell.send((service.address(), service.shutdown_handle()));
                 service.run().ok()
             });
-            let (address, stopper) = told.recv().map_err(|_| RigError::Start(number))?;
+            let (address, stopper) = told.recv().map_err(|_| TestClusterError::Start(number))?;
             addresses.push(address);
             running.push(Running { stopper, thread });
         }
-        let couriers = rig.couriers(addresses);
+        let couriers = rig.gateways(addresses);
         self.drive(&rig, &couriers, &recorder)?;
         for courier in running {
-            courier.stopper.stop();
+            courier.stopper.shut_down();
             // A courier that panicked has said so; what it left unanswered shows in the table.
             let _ = courier.thread.join();
         }
@@ -90,7 +92,12 @@
     }
 
     /// Lets the clients hand in while two partners have a bad time.
-    fn drive(&self, rig: &Rig, couriers: &Couriers, recorder: &Recorder) -> Result<(), RigError> {
+    fn drive(
+        &self,
+        rig: &TestCluster,
+        couriers: &Couriers,
+        recorder: &Recorder,
+    ) -> Result<(), TestClusterError> {
         let span = Duration::from_secs_f64(f64::from(self.messages) / f64::from(self.rate));
         let plan = plan(self.messages, span, self.seed, recorder.now());
         let progress = Progress::default();
@@ -175,21 +182,21 @@
     }
 }
 
-fn spec(couriers: usize, rate: u32) -> Spec {
+fn spec(couriers: usize, rate: u32) -> ClusterSpec {
     let class = |name: &str, effect: &str, in_order, worth| ClassSpec {
         name: name.into(),
         effect: effect.into(),
         group: "all".into(),
-        in_order,
-        aim: Duration::from_secs(1),
+        ordered: in_order,
+        latency_objective: Duration::from_secs(1),
         deadline: Duration::from_secs(6),
-        window: Duration::from_secs(5),
-        worth,
+        repeat_window: Duration::from_secs(5),
+        priority_weight: worth,
     };
     let partner = |name: &str, kind: &str, share: f64, key, deferred| PartnerSpec {
         name: name.into(),
         kind: kind.into(),
-        nature: Nature {
+        profile: Nature {
             servers: (f64::from(rate) * share * 0.06).ceil().max(4.0) as usize,
             queue: 64,
             repeat_window: Duration::from_secs(10),
@@ -201,8 +208,8 @@
         mismatched: false,
         spill_share: None,
     };
-    Spec {
-        couriers,
+    ClusterSpec {
+        gateways: couriers,
         clients: 1,
         partners: vec![
             partner("bank-north", "banks", 0.4, NewKey::Rsa2048, false),
@@ -213,7 +220,7 @@
         classes: vec![class("salary-payment", "unsafe", false, 3.0), class("pay-notice", "keyed", true, 1.0)]
 ,
         zones: 1,
-        courier_lines: "  call_slots = 100\n  most_held = 4000\n  stop_within = \"5s\"".into(),
+        gateway_settings: "  call_slots = 100\n  most_held = 4000\n  stop_within = \"5s\"".into(),
         blocks: "rules {\n  answer_slack = \"300ms\"\n  order_settle = \"50ms\"\n  cold = \"4s\"\n  fall = \"1s\"\n}\n\
                  kind \"banks\" {}\nkind \"employers\" {}"
             .into(),
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,7 +1,7 @@
 //! The program as its users meet it: the front's answers to what is no message, and the command line's exit codes.
 
 use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Rig, Spec};
+use cloverstile_as2_gateway::test_cluster::{ClassSpec, ClusterSpec, PartnerSpec, TestCluster};
 use cloverstile_fakes::model::{Fault, Nature};
 use cloverstile_fakes::partner::Order;
 use cloverstile_fakes::record::Recorder;
@@ -19,7 +19,7 @@
 
 /// A courier process with one partner and one client, and what is needed to talk to it.
 struct World {
-    rig: Rig,
+    rig: TestCluster,
     folder: PathBuf,
     courier: Child,
     address: SocketAddr,
@@ -32,11 +32,11 @@
     }
 }
 
-fn spec() -> Spec {
+fn spec() -> ClusterSpec {
     let partner = PartnerSpec {
         name: "bank".into(),
         kind: "any".into(),
-        nature: Nature::default(),
+        profile: Nature::default(),
         zones: vec![0],
         key: NewKey::P256,
         deferred: false,
@@ -47,19 +47,19 @@
         name: "pay".into(),
         effect: "unsafe".into(),
         group: "all".into(),
-        in_order: false,
-        aim: Duration::from_millis(300),
+        ordered: false,
+        latency_objective: Duration::from_millis(300),
         deadline: Duration::from_millis(900),
-        window: Duration::ZERO,
-        worth: 1.0,
+        repeat_window: Duration::ZERO,
+        priority_weight: 1.0,
     };
-    Spec {
-        couriers: 1,
+    ClusterSpec {
+        gateways: 1,
         clients: 1,
         partners: vec![partner],
         classes: vec![class],
         zones: 1,
-        courier_lines: "  stop_within = \"2s\"".into(),
+        gateway_settings: "  stop_within = \"2s\"".into(),
         blocks: "kind \"any\" {}\nrules { answer_slack = \"300ms\" }".into(),
     }
 }
@@ -70,9 +70,9 @@
     })
 }
 
-fn world_of(name: &str, spec: Spec, settings: impl Fn(String) -> String) -> World {
+fn world_of(name: &str, spec: ClusterSpec, settings: impl Fn(String) -> String) -> World {
     let folder = std::env::temp_dir().join(format!("cloverstile-program-{}-{name}", std::process::id()));
-    let rig = Rig::build(&folder, spec, Recorder::default(), 1).unwrap();
+    let rig = TestCluster::build(&folder, spec, Recorder::default(), 1).unwrap();
     let text = fs::read_to_string(&rig.files[0]).unwrap();
     fs::write(&rig.files[0], settings(text)).unwrap();
     let mut courier = Command::new(PROGRAM)
@@ -302,12 +302,12 @@
     let (window, deadline) = (Duration::from_millis(1500), Duration::from_secs(9));
     spec.classes[0] = ClassSpec {
         effect: "keyed".into(),
-        window,
+        repeat_window: window,
         deadline,
-        aim: Duration::from_secs(1),
+        latency_objective: Duration::from_secs(1),
         ..spec.classes[0].clone()
     };
-    spec.courier_lines += "\n  connect_timeout = \"6s\"";
+    spec.gateway_settings += "\n  connect_timeout = \"6s\"";
     let world = world_of("window", spec, |text| {
         let (head, tail) = text.split_once("address = \"").unwrap();
         let (_, tail) = tail.split_once('"').unwrap();
--- a/crates/testbench/src/bench.rs
+++ b/crates/testbench/src/bench.rs
@@ -10,7 +10,7 @@
     compose, compose_receipt, new_station, open, read_receipt, Addressee, As2Error, Composed, Digest,
     Disposition, Envelope, Identity, NewKey, Outcome, Outgoing, Part, ReceiptFacts, Security,
 };
-use cloverstile_as2_gateway::rig::{Rig, RigError};
+use cloverstile_as2_gateway::test_cluster::{TestCluster, TestClusterError};
 use cloverstile_as2_gateway::{load, Service};
 use cloverstile_fakes::client::{Client, Habits, Progress};
 use cloverstile_fakes::model::Fault;
@@ -207,34 +207,34 @@
 pub fn sockets(messages: u32, workers: usize, folder: &Path) -> Result<SocketCost, RunError> {
     let day = day(messages)?;
     let mut spec = day.spec();
-    spec.courier_lines =
+    spec.gateway_settings =
         format!("  call_slots = 64\n  most_held = 1000000\n  stop_within = \"5s\"\n  workers = {workers}");
     let recorder = Recorder::default();
-    let rig = Rig::build(folder, spec, recorder.clone(), 1)?;
-    let (config, directory) = load(&rig.files[0]).map_err(RigError::Load)?;
+    let rig = TestCluster::build(folder, spec, recorder.clone(), 1)?;
+    let (config, directory) = load(&rig.files[0]).map_err(TestClusterError::Load)?;
     let (tell, told) = std::sync::mpsc::channel();
     let courier = std::thread::spawn(move || {
         let mut service = Service::start(config, directory, None, 1).ok()?;
-        let _ = tell.send((service.address(), service.stopper()));
+        let _ = tell.send((service.address(), service.shutdown_handle()));
         service.run().ok()
     });
-    let (address, stopper) = told.recv().map_err(|_| RigError::Start(0))?;
-    let couriers = rig.couriers(vec![address]);
+    let (address, stopper) = told.recv().map_err(|_| TestClusterError::Start(0))?;
+    let couriers = rig.gateways(vec![address]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let [plan, _] = day.plan(&mut rng, 1, recorder.now());
     let progress = Progress::default();
     let habits = Habits { deferred: true, ..Habits::default() };
     Client::new(&rig.clients[0], habits, &couriers, plan, recorder.clone(), &progress)?.run()?;
-    stopper.stop();
+    stopper.shut_down();
     let lines = recorder.lines();
-    let ending = courier.join().ok().flatten().ok_or(RigError::Start(0))?;
+    let ending = courier.join().ok().flatten().ok_or(TestClusterError::Start(0))?;
     let span = span(&lines);
     Ok(SocketCost {
         messages,
         workers,
         messages_per_second: f64::from(messages) / span.as_secs_f64(),
-        module_share: ending.deciding.as_secs_f64() / ending.working.as_secs_f64(),
-        loop_busy: ending.working.as_secs_f64() / span.as_secs_f64(),
+        module_share: ending.decision_time.as_secs_f64() / ending.busy_time.as_secs_f64(),
+        loop_busy: ending.busy_time.as_secs_f64() / span.as_secs_f64(),
     })
 }
 
@@ -272,9 +272,9 @@
 pub fn memory(held: u32, connections: usize, folder: &Path, launch: &Launch) -> Result<MemoryCost, RunError> {
     let day = day(held)?;
     let mut spec = day.spec();
-    spec.courier_lines = "  call_slots = 8\n  most_held = 1000000\n  stop_within = \"1s\"".into();
+    spec.gateway_settings = "  call_slots = 8\n  most_held = 1000000\n  stop_within = \"1s\"".into();
     let recorder = Recorder::default();
-    let rig = Rig::build(folder, spec, recorder.clone(), 1)?;
+    let rig = TestCluster::build(folder, spec, recorder.clone(), 1)?;
     let text = std::fs::read_to_string(&rig.files[0])?;
     std::fs::write(&rig.files[0], text.replace("connections = 4000", "connections = 20000"))?;
     let (process, address) = crate::run::Process::start(launch, &rig.files[0], 0)?;
@@ -292,7 +292,7 @@
         zone: None,
         lasts: Duration::from_secs(600),
     });
-    let couriers = rig.couriers(vec![address]);
+    let couriers = rig.gateways(vec![address]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let [mut plan, _] = day.plan(&mut rng, 1, recorder.now());
     let body = 400;
--- a/crates/testbench/src/day.rs
+++ b/crates/testbench/src/day.rs
@@ -1,7 +1,7 @@
 //! Scripts of days: HCL in, partners, messages and troubles out.
 
 use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Spec};
+use cloverstile_as2_gateway::test_cluster::{ClassSpec, ClusterSpec, PartnerSpec};
 use cloverstile_fakes::client::Planned;
 use cloverstile_fakes::model::{Fault, Nature};
 use rand::Rng;
@@ -322,7 +322,7 @@
     }
 
     /// The rig that plays it.
-    pub fn spec(&self) -> Spec {
+    pub fn spec(&self) -> ClusterSpec {
         let ms = |seconds: f64| Duration::from_secs_f64(seconds);
         let rules = &self.rules;
         let nature = |partner: &PartnerDay| Nature {
@@ -344,8 +344,8 @@
         let kinds: Vec<String> =
             batches.iter().map(|batch| format!("kind \"batch-{batch}\" {{ batch = {batch} }}\n")).collect();
         let slots = ((self.rate * 0.25 / self.couriers as f64).ceil() as usize).max(24);
-        Spec {
-            couriers: self.couriers,
+        ClusterSpec {
+            gateways: self.couriers,
             clients: 2,
             partners: self
                 .partner
@@ -353,7 +353,7 @@
                 .map(|(name, partner)| PartnerSpec {
                     name: name.clone(),
                     kind: format!("batch-{}", partner.batch),
-                    nature: nature(partner),
+                    profile: nature(partner),
                     zones: partner.zones(),
                     key: if partner.encrypted { NewKey::Rsa2048 } else { NewKey::P256 },
                     deferred: partner.deferred,
@@ -368,15 +368,15 @@
                     name: name.clone(),
                     effect: class.effect.clone(),
                     group: class.group.clone(),
-                    in_order: class.in_order,
-                    aim: ms(class.aim),
+                    ordered: class.in_order,
+                    latency_objective: ms(class.aim),
                     deadline: ms(class.deadline),
-                    window: ms(class.window),
-                    worth: class.worth,
+                    repeat_window: ms(class.window),
+                    priority_weight: class.worth,
                 })
                 .collect(),
             zones: self.partner.values().flat_map(PartnerDay::zones).max().map_or(1, |most| most + 1),
-            courier_lines: format!(
+            gateway_settings: format!(
                 "  call_slots = {slots}\n  most_held = 4000\n  stop_within = \"4s\"\n  workers = {}",
                 self.workers
             ),
--- a/crates/testbench/src/judge.rs
+++ b/crates/testbench/src/judge.rs
@@ -4,7 +4,7 @@
 //! Times at stand-ins are a little later than what caused them, and those of different threads don't line up to
 //! the microsecond: what lies within [`SKEW`] of a bound is let pass.
 
-use cloverstile_as2_gateway::rig::courier_name;
+use cloverstile_as2_gateway::test_cluster::gateway_name;
 use cloverstile_fakes::record::{End, Line, Seen, Told};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -451,7 +451,7 @@
     }
 
     fn was_killed(&self, courier: &str, from: u64, to: u64) -> bool {
-        self.kills.iter().any(|(at, number)| courier_name(*number) == courier && (from..to).contains(at))
+        self.kills.iter().any(|(at, number)| gateway_name(*number) == courier && (from..to).contains(at))
     }
 
     /// Rule 4: what couriers that saw an outage send to the returning partner stays under what it survives.
--- a/crates/testbench/src/returns.rs
+++ b/crates/testbench/src/returns.rs
@@ -39,7 +39,7 @@
         zones.sort_unstable();
         zones.dedup();
         for zone in zones.into_iter().filter(|each| zone.is_none_or(|zone| zone == *each)) {
-            windows.extend(of_return(lines, line.at, (partner, zone), &told.zones, &told.nature));
+            windows.extend(of_return(lines, line.at, (partner, zone), &told.zones, &told.profile));
         }
     }
     windows
--- a/crates/testbench/src/run.rs
+++ b/crates/testbench/src/run.rs
@@ -2,7 +2,7 @@
 
 use crate::day::{Act, Day, DayError};
 use crate::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
-use cloverstile_as2_gateway::rig::{Rig, RigError};
+use cloverstile_as2_gateway::test_cluster::{TestCluster, TestClusterError};
 use cloverstile_fakes::client::{Client, Couriers, Habits, Progress};
 use cloverstile_fakes::partner::Order;
 use cloverstile_fakes::record::{Line, Recorder, Seen};
@@ -25,7 +25,7 @@
     Day(#[from] DayError),
     /// Keys, files or partners.
     #[error(transparent)]
-    Rig(#[from] RigError),
+    TestCluster(#[from] TestClusterError),
     /// A courier that nobody told to end.
     #[error("run: courier {0} ended by itself; its standard error says why")]
     Died(usize),
@@ -91,7 +91,7 @@
         let told: Option<SocketAddr> = serde_json::from_str::<serde_json::Value>(&line)
             .ok()
             .and_then(|value| value.get("listening")?.as_str()?.parse().ok());
-        told.map(|address| (process, address)).ok_or(RunError::Rig(RigError::Start(number)))
+        told.map(|address| (process, address)).ok_or(RunError::TestCluster(TestClusterError::Start(number)))
     }
 
     pub(crate) fn id(&self) -> u32 {
@@ -142,8 +142,8 @@
             .partners
             .iter()
             .map(|partner| {
-                let capacity = partner.nature.capacity();
-                let capacity = partner.nature.limit.map_or(capacity, |limit| limit.min(capacity));
+                let capacity = partner.profile.capacity();
+                let capacity = partner.profile.limit.map_or(capacity, |limit| limit.min(capacity));
                 (partner.name.clone(), PartnerRule { capacity, zones: partner.zones.clone() })
             })
             .collect(),
@@ -166,7 +166,7 @@
 }
 
 struct Stage<'a> {
-    rig: Rig,
+    rig: TestCluster,
     launch: &'a Launch,
     processes: Vec<Option<Process>>,
     /// Told to stop, and still answering.
@@ -181,7 +181,7 @@
     let began = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let recorder = Recorder::default();
-    let rig = Rig::build(folder, day.spec(), recorder.clone(), seed)?;
+    let rig = TestCluster::build(folder, day.spec(), recorder.clone(), seed)?;
     let mut stage = Stage {
         rig,
         launch,
@@ -198,7 +198,7 @@
         // One that is started again must be found where it was.
         stage.rig.write_settings(number, address, &BTreeSet::new())?;
     }
-    let couriers = stage.rig.couriers(stage.addresses.clone());
+    let couriers = stage.rig.gateways(stage.addresses.clone());
     let from = recorder.now() + Duration::from_millis(200);
     let plans = day.plan(&mut rng, seed, from);
     let steps = steps(day, &mut rng, from)?;
