Policy and its state in the terms of the field, functions split by outcome

Need: the names (spell, evidence, blip, trial, told_wait, reaping, crowding, habits, jam, turn, lean, calls, out) were house words; learn, on_finished and end_call did several jobs; tuples ranked endpoints and messages. Change: outage, failure score, transient failure, probe, retry_after_until, stale idle connection, connection limit pressure, per-kind statistics, limit saturation, round-robin position, update_ewma, DecayingCounter, requests in flight. Ranks, candidates, deadlines, timers, backoff bounds and quota balances are structs with named fields, request ids a type of their own, pairs of tuned values two constants. update_route, on_success, reduce_rate, cut_rate, update_endpoint and open_outage each have one job. Bookkeeping (queues, key cooldowns, timers, request upkeep, quota balances, value by age) moved to policy_state; decisions and tuned values stay in src/policy/.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -378,6 +378,11 @@
         let never = [AttemptOutcome::ConnectFailed, AttemptOutcome::Unsent, AttemptOutcome::NotStarted];
         !matches!(self, AttemptOutcome::Rejected(_)) && !never.contains(&self)
     }
+
+    /// Whether an attempt that ended so was lost without a response: it may still be running.
+    pub(crate) fn is_lost(self) -> bool {
+        matches!(self, AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned)
+    }
 }
 
 /// What a destination told of its limit.
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -1,113 +1,86 @@
-//! Completion: what the end of an attempt changes.
+//! Completion: what the end of an attempt changes for its message, endpoint, connection and route.
 
-use super::health::TRIAL_GAPS_OF_FALL;
-use super::idle_connections::CROWDING_GAINS;
-use super::retry::{growing_gap, BACKOFF_OF_AIM};
+use super::idle_connections::{PRESSURE_DECAY_GAIN, PRESSURE_GAIN};
+use super::retry::RETRY_BACKOFF;
 use crate::interface::{AttemptCompleted, AttemptOutcome, EndpointId, Time};
-use crate::policy_state::{lean, Call, PolicyState};
-use std::time::Duration;
+use crate::policy_state::{update_ewma, FirstSend, InFlightRequest, PolicyState};
 
 impl PolicyState {
-    /// A wait binds from the batch that tells it, whatever became of the message that brings it.
-    pub(super) fn heed(&mut self, now: Time, endpoint: EndpointId, wait: Duration) {
-        let route = self.addresses.get(&endpoint).map(|a| self.route_of(&a.entry));
-        if let Some(route) = route.and_then(|id| self.routes.get_mut(&id)) {
-            route.told_wait = route.told_wait.max(now + wait);
+    pub fn on_attempt_completed(&mut self, now: Time, done: AttemptCompleted) {
+        if let AttemptOutcome::Rejected(Some(wait)) = done.outcome {
+            self.on_retry_after(now, done.endpoint, wait);
         }
-    }
-
-    pub(super) fn on_finished(&mut self, now: Time, finished: AttemptCompleted) {
-        if let AttemptOutcome::Rejected(Some(wait)) = finished.outcome {
-            self.heed(now, finished.endpoint, wait);
-        }
-        let Some(message) = self.messages.get_mut(&finished.message) else { return };
-        let Some(call_id) = message.out.take() else { return };
-        let Some(call) = self.calls.get_mut(&call_id) else { return };
-        let class = &self.settings.classes[usize::from(message.taken.class.0)];
-        if finished.outcome.may_have_run() && message.maybe_ran.is_none() {
-            message.maybe_ran = Some((call.sent, Some(call.zone)));
+        let Some(message) = self.messages.get_mut(&done.message) else { return };
+        let Some(request_id) = message.in_flight.take() else { return };
+        let Some(request) = self.requests.get(&request_id) else { return };
+        let class = &self.settings.classes[usize::from(message.submission.class.0)];
+        if done.outcome.may_have_run() && message.first_may_have_run.is_none() {
+            message.first_may_have_run =
+                Some(FirstSend { sent_at: request.sent_at, zone: Some(request.zone) });
         }
-        if finished.outcome == AttemptOutcome::NotStarted {
+        if done.outcome == AttemptOutcome::NotStarted {
             message.attempts -= 1;
         } else {
-            let gap = growing_gap(class.latency_objective, BACKOFF_OF_AIM, message.attempts);
+            let gap = RETRY_BACKOFF.gap(class.latency_objective, message.attempts);
             message.not_before = now + gap.mul_f64(self.rng.f64());
         }
-        // A call that may still be running lets its key rest before the next message of the key.
-        let unsettled = matches!(
-            finished.outcome,
-            AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned
-        );
-        if let (true, true, Some(key)) = (unsettled, class.ordered, message.taken.key) {
-            self.rests.retain(|_, until| *until > now);
-            self.rests.insert(key, now + self.settings.rules.key_cooldown);
+        // After an attempt that may still be running, its key cools down before the next message of the key.
+        if let (true, true, Some(key)) = (done.outcome.is_lost(), class.ordered, message.submission.key) {
+            self.key_cooldowns.retain(|_, until| *until > now);
+            self.key_cooldowns.insert(key, now + self.settings.rules.key_cooldown);
         }
-        // Only a call's last outcome counts for the route: its messages share one fate.
-        call.unanswered -= 1;
-        if call.unanswered == 0 {
-            if let Some(call) = self.calls.remove(&call_id) {
-                self.end_call(now, call_id, call, &finished);
-            }
+        // Only a request's last outcome counts for the route: its messages share one fate.
+        if let Some(request) = self.take_completed_request(request_id) {
+            self.on_request_completed(now, request, &done);
         }
-        if finished.complete {
-            self.close(finished.message);
-        } else if let Some(message) = self.messages.get(&finished.message) {
-            // What can never be sent again is answered at once: it would fill the hold and keep its key.
-            let end = self.last_send(message);
+        if done.complete {
+            self.complete(done.message);
+        } else if let Some(message) = self.messages.get(&done.message) {
+            // What can never be sent again is answered at once: it would take up the queue and block its key.
+            let end = self.last_send_time(message);
             let due = if message.not_before > end { now } else { end.max(now) };
-            self.deadlines.insert((due, finished.message));
+            self.set_deadline(due, done.message);
         }
-        self.forget_if_over(finished.message);
+        self.forget_if_done(done.message);
     }
 
-    /// Frees the slot of a call and lets address, connections and route learn from its outcome.
-    pub(super) fn end_call(&mut self, now: Time, id: u64, call: Call, finished: &AttemptCompleted) {
-        if let Some(route) = self.routes.get_mut(&call.route) {
-            route.out.remove(&id);
+    /// Records the outcome of a request for its endpoint, connection and route.
+    fn on_request_completed(&mut self, now: Time, request: InFlightRequest, done: &AttemptCompleted) {
+        let lost = done.outcome.is_lost();
+        let stale = lost && self.idle_risk.is_stale(request.connection_idle);
+        if !(lost && request.stalled) {
+            self.record_connection_outcome(now, request.connection_idle, done.outcome);
         }
-        let lost = matches!(
-            finished.outcome,
-            AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Abandoned
-        );
-        let reaped =
-            lost && self.reaping.risk > 0.0 && call.idle.is_some_and(|idle| idle >= self.reaping.idle);
-        if !(lost && call.stalled) {
-            self.learn_of_idle(now, call.idle, lost, finished.outcome == AttemptOutcome::Ok);
+        self.update_endpoint(now, request.endpoint, done.outcome, stale);
+        if !stale {
+            self.update_route(now, done, &request);
         }
-        let rules = &self.settings.rules;
-        if let Some(address) = self.addresses.get_mut(&call.to) {
-            address.calls_out = address.calls_out.saturating_sub(1);
-            self.ended.insert(call.to);
-            let habits = self.habits.entry(address.entry.kind).or_default();
-            match finished.outcome {
-                AttemptOutcome::Ok => {
-                    lean(&mut habits.crowding, 0.0, CROWDING_GAINS.1);
-                    (address.no_room, address.used, address.failures) = (None, Some(now), 0);
-                }
-                AttemptOutcome::Rejected(_) => address.used = Some(now),
-                _ if reaped => {}
-                AttemptOutcome::ConnectFailed
-                | AttemptOutcome::Timeout
-                | AttemptOutcome::Reset
-                | AttemptOutcome::Error => {
-                    // One that fails may lack room; what goes on failing for a fall window is down.
-                    if finished.outcome == AttemptOutcome::ConnectFailed {
-                        let since = *address.no_room.get_or_insert(now);
-                        if since == now || now - since > rules.overload_window {
-                            lean(&mut habits.crowding, f64::from(since == now), CROWDING_GAINS.0);
-                        }
-                    }
-                    address.failures += 1;
-                    let longest = rules.warm_up_time.as_secs_f64() / rules.overload_window.as_secs_f64();
-                    let gap =
-                        growing_gap(rules.overload_window, (TRIAL_GAPS_OF_FALL.0, longest), address.failures);
-                    address.avoid_until = now + gap.mul_f64(self.rng.f64());
+    }
+
+    fn update_endpoint(&mut self, now: Time, id: EndpointId, outcome: AttemptOutcome, stale: bool) {
+        let Some(endpoint) = self.endpoints.get_mut(&id) else { return };
+        endpoint.requests_in_flight = endpoint.requests_in_flight.saturating_sub(1);
+        self.recently_completed.insert(id);
+        let kind = self.kind_stats.entry(endpoint.entry.kind).or_default();
+        match outcome {
+            AttemptOutcome::Ok => {
+                update_ewma(&mut kind.connection_limit_pressure, 0.0, PRESSURE_DECAY_GAIN);
+                endpoint.on_success(now);
+            }
+            AttemptOutcome::Rejected(_) => endpoint.last_used = Some(now),
+            _ if stale => {}
+            AttemptOutcome::ConnectFailed => {
+                let since = *endpoint.connect_failing_since.get_or_insert(now);
+                // A first failure may lack room; what goes on failing for an overload window is down.
+                if since == now || now - since > self.settings.rules.overload_window {
+                    update_ewma(&mut kind.connection_limit_pressure, f64::from(since == now), PRESSURE_GAIN);
                 }
-                AttemptOutcome::Abandoned | AttemptOutcome::Unsent | AttemptOutcome::NotStarted => {}
+                self.deprioritize(now, id);
             }
-        }
-        if !reaped {
-            self.learn(now, finished, &call);
+            AttemptOutcome::Timeout | AttemptOutcome::Reset | AttemptOutcome::Error => {
+                self.deprioritize(now, id);
+            }
+            AttemptOutcome::Abandoned | AttemptOutcome::Unsent | AttemptOutcome::NotStarted => {}
         }
     }
 }
--- a/src/policy_state/message.rs
+++ b/src/policy_state/message.rs
@@ -1,59 +1,162 @@
-//! Messages and requests.
+//! Messages, and the requests in flight that carry them.
 
 use super::route::RouteId;
-use crate::interface::{EndpointId, MessageId, Submission, Time, ZoneId};
+use crate::interface::{
+    Class, Decay, EndpointId, MessageId, RateLimitStatus, RecoveredAttempts, Settings, Submission, Time,
+    ZoneId,
+};
 use std::time::Duration;
 
-/// A message between its hand-in and its end (and the end of its last attempt).
+/// A request in flight; ids grow with time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RequestId(u64);
+
+impl RequestId {
+    /// The id after this one.
+    pub fn next(self) -> RequestId {
+        RequestId(self.0 + 1)
+    }
+}
+
+/// The first attempt of a message that may have run: it fixes retry window and group.
+#[derive(Clone, Copy)]
+pub struct FirstSend {
+    pub sent_at: Time,
+    /// Where it was sent, if that is known.
+    pub zone: Option<ZoneId>,
+}
+
+/// A message between its submission and its end (and the end of its last attempt).
 pub struct Message {
-    pub taken: Submission,
-    pub born: Time,
+    pub submission: Submission,
+    pub submitted_at: Time,
+    /// Attempts begun.
     pub attempts: u32,
-    /// The call that carries it now.
-    pub out: Option<u64>,
-    /// When the first attempt that may have run was sent, and where: it fixes window and group.
-    pub maybe_ran: Option<(Time, Option<ZoneId>)>,
+    /// The request that carries it now.
+    pub in_flight: Option<RequestId>,
+    pub first_may_have_run: Option<FirstSend>,
+    /// End of the backoff after its last attempt.
     pub not_before: Time,
-    pub closed: bool,
-    /// Beyond its tenant's share, and so worth little.
-    pub over_share: bool,
+    /// Its final answer was given, or nobody wants it any more.
+    pub completed: bool,
+    /// Beyond its tenant's quota.
+    pub over_quota: bool,
     /// Accepted by an earlier process, which never tried it.
-    pub left_untried: bool,
+    pub recovered_untried: bool,
 }
 
 impl Message {
-    /// An earlier process took it on and never tried it, nor did this one.
-    pub fn is_left_untried(&self) -> bool {
-        self.left_untried && self.attempts == 0
-    }
-
-    pub fn new(taken: Submission, born: Time, now: Time) -> Self {
+    /// A message submitted at `submitted_at` and accepted now, not tried yet.
+    pub fn new(submission: Submission, submitted_at: Time, now: Time) -> Self {
         Message {
-            taken,
-            born,
+            submission,
+            submitted_at,
             attempts: 0,
-            out: None,
-            maybe_ran: None,
+            in_flight: None,
+            first_may_have_run: None,
             not_before: now,
-            closed: false,
-            over_share: false,
-            left_untried: false,
+            completed: false,
+            over_quota: false,
+            recovered_untried: false,
         }
     }
+
+    /// Takes over what an earlier process recorded of it.
+    pub fn restore(&mut self, past: RecoveredAttempts) {
+        self.submitted_at = past.submitted_at;
+        self.attempts = past.attempts;
+        self.first_may_have_run = past.may_have_run.map(|(sent_at, zone)| FirstSend { sent_at, zone });
+        self.recovered_untried = past.attempts == 0;
+    }
+
+    /// Whether an earlier process accepted it and never tried it, nor did this one.
+    pub fn is_recovered_untried(&self) -> bool {
+        self.recovered_untried && self.attempts == 0
+    }
 }
 
-/// A call out: one slot, one fate, however many messages it carries.
-pub struct Call {
+/// Share of its full value that a message of this age (seconds) still has, by the decay of the settings.
+pub fn remaining_value(class: &Class, decay: Decay, age: f64) -> f64 {
+    let objective = class.latency_objective.as_secs_f64().max(0.001);
+    let deadline = class.deadline.as_secs_f64();
+    match decay {
+        _ if age <= objective => 1.0,
+        Decay::Linear => {
+            1.0 - (1.0 - class.late_value_ratio) * (age - objective) / (deadline - objective).max(0.001)
+        }
+        Decay::Halving => ((objective - age) / objective).exp2().max(class.late_value_ratio),
+    }
+}
+
+/// A message selected to be sent next.
+pub struct SelectedMessage {
+    pub id: MessageId,
+    pub priority: f64,
+}
+
+/// A request in flight: one slot, one fate, however many messages it carries.
+pub struct InFlightRequest {
     pub route: RouteId,
-    pub to: EndpointId,
+    pub endpoint: EndpointId,
     pub zone: ZoneId,
-    pub sent: Time,
-    pub carried: Vec<MessageId>,
-    pub unanswered: usize,
-    /// How long the connection that it went out on had been idle; none on a new or busy one.
-    pub idle: Option<Duration>,
+    pub sent_at: Time,
+    pub messages: Vec<MessageId>,
+    /// Messages whose attempt has not completed.
+    pub pending_outcomes: usize,
+    /// How long the connection that it was sent on had been idle; none on a new or busy one.
+    pub connection_idle: Option<Duration>,
+    /// Silent for longer than the stall time-out.
     pub stalled: bool,
-    pub called_off: bool,
-    /// It went out to learn whether an outage is over.
-    pub trial: bool,
+    /// Abandoned to free its slot; its outcome is still to come.
+    pub abandoned: bool,
+    /// Sent to learn whether an outage is over.
+    pub is_probe: bool,
+}
+
+impl InFlightRequest {
+    /// A request sent now on a new connection, not a probe.
+    pub fn new(
+        route: RouteId,
+        endpoint: EndpointId,
+        zone: ZoneId,
+        sent_at: Time,
+        messages: Vec<MessageId>,
+    ) -> Self {
+        InFlightRequest {
+            route,
+            endpoint,
+            zone,
+            sent_at,
+            pending_outcomes: messages.len(),
+            messages,
+            connection_idle: None,
+            stalled: false,
+            abandoned: false,
+            is_probe: false,
+        }
+    }
+}
+
+/// What the outcome of a request tells its route.
+pub struct RouteFeedback<'a> {
+    pub now: Time,
+    pub settings: &'a Settings,
+    /// Random value, from 0 to 1, drawn for this outcome.
+    pub chance: f64,
+    /// Messages queued, in even parts of the routes of the destination.
+    pub queued: f64,
+    /// What the response told of the limit.
+    pub rate_limit: Option<RateLimitStatus>,
+}
+
+impl RouteFeedback<'_> {
+    /// The limit, if the response told one.
+    pub fn advertised(&self) -> Option<RateLimitStatus> {
+        self.rate_limit.filter(|status| status.limit > 0.0)
+    }
+
+    /// Share of the limit that remains, from 0 to 1.
+    pub fn remaining(&self) -> Option<f64> {
+        self.advertised().map(|status| status.remaining.clamp(0.0, 1.0))
+    }
 }
--- a/src/policy_state/route.rs
+++ b/src/policy_state/route.rs
@@ -1,89 +1,162 @@
-//! Routes and endpoints.
+//! Routes and endpoints: their rates, latencies, outages and requests in flight.
 
-use super::statistics::{Decaying, Latency};
+use super::message::{InFlightRequest, RequestId};
+use super::statistics::{DecayingCounter, LatencyEstimate};
 use crate::interface::{DestinationId, Endpoint, EndpointId, KindId, MessageId, Time};
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-/// What has one limit, pace and outage: a destination, or one endpoint of it where routes are apart.
+/// What has one limit, rate and outage: a destination, or one endpoint of it where limits are per endpoint.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RouteId(pub DestinationId, pub Option<EndpointId>);
+pub struct RouteId {
+    pub destination: DestinationId,
+    pub endpoint: Option<EndpointId>,
+}
+
+/// The range of the routes of a destination.
+pub fn routes_of(destination: DestinationId) -> std::ops::RangeInclusive<RouteId> {
+    let last = Some(EndpointId(u32::MAX));
+    RouteId { destination, endpoint: None }..=RouteId { destination, endpoint: last }
+}
 
-/// The routes of a destination.
-pub fn routes_of(to: DestinationId) -> std::ops::RangeInclusive<RouteId> {
-    RouteId(to, None)..=RouteId(to, Some(EndpointId(u32::MAX)))
+/// What may be sent next.
+pub struct Candidate {
+    pub route: RouteId,
+    pub endpoint: EndpointId,
+    pub message: MessageId,
+    /// Value of the message for the time that a slot is taken, a second.
+    pub value_rate: f64,
 }
 
-/// What may be sent next: by which route to which endpoint, which message, at what value.
-pub type Candidate = (RouteId, EndpointId, MessageId, f64);
+/// An endpoint as listed, and what is known of it.
+pub struct EndpointRecord {
+    pub entry: Endpoint,
+    pub requests_in_flight: usize,
+    /// Among endpoints that are else alike the least is next. Begins at random, for this instance only.
+    pub round_robin_position: u64,
+    /// How far one request moves the position.
+    pub round_robin_step: u64,
+    pub consecutive_failures: u32,
+    pub deprioritized_until: Time,
+    /// When a request last ended there with its connection left open.
+    pub last_used: Option<Time>,
+    /// Since when connections fail there, without a response since.
+    pub connect_failing_since: Option<Time>,
+}
+
+impl EndpointRecord {
+    /// An endpoint just listed.
+    pub fn new(entry: Endpoint, round_robin_position: u64, round_robin_step: u64) -> Self {
+        EndpointRecord {
+            entry,
+            requests_in_flight: 0,
+            round_robin_position,
+            round_robin_step,
+            consecutive_failures: 0,
+            deprioritized_until: Time::ZERO,
+            last_used: None,
+            connect_failing_since: None,
+        }
+    }
+
+    /// Whether it is listed for new requests and its last request did not fail.
+    pub fn is_healthy(&self) -> bool {
+        self.entry.state.accepts_new_requests() && self.consecutive_failures == 0
+    }
+
+    /// The position before its latest request.
+    pub fn last_round_robin_position(&self) -> u64 {
+        self.round_robin_position.saturating_sub(self.round_robin_step)
+    }
+
+    /// Moves the position on by whole steps: by one, and past `front`.
+    pub fn advance_round_robin(&mut self, front: u64) {
+        let step = self.round_robin_step;
+        let behind = front.saturating_sub(self.round_robin_position + step);
+        self.round_robin_position += step * (1 + behind.div_ceil(step.max(1)));
+    }
 
-/// Pace and health of a route: one mechanism for limits, outages and cold return.
+    /// A request succeeded there.
+    pub fn on_success(&mut self, now: Time) {
+        self.connect_failing_since = None;
+        self.last_used = Some(now);
+        self.consecutive_failures = 0;
+    }
+}
+
+/// A time without any success on a route, from its last success on: silence alone, until a request fails.
+#[derive(Default)]
+pub struct Outage {
+    pub started_at: Time,
+    pub next_probe: Time,
+    pub probes_sent: u32,
+    /// Some request failed or was rejected; else it is silence alone.
+    pub failure_seen: bool,
+    /// Requests were lost or are silent, not just rejected.
+    pub requests_lost: bool,
+}
+
+/// Rate and health of a route: one mechanism for limits, outages and slow start.
 #[derive(Default)]
-pub struct Route {
-    /// Calls a second that it takes from all couriers together, as told.
-    pub weight: f64,
+pub struct RouteState {
+    /// Requests a second that it takes from all instances together, as advertised.
+    pub advertised_limit: f64,
     pub endpoints: Vec<EndpointId>,
     pub kind: KindId,
-    /// Messages that one call may carry.
-    pub batch: usize,
+    /// Messages that one request may carry.
+    pub max_batch: usize,
+    /// Requests a second that this instance may send.
     pub rate: f64,
-    /// Calls stay where a connection is open, as taking turns would let connections lapse.
-    pub stays: bool,
+    /// Requests stay where a connection is open, as round robin would let connections lapse.
+    pub prefers_open_connection: bool,
     pub tokens: f64,
-    pub filled: Time,
-    pub bound: bool,
-    /// Its pace alone speaks against one more call.
-    pub paced: bool,
-    /// Listed for one call at a time.
-    pub gentle: bool,
-    pub last_cut: Time,
+    /// When the tokens were last refilled.
+    pub refilled_at: Time,
+    /// No token is there.
+    pub rate_limited: bool,
+    /// The rate alone speaks against one more request.
+    pub only_rate_limited: bool,
+    /// Listed for one request at a time.
+    pub one_at_a_time: bool,
+    pub last_rate_cut: Time,
     /// Cuts since the last success.
-    pub cuts: usize,
-    /// Calls sent of late, and messages taken over about the time that a cold return lasts.
-    pub sent: Decaying,
-    pub demand: Decaying,
-    /// Calls served over about the time that a cold return lasts.
-    pub served: Decaying,
-    /// Calls served a second, as of the last success and without it; held up through an outage and its return.
-    pub share: f64,
-    pub told_wait: Time,
-    pub latency: Latency,
-    pub last_answer: Time,
-    pub evidence: u32,
-    pub spell: Option<Spell>,
+    pub consecutive_cuts: usize,
+    /// Requests sent recently.
+    pub sent_recently: DecayingCounter,
+    /// Messages accepted over about the warm-up time.
+    pub demand: DecayingCounter,
+    /// Requests served over about the warm-up time.
+    pub served: DecayingCounter,
+    /// Requests served a second, as of the last success and without it; kept through outage and recovery.
+    pub served_rate: f64,
+    /// End of the last `Retry-After`.
+    pub retry_after_until: Time,
+    pub latency: LatencyEstimate,
+    pub last_success: Time,
+    /// Score of failures since the last success.
+    pub failure_score: u32,
+    pub outage: Option<Outage>,
     /// When the slow start began, if one is on.
-    pub returned: Option<Time>,
-    /// Calls out, the oldest first.
-    pub out: BTreeSet<u64>,
+    pub recovering_since: Option<Time>,
+    /// Requests in flight, the oldest first.
+    pub in_flight: BTreeSet<RequestId>,
 }
 
-/// A time without any success on a route, from its last success on: silence alone, until a call fails.
-#[derive(Default)]
-pub struct Spell {
-    pub began: Time,
-    pub next_trial: Time,
-    pub trials: u32,
-    /// Some call failed or was refused; else it is silence alone.
-    pub failed: bool,
-    /// Calls were lost or are silent, not just refused.
-    pub lost: bool,
-}
+impl RouteState {
+    /// Whether a success came so long after a request was sent that the route works and it is lost.
+    pub fn overtook(&self, request: &InFlightRequest, timeout: Duration) -> bool {
+        self.last_success > request.sent_at + timeout
+    }
 
-pub struct Address {
-    pub entry: Endpoint,
-    pub calls_out: usize,
-    /// Whose turn it is among endpoints that are else alike: the least. Begins by chance, for this courier only.
-    pub turn: u64,
-    pub failures: u32,
-    pub avoid_until: Time,
-    /// When a call last ended there with its connection left open.
-    pub used: Option<Time>,
-    /// Since when connections fail there, without an answer since.
-    pub no_room: Option<Time>,
-}
+    /// Messages accepted a second for each endpoint of the route, over about `span` seconds.
+    pub fn demand_per_endpoint(&mut self, now: Time, span: f64) -> f64 {
+        self.demand.rate(now, span, 0.0) / self.endpoints.len() as f64
+    }
 
-impl Address {
-    pub fn new(entry: Endpoint, turn: u64) -> Self {
-        let (avoid_until, used, no_room) = (Time::ZERO, None, None);
-        Address { entry, calls_out: 0, turn, failures: 0, avoid_until, used, no_room }
+    /// Adds the tokens of the time that passed, up to `burst`.
+    pub fn refill(&mut self, now: Time, rate: f64, burst: f64) {
+        let passed = (now - self.refilled_at).as_secs_f64();
+        self.tokens = (self.tokens + passed * rate).min(burst);
+        self.refilled_at = now;
     }
 }
