Log records and class names as structs with named fields

Need: positions of Record's variants and of (String, u8) in the name table had to be looked up. Change: Record's variants have named fields; NameTable.classes holds ClassName { name, effect }. Bytes of the log are unchanged.

--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -166,14 +166,14 @@
             // Numbers from the far end: those of the engine begin at one.
             let number = u32::MAX - u32::try_from(place).unwrap_or(0);
             self.notices.enqueue(number, message_record::notice(&living, ending));
-            return self.log.record(Record::Submitted(number, Box::new(living)));
+            return self.log.record(Record::Submitted { message_number: number, message: Box::new(living) });
         }
         let class = self.classes.get(usize::from(living.class));
         let (hand_in, past) = message_record::recovered(&mut living, class);
         let (left, to) = (hand_in.deadline - now, living.destination);
         let id = self.engine.recover(now, hand_in, past);
         trace!(id = id.0, to, attempts = past.attempts, ran = ?past.may_have_run, ?left, "recovered");
-        self.log.record(Record::Submitted(id.0, Box::new(living)));
+        self.log.record(Record::Submitted { message_number: id.0, message: Box::new(living) });
     }
 
     /// Runs until told to stop and done.
@@ -317,7 +317,7 @@
                 warn!(number, "the platform can't read a notice; it is not told again");
             }
             for number in done.into_iter().chain(refused) {
-                self.log.record(Record::Completed(number));
+                self.log.record(Record::Completed { message_number: number });
             }
             self.unpark(now);
         }
@@ -387,7 +387,7 @@
         match self.engine.submit(now, hand_in) {
             Admission::New(id) => {
                 trace!(id = id.0, to = living.destination, class = living.class, "taken");
-                self.log.record(Record::Submitted(id.0, Box::new(living)));
+                self.log.record(Record::Submitted { message_number: id.0, message: Box::new(living) });
                 self.fresh.insert(id, None);
                 Reply::Of(id)
             }
@@ -440,7 +440,10 @@
                         "ended"
                     );
                 }
-                self.log.record(Record::AttemptCompleted(attempt.message.0, reported.may_have_run()));
+                self.log.record(Record::AttemptCompleted {
+                    message_number: attempt.message.0,
+                    may_have_run: reported.may_have_run(),
+                });
                 self.engine.on_attempt_completed(now, attempt, reported, allowance);
             }
             for command in self.engine.advance(now) {
@@ -456,7 +459,7 @@
                 let zone = self.calls.endpoint(attempt).and_then(|endpoint| self.list.zone(endpoint));
                 let began =
                     AttemptStart { started_at: now.0, zone: zone.map_or(UNKNOWN_INDEX, |zone| zone.0) };
-                self.log.record(Record::AttemptStarted(attempt.message.0, began));
+                self.log.record(Record::AttemptStarted { message_number: attempt.message.0, start: began });
                 self.launching.push(attempt);
             }
             if !self.calls.has_pending_events() && !self.engine.has_pending_events() {
@@ -485,7 +488,8 @@
             warn!(%error, "the log can't be written: nothing is taken on or sent until it can");
         }
         for attempt in std::mem::take(&mut self.launching) {
-            self.log.record(Record::AttemptCompleted(attempt.message.0, false));
+            self.log
+                .record(Record::AttemptCompleted { message_number: attempt.message.0, may_have_run: false });
             self.calls.discard_uncommitted(attempt, &mut Sockets(&mut self.net));
         }
         for (id, answer) in &mut self.fresh {
@@ -493,7 +497,7 @@
                 *answer = Some(busy(Duration::ZERO));
                 // Guards against a "+OK" for the same id once more, as of one that was taken on.
                 self.engine.reject(now, *id);
-                self.log.record(Record::Completed(id.0));
+                self.log.record(Record::Completed { message_number: id.0 });
             }
         }
     }
@@ -511,7 +515,10 @@
                 trace!(id = attempt.message.0, number = attempt.number, "given up waiting");
                 self.parked.retain(|parked| parked.attempt != attempt);
                 self.launching.retain(|launching| *launching != attempt);
-                self.log.record(Record::AttemptCompleted(attempt.message.0, begun));
+                self.log.record(Record::AttemptCompleted {
+                    message_number: attempt.message.0,
+                    may_have_run: begun,
+                });
                 self.calls.abandon(now, attempt, &mut Sockets(&mut self.net));
             }
             Command::Complete { message, outcome: answer, .. } => self.answered(message, answer),
@@ -525,7 +532,7 @@
         trace!(id = message.0, ?answer, fresh = self.fresh.contains_key(&message), "answered");
         let (reply, ending) = match answer {
             FinalOutcome::Delivered | FinalOutcome::Cancelled => {
-                return self.log.record(Record::Completed(message.0))
+                return self.log.record(Record::Completed { message_number: message.0 })
             }
             FinalOutcome::Rejected(again) => {
                 let ms = u64::try_from(again.as_millis()).ok().filter(|ms| *ms > 0);
@@ -536,11 +543,11 @@
         // Refused in the turn of its hand-in: the client is told, and the platform need not be.
         if let Some(told) = self.fresh.get_mut(&message) {
             *told = Some(reply);
-            return self.log.record(Record::Completed(message.0));
+            return self.log.record(Record::Completed { message_number: message.0 });
         }
         let Some(living) = self.log.message(message.0) else { return };
         self.notices.enqueue(message.0, message_record::notice(living, ending));
-        self.log.record(Record::NotificationPending(message.0, ending));
+        self.log.record(Record::NotificationPending { message_number: message.0, state: ending });
     }
 
     /// Gets connections for calls whose key has no notice out: until it is answered, the message before is not over.
--- a/crates/resp-gateway/src/message_record.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -6,7 +6,7 @@
 use cloverstile_platform::client_request::PutRequest;
 use cloverstile_platform::config;
 use cloverstile_platform::notifications::Notification;
-use cloverstile_wal::{AttemptStart, LiveMessage, NameTable, TerminalState, UNKNOWN_INDEX};
+use cloverstile_wal::{AttemptStart, ClassName, LiveMessage, NameTable, TerminalState, UNKNOWN_INDEX};
 use std::time::Duration;
 
 fn text(bytes: &[u8]) -> String {
@@ -85,7 +85,9 @@
 /// What places mean in this process; the last class is [`strictest`].
 pub fn names(names: &config::SettingNames, classes: &[Class]) -> NameTable {
     let named = names.classes.iter().map(String::as_str).chain([""]);
-    let classes = named.zip(classes).map(|(name, class)| (name.to_owned(), mark(class.effect))).collect();
+    let entry =
+        |(name, class): (&str, &Class)| ClassName { name: name.to_owned(), effect: mark(class.effect) };
+    let classes = named.zip(classes).map(entry).collect();
     NameTable { classes, zones: names.zones.clone() }
 }
 
@@ -98,10 +100,10 @@
     let class = match then.classes.get(place) {
         // A log of before names were kept.
         None => place.min(last),
-        Some((name, effect)) => {
-            let found = now.classes.iter().position(|(known, _)| known == name);
+        Some(ClassName { name, effect }) => {
+            let found = now.classes.iter().position(|class| class.name == *name);
             let holds = |place: &usize| {
-                let now = now.classes[*place].1;
+                let now = now.classes[*place].effect;
                 *effect == UNKNOWN_INDEX || *effect == now || now == mark(Effect::Unsafe)
             };
             found.filter(holds).unwrap_or(last)
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod store;
 
 pub use log::{Log, Recovered};
-pub use record::{AttemptStart, LiveMessage, NameTable, Record, TerminalState, UNKNOWN_INDEX};
+pub use record::{AttemptStart, ClassName, LiveMessage, NameTable, Record, TerminalState, UNKNOWN_INDEX};
 pub use store::SegmentStore;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -99,17 +99,17 @@
 
     fn apply(&mut self, record: Record) {
         match record {
-            Record::Submitted(seq, living) => {
+            Record::Submitted { message_number: seq, message: living } => {
                 self.living_bytes += size(&living);
                 self.living.insert(seq, *living);
             }
-            Record::AttemptStarted(seq, began) => {
+            Record::AttemptStarted { message_number: seq, start: began } => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     living.attempts = living.attempts.saturating_add(1);
                     living.open_attempt = Some(began);
                 }
             }
-            Record::AttemptCompleted(seq, may_have_run) => {
+            Record::AttemptCompleted { message_number: seq, may_have_run } => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     let begun = living.open_attempt.take();
                     if may_have_run && living.may_have_run.is_none() {
@@ -117,14 +117,14 @@
                     }
                 }
             }
-            Record::NotificationPending(seq, ending) => {
+            Record::NotificationPending { message_number: seq, state: ending } => {
                 if let Some(living) = self.living.get_mut(&seq) {
                     self.living_bytes -= living.body.len() as u64;
                     living.body = Vec::new();
                     living.pending_notification = Some(ending);
                 }
             }
-            Record::Completed(seq) => {
+            Record::Completed { message_number: seq } => {
                 if let Some(living) = self.living.remove(&seq) {
                     self.living_bytes -= size(&living);
                 }
@@ -136,11 +136,11 @@
     /// Adds a record to the turn. A record of a message that is not living is dropped.
     pub fn record(&mut self, record: Record) {
         let known = match &record {
-            Record::Submitted(..) | Record::NameTable(_) => true,
-            Record::AttemptStarted(seq, _)
-            | Record::AttemptCompleted(seq, _)
-            | Record::NotificationPending(seq, _)
-            | Record::Completed(seq) => self.living.contains_key(seq),
+            Record::Submitted { .. } | Record::NameTable(_) => true,
+            Record::AttemptStarted { message_number: seq, .. }
+            | Record::AttemptCompleted { message_number: seq, .. }
+            | Record::NotificationPending { message_number: seq, .. }
+            | Record::Completed { message_number: seq } => self.living.contains_key(seq),
         };
         if known {
             record.write(&mut self.batch);
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -52,29 +52,63 @@
     pub zone: u8,
 }
 
-/// What places meant when they were written: settings may have changed since.
+/// A class of messages as it was when the log was written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ClassName {
+    /// Its name in the settings; empty for the class that no setting names.
+    pub name: String,
+    /// The writer's code for the effect of a repeated delivery; [`UNKNOWN_INDEX`] where the log does not hold it.
+    pub effect: u8,
+}
+
+/// The names behind the indices in the messages of a segment. Settings may have changed since they were written.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NameTable {
-    /// Names of the classes, and what a second run of theirs does, in a number of the writer's.
-    pub classes: Vec<(String, u8)>,
-    /// Names of the zones.
+    /// Classes, by index.
+    pub classes: Vec<ClassName>,
+    /// Names of the zones, by index.
     pub zones: Vec<String>,
 }
 
-/// One step of a message. `seq` is the courier's own number of it, unique while it lives.
+/// One entry of the log.
+///
+/// `message_number` is the gateway's own number of a message, unique while the message is live.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Record {
-    /// Taken on; in a fresh segment, as it stands.
-    Submitted(u32, Box<LiveMessage>),
-    /// An attempt begins.
-    AttemptStarted(u32, AttemptStart),
-    /// The attempt that was out has its outcome; whether it may have run.
-    AttemptCompleted(u32, bool),
-    /// It ended undelivered; the notice is owed.
-    NotificationPending(u32, TerminalState),
-    /// Over: delivered, withdrawn, or its notice answered.
-    Completed(u32),
-    /// What the places of messages in this segment mean.
+    /// A message was accepted; in a new segment, a live message as it stands.
+    Submitted {
+        /// The message's number.
+        message_number: u32,
+        /// Its state.
+        message: Box<LiveMessage>,
+    },
+    /// An attempt to deliver the message was started.
+    AttemptStarted {
+        /// The message's number.
+        message_number: u32,
+        /// Time and zone of the attempt.
+        start: AttemptStart,
+    },
+    /// The attempt in flight has its outcome.
+    AttemptCompleted {
+        /// The message's number.
+        message_number: u32,
+        /// Whether the endpoint may have processed the request.
+        may_have_run: bool,
+    },
+    /// The message ended undelivered and the platform must be notified.
+    NotificationPending {
+        /// The message's number.
+        message_number: u32,
+        /// How it ended.
+        state: TerminalState,
+    },
+    /// The message is complete: delivered, cancelled, or its notification acknowledged.
+    Completed {
+        /// The message's number.
+        message_number: u32,
+    },
+    /// What the indices in the messages of this segment mean.
     NameTable(NameTable),
 }
 
@@ -160,32 +194,32 @@
     /// Appends the record's bytes.
     pub fn write(&self, out: &mut Vec<u8>) {
         match self {
-            Record::Submitted(seq, living) => write_submitted(*seq, living, out),
-            Record::AttemptStarted(seq, began) => framed(out, |to| {
+            Record::Submitted { message_number: seq, message: living } => write_submitted(*seq, living, out),
+            Record::AttemptStarted { message_number: seq, start: began } => framed(out, |to| {
                 to.u8(2);
                 to.u32(*seq);
                 to.u64(began.started_at);
                 to.u8(began.zone);
             }),
-            Record::AttemptCompleted(seq, may_have_run) => framed(out, |to| {
+            Record::AttemptCompleted { message_number: seq, may_have_run } => framed(out, |to| {
                 to.u8(3);
                 to.u32(*seq);
                 to.u8(u8::from(*may_have_run));
             }),
-            Record::NotificationPending(seq, ending) => framed(out, |to| {
+            Record::NotificationPending { message_number: seq, state: ending } => framed(out, |to| {
                 to.u8(4);
                 to.u32(*seq);
                 to.ending(*ending);
             }),
-            Record::Completed(seq) => framed(out, |to| {
+            Record::Completed { message_number: seq } => framed(out, |to| {
                 to.u8(5);
                 to.u32(*seq);
             }),
             Record::NameTable(names) => framed(out, |to| {
                 to.u8(6);
                 to.u32(u32::try_from(names.classes.len()).unwrap_or(u32::MAX));
-                names.classes.iter().for_each(|(name, _)| to.bytes(name.as_bytes()));
-                names.classes.iter().for_each(|(_, effect)| to.u8(*effect));
+                names.classes.iter().for_each(|class| to.bytes(class.name.as_bytes()));
+                names.classes.iter().for_each(|class| to.u8(class.effect));
                 names.zones.iter().for_each(|name| to.bytes(name.as_bytes()));
             }),
         }
@@ -287,17 +321,20 @@
                 (living.pending_notification, living.body) = (self.ending()?, self.bytes()?);
                 living.may_have_run = began(may_have_run, self.place());
                 living.open_attempt = began(open, self.place());
-                Record::Submitted(seq, Box::new(living))
+                Record::Submitted { message_number: seq, message: Box::new(living) }
             }
-            2 => Record::AttemptStarted(seq, AttemptStart { started_at: self.u64()?, zone: self.place() }),
-            3 => Record::AttemptCompleted(seq, self.flag()?),
-            4 => Record::NotificationPending(seq, self.ending()??),
-            5 => Record::Completed(seq),
+            2 => Record::AttemptStarted {
+                message_number: seq,
+                start: AttemptStart { started_at: self.u64()?, zone: self.place() },
+            },
+            3 => Record::AttemptCompleted { message_number: seq, may_have_run: self.flag()? },
+            4 => Record::NotificationPending { message_number: seq, state: self.ending()?? },
+            5 => Record::Completed { message_number: seq },
             6 => {
                 let names: Vec<String> = (0..seq).map(|_| self.text()).collect::<Option<_>>()?;
-                let classes = names.into_iter().map(|name| (name, 0)).collect();
+                let classes = names.into_iter().map(|name| ClassName { name, effect: 0 }).collect();
                 let mut names = NameTable { classes, zones: Vec::new() };
-                names.classes.iter_mut().for_each(|(_, effect)| *effect = self.place());
+                names.classes.iter_mut().for_each(|class| class.effect = self.place());
                 while !self.0.is_empty() {
                     names.zones.push(self.text()?);
                 }
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -1,7 +1,9 @@
 //! Recovery after a cut at every byte, damage, a full folder, and segments under the bound.
 
 use cloverstile_wal::store::{DirectoryStore, MemoryStore, SegmentStore};
-use cloverstile_wal::{AttemptStart, LiveMessage, Log, NameTable, Record, TerminalState, UNKNOWN_INDEX};
+use cloverstile_wal::{
+    AttemptStart, ClassName, LiveMessage, Log, NameTable, Record, TerminalState, UNKNOWN_INDEX,
+};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -25,6 +27,10 @@
     AttemptStart { started_at: at, zone: at as u8 % 3 }
 }
 
+fn class(name: &str, effect: u8) -> ClassName {
+    ClassName { name: name.to_owned(), effect }
+}
+
 fn open(folder: MemoryStore) -> (Log<MemoryStore>, Vec<LiveMessage>, usize) {
     let (log, recovered) = Log::open(folder, BOUND).unwrap();
     (log, recovered.messages, recovered.discarded_bytes)
@@ -37,17 +43,17 @@
 /// A log's steps, each in a turn of its own, with the folder as it stood after each.
 fn steps() -> Vec<MemoryStore> {
     let records = vec![
-        Record::Submitted(1, Box::new(message(1, 30))),
-        Record::Submitted(2, Box::new(message(2, 300))),
-        Record::AttemptStarted(1, began(11)),
-        Record::AttemptCompleted(1, false),
-        Record::AttemptStarted(2, began(12)),
-        Record::AttemptCompleted(2, true),
-        Record::AttemptStarted(2, began(13)),
-        Record::AttemptStarted(1, began(14)),
-        Record::NotificationPending(2, TerminalState::Deferred(Some(700))),
-        Record::Completed(1),
-        Record::Completed(2),
+        Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) },
+        Record::Submitted { message_number: 2, message: Box::new(message(2, 300)) },
+        Record::AttemptStarted { message_number: 1, start: began(11) },
+        Record::AttemptCompleted { message_number: 1, may_have_run: false },
+        Record::AttemptStarted { message_number: 2, start: began(12) },
+        Record::AttemptCompleted { message_number: 2, may_have_run: true },
+        Record::AttemptStarted { message_number: 2, start: began(13) },
+        Record::AttemptStarted { message_number: 1, start: began(14) },
+        Record::NotificationPending { message_number: 2, state: TerminalState::Deferred(Some(700)) },
+        Record::Completed { message_number: 1 },
+        Record::Completed { message_number: 2 },
     ];
     let (mut log, ..) = open(MemoryStore::default());
     log.commit().unwrap();
@@ -114,12 +120,15 @@
     for number in 1..6000u32 {
         let body = (number as usize * 37) % 1500;
         if log.has_room(body) {
-            log.record(Record::Submitted(number, Box::new(message(number, body))));
-            log.record(Record::AttemptStarted(number, began(5)));
+            log.record(Record::Submitted {
+                message_number: number,
+                message: Box::new(message(number, body)),
+            });
+            log.record(Record::AttemptStarted { message_number: number, start: began(5) });
             living.insert(number, body);
         }
         if number % 5 != 0 && number > 200 {
-            log.record(Record::Completed(number - 200));
+            log.record(Record::Completed { message_number: number - 200 });
             living.remove(&(number - 200));
         }
         log.commit().unwrap();
@@ -134,7 +143,7 @@
 #[test]
 fn a_start_between_the_new_segment_and_the_end_of_the_old_one_reads_the_new() {
     let (mut log, ..) = open(MemoryStore::default());
-    log.record(Record::Submitted(1, Box::new(message(1, 9))));
+    log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 9)) });
     log.commit().unwrap();
     let mut folder = log.store().clone();
     let name = newest(&folder);
@@ -148,17 +157,17 @@
 #[test]
 fn a_full_folder_is_an_error_and_the_next_commit_writes_all_anew() {
     let (mut log, ..) = open(MemoryStore::default());
-    log.record(Record::Submitted(1, Box::new(message(1, 100))));
+    log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 100)) });
     log.commit().unwrap();
     log.store_mut().room = Some(20);
-    log.record(Record::Completed(1));
-    log.record(Record::Submitted(2, Box::new(message(2, 100))));
+    log.record(Record::Completed { message_number: 1 });
+    log.record(Record::Submitted { message_number: 2, message: Box::new(message(2, 100)) });
     assert!(log.commit().is_err());
     // Nothing of the turn is there: half of it would hide what comes later.
     assert_eq!(open(log.store_mut().clone()).1.len(), 1);
     assert!(log.commit().is_err(), "still full");
     log.store_mut().room = None;
-    log.record(Record::Completed(2));
+    log.record(Record::Completed { message_number: 2 });
     log.commit().unwrap();
     assert!(open(log.store().clone()).1.is_empty());
 }
@@ -171,10 +180,10 @@
         let (mut log, recovered) = Log::open(DirectoryStore::new(&path), BOUND).unwrap();
         assert_eq!(recovered.messages.len() as u32, round);
         for (place, living) in recovered.messages.into_iter().enumerate() {
-            log.record(Record::Submitted(place as u32, Box::new(living)));
+            log.record(Record::Submitted { message_number: place as u32, message: Box::new(living) });
         }
         log.commit().unwrap();
-        log.record(Record::Submitted(100, Box::new(message(100, 10))));
+        log.record(Record::Submitted { message_number: 100, message: Box::new(message(100, 10)) });
         log.commit().unwrap();
         assert_eq!(DirectoryStore::new(&path).names().unwrap().len(), 1);
     }
@@ -197,12 +206,12 @@
     for round in 0..3 {
         let (mut log, recovered) = Log::open(folder, 1 << 20).unwrap();
         let names = |round: u8| NameTable {
-            classes: vec![(format!("a{round}"), round), ("b".to_owned(), 3)],
+            classes: vec![class(&format!("a{round}"), round), class("b", 3)],
             zones: vec!["here".to_owned(), format!("z{round}")],
         };
         assert_eq!(recovered.names, if round == 0 { NameTable::default() } else { names(round - 1) });
         log.record(Record::NameTable(names(round)));
-        log.record(Record::Submitted(1, Box::new(message(1, 30))));
+        log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) });
         log.commit().unwrap();
         folder = log.store().clone();
     }
@@ -220,13 +229,13 @@
     };
     let taken =
         LiveMessage { may_have_run: Some(began(11)), open_attempt: Some(began(12)), ..message(1, 30) };
-    let names = NameTable { classes: vec![("a".to_owned(), 1), ("b".to_owned(), 2)], zones: Vec::new() };
+    let names = NameTable { classes: vec![class("a", 1), class("b", 2)], zones: Vec::new() };
     let bytes = [
         b"cloverstile-log 1\n".to_vec(),
         shorter(Record::NameTable(names), 2),
-        shorter(Record::Submitted(1, Box::new(taken)), 2),
-        shorter(Record::Submitted(2, Box::new(message(2, 30))), 2),
-        shorter(Record::AttemptStarted(2, began(13)), 1),
+        shorter(Record::Submitted { message_number: 1, message: Box::new(taken) }, 2),
+        shorter(Record::Submitted { message_number: 2, message: Box::new(message(2, 30)) }, 2),
+        shorter(Record::AttemptStarted { message_number: 2, start: began(13) }, 1),
     ];
     let files = BTreeMap::from([("log.3".to_owned(), bytes.concat())]);
     let (_, recovered) = Log::open(MemoryStore { files, ..MemoryStore::default() }, BOUND).unwrap();
@@ -234,7 +243,7 @@
     let found: Vec<_> =
         recovered.messages.iter().map(|living| (living.may_have_run, living.open_attempt)).collect();
     assert_eq!((found, recovered.discarded_bytes), (vec![(old(11), old(12)), (None, old(13))], 0));
-    assert_eq!(recovered.names.classes, [("a".to_owned(), UNKNOWN_INDEX), ("b".to_owned(), UNKNOWN_INDEX)]);
+    assert_eq!(recovered.names.classes, [class("a", UNKNOWN_INDEX), class("b", UNKNOWN_INDEX)]);
 }
 
 /// A folder of a process that is killed at its Nth change: a write is done by half then, and nothing after it.
@@ -283,12 +292,12 @@
     let Ok((mut log, recovered)) = Log::open(Dying { folder, left }, BOUND) else { return false };
     log.record(Record::NameTable(NameTable { zones: vec!["here".to_owned()], ..NameTable::default() }));
     for (seq, living) in (1..).zip(recovered.messages) {
-        log.record(Record::Submitted(seq, Box::new(living)));
+        log.record(Record::Submitted { message_number: seq, message: Box::new(living) });
     }
     if log.commit().is_err() {
         return false;
     }
-    log.record(Record::Submitted(90 + fresh, Box::new(message(fresh, 40))));
+    log.record(Record::Submitted { message_number: 90 + fresh, message: Box::new(message(fresh, 40)) });
     log.commit().is_ok()
 }
 
@@ -297,7 +306,9 @@
 #[test]
 fn a_kill_at_any_step_of_recovering_and_another_one_lose_and_double_nothing() {
     let (mut log, ..) = open(MemoryStore::default());
-    (1..4).for_each(|number| log.record(Record::Submitted(number, Box::new(message(number, 30)))));
+    (1..4).for_each(|number| {
+        log.record(Record::Submitted { message_number: number, message: Box::new(message(number, 30)) })
+    });
     log.commit().unwrap();
     let mut start = log.store().clone();
     // Left by a process before: an older segment and one half written.
--- a/crates/wal/tests/stored_data.rs
+++ b/crates/wal/tests/stored_data.rs
@@ -57,8 +57,8 @@
 /// What was recovered, in the form of `recovered.txt`.
 fn text_of(recovered: &Recovered) -> String {
     let mut text = format!("discarded_bytes={}\n", recovered.discarded_bytes);
-    for (name, effect) in &recovered.names.classes {
-        writeln!(text, "class={name} effect={effect}").unwrap();
+    for class in &recovered.names.classes {
+        writeln!(text, "class={} effect={}", class.name, class.effect).unwrap();
     }
     for zone in &recovered.names.zones {
         writeln!(text, "zone={zone}").unwrap();
