--- a/crates/as2-gateway/src/rig.rs
+++ b/crates/as2-gateway/src/rig.rs
@@ -4,9 +4,9 @@
 use crate::directory::LoadError;
 use crate::service::ServiceError;
 use cloverstile_as2::{new_station, As2Error, Certificate, Identity, NewKey};
-use cloverstile_fakes::client::Couriers;
-use cloverstile_fakes::model::Nature;
-use cloverstile_fakes::partner::{Partners, Plan};
+use cloverstile_fakes::client::GatewaySet;
+use cloverstile_fakes::model::ServerProfile;
+use cloverstile_fakes::partner::{FakePartner, Partners};
 use cloverstile_fakes::record::Recorder;
 use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write as _;
@@ -47,7 +47,7 @@
     /// Kind, as in the settings.
     pub kind: String,
     /// What it is like.
-    pub nature: Nature,
+    pub nature: ServerProfile,
     /// Zone of each endpoint, by number.
     pub zones: Vec<usize>,
     /// What key it has; content is encrypted for it where that is RSA.
@@ -84,7 +84,7 @@
 /// Everything around the couriers.
 #[derive(Clone, Debug)]
 pub struct Spec {
-    /// Couriers.
+    /// Gateways.
     pub couriers: usize,
     /// Client programs.
     pub clients: usize,
@@ -153,13 +153,13 @@
             if partner.mismatched {
                 make(folder, &partner.name, partner.key)?;
             }
-            plans.push(Plan {
+            plans.push(FakePartner {
                 name: partner.name.clone(),
                 identity,
-                nature: partner.nature.clone(),
+                profile: partner.nature.clone(),
                 endpoints: partner.zones.len(),
                 // Each site keeps its own memory of what it has seen.
-                groups: partner.zones.clone(),
+                deduplication_groups: partner.zones.clone(),
             });
         }
         let partners = Partners::start(plans, couriers, recorder.clone(), seed)?;
@@ -261,8 +261,8 @@
     }
 
     /// What clients know of the couriers, once these listen.
-    pub fn couriers(&self, addresses: Vec<SocketAddr>) -> Couriers {
-        Couriers {
+    pub fn couriers(&self, addresses: Vec<SocketAddr>) -> GatewaySet {
+        GatewaySet {
             running: addresses.iter().map(|_| AtomicBool::new(true)).collect(),
             names: (0..addresses.len()).map(courier_name).collect(),
             certificates: self.certificates.clone(),
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -5,10 +5,10 @@
 use cloverstile_as2::NewKey;
 use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Rig, RigError, Spec};
 use cloverstile_as2_gateway::{load, Ending, Service, Stopper};
-use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
-use cloverstile_fakes::model::{Fault, Nature};
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Recorder, Seen, Told};
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, PlannedMessage, Progress};
+use cloverstile_fakes::model::{Fault, ServerProfile};
+use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::record::{ObservedEvent, Recorder, ReportedOutcome};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::{Rng, SeedableRng};
@@ -24,7 +24,7 @@
     /// Messages.
     #[arg(long, default_value_t = 3000, value_parser = clap::value_parser!(u32).range(10..=200_000))]
     messages: u32,
-    /// Couriers, each in a thread of its own.
+    /// Gateways, each in a thread of its own.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=8))]
     couriers: u16,
     /// Messages a second.
@@ -90,7 +90,7 @@
     }
 
     /// Lets the clients hand in while two partners have a bad time.
-    fn drive(&self, rig: &Rig, couriers: &Couriers, recorder: &Recorder) -> Result<(), RigError> {
+    fn drive(&self, rig: &Rig, couriers: &GatewaySet, recorder: &Recorder) -> Result<(), RigError> {
         let span = Duration::from_secs_f64(f64::from(self.messages) / f64::from(self.rate));
         let plan = plan(self.messages, span, self.seed, recorder.now());
         let progress = Progress::default();
@@ -98,20 +98,25 @@
         let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
         bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
         let trouble = span.mul_f64(0.3);
-        rig.partners.order(Order::Fault { partner: 1, fault: Fault::Silent, zone: None, lasts: trouble });
-        rig.partners.order(Order::Fault {
+        rig.partners.send(PartnerCommand::Fault {
+            partner: 1,
+            fault: Fault::Silent,
+            zone: None,
+            duration: trouble,
+        });
+        rig.partners.send(PartnerCommand::Fault {
             partner: 2,
-            fault: Fault::LoseAnswers(0.2),
+            fault: Fault::TruncateResponses(0.2),
             zone: None,
-            lasts: trouble,
+            duration: trouble,
         });
         std::thread::scope(|scope| {
             let client = scope.spawn(|| {
-                let habits = Habits::default();
+                let habits = ClientBehaviour::default();
                 Client::new(&rig.clients[0], habits, couriers, plan, recorder.clone(), &progress)?.run()
             });
             while !client.is_finished() {
-                bar.set_position(progress.done.load(Ordering::Relaxed) as u64);
+                bar.set_position(progress.completed.load(Ordering::Relaxed) as u64);
                 std::thread::sleep(Duration::from_millis(100));
             }
             bar.finish_and_clear();
@@ -126,25 +131,25 @@
         let mut answers: BTreeMap<String, [u32; 4]> = BTreeMap::new();
         let mut effects: HashMap<String, u32> = HashMap::new();
         for line in &lines {
-            match &line.seen {
-                Seen::HandIn { id, class, .. } => {
+            match &line.event {
+                ObservedEvent::Submitted { id, class, .. } => {
                     class_of.insert(id.clone(), class.clone());
                 }
-                Seen::Effect { id, .. } => *effects.entry(id.clone()).or_default() += 1,
+                ObservedEvent::EffectApplied { id, .. } => *effects.entry(id.clone()).or_default() += 1,
                 _ => {}
             }
         }
-        let mut last: HashMap<&str, Told> = HashMap::new();
+        let mut last: HashMap<&str, ReportedOutcome> = HashMap::new();
         for line in &lines {
-            if let Seen::Answer { id, told, .. } = &line.seen {
+            if let ObservedEvent::Answered { id, outcome: told, .. } = &line.event {
                 last.insert(id, *told);
             }
         }
         for (id, class) in &class_of {
             let place = match last.get(id.as_str()) {
-                Some(Told::Delivered) => 0,
-                Some(Told::Refused) => 1,
-                Some(Told::Failed) => 2,
+                Some(ReportedOutcome::Delivered) => 0,
+                Some(ReportedOutcome::Rejected) => 1,
+                Some(ReportedOutcome::Failed) => 2,
                 _ => 3,
             };
             answers.entry(class.clone()).or_default()[place] += 1;
@@ -189,11 +194,11 @@
     let partner = |name: &str, kind: &str, share: f64, key, deferred| PartnerSpec {
         name: name.into(),
         kind: kind.into(),
-        nature: Nature {
+        nature: ServerProfile {
             servers: (f64::from(rate) * share * 0.06).ceil().max(4.0) as usize,
             queue: 64,
             repeat_window: Duration::from_secs(10),
-            ..Nature::default()
+            ..ServerProfile::default()
         },
         zones: vec![0, 0],
         key,
@@ -220,7 +225,7 @@
     }
 }
 
-fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<Planned> {
+fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<PlannedMessage> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let names = ["bank-north", "bank-south", "bayside-hr", "rosehall-hr"];
     (0..messages)
@@ -228,7 +233,7 @@
             let drawn: f64 = rng.random();
             let partner = [0.4, 0.7, 0.9].iter().filter(|edge| drawn >= **edge).count();
             let pays = partner < 2;
-            Planned {
+            PlannedMessage {
                 at: from + span.mul_f64(f64::from(number) / f64::from(messages)),
                 id: format!("payday-{seed}-{number}@client-0"),
                 class: if pays { "salary-payment" } else { "pay-notice" }.into(),
@@ -236,7 +241,7 @@
                 key: (!pays).then(|| format!("employee-{}", rng.random_range(0..400))),
                 deadline: Duration::from_secs(6),
                 body: format!("payday message {number} for {}\n", names[partner]).into_bytes(),
-                drops: false,
+                disconnects_after_submission: false,
             }
         })
         .collect()
--- a/crates/cli/tests/moments.rs
+++ b/crates/cli/tests/moments.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use cloverstile_fakes::platform::{read_line, Manner, PutSpec, Seen};
+use cloverstile_fakes::platform::{read_line, EndpointBehaviour, PlatformEvent, PutCommand};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -26,8 +26,8 @@
     agent
 }
 
-fn hand_in(world: &World, put: &PutSpec) {
-    assert_eq!(world.platform.hand_in(&mut world.client(), put).unwrap(), "+OK");
+fn hand_in(world: &World, put: &PutCommand) {
+    assert_eq!(world.platform.submit(&mut world.client(), put).unwrap(), "+OK");
 }
 
 /// A message is out on a connection, and another one's connection was asked for and is not there: it comes up a second
@@ -130,20 +130,20 @@
     let (mut world, slow) = with_slow("drained");
     let (mut first, filler) = one_out_and_one_waiting(&mut world, &slow);
     // The list tells that the endpoint drains; then its connection comes up.
-    world.platform.list(0, "DRAINING");
-    let asked = |seen: &[(Duration, Seen)]| {
-        seen.iter().filter(|(_, seen)| matches!(seen, Seen::Asked { .. })).count()
+    world.platform.set_lifecycle(0, "DRAINING");
+    let asked = |seen: &[(Duration, PlatformEvent)]| {
+        seen.iter().filter(|(_, seen)| matches!(seen, PlatformEvent::DiscoveryRequested { .. })).count()
     };
-    let before = asked(&world.platform.seen());
-    world.platform.until(Duration::from_secs(1), |seen| asked(seen) > before);
+    let before = asked(&world.platform.events());
+    world.platform.wait_until(Duration::from_secs(1), |seen| asked(seen) > before);
     drop((slow.accept(), filler));
     let mut second = slow.accept();
     assert_eq!(read_until(&mut second, Instant::now() + Duration::from_millis(600)), "");
     first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
     // It still may go, and does once there is somewhere to go: attempts and place are as before.
-    world.platform.list(0, "SERVING");
-    assert!(world.platform.until(SOON, |seen| {
-        seen.iter().any(|(_, seen)| matches!(seen, Seen::Delivered { id } if id == "second"))
+    world.platform.set_lifecycle(0, "SERVING");
+    assert!(world.platform.wait_until(SOON, |seen| {
+        seen.iter().any(|(_, seen)| matches!(seen, PlatformEvent::Delivered { id } if id == "second"))
     }));
 }
 
@@ -171,7 +171,7 @@
     world.edit(|config| {
         config["known"]["instances"][0]["hostPort"] = world.platform.endpoints[0].to_string().into();
     });
-    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    world.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::ZERO));
     world.start();
     assert_eq!(world.broken_in_the_end(), [""; 0]);
     assert_eq!(world.calls("only"), 1);
@@ -183,19 +183,19 @@
 fn what_a_restart_finds_untried_is_tried() {
     let mut world = World::new("untried", &[3]);
     // Nothing may go yet: the only endpoint drains.
-    world.platform.list(0, "DRAINING");
-    world.edit(|config| config["known"] = world.platform.known());
+    world.platform.set_lifecycle(0, "DRAINING");
+    world.edit(|config| config["known"] = world.platform.endpoint_list());
     world.start();
     let mut client = world.client();
     for number in 0..30 {
-        let put = PutSpec { left: 4000, ..payment(format!("p{number}")) };
-        assert_eq!(world.platform.hand_in(&mut client, &put).unwrap(), "+OK");
+        let put = PutCommand { time_left_ms: 4000, ..payment(format!("p{number}")) };
+        assert_eq!(world.platform.submit(&mut client, &put).unwrap(), "+OK");
     }
     world.kill();
     // A call a second is what the list says that it takes.
-    world.platform.list(0, "SERVING");
+    world.platform.set_lifecycle(0, "SERVING");
     world.edit(|config| {
-        config["known"] = world.platform.known();
+        config["known"] = world.platform.endpoint_list();
         config["known"]["instances"][0]["weight"] = 1.0.into();
     });
     world.start();
@@ -210,13 +210,13 @@
     let (mut world, slow) = with_slow("never-left");
     world.start();
     let _filler = slow.fill();
-    hand_in(&world, &PutSpec { left: 800, ..payment("only".into()) });
-    let told = |seen: &Seen| match seen {
-        Seen::Notice { id, status, .. } if id == "only" => Some(status.clone()),
+    hand_in(&world, &PutCommand { time_left_ms: 800, ..payment("only".into()) });
+    let told = |seen: &PlatformEvent| match seen {
+        PlatformEvent::Notification { id, status, .. } if id == "only" => Some(status.clone()),
         _ => None,
     };
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen).is_some())));
-    let seen = world.platform.seen();
+    assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen).is_some())));
+    let seen = world.platform.events();
     assert_eq!(seen.iter().find_map(|(_, seen)| told(seen)).as_deref(), Some("deferred"));
 }
 
@@ -246,15 +246,15 @@
     let mut world = World::new("closing", &[3]);
     world.start();
     let mut known = world.client();
-    assert_eq!(world.platform.hand_in(&mut known, &payment("before".into())).unwrap(), "+OK");
+    assert_eq!(world.platform.submit(&mut known, &payment("before".into())).unwrap(), "+OK");
     let told = stop_begun(&world);
     freeze(&world);
     let mut fresh: Vec<_> = (0..5).map(|_| world.client()).collect();
     for (number, stream) in fresh.iter_mut().enumerate() {
-        stream.write_all(&payment(format!("fresh{number}")).command()).unwrap();
+        stream.write_all(&payment(format!("fresh{number}")).encode()).unwrap();
     }
     let mut silent = world.client();
-    known.write_all(&payment("known".into()).command()).unwrap();
+    known.write_all(&payment("known".into()).encode()).unwrap();
     std::thread::sleep(Duration::from_millis(600).saturating_sub(told.elapsed()));
     thaw(&world);
     for stream in fresh.iter_mut().chain([&mut known]) {
@@ -266,7 +266,7 @@
         );
     }
     // One that connected and speaks only now is answered as well.
-    silent.write_all(&payment("late".into()).command()).unwrap();
+    silent.write_all(&payment("late".into()).encode()).unwrap();
     assert_eq!(read_line(&mut silent).unwrap(), "+OK");
     drop(silent);
     world.ended(told);
@@ -281,7 +281,7 @@
     let mut world = World::new("half", &[3]);
     world.start();
     let mut half = world.client();
-    let command = payment("half".into()).command();
+    let command = payment("half".into()).encode();
     half.write_all(&command[..command.len() - 3]).unwrap();
     let told = world.stop();
     let mut silent = world.client();
@@ -364,7 +364,7 @@
     hand_in(&world, &payment("first".into()));
     let (first, _) = question(&agent);
     let (mut second, _) = question(&agent);
-    let mut known = world.platform.known();
+    let mut known = world.platform.endpoint_list();
     known["generation"] = 7.into();
     known["reset"] = true.into();
     known["instances"][0]["lifecycle"] = "DRAINING".into();
@@ -376,29 +376,29 @@
     for number in 0..6 {
         hand_in(&world, &payment(format!("p{number}")));
     }
-    let delivered = |seen: &[(Duration, Seen)]| {
-        seen.iter().filter(|(_, seen)| matches!(seen, Seen::Delivered { .. })).count()
+    let delivered = |seen: &[(Duration, PlatformEvent)]| {
+        seen.iter().filter(|(_, seen)| matches!(seen, PlatformEvent::Delivered { .. })).count()
     };
-    assert!(world.platform.until(SOON, |seen| delivered(seen) == 7));
-    let drained = |seen: &Seen| matches!(seen, Seen::Call { id, endpoint: 0, .. } if id != "first");
-    assert!(!world.platform.seen().iter().any(|(_, seen)| drained(seen)));
+    assert!(world.platform.wait_until(SOON, |seen| delivered(seen) == 7));
+    let drained = |seen: &PlatformEvent| matches!(seen, PlatformEvent::RequestReceived { id, endpoint: 0, .. } if id != "first");
+    assert!(!world.platform.events().iter().any(|(_, seen)| drained(seen)));
 }
 
 /// A message is out at an endpoint that says nothing, and the courier is killed.
-fn killed_with_one_out(world: &mut World, put: &PutSpec) {
-    world.platform.set(0, Manner::Silent);
+fn killed_with_one_out(world: &mut World, put: &PutCommand) {
+    world.platform.set_behaviour(0, EndpointBehaviour::Silent);
     world.start();
     hand_in(world, put);
-    let called = |seen: &Seen| matches!(seen, Seen::Call { id, .. } if *id == put.id);
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| called(seen))));
+    let called =
+        |seen: &PlatformEvent| matches!(seen, PlatformEvent::RequestReceived { id, .. } if *id == put.id);
+    assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| called(seen))));
     world.kill();
-    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    world.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::ZERO));
 }
 
 fn ends_as(world: &World, id: &str, wanted: &str) {
-    let told =
-        |seen: &Seen| matches!(seen, Seen::Notice { id: of, status, .. } if of == id && status == wanted);
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "{id} {wanted}");
+    let told = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id: of, status, .. } if of == id && status == wanted);
+    assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "{id} {wanted}");
 }
 
 /// Settings whose classes changed their order between two processes, or one of them its effect: what may not be repeated
@@ -425,14 +425,14 @@
 #[test]
 fn what_is_left_untried_of_a_class_that_is_gone_is_tried() {
     let mut world = World::new("class-gone", &[3]);
-    world.platform.list(0, "DRAINING");
-    world.edit(|config| config["known"] = world.platform.known());
+    world.platform.set_lifecycle(0, "DRAINING");
+    world.edit(|config| config["known"] = world.platform.endpoint_list());
     world.start();
     hand_in(&world, &payment("left".into()));
     world.kill();
-    world.platform.list(0, "SERVING");
+    world.platform.set_lifecycle(0, "SERVING");
     world.edit(|config| {
-        config["known"] = world.platform.known();
+        config["known"] = world.platform.endpoint_list();
         config["settings"]["Lanes"].as_array_mut().unwrap().pop();
     });
     world.start();
@@ -458,10 +458,10 @@
         config["known"]["instances"][1]["lifecycle"] = "SERVING".into();
     });
     world.start();
-    let delivered = |seen: &Seen| matches!(seen, Seen::Delivered { id } if id == "again");
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| delivered(seen))));
-    let there = |seen: &Seen| matches!(seen, Seen::Call { id, endpoint: 0, .. } if id == "again");
-    let calls = world.platform.seen().iter().filter(|(_, seen)| there(seen)).count();
+    let delivered = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Delivered { id } if id == "again");
+    assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| delivered(seen))));
+    let there = |seen: &PlatformEvent| matches!(seen, PlatformEvent::RequestReceived { id, endpoint: 0, .. } if id == "again");
+    let calls = world.platform.events().iter().filter(|(_, seen)| there(seen)).count();
     assert_eq!((calls, world.calls("again")), (2, 2));
 }
 
@@ -471,9 +471,9 @@
 fn a_stop_with_a_notice_out_and_more_signals_ends_in_time_and_the_notice_is_told_by_the_next_process() {
     let mut world = World::new("notice-out", &[3]);
     let agent = silent_discovery(&world);
-    world.platform.set(0, Manner::Silent);
+    world.platform.set_behaviour(0, EndpointBehaviour::Silent);
     world.start();
-    hand_in(&world, &PutSpec { left: 700, ..payment("owed".into()) });
+    hand_in(&world, &PutCommand { time_left_ms: 700, ..payment("owed".into()) });
     // The watch and the notice come on connections of their own; neither is answered.
     let mut held = Vec::new();
     while !held.last().is_some_and(|(_, text): &(TcpStream, String)| text.contains("POST /v1/notices")) {
@@ -488,7 +488,8 @@
     world.edit(|config| config["discovery"] = world.platform.discovery[0].to_string().into());
     world.start();
     ends_as(&world, "owed", "undeliverable");
-    let notices = |seen: &Seen| matches!(seen, Seen::Notice { id, .. } if id == "owed");
-    assert_eq!(world.platform.seen().iter().filter(|(_, seen)| notices(seen)).count(), 1);
+    let notices =
+        |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id, .. } if id == "owed");
+    assert_eq!(world.platform.events().iter().filter(|(_, seen)| notices(seen)).count(), 1);
     assert_eq!(world.calls("owed"), 1);
 }
--- a/crates/cli/tests/node.rs
+++ b/crates/cli/tests/node.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use cloverstile_fakes::platform::{read_line, Manner, PutSpec, Seen};
+use cloverstile_fakes::platform::{read_line, EndpointBehaviour, PlatformEvent, PutCommand};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -35,14 +35,14 @@
     for number in 0..20 {
         let put =
             if number % 2 == 0 { notice(format!("n{number}"), 7) } else { payment(format!("p{number}")) };
-        assert_eq!(world.platform.hand_in(&mut client, &put).unwrap(), "+OK");
+        assert_eq!(world.platform.submit(&mut client, &put).unwrap(), "+OK");
     }
     // Two commands at once are answered in order.
-    client.write_all(&[b"*1\r\n$4\r\nPING\r\n".to_vec(), payment("late".into()).command()].concat()).unwrap();
+    client.write_all(&[b"*1\r\n$4\r\nPING\r\n".to_vec(), payment("late".into()).encode()].concat()).unwrap();
     assert_eq!([read_line(&mut client).unwrap(), read_line(&mut client).unwrap()], ["+PONG", "+OK"]);
     assert_eq!(world.broken_in_the_end(), [""; 0]);
-    for (_, seen) in world.platform.seen() {
-        if let Seen::Call { id, idempotency, endpoint, body } = seen {
+    for (_, seen) in world.platform.events() {
+        if let PlatformEvent::RequestReceived { id, idempotency, endpoint, body } = seen {
             assert_eq!(body, notice(id.clone(), 0).body);
             assert_eq!(idempotency, id.starts_with('n').then(|| format!("k-{id}")));
             assert_ne!(endpoint, 2, "that one is of another destination");
@@ -62,27 +62,28 @@
 fn killed_under_load_it_loses_nothing_and_repeats_nothing_that_may_not_be() {
     let mut world = World::new("killed", &[3, 3]);
     world.start();
-    (0..2).for_each(|endpoint| world.platform.set(endpoint, Manner::Silent));
+    (0..2).for_each(|endpoint| world.platform.set_behaviour(endpoint, EndpointBehaviour::Silent));
     for round in 0..3 {
         let mut client = world.client();
         for number in 0..40 {
             let id = format!("{round}-{number}");
             let put = if number % 2 == 0 { notice(id, number % 3 + 1) } else { payment(id) };
-            let _ = world.platform.hand_in(&mut client, &put);
+            let _ = world.platform.submit(&mut client, &put);
         }
         // Payments must be out when it is killed, or nothing is tested.
-        let payment =
-            |seen: &Seen| matches!(seen, Seen::Call { id, .. } if id.ends_with(['1', '3', '5', '7', '9']));
-        assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| payment(seen))));
+        let payment = |seen: &PlatformEvent| matches!(seen, PlatformEvent::RequestReceived { id, .. } if id.ends_with(['1', '3', '5', '7', '9']));
+        assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| payment(seen))));
         world.kill();
         if round == 2 {
-            (0..2).for_each(|endpoint| world.platform.set(endpoint, Manner::Deliver(Duration::ZERO)));
+            (0..2).for_each(|endpoint| {
+                world.platform.set_behaviour(endpoint, EndpointBehaviour::Deliver(Duration::ZERO))
+            });
         }
         world.start();
     }
     assert_eq!(world.broken_in_the_end(), [""; 0]);
-    let (_, again) = world.platform.seen().iter().fold((0, 0), |(calls, again), (_, seen)| match seen {
-        Seen::Call { id, .. } if world.calls(id) > 1 => (calls + 1, again + 1),
+    let (_, again) = world.platform.events().iter().fold((0, 0), |(calls, again), (_, seen)| match seen {
+        PlatformEvent::RequestReceived { id, .. } if world.calls(id) > 1 => (calls + 1, again + 1),
         _ => (calls, again),
     });
     assert!(again > 0, "no keyed message met a restart: nothing was tested");
@@ -92,12 +93,12 @@
 fn told_to_stop_it_ends_by_itself_and_the_next_process_goes_on() {
     let mut world = World::new("stopped", &[3]);
     world.start();
-    world.platform.set(0, Manner::Deliver(Duration::from_millis(150)));
+    world.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(150)));
     let mut client = world.client();
     for number in 0..60 {
         let put =
             if number % 2 == 0 { notice(format!("n{number}"), 0) } else { payment(format!("p{number}")) };
-        assert_eq!(world.platform.hand_in(&mut client, &put).unwrap(), "+OK");
+        assert_eq!(world.platform.submit(&mut client, &put).unwrap(), "+OK");
     }
     let mut courier = world.courier.take().unwrap();
     let told = Instant::now();
@@ -105,12 +106,11 @@
     assert!(TcpStream::connect(world.listen).is_ok(), "new connections keep coming for a moment");
     assert!(courier.wait().unwrap().success());
     assert!(told.elapsed() < Duration::from_millis(3700), "{:?}: it would have been killed", told.elapsed());
-    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    world.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::ZERO));
     world.start();
     assert_eq!(world.broken_in_the_end(), [""; 0]);
-    let undeliverable =
-        |seen: &Seen| matches!(seen, Seen::Notice { status, .. } if status == "undeliverable");
-    let lost = world.platform.seen().iter().filter(|(_, seen)| undeliverable(seen)).count();
+    let undeliverable = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { status, .. } if status == "undeliverable");
+    let lost = world.platform.events().iter().filter(|(_, seen)| undeliverable(seen)).count();
     assert_eq!(lost, 0, "calls out had time to end");
 }
 
@@ -118,22 +118,24 @@
 fn a_hangup_moves_list_and_notices_to_the_new_address_and_a_bad_file_changes_nothing() {
     let mut world = World::new("moved", &[3, 4]);
     world.start();
-    let asked = |seen: &Seen, at: usize| matches!(seen, Seen::Asked { address } if *address == at);
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| asked(seen, 0))));
+    let asked = |seen: &PlatformEvent, at: usize| matches!(seen, PlatformEvent::DiscoveryRequested { address } if *address == at);
+    assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| asked(seen, 0))));
     fs::write(world.config(), "{ not json").unwrap();
     signal(world.courier.as_ref().unwrap(), "-HUP");
     let mut client = world.client();
-    assert_eq!(world.platform.hand_in(&mut client, &payment("p1".into())).unwrap(), "+OK");
+    assert_eq!(world.platform.submit(&mut client, &payment("p1".into())).unwrap(), "+OK");
     world.configure(1);
     signal(world.courier.as_ref().unwrap(), "-HUP");
-    assert!(world.platform.until(Duration::from_secs(4), |seen| seen.iter().any(|(_, seen)| asked(seen, 1))));
+    assert!(world
+        .platform
+        .wait_until(Duration::from_secs(4), |seen| seen.iter().any(|(_, seen)| asked(seen, 1))));
     // From here on what it does shows that it heard of the change at the new address.
-    world.platform.list(1, "DRAINING");
-    world.platform.set(0, Manner::Break);
-    assert_eq!(world.platform.hand_in(&mut client, &payment("p2".into())).unwrap(), "+OK");
+    world.platform.set_lifecycle(1, "DRAINING");
+    world.platform.set_behaviour(0, EndpointBehaviour::Disconnect);
+    assert_eq!(world.platform.submit(&mut client, &payment("p2".into())).unwrap(), "+OK");
     assert_eq!(world.broken_in_the_end(), [""; 0]);
-    let told = |seen: &Seen| matches!(seen, Seen::Notice { id, address: 1, status } if id == "p2" && status == "undeliverable");
-    assert!(world.platform.seen().iter().any(|(_, seen)| told(seen)));
+    let told = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id, address: 1, status } if id == "p2" && status == "undeliverable");
+    assert!(world.platform.events().iter().any(|(_, seen)| told(seen)));
 }
 
 #[test]
@@ -153,13 +155,12 @@
             "",
         ),
     ] {
-        world.platform.set(0, Manner::Say(answer.into_bytes()));
-        assert_eq!(world.platform.hand_in(&mut client, &payment(name.into())).unwrap(), "+OK");
+        world.platform.set_behaviour(0, EndpointBehaviour::Respond(answer.into_bytes()));
+        assert_eq!(world.platform.submit(&mut client, &payment(name.into())).unwrap(), "+OK");
         assert_eq!(world.broken_in_the_end(), [""; 0]);
         assert_eq!(world.calls(name), calls, "{name}");
-        let told =
-            |seen: &Seen| matches!(seen, Seen::Notice { id, status, .. } if id == name && status == ends);
-        let noticed = || world.platform.seen().iter().any(|(_, seen)| told(seen));
+        let told = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id, status, .. } if id == name && status == ends);
+        let noticed = || world.platform.events().iter().any(|(_, seen)| told(seen));
         assert_eq!(noticed(), !ends.is_empty(), "{name}");
     }
 }
@@ -198,12 +199,12 @@
     });
     world.start();
     let mut client = world.client();
-    assert_eq!(world.platform.hand_in(&mut client, &notice("late".into(), 7)).unwrap(), "+OK");
+    assert_eq!(world.platform.submit(&mut client, &notice("late".into(), 7)).unwrap(), "+OK");
 
     let (text, late) = slow.late_repeat("Req-Id: late", Duration::from_millis(1600));
     assert_eq!(text, "", "sent {late:?} after the first call");
-    let told = |seen: &Seen| matches!(seen, Seen::Notice { id, .. } if id == "late");
-    assert!(world.platform.until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "no notice");
+    let told = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id, .. } if id == "late");
+    assert!(world.platform.wait_until(SOON, |seen| seen.iter().any(|(_, seen)| told(seen))), "no notice");
 }
 
 /// The users play their fleet days with a library of theirs inside the process, which refuses further programs and
@@ -211,12 +212,12 @@
 #[test]
 fn under_load_it_stays_one_process_with_sockets_of_ipv4_alone() {
     let mut world = World::new("alone", &[3]);
-    world.platform.set(0, Manner::Deliver(Duration::from_millis(30)));
+    world.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(30)));
     world.start();
     let id = world.courier.as_ref().unwrap().id();
     let mut client = world.client();
     for number in 0..60 {
-        assert_eq!(world.platform.hand_in(&mut client, &payment(format!("p{number}"))).unwrap(), "+OK");
+        assert_eq!(world.platform.submit(&mut client, &payment(format!("p{number}"))).unwrap(), "+OK");
     }
     let about = PathBuf::from(format!("/proc/{id}"));
     let mut open = 0;
@@ -281,7 +282,7 @@
 #[test]
 fn a_folder_that_can_t_be_written_means_busy_and_not_the_end() {
     let mut world = World::new("folder", &[3]);
-    world.platform.set(0, Manner::Silent);
+    world.platform.set_behaviour(0, EndpointBehaviour::Silent);
     // No file may grow beyond 20 KiB: writes fail part of the way, as on a full disk.
     let mut command = Command::new("sh");
     command.args(["-c", &format!("ulimit -f 40; trap '' XFSZ; exec {PROGRAM} node")]);
@@ -289,13 +290,13 @@
     world.start_as(&mut command);
     let mut client = world.client();
     let mut hand_in = |number: usize| {
-        let put = PutSpec { body: vec![7; 2000], ..notice(format!("m{number}"), 0) };
-        world.platform.hand_in(&mut client, &put).unwrap()
+        let put = PutCommand { body: vec![7; 2000], ..notice(format!("m{number}"), 0) };
+        world.platform.submit(&mut client, &put).unwrap()
     };
     let refused = (0..100).find(|number| hand_in(*number) != "+OK").expect("a refusal");
     assert!((3..20).contains(&refused), "{refused} of 2 KB in 20 KiB");
     assert!(hand_in(refused).starts_with("-BUSY"));
-    world.platform.set(0, Manner::Deliver(Duration::ZERO));
+    world.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::ZERO));
     let end = Instant::now() + SOON;
     while hand_in(refused) != "+OK" {
         assert!(Instant::now() < end, "it never took a message again");
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -2,8 +2,8 @@
 
 use cloverstile_as2::NewKey;
 use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Rig, Spec};
-use cloverstile_fakes::model::{Fault, Nature};
-use cloverstile_fakes::partner::Order;
+use cloverstile_fakes::model::{Fault, ServerProfile};
+use cloverstile_fakes::partner::PartnerCommand;
 use cloverstile_fakes::record::Recorder;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -36,7 +36,7 @@
     let partner = PartnerSpec {
         name: "bank".into(),
         kind: "any".into(),
-        nature: Nature::default(),
+        nature: ServerProfile::default(),
         zones: vec![0],
         key: NewKey::P256,
         deferred: false,
@@ -206,9 +206,13 @@
     // The courier's answer must be the courier's: another certificate is none that counts.
     let other = world.folder.join("client-0.crt").display().to_string();
     assert_eq!(world.code(&["--to-certificate", &other]), 13);
-    let silent =
-        Order::Fault { partner: 0, fault: Fault::Silent, zone: None, lasts: Duration::from_secs(60) };
-    world.rig.partners.order(silent);
+    let silent = PartnerCommand::Fault {
+        partner: 0,
+        fault: Fault::Silent,
+        zone: None,
+        duration: Duration::from_secs(60),
+    };
+    world.rig.partners.send(silent);
     assert_eq!(world.code(&["--id", "two@client-0"]), 11);
 }
 
--- a/crates/cli/tests/stored_data.rs
+++ b/crates/cli/tests/stored_data.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use cloverstile_fakes::platform::Seen;
+use cloverstile_fakes::platform::PlatformEvent;
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
@@ -19,19 +19,21 @@
         fs::copy(entry.path(), world.folder.join("state").join(entry.file_name())).unwrap();
     }
     world.start();
-    let describe = |seen: &Seen| match seen {
-        Seen::Call { id, idempotency, body, .. } => {
+    let describe = |seen: &PlatformEvent| match seen {
+        PlatformEvent::RequestReceived { id, idempotency, body, .. } => {
             let key = idempotency.as_deref().unwrap_or("-");
             Some(format!("{id} sent key={key} body={}", String::from_utf8_lossy(body)))
         }
-        Seen::Notice { id, status, .. } => Some(format!("{id} {status}")),
+        PlatformEvent::Notification { id, status, .. } => Some(format!("{id} {status}")),
         _ => None,
     };
-    world.platform.until(SOON, |seen| seen.iter().filter_map(|(_, seen)| describe(seen)).count() >= count);
+    world
+        .platform
+        .wait_until(SOON, |seen| seen.iter().filter_map(|(_, seen)| describe(seen)).count() >= count);
     // A clean stop: whatever else would be sent or reported has been by its end.
     let told = world.stop();
     world.ended(told);
-    let all: Vec<String> = world.platform.seen().iter().filter_map(|(_, seen)| describe(seen)).collect();
+    let all: Vec<String> = world.platform.events().iter().filter_map(|(_, seen)| describe(seen)).collect();
     let distinct: BTreeSet<String> = all.iter().cloned().collect();
     assert_eq!(distinct.len(), all.len(), "something came twice: {all:?}");
     distinct
--- a/crates/cli/tests/world/mod.rs
+++ b/crates/cli/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! The real program with stand-ins around it: platform, clients, and endpoints that act at an exact step.
 #![allow(dead_code)]
 
-use cloverstile_fakes::platform::{judge, read_line, Platform, PutSpec, Seen};
+use cloverstile_fakes::platform::{check_invariants, read_line, Platform, PlatformEvent, PutCommand};
 use std::fs;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -60,7 +60,7 @@
         let text = serde_json::json!({
             "name": "n0", "listen": self.listen.to_string(), "discovery": self.platform.discovery[discovery].to_string(),
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1},
-            "known": self.platform.known(),
+            "known": self.platform.endpoint_list(),
             "settings": {"Balancers": 1, "ClientHabits": {"MarksRetry": false}, "Discovery": "push", "Locality": 0,
                 "FamilyInfo": {"CallsOut": 16, "KindBatch": [1], "OwnLimits": [false], "Decay": "line"},
                 "Lanes": [lane("notice", "idempotency_key", true), lane("payment", "non_idempotent", false)],
@@ -120,24 +120,26 @@
 
     /// Waits until the judge finds every message over, and then what else it finds.
     pub fn broken_in_the_end(&self) -> Vec<String> {
-        self.platform.until(SOON, |seen| !judge(seen).iter().any(|broken| broken.ends_with("is lost")));
-        judge(&self.platform.seen())
+        self.platform.wait_until(SOON, |seen| {
+            !check_invariants(seen).iter().any(|broken| broken.ends_with("is lost"))
+        });
+        check_invariants(&self.platform.events())
     }
 
     pub fn calls(&self, id: &str) -> usize {
-        let of = |seen: &Seen| matches!(seen, Seen::Call { id: other, .. } if other == id);
-        self.platform.seen().iter().filter(|(_, seen)| of(seen)).count()
+        let of = |seen: &PlatformEvent| matches!(seen, PlatformEvent::RequestReceived { id: other, .. } if other == id);
+        self.platform.events().iter().filter(|(_, seen)| of(seen)).count()
     }
 }
 
-pub fn notice(id: String, key: u64) -> PutSpec {
+pub fn notice(id: String, key: u64) -> PutCommand {
     let body = [b"slip \r\n\x00\xff ".as_slice(), id.as_bytes()].concat();
     let idempotency = Some(format!("k-{id}"));
-    PutSpec { id, key, class: "notice".into(), left: 9000, destination: 3, idempotency, body }
+    PutCommand { id, key, class: "notice".into(), time_left_ms: 9000, destination: 3, idempotency, body }
 }
 
-pub fn payment(id: String) -> PutSpec {
-    PutSpec { key: 0, class: "payment".into(), idempotency: None, ..notice(id, 0) }
+pub fn payment(id: String) -> PutCommand {
+    PutCommand { key: 0, class: "payment".into(), idempotency: None, ..notice(id, 0) }
 }
 
 impl World {
--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -2,7 +2,7 @@
 //! again where that is safe.
 
 use crate::partner::is_success;
-use crate::record::{micros, Recorder, Seen, Told};
+use crate::record::{micros, ObservedEvent, Recorder, ReportedOutcome};
 use cloverstile_as2::{
     compose, read_receipt, Addressee, Certificate, Composed, Digest, Identity, Outcome, Outgoing, Part,
     ReceiptRequest, Security,
@@ -17,7 +17,7 @@
 
 /// A message to be handed in.
 #[derive(Clone, Debug)]
-pub struct Planned {
+pub struct PlannedMessage {
     /// When, from the start of the run.
     pub at: Duration,
     /// Message-ID.
@@ -33,39 +33,39 @@
     /// What is carried.
     pub body: Vec<u8>,
     /// The client drops its connection right after the first hand-in, and hands in again.
-    pub drops: bool,
+    pub disconnects_after_submission: bool,
 }
 
 /// How a client behaves.
 #[derive(Clone, Debug)]
-pub struct Habits {
+pub struct ClientBehaviour {
     /// Protection of its messages.
     pub security: Security,
     /// Receipts come on connections of their own.
-    pub deferred: bool,
+    pub deferred_receipts: bool,
     /// How often a message is handed in again after a refusal.
-    pub again: u32,
+    pub max_resubmissions: u32,
     /// ... and after how long, where no time is told.
-    pub pause: Duration,
+    pub retry_delay: Duration,
     /// How long after its deadline a client waits for an answer.
-    pub patience: Duration,
+    pub answer_timeout: Duration,
 }
 
-impl Default for Habits {
+impl Default for ClientBehaviour {
     fn default() -> Self {
         let receipt = Some(ReceiptRequest { deliver_to: None, signed: vec![Digest::Sha256] });
-        Habits {
+        ClientBehaviour {
             security: Security { encrypt: None, receipt, ..Security::default() },
-            deferred: false,
-            again: 1,
-            pause: Duration::from_millis(300),
-            patience: Duration::from_secs(3),
+            deferred_receipts: false,
+            max_resubmissions: 1,
+            retry_delay: Duration::from_millis(300),
+            answer_timeout: Duration::from_secs(3),
         }
     }
 }
 
 /// Where the couriers are, and who they are; shared with whoever starts and kills them.
-pub struct Couriers {
+pub struct GatewaySet {
     /// Addresses of their fronts.
     pub addresses: Vec<SocketAddr>,
     /// AS2 names.
@@ -80,13 +80,13 @@
 #[derive(Default)]
 pub struct Progress {
     /// Messages with their last answer.
-    pub done: AtomicUsize,
+    pub completed: AtomicUsize,
     /// End the run now.
     pub stop: AtomicBool,
 }
 
 struct Job {
-    planned: Planned,
+    planned: PlannedMessage,
     composed: Option<Composed>,
     courier: Option<usize>,
     deadline: Option<Duration>,
@@ -109,8 +109,8 @@
 /// One client.
 pub struct Client<'a> {
     identity: &'a Identity,
-    habits: Habits,
-    couriers: &'a Couriers,
+    habits: ClientBehaviour,
+    couriers: &'a GatewaySet,
     recorder: Recorder,
     progress: &'a Progress,
     net: Net,
@@ -128,9 +128,9 @@
     /// Messages of a key that wait until the one before was taken.
     lines: HashMap<String, VecDeque<usize>>,
     left: usize,
-    /// Couriers that just took no connection or no work, and until when they are passed over.
+    /// Gateways that just took no connection or no work, and until when they are passed over.
     shunned: HashMap<usize, Duration>,
-    /// Couriers that ran when last looked at.
+    /// Gateways that ran when last looked at.
     ran: Vec<bool>,
 }
 
@@ -138,14 +138,14 @@
     /// A client with its plan.
     pub fn new(
         identity: &'a Identity,
-        habits: Habits,
-        couriers: &'a Couriers,
-        plan: Vec<Planned>,
+        habits: ClientBehaviour,
+        couriers: &'a GatewaySet,
+        plan: Vec<PlannedMessage>,
         recorder: Recorder,
         progress: &'a Progress,
     ) -> io::Result<Self> {
         let mut net = Net::new()?;
-        let receipts_at = match habits.deferred {
+        let receipts_at = match habits.deferred_receipts {
             true => Some(net.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?.1),
             false => None,
         };
@@ -227,9 +227,12 @@
                     .filter(|place| waits(&self.jobs[*place]) && !on_wire.contains(place))
                     .collect();
                 for place in lost {
-                    self.recorder.note(Seen::Lost { id: self.jobs[place].planned.id.clone(), courier });
+                    self.recorder.record(ObservedEvent::ConnectionLost {
+                        id: self.jobs[place].planned.id.clone(),
+                        gateway: courier,
+                    });
                     self.jobs[place].after_loss = true;
-                    self.due.insert((self.recorder.now() + self.habits.pause, place), ());
+                    self.due.insert((self.recorder.now() + self.habits.retry_delay, place), ());
                 }
             }
         }
@@ -270,7 +273,7 @@
     fn finish(&mut self, place: usize) {
         if !std::mem::replace(&mut self.jobs[place].done, true) {
             self.left -= 1;
-            self.progress.done.fetch_add(1, Ordering::Relaxed);
+            self.progress.completed.fetch_add(1, Ordering::Relaxed);
         }
         self.taken(place);
     }
@@ -319,7 +322,7 @@
             return self.finish(place);
         }
         if job.handed_in == 0 {
-            self.patience.insert((deadline + self.habits.patience, place), ());
+            self.patience.insert((deadline + self.habits.answer_timeout, place), ());
         }
         job.handed_in += 1;
         if job.composed.is_none() {
@@ -354,16 +357,16 @@
             headers.add("Cloverstile-Handed-In", "again");
         }
         let bytes = request("POST", "/as2", &headers, &composed.body);
-        self.recorder.note(Seen::HandIn {
+        self.recorder.record(ObservedEvent::Submitted {
             id: job.planned.id.clone(),
-            courier,
+            gateway: courier,
             class: job.planned.class.clone(),
             partner: job.planned.partner.clone(),
             key: job.planned.key.clone(),
             deadline: micros(deadline),
             after_loss: job.after_loss,
         });
-        let drops = job.planned.drops && job.handed_in == 1;
+        let drops = job.planned.disconnects_after_submission && job.handed_in == 1;
         let conn = self.connection(courier);
         if let Some(known) = self.conns.get_mut(&conn) {
             known.job = Some(place);
@@ -432,7 +435,7 @@
         let Some(known) = self.conns.get(&conn) else { return };
         let Some(place) = known.job else { return };
         let job = &self.jobs[place];
-        if job.planned.drops && job.handed_in == 1 {
+        if job.planned.disconnects_after_submission && job.handed_in == 1 {
             self.net.close(conn);
             self.conns.remove(&conn);
         }
@@ -447,7 +450,10 @@
             return;
         }
         let courier = known.courier;
-        self.recorder.note(Seen::Lost { id: self.jobs[place].planned.id.clone(), courier });
+        self.recorder.record(ObservedEvent::ConnectionLost {
+            id: self.jobs[place].planned.id.clone(),
+            gateway: courier,
+        });
         let running = self.couriers.running[courier].load(Ordering::Relaxed);
         if !sent {
             self.shunned.insert(courier, self.recorder.now() + Duration::from_millis(500));
@@ -475,7 +481,7 @@
         let told_answer = message.headers.get("cloverstile-answer").is_some();
         if self.receipts_at.is_some() && is_success(message) && !told_answer {
             let id = self.jobs[place].planned.id.clone();
-            self.recorder.note(Seen::Taken { id, courier });
+            self.recorder.record(ObservedEvent::Accepted { id, gateway: courier });
             self.jobs[place].sent = true;
             return self.taken(place);
         }
@@ -483,7 +489,7 @@
         self.answered(place, courier, told, message);
     }
 
-    fn read_answer(&self, place: usize, courier: usize, message: &Message) -> Told {
+    fn read_answer(&self, place: usize, courier: usize, message: &Message) -> ReportedOutcome {
         let status = match message.start {
             Start::Response { status } => status,
             Start::Request { .. } => 200,
@@ -493,37 +499,43 @@
             || !message.headers.get("content-type").is_some_and(|t| t.contains("multipart"))
         {
             return match (status, word) {
-                (503, _) => Told::NotTaken,
-                _ => Told::Unclear,
+                (503, _) => ReportedOutcome::NotAccepted,
+                _ => ReportedOutcome::Unclear,
             };
         }
         let job = &self.jobs[place];
-        let Some(composed) = &job.composed else { return Told::Unclear };
+        let Some(composed) = &job.composed else { return ReportedOutcome::Unclear };
         let receipt = read_receipt(&message.headers, &message.body, &self.couriers.certificates[courier]);
         let checked = receipt.and_then(|receipt| {
             receipt.check(&job.planned.id, &composed.mic, true)?;
             Ok(receipt.answer)
         });
         match checked {
-            Ok(Some(Outcome::Delivered)) => Told::Delivered,
-            Ok(Some(Outcome::Refused)) => Told::Refused,
-            Ok(Some(Outcome::Failed)) => Told::Failed,
-            Ok(None) | Err(_) => Told::Unclear,
+            Ok(Some(Outcome::Delivered)) => ReportedOutcome::Delivered,
+            Ok(Some(Outcome::Refused)) => ReportedOutcome::Rejected,
+            Ok(Some(Outcome::Failed)) => ReportedOutcome::Failed,
+            Ok(None) | Err(_) => ReportedOutcome::Unclear,
         }
     }
 
-    fn answered(&mut self, place: usize, courier: usize, told: Told, message: &Message) {
+    fn answered(&mut self, place: usize, courier: usize, told: ReportedOutcome, message: &Message) {
         let now = self.recorder.now();
-        self.recorder.note(Seen::Answer { id: self.jobs[place].planned.id.clone(), courier, told });
+        self.recorder.record(ObservedEvent::Answered {
+            id: self.jobs[place].planned.id.clone(),
+            gateway: courier,
+            outcome: told,
+        });
         let seconds = message.headers.get("retry-after").and_then(|text| text.parse().ok());
-        let wait = seconds.map_or(self.habits.pause, Duration::from_secs);
+        let wait = seconds.map_or(self.habits.retry_delay, Duration::from_secs);
         let job = &mut self.jobs[place];
         match told {
-            Told::NotTaken => {
+            ReportedOutcome::NotAccepted => {
                 self.shunned.insert(courier, now + Duration::from_millis(500));
-                self.due.insert((now + self.habits.pause, place), ());
+                self.due.insert((now + self.habits.retry_delay, place), ());
             }
-            Told::Refused if job.refused < self.habits.again && job.planned.key.is_none() => {
+            ReportedOutcome::Rejected
+                if job.refused < self.habits.max_resubmissions && job.planned.key.is_none() =>
+            {
                 job.refused += 1;
                 self.due.insert((now + wait, place), ());
             }
@@ -561,7 +573,11 @@
         if self.jobs[place].done {
             // An answer that comes again is written down too: it may say something else.
             let told = self.read_answer(place, courier, message);
-            self.recorder.note(Seen::Answer { id: receipt.original_id, courier, told });
+            self.recorder.record(ObservedEvent::Answered {
+                id: receipt.original_id,
+                gateway: courier,
+                outcome: told,
+            });
             return;
         }
         let told = self.read_answer(place, courier, message);
--- a/crates/fakes/src/partner.rs
+++ b/crates/fakes/src/partner.rs
@@ -1,7 +1,7 @@
 //! Partners on sockets: AS2 receivers that behave as their [`model`](crate::model) says.
 
-use crate::model::{Fault, Nature, Partner, Reply};
-use crate::record::{End, Recorder, Seen};
+use crate::model::{Fault, PartnerModel, Reply, ServerProfile};
+use crate::record::{ObservedEvent, Recorder, RequestEnd};
 use cloverstile_as2::{
     compose_receipt, open, Certificate, Composed, Digest, Disposition, Envelope, Identity, ReceiptFacts,
 };
@@ -18,34 +18,34 @@
 use std::time::Duration;
 
 /// A partner to be stood in for.
-pub struct Plan {
+pub struct FakePartner {
     /// Name in the records and in the couriers' settings.
     pub name: String,
     /// Its station.
     pub identity: Arc<Identity>,
     /// What it is like.
-    pub nature: Nature,
+    pub profile: ServerProfile,
     /// Endpoints to listen on.
     pub endpoints: usize,
     /// Which endpoints drop repeats of one another: one group number each.
-    pub groups: Vec<usize>,
+    pub deduplication_groups: Vec<usize>,
 }
 
 /// Something wrong with a receipt, on purpose.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Twist {
+pub enum ResponseFault {
     /// Its integrity check is another's.
     WrongMic,
     /// It is signed by another station.
     WrongSigner,
     /// It comes twice.
-    Twice,
+    Duplicate,
     /// It comes so many milliseconds late.
-    Late(u64),
+    Delay(u64),
 }
 
-/// Told to a running thread of partners.
-pub enum Order {
+/// A command to the running thread of partners.
+pub enum PartnerCommand {
     /// A fault begins and ends by itself.
     Fault {
         /// Place of the partner.
@@ -55,14 +55,14 @@
         /// Group of endpoints that is struck; all of them where there is none.
         zone: Option<usize>,
         /// For how long.
-        lasts: Duration,
+        duration: Duration,
     },
     /// All receipts of a partner are twisted from now on.
-    Twist {
+    SetResponseFault {
         /// Place of the partner.
         partner: usize,
         /// How; none: no longer.
-        twist: Option<Twist>,
+        fault: Option<ResponseFault>,
     },
     /// Ends the thread.
     Stop,
@@ -72,7 +72,7 @@
 pub struct Partners {
     /// Addresses, by partner and endpoint.
     pub addresses: Vec<Vec<SocketAddr>>,
-    orders: Sender<Order>,
+    orders: Sender<PartnerCommand>,
     waker: Waker,
     thread: Option<JoinHandle<()>>,
 }
@@ -80,7 +80,7 @@
 impl Partners {
     /// Starts partners on loopback addresses of their own. `couriers` are the stations that may send, by AS2 name.
     pub fn start(
-        plans: Vec<Plan>,
+        plans: Vec<FakePartner>,
         couriers: HashMap<String, Certificate>,
         recorder: Recorder,
         seed: u64,
@@ -104,7 +104,7 @@
     }
 
     /// Tells the thread something.
-    pub fn order(&self, order: Order) {
+    pub fn send(&self, order: PartnerCommand) {
         if self.orders.send(order).is_ok() {
             self.waker.wake();
         }
@@ -113,7 +113,7 @@
 
 impl Drop for Partners {
     fn drop(&mut self) {
-        self.order(Order::Stop);
+        self.send(PartnerCommand::Stop);
         if let Some(thread) = self.thread.take() {
             // A panic of the thread has been printed; there is nothing to add.
             let _ = thread.join();
@@ -122,11 +122,11 @@
 }
 
 struct Served {
-    plan: Plan,
+    plan: FakePartner,
     /// One for each group of endpoints.
-    model: Vec<Partner>,
+    model: Vec<PartnerModel>,
     listeners: Vec<(Option<ListenerId>, SocketAddr)>,
-    twist: Option<Twist>,
+    twist: Option<ResponseFault>,
     fault_ends: Option<Duration>,
     /// The group that the fault strikes; all of them where there is none.
     struck: Option<usize>,
@@ -168,7 +168,7 @@
 
 impl Shell {
     fn new(
-        plans: Vec<Plan>,
+        plans: Vec<FakePartner>,
         couriers: HashMap<String, Certificate>,
         recorder: Recorder,
         seed: u64,
@@ -194,11 +194,11 @@
                 listeners.push((Some(listener), address));
             }
             addresses.push(listeners.iter().map(|(_, address)| *address).collect());
-            let groups = plan.groups.iter().max().map_or(1, |most| most + 1);
+            let groups = plan.deduplication_groups.iter().max().map_or(1, |most| most + 1);
             let model = (0..groups)
                 .map(|group| {
                     let seed = seed ^ ((place as u64) << 8) ^ group as u64;
-                    Partner::new(plan.nature.clone(), ChaCha8Rng::seed_from_u64(seed))
+                    PartnerModel::new(plan.profile.clone(), ChaCha8Rng::seed_from_u64(seed))
                 })
                 .collect();
             shell.partners.push(Served {
@@ -213,7 +213,7 @@
         Ok((shell, addresses))
     }
 
-    fn run(&mut self, inbox: &Receiver<Order>) {
+    fn run(&mut self, inbox: &Receiver<PartnerCommand>) {
         loop {
             let now = self.recorder.now();
             let next = [
@@ -228,9 +228,13 @@
             }
             while let Ok(order) = inbox.try_recv() {
                 match order {
-                    Order::Fault { partner, fault, zone, lasts } => self.begin(partner, fault, zone, lasts),
-                    Order::Twist { partner, twist } => self.partners[partner].twist = twist,
-                    Order::Stop => return,
+                    PartnerCommand::Fault { partner, fault, zone, duration: lasts } => {
+                        self.begin(partner, fault, zone, lasts)
+                    }
+                    PartnerCommand::SetResponseFault { partner, fault } => {
+                        self.partners[partner].twist = fault
+                    }
+                    PartnerCommand::Stop => return,
                 }
             }
             let now = self.recorder.now();
@@ -260,15 +264,15 @@
             self.note_outage(partner, true);
         }
         let served = &mut self.partners[partner];
-        let groups = served.plan.groups.clone();
+        let groups = served.plan.deduplication_groups.clone();
         let hit = |endpoint: usize| zone.is_none_or(|zone| groups.get(endpoint) == Some(&zone));
         served.fault_ends = Some(until);
         for (group, model) in served.model.iter_mut().enumerate() {
             if zone.is_none_or(|zone| zone == group) {
-                model.begin(fault, until);
+                model.begin_fault(fault, until);
             }
         }
-        if fault == Fault::Refuse {
+        if fault == Fault::RefuseConnections {
             for (endpoint, (listener, _)) in served.listeners.iter_mut().enumerate() {
                 if !hit(endpoint) {
                     continue;
@@ -278,7 +282,7 @@
                 }
             }
         }
-        if matches!(fault, Fault::Refuse | Fault::Reset) {
+        if matches!(fault, Fault::RefuseConnections | Fault::ResetConnections) {
             let conns: Vec<ConnId> = self
                 .conns
                 .iter()
@@ -295,9 +299,9 @@
         let now = self.recorder.now();
         let served = &mut self.partners[partner];
         served.fault_ends = None;
-        let outage = served.model.iter().filter_map(Partner::fault).any(Fault::is_outage);
+        let outage = served.model.iter().filter_map(PartnerModel::fault).any(Fault::is_outage);
         for model in &mut served.model {
-            model.end(now);
+            model.end_fault(now);
         }
         for endpoint in 0..served.listeners.len() {
             let (listener, address) = self.partners[partner].listeners[endpoint];
@@ -315,14 +319,14 @@
 
     fn note_outage(&self, partner: usize, began: bool) {
         let (zone, partner) = (self.partners[partner].struck, self.partners[partner].plan.name.clone());
-        self.recorder.note(Seen::Outage { partner, zone, began });
+        self.recorder.record(ObservedEvent::Outage { partner, zone, began });
     }
 
     /// Breaks a connection; the call on it is over for the courier.
     fn drop_conn(&mut self, conn: ConnId, reset: bool) {
         if let Some(known) = self.conns.remove(&conn) {
             if let Some(call) = known.call {
-                self.recorder.note(Seen::End { call, how: End::Broken });
+                self.recorder.record(ObservedEvent::RequestEnded { request: call, end: RequestEnd::Broken });
             }
         }
         match reset {
@@ -355,7 +359,8 @@
             NetEvent::Closed { conn, .. } => {
                 self.outbound.remove(&conn);
                 if let Some(Conn { call: Some(call), .. }) = self.conns.remove(&conn) {
-                    self.recorder.note(Seen::End { call, how: End::Left });
+                    self.recorder
+                        .record(ObservedEvent::RequestEnded { request: call, end: RequestEnd::ClientClosed });
                 }
             }
             NetEvent::Connected(conn) => {
@@ -384,28 +389,29 @@
         known.call = Some(call);
         let served = &mut self.partners[partner];
         let id = envelope.message_id.clone();
-        self.recorder.note(Seen::Request {
+        self.recorder.record(ObservedEvent::RequestReceived {
             id: id.clone(),
-            courier: envelope.from.clone(),
+            gateway: envelope.from.clone(),
             partner: served.plan.name.clone(),
             endpoint,
-            call,
+            request: call,
         });
-        if let (Some(Fault::Reap(after)), Some(used)) =
-            (served.model[served.plan.groups.get(endpoint).copied().unwrap_or(0)].fault(), known.used)
-        {
+        if let (Some(Fault::DropIdle(after)), Some(used)) = (
+            served.model[served.plan.deduplication_groups.get(endpoint).copied().unwrap_or(0)].fault(),
+            known.used,
+        ) {
             if now.saturating_sub(used) > after {
                 return self.drop_conn(conn, true);
             }
         }
-        let group = served.plan.groups.get(endpoint).copied().unwrap_or(0);
-        let fell = served.model.iter().any(Partner::is_fallen);
-        let verdict = served.model[group].request(now, &id);
-        if !fell && served.model[group].is_fallen() {
-            self.recorder.note(Seen::Fell { partner: served.plan.name.clone() });
+        let group = served.plan.deduplication_groups.get(endpoint).copied().unwrap_or(0);
+        let fell = served.model.iter().any(PartnerModel::has_collapsed);
+        let verdict = served.model[group].handle_request(now, &id);
+        if !fell && served.model[group].has_collapsed() {
+            self.recorder.record(ObservedEvent::Collapsed { partner: served.plan.name.clone() });
         }
-        let Some(at) = verdict.answer_at else {
-            if verdict.effect {
+        let Some(at) = verdict.respond_at else {
+            if verdict.takes_effect {
                 self.note_effect(partner, &id);
             }
             return;
@@ -416,14 +422,14 @@
             call,
             message: Some(message),
             reply: verdict.reply,
-            effect: verdict.effect,
+            effect: verdict.takes_effect,
         };
         self.due.insert((at, call), due);
     }
 
     fn note_effect(&self, partner: usize, id: &str) {
         let partner = self.partners[partner].plan.name.clone();
-        self.recorder.note(Seen::Effect { id: id.to_owned(), partner });
+        self.recorder.record(ObservedEvent::EffectApplied { id: id.to_owned(), partner });
     }
 
     fn answer(&mut self, due: Due) {
@@ -441,7 +447,7 @@
             .is_some_and(|receipt| receipt.deliver_to.is_some());
         let headers = self.limit_fields(due.partner);
         let (bytes, how) = match due.reply {
-            Reply::Full(wait) => {
+            Reply::Rejected(wait) => {
                 let mut headers = headers;
                 // Whole seconds, rounded up: at the end of the wait there is room (RFC 9110, section 10.2.3).
                 let seconds = wait.map(|wait| wait.as_secs_f64().ceil().max(1.0) as u64);
@@ -449,29 +455,32 @@
                     headers.add("Retry-After", seconds.to_string());
                 }
                 let bytes = response(503, "Service Unavailable", &headers, b"");
-                (bytes, End::Refused(seconds.map(|seconds| seconds * 1000)))
+                (bytes, RequestEnd::Rejected(seconds.map(|seconds| seconds * 1000)))
             }
             Reply::Reset => return self.drop_conn(conn, true),
-            Reply::Processed | Reply::Half | Reply::Error if deferred && due.reply != Reply::Half => {
+            Reply::Processed | Reply::Truncated | Reply::Error
+                if deferred && due.reply != Reply::Truncated =>
+            {
                 self.deferred(due.partner, &message, due.reply, due.effect);
-                (response(202, "Accepted", &headers, b""), End::Deferred)
+                (response(202, "Accepted", &headers, b""), RequestEnd::Deferred)
             }
-            Reply::Processed | Reply::Half | Reply::Error => {
+            Reply::Processed | Reply::Truncated | Reply::Error => {
                 let Some(receipt) = self.receipt(due.partner, &message, due.reply, due.effect) else {
                     return self.drop_conn(conn, true);
                 };
                 let mut all = headers;
                 all.extend(&receipt.headers);
                 let bytes = response(200, "OK", &all, &receipt.body);
-                if due.reply == Reply::Half {
+                if due.reply == Reply::Truncated {
                     self.net.send(conn, &bytes[..bytes.len() / 2]);
                     if let Some(known) = self.conns.remove(&conn) {
                         let call = known.call.unwrap_or(due.call);
-                        self.recorder.note(Seen::End { call, how: End::Broken });
+                        self.recorder
+                            .record(ObservedEvent::RequestEnded { request: call, end: RequestEnd::Broken });
                     }
                     return self.net.close_after_flush(conn);
                 }
-                (bytes, if due.reply == Reply::Error { End::Error } else { End::Processed })
+                (bytes, if due.reply == Reply::Error { RequestEnd::Error } else { RequestEnd::Processed })
             }
         };
         let now = self.recorder.now();
@@ -479,7 +488,7 @@
             known.call = None;
             known.used = Some(now);
         }
-        self.recorder.note(Seen::End { call: due.call, how });
+        self.recorder.record(ObservedEvent::RequestEnded { request: due.call, end: how });
         self.net.send(conn, &bytes);
     }
 
@@ -508,7 +517,7 @@
             (Ok(opened), _) => (Disposition::Processed, Some(opened.mic)),
             (Err(error), _) => (Disposition::Error(error.disposition_name().into()), None),
         };
-        if let (Some(Twist::WrongMic), Some(mic)) = (served.twist, &mut mic) {
+        if let (Some(ResponseFault::WrongMic), Some(mic)) = (served.twist, &mut mic) {
             mic.value.reverse();
         }
         let wanted = envelope.receipt.and_then(|receipt| receipt.signed.first().copied());
@@ -525,7 +534,7 @@
         };
         let others = self.partners.iter().map(|other| &other.plan.identity);
         let other = others.into_iter().find(|other| other.name != me.name);
-        let signer = if served.twist == Some(Twist::WrongSigner) { other.unwrap_or(me) } else { me };
+        let signer = if served.twist == Some(ResponseFault::WrongSigner) { other.unwrap_or(me) } else { me };
         compose_receipt(&facts, signer, sign).ok()
     }
 
@@ -545,8 +554,8 @@
         let bytes = request("POST", &path, &headers, &receipt.body);
         let now = self.recorder.now();
         let (copies, wait) = match self.partners[partner].twist {
-            Some(Twist::Twice) => (2, 0),
-            Some(Twist::Late(ms)) => (1, ms),
+            Some(ResponseFault::Duplicate) => (2, 0),
+            Some(ResponseFault::Delay(ms)) => (1, ms),
             _ => (1, 0),
         };
         for copy in 0..copies {
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -11,31 +11,31 @@
 
 /// What an endpoint does with a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Manner {
+pub enum EndpointBehaviour {
     /// Answers 200 after this time.
     Deliver(Duration),
     /// Answers these bytes.
-    Say(Vec<u8>),
+    Respond(Vec<u8>),
     /// Says nothing, and keeps the connection.
     Silent,
     /// Breaks the connection.
-    Break,
+    Disconnect,
 }
 
 /// Something that passed on a socket.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Seen {
+pub enum PlatformEvent {
     /// A client was told that its message is taken on.
-    Taken {
+    Accepted {
         /// Its id.
         id: String,
         /// Its order key, 0 for none.
         key: u64,
         /// It may not be repeated.
-        once: bool,
+        unrepeatable: bool,
     },
     /// A call's last byte came.
-    Call {
+    RequestReceived {
         /// Message.
         id: String,
         /// Idempotency key.
@@ -51,12 +51,12 @@
         id: String,
     },
     /// An answer that proves that the call never ran was written.
-    NeverRan {
+    NotExecuted {
         /// Message.
         id: String,
     },
     /// A notice was answered, at this address of discovery.
-    Notice {
+    Notification {
         /// Message.
         id: String,
         /// `undeliverable` or `deferred`.
@@ -65,15 +65,15 @@
         address: usize,
     },
     /// Discovery was asked, at this address.
-    Asked {
+    DiscoveryRequested {
         /// Which of the two addresses.
         address: usize,
     },
 }
 
 struct State {
-    seen: Vec<(Duration, Seen)>,
-    manner: Vec<Manner>,
+    seen: Vec<(Duration, PlatformEvent)>,
+    manner: Vec<EndpointBehaviour>,
     generation: u64,
     entries: BTreeMap<String, (usize, u16, &'static str)>,
 }
@@ -90,7 +90,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn note(&self, seen: Seen) {
+    fn note(&self, seen: PlatformEvent) {
         let at = self.started.elapsed();
         self.state().seen.push((at, seen));
         self.changed.notify_all();
@@ -113,7 +113,7 @@
             cells.iter().enumerate().map(|(place, cell)| (format!("s-{place}"), (place, *cell, "SERVING")));
         let state = State {
             seen: Vec::new(),
-            manner: vec![Manner::Deliver(Duration::ZERO); cells.len()],
+            manner: vec![EndpointBehaviour::Deliver(Duration::ZERO); cells.len()],
             generation: 1,
             entries: entries.collect(),
         };
@@ -140,12 +140,12 @@
     }
 
     /// How an endpoint answers from now on.
-    pub fn set(&self, endpoint: usize, manner: Manner) {
+    pub fn set_behaviour(&self, endpoint: usize, manner: EndpointBehaviour) {
         self.shared.state().manner[endpoint] = manner;
     }
 
     /// An endpoint's state in the list from now on.
-    pub fn list(&self, endpoint: usize, lifecycle: &'static str) {
+    pub fn set_lifecycle(&self, endpoint: usize, lifecycle: &'static str) {
         let mut state = self.shared.state();
         state.generation += 1;
         if let Some(entry) = state.entries.get_mut(&format!("s-{endpoint}")) {
@@ -156,12 +156,12 @@
     }
 
     /// All that passed so far.
-    pub fn seen(&self) -> Vec<(Duration, Seen)> {
+    pub fn events(&self) -> Vec<(Duration, PlatformEvent)> {
         self.shared.state().seen.clone()
     }
 
     /// Waits until what passed is as wanted, at most for so long.
-    pub fn until(&self, most: Duration, wanted: impl Fn(&[(Duration, Seen)]) -> bool) -> bool {
+    pub fn wait_until(&self, most: Duration, wanted: impl Fn(&[(Duration, PlatformEvent)]) -> bool) -> bool {
         let end = Instant::now() + most;
         let mut state = self.shared.state();
         while !wanted(&state.seen) {
@@ -178,21 +178,21 @@
     }
 
     /// Hands a message in on a connection and notes it if it is taken on; the line answered.
-    pub fn hand_in(&self, stream: &mut TcpStream, put: &PutSpec) -> io::Result<String> {
-        stream.write_all(&put.command())?;
+    pub fn submit(&self, stream: &mut TcpStream, put: &PutCommand) -> io::Result<String> {
+        stream.write_all(&put.encode())?;
         let line = read_line(stream)?;
         if line.starts_with('+') {
-            self.shared.note(Seen::Taken {
+            self.shared.note(PlatformEvent::Accepted {
                 id: put.id.clone(),
                 key: put.key,
-                once: put.idempotency.is_none(),
+                unrepeatable: put.idempotency.is_none(),
             });
         }
         Ok(line)
     }
 
     /// The list in discovery's form, as a configuration's `known`.
-    pub fn known(&self) -> serde_json::Value {
+    pub fn endpoint_list(&self) -> serde_json::Value {
         list_json(&self.shared.state(), &self.endpoints)
     }
 }
@@ -210,7 +210,7 @@
 
 /// A message to hand in.
 #[derive(Clone, Debug)]
-pub struct PutSpec {
+pub struct PutCommand {
     /// Its id.
     pub id: String,
     /// Order key, 0 for none.
@@ -218,7 +218,7 @@
     /// Class by name.
     pub class: String,
     /// Milliseconds left.
-    pub left: u64,
+    pub time_left_ms: u64,
     /// Destination.
     pub destination: u16,
     /// Idempotency key, in a keyed class.
@@ -227,11 +227,11 @@
     pub body: Vec<u8>,
 }
 
-impl PutSpec {
+impl PutCommand {
     /// The command as bytes.
-    pub fn command(&self) -> Vec<u8> {
+    pub fn encode(&self) -> Vec<u8> {
         let keyed = self.idempotency.as_ref().map_or(String::new(), |key| format!(",k={key}"));
-        let fields = format!("c={},d={}{keyed},dest={}", self.class, self.left, self.destination);
+        let fields = format!("c={},d={}{keyed},dest={}", self.class, self.time_left_ms, self.destination);
         let key = format!("{:016x}", self.key);
         let words: [&[u8]; 5] =
             [b"MSG.PUT", key.as_bytes(), self.id.as_bytes(), fields.as_bytes(), &self.body];
@@ -305,24 +305,24 @@
     let idempotency = field("idempotency-key");
     // Before the call is seen: who sees it may change the manner, for the next one.
     let manner = shared.state().manner[endpoint].clone();
-    shared.note(Seen::Call { id: id.clone(), idempotency, endpoint, body: message.body });
+    shared.note(PlatformEvent::RequestReceived { id: id.clone(), idempotency, endpoint, body: message.body });
     match manner {
-        Manner::Deliver(after) => {
+        EndpointBehaviour::Deliver(after) => {
             std::thread::sleep(after);
             stream.write_all(&response(200, "OK", &Headers::new(), b""))?;
-            shared.note(Seen::Delivered { id });
+            shared.note(PlatformEvent::Delivered { id });
         }
-        Manner::Say(bytes) => {
+        EndpointBehaviour::Respond(bytes) => {
             stream.write_all(&bytes)?;
             if String::from_utf8_lossy(&bytes).contains("HTTP/1.1 200") {
-                shared.note(Seen::Delivered { id });
+                shared.note(PlatformEvent::Delivered { id });
             } else if bytes.starts_with(b"HTTP/1.1 429") || bytes.starts_with(b"HTTP/1.1 503") {
-                shared.note(Seen::NeverRan { id });
+                shared.note(PlatformEvent::NotExecuted { id });
             }
         }
         // Until the courier gives it up.
-        Manner::Silent => return stream.read(&mut [0]).map(|_| false),
-        Manner::Break => return Ok(false),
+        EndpointBehaviour::Silent => return stream.read(&mut [0]).map(|_| false),
+        EndpointBehaviour::Disconnect => return Ok(false),
     }
     Ok(true)
 }
@@ -353,12 +353,12 @@
         for line in String::from_utf8_lossy(&message.body).lines() {
             let told: serde_json::Value = serde_json::from_str(line).unwrap_or_default();
             let text = |name: &str| told[name].as_str().unwrap_or_default().to_owned();
-            shared.note(Seen::Notice { id: text("id"), status: text("status"), address });
+            shared.note(PlatformEvent::Notification { id: text("id"), status: text("status"), address });
         }
         stream.write_all(&response(204, "No Content", &Headers::new(), b""))?;
         return Ok(true);
     }
-    shared.note(Seen::Asked { address });
+    shared.note(PlatformEvent::DiscoveryRequested { address });
     let query = |name: &str| -> u64 {
         let found = target.split(['?', '&']).find_map(|part| part.strip_prefix(name));
         found.and_then(|value| value.parse().ok()).unwrap_or(0)
@@ -383,7 +383,7 @@
 
 /// What broke a rule, read from what passed: each message taken on is delivered or told of, one that may not be
 /// repeated is never sent again after it may have run, and a key's messages begin in the order taken.
-pub fn judge(seen: &[(Duration, Seen)]) -> Vec<String> {
+pub fn check_invariants(seen: &[(Duration, PlatformEvent)]) -> Vec<String> {
     let mut broken = Vec::new();
     let mut over: BTreeSet<&str> = BTreeSet::new();
     let mut may_have_run: BTreeMap<&str, bool> = BTreeMap::new();
@@ -391,7 +391,7 @@
     let mut turns: BTreeMap<u64, Vec<&str>> = BTreeMap::new();
     // A call may be seen before its client has read that the message is taken on.
     for (_, event) in seen {
-        if let Seen::Taken { id, key, once } = event {
+        if let PlatformEvent::Accepted { id, key, unrepeatable: once } = event {
             taken.insert(id, (*key, *once));
             if *key != 0 {
                 turns.entry(*key).or_default().push(id);
@@ -400,7 +400,7 @@
     }
     for (at, event) in seen {
         match event {
-            Seen::Call { id, .. } => {
+            PlatformEvent::RequestReceived { id, .. } => {
                 let Some((key, once)) = taken.get(id.as_str()) else { continue };
                 if *once && may_have_run.get(id.as_str()) == Some(&true) {
                     broken.push(format!("{at:?}: {id} was sent again, which may have run"));
@@ -413,13 +413,13 @@
                     broken.push(format!("{at:?}: {id} was sent before {before} of its key was over"));
                 }
             }
-            Seen::NeverRan { id } => {
+            PlatformEvent::NotExecuted { id } => {
                 may_have_run.insert(id, false);
             }
-            Seen::Delivered { id } | Seen::Notice { id, .. } => {
+            PlatformEvent::Delivered { id } | PlatformEvent::Notification { id, .. } => {
                 over.insert(id);
             }
-            Seen::Taken { .. } | Seen::Asked { .. } => {}
+            PlatformEvent::Accepted { .. } | PlatformEvent::DiscoveryRequested { .. } => {}
         }
     }
     broken.extend(
--- a/crates/fakes/src/record.rs
+++ b/crates/fakes/src/record.rs
@@ -7,15 +7,17 @@
 /// What a client was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Told {
+pub enum ReportedOutcome {
     /// Delivered, by a receipt that verifies.
     Delivered,
     /// Never took effect.
-    Refused,
+    #[serde(rename = "refused")]
+    Rejected,
     /// May have taken effect.
     Failed,
     /// Turned away before it was taken (full, stopping).
-    NotTaken,
+    #[serde(rename = "not-taken")]
+    NotAccepted,
     /// Something else: a receipt that does not verify, an unknown status.
     Unclear,
 }
@@ -23,17 +25,19 @@
 /// How a call at a partner ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum End {
+pub enum RequestEnd {
     /// A receipt that says processed left the partner whole.
     Processed,
     /// A receipt that says otherwise left.
     Error,
     /// Turned away unseen; told to wait for so many milliseconds, or not.
-    Refused(Option<u64>),
+    #[serde(rename = "refused")]
+    Rejected(Option<u64>),
     /// The partner broke the connection.
     Broken,
     /// The courier closed the connection, or nothing more was to be answered on it.
-    Left,
+    #[serde(rename = "left")]
+    ClientClosed,
     /// Taken; the receipt comes on a connection of its own.
     Deferred,
 }
@@ -41,13 +45,15 @@
 /// One thing seen, with its time in microseconds from the start of the run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case")]
-pub enum Seen {
+pub enum ObservedEvent {
     /// A client began to hand a message in.
-    HandIn {
+    #[serde(rename = "hand-in")]
+    Submitted {
         /// Message-ID.
         id: String,
         /// Number of the courier.
-        courier: usize,
+        #[serde(rename = "courier")]
+        gateway: usize,
         /// Class.
         class: String,
         /// Partner.
@@ -60,50 +66,64 @@
         after_loss: bool,
     },
     /// The courier said that it has taken the message (asynchronous receipts only).
-    Taken {
+    #[serde(rename = "taken")]
+    Accepted {
         /// Message-ID.
         id: String,
         /// Number of the courier.
-        courier: usize,
+        #[serde(rename = "courier")]
+        gateway: usize,
     },
     /// A client has a final answer.
-    Answer {
+    #[serde(rename = "answer")]
+    Answered {
         /// Message-ID.
         id: String,
         /// Number of the courier.
-        courier: usize,
+        #[serde(rename = "courier")]
+        gateway: usize,
         /// What.
-        told: Told,
+        #[serde(rename = "told")]
+        outcome: ReportedOutcome,
     },
     /// The connection ended before an answer came.
-    Lost {
+    #[serde(rename = "lost")]
+    ConnectionLost {
         /// Message-ID.
         id: String,
         /// Number of the courier.
-        courier: usize,
+        #[serde(rename = "courier")]
+        gateway: usize,
     },
     /// A whole request is at a partner's endpoint.
-    Request {
+    #[serde(rename = "request")]
+    RequestReceived {
         /// Message-ID.
         id: String,
         /// AS2 name of the courier.
-        courier: String,
+        #[serde(rename = "courier")]
+        gateway: String,
         /// Partner.
         partner: String,
         /// Its endpoint.
         endpoint: usize,
         /// Number of the call, unique within the run.
-        call: u64,
+        #[serde(rename = "call")]
+        request: u64,
     },
     /// A call ended, as far as the partner can see.
-    End {
+    #[serde(rename = "end")]
+    RequestEnded {
         /// Number of the call.
-        call: u64,
+        #[serde(rename = "call")]
+        request: u64,
         /// How.
-        how: End,
+        #[serde(rename = "how")]
+        end: RequestEnd,
     },
     /// A message took effect at a partner.
-    Effect {
+    #[serde(rename = "effect")]
+    EffectApplied {
         /// Message-ID.
         id: String,
         /// Partner.
@@ -120,12 +140,14 @@
         began: bool,
     },
     /// A returning partner was pushed over.
-    Fell {
+    #[serde(rename = "fell")]
+    Collapsed {
         /// Partner.
         partner: String,
     },
     /// The couriers were told of an endpoint's mode.
-    Listed {
+    #[serde(rename = "listed")]
+    EndpointListed {
         /// Partner.
         partner: String,
         /// Its endpoint.
@@ -134,9 +156,11 @@
         ready: bool,
     },
     /// A courier process was started, or was told to end.
-    Courier {
+    #[serde(rename = "courier")]
+    GatewayProcess {
         /// Its number.
-        courier: usize,
+        #[serde(rename = "courier")]
+        gateway: usize,
         /// Running.
         running: bool,
         /// Killed outright, without a chance to answer.
@@ -146,19 +170,19 @@
 
 /// A line of a record.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Line {
+pub struct RecordLine {
     /// Microseconds from the start of the run.
     pub at: u64,
     /// What was seen.
     #[serde(flatten)]
-    pub seen: Seen,
+    pub event: ObservedEvent,
 }
 
 /// One record for all stand-ins and clients of a run, on one clock.
 #[derive(Clone)]
 pub struct Recorder {
     epoch: Instant,
-    lines: Arc<Mutex<Vec<Line>>>,
+    lines: Arc<Mutex<Vec<RecordLine>>>,
 }
 
 impl Default for Recorder {
@@ -174,14 +198,14 @@
     }
 
     /// Notes something seen just now.
-    pub fn note(&self, seen: Seen) {
+    pub fn record(&self, event: ObservedEvent) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         // Inside the lock, so that the lines stand in the order of their times.
-        lines.push(Line { at: micros(self.epoch.elapsed()), seen });
+        lines.push(RecordLine { at: micros(self.epoch.elapsed()), event });
     }
 
     /// All lines so far.
-    pub fn lines(&self) -> Vec<Line> {
+    pub fn lines(&self) -> Vec<RecordLine> {
         self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios: HCL in, couriers, banks, classes and troubles out. Times are in seconds, rates in a second.
 
 use cloverstile::{Class, Effect, Group, Rules};
-use cloverstile_fakes::model::{Fault, Nature};
+use cloverstile_fakes::model::{Fault, ServerProfile};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scenario {
-    /// Couriers.
+    /// Gateways.
     pub couriers: usize,
     /// Messages are handed in for so long; what is left is answered afterwards.
     pub seconds: f64,
@@ -263,7 +263,7 @@
     /// Endpoints of the site that `part` and `drain` strike.
     #[serde(default = "one_bank")]
     pub endpoints: usize,
-    /// Couriers that `restart` strikes, from the first.
+    /// Gateways that `restart` strikes, from the first.
     #[serde(default = "one_bank")]
     pub couriers: usize,
     /// A fault of a partner (`refuse`, `silent`, `reset`, `slow` ...), `part` (some endpoints refuse
@@ -301,7 +301,7 @@
             "drain" => Some(Act::Drain),
             "restart" => Some(Act::Restart),
             "burst" => Some(Act::Burst),
-            other => Fault::named(other, self.size).map(Act::Fault),
+            other => Fault::from_name(other, self.size).map(Act::Fault),
         }
     }
 }
@@ -403,18 +403,18 @@
     }
 
     /// What a site is like.
-    pub fn nature(&self, site: &SiteSpec) -> Nature {
+    pub fn nature(&self, site: &SiteSpec) -> ServerProfile {
         let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
-        Nature {
+        ServerProfile {
             servers: site.servers,
             queue: site.queue,
             service: (span(site.service_ms[0] / 1e3), span(site.service_ms[1] / 1e3)),
             limit: site.limit,
-            tells_wait: site.tells_wait,
+            sends_retry_after: site.tells_wait,
             repeat_window: span(longest),
             cold: (self.rules.cold_from, span(self.rules.cold)),
-            tip_multiple: self.rules.tip_multiple,
-            fall: span(self.rules.fall),
+            collapse_multiple: self.rules.tip_multiple,
+            collapse_window: span(self.rules.fall),
         }
     }
 }
--- a/crates/simulator/src/spread/scenario.rs
+++ b/crates/simulator/src/spread/scenario.rs
@@ -2,8 +2,8 @@
 
 use crate::scenario::{ClassSpec, RuleSpec, ScenarioError};
 use cloverstile::{Class, Effect, Group, Rules};
-use cloverstile_fakes::limit::{Counting, Terms};
-use cloverstile_fakes::model::Nature;
+use cloverstile_fakes::limit::{LimitKind, LimitSettings};
+use cloverstile_fakes::model::ServerProfile;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Scene {
-    /// Couriers.
+    /// Gateways.
     pub couriers: usize,
     /// Messages are handed in for so long; what is left is answered afterwards.
     pub seconds: f64,
@@ -347,27 +347,29 @@
     }
 
     /// What an endpoint of this pace is like; its partner's limit is not its own.
-    pub fn nature(&self, partner: &PartnerSpec, pace: f64) -> Nature {
+    pub fn nature(&self, partner: &PartnerSpec, pace: f64) -> ServerProfile {
         let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
-        Nature {
+        ServerProfile {
             servers: ((partner.servers as f64 * pace).round() as usize).max(1),
             queue: partner.queue,
             service: (span(partner.service_ms[0] / 1e3), span(partner.service_ms[1] / 1e3)),
             limit: None,
-            tells_wait: false,
+            sends_retry_after: false,
             repeat_window: span(longest),
             cold: (self.rules.cold_from, span(self.rules.cold)),
-            tip_multiple: self.rules.tip_multiple,
-            fall: span(self.rules.fall),
+            collapse_multiple: self.rules.tip_multiple,
+            collapse_window: span(self.rules.fall),
         }
     }
 
     /// What a limit of so many calls a second is like at a partner.
-    pub fn terms(&self, partner: &PartnerSpec, rate: f64) -> Terms {
-        Terms {
+    pub fn terms(&self, partner: &PartnerSpec, rate: f64) -> LimitSettings {
+        LimitSettings {
             rate,
-            counting: partner.span.map_or(Counting::Rate, |seconds| Counting::Span(span(seconds))),
-            refused_count: partner.refused_count,
+            kind: partner
+                .span
+                .map_or(LimitKind::TokenBucket, |seconds| LimitKind::FixedWindow(span(seconds))),
+            counts_rejected: partner.refused_count,
             refresh: span(self.report_ms / 1e3),
         }
     }
--- a/crates/simulator/src/spread/site.rs
+++ b/crates/simulator/src/spread/site.rs
@@ -1,8 +1,8 @@
 //! Partners of a scene: endpoints with capacity of their own behind limits that are shared, or apart.
 
 use super::scenario::{PartnerSpec, Scene};
-use cloverstile_fakes::limit::{SharedLimit, Told};
-use cloverstile_fakes::model::{Fault, Partner, Reply, Verdict};
+use cloverstile_fakes::limit::{AdvertisedLimit, SharedLimit};
+use cloverstile_fakes::model::{Fault, PartnerModel, Reply, ServerDecision};
 use cloverstile_load_metrics::{Endpoint, Outcome};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -26,7 +26,7 @@
     /// Its pace.
     pub pace: f64,
     /// How it behaves.
-    pub model: Partner,
+    pub model: PartnerModel,
     /// In service from then ...
     pub from: Duration,
     /// ... until then.
@@ -98,9 +98,9 @@
 /// What became of a call that reached an endpoint.
 pub struct Reached {
     /// What becomes of it.
-    pub verdict: Verdict,
+    pub verdict: ServerDecision,
     /// What the answer tells of the limit.
-    pub told: Option<Told>,
+    pub told: Option<AdvertisedLimit>,
     /// What it tells of the load.
     pub load: Load,
 }
@@ -109,8 +109,8 @@
     /// How the call ends, as the endpoint sees it.
     pub fn outcome(&self) -> Outcome {
         match self.verdict.reply {
-            Reply::Full(_) => Outcome::TurnedAway,
-            Reply::Processed if self.verdict.answer_at.is_some() => Outcome::Served,
+            Reply::Rejected(_) => Outcome::TurnedAway,
+            Reply::Processed if self.verdict.respond_at.is_some() => Outcome::Served,
             _ => Outcome::Failed,
         }
     }
@@ -161,11 +161,11 @@
         let spec = &self.partners[partner].spec;
         let nature = scene.nature(spec, pace);
         self.able.push(nature.capacity() * spec.endpoints as f64);
-        let mut model = Partner::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
+        let mut model = PartnerModel::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
         if now > Duration::ZERO {
             // What is new is cold, as one is that comes back.
-            model.begin(Fault::Refuse, now);
-            model.end(now);
+            model.begin_fault(Fault::RefuseConnections, now);
+            model.end_fault(now);
         }
         let place = self.endpoints.len();
         self.endpoints.push(EndpointAt {
@@ -209,10 +209,10 @@
     }
 
     /// Reports of load and limits stand still, or go on.
-    pub fn stand_still(&mut self, still: bool) {
+    pub fn freeze_reports(&mut self, still: bool) {
         self.still = still;
         for limit in self.partners.iter_mut().flat_map(|partner| &mut partner.limits) {
-            limit.stand_still(still);
+            limit.freeze_reports(still);
         }
     }
 
@@ -238,20 +238,20 @@
 
     /// A call has come whole. An answer at a known time has to be told to [`Sites::answered`] then.
     pub fn reach(&mut self, now: Duration, endpoint: usize, id: &str) -> Reached {
-        let at_once = |reply| Verdict { answer_at: Some(now), reply, effect: false };
+        let at_once = |reply| ServerDecision { respond_at: Some(now), reply, takes_effect: false };
         let tells = self.partners[self.endpoints[endpoint].partner].spec.tells_wait;
         let silent = self.partners[self.endpoints[endpoint].partner].spec.silent;
         let verdict = if self.endpoints[endpoint].errors {
             at_once(Reply::Error)
         } else {
-            let taken = self.limit(endpoint).map_or(Ok(()), |(limit, _)| limit.take(now));
+            let taken = self.limit(endpoint).map_or(Ok(()), |(limit, _)| limit.try_acquire(now));
             match taken {
-                Err(wait) => at_once(Reply::Full(tells.then_some(wait))),
-                Ok(()) => self.endpoints[endpoint].model.request(now, id),
+                Err(wait) => at_once(Reply::Rejected(tells.then_some(wait))),
+                Ok(()) => self.endpoints[endpoint].model.handle_request(now, id),
             }
         };
-        let told = self.limit(endpoint).and_then(|(limit, place)| limit.told(now, place));
-        if verdict.answer_at.is_some_and(|at| at > now) {
+        let told = self.limit(endpoint).and_then(|(limit, place)| limit.advertised(now, place));
+        if verdict.respond_at.is_some_and(|at| at > now) {
             self.endpoints[endpoint].in_hand += 1;
         }
         Reached { verdict, told: told.filter(|_| !silent), load: self.load(now, endpoint) }
@@ -269,9 +269,9 @@
         let at = &mut self.endpoints[endpoint];
         match (wrong, begins) {
             (Wrong::Errors, begins) => at.errors = begins,
-            (Wrong::Silent, true) => at.model.begin(Fault::Silent, Duration::MAX),
-            (Wrong::Slow, true) => at.model.begin(Fault::Slow(3.0), Duration::MAX),
-            (_, false) => at.model.end(now),
+            (Wrong::Silent, true) => at.model.begin_fault(Fault::Silent, Duration::MAX),
+            (Wrong::Slow, true) => at.model.begin_fault(Fault::Slow(3.0), Duration::MAX),
+            (_, false) => at.model.end_fault(now),
         }
     }
 }
--- a/crates/simulator/src/spread/world.rs
+++ b/crates/simulator/src/spread/world.rs
@@ -8,7 +8,7 @@
 use super::traffic::{Drawn, Traffic};
 use cloverstile::{Effect, EndpointId, MessageId, RateLimitStatus, Settings, Time};
 use cloverstile_engine::{Attempt, Engine, TransportOutcome};
-use cloverstile_fakes::limit::Told;
+use cloverstile_fakes::limit::AdvertisedLimit;
 use cloverstile_fakes::model::Reply;
 use cloverstile_load_metrics::{Call, Partner, Record, Stay};
 use rand::distr::Distribution;
@@ -121,7 +121,7 @@
     attempt: Option<Attempt>,
     reply: Reply,
     refused_connection: bool,
-    told: Option<Told>,
+    told: Option<AdvertisedLimit>,
     load: Load,
 }
 
@@ -163,7 +163,7 @@
     run: SpreadRun,
     /// Endpoints that came back from an outage.
     returned: Vec<usize>,
-    /// Couriers struck by `slow-for` while it lasts.
+    /// Gateways struck by `slow-for` while it lasts.
     far: Option<usize>,
 }
 
@@ -348,20 +348,20 @@
             return self.enter(now, What::Response { call });
         }
         let reached = self.sites.reach(now, endpoint, &message.to_string());
-        if self.returned.contains(&endpoint) && self.sites.endpoints[endpoint].model.is_fallen() {
+        if self.returned.contains(&endpoint) && self.sites.endpoints[endpoint].model.has_collapsed() {
             self.returned.retain(|other| *other != endpoint);
             self.run.audit.pushed_over += 1;
         }
         let outcome = reached.outcome();
-        let took = reached.verdict.answer_at.map_or(Duration::ZERO, |at| at - now);
+        let took = reached.verdict.respond_at.map_or(Duration::ZERO, |at| at - now);
         let courier = self.calls[call].courier;
         self.run.record.calls.push(Call { at: now, endpoint, courier, outcome, took });
-        if reached.verdict.effect {
+        if reached.verdict.takes_effect {
             self.take_effect(message);
         }
         let at = &mut self.calls[call];
         (at.reply, at.told, at.load) = (reached.verdict.reply, reached.told, reached.load);
-        match reached.verdict.answer_at {
+        match reached.verdict.respond_at {
             Some(at) if at > now => self.enter(at, What::Leave { call }),
             Some(_) => {
                 let at = now + self.way();
@@ -427,7 +427,7 @@
                 }
                 self.spread_news(NEWS);
             }
-            StrikeKind::Still => self.sites.stand_still(begins),
+            StrikeKind::Still => self.sites.freeze_reports(begins),
             StrikeKind::SlowFor => {
                 let count = (self.seats.len() as f64 * spec.size) as usize;
                 self.far = begins.then_some(count);
--- a/crates/simulator/src/spread/world/couriers.rs
+++ b/crates/simulator/src/spread/world/couriers.rs
@@ -295,7 +295,7 @@
         if !at.refused_connection {
             seat.idle.entry(endpoint).or_default().push(now);
         }
-        if let Reply::Full(Some(wait)) = reply {
+        if let Reply::Rejected(Some(wait)) = reply {
             let until = seat.waits.entry((partner, apart)).or_default();
             *until = (*until).max(now + wait);
         }
@@ -306,11 +306,11 @@
                     _ if at.refused_connection => TransportOutcome::ConnectFailed,
                     Reply::Processed => TransportOutcome::Processed,
                     Reply::Error => TransportOutcome::Error,
-                    Reply::Full(wait) => TransportOutcome::Rejected(wait),
-                    Reply::Half | Reply::Reset => TransportOutcome::Reset,
+                    Reply::Rejected(wait) => TransportOutcome::Rejected(wait),
+                    Reply::Truncated | Reply::Reset => TransportOutcome::Reset,
                 };
                 let allowance =
-                    at.told.map(|told| RateLimitStatus { remaining: told.left, limit: told.limit });
+                    at.told.map(|told| RateLimitStatus { remaining: told.remaining, limit: told.limit });
                 if let Some(attempt) = at.attempt {
                     engine.on_attempt_completed(time(now), attempt, reported, allowance);
                 }
@@ -319,8 +319,8 @@
                 let how = match reply {
                     _ if at.refused_connection => Ended::Refused(None),
                     Reply::Processed => Ended::Delivered,
-                    Reply::Full(wait) => Ended::Refused(wait),
-                    Reply::Error | Reply::Half | Reply::Reset => Ended::Unknown,
+                    Reply::Rejected(wait) => Ended::Refused(wait),
+                    Reply::Error | Reply::Truncated | Reply::Reset => Ended::Unknown,
                 };
                 over = plain.ended(now, number, how, Some(load));
             }
--- a/crates/simulator/src/world.rs
+++ b/crates/simulator/src/world.rs
@@ -14,7 +14,7 @@
     Admission, Attempt, Command, Engine, FinalOutcome, SubmitRequest, TransportOutcome,
 };
 use cloverstile_failover::Tiers;
-use cloverstile_fakes::model::{Partner, Reply};
+use cloverstile_fakes::model::{PartnerModel, Reply};
 use rand::distr::weighted::WeightedIndex;
 use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
@@ -57,7 +57,7 @@
     tier: usize,
     zone: ZoneId,
     rate: f64,
-    model: Partner,
+    model: PartnerModel,
     /// The present or last return, and how many there were.
     returned: Option<Duration>,
     returns: u32,
@@ -328,7 +328,7 @@
         }
     }
 
-    // ---- Couriers ----
+    // ---- Gateways ----
 
     fn turn(&mut self, courier: u32) {
         let now = time(self.now);
@@ -394,26 +394,26 @@
         self.second().requests += 1;
         let site = &mut self.sites[id as usize];
         site.count(now);
-        if down || matches!(site.model.fault(), Some(cloverstile_fakes::model::Fault::Refuse)) {
+        if down || matches!(site.model.fault(), Some(cloverstile_fakes::model::Fault::RefuseConnections)) {
             let reply = Told::NoConnection;
             return self.reply(now, What::Response { courier, epoch, attempt, site: id, reply });
         }
         // A message that its courier has forgotten, or a lost courier's: the site sees it all the same.
         let Some(number) = number else { return };
-        let verdict = site.model.request(now, &number.to_string());
+        let verdict = site.model.handle_request(now, &number.to_string());
         let left = site.model.allowance().map(|(left, _)| (left * 1e6) as u32);
         let tier = site.tier;
         self.reached(number, tier);
-        if verdict.effect {
+        if verdict.takes_effect {
             self.took_effect(number, id);
         }
         let reply = match verdict.reply {
             Reply::Processed => Told::Processed(left),
             Reply::Error => Told::Error,
-            Reply::Full(wait) => Told::Full(wait, left),
-            Reply::Half | Reply::Reset => Told::Reset,
+            Reply::Rejected(wait) => Told::Full(wait, left),
+            Reply::Truncated | Reply::Reset => Told::Reset,
         };
-        if let Some(at) = verdict.answer_at {
+        if let Some(at) = verdict.respond_at {
             self.reply(at, What::Response { courier, epoch, attempt, site: id, reply });
         }
     }
@@ -436,7 +436,7 @@
         let message = &mut self.run.messages[number as usize];
         let class = &self.settings.classes[usize::from(message.class)];
         // Sites of one group know each other's keys: the repeat is dropped, whichever it reaches.
-        let window = self.sites[site as usize].model.nature().repeat_window;
+        let window = self.sites[site as usize].model.profile().repeat_window;
         let known = message.effect_at.is_some_and(|at| self.now < at + window);
         if class.effect == Effect::Keyed && class.group == Group::All && known {
             return;
@@ -459,7 +459,7 @@
         if !self.in_flight.remove(&(courier, epoch, attempt)) {
             return;
         }
-        let limit = self.sites[site as usize].model.nature().limit.unwrap_or(0.0);
+        let limit = self.sites[site as usize].model.profile().limit.unwrap_or(0.0);
         let told = |left: u32| RateLimitStatus { remaining: f64::from(left) / 1e6, limit };
         let (reported, allowance) = match reply {
             Told::Processed(left) => (TransportOutcome::Processed, left.map(told)),
@@ -492,9 +492,9 @@
                     let site = &mut self.sites[site as usize];
                     if begins {
                         let until = self.now + Duration::from_secs_f64(spec.lasts);
-                        site.model.begin(fault, until);
+                        site.model.begin_fault(fault, until);
                     } else {
-                        site.model.end(self.now);
+                        site.model.end_fault(self.now);
                         if fault.is_outage() {
                             site.close_windows(self.now, &mut self.run.windows);
                             site.returned = Some(self.now);
@@ -567,7 +567,7 @@
     fn finish(mut self) -> Run {
         for site in &mut self.sites {
             site.close_windows(self.now, &mut self.run.windows);
-            self.run.audit.pushed_over += u64::from(site.model.is_fallen());
+            self.run.audit.pushed_over += u64::from(site.model.has_collapsed());
         }
         let slack = Duration::from_secs_f64(self.scenario.rules.answer_slack);
         let audit: &mut Audit = &mut self.run.audit;
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/world/build.rs
@@ -6,7 +6,7 @@
 use cloverstile::{DestinationId, Endpoint, EndpointId, EndpointState, KindId, ZoneId};
 use cloverstile_engine::{Engine, ResultCacheLimits};
 use cloverstile_failover::{Fleet, Planner, Tiers};
-use cloverstile_fakes::model::Partner;
+use cloverstile_fakes::model::PartnerModel;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::HashMap;
@@ -35,7 +35,7 @@
                     let nature = scenario.nature(site);
                     let rate = nature.rate();
                     let id = self.sites.len() as u32;
-                    let model = Partner::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
+                    let model = PartnerModel::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
                     self.sites.push(Site {
                         bank: number as u32,
                         tier: site.tier,
--- a/crates/testbench/src/bench.rs
+++ b/crates/testbench/src/bench.rs
@@ -12,10 +12,10 @@
 };
 use cloverstile_as2_gateway::rig::{Rig, RigError};
 use cloverstile_as2_gateway::{load, Service};
-use cloverstile_fakes::client::{Client, Habits, Progress};
+use cloverstile_fakes::client::{Client, ClientBehaviour, Progress};
 use cloverstile_fakes::model::Fault;
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Line, Recorder, Seen};
+use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, Recorder};
 use cloverstile_http::Headers;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -223,7 +223,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let [plan, _] = day.plan(&mut rng, 1, recorder.now());
     let progress = Progress::default();
-    let habits = Habits { deferred: true, ..Habits::default() };
+    let habits = ClientBehaviour { deferred_receipts: true, ..ClientBehaviour::default() };
     Client::new(&rig.clients[0], habits, &couriers, plan, recorder.clone(), &progress)?.run()?;
     stopper.stop();
     let lines = recorder.lines();
@@ -238,10 +238,16 @@
     })
 }
 
-fn span(lines: &[Line]) -> Duration {
-    let first = lines.iter().find(|line| matches!(line.seen, Seen::HandIn { .. })).map_or(0, |line| line.at);
-    let last =
-        lines.iter().rev().find(|line| matches!(line.seen, Seen::Answer { .. })).map_or(0, |line| line.at);
+fn span(lines: &[RecordLine]) -> Duration {
+    let first = lines
+        .iter()
+        .find(|line| matches!(line.event, ObservedEvent::Submitted { .. }))
+        .map_or(0, |line| line.at);
+    let last = lines
+        .iter()
+        .rev()
+        .find(|line| matches!(line.event, ObservedEvent::Answered { .. }))
+        .map_or(0, |line| line.at);
     Duration::from_micros(last.saturating_sub(first).max(1))
 }
 
@@ -286,11 +292,11 @@
     std::thread::sleep(Duration::from_millis(300));
     let with_connections = resident(process.id())?;
     drop(open);
-    rig.partners.order(Order::Fault {
+    rig.partners.send(PartnerCommand::Fault {
         partner: 0,
         fault: Fault::Silent,
         zone: None,
-        lasts: Duration::from_secs(600),
+        duration: Duration::from_secs(600),
     });
     let couriers = rig.couriers(vec![address]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
@@ -301,10 +307,16 @@
     let empty = resident(process.id())?;
     let full = std::thread::scope(|scope| -> Result<f64, RunError> {
         let client = scope.spawn(|| {
-            let habits = Habits { deferred: true, ..Habits::default() };
+            let habits = ClientBehaviour { deferred_receipts: true, ..ClientBehaviour::default() };
             Client::new(&rig.clients[0], habits, &couriers, plan, recorder.clone(), &progress)?.run()
         });
-        let taken = || recorder.lines().iter().filter(|line| matches!(line.seen, Seen::Taken { .. })).count();
+        let taken = || {
+            recorder
+                .lines()
+                .iter()
+                .filter(|line| matches!(line.event, ObservedEvent::Accepted { .. }))
+                .count()
+        };
         for _ in 0..300 {
             if taken() >= held as usize {
                 break;
--- a/crates/testbench/src/bin/cloverstile-testbench/main.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/main.rs
@@ -6,7 +6,7 @@
 mod fleet;
 
 use clap::{Args, Parser, Subcommand};
-use cloverstile_fakes::record::{Line, Seen};
+use cloverstile_fakes::record::{ObservedEvent, RecordLine};
 use cloverstile_testbench::bench;
 use cloverstile_testbench::day::{read, Day, BUILT_IN};
 use cloverstile_testbench::replay::{self, Scale};
@@ -290,16 +290,16 @@
 }
 
 /// Times from a message's first hand-in to its first answer, in microseconds.
-fn answer_times(lines: &[Line]) -> Histogram<u64> {
+fn answer_times(lines: &[RecordLine]) -> Histogram<u64> {
     let mut handed: HashMap<&str, u64> = HashMap::new();
     let mut times = Histogram::new_with_bounds(1, 600_000_000, 3)
         .unwrap_or_else(|_| Histogram::new(3).expect("valid precision"));
     for line in lines {
-        match &line.seen {
-            Seen::HandIn { id, .. } => {
+        match &line.event {
+            ObservedEvent::Submitted { id, .. } => {
                 handed.entry(id).or_insert(line.at);
             }
-            Seen::Answer { id, .. } => {
+            ObservedEvent::Answered { id, .. } => {
                 if let Some(from) = handed.remove(id.as_str()) {
                     times.saturating_record(line.at.saturating_sub(from).max(1));
                 }
@@ -310,7 +310,7 @@
     times
 }
 
-fn write_record(path: &Path, lines: &[Line]) -> std::io::Result<()> {
+fn write_record(path: &Path, lines: &[RecordLine]) -> std::io::Result<()> {
     let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
     for line in lines {
         serde_json::to_writer(&mut file, line)?;
@@ -328,7 +328,7 @@
         Ok(text) => text,
         Err(error) => return cant(&format!("{}: {error}", record.display())),
     };
-    let lines: Result<Vec<Line>, _> = text.lines().map(serde_json::from_str).collect();
+    let lines: Result<Vec<RecordLine>, _> = text.lines().map(serde_json::from_str).collect();
     match lines {
         Ok(lines) => {
             let verdict =
--- a/crates/testbench/src/day.rs
+++ b/crates/testbench/src/day.rs
@@ -2,8 +2,8 @@
 
 use cloverstile_as2::NewKey;
 use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Spec};
-use cloverstile_fakes::client::Planned;
-use cloverstile_fakes::model::{Fault, Nature};
+use cloverstile_fakes::client::PlannedMessage;
+use cloverstile_fakes::model::{Fault, ServerProfile};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -26,7 +26,7 @@
     pub messages: u32,
     /// Messages a second on the mean.
     pub rate: f64,
-    /// Couriers.
+    /// Gateways.
     pub couriers: usize,
     /// Class blocks, by name.
     pub class: BTreeMap<String, ClassDay>,
@@ -235,7 +235,7 @@
     /// A partner's fault.
     Fault(usize, Fault, Option<usize>),
     /// A partner's receipts.
-    Receipts(usize, cloverstile_fakes::partner::Twist),
+    Receipts(usize, cloverstile_fakes::partner::ResponseFault),
     /// An endpoint drains and comes back.
     Drain(usize, usize),
     /// A courier is killed and started again.
@@ -301,17 +301,19 @@
                 Some(courier) if courier < self.couriers => Ok(courier),
                 _ => Err(wrong("names no courier that there is")),
             };
-            use cloverstile_fakes::partner::Twist;
+            use cloverstile_fakes::partner::ResponseFault;
             let act = match trouble.kind.as_str() {
-                "wrong-mic" => Act::Receipts(partner()?, Twist::WrongMic),
-                "wrong-signer" => Act::Receipts(partner()?, Twist::WrongSigner),
-                "twice" => Act::Receipts(partner()?, Twist::Twice),
-                "late-receipts" => Act::Receipts(partner()?, Twist::Late((trouble.size * 1000.0) as u64)),
+                "wrong-mic" => Act::Receipts(partner()?, ResponseFault::WrongMic),
+                "wrong-signer" => Act::Receipts(partner()?, ResponseFault::WrongSigner),
+                "twice" => Act::Receipts(partner()?, ResponseFault::Duplicate),
+                "late-receipts" => {
+                    Act::Receipts(partner()?, ResponseFault::Delay((trouble.size * 1000.0) as u64))
+                }
                 "drain" => Act::Drain(partner()?, trouble.endpoint),
                 "kill" => Act::Kill(courier()?),
                 "stop" => Act::Stop(courier()?),
                 "burst" => Act::Burst(trouble.size),
-                other => match Fault::named(other, trouble.size) {
+                other => match Fault::from_name(other, trouble.size) {
                     Some(fault) => Act::Fault(partner()?, fault, trouble.zone),
                     None => return Err(wrong(&format!("has the unknown kind '{other}'"))),
                 },
@@ -325,7 +327,7 @@
     pub fn spec(&self) -> Spec {
         let ms = |seconds: f64| Duration::from_secs_f64(seconds);
         let rules = &self.rules;
-        let nature = |partner: &PartnerDay| Nature {
+        let nature = |partner: &PartnerDay| ServerProfile {
             servers: partner.servers,
             queue: partner.queue,
             service: (
@@ -333,11 +335,11 @@
                 Duration::from_millis(partner.service_ms[1]),
             ),
             limit: partner.limit,
-            tells_wait: partner.tells_wait,
+            sends_retry_after: partner.tells_wait,
             repeat_window: ms(partner.repeats_s),
             cold: (rules.cold_from, Duration::from_millis(rules.cold_ms)),
-            tip_multiple: rules.tip_multiple,
-            fall: Duration::from_millis(rules.fall_ms),
+            collapse_multiple: rules.tip_multiple,
+            collapse_window: Duration::from_millis(rules.fall_ms),
         };
         let batches: std::collections::BTreeSet<u32> =
             self.partner.values().map(|partner| partner.batch).collect();
@@ -395,7 +397,7 @@
     }
 
     /// The messages, by client: those of classes in order come from the second one.
-    pub fn plan(&self, rng: &mut ChaCha8Rng, seed: u64, from: Duration) -> [Vec<Planned>; 2] {
+    pub fn plan(&self, rng: &mut ChaCha8Rng, seed: u64, from: Duration) -> [Vec<PlannedMessage>; 2] {
         let bursts: Vec<(f64, f64, f64)> = self
             .acts()
             .unwrap_or_default()
@@ -417,7 +419,7 @@
             let key = class.in_order.then(|| format!("employee-{}", rng.random_range(0..class.keys.max(1))));
             let client = usize::from(class.in_order);
             let length = rng.random_range(40..400);
-            plan[client].push(Planned {
+            plan[client].push(PlannedMessage {
                 at: from + Duration::from_secs_f64(at),
                 id: format!("m{number}.{seed}@client-{client}"),
                 class: class_name.clone(),
@@ -426,7 +428,7 @@
                 key,
                 deadline: Duration::from_secs_f64(class.deadline),
                 body: vec![b'a' + (number % 26) as u8; length],
-                drops: rng.random_bool(self.drops.clamp(0.0, 1.0)),
+                disconnects_after_submission: rng.random_bool(self.drops.clamp(0.0, 1.0)),
             });
         }
         plan
--- a/crates/testbench/src/fleet/ground.rs
+++ b/crates/testbench/src/fleet/ground.rs
@@ -5,7 +5,7 @@
 use super::judge::{Books, End};
 use super::platform::{query, List};
 use super::processes::{FleetError, Processes};
-use cloverstile_fakes::limit::Told;
+use cloverstile_fakes::limit::AdvertisedLimit;
 use cloverstile_fakes::model::Reply;
 use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message, Start};
 use cloverstile_load_metrics::{Call, Outcome, Partner};
@@ -23,7 +23,7 @@
 const RECONNECT: Duration = Duration::from_millis(100);
 /// What is left after the last hand-in and its deadline is lost by then.
 const AFTER: Duration = Duration::from_secs(2);
-/// Couriers that ended by themselves are looked for so often.
+/// Gateways that ended by themselves are looked for so often.
 const LOOK: Duration = Duration::from_millis(250);
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
@@ -65,7 +65,7 @@
     number: usize,
     recorded: usize,
     reply: Reply,
-    told: Option<Told>,
+    told: Option<AdvertisedLimit>,
     /// It was taken in hand, and leaves it with its answer.
     in_hand: bool,
     over: bool,
@@ -92,7 +92,7 @@
     books: Books,
     processes: Option<Processes>,
     traffic: Traffic,
-    /// Couriers struck by `slow-for` while it lasts.
+    /// Gateways struck by `slow-for` while it lasts.
     far: usize,
     failed: Option<FleetError>,
 }
@@ -394,9 +394,9 @@
         let route = self.sites.partners[partner].spec.apart.then_some(place);
         self.books.call(now, number, place, route);
         let reached = self.sites.reach(now, place, &number.to_string());
-        let (reply, answer_at) = (reached.verdict.reply, reached.verdict.answer_at);
+        let (reply, answer_at) = (reached.verdict.reply, reached.verdict.respond_at);
         let outcome = reached.outcome();
-        self.books.called(now, number, !matches!(reply, Reply::Full(_)), reached.verdict.effect);
+        self.books.called(now, number, !matches!(reply, Reply::Rejected(_)), reached.verdict.takes_effect);
         let took = answer_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
         let courier = self.books.message(number).map_or(0, |message| message.courier);
         let recorded = self.books.run.record.calls.len();
@@ -430,7 +430,7 @@
         if let Some(Line::Endpoint { call, .. }) = self.lines.get_mut(&conn) {
             *call = None;
         }
-        let report = told.map(|told| format!("x0={:.4},x1={:.3}", told.left, told.limit));
+        let report = told.map(|told| format!("x0={:.4},x1={:.3}", told.remaining, told.limit));
         let mut headers = Headers::new();
         if let Some(report) = report {
             headers.add("Srv-Load", report);
@@ -439,18 +439,18 @@
         let route = self.sites.partners[partner].spec.apart.then_some(place);
         let bytes = match reply {
             Reply::Processed => response(200, "OK", &headers, b""),
-            Reply::Full(Some(wait)) => {
+            Reply::Rejected(Some(wait)) => {
                 headers.add("Retry-After", format!("{:.4}", wait.as_secs_f64()));
                 response(429, "Too Many Requests", &headers, b"")
             }
-            Reply::Full(None) => response(503, "Service Unavailable", &headers, b""),
+            Reply::Rejected(None) => response(503, "Service Unavailable", &headers, b""),
             _ => response(500, "Internal Server Error", &headers, b""),
         };
         self.net.send(conn, &bytes);
         self.books.answered(now, number);
         match reply {
             Reply::Processed => self.books.ended(now, number, End::Delivered),
-            Reply::Full(Some(wait)) => self.books.told_to_wait(now, number, route, wait),
+            Reply::Rejected(Some(wait)) => self.books.told_to_wait(now, number, route, wait),
             _ => {}
         }
     }
--- a/crates/testbench/src/fleet/ground/troubles.rs
+++ b/crates/testbench/src/fleet/ground/troubles.rs
@@ -32,7 +32,7 @@
                 self.list.changed();
                 self.spread_news(now, NEWS);
             }
-            StrikeKind::Still => self.sites.stand_still(begins),
+            StrikeKind::Still => self.sites.freeze_reports(begins),
             StrikeKind::SlowFor => {
                 self.far = if begins { (self.scene.couriers as f64 * spec.size) as usize } else { 0 };
             }
--- a/crates/testbench/src/judge.rs
+++ b/crates/testbench/src/judge.rs
@@ -5,7 +5,7 @@
 //! the microsecond: what lies within [`SKEW`] of a bound is let pass.
 
 use cloverstile_as2_gateway::rig::courier_name;
-use cloverstile_fakes::record::{End, Line, Seen, Told};
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, ReportedOutcome, RequestEnd};
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
@@ -108,7 +108,7 @@
     /// When a courier said that it has the message.
     taken: Vec<(u64, usize)>,
     /// Answers: time, courier, what.
-    answers: Vec<(u64, usize, Told)>,
+    answers: Vec<(u64, usize, ReportedOutcome)>,
     lost: Vec<(u64, usize)>,
     requests: Vec<Request<'a>>,
     effects: Vec<u64>,
@@ -120,13 +120,13 @@
     courier: &'a str,
     partner: &'a str,
     endpoint: usize,
-    ended: Option<(u64, End)>,
+    ended: Option<(u64, RequestEnd)>,
 }
 
 impl Request<'_> {
     /// Only a refusal proves that it did not run.
     fn may_have_run(&self) -> bool {
-        !matches!(self.ended, Some((_, End::Refused(_))))
+        !matches!(self.ended, Some((_, RequestEnd::Rejected(_))))
     }
 }
 
@@ -135,14 +135,14 @@
 
 struct Judge<'a> {
     figures: &'a Figures,
-    lines: &'a [Line],
+    lines: &'a [RecordLine],
     stories: BTreeMap<&'a str, Story<'a>>,
     kills: Vec<(u64, usize)>,
     verdict: Verdict,
 }
 
 /// Judges a record.
-pub fn judge(lines: &[Line], figures: &Figures) -> Verdict {
+pub fn judge(lines: &[RecordLine], figures: &Figures) -> Verdict {
     let mut judge =
         Judge { figures, lines, stories: BTreeMap::new(), kills: Vec::new(), verdict: Verdict::default() };
     judge.gather();
@@ -169,26 +169,30 @@
         let mut calls: HashMap<u64, (&str, usize)> = HashMap::new();
         for line in self.lines {
             let at = line.at;
-            match &line.seen {
-                Seen::HandIn { id, courier, class, partner, key, deadline, .. } => {
+            match &line.event {
+                ObservedEvent::Submitted { id, gateway: courier, class, partner, key, deadline, .. } => {
                     let story = self.stories.entry(id).or_default();
                     (story.class, story.partner, story.key) = (class, partner, key.as_deref());
                     story.deadline = *deadline;
                     story.hand_ins.push((at, *courier));
                 }
-                Seen::Taken { id, courier } => self.stories.entry(id).or_default().taken.push((at, *courier)),
-                Seen::Answer { id, courier, told } => {
+                ObservedEvent::Accepted { id, gateway: courier } => {
+                    self.stories.entry(id).or_default().taken.push((at, *courier))
+                }
+                ObservedEvent::Answered { id, gateway: courier, outcome: told } => {
                     self.stories.entry(id).or_default().answers.push((at, *courier, *told));
                 }
-                Seen::Lost { id, courier } => self.stories.entry(id).or_default().lost.push((at, *courier)),
-                Seen::Request { id, courier, partner, endpoint, call } => {
+                ObservedEvent::ConnectionLost { id, gateway: courier } => {
+                    self.stories.entry(id).or_default().lost.push((at, *courier))
+                }
+                ObservedEvent::RequestReceived { id, gateway: courier, partner, endpoint, request: call } => {
                     self.verdict.requests += 1;
                     let story = self.stories.entry(id).or_default();
                     calls.insert(*call, (id, story.requests.len()));
                     let endpoint = *endpoint;
                     story.requests.push(Request { at, courier, partner, endpoint, ended: None });
                 }
-                Seen::End { call, how } => {
+                ObservedEvent::RequestEnded { request: call, end: how } => {
                     let request = calls
                         .get(call)
                         .and_then(|(id, place)| self.stories.get_mut(id)?.requests.get_mut(*place));
@@ -196,8 +200,12 @@
                         request.ended = Some((at, *how));
                     }
                 }
-                Seen::Effect { id, .. } => self.stories.entry(id).or_default().effects.push(at),
-                Seen::Courier { courier, running: false, killed: true } => self.kills.push((at, *courier)),
+                ObservedEvent::EffectApplied { id, .. } => {
+                    self.stories.entry(id).or_default().effects.push(at)
+                }
+                ObservedEvent::GatewayProcess { gateway: courier, running: false, killed: true } => {
+                    self.kills.push((at, *courier))
+                }
                 _ => {}
             }
         }
@@ -205,9 +213,9 @@
 
     /// Rule 1: one final answer, in time, and nothing sent after it.
     fn answers(&mut self, id: &str, story: &Story) {
-        let last = story.answers.iter().rev().find(|(_, _, told)| *told != Told::NotTaken);
+        let last = story.answers.iter().rev().find(|(_, _, told)| *told != ReportedOutcome::NotAccepted);
         for (at, _, told) in &story.answers {
-            if *told == Told::Unclear {
+            if *told == ReportedOutcome::Unclear {
                 self.broken("lost", id, *at, "an answer that does not count as one".into());
             }
         }
@@ -215,15 +223,15 @@
             Some((_, _, told)) => {
                 self.verdict.answered += 1;
                 match told {
-                    Told::Delivered => self.verdict.delivered += 1,
-                    Told::Refused => self.verdict.refused += 1,
+                    ReportedOutcome::Delivered => self.verdict.delivered += 1,
+                    ReportedOutcome::Rejected => self.verdict.refused += 1,
                     _ => self.verdict.failed += 1,
                 }
             }
             None => self.no_answer(id, story),
         }
         // The first answer after each hand-in must be in time; what is asked for again later is a repeat.
-        let first = story.answers.iter().find(|(_, _, told)| *told != Told::NotTaken);
+        let first = story.answers.iter().find(|(_, _, told)| *told != ReportedOutcome::NotAccepted);
         if let Some((at, courier, _)) = first {
             let held_elsewhere =
                 self.kills.iter().any(|(_, killed)| story.hand_ins.iter().any(|h| h.1 == *killed));
@@ -259,11 +267,11 @@
             if let Some(request) =
                 story.requests.iter().find(|r| r.at > at + SKEW && again.is_none_or(|h| r.at < h))
             {
-                if *told != Told::NotTaken {
+                if *told != ReportedOutcome::NotAccepted {
                     self.broken("lost", id, request.at, format!("sent after it was answered as {told:?}"));
                 }
             }
-            if !matches!(told, Told::Delivered | Told::Failed) {
+            if !matches!(told, ReportedOutcome::Delivered | ReportedOutcome::Failed) {
                 continue;
             }
             let other =
@@ -284,7 +292,7 @@
             let count = story.effects.len();
             self.broken("twice", id, story.effects[1], format!("took effect {count} times"));
         }
-        if let Some((at, ..)) = story.answers.iter().find(|(_, _, told)| *told == Told::Refused) {
+        if let Some((at, ..)) = story.answers.iter().find(|(_, _, told)| *told == ReportedOutcome::Rejected) {
             if !safe && story.effects.iter().any(|effect| effect < at) {
                 self.broken(
                     "twice",
@@ -334,7 +342,7 @@
                 first_run = Some(request);
             }
         }
-        if let Some((at, ..)) = story.answers.iter().find(|(_, _, told)| *told == Told::Refused) {
+        if let Some((at, ..)) = story.answers.iter().find(|(_, _, told)| *told == ReportedOutcome::Rejected) {
             let ran = story.requests.iter().any(|request| request.at < *at && request.may_have_run());
             if ran && !class.safe {
                 self.broken(
@@ -390,7 +398,7 @@
                 None => self.broken("order", id, first.at, format!("sent while {earlier_id} was out")),
                 Some((end, how)) => {
                     let rest = match how {
-                        End::Left | End::Broken => self.figures.order_settle,
+                        RequestEnd::ClientClosed | RequestEnd::Broken => self.figures.order_settle,
                         _ => 0,
                     };
                     if first.at + SKEW < end + rest {
@@ -410,13 +418,13 @@
     fn waits_and_drains(&mut self, stories: &BTreeMap<&str, Story>) {
         let mut drains: HashMap<(&str, usize), Vec<(u64, bool)>> = HashMap::new();
         for line in self.lines {
-            if let Seen::Listed { partner, endpoint, ready } = &line.seen {
+            if let ObservedEvent::EndpointListed { partner, endpoint, ready } = &line.event {
                 drains.entry((partner, *endpoint)).or_default().push((line.at, *ready));
             }
         }
         let mut waits: HashMap<(&str, &str), Vec<(u64, u64)>> = HashMap::new();
         for request in stories.values().flat_map(|story| &story.requests) {
-            if let Some((at, End::Refused(Some(ms)))) = request.ended {
+            if let Some((at, RequestEnd::Rejected(Some(ms)))) = request.ended {
                 waits.entry((request.courier, request.partner)).or_default().push((at, at + ms * 1000));
             }
         }
@@ -463,14 +471,14 @@
         requests.values_mut().for_each(|list| list.sort_by_key(|request| request.at));
         let mut began: HashMap<&str, u64> = HashMap::new();
         for line in self.lines {
-            match &line.seen {
-                Seen::Outage { partner, began: true, .. } => {
+            match &line.event {
+                ObservedEvent::Outage { partner, began: true, .. } => {
                     began.insert(partner, line.at);
                 }
-                Seen::Fell { partner } => {
+                ObservedEvent::Collapsed { partner } => {
                     self.broken("fail-back", partner, line.at, "it was pushed over as it came back".into());
                 }
-                Seen::Outage { partner, zone, began: false } => {
+                ObservedEvent::Outage { partner, zone, began: false } => {
                     let from = began.remove(partner.as_str()).unwrap_or(0);
                     let list = requests.get(partner.as_str()).map_or(&[][..], Vec::as_slice);
                     self.one_return(partner, *zone, list, from, line.at);
--- a/crates/testbench/src/returns.rs
+++ b/crates/testbench/src/returns.rs
@@ -1,8 +1,8 @@
 //! Load of returning sites in short windows, from the record of a day over sockets.
 
 use crate::day::Day;
-use cloverstile_fakes::model::Nature;
-use cloverstile_fakes::record::{Line, Seen};
+use cloverstile_fakes::model::ServerProfile;
+use cloverstile_fakes::record::{ObservedEvent, RecordLine};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -29,11 +29,11 @@
 }
 
 /// All windows of all returns of a day.
-pub fn windows(day: &Day, lines: &[Line]) -> Vec<Window> {
+pub fn windows(day: &Day, lines: &[RecordLine]) -> Vec<Window> {
     let spec = day.spec();
     let mut windows = Vec::new();
     for line in lines {
-        let Seen::Outage { partner, zone, began: false } = &line.seen else { continue };
+        let ObservedEvent::Outage { partner, zone, began: false } = &line.event else { continue };
         let Some(told) = spec.partners.iter().find(|told| told.name == *partner) else { continue };
         let mut zones: Vec<usize> = told.zones.clone();
         zones.sort_unstable();
@@ -46,17 +46,17 @@
 }
 
 fn of_return(
-    lines: &[Line],
+    lines: &[RecordLine],
     since: u64,
     (partner, zone): (&str, usize),
     zones: &[usize],
-    nature: &Nature,
+    nature: &ServerProfile,
 ) -> Vec<Window> {
     let last = lines.last().map_or(since, |line| line.at);
     let watched = nature.cold.1.mul_f64(WATCHED).min(Duration::from_micros(last.saturating_sub(since)));
     let mut received = vec![0_u32; (watched.as_nanos() / WINDOW.as_nanos()) as usize];
     for line in lines.iter().filter(|line| line.at >= since) {
-        let Seen::Request { partner: to, endpoint, .. } = &line.seen else { continue };
+        let ObservedEvent::RequestReceived { partner: to, endpoint, .. } = &line.event else { continue };
         let place = (u128::from(line.at - since) * 1000 / WINDOW.as_nanos()) as usize;
         if to == partner && zones.get(*endpoint) == Some(&zone) {
             if let Some(count) = received.get_mut(place) {
@@ -67,14 +67,14 @@
     let window = |(place, received): (usize, u32)| {
         let after = WINDOW * place as u32;
         // As warm as it is at the window's end.
-        let capacity = nature.rate() * nature.warmth(after + WINDOW) * WINDOW.as_secs_f64();
+        let capacity = nature.rate() * nature.capacity_share(after + WINDOW) * WINDOW.as_secs_f64();
         Window {
             partner: partner.to_owned(),
             zone,
             after_ms: after.as_millis() as u64,
             received,
             capacity,
-            bound: nature.tip_multiple * capacity,
+            bound: nature.collapse_multiple * capacity,
         }
     };
     received.into_iter().enumerate().map(window).collect()
--- a/crates/testbench/src/run.rs
+++ b/crates/testbench/src/run.rs
@@ -3,9 +3,9 @@
 use crate::day::{Act, Day, DayError};
 use crate::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
 use cloverstile_as2_gateway::rig::{Rig, RigError};
-use cloverstile_fakes::client::{Client, Couriers, Habits, Progress};
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Line, Recorder, Seen};
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, Progress};
+use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, Recorder};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::process::{kill_process, Pid, Signal};
@@ -46,7 +46,7 @@
 /// What came of a day.
 pub struct Played {
     /// All that was seen.
-    pub lines: Vec<Line>,
+    pub lines: Vec<RecordLine>,
     /// What the judge says.
     pub verdict: Verdict,
     /// Wall time.
@@ -169,7 +169,7 @@
     rig: Rig,
     launch: &'a Launch,
     processes: Vec<Option<Process>>,
-    /// Told to stop, and still answering.
+    /// ReportedOutcome to stop, and still answering.
     stopping: Vec<(usize, Process)>,
     addresses: Vec<SocketAddr>,
     draining: BTreeSet<(usize, usize)>,
@@ -210,7 +210,7 @@
             let (couriers, progress, recorder) = (&couriers, &progress, recorder.clone());
             let identity = &identities[number];
             clients.push(scope.spawn(move || {
-                let habits = Habits { deferred: number == 1, ..Habits::default() };
+                let habits = ClientBehaviour { deferred_receipts: number == 1, ..ClientBehaviour::default() };
                 Client::new(identity, habits, couriers, plan, recorder, progress)?.run()
             }));
         }
@@ -235,7 +235,7 @@
             if recorder.now() > most {
                 progress.stop.store(true, Ordering::Relaxed);
             }
-            watch(progress.done.load(Ordering::Relaxed));
+            watch(progress.completed.load(Ordering::Relaxed));
             std::thread::sleep(Duration::from_millis(10));
         }
         for client in clients {
@@ -268,13 +268,15 @@
 }
 
 impl Stage<'_> {
-    fn take(&mut self, step: &Step, couriers: &Couriers) -> Result<(), RunError> {
+    fn take(&mut self, step: &Step, couriers: &GatewaySet) -> Result<(), RunError> {
         match (step.act, step.begins) {
             (Act::Fault(partner, fault, zone), true) => {
-                self.rig.partners.order(Order::Fault { partner, fault, zone, lasts: step.lasts });
+                self.rig.partners.send(PartnerCommand::Fault { partner, fault, zone, duration: step.lasts });
             }
             (Act::Receipts(partner, twist), begins) => {
-                self.rig.partners.order(Order::Twist { partner, twist: begins.then_some(twist) });
+                self.rig
+                    .partners
+                    .send(PartnerCommand::SetResponseFault { partner, fault: begins.then_some(twist) });
             }
             (Act::Drain(partner, endpoint), begins) => self.drain(partner, endpoint, begins)?,
             (Act::Kill(courier), true) => self.end(courier, true, couriers),
@@ -296,18 +298,22 @@
         let name = self.rig.spec.partners[partner].name.clone();
         if !begins {
             // Whoever hears of it first may send at once.
-            self.recorder.note(Seen::Listed { partner: name.clone(), endpoint, ready: true });
+            self.recorder.record(ObservedEvent::EndpointListed {
+                partner: name.clone(),
+                endpoint,
+                ready: true,
+            });
         }
         for process in self.processes.iter().flatten() {
             process.signal(Signal::HUP);
         }
         if begins {
-            self.recorder.note(Seen::Listed { partner: name, endpoint, ready: false });
+            self.recorder.record(ObservedEvent::EndpointListed { partner: name, endpoint, ready: false });
         }
         Ok(())
     }
 
-    fn end(&mut self, courier: usize, killed: bool, couriers: &Couriers) {
+    fn end(&mut self, courier: usize, killed: bool, couriers: &GatewaySet) {
         let Some(process) = self.processes[courier].take() else { return };
         if killed {
             // Clients learn first, so that a lost connection is not taken for a passing fault.
@@ -319,12 +325,12 @@
         self.stopping.push((courier, process));
     }
 
-    fn note_end(&self, courier: usize, killed: bool, couriers: &Couriers) {
+    fn note_end(&self, courier: usize, killed: bool, couriers: &GatewaySet) {
         couriers.running[courier].store(false, Ordering::Relaxed);
-        self.recorder.note(Seen::Courier { courier, running: false, killed });
+        self.recorder.record(ObservedEvent::GatewayProcess { gateway: courier, running: false, killed });
     }
 
-    fn note_stopped(&mut self, couriers: &Couriers) {
+    fn note_stopped(&mut self, couriers: &GatewaySet) {
         let mut left = Vec::new();
         for (courier, mut process) in std::mem::take(&mut self.stopping) {
             match process.ended(Duration::ZERO) {
@@ -340,10 +346,14 @@
         self.processes.iter_mut().position(ended)
     }
 
-    fn start_again(&mut self, courier: usize, couriers: &Couriers) -> Result<(), RunError> {
+    fn start_again(&mut self, courier: usize, couriers: &GatewaySet) -> Result<(), RunError> {
         let (process, _) = Process::start(self.launch, &self.rig.files[courier], courier)?;
         self.processes[courier] = Some(process);
-        self.recorder.note(Seen::Courier { courier, running: true, killed: false });
+        self.recorder.record(ObservedEvent::GatewayProcess {
+            gateway: courier,
+            running: true,
+            killed: false,
+        });
         couriers.running[courier].store(true, Ordering::Relaxed);
         Ok(())
     }
--- a/crates/testbench/tests/judge.rs
+++ b/crates/testbench/tests/judge.rs
@@ -1,6 +1,6 @@
 //! Each rule is broken in a doctored record, and found out; the record without the doctoring is clean.
 
-use cloverstile_fakes::record::{End, Line, Seen, Told};
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, ReportedOutcome, RequestEnd};
 use cloverstile_testbench::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
 use std::collections::HashMap;
 
@@ -27,13 +27,13 @@
 
 #[derive(Default)]
 struct Record {
-    lines: Vec<Line>,
+    lines: Vec<RecordLine>,
     calls: u64,
 }
 
 impl Record {
-    fn at(&mut self, ms: u64, seen: Seen) -> &mut Self {
-        self.lines.push(Line { at: ms * MS, seen });
+    fn at(&mut self, ms: u64, seen: ObservedEvent) -> &mut Self {
+        self.lines.push(RecordLine { at: ms * MS, event: seen });
         self
     }
 
@@ -41,27 +41,47 @@
         let key = (class == "notice").then(|| "employee".to_owned());
         let (id, class, partner, courier) = (id.to_owned(), class.to_owned(), "bank".to_owned(), 0);
         let deadline = (ms + 5000) * MS;
-        self.at(ms, Seen::HandIn { id, courier, class, partner, key, deadline, after_loss: false })
+        self.at(
+            ms,
+            ObservedEvent::Submitted {
+                id,
+                gateway: courier,
+                class,
+                partner,
+                key,
+                deadline,
+                after_loss: false,
+            },
+        )
     }
 
     fn taken(&mut self, ms: u64, id: &str) -> &mut Self {
-        self.at(ms, Seen::Taken { id: id.to_owned(), courier: 0 })
+        self.at(ms, ObservedEvent::Accepted { id: id.to_owned(), gateway: 0 })
     }
 
     /// A call from begin to end.
-    fn call(&mut self, from: u64, to: u64, id: &str, endpoint: usize, how: End) -> &mut Self {
+    fn call(&mut self, from: u64, to: u64, id: &str, endpoint: usize, how: RequestEnd) -> &mut Self {
         self.calls += 1;
         let (courier, partner, call) = ("courier-0".to_owned(), "bank".to_owned(), self.calls);
-        self.at(from, Seen::Request { id: id.to_owned(), courier, partner, endpoint, call });
-        self.at(to, Seen::End { call, how })
+        self.at(
+            from,
+            ObservedEvent::RequestReceived {
+                id: id.to_owned(),
+                gateway: courier,
+                partner,
+                endpoint,
+                request: call,
+            },
+        );
+        self.at(to, ObservedEvent::RequestEnded { request: call, end: how })
     }
 
     fn effect(&mut self, ms: u64, id: &str) -> &mut Self {
-        self.at(ms, Seen::Effect { id: id.to_owned(), partner: "bank".into() })
+        self.at(ms, ObservedEvent::EffectApplied { id: id.to_owned(), partner: "bank".into() })
     }
 
-    fn answer(&mut self, ms: u64, id: &str, told: Told) -> &mut Self {
-        self.at(ms, Seen::Answer { id: id.to_owned(), courier: 0, told })
+    fn answer(&mut self, ms: u64, id: &str, told: ReportedOutcome) -> &mut Self {
+        self.at(ms, ObservedEvent::Answered { id: id.to_owned(), gateway: 0, outcome: told })
     }
 
     fn judged(&self) -> Verdict {
@@ -81,13 +101,21 @@
 /// A payment delivered, a notice repeated inside window and group, a second notice in turn.
 fn good() -> Record {
     let mut record = Record::default();
-    record.hand_in(0, "p", "pay").call(10, 30, "p", 0, End::Refused(None));
-    record.call(400, 430, "p", 1, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
+    record.hand_in(0, "p", "pay").call(10, 30, "p", 0, RequestEnd::Rejected(None));
+    record.call(400, 430, "p", 1, RequestEnd::Processed).effect(425, "p").answer(
+        440,
+        "p",
+        ReportedOutcome::Delivered,
+    );
     record.hand_in(1000, "n1", "notice").taken(1010, "n1");
-    record.call(1020, 1300, "n1", 0, End::Left).effect(1290, "n1");
-    record.call(1500, 1600, "n1", 0, End::Processed).answer(1620, "n1", Told::Delivered);
+    record.call(1020, 1300, "n1", 0, RequestEnd::ClientClosed).effect(1290, "n1");
+    record.call(1500, 1600, "n1", 0, RequestEnd::Processed).answer(1620, "n1", ReportedOutcome::Delivered);
     record.hand_in(1100, "n2", "notice").taken(1110, "n2");
-    record.call(1800, 1850, "n2", 1, End::Processed).effect(1840, "n2").answer(1860, "n2", Told::Delivered);
+    record.call(1800, 1850, "n2", 1, RequestEnd::Processed).effect(1840, "n2").answer(
+        1860,
+        "n2",
+        ReportedOutcome::Delivered,
+    );
     record
 }
 
@@ -100,23 +128,23 @@
 #[test]
 fn a_message_without_an_answer_or_with_a_late_one_is_lost() {
     let mut silent = good();
-    silent.lines.retain(|line| !matches!(&line.seen, Seen::Answer { id, .. } if id == "n1"));
+    silent.lines.retain(|line| !matches!(&line.event, ObservedEvent::Answered { id, .. } if id == "n1"));
     assert_eq!(silent.broken(), ["lost"]);
     let mut late = good();
-    late.hand_in(2000, "q", "pay").answer(7400, "q", Told::Refused);
+    late.hand_in(2000, "q", "pay").answer(7400, "q", ReportedOutcome::Rejected);
     assert_eq!((late.broken(), late.judged().late_answers), (vec!["lost"], 1));
 }
 
 #[test]
 fn two_words_about_one_message_and_a_send_after_its_answer_are_found() {
     let mut two = good();
-    two.answer(2000, "p", Told::Failed);
+    two.answer(2000, "p", ReportedOutcome::Failed);
     assert_eq!(two.broken(), ["lost"]);
     let mut after = good();
-    after.call(700, 720, "p", 0, End::Refused(None));
+    after.call(700, 720, "p", 0, RequestEnd::Rejected(None));
     assert!(after.broken().contains(&"lost"));
     let mut unclear = good();
-    unclear.hand_in(2000, "q", "pay").answer(2100, "q", Told::Unclear);
+    unclear.hand_in(2000, "q", "pay").answer(2100, "q", ReportedOutcome::Unclear);
     assert_eq!(unclear.broken(), ["lost"]);
 }
 
@@ -126,36 +154,48 @@
     twice.effect(1590, "n1");
     assert_eq!((twice.broken(), twice.judged().effects_twice), (vec!["twice"], 1));
     let mut again = Record::default();
-    again.hand_in(0, "p", "pay").call(10, 100, "p", 0, End::Broken);
-    again.call(400, 430, "p", 0, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
+    again.hand_in(0, "p", "pay").call(10, 100, "p", 0, RequestEnd::Broken);
+    again.call(400, 430, "p", 0, RequestEnd::Processed).effect(425, "p").answer(
+        440,
+        "p",
+        ReportedOutcome::Delivered,
+    );
     assert_eq!(again.broken(), ["twice"]);
     let mut late = Record::default();
-    late.hand_in(0, "n", "notice").call(10, 100, "n", 0, End::Left);
-    late.call(2100, 2130, "n", 0, End::Processed).answer(2140, "n", Told::Delivered);
+    late.hand_in(0, "n", "notice").call(10, 100, "n", 0, RequestEnd::ClientClosed);
+    late.call(2100, 2130, "n", 0, RequestEnd::Processed).answer(2140, "n", ReportedOutcome::Delivered);
     assert_eq!(late.broken(), ["twice"]);
     let mut elsewhere = Record::default();
-    elsewhere.hand_in(0, "n", "notice").call(10, 100, "n", 0, End::Left);
-    elsewhere.call(900, 930, "n", 1, End::Processed).answer(940, "n", Told::Delivered);
+    elsewhere.hand_in(0, "n", "notice").call(10, 100, "n", 0, RequestEnd::ClientClosed);
+    elsewhere.call(900, 930, "n", 1, RequestEnd::Processed).answer(940, "n", ReportedOutcome::Delivered);
     assert_eq!(elsewhere.broken(), ["twice"]);
     let mut side = Record::default();
-    side.hand_in(0, "s", "status").call(10, 900, "s", 0, End::Processed);
-    side.call(300, 330, "s", 1, End::Processed).answer(940, "s", Told::Delivered);
+    side.hand_in(0, "s", "status").call(10, 900, "s", 0, RequestEnd::Processed);
+    side.call(300, 330, "s", 1, RequestEnd::Processed).answer(940, "s", ReportedOutcome::Delivered);
     assert_eq!(side.broken(), ["twice"]);
 }
 
 #[test]
 fn a_refusal_of_what_may_have_run_is_found() {
     let mut record = Record::default();
-    record.hand_in(0, "p", "pay").call(10, 100, "p", 0, End::Left).answer(500, "p", Told::Refused);
+    record.hand_in(0, "p", "pay").call(10, 100, "p", 0, RequestEnd::ClientClosed).answer(
+        500,
+        "p",
+        ReportedOutcome::Rejected,
+    );
     assert_eq!(record.broken(), ["twice"]);
     let mut safe = Record::default();
-    safe.hand_in(0, "s", "status").call(10, 100, "s", 0, End::Left).answer(500, "s", Told::Refused);
+    safe.hand_in(0, "s", "status").call(10, 100, "s", 0, RequestEnd::ClientClosed).answer(
+        500,
+        "s",
+        ReportedOutcome::Rejected,
+    );
     assert!(safe.broken().is_empty());
 }
 
 #[test]
 fn what_is_sent_to_a_draining_endpoint_is_found() {
-    let listed = |ready| Seen::Listed { partner: "bank".into(), endpoint: 1, ready };
+    let listed = |ready| ObservedEvent::EndpointListed { partner: "bank".into(), endpoint: 1, ready };
     let mut inside = good();
     inside.at(1000, listed(false));
     inside.at(1700, listed(true));
@@ -168,11 +208,11 @@
 #[test]
 fn what_is_sent_inside_a_wait_is_found_for_any_message() {
     let mut record = good();
-    record.hand_in(1590, "s", "status").call(1595, 1610, "s", 0, End::Refused(Some(1000)));
-    record.answer(4000, "s", Told::Refused);
+    record.hand_in(1590, "s", "status").call(1595, 1610, "s", 0, RequestEnd::Rejected(Some(1000)));
+    record.answer(4000, "s", ReportedOutcome::Rejected);
     assert_eq!(record.broken(), ["wait"]);
     // One that was killed in between comes back as another, which was told nothing.
-    record.at(1650, Seen::Courier { courier: 0, running: false, killed: true });
+    record.at(1650, ObservedEvent::GatewayProcess { gateway: 0, running: false, killed: true });
     assert!(record.broken().is_empty());
 }
 
@@ -180,28 +220,28 @@
 fn messages_of_a_key_out_of_turn_or_too_soon_are_found() {
     let mut record = Record::default();
     record.hand_in(0, "n1", "notice").taken(10, "n1").hand_in(20, "n2", "notice").taken(30, "n2");
-    record.call(50, 80, "n2", 0, End::Processed).answer(90, "n2", Told::Delivered);
-    record.call(500, 530, "n1", 0, End::Processed).answer(540, "n1", Told::Delivered);
+    record.call(50, 80, "n2", 0, RequestEnd::Processed).answer(90, "n2", ReportedOutcome::Delivered);
+    record.call(500, 530, "n1", 0, RequestEnd::Processed).answer(540, "n1", ReportedOutcome::Delivered);
     assert_eq!(record.broken(), ["order"]);
     let mut soon = Record::default();
     soon.hand_in(0, "n1", "notice").taken(10, "n1").hand_in(20, "n2", "notice").taken(30, "n2");
-    soon.call(50, 500, "n1", 0, End::Left).answer(510, "n1", Told::Failed);
-    soon.call(600, 630, "n2", 0, End::Processed).answer(640, "n2", Told::Delivered);
+    soon.call(50, 500, "n1", 0, RequestEnd::ClientClosed).answer(510, "n1", ReportedOutcome::Failed);
+    soon.call(600, 630, "n2", 0, RequestEnd::Processed).answer(640, "n2", ReportedOutcome::Delivered);
     assert_eq!(soon.broken(), ["order"]);
 }
 
 #[test]
 fn a_returning_partner_that_is_pushed_over_is_found() {
-    let outage = |began| Seen::Outage { partner: "bank".into(), zone: None, began };
+    let outage = |began| ObservedEvent::Outage { partner: "bank".into(), zone: None, began };
     let day = |every: u64| {
         let mut record = Record::default();
         record.at(1000, outage(true)).at(2000, outage(false));
-        record.hand_in(900, "first", "status").call(1500, 1900, "first", 0, End::Left);
-        record.answer(2500, "first", Told::Refused);
+        record.hand_in(900, "first", "status").call(1500, 1900, "first", 0, RequestEnd::ClientClosed);
+        record.answer(2500, "first", ReportedOutcome::Rejected);
         for number in 0..20 {
             let (id, at) = (format!("s{number}"), 2010 + number * every);
-            record.hand_in(900, &id, "status").call(at, at + 5, &id, 0, End::Processed);
-            record.answer(at + 6, &id, Told::Delivered);
+            record.hand_in(900, &id, "status").call(at, at + 5, &id, 0, RequestEnd::Processed);
+            record.answer(at + 6, &id, ReportedOutcome::Delivered);
         }
         record
     };
--- a/crates/testbench/tests/sockets.rs
+++ b/crates/testbench/tests/sockets.rs
@@ -1,6 +1,6 @@
 //! The hard cases, each a small day over sockets with real courier processes, judged from the records.
 
-use cloverstile_fakes::record::{End, Seen, Told};
+use cloverstile_fakes::record::{ObservedEvent, ReportedOutcome, RequestEnd};
 use cloverstile_testbench::day::read;
 use cloverstile_testbench::run::{play, Launch, Played};
 use std::collections::HashMap;
@@ -30,7 +30,7 @@
 fn requests(played: &Played) -> HashMap<&str, Vec<(u64, usize, u64)>> {
     let mut all: HashMap<&str, Vec<(u64, usize, u64)>> = HashMap::new();
     for line in &played.lines {
-        if let Seen::Request { id, endpoint, call, .. } = &line.seen {
+        if let ObservedEvent::RequestReceived { id, endpoint, request: call, .. } = &line.event {
             all.entry(id).or_default().push((line.at, *endpoint, *call));
         }
     }
@@ -113,15 +113,15 @@
         let to_bank: Vec<&str> = played
             .lines
             .iter()
-            .filter_map(|line| match &line.seen {
-                Seen::HandIn { id, partner, .. } if partner == "bank" => Some(id.as_str()),
+            .filter_map(|line| match &line.event {
+                ObservedEvent::Submitted { id, partner, .. } if partner == "bank" => Some(id.as_str()),
                 _ => None,
             })
             .collect();
         for line in &played.lines {
-            if let Seen::Answer { id, told, .. } = &line.seen {
+            if let ObservedEvent::Answered { id, outcome: told, .. } = &line.event {
                 if to_bank.contains(&id.as_str()) {
-                    assert_eq!(*told == Told::Delivered, delivered, "{kind}: {id} {told:?}");
+                    assert_eq!(*told == ReportedOutcome::Delivered, delivered, "{kind}: {id} {told:?}");
                 }
             }
         }
@@ -142,7 +142,7 @@
     let patient = UNSAFE.replace("deadline = 2.5", "deadline = 12");
     let played = day("mismatch", &script(20, 60.0, &format!("{patient}{rest}")));
     assert_eq!(played.verdict.failed, 20, "{:?}", played.verdict);
-    assert!(!played.lines.iter().any(|line| matches!(line.seen, Seen::Effect { .. })));
+    assert!(!played.lines.iter().any(|line| matches!(line.event, ObservedEvent::EffectApplied { .. })));
 }
 
 #[test]
@@ -151,19 +151,19 @@
                 trouble \"x\" {\n kind = \"drain\"\n partner = \"bank\"\n endpoint = 1\n at = 0.6\n lasts = 3\n}\n";
     // With threads: a signal that one of them takes by itself ends the courier.
     let played = day("drain", &script(120, 60.0, &format!("workers = 2\n{UNSAFE}{rest}")));
-    let drained = played.lines.iter().find_map(|line| match line.seen {
-        Seen::Listed { ready: false, .. } => Some(line.at),
+    let drained = played.lines.iter().find_map(|line| match line.event {
+        ObservedEvent::EndpointListed { ready: false, .. } => Some(line.at),
         _ => None,
     });
     let drained = drained.expect("a drain");
     let requests = requests(&played);
     let ended = |call: u64| {
-        played.lines.iter().find_map(|line| match line.seen {
-            Seen::End { call: other, how } if other == call => Some((line.at, how)),
+        played.lines.iter().find_map(|line| match line.event {
+            ObservedEvent::RequestEnded { request: other, end: how } if other == call => Some((line.at, how)),
             _ => None,
         })
     };
-    let in_flight: Vec<(u64, End)> = requests
+    let in_flight: Vec<(u64, RequestEnd)> = requests
         .values()
         .flatten()
         .filter(|(at, endpoint, _)| *endpoint == 1 && *at < drained)
@@ -171,7 +171,7 @@
         .filter(|(at, _)| *at > drained)
         .collect();
     assert!(
-        !in_flight.is_empty() && in_flight.iter().all(|(_, how)| *how == End::Processed),
+        !in_flight.is_empty() && in_flight.iter().all(|(_, how)| *how == RequestEnd::Processed),
         "{in_flight:?}"
     );
 }
@@ -180,8 +180,9 @@
 fn an_answer_that_says_wait_is_heeded_for_every_message() {
     let rest = "partner \"bank\" {\n share = 1\n servers = 20\n limit = 15\n tells_wait = true\n}\n";
     let played = day("wait", &script(150, 60.0, &format!("{KEYED}{rest}")));
-    let waits =
-        played.lines.iter().filter(|line| matches!(line.seen, Seen::End { how: End::Refused(Some(_)), .. }));
+    let waits = played.lines.iter().filter(|line| {
+        matches!(line.event, ObservedEvent::RequestEnded { end: RequestEnd::Rejected(Some(_)), .. })
+    });
     assert!(waits.count() > 0);
 }
 
@@ -198,10 +199,9 @@
     let rest = "partner \"bank\" {\n share = 1\n servers = 30\n service_ms = [100, 100]\n}\n\
                 trouble \"x\" {\n kind = \"stop\"\n courier = 1\n at = 0.8\n lasts = 5\n}\n";
     let played = day("stop", &script(200, 100.0, &format!("{UNSAFE}{rest}")));
-    let stopped = played
-        .lines
-        .iter()
-        .any(|line| matches!(line.seen, Seen::Courier { courier: 1, running: false, killed: false }));
+    let stopped = played.lines.iter().any(|line| {
+        matches!(line.event, ObservedEvent::GatewayProcess { gateway: 1, running: false, killed: false })
+    });
     assert!(stopped, "it ended by itself");
     assert_eq!(played.verdict.failed, 0, "{:?}", played.verdict);
 }
@@ -223,8 +223,8 @@
     let answers: HashMap<&str, u64> = played
         .lines
         .iter()
-        .filter_map(|line| match &line.seen {
-            Seen::Answer { id, .. } => Some((id.as_str(), line.at)),
+        .filter_map(|line| match &line.event {
+            ObservedEvent::Answered { id, .. } => Some((id.as_str(), line.at)),
             _ => None,
         })
         .collect();
@@ -232,7 +232,7 @@
     let mut seconds: HashMap<u64, (f64, f64)> = HashMap::new();
     let mut seen = std::collections::HashSet::new();
     for line in &played.lines {
-        let Seen::HandIn { id, .. } = &line.seen else { continue };
+        let ObservedEvent::Submitted { id, .. } = &line.event else { continue };
         if seen.insert(id.as_str()) {
             let tries = requests.get(id.as_str()).map_or(&[][..], Vec::as_slice);
             let spilt = tries.iter().find(|(_, endpoint, _)| *endpoint >= 2).map(|(at, ..)| *at);
