--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -7,10 +7,10 @@
     ClassSpec, ClusterSpec, PartnerSpec, TestCluster, TestClusterError,
 };
 use cloverstile_as2_gateway::{load, RunSummary, Service, ShutdownHandle};
-use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
-use cloverstile_fakes::model::{Fault, Nature};
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Recorder, Seen, Told};
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, PlannedMessage, Progress};
+use cloverstile_fakes::model::{Fault, ServerProfile};
+use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::record::{ObservedEvent, Recorder, ReportedOutcome};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::{Rng, SeedableRng};
@@ -26,7 +26,7 @@
     /// Messages.
     #[arg(long, default_value_t = 3000, value_parser = clap::value_parser!(u32).range(10..=200_000))]
     messages: u32,
-    /// Couriers, each in a thread of its own.
+    /// Gateways, each in a thread of its own.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=8))]
     couriers: u16,
     /// Messages a second.
@@ -95,7 +95,7 @@
     fn drive(
         &self,
         rig: &TestCluster,
-        couriers: &Couriers,
+        couriers: &GatewaySet,
         recorder: &Recorder,
     ) -> Result<(), TestClusterError> {
         let span = Duration::from_secs_f64(f64::from(self.messages) / f64::from(self.rate));
@@ -105,20 +105,25 @@
         let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
         bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
         let trouble = span.mul_f64(0.3);
-        rig.partners.order(Order::Fault { partner: 1, fault: Fault::Silent, zone: None, lasts: trouble });
-        rig.partners.order(Order::Fault {
+        rig.partners.send(PartnerCommand::Fault {
+            partner: 1,
+            fault: Fault::Silent,
+            zone: None,
+            duration: trouble,
+        });
+        rig.partners.send(PartnerCommand::Fault {
             partner: 2,
-            fault: Fault::LoseAnswers(0.2),
+            fault: Fault::TruncateResponses(0.2),
             zone: None,
-            lasts: trouble,
+            duration: trouble,
         });
         std::thread::scope(|scope| {
             let client = scope.spawn(|| {
-                let habits = Habits::default();
+                let habits = ClientBehaviour::default();
                 Client::new(&rig.clients[0], habits, couriers, plan, recorder.clone(), &progress)?.run()
             });
             while !client.is_finished() {
-                bar.set_position(progress.done.load(Ordering::Relaxed) as u64);
+                bar.set_position(progress.completed.load(Ordering::Relaxed) as u64);
                 std::thread::sleep(Duration::from_millis(100));
             }
             bar.finish_and_clear();
@@ -133,25 +138,25 @@
         let mut answers: BTreeMap<String, [u32; 4]> = BTreeMap::new();
         let mut effects: HashMap<String, u32> = HashMap::new();
         for line in &lines {
-            match &line.seen {
-                Seen::HandIn { id, class, .. } => {
+            match &line.event {
+                ObservedEvent::Submitted { id, class, .. } => {
                     class_of.insert(id.clone(), class.clone());
                 }
-                Seen::Effect { id, .. } => *effects.entry(id.clone()).or_default() += 1,
+                ObservedEvent::EffectApplied { id, .. } => *effects.entry(id.clone()).or_default() += 1,
                 _ => {}
             }
         }
-        let mut last: HashMap<&str, Told> = HashMap::new();
+        let mut last: HashMap<&str, ReportedOutcome> = HashMap::new();
         for line in &lines {
-            if let Seen::Answer { id, told, .. } = &line.seen {
+            if let ObservedEvent::Answered { id, outcome: told, .. } = &line.event {
                 last.insert(id, *told);
             }
         }
         for (id, class) in &class_of {
             let place = match last.get(id.as_str()) {
-                Some(Told::Delivered) => 0,
-                Some(Told::Refused) => 1,
-                Some(Told::Failed) => 2,
+                Some(ReportedOutcome::Delivered) => 0,
+                Some(ReportedOutcome::Rejected) => 1,
+                Some(ReportedOutcome::Failed) => 2,
                 _ => 3,
             };
             answers.entry(class.clone()).or_default()[place] += 1;
@@ -196,11 +201,11 @@
     let partner = |name: &str, kind: &str, share: f64, key, deferred| PartnerSpec {
         name: name.into(),
         kind: kind.into(),
-        profile: Nature {
+        profile: ServerProfile {
             servers: (f64::from(rate) * share * 0.06).ceil().max(4.0) as usize,
             queue: 64,
             repeat_window: Duration::from_secs(10),
-            ..Nature::default()
+            ..ServerProfile::default()
         },
         zones: vec![0, 0],
         key,
@@ -227,7 +232,7 @@
     }
 }
 
-fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<Planned> {
+fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<PlannedMessage> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let names = ["bank-north", "bank-south", "bayside-hr", "rosehall-hr"];
     (0..messages)
@@ -235,7 +240,7 @@
             let drawn: f64 = rng.random();
             let partner = [0.4, 0.7, 0.9].iter().filter(|edge| drawn >= **edge).count();
             let pays = partner < 2;
-            Planned {
+            PlannedMessage {
                 at: from + span.mul_f64(f64::from(number) / f64::from(messages)),
                 id: format!("payday-{seed}-{number}@client-0"),
                 class: if pays { "salary-payment" } else { "pay-notice" }.into(),
@@ -243,7 +248,7 @@
                 key: (!pays).then(|| format!("employee-{}", rng.random_range(0..400))),
                 deadline: Duration::from_secs(6),
                 body: format!("payday message {number} for {}\n", names[partner]).into_bytes(),
-                drops: false,
+                disconnects_after_submission: false,
             }
         })
         .collect()
