--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -85,15 +85,14 @@
     fn update_gates(&mut self, _: Time) -> Vec<DestinationId> {
         Vec::new()
     }
-    /// A destination's door, and whether it is open: nothing is sent while it is closed, and one call at a time while
-    /// it is open. None: there is no door.
-    fn gate(&self, _: DestinationId) -> Option<bool> {
+    /// The state of a destination's recovery gate. None: it has no gate.
+    fn gate(&self, _: DestinationId) -> Option<GateState> {
         None
     }
     /// A call was sent to a destination.
     fn on_request_sent(&mut self, _: Time, _: DestinationId) {}
     /// A lost tier of which one more waiting message is to be chosen for again, with the partner that it is of.
-    fn next_reassignment(&mut self, _: Time) -> Option<(DestinationId, DestinationId)> {
+    fn next_reassignment(&mut self, _: Time) -> Option<Reassignment> {
         None
     }
     /// When [`FailoverPolicy::update_gates`] or [`FailoverPolicy::next_reassignment`] next have something to say.
@@ -102,6 +101,24 @@
     }
 }
 
+/// The state of a recovery gate, which limits what is sent to a tier that recovers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GateState {
+    /// One request at a time may be sent.
+    Open,
+    /// Nothing may be sent.
+    Closed,
+}
+
+/// A request to select a tier again for one message that waits for a tier that is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reassignment {
+    /// The tier that is down.
+    pub tier: DestinationId,
+    /// The partner that it belongs to, named by its first destination.
+    pub partner: DestinationId,
+}
+
 /// How a tier stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TierStatus {
@@ -370,9 +387,9 @@
         changed
     }
 
-    fn gate(&self, destination: DestinationId) -> Option<bool> {
+    fn gate(&self, destination: DestinationId) -> Option<GateState> {
         let door = self.tier(destination)?.door.as_ref()?;
-        Some(door.open && door.slot.calls > 0)
+        Some(if door.open && door.slot.calls > 0 { GateState::Open } else { GateState::Closed })
     }
 
     fn on_request_sent(&mut self, _: Time, destination: DestinationId) {
@@ -384,14 +401,14 @@
         }
     }
 
-    fn next_reassignment(&mut self, now: Time) -> Option<(DestinationId, DestinationId)> {
+    fn next_reassignment(&mut self, now: Time) -> Option<Reassignment> {
         for destination in &self.watched {
             let Some((partner, place)) = self.places.get(destination) else { continue };
             let Some(Partner { tiers, state, gap, .. }) = self.partners.get_mut(partner) else { continue };
             let tier = &mut state[*place];
             if tier.again_at.is_some_and(|at| at <= now) && matches!(tier.standing, TierStatus::Down(_)) {
                 tier.again_at = Some(now + (*gap).clamp(Duration::from_millis(1), tiers.down_after));
-                return Some((*destination, *partner));
+                return Some(Reassignment { tier: *destination, partner: *partner });
             }
         }
         None
--- a/crates/failover/tests/tiers.rs
+++ b/crates/failover/tests/tiers.rs
@@ -2,7 +2,7 @@
 
 use cloverstile::{AttemptOutcome, DestinationId, EndpointId, Time, ZoneId};
 use cloverstile_failover::{
-    FailoverPlanner, FailoverPolicy, FleetParameters, RequestResult, TierConfig, TierStatus,
+    FailoverPlanner, FailoverPolicy, FleetParameters, GateState, RequestResult, TierConfig, TierStatus,
 };
 use std::time::Duration;
 
@@ -155,7 +155,7 @@
     assert_eq!(planner.tier_statuses(DestinationId(3))[0], TierStatus::Down(s(2.2)));
     assert_eq!(planner.select_tier(s(2.3), DestinationId(3)), DestinationId(13));
     planner.update_gates(s(2.3));
-    assert_eq!(planner.gate(DestinationId(3)), Some(false));
+    assert_eq!(planner.gate(DestinationId(3)), Some(GateState::Closed));
     assert_eq!(planner.tier_statuses(DestinationId(4))[0], TierStatus::Up, "another zone");
     note(&mut planner, 5.0, 1, AttemptOutcome::Ok);
     assert_eq!(planner.tier_statuses(DestinationId(3))[0], TierStatus::Recovering(s(5.0)));
@@ -172,7 +172,7 @@
         planner.update_gates(at);
         planner.next_timeout()
     } {
-        if planner.gate(DestinationId(1)) == Some(true) && at < s(34.0) {
+        if planner.gate(DestinationId(1)) == Some(GateState::Open) && at < s(34.0) {
             calls.push(at);
             planner.on_request_sent(at, DestinationId(1));
         }
@@ -204,7 +204,7 @@
     let (mut calls, mut at) = (Vec::new(), s(24.0));
     while at < s(34.0) {
         planner.update_gates(at);
-        if planner.gate(DestinationId(1)) == Some(true) {
+        if planner.gate(DestinationId(1)) == Some(GateState::Open) {
             calls.push(at);
             planner.on_request_sent(at, DestinationId(1));
         }
