--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -58,7 +58,7 @@
     pub fn submit(&mut self, now: Time, request: SubmitRequest) -> Admission {
         let known = self.message_id(&request.idempotency_key);
         let Some((id, record)) = known.and_then(|id| Some((id, self.state.messages.get(id)?))) else {
-            return self.admit(now, request);
+            return self.admit(now, &request);
         };
         self.state.counters.duplicates += 1;
         // One key with other content is another intention: nobody can say which was meant. The partner sees the key
@@ -72,20 +72,20 @@
             // safe message may be rejected then) a second one must not go beside it.
             Some(FinalOutcome::Rejected(_)) if record.in_flight.is_none() => {
                 self.state.remove(id);
-                self.admit(now, SubmitRequest { resubmitted: true, ..request })
+                self.admit(now, &SubmitRequest { resubmitted: true, ..request })
             }
             Some(outcome) => Admission::Completed(id, outcome),
         }
     }
 
-    fn admit(&mut self, now: Time, request: SubmitRequest) -> Admission {
+    fn admit(&mut self, now: Time, request: &SubmitRequest) -> Admission {
         if self.shutdown_deadline.is_some() {
             return Admission::ShuttingDown;
         }
         if self.pending_messages() >= self.state.settings.max_queued {
             return Admission::Overloaded;
         }
-        let id = self.state.insert(&request);
+        let id = self.state.insert(request);
         // What a lost instance held may have taken effect there. An unsafe message must not go again; the policy is
         // never asked.
         let class = self.state.settings.classes.get(usize::from(request.class.0));
--- a/crates/engine/src/policy_turn.rs
+++ b/crates/engine/src/policy_turn.rs
@@ -96,7 +96,7 @@
         } else {
             let (latency, end) = (Duration::ZERO, AttemptOutcome::Unsent.into());
             let ended = EndedAttempt { attempt, endpoint, latency, end };
-            self.state.notify_attempt_ended(self.now, ended);
+            self.state.notify_attempt_ended(self.now, &ended);
         }
     }
 
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -4,6 +4,7 @@
 use crate::deadlines::DeadlineQueue;
 use crate::endpoint_table::EndpointTable;
 use crate::message::{Attempt, FinalOutcome, SubmitRequest};
+use crate::message_record::MessageRecord;
 use crate::message_table::MessageTable;
 use crate::migration::{Migration, MigrationResult, TierQueues};
 use crate::requests::RequestsInFlight;
@@ -150,7 +151,7 @@
     /// Stops waiting for the attempt in flight of a message.
     pub fn abandon_attempt(&mut self, now: Time, message: MessageId, outcome: AttemptOutcome) {
         let record = self.messages.get(message);
-        let number = record.map_or(0, |record| record.last_attempt());
+        let number = record.map_or(0, MessageRecord::last_attempt);
         let in_flight = record.and_then(|record| record.in_flight);
         let started = in_flight.is_none_or(|attempt| attempt.started);
         self.commands.push(Command::Abandon { attempt: Attempt { message, number }, started });
@@ -168,7 +169,7 @@
         self.requests.finish(message, &in_flight);
         let latency = now - in_flight.sent_at;
         let endpoint = in_flight.endpoint;
-        self.notify_attempt_ended(now, EndedAttempt { attempt, endpoint, latency, end });
+        self.notify_attempt_ended(now, &EndedAttempt { attempt, endpoint, latency, end });
         if end.outcome == AttemptOutcome::NotStarted {
             self.discount_attempt(message);
         }
@@ -187,8 +188,8 @@
     }
 
     /// Tells both policies how an attempt ended.
-    pub fn notify_attempt_ended(&mut self, now: Time, ended: EndedAttempt) {
-        let EndedAttempt { attempt: Attempt { message, number }, endpoint, latency, end } = ended;
+    pub fn notify_attempt_ended(&mut self, now: Time, ended: &EndedAttempt) {
+        let EndedAttempt { attempt: Attempt { message, number }, endpoint, latency, end } = *ended;
         let outcome = end.outcome;
         if let Some(destination) = self.endpoints.get(endpoint).map(|endpoint| endpoint.destination) {
             let result = RequestResult { destination, endpoint, outcome, latency };
@@ -232,7 +233,7 @@
     /// Completes all pending messages, as far as their outcome is known.
     pub fn complete_all(&mut self, now: Time) {
         for id in self.messages.pending_ids() {
-            let Some(outcome) = self.messages.get(id).map(|record| record.outcome_without_policy()) else {
+            let Some(outcome) = self.messages.get(id).map(MessageRecord::outcome_without_policy) else {
                 continue;
             };
             self.complete_without_policy(now, id, outcome);
@@ -242,7 +243,7 @@
     /// Guards against a message that the policy never completes: the engine does so, and counts it.
     pub fn complete_overdue(&mut self, now: Time) {
         while let Some(id) = self.fallback_completions.pop_due(now) {
-            let Some(outcome) = self.messages.get(id).map(|record| record.outcome_without_policy()) else {
+            let Some(outcome) = self.messages.get(id).map(MessageRecord::outcome_without_policy) else {
                 continue;
             };
             self.counters.forced_completions += 1;
