--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -10,13 +10,14 @@
     Admission, Attempt, Command, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
 };
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
-use cloverstile_platform::client_request::{self, ClientRequest, PutRequest};
+use cloverstile_platform::client_request::{self, ClientRequest, PutRequest, RequestClasses};
 use cloverstile_platform::client_sessions::{ClientSessions, DisconnectReason};
 use cloverstile_platform::config::{Config, SettingNames};
-use cloverstile_platform::endpoint_list::{EndpointList, EndpointListResponse};
+use cloverstile_platform::endpoint_list::EndpointList;
+use cloverstile_platform::endpoint_list_response::EndpointListResponse;
 use cloverstile_platform::endpoint_watch::EndpointWatch;
 use cloverstile_platform::notifications::Notifications;
-use cloverstile_platform::requests::{ConnectionLimits, Requests};
+use cloverstile_platform::requests::{CompletedAttempt, ConnectionLimits, Requests, RetryAfter};
 use cloverstile_platform::response::ReportFields;
 use cloverstile_platform::shutdown::{GracefulShutdown, PendingWork, ShutdownPhase, FINAL_FLUSH_TIMEOUT};
 use cloverstile_platform::ConnectionId;
@@ -98,14 +99,18 @@
         let parsed = &config.parsed;
         let mut settings = parsed.settings.clone();
         settings.classes.push(name_table::fallback_class(&settings.classes));
-        let field = |place: Option<usize>| place.and_then(|place| config.names.fields.get(place)).cloned();
+        let field =
+            |place: Option<usize>| place.and_then(|place| config.names.report_fields.get(place)).cloned();
         let descriptors = DescriptorLimits::new(config.limits.sockets);
         net.set_max_lingering(descriptors.lingering);
         let terms = ConnectionLimits {
             connect_timeout: settings.connect_timeout,
-            idle: settings.connection_idle_timeout,
-            most: descriptors.endpoints,
-            fields: ReportFields { left: field(parsed.remaining_field), limit: field(parsed.limit_field) },
+            idle_timeout: settings.connection_idle_timeout,
+            max_connections: descriptors.endpoints,
+            report_fields: ReportFields {
+                remaining: field(parsed.remaining_field),
+                limit: field(parsed.limit_field),
+            },
         };
         let bound = (config.limits.disk_mb * 1e6) as u64;
         let state = variables.state.display().to_string();
@@ -134,7 +139,7 @@
             parked: Vec::new(),
             watch: EndpointWatch::new(
                 config.discovery,
-                config.known.as_ref().map_or(0, |known| known.generation),
+                config.known_endpoints.as_ref().map_or(0, |known| known.version),
             ),
             notices: Notifications::new(config.discovery),
             leaving: None,
@@ -144,7 +149,7 @@
             launching: Vec::new(),
             closing: Vec::new(),
         };
-        if let Some(known) = &config.known {
+        if let Some(known) = &config.known_endpoints {
             node.take_list(now, known);
         }
         let found = recovered.messages.len();
@@ -168,7 +173,7 @@
             // Numbers from the far end: those of the engine begin at one.
             let number = u32::MAX - u32::try_from(place).unwrap_or(0);
             self.notices.enqueue(number, message_record::notification(&living, ending));
-            return self.log.record(Record::Submitted(number, Box::new(living)));
+            return self.log.record(Record::Submitted { message_number: number, message: Box::new(living) });
         }
         let class = self.classes.get(usize::from(living.class));
         let message_record::RecoveredSubmission { request: hand_in, attempts: past } =
@@ -176,7 +181,7 @@
         let (left, to) = (hand_in.deadline - now, living.destination);
         let id = self.engine.recover(now, hand_in, past);
         trace!(id = id.0, to, attempts = past.attempts, ran = ?past.may_have_run, ?left, "recovered");
-        self.log.record(Record::Submitted(id.0, Box::new(living)));
+        self.log.record(Record::Submitted { message_number: id.0, message: Box::new(living) });
     }
 
     /// Runs until told to stop and done.
@@ -221,8 +226,8 @@
         let mut sockets = Sockets(&mut self.net);
         self.watch.on_tick(now, &mut sockets);
         self.calls.on_tick(now, &mut sockets);
-        for (wire, why) in self.guests.on_tick(now) {
-            self.dismiss(wire, &why);
+        for client in self.guests.on_tick(now) {
+            self.dismiss(client.connection, &client.reason);
         }
     }
 
@@ -272,7 +277,7 @@
             NetEvent::Accepted { conn, .. } => {
                 trace!(?conn, clients = self.guests.len(), "connected");
                 if let Some(leaves) = self.guests.accept(now, ConnectionId(conn.0)) {
-                    self.dismiss(leaves, &DisconnectReason::Crowded);
+                    self.dismiss(leaves, &DisconnectReason::ConnectionLimit);
                 }
             }
             NetEvent::Connected(conn) => {
@@ -315,28 +320,28 @@
                 Err(error) => warn!(%error, "the list of endpoints can't be read; asked again"),
             }
         } else if self.notices.owns(wire) {
-            let (done, refused) = self.notices.on_bytes(now, wire, bytes, &mut sockets);
-            for number in &refused {
+            let settled = self.notices.on_bytes(now, wire, bytes, &mut sockets);
+            for number in &settled.rejected {
                 warn!(number, "the platform can't read a notice; it is not told again");
             }
-            for number in done.into_iter().chain(refused) {
-                self.log.record(Record::Completed(number));
+            for number in settled.acknowledged.into_iter().chain(settled.rejected) {
+                self.log.record(Record::Completed { message_number: number });
             }
             self.unpark(now);
         }
     }
 
     fn take_list(&mut self, now: Time, answer: &EndpointListResponse) {
-        if answer.instances.is_empty() && !answer.reset {
+        if answer.entries.is_empty() && !answer.is_snapshot {
             return;
         }
         for id in self.list.apply(answer, &self.names) {
             warn!(instance = %id, "an entry of the list can't be read and is left out");
         }
         debug!(
-            generation = answer.generation,
-            whole = answer.reset,
-            entries = answer.instances.len(),
+            generation = answer.version,
+            whole = answer.is_snapshot,
+            entries = answer.entries.len(),
             "list"
         );
         self.engine.update_endpoints(now, self.list.endpoints());
@@ -359,10 +364,11 @@
     // ---- Clients ----
 
     fn client_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8]) {
-        let (commands, why) = self.guests.on_bytes(now, wire, bytes);
-        for words in commands {
+        let received = self.guests.on_bytes(now, wire, bytes);
+        for words in received.commands {
             let known = |to| self.list.has_destination(to);
-            let reply = match client_request::read(now, &words, (&self.classes, &self.names.classes), known) {
+            let classes = RequestClasses { classes: &self.classes, names: &self.names.classes };
+            let reply = match client_request::parse(now, &words, classes, known) {
                 Ok(ClientRequest::Ping) => Reply::Bytes(simple("PONG")),
                 Ok(ClientRequest::Put(put)) => self.take(now, *put),
                 Err(wrong) => {
@@ -372,7 +378,7 @@
             };
             self.replies.push((wire, reply));
         }
-        if let Some(why) = why {
+        if let Some(why) = received.disconnect {
             trace!(?wire, ?why, "closed after its answers");
             if let Some(line) = why.error_text() {
                 self.replies.push((wire, Reply::Bytes(error(&line))));
@@ -391,7 +397,7 @@
         match self.engine.submit(now, hand_in) {
             Admission::New(id) => {
                 trace!(id = id.0, to = living.destination, class = living.class, "taken");
-                self.log.record(Record::Submitted(id.0, Box::new(living)));
+                self.log.record(Record::Submitted { message_number: id.0, message: Box::new(living) });
                 self.fresh.insert(id, None);
                 Reply::Of(id)
             }
@@ -424,10 +430,11 @@
 
     fn turn(&mut self, now: Time) {
         for _ in 0..ROUNDS {
-            for (endpoint, wait) in self.calls.take_retry_after() {
-                self.engine.on_retry_after(now, endpoint, wait);
+            for RetryAfter { endpoint, delay } in self.calls.take_retry_after() {
+                self.engine.on_retry_after(now, endpoint, delay);
             }
-            for (attempt, (reported, allowance)) in self.calls.take_completed() {
+            for CompletedAttempt { attempt, result } in self.calls.take_completed() {
+                let (reported, allowance) = (result.outcome, result.rate_limit);
                 if let Some(living) = self.log.message(attempt.message.0) {
                     let sent = living
                         .open_attempt
@@ -444,7 +451,10 @@
                         "ended"
                     );
                 }
-                self.log.record(Record::AttemptCompleted(attempt.message.0, reported.may_have_run()));
+                self.log.record(Record::AttemptCompleted {
+                    message_number: attempt.message.0,
+                    may_have_run: reported.may_have_run(),
+                });
                 self.engine.on_attempt_completed(now, attempt, reported, allowance);
             }
             for command in self.engine.advance(now) {
@@ -460,7 +470,7 @@
                 let zone = self.calls.endpoint(attempt).and_then(|endpoint| self.list.zone(endpoint));
                 let began =
                     AttemptStart { started_at: now.0, zone: zone.map_or(UNKNOWN_INDEX, |zone| zone.0) };
-                self.log.record(Record::AttemptStarted(attempt.message.0, began));
+                self.log.record(Record::AttemptStarted { message_number: attempt.message.0, start: began });
                 self.launching.push(attempt);
             }
             if !self.calls.has_pending_events() && !self.engine.has_pending_events() {
@@ -489,7 +499,8 @@
             warn!(%error, "the log can't be written: nothing is taken on or sent until it can");
         }
         for attempt in std::mem::take(&mut self.launching) {
-            self.log.record(Record::AttemptCompleted(attempt.message.0, false));
+            self.log
+                .record(Record::AttemptCompleted { message_number: attempt.message.0, may_have_run: false });
             self.calls.discard_uncommitted(attempt, &mut Sockets(&mut self.net));
         }
         for (id, answer) in &mut self.fresh {
@@ -497,7 +508,7 @@
                 *answer = Some(busy(Duration::ZERO));
                 // Guards against a "+OK" for the same id once more, as of one that was taken on.
                 self.engine.reject(now, *id);
-                self.log.record(Record::Completed(id.0));
+                self.log.record(Record::Completed { message_number: id.0 });
             }
         }
     }
@@ -515,7 +526,10 @@
                 trace!(id = attempt.message.0, number = attempt.number, "given up waiting");
                 self.parked.retain(|parked| parked.attempt != attempt);
                 self.launching.retain(|launching| *launching != attempt);
-                self.log.record(Record::AttemptCompleted(attempt.message.0, begun));
+                self.log.record(Record::AttemptCompleted {
+                    message_number: attempt.message.0,
+                    may_have_run: begun,
+                });
                 self.calls.abandon(now, attempt, &mut Sockets(&mut self.net));
             }
             Command::Complete { message, outcome: answer, .. } => self.answered(message, answer),
@@ -529,7 +543,7 @@
         trace!(id = message.0, ?answer, fresh = self.fresh.contains_key(&message), "answered");
         let (reply, ending) = match answer {
             FinalOutcome::Delivered | FinalOutcome::Cancelled => {
-                return self.log.record(Record::Completed(message.0))
+                return self.log.record(Record::Completed { message_number: message.0 })
             }
             FinalOutcome::Rejected(again) => {
                 let ms = u64::try_from(again.as_millis()).ok().filter(|ms| *ms > 0);
@@ -540,11 +554,11 @@
         // Refused in the turn of its hand-in: the client is told, and the platform need not be.
         if let Some(told) = self.fresh.get_mut(&message) {
             *told = Some(reply);
-            return self.log.record(Record::Completed(message.0));
+            return self.log.record(Record::Completed { message_number: message.0 });
         }
         let Some(living) = self.log.message(message.0) else { return };
         self.notices.enqueue(message.0, message_record::notification(living, ending));
-        self.log.record(Record::NotificationPending(message.0, ending));
+        self.log.record(Record::NotificationPending { message_number: message.0, state: ending });
     }
 
     /// Gets connections for calls whose key has no notice out: until it is answered, the message before is not over.
--- a/crates/resp-gateway/src/message_record.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -4,7 +4,7 @@
 use cloverstile::{Class, ClassId, DestinationId, OrderKey, RecoveredAttempts, Time, ZoneId};
 use cloverstile_engine::SubmitRequest;
 use cloverstile_http::Headers;
-use cloverstile_platform::notifications::Notification;
+use cloverstile_platform::notifications::{Notification, NotificationStatus};
 use cloverstile_wal::{AttemptStart, LiveMessage, TerminalState, UNKNOWN_INDEX};
 use std::time::Duration;
 
@@ -84,11 +84,11 @@
 
 /// The notification that reports a message's terminal state to the platform.
 pub fn notification(message: &LiveMessage, state: TerminalState) -> Notification {
-    let (failed, again_ms) = match state {
-        TerminalState::Undeliverable => (true, None),
-        TerminalState::Deferred(again) => (false, again),
+    let status = match state {
+        TerminalState::Undeliverable => NotificationStatus::Undeliverable,
+        TerminalState::Deferred(retry_after_ms) => NotificationStatus::Deferred { retry_after_ms },
     };
-    Notification { id: text(&message.id), failed, again_ms, key: order_key(message) }
+    Notification { message_id: text(&message.id), status, order_key: order_key(message) }
 }
 
 /// The HTTP request that delivers a message to an endpoint, which may take `time_left` to answer.
