Interface of the policy split by job, no circle in its state, public items documented

Need: interface.rs held clock, ids, settings and events in 521 lines; src/settings.rs was the parser, not the settings; message and route of policy_state used each other. Change: interface/ has time, ids, settings and events; settings_parser.rs is the parser; ids of requests and routes stand below message and route. lib.rs re-exports by name and says where to read first. Doc comments in the terms of the field; names, types and values are as before.

--- /dev/null
+++ b/src/interface/ids.rs
@@ -0,0 +1,28 @@
+//! Identifiers of messages, endpoints, destinations and settings.
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// A message, unique for the life of a gateway instance. It is also its idempotency key.
+    MessageId(u32);
+    /// An endpoint: one address of a destination.
+    EndpointId(u32);
+    /// A destination: a partner's system that messages are sent to.
+    DestinationId(u16);
+    /// Index into [`crate::Settings::classes`].
+    ClassId(u8);
+    /// Index into [`crate::Settings::tenants`].
+    TenantId(u32);
+    /// Index into [`crate::Settings::kinds`].
+    KindId(u16);
+    /// A zone: a location.
+    ZoneId(u8);
+    /// An order key: messages of an ordered class with the same key are delivered one at a time, in order.
+    OrderKey(u64);
+}
--- /dev/null
+++ b/src/interface/mod.rs
@@ -0,0 +1,14 @@
+//! The interface of the delivery policy: time and ids, settings, events and actions. Types only.
+
+mod events;
+mod ids;
+mod settings;
+mod time;
+
+pub use events::{
+    Action, AttemptCompleted, AttemptOutcome, Endpoint, EndpointListUpdate, EndpointState, Event,
+    RateLimitStatus, RecoveredAttempts, Submission,
+};
+pub use ids::{ClassId, DestinationId, EndpointId, KindId, MessageId, OrderKey, TenantId, ZoneId};
+pub use settings::{Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource};
+pub use time::Time;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,18 @@
-//! Decisions of an outbound delivery gateway ("courier") that calls many partners' systems.
+//! The delivery policy of an outbound gateway: which message to send to which endpoint of a partner, and when.
 //!
 //! [`DeliveryPolicy`] is told what happens ([`Event`]) and answers with what to do ([`Action`]). It opens no
 //! socket, reads no clock and shares nothing: its randomness comes from the seed, its time from the caller.
 //! Call [`DeliveryPolicy::on_event`] for every event, then [`DeliveryPolicy::next_actions`] once.
 //!
+//! The ordinary path: a message waits in the queue of its destination; a free request slot goes to the waiting
+//! destination with the fewest requests in flight; a message whose attempt may have run is retried under its one
+//! key, inside group, window and attempt limit, after an exponential backoff with full jitter. All else (rate
+//! limiting, outages and probes, slow start, idle connections, load shedding) guards that path.
+//!
+//! `policy` holds every decision, `policy_state` what it keeps in memory. The files of `policy` build on each
+//! other in this order: `retry`, `rate_limiting`, `idle_connections`, `health`, `concurrency`, `priority`,
+//! `selection`, `dispatch`, `completion`, `admission`, `discovery`, and the entry points in `mod`.
+//!
 //! ```
 //! use cloverstile::{Action, Class, DeliveryPolicy, Effect, Endpoint, EndpointListUpdate, EndpointState, Event};
 //! use cloverstile::{ClassId, DestinationId, EndpointId, KindId, MessageId, TenantId, ZoneId};
@@ -33,8 +42,13 @@
 mod interface;
 mod policy;
 mod policy_state;
-mod settings;
+mod settings_parser;
 
-pub use interface::*;
+pub use interface::{
+    Action, AttemptCompleted, AttemptOutcome, Class, ClassId, Decay, DestinationId, Discovery, Effect,
+    Endpoint, EndpointId, EndpointListUpdate, EndpointState, Event, Group, Kind, KindId, MessageId, OrderKey,
+    RateLimitStatus, RecoveredAttempts, Rules, Settings, Submission, Tenant, TenantId, Time, WeightSource,
+    ZoneId,
+};
 pub use policy::{retry_window_end, DeliveryPolicy};
-pub use settings::{parse_settings, ParsedSettings, SettingError};
+pub use settings_parser::{parse_settings, ParsedSettings, SettingError};
--- a/src/policy_state/message.rs
+++ b/src/policy_state/message.rs
@@ -1,23 +1,9 @@
 //! Messages, and the requests in flight that carry them.
 
-use super::route::RouteId;
-use crate::interface::{
-    Class, Decay, EndpointId, MessageId, RateLimitStatus, RecoveredAttempts, Settings, Submission, Time,
-    ZoneId,
-};
+use super::ids::{RequestId, RouteId};
+use crate::interface::{Class, Decay, EndpointId, MessageId, RecoveredAttempts, Submission, Time, ZoneId};
 use std::time::Duration;
 
-/// A request in flight; ids grow with time.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RequestId(u64);
-
-impl RequestId {
-    /// The id after this one.
-    pub fn next(self) -> RequestId {
-        RequestId(self.0 + 1)
-    }
-}
-
 /// The first attempt of a message that may have run: it fixes retry window and group.
 #[derive(Clone, Copy)]
 pub struct FirstSend {
@@ -136,27 +122,3 @@
         }
     }
 }
-
-/// What the outcome of a request tells its route.
-pub struct RouteFeedback<'a> {
-    pub now: Time,
-    pub settings: &'a Settings,
-    /// Random value, from 0 to 1, drawn for this outcome.
-    pub chance: f64,
-    /// Messages queued, in even parts of the routes of the destination.
-    pub queued: f64,
-    /// What the response told of the limit.
-    pub rate_limit: Option<RateLimitStatus>,
-}
-
-impl RouteFeedback<'_> {
-    /// The limit, if the response told one.
-    pub fn advertised(&self) -> Option<RateLimitStatus> {
-        self.rate_limit.filter(|status| status.limit > 0.0)
-    }
-
-    /// Share of the limit that remains, from 0 to 1.
-    pub fn remaining(&self) -> Option<f64> {
-        self.advertised().map(|status| status.remaining.clamp(0.0, 1.0))
-    }
-}
--- a/src/policy_state/mod.rs
+++ b/src/policy_state/mod.rs
@@ -1,14 +1,14 @@
 //! What the delivery policy keeps in memory: types, bookkeeping and arithmetic only. Every decision and every
 //! tuned value is in `policy`.
 
+mod ids;
 mod message;
 mod route;
 mod statistics;
 
-pub use message::{
-    remaining_value, FirstSend, InFlightRequest, Message, RequestId, RouteFeedback, SelectedMessage,
-};
-pub use route::{routes_of, Candidate, EndpointRecord, Outage, RouteId, RouteState};
+pub use ids::{routes_of, RequestId, RouteId};
+pub use message::{remaining_value, FirstSend, InFlightRequest, Message, SelectedMessage};
+pub use route::{Candidate, EndpointRecord, Outage, RouteFeedback, RouteState};
 pub use statistics::{update_ewma, Backoff, IdleConnectionRisk, KindStats, LatencyEstimate, QuotaBalance};
 
 use crate::interface::{
--- a/src/policy_state/route.rs
+++ b/src/policy_state/route.rs
@@ -1,24 +1,12 @@
 //! Routes and endpoints: their rates, latencies, outages and requests in flight.
 
-use super::message::{InFlightRequest, RequestId};
+use super::ids::{RequestId, RouteId};
+use super::message::InFlightRequest;
 use super::statistics::{DecayingCounter, LatencyEstimate};
-use crate::interface::{DestinationId, Endpoint, EndpointId, KindId, MessageId, Time};
+use crate::interface::{Endpoint, EndpointId, KindId, MessageId, RateLimitStatus, Settings, Time};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// What has one limit, rate and outage: a destination, or one endpoint of it where limits are per endpoint.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub struct RouteId {
-    pub destination: DestinationId,
-    pub endpoint: Option<EndpointId>,
-}
-
-/// The range of the routes of a destination.
-pub fn routes_of(destination: DestinationId) -> std::ops::RangeInclusive<RouteId> {
-    let last = Some(EndpointId(u32::MAX));
-    RouteId { destination, endpoint: None }..=RouteId { destination, endpoint: last }
-}
-
 /// What may be sent next.
 pub struct Candidate {
     pub route: RouteId,
@@ -160,3 +148,27 @@
         self.refilled_at = now;
     }
 }
+
+/// What the outcome of a request tells its route.
+pub struct RouteFeedback<'a> {
+    pub now: Time,
+    pub settings: &'a Settings,
+    /// Random value, from 0 to 1, drawn for this outcome.
+    pub chance: f64,
+    /// Messages queued, in even parts of the routes of the destination.
+    pub queued: f64,
+    /// What the response told of the limit.
+    pub rate_limit: Option<RateLimitStatus>,
+}
+
+impl RouteFeedback<'_> {
+    /// The limit, if the response told one.
+    pub fn advertised(&self) -> Option<RateLimitStatus> {
+        self.rate_limit.filter(|status| status.limit > 0.0)
+    }
+
+    /// Share of the limit that remains, from 0 to 1.
+    pub fn remaining(&self) -> Option<f64> {
+        self.advertised().map(|status| status.remaining.clamp(0.0, 1.0))
+    }
+}
--- a/src/settings.rs
+++ b/src/settings_parser.rs
@@ -1,4 +1,4 @@
-//! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped. One parser serves every adapter.
+//! Parser of the settings: lines of `path=value` to [`Settings`]. Unknown paths are skipped.
 
 use crate::interface::{
     Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource, ZoneId,
@@ -8,38 +8,39 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// A setting that cannot be read.
+/// An error in the text of the settings.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum SettingError {
     /// A line without an equals sign.
     #[error("line {line}: '{text}' is not path=value")]
     Line {
-        /// Which, from 1.
+        /// Its number, from 1.
         line: usize,
-        /// What it says.
+        /// Its text.
         text: String,
     },
-    /// A value of another type.
+    /// A value that its setting does not allow.
     #[error("setting {path}: '{value}' cannot be read")]
     Value {
-        /// Of which setting.
+        /// Path of the setting.
         path: String,
-        /// What it says.
+        /// Its text.
         value: String,
     },
 }
 
-/// The settings, and where the load report keeps its two values.
+/// The settings, and the positions of two values in the load report of a response.
 #[derive(Debug)]
 pub struct ParsedSettings {
-    /// What the module is handed.
+    /// Settings of the delivery policy.
     pub settings: Settings,
-    /// Place of the share that is left of a limit.
+    /// Position of the part of the rate limit that remains.
     pub remaining_field: Option<usize>,
-    /// Place of the limit itself.
+    /// Position of the rate limit.
     pub limit_field: Option<usize>,
 }
 
+/// Values by path.
 struct Lines<'a>(BTreeMap<&'a str, &'a str>);
 
 impl Lines<'_> {
@@ -82,7 +83,7 @@
     value.parse().map_err(|_| bad(path, value))
 }
 
-/// Reads the text of a `Config` field.
+/// Parses the text of a `Config` field.
 pub fn parse_settings(text: &str) -> Result<ParsedSettings, SettingError> {
     let mut map = BTreeMap::new();
     for (index, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
