Log: codec in a file of its own, typed decode errors, standard names

Need: types, framing, encoding and decoding stood in one file with numeric kinds; what keeps a record from being read was hidden in None; living, torn, folder and room had to be explained. Change: codec.rs holds the bytes, with named kinds and DecodeError, which Recovered gives for a discarded tail. The log speaks of stores, segments, live messages, compaction and capacity; needs_new_segment replaces torn. Bytes are unchanged.

--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -1,18 +1,29 @@
-//! The courier's write-ahead log: what was taken on outlasts the process.
+//! Write-ahead log of accepted messages: what was committed to it survives the end of the process.
 //!
-//! [`Log`] is state: records go in, and [`Log::commit`] hands a turn's bytes to a [`SegmentStore`] in one write. What
-//! was written outlives the process without a sync. When the segment has grown, the living are written to a new
-//! one, which takes the old one's place by its name; both together stay under the bound. [`store::DirectoryStore`] is the
-//! one part that touches files.
+//! [`Log`] collects the [`Record`]s of one turn, and [`Log::commit`] appends them to a segment of a [`SegmentStore`] in
+//! one write. A committed record survives a crash of the process without a sync; it need not survive a crash of the
+//! machine. When a segment has grown, compaction writes the live messages to a new segment, which replaces the old one
+//! when it gets its name; both together stay under the capacity that the log was opened with.
 //!
-//! Names: `log.N` is a segment, complete from the moment it has that name; the highest `N` counts. `log.tmp` is
-//! one that was being written when the process ended, and means nothing.
+//! Recovery, in [`Log::open`], reads the newest segment up to its first torn or damaged record.
+//!
+//! File names: `log.N` is a segment, complete from the moment it has that name; the highest `N` counts. `log.tmp` is a
+//! segment that was being written when the process ended, and is ignored.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | `record` | types of the records |
+//! | `codec` | their bytes: framing, checksums, encoding and decoding |
+//! | `log` | state of the log: live messages, commit, compaction, recovery |
+//! | [`store`] | where segments are kept: the file system, or memory in tests |
 #![forbid(unsafe_code)]
 
+mod codec;
 mod log;
 mod record;
 pub mod store;
 
+pub use codec::DecodeError;
 pub use log::{Log, Recovered};
 pub use record::{AttemptStart, ClassName, LiveMessage, NameTable, Record, TerminalState, UNKNOWN_INDEX};
 pub use store::SegmentStore;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,217 +1,271 @@
-//! The log as state: what lives, what a turn adds, when a new segment is due, and what a start finds.
+//! State of the log: live messages, records of the current turn, commit, compaction and recovery.
 
-use crate::record::{write_submitted, LiveMessage, NameTable, Record};
+use crate::codec::{encode_submitted, DecodeError};
+use crate::record::{LiveMessage, NameTable, Record};
 use crate::store::SegmentStore;
 use std::collections::BTreeMap;
 use std::io;
 
-/// Parts of the bound: what the living may take, and from what size on a segment is replaced. A new segment is
-/// written beside the old one, so that both parts and one turn's records must fit; whole blocks take the rest.
-const LIVING_PART: f64 = 0.36;
-const SEGMENT_PART: f64 = 0.5;
-/// Replacing a segment is worth it when so much of it is dead.
-const LEAST_DEAD: u64 = 64 << 10;
-/// Written at the head of a segment: what it is, and the version of its records.
-const MAGIC: &[u8] = b"cloverstile-log 1\n";
-const TEMPORARY: &str = "log.tmp";
-
-/// What a start found.
+/// Share of the capacity that live messages may take. Compaction writes a new segment beside the old one, so that both
+/// shares and one turn's records must fit; whole blocks of the file system take the rest.
+const LIVE_MESSAGES_SHARE: f64 = 0.36;
+/// Share of the capacity at which a segment is compacted.
+const SEGMENT_SHARE: f64 = 0.5;
+/// A segment is compacted once it is larger than this many times its live messages and [`MIN_DEAD_BYTES`] more.
+const MAX_SIZE_RATIO: u64 = 4;
+/// Bytes of completed messages for which compaction pays.
+const MIN_DEAD_BYTES: u64 = 64 << 10;
+/// Upper bound of what a message takes in a segment beside its id, idempotency key and body, in bytes.
+const MESSAGE_OVERHEAD_BYTES: usize = 96;
+/// Upper bound of what a message takes in a segment beside its body, in bytes.
+const MAX_BYTES_BESIDE_BODY: u64 = 512;
+/// Head of a segment: what the file is, and the version of its records.
+const SEGMENT_HEADER: &[u8] = b"cloverstile-log 1\n";
+/// Name of a segment that is being written.
+const TEMPORARY_NAME: &str = "log.tmp";
+
+/// What an earlier process left.
 #[derive(Debug, Default)]
 pub struct Recovered {
-    /// The living, in the order in which they were taken.
+    /// The live messages, in the order of their numbers.
     pub messages: Vec<LiveMessage>,
-    /// Bytes of a torn or damaged tail that were given up.
+    /// Bytes at the segment's end that were discarded, from the first torn or damaged record on.
     pub discarded_bytes: usize,
-    /// What places meant at that time; nothing in a log of before that was kept.
+    /// Why they were discarded; none where there are none, or where the segment has no header.
+    pub decode_error: Option<DecodeError>,
+    /// What indices in the messages mean; empty where the log's version did not store it.
     pub names: NameTable,
 }
 
-/// A log in a folder.
-pub struct Log<F> {
-    folder: F,
-    bound: u64,
+/// A write-ahead log in a [`SegmentStore`].
+pub struct Log<S> {
+    store: S,
+    /// Most bytes that the log may take in its store.
+    capacity: u64,
+    /// Number of the segment that is appended to.
     segment: u64,
-    /// Bytes of the segment that count.
-    length: u64,
-    living: BTreeMap<u32, LiveMessage>,
-    living_bytes: u64,
+    /// Bytes of the segment that were committed.
+    segment_length: u64,
+    live_messages: BTreeMap<u32, LiveMessage>,
+    /// What the live messages take in a segment, at most.
+    live_bytes: u64,
+    /// Encoded records of the current turn.
     batch: Vec<u8>,
     names: NameTable,
-    /// Records were dropped: nothing is appended before a new segment says how all stands.
-    torn: bool,
+    /// The segment can't be appended to, after recovery or a failed write: the next commit starts a new one.
+    needs_new_segment: bool,
 }
 
 /// What a message takes in a segment, at most.
-fn size(living: &LiveMessage) -> u64 {
-    (living.id.len() + living.idempotency_key.as_ref().map_or(0, Vec::len) + living.body.len() + 96) as u64
+fn stored_size(message: &LiveMessage) -> u64 {
+    let key_length = message.idempotency_key.as_ref().map_or(0, Vec::len);
+    (message.id.len() + key_length + message.body.len() + MESSAGE_OVERHEAD_BYTES) as u64
 }
 
-fn name(segment: u64) -> String {
+fn segment_name(segment: u64) -> String {
     format!("log.{segment}")
 }
 
-fn segment_of(name: &str) -> Option<u64> {
+fn segment_number(name: &str) -> Option<u64> {
     name.strip_prefix("log.")?.parse().ok()
 }
 
-impl<F: SegmentStore> Log<F> {
-    /// Reads what an earlier process left, and begins an empty segment. The caller takes the living on again,
-    /// under numbers of its own, with [`Record::Submitted`], and commits. Until then the old segment stays.
-    pub fn open(folder: F, bound: u64) -> io::Result<(Self, Recovered)> {
+impl<S: SegmentStore> Log<S> {
+    /// Recovers what an earlier process left, in a log of at most `capacity` bytes. The caller submits the recovered
+    /// messages again, under numbers of its own, with [`Record::Submitted`], and commits. Until then the old segment
+    /// stays.
+    ///
+    /// # Errors
+    ///
+    /// Any of the store's.
+    pub fn open(store: S, capacity: u64) -> io::Result<(Self, Recovered)> {
         let mut log = Log {
-            folder,
-            bound,
+            store,
+            capacity,
             segment: 0,
-            length: 0,
-            living: BTreeMap::new(),
-            living_bytes: 0,
+            segment_length: 0,
+            live_messages: BTreeMap::new(),
+            live_bytes: 0,
             batch: Vec::new(),
             names: NameTable::default(),
-            torn: true,
+            needs_new_segment: true,
         };
-        log.folder.remove(TEMPORARY)?;
-        let mut segments: Vec<u64> = log.folder.names()?.iter().filter_map(|name| segment_of(name)).collect();
+        log.store.remove(TEMPORARY_NAME)?;
+        let mut segments: Vec<u64> =
+            log.store.file_names()?.iter().filter_map(|name| segment_number(name)).collect();
         segments.sort_unstable();
         let mut recovered = Recovered::default();
         if let Some(newest) = segments.pop() {
             log.segment = newest;
-            let bytes = log.folder.read(&name(newest))?;
-            recovered.discarded_bytes = log.replay(&bytes);
-            recovered.messages = std::mem::take(&mut log.living).into_values().collect();
-            log.living_bytes = 0;
-            recovered.names = std::mem::take(&mut log.names);
+            let bytes = log.store.read(&segment_name(newest))?;
+            recovered = log.recover(&bytes);
         }
-        for old in segments {
-            log.folder.remove(&name(old))?;
+        for older in segments {
+            log.store.remove(&segment_name(older))?;
         }
         Ok((log, recovered))
     }
 
-    /// Applies a segment's records; tells how many bytes at its end mean nothing.
-    fn replay(&mut self, bytes: &[u8]) -> usize {
-        let Some(mut rest) = bytes.strip_prefix(MAGIC) else { return bytes.len() };
-        while let Some((record, used)) = Record::read(rest) {
-            self.apply(record);
-            rest = &rest[used..];
+    /// Replays a segment's records; the log holds none of their messages afterwards.
+    fn recover(&mut self, segment: &[u8]) -> Recovered {
+        let mut recovered = Recovered::default();
+        match segment.strip_prefix(SEGMENT_HEADER) {
+            Some(records) => self.replay(records, &mut recovered),
+            None => recovered.discarded_bytes = segment.len(),
+        }
+        recovered.messages = std::mem::take(&mut self.live_messages).into_values().collect();
+        recovered.names = std::mem::take(&mut self.names);
+        self.live_bytes = 0;
+        recovered
+    }
+
+    /// Applies records up to the first one that can't be read.
+    fn replay(&mut self, mut records: &[u8], recovered: &mut Recovered) {
+        while !records.is_empty() {
+            match Record::decode(records) {
+                Ok(decoded) => {
+                    self.apply(decoded.record);
+                    records = &records[decoded.length..];
+                }
+                Err(error) => {
+                    recovered.discarded_bytes = records.len();
+                    recovered.decode_error = Some(error);
+                    return;
+                }
+            }
         }
-        rest.len()
     }
 
     fn apply(&mut self, record: Record) {
         match record {
-            Record::Submitted { message_number: seq, message: living } => {
-                self.living_bytes += size(&living);
-                self.living.insert(seq, *living);
+            Record::Submitted { message_number, message } => {
+                self.live_bytes += stored_size(&message);
+                self.live_messages.insert(message_number, *message);
             }
-            Record::AttemptStarted { message_number: seq, start: began } => {
-                if let Some(living) = self.living.get_mut(&seq) {
-                    living.attempts = living.attempts.saturating_add(1);
-                    living.open_attempt = Some(began);
+            Record::AttemptStarted { message_number, start } => {
+                if let Some(message) = self.live_messages.get_mut(&message_number) {
+                    message.attempts = message.attempts.saturating_add(1);
+                    message.open_attempt = Some(start);
                 }
             }
-            Record::AttemptCompleted { message_number: seq, may_have_run } => {
-                if let Some(living) = self.living.get_mut(&seq) {
-                    let begun = living.open_attempt.take();
-                    if may_have_run && living.may_have_run.is_none() {
-                        living.may_have_run = begun;
+            Record::AttemptCompleted { message_number, may_have_run } => {
+                if let Some(message) = self.live_messages.get_mut(&message_number) {
+                    let attempt = message.open_attempt.take();
+                    if may_have_run && message.may_have_run.is_none() {
+                        message.may_have_run = attempt;
                     }
                 }
             }
-            Record::NotificationPending { message_number: seq, state: ending } => {
-                if let Some(living) = self.living.get_mut(&seq) {
-                    self.living_bytes -= living.body.len() as u64;
-                    living.body = Vec::new();
-                    living.pending_notification = Some(ending);
+            Record::NotificationPending { message_number, state } => {
+                if let Some(message) = self.live_messages.get_mut(&message_number) {
+                    self.live_bytes -= message.body.len() as u64;
+                    message.body = Vec::new();
+                    message.pending_notification = Some(state);
                 }
             }
-            Record::Completed { message_number: seq } => {
-                if let Some(living) = self.living.remove(&seq) {
-                    self.living_bytes -= size(&living);
+            Record::Completed { message_number } => {
+                if let Some(message) = self.live_messages.remove(&message_number) {
+                    self.live_bytes -= stored_size(&message);
                 }
             }
             Record::NameTable(names) => self.names = names,
         }
     }
 
-    /// Adds a record to the turn. A record of a message that is not living is dropped.
+    /// Adds a record to the current turn. A record of a message that is not live is dropped.
     pub fn record(&mut self, record: Record) {
-        let known = match &record {
+        let applies = match &record {
             Record::Submitted { .. } | Record::NameTable(_) => true,
-            Record::AttemptStarted { message_number: seq, .. }
-            | Record::AttemptCompleted { message_number: seq, .. }
-            | Record::NotificationPending { message_number: seq, .. }
-            | Record::Completed { message_number: seq } => self.living.contains_key(seq),
+            Record::AttemptStarted { message_number, .. }
+            | Record::AttemptCompleted { message_number, .. }
+            | Record::NotificationPending { message_number, .. }
+            | Record::Completed { message_number } => self.live_messages.contains_key(message_number),
         };
-        if known {
-            record.write(&mut self.batch);
+        if applies {
+            record.encode(&mut self.batch);
             self.apply(record);
         }
     }
 
-    /// What is known of a message that lives.
-    pub fn message(&self, seq: u32) -> Option<&LiveMessage> {
-        self.living.get(&seq)
+    /// A live message, with the records of the current turn applied.
+    pub fn message(&self, message_number: u32) -> Option<&LiveMessage> {
+        self.live_messages.get(&message_number)
     }
 
-    /// Its folder.
-    pub fn store(&self) -> &F {
-        &self.folder
+    /// The store that holds the segments.
+    pub fn store(&self) -> &S {
+        &self.store
     }
 
-    /// The same, to be changed.
-    pub fn store_mut(&mut self) -> &mut F {
-        &mut self.folder
+    /// The store that holds the segments, to be changed.
+    pub fn store_mut(&mut self) -> &mut S {
+        &mut self.store
     }
 
-    /// Whether a message with such a body may be taken on: it must fit with all that lives.
-    pub fn has_room(&self, body: usize) -> bool {
-        self.living_bytes + body as u64 + 512 <= (self.bound as f64 * LIVING_PART) as u64
+    /// Whether a message with a body of so many bytes may be submitted: it must fit beside all live messages.
+    pub fn has_room(&self, body_length: usize) -> bool {
+        let needed = self.live_bytes + body_length as u64 + MAX_BYTES_BESIDE_BODY;
+        needed <= (self.capacity as f64 * LIVE_MESSAGES_SHARE) as u64
     }
 
-    /// Writes the turn's records in one write; a new segment where one is due. After an error nothing of the turn is
-    /// on disk, and the caller takes back what must not happen unlogged; the next commit writes all anew.
+    /// Writes the turn's records in one write, or compacts into a new segment where that is due.
+    ///
+    /// # Errors
+    ///
+    /// Any of the store's. None of the turn's records is stored then, and the caller must take back what must not
+    /// happen unlogged; the next commit starts a new segment.
     pub fn commit(&mut self) -> io::Result<()> {
-        if self.batch.is_empty() && !self.torn {
+        if self.batch.is_empty() && !self.needs_new_segment {
             return Ok(());
         }
         let batch = std::mem::take(&mut self.batch);
-        let full = self.length + batch.len() as u64 > (self.bound as f64 * SEGMENT_PART) as u64
-            || self.length > self.living_bytes * 4 + LEAST_DEAD;
-        if self.torn || full {
-            return self.replace();
+        if self.needs_new_segment || self.is_compaction_due(batch.len()) {
+            return self.compact();
         }
-        if let Err(error) = self.folder.append(&name(self.segment), &batch) {
-            // Guards against a half-written turn with later ones behind it, which no start would read.
-            self.torn = true;
-            let _ = self.folder.truncate(&name(self.segment), self.length);
+        if let Err(error) = self.store.append(&segment_name(self.segment), &batch) {
+            // Guards against a torn write with later records behind it, which no recovery would read.
+            self.needs_new_segment = true;
+            let _ = self.store.truncate(&segment_name(self.segment), self.segment_length);
             return Err(error);
         }
-        self.length += batch.len() as u64;
+        self.segment_length += batch.len() as u64;
         Ok(())
     }
 
-    /// Writes the living to a new segment, which then takes the place of the old one.
-    fn replace(&mut self) -> io::Result<()> {
-        self.torn = true;
-        let mut bytes = MAGIC.to_vec();
-        if self.names != NameTable::default() {
-            Record::NameTable(self.names.clone()).write(&mut bytes);
-        }
-        for (seq, living) in &self.living {
-            write_submitted(*seq, living, &mut bytes);
-        }
-        self.folder.remove(TEMPORARY)?;
+    fn is_compaction_due(&self, batch_length: usize) -> bool {
+        let is_full =
+            self.segment_length + batch_length as u64 > (self.capacity as f64 * SEGMENT_SHARE) as u64;
+        is_full || self.segment_length > self.live_bytes * MAX_SIZE_RATIO + MIN_DEAD_BYTES
+    }
+
+    /// Writes the live messages to a new segment, which then replaces the old one.
+    fn compact(&mut self) -> io::Result<()> {
+        self.needs_new_segment = true;
+        let bytes = self.encode_segment();
+        self.store.remove(TEMPORARY_NAME)?;
         let next = self.segment + 1;
-        let written = self.folder.append(TEMPORARY, &bytes);
-        if let Err(error) = written.and_then(|()| self.folder.rename(TEMPORARY, &name(next))) {
-            let _ = self.folder.remove(TEMPORARY);
+        let written = self.store.append(TEMPORARY_NAME, &bytes);
+        if let Err(error) = written.and_then(|()| self.store.rename(TEMPORARY_NAME, &segment_name(next))) {
+            let _ = self.store.remove(TEMPORARY_NAME);
             return Err(error);
         }
         // From here on the new segment counts, whether the old one could be removed or not.
         let old = std::mem::replace(&mut self.segment, next);
-        self.length = bytes.len() as u64;
-        self.torn = false;
-        let _ = self.folder.remove(&name(old));
+        self.segment_length = bytes.len() as u64;
+        self.needs_new_segment = false;
+        let _ = self.store.remove(&segment_name(old));
         Ok(())
     }
+
+    /// Bytes of a segment with the state of the log and nothing more.
+    fn encode_segment(&self) -> Vec<u8> {
+        let mut bytes = SEGMENT_HEADER.to_vec();
+        if self.names != NameTable::default() {
+            Record::NameTable(self.names.clone()).encode(&mut bytes);
+        }
+        for (message_number, message) in &self.live_messages {
+            encode_submitted(*message_number, message, &mut bytes);
+        }
+        bytes
+    }
 }
--- a/crates/wal/src/store.rs
+++ b/crates/wal/src/store.rs
@@ -1,45 +1,75 @@
-//! Where segments live: a small trait, the file system, and memory for tests.
+//! Where segments are kept: the trait, the file system, and memory for tests.
 
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::PathBuf;
 
-/// A folder of files that outlast the process.
+/// Named files that outlast the process.
 pub trait SegmentStore {
     /// Names of all files.
-    fn names(&self) -> io::Result<Vec<String>>;
-    /// A file whole.
+    ///
+    /// # Errors
+    ///
+    /// The directory can't be read.
+    fn file_names(&self) -> io::Result<Vec<String>>;
+    /// Reads a whole file.
+    ///
+    /// # Errors
+    ///
+    /// The file does not exist or can't be read.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
-    /// Appends in one write; on an error part of the bytes may be there.
+    /// Appends to a file, which is created if need be, in one write.
+    ///
+    /// # Errors
+    ///
+    /// The store is full or can't be written; part of the bytes may have been appended.
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()>;
-    /// Cuts a file.
+    /// Cuts a file to a length in bytes.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be changed.
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()>;
-    /// Renames a file, over another if need be.
+    /// Renames a file; one that has the new name is replaced.
+    ///
+    /// # Errors
+    ///
+    /// The file does not exist or can't be renamed.
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()>;
     /// Removes a file; one that is not there is no error.
+    ///
+    /// # Errors
+    ///
+    /// The file exists and can't be removed.
     fn remove(&mut self, name: &str) -> io::Result<()>;
 }
 
-/// A folder of the file system.
+/// A directory of the file system.
 pub struct DirectoryStore {
     path: PathBuf,
-    open: Option<(String, File)>,
+    /// The file appended to last, kept open.
+    open: Option<OpenFile>,
+}
+
+struct OpenFile {
+    name: String,
+    file: File,
 }
 
 impl DirectoryStore {
-    /// The folder at this path, which must be there.
+    /// The directory at this path, which must exist.
     pub fn new(path: impl Into<PathBuf>) -> Self {
         DirectoryStore { path: path.into(), open: None }
     }
 
-    fn forget(&mut self, name: &str) {
-        self.open.take_if(|(open, _)| open == name);
+    fn close(&mut self, name: &str) {
+        self.open.take_if(|open| open.name == name);
     }
 }
 
 impl SegmentStore for DirectoryStore {
-    fn names(&self) -> io::Result<Vec<String>> {
+    fn file_names(&self) -> io::Result<Vec<String>> {
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.path)? {
             names.extend(entry?.file_name().into_string().ok());
@@ -52,12 +82,12 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        if self.open.as_ref().is_none_or(|(open, _)| open != name) {
+        if self.open.as_ref().is_none_or(|open| open.name != name) {
             let file = OpenOptions::new().create(true).append(true).open(self.path.join(name))?;
-            self.open = Some((name.to_owned(), file));
+            self.open = Some(OpenFile { name: name.to_owned(), file });
         }
         match &mut self.open {
-            Some((_, file)) => file.write_all(bytes),
+            Some(open) => open.file.write_all(bytes),
             None => Ok(()),
         }
     }
@@ -68,15 +98,15 @@
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
         fs::rename(self.path.join(from), self.path.join(to))?;
-        self.forget(to);
-        if let Some((open, _)) = self.open.as_mut().filter(|(open, _)| open == from) {
-            *open = to.to_owned();
+        self.close(to);
+        if let Some(open) = self.open.as_mut().filter(|open| open.name == from) {
+            open.name = to.to_owned();
         }
         Ok(())
     }
 
     fn remove(&mut self, name: &str) -> io::Result<()> {
-        self.forget(name);
+        self.close(name);
         match fs::remove_file(self.path.join(name)) {
             Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
             _ => Ok(()),
@@ -84,26 +114,29 @@
     }
 }
 
-/// A folder in memory, which can be told to run full.
+/// Size of a block in [`MemoryStore`]; a file takes whole blocks.
+const BLOCK_BYTES: usize = 512;
+
+/// A store in memory, which can be made to run out of space.
 #[derive(Clone, Debug, Default)]
 pub struct MemoryStore {
-    /// What the files hold.
+    /// Contents of the files, by name.
     pub files: BTreeMap<String, Vec<u8>>,
-    /// Bytes that may still be written; beyond, a write fails part of the way.
-    pub room: Option<usize>,
-    /// Most bytes held at once so far, each file in whole 512 bytes.
-    pub most: usize,
+    /// Bytes that may still be written, where that is limited; a write beyond them is torn and fails.
+    pub free_bytes: Option<usize>,
+    /// Most bytes held at once so far, with each file in whole blocks.
+    pub peak_bytes: usize,
 }
 
 impl MemoryStore {
-    fn note(&mut self) {
-        let size = self.files.values().map(|file| file.len().div_ceil(512) * 512).sum();
-        self.most = self.most.max(size);
+    fn update_peak(&mut self) {
+        let size = self.files.values().map(|file| file.len().next_multiple_of(BLOCK_BYTES)).sum();
+        self.peak_bytes = self.peak_bytes.max(size);
     }
 }
 
 impl SegmentStore for MemoryStore {
-    fn names(&self) -> io::Result<Vec<String>> {
+    fn file_names(&self) -> io::Result<Vec<String>> {
         Ok(self.files.keys().cloned().collect())
     }
 
@@ -112,11 +145,11 @@
     }
 
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let taken = self.room.map_or(bytes.len(), |room| room.min(bytes.len()));
-        self.files.entry(name.to_owned()).or_default().extend_from_slice(&bytes[..taken]);
-        self.room = self.room.map(|room| room - taken);
-        self.note();
-        if taken < bytes.len() {
+        let written = self.free_bytes.map_or(bytes.len(), |free| free.min(bytes.len()));
+        self.files.entry(name.to_owned()).or_default().extend_from_slice(&bytes[..written]);
+        self.free_bytes = self.free_bytes.map(|free| free - written);
+        self.update_peak();
+        if written < bytes.len() {
             return Err(io::ErrorKind::StorageFull.into());
         }
         Ok(())
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -134,8 +134,8 @@
         log.commit().unwrap();
     }
     let folder = log.store().clone();
-    assert!(folder.most <= BOUND as usize, "{} of {BOUND}", folder.most);
-    assert!(folder.most > BOUND as usize / 3, "the bound was never near");
+    assert!(folder.peak_bytes <= BOUND as usize, "{} of {BOUND}", folder.peak_bytes);
+    assert!(folder.peak_bytes > BOUND as usize / 3, "the bound was never near");
     let found: Vec<usize> = open(folder).1.iter().map(|living| living.body.len()).collect();
     assert_eq!(found, living.into_values().collect::<Vec<_>>());
 }
@@ -159,14 +159,14 @@
     let (mut log, ..) = open(MemoryStore::default());
     log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 100)) });
     log.commit().unwrap();
-    log.store_mut().room = Some(20);
+    log.store_mut().free_bytes = Some(20);
     log.record(Record::Completed { message_number: 1 });
     log.record(Record::Submitted { message_number: 2, message: Box::new(message(2, 100)) });
     assert!(log.commit().is_err());
     // Nothing of the turn is there: half of it would hide what comes later.
     assert_eq!(open(log.store_mut().clone()).1.len(), 1);
     assert!(log.commit().is_err(), "still full");
-    log.store_mut().room = None;
+    log.store_mut().free_bytes = None;
     log.record(Record::Completed { message_number: 2 });
     log.commit().unwrap();
     assert!(open(log.store().clone()).1.is_empty());
@@ -185,7 +185,7 @@
         log.commit().unwrap();
         log.record(Record::Submitted { message_number: 100, message: Box::new(message(100, 10)) });
         log.commit().unwrap();
-        assert_eq!(DirectoryStore::new(&path).names().unwrap().len(), 1);
+        assert_eq!(DirectoryStore::new(&path).file_names().unwrap().len(), 1);
     }
     std::fs::remove_dir_all(&path).unwrap();
 }
@@ -222,7 +222,7 @@
 fn records_of_before_zones_were_kept_are_read() {
     let shorter = |record: Record, by: usize| {
         let mut bytes = Vec::new();
-        record.write(&mut bytes);
+        record.encode(&mut bytes);
         let payload = bytes[8..bytes.len() - by].to_vec();
         let length = (payload.len() as u32).to_le_bytes();
         [&length[..], &crc32fast::hash(&payload).to_le_bytes(), &payload].concat()
@@ -264,8 +264,8 @@
 }
 
 impl SegmentStore for Dying<'_> {
-    fn names(&self) -> std::io::Result<Vec<String>> {
-        self.folder.names()
+    fn file_names(&self) -> std::io::Result<Vec<String>> {
+        self.folder.file_names()
     }
     fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
         self.folder.read(name)
