Log tests named by unit and behaviour; a test of the reasons for a discarded tail

Change: names only, no assertion of the eleven tests changed; one test is new, of each DecodeError that recovery reports.

--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -1,13 +1,13 @@
-//! Recovery after a cut at every byte, damage, a full folder, and segments under the bound.
+//! Recovery after a cut at every byte, damage and crashes; commits to a full store; segments under the capacity.
 
 use cloverstile_wal::store::{DirectoryStore, MemoryStore, SegmentStore};
 use cloverstile_wal::{
-    AttemptStart, ClassName, LiveMessage, Log, NameTable, Record, TerminalState, UNKNOWN_INDEX,
+    AttemptStart, ClassName, DecodeError, LiveMessage, Log, NameTable, Record, TerminalState, UNKNOWN_INDEX,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
-const BOUND: u64 = 1 << 20;
+const CAPACITY_BYTES: u64 = 1 << 20;
 
 fn message(number: u32, body: usize) -> LiveMessage {
     LiveMessage {
@@ -23,7 +23,7 @@
     }
 }
 
-fn began(at: u64) -> AttemptStart {
+fn start(at: u64) -> AttemptStart {
     AttemptStart { started_at: at, zone: at as u8 % 3 }
 }
 
@@ -31,26 +31,26 @@
     ClassName { name: name.to_owned(), effect }
 }
 
-fn open(folder: MemoryStore) -> (Log<MemoryStore>, Vec<LiveMessage>, usize) {
-    let (log, recovered) = Log::open(folder, BOUND).unwrap();
+fn open(store: MemoryStore) -> (Log<MemoryStore>, Vec<LiveMessage>, usize) {
+    let (log, recovered) = Log::open(store, CAPACITY_BYTES).unwrap();
     (log, recovered.messages, recovered.discarded_bytes)
 }
 
-fn newest(folder: &MemoryStore) -> String {
-    folder.files.keys().next_back().unwrap().clone()
+fn newest(store: &MemoryStore) -> String {
+    store.files.keys().next_back().unwrap().clone()
 }
 
-/// A log's steps, each in a turn of its own, with the folder as it stood after each.
-fn steps() -> Vec<MemoryStore> {
+/// The store after each of a series of records, each committed in a turn of its own.
+fn stores_after_each_record() -> Vec<MemoryStore> {
     let records = vec![
         Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) },
         Record::Submitted { message_number: 2, message: Box::new(message(2, 300)) },
-        Record::AttemptStarted { message_number: 1, start: began(11) },
+        Record::AttemptStarted { message_number: 1, start: start(11) },
         Record::AttemptCompleted { message_number: 1, may_have_run: false },
-        Record::AttemptStarted { message_number: 2, start: began(12) },
+        Record::AttemptStarted { message_number: 2, start: start(12) },
         Record::AttemptCompleted { message_number: 2, may_have_run: true },
-        Record::AttemptStarted { message_number: 2, start: began(13) },
-        Record::AttemptStarted { message_number: 1, start: began(14) },
+        Record::AttemptStarted { message_number: 2, start: start(13) },
+        Record::AttemptStarted { message_number: 1, start: start(14) },
         Record::NotificationPending { message_number: 2, state: TerminalState::Deferred(Some(700)) },
         Record::Completed { message_number: 1 },
         Record::Completed { message_number: 2 },
@@ -68,55 +68,55 @@
 }
 
 #[test]
-fn a_cut_at_any_byte_costs_the_torn_record_only() {
-    let states = steps();
+fn recovery_after_a_cut_at_any_byte_discards_the_torn_record_only() {
+    let states = stores_after_each_record();
     let whole = states.last().unwrap();
     let name = newest(whole);
     let ends: Vec<usize> = states.iter().map(|state| state.files[&name].len()).collect();
     for cut in ends[0]..=whole.files[&name].len() {
-        let mut folder = whole.clone();
-        folder.files.get_mut(&name).unwrap().truncate(cut);
+        let mut store = whole.clone();
+        store.files.get_mut(&name).unwrap().truncate(cut);
         let steps_left = ends.iter().filter(|end| **end <= cut).count();
-        let (_, living, torn) = open(folder);
+        let (_, live, torn) = open(store);
         let (_, expected, none) = open(states[steps_left - 1].clone());
-        assert_eq!(living, expected, "cut at {cut}");
+        assert_eq!(live, expected, "cut at {cut}");
         assert_eq!((torn, none), (cut - ends[steps_left - 1], 0), "cut at {cut}");
     }
 }
 
 #[test]
-fn a_damaged_byte_costs_its_record_and_what_follows() {
-    let states = steps();
+fn recovery_stops_before_a_record_with_a_damaged_byte() {
+    let states = stores_after_each_record();
     let (before, whole) = (&states[3], &states[10]);
     let name = newest(whole);
     let at = before.files[&name].len();
     for damaged in at..states[4].files[&name].len() {
-        let mut folder = whole.clone();
-        folder.files.get_mut(&name).unwrap()[damaged] ^= 0x41;
-        assert_eq!(open(folder).1, open(before.clone()).1, "byte {damaged}");
+        let mut store = whole.clone();
+        store.files.get_mut(&name).unwrap()[damaged] ^= 0x41;
+        assert_eq!(open(store).1, open(before.clone()).1, "byte {damaged}");
     }
 }
 
 #[test]
-fn a_restart_knows_attempts_first_sending_and_what_is_owed() {
-    let states = steps();
+fn recovery_restores_attempts_first_possible_run_and_pending_notification() {
+    let states = stores_after_each_record();
     let at = |step: usize| open(states[step].clone()).1;
     let second = &at(7)[1];
     assert_eq!(
         (second.attempts, second.may_have_run, second.open_attempt),
-        (2, Some(began(12)), Some(began(13)))
+        (2, Some(start(12)), Some(start(13)))
     );
     let first = &at(7)[0];
-    assert_eq!((first.attempts, first.may_have_run, first.open_attempt), (2, None, Some(began(14))));
+    assert_eq!((first.attempts, first.may_have_run, first.open_attempt), (2, None, Some(start(14))));
     assert_eq!(at(8)[1].pending_notification, Some(TerminalState::Deferred(Some(700))));
     assert!(at(8)[1].body.is_empty());
     assert!(at(10).is_empty());
 }
 
 #[test]
-fn segments_stay_under_the_bound_and_lose_nothing() {
+fn segments_stay_under_the_capacity_and_keep_all_live_messages() {
     let (mut log, ..) = open(MemoryStore::default());
-    let mut living = BTreeMap::new();
+    let mut live = BTreeMap::new();
     for number in 1..6000u32 {
         let body = (number as usize * 37) % 1500;
         if log.has_room(body) {
@@ -124,38 +124,38 @@
                 message_number: number,
                 message: Box::new(message(number, body)),
             });
-            log.record(Record::AttemptStarted { message_number: number, start: began(5) });
-            living.insert(number, body);
+            log.record(Record::AttemptStarted { message_number: number, start: start(5) });
+            live.insert(number, body);
         }
         if number % 5 != 0 && number > 200 {
             log.record(Record::Completed { message_number: number - 200 });
-            living.remove(&(number - 200));
+            live.remove(&(number - 200));
         }
         log.commit().unwrap();
     }
-    let folder = log.store().clone();
-    assert!(folder.peak_bytes <= BOUND as usize, "{} of {BOUND}", folder.peak_bytes);
-    assert!(folder.peak_bytes > BOUND as usize / 3, "the bound was never near");
-    let found: Vec<usize> = open(folder).1.iter().map(|living| living.body.len()).collect();
-    assert_eq!(found, living.into_values().collect::<Vec<_>>());
+    let store = log.store().clone();
+    assert!(store.peak_bytes <= CAPACITY_BYTES as usize, "{} of {CAPACITY_BYTES}", store.peak_bytes);
+    assert!(store.peak_bytes > CAPACITY_BYTES as usize / 3, "the capacity was never near");
+    let found: Vec<usize> = open(store).1.iter().map(|message| message.body.len()).collect();
+    assert_eq!(found, live.into_values().collect::<Vec<_>>());
 }
 
 #[test]
-fn a_start_between_the_new_segment_and_the_end_of_the_old_one_reads_the_new() {
+fn recovery_with_two_segments_reads_the_newer() {
     let (mut log, ..) = open(MemoryStore::default());
     log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 9)) });
     log.commit().unwrap();
-    let mut folder = log.store().clone();
-    let name = newest(&folder);
-    let old = folder.files[&name].clone();
-    folder.files.insert("log.0".into(), old.clone());
-    folder.files.insert("log.tmp".into(), old[..old.len() / 2].to_vec());
-    let (_, living, torn) = open(folder);
-    assert_eq!((living.len(), torn), (1, 0));
+    let mut store = log.store().clone();
+    let name = newest(&store);
+    let old = store.files[&name].clone();
+    store.files.insert("log.0".into(), old.clone());
+    store.files.insert("log.tmp".into(), old[..old.len() / 2].to_vec());
+    let (_, live, torn) = open(store);
+    assert_eq!((live.len(), torn), (1, 0));
 }
 
 #[test]
-fn a_full_folder_is_an_error_and_the_next_commit_writes_all_anew() {
+fn commit_to_a_full_store_fails_and_the_next_one_starts_a_new_segment() {
     let (mut log, ..) = open(MemoryStore::default());
     log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 100)) });
     log.commit().unwrap();
@@ -163,7 +163,7 @@
     log.record(Record::Completed { message_number: 1 });
     log.record(Record::Submitted { message_number: 2, message: Box::new(message(2, 100)) });
     assert!(log.commit().is_err());
-    // Nothing of the turn is there: half of it would hide what comes later.
+    // Nothing of the turn is stored: half of it would hide what comes later.
     assert_eq!(open(log.store_mut().clone()).1.len(), 1);
     assert!(log.commit().is_err(), "still full");
     log.store_mut().free_bytes = None;
@@ -173,14 +173,14 @@
 }
 
 #[test]
-fn files_are_written_renamed_and_removed() {
+fn directory_store_appends_renames_and_removes_files() {
     let path = std::env::temp_dir().join(format!("cloverstile-wal-{}", std::process::id()));
     std::fs::create_dir_all(&path).unwrap();
     for round in 0..3u32 {
-        let (mut log, recovered) = Log::open(DirectoryStore::new(&path), BOUND).unwrap();
+        let (mut log, recovered) = Log::open(DirectoryStore::new(&path), CAPACITY_BYTES).unwrap();
         assert_eq!(recovered.messages.len() as u32, round);
-        for (place, living) in recovered.messages.into_iter().enumerate() {
-            log.record(Record::Submitted { message_number: place as u32, message: Box::new(living) });
+        for (number, message) in (0..).zip(recovered.messages) {
+            log.record(Record::Submitted { message_number: number, message: Box::new(message) });
         }
         log.commit().unwrap();
         log.record(Record::Submitted { message_number: 100, message: Box::new(message(100, 10)) });
@@ -192,19 +192,19 @@
 
 proptest! {
     #[test]
-    fn any_bytes_are_a_log_that_can_be_read(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+    fn recovery_accepts_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
         let head = b"cloverstile-log 1\n".to_vec();
         let files = BTreeMap::from([("log.3".to_owned(), [head, bytes].concat())]);
         open(MemoryStore { files, ..MemoryStore::default() });
     }
 }
 
-/// What places mean outlasts the process and each new segment.
+/// The name table survives the process, and compaction into a new segment.
 #[test]
-fn names_of_classes_and_zones_come_back_from_whichever_segment() {
-    let mut folder = MemoryStore::default();
+fn name_table_is_recovered_from_every_segment() {
+    let mut store = MemoryStore::default();
     for round in 0..3 {
-        let (mut log, recovered) = Log::open(folder, 1 << 20).unwrap();
+        let (mut log, recovered) = Log::open(store, 1 << 20).unwrap();
         let names = |round: u8| NameTable {
             classes: vec![class(&format!("a{round}"), round), class("b", 3)],
             zones: vec!["here".to_owned(), format!("z{round}")],
@@ -213,13 +213,13 @@
         log.record(Record::NameTable(names(round)));
         log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) });
         log.commit().unwrap();
-        folder = log.store().clone();
+        store = log.store().clone();
     }
 }
 
-/// A log of the version before zones and effects were kept: nothing of it is lost by the change of versions.
+/// A log of the version that did not store zones and effects: an upgrade loses nothing of it.
 #[test]
-fn records_of_before_zones_were_kept_are_read() {
+fn records_of_versions_without_zones_are_decoded() {
     let shorter = |record: Record, by: usize| {
         let mut bytes = Vec::new();
         record.encode(&mut bytes);
@@ -227,108 +227,135 @@
         let length = (payload.len() as u32).to_le_bytes();
         [&length[..], &crc32fast::hash(&payload).to_le_bytes(), &payload].concat()
     };
-    let taken =
-        LiveMessage { may_have_run: Some(began(11)), open_attempt: Some(began(12)), ..message(1, 30) };
+    let submitted =
+        LiveMessage { may_have_run: Some(start(11)), open_attempt: Some(start(12)), ..message(1, 30) };
     let names = NameTable { classes: vec![class("a", 1), class("b", 2)], zones: Vec::new() };
     let bytes = [
         b"cloverstile-log 1\n".to_vec(),
         shorter(Record::NameTable(names), 2),
-        shorter(Record::Submitted { message_number: 1, message: Box::new(taken) }, 2),
+        shorter(Record::Submitted { message_number: 1, message: Box::new(submitted) }, 2),
         shorter(Record::Submitted { message_number: 2, message: Box::new(message(2, 30)) }, 2),
-        shorter(Record::AttemptStarted { message_number: 2, start: began(13) }, 1),
+        shorter(Record::AttemptStarted { message_number: 2, start: start(13) }, 1),
     ];
     let files = BTreeMap::from([("log.3".to_owned(), bytes.concat())]);
-    let (_, recovered) = Log::open(MemoryStore { files, ..MemoryStore::default() }, BOUND).unwrap();
+    let (_, recovered) = Log::open(MemoryStore { files, ..MemoryStore::default() }, CAPACITY_BYTES).unwrap();
     let old = |at| Some(AttemptStart { started_at: at, zone: UNKNOWN_INDEX });
     let found: Vec<_> =
-        recovered.messages.iter().map(|living| (living.may_have_run, living.open_attempt)).collect();
+        recovered.messages.iter().map(|message| (message.may_have_run, message.open_attempt)).collect();
     assert_eq!((found, recovered.discarded_bytes), (vec![(old(11), old(12)), (None, old(13))], 0));
     assert_eq!(recovered.names.classes, [class("a", UNKNOWN_INDEX), class("b", UNKNOWN_INDEX)]);
 }
 
-/// A folder of a process that is killed at its Nth change: a write is done by half then, and nothing after it.
-struct Dying<'a> {
-    folder: &'a mut MemoryStore,
-    left: usize,
+/// The store of a process that crashes at its Nth change: a write is torn then, and nothing follows.
+struct CrashingStore<'a> {
+    store: &'a mut MemoryStore,
+    changes_left: usize,
 }
 
-impl Dying<'_> {
-    fn lives(&mut self) -> std::io::Result<&mut MemoryStore> {
-        self.left = self.left.saturating_sub(1);
-        if self.left == 0 {
+impl CrashingStore<'_> {
+    fn change(&mut self) -> std::io::Result<&mut MemoryStore> {
+        self.changes_left = self.changes_left.saturating_sub(1);
+        if self.changes_left == 0 {
             Err(std::io::Error::other("killed"))
         } else {
-            Ok(self.folder)
+            Ok(self.store)
         }
     }
 }
 
-impl SegmentStore for Dying<'_> {
+impl SegmentStore for CrashingStore<'_> {
     fn file_names(&self) -> std::io::Result<Vec<String>> {
-        self.folder.file_names()
+        self.store.file_names()
     }
     fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
-        self.folder.read(name)
+        self.store.read(name)
     }
     fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        if self.left == 1 {
-            self.folder.append(name, &bytes[..bytes.len() / 2])?;
+        if self.changes_left == 1 {
+            self.store.append(name, &bytes[..bytes.len() / 2])?;
         }
-        self.lives()?.append(name, bytes)
+        self.change()?.append(name, bytes)
     }
     fn truncate(&mut self, name: &str, length: u64) -> std::io::Result<()> {
-        self.lives()?.truncate(name, length)
+        self.change()?.truncate(name, length)
     }
     fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
-        self.lives()?.rename(from, to)
+        self.change()?.rename(from, to)
     }
     fn remove(&mut self, name: &str) -> std::io::Result<()> {
-        self.lives()?.remove(name)
+        self.change()?.remove(name)
     }
 }
 
-/// One process: takes the living on again, and then one message more; whether that was written.
-fn process(folder: &mut MemoryStore, left: usize, fresh: u32) -> bool {
-    let Ok((mut log, recovered)) = Log::open(Dying { folder, left }, BOUND) else { return false };
+/// One process: recovers the messages, and then submits one more; whether that was committed.
+fn run_process(store: &mut MemoryStore, changes_left: usize, new_message: u32) -> bool {
+    let Ok((mut log, recovered)) = Log::open(CrashingStore { store, changes_left }, CAPACITY_BYTES) else {
+        return false;
+    };
     log.record(Record::NameTable(NameTable { zones: vec!["here".to_owned()], ..NameTable::default() }));
-    for (seq, living) in (1..).zip(recovered.messages) {
-        log.record(Record::Submitted { message_number: seq, message: Box::new(living) });
+    for (number, message) in (1..).zip(recovered.messages) {
+        log.record(Record::Submitted { message_number: number, message: Box::new(message) });
     }
     if log.commit().is_err() {
         return false;
     }
-    log.record(Record::Submitted { message_number: 90 + fresh, message: Box::new(message(fresh, 40)) });
+    log.record(Record::Submitted {
+        message_number: 90 + new_message,
+        message: Box::new(message(new_message, 40)),
+    });
     log.commit().is_ok()
 }
 
-/// Kills at every change of the folder, in one process, and in the next one as well: what was written is found by the
-/// third, once each.
+/// Crashes at every change of the store, in one process and in the next one as well: the third recovers what was
+/// committed, once each.
 #[test]
-fn a_kill_at_any_step_of_recovering_and_another_one_lose_and_double_nothing() {
+fn two_crashes_at_any_step_of_recovery_lose_and_duplicate_no_message() {
     let (mut log, ..) = open(MemoryStore::default());
     (1..4).for_each(|number| {
-        log.record(Record::Submitted { message_number: number, message: Box::new(message(number, 30)) })
+        log.record(Record::Submitted { message_number: number, message: Box::new(message(number, 30)) });
     });
     log.commit().unwrap();
     let mut start = log.store().clone();
-    // Left by a process before: an older segment and one half written.
+    // Left by an earlier process: an older segment and a torn one.
     let name = newest(&start);
     let old = start.files[&name].clone();
     start.files.insert("log.0".into(), old.clone());
     start.files.insert("log.tmp".into(), old[..old.len() / 2].to_vec());
-    let (mut kills, mut wrote) = (0, 0);
+    let (mut crashes, mut commits) = (0, 0);
     for first in 1..10 {
         for second in 1..10 {
             let mut expected: Vec<Vec<u8>> = (1..4).map(|number| message(number, 30).id).collect();
-            let mut folder = start.clone();
-            for (left, fresh) in [(first, 10), (second, 11)] {
-                let written = process(&mut folder, left, fresh);
-                expected.extend(written.then(|| message(fresh, 40).id));
-                (kills, wrote) = (kills + u32::from(!written), wrote + u32::from(written));
+            let mut store = start.clone();
+            for (changes_left, new_message) in [(first, 10), (second, 11)] {
+                let committed = run_process(&mut store, changes_left, new_message);
+                expected.extend(committed.then(|| message(new_message, 40).id));
+                crashes += u32::from(!committed);
+                commits += u32::from(committed);
             }
-            let found: Vec<Vec<u8>> = open(folder).1.into_iter().map(|living| living.id).collect();
-            assert_eq!(found, expected, "killed at {first} and {second}");
+            let found: Vec<Vec<u8>> = open(store).1.into_iter().map(|message| message.id).collect();
+            assert_eq!(found, expected, "crashes at {first} and {second}");
         }
     }
-    assert!(kills > 60 && wrote > 40, "{kills} kills, {wrote} that lived on");
+    assert!(crashes > 60 && commits > 40, "{crashes} crashes, {commits} commits");
+}
+
+/// A discarded tail is reported with the reason; a whole segment without one.
+#[test]
+fn recovery_reports_why_a_tail_was_discarded() {
+    let whole = stores_after_each_record().pop().unwrap();
+    let name = newest(&whole);
+    let error_after = |change: fn(&mut Vec<u8>)| {
+        let mut store = whole.clone();
+        change(store.files.get_mut(&name).unwrap());
+        Log::open(store, CAPACITY_BYTES).unwrap().1.decode_error
+    };
+    assert_eq!(error_after(|_| ()), None);
+    assert_eq!(error_after(|bytes| bytes.truncate(bytes.len() - 1)), Some(DecodeError::Truncated));
+    assert_eq!(error_after(|bytes| *bytes.last_mut().unwrap() ^= 1), Some(DecodeError::ChecksumMismatch));
+    assert_eq!(error_after(|bytes| bytes.extend([0xff; 8])), Some(DecodeError::TooLong(0xffff_ffff)));
+    let unknown_kind = [&[1, 0, 0, 0][..], &crc32fast::hash(&[99]).to_le_bytes(), &[99]].concat();
+    let mut store = whole.clone();
+    store.files.get_mut(&name).unwrap().extend(unknown_kind);
+    let recovered = Log::open(store, CAPACITY_BYTES).unwrap().1;
+    assert_eq!((recovered.decode_error, recovered.discarded_bytes), (Some(DecodeError::InvalidPayload), 9));
 }
