Platform requests: connection pool in a file of its own, typed states

Need: requests.rs was connection pool, request state and deadlines in one; a connection's state, its optional attempt and its flags could disagree. Change: connection_pool.rs owns connections, idle lists and limits; requests.rs owns attempts and events. A connection is active with an attempt and its phase, reads the rest of a response, is abandoned or idle. abort_before_send and discard_uncommitted share how an attempt is taken off its connection, and say why only one of them counts as an attempt.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,27 +1,30 @@
-//! The users' platform as the node sees it: what its messages mean, and what must be decided around the module.
+//! The users' platform as the gateway sees it: what its messages mean, and what is decided around the delivery policy.
 //!
-//! Nothing here opens a socket, reads a clock or draws chance. State machines take bytes and the time and act on
-//! [`Transport`], which the shell puts on sockets and tests on a list.
+//! Nothing here opens a socket, reads a clock or draws random numbers. State machines take bytes and the time, and act
+//! on a [`Transport`], which the gateway implements on sockets and tests as a list.
 //!
 //! | module | holds |
 //! | --- | --- |
-//! | [`config`] | the JSON configuration, its settings for the module's one parser |
-//! | [`settings_validation`] | what the settings must tell |
-//! | [`client_request`] | what a client's command asks for, and what is wrong with it |
+//! | [`config`] | the JSON configuration, with its settings for the policy's one parser |
+//! | [`settings_validation`] | which settings are required, and their allowed values |
+//! | [`client_request`] | a client's command, and what is wrong with it |
+//! | [`client_sessions`] | clients' connections: their commands, and which are closed when |
+//! | [`endpoint_list_response`] | responses of service discovery, as JSON |
 //! | [`endpoint_list`] | the endpoint list: snapshots, changes, ids for the policy |
-//! | [`endpoint_list_response`] | what service discovery responds, as JSON |
-//! | `agent` | the connection to the agent on this machine, which [`endpoint_watch`] and [`notifications`] ask on |
-//! | [`endpoint_watch`] | the watch of that list: when to ask, when discovery counts as silent |
-//! | [`notifications`] | what the platform must be told, until it has answered |
-//! | [`response`] | an endpoint's answer: outcome, whether it may have run, whether its connection is of use |
-//! | [`requests`] | calls out and their connections |
-//! | [`client_sessions`] | clients' connections: who is closed, and when |
-//! | [`shutdown`] | what a courier that was told to stop still does |
+//! | `discovery_connection` | the connection to the discovery agent, which the next two use |
+//! | [`endpoint_watch`] | the watch of the endpoint list: when to ask, when discovery is unavailable |
+//! | [`notifications`] | messages that the platform must be notified of, until it acknowledges them |
+//! | [`response`] | an endpoint's response: outcome, whether it may have run, reuse of the connection |
+//! | `connection_pool` | connections to endpoints and their states |
+//! | [`requests`] | requests to endpoints, from an attempt to its result |
+//! | [`shutdown`] | phases of a graceful shutdown |
+//! | `transport` | [`Transport`] and [`ConnectionId`] |
 #![forbid(unsafe_code)]
 
 pub mod client_request;
 pub mod client_sessions;
 pub mod config;
+mod connection_pool;
 mod discovery_connection;
 pub mod endpoint_list;
 pub mod endpoint_list_response;
@@ -31,24 +34,9 @@
 pub mod response;
 pub mod settings_validation;
 pub mod shutdown;
+mod transport;
 
-use std::net::SocketAddr;
+pub use transport::{ConnectionId, Transport};
 
-/// Bytes of the longest body that the platform carries.
+/// Largest body that the platform carries, in bytes.
 pub const MAX_BODY_BYTES: usize = 64 << 10;
-
-/// A connection, as the shell numbers them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct ConnectionId(pub u64);
-
-/// What a state machine does to connections. Nothing comes back at once: events follow later.
-pub trait Transport {
-    /// Begins a connection.
-    fn connect(&mut self, to: SocketAddr) -> ConnectionId;
-    /// Queues bytes.
-    fn write(&mut self, wire: ConnectionId, bytes: &[u8]);
-    /// Ends what we send; what comes is still told, and so is the end.
-    fn shutdown_write(&mut self, wire: ConnectionId);
-    /// Closes at once; no event follows.
-    fn close(&mut self, wire: ConnectionId);
-}
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -1,83 +1,28 @@
-//! Calls out and the connections that they travel on: one call at a time on each.
-
-use crate::response::{AttemptResult, ConnectionReuse, ReportFields, ResponseReader};
+//! Requests to endpoints: from an attempt that the policy decided on to its result.
+//!
+//! An attempt takes a connection of the pool, or a new one ([`Requests::connect`]). When it is established
+//! ([`Requests::take_connected`]) all but the last byte is written ([`Requests::send_all_but_last_byte`]). The last byte
+//! follows a moment later ([`Requests::take_ready_to_commit`]), once the log has the attempt ([`Requests::commit`]): an
+//! endpoint begins to process a request with its last byte, so what fails before never ran.
+
+use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
+use crate::response::{AttemptResult, ConnectionReuse, ReportFields, ResponseProgress, ResponseReader};
 use crate::{ConnectionId, Transport};
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// An idle connection is closed by us after this part of the time after which the other side may close it: a
-/// request that crosses its close would end as a reset, which may have run.
-const IDLE_PART: f64 = 0.7;
-/// A call's last byte is held back for so long behind the others: a connection that was closed meanwhile answers them
-/// with a reset, and an endpoint begins a call with its last byte. What breaks before it never ran.
-const HELD_BACK: Duration = Duration::from_millis(1);
-/// Kept connections that one attempt may find closed before it counts as failed.
-const MOST_STALE: u8 = 2;
-/// How long the rest of an answer may take whose outcome is known already, and one that nobody waits for any more.
-const REST: Duration = Duration::from_secs(1);
-
-enum State {
-    Connecting {
-        until: Time,
-    },
-    /// Connected, for an attempt whose bytes are asked for.
-    Ready,
-    /// All but its last byte is written.
-    Held {
-        last: u8,
-        until: Time,
-    },
-    /// Time for its last byte, which waits for the log.
-    Due {
-        last: u8,
-    },
-    /// Bytes were handed over; whether all of them are with the system.
-    Sent {
-        written: bool,
-    },
-    /// The outcome is told, the answer not over.
-    Finishing {
-        until: Time,
-    },
-    /// Given up, and told so by the end of our sending: only a wait that the answer tells still counts.
-    GivenUp {
-        until: Time,
-    },
-    Idle {
-        until: Time,
-    },
-}
+/// How long the last byte of a request is held back behind the others. Guards against a connection that was closed
+/// meanwhile: it answers the others with a reset.
+const LAST_BYTE_DELAY: Duration = Duration::from_millis(1);
+/// Reused connections that one attempt may find closed before it counts as failed.
+const MAX_STALE_CONNECTIONS: u8 = 2;
+/// How long the rest of a response may take whose outcome is known, and one that nobody waits for any longer.
+const REST_TIMEOUT: Duration = Duration::from_secs(1);
 
-impl State {
-    /// When it has taken long enough, where that is for us to say.
-    fn until(&self) -> Option<Time> {
-        match self {
-            State::Connecting { until }
-            | State::Held { until, .. }
-            | State::Finishing { until }
-            | State::GivenUp { until }
-            | State::Idle { until } => Some(*until),
-            State::Ready | State::Due { .. } | State::Sent { .. } => None,
-        }
-    }
-}
-
-struct Conn {
-    endpoint: EndpointId,
-    address: SocketAddr,
-    attempt: Option<Attempt>,
-    state: State,
-    reader: ResponseReader,
-    /// It carried a call before.
-    kept: bool,
-    /// Kept connections that this attempt found closed.
-    stale: u8,
-}
-
-/// What the platform allows of connections.
+/// What the platform allows of connections to endpoints.
 #[derive(Clone, Debug)]
 pub struct ConnectionLimits {
     /// Time after which a connection that is not established has failed.
@@ -108,356 +53,369 @@
     pub delay: Duration,
 }
 
-/// All calls out.
+/// All requests in flight. Events are kept until they are taken.
 pub struct Requests {
-    terms: ConnectionLimits,
-    conns: BTreeMap<ConnectionId, Conn>,
+    pool: ConnectionPool,
+    connect_timeout: Duration,
+    report_fields: ReportFields,
+    /// Connections of the attempts without an outcome.
     attempts: HashMap<Attempt, ConnectionId>,
-    /// Idle ones of an endpoint, the one used last behind.
-    idle: HashMap<EndpointId, Vec<ConnectionId>>,
-    ready: Vec<Attempt>,
-    due: Vec<Attempt>,
-    ended: Vec<CompletedAttempt>,
-    waits: Vec<RetryAfter>,
+    connected: Vec<Attempt>,
+    ready_to_commit: Vec<Attempt>,
+    completed: Vec<CompletedAttempt>,
+    retry_after: Vec<RetryAfter>,
 }
 
 impl Requests {
-    /// No calls.
-    pub fn new(terms: ConnectionLimits) -> Self {
-        let (conns, attempts, idle) = (BTreeMap::new(), HashMap::new(), HashMap::new());
-        let (ready, due, ended, waits) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
-        Requests { terms, conns, attempts, idle, ready, due, ended, waits }
+    /// No requests.
+    pub fn new(limits: ConnectionLimits) -> Self {
+        Requests {
+            pool: ConnectionPool::new(limits.idle_timeout, limits.max_connections),
+            connect_timeout: limits.connect_timeout,
+            report_fields: limits.report_fields,
+            attempts: HashMap::new(),
+            connected: Vec::new(),
+            ready_to_commit: Vec::new(),
+            completed: Vec::new(),
+            retry_after: Vec::new(),
+        }
     }
 
-    /// Attempts that are out or on their way.
+    /// Number of attempts without an outcome.
     pub fn in_flight(&self) -> usize {
         self.attempts.len()
     }
 
-    /// Connections open or coming up.
+    /// Number of connections open or being established.
     pub fn connections(&self) -> usize {
-        self.conns.len()
+        self.pool.len()
     }
 
-    /// Attempts whose connection is there: their bytes are wanted.
+    /// Attempts whose connection is established: their bytes are awaited.
     pub fn take_connected(&mut self) -> Vec<Attempt> {
-        std::mem::take(&mut self.ready)
+        std::mem::take(&mut self.connected)
     }
 
-    /// Attempts whose last byte is due, once the log has their beginning.
+    /// Attempts whose last byte may be written once the log has them.
     pub fn take_ready_to_commit(&mut self) -> Vec<Attempt> {
-        std::mem::take(&mut self.due)
+        std::mem::take(&mut self.ready_to_commit)
     }
 
     /// Attempts that ended, in order.
     pub fn take_completed(&mut self) -> Vec<CompletedAttempt> {
-        std::mem::take(&mut self.ended)
+        std::mem::take(&mut self.completed)
     }
 
-    /// Waits that heads of answers told, from now on.
+    /// `Retry-After` of responses, each as soon as its head was read.
     pub fn take_retry_after(&mut self) -> Vec<RetryAfter> {
-        std::mem::take(&mut self.waits)
+        std::mem::take(&mut self.retry_after)
     }
 
-    /// Whether something ended or is ready and was not taken.
+    /// Whether an attempt was connected, became ready to commit or ended, and was not taken.
     pub fn has_pending_events(&self) -> bool {
-        !self.ready.is_empty() || !self.due.is_empty() || !self.ended.is_empty()
+        !self.connected.is_empty() || !self.ready_to_commit.is_empty() || !self.completed.is_empty()
     }
 
-    /// Gets a connection for an attempt; it is ready at once where one is idle.
+    /// Gets a connection for an attempt; it is connected at once where a connection is idle.
     pub fn connect(
         &mut self,
         now: Time,
         attempt: Attempt,
         endpoint: EndpointId,
         address: SocketAddr,
-        wires: &mut impl Transport,
+        transport: &mut impl Transport,
     ) {
-        while let Some(wire) = self.idle.get_mut(&endpoint).and_then(Vec::pop) {
-            let Some(conn) = self.conns.get_mut(&wire) else { continue };
-            // Past its time by now: the other side may be closing it at this moment.
-            let late = matches!(conn.state, State::Idle { until } if until <= now);
-            if late || conn.address != address {
-                self.close(wire, wires);
-                continue;
-            }
-            (conn.attempt, conn.state, conn.reader) = (Some(attempt), State::Ready, ResponseReader::new());
-            conn.stale = 0;
-            self.attempts.insert(attempt, wire);
-            self.ready.push(attempt);
-            return;
-        }
-        if self.conns.len() >= self.terms.max_connections && !self.close_longest_idle(wires) {
-            self.completed(attempt, TransportOutcome::Unsent.into());
-            return;
+        let idle = self.pool.take_idle(now, endpoint, address, transport);
+        if let Some((id, connection)) = idle.and_then(|id| Some((id, self.pool.get_mut(id)?))) {
+            let phase = RequestPhase::Connected;
+            connection.state =
+                ConnectionState::Active(ActiveRequest { attempt, phase, stale_connections: 0 });
+            connection.reader = ResponseReader::new();
+            self.attempts.insert(attempt, id);
+            self.connected.push(attempt);
+        } else if self.pool.ensure_room(transport) {
+            let until = now + self.connect_timeout;
+            let phase = RequestPhase::Connecting { until };
+            let request = ActiveRequest { attempt, phase, stale_connections: 0 };
+            self.open_connection(request, endpoint, address, transport);
+        } else {
+            self.complete(attempt, TransportOutcome::Unsent.into());
         }
-        self.open_connection(now, attempt, (endpoint, address), 0, wires);
     }
 
     fn open_connection(
         &mut self,
-        now: Time,
-        attempt: Attempt,
-        (endpoint, address): (EndpointId, SocketAddr),
-        stale: u8,
-        wires: &mut impl Transport,
+        request: ActiveRequest,
+        endpoint: EndpointId,
+        address: SocketAddr,
+        transport: &mut impl Transport,
     ) {
-        let wire = wires.connect(address);
-        let state = State::Connecting { until: now + self.terms.connect_timeout };
-        self.attempts.insert(attempt, wire);
-        let (attempt, reader, kept) = (Some(attempt), ResponseReader::new(), false);
-        self.conns.insert(wire, Conn { endpoint, address, attempt, state, reader, kept, stale });
-    }
-
-    fn close_longest_idle(&mut self, wires: &mut impl Transport) -> bool {
-        let until = |conn: &Conn| match conn.state {
-            State::Idle { until } | State::Finishing { until } | State::GivenUp { until } => Some(until),
-            _ => None,
-        };
-        let longest = self.conns.iter().filter_map(|(wire, conn)| Some((until(conn)?, *wire))).min();
-        longest.map(|(_, wire)| self.close(wire, wires)).is_some()
+        let id = transport.connect(address);
+        self.attempts.insert(request.attempt, id);
+        let state = ConnectionState::Active(request);
+        let reader = ResponseReader::new();
+        self.pool.insert(id, Connection { endpoint, address, state, reader, is_reused: false });
     }
 
-    /// Writes a ready attempt's call but for its last byte.
+    /// Writes the request of a connected attempt but for its last byte.
     pub fn send_all_but_last_byte(
         &mut self,
         now: Time,
         attempt: Attempt,
         bytes: &[u8],
-        wires: &mut impl Transport,
+        transport: &mut impl Transport,
     ) {
-        let Some(wire) = self.attempts.get(&attempt).copied() else { return };
-        let Some((last, first)) = bytes.split_last() else { return };
-        if let Some(conn) = self.conns.get_mut(&wire).filter(|conn| matches!(conn.state, State::Ready)) {
-            conn.state = State::Held { last: *last, until: now + HELD_BACK };
-            wires.write(wire, first);
+        let Some((last_byte, first_bytes)) = bytes.split_last() else { return };
+        let Some(&id) = self.attempts.get(&attempt) else { return };
+        let Some(request) = self.pool.get_mut(id).and_then(Connection::active) else { return };
+        if let RequestPhase::Connected = request.phase {
+            let until = now + LAST_BYTE_DELAY;
+            request.phase = RequestPhase::LastByteHeld { last_byte: *last_byte, until };
+            transport.write(id, first_bytes);
         }
     }
 
-    /// Writes an attempt's last byte. The log has its beginning.
-    pub fn commit(&mut self, attempt: Attempt, wires: &mut impl Transport) {
-        let Some(wire) = self.attempts.get(&attempt).copied() else { return };
-        let Some(conn) = self.conns.get_mut(&wire) else { return };
-        if let State::Due { last } = conn.state {
-            conn.state = State::Sent { written: false };
-            wires.write(wire, &[last]);
+    /// Writes the last byte of an attempt that is ready to commit. The log must have the attempt.
+    pub fn commit(&mut self, attempt: Attempt, transport: &mut impl Transport) {
+        let Some(&id) = self.attempts.get(&attempt) else { return };
+        let Some(request) = self.pool.get_mut(id).and_then(Connection::active) else { return };
+        if let RequestPhase::ReadyToCommit { last_byte } = request.phase {
+            request.phase = RequestPhase::Committed { flushed: false };
+            transport.write(id, &[last_byte]);
         }
     }
 
-    /// An attempt that is ready or due may not go: it is as if it had never been decided on. Its connection stays for
-    /// the next one, where nothing was written on it and its endpoint is listed there.
+    /// Takes back an attempt that is not committed and may not be sent any more: it ends as if it had never been decided
+    /// on. Its connection is reused where nothing was written on it and its endpoint is listed at its address.
     pub fn abort_before_send(
         &mut self,
         now: Time,
         attempt: Attempt,
-        listed: bool,
-        wires: &mut impl Transport,
+        is_listed: bool,
+        transport: &mut impl Transport,
     ) {
-        self.forget(attempt);
-        let Some(wire) = self.attempts.remove(&attempt) else { return };
-        match self.conns.get(&wire).map(|conn| &conn.state) {
-            Some(State::Ready) if listed => self.rest(now, wire),
-            _ => self.close(wire, wires),
+        let Some(id) = self.detach(attempt) else { return };
+        let request = self.pool.get_mut(id).and_then(Connection::active);
+        let is_clean = request.is_some_and(|request| matches!(request.phase, RequestPhase::Connected));
+        if is_clean && is_listed {
+            self.pool.make_idle(now, id);
+        } else {
+            self.pool.close(id, transport);
+        }
+        self.complete(attempt, TransportOutcome::NotStarted.into());
+    }
+
+    /// Ends an attempt that could not be logged, and closes its connection, which has most of the request.
+    ///
+    /// Unlike [`Requests::abort_before_send`] this counts as an attempt: the policy waits before the next one, and a log
+    /// that can't be written is not tried without a pause.
+    pub fn discard_uncommitted(&mut self, attempt: Attempt, transport: &mut impl Transport) {
+        let Some(id) = self.detach(attempt) else { return };
+        self.pool.close(id, transport);
+        self.complete(attempt, TransportOutcome::Unsent.into());
+    }
+
+    /// Abandons an attempt: no result of it is reported. Its connection is closed, as its response must not be taken for
+    /// another's; after a whole request only our side is shut down at first. Guards against a `Retry-After` that is on
+    /// its way at this moment: it binds from its writing on, whoever still reads it.
+    pub fn abandon(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) {
+        let Some(id) = self.detach(attempt) else { return };
+        match self.pool.get_mut(id) {
+            Some(Connection { state, .. }) if is_request_sent(state) => {
+                *state = ConnectionState::Abandoned { until: now + REST_TIMEOUT };
+                transport.shutdown_write(id);
+            }
+            _ => self.pool.close(id, transport),
         }
-        self.completed(attempt, TransportOutcome::NotStarted.into());
     }
 
-    fn conn_of(&self, attempt: Attempt) -> Option<&Conn> {
-        self.attempts.get(&attempt).and_then(|wire| self.conns.get(wire))
+    /// Takes an attempt out, with its events; its connection, if it has one.
+    fn detach(&mut self, attempt: Attempt) -> Option<ConnectionId> {
+        self.connected.retain(|connected| *connected != attempt);
+        self.ready_to_commit.retain(|ready| *ready != attempt);
+        self.attempts.remove(&attempt)
     }
 
-    /// Where an attempt goes.
+    fn complete(&mut self, attempt: Attempt, result: AttemptResult) {
+        self.completed.push(CompletedAttempt { attempt, result });
+    }
+
+    fn connection_of(&self, attempt: Attempt) -> Option<&Connection> {
+        self.attempts.get(&attempt).and_then(|id| self.pool.get(*id))
+    }
+
+    /// The endpoint of an attempt without an outcome.
     pub fn endpoint(&self, attempt: Attempt) -> Option<EndpointId> {
-        self.conn_of(attempt).map(|conn| conn.endpoint)
+        self.connection_of(attempt).map(|connection| connection.endpoint)
     }
 
-    /// Whether an attempt's endpoint is still listed where its connection leads.
+    /// Whether an attempt's endpoint is still listed at the address of its connection.
     pub fn targets_listed_endpoint(
         &self,
         attempt: Attempt,
         address: impl Fn(EndpointId) -> Option<SocketAddr>,
     ) -> bool {
-        self.conn_of(attempt).is_some_and(|conn| address(conn.endpoint) == Some(conn.address))
+        self.connection_of(attempt)
+            .is_some_and(|connection| address(connection.endpoint) == Some(connection.address))
     }
 
-    /// An attempt is not sent after all. Its connection goes: it may hold the better part of a call.
-    pub fn discard_uncommitted(&mut self, attempt: Attempt, wires: &mut impl Transport) {
-        if let Some(wire) = self.attempts.remove(&attempt) {
-            self.forget(attempt);
-            self.close(wire, wires);
-            self.completed(attempt, TransportOutcome::Unsent.into());
-        }
+    /// Closes the idle connections to an endpoint.
+    pub fn close_idle(&mut self, endpoint: EndpointId, transport: &mut impl Transport) {
+        self.pool.close_idle(endpoint, transport);
     }
 
-    /// Nobody waits for an attempt any longer. Its answer must not be taken for another's, so its connection goes; where
-    /// the call left whole, only our side of it at first. Guards against a wait that is on its way at this moment: it
-    /// binds from its writing on, whoever still reads it.
-    pub fn abandon(&mut self, now: Time, attempt: Attempt, wires: &mut impl Transport) {
-        self.forget(attempt);
-        let Some(wire) = self.attempts.remove(&attempt) else { return };
-        match self.conns.get_mut(&wire) {
-            Some(conn) if matches!(conn.state, State::Sent { written: true }) => {
-                (conn.attempt, conn.state) = (None, State::GivenUp { until: now + REST });
-                wires.shutdown_write(wire);
-            }
-            _ => self.close(wire, wires),
-        }
-    }
-
-    fn completed(&mut self, attempt: Attempt, result: AttemptResult) {
-        self.ended.push(CompletedAttempt { attempt, result });
-    }
-
-    fn forget(&mut self, attempt: Attempt) {
-        self.ready.retain(|ready| *ready != attempt);
-        self.due.retain(|due| *due != attempt);
-    }
-
-    fn close(&mut self, wire: ConnectionId, wires: &mut impl Transport) {
-        self.remove(wire);
-        wires.close(wire);
+    /// Closes idle connections to endpoints that a new list does not have at their address.
+    pub fn retain_listed(
+        &mut self,
+        address: impl Fn(EndpointId) -> Option<SocketAddr>,
+        transport: &mut impl Transport,
+    ) {
+        self.pool.retain_listed(address, transport);
     }
 
-    fn remove(&mut self, wire: ConnectionId) -> Option<Conn> {
-        let conn = self.conns.remove(&wire)?;
-        if let Some(idle) = self.idle.get_mut(&conn.endpoint) {
-            idle.retain(|other| *other != wire);
-            if idle.is_empty() {
-                self.idle.remove(&conn.endpoint);
-            }
-        }
-        Some(conn)
+    /// Whether a connection leads to an endpoint.
+    pub fn owns(&self, connection: ConnectionId) -> bool {
+        self.pool.contains(connection)
     }
 
-    /// A connection becomes idle.
-    fn rest(&mut self, now: Time, wire: ConnectionId) {
-        if let Some(conn) = self.conns.get_mut(&wire) {
-            (conn.attempt, conn.state) =
-                (None, State::Idle { until: now + self.terms.idle_timeout.mul_f64(IDLE_PART) });
-            (conn.reader, conn.kept) = (ResponseReader::new(), true);
-            self.idle.entry(conn.endpoint).or_default().push(wire);
+    /// A connection was established.
+    pub fn on_connected(&mut self, connection: ConnectionId) {
+        let Some(request) = self.pool.get_mut(connection).and_then(Connection::active) else { return };
+        if let RequestPhase::Connecting { .. } = request.phase {
+            request.phase = RequestPhase::Connected;
+            self.connected.push(request.attempt);
         }
     }
 
-    /// Idle connections to an endpoint are closed.
-    pub fn close_idle(&mut self, endpoint: EndpointId, wires: &mut impl Transport) {
-        for wire in self.idle.remove(&endpoint).unwrap_or_default() {
-            self.conns.remove(&wire);
-            wires.close(wire);
+    /// All bytes written on a connection were passed to the operating system.
+    pub fn on_flushed(&mut self, connection: ConnectionId) {
+        let Some(request) = self.pool.get_mut(connection).and_then(Connection::active) else { return };
+        if let RequestPhase::Committed { flushed } = &mut request.phase {
+            *flushed = true;
         }
     }
 
-    /// The list has changed: idle connections to what is gone, or elsewhere now, are closed.
-    pub fn retain_listed(
+    /// A connection could not be established, or ended; `clean` where the endpoint closed it in order. Where it was
+    /// reused and ended before the request's last byte, the attempt goes on with a new one: the endpoint has not begun
+    /// to process it, and need not be unhealthy.
+    pub fn on_closed(
         &mut self,
-        address: impl Fn(EndpointId) -> Option<SocketAddr>,
-        wires: &mut impl Transport,
+        now: Time,
+        connection: ConnectionId,
+        clean: bool,
+        transport: &mut impl Transport,
     ) {
-        let moved = |conn: &Conn| {
-            let listens = matches!(conn.state, State::GivenUp { .. });
-            conn.attempt.is_none() && !listens && address(conn.endpoint) != Some(conn.address)
+        let Some(mut closed) = self.pool.remove(connection) else { return };
+        let ConnectionState::Active(request) = closed.state else { return };
+        let attempt = request.attempt;
+        self.detach(attempt);
+        let result = match request.phase {
+            RequestPhase::Connected
+            | RequestPhase::LastByteHeld { .. }
+            | RequestPhase::ReadyToCommit { .. }
+                if closed.is_reused && request.stale_connections < MAX_STALE_CONNECTIONS =>
+            {
+                let phase = RequestPhase::Connecting { until: now + self.connect_timeout };
+                let stale_connections = request.stale_connections + 1;
+                let request = ActiveRequest { attempt, phase, stale_connections };
+                return self.open_connection(request, closed.endpoint, closed.address, transport);
+            }
+            RequestPhase::Committed { flushed: true } => closed.reader.end(clean, &self.report_fields),
+            // What ended before the request's last byte was written never ran.
+            _ => Some(TransportOutcome::ConnectFailed.into()),
         };
-        let gone: Vec<ConnectionId> =
-            self.conns.iter().filter(|(_, conn)| moved(conn)).map(|(wire, _)| *wire).collect();
-        gone.into_iter().for_each(|wire| self.close(wire, wires));
+        self.completed.extend(result.map(|result| CompletedAttempt { attempt, result }));
     }
 
-    /// Whether a connection is one of these.
-    pub fn owns(&self, wire: ConnectionId) -> bool {
-        self.conns.contains_key(&wire)
-    }
-
-    /// A connection is there.
-    pub fn on_connected(&mut self, wire: ConnectionId) {
-        let Some(conn) = self.conns.get_mut(&wire) else { return };
-        if let (State::Connecting { .. }, Some(attempt)) = (&conn.state, conn.attempt) {
-            conn.state = State::Ready;
-            self.ready.push(attempt);
+    /// Bytes were received on a connection.
+    pub fn on_bytes(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        bytes: &[u8],
+        transport: &mut impl Transport,
+    ) {
+        let Some(receiver) = self.pool.get_mut(connection) else { return };
+        if let ConnectionState::Idle { .. } = receiver.state {
+            // Nothing was asked: a late copy or noise, which a later request would take for its response.
+            return self.pool.close(connection, transport);
         }
-    }
-
-    /// All bytes of a call are with the system.
-    pub fn on_flushed(&mut self, wire: ConnectionId) {
-        if let Some(State::Sent { written }) = self.conns.get_mut(&wire).map(|conn| &mut conn.state) {
-            *written = true;
+        let progress = receiver.reader.on_bytes(Duration::from_nanos(now.0), bytes, &self.report_fields);
+        let endpoint = receiver.endpoint;
+        self.retry_after.extend(progress.retry_after.map(|delay| RetryAfter { endpoint, delay }));
+        match receiver.active().map(|request| &request.phase) {
+            Some(RequestPhase::Committed { .. }) | None => {
+                self.on_response(now, connection, &progress, transport);
+            }
+            // What comes before the request is whole answers nothing: it is noise, or a refusal of the connection.
+            Some(_) => {
+                transport.close(connection);
+                self.on_closed(now, connection, false, transport);
+            }
         }
     }
 
-    /// A connection failed to come up, or ended. Where it was kept and broke before the call's last byte, the attempt
-    /// goes on with a new one: nothing was begun, and the endpoint need not be worse for it.
-    pub fn on_closed(&mut self, now: Time, wire: ConnectionId, clean: bool, wires: &mut impl Transport) {
-        let Some(mut conn) = self.remove(wire) else { return };
-        let Some(attempt) = conn.attempt else { return };
-        self.forget(attempt);
-        self.attempts.remove(&attempt);
-        let told = match conn.state {
-            State::Ready | State::Held { .. } | State::Due { .. } if conn.kept && conn.stale < MOST_STALE => {
-                let to = (conn.endpoint, conn.address);
-                return self.open_connection(now, attempt, to, conn.stale + 1, wires);
-            }
-            // What broke before the call's last byte was written never ran.
-            State::Sent { written: true } => conn.reader.end(clean, &self.terms.report_fields),
-            _ => Some(TransportOutcome::ConnectFailed.into()),
-        };
-        self.ended.extend(told.map(|result| CompletedAttempt { attempt, result }));
-    }
-
-    /// Bytes came.
-    pub fn on_bytes(&mut self, now: Time, wire: ConnectionId, bytes: &[u8], wires: &mut impl Transport) {
-        let Some(conn) = self.conns.get_mut(&wire) else { return };
-        let sent = match conn.state {
-            State::Sent { written } => Some(written),
-            State::Finishing { .. } | State::GivenUp { .. } => Some(true),
-            // Nothing was asked: a late copy or noise, which a later call would take for its answer.
-            State::Idle { .. } => return self.close(wire, wires),
-            State::Connecting { .. } | State::Ready | State::Held { .. } | State::Due { .. } => None,
-        };
-        let read = conn.reader.on_bytes(Duration::from_nanos(now.0), bytes, &self.terms.report_fields);
-        self.waits.extend(read.retry_after.map(|delay| RetryAfter { endpoint: conn.endpoint, delay }));
-        let Some(sent) = sent else {
-            // What comes before the call is whole answers nothing: it is noise, or a refusal of the connection.
-            wires.close(wire);
-            return self.on_closed(now, wire, false, wires);
-        };
-        if let (Some(result), Some(attempt)) = (read.result, conn.attempt) {
+    /// Bytes of a response were read: reports the attempt's result, and closes or reuses the connection.
+    fn on_response(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        progress: &ResponseProgress,
+        transport: &mut impl Transport,
+    ) {
+        let Some(receiver) = self.pool.get_mut(connection) else { return };
+        let is_request_sent = is_request_sent(&receiver.state);
+        let is_abandoned = matches!(receiver.state, ConnectionState::Abandoned { .. });
+        let attempt = receiver.active().map(|request| request.attempt);
+        if let (Some(result), Some(attempt)) = (progress.result, attempt) {
+            receiver.state = ConnectionState::ReadingRest { until: now + REST_TIMEOUT };
             self.attempts.remove(&attempt);
-            self.ended.push(CompletedAttempt { attempt, result });
-            conn.state = State::Finishing { until: now + REST };
-            conn.attempt = None;
+            self.complete(attempt, result);
         }
-        let given_up = matches!(conn.state, State::GivenUp { .. });
-        match read.reuse {
-            // Its outcome is settled; what follows tells nothing more.
-            _ if given_up && (read.result.is_some() || read.retry_after.is_some()) => self.close(wire, wires),
+        match progress.reuse {
+            // What follows can't tell anything more.
+            _ if is_abandoned && (progress.result.is_some() || progress.retry_after.is_some()) => {
+                self.pool.close(connection, transport);
+            }
             ConnectionReuse::Incomplete => {}
-            // An answer that came before the call was written whole leaves the rest of it in the way.
-            ConnectionReuse::Reusable if sent => self.rest(now, wire),
-            ConnectionReuse::Reusable | ConnectionReuse::Unusable => self.close(wire, wires),
+            // After a response that came before the request was written whole, the rest of the request is in the way.
+            ConnectionReuse::Reusable if is_request_sent => self.pool.make_idle(now, connection),
+            ConnectionReuse::Reusable | ConnectionReuse::Unusable => self.pool.close(connection, transport),
         }
     }
 
     /// When [`Requests::on_tick`] must be called at the latest.
     pub fn next_timeout(&self) -> Option<Time> {
-        self.conns.values().filter_map(|conn| conn.state.until()).min()
+        self.pool.next_timeout()
     }
 
-    /// Ends what has taken too long, and tells whose last byte is due.
-    pub fn on_tick(&mut self, now: Time, wires: &mut impl Transport) {
-        let mut late = Vec::new();
-        for (wire, conn) in &mut self.conns {
-            if conn.state.until().is_none_or(|until| until > now) {
-                continue;
-            }
-            if let State::Held { last, .. } = conn.state {
-                conn.state = State::Due { last };
-                self.due.extend(conn.attempt);
-            } else {
-                late.push(*wire);
+    /// Makes attempts ready to commit whose last byte was held back long enough, and ends what has timed out.
+    pub fn on_tick(&mut self, now: Time, transport: &mut impl Transport) {
+        for id in self.pool.timed_out(now) {
+            if !self.release_last_byte(id) {
+                transport.close(id);
+                self.on_closed(now, id, false, transport);
             }
         }
-        for wire in late {
-            wires.close(wire);
-            self.on_closed(now, wire, false, wires);
+    }
+
+    /// Makes the attempt on a connection ready to commit, if its last byte is held back.
+    fn release_last_byte(&mut self, connection: ConnectionId) -> bool {
+        let Some(request) = self.pool.get_mut(connection).and_then(Connection::active) else { return false };
+        let RequestPhase::LastByteHeld { last_byte, .. } = request.phase else { return false };
+        request.phase = RequestPhase::ReadyToCommit { last_byte };
+        self.ready_to_commit.push(request.attempt);
+        true
+    }
+}
+
+/// Whether the whole request of a connection was passed to the operating system.
+fn is_request_sent(state: &ConnectionState) -> bool {
+    match state {
+        ConnectionState::Active(request) => {
+            matches!(request.phase, RequestPhase::Committed { flushed: true })
         }
+        ConnectionState::ReadingRest { .. } | ConnectionState::Abandoned { .. } => true,
+        ConnectionState::Idle { .. } => false,
     }
 }
