--- /dev/null
+++ b/crates/wal/src/codec.rs
@@ -0,0 +1,337 @@
+//! Bytes of the records. A record is a header, of its payload's length and CRC-32, and the payload: its kind and
+//! fields. All numbers are little-endian.
+//!
+//! Fields that later versions added stand at the end of a payload, and a payload of an earlier version ends before
+//! them: logs of every version stay readable.
+
+use crate::record::{AttemptStart, ClassName, LiveMessage, NameTable, Record, TerminalState, UNKNOWN_INDEX};
+
+/// Bytes of a record's header: the payload's length and its checksum, four bytes each.
+const HEADER_BYTES: usize = 8;
+/// Offset of the checksum in the header.
+const CHECKSUM_OFFSET: usize = 4;
+/// Largest payload. A header that gives a larger one is damaged.
+const MAX_PAYLOAD_BYTES: usize = 256 << 10;
+
+/// Record kinds: the first byte of a payload.
+mod kind {
+    pub const SUBMITTED: u8 = 1;
+    pub const ATTEMPT_STARTED: u8 = 2;
+    pub const ATTEMPT_COMPLETED: u8 = 3;
+    pub const NOTIFICATION_PENDING: u8 = 4;
+    pub const COMPLETED: u8 = 5;
+    pub const NAME_TABLE: u8 = 6;
+}
+
+/// Codes of a message's pending notification.
+mod notification {
+    pub const NONE: u8 = 0;
+    pub const UNDELIVERABLE: u8 = 1;
+    pub const DEFERRED: u8 = 2;
+}
+
+/// Why bytes can't be read as a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DecodeError {
+    /// The bytes end before the record does, as after a torn write.
+    #[error("the record ends early")]
+    Truncated,
+    /// The header gives a payload that is longer than any record's.
+    #[error("a payload of {0} bytes; at most {MAX_PAYLOAD_BYTES} are allowed")]
+    TooLong(usize),
+    /// The payload does not have the checksum that the header gives.
+    #[error("the checksum does not match")]
+    ChecksumMismatch,
+    /// The payload has its checksum, but holds no record that this version knows.
+    #[error("the payload is not a known record")]
+    InvalidPayload,
+}
+
+/// A record and the bytes that it takes.
+pub(crate) struct DecodedRecord {
+    pub record: Record,
+    /// Length of the record with its header, in bytes.
+    pub length: usize,
+}
+
+/// Appends a record: its header, and the payload that `write_payload` encodes.
+fn append_framed(out: &mut Vec<u8>, write_payload: impl FnOnce(&mut Encoder)) {
+    let start = out.len();
+    out.extend([0; HEADER_BYTES]);
+    write_payload(&mut Encoder { out });
+    let payload_start = start + HEADER_BYTES;
+    let length = u32::try_from(out.len() - payload_start).unwrap_or(u32::MAX);
+    let checksum = crc32fast::hash(&out[payload_start..]);
+    let checksum_start = start + CHECKSUM_OFFSET;
+    out[start..checksum_start].copy_from_slice(&length.to_le_bytes());
+    out[checksum_start..payload_start].copy_from_slice(&checksum.to_le_bytes());
+}
+
+/// Appends a [`Record::Submitted`] of a message as it stands, without a copy of its body.
+pub(crate) fn encode_submitted(message_number: u32, message: &LiveMessage, out: &mut Vec<u8>) {
+    append_framed(out, |payload| {
+        payload.u8(kind::SUBMITTED);
+        payload.u32(message_number);
+        payload.bytes(&message.id);
+        payload.u8(u8::from(message.idempotency_key.is_some()));
+        payload.bytes(message.idempotency_key.as_deref().unwrap_or_default());
+        payload.u8(message.class);
+        payload.u16(message.destination);
+        payload.u64(message.order_key);
+        payload.u64(message.submitted_at);
+        payload.u64(message.deadline);
+        payload.u8(u8::from(message.from_lost_instance));
+        payload.u16(message.attempts);
+        payload.optional_u64(message.may_have_run.map(|start| start.started_at));
+        payload.optional_u64(message.open_attempt.map(|start| start.started_at));
+        payload.pending_notification(message.pending_notification);
+        payload.bytes(&message.body);
+        payload.u8(message.may_have_run.map_or(UNKNOWN_INDEX, |start| start.zone));
+        payload.u8(message.open_attempt.map_or(UNKNOWN_INDEX, |start| start.zone));
+    });
+}
+
+impl Record {
+    /// Appends the record's bytes, header included.
+    pub fn encode(&self, out: &mut Vec<u8>) {
+        match self {
+            Record::Submitted { message_number, message } => encode_submitted(*message_number, message, out),
+            Record::AttemptStarted { message_number, start } => append_framed(out, |payload| {
+                payload.u8(kind::ATTEMPT_STARTED);
+                payload.u32(*message_number);
+                payload.u64(start.started_at);
+                payload.u8(start.zone);
+            }),
+            Record::AttemptCompleted { message_number, may_have_run } => append_framed(out, |payload| {
+                payload.u8(kind::ATTEMPT_COMPLETED);
+                payload.u32(*message_number);
+                payload.u8(u8::from(*may_have_run));
+            }),
+            Record::NotificationPending { message_number, state } => append_framed(out, |payload| {
+                payload.u8(kind::NOTIFICATION_PENDING);
+                payload.u32(*message_number);
+                payload.pending_notification(Some(*state));
+            }),
+            Record::Completed { message_number } => append_framed(out, |payload| {
+                payload.u8(kind::COMPLETED);
+                payload.u32(*message_number);
+            }),
+            Record::NameTable(names) => append_framed(out, |payload| payload.name_table(names)),
+        }
+    }
+
+    /// Reads the record that the bytes begin with.
+    pub(crate) fn decode(bytes: &[u8]) -> Result<DecodedRecord, DecodeError> {
+        let mut header = Decoder { rest: bytes.get(..HEADER_BYTES).ok_or(DecodeError::Truncated)? };
+        let payload_length = header.u32()? as usize;
+        let checksum = header.u32()?;
+        if payload_length > MAX_PAYLOAD_BYTES {
+            return Err(DecodeError::TooLong(payload_length));
+        }
+        let length = HEADER_BYTES + payload_length;
+        let payload = bytes.get(HEADER_BYTES..length).ok_or(DecodeError::Truncated)?;
+        if crc32fast::hash(payload) != checksum {
+            return Err(DecodeError::ChecksumMismatch);
+        }
+        let mut decoder = Decoder { rest: payload };
+        let record = decoder.record()?;
+        if !decoder.rest.is_empty() {
+            return Err(DecodeError::InvalidPayload);
+        }
+        Ok(DecodedRecord { record, length })
+    }
+}
+
+/// Appends fields to a payload.
+struct Encoder<'a> {
+    out: &'a mut Vec<u8>,
+}
+
+impl Encoder<'_> {
+    fn u8(&mut self, value: u8) {
+        self.out.push(value);
+    }
+
+    fn u16(&mut self, value: u16) {
+        self.out.extend(value.to_le_bytes());
+    }
+
+    fn u32(&mut self, value: u32) {
+        self.out.extend(value.to_le_bytes());
+    }
+
+    fn u64(&mut self, value: u64) {
+        self.out.extend(value.to_le_bytes());
+    }
+
+    /// A presence byte and a number, 0 where there is none.
+    fn optional_u64(&mut self, value: Option<u64>) {
+        self.u8(u8::from(value.is_some()));
+        self.u64(value.unwrap_or(0));
+    }
+
+    /// Length and bytes.
+    fn bytes(&mut self, value: &[u8]) {
+        self.u32(u32::try_from(value.len()).unwrap_or(u32::MAX));
+        self.out.extend_from_slice(value);
+    }
+
+    fn pending_notification(&mut self, state: Option<TerminalState>) {
+        match state {
+            None => self.u8(notification::NONE),
+            Some(TerminalState::Undeliverable) => self.u8(notification::UNDELIVERABLE),
+            Some(TerminalState::Deferred(retry_after_ms)) => {
+                self.u8(notification::DEFERRED);
+                self.optional_u64(retry_after_ms);
+            }
+        }
+    }
+
+    /// The number of classes, their names, their effects, and the zones up to the payload's end.
+    fn name_table(&mut self, names: &NameTable) {
+        self.u8(kind::NAME_TABLE);
+        self.u32(u32::try_from(names.classes.len()).unwrap_or(u32::MAX));
+        names.classes.iter().for_each(|class| self.bytes(class.name.as_bytes()));
+        names.classes.iter().for_each(|class| self.u8(class.effect));
+        names.zones.iter().for_each(|zone| self.bytes(zone.as_bytes()));
+    }
+}
+
+/// Takes fields from the front of a payload.
+struct Decoder<'a> {
+    rest: &'a [u8],
+}
+
+impl<'a> Decoder<'a> {
+    fn take(&mut self, count: usize) -> Result<&'a [u8], DecodeError> {
+        let (taken, rest) = self.rest.split_at_checked(count).ok_or(DecodeError::InvalidPayload)?;
+        self.rest = rest;
+        Ok(taken)
+    }
+
+    fn array<const N: usize>(&mut self) -> Result<[u8; N], DecodeError> {
+        let (taken, rest) = self.rest.split_first_chunk().ok_or(DecodeError::InvalidPayload)?;
+        self.rest = rest;
+        Ok(*taken)
+    }
+
+    fn u8(&mut self) -> Result<u8, DecodeError> {
+        self.array().map(u8::from_le_bytes)
+    }
+
+    fn u16(&mut self) -> Result<u16, DecodeError> {
+        self.array().map(u16::from_le_bytes)
+    }
+
+    fn u32(&mut self) -> Result<u32, DecodeError> {
+        self.array().map(u32::from_le_bytes)
+    }
+
+    fn u64(&mut self) -> Result<u64, DecodeError> {
+        self.array().map(u64::from_le_bytes)
+    }
+
+    fn flag(&mut self) -> Result<bool, DecodeError> {
+        match self.u8()? {
+            0 => Ok(false),
+            1 => Ok(true),
+            _ => Err(DecodeError::InvalidPayload),
+        }
+    }
+
+    fn optional_u64(&mut self) -> Result<Option<u64>, DecodeError> {
+        let is_present = self.flag()?;
+        let value = self.u64()?;
+        Ok(is_present.then_some(value))
+    }
+
+    fn bytes(&mut self) -> Result<Vec<u8>, DecodeError> {
+        let length = self.u32()? as usize;
+        self.take(length).map(<[u8]>::to_vec)
+    }
+
+    fn text(&mut self) -> Result<String, DecodeError> {
+        String::from_utf8(self.bytes()?).map_err(|_| DecodeError::InvalidPayload)
+    }
+
+    /// A byte that payloads of earlier versions end without.
+    fn byte_of_later_version(&mut self) -> u8 {
+        self.u8().unwrap_or(UNKNOWN_INDEX)
+    }
+
+    fn pending_notification(&mut self) -> Result<Option<TerminalState>, DecodeError> {
+        match self.u8()? {
+            notification::NONE => Ok(None),
+            notification::UNDELIVERABLE => Ok(Some(TerminalState::Undeliverable)),
+            notification::DEFERRED => Ok(Some(TerminalState::Deferred(self.optional_u64()?))),
+            _ => Err(DecodeError::InvalidPayload),
+        }
+    }
+
+    fn record(&mut self) -> Result<Record, DecodeError> {
+        let kind = self.u8()?;
+        // The number of a message, or of classes in a name table.
+        let number = self.u32()?;
+        Ok(match kind {
+            kind::SUBMITTED => {
+                Record::Submitted { message_number: number, message: Box::new(self.live_message()?) }
+            }
+            kind::ATTEMPT_STARTED => {
+                let start = AttemptStart { started_at: self.u64()?, zone: self.byte_of_later_version() };
+                Record::AttemptStarted { message_number: number, start }
+            }
+            kind::ATTEMPT_COMPLETED => {
+                Record::AttemptCompleted { message_number: number, may_have_run: self.flag()? }
+            }
+            kind::NOTIFICATION_PENDING => {
+                let state = self.pending_notification()?.ok_or(DecodeError::InvalidPayload)?;
+                Record::NotificationPending { message_number: number, state }
+            }
+            kind::COMPLETED => Record::Completed { message_number: number },
+            kind::NAME_TABLE => Record::NameTable(self.name_table(number)?),
+            _ => return Err(DecodeError::InvalidPayload),
+        })
+    }
+
+    fn live_message(&mut self) -> Result<LiveMessage, DecodeError> {
+        let id = self.bytes()?;
+        let has_idempotency_key = self.flag()?;
+        let idempotency_key = self.bytes()?;
+        let mut message = LiveMessage {
+            id,
+            idempotency_key: has_idempotency_key.then_some(idempotency_key),
+            class: self.u8()?,
+            destination: self.u16()?,
+            order_key: self.u64()?,
+            submitted_at: self.u64()?,
+            deadline: self.u64()?,
+            from_lost_instance: self.flag()?,
+            attempts: self.u16()?,
+            ..LiveMessage::default()
+        };
+        let may_have_run_at = self.optional_u64()?;
+        let open_attempt_at = self.optional_u64()?;
+        message.pending_notification = self.pending_notification()?;
+        message.body = self.bytes()?;
+        message.may_have_run = self.attempt_start(may_have_run_at);
+        message.open_attempt = self.attempt_start(open_attempt_at);
+        Ok(message)
+    }
+
+    /// Completes the start of an attempt with its zone, which stands at the payload's end whether there is one or not.
+    fn attempt_start(&mut self, started_at: Option<u64>) -> Option<AttemptStart> {
+        let zone = self.byte_of_later_version();
+        started_at.map(|started_at| AttemptStart { started_at, zone })
+    }
+
+    fn name_table(&mut self, class_count: u32) -> Result<NameTable, DecodeError> {
+        let names: Vec<String> = (0..class_count).map(|_| self.text()).collect::<Result<_, _>>()?;
+        let classes =
+            names.into_iter().map(|name| ClassName { name, effect: self.byte_of_later_version() }).collect();
+        let mut zones = Vec::new();
+        while !self.rest.is_empty() {
+            zones.push(self.text()?);
+        }
+        Ok(NameTable { classes, zones })
+    }
+}
