Gateway: event loop, client commands, turn, outgoing requests, reload and shutdown as parts with their own state

gateway.rs was one impl of 594 lines over 24 fields, and gateway.rs and startup.rs used each other. Now startup and recovery build the parts, gateway.rs holds the event loop alone, and each part owns its fields: ClientCommands with the replies of a turn, OutgoingRequests, Delivery (engine, log, endpoint list, notifications), MessagePipeline for the turn, EndpointDiscovery, ConfigurationFile, RunState. The pair of options listener and leaving, and the option ends, became the enum RunState. Dependencies run one way; loading a configuration lies below both. Log events have fixed messages with whole-word fields. The order of effects in a turn is as before.

--- /dev/null
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -0,0 +1,183 @@
+//! Clients: their connections, their commands and the replies to them.
+
+use crate::client_replies::{busy, undeliverable, ClientReplies, EncodedReply, Reply};
+use crate::delivery::Delivery;
+use crate::message_record;
+use cloverstile::{Class, Time};
+use cloverstile_engine::{Admission, FinalOutcome};
+use cloverstile_net::{ConnId, Net};
+use cloverstile_platform::client_request::{self, ClientRequest, PutRequest, RequestClasses};
+use cloverstile_platform::client_sessions::{ClientSessions, DisconnectReason};
+use cloverstile_platform::ConnectionId;
+use cloverstile_resp::{error, simple};
+use cloverstile_wal::Record;
+use std::time::Duration;
+use tracing::trace;
+
+/// Bytes of replies that a client has not read, above which its connection is closed.
+const MAX_UNREAD_BYTES: usize = 256 << 10;
+
+/// All clients of the gateway.
+pub struct ClientCommands {
+    sessions: ClientSessions,
+    classes: Vec<Class>,
+    class_names: Vec<String>,
+    /// The gateway no longer listens: each client is disconnected after its next reply.
+    draining: bool,
+    /// Replies of this turn.
+    pub replies: ClientReplies,
+}
+
+impl ClientCommands {
+    /// No clients yet, `max_clients` at most. `classes` and `class_names` are those under which they may submit.
+    pub fn new(max_clients: usize, classes: Vec<Class>, class_names: Vec<String>) -> Self {
+        let (sessions, replies) = (ClientSessions::new(max_clients), ClientReplies::default());
+        ClientCommands { sessions, classes, class_names, draining: false, replies }
+    }
+
+    /// Number of connected clients.
+    pub fn len(&self) -> usize {
+        self.sessions.len()
+    }
+
+    /// Whether a connection is a client's.
+    pub fn owns(&self, connection: ConnectionId) -> bool {
+        self.sessions.owns(connection)
+    }
+
+    /// When [`ClientCommands::on_tick`] has something to do next.
+    pub fn next_timeout(&self) -> Option<Time> {
+        self.sessions.next_timeout()
+    }
+
+    /// A client connected; another one may be disconnected for it.
+    pub fn on_accepted(&mut self, now: Time, connection: ConnectionId, net: &mut Net) {
+        trace!(?connection, clients = self.len(), "client connected");
+        if let Some(evicted) = self.sessions.accept(now, connection) {
+            self.disconnect(evicted, &DisconnectReason::ConnectionLimit, net);
+        }
+    }
+
+    /// A client's connection ended.
+    pub fn on_closed(&mut self, connection: ConnectionId) {
+        self.sessions.remove(connection);
+    }
+
+    /// Disconnects clients whose time is over.
+    pub fn on_tick(&mut self, now: Time, net: &mut Net) {
+        for expired in self.sessions.on_tick(now) {
+            self.disconnect(expired.connection, &expired.reason, net);
+        }
+    }
+
+    /// Disconnects a client that is no longer among the sessions.
+    fn disconnect(&self, connection: ConnectionId, reason: &DisconnectReason, net: &mut Net) {
+        trace!(?connection, ?reason, clients = self.len(), "client disconnected");
+        if let Some(text) = reason.error_text() {
+            net.send(ConnId(connection.0), &error(&text));
+        }
+        net.close_after_flush(ConnId(connection.0));
+    }
+
+    /// Executes the commands that a client's bytes complete.
+    pub fn on_bytes(&mut self, now: Time, connection: ConnectionId, bytes: &[u8], delivery: &mut Delivery) {
+        let received = self.sessions.on_bytes(now, connection, bytes);
+        for words in &received.commands {
+            let reply = self.execute(now, connection, words, delivery);
+            self.replies.push(connection, reply);
+        }
+        if let Some(reason) = received.disconnect {
+            trace!(?connection, ?reason, "client disconnected after its replies");
+            if let Some(text) = reason.error_text() {
+                self.replies.push(connection, Reply::Bytes(error(&text)));
+            }
+            self.replies.close_after_replies(connection);
+        }
+    }
+
+    fn execute(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        words: &[Vec<u8>],
+        delivery: &mut Delivery,
+    ) -> Reply {
+        let is_known = |destination| delivery.endpoints.has_destination(destination);
+        let classes = RequestClasses { classes: &self.classes, names: &self.class_names };
+        match client_request::parse(now, words, classes, is_known) {
+            Ok(ClientRequest::Ping) => Reply::Bytes(simple("PONG")),
+            Ok(ClientRequest::Put(put)) => self.submit(now, *put, delivery),
+            Err(problem) => {
+                trace!(?connection, %problem, "request rejected");
+                Reply::Bytes(error(&problem.to_string()))
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Time, put: PutRequest, delivery: &mut Delivery) -> Reply {
+        if !delivery.log.can_accept(put.body.len()) {
+            return Reply::Bytes(busy(Duration::ZERO));
+        }
+        let PutRequest { submission, idempotency_key, body } = put;
+        let message = message_record::from_submission(now, &submission, idempotency_key, body);
+        match delivery.engine.submit(now, submission) {
+            Admission::New(id) => {
+                let (destination, class) = (message.destination, message.class);
+                trace!(message_id = id.0, destination, class, "message accepted");
+                delivery.log.record(Record::Submitted { message_number: id.0, message: Box::new(message) });
+                self.replies.add_submission(id);
+                Reply::Submission(id)
+            }
+            // A resubmission: the first reply was lost on the way, or belongs to this very turn.
+            Admission::InFlight(id) if self.replies.has_submission(id) => Reply::Submission(id),
+            Admission::InFlight(_)
+            | Admission::Completed(_, FinalOutcome::Delivered | FinalOutcome::Cancelled) => {
+                Reply::Bytes(simple("OK"))
+            }
+            Admission::Completed(_, FinalOutcome::Rejected(retry_after)) => Reply::Bytes(busy(retry_after)),
+            Admission::Completed(_, FinalOutcome::Failed) => Reply::Bytes(undeliverable()),
+            Admission::Conflict => Reply::Bytes(error("ERR id: in use for another message")),
+            Admission::Overloaded | Admission::ShuttingDown => {
+                trace!("message rejected, the gateway holds as many as it may");
+                Reply::Bytes(busy(Duration::ZERO))
+            }
+        }
+    }
+
+    /// Sends this turn's replies. Call it once the turn's records are in the log.
+    pub fn send_replies(&mut self, net: &mut Net) {
+        for EncodedReply { connection, bytes } in self.replies.take_replies() {
+            let socket = ConnId(connection.0);
+            net.send(socket, &bytes);
+            if net.unsent_bytes(socket) > MAX_UNREAD_BYTES {
+                self.sessions.remove(connection);
+                net.close(socket);
+            } else if self.draining {
+                self.replies.close_after_replies(connection);
+            }
+        }
+        for connection in self.replies.take_closing() {
+            self.sessions.remove(connection);
+            net.close_after_flush(ConnId(connection.0));
+        }
+    }
+
+    /// From here on each client is disconnected after its next reply.
+    pub fn start_draining(&mut self) {
+        self.draining = true;
+    }
+
+    /// Disconnects clients that are between two requests.
+    pub fn close_idle(&mut self, net: &mut Net) {
+        for connection in self.sessions.take_idle() {
+            net.close_after_flush(ConnId(connection.0));
+        }
+    }
+
+    /// Disconnects all clients.
+    pub fn close_all(&mut self, net: &mut Net) {
+        for connection in self.sessions.take_all() {
+            net.close_after_flush(ConnId(connection.0));
+        }
+    }
+}
--- a/crates/resp-gateway/src/message_record.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -1,7 +1,7 @@
 //! Conversions between a message as the log stores it and what the engine, the platform and an endpoint need of it.
 //! Free of I/O.
 
-use cloverstile::{Class, ClassId, DestinationId, OrderKey, RecoveredAttempts, Time, ZoneId};
+use cloverstile::{Class, ClassId, DestinationId, OrderKey, RecoveredAttempts, TenantId, Time, ZoneId};
 use cloverstile_engine::SubmitRequest;
 use cloverstile_http::Headers;
 use cloverstile_platform::notifications::{Notification, NotificationStatus};
@@ -65,7 +65,7 @@
         destination: DestinationId(message.destination),
         order_key: order_key(message),
         deadline: Time(message.deadline),
-        tenant: Default::default(),
+        tenant: TenantId::default(),
         resubmitted: false,
         from_lost_instance: message.from_lost_instance,
     };
--- /dev/null
+++ b/crates/resp-gateway/src/recovery.rs
@@ -0,0 +1,52 @@
+//! Messages that an earlier process held.
+
+use crate::delivery::Delivery;
+use crate::message_record::{self, RecoveredSubmission};
+use crate::name_table;
+use cloverstile::{Class, Time};
+use cloverstile_wal::{LiveMessage, NameTable, Record, Recovered};
+use tracing::trace;
+
+/// Takes over what the log held, and records it anew under numbers of this process. `names` are those of this process's
+/// settings, `classes` its classes with the fallback class behind them.
+pub fn recover_messages(
+    now: Time,
+    recovered: Recovered,
+    names: &NameTable,
+    classes: &[Class],
+    delivery: &mut Delivery,
+) {
+    delivery.log.record(Record::NameTable(names.clone()));
+    for (index, mut message) in recovered.messages.into_iter().enumerate() {
+        name_table::remap(&mut message, &recovered.names, names);
+        recover_message(now, index, message, classes, delivery);
+    }
+}
+
+fn recover_message(
+    now: Time,
+    index: usize,
+    mut message: LiveMessage,
+    classes: &[Class],
+    delivery: &mut Delivery,
+) {
+    if let Some(state) = message.pending_notification {
+        // Numbers from the far end: those of the engine begin at one.
+        let message_number = u32::MAX - u32::try_from(index).unwrap_or(0);
+        delivery.notifications.enqueue(message_number, message_record::notification(&message, state));
+        return delivery.log.record(Record::Submitted { message_number, message: Box::new(message) });
+    }
+    let class = classes.get(usize::from(message.class));
+    let RecoveredSubmission { request, attempts } = message_record::recover(&mut message, class);
+    let time_left = request.deadline - now;
+    let id = delivery.engine.recover(now, request, attempts);
+    trace!(
+        message_id = id.0,
+        destination = message.destination,
+        attempts = attempts.attempts,
+        may_have_run = ?attempts.may_have_run,
+        ?time_left,
+        "message recovered"
+    );
+    delivery.log.record(Record::Submitted { message_number: id.0, message: Box::new(message) });
+}
--- /dev/null
+++ b/crates/resp-gateway/src/shutdown.rs
@@ -0,0 +1,102 @@
+//! The gateway's way from a shutdown signal to its end.
+
+use crate::message_pipeline::MessagePipeline;
+use cloverstile::Time;
+use cloverstile_net::{ListenerId, Net};
+use cloverstile_platform::shutdown::{GracefulShutdown, ShutdownPhase, FINAL_FLUSH_TIMEOUT};
+use std::ops::ControlFlow;
+use tracing::info;
+
+/// How far the gateway is from its end.
+#[derive(Clone, Copy)]
+pub enum RunState {
+    /// It accepts clients.
+    Serving {
+        /// Where they connect.
+        listener: ListenerId,
+    },
+    /// It was asked to shut down, and still accepts clients for a moment.
+    ShutdownRequested {
+        /// Where they connect.
+        listener: ListenerId,
+        /// Since when.
+        shutdown: GracefulShutdown,
+    },
+    /// It no longer listens, disconnects clients between their requests and delivers what it may.
+    Draining {
+        /// Since when it was asked to shut down.
+        shutdown: GracefulShutdown,
+    },
+    /// It only waits for clients to read their last replies and close.
+    FinalFlush {
+        /// When it ends at the latest.
+        until: Time,
+    },
+}
+
+impl RunState {
+    /// A shutdown signal arrived; false where an earlier one did already.
+    pub fn request_shutdown(&mut self, now: Time) -> bool {
+        let RunState::Serving { listener } = *self else { return false };
+        *self = RunState::ShutdownRequested { listener, shutdown: GracefulShutdown::new(now) };
+        true
+    }
+
+    /// When [`RunState::advance`] has something to do next.
+    pub fn next_timeout(&self, now: Time) -> Option<Time> {
+        match self {
+            RunState::Serving { .. } => None,
+            RunState::ShutdownRequested { shutdown, .. } | RunState::Draining { shutdown } => {
+                Some(shutdown.next_timeout(now))
+            }
+            RunState::FinalFlush { until } => Some(*until),
+        }
+    }
+
+    /// Goes on with a shutdown; breaks once the process should end.
+    pub fn advance(&mut self, now: Time, pipeline: &mut MessagePipeline, net: &mut Net) -> ControlFlow<()> {
+        match *self {
+            RunState::Serving { .. } => ControlFlow::Continue(()),
+            RunState::ShutdownRequested { listener, shutdown } => {
+                if shutdown.phase(now, pipeline.pending_work()) >= ShutdownPhase::Draining {
+                    stop_listening(listener, pipeline, net);
+                    *self = RunState::Draining { shutdown };
+                }
+                ControlFlow::Continue(())
+            }
+            RunState::Draining { shutdown } => {
+                pipeline.clients.close_idle(net);
+                let phase = shutdown.phase(now, pipeline.pending_work());
+                if phase >= ShutdownPhase::AwaitingResponses {
+                    pipeline.delivery.engine.set_sending_paused(true);
+                }
+                if phase < ShutdownPhase::Finished {
+                    return ControlFlow::Continue(());
+                }
+                pipeline.clients.close_all(net);
+                *self = RunState::FinalFlush { until: now + FINAL_FLUSH_TIMEOUT };
+                break_if(net.lingering_count() == 0)
+            }
+            RunState::FinalFlush { until } => break_if(until <= now || net.lingering_count() == 0),
+        }
+    }
+}
+
+fn break_if(is_over: bool) -> ControlFlow<()> {
+    if is_over {
+        ControlFlow::Break(())
+    } else {
+        ControlFlow::Continue(())
+    }
+}
+
+/// Guards against clients that are disconnected with a request in the system's buffers: those that the system took for
+/// us are accepted, and all are read once more, before anyone is disconnected.
+fn stop_listening(listener: ListenerId, pipeline: &mut MessagePipeline, net: &mut Net) {
+    info!(pending = ?pipeline.pending_work(), "listener closed");
+    net.stop_listening(listener);
+    pipeline.clients.start_draining();
+    // No client connects any more: all that are disconnected now may be read from until they have their replies.
+    net.set_max_lingering(usize::MAX);
+    net.waker().wake();
+}
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -1,81 +1,128 @@
-//! From the environment to a running courier.
+//! The gateway's start: it recovers what an earlier process held, and then listens.
 
+use crate::client_commands::ClientCommands;
+use crate::clock::Clock;
+use crate::configuration::{load, ConfigurationFile};
+use crate::delivery::Delivery;
+use crate::descriptor_limits::DescriptorLimits;
+use crate::endpoint_discovery::EndpointDiscovery;
+use crate::environment::Environment;
+use crate::error::GatewayError;
 use crate::gateway::Gateway;
-use cloverstile_platform::config::{parse, Config, ConfigError};
-use std::io;
-use std::path::{Path, PathBuf};
+use crate::message_log::MessageLog;
+use crate::message_pipeline::MessagePipeline;
+use crate::name_table;
+use crate::outgoing_requests::OutgoingRequests;
+use crate::recovery::recover_messages;
+use crate::shutdown::RunState;
+use cloverstile::Settings;
+use cloverstile_engine::{Engine, ResultCacheLimits};
+use cloverstile_net::{Net, SignalKind};
+use cloverstile_platform::config::Config;
+use cloverstile_platform::endpoint_list::EndpointList;
+use cloverstile_platform::endpoint_watch::EndpointWatch;
+use cloverstile_platform::notifications::Notifications;
+use cloverstile_platform::requests::ConnectionLimits;
+use cloverstile_platform::response::ReportFields;
+use std::time::Duration;
+use tracing::info;
 
-/// Why a courier could not start or go on.
-#[derive(Debug, thiserror::Error)]
-pub enum GatewayError {
-    /// A variable is missing.
-    #[error("{name}: not set; it names {wanted}")]
-    Variable {
-        /// Which.
-        name: &'static str,
-        /// What it holds.
-        wanted: &'static str,
-    },
-    /// A file that can't be read.
-    #[error("{path}: can't be read: {error}")]
-    Read {
-        /// Which.
-        path: PathBuf,
-        /// Why.
-        error: io::Error,
-    },
-    /// A configuration that can't be used.
-    #[error("{path}: {error}")]
-    Config {
-        /// Its file.
-        path: PathBuf,
-        /// What is wrong.
-        error: ConfigError,
-    },
-    /// The system refused.
-    #[error("{what}: {error}")]
-    Io {
-        /// What was tried.
-        what: String,
-        /// Why not.
-        error: io::Error,
-    },
-}
+/// Final outcomes that are kept for resubmissions: for longer than a client takes to submit again.
+const RESULT_CACHE: ResultCacheLimits =
+    ResultCacheLimits { max_results: 4096, retention: Duration::from_secs(2) };
+/// Bytes in a megabyte of the configuration's disk limit.
+const BYTES_PER_MB: f64 = 1e6;
 
-/// What the platform tells a courier in its environment.
-#[derive(Clone, Debug)]
-pub struct Environment {
-    /// `ROUTER_CONFIG`: the configuration.
-    pub config: PathBuf,
-    /// `ROUTER_STATE`: the folder that lasts.
-    pub state: PathBuf,
+/// Runs a gateway until a shutdown signal, and then until the shutdown is complete.
+///
+/// # Errors
+/// A configuration that is not valid, or an operation of the system that failed.
+pub fn run(environment: &Environment) -> Result<(), GatewayError> {
+    let config = load(&environment.config)?;
+    Gateway::start(config, environment)?.run()
 }
 
-impl Environment {
-    /// Reads them.
-    pub fn from_env() -> Result<Self, GatewayError> {
-        let path = |name, wanted| {
-            std::env::var_os(name).map(PathBuf::from).ok_or(GatewayError::Variable { name, wanted })
-        };
-        let state = path("ROUTER_STATE", "the folder that outlasts the process")?;
-        if !state.is_dir() {
-            let error =
-                io::Error::new(io::ErrorKind::NotADirectory, "ROUTER_STATE must name a folder that is there");
-            return Err(GatewayError::Read { path: state, error });
+impl Gateway {
+    /// Recovers what an earlier process held, and listens.
+    ///
+    /// # Errors
+    /// An operation of the system that failed: the event loop, the log's directory, the listening address.
+    pub fn start(config: Config, environment: &Environment) -> Result<Gateway, GatewayError> {
+        let clock = Clock::new();
+        let now = clock.now();
+        let descriptors = DescriptorLimits::new(config.limits.sockets);
+        let mut net = open_event_loop(descriptors)?;
+        let mut settings = config.parsed.settings.clone();
+        settings.classes.push(name_table::fallback_class(&settings.classes));
+        let names = name_table::name_table(&config.names, &settings.classes);
+
+        let max_log_bytes = (config.limits.disk_mb * BYTES_PER_MB) as u64;
+        let (log, recovered) = MessageLog::open(&environment.state, max_log_bytes)
+            .map_err(GatewayError::failed_to(environment.state.display().to_string()))?;
+        let recovered_messages = recovered.messages.len();
+
+        let mut pipeline = build_pipeline(&config, &settings, descriptors, log);
+        let known_version = config.known_endpoints.as_ref().map_or(0, |known| known.version);
+        let watch = EndpointWatch::new(config.discovery, known_version);
+        let discovery = EndpointDiscovery::new(watch, config.names);
+        if let Some(known) = &config.known_endpoints {
+            discovery.apply(now, known, &mut pipeline, &mut net);
         }
-        Ok(Environment { config: path("ROUTER_CONFIG", "the configuration, a file of JSON")?, state })
+        recover_messages(now, recovered, &names, &settings.classes, &mut pipeline.delivery);
+        pipeline.run_turn(now, &mut net);
+
+        let (listener, address) = net
+            .listen(config.listen)
+            .map_err(GatewayError::failed_to(format!("listen on {}", config.listen)))?;
+        info!(name = %config.name, %address, recovered_messages, "ready");
+        let configuration = ConfigurationFile::new(environment.config.clone());
+        let run_state = RunState::Serving { listener };
+        Ok(Gateway { clock, net, configuration, discovery, pipeline, run_state })
     }
 }
 
-/// Reads a configuration.
-pub(crate) fn load(path: &Path) -> Result<Config, GatewayError> {
-    let text =
-        std::fs::read_to_string(path).map_err(|error| GatewayError::Read { path: path.to_owned(), error })?;
-    parse(&text).map_err(|error| GatewayError::Config { path: path.to_owned(), error })
+fn open_event_loop(descriptors: DescriptorLimits) -> Result<Net, GatewayError> {
+    let mut net = Net::new().map_err(GatewayError::failed_to("event loop"))?;
+    net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
+        .map_err(GatewayError::failed_to("signals"))?;
+    net.set_max_lingering(descriptors.lingering);
+    Ok(net)
 }
 
-/// Runs a courier until it was told to stop and is done.
-pub fn run(variables: &Environment) -> Result<(), GatewayError> {
-    let config = load(&variables.config)?;
-    Gateway::start(config, variables)?.run()
+fn build_pipeline(
+    config: &Config,
+    settings: &Settings,
+    descriptors: DescriptorLimits,
+    log: MessageLog,
+) -> MessagePipeline {
+    let seed = config.seed.unwrap_or_else(rand::random);
+    let class_names = config.names.classes.clone();
+    MessagePipeline {
+        clients: ClientCommands::new(descriptors.clients, settings.classes.clone(), class_names),
+        delivery: Delivery {
+            engine: Engine::new(settings.clone(), RESULT_CACHE, seed),
+            log,
+            endpoints: EndpointList::default(),
+            notifications: Notifications::new(config.discovery),
+        },
+        outgoing: OutgoingRequests::new(connection_limits(config, settings, descriptors)),
+    }
+}
+
+fn connection_limits(
+    config: &Config,
+    settings: &Settings,
+    descriptors: DescriptorLimits,
+) -> ConnectionLimits {
+    let field_name =
+        |index: Option<usize>| index.and_then(|index| config.names.report_fields.get(index)).cloned();
+    ConnectionLimits {
+        connect_timeout: settings.connect_timeout,
+        idle_timeout: settings.connection_idle_timeout,
+        max_connections: descriptors.endpoints,
+        report_fields: ReportFields {
+            remaining: field_name(config.parsed.remaining_field),
+            limit: field_name(config.parsed.limit_field),
+        },
+    }
 }
