--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -3,12 +3,14 @@
 use crate::exit;
 use clap::Args;
 use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Rig, RigError, Spec};
-use cloverstile_as2_gateway::{load, Ending, Service, Stopper};
-use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
-use cloverstile_fakes::model::{Fault, Nature};
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Recorder, Seen, Told};
+use cloverstile_as2_gateway::test_cluster::{
+    ClassSpec, ClusterSpec, PartnerSpec, TestCluster, TestClusterError,
+};
+use cloverstile_as2_gateway::{load, RunSummary, Service, ShutdownHandle};
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, PlannedMessage, Progress};
+use cloverstile_fakes::model::{Fault, ServerProfile};
+use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::record::{ObservedEvent, Recorder, ReportedOutcome};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::{Rng, SeedableRng};
@@ -24,7 +26,7 @@
     /// Messages.
     #[arg(long, default_value_t = 3000, value_parser = clap::value_parser!(u32).range(10..=200_000))]
     messages: u32,
-    /// Couriers, each in a thread of its own.
+    /// Gateways, each in a thread of its own.
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=8))]
     couriers: u16,
     /// Messages a second.
@@ -39,8 +41,8 @@
 }
 
 struct Running {
-    stopper: Stopper,
-    thread: std::thread::JoinHandle<Option<Ending>>,
+    stopper: ShutdownHandle,
+    thread: std::thread::JoinHandle<Option<RunSummary>>,
 }
 
 impl Demo {
@@ -56,13 +58,13 @@
         }
     }
 
-    fn play(&self, folder: &Path) -> Result<Recorder, RigError> {
+    fn play(&self, folder: &Path) -> Result<Recorder, TestClusterError> {
         let recorder = Recorder::default();
         if !self.json {
             println!("Making keys, starting {} couriers and four partners on loopback ...", self.couriers);
         }
         let spec = spec(usize::from(self.couriers), self.rate);
-        let rig = Rig::build(folder, spec, recorder.clone(), self.seed)?;
+        let rig = TestCluster::build(folder, spec, recorder.clone(), self.seed)?;
         let mut running = Vec::new();
         let mut addresses = Vec::new();
         for (number, file) in rig.files.iter().enumerate() {
@@ -72,17 +74,17 @@
             // The loop of a courier lives in the thread that made it.
             let thread = std::thread::spawn(move || {
                 let mut service = Service::start(config, directory, None, seed).ok()?;
-                let _ = tell.send((service.address(), service.stopper()));
+                let _ = tell.send((service.address(), service.shutdown_handle()));
                 service.run().ok()
             });
-            let (address, stopper) = told.recv().map_err(|_| RigError::Start(number))?;
+            let (address, stopper) = told.recv().map_err(|_| TestClusterError::Start(number))?;
             addresses.push(address);
             running.push(Running { stopper, thread });
         }
-        let couriers = rig.couriers(addresses);
+        let couriers = rig.gateways(addresses);
         self.drive(&rig, &couriers, &recorder)?;
         for courier in running {
-            courier.stopper.stop();
+            courier.stopper.shut_down();
             // A courier that panicked has said so; what it left unanswered shows in the table.
             let _ = courier.thread.join();
         }
@@ -90,7 +92,12 @@
     }
 
     /// Lets the clients hand in while two partners have a bad time.
-    fn drive(&self, rig: &Rig, couriers: &Couriers, recorder: &Recorder) -> Result<(), RigError> {
+    fn drive(
+        &self,
+        rig: &TestCluster,
+        couriers: &GatewaySet,
+        recorder: &Recorder,
+    ) -> Result<(), TestClusterError> {
         let span = Duration::from_secs_f64(f64::from(self.messages) / f64::from(self.rate));
         let plan = plan(self.messages, span, self.seed, recorder.now());
         let progress = Progress::default();
@@ -98,20 +105,25 @@
         let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
         bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
         let trouble = span.mul_f64(0.3);
-        rig.partners.order(Order::Fault { partner: 1, fault: Fault::Silent, zone: None, lasts: trouble });
-        rig.partners.order(Order::Fault {
+        rig.partners.send(PartnerCommand::Fault {
+            partner: 1,
+            fault: Fault::Silent,
+            zone: None,
+            duration: trouble,
+        });
+        rig.partners.send(PartnerCommand::Fault {
             partner: 2,
-            fault: Fault::LoseAnswers(0.2),
+            fault: Fault::TruncateResponses(0.2),
             zone: None,
-            lasts: trouble,
+            duration: trouble,
         });
         std::thread::scope(|scope| {
             let client = scope.spawn(|| {
-                let habits = Habits::default();
+                let habits = ClientBehaviour::default();
                 Client::new(&rig.clients[0], habits, couriers, plan, recorder.clone(), &progress)?.run()
             });
             while !client.is_finished() {
-                bar.set_position(progress.done.load(Ordering::Relaxed) as u64);
+                bar.set_position(progress.completed.load(Ordering::Relaxed) as u64);
                 std::thread::sleep(Duration::from_millis(100));
             }
             bar.finish_and_clear();
@@ -126,25 +138,25 @@
         let mut answers: BTreeMap<String, [u32; 4]> = BTreeMap::new();
         let mut effects: HashMap<String, u32> = HashMap::new();
         for line in &lines {
-            match &line.seen {
-                Seen::HandIn { id, class, .. } => {
+            match &line.event {
+                ObservedEvent::Submitted { id, class, .. } => {
                     class_of.insert(id.clone(), class.clone());
                 }
-                Seen::Effect { id, .. } => *effects.entry(id.clone()).or_default() += 1,
+                ObservedEvent::EffectApplied { id, .. } => *effects.entry(id.clone()).or_default() += 1,
                 _ => {}
             }
         }
-        let mut last: HashMap<&str, Told> = HashMap::new();
+        let mut last: HashMap<&str, ReportedOutcome> = HashMap::new();
         for line in &lines {
-            if let Seen::Answer { id, told, .. } = &line.seen {
+            if let ObservedEvent::Answered { id, outcome: told, .. } = &line.event {
                 last.insert(id, *told);
             }
         }
         for (id, class) in &class_of {
             let place = match last.get(id.as_str()) {
-                Some(Told::Delivered) => 0,
-                Some(Told::Refused) => 1,
-                Some(Told::Failed) => 2,
+                Some(ReportedOutcome::Delivered) => 0,
+                Some(ReportedOutcome::Rejected) => 1,
+                Some(ReportedOutcome::Failed) => 2,
                 _ => 3,
             };
             answers.entry(class.clone()).or_default()[place] += 1;
@@ -175,25 +187,25 @@
     }
 }
 
-fn spec(couriers: usize, rate: u32) -> Spec {
+fn spec(couriers: usize, rate: u32) -> ClusterSpec {
     let class = |name: &str, effect: &str, in_order, worth| ClassSpec {
         name: name.into(),
         effect: effect.into(),
         group: "all".into(),
-        in_order,
-        aim: Duration::from_secs(1),
+        ordered: in_order,
+        latency_objective: Duration::from_secs(1),
         deadline: Duration::from_secs(6),
-        window: Duration::from_secs(5),
-        worth,
+        repeat_window: Duration::from_secs(5),
+        priority_weight: worth,
     };
     let partner = |name: &str, kind: &str, share: f64, key, deferred| PartnerSpec {
         name: name.into(),
         kind: kind.into(),
-        nature: Nature {
+        profile: ServerProfile {
             servers: (f64::from(rate) * share * 0.06).ceil().max(4.0) as usize,
             queue: 64,
             repeat_window: Duration::from_secs(10),
-            ..Nature::default()
+            ..ServerProfile::default()
         },
         zones: vec![0, 0],
         key,
@@ -201,8 +213,8 @@
         mismatched: false,
         spill_share: None,
     };
-    Spec {
-        couriers,
+    ClusterSpec {
+        gateways: couriers,
         clients: 1,
         partners: vec![
             partner("bank-north", "banks", 0.4, NewKey::Rsa2048, false),
@@ -213,14 +225,14 @@
         classes: vec![class("salary-payment", "unsafe", false, 3.0), class("pay-notice", "keyed", true, 1.0)]
 ,
         zones: 1,
-        courier_lines: "  call_slots = 100\n  most_held = 4000\n  stop_within = \"5s\"".into(),
+        gateway_settings: "  call_slots = 100\n  most_held = 4000\n  stop_within = \"5s\"".into(),
         blocks: "rules {\n  answer_slack = \"300ms\"\n  order_settle = \"50ms\"\n  cold = \"4s\"\n  fall = \"1s\"\n}\n\
                  kind \"banks\" {}\nkind \"employers\" {}"
             .into(),
     }
 }
 
-fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<Planned> {
+fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<PlannedMessage> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let names = ["bank-north", "bank-south", "bayside-hr", "rosehall-hr"];
     (0..messages)
@@ -228,7 +240,7 @@
             let drawn: f64 = rng.random();
             let partner = [0.4, 0.7, 0.9].iter().filter(|edge| drawn >= **edge).count();
             let pays = partner < 2;
-            Planned {
+            PlannedMessage {
                 at: from + span.mul_f64(f64::from(number) / f64::from(messages)),
                 id: format!("payday-{seed}-{number}@client-0"),
                 class: if pays { "salary-payment" } else { "pay-notice" }.into(),
@@ -236,7 +248,7 @@
                 key: (!pays).then(|| format!("employee-{}", rng.random_range(0..400))),
                 deadline: Duration::from_secs(6),
                 body: format!("payday message {number} for {}\n", names[partner]).into_bytes(),
-                drops: false,
+                disconnects_after_submission: false,
             }
         })
         .collect()
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -119,7 +119,7 @@
                 (self.report_once(outcome.into()), ConnectionReuse::Unusable)
             }
         };
-        let whole = result.and_then(|result| result.outcome.wait());
+        let whole = result.and_then(|result| result.outcome.retry_after());
         let retry_after = early.or(whole).filter(|_| !self.waited);
         self.waited |= retry_after.is_some();
         ResponseProgress { result, retry_after, reuse }
