Simulator adapter in the terms of the field, settings parser in short functions

Change: explicit imports, named option bits, one function for endpoint list updates, attempt completions, new instances and rules. Names of records, replies and fields on the wire stay, as do the settings' paths.

--- a/src/bin/cloverstile-sim-adapter/host.rs
+++ b/src/bin/cloverstile-sim-adapter/host.rs
@@ -1,25 +1,35 @@
-//! Instance table: records to events of the module, its actions to replies. Translates only.
+//! Table of simulated gateway instances: translates records to events of their policies, and actions to replies.
+//! Field names of records and replies are those of the simulator's wire.
 
 use crate::wire::{Entry, FinishedRecord, Record, Reply, WireError};
-use cloverstile::*;
+use cloverstile::{
+    parse_settings, Action, AttemptCompleted, AttemptOutcome, ClassId, DeliveryPolicy, DestinationId,
+    Endpoint, EndpointId, EndpointListUpdate, EndpointState, Event, KindId, MessageId, OrderKey,
+    ParsedSettings, RateLimitStatus, SettingError, Submission, TenantId, Time, ZoneId,
+};
 use std::collections::BTreeMap;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::time::Duration;
 
+/// Option bits of an `Accept` record.
+const OPTION_RESUBMITTED: u8 = 2;
+const OPTION_FROM_LOST_INSTANCE: u8 = 16;
+
 struct Instance {
-    courier: DeliveryPolicy,
-    left_at: Option<usize>,
-    limit_at: Option<usize>,
+    policy: DeliveryPolicy,
+    /// Positions in the report of a response.
+    remaining_field: Option<usize>,
+    limit_field: Option<usize>,
 }
 
-/// All instances of this process, and the numbered lists that they refer to.
+/// All instances of this process, and the numbered endpoint lists that records refer to.
 #[derive(Default)]
 pub struct Host {
     instances: BTreeMap<u16, Instance>,
     sheets: BTreeMap<u16, Vec<Endpoint>>,
 }
 
-/// A batch that cannot be carried out.
+/// An error that a batch cannot be processed for.
 #[derive(Debug, thiserror::Error)]
 pub enum HostError {
     #[error("instance {who}: {error}")]
@@ -29,7 +39,7 @@
 }
 
 impl Host {
-    /// Hands the records of a batch to their instances and returns what these do.
+    /// Processes the records of a batch at this time, in nanoseconds, and returns the replies of their instances.
     pub fn run(&mut self, clock: u64, records: Vec<Record>) -> Result<Vec<Reply>, HostError> {
         let now = Time(clock);
         let mut touched = Vec::new();
@@ -42,7 +52,7 @@
                 if !touched.contains(&who) {
                     touched.push(who);
                 }
-                guarded(who, &mut replies, || instance.courier.on_event(now, event));
+                guarded(who, &mut replies, || instance.policy.on_event(now, event));
             }
         }
         let mut actions = Vec::new();
@@ -50,7 +60,7 @@
             let Some(instance) = self.instances.get_mut(&who) else {
                 continue;
             };
-            guarded(who, &mut replies, || instance.courier.next_actions(now, &mut actions));
+            guarded(who, &mut replies, || instance.policy.next_actions(now, &mut actions));
             replies.extend(actions.drain(..).map(|action| reply(who, action)));
         }
         Ok(replies)
@@ -60,10 +70,10 @@
     fn translate(&mut self, record: Record) -> Result<Option<(u16, Event)>, HostError> {
         Ok(Some(match record {
             Record::NewInstance { who, nonce, config } => {
-                let ParsedSettings { settings, remaining_field: left_at, limit_field: limit_at } =
+                let ParsedSettings { settings, remaining_field, limit_field } =
                     parse_settings(&config).map_err(|error| HostError::Setting { who, error })?;
-                let courier = DeliveryPolicy::new(settings, nonce);
-                self.instances.insert(who, Instance { courier, left_at, limit_at });
+                let policy = DeliveryPolicy::new(settings, nonce);
+                self.instances.insert(who, Instance { policy, remaining_field, limit_field });
                 return Ok(None);
             }
             Record::Teardown { who } => {
@@ -76,27 +86,20 @@
                 return Ok(None);
             }
             Record::Members { who, slot, kind, .. } => {
-                let entries = || self.sheets.get(&slot).cloned().unwrap_or_default();
-                let listing = match kind {
-                    0 => EndpointListUpdate::Delta(entries()),
-                    1 | 2 => EndpointListUpdate::Snapshot(entries()),
-                    3 => EndpointListUpdate::Unavailable,
-                    other => return Err(unknown("Kind", u32::from(other))),
-                };
-                (who, Event::EndpointsUpdated(listing))
+                (who, Event::EndpointsUpdated(self.endpoint_list_update(slot, kind)?))
             }
             Record::Accept { who, call, profile, dest, key, deadline, opts, owner, .. } => {
-                let accepted = Submission {
+                let submission = Submission {
                     id: MessageId(call),
                     class: ClassId(profile),
                     destination: DestinationId(dest as u16),
                     key: (key != 0).then_some(OrderKey(key)),
                     deadline: Time(deadline),
-                    from_lost_instance: opts & 16 != 0,
-                    resubmitted: opts & 2 != 0,
+                    from_lost_instance: opts & OPTION_FROM_LOST_INSTANCE != 0,
+                    resubmitted: opts & OPTION_RESUBMITTED != 0,
                     tenant: TenantId(owner),
                 };
-                (who, Event::Submitted(accepted))
+                (who, Event::Submitted(submission))
             }
             Record::ProbeDone { who, code, delay, endpoint, .. } => {
                 let outcome = outcome(code, 0)?;
@@ -105,17 +108,27 @@
             }
             Record::ClientGone { who, call } => (who, Event::Cancelled(MessageId(call))),
             Record::FirstByte { who, call, .. } => (who, Event::FirstByte(MessageId(call))),
-            Record::Finished(record) => (record.who, self.finished(&record)?),
+            Record::Finished(record) => (record.who, self.attempt_completed(&record)?),
             Record::TickDue { who, cookie } => (who, Event::TimerFired(cookie)),
             Record::NoteFrom { who, from, msg } => (who, Event::NoteReceived { from, text: msg }),
         }))
     }
 
-    fn finished(&self, record: &FinishedRecord) -> Result<Event, HostError> {
+    fn endpoint_list_update(&self, slot: u16, kind: u8) -> Result<EndpointListUpdate, HostError> {
+        let entries = || self.sheets.get(&slot).cloned().unwrap_or_default();
+        Ok(match kind {
+            0 => EndpointListUpdate::Delta(entries()),
+            1 | 2 => EndpointListUpdate::Snapshot(entries()),
+            3 => EndpointListUpdate::Unavailable,
+            other => return Err(unknown("Kind", u32::from(other))),
+        })
+    }
+
+    fn attempt_completed(&self, record: &FinishedRecord) -> Result<Event, HostError> {
         let instance = self.instances.get(&record.who);
         let value = |at: Option<usize>| at.and_then(|at| record.report.get(at)).map(|v| f64::from(*v));
-        let left = value(instance.and_then(|i| i.left_at));
-        let limit = value(instance.and_then(|i| i.limit_at));
+        let remaining = value(instance.and_then(|instance| instance.remaining_field));
+        let limit = value(instance.and_then(|instance| instance.limit_field));
         Ok(Event::AttemptCompleted(AttemptCompleted {
             message: MessageId(record.call),
             endpoint: EndpointId(record.endpoint),
@@ -123,12 +136,12 @@
             outcome: outcome(record.code, record.detail)?,
             latency: Duration::from_nanos(record.delay),
             complete: record.complete,
-            rate_limit: left.zip(limit).map(|(left, limit)| RateLimitStatus { remaining: left, limit }),
+            rate_limit: remaining.zip(limit).map(|(remaining, limit)| RateLimitStatus { remaining, limit }),
         }))
     }
 }
 
-/// Runs a step of the module; its panic becomes a reply with the text.
+/// Runs a step of a policy; a panic becomes a reply with its text.
 fn guarded(who: u16, replies: &mut Vec<Reply>, step: impl FnOnce()) {
     if let Err(cause) = catch_unwind(AssertUnwindSafe(step)) {
         let text = cause.downcast_ref::<&str>().map(|s| (*s).to_owned());
@@ -175,14 +188,14 @@
     u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
 }
 
-/// A time-out of zero means none on the wire, so the shortest one is a nanosecond.
+/// The reply of an action. A time-out of zero means none on the wire, so that the shortest is a nanosecond.
 fn reply(who: u16, action: Action) -> Reply {
     match action {
-        Action::Send { message, endpoint, timeout: try_for } => {
-            Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(try_for).max(1) }
+        Action::Send { message, endpoint, timeout } => {
+            Reply::Route { who, call: message.0, endpoint: endpoint.0, try_for: nanos(timeout).max(1) }
         }
-        Action::Reject { message, retry_after: stay_away } => {
-            Reply::Busy { who, call: message.0, stay_away: nanos(stay_away) }
+        Action::Reject { message, retry_after } => {
+            Reply::Busy { who, call: message.0, stay_away: nanos(retry_after) }
         }
         Action::Fail { message } => Reply::ReportFailure { who, call: message.0 },
         Action::AbandonAttempt { message, attempt } => {
--- a/src/bin/cloverstile-sim-adapter/main.rs
+++ b/src/bin/cloverstile-sim-adapter/main.rs
@@ -1,4 +1,5 @@
-//! Puts the decision module on the bench's wire: batches on standard input, one reply each on standard output.
+//! Adapter of the delivery policy to the simulator: reads batches on standard input, writes one reply each on
+//! standard output.
 
 mod host;
 mod wire;
@@ -6,7 +7,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::process::ExitCode;
 
-/// Reads one frame's body; none at a clean end of input.
+/// Reads the body of a frame; none at the end of the input between frames.
 fn read_frame(input: &mut impl Read) -> Result<Option<Vec<u8>>, String> {
     let mut length = [0; 4];
     let mut have = 0;
@@ -20,7 +21,7 @@
         }
     }
     let length = u64::from(u32::from_be_bytes(length));
-    // Grows with what really comes, whatever the length field says.
+    // Grows with the bytes that are read, whatever the length field says.
     let mut body = Vec::new();
     input.take(length).read_to_end(&mut body).map_err(|error| format!("cannot read a frame: {error}"))?;
     if (body.len() as u64) < length {
--- a/src/bin/cloverstile-sim-adapter/wire.rs
+++ b/src/bin/cloverstile-sim-adapter/wire.rs
@@ -1,8 +1,9 @@
-//! Frame codec: bytes to records and back. Big-endian, no padding; see the users' wire page.
+//! Codec of frames: bytes to records, and replies to bytes. Big-endian, no padding. Names of records, replies and
+//! fields are those of the simulator's wire.
 
 use thiserror::Error;
 
-/// What is wrong with a frame, and where in it (bytes from the start of its body).
+/// An error in a frame; `at` is the position, in bytes from the start of its body.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum WireError {
     #[error("byte {at}: {field} is cut short")]
@@ -17,7 +18,7 @@
     Text { at: usize },
 }
 
-/// An entry of a numbered list.
+/// An entry of a numbered endpoint list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     pub endpoint: u32,
@@ -91,7 +92,7 @@
     },
 }
 
-/// The end of an attempt, as it stands on the wire.
+/// The completion of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FinishedRecord {
     pub who: u16,
@@ -185,7 +186,7 @@
         if code == 110 {
             let slot = self.u16("Slot")?;
             let count = self.u32("NodesList count")?;
-            // Grown as entries are read: a count that does not fit ends in an error, not in an allocation.
+            // Allocated entry by entry: a count that is too high ends in an error, not in an allocation.
             let entries = (0..count).map(|_| self.entry()).collect::<Result<_, _>>()?;
             return Ok(Record::Sheet { slot, entries });
         }
@@ -193,15 +194,22 @@
             return Err(WireError::Code { at, index, code });
         }
         let who = self.u16("Who")?;
+        self.instance_record(code, who)
+    }
+
+    fn new_instance(&mut self, who: u16) -> Result<Record, WireError> {
+        let nonce = self.u64("Nonce64")?;
+        let count = self.u32("Config count")? as usize;
+        let at = self.at;
+        let text = self.take(count, "Config")?;
+        let config = std::str::from_utf8(text).map_err(|_| WireError::Text { at })?.to_owned();
+        Ok(Record::NewInstance { who, nonce, config })
+    }
+
+    /// Reads the rest of a record for an instance; its code is a known one.
+    fn instance_record(&mut self, code: u8, who: u16) -> Result<Record, WireError> {
         Ok(match code {
-            10 => {
-                let nonce = self.u64("Nonce64")?;
-                let count = self.u32("Config count")? as usize;
-                let at = self.at;
-                let text = self.take(count, "Config")?;
-                let config = std::str::from_utf8(text).map_err(|_| WireError::Text { at })?.to_owned();
-                Record::NewInstance { who, nonce, config }
-            }
+            10 => self.new_instance(who)?,
             20 => Record::Members {
                 who,
                 slot: self.u16("Slot")?,
@@ -277,7 +285,7 @@
     out.extend(&text[..count]);
 }
 
-/// Appends one record of a reply.
+/// Appends one record of a reply frame.
 pub fn write_reply(out: &mut Vec<u8>, reply: &Reply) {
     let mut head = |code: u8, who: &u16| {
         out.push(code);
@@ -338,7 +346,7 @@
     }
 }
 
-/// A whole reply frame: its length and its records.
+/// Encodes a whole reply frame: its length and its records.
 pub fn write_frame(replies: &[Reply]) -> Vec<u8> {
     let mut out = vec![0; 4];
     for reply in replies {
--- a/src/settings_parser.rs
+++ b/src/settings_parser.rs
@@ -43,7 +43,17 @@
 /// Values by path.
 struct Lines<'a>(BTreeMap<&'a str, &'a str>);
 
-impl Lines<'_> {
+impl<'a> Lines<'a> {
+    fn split(text: &'a str) -> Result<Self, SettingError> {
+        let mut values = BTreeMap::new();
+        for (index, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+            let unreadable = || SettingError::Line { line: index + 1, text: line.to_owned() };
+            let (path, value) = line.split_once('=').ok_or_else(unreadable)?;
+            values.insert(path, value);
+        }
+        Ok(Lines(values))
+    }
+
     fn get<T: FromStr>(&self, path: &str) -> Result<Option<T>, SettingError> {
         self.0.get(path).map(|value| parse(path, value)).transpose()
     }
@@ -85,15 +95,8 @@
 
 /// Parses the text of a `Config` field.
 pub fn parse_settings(text: &str) -> Result<ParsedSettings, SettingError> {
-    let mut map = BTreeMap::new();
-    for (index, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
-        let unreadable = || SettingError::Line { line: index + 1, text: line.to_owned() };
-        let (path, value) = line.split_once('=').ok_or_else(unreadable)?;
-        map.insert(path, value);
-    }
-    let lines = Lines(map);
+    let lines = Lines::split(text)?;
     let base = Settings::default();
-    let rules = base.rules;
     let fields = lines.words("Report.Fields");
     let place = |name: &str| fields.iter().position(|field| *field == name);
     let settings = Settings {
@@ -136,19 +139,23 @@
         over_quota_weight: lines.or("OverShareWorth", base.over_quota_weight)?,
         connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
         connection_idle_timeout: lines.span("Permissions.ConnIdle", base.connection_idle_timeout)?,
-        rules: Rules {
-            answer_grace: lines.span("Rules.AnswerSlack", rules.answer_grace)?,
-            warm_up_capacity: lines.or("Rules.ColdFrom", rules.warm_up_capacity)?,
-            warm_up_time: lines.span("Rules.Cold", rules.warm_up_time)?,
-            overload_multiple: lines.or("Rules.TipMultiple", rules.overload_multiple)?,
-            overload_window: lines.span("Rules.Fall", rules.overload_window)?,
-            key_cooldown: lines.span("Rules.OrderSettle", rules.key_cooldown)?,
-            discovery_interval: lines.span("Rules.AskEvery", rules.discovery_interval)?,
-        },
+        rules: rules(&lines, base.rules)?,
     };
     Ok(ParsedSettings { settings, remaining_field: place("x0"), limit_field: place("x1") })
 }
 
+fn rules(lines: &Lines, base: Rules) -> Result<Rules, SettingError> {
+    Ok(Rules {
+        answer_grace: lines.span("Rules.AnswerSlack", base.answer_grace)?,
+        warm_up_capacity: lines.or("Rules.ColdFrom", base.warm_up_capacity)?,
+        warm_up_time: lines.span("Rules.Cold", base.warm_up_time)?,
+        overload_multiple: lines.or("Rules.TipMultiple", base.overload_multiple)?,
+        overload_window: lines.span("Rules.Fall", base.overload_window)?,
+        key_cooldown: lines.span("Rules.OrderSettle", base.key_cooldown)?,
+        discovery_interval: lines.span("Rules.AskEvery", base.discovery_interval)?,
+    })
+}
+
 fn list<T>(
     lines: &Lines,
     path: &str,
