--- a/crates/failover/tests/tiers.rs
+++ b/crates/failover/tests/failover.rs
@@ -1,4 +1,4 @@
-//! A site is lost, spills its stated share and no more, and comes back gently.
+//! A tier goes down, spills its configured share and no more, and recovers without overload.
 
 use cloverstile::{AttemptOutcome, DestinationId, EndpointId, Time, ZoneId};
 use cloverstile_failover::{
@@ -30,22 +30,27 @@
     )
 }
 
-/// A call to the first site ended.
-fn ended(planner: &mut FailoverPlanner, at: f64, outcome: AttemptOutcome, latency: Duration) {
+/// A request to the first tier ended.
+fn request_ended(planner: &mut FailoverPlanner, at: f64, outcome: AttemptOutcome, latency: Duration) {
     planner.on_request_completed(
         s(at),
         RequestResult { destination: FIRST, endpoint: EndpointId(1), outcome, latency },
     );
 }
 
-fn lose(planner: &mut FailoverPlanner, at: f64) {
-    for call in 0..3 {
-        ended(planner, at + f64::from(call) * 0.1, AttemptOutcome::Timeout, Duration::from_millis(50));
+fn take_down(planner: &mut FailoverPlanner, at: f64) {
+    for request in 0..3 {
+        request_ended(
+            planner,
+            at + f64::from(request) * 0.1,
+            AttemptOutcome::Timeout,
+            Duration::from_millis(50),
+        );
     }
 }
 
-/// Messages that spill of some handed in evenly between two moments.
-fn spilt(planner: &mut FailoverPlanner, from: f64, to: f64, messages: u32) -> Vec<bool> {
+/// Which of some messages spill that are submitted evenly between two moments.
+fn spilled(planner: &mut FailoverPlanner, from: f64, to: f64, messages: u32) -> Vec<bool> {
     (0..messages)
         .map(|n| {
             planner.select_tier(s(from + (to - from) * f64::from(n) / f64::from(messages)), FIRST) == SECOND
@@ -54,25 +59,25 @@
 }
 
 #[test]
-fn partners_of_one_tier_and_sites_that_answer_are_left_alone() {
+fn partner_of_one_tier_and_responding_tiers_do_not_spill() {
     let mut planner = planner(0.5, None);
     assert_eq!(planner.select_tier(s(1.0), DestinationId(1)), DestinationId(1));
-    assert!(spilt(&mut planner, 0.0, 5.0, 100).iter().all(|spills| !spills));
-    // Refusals and errors are answers, and a call sent before the last answer says nothing new.
+    assert!(spilled(&mut planner, 0.0, 5.0, 100).iter().all(|spills| !spills));
+    // Rejections and errors are responses, and a request sent before the last response says nothing new.
     for outcome in [AttemptOutcome::Rejected(None), AttemptOutcome::Error, AttemptOutcome::Unsent] {
-        (0..10).for_each(|_| ended(&mut planner, 6.0, outcome, Duration::ZERO));
+        (0..10).for_each(|_| request_ended(&mut planner, 6.0, outcome, Duration::ZERO));
     }
-    ended(&mut planner, 7.0, AttemptOutcome::Ok, Duration::ZERO);
-    (0..10).for_each(|_| ended(&mut planner, 9.0, AttemptOutcome::Timeout, Duration::from_secs(3)));
+    request_ended(&mut planner, 7.0, AttemptOutcome::Ok, Duration::ZERO);
+    (0..10).for_each(|_| request_ended(&mut planner, 9.0, AttemptOutcome::Timeout, Duration::from_secs(3)));
     assert_eq!(planner.tier_statuses(FIRST), [TierStatus::Up, TierStatus::Up]);
 }
 
 #[test]
-fn the_stated_share_spills_in_every_window_and_never_more() {
+fn configured_share_spills_in_every_window_and_never_more() {
     for share in [0.0, 0.1, 0.25, 0.3, 0.43, 0.5, 0.7, 1.0] {
         let mut planner = planner(share, None);
-        lose(&mut planner, 2.0);
-        let all = spilt(&mut planner, 3.0, 8.0, 1000);
+        take_down(&mut planner, 2.0);
+        let all = spilled(&mut planner, 3.0, 8.0, 1000);
         for window in all.windows(50) {
             let count = window.iter().filter(|spills| **spills).count() as f64;
             assert!((count - 50.0 * share).abs() <= 1.01, "{share}: {count} of 50");
@@ -81,44 +86,45 @@
 }
 
 #[test]
-fn the_stated_rate_binds_where_the_share_would_let_more_through() {
+fn spill_rate_limits_spill_below_the_share() {
     let mut planner = planner(0.5, Some(2.0));
-    lose(&mut planner, 2.0);
-    let count = spilt(&mut planner, 3.0, 13.0, 1000).iter().filter(|spills| **spills).count();
+    take_down(&mut planner, 2.0);
+    let count = spilled(&mut planner, 3.0, 13.0, 1000).iter().filter(|spills| **spills).count();
     assert!((19..=22).contains(&count), "{count}");
 }
 
 #[test]
-fn less_spills_with_time_once_a_site_answers_again() {
+fn spill_decreases_while_a_tier_recovers() {
     let mut planner = planner(0.5, None);
-    lose(&mut planner, 2.0);
-    ended(&mut planner, 5.0, AttemptOutcome::Ok, Duration::ZERO);
+    take_down(&mut planner, 2.0);
+    request_ended(&mut planner, 5.0, AttemptOutcome::Ok, Duration::ZERO);
     assert_eq!(planner.tier_statuses(FIRST)[0], TierStatus::Recovering(s(5.0)));
     let mut counts = Vec::new();
     for second in [5.0, 8.0, 11.0, 14.0] {
-        counts.push(spilt(&mut planner, second, second + 1.0, 100).iter().filter(|spills| **spills).count());
+        counts
+            .push(spilled(&mut planner, second, second + 1.0, 100).iter().filter(|spills| **spills).count());
     }
     assert!(counts.windows(2).all(|pair| pair[0] > pair[1]), "{counts:?}");
-    assert!(spilt(&mut planner, 15.0, 20.0, 100).iter().all(|spills| !spills));
+    assert!(spilled(&mut planner, 15.0, 20.0, 100).iter().all(|spills| !spills));
     assert_eq!(planner.tier_statuses(FIRST)[0], TierStatus::Up);
 }
 
 #[test]
-fn a_site_that_answers_its_trials_but_not_its_load_is_trusted_more_slowly_each_time() {
+fn flapping_tier_recovers_more_slowly_each_time() {
     let mut planner = planner(0.5, None);
     let mut still_spills = Vec::new();
     for flap in 0..3 {
         let at = 10.0 + f64::from(flap) * 10.0;
-        lose(&mut planner, at);
-        ended(&mut planner, at + 1.0, AttemptOutcome::Ok, Duration::ZERO);
-        let count = spilt(&mut planner, at + 6.0, at + 7.0, 100).iter().filter(|spills| **spills).count();
+        take_down(&mut planner, at);
+        request_ended(&mut planner, at + 1.0, AttemptOutcome::Ok, Duration::ZERO);
+        let count = spilled(&mut planner, at + 6.0, at + 7.0, 100).iter().filter(|spills| **spills).count();
         still_spills.push(count);
     }
     assert!(still_spills[0] < still_spills[1] && still_spills[1] < still_spills[2], "{still_spills:?}");
 }
 
-/// Two partners with a site in one zone, and a third whose site stands elsewhere.
-fn neighbours() -> FailoverPlanner {
+/// Three partners whose first tier is in one zone, and a fourth whose first tier is in another.
+fn partners_in_two_zones() -> FailoverPlanner {
     let tiers = |id: u16, zone: u8| TierConfig {
         destinations: vec![DestinationId(id), DestinationId(id + 10)],
         zones: vec![ZoneId(zone), ZoneId(9)],
@@ -132,7 +138,7 @@
     FailoverPlanner::new(s(0.0), fleet, vec![tiers(1, 0), tiers(2, 0), tiers(3, 0), tiers(4, 1)])
 }
 
-fn note(planner: &mut FailoverPlanner, at: f64, destination: u16, outcome: AttemptOutcome) {
+fn complete(planner: &mut FailoverPlanner, at: f64, destination: u16, outcome: AttemptOutcome) {
     let (destination, endpoint) = (DestinationId(destination), EndpointId(u32::from(destination)));
     planner.on_request_completed(
         s(at),
@@ -141,87 +147,90 @@
 }
 
 #[test]
-fn a_loss_seen_at_two_partners_of_a_zone_is_one_of_the_whole_zone() {
-    let mut planner = neighbours();
-    note(&mut planner, 2.0, 1, AttemptOutcome::ConnectFailed);
-    note(&mut planner, 2.1, 1, AttemptOutcome::ConnectFailed);
+fn outage_at_two_partners_of_a_zone_takes_the_whole_zone_down() {
+    let mut planner = partners_in_two_zones();
+    complete(&mut planner, 2.0, 1, AttemptOutcome::ConnectFailed);
+    complete(&mut planner, 2.1, 1, AttemptOutcome::ConnectFailed);
     assert_eq!(
         planner.tier_statuses(DestinationId(3))[0],
         TierStatus::Up,
-        "one partner alone may have its own trouble"
+        "one partner alone may have an outage of its own"
     );
-    note(&mut planner, 2.2, 2, AttemptOutcome::ConnectFailed);
-    // No call was ever made to the third partner's site, yet its messages spill and its door is shut between slots.
+    complete(&mut planner, 2.2, 2, AttemptOutcome::ConnectFailed);
+    // No request was ever sent to the third partner's tier, yet its messages spill and its gate is closed between slots.
     assert_eq!(planner.tier_statuses(DestinationId(3))[0], TierStatus::Down(s(2.2)));
     assert_eq!(planner.select_tier(s(2.3), DestinationId(3)), DestinationId(13));
     planner.update_gates(s(2.3));
     assert_eq!(planner.gate(DestinationId(3)), Some(GateState::Closed));
     assert_eq!(planner.tier_statuses(DestinationId(4))[0], TierStatus::Up, "another zone");
-    note(&mut planner, 5.0, 1, AttemptOutcome::Ok);
+    complete(&mut planner, 5.0, 1, AttemptOutcome::Ok);
     assert_eq!(planner.tier_statuses(DestinationId(3))[0], TierStatus::Recovering(s(5.0)));
 }
 
 #[test]
-fn the_door_of_a_returning_site_opens_in_this_couriers_slots_alone() {
-    let mut planner = neighbours();
-    note(&mut planner, 2.0, 1, AttemptOutcome::Timeout);
-    note(&mut planner, 4.0, 1, AttemptOutcome::Ok);
-    let (mut calls, mut at) = (Vec::new(), s(4.0));
-    // Work waits for half a minute, longer than the site is cold.
+fn recovery_gate_opens_only_in_the_slots_of_its_instance() {
+    let mut planner = partners_in_two_zones();
+    complete(&mut planner, 2.0, 1, AttemptOutcome::Timeout);
+    complete(&mut planner, 4.0, 1, AttemptOutcome::Ok);
+    let (mut requests, mut at) = (Vec::new(), s(4.0));
+    // Work waits for half a minute, longer than the tier takes to warm up.
     while let Some(next) = {
         planner.update_gates(at);
         planner.next_timeout()
     } {
         if planner.gate(DestinationId(1)) == Some(GateState::Open) && at < s(34.0) {
-            calls.push(at);
+            requests.push(at);
             planner.on_request_sent(at, DestinationId(1));
         }
         at = next.max(at + Duration::from_millis(1));
     }
-    // A slot of 20 ms in each turn of 20 couriers; some of them while the site is cold, then all while work waits.
-    assert!(calls.iter().all(|at| (at.0 / 20_000_000) % 20 == 3), "{calls:?}");
-    let cold = calls.iter().filter(|at| **at < s(14.0)).count();
+    // A slot of 20 ms in each round of 20 instances; some of them while the tier warms up, then all while work waits.
+    assert!(requests.iter().all(|at| (at.0 / 20_000_000) % 20 == 3), "{requests:?}");
+    let warming = requests.iter().filter(|at| **at < s(14.0)).count();
     assert!(
-        (12..=19).contains(&cold) && (48..=51).contains(&(calls.len() - cold)),
-        "{cold} of {}",
-        calls.len()
+        (12..=19).contains(&warming) && (48..=51).contains(&(requests.len() - warming)),
+        "{warming} of {}",
+        requests.len()
     );
     assert!(
         planner.gate(DestinationId(1)).is_none() && at >= s(34.0),
-        "left alone once nothing waits, not before"
+        "the gate goes once nothing waits, not before"
     );
 }
 
 #[test]
-fn a_courier_that_had_more_than_an_even_part_keeps_a_pace_of_its_own() {
-    let mut planner = neighbours();
-    // Ten calls a second of the fifty that the site takes from twenty couriers.
-    for call in 0..200 {
-        note(&mut planner, f64::from(call) * 0.1, 1, AttemptOutcome::Ok);
+fn instance_above_its_fair_share_keeps_its_own_rate() {
+    let mut planner = partners_in_two_zones();
+    // Ten requests a second of the fifty that the tier takes from twenty instances.
+    for request in 0..200 {
+        complete(&mut planner, f64::from(request) * 0.1, 1, AttemptOutcome::Ok);
     }
-    note(&mut planner, 22.0, 1, AttemptOutcome::Timeout);
-    note(&mut planner, 24.0, 1, AttemptOutcome::Ok);
-    let (mut calls, mut at) = (Vec::new(), s(24.0));
+    complete(&mut planner, 22.0, 1, AttemptOutcome::Timeout);
+    complete(&mut planner, 24.0, 1, AttemptOutcome::Ok);
+    let (mut requests, mut at) = (Vec::new(), s(24.0));
     while at < s(34.0) {
         planner.update_gates(at);
         if planner.gate(DestinationId(1)) == Some(GateState::Open) {
-            calls.push(at);
+            requests.push(at);
             planner.on_request_sent(at, DestinationId(1));
         }
         at = at + Duration::from_millis(5);
     }
-    // From a fifth of it to all of it in ten seconds: some forty calls, where even slots would let fifteen through.
-    assert!((30..=65).contains(&calls.len()), "{}", calls.len());
-    let first = calls.iter().filter(|at| **at < s(26.0)).count();
-    assert!(first <= 7, "{first} calls in the first two seconds");
+    // From a fifth of it to all of it in ten seconds: some forty requests, where shared slots would let fifteen through.
+    assert!((30..=65).contains(&requests.len()), "{}", requests.len());
+    let first = requests.iter().filter(|at| **at < s(26.0)).count();
+    assert!(first <= 7, "{first} requests in the first two seconds");
 }
 
 #[test]
-fn couriers_with_one_message_each_spill_the_share_together() {
-    let spilt = (0..200)
-        .filter(|place| {
-            let fleet =
-                FleetParameters { instance_count: 200, instance_index: *place, ..FleetParameters::default() };
+fn instances_with_one_message_each_spill_the_share_together() {
+    let spilled = (0..200)
+        .filter(|instance_index| {
+            let fleet = FleetParameters {
+                instance_count: 200,
+                instance_index: *instance_index,
+                ..FleetParameters::default()
+            };
             let (destinations, zones) = (vec![FIRST, SECOND], vec![ZoneId(0), ZoneId(1)]);
             let tiers = TierConfig {
                 destinations,
@@ -233,9 +242,9 @@
                 recovery_ramp: Duration::from_secs(10),
             };
             let mut planner = FailoverPlanner::new(s(0.0), fleet, vec![tiers]);
-            lose(&mut planner, 2.0);
+            take_down(&mut planner, 2.0);
             planner.select_tier(s(3.0), FIRST) == SECOND
         })
         .count();
-    assert!((58..=62).contains(&spilt), "{spilt} of 200");
+    assert!((58..=62).contains(&spilled), "{spilled} of 200");
 }
