Root package clean under the raised lints

Need: the workspace lints of pedantic kind warned of nine places here (values not consumed, an `# Errors` section). Change: such arguments are references; parse_settings says which errors it has. Decisions are as they were.

--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -6,7 +6,7 @@
 use crate::policy_state::{update_ewma, FirstSend, InFlightRequest, PolicyState};
 
 impl PolicyState {
-    pub fn on_attempt_completed(&mut self, now: Time, done: AttemptCompleted) {
+    pub fn on_attempt_completed(&mut self, now: Time, done: &AttemptCompleted) {
         if let AttemptOutcome::Rejected(Some(wait)) = done.outcome {
             self.on_retry_after(now, done.endpoint, wait);
         }
@@ -31,7 +31,7 @@
         }
         // Only a request's last outcome counts for the route: its messages share one fate.
         if let Some(request) = self.take_completed_request(request_id) {
-            self.on_request_completed(now, request, &done);
+            self.on_request_completed(now, &request, done);
         }
         if done.complete {
             self.complete(done.message);
@@ -45,7 +45,7 @@
     }
 
     /// Records the outcome of a request for its endpoint, connection and route.
-    fn on_request_completed(&mut self, now: Time, request: InFlightRequest, done: &AttemptCompleted) {
+    fn on_request_completed(&mut self, now: Time, request: &InFlightRequest, done: &AttemptCompleted) {
         let lost = done.outcome.is_lost();
         let stale = lost && self.idle_risk.is_stale(request.connection_idle);
         if !(lost && request.stalled) {
@@ -53,7 +53,7 @@
         }
         self.update_endpoint(now, request.endpoint, done.outcome, stale);
         if !stale {
-            self.update_route(now, done, &request);
+            self.update_route(now, done, request);
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -44,7 +44,7 @@
             Event::EndpointsUpdated(update) => state.on_endpoint_list(now, update),
             Event::Submitted(submission) => state.on_submitted(now, submission),
             Event::Recovered(submission, past) => state.on_recovered(now, submission, past),
-            Event::AttemptCompleted(attempt) => state.on_attempt_completed(now, attempt),
+            Event::AttemptCompleted(attempt) => state.on_attempt_completed(now, &attempt),
             Event::RetryAfter { endpoint, wait } => state.on_retry_after(now, endpoint, wait),
             Event::Cancelled(id) => state.complete(id),
             Event::TimerFired(token) => state.clear_timer(token),
@@ -64,7 +64,7 @@
         state.dispatch_ready(now, &mut wake);
         state.abandon_stalled_request(now);
         state.close_excess_idle_connections(now);
-        state.arm_timer(now, wake);
+        state.arm_timer(now, &wake);
         actions.append(&mut state.actions);
     }
 
--- a/src/policy_state/mod.rs
+++ b/src/policy_state/mod.rs
@@ -249,7 +249,7 @@
             message.completed = true;
             self.open_messages -= 1;
             self.deadlines.remove(&Deadline { at: message.submission.deadline, message: id });
-            remove_from_list(&mut self.queues, message.submission.destination, id);
+            remove_from_list(&mut self.queues, &message.submission.destination, id);
         }
         self.forget_if_done(id);
     }
@@ -260,12 +260,12 @@
             return;
         }
         if let Some(key) = self.messages.remove(&id).and_then(|message| message.submission.key) {
-            remove_from_list(&mut self.key_queues, key, id);
+            remove_from_list(&mut self.key_queues, &key, id);
         }
     }
 
     /// Keeps one timer armed, for the earliest moment at which something could be done without an event.
-    pub fn arm_timer(&mut self, now: Time, wake: WakeTime) {
+    pub fn arm_timer(&mut self, now: Time, wake: &WakeTime) {
         let due = self.deadlines.first().map(|deadline| deadline.at);
         let Some(at) = [wake.0, due, self.subscribe_at].into_iter().flatten().min() else { return };
         if self.timer.is_none_or(|timer| at < timer.at || timer.at <= now) {
@@ -283,11 +283,11 @@
 }
 
 /// Takes a message out of the list that it stands in; no empty list is left.
-fn remove_from_list<K: Ord>(lists: &mut BTreeMap<K, Vec<MessageId>>, of: K, id: MessageId) {
-    if let Some(list) = lists.get_mut(&of) {
+fn remove_from_list<K: Ord>(lists: &mut BTreeMap<K, Vec<MessageId>>, of: &K, id: MessageId) {
+    if let Some(list) = lists.get_mut(of) {
         list.retain(|message| *message != id);
         if list.is_empty() {
-            lists.remove(&of);
+            lists.remove(of);
         }
     }
 }
--- a/src/settings_parser.rs
+++ b/src/settings_parser.rs
@@ -94,6 +94,10 @@
 }
 
 /// Parses the text of a `Config` field.
+///
+/// # Errors
+///
+/// A line without an equals sign, or a value that its setting does not allow.
 pub fn parse_settings(text: &str) -> Result<ParsedSettings, SettingError> {
     let lines = Lines::split(text)?;
     let base = Settings::default();
@@ -139,12 +143,12 @@
         over_quota_weight: lines.or("OverShareWorth", base.over_quota_weight)?,
         connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
         connection_idle_timeout: lines.span("Permissions.ConnIdle", base.connection_idle_timeout)?,
-        rules: rules(&lines, base.rules)?,
+        rules: rules(&lines, &base.rules)?,
     };
     Ok(ParsedSettings { settings, remaining_field: place("x0"), limit_field: place("x1") })
 }
 
-fn rules(lines: &Lines, base: Rules) -> Result<Rules, SettingError> {
+fn rules(lines: &Lines, base: &Rules) -> Result<Rules, SettingError> {
     Ok(Rules {
         answer_grace: lines.span("Rules.AnswerSlack", base.answer_grace)?,
         warm_up_capacity: lines.or("Rules.ColdFrom", base.warm_up_capacity)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,7 +82,7 @@
             policy: DeliveryPolicy::new(settings.clone(), 1),
             now: Time::ZERO + Duration::from_secs(100),
             settings,
-            attempts: Default::default(),
+            attempts: std::collections::BTreeMap::default(),
         };
         harness.on_event(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(endpoints)));
         harness
--- a/tests/delivery_policy.rs
+++ b/tests/delivery_policy.rs
@@ -677,10 +677,8 @@
 fn rejected_client_is_told_when_to_retry() {
     let retry_after = |max_retry_after: Option<Duration>| {
         let base = settings(vec![safe()]);
-        let mut harness = Harness::new(
-            Settings { max_queued: 20, max_retry_after: max_retry_after, ..base },
-            vec![endpoint(7, 1)],
-        );
+        let mut harness =
+            Harness::new(Settings { max_queued: 20, max_retry_after, ..base }, vec![endpoint(7, 1)]);
         harness.submit(100, 0, 1, None);
         harness.next_sends();
         harness.complete_attempt(100, 7, AttemptOutcome::Rejected(Some(ms(900))), ms(20));
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -204,8 +204,8 @@
         self.act();
     }
 
-    fn step(&mut self, step: Step) {
-        match step {
+    fn step(&mut self, step: &Step) {
+        match *step {
             Step::Pass(span) => return self.pass(span),
             Step::Submit { class, destination, key } => return self.submit(class, destination, key),
             Step::Complete { which, how } => {
@@ -265,7 +265,7 @@
 fn play(steps: &[Step], seed: u64) -> Vec<Action> {
     let mut run = Run::new(seed);
     for step in steps.iter().cloned().chain((0..120).map(|_| Step::Pass(250))) {
-        run.step(step);
+        run.step(&step);
     }
     assert!(run.checker.held.values().all(|h| h.ended), "every message has its final answer");
     run.actions
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 /// Message 1 of class 0 is recovered with this past by a policy just started.
-fn recovered(class: Class, past: impl FnOnce(Time) -> RecoveredAttempts, key: Option<u64>) -> Harness {
+fn recovered(class: &Class, past: impl FnOnce(Time) -> RecoveredAttempts, key: Option<u64>) -> Harness {
     let mut harness = Harness::new(settings(vec![class.clone()]), vec![endpoint(7, 1)]);
-    let submission = submission(harness.now, 1, (ClassId(0), &class), 1, key);
+    let submission = submission(harness.now, 1, (ClassId(0), class), 1, key);
     harness.on_event(Event::Recovered(submission, past(harness.now)));
     harness
 }
@@ -24,7 +24,7 @@
 #[test]
 fn recovered_message_without_attempts_is_sent() {
     for class in [keyed(), unsafe_class(), safe()] {
-        assert_eq!(recovered(class, fresh, None).next_sends().len(), 1);
+        assert_eq!(recovered(&class, fresh, None).next_sends().len(), 1);
     }
 }
 
@@ -36,7 +36,7 @@
         last_attempt_open: true,
         ..fresh(now)
     };
-    let mut harness = recovered(unsafe_class(), past, None);
+    let mut harness = recovered(&unsafe_class(), past, None);
     let actions = harness.next_actions();
     assert!(actions.contains(&Action::Fail { message: MessageId(1) }), "{actions:?}");
     assert!(!actions.iter().any(|action| matches!(action, Action::Send { .. })));
@@ -53,8 +53,8 @@
         }
     };
     let inside = class.retry_window.mul_f64(0.8);
-    assert_eq!(recovered(class.clone(), past(inside), None).next_sends().len(), 1);
-    let mut late = recovered(class.clone(), past(class.retry_window), None);
+    assert_eq!(recovered(&class, past(inside), None).next_sends().len(), 1);
+    let mut late = recovered(&class, past(class.retry_window), None);
     assert!(late.next_actions().contains(&Action::Fail { message: MessageId(1) }));
 }
 
@@ -62,8 +62,8 @@
 fn recovery_restores_attempt_count() {
     let cap = Settings::default().max_attempts;
     let past = |attempts| move |now| RecoveredAttempts { attempts, ..fresh(now) };
-    assert_eq!(recovered(keyed(), past(cap - 1), None).next_sends().len(), 1);
-    let mut used_up = recovered(keyed(), past(cap), None);
+    assert_eq!(recovered(&keyed(), past(cap - 1), None).next_sends().len(), 1);
+    let mut used_up = recovered(&keyed(), past(cap), None);
     let actions = used_up.next_actions();
     assert!(matches!(actions[0], Action::Reject { message: MessageId(1), .. }), "{actions:?}");
 }
@@ -77,7 +77,7 @@
         last_attempt_open: true,
         ..fresh(now)
     };
-    let mut harness = recovered(class, past, Some(5));
+    let mut harness = recovered(&class, past, Some(5));
     harness.settings.rules.key_cooldown = ms(100);
     harness.policy = DeliveryPolicy::new(harness.settings.clone(), 1);
     harness.on_event(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(7, 1)])));
--- a/tests/send_permission.rs
+++ b/tests/send_permission.rs
@@ -38,7 +38,7 @@
         harness.on_event(Event::RetryAfter { endpoint: EndpointId(7), wait: ms(600) });
     };
     let rejected = |harness: &mut Harness| {
-        harness.complete_attempt(2, 7, AttemptOutcome::Rejected(Some(ms(600))), ms(30))
+        harness.complete_attempt(2, 7, AttemptOutcome::Rejected(Some(ms(600))), ms(30));
     };
     let shut = |harness: &mut Harness| {
         let long = harness.settings.rules.overload_window * 2;
