Platform tests: a file per module, named by unit and behaviour

Need: machines.rs held the tests of five state machines, meaning.rs those of three modules; names were sentences in the withdrawn wording. Change: tests/platform/ has a file per module and a support file with the recording transport. String literals of the tests were compared: five messages and one placeholder differ, no input or expected byte does.

--- /dev/null
+++ b/crates/platform/tests/platform/main.rs
@@ -0,0 +1,12 @@
+//! Tests of the state machines and parsers, a file per module.
+
+mod client_request;
+mod client_sessions;
+mod config;
+mod endpoint_list;
+mod endpoint_watch;
+mod notifications;
+mod requests;
+mod response;
+mod shutdown;
+mod support;
--- a/crates/platform/tests/answers.rs
+++ b/crates/platform/tests/platform/response.rs
@@ -1,4 +1,4 @@
-//! Outcomes row by row, spoilt answers, and answers in any pieces.
+//! Outcomes of responses, unreadable responses, and responses in any fragmentation.
 
 use cloverstile::RateLimitStatus;
 use cloverstile_engine::TransportOutcome;
@@ -9,22 +9,31 @@
     ReportFields { remaining: Some("x0".into()), limit: Some("x1".into()) }
 }
 
-/// Feeds pieces; the outcome, how many pieces it took, and the connection's state at the end.
-fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> (Option<AttemptResult>, usize, ConnectionReuse) {
+/// What a response in pieces came to.
+struct ReadResponse {
+    result: Option<AttemptResult>,
+    /// Number of pieces up to the result.
+    pieces: usize,
+    reuse: ConnectionReuse,
+}
+
+/// Reads a response in pieces.
+fn read<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> ReadResponse {
     let mut reader = ResponseReader::new();
-    let (mut told, mut after, mut line) = (None, 0, ConnectionReuse::Incomplete);
-    for (place, piece) in pieces.into_iter().enumerate() {
-        let read = reader.on_bytes(Duration::from_millis(place as u64), piece, &fields());
-        line = read.reuse;
-        if let Some(outcome) = read.result {
-            assert!(told.is_none(), "an outcome is told once");
-            (told, after) = (Some(outcome), place + 1);
+    let mut response = ReadResponse { result: None, pieces: 0, reuse: ConnectionReuse::Incomplete };
+    for (index, piece) in pieces.into_iter().enumerate() {
+        let progress = reader.on_bytes(Duration::from_millis(index as u64), piece, &fields());
+        response.reuse = progress.reuse;
+        if progress.result.is_some() {
+            assert!(response.result.is_none(), "a result is reported once");
+            response.result = progress.result;
+            response.pieces = index + 1;
         }
-        if line == ConnectionReuse::Unusable {
+        if response.reuse == ConnectionReuse::Unusable {
             break;
         }
     }
-    (told, after, line)
+    response
 }
 
 fn whole(status: &str, head: &str, body: &str) -> String {
@@ -32,13 +41,13 @@
 }
 
 fn outcome(text: &str) -> TransportOutcome {
-    read([text.as_bytes()]).0.expect("an outcome").outcome
+    read([text.as_bytes()]).result.expect("an outcome").outcome
 }
 
 #[test]
-fn each_row_of_the_table() {
+fn outcome_of_each_row_of_the_table() {
     let ms = |ms| Some(Duration::from_millis(ms));
-    for (status, head, reported) in [
+    for (status, head, outcome) in [
         ("200 OK", "", TransportOutcome::Processed),
         ("500 Oops", "", TransportOutcome::Error),
         ("429 Too Many Requests", "Retry-After: 0.25\r\n", TransportOutcome::Rejected(ms(250))),
@@ -63,28 +72,28 @@
         ("302 Found", "", TransportOutcome::Error),
     ] {
         let text = whole(status, head, "{}");
-        let (told, _, line) = read([text.as_bytes()]);
-        let after =
+        let ReadResponse { result, reuse, .. } = read([text.as_bytes()]);
+        let expected_reuse =
             if head.contains("close") { ConnectionReuse::Unusable } else { ConnectionReuse::Reusable };
-        assert_eq!((told, line), (Some(reported.into()), after), "{text}");
+        assert_eq!((result, reuse), (Some(outcome.into()), expected_reuse), "{text}");
     }
 }
 
 #[test]
-fn what_is_not_200_counts_only_when_it_is_whole() {
+fn response_other_than_200_counts_only_when_whole() {
     let text = whole("429 Too Many Requests", "Retry-After: 1\r\n", "body");
     for cut in 0..text.len() {
-        let (told, ..) = read([&text.as_bytes()[..cut]]);
-        assert_eq!(told, None, "{cut}");
+        let ReadResponse { result, .. } = read([&text.as_bytes()[..cut]]);
+        assert_eq!(result, None, "{cut}");
         let mut reader = ResponseReader::new();
         reader.on_bytes(Duration::ZERO, &text.as_bytes()[..cut], &fields());
-        // It may have run: the answer that said otherwise never came whole.
+        // It may have run: the response that said otherwise was never received whole.
         assert_eq!(reader.end(true, &fields()), Some(TransportOutcome::Reset.into()), "{cut}");
     }
 }
 
 #[test]
-fn a_first_line_of_200_is_true_whatever_follows() {
+fn status_200_is_processed_whatever_follows() {
     for rest in [
         "Content-Length: -5\r\n\r\n",
         "Content-Length: 3000000000\r\n\r\n",
@@ -93,25 +102,28 @@
         "no colon here\r\n\r\n",
         "Transfer-Encoding: gzip\r\n\r\n",
     ] {
-        let (told, _, line) = read([format!("HTTP/1.1 200 OK\r\n{rest}").as_bytes()]);
+        let ReadResponse { result, reuse, .. } = read([format!("HTTP/1.1 200 OK\r\n{rest}").as_bytes()]);
         assert_eq!(
-            (told, line),
+            (result, reuse),
             (Some(TransportOutcome::Processed.into()), ConnectionReuse::Unusable),
             "{rest:?}"
         );
     }
     let endless = [b"HTTP/1.1 200 OK\r\nX: ".to_vec(), vec![b'a'; 20 << 10]].concat();
-    let (told, after, line) = read(endless.chunks(1000));
-    assert_eq!((told, after, line), (Some(TransportOutcome::Processed.into()), 1, ConnectionReuse::Unusable));
-    // Once the first line is there, a break changes nothing.
+    let ReadResponse { result, pieces, reuse } = read(endless.chunks(1000));
+    assert_eq!(
+        (result, pieces, reuse),
+        (Some(TransportOutcome::Processed.into()), 1, ConnectionReuse::Unusable)
+    );
+    // Once the status line is read, a lost connection changes nothing.
     let mut reader = ResponseReader::new();
-    let read = reader.on_bytes(Duration::ZERO, b"HTTP/1.1 200 O", &fields());
-    assert_eq!(read.result, Some(TransportOutcome::Processed.into()));
+    let progress = reader.on_bytes(Duration::ZERO, b"HTTP/1.1 200 O", &fields());
+    assert_eq!(progress.result, Some(TransportOutcome::Processed.into()));
     assert_eq!(reader.end(false, &fields()), None);
 }
 
 #[test]
-fn spoilt_answers_may_have_run_even_where_they_say_that_they_were_turned_away() {
+fn unreadable_response_is_an_error_even_with_a_rejection_status() {
     for text in [
         "\x16\x03\x01 noise\r\n\r\n".to_owned(),
         "HTTP/1.1 2000 OK\r\n\r\n".to_owned(),
@@ -120,9 +132,9 @@
         "HTTP/1.1 503 Full\r\nContent-Length: 3000000000\r\n\r\n".to_owned(),
         format!("HTTP/1.1 429 Slow\r\nX: {}", "a".repeat(9000)),
     ] {
-        let (told, _, line) = read([text.as_bytes()]);
+        let ReadResponse { result, reuse, .. } = read([text.as_bytes()]);
         assert_eq!(
-            (told, line),
+            (result, reuse),
             (Some(TransportOutcome::Error.into()), ConnectionReuse::Unusable),
             "{text:.60}"
         );
@@ -130,29 +142,32 @@
 }
 
 #[test]
-fn surplus_spoils_the_connection_and_not_the_answer() {
+fn surplus_bytes_make_the_connection_unusable_and_keep_the_outcome() {
     let full = whole("429 Too Many Requests", "Retry-After: 1\r\n", "");
     for text in [format!("{full}{full}"), format!("{full}noise")] {
-        let (told, _, line) = read([text.as_bytes()]);
+        let ReadResponse { result, reuse, .. } = read([text.as_bytes()]);
         assert_eq!(
-            told.map(|told| told.outcome),
+            result.map(|result| result.outcome),
             Some(TransportOutcome::Rejected(Some(Duration::from_secs(1))))
         );
-        assert_eq!(line, ConnectionReuse::Unusable);
+        assert_eq!(reuse, ConnectionReuse::Unusable);
     }
-    assert_eq!(read([whole("200 OK", "Connection: close\r\n", "").as_bytes()]).2, ConnectionReuse::Unusable);
+    assert_eq!(
+        read([whole("200 OK", "Connection: close\r\n", "").as_bytes()]).reuse,
+        ConnectionReuse::Unusable
+    );
 }
 
 #[test]
-fn interim_answers_are_passed_over_in_any_pieces() {
+fn interim_responses_are_skipped_in_any_fragmentation() {
     let text = format!(
         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nX: 1\r\n\r\n{}",
         whole("503 Full", "", "{\"a\":1}")
     );
     for size in [1, 2, 3, 7, 1000] {
-        let (told, _, line) = read(text.as_bytes().chunks(size));
+        let ReadResponse { result, reuse, .. } = read(text.as_bytes().chunks(size));
         assert_eq!(
-            (told, line),
+            (result, reuse),
             (Some(TransportOutcome::Rejected(None).into()), ConnectionReuse::Reusable),
             "{size}"
         );
@@ -164,12 +179,12 @@
 }
 
 #[test]
-fn reports_that_can_t_be_read_are_none() {
-    let told = |report: &str| {
-        read([whole("200 OK", &format!("Srv-Load: {report}\r\n"), "").as_bytes()]).0.unwrap().rate_limit
+fn unreadable_load_report_is_ignored() {
+    let rate_limit = |report: &str| {
+        read([whole("200 OK", &format!("Srv-Load: {report}\r\n"), "").as_bytes()]).result.unwrap().rate_limit
     };
-    assert_eq!(told("x0=0.4,x1=25"), Some(RateLimitStatus { remaining: 0.4, limit: 25.0 }));
-    assert_eq!(told("x1=25, x0=0.4, x9=1"), Some(RateLimitStatus { remaining: 0.4, limit: 25.0 }));
+    assert_eq!(rate_limit("x0=0.4,x1=25"), Some(RateLimitStatus { remaining: 0.4, limit: 25.0 }));
+    assert_eq!(rate_limit("x1=25, x0=0.4, x9=1"), Some(RateLimitStatus { remaining: 0.4, limit: 25.0 }));
     for nonsense in [
         "",
         "x0=0.4",
@@ -180,13 +195,13 @@
         "x0=0.4,x1=inf",
         "x0=0.4,x1=25,\u{1}",
     ] {
-        assert_eq!(told(nonsense), None, "{nonsense:?}");
+        assert_eq!(rate_limit(nonsense), None, "{nonsense:?}");
     }
 }
 
-/// Outcome and wait are two facts: the wait counts from the head on, spoilt as the rest may be.
+/// Outcome and `Retry-After` are two facts: the latter counts as soon as the head is read, whatever becomes of the rest.
 #[test]
-fn a_head_tells_its_wait_though_the_rest_is_spoilt_cut_or_never_ends() {
+fn retry_after_is_reported_from_the_head_whatever_follows() {
     let ms = |ms| Some(Duration::from_millis(ms));
     for (head, wait) in [
         ("429 Wait\r\nRetry-After: 0.25\r\nContent-Length: 3000000000", ms(250)),
--- /dev/null
+++ b/crates/platform/tests/platform/support.rs
@@ -0,0 +1,48 @@
+//! A transport that records what is done to connections, and short forms of times and addresses.
+
+use cloverstile::Time;
+use cloverstile_platform::{ConnectionId, Transport};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Records what a state machine does. Connections are numbered from one, in the order in which they are opened.
+#[derive(Default)]
+pub struct FakeTransport {
+    pub connected: Vec<SocketAddr>,
+    pub written: Vec<(ConnectionId, String)>,
+    pub shut_down: Vec<ConnectionId>,
+    pub closed: Vec<ConnectionId>,
+}
+
+impl FakeTransport {
+    /// The connection opened last.
+    pub fn newest(&self) -> ConnectionId {
+        ConnectionId(self.connected.len() as u64)
+    }
+}
+
+impl Transport for FakeTransport {
+    fn connect(&mut self, to: SocketAddr) -> ConnectionId {
+        self.connected.push(to);
+        self.newest()
+    }
+    fn write(&mut self, connection: ConnectionId, bytes: &[u8]) {
+        self.written.push((connection, String::from_utf8_lossy(bytes).into_owned()));
+    }
+    fn shutdown_write(&mut self, connection: ConnectionId) {
+        self.shut_down.push(connection);
+    }
+    fn close(&mut self, connection: ConnectionId) {
+        self.closed.push(connection);
+    }
+}
+
+/// A time, in milliseconds from the start.
+pub fn at(milliseconds: u64) -> Time {
+    Time::ZERO + Duration::from_millis(milliseconds)
+}
+
+/// An address of this machine.
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
