--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -12,8 +12,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
 
-#[path = "world/mod.rs"]
-mod stage;
+mod gateway_harness;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
 
@@ -301,7 +300,7 @@
 /// nothing goes out on it. Guards against a second effect, as it did at the node.
 #[test]
 fn a_repeat_whose_connection_comes_up_behind_its_window_is_not_sent() {
-    let slow = stage::Slow::new();
+    let slow = gateway_harness::manual_endpoint::ManualEndpoint::new();
     let mut spec = spec();
     let (window, deadline) = (Duration::from_millis(1500), Duration::from_secs(9));
     spec.classes[0] = ClassSpec {
@@ -319,7 +318,7 @@
     });
     std::thread::scope(|scope| {
         let sent = scope.spawn(|| world.code(&["--id", "late@client-0"]));
-        let (text, late) = slow.late_repeat("late@client-0", Duration::from_millis(1600));
+        let (text, late) = slow.late_retry("late@client-0", Duration::from_millis(1600));
         assert_eq!(text, "", "sent {late:?} after the first call");
         assert_eq!(sent.join().unwrap(), 11, "it may have taken effect, and is told so");
     });
--- a/crates/cli/tests/stored_data.rs
+++ b/crates/cli/tests/stored_data.rs
@@ -1,24 +1,24 @@
 //! The gateway started on state folders that earlier versions wrote: what it sends and reports, as seen on sockets.
 //! The folders and what they hold: `crates/wal/tests/data/README.md`.
 
-mod world;
+mod gateway_harness;
 
 use cloverstile_fakes::platform::PlatformEvent;
+use gateway_harness::{GatewayHarness, EVENT_TIMEOUT};
 use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
-use world::*;
 
 /// Every request to an endpoint (`message key body`) and every notification (`message status`) after a start on a
 /// stored folder, once there are `count` of them.
 fn observed_after_start(folder: &str, count: usize) -> BTreeSet<String> {
-    let mut world = World::new(folder, &[3, 3]);
+    let mut harness = GatewayHarness::new(folder, &[3, 3]);
     let source = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wal/tests/data").join(folder);
     for entry in fs::read_dir(source).unwrap() {
         let entry = entry.unwrap();
-        fs::copy(entry.path(), world.folder.join("state").join(entry.file_name())).unwrap();
+        fs::copy(entry.path(), harness.directory.join("state").join(entry.file_name())).unwrap();
     }
-    world.start();
+    harness.start();
     let describe = |seen: &PlatformEvent| match seen {
         PlatformEvent::RequestReceived { id, idempotency, body, .. } => {
             let key = idempotency.as_deref().unwrap_or("-");
@@ -27,13 +27,13 @@
         PlatformEvent::Notification { id, status, .. } => Some(format!("{id} {status}")),
         _ => None,
     };
-    world
-        .platform
-        .wait_until(SOON, |seen| seen.iter().filter_map(|(_, seen)| describe(seen)).count() >= count);
+    harness.platform.wait_until(EVENT_TIMEOUT, |seen| {
+        seen.iter().filter_map(|(_, seen)| describe(seen)).count() >= count
+    });
     // A clean stop: whatever else would be sent or reported has been by its end.
-    let told = world.stop();
-    world.ended(told);
-    let all: Vec<String> = world.platform.events().iter().filter_map(|(_, seen)| describe(seen)).collect();
+    let signalled = harness.request_shutdown();
+    harness.wait_for_exit(signalled);
+    let all: Vec<String> = harness.platform.events().iter().filter_map(|(_, seen)| describe(seen)).collect();
     let distinct: BTreeSet<String> = all.iter().cloned().collect();
     assert_eq!(distinct.len(), all.len(), "something came twice: {all:?}");
     distinct
