--- a/src/settings.rs
+++ b/src/settings_parser.rs
@@ -1,4 +1,4 @@
-//! Settings parser: path=value lines to [`Settings`]. Unknown paths are skipped. One parser serves every adapter.
+//! Parser of the settings: lines of `path=value` to [`Settings`]. Unknown paths are skipped.
 
 use crate::interface::{
     Class, Decay, Discovery, Effect, Group, Kind, Rules, Settings, Tenant, WeightSource, ZoneId,
@@ -8,41 +8,52 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// A setting that cannot be read.
+/// An error in the text of the settings.
 #[derive(Debug, Error, PartialEq, Eq)]
 pub enum SettingError {
     /// A line without an equals sign.
     #[error("line {line}: '{text}' is not path=value")]
     Line {
-        /// Which, from 1.
+        /// Its number, from 1.
         line: usize,
-        /// What it says.
+        /// Its text.
         text: String,
     },
-    /// A value of another type.
+    /// A value that its setting does not allow.
     #[error("setting {path}: '{value}' cannot be read")]
     Value {
-        /// Of which setting.
+        /// Path of the setting.
         path: String,
-        /// What it says.
+        /// Its text.
         value: String,
     },
 }
 
-/// The settings, and where the load report keeps its two values.
+/// The settings, and the positions of two values in the load report of a response.
 #[derive(Debug)]
 pub struct ParsedSettings {
-    /// What the module is handed.
+    /// Settings of the delivery policy.
     pub settings: Settings,
-    /// Place of the share that is left of a limit.
+    /// Position of the part of the rate limit that remains.
     pub remaining_field: Option<usize>,
-    /// Place of the limit itself.
+    /// Position of the rate limit.
     pub limit_field: Option<usize>,
 }
 
+/// Values by path.
 struct Lines<'a>(BTreeMap<&'a str, &'a str>);
 
-impl Lines<'_> {
+impl<'a> Lines<'a> {
+    fn split(text: &'a str) -> Result<Self, SettingError> {
+        let mut values = BTreeMap::new();
+        for (index, line) in text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty()) {
+            let unreadable = || SettingError::Line { line: index + 1, text: line.to_owned() };
+            let (path, value) = line.split_once('=').ok_or_else(unreadable)?;
+            values.insert(path, value);
+        }
+        Ok(Lines(values))
+    }
+
     fn get<T: FromStr>(&self, path: &str) -> Result<Option<T>, SettingError> {
         self.0.get(path).map(|value| parse(path, value)).transpose()
     }
@@ -82,17 +93,10 @@
     value.parse().map_err(|_| bad(path, value))
 }
 
-/// Reads the text of a `Config` field.
+/// Parses the text of a `Config` field.
 pub fn parse_settings(text: &str) -> Result<ParsedSettings, SettingError> {
-    let mut map = BTreeMap::new();
-    for (index, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
-        let unreadable = || SettingError::Line { line: index + 1, text: line.to_owned() };
-        let (path, value) = line.split_once('=').ok_or_else(unreadable)?;
-        map.insert(path, value);
-    }
-    let lines = Lines(map);
+    let lines = Lines::split(text)?;
     let base = Settings::default();
-    let rules = base.rules;
     let fields = lines.words("Report.Fields");
     let place = |name: &str| fields.iter().position(|field| *field == name);
     let settings = Settings {
@@ -135,19 +139,23 @@
         over_quota_weight: lines.or("OverShareWorth", base.over_quota_weight)?,
         connect_timeout: lines.span("Permissions.ConnectTimeout", base.connect_timeout)?,
         connection_idle_timeout: lines.span("Permissions.ConnIdle", base.connection_idle_timeout)?,
-        rules: Rules {
-            answer_grace: lines.span("Rules.AnswerSlack", rules.answer_grace)?,
-            warm_up_capacity: lines.or("Rules.ColdFrom", rules.warm_up_capacity)?,
-            warm_up_time: lines.span("Rules.Cold", rules.warm_up_time)?,
-            overload_multiple: lines.or("Rules.TipMultiple", rules.overload_multiple)?,
-            overload_window: lines.span("Rules.Fall", rules.overload_window)?,
-            key_cooldown: lines.span("Rules.OrderSettle", rules.key_cooldown)?,
-            discovery_interval: lines.span("Rules.AskEvery", rules.discovery_interval)?,
-        },
+        rules: rules(&lines, base.rules)?,
     };
     Ok(ParsedSettings { settings, remaining_field: place("x0"), limit_field: place("x1") })
 }
 
+fn rules(lines: &Lines, base: Rules) -> Result<Rules, SettingError> {
+    Ok(Rules {
+        answer_grace: lines.span("Rules.AnswerSlack", base.answer_grace)?,
+        warm_up_capacity: lines.or("Rules.ColdFrom", base.warm_up_capacity)?,
+        warm_up_time: lines.span("Rules.Cold", base.warm_up_time)?,
+        overload_multiple: lines.or("Rules.TipMultiple", base.overload_multiple)?,
+        overload_window: lines.span("Rules.Fall", base.overload_window)?,
+        key_cooldown: lines.span("Rules.OrderSettle", base.key_cooldown)?,
+        discovery_interval: lines.span("Rules.AskEvery", base.discovery_interval)?,
+    })
+}
+
 fn list<T>(
     lines: &Lines,
     path: &str,
