Platform: the body limit in a file of its own, so that no module uses the root file

Cause: modules used a constant and re-exports of lib.rs, which declares them. Change: limits.rs holds MAX_BODY_BYTES; modules name crate::transport and crate::limits. Public paths stay.

--- a/crates/platform/src/client_request.rs
+++ b/crates/platform/src/client_request.rs
@@ -1,6 +1,6 @@
 //! A client's command: what it asks for, and what is wrong with it.
 
-use crate::MAX_BODY_BYTES;
+use crate::limits::MAX_BODY_BYTES;
 use cloverstile::{Class, ClassId, DestinationId, Effect, OrderKey, TenantId, Time};
 use cloverstile_engine::SubmitRequest;
 use std::time::Duration;
--- a/crates/platform/src/client_sessions.rs
+++ b/crates/platform/src/client_sessions.rs
@@ -1,6 +1,6 @@
 //! Clients' connections: the commands on them, and which are closed when. Nothing here may delay well-behaved clients.
 
-use crate::ConnectionId;
+use crate::transport::ConnectionId;
 use cloverstile::Time;
 use cloverstile_resp::{Command, Decoder, Limits, RespError};
 use std::collections::BTreeMap;
--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -4,7 +4,7 @@
 //! endpoint, the one used last first.
 
 use crate::response::ResponseReader;
-use crate::{ConnectionId, Transport};
+use crate::transport::{ConnectionId, Transport};
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::Attempt;
 use std::collections::{BTreeMap, HashMap};
--- a/crates/platform/src/discovery_connection.rs
+++ b/crates/platform/src/discovery_connection.rs
@@ -2,7 +2,7 @@
 //!
 //! What is asked, and how soon again, is up to the endpoint watch and the notifications.
 
-use crate::{ConnectionId, Transport};
+use crate::transport::{ConnectionId, Transport};
 use cloverstile::Time;
 use cloverstile_http::{Decoder, HttpError, Item, Limits, Message};
 use std::net::SocketAddr;
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery_connection::{ConnectionStatus, DiscoveryConnection, RECONNECT_DELAY};
 use crate::endpoint_list_response::EndpointListResponse;
-use crate::{ConnectionId, Transport};
+use crate::transport::{ConnectionId, Transport};
 use cloverstile::Time;
 use cloverstile_http::{Headers, HttpError, Message, Start};
 use std::net::SocketAddr;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`requests`] | requests to endpoints, from an attempt to its result |
 //! | [`shutdown`] | phases of a graceful shutdown |
 //! | `transport` | [`Transport`] and [`ConnectionId`] |
+//! | `limits` | [`MAX_BODY_BYTES`] |
 #![forbid(unsafe_code)]
 
 pub mod client_request;
@@ -29,6 +30,7 @@
 pub mod endpoint_list;
 pub mod endpoint_list_response;
 pub mod endpoint_watch;
+mod limits;
 pub mod notifications;
 pub mod requests;
 pub mod response;
@@ -36,7 +38,5 @@
 pub mod shutdown;
 mod transport;
 
+pub use limits::MAX_BODY_BYTES;
 pub use transport::{ConnectionId, Transport};
-
-/// Largest body that the platform carries, in bytes.
-pub const MAX_BODY_BYTES: usize = 64 << 10;
--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -1,7 +1,8 @@
 //! Notifications: the platform is told of each message that ended undelivered, until it has acknowledged that.
 
 use crate::discovery_connection::{ConnectionStatus, DiscoveryConnection, RECONNECT_DELAY};
-use crate::{ConnectionId, Transport, MAX_BODY_BYTES};
+use crate::limits::MAX_BODY_BYTES;
+use crate::transport::{ConnectionId, Transport};
 use cloverstile::{OrderKey, Time};
 use cloverstile_http::{Headers, Start};
 use std::collections::{BTreeMap, HashMap};
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -7,7 +7,7 @@
 
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
 use crate::response::{AttemptResult, ConnectionReuse, ReportFields, ResponseProgress, ResponseReader};
-use crate::{ConnectionId, Transport};
+use crate::transport::{ConnectionId, Transport};
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
 use std::collections::HashMap;
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -13,7 +13,7 @@
 //!
 //! Outcome and `Retry-After` are two facts: the latter counts as soon as the head is read, whatever becomes of the rest.
 
-use crate::MAX_BODY_BYTES;
+use crate::limits::MAX_BODY_BYTES;
 use cloverstile::RateLimitStatus;
 use cloverstile_engine::TransportOutcome;
 use cloverstile_http::{Decoder, Headers, Item, Limits, Message, Start};
