The fake client in modules: messages, gateways, connections, exchange

Change: each has its own module and owner of state; the client only joins them. Delays are named constants. No behaviour changed.

--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -1,40 +1,41 @@
-//! A client program on sockets: hands messages in over AS2 by a plan, waits for each final answer, and hands in
+//! A client program on sockets: submits messages over AS2 by a plan, waits for each final outcome, and submits
 //! again where that is safe.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | `messages` | the plan, what is due when, and the order within a key |
+//! | `gateways` | addresses of the gateways and the choice of one |
+//! | `connections` | sockets and HTTP framing |
+//! | `exchange` | the bytes of a submission and the outcome in its response |
+
+mod connections;
+mod exchange;
+mod gateways;
+mod messages;
+
+pub use gateways::GatewaySet;
+pub use messages::PlannedMessage;
 
-use crate::partner::is_success;
 use crate::record::{micros, ObservedEvent, Recorder, ReportedOutcome};
-use cloverstile_as2::{
-    compose, read_receipt, Addressee, Certificate, Composed, Digest, Identity, Outcome, Outgoing, Part,
-    ReceiptRequest, Security,
-};
-use cloverstile_http::{request, response, Decoder, Headers, Item, Limits, Message, Start};
-use cloverstile_net::{ConnId, Net, NetEvent};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use cloverstile_as2::{read_receipt, Addressee, Digest, Identity, ReceiptRequest, Security};
+use cloverstile_http::Message;
+use connections::{ConnectionEvent, Connections};
+use gateways::{key_hash, GatewaySelector};
+use messages::{MessageIndex, MessageTable};
 use std::io;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-/// A message to be handed in.
-#[derive(Clone, Debug)]
-pub struct PlannedMessage {
-    /// When, from the start of the run.
-    pub at: Duration,
-    /// Message-ID.
-    pub id: String,
-    /// Class, as the couriers' settings name it.
-    pub class: String,
-    /// Partner, as the couriers' settings name it.
-    pub partner: String,
-    /// What it is about, for classes in order; those of one key go to one courier, one after another.
-    pub key: Option<String>,
-    /// Given up so long after its first hand-in.
-    pub deadline: Duration,
-    /// What is carried.
-    pub body: Vec<u8>,
-    /// The client drops its connection right after the first hand-in, and hands in again.
-    pub disconnects_after_submission: bool,
-}
+/// The longest wait for socket events, so that a stop and a gateway's death are noticed.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Time until a gateway is looked for again, where none runs.
+const NO_GATEWAY_DELAY: Duration = Duration::from_millis(50);
+/// Time until the resubmission, where the client drops its own connection.
+const DISCONNECT_DELAY: Duration = Duration::from_millis(30);
+/// Time until the resubmission, where a gateway that still runs closed the connection.
+const CLOSED_BY_RUNNING_DELAY: Duration = Duration::from_millis(20);
+/// Time until the resubmission, where the gateway stopped.
+const CLOSED_BY_STOPPED_DELAY: Duration = Duration::from_millis(100);
 
 /// How a client behaves.
 #[derive(Clone, Debug)]
@@ -43,11 +44,11 @@
     pub security: Security,
     /// Receipts come on connections of their own.
     pub deferred_receipts: bool,
-    /// How often a message is handed in again after a refusal.
+    /// How often a rejected message is submitted again.
     pub max_resubmissions: u32,
-    /// ... and after how long, where no time is told.
+    /// Time until a resubmission, where the response has no `Retry-After`.
     pub retry_delay: Duration,
-    /// How long after its deadline a client waits for an answer.
+    /// How long after its deadline a message's outcome is waited for.
     pub answer_timeout: Duration,
 }
 
@@ -64,523 +65,293 @@
     }
 }
 
-/// Where the couriers are, and who they are; shared with whoever starts and kills them.
-pub struct GatewaySet {
-    /// Addresses of their fronts.
-    pub addresses: Vec<SocketAddr>,
-    /// AS2 names.
-    pub names: Vec<String>,
-    /// Certificates.
-    pub certificates: Vec<Certificate>,
-    /// Which of them take work, as far as is known.
-    pub running: Vec<AtomicBool>,
-}
-
-/// How far a client has come, for others to watch.
+/// How far a client has come; shared with other threads.
 #[derive(Default)]
 pub struct Progress {
-    /// Messages with their last answer.
+    /// Messages with their final outcome, or waited for no longer.
     pub completed: AtomicUsize,
-    /// End the run now.
+    /// Ends the run when set.
     pub stop: AtomicBool,
 }
 
-struct Job {
-    planned: PlannedMessage,
-    composed: Option<Composed>,
-    courier: Option<usize>,
-    deadline: Option<Duration>,
-    refused: u32,
-    /// Its courier has it, or may have it.
-    sent: bool,
-    after_loss: bool,
-    handed_in: u32,
-    done: bool,
-}
-
-struct Conn {
-    courier: usize,
-    decoder: Decoder,
-    job: Option<usize>,
-    /// Bytes to be sent once it is there.
-    first: Option<Vec<u8>>,
-}
-
 /// One client.
 pub struct Client<'a> {
     identity: &'a Identity,
-    habits: ClientBehaviour,
-    couriers: &'a GatewaySet,
+    behaviour: ClientBehaviour,
+    gateways: &'a GatewaySet,
     recorder: Recorder,
     progress: &'a Progress,
-    net: Net,
-    jobs: Vec<Job>,
-    by_id: HashMap<String, usize>,
-    /// What is to be handed in when.
-    due: BTreeMap<(Duration, usize), ()>,
-    /// Until when an answer is waited for.
-    patience: BTreeMap<(Duration, usize), ()>,
-    conns: HashMap<ConnId, Conn>,
-    idle: HashMap<usize, Vec<ConnId>>,
-    /// Connections on which receipts come.
-    inbound: HashMap<ConnId, Decoder>,
-    receipts_at: Option<SocketAddr>,
-    /// Messages of a key that wait until the one before was taken.
-    lines: HashMap<String, VecDeque<usize>>,
-    left: usize,
-    /// Gateways that just took no connection or no work, and until when they are passed over.
-    shunned: HashMap<usize, Duration>,
-    /// Gateways that ran when last looked at.
-    ran: Vec<bool>,
+    connections: Connections,
+    messages: MessageTable,
+    selector: GatewaySelector,
+    /// URL for deferred receipts.
+    receipt_url: Option<String>,
 }
 
 impl<'a> Client<'a> {
     /// A client with its plan.
+    ///
+    /// # Errors
+    ///
+    /// If its sockets can't be created.
     pub fn new(
         identity: &'a Identity,
-        habits: ClientBehaviour,
-        couriers: &'a GatewaySet,
+        behaviour: ClientBehaviour,
+        gateways: &'a GatewaySet,
         plan: Vec<PlannedMessage>,
         recorder: Recorder,
         progress: &'a Progress,
     ) -> io::Result<Self> {
-        let mut net = Net::new()?;
-        let receipts_at = match habits.deferred_receipts {
-            true => Some(net.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?.1),
-            false => None,
+        let mut connections = Connections::new()?;
+        let receipt_url = if behaviour.deferred_receipts {
+            Some(format!("http://{}/receipts", connections.listen()?))
+        } else {
+            None
         };
-        let mut client = Client {
+        Ok(Client {
             identity,
-            habits,
-            couriers,
+            behaviour,
+            gateways,
             recorder,
             progress,
-            net,
-            jobs: Vec::new(),
-            by_id: HashMap::new(),
-            due: BTreeMap::new(),
-            patience: BTreeMap::new(),
-            conns: HashMap::new(),
-            idle: HashMap::new(),
-            inbound: HashMap::new(),
-            receipts_at,
-            lines: HashMap::new(),
-            left: plan.len(),
-            shunned: HashMap::new(),
-            ran: vec![true; couriers.running.len()],
-        };
-        for (place, planned) in plan.into_iter().enumerate() {
-            client.by_id.insert(planned.id.clone(), place);
-            client.due.insert((planned.at, place), ());
-            client.jobs.push(Job {
-                planned,
-                composed: None,
-                courier: None,
-                deadline: None,
-                refused: 0,
-                sent: false,
-                after_loss: false,
-                handed_in: 0,
-                done: false,
-            });
-        }
-        Ok(client)
+            connections,
+            messages: MessageTable::new(plan),
+            selector: GatewaySelector::new(gateways.running.len()),
+            receipt_url,
+        })
     }
 
-    /// Plays the plan to its end.
+    /// Submits all messages of the plan; returns once each has its outcome or is waited for no longer.
+    ///
+    /// # Errors
+    ///
+    /// If the sockets can't be polled.
     pub fn run(&mut self) -> io::Result<()> {
-        while self.left > 0 && !self.progress.stop.load(Ordering::Relaxed) {
+        while self.messages.has_unfinished() && !self.progress.stop.load(Ordering::Relaxed) {
             let now = self.recorder.now();
-            let next = [self.due.first_key_value(), self.patience.first_key_value()];
-            let next = next.into_iter().flatten().map(|((at, _), ())| at.saturating_sub(now)).min();
-            let timeout = next.unwrap_or(Duration::from_millis(100)).min(Duration::from_millis(100));
-            for event in self.net.poll(Some(timeout))? {
-                self.on_event(event);
+            let next = self.messages.next_time().map(|at| at.saturating_sub(now));
+            let timeout = next.unwrap_or(POLL_INTERVAL).min(POLL_INTERVAL);
+            for event in self.connections.poll(timeout)? {
+                for event in self.connections.on_event(event, self.recorder.now()) {
+                    self.on_event(event);
+                }
             }
-            self.note_deaths();
+            self.resubmit_after_gateway_stops();
             let now = self.recorder.now();
-            while let Some((&(at, place), ())) = self.due.first_key_value().filter(|((at, _), ())| *at <= now)
-            {
-                self.due.remove(&(at, place));
-                self.begin(place);
+            while let Some(index) = self.messages.pop_due(now) {
+                self.begin(index);
             }
-            while let Some((&(at, place), ())) =
-                self.patience.first_key_value().filter(|((at, _), ())| *at <= now)
-            {
-                self.patience.remove(&(at, place));
-                if !self.jobs[place].done {
-                    self.finish(place);
+            while let Some(index) = self.messages.pop_timed_out(now) {
+                if !self.messages.get(index).finished {
+                    self.finish(index);
                 }
             }
         }
         Ok(())
     }
 
-    /// Who waits for receipts on other connections learns of a courier's death by other means.
-    fn note_deaths(&mut self) {
-        for courier in 0..self.ran.len() {
-            let runs = self.couriers.running[courier].load(Ordering::Relaxed);
-            if std::mem::replace(&mut self.ran[courier], runs) && !runs {
-                let waits = |job: &Job| !job.done && job.handed_in > 0 && job.courier == Some(courier);
-                let on_wire: Vec<usize> = self.conns.values().filter_map(|conn| conn.job).collect();
-                let lost: Vec<usize> = (0..self.jobs.len())
-                    .filter(|place| waits(&self.jobs[*place]) && !on_wire.contains(place))
-                    .collect();
-                for place in lost {
-                    self.recorder.record(ObservedEvent::ConnectionLost {
-                        id: self.jobs[place].planned.id.clone(),
-                        gateway: courier,
-                    });
-                    self.jobs[place].after_loss = true;
-                    self.due.insert((self.recorder.now() + self.habits.retry_delay, place), ());
+    fn on_event(&mut self, event: ConnectionEvent) {
+        match event {
+            ConnectionEvent::Flushed { connection, message } => {
+                if self.messages.get(message).disconnects_now() {
+                    self.connections.close(connection);
                 }
             }
+            ConnectionEvent::Lost { gateway, message, sent } => self.on_lost(gateway, message, sent),
+            ConnectionEvent::Response { gateway, message, response } => {
+                self.on_response(gateway, message, &response);
+            }
+            ConnectionEvent::Receipt(message) => self.on_receipt(&message),
         }
     }
 
-    /// Hands in now, or behind the one before of the same key.
-    fn begin(&mut self, place: usize) {
-        if self.jobs[place].done {
-            return;
-        }
-        let Some(key) = self.jobs[place].planned.key.clone() else { return self.hand_in(place) };
-        let line = self.lines.entry(key).or_default();
-        if !line.contains(&place) {
-            line.push_back(place);
-        }
-        if line.front() == Some(&place) {
-            self.hand_in(place);
+    /// Submits again what waits for a deferred receipt of a gateway that stopped: no connection tells of its death.
+    fn resubmit_after_gateway_stops(&mut self) {
+        for gateway in self.selector.newly_stopped(self.gateways) {
+            let awaited = self.connections.awaited_messages();
+            let mut lost = self.messages.waiting_for(gateway);
+            lost.retain(|index| !awaited.contains(index));
+            for index in lost {
+                self.record_loss(index, gateway);
+                self.messages.get_mut(index).after_loss = true;
+                self.messages.schedule(self.recorder.now() + self.behaviour.retry_delay, index);
+            }
         }
     }
 
-    /// The order of a key's hand-ins is only certain once the one before is known to have been taken.
-    fn taken(&mut self, place: usize) {
-        let Some(key) = &self.jobs[place].planned.key else { return };
-        let Some(line) = self.lines.get_mut(key) else { return };
-        if line.front() != Some(&place) {
-            return;
-        }
-        line.pop_front();
-        // What ended meanwhile must not hold up those behind it.
-        while line.front().is_some_and(|next| self.jobs[*next].done) {
-            line.pop_front();
+    fn record_loss(&self, index: MessageIndex, gateway: usize) {
+        let id = self.messages.get(index).planned.id.clone();
+        self.recorder.record(ObservedEvent::ConnectionLost { id, gateway });
+    }
+
+    /// Submits a message now, or leaves it behind the one before of the same key.
+    fn begin(&mut self, index: MessageIndex) {
+        if !self.messages.get(index).finished && self.messages.join_key_queue(index) {
+            self.submit(index);
         }
-        if let Some(next) = line.front().copied() {
-            self.hand_in(next);
+    }
+
+    /// Submits the next message of the key, if this one held it up.
+    fn release_next(&mut self, index: MessageIndex) {
+        if let Some(next) = self.messages.leave_key_queue(index) {
+            self.submit(next);
         }
     }
 
-    fn finish(&mut self, place: usize) {
-        if !std::mem::replace(&mut self.jobs[place].done, true) {
-            self.left -= 1;
+    fn finish(&mut self, index: MessageIndex) {
+        if self.messages.mark_finished(index) {
             self.progress.completed.fetch_add(1, Ordering::Relaxed);
         }
-        self.taken(place);
+        self.release_next(index);
     }
 
-    /// A courier that runs; messages of one key stay with theirs while it runs.
-    fn choose(&self, place: usize) -> Option<usize> {
-        let now = self.recorder.now();
-        let running = |courier: &usize| self.couriers.running[*courier].load(Ordering::Relaxed);
-        let welcome = |courier: &usize| self.shunned.get(courier).is_none_or(|until| *until <= now);
-        let job = &self.jobs[place];
-        if let Some(courier) = job.courier.filter(running).filter(welcome) {
-            return Some(courier);
-        }
-        let mut up: Vec<usize> = (0..self.couriers.addresses.len()).filter(running).collect();
-        if up.iter().any(welcome) {
-            up.retain(welcome);
-        }
-        let number = match &job.planned.key {
-            Some(key) => {
-                key.bytes().fold(7_usize, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()))
-            }
-            None => place,
-        };
-        (!up.is_empty()).then(|| up[number % up.len()])
+    /// A running gateway; messages of one key stay with theirs while it runs.
+    fn select_gateway(&self, index: MessageIndex) -> Option<usize> {
+        let message = self.messages.get(index);
+        let hash = message.planned.key.as_deref().map_or(index.position(), key_hash);
+        self.selector.select(self.gateways, self.recorder.now(), message.gateway, hash)
     }
 
-    fn hand_in(&mut self, place: usize) {
+    fn submit(&mut self, index: MessageIndex) {
         let now = self.recorder.now();
-        let Some(courier) = self.choose(place) else {
-            self.due.insert((now + Duration::from_millis(50), place), ());
-            return;
+        let Some(gateway) = self.select_gateway(index) else {
+            return self.messages.schedule(now + NO_GATEWAY_DELAY, index);
         };
-        let deferred = self.receipts_at.map(|address| format!("http://{address}/receipts"));
-        let job = &mut self.jobs[place];
-        if job.done {
+        let message = self.messages.get_mut(index);
+        if message.finished {
             return;
         }
-        if job.courier != Some(courier) {
-            // Another courier is another addressee, and knows nothing of what the one before did.
-            job.composed = None;
-            job.after_loss |= job.sent;
+        if message.gateway != Some(gateway) {
+            // Another gateway is another addressee, and knows nothing of what the one before did.
+            message.composed = None;
+            message.after_loss |= message.possibly_accepted;
         }
-        job.courier = Some(courier);
-        let deadline = *job.deadline.get_or_insert(now + job.planned.deadline);
+        message.gateway = Some(gateway);
+        let deadline = *message.deadline.get_or_insert(now + message.planned.deadline);
         if now >= deadline {
-            return self.finish(place);
-        }
-        if job.handed_in == 0 {
-            self.patience.insert((deadline + self.habits.answer_timeout, place), ());
-        }
-        job.handed_in += 1;
-        if job.composed.is_none() {
-            let payload = Part {
-                headers: Headers::new().with("Content-Type", "application/octet-stream"),
-                body: job.planned.body.clone(),
-            };
-            let outgoing = Outgoing { message_id: &job.planned.id, payload: &payload, subject: None };
-            let to = Addressee {
-                name: &self.couriers.names[courier],
-                certificate: &self.couriers.certificates[courier],
-            };
-            let mut security = self.habits.security.clone();
-            if let Some(receipt) = &mut security.receipt {
-                receipt.deliver_to = deferred;
-            }
-            job.composed = compose(&outgoing, self.identity, to, &security).ok();
-        }
-        let Some(composed) = &job.composed else { return self.finish(place) };
-        let mut headers = composed.headers.clone();
-        headers
-            .add("Host", self.couriers.addresses[courier].to_string())
-            .add("Cloverstile-Partner", job.planned.partner.as_str())
-            .add("Cloverstile-Class", job.planned.class.as_str())
-            .add("Cloverstile-Time-Left", (deadline - now).as_millis().to_string());
-        if let Some(key) = &job.planned.key {
-            headers.add("Cloverstile-Order-Key", key.as_str());
+            return self.finish(index);
         }
-        if job.after_loss {
-            headers.add("Cloverstile-Handed-In", "after-loss");
-        } else if job.refused > 0 {
-            headers.add("Cloverstile-Handed-In", "again");
+        message.submissions += 1;
+        if message.submissions == 1 {
+            self.messages.schedule_timeout(deadline + self.behaviour.answer_timeout, index);
         }
-        let bytes = request("POST", "/as2", &headers, &composed.body);
+        self.compose(index, gateway);
+        let message = self.messages.get(index);
+        let Some(composed) = &message.composed else { return self.finish(index) };
+        let address = self.gateways.addresses[gateway];
+        let bytes = exchange::submission_request(message, composed, address, deadline - now);
         self.recorder.record(ObservedEvent::Submitted {
-            id: job.planned.id.clone(),
-            gateway: courier,
-            class: job.planned.class.clone(),
-            partner: job.planned.partner.clone(),
-            key: job.planned.key.clone(),
+            id: message.planned.id.clone(),
+            gateway,
+            class: message.planned.class.clone(),
+            partner: message.planned.partner.clone(),
+            key: message.planned.key.clone(),
             deadline: micros(deadline),
-            after_loss: job.after_loss,
+            after_loss: message.after_loss,
         });
-        let drops = job.planned.disconnects_after_submission && job.handed_in == 1;
-        let conn = self.connection(courier);
-        if let Some(known) = self.conns.get_mut(&conn) {
-            known.job = Some(place);
-            match known.first {
-                Some(_) => known.first = Some(bytes),
-                None => self.net.send(conn, &bytes),
-            }
-        }
-        if drops {
-            // Hands in again at once, on another connection: the courier may or may not have taken it.
-            self.due.insert((now + Duration::from_millis(30), place), ());
-        }
-    }
-
-    fn connection(&mut self, courier: usize) -> ConnId {
-        while let Some(conn) = self.idle.get_mut(&courier).and_then(Vec::pop) {
-            if self.conns.contains_key(&conn) {
-                return conn;
-            }
+        let disconnects = message.disconnects_now();
+        self.connections.submit(gateway, address, index, bytes);
+        if disconnects {
+            // Submits again at once, on another connection: the gateway may or may not have accepted it.
+            self.messages.schedule(now + DISCONNECT_DELAY, index);
         }
-        let conn = self.net.connect(self.couriers.addresses[courier]);
-        let decoder = Decoder::client(Limits::default());
-        self.conns.insert(conn, Conn { courier, decoder, job: None, first: Some(Vec::new()) });
-        conn
     }
 
-    fn on_event(&mut self, event: NetEvent) {
-        match event {
-            NetEvent::Accepted { conn, .. } => {
-                self.inbound.insert(conn, Decoder::server(Limits::default()));
-            }
-            NetEvent::Connected(conn) => {
-                let Some(known) = self.conns.get_mut(&conn) else { return };
-                if let Some(bytes) = known.first.take() {
-                    self.net.send(conn, &bytes);
-                }
-            }
-            NetEvent::Flushed(conn) => self.drop_if_planned(conn),
-            NetEvent::ConnectFailed(conn, _) => self.lost(conn, false),
-            NetEvent::Closed { conn, .. } => {
-                self.inbound.remove(&conn);
-                self.lost(conn, true);
-            }
-            NetEvent::Bytes(conn, bytes) if self.inbound.contains_key(&conn) => {
-                self.on_receipts(conn, &bytes)
-            }
-            NetEvent::Bytes(conn, bytes) => {
-                let now = self.recorder.now();
-                let Some(known) = self.conns.get_mut(&conn) else { return };
-                known.decoder.feed(now, &bytes);
-                let Some(known) = self.conns.get_mut(&conn) else { return };
-                match known.decoder.next(now) {
-                    Ok(Some(Item::Message(message))) => self.on_answer(conn, &message),
-                    Ok(_) => {}
-                    Err(_) => {
-                        self.net.close(conn);
-                        self.lost(conn, true);
-                    }
-                }
-            }
-            NetEvent::Signal(_) | NetEvent::Woken => {}
+    /// Composes a message for its gateway, unless that was done for an earlier submission.
+    fn compose(&mut self, index: MessageIndex, gateway: usize) {
+        if self.messages.get(index).composed.is_some() {
+            return;
         }
-    }
-
-    fn drop_if_planned(&mut self, conn: ConnId) {
-        let Some(known) = self.conns.get(&conn) else { return };
-        let Some(place) = known.job else { return };
-        let job = &self.jobs[place];
-        if job.planned.disconnects_after_submission && job.handed_in == 1 {
-            self.net.close(conn);
-            self.conns.remove(&conn);
+        let addressee = Addressee {
+            name: &self.gateways.names[gateway],
+            certificate: &self.gateways.certificates[gateway],
+        };
+        let mut security = self.behaviour.security.clone();
+        if let Some(receipt) = &mut security.receipt {
+            receipt.deliver_to.clone_from(&self.receipt_url);
         }
+        let message = self.messages.get_mut(index);
+        message.composed = exchange::compose_message(message, self.identity, addressee, &security);
     }
 
-    /// A connection ended before its answer came. `sent`: the courier may have the message.
-    fn lost(&mut self, conn: ConnId, sent: bool) {
-        let Some(known) = self.conns.remove(&conn) else { return };
-        let Some(place) = known.job else { return };
-        let sent = sent && known.first.is_none();
-        if self.jobs[place].done {
+    /// A connection ended before its response came. `sent`: the gateway may have the message.
+    fn on_lost(&mut self, gateway: usize, index: MessageIndex, sent: bool) {
+        if self.messages.get(index).finished {
             return;
         }
-        let courier = known.courier;
-        self.recorder.record(ObservedEvent::ConnectionLost {
-            id: self.jobs[place].planned.id.clone(),
-            gateway: courier,
-        });
-        let running = self.couriers.running[courier].load(Ordering::Relaxed);
+        self.record_loss(index, gateway);
+        let is_running = self.gateways.is_running(gateway);
         if !sent {
-            self.shunned.insert(courier, self.recorder.now() + Duration::from_millis(500));
+            self.selector.avoid(gateway, self.recorder.now());
         }
-        let job = &mut self.jobs[place];
-        job.sent |= sent;
-        if sent && !running {
-            // What the courier did with it died with it.
-            job.after_loss = true;
+        let message = self.messages.get_mut(index);
+        message.possibly_accepted |= sent;
+        if sent && !is_running {
+            // What the gateway did with it was lost with its process.
+            message.after_loss = true;
         }
-        let pause = Duration::from_millis(if running { 20 } else { 100 });
-        self.due.insert((self.recorder.now() + pause, place), ());
+        let delay = if is_running { CLOSED_BY_RUNNING_DELAY } else { CLOSED_BY_STOPPED_DELAY };
+        self.messages.schedule(self.recorder.now() + delay, index);
     }
 
-    fn on_answer(&mut self, conn: ConnId, message: &Message) {
-        let Some(known) = self.conns.get_mut(&conn) else { return };
-        let (courier, place) = (known.courier, known.job.take());
-        if message.keep_alive {
-            self.idle.entry(courier).or_default().push(conn);
-        } else {
-            self.net.close(conn);
-            self.conns.remove(&conn);
-        }
-        let Some(place) = place.filter(|place| !self.jobs[*place].done) else { return };
-        let told_answer = message.headers.get("cloverstile-answer").is_some();
-        if self.receipts_at.is_some() && is_success(message) && !told_answer {
-            let id = self.jobs[place].planned.id.clone();
-            self.recorder.record(ObservedEvent::Accepted { id, gateway: courier });
-            self.jobs[place].sent = true;
-            return self.taken(place);
-        }
-        let told = self.read_answer(place, courier, message);
-        self.answered(place, courier, told, message);
+    fn on_response(&mut self, gateway: usize, index: Option<MessageIndex>, response: &Message) {
+        let Some(index) = index.filter(|index| !self.messages.get(*index).finished) else { return };
+        if self.receipt_url.is_some() && exchange::is_acceptance(response) {
+            let id = self.messages.get(index).planned.id.clone();
+            self.recorder.record(ObservedEvent::Accepted { id, gateway });
+            self.messages.get_mut(index).possibly_accepted = true;
+            return self.release_next(index);
+        }
+        let outcome = self.read_outcome(index, gateway, response);
+        self.on_outcome(index, gateway, outcome, response);
     }
 
-    fn read_answer(&self, place: usize, courier: usize, message: &Message) -> ReportedOutcome {
-        let status = match message.start {
-            Start::Response { status } => status,
-            Start::Request { .. } => 200,
-        };
-        let word = message.headers.get("cloverstile-answer");
-        if message.body.is_empty()
-            || !message.headers.get("content-type").is_some_and(|t| t.contains("multipart"))
-        {
-            return match (status, word) {
-                (503, _) => ReportedOutcome::NotAccepted,
-                _ => ReportedOutcome::Unclear,
-            };
-        }
-        let job = &self.jobs[place];
-        let Some(composed) = &job.composed else { return ReportedOutcome::Unclear };
-        let receipt = read_receipt(&message.headers, &message.body, &self.couriers.certificates[courier]);
-        let checked = receipt.and_then(|receipt| {
-            receipt.check(&job.planned.id, &composed.mic, true)?;
-            Ok(receipt.answer)
-        });
-        match checked {
-            Ok(Some(Outcome::Delivered)) => ReportedOutcome::Delivered,
-            Ok(Some(Outcome::Refused)) => ReportedOutcome::Rejected,
-            Ok(Some(Outcome::Failed)) => ReportedOutcome::Failed,
-            Ok(None) | Err(_) => ReportedOutcome::Unclear,
-        }
+    /// A deferred receipt came.
+    fn on_receipt(&mut self, message: &Message) {
+        let sender = message.headers.get("as2-from").map(cloverstile_as2::unquote_name).unwrap_or_default();
+        let Some(gateway) = self.gateways.names.iter().position(|name| *name == sender) else { return };
+        let certificate = &self.gateways.certificates[gateway];
+        let Ok(receipt) = read_receipt(&message.headers, &message.body, certificate) else { return };
+        let Some(index) = self.messages.index_of(&receipt.original_id) else { return };
+        let outcome = self.read_outcome(index, gateway, message);
+        if self.messages.get(index).finished {
+            // A repeated receipt is recorded too: it may report another outcome.
+            let id = receipt.original_id;
+            return self.recorder.record(ObservedEvent::Answered { id, gateway, outcome });
+        }
+        self.on_outcome(index, gateway, outcome, message);
+    }
+
+    fn read_outcome(&self, index: MessageIndex, gateway: usize, response: &Message) -> ReportedOutcome {
+        exchange::read_outcome(self.messages.get(index), response, &self.gateways.certificates[gateway])
     }
 
-    fn answered(&mut self, place: usize, courier: usize, told: ReportedOutcome, message: &Message) {
+    fn on_outcome(
+        &mut self,
+        index: MessageIndex,
+        gateway: usize,
+        outcome: ReportedOutcome,
+        response: &Message,
+    ) {
         let now = self.recorder.now();
-        self.recorder.record(ObservedEvent::Answered {
-            id: self.jobs[place].planned.id.clone(),
-            gateway: courier,
-            outcome: told,
-        });
-        let seconds = message.headers.get("retry-after").and_then(|text| text.parse().ok());
-        let wait = seconds.map_or(self.habits.retry_delay, Duration::from_secs);
-        let job = &mut self.jobs[place];
-        match told {
+        let message = self.messages.get_mut(index);
+        let id = message.planned.id.clone();
+        self.recorder.record(ObservedEvent::Answered { id, gateway, outcome });
+        let seconds = response.headers.get("retry-after").and_then(|text| text.parse().ok());
+        let retry_after = seconds.map_or(self.behaviour.retry_delay, Duration::from_secs);
+        let resubmissions = self.behaviour.max_resubmissions;
+        match outcome {
             ReportedOutcome::NotAccepted => {
-                self.shunned.insert(courier, now + Duration::from_millis(500));
-                self.due.insert((now + self.habits.retry_delay, place), ());
+                self.selector.avoid(gateway, now);
+                self.messages.schedule(now + self.behaviour.retry_delay, index);
             }
             ReportedOutcome::Rejected
-                if job.refused < self.habits.max_resubmissions && job.planned.key.is_none() =>
+                if message.rejections < resubmissions && message.planned.key.is_none() =>
             {
-                job.refused += 1;
-                self.due.insert((now + wait, place), ());
-            }
-            _ => self.finish(place),
-        }
-    }
-
-    /// Receipts on connections of their own.
-    fn on_receipts(&mut self, conn: ConnId, bytes: &[u8]) {
-        let now = self.recorder.now();
-        let Some(decoder) = self.inbound.get_mut(&conn) else { return };
-        decoder.feed(now, bytes);
-        while let Some(decoder) = self.inbound.get_mut(&conn) {
-            match decoder.next(now) {
-                Ok(Some(Item::Message(message))) => {
-                    self.net.send(conn, &response(200, "OK", &Headers::new(), b""));
-                    self.on_receipt(&message);
-                }
-                Ok(Some(Item::ExpectsContinue)) => self.net.send(conn, cloverstile_http::CONTINUE),
-                Ok(None) => return,
-                Err(_) => {
-                    self.inbound.remove(&conn);
-                    self.net.close(conn);
-                }
+                message.rejections += 1;
+                self.messages.schedule(now + retry_after, index);
             }
+            _ => self.finish(index),
         }
     }
-
-    fn on_receipt(&mut self, message: &Message) {
-        let from = message.headers.get("as2-from").map(cloverstile_as2::unquote_name).unwrap_or_default();
-        let Some(courier) = self.couriers.names.iter().position(|name| *name == from) else { return };
-        let certificate = &self.couriers.certificates[courier];
-        let Ok(receipt) = read_receipt(&message.headers, &message.body, certificate) else { return };
-        let Some(&place) = self.by_id.get(&receipt.original_id) else { return };
-        if self.jobs[place].done {
-            // An answer that comes again is written down too: it may say something else.
-            let told = self.read_answer(place, courier, message);
-            self.recorder.record(ObservedEvent::Answered {
-                id: receipt.original_id,
-                gateway: courier,
-                outcome: told,
-            });
-            return;
-        }
-        let told = self.read_answer(place, courier, message);
-        self.answered(place, courier, told, message);
-    }
 }
--- /dev/null
+++ b/crates/fakes/src/client/connections.rs
@@ -0,0 +1,188 @@
+//! A client's connections: those on which it submits messages, and those on which deferred receipts come in.
+
+use super::messages::MessageIndex;
+use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message};
+use cloverstile_net::{ConnId, Net, NetEvent};
+use std::collections::{HashMap, HashSet};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Something that a client has to act on.
+pub(super) enum ConnectionEvent {
+    /// A submission has left whole.
+    Flushed { connection: ConnId, message: MessageIndex },
+    /// A connection ended before its response came.
+    Lost {
+        gateway: usize,
+        message: MessageIndex,
+        /// The gateway may have the message.
+        sent: bool,
+    },
+    /// A response came.
+    Response {
+        gateway: usize,
+        /// The message that waited for it, if any.
+        message: Option<MessageIndex>,
+        response: Message,
+    },
+    /// A deferred receipt came on a connection of its own.
+    Receipt(Message),
+}
+
+struct GatewayConnection {
+    gateway: usize,
+    decoder: Decoder,
+    /// The message whose response is waited for.
+    message: Option<MessageIndex>,
+    /// Bytes to be sent once it is established.
+    unsent: Option<Vec<u8>>,
+}
+
+/// All connections of one client.
+pub(super) struct Connections {
+    net: Net,
+    outgoing: HashMap<ConnId, GatewayConnection>,
+    /// Kept-alive connections by gateway.
+    idle: HashMap<usize, Vec<ConnId>>,
+    /// Connections on which receipts come.
+    incoming: HashMap<ConnId, Decoder>,
+}
+
+impl Connections {
+    pub(super) fn new() -> io::Result<Self> {
+        let (outgoing, idle, incoming) = (HashMap::new(), HashMap::new(), HashMap::new());
+        Ok(Connections { net: Net::new()?, outgoing, idle, incoming })
+    }
+
+    /// Listens for deferred receipts on a loopback address of its own.
+    pub(super) fn listen(&mut self) -> io::Result<SocketAddr> {
+        let (_, address) = self.net.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        Ok(address)
+    }
+
+    pub(super) fn poll(&mut self, timeout: Duration) -> io::Result<Vec<NetEvent>> {
+        self.net.poll(Some(timeout))
+    }
+
+    /// Messages whose response is waited for on a connection.
+    pub(super) fn awaited_messages(&self) -> HashSet<MessageIndex> {
+        self.outgoing.values().filter_map(|connection| connection.message).collect()
+    }
+
+    /// Sends a request to a gateway on an idle connection or a new one.
+    pub(super) fn submit(
+        &mut self,
+        gateway: usize,
+        address: SocketAddr,
+        message: MessageIndex,
+        bytes: Vec<u8>,
+    ) {
+        let id = self.connection(gateway, address);
+        let Some(connection) = self.outgoing.get_mut(&id) else { return };
+        connection.message = Some(message);
+        match connection.unsent {
+            Some(_) => connection.unsent = Some(bytes),
+            None => self.net.send(id, &bytes),
+        }
+    }
+
+    fn connection(&mut self, gateway: usize, address: SocketAddr) -> ConnId {
+        while let Some(id) = self.idle.get_mut(&gateway).and_then(Vec::pop) {
+            if self.outgoing.contains_key(&id) {
+                return id;
+            }
+        }
+        let id = self.net.connect(address);
+        let decoder = Decoder::client(Limits::default());
+        let connection = GatewayConnection { gateway, decoder, message: None, unsent: Some(Vec::new()) };
+        self.outgoing.insert(id, connection);
+        id
+    }
+
+    /// Closes a connection to a gateway without waiting for its response.
+    pub(super) fn close(&mut self, id: ConnId) {
+        self.net.close(id);
+        self.outgoing.remove(&id);
+    }
+
+    /// Follows an event of the sockets; returns what the client has to act on.
+    pub(super) fn on_event(&mut self, event: NetEvent, now: Duration) -> Vec<ConnectionEvent> {
+        match event {
+            NetEvent::Accepted { conn, .. } => {
+                self.incoming.insert(conn, Decoder::server(Limits::default()));
+                Vec::new()
+            }
+            NetEvent::Connected(id) => {
+                if let Some(bytes) = self.outgoing.get_mut(&id).and_then(|known| known.unsent.take()) {
+                    self.net.send(id, &bytes);
+                }
+                Vec::new()
+            }
+            NetEvent::Flushed(connection) => {
+                let message = self.outgoing.get(&connection).and_then(|known| known.message);
+                let flushed = message.map(|message| ConnectionEvent::Flushed { connection, message });
+                flushed.into_iter().collect()
+            }
+            NetEvent::ConnectFailed(id, _) => self.on_lost(id, false).into_iter().collect(),
+            NetEvent::Closed { conn, .. } => {
+                self.incoming.remove(&conn);
+                self.on_lost(conn, true).into_iter().collect()
+            }
+            NetEvent::Bytes(id, bytes) if self.incoming.contains_key(&id) => {
+                self.on_incoming_bytes(id, &bytes, now)
+            }
+            NetEvent::Bytes(id, bytes) => self.on_response_bytes(id, &bytes, now).into_iter().collect(),
+            NetEvent::Signal(_) | NetEvent::Woken => Vec::new(),
+        }
+    }
+
+    fn on_lost(&mut self, id: ConnId, established: bool) -> Option<ConnectionEvent> {
+        let connection = self.outgoing.remove(&id)?;
+        let sent = established && connection.unsent.is_none();
+        Some(ConnectionEvent::Lost { gateway: connection.gateway, message: connection.message?, sent })
+    }
+
+    fn on_response_bytes(&mut self, id: ConnId, bytes: &[u8], now: Duration) -> Option<ConnectionEvent> {
+        let connection = self.outgoing.get_mut(&id)?;
+        connection.decoder.feed(now, bytes);
+        match connection.decoder.next(now) {
+            Ok(Some(Item::Message(response))) => {
+                let (gateway, message) = (connection.gateway, connection.message.take());
+                if response.keep_alive {
+                    self.idle.entry(gateway).or_default().push(id);
+                } else {
+                    self.close(id);
+                }
+                Some(ConnectionEvent::Response { gateway, message, response })
+            }
+            Ok(_) => None,
+            Err(_) => {
+                self.net.close(id);
+                self.on_lost(id, true)
+            }
+        }
+    }
+
+    /// Acknowledges the receipts that came and hands them on.
+    fn on_incoming_bytes(&mut self, id: ConnId, bytes: &[u8], now: Duration) -> Vec<ConnectionEvent> {
+        let mut receipts = Vec::new();
+        let Some(decoder) = self.incoming.get_mut(&id) else { return receipts };
+        decoder.feed(now, bytes);
+        loop {
+            match decoder.next(now) {
+                Ok(Some(Item::Message(message))) => {
+                    self.net.send(id, &response(200, "OK", &Headers::new(), b""));
+                    receipts.push(ConnectionEvent::Receipt(message));
+                }
+                Ok(Some(Item::ExpectsContinue)) => self.net.send(id, cloverstile_http::CONTINUE),
+                Ok(None) => return receipts,
+                Err(_) => {
+                    self.incoming.remove(&id);
+                    self.net.close(id);
+                    return receipts;
+                }
+            }
+        }
+    }
+}
