Fake partners and platform in modules, unit tests in files of their own

Need: partner.rs (563 lines) and platform.rs (429) were configuration, state, sockets, receipts and invariant checks at once; comments spoke in metaphors.

Change: partner/ holds configuration, served state, receipts and the event loop; platform/ events, state, servers, submission and the invariants, whose texts are kept. Comments in plain terms.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,8 +1,9 @@
-//! Stand-ins for the systems around a courier: partners with capacity, limits and faults, and clients that hand
-//! messages in. Both write down what passed on their sockets, and nothing else: the rules are judged from these
-//! records, never from a courier's own logs.
+//! Test doubles that work, for the systems around a gateway: partners with capacity, limits and faults, clients that
+//! submit messages, and the users' platform. All record what passed on their sockets, and nothing else: invariants
+//! are checked on these records, never on a gateway's own logs.
 //!
-//! [`model`] holds how a partner behaves, free of I/O; [`partner`] and [`client`] put it on sockets.
+//! [`model`] and [`limit`] hold how a partner behaves, free of I/O; [`partner`], [`client`] and [`platform`] put it on
+//! sockets; [`record`] is the common record of partners and clients.
 #![forbid(unsafe_code)]
 
 pub mod client;
--- /dev/null
+++ b/crates/fakes/src/partner/served.rs
@@ -0,0 +1,96 @@
+//! One partner while it is served: its models, listeners and present faults.
+
+use super::config::{FakePartner, ResponseFault};
+use crate::model::{Fault, PartnerModel};
+use cloverstile_http::Headers;
+use cloverstile_net::ListenerId;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// An endpoint's listener; none while connections are refused.
+pub(super) struct EndpointListener {
+    pub(super) listener: Option<ListenerId>,
+    pub(super) address: SocketAddr,
+}
+
+/// A partner and its state.
+pub(super) struct ServedPartner {
+    pub(super) config: FakePartner,
+    /// One for each group of endpoints.
+    models: Vec<PartnerModel>,
+    pub(super) listeners: Vec<EndpointListener>,
+    pub(super) response_fault: Option<ResponseFault>,
+    pub(super) fault_ends: Option<Duration>,
+    /// The group that the fault affects; all of them where there is none.
+    pub(super) affected_group: Option<usize>,
+}
+
+impl ServedPartner {
+    pub(super) fn new(config: FakePartner, listeners: Vec<EndpointListener>, seed: u64) -> Self {
+        let groups = config.deduplication_groups.iter().max().map_or(1, |most| most + 1);
+        let model = |group: usize| {
+            PartnerModel::new(config.profile.clone(), ChaCha8Rng::seed_from_u64(seed ^ group as u64))
+        };
+        ServedPartner {
+            models: (0..groups).map(model).collect(),
+            config,
+            listeners,
+            response_fault: None,
+            fault_ends: None,
+            affected_group: None,
+        }
+    }
+
+    /// The model behind an endpoint.
+    pub(super) fn model(&mut self, endpoint: usize) -> &mut PartnerModel {
+        let group = self.config.group(endpoint);
+        &mut self.models[group]
+    }
+
+    pub(super) fn has_collapsed(&self) -> bool {
+        self.models.iter().any(PartnerModel::has_collapsed)
+    }
+
+    /// Begins a fault in one group of endpoints, or in all.
+    pub(super) fn begin_fault(&mut self, fault: Fault, group: Option<usize>, until: Duration) {
+        self.affected_group = group;
+        self.fault_ends = Some(until);
+        for (number, model) in self.models.iter_mut().enumerate() {
+            if group.is_none_or(|group| group == number) {
+                model.begin_fault(fault, until);
+            }
+        }
+    }
+
+    /// Ends the fault; returns whether it was an outage.
+    pub(super) fn end_fault(&mut self, now: Duration) -> bool {
+        self.fault_ends = None;
+        let was_outage = self.models.iter().filter_map(PartnerModel::fault).any(Fault::is_outage);
+        for model in &mut self.models {
+            model.end_fault(now);
+        }
+        was_outage
+    }
+
+    /// Listeners of the affected endpoints that are to be closed.
+    pub(super) fn take_listeners(&mut self, group: Option<usize>) -> Vec<ListenerId> {
+        let config = &self.config;
+        let affected = self.listeners.iter_mut().enumerate();
+        affected
+            .filter(|(endpoint, _)| config.is_in_group(*endpoint, group))
+            .filter_map(|(_, endpoint)| endpoint.listener.take())
+            .collect()
+    }
+
+    /// The limit's state as header fields of a response.
+    pub(super) fn limit_headers(&self) -> Headers {
+        let mut headers = Headers::new();
+        if let Some((remaining, limit)) = self.models[0].allowance() {
+            headers.add("RateLimit-Policy", format!("\"calls\";q={};w=1", limit.round()));
+            headers.add("RateLimit", format!("\"calls\";r={};t=1", (remaining * limit).floor()));
+        }
+        headers
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/partner/server.rs
@@ -0,0 +1,413 @@
+//! The event loop of fake partners: requests in, responses and deferred receipts out when their model says.
+
+use super::config::{FakePartner, PartnerCommand, ResponseFault};
+use super::receipts::{self, ReceiptSigner};
+use super::served::{EndpointListener, ServedPartner};
+use crate::model::{Fault, Reply};
+use crate::record::{ObservedEvent, Recorder, RequestEnd};
+use cloverstile_as2::{Certificate, Composed, Envelope};
+use cloverstile_http::{request, response, Decoder, Headers, Item, Limits, Message};
+use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, Waker};
+use std::collections::{BTreeMap, HashMap};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+
+/// Time between the copies of a duplicated receipt, in milliseconds.
+const DUPLICATE_SPACING_MS: u64 = 20;
+
+/// An endpoint of one of the partners.
+#[derive(Clone, Copy)]
+struct EndpointRef {
+    partner: usize,
+    endpoint: usize,
+}
+
+struct Connection {
+    at: EndpointRef,
+    decoder: Decoder,
+    /// The request that waits for its response.
+    request: Option<u64>,
+    /// When its last response left.
+    last_used: Option<Duration>,
+}
+
+/// A response that waits for its time.
+struct PendingResponse {
+    connection: ConnId,
+    partner: usize,
+    request: u64,
+    message: Message,
+    reply: Reply,
+    takes_effect: bool,
+}
+
+/// A receipt that goes out on a connection of its own.
+struct DeferredReceipt {
+    address: SocketAddr,
+    bytes: Vec<u8>,
+}
+
+/// All partners of one thread.
+pub(super) struct Server {
+    net: Net,
+    partners: Vec<ServedPartner>,
+    /// Certificates of the gateways, by AS2 name.
+    gateways: HashMap<String, Certificate>,
+    recorder: Recorder,
+    connections: HashMap<ConnId, Connection>,
+    listeners: HashMap<ListenerId, EndpointRef>,
+    pending: BTreeMap<(Duration, u64), PendingResponse>,
+    /// Bytes of deferred receipts to send once their connection is established.
+    outbound: HashMap<ConnId, Vec<u8>>,
+    deferred: BTreeMap<(Duration, u64), DeferredReceipt>,
+    last_number: u64,
+}
+
+impl Server {
+    /// A server that listens for all endpoints on loopback addresses of their own.
+    pub(super) fn new(
+        partners: Vec<FakePartner>,
+        gateways: HashMap<String, Certificate>,
+        recorder: Recorder,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let mut server = Server {
+            net: Net::new()?,
+            partners: Vec::new(),
+            gateways,
+            recorder,
+            connections: HashMap::new(),
+            listeners: HashMap::new(),
+            pending: BTreeMap::new(),
+            outbound: HashMap::new(),
+            deferred: BTreeMap::new(),
+            last_number: 0,
+        };
+        for (partner, config) in partners.into_iter().enumerate() {
+            let mut listeners = Vec::new();
+            for endpoint in 0..config.endpoints {
+                let (listener, address) = server.net.listen(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+                server.listeners.insert(listener, EndpointRef { partner, endpoint });
+                listeners.push(EndpointListener { listener: Some(listener), address });
+            }
+            let seed = seed ^ ((partner as u64) << 8);
+            server.partners.push(ServedPartner::new(config, listeners, seed));
+        }
+        Ok(server)
+    }
+
+    /// Addresses, by partner and endpoint.
+    pub(super) fn addresses(&self) -> Vec<Vec<SocketAddr>> {
+        let of_partner = |partner: &ServedPartner| {
+            partner.listeners.iter().map(|endpoint| endpoint.address).collect::<Vec<_>>()
+        };
+        self.partners.iter().map(of_partner).collect()
+    }
+
+    pub(super) fn waker(&self) -> Waker {
+        self.net.waker()
+    }
+
+    /// Serves until told to stop, or until the sockets can't be polled.
+    pub(super) fn run(&mut self, commands: &Receiver<PartnerCommand>) {
+        loop {
+            let timeout = self.next_time().map(|at| at.saturating_sub(self.recorder.now()));
+            let Ok(events) = self.net.poll(timeout) else { return };
+            for event in events {
+                self.on_event(event);
+            }
+            while let Ok(command) = commands.try_recv() {
+                match command {
+                    PartnerCommand::Fault { partner, fault, zone, duration } => {
+                        self.begin_fault(partner, fault, zone, duration);
+                    }
+                    PartnerCommand::SetResponseFault { partner, fault } => {
+                        self.partners[partner].response_fault = fault;
+                    }
+                    PartnerCommand::Stop => return,
+                }
+            }
+            self.on_time(self.recorder.now());
+        }
+    }
+
+    /// When the next response, deferred receipt or end of a fault is due.
+    fn next_time(&self) -> Option<Duration> {
+        let next = [
+            self.pending.first_key_value().map(|((at, _), _)| *at),
+            self.deferred.first_key_value().map(|((at, _), _)| *at),
+            self.partners.iter().filter_map(|partner| partner.fault_ends).min(),
+        ];
+        next.into_iter().flatten().min()
+    }
+
+    fn on_time(&mut self, now: Duration) {
+        for partner in 0..self.partners.len() {
+            if self.partners[partner].fault_ends.is_some_and(|at| at <= now) {
+                self.end_fault(partner);
+            }
+        }
+        while let Some(due) = self.pending.first_entry().filter(|entry| entry.key().0 <= now) {
+            let due = due.remove();
+            self.respond(&due);
+        }
+        while let Some(due) = self.deferred.first_entry().filter(|entry| entry.key().0 <= now) {
+            let receipt = due.remove();
+            let connection = self.net.connect(receipt.address);
+            self.outbound.insert(connection, receipt.bytes);
+        }
+    }
+
+    fn begin_fault(&mut self, partner: usize, fault: Fault, group: Option<usize>, duration: Duration) {
+        let until = self.recorder.now() + duration;
+        let served = &mut self.partners[partner];
+        served.begin_fault(fault, group, until);
+        let closed = match fault {
+            Fault::RefuseConnections => served.take_listeners(group),
+            _ => Vec::new(),
+        };
+        if fault.is_outage() {
+            self.record_outage(partner, true);
+        }
+        for listener in closed {
+            self.net.stop_listening(listener);
+        }
+        if matches!(fault, Fault::RefuseConnections | Fault::ResetConnections) {
+            self.reset_connections(partner, group);
+        }
+    }
+
+    fn reset_connections(&mut self, partner: usize, group: Option<usize>) {
+        let config = &self.partners[partner].config;
+        let affected = |connection: &Connection| {
+            connection.at.partner == partner && config.is_in_group(connection.at.endpoint, group)
+        };
+        let affected: Vec<ConnId> = self
+            .connections
+            .iter()
+            .filter(|(_, connection)| affected(connection))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in affected {
+            self.reset_connection(id);
+        }
+    }
+
+    fn end_fault(&mut self, partner: usize) {
+        let now = self.recorder.now();
+        let was_outage = self.partners[partner].end_fault(now);
+        for (endpoint, served) in self.partners[partner].listeners.iter_mut().enumerate() {
+            if served.listener.is_some() {
+                continue;
+            }
+            if let Ok((listener, _)) = self.net.listen(served.address) {
+                served.listener = Some(listener);
+                self.listeners.insert(listener, EndpointRef { partner, endpoint });
+            }
+        }
+        if was_outage {
+            self.record_outage(partner, false);
+        }
+    }
+
+    fn record_outage(&self, partner: usize, began: bool) {
+        let served = &self.partners[partner];
+        let (zone, partner) = (served.affected_group, served.config.name.clone());
+        self.recorder.record(ObservedEvent::Outage { partner, zone, began });
+    }
+
+    /// Resets a connection; the request on it is over for the gateway.
+    fn reset_connection(&mut self, id: ConnId) {
+        self.end_broken(id);
+        self.net.reset(id);
+    }
+
+    /// Forgets a connection and records the end of the request on it.
+    fn end_broken(&mut self, id: ConnId) {
+        if let Some(request) = self.connections.remove(&id).and_then(|connection| connection.request) {
+            self.recorder.record(ObservedEvent::RequestEnded { request, end: RequestEnd::Broken });
+        }
+    }
+
+    fn on_event(&mut self, event: NetEvent) {
+        match event {
+            NetEvent::Accepted { listener, conn } => {
+                let Some(&at) = self.listeners.get(&listener) else { return };
+                let decoder = Decoder::server(Limits::default());
+                self.connections.insert(conn, Connection { at, decoder, request: None, last_used: None });
+            }
+            NetEvent::Bytes(id, bytes) => self.on_bytes(id, &bytes),
+            NetEvent::Closed { conn, .. } => {
+                self.outbound.remove(&conn);
+                if let Some(request) = self.connections.remove(&conn).and_then(|known| known.request) {
+                    let end = RequestEnd::ClientClosed;
+                    self.recorder.record(ObservedEvent::RequestEnded { request, end });
+                }
+            }
+            NetEvent::Connected(id) => {
+                if let Some(bytes) = self.outbound.remove(&id) {
+                    self.net.send(id, &bytes);
+                    self.net.close_after_flush(id);
+                }
+            }
+            NetEvent::ConnectFailed(id, _) => {
+                self.outbound.remove(&id);
+            }
+            NetEvent::Flushed(_) | NetEvent::Signal(_) | NetEvent::Woken => {}
+        }
+    }
+
+    fn on_bytes(&mut self, id: ConnId, bytes: &[u8]) {
+        let now = self.recorder.now();
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.decoder.feed(now, bytes);
+        while let Some(connection) = self.connections.get_mut(&id) {
+            match connection.decoder.next(now) {
+                Ok(Some(Item::Message(message))) => self.on_request(id, message),
+                Ok(Some(Item::ExpectsContinue)) => self.net.send(id, cloverstile_http::CONTINUE),
+                Ok(None) => return,
+                Err(_) => return self.reset_connection(id),
+            }
+        }
+    }
+
+    fn on_request(&mut self, id: ConnId, message: Message) {
+        let now = self.recorder.now();
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        let EndpointRef { partner, endpoint } = connection.at;
+        let Ok(envelope) = Envelope::read(&message.headers) else {
+            self.net.send(id, &response(400, "Bad Request", &Headers::new(), b"not AS2"));
+            return;
+        };
+        self.last_number += 1;
+        let request = self.last_number;
+        connection.request = Some(request);
+        let served = &mut self.partners[partner];
+        let message_id = envelope.message_id;
+        self.recorder.record(ObservedEvent::RequestReceived {
+            id: message_id.clone(),
+            gateway: envelope.from,
+            partner: served.config.name.clone(),
+            endpoint,
+            request,
+        });
+        if let (Some(Fault::DropIdle(after)), Some(last_used)) =
+            (served.model(endpoint).fault(), connection.last_used)
+        {
+            if now.saturating_sub(last_used) > after {
+                return self.reset_connection(id);
+            }
+        }
+        let had_collapsed = served.has_collapsed();
+        let decision = served.model(endpoint).handle_request(now, &message_id);
+        if !had_collapsed && served.model(endpoint).has_collapsed() {
+            self.recorder.record(ObservedEvent::Collapsed { partner: served.config.name.clone() });
+        }
+        let (reply, takes_effect) = (decision.reply, decision.takes_effect);
+        match decision.respond_at {
+            Some(at) => {
+                let due = PendingResponse { connection: id, partner, request, message, reply, takes_effect };
+                self.pending.insert((at, request), due);
+            }
+            None if takes_effect => self.record_effect(partner, message_id),
+            None => {}
+        }
+    }
+
+    fn record_effect(&self, partner: usize, id: String) {
+        let partner = self.partners[partner].config.name.clone();
+        self.recorder.record(ObservedEvent::EffectApplied { id, partner });
+    }
+
+    fn respond(&mut self, due: &PendingResponse) {
+        let waits = |connection: &Connection| connection.request == Some(due.request);
+        if !self.connections.get(&due.connection).is_some_and(waits) {
+            // The gateway closed it; a receipt on a connection of its own still goes out.
+            return self.defer_receipt(due);
+        }
+        let mut headers = self.partners[due.partner].limit_headers();
+        let is_deferred = receipts::deferred_url(&due.message).is_some();
+        let (bytes, end) = match due.reply {
+            Reply::Rejected(wait) => {
+                // Whole seconds, rounded up: at the end of the wait there is capacity (RFC 9110, section 10.2.3).
+                let seconds = wait.map(|wait| wait.as_secs_f64().ceil().max(1.0) as u64);
+                if let Some(seconds) = seconds {
+                    headers.add("Retry-After", seconds.to_string());
+                }
+                let bytes = response(503, "Service Unavailable", &headers, b"");
+                (bytes, RequestEnd::Rejected(seconds.map(|seconds| seconds * 1000)))
+            }
+            Reply::Reset => return self.reset_connection(due.connection),
+            Reply::Processed | Reply::Error if is_deferred => {
+                self.defer_receipt(due);
+                (response(202, "Accepted", &headers, b""), RequestEnd::Deferred)
+            }
+            Reply::Processed | Reply::Truncated | Reply::Error => {
+                let Some(receipt) = self.receipt(due) else { return self.reset_connection(due.connection) };
+                headers.extend(&receipt.headers);
+                let bytes = response(200, "OK", &headers, &receipt.body);
+                match due.reply {
+                    Reply::Truncated => return self.send_truncated(due.connection, &bytes),
+                    Reply::Error => (bytes, RequestEnd::Error),
+                    _ => (bytes, RequestEnd::Processed),
+                }
+            }
+        };
+        let now = self.recorder.now();
+        if let Some(connection) = self.connections.get_mut(&due.connection) {
+            connection.request = None;
+            connection.last_used = Some(now);
+        }
+        self.recorder.record(ObservedEvent::RequestEnded { request: due.request, end });
+        self.net.send(due.connection, &bytes);
+    }
+
+    /// Sends the first half of a response and closes.
+    fn send_truncated(&mut self, id: ConnId, bytes: &[u8]) {
+        self.net.send(id, &bytes[..bytes.len() / 2]);
+        self.end_broken(id);
+        self.net.close_after_flush(id);
+    }
+
+    /// Opens a message, lets it take effect where it does, and composes its receipt.
+    fn receipt(&self, due: &PendingResponse) -> Option<Composed> {
+        let served = &self.partners[due.partner];
+        let from = Envelope::read(&due.message.headers).ok()?.from;
+        let sender = self.gateways.get(&from)?;
+        let identity = &served.config.identity;
+        let identities = self.partners.iter().map(|partner| &*partner.config.identity);
+        let other = identities.into_iter().find(|other| other.name != identity.name);
+        let signer = ReceiptSigner { identity, other, fault: served.response_fault };
+        let composed = receipts::compose_for(&due.message, sender, due.reply, &signer)?;
+        if due.takes_effect && composed.opened {
+            self.record_effect(due.partner, composed.message_id);
+        }
+        composed.receipt
+    }
+
+    /// Queues a receipt to where the message wants it, on a connection of its own.
+    fn defer_receipt(&mut self, due: &PendingResponse) {
+        let Some(receipt) = self.receipt(due) else { return };
+        if !matches!(due.reply, Reply::Processed | Reply::Error) {
+            return;
+        }
+        let Some((address, path)) = receipts::deferred_target(&due.message) else { return };
+        let mut headers = receipt.headers;
+        headers.add("Host", address.to_string()).add("Connection", "close");
+        let bytes = request("POST", &path, &headers, &receipt.body);
+        let now = self.recorder.now();
+        let (copies, delay_ms) = match self.partners[due.partner].response_fault {
+            Some(ResponseFault::Duplicate) => (2, 0),
+            Some(ResponseFault::Delay(ms)) => (1, ms),
+            _ => (1, 0),
+        };
+        for copy in 0..copies {
+            self.last_number += 1;
+            let at = now + Duration::from_millis(delay_ms + copy * DUPLICATE_SPACING_MS);
+            let deferred = DeferredReceipt { address, bytes: bytes.clone() };
+            self.deferred.insert((at, self.last_number), deferred);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/platform/state.rs
@@ -0,0 +1,146 @@
+//! State that the threads of a fake platform share: events so far, endpoint behaviour, the endpoint list.
+
+use super::events::{PlatformEvent, TimedEvent};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// What an endpoint does with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EndpointBehaviour {
+    /// Responds with status 200 after this time.
+    Deliver(Duration),
+    /// Responds with these bytes.
+    Respond(Vec<u8>),
+    /// Never responds, and keeps the connection open.
+    Silent,
+    /// Closes the connection.
+    Disconnect,
+}
+
+/// An instance in the endpoint list.
+pub(super) struct ListedInstance {
+    /// Index of its endpoint.
+    pub(super) endpoint: usize,
+    /// Its destination.
+    pub(super) cell: u16,
+    pub(super) lifecycle: &'static str,
+}
+
+pub(super) struct State {
+    pub(super) events: Vec<TimedEvent>,
+    pub(super) behaviour: Vec<EndpointBehaviour>,
+    /// Version of the endpoint list.
+    pub(super) generation: u64,
+    pub(super) instances: BTreeMap<String, ListedInstance>,
+}
+
+impl State {
+    /// Endpoints of these destinations, all serving.
+    pub(super) fn new(cells: &[u16]) -> Self {
+        let instance = |(endpoint, cell): (usize, &u16)| {
+            (instance_id(endpoint), ListedInstance { endpoint, cell: *cell, lifecycle: "SERVING" })
+        };
+        State {
+            events: Vec::new(),
+            behaviour: vec![EndpointBehaviour::Deliver(Duration::ZERO); cells.len()],
+            generation: 1,
+            instances: cells.iter().enumerate().map(instance).collect(),
+        }
+    }
+
+    pub(super) fn set_lifecycle(&mut self, endpoint: usize, lifecycle: &'static str) {
+        self.generation += 1;
+        if let Some(instance) = self.instances.get_mut(&instance_id(endpoint)) {
+            instance.lifecycle = lifecycle;
+        }
+    }
+
+    /// The endpoint list in the form of discovery's responses.
+    pub(super) fn list_json(&self, addresses: &[SocketAddr]) -> serde_json::Value {
+        let instance = |(id, instance): (&String, &ListedInstance)| {
+            serde_json::json!({
+                "instanceId": id, "hostPort": addresses[instance.endpoint].to_string(), "zone": "here",
+                "machineType": "any", "cell": instance.cell, "lifecycle": instance.lifecycle, "weight": 100.0,
+                "startedAtMs": 0,
+            })
+        };
+        let instances: Vec<serde_json::Value> = self.instances.iter().map(instance).collect();
+        serde_json::json!({ "generation": self.generation, "reset": true, "instances": instances })
+    }
+}
+
+fn instance_id(endpoint: usize) -> String {
+    format!("s-{endpoint}")
+}
+
+/// The state, its changes and the clock.
+pub(super) struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    started: Instant,
+    stopped: AtomicBool,
+}
+
+impl Shared {
+    pub(super) fn new(state: State) -> Self {
+        Shared {
+            state: Mutex::new(state),
+            changed: Condvar::new(),
+            started: Instant::now(),
+            stopped: AtomicBool::new(false),
+        }
+    }
+
+    /// Time since the start.
+    pub(super) fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    pub(super) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn record(&self, event: PlatformEvent) {
+        let at = self.now();
+        self.state().events.push((at, event));
+        self.changed.notify_all();
+    }
+
+    /// Wakes all threads that wait for a change of the state.
+    pub(super) fn notify_changed(&self) {
+        self.changed.notify_all();
+    }
+
+    pub(super) fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        self.changed.notify_all();
+    }
+
+    pub(super) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the state is as wanted, at most for `timeout`; returns the state then.
+    pub(super) fn wait_for(
+        &self,
+        timeout: Duration,
+        mut wanted: impl FnMut(&State) -> bool,
+    ) -> MutexGuard<'_, State> {
+        let end = Instant::now() + timeout;
+        let mut state = self.state();
+        while !wanted(&state) {
+            let left = end.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                break;
+            }
+            state = match self.changed.wait_timeout(state, left) {
+                Ok((state, _)) => state,
+                Err(error) => error.into_inner().0,
+            };
+        }
+        state
+    }
+}
--- a/crates/fakes/src/record.rs
+++ b/crates/fakes/src/record.rs
@@ -1,123 +1,123 @@
-//! Records of what passed on the sockets of stand-ins and clients.
+//! The record of what passed on the sockets of fake partners and clients, one JSON line for each event.
 
 use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-/// What a client was told.
+/// The outcome that a client read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ReportedOutcome {
     /// Delivered, by a receipt that verifies.
     Delivered,
-    /// Never took effect.
+    /// The message never took effect.
     #[serde(rename = "refused")]
     Rejected,
-    /// May have taken effect.
+    /// The message may have taken effect.
     Failed,
-    /// Turned away before it was taken (full, stopping).
+    /// Not accepted by the gateway (overloaded, shutting down).
     #[serde(rename = "not-taken")]
     NotAccepted,
-    /// Something else: a receipt that does not verify, an unknown status.
+    /// Anything else: a receipt that does not verify, an unknown status.
     Unclear,
 }
 
-/// How a call at a partner ended.
+/// How a request at a partner ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RequestEnd {
-    /// A receipt that says processed left the partner whole.
+    /// A receipt that says processed was sent whole.
     Processed,
-    /// A receipt that says otherwise left.
+    /// A receipt that says error was sent.
     Error,
-    /// Turned away unseen; told to wait for so many milliseconds, or not.
+    /// Rejected unexecuted; with `Retry-After` in milliseconds, or without.
     #[serde(rename = "refused")]
     Rejected(Option<u64>),
     /// The partner broke the connection.
     Broken,
-    /// The courier closed the connection, or nothing more was to be answered on it.
+    /// The gateway closed the connection.
     #[serde(rename = "left")]
     ClientClosed,
-    /// Taken; the receipt comes on a connection of its own.
+    /// Accepted; the receipt goes out on a connection of its own.
     Deferred,
 }
 
-/// One thing seen, with its time in microseconds from the start of the run.
+/// Something that passed on a socket, or a step of the scenario that the checks need.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "what", rename_all = "kebab-case")]
 pub enum ObservedEvent {
-    /// A client began to hand a message in.
+    /// A client began to submit a message.
     #[serde(rename = "hand-in")]
     Submitted {
         /// Message-ID.
         id: String,
-        /// Number of the courier.
+        /// Index of the gateway.
         #[serde(rename = "courier")]
         gateway: usize,
-        /// Class.
+        /// Class by name.
         class: String,
-        /// Partner.
+        /// Partner by name.
         partner: String,
-        /// What it is about, for classes in order.
+        /// Order key, for classes delivered in order.
         key: Option<String>,
-        /// When it is given up.
+        /// Deadline, in microseconds from the start of the run.
         deadline: u64,
-        /// Marked as coming again after a courier was lost.
+        /// Marked as resubmitted after the loss of a gateway.
         after_loss: bool,
     },
-    /// The courier said that it has taken the message (asynchronous receipts only).
+    /// The gateway accepted the message (deferred receipts only).
     #[serde(rename = "taken")]
     Accepted {
         /// Message-ID.
         id: String,
-        /// Number of the courier.
+        /// Index of the gateway.
         #[serde(rename = "courier")]
         gateway: usize,
     },
-    /// A client has a final answer.
+    /// A client read a final outcome.
     #[serde(rename = "answer")]
     Answered {
         /// Message-ID.
         id: String,
-        /// Number of the courier.
+        /// Index of the gateway.
         #[serde(rename = "courier")]
         gateway: usize,
-        /// What.
+        /// The outcome.
         #[serde(rename = "told")]
         outcome: ReportedOutcome,
     },
-    /// The connection ended before an answer came.
+    /// The connection ended before a response came.
     #[serde(rename = "lost")]
     ConnectionLost {
         /// Message-ID.
         id: String,
-        /// Number of the courier.
+        /// Index of the gateway.
         #[serde(rename = "courier")]
         gateway: usize,
     },
-    /// A whole request is at a partner's endpoint.
+    /// A whole request arrived at a partner's endpoint.
     #[serde(rename = "request")]
     RequestReceived {
         /// Message-ID.
         id: String,
-        /// AS2 name of the courier.
+        /// AS2 name of the gateway.
         #[serde(rename = "courier")]
         gateway: String,
-        /// Partner.
+        /// Partner by name.
         partner: String,
         /// Its endpoint.
         endpoint: usize,
-        /// Number of the call, unique within the run.
+        /// Number of the request, unique within the run.
         #[serde(rename = "call")]
         request: u64,
     },
-    /// A call ended, as far as the partner can see.
+    /// A request ended, as far as the partner can see.
     #[serde(rename = "end")]
     RequestEnded {
-        /// Number of the call.
+        /// Number of the request.
         #[serde(rename = "call")]
         request: u64,
-        /// How.
+        /// How it ended.
         #[serde(rename = "how")]
         end: RequestEnd,
     },
@@ -126,44 +126,44 @@
     EffectApplied {
         /// Message-ID.
         id: String,
-        /// Partner.
+        /// Partner by name.
         partner: String,
     },
-    /// A partner's outage began or ended, as the script says.
+    /// A partner's outage began or ended, as the scenario says.
     Outage {
-        /// Partner.
+        /// Partner by name.
         partner: String,
-        /// Its zone that is struck; all of them where there is none.
+        /// The affected zone; all of them where there is none.
         #[serde(default)]
         zone: Option<usize>,
-        /// Began.
+        /// Whether it began.
         began: bool,
     },
-    /// A returning partner was pushed over.
+    /// A partner that was warming up collapsed under overload.
     #[serde(rename = "fell")]
     Collapsed {
-        /// Partner.
+        /// Partner by name.
         partner: String,
     },
-    /// The couriers were told of an endpoint's mode.
+    /// The endpoint list of the gateways changed an endpoint's state.
     #[serde(rename = "listed")]
     EndpointListed {
-        /// Partner.
+        /// Partner by name.
         partner: String,
         /// Its endpoint.
         endpoint: usize,
-        /// It may be given new work.
+        /// Whether it accepts new requests.
         ready: bool,
     },
-    /// A courier process was started, or was told to end.
+    /// A gateway process was started, or was asked to stop.
     #[serde(rename = "courier")]
     GatewayProcess {
-        /// Its number.
+        /// Index of the gateway.
         #[serde(rename = "courier")]
         gateway: usize,
-        /// Running.
+        /// Whether it runs from now on.
         running: bool,
-        /// Killed outright, without a chance to answer.
+        /// Killed outright, without a graceful shutdown.
         killed: bool,
     },
 }
@@ -173,12 +173,12 @@
 pub struct RecordLine {
     /// Microseconds from the start of the run.
     pub at: u64,
-    /// What was seen.
+    /// The event.
     #[serde(flatten)]
     pub event: ObservedEvent,
 }
 
-/// One record for all stand-ins and clients of a run, on one clock.
+/// The record of all fake partners and clients of a run, on one clock.
 #[derive(Clone)]
 pub struct Recorder {
     epoch: Instant,
@@ -197,7 +197,7 @@
         self.epoch.elapsed()
     }
 
-    /// Notes something seen just now.
+    /// Appends an event with the present time.
     pub fn record(&self, event: ObservedEvent) {
         let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
         // Inside the lock, so that the lines stand in the order of their times.
