--- a/crates/resp-gateway/src/name_table.rs
+++ b/crates/resp-gateway/src/name_table.rs
@@ -3,7 +3,7 @@
 
 use cloverstile::{Class, Effect};
 use cloverstile_platform::config::SettingNames;
-use cloverstile_wal::{LiveMessage, NameTable, UNKNOWN_INDEX};
+use cloverstile_wal::{ClassName, LiveMessage, NameTable, UNKNOWN_INDEX};
 use std::time::Duration;
 
 /// The log's code of an effect: not its position in the code, which may change.
@@ -30,7 +30,11 @@
 pub fn name_table(names: &SettingNames, classes: &[Class]) -> NameTable {
     let class_names = names.classes.iter().map(String::as_str).chain([""]);
     let named = class_names.zip(classes);
-    let classes = named.map(|(name, class)| (name.to_owned(), effect_code(class.effect))).collect();
+    let entry = |(name, class): (&str, &Class)| ClassName {
+        name: name.to_owned(),
+        effect: effect_code(class.effect),
+    };
+    let classes = named.map(entry).collect();
     NameTable { classes, zones: names.zones.clone() }
 }
 
@@ -52,15 +56,15 @@
 fn remapped_class(class: u8, stored: &NameTable, current: &NameTable) -> usize {
     let fallback = current.classes.len().saturating_sub(1);
     let index = usize::from(class);
-    let Some((name, stored_effect)) = stored.classes.get(index) else {
+    let Some(ClassName { name, effect: stored_effect }) = stored.classes.get(index) else {
         // A log written before names were stored.
         return index.min(fallback);
     };
     let is_as_strict = |index: &usize| {
-        let effect = current.classes[*index].1;
+        let effect = current.classes[*index].effect;
         *stored_effect == UNKNOWN_INDEX || *stored_effect == effect || effect == effect_code(Effect::Unsafe)
     };
-    let found = current.classes.iter().position(|(known, _)| known == name);
+    let found = current.classes.iter().position(|class| class.name == *name);
     found.filter(is_as_strict).unwrap_or(fallback)
 }
 
