load-metrics: balance metrics, reassignment baseline and waiting intervals in the terms of the field

One file held every metric, and names such as yardstick, dealer, stay and even told a reader nothing.

--- a/crates/simulator/src/spread/site.rs
+++ b/crates/simulator/src/spread/site.rs
@@ -109,7 +109,7 @@
     /// How the call ends, as the endpoint sees it.
     pub fn outcome(&self) -> Outcome {
         match self.verdict.reply {
-            Reply::Rejected(_) => Outcome::TurnedAway,
+            Reply::Rejected(_) => Outcome::Rejected,
             Reply::Processed if self.verdict.respond_at.is_some() => Outcome::Served,
             _ => Outcome::Failed,
         }
--- a/crates/simulator/src/spread/world.rs
+++ b/crates/simulator/src/spread/world.rs
@@ -10,7 +10,7 @@
 use cloverstile_engine::{Attempt, Engine, TransportOutcome};
 use cloverstile_fakes::limit::AdvertisedLimit;
 use cloverstile_fakes::model::Reply;
-use cloverstile_load_metrics::{Call, Partner, Record, Stay};
+use cloverstile_load_metrics::{Call, LoadRecord, Partner, WaitingInterval};
 use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -71,7 +71,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct SpreadRun {
     /// For the yardstick.
-    pub record: Record,
+    pub record: LoadRecord,
     /// Worth of all messages on time, and of those delivered by their age.
     pub offered: f64,
     /// ...
@@ -312,8 +312,8 @@
     fn stop_waiting(&mut self, number: u32) {
         let message = &mut self.messages[number as usize];
         if let Some(from) = message.waits.take() {
-            let stay = Stay { partner: message.partner, from, until: self.now };
-            self.run.record.stays.push(stay);
+            let interval = WaitingInterval { partner: message.partner, from, until: self.now };
+            self.run.record.waiting_intervals.push(interval);
         }
     }
 
@@ -355,7 +355,7 @@
         let outcome = reached.outcome();
         let took = reached.verdict.respond_at.map_or(Duration::ZERO, |at| at - now);
         let courier = self.calls[call].courier;
-        self.run.record.calls.push(Call { at: now, endpoint, courier, outcome, took });
+        self.run.record.calls.push(Call { at: now, endpoint, instance: courier, outcome, took });
         if reached.verdict.takes_effect {
             self.take_effect(message);
         }
--- a/crates/simulator/tests/spread.rs
+++ b/crates/simulator/tests/spread.rs
@@ -1,6 +1,6 @@
 //! Scenes of even load: the same run again, the rules kept, and what the yardstick is there to tell apart.
 
-use cloverstile_load_metrics::{measure, Figures};
+use cloverstile_load_metrics::{measure, LoadMetrics};
 use cloverstile_simulator::{play_spread, read_spread, Choice, Limiter, Scene, SpreadRun, Who, SCENES};
 use std::time::Duration;
 
@@ -9,7 +9,7 @@
     read_spread(text).expect("it is right").scaled(couriers)
 }
 
-fn figures(scene: &Scene, run: &SpreadRun) -> Figures {
+fn figures(scene: &Scene, run: &SpreadRun) -> LoadMetrics {
     measure(&run.record, Duration::from_secs_f64(scene.window), 1)
 }
 
@@ -47,7 +47,7 @@
 #[test]
 fn the_first_of_equals_is_a_herd_that_the_yardstick_sees() {
     let scene = scene("calm", 100);
-    let peak = |who| figures(&scene, &play_spread(&scene, who, 1)).own.peak_over_mean;
+    let peak = |who| figures(&scene, &play_spread(&scene, who, 1)).observed.peak_over_mean;
     let herd = peak(Who::Plain(Choice::LeastOut, Limiter::None));
     let chance = peak(Who::Plain(Choice::Random, Limiter::None));
     assert!(herd > 2.0 * chance, "{herd} against {chance}");
--- a/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
@@ -190,12 +190,12 @@
         println!(
             "partner {partner}: calls {} peak {:.2} central {:.2} random {:.2} jain {:.3} (random {:.3}) idle {:.3} limit use {:.3}",
             record.calls.len(),
-            told.own.peak_over_mean,
+            told.observed.peak_over_mean,
             told.central.peak_over_mean,
             told.random.peak_over_mean,
-            told.own.jain,
+            told.observed.jain,
             told.random.jain,
-            told.own.idle_share,
+            told.observed.idle_share,
             told.limit_use_while_waiting
         );
     }
@@ -209,7 +209,7 @@
         let count = counts.entry((partner, call.at.as_secs())).or_default();
         match call.outcome {
             Outcome::Served => count[0] += 1,
-            Outcome::TurnedAway => count[1] += 1,
+            Outcome::Rejected => count[1] += 1,
             Outcome::Failed => {}
         }
     }
--- a/crates/testbench/src/fleet/ground.rs
+++ b/crates/testbench/src/fleet/ground.rs
@@ -400,7 +400,7 @@
         let took = answer_at.map_or(Duration::ZERO, |at| at.saturating_sub(now));
         let courier = self.books.message(number).map_or(0, |message| message.courier);
         let recorded = self.books.run.record.calls.len();
-        let call = Call { at: now, endpoint: place, courier: courier as u32, outcome, took };
+        let call = Call { at: now, endpoint: place, instance: courier as u32, outcome, took };
         self.books.run.record.calls.push(call);
         let call = self.calls.len();
         let in_hand = answer_at.is_some_and(|at| at > now);
--- a/crates/testbench/src/fleet/judge.rs
+++ b/crates/testbench/src/fleet/judge.rs
@@ -2,7 +2,7 @@
 //! sockets, in its order; free of I/O.
 
 use cloverstile::{Class, Effect};
-use cloverstile_load_metrics::Stay;
+use cloverstile_load_metrics::WaitingInterval;
 use cloverstile_simulator::{SpreadAudit, SpreadRun};
 use std::collections::HashMap;
 use std::time::Duration;
@@ -92,7 +92,11 @@
             (true, None) => message.waits = Some(now),
             (false, Some(from)) => {
                 message.waits = None;
-                self.run.record.stays.push(Stay { partner: message.partner, from, until: now });
+                self.run.record.waiting_intervals.push(WaitingInterval {
+                    partner: message.partner,
+                    from,
+                    until: now,
+                });
             }
             _ => {}
         }
@@ -283,7 +287,8 @@
         books.answered(ms(20), number);
         books.call(ms(100), number, 0, None);
         books.ended(ms(110), number, End::Delivered);
-        let stays: Vec<_> = books.run.record.stays.iter().map(|stay| (stay.from, stay.until)).collect();
+        let stays: Vec<_> =
+            books.run.record.waiting_intervals.iter().map(|stay| (stay.from, stay.until)).collect();
         assert_eq!(stays, [(ms(20), ms(100))]);
         assert_eq!(books.open(), 0);
     }
--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -92,7 +92,7 @@
     let run = play_fleet(&scene, Path::new(PROGRAM), 2).expect("it can be played");
     assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
     let told = figures(&scene, &run, 2, Duration::ZERO);
-    assert!(run.record.stays.len() > 30, "nobody waited: not the case that is tested");
+    assert!(run.record.waiting_intervals.len() > 30, "nobody waited: not the case that is tested");
     assert!(told.limit_use_while_waiting > 0.5, "{told:?}");
     assert_eq!(told.answered, told.messages);
 }
