--- a/crates/simulator/src/record.rs
+++ b/crates/simulator/src/failover/record.rs
@@ -1,27 +1,27 @@
-//! What a run leaves behind, as it passed between couriers and sites.
+//! Event a run leaves behind, as it passed between instances and sites.
 
 use cloverstile_engine::FinalOutcome;
 use std::time::Duration;
 
-/// A message, from its hand-in to its answer. Times count from the run's beginning.
+/// A message, from its submission to its answer. Times count from the run's beginning.
 #[derive(Clone, Debug)]
-pub struct Message {
+pub struct MessageHistory {
     /// Place of its class in the scenario.
     pub class: u8,
     /// Its bank.
-    pub bank: u32,
-    /// Who holds it, or held it last.
-    pub courier: u32,
+    pub destination: u32,
+    /// ClientPolicy holds it, or held it last.
+    pub instance: u32,
     /// Its order key and its place under it, for classes in order.
     pub key: Option<(u64, u32)>,
-    /// When it was handed in.
-    pub handed: Duration,
+    /// When it was submitted.
+    pub submitted_at: Duration,
     /// When it is given up.
     pub deadline: Duration,
     /// The tier that it first reached.
     pub first_tier: Option<usize>,
     /// When it first reached a tier behind the preferred one.
-    pub spilt: Option<Duration>,
+    pub spilled_at: Option<Duration>,
     /// Times it took effect.
     pub effects: u32,
     /// When it last did, for windows of repeats.
@@ -34,9 +34,9 @@
 
 /// A second of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Second {
-    /// Messages handed in, and what they would be worth on time.
-    pub handed: u32,
+pub struct SecondTotals {
+    /// Messages submitted, and what they would be worth on time.
+    pub submitted: u32,
     /// ...
     pub offered: f64,
     /// Messages answered as delivered, and their worth by their age then.
@@ -45,21 +45,21 @@
     pub worth: f64,
     /// Messages answered otherwise.
     pub lost: u32,
-    /// Messages handed in for banks of several tiers.
+    /// Messages submitted for banks of several tiers.
     pub tiered: u32,
     /// Messages that first reached a tier behind the preferred one.
-    pub spilt: u32,
+    pub spilled: u32,
     /// Requests that reached sites, turned away ones too.
     pub requests: u32,
 }
 
 /// 100 ms of a site after its return.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Window {
+pub struct RecoveryWindow {
     /// The site.
     pub site: u32,
     /// Its place among the site's returns.
-    pub spell: u32,
+    pub recovery: u32,
     /// Beginning, since the run's.
     pub at: Duration,
     /// Since the return.
@@ -72,20 +72,20 @@
     pub bound: f64,
 }
 
-/// A hand-in, in order: who took it, for which bank, and which message.
+/// A submission, in order: who took it, for which bank, and which message.
 #[derive(Clone, Copy, Debug)]
-pub struct Handed {
-    /// The courier.
-    pub courier: u32,
+pub struct Submission {
+    /// The instance.
+    pub instance: u32,
     /// The bank.
-    pub bank: u32,
+    pub destination: u32,
     /// The message.
     pub message: u32,
 }
 
-/// What broke. All zero on a good run.
+/// Event broke. All zero on a good run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Audit {
+pub struct FailoverViolations {
     /// Messages without a final answer, or with several.
     pub unanswered: u64,
     /// ... with one that came after the deadline and its slack, or that is not true.
@@ -96,15 +96,15 @@
     pub out_of_order: u64,
     /// Requests to endpoints told as draining, after the grace.
     pub after_drain: u64,
-    /// Sites pushed over.
+    /// SimulatedPartners pushed over.
     pub pushed_over: u64,
-    /// Requests to a site before the end of a wait that it had told this courier.
+    /// Requests to a site before the end of a wait that it had told this instance.
     pub waits_broken: u64,
 }
 
-impl Audit {
+impl FailoverViolations {
     /// Of all kinds together.
-    pub fn broken(&self) -> u64 {
+    pub fn total(&self) -> u64 {
         self.unanswered
             + self.late_or_untrue
             + self.twice
@@ -117,17 +117,17 @@
 
 /// A whole run.
 #[derive(Clone, Debug, Default)]
-pub struct Run {
-    /// All messages, in the order handed in.
-    pub messages: Vec<Message>,
-    /// All hand-ins; a message of a lost courier comes again.
-    pub hand_ins: Vec<Handed>,
+pub struct FailoverRun {
+    /// All messages, in the order submitted.
+    pub messages: Vec<MessageHistory>,
+    /// All hand-ins; a message of a lost instance comes again.
+    pub submissions: Vec<Submission>,
     /// By second.
-    pub seconds: Vec<Second>,
+    pub seconds: Vec<SecondTotals>,
     /// Returning sites, by 100 ms.
-    pub windows: Vec<Window>,
-    /// What broke.
-    pub audit: Audit,
+    pub windows: Vec<RecoveryWindow>,
+    /// Event broke.
+    pub violations: FailoverViolations,
     /// Requests that reached sites.
     pub requests: u64,
     /// Turns of engines: how often a module was asked.
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/failover/scenario.rs
@@ -1,4 +1,4 @@
-//! Scenarios: HCL in, couriers, banks, classes and troubles out. Times are in seconds, rates in a second.
+//! Scenarios: HCL in, instances, banks, classes and troubles out. Times are in seconds, rates in a second.
 
 use cloverstile::{Class, Effect, Group, Rules};
 use cloverstile_fakes::model::{Fault, ServerProfile};
@@ -19,7 +19,7 @@
         block: &'static str,
         /// Its name.
         name: String,
-        /// What is wrong.
+        /// Event is wrong.
         what: String,
     },
 }
@@ -27,32 +27,35 @@
 /// A scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Scenario {
+pub struct FailoverScenario {
     /// Gateways.
-    pub couriers: usize,
-    /// Messages are handed in for so long; what is left is answered afterwards.
+    #[serde(rename = "couriers")]
+    pub instances: usize,
+    /// Messages are submitted for so long; what is left is answered afterwards.
     pub seconds: f64,
     /// Messages a second from all clients together.
     pub rate: f64,
-    /// Unevenness of the couriers' load: courier n gets a part that goes by `1 / (n + 1) ^ skew`.
+    /// Unevenness of the instances' load: instance n gets a part that goes by `1 / (n + 1) ^ skew`.
     #[serde(default)]
     pub skew: f64,
-    /// Calls out at once from a courier.
+    /// Calls out at once from a instance.
     #[serde(default = "call_slots")]
     pub call_slots: usize,
-    /// Messages that a courier holds.
+    /// Messages that a instance holds.
     #[serde(default = "most_held")]
     pub most_held: usize,
-    /// Least time on the way between courier and site, and the mean of what chance adds, in milliseconds.
-    #[serde(default = "way")]
-    pub way_ms: [f64; 2],
+    /// Least time on the way between instance and site, and the mean of what chance adds, in milliseconds.
+    #[serde(default = "network_delay_ms", rename = "way_ms")]
+    pub network_delay_ms: [f64; 2],
     /// Class blocks, by name.
     pub class: BTreeMap<String, ClassSpec>,
     /// Bank blocks, by name.
-    pub bank: BTreeMap<String, BankSpec>,
-    /// What goes wrong, by a name for people.
+    #[serde(rename = "bank")]
+    pub destinations: BTreeMap<String, DestinationSpec>,
+    /// Event goes wrong, by a name for people.
     #[serde(default)]
-    pub trouble: BTreeMap<String, TroubleSpec>,
+    #[serde(rename = "trouble")]
+    pub faults: BTreeMap<String, FailoverFaultSpec>,
     /// Figures of the rules.
     #[serde(default)]
     pub rules: RuleSpec,
@@ -66,7 +69,7 @@
     4000
 }
 
-fn way() -> [f64; 2] {
+fn network_delay_ms() -> [f64; 2] {
     [0.5, 0.5]
 }
 
@@ -84,7 +87,7 @@
     pub cold_from: f64,
     /// ... and is warm after so long.
     pub cold: f64,
-    /// What it survives meanwhile, as a multiple of what it can do ...
+    /// Event it survives meanwhile, as a multiple of what it can do ...
     pub tip_multiple: f64,
     /// ... over so long.
     pub fall: f64,
@@ -164,9 +167,9 @@
 /// A bank, or many that are alike.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct BankSpec {
+pub struct DestinationSpec {
     /// So many of them.
-    #[serde(default = "one_bank")]
+    #[serde(default = "one_copy")]
     pub copies: usize,
     /// Share of the messages, of all copies together.
     #[serde(default = "one")]
@@ -174,7 +177,7 @@
     /// Share of the messages for a lost tier that may spill.
     #[serde(default)]
     pub spill_share: f64,
-    /// Messages a second, from all couriers together, that may spill.
+    /// Messages a second, from all instances together, that may spill.
     #[serde(default)]
     pub spill_rate: Option<f64>,
     /// A tier counts as lost only after so long without an answer.
@@ -187,7 +190,7 @@
     pub site: BTreeMap<String, SiteSpec>,
 }
 
-fn one_bank() -> usize {
+fn one_copy() -> usize {
     1
 }
 
@@ -216,7 +219,7 @@
     /// Least time of a call and the mean of what chance adds, in milliseconds.
     #[serde(default = "service")]
     pub service_ms: [f64; 2],
-    /// Calls a second that it takes from all couriers together.
+    /// Calls a second that it takes from all instances together.
     #[serde(default)]
     pub limit: Option<f64>,
     /// Refusals tell how long to wait.
@@ -239,7 +242,7 @@
 /// Something that goes wrong.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct TroubleSpec {
+pub struct FailoverFaultSpec {
     /// When it begins; moved by chance within `sway`.
     pub at: f64,
     /// How long it lasts.
@@ -254,18 +257,20 @@
     /// ... at this distance from beginning to beginning.
     #[serde(default)]
     pub every: f64,
-    /// Banks struck; all copies together. None: every bank that has the tier.
+    /// Banks affected_partners; all copies together. None: every bank that has the tier.
     #[serde(default)]
-    pub bank: Option<String>,
-    /// Tier struck.
+    #[serde(rename = "bank")]
+    pub destination: Option<String>,
+    /// Tier affected_partners.
     #[serde(default)]
     pub tier: usize,
-    /// Endpoints of the site that `part` and `drain` strike.
-    #[serde(default = "one_bank")]
+    /// Endpoints of the site that `part` and `drain` fault.
+    #[serde(default = "one_copy")]
     pub endpoints: usize,
-    /// Gateways that `restart` strikes, from the first.
-    #[serde(default = "one_bank")]
-    pub couriers: usize,
+    /// Gateways that `restart` scheduled_faults, from the first.
+    #[serde(default = "one_copy")]
+    #[serde(rename = "couriers")]
+    pub instances: usize,
     /// A fault of a partner (`refuse`, `silent`, `reset`, `slow` ...), `part` (some endpoints refuse
     /// connections), `drain`, `restart` or `burst`.
     pub kind: String,
@@ -278,37 +283,38 @@
     1
 }
 
-/// What a trouble does.
+/// Event a trouble does.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Act {
+pub enum FailoverFault {
     /// A fault of the whole site.
     Fault(Fault),
     /// Some endpoints refuse connections.
     Part,
     /// Some endpoints are told as draining.
     Drain,
-    /// Some couriers are lost and start again, knowing nothing.
+    /// Some instances are lost and start again, knowing nothing.
     Restart,
     /// Traffic is multiplied.
     Burst,
 }
 
-impl TroubleSpec {
-    /// What it does; none if the kind is not known.
-    pub fn act(&self) -> Option<Act> {
+impl FailoverFaultSpec {
+    /// Event it does; none if the kind is not known.
+    pub fn fault_kind(&self) -> Option<FailoverFault> {
         match self.kind.as_str() {
-            "part" => Some(Act::Part),
-            "drain" => Some(Act::Drain),
-            "restart" => Some(Act::Restart),
-            "burst" => Some(Act::Burst),
-            other => Fault::from_name(other, self.size).map(Act::Fault),
+            "part" => Some(FailoverFault::Part),
+            "drain" => Some(FailoverFault::Drain),
+            "restart" => Some(FailoverFault::Restart),
+            "burst" => Some(FailoverFault::Burst),
+            other => Fault::from_name(other, self.size).map(FailoverFault::Fault),
         }
     }
 }
 
 /// Reads a scenario and checks it.
-pub fn read(text: &str) -> Result<Scenario, ScenarioError> {
-    let scenario: Scenario = hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
+pub fn read_failover_scenario(text: &str) -> Result<FailoverScenario, ScenarioError> {
+    let scenario: FailoverScenario =
+        hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
     scenario.check()?;
     Ok(scenario)
 }
@@ -317,17 +323,17 @@
     Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
 }
 
-impl Scenario {
+impl FailoverScenario {
     fn check(&self) -> Result<(), ScenarioError> {
         let positive = |name: &str, ok: bool| match ok {
             true => Ok(()),
             false => Err(ScenarioError::Read(format!("{name} must be above zero"))),
         };
-        positive("couriers", self.couriers > 0)?;
+        positive("couriers", self.instances > 0)?;
         positive("seconds", self.seconds > 0.0)?;
         positive("rate", self.rate > 0.0)?;
         positive("the number of classes", !self.class.is_empty())?;
-        positive("the number of banks", !self.bank.is_empty())?;
+        positive("the number of banks", !self.destinations.is_empty())?;
         for (name, class) in &self.class {
             let wrong = |what: &str| ScenarioError::Block {
                 block: "class",
@@ -341,7 +347,7 @@
                 return Err(wrong("group may be all or zone"));
             }
         }
-        for (name, bank) in &self.bank {
+        for (name, bank) in &self.destinations {
             let wrong = |what: String| ScenarioError::Block { block: "bank", name: name.clone(), what };
             let mut tiers: Vec<usize> = bank.site.values().map(|site| site.tier).collect();
             tiers.sort_unstable();
@@ -352,12 +358,14 @@
                 return Err(wrong("spill_share must be from 0 to 1".into()));
             }
         }
-        for (name, trouble) in &self.trouble {
+        for (name, fault) in &self.faults {
             let wrong = |what: String| ScenarioError::Block { block: "trouble", name: name.clone(), what };
-            if trouble.act().is_none() {
-                return Err(wrong(format!("the kind '{}' is not known", trouble.kind)));
+            if fault.fault_kind().is_none() {
+                return Err(wrong(format!("the kind '{}' is not known", fault.kind)));
             }
-            if let Some(bank) = trouble.bank.as_ref().filter(|bank| !self.bank.contains_key(*bank)) {
+            if let Some(bank) =
+                fault.destination.as_ref().filter(|bank| !self.destinations.contains_key(*bank))
+            {
                 return Err(wrong(format!("there is no bank '{bank}'")));
             }
         }
@@ -366,7 +374,10 @@
 
     /// Endpoints of all banks together.
     pub fn endpoints(&self) -> usize {
-        self.bank.values().map(|b| b.copies * b.site.values().map(|s| s.endpoints).sum::<usize>()).sum()
+        self.destinations
+            .values()
+            .map(|b| b.copies * b.site.values().map(|s| s.endpoints).sum::<usize>())
+            .sum()
     }
 
     /// The classes as the module wants them, in the order of their names.
@@ -388,7 +399,7 @@
         self.class.values().map(class).collect()
     }
 
-    /// What the couriers are told of the rules.
+    /// Event the instances are told of the rules.
     pub fn rules(&self) -> Rules {
         let rules = &self.rules;
         Rules {
@@ -402,7 +413,7 @@
         }
     }
 
-    /// What a site is like.
+    /// Event a site is like.
     pub fn nature(&self, site: &SiteSpec) -> ServerProfile {
         let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
         ServerProfile {
--- a/crates/simulator/src/world/site.rs
+++ b/crates/simulator/src/failover/simulation/recovery.rs
@@ -1,7 +1,7 @@
-//! Load of a site that came back, by window.
+//! LoadReport of a site that came back, by window.
 
 use super::{Site, WATCHED, WINDOW};
-use crate::record::Window;
+use crate::failover::record::RecoveryWindow;
 use std::time::Duration;
 
 impl Site {
@@ -18,7 +18,7 @@
         }
     }
 
-    pub(super) fn close_windows(&mut self, now: Duration, windows: &mut Vec<Window>) {
+    pub(super) fn close_windows(&mut self, now: Duration, windows: &mut Vec<RecoveryWindow>) {
         let Some(since) = self.returned.take() else { return };
         let nature = self.model.profile();
         let watched = nature.cold.1.mul_f64(WATCHED).min(now - since);
@@ -26,11 +26,11 @@
         self.received.resize(count.max(self.received.len()), 0);
         for (place, received) in std::mem::take(&mut self.received).into_iter().enumerate() {
             let after = WINDOW * place as u32;
-            // Warmest at its end; colder would be held against couriers that come with its last request.
+            // Warmest at its end; colder would be held against instances that come with its last request.
             let capacity = self.rate * nature.capacity_share(after + WINDOW) * WINDOW.as_secs_f64();
-            windows.push(Window {
-                site: self.bank,
-                spell: self.returns,
+            windows.push(RecoveryWindow {
+                site: self.destination,
+                recovery: self.returns,
                 at: since + after,
                 after,
                 received,
--- a/crates/simulator/src/world/build.rs
+++ b/crates/simulator/src/failover/simulation/setup.rs
@@ -1,8 +1,8 @@
-//! What stands before a run begins: banks, sites, troubles and couriers.
+//! Event stands before a run begins: destinations, sites, troubles and instances.
 
-use super::{time, Address, Site, Strike, What, World};
-use crate::baseline::{HealthyShare, PolicyKind};
-use crate::scenario::SiteSpec;
+use super::{time, Address, Event, ScheduledFault, Simulation, Site};
+use crate::failover::scenario::SiteSpec;
+use crate::failover::spillover_baseline::{HealthyShare, SpilloverPolicy};
 use cloverstile::{DestinationId, Endpoint, EndpointId, EndpointState, KindId, ZoneId};
 use cloverstile_engine::{Engine, ResultCacheLimits};
 use cloverstile_failover::{FailoverPlanner, FleetParameters, TierConfig};
@@ -12,24 +12,24 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-impl World<'_> {
-    pub(super) fn build_banks(&mut self, rng: &mut ChaCha8Rng) {
+impl Simulation<'_> {
+    pub(super) fn build_destinations(&mut self, rng: &mut ChaCha8Rng) {
         let scenario = self.scenario;
-        let total: usize = scenario.bank.values().map(|bank| bank.copies).sum();
+        let total: usize = scenario.destinations.values().map(|destination| destination.copies).sum();
         let mut next = total;
         let mut zones: HashMap<String, ZoneId> = HashMap::new();
-        for (bank_name, bank) in &scenario.bank {
-            let mut tiers: Vec<(&String, &SiteSpec)> = bank.site.iter().collect();
+        for (destination_name, destination) in &scenario.destinations {
+            let mut tiers: Vec<(&String, &SiteSpec)> = destination.site.iter().collect();
             tiers.sort_by_key(|(_, site)| site.tier);
-            for _ in 0..bank.copies {
-                let number = self.banks.len();
+            for _ in 0..destination.copies {
+                let number = self.destinations.len();
                 let further: Vec<usize> = (next..next + tiers.len() - 1).collect();
                 next += further.len();
                 let destinations: Vec<DestinationId> =
                     std::iter::once(number).chain(further).map(|id| DestinationId(id as u16)).collect();
                 let mut sites = Vec::new();
                 for (name, site) in &tiers {
-                    let zone = site.zone.clone().unwrap_or_else(|| format!("{bank_name}/{name}"));
+                    let zone = site.zone.clone().unwrap_or_else(|| format!("{destination_name}/{name}"));
                     let next = ZoneId(zones.len() as u8);
                     let zone = *zones.entry(zone).or_insert(next);
                     let nature = scenario.nature(site);
@@ -37,7 +37,7 @@
                     let id = self.sites.len() as u32;
                     let model = PartnerModel::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
                     self.sites.push(Site {
-                        bank: number as u32,
+                        destination: number as u32,
                         tier: site.tier,
                         zone,
                         rate,
@@ -51,83 +51,87 @@
                     }
                     sites.push(id);
                 }
-                let couriers = scenario.couriers as f64;
+                let instances = scenario.instances as f64;
                 let rates = sites.iter().map(|site| self.sites[*site as usize].rate).collect();
                 let tiers = TierConfig {
                     destinations,
                     zones: sites.iter().map(|site| self.sites[*site as usize].zone).collect(),
                     capacities: rates,
-                    spill_share: bank.spill_share,
-                    spill_rate: bank.spill_rate.map(|rate| rate / couriers),
-                    down_after: Duration::from_secs_f64(bank.lost_after),
-                    recovery_ramp: Duration::from_secs_f64(bank.ramp),
+                    spill_share: destination.spill_share,
+                    spill_rate: destination.spill_rate.map(|rate| rate / instances),
+                    down_after: Duration::from_secs_f64(destination.lost_after),
+                    recovery_ramp: Duration::from_secs_f64(destination.ramp),
                 };
-                self.banks.push((sites, tiers));
+                self.destinations.push((sites, tiers));
             }
         }
     }
 
-    pub(super) fn plan_troubles(&mut self, rng: &mut ChaCha8Rng) {
+    pub(super) fn schedule_faults(&mut self, rng: &mut ChaCha8Rng) {
         let mut first = 0;
         let mut ranges = HashMap::new();
-        for (name, bank) in &self.scenario.bank {
-            ranges.insert(name, first..first + bank.copies);
-            first += bank.copies;
+        for (name, destination) in &self.scenario.destinations {
+            ranges.insert(name, first..first + destination.copies);
+            first += destination.copies;
         }
-        for spec in self.scenario.trouble.values() {
-            let Some(act) = spec.act() else { continue };
-            let struck = spec.bank.as_ref().and_then(|name| ranges.get(name).cloned()).unwrap_or(0..first);
-            let sites = struck.filter_map(|bank| self.banks[bank].0.get(spec.tier).copied()).collect();
-            let place = self.strikes.len();
-            self.strikes.push(Strike { spec: spec.clone(), act, sites });
+        for spec in self.scenario.faults.values() {
+            let Some(act) = spec.fault_kind() else { continue };
+            let affected_partners =
+                spec.destination.as_ref().and_then(|name| ranges.get(name).cloned()).unwrap_or(0..first);
+            let sites = affected_partners
+                .filter_map(|destination| self.destinations[destination].0.get(spec.tier).copied())
+                .collect();
+            let place = self.scheduled_faults.len();
+            self.scheduled_faults.push(ScheduledFault { spec: spec.clone(), act, sites });
             let sway = spec.sway * rng.random::<f64>();
             for time in 0..spec.times {
                 let at = spec.at + sway + f64::from(time) * spec.every;
-                self.enter(Duration::from_secs_f64(at), What::Trouble { place, begins: true });
+                self.schedule(Duration::from_secs_f64(at), Event::Fault { place, begins: true });
                 let end = Duration::from_secs_f64(at + spec.lasts);
-                self.enter(end, What::Trouble { place, begins: false });
+                self.schedule(end, Event::Fault { place, begins: false });
             }
         }
     }
 
-    pub(super) fn engine(&self, courier: usize, seed: u64) -> Engine {
+    pub(super) fn engine(&self, instance: usize, seed: u64) -> Engine {
         let bounds = ResultCacheLimits { max_results: 1000, retention: Duration::from_secs(2) };
         let engine = Engine::new(self.settings.clone(), bounds, seed);
-        let tiered = || self.banks.iter().filter(|(sites, _)| sites.len() > 1);
+        let tiered = || self.destinations.iter().filter(|(sites, _)| sites.len() > 1);
         let with = |change: &dyn Fn(&mut TierConfig)| {
             let changed = tiered().map(|(_, tiers)| {
                 let mut tiers = tiers.clone();
                 change(&mut tiers);
                 tiers
             });
-            let (couriers, place) = (self.settings.instance_count, courier as u32);
+            let (instances, place) = (self.settings.instance_count, instance as u32);
             let fleet = FleetParameters {
-                instance_count: couriers,
+                instance_count: instances,
                 instance_index: place,
                 ..FleetParameters::for_rules(&self.settings.rules)
             };
             FailoverPlanner::new(time(self.now), fleet, changed.collect())
         };
         let mut engine = match self.policy {
-            PolicyKind::Planner => engine.with_failover_policy(with(&|_| {})),
-            PolicyKind::Everything => engine.with_failover_policy(with(&|tiers| {
+            SpilloverPolicy::Planner => engine.with_failover_policy(with(&|_| {})),
+            SpilloverPolicy::SpillAll => engine.with_failover_policy(with(&|tiers| {
                 (tiers.spill_share, tiers.spill_rate, tiers.recovery_ramp) = (1.0, None, Duration::ZERO);
                 tiers.capacities.clear();
             })),
-            PolicyKind::Stays => engine.with_failover_policy(with(&|tiers| {
+            SpilloverPolicy::NoSpillover => engine.with_failover_policy(with(&|tiers| {
                 tiers.spill_share = 0.0;
                 tiers.capacities.clear();
             })),
-            PolicyKind::HealthyShare => {
+            SpilloverPolicy::HealthyShare => {
                 let addresses = |site: &u32| {
                     let of_site = self.addresses.iter().enumerate().filter(|(_, a)| a.site == *site);
                     of_site.map(|(id, _)| EndpointId(id as u32)).collect()
                 };
-                let banks: Vec<_> = tiered()
+                let destinations: Vec<_> = tiered()
                     .map(|(sites, tiers)| (tiers.clone(), sites.iter().map(addresses).collect()))
                     .collect();
-                let slow_start = banks.first().map_or(Duration::ZERO, |(tiers, _)| tiers.recovery_ramp);
-                engine.with_failover_policy(HealthyShare::new(self.checks.clone(), slow_start, banks))
+                let slow_start =
+                    destinations.first().map_or(Duration::ZERO, |(tiers, _)| tiers.recovery_ramp);
+                engine.with_failover_policy(HealthyShare::new(self.checks.clone(), slow_start, destinations))
             }
         };
         engine.update_endpoints(time(self.now), self.list());
@@ -142,7 +146,7 @@
                 id: EndpointId(id as u32),
                 zone: site.zone,
                 kind: KindId(0),
-                destination: self.banks[site.bank as usize].1.destinations[site.tier],
+                destination: self.destinations[site.destination as usize].1.destinations[site.tier],
                 state: if address.draining.is_some() {
                     EndpointState::Draining
                 } else {
--- a/crates/simulator/src/baseline.rs
+++ b/crates/simulator/src/failover/spillover_baseline.rs
@@ -6,37 +6,41 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// Who spreads messages over tiers.
+/// ClientPolicy spreads messages over tiers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum PolicyKind {
+pub enum SpilloverPolicy {
     /// The planner in service, with the shares that the scenario states.
     Planner,
     /// All messages for a lost tier go to the next one, and all come back with its first answer.
-    Everything,
+    SpillAll,
     /// No message ever changes its tier.
-    Stays,
+    NoSpillover,
     /// Spill by the share of a tier's addresses that are healthy, as common proxies do it.
     HealthyShare,
 }
 
-impl PolicyKind {
+impl SpilloverPolicy {
     /// All of them, the one in service first.
-    pub const ALL: [PolicyKind; 4] =
-        [PolicyKind::Planner, PolicyKind::Everything, PolicyKind::Stays, PolicyKind::HealthyShare];
+    pub const ALL: [SpilloverPolicy; 4] = [
+        SpilloverPolicy::Planner,
+        SpilloverPolicy::SpillAll,
+        SpilloverPolicy::NoSpillover,
+        SpilloverPolicy::HealthyShare,
+    ];
 
     /// The name that command lines and files use.
     pub fn name(self) -> &'static str {
         match self {
-            PolicyKind::Planner => "planner",
-            PolicyKind::Everything => "everything",
-            PolicyKind::Stays => "stays",
-            PolicyKind::HealthyShare => "healthy-share",
+            SpilloverPolicy::Planner => "planner",
+            SpilloverPolicy::SpillAll => "everything",
+            SpilloverPolicy::NoSpillover => "stays",
+            SpilloverPolicy::HealthyShare => "healthy-share",
         }
     }
 
     /// The one of that name.
-    pub fn named(name: &str) -> Option<PolicyKind> {
-        PolicyKind::ALL.into_iter().find(|kind| kind.name() == name)
+    pub fn named(name: &str) -> Option<SpilloverPolicy> {
+        SpilloverPolicy::ALL.into_iter().find(|kind| kind.name() == name)
     }
 }
 
@@ -49,11 +53,11 @@
 const CHECKS_FAIL: Duration = Duration::from_secs(3);
 const CHECK_SUCCEEDS: Duration = Duration::from_secs(1);
 
-/// What active health checks would find: whether each address is up, and since when. Told by the world that knows.
+/// Event active health checks would find: whether each address is up, and since when. Told by the simulation that knows.
 #[derive(Clone, Debug, Default)]
-pub struct Checks(Arc<Mutex<BTreeMap<EndpointId, (bool, Time)>>>);
+pub struct HealthChecks(Arc<Mutex<BTreeMap<EndpointId, (bool, Time)>>>);
 
-impl Checks {
+impl HealthChecks {
     /// An address went down or came up.
     pub fn tell(&self, now: Time, endpoint: EndpointId, up: bool) {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(endpoint, (up, now));
@@ -83,15 +87,19 @@
 /// five failures in a row or three failed health checks, back with its first answer or successful check, and regains
 /// its weight evenly over a slow start.
 pub struct HealthyShare {
-    checks: Checks,
+    checks: HealthChecks,
     slow_start: Duration,
     health: BTreeMap<EndpointId, Health>,
-    banks: BTreeMap<DestinationId, Spread>,
+    destinations: BTreeMap<DestinationId, Spread>,
 }
 
 impl HealthyShare {
     /// For partners with the addresses of each of their tiers.
-    pub fn new(checks: Checks, slow_start: Duration, banks: Vec<(TierConfig, Vec<Vec<EndpointId>>)>) -> Self {
+    pub fn new(
+        checks: HealthChecks,
+        slow_start: Duration,
+        destinations: Vec<(TierConfig, Vec<Vec<EndpointId>>)>,
+    ) -> Self {
         let spread = |(tiers, addresses): (TierConfig, Vec<Vec<EndpointId>>)| {
             let name = *tiers.destinations.first()?;
             Some((name, Spread { tiers, addresses, credit: 0.0 }))
@@ -100,7 +108,7 @@
             checks,
             slow_start,
             health: BTreeMap::new(),
-            banks: banks.into_iter().filter_map(spread).collect(),
+            destinations: destinations.into_iter().filter_map(spread).collect(),
         }
     }
 
@@ -126,13 +134,13 @@
 
 impl FailoverPolicy for HealthyShare {
     fn select_tier(&mut self, now: Time, partner: DestinationId) -> DestinationId {
-        let Some(spread) = self.banks.get(&partner) else { return partner };
+        let Some(spread) = self.destinations.get(&partner) else { return partner };
         let health = |addresses: &Vec<EndpointId>| {
             let sum: f64 = addresses.iter().map(|endpoint| self.weight(now, *endpoint)).sum();
             (OVERPROVISIONING * sum / addresses.len().max(1) as f64).min(1.0)
         };
         let shares: Vec<f64> = spread.addresses.iter().map(health).collect();
-        let Some(spread) = self.banks.get_mut(&partner) else { return partner };
+        let Some(spread) = self.destinations.get_mut(&partner) else { return partner };
         // Each tier takes its share of what the tiers before it left; where all are sick, the first takes all.
         let last = spread.tiers.destinations.len() - 1;
         if shares.iter().sum::<f64>() <= 0.0 {
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -1,25 +1,24 @@
-//! Couriers and partners by the hundred in one process, on virtual time: the very engine, planner and module of the
-//! running courier against the stand-ins' model of a partner. Free of I/O, clock and ambient chance; one scenario,
-//! policy and seed give the same run to the byte.
+//! Discrete-event simulations of gateway instances and destinations in one process, on virtual time: the engine,
+//! failover planner and delivery policy of the gateway against the partner model of the test doubles. Free of I/O,
+//! clock and ambient randomness; a scenario, a policy and a seed always give the same run.
 #![forbid(unsafe_code)]
 
-mod baseline;
-mod record;
-mod scenario;
-mod spread;
-mod world;
+mod failover;
+mod load_balance;
 
-pub use baseline::{Checks, HealthyShare, PolicyKind};
-pub use record::{Audit, Handed, Message, Run, Second, Window};
-pub use scenario::{
-    read, Act, BankSpec, ClassSpec, RuleSpec, Scenario, ScenarioError, SiteSpec, TroubleSpec,
+pub use failover::record::{
+    FailoverRun, FailoverViolations, MessageHistory, RecoveryWindow, SecondTotals, Submission,
 };
-pub use spread::{
-    play_spread, read_spread, Choice, Drawn, EndpointAt, Limiter, Load, PartnerAt, PartnerSpec, Reached,
-    Scene, Sites, SpreadAudit, SpreadRun, StrikeKind, StrikeSpec, Traffic, Who, Wrong, SCENES,
+pub use failover::scenario::{
+    read_failover_scenario, ClassSpec, DestinationSpec, FailoverFault, FailoverFaultSpec, FailoverScenario,
+    RuleSpec, ScenarioError, SiteSpec,
+};
+pub use failover::simulation::simulate_failover;
+pub use failover::spillover_baseline::{HealthChecks, HealthyShare, SpilloverPolicy};
+pub use failover::FAILOVER_SCENARIOS;
+pub use load_balance::{
+    read_load_balance_scenario, simulate_load_balance, Arrival, ClientPolicy, EndpointFault,
+    EndpointResponse, EndpointSelection, Limiter, LoadBalanceFault, LoadBalanceFaultSpec, LoadBalanceRun,
+    LoadBalanceScenario, LoadBalanceViolations, LoadReport, PartnerSpec, SimulatedEndpoint, SimulatedPartner,
+    SimulatedPartners, Traffic, LOAD_BALANCE_SCENARIOS,
 };
-pub use world::play;
-
-/// Scenarios that come with the program, by name.
-pub const BUILT_IN: [(&str, &str); 2] =
-    [("surge", include_str!("../scenarios/surge.hcl")), ("many", include_str!("../scenarios/many.hcl"))];
--- a/crates/simulator/src/spread.rs
+++ b/crates/simulator/src/load_balance.rs
@@ -1,21 +1,25 @@
-//! Many couriers and many endpoints on a day of even load: thin and unequal traffic, limits that all share, endpoints of
-//! unequal pace, reports that come late. The engine and module of the running courier against published rules for the
+//! Many instances and many endpoints on a day of even load: thin and unequal traffic, limits that all share, endpoints of
+//! unequal pace, reports that come late. The engine and module of the running instance against published rules for the
 //! choice of an endpoint and for shared limits, as a record for the yardstick of `cloverstile-load-metrics`.
 
-mod plain;
+mod baseline_client;
+mod partners;
 mod scenario;
-mod site;
+mod simulation;
 mod traffic;
-mod world;
 
-pub use plain::{Choice, Limiter};
-pub use scenario::{read_spread, PartnerSpec, Scene, StrikeKind, StrikeSpec};
-pub use site::{EndpointAt, Load, PartnerAt, Reached, Sites, Wrong};
-pub use traffic::{Drawn, Traffic};
-pub use world::{play_spread, SpreadAudit, SpreadRun, Who};
+pub use baseline_client::{EndpointSelection, Limiter};
+pub use partners::{
+    EndpointFault, EndpointResponse, LoadReport, SimulatedEndpoint, SimulatedPartner, SimulatedPartners,
+};
+pub use scenario::{
+    read_load_balance_scenario, LoadBalanceFault, LoadBalanceFaultSpec, LoadBalanceScenario, PartnerSpec,
+};
+pub use simulation::{simulate_load_balance, ClientPolicy, LoadBalanceRun, LoadBalanceViolations};
+pub use traffic::{Arrival, Traffic};
 
 /// Scenes that come with the program, by name.
-pub const SCENES: [(&str, &str); 9] = [
+pub const LOAD_BALANCE_SCENARIOS: [(&str, &str); 9] = [
     ("calm", include_str!("../scenarios/spread/calm.hcl")),
     ("skew", include_str!("../scenarios/spread/skew.hcl")),
     ("still", include_str!("../scenarios/spread/still.hcl")),
--- a/crates/simulator/src/spread/plain.rs
+++ b/crates/simulator/src/load_balance/baseline_client.rs
@@ -1,8 +1,8 @@
-//! Other couriers, to compare the module with: each rule for the choice of an endpoint, and for a limit that all share,
-//! as it is published. A plain queue around them: oldest first, repeats after a full-jitter exponential gap. Not for
+//! Other instances, to compare the module with: each rule for the choice of an endpoint, and for a limit that all share,
+//! as it is published. A baseline queue around them: oldest first, repeats after a full-jitter exponential gap. Not for
 //! service.
 
-use super::site::Load;
+use super::partners::LoadReport;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -11,20 +11,20 @@
 
 /// How an endpoint is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Choice {
+pub enum EndpointSelection {
     /// By chance.
     Random,
-    /// In turn, all couriers from the same start.
+    /// In turn, all instances from the same start.
     RoundRobin,
     /// Fewest own calls out, the first listed of equals.
-    LeastOut,
+    LeastInFlight,
     /// Of two by chance the one with fewer own calls out.
     TwoChoices,
     /// Least in hand by the last report.
     LeastReported,
-    /// In turn within a deterministic subset of two: couriers in rounds, each round a shuffle that all compute alike.
+    /// In turn within a deterministic subset of two: instances in rounds, each round a shuffle that all compute alike.
     Subsets,
-    /// Two choices within a slice of a ring: of two endpoints' width, where the courier stands by its number.
+    /// Two choices within a slice of a ring: of two endpoints' width, where the instance stands by its number.
     Ring,
     /// By chance, weighted by served calls over calls in hand, as last reported.
     WeightedByReports,
@@ -32,59 +32,59 @@
     Probed,
 }
 
-impl Choice {
+impl EndpointSelection {
     /// All of them.
-    pub const ALL: [Choice; 9] = [
-        Choice::Random,
-        Choice::RoundRobin,
-        Choice::LeastOut,
-        Choice::TwoChoices,
-        Choice::LeastReported,
-        Choice::Subsets,
-        Choice::Ring,
-        Choice::WeightedByReports,
-        Choice::Probed,
+    pub const ALL: [EndpointSelection; 9] = [
+        EndpointSelection::Random,
+        EndpointSelection::RoundRobin,
+        EndpointSelection::LeastInFlight,
+        EndpointSelection::TwoChoices,
+        EndpointSelection::LeastReported,
+        EndpointSelection::Subsets,
+        EndpointSelection::Ring,
+        EndpointSelection::WeightedByReports,
+        EndpointSelection::Probed,
     ];
 
     /// The name that command lines use.
     pub fn name(self) -> &'static str {
         match self {
-            Choice::Random => "random",
-            Choice::RoundRobin => "round-robin",
-            Choice::LeastOut => "least-out",
-            Choice::TwoChoices => "two-choices",
-            Choice::LeastReported => "least-reported",
-            Choice::Subsets => "subsets",
-            Choice::Ring => "ring",
-            Choice::WeightedByReports => "weighted-by-reports",
-            Choice::Probed => "probed",
+            EndpointSelection::Random => "random",
+            EndpointSelection::RoundRobin => "round-robin",
+            EndpointSelection::LeastInFlight => "least-out",
+            EndpointSelection::TwoChoices => "two-choices",
+            EndpointSelection::LeastReported => "least-reported",
+            EndpointSelection::Subsets => "subsets",
+            EndpointSelection::Ring => "ring",
+            EndpointSelection::WeightedByReports => "weighted-by-reports",
+            EndpointSelection::Probed => "probed",
         }
     }
 }
 
-/// How a courier keeps to a limit that others share.
+/// How a instance keeps to a limit that others share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Limiter {
     /// Not at all.
     None,
     /// Additive increase, multiplicative decrease: a call a second more each second, half at a refusal.
     Aimd,
-    /// The told rate over the number of couriers.
-    Even,
+    /// The told rate over the number of instances.
+    FairShare,
     /// Adaptive throttling: refuses by itself with the chance `(asked - 2 accepted) / (asked + 1)`.
     Adaptive,
 }
 
 impl Limiter {
     /// All of them.
-    pub const ALL: [Limiter; 4] = [Limiter::None, Limiter::Aimd, Limiter::Even, Limiter::Adaptive];
+    pub const ALL: [Limiter; 4] = [Limiter::None, Limiter::Aimd, Limiter::FairShare, Limiter::Adaptive];
 
     /// The name that command lines use.
     pub fn name(self) -> &'static str {
         match self {
             Limiter::None => "none",
             Limiter::Aimd => "aimd",
-            Limiter::Even => "even",
+            Limiter::FairShare => "even",
             Limiter::Adaptive => "adaptive",
         }
     }
@@ -105,18 +105,18 @@
 /// One try lasts so long at most.
 const TRY: Duration = Duration::from_secs(2);
 
-/// What a courier is and what it knows from the start.
+/// Event a instance is and what it knows from the start.
 #[derive(Clone, Copy, Debug)]
 pub struct Nature {
     pub number: usize,
-    pub couriers: usize,
-    pub choice: Choice,
+    pub instances: usize,
+    pub choice: EndpointSelection,
     pub limiter: Limiter,
     pub slots: usize,
     pub held: usize,
 }
 
-/// What is to be done.
+/// Event is to be done.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Do {
     /// Send a message.
@@ -152,16 +152,16 @@
     wait: Duration,
 }
 
-/// What is known of an endpoint.
+/// Event is known of an endpoint.
 #[derive(Default)]
 struct Known {
     out: u32,
-    load: Load,
+    load: LoadReport,
     latency: f64,
 }
 
-/// A plain courier.
-pub struct Plain {
+/// A baseline instance.
+pub struct BaselineClient {
     nature: Nature,
     rng: ChaCha8Rng,
     partners: Vec<Partner>,
@@ -175,9 +175,9 @@
     first: usize,
 }
 
-impl Plain {
-    pub fn new(nature: Nature, seed: u64) -> Plain {
-        Plain {
+impl BaselineClient {
+    pub fn new(nature: Nature, seed: u64) -> BaselineClient {
+        BaselineClient {
             nature,
             rng: ChaCha8Rng::seed_from_u64(seed),
             partners: Vec::new(),
@@ -194,7 +194,7 @@
     /// The endpoints of each partner that take work, and the told limit of each partner.
     pub fn list(&mut self, lists: Vec<(Vec<usize>, Option<f64>)>) {
         self.partners.resize_with(lists.len(), Partner::default);
-        let even = 1.0 / self.nature.couriers.max(1) as f64;
+        let even = 1.0 / self.nature.instances.max(1) as f64;
         for (partner, (endpoints, rate)) in self.partners.iter_mut().zip(lists) {
             if partner.told_rate.is_none() {
                 // A call may go at once; a pace begins at the even part.
@@ -234,7 +234,7 @@
 
     /// A call ended: delivered, surely not run (with a wait, if one was told), or of unknown fate. True if that is the
     /// message's end.
-    pub fn ended(&mut self, now: Duration, message: u32, how: Ended, load: Option<Load>) -> bool {
+    pub fn ended(&mut self, now: Duration, message: u32, how: Ended, load: Option<LoadReport>) -> bool {
         let Some(waiting) = self.messages.get_mut(&message) else { return false };
         let Some((endpoint, sent)) = waiting.out.take() else { return false };
         self.out -= 1;
@@ -345,7 +345,7 @@
         match limiter {
             Limiter::None => Ok(()),
             _ if partner.told_rate.is_none() && limiter != Limiter::Adaptive => Ok(()),
-            Limiter::Aimd | Limiter::Even => {
+            Limiter::Aimd | Limiter::FairShare => {
                 if limiter == Limiter::Aimd {
                     partner.rate = (partner.rate + passed).min(partner.told_rate.unwrap_or(1e6));
                 }
@@ -372,7 +372,7 @@
     }
 
     fn choose(&mut self, now: Duration, place: usize, done: &mut Vec<Do>) -> Option<usize> {
-        let Plain { nature, rng, partners, known, pool, .. } = self;
+        let BaselineClient { nature, rng, partners, known, pool, .. } = self;
         let partner = &mut partners[place];
         let endpoints = &partner.endpoints;
         let count = endpoints.len();
@@ -380,7 +380,7 @@
             return None;
         }
         let out = |endpoint: usize| known.get(&endpoint).map_or(0, |known| known.out);
-        let load = |endpoint: usize| known.get(&endpoint).map_or(Load::default(), |known| known.load);
+        let load = |endpoint: usize| known.get(&endpoint).map_or(LoadReport::default(), |known| known.load);
         let two = |rng: &mut ChaCha8Rng, among: &[usize]| {
             let first = among[rng.random_range(0..among.len())];
             let second = among[rng.random_range(0..among.len())];
@@ -391,21 +391,21 @@
             }
         };
         Some(match nature.choice {
-            Choice::Random => endpoints[rng.random_range(0..count)],
-            Choice::RoundRobin => {
+            EndpointSelection::Random => endpoints[rng.random_range(0..count)],
+            EndpointSelection::RoundRobin => {
                 partner.turn += 1;
                 endpoints[(partner.turn - 1) % count]
             }
-            Choice::LeastOut => endpoints.iter().copied().min_by_key(|e| out(*e))?,
-            Choice::TwoChoices => two(rng, endpoints),
-            Choice::LeastReported => {
+            EndpointSelection::LeastInFlight => endpoints.iter().copied().min_by_key(|e| out(*e))?,
+            EndpointSelection::TwoChoices => two(rng, endpoints),
+            EndpointSelection::LeastReported => {
                 let least = endpoints.iter().map(|e| load(*e).in_hand).fold(f64::INFINITY, f64::min);
                 let equal: Vec<usize> =
                     endpoints.iter().copied().filter(|e| load(*e).in_hand <= least).collect();
                 equal[rng.random_range(0..equal.len())]
             }
-            Choice::Subsets => {
-                // So many couriers share out all endpoints; each such round is shuffled by its number.
+            EndpointSelection::Subsets => {
+                // So many instances share out all endpoints; each such round is shuffled by its number.
                 let parts = (count / SLICE).max(1);
                 let (round, part) = (nature.number / parts, nature.number % parts);
                 let mut order = endpoints.clone();
@@ -414,12 +414,12 @@
                 partner.turn += 1;
                 own[(partner.turn - 1) % own.len()]
             }
-            Choice::Ring => {
-                let start = nature.number * count / nature.couriers.max(1);
+            EndpointSelection::Ring => {
+                let start = nature.number * count / nature.instances.max(1);
                 let own: Vec<usize> = (0..SLICE.min(count)).map(|n| endpoints[(start + n) % count]).collect();
                 two(rng, &own)
             }
-            Choice::WeightedByReports => {
+            EndpointSelection::WeightedByReports => {
                 let weight = |e: &usize| {
                     let load = load(*e);
                     if load.served > 0.0 {
@@ -442,7 +442,7 @@
                 });
                 drawn.map_or(endpoints[count - 1], |(endpoint, _)| *endpoint)
             }
-            Choice::Probed => {
+            EndpointSelection::Probed => {
                 for _ in 0..PROBES {
                     done.push(Do::Probe { endpoint: endpoints[rng.random_range(0..count)] });
                 }
--- a/crates/simulator/src/spread/site.rs
+++ b/crates/simulator/src/load_balance/partners.rs
@@ -1,6 +1,6 @@
 //! Partners of a scene: endpoints with capacity of their own behind limits that are shared, or apart.
 
-use super::scenario::{PartnerSpec, Scene};
+use super::scenario::{LoadBalanceScenario, PartnerSpec};
 use cloverstile_fakes::limit::{AdvertisedLimit, SharedLimit};
 use cloverstile_fakes::model::{Fault, PartnerModel, Reply, ServerDecision};
 use cloverstile_load_metrics::{Endpoint, Outcome};
@@ -8,9 +8,9 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
-/// What an endpoint is told to do wrong.
+/// Event an endpoint is told to do wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Wrong {
+pub enum EndpointFault {
     /// Errors at once.
     Errors,
     /// Silence.
@@ -20,7 +20,7 @@
 }
 
 /// An endpoint.
-pub struct EndpointAt {
+pub struct SimulatedEndpoint {
     /// Its partner.
     pub partner: usize,
     /// Its pace.
@@ -37,12 +37,12 @@
     /// Calls in hand.
     pub in_hand: u32,
     served: u32,
-    report: (Duration, Load),
+    report: (Duration, LoadReport),
 }
 
 /// A report of load, some time old.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Load {
+pub struct LoadReport {
     /// Calls in hand.
     pub in_hand: f64,
     /// Calls served a second.
@@ -50,8 +50,8 @@
 }
 
 /// A partner.
-pub struct PartnerAt {
-    /// What it is like.
+pub struct SimulatedPartner {
+    /// Event it is like.
     pub spec: PartnerSpec,
     /// Places of its endpoints.
     pub endpoints: Vec<usize>,
@@ -61,8 +61,8 @@
     factor: f64,
 }
 
-impl PartnerAt {
-    /// Calls a second that it takes from all couriers together, where it has a limit.
+impl SimulatedPartner {
+    /// Calls a second that it takes from all instances together, where it has a limit.
     pub fn limit(&self) -> Option<f64> {
         (!self.limits.is_empty()).then(|| self.limits.iter().map(SharedLimit::rate).sum())
     }
@@ -76,7 +76,7 @@
     }
 }
 
-impl EndpointAt {
+impl SimulatedEndpoint {
     /// As the yardstick's record has it.
     pub fn entry(&self) -> Endpoint {
         Endpoint { partner: self.partner, weight: self.pace, from: self.from, until: self.until }
@@ -84,28 +84,28 @@
 }
 
 /// All partners.
-pub struct Sites {
+pub struct SimulatedPartners {
     /// By number.
-    pub partners: Vec<PartnerAt>,
+    pub partners: Vec<SimulatedPartner>,
     /// By place.
-    pub endpoints: Vec<EndpointAt>,
+    pub endpoints: Vec<SimulatedEndpoint>,
     report: Duration,
     still: bool,
-    /// What the list tells where a partner has no limit: calls a second that it can serve, by endpoint.
+    /// Event the list tells where a partner has no limit: calls a second that it can serve, by endpoint.
     able: Vec<f64>,
 }
 
-/// What became of a call that reached an endpoint.
-pub struct Reached {
-    /// What becomes of it.
+/// Event became of a call that reached an endpoint.
+pub struct EndpointResponse {
+    /// Event becomes of it.
     pub verdict: ServerDecision,
-    /// What the answer tells of the limit.
+    /// Event the answer tells of the limit.
     pub told: Option<AdvertisedLimit>,
-    /// What it tells of the load.
-    pub load: Load,
+    /// Event it tells of the load.
+    pub load: LoadReport,
 }
 
-impl Reached {
+impl EndpointResponse {
     /// How the call ends, as the endpoint sees it.
     pub fn outcome(&self) -> Outcome {
         match self.verdict.reply {
@@ -116,17 +116,22 @@
     }
 }
 
-impl Sites {
+impl SimulatedPartners {
     /// All partners of a scene.
-    pub fn new(scene: &Scene, rng: &mut ChaCha8Rng) -> Sites {
+    pub fn new(scene: &LoadBalanceScenario, rng: &mut ChaCha8Rng) -> SimulatedPartners {
         let report = Duration::from_secs_f64(scene.report_ms / 1e3);
-        let mut sites =
-            Sites { partners: Vec::new(), endpoints: Vec::new(), report, still: false, able: Vec::new() };
+        let mut sites = SimulatedPartners {
+            partners: Vec::new(),
+            endpoints: Vec::new(),
+            report,
+            still: false,
+            able: Vec::new(),
+        };
         for spec in scene.partner.values() {
             for _ in 0..spec.copies {
                 let number = sites.partners.len();
                 let (endpoints, limits) = (Vec::new(), Vec::new());
-                let partner = PartnerAt { spec: spec.clone(), endpoints, limits, factor: 1.0 };
+                let partner = SimulatedPartner { spec: spec.clone(), endpoints, limits, factor: 1.0 };
                 sites.partners.push(partner);
                 for _ in 0..spec.endpoints {
                     let [least, most] = spec.pace;
@@ -152,7 +157,7 @@
     /// One more endpoint of a partner; returns its place.
     pub fn add(
         &mut self,
-        scene: &Scene,
+        scene: &LoadBalanceScenario,
         partner: usize,
         pace: f64,
         now: Duration,
@@ -163,12 +168,12 @@
         self.able.push(nature.capacity() * spec.endpoints as f64);
         let mut model = PartnerModel::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
         if now > Duration::ZERO {
-            // What is new is cold, as one is that comes back.
+            // Event is new is cold, as one is that comes back.
             model.begin_fault(Fault::RefuseConnections, now);
             model.end_fault(now);
         }
         let place = self.endpoints.len();
-        self.endpoints.push(EndpointAt {
+        self.endpoints.push(SimulatedEndpoint {
             partner,
             pace,
             model,
@@ -178,7 +183,7 @@
             errors: false,
             in_hand: 0,
             served: 0,
-            report: (now, Load::default()),
+            report: (now, LoadReport::default()),
         });
         let partner = &mut self.partners[partner];
         partner.endpoints.push(place);
@@ -201,7 +206,7 @@
         }
     }
 
-    /// What the list tells of an endpoint: calls a second of its limit, or of its partner's; without a limit, what its
+    /// Event the list tells of an endpoint: calls a second of its limit, or of its partner's; without a limit, what its
     /// partner can serve.
     pub fn told_weight(&mut self, endpoint: usize) -> f64 {
         let able = self.able[endpoint];
@@ -224,20 +229,20 @@
         there.into_iter().take(count).collect()
     }
 
-    /// What an endpoint tells of its load now.
-    pub fn load(&mut self, now: Duration, endpoint: usize) -> Load {
+    /// Event an endpoint tells of its load now.
+    pub fn load(&mut self, now: Duration, endpoint: usize) -> LoadReport {
         let (report, still) = (self.report, self.still);
         let at = &mut self.endpoints[endpoint];
         let age = now.saturating_sub(at.report.0);
         if age >= report && !still {
             let served = f64::from(std::mem::take(&mut at.served)) / age.as_secs_f64().max(1e-3);
-            at.report = (now, Load { in_hand: f64::from(at.in_hand), served });
+            at.report = (now, LoadReport { in_hand: f64::from(at.in_hand), served });
         }
         at.report.1
     }
 
-    /// A call has come whole. An answer at a known time has to be told to [`Sites::answered`] then.
-    pub fn reach(&mut self, now: Duration, endpoint: usize, id: &str) -> Reached {
+    /// A call has come whole. An answer at a known time has to be told to [`SimulatedPartners::answered`] then.
+    pub fn reach(&mut self, now: Duration, endpoint: usize, id: &str) -> EndpointResponse {
         let at_once = |reply| ServerDecision { respond_at: Some(now), reply, takes_effect: false };
         let tells = self.partners[self.endpoints[endpoint].partner].spec.tells_wait;
         let silent = self.partners[self.endpoints[endpoint].partner].spec.silent;
@@ -254,7 +259,7 @@
         if verdict.respond_at.is_some_and(|at| at > now) {
             self.endpoints[endpoint].in_hand += 1;
         }
-        Reached { verdict, told: told.filter(|_| !silent), load: self.load(now, endpoint) }
+        EndpointResponse { verdict, told: told.filter(|_| !silent), load: self.load(now, endpoint) }
     }
 
     /// The answer of a call that took a while has left.
@@ -265,12 +270,12 @@
     }
 
     /// An endpoint does something wrong, or no longer.
-    pub fn wrong(&mut self, now: Duration, endpoint: usize, wrong: Wrong, begins: bool) {
+    pub fn wrong(&mut self, now: Duration, endpoint: usize, wrong: EndpointFault, begins: bool) {
         let at = &mut self.endpoints[endpoint];
         match (wrong, begins) {
-            (Wrong::Errors, begins) => at.errors = begins,
-            (Wrong::Silent, true) => at.model.begin_fault(Fault::Silent, Duration::MAX),
-            (Wrong::Slow, true) => at.model.begin_fault(Fault::Slow(3.0), Duration::MAX),
+            (EndpointFault::Errors, begins) => at.errors = begins,
+            (EndpointFault::Silent, true) => at.model.begin_fault(Fault::Silent, Duration::MAX),
+            (EndpointFault::Slow, true) => at.model.begin_fault(Fault::Slow(3.0), Duration::MAX),
             (_, false) => at.model.end_fault(now),
         }
     }
--- a/crates/simulator/src/spread/scenario.rs
+++ b/crates/simulator/src/load_balance/scenario.rs
@@ -1,6 +1,6 @@
 //! Scenes of even load: HCL in. Times are in seconds, rates in a second.
 
-use crate::scenario::{ClassSpec, RuleSpec, ScenarioError};
+use crate::failover::scenario::{ClassSpec, RuleSpec, ScenarioError};
 use cloverstile::{Class, Effect, Group, Rules};
 use cloverstile_fakes::limit::{LimitKind, LimitSettings};
 use cloverstile_fakes::model::ServerProfile;
@@ -11,28 +11,29 @@
 /// A scene.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Scene {
+pub struct LoadBalanceScenario {
     /// Gateways.
-    pub couriers: usize,
-    /// Messages are handed in for so long; what is left is answered afterwards.
+    #[serde(rename = "couriers")]
+    pub instances: usize,
+    /// Messages are submitted for so long; what is left is answered afterwards.
     pub seconds: f64,
     /// Messages a second from all clients together.
     pub rate: f64,
-    /// Unevenness of the couriers' load: courier n gets a part that goes by `1 / (n + 1) ^ skew`.
+    /// Unevenness of the instances' load: instance n gets a part that goes by `1 / (n + 1) ^ skew`.
     #[serde(default)]
     pub skew: f64,
-    /// Share of all messages that the first courier gets beside its part.
+    /// Share of all messages that the first instance gets beside its part.
     #[serde(default)]
     pub hot: f64,
-    /// Calls out at once from a courier.
+    /// Calls out at once from a instance.
     #[serde(default = "call_slots")]
     pub call_slots: usize,
-    /// Messages that a courier holds.
+    /// Messages that a instance holds.
     #[serde(default = "most_held")]
     pub most_held: usize,
-    /// Least time on the way between courier and endpoint, and the mean of what chance adds, in milliseconds.
-    #[serde(default = "way")]
-    pub way_ms: [f64; 2],
+    /// Least time on the way between instance and endpoint, and the mean of what chance adds, in milliseconds.
+    #[serde(default = "network_delay_ms", rename = "way_ms")]
+    pub network_delay_ms: [f64; 2],
     /// A new connection takes so much longer, in milliseconds.
     #[serde(default = "connect")]
     pub connect_ms: f64,
@@ -49,9 +50,10 @@
     pub class: BTreeMap<String, ClassSpec>,
     /// Partner blocks, by name.
     pub partner: BTreeMap<String, PartnerSpec>,
-    /// What goes wrong, by a name for people.
+    /// Event goes wrong, by a name for people.
     #[serde(default)]
-    pub trouble: BTreeMap<String, StrikeSpec>,
+    #[serde(rename = "trouble")]
+    pub faults: BTreeMap<String, LoadBalanceFaultSpec>,
     /// Figures of the rules.
     #[serde(default)]
     pub rules: RuleSpec,
@@ -65,7 +67,7 @@
     24
 }
 
-fn way() -> [f64; 2] {
+fn network_delay_ms() -> [f64; 2] {
     [0.4, 0.4]
 }
 
@@ -111,10 +113,10 @@
     /// Least time of a call and the mean of what chance adds, in milliseconds.
     #[serde(default = "service")]
     pub service_ms: [f64; 2],
-    /// Calls a second that it takes from all couriers together (where apart, all endpoints together).
+    /// Calls a second that it takes from all instances together (where apart, all endpoints together).
     #[serde(default)]
     pub limit: Option<f64>,
-    /// The limit is a count in each span of so many seconds; left out, a plain rate.
+    /// The limit is a count in each span of so many seconds; left out, a baseline rate.
     #[serde(default)]
     pub span: Option<f64>,
     /// Refused calls use the limit up.
@@ -151,18 +153,18 @@
 /// Something that goes wrong.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct StrikeSpec {
+pub struct LoadBalanceFaultSpec {
     /// `burst`, `limit`, `errors`, `silent`, `slow`, `slow-for`, `still`, `replace` or `restart`.
     pub kind: String,
     /// When it begins.
     pub at: f64,
-    /// How long it lasts; of `replace`, how far the couriers' hearing of it is spread.
+    /// How long it lasts; of `replace`, how far the instances' hearing of it is spread.
     #[serde(default = "one")]
     pub lasts: f64,
-    /// Partners struck; all copies together. None: all.
+    /// Partners affected_partners; all copies together. None: all.
     #[serde(default)]
     pub partner: Option<String>,
-    /// A factor, or a share of the endpoints or couriers.
+    /// A factor, or a share of the endpoints or instances.
     #[serde(default = "one")]
     pub size: f64,
 }
@@ -171,9 +173,9 @@
     1.0
 }
 
-/// What a trouble does.
+/// Event a trouble does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum StrikeKind {
+pub enum LoadBalanceFault {
     /// Traffic of all, or for one partner, is multiplied.
     Burst,
     /// Limits are multiplied.
@@ -184,37 +186,38 @@
     Silent,
     /// This share takes three times as long.
     Slow,
-    /// The first endpoint of each partner is reached half a second later by this share of the couriers.
+    /// The first endpoint of each partner is reached half a second later by this share of the instances.
     SlowFor,
     /// Reports of load and limits stand still.
     Still,
     /// This share is replaced by cold ones.
     Replace,
-    /// This share of the couriers is lost and starts again.
+    /// This share of the instances is lost and starts again.
     Restart,
 }
 
-impl StrikeSpec {
-    /// What it does; none if the kind is not known.
-    pub fn act(&self) -> Option<StrikeKind> {
+impl LoadBalanceFaultSpec {
+    /// Event it does; none if the kind is not known.
+    pub fn fault_kind(&self) -> Option<LoadBalanceFault> {
         Some(match self.kind.as_str() {
-            "burst" => StrikeKind::Burst,
-            "limit" => StrikeKind::Limit,
-            "errors" => StrikeKind::Errors,
-            "silent" => StrikeKind::Silent,
-            "slow" => StrikeKind::Slow,
-            "slow-for" => StrikeKind::SlowFor,
-            "still" => StrikeKind::Still,
-            "replace" => StrikeKind::Replace,
-            "restart" => StrikeKind::Restart,
+            "burst" => LoadBalanceFault::Burst,
+            "limit" => LoadBalanceFault::Limit,
+            "errors" => LoadBalanceFault::Errors,
+            "silent" => LoadBalanceFault::Silent,
+            "slow" => LoadBalanceFault::Slow,
+            "slow-for" => LoadBalanceFault::SlowFor,
+            "still" => LoadBalanceFault::Still,
+            "replace" => LoadBalanceFault::Replace,
+            "restart" => LoadBalanceFault::Restart,
             _ => return None,
         })
     }
 }
 
 /// Reads a scene and checks it.
-pub fn read_spread(text: &str) -> Result<Scene, ScenarioError> {
-    let scene: Scene = hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
+pub fn read_load_balance_scenario(text: &str) -> Result<LoadBalanceScenario, ScenarioError> {
+    let scene: LoadBalanceScenario =
+        hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
     scene.check()?;
     Ok(scene)
 }
@@ -223,7 +226,7 @@
     Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
 }
 
-impl Scene {
+impl LoadBalanceScenario {
     /// Whether it can be played; also for scenes that a program put together.
     pub fn check(&self) -> Result<(), ScenarioError> {
         let wrong = |block: &'static str, name: &str, what: &str| ScenarioError::Block {
@@ -236,8 +239,8 @@
                 return Err(ScenarioError::Read(format!("{name} must be above zero")));
             }
         }
-        if self.couriers == 0 || self.class.is_empty() || self.partner.is_empty() {
-            return Err(ScenarioError::Read("there must be a courier, a class and a partner".into()));
+        if self.instances == 0 || self.class.is_empty() || self.partner.is_empty() {
+            return Err(ScenarioError::Read("there must be an instance, a class and a partner".into()));
         }
         if !(0.0..1.0).contains(&self.hot) {
             return Err(ScenarioError::Read("hot must be from 0 to below 1".into()));
@@ -262,21 +265,21 @@
                 return Err(wrong("partner", name, "limit must be above zero, and be there where apart"));
             }
         }
-        for (name, trouble) in &self.trouble {
-            if trouble.act().is_none() {
+        for (name, fault) in &self.faults {
+            if fault.fault_kind().is_none() {
                 return Err(wrong("trouble", name, "this kind is not known"));
             }
-            if trouble.partner.as_ref().is_some_and(|partner| !self.partner.contains_key(partner)) {
+            if fault.partner.as_ref().is_some_and(|partner| !self.partner.contains_key(partner)) {
                 return Err(wrong("trouble", name, "there is no such partner"));
             }
         }
         Ok(())
     }
 
-    /// The same scene with another number of couriers, each with the same load: traffic and limits go with them.
-    pub fn scaled(mut self, couriers: usize) -> Scene {
-        let factor = couriers as f64 / self.couriers.max(1) as f64;
-        self.couriers = couriers;
+    /// The same scene with another number of instances, each with the same load: traffic and limits go with them.
+    pub fn scaled(mut self, instances: usize) -> LoadBalanceScenario {
+        let factor = instances as f64 / self.instances.max(1) as f64;
+        self.instances = instances;
         self.rate *= factor;
         for partner in self.partner.values_mut() {
             partner.limit = partner.limit.map(|limit| limit * factor);
@@ -291,26 +294,26 @@
         self.partner.values().flat_map(shares).collect()
     }
 
-    /// Part of each courier in the messages.
-    pub fn courier_loads(&self) -> Vec<f64> {
-        let loads: Vec<f64> = (0..self.couriers).map(|n| ((n + 1) as f64).powf(-self.skew)).collect();
+    /// Part of each instance in the messages.
+    pub fn instance_loads(&self) -> Vec<f64> {
+        let loads: Vec<f64> = (0..self.instances).map(|n| ((n + 1) as f64).powf(-self.skew)).collect();
         let all: f64 = loads.iter().sum();
         let own =
             |(n, load): (usize, &f64)| load / all * (1.0 - self.hot) + if n == 0 { self.hot } else { 0.0 };
         loads.iter().enumerate().map(own).collect()
     }
 
-    /// Numbers of the partners that a trouble strikes.
-    pub fn struck(&self, spec: &StrikeSpec) -> Vec<usize> {
+    /// Numbers of the partners that a trouble scheduled_faults.
+    pub fn affected_partners(&self, spec: &LoadBalanceFaultSpec) -> Vec<usize> {
         let mut first = 0;
-        let mut struck = Vec::new();
+        let mut affected_partners = Vec::new();
         for (name, partner) in &self.partner {
             if spec.partner.as_ref().is_none_or(|wanted| wanted == name) {
-                struck.extend(first..first + partner.copies);
+                affected_partners.extend(first..first + partner.copies);
             }
             first += partner.copies;
         }
-        struck
+        affected_partners
     }
 
     /// The classes as the module wants them, in the order of their names.
@@ -332,7 +335,7 @@
         self.class.values().map(class).collect()
     }
 
-    /// What the couriers are told of the rules.
+    /// Event the instances are told of the rules.
     pub fn rules(&self) -> Rules {
         let rules = &self.rules;
         Rules {
@@ -346,7 +349,7 @@
         }
     }
 
-    /// What an endpoint of this pace is like; its partner's limit is not its own.
+    /// Event an endpoint of this pace is like; its partner's limit is not its own.
     pub fn nature(&self, partner: &PartnerSpec, pace: f64) -> ServerProfile {
         let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
         ServerProfile {
@@ -362,7 +365,7 @@
         }
     }
 
-    /// What a limit of so many calls a second is like at a partner.
+    /// Event a limit of so many calls a second is like at a partner.
     pub fn terms(&self, partner: &PartnerSpec, rate: f64) -> LimitSettings {
         LimitSettings {
             rate,
--- a/crates/simulator/src/spread/world/couriers.rs
+++ b/crates/simulator/src/load_balance/simulation/gateways.rs
@@ -1,17 +1,17 @@
-//! Couriers of a run: what they are handed, what they do, what they hear and how they are lost.
+//! Gateway instances of a run: what they are handed, what they do, what they hear and how they are lost.
 
-use super::super::plain::Nature;
+use super::super::baseline_client::Nature;
 use super::*;
 use cloverstile::{ClassId, DestinationId, EndpointState, KindId, TenantId, ZoneId};
 use cloverstile_engine::{Admission, Command, FinalOutcome, ResultCacheLimits, SubmitRequest};
 
-/// Share of the couriers' tries that a deadline leaves: attempts for a message.
+/// Share of the instances' tries that a deadline leaves: attempts for a message.
 const SEND_CAP: u32 = 8;
 
-/// What a module is handed at its start.
-pub(super) fn settings(scene: &Scene) -> Settings {
+/// Event a module is handed at its start.
+pub(super) fn settings(scene: &LoadBalanceScenario) -> Settings {
     Settings {
-        instance_count: scene.couriers as u32,
+        instance_count: scene.instances as u32,
         classes: scene.classes(),
         kinds: [false, true]
             .map(|own_limits| cloverstile::Kind { max_batch: 1, per_endpoint_limits: own_limits })
@@ -26,27 +26,27 @@
     }
 }
 
-impl World<'_> {
-    pub(super) fn seat(&mut self, courier: usize, seed: u64) -> Seat {
-        let mind = match self.who {
-            Who::Module => {
+impl Simulation<'_> {
+    pub(super) fn gateway(&mut self, instance: usize, seed: u64) -> Gateway {
+        let client = match self.who {
+            ClientPolicy::Delivery => {
                 let bounds = ResultCacheLimits { max_results: 1000, retention: Duration::from_secs(2) };
-                Mind::Module(Box::new(Engine::new(self.settings.clone(), bounds, seed)))
+                Client::Module(Box::new(Engine::new(self.settings.clone(), bounds, seed)))
             }
-            Who::Plain(choice, limiter) => {
+            ClientPolicy::Baseline(choice, limiter) => {
                 let nature = Nature {
-                    number: courier,
-                    couriers: self.scene.couriers,
+                    number: instance,
+                    instances: self.scene.instances,
                     choice,
                     limiter,
                     slots: self.scene.call_slots,
                     held: self.scene.most_held,
                 };
-                Mind::Plain(Box::new(Plain::new(nature, seed)))
+                Client::BaselineClient(Box::new(BaselineClient::new(nature, seed)))
             }
         };
-        let mut seat = Seat {
-            mind,
+        let mut gateway = Gateway {
+            client,
             epoch: 0,
             wake: None,
             waits: HashMap::new(),
@@ -56,16 +56,16 @@
             hears: 0,
             down: false,
         };
-        self.tell_list(&mut seat);
-        seat
+        self.tell_list(&mut gateway);
+        gateway
     }
 
-    /// Tells a courier of the list as it is now.
-    fn tell_list(&mut self, seat: &mut Seat) {
-        seat.hears = self.news.len();
+    /// Tells a instance of the list as it is now.
+    fn tell_list(&mut self, gateway: &mut Gateway) {
+        gateway.hears = self.news.len();
         let replaced: Vec<usize> = self.news.iter().map(|news| news.gone).collect();
-        match &mut seat.mind {
-            Mind::Module(engine) => {
+        match &mut gateway.client {
+            Client::Module(engine) => {
                 let entries = (0..self.sites.endpoints.len()).map(|place| {
                     let partner = self.sites.endpoints[place].partner;
                     let apart = self.sites.partners[partner].spec.apart;
@@ -86,39 +86,39 @@
                 let entries: Vec<_> = entries.collect();
                 engine.update_endpoints(time(self.now), entries);
             }
-            Mind::Plain(plain) => {
+            Client::BaselineClient(baseline) => {
                 let list = (0..self.sites.partners.len()).map(|partner| {
                     let of = &self.sites.partners[partner];
                     let there = of.endpoints.iter().copied().filter(|e| !replaced.contains(e)).collect();
                     (there, of.limit())
                 });
-                plain.list(list.collect());
+                baseline.list(list.collect());
             }
         }
     }
 
-    pub(super) fn hear(&mut self, courier: u32) {
-        if self.seats[courier as usize].down {
+    pub(super) fn hear(&mut self, instance: u32) {
+        if self.gateways[instance as usize].down {
             return;
         }
-        let mut seat = std::mem::replace(&mut self.seats[courier as usize], Seat::nobody());
-        self.tell_list(&mut seat);
-        self.seats[courier as usize] = seat;
-        self.turn(courier);
+        let mut gateway = std::mem::replace(&mut self.gateways[instance as usize], Gateway::placeholder());
+        self.tell_list(&mut gateway);
+        self.gateways[instance as usize] = gateway;
+        self.advance(instance);
     }
 
-    pub(super) fn hand_in(&mut self, courier: u32, number: u32, after_loss: bool) {
+    pub(super) fn submit(&mut self, instance: u32, number: u32, after_loss: bool) {
         let now = self.now;
         let (partner, class, deadline) = {
             let message = &self.messages[number as usize];
             (message.partner, message.class, message.deadline)
         };
-        if self.seats[courier as usize].down {
-            return self.give_answer(number, 1);
+        if self.gateways[instance as usize].down {
+            return self.complete(number, 1);
         }
-        let seat = &mut self.seats[courier as usize];
-        let taken = match &mut seat.mind {
-            Mind::Module(engine) => {
+        let gateway = &mut self.gateways[instance as usize];
+        let taken = match &mut gateway.client {
+            Client::Module(engine) => {
                 let taken = SubmitRequest {
                     client: 0,
                     idempotency_key: number.to_string(),
@@ -133,142 +133,142 @@
                 };
                 match engine.submit(time(now), taken) {
                     Admission::New(id) | Admission::InFlight(id) => {
-                        seat.held.insert(id, number);
+                        gateway.held.insert(id, number);
                         true
                     }
                     _ => false,
                 }
             }
-            Mind::Plain(plain) => {
+            Client::BaselineClient(baseline) => {
                 let repeatable = self.settings.classes[class].effect != Effect::Unsafe;
-                plain.take(number, partner, deadline, repeatable)
+                baseline.take(number, partner, deadline, repeatable)
             }
         };
         if !taken {
-            return self.give_answer(number, 1);
+            return self.complete(number, 1);
         }
-        seat.holds.push(number);
+        gateway.holds.push(number);
         self.messages[number as usize].waits = Some(now);
-        self.turn(courier);
+        self.advance(instance);
     }
 
-    pub(super) fn turn(&mut self, courier: u32) {
+    pub(super) fn advance(&mut self, instance: u32) {
         self.run.turns += 1;
         let now = self.now;
-        let next = match &mut self.seats[courier as usize].mind {
-            Mind::Module(engine) => {
+        let next = match &mut self.gateways[instance as usize].client {
+            Client::Module(engine) => {
                 let commands = engine.advance(time(now));
                 for command in commands {
-                    self.carry_out(courier, command);
+                    self.execute(instance, command);
                 }
-                match &self.seats[courier as usize].mind {
-                    Mind::Module(engine) => engine.next_timeout().map(|at| (at - Time::ZERO).max(now)),
-                    Mind::Plain(_) => None,
+                match &self.gateways[instance as usize].client {
+                    Client::Module(engine) => engine.next_timeout().map(|at| (at - Time::ZERO).max(now)),
+                    Client::BaselineClient(_) => None,
                 }
             }
-            Mind::Plain(plain) => {
-                let (done, next) = plain.advance(now);
+            Client::BaselineClient(baseline) => {
+                let (done, next) = baseline.advance(now);
                 for one in done {
                     match one {
-                        Do::Send { message, endpoint } => self.send(courier, endpoint, message, None),
+                        Do::Send { message, endpoint } => self.send(instance, endpoint, message, None),
                         Do::Probe { endpoint } => {
                             self.run.probes += 1;
-                            let (there, back) = (self.way(), self.way());
-                            let epoch = self.seats[courier as usize].epoch;
-                            self.enter(now + there + back, What::Probed { courier, epoch, endpoint });
+                            let (there, back) = (self.network_delay(), self.network_delay());
+                            let epoch = self.gateways[instance as usize].epoch;
+                            self.schedule(now + there + back, Event::Probed { instance, epoch, endpoint });
                         }
                         Do::GiveUp { message, may_have_run } => {
-                            self.let_go(courier, message);
-                            self.give_answer(message, 1 + usize::from(may_have_run));
+                            self.let_go(instance, message);
+                            self.complete(message, 1 + usize::from(may_have_run));
                         }
                     }
                 }
                 next.map(|at| at.max(now + Duration::from_micros(1)))
             }
         };
-        let seat = &mut self.seats[courier as usize];
-        if let Some(next) = next.filter(|next| seat.wake.is_none_or(|set| *next < set || set <= now)) {
-            seat.wake = Some(next);
-            self.enter(next, What::Wake { courier });
+        let gateway = &mut self.gateways[instance as usize];
+        if let Some(next) = next.filter(|next| gateway.wake.is_none_or(|set| *next < set || set <= now)) {
+            gateway.wake = Some(next);
+            self.schedule(next, Event::Wake { instance });
         }
     }
 
-    fn let_go(&mut self, courier: u32, number: u32) {
-        self.seats[courier as usize].holds.retain(|other| *other != number);
+    fn let_go(&mut self, instance: u32, number: u32) {
+        self.gateways[instance as usize].holds.retain(|other| *other != number);
     }
 
-    fn carry_out(&mut self, courier: u32, command: Command) {
+    fn execute(&mut self, instance: u32, command: Command) {
         match command {
             Command::Send { endpoint, attempts } => {
                 for attempt in attempts {
-                    let held = self.seats[courier as usize].held.get(&attempt.message).copied();
+                    let held = self.gateways[instance as usize].held.get(&attempt.message).copied();
                     if let Some(number) = held {
-                        self.send(courier, endpoint.0 as usize, number, Some(attempt));
+                        self.send(instance, endpoint.0 as usize, number, Some(attempt));
                     }
                 }
             }
             Command::Abandon { attempt, .. } => {
                 // Its message waits again, if it is not over.
-                let held = self.seats[courier as usize].held.get(&attempt.message).copied();
+                let held = self.gateways[instance as usize].held.get(&attempt.message).copied();
                 if let Some(number) = held.filter(|number| !self.messages[*number as usize].answered) {
                     self.messages[number as usize].waits.get_or_insert(self.now);
                 }
             }
             Command::Complete { message, outcome: answer, .. } => {
-                if let Some(number) = self.seats[courier as usize].held.get(&message).copied() {
-                    self.let_go(courier, number);
+                if let Some(number) = self.gateways[instance as usize].held.get(&message).copied() {
+                    self.let_go(instance, number);
                     let place = match answer {
                         FinalOutcome::Delivered => 0,
                         FinalOutcome::Rejected(_) => 1,
                         _ => 2,
                     };
-                    self.give_answer(number, place);
+                    self.complete(number, place);
                 }
             }
             Command::Evicted { message } => {
-                self.seats[courier as usize].held.remove(&message);
+                self.gateways[instance as usize].held.remove(&message);
             }
             Command::CloseIdle { endpoint } => {
-                self.seats[courier as usize].idle.remove(&(endpoint.0 as usize));
+                self.gateways[instance as usize].idle.remove(&(endpoint.0 as usize));
             }
             Command::LateReceipt { .. } | Command::Probe { .. } | Command::Log { .. } => {}
         }
     }
 
-    fn send(&mut self, courier: u32, endpoint: usize, number: u32, attempt: Option<Attempt>) {
+    fn send(&mut self, instance: u32, endpoint: usize, number: u32, attempt: Option<Attempt>) {
         let now = self.now;
         self.stop_waiting(number);
         self.messages[number as usize].may_have_run = true;
         let partner = self.sites.endpoints[endpoint].partner;
         let apart = self.sites.partners[partner].spec.apart.then_some(endpoint);
         let grace = Duration::from_secs_f64(self.scene.rules.drain_grace);
-        let seat = &mut self.seats[courier as usize];
-        if seat.waits.get(&(partner, apart)).is_some_and(|until| now < *until) {
-            self.run.audit.waits_broken += 1;
+        let gateway = &mut self.gateways[instance as usize];
+        if gateway.waits.get(&(partner, apart)).is_some_and(|until| now < *until) {
+            self.run.violations.waits_broken += 1;
         }
-        let known_gone = self.news[..seat.hears].iter().find(|news| news.gone == endpoint);
+        let known_gone = self.news[..gateway.hears].iter().find(|news| news.gone == endpoint);
         // Counted from the latest moment at which it can have heard of it.
         if known_gone.is_some_and(|news| now > news.at + NEWS.max(grace) + grace) {
-            self.run.audit.after_drain += 1;
+            self.run.violations.after_drain += 1;
         }
-        let idle = seat.idle.entry(endpoint).or_default();
+        let idle = gateway.idle.entry(endpoint).or_default();
         let fresh = Duration::from_secs_f64(self.scene.conn_idle);
         idle.retain(|since| now - *since < fresh);
         let connected = idle.pop().is_some();
-        let epoch = seat.epoch;
-        let mut at = now + self.way();
+        let epoch = gateway.epoch;
+        let mut at = now + self.network_delay();
         if !connected {
             self.run.record.connections += 1;
             at += Duration::from_secs_f64(self.scene.connect_ms / 1e3);
         }
-        // `slow-for`: the first endpoint of each partner, for the first couriers.
+        // `slow-for`: the first endpoint of each partner, for the first instances.
         let first = self.sites.partners[partner].endpoints.first() == Some(&endpoint);
-        if first && self.far.is_some_and(|count| (courier as usize) < count) {
+        if first && self.far.is_some_and(|count| (instance as usize) < count) {
             at += FAR;
         }
         let call = self.calls.len();
         self.calls.push(CallAt {
-            courier,
+            instance,
             epoch,
             endpoint,
             message: number,
@@ -276,32 +276,32 @@
             reply: Reply::Reset,
             refused_connection: false,
             told: None,
-            load: Load::default(),
+            load: LoadReport::default(),
         });
-        self.enter(at, What::Reach { call });
+        self.schedule(at, Event::Reach { call });
     }
 
     pub(super) fn answer(&mut self, call: usize) {
         let now = self.now;
         let at = &self.calls[call];
-        let (courier, endpoint, number) = (at.courier, at.endpoint, at.message);
+        let (instance, endpoint, number) = (at.instance, at.endpoint, at.message);
         let partner = self.sites.endpoints[endpoint].partner;
         let apart = self.sites.partners[partner].spec.apart.then_some(endpoint);
         let (reply, load) = (at.reply, at.load);
-        let seat = &mut self.seats[courier as usize];
-        if seat.epoch != at.epoch || seat.down {
+        let gateway = &mut self.gateways[instance as usize];
+        if gateway.epoch != at.epoch || gateway.down {
             return;
         }
         if !at.refused_connection {
-            seat.idle.entry(endpoint).or_default().push(now);
+            gateway.idle.entry(endpoint).or_default().push(now);
         }
         if let Reply::Rejected(Some(wait)) = reply {
-            let until = seat.waits.entry((partner, apart)).or_default();
+            let until = gateway.waits.entry((partner, apart)).or_default();
             *until = (*until).max(now + wait);
         }
         let mut over = false;
-        match &mut seat.mind {
-            Mind::Module(engine) => {
+        match &mut gateway.client {
+            Client::Module(engine) => {
                 let reported = match reply {
                     _ if at.refused_connection => TransportOutcome::ConnectFailed,
                     Reply::Processed => TransportOutcome::Processed,
@@ -315,39 +315,39 @@
                     engine.on_attempt_completed(time(now), attempt, reported, allowance);
                 }
             }
-            Mind::Plain(plain) => {
+            Client::BaselineClient(baseline) => {
                 let how = match reply {
                     _ if at.refused_connection => Ended::Refused(None),
                     Reply::Processed => Ended::Delivered,
                     Reply::Rejected(wait) => Ended::Refused(wait),
                     Reply::Error | Reply::Truncated | Reply::Reset => Ended::Unknown,
                 };
-                over = plain.ended(now, number, how, Some(load));
+                over = baseline.ended(now, number, how, Some(load));
             }
         }
         if over {
-            self.let_go(courier, number);
-            self.give_answer(number, 0);
+            self.let_go(instance, number);
+            self.complete(number, 0);
         } else if !self.messages[number as usize].answered && reply != Reply::Processed {
             self.messages[number as usize].waits.get_or_insert(now);
         }
-        self.turn(courier);
+        self.advance(instance);
     }
 
     // ---- Loss ----
 
-    pub(super) fn lose(&mut self, courier: u32) {
-        let seat = &mut self.seats[courier as usize];
-        seat.down = true;
-        seat.epoch += 1;
-        self.enter(self.now + RESTARTED_AFTER, What::Restarted { courier });
+    pub(super) fn lose(&mut self, instance: u32) {
+        let gateway = &mut self.gateways[instance as usize];
+        gateway.down = true;
+        gateway.epoch += 1;
+        self.schedule(self.now + RESTARTED_AFTER, Event::Restarted { instance });
     }
 
-    pub(super) fn restarted(&mut self, courier: u32) {
+    pub(super) fn restarted(&mut self, instance: u32) {
         let seed = self.rng.random();
-        let fresh = self.seat(courier as usize, seed);
-        let old = std::mem::replace(&mut self.seats[courier as usize], fresh);
-        self.seats[courier as usize].epoch = old.epoch;
+        let fresh = self.gateway(instance as usize, seed);
+        let old = std::mem::replace(&mut self.gateways[instance as usize], fresh);
+        self.gateways[instance as usize].epoch = old.epoch;
         for number in old.holds {
             self.stop_waiting(number);
             let message = &self.messages[number as usize];
@@ -355,29 +355,29 @@
             // A client does not come again with what may have run and may not be repeated.
             if message.answered || (message.may_have_run && class.effect == Effect::Unsafe) {
                 if !message.answered {
-                    self.give_answer(number, 2);
+                    self.complete(number, 2);
                 }
                 continue;
             }
             let after_loss = message.may_have_run;
-            self.hand_in(courier, number, after_loss);
+            self.submit(instance, number, after_loss);
         }
     }
 }
 
-impl Seat {
-    /// Stands in while a seat is changed.
-    fn nobody() -> Seat {
+impl Gateway {
+    /// Stands in while a gateway is changed.
+    fn placeholder() -> Gateway {
         let nature = Nature {
             number: 0,
-            couriers: 1,
-            choice: Choice::Random,
+            instances: 1,
+            choice: EndpointSelection::Random,
             limiter: Limiter::None,
             slots: 0,
             held: 0,
         };
-        Seat {
-            mind: Mind::Plain(Box::new(Plain::new(nature, 0))),
+        Gateway {
+            client: Client::BaselineClient(Box::new(BaselineClient::new(nature, 0))),
             epoch: 0,
             wake: None,
             waits: HashMap::new(),
--- a/crates/simulator/src/spread/traffic.rs
+++ b/crates/simulator/src/load_balance/traffic.rs
@@ -1,21 +1,21 @@
-//! Who hands in what, and when: the same draws whether couriers are emulated or processes.
+//! ClientPolicy submits event, and when: the same draws whether instances are emulated or processes.
 
-use super::scenario::Scene;
+use super::scenario::LoadBalanceScenario;
 use rand::distr::weighted::WeightedIndex;
 use rand::distr::Distribution;
 use rand_chacha::ChaCha8Rng;
 use rand_distr::Exp1;
 use std::time::Duration;
 
-/// A message that is about to be handed in.
+/// A message that is about to be submitted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Drawn {
+pub struct Arrival {
     /// Place of its class in the scene.
     pub class: usize,
     /// Its partner.
     pub partner: usize,
-    /// Who gets it.
-    pub courier: usize,
+    /// ClientPolicy gets it.
+    pub instance: usize,
 }
 
 /// The traffic of a scene.
@@ -38,12 +38,12 @@
 
 impl Traffic {
     /// As the scene has it.
-    pub fn new(scene: &Scene) -> Traffic {
+    pub fn new(scene: &LoadBalanceScenario) -> Traffic {
         let shares = scene.partner_shares();
         Traffic {
             rate: scene.rate,
             factors: vec![1.0; shares.len()],
-            by_load: weighted(&scene.courier_loads()),
+            by_load: weighted(&scene.instance_loads()),
             by_class: weighted(&scene.class.values().map(|class| class.share).collect::<Vec<_>>()),
             by_partner: weighted(&shares),
             shares,
@@ -69,8 +69,8 @@
     }
 
     /// The message of this moment.
-    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Drawn {
+    pub fn draw(&self, rng: &mut ChaCha8Rng) -> Arrival {
         let (class, partner) = (self.by_class.sample(rng), self.by_partner.sample(rng));
-        Drawn { class, partner, courier: self.by_load.sample(rng) }
+        Arrival { class, partner, instance: self.by_load.sample(rng) }
     }
 }
--- a/crates/simulator/tests/runs.rs
+++ b/crates/simulator/tests/failover.rs
@@ -1,17 +1,20 @@
 //! Runs are the same for one seed, keep the rules, and tell broken ones.
 
-use cloverstile_simulator::{play, read, PolicyKind, Scenario, BUILT_IN};
+use cloverstile_simulator::{
+    read_failover_scenario, simulate_failover, FailoverScenario, SpilloverPolicy, FAILOVER_SCENARIOS,
+};
 
-fn built_in(name: &str) -> Scenario {
-    let (_, text) = BUILT_IN.iter().find(|(known, _)| *known == name).expect("a scenario of that name");
-    read(text).expect("a scenario that can be played")
+fn built_in(name: &str) -> FailoverScenario {
+    let (_, text) =
+        FAILOVER_SCENARIOS.iter().find(|(known, _)| *known == name).expect("a scenario of that name");
+    read_failover_scenario(text).expect("a scenario that can be played")
 }
 
 #[test]
 fn one_seed_gives_one_run_and_another_another() {
     let mut scenario = built_in("surge");
     scenario.seconds = 12.0;
-    let told = |seed| format!("{:?}", play(&scenario, PolicyKind::Planner, seed));
+    let told = |seed| format!("{:?}", simulate_failover(&scenario, SpilloverPolicy::Planner, seed));
     assert!(told(3) == told(3), "two runs of one seed differ");
     assert!(told(3) != told(4), "two seeds give one run");
 }
@@ -19,9 +22,9 @@
 #[test]
 fn the_rules_hold_whoever_spreads_the_messages() {
     let scenario = built_in("surge");
-    for policy in PolicyKind::ALL {
-        let run = play(&scenario, policy, 5);
-        assert_eq!(run.audit, Default::default(), "{}", policy.name());
+    for policy in SpilloverPolicy::ALL {
+        let run = simulate_failover(&scenario, policy, 5);
+        assert_eq!(run.violations, Default::default(), "{}", policy.name());
         assert!(run.messages.len() > 10_000);
     }
 }
@@ -29,15 +32,15 @@
 #[test]
 fn what_breaks_is_told() {
     let mut scenario = built_in("surge");
-    // Couriers are told the same figure; nobody can keep to so little.
+    // Gateway instances are told the same figure; nobody can keep to so little.
     scenario.rules.tip_multiple = 0.02;
-    let run = play(&scenario, PolicyKind::Stays, 5);
-    assert!(run.audit.pushed_over > 0, "{:?}", run.audit);
+    let run = simulate_failover(&scenario, SpilloverPolicy::NoSpillover, 5);
+    assert!(run.violations.pushed_over > 0, "{:?}", run.violations);
 }
 
 #[test]
 fn scenarios_that_cannot_be_played_say_why() {
-    let (_, text) = BUILT_IN[0];
+    let (_, text) = FAILOVER_SCENARIOS[0];
     for (wrong, told) in [
         (text.replace("tier    = 1", "tier    = 2"), "must be 0, 1, 2"),
         (text.replace("kind  = \"refuse\"", "kind  = \"sulk\""), "'sulk' is not known"),
@@ -45,7 +48,7 @@
         (text.replace("rate     = 400", "rate     = 0"), "rate must be above zero"),
         (text.replace("couriers = 8", "carriers = 8"), "carriers"),
     ] {
-        let error = read(&wrong).expect_err(told).to_string();
+        let error = read_failover_scenario(&wrong).expect_err(told).to_string();
         assert!(error.contains(told), "{error}");
     }
 }
--- a/crates/testbench/src/bin/cloverstile-testbench/emulate.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/emulate.rs
@@ -1,7 +1,10 @@
 //! `cloverstile-testbench emulate`: scenarios on virtual time.
 
 use clap::Args;
-use cloverstile_simulator::{play, read, PolicyKind, Run, Scenario, BUILT_IN};
+use cloverstile_simulator::{
+    read_failover_scenario, simulate_failover, FailoverRun, FailoverScenario, SpilloverPolicy,
+    FAILOVER_SCENARIOS,
+};
 use cloverstile_testbench::figures::{figures, worth_by_second, Figures};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::time::{Duration, Instant};
@@ -13,7 +16,7 @@
     scenario: String,
     /// Who spreads messages over tiers: planner, everything, stays or healthy-share; all four where left out.
     #[arg(long, value_parser = policy)]
-    policy: Vec<PolicyKind>,
+    policy: Vec<SpilloverPolicy>,
     /// Seed of chance.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -34,36 +37,37 @@
     json: bool,
 }
 
-fn policy(name: &str) -> Result<PolicyKind, String> {
-    let names: Vec<&str> = PolicyKind::ALL.into_iter().map(PolicyKind::name).collect();
-    PolicyKind::named(name).ok_or_else(|| format!("one of these is allowed: {}", names.join(", ")))
+fn policy(name: &str) -> Result<SpilloverPolicy, String> {
+    let names: Vec<&str> = SpilloverPolicy::ALL.into_iter().map(SpilloverPolicy::name).collect();
+    SpilloverPolicy::named(name).ok_or_else(|| format!("one of these is allowed: {}", names.join(", ")))
 }
 
 /// Reads a scenario by its name or from its file.
-pub fn find(scenario: &str) -> Result<Scenario, String> {
-    let text = match BUILT_IN.iter().find(|(name, _)| *name == scenario) {
+pub fn find(scenario: &str) -> Result<FailoverScenario, String> {
+    let text = match FAILOVER_SCENARIOS.iter().find(|(name, _)| *name == scenario) {
         Some((_, text)) => (*text).to_owned(),
         None => std::fs::read_to_string(scenario).map_err(|error| {
-            let names: Vec<&str> = BUILT_IN.iter().map(|(name, _)| *name).collect();
+            let names: Vec<&str> = FAILOVER_SCENARIOS.iter().map(|(name, _)| *name).collect();
             format!("{scenario}: {error}; scenarios that come along: {}", names.join(", "))
         })?,
     };
-    read(&text).map_err(|error| format!("{scenario}: {error}"))
+    read_failover_scenario(&text).map_err(|error| format!("{scenario}: {error}"))
 }
 
 /// Plays all that is asked for; true if no run of the planner broke a rule.
 pub fn emulate(options: &Options) -> Result<bool, String> {
     let mut scenario = find(&options.scenario)?;
-    scenario.couriers = options.couriers.unwrap_or(scenario.couriers).max(1);
-    let policies = if options.policy.is_empty() { PolicyKind::ALL.to_vec() } else { options.policy.clone() };
+    scenario.instances = options.couriers.unwrap_or(scenario.instances).max(1);
+    let policies =
+        if options.policy.is_empty() { SpilloverPolicy::ALL.to_vec() } else { options.policy.clone() };
     let mut kept = true;
     let mut rows = Vec::new();
     for seed in options.seed..options.seed + options.seeds.max(1) {
         for policy in &policies {
             let began = Instant::now();
-            let run = play(&scenario, *policy, seed);
+            let run = simulate_failover(&scenario, *policy, seed);
             let (took, told) = (began.elapsed(), figures(&scenario, &run));
-            kept &= *policy != PolicyKind::Planner || told.broken == 0;
+            kept &= *policy != SpilloverPolicy::Planner || told.broken == 0;
             if options.json {
                 let mut line = serde_json::json!(told);
                 line["policy"] = policy.name().into();
@@ -81,16 +85,16 @@
     Ok(kept)
 }
 
-fn details(options: &Options, scenario: &Scenario, run: &Run) {
+fn details(options: &Options, scenario: &FailoverScenario, run: &FailoverRun) {
     if options.seconds {
         for (place, ((offered, earned), second)) in
             worth_by_second(scenario, run).into_iter().zip(&run.seconds).enumerate()
         {
             println!(
                 "second {place}: handed {} earned {:.2} spilt {} lost {} requests {}",
-                second.handed,
+                second.submitted,
                 earned / offered.max(1e-9),
-                second.spilt,
+                second.spilled,
                 second.lost,
                 second.requests
             );
@@ -101,7 +105,7 @@
             println!(
                 "site {} return {} after {} ms: received {} capacity {:.1} bound {:.1}",
                 w.site,
-                w.spell,
+                w.recovery,
                 w.after.as_millis(),
                 w.received,
                 w.capacity,
@@ -111,7 +115,7 @@
     }
 }
 
-fn table(rows: &[(PolicyKind, u64, Figures, Duration)]) -> Table {
+fn table(rows: &[(SpilloverPolicy, u64, Figures, Duration)]) -> Table {
     let mut table = Table::new();
     table.load_preset(UTF8_BORDERS_ONLY);
     table.set_header([
--- a/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
@@ -2,7 +2,7 @@
 
 use crate::emulate::find;
 use clap::Args;
-use cloverstile_simulator::{play, PolicyKind, Scenario};
+use cloverstile_simulator::{simulate_failover, FailoverScenario, SpilloverPolicy};
 use cloverstile_testbench::columns::Table as Columns;
 use cloverstile_testbench::experiment::{apply, read, run};
 use cloverstile_testbench::report::{self, FILES};
@@ -96,7 +96,7 @@
         }
         let broken = record.runs.text("policy").iter().zip(record.runs.number("broken"));
         Ok(broken
-            .filter(|(policy, _)| *policy == PolicyKind::Planner.name())
+            .filter(|(policy, _)| *policy == SpilloverPolicy::Planner.name())
             .all(|(_, broken)| *broken == 0.0))
     }
 }
@@ -119,10 +119,10 @@
 }
 
 /// The scenario `many` with another number of endpoints and the same load.
-fn sized(endpoints: usize) -> Result<Scenario, String> {
+fn sized(endpoints: usize) -> Result<FailoverScenario, String> {
     let mut scenario = find("many")?;
     let factor = endpoints as f64 / scenario.endpoints() as f64;
-    for bank in scenario.bank.values_mut() {
+    for bank in scenario.destinations.values_mut() {
         bank.copies = ((bank.copies as f64 * factor).round() as usize).max(1);
     }
     Ok(scenario)
@@ -147,14 +147,14 @@
             let mut scenario = sized(size)?;
             scenario.seconds = self.seconds;
             let began = Instant::now();
-            let run = play(&scenario, PolicyKind::Planner, 1);
+            let run = simulate_failover(&scenario, SpilloverPolicy::Planner, 1);
             let took = began.elapsed().as_secs_f64();
             let (speed, turn) = (run.messages.len() as f64 / took, took * 1e6 / run.turns.max(1) as f64);
             let memory = most_memory();
             let endpoints = scenario.endpoints();
             table.add_row([
                 endpoints.to_string(),
-                scenario.couriers.to_string(),
+                scenario.instances.to_string(),
                 format!("{speed:.0}"),
                 format!("{turn:.1}"),
                 format!("{memory:.0}"),
--- a/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
@@ -2,7 +2,10 @@
 
 use clap::{Args, Subcommand};
 use cloverstile_load_metrics::{limit_use, measure, Outcome};
-use cloverstile_simulator::{play_spread, read_spread, Choice, Limiter, Scene, SpreadRun, Who, SCENES};
+use cloverstile_simulator::{
+    read_load_balance_scenario, simulate_load_balance, ClientPolicy, EndpointSelection, Limiter,
+    LoadBalanceRun, LoadBalanceScenario, LOAD_BALANCE_SCENARIOS,
+};
 use cloverstile_testbench::fleet::play_fleet;
 use cloverstile_testbench::spread::{figures, mean_of, Told};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
@@ -62,39 +65,41 @@
     }
 }
 
-fn find(scene: &str) -> Result<Scene, String> {
-    let text = match SCENES.iter().find(|(name, _)| *name == scene) {
+fn find(scene: &str) -> Result<LoadBalanceScenario, String> {
+    let text = match LOAD_BALANCE_SCENARIOS.iter().find(|(name, _)| *name == scene) {
         Some((_, text)) => (*text).to_owned(),
         None => std::fs::read_to_string(scene).map_err(|error| {
-            let names: Vec<&str> = SCENES.iter().map(|(name, _)| *name).collect();
+            let names: Vec<&str> = LOAD_BALANCE_SCENARIOS.iter().map(|(name, _)| *name).collect();
             format!("{scene}: {error}; scenes that come along: {}", names.join(", "))
         })?,
     };
-    read_spread(&text).map_err(|error| format!("{scene}: {error}"))
+    read_load_balance_scenario(&text).map_err(|error| format!("{scene}: {error}"))
 }
 
 /// Every choice with additive increase, and every limiter with choice by chance.
-fn everybody() -> Vec<Who> {
-    let choices = Choice::ALL.into_iter().map(|choice| Who::Plain(choice, Limiter::Aimd));
+fn everybody() -> Vec<ClientPolicy> {
+    let choices =
+        EndpointSelection::ALL.into_iter().map(|choice| ClientPolicy::Baseline(choice, Limiter::Aimd));
     let limiters = Limiter::ALL.into_iter().filter(|limiter| *limiter != Limiter::Aimd);
-    let limiters = limiters.map(|limiter| Who::Plain(Choice::Random, limiter));
-    std::iter::once(Who::Module).chain(choices).chain(limiters).collect()
+    let limiters = limiters.map(|limiter| ClientPolicy::Baseline(EndpointSelection::Random, limiter));
+    std::iter::once(ClientPolicy::Delivery).chain(choices).chain(limiters).collect()
 }
 
-fn named(name: &str) -> Result<Vec<Who>, String> {
+fn named(name: &str) -> Result<Vec<ClientPolicy>, String> {
     if name == "all" {
         return Ok(everybody());
     }
     if name == "module" {
-        return Ok(vec![Who::Module]);
+        return Ok(vec![ClientPolicy::Delivery]);
     }
     let (choice, limiter) = name.split_once('+').unwrap_or((name, "aimd"));
-    let choice = Choice::ALL.into_iter().find(|known| known.name() == choice);
+    let choice = EndpointSelection::ALL.into_iter().find(|known| known.name() == choice);
     let limiter = Limiter::ALL.into_iter().find(|known| known.name() == limiter);
     match (choice, limiter) {
-        (Some(choice), Some(limiter)) => Ok(vec![Who::Plain(choice, limiter)]),
+        (Some(choice), Some(limiter)) => Ok(vec![ClientPolicy::Baseline(choice, limiter)]),
         _ => {
-            let choices: Vec<&str> = Choice::ALL.into_iter().map(Choice::name).collect();
+            let choices: Vec<&str> =
+                EndpointSelection::ALL.into_iter().map(EndpointSelection::name).collect();
             let limiters: Vec<&str> = Limiter::ALL.into_iter().map(Limiter::name).collect();
             Err(format!(
                 "--who {name}: allowed are module, all, or one of {} with + and one of {}",
@@ -124,7 +129,7 @@
         for name in &self.who {
             who.extend(named(name)?);
         }
-        if !self.emulate && who != [Who::Module] {
+        if !self.emulate && who != [ClientPolicy::Delivery] {
             return Err("--who: real processes decide by the module alone; add --emulate for others".into());
         }
         let mut kept = true;
@@ -153,7 +158,7 @@
             for seed in self.seed..self.seed + self.seeds.max(1) {
                 let began = Instant::now();
                 let run = match self.emulate {
-                    true => play_spread(&scene, who, seed),
+                    true => simulate_load_balance(&scene, who, seed),
                     false => play_fleet(&scene, &self.program()?, seed).map_err(|error| error.to_string())?,
                 };
                 let told = figures(&scene, &run, seed, began.elapsed());
@@ -169,7 +174,7 @@
                 all.push(told);
             }
             let told = mean_of(&all);
-            kept &= who != Who::Module || told.rules_broken == 0;
+            kept &= who != ClientPolicy::Delivery || told.rules_broken == 0;
             if self.json {
                 println!("{}", line(&who.name(), &told, format!("{} seeds", all.len()).into()));
             }
@@ -183,7 +188,7 @@
 }
 
 /// How even the load of each partner is.
-fn partners(scene: &Scene, run: &SpreadRun, seed: u64) {
+fn partners(scene: &LoadBalanceScenario, run: &LoadBalanceRun, seed: u64) {
     for partner in 0..run.record.partners.len() {
         let record = run.record.of(partner);
         let told = measure(&record, Duration::from_secs_f64(scene.window), seed);
@@ -202,7 +207,7 @@
 }
 
 /// Each partner that has a limit, by second.
-fn limits(run: &SpreadRun) {
+fn limits(run: &LoadBalanceRun) {
     let mut counts: BTreeMap<(usize, u64), [u32; 2]> = BTreeMap::new();
     for call in &run.record.calls {
         let partner = run.record.endpoints[call.endpoint].partner;
--- a/crates/testbench/src/experiment.rs
+++ b/crates/testbench/src/experiment.rs
@@ -3,7 +3,7 @@
 use crate::columns::Table;
 use crate::figures::{figures, worth_by_second, Figures};
 use cloverstile_engine::FinalOutcome;
-use cloverstile_simulator::{play, PolicyKind, Run, Scenario};
+use cloverstile_simulator::{simulate_failover, FailoverRun, FailoverScenario, SpilloverPolicy};
 use serde::{Deserialize, Serialize};
 use statrs::distribution::{ContinuousCDF, StudentsT};
 use std::collections::BTreeMap;
@@ -41,26 +41,26 @@
 ///
 /// # Errors
 /// What is wrong with it, as a sentence.
-pub fn read(text: &str) -> Result<(Experiment, Vec<PolicyKind>), String> {
+pub fn read(text: &str) -> Result<(Experiment, Vec<SpilloverPolicy>), String> {
     let experiment: Experiment = hcl::from_str(text).map_err(|error| format!("experiment: {error}"))?;
     let named = |name: &String| {
-        let known: Vec<&str> = PolicyKind::ALL.into_iter().map(PolicyKind::name).collect();
-        PolicyKind::named(name)
+        let known: Vec<&str> = SpilloverPolicy::ALL.into_iter().map(SpilloverPolicy::name).collect();
+        SpilloverPolicy::named(name)
             .ok_or_else(|| format!("experiment: there is no policy '{name}'; one of: {}", known.join(", ")))
     };
-    let policies: Vec<PolicyKind> = experiment.policies.iter().map(named).collect::<Result<_, _>>()?;
+    let policies: Vec<SpilloverPolicy> = experiment.policies.iter().map(named).collect::<Result<_, _>>()?;
     if experiment.seeds == 0 || experiment.scenario.is_empty() {
         return Err("experiment: seeds above zero and a block scenario \"name\" {} are needed".into());
     }
-    Ok((experiment, if policies.is_empty() { PolicyKind::ALL.to_vec() } else { policies }))
+    Ok((experiment, if policies.is_empty() { SpilloverPolicy::ALL.to_vec() } else { policies }))
 }
 
 /// Changes a scenario as an experiment wants it.
-pub fn apply(scenario: &mut Scenario, changes: &Changes) {
-    scenario.couriers = changes.couriers.unwrap_or(scenario.couriers).max(1);
+pub fn apply(scenario: &mut FailoverScenario, changes: &Changes) {
+    scenario.instances = changes.couriers.unwrap_or(scenario.instances).max(1);
     scenario.rate = changes.rate.unwrap_or(scenario.rate);
     scenario.seconds = changes.seconds.unwrap_or(scenario.seconds);
-    for bank in scenario.bank.values_mut() {
+    for bank in scenario.destinations.values_mut() {
         bank.spill_share = changes.spill_share.unwrap_or(bank.spill_share).clamp(0.0, 1.0);
     }
 }
@@ -80,15 +80,15 @@
 
 struct Job<'a> {
     name: &'a str,
-    scenario: &'a Scenario,
-    policy: PolicyKind,
+    scenario: &'a FailoverScenario,
+    policy: SpilloverPolicy,
     seed: u64,
 }
 
 /// Plays the whole grid on so many threads. The record does not depend on their number.
 pub fn run(
-    scenarios: &[(String, Scenario)],
-    policies: &[PolicyKind],
+    scenarios: &[(String, FailoverScenario)],
+    policies: &[SpilloverPolicy],
     seeds: u64,
     threads: usize,
     progress: &dyn Fn(usize, usize),
@@ -109,7 +109,7 @@
             scope.spawn(move || loop {
                 let place = next.fetch_add(1, Ordering::Relaxed);
                 let Some(job) = jobs.get(place) else { return };
-                let part = record(job, &play(job.scenario, job.policy, job.seed));
+                let part = record(job, &simulate_failover(job.scenario, job.policy, job.seed));
                 *parts[place].lock().unwrap_or_else(PoisonError::into_inner) = Some(part);
                 // Nobody is left to tell where the caller has gone.
                 let _ = sender.send(());
@@ -144,7 +144,7 @@
     }
 }
 
-fn record(job: &Job, run: &Run) -> Record {
+fn record(job: &Job, run: &FailoverRun) -> Record {
     let told: Figures = figures(job.scenario, run);
     let who = [("scenario", job.name), ("policy", job.policy.name())];
     let seed = ("seed", job.seed as f64);
@@ -168,7 +168,7 @@
         ],
     );
     for (place, (worth, second)) in worth_by_second(job.scenario, run).iter().zip(&run.seconds).enumerate() {
-        let share = f64::from(second.spilt) / f64::from(second.tiered.max(1));
+        let share = f64::from(second.spilled) / f64::from(second.tiered.max(1));
         record.seconds.push(
             &who,
             &[
@@ -207,7 +207,7 @@
         for message in of_class {
             all += 1.0;
             if let Some((FinalOutcome::Delivered, at)) = message.answer {
-                ages.push(at.saturating_sub(message.handed).as_secs_f64());
+                ages.push(at.saturating_sub(message.submitted_at).as_secs_f64());
             }
         }
         ages.sort_by(f64::total_cmp);
@@ -275,11 +275,11 @@
 
     #[test]
     fn a_record_does_not_depend_on_threads_and_bad_files_say_why() {
-        let (_, text) = cloverstile_simulator::BUILT_IN[0];
-        let mut scenario = cloverstile_simulator::read(text).unwrap();
+        let (_, text) = cloverstile_simulator::FAILOVER_SCENARIOS[0];
+        let mut scenario = cloverstile_simulator::read_failover_scenario(text).unwrap();
         apply(&mut scenario, &Changes { seconds: Some(4.0), rate: Some(100.0), ..Changes::default() });
         let scenarios = [("surge".to_owned(), scenario)];
-        let played = |threads| run(&scenarios, &PolicyKind::ALL, 2, threads, &|_, _| {});
+        let played = |threads| run(&scenarios, &SpilloverPolicy::ALL, 2, threads, &|_, _| {});
         let (one, many) = (played(1), played(3));
         assert_eq!(one.runs.rows(), 8);
         assert_eq!(format!("{one:?}"), format!("{many:?}"));
--- a/crates/testbench/src/figures.rs
+++ b/crates/testbench/src/figures.rs
@@ -1,7 +1,7 @@
 //! Figures of an emulated run: worth, the worst ten seconds, time to full service, load at returning sites, spill.
 
 use cloverstile_engine::FinalOutcome;
-use cloverstile_simulator::{Run, Scenario};
+use cloverstile_simulator::{FailoverRun, FailoverScenario};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -51,23 +51,23 @@
 }
 
 /// Worth that each message earned, in the order of hand-ins.
-fn earned(scenario: &Scenario, run: &Run) -> Vec<(usize, f64, f64)> {
+fn earned(scenario: &FailoverScenario, run: &FailoverRun) -> Vec<(usize, f64, f64)> {
     let classes: Vec<_> = scenario.class.values().collect();
-    let of = |message: &cloverstile_simulator::Message| {
+    let of = |message: &cloverstile_simulator::MessageHistory| {
         let class = classes[usize::from(message.class)];
         let earned = match message.answer {
             Some((FinalOutcome::Delivered, at)) => {
-                class.worth_at(at.saturating_sub(message.handed).as_secs_f64())
+                class.worth_at(at.saturating_sub(message.submitted_at).as_secs_f64())
             }
             _ => 0.0,
         };
-        (message.handed.as_secs() as usize, class.worth, earned)
+        (message.submitted_at.as_secs() as usize, class.worth, earned)
     };
     run.messages.iter().map(of).collect()
 }
 
 /// Offered and earned worth by second of the hand-in.
-pub fn worth_by_second(scenario: &Scenario, run: &Run) -> Vec<(f64, f64)> {
+pub fn worth_by_second(scenario: &FailoverScenario, run: &FailoverRun) -> Vec<(f64, f64)> {
     let mut seconds = vec![(0.0, 0.0); scenario.seconds.ceil() as usize];
     for (second, offered, earned) in earned(scenario, run) {
         if let Some(sums) = seconds.get_mut(second) {
@@ -79,7 +79,7 @@
 }
 
 /// Sums up a run.
-pub fn figures(scenario: &Scenario, run: &Run) -> Figures {
+pub fn figures(scenario: &FailoverScenario, run: &FailoverRun) -> Figures {
     let seconds = worth_by_second(scenario, run);
     let ratio = |part: &[(f64, f64)]| {
         let (offered, earned) =
@@ -99,9 +99,10 @@
     };
     let delivered =
         run.messages.iter().filter(|m| matches!(m.answer, Some((FinalOutcome::Delivered, _)))).count();
-    let audit = &run.audit;
-    let most =
-        |of: &dyn Fn(&cloverstile_simulator::Window) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
+    let audit = &run.violations;
+    let most = |of: &dyn Fn(&cloverstile_simulator::RecoveryWindow) -> f64| {
+        run.windows.iter().map(of).fold(0.0, f64::max)
+    };
     Figures {
         messages: run.messages.len(),
         delivered: delivered as f64 / run.messages.len().max(1) as f64,
@@ -114,8 +115,8 @@
         worst_of_capacity: most(&|window| f64::from(window.received) / window.capacity.max(1.0)),
         worst_spill: worst_spill(scenario, run),
         spill_excess: spill_excess(scenario, run),
-        spilt: run.seconds.iter().map(|second| u64::from(second.spilt)).sum(),
-        broken: audit.broken(),
+        spilt: run.seconds.iter().map(|second| u64::from(second.spilled)).sum(),
+        broken: audit.total(),
         broken_by_kind: [
             audit.unanswered,
             audit.late_or_untrue,
@@ -133,26 +134,27 @@
 const LEAST_WANTED: f64 = 50.0;
 
 /// The spill share of each bank, in the order of their numbers.
-fn shares(scenario: &Scenario) -> Vec<f64> {
-    let banks = scenario.bank.values();
+fn shares(scenario: &FailoverScenario) -> Vec<f64> {
+    let banks = scenario.destinations.values();
     banks.flat_map(|bank| std::iter::repeat_n(bank.spill_share, bank.copies)).collect()
 }
 
 /// Spill of each second against the share of what was wanted then, over all banks that spilt at all.
-fn worst_spill(scenario: &Scenario, run: &Run) -> f64 {
+fn worst_spill(scenario: &FailoverScenario, run: &FailoverRun) -> f64 {
     let shares = shares(scenario);
-    let spilling: BTreeSet<u32> = run.messages.iter().filter(|m| m.spilt.is_some()).map(|m| m.bank).collect();
+    let spilling: BTreeSet<u32> =
+        run.messages.iter().filter(|m| m.spilled_at.is_some()).map(|m| m.destination).collect();
     let mut seconds = vec![(0.0, 0.0, 0.0); run.seconds.len() + 1];
-    for message in run.messages.iter().filter(|message| spilling.contains(&message.bank)) {
+    for message in run.messages.iter().filter(|message| spilling.contains(&message.destination)) {
         let over = message.answer.map_or(message.deadline, |(_, at)| at);
-        let until = message.spilt.map_or(over, |at| at.min(over));
-        for second in message.handed.as_secs()..=until.as_secs() {
+        let until = message.spilled_at.map_or(over, |at| at.min(over));
+        for second in message.submitted_at.as_secs()..=until.as_secs() {
             if let Some(sums) = seconds.get_mut(second as usize) {
-                sums.0 += shares[message.bank as usize];
+                sums.0 += shares[message.destination as usize];
                 sums.1 += 1.0;
             }
         }
-        if let Some(sums) = message.spilt.and_then(|at| seconds.get_mut(at.as_secs() as usize)) {
+        if let Some(sums) = message.spilled_at.and_then(|at| seconds.get_mut(at.as_secs() as usize)) {
             sums.2 += 1.0;
         }
     }
@@ -162,17 +164,17 @@
 }
 
 /// By how much a courier's spill for a bank was above its share of what it took since the first trouble.
-fn spill_excess(scenario: &Scenario, run: &Run) -> f64 {
+fn spill_excess(scenario: &FailoverScenario, run: &FailoverRun) -> f64 {
     let shares = shares(scenario);
-    let begins = scenario.trouble.values().map(|trouble| trouble.at).fold(f64::INFINITY, f64::min);
+    let begins = scenario.faults.values().map(|trouble| trouble.at).fold(f64::INFINITY, f64::min);
     let longest = scenario.class.values().map(|class| class.deadline).fold(0.0, f64::max);
     let mut events: BTreeMap<(u32, u32), Vec<(Duration, bool)>> = BTreeMap::new();
     for message in &run.messages {
         // What was handed in before may have waited still.
-        if message.handed.as_secs_f64() >= begins - longest {
-            let of = events.entry((message.courier, message.bank)).or_default();
-            of.push((message.handed, false));
-            of.extend(message.spilt.map(|at| (at, true)));
+        if message.submitted_at.as_secs_f64() >= begins - longest {
+            let of = events.entry((message.instance, message.destination)).or_default();
+            of.push((message.submitted_at, false));
+            of.extend(message.spilled_at.map(|at| (at, true)));
         }
     }
     let mut most = 0.0_f64;
--- a/crates/testbench/src/fleet/ground.rs
+++ b/crates/testbench/src/fleet/ground.rs
@@ -10,7 +10,7 @@
 use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message, Start};
 use cloverstile_load_metrics::{Call, Outcome, Partner};
 use cloverstile_net::{ConnId, ListenerId, Net, NetEvent, SignalKind};
-use cloverstile_simulator::{Drawn, Scene, Sites, SpreadRun, Traffic};
+use cloverstile_simulator::{Arrival, LoadBalanceRun, LoadBalanceScenario, SimulatedPartners, Traffic};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
@@ -72,11 +72,11 @@
 }
 
 struct Ground<'a> {
-    scene: &'a Scene,
+    scene: &'a LoadBalanceScenario,
     net: Net,
     started: Instant,
     rng: ChaCha8Rng,
-    sites: Sites,
+    sites: SimulatedPartners,
     list: List,
     /// A watch that waits: which of the answers of its connection.
     watching: HashMap<ConnId, u64>,
@@ -98,7 +98,11 @@
 }
 
 /// Plays a scene with real processes of `program`, which takes `node`. Wall time is the scene's own.
-pub fn play_fleet(scene: &Scene, program: &Path, seed: u64) -> Result<SpreadRun, FleetError> {
+pub fn play_fleet(
+    scene: &LoadBalanceScenario,
+    program: &Path,
+    seed: u64,
+) -> Result<LoadBalanceRun, FleetError> {
     let mut ground = Ground::new(scene, seed)?;
     let (discovery, known) = ground.listen()?;
     ground.processes = Some(Processes::start(program, scene, discovery, &known, seed)?);
@@ -106,9 +110,9 @@
 }
 
 impl<'a> Ground<'a> {
-    fn new(scene: &'a Scene, seed: u64) -> Result<Self, FleetError> {
+    fn new(scene: &'a LoadBalanceScenario, seed: u64) -> Result<Self, FleetError> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let sites = Sites::new(scene, &mut rng);
+        let sites = SimulatedPartners::new(scene, &mut rng);
         let mut net = Net::new().map_err(FleetError::io("event loop"))?;
         // Guards against couriers that outlive the laboratory: told to end, it ends them first.
         net.watch_signals(&[SignalKind::SIGINT, SignalKind::SIGTERM]).map_err(FleetError::io("signals"))?;
@@ -121,7 +125,7 @@
             listeners: HashMap::new(),
             by_place: Vec::new(),
             lines: HashMap::new(),
-            idle: vec![Vec::new(); scene.couriers],
+            idle: vec![Vec::new(); scene.instances],
             agenda: BinaryHeap::new(),
             entered: 0,
             calls: Vec::new(),
@@ -170,9 +174,9 @@
         self.agenda.push(Reverse((at, self.entered, due)));
     }
 
-    fn play(mut self) -> Result<SpreadRun, FleetError> {
+    fn play(mut self) -> Result<LoadBalanceRun, FleetError> {
         self.started = Instant::now();
-        for (place, strike) in self.scene.trouble.values().enumerate() {
+        for (place, strike) in self.scene.faults.values().enumerate() {
             self.enter(Duration::from_secs_f64(strike.at), Due::Strike { place, begins: true });
             let end = Duration::from_secs_f64(strike.at + strike.lasts);
             self.enter(end, Due::Strike { place, begins: false });
@@ -321,7 +325,7 @@
         if next.as_secs_f64() < self.scene.seconds {
             self.enter(next, Due::Submission);
         }
-        let Drawn { class, partner, courier } = self.traffic.draw(&mut self.rng);
+        let Arrival { class, partner, instance: courier } = self.traffic.draw(&mut self.rng);
         let number = self.books.handed(now, courier, partner, class);
         self.hand_in(now, number);
     }
--- a/crates/testbench/src/fleet/ground/troubles.rs
+++ b/crates/testbench/src/fleet/ground/troubles.rs
@@ -1,7 +1,7 @@
 //! What goes wrong, by the clock.
 
 use super::{Due, Ground};
-use cloverstile_simulator::{StrikeKind, Wrong};
+use cloverstile_simulator::{EndpointFault, LoadBalanceFault};
 use std::time::Duration;
 
 /// By so much later the struck couriers are answered by the endpoint of a `slow-for`.
@@ -13,17 +13,17 @@
 
 impl Ground<'_> {
     pub(super) fn strike(&mut self, now: Duration, place: usize, begins: bool) {
-        let Some(spec) = self.scene.trouble.values().nth(place) else { return };
-        let Some(kind) = spec.act() else { return };
-        let struck = self.scene.struck(spec);
+        let Some(spec) = self.scene.faults.values().nth(place) else { return };
+        let Some(kind) = spec.fault_kind() else { return };
+        let struck = self.scene.affected_partners(spec);
         let part: Vec<usize> = struck.iter().flat_map(|p| self.sites.part(*p, spec.size)).collect();
         let mut wrong = |what| part.iter().for_each(|place| self.sites.wrong(now, *place, what, begins));
         match kind {
-            StrikeKind::Errors => wrong(Wrong::Errors),
-            StrikeKind::Silent => wrong(Wrong::Silent),
-            StrikeKind::Slow => wrong(Wrong::Slow),
-            StrikeKind::Burst => self.traffic.multiply(&struck, if begins { spec.size } else { 1.0 }),
-            StrikeKind::Limit => {
+            LoadBalanceFault::Errors => wrong(EndpointFault::Errors),
+            LoadBalanceFault::Silent => wrong(EndpointFault::Silent),
+            LoadBalanceFault::Slow => wrong(EndpointFault::Slow),
+            LoadBalanceFault::Burst => self.traffic.multiply(&struck, if begins { spec.size } else { 1.0 }),
+            LoadBalanceFault::Limit => {
                 for partner in struck {
                     let factor = if begins { spec.size } else { 1.0 };
                     self.sites.partners[partner].multiply_limits(now, factor);
@@ -32,13 +32,13 @@
                 self.list.changed();
                 self.spread_news(now, NEWS);
             }
-            StrikeKind::Still => self.sites.freeze_reports(begins),
-            StrikeKind::SlowFor => {
-                self.far = if begins { (self.scene.couriers as f64 * spec.size) as usize } else { 0 };
+            LoadBalanceFault::Still => self.sites.freeze_reports(begins),
+            LoadBalanceFault::SlowFor => {
+                self.far = if begins { (self.scene.instances as f64 * spec.size) as usize } else { 0 };
             }
-            StrikeKind::Replace => self.replace(now, part, spec.lasts, begins),
-            StrikeKind::Restart if begins => {
-                let count = (self.scene.couriers as f64 * spec.size) as usize;
+            LoadBalanceFault::Replace => self.replace(now, part, spec.lasts, begins),
+            LoadBalanceFault::Restart if begins => {
+                let count = (self.scene.instances as f64 * spec.size) as usize;
                 for courier in 0..count {
                     if let Some(processes) = &mut self.processes {
                         processes.kill(courier);
@@ -47,7 +47,7 @@
                     self.enter(now + RESTARTED_AFTER, Due::Start { courier });
                 }
             }
-            StrikeKind::Restart => {}
+            LoadBalanceFault::Restart => {}
         }
     }
 
--- a/crates/testbench/src/fleet/judge.rs
+++ b/crates/testbench/src/fleet/judge.rs
@@ -3,7 +3,7 @@
 
 use cloverstile::{Class, Effect};
 use cloverstile_load_metrics::WaitingInterval;
-use cloverstile_simulator::{SpreadAudit, SpreadRun};
+use cloverstile_simulator::{LoadBalanceRun, LoadBalanceViolations};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -38,7 +38,7 @@
     waits: HashMap<(usize, usize, Option<usize>), (Duration, Duration)>,
     /// When all had been told that an endpoint goes.
     gone: HashMap<usize, Duration>,
-    pub run: SpreadRun,
+    pub run: LoadBalanceRun,
 }
 
 /// How a message ended.
@@ -52,7 +52,7 @@
 impl Books {
     pub fn new(classes: Vec<Class>) -> Books {
         let (waits, gone) = (HashMap::new(), HashMap::new());
-        Books { classes, messages: Vec::new(), waits, gone, run: SpreadRun::default() }
+        Books { classes, messages: Vec::new(), waits, gone, run: LoadBalanceRun::default() }
     }
 
     /// A client has a message for a courier; its number.
@@ -117,12 +117,12 @@
             Effect::Keyed => now.saturating_sub(since) > class.retry_window,
             Effect::Unsafe => true,
         });
-        self.run.audit.twice += u64::from(again);
+        self.run.violations.twice += u64::from(again);
         let told = self.waits.get(&(message.courier, message.partner, route));
         let early = told.is_some_and(|(told, until)| now > *told + CROSSED && now < *until);
-        self.run.audit.waits_broken += u64::from(early);
+        self.run.violations.waits_broken += u64::from(early);
         let drained = self.gone.get(&endpoint).is_some_and(|told| now > *told + DRAINED);
-        self.run.audit.after_drain += u64::from(drained);
+        self.run.violations.after_drain += u64::from(drained);
         message.out += 1;
         self.waits(now, number);
     }
@@ -171,7 +171,7 @@
         message.over = true;
         let class = &self.classes[message.class];
         if now > message.deadline + LATE {
-            self.run.audit.unanswered += 1;
+            self.run.violations.unanswered += 1;
         }
         match end {
             End::Delivered => {
@@ -181,7 +181,7 @@
             }
             End::Refused => {
                 // Refused tells that it never ran.
-                self.run.audit.twice += u64::from(message.effect);
+                self.run.violations.twice += u64::from(message.effect);
                 self.run.answers[1] += 1;
             }
             End::Failed => self.run.answers[2] += 1,
@@ -190,10 +190,10 @@
     }
 
     /// The run is over: what has no end is lost.
-    pub fn finish(mut self, now: Duration) -> SpreadRun {
+    pub fn finish(mut self, now: Duration) -> LoadBalanceRun {
         for number in 0..self.messages.len() {
             if !self.messages[number].over {
-                self.run.audit.unanswered += 1;
+                self.run.violations.unanswered += 1;
                 self.messages[number].over = true;
                 self.waits(now, number);
             }
@@ -202,8 +202,8 @@
     }
 
     /// What broke so far.
-    pub fn audit(&mut self) -> &mut SpreadAudit {
-        &mut self.run.audit
+    pub fn audit(&mut self) -> &mut LoadBalanceViolations {
+        &mut self.run.violations
     }
 }
 
@@ -245,7 +245,7 @@
         }
         assert_eq!(unsafe_again.audit().twice, 1);
         // Nothing ended it.
-        assert_eq!(unsafe_again.finish(ms(9000)).audit.unanswered, 1);
+        assert_eq!(unsafe_again.finish(ms(9000)).violations.unanswered, 1);
 
         let mut keyed = books(Effect::Keyed);
         let number = keyed.handed(ms(0), 0, 0, 0);
--- a/crates/testbench/src/fleet/platform.rs
+++ b/crates/testbench/src/fleet/platform.rs
@@ -1,6 +1,6 @@
 //! What discovery tells, and when each courier hears of a change.
 
-use cloverstile_simulator::Sites;
+use cloverstile_simulator::SimulatedPartners;
 use std::net::SocketAddr;
 
 /// The list, with its version.
@@ -38,7 +38,7 @@
     }
 
     /// The whole list in discovery's form.
-    pub fn json(&self, sites: &mut Sites) -> serde_json::Value {
+    pub fn json(&self, sites: &mut SimulatedPartners) -> serde_json::Value {
         let entry = |(place, address): (usize, &SocketAddr)| {
             let partner = sites.endpoints[place].partner;
             let apart = sites.partners[partner].spec.apart;
--- a/crates/testbench/src/fleet/processes.rs
+++ b/crates/testbench/src/fleet/processes.rs
@@ -1,6 +1,6 @@
 //! The processes: their settings, start, loss and end.
 
-use cloverstile_simulator::Scene;
+use cloverstile_simulator::LoadBalanceScenario;
 use rustix::process::{kill_process, Pid, Signal};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
@@ -87,7 +87,7 @@
 
 /// What one courier is handed; `known` is the list.
 fn configuration(
-    scene: &Scene,
+    scene: &LoadBalanceScenario,
     courier: usize,
     listen: SocketAddr,
     discovery: SocketAddr,
@@ -113,7 +113,7 @@
         "seed": format!("{:x}", seed.wrapping_add(courier as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
         "limits": {"cores": 0.2, "memory_mb": 64, "sockets": 256, "disk_mb": 2}, "known": known,
         "settings": {
-            "Balancers": scene.couriers, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
+            "Balancers": scene.instances, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
             "FamilyInfo": {"CallsOut": scene.call_slots, "KindBatch": [1, 1], "OwnLimits": [false, true], "Decay": "line",
                 "ReportX0": "share_of_the_allowance_that_is_left", "ReportX1": "calls_a_second"},
             "Lanes": scene.class.iter().map(lane).collect::<Vec<_>>(),
@@ -132,24 +132,24 @@
     /// Starts all couriers of a scene and waits until each answers.
     pub fn start(
         program: &Path,
-        scene: &Scene,
+        scene: &LoadBalanceScenario,
         discovery: SocketAddr,
         known: &serde_json::Value,
         seed: u64,
     ) -> Result<Processes, FleetError> {
         static FLEETS: AtomicU8 = AtomicU8::new(0);
         let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
-        if scene.couriers > MOST {
-            return Err(FleetError::TooMany(scene.couriers));
+        if scene.instances > MOST {
+            return Err(FleetError::TooMany(scene.instances));
         }
         let folder = std::env::temp_dir().join(format!("cloverstile-fleet-{}-{fleet}", std::process::id()));
         let mut processes = Processes {
             program: program.to_owned(),
             folder,
-            children: (0..scene.couriers).map(|_| None).collect(),
-            addresses: (0..scene.couriers).map(|courier| address(fleet, courier)).collect(),
+            children: (0..scene.instances).map(|_| None).collect(),
+            addresses: (0..scene.instances).map(|courier| address(fleet, courier)).collect(),
         };
-        for courier in 0..scene.couriers {
+        for courier in 0..scene.instances {
             let state = processes.state(courier);
             std::fs::create_dir_all(&state).map_err(FleetError::io(state.display().to_string()))?;
             let listen = processes.addresses[courier];
--- a/crates/testbench/src/spread.rs
+++ b/crates/testbench/src/spread.rs
@@ -1,7 +1,7 @@
 //! Figures of a run of even load, whoever played it.
 
 use cloverstile_load_metrics::measure;
-use cloverstile_simulator::{Scene, SpreadRun};
+use cloverstile_simulator::{LoadBalanceRun, LoadBalanceScenario};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -51,11 +51,11 @@
 }
 
 /// Figures of one run.
-pub fn figures(scene: &Scene, run: &SpreadRun, seed: u64, took: Duration) -> Told {
+pub fn figures(scene: &LoadBalanceScenario, run: &LoadBalanceRun, seed: u64, took: Duration) -> Told {
     let even = measure(&run.record, Duration::from_secs_f64(scene.window), seed);
     let [delivered, refused, failed] = run.answers;
     Told {
-        couriers: scene.couriers,
+        couriers: scene.instances,
         endpoints: run.record.endpoints.len(),
         messages: run.record.messages,
         answered: delivered + refused + failed,
@@ -73,7 +73,7 @@
         new_connections_a_message: even.new_connections_per_message,
         refusals_a_message: even.rejections_per_message,
         calls_a_message: even.calls_per_message,
-        rules_broken: run.audit.broken(),
+        rules_broken: run.violations.total(),
         seconds: took.as_secs_f64(),
     }
 }
--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! A small fleet of real processes on loopback: couriers killed, endpoints replaced, limits lowered. Judged from what
 //! passed on our sockets.
 
-use cloverstile_simulator::{read_spread, Scene};
+use cloverstile_simulator::{read_load_balance_scenario, LoadBalanceScenario};
 use cloverstile_testbench::fleet::play_fleet;
 use cloverstile_testbench::spread::figures;
 use std::path::Path;
@@ -10,7 +10,7 @@
 /// Its `node` is what `cloverstile node` runs.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile-testbench");
 
-fn scene(seconds: f64, rate: f64, troubles: &str) -> Scene {
+fn scene(seconds: f64, rate: f64, troubles: &str) -> LoadBalanceScenario {
     let text = format!(
         r#"
         couriers = 6
@@ -45,7 +45,7 @@
         {troubles}
         "#
     );
-    read_spread(&text).expect("the scene is right")
+    read_load_balance_scenario(&text).expect("the scene is right")
 }
 
 /// Every process is one that was killed or ended in order, and no rule was broken.
@@ -66,7 +66,7 @@
         }"#;
     let scene = scene(4.0, 100.0, troubles);
     let run = play_fleet(&scene, Path::new(PROGRAM), 1).expect("it can be played");
-    assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
+    assert_eq!(run.violations.total(), 0, "{:?}", run.violations);
     let told = figures(&scene, &run, 1, Duration::ZERO);
     assert_eq!(told.answered, told.messages);
     assert!(told.messages > 250, "{told:?}");
@@ -90,7 +90,7 @@
         }"#;
     let scene = scene(4.0, 100.0, burst);
     let run = play_fleet(&scene, Path::new(PROGRAM), 2).expect("it can be played");
-    assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
+    assert_eq!(run.violations.total(), 0, "{:?}", run.violations);
     let told = figures(&scene, &run, 2, Duration::ZERO);
     assert!(run.record.waiting_intervals.len() > 30, "nobody waited: not the case that is tested");
     assert!(told.limit_use_while_waiting > 0.5, "{told:?}");
--- a/crates/testbench/tests/zones.rs
+++ b/crates/testbench/tests/zones.rs
@@ -1,12 +1,12 @@
 //! The hard cases of losing and regaining a zone, on virtual time: rules kept, spill inside its share, returns inside
 //! what a site survives.
 
-use cloverstile_simulator::{play, read, PolicyKind, BUILT_IN};
+use cloverstile_simulator::{read_failover_scenario, simulate_failover, SpilloverPolicy, FAILOVER_SCENARIOS};
 use cloverstile_testbench::figures::{figures, Figures};
 
 /// The surge in small, with other troubles.
 fn surge(couriers: usize, rate: f64, troubles: &str) -> Figures {
-    let (_, text) = BUILT_IN.iter().find(|(name, _)| *name == "surge").unwrap();
+    let (_, text) = FAILOVER_SCENARIOS.iter().find(|(name, _)| *name == "surge").unwrap();
     let begins = text.find("trouble").unwrap();
     let text = format!("{}{troubles}", &text[..begins])
         .replace("couriers = 8", &format!("couriers = {couriers}"))
@@ -14,10 +14,10 @@
         .replace("seconds  = 40", "seconds = 30")
         .replace("servers   = 12", "servers = 5")
         .replace("servers = 5\n  }\n}", "servers = 3\n  }\n}");
-    let scenario = read(&text).unwrap();
-    let run = play(&scenario, PolicyKind::Planner, 7);
+    let scenario = read_failover_scenario(&text).unwrap();
+    let run = simulate_failover(&scenario, SpilloverPolicy::Planner, 7);
     let told = figures(&scenario, &run);
-    assert_eq!(told.broken, 0, "{:?}", run.audit);
+    assert_eq!(told.broken, 0, "{:?}", run.violations);
     assert_eq!(told.windows_over_bound, 0, "{told:?}");
     // A share of what is wanted; a whole message cannot be split.
     assert!(told.worst_spill <= 1.05, "{told:?}");
