Gateway: one place for the ids of connections, plainer names in its tests

The event loop's and the platform's connection ids were converted field by field in three files; sockets.rs has a function for each direction.

--- a/crates/cli/tests/race_conditions.rs
+++ b/crates/cli/tests/race_conditions.rs
@@ -52,7 +52,7 @@
 /// 0.67 s arrived, and left 0.57 s before that time was over.
 #[test]
 fn retry_after_received_during_connect_delays_the_request() {
-    let (mut harness, endpoint) = harness_with_manual_endpoint("told");
+    let (mut harness, endpoint) = harness_with_manual_endpoint("retry-after");
     let (mut first, filler) = one_in_flight_and_one_connecting(&mut harness, &endpoint);
     // The endpoint asks to wait, and then has room for the connection.
     first.write_all(b"HTTP/1.1 429 Wait\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n").unwrap();
--- a/crates/cli/tests/resp_gateway.rs
+++ b/crates/cli/tests/resp_gateway.rs
@@ -156,7 +156,7 @@
     harness.start();
     let mut client = harness.connect_client();
     let rest = "Content-Length: 3000000000\r\n\r\n";
-    for (name, response, requests, ends) in [
+    for (name, response, expected_requests, expected_status) in [
         ("noise", "\x01\x02\x03\r\n\r\n".to_owned(), 1, "undeliverable"),
         ("busy", format!("HTTP/1.1 429 Slow\r\nRetry-After: 1\r\n{rest}"), 1, "undeliverable"),
         ("true", format!("HTTP/1.1 200 OK\r\n{rest}"), 1, ""),
@@ -170,10 +170,10 @@
         harness.platform.set_behaviour(0, EndpointBehaviour::Respond(response.into_bytes()));
         assert_eq!(harness.platform.submit(&mut client, &payment(name.into())).unwrap(), "+OK");
         assert_eq!(harness.violations_at_the_end(), [""; 0]);
-        assert_eq!(harness.request_count(name), requests, "{name}");
-        let is_notified = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id, status, .. } if id == name && status == ends);
-        let noticed = || harness.platform.events().iter().any(|(_, seen)| is_notified(seen));
-        assert_eq!(noticed(), !ends.is_empty(), "{name}");
+        assert_eq!(harness.request_count(name), expected_requests, "{name}");
+        let is_notified = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id, status, .. } if id == name && status == expected_status);
+        let was_notified = || harness.platform.events().iter().any(|(_, seen)| is_notified(seen));
+        assert_eq!(was_notified(), !expected_status.is_empty(), "{name}");
     }
 }
 
@@ -286,10 +286,10 @@
         assert!(Instant::now() < end, "it never listened");
         std::thread::sleep(Duration::from_millis(5));
     }
-    let crowd: Vec<TcpStream> = (0..30).map(|_| harness.connect_client()).collect();
+    let clients: Vec<TcpStream> = (0..30).map(|_| harness.connect_client()).collect();
     let (before, began) = (cpu_time(harness.gateway.as_ref().unwrap()), Instant::now());
     // Silent clients are disconnected in the end, which lets the last one in: all the while the listener is paused.
-    let mut last = &crowd[29];
+    let mut last = &clients[29];
     last.write_all(b"*1\r\n$4\r\nPING\r\n").unwrap();
     last.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
     let mut line = [0; 7];
--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -3,9 +3,10 @@
 use crate::client_replies::{busy, undeliverable, ClientReplies, EncodedReply, Reply};
 use crate::delivery::Delivery;
 use crate::message_record;
+use crate::sockets::socket_id;
 use cloverstile::{Class, Time};
 use cloverstile_engine::{Admission, FinalOutcome};
-use cloverstile_net::{ConnId, Net};
+use cloverstile_net::Net;
 use cloverstile_platform::client_request::{self, ClientRequest, PutRequest, RequestClasses};
 use cloverstile_platform::client_sessions::{ClientSessions, DisconnectReason};
 use cloverstile_platform::ConnectionId;
@@ -74,9 +75,9 @@
     fn disconnect(&self, connection: ConnectionId, reason: &DisconnectReason, net: &mut Net) {
         trace!(?connection, ?reason, clients = self.len(), "client disconnected");
         if let Some(text) = reason.error_text() {
-            net.send(ConnId(connection.0), &error(&text));
+            net.send(socket_id(connection), &error(&text));
         }
-        net.close_after_flush(ConnId(connection.0));
+        net.close_after_flush(socket_id(connection));
     }
 
     /// Executes the commands that a client's bytes complete.
@@ -147,7 +148,7 @@
     /// Sends this turn's replies. Call it once the turn's records are in the log.
     pub fn send_replies(&mut self, net: &mut Net) {
         for EncodedReply { connection, bytes } in self.replies.take_replies() {
-            let socket = ConnId(connection.0);
+            let socket = socket_id(connection);
             net.send(socket, &bytes);
             if net.unsent_bytes(socket) > MAX_UNREAD_BYTES {
                 self.sessions.remove(connection);
@@ -158,7 +159,7 @@
         }
         for connection in self.replies.take_closing() {
             self.sessions.remove(connection);
-            net.close_after_flush(ConnId(connection.0));
+            net.close_after_flush(socket_id(connection));
         }
     }
 
@@ -170,14 +171,14 @@
     /// Disconnects clients that are between two requests.
     pub fn close_idle(&mut self, net: &mut Net) {
         for connection in self.sessions.take_idle() {
-            net.close_after_flush(ConnId(connection.0));
+            net.close_after_flush(socket_id(connection));
         }
     }
 
     /// Disconnects all clients.
     pub fn close_all(&mut self, net: &mut Net) {
         for connection in self.sessions.take_all() {
-            net.close_after_flush(ConnId(connection.0));
+            net.close_after_flush(socket_id(connection));
         }
     }
 }
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::error::GatewayError;
 use crate::message_pipeline::MessagePipeline;
 use crate::shutdown::RunState;
-use crate::sockets::Sockets;
+use crate::sockets::{connection_id, Sockets};
 use cloverstile::Time;
 use cloverstile_net::{Net, NetEvent, SignalKind};
 use cloverstile_platform::ConnectionId;
@@ -73,13 +73,13 @@
     fn on_event(&mut self, now: Time, event: NetEvent) {
         match event {
             NetEvent::Accepted { conn, .. } => {
-                self.pipeline.clients.on_accepted(now, ConnectionId(conn.0), &mut self.net);
+                self.pipeline.clients.on_accepted(now, connection_id(conn), &mut self.net);
             }
-            NetEvent::Connected(conn) => self.on_connected(now, ConnectionId(conn.0)),
-            NetEvent::ConnectFailed(conn, _) => self.on_closed(now, ConnectionId(conn.0), false),
-            NetEvent::Closed { conn, clean } => self.on_closed(now, ConnectionId(conn.0), clean),
-            NetEvent::Flushed(conn) => self.pipeline.outgoing.requests.on_flushed(ConnectionId(conn.0)),
-            NetEvent::Bytes(conn, bytes) => self.on_bytes(now, ConnectionId(conn.0), &bytes),
+            NetEvent::Connected(conn) => self.on_connected(now, connection_id(conn)),
+            NetEvent::ConnectFailed(conn, _) => self.on_closed(now, connection_id(conn), false),
+            NetEvent::Closed { conn, clean } => self.on_closed(now, connection_id(conn), clean),
+            NetEvent::Flushed(conn) => self.pipeline.outgoing.requests.on_flushed(connection_id(conn)),
+            NetEvent::Bytes(conn, bytes) => self.on_bytes(now, connection_id(conn), &bytes),
             NetEvent::Signal(SignalKind::SIGHUP) => self.reload(now),
             NetEvent::Signal(signal) => self.on_shutdown_signal(now, signal),
             NetEvent::Woken => {}
--- a/crates/resp-gateway/src/sockets.rs
+++ b/crates/resp-gateway/src/sockets.rs
@@ -4,21 +4,31 @@
 use cloverstile_platform::{ConnectionId, Transport};
 use std::net::SocketAddr;
 
+/// The id by which the platform's state machines know a connection of the event loop.
+pub fn connection_id(socket: ConnId) -> ConnectionId {
+    ConnectionId(socket.0)
+}
+
+/// The id by which the event loop knows a connection of the platform's state machines.
+pub fn socket_id(connection: ConnectionId) -> ConnId {
+    ConnId(connection.0)
+}
+
 /// The event loop's connections, as the platform's state machines use them.
 pub struct Sockets<'a>(pub &'a mut Net);
 
 impl Transport for Sockets<'_> {
     fn connect(&mut self, to: SocketAddr) -> ConnectionId {
-        ConnectionId(self.0.connect(to).0)
+        connection_id(self.0.connect(to))
     }
     fn write(&mut self, connection: ConnectionId, bytes: &[u8]) {
-        self.0.send(ConnId(connection.0), bytes);
+        self.0.send(socket_id(connection), bytes);
     }
     fn shutdown_write(&mut self, connection: ConnectionId) {
-        self.0.shutdown_write(ConnId(connection.0));
+        self.0.shutdown_write(socket_id(connection));
     }
     fn close(&mut self, connection: ConnectionId) {
-        self.0.close(ConnId(connection.0));
+        self.0.close(socket_id(connection));
     }
 }
 
