--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -1,9 +1,9 @@
 //! The program as its users meet it: the front's answers to what is no message, and the command line's exit codes.
 
 use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Rig, Spec};
-use cloverstile_fakes::model::{Fault, Nature};
-use cloverstile_fakes::partner::Order;
+use cloverstile_as2_gateway::test_cluster::{ClassSpec, ClusterSpec, PartnerSpec, TestCluster};
+use cloverstile_fakes::model::{Fault, ServerProfile};
+use cloverstile_fakes::partner::PartnerCommand;
 use cloverstile_fakes::record::Recorder;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -12,14 +12,13 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
 
-#[path = "world/mod.rs"]
-mod stage;
+mod gateway_harness;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
 
 /// A courier process with one partner and one client, and what is needed to talk to it.
 struct World {
-    rig: Rig,
+    rig: TestCluster,
     folder: PathBuf,
     courier: Child,
     address: SocketAddr,
@@ -32,11 +31,11 @@
     }
 }
 
-fn spec() -> Spec {
+fn spec() -> ClusterSpec {
     let partner = PartnerSpec {
         name: "bank".into(),
         kind: "any".into(),
-        nature: Nature::default(),
+        profile: ServerProfile::default(),
         zones: vec![0],
         key: NewKey::P256,
         deferred: false,
@@ -47,19 +46,19 @@
         name: "pay".into(),
         effect: "unsafe".into(),
         group: "all".into(),
-        in_order: false,
-        aim: Duration::from_millis(300),
+        ordered: false,
+        latency_objective: Duration::from_millis(300),
         deadline: Duration::from_millis(900),
-        window: Duration::ZERO,
-        worth: 1.0,
+        repeat_window: Duration::ZERO,
+        priority_weight: 1.0,
     };
-    Spec {
-        couriers: 1,
+    ClusterSpec {
+        gateways: 1,
         clients: 1,
         partners: vec![partner],
         classes: vec![class],
         zones: 1,
-        courier_lines: "  stop_within = \"2s\"".into(),
+        gateway_settings: "  stop_within = \"2s\"".into(),
         blocks: "kind \"any\" {}\nrules { answer_slack = \"300ms\" }".into(),
     }
 }
@@ -70,9 +69,9 @@
     })
 }
 
-fn world_of(name: &str, spec: Spec, settings: impl Fn(String) -> String) -> World {
+fn world_of(name: &str, spec: ClusterSpec, settings: impl Fn(String) -> String) -> World {
     let folder = std::env::temp_dir().join(format!("cloverstile-program-{}-{name}", std::process::id()));
-    let rig = Rig::build(&folder, spec, Recorder::default(), 1).unwrap();
+    let rig = TestCluster::build(&folder, spec, Recorder::default(), 1).unwrap();
     let text = fs::read_to_string(&rig.files[0]).unwrap();
     fs::write(&rig.files[0], settings(text)).unwrap();
     let mut courier = Command::new(PROGRAM)
@@ -206,9 +205,13 @@
     // The courier's answer must be the courier's: another certificate is none that counts.
     let other = world.folder.join("client-0.crt").display().to_string();
     assert_eq!(world.code(&["--to-certificate", &other]), 13);
-    let silent =
-        Order::Fault { partner: 0, fault: Fault::Silent, zone: None, lasts: Duration::from_secs(60) };
-    world.rig.partners.order(silent);
+    let silent = PartnerCommand::Fault {
+        partner: 0,
+        fault: Fault::Silent,
+        zone: None,
+        duration: Duration::from_secs(60),
+    };
+    world.rig.partners.send(silent);
     assert_eq!(world.code(&["--id", "two@client-0"]), 11);
 }
 
@@ -297,17 +300,17 @@
 /// nothing goes out on it. Guards against a second effect, as it did at the node.
 #[test]
 fn a_repeat_whose_connection_comes_up_behind_its_window_is_not_sent() {
-    let slow = stage::Slow::new();
+    let slow = gateway_harness::manual_endpoint::ManualEndpoint::new();
     let mut spec = spec();
     let (window, deadline) = (Duration::from_millis(1500), Duration::from_secs(9));
     spec.classes[0] = ClassSpec {
         effect: "keyed".into(),
-        window,
+        repeat_window: window,
         deadline,
-        aim: Duration::from_secs(1),
+        latency_objective: Duration::from_secs(1),
         ..spec.classes[0].clone()
     };
-    spec.courier_lines += "\n  connect_timeout = \"6s\"";
+    spec.gateway_settings += "\n  connect_timeout = \"6s\"";
     let world = world_of("window", spec, |text| {
         let (head, tail) = text.split_once("address = \"").unwrap();
         let (_, tail) = tail.split_once('"').unwrap();
@@ -315,7 +318,7 @@
     });
     std::thread::scope(|scope| {
         let sent = scope.spawn(|| world.code(&["--id", "late@client-0"]));
-        let (text, late) = slow.late_repeat("late@client-0", Duration::from_millis(1600));
+        let (text, late) = slow.late_retry("late@client-0", Duration::from_millis(1600));
         assert_eq!(text, "", "sent {late:?} after the first call");
         assert_eq!(sent.join().unwrap(), 11, "it may have taken effect, and is told so");
     });
