--- /dev/null
+++ b/crates/as2-gateway/src/as2_server/connections.rs
@@ -0,0 +1,194 @@
+//! Inbound HTTP connections: one request at a time is read from each, and responded to.
+
+use crate::context::{Context, Timer};
+use crate::identifiers::RequestId;
+use crate::response_mapping::HttpStatus;
+use cloverstile::Time;
+use cloverstile_http::{response, Decoder, Headers, HttpError, Item, Limits, Message, CONTINUE};
+use cloverstile_net::{ConnId, Net};
+use std::collections::HashMap;
+use tracing::debug;
+
+/// Bytes of responses that a client may leave unread before nothing more is read from it.
+const MAX_UNREAD_BYTES: usize = 256 << 10;
+
+/// An HTTP response to a client or partner.
+pub(crate) struct HttpResponse {
+    pub status: HttpStatus,
+    pub headers: Headers,
+    pub body: Vec<u8>,
+}
+
+impl HttpResponse {
+    pub fn new(status: HttpStatus, headers: Headers, body: impl Into<Vec<u8>>) -> Self {
+        HttpResponse { status, headers, body: body.into() }
+    }
+
+    pub fn empty(status: HttpStatus) -> Self {
+        HttpResponse::new(status, Headers::new(), Vec::new())
+    }
+
+    fn to_bytes(&self) -> Vec<u8> {
+        response(self.status.code, self.status.reason, &self.headers, &self.body)
+    }
+}
+
+struct InboundConnection {
+    decoder: Decoder,
+    /// The request being processed; the next one of the connection waits.
+    current_request: Option<RequestId>,
+    keep_alive: bool,
+    /// Whether a timer for slow requests is set.
+    has_deadline: bool,
+}
+
+/// All inbound connections.
+#[derive(Default)]
+pub(crate) struct InboundConnections {
+    connections: HashMap<ConnId, InboundConnection>,
+    last_sequence: u64,
+}
+
+impl InboundConnections {
+    pub fn contains(&self, connection: ConnId) -> bool {
+        self.connections.contains_key(&connection)
+    }
+
+    /// Bytes of responses that the system has not taken.
+    pub fn unsent_bytes(&self, net: &Net) -> usize {
+        self.connections.keys().map(|connection| net.unsent_bytes(*connection)).sum()
+    }
+
+    /// Takes a new connection, or turns it away where the limit is reached.
+    pub fn accept(&mut self, context: &mut Context, id: ConnId) {
+        let settings = &context.config.front;
+        if self.connections.len() >= settings.connections {
+            let headers = Headers::new().with("Connection", "close").with("Retry-After", "1");
+            let turned_away =
+                HttpResponse::new(HttpStatus::SERVICE_UNAVAILABLE, headers, "too many connections\n");
+            context.net.send(id, &turned_away.to_bytes());
+            context.net.close_after_flush(id);
+            return;
+        }
+        let limits = Limits {
+            head: settings.head,
+            body: settings.body,
+            head_time: settings.head_time,
+            message_time: settings.message_time,
+            ..Limits::default()
+        };
+        let connection = InboundConnection {
+            decoder: Decoder::server(limits),
+            current_request: None,
+            keep_alive: true,
+            has_deadline: false,
+        };
+        self.connections.insert(id, connection);
+    }
+
+    pub fn remove(&mut self, id: ConnId) {
+        self.connections.remove(&id);
+    }
+
+    /// Takes received bytes; [`next_request`](Self::next_request) reads them.
+    pub fn feed(&mut self, context: &Context, id: ConnId, bytes: &[u8]) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.decoder.feed(context.since_start(), bytes);
+        }
+    }
+
+    /// The next complete request of a connection, unless one is being processed or its peer does not read.
+    pub fn next_request(&mut self, context: &mut Context, id: ConnId) -> Option<(RequestId, Message)> {
+        let now = context.since_start();
+        loop {
+            let connection = self.connections.get_mut(&id)?;
+            // Guards against a client that sends requests and never reads: its responses would pile up here.
+            if context.net.unsent_bytes(id) > MAX_UNREAD_BYTES {
+                context.net.pause(id, true);
+                return None;
+            }
+            if connection.current_request.is_some() {
+                // What comes behind a request that is being processed waits in the peer's own buffers.
+                let paused = connection.decoder.held() > context.config.front.head;
+                context.net.pause(id, paused);
+                return None;
+            }
+            match connection.decoder.next(now) {
+                Ok(Some(Item::Message(message))) => {
+                    self.last_sequence += 1;
+                    let request = RequestId { connection: id, sequence: self.last_sequence };
+                    connection.keep_alive = message.keep_alive;
+                    connection.current_request = Some(request);
+                    return Some((request, message));
+                }
+                Ok(Some(Item::ExpectsContinue)) => context.net.send(id, CONTINUE),
+                Ok(None) => {
+                    context.net.pause(id, false);
+                    self.set_deadline(context, id);
+                    return None;
+                }
+                Err(error) => {
+                    self.close_invalid(context, id, status_of(&error), &error);
+                    return None;
+                }
+            }
+        }
+    }
+
+    fn set_deadline(&mut self, context: &mut Context, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if let (false, Some(due)) = (connection.has_deadline, connection.decoder.due()) {
+            connection.has_deadline = true;
+            context.set_timer(Time::ZERO + due, Timer::RequestDeadline(id));
+        }
+    }
+
+    /// Closes a connection whose request arrived too slowly.
+    pub fn on_deadline(&mut self, context: &mut Context, id: ConnId) {
+        let now = context.since_start();
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.has_deadline = false;
+        if connection.current_request.is_some() {
+            return;
+        }
+        match connection.decoder.check_time(now) {
+            Err(error) => self.close_invalid(context, id, HttpStatus::REQUEST_TIMEOUT, &error),
+            Ok(()) => self.set_deadline(context, id),
+        }
+    }
+
+    /// Responds to bytes that are no valid request, and closes.
+    fn close_invalid(&mut self, context: &mut Context, id: ConnId, status: HttpStatus, error: &HttpError) {
+        debug!(status = status.code, %error, "invalid request");
+        let headers = Headers::new().with("Connection", "close").with("Content-Type", "text/plain");
+        let invalid = HttpResponse::new(status, headers, format!("{error}\n"));
+        context.net.send(id, &invalid.to_bytes());
+        context.net.close_after_flush(id);
+        self.connections.remove(&id);
+    }
+
+    /// Sends the response of a request, if its connection still waits for it.
+    pub fn respond(&mut self, context: &mut Context, request: RequestId, mut response: HttpResponse) {
+        let id = request.connection;
+        let waiting = self.connections.get_mut(&id).filter(|known| known.current_request == Some(request));
+        let Some(connection) = waiting else { return };
+        connection.current_request = None;
+        let keep_alive = connection.keep_alive;
+        if !keep_alive {
+            response.headers.add("Connection", "close");
+        }
+        context.net.send(id, &response.to_bytes());
+        if !keep_alive {
+            self.connections.remove(&id);
+            context.net.close_after_flush(id);
+        }
+    }
+}
+
+fn status_of(error: &HttpError) -> HttpStatus {
+    match error {
+        HttpError::Limit("body", _) => HttpStatus::CONTENT_TOO_LARGE,
+        HttpError::Limit(..) => HttpStatus::HEADER_FIELDS_TOO_LARGE,
+        _ => HttpStatus::BAD_REQUEST,
+    }
+}
--- /dev/null
+++ b/crates/as2-gateway/src/as2_server/receipt_delivery.rs
@@ -0,0 +1,108 @@
+//! Asynchronous receipts: they are posted to addresses that clients named, with retries.
+
+use crate::context::{Context, Timer};
+use crate::identifiers::DeliveryId;
+use cloverstile_http::{read_url, request, Decoder, Headers, Item, Limits, Message, Start};
+use cloverstile_net::ConnId;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tracing::warn;
+
+/// Attempts to deliver a receipt.
+const MAX_ATTEMPTS: u32 = 6;
+/// Delay before the second attempt; it doubles with each further one.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(500);
+/// Receipts that are being delivered, at most.
+const MAX_DELIVERIES: usize = 10_000;
+/// Largest body of a response to a receipt, in bytes.
+const MAX_RESPONSE_BODY: usize = 1 << 20;
+/// A delivery may take so many times the time for connecting.
+const TIMEOUT_OF_CONNECT_TIMEOUT: u32 = 4;
+
+struct Delivery {
+    address: SocketAddr,
+    bytes: Vec<u8>,
+    attempts: u32,
+}
+
+struct DeliveryConnection {
+    delivery: DeliveryId,
+    decoder: Decoder,
+}
+
+/// Receipts that are being delivered, and their connections.
+#[derive(Default)]
+pub(crate) struct ReceiptDeliveries {
+    deliveries: HashMap<DeliveryId, Delivery>,
+    connections: HashMap<ConnId, DeliveryConnection>,
+    last_delivery: u64,
+}
+
+impl ReceiptDeliveries {
+    pub fn contains(&self, connection: ConnId) -> bool {
+        self.connections.contains_key(&connection)
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.deliveries.is_empty()
+    }
+
+    /// Starts to deliver a receipt to a URL.
+    pub fn start(&mut self, context: &mut Context, url: &str, mut headers: Headers, body: &[u8]) {
+        let Some((address, path)) = read_url(url) else {
+            return warn!(url, "receipt not delivered: only http:// with a numeric address is supported");
+        };
+        if self.deliveries.len() >= MAX_DELIVERIES {
+            return warn!(url, "receipt not delivered: too many deliveries in progress");
+        }
+        headers.add("Host", address.to_string()).add("Connection", "close");
+        let bytes = request("POST", &path, &headers, body);
+        self.last_delivery += 1;
+        let id = DeliveryId(self.last_delivery);
+        self.deliveries.insert(id, Delivery { address, bytes, attempts: 0 });
+        self.attempt(context, id);
+    }
+
+    /// Opens a connection and sends the receipt.
+    pub fn attempt(&mut self, context: &mut Context, id: DeliveryId) {
+        let Some(delivery) = self.deliveries.get_mut(&id) else { return };
+        delivery.attempts += 1;
+        let connection = context.net.connect(delivery.address);
+        let decoder = Decoder::client(Limits { body: MAX_RESPONSE_BODY, ..Limits::default() });
+        context.net.send(connection, &delivery.bytes);
+        self.connections.insert(connection, DeliveryConnection { delivery: id, decoder });
+        let timeout = context.config.module.connect_timeout.saturating_mul(TIMEOUT_OF_CONNECT_TIMEOUT);
+        context.set_timer(context.now() + timeout, Timer::ConnectTimeout(connection));
+    }
+
+    /// Takes bytes of a response: a status of success ends the delivery.
+    pub fn on_bytes(&mut self, context: &mut Context, id: ConnId, bytes: &[u8]) {
+        let now = context.since_start();
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.decoder.feed(now, bytes);
+        match connection.decoder.next(now) {
+            Ok(Some(Item::Message(Message { start: Start::Response { status: 200..=299 }, .. }))) => {
+                self.deliveries.remove(&connection.delivery);
+                self.connections.remove(&id);
+                context.net.close(id);
+            }
+            Ok(None) => {}
+            _ => self.on_failure(context, id),
+        }
+    }
+
+    /// Schedules a retry: the connection failed, ended or took too long.
+    pub fn on_failure(&mut self, context: &mut Context, id: ConnId) {
+        let Some(connection) = self.connections.remove(&id) else { return };
+        context.net.close(id);
+        let Some(delivery) = self.deliveries.get(&connection.delivery) else { return };
+        if delivery.attempts >= MAX_ATTEMPTS {
+            warn!(address = %delivery.address, "receipt not delivered: no attempt succeeded");
+            self.deliveries.remove(&connection.delivery);
+        } else {
+            let delay = FIRST_RETRY_DELAY.saturating_mul(1 << (delivery.attempts - 1));
+            context.set_timer(context.now() + delay, Timer::RetryDelivery(connection.delivery));
+        }
+    }
+}
--- /dev/null
+++ b/crates/as2-gateway/src/as2_server/submissions.rs
@@ -0,0 +1,165 @@
+//! Submissions of clients: the sender is identified, the message opened on a worker thread, then given to the engine.
+
+use super::connections::HttpResponse;
+use super::receipts::{Rejection, INSUFFICIENT_SECURITY, UNEXPECTED_PROCESSING_ERROR};
+use crate::admission::{admit, RejectionReason};
+use crate::context::Context;
+use crate::identifiers::RequestId;
+use crate::in_flight_message::{InFlightMessage, ReceiptWaiter};
+use crate::response_mapping::HttpStatus;
+use crate::worker_result::{OpenedSubmission, WorkerResult};
+use cloverstile::MessageId;
+use cloverstile_as2::{open, Envelope, Opened};
+use cloverstile_engine::{Admission, FinalOutcome, SubmitRequest};
+use cloverstile_http::{Headers, Message};
+
+/// Reason of a conflict, as the client reads it.
+const CONFLICT_REASON: &str =
+    "this Message-ID was used for another message: with other content, of another class, \
+                               for another partner or by another client";
+
+/// How the server goes on with a submission.
+pub(crate) enum NextStep {
+    /// The client waits for the final outcome.
+    AwaitOutcome,
+    /// A response is sent at once.
+    Respond(HttpResponse),
+    /// The final outcome is known already.
+    SendOutcome {
+        waiter: ReceiptWaiter,
+        outcome: FinalOutcome,
+        /// Whether the receipt is asynchronous: the submission itself is acknowledged at once.
+        deferred: bool,
+    },
+    /// The message is rejected.
+    Reject(Rejection),
+}
+
+/// Identifies the sender of a submission and starts to open it on a worker thread.
+pub(crate) fn start_opening(
+    context: &mut Context,
+    request: RequestId,
+    message: Message,
+) -> Result<(), Rejection> {
+    let envelope = Envelope::read(&message.headers)
+        .map_err(|error| Rejection::without_receipt(HttpStatus::BAD_REQUEST, error.to_string()))?;
+    let client = context.config.clients.iter().position(|client| client.as2_name == envelope.from);
+    let client = client.ok_or_else(|| unknown_sender(&envelope.from))?;
+    let identity = context.directory.own_identity.clone();
+    if envelope.to != identity.name {
+        let reason = format!("AS2-To '{}' is not this station", envelope.to);
+        return Err(Rejection {
+            status: HttpStatus::UNPROCESSABLE_CONTENT,
+            reason,
+            envelope: Some(envelope),
+            disposition: UNEXPECTED_PROCESSING_ERROR,
+        });
+    }
+    let certificate = context.directory.clients[client].clone();
+    context.crypto_pool.submit(move || {
+        let receipt = envelope.receipt.as_ref();
+        let opened = open(&message.headers, &message.body, &identity, &certificate, receipt).map(Box::new);
+        let (envelope, http_headers) = (Box::new(envelope), message.headers);
+        WorkerResult::SubmissionOpened(OpenedSubmission { request, client, envelope, http_headers, opened })
+    });
+    Ok(())
+}
+
+/// Rejects a request of a station that the settings don't name.
+pub(crate) fn unknown_sender(name: &str) -> Rejection {
+    let reason = format!("AS2-From '{name}' is not known here");
+    Rejection::without_receipt(HttpStatus::FORBIDDEN, reason)
+}
+
+/// Checks an opened submission and gives it to the engine.
+pub(crate) fn submit(context: &mut Context, submission: OpenedSubmission) -> NextStep {
+    let OpenedSubmission { request, client, envelope, http_headers, opened } = submission;
+    let opened = match opened {
+        Ok(opened) => *opened,
+        Err(error) => {
+            return NextStep::Reject(Rejection {
+                status: HttpStatus::BAD_REQUEST,
+                reason: error.to_string(),
+                envelope: Some(*envelope),
+                disposition: error.disposition_name(),
+            })
+        }
+    };
+    let now = context.now();
+    let (id, receipt) = (&envelope.message_id, envelope.receipt.as_ref());
+    match admit(now, &context.config, client, id, &http_headers, &opened, receipt) {
+        Ok(submit_request) => submit_admitted(context, request, *envelope, opened, submit_request),
+        Err(reason) => NextStep::Reject(Rejection {
+            status: HttpStatus::UNPROCESSABLE_CONTENT,
+            reason: reason.to_string(),
+            envelope: Some(*envelope),
+            disposition: disposition_of(&reason),
+        }),
+    }
+}
+
+fn disposition_of(reason: &RejectionReason) -> &'static str {
+    match reason {
+        RejectionReason::InsufficientSecurity(_) => INSUFFICIENT_SECURITY,
+        _ => UNEXPECTED_PROCESSING_ERROR,
+    }
+}
+
+fn submit_admitted(
+    context: &mut Context,
+    request: RequestId,
+    envelope: Envelope,
+    opened: Opened,
+    submit_request: SubmitRequest,
+) -> NextStep {
+    let partner = usize::from(submit_request.destination.0);
+    let admission = context.engine.submit(context.now(), submit_request);
+    let deferred = envelope.receipt.as_ref().is_some_and(|receipt| receipt.deliver_to.is_some());
+    let waiter = ReceiptWaiter { request: (!deferred).then_some(request), envelope, mic: opened.mic };
+    match admission {
+        Admission::New(message) => {
+            let in_flight = InFlightMessage {
+                partner,
+                payload: Some(opened.payload),
+                composed: None,
+                composing: false,
+                waiters: vec![waiter],
+            };
+            context.messages.insert(message, in_flight);
+            acknowledge(deferred)
+        }
+        Admission::InFlight(message) => {
+            add_waiter(context, message, waiter);
+            acknowledge(deferred)
+        }
+        Admission::Completed(_, outcome) => NextStep::SendOutcome { waiter, outcome, deferred },
+        Admission::Conflict => NextStep::Reject(Rejection {
+            status: HttpStatus::CONFLICT,
+            reason: CONFLICT_REASON.to_owned(),
+            envelope: Some(waiter.envelope),
+            disposition: UNEXPECTED_PROCESSING_ERROR,
+        }),
+        Admission::Overloaded => not_admitted("as much is held as may be\n"),
+        Admission::ShuttingDown => not_admitted("stopping\n"),
+    }
+}
+
+fn add_waiter(context: &mut Context, message: MessageId, waiter: ReceiptWaiter) {
+    if let Some(in_flight) = context.messages.get_mut(&message) {
+        in_flight.waiters.push(waiter);
+    }
+}
+
+/// A deferred submission is acknowledged at once; any other waits for its outcome.
+fn acknowledge(deferred: bool) -> NextStep {
+    if deferred {
+        NextStep::Respond(HttpResponse::empty(HttpStatus::ACCEPTED))
+    } else {
+        NextStep::AwaitOutcome
+    }
+}
+
+fn not_admitted(text: &str) -> NextStep {
+    let headers = Headers::new().with("Retry-After", "1").with("Cloverstile-Answer", "not-taken");
+    NextStep::Respond(HttpResponse::new(HttpStatus::SERVICE_UNAVAILABLE, headers, text))
+}
--- a/crates/as2-gateway/src/directory.rs
+++ b/crates/as2-gateway/src/directory.rs
@@ -1,4 +1,4 @@
-//! Settings and keys from files.
+//! Settings, keys and certificates, loaded from files.
 
 use cloverstile_as2::{As2Error, Certificate, Identity};
 use cloverstile_settings::{parse, Config, Problems};
@@ -6,42 +6,42 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
-/// Why settings can't be used.
+/// Why settings or keys can't be used.
 #[derive(Debug, thiserror::Error)]
 pub enum LoadError {
     /// A file that can't be read.
     #[error("{path}: can't be read: {error}")]
     Read {
-        /// Which.
+        /// The file.
         path: PathBuf,
-        /// Why.
+        /// The cause.
         error: std::io::Error,
     },
-    /// What the settings say is wrong.
+    /// Invalid settings.
     #[error(transparent)]
     Settings(#[from] Problems),
     /// A key or certificate that can't be used.
     #[error("{path}: {error}")]
     Key {
-        /// Which.
+        /// The file.
         path: PathBuf,
-        /// Why.
+        /// The cause.
         error: As2Error,
     },
     /// A key file that others may read.
     #[error("{path}: others may read this key (mode {mode:o}); run: chmod 600 {path}")]
     Permissions {
-        /// Which.
+        /// The file.
         path: PathBuf,
         /// Its permission bits.
         mode: u32,
     },
-    /// Content can't be encrypted for this certificate.
+    /// The partner's certificate has no key that content can be encrypted for.
     #[error("{path}: nothing can be encrypted for partner '{partner}', whose key is not RSA; set encrypt = \"none\"")]
-    CantEncrypt {
-        /// Which file.
+    EncryptionNotSupported {
+        /// The certificate.
         path: PathBuf,
-        /// Whose.
+        /// Name of the partner.
         partner: String,
     },
 }
@@ -50,7 +50,10 @@
     std::fs::read_to_string(path).map_err(|error| LoadError::Read { path: path.to_owned(), error })
 }
 
-/// Reads settings; paths in them count from the file's own folder.
+/// Reads settings; paths in them are relative to the folder of the file.
+///
+/// # Errors
+/// A file that can't be read, or invalid settings.
 pub fn load_config(path: &Path) -> Result<Config, LoadError> {
     let mut config = parse(&path.display().to_string(), &read(path)?)?;
     let folder = path.parent().unwrap_or(Path::new(""));
@@ -62,10 +65,13 @@
     Ok(config)
 }
 
-/// Reads a station's key and certificate. A key that others may read is refused.
+/// Reads a station's key and certificate.
+///
+/// # Errors
+/// Files that can't be read or used, and a key that other users may read.
 pub fn load_identity(name: &str, key: &Path, certificate: &Path) -> Result<Identity, LoadError> {
-    let told = std::fs::metadata(key).map_err(|error| LoadError::Read { path: key.to_owned(), error })?;
-    let mode = told.permissions().mode() & 0o777;
+    let metadata = std::fs::metadata(key).map_err(|error| LoadError::Read { path: key.to_owned(), error })?;
+    let mode = metadata.permissions().mode() & 0o777;
     if mode & 0o077 != 0 {
         return Err(LoadError::Permissions { path: key.to_owned(), mode });
     }
@@ -76,17 +82,20 @@
         .map_err(|error| LoadError::Key { path: key.to_owned(), error })
 }
 
-/// Settings with all keys and certificates that they name.
+/// Reads settings with all keys and certificates that they name.
+///
+/// # Errors
+/// See [`LoadError`].
 pub fn load(path: &Path) -> Result<(Config, Directory), LoadError> {
     let config = load_config(path)?;
     let directory = Directory::load(&config)?;
     Ok((config, directory))
 }
 
-/// All stations that a courier deals with.
+/// Keys and certificates of all AS2 stations that a gateway communicates with.
 pub struct Directory {
-    /// Its own.
-    pub me: Arc<Identity>,
+    /// Key and certificate of the gateway itself.
+    pub own_identity: Arc<Identity>,
     /// Certificates of clients, in the order of the settings.
     pub clients: Vec<Arc<Certificate>>,
     /// Certificates of partners, in the order of the settings.
@@ -95,9 +104,12 @@
 
 impl Directory {
     /// Reads all keys and certificates that settings name.
+    ///
+    /// # Errors
+    /// See [`LoadError`].
     pub fn load(config: &Config) -> Result<Directory, LoadError> {
         let station = &config.station;
-        let me = load_identity(&station.name, &station.key, &station.certificate)?;
+        let own_identity = load_identity(&station.name, &station.key, &station.certificate)?;
         let certificate = |path: &Path| {
             Certificate::from_pem(&read(path)?)
                 .map(Arc::new)
@@ -110,12 +122,12 @@
             .iter()
             .map(|partner| certificate(&partner.certificate))
             .collect::<Result<_, _>>()?;
-        for (partner, held) in config.partners.iter().zip(&partners) {
-            if partner.encrypt.is_some() && !held.can_receive_encrypted() {
+        for (partner, certificate) in config.partners.iter().zip(&partners) {
+            if partner.encrypt.is_some() && !certificate.can_receive_encrypted() {
                 let (path, partner) = (partner.certificate.clone(), partner.name.clone());
-                return Err(LoadError::CantEncrypt { path, partner });
+                return Err(LoadError::EncryptionNotSupported { path, partner });
             }
         }
-        Ok(Directory { me: Arc::new(me), clients, partners })
+        Ok(Directory { own_identity: Arc::new(own_identity), clients, partners })
     }
 }
--- a/crates/as2-gateway/src/lib.rs
+++ b/crates/as2-gateway/src/lib.rs
@@ -1,21 +1,25 @@
-//! The courier on sockets: AS2 messages come in, the module decides, AS2 messages go out, and each hand-in gets
-//! one signed receipt back.
+//! Gateway with AS2 clients and AS2 partners: submissions come in, the policy decides, messages go out, and each
+//! submission gets one signed receipt.
 //!
-//! This package is the shell: sockets, clocks, files, signals and threads are here, decisions are not. What an
-//! answer of a partner means is in [`meaning`], free of I/O; what a message needs before it is taken is in
-//! [`admission`].
+//! This package is the shell: sockets, clocks, files, signals and threads are here, decisions are not. [`admission`]
+//! (what a message needs to be admitted) and [`response_mapping`] (what a partner's response means) are free of I/O.
 #![forbid(unsafe_code)]
 
 pub mod admission;
+mod as2_server;
+mod context;
+mod crypto_pool;
 mod directory;
-mod front;
-mod losses;
-pub mod meaning;
-mod pool;
+mod failover_setup;
+mod identifiers;
+mod in_flight_message;
+mod outbound_client;
+pub mod response_mapping;
 mod service;
 pub mod test_cluster;
-mod wire;
+mod worker_result;
+mod zone_loss;
 
 pub use directory::{load, load_config, load_identity, Directory, LoadError};
-pub use losses::{network, warnings};
 pub use service::{serve, RunSummary, Service, ServiceError, ShutdownHandle};
+pub use zone_loss::{network, warnings};
--- /dev/null
+++ b/crates/as2-gateway/src/outbound_client.rs
@@ -0,0 +1,422 @@
+//! Outbound client: sends messages to partners in batches over pooled connections and reports the outcome of each attempt.
+
+mod batch;
+mod connection_pool;
+mod security;
+
+use crate::context::Context;
+use crate::identifiers::BatchId;
+use crate::response_mapping::{outcome_of_receipt, outcome_of_status, rate_limit_status};
+use crate::worker_result::{VerifiedResponse, WorkerResult};
+use batch::{AttemptStage, Batch, BatchConnection};
+use cloverstile::{EndpointId, MessageId, RateLimitStatus, Time};
+use cloverstile_as2::{compose, read_receipt, Addressee, As2Error, Composed, Outgoing};
+use cloverstile_engine::{Attempt, TransportOutcome};
+use cloverstile_http::{request, Item, Message, Start};
+use cloverstile_net::ConnId;
+use cloverstile_settings::Receipt;
+use connection_pool::{ConnectionPool, ConnectionUse};
+use security::security_for;
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+use tracing::{debug, warn};
+
+/// State of the outbound client.
+#[derive(Default)]
+pub(crate) struct OutboundClient {
+    batches: HashMap<BatchId, Batch>,
+    /// The batch that an attempt belongs to.
+    attempts: HashMap<Attempt, BatchId>,
+    pool: ConnectionPool,
+    /// Batches that wait for a message to be composed.
+    composing: HashMap<MessageId, BatchId>,
+    last_batch: u64,
+}
+
+impl OutboundClient {
+    /// Sends attempts one after another over one connection to an endpoint.
+    pub fn send(&mut self, context: &mut Context, endpoint: EndpointId, attempts: Vec<Attempt>) {
+        let mut queue = VecDeque::from(attempts);
+        let Some(current) = queue.pop_front() else { return };
+        self.last_batch += 1;
+        let id = BatchId(self.last_batch);
+        for attempt in std::iter::once(&current).chain(&queue) {
+            self.attempts.insert(*attempt, id);
+            context.engine.set_attempt_started(*attempt, false);
+        }
+        self.batches.insert(id, Batch::new(endpoint, current, queue));
+        self.prepare(context, id);
+    }
+
+    /// Composes the current message if that is not done, acquires a connection, and sends once both are there.
+    fn prepare(&mut self, context: &mut Context, id: BatchId) {
+        let Some(batch) = self.batches.get(&id) else { return };
+        let message = batch.current.message;
+        // A late receipt or the shutdown may have completed it since: nothing is sent after the final outcome.
+        if !context.engine.is_pending(message) {
+            return self.end_attempt(context, id, TransportOutcome::Unsent, None);
+        }
+        let Some(in_flight) = context.messages.get(&message) else {
+            return self.end_attempt(context, id, TransportOutcome::Unsent, None);
+        };
+        if in_flight.composed.is_none() {
+            self.composing.insert(message, id);
+            start_composing(context, message);
+        }
+        if let Some(batch) = self.batches.get_mut(&id).filter(|batch| batch.connection.id().is_none()) {
+            if let Some(connection) = self.pool.acquire(context, batch.endpoint, id) {
+                batch.connection = connection;
+            }
+        }
+        self.send_if_ready(context, id);
+    }
+
+    /// A message was composed on a worker thread.
+    pub fn on_message_composed(
+        &mut self,
+        context: &mut Context,
+        message: MessageId,
+        composed: Result<Box<Composed>, As2Error>,
+    ) {
+        let batch = self.composing.remove(&message);
+        match composed {
+            Ok(composed) => {
+                if let Some(in_flight) = context.messages.get_mut(&message) {
+                    in_flight.composed = Some(Arc::from(composed));
+                }
+                if let Some(id) = batch {
+                    self.send_if_ready(context, id);
+                }
+            }
+            Err(error) => {
+                // The settings are checked for this; nothing was sent.
+                warn!(message_id = context.idempotency_key(message), %error, "message could not be composed");
+                if let Some(id) = batch {
+                    self.end_attempt(context, id, TransportOutcome::Unsent, None);
+                }
+            }
+        }
+    }
+
+    /// Sends the current attempt once its message is composed and its connection established.
+    fn send_if_ready(&mut self, context: &mut Context, id: BatchId) {
+        let now = context.now();
+        let Some(batch) = self.batches.get_mut(&id) else { return };
+        let attempt = batch.current;
+        let (Some(connection), AttemptStage::Preparing) = (batch.connection.established(), batch.stage)
+        else {
+            return;
+        };
+        let in_flight = context.messages.get(&attempt.message);
+        let Some(composed) = in_flight.and_then(|in_flight| in_flight.composed.clone()) else { return };
+        if !context.engine.is_pending(attempt.message) {
+            return self.end_attempt(context, id, TransportOutcome::Unsent, None);
+        }
+        // Guards against what came since the decision, while the message was composed or the connection established: a
+        // Retry-After, a drain, an outage, the end of the repeat window.
+        if !context.engine.may_send_now(now, attempt) {
+            return self.end_attempt(context, id, TransportOutcome::NotStarted, None);
+        }
+        let Some(endpoint) = context.endpoints.get(&batch.endpoint) else { return };
+        context.engine.set_attempt_started(attempt, true);
+        batch.stage = AttemptStage::AwaitingResponse;
+        debug!(
+            message_id = context.idempotency_key(attempt.message),
+            attempt = attempt.number,
+            partner = %context.config.partners[endpoint.partner].name,
+            endpoint = %endpoint.name,
+            "request sent"
+        );
+        let mut headers = composed.headers.clone();
+        headers.add("Host", endpoint.address.to_string()).add("User-Agent", "cloverstile");
+        let bytes = request("POST", &endpoint.path, &headers, &composed.body);
+        context.net.send(connection, &bytes);
+    }
+
+    pub fn on_connected(&mut self, context: &mut Context, connection: ConnId) {
+        match self.pool.use_of(connection) {
+            Some(ConnectionUse::Batch(id, _)) => {
+                let id = *id;
+                if let Some(batch) = self.batches.get_mut(&id) {
+                    batch.connection = BatchConnection::Established(connection);
+                }
+                self.send_if_ready(context, id);
+            }
+            Some(&ConnectionUse::Probe { endpoint, started }) => {
+                self.pool.close(context, connection);
+                end_probe(context, endpoint, started, true);
+            }
+            Some(ConnectionUse::Idle(_)) | None => {}
+        }
+    }
+
+    pub fn on_connect_failed(&mut self, context: &mut Context, connection: ConnId) {
+        match self.pool.remove(connection) {
+            Some(ConnectionUse::Batch(id, _)) => self.fail_unconnected(context, id),
+            Some(ConnectionUse::Probe { endpoint, started }) => {
+                context.net.close(connection);
+                end_probe(context, endpoint, started, false);
+            }
+            Some(ConnectionUse::Idle(_)) | None => {}
+        }
+    }
+
+    /// Ends a batch whose connection was not established: none of its messages was sent.
+    fn fail_unconnected(&mut self, context: &mut Context, id: BatchId) {
+        let Some(batch) = self.batches.remove(&id) else { return };
+        for attempt in std::iter::once(batch.current).chain(batch.queue) {
+            self.report(context, attempt, TransportOutcome::ConnectFailed, None);
+        }
+    }
+
+    pub fn on_connect_timeout(&mut self, context: &mut Context, connection: ConnId) {
+        let connecting = match self.pool.use_of(connection) {
+            Some(ConnectionUse::Batch(id, _)) => {
+                self.batches.get(id).is_some_and(|batch| batch.connection.established().is_none())
+            }
+            Some(ConnectionUse::Probe { .. }) => true,
+            Some(ConnectionUse::Idle(_)) | None => false,
+        };
+        if connecting {
+            context.net.close(connection);
+            self.on_connect_failed(context, connection);
+        }
+    }
+
+    // ---- Responses ----
+
+    pub fn on_bytes(&mut self, context: &mut Context, connection: ConnId, bytes: &[u8]) {
+        let now = context.since_start();
+        let Some(ConnectionUse::Batch(id, decoder)) = self.pool.use_of_mut(connection) else {
+            // Bytes without a request: the connection is of no further use.
+            self.on_closed(context, connection);
+            return context.net.close(connection);
+        };
+        let id = *id;
+        decoder.feed(now, bytes);
+        match decoder.next(now) {
+            Ok(Some(Item::Message(message))) => self.on_response(context, id, message),
+            Ok(_) => {}
+            Err(error) => {
+                debug!(%error, "invalid response");
+                self.pool.close(context, connection);
+                self.on_connection_lost(context, id, TransportOutcome::Error);
+            }
+        }
+    }
+
+    fn on_response(&mut self, context: &mut Context, id: BatchId, message: Message) {
+        let awaited = |batch: &&mut Batch| batch.stage == AttemptStage::AwaitingResponse;
+        let Some(batch) = self.batches.get_mut(&id).filter(awaited) else { return };
+        let Start::Response { status } = message.start else { return };
+        let attempt = batch.current;
+        batch.rate_limit = rate_limit_status(&message.headers);
+        batch.keep_alive = message.keep_alive;
+        if let Some(outcome) = outcome_of_status(status, &message.headers) {
+            return self.end_attempt(context, id, outcome, None);
+        }
+        let Some(in_flight) = context.messages.get(&attempt.message) else {
+            return self.end_attempt(context, id, TransportOutcome::Error, None);
+        };
+        let receipt = context.config.partners[in_flight.partner].receipt;
+        match (message.body.is_empty(), receipt) {
+            (true, Receipt::Async) => self.detach_attempt(context, id),
+            (true, _) => {
+                let error = As2Error::Missing("receipt");
+                self.end_attempt(context, id, TransportOutcome::Error, Some(error));
+            }
+            (false, _) if in_flight.composed.is_none() => {}
+            (false, _) => {
+                batch.stage = AttemptStage::VerifyingReceipt;
+                start_verifying(context, id, attempt, message);
+            }
+        }
+    }
+
+    /// The receipt in a response was verified on a worker thread.
+    pub fn on_response_verified(&mut self, context: &mut Context, verified: VerifiedResponse) {
+        let VerifiedResponse { batch: id, attempt, outcome, error } = verified;
+        let awaited =
+            |batch: &Batch| batch.stage == AttemptStage::VerifyingReceipt && batch.current == attempt;
+        if self.batches.get(&id).is_some_and(awaited) {
+            self.end_attempt(context, id, outcome, error);
+        } else if outcome == TransportOutcome::Processed {
+            // The connection was lost or the attempt expired while the receipt was being verified.
+            context.engine.on_receipt(context.now(), attempt.message, outcome);
+        }
+    }
+
+    fn report(
+        &mut self,
+        context: &mut Context,
+        attempt: Attempt,
+        outcome: TransportOutcome,
+        rate_limit: Option<RateLimitStatus>,
+    ) {
+        if self.attempts.remove(&attempt).is_some() {
+            context.engine.on_attempt_completed(context.now(), attempt, outcome, rate_limit);
+        }
+    }
+
+    /// Ends the current attempt of a batch and goes on with the next one.
+    fn end_attempt(
+        &mut self,
+        context: &mut Context,
+        id: BatchId,
+        outcome: TransportOutcome,
+        error: Option<As2Error>,
+    ) {
+        let Some(batch) = self.batches.get_mut(&id) else { return };
+        let (attempt, rate_limit) = (batch.current, batch.rate_limit.take());
+        if let Some(error) = error {
+            let endpoint = context.endpoints.get(&batch.endpoint);
+            let partner =
+                endpoint.map_or("", |endpoint| context.config.partners[endpoint.partner].name.as_str());
+            let message_id = context.idempotency_key(attempt.message);
+            warn!(message_id, attempt = attempt.number, partner, %error, "response rejected");
+        }
+        self.report(context, attempt, outcome, rate_limit);
+        self.start_next(context, id);
+    }
+
+    /// The current attempt goes on without the connection: its receipt is asynchronous.
+    fn detach_attempt(&mut self, context: &mut Context, id: BatchId) {
+        if let Some(batch) = self.batches.get(&id) {
+            self.attempts.remove(&batch.current);
+        }
+        self.start_next(context, id);
+    }
+
+    fn start_next(&mut self, context: &mut Context, id: BatchId) {
+        let Some(batch) = self.batches.get_mut(&id) else { return };
+        batch.stage = AttemptStage::Preparing;
+        if !batch.keep_alive {
+            if let Some(connection) = batch.take_connection() {
+                self.pool.close(context, connection);
+            }
+            batch.keep_alive = true;
+        }
+        if let Some(next) = batch.queue.pop_front() {
+            batch.current = next;
+            self.prepare(context, id);
+        } else if let Some(batch) = self.batches.remove(&id) {
+            self.pool.release(context, batch.endpoint, batch.connection);
+        }
+    }
+
+    // ---- Connections that end without a response ----
+
+    pub fn on_closed(&mut self, context: &mut Context, connection: ConnId) {
+        match self.pool.remove(connection) {
+            Some(ConnectionUse::Batch(id, mut decoder)) => match decoder.end() {
+                // A response without a length ends with its connection.
+                Ok(Some(message)) => {
+                    if let Some(batch) = self.batches.get_mut(&id) {
+                        batch.connection = BatchConnection::None;
+                    }
+                    self.on_response(context, id, message);
+                }
+                _ => self.on_connection_lost(context, id, TransportOutcome::Reset),
+            },
+            Some(ConnectionUse::Probe { endpoint, started }) => {
+                context.net.close(connection);
+                end_probe(context, endpoint, started, false);
+            }
+            Some(ConnectionUse::Idle(_)) | None => {}
+        }
+    }
+
+    /// The connection of a batch was lost: what was not sent is reported as such, the request in flight with `outcome`.
+    fn on_connection_lost(&mut self, context: &mut Context, id: BatchId, outcome: TransportOutcome) {
+        let Some(batch) = self.batches.get_mut(&id) else { return };
+        batch.connection = BatchConnection::None;
+        match batch.stage {
+            // It had not been used for this message: a new one is acquired.
+            AttemptStage::Preparing => self.prepare(context, id),
+            // The response has arrived; its receipt decides.
+            AttemptStage::VerifyingReceipt => batch.keep_alive = true,
+            AttemptStage::AwaitingResponse => {
+                let Some(batch) = self.batches.remove(&id) else { return };
+                // The policy goes by the last outcome of a batch: the one that says what happened is reported last.
+                for unsent in batch.queue {
+                    self.report(context, unsent, TransportOutcome::Unsent, None);
+                }
+                self.report(context, batch.current, outcome, None);
+            }
+        }
+    }
+
+    /// Gives an attempt up; its outcome is not reported.
+    pub fn abandon(&mut self, context: &mut Context, attempt: Attempt) {
+        let Some(id) = self.attempts.remove(&attempt) else { return };
+        let Some(batch) = self.batches.get_mut(&id) else { return };
+        if batch.current != attempt {
+            return batch.queue.retain(|queued| *queued != attempt);
+        }
+        // Its response must not be taken for the next message's.
+        if let Some(connection) = batch.take_connection() {
+            self.pool.close(context, connection);
+        }
+        self.start_next(context, id);
+    }
+
+    // ---- Idle connections and probes ----
+
+    pub fn on_idle_timeout(&mut self, context: &mut Context, connection: ConnId) {
+        self.pool.on_idle_timeout(context, connection);
+    }
+
+    pub fn close_idle(&mut self, context: &mut Context, endpoint: EndpointId) {
+        self.pool.close_idle(context, endpoint);
+    }
+
+    pub fn probe(&mut self, context: &mut Context, endpoint: EndpointId) {
+        self.pool.probe(context, endpoint);
+    }
+}
+
+/// Composes a message on a worker thread, unless that has begun.
+fn start_composing(context: &mut Context, message: MessageId) {
+    let receipts_url = context.receipts_url();
+    let message_id = context.idempotency_key(message).to_owned();
+    let in_flight = context.messages.get_mut(&message).filter(|in_flight| !in_flight.composing);
+    let Some(in_flight) = in_flight else { return };
+    let Some(payload) = in_flight.payload.take() else { return };
+    in_flight.composing = true;
+    let partner = &context.config.partners[in_flight.partner];
+    let security = security_for(partner, receipts_url);
+    let certificate = context.directory.partners[in_flight.partner].clone();
+    let (identity, addressee_name) = (context.directory.own_identity.clone(), partner.as2_name.clone());
+    context.crypto_pool.submit(move || {
+        let outgoing = Outgoing { message_id: &message_id, payload: &payload, subject: None };
+        let addressee = Addressee { name: &addressee_name, certificate: &certificate };
+        let composed = compose(&outgoing, &identity, addressee, &security).map(Box::new);
+        WorkerResult::MessageComposed { message, composed }
+    });
+}
+
+/// Verifies the receipt in a response on a worker thread.
+fn start_verifying(context: &mut Context, batch: BatchId, attempt: Attempt, response: Message) {
+    let Some(in_flight) = context.messages.get(&attempt.message) else { return };
+    let Some(composed) = in_flight.composed.clone() else { return };
+    let certificate = context.directory.partners[in_flight.partner].clone();
+    let signed = context.config.partners[in_flight.partner].receipt != Receipt::Unsigned;
+    let message_id = context.idempotency_key(attempt.message).to_owned();
+    context.crypto_pool.submit(move || {
+        let receipt = read_receipt(&response.headers, &response.body, &certificate);
+        let verified = receipt.and_then(|receipt| {
+            receipt.check(&message_id, &composed.mic, signed)?;
+            Ok(outcome_of_receipt(&receipt))
+        });
+        let (outcome, error) = match verified {
+            Ok(outcome) => (outcome, None),
+            Err(error) => (TransportOutcome::Error, Some(error)),
+        };
+        WorkerResult::ResponseVerified(VerifiedResponse { batch, attempt, outcome, error })
+    });
+}
+
+fn end_probe(context: &mut Context, endpoint: EndpointId, started: Time, connected: bool) {
+    let now = context.now();
+    context.engine.on_probe_completed(now, endpoint, connected, now - started);
+}
--- /dev/null
+++ b/crates/as2-gateway/src/outbound_client/security.rs
@@ -0,0 +1,38 @@
+//! Protection of messages to a partner, from the settings.
+
+use cloverstile_as2::{Cipher, Digest, ReceiptRequest, Security};
+use cloverstile_settings::{self as settings, Partner, Receipt};
+
+/// How messages for a partner are protected, and which receipt is asked for.
+pub(crate) fn security_for(partner: &Partner, receipts_url: String) -> Security {
+    let sign = partner.sign.map(digest);
+    let mic = partner.mic.map(digest).or(sign).unwrap_or(Digest::Sha256);
+    let receipt = ReceiptRequest {
+        deliver_to: (partner.receipt == Receipt::Async).then_some(receipts_url),
+        signed: if partner.receipt == Receipt::Unsigned { Vec::new() } else { vec![mic] },
+    };
+    Security {
+        sign,
+        encrypt: partner.encrypt.map(cipher),
+        compress: partner.compress,
+        receipt: Some(receipt),
+    }
+}
+
+fn digest(digest: settings::Digest) -> Digest {
+    match digest {
+        settings::Digest::Sha1 => Digest::Sha1,
+        settings::Digest::Sha256 => Digest::Sha256,
+        settings::Digest::Sha384 => Digest::Sha384,
+        settings::Digest::Sha512 => Digest::Sha512,
+    }
+}
+
+fn cipher(cipher: settings::Cipher) -> Cipher {
+    match cipher {
+        settings::Cipher::Aes128Cbc => Cipher::Aes128Cbc,
+        settings::Cipher::Aes256Cbc => Cipher::Aes256Cbc,
+        settings::Cipher::Aes128Gcm => Cipher::Aes128Gcm,
+        settings::Cipher::Aes256Gcm => Cipher::Aes256Gcm,
+    }
+}
--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -1,17 +1,15 @@
-//! The courier's loop: events in, the engine's turn, commands out.
+//! The gateway's event loop: socket events and worker results go in, the engine advances, its commands are carried out.
 
+use crate::as2_server::As2Server;
+use crate::context::{Context, EndpointAddress, Timer};
+use crate::crypto_pool::CryptoPool;
 use crate::directory::{load, load_config, Directory, LoadError};
-use crate::front::{Front, Waiter};
-use crate::pool::Pool;
-use crate::wire::Wire;
-use cloverstile::{DestinationId, Endpoint, EndpointId, KindId, MessageId, Time, ZoneId};
-use cloverstile_as2::{As2Error, Composed, Envelope, Opened, Part, Receipt};
-use cloverstile_engine::{
-    Attempt, Command, Counters, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
-};
-use cloverstile_failover::{Fleet, Planner, Tiers};
-use cloverstile_http::Headers;
-use cloverstile_net::{ConnId, Net, NetEvent, SignalKind, Waker};
+use crate::failover_setup::{destination, planner};
+use crate::outbound_client::OutboundClient;
+use crate::worker_result::WorkerResult;
+use cloverstile::{Endpoint, EndpointId, KindId, MessageId, Time, ZoneId};
+use cloverstile_engine::{Command, Counters, Engine, FinalOutcome, ResultCacheLimits};
+use cloverstile_net::{ListenerId, Net, NetEvent, SignalKind, Waker};
 use cloverstile_settings::Config;
 use std::collections::{BTreeSet, HashMap};
 use std::io::{self, Write};
@@ -22,18 +20,21 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::{debug, error, info, warn};
 
-/// Why a courier could not start or go on.
+/// Part of the time for shutdown in which messages are still delivered; the rest is for signing and sending receipts.
+const DELIVERY_PART_OF_SHUTDOWN: f64 = 0.8;
+
+/// Why a gateway could not start or go on.
 #[derive(Debug, thiserror::Error)]
 pub enum ServiceError {
-    /// The system refused.
+    /// An operation of the system failed.
     #[error("{what}: {error}")]
     Io {
-        /// What was tried.
+        /// The operation.
         what: String,
-        /// Why not.
+        /// The system's error.
         error: io::Error,
     },
-    /// Settings that can't be used.
+    /// Settings or keys can't be used.
     #[error(transparent)]
     Load(#[from] LoadError),
 }
@@ -43,162 +44,85 @@
     move |error| ServiceError::Io { what, error }
 }
 
-/// How a run ended.
+/// Figures of a completed run.
 #[derive(Clone, Copy, Debug)]
 pub struct RunSummary {
-    /// Running sums of the engine.
+    /// Counters of the engine.
     pub counts: Counters,
-    /// Messages without an answer at the end; zero unless it was told twice to stop.
+    /// Messages without a final outcome; zero unless the time for shutdown ran out or a second signal came.
     pub unanswered: usize,
-    /// Time spent in the module and its table.
+    /// Time spent in the policy and the engine.
     pub decision_time: Duration,
-    /// Time spent in the loop without waiting.
+    /// Time that the event loop was not waiting.
     pub busy_time: Duration,
 }
 
-/// A message, from its hand-in until its answer is forgotten.
-pub(crate) struct Held {
-    pub partner: usize,
-    /// What is carried; gone once it is composed.
-    pub payload: Option<Part>,
-    pub composed: Option<Arc<Composed>>,
-    /// Its composition has begun.
-    pub composing: bool,
-    pub waiters: Vec<Waiter>,
-}
-
-/// What a thread for cryptography returns.
-pub(crate) enum Done {
-    /// A client's message was opened, or not.
-    Opened {
-        conn: ConnId,
-        request: u64,
-        client: usize,
-        envelope: Box<Envelope>,
-        http: Headers,
-        opened: Result<Box<Opened>, As2Error>,
-    },
-    /// A message for a partner was composed.
-    Composed { message: MessageId, composed: Result<Box<Composed>, As2Error> },
-    /// A partner's receipt in an answer was read.
-    Judged { call: u64, attempt: Attempt, reported: TransportOutcome, why: Option<As2Error> },
-    /// A partner's receipt on a connection of its own was read.
-    Receipt { conn: ConnId, request: u64, partner: usize, receipt: Result<Box<Receipt>, As2Error> },
-    /// A receipt for a client was composed.
-    Told { waiter: Box<Waiter>, answer: FinalOutcome, receipt: Result<Box<Composed>, As2Error> },
-    /// A receipt that says why a message was rejected was composed.
-    Rejected { conn: ConnId, request: u64, status: u16, why: String, receipt: Option<Box<Composed>> },
-}
-
-/// Something due at a moment; whether it still matters is looked at then.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Timer {
-    /// A message is coming in too slowly.
-    Inbound(ConnId),
-    /// An outbound connection takes too long.
-    Connect(ConnId),
-    /// An outbound connection has been idle for long.
-    Idle(ConnId),
-    /// A receipt for a client is tried again.
-    Redeliver(u64),
-}
-
-/// An endpoint as the shell needs it.
-#[derive(Clone)]
-pub(crate) struct Place {
-    pub partner: usize,
-    pub name: String,
-    pub address: SocketAddr,
-    pub path: String,
-}
-
-/// A running courier.
-pub struct Service {
-    pub(crate) config: Config,
-    pub(crate) directory: Arc<Directory>,
-    pub(crate) engine: Engine,
-    pub(crate) net: Net,
-    pub(crate) pool: Pool<Done>,
-    pub(crate) front: Front,
-    pub(crate) wire: Wire,
-    pub(crate) held: HashMap<MessageId, Held>,
-    pub(crate) places: HashMap<EndpointId, Place>,
-    pub(crate) timers: BTreeSet<(Time, Timer)>,
-    endpoint_ids: HashMap<(String, String), EndpointId>,
-    file: Option<PathBuf>,
-    clock: Instant,
-    address: SocketAddr,
-    stop: Arc<AtomicBool>,
-    stopping: Option<Time>,
-    deciding: Duration,
-    working: Duration,
-}
-
-/// The module's destination for a partner's tier: the first one has the partner's own number, further ones come
-/// behind those of all partners.
-fn destination(config: &Config, partner: usize, tier: usize) -> DestinationId {
-    if tier == 0 {
-        return DestinationId(partner as u16);
-    }
-    let before: usize =
-        config.partners[..partner].iter().map(|partner| partner.tiers.len().saturating_sub(1)).sum();
-    DestinationId((config.partners.len() + before + tier - 1) as u16)
-}
-
-fn planner(config: &Config, seed: u64) -> Planner {
-    let couriers = config.module.instance_count.max(1);
-    let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
-    let tiers = tiered.map(|(number, partner)| Tiers {
-        destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
-        zones: partner.tiers.iter().map(|tier| ZoneId(tier.zone)).collect(),
-        rates: partner.tiers.iter().map(|tier| tier.rate).collect(),
-        spill_share: partner.spill_share,
-        // Couriers share nothing: each keeps to an even part of what all may spill together.
-        spill_rate: partner.spill_rate.map(|rate| rate / f64::from(couriers)),
-        lost_after: partner.lost_after,
-        ramp: partner.ramp,
-    });
-    let fleet = Fleet {
-        couriers,
-        place: config.station.place.unwrap_or((seed % u64::from(couriers)) as u32),
-        // Slots go by the time of day, which machines agree on as well as their clocks are kept.
-        epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
-        ..Fleet::of(&config.module.rules)
-    };
-    Planner::new(Time::ZERO, fleet, tiers.collect())
-}
-
-/// Runs a program's own courier from its settings to its end. With `announce` the address that it listens on is
-/// printed as a line of JSON, for whoever started the program.
+/// Runs a gateway from its settings file until it is shut down. With `announce` the address that it listens on is
+/// printed as a line of JSON, for the program that started it. `seed` is the seed of the policy's randomness.
+///
+/// # Errors
+/// Settings that can't be used, and sockets, signals or threads that the system refuses.
 pub fn serve(file: &Path, announce: bool, seed: u64) -> Result<RunSummary, ServiceError> {
     let (config, directory) = load(file)?;
     let mut service = Service::start(config, directory, Some(file), seed)?;
     if announce {
         println!("{{\"listening\":\"{}\"}}", service.address());
-        // Whoever waits for the line reads it from a pipe.
+        // The reader may be at the other end of a pipe; that it is gone is no error of the gateway.
         let _ = io::stdout().flush();
     }
     service.run()
 }
 
-/// Tells a running courier to stop, from another thread.
+/// Shuts a running gateway down from another thread.
 #[derive(Clone)]
 pub struct ShutdownHandle {
-    flag: Arc<AtomicBool>,
+    requested: Arc<AtomicBool>,
     waker: Waker,
 }
 
 impl ShutdownHandle {
-    /// As a signal would.
+    /// Starts a graceful shutdown, as SIGTERM does.
     pub fn shut_down(&self) {
-        self.flag.store(true, Ordering::SeqCst);
+        self.requested.store(true, Ordering::SeqCst);
         self.waker.wake();
     }
 }
 
+/// Whether the event loop goes on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum LoopControl {
+    Continue,
+    Exit,
+}
+
+/// Endpoints keep their ids as long as the program runs.
+#[derive(PartialEq, Eq, Hash)]
+struct EndpointKey {
+    partner: String,
+    endpoint: String,
+}
+
+/// A gateway with AS2 clients and partners.
+pub struct Service {
+    context: Context,
+    server: As2Server,
+    client: OutboundClient,
+    listener: ListenerId,
+    endpoint_ids: HashMap<EndpointKey, EndpointId>,
+    settings_file: Option<PathBuf>,
+    shutdown_requested: Arc<AtomicBool>,
+    /// End of a graceful shutdown at the latest; none while it has not begun.
+    shutdown_deadline: Option<Time>,
+    decision_time: Duration,
+    busy_time: Duration,
+}
+
 impl Service {
-    /// Starts listening. `seed` is the module's chance. With a `file` it is a program's own courier: it heeds
-    /// SIGTERM and SIGINT (stop) and SIGHUP (the file's endpoints and rates are read again).
+    /// Starts to listen. `seed` is the seed of the policy's randomness. With a `file` the gateway handles the signals of
+    /// its process: SIGTERM and SIGINT shut it down, SIGHUP reads the file's endpoints and rates again.
+    ///
+    /// # Errors
+    /// Sockets, signals or threads that the system refuses.
     pub fn start(
         config: Config,
         directory: Directory,
@@ -207,275 +131,294 @@
     ) -> Result<Service, ServiceError> {
         let mut net = Net::new().map_err(io_error("event loop"))?;
         if file.is_some() {
-            // Before any thread is started: one that was there already would take a signal by itself, and die
-            // of it with the whole courier.
+            // Before any thread is started: one that was there already would take a signal by itself, and end the
+            // whole process.
             net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
                 .map_err(io_error("signals"))?;
         }
         let listen = config.front.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
         let (listener, address) = net.listen(listen).map_err(io_error(format!("listening on {listen}")))?;
-        let pool = Pool::new(config.limits.workers, &net.waker()).map_err(io_error("threads"))?;
-        let bounds = ResultCacheLimits {
-            max_results: config.limits.remembered,
-            retention: config.limits.answers_kept,
-        };
-        let mut service = Service {
-            engine: Engine::new(config.module.clone(), bounds, seed).with_planner(planner(&config, seed)),
+        let crypto_pool =
+            CryptoPool::new(config.limits.workers, &net.waker()).map_err(io_error("threads"))?;
+        let context = Context {
+            engine: engine(&config, seed),
             directory: Arc::new(directory),
             net,
-            pool,
-            front: Front::new(listener, address),
-            wire: Wire::default(),
-            held: HashMap::new(),
-            places: HashMap::new(),
+            crypto_pool,
+            messages: HashMap::new(),
+            endpoints: HashMap::new(),
             timers: BTreeSet::new(),
-            endpoint_ids: HashMap::new(),
-            file: file.map(Path::to_owned),
-            clock: Instant::now(),
             address,
-            stop: Arc::default(),
-            stopping: None,
-            deciding: Duration::ZERO,
-            working: Duration::ZERO,
+            started_at: Instant::now(),
             config,
         };
-        service.list();
-        info!(address = %address, partners = service.config.partners.len(), "listening");
+        let mut service = Service {
+            context,
+            server: As2Server::default(),
+            client: OutboundClient::default(),
+            listener,
+            endpoint_ids: HashMap::new(),
+            settings_file: file.map(Path::to_owned),
+            shutdown_requested: Arc::default(),
+            shutdown_deadline: None,
+            decision_time: Duration::ZERO,
+            busy_time: Duration::ZERO,
+        };
+        service.update_endpoints();
+        info!(%address, partners = service.context.config.partners.len(), "listening");
         Ok(service)
     }
 
-    /// Where it listens.
+    /// The address listened on.
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.context.address
     }
 
-    /// For stopping it from another thread.
+    /// A handle that shuts the gateway down from another thread.
     pub fn shutdown_handle(&self) -> ShutdownHandle {
-        ShutdownHandle { flag: self.stop.clone(), waker: self.net.waker() }
-    }
-
-    pub(crate) fn now(&self) -> Time {
-        Time(u64::try_from(self.clock.elapsed().as_nanos()).unwrap_or(u64::MAX))
+        ShutdownHandle { requested: self.shutdown_requested.clone(), waker: self.context.net.waker() }
     }
 
-    pub(crate) fn set_timer(&mut self, at: Time, timer: Timer) {
-        self.timers.insert((at, timer));
-    }
-
-    /// Serves until it is told to stop and all is answered.
+    /// Serves until a shutdown is complete.
+    ///
+    /// # Errors
+    /// An event loop that the system refuses to run.
     pub fn run(&mut self) -> Result<RunSummary, ServiceError> {
         loop {
-            let now = self.now();
-            let next = [self.engine.next_timeout(), self.timers.first().map(|(at, _)| *at), self.stopping];
-            let timeout = next.into_iter().flatten().min().map(|at| at - now);
-            let events = self.net.poll(timeout).map_err(io_error("event loop"))?;
-            let began = Instant::now();
+            let timeout = self.next_timeout();
+            let events = self.context.net.poll(timeout).map_err(io_error("event loop"))?;
+            let woken_at = Instant::now();
             for event in events {
-                if self.on_event(event) {
-                    return Ok(self.ending());
+                if self.on_event(event) == LoopControl::Exit {
+                    return Ok(self.summary());
                 }
             }
-            if self.stop.load(Ordering::SeqCst) {
-                self.begin_stop();
+            if self.shutdown_requested.load(Ordering::SeqCst) {
+                self.start_shutdown();
             }
             self.fire_timers();
-            self.turn();
-            self.working += began.elapsed();
-            if self.is_finished() {
-                return Ok(self.ending());
+            self.advance();
+            self.busy_time += woken_at.elapsed();
+            if self.is_shutdown_complete() {
+                return Ok(self.summary());
             }
         }
     }
 
-    /// Lets results, the engine and its commands act on each other until nothing is left to do.
-    fn turn(&mut self) {
+    fn next_timeout(&self) -> Option<Duration> {
+        let now = self.context.now();
+        let next_timer = self.context.timers.first().map(|(at, _)| *at);
+        let next = [self.context.engine.next_timeout(), next_timer, self.shutdown_deadline];
+        next.into_iter().flatten().min().map(|at| at - now)
+    }
+
+    /// Processes worker results and the engine's commands until neither is left.
+    fn advance(&mut self) {
         loop {
-            while let Some(done) = self.pool.result() {
-                self.on_done(done);
+            while let Some(result) = self.context.crypto_pool.next_result() {
+                self.on_worker_result(result);
             }
-            let began = Instant::now();
-            let now = self.now();
-            let commands = self.engine.advance(now);
-            self.deciding += began.elapsed();
+            let decision_started_at = Instant::now();
+            let now = self.context.now();
+            let commands = self.context.engine.advance(now);
+            self.decision_time += decision_started_at.elapsed();
             if commands.is_empty() {
                 return;
             }
             for command in commands {
-                self.carry_out(command);
+                self.execute(command);
             }
         }
     }
 
-    /// True where the run must end at once.
-    fn on_event(&mut self, event: NetEvent) -> bool {
+    fn on_event(&mut self, event: NetEvent) -> LoopControl {
+        let context = &mut self.context;
         match event {
             NetEvent::Signal(SignalKind::SIGHUP) => self.reload(),
-            NetEvent::Signal(_) if self.stopping.is_some() => return true,
-            NetEvent::Signal(_) => self.begin_stop(),
-            NetEvent::Accepted { conn, .. } => self.front_accepted(conn),
-            NetEvent::Bytes(conn, bytes) if self.front.owns(conn) => self.front_bytes(conn, &bytes),
-            NetEvent::Bytes(conn, bytes) => self.wire_bytes(conn, &bytes),
-            NetEvent::Connected(conn) => self.wire_connected(conn),
-            NetEvent::ConnectFailed(conn, _) => self.wire_connect_failed(conn),
-            NetEvent::Closed { conn, .. } if self.front.owns(conn) => self.front_closed(conn),
-            NetEvent::Closed { conn, .. } => self.wire_closed(conn),
-            NetEvent::Flushed(conn) if self.front.owns(conn) => self.front_read(conn),
+            NetEvent::Signal(_) if self.shutdown_deadline.is_some() => return LoopControl::Exit,
+            NetEvent::Signal(_) => self.start_shutdown(),
+            NetEvent::Accepted { conn, .. } => self.server.on_accepted(context, conn),
+            NetEvent::Bytes(conn, bytes) if self.server.owns(conn) => {
+                self.server.on_bytes(context, conn, &bytes);
+            }
+            NetEvent::Bytes(conn, bytes) => self.client.on_bytes(context, conn, &bytes),
+            NetEvent::Connected(conn) => self.client.on_connected(context, conn),
+            NetEvent::ConnectFailed(conn, _) if self.server.owns(conn) => {
+                self.server.on_delivery_failed(context, conn);
+            }
+            NetEvent::ConnectFailed(conn, _) => self.client.on_connect_failed(context, conn),
+            NetEvent::Closed { conn, .. } if self.server.owns(conn) => self.server.on_closed(context, conn),
+            NetEvent::Closed { conn, .. } => self.client.on_closed(context, conn),
+            NetEvent::Flushed(conn) if self.server.owns(conn) => self.server.on_flushed(context, conn),
             NetEvent::Flushed(_) | NetEvent::Woken => {}
         }
-        false
+        LoopControl::Continue
     }
 
-    fn on_done(&mut self, done: Done) {
-        match done {
-            Done::Opened { conn, request, client, envelope, http, opened } => {
-                self.front_opened(conn, request, client, *envelope, &http, opened);
+    fn on_worker_result(&mut self, result: WorkerResult) {
+        let context = &mut self.context;
+        match result {
+            WorkerResult::SubmissionOpened(submission) => {
+                self.server.on_submission_opened(context, submission);
             }
-            Done::Composed { message, composed } => self.wire_composed(message, composed),
-            Done::Judged { call, attempt, reported, why } => self.wire_judged(call, attempt, reported, why),
-            Done::Receipt { conn, request, partner, receipt } => {
-                self.front_receipt(conn, request, partner, receipt);
+            WorkerResult::MessageComposed { message, composed } => {
+                self.client.on_message_composed(context, message, composed);
             }
-            Done::Told { waiter, answer, receipt } => self.front_told(*waiter, answer, receipt),
-            Done::Rejected { conn, request, status, why, receipt } => {
-                self.front_rejected(conn, request, status, &why, receipt);
+            WorkerResult::ResponseVerified(verified) => self.client.on_response_verified(context, verified),
+            WorkerResult::PartnerReceiptRead { request, partner, receipt } => {
+                self.server.on_partner_receipt_read(context, request, partner, receipt);
             }
+            WorkerResult::FinalReceiptSigned { waiter, outcome, receipt } => {
+                self.server.on_final_receipt_signed(context, *waiter, outcome, receipt);
+            }
+            WorkerResult::RejectionSigned(rejection) => self.server.on_rejection_signed(context, rejection),
         }
     }
 
-    fn carry_out(&mut self, command: Command) {
+    fn execute(&mut self, command: Command) {
+        let context = &mut self.context;
         match command {
-            Command::Send { endpoint, attempts } => self.wire_send(endpoint, attempts),
-            Command::Abandon { attempt, .. } => self.wire_abandon(attempt),
-            Command::Complete { message, outcome: answer, attempts } => {
-                self.answer(message, answer, attempts)
-            }
-            Command::LateReceipt { message, outcome: answer } => {
-                let partner = self.held.get(&message).map(|held| &self.config.partners[held.partner].name);
-                let id = self.engine.idempotency_key(message).unwrap_or_default();
-                warn!(message = id, ?partner, ?answer, "a receipt came after the final answer");
+            Command::Send { endpoint, attempts } => self.client.send(context, endpoint, attempts),
+            Command::Abandon { attempt, .. } => self.client.abandon(context, attempt),
+            Command::Complete { message, outcome, attempts } => self.complete(message, outcome, attempts),
+            Command::LateReceipt { message, outcome } => {
+                let in_flight = context.messages.get(&message);
+                let partner = in_flight.map(|known| &context.config.partners[known.partner].name);
+                let message_id = context.idempotency_key(message);
+                warn!(message_id, ?partner, ?outcome, "receipt arrived after the final outcome");
             }
             Command::Evicted { message } => {
-                self.held.remove(&message);
+                context.messages.remove(&message);
             }
-            Command::CloseIdle { endpoint } => self.wire_close_idle(endpoint),
-            Command::Probe { endpoint } => self.wire_probe(endpoint),
-            Command::Log { text } => info!("{text}"),
+            Command::CloseIdle { endpoint } => self.client.close_idle(context, endpoint),
+            Command::Probe { endpoint } => self.client.probe(context, endpoint),
+            Command::Log { text } => info!(detail = %text, "engine event"),
         }
     }
 
-    fn answer(&mut self, message: MessageId, answer: FinalOutcome, attempts: u32) {
-        let Some(held) = self.held.get_mut(&message) else { return };
-        held.payload = None;
-        let partner = &self.config.partners[held.partner].name;
-        let id = self.engine.idempotency_key(message).unwrap_or_default();
-        debug!(message = id, partner = %partner, attempts, ?answer, "answered");
-        let waiters = std::mem::take(&mut held.waiters);
-        // A composed message is kept for late receipts: their integrity check is compared with it. Its body is
-        // not needed for that.
-        if let Some(composed) = held.composed.take() {
-            let (headers, body, mic) = (Headers::new(), Vec::new(), composed.mic.clone());
-            held.composed = Some(Arc::new(Composed { headers, body, mic }));
-        }
+    /// Sends a message's final outcome to all clients that wait for it.
+    fn complete(&mut self, message: MessageId, outcome: FinalOutcome, attempts: u32) {
+        let context = &mut self.context;
+        let Some(in_flight) = context.messages.get_mut(&message) else { return };
+        let waiters = in_flight.complete();
+        let partner = &context.config.partners[in_flight.partner].name;
+        let message_id = context.engine.idempotency_key(message).unwrap_or_default();
+        debug!(message_id, %partner, attempts, ?outcome, "message completed");
         for waiter in waiters {
-            self.tell(waiter, answer);
+            self.server.send_outcome(context, waiter, outcome);
         }
     }
 
     fn fire_timers(&mut self) {
-        let now = self.now();
-        while let Some(&(at, timer)) = self.timers.first().filter(|(at, _)| *at <= now) {
-            self.timers.remove(&(at, timer));
+        let now = self.context.now();
+        while let Some(timer) = self.context.pop_due_timer(now) {
+            let context = &mut self.context;
             match timer {
-                Timer::Inbound(conn) => self.front_overdue(conn),
-                Timer::Connect(conn) => self.wire_connect_overdue(conn),
-                Timer::Idle(conn) => self.wire_idle_overdue(conn),
-                Timer::Redeliver(delivery) => self.redeliver(delivery),
+                Timer::RequestDeadline(conn) => self.server.on_request_deadline(context, conn),
+                Timer::ConnectTimeout(conn) if self.server.owns(conn) => {
+                    self.server.on_delivery_failed(context, conn);
+                }
+                Timer::ConnectTimeout(conn) => self.client.on_connect_timeout(context, conn),
+                Timer::IdleTimeout(conn) => self.client.on_idle_timeout(context, conn),
+                Timer::RetryDelivery(delivery) => self.server.retry_delivery(context, delivery),
             }
         }
     }
 
-    // ---- The list of endpoints ----
+    // ---- Settings ----
 
-    /// Hands the settings' endpoints to the engine. An endpoint keeps its id as long as the program runs.
-    fn list(&mut self) {
+    /// Gives the settings' endpoints to the engine.
+    fn update_endpoints(&mut self) {
+        let config = &self.context.config;
         let mut listed = Vec::new();
-        for (number, partner) in self.config.partners.iter().enumerate() {
+        for (number, partner) in config.partners.iter().enumerate() {
             for endpoint in &partner.endpoints {
                 let next = EndpointId(self.endpoint_ids.len() as u32);
-                let name = (partner.name.clone(), endpoint.name.clone());
-                let id = *self.endpoint_ids.entry(name).or_insert(next);
+                let key = EndpointKey { partner: partner.name.clone(), endpoint: endpoint.name.clone() };
+                let id = *self.endpoint_ids.entry(key).or_insert(next);
                 let tier = partner.tiers.iter().position(|tier| tier.zone == endpoint.zone).unwrap_or(0);
-                let place = Place {
+                let address = EndpointAddress {
                     partner: number,
                     name: endpoint.name.clone(),
                     address: endpoint.address,
                     path: endpoint.path.clone(),
                 };
-                self.places.insert(id, place);
+                self.context.endpoints.insert(id, address);
                 listed.push(Endpoint {
                     id,
                     zone: ZoneId(endpoint.zone),
                     kind: KindId(partner.kind),
-                    destination: destination(&self.config, number, tier),
+                    destination: destination(config, number, tier),
                     state: endpoint.mode,
                     weight: partner.tiers.get(tier).map_or(partner.rate, |tier| tier.rate),
                 });
             }
         }
-        let now = self.now();
-        self.engine.update_endpoints(now, listed);
+        let now = self.context.now();
+        self.context.engine.update_endpoints(now, listed);
     }
 
     /// Takes a new version of the partners' endpoints and rates, whole or not at all.
     fn reload(&mut self) {
-        let Some(file) = self.file.clone() else { return };
+        let Some(file) = self.settings_file.clone() else { return };
         let read = match load_config(&file) {
             Ok(read) => read,
-            Err(error) => return error!("settings not taken, the old ones stay: {error}"),
+            Err(error) => {
+                return error!(%error, "settings reload failed, the previous settings stay in force")
+            }
         };
-        let mut partners = self.config.partners.clone();
-        for partner in &mut partners {
+        let current = &self.context.config.partners;
+        let is_known = |name: &str| current.iter().any(|partner| partner.name == name);
+        if let Some(new) = read.partners.iter().find(|partner| !is_known(&partner.name)) {
+            return error!(
+                partner = %new.name,
+                "settings reload failed, the previous settings stay in force: a new partner needs a restart"
+            );
+        }
+        for partner in &mut self.context.config.partners {
             match read.partners.iter().find(|new| new.name == partner.name) {
                 Some(new) => (partner.endpoints, partner.rate) = (new.endpoints.clone(), new.rate),
                 None => partner.endpoints.clear(),
             }
         }
-        let known = |name: &str| self.config.partners.iter().any(|partner| partner.name == name);
-        if let Some(new) = read.partners.iter().find(|partner| !known(&partner.name)) {
-            return error!(partner = %new.name, "settings not taken, the old ones stay: a new partner needs a restart");
-        }
-        self.config.partners = partners;
-        self.list();
-        info!("endpoints and rates taken from the settings; all else needs a restart");
+        self.update_endpoints();
+        info!("settings reloaded: endpoints and rates; all else needs a restart");
     }
 
-    // ---- The end ----
+    // ---- Shutdown ----
 
-    fn begin_stop(&mut self) {
-        if self.stopping.is_some() {
+    fn start_shutdown(&mut self) {
+        if self.shutdown_deadline.is_some() {
             return;
         }
-        let now = self.now();
-        let within = self.config.limits.stop_within;
-        info!(held = self.engine.pending_messages(), ?within, "stopping: nothing more is taken");
-        // The last fifth is for signing and sending what is answered at the end.
-        self.engine.shut_down_by(now + within.mul_f64(0.8));
-        self.stopping = Some(now + within);
-        self.net.stop_listening(self.front.listener);
+        let context = &mut self.context;
+        let now = context.now();
+        let within = context.config.limits.stop_within;
+        info!(pending_messages = context.engine.pending_messages(), ?within, "graceful shutdown started");
+        context.engine.shut_down_by(now + within.mul_f64(DELIVERY_PART_OF_SHUTDOWN));
+        self.shutdown_deadline = Some(now + within);
+        context.net.stop_listening(self.listener);
     }
 
-    fn is_finished(&self) -> bool {
-        let Some(until) = self.stopping else { return false };
-        self.now() >= until
-            || (self.engine.pending_messages() == 0
-                && !self.front.is_busy()
-                && self.front.unsent(&self.net) == 0)
+    fn is_shutdown_complete(&self) -> bool {
+        let Some(deadline) = self.shutdown_deadline else { return false };
+        self.context.now() >= deadline
+            || (self.context.engine.pending_messages() == 0
+                && !self.server.is_busy()
+                && self.server.unsent_bytes(&self.context.net) == 0)
     }
 
-    fn ending(&self) -> RunSummary {
-        let counts = self.engine.counters();
-        let unanswered = self.engine.pending_messages();
-        info!(?counts, unanswered, "ended");
-        RunSummary { counts, unanswered, decision_time: self.deciding, busy_time: self.working }
+    fn summary(&self) -> RunSummary {
+        let counts = self.context.engine.counters();
+        let unanswered = self.context.engine.pending_messages();
+        info!(?counts, unanswered, "gateway stopped");
+        RunSummary { counts, unanswered, decision_time: self.decision_time, busy_time: self.busy_time }
     }
 }
+
+fn engine(config: &Config, seed: u64) -> Engine {
+    let result_limits =
+        ResultCacheLimits { max_results: config.limits.remembered, retention: config.limits.answers_kept };
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Engine::new(config.module.clone(), result_limits, seed).with_planner(planner(config, seed, since_epoch))
+}
--- a/crates/as2-gateway/src/losses.rs
+++ b/crates/as2-gateway/src/zone_loss.rs
@@ -1,9 +1,9 @@
-//! From settings to the reckoning of losses.
+//! Capacity check for the loss of zones, with the figures of the settings.
 
 use cloverstile_capacity_planning::{losses, Demand, Loss, Network, PlanError, Site, Zone};
 use cloverstile_settings::Config;
 
-/// What the settings say of zones and of what is wanted of partners; those whose `wanted` is not told are left out.
+/// Zones and demand by the settings; partners without `wanted` are left out.
 pub fn network(config: &Config) -> Network {
     let zones = config.zones.iter().zip(&config.zone_rates);
     let zones = zones.map(|(name, rate)| Zone { name: name.clone(), rate: *rate }).collect();
@@ -30,10 +30,10 @@
     Network { zones, partners: config.partners.iter().filter_map(demand).collect() }
 }
 
-/// One line for each loss of a zone, and for the usual day, that can't be carried as the settings stand.
+/// One line for each loss of a zone, and for the state without a loss, whose demand exceeds the capacity.
 ///
 /// # Errors
-/// Figures that can't be reckoned with.
+/// Figures that the capacity planning rejects.
 pub fn warnings(config: &Config) -> Result<Vec<String>, PlanError> {
     let network = network(config);
     if network.partners.is_empty() {
@@ -44,20 +44,21 @@
 
 fn warning(loss: &Loss) -> String {
     let short = loss.partners.iter().filter(|partner| partner.carried < partner.wanted);
-    let told: Vec<String> = short
+    let shortfalls: Vec<String> = short
         .map(|partner| {
-            let of = format!("{} {:.0} of {:.0} a second", partner.partner, partner.carried, partner.wanted);
+            let carried =
+                format!("{} {:.0} of {:.0} a second", partner.partner, partner.carried, partner.wanted);
             match partner.best_share.filter(|_| partner.best_carried > partner.carried) {
                 Some(share) => {
-                    format!("{of} (spill_share = {share:.2} would carry {:.0})", partner.best_carried)
+                    format!("{carried} (spill_share = {share:.2} would carry {:.0})", partner.best_carried)
                 }
-                None => of,
+                None => carried,
             }
         })
         .collect();
-    let what = match loss.zones.is_empty() {
+    let scenario = match loss.zones.is_empty() {
         true => "the usual day".to_owned(),
         false => format!("the loss of {}", loss.zones.join(" and ")),
     };
-    format!("{what} can't be carried: {}; see cloverstile plan", told.join(", "))
+    format!("{scenario} can't be carried: {}; see cloverstile plan", shortfalls.join(", "))
 }
--- a/crates/as2-gateway/tests/admission.rs
+++ b/crates/as2-gateway/tests/admission.rs
@@ -1,8 +1,8 @@
-//! What a message needs before it is taken: each reason not to take it, and where its fields are read.
+//! Admission of submissions: each reason to reject one, and where its fields are read.
 
 use cloverstile::{OrderKey, Time};
 use cloverstile_as2::{Digest, Mic, Opened, Part, ReceiptRequest};
-use cloverstile_as2_gateway::admission::{admit, Rejection};
+use cloverstile_as2_gateway::admission::{admit, RejectionReason};
 use cloverstile_engine::SubmitRequest;
 use cloverstile_http::Headers;
 use cloverstile_settings::{parse, Config};
@@ -54,7 +54,7 @@
     Opened { payload, mic, signed, encrypted: false, compressed: false }
 }
 
-fn admitted(client: usize, opened: &Opened, http: &[(&str, &str)]) -> Result<SubmitRequest, Rejection> {
+fn admitted(client: usize, opened: &Opened, http: &[(&str, &str)]) -> Result<SubmitRequest, RejectionReason> {
     let mut headers = Headers::new();
     http.iter().for_each(|(name, value)| {
         headers.add(name, *value);
@@ -64,55 +64,58 @@
 
 const GOOD: [(&str, &str); 2] = [("Cloverstile-Partner", "bank"), ("Cloverstile-Class", "pay")];
 
-fn rejection(changed: (&str, &str)) -> Rejection {
+fn rejection(changed: (&str, &str)) -> RejectionReason {
     let fields: Vec<_> = GOOD.into_iter().filter(|(name, _)| *name != changed.0).chain([changed]).collect();
     admitted(0, &opened(Some(Digest::Sha256), &[]), &fields).unwrap_err()
 }
 
 #[test]
-fn the_signed_fields_count_before_those_of_the_http_message() {
+fn signed_fields_take_precedence_over_http_fields() {
     let inner =
         opened(Some(Digest::Sha256), &[("Cloverstile-Time-Left", "300"), ("Cloverstile-Class", "pay")]);
     let outer =
         [("Cloverstile-Partner", "bank"), ("Cloverstile-Class", "notice"), ("Cloverstile-Time-Left", "9")];
-    let hand_in = admitted(0, &inner, &outer).unwrap();
-    assert_eq!((hand_in.class.0, hand_in.deadline), (0, Time(5) + Duration::from_millis(300)));
-    assert_eq!(admitted(0, &inner, &GOOD).unwrap().fingerprint, hand_in.fingerprint);
+    let submission = admitted(0, &inner, &outer).unwrap();
+    assert_eq!((submission.class.0, submission.deadline), (0, Time(5) + Duration::from_millis(300)));
+    assert_eq!(admitted(0, &inner, &GOOD).unwrap().fingerprint, submission.fingerprint);
 }
 
 #[test]
-fn nobody_gets_more_time_than_the_class_has() {
+fn time_left_is_capped_by_the_deadline_of_the_class() {
     let late = [GOOD[0], GOOD[1], ("Cloverstile-Time-Left", "99999999")];
-    let hand_in = admitted(0, &opened(Some(Digest::Sha256), &[]), &late).unwrap();
-    assert_eq!(hand_in.deadline, Time(5) + Duration::from_secs(8));
+    let submission = admitted(0, &opened(Some(Digest::Sha256), &[]), &late).unwrap();
+    assert_eq!(submission.deadline, Time(5) + Duration::from_secs(8));
 }
 
 #[test]
-fn each_reason_not_to_take_a_message_is_told() {
-    assert!(matches!(rejection(("Cloverstile-Partner", "nobody")), Rejection::Partner(_)));
-    assert!(matches!(rejection(("Cloverstile-Class", "none")), Rejection::Class(..)));
-    assert!(matches!(rejection(("Cloverstile-Class", "notice")), Rejection::NoKey(_)));
-    assert!(matches!(rejection(("Cloverstile-Time-Left", "0")), Rejection::TimeLeft(_)));
-    assert!(matches!(rejection(("Cloverstile-Time-Left", "-5")), Rejection::TimeLeft(_)));
-    assert!(matches!(rejection(("Cloverstile-Handed-In", "maybe")), Rejection::HandedIn(_)));
+fn each_rejection_reason_is_reported() {
+    assert!(matches!(rejection(("Cloverstile-Partner", "nobody")), RejectionReason::UnknownPartner(_)));
+    assert!(matches!(rejection(("Cloverstile-Class", "none")), RejectionReason::UnknownClass { .. }));
+    assert!(matches!(rejection(("Cloverstile-Class", "notice")), RejectionReason::MissingOrderKey(_)));
+    assert!(matches!(rejection(("Cloverstile-Time-Left", "0")), RejectionReason::InvalidTimeLeft(_)));
+    assert!(matches!(rejection(("Cloverstile-Time-Left", "-5")), RejectionReason::InvalidTimeLeft(_)));
+    assert!(matches!(
+        rejection(("Cloverstile-Handed-In", "maybe")),
+        RejectionReason::InvalidSubmissionKind(_)
+    ));
     for (client, signed) in [(0, None), (0, Some(Digest::Sha1)), (1, Some(Digest::Sha256))] {
         let error = admitted(client, &opened(signed, &[]), &GOOD).unwrap_err();
-        assert!(matches!(error, Rejection::Unprotected(_)), "{client} {signed:?}");
+        assert!(matches!(error, RejectionReason::InsufficientSecurity(_)), "{client} {signed:?}");
     }
 }
 
 #[test]
-fn marks_of_hand_ins_and_keys_reach_the_engine() {
+fn resubmission_marks_and_order_keys_reach_the_engine() {
     let lost =
         [GOOD[0], GOOD[1], ("Cloverstile-Handed-In", "after-loss"), ("Cloverstile-Order-Key", "employee")];
-    let hand_in = admitted(0, &opened(Some(Digest::Sha256), &[]), &lost).unwrap();
-    assert!(hand_in.from_lost_instance && hand_in.resubmitted);
+    let submission = admitted(0, &opened(Some(Digest::Sha256), &[]), &lost).unwrap();
+    assert!(submission.from_lost_instance && submission.resubmitted);
     let again = admitted(0, &opened(Some(Digest::Sha256), &[]), &lost).unwrap();
-    assert!(hand_in.order_key.is_some_and(|OrderKey(key)| again.order_key == Some(OrderKey(key))));
+    assert!(submission.order_key.is_some_and(|OrderKey(key)| again.order_key == Some(OrderKey(key))));
 }
 
 #[test]
-fn a_message_cannot_make_the_courier_call_any_address() {
+fn receipts_are_sent_only_to_permitted_addresses() {
     let ask = |client: usize, url: &str| {
         let receipt = ReceiptRequest { deliver_to: Some(url.into()), signed: vec![Digest::Sha256] };
         let headers = GOOD.iter().fold(Headers::new(), |all, (name, value)| all.with(name, *value));
@@ -123,6 +126,6 @@
     for (client, url) in
         [(0, "http://127.0.0.1:9001/"), (0, "http://10.0.0.1/"), (1, "http://127.0.0.1:9000/")]
     {
-        assert!(matches!(ask(client, url), Err(Rejection::ReceiptUrl(_))), "{client} {url}");
+        assert!(matches!(ask(client, url), Err(RejectionReason::ReceiptUrlNotAllowed(_))), "{client} {url}");
     }
 }
