--- a/crates/as2-gateway/src/failover_setup.rs
+++ b/crates/as2-gateway/src/failover_setup.rs
@@ -1,7 +1,7 @@
 //! Failover tiers of the partners and their destinations, from the settings.
 
 use cloverstile::{DestinationId, Time, ZoneId};
-use cloverstile_failover::{Fleet, Planner, Tiers};
+use cloverstile_failover::{FailoverPlanner, FleetParameters, TierConfig};
 use cloverstile_settings::{Config, Partner};
 use std::time::Duration;
 
@@ -18,24 +18,24 @@
 
 /// The failover planner of this instance. `since_epoch` is the time of day: machines agree on the instances' time slots
 /// as well as their clocks are kept.
-pub(crate) fn planner(config: &Config, seed: u64, since_epoch: Duration) -> Planner {
+pub(crate) fn planner(config: &Config, seed: u64, since_epoch: Duration) -> FailoverPlanner {
     let instances = config.module.instance_count.max(1);
     let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
-    let tiers = tiered.map(|(number, partner)| Tiers {
+    let tiers = tiered.map(|(number, partner)| TierConfig {
         destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
         zones: partner.tiers.iter().map(|tier| ZoneId(tier.zone)).collect(),
-        rates: partner.tiers.iter().map(|tier| tier.rate).collect(),
+        capacities: partner.tiers.iter().map(|tier| tier.rate).collect(),
         spill_share: partner.spill_share,
         // Instances share no state: each keeps to its fair share of what all may spill together.
         spill_rate: partner.spill_rate.map(|rate| rate / f64::from(instances)),
-        lost_after: partner.lost_after,
-        ramp: partner.ramp,
+        down_after: partner.lost_after,
+        recovery_ramp: partner.ramp,
     });
-    let fleet = Fleet {
-        couriers: instances,
-        place: config.station.place.unwrap_or((seed % u64::from(instances)) as u32),
+    let fleet = FleetParameters {
+        instance_count: instances,
+        instance_index: config.station.place.unwrap_or((seed % u64::from(instances)) as u32),
         epoch: since_epoch,
-        ..Fleet::of(&config.module.rules)
+        ..FleetParameters::for_rules(&config.module.rules)
     };
-    Planner::new(Time::ZERO, fleet, tiers.collect())
+    FailoverPlanner::new(Time::ZERO, fleet, tiers.collect())
 }
--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -420,5 +420,9 @@
     let result_limits =
         ResultCacheLimits { max_results: config.limits.remembered, retention: config.limits.answers_kept };
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Engine::new(config.module.clone(), result_limits, seed).with_planner(planner(config, seed, since_epoch))
+    Engine::new(config.module.clone(), result_limits, seed).with_failover_policy(planner(
+        config,
+        seed,
+        since_epoch,
+    ))
 }
--- a/crates/resp-gateway/src/sockets/tests.rs
+++ b/crates/resp-gateway/src/sockets/tests.rs
@@ -4,7 +4,7 @@
 use cloverstile::{EndpointId, MessageId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
 use cloverstile_net::{Net, NetEvent};
-use cloverstile_platform::requests::{ConnectionLimits, Requests};
+use cloverstile_platform::requests::{CompletedAttempt, ConnectionLimits, Requests, RetryAfter};
 use cloverstile_platform::response::ReportFields;
 use cloverstile_platform::ConnectionId;
 use std::io::{Read, Write};
@@ -21,9 +21,9 @@
     let mut net = Net::new().unwrap();
     let limits = ConnectionLimits {
         connect_timeout: SECOND,
-        idle: SECOND * 9,
-        most: 4,
-        fields: ReportFields::default(),
+        idle_timeout: SECOND * 9,
+        max_connections: 4,
+        report_fields: ReportFields::default(),
     };
     let (mut requests, now) = (Requests::new(limits), Time::ZERO + SECOND);
     let (attempt, to) = (Attempt { message: MessageId(1), number: 0 }, EndpointId(1));
@@ -66,6 +66,7 @@
         }
     }
     let wait = Duration::from_millis(2500);
-    assert_eq!(requests.take_retry_after(), [(to, wait)]);
-    assert_eq!(requests.take_completed(), [(attempt, (TransportOutcome::Rejected(Some(wait)), None))]);
+    assert_eq!(requests.take_retry_after(), [RetryAfter { endpoint: to, delay: wait }]);
+    let result = TransportOutcome::Rejected(Some(wait)).into();
+    assert_eq!(requests.take_completed(), [CompletedAttempt { attempt, result }]);
 }
