--- a/crates/as2-gateway/src/as2_server.rs
+++ b/crates/as2-gateway/src/as2_server.rs
@@ -119,15 +119,12 @@
     /// Rejects a request: with a receipt where one was asked for and the sender is known.
     fn reject(&mut self, context: &mut Context, request: RequestId, rejection: Rejection) {
         debug!(status = rejection.status.code, reason = rejection.reason, "message rejected");
-        match rejection.receipt_request() {
-            Some((envelope, receipt)) => {
-                self.pending_jobs += 1;
-                receipts::sign_rejection(context, request, rejection, envelope, receipt);
-            }
-            None => {
-                let response = receipts::rejection_response(rejection.status, &rejection.reason, None);
-                self.connections.respond(context, request, response);
-            }
+        if let Some((envelope, receipt)) = rejection.receipt_request() {
+            self.pending_jobs += 1;
+            receipts::sign_rejection(context, request, rejection, envelope, receipt);
+        } else {
+            let response = receipts::rejection_response(rejection.status, &rejection.reason, None);
+            self.connections.respond(context, request, response);
         }
     }
 
--- a/crates/as2-gateway/src/as2_server/receipts.rs
+++ b/crates/as2-gateway/src/as2_server/receipts.rs
@@ -24,7 +24,7 @@
     /// Explanation for people.
     pub reason: String,
     /// Fields of the rejected message; none where its sender is not known: no receipt is sent then.
-    pub envelope: Option<Envelope>,
+    pub envelope: Option<Box<Envelope>>,
     /// Disposition modifier of the receipt.
     pub disposition: &'static str,
 }
@@ -36,7 +36,7 @@
     }
 
     /// The envelope and the receipt that its sender asked for, if it did.
-    pub fn receipt_request(&self) -> Option<(Envelope, ReceiptRequest)> {
+    pub fn receipt_request(&self) -> Option<(Box<Envelope>, ReceiptRequest)> {
         let envelope = self.envelope.as_ref()?;
         Some((envelope.clone(), envelope.receipt.clone()?))
     }
@@ -47,7 +47,7 @@
     context: &mut Context,
     request: RequestId,
     rejection: Rejection,
-    envelope: Envelope,
+    envelope: Box<Envelope>,
     receipt: ReceiptRequest,
 ) {
     let identity = context.directory.own_identity.clone();
--- a/crates/as2-gateway/src/as2_server/submissions.rs
+++ b/crates/as2-gateway/src/as2_server/submissions.rs
@@ -51,7 +51,7 @@
         return Err(Rejection {
             status: HttpStatus::UNPROCESSABLE_CONTENT,
             reason,
-            envelope: Some(envelope),
+            envelope: Some(Box::new(envelope)),
             disposition: UNEXPECTED_PROCESSING_ERROR,
         });
     }
@@ -80,7 +80,7 @@
             return NextStep::Reject(Rejection {
                 status: HttpStatus::BAD_REQUEST,
                 reason: error.to_string(),
-                envelope: Some(*envelope),
+                envelope: Some(envelope),
                 disposition: error.disposition_name(),
             })
         }
@@ -92,7 +92,7 @@
         Err(reason) => NextStep::Reject(Rejection {
             status: HttpStatus::UNPROCESSABLE_CONTENT,
             reason: reason.to_string(),
-            envelope: Some(*envelope),
+            envelope: Some(envelope),
             disposition: disposition_of(&reason),
         }),
     }
@@ -136,7 +136,7 @@
         Admission::Conflict => NextStep::Reject(Rejection {
             status: HttpStatus::CONFLICT,
             reason: CONFLICT_REASON.to_owned(),
-            envelope: Some(waiter.envelope),
+            envelope: Some(Box::new(waiter.envelope)),
             disposition: UNEXPECTED_PROCESSING_ERROR,
         }),
         Admission::Overloaded => not_admitted("as much is held as may be\n"),
--- a/crates/as2-gateway/src/crypto_pool.rs
+++ b/crates/as2-gateway/src/crypto_pool.rs
@@ -1,4 +1,4 @@
-//! CryptoPool of worker threads that run cryptographic jobs off the event loop and return results in order of submission.
+//! Pool of worker threads that run cryptographic jobs off the event loop and return results in order of submission.
 
 use cloverstile_net::Waker;
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/as2-gateway/src/zone_loss.rs
+++ b/crates/as2-gateway/src/zone_loss.rs
@@ -1,35 +1,35 @@
 //! Capacity check for the loss of zones, with the figures of the settings.
 
 use cloverstile_capacity_planning::{losses, Demand, Loss, Network, PlanError, Site, Zone};
-use cloverstile_settings::Config;
+use cloverstile_settings::{Config, Partner};
 
 /// Zones and demand by the settings; partners without `wanted` are left out.
 pub fn network(config: &Config) -> Network {
     let zones = config.zones.iter().zip(&config.zone_rates);
     let zones = zones.map(|(name, rate)| Zone { name: name.clone(), rate: *rate }).collect();
-    let demand = |partner: &cloverstile_settings::Partner| {
-        let wanted = partner.wanted?;
-        let own_zone = partner.endpoints.first().map_or(0, |endpoint| endpoint.zone);
-        let sites = match partner.tiers.is_empty() {
-            true => vec![Site { zone: usize::from(own_zone), rate: partner.rate }],
-            false => {
-                let site =
-                    |tier: &cloverstile_settings::Tier| Site { zone: tier.zone.into(), rate: tier.rate };
-                partner.tiers.iter().map(site).collect()
-            }
-        };
-        Some(Demand {
-            name: partner.name.clone(),
-            wanted,
-            worth: partner.worth,
-            sites,
-            spill_share: partner.spill_share,
-            spill_rate: partner.spill_rate,
-        })
-    };
     Network { zones, partners: config.partners.iter().filter_map(demand).collect() }
 }
 
+fn demand(partner: &Partner) -> Option<Demand> {
+    Some(Demand {
+        name: partner.name.clone(),
+        wanted: partner.wanted?,
+        worth: partner.worth,
+        sites: sites(partner),
+        spill_share: partner.spill_share,
+        spill_rate: partner.spill_rate,
+    })
+}
+
+/// The sites of a partner: its tiers, or the zone of its first endpoint where it has none.
+fn sites(partner: &Partner) -> Vec<Site> {
+    if partner.tiers.is_empty() {
+        let zone = partner.endpoints.first().map_or(0, |endpoint| endpoint.zone);
+        return vec![Site { zone: usize::from(zone), rate: partner.rate }];
+    }
+    partner.tiers.iter().map(|tier| Site { zone: tier.zone.into(), rate: tier.rate }).collect()
+}
+
 /// One line for each loss of a zone, and for the state without a loss, whose demand exceeds the capacity.
 ///
 /// # Errors
@@ -56,9 +56,10 @@
             }
         })
         .collect();
-    let scenario = match loss.zones.is_empty() {
-        true => "the usual day".to_owned(),
-        false => format!("the loss of {}", loss.zones.join(" and ")),
+    let scenario = if loss.zones.is_empty() {
+        "the usual day".to_owned()
+    } else {
+        format!("the loss of {}", loss.zones.join(" and "))
     };
     format!("{scenario} can't be carried: {}; see cloverstile plan", shortfalls.join(", "))
 }
