Command line: gateways run as `as2-gateway` and `resp-gateway`, typed exit statuses, short functions

Exit statuses are an enum in a file of their own, below all subcommands. `send` and `demo` are split into steps, the demo's report and scenario into files.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,130 +1,111 @@
-//! `cloverstile demo`: a payday on loopback.
+//! `cloverstile demo`: a test cluster on loopback with two partners at fault.
 
-use crate::exit;
+mod report;
+mod scenario;
+
+use crate::exit_status::ExitStatus;
 use clap::Args;
-use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::test_cluster::{
-    ClassSpec, ClusterSpec, PartnerSpec, TestCluster, TestClusterError,
-};
+use cloverstile_as2_gateway::test_cluster::{TestCluster, TestClusterError};
 use cloverstile_as2_gateway::{load, RunSummary, Service, ShutdownHandle};
-use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, PlannedMessage, Progress};
-use cloverstile_fakes::model::{Fault, ServerProfile};
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, Progress};
+use cloverstile_fakes::model::Fault;
 use cloverstile_fakes::partner::PartnerCommand;
-use cloverstile_fakes::record::{ObservedEvent, Recorder, ReportedOutcome};
-use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
+use cloverstile_fakes::record::Recorder;
 use indicatif::{ProgressBar, ProgressStyle};
-use rand::{Rng, SeedableRng};
-use rand_chacha::ChaCha8Rng;
-use std::collections::{BTreeMap, HashMap};
+use report::Report;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// Arguments.
+/// Part of the run that each fault lasts.
+const FAULT_PART: f64 = 0.3;
+/// Share of its responses that the second faulty partner loses.
+const LOST_RESPONSES: f64 = 0.2;
+/// Interval at which the progress bar is redrawn.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Arguments of `demo`.
 #[derive(Args)]
 pub struct Demo {
-    /// Messages.
+    /// Number of messages.
     #[arg(long, default_value_t = 3000, value_parser = clap::value_parser!(u32).range(10..=200_000))]
     messages: u32,
-    /// Gateways, each in a thread of its own.
-    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=8))]
-    couriers: u16,
-    /// Messages a second.
+    /// Number of gateways, each in a thread of its own.
+    #[arg(long = "couriers", default_value_t = 2, value_parser = clap::value_parser!(u16).range(1..=8))]
+    gateways: u16,
+    /// Messages per second.
     #[arg(long, default_value_t = 250, value_parser = clap::value_parser!(u32).range(1..=5000))]
     rate: u32,
-    /// Seed of the day.
+    /// Seed of all randomness.
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// For machines.
+    /// Prints JSON.
     #[arg(long)]
     json: bool,
 }
 
-struct Running {
-    stopper: ShutdownHandle,
+struct RunningGateway {
+    address: SocketAddr,
+    shutdown_handle: ShutdownHandle,
     thread: std::thread::JoinHandle<Option<RunSummary>>,
 }
 
 impl Demo {
-    /// Plays the day and prints what was answered.
-    pub fn run(&self) -> u8 {
+    /// Runs the test cluster and prints the outcomes.
+    pub fn run(&self) -> ExitStatus {
         let folder = std::env::temp_dir().join(format!("cloverstile-demo-{}", std::process::id()));
-        match self.play(&folder) {
+        match self.run_cluster(&folder) {
             Ok(recorder) => self.report(&recorder),
             Err(error) => {
                 eprintln!("cloverstile demo: {error}");
-                exit::FAILED
+                ExitStatus::Failure
             }
         }
     }
 
-    fn play(&self, folder: &Path) -> Result<Recorder, TestClusterError> {
+    fn run_cluster(&self, folder: &Path) -> Result<Recorder, TestClusterError> {
         let recorder = Recorder::default();
         if !self.json {
-            println!("Making keys, starting {} couriers and four partners on loopback ...", self.couriers);
+            println!("Making keys, starting {} gateways and four partners on loopback ...", self.gateways);
         }
-        let spec = spec(usize::from(self.couriers), self.rate);
-        let rig = TestCluster::build(folder, spec, recorder.clone(), self.seed)?;
+        let spec = scenario::cluster_spec(usize::from(self.gateways), self.rate);
+        let cluster = TestCluster::build(folder, spec, recorder.clone(), self.seed)?;
         let mut running = Vec::new();
-        let mut addresses = Vec::new();
-        for (number, file) in rig.files.iter().enumerate() {
-            let (config, directory) = load(file)?;
-            let (tell, told) = std::sync::mpsc::channel();
-            let seed = self.seed ^ number as u64;
-            // The loop of a courier lives in the thread that made it.
-            let thread = std::thread::spawn(move || {
-                let mut service = Service::start(config, directory, None, seed).ok()?;
-                let _ = tell.send((service.address(), service.shutdown_handle()));
-                service.run().ok()
-            });
-            let (address, stopper) = told.recv().map_err(|_| TestClusterError::Start(number))?;
-            addresses.push(address);
-            running.push(Running { stopper, thread });
+        for (number, file) in cluster.files.iter().enumerate() {
+            running.push(start_gateway(number, file, self.seed ^ number as u64)?);
         }
-        let couriers = rig.gateways(addresses);
-        self.drive(&rig, &couriers, &recorder)?;
-        for courier in running {
-            courier.stopper.shut_down();
-            // A courier that panicked has said so; what it left unanswered shows in the table.
-            let _ = courier.thread.join();
+        let addresses = running.iter().map(|gateway| gateway.address).collect();
+        self.send_messages(&cluster, &cluster.gateways(addresses), &recorder)?;
+        for gateway in running {
+            gateway.shutdown_handle.shut_down();
+            // A gateway that panicked has printed so; messages that it left unanswered are in the table.
+            let _ = gateway.thread.join();
         }
         Ok(recorder)
     }
 
-    /// Lets the clients hand in while two partners have a bad time.
-    fn drive(
+    /// Lets the client submit while two partners are at fault.
+    fn send_messages(
         &self,
-        rig: &TestCluster,
-        couriers: &GatewaySet,
+        cluster: &TestCluster,
+        gateways: &GatewaySet,
         recorder: &Recorder,
     ) -> Result<(), TestClusterError> {
         let span = Duration::from_secs_f64(f64::from(self.messages) / f64::from(self.rate));
-        let plan = plan(self.messages, span, self.seed, recorder.now());
+        let messages = scenario::plan_messages(self.messages, span, self.seed, recorder.now());
+        inject_faults(cluster, span.mul_f64(FAULT_PART));
         let progress = Progress::default();
-        let bar = if self.json { ProgressBar::hidden() } else { ProgressBar::new(u64::from(self.messages)) };
-        let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
-        bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
-        let trouble = span.mul_f64(0.3);
-        rig.partners.send(PartnerCommand::Fault {
-            partner: 1,
-            fault: Fault::Silent,
-            zone: None,
-            duration: trouble,
-        });
-        rig.partners.send(PartnerCommand::Fault {
-            partner: 2,
-            fault: Fault::TruncateResponses(0.2),
-            zone: None,
-            duration: trouble,
-        });
+        let bar = self.progress_bar();
         std::thread::scope(|scope| {
             let client = scope.spawn(|| {
-                let habits = ClientBehaviour::default();
-                Client::new(&rig.clients[0], habits, couriers, plan, recorder.clone(), &progress)?.run()
+                let behaviour = ClientBehaviour::default();
+                let identity = &cluster.clients[0];
+                Client::new(identity, behaviour, gateways, messages, recorder.clone(), &progress)?.run()
             });
             while !client.is_finished() {
                 bar.set_position(progress.completed.load(Ordering::Relaxed) as u64);
-                std::thread::sleep(Duration::from_millis(100));
+                std::thread::sleep(PROGRESS_INTERVAL);
             }
             bar.finish_and_clear();
             client.join().unwrap_or_else(|_| Err(std::io::Error::other("the client panicked")))
@@ -132,124 +113,46 @@
         Ok(())
     }
 
-    fn report(&self, recorder: &Recorder) -> u8 {
-        let lines = recorder.lines();
-        let mut class_of = HashMap::new();
-        let mut answers: BTreeMap<String, [u32; 4]> = BTreeMap::new();
-        let mut effects: HashMap<String, u32> = HashMap::new();
-        for line in &lines {
-            match &line.event {
-                ObservedEvent::Submitted { id, class, .. } => {
-                    class_of.insert(id.clone(), class.clone());
-                }
-                ObservedEvent::EffectApplied { id, .. } => *effects.entry(id.clone()).or_default() += 1,
-                _ => {}
-            }
-        }
-        let mut last: HashMap<&str, ReportedOutcome> = HashMap::new();
-        for line in &lines {
-            if let ObservedEvent::Answered { id, outcome: told, .. } = &line.event {
-                last.insert(id, *told);
-            }
-        }
-        for (id, class) in &class_of {
-            let place = match last.get(id.as_str()) {
-                Some(ReportedOutcome::Delivered) => 0,
-                Some(ReportedOutcome::Rejected) => 1,
-                Some(ReportedOutcome::Failed) => 2,
-                _ => 3,
-            };
-            answers.entry(class.clone()).or_default()[place] += 1;
-        }
-        let twice = effects.values().filter(|count| **count > 1).count();
-        let unanswered: u32 = answers.values().map(|row| row[3]).sum();
+    fn progress_bar(&self) -> ProgressBar {
+        let bar = if self.json { ProgressBar::hidden() } else { ProgressBar::new(u64::from(self.messages)) };
+        let style = "{bar:40} {pos}/{len} answered, {elapsed} elapsed, {eta} to go";
+        bar.set_style(ProgressStyle::with_template(style).unwrap_or_else(|_| ProgressStyle::default_bar()));
+        bar
+    }
+
+    fn report(&self, recorder: &Recorder) -> ExitStatus {
+        let report = Report::from_record(&recorder.lines());
         if self.json {
-            let told = serde_json::json!({
-                "messages": class_of.len(), "answers": answers, "effects_twice": twice, "unanswered": unanswered,
-            });
-            println!("{told}");
+            report.print_json();
         } else {
-            let mut table = Table::new();
-            table.load_preset(UTF8_BORDERS_ONLY);
-            table.set_header(["class", "delivered", "refused (safe)", "failed (may have run)", "no answer"]);
-            for (class, row) in &answers {
-                table.add_row(std::iter::once(class.clone()).chain(row.iter().map(u32::to_string)));
-            }
-            println!("{table}");
-            println!("One partner took messages and never answered for a while, another lost a fifth of its answers.");
-            println!("Messages that took effect twice at a partner: {twice}");
+            report.print_table();
         }
-        if twice == 0 && unanswered == 0 {
-            exit::OK
+        if report.is_success() {
+            ExitStatus::Success
         } else {
-            exit::FAILED
+            ExitStatus::Failure
         }
     }
 }
 
-fn spec(couriers: usize, rate: u32) -> ClusterSpec {
-    let class = |name: &str, effect: &str, in_order, worth| ClassSpec {
-        name: name.into(),
-        effect: effect.into(),
-        group: "all".into(),
-        ordered: in_order,
-        latency_objective: Duration::from_secs(1),
-        deadline: Duration::from_secs(6),
-        repeat_window: Duration::from_secs(5),
-        priority_weight: worth,
-    };
-    let partner = |name: &str, kind: &str, share: f64, key, deferred| PartnerSpec {
-        name: name.into(),
-        kind: kind.into(),
-        profile: ServerProfile {
-            servers: (f64::from(rate) * share * 0.06).ceil().max(4.0) as usize,
-            queue: 64,
-            repeat_window: Duration::from_secs(10),
-            ..ServerProfile::default()
-        },
-        zones: vec![0, 0],
-        key,
-        deferred,
-        mismatched: false,
-        spill_share: None,
-    };
-    ClusterSpec {
-        gateways: couriers,
-        clients: 1,
-        partners: vec![
-            partner("bank-north", "banks", 0.4, NewKey::Rsa2048, false),
-            partner("bank-south", "banks", 0.3, NewKey::P256, false),
-            partner("bayside-hr", "employers", 0.2, NewKey::P256, false),
-            partner("rosehall-hr", "employers", 0.1, NewKey::P256, true),
-        ],
-        classes: vec![class("salary-payment", "unsafe", false, 3.0), class("pay-notice", "keyed", true, 1.0)]
-,
-        zones: 1,
-        gateway_settings: "  call_slots = 100\n  most_held = 4000\n  stop_within = \"5s\"".into(),
-        blocks: "rules {\n  answer_slack = \"300ms\"\n  order_settle = \"50ms\"\n  cold = \"4s\"\n  fall = \"1s\"\n}\n\
-                 kind \"banks\" {}\nkind \"employers\" {}"
-            .into(),
-    }
+/// Starts a gateway on a thread: its event loop must stay on the thread that made it.
+fn start_gateway(number: usize, file: &Path, seed: u64) -> Result<RunningGateway, TestClusterError> {
+    let (config, directory) = load(file)?;
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let thread = std::thread::spawn(move || {
+        let mut service = Service::start(config, directory, None, seed).ok()?;
+        // The receiver waits for this, or the demo has ended.
+        let _ = sender.send((service.address(), service.shutdown_handle()));
+        service.run().ok()
+    });
+    let (address, shutdown_handle) = receiver.recv().map_err(|_| TestClusterError::Start(number))?;
+    Ok(RunningGateway { address, shutdown_handle, thread })
 }
 
-fn plan(messages: u32, span: Duration, seed: u64, from: Duration) -> Vec<PlannedMessage> {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let names = ["bank-north", "bank-south", "bayside-hr", "rosehall-hr"];
-    (0..messages)
-        .map(|number| {
-            let drawn: f64 = rng.random();
-            let partner = [0.4, 0.7, 0.9].iter().filter(|edge| drawn >= **edge).count();
-            let pays = partner < 2;
-            PlannedMessage {
-                at: from + span.mul_f64(f64::from(number) / f64::from(messages)),
-                id: format!("payday-{seed}-{number}@client-0"),
-                class: if pays { "salary-payment" } else { "pay-notice" }.into(),
-                partner: names[partner].into(),
-                key: (!pays).then(|| format!("employee-{}", rng.random_range(0..400))),
-                deadline: Duration::from_secs(6),
-                body: format!("payday message {number} for {}\n", names[partner]).into_bytes(),
-                disconnects_after_submission: false,
-            }
-        })
-        .collect()
+/// Makes one partner silent and another one lose responses.
+fn inject_faults(cluster: &TestCluster, duration: Duration) {
+    let silent = PartnerCommand::Fault { partner: 1, fault: Fault::Silent, zone: None, duration };
+    cluster.partners.send(silent);
+    let fault = Fault::TruncateResponses(LOST_RESPONSES);
+    cluster.partners.send(PartnerCommand::Fault { partner: 2, fault, zone: None, duration });
 }
--- /dev/null
+++ b/crates/cli/src/gateways.rs
@@ -0,0 +1,38 @@
+//! `cloverstile as2-gateway` and `cloverstile resp-gateway`: run a gateway until it is shut down.
+
+use crate::exit_status::ExitStatus;
+use cloverstile_as2_gateway::ServiceError;
+use cloverstile_resp_gateway::{Environment, GatewayError};
+use std::path::Path;
+use tracing::error;
+
+/// Runs a gateway with AS2 clients.
+pub fn run_as2(file: &Path, announce: bool) -> ExitStatus {
+    match cloverstile_as2_gateway::serve(file, announce, rand::random()) {
+        Ok(summary) if summary.unanswered == 0 => ExitStatus::Success,
+        Ok(_) => ExitStatus::Unanswered,
+        Err(ServiceError::Load(error)) => {
+            eprintln!("{error}");
+            ExitStatus::Settings
+        }
+        Err(error) => {
+            error!(%error, "gateway failed");
+            ExitStatus::Failure
+        }
+    }
+}
+
+/// Runs a gateway with RESP2 clients, configured by the environment.
+pub fn run_resp() -> ExitStatus {
+    match Environment::from_env().and_then(|environment| cloverstile_resp_gateway::run(&environment)) {
+        Ok(()) => ExitStatus::Success,
+        Err(error @ GatewayError::Io { .. }) => {
+            error!(%error, "gateway failed");
+            ExitStatus::Failure
+        }
+        Err(error) => {
+            eprintln!("cloverstile resp-gateway: {error}");
+            ExitStatus::Settings
+        }
+    }
+}
--- a/crates/cli/src/keys.rs
+++ b/crates/cli/src/keys.rs
@@ -1,6 +1,6 @@
-//! `cloverstile keys`: a key and a certificate for a station.
+//! `cloverstile keys`: makes a key and a certificate for an AS2 station.
 
-use crate::exit;
+use crate::exit_status::ExitStatus;
 use clap::{Args, ValueEnum};
 use cloverstile_as2::{new_station, Certificate, NewKey};
 use std::fs::OpenOptions;
@@ -9,18 +9,20 @@
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Arguments.
+const SECONDS_PER_DAY: u64 = 86_400;
+
+/// Arguments of `keys`.
 #[derive(Args)]
 pub struct Keys {
-    /// Name of the station; it stands in the certificate.
+    /// AS2 name of the station, also in the certificate.
     name: String,
     /// Folder for NAME.key and NAME.crt.
     #[arg(long, default_value = ".")]
     out: PathBuf,
-    /// Kind of key. Nothing can be encrypted for p256.
+    /// Kind of key. Content can't be encrypted for p256.
     #[arg(long, value_enum, default_value = "rsa2048")]
     kind: Kind,
-    /// Days that the certificate is valid for.
+    /// Validity of the certificate, in days.
     #[arg(long, default_value_t = 730, value_parser = clap::value_parser!(u64).range(1..=36500))]
     days: u64,
 }
@@ -34,23 +36,23 @@
 }
 
 impl Keys {
-    /// Writes both files; never over existing ones.
-    pub fn run(&self) -> u8 {
+    /// Writes both files; existing ones are never overwritten.
+    pub fn run(&self) -> ExitStatus {
         match self.make() {
             Ok(subject) => {
                 println!("{}: {subject}", self.path("key").display());
-                println!("{}: give this one to your partners", self.path("crt").display());
-                exit::OK
+                println!("{}: for your partners", self.path("crt").display());
+                ExitStatus::Success
             }
             Err(error) => {
                 eprintln!("cloverstile keys: {error}");
-                exit::FAILED
+                ExitStatus::Failure
             }
         }
     }
 
-    fn path(&self, ending: &str) -> PathBuf {
-        self.out.join(format!("{}.{ending}", self.name))
+    fn path(&self, extension: &str) -> PathBuf {
+        self.out.join(format!("{}.{extension}", self.name))
     }
 
     fn make(&self) -> Result<String, String> {
@@ -61,44 +63,54 @@
             Kind::P256 => NewKey::P256,
         };
         let today =
-            SystemTime::now().duration_since(UNIX_EPOCH).map_err(|e| e.to_string())?.as_secs() / 86_400;
+            SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?.as_secs()
+                / SECONDS_PER_DAY;
         let (from, to) = (date(today), date(today + self.days));
-        let (key, certificate) = new_station(&self.name, key, from, to).map_err(|e| e.to_string())?;
+        let (key, certificate) = new_station(&self.name, key, from.to_tuple(), to.to_tuple())
+            .map_err(|error| error.to_string())?;
         write_new(&self.path("key"), 0o600, &key)?;
         write_new(&self.path("crt"), 0o644, &certificate)?;
-        Ok(Certificate::from_pem(&certificate).map_err(|e| e.to_string())?.subject())
+        Ok(Certificate::from_pem(&certificate).map_err(|error| error.to_string())?.subject())
     }
 }
 
 fn write_new(path: &Path, mode: u32, text: &str) -> Result<(), String> {
-    let told = |error: io::Error| format!("{}: {error}", path.display());
-    let mut file = OpenOptions::new().write(true).create_new(true).mode(mode).open(path).map_err(told)?;
-    file.write_all(text.as_bytes()).map_err(told)
+    let describe = |error: io::Error| format!("{}: {error}", path.display());
+    let mut file = OpenOptions::new().write(true).create_new(true).mode(mode).open(path).map_err(describe)?;
+    file.write_all(text.as_bytes()).map_err(describe)
+}
+
+/// A date in the Gregorian calendar; month and day count from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Date {
+    year: i32,
+    month: u8,
+    day: u8,
+}
+
+impl Date {
+    /// Year, month and day, as [`new_station`] takes them.
+    fn to_tuple(self) -> (i32, u8, u8) {
+        (self.year, self.month, self.day)
+    }
 }
 
-/// Year, month and day of a day counted from 1970-01-01, in the Gregorian calendar.
-fn date(day: u64) -> (i32, u8, u8) {
+/// The date of a day counted from 1970-01-01.
+fn date(days_since_epoch: u64) -> Date {
     let leap = |year: u64| year.is_multiple_of(4) && (!year.is_multiple_of(100) || year.is_multiple_of(400));
-    let (mut year, mut left) = (1970, day);
-    while left >= 365 + u64::from(leap(year)) {
-        left -= 365 + u64::from(leap(year));
+    let (mut year, mut remaining) = (1970, days_since_epoch);
+    while remaining >= 365 + u64::from(leap(year)) {
+        remaining -= 365 + u64::from(leap(year));
         year += 1;
     }
     let months = [31, 28 + u64::from(leap(year)), 31, 30, 31, 30, 31, 31, 30, 31, 30, 31];
     let mut month = 0;
-    while left >= months[month] {
-        left -= months[month];
+    while remaining >= months[month] {
+        remaining -= months[month];
         month += 1;
     }
-    (year as i32, month as u8 + 1, left as u8 + 1)
+    Date { year: year as i32, month: month as u8 + 1, day: remaining as u8 + 1 }
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn days_become_dates() {
-        assert_eq!(super::date(0), (1970, 1, 1));
-        assert_eq!(super::date(11_016), (2000, 2, 29));
-        assert_eq!(super::date(20_788), (2026, 12, 1));
-    }
-}
+mod tests;
--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -1,53 +1,63 @@
-//! `cloverstile plan`: which losses can be carried.
+//! `cloverstile plan`: whether the capacity suffices after the loss of zones.
 
-use crate::exit;
+use crate::exit_status::ExitStatus;
 use clap::Args;
 use cloverstile_as2_gateway::{load_config, network};
 use cloverstile_capacity_planning::{losses, Binds, Loss};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::path::PathBuf;
 
-/// What is reckoned.
+/// Arguments of `plan`.
 #[derive(Args)]
 pub struct Plan {
-    /// Settings (HCL); partners with `wanted` are reckoned with. Keys are not read.
+    /// Settings (HCL); partners with `wanted` are planned for. Keys are not read.
     file: PathBuf,
-    /// Also the loss of any two zones.
+    /// Also plans for the loss of any two zones.
     #[arg(long)]
     two: bool,
-    /// Messages a second wanted of a partner, in place of what the settings say.
-    #[arg(long, value_name = "PARTNER=RATE", value_parser = wanted)]
-    wanted: Vec<(String, f64)>,
-    /// One line of JSON for each loss.
+    /// Demand for a partner in messages per second, in place of the settings' `wanted`.
+    #[arg(long, value_name = "PARTNER=RATE", value_parser = parse_demand)]
+    wanted: Vec<Demand>,
+    /// Prints one line of JSON for each loss.
     #[arg(long)]
     json: bool,
 }
 
-fn wanted(text: &str) -> Result<(String, f64), String> {
+/// Demand for a partner.
+#[derive(Clone)]
+struct Demand {
+    partner: String,
+    /// Messages per second.
+    rate: f64,
+}
+
+fn parse_demand(text: &str) -> Result<Demand, String> {
     let (name, rate) = text.split_once('=').ok_or("write it as PARTNER=RATE, such as bank=120")?;
     let rate: f64 = rate.parse().map_err(|_| format!("'{rate}' is no number"))?;
-    match rate.is_finite() && rate >= 0.0 {
-        true => Ok((name.to_owned(), rate)),
-        false => Err(format!("'{rate}' must be finite and not below zero")),
+    if rate.is_finite() && rate >= 0.0 {
+        Ok(Demand { partner: name.to_owned(), rate })
+    } else {
+        Err(format!("'{rate}' must be finite and not below zero"))
     }
 }
 
 impl Plan {
     /// Runs the subcommand.
-    pub fn run(&self) -> u8 {
-        match self.reckon() {
-            Ok(true) => exit::OK,
-            Ok(false) => exit::NOT_CARRIED,
-            Err(why) => {
-                eprintln!("{why}");
-                exit::SETTINGS
+    pub fn run(&self) -> ExitStatus {
+        match self.compute() {
+            Ok(true) => ExitStatus::Success,
+            Ok(false) => ExitStatus::CapacityExceeded,
+            Err(reason) => {
+                eprintln!("{reason}");
+                ExitStatus::Settings
             }
         }
     }
 
-    fn reckon(&self) -> Result<bool, String> {
+    /// Prints the plan for each loss; true where the capacity suffices for all.
+    fn compute(&self) -> Result<bool, String> {
         let mut config = load_config(&self.file).map_err(|error| error.to_string())?;
-        for (name, rate) in &self.wanted {
+        for Demand { partner: name, rate } in &self.wanted {
             let names: Vec<String> = config.partners.iter().map(|partner| partner.name.clone()).collect();
             let partner = config.partners.iter_mut().find(|partner| partner.name == *name);
             let partner = partner.ok_or_else(|| {
@@ -62,24 +72,24 @@
                 "{file}: no partner says what is wanted of it; add wanted = 120 or --wanted"
             ));
         }
-        let all = losses(&network, self.two).map_err(|error| error.to_string())?;
-        for loss in &all {
+        let all_losses = losses(&network, self.two).map_err(|error| error.to_string())?;
+        for loss in &all_losses {
             if self.json {
                 println!("{}", serde_json::json!(loss));
             } else {
-                println!("{}\n", told(loss));
+                println!("{}\n", describe(loss));
             }
         }
-        Ok(all.iter().all(|loss| loss.whole))
+        Ok(all_losses.iter().all(|loss| loss.whole))
     }
 }
 
-fn told(loss: &Loss) -> String {
+fn describe(loss: &Loss) -> String {
     let zones = loss.zones.join(" and ");
-    let what = if zones.is_empty() { "On a usual day".to_owned() } else { format!("Without {zones}") };
-    let verdict = if loss.whole { "all is carried" } else { "not all is carried" };
+    let scenario = if zones.is_empty() { "On a usual day".to_owned() } else { format!("Without {zones}") };
+    let result = if loss.whole { "all is carried" } else { "not all is carried" };
     let mut text = format!(
-        "{what}, {verdict}: worth {:.0} of {:.0} a second ({:.0} with the best shares).",
+        "{scenario}, {result}: worth {:.0} of {:.0} a second ({:.0} with the best shares).",
         loss.worth, loss.worth_wanted, loss.best_worth
     );
     if !loss.partners.is_empty() {
@@ -98,7 +108,7 @@
                 partner.partner.clone(),
                 format!("{:.1}", partner.wanted),
                 format!("{:.1}", partner.carried),
-                binds(&partner.binds),
+                describe_limit(&partner.binds),
                 partner.best_share.map_or("-".to_owned(), |share| format!("{share:.2}")),
                 format!("{:.1}", partner.best_carried),
             ]);
@@ -108,8 +118,8 @@
     text
 }
 
-fn binds(binds: &Binds) -> String {
-    match binds {
+fn describe_limit(limit: &Binds) -> String {
+    match limit {
         Binds::Nothing => "-".into(),
         Binds::NoSite => "no site is left".into(),
         Binds::SpillShare => "spill_share".into(),
--- a/crates/cli/src/send.rs
+++ b/crates/cli/src/send.rs
@@ -1,205 +1,274 @@
-//! `cloverstile send`: one message in, one verified receipt out.
+//! `cloverstile send`: submits one message and prints the verified receipt.
 
-use crate::exit;
+use crate::exit_status::ExitStatus;
 use clap::Args;
 use cloverstile_as2::{
-    compose, read_receipt, Addressee, Certificate, Cipher, Digest, Outcome, Outgoing, Part, Receipt,
-    ReceiptRequest, Security,
+    compose, read_receipt, Addressee, As2Error, Certificate, Cipher, Composed, Digest, Mic, Outcome,
+    Outgoing, Part, Receipt, ReceiptRequest, Security,
 };
 use cloverstile_as2_gateway::load_identity;
 use cloverstile_http::{read_url, request, Decoder, Headers, Item, Limits, Message, Start};
-use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
-/// Arguments.
+/// Bytes read from the connection at once.
+const READ_BUFFER_SIZE: usize = 16 << 10;
+
+/// Arguments of `send`.
 #[derive(Args)]
 pub struct Send {
     /// File with the content; - for standard input.
     file: PathBuf,
-    /// The courier, such as http://127.0.0.1:4080/as2.
+    /// URL of the gateway, such as `http://127.0.0.1:4080/as2`.
     #[arg(long)]
     url: String,
-    /// AS2 name of the courier.
+    /// AS2 name of the gateway.
     #[arg(long)]
     to: String,
-    /// Certificate of the courier.
+    /// Certificate of the gateway.
     #[arg(long)]
     to_certificate: PathBuf,
-    /// Our AS2 name.
+    /// AS2 name of the sender.
     #[arg(long)]
     from: String,
-    /// Our key.
+    /// Key of the sender.
     #[arg(long)]
     key: PathBuf,
-    /// Our certificate.
+    /// Certificate of the sender.
     #[arg(long)]
     certificate: PathBuf,
-    /// Whom the message is for.
+    /// Partner that the message is for.
     #[arg(long)]
     partner: String,
     /// Class of the message.
     #[arg(long)]
     class: Option<String>,
-    /// What the message is about, for classes in order.
+    /// Order key, for classes with ordered delivery.
     #[arg(long)]
     order_key: Option<String>,
-    /// Milliseconds until it is given up; the class's deadline at most.
+    /// Milliseconds until the message expires; the class's deadline at most.
     #[arg(long)]
     time_left: Option<u64>,
-    /// Message-ID: the same one for the same message when it is handed in again. Drawn where left out.
+    /// Message-ID; the same one when the same message is resubmitted. Random if left out.
     #[arg(long)]
     id: Option<String>,
     /// Content-Type.
     #[arg(long, default_value = "application/octet-stream")]
     content_type: String,
-    /// Encrypt the content.
+    /// Encrypts the content.
     #[arg(long)]
     encrypt: bool,
-    /// Seconds to wait for the answer.
+    /// Seconds to wait for the response.
     #[arg(long, default_value_t = 120)]
     wait: u64,
-    /// For machines.
+    /// Prints JSON.
     #[arg(long)]
     json: bool,
 }
 
+/// What the gateway's response says of the message.
+struct SendResult {
+    exit: ExitStatus,
+    /// HTTP status of the response.
+    http_status: u16,
+    /// None where the message was not admitted.
+    receipt: Option<Receipt>,
+}
+
+/// Why no outcome is known.
+struct SendError {
+    exit: ExitStatus,
+    reason: String,
+}
+
+impl SendError {
+    fn settings(reason: String) -> Self {
+        SendError { exit: ExitStatus::Settings, reason }
+    }
+
+    /// Nothing was sent.
+    fn failure(what: &str, error: &io::Error) -> Self {
+        SendError { exit: ExitStatus::Failure, reason: format!("{what}: {error}") }
+    }
+
+    /// The message may have been sent.
+    fn unknown(reason: String) -> Self {
+        SendError { exit: ExitStatus::Unknown, reason }
+    }
+}
+
 impl Send {
-    /// Hands in, waits, prints, and tells the answer by the exit code.
-    pub fn run(&self) -> u8 {
+    /// Submits the message, waits for the response and prints it; the exit status has the outcome.
+    pub fn run(&self) -> ExitStatus {
         let id = self.id.clone().unwrap_or_else(|| format!("{:032x}@{}", rand::random::<u128>(), self.from));
         match self.exchange(&id) {
-            Ok((told, status, receipt)) => self.print(&id, told, status, receipt.as_ref()),
-            Err((code, why)) => {
-                eprintln!("cloverstile send: {why}");
-                if code == exit::UNKNOWN {
-                    eprintln!("cloverstile send: hand it in again with --id {id} to learn its answer");
+            Ok(result) => {
+                self.print(&id, &result);
+                result.exit
+            }
+            Err(SendError { exit, reason }) => {
+                eprintln!("cloverstile send: {reason}");
+                if exit == ExitStatus::Unknown {
+                    eprintln!("cloverstile send: resubmit with --id {id} to learn the outcome");
                 }
-                code
+                exit
             }
         }
     }
 
-    fn print(&self, id: &str, code: u8, status: u16, receipt: Option<&Receipt>) -> u8 {
-        let word = match code {
-            exit::OK => "delivered",
-            exit::REFUSED => "refused: it had no effect, and handing it in again is safe",
-            exit::MAY_HAVE_RUN => "failed: it may have taken effect",
-            exit::REJECTED => "rejected: nothing was done",
-            _ => "no answer that counts: nobody knows",
+    fn print(&self, id: &str, result: &SendResult) {
+        let answer = match result.exit {
+            ExitStatus::Success => "delivered",
+            ExitStatus::Refused => "refused: it had no effect, and a retry is safe",
+            ExitStatus::MayHaveTakenEffect => "failed: it may have taken effect",
+            ExitStatus::Rejected => "rejected: nothing was done",
+            _ => "no answer that counts: the outcome is unknown",
         };
+        let receipt = result.receipt.as_ref();
         let disposition = receipt.map(|receipt| format!("{:?}", receipt.disposition));
-        let mic = receipt.and_then(|receipt| receipt.mic.as_ref().map(|mic| mic.write()));
+        let mic = receipt.and_then(|receipt| receipt.mic.as_ref().map(Mic::write));
         if self.json {
-            let answer = word.split(':').next();
-            let told = serde_json::json!({
-                "id": id, "answer": answer, "status": status, "disposition": disposition, "mic": mic,
+            let answer = answer.split(':').next();
+            let summary = serde_json::json!({
+                "id": id, "answer": answer, "status": result.http_status, "disposition": disposition, "mic": mic,
             });
-            println!("{told}");
-        } else {
-            println!("{id}: {word}");
-            if let Some(disposition) = disposition {
-                println!("receipt verified: {disposition}, integrity check {}", mic.unwrap_or("none".into()));
-            }
+            println!("{summary}");
+            return;
+        }
+        println!("{id}: {answer}");
+        if let Some(disposition) = disposition {
+            let mic = mic.unwrap_or_else(|| "none".into());
+            println!("receipt verified: {disposition}, integrity check {mic}");
         }
-        code
     }
 
-    fn exchange(&self, id: &str) -> Result<(u8, u16, Option<Receipt>), (u8, String)> {
-        let settings = |why: String| (exit::SETTINGS, why);
-        let failed = |what: &str| {
-            let what = what.to_owned();
-            move |error: std::io::Error| (exit::FAILED, format!("{what}: {error}"))
-        };
-        let me =
-            load_identity(&self.from, &self.key, &self.certificate).map_err(|e| settings(e.to_string()))?;
-        let held = std::fs::read_to_string(&self.to_certificate)
-            .map_err(|e| settings(format!("{}: {e}", self.to_certificate.display())))?;
-        let courier = Certificate::from_pem(&held).map_err(|e| settings(e.to_string()))?;
-        let mut body = Vec::new();
-        match self.file.as_os_str() == "-" {
-            true => std::io::stdin().read_to_end(&mut body).map(|_| ()).map_err(failed("standard input"))?,
-            false => body = std::fs::read(&self.file).map_err(failed(&self.file.display().to_string()))?,
-        }
+    /// Sends the message and verifies the receipt in the response.
+    fn exchange(&self, id: &str) -> Result<SendResult, SendError> {
+        let identity = load_identity(&self.from, &self.key, &self.certificate)
+            .map_err(|error| SendError::settings(error.to_string()))?;
+        let gateway = self.gateway_certificate()?;
+        let payload = Part { body: self.read_content()?, headers: self.payload_headers() };
         let (address, path) = read_url(&self.url).ok_or_else(|| {
-            settings(format!("--url {}: http:// with a numeric address is needed", self.url))
+            SendError::settings(format!("--url {}: http:// with a numeric address is needed", self.url))
         })?;
-        let mut fields = Headers::new().with("Content-Type", self.content_type.as_str());
-        fields.add("Cloverstile-Partner", self.partner.as_str());
-        let optional = [("Cloverstile-Class", &self.class), ("Cloverstile-Order-Key", &self.order_key)];
-        for (name, value) in optional {
-            if let Some(value) = value {
-                fields.add(name, value.as_str());
-            }
-        }
-        if let Some(left) = self.time_left {
-            fields.add("Cloverstile-Time-Left", left.to_string());
-        }
-        let payload = Part { headers: fields, body };
         let security = Security {
             encrypt: self.encrypt.then_some(Cipher::Aes128Cbc),
             receipt: Some(ReceiptRequest { deliver_to: None, signed: vec![Digest::Sha256] }),
             ..Security::default()
         };
-        let to = Addressee { name: &self.to, certificate: &courier };
+        let addressee = Addressee { name: &self.to, certificate: &gateway };
         let outgoing = Outgoing { message_id: id, payload: &payload, subject: None };
-        let composed = compose(&outgoing, &me, to, &security).map_err(|e| settings(e.to_string()))?;
-        let mut stream = TcpStream::connect(address).map_err(failed(&format!("connecting to {address}")))?;
-        let headers = composed.headers.clone().with("Host", address.to_string()).with("Connection", "close");
-        let unknown = |why: String| (exit::UNKNOWN, why);
-        stream
-            .write_all(&request("POST", &path, &headers, &composed.body))
-            .map_err(|e| unknown(e.to_string()))?;
-        let message = self.read_answer(&mut stream).map_err(unknown)?;
-        let Start::Response { status } = message.start else { return Err(unknown("no HTTP answer".into())) };
-        let word = message.headers.get("cloverstile-answer").unwrap_or_default();
-        match word {
-            "rejected" => {
-                eprintln!("{}", rejection(&message, &courier));
-                return Ok((exit::REJECTED, status, None));
+        let composed = compose(&outgoing, &identity, addressee, &security)
+            .map_err(|error| SendError::settings(error.to_string()))?;
+        let response = self.post(address, &path, &composed)?;
+        interpret(&response, id, &composed, &gateway)
+    }
+
+    fn gateway_certificate(&self) -> Result<Certificate, SendError> {
+        let path = self.to_certificate.display();
+        let pem = std::fs::read_to_string(&self.to_certificate)
+            .map_err(|error| SendError::settings(format!("{path}: {error}")))?;
+        Certificate::from_pem(&pem).map_err(|error| SendError::settings(error.to_string()))
+    }
+
+    fn read_content(&self) -> Result<Vec<u8>, SendError> {
+        if self.file.as_os_str() != "-" {
+            let name = self.file.display().to_string();
+            return std::fs::read(&self.file).map_err(|error| SendError::failure(&name, &error));
+        }
+        let mut content = Vec::new();
+        io::stdin()
+            .read_to_end(&mut content)
+            .map_err(|error| SendError::failure("standard input", &error))?;
+        Ok(content)
+    }
+
+    fn payload_headers(&self) -> Headers {
+        let mut headers = Headers::new().with("Content-Type", self.content_type.as_str());
+        headers.add("Cloverstile-Partner", self.partner.as_str());
+        let optional = [("Cloverstile-Class", &self.class), ("Cloverstile-Order-Key", &self.order_key)];
+        for (name, value) in optional {
+            if let Some(value) = value {
+                headers.add(name, value.as_str());
             }
-            "not-taken" => return Ok((exit::REFUSED, status, None)),
-            _ => {}
         }
-        let receipt = read_receipt(&message.headers, &message.body, &courier)
-            .map_err(|e| unknown(format!("receipt: {e}")))?;
-        receipt.check(id, &composed.mic, true).map_err(|e| unknown(format!("receipt: {e}")))?;
-        let code = match receipt.answer {
-            Some(Outcome::Delivered) => exit::OK,
-            Some(Outcome::Refused) => exit::REFUSED,
-            Some(Outcome::Failed) => exit::MAY_HAVE_RUN,
-            None => exit::UNKNOWN,
-        };
-        Ok((code, status, Some(receipt)))
+        if let Some(time_left) = self.time_left {
+            headers.add("Cloverstile-Time-Left", time_left.to_string());
+        }
+        headers
     }
 
-    fn read_answer(&self, stream: &mut TcpStream) -> Result<Message, String> {
-        let began = Instant::now();
+    /// Sends the request and reads the response.
+    fn post(&self, address: SocketAddr, path: &str, composed: &Composed) -> Result<Message, SendError> {
+        let mut stream = TcpStream::connect(address)
+            .map_err(|error| SendError::failure(&format!("connecting to {address}"), &error))?;
+        let headers = composed.headers.clone().with("Host", address.to_string()).with("Connection", "close");
+        stream
+            .write_all(&request("POST", path, &headers, &composed.body))
+            .map_err(|error| SendError::unknown(error.to_string()))?;
+        self.read_response(&mut stream).map_err(SendError::unknown)
+    }
+
+    fn read_response(&self, stream: &mut TcpStream) -> Result<Message, String> {
+        let started_at = Instant::now();
         let mut decoder = Decoder::client(Limits { message_time: Duration::MAX, ..Limits::default() });
-        let mut buffer = [0; 16 << 10];
+        let mut buffer = [0; READ_BUFFER_SIZE];
         loop {
-            let left =
-                Duration::from_secs(self.wait).checked_sub(began.elapsed()).filter(|left| !left.is_zero());
-            let left = left.ok_or_else(|| format!("no answer within {} s", self.wait))?;
-            stream.set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
-            let count = stream.read(&mut buffer).map_err(|e| e.to_string())?;
+            let remaining = Duration::from_secs(self.wait).checked_sub(started_at.elapsed());
+            let remaining = remaining
+                .filter(|remaining| !remaining.is_zero())
+                .ok_or_else(|| format!("no answer within {} s", self.wait))?;
+            stream.set_read_timeout(Some(remaining)).map_err(|error| error.to_string())?;
+            let count = stream.read(&mut buffer).map_err(|error| error.to_string())?;
             if count == 0 {
-                let last = decoder.end().map_err(|e| e.to_string())?;
+                let last = decoder.end().map_err(|error| error.to_string())?;
                 return last.ok_or_else(|| "the connection ended before an answer came".to_owned());
             }
-            decoder.feed(began.elapsed(), &buffer[..count]);
-            if let Some(Item::Message(message)) = decoder.next(began.elapsed()).map_err(|e| e.to_string())? {
+            let now = started_at.elapsed();
+            decoder.feed(now, &buffer[..count]);
+            if let Some(Item::Message(message)) = decoder.next(now).map_err(|error| error.to_string())? {
                 return Ok(message);
             }
         }
     }
 }
 
-/// Why a message was rejected, in words.
-fn rejection(message: &Message, courier: &Certificate) -> String {
-    match read_receipt(&message.headers, &message.body, courier) {
+/// The outcome that a response carries; its receipt must be valid and for this message.
+fn interpret(
+    response: &Message,
+    id: &str,
+    composed: &Composed,
+    gateway: &Certificate,
+) -> Result<SendResult, SendError> {
+    let Start::Response { status: http_status } = response.start else {
+        return Err(SendError::unknown("no HTTP answer".to_owned()));
+    };
+    match response.headers.get("cloverstile-answer").unwrap_or_default() {
+        "rejected" => {
+            eprintln!("{}", rejection_reason(response, gateway));
+            return Ok(SendResult { exit: ExitStatus::Rejected, http_status, receipt: None });
+        }
+        "not-taken" => return Ok(SendResult { exit: ExitStatus::Refused, http_status, receipt: None }),
+        _ => {}
+    }
+    let invalid = |error: As2Error| SendError::unknown(format!("receipt: {error}"));
+    let receipt = read_receipt(&response.headers, &response.body, gateway).map_err(invalid)?;
+    receipt.check(id, &composed.mic, true).map_err(invalid)?;
+    let exit = match receipt.answer {
+        Some(Outcome::Delivered) => ExitStatus::Success,
+        Some(Outcome::Refused) => ExitStatus::Refused,
+        Some(Outcome::Failed) => ExitStatus::MayHaveTakenEffect,
+        None => ExitStatus::Unknown,
+    };
+    Ok(SendResult { exit, http_status, receipt: Some(receipt) })
+}
+
+/// Why a message was rejected, for people.
+fn rejection_reason(response: &Message, gateway: &Certificate) -> String {
+    match read_receipt(&response.headers, &response.body, gateway) {
         Ok(receipt) => format!("rejected, by a receipt that verifies: {:?}", receipt.disposition),
-        Err(_) => format!("rejected: {}", String::from_utf8_lossy(&message.body).trim()),
+        Err(_) => format!("rejected: {}", String::from_utf8_lossy(&response.body).trim()),
     }
 }
