--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -13,8 +13,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::time::Duration;
 
-#[path = "world/mod.rs"]
-mod stage;
+mod gateway_harness;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile");
 
@@ -325,7 +324,7 @@
 /// is sent on it. Guards against a second effect, as the same case of the RESP gateway does.
 #[test]
 fn a_repeat_whose_connection_opens_after_the_repeat_window_is_not_sent() {
-    let slow = stage::Slow::new();
+    let slow = gateway_harness::manual_endpoint::ManualEndpoint::new();
     let mut spec = spec();
     let (window, deadline) = (Duration::from_millis(1500), Duration::from_secs(9));
     spec.classes[0] = ClassSpec {
@@ -343,7 +342,7 @@
     });
     std::thread::scope(|scope| {
         let sent = scope.spawn(|| world.code(&["--id", "late@client-0"]));
-        let (text, late) = slow.late_repeat("late@client-0", Duration::from_millis(1600));
+        let (text, late) = slow.late_retry("late@client-0", Duration::from_millis(1600));
         assert_eq!(text, "", "sent {late:?} after the first call");
         assert_eq!(sent.join().unwrap(), 11, "it may have taken effect, and the exit code says so");
     });
