--- a/crates/testbench/src/spread.rs
+++ b/crates/testbench/src/spread.rs
@@ -1,7 +1,7 @@
 //! Figures of a run of even load, whoever played it.
 
 use cloverstile_load_metrics::measure;
-use cloverstile_simulator::{Scene, SpreadRun};
+use cloverstile_simulator::{LoadBalanceRun, LoadBalanceScenario};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -51,29 +51,29 @@
 }
 
 /// Figures of one run.
-pub fn figures(scene: &Scene, run: &SpreadRun, seed: u64, took: Duration) -> Told {
+pub fn figures(scene: &LoadBalanceScenario, run: &LoadBalanceRun, seed: u64, took: Duration) -> Told {
     let even = measure(&run.record, Duration::from_secs_f64(scene.window), seed);
     let [delivered, refused, failed] = run.answers;
     Told {
-        couriers: scene.couriers,
+        couriers: scene.instances,
         endpoints: run.record.endpoints.len(),
         messages: run.record.messages,
         answered: delivered + refused + failed,
         refused,
         failed,
         worth: run.earned / run.offered.max(1e-9),
-        peak_over_mean: even.own.peak_over_mean,
+        peak_over_mean: even.observed.peak_over_mean,
         central_peak_over_mean: even.central.peak_over_mean,
         random_peak_over_mean: even.random.peak_over_mean,
-        p99_over_mean: even.own.p99,
-        jain: even.own.jain,
-        idle_share: even.own.idle_share,
+        p99_over_mean: even.observed.p99,
+        jain: even.observed.jain,
+        idle_share: even.observed.idle_share,
         limit_use_while_waiting: even.limit_use_while_waiting,
-        herds: even.herds,
-        new_connections_a_message: even.new_connections_a_message,
-        refusals_a_message: even.refusals_a_message,
-        calls_a_message: even.calls_a_message,
-        rules_broken: run.audit.broken(),
+        herds: even.herding_ratio,
+        new_connections_a_message: even.new_connections_per_message,
+        refusals_a_message: even.rejections_per_message,
+        calls_a_message: even.calls_per_message,
+        rules_broken: run.violations.total(),
         seconds: took.as_secs_f64(),
     }
 }
