Predicates that judge are back in the policy files

Need: whether a message may be repeated, a loss was for idleness and an endpoint is healthy are decisions; they had moved to policy_state with the bookkeeping. Change: is_repeatable is in policy/retry.rs, the other two stand where they are asked.

--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -92,9 +92,9 @@
     pub fn expire_due(&mut self, now: Time) {
         while let Some(id) = self.take_due(now) {
             let Some(message) = self.messages.get(&id).filter(|message| !message.completed) else { continue };
-            let last_call = message.submission.deadline + self.settings.rules.answer_grace / 2;
-            if message.in_flight.is_some() && now < last_call {
-                self.set_deadline(last_call, id);
+            let grace_end = message.submission.deadline + self.settings.rules.answer_grace / 2;
+            if message.in_flight.is_some() && now < grace_end {
+                self.set_deadline(grace_end, id);
             } else {
                 self.finish(now, id);
             }
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -47,7 +47,9 @@
     /// Records the outcome of a request for its endpoint, connection and route.
     fn on_request_completed(&mut self, now: Time, request: &InFlightRequest, done: &AttemptCompleted) {
         let lost = done.outcome.is_lost();
-        let stale = lost && self.idle_risk.is_stale(request.connection_idle);
+        let idle_as_long = |idle| idle >= self.idle_risk.shortest_stale_idle;
+        let stale =
+            lost && self.idle_risk.stale_risk > 0.0 && request.connection_idle.is_some_and(idle_as_long);
         if !(lost && request.stalled) {
             self.record_connection_outcome(now, request.connection_idle, done.outcome);
         }
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -47,7 +47,8 @@
         // while an endpoint is left that did not fail; silence does, as a hang mostly takes all.
         let no_success_since = request.sent_at >= route.last_success;
         let mut endpoints = route.endpoints.iter().filter_map(|id| self.endpoints.get(id));
-        let any_healthy = endpoints.any(EndpointRecord::is_healthy);
+        let accepts = |endpoint: &EndpointRecord| endpoint.entry.state.accepts_new_requests();
+        let any_healthy = endpoints.any(|endpoint| accepts(endpoint) && endpoint.consecutive_failures == 0);
         let transient = transient_failure_limit(settings);
         match done.outcome {
             AttemptOutcome::Ok => {
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -15,6 +15,11 @@
 const MAX_TIMEOUT_OBJECTIVES: f64 = 3.0;
 
 impl PolicyState {
+    /// Whether a message may be sent again after an attempt that may have run.
+    pub fn is_repeatable(&self, message: &Message) -> bool {
+        self.class(message).effect != Effect::Unsafe
+    }
+
     /// Latency of a route; before its first response that over all, as low-traffic instances have few of any.
     pub fn latency(&self, route: RouteId) -> LatencyEstimate {
         let own = self.routes.get(&route).map(|route| route.latency);
--- a/src/policy_state/mod.rs
+++ b/src/policy_state/mod.rs
@@ -12,8 +12,8 @@
 pub use statistics::{update_ewma, Backoff, IdleConnectionRisk, KindStats, LatencyEstimate, QuotaBalance};
 
 use crate::interface::{
-    Action, Class, DestinationId, Effect, Endpoint, EndpointId, EndpointListUpdate, EndpointState, KindId,
-    MessageId, OrderKey, Settings, Submission, TenantId, Time,
+    Action, Class, DestinationId, Endpoint, EndpointId, EndpointListUpdate, EndpointState, KindId, MessageId,
+    OrderKey, Settings, Submission, TenantId, Time,
 };
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -76,11 +76,6 @@
         &self.settings.classes[usize::from(message.submission.class.0)]
     }
 
-    /// Whether a message may be sent again after an attempt that may have run.
-    pub fn is_repeatable(&self, message: &Message) -> bool {
-        self.class(message).effect != Effect::Unsafe
-    }
-
     /// The route of an endpoint.
     pub fn route_of(&self, entry: &Endpoint) -> RouteId {
         let kind = self.settings.kinds.get(usize::from(entry.kind.0));
--- a/src/policy_state/route.rs
+++ b/src/policy_state/route.rs
@@ -47,11 +47,6 @@
         }
     }
 
-    /// Whether it is listed for new requests and its last request did not fail.
-    pub fn is_healthy(&self) -> bool {
-        self.entry.state.accepts_new_requests() && self.consecutive_failures == 0
-    }
-
     /// The position before its latest request.
     pub fn last_round_robin_position(&self) -> u64 {
         self.round_robin_position.saturating_sub(self.round_robin_step)
--- a/src/policy_state/statistics.rs
+++ b/src/policy_state/statistics.rs
@@ -118,10 +118,3 @@
     /// When an idle connection may be tried again.
     pub next_check: Time,
 }
-
-impl IdleConnectionRisk {
-    /// Whether a request lost on a connection idle for so long was lost for its idleness.
-    pub fn is_stale(&self, idle: Option<Duration>) -> bool {
-        self.stale_risk > 0.0 && idle.is_some_and(|idle| idle >= self.shortest_stale_idle)
-    }
-}
