--- /dev/null
+++ b/crates/engine/tests/engine.rs
@@ -0,0 +1,393 @@
+//! The engine around the real delivery policy: one outcome each, one attempt at a time, nothing after the outcome.
+
+use cloverstile::{
+    Class, ClassId, DestinationId, Effect, Endpoint, EndpointId, EndpointState, Kind, KindId, MessageId,
+    OrderKey, RecoveredAttempts, Settings, TenantId, Time, ZoneId,
+};
+use cloverstile_engine::{
+    Admission, Attempt, Command, Engine, FinalOutcome, ResultCacheLimits, SubmitRequest, TransportOutcome,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+const UNSAFE: u8 = 0;
+const KEYED: u8 = 1;
+const SAFE: u8 = 2;
+
+fn settings() -> Settings {
+    let class =
+        |effect, ordered| Class { effect, ordered, deadline: Duration::from_secs(12), ..Class::default() };
+    let classes = vec![class(Effect::Unsafe, false), class(Effect::Keyed, true), class(Effect::Safe, false)];
+    Settings {
+        classes,
+        instance_count: 1,
+        kinds: vec![Kind { max_batch: 3, per_endpoint_limits: false }],
+        ..Settings::default()
+    }
+}
+
+fn endpoint(id: u32, state: EndpointState) -> Endpoint {
+    let (zone, kind, destination) = (ZoneId(0), KindId(0), DestinationId(1));
+    Endpoint { id: EndpointId(id), zone, kind, destination, state, weight: 50.0 }
+}
+
+struct Harness {
+    engine: Engine,
+    now: Time,
+}
+
+impl Harness {
+    fn new(max_results: usize) -> Self {
+        let limits = ResultCacheLimits { max_results, retention: Duration::from_secs(60) };
+        let mut engine = Engine::new(settings(), limits, 7);
+        let now = Time(1_000_000_000);
+        engine.update_endpoints(
+            now,
+            vec![endpoint(1, EndpointState::Ready), endpoint(2, EndpointState::Ready)],
+        );
+        Harness { engine, now }
+    }
+
+    fn message(&self, name: &str, class: u8) -> SubmitRequest {
+        SubmitRequest {
+            client: 0,
+            idempotency_key: name.to_owned(),
+            fingerprint: [1; 32],
+            class: ClassId(class),
+            destination: DestinationId(1),
+            order_key: None,
+            deadline: self.now + Duration::from_secs(12),
+            tenant: TenantId(0),
+            resubmitted: false,
+            from_lost_instance: false,
+        }
+    }
+
+    fn submit(&mut self, name: &str, class: u8) -> Admission {
+        let message = self.message(name, class);
+        self.engine.submit(self.now, message)
+    }
+
+    fn advance(&mut self) -> Vec<Command> {
+        self.engine.advance(self.now)
+    }
+
+    /// Advances from time-out to time-out until a command is wanted.
+    fn until<T>(&mut self, limit: Duration, wanted: impl Fn(&Command) -> Option<T>) -> Option<T> {
+        let end = self.now + limit;
+        loop {
+            if let Some(found) = self.advance().iter().find_map(&wanted) {
+                return Some(found);
+            }
+            self.now = self.engine.next_timeout().filter(|at| *at <= end)?.max(self.now + ms(1));
+        }
+    }
+
+    fn next_sent(&mut self) -> Attempt {
+        let sent = |command: &Command| match command {
+            Command::Send { attempts, .. } => Some(attempts[0]),
+            _ => None,
+        };
+        self.until(Duration::from_secs(20), sent).expect("a send")
+    }
+
+    fn next_outcome(&mut self) -> FinalOutcome {
+        let completed = |command: &Command| match command {
+            Command::Complete { outcome, .. } => Some(*outcome),
+            _ => None,
+        };
+        self.until(Duration::from_secs(30), completed).expect("an outcome")
+    }
+}
+
+#[test]
+fn resubmission_gets_the_one_outcome_and_other_content_a_conflict() {
+    let mut harness = Harness::new(100);
+    let Admission::New(id) = harness.submit("a", UNSAFE) else { panic!() };
+    assert_eq!(harness.submit("a", UNSAFE), Admission::InFlight(id));
+    let attempt = harness.next_sent();
+    harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Processed, None);
+    assert_eq!(harness.next_outcome(), FinalOutcome::Delivered);
+    assert_eq!(harness.submit("a", UNSAFE), Admission::Completed(id, FinalOutcome::Delivered));
+    let other = SubmitRequest { fingerprint: [2; 32], ..harness.message("a", UNSAFE) };
+    assert_eq!(harness.engine.submit(harness.now, other), Admission::Conflict);
+    let from_another_client = SubmitRequest { client: 1, ..harness.message("a", UNSAFE) };
+    assert_eq!(harness.engine.submit(harness.now, from_another_client), Admission::Conflict);
+}
+
+#[test]
+fn unsafe_message_without_receipt_fails_and_a_late_receipt_is_reported() {
+    let mut harness = Harness::new(100);
+    let Admission::New(id) = harness.submit("a", UNSAFE) else { panic!() };
+    let attempt = harness.next_sent();
+    harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Reset, None);
+    assert_eq!(harness.next_outcome(), FinalOutcome::Failed);
+    harness.engine.on_receipt(harness.now, id, TransportOutcome::Processed);
+    assert_eq!(harness.advance(), [Command::LateReceipt { message: id, outcome: FinalOutcome::Failed }]);
+    assert_eq!(harness.submit("a", UNSAFE), Admission::Completed(id, FinalOutcome::Failed));
+}
+
+#[test]
+fn late_receipt_completes_a_keyed_message_that_would_be_retried() {
+    let mut harness = Harness::new(100);
+    let Admission::New(id) = harness.submit("a", KEYED) else { panic!() };
+    harness.next_sent();
+    let abandoned = |command: &Command| matches!(command, Command::Abandon { .. }).then_some(());
+    harness.until(Duration::from_secs(12), abandoned).expect("a time-out");
+    harness.engine.on_receipt(harness.now, id, TransportOutcome::Processed);
+    harness.engine.on_receipt(harness.now, id, TransportOutcome::Processed);
+    let commands = harness.advance();
+    let delivered =
+        commands.iter().filter(|e| matches!(e, Command::Complete { outcome: FinalOutcome::Delivered, .. }));
+    assert_eq!(delivered.count(), 1, "{commands:?}");
+    let more = harness.until(Duration::from_secs(30), |e| matches!(e, Command::Send { .. }).then_some(()));
+    assert_eq!((more, harness.engine.pending_messages()), (None, 0));
+}
+
+#[test]
+fn unsafe_message_of_a_lost_instance_is_not_sent_again() {
+    let mut harness = Harness::new(100);
+    let lost = SubmitRequest { from_lost_instance: true, ..harness.message("a", UNSAFE) };
+    let Admission::New(id) = harness.engine.submit(harness.now, lost) else { panic!() };
+    assert_eq!(
+        harness.advance(),
+        [Command::Complete { message: id, outcome: FinalOutcome::Failed, attempts: 0 }]
+    );
+}
+
+#[test]
+fn messages_of_one_turn_share_a_request_up_to_the_kinds_max_batch() {
+    let mut harness = Harness::new(100);
+    for name in ["a", "b", "c", "d", "e"] {
+        harness.submit(name, SAFE);
+    }
+    let commands = harness.advance();
+    let sizes: Vec<usize> = commands
+        .iter()
+        .filter_map(|command| match command {
+            Command::Send { attempts, .. } => Some(attempts.len()),
+            _ => None,
+        })
+        .collect();
+    // One request is saved up at the start; it carries what the kind allows, the rest waits for the rate limit.
+    assert_eq!((sizes, harness.engine.requests_in_flight()), (vec![3], 1));
+}
+
+#[test]
+fn shutdown_admits_nothing_and_completes_the_rest_at_its_deadline() {
+    let mut harness = Harness::new(100);
+    harness.submit("in flight", UNSAFE);
+    harness.next_sent();
+    harness.engine.update_endpoints(harness.now, vec![]);
+    harness.submit("waits", UNSAFE);
+    harness.advance();
+    harness.engine.shut_down_by(harness.now + ms(500));
+    assert_eq!(harness.submit("new", UNSAFE), Admission::ShuttingDown);
+    assert!(harness.advance().iter().all(|command| !matches!(command, Command::Complete { .. })));
+    harness.now = harness.now + ms(500);
+    let outcomes: Vec<FinalOutcome> = harness
+        .advance()
+        .iter()
+        .filter_map(|command| match command {
+            Command::Complete { outcome, .. } => Some(*outcome),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(outcomes, [FinalOutcome::Failed, FinalOutcome::Rejected(Duration::ZERO)]);
+}
+
+#[test]
+fn result_cache_is_bounded_and_a_rejected_message_may_be_resubmitted() {
+    let mut harness = Harness::new(3);
+    harness.engine.update_endpoints(harness.now, vec![]);
+    for round in 0..10 {
+        harness.submit(&format!("m{round}"), SAFE);
+        assert!(matches!(harness.next_outcome(), FinalOutcome::Rejected(_)));
+    }
+    let cached = (0..10).filter(|round| harness.engine.message_id(&format!("m{round}")).is_some()).count();
+    assert_eq!(cached, 3);
+    assert!(matches!(harness.submit("m9", SAFE), Admission::New(_)));
+}
+
+#[derive(Default)]
+struct Seen {
+    class: u8,
+    in_flight: Option<Attempt>,
+    may_have_run_at: Option<Time>,
+    completed: bool,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Default::default() })]
+
+    /// Whatever partners, clients and the endpoint list do, for many sequences of events.
+    #[test]
+    fn invariants_hold_for_random_event_sequences(steps in proptest::collection::vec((0u8..12, any::<u16>(), 1u64..900), 20..200)) {
+        let mut harness = Harness::new(1000);
+        let mut seen: BTreeMap<MessageId, Seen> = BTreeMap::new();
+        let mut deadlines: BTreeMap<MessageId, Time> = BTreeMap::new();
+        let grace = settings().rules.answer_grace;
+        let mut step = |harness: &mut Harness, kind: u8, pick: u16| {
+            let all: Vec<Attempt> = seen.values().filter_map(|s| s.in_flight).collect();
+            let in_flight = (!all.is_empty()).then(|| all[usize::from(pick) % all.len()]);
+            let report = |harness: &mut Harness, outcome| if let Some(attempt) = in_flight {
+                harness.engine.on_attempt_completed(harness.now, attempt, outcome, None);
+            };
+            match kind {
+                0..=3 => {
+                    let class = (pick % 3) as u8;
+                    let key = (class == KEYED).then_some(OrderKey(u64::from(pick % 4)));
+                    let message = SubmitRequest { order_key: key, ..harness.message(&format!("m{pick}"), class) };
+                    if let Admission::New(id) = harness.engine.submit(harness.now, message) {
+                        deadlines.insert(id, harness.now + Duration::from_secs(12));
+                        seen.insert(id, Seen { class, ..Seen::default() });
+                    }
+                }
+                4 | 5 => report(harness, TransportOutcome::Processed),
+                6 => report(harness, TransportOutcome::Error),
+                7 => report(harness, TransportOutcome::Rejected(pick.is_multiple_of(2).then(|| ms(400)))),
+                8 => report(harness, TransportOutcome::ConnectFailed),
+                9 => report(harness, TransportOutcome::Reset),
+                10 => {
+                    let state = if pick.is_multiple_of(2) { EndpointState::Ready } else { EndpointState::Draining };
+                    harness.engine.update_endpoints(harness.now, vec![endpoint(1, state), endpoint(2, EndpointState::Ready)]);
+                }
+                _ => {}
+            }
+            let now = harness.now;
+            let ended = in_flight.filter(|_| (4..=9).contains(&kind));
+            if let Some(s) = ended.and_then(|attempt| seen.get_mut(&attempt.message)) {
+                s.in_flight = None;
+                if !matches!(kind, 7 | 8) {
+                    s.may_have_run_at.get_or_insert(now);
+                }
+            }
+            for command in harness.advance() {
+                match command {
+                    Command::Send { attempts, .. } => for attempt in attempts {
+                        let s = seen.get_mut(&attempt.message).unwrap();
+                        assert!(!s.completed, "sent after its outcome");
+                        assert!(s.in_flight.is_none(), "two attempts side by side");
+                        assert!(s.class != UNSAFE || s.may_have_run_at.is_none(), "an unsafe message again");
+                        if let (KEYED, Some(ran)) = (s.class, s.may_have_run_at) {
+                            assert!(now < ran + Duration::from_secs(10), "outside its retry window");
+                        }
+                        s.in_flight = Some(attempt);
+                    },
+                    Command::Abandon { attempt, .. } => {
+                        let s = seen.get_mut(&attempt.message).unwrap();
+                        s.in_flight = None;
+                        s.may_have_run_at.get_or_insert(now);
+                    }
+                    Command::Complete { message, outcome, .. } => {
+                        let s = seen.get_mut(&message).unwrap();
+                        assert!(!std::mem::replace(&mut s.completed, true), "two outcomes");
+                        assert!(now <= deadlines[&message] + grace, "late");
+                        if let FinalOutcome::Rejected(_) = outcome {
+                            assert!(s.class == SAFE || (s.may_have_run_at.is_none() && s.in_flight.is_none()), "rejected though it may run");
+                        }
+                    }
+                    _ => {}
+                }
+            }
+        };
+        for (kind, pick, wait) in steps {
+            step(&mut harness, kind, pick);
+            let until = harness.now + ms(wait);
+            while let Some(at) = harness.engine.next_timeout().filter(|at| *at <= until) {
+                harness.now = at.max(harness.now);
+                step(&mut harness, 11, 0);
+            }
+            harness.now = until;
+        }
+        while let Some(at) = harness.engine.next_timeout().filter(|_| harness.engine.pending_messages() > 0) {
+            harness.now = at.max(harness.now);
+            step(&mut harness, 11, 0);
+        }
+        prop_assert!(seen.values().all(|s| s.completed));
+        prop_assert_eq!(harness.engine.counters().forced_completions, 0);
+    }
+}
+
+#[test]
+fn recovered_message_keeps_its_attempts_and_is_completed_even_if_expired() {
+    let mut harness = Harness::new(10);
+    let recovered =
+        RecoveredAttempts { submitted_at: harness.now, attempts: 2, ..RecoveredAttempts::default() };
+    let message = harness.message("a", KEYED);
+    let id = harness.engine.recover(harness.now, message, recovered);
+    assert_eq!(harness.next_sent(), Attempt { message: id, number: 2 });
+    let message = SubmitRequest { deadline: harness.now - ms(1), ..harness.message("b", KEYED) };
+    harness.engine.recover(harness.now, message, recovered);
+    assert!(matches!(harness.next_outcome(), FinalOutcome::Rejected(_)));
+    assert_eq!(harness.engine.counters().forced_completions, 0);
+}
+
+#[test]
+fn obsolete_message_is_cancelled() {
+    let mut harness = Harness::new(10);
+    harness.submit("a", UNSAFE);
+    let attempt = harness.next_sent();
+    harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Obsolete, None);
+    assert_eq!(harness.next_outcome(), FinalOutcome::Cancelled);
+    assert_eq!(harness.engine.pending_messages(), 0);
+}
+
+#[test]
+fn paused_engine_sends_nothing_and_attempts_in_flight_end() {
+    let mut harness = Harness::new(10);
+    harness.submit("a", UNSAFE);
+    let attempt = harness.next_sent();
+    harness.engine.set_sending_paused(true);
+    harness.submit("b", UNSAFE);
+    assert!(harness.advance().is_empty());
+    harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Processed, None);
+    assert!(matches!(harness.advance()[..], [Command::Complete { outcome: FinalOutcome::Delivered, .. }]));
+    harness.engine.set_sending_paused(false);
+    harness.next_sent();
+}
+
+/// Between decision and bytes: an attempt that is not started costs none, and numbers never come twice.
+#[test]
+fn attempt_that_was_not_started_is_not_counted() {
+    let mut harness = Harness::new(10);
+    harness.submit("a", KEYED);
+    let cap = settings().max_attempts;
+    let mut numbers = Vec::new();
+    for _ in 0..cap + 2 {
+        let attempt = harness.next_sent();
+        numbers.push(attempt.number);
+        assert!(harness.engine.may_send_now(harness.now, attempt));
+        harness.engine.on_retry_after(harness.now, EndpointId(1), ms(40));
+        assert!(!harness.engine.may_send_now(harness.now, attempt));
+        harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::NotStarted, None);
+        assert!(!harness.engine.may_send_now(harness.now, attempt), "it is not in flight any more");
+    }
+    assert!(numbers.windows(2).all(|two| two[0] < two[1]), "{numbers:?}");
+    let attempt = harness.next_sent();
+    harness.engine.set_sending_paused(true);
+    assert!(!harness.engine.may_send_now(harness.now, attempt), "sending is paused");
+    harness.engine.set_sending_paused(false);
+    harness.engine.update_endpoints(
+        harness.now,
+        vec![endpoint(1, EndpointState::Draining), endpoint(2, EndpointState::Draining)],
+    );
+    assert!(!harness.engine.may_send_now(harness.now, attempt));
+    harness.engine.update_endpoints(
+        harness.now,
+        vec![endpoint(1, EndpointState::Ready), endpoint(2, EndpointState::Ready)],
+    );
+    harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Rejected(None), None);
+    // All other attempts are still there.
+    for _ in 1..cap {
+        let attempt = harness.next_sent();
+        harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Rejected(None), None);
+    }
+    assert!(matches!(harness.next_outcome(), FinalOutcome::Rejected(_)));
+}
