Names of the RESP and HTTP decoders' public items

Need: held, take, due, NoArray, Cut or Slow do not say what they are.

Change: buffered_bytes, next_command, deadline, check_deadline, on_connection_end; errors ExpectedArray, ExpectedBulkString, InvalidNumber, LimitExceeded, MissingLineEnd, EmptyCommand, and MalformedHead, InvalidLength, MalformedChunk, UnexpectedEnd, TimedOut; limits max_words, max_word_bytes, max_command_bytes, max_head_bytes, max_fields, max_body_bytes. Error texts are kept.

--- a/crates/as2-gateway/src/front.rs
+++ b/crates/as2-gateway/src/front.rs
@@ -116,8 +116,8 @@
         }
         let front = &self.config.front;
         let limits = Limits {
-            head: front.head,
-            body: front.body,
+            max_head_bytes: front.head,
+            max_body_bytes: front.body,
             head_time: front.head_time,
             message_time: front.message_time,
             ..Limits::default()
@@ -157,7 +157,7 @@
             }
             if inbound.busy.is_some() {
                 // What comes behind a request that is worked on waits in the peer's own buffers.
-                let paused = inbound.decoder.held() > self.config.front.head;
+                let paused = inbound.decoder.buffered_bytes() > self.config.front.head;
                 return self.net.pause(conn, paused);
             }
             match inbound.decoder.next(now) {
@@ -175,8 +175,10 @@
                 }
                 Err(error) => {
                     let status = match error {
-                        cloverstile_http::HttpError::Limit("body", _) => (413, "Content Too Large"),
-                        cloverstile_http::HttpError::Limit(..) => (431, "Request Header Fields Too Large"),
+                        cloverstile_http::HttpError::LimitExceeded("body", _) => (413, "Content Too Large"),
+                        cloverstile_http::HttpError::LimitExceeded(..) => {
+                            (431, "Request Header Fields Too Large")
+                        }
                         _ => (400, "Bad Request"),
                     };
                     return self.front_broken(conn, status, &error.to_string());
@@ -188,7 +190,7 @@
 
     fn set_inbound_timer(&mut self, conn: ConnId) {
         let Some(inbound) = self.front.conns.get_mut(&conn) else { return };
-        if let (false, Some(due)) = (inbound.timed, inbound.decoder.due()) {
+        if let (false, Some(due)) = (inbound.timed, inbound.decoder.deadline()) {
             inbound.timed = true;
             self.set_timer(Time::ZERO + due, Timer::Inbound(conn));
         }
@@ -201,7 +203,7 @@
         if inbound.busy.is_some() {
             return;
         }
-        match inbound.decoder.check_time(now) {
+        match inbound.decoder.check_deadline(now) {
             Err(error) => self.front_broken(conn, (408, "Request Timeout"), &error.to_string()),
             Ok(()) => self.set_inbound_timer(conn),
         }
@@ -511,7 +513,7 @@
         let Some(delivery) = self.front.deliveries.get_mut(&number) else { return };
         delivery.tries += 1;
         let conn = self.net.connect(delivery.address);
-        let decoder = Decoder::client(Limits { body: 1 << 20, ..Limits::default() });
+        let decoder = Decoder::client(Limits { max_body_bytes: 1 << 20, ..Limits::default() });
         self.net.send(conn, &delivery.bytes);
         self.front.delivering.insert(conn, (number, decoder));
         let at = self.now() + self.config.module.connect_timeout.saturating_mul(4);
--- a/crates/as2-gateway/src/wire.rs
+++ b/crates/as2-gateway/src/wire.rs
@@ -405,7 +405,7 @@
 
     pub(crate) fn wire_closed(&mut self, conn: ConnId) {
         match self.wire.conns.remove(&conn) {
-            Some(Use::Call(number, mut decoder)) => match decoder.end() {
+            Some(Use::Call(number, mut decoder)) => match decoder.on_connection_end() {
                 // An answer whose length was not told ends with its connection.
                 Ok(Some(message)) => {
                     if let Some(call) = self.wire.calls.get_mut(&number) {
--- a/crates/cli/src/send.rs
+++ b/crates/cli/src/send.rs
@@ -185,7 +185,7 @@
             stream.set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
             let count = stream.read(&mut buffer).map_err(|e| e.to_string())?;
             if count == 0 {
-                let last = decoder.end().map_err(|e| e.to_string())?;
+                let last = decoder.on_connection_end().map_err(|e| e.to_string())?;
                 return last.ok_or_else(|| "the connection ended before an answer came".to_owned());
             }
             decoder.feed(began.elapsed(), &buffer[..count]);
--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -8,11 +8,11 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Bytes of a start line with its fields.
-    pub head: usize,
+    pub max_head_bytes: usize,
     /// Fields of a head.
-    pub fields: usize,
+    pub max_fields: usize,
     /// Bytes of a body.
-    pub body: usize,
+    pub max_body_bytes: usize,
     /// From a message's first byte to the end of its head.
     pub head_time: Duration,
     /// From a message's first byte to its last.
@@ -22,9 +22,9 @@
 impl Default for Limits {
     fn default() -> Self {
         Limits {
-            head: 32 << 10,
-            fields: 100,
-            body: 16 << 20,
+            max_head_bytes: 32 << 10,
+            max_fields: 100,
+            max_body_bytes: 16 << 20,
             head_time: Duration::from_secs(10),
             message_time: Duration::from_secs(60),
         }
@@ -36,22 +36,22 @@
 pub enum HttpError {
     /// Not HTTP/1.x.
     #[error("malformed head: {0}")]
-    Head(String),
+    MalformedHead(String),
     /// Over a limit; the second figure is what is allowed.
     #[error("{0} is over the limit of {1}")]
-    Limit(&'static str, usize),
+    LimitExceeded(&'static str, usize),
     /// Two lengths that disagree, or one that can't be read: a second message may hide in the body.
     #[error("body length: {0}")]
-    Length(&'static str),
+    InvalidLength(&'static str),
     /// A chunk that is not to the letter (RFC 9112, section 7.1).
     #[error("malformed chunk: {0}")]
-    Chunk(&'static str),
+    MalformedChunk(&'static str),
     /// The connection ended inside a message.
     #[error("the connection ended inside a message")]
-    Cut,
+    UnexpectedEnd,
     /// A message took longer than is allowed.
     #[error("{0} took longer than {1:?}")]
-    Slow(&'static str, Duration),
+    TimedOut(&'static str, Duration),
 }
 
 /// A start line.
@@ -137,7 +137,7 @@
     }
 
     /// Bytes held.
-    pub fn held(&self) -> usize {
+    pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
     }
 
@@ -160,7 +160,7 @@
     }
 
     /// When the message being read runs out of time, if one is.
-    pub fn due(&self) -> Option<Duration> {
+    pub fn deadline(&self) -> Option<Duration> {
         let span = match self.stage {
             Stage::Head => self.limits.head_time,
             Stage::Body { .. } => self.limits.message_time,
@@ -169,11 +169,11 @@
     }
 
     /// An error once the message being read has run out of time: a byte every few seconds is no message.
-    pub fn check_time(&self, now: Duration) -> Result<(), HttpError> {
-        match self.due() {
+    pub fn check_deadline(&self, now: Duration) -> Result<(), HttpError> {
+        match self.deadline() {
             Some(due) if now >= due => Err(match self.stage {
-                Stage::Head => HttpError::Slow("head", self.limits.head_time),
-                Stage::Body { .. } => HttpError::Slow("message", self.limits.message_time),
+                Stage::Head => HttpError::TimedOut("head", self.limits.head_time),
+                Stage::Body { .. } => HttpError::TimedOut("message", self.limits.message_time),
             }),
             _ => Ok(()),
         }
@@ -199,7 +199,7 @@
     }
 
     /// The peer has closed: the answer that was to last until then, if one was being read.
-    pub fn end(&mut self) -> Result<Option<Message>, HttpError> {
+    pub fn on_connection_end(&mut self) -> Result<Option<Message>, HttpError> {
         match std::mem::replace(&mut self.stage, Stage::Head) {
             Stage::Body { mut message, kind: Body::ToEnd, .. } => {
                 message.body = std::mem::take(&mut self.buffer);
@@ -208,7 +208,7 @@
                 Ok(Some(message))
             }
             Stage::Head if self.buffer.is_empty() => Ok(None),
-            _ => Err(HttpError::Cut),
+            _ => Err(HttpError::UnexpectedEnd),
         }
     }
 
@@ -221,13 +221,13 @@
             self.began = None;
             return Ok(None);
         }
-        let window = &self.buffer[..self.buffer.len().min(self.limits.head)];
-        let mut fields = vec![httparse::EMPTY_HEADER; self.limits.fields];
+        let window = &self.buffer[..self.buffer.len().min(self.limits.max_head_bytes)];
+        let mut fields = vec![httparse::EMPTY_HEADER; self.limits.max_fields];
         let malformed = |error: httparse::Error| match error {
             httparse::Error::TooManyHeaders => {
-                HttpError::Limit("number of header fields", self.limits.fields)
+                HttpError::LimitExceeded("number of header fields", self.limits.max_fields)
             }
-            other => HttpError::Head(other.to_string()),
+            other => HttpError::MalformedHead(other.to_string()),
         };
         let (start, minor, length, headers) = if self.server {
             let mut head = httparse::Request::new(&mut fields);
@@ -251,8 +251,8 @@
         }
         let kind = body_kind(&start, minor, &headers)?;
         if let Body::Length(length) = kind {
-            if length > self.limits.body {
-                return Err(HttpError::Limit("body", self.limits.body));
+            if length > self.limits.max_body_bytes {
+                return Err(HttpError::LimitExceeded("body", self.limits.max_body_bytes));
             }
         }
         // Interim answers tell nothing here (RFC 9110, section 15.2).
@@ -272,9 +272,9 @@
     }
 
     fn no_head_yet(&self) -> Result<Option<bool>, HttpError> {
-        match self.buffer.len() < self.limits.head {
+        match self.buffer.len() < self.limits.max_head_bytes {
             true => Ok(None),
-            false => Err(HttpError::Limit("head", self.limits.head)),
+            false => Err(HttpError::LimitExceeded("head", self.limits.max_head_bytes)),
         }
     }
 
@@ -286,8 +286,8 @@
                 let rest = self.buffer.split_off(length);
                 std::mem::replace(&mut self.buffer, rest)
             }
-            Body::ToEnd if self.buffer.len() > self.limits.body => {
-                return Err(HttpError::Limit("body", self.limits.body))
+            Body::ToEnd if self.buffer.len() > self.limits.max_body_bytes => {
+                return Err(HttpError::LimitExceeded("body", self.limits.max_body_bytes))
             }
             Body::ToEnd => return Ok(None),
             Body::Chunked => {
@@ -322,18 +322,18 @@
     let length = lengths.next();
     // Guards against request smuggling: two programs that each believe another length cut differently.
     if lengths.any(|other| Some(other) != length) {
-        return Err(HttpError::Length("two Content-Length values that differ"));
+        return Err(HttpError::InvalidLength("two Content-Length values that differ"));
     }
     if !codings.is_empty() {
         if length.is_some() {
-            return Err(HttpError::Length("both Content-Length and Transfer-Encoding"));
+            return Err(HttpError::InvalidLength("both Content-Length and Transfer-Encoding"));
         }
         if minor == 0 {
-            return Err(HttpError::Length("Transfer-Encoding in HTTP/1.0"));
+            return Err(HttpError::InvalidLength("Transfer-Encoding in HTTP/1.0"));
         }
         return match codings[..] {
             [only] if only.eq_ignore_ascii_case("chunked") => Ok(Body::Chunked),
-            _ => Err(HttpError::Length("a Transfer-Encoding other than chunked")),
+            _ => Err(HttpError::InvalidLength("a Transfer-Encoding other than chunked")),
         };
     }
     let bodiless = matches!(start, Start::Response { status: 100..=199 | 204 | 304 });
@@ -342,7 +342,7 @@
         (Some(digits), _) => {
             let plain = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_digit());
             let value = digits.parse().ok().filter(|_| plain);
-            value.map(Body::Length).ok_or(HttpError::Length("a Content-Length that is no number"))
+            value.map(Body::Length).ok_or(HttpError::InvalidLength("a Content-Length that is no number"))
         }
         (None, Start::Request { .. }) => Ok(Body::Length(0)),
         (None, Start::Response { .. }) => Ok(Body::ToEnd),
@@ -359,13 +359,15 @@
         let Some(line) = line_at(&buffer[at..], CHUNK_LINE)? else { break false };
         let digits = line.split(|b| *b == b';').next().unwrap_or_default().trim_ascii();
         let text = std::str::from_utf8(digits).ok().filter(|t| !t.is_empty() && !t.starts_with('+'));
-        let size = text.and_then(|t| usize::from_str_radix(t, 16).ok()).ok_or(HttpError::Chunk("no size"))?;
-        if body.len().saturating_add(size) > limits.body {
-            return Err(HttpError::Limit("body", limits.body));
+        let size = text
+            .and_then(|t| usize::from_str_radix(t, 16).ok())
+            .ok_or(HttpError::MalformedChunk("no size"))?;
+        if body.len().saturating_add(size) > limits.max_body_bytes {
+            return Err(HttpError::LimitExceeded("body", limits.max_body_bytes));
         }
         let data = at + line.len() + 2;
         if size == 0 {
-            match trailer_end(&buffer[data..], limits.head)? {
+            match trailer_end(&buffer[data..], limits.max_head_bytes)? {
                 Some(end) => at = data + end,
                 None => break false,
             }
@@ -375,7 +377,7 @@
             break false;
         }
         if &buffer[data + size..data + size + 2] != b"\r\n" {
-            return Err(HttpError::Chunk("data does not end where its size says"));
+            return Err(HttpError::MalformedChunk("data does not end where its size says"));
         }
         body.extend_from_slice(&buffer[data..data + size]);
         at = data + size + 2;
@@ -388,8 +390,8 @@
 fn line_at(bytes: &[u8], most: usize) -> Result<Option<&[u8]>, HttpError> {
     match bytes.iter().take(most).position(|b| *b == b'\n') {
         Some(end) if end > 0 && bytes[end - 1] == b'\r' => Ok(Some(&bytes[..end - 1])),
-        Some(_) => Err(HttpError::Chunk("a line that ends without CR")),
-        None if bytes.len() >= most => Err(HttpError::Limit("chunk line", most)),
+        Some(_) => Err(HttpError::MalformedChunk("a line that ends without CR")),
+        None if bytes.len() >= most => Err(HttpError::LimitExceeded("chunk line", most)),
         None => Ok(None),
     }
 }
@@ -404,7 +406,7 @@
             Some(line) => at += line.len() + 2,
         }
         if at > most {
-            return Err(HttpError::Limit("trailer", most));
+            return Err(HttpError::LimitExceeded("trailer", most));
         }
     }
 }
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -17,7 +17,12 @@
 }
 
 fn server() -> Decoder {
-    Decoder::server(Limits { body: 4096, head: 1024, fields: 10, ..Limits::default() })
+    Decoder::server(Limits {
+        max_body_bytes: 4096,
+        max_head_bytes: 1024,
+        max_fields: 10,
+        ..Limits::default()
+    })
 }
 
 #[test]
@@ -32,18 +37,18 @@
         "Content-Length: -3\r\n",
     ] {
         let text = format!("POST / HTTP/1.1\r\n{head}\r\nabcd");
-        assert!(matches!(read(&mut server(), text.as_bytes()), Err(HttpError::Length(_))), "{head}");
+        assert!(matches!(read(&mut server(), text.as_bytes()), Err(HttpError::InvalidLength(_))), "{head}");
     }
 }
 
 #[test]
 fn what_is_over_a_limit_is_refused_before_it_is_held() {
     let huge = "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n";
-    assert_eq!(read(&mut server(), huge.as_bytes()), Err(HttpError::Limit("body", 4096)));
+    assert_eq!(read(&mut server(), huge.as_bytes()), Err(HttpError::LimitExceeded("body", 4096)));
     let chunk = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n";
-    assert_eq!(read(&mut server(), chunk.as_bytes()), Err(HttpError::Limit("body", 4096)));
+    assert_eq!(read(&mut server(), chunk.as_bytes()), Err(HttpError::LimitExceeded("body", 4096)));
     let endless = format!("POST / HTTP/1.1\r\nA: {}", "x".repeat(2000));
-    assert_eq!(read(&mut server(), endless.as_bytes()), Err(HttpError::Limit("head", 1024)));
+    assert_eq!(read(&mut server(), endless.as_bytes()), Err(HttpError::LimitExceeded("head", 1024)));
 }
 
 #[test]
@@ -60,18 +65,18 @@
     let mut decoder = server();
     decoder.feed(T, b"POST / HT");
     assert_eq!(decoder.next(T).unwrap(), None);
-    assert!(decoder.check_time(Duration::from_secs(9)).is_ok());
-    assert!(matches!(decoder.check_time(Duration::from_secs(10)), Err(HttpError::Slow("head", _))));
+    assert!(decoder.check_deadline(Duration::from_secs(9)).is_ok());
+    assert!(matches!(decoder.check_deadline(Duration::from_secs(10)), Err(HttpError::TimedOut("head", _))));
 }
 
 #[test]
 fn an_answer_without_a_length_ends_with_its_connection_and_interim_ones_are_passed_over() {
     let mut decoder = Decoder::client(Limits::default());
     assert_eq!(read(&mut decoder, b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc").unwrap(), []);
-    assert_eq!(decoder.end().unwrap().unwrap().body, b"abc");
+    assert_eq!(decoder.on_connection_end().unwrap().unwrap().body, b"abc");
     let mut cut = Decoder::client(Limits::default());
     assert_eq!(read(&mut cut, b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc").unwrap(), []);
-    assert_eq!(cut.end(), Err(HttpError::Cut));
+    assert_eq!(cut.on_connection_end(), Err(HttpError::UnexpectedEnd));
 }
 
 proptest! {
@@ -107,6 +112,6 @@
     fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600), server_side: bool) {
         let mut decoder = if server_side { server() } else { Decoder::client(Limits::default()) };
         let _ = read(&mut decoder, &bytes);
-        let _ = decoder.end();
+        let _ = decoder.on_connection_end();
     }
 }
--- a/crates/platform/src/client_sessions.rs
+++ b/crates/platform/src/client_sessions.rs
@@ -191,7 +191,7 @@
         session.last_byte_at = now;
         session.decoder.feed(bytes);
         received.disconnect = loop {
-            match session.decoder.take() {
+            match session.decoder.next_command() {
                 Ok(Some(_)) if received.commands.len() == MAX_PIPELINED_COMMANDS => {
                     break Some(DisconnectReason::TooManyCommands);
                 }
@@ -205,7 +205,7 @@
             session.partial_command_since = None;
         }
         let since = session.partial_command_since.unwrap_or(now);
-        session.partial_command_since = (session.decoder.held() > 0).then_some(since);
+        session.partial_command_since = (session.decoder.buffered_bytes() > 0).then_some(since);
         if received.disconnect.is_some() {
             self.sessions.remove(&connection);
         }
--- a/crates/platform/src/discovery_connection.rs
+++ b/crates/platform/src/discovery_connection.rs
@@ -43,7 +43,7 @@
     pub fn new(address: SocketAddr, max_body: usize) -> Self {
         DiscoveryConnection {
             address,
-            limits: Limits { body: max_body, ..Limits::default() },
+            limits: Limits { max_body_bytes: max_body, ..Limits::default() },
             state: State::Closed { until: Time::ZERO },
         }
     }
@@ -168,6 +168,6 @@
 
     /// Whether bytes follow the last response that belong to none.
     pub fn has_surplus_bytes(&self) -> bool {
-        matches!(&self.state, State::Idle { decoder, .. } if decoder.held() > 0)
+        matches!(&self.state, State::Idle { decoder, .. } if decoder.buffered_bytes() > 0)
     }
 }
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -87,7 +87,8 @@
 impl ResponseReader {
     /// A reader of a response of which nothing was received.
     pub fn new() -> Self {
-        let limits = Limits { head: MAX_HEAD_BYTES, body: MAX_BODY_BYTES, ..Limits::default() };
+        let limits =
+            Limits { max_head_bytes: MAX_HEAD_BYTES, max_body_bytes: MAX_BODY_BYTES, ..Limits::default() };
         ResponseReader {
             decoder: Decoder::client(limits),
             has_reported_result: false,
@@ -109,7 +110,7 @@
         let (result, reuse) = match next {
             Ok(Some(Item::Message(message))) => {
                 // What follows a response belongs to none: the next request would take it for its own.
-                let is_reusable = message.keep_alive && self.decoder.held() == 0;
+                let is_reusable = message.keep_alive && self.decoder.buffered_bytes() == 0;
                 let reuse = if is_reusable { ConnectionReuse::Reusable } else { ConnectionReuse::Unusable };
                 (self.report_once(attempt_result(&message, fields)), reuse)
             }
@@ -132,7 +133,7 @@
 
     /// The connection has ended, in order (`clean`) or not; the result, if it was not reported before.
     pub fn end(&mut self, clean: bool, fields: &ReportFields) -> Option<AttemptResult> {
-        let message = self.decoder.end().ok().flatten().filter(|_| clean);
+        let message = self.decoder.on_connection_end().ok().flatten().filter(|_| clean);
         let result =
             message.map_or(TransportOutcome::Reset.into(), |message| attempt_result(&message, fields));
         self.report_once(result)
--- a/crates/resp/src/lib.rs
+++ b/crates/resp/src/lib.rs
@@ -10,16 +10,16 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
     /// Words of a command.
-    pub words: usize,
+    pub max_words: usize,
     /// Bytes of a word.
-    pub word: usize,
+    pub max_word_bytes: usize,
     /// Bytes of all words of a command.
-    pub command: usize,
+    pub max_command_bytes: usize,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { words: 16, word: 64 << 10, command: 72 << 10 }
+        Limits { max_words: 16, max_word_bytes: 64 << 10, max_command_bytes: 72 << 10 }
     }
 }
 
@@ -28,16 +28,16 @@
 pub enum RespError {
     /// Not the start of a command.
     #[error("expected '*' and a count, got byte {0:#04x}")]
-    NoArray(u8),
+    ExpectedArray(u8),
     /// Not the start of a word.
     #[error("expected '$' and a length, got byte {0:#04x}")]
-    NoBulk(u8),
+    ExpectedBulkString(u8),
     /// A count or length that is no plain number.
     #[error("a count or length that is no number from 0 to {0}")]
-    Number(usize),
+    InvalidNumber(usize),
     /// Over a limit.
     #[error("{what} of {found} is over the limit of {most}")]
-    Limit {
+    LimitExceeded {
         /// What is limited.
         what: &'static str,
         /// What was declared.
@@ -47,10 +47,10 @@
     },
     /// A line or a word that does not end in CR LF.
     #[error("a line or a word that does not end in CR LF")]
-    End,
+    MissingLineEnd,
     /// A command of no words.
     #[error("a command of no words")]
-    Empty,
+    EmptyCommand,
 }
 
 /// A command: its words, the name first.
@@ -78,12 +78,12 @@
     }
 
     /// Bytes held that are no whole command yet, or were not asked for.
-    pub fn held(&self) -> usize {
+    pub fn buffered_bytes(&self) -> usize {
         self.buffer.len() - self.at
     }
 
     /// The next whole command, if it is there.
-    pub fn take(&mut self) -> Result<Option<Command>, RespError> {
+    pub fn next_command(&mut self) -> Result<Option<Command>, RespError> {
         let mut reader = Reader { bytes: &self.buffer[self.at..], at: 0 };
         let found = reader.command(&self.limits)?;
         let used = reader.at;
@@ -113,31 +113,48 @@
 
 impl<'a> Reader<'a> {
     fn command(&mut self, limits: &Limits) -> Result<Option<Command>, RespError> {
-        let Some(count) = self.number(b'*', RespError::NoArray, limits.words)? else { return Ok(None) };
+        let Some(count) = self.number(b'*', RespError::ExpectedArray, limits.max_words)? else {
+            return Ok(None);
+        };
         match count {
-            0 => return Err(RespError::Empty),
-            found if found > limits.words => {
-                return Err(RespError::Limit { what: "a command's words", found, most: limits.words })
+            0 => return Err(RespError::EmptyCommand),
+            found if found > limits.max_words => {
+                return Err(RespError::LimitExceeded {
+                    what: "a command's words",
+                    found,
+                    most: limits.max_words,
+                })
             }
             _ => {}
         }
         let mut words = Vec::with_capacity(count);
         let mut total = 0usize;
         for _ in 0..count {
-            let Some(length) = self.number(b'$', RespError::NoBulk, limits.word)? else { return Ok(None) };
-            if length > limits.word {
-                return Err(RespError::Limit { what: "a word", found: length, most: limits.word });
+            let Some(length) = self.number(b'$', RespError::ExpectedBulkString, limits.max_word_bytes)?
+            else {
+                return Ok(None);
+            };
+            if length > limits.max_word_bytes {
+                return Err(RespError::LimitExceeded {
+                    what: "a word",
+                    found: length,
+                    most: limits.max_word_bytes,
+                });
             }
             total += length;
-            if total > limits.command {
-                return Err(RespError::Limit { what: "a command", found: total, most: limits.command });
+            if total > limits.max_command_bytes {
+                return Err(RespError::LimitExceeded {
+                    what: "a command",
+                    found: total,
+                    most: limits.max_command_bytes,
+                });
             }
             let rest = &self.bytes[self.at..];
             // What stands where the end belongs is judged as soon as it is there.
             if rest.get(length).is_some_and(|b| *b != b'\r')
                 || rest.get(length + 1).is_some_and(|b| *b != b'\n')
             {
-                return Err(RespError::End);
+                return Err(RespError::MissingLineEnd);
             }
             if rest.len() < length + 2 {
                 return Ok(None);
@@ -165,19 +182,19 @@
         let digits = line.iter().take_while(|b| b.is_ascii_digit()).count();
         match line.get(digits) {
             // Guards against lines with no end: as many digits as no number can have are enough to know.
-            None if digits > LINE => return Err(RespError::Number(most)),
+            None if digits > LINE => return Err(RespError::InvalidNumber(most)),
             None => return Ok(None),
             Some(b'\r') if digits > 0 => {}
-            Some(_) => return Err(RespError::Number(most)),
+            Some(_) => return Err(RespError::InvalidNumber(most)),
         }
         match line.get(digits + 1) {
             None => return Ok(None),
             Some(b'\n') => {}
-            Some(_) => return Err(RespError::End),
+            Some(_) => return Err(RespError::MissingLineEnd),
         }
         self.at += 1 + digits + 2;
         let text = std::str::from_utf8(&line[..digits]).unwrap_or_default();
-        text.parse().map(Some).map_err(|_| RespError::Number(most))
+        text.parse().map(Some).map_err(|_| RespError::InvalidNumber(most))
     }
 }
 
--- a/crates/resp/tests/commands.rs
+++ b/crates/resp/tests/commands.rs
@@ -3,11 +3,11 @@
 use cloverstile_resp::{command, error, simple, Decoder, Limits, RespError};
 use proptest::prelude::*;
 
-const SMALL: Limits = Limits { words: 4, word: 100, command: 150 };
+const SMALL: Limits = Limits { max_words: 4, max_word_bytes: 100, max_command_bytes: 150 };
 
 fn all(decoder: &mut Decoder) -> Result<Vec<Vec<Vec<u8>>>, RespError> {
     let mut found = Vec::new();
-    while let Some(command) = decoder.take()? {
+    while let Some(command) = decoder.next_command()? {
         found.push(command);
     }
     Ok(found)
@@ -30,7 +30,7 @@
             rest = more;
         }
         prop_assert_eq!(found, commands);
-        prop_assert_eq!(decoder.held(), 0);
+        prop_assert_eq!(decoder.buffered_bytes(), 0);
     }
 
     /// Any bytes at all end in commands, an error or a wait, and never in more held than a command's limits.
@@ -40,7 +40,7 @@
         for byte in noise {
             decoder.feed(&[byte]);
             match all(&mut decoder) {
-                Ok(_) => prop_assert!(decoder.held() <= SMALL.command + 32 * (SMALL.words + 1)),
+                Ok(_) => prop_assert!(decoder.buffered_bytes() <= SMALL.max_command_bytes + 32 * (SMALL.max_words + 1)),
                 Err(_) => break,
             }
         }
@@ -52,23 +52,26 @@
     let read = |bytes: &[u8]| {
         let mut decoder = Decoder::new(SMALL);
         decoder.feed(bytes);
-        decoder.take()
+        decoder.next_command()
     };
-    let word = |found| Err(RespError::Limit { what: "a word", found, most: 100 });
+    let word = |found| Err(RespError::LimitExceeded { what: "a word", found, most: 100 });
     assert_eq!(read(b"*2\r\n$62914560\r\n"), word(62_914_560));
-    assert_eq!(read(b"*9\r\n"), Err(RespError::Limit { what: "a command's words", found: 9, most: 4 }));
-    assert_eq!(read(b"*0\r\n"), Err(RespError::Empty));
-    assert_eq!(read(b"GET / HTTP/1.1\r\n"), Err(RespError::NoArray(b'G')));
-    assert_eq!(read(b"*1\r\n+PING\r\n"), Err(RespError::NoBulk(b'+')));
+    assert_eq!(
+        read(b"*9\r\n"),
+        Err(RespError::LimitExceeded { what: "a command's words", found: 9, most: 4 })
+    );
+    assert_eq!(read(b"*0\r\n"), Err(RespError::EmptyCommand));
+    assert_eq!(read(b"GET / HTTP/1.1\r\n"), Err(RespError::ExpectedArray(b'G')));
+    assert_eq!(read(b"*1\r\n+PING\r\n"), Err(RespError::ExpectedBulkString(b'+')));
     for bad in
         [&b"*-1\r\n"[..], b"*1\r\n$-1\r\n", b"*x\r\n", b"*\r\n", b"*+1\r\n", b"*111111111111111111111111111"]
     {
-        assert!(matches!(read(bad), Err(RespError::Number(_))), "{bad:?}");
+        assert!(matches!(read(bad), Err(RespError::InvalidNumber(_))), "{bad:?}");
     }
-    assert_eq!(read(b"*1\r\n$4\r\nPINGx"), Err(RespError::End));
-    assert_eq!(read(b"*1\rx"), Err(RespError::End));
+    assert_eq!(read(b"*1\r\n$4\r\nPINGx"), Err(RespError::MissingLineEnd));
+    assert_eq!(read(b"*1\rx"), Err(RespError::MissingLineEnd));
     let long = [&b"*2\r\n$100\r\n"[..], &[7; 100], b"\r\n$51\r\n"].concat();
-    assert_eq!(read(&long), Err(RespError::Limit { what: "a command", found: 151, most: 150 }));
+    assert_eq!(read(&long), Err(RespError::LimitExceeded { what: "a command", found: 151, most: 150 }));
     for half in [&b""[..], b"*", b"*1", b"*1\r\n$4\r\nPING\r"] {
         assert_eq!(read(half), Ok(None), "{half:?}");
     }
--- a/fuzz/fuzz_targets/http.rs
+++ b/fuzz/fuzz_targets/http.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 fn read(pieces: &[&[u8]], server: bool) -> (Vec<Item>, Option<HttpError>) {
-    let limits = Limits { body: 1 << 16, ..Limits::default() };
+    let limits = Limits { max_body_bytes: 1 << 16, ..Limits::default() };
     let mut decoder = if server { Decoder::server(limits) } else { Decoder::client(limits) };
     let mut items = Vec::new();
     for piece in pieces {
