--- a/crates/as2-gateway/src/as2_server/connections.rs
+++ b/crates/as2-gateway/src/as2_server/connections.rs
@@ -71,8 +71,8 @@
             return;
         }
         let limits = Limits {
-            head: settings.head,
-            body: settings.body,
+            max_head_bytes: settings.head,
+            max_body_bytes: settings.body,
             head_time: settings.head_time,
             message_time: settings.message_time,
             ..Limits::default()
@@ -109,7 +109,7 @@
             }
             if connection.current_request.is_some() {
                 // What comes behind a request that is being processed waits in the peer's own buffers.
-                let paused = connection.decoder.held() > context.config.front.head;
+                let paused = connection.decoder.buffered_bytes() > context.config.front.head;
                 context.net.pause(id, paused);
                 return None;
             }
@@ -137,7 +137,7 @@
 
     fn set_deadline(&mut self, context: &mut Context, id: ConnId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
-        if let (false, Some(due)) = (connection.has_deadline, connection.decoder.due()) {
+        if let (false, Some(due)) = (connection.has_deadline, connection.decoder.deadline()) {
             connection.has_deadline = true;
             context.set_timer(Time::ZERO + due, Timer::RequestDeadline(id));
         }
@@ -151,7 +151,7 @@
         if connection.current_request.is_some() {
             return;
         }
-        match connection.decoder.check_time(now) {
+        match connection.decoder.check_deadline(now) {
             Err(error) => self.close_invalid(context, id, HttpStatus::REQUEST_TIMEOUT, &error),
             Ok(()) => self.set_deadline(context, id),
         }
@@ -187,8 +187,8 @@
 
 fn status_of(error: &HttpError) -> HttpStatus {
     match error {
-        HttpError::Limit("body", _) => HttpStatus::CONTENT_TOO_LARGE,
-        HttpError::Limit(..) => HttpStatus::HEADER_FIELDS_TOO_LARGE,
+        HttpError::LimitExceeded("body", _) => HttpStatus::CONTENT_TOO_LARGE,
+        HttpError::LimitExceeded(..) => HttpStatus::HEADER_FIELDS_TOO_LARGE,
         _ => HttpStatus::BAD_REQUEST,
     }
 }
