--- a/crates/as2-gateway/src/as2_server/receipt_delivery.rs
+++ b/crates/as2-gateway/src/as2_server/receipt_delivery.rs
@@ -69,7 +69,7 @@
         let Some(delivery) = self.deliveries.get_mut(&id) else { return };
         delivery.attempts += 1;
         let connection = context.net.connect(delivery.address);
-        let decoder = Decoder::client(Limits { body: MAX_RESPONSE_BODY, ..Limits::default() });
+        let decoder = Decoder::client(Limits { max_body_bytes: MAX_RESPONSE_BODY, ..Limits::default() });
         context.net.send(connection, &delivery.bytes);
         self.connections.insert(connection, DeliveryConnection { delivery: id, decoder });
         let timeout = context.config.module.connect_timeout.saturating_mul(TIMEOUT_OF_CONNECT_TIMEOUT);
--- a/crates/as2-gateway/src/outbound_client.rs
+++ b/crates/as2-gateway/src/outbound_client.rs
@@ -308,7 +308,7 @@
 
     pub fn on_closed(&mut self, context: &mut Context, connection: ConnId) {
         match self.pool.remove(connection) {
-            Some(ConnectionUse::Batch(id, mut decoder)) => match decoder.end() {
+            Some(ConnectionUse::Batch(id, mut decoder)) => match decoder.on_connection_end() {
                 // A response without a length ends with its connection.
                 Ok(Some(message)) => {
                     if let Some(batch) = self.batches.get_mut(&id) {
