--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -91,7 +91,7 @@
 pub enum Discovery {
     /// Without a subscription.
     Push,
-    /// Only by subscribers ([`Action::SubscribeEndpoints`], [`Action::RefreshEndpoints`]).
+    /// Only by subscribers ([`crate::Action::SubscribeEndpoints`], [`crate::Action::RefreshEndpoints`]).
     Ask,
 }
 
@@ -152,7 +152,7 @@
     pub max_queued: usize,
     /// Most attempts for one message.
     pub max_attempts: u32,
-    /// [`Action::AbandonAttempt`] is permitted.
+    /// [`crate::Action::AbandonAttempt`] is permitted.
     pub can_abandon: bool,
     /// A message may have two attempts in flight at once.
     pub allows_hedging: bool,
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -29,7 +29,7 @@
             self.key_cooldowns.retain(|_, until| *until > now);
             self.key_cooldowns.insert(key, now + self.settings.rules.key_cooldown);
         }
-        // Only a request's last outcome counts for the route: its messages share one fate.
+        // Only a request's last outcome counts for the route: its messages share its outcome.
         if let Some(request) = self.take_completed_request(request_id) {
             self.on_request_completed(now, &request, done);
         }
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -15,7 +15,7 @@
         }
     }
 
-    /// Without a subscription no drain is told. All instances start at once and the list answers only some:
+    /// Without a subscription no drain is announced. All instances start at once and the list serves a few:
     /// they subscribe spread over half of what the rules let pass, and after a failure later still.
     fn schedule_subscription(&mut self, now: Time, failed: bool) {
         let first = self.endpoints.is_empty();
--- a/src/policy_state/message.rs
+++ b/src/policy_state/message.rs
@@ -80,7 +80,7 @@
     pub priority: f64,
 }
 
-/// A request in flight: one slot, one fate, however many messages it carries.
+/// A request in flight: one slot and one connection, however many messages it carries.
 pub struct InFlightRequest {
     pub route: RouteId,
     pub endpoint: EndpointId,
--- a/src/policy_state/route.rs
+++ b/src/policy_state/route.rs
@@ -152,12 +152,12 @@
     pub chance: f64,
     /// Messages queued, in even parts of the routes of the destination.
     pub queued: f64,
-    /// What the response told of the limit.
+    /// The rate limit that the response advertised.
     pub rate_limit: Option<RateLimitStatus>,
 }
 
 impl RouteFeedback<'_> {
-    /// The limit, if the response told one.
+    /// The rate limit, if there is one.
     pub fn advertised(&self) -> Option<RateLimitStatus> {
         self.rate_limit.filter(|status| status.limit > 0.0)
     }
