--- a/crates/capacity-planning/src/lib.rs
+++ b/crates/capacity-planning/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Each outage is a linear program. Its variables are the messages a second that go to each partner's first site that is
 //! left: at most the demand, the site's capacity, what may spill, and, for all partners together, the capacity of the
-//! zone. The sum of their priority weights is maximised. A second program without the configured spill limits tells what
+//! zone. The sum of their priority weights is maximised. A second program without the configured spill limits shows what
 //! other shares would carry.
 #![forbid(unsafe_code)]
 
--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -17,7 +17,7 @@
     Abandon {
         /// The attempt.
         attempt: Attempt,
-        /// It was started, as far as the engine was told: it may have run.
+        /// It was started, as far as the engine knows: it may have run.
         started: bool,
     },
     /// The final outcome of a message. Comes once.
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -68,7 +68,7 @@
         }
         match record.outcome {
             None => Admission::InFlight(id),
-            // The client was told that it may resubmit, and so it does. While an earlier attempt is still in flight (a
+            // The rejection permits the client to resubmit, and so it does. While an earlier attempt is still in flight (a
             // safe message may be rejected then) a second one must not go beside it.
             Some(FinalOutcome::Rejected(_)) if record.in_flight.is_none() => {
                 self.state.remove(id);
@@ -160,8 +160,8 @@
         may_send && self.state.policy.may_send_now(now, self.state.messages.policy_id(attempt.message))
     }
 
-    /// Whether an attempt's bytes are on their way; a transport that never says so has started it when it is told to
-    /// send.
+    /// Whether an attempt's bytes are on their way; a transport that never reports this counts as started from its
+    /// [`Command::Send`] on.
     pub fn set_attempt_started(&mut self, attempt: Attempt, started: bool) {
         if !self.state.is_in_flight(attempt) {
             return;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -7,7 +7,7 @@
 //!
 //! | action of the policy | becomes |
 //! | --- | --- |
-//! | `Action::Send` | [`Command::Send`]; consecutive sends of one turn to one endpoint share a request as far as the kind's `max_batch` allows. Without a free slot, a pending message or an attempt left: `Event::AttemptCompleted` with `AttemptOutcome::Unsent` at once |
+//! | `Action::Send` | [`Command::Send`]; consecutive sends of one round to one endpoint share a request as far as the kind's `max_batch` allows. Without a free slot, a pending message or an attempt left: `Event::AttemptCompleted` with `AttemptOutcome::Unsent` at once |
 //! | `Action::Reject` | [`Command::Complete`] with [`FinalOutcome::Rejected`] |
 //! | `Action::Fail` | [`Command::Complete`] with [`FinalOutcome::Failed`] |
 //! | `Action::AbandonAttempt` | [`Command::Abandon`], and `Event::AttemptCompleted` with `AttemptOutcome::Abandoned` at once |
--- a/crates/engine/src/message_record.rs
+++ b/crates/engine/src/message_record.rs
@@ -68,7 +68,7 @@
         settings.classes.get(usize::from(self.class.0))
     }
 
-    /// How much its class is worth compared with others.
+    /// The priority weight of its class; zero where the settings name no such class.
     pub fn priority_weight(&self, settings: &Settings) -> f64 {
         self.class_settings(settings).map_or(0.0, |class| class.priority_weight)
     }
--- a/crates/engine/src/policy_turn.rs
+++ b/crates/engine/src/policy_turn.rs
@@ -1,4 +1,4 @@
-//! The policy's turn: its actions become commands and changes of the engine's state.
+//! Runs the policy: its actions become commands and changes of the engine's state.
 
 use crate::command::Command;
 use crate::message::{Attempt, FinalOutcome};
@@ -25,7 +25,7 @@
     }
 }
 
-/// The actions of one turn.
+/// One round of actions of the policy.
 struct PolicyTurn<'a> {
     state: &'a mut EngineState,
     now: Time,
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// An attempt that ended, as the policies are told of it.
+/// An attempt that ended, as both policies are notified of it.
 pub(crate) struct EndedAttempt {
     pub attempt: Attempt,
     pub endpoint: EndpointId,
@@ -60,7 +60,7 @@
     pub commands: Vec<Command>,
     pub counters: Counters,
     pub sending_paused: bool,
-    /// The policy was told of something that it has not acted on.
+    /// The policy was notified of an event that it has not acted on.
     pub has_policy_events: bool,
 }
 
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Tells both policies how an attempt ended.
+    /// Notifies both policies of the end of an attempt.
     pub fn notify_attempt_ended(&mut self, now: Time, ended: &EndedAttempt) {
         let EndedAttempt { attempt: Attempt { message, number }, endpoint, latency, end } = *ended;
         let outcome = end.outcome;
@@ -222,7 +222,7 @@
         self.commands.push(Command::Complete { message, outcome, attempts });
     }
 
-    /// Completes a pending message without the policy, which is told that it is cancelled.
+    /// Completes a pending message without the policy, which is notified that it is cancelled.
     pub fn complete_without_policy(&mut self, now: Time, message: MessageId, outcome: FinalOutcome) {
         if self.messages.is_pending(message) {
             self.notify_policy(now, Event::Cancelled(self.messages.policy_id(message)));
--- a/crates/failover/src/lib.rs
+++ b/crates/failover/src/lib.rs
@@ -4,8 +4,8 @@
 //! A partner may serve from several sites, its tiers, in an order of preference. [`FailoverPlanner`] selects each
 //! message's tier when it is submitted: the first one, unless that is down; then a configured share, and no more, spills
 //! to the next, and the rest waits where it is. For the messages that already waited when a tier went down, a tier is
-//! selected once more, at the rate at which new messages come; the engine tells which of them may still change their
-//! tier. The results of requests tell whether a tier is down, and when it recovers. While it is down, and while it warms
+//! selected once more, at the rate at which new messages come; the engine decides which of them may still change their
+//! tier. The results of requests show whether a tier is down, and when it recovers. While it is down, and while it warms
 //! up after that, its recovery gate opens only in this instance's own time slots. The delivery policy decides all else:
 //! health and rate of each endpoint, retries, the final outcome.
 //!
--- a/crates/failover/src/zone_outage.rs
+++ b/crates/failover/src/zone_outage.rs
@@ -1,7 +1,7 @@
 //! Detects the outage of a whole zone, from the requests to all partners that have a site there.
 //!
 //! A low-traffic instance has few requests for any one site, often none in a whole outage. What it sees of other
-//! partners' sites in the same zone tells it in time.
+//! partners' sites in the same zone reveals the outage in time.
 
 use cloverstile::{DestinationId, Time};
 use std::collections::BTreeSet;
