Engine's property test split into a checker with short steps

Need: one closure of 80 lines held the random steps, the bookkeeping and all assertions. Change: InvariantChecker with a function for each kind of step and of command. The assertions are the same.

--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -215,12 +215,118 @@
     assert!(matches!(harness.submit("m9", SAFE), Admission::New(_)));
 }
 
+/// What was seen of one message.
 #[derive(Default)]
 struct Seen {
     class: u8,
     in_flight: Option<Attempt>,
     may_have_run_at: Option<Time>,
     completed: bool,
+    deadline: Time,
+}
+
+/// Kind of a random step that only lets the engine advance.
+const ADVANCE_ONLY: u8 = 11;
+
+/// Checks all commands of an engine against its invariants.
+struct InvariantChecker {
+    harness: Harness,
+    seen: BTreeMap<MessageId, Seen>,
+}
+
+impl InvariantChecker {
+    /// One random step; its kind is from 0 to 11, and `pick` chooses the details.
+    fn step(&mut self, kind: u8, pick: u16) {
+        let all: Vec<Attempt> = self.seen.values().filter_map(|s| s.in_flight).collect();
+        let in_flight = (!all.is_empty()).then(|| all[usize::from(pick) % all.len()]);
+        match kind {
+            0..=3 => self.submit(pick),
+            4 | 5 => self.report(in_flight, TransportOutcome::Processed),
+            6 => self.report(in_flight, TransportOutcome::Error),
+            7 => self.report(in_flight, TransportOutcome::Rejected(pick.is_multiple_of(2).then(|| ms(400)))),
+            8 => self.report(in_flight, TransportOutcome::ConnectFailed),
+            9 => self.report(in_flight, TransportOutcome::Reset),
+            10 => self.update_endpoints(pick),
+            _ => {}
+        }
+        for command in self.harness.advance() {
+            self.check(command);
+        }
+    }
+
+    fn submit(&mut self, pick: u16) {
+        let class = (pick % 3) as u8;
+        let order_key = (class == KEYED).then_some(OrderKey(u64::from(pick % 4)));
+        let message = SubmitRequest { order_key, ..self.harness.message(&format!("m{pick}"), class) };
+        let now = self.harness.now;
+        if let Admission::New(id) = self.harness.engine.submit(now, message) {
+            let deadline = now + Duration::from_secs(12);
+            self.seen.insert(id, Seen { class, deadline, ..Seen::default() });
+        }
+    }
+
+    fn report(&mut self, in_flight: Option<Attempt>, outcome: TransportOutcome) {
+        let Some(attempt) = in_flight else { return };
+        let now = self.harness.now;
+        self.harness.engine.on_attempt_completed(now, attempt, outcome, None);
+        if let Some(s) = self.seen.get_mut(&attempt.message) {
+            s.in_flight = None;
+            if !matches!(outcome, TransportOutcome::Rejected(_) | TransportOutcome::ConnectFailed) {
+                s.may_have_run_at.get_or_insert(now);
+            }
+        }
+    }
+
+    fn update_endpoints(&mut self, pick: u16) {
+        let state = if pick.is_multiple_of(2) { EndpointState::Ready } else { EndpointState::Draining };
+        let endpoints = vec![endpoint(1, state), endpoint(2, EndpointState::Ready)];
+        self.harness.engine.update_endpoints(self.harness.now, endpoints);
+    }
+
+    fn check(&mut self, command: Command) {
+        let now = self.harness.now;
+        match command {
+            Command::Send { attempts, .. } => {
+                attempts.into_iter().for_each(|attempt| self.check_sent(attempt));
+            }
+            Command::Abandon { attempt, .. } => {
+                let s = self.seen.get_mut(&attempt.message).unwrap();
+                s.in_flight = None;
+                s.may_have_run_at.get_or_insert(now);
+            }
+            Command::Complete { message, outcome, .. } => self.check_completed(message, outcome),
+            _ => {}
+        }
+    }
+
+    fn check_sent(&mut self, attempt: Attempt) {
+        let now = self.harness.now;
+        let s = self.seen.get_mut(&attempt.message).unwrap();
+        assert!(!s.completed, "sent after its outcome");
+        assert!(s.in_flight.is_none(), "two attempts side by side");
+        assert!(s.class != UNSAFE || s.may_have_run_at.is_none(), "an unsafe message again");
+        if let (KEYED, Some(ran)) = (s.class, s.may_have_run_at) {
+            assert!(now < ran + Duration::from_secs(10), "outside its retry window");
+        }
+        s.in_flight = Some(attempt);
+    }
+
+    fn check_completed(&mut self, message: MessageId, outcome: FinalOutcome) {
+        let now = self.harness.now;
+        let s = self.seen.get_mut(&message).unwrap();
+        assert!(!std::mem::replace(&mut s.completed, true), "two outcomes");
+        assert!(now <= s.deadline + settings().rules.answer_grace, "late");
+        if let FinalOutcome::Rejected(_) = outcome {
+            let cannot_have_run = s.may_have_run_at.is_none() && s.in_flight.is_none();
+            assert!(s.class == SAFE || cannot_have_run, "rejected though it may run");
+        }
+    }
+
+    /// Advances the engine at its next time-out.
+    fn advance_at(&mut self, at: Time) {
+        self.harness.now = at.max(self.harness.now);
+        self.step(ADVANCE_ONLY, 0);
+    }
 }
 
 proptest! {
@@ -229,89 +335,21 @@
     /// Whatever partners, clients and the endpoint list do, for many sequences of events.
     #[test]
     fn invariants_hold_for_random_event_sequences(steps in proptest::collection::vec((0u8..12, any::<u16>(), 1u64..900), 20..200)) {
-        let mut harness = Harness::new(1000);
-        let mut seen: BTreeMap<MessageId, Seen> = BTreeMap::new();
-        let mut deadlines: BTreeMap<MessageId, Time> = BTreeMap::new();
-        let grace = settings().rules.answer_grace;
-        let mut step = |harness: &mut Harness, kind: u8, pick: u16| {
-            let all: Vec<Attempt> = seen.values().filter_map(|s| s.in_flight).collect();
-            let in_flight = (!all.is_empty()).then(|| all[usize::from(pick) % all.len()]);
-            let report = |harness: &mut Harness, outcome| if let Some(attempt) = in_flight {
-                harness.engine.on_attempt_completed(harness.now, attempt, outcome, None);
-            };
-            match kind {
-                0..=3 => {
-                    let class = (pick % 3) as u8;
-                    let key = (class == KEYED).then_some(OrderKey(u64::from(pick % 4)));
-                    let message = SubmitRequest { order_key: key, ..harness.message(&format!("m{pick}"), class) };
-                    if let Admission::New(id) = harness.engine.submit(harness.now, message) {
-                        deadlines.insert(id, harness.now + Duration::from_secs(12));
-                        seen.insert(id, Seen { class, ..Seen::default() });
-                    }
-                }
-                4 | 5 => report(harness, TransportOutcome::Processed),
-                6 => report(harness, TransportOutcome::Error),
-                7 => report(harness, TransportOutcome::Rejected(pick.is_multiple_of(2).then(|| ms(400)))),
-                8 => report(harness, TransportOutcome::ConnectFailed),
-                9 => report(harness, TransportOutcome::Reset),
-                10 => {
-                    let state = if pick.is_multiple_of(2) { EndpointState::Ready } else { EndpointState::Draining };
-                    harness.engine.update_endpoints(harness.now, vec![endpoint(1, state), endpoint(2, EndpointState::Ready)]);
-                }
-                _ => {}
-            }
-            let now = harness.now;
-            let ended = in_flight.filter(|_| (4..=9).contains(&kind));
-            if let Some(s) = ended.and_then(|attempt| seen.get_mut(&attempt.message)) {
-                s.in_flight = None;
-                if !matches!(kind, 7 | 8) {
-                    s.may_have_run_at.get_or_insert(now);
-                }
-            }
-            for command in harness.advance() {
-                match command {
-                    Command::Send { attempts, .. } => for attempt in attempts {
-                        let s = seen.get_mut(&attempt.message).unwrap();
-                        assert!(!s.completed, "sent after its outcome");
-                        assert!(s.in_flight.is_none(), "two attempts side by side");
-                        assert!(s.class != UNSAFE || s.may_have_run_at.is_none(), "an unsafe message again");
-                        if let (KEYED, Some(ran)) = (s.class, s.may_have_run_at) {
-                            assert!(now < ran + Duration::from_secs(10), "outside its retry window");
-                        }
-                        s.in_flight = Some(attempt);
-                    },
-                    Command::Abandon { attempt, .. } => {
-                        let s = seen.get_mut(&attempt.message).unwrap();
-                        s.in_flight = None;
-                        s.may_have_run_at.get_or_insert(now);
-                    }
-                    Command::Complete { message, outcome, .. } => {
-                        let s = seen.get_mut(&message).unwrap();
-                        assert!(!std::mem::replace(&mut s.completed, true), "two outcomes");
-                        assert!(now <= deadlines[&message] + grace, "late");
-                        if let FinalOutcome::Rejected(_) = outcome {
-                            assert!(s.class == SAFE || (s.may_have_run_at.is_none() && s.in_flight.is_none()), "rejected though it may run");
-                        }
-                    }
-                    _ => {}
-                }
-            }
-        };
+        let mut checker = InvariantChecker { harness: Harness::new(1000), seen: BTreeMap::new() };
         for (kind, pick, wait) in steps {
-            step(&mut harness, kind, pick);
-            let until = harness.now + ms(wait);
-            while let Some(at) = harness.engine.next_timeout().filter(|at| *at <= until) {
-                harness.now = at.max(harness.now);
-                step(&mut harness, 11, 0);
+            checker.step(kind, pick);
+            let until = checker.harness.now + ms(wait);
+            while let Some(at) = checker.harness.engine.next_timeout().filter(|at| *at <= until) {
+                checker.advance_at(at);
             }
-            harness.now = until;
+            checker.harness.now = until;
         }
-        while let Some(at) = harness.engine.next_timeout().filter(|_| harness.engine.pending_messages() > 0) {
-            harness.now = at.max(harness.now);
-            step(&mut harness, 11, 0);
+        while checker.harness.engine.pending_messages() > 0 {
+            let Some(at) = checker.harness.engine.next_timeout() else { break };
+            checker.advance_at(at);
         }
-        prop_assert!(seen.values().all(|s| s.completed));
-        prop_assert_eq!(harness.engine.counters().forced_completions, 0);
+        prop_assert!(checker.seen.values().all(|s| s.completed));
+        prop_assert_eq!(checker.harness.engine.counters().forced_completions, 0);
     }
 }
 
