--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -1,17 +1,17 @@
-//! Header fields, in the order in which they came.
+//! Header fields in their order.
 
 /// Header fields of a message or of a MIME part. Names compare without regard to case (RFC 9110, section 5.1).
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Headers(Vec<(String, String)>);
 
 impl Headers {
-    /// No fields.
+    /// An empty list.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Appends a field; earlier ones of that name stay. Line breaks in the value become spaces, so that no
-    /// value can add a field of its own.
+    /// Appends a field; earlier ones of that name stay. Line breaks in the value become spaces: guards against header
+    /// injection.
     pub fn add(&mut self, name: &str, value: impl Into<String>) -> &mut Self {
         let value: String = value.into();
         let clean = |c: char| if c == '\r' || c == '\n' || c == '\0' { ' ' } else { c };
@@ -19,7 +19,7 @@
         self
     }
 
-    /// The same, for building in one expression.
+    /// Like [`Headers::add`], for building in one expression.
     pub fn with(mut self, name: &str, value: impl Into<String>) -> Self {
         self.add(name, value);
         self
--- a/crates/http/tests/framing.rs
+++ b/crates/http/tests/framing.rs
@@ -26,7 +26,7 @@
 }
 
 #[test]
-fn conflicting_lengths_are_refused() {
+fn conflicting_lengths_are_rejected() {
     for head in [
         "Content-Length: 3\r\nContent-Length: 4\r\n",
         "Content-Length: 3, 4\r\n",
@@ -42,7 +42,7 @@
 }
 
 #[test]
-fn what_is_over_a_limit_is_refused_before_it_is_held() {
+fn messages_over_a_limit_are_rejected_before_they_are_buffered() {
     let huge = "POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n";
     assert_eq!(read(&mut server(), huge.as_bytes()), Err(HttpError::LimitExceeded("body", 4096)));
     let chunk = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n";
@@ -52,7 +52,7 @@
 }
 
 #[test]
-fn a_client_that_waits_for_leave_is_told_of_once() {
+fn expect_continue_is_reported_once() {
     let mut decoder = server();
     let head = b"POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
     assert_eq!(read(&mut decoder, head).unwrap(), [Item::ExpectsContinue]);
@@ -61,7 +61,7 @@
 }
 
 #[test]
-fn a_message_that_trickles_runs_out_of_time() {
+fn slowly_sent_message_times_out() {
     let mut decoder = server();
     decoder.feed(T, b"POST / HT");
     assert_eq!(decoder.next(T).unwrap(), None);
@@ -70,7 +70,7 @@
 }
 
 #[test]
-fn an_answer_without_a_length_ends_with_its_connection_and_interim_ones_are_passed_over() {
+fn response_without_length_ends_with_connection_and_interim_ones_are_ignored() {
     let mut decoder = Decoder::client(Limits::default());
     assert_eq!(read(&mut decoder, b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n\r\nabc").unwrap(), []);
     assert_eq!(decoder.on_connection_end().unwrap().unwrap().body, b"abc");
@@ -83,7 +83,7 @@
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Default::default() })]
 
     #[test]
-    fn pieces_do_not_matter(
+    fn messages_decode_alike_under_any_split(
         bodies in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 0..300), 1..4),
         chunk in 1usize..100,
         cuts in proptest::collection::vec(1usize..40, 1..60),
@@ -109,7 +109,7 @@
     }
 
     #[test]
-    fn no_bytes_make_it_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600), server_side: bool) {
+    fn random_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..600), server_side: bool) {
         let mut decoder = if server_side { server() } else { Decoder::client(Limits::default()) };
         let _ = read(&mut decoder, &bytes);
         let _ = decoder.on_connection_end();
--- a/crates/resp/tests/commands.rs
+++ b/crates/resp/tests/commands.rs
@@ -16,7 +16,7 @@
 proptest! {
     /// Whatever the words hold and however the bytes are split, the same commands come out and nothing is left.
     #[test]
-    fn commands_survive_any_split(
+    fn commands_decode_alike_under_any_split(
         commands in prop::collection::vec(prop::collection::vec(prop::collection::vec(any::<u8>(), 0..37), 1..=4), 1..6),
         cuts in prop::collection::vec(1usize..40, 1..50),
     ) {
@@ -35,7 +35,7 @@
 
     /// Any bytes at all end in commands, an error or a wait, and never in more held than a command's limits.
     #[test]
-    fn noise_is_bounded(noise in prop::collection::vec(any::<u8>(), 0..600)) {
+    fn random_bytes_stay_within_limits(noise in prop::collection::vec(any::<u8>(), 0..600)) {
         let mut decoder = Decoder::new(SMALL);
         for byte in noise {
             decoder.feed(&[byte]);
@@ -48,7 +48,7 @@
 }
 
 #[test]
-fn what_is_declared_is_judged_before_it_is_sent() {
+fn declared_sizes_over_limits_are_rejected_before_their_bytes_arrive() {
     let read = |bytes: &[u8]| {
         let mut decoder = Decoder::new(SMALL);
         decoder.feed(bytes);
@@ -78,7 +78,7 @@
 }
 
 #[test]
-fn replies_are_one_line_whatever_they_say() {
+fn replies_are_one_line_for_any_text() {
     assert_eq!(simple("PONG"), b"+PONG\r\n");
     assert_eq!(error("ERR two\r\nlines"), b"-ERR two  lines\r\n");
 }
