--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -3,7 +3,7 @@
 use crate::exit_status::ExitStatus;
 use clap::Args;
 use cloverstile_as2_gateway::{load_config, network};
-use cloverstile_capacity_planning::{losses, Binds, Loss};
+use cloverstile_capacity_planning::{plan_outages, Bottleneck, OutageReport};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::path::PathBuf;
 
@@ -72,7 +72,7 @@
                 "{file}: no partner says what is wanted of it; add wanted = 120 or --wanted"
             ));
         }
-        let all_losses = losses(&network, self.two).map_err(|error| error.to_string())?;
+        let all_losses = plan_outages(&network, self.two).map_err(|error| error.to_string())?;
         for loss in &all_losses {
             if self.json {
                 println!("{}", serde_json::json!(loss));
@@ -80,17 +80,17 @@
                 println!("{}\n", describe(loss));
             }
         }
-        Ok(all_losses.iter().all(|loss| loss.whole))
+        Ok(all_losses.iter().all(|loss| loss.fully_carried))
     }
 }
 
-fn describe(loss: &Loss) -> String {
+fn describe(loss: &OutageReport) -> String {
     let zones = loss.zones.join(" and ");
     let scenario = if zones.is_empty() { "On a usual day".to_owned() } else { format!("Without {zones}") };
-    let result = if loss.whole { "all is carried" } else { "not all is carried" };
+    let result = if loss.fully_carried { "all is carried" } else { "not all is carried" };
     let mut text = format!(
         "{scenario}, {result}: worth {:.0} of {:.0} a second ({:.0} with the best shares).",
-        loss.worth, loss.worth_wanted, loss.best_worth
+        loss.carried_weight, loss.offered_weight, loss.best_carried_weight
     );
     if !loss.partners.is_empty() {
         let mut table = Table::new();
@@ -106,9 +106,9 @@
         for partner in &loss.partners {
             table.add_row([
                 partner.partner.clone(),
-                format!("{:.1}", partner.wanted),
+                format!("{:.1}", partner.demand),
                 format!("{:.1}", partner.carried),
-                describe_limit(&partner.binds),
+                describe_limit(&partner.bottleneck),
                 partner.best_share.map_or("-".to_owned(), |share| format!("{share:.2}")),
                 format!("{:.1}", partner.best_carried),
             ]);
@@ -118,13 +118,13 @@
     text
 }
 
-fn describe_limit(limit: &Binds) -> String {
+fn describe_limit(limit: &Bottleneck) -> String {
     match limit {
-        Binds::Nothing => "-".into(),
-        Binds::NoSite => "no site is left".into(),
-        Binds::SpillShare => "spill_share".into(),
-        Binds::SpillRate => "spill_rate".into(),
-        Binds::Site(zone) => format!("its site in {zone}"),
-        Binds::Zone(zone) => format!("what may go into {zone}"),
+        Bottleneck::None => "-".into(),
+        Bottleneck::NoSite => "no site is left".into(),
+        Bottleneck::SpillShare => "spill_share".into(),
+        Bottleneck::SpillRate => "spill_rate".into(),
+        Bottleneck::Site(zone) => format!("its site in {zone}"),
+        Bottleneck::Zone(zone) => format!("what may go into {zone}"),
     }
 }
