--- a/crates/as2/src/error.rs
+++ b/crates/as2/src/error.rs
@@ -1,38 +1,38 @@
-//! What can be wrong with a message, a receipt or a key.
+//! Errors of messages, receipts and keys.
 
 use thiserror::Error;
 
-/// Why something could not be opened, composed or read. Says what and where; holds no secret.
+/// An error in opening, composing or parsing. Says what and where; contains no secret.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum As2Error {
     /// A required header field is missing.
     #[error("header field {0} is missing")]
     Missing(&'static str),
-    /// A MIME structure that is not to the letter.
+    /// A malformed MIME structure.
     #[error("malformed MIME: {0}")]
     Mime(&'static str),
-    /// A CMS structure that can't be read.
+    /// A malformed CMS structure.
     #[error("malformed CMS {0}: {1}")]
     Cms(&'static str, String),
-    /// Over a bound; the figure is what is allowed.
+    /// Over a bound; holds what is bounded and the greatest allowed value.
     #[error("{0} is over the bound of {1}")]
     Bound(&'static str, usize),
-    /// An algorithm that is not supported, or that the settings don't permit.
+    /// An algorithm that is not supported or not permitted by the settings.
     #[error("{0} is not supported or not permitted: {1}")]
     Algorithm(&'static str, String),
-    /// Encrypted for someone else, or with a key that does not fit. No detail: it would help an attacker.
+    /// Content that can't be decrypted. Without detail: guards against padding oracles.
     #[error("the content can't be decrypted with this station's key")]
     Decrypt,
     /// A signature that does not verify with the certificate held for the sender.
     #[error("the signature does not verify with the certificate held for the sender")]
     Signature,
-    /// The signed digest is not that of the content.
+    /// The signed digest does not match the content.
     #[error("the content is not what was signed")]
     Digest,
-    /// Less protected than the settings ask for.
+    /// Less protection than the settings require.
     #[error("the message is not {0}, which the settings ask for")]
     Unprotected(&'static str),
-    /// A receipt for something else.
+    /// A receipt for another message.
     #[error("the receipt is for {0}, not for what was sent")]
     OtherReceipt(String),
     /// A key or certificate that can't be used.
@@ -41,7 +41,7 @@
 }
 
 impl As2Error {
-    /// The name that RFC 4130, section 7.5.4, has for it in a disposition.
+    /// The error name in a disposition (RFC 4130, section 7.5.4).
     pub fn disposition_name(&self) -> &'static str {
         match self {
             As2Error::Decrypt => "decryption-failed",
--- a/crates/as2/src/issue.rs
+++ b/crates/as2/src/issue.rs
@@ -1,9 +1,9 @@
-//! New stations: a key and a certificate signed by itself, as AS2 partners exchange them.
+//! New identities: a private key and a self-signed certificate, as AS2 partners exchange them.
 
 use crate::As2Error;
 use rcgen::{CertificateParams, DnType, KeyPair, RsaKeySize};
 
-/// What key a new station gets.
+/// Key types of new identities.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NewKey {
     /// RSA with 2048 bits.
@@ -12,12 +12,16 @@
     Rsa3072,
     /// RSA with 4096 bits.
     Rsa4096,
-    /// ECDSA on P-256: signs faster, but nothing can be encrypted for it.
+    /// ECDSA on P-256: faster signatures, but content can't be encrypted for it.
     P256,
 }
 
-/// Makes a key and a certificate, both in PEM: the key first. The certificate is valid from `from` to `to`,
-/// each year, month and day.
+/// Generates a private key (PKCS#8) and a self-signed certificate, both as PEM, in this order. The certificate is valid
+/// from `from` to `to`, each given as year, month and day.
+///
+/// # Errors
+///
+/// If the library can't generate the key or the certificate.
 pub fn new_station(
     name: &str,
     key: NewKey,
--- a/crates/as2/src/keys.rs
+++ b/crates/as2/src/keys.rs
@@ -1,4 +1,4 @@
-//! Stations' keys and certificates.
+//! Private keys and certificates.
 
 use crate::As2Error;
 use aws_lc_rs::rsa::{
@@ -10,7 +10,7 @@
 use der::{Decode, DecodePem, Encode};
 use x509_cert::Certificate as X509;
 
-/// What a certificate's key can do.
+/// Key types and their uses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum KeyKind {
     /// RSA of 2048 bits or more: signatures and key transport.
@@ -19,12 +19,12 @@
     P256,
 }
 
-/// A partner's certificate. It is trusted because the settings name it, not for who issued it.
+/// A peer's certificate. It is trusted because the settings name it; the issuer is not checked.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Certificate {
     pub(crate) x509: X509,
     pub(crate) kind: KeyKind,
-    /// The subject's public key as its algorithm has it: RSAPublicKey, or a point.
+    /// The subject's public key as its algorithm encodes it: `RSAPublicKey`, or a point.
     pub(crate) public_key: Vec<u8>,
     spki: Vec<u8>,
 }
@@ -34,20 +34,28 @@
 }
 
 impl Certificate {
-    /// Reads a certificate in PEM. RSA from 2048 bits and ECDSA on P-256 are taken.
+    /// Parses a PEM certificate with an RSA key of 2048 bits or more, or an ECDSA key on P-256.
+    ///
+    /// # Errors
+    ///
+    /// If it is malformed or its key is not supported.
     pub fn from_pem(pem: &str) -> Result<Certificate, As2Error> {
         let x509 = X509::from_pem(pem.trim().as_bytes()).map_err(key_error("certificate"))?;
         Self::from_x509(x509)
     }
 
-    /// The same from DER.
+    /// Parses a DER certificate like [`Certificate::from_pem`].
+    ///
+    /// # Errors
+    ///
+    /// If it is malformed or its key is not supported.
     pub fn from_der(der: &[u8]) -> Result<Certificate, As2Error> {
         Self::from_x509(X509::from_der(der).map_err(key_error("certificate"))?)
     }
 
     fn from_x509(x509: X509) -> Result<Certificate, As2Error> {
         let info = &x509.tbs_certificate.subject_public_key_info;
-        let refuse = |what: String| As2Error::Key("certificate", what);
+        let unsupported = |what: String| As2Error::Key("certificate", what);
         let kind = match info.algorithm.oid {
             RSA_ENCRYPTION => KeyKind::Rsa,
             ID_EC_PUBLIC_KEY => {
@@ -58,17 +66,19 @@
                     .and_then(|any| any.decode_as::<ObjectIdentifier>().ok());
                 match curve {
                     Some(SECP_256_R_1) => KeyKind::P256,
-                    other => return Err(refuse(format!("curve {other:?} is not supported; P-256 is"))),
+                    other => return Err(unsupported(format!("curve {other:?} is not supported; P-256 is"))),
                 }
             }
-            other => return Err(refuse(format!("key type {other} is not supported; RSA and P-256 are"))),
+            other => {
+                return Err(unsupported(format!("key type {other} is not supported; RSA and P-256 are")))
+            }
         };
         let public_key = info.subject_public_key.as_bytes().unwrap_or_default().to_vec();
         let spki = info.to_der().map_err(key_error("certificate"))?;
         if kind == KeyKind::Rsa {
-            let key = PublicEncryptingKey::from_der(&spki).map_err(|e| refuse(e.to_string()))?;
+            let key = PublicEncryptingKey::from_der(&spki).map_err(|e| unsupported(e.to_string()))?;
             if key.key_size_bits() < 2048 {
-                return Err(refuse(format!(
+                return Err(unsupported(format!(
                     "RSA key of {} bits; 2048 at least are needed",
                     key.key_size_bits()
                 )));
@@ -82,12 +92,12 @@
         self.kind == KeyKind::Rsa
     }
 
-    /// Who it names.
+    /// The subject name.
     pub fn subject(&self) -> String {
         self.x509.tbs_certificate.subject.to_string()
     }
 
-    /// From when to when it is valid, in seconds since 1970.
+    /// Start and end of its validity, in seconds since 1970.
     pub fn validity(&self) -> (u64, u64) {
         let validity = &self.x509.tbs_certificate.validity;
         (validity.not_before.to_unix_duration().as_secs(), validity.not_after.to_unix_duration().as_secs())
@@ -101,7 +111,7 @@
         }
     }
 
-    pub(crate) fn is(&self, rid: &cms::cert::IssuerAndSerialNumber) -> bool {
+    pub(crate) fn matches(&self, rid: &cms::cert::IssuerAndSerialNumber) -> bool {
         let own = &self.x509.tbs_certificate;
         own.serial_number == rid.serial_number && own.issuer == rid.issuer
     }
@@ -120,11 +130,11 @@
     P256(EcdsaKeyPair),
 }
 
-/// A station of our own: its AS2 name, certificate and private key.
+/// An AS2 identity of our own: name, certificate and private key.
 pub struct Identity {
     /// Its AS2 name, without quotes.
     pub name: String,
-    /// What its peers hold of it.
+    /// The certificate that its peers have.
     pub certificate: Certificate,
     pub(crate) key: PrivateKey,
 }
@@ -137,14 +147,18 @@
 }
 
 impl Identity {
-    /// Reads a private key (PKCS#8 in PEM) and the certificate that belongs to it.
+    /// Parses a private key (PKCS#8 in PEM) and the certificate that belongs to it.
+    ///
+    /// # Errors
+    ///
+    /// If either is malformed or not supported, or they don't belong together.
     pub fn from_pem(name: &str, key_pem: &str, certificate_pem: &str) -> Result<Identity, As2Error> {
         let certificate = Certificate::from_pem(certificate_pem)?;
         let (label, pkcs8) = der::pem::decode_vec(key_pem.trim().as_bytes())
             .map_err(|error| As2Error::Key("private key", error.to_string()))?;
         if label != "PRIVATE KEY" {
-            let told = format!("PEM label '{label}'; 'PRIVATE KEY' (PKCS#8, not encrypted) is needed");
-            return Err(As2Error::Key("private key", told));
+            let problem = format!("PEM label '{label}'; 'PRIVATE KEY' (PKCS#8, not encrypted) is needed");
+            return Err(As2Error::Key("private key", problem));
         }
         let refused = |error: aws_lc_rs::error::KeyRejected| As2Error::Key("private key", error.to_string());
         let unusable = |_| As2Error::Key("private key", "can't be used for decryption".into());
--- a/crates/as2/src/lib.rs
+++ b/crates/as2/src/lib.rs
@@ -1,11 +1,20 @@
-//! AS2 (RFC 4130): composes and opens messages and receipts. Free of I/O and of clocks; the one thing taken
-//! from outside is the randomness that content keys and signatures need, which the cryptographic library
-//! draws itself.
+//! AS2 (RFC 4130): composes and opens messages and receipts. No I/O and no clock; the only outside input is the
+//! randomness for content keys and signatures, which the cryptographic library draws itself.
 //!
-//! [`compose`] and [`open`] are each other's inverse, as are [`compose_receipt`] and [`read_receipt`]. What
-//! comes from outside is bounded in size and depth and ends in an [`As2Error`], never in a panic.
+//! [`compose`] and [`open`] are inverse to each other, as are [`compose_receipt`] and [`read_receipt`]. Input is bounded
+//! in size and depth; malformed input is an [`As2Error`], never a panic.
+//!
+//! | module | holds |
+//! | --- | --- |
+//! | `algorithm` | digests and ciphers |
+//! | `ber` | BER to DER, as some peers send CMS structures in BER |
+//! | `mime` | MIME parts, content types, transfer encodings |
+//! | `keys`, `issue` | certificates and private keys; new self-signed ones |
+//! | `secure` | CMS: signing, encryption, compression |
+//! | `message`, `receipt` | AS2 messages and receipts (MDN) |
 #![forbid(unsafe_code)]
 
+mod algorithm;
 mod ber;
 mod error;
 mod issue;
@@ -15,12 +24,13 @@
 mod receipt;
 mod secure;
 
+pub use algorithm::{Cipher, Digest};
 pub use error::As2Error;
 pub use issue::{new_station, NewKey};
 pub use keys::{Certificate, Identity};
 pub use message::{
-    compose, open, sender, unquote_name, Addressee, Cipher, Composed, Digest, Envelope, Mic, Opened,
-    Outgoing, ReceiptRequest, Security,
+    compose, open, sender, unquote_name, Addressee, Composed, Envelope, Mic, Opened, Outgoing,
+    ReceiptRequest, Security,
 };
 pub use mime::{Part, BOUNDS};
 pub use receipt::{compose_receipt, read_receipt, Disposition, Outcome, Receipt, ReceiptFacts};
--- a/crates/as2/src/message.rs
+++ b/crates/as2/src/message.rs
@@ -1,126 +1,57 @@
-//! Messages: what travels from one station to another (RFC 4130, sections 2 to 6).
+//! AS2 messages: composing and opening them, and the HTTP header fields they use (RFC 4130, sections 2 to 6).
 
 use crate::mime::{canonical_lines, ContentType, Part, BOUNDS};
 use crate::mime::{from_base64, split_multipart, split_outside_quotes, to_base64, to_base64_lines, unquote};
 use crate::secure::{self, Wrapping};
-use crate::{As2Error, Certificate, Identity};
+use crate::{As2Error, Certificate, Cipher, Digest, Identity};
 use cloverstile_http::Headers;
 
-/// Digests for signatures and integrity checks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Digest {
-    /// Integrity checks and checking of signatures only, and only where a peer's settings ask for it.
-    Sha1,
-    /// The usual one.
-    Sha256,
-    /// Longer.
-    Sha384,
-    /// Longest.
-    Sha512,
-}
-
-impl Digest {
-    /// The digest of some bytes.
-    pub fn of(self, bytes: &[u8]) -> Vec<u8> {
-        let algorithm = match self {
-            Digest::Sha1 => &aws_lc_rs::digest::SHA1_FOR_LEGACY_USE_ONLY,
-            Digest::Sha256 => &aws_lc_rs::digest::SHA256,
-            Digest::Sha384 => &aws_lc_rs::digest::SHA384,
-            Digest::Sha512 => &aws_lc_rs::digest::SHA512,
-        };
-        aws_lc_rs::digest::digest(algorithm, bytes).as_ref().to_vec()
-    }
-
-    /// Its name in `micalg` (RFC 5751, section 3.4.3.2).
-    pub fn name(self) -> &'static str {
-        match self {
-            Digest::Sha1 => "sha-1",
-            Digest::Sha256 => "sha-256",
-            Digest::Sha384 => "sha-384",
-            Digest::Sha512 => "sha-512",
-        }
-    }
-
-    /// Reads a name in any spelling that products use: `sha1`, `SHA-256`, `sha256`.
-    pub fn read(name: &str) -> Option<Digest> {
-        match name.trim().to_ascii_lowercase().replace(['-', '_'], "").as_str() {
-            "sha1" | "rsasha1" => Some(Digest::Sha1),
-            "sha256" | "rsasha256" => Some(Digest::Sha256),
-            "sha384" => Some(Digest::Sha384),
-            "sha512" => Some(Digest::Sha512),
-            _ => None,
-        }
-    }
-}
-
-/// Ciphers for content.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Cipher {
-    /// AES with 128 bits, CBC.
-    Aes128Cbc,
-    /// AES with 256 bits, CBC.
-    Aes256Cbc,
-    /// AES with 128 bits, GCM; for peers that name it.
-    Aes128Gcm,
-    /// AES with 256 bits, GCM; for peers that name it.
-    Aes256Gcm,
-}
-
-impl Cipher {
-    pub(crate) fn key_length(self) -> usize {
-        match self {
-            Cipher::Aes128Cbc | Cipher::Aes128Gcm => 16,
-            Cipher::Aes256Cbc | Cipher::Aes256Gcm => 32,
-        }
-    }
-}
-
 /// A message integrity check (RFC 4130, section 7.3.1).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Mic {
-    /// Digest of the bytes that the RFC names.
+    /// Digest of the bytes that the RFC names for this protection.
     pub value: Vec<u8>,
-    /// By which algorithm.
+    /// The digest algorithm.
     pub digest: Digest,
 }
 
 impl Mic {
-    /// As in `Received-Content-MIC`.
+    /// The value of `Received-Content-MIC`.
     pub fn write(&self) -> String {
         format!("{}, {}", to_base64(&self.value), self.digest.name())
     }
 
-    /// Reads a `Received-Content-MIC` value.
+    /// Parses a `Received-Content-MIC` value; none if malformed.
     pub fn read(text: &str) -> Option<Mic> {
         let (value, digest) = text.rsplit_once(',')?;
         Some(Mic { value: from_base64(value.as_bytes()).ok()?, digest: Digest::read(digest)? })
     }
 }
 
-/// What receipt a sender wants (RFC 4130, section 7.3).
+/// The receipt that a sender requests (RFC 4130, section 7.3).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReceiptRequest {
-    /// Where to send it; none for one in the answer itself.
+    /// URL for a deferred receipt; none for one in the HTTP response.
     pub deliver_to: Option<String>,
-    /// Digests in the order wanted; empty for an unsigned receipt.
+    /// Digests in order of preference; empty for an unsigned receipt.
     pub signed: Vec<Digest>,
 }
 
-/// How a message is protected.
+/// Protection of a message.
 #[derive(Clone, Debug)]
 pub struct Security {
-    /// Signed, with this digest.
+    /// Digest of the signature; none: not signed.
     pub sign: Option<Digest>,
-    /// Encrypted, with this cipher.
+    /// Content cipher; none: not encrypted.
     pub encrypt: Option<Cipher>,
     /// Compressed before the signature (RFC 5402).
     pub compress: bool,
-    /// The receipt wanted.
+    /// The requested receipt; none: no receipt.
     pub receipt: Option<ReceiptRequest>,
 }
 
 impl Default for Security {
-    /// Signed with SHA-256, encrypted with AES-128 in CBC, a signed receipt in the answer.
+    /// Signed with SHA-256, encrypted with AES-128 in CBC, a signed receipt in the response.
     fn default() -> Self {
         Security {
             sign: Some(Digest::Sha256),
@@ -131,38 +62,38 @@
     }
 }
 
-/// Whom a message is for.
+/// The receiver of a message.
 #[derive(Clone, Copy, Debug)]
 pub struct Addressee<'a> {
     /// AS2 name, without quotes.
     pub name: &'a str,
-    /// Certificate held for it.
+    /// Its certificate.
     pub certificate: &'a Certificate,
 }
 
 /// A message to be sent.
 #[derive(Clone, Debug)]
 pub struct Outgoing<'a> {
-    /// Without angle brackets. It is the idempotency key and stays the same through all tries.
+    /// `Message-ID` without angle brackets. It is the idempotency key and the same in all attempts.
     pub message_id: &'a str,
-    /// What is carried: its fields (`Content-Type` above all) and its bytes, no transfer encoding on.
+    /// The payload: header fields (at least `Content-Type`) and bytes without transfer encoding.
     pub payload: &'a Part,
-    /// `Subject`, for people.
+    /// `Subject`, for human readers.
     pub subject: Option<&'a str>,
 }
 
 /// A message or receipt ready to be sent by HTTP.
 #[derive(Clone, Debug)]
 pub struct Composed {
-    /// Fields of the HTTP message, but for those of the connection.
+    /// HTTP header fields, without those of the connection.
     pub headers: Headers,
     /// Its body.
     pub body: Vec<u8>,
-    /// What a receipt must return.
+    /// Integrity check that the receipt must return.
     pub mic: Mic,
 }
 
-/// A name as it stands in `AS2-From` and `AS2-To`: quoted where it must be (RFC 4130, section 6.2).
+/// Encodes a name for `AS2-From` and `AS2-To`, quoted where necessary (RFC 4130, section 6.2).
 pub(crate) fn quote_name(name: &str) -> String {
     match name.chars().any(|c| matches!(c, ' ' | '"' | '\\')) {
         true => format!("\"{}\"", name.replace('\\', "\\\\").replace('"', "\\\"")),
@@ -170,17 +101,21 @@
     }
 }
 
-/// A name from `AS2-From` or `AS2-To`, quotes taken off.
+/// Decodes a name from `AS2-From` or `AS2-To`.
 pub fn unquote_name(field: &str) -> String {
     unquote(field.trim())
 }
 
-/// The name of who sends, to look up its certificate.
+/// The AS2 name of the sender, for looking up its certificate.
+///
+/// # Errors
+///
+/// If `AS2-From` is missing.
 pub fn sender(headers: &Headers) -> Result<String, As2Error> {
     headers.get("as2-from").map(unquote_name).ok_or(As2Error::Missing("AS2-From"))
 }
 
-/// A delimiter that does not occur in what it delimits, drawn from a digest of it.
+/// A multipart boundary that does not occur in these parts, derived from their digest.
 pub(crate) fn boundary(parts: &[&[u8]]) -> String {
     let all = parts.concat();
     let mut salt = 0_u8;
@@ -195,7 +130,7 @@
     }
 }
 
-/// Content with a signature beside it (RFC 1847): the part's fields and body.
+/// Signs content as `multipart/signed` (RFC 1847).
 pub(crate) fn signed_part(content: &[u8], signer: &Identity, digest: Digest) -> Result<Part, As2Error> {
     let signature = to_base64_lines(&secure::sign(content, signer, digest)?);
     let boundary = boundary(&[content]);
@@ -228,10 +163,10 @@
     Part { headers, body }
 }
 
-/// Composes a message. Signed first, then encrypted, as receivers expect.
+/// Composes a message: compressed, then signed, then encrypted, each where the security asks for it.
 ///
 /// # Errors
-/// Where a certificate or key does not serve the protection that is asked for.
+/// If a certificate or key does not support the requested protection.
 pub fn compose(
     message: &Outgoing,
     from: &Identity,
@@ -289,22 +224,26 @@
     Ok(Composed { headers, body: part.body, mic: Mic { value: digest.of(&covered), digest } })
 }
 
-/// What stands in a message's HTTP fields; no content has been opened for it, so that even a message that
-/// can't be opened is answered by a receipt.
+/// A message's HTTP header fields, readable without opening the content, so that a message that can't be opened still
+/// gets a receipt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Envelope {
-    /// Who sends, as it says itself.
+    /// AS2 name of the sender, not authenticated.
     pub from: String,
-    /// Whom it is for.
+    /// AS2 name of the receiver.
     pub to: String,
-    /// Without angle brackets.
+    /// `Message-ID` without angle brackets.
     pub message_id: String,
-    /// The receipt wanted.
+    /// The requested receipt, if any.
     pub receipt: Option<ReceiptRequest>,
 }
 
 impl Envelope {
-    /// Reads the fields (RFC 4130, section 6).
+    /// Reads the header fields (RFC 4130, section 6).
+    ///
+    /// # Errors
+    ///
+    /// If one is missing, or `Message-ID` is empty or too long.
     pub fn read(headers: &Headers) -> Result<Envelope, As2Error> {
         let name = |field: &'static str| headers.get(field).map(unquote_name).ok_or(As2Error::Missing(field));
         let (from, to) = (name("AS2-From")?, name("AS2-To")?);
@@ -330,39 +269,43 @@
     Some(ReceiptRequest { deliver_to, signed: signed.unwrap_or_default() })
 }
 
-/// A message that was opened.
+/// An opened message.
 #[derive(Clone, Debug)]
 pub struct Opened {
-    /// What is carried, transfer encoding taken off.
+    /// The payload without transfer encoding.
     pub payload: Part,
-    /// To be returned in the receipt.
+    /// Integrity check to return in the receipt.
     pub mic: Mic,
-    /// The digest of its signature, if it was signed; it was verified then.
+    /// Digest of its signature, if it was signed; the signature is verified.
     pub signed: Option<Digest>,
-    /// It was encrypted.
+    /// Whether it was encrypted.
     pub encrypted: bool,
-    /// It was compressed.
+    /// Whether it was compressed.
     pub compressed: bool,
 }
 
-/// Opens a message for one of our stations from a sender whose certificate is held. All protection is taken
-/// off and checked; whether it was enough is for the caller to say.
+/// Opens a message: decrypts, verifies with the certificate of the sender, and decompresses. Whether the protection was
+/// sufficient is for the caller to check.
+///
+/// # Errors
+///
+/// If it is malformed, can't be decrypted or verified, or goes over a bound.
 pub fn open(
     headers: &Headers,
     body: &[u8],
-    me: &Identity,
+    identity: &Identity,
     from: &Certificate,
     receipt: Option<&ReceiptRequest>,
 ) -> Result<Opened, As2Error> {
     let mut part = Part { headers: content_fields(headers), body: body.to_vec() };
     let mut opened = Opening { covered: None, signed: None, encrypted: false, compressed: false };
     for _ in 0..BOUNDS.depth {
-        match opened.unwrap(&part, me, from) {
+        match opened.unwrap(&part, identity, from) {
             Ok(Some(inner)) => part = inner,
-            Ok(None) => return opened.finish(part, receipt),
-            // What fails behind a decryption and before a signature must look alike, whatever it is: else
-            // answers tell an attacker about the plain text (padding oracles).
-            Err(_) if opened.encrypted && opened.signed.is_none() && !opened.signature_seen(&part) => {
+            Ok(None) => return opened.finish(&part, receipt),
+            // Guards against padding oracles: all failures after decryption and before a verified signature must
+            // look alike, or responses reveal the plain text to an attacker.
+            Err(_) if opened.encrypted && opened.signed.is_none() && !opened.is_signed_part(&part) => {
                 return Err(As2Error::Decrypt)
             }
             Err(error) => return Err(error),
@@ -383,7 +326,7 @@
 }
 
 struct Opening {
-    /// The bytes that the integrity check is over, once a wrapping has settled them.
+    /// The bytes that the integrity check covers, once a layer has determined them.
     covered: Option<Vec<u8>>,
     signed: Option<Digest>,
     encrypted: bool,
@@ -391,12 +334,17 @@
 }
 
 impl Opening {
-    fn signature_seen(&self, part: &Part) -> bool {
+    fn is_signed_part(&self, part: &Part) -> bool {
         part.content_type().name == "multipart/signed"
     }
 
-    /// Takes one wrapping off; none if there is none.
-    fn unwrap(&mut self, part: &Part, me: &Identity, from: &Certificate) -> Result<Option<Part>, As2Error> {
+    /// Removes one layer of protection; none if there is none.
+    fn unwrap(
+        &mut self,
+        part: &Part,
+        identity: &Identity,
+        from: &Certificate,
+    ) -> Result<Option<Part>, As2Error> {
         let kind = part.content_type();
         match kind.name.as_str() {
             "multipart/signed" => self.unwrap_signed(part, &kind, from).map(Some),
@@ -405,11 +353,11 @@
                 let inner = match secure::wrapping(&bytes)? {
                     Wrapping::Signed => {
                         let (digest, inner) = secure::verify(&bytes, None, from)?;
-                        self.note_signed(digest, &inner);
+                        self.record_signature(digest, &inner);
                         inner
                     }
                     Wrapping::Encrypted => {
-                        let inner = secure::decrypt(&bytes, me)?;
+                        let inner = secure::decrypt(&bytes, identity)?;
                         self.encrypted = true;
                         self.covered = self.covered.take().or_else(|| Some(inner.clone()));
                         inner
@@ -417,7 +365,7 @@
                     Wrapping::Compressed => {
                         let inner = secure::decompress(&bytes)?;
                         self.compressed = true;
-                        // Unsigned: the check is over what was there before the compression.
+                        // Unsigned: the check covers the uncompressed bytes.
                         if self.signed.is_none() {
                             self.covered = Some(inner.clone());
                         }
@@ -430,7 +378,7 @@
         }
     }
 
-    fn note_signed(&mut self, digest: Digest, content: &[u8]) {
+    fn record_signature(&mut self, digest: Digest, content: &[u8]) {
         if self.signed.is_none() {
             self.signed = Some(digest);
             self.covered = Some(content.to_vec());
@@ -450,19 +398,19 @@
             return Err(As2Error::Mime("multipart/signed needs two parts"));
         };
         let signature = Part::read(signature)?.decoded()?;
-        // Some products sign with CRLF and let lines leave with LF alone.
+        // Some products sign lines with CRLF but send them with LF alone.
         let (digest, content) = match secure::verify(&signature, Some(content), from) {
             Err(As2Error::Digest) => secure::verify(&signature, Some(&canonical_lines(content)), from)?,
             other => other?,
         };
-        self.note_signed(digest, &content);
+        self.record_signature(digest, &content);
         Part::read(&content)
     }
 
-    fn finish(self, part: Part, receipt: Option<&ReceiptRequest>) -> Result<Opened, As2Error> {
+    fn finish(self, part: &Part, receipt: Option<&ReceiptRequest>) -> Result<Opened, As2Error> {
         let body = part.decoded()?;
-        let wanted = receipt.and_then(|request| request.signed.first().copied());
-        let digest = wanted.or(self.signed).unwrap_or(Digest::Sha256);
+        let requested = receipt.and_then(|request| request.signed.first().copied());
+        let digest = requested.or(self.signed).unwrap_or(Digest::Sha256);
         let mic = Mic { value: digest.of(self.covered.as_deref().unwrap_or(&body)), digest };
         let mut headers = Headers::new();
         for (name, value) in part.headers.iter() {
--- a/crates/as2/src/mime.rs
+++ b/crates/as2/src/mime.rs
@@ -29,7 +29,11 @@
 }
 
 impl Part {
-    /// Reads an entity: fields, an empty line, body. Lines may end in CRLF or LF.
+    /// Parses an entity: header fields, an empty line, body. Lines may end in CRLF or LF.
+    ///
+    /// # Errors
+    ///
+    /// If the header is malformed or goes over a bound.
     pub fn read(bytes: &[u8]) -> Result<Part, As2Error> {
         let mut headers = Headers::new();
         let mut field: Option<(String, String)> = None;
@@ -75,7 +79,11 @@
         out
     }
 
-    /// The body with its transfer encoding taken off (RFC 2045, section 6).
+    /// The body with its transfer encoding decoded (RFC 2045, section 6).
+    ///
+    /// # Errors
+    ///
+    /// If the encoding is unknown or the body is malformed.
     pub fn decoded(&self) -> Result<Vec<u8>, As2Error> {
         decode(self.headers.get("content-transfer-encoding"), &self.body)
     }
--- a/crates/as2/src/receipt.rs
+++ b/crates/as2/src/receipt.rs
@@ -1,16 +1,16 @@
-//! Receipts: message disposition notifications (RFC 8098) as AS2 has them (RFC 4130, section 7).
+//! Receipts: message disposition notifications (RFC 8098) in the profile of AS2 (RFC 4130, section 7).
 
 use crate::message::{boundary, quote_name, signed_part};
 use crate::mime::{split_multipart, ContentType, Part};
 use crate::{secure, As2Error, Certificate, Composed, Digest, Identity, Mic};
 use cloverstile_http::Headers;
 
-/// What became of a message, in a receipt's words.
+/// The result of a message in a receipt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Disposition {
     /// Processed.
     Processed,
-    /// Processed, but for what the text says.
+    /// Processed with a warning.
     Warning(String),
     /// Not processed (`processed/error: ...`).
     Error(String),
@@ -20,19 +20,19 @@
 
 impl Disposition {
     fn write(&self) -> String {
-        let told = match self {
+        let disposition = match self {
             Disposition::Processed => "processed".to_owned(),
             Disposition::Warning(text) => format!("processed/warning: {text}"),
             Disposition::Error(text) => format!("processed/error: {text}"),
             Disposition::Failure(text) => format!("failed/failure: {text}"),
         };
-        format!("automatic-action/MDN-sent-automatically; {told}")
+        format!("automatic-action/MDN-sent-automatically; {disposition}")
     }
 
-    /// Reads the value of `Disposition`, in any case and spacing.
+    /// Parses the value of `Disposition`, in any case and spacing; none if unknown.
     fn read(value: &str) -> Option<Disposition> {
-        let told = value.split_once(';').map_or(value, |(_, told)| told).trim();
-        let (kind, modifier) = told.split_once('/').unwrap_or((told, ""));
+        let disposition = value.split_once(';').map_or(value, |(_, rest)| rest).trim();
+        let (kind, modifier) = disposition.split_once('/').unwrap_or((disposition, ""));
         let (modifier, text) = modifier.split_once(':').unwrap_or((modifier, ""));
         let text = text.trim().to_owned();
         match (kind.trim().to_ascii_lowercase().as_str(), modifier.trim().to_ascii_lowercase().as_str()) {
@@ -45,20 +45,20 @@
     }
 }
 
-/// A courier's final answer, as a receipt tells it to programs in a field of its own
-/// (`X-Cloverstile-Answer`, an extension field of RFC 8098, section 3.3).
+/// A gateway's final outcome, in a machine-readable field of a receipt (`X-Cloverstile-Answer`, an extension field of
+/// RFC 8098, section 3.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The partner's own receipt says so.
+    /// Delivered: the partner's own receipt confirms it.
     Delivered,
-    /// It never took effect; handing it in again is safe.
+    /// Rejected: it never took effect, so resubmission is safe.
     Refused,
-    /// It may have taken effect.
+    /// Failed: it may have taken effect.
     Failed,
 }
 
 impl Outcome {
-    /// The word in the field.
+    /// The value of the field.
     pub fn name(self) -> &'static str {
         match self {
             Outcome::Delivered => "delivered",
@@ -67,32 +67,36 @@
         }
     }
 
-    /// Reads the word.
+    /// Parses the value of the field; none if unknown.
     pub fn read(word: &str) -> Option<Outcome> {
         [Outcome::Delivered, Outcome::Refused, Outcome::Failed].into_iter().find(|o| o.name() == word.trim())
     }
 }
 
-/// What a receipt tells.
+/// The content of a receipt to compose.
 #[derive(Clone, Debug)]
 pub struct ReceiptFacts<'a> {
     /// `Message-ID` of the receipt itself, without angle brackets.
     pub receipt_id: &'a str,
-    /// AS2 name of who sent the message that this is the receipt for.
+    /// AS2 name of the sender of the original message.
     pub to: &'a str,
-    /// That message's `Message-ID`, without angle brackets.
+    /// `Message-ID` of the original message, without angle brackets.
     pub original_id: &'a str,
-    /// What became of it.
+    /// Result of the original message.
     pub disposition: Disposition,
-    /// Its integrity check, where it was opened.
+    /// Integrity check of the original message, if it was opened.
     pub mic: Option<&'a Mic>,
-    /// For people.
+    /// Text for human readers.
     pub text: &'a str,
-    /// A courier's final answer.
+    /// The gateway's final outcome, if it is one.
     pub answer: Option<Outcome>,
 }
 
-/// Composes a receipt, signed where `sign` names a digest.
+/// Composes a receipt, signed if `sign` names a digest.
+///
+/// # Errors
+///
+/// If the identity can't sign with this digest.
 pub fn compose_receipt(
     facts: &ReceiptFacts,
     from: &Identity,
@@ -135,24 +139,28 @@
     Ok(Composed { headers, body: part.body, mic })
 }
 
-/// A receipt that was read, its signature checked where it has one.
+/// A parsed receipt; its signature, if any, is verified.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Receipt {
-    /// Message that it is for, without angle brackets.
+    /// `Message-ID` of the original message, without angle brackets.
     pub original_id: String,
-    /// What became of it.
+    /// Result of the original message.
     pub disposition: Disposition,
-    /// The integrity check returned.
+    /// The returned integrity check.
     pub mic: Option<Mic>,
-    /// It was signed, and the signature is that of the certificate given.
+    /// Whether it was signed; the signature is verified with the given certificate.
     pub signed: bool,
-    /// A courier's final answer, if it was one.
+    /// The gateway's final outcome, if there is one.
     pub answer: Option<Outcome>,
 }
 
 impl Receipt {
-    /// Whether it counts as proof that this message was processed: the right message, signed where that was
-    /// asked for, and for a processed one the very bytes that were sent.
+    /// Checks that it proves the result of this message: the right message, signed where `signed` requires it, and for a
+    /// processed one the integrity check of the bytes that were sent.
+    ///
+    /// # Errors
+    ///
+    /// [`As2Error::OtherReceipt`], [`As2Error::Unprotected`], [`As2Error::Digest`] or [`As2Error::Missing`].
     pub fn check(&self, message_id: &str, mic: &Mic, signed: bool) -> Result<(), As2Error> {
         if self.original_id != message_id {
             return Err(As2Error::OtherReceipt(self.original_id.clone()));
@@ -161,7 +169,7 @@
             return Err(As2Error::Unprotected("signed"));
         }
         match (&self.disposition, &self.mic) {
-            (Disposition::Processed | Disposition::Warning(_), Some(told)) if told != mic => {
+            (Disposition::Processed | Disposition::Warning(_), Some(returned)) if returned != mic => {
                 Err(As2Error::Digest)
             }
             (Disposition::Processed | Disposition::Warning(_), None) if signed => {
@@ -172,7 +180,11 @@
     }
 }
 
-/// Reads a receipt from the station that the certificate is held for.
+/// Parses a receipt and verifies its signature with the certificate of its sender.
+///
+/// # Errors
+///
+/// If it is malformed or its signature does not verify.
 pub fn read_receipt(headers: &Headers, body: &[u8], from: &Certificate) -> Result<Receipt, As2Error> {
     let mut content = Headers::new();
     content.add("Content-Type", headers.get("content-type").ok_or(As2Error::Missing("Content-Type"))?);
--- a/crates/as2/src/secure.rs
+++ b/crates/as2/src/secure.rs
@@ -1,8 +1,8 @@
 //! CMS (RFC 5652, 3274, 5083): signed, encrypted and compressed content.
 
+use crate::algorithm::{Cipher, Digest};
 use crate::ber::to_der;
 use crate::keys::{KeyKind, PrivateKey};
-use crate::message::{Cipher, Digest};
 use crate::mime::BOUNDS;
 use crate::{As2Error, Certificate, Identity};
 use aws_lc_rs::aead::{Aad, LessSafeKey, Nonce, UnboundKey, AES_128_GCM, AES_256_GCM};
@@ -34,7 +34,7 @@
 const COMPRESSED: ObjectIdentifier = ObjectIdentifier::new_unwrap("1.2.840.113549.1.9.16.1.9");
 const AUTH_ENVELOPED: ObjectIdentifier = rfc6268::ID_CT_AUTH_ENVELOPED_DATA;
 
-/// What a CMS structure holds.
+/// The kind of a CMS structure.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Wrapping {
     /// Signed content, the content inside.
@@ -64,7 +64,7 @@
     Ok((info.content_type, info.content.to_der().map_err(cms("content"))?))
 }
 
-/// What a structure holds, read off its own type: the MIME fields are often wrong.
+/// The kind of a structure by its own content type: the MIME fields are often wrong.
 pub fn wrapping(bytes: &[u8]) -> Result<Wrapping, As2Error> {
     match read_info(bytes)?.0 {
         rfc5911::ID_SIGNED_DATA => Ok(Wrapping::Signed),
@@ -257,19 +257,31 @@
     other_attributes: Option<x509_cert::attr::Attributes>,
 }
 
-/// Length of the authentication tag; the library takes no other.
+/// Bytes of a GCM authentication tag; the library supports no other length.
 const TAG: usize = 16;
+/// Bytes of a GCM nonce.
+const NONCE: usize = 12;
 
 fn unspecified(_: aws_lc_rs::error::Unspecified) -> As2Error {
     As2Error::Decrypt
 }
 
-/// Content encrypted for the holder of a certificate.
+/// Encrypts content for the holder of a certificate.
 pub fn encrypt(content: &[u8], to: &Certificate, cipher: Cipher) -> Result<Vec<u8>, As2Error> {
-    let der_error = cms("encryption");
     let mut key = [0; 32];
     let key = &mut key[..cipher.key_length()];
     aws_lc_rs::rand::fill(key).map_err(unspecified)?;
+    let recipients = recipient_infos(key, to)?;
+    match cipher {
+        Cipher::Aes128Cbc => encrypt_cbc(content, key, recipients, &AES_128, rfc5911::ID_AES_128_CBC),
+        Cipher::Aes256Cbc => encrypt_cbc(content, key, recipients, &AES_256, rfc5911::ID_AES_256_CBC),
+        Cipher::Aes128Gcm => encrypt_gcm(content, key, recipients, &AES_128_GCM, rfc5911::ID_AES_128_GCM),
+        Cipher::Aes256Gcm => encrypt_gcm(content, key, recipients, &AES_256_GCM, rfc5911::ID_AES_256_GCM),
+    }
+}
+
+/// The content key, encrypted by RSA for the holder of a certificate.
+fn recipient_infos(key: &[u8], to: &Certificate) -> Result<RecipientInfos, As2Error> {
     let transport = Pkcs1PublicEncryptingKey::new(to.encrypting_key()?).map_err(unspecified)?;
     let mut wrapped = vec![0; transport.ciphertext_size()];
     let wrapped = transport.encrypt(key, &mut wrapped).map_err(unspecified)?;
@@ -277,74 +289,85 @@
         version: CmsVersion::V0,
         rid: RecipientIdentifier::IssuerAndSerialNumber(to.issuer_and_serial()),
         key_enc_alg: algorithm(rfc5912::RSA_ENCRYPTION, Some(Null.into())),
-        enc_key: OctetString::new(&*wrapped).map_err(&der_error)?,
+        enc_key: OctetString::new(&*wrapped).map_err(cms("encryption"))?,
     };
-    let mut recip_infos = SetOfVec::new();
-    recip_infos.insert(RecipientInfo::Ktri(recipient)).map_err(&der_error)?;
-    let recip_infos = RecipientInfos(recip_infos);
+    let mut recipients = SetOfVec::new();
+    recipients.insert(RecipientInfo::Ktri(recipient)).map_err(cms("encryption"))?;
+    Ok(RecipientInfos(recipients))
+}
+
+fn encrypted_content(
+    oid: ObjectIdentifier,
+    parameters: Any,
+    ciphertext: &[u8],
+) -> Result<EncryptedContentInfo, As2Error> {
+    Ok(EncryptedContentInfo {
+        content_type: rfc5911::ID_DATA,
+        content_enc_alg: algorithm(oid, Some(parameters)),
+        encrypted_content: Some(OctetString::new(ciphertext).map_err(cms("encryption"))?),
+    })
+}
+
+/// `EnvelopedData` with AES in CBC (RFC 5652, section 6).
+fn encrypt_cbc(
+    content: &[u8],
+    key: &[u8],
+    recip_infos: RecipientInfos,
+    suite: &'static aws_lc_rs::cipher::Algorithm,
+    oid: ObjectIdentifier,
+) -> Result<Vec<u8>, As2Error> {
     let mut body = content.to_vec();
-    let described = |oid, parameters: Any, body: &[u8]| -> Result<EncryptedContentInfo, As2Error> {
-        Ok(EncryptedContentInfo {
-            content_type: rfc5911::ID_DATA,
-            content_enc_alg: algorithm(oid, Some(parameters)),
-            encrypted_content: Some(OctetString::new(body).map_err(&der_error)?),
-        })
+    let key = UnboundCipherKey::new(suite, key).map_err(unspecified)?;
+    let key = PaddedBlockEncryptingKey::cbc_pkcs7(key).map_err(unspecified)?;
+    let context = key.encrypt(&mut body).map_err(unspecified)?;
+    let iv: &[u8] = (&context).try_into().map_err(unspecified)?;
+    let iv = OctetString::new(iv).and_then(|iv| Any::encode_from(&iv)).map_err(cms("encryption"))?;
+    let data = EnvelopedData {
+        version: CmsVersion::V0,
+        originator_info: None,
+        recip_infos,
+        encrypted_content: encrypted_content(oid, iv, &body)?,
+        unprotected_attrs: None,
     };
-    match cipher {
-        Cipher::Aes128Cbc | Cipher::Aes256Cbc => {
-            let (suite, oid) = match cipher {
-                Cipher::Aes128Cbc => (&AES_128, rfc5911::ID_AES_128_CBC),
-                _ => (&AES_256, rfc5911::ID_AES_256_CBC),
-            };
-            let key = UnboundCipherKey::new(suite, key).map_err(unspecified)?;
-            let key = PaddedBlockEncryptingKey::cbc_pkcs7(key).map_err(unspecified)?;
-            let context = key.encrypt(&mut body).map_err(unspecified)?;
-            let iv: &[u8] = (&context).try_into().map_err(unspecified)?;
-            let iv = OctetString::new(iv).and_then(|iv| Any::encode_from(&iv)).map_err(&der_error)?;
-            let encrypted_content = described(oid, iv, &body)?;
-            let data = EnvelopedData {
-                version: CmsVersion::V0,
-                originator_info: None,
-                recip_infos,
-                encrypted_content,
-                unprotected_attrs: None,
-            };
-            info(rfc5911::ID_ENVELOPED_DATA, &data)
-        }
-        Cipher::Aes128Gcm | Cipher::Aes256Gcm => {
-            let (suite, oid) = match cipher {
-                Cipher::Aes128Gcm => (&AES_128_GCM, rfc5911::ID_AES_128_GCM),
-                _ => (&AES_256_GCM, rfc5911::ID_AES_256_GCM),
-            };
-            let mut nonce = [0; 12];
-            aws_lc_rs::rand::fill(&mut nonce).map_err(unspecified)?;
-            let key = LessSafeKey::new(UnboundKey::new(suite, key).map_err(unspecified)?);
-            let tag = key
-                .seal_in_place_separate_tag(Nonce::assume_unique_for_key(nonce), Aad::empty(), &mut body)
-                .map_err(unspecified)?;
-            let nonce = OctetString::new(nonce).map_err(&der_error)?;
-            let parameters =
-                Any::encode_from(&GcmParameters { nonce, tag_length: TAG as u8 }).map_err(&der_error)?;
-            let data = AuthEnvelopedData {
-                version: CmsVersion::V0,
-                originator: None,
-                recipients: recip_infos,
-                content: described(oid, parameters, &body)?,
-                attributes: None,
-                mac: OctetString::new(tag.as_ref()).map_err(&der_error)?,
-                other_attributes: None,
-            };
-            info(AUTH_ENVELOPED, &data)
-        }
-    }
+    info(rfc5911::ID_ENVELOPED_DATA, &data)
 }
 
-/// Opens content encrypted for this station.
-pub fn decrypt(bytes: &[u8], me: &Identity) -> Result<Vec<u8>, As2Error> {
+/// `AuthEnvelopedData` with AES in GCM (RFC 5083, RFC 5084).
+fn encrypt_gcm(
+    content: &[u8],
+    key: &[u8],
+    recipients: RecipientInfos,
+    suite: &'static aws_lc_rs::aead::Algorithm,
+    oid: ObjectIdentifier,
+) -> Result<Vec<u8>, As2Error> {
+    let der_error = cms("encryption");
+    let mut body = content.to_vec();
+    let mut nonce = [0; NONCE];
+    aws_lc_rs::rand::fill(&mut nonce).map_err(unspecified)?;
+    let key = LessSafeKey::new(UnboundKey::new(suite, key).map_err(unspecified)?);
+    let tag = key
+        .seal_in_place_separate_tag(Nonce::assume_unique_for_key(nonce), Aad::empty(), &mut body)
+        .map_err(unspecified)?;
+    let nonce = OctetString::new(nonce).map_err(&der_error)?;
+    let parameters = Any::encode_from(&GcmParameters { nonce, tag_length: TAG as u8 }).map_err(&der_error)?;
+    let data = AuthEnvelopedData {
+        version: CmsVersion::V0,
+        originator: None,
+        recipients,
+        content: encrypted_content(oid, parameters, &body)?,
+        attributes: None,
+        mac: OctetString::new(tag.as_ref()).map_err(&der_error)?,
+        other_attributes: None,
+    };
+    info(AUTH_ENVELOPED, &data)
+}
+
+/// Decrypts content that was encrypted for this identity.
+pub fn decrypt(bytes: &[u8], identity: &Identity) -> Result<Vec<u8>, As2Error> {
     let (content_type, der) = read_info(bytes)?;
     if content_type == AUTH_ENVELOPED {
         let data = AuthEnvelopedData::from_der(&der).map_err(cms("encryption"))?;
-        return decrypt_gcm(&data, me);
+        return decrypt_gcm(&data, identity);
     }
     let data = EnvelopedData::from_der(&der).map_err(cms("encryption"))?;
     let content = data.encrypted_content;
@@ -354,7 +377,7 @@
         rfc5911::ID_AES_256_CBC => (&AES_256, 32),
         other => return Err(As2Error::Algorithm("content encryption", other.to_string())),
     };
-    let key = content_key(&data.recip_infos, me, length)?;
+    let key = content_key(&data.recip_infos, identity, length)?;
     let iv = content.content_enc_alg.parameters.and_then(|any| any.decode_as::<OctetString>().ok());
     let iv: [u8; 16] = iv.and_then(|iv| iv.as_bytes().try_into().ok()).ok_or(As2Error::Decrypt)?;
     let mut body = content.encrypted_content.ok_or(As2Error::Decrypt)?.into_bytes();
@@ -366,13 +389,13 @@
     Ok(body)
 }
 
-fn decrypt_gcm(data: &AuthEnvelopedData, me: &Identity) -> Result<Vec<u8>, As2Error> {
+fn decrypt_gcm(data: &AuthEnvelopedData, identity: &Identity) -> Result<Vec<u8>, As2Error> {
     let (suite, length) = match data.content.content_enc_alg.oid {
         rfc5911::ID_AES_128_GCM => (&AES_128_GCM, 16),
         rfc5911::ID_AES_256_GCM => (&AES_256_GCM, 32),
         other => return Err(As2Error::Algorithm("content encryption", other.to_string())),
     };
-    let key = content_key(&data.recipients, me, length)?;
+    let key = content_key(&data.recipients, identity, length)?;
     let parameters = data.content.content_enc_alg.parameters.as_ref();
     let parameters =
         parameters.and_then(|any| any.decode_as::<GcmParameters>().ok()).ok_or(As2Error::Decrypt)?;
@@ -392,16 +415,18 @@
     Ok(body)
 }
 
-/// The content key that a recipient entry carries for this station. Where the transport does not decrypt, a
+/// The content key that a recipient entry carries for this identity. Where the transport does not decrypt, a
 /// random key goes on in its place (RFC 3218, section 2.3.2): what fails then fails alike for every sender, so
 /// that answers can't be used to decrypt step by step.
-fn content_key(recipients: &RecipientInfos, me: &Identity, length: usize) -> Result<Vec<u8>, As2Error> {
-    let PrivateKey::Rsa { pkcs1, oaep, .. } = &me.key else { return Err(As2Error::Decrypt) };
+fn content_key(recipients: &RecipientInfos, identity: &Identity, length: usize) -> Result<Vec<u8>, As2Error> {
+    let PrivateKey::Rsa { pkcs1, oaep, .. } = &identity.key else { return Err(As2Error::Decrypt) };
     let mine = recipients.0.iter().find_map(|recipient| match recipient {
         RecipientInfo::Ktri(entry) => match &entry.rid {
-            RecipientIdentifier::IssuerAndSerialNumber(rid) if me.certificate.is(rid) => Some(entry),
+            RecipientIdentifier::IssuerAndSerialNumber(rid) if identity.certificate.matches(rid) => {
+                Some(entry)
+            }
             RecipientIdentifier::SubjectKeyIdentifier(_) => Some(entry),
-            _ => None,
+            RecipientIdentifier::IssuerAndSerialNumber(_) => None,
         },
         _ => None,
     });
@@ -422,9 +447,9 @@
     Ok(key)
 }
 
-/// RSAES-OAEP with the digests that are in use (RFC 4055, section 4.1): SHA-1 where none is told, else SHA-256.
-fn oaep_scheme(told: &AlgorithmIdentifierOwned) -> Result<&'static OaepAlgorithm, As2Error> {
-    let parameters = told.parameters.as_ref().and_then(|any| any.to_der().ok()).unwrap_or_default();
+/// RSAES-OAEP with the digests that are in use (RFC 4055, section 4.1): SHA-1 where none is named, else SHA-256.
+fn oaep_scheme(algorithm: &AlgorithmIdentifierOwned) -> Result<&'static OaepAlgorithm, As2Error> {
+    let parameters = algorithm.parameters.as_ref().and_then(|any| any.to_der().ok()).unwrap_or_default();
     match parameters.as_slice() {
         [] | [0x30, 0x00] => Ok(&OAEP_SHA1_MGF1SHA1),
         _ => Ok(&OAEP_SHA256_MGF1SHA256),
--- a/crates/as2/tests/whole.rs
+++ b/crates/as2/tests/messages.rs
@@ -65,7 +65,7 @@
 }
 
 #[test]
-fn every_protection_opens_to_what_was_sent_with_the_same_integrity_check() {
+fn every_protection_round_trips_with_equal_integrity_check() {
     for security in every_protection() {
         let composed = sent(&security, b"line one\nline two\r\n--\r\n");
         let envelope = Envelope::read(&composed.headers).unwrap();
@@ -82,7 +82,7 @@
 }
 
 #[test]
-fn rsa_signs_with_every_longer_digest_and_never_with_sha_1() {
+fn rsa_signs_with_every_sha_2_digest_and_never_with_sha_1() {
     let payload = payload(b"x");
     let outgoing = Outgoing { message_id: "m", payload: &payload, subject: None };
     let to = Addressee { name: "A", certificate: &A.certificate };
@@ -98,7 +98,7 @@
 }
 
 #[test]
-fn what_other_products_write_is_opened() {
+fn messages_of_other_products_are_opened() {
     let part = data!("part.bin");
     let mail = |bytes: &[u8]| Part::read(bytes).unwrap();
     for (name, bytes, from) in [
@@ -141,14 +141,14 @@
 }
 
 #[test]
-fn a_message_signed_with_crlf_that_travelled_with_lf_is_opened() {
+fn message_signed_with_crlf_and_sent_with_lf_is_opened() {
     let message = Part::read(data!("signed.eml")).unwrap();
     let body: Vec<u8> = message.body.iter().copied().filter(|b| *b != b'\r').collect();
     assert!(open(&message.headers, &body, &A, &A.certificate, None).unwrap().signed.is_some());
 }
 
 #[test]
-fn another_signer_changed_content_and_another_addressee_are_told_apart() {
+fn wrong_signer_changed_content_and_wrong_receiver_have_distinct_errors() {
     let signed = sent(&Security { encrypt: None, ..Security::default() }, b"amount=100");
     assert_eq!(
         open(&signed.headers, &signed.body, &A, &A.certificate, None).unwrap_err(),
@@ -162,7 +162,7 @@
 }
 
 #[test]
-fn what_fails_inside_a_decryption_looks_alike_whatever_it_is() {
+fn failures_after_decryption_are_indistinguishable() {
     let security = Security { sign: None, encrypt: Some(Cipher::Aes128Cbc), ..Security::default() };
     let composed = sent(&security, &[b'a'; 100]);
     let mut seen = std::collections::BTreeSet::new();
@@ -177,7 +177,7 @@
 }
 
 #[test]
-fn a_small_message_that_unpacks_to_gigabytes_ends_in_an_error() {
+fn decompression_bomb_is_an_error() {
     let security = Security { sign: None, encrypt: None, compress: true, receipt: None };
     let composed = sent(&security, &vec![0; BOUNDS.unpacked + 1]);
     assert!(composed.body.len() < 200_000);
@@ -185,7 +185,7 @@
 }
 
 #[test]
-fn wrappings_nested_without_end_are_an_error() {
+fn unbounded_nesting_of_layers_is_an_error() {
     let mut part = payload(b"x");
     for _ in 0..BOUNDS.depth + 1 {
         let security = Security { sign: None, encrypt: None, compress: true, receipt: None };
@@ -201,7 +201,7 @@
 }
 
 #[test]
-fn requests_for_receipts_are_read_in_the_spellings_in_use() {
+fn receipt_requests_are_parsed_in_all_spellings_in_use() {
     let headers = Headers::new()
         .with("as2-from", "\"Bank \\\"North\\\"\"")
         .with("AS2-TO", " me ")
@@ -233,7 +233,7 @@
 }
 
 #[test]
-fn receipts_come_back_as_they_were_composed_and_count_only_if_all_is_right() {
+fn receipts_round_trip_and_check_rejects_each_mismatch() {
     let mic = sent(&Security::default(), b"x").mic;
     let other = Mic { value: vec![0; 32], digest: Digest::Sha256 };
     for disposition in [
@@ -267,7 +267,7 @@
 }
 
 #[test]
-fn a_key_of_another_certificate_is_refused_with_a_reason() {
+fn key_of_another_certificate_is_rejected_with_a_reason() {
     let error = Identity::from_pem("x", text(data!("e.key")), text(data!("a.crt"))).unwrap_err();
     assert!(matches!(error, As2Error::Key("private key", _)), "{error}");
     assert!(matches!(Certificate::from_pem("nonsense"), Err(As2Error::Key("certificate", _))));
@@ -278,7 +278,7 @@
     #![proptest_config(ProptestConfig { cases: 96, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Default::default() })]
 
     #[test]
-    fn damage_anywhere_ends_in_an_error_or_the_same_content(
+    fn corrupted_message_is_an_error_or_has_equal_content(
         which in 0usize..20, at in any::<prop::sample::Index>(), byte: u8, cut: bool,
     ) {
         let security = &every_protection()[which];
@@ -295,7 +295,7 @@
     }
 
     #[test]
-    fn no_bytes_make_it_panic(
+    fn random_bytes_never_panic(
         body in proptest::collection::vec(any::<u8>(), 0..300),
         kind in prop::sample::select(vec![
             "application/pkcs7-mime", "multipart/signed; boundary=a", "multipart/report; boundary=\"a\"", "text/plain",
