Fields of the AS2 gateway's settings in the terms of the field

Need: station, module, front, remembered, worth, wanted and ramp do not say what they are.

Change: identity, policy, listener, max_kept_outcomes, outcome_retention, shutdown_timeout, crypto_threads, instance_index, priority_weight, peak_demand, recovery_ramp and limits with their units. Names in HCL files are unchanged.

--- a/crates/as2-gateway/src/admission.rs
+++ b/crates/as2-gateway/src/admission.rs
@@ -64,7 +64,7 @@
     let destination = config.partners.iter().position(|known| known.name == partner);
     let destination = destination.ok_or_else(|| RejectionReason::UnknownPartner(partner.to_owned()))?;
     let class = find_class(config, field("cloverstile-class"))?;
-    let rules = &config.module.classes[class];
+    let rules = &config.policy.classes[class];
     let key = field("cloverstile-order-key").filter(|key| !key.is_empty());
     if rules.ordered && key.is_none() {
         return Err(RejectionReason::MissingOrderKey(config.classes[class].clone()));
--- a/crates/as2-gateway/src/as2_server.rs
+++ b/crates/as2-gateway/src/as2_server.rs
@@ -95,7 +95,7 @@
     fn on_request(&mut self, context: &mut Context, request: RequestId, message: Message) {
         let Start::Request { method, target } = &message.start else { return };
         let path = target.split('?').next().unwrap_or_default();
-        let resource = path.strip_prefix(context.config.front.path.as_str());
+        let resource = path.strip_prefix(context.config.listener.path.as_str());
         let started = match (method.as_str(), resource) {
             ("POST", Some("")) => submissions::start_opening(context, request, message),
             ("POST", Some("/receipts")) => partner_receipts::start_reading(context, request, message),
--- a/crates/as2-gateway/src/as2_server/connections.rs
+++ b/crates/as2-gateway/src/as2_server/connections.rs
@@ -61,8 +61,8 @@
 
     /// Takes a new connection, or turns it away where the limit is reached.
     pub fn accept(&mut self, context: &mut Context, id: ConnId) {
-        let settings = &context.config.front;
-        if self.connections.len() >= settings.connections {
+        let settings = &context.config.listener;
+        if self.connections.len() >= settings.max_connections {
             let headers = Headers::new().with("Connection", "close").with("Retry-After", "1");
             let turned_away =
                 HttpResponse::new(HttpStatus::SERVICE_UNAVAILABLE, headers, "too many connections\n");
@@ -71,8 +71,8 @@
             return;
         }
         let limits = Limits {
-            max_head_bytes: settings.head,
-            max_body_bytes: settings.body,
+            max_head_bytes: settings.max_head_bytes,
+            max_body_bytes: settings.max_body_bytes,
             head_time: settings.head_time,
             message_time: settings.message_time,
             ..Limits::default()
@@ -109,7 +109,7 @@
             }
             if connection.current_request.is_some() {
                 // What comes behind a request that is being processed waits in the peer's own buffers.
-                let paused = connection.decoder.buffered_bytes() > context.config.front.head;
+                let paused = connection.decoder.buffered_bytes() > context.config.listener.max_head_bytes;
                 context.net.pause(id, paused);
                 return None;
             }
--- a/crates/as2-gateway/src/as2_server/receipt_delivery.rs
+++ b/crates/as2-gateway/src/as2_server/receipt_delivery.rs
@@ -72,7 +72,7 @@
         let decoder = Decoder::client(Limits { max_body_bytes: MAX_RESPONSE_BODY, ..Limits::default() });
         context.net.send(connection, &delivery.bytes);
         self.connections.insert(connection, DeliveryConnection { delivery: id, decoder });
-        let timeout = context.config.module.connect_timeout.saturating_mul(TIMEOUT_OF_CONNECT_TIMEOUT);
+        let timeout = context.config.policy.connect_timeout.saturating_mul(TIMEOUT_OF_CONNECT_TIMEOUT);
         context.set_timer(context.now() + timeout, Timer::ConnectTimeout(connection));
     }
 
--- a/crates/as2-gateway/src/context.rs
+++ b/crates/as2-gateway/src/context.rs
@@ -80,6 +80,6 @@
 
     /// Where partners post asynchronous receipts.
     pub fn receipts_url(&self) -> String {
-        format!("http://{}{}/receipts", self.address, self.config.front.path)
+        format!("http://{}{}/receipts", self.address, self.config.listener.path)
     }
 }
--- a/crates/as2-gateway/src/directory.rs
+++ b/crates/as2-gateway/src/directory.rs
@@ -58,8 +58,8 @@
     let mut config = parse(&path.display().to_string(), &read(path)?)?;
     let folder = path.parent().unwrap_or(Path::new(""));
     let resolve = |path: &mut PathBuf| *path = folder.join(&*path);
-    resolve(&mut config.station.key);
-    resolve(&mut config.station.certificate);
+    resolve(&mut config.identity.key);
+    resolve(&mut config.identity.certificate);
     config.clients.iter_mut().for_each(|client| resolve(&mut client.certificate));
     config.partners.iter_mut().for_each(|partner| resolve(&mut partner.certificate));
     Ok(config)
@@ -108,7 +108,7 @@
     /// # Errors
     /// See [`LoadError`].
     pub fn load(config: &Config) -> Result<Directory, LoadError> {
-        let station = &config.station;
+        let station = &config.identity;
         let own_identity = load_identity(&station.name, &station.key, &station.certificate)?;
         let certificate = |path: &Path| {
             Certificate::from_pem(&read(path)?)
--- a/crates/as2-gateway/src/failover_setup.rs
+++ b/crates/as2-gateway/src/failover_setup.rs
@@ -19,7 +19,7 @@
 /// The failover planner of this instance. `since_epoch` is the time of day: machines agree on the instances' time slots
 /// as well as their clocks are kept.
 pub(crate) fn planner(config: &Config, seed: u64, since_epoch: Duration) -> FailoverPlanner {
-    let instances = config.module.instance_count.max(1);
+    let instances = config.policy.instance_count.max(1);
     let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
     let tiers = tiered.map(|(number, partner)| TierConfig {
         destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
@@ -29,13 +29,13 @@
         // Instances share no state: each keeps to its fair share of what all may spill together.
         spill_rate: partner.spill_rate.map(|rate| rate / f64::from(instances)),
         down_after: partner.lost_after,
-        recovery_ramp: partner.ramp,
+        recovery_ramp: partner.recovery_ramp,
     });
     let fleet = FleetParameters {
         instance_count: instances,
-        instance_index: config.station.place.unwrap_or((seed % u64::from(instances)) as u32),
+        instance_index: config.identity.instance_index.unwrap_or((seed % u64::from(instances)) as u32),
         epoch: since_epoch,
-        ..FleetParameters::for_rules(&config.module.rules)
+        ..FleetParameters::for_rules(&config.policy.rules)
     };
     FailoverPlanner::new(Time::ZERO, fleet, tiers.collect())
 }
--- a/crates/as2-gateway/src/outbound_client/connection_pool.rs
+++ b/crates/as2-gateway/src/outbound_client/connection_pool.rs
@@ -76,15 +76,15 @@
     /// Keeps a connection for reuse, or closes it where enough are kept.
     pub fn release(&mut self, context: &mut Context, endpoint: EndpointId, connection: BatchConnection) {
         let Some(id) = connection.id() else { return };
-        let keep =
-            connection.established().is_some() && self.idle_count < context.config.limits.idle_connections;
+        let keep = connection.established().is_some()
+            && self.idle_count < context.config.limits.max_idle_connections;
         if !keep || !context.net.is_open(id) {
             return self.close(context, id);
         }
         self.connections.insert(id, ConnectionUse::Idle(endpoint));
         self.idle.entry(endpoint).or_default().push(id);
         self.idle_count += 1;
-        let timeout = context.config.module.connection_idle_timeout;
+        let timeout = context.config.policy.connection_idle_timeout;
         context.set_timer(context.now() + timeout, Timer::IdleTimeout(id));
     }
 
@@ -125,7 +125,7 @@
 fn connect(context: &mut Context, endpoint: EndpointId) -> Option<ConnId> {
     let address = context.endpoints.get(&endpoint)?.address;
     let connection = context.net.connect(address);
-    let timeout = context.config.module.connect_timeout;
+    let timeout = context.config.policy.connect_timeout;
     context.set_timer(context.now() + timeout, Timer::ConnectTimeout(connection));
     Some(connection)
 }
--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -136,10 +136,10 @@
             net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
                 .map_err(io_error("signals"))?;
         }
-        let listen = config.front.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listen = config.listener.listen.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
         let (listener, address) = net.listen(listen).map_err(io_error(format!("listening on {listen}")))?;
         let crypto_pool =
-            CryptoPool::new(config.limits.workers, &net.waker()).map_err(io_error("threads"))?;
+            CryptoPool::new(config.limits.crypto_threads, &net.waker()).map_err(io_error("threads"))?;
         let context = Context {
             engine: engine(&config, seed),
             directory: Arc::new(directory),
@@ -349,7 +349,7 @@
                     zone: ZoneId(endpoint.zone),
                     kind: KindId(partner.kind),
                     destination: destination(config, number, tier),
-                    state: endpoint.mode,
+                    state: endpoint.state,
                     weight: partner.tiers.get(tier).map_or(partner.rate, |tier| tier.rate),
                 });
             }
@@ -393,7 +393,7 @@
         }
         let context = &mut self.context;
         let now = context.now();
-        let within = context.config.limits.stop_within;
+        let within = context.config.limits.shutdown_timeout;
         info!(pending_messages = context.engine.pending_messages(), ?within, "graceful shutdown started");
         context.engine.shut_down_by(now + within.mul_f64(DELIVERY_PART_OF_SHUTDOWN));
         self.shutdown_deadline = Some(now + within);
@@ -417,10 +417,12 @@
 }
 
 fn engine(config: &Config, seed: u64) -> Engine {
-    let result_limits =
-        ResultCacheLimits { max_results: config.limits.remembered, retention: config.limits.answers_kept };
+    let result_limits = ResultCacheLimits {
+        max_results: config.limits.max_kept_outcomes,
+        retention: config.limits.outcome_retention,
+    };
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Engine::new(config.module.clone(), result_limits, seed).with_failover_policy(planner(
+    Engine::new(config.policy.clone(), result_limits, seed).with_failover_policy(planner(
         config,
         seed,
         since_epoch,
--- a/crates/as2-gateway/src/zone_loss.rs
+++ b/crates/as2-gateway/src/zone_loss.rs
@@ -15,8 +15,8 @@
 fn demand(partner: &Partner) -> Option<PartnerDemand> {
     Some(PartnerDemand {
         name: partner.name.clone(),
-        demand: partner.wanted?,
-        priority_weight: partner.worth,
+        demand: partner.peak_demand?,
+        priority_weight: partner.priority_weight,
         sites: sites(partner),
         spill_share: partner.spill_share,
         spill_rate: partner.spill_rate,
--- a/crates/cli/src/plan.rs
+++ b/crates/cli/src/plan.rs
@@ -63,7 +63,7 @@
             let partner = partner.ok_or_else(|| {
                 format!("--wanted: there is no partner '{name}'; one of: {}", names.join(", "))
             })?;
-            partner.wanted = Some(*rate);
+            partner.peak_demand = Some(*rate);
         }
         let network = network(&config);
         if network.partners.is_empty() {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The blocks of the gateway itself: identity, limits, zones and the listener.
 
 use crate::read::Block;
-use crate::types::{Front, Limits, Station};
+use crate::types::{IdentityFiles, Limits, Listener};
 use cloverstile::WeightSource;
 use std::time::Duration;
 
@@ -31,28 +31,28 @@
 }
 
 /// The gateway's own identity.
-pub(crate) fn read_station(gateway_block: &Block) -> Option<Station> {
+pub(crate) fn read_identity(gateway_block: &Block) -> Option<IdentityFiles> {
     let name = gateway_block.required("name");
     let key = gateway_block.required("key");
     let certificate = gateway_block.required("certificate");
     let couriers: u32 = gateway_block.number("couriers", 1, 100_000, 1);
     let place = gateway_block.number("place", 0, i64::from(couriers) - 1, -1);
-    Some(Station {
+    Some(IdentityFiles {
         name: name?,
         key: key?.into(),
         certificate: certificate?.into(),
-        place: u32::try_from(place).ok(),
+        instance_index: u32::try_from(place).ok(),
     })
 }
 
 /// Limits of the gateway around the delivery policy.
 pub(crate) fn read_limits(gateway_block: &Block) -> Limits {
     Limits {
-        stop_within: gateway_block.span("stop_within", Duration::from_secs(10)),
-        remembered: gateway_block.number("remembered", 1, 10_000_000, 100_000),
-        answers_kept: gateway_block.span("answers_kept", Duration::from_secs(300)),
-        idle_connections: gateway_block.number("idle_connections", 1, 100_000, 1_000),
-        workers: gateway_block.number("workers", 0, 64, 0),
+        shutdown_timeout: gateway_block.span("stop_within", Duration::from_secs(10)),
+        max_kept_outcomes: gateway_block.number("remembered", 1, 10_000_000, 100_000),
+        outcome_retention: gateway_block.span("answers_kept", Duration::from_secs(300)),
+        max_idle_connections: gateway_block.number("idle_connections", 1, 100_000, 1_000),
+        crypto_threads: gateway_block.number("workers", 0, 64, 0),
     }
 }
 
@@ -66,17 +66,17 @@
 }
 
 /// Where AS2 messages come in.
-pub(crate) fn read_front(root: &Block) -> Option<Front> {
+pub(crate) fn read_listener(root: &Block) -> Option<Listener> {
     let block = root.only("front")?;
-    let front = Front {
+    let listener = Listener {
         listen: block.address("listen"),
         path: block.text("path").unwrap_or_else(|| "/as2".to_owned()),
-        connections: block.number("connections", 1, 100_000, 1_000),
-        body: block.size("body", &SIZES, 4 << 20),
-        head: block.size("head", &SIZES, 32 << 10),
+        max_connections: block.number("connections", 1, 100_000, 1_000),
+        max_body_bytes: block.size("body", &SIZES, 4 << 20),
+        max_head_bytes: block.size("head", &SIZES, 32 << 10),
         head_time: block.span("head_time", Duration::from_secs(10)),
         message_time: block.span("message_time", Duration::from_secs(60)),
     };
     block.finish();
-    front.listen.map(|listen| Front { listen: Some(listen), ..front })
+    listener.listen.map(|listen| Listener { listen: Some(listen), ..listener })
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -13,7 +13,9 @@
 mod types;
 
 pub use read::{Problem, Problems};
-pub use types::{Cipher, Client, Config, Digest, Endpoint, Front, Limits, Partner, Receipt, Station, Tier};
+pub use types::{
+    Cipher, Client, Config, Digest, Endpoint, IdentityFiles, Limits, Listener, Partner, Receipt, Tier,
+};
 
 use read::{Block, Source};
 
@@ -54,24 +56,24 @@
     let kind_names = names(&kinds);
     let tenant_names = names(&tenants);
     let policy_kinds = policy::read_kinds(&kinds);
-    let station = gateway::read_station(&gateway_block);
+    let identity = gateway::read_identity(&gateway_block);
     let rates = gateway::read_weight_source(&gateway_block);
-    let module = policy::read_policy(root, &gateway_block, &zones, &classes, &tenants, policy_kinds, rates);
+    let policy = policy::read_policy(root, &gateway_block, &zones, &classes, &tenants, policy_kinds, rates);
     let limits = gateway::read_limits(&gateway_block);
     gateway_block.finish();
-    let front = gateway::read_front(root);
+    let listener = gateway::read_listener(root);
     let zone_rates = gateway::read_zone_rates(root, &zones);
     let clients = client::read_clients(root, &tenant_names);
     let partners = partner::read_partners(root, &kind_names, &zones, rates);
     Some(Config {
-        station: station?,
-        module: module?,
+        identity: identity?,
+        policy: policy?,
         classes: names(&classes),
         tenants: tenant_names,
         kinds: kind_names,
         zones,
         zone_rates,
-        front: front?,
+        listener: listener?,
         limits,
         clients,
         partners,
--- a/crates/settings/src/partner.rs
+++ b/crates/settings/src/partner.rs
@@ -39,8 +39,8 @@
             "set the calls a second that it takes from all couriers, or rates = \"none\" for the courier";
         block.problem_at("rate", "is missing", advice);
     }
-    let wanted = block.number("wanted", 0.0, 1e9, f64::INFINITY);
-    let worth = block.number("worth", 0.0, 1e9, 1.0);
+    let peak_demand = block.number("wanted", 0.0, 1e9, f64::INFINITY);
+    let priority_weight = block.number("worth", 0.0, 1e9, 1.0);
     let security = read_security(block);
     let endpoints = read_endpoints(block, zones);
     let tiers = read_tiers(block, zones, rate, &endpoints);
@@ -53,8 +53,8 @@
         certificate: certificate?.into(),
         kind: kind? as u16,
         rate,
-        wanted: wanted.is_finite().then_some(wanted),
-        worth,
+        peak_demand: peak_demand.is_finite().then_some(peak_demand),
+        priority_weight,
         sign: security.sign,
         encrypt: security.encrypt,
         compress,
@@ -64,7 +64,7 @@
         spill_share,
         spill_rate: spill_rate.is_finite().then_some(spill_rate),
         lost_after: block.span("lost_after", Duration::from_secs(1)),
-        ramp: block.span("ramp", Duration::from_secs(30)),
+        recovery_ramp: block.span("ramp", Duration::from_secs(30)),
         endpoints,
         name,
     })
@@ -125,7 +125,7 @@
         .into_iter()
         .filter_map(|(name, inner)| {
             let zone = inner.text("zone").map_or(Some(0), |zone| inner.index_of("zone", &zone, zones));
-            let mode = inner.choice(
+            let state = inner.choice(
                 "mode",
                 &[("ready", EndpointState::Ready), ("draining", EndpointState::Draining)],
                 EndpointState::Ready,
@@ -133,7 +133,7 @@
             let address = inner.address("address");
             let path = inner.text("path").unwrap_or_else(|| "/as2".to_owned());
             inner.finish();
-            Some(Endpoint { name, address: address?, path, zone: zone? as u8, mode })
+            Some(Endpoint { name, address: address?, path, zone: zone? as u8, state })
         })
         .collect();
     if endpoints.is_empty() {
--- a/crates/settings/src/types.rs
+++ b/crates/settings/src/types.rs
@@ -8,9 +8,9 @@
 #[derive(Clone, Debug)]
 pub struct Config {
     /// The gateway's own AS2 identity.
-    pub station: Station,
+    pub identity: IdentityFiles,
     /// Settings of the delivery policy.
-    pub module: cloverstile::Settings,
+    pub policy: cloverstile::Settings,
     /// Names of the classes, in the order of the policy's settings.
     pub classes: Vec<String>,
     /// Names of the tenants, in the order of the policy's settings.
@@ -22,7 +22,7 @@
     /// Requests a second into each zone, for all partners together; none: unlimited. For `cloverstile plan`.
     pub zone_rates: Vec<Option<f64>>,
     /// Where messages come in.
-    pub front: Front,
+    pub listener: Listener,
     /// Limits of the gateway around the delivery policy.
     pub limits: Limits,
     /// Clients that may submit messages.
@@ -33,7 +33,7 @@
 
 /// The AS2 identity of the gateway.
 #[derive(Clone, Debug)]
-pub struct Station {
+pub struct IdentityFiles {
     /// AS2 name.
     pub name: String,
     /// Path of the private key (PKCS#8 in PEM), readable by its owner alone.
@@ -41,37 +41,37 @@
     /// PEM file.
     pub certificate: PathBuf,
     /// Index among all gateway instances, from 0, unique. None: drawn at random at each start.
-    pub place: Option<u32>,
+    pub instance_index: Option<u32>,
 }
 
 /// Limits of the gateway around the delivery policy.
 #[derive(Clone, Debug)]
 pub struct Limits {
     /// Longest time from the signal to stop until the exit.
-    pub stop_within: Duration,
+    pub shutdown_timeout: Duration,
     /// Most final outcomes kept for resubmissions.
-    pub remembered: usize,
+    pub max_kept_outcomes: usize,
     /// How long they are kept.
-    pub answers_kept: Duration,
+    pub outcome_retention: Duration,
     /// Most idle outbound connections kept.
-    pub idle_connections: usize,
+    pub max_idle_connections: usize,
     /// Threads for cryptography; 0: it runs on the event loop.
-    pub workers: usize,
+    pub crypto_threads: usize,
 }
 
 /// Where AS2 messages come in.
 #[derive(Clone, Debug)]
-pub struct Front {
+pub struct Listener {
     /// Address to listen on; always present in checked settings.
     pub listen: Option<SocketAddr>,
     /// Path for messages; deferred receipts come to this path followed by `/receipts`.
     pub path: String,
     /// Most connections at once.
-    pub connections: usize,
+    pub max_connections: usize,
     /// Most bytes of a message's body.
-    pub body: usize,
+    pub max_body_bytes: usize,
     /// Most bytes of a message's head.
-    pub head: usize,
+    pub max_head_bytes: usize,
     /// Longest time for a message's head to arrive.
     pub head_time: Duration,
     /// Longest time for a whole message to arrive.
@@ -150,9 +150,9 @@
     /// Requests a second that it accepts from all gateways together; 0 where rates are unknown.
     pub rate: f64,
     /// Messages a second for it at peak time, from all gateways; none: unknown. For `cloverstile plan`.
-    pub wanted: Option<f64>,
+    pub peak_demand: Option<f64>,
     /// Priority weight of one of them against those for other partners.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Digest of signatures; none: not signed.
     pub sign: Option<Digest>,
     /// Content cipher; none: not encrypted.
@@ -172,7 +172,7 @@
     /// Time without a response after which a tier counts as lost.
     pub lost_after: Duration,
     /// Recovery ramp: time from a lost tier's first response until nothing spills over any more.
-    pub ramp: Duration,
+    pub recovery_ramp: Duration,
     /// Its endpoints.
     pub endpoints: Vec<Endpoint>,
 }
@@ -198,5 +198,5 @@
     /// Index in [`Config::zones`].
     pub zone: u8,
     /// Whether it accepts new requests.
-    pub mode: cloverstile::EndpointState,
+    pub state: cloverstile::EndpointState,
 }
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -67,20 +67,20 @@
 fn valid_file_reaches_the_policy_settings_unchanged() {
     let config = parse("c.hcl", GOOD).unwrap_or_else(|problems| panic!("{problems}"));
     assert_eq!(
-        (config.module.instance_count, config.module.concurrency_limit, config.module.zone.0),
+        (config.policy.instance_count, config.policy.concurrency_limit, config.policy.zone.0),
         (3, 24, 1)
     );
-    assert_eq!(config.module.classes[0].effect, cloverstile::Effect::Unsafe);
-    assert_eq!(config.module.classes[1].retry_window, Duration::from_secs(10));
-    assert!(config.module.classes[1].ordered);
-    assert_eq!(config.module.kinds[0].max_batch, 4);
-    assert_eq!(config.module.rules.key_cooldown, Duration::from_millis(100));
-    assert_eq!(config.module.tenants[0].quota, 40.0);
-    assert_eq!(config.front.body, 2 << 20);
+    assert_eq!(config.policy.classes[0].effect, cloverstile::Effect::Unsafe);
+    assert_eq!(config.policy.classes[1].retry_window, Duration::from_secs(10));
+    assert!(config.policy.classes[1].ordered);
+    assert_eq!(config.policy.kinds[0].max_batch, 4);
+    assert_eq!(config.policy.rules.key_cooldown, Duration::from_millis(100));
+    assert_eq!(config.policy.tenants[0].quota, 40.0);
+    assert_eq!(config.listener.max_body_bytes, 2 << 20);
     let partner = &config.partners[0];
     assert_eq!((partner.rate, partner.receipt), (12.5, Receipt::Async));
     assert_eq!(
-        (partner.endpoints[1].zone, partner.endpoints[1].mode),
+        (partner.endpoints[1].zone, partner.endpoints[1].state),
         (1, cloverstile::EndpointState::Draining)
     );
 }
