simulator: one event queue, network delay and scenario base for both simulations; faults and requests in files of their own

Both simulations had their own event queue, draw of the network delay, conversion of classes and rules, and the failover scenario owned types that the other one borrowed. event_queue.rs, network.rs and scenario.rs hold them once.

--- a/crates/simulator/src/failover/record.rs
+++ b/crates/simulator/src/failover/record.rs
@@ -1,4 +1,4 @@
-//! Event a run leaves behind, as it passed between instances and sites.
+//! What a run leaves behind, as it passed between instances and sites.
 
 use cloverstile_engine::FinalOutcome;
 use std::time::Duration;
@@ -83,7 +83,7 @@
     pub message: u32,
 }
 
-/// Event broke. All zero on a good run.
+/// What broke. All zero on a good run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FailoverViolations {
     /// Messages without a final answer, or with several.
@@ -126,7 +126,7 @@
     pub seconds: Vec<SecondTotals>,
     /// Returning sites, by 100 ms.
     pub windows: Vec<RecoveryWindow>,
-    /// Event broke.
+    /// What broke.
     pub violations: FailoverViolations,
     /// Requests that reached sites.
     pub requests: u64,
--- a/crates/simulator/src/failover/scenario.rs
+++ b/crates/simulator/src/failover/scenario.rs
@@ -1,28 +1,9 @@
 //! Scenarios: HCL in, instances, banks, classes and troubles out. Times are in seconds, rates in a second.
 
-use cloverstile::{Class, Effect, Group, Rules};
+use crate::scenario::{longest_retry_window, one, span, ClassSpec, RuleSpec, ScenarioError};
 use cloverstile_fakes::model::{Fault, ServerProfile};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::time::Duration;
-
-/// A scenario that can't be played.
-#[derive(Debug, thiserror::Error)]
-pub enum ScenarioError {
-    /// Not read.
-    #[error("scenario: {0}; see docs/laboratory.md for what may stand there")]
-    Read(String),
-    /// A block names what is not there, or asks for what can't be.
-    #[error("scenario: {block} \"{name}\": {what}")]
-    Block {
-        /// Kind of block.
-        block: &'static str,
-        /// Its name.
-        name: String,
-        /// Event is wrong.
-        what: String,
-    },
-}
 
 /// A scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -52,7 +33,7 @@
     /// Bank blocks, by name.
     #[serde(rename = "bank")]
     pub destinations: BTreeMap<String, DestinationSpec>,
-    /// Event goes wrong, by a name for people.
+    /// What goes wrong, by a name for people.
     #[serde(default)]
     #[serde(rename = "trouble")]
     pub faults: BTreeMap<String, FailoverFaultSpec>,
@@ -73,97 +54,6 @@
     [0.5, 0.5]
 }
 
-/// Figures of the rules; see [`Rules`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct RuleSpec {
-    /// An answer counts so long after the deadline.
-    pub answer_slack: f64,
-    /// Nothing new to a draining endpoint so long after it was told.
-    pub drain_grace: f64,
-    /// A key rests so long after an attempt of unknown fate.
-    pub order_settle: f64,
-    /// A site comes back with this share of its capacity ...
-    pub cold_from: f64,
-    /// ... and is warm after so long.
-    pub cold: f64,
-    /// Event it survives meanwhile, as a multiple of what it can do ...
-    pub tip_multiple: f64,
-    /// ... over so long.
-    pub fall: f64,
-}
-
-impl Default for RuleSpec {
-    fn default() -> Self {
-        RuleSpec {
-            answer_slack: 0.2,
-            drain_grace: 0.3,
-            order_settle: 0.5,
-            cold_from: 0.2,
-            cold: 10.0,
-            tip_multiple: 2.0,
-            fall: 2.0,
-        }
-    }
-}
-
-/// A class of message.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ClassSpec {
-    /// Share of the messages.
-    pub share: f64,
-    /// `safe`, `keyed` or `unsafe`.
-    pub effect: String,
-    /// `all` or `zone`.
-    #[serde(default = "all")]
-    pub group: String,
-    /// Keeps its order by key.
-    #[serde(default)]
-    pub in_order: bool,
-    /// Keys of each bank, for classes in order.
-    #[serde(default = "keys")]
-    pub keys: u32,
-    /// Wanted within.
-    pub aim: f64,
-    /// Given up after.
-    pub deadline: f64,
-    /// Repeats are dropped for so long.
-    #[serde(default)]
-    pub window: f64,
-    /// Worth of one on time.
-    #[serde(default = "one")]
-    pub worth: f64,
-    /// Share of the worth that is left at the deadline.
-    #[serde(default = "late_share")]
-    pub late_share: f64,
-}
-
-impl ClassSpec {
-    /// Worth of a message delivered at this age, in seconds: all of it within the aim, then falling evenly to
-    /// `late_share` at the deadline.
-    pub fn worth_at(&self, age: f64) -> f64 {
-        let late = ((age - self.aim) / (self.deadline - self.aim).max(0.001)).clamp(0.0, 1.0);
-        self.worth * (1.0 - (1.0 - self.late_share) * late)
-    }
-}
-
-fn all() -> String {
-    "all".into()
-}
-
-fn keys() -> u32 {
-    200
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-fn late_share() -> f64 {
-    0.3
-}
-
 /// A bank, or many that are alike.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -283,7 +173,7 @@
     1
 }
 
-/// Event a trouble does.
+/// What a trouble does.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FailoverFault {
     /// A fault of the whole site.
@@ -299,7 +189,7 @@
 }
 
 impl FailoverFaultSpec {
-    /// Event it does; none if the kind is not known.
+    /// What it does; none if the kind is not known.
     pub fn fault_kind(&self) -> Option<FailoverFault> {
         match self.kind.as_str() {
             "part" => Some(FailoverFault::Part),
@@ -319,10 +209,6 @@
     Ok(scenario)
 }
 
-fn span(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
-}
-
 impl FailoverScenario {
     fn check(&self) -> Result<(), ScenarioError> {
         let positive = |name: &str, ok: bool| match ok {
@@ -380,49 +266,15 @@
             .sum()
     }
 
-    /// The classes as the module wants them, in the order of their names.
-    pub fn classes(&self) -> Vec<Class> {
-        let class = |spec: &ClassSpec| Class {
-            latency_objective: span(spec.aim),
-            deadline: span(spec.deadline),
-            effect: match spec.effect.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            group: if spec.group == "zone" { Group::Zone } else { Group::All },
-            retry_window: span(spec.window),
-            ordered: spec.in_order,
-            priority_weight: spec.worth,
-            late_value_ratio: spec.late_share,
-        };
-        self.class.values().map(class).collect()
-    }
-
-    /// Event the instances are told of the rules.
-    pub fn rules(&self) -> Rules {
-        let rules = &self.rules;
-        Rules {
-            answer_grace: span(rules.answer_slack),
-            warm_up_capacity: rules.cold_from,
-            warm_up_time: span(rules.cold),
-            overload_multiple: rules.tip_multiple,
-            overload_window: span(rules.fall),
-            key_cooldown: span(rules.order_settle),
-            discovery_interval: span(10.0),
-        }
-    }
-
-    /// Event a site is like.
+    /// What a site is like.
     pub fn nature(&self, site: &SiteSpec) -> ServerProfile {
-        let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
         ServerProfile {
             servers: site.servers,
             queue: site.queue,
             service: (span(site.service_ms[0] / 1e3), span(site.service_ms[1] / 1e3)),
             limit: site.limit,
             sends_retry_after: site.tells_wait,
-            repeat_window: span(longest),
+            repeat_window: longest_retry_window(&self.class),
             cold: (self.rules.cold_from, span(self.rules.cold)),
             collapse_multiple: self.rules.tip_multiple,
             collapse_window: span(self.rules.fall),
--- a/crates/simulator/src/failover/simulation.rs
+++ b/crates/simulator/src/failover/simulation.rs
@@ -1,27 +1,28 @@
 //! The run: an events of events, instances, sites, and the way between them.
 
+mod faults;
 mod recovery;
+mod requests;
 mod setup;
 
 use super::record::{FailoverRun, FailoverViolations, MessageHistory, SecondTotals, Submission};
 use super::scenario::{FailoverFault, FailoverFaultSpec, FailoverScenario};
 use super::spillover_baseline::{HealthChecks, SpilloverPolicy};
+use crate::event_queue::EventQueue;
+use crate::network::draw_delay;
+use crate::scenario::classes;
 use cloverstile::{
-    ClassId, DestinationId, Effect, EndpointId, Group, MessageId, OrderKey, RateLimitStatus, Settings,
-    TenantId, Time, ZoneId,
-};
-use cloverstile_engine::{
-    Admission, Attempt, Command, Engine, FinalOutcome, SubmitRequest, TransportOutcome,
+    ClassId, DestinationId, Effect, EndpointId, MessageId, OrderKey, Settings, TenantId, Time, ZoneId,
 };
+use cloverstile_engine::{Admission, Attempt, Command, Engine, FinalOutcome, SubmitRequest};
 use cloverstile_failover::TierConfig;
-use cloverstile_fakes::model::{PartnerModel, Reply};
+use cloverstile_fakes::model::PartnerModel;
 use rand::distr::weighted::WeightedIndex;
 use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rand_distr::Exp1;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Length of a window in which a returning site's load is measured.
@@ -79,7 +80,7 @@
     wake: Option<Time>,
     /// Ends of waits told, by site.
     waits: HashMap<u32, Duration>,
-    /// Event it holds, by the engine's id.
+    /// What it holds, by the engine's id.
     held: HashMap<MessageId, u32>,
     /// Down until it is started again.
     down: bool,
@@ -96,8 +97,7 @@
     policy: SpilloverPolicy,
     settings: Settings,
     now: Duration,
-    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
-    scheduled: u64,
+    events: EventQueue<Event>,
     rng: ChaCha8Rng,
     gateways: Vec<Gateway>,
     by_load: WeightedIndex<f64>,
@@ -122,7 +122,7 @@
     let span = |seconds: f64| Duration::from_secs_f64(seconds);
     let longest = scenario.class.values().map(|class| class.deadline).fold(0.0, f64::max);
     let end = span(scenario.seconds + longest + 2.0 * scenario.rules.answer_slack + 1.0);
-    while let Some(Reverse((at, _, event))) = simulation.events.pop() {
+    while let Some((at, event)) = simulation.events.pop() {
         if at > end {
             break;
         }
@@ -141,10 +141,10 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let settings = Settings {
             instance_count: scenario.instances as u32,
-            classes: scenario.classes(),
+            classes: classes(&scenario.class),
             concurrency_limit: scenario.call_slots,
             max_queued: scenario.most_held,
-            rules: scenario.rules(),
+            rules: scenario.rules.rules(),
             ..Settings::default()
         };
         let loads = (0..scenario.instances).map(|n| ((n + 1) as f64).powf(-scenario.skew));
@@ -165,8 +165,7 @@
             policy,
             settings,
             now: Duration::ZERO,
-            events: BinaryHeap::new(),
-            scheduled: 0,
+            events: EventQueue::new(),
             gateways: Vec::new(),
             destinations: Vec::new(),
             sites: Vec::new(),
@@ -194,14 +193,11 @@
     // ---- Agenda ----
 
     fn schedule(&mut self, at: Duration, event: Event) {
-        self.scheduled += 1;
-        self.events.push(Reverse((at, self.scheduled, event)));
+        self.events.schedule(at, event);
     }
 
     fn network_delay(&mut self) -> Duration {
-        let [least, more] = self.scenario.network_delay_ms;
-        let drawn: f64 = Exp1.sample(&mut self.rng);
-        Duration::from_secs_f64((least + more * drawn) / 1e3)
+        draw_delay(self.scenario.network_delay_ms, &mut self.rng)
     }
 
     fn second(&mut self) -> &mut SecondTotals {
@@ -247,7 +243,7 @@
         let Some(spec) = self.scenario.class.values().nth(class) else { return };
         let key = spec.in_order.then(|| {
             let key = u64::from(destination) << 32 | u64::from(self.rng.random_range(0..spec.keys.max(1)));
-            // Event is about one employee lives on one instance.
+            // What is about one employee lives on one instance.
             instance = (key % self.gateways.len() as u64) as u32;
             let (place, _) = self.keys.entry(key).or_insert((0, 0));
             *place += 1;
@@ -378,189 +374,6 @@
         }
     }
 
-    // ---- SimulatedPartners ----
-
-    fn reach(&mut self, instance: u32, epoch: u32, endpoint: EndpointId, attempt: Attempt) {
-        let (now, address) = (self.now, &self.addresses[endpoint.0 as usize]);
-        let (id, down) = (address.site, address.down);
-        let grace = Duration::from_secs_f64(self.scenario.rules.drain_grace);
-        if address.draining.is_some_and(|since| now > since + grace) {
-            self.run.violations.after_drain += 1;
-        }
-        let gateway = &self.gateways[instance as usize];
-        let number = gateway.held.get(&attempt.message).copied().filter(|_| gateway.epoch == epoch);
-        self.run.requests += 1;
-        self.second().requests += 1;
-        let site = &mut self.sites[id as usize];
-        site.count(now);
-        if down || matches!(site.model.fault(), Some(cloverstile_fakes::model::Fault::RefuseConnections)) {
-            let reply = Told::NoConnection;
-            return self.reply(now, Event::Response { instance, epoch, attempt, site: id, reply });
-        }
-        // A message that its instance has forgotten, or a lost instance's: the site sees it all the same.
-        let Some(number) = number else { return };
-        let verdict = site.model.handle_request(now, &number.to_string());
-        let left = site.model.allowance().map(|(left, _)| (left * 1e6) as u32);
-        let tier = site.tier;
-        self.reached(number, tier);
-        if verdict.takes_effect {
-            self.record_effect(number, id);
-        }
-        let reply = match verdict.reply {
-            Reply::Processed => Told::Processed(left),
-            Reply::Error => Told::Error,
-            Reply::Rejected(wait) => Told::Full(wait, left),
-            Reply::Truncated | Reply::Reset => Told::Reset,
-        };
-        if let Some(at) = verdict.respond_at {
-            self.reply(at, Event::Response { instance, epoch, attempt, site: id, reply });
-        }
-    }
-
-    fn reply(&mut self, at: Duration, event: Event) {
-        let at = at + self.network_delay();
-        self.schedule(at, event);
-    }
-
-    fn reached(&mut self, number: u32, tier: usize) {
-        let message = &mut self.run.messages[number as usize];
-        message.first_tier.get_or_insert(tier);
-        if tier > 0 && message.spilled_at.is_none() {
-            message.spilled_at = Some(self.now);
-            self.second().spilled += 1;
-        }
-    }
-
-    fn record_effect(&mut self, number: u32, site: u32) {
-        let message = &mut self.run.messages[number as usize];
-        let class = &self.settings.classes[usize::from(message.class)];
-        // SimulatedPartners of one group know each other's keys: the repeat is dropped, whichever it reaches.
-        let window = self.sites[site as usize].model.profile().repeat_window;
-        let known = message.effect_at.is_some_and(|at| self.now < at + window);
-        if class.effect == Effect::Keyed && class.group == Group::All && known {
-            return;
-        }
-        message.effects += 1;
-        message.effect_at = Some(self.now);
-        if message.effects > 1 && class.effect != Effect::Safe {
-            self.run.violations.twice += 1;
-        }
-        if let (Some((key, place)), 1) = (message.key, message.effects) {
-            let (_, last) = self.keys.entry(key).or_default();
-            if place < *last {
-                self.run.violations.out_of_order += 1;
-            }
-            *last = place.max(*last);
-        }
-    }
-
-    fn answered(&mut self, instance: u32, epoch: u32, attempt: Attempt, site: u32, reply: Told) {
-        if !self.in_flight.remove(&(instance, epoch, attempt)) {
-            return;
-        }
-        let limit = self.sites[site as usize].model.profile().limit.unwrap_or(0.0);
-        let told = |left: u32| RateLimitStatus { remaining: f64::from(left) / 1e6, limit };
-        let (reported, allowance) = match reply {
-            Told::Processed(left) => (TransportOutcome::Processed, left.map(told)),
-            Told::Error => (TransportOutcome::Error, None),
-            Told::Full(wait, left) => (TransportOutcome::Rejected(wait), left.map(told)),
-            Told::Reset => (TransportOutcome::Reset, None),
-            Told::NoConnection => (TransportOutcome::ConnectFailed, None),
-        };
-        let gateway = &mut self.gateways[instance as usize];
-        if gateway.down || gateway.epoch != epoch {
-            return;
-        }
-        if let TransportOutcome::Rejected(Some(wait)) = reported {
-            let until = gateway.waits.entry(site).or_default();
-            *until = (*until).max(self.now + wait);
-        }
-        gateway.engine.on_attempt_completed(time(self.now), attempt, reported, allowance);
-        self.advance(instance);
-    }
-
-    // ---- Troubles ----
-
-    fn apply_fault(&mut self, place: usize, begins: bool) {
-        let ScheduledFault { spec, act, sites } = &self.scheduled_faults[place];
-        let (spec, act, sites) = (spec.clone(), *act, sites.clone());
-        match act {
-            FailoverFault::Fault(fault) => {
-                for site in sites {
-                    self.check(site, !begins || !fault.is_outage());
-                    let site = &mut self.sites[site as usize];
-                    if begins {
-                        let until = self.now + Duration::from_secs_f64(spec.lasts);
-                        site.model.begin_fault(fault, until);
-                    } else {
-                        site.model.end_fault(self.now);
-                        if fault.is_outage() {
-                            site.close_windows(self.now, &mut self.run.windows);
-                            site.returned = Some(self.now);
-                            site.returns += 1;
-                        }
-                    }
-                }
-            }
-            FailoverFault::Part | FailoverFault::Drain => {
-                for site in sites {
-                    let of_site =
-                        self.addresses.iter_mut().enumerate().filter(|(_, address)| address.site == site);
-                    for (id, address) in of_site.take(spec.endpoints) {
-                        match act {
-                            FailoverFault::Part => {
-                                address.down = begins;
-                                self.checks.tell(time(self.now), EndpointId(id as u32), !begins);
-                            }
-                            _ => address.draining = begins.then_some(self.now),
-                        }
-                    }
-                }
-                if act == FailoverFault::Drain {
-                    let list = self.list();
-                    for instance in 0..self.gateways.len() {
-                        self.gateways[instance].engine.update_endpoints(time(self.now), list.clone());
-                        self.advance(instance as u32);
-                    }
-                }
-            }
-            FailoverFault::Restart if begins => {
-                for instance in 0..spec.instances.min(self.gateways.len()) {
-                    let gateway = &mut self.gateways[instance];
-                    (gateway.down, gateway.wake) = (true, None);
-                    gateway.epoch += 1;
-                    gateway.waits.clear();
-                    let at = self.now + RESTARTED_AFTER;
-                    self.schedule(at, Event::Restarted { instance: instance as u32 });
-                }
-            }
-            FailoverFault::Restart => {}
-            FailoverFault::Burst => self.burst = if begins { spec.size } else { 1.0 },
-        }
-    }
-
-    /// Event health checks of a site's addresses would find from now on.
-    fn check(&self, site: u32, up: bool) {
-        for (id, _) in self.addresses.iter().enumerate().filter(|(_, address)| address.site == site) {
-            self.checks.tell(time(self.now), EndpointId(id as u32), up);
-        }
-    }
-
-    /// A lost instance is back and knows nothing; its clients hand in again what it had not answered.
-    fn restarted(&mut self, instance: u32) {
-        let seed = self.rng.random();
-        let engine = self.engine(instance as usize, seed);
-        let gateway = &mut self.gateways[instance as usize];
-        (gateway.engine, gateway.down) = (engine, false);
-        let mut held: Vec<u32> = std::mem::take(&mut gateway.held).into_values().collect();
-        held.retain(|number| self.run.messages[*number as usize].answer.is_none());
-        held.sort_unstable();
-        for number in held {
-            self.submit(instance, number, true);
-        }
-        self.advance(instance);
-    }
-
     // ---- The end ----
 
     fn finish(mut self) -> FailoverRun {
--- a/crates/simulator/src/failover/simulation/setup.rs
+++ b/crates/simulator/src/failover/simulation/setup.rs
@@ -1,4 +1,4 @@
-//! Event stands before a run begins: destinations, sites, troubles and instances.
+//! What stands before a run begins: destinations, sites, troubles and instances.
 
 use super::{time, Address, Event, ScheduledFault, Simulation, Site};
 use crate::failover::scenario::SiteSpec;
--- a/crates/simulator/src/failover/spillover_baseline.rs
+++ b/crates/simulator/src/failover/spillover_baseline.rs
@@ -53,7 +53,7 @@
 const CHECKS_FAIL: Duration = Duration::from_secs(3);
 const CHECK_SUCCEEDS: Duration = Duration::from_secs(1);
 
-/// Event active health checks would find: whether each address is up, and since when. Told by the simulation that knows.
+/// What active health checks would find: whether each address is up, and since when. Told by the simulation that knows.
 #[derive(Clone, Debug, Default)]
 pub struct HealthChecks(Arc<Mutex<BTreeMap<EndpointId, (bool, Time)>>>);
 
--- a/crates/simulator/src/lib.rs
+++ b/crates/simulator/src/lib.rs
@@ -3,15 +3,17 @@
 //! clock and ambient randomness; a scenario, a policy and a seed always give the same run.
 #![forbid(unsafe_code)]
 
+mod event_queue;
 mod failover;
 mod load_balance;
+mod network;
+mod scenario;
 
 pub use failover::record::{
     FailoverRun, FailoverViolations, MessageHistory, RecoveryWindow, SecondTotals, Submission,
 };
 pub use failover::scenario::{
-    read_failover_scenario, ClassSpec, DestinationSpec, FailoverFault, FailoverFaultSpec, FailoverScenario,
-    RuleSpec, ScenarioError, SiteSpec,
+    read_failover_scenario, DestinationSpec, FailoverFault, FailoverFaultSpec, FailoverScenario, SiteSpec,
 };
 pub use failover::simulation::simulate_failover;
 pub use failover::spillover_baseline::{HealthChecks, HealthyShare, SpilloverPolicy};
@@ -22,3 +24,4 @@
     LoadBalanceScenario, LoadBalanceViolations, LoadReport, PartnerSpec, SimulatedEndpoint, SimulatedPartner,
     SimulatedPartners, Traffic, LOAD_BALANCE_SCENARIOS,
 };
+pub use scenario::{ClassSpec, RuleSpec, ScenarioError};
--- a/crates/simulator/src/load_balance/baseline_client.rs
+++ b/crates/simulator/src/load_balance/baseline_client.rs
@@ -105,7 +105,7 @@
 /// One try lasts so long at most.
 const TRY: Duration = Duration::from_secs(2);
 
-/// Event a instance is and what it knows from the start.
+/// What a instance is and what it knows from the start.
 #[derive(Clone, Copy, Debug)]
 pub struct Nature {
     pub number: usize,
@@ -116,7 +116,7 @@
     pub held: usize,
 }
 
-/// Event is to be done.
+/// What is to be done.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Do {
     /// Send a message.
@@ -152,7 +152,7 @@
     wait: Duration,
 }
 
-/// Event is known of an endpoint.
+/// What is known of an endpoint.
 #[derive(Default)]
 struct Known {
     out: u32,
--- a/crates/simulator/src/load_balance/partners.rs
+++ b/crates/simulator/src/load_balance/partners.rs
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
-/// Event an endpoint is told to do wrong.
+/// What an endpoint is told to do wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum EndpointFault {
     /// Errors at once.
@@ -51,7 +51,7 @@
 
 /// A partner.
 pub struct SimulatedPartner {
-    /// Event it is like.
+    /// What it is like.
     pub spec: PartnerSpec,
     /// Places of its endpoints.
     pub endpoints: Vec<usize>,
@@ -91,17 +91,17 @@
     pub endpoints: Vec<SimulatedEndpoint>,
     report: Duration,
     still: bool,
-    /// Event the list tells where a partner has no limit: calls a second that it can serve, by endpoint.
+    /// What the list tells where a partner has no limit: calls a second that it can serve, by endpoint.
     able: Vec<f64>,
 }
 
-/// Event became of a call that reached an endpoint.
+/// What became of a call that reached an endpoint.
 pub struct EndpointResponse {
-    /// Event becomes of it.
+    /// What becomes of it.
     pub verdict: ServerDecision,
-    /// Event the answer tells of the limit.
+    /// What the answer tells of the limit.
     pub told: Option<AdvertisedLimit>,
-    /// Event it tells of the load.
+    /// What it tells of the load.
     pub load: LoadReport,
 }
 
@@ -168,7 +168,7 @@
         self.able.push(nature.capacity() * spec.endpoints as f64);
         let mut model = PartnerModel::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
         if now > Duration::ZERO {
-            // Event is new is cold, as one is that comes back.
+            // What is new is cold, as one is that comes back.
             model.begin_fault(Fault::RefuseConnections, now);
             model.end_fault(now);
         }
@@ -206,7 +206,7 @@
         }
     }
 
-    /// Event the list tells of an endpoint: calls a second of its limit, or of its partner's; without a limit, what its
+    /// What the list tells of an endpoint: calls a second of its limit, or of its partner's; without a limit, what its
     /// partner can serve.
     pub fn told_weight(&mut self, endpoint: usize) -> f64 {
         let able = self.able[endpoint];
@@ -229,7 +229,7 @@
         there.into_iter().take(count).collect()
     }
 
-    /// Event an endpoint tells of its load now.
+    /// What an endpoint tells of its load now.
     pub fn load(&mut self, now: Duration, endpoint: usize) -> LoadReport {
         let (report, still) = (self.report, self.still);
         let at = &mut self.endpoints[endpoint];
--- a/crates/simulator/src/load_balance/scenario.rs
+++ b/crates/simulator/src/load_balance/scenario.rs
@@ -1,12 +1,11 @@
 //! Scenes of even load: HCL in. Times are in seconds, rates in a second.
 
-use crate::failover::scenario::{ClassSpec, RuleSpec, ScenarioError};
-use cloverstile::{Class, Effect, Group, Rules};
+use crate::scenario::{classes, longest_retry_window, one, span, ClassSpec, RuleSpec, ScenarioError};
+use cloverstile::{Class, Group};
 use cloverstile_fakes::limit::{LimitKind, LimitSettings};
 use cloverstile_fakes::model::ServerProfile;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 /// A scene.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -50,7 +49,7 @@
     pub class: BTreeMap<String, ClassSpec>,
     /// Partner blocks, by name.
     pub partner: BTreeMap<String, PartnerSpec>,
-    /// Event goes wrong, by a name for people.
+    /// What goes wrong, by a name for people.
     #[serde(default)]
     #[serde(rename = "trouble")]
     pub faults: BTreeMap<String, LoadBalanceFaultSpec>,
@@ -169,11 +168,7 @@
     pub size: f64,
 }
 
-fn one() -> f64 {
-    1.0
-}
-
-/// Event a trouble does.
+/// What a trouble does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoadBalanceFault {
     /// Traffic of all, or for one partner, is multiplied.
@@ -197,7 +192,7 @@
 }
 
 impl LoadBalanceFaultSpec {
-    /// Event it does; none if the kind is not known.
+    /// What it does; none if the kind is not known.
     pub fn fault_kind(&self) -> Option<LoadBalanceFault> {
         Some(match self.kind.as_str() {
             "burst" => LoadBalanceFault::Burst,
@@ -222,10 +217,6 @@
     Ok(scene)
 }
 
-fn span(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
-}
-
 impl LoadBalanceScenario {
     /// Whether it can be played; also for scenes that a program put together.
     pub fn check(&self) -> Result<(), ScenarioError> {
@@ -316,56 +307,29 @@
         affected_partners
     }
 
-    /// The classes as the module wants them, in the order of their names.
+    /// The classes as the gateways' settings state them, in the order of their names; all without order, and with
+    /// repeats dropped at all endpoints.
     pub fn classes(&self) -> Vec<Class> {
-        let class = |spec: &ClassSpec| Class {
-            latency_objective: span(spec.aim),
-            deadline: span(spec.deadline),
-            effect: match spec.effect.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            group: Group::All,
-            retry_window: span(spec.window),
-            ordered: false,
-            priority_weight: spec.worth,
-            late_value_ratio: spec.late_share,
-        };
-        self.class.values().map(class).collect()
-    }
-
-    /// Event the instances are told of the rules.
-    pub fn rules(&self) -> Rules {
-        let rules = &self.rules;
-        Rules {
-            answer_grace: span(rules.answer_slack),
-            warm_up_capacity: rules.cold_from,
-            warm_up_time: span(rules.cold),
-            overload_multiple: rules.tip_multiple,
-            overload_window: span(rules.fall),
-            key_cooldown: span(rules.order_settle),
-            discovery_interval: span(10.0),
-        }
+        let load_balanced = |class| Class { group: Group::All, ordered: false, ..class };
+        classes(&self.class).into_iter().map(load_balanced).collect()
     }
 
-    /// Event an endpoint of this pace is like; its partner's limit is not its own.
+    /// What an endpoint of this pace is like; its partner's limit is not its own.
     pub fn nature(&self, partner: &PartnerSpec, pace: f64) -> ServerProfile {
-        let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
         ServerProfile {
             servers: ((partner.servers as f64 * pace).round() as usize).max(1),
             queue: partner.queue,
             service: (span(partner.service_ms[0] / 1e3), span(partner.service_ms[1] / 1e3)),
             limit: None,
             sends_retry_after: false,
-            repeat_window: span(longest),
+            repeat_window: longest_retry_window(&self.class),
             cold: (self.rules.cold_from, span(self.rules.cold)),
             collapse_multiple: self.rules.tip_multiple,
             collapse_window: span(self.rules.fall),
         }
     }
 
-    /// Event a limit of so many calls a second is like at a partner.
+    /// What a limit of so many calls a second is like at a partner.
     pub fn terms(&self, partner: &PartnerSpec, rate: f64) -> LimitSettings {
         LimitSettings {
             rate,
--- a/crates/simulator/src/load_balance/simulation.rs
+++ b/crates/simulator/src/load_balance/simulation.rs
@@ -1,22 +1,22 @@
 //! The run: an events of events, instances, partners, and the way between them.
 
+mod faults;
 mod gateways;
 
 use super::baseline_client::{BaselineClient, Do, Ended, EndpointSelection, Limiter};
-use super::partners::{EndpointFault, LoadReport, SimulatedPartners};
-use super::scenario::{LoadBalanceFault, LoadBalanceScenario};
+use super::partners::{LoadReport, SimulatedPartners};
+use super::scenario::LoadBalanceScenario;
 use super::traffic::{Arrival, Traffic};
+use crate::event_queue::EventQueue;
+use crate::network::draw_delay;
 use cloverstile::{Effect, EndpointId, MessageId, RateLimitStatus, Settings, Time};
 use cloverstile_engine::{Attempt, Engine, TransportOutcome};
 use cloverstile_fakes::limit::AdvertisedLimit;
 use cloverstile_fakes::model::Reply;
 use cloverstile_load_metrics::{Call, LoadRecord, Partner, WaitingInterval};
-use rand::distr::Distribution;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rand_distr::Exp1;
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
 /// News of the list reach each instance within so long.
@@ -45,7 +45,7 @@
     }
 }
 
-/// Event broke. All zero on a good run; for baseline instances it tells what they cost.
+/// What broke. All zero on a good run; for baseline instances it tells what they cost.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadBalanceViolations {
     /// Messages without exactly one answer in time.
@@ -80,7 +80,7 @@
     pub answers: [u64; 3],
     /// Probes sent.
     pub probes: u64,
-    /// Event broke.
+    /// What broke.
     pub violations: LoadBalanceViolations,
     /// Turns of instances.
     pub turns: u64,
@@ -150,8 +150,7 @@
     who: ClientPolicy,
     settings: Settings,
     now: Duration,
-    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
-    scheduled: u64,
+    events: EventQueue<Event>,
     rng: ChaCha8Rng,
     gateways: Vec<Gateway>,
     traffic: Traffic,
@@ -179,7 +178,7 @@
     let mut simulation = Simulation::new(scene, who, seed);
     let longest = scene.class.values().map(|class| class.deadline).fold(0.0, f64::max);
     let end = Duration::from_secs_f64(scene.seconds + longest + 2.0 * scene.rules.answer_slack + 1.0);
-    while let Some(Reverse((at, _, event))) = simulation.events.pop() {
+    while let Some((at, event)) = simulation.events.pop() {
         if at > end {
             break;
         }
@@ -203,8 +202,7 @@
             scene,
             who,
             now: Duration::ZERO,
-            events: BinaryHeap::new(),
-            scheduled: 0,
+            events: EventQueue::new(),
             gateways: Vec::new(),
             sites,
             news: Vec::new(),
@@ -237,14 +235,11 @@
     }
 
     fn schedule(&mut self, at: Duration, event: Event) {
-        self.scheduled += 1;
-        self.events.push(Reverse((at, self.scheduled, event)));
+        self.events.schedule(at, event);
     }
 
     fn network_delay(&mut self) -> Duration {
-        let [least, more] = self.scene.network_delay_ms;
-        let drawn: f64 = Exp1.sample(&mut self.rng);
-        Duration::from_secs_f64((least + more * drawn) / 1e3)
+        draw_delay(self.scene.network_delay_ms, &mut self.rng)
     }
 
     fn note_limit(&mut self, partner: usize) {
@@ -389,94 +384,13 @@
     fn leave(&mut self, call: usize) {
         let endpoint = self.calls[call].endpoint;
         self.sites.answered(endpoint);
-        // Event a report tells is from the moment in which the answer leaves.
+        // What a report tells is from the moment in which the answer leaves.
         let load = self.sites.load(self.now, endpoint);
         self.calls[call].load = load;
         let at = self.now + self.network_delay();
         self.schedule(at, Event::Response { call });
     }
 
-    // ---- Troubles ----
-
-    fn apply_fault(&mut self, place: usize, begins: bool) {
-        let Some(spec) = self.scene.faults.values().nth(place) else { return };
-        let Some(kind) = spec.fault_kind() else { return };
-        let affected_partners = self.scene.affected_partners(spec);
-        let part = |simulation: &Self, partner: &usize| simulation.sites.part(*partner, spec.size);
-        let wrong = match kind {
-            LoadBalanceFault::Errors => Some(EndpointFault::Errors),
-            LoadBalanceFault::Silent => Some(EndpointFault::Silent),
-            LoadBalanceFault::Slow => Some(EndpointFault::Slow),
-            _ => None,
-        };
-        if let Some(wrong) = wrong {
-            let endpoints: Vec<usize> =
-                affected_partners.iter().flat_map(|partner| part(self, partner)).collect();
-            for endpoint in endpoints {
-                self.sites.wrong(self.now, endpoint, wrong, begins);
-                if wrong == EndpointFault::Silent && !begins {
-                    self.returned.push(endpoint);
-                }
-            }
-            return;
-        }
-        match kind {
-            LoadBalanceFault::Burst => {
-                self.traffic.multiply(&affected_partners, if begins { spec.size } else { 1.0 })
-            }
-            LoadBalanceFault::Limit => {
-                for partner in affected_partners {
-                    let factor = if begins { spec.size } else { 1.0 };
-                    self.sites.partners[partner].multiply_limits(self.now, factor);
-                    self.note_limit(partner);
-                }
-                self.spread_news(NEWS);
-            }
-            LoadBalanceFault::Still => self.sites.freeze_reports(begins),
-            LoadBalanceFault::SlowFor => {
-                let count = (self.gateways.len() as f64 * spec.size) as usize;
-                self.far = begins.then_some(count);
-            }
-            LoadBalanceFault::Replace if begins => {
-                let old: Vec<usize> =
-                    affected_partners.iter().flat_map(|partner| part(self, partner)).collect();
-                for gone in old {
-                    let (partner, pace) =
-                        (self.sites.endpoints[gone].partner, self.sites.endpoints[gone].pace);
-                    let mut rng = ChaCha8Rng::seed_from_u64(self.rng.random());
-                    let added = self.sites.add(self.scene, partner, pace, self.now, &mut rng);
-                    self.note_endpoint(added);
-                    self.news.push(News { gone, at: self.now });
-                }
-                self.spread_news(Duration::from_secs_f64(spec.lasts));
-            }
-            LoadBalanceFault::Replace => {
-                // All have heard of it: what was replaced goes.
-                for News { gone, at } in self.news.clone() {
-                    if at + Duration::from_secs_f64(spec.lasts) <= self.now {
-                        let until = self.now;
-                        self.sites.endpoints[gone].gone = true;
-                        self.sites.endpoints[gone].until = until;
-                        self.run.record.endpoints[gone].until = until;
-                    }
-                }
-            }
-            LoadBalanceFault::Restart if begins => {
-                let count = (self.gateways.len() as f64 * spec.size) as u32;
-                (0..count).for_each(|instance| self.lose(instance));
-            }
-            _ => {}
-        }
-    }
-
-    /// Each instance hears of the list as it is now within so long.
-    fn spread_news(&mut self, within: Duration) {
-        for instance in 0..self.gateways.len() as u32 {
-            let at = self.now + within.mul_f64(self.rng.random::<f64>());
-            self.schedule(at, Event::Hear { instance });
-        }
-    }
-
     fn finish(mut self) -> LoadBalanceRun {
         for number in 0..self.messages.len() as u32 {
             self.stop_waiting(number);
--- a/crates/simulator/src/load_balance/simulation/gateways.rs
+++ b/crates/simulator/src/load_balance/simulation/gateways.rs
@@ -8,7 +8,7 @@
 /// Share of the instances' tries that a deadline leaves: attempts for a message.
 const SEND_CAP: u32 = 8;
 
-/// Event a module is handed at its start.
+/// What a module is handed at its start.
 pub(super) fn settings(scene: &LoadBalanceScenario) -> Settings {
     Settings {
         instance_count: scene.instances as u32,
@@ -21,7 +21,7 @@
         max_attempts: SEND_CAP,
         connection_idle_timeout: Duration::from_secs_f64(scene.conn_idle),
         max_retry_after: Some(Duration::from_secs(5)),
-        rules: scene.rules(),
+        rules: scene.rules.rules(),
         ..Settings::default()
     }
 }
