--- a/crates/simulator/src/failover/record.rs
+++ b/crates/simulator/src/failover/record.rs
@@ -1,22 +1,22 @@
-//! What a run leaves behind, as it passed between instances and sites.
+//! The record of a failover run: messages, totals by second, recovery windows and violations.
 
 use cloverstile_engine::FinalOutcome;
 use std::time::Duration;
 
-/// A message, from its submission to its answer. Times count from the run's beginning.
+/// A message, from its submission to its final outcome. Times count from the beginning of the run.
 #[derive(Clone, Debug)]
 pub struct MessageHistory {
     /// Place of its class in the scenario.
     pub class: u8,
-    /// Its bank.
+    /// Its destination.
     pub destination: u32,
     /// ClientPolicy holds it, or held it last.
     pub instance: u32,
     /// Its order key and its place under it, for classes in order.
     pub key: Option<(u64, u32)>,
-    /// When it was submitted.
+    /// Time of its submission.
     pub submitted_at: Duration,
-    /// When it is given up.
+    /// Time at which it expires.
     pub deadline: Duration,
     /// The tier that it first reached.
     pub first_tier: Option<usize>,
@@ -26,64 +26,64 @@
     pub effects: u32,
     /// When it last did, for windows of repeats.
     pub effect_at: Option<Duration>,
-    /// Its final answer, and when.
+    /// Its final outcome and the time of it.
     pub answer: Option<(FinalOutcome, Duration)>,
-    /// Answers beyond the first.
+    /// Final outcomes beyond the first.
     pub more_answers: u32,
 }
 
 /// A second of a run.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SecondTotals {
-    /// Messages submitted, and what they would be worth on time.
+    /// Messages submitted.
     pub submitted: u32,
-    /// ...
+    /// Worth of those if each were delivered on time.
     pub offered: f64,
-    /// Messages answered as delivered, and their worth by their age then.
+    /// Messages delivered.
     pub delivered: u32,
-    /// ...
+    /// Worth of those by their age at delivery.
     pub worth: f64,
-    /// Messages answered otherwise.
+    /// Messages that ended otherwise.
     pub lost: u32,
-    /// Messages submitted for banks of several tiers.
+    /// Messages submitted for destinations of several tiers.
     pub tiered: u32,
     /// Messages that first reached a tier behind the preferred one.
     pub spilled: u32,
-    /// Requests that reached sites, turned away ones too.
+    /// Requests that reached sites, rejected ones included.
     pub requests: u32,
 }
 
-/// 100 ms of a site after its return.
+/// A window of 100 ms of a site after its recovery.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RecoveryWindow {
     /// The site.
     pub site: u32,
-    /// Its place among the site's returns.
+    /// Number of the site's recovery, from 1.
     pub recovery: u32,
-    /// Beginning, since the run's.
+    /// Beginning of the window, since the beginning of the run.
     pub at: Duration,
-    /// Since the return.
+    /// Beginning of the window, since the recovery.
     pub after: Duration,
     /// Requests that reached it.
     pub received: u32,
-    /// Requests that it can serve in that time, cold as it is.
+    /// Requests that it can serve in that time while it warms up.
     pub capacity: f64,
     /// Requests that it survives in that time: the rules' multiple of its capacity.
     pub bound: f64,
 }
 
-/// A submission, in order: who took it, for which bank, and which message.
+/// A submission: which message, for which destination and to which gateway instance.
 #[derive(Clone, Copy, Debug)]
 pub struct Submission {
-    /// The instance.
+    /// The gateway instance.
     pub instance: u32,
-    /// The bank.
+    /// The destination.
     pub destination: u32,
     /// The message.
     pub message: u32,
 }
 
-/// What broke. All zero on a good run.
+/// Violations of the invariants; all zero on a correct run.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FailoverViolations {
     /// Messages without a final answer, or with several.
@@ -94,16 +94,16 @@
     pub twice: u64,
     /// ... that took effect after a later one of their key.
     pub out_of_order: u64,
-    /// Requests to endpoints told as draining, after the grace.
+    /// Requests to endpoints listed as draining, after the grace period.
     pub after_drain: u64,
     /// SimulatedPartners pushed over.
     pub pushed_over: u64,
-    /// Requests to a site before the end of a wait that it had told this instance.
+    /// Requests to a site before the end of the `Retry-After` that it had sent to this instance.
     pub waits_broken: u64,
 }
 
 impl FailoverViolations {
-    /// Of all kinds together.
+    /// Violations of all kinds together.
     pub fn total(&self) -> u64 {
         self.unanswered
             + self.late_or_untrue
@@ -124,12 +124,12 @@
     pub submissions: Vec<Submission>,
     /// By second.
     pub seconds: Vec<SecondTotals>,
-    /// Returning sites, by 100 ms.
+    /// Windows of 100 ms at recovering sites.
     pub windows: Vec<RecoveryWindow>,
-    /// What broke.
+    /// Violations of the invariants.
     pub violations: FailoverViolations,
     /// Requests that reached sites.
     pub requests: u64,
-    /// Turns of engines: how often a module was asked.
+    /// How often an engine was asked for its next commands.
     pub turns: u64,
 }
--- a/crates/simulator/src/failover/scenario.rs
+++ b/crates/simulator/src/failover/scenario.rs
@@ -1,43 +1,44 @@
-//! Scenarios: HCL in, instances, banks, classes and troubles out. Times are in seconds, rates in a second.
+//! Failover scenarios, read from HCL: instances, destinations, classes and faults. Times are in seconds, rates
+//! per second.
 
 use crate::scenario::{longest_retry_window, one, span, ClassSpec, RuleSpec, ScenarioError};
 use cloverstile_fakes::model::{Fault, ServerProfile};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// A scenario.
+/// A failover scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FailoverScenario {
     /// Gateways.
     #[serde(rename = "couriers")]
     pub instances: usize,
-    /// Messages are submitted for so long; what is left is answered afterwards.
+    /// Messages are submitted for so long; the run lasts until the rest is completed.
     pub seconds: f64,
     /// Messages a second from all clients together.
     pub rate: f64,
-    /// Unevenness of the instances' load: instance n gets a part that goes by `1 / (n + 1) ^ skew`.
+    /// Skew of the load of instances: instance n gets a share in proportion to `1 / (n + 1) ^ skew`.
     #[serde(default)]
     pub skew: f64,
-    /// Calls out at once from a instance.
+    /// Concurrency limit of an instance, in requests in flight.
     #[serde(default = "call_slots")]
     pub call_slots: usize,
-    /// Messages that a instance holds.
+    /// Most messages that an instance queues.
     #[serde(default = "most_held")]
     pub most_held: usize,
-    /// Least time on the way between instance and site, and the mean of what chance adds, in milliseconds.
+    /// One-way network delay: its least value and the mean of its random part, in milliseconds.
     #[serde(default = "network_delay_ms", rename = "way_ms")]
     pub network_delay_ms: [f64; 2],
     /// Class blocks, by name.
     pub class: BTreeMap<String, ClassSpec>,
-    /// Bank blocks, by name.
+    /// Destination blocks, by name.
     #[serde(rename = "bank")]
     pub destinations: BTreeMap<String, DestinationSpec>,
-    /// What goes wrong, by a name for people.
+    /// Faults, by a descriptive name.
     #[serde(default)]
     #[serde(rename = "trouble")]
     pub faults: BTreeMap<String, FailoverFaultSpec>,
-    /// Figures of the rules.
+    /// Parameters of the platform's rules.
     #[serde(default)]
     pub rules: RuleSpec,
 }
@@ -54,11 +55,11 @@
     [0.5, 0.5]
 }
 
-/// A bank, or many that are alike.
+/// A destination, or several equal ones.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DestinationSpec {
-    /// So many of them.
+    /// Number of equal ones.
     #[serde(default = "one_copy")]
     pub copies: usize,
     /// Share of the messages, of all copies together.
@@ -88,31 +89,31 @@
     10.0
 }
 
-/// A site of a bank.
+/// A site of a destination.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SiteSpec {
-    /// Its place in the bank's order of preference, from 0; two sites may not share one.
+    /// Its tier in the destination's order of preference, from 0; two sites may not share one.
     pub tier: usize,
-    /// The place where it stands, shared by all sites of that name; left out, the sites of this block, of all
-    /// copies of the bank, stand in a place of their own.
+    /// Its zone, shared by all sites of that zone name; left out, the sites of this block, of all
+    /// copies of the destination, are in a zone of their own.
     #[serde(default)]
     pub zone: Option<String>,
-    /// Its addresses.
+    /// Number of its endpoints.
     #[serde(default = "two")]
     pub endpoints: usize,
-    /// Calls served at once.
+    /// Requests served concurrently.
     pub servers: usize,
-    /// Calls that may wait.
+    /// Requests that may queue.
     #[serde(default = "queue")]
     pub queue: usize,
-    /// Least time of a call and the mean of what chance adds, in milliseconds.
+    /// Service time: its least value and the mean of its random part, in milliseconds.
     #[serde(default = "service")]
     pub service_ms: [f64; 2],
-    /// Calls a second that it takes from all instances together.
+    /// Rate limit over all instances together, in requests per second.
     #[serde(default)]
     pub limit: Option<f64>,
-    /// Refusals tell how long to wait.
+    /// Rejections carry a `Retry-After`.
     #[serde(default)]
     pub tells_wait: bool,
 }
@@ -129,35 +130,35 @@
     [8.0, 12.0]
 }
 
-/// Something that goes wrong.
+/// A fault.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FailoverFaultSpec {
-    /// When it begins; moved by chance within `sway`.
+    /// Beginning; delayed at random within `sway`.
     pub at: f64,
     /// How long it lasts.
     #[serde(default = "one")]
     pub lasts: f64,
-    /// Seconds by which chance may move its beginning.
+    /// Most by which the beginning is delayed at random, in seconds.
     #[serde(default)]
     pub sway: f64,
-    /// It comes so often ...
+    /// Number of its occurrences.
     #[serde(default = "once")]
     pub times: u32,
-    /// ... at this distance from beginning to beginning.
+    /// Time from the beginning of one occurrence to that of the next.
     #[serde(default)]
     pub every: f64,
-    /// Banks affected_partners; all copies together. None: every bank that has the tier.
+    /// Destination block that it affects, all copies together. None: every destination that has the tier.
     #[serde(default)]
     #[serde(rename = "bank")]
     pub destination: Option<String>,
-    /// Tier affected_partners.
+    /// Tier affected.
     #[serde(default)]
     pub tier: usize,
-    /// Endpoints of the site that `part` and `drain` fault.
+    /// Number of the site's endpoints that `part` and `drain` affect.
     #[serde(default = "one_copy")]
     pub endpoints: usize,
-    /// Gateways that `restart` scheduled_faults, from the first.
+    /// Gateways that `restart` affects, from the first.
     #[serde(default = "one_copy")]
     #[serde(rename = "couriers")]
     pub instances: usize,
@@ -173,23 +174,23 @@
     1
 }
 
-/// What a trouble does.
+/// Kind of a fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FailoverFault {
     /// A fault of the whole site.
     Fault(Fault),
     /// Some endpoints refuse connections.
     Part,
-    /// Some endpoints are told as draining.
+    /// Some endpoints are listed as draining.
     Drain,
-    /// Some instances are lost and start again, knowing nothing.
+    /// Some instances are lost and restart without their state.
     Restart,
     /// Traffic is multiplied.
     Burst,
 }
 
 impl FailoverFaultSpec {
-    /// What it does; none if the kind is not known.
+    /// Its kind; none if the kind is not known.
     pub fn fault_kind(&self) -> Option<FailoverFault> {
         match self.kind.as_str() {
             "part" => Some(FailoverFault::Part),
@@ -201,7 +202,7 @@
     }
 }
 
-/// Reads a scenario and checks it.
+/// Reads and validates a failover scenario.
 pub fn read_failover_scenario(text: &str) -> Result<FailoverScenario, ScenarioError> {
     let scenario: FailoverScenario =
         hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
@@ -258,7 +259,7 @@
         Ok(())
     }
 
-    /// Endpoints of all banks together.
+    /// Number of endpoints of all destinations together.
     pub fn endpoints(&self) -> usize {
         self.destinations
             .values()
@@ -266,7 +267,7 @@
             .sum()
     }
 
-    /// What a site is like.
+    /// The server profile of a site.
     pub fn nature(&self, site: &SiteSpec) -> ServerProfile {
         ServerProfile {
             servers: site.servers,
--- a/crates/simulator/src/failover/simulation.rs
+++ b/crates/simulator/src/failover/simulation.rs
@@ -1,4 +1,4 @@
-//! The run: an events of events, instances, sites, and the way between them.
+//! The failover simulation: gateway instances, sites and the network between them, driven by an event queue.
 
 mod faults;
 mod recovery;
@@ -29,7 +29,7 @@
 const WINDOW: Duration = Duration::from_millis(100);
 /// A return is watched for so many times the cold time.
 const WATCHED: f64 = 2.0;
-/// A client submits what a lost instance held after so long, and the instance is back then.
+/// Time from the loss of a gateway instance to its restart, when its clients submit unfinished messages again.
 const RESTARTED_AFTER: Duration = Duration::from_millis(300);
 
 /// Something due.
@@ -37,18 +37,18 @@
 enum Event {
     Submission,
     Reach { instance: u32, epoch: u32, endpoint: EndpointId, attempt: Attempt },
-    Response { instance: u32, epoch: u32, attempt: Attempt, site: u32, reply: Told },
+    Response { instance: u32, epoch: u32, attempt: Attempt, site: u32, reply: SiteResponse },
     Wake { instance: u32 },
     Fault { place: usize, begins: bool },
     Restarted { instance: u32 },
 }
 
-/// An answer on its way; a share left of a limit in millionths.
+/// A response on the network; the remaining rate limit is in millionths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Told {
+enum SiteResponse {
     Processed(Option<u32>),
     Error,
-    Full(Option<Duration>, Option<u32>),
+    Rejected(Option<Duration>, Option<u32>),
     Reset,
     NoConnection,
 }
@@ -69,18 +69,18 @@
 struct Address {
     site: u32,
     down: bool,
-    /// Told as draining since.
+    /// Listed as draining since then.
     draining: Option<Duration>,
 }
 
 struct Gateway {
     engine: Engine,
     epoch: u32,
-    /// The wake-up that stands in the events.
+    /// The wake-up that is scheduled.
     wake: Option<Time>,
-    /// Ends of waits told, by site.
+    /// End of the `Retry-After` of each site.
     waits: HashMap<u32, Duration>,
-    /// What it holds, by the engine's id.
+    /// Messages that it holds, by the engine's id.
     held: HashMap<MessageId, u32>,
     /// Down until it is started again.
     down: bool,
@@ -103,7 +103,7 @@
     by_load: WeightedIndex<f64>,
     by_class: WeightedIndex<f64>,
     by_destination: WeightedIndex<f64>,
-    /// SimulatedPartners of each destination, by tier, and what the planner is told of it.
+    /// Sites of each destination, by tier, and its failover configuration.
     destinations: Vec<(Vec<u32>, TierConfig)>,
     sites: Vec<Site>,
     addresses: Vec<Address>,
@@ -116,7 +116,7 @@
     run: FailoverRun,
 }
 
-/// Plays a scenario once. One scenario, policy and seed give the same run.
+/// Runs a scenario once. The same scenario, policy and seed always give the same run.
 pub fn simulate_failover(scenario: &FailoverScenario, policy: SpilloverPolicy, seed: u64) -> FailoverRun {
     let mut simulation = Simulation::new(scenario, policy, seed);
     let span = |seconds: f64| Duration::from_secs_f64(seconds);
@@ -151,7 +151,7 @@
         let destination_shares = scenario.destinations.values().flat_map(|destination| {
             std::iter::repeat_n(destination.share / destination.copies.max(1) as f64, destination.copies)
         });
-        // Scenarios are checked: shares that add up to nothing fall back to even ones.
+        // Scenarios are checked: shares that add up to zero fall back to equal ones.
         let weighted = |shares: Vec<f64>| {
             let even = vec![1.0; shares.len().max(1)];
             WeightedIndex::new(shares).or_else(|_| WeightedIndex::new(even)).ok()
@@ -243,7 +243,7 @@
         let Some(spec) = self.scenario.class.values().nth(class) else { return };
         let key = spec.in_order.then(|| {
             let key = u64::from(destination) << 32 | u64::from(self.rng.random_range(0..spec.keys.max(1)));
-            // What is about one employee lives on one instance.
+            // All messages of an order key go to one instance.
             instance = (key % self.gateways.len() as u64) as u32;
             let (place, _) = self.keys.entry(key).or_insert((0, 0));
             *place += 1;
--- a/crates/simulator/src/failover/simulation/faults.rs
+++ b/crates/simulator/src/failover/simulation/faults.rs
@@ -65,14 +65,14 @@
         }
     }
 
-    /// What health checks of a site's addresses would find from now on.
+    /// Sets what health checks of a site's addresses find from now on.
     fn check(&self, site: u32, up: bool) {
         for (id, _) in self.addresses.iter().enumerate().filter(|(_, address)| address.site == site) {
             self.checks.tell(time(self.now), EndpointId(id as u32), up);
         }
     }
 
-    /// A lost instance is back and knows nothing; its clients hand in again what it had not answered.
+    /// Restarts a lost instance without its state; its clients resubmit the messages that it had not completed.
     pub(super) fn restarted(&mut self, instance: u32) {
         let seed = self.rng.random();
         let engine = self.engine(instance as usize, seed);
--- a/crates/simulator/src/failover/simulation/requests.rs
+++ b/crates/simulator/src/failover/simulation/requests.rs
@@ -1,6 +1,6 @@
 //! Requests at sites, their effects and their responses.
 
-use super::{time, Event, Simulation, Told};
+use super::{time, Event, Simulation, SiteResponse};
 use cloverstile::{Effect, EndpointId, Group, RateLimitStatus};
 use cloverstile_engine::{Attempt, TransportOutcome};
 use cloverstile_fakes::model::Reply;
@@ -21,7 +21,7 @@
         let site = &mut self.sites[id as usize];
         site.count(now);
         if down || matches!(site.model.fault(), Some(cloverstile_fakes::model::Fault::RefuseConnections)) {
-            let reply = Told::NoConnection;
+            let reply = SiteResponse::NoConnection;
             return self.reply(now, Event::Response { instance, epoch, attempt, site: id, reply });
         }
         // A message that its instance has forgotten, or a lost instance's: the site sees it all the same.
@@ -34,10 +34,10 @@
             self.record_effect(number, id);
         }
         let reply = match verdict.reply {
-            Reply::Processed => Told::Processed(left),
-            Reply::Error => Told::Error,
-            Reply::Rejected(wait) => Told::Full(wait, left),
-            Reply::Truncated | Reply::Reset => Told::Reset,
+            Reply::Processed => SiteResponse::Processed(left),
+            Reply::Error => SiteResponse::Error,
+            Reply::Rejected(wait) => SiteResponse::Rejected(wait, left),
+            Reply::Truncated | Reply::Reset => SiteResponse::Reset,
         };
         if let Some(at) = verdict.respond_at {
             self.reply(at, Event::Response { instance, epoch, attempt, site: id, reply });
@@ -81,18 +81,25 @@
         }
     }
 
-    pub(super) fn answered(&mut self, instance: u32, epoch: u32, attempt: Attempt, site: u32, reply: Told) {
+    pub(super) fn answered(
+        &mut self,
+        instance: u32,
+        epoch: u32,
+        attempt: Attempt,
+        site: u32,
+        reply: SiteResponse,
+    ) {
         if !self.in_flight.remove(&(instance, epoch, attempt)) {
             return;
         }
         let limit = self.sites[site as usize].model.profile().limit.unwrap_or(0.0);
         let told = |left: u32| RateLimitStatus { remaining: f64::from(left) / 1e6, limit };
         let (reported, allowance) = match reply {
-            Told::Processed(left) => (TransportOutcome::Processed, left.map(told)),
-            Told::Error => (TransportOutcome::Error, None),
-            Told::Full(wait, left) => (TransportOutcome::Rejected(wait), left.map(told)),
-            Told::Reset => (TransportOutcome::Reset, None),
-            Told::NoConnection => (TransportOutcome::ConnectFailed, None),
+            SiteResponse::Processed(left) => (TransportOutcome::Processed, left.map(told)),
+            SiteResponse::Error => (TransportOutcome::Error, None),
+            SiteResponse::Rejected(wait, left) => (TransportOutcome::Rejected(wait), left.map(told)),
+            SiteResponse::Reset => (TransportOutcome::Reset, None),
+            SiteResponse::NoConnection => (TransportOutcome::ConnectFailed, None),
         };
         let gateway = &mut self.gateways[instance as usize];
         if gateway.down || gateway.epoch != epoch {
--- a/crates/simulator/src/failover/simulation/setup.rs
+++ b/crates/simulator/src/failover/simulation/setup.rs
@@ -1,4 +1,4 @@
-//! What stands before a run begins: destinations, sites, troubles and instances.
+//! Setup of a run: destinations, sites, faults and gateway instances.
 
 use super::{time, Address, Event, ScheduledFault, Simulation, Site};
 use crate::failover::scenario::SiteSpec;
@@ -138,7 +138,7 @@
         engine
     }
 
-    /// The list of endpoints, as everybody is told it.
+    /// The endpoint list, as all instances receive it.
     pub(super) fn list(&self) -> Vec<Endpoint> {
         let entry = |(id, address): (usize, &Address)| {
             let site = &self.sites[address.site as usize];
--- a/crates/simulator/src/failover/spillover_baseline.rs
+++ b/crates/simulator/src/failover/spillover_baseline.rs
@@ -53,12 +53,12 @@
 const CHECKS_FAIL: Duration = Duration::from_secs(3);
 const CHECK_SUCCEEDS: Duration = Duration::from_secs(1);
 
-/// What active health checks would find: whether each address is up, and since when. Told by the simulation that knows.
+/// Results of active health checks, as the simulation reports them: whether each address is up, and since when.
 #[derive(Clone, Debug, Default)]
 pub struct HealthChecks(Arc<Mutex<BTreeMap<EndpointId, (bool, Time)>>>);
 
 impl HealthChecks {
-    /// An address went down or came up.
+    /// Records that an address went down or came up.
     pub fn tell(&self, now: Time, endpoint: EndpointId, up: bool) {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).insert(endpoint, (up, now));
     }
@@ -141,7 +141,7 @@
         };
         let shares: Vec<f64> = spread.addresses.iter().map(health).collect();
         let Some(spread) = self.destinations.get_mut(&partner) else { return partner };
-        // Each tier takes its share of what the tiers before it left; where all are sick, the first takes all.
+        // Each tier takes its share of the remaining messages; where all are unhealthy, the first takes all.
         let last = spread.tiers.destinations.len() - 1;
         if shares.iter().sum::<f64>() <= 0.0 {
             return partner;
--- a/crates/simulator/src/load_balance.rs
+++ b/crates/simulator/src/load_balance.rs
@@ -1,6 +1,7 @@
-//! Many instances and many endpoints on a day of even load: thin and unequal traffic, limits that all share, endpoints of
-//! unequal pace, reports that come late. The engine and module of the running instance against published rules for the
-//! choice of an endpoint and for shared limits, as a record for the yardstick of `cloverstile-load-metrics`.
+//! Simulation of load balance between many gateway instances and endpoints: low and unequal traffic, shared limits,
+//! endpoints of unequal capacity, delayed reports. Compares the engine and delivery policy of the gateway with
+//! published
+//! rules of endpoint selection and rate limiting; the result is a record for `cloverstile-load-metrics`.
 
 mod baseline_client;
 mod partners;
@@ -18,7 +19,7 @@
 pub use simulation::{simulate_load_balance, ClientPolicy, LoadBalanceRun, LoadBalanceViolations};
 pub use traffic::{Arrival, Traffic};
 
-/// Scenes that come with the program, by name.
+/// Built-in load balance scenarios: name and text.
 pub const LOAD_BALANCE_SCENARIOS: [(&str, &str); 9] = [
     ("calm", include_str!("../scenarios/spread/calm.hcl")),
     ("skew", include_str!("../scenarios/spread/skew.hcl")),
--- a/crates/simulator/src/load_balance/baseline_client.rs
+++ b/crates/simulator/src/load_balance/baseline_client.rs
@@ -1,6 +1,5 @@
-//! Other instances, to compare the module with: each rule for the choice of an endpoint, and for a limit that all share,
-//! as it is published. A baseline queue around them: oldest first, repeats after a full-jitter exponential gap. Not for
-//! service.
+//! Baseline clients for comparison with the delivery policy: published rules of endpoint selection and rate limiting,
+//! around a plain queue: oldest first, retries after exponential backoff with full jitter. Not for production.
 
 use super::partners::LoadReport;
 use rand::seq::SliceRandom;
@@ -9,26 +8,27 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// How an endpoint is chosen.
+/// Rule of endpoint selection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EndpointSelection {
-    /// By chance.
+    /// Uniformly at random.
     Random,
-    /// In turn, all instances from the same start.
+    /// Round robin; all instances begin at the same endpoint.
     RoundRobin,
-    /// Fewest own calls out, the first listed of equals.
+    /// Fewest own requests in flight, the first listed of equals.
     LeastInFlight,
-    /// Of two by chance the one with fewer own calls out.
+    /// Power of two choices by own requests in flight.
     TwoChoices,
-    /// Least in hand by the last report.
+    /// Fewest requests in flight by the last load report.
     LeastReported,
-    /// In turn within a deterministic subset of two: instances in rounds, each round a shuffle that all compute alike.
+    /// Round robin within a deterministic subset of two: each round of instances shares one shuffle.
     Subsets,
-    /// Two choices within a slice of a ring: of two endpoints' width, where the instance stands by its number.
+    /// Power of two choices within a slice of a ring, two endpoints wide, at a position by instance number.
     Ring,
-    /// By chance, weighted by served calls over calls in hand, as last reported.
+    /// Weighted random by served requests over requests in flight, as last reported.
     WeightedByReports,
-    /// Probed: a pool of fresh answers; coldest by latency of those not hot by calls in hand, else fewest in hand.
+    /// Probing with a pool of recent responses: lowest latency of those not hot by requests in flight, else
+    /// fewest in flight.
     Probed,
 }
 
@@ -62,16 +62,16 @@
     }
 }
 
-/// How a instance keeps to a limit that others share.
+/// Rule for keeping to a limit that all instances share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Limiter {
-    /// Not at all.
+    /// No limiter.
     None,
     /// Additive increase, multiplicative decrease: a call a second more each second, half at a refusal.
     Aimd,
-    /// The told rate over the number of instances.
+    /// The advertised rate over the number of instances.
     FairShare,
-    /// Adaptive throttling: refuses by itself with the chance `(asked - 2 accepted) / (asked + 1)`.
+    /// Adaptive throttling: the client rejects with the probability `(asked - 2 accepted) / (asked + 1)`.
     Adaptive,
 }
 
@@ -96,18 +96,19 @@
 const PROBES: usize = 2;
 const POOL: usize = 16;
 const FRESH: Duration = Duration::from_secs(1);
-/// Calls in hand above this quantile of the pool are hot.
+/// Endpoints with requests in flight above this quantile of the pool are hot.
 const HOT: f64 = 0.8;
 /// Seconds over which adaptive throttling counts.
 const COUNTED_S: f64 = 30.0;
-/// First and longest gap before a repeat.
-const GAPS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
-/// One try lasts so long at most.
-const TRY: Duration = Duration::from_secs(2);
+/// Shortest and longest backoff before a retry.
+const MIN_BACKOFF: Duration = Duration::from_millis(100);
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// An attempt without a response fails after so long.
+const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What a instance is and what it knows from the start.
+/// Settings of a baseline client.
 #[derive(Clone, Copy, Debug)]
-pub struct Nature {
+pub struct BaselineSettings {
     pub number: usize,
     pub instances: usize,
     pub choice: EndpointSelection,
@@ -116,18 +117,18 @@
     pub held: usize,
 }
 
-/// What is to be done.
+/// An action of a baseline client.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Do {
+pub enum Action {
     /// Send a message.
     Send { message: u32, endpoint: usize },
     /// Ask an endpoint for its load.
     Probe { endpoint: usize },
     /// Give it up: by then it was sent or not.
-    GiveUp { message: u32, may_have_run: bool },
+    Expire { message: u32, may_have_run: bool },
 }
 
-struct Waiting {
+struct PendingMessage {
     partner: usize,
     deadline: Duration,
     repeatable: bool,
@@ -142,7 +143,7 @@
     told_rate: Option<f64>,
     turn: usize,
     queue: VecDeque<u32>,
-    /// Pace of a limiter, and tokens.
+    /// Rate of the limiter, and its tokens.
     rate: f64,
     tokens: f64,
     filled: Duration,
@@ -152,23 +153,23 @@
     wait: Duration,
 }
 
-/// What is known of an endpoint.
+/// Client-side state of an endpoint.
 #[derive(Default)]
-struct Known {
+struct EndpointState {
     out: u32,
     load: LoadReport,
     latency: f64,
 }
 
-/// A baseline instance.
+/// A baseline client: an endpoint selection and a limiter.
 pub struct BaselineClient {
-    nature: Nature,
+    settings: BaselineSettings,
     rng: ChaCha8Rng,
     partners: Vec<Partner>,
-    known: BTreeMap<usize, Known>,
-    /// Answers of probes: endpoint, calls in hand, latency, when.
+    known: BTreeMap<usize, EndpointState>,
+    /// Probe responses: endpoint, requests in flight, latency, time.
     pool: VecDeque<(usize, f64, f64, Duration)>,
-    messages: BTreeMap<u32, Waiting>,
+    messages: BTreeMap<u32, PendingMessage>,
     later: BTreeSet<(Duration, u32)>,
     deadlines: BTreeSet<(Duration, u32)>,
     out: usize,
@@ -176,9 +177,9 @@
 }
 
 impl BaselineClient {
-    pub fn new(nature: Nature, seed: u64) -> BaselineClient {
+    pub fn new(settings: BaselineSettings, seed: u64) -> BaselineClient {
         BaselineClient {
-            nature,
+            settings,
             rng: ChaCha8Rng::seed_from_u64(seed),
             partners: Vec::new(),
             known: BTreeMap::new(),
@@ -191,13 +192,13 @@
         }
     }
 
-    /// The endpoints of each partner that take work, and the told limit of each partner.
+    /// Updates the endpoints of each partner that accept requests, and each partner's advertised limit.
     pub fn list(&mut self, lists: Vec<(Vec<usize>, Option<f64>)>) {
         self.partners.resize_with(lists.len(), Partner::default);
-        let even = 1.0 / self.nature.instances.max(1) as f64;
+        let even = 1.0 / self.settings.instances.max(1) as f64;
         for (partner, (endpoints, rate)) in self.partners.iter_mut().zip(lists) {
             if partner.told_rate.is_none() {
-                // A call may go at once; a pace begins at the even part.
+                // One request may go at once; the rate begins at the fair share.
                 partner.rate = rate.map_or(f64::INFINITY, |rate| rate * even);
                 partner.tokens = 1.0;
             }
@@ -208,10 +209,11 @@
 
     /// Takes a message; false if as many are held as may be.
     pub fn take(&mut self, message: u32, partner: usize, deadline: Duration, repeatable: bool) -> bool {
-        if self.messages.len() >= self.nature.held {
+        if self.messages.len() >= self.settings.held {
             return false;
         }
-        let waiting = Waiting { partner, deadline, repeatable, tries: 0, may_have_run: false, out: None };
+        let waiting =
+            PendingMessage { partner, deadline, repeatable, tries: 0, may_have_run: false, out: None };
         self.messages.insert(message, waiting);
         self.deadlines.insert((deadline, message));
         if let Some(partner) = self.partners.get_mut(partner) {
@@ -232,9 +234,16 @@
         }
     }
 
-    /// A call ended: delivered, surely not run (with a wait, if one was told), or of unknown fate. True if that is the
+    /// An attempt completed: delivered, rejected (with its `Retry-After`, if any), or of unknown outcome. True
+    /// if that is the
     /// message's end.
-    pub fn ended(&mut self, now: Duration, message: u32, how: Ended, load: Option<LoadReport>) -> bool {
+    pub fn ended(
+        &mut self,
+        now: Duration,
+        message: u32,
+        how: AttemptResult,
+        load: Option<LoadReport>,
+    ) -> bool {
         let Some(waiting) = self.messages.get_mut(&message) else { return false };
         let Some((endpoint, sent)) = waiting.out.take() else { return false };
         self.out -= 1;
@@ -243,21 +252,21 @@
         known.load = load.unwrap_or(known.load);
         let partner = &mut self.partners[waiting.partner];
         match how {
-            Ended::Delivered => {
+            AttemptResult::Delivered => {
                 known.latency = 0.8 * known.latency + 0.2 * (now - sent).as_secs_f64();
                 partner.accepted += 1.0;
                 self.forget(message);
                 return true;
             }
-            Ended::Refused(wait) => {
+            AttemptResult::Refused(wait) => {
                 partner.wait = partner.wait.max(now + wait.unwrap_or_default());
-                if self.nature.limiter == Limiter::Aimd {
+                if self.settings.limiter == Limiter::Aimd {
                     partner.rate = (partner.rate.min(1e6) / 2.0).max(0.05);
                 }
             }
-            Ended::Unknown => waiting.may_have_run = true,
+            AttemptResult::Unknown => waiting.may_have_run = true,
         }
-        let gap = (GAPS.0 * 2u32.saturating_pow(waiting.tries.min(10))).min(GAPS.1);
+        let gap = (MIN_BACKOFF * 2u32.saturating_pow(waiting.tries.min(10))).min(MAX_BACKOFF);
         let gap = gap.mul_f64(self.rng.random::<f64>());
         self.later.insert((now + gap, message));
         false
@@ -273,13 +282,13 @@
     }
 
     /// All that can be done now, and when to ask again.
-    pub fn advance(&mut self, now: Duration) -> (Vec<Do>, Option<Duration>) {
+    pub fn advance(&mut self, now: Duration) -> (Vec<Action>, Option<Duration>) {
         let mut done = Vec::new();
         while let Some(&(at, message)) = self.later.first().filter(|(at, _)| *at <= now) {
             self.later.remove(&(at, message));
             let Some(waiting) = self.messages.get(&message) else { continue };
             if waiting.may_have_run && !waiting.repeatable {
-                done.push(Do::GiveUp { message, may_have_run: true });
+                done.push(Action::Expire { message, may_have_run: true });
                 self.forget(message);
             } else if waiting.out.is_none() {
                 // Repeats go first: they are the oldest.
@@ -289,23 +298,23 @@
         let slow: Vec<u32> = self
             .messages
             .iter()
-            .filter(|(_, waiting)| waiting.out.is_some_and(|(_, sent)| now >= sent + TRY))
+            .filter(|(_, waiting)| waiting.out.is_some_and(|(_, sent)| now >= sent + ATTEMPT_TIMEOUT))
             .map(|(message, _)| *message)
             .collect();
         for message in slow {
-            self.ended(now, message, Ended::Unknown, None);
+            self.ended(now, message, AttemptResult::Unknown, None);
         }
         while let Some(&(at, message)) = self.deadlines.first().filter(|(at, _)| *at <= now) {
             self.deadlines.remove(&(at, message));
             let ran = self.messages.get(&message).is_some_and(|w| w.may_have_run || w.out.is_some());
-            done.push(Do::GiveUp { message, may_have_run: ran });
+            done.push(Action::Expire { message, may_have_run: ran });
             self.forget(message);
         }
         let mut next: Option<Duration> = None;
         let mut earlier = |at: Duration| next = Some(next.map_or(at, |next| next.min(at)));
         let count = self.partners.len();
         for place in (0..count).map(|place| (place + self.first) % count.max(1)).collect::<Vec<_>>() {
-            while self.out < self.nature.slots && !self.partners[place].queue.is_empty() {
+            while self.out < self.settings.slots && !self.partners[place].queue.is_empty() {
                 if let Err(at) = self.permitted(now, place) {
                     if let Some(at) = at {
                         earlier(at);
@@ -319,8 +328,8 @@
                 waiting.out = Some((endpoint, now));
                 self.out += 1;
                 self.known.entry(endpoint).or_default().out += 1;
-                earlier(now + TRY);
-                done.push(Do::Send { message, endpoint });
+                earlier(now + ATTEMPT_TIMEOUT);
+                done.push(Action::Send { message, endpoint });
             }
         }
         self.first = self.first.wrapping_add(1);
@@ -335,7 +344,7 @@
 
     /// Whether a call to a partner may go now; if not, when to ask again.
     fn permitted(&mut self, now: Duration, place: usize) -> Result<(), Option<Duration>> {
-        let limiter = self.nature.limiter;
+        let limiter = self.settings.limiter;
         let partner = &mut self.partners[place];
         if partner.wait > now {
             return Err(Some(partner.wait));
@@ -364,15 +373,15 @@
                 let refuse = (partner.asked - 2.0 * partner.accepted) / (partner.asked + 1.0);
                 if self.rng.random::<f64>() < refuse {
                     // Refused by itself: asked again after a gap.
-                    return Err(Some(now + GAPS.0.mul_f64(0.5 + self.rng.random::<f64>())));
+                    return Err(Some(now + MIN_BACKOFF.mul_f64(0.5 + self.rng.random::<f64>())));
                 }
                 Ok(())
             }
         }
     }
 
-    fn choose(&mut self, now: Duration, place: usize, done: &mut Vec<Do>) -> Option<usize> {
-        let BaselineClient { nature, rng, partners, known, pool, .. } = self;
+    fn choose(&mut self, now: Duration, place: usize, done: &mut Vec<Action>) -> Option<usize> {
+        let BaselineClient { settings, rng, partners, known, pool, .. } = self;
         let partner = &mut partners[place];
         let endpoints = &partner.endpoints;
         let count = endpoints.len();
@@ -390,7 +399,7 @@
                 first
             }
         };
-        Some(match nature.choice {
+        Some(match settings.choice {
             EndpointSelection::Random => endpoints[rng.random_range(0..count)],
             EndpointSelection::RoundRobin => {
                 partner.turn += 1;
@@ -407,7 +416,7 @@
             EndpointSelection::Subsets => {
                 // So many instances share out all endpoints; each such round is shuffled by its number.
                 let parts = (count / SLICE).max(1);
-                let (round, part) = (nature.number / parts, nature.number % parts);
+                let (round, part) = (settings.number / parts, settings.number % parts);
                 let mut order = endpoints.clone();
                 order.shuffle(&mut ChaCha8Rng::seed_from_u64(round as u64));
                 let own: Vec<usize> = order.into_iter().skip(part * SLICE).take(SLICE).collect();
@@ -415,7 +424,7 @@
                 own[(partner.turn - 1) % own.len()]
             }
             EndpointSelection::Ring => {
-                let start = nature.number * count / nature.instances.max(1);
+                let start = settings.number * count / settings.instances.max(1);
                 let own: Vec<usize> = (0..SLICE.min(count)).map(|n| endpoints[(start + n) % count]).collect();
                 two(rng, &own)
             }
@@ -429,7 +438,7 @@
                     }
                 };
                 let told: Vec<f64> = endpoints.iter().map(weight).filter(|w| w.is_finite()).collect();
-                // One that has told nothing counts as the mean of the others.
+                // An endpoint without a report counts as the mean of the others.
                 let mean = if told.is_empty() { 1.0 } else { told.iter().sum::<f64>() / told.len() as f64 };
                 let weights: Vec<f64> = endpoints
                     .iter()
@@ -444,7 +453,7 @@
             }
             EndpointSelection::Probed => {
                 for _ in 0..PROBES {
-                    done.push(Do::Probe { endpoint: endpoints[rng.random_range(0..count)] });
+                    done.push(Action::Probe { endpoint: endpoints[rng.random_range(0..count)] });
                 }
                 pool.retain(|(_, _, _, at)| now.saturating_sub(*at) < FRESH);
                 let mut of: Vec<(usize, f64, f64)> = pool
@@ -473,10 +482,10 @@
 
 /// How a call ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Ended {
+pub enum AttemptResult {
     /// Delivered.
     Delivered,
-    /// It surely has not run; told to wait so long, if at all.
+    /// It has not run; the `Retry-After`, if any.
     Refused(Option<Duration>),
     /// It may have run.
     Unknown,
--- a/crates/simulator/src/load_balance/partners.rs
+++ b/crates/simulator/src/load_balance/partners.rs
@@ -1,4 +1,4 @@
-//! Partners of a scene: endpoints with capacity of their own behind limits that are shared, or apart.
+//! Partners of a load balance scenario: endpoints of their own capacity behind limits that are shared or per endpoint.
 
 use super::scenario::{LoadBalanceScenario, PartnerSpec};
 use cloverstile_fakes::limit::{AdvertisedLimit, SharedLimit};
@@ -8,7 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
-/// What an endpoint is told to do wrong.
+/// A fault of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum EndpointFault {
     /// Errors at once.
@@ -21,20 +21,20 @@
 
 /// An endpoint.
 pub struct SimulatedEndpoint {
-    /// Its partner.
+    /// Index of its partner.
     pub partner: usize,
-    /// Its pace.
+    /// Its capacity factor.
     pub pace: f64,
-    /// How it behaves.
+    /// The model of its server.
     pub model: PartnerModel,
-    /// In service from then ...
+    /// Beginning of its service.
     pub from: Duration,
-    /// ... until then.
+    /// End of its service.
     pub until: Duration,
     /// Connections are refused.
     pub gone: bool,
     errors: bool,
-    /// Calls in hand.
+    /// Requests in flight.
     pub in_hand: u32,
     served: u32,
     report: (Duration, LoadReport),
@@ -43,7 +43,7 @@
 /// A report of load, some time old.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoadReport {
-    /// Calls in hand.
+    /// Requests in flight.
     pub in_hand: f64,
     /// Calls served a second.
     pub served: f64,
@@ -51,7 +51,7 @@
 
 /// A partner.
 pub struct SimulatedPartner {
-    /// What it is like.
+    /// Its block in the scenario.
     pub spec: PartnerSpec,
     /// Places of its endpoints.
     pub endpoints: Vec<usize>,
@@ -77,7 +77,7 @@
 }
 
 impl SimulatedEndpoint {
-    /// As the yardstick's record has it.
+    /// Its entry in the load record.
     pub fn entry(&self) -> Endpoint {
         Endpoint { partner: self.partner, weight: self.pace, from: self.from, until: self.until }
     }
@@ -91,17 +91,17 @@
     pub endpoints: Vec<SimulatedEndpoint>,
     report: Duration,
     still: bool,
-    /// What the list tells where a partner has no limit: calls a second that it can serve, by endpoint.
+    /// Weights of endpoints whose partner has no limit: calls a second that the partner can serve.
     able: Vec<f64>,
 }
 
-/// What became of a call that reached an endpoint.
+/// Response of an endpoint to a call.
 pub struct EndpointResponse {
-    /// What becomes of it.
+    /// Decision of the server model.
     pub verdict: ServerDecision,
-    /// What the answer tells of the limit.
+    /// Rate limit that the response advertises.
     pub told: Option<AdvertisedLimit>,
-    /// What it tells of the load.
+    /// Load report in the response.
     pub load: LoadReport,
 }
 
@@ -117,9 +117,9 @@
 }
 
 impl SimulatedPartners {
-    /// All partners of a scene.
-    pub fn new(scene: &LoadBalanceScenario, rng: &mut ChaCha8Rng) -> SimulatedPartners {
-        let report = Duration::from_secs_f64(scene.report_ms / 1e3);
+    /// All partners of a scenario.
+    pub fn new(scenario: &LoadBalanceScenario, rng: &mut ChaCha8Rng) -> SimulatedPartners {
+        let report = Duration::from_secs_f64(scenario.report_ms / 1e3);
         let mut sites = SimulatedPartners {
             partners: Vec::new(),
             endpoints: Vec::new(),
@@ -127,7 +127,7 @@
             still: false,
             able: Vec::new(),
         };
-        for spec in scene.partner.values() {
+        for spec in scenario.partner.values() {
             for _ in 0..spec.copies {
                 let number = sites.partners.len();
                 let (endpoints, limits) = (Vec::new(), Vec::new());
@@ -136,7 +136,7 @@
                 for _ in 0..spec.endpoints {
                     let [least, most] = spec.pace;
                     let pace = least * (most / least).powf(rng.random::<f64>());
-                    sites.add(scene, number, pace, Duration::ZERO, rng);
+                    sites.add(scenario, number, pace, Duration::ZERO, rng);
                 }
                 let partner = &mut sites.partners[number];
                 let paces: Vec<f64> = partner.endpoints.iter().map(|e| sites.endpoints[*e].pace).collect();
@@ -144,10 +144,10 @@
                 partner.limits = match spec.limit {
                     None => Vec::new(),
                     Some(limit) if spec.apart => {
-                        let own = |pace: &f64| SharedLimit::new(scene.terms(spec, limit * pace / all), 1);
+                        let own = |pace: &f64| SharedLimit::new(scenario.terms(spec, limit * pace / all), 1);
                         paces.iter().map(own).collect()
                     }
-                    Some(limit) => vec![SharedLimit::new(scene.terms(spec, limit), count)],
+                    Some(limit) => vec![SharedLimit::new(scenario.terms(spec, limit), count)],
                 };
             }
         }
@@ -157,18 +157,18 @@
     /// One more endpoint of a partner; returns its place.
     pub fn add(
         &mut self,
-        scene: &LoadBalanceScenario,
+        scenario: &LoadBalanceScenario,
         partner: usize,
         pace: f64,
         now: Duration,
         rng: &mut ChaCha8Rng,
     ) -> usize {
         let spec = &self.partners[partner].spec;
-        let nature = scene.nature(spec, pace);
+        let nature = scenario.nature(spec, pace);
         self.able.push(nature.capacity() * spec.endpoints as f64);
         let mut model = PartnerModel::new(nature, ChaCha8Rng::seed_from_u64(rng.random()));
         if now > Duration::ZERO {
-            // What is new is cold, as one is that comes back.
+            // A new endpoint warms up, as a recovering one does.
             model.begin_fault(Fault::RefuseConnections, now);
             model.end_fault(now);
         }
@@ -188,9 +188,9 @@
         let partner = &mut self.partners[partner];
         partner.endpoints.push(place);
         if partner.spec.apart && !partner.limits.is_empty() {
-            // It takes over the limit of the one that it replaces: the same pace, and the same terms.
+            // It takes over the limit of the endpoint that it replaces: the same capacity factor and settings.
             let rate = partner.limits[0].rate();
-            partner.limits.push(SharedLimit::new(scene.terms(&partner.spec, rate), 1));
+            partner.limits.push(SharedLimit::new(scenario.terms(&partner.spec, rate), 1));
         } else if let Some(limit) = partner.limits.first_mut() {
             limit.add_endpoint();
         }
@@ -206,14 +206,15 @@
         }
     }
 
-    /// What the list tells of an endpoint: calls a second of its limit, or of its partner's; without a limit, what its
+    /// Weight of an endpoint in the endpoint list: calls a second of its limit, or of its partner's; without a
+    /// limit, what its
     /// partner can serve.
     pub fn told_weight(&mut self, endpoint: usize) -> f64 {
         let able = self.able[endpoint];
         self.limit(endpoint).map_or(able, |(limit, _)| limit.rate())
     }
 
-    /// Reports of load and limits stand still, or go on.
+    /// Freezes the reports of load and limits, or resumes them.
     pub fn freeze_reports(&mut self, still: bool) {
         self.still = still;
         for limit in self.partners.iter_mut().flat_map(|partner| &mut partner.limits) {
@@ -229,7 +230,7 @@
         there.into_iter().take(count).collect()
     }
 
-    /// What an endpoint tells of its load now.
+    /// The load report of an endpoint.
     pub fn load(&mut self, now: Duration, endpoint: usize) -> LoadReport {
         let (report, still) = (self.report, self.still);
         let at = &mut self.endpoints[endpoint];
@@ -241,7 +242,7 @@
         at.report.1
     }
 
-    /// A call has come whole. An answer at a known time has to be told to [`SimulatedPartners::answered`] then.
+    /// Handles a complete call. The caller reports a response at a known time to [`SimulatedPartners::answered`] then.
     pub fn reach(&mut self, now: Duration, endpoint: usize, id: &str) -> EndpointResponse {
         let at_once = |reply| ServerDecision { respond_at: Some(now), reply, takes_effect: false };
         let tells = self.partners[self.endpoints[endpoint].partner].spec.tells_wait;
@@ -262,14 +263,14 @@
         EndpointResponse { verdict, told: told.filter(|_| !silent), load: self.load(now, endpoint) }
     }
 
-    /// The answer of a call that took a while has left.
+    /// Records that the response of a call in service has left.
     pub fn answered(&mut self, endpoint: usize) {
         let at = &mut self.endpoints[endpoint];
         at.in_hand = at.in_hand.saturating_sub(1);
         at.served += 1;
     }
 
-    /// An endpoint does something wrong, or no longer.
+    /// Begins or ends a fault of an endpoint.
     pub fn wrong(&mut self, now: Duration, endpoint: usize, wrong: EndpointFault, begins: bool) {
         let at = &mut self.endpoints[endpoint];
         match (wrong, begins) {
--- a/crates/simulator/src/load_balance/scenario.rs
+++ b/crates/simulator/src/load_balance/scenario.rs
@@ -1,4 +1,4 @@
-//! Scenes of even load: HCL in. Times are in seconds, rates in a second.
+//! Load balance scenarios, read from HCL. Times are in seconds, rates per second.
 
 use crate::scenario::{classes, longest_retry_window, one, span, ClassSpec, RuleSpec, ScenarioError};
 use cloverstile::{Class, Group};
@@ -7,30 +7,30 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// A scene.
+/// A load balance scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadBalanceScenario {
     /// Gateways.
     #[serde(rename = "couriers")]
     pub instances: usize,
-    /// Messages are submitted for so long; what is left is answered afterwards.
+    /// Messages are submitted for so long; the run lasts until the rest is completed.
     pub seconds: f64,
     /// Messages a second from all clients together.
     pub rate: f64,
-    /// Unevenness of the instances' load: instance n gets a part that goes by `1 / (n + 1) ^ skew`.
+    /// Skew of the load of instances: instance n gets a share in proportion to `1 / (n + 1) ^ skew`.
     #[serde(default)]
     pub skew: f64,
     /// Share of all messages that the first instance gets beside its part.
     #[serde(default)]
     pub hot: f64,
-    /// Calls out at once from a instance.
+    /// Concurrency limit of an instance, in requests in flight.
     #[serde(default = "call_slots")]
     pub call_slots: usize,
-    /// Messages that a instance holds.
+    /// Most messages that an instance queues.
     #[serde(default = "most_held")]
     pub most_held: usize,
-    /// Least time on the way between instance and endpoint, and the mean of what chance adds, in milliseconds.
+    /// One-way network delay: its least value and the mean of its random part, in milliseconds.
     #[serde(default = "network_delay_ms", rename = "way_ms")]
     pub network_delay_ms: [f64; 2],
     /// A new connection takes so much longer, in milliseconds.
@@ -39,21 +39,21 @@
     /// An idle connection is closed after so long.
     #[serde(default = "conn_idle")]
     pub conn_idle: f64,
-    /// How old what answers tell of limits and load may be, in milliseconds.
+    /// Most age of the reports of limits and load, in milliseconds.
     #[serde(default = "report")]
     pub report_ms: f64,
-    /// Windows of the yardstick.
+    /// Length of the windows in which balance is measured.
     #[serde(default = "window")]
     pub window: f64,
     /// Class blocks, by name.
     pub class: BTreeMap<String, ClassSpec>,
     /// Partner blocks, by name.
     pub partner: BTreeMap<String, PartnerSpec>,
-    /// What goes wrong, by a name for people.
+    /// Faults, by a descriptive name.
     #[serde(default)]
     #[serde(rename = "trouble")]
     pub faults: BTreeMap<String, LoadBalanceFaultSpec>,
-    /// Figures of the rules.
+    /// Parameters of the platform's rules.
     #[serde(default)]
     pub rules: RuleSpec,
 }
@@ -90,26 +90,27 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct PartnerSpec {
-    /// So many of them.
+    /// Number of equal ones.
     #[serde(default = "one_partner")]
     pub copies: usize,
     /// Share of the messages, of all copies together.
     pub share: f64,
     /// Its endpoints.
     pub endpoints: usize,
-    /// Paces of its endpoints, drawn between these evenly on a logarithmic scale: a pace of two has twice the servers.
+    /// Range of its endpoints' capacity factors, drawn uniformly on a logarithmic scale: a factor of two has
+    /// twice the servers.
     #[serde(default = "alike")]
     pub pace: [f64; 2],
-    /// Each endpoint has a limit of its own, by its pace, that the list tells.
+    /// Each endpoint has a limit of its own, by its capacity factor, that the endpoint list states.
     #[serde(default)]
     pub apart: bool,
-    /// Calls that an endpoint of pace 1 serves at once.
+    /// Requests that an endpoint of capacity factor 1 serves concurrently.
     #[serde(default = "servers")]
     pub servers: usize,
     /// Calls that may wait at an endpoint.
     #[serde(default = "queue")]
     pub queue: usize,
-    /// Least time of a call and the mean of what chance adds, in milliseconds.
+    /// Service time: its least value and the mean of its random part, in milliseconds.
     #[serde(default = "service")]
     pub service_ms: [f64; 2],
     /// Calls a second that it takes from all instances together (where apart, all endpoints together).
@@ -121,10 +122,10 @@
     /// Refused calls use the limit up.
     #[serde(default)]
     pub refused_count: bool,
-    /// Refusals tell how long to wait.
+    /// Rejections carry a `Retry-After`.
     #[serde(default)]
     pub tells_wait: bool,
-    /// Answers do not tell of the limit.
+    /// Responses do not advertise the limit.
     #[serde(default)]
     pub silent: bool,
 }
@@ -149,18 +150,18 @@
     [10.0, 20.0]
 }
 
-/// Something that goes wrong.
+/// A fault.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct LoadBalanceFaultSpec {
     /// `burst`, `limit`, `errors`, `silent`, `slow`, `slow-for`, `still`, `replace` or `restart`.
     pub kind: String,
-    /// When it begins.
+    /// Beginning.
     pub at: f64,
     /// How long it lasts; of `replace`, how far the instances' hearing of it is spread.
     #[serde(default = "one")]
     pub lasts: f64,
-    /// Partners affected_partners; all copies together. None: all.
+    /// Partners affected; all copies together. None: all.
     #[serde(default)]
     pub partner: Option<String>,
     /// A factor, or a share of the endpoints or instances.
@@ -168,7 +169,7 @@
     pub size: f64,
 }
 
-/// What a trouble does.
+/// Kind of a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LoadBalanceFault {
     /// Traffic of all, or for one partner, is multiplied.
@@ -183,7 +184,7 @@
     Slow,
     /// The first endpoint of each partner is reached half a second later by this share of the instances.
     SlowFor,
-    /// Reports of load and limits stand still.
+    /// Reports of load and limits are frozen.
     Still,
     /// This share is replaced by cold ones.
     Replace,
@@ -192,7 +193,7 @@
 }
 
 impl LoadBalanceFaultSpec {
-    /// What it does; none if the kind is not known.
+    /// Its kind; none if the kind is not known.
     pub fn fault_kind(&self) -> Option<LoadBalanceFault> {
         Some(match self.kind.as_str() {
             "burst" => LoadBalanceFault::Burst,
@@ -209,16 +210,16 @@
     }
 }
 
-/// Reads a scene and checks it.
+/// Reads and validates a load balance scenario.
 pub fn read_load_balance_scenario(text: &str) -> Result<LoadBalanceScenario, ScenarioError> {
-    let scene: LoadBalanceScenario =
+    let scenario: LoadBalanceScenario =
         hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
-    scene.check()?;
-    Ok(scene)
+    scenario.check()?;
+    Ok(scenario)
 }
 
 impl LoadBalanceScenario {
-    /// Whether it can be played; also for scenes that a program put together.
+    /// Validates the scenario; also for those that a program put together.
     pub fn check(&self) -> Result<(), ScenarioError> {
         let wrong = |block: &'static str, name: &str, what: &str| ScenarioError::Block {
             block,
@@ -267,7 +268,8 @@
         Ok(())
     }
 
-    /// The same scene with another number of instances, each with the same load: traffic and limits go with them.
+    /// The same scenario with another number of instances, each with the same load: traffic and limits are
+    /// scaled with them.
     pub fn scaled(mut self, instances: usize) -> LoadBalanceScenario {
         let factor = instances as f64 / self.instances.max(1) as f64;
         self.instances = instances;
@@ -294,7 +296,7 @@
         loads.iter().enumerate().map(own).collect()
     }
 
-    /// Numbers of the partners that a trouble scheduled_faults.
+    /// Indices of the partners that a fault affects.
     pub fn affected_partners(&self, spec: &LoadBalanceFaultSpec) -> Vec<usize> {
         let mut first = 0;
         let mut affected_partners = Vec::new();
@@ -314,7 +316,7 @@
         classes(&self.class).into_iter().map(load_balanced).collect()
     }
 
-    /// What an endpoint of this pace is like; its partner's limit is not its own.
+    /// The server profile of an endpoint of this capacity factor; without the limit of its partner.
     pub fn nature(&self, partner: &PartnerSpec, pace: f64) -> ServerProfile {
         ServerProfile {
             servers: ((partner.servers as f64 * pace).round() as usize).max(1),
@@ -329,7 +331,7 @@
         }
     }
 
-    /// What a limit of so many calls a second is like at a partner.
+    /// Settings of a partner's limit of so many calls a second.
     pub fn terms(&self, partner: &PartnerSpec, rate: f64) -> LimitSettings {
         LimitSettings {
             rate,
--- a/crates/simulator/src/load_balance/simulation.rs
+++ b/crates/simulator/src/load_balance/simulation.rs
@@ -1,16 +1,16 @@
-//! The run: an events of events, instances, partners, and the way between them.
+//! The load balance simulation: gateway instances, partners and the network between them, driven by an event queue.
 
 mod faults;
 mod gateways;
 
-use super::baseline_client::{BaselineClient, Do, Ended, EndpointSelection, Limiter};
+use super::baseline_client::{BaselineClient, EndpointSelection, Limiter};
 use super::partners::{LoadReport, SimulatedPartners};
 use super::scenario::LoadBalanceScenario;
 use super::traffic::{Arrival, Traffic};
 use crate::event_queue::EventQueue;
 use crate::network::draw_delay;
-use cloverstile::{Effect, EndpointId, MessageId, RateLimitStatus, Settings, Time};
-use cloverstile_engine::{Attempt, Engine, TransportOutcome};
+use cloverstile::{Effect, MessageId, Settings, Time};
+use cloverstile_engine::{Attempt, Engine};
 use cloverstile_fakes::limit::AdvertisedLimit;
 use cloverstile_fakes::model::Reply;
 use cloverstile_load_metrics::{Call, LoadRecord, Partner, WaitingInterval};
@@ -19,19 +19,19 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// News of the list reach each instance within so long.
-const NEWS: Duration = Duration::from_secs(2);
-/// A lost instance is back after so long, and its clients come again.
+/// Endpoint list updates reach each instance within so long.
+const UPDATE_SPREAD: Duration = Duration::from_secs(2);
+/// Time from the loss of an instance to its restart, when its clients submit unfinished messages again.
 const RESTARTED_AFTER: Duration = Duration::from_millis(300);
-/// By so much later the affected_partners instances reach the endpoint of a `slow-for`.
-const FAR: Duration = Duration::from_millis(500);
+/// Extra delay of the affected instances to the endpoint of a `slow-for` fault.
+const SLOW_FOR_DELAY: Duration = Duration::from_millis(500);
 
 /// ClientPolicy decides at all instances of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ClientPolicy {
-    /// The engine and module of the running instance.
+    /// The engine and delivery policy of the gateway.
     Delivery,
-    /// A baseline instance.
+    /// A baseline client: an endpoint selection and a limiter.
     Baseline(EndpointSelection, Limiter),
 }
 
@@ -45,23 +45,24 @@
     }
 }
 
-/// What broke. All zero on a good run; for baseline instances it tells what they cost.
+/// Violations of the invariants. All zero on a correct run of the gateway's policy; for baseline clients, part
+/// of their cost.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadBalanceViolations {
     /// Messages without exactly one answer in time.
     pub unanswered: u64,
     /// ... that took effect twice, or were refused although they took effect.
     pub twice: u64,
-    /// Calls to endpoints told as gone, after the grace.
+    /// Calls to endpoints that an update removed, after the grace period.
     pub after_drain: u64,
-    /// Calls before the end of a wait that this instance was told.
+    /// Calls before the end of a `Retry-After` that this instance had received.
     pub waits_broken: u64,
     /// Endpoints pushed over after an outage.
     pub pushed_over: u64,
 }
 
 impl LoadBalanceViolations {
-    /// Of all kinds together.
+    /// Violations of all kinds together.
     pub fn total(&self) -> u64 {
         self.unanswered + self.twice + self.after_drain + self.waits_broken + self.pushed_over
     }
@@ -70,19 +71,19 @@
 /// A whole run.
 #[derive(Clone, Debug, Default)]
 pub struct LoadBalanceRun {
-    /// For the yardstick.
+    /// Calls, endpoints and waiting intervals, for the metrics of load balance.
     pub record: LoadRecord,
-    /// Worth of all messages on time, and of those delivered by their age.
+    /// Worth of all messages if each were delivered on time.
     pub offered: f64,
-    /// ...
+    /// Worth of the delivered messages by their age at delivery.
     pub earned: f64,
-    /// Messages delivered, refused and failed.
+    /// Messages delivered, rejected and failed, in this order.
     pub answers: [u64; 3],
     /// Probes sent.
     pub probes: u64,
-    /// What broke.
+    /// Violations of the invariants.
     pub violations: LoadBalanceViolations,
-    /// Turns of instances.
+    /// How often an instance was asked for its next commands.
     pub turns: u64,
 }
 
@@ -95,11 +96,11 @@
     Probed { instance: u32, epoch: u32, endpoint: usize },
     Wake { instance: u32 },
     Fault { place: usize, begins: bool },
-    Hear { instance: u32 },
+    ListUpdate { instance: u32 },
     Restarted { instance: u32 },
 }
 
-/// A message between submission and end.
+/// A message from its submission to its final outcome.
 struct Message {
     partner: usize,
     class: usize,
@@ -107,12 +108,12 @@
     deadline: Duration,
     answered: bool,
     effect_at: Option<Duration>,
-    /// Waits in a instance since then.
+    /// Waiting in an instance since then.
     waits: Option<Duration>,
     may_have_run: bool,
 }
 
-/// A call on its way.
+/// A call on the network or at an endpoint.
 struct CallAt {
     instance: u32,
     epoch: u32,
@@ -134,19 +135,19 @@
     client: Client,
     epoch: u32,
     wake: Option<Duration>,
-    /// Ends of waits that it was told, by partner, or by endpoint where those are apart.
+    /// End of each `Retry-After`, by partner, or by endpoint where limits are per endpoint.
     waits: HashMap<(usize, Option<usize>), Duration>,
     held: HashMap<MessageId, u32>,
     holds: Vec<u32>,
     /// Idle connections by endpoint, since when.
     idle: HashMap<usize, Vec<Duration>>,
-    /// The list as it knows it: how many endpoints, and when it heard that one is gone.
-    hears: usize,
+    /// Number of endpoint list updates that it has received.
+    received_updates: usize,
     down: bool,
 }
 
 struct Simulation<'a> {
-    scene: &'a LoadBalanceScenario,
+    scenario: &'a LoadBalanceScenario,
     who: ClientPolicy,
     settings: Settings,
     now: Duration,
@@ -155,29 +156,29 @@
     gateways: Vec<Gateway>,
     traffic: Traffic,
     sites: SimulatedPartners,
-    /// Changes of the list, the earliest first.
-    news: Vec<News>,
+    /// Endpoint list updates, the earliest first.
+    removals: Vec<EndpointRemoval>,
     messages: Vec<Message>,
     calls: Vec<CallAt>,
     run: LoadBalanceRun,
-    /// Endpoints that came back from an outage.
+    /// Endpoints that recovered from an outage.
     returned: Vec<usize>,
-    /// Gateways affected_partners by `slow-for` while it lasts.
-    far: Option<usize>,
+    /// Gateways affected by `slow-for` while it lasts.
+    slow_for_instances: Option<usize>,
 }
 
-/// A change of the list: an endpoint is replaced.
+/// An endpoint list update: an endpoint is replaced.
 #[derive(Clone, Copy)]
-struct News {
+struct EndpointRemoval {
     gone: usize,
     at: Duration,
 }
 
-/// Plays a scene once. One scene, instance and seed give the same run.
-pub fn simulate_load_balance(scene: &LoadBalanceScenario, who: ClientPolicy, seed: u64) -> LoadBalanceRun {
-    let mut simulation = Simulation::new(scene, who, seed);
-    let longest = scene.class.values().map(|class| class.deadline).fold(0.0, f64::max);
-    let end = Duration::from_secs_f64(scene.seconds + longest + 2.0 * scene.rules.answer_slack + 1.0);
+/// Runs a scenario once. The same scenario, client policy and seed always give the same run.
+pub fn simulate_load_balance(scenario: &LoadBalanceScenario, who: ClientPolicy, seed: u64) -> LoadBalanceRun {
+    let mut simulation = Simulation::new(scenario, who, seed);
+    let longest = scenario.class.values().map(|class| class.deadline).fold(0.0, f64::max);
+    let end = Duration::from_secs_f64(scenario.seconds + longest + 2.0 * scenario.rules.answer_slack + 1.0);
     while let Some((at, event)) = simulation.events.pop() {
         if at > end {
             break;
@@ -193,24 +194,24 @@
 }
 
 impl<'a> Simulation<'a> {
-    fn new(scene: &'a LoadBalanceScenario, who: ClientPolicy, seed: u64) -> Self {
+    fn new(scenario: &'a LoadBalanceScenario, who: ClientPolicy, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let sites = SimulatedPartners::new(scene, &mut rng);
+        let sites = SimulatedPartners::new(scenario, &mut rng);
         let mut simulation = Simulation {
-            settings: gateways::settings(scene),
-            traffic: Traffic::new(scene),
-            scene,
+            settings: gateways::settings(scenario),
+            traffic: Traffic::new(scenario),
+            scenario,
             who,
             now: Duration::ZERO,
             events: EventQueue::new(),
             gateways: Vec::new(),
             sites,
-            news: Vec::new(),
+            removals: Vec::new(),
             messages: Vec::new(),
             calls: Vec::new(),
             run: LoadBalanceRun::default(),
             returned: Vec::new(),
-            far: None,
+            slow_for_instances: None,
             rng: ChaCha8Rng::seed_from_u64(rng.random()),
         };
         simulation.run.record.partners = vec![Partner::default(); simulation.sites.partners.len()];
@@ -220,12 +221,12 @@
         for endpoint in 0..simulation.sites.endpoints.len() {
             simulation.note_endpoint(endpoint);
         }
-        for instance in 0..scene.instances {
+        for instance in 0..scenario.instances {
             let seed = simulation.rng.random();
             let gateway = simulation.gateway(instance, seed);
             simulation.gateways.push(gateway);
         }
-        for (place, fault) in scene.faults.values().enumerate() {
+        for (place, fault) in scenario.faults.values().enumerate() {
             simulation.schedule(Duration::from_secs_f64(fault.at), Event::Fault { place, begins: true });
             let end = Duration::from_secs_f64(fault.at + fault.lasts);
             simulation.schedule(end, Event::Fault { place, begins: false });
@@ -239,7 +240,7 @@
     }
 
     fn network_delay(&mut self) -> Duration {
-        draw_delay(self.scene.network_delay_ms, &mut self.rng)
+        draw_delay(self.scenario.network_delay_ms, &mut self.rng)
     }
 
     fn note_limit(&mut self, partner: usize) {
@@ -275,7 +276,7 @@
                 }
             }
             Event::Fault { place, begins } => self.apply_fault(place, begins),
-            Event::Hear { instance } => self.hear(instance),
+            Event::ListUpdate { instance } => self.receive_list(instance),
             Event::Restarted { instance } => self.restarted(instance),
         }
     }
@@ -284,11 +285,11 @@
 
     fn submit_next(&mut self) {
         let next = self.now + self.traffic.gap(&mut self.rng);
-        if next.as_secs_f64() < self.scene.seconds {
+        if next.as_secs_f64() < self.scenario.seconds {
             self.schedule(next, Event::Submission);
         }
         let Arrival { class, partner, instance } = self.traffic.draw(&mut self.rng);
-        let Some(spec) = self.scene.class.values().nth(class) else { return };
+        let Some(spec) = self.scenario.class.values().nth(class) else { return };
         let deadline = self.now + Duration::from_secs_f64(spec.deadline);
         self.run.offered += spec.worth;
         self.run.record.messages += 1;
@@ -314,10 +315,10 @@
         }
     }
 
-    /// The final answer: 0 delivered, 1 refused, 2 failed.
+    /// Records the final outcome: 0 delivered, 1 rejected, 2 failed.
     fn complete(&mut self, number: u32, answer: usize) {
         self.stop_waiting(number);
-        let slack = Duration::from_secs_f64(self.scene.rules.answer_slack);
+        let slack = Duration::from_secs_f64(self.scenario.rules.answer_slack);
         let now = self.now;
         let message = &mut self.messages[number as usize];
         if message.answered || now > message.deadline + slack {
@@ -328,9 +329,9 @@
         }
         message.answered = true;
         self.run.answers[answer] += 1;
-        // Refused tells that it never ran.
+        // A rejection states that the message never took effect.
         self.run.violations.twice += u64::from(answer == 1 && message.effect_at.is_some());
-        if let (0, Some(class)) = (answer, self.scene.class.values().nth(message.class)) {
+        if let (0, Some(class)) = (answer, self.scenario.class.values().nth(message.class)) {
             self.run.earned += class.worth_at((now - message.submitted_at).as_secs_f64());
         }
     }
@@ -352,7 +353,7 @@
         let outcome = reached.outcome();
         let took = reached.verdict.respond_at.map_or(Duration::ZERO, |at| at - now);
         let instance = self.calls[call].instance;
-        self.run.record.calls.push(Call { at: now, endpoint, instance: instance, outcome, took });
+        self.run.record.calls.push(Call { at: now, endpoint, instance, outcome, took });
         if reached.verdict.takes_effect {
             self.record_effect(message);
         }
@@ -384,7 +385,7 @@
     fn leave(&mut self, call: usize) {
         let endpoint = self.calls[call].endpoint;
         self.sites.answered(endpoint);
-        // What a report tells is from the moment in which the answer leaves.
+        // The load report is of the moment in which the response leaves.
         let load = self.sites.load(self.now, endpoint);
         self.calls[call].load = load;
         let at = self.now + self.network_delay();
--- a/crates/simulator/src/load_balance/simulation/faults.rs
+++ b/crates/simulator/src/load_balance/simulation/faults.rs
@@ -1,89 +1,93 @@
 //! Faults of partners, endpoints, reports and gateways: their beginning and their end.
 
-use super::{Event, News, Simulation, NEWS};
+use super::{EndpointRemoval, Event, Simulation, UPDATE_SPREAD};
 use crate::load_balance::partners::EndpointFault;
-use crate::load_balance::scenario::LoadBalanceFault;
+use crate::load_balance::scenario::{LoadBalanceFault, LoadBalanceFaultSpec};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
 impl Simulation<'_> {
+    /// Begins or ends the fault at this place of the scenario.
     pub(super) fn apply_fault(&mut self, place: usize, begins: bool) {
-        let Some(spec) = self.scene.faults.values().nth(place) else { return };
+        let Some(spec) = self.scenario.faults.values().nth(place) else { return };
         let Some(kind) = spec.fault_kind() else { return };
-        let affected_partners = self.scene.affected_partners(spec);
-        let part = |simulation: &Self, partner: &usize| simulation.sites.part(*partner, spec.size);
-        let wrong = match kind {
-            LoadBalanceFault::Errors => Some(EndpointFault::Errors),
-            LoadBalanceFault::Silent => Some(EndpointFault::Silent),
-            LoadBalanceFault::Slow => Some(EndpointFault::Slow),
-            _ => None,
-        };
-        if let Some(wrong) = wrong {
-            let endpoints: Vec<usize> =
-                affected_partners.iter().flat_map(|partner| part(self, partner)).collect();
-            for endpoint in endpoints {
-                self.sites.wrong(self.now, endpoint, wrong, begins);
-                if wrong == EndpointFault::Silent && !begins {
-                    self.returned.push(endpoint);
-                }
-            }
-            return;
-        }
+        let partners = self.scenario.affected_partners(spec);
+        let factor = if begins { spec.size } else { 1.0 };
         match kind {
-            LoadBalanceFault::Burst => {
-                self.traffic.multiply(&affected_partners, if begins { spec.size } else { 1.0 })
-            }
-            LoadBalanceFault::Limit => {
-                for partner in affected_partners {
-                    let factor = if begins { spec.size } else { 1.0 };
-                    self.sites.partners[partner].multiply_limits(self.now, factor);
-                    self.note_limit(partner);
-                }
-                self.spread_news(NEWS);
-            }
+            LoadBalanceFault::Errors => self.set_endpoint_fault(spec, EndpointFault::Errors, begins),
+            LoadBalanceFault::Silent => self.set_endpoint_fault(spec, EndpointFault::Silent, begins),
+            LoadBalanceFault::Slow => self.set_endpoint_fault(spec, EndpointFault::Slow, begins),
+            LoadBalanceFault::Burst => self.traffic.multiply(&partners, factor),
+            LoadBalanceFault::Limit => self.multiply_limits(&partners, factor),
             LoadBalanceFault::Still => self.sites.freeze_reports(begins),
             LoadBalanceFault::SlowFor => {
                 let count = (self.gateways.len() as f64 * spec.size) as usize;
-                self.far = begins.then_some(count);
-            }
-            LoadBalanceFault::Replace if begins => {
-                let old: Vec<usize> =
-                    affected_partners.iter().flat_map(|partner| part(self, partner)).collect();
-                for gone in old {
-                    let (partner, pace) =
-                        (self.sites.endpoints[gone].partner, self.sites.endpoints[gone].pace);
-                    let mut rng = ChaCha8Rng::seed_from_u64(self.rng.random());
-                    let added = self.sites.add(self.scene, partner, pace, self.now, &mut rng);
-                    self.note_endpoint(added);
-                    self.news.push(News { gone, at: self.now });
-                }
-                self.spread_news(Duration::from_secs_f64(spec.lasts));
-            }
-            LoadBalanceFault::Replace => {
-                // All have heard of it: what was replaced goes.
-                for News { gone, at } in self.news.clone() {
-                    if at + Duration::from_secs_f64(spec.lasts) <= self.now {
-                        let until = self.now;
-                        self.sites.endpoints[gone].gone = true;
-                        self.sites.endpoints[gone].until = until;
-                        self.run.record.endpoints[gone].until = until;
-                    }
-                }
+                self.slow_for_instances = begins.then_some(count);
             }
+            LoadBalanceFault::Replace if begins => self.replace_endpoints(spec),
+            LoadBalanceFault::Replace => self.remove_replaced(spec),
             LoadBalanceFault::Restart if begins => {
                 let count = (self.gateways.len() as f64 * spec.size) as u32;
                 (0..count).for_each(|instance| self.lose(instance));
             }
-            _ => {}
+            LoadBalanceFault::Restart => {}
+        }
+    }
+
+    /// The endpoints that a fault affects: its share of those of each affected partner.
+    fn affected_endpoints(&self, spec: &LoadBalanceFaultSpec) -> Vec<usize> {
+        let partners = self.scenario.affected_partners(spec);
+        partners.iter().flat_map(|partner| self.sites.part(*partner, spec.size)).collect()
+    }
+
+    fn set_endpoint_fault(&mut self, spec: &LoadBalanceFaultSpec, fault: EndpointFault, begins: bool) {
+        for endpoint in self.affected_endpoints(spec) {
+            self.sites.wrong(self.now, endpoint, fault, begins);
+            if fault == EndpointFault::Silent && !begins {
+                self.returned.push(endpoint);
+            }
+        }
+    }
+
+    fn multiply_limits(&mut self, partners: &[usize], factor: f64) {
+        for partner in partners.iter().copied() {
+            self.sites.partners[partner].multiply_limits(self.now, factor);
+            self.note_limit(partner);
+        }
+        self.schedule_list_updates(UPDATE_SPREAD);
+    }
+
+    /// Adds a new endpoint for each affected one, and removes those from the endpoint list.
+    fn replace_endpoints(&mut self, spec: &LoadBalanceFaultSpec) {
+        for gone in self.affected_endpoints(spec) {
+            let replaced = &self.sites.endpoints[gone];
+            let (partner, pace) = (replaced.partner, replaced.pace);
+            let mut rng = ChaCha8Rng::seed_from_u64(self.rng.random());
+            let added = self.sites.add(self.scenario, partner, pace, self.now, &mut rng);
+            self.note_endpoint(added);
+            self.removals.push(EndpointRemoval { gone, at: self.now });
+        }
+        self.schedule_list_updates(Duration::from_secs_f64(spec.lasts));
+    }
+
+    /// Takes replaced endpoints out of service once all instances have received the update.
+    fn remove_replaced(&mut self, spec: &LoadBalanceFaultSpec) {
+        let until = self.now;
+        for EndpointRemoval { gone, at } in self.removals.clone() {
+            if at + Duration::from_secs_f64(spec.lasts) <= self.now {
+                self.sites.endpoints[gone].gone = true;
+                self.sites.endpoints[gone].until = until;
+                self.run.record.endpoints[gone].until = until;
+            }
         }
     }
 
-    /// Each instance hears of the list as it is now within so long.
-    fn spread_news(&mut self, within: Duration) {
+    /// Each instance receives the current endpoint list within so long.
+    fn schedule_list_updates(&mut self, within: Duration) {
         for instance in 0..self.gateways.len() as u32 {
             let at = self.now + within.mul_f64(self.rng.random::<f64>());
-            self.schedule(at, Event::Hear { instance });
+            self.schedule(at, Event::ListUpdate { instance });
         }
     }
 }
--- a/crates/simulator/src/load_balance/simulation/gateways.rs
+++ b/crates/simulator/src/load_balance/simulation/gateways.rs
@@ -1,27 +1,44 @@
-//! Gateway instances of a run: what they are handed, what they do, what they hear and how they are lost.
+//! Gateway instances of a run: submissions, commands, endpoint list updates, loss and restart.
 
-use super::super::baseline_client::Nature;
-use super::*;
-use cloverstile::{ClassId, DestinationId, EndpointState, KindId, TenantId, ZoneId};
-use cloverstile_engine::{Admission, Command, FinalOutcome, ResultCacheLimits, SubmitRequest};
+use super::{
+    time, CallAt, Client, ClientPolicy, Event, Gateway, Simulation, RESTARTED_AFTER, SLOW_FOR_DELAY,
+    UPDATE_SPREAD,
+};
+use crate::load_balance::baseline_client::BaselineSettings;
+use crate::load_balance::baseline_client::{
+    Action, AttemptResult, BaselineClient, EndpointSelection, Limiter,
+};
+use crate::load_balance::partners::LoadReport;
+use crate::load_balance::scenario::LoadBalanceScenario;
+use cloverstile::{
+    ClassId, DestinationId, Effect, EndpointId, EndpointState, KindId, RateLimitStatus, Settings, TenantId,
+    Time, ZoneId,
+};
+use cloverstile_engine::{
+    Admission, Attempt, Command, Engine, FinalOutcome, ResultCacheLimits, SubmitRequest, TransportOutcome,
+};
+use cloverstile_fakes::model::Reply;
+use rand::Rng;
+use std::collections::HashMap;
+use std::time::Duration;
 
 /// Share of the instances' tries that a deadline leaves: attempts for a message.
 const SEND_CAP: u32 = 8;
 
-/// What a module is handed at its start.
-pub(super) fn settings(scene: &LoadBalanceScenario) -> Settings {
+/// Settings of the gateway instances.
+pub(super) fn settings(scenario: &LoadBalanceScenario) -> Settings {
     Settings {
-        instance_count: scene.instances as u32,
-        classes: scene.classes(),
+        instance_count: scenario.instances as u32,
+        classes: scenario.classes(),
         kinds: [false, true]
             .map(|own_limits| cloverstile::Kind { max_batch: 1, per_endpoint_limits: own_limits })
             .to_vec(),
-        concurrency_limit: scene.call_slots,
-        max_queued: scene.most_held,
+        concurrency_limit: scenario.call_slots,
+        max_queued: scenario.most_held,
         max_attempts: SEND_CAP,
-        connection_idle_timeout: Duration::from_secs_f64(scene.conn_idle),
+        connection_idle_timeout: Duration::from_secs_f64(scenario.conn_idle),
         max_retry_after: Some(Duration::from_secs(5)),
-        rules: scene.rules.rules(),
+        rules: scenario.rules.rules(),
         ..Settings::default()
     }
 }
@@ -34,15 +51,15 @@
                 Client::Module(Box::new(Engine::new(self.settings.clone(), bounds, seed)))
             }
             ClientPolicy::Baseline(choice, limiter) => {
-                let nature = Nature {
+                let settings = BaselineSettings {
                     number: instance,
-                    instances: self.scene.instances,
+                    instances: self.scenario.instances,
                     choice,
                     limiter,
-                    slots: self.scene.call_slots,
-                    held: self.scene.most_held,
+                    slots: self.scenario.call_slots,
+                    held: self.scenario.most_held,
                 };
-                Client::BaselineClient(Box::new(BaselineClient::new(nature, seed)))
+                Client::BaselineClient(Box::new(BaselineClient::new(settings, seed)))
             }
         };
         let mut gateway = Gateway {
@@ -53,17 +70,17 @@
             held: HashMap::new(),
             holds: Vec::new(),
             idle: HashMap::new(),
-            hears: 0,
+            received_updates: 0,
             down: false,
         };
-        self.tell_list(&mut gateway);
+        self.update_list(&mut gateway);
         gateway
     }
 
-    /// Tells a instance of the list as it is now.
-    fn tell_list(&mut self, gateway: &mut Gateway) {
-        gateway.hears = self.news.len();
-        let replaced: Vec<usize> = self.news.iter().map(|news| news.gone).collect();
+    /// Passes the current endpoint list to an instance.
+    fn update_list(&mut self, gateway: &mut Gateway) {
+        gateway.received_updates = self.removals.len();
+        let replaced: Vec<usize> = self.removals.iter().map(|removals| removals.gone).collect();
         match &mut gateway.client {
             Client::Module(engine) => {
                 let entries = (0..self.sites.endpoints.len()).map(|place| {
@@ -97,12 +114,12 @@
         }
     }
 
-    pub(super) fn hear(&mut self, instance: u32) {
+    pub(super) fn receive_list(&mut self, instance: u32) {
         if self.gateways[instance as usize].down {
             return;
         }
         let mut gateway = std::mem::replace(&mut self.gateways[instance as usize], Gateway::placeholder());
-        self.tell_list(&mut gateway);
+        self.update_list(&mut gateway);
         self.gateways[instance as usize] = gateway;
         self.advance(instance);
     }
@@ -170,14 +187,14 @@
                 let (done, next) = baseline.advance(now);
                 for one in done {
                     match one {
-                        Do::Send { message, endpoint } => self.send(instance, endpoint, message, None),
-                        Do::Probe { endpoint } => {
+                        Action::Send { message, endpoint } => self.send(instance, endpoint, message, None),
+                        Action::Probe { endpoint } => {
                             self.run.probes += 1;
                             let (there, back) = (self.network_delay(), self.network_delay());
                             let epoch = self.gateways[instance as usize].epoch;
                             self.schedule(now + there + back, Event::Probed { instance, epoch, endpoint });
                         }
-                        Do::GiveUp { message, may_have_run } => {
+                        Action::Expire { message, may_have_run } => {
                             self.let_go(instance, message);
                             self.complete(message, 1 + usize::from(may_have_run));
                         }
@@ -241,30 +258,31 @@
         self.messages[number as usize].may_have_run = true;
         let partner = self.sites.endpoints[endpoint].partner;
         let apart = self.sites.partners[partner].spec.apart.then_some(endpoint);
-        let grace = Duration::from_secs_f64(self.scene.rules.drain_grace);
+        let grace = Duration::from_secs_f64(self.scenario.rules.drain_grace);
         let gateway = &mut self.gateways[instance as usize];
         if gateway.waits.get(&(partner, apart)).is_some_and(|until| now < *until) {
             self.run.violations.waits_broken += 1;
         }
-        let known_gone = self.news[..gateway.hears].iter().find(|news| news.gone == endpoint);
+        let known_gone =
+            self.removals[..gateway.received_updates].iter().find(|removals| removals.gone == endpoint);
         // Counted from the latest moment at which it can have heard of it.
-        if known_gone.is_some_and(|news| now > news.at + NEWS.max(grace) + grace) {
+        if known_gone.is_some_and(|removals| now > removals.at + UPDATE_SPREAD.max(grace) + grace) {
             self.run.violations.after_drain += 1;
         }
         let idle = gateway.idle.entry(endpoint).or_default();
-        let fresh = Duration::from_secs_f64(self.scene.conn_idle);
+        let fresh = Duration::from_secs_f64(self.scenario.conn_idle);
         idle.retain(|since| now - *since < fresh);
         let connected = idle.pop().is_some();
         let epoch = gateway.epoch;
         let mut at = now + self.network_delay();
         if !connected {
             self.run.record.connections += 1;
-            at += Duration::from_secs_f64(self.scene.connect_ms / 1e3);
+            at += Duration::from_secs_f64(self.scenario.connect_ms / 1e3);
         }
         // `slow-for`: the first endpoint of each partner, for the first instances.
         let first = self.sites.partners[partner].endpoints.first() == Some(&endpoint);
-        if first && self.far.is_some_and(|count| (instance as usize) < count) {
-            at += FAR;
+        if first && self.slow_for_instances.is_some_and(|count| (instance as usize) < count) {
+            at += SLOW_FOR_DELAY;
         }
         let call = self.calls.len();
         self.calls.push(CallAt {
@@ -317,10 +335,10 @@
             }
             Client::BaselineClient(baseline) => {
                 let how = match reply {
-                    _ if at.refused_connection => Ended::Refused(None),
-                    Reply::Processed => Ended::Delivered,
-                    Reply::Rejected(wait) => Ended::Refused(wait),
-                    Reply::Error | Reply::Truncated | Reply::Reset => Ended::Unknown,
+                    _ if at.refused_connection => AttemptResult::Refused(None),
+                    Reply::Processed => AttemptResult::Delivered,
+                    Reply::Rejected(wait) => AttemptResult::Refused(wait),
+                    Reply::Error | Reply::Truncated | Reply::Reset => AttemptResult::Unknown,
                 };
                 over = baseline.ended(now, number, how, Some(load));
             }
@@ -352,7 +370,7 @@
             self.stop_waiting(number);
             let message = &self.messages[number as usize];
             let class = &self.settings.classes[message.class];
-            // A client does not come again with what may have run and may not be repeated.
+            // A client does not resubmit a message that may have run and may not be repeated.
             if message.answered || (message.may_have_run && class.effect == Effect::Unsafe) {
                 if !message.answered {
                     self.complete(number, 2);
@@ -366,9 +384,9 @@
 }
 
 impl Gateway {
-    /// Stands in while a gateway is changed.
+    /// Placeholder while a gateway is being changed.
     fn placeholder() -> Gateway {
-        let nature = Nature {
+        let settings = BaselineSettings {
             number: 0,
             instances: 1,
             choice: EndpointSelection::Random,
@@ -377,14 +395,14 @@
             held: 0,
         };
         Gateway {
-            client: Client::BaselineClient(Box::new(BaselineClient::new(nature, 0))),
+            client: Client::BaselineClient(Box::new(BaselineClient::new(settings, 0))),
             epoch: 0,
             wake: None,
             waits: HashMap::new(),
             held: HashMap::new(),
             holds: Vec::new(),
             idle: HashMap::new(),
-            hears: 0,
+            received_updates: 0,
             down: false,
         }
     }
--- a/crates/simulator/src/load_balance/traffic.rs
+++ b/crates/simulator/src/load_balance/traffic.rs
@@ -7,18 +7,18 @@
 use rand_distr::Exp1;
 use std::time::Duration;
 
-/// A message that is about to be submitted.
+/// The arrival of a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Arrival {
-    /// Place of its class in the scene.
+    /// Index of its class in the scenario.
     pub class: usize,
-    /// Its partner.
+    /// Index of its partner.
     pub partner: usize,
     /// ClientPolicy gets it.
     pub instance: usize,
 }
 
-/// The traffic of a scene.
+/// The traffic of a scenario.
 pub struct Traffic {
     rate: f64,
     shares: Vec<f64>,
@@ -29,7 +29,7 @@
 }
 
 fn weighted(shares: &[f64]) -> WeightedIndex<f64> {
-    // Scenes are checked: shares that add up to nothing fall back to even ones.
+    // Scenarios are checked: shares that add up to zero fall back to equal ones.
     let even = vec![1.0; shares.len().max(1)];
     WeightedIndex::new(shares.iter().copied())
         .or_else(|_| WeightedIndex::new(even))
@@ -37,14 +37,14 @@
 }
 
 impl Traffic {
-    /// As the scene has it.
-    pub fn new(scene: &LoadBalanceScenario) -> Traffic {
-        let shares = scene.partner_shares();
+    /// The traffic that a scenario states.
+    pub fn new(scenario: &LoadBalanceScenario) -> Traffic {
+        let shares = scenario.partner_shares();
         Traffic {
-            rate: scene.rate,
+            rate: scenario.rate,
             factors: vec![1.0; shares.len()],
-            by_load: weighted(&scene.instance_loads()),
-            by_class: weighted(&scene.class.values().map(|class| class.share).collect::<Vec<_>>()),
+            by_load: weighted(&scenario.instance_loads()),
+            by_class: weighted(&scenario.class.values().map(|class| class.share).collect::<Vec<_>>()),
             by_partner: weighted(&shares),
             shares,
         }
@@ -54,13 +54,13 @@
         self.shares.iter().zip(&self.factors).map(|(share, factor)| share * factor).collect()
     }
 
-    /// From now on these partners get so many times their usual traffic.
+    /// Multiplies the usual traffic of these partners from now on.
     pub fn multiply(&mut self, partners: &[usize], factor: f64) {
         partners.iter().for_each(|partner| self.factors[*partner] = factor);
         self.by_partner = weighted(&self.wanted());
     }
 
-    /// Until the next message.
+    /// Draws the time until the next message.
     pub fn gap(&self, rng: &mut ChaCha8Rng) -> Duration {
         let usual: f64 = self.shares.iter().sum();
         let rate = self.rate * self.wanted().iter().sum::<f64>() / usual.max(1e-9);
@@ -68,7 +68,7 @@
         Duration::from_secs_f64(gap / rate.max(1e-6))
     }
 
-    /// The message of this moment.
+    /// Draws the next message.
     pub fn draw(&self, rng: &mut ChaCha8Rng) -> Arrival {
         let (class, partner) = (self.by_class.sample(rng), self.by_partner.sample(rng));
         Arrival { class, partner, instance: self.by_load.sample(rng) }
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -1,4 +1,5 @@
-//! Parts of scenario files that both simulations share: errors, message classes and the rules of the platform. Times are
+//! Parts of scenario files that both simulations share: errors, message classes and the rules of the platform.
+//! Times are
 //! in seconds, rates in a second.
 
 use cloverstile::{Class, Effect, Group, Rules};
@@ -33,19 +34,19 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RuleSpec {
-    /// An answer counts so long after the deadline.
+    /// Grace period after the deadline in which a response still counts.
     pub answer_slack: f64,
-    /// Nothing new to a draining endpoint so long after it was told.
+    /// No new request to a draining endpoint so long after it was listed as draining.
     pub drain_grace: f64,
-    /// A key rests so long after an attempt of unknown fate.
+    /// Cooldown of an order key after an attempt of unknown outcome.
     pub order_settle: f64,
-    /// A site comes back with this share of its capacity ...
+    /// Share of its capacity with which a site recovers.
     pub cold_from: f64,
-    /// ... and is warm after so long.
+    /// Time until a recovering site is warmed up.
     pub cold: f64,
-    /// What it survives meanwhile, as a multiple of what it can do ...
+    /// Load that a site survives while it warms up, as a multiple of its capacity.
     pub tip_multiple: f64,
-    /// ... over so long.
+    /// Time over which that load is measured.
     pub fall: f64,
 }
 
@@ -89,17 +90,17 @@
     /// `all` or `zone`.
     #[serde(default = "all")]
     pub group: String,
-    /// Keeps its order by key.
+    /// Messages of an order key are delivered in order.
     #[serde(default)]
     pub in_order: bool,
-    /// Keys of each bank, for classes in order.
+    /// Order keys of each destination, for ordered classes.
     #[serde(default = "keys")]
     pub keys: u32,
-    /// Wanted within.
+    /// Latency objective.
     pub aim: f64,
-    /// Given up after.
+    /// Messages expire after so long.
     pub deadline: f64,
-    /// Repeats are dropped for so long.
+    /// Time in which partners drop repeats.
     #[serde(default)]
     pub window: f64,
     /// Worth of one on time.
@@ -111,7 +112,7 @@
 }
 
 impl ClassSpec {
-    /// Worth of a message delivered at this age, in seconds: all of it within the aim, then falling evenly to
+    /// Worth of a message delivered at this age, in seconds: all of it within the latency objective, then falling linearly to
     /// `late_share` at the deadline.
     pub fn worth_at(&self, age: f64) -> f64 {
         let late = ((age - self.aim) / (self.deadline - self.aim).max(0.001)).clamp(0.0, 1.0);
--- a/crates/simulator/tests/failover.rs
+++ b/crates/simulator/tests/failover.rs
@@ -1,4 +1,4 @@
-//! Runs are the same for one seed, keep the rules, and tell broken ones.
+//! Failover runs are deterministic, keep the invariants, and report violations.
 
 use cloverstile_simulator::{
     read_failover_scenario, simulate_failover, FailoverScenario, SpilloverPolicy, FAILOVER_SCENARIOS,
@@ -11,7 +11,7 @@
 }
 
 #[test]
-fn one_seed_gives_one_run_and_another_another() {
+fn same_seed_repeats_a_run_and_another_seed_does_not() {
     let mut scenario = built_in("surge");
     scenario.seconds = 12.0;
     let told = |seed| format!("{:?}", simulate_failover(&scenario, SpilloverPolicy::Planner, seed));
@@ -20,7 +20,7 @@
 }
 
 #[test]
-fn the_rules_hold_whoever_spreads_the_messages() {
+fn every_spillover_policy_keeps_the_invariants() {
     let scenario = built_in("surge");
     for policy in SpilloverPolicy::ALL {
         let run = simulate_failover(&scenario, policy, 5);
@@ -30,16 +30,16 @@
 }
 
 #[test]
-fn what_breaks_is_told() {
+fn site_collapse_is_reported_as_a_violation() {
     let mut scenario = built_in("surge");
-    // Gateway instances are told the same figure; nobody can keep to so little.
+    // Gateways have the same figure in their settings, but cannot keep to so little.
     scenario.rules.tip_multiple = 0.02;
     let run = simulate_failover(&scenario, SpilloverPolicy::NoSpillover, 5);
     assert!(run.violations.pushed_over > 0, "{:?}", run.violations);
 }
 
 #[test]
-fn scenarios_that_cannot_be_played_say_why() {
+fn invalid_scenarios_are_rejected_with_the_reason() {
     let (_, text) = FAILOVER_SCENARIOS[0];
     for (wrong, told) in [
         (text.replace("tier    = 1", "tier    = 2"), "must be 0, 1, 2"),
