The partner model's profile without pairs of unnamed values

Need: service and cold were pairs whose positions had to be looked up.

Change: min_service_time, mean_extra_service_time, initial_capacity_share and warm_up_time; the same values in the same arithmetic.

--- a/crates/fakes/src/model.rs
+++ b/crates/fakes/src/model.rs
@@ -13,16 +13,20 @@
     pub servers: usize,
     /// Requests that may wait for a server.
     pub queue: usize,
-    /// Least service time of a request, and the mean of the exponentially distributed rest.
-    pub service: (Duration, Duration),
+    /// Least service time of a request.
+    pub min_service_time: Duration,
+    /// Mean of the exponentially distributed time on top of it.
+    pub mean_extra_service_time: Duration,
     /// Requests a second that it accepts from all gateways together; none: its capacity is the only limit.
     pub limit: Option<f64>,
     /// Rejections carry `Retry-After`.
     pub sends_retry_after: bool,
     /// How long a repeat of a message takes no effect.
     pub repeat_window: Duration,
-    /// After an outage: share of its capacity at first, and how long until it is warmed up.
-    pub cold: (f64, Duration),
+    /// Share of its capacity (0 to 1) right after an outage.
+    pub initial_capacity_share: f64,
+    /// Time after an outage until it has its whole capacity again.
+    pub warm_up_time: Duration,
     /// It collapses under more than this multiple of its present capacity while warming up ...
     pub collapse_multiple: f64,
     /// ... over this time.
@@ -34,11 +38,13 @@
         ServerProfile {
             servers: 8,
             queue: 16,
-            service: (Duration::from_millis(10), Duration::from_millis(20)),
+            min_service_time: Duration::from_millis(10),
+            mean_extra_service_time: Duration::from_millis(20),
             limit: None,
             sends_retry_after: false,
             repeat_window: Duration::from_secs(10),
-            cold: (0.2, Duration::from_secs(4)),
+            initial_capacity_share: 0.2,
+            warm_up_time: Duration::from_secs(4),
             collapse_multiple: 2.0,
             collapse_window: Duration::from_secs(1),
         }
@@ -48,7 +54,8 @@
 impl ServerProfile {
     /// Requests a second that it can serve when warmed up.
     pub fn capacity(&self) -> f64 {
-        self.servers as f64 / (self.service.0 + self.service.1).as_secs_f64().max(1e-6)
+        let mean = self.min_service_time + self.mean_extra_service_time;
+        self.servers as f64 / mean.as_secs_f64().max(1e-6)
     }
 
     /// Requests a second that it accepts when warmed up: the lesser of limit and capacity.
@@ -58,8 +65,8 @@
 
     /// Share of its capacity (0 to 1) so long after the end of an outage.
     pub fn capacity_share(&self, after: Duration) -> f64 {
-        let (from, whole) = self.cold;
-        let part = after.as_secs_f64() / whole.as_secs_f64().max(1e-6);
+        let from = self.initial_capacity_share;
+        let part = after.as_secs_f64() / self.warm_up_time.as_secs_f64().max(1e-6);
         (from + (1.0 - from) * part).min(1.0)
     }
 }
@@ -295,7 +302,7 @@
     /// Counts a request against the collapse threshold while warming up.
     fn count_recent_request(&mut self, now: Duration) {
         let Some(since) = self.recovering_since else { return };
-        if now.saturating_sub(since) > self.profile.cold.1 {
+        if now.saturating_sub(since) > self.profile.warm_up_time {
             self.recovering_since = None;
             return;
         }
@@ -334,7 +341,7 @@
 
     /// Gives the request to the server that is free first; returns when it is served.
     fn serve(&mut self, now: Duration) -> Duration {
-        let (least, more) = self.profile.service;
+        let (least, more) = (self.profile.min_service_time, self.profile.mean_extra_service_time);
         let drawn: f64 = -(1.0 - self.rng.random::<f64>()).max(1e-9).ln();
         let factor = match self.fault {
             Some((Fault::Slow(times), _)) => times,
--- a/crates/fakes/tests/model.rs
+++ b/crates/fakes/tests/model.rs
@@ -36,8 +36,12 @@
 
 #[test]
 fn overloaded_partner_collapses_while_warming_up_and_stays_down() {
-    let profile =
-        ServerProfile { servers: 3, service: (seconds(0.1), seconds(0.0)), ..ServerProfile::default() };
+    let profile = ServerProfile {
+        servers: 3,
+        min_service_time: seconds(0.1),
+        mean_extra_service_time: seconds(0.0),
+        ..ServerProfile::default()
+    };
     let mut overloaded = partner(profile.clone());
     overloaded.begin_fault(Fault::Unavailable, seconds(1.0));
     overloaded.end_fault(seconds(1.0));
--- a/crates/simulator/src/failover/scenario.rs
+++ b/crates/simulator/src/failover/scenario.rs
@@ -272,11 +272,13 @@
         ServerProfile {
             servers: site.servers,
             queue: site.queue,
-            service: (span(site.service_ms[0] / 1e3), span(site.service_ms[1] / 1e3)),
+            min_service_time: span(site.service_ms[0] / 1e3),
+            mean_extra_service_time: span(site.service_ms[1] / 1e3),
             limit: site.limit,
             sends_retry_after: site.tells_wait,
             repeat_window: longest_retry_window(&self.class),
-            cold: (self.rules.cold_from, span(self.rules.cold)),
+            initial_capacity_share: self.rules.cold_from,
+            warm_up_time: span(self.rules.cold),
             collapse_multiple: self.rules.tip_multiple,
             collapse_window: span(self.rules.fall),
         }
--- a/crates/simulator/src/failover/simulation/recovery.rs
+++ b/crates/simulator/src/failover/simulation/recovery.rs
@@ -9,7 +9,7 @@
     pub(super) fn count(&mut self, now: Duration) {
         let Some(since) = self.returned.filter(|_| self.model.fault().is_none()) else { return };
         let place = ((now - since).as_nanos() / WINDOW.as_nanos()) as usize;
-        let watched = self.model.profile().cold.1.mul_f64(WATCHED);
+        let watched = self.model.profile().warm_up_time.mul_f64(WATCHED);
         if now - since < watched {
             if self.received.len() <= place {
                 self.received.resize(place + 1, 0);
@@ -21,7 +21,7 @@
     pub(super) fn close_windows(&mut self, now: Duration, windows: &mut Vec<RecoveryWindow>) {
         let Some(since) = self.returned.take() else { return };
         let nature = self.model.profile();
-        let watched = nature.cold.1.mul_f64(WATCHED).min(now - since);
+        let watched = nature.warm_up_time.mul_f64(WATCHED).min(now - since);
         let count = (watched.as_nanos() / WINDOW.as_nanos()) as usize;
         self.received.resize(count.max(self.received.len()), 0);
         for (place, received) in std::mem::take(&mut self.received).into_iter().enumerate() {
--- a/crates/simulator/src/load_balance/scenario.rs
+++ b/crates/simulator/src/load_balance/scenario.rs
@@ -321,11 +321,13 @@
         ServerProfile {
             servers: ((partner.servers as f64 * pace).round() as usize).max(1),
             queue: partner.queue,
-            service: (span(partner.service_ms[0] / 1e3), span(partner.service_ms[1] / 1e3)),
+            min_service_time: span(partner.service_ms[0] / 1e3),
+            mean_extra_service_time: span(partner.service_ms[1] / 1e3),
             limit: None,
             sends_retry_after: false,
             repeat_window: longest_retry_window(&self.class),
-            cold: (self.rules.cold_from, span(self.rules.cold)),
+            initial_capacity_share: self.rules.cold_from,
+            warm_up_time: span(self.rules.cold),
             collapse_multiple: self.rules.tip_multiple,
             collapse_window: span(self.rules.fall),
         }
--- a/crates/testbench/src/day.rs
+++ b/crates/testbench/src/day.rs
@@ -330,14 +330,13 @@
         let nature = |partner: &PartnerDay| ServerProfile {
             servers: partner.servers,
             queue: partner.queue,
-            service: (
-                Duration::from_millis(partner.service_ms[0]),
-                Duration::from_millis(partner.service_ms[1]),
-            ),
+            min_service_time: Duration::from_millis(partner.service_ms[0]),
+            mean_extra_service_time: Duration::from_millis(partner.service_ms[1]),
             limit: partner.limit,
             sends_retry_after: partner.tells_wait,
             repeat_window: ms(partner.repeats_s),
-            cold: (rules.cold_from, Duration::from_millis(rules.cold_ms)),
+            initial_capacity_share: rules.cold_from,
+            warm_up_time: Duration::from_millis(rules.cold_ms),
             collapse_multiple: rules.tip_multiple,
             collapse_window: Duration::from_millis(rules.fall_ms),
         };
--- a/crates/testbench/src/returns.rs
+++ b/crates/testbench/src/returns.rs
@@ -53,7 +53,7 @@
     nature: &ServerProfile,
 ) -> Vec<Window> {
     let last = lines.last().map_or(since, |line| line.at);
-    let watched = nature.cold.1.mul_f64(WATCHED).min(Duration::from_micros(last.saturating_sub(since)));
+    let watched = nature.warm_up_time.mul_f64(WATCHED).min(Duration::from_micros(last.saturating_sub(since)));
     let mut received = vec![0_u32; (watched.as_nanos() / WINDOW.as_nanos()) as usize];
     for line in lines.iter().filter(|line| line.at >= since) {
         let ObservedEvent::RequestReceived { partner: to, endpoint, .. } = &line.event else { continue };
