--- a/crates/as2/src/mime.rs
+++ b/crates/as2/src/mime.rs
@@ -88,7 +88,7 @@
         decode(self.headers.get("content-transfer-encoding"), &self.body)
     }
 
-    /// Its type; text/plain where none is told (RFC 2045, section 5.2).
+    /// Its content type; text/plain where none is given (RFC 2045, section 5.2).
     pub fn content_type(&self) -> ContentType {
         ContentType::read(self.headers.get("content-type").unwrap_or("text/plain"))
     }
--- a/crates/as2/src/secure.rs
+++ b/crates/as2/src/secure.rs
@@ -201,10 +201,10 @@
     let signed = match &signer.signed_attrs {
         None => content.to_vec(),
         Some(attributes) => {
-            let told = attributes.iter().find(|a| a.oid == rfc5911::ID_MESSAGE_DIGEST);
-            let told = told.and_then(|a| a.values.iter().next()).ok_or(As2Error::Digest)?;
-            let told = told.decode_as::<OctetString>().map_err(cms("signed digest"))?;
-            if told.as_bytes() != digest.of(content) {
+            let signed_digest = attributes.iter().find(|a| a.oid == rfc5911::ID_MESSAGE_DIGEST);
+            let signed_digest = signed_digest.and_then(|a| a.values.iter().next()).ok_or(As2Error::Digest)?;
+            let signed_digest = signed_digest.decode_as::<OctetString>().map_err(cms("signed digest"))?;
+            if signed_digest.as_bytes() != digest.of(content) {
                 return Err(As2Error::Digest);
             }
             attributes.to_der().map_err(cms("signed attributes"))?
@@ -417,7 +417,7 @@
 
 /// The content key that a recipient entry carries for this identity. Where the transport does not decrypt, a
 /// random key goes on in its place (RFC 3218, section 2.3.2): what fails then fails alike for every sender, so
-/// that answers can't be used to decrypt step by step.
+/// that responses can't be used as a decryption oracle.
 fn content_key(recipients: &RecipientInfos, identity: &Identity, length: usize) -> Result<Vec<u8>, As2Error> {
     let PrivateKey::Rsa { pkcs1, oaep, .. } = &identity.key else { return Err(As2Error::Decrypt) };
     let mine = recipients.0.iter().find_map(|recipient| match recipient {
--- a/crates/as2/tests/messages.rs
+++ b/crates/as2/tests/messages.rs
@@ -16,12 +16,12 @@
     std::str::from_utf8(bytes).unwrap()
 }
 
-fn station(name: &str, key: &[u8], certificate: &[u8]) -> Identity {
+fn identity(name: &str, key: &[u8], certificate: &[u8]) -> Identity {
     Identity::from_pem(name, text(key), text(certificate)).unwrap()
 }
 
-static A: LazyLock<Identity> = LazyLock::new(|| station("station a", data!("a.key"), data!("a.crt")));
-static E: LazyLock<Identity> = LazyLock::new(|| station("E", data!("e.key"), data!("e.crt")));
+static A: LazyLock<Identity> = LazyLock::new(|| identity("station a", data!("a.key"), data!("a.crt")));
+static E: LazyLock<Identity> = LazyLock::new(|| identity("E", data!("e.key"), data!("e.crt")));
 static OTHER: LazyLock<Identity> = LazyLock::new(|| {
     let (key, certificate) = new_station("other", NewKey::P256, (2026, 1, 1), (2036, 1, 1)).unwrap();
     Identity::from_pem("other", &key, &certificate).unwrap()
@@ -287,7 +287,7 @@
         let at = at.index(body.len());
         if cut { body.truncate(at) } else { body[at] = byte }
         if let Ok(opened) = opened(&composed.headers, &body) {
-            // Damage to CBC can turn the inner fields into others; what is then not signed is told as such.
+            // Damage to CBC can turn the inner fields into others; what is then not signed is reported as such.
             if opened.signed.is_some() {
                 prop_assert_eq!(opened.payload.body, b"amount=100");
             }
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -35,8 +35,8 @@
     let name = gateway_block.required("name");
     let key = gateway_block.required("key");
     let certificate = gateway_block.required("certificate");
-    let couriers: u32 = gateway_block.number("couriers", 1, 100_000, 1);
-    let place = gateway_block.number("place", 0, i64::from(couriers) - 1, -1);
+    let instances: u32 = gateway_block.number("couriers", 1, 100_000, 1);
+    let place = gateway_block.number("place", 0, i64::from(instances) - 1, -1);
     Some(IdentityFiles {
         name: name?,
         key: key?.into(),
