--- a/crates/simulator/src/load_balance.rs
+++ b/crates/simulator/src/load_balance.rs
@@ -6,16 +6,18 @@
 mod baseline_client;
 mod partners;
 mod scenario;
+mod selection;
 mod simulation;
 mod traffic;
 
-pub use baseline_client::{EndpointSelection, Limiter};
+pub use baseline_client::Limiter;
 pub use partners::{
     EndpointFault, EndpointResponse, LoadReport, SimulatedEndpoint, SimulatedPartner, SimulatedPartners,
 };
 pub use scenario::{
     read_load_balance_scenario, LoadBalanceFault, LoadBalanceFaultSpec, LoadBalanceScenario, PartnerSpec,
 };
+pub use selection::EndpointSelection;
 pub use simulation::{simulate_load_balance, ClientPolicy, LoadBalanceRun, LoadBalanceViolations};
 pub use traffic::{Arrival, Traffic};
 
--- a/crates/simulator/src/load_balance/baseline_client.rs
+++ b/crates/simulator/src/load_balance/baseline_client.rs
@@ -2,66 +2,12 @@
 //! around a plain queue: oldest first, retries after exponential backoff with full jitter. Not for production.
 
 use super::partners::LoadReport;
-use rand::seq::SliceRandom;
+use super::selection::{EndpointSelection, EndpointState, InstancePosition, ProbePool, Selection};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-/// Rule of endpoint selection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum EndpointSelection {
-    /// Uniformly at random.
-    Random,
-    /// Round robin; all instances begin at the same endpoint.
-    RoundRobin,
-    /// Fewest own requests in flight, the first listed of equals.
-    LeastInFlight,
-    /// Power of two choices by own requests in flight.
-    TwoChoices,
-    /// Fewest requests in flight by the last load report.
-    LeastReported,
-    /// Round robin within a deterministic subset of two: each round of instances shares one shuffle.
-    Subsets,
-    /// Power of two choices within a slice of a ring, two endpoints wide, at a position by instance number.
-    Ring,
-    /// Weighted random by served requests over requests in flight, as last reported.
-    WeightedByReports,
-    /// Probing with a pool of recent responses: lowest latency of those not hot by requests in flight, else
-    /// fewest in flight.
-    Probed,
-}
-
-impl EndpointSelection {
-    /// All of them.
-    pub const ALL: [EndpointSelection; 9] = [
-        EndpointSelection::Random,
-        EndpointSelection::RoundRobin,
-        EndpointSelection::LeastInFlight,
-        EndpointSelection::TwoChoices,
-        EndpointSelection::LeastReported,
-        EndpointSelection::Subsets,
-        EndpointSelection::Ring,
-        EndpointSelection::WeightedByReports,
-        EndpointSelection::Probed,
-    ];
-
-    /// The name that command lines use.
-    pub fn name(self) -> &'static str {
-        match self {
-            EndpointSelection::Random => "random",
-            EndpointSelection::RoundRobin => "round-robin",
-            EndpointSelection::LeastInFlight => "least-out",
-            EndpointSelection::TwoChoices => "two-choices",
-            EndpointSelection::LeastReported => "least-reported",
-            EndpointSelection::Subsets => "subsets",
-            EndpointSelection::Ring => "ring",
-            EndpointSelection::WeightedByReports => "weighted-by-reports",
-            EndpointSelection::Probed => "probed",
-        }
-    }
-}
-
 /// Rule for keeping to a limit that all instances share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Limiter {
@@ -90,14 +36,8 @@
     }
 }
 
-/// Width of subsets and slices, in endpoints.
-const SLICE: usize = 2;
-/// Probes with each call, how many answers are kept, and for how long one is fresh.
+/// Probes with each call.
 const PROBES: usize = 2;
-const POOL: usize = 16;
-const FRESH: Duration = Duration::from_secs(1);
-/// Endpoints with requests in flight above this quantile of the pool are hot.
-const HOT: f64 = 0.8;
 /// Seconds over which adaptive throttling counts.
 const COUNTED_S: f64 = 30.0;
 /// Shortest and longest backoff before a retry.
@@ -124,7 +64,7 @@
     Send { message: u32, endpoint: usize },
     /// Ask an endpoint for its load.
     Probe { endpoint: usize },
-    /// Give it up: by then it was sent or not.
+    /// The message expires; `may_have_run` states whether it may have taken effect.
     Expire { message: u32, may_have_run: bool },
 }
 
@@ -140,8 +80,9 @@
 #[derive(Default)]
 struct Partner {
     endpoints: Vec<usize>,
-    told_rate: Option<f64>,
-    turn: usize,
+    advertised_rate: Option<f64>,
+    /// Round-robin position.
+    position: usize,
     queue: VecDeque<u32>,
     /// Rate of the limiter, and its tokens.
     rate: f64,
@@ -153,22 +94,13 @@
     wait: Duration,
 }
 
-/// Client-side state of an endpoint.
-#[derive(Default)]
-struct EndpointState {
-    out: u32,
-    load: LoadReport,
-    latency: f64,
-}
-
 /// A baseline client: an endpoint selection and a limiter.
 pub struct BaselineClient {
     settings: BaselineSettings,
     rng: ChaCha8Rng,
     partners: Vec<Partner>,
     known: BTreeMap<usize, EndpointState>,
-    /// Probe responses: endpoint, requests in flight, latency, time.
-    pool: VecDeque<(usize, f64, f64, Duration)>,
+    probe_pool: ProbePool,
     messages: BTreeMap<u32, PendingMessage>,
     later: BTreeSet<(Duration, u32)>,
     deadlines: BTreeSet<(Duration, u32)>,
@@ -183,7 +115,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             partners: Vec::new(),
             known: BTreeMap::new(),
-            pool: VecDeque::new(),
+            probe_pool: ProbePool::default(),
             messages: BTreeMap::new(),
             later: BTreeSet::new(),
             deadlines: BTreeSet::new(),
@@ -197,12 +129,12 @@
         self.partners.resize_with(lists.len(), Partner::default);
         let even = 1.0 / self.settings.instances.max(1) as f64;
         for (partner, (endpoints, rate)) in self.partners.iter_mut().zip(lists) {
-            if partner.told_rate.is_none() {
+            if partner.advertised_rate.is_none() {
                 // One request may go at once; the rate begins at the fair share.
                 partner.rate = rate.map_or(f64::INFINITY, |rate| rate * even);
                 partner.tokens = 1.0;
             }
-            partner.told_rate = rate;
+            partner.advertised_rate = rate;
             partner.endpoints = endpoints;
         }
     }
@@ -230,13 +162,14 @@
         }
         if let Some((endpoint, _)) = waiting.out {
             self.out -= 1;
-            self.known.entry(endpoint).and_modify(|known| known.out = known.out.saturating_sub(1));
+            self.known
+                .entry(endpoint)
+                .and_modify(|known| known.in_flight = known.in_flight.saturating_sub(1));
         }
     }
 
-    /// An attempt completed: delivered, rejected (with its `Retry-After`, if any), or of unknown outcome. True
-    /// if that is the
-    /// message's end.
+    /// An attempt completed: delivered, rejected (with its `Retry-After`, if any), or of unknown outcome. True if
+    /// this completes the message.
     pub fn ended(
         &mut self,
         now: Duration,
@@ -248,7 +181,7 @@
         let Some((endpoint, sent)) = waiting.out.take() else { return false };
         self.out -= 1;
         let known = self.known.entry(endpoint).or_default();
-        known.out = known.out.saturating_sub(1);
+        known.in_flight = known.in_flight.saturating_sub(1);
         known.load = load.unwrap_or(known.load);
         let partner = &mut self.partners[waiting.partner];
         match how {
@@ -275,10 +208,7 @@
     /// A probe came back.
     pub fn probed(&mut self, now: Duration, endpoint: usize, in_hand: f64) {
         let latency = self.known.entry(endpoint).or_default().latency;
-        self.pool.push_back((endpoint, in_hand, latency, now));
-        if self.pool.len() > POOL {
-            self.pool.pop_front();
-        }
+        self.probe_pool.add(now, endpoint, in_hand, latency);
     }
 
     /// All that can be done now, and when to ask again.
@@ -327,7 +257,7 @@
                 waiting.tries += 1;
                 waiting.out = Some((endpoint, now));
                 self.out += 1;
-                self.known.entry(endpoint).or_default().out += 1;
+                self.known.entry(endpoint).or_default().in_flight += 1;
                 earlier(now + ATTEMPT_TIMEOUT);
                 done.push(Action::Send { message, endpoint });
             }
@@ -353,10 +283,10 @@
         partner.filled = now;
         match limiter {
             Limiter::None => Ok(()),
-            _ if partner.told_rate.is_none() && limiter != Limiter::Adaptive => Ok(()),
+            _ if partner.advertised_rate.is_none() && limiter != Limiter::Adaptive => Ok(()),
             Limiter::Aimd | Limiter::FairShare => {
                 if limiter == Limiter::Aimd {
-                    partner.rate = (partner.rate + passed).min(partner.told_rate.unwrap_or(1e6));
+                    partner.rate = (partner.rate + passed).min(partner.advertised_rate.unwrap_or(1e6));
                 }
                 partner.tokens = (partner.tokens + passed * partner.rate).min((partner.rate * 0.4).max(1.0));
                 if partner.tokens < 1.0 {
@@ -381,106 +311,37 @@
     }
 
     fn choose(&mut self, now: Duration, place: usize, done: &mut Vec<Action>) -> Option<usize> {
-        let BaselineClient { settings, rng, partners, known, pool, .. } = self;
-        let partner = &mut partners[place];
-        let endpoints = &partner.endpoints;
-        let count = endpoints.len();
-        if count == 0 {
+        let BaselineClient { settings, rng, partners, known, probe_pool, .. } = self;
+        let Partner { endpoints, position, .. } = &mut partners[place];
+        if endpoints.is_empty() {
             return None;
         }
-        let out = |endpoint: usize| known.get(&endpoint).map_or(0, |known| known.out);
-        let load = |endpoint: usize| known.get(&endpoint).map_or(LoadReport::default(), |known| known.load);
-        let two = |rng: &mut ChaCha8Rng, among: &[usize]| {
-            let first = among[rng.random_range(0..among.len())];
-            let second = among[rng.random_range(0..among.len())];
-            if out(second) < out(first) {
-                second
-            } else {
-                first
-            }
-        };
-        Some(match settings.choice {
-            EndpointSelection::Random => endpoints[rng.random_range(0..count)],
-            EndpointSelection::RoundRobin => {
-                partner.turn += 1;
-                endpoints[(partner.turn - 1) % count]
-            }
-            EndpointSelection::LeastInFlight => endpoints.iter().copied().min_by_key(|e| out(*e))?,
-            EndpointSelection::TwoChoices => two(rng, endpoints),
-            EndpointSelection::LeastReported => {
-                let least = endpoints.iter().map(|e| load(*e).in_hand).fold(f64::INFINITY, f64::min);
-                let equal: Vec<usize> =
-                    endpoints.iter().copied().filter(|e| load(*e).in_hand <= least).collect();
-                equal[rng.random_range(0..equal.len())]
-            }
+        let instance = InstancePosition { number: settings.number, instances: settings.instances };
+        let mut selection = Selection { rng, endpoints, states: known, position, instance };
+        match settings.choice {
+            EndpointSelection::Random => Some(selection.random()),
+            EndpointSelection::RoundRobin => Some(selection.round_robin(selection.endpoints)),
+            EndpointSelection::LeastInFlight => selection.least_in_flight(),
+            EndpointSelection::TwoChoices => Some(selection.two_choices(selection.endpoints)),
+            EndpointSelection::LeastReported => Some(selection.least_reported()),
             EndpointSelection::Subsets => {
-                // So many instances share out all endpoints; each such round is shuffled by its number.
-                let parts = (count / SLICE).max(1);
-                let (round, part) = (settings.number / parts, settings.number % parts);
-                let mut order = endpoints.clone();
-                order.shuffle(&mut ChaCha8Rng::seed_from_u64(round as u64));
-                let own: Vec<usize> = order.into_iter().skip(part * SLICE).take(SLICE).collect();
-                partner.turn += 1;
-                own[(partner.turn - 1) % own.len()]
+                let subset = selection.subset();
+                Some(selection.round_robin(&subset))
             }
             EndpointSelection::Ring => {
-                let start = settings.number * count / settings.instances.max(1);
-                let own: Vec<usize> = (0..SLICE.min(count)).map(|n| endpoints[(start + n) % count]).collect();
-                two(rng, &own)
-            }
-            EndpointSelection::WeightedByReports => {
-                let weight = |e: &usize| {
-                    let load = load(*e);
-                    if load.served > 0.0 {
-                        load.served / load.in_hand.max(0.5)
-                    } else {
-                        f64::NAN
-                    }
-                };
-                let told: Vec<f64> = endpoints.iter().map(weight).filter(|w| w.is_finite()).collect();
-                // An endpoint without a report counts as the mean of the others.
-                let mean = if told.is_empty() { 1.0 } else { told.iter().sum::<f64>() / told.len() as f64 };
-                let weights: Vec<f64> = endpoints
-                    .iter()
-                    .map(|e| Some(weight(e)).filter(|w| w.is_finite()).unwrap_or(mean))
-                    .collect();
-                let mut left = rng.random::<f64>() * weights.iter().sum::<f64>();
-                let drawn = endpoints.iter().zip(&weights).find(|(_, weight)| {
-                    left -= **weight;
-                    left <= 0.0
-                });
-                drawn.map_or(endpoints[count - 1], |(endpoint, _)| *endpoint)
+                let slice = selection.ring_slice();
+                Some(selection.two_choices(&slice))
             }
+            EndpointSelection::WeightedByReports => Some(selection.weighted_by_reports()),
             EndpointSelection::Probed => {
-                for _ in 0..PROBES {
-                    done.push(Action::Probe { endpoint: endpoints[rng.random_range(0..count)] });
-                }
-                pool.retain(|(_, _, _, at)| now.saturating_sub(*at) < FRESH);
-                let mut of: Vec<(usize, f64, f64)> = pool
-                    .iter()
-                    .filter(|(endpoint, ..)| endpoints.contains(endpoint))
-                    .map(|(endpoint, in_hand, latency, _)| (*endpoint, *in_hand, *latency))
-                    .collect();
-                of.sort_by(|a, b| a.1.total_cmp(&b.1));
-                let hot = of.get(((of.len() as f64 * HOT) as usize).min(of.len().saturating_sub(1)));
-                let hot = hot.map_or(f64::INFINITY, |probe| probe.1);
-                let cold = of.iter().filter(|probe| probe.1 < hot).min_by(|a, b| a.2.total_cmp(&b.2));
-                match cold.or(of.first()).map(|probe| probe.0) {
-                    Some(endpoint) => {
-                        // Used once: the answer is true for one call.
-                        if let Some(place) = pool.iter().position(|probe| probe.0 == endpoint) {
-                            pool.remove(place);
-                        }
-                        endpoint
-                    }
-                    None => endpoints[rng.random_range(0..count)],
-                }
+                done.extend((0..PROBES).map(|_| Action::Probe { endpoint: selection.random() }));
+                Some(probe_pool.choose(now, selection.endpoints).unwrap_or_else(|| selection.random()))
             }
-        })
+        }
     }
 }
 
-/// How a call ended.
+/// Result of an attempt.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum AttemptResult {
     /// Delivered.
--- a/crates/simulator/src/load_balance/partners.rs
+++ b/crates/simulator/src/load_balance/partners.rs
@@ -207,8 +207,7 @@
     }
 
     /// Weight of an endpoint in the endpoint list: calls a second of its limit, or of its partner's; without a
-    /// limit, what its
-    /// partner can serve.
+    /// limit, what its partner can serve.
     pub fn told_weight(&mut self, endpoint: usize) -> f64 {
         let able = self.able[endpoint];
         self.limit(endpoint).map_or(able, |(limit, _)| limit.rate())
--- a/crates/simulator/src/load_balance/simulation.rs
+++ b/crates/simulator/src/load_balance/simulation.rs
@@ -3,9 +3,10 @@
 mod faults;
 mod gateways;
 
-use super::baseline_client::{BaselineClient, EndpointSelection, Limiter};
+use super::baseline_client::{BaselineClient, Limiter};
 use super::partners::{LoadReport, SimulatedPartners};
 use super::scenario::LoadBalanceScenario;
+use super::selection::EndpointSelection;
 use super::traffic::{Arrival, Traffic};
 use crate::event_queue::EventQueue;
 use crate::network::draw_delay;
--- a/crates/simulator/src/load_balance/simulation/gateways.rs
+++ b/crates/simulator/src/load_balance/simulation/gateways.rs
@@ -5,11 +5,10 @@
     UPDATE_SPREAD,
 };
 use crate::load_balance::baseline_client::BaselineSettings;
-use crate::load_balance::baseline_client::{
-    Action, AttemptResult, BaselineClient, EndpointSelection, Limiter,
-};
+use crate::load_balance::baseline_client::{Action, AttemptResult, BaselineClient, Limiter};
 use crate::load_balance::partners::LoadReport;
 use crate::load_balance::scenario::LoadBalanceScenario;
+use crate::load_balance::selection::EndpointSelection;
 use cloverstile::{
     ClassId, DestinationId, Effect, EndpointId, EndpointState, KindId, RateLimitStatus, Settings, TenantId,
     Time, ZoneId,
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -112,8 +112,8 @@
 }
 
 impl ClassSpec {
-    /// Worth of a message delivered at this age, in seconds: all of it within the latency objective, then falling linearly to
-    /// `late_share` at the deadline.
+    /// Worth of a message delivered at this age, in seconds: all of it within the latency objective, then falling
+    /// linearly to `late_share` at the deadline.
     pub fn worth_at(&self, age: f64) -> f64 {
         let late = ((age - self.aim) / (self.deadline - self.aim).max(0.001)).clamp(0.0, 1.0);
         self.worth * (1.0 - (1.0 - self.late_share) * late)
