simulator: doc comments that the renaming had garbled, and the workspace lints

Some comments had taken type names where plain words stood. They are rewritten, functions that return errors say which, and the default of the violations is named in the test (the same comparison).

--- a/crates/simulator/src/failover/record.rs
+++ b/crates/simulator/src/failover/record.rs
@@ -10,7 +10,7 @@
     pub class: u8,
     /// Its destination.
     pub destination: u32,
-    /// ClientPolicy holds it, or held it last.
+    /// The gateway instance that holds it, or held it last.
     pub instance: u32,
     /// Its order key and its place under it, for classes in order.
     pub key: Option<(u64, u32)>,
@@ -96,7 +96,7 @@
     pub out_of_order: u64,
     /// Requests to endpoints listed as draining, after the grace period.
     pub after_drain: u64,
-    /// SimulatedPartners pushed over.
+    /// Sites that collapsed under overload.
     pub pushed_over: u64,
     /// Requests to a site before the end of the `Retry-After` that it had sent to this instance.
     pub waits_broken: u64,
--- a/crates/simulator/src/failover/scenario.rs
+++ b/crates/simulator/src/failover/scenario.rs
@@ -203,6 +203,9 @@
 }
 
 /// Reads and validates a failover scenario.
+///
+/// # Errors
+/// If the text is not a scenario, or a block has a missing reference or a value that is not allowed.
 pub fn read_failover_scenario(text: &str) -> Result<FailoverScenario, ScenarioError> {
     let scenario: FailoverScenario =
         hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
--- a/crates/simulator/src/failover/simulation.rs
+++ b/crates/simulator/src/failover/simulation.rs
@@ -33,7 +33,7 @@
 const RESTARTED_AFTER: Duration = Duration::from_millis(300);
 
 /// Something due.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Submission,
     Reach { instance: u32, epoch: u32, endpoint: EndpointId, attempt: Attempt },
--- a/crates/simulator/src/failover/simulation/recovery.rs
+++ b/crates/simulator/src/failover/simulation/recovery.rs
@@ -1,4 +1,4 @@
-//! LoadReport of a site that came back, by window.
+//! Load of a recovering site, by window.
 
 use super::{Site, WATCHED, WINDOW};
 use crate::failover::record::RecoveryWindow;
--- a/crates/simulator/src/failover/simulation/requests.rs
+++ b/crates/simulator/src/failover/simulation/requests.rs
@@ -61,7 +61,7 @@
     fn record_effect(&mut self, number: u32, site: u32) {
         let message = &mut self.run.messages[number as usize];
         let class = &self.settings.classes[usize::from(message.class)];
-        // SimulatedPartners of one group know each other's keys: the repeat is dropped, whichever it reaches.
+        // Sites of one group share their idempotency keys: a repeat is dropped at whichever site it arrives.
         let window = self.sites[site as usize].model.profile().repeat_window;
         let known = message.effect_at.is_some_and(|at| self.now < at + window);
         if class.effect == Effect::Keyed && class.group == Group::All && known {
--- a/crates/simulator/src/failover/spillover_baseline.rs
+++ b/crates/simulator/src/failover/spillover_baseline.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// ClientPolicy spreads messages over tiers.
+/// The policy that assigns messages to tiers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum SpilloverPolicy {
     /// The planner in service, with the shares that the scenario states.
--- a/crates/simulator/src/load_balance/scenario.rs
+++ b/crates/simulator/src/load_balance/scenario.rs
@@ -211,6 +211,9 @@
 }
 
 /// Reads and validates a load balance scenario.
+///
+/// # Errors
+/// If the text is not a scenario, or a block has a missing reference or a value that is not allowed.
 pub fn read_load_balance_scenario(text: &str) -> Result<LoadBalanceScenario, ScenarioError> {
     let scenario: LoadBalanceScenario =
         hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
@@ -220,6 +223,9 @@
 
 impl LoadBalanceScenario {
     /// Validates the scenario; also for those that a program put together.
+    ///
+    /// # Errors
+    /// If a block has a missing reference or a value that is not allowed.
     pub fn check(&self) -> Result<(), ScenarioError> {
         let wrong = |block: &'static str, name: &str, what: &str| ScenarioError::Block {
             block,
--- a/crates/simulator/src/load_balance/simulation.rs
+++ b/crates/simulator/src/load_balance/simulation.rs
@@ -27,7 +27,7 @@
 /// Extra delay of the affected instances to the endpoint of a `slow-for` fault.
 const SLOW_FOR_DELAY: Duration = Duration::from_millis(500);
 
-/// ClientPolicy decides at all instances of a run.
+/// The client policy that decides at all instances of a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ClientPolicy {
     /// The engine and delivery policy of the gateway.
--- a/crates/simulator/src/load_balance/traffic.rs
+++ b/crates/simulator/src/load_balance/traffic.rs
@@ -1,4 +1,4 @@
-//! ClientPolicy submits event, and when: the same draws whether instances are emulated or processes.
+//! Arrivals of messages: the same random draws whether gateways are simulated or real processes.
 
 use super::scenario::LoadBalanceScenario;
 use rand::distr::weighted::WeightedIndex;
@@ -14,7 +14,7 @@
     pub class: usize,
     /// Index of its partner.
     pub partner: usize,
-    /// ClientPolicy gets it.
+    /// The instance that it is submitted to.
     pub instance: usize,
 }
 
--- a/crates/simulator/tests/failover.rs
+++ b/crates/simulator/tests/failover.rs
@@ -1,7 +1,8 @@
 //! Failover runs are deterministic, keep the invariants, and report violations.
 
 use cloverstile_simulator::{
-    read_failover_scenario, simulate_failover, FailoverScenario, SpilloverPolicy, FAILOVER_SCENARIOS,
+    read_failover_scenario, simulate_failover, FailoverScenario, FailoverViolations, SpilloverPolicy,
+    FAILOVER_SCENARIOS,
 };
 
 fn built_in(name: &str) -> FailoverScenario {
@@ -24,7 +25,7 @@
     let scenario = built_in("surge");
     for policy in SpilloverPolicy::ALL {
         let run = simulate_failover(&scenario, policy, 5);
-        assert_eq!(run.violations, Default::default(), "{}", policy.name());
+        assert_eq!(run.violations, FailoverViolations::default(), "{}", policy.name());
         assert!(run.messages.len() > 10_000);
     }
 }
