--- a/crates/testbench/src/bench.rs
+++ b/crates/testbench/src/benchmark.rs
@@ -1,8 +1,8 @@
 //! What a courier costs: the cryptographic path against its private-key operations alone, messages a second over
 //! sockets, memory. All that is compared is measured in one run.
 
-use crate::day::{read, Day};
-use crate::run::{Launch, RunError};
+use crate::scenario::{read, FaultScenario};
+use crate::scenario_run::{GatewayCommand, RunError};
 use aws_lc_rs::rand::SystemRandom;
 use aws_lc_rs::rsa::{Pkcs1PrivateDecryptingKey, Pkcs1PublicEncryptingKey, PrivateDecryptingKey};
 use aws_lc_rs::signature::{RsaKeyPair, RSA_PKCS1_SHA256};
@@ -199,8 +199,8 @@
     class \"pay-notice\" {\n share = 1\n effect = \"keyed\"\n window = 50\n aim = 20\n deadline = 60\n}\n\
     partner \"bank\" {\n share = 1\n servers = 2000\n queue = 100000\n service_ms = [1, 1]\n encrypted = true\n}\n";
 
-fn day(messages: u32) -> Result<Day, RunError> {
-    Ok(Day { messages, ..read(DAY)? })
+fn day(messages: u32) -> Result<FaultScenario, RunError> {
+    Ok(FaultScenario { messages, ..read(DAY)? })
 }
 
 /// Hands messages in as fast as they are taken.
@@ -269,7 +269,12 @@
 
 /// Measures the memory of a courier process that holds messages for a partner that never answers, and of its
 /// idle connections.
-pub fn memory(held: u32, connections: usize, folder: &Path, launch: &Launch) -> Result<MemoryCost, RunError> {
+pub fn memory(
+    held: u32,
+    connections: usize,
+    folder: &Path,
+    launch: &GatewayCommand,
+) -> Result<MemoryCost, RunError> {
     let day = day(held)?;
     let mut spec = day.spec();
     spec.courier_lines = "  call_slots = 8\n  most_held = 1000000\n  stop_within = \"1s\"".into();
@@ -277,7 +282,7 @@
     let rig = Rig::build(folder, spec, recorder.clone(), 1)?;
     let text = std::fs::read_to_string(&rig.files[0])?;
     std::fs::write(&rig.files[0], text.replace("connections = 4000", "connections = 20000"))?;
-    let (process, address) = crate::run::Process::start(launch, &rig.files[0], 0)?;
+    let (process, address) = crate::scenario_run::Process::start(launch, &rig.files[0], 0)?;
     let before = resident(process.id())?;
     let mut open = Vec::new();
     for _ in 0..connections {
--- a/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
@@ -1,11 +1,11 @@
 //! `cloverstile-testbench experiment`, `report` and `scale`.
 
-use crate::emulate::find;
+use crate::simulate::find;
 use clap::Args;
 use cloverstile_simulator::{play, PolicyKind, Scenario};
-use cloverstile_testbench::columns::Table as Columns;
 use cloverstile_testbench::experiment::{apply, read, run};
-use cloverstile_testbench::report::{self, FILES};
+use cloverstile_testbench::html_report::{self, FILES};
+use cloverstile_testbench::table::Table as Columns;
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
@@ -76,10 +76,10 @@
             table.write(&self.out.join(file)).map_err(|error| error.to_string())?;
         }
         for (scenario, _) in &scenarios {
-            let rows = report::rows(&record.runs, scenario);
+            let rows = html_report::rows(&record.runs, scenario);
             if self.json {
                 for row in rows {
-                    let cells = report::headings()
+                    let cells = html_report::headings()
                         .into_iter()
                         .map(str::to_owned)
                         .zip(row.into_iter().map(Into::into));
@@ -90,7 +90,7 @@
                 continue;
             }
             let mut table = Table::new();
-            table.load_preset(UTF8_BORDERS_ONLY).set_header(report::headings());
+            table.load_preset(UTF8_BORDERS_ONLY).set_header(html_report::headings());
             table.add_rows(rows);
             println!("{scenario}, {} seeds\n{table}", experiment.seeds);
         }
@@ -104,7 +104,7 @@
 impl Report {
     /// Writes the page.
     pub fn write(&self) -> Result<bool, String> {
-        let page = report::report(&self.folder)?;
+        let page = html_report::report(&self.folder)?;
         println!("{}: {} bytes", self.folder.join("report.html").display(), page.len());
         Ok(true)
     }
--- a/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
@@ -4,7 +4,7 @@
 use cloverstile_load_metrics::{limit_use, measure, Outcome};
 use cloverstile_simulator::{play_spread, read_spread, Choice, Limiter, Scene, SpreadRun, Who, SCENES};
 use cloverstile_testbench::fleet::play_fleet;
-use cloverstile_testbench::spread::{figures, mean_of, Told};
+use cloverstile_testbench::load_report::{figures, mean_of, Told};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
--- a/crates/testbench/src/bin/cloverstile-testbench/main.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/main.rs
@@ -1,17 +1,17 @@
 //! The laboratory's command line. See `cloverstile-testbench --help`.
 #![forbid(unsafe_code)]
 
-mod emulate;
 mod experiment;
 mod fleet;
+mod simulate;
 
 use clap::{Args, Parser, Subcommand};
 use cloverstile_fakes::record::{Line, Seen};
-use cloverstile_testbench::bench;
-use cloverstile_testbench::day::{read, Day, BUILT_IN};
+use cloverstile_testbench::benchmark;
+use cloverstile_testbench::recovery_windows;
 use cloverstile_testbench::replay::{self, Scale};
-use cloverstile_testbench::returns;
-use cloverstile_testbench::run::{play, Launch, Played};
+use cloverstile_testbench::scenario::{read, FaultScenario, BUILT_IN};
+use cloverstile_testbench::scenario_run::{play, GatewayCommand, RunResult};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use hdrhistogram::Histogram;
 use indicatif::{ProgressBar, ProgressStyle};
@@ -35,7 +35,7 @@
 #[derive(Subcommand)]
 enum Command {
     /// Plays a day: the name of one that comes along (payday, quiet, receipts), or a file.
-    Day {
+    FaultScenario {
         /// Name or file (HCL).
         day: String,
         #[command(flatten)]
@@ -55,7 +55,7 @@
         options: Options,
     },
     /// Plays a scenario on virtual time: hundreds of couriers and thousands of endpoints in one process.
-    Emulate(emulate::Options),
+    Emulate(simulate::Options),
     /// Plays a grid of scenarios, policies and seeds on virtual time, and keeps its record as Parquet.
     Experiment(experiment::Experiment),
     /// Plays many couriers at once.
@@ -66,7 +66,7 @@
     /// Measures speed, memory and the cost of a decision as endpoints grow.
     Scale(experiment::Scale),
     /// Judges a record that was written before.
-    Judge {
+    InvariantChecker {
         /// The day that it is of: name or file.
         day: String,
         /// The record (JSON lines).
@@ -131,17 +131,17 @@
 
 fn main() -> ExitCode {
     let code = match Arguments::parse().command {
-        Command::Day { day, options } => match find(&day) {
+        Command::FaultScenario { day, options } => match find(&day) {
             Ok(day) => play_all(day, &options),
             Err(why) => cant(&why),
         },
         Command::Replay { file, rate, pace, options } => replay_day(&file, rate, pace, &options),
-        Command::Emulate(options) => verdict(emulate::emulate(&options)),
+        Command::Emulate(options) => verdict(simulate::simulate(&options)),
         Command::Experiment(experiment) => verdict(experiment.play()),
         Command::Fleet(fleet) => verdict(fleet.play()),
         Command::Report(report) => verdict(report.write()),
         Command::Scale(scale) => verdict(scale.measure()),
-        Command::Judge { day, record } => judge_record(&day, &record),
+        Command::InvariantChecker { day, record } => judge_record(&day, &record),
         Command::Bench { messages, socket_messages, held } => {
             match measure(messages, socket_messages, held) {
                 Ok(()) => 0,
@@ -171,7 +171,7 @@
     3
 }
 
-fn find(day: &str) -> Result<Day, String> {
+fn find(day: &str) -> Result<FaultScenario, String> {
     let text = match BUILT_IN.iter().find(|(name, _)| *name == day) {
         Some((_, text)) => (*text).to_owned(),
         None => std::fs::read_to_string(day).map_err(|error| {
@@ -198,12 +198,12 @@
     }
 }
 
-fn play_all(mut day: Day, options: &Options) -> u8 {
+fn play_all(mut day: FaultScenario, options: &Options) -> u8 {
     day.couriers = options.couriers.unwrap_or(day.couriers).max(1);
     day.workers = options.workers.unwrap_or(day.workers);
     day.messages = options.messages.unwrap_or(day.messages).max(1);
     let Ok(program) = std::env::current_exe() else { return cant("the own program is not found") };
-    let launch = Launch { program, log: options.log.clone() };
+    let launch = GatewayCommand { program, log: options.log.clone() };
     let mut worst = 0;
     for seed in options.seed..options.seed + options.seeds.max(1) {
         let folder =
@@ -222,9 +222,9 @@
     worst
 }
 
-fn report(day: &Day, played: &Played, seed: u64, options: &Options) -> u8 {
-    let windows = returns::windows(day, &played.lines);
-    let over = windows.iter().filter(|window| returns::is_over(window)).count();
+fn report(day: &FaultScenario, played: &RunResult, seed: u64, options: &Options) -> u8 {
+    let windows = recovery_windows::recovery_windows(day, &played.lines);
+    let over = windows.iter().filter(|window| recovery_windows::exceeds_bound(window)).count();
     if options.windows {
         for window in &windows {
             println!("{}", serde_json::json!(window));
@@ -331,8 +331,10 @@
     let lines: Result<Vec<Line>, _> = text.lines().map(serde_json::from_str).collect();
     match lines {
         Ok(lines) => {
-            let verdict =
-                cloverstile_testbench::judge::judge(&lines, &cloverstile_testbench::run::figures(&day));
+            let verdict = cloverstile_testbench::invariants::judge(
+                &lines,
+                &cloverstile_testbench::scenario_run::figures(&day),
+            );
             match serde_json::to_string(&verdict) {
                 Ok(told) => println!("{told}"),
                 Err(error) => return cant(&error.to_string()),
@@ -352,16 +354,17 @@
     let folder =
         |name: &str| std::env::temp_dir().join(format!("cloverstile-bench-{}-{name}", std::process::id()));
     for body in [400, 20_000] {
-        print("path", json(&bench::path(messages, body).map_err(|error| error.to_string())?)?);
+        print("path", json(&benchmark::path(messages, body).map_err(|error| error.to_string())?)?);
     }
     for workers in [0, 2] {
-        let cost = bench::sockets(socket_messages, workers, &folder("sockets"))
+        let cost = benchmark::sockets(socket_messages, workers, &folder("sockets"))
             .map_err(|error| error.to_string())?;
         print("sockets", json(&cost)?);
     }
     let program = std::env::current_exe().map_err(|error| error.to_string())?;
-    let launch = Launch { program, log: "error".into() };
-    let cost = bench::memory(held, 4000, &folder("memory"), &launch).map_err(|error| error.to_string())?;
+    let launch = GatewayCommand { program, log: "error".into() };
+    let cost =
+        benchmark::memory(held, 4000, &folder("memory"), &launch).map_err(|error| error.to_string())?;
     print("memory", json(&cost)?);
     Ok(())
 }
--- a/crates/testbench/src/bin/cloverstile-testbench/emulate.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/simulate.rs
@@ -1,8 +1,8 @@
-//! `cloverstile-testbench emulate`: scenarios on virtual time.
+//! `cloverstile-testbench simulate`: scenarios on virtual time.
 
 use clap::Args;
 use cloverstile_simulator::{play, read, PolicyKind, Run, Scenario, BUILT_IN};
-use cloverstile_testbench::figures::{figures, worth_by_second, Figures};
+use cloverstile_testbench::simulation_metrics::{figures, worth_by_second, Figures};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::time::{Duration, Instant};
 
@@ -52,7 +52,7 @@
 }
 
 /// Plays all that is asked for; true if no run of the planner broke a rule.
-pub fn emulate(options: &Options) -> Result<bool, String> {
+pub fn simulate(options: &Options) -> Result<bool, String> {
     let mut scenario = find(&options.scenario)?;
     scenario.couriers = options.couriers.unwrap_or(scenario.couriers).max(1);
     let policies = if options.policy.is_empty() { PolicyKind::ALL.to_vec() } else { options.policy.clone() };
--- a/crates/testbench/src/experiment.rs
+++ b/crates/testbench/src/experiment.rs
@@ -1,7 +1,7 @@
 //! Experiments: a grid of scenarios, policies and seeds on virtual time, its record as Parquet, and intervals.
 
-use crate::columns::Table;
-use crate::figures::{figures, worth_by_second, Figures};
+use crate::simulation_metrics::{figures, worth_by_second, Figures};
+use crate::table::Table;
 use cloverstile_engine::FinalOutcome;
 use cloverstile_simulator::{play, PolicyKind, Run, Scenario};
 use serde::{Deserialize, Serialize};
@@ -20,13 +20,13 @@
     #[serde(default)]
     pub policies: Vec<String>,
     /// Scenarios by their names or files, with what is other in them.
-    pub scenario: BTreeMap<String, Changes>,
+    pub scenario: BTreeMap<String, ScenarioOverrides>,
 }
 
 /// What an experiment changes of a scenario.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
-pub struct Changes {
+pub struct ScenarioOverrides {
     /// Couriers.
     pub couriers: Option<usize>,
     /// Messages a second.
@@ -56,7 +56,7 @@
 }
 
 /// Changes a scenario as an experiment wants it.
-pub fn apply(scenario: &mut Scenario, changes: &Changes) {
+pub fn apply(scenario: &mut Scenario, changes: &ScenarioOverrides) {
     scenario.couriers = changes.couriers.unwrap_or(scenario.couriers).max(1);
     scenario.rate = changes.rate.unwrap_or(scenario.rate);
     scenario.seconds = changes.seconds.unwrap_or(scenario.seconds);
@@ -232,7 +232,7 @@
 
 /// A mean with the half width of its 95 % interval (Student's t).
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
-pub struct Interval {
+pub struct ConfidenceInterval {
     /// The mean.
     pub mean: f64,
     /// Half of the interval's width; zero for a single value.
@@ -242,7 +242,7 @@
 }
 
 /// The mean of some values and its interval; values that are none are passed over.
-pub fn interval(values: impl Iterator<Item = f64>) -> Interval {
+pub fn confidence_interval(values: impl Iterator<Item = f64>) -> ConfidenceInterval {
     let values: Vec<f64> = values.filter(|value| value.is_finite()).collect();
     let count = values.len();
     let mean = values.iter().sum::<f64>() / count.max(1) as f64;
@@ -251,7 +251,7 @@
         (0 | 1, _) | (_, Err(_)) => 0.0,
         (_, Ok(t)) => t.inverse_cdf(0.975) * (spread / (count - 1) as f64 / count as f64).sqrt(),
     };
-    Interval { mean, half, count }
+    ConfidenceInterval { mean, half, count }
 }
 
 /// Values of a column of the runs of one scenario and policy, in the order of seeds.
@@ -267,17 +267,23 @@
     #[test]
     fn intervals_are_students() {
         // Five values, mean 3, deviation sqrt(2.5): t of four degrees is 2.776.
-        let told = interval([1.0, 2.0, 3.0, 4.0, 5.0, f64::NAN].into_iter());
+        let told = confidence_interval([1.0, 2.0, 3.0, 4.0, 5.0, f64::NAN].into_iter());
         assert_eq!((told.mean, told.count), (3.0, 5));
         assert!((told.half - 2.776 * (2.5_f64 / 5.0).sqrt()).abs() < 1e-3, "{told:?}");
-        assert_eq!(interval([7.0].into_iter()), Interval { mean: 7.0, half: 0.0, count: 1 });
+        assert_eq!(
+            confidence_interval([7.0].into_iter()),
+            ConfidenceInterval { mean: 7.0, half: 0.0, count: 1 }
+        );
     }
 
     #[test]
     fn a_record_does_not_depend_on_threads_and_bad_files_say_why() {
         let (_, text) = cloverstile_simulator::BUILT_IN[0];
         let mut scenario = cloverstile_simulator::read(text).unwrap();
-        apply(&mut scenario, &Changes { seconds: Some(4.0), rate: Some(100.0), ..Changes::default() });
+        apply(
+            &mut scenario,
+            &ScenarioOverrides { seconds: Some(4.0), rate: Some(100.0), ..ScenarioOverrides::default() },
+        );
         let scenarios = [("surge".to_owned(), scenario)];
         let played = |threads| run(&scenarios, &PolicyKind::ALL, 2, threads, &|_, _| {});
         let (one, many) = (played(1), played(3));
--- a/crates/testbench/src/fleet.rs
+++ b/crates/testbench/src/fleet.rs
@@ -2,10 +2,10 @@
 //! endpoints, discovery and clients of one thread of ours. What passed on those sockets is the record, and the rules are
 //! judged from it alone.
 
-mod ground;
-mod judge;
-mod platform;
-mod processes;
+mod endpoint_list;
+mod harness;
+mod invariants;
+mod supervisor;
 
-pub use ground::play_fleet;
-pub use processes::FleetError;
+pub use harness::play_fleet;
+pub use supervisor::FleetError;
--- a/crates/testbench/src/fleet/ground.rs
+++ b/crates/testbench/src/fleet/harness.rs
@@ -1,10 +1,10 @@
 //! The ground that a fleet stands on: endpoints, discovery and clients in one loop over sockets.
 
-mod troubles;
+mod faults;
 
-use super::judge::{Books, End};
-use super::platform::{query, List};
-use super::processes::{FleetError, Processes};
+use super::endpoint_list::{query, List};
+use super::invariants::{End, InvariantTracker};
+use super::supervisor::{FleetError, ProcessSupervisor};
 use cloverstile_fakes::limit::Told;
 use cloverstile_fakes::model::Reply;
 use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message, Start};
@@ -71,7 +71,7 @@
     over: bool,
 }
 
-struct Ground<'a> {
+struct LoadHarness<'a> {
     scene: &'a Scene,
     net: Net,
     started: Instant,
@@ -89,8 +89,8 @@
     agenda: BinaryHeap<Reverse<(Duration, u64, Due)>>,
     entered: u64,
     calls: Vec<CallAt>,
-    books: Books,
-    processes: Option<Processes>,
+    books: InvariantTracker,
+    processes: Option<ProcessSupervisor>,
     traffic: Traffic,
     /// Couriers struck by `slow-for` while it lasts.
     far: usize,
@@ -99,20 +99,20 @@
 
 /// Plays a scene with real processes of `program`, which takes `node`. Wall time is the scene's own.
 pub fn play_fleet(scene: &Scene, program: &Path, seed: u64) -> Result<SpreadRun, FleetError> {
-    let mut ground = Ground::new(scene, seed)?;
+    let mut ground = LoadHarness::new(scene, seed)?;
     let (discovery, known) = ground.listen()?;
-    ground.processes = Some(Processes::start(program, scene, discovery, &known, seed)?);
+    ground.processes = Some(ProcessSupervisor::start(program, scene, discovery, &known, seed)?);
     ground.play()
 }
 
-impl<'a> Ground<'a> {
+impl<'a> LoadHarness<'a> {
     fn new(scene: &'a Scene, seed: u64) -> Result<Self, FleetError> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let sites = Sites::new(scene, &mut rng);
         let mut net = Net::new().map_err(FleetError::io("event loop"))?;
         // Guards against couriers that outlive the laboratory: told to end, it ends them first.
         net.watch_signals(&[SignalKind::SIGINT, SignalKind::SIGTERM]).map_err(FleetError::io("signals"))?;
-        Ok(Ground {
+        Ok(LoadHarness {
             net,
             started: Instant::now(),
             list: List::new(Vec::new()),
@@ -125,7 +125,7 @@
             agenda: BinaryHeap::new(),
             entered: 0,
             calls: Vec::new(),
-            books: Books::new(scene.classes()),
+            books: InvariantTracker::new(scene.classes()),
             processes: None,
             traffic: Traffic::new(scene),
             far: 0,
@@ -229,7 +229,7 @@
                 }
             }
             Due::Look => {
-                if let Some(courier) = self.processes.as_mut().and_then(Processes::died) {
+                if let Some(courier) = self.processes.as_mut().and_then(ProcessSupervisor::died) {
                     self.failed = Some(FleetError::Died(courier));
                 }
                 self.enter(now + LOOK, Due::Look);
@@ -410,7 +410,7 @@
             *of = Some(call);
         }
         let first = self.sites.partners[partner].endpoints.first() == Some(&place);
-        let far = if first && courier < self.far { troubles::FAR } else { Duration::ZERO };
+        let far = if first && courier < self.far { faults::FAR } else { Duration::ZERO };
         match answer_at {
             Some(at) if at + far > now => self.enter(at + far, Due::Response { call }),
             Some(_) => self.answer(now, call),
--- a/crates/testbench/src/fleet/ground/troubles.rs
+++ b/crates/testbench/src/fleet/harness/faults.rs
@@ -1,6 +1,6 @@
 //! What goes wrong, by the clock.
 
-use super::{Due, Ground};
+use super::{Due, LoadHarness};
 use cloverstile_simulator::{StrikeKind, Wrong};
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 /// A killed courier is started again after so long.
 const RESTARTED_AFTER: Duration = Duration::from_millis(600);
 
-impl Ground<'_> {
+impl LoadHarness<'_> {
     pub(super) fn strike(&mut self, now: Duration, place: usize, begins: bool) {
         let Some(spec) = self.scene.trouble.values().nth(place) else { return };
         let Some(kind) = spec.act() else { return };
--- a/crates/testbench/src/fleet/judge.rs
+++ b/crates/testbench/src/fleet/invariants.rs
@@ -31,7 +31,7 @@
 }
 
 /// All messages of a run, and what broke.
-pub(super) struct Books {
+pub(super) struct InvariantTracker {
     classes: Vec<Class>,
     messages: Vec<Message>,
     /// Ends of told waits, and when they were told, by courier and route.
@@ -49,10 +49,10 @@
     Failed,
 }
 
-impl Books {
-    pub fn new(classes: Vec<Class>) -> Books {
+impl InvariantTracker {
+    pub fn new(classes: Vec<Class>) -> InvariantTracker {
         let (waits, gone) = (HashMap::new(), HashMap::new());
-        Books { classes, messages: Vec::new(), waits, gone, run: SpreadRun::default() }
+        InvariantTracker { classes, messages: Vec::new(), waits, gone, run: SpreadRun::default() }
     }
 
     /// A client has a message for a courier; its number.
@@ -218,7 +218,7 @@
         Duration::from_millis(ms)
     }
 
-    fn books(effect: Effect) -> Books {
+    fn books(effect: Effect) -> InvariantTracker {
         let class = Class {
             effect,
             deadline: ms(5000),
@@ -226,7 +226,7 @@
             latency_objective: ms(1000),
             ..Class::default()
         };
-        Books::new(vec![class])
+        InvariantTracker::new(vec![class])
     }
 
     #[test]
--- a/crates/testbench/src/fleet/processes.rs
+++ b/crates/testbench/src/fleet/supervisor.rs
@@ -59,14 +59,14 @@
 }
 
 /// All couriers of a fleet; killed where they are dropped.
-pub(super) struct Processes {
+pub(super) struct ProcessSupervisor {
     program: PathBuf,
     folder: PathBuf,
     children: Vec<Option<Child>>,
     pub addresses: Vec<SocketAddr>,
 }
 
-impl Drop for Processes {
+impl Drop for ProcessSupervisor {
     fn drop(&mut self) {
         for child in self.children.iter_mut().flatten() {
             // Ended in the ordinary course already; this is for errors on the way.
@@ -128,7 +128,7 @@
     })
 }
 
-impl Processes {
+impl ProcessSupervisor {
     /// Starts all couriers of a scene and waits until each answers.
     pub fn start(
         program: &Path,
@@ -136,14 +136,14 @@
         discovery: SocketAddr,
         known: &serde_json::Value,
         seed: u64,
-    ) -> Result<Processes, FleetError> {
+    ) -> Result<ProcessSupervisor, FleetError> {
         static FLEETS: AtomicU8 = AtomicU8::new(0);
         let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
         if scene.couriers > MOST {
             return Err(FleetError::TooMany(scene.couriers));
         }
         let folder = std::env::temp_dir().join(format!("cloverstile-fleet-{}-{fleet}", std::process::id()));
-        let mut processes = Processes {
+        let mut processes = ProcessSupervisor {
             program: program.to_owned(),
             folder,
             children: (0..scene.couriers).map(|_| None).collect(),
--- a/crates/testbench/src/report.rs
+++ b/crates/testbench/src/html_report.rs
@@ -1,7 +1,7 @@
 //! One HTML page, whole in itself, with SVG plots of an experiment's record.
 
-use crate::columns::{Table, TableError};
-use crate::experiment::{interval, values, Interval};
+use crate::experiment::{confidence_interval, values, ConfidenceInterval};
+use crate::table::{Table, TableError};
 use plotters::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
@@ -91,7 +91,7 @@
     values.iter().copied().fold(0.0, f64::max)
 }
 
-fn cell(told: Interval, digits: usize) -> String {
+fn cell(told: ConfidenceInterval, digits: usize) -> String {
     match told.count {
         0 => "-".into(),
         _ => format!("{:.digits$} ± {:.digits$}", told.mean, told.half),
@@ -118,11 +118,11 @@
     let row = |policy: &&String| {
         let mut row = vec![(*policy).clone()];
         for (column, _, digits) in FIGURES {
-            row.push(cell(interval(values(runs, scenario, policy, column).into_iter()), digits));
+            row.push(cell(confidence_interval(values(runs, scenario, policy, column).into_iter()), digits));
         }
         let other = values(runs, scenario, policy, "worst_ten_s");
         let lead = own.iter().zip(&other).map(|(own, other)| own - other);
-        row.push(if *policy == "planner" { "-".into() } else { cell(interval(lead), 3) });
+        row.push(if *policy == "planner" { "-".into() } else { cell(confidence_interval(lead), 3) });
         row
     };
     policies.iter().map(row).collect()
@@ -164,7 +164,7 @@
     }
     let row = |((class, policy), kept): ((&str, &str), [Vec<f64>; 4])| {
         let mut row = vec![class.to_owned(), policy.to_owned()];
-        row.extend(kept.into_iter().map(|values| cell(interval(values.into_iter()), 3)));
+        row.extend(kept.into_iter().map(|values| cell(confidence_interval(values.into_iter()), 3)));
         row
     };
     by.into_iter().map(row).collect()
--- a/crates/testbench/src/judge.rs
+++ b/crates/testbench/src/invariants.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 /// What is let pass at every bound, in microseconds: sockets, threads and a busy machine.
-pub const SKEW: u64 = 60_000;
+pub const CLOCK_SKEW: u64 = 60_000;
 
 /// What a class permits. Times in microseconds.
 #[derive(Clone, Debug)]
@@ -59,7 +59,7 @@
 
 /// A broken rule.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-pub struct Broken {
+pub struct Violation {
     /// Which: lost, twice, drain, fail-back, order or wait.
     pub rule: &'static str,
     /// Message, or partner where no one message broke it.
@@ -72,7 +72,7 @@
 
 /// What a record says.
 #[derive(Clone, Debug, Default, Serialize)]
-pub struct Verdict {
+pub struct InvariantReport {
     /// Messages handed in.
     pub messages: usize,
     /// Messages with a final answer.
@@ -94,11 +94,11 @@
     /// Requests at partners.
     pub requests: usize,
     /// Broken rules, in the order of their times.
-    pub broken: Vec<Broken>,
+    pub broken: Vec<Violation>,
 }
 
 #[derive(Default)]
-struct Story<'a> {
+struct MessageHistory<'a> {
     class: &'a str,
     partner: &'a str,
     key: Option<&'a str>,
@@ -131,20 +131,25 @@
 }
 
 /// Messages of one key at one courier: handed in, known to be taken, id, story.
-type Row<'a> = Vec<(u64, u64, &'a str, &'a Story<'a>)>;
+type Row<'a> = Vec<(u64, u64, &'a str, &'a MessageHistory<'a>)>;
 
-struct Judge<'a> {
+struct InvariantChecker<'a> {
     figures: &'a Figures,
     lines: &'a [Line],
-    stories: BTreeMap<&'a str, Story<'a>>,
+    stories: BTreeMap<&'a str, MessageHistory<'a>>,
     kills: Vec<(u64, usize)>,
-    verdict: Verdict,
+    verdict: InvariantReport,
 }
 
 /// Judges a record.
-pub fn judge(lines: &[Line], figures: &Figures) -> Verdict {
-    let mut judge =
-        Judge { figures, lines, stories: BTreeMap::new(), kills: Vec::new(), verdict: Verdict::default() };
+pub fn judge(lines: &[Line], figures: &Figures) -> InvariantReport {
+    let mut judge = InvariantChecker {
+        figures,
+        lines,
+        stories: BTreeMap::new(),
+        kills: Vec::new(),
+        verdict: InvariantReport::default(),
+    };
     judge.gather();
     let stories = std::mem::take(&mut judge.stories);
     for (id, story) in &stories {
@@ -160,9 +165,9 @@
     judge.verdict
 }
 
-impl<'a> Judge<'a> {
+impl<'a> InvariantChecker<'a> {
     fn broken(&mut self, rule: &'static str, who: &str, at: u64, what: String) {
-        self.verdict.broken.push(Broken { rule, who: who.to_owned(), at, what });
+        self.verdict.broken.push(Violation { rule, who: who.to_owned(), at, what });
     }
 
     fn gather(&mut self) {
@@ -204,7 +209,7 @@
     }
 
     /// Rule 1: one final answer, in time, and nothing sent after it.
-    fn answers(&mut self, id: &str, story: &Story) {
+    fn answers(&mut self, id: &str, story: &MessageHistory) {
         let last = story.answers.iter().rev().find(|(_, _, told)| *told != Told::NotTaken);
         for (at, _, told) in &story.answers {
             if *told == Told::Unclear {
@@ -227,7 +232,7 @@
         if let Some((at, courier, _)) = first {
             let held_elsewhere =
                 self.kills.iter().any(|(_, killed)| story.hand_ins.iter().any(|h| h.1 == *killed));
-            if *at > story.deadline + self.figures.answer_slack + SKEW && !held_elsewhere {
+            if *at > story.deadline + self.figures.answer_slack + CLOCK_SKEW && !held_elsewhere {
                 self.verdict.late_answers += 1;
                 let late = (at - story.deadline) / 1000;
                 self.broken(
@@ -241,7 +246,7 @@
         self.one_answer(id, story);
     }
 
-    fn no_answer(&mut self, id: &str, story: &Story) {
+    fn no_answer(&mut self, id: &str, story: &MessageHistory) {
         let killed = |courier: usize| self.kills.iter().any(|(_, killed)| *killed == courier);
         if story.hand_ins.iter().any(|(_, courier)| killed(*courier)) {
             self.verdict.lost_with_courier += 1;
@@ -253,11 +258,11 @@
     }
 
     /// Delivered and failed are final: another word later, or a request, breaks the rule.
-    fn one_answer(&mut self, id: &str, story: &Story) {
+    fn one_answer(&mut self, id: &str, story: &MessageHistory) {
         for (place, (at, courier, told)) in story.answers.iter().enumerate() {
             let again = story.hand_ins.iter().find(|(handed, _)| handed > at).map(|(handed, _)| *handed);
             if let Some(request) =
-                story.requests.iter().find(|r| r.at > at + SKEW && again.is_none_or(|h| r.at < h))
+                story.requests.iter().find(|r| r.at > at + CLOCK_SKEW && again.is_none_or(|h| r.at < h))
             {
                 if *told != Told::NotTaken {
                     self.broken("lost", id, request.at, format!("sent after it was answered as {told:?}"));
@@ -277,7 +282,7 @@
     }
 
     /// Rule 2, seen from what took effect.
-    fn effects(&mut self, id: &str, story: &Story) {
+    fn effects(&mut self, id: &str, story: &MessageHistory) {
         let safe = self.figures.classes.get(story.class).is_none_or(|class| class.safe);
         if !safe && story.effects.len() > 1 {
             self.verdict.effects_twice += 1;
@@ -297,13 +302,13 @@
     }
 
     /// Rule 2, seen from what was sent: repeats inside group and window, never two side by side.
-    fn attempts(&mut self, id: &str, story: &Story) {
+    fn attempts(&mut self, id: &str, story: &MessageHistory) {
         let Some(class) = self.figures.classes.get(story.class).cloned() else { return };
         let mut first_run: Option<&Request> = None;
         for (place, request) in story.requests.iter().enumerate() {
             let open = story.requests[..place]
                 .iter()
-                .find(|earlier| earlier.ended.is_none_or(|(at, _)| at > request.at + SKEW));
+                .find(|earlier| earlier.ended.is_none_or(|(at, _)| at > request.at + CLOCK_SKEW));
             if open.is_some() {
                 self.broken("twice", id, request.at, "sent while an earlier attempt was out".into());
             }
@@ -319,7 +324,7 @@
                     );
                 }
                 (Some(first), Some(window)) => {
-                    if request.at > first.at + window + SKEW {
+                    if request.at > first.at + window + CLOCK_SKEW {
                         self.broken("twice", id, request.at, "repeated after its window".into());
                     }
                     let zone = |r: &Request| {
@@ -348,7 +353,7 @@
     }
 
     /// Rule 5: messages of one key in turn, in the order in which one courier took them.
-    fn order(&mut self, stories: &BTreeMap<&str, Story>) {
+    fn order(&mut self, stories: &BTreeMap<&str, MessageHistory>) {
         let mut lines: HashMap<(usize, &str), Row> = HashMap::new();
         for (id, story) in stories {
             let in_order = self.figures.classes.get(story.class).is_some_and(|class| class.in_order);
@@ -374,10 +379,14 @@
         }
     }
 
-    fn in_turn(&mut self, (earlier_id, earlier): (&str, &Story), (id, later): (&str, &Story)) {
+    fn in_turn(
+        &mut self,
+        (earlier_id, earlier): (&str, &MessageHistory),
+        (id, later): (&str, &MessageHistory),
+    ) {
         let Some(first) = later.requests.first() else { return };
         if let Some(last) = earlier.requests.last() {
-            if last.at > first.at + SKEW {
+            if last.at > first.at + CLOCK_SKEW {
                 self.broken(
                     "order",
                     id,
@@ -393,7 +402,7 @@
                         End::Left | End::Broken => self.figures.order_settle,
                         _ => 0,
                     };
-                    if first.at + SKEW < end + rest {
+                    if first.at + CLOCK_SKEW < end + rest {
                         self.broken(
                             "order",
                             id,
@@ -407,7 +416,7 @@
     }
 
     /// Rules 3 and 6: nothing to what drains, nothing while a wait lasts.
-    fn waits_and_drains(&mut self, stories: &BTreeMap<&str, Story>) {
+    fn waits_and_drains(&mut self, stories: &BTreeMap<&str, MessageHistory>) {
         let mut drains: HashMap<(&str, usize), Vec<(u64, bool)>> = HashMap::new();
         for line in self.lines {
             if let Seen::Listed { partner, endpoint, ready } = &line.seen {
@@ -425,7 +434,7 @@
                 let told = drains.get(&(request.partner, request.endpoint));
                 let news = told.and_then(|told| told.iter().rev().find(|(at, _)| *at <= request.at));
                 if let Some((at, false)) = news {
-                    if request.at > at + self.figures.drain_grace + SKEW {
+                    if request.at > at + self.figures.drain_grace + CLOCK_SKEW {
                         self.broken(
                             "drain",
                             id,
@@ -438,7 +447,9 @@
                 // A courier that was killed since is another one by the same name: it was told nothing.
                 let mut binding =
                     told.filter(|(from, _)| !self.was_killed(request.courier, *from, request.at));
-                if binding.any(|(from, until)| request.at > from + SKEW && request.at + SKEW < *until) {
+                if binding
+                    .any(|(from, until)| request.at > from + CLOCK_SKEW && request.at + CLOCK_SKEW < *until)
+                {
                     self.broken(
                         "wait",
                         id,
@@ -455,7 +466,7 @@
     }
 
     /// Rule 4: what couriers that saw an outage send to the returning partner stays under what it survives.
-    fn returns(&mut self, stories: &BTreeMap<&str, Story>) {
+    fn returns(&mut self, stories: &BTreeMap<&str, MessageHistory>) {
         let mut requests: HashMap<&str, Vec<&Request>> = HashMap::new();
         for request in stories.values().flat_map(|story| &story.requests) {
             requests.entry(request.partner).or_default().push(request);
--- a/crates/testbench/src/lib.rs
+++ b/crates/testbench/src/lib.rs
@@ -1,20 +1,23 @@
-//! The laboratory: scripted bad days over sockets with real courier processes, and a judge of the six rules.
+//! Fault-injection runs with real gateway processes over loopback sockets, and the checks of their invariants.
 //!
-//! [`bench`] measures what a courier costs. [`day`] reads scripts, [`run`] plays them, [`judge`] tells from the
-//! records of stand-ins and clients alone whether a rule was broken, [`replay`] turns a day of the users' bench into a
-//! script. [`figures`] sums up what the emulator played, [`experiment`] plays grids of it,
-//! [`report`] draws them.
+//! - [`scenario`] reads fault scenarios (HCL), [`scenario_run`] runs one, and [`invariants`] checks from the records of
+//!   fake partners and clients alone whether a delivery guarantee was violated. [`replay`] converts a day of the users'
+//!   bench into a scenario, [`recovery_windows`] measures the load of recovering sites.
+//! - [`fleet`] runs hundreds of gateway processes under an even load; [`load_report`] sums such a run up.
+//! - [`simulation_metrics`] sums up what the simulator ran, [`experiment`] runs grids of it and keeps them as
+//!   [`table`]s, and [`html_report`] draws them.
+//! - [`benchmark`] measures what one gateway costs.
 #![forbid(unsafe_code)]
 
-pub mod bench;
-pub mod columns;
-pub mod day;
+pub mod benchmark;
 pub mod experiment;
-pub mod figures;
 pub mod fleet;
-pub mod judge;
+pub mod html_report;
+pub mod invariants;
+pub mod load_report;
+pub mod recovery_windows;
 pub mod replay;
-pub mod report;
-pub mod returns;
-pub mod run;
-pub mod spread;
+pub mod scenario;
+pub mod scenario_run;
+pub mod simulation_metrics;
+pub mod table;
--- a/crates/testbench/src/returns.rs
+++ b/crates/testbench/src/recovery_windows.rs
@@ -1,6 +1,6 @@
 //! Load of returning sites in short windows, from the record of a day over sockets.
 
-use crate::day::Day;
+use crate::scenario::FaultScenario;
 use cloverstile_fakes::model::Nature;
 use cloverstile_fakes::record::{Line, Seen};
 use serde::Serialize;
@@ -29,7 +29,7 @@
 }
 
 /// All windows of all returns of a day.
-pub fn windows(day: &Day, lines: &[Line]) -> Vec<Window> {
+pub fn recovery_windows(day: &FaultScenario, lines: &[Line]) -> Vec<Window> {
     let spec = day.spec();
     let mut windows = Vec::new();
     for line in lines {
@@ -81,6 +81,6 @@
 }
 
 /// Whether a window got more than the site survives.
-pub fn is_over(window: &Window) -> bool {
+pub fn exceeds_bound(window: &Window) -> bool {
     f64::from(window.received) > window.bound.max(1.0)
 }
--- a/crates/testbench/src/replay.rs
+++ b/crates/testbench/src/replay.rs
@@ -1,7 +1,7 @@
 //! Turns a day of the users' bench (the JSON that it draws) into a script for real couriers, scaled to one
 //! machine. What can't be played is said.
 
-use crate::day::{ClassDay, Day, DayError, PartnerDay, Rules, Trouble};
+use crate::scenario::{ClassSettings, FaultScenario, PartnerSettings, Rules, ScenarioError, Trouble};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 
@@ -120,14 +120,14 @@
 /// A script, and what of the bench day it leaves out.
 pub struct Replay {
     /// To be played.
-    pub day: Day,
+    pub day: FaultScenario,
     /// In words, one a line.
     pub left_out: Vec<String>,
 }
 
 /// Reads a bench day.
-pub fn read(text: &str, scale: Scale) -> Result<Replay, DayError> {
-    let drawn: Drawn = serde_json::from_str(text).map_err(|error| DayError::Read(error.to_string()))?;
+pub fn read(text: &str, scale: Scale) -> Result<Replay, ScenarioError> {
+    let drawn: Drawn = serde_json::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
     let mut left_out = vec![format!(
         "size: {} couriers, {} destinations and {:.0} messages a second become {}, {} and {:.0}; times are \
          divided by {}",
@@ -162,7 +162,7 @@
     };
     let class = drawn.classes.iter().map(|class| (class.name.clone(), read_class(class, scale))).collect();
     left_out.push("traffic's shape, clumps, patience of clients and delays of the network".into());
-    let day = Day {
+    let day = FaultScenario {
         messages: (scale.rate * length) as u32,
         rate: scale.rate,
         couriers: scale.couriers,
@@ -177,9 +177,9 @@
     Ok(Replay { day, left_out })
 }
 
-fn read_class(class: &DrawnClass, scale: Scale) -> ClassDay {
+fn read_class(class: &DrawnClass, scale: Scale) -> ClassSettings {
     let seconds = |micros: f64| micros / 1e6 / scale.pace;
-    ClassDay {
+    ClassSettings {
         share: class.share,
         effect: class.effect.clone(),
         group: if class.group == "zone" { "zone" } else { "all" }.into(),
@@ -192,7 +192,7 @@
     }
 }
 
-fn partners(drawn: &Drawn, by_share: &[usize], scale: Scale) -> BTreeMap<String, PartnerDay> {
+fn partners(drawn: &Drawn, by_share: &[usize], scale: Scale) -> BTreeMap<String, PartnerSettings> {
     let kept: f64 = by_share.iter().map(|place| drawn.fam.share[*place]).sum();
     let mut all = BTreeMap::new();
     for place in by_share {
@@ -207,7 +207,7 @@
         let room = if gates.is_empty() { 1.5 } else { sum(|gate| gate.room) / wanted } * ours;
         let limited = habit.is_some_and(|habit| habit.limit != "none");
         let mean_ms = 25.0;
-        let partner = PartnerDay {
+        let partner = PartnerSettings {
             share,
             endpoints: drawn.servers.iter().filter(|server| server.cell == *place).count().clamp(1, 4),
             servers: ((room * mean_ms / 1000.0).ceil() as usize).max(1),
--- a/crates/testbench/src/day.rs
+++ b/crates/testbench/src/scenario.rs
@@ -21,7 +21,7 @@
 /// A day's script. Times are in seconds.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Day {
+pub struct FaultScenario {
     /// Messages.
     pub messages: u32,
     /// Messages a second on the mean.
@@ -29,9 +29,9 @@
     /// Couriers.
     pub couriers: usize,
     /// Class blocks, by name.
-    pub class: BTreeMap<String, ClassDay>,
+    pub class: BTreeMap<String, ClassSettings>,
     /// Partner blocks, by name.
-    pub partner: BTreeMap<String, PartnerDay>,
+    pub partner: BTreeMap<String, PartnerSettings>,
     /// What goes wrong, by a name for people.
     #[serde(default)]
     pub trouble: BTreeMap<String, Trouble>,
@@ -83,7 +83,7 @@
 /// A class of message.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct ClassDay {
+pub struct ClassSettings {
     /// Share of the messages.
     pub share: f64,
     /// `safe`, `keyed` or `unsafe`.
@@ -124,7 +124,7 @@
 /// A partner.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct PartnerDay {
+pub struct PartnerSettings {
     /// Share of the messages.
     pub share: f64,
     /// Endpoints.
@@ -187,7 +187,7 @@
     1
 }
 
-impl PartnerDay {
+impl PartnerSettings {
     /// Zone of each endpoint.
     pub fn zones(&self) -> Vec<usize> {
         match self.zones.is_empty() {
@@ -231,7 +231,7 @@
 
 /// What a trouble does.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Act {
+pub enum FaultEvent {
     /// A partner's fault.
     Fault(usize, Fault, Option<usize>),
     /// A partner's receipts.
@@ -248,7 +248,7 @@
 
 /// A script that can't be played.
 #[derive(Debug, thiserror::Error)]
-pub enum DayError {
+pub enum ScenarioError {
     /// Not read.
     #[error("day: {0}")]
     Read(String),
@@ -263,36 +263,36 @@
 }
 
 /// Reads a script.
-pub fn read(text: &str) -> Result<Day, DayError> {
-    let day: Day = hcl::from_str(text).map_err(|error| DayError::Read(error.to_string()))?;
+pub fn read(text: &str) -> Result<FaultScenario, ScenarioError> {
+    let day: FaultScenario = hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
     if day.messages == 0
         || day.rate <= 0.0
         || day.couriers == 0
         || day.class.is_empty()
         || day.partner.is_empty()
     {
-        return Err(DayError::Read("messages, rate, couriers, a class and a partner are needed".into()));
+        return Err(ScenarioError::Read("messages, rate, couriers, a class and a partner are needed".into()));
     }
     day.acts()?;
     // The stand-ins' zones do not know each other's keys. A class that says they do would take effect twice as soon as
     // a message changes its zone, and the judge would blame the couriers.
-    let apart = |partner: &PartnerDay| partner.zones().iter().any(|zone| *zone != partner.zones()[0]);
-    let shared = |class: &ClassDay| class.effect == "keyed" && class.group == "all";
+    let apart = |partner: &PartnerSettings| partner.zones().iter().any(|zone| *zone != partner.zones()[0]);
+    let shared = |class: &ClassSettings| class.effect == "keyed" && class.group == "all";
     if day.partner.values().any(apart) && day.class.values().any(shared) {
         let what =
             "a partner has several zones, which drop repeats apart: keyed classes need group = \"zone\"";
-        return Err(DayError::Read(what.into()));
+        return Err(ScenarioError::Read(what.into()));
     }
     Ok(day)
 }
 
-impl Day {
+impl FaultScenario {
     /// Troubles as what they do: begin and length in seconds.
-    pub fn acts(&self) -> Result<Vec<(f64, f64, f64, Act)>, DayError> {
+    pub fn acts(&self) -> Result<Vec<(f64, f64, f64, FaultEvent)>, ScenarioError> {
         let names: Vec<&String> = self.partner.keys().collect();
         let mut acts = Vec::new();
         for (name, trouble) in &self.trouble {
-            let wrong = |what: &str| DayError::Trouble { trouble: name.clone(), what: what.to_owned() };
+            let wrong = |what: &str| ScenarioError::Trouble { trouble: name.clone(), what: what.to_owned() };
             let partner = || {
                 let told = trouble.partner.as_ref().ok_or_else(|| wrong("names no partner"))?;
                 names.iter().position(|name| *name == told).ok_or_else(|| wrong("names an unknown partner"))
@@ -303,16 +303,18 @@
             };
             use cloverstile_fakes::partner::Twist;
             let act = match trouble.kind.as_str() {
-                "wrong-mic" => Act::Receipts(partner()?, Twist::WrongMic),
-                "wrong-signer" => Act::Receipts(partner()?, Twist::WrongSigner),
-                "twice" => Act::Receipts(partner()?, Twist::Twice),
-                "late-receipts" => Act::Receipts(partner()?, Twist::Late((trouble.size * 1000.0) as u64)),
-                "drain" => Act::Drain(partner()?, trouble.endpoint),
-                "kill" => Act::Kill(courier()?),
-                "stop" => Act::Stop(courier()?),
-                "burst" => Act::Burst(trouble.size),
+                "wrong-mic" => FaultEvent::Receipts(partner()?, Twist::WrongMic),
+                "wrong-signer" => FaultEvent::Receipts(partner()?, Twist::WrongSigner),
+                "twice" => FaultEvent::Receipts(partner()?, Twist::Twice),
+                "late-receipts" => {
+                    FaultEvent::Receipts(partner()?, Twist::Late((trouble.size * 1000.0) as u64))
+                }
+                "drain" => FaultEvent::Drain(partner()?, trouble.endpoint),
+                "kill" => FaultEvent::Kill(courier()?),
+                "stop" => FaultEvent::Stop(courier()?),
+                "burst" => FaultEvent::Burst(trouble.size),
                 other => match Fault::named(other, trouble.size) {
-                    Some(fault) => Act::Fault(partner()?, fault, trouble.zone),
+                    Some(fault) => FaultEvent::Fault(partner()?, fault, trouble.zone),
                     None => return Err(wrong(&format!("has the unknown kind '{other}'"))),
                 },
             };
@@ -325,7 +327,7 @@
     pub fn spec(&self) -> Spec {
         let ms = |seconds: f64| Duration::from_secs_f64(seconds);
         let rules = &self.rules;
-        let nature = |partner: &PartnerDay| Nature {
+        let nature = |partner: &PartnerSettings| Nature {
             servers: partner.servers,
             queue: partner.queue,
             service: (
@@ -375,7 +377,7 @@
                     worth: class.worth,
                 })
                 .collect(),
-            zones: self.partner.values().flat_map(PartnerDay::zones).max().map_or(1, |most| most + 1),
+            zones: self.partner.values().flat_map(PartnerSettings::zones).max().map_or(1, |most| most + 1),
             courier_lines: format!(
                 "  call_slots = {slots}\n  most_held = 4000\n  stop_within = \"4s\"\n  workers = {}",
                 self.workers
@@ -401,7 +403,7 @@
             .unwrap_or_default()
             .into_iter()
             .filter_map(|(at, lasts, _, act)| match act {
-                Act::Burst(times) => Some((at, at + lasts, times)),
+                FaultEvent::Burst(times) => Some((at, at + lasts, times)),
                 _ => None,
             })
             .collect();
--- a/crates/testbench/src/run.rs
+++ b/crates/testbench/src/scenario_run.rs
@@ -1,7 +1,7 @@
 //! Plays a day: courier processes, partners and clients on loopback, troubles by the clock.
 
-use crate::day::{Act, Day, DayError};
-use crate::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
+use crate::invariants::{judge, ClassRule, Figures, InvariantReport, PartnerRule};
+use crate::scenario::{FaultEvent, FaultScenario, ScenarioError};
 use cloverstile_as2_gateway::rig::{Rig, RigError};
 use cloverstile_fakes::client::{Client, Couriers, Habits, Progress};
 use cloverstile_fakes::partner::Order;
@@ -22,7 +22,7 @@
 pub enum RunError {
     /// Its script.
     #[error(transparent)]
-    Day(#[from] DayError),
+    FaultScenario(#[from] ScenarioError),
     /// Keys, files or partners.
     #[error(transparent)]
     Rig(#[from] RigError),
@@ -36,7 +36,7 @@
 
 /// How couriers are started.
 #[derive(Clone, Debug)]
-pub struct Launch {
+pub struct GatewayCommand {
     /// Program that takes `courier FILE` and prints where it listens.
     pub program: PathBuf,
     /// What their logs show on standard error.
@@ -44,11 +44,11 @@
 }
 
 /// What came of a day.
-pub struct Played {
+pub struct RunResult {
     /// All that was seen.
     pub lines: Vec<Line>,
     /// What the judge says.
-    pub verdict: Verdict,
+    pub verdict: InvariantReport,
     /// Wall time.
     pub took: Duration,
 }
@@ -72,7 +72,7 @@
 impl Process {
     /// Starts a courier and waits until it listens.
     pub(crate) fn start(
-        launch: &Launch,
+        launch: &GatewayCommand,
         file: &Path,
         number: usize,
     ) -> Result<(Process, SocketAddr), RunError> {
@@ -121,7 +121,7 @@
 }
 
 /// What the judge needs to know of a day.
-pub fn figures(day: &Day) -> Figures {
+pub fn figures(day: &FaultScenario) -> Figures {
     let micros = |seconds: f64| (seconds * 1e6) as u64;
     let spec = day.spec();
     Figures {
@@ -162,12 +162,12 @@
     at: Duration,
     begins: bool,
     lasts: Duration,
-    act: Act,
+    act: FaultEvent,
 }
 
-struct Stage<'a> {
+struct ScenarioRun<'a> {
     rig: Rig,
-    launch: &'a Launch,
+    launch: &'a GatewayCommand,
     processes: Vec<Option<Process>>,
     /// Told to stop, and still answering.
     stopping: Vec<(usize, Process)>,
@@ -177,12 +177,18 @@
 }
 
 /// Plays a day and judges it.
-pub fn play(day: &Day, seed: u64, folder: &Path, launch: &Launch, watch: Watch) -> Result<Played, RunError> {
+pub fn play(
+    day: &FaultScenario,
+    seed: u64,
+    folder: &Path,
+    launch: &GatewayCommand,
+    watch: Watch,
+) -> Result<RunResult, RunError> {
     let began = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let recorder = Recorder::default();
     let rig = Rig::build(folder, day.spec(), recorder.clone(), seed)?;
-    let mut stage = Stage {
+    let mut stage = ScenarioRun {
         rig,
         launch,
         processes: Vec::new(),
@@ -251,10 +257,10 @@
     }
     let lines = recorder.lines();
     let verdict = judge(&lines, &figures(day));
-    Ok(Played { lines, verdict, took: began.elapsed() })
+    Ok(RunResult { lines, verdict, took: began.elapsed() })
 }
 
-fn steps(day: &Day, rng: &mut ChaCha8Rng, from: Duration) -> Result<Vec<Step>, RunError> {
+fn steps(day: &FaultScenario, rng: &mut ChaCha8Rng, from: Duration) -> Result<Vec<Step>, RunError> {
     let mut steps = Vec::new();
     for (at, lasts, sway, act) in day.acts()? {
         let moved = if sway > 0.0 { rng.random_range(0.0..sway) } else { 0.0 };
@@ -267,20 +273,22 @@
     Ok(steps)
 }
 
-impl Stage<'_> {
+impl ScenarioRun<'_> {
     fn take(&mut self, step: &Step, couriers: &Couriers) -> Result<(), RunError> {
         match (step.act, step.begins) {
-            (Act::Fault(partner, fault, zone), true) => {
+            (FaultEvent::Fault(partner, fault, zone), true) => {
                 self.rig.partners.order(Order::Fault { partner, fault, zone, lasts: step.lasts });
             }
-            (Act::Receipts(partner, twist), begins) => {
+            (FaultEvent::Receipts(partner, twist), begins) => {
                 self.rig.partners.order(Order::Twist { partner, twist: begins.then_some(twist) });
             }
-            (Act::Drain(partner, endpoint), begins) => self.drain(partner, endpoint, begins)?,
-            (Act::Kill(courier), true) => self.end(courier, true, couriers),
-            (Act::Stop(courier), true) => self.end(courier, false, couriers),
-            (Act::Kill(courier) | Act::Stop(courier), false) => self.start_again(courier, couriers)?,
-            (Act::Fault(..), false) | (Act::Burst(_), _) => {}
+            (FaultEvent::Drain(partner, endpoint), begins) => self.drain(partner, endpoint, begins)?,
+            (FaultEvent::Kill(courier), true) => self.end(courier, true, couriers),
+            (FaultEvent::Stop(courier), true) => self.end(courier, false, couriers),
+            (FaultEvent::Kill(courier) | FaultEvent::Stop(courier), false) => {
+                self.start_again(courier, couriers)?
+            }
+            (FaultEvent::Fault(..), false) | (FaultEvent::Burst(_), _) => {}
         }
         Ok(())
     }
--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -3,7 +3,7 @@
 
 use cloverstile_simulator::{read_spread, Scene};
 use cloverstile_testbench::fleet::play_fleet;
-use cloverstile_testbench::spread::figures;
+use cloverstile_testbench::load_report::figures;
 use std::path::Path;
 use std::time::Duration;
 
--- a/crates/testbench/tests/judge.rs
+++ b/crates/testbench/tests/invariants.rs
@@ -1,7 +1,7 @@
 //! Each rule is broken in a doctored record, and found out; the record without the doctoring is clean.
 
 use cloverstile_fakes::record::{End, Line, Seen, Told};
-use cloverstile_testbench::judge::{judge, ClassRule, Figures, PartnerRule, Verdict};
+use cloverstile_testbench::invariants::{judge, ClassRule, Figures, InvariantReport, PartnerRule};
 use std::collections::HashMap;
 
 const MS: u64 = 1000;
@@ -64,7 +64,7 @@
         self.at(ms, Seen::Answer { id: id.to_owned(), courier: 0, told })
     }
 
-    fn judged(&self) -> Verdict {
+    fn judged(&self) -> InvariantReport {
         let mut lines = self.lines.clone();
         lines.sort_by_key(|line| line.at);
         judge(&lines, &figures())
--- a/crates/testbench/tests/replay.rs
+++ b/crates/testbench/tests/replay.rs
@@ -1,8 +1,8 @@
 //! A bench day becomes a script; what can't be played is said.
 
 use cloverstile_fakes::model::Fault;
-use cloverstile_testbench::day::Act;
 use cloverstile_testbench::replay::{read, Scale};
+use cloverstile_testbench::scenario::FaultEvent;
 use serde_json::json;
 use std::time::Duration;
 
@@ -47,18 +47,18 @@
 #[test]
 fn each_kind_of_trouble_is_played_or_said_to_be_left_out() {
     for (kind, size, act) in [
-        ("hang", 0.0, Some(Act::Fault(0, Fault::Silent, None))),
-        ("crash", 0.0, Some(Act::Fault(0, Fault::Refuse, None))),
-        ("vanish", 0.0, Some(Act::Fault(0, Fault::Refuse, None))),
-        ("fast_errors", 0.4, Some(Act::Fault(0, Fault::Errors(0.4), None))),
-        ("fast_errors", 1.0, Some(Act::Fault(0, Fault::Shut, None))),
-        ("slow", 8.0, Some(Act::Fault(0, Fault::Slow(8.0), None))),
-        ("answer_lost", 0.3, Some(Act::Fault(0, Fault::LoseAnswers(0.3), None))),
-        ("idle_reap", 1.5, Some(Act::Fault(0, Fault::Reap(Duration::from_millis(500)), None))),
-        ("pauses", 300.0, Some(Act::Fault(0, Fault::Late(Duration::from_millis(300)), None))),
-        ("deploy", 0.0, Some(Act::Drain(0, 0))),
-        ("burst", 2.0, Some(Act::Burst(2.0))),
-        ("balancer_crash", 0.0, Some(Act::Kill(0))),
+        ("hang", 0.0, Some(FaultEvent::Fault(0, Fault::Silent, None))),
+        ("crash", 0.0, Some(FaultEvent::Fault(0, Fault::Refuse, None))),
+        ("vanish", 0.0, Some(FaultEvent::Fault(0, Fault::Refuse, None))),
+        ("fast_errors", 0.4, Some(FaultEvent::Fault(0, Fault::Errors(0.4), None))),
+        ("fast_errors", 1.0, Some(FaultEvent::Fault(0, Fault::Shut, None))),
+        ("slow", 8.0, Some(FaultEvent::Fault(0, Fault::Slow(8.0), None))),
+        ("answer_lost", 0.3, Some(FaultEvent::Fault(0, Fault::LoseAnswers(0.3), None))),
+        ("idle_reap", 1.5, Some(FaultEvent::Fault(0, Fault::Reap(Duration::from_millis(500)), None))),
+        ("pauses", 300.0, Some(FaultEvent::Fault(0, Fault::Late(Duration::from_millis(300)), None))),
+        ("deploy", 0.0, Some(FaultEvent::Drain(0, 0))),
+        ("burst", 2.0, Some(FaultEvent::Burst(2.0))),
+        ("balancer_crash", 0.0, Some(FaultEvent::Kill(0))),
         ("heavy_tail", 9.0, None),
     ] {
         let replay = read(&drawn(json!([trouble(kind, size, &[1])])), Scale::default()).unwrap();
--- a/crates/testbench/tests/zones.rs
+++ b/crates/testbench/tests/simulated_zone_loss.rs
@@ -2,7 +2,7 @@
 //! what a site survives.
 
 use cloverstile_simulator::{play, read, PolicyKind, BUILT_IN};
-use cloverstile_testbench::figures::{figures, Figures};
+use cloverstile_testbench::simulation_metrics::{figures, Figures};
 
 /// The surge in small, with other troubles.
 fn surge(couriers: usize, rate: f64, troubles: &str) -> Figures {
--- a/crates/testbench/tests/sockets.rs
+++ b/crates/testbench/tests/socket_scenarios.rs
@@ -1,8 +1,8 @@
 //! The hard cases, each a small day over sockets with real courier processes, judged from the records.
 
 use cloverstile_fakes::record::{End, Seen, Told};
-use cloverstile_testbench::day::read;
-use cloverstile_testbench::run::{play, Launch, Played};
+use cloverstile_testbench::scenario::read;
+use cloverstile_testbench::scenario_run::{play, GatewayCommand, RunResult};
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 
@@ -10,11 +10,12 @@
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// Plays a day and demands that all is answered and no rule is broken.
-fn day(name: &str, text: &str) -> Played {
+fn day(name: &str, text: &str) -> RunResult {
     let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let day = read(text).unwrap();
     let folder = std::env::temp_dir().join(format!("cloverstile-test-{}-{name}", std::process::id()));
-    let launch = Launch { program: env!("CARGO_BIN_EXE_cloverstile-testbench").into(), log: "error".into() };
+    let launch =
+        GatewayCommand { program: env!("CARGO_BIN_EXE_cloverstile-testbench").into(), log: "error".into() };
     let played = play(&day, 5, &folder, &launch, &|_| {}).unwrap();
     let verdict = &played.verdict;
     assert!(verdict.broken.is_empty(), "{:?}", &verdict.broken[..verdict.broken.len().min(5)]);
@@ -27,7 +28,7 @@
     played
 }
 
-fn requests(played: &Played) -> HashMap<&str, Vec<(u64, usize, u64)>> {
+fn requests(played: &RunResult) -> HashMap<&str, Vec<(u64, usize, u64)>> {
     let mut all: HashMap<&str, Vec<(u64, usize, u64)>> = HashMap::new();
     for line in &played.lines {
         if let Seen::Request { id, endpoint, call, .. } = &line.seen {
@@ -208,7 +209,7 @@
 
 #[test]
 fn a_payday_in_small_keeps_every_rule() {
-    let payday = cloverstile_testbench::day::BUILT_IN[0].1;
+    let payday = cloverstile_testbench::scenario::BUILT_IN[0].1;
     let text = payday.replace("messages = 5000", "messages = 1500").replace("rate     = 380", "rate = 150");
     let played = day("payday", &text);
     assert!(played.verdict.delivered > 1300, "{:?}", played.verdict);
@@ -216,7 +217,7 @@
 
 #[test]
 fn a_lost_site_spills_its_stated_share_in_every_second_and_comes_back_gently() {
-    let zone = cloverstile_testbench::day::BUILT_IN.iter().find(|(name, _)| *name == "zone").unwrap().1;
+    let zone = cloverstile_testbench::scenario::BUILT_IN.iter().find(|(name, _)| *name == "zone").unwrap().1;
     let text = zone.replace("messages = 3000", "messages = 2000");
     let played = day("zone", &text);
     let requests = requests(&played);
@@ -263,11 +264,14 @@
         trouble \"gone\" {\n kind = \"refuse\"\n partner = \"bank\"\n zone = 0\n at = 3\n lasts = 4\n}\n\
         trouble \"surge\" {\n kind = \"burst\"\n at = 6\n lasts = 5\n size = 1.4\n}\n";
     let played = day("return", text);
-    let windows = cloverstile_testbench::returns::windows(&read(text).unwrap(), &played.lines);
+    let windows =
+        cloverstile_testbench::recovery_windows::recovery_windows(&read(text).unwrap(), &played.lines);
     assert!(windows.len() >= 70, "{} windows", windows.len());
     let received: u32 = windows.iter().map(|window| window.received).sum();
     assert!(received > 200, "{received} requests at the returning site");
-    let over: Vec<_> =
-        windows.iter().filter(|window| cloverstile_testbench::returns::is_over(window)).collect();
+    let over: Vec<_> = windows
+        .iter()
+        .filter(|window| cloverstile_testbench::recovery_windows::exceeds_bound(window))
+        .collect();
     assert!(over.is_empty(), "{over:?}");
 }
