Fleet of the testbench: state, submissions, requests, faults and the loop in files of their own

Need: one file of 514 lines held event loop, clients, endpoints, discovery and faults; the supervisor had a process type of its own, and the priority weight of a late message was computed a second time. Change: HarnessState owns the sockets' state, each concern is a file that uses it and is used by the loop only; a process type and a rule on repeats in one place; the value of a late message is ClassSpec::worth_at of the simulator. The tracker's two tests moved to fleet/invariants/tests.rs, that of query strings to fleet/endpoint_list/tests.rs.

--- /dev/null
+++ b/crates/testbench/src/fleet/gateway_config.rs
@@ -0,0 +1,67 @@
+//! The configuration that a gateway process is started with, in the form of the users' platform.
+
+use cloverstile_simulator::{ClassSpec, Scene};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+
+/// Odd multiplier that spreads the seeds of neighbouring gateways over all bits (2^64 divided by the golden ratio).
+const SEED_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// The settings file of one gateway of a fleet.
+pub(super) struct GatewayConfig<'a> {
+    /// The scenario.
+    pub scenario: &'a Scene,
+    /// Where service discovery listens.
+    pub discovery: SocketAddr,
+    /// The endpoint list at the start, in discovery's form.
+    pub endpoint_list: &'a Value,
+    /// Seed of the run.
+    pub seed: u64,
+}
+
+fn nanos(seconds: f64) -> u64 {
+    (seconds * 1e9) as u64
+}
+
+fn lane(name: &str, class: &ClassSpec) -> Value {
+    let effect = match class.effect.as_str() {
+        "safe" => "read_like",
+        "keyed" => "idempotency_key",
+        _ => "non_idempotent",
+    };
+    json!({
+        "Name": name, "Effect": effect, "Group": "all", "Aim": nanos(class.aim),
+        "Deadline": nanos(class.deadline), "RepeatWindow": nanos(class.window), "OneAtATime": false,
+        "Worth": class.worth, "LateShare": class.late_share,
+    })
+}
+
+impl GatewayConfig<'_> {
+    /// The configuration of one gateway that listens at an address.
+    pub fn to_json(&self, gateway: usize, listen: SocketAddr) -> Value {
+        let seed = self.seed.wrapping_add(gateway as u64).wrapping_mul(SEED_MULTIPLIER);
+        json!({
+            "name": format!("n{gateway}"), "listen": listen.to_string(), "discovery": self.discovery.to_string(),
+            "seed": format!("{seed:x}"),
+            "limits": {"cores": 0.2, "memory_mb": 64, "sockets": 256, "disk_mb": 2}, "known": self.endpoint_list,
+            "settings": self.settings(),
+        })
+    }
+
+    fn settings(&self) -> Value {
+        let (scenario, rules) = (self.scenario, &self.scenario.rules);
+        json!({
+            "Balancers": scenario.couriers, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
+            "FamilyInfo": {"CallsOut": scenario.call_slots, "KindBatch": [1, 1], "OwnLimits": [false, true], "Decay": "line",
+                "ReportX0": "share_of_the_allowance_that_is_left", "ReportX1": "calls_a_second"},
+            "Lanes": scenario.class.iter().map(|(name, class)| lane(name, class)).collect::<Vec<_>>(),
+            "MachineTypes": ["shared", "apart"], "Zones": ["here"], "WeightSource": "nominal",
+            "Report": {"Fields": ["x0", "x1"], "Source": "piggyback"},
+            "Permissions": {"MostHeld": scenario.most_held, "SendCap": 8, "Cancel": true, "RetryAfter": true,
+                "MaxRetryAfter": nanos(5.0), "ConnIdle": nanos(scenario.conn_idle), "ConnectTimeout": nanos(1.0)},
+            "Rules": {"AnswerSlack": nanos(rules.answer_slack), "ColdFrom": rules.cold_from,
+                "Cold": nanos(rules.cold), "TipMultiple": rules.tip_multiple, "Fall": nanos(rules.fall),
+                "OrderSettle": nanos(rules.order_settle)},
+        })
+    }
+}
--- /dev/null
+++ b/crates/testbench/src/fleet/submissions.rs
@@ -0,0 +1,87 @@
+//! Submissions of messages by the clients, and the replies of the gateways.
+
+use super::clients::SubmissionReply;
+use super::harness_state::HarnessState;
+use super::invariants::FinalOutcome;
+use super::timers::Timer;
+use cloverstile_net::ConnId;
+use cloverstile_simulator::Drawn;
+use std::time::Duration;
+
+/// A client that can't connect tries again after this time: its gateway is being started.
+const RECONNECT_DELAY: Duration = Duration::from_millis(100);
+/// The content of every message.
+const CONTENT: &[u8] = b"a payslip";
+/// The trace field of every submission.
+const NO_TRACE: &[u8] = b"0000000000000000";
+
+impl HarnessState<'_> {
+    /// Draws the next message, submits it and schedules the one after it.
+    pub(super) fn submit_next(&mut self, now: Duration) {
+        let next = now + self.traffic.gap(&mut self.rng);
+        if next.as_secs_f64() < self.scenario.seconds {
+            self.timers.schedule(next, Timer::NextSubmission);
+        }
+        let Drawn { class, partner, courier: gateway } = self.traffic.draw(&mut self.rng);
+        let message = self.tracker.on_submission(now, gateway, partner, class);
+        self.submit(now, message);
+    }
+
+    /// Submits a message on an idle connection, or on a new one once it is established.
+    pub(super) fn submit(&mut self, now: Duration, message: usize) {
+        let Some(gateway) = self.tracker.message(message).map(|tracked| tracked.gateway) else { return };
+        if let Some(connection) = self.clients.reuse_idle(gateway, message) {
+            self.send_submission(now, connection, message);
+        } else if let Some(supervisor) = &self.supervisor {
+            let connection = self.net.connect(supervisor.address(gateway));
+            self.clients.on_connecting(connection, gateway, message);
+        }
+    }
+
+    /// A client's connection is established.
+    pub(super) fn on_client_connected(&mut self, connection: ConnId) {
+        let now = self.started.elapsed();
+        if let Some(message) = self.clients.on_connected(connection) {
+            self.send_submission(now, connection, message);
+        }
+    }
+
+    fn send_submission(&mut self, now: Duration, connection: ConnId, number: usize) {
+        let Some(message) = self.tracker.message(number) else { return };
+        let Some((name, class)) = self.scenario.class.iter().nth(message.class) else { return };
+        let remaining = message.deadline.saturating_sub(now).as_millis();
+        let key = if class.effect == "keyed" { format!(",k=k{number:x}") } else { String::new() };
+        let fields = format!("c={name},d={remaining}{key},dest={}", message.partner);
+        let id = format!("{number:016x}");
+        let words: [&[u8]; 5] = [b"MSG.PUT", NO_TRACE, id.as_bytes(), fields.as_bytes(), CONTENT];
+        self.net.send(connection, &cloverstile_resp::command(&words));
+    }
+
+    /// Bytes of a gateway have come on a client's connection.
+    pub(super) fn on_client_bytes(&mut self, now: Duration, connection: ConnId, bytes: &[u8]) {
+        match self.clients.on_bytes(connection, bytes) {
+            Some((message, SubmissionReply::Accepted)) => self.tracker.on_accepted(now, message),
+            Some((message, SubmissionReply::Busy)) => {
+                self.tracker.on_final_outcome(now, message, FinalOutcome::Rejected);
+            }
+            Some((message, SubmissionReply::Failed)) => {
+                self.tracker.on_final_outcome(now, message, FinalOutcome::Failed);
+            }
+            None => {}
+        }
+    }
+
+    /// A client's connection closed, or could not be established.
+    pub(super) fn on_client_closed(&mut self, now: Duration, connection: ConnId) {
+        let Some(unanswered) = self.clients.on_closed(connection) else { return };
+        let message = unanswered.message;
+        let too_late =
+            self.tracker.message(message).is_none_or(|tracked| now + RECONNECT_DELAY >= tracked.deadline);
+        if unanswered.was_connected || too_late {
+            // Submitted, and no reply came: a client can't tell what became of it, and gives it up here.
+            self.tracker.on_final_outcome(now, message, FinalOutcome::Failed);
+        } else {
+            self.timers.schedule(now + RECONNECT_DELAY, Timer::RetrySubmission { message });
+        }
+    }
+}
--- a/crates/testbench/src/fleet/supervisor.rs
+++ b/crates/testbench/src/fleet/supervisor.rs
@@ -1,244 +1,166 @@
-//! The processes: their settings, start, loss and end.
+//! The gateway processes of a fleet: configuration files, start, loss and end.
 
-use cloverstile_simulator::Scene;
-use rustix::process::{kill_process, Pid, Signal};
+use super::error::FleetError;
+use super::gateway_config::GatewayConfig;
+use crate::process::GatewayProcess;
+use rustix::process::Signal;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-/// A courier answers a PING within so long of its start, also when hundreds start at once on two cores.
-const READY: Duration = Duration::from_secs(60);
-/// Told to end, it ends within so long.
-const ENDED: Duration = Duration::from_secs(10);
-/// Second byte of the loopback addresses of couriers from here on: so many couriers to each, so many bytes to a fleet.
-const FIRST: u8 = 96;
-const EACH: usize = 200;
-const BYTES: u8 = 8;
-/// Fleets of one process after which addresses are used again.
-const FLEETS: u8 = 12;
-/// Most couriers of a fleet.
-pub(super) const MOST: usize = EACH * BYTES as usize;
-
-/// Why a fleet could not be played.
-#[derive(Debug, thiserror::Error)]
-pub enum FleetError {
-    /// Sockets, files or processes.
-    #[error("fleet: {what}: {error}")]
-    Io {
-        /// What was tried.
-        what: String,
-        /// Why not.
-        error: std::io::Error,
-    },
-    /// A courier that did not come up.
-    #[error("fleet: courier {courier} does not answer a PING at {address} within {READY:?}")]
-    NotReady {
-        /// Which.
-        courier: usize,
-        /// Where.
-        address: SocketAddr,
-    },
-    /// More couriers than there are addresses for.
-    #[error("fleet: {0} couriers; at most {MOST} are played as processes, more with --emulate")]
-    TooMany(usize),
-    /// By SIGINT or SIGTERM.
-    #[error("fleet: told to end; the couriers were ended, and nothing is told of this run")]
-    Ended,
-    /// A courier that ended though nobody told it to.
-    #[error("fleet: courier {0} ended by itself")]
-    Died(usize),
-}
-
-impl FleetError {
-    pub(super) fn io(what: impl Into<String>) -> impl FnOnce(std::io::Error) -> FleetError {
-        |error| FleetError::Io { what: what.into(), error }
-    }
-}
-
-/// All couriers of a fleet; killed where they are dropped.
+/// A gateway answers a PING within this time of its start, also when hundreds start at once on two cores.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+/// A gateway that is not ready is asked again after this time.
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Told to end, all gateways exit within this time.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Second byte of the first loopback address of a gateway.
+const FIRST_SECOND_BYTE: u8 = 96;
+/// Gateways for each value of the second byte.
+const GATEWAYS_PER_BYTE: usize = 200;
+/// Values of the second byte for each fleet.
+const BYTES_PER_FLEET: u8 = 8;
+/// Fleets of one testbench process after which addresses are used again.
+const DISTINCT_FLEETS: u8 = 12;
+/// Most gateways of a fleet.
+const MAX_GATEWAYS: usize = GATEWAYS_PER_BYTE * BYTES_PER_FLEET as usize;
+/// The port on which gateways listen.
+const GATEWAY_PORT: u16 = 6379;
+
+/// All gateway processes of a fleet; killed where it is dropped, and their folder removed.
 pub(super) struct ProcessSupervisor {
     program: PathBuf,
     folder: PathBuf,
-    children: Vec<Option<Child>>,
-    pub addresses: Vec<SocketAddr>,
+    processes: Vec<Option<GatewayProcess>>,
+    addresses: Vec<SocketAddr>,
 }
 
 impl Drop for ProcessSupervisor {
     fn drop(&mut self) {
-        for child in self.children.iter_mut().flatten() {
-            // Ended in the ordinary course already; this is for errors on the way.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        // No process may write to the folder any more when it is removed.
+        self.processes.clear();
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
-/// The whole of an address is one courier's, so that its port can't be another's when it starts again, nor that of a fleet
-/// beside it.
-fn address(fleet: u8, courier: usize) -> SocketAddr {
+/// The address of a gateway. The whole of it is one gateway's, so that its port can't be another's when it starts
+/// again, nor that of a fleet beside it.
+fn gateway_address(fleet: u8, gateway: usize) -> SocketAddr {
     let last = 1 + (std::process::id() % 250) as u8;
-    let second = FIRST + fleet % FLEETS * BYTES + (courier / EACH) as u8;
-    SocketAddr::from((Ipv4Addr::new(127, second, (courier % EACH) as u8, last), 6379))
-}
-
-/// What one courier is handed; `known` is the list.
-fn configuration(
-    scene: &Scene,
-    courier: usize,
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    known: &serde_json::Value,
-    seed: u64,
-) -> serde_json::Value {
-    let nanos = |seconds: f64| (seconds * 1e9) as u64;
-    let lane = |(name, class): (&String, &cloverstile_simulator::ClassSpec)| {
-        let effect = match class.effect.as_str() {
-            "safe" => "read_like",
-            "keyed" => "idempotency_key",
-            _ => "non_idempotent",
-        };
-        serde_json::json!({
-            "Name": name, "Effect": effect, "Group": "all", "Aim": nanos(class.aim),
-            "Deadline": nanos(class.deadline), "RepeatWindow": nanos(class.window), "OneAtATime": false,
-            "Worth": class.worth, "LateShare": class.late_share,
-        })
-    };
-    let rules = &scene.rules;
-    serde_json::json!({
-        "name": format!("n{courier}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
-        "seed": format!("{:x}", seed.wrapping_add(courier as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15)),
-        "limits": {"cores": 0.2, "memory_mb": 64, "sockets": 256, "disk_mb": 2}, "known": known,
-        "settings": {
-            "Balancers": scene.couriers, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
-            "FamilyInfo": {"CallsOut": scene.call_slots, "KindBatch": [1, 1], "OwnLimits": [false, true], "Decay": "line",
-                "ReportX0": "share_of_the_allowance_that_is_left", "ReportX1": "calls_a_second"},
-            "Lanes": scene.class.iter().map(lane).collect::<Vec<_>>(),
-            "MachineTypes": ["shared", "apart"], "Zones": ["here"], "WeightSource": "nominal",
-            "Report": {"Fields": ["x0", "x1"], "Source": "piggyback"},
-            "Permissions": {"MostHeld": scene.most_held, "SendCap": 8, "Cancel": true, "RetryAfter": true,
-                "MaxRetryAfter": nanos(5.0), "ConnIdle": nanos(scene.conn_idle), "ConnectTimeout": nanos(1.0)},
-            "Rules": {"AnswerSlack": nanos(rules.answer_slack), "ColdFrom": rules.cold_from,
-                "Cold": nanos(rules.cold), "TipMultiple": rules.tip_multiple, "Fall": nanos(rules.fall),
-                "OrderSettle": nanos(rules.order_settle)},
-        },
-    })
+    let second =
+        FIRST_SECOND_BYTE + fleet % DISTINCT_FLEETS * BYTES_PER_FLEET + (gateway / GATEWAYS_PER_BYTE) as u8;
+    let third = (gateway % GATEWAYS_PER_BYTE) as u8;
+    SocketAddr::from((Ipv4Addr::new(127, second, third, last), GATEWAY_PORT))
 }
 
 impl ProcessSupervisor {
-    /// Starts all couriers of a scene and waits until each answers.
-    pub fn start(
-        program: &Path,
-        scene: &Scene,
-        discovery: SocketAddr,
-        known: &serde_json::Value,
-        seed: u64,
-    ) -> Result<ProcessSupervisor, FleetError> {
+    /// Starts all gateways of a scenario and waits until each answers.
+    pub fn start(program: &Path, config: &GatewayConfig) -> Result<ProcessSupervisor, FleetError> {
         static FLEETS: AtomicU8 = AtomicU8::new(0);
         let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
-        if scene.couriers > MOST {
-            return Err(FleetError::TooMany(scene.couriers));
+        let gateways = config.scenario.couriers;
+        if gateways > MAX_GATEWAYS {
+            return Err(FleetError::TooMany { gateways, max: MAX_GATEWAYS });
         }
         let folder = std::env::temp_dir().join(format!("cloverstile-fleet-{}-{fleet}", std::process::id()));
-        let mut processes = ProcessSupervisor {
+        let mut supervisor = ProcessSupervisor {
             program: program.to_owned(),
             folder,
-            children: (0..scene.couriers).map(|_| None).collect(),
-            addresses: (0..scene.couriers).map(|courier| address(fleet, courier)).collect(),
+            processes: (0..gateways).map(|_| None).collect(),
+            addresses: (0..gateways).map(|gateway| gateway_address(fleet, gateway)).collect(),
         };
-        for courier in 0..scene.couriers {
-            let state = processes.state(courier);
-            std::fs::create_dir_all(&state).map_err(FleetError::io(state.display().to_string()))?;
-            let listen = processes.addresses[courier];
-            let text = configuration(scene, courier, listen, discovery, known, seed).to_string();
-            let file = processes.configuration(courier);
-            std::fs::write(&file, text).map_err(FleetError::io(file.display().to_string()))?;
-            processes.spawn(courier)?;
+        for gateway in 0..gateways {
+            supervisor.write_config(gateway, config)?;
+            supervisor.start_gateway(gateway)?;
         }
-        let end = Instant::now() + READY;
-        for (courier, address) in processes.addresses.iter().copied().enumerate() {
-            while !answers(address) {
+        supervisor.wait_until_ready()?;
+        Ok(supervisor)
+    }
+
+    /// Where a gateway listens.
+    pub fn address(&self, gateway: usize) -> SocketAddr {
+        self.addresses[gateway]
+    }
+
+    fn write_config(&self, gateway: usize, config: &GatewayConfig) -> Result<(), FleetError> {
+        let state = self.state_folder(gateway);
+        std::fs::create_dir_all(&state).map_err(FleetError::io(state.display().to_string()))?;
+        let text = config.to_json(gateway, self.addresses[gateway]).to_string();
+        let file = self.config_file(gateway);
+        std::fs::write(&file, text).map_err(FleetError::io(file.display().to_string()))
+    }
+
+    fn wait_until_ready(&self) -> Result<(), FleetError> {
+        let end = Instant::now() + READY_TIMEOUT;
+        for (gateway, address) in self.addresses.iter().copied().enumerate() {
+            while !answers_ping(address) {
                 if Instant::now() > end {
-                    return Err(FleetError::NotReady { courier, address });
+                    return Err(FleetError::NotReady { gateway, address, timeout: READY_TIMEOUT });
                 }
-                std::thread::sleep(Duration::from_millis(5));
+                std::thread::sleep(READY_POLL_INTERVAL);
             }
         }
-        Ok(processes)
+        Ok(())
     }
 
-    fn state(&self, courier: usize) -> PathBuf {
-        self.folder.join(format!("n{courier}/state"))
+    fn state_folder(&self, gateway: usize) -> PathBuf {
+        self.folder.join(format!("n{gateway}/state"))
     }
 
-    fn configuration(&self, courier: usize) -> PathBuf {
-        self.folder.join(format!("n{courier}/config.json"))
+    fn config_file(&self, gateway: usize) -> PathBuf {
+        self.folder.join(format!("n{gateway}/config.json"))
     }
 
-    /// Starts one courier on its folder.
-    pub fn spawn(&mut self, courier: usize) -> Result<(), FleetError> {
-        let child = Command::new(&self.program)
+    /// Starts one gateway on its folder.
+    pub fn start_gateway(&mut self, gateway: usize) -> Result<(), FleetError> {
+        let mut command = Command::new(&self.program);
+        command
             .arg("node")
-            .env("ROUTER_CONFIG", self.configuration(courier))
-            .env("ROUTER_STATE", self.state(courier))
+            .env("ROUTER_CONFIG", self.config_file(gateway))
+            .env("ROUTER_STATE", self.state_folder(gateway))
             .stdin(Stdio::null())
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn()
+            .stderr(Stdio::null());
+        let process = GatewayProcess::spawn(&mut command)
             .map_err(FleetError::io(format!("{} node", self.program.display())))?;
-        self.children[courier] = Some(child);
+        self.processes[gateway] = Some(process);
         Ok(())
     }
 
-    /// Kills one courier at once; its folder stays.
-    pub fn kill(&mut self, courier: usize) {
-        if let Some(mut child) = self.children[courier].take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+    /// Kills one gateway at once; its folder stays.
+    pub fn kill(&mut self, gateway: usize) {
+        self.processes[gateway] = None;
     }
 
-    /// The first courier that ended though nobody told it to.
-    pub fn died(&mut self) -> Option<usize> {
-        let ended =
-            |child: &mut Option<Child>| child.as_mut().is_some_and(|c| !matches!(c.try_wait(), Ok(None)));
-        self.children.iter_mut().position(ended)
+    /// The first gateway that exited without having been told to.
+    pub fn find_exited(&mut self) -> Option<usize> {
+        let exited =
+            |process: &mut Option<GatewayProcess>| process.as_mut().is_some_and(GatewayProcess::has_exited);
+        self.processes.iter_mut().position(exited)
     }
 
-    /// Tells all to end and waits for them; true if each ended in order and in time.
-    pub fn stop(&mut self) -> bool {
-        for child in self.children.iter().flatten() {
-            if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
-                let _ = kill_process(pid, Signal::TERM);
-            }
+    /// Tells all gateways to end and waits for them; true if each exited successfully and in time.
+    pub fn shut_down(&mut self) -> bool {
+        for process in self.processes.iter().flatten() {
+            process.signal(Signal::TERM);
         }
-        let end = Instant::now() + ENDED;
+        let end = Instant::now() + SHUTDOWN_TIMEOUT;
         let mut clean = true;
-        for child in &mut self.children {
-            let Some(mut child) = child.take() else { continue };
-            let status = loop {
-                match child.try_wait() {
-                    Ok(Some(status)) => break Some(status),
-                    Ok(None) if Instant::now() < end => std::thread::sleep(Duration::from_millis(2)),
-                    _ => break None,
-                }
-            };
-            clean &= status.is_some_and(|status| status.success());
-            let _ = child.kill();
-            let _ = child.wait();
+        for mut process in self.processes.iter_mut().filter_map(Option::take) {
+            clean &= process.wait_until(end).is_some_and(|status| status.success());
         }
         clean
     }
 }
 
-fn answers(address: SocketAddr) -> bool {
+fn answers_ping(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect(address) else { return false };
-    let mut answer = [0; 7];
+    let mut reply = [0; 7];
     stream.set_read_timeout(Some(Duration::from_secs(1))).is_ok()
         && stream.write_all(&cloverstile_resp::command(&[b"PING"])).is_ok()
-        && stream.read_exact(&mut answer).is_ok()
-        && answer == *b"+PONG\r\n"
+        && stream.read_exact(&mut reply).is_ok()
+        && reply == *b"+PONG\r\n"
 }
