--- /dev/null
+++ b/crates/testbench/src/benchmark/memory.rs
@@ -0,0 +1,128 @@
+//! Memory of a gateway process.
+
+use super::workload::scenario;
+use crate::process::GatewayProcess;
+use crate::scenario_run::{GatewayCommand, RunError};
+use cloverstile_as2_gateway::rig::Rig;
+use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
+use cloverstile_fakes::model::Fault;
+use cloverstile_fakes::partner::Order;
+use cloverstile_fakes::record::{Recorder, Seen};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+/// Bytes of each held message's content.
+const CONTENT_LENGTH: usize = 400;
+/// A gateway has accepted new connections within this time.
+const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// Accepted messages are counted in this interval ...
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// ... at most so often.
+const MAX_POLLS: u32 = 300;
+/// The partner does not answer for this time, longer than the measurement.
+const SILENCE: Duration = Duration::from_secs(600);
+
+/// What a gateway process holds.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemoryCost {
+    /// Messages held.
+    pub held: u32,
+    /// Bytes of each one's content.
+    pub body: usize,
+    /// Bytes of memory for each of them.
+    pub bytes_per_held_message: f64,
+    /// Open, idle connections of clients.
+    pub connections: usize,
+    /// Bytes of memory for each of them.
+    pub bytes_per_connection: f64,
+}
+
+/// Resident memory of a process in bytes.
+fn resident_bytes(pid: u32) -> std::io::Result<f64> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap_or_default();
+    let kilobytes: f64 = line.trim().trim_end_matches("kB").trim().parse().unwrap_or(0.0);
+    Ok(kilobytes * 1024.0)
+}
+
+/// Measures the memory of a gateway process that holds messages for a partner that never answers, and of its idle
+/// connections.
+///
+/// # Errors
+/// The test cluster, the gateway or the client fails.
+pub fn measure_memory(
+    held: u32,
+    connections: usize,
+    folder: &Path,
+    command: &GatewayCommand,
+) -> Result<MemoryCost, RunError> {
+    let scenario = scenario(held)?;
+    let mut cluster_spec = scenario.cluster_spec();
+    cluster_spec.courier_lines = "  call_slots = 8\n  most_held = 1000000\n  stop_within = \"1s\"".into();
+    let recorder = Recorder::default();
+    let cluster = Rig::build(folder, cluster_spec, recorder.clone(), 1)?;
+    let text = std::fs::read_to_string(&cluster.files[0])?;
+    std::fs::write(&cluster.files[0], text.replace("connections = 4000", "connections = 20000"))?;
+    let started = command.start(&cluster.files[0], 0)?;
+    let of_connections = bytes_of_connections(&started.process, started.address, connections)?;
+    let fault = Fault::Silent;
+    cluster.partners.order(Order::Fault { partner: 0, fault, zone: None, lasts: SILENCE });
+    let gateways = cluster.couriers(vec![started.address]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let [mut plan, _] = scenario.plan_messages(&mut rng, 1, recorder.now());
+    plan.iter_mut().for_each(|planned| planned.body = vec![b'x'; CONTENT_LENGTH]);
+    let of_messages = bytes_of_messages(&cluster, &gateways, &started.process, plan, &recorder)?;
+    Ok(MemoryCost {
+        held,
+        body: CONTENT_LENGTH,
+        bytes_per_held_message: of_messages / f64::from(held),
+        connections,
+        bytes_per_connection: of_connections / connections as f64,
+    })
+}
+
+/// How much a process grows by so many idle connections.
+fn bytes_of_connections(process: &GatewayProcess, address: SocketAddr, count: usize) -> std::io::Result<f64> {
+    let before = resident_bytes(process.id())?;
+    let mut open = Vec::new();
+    for _ in 0..count {
+        open.push(TcpStream::connect(address)?);
+    }
+    std::thread::sleep(SETTLE_TIME);
+    Ok(resident_bytes(process.id())? - before)
+}
+
+/// How much a process grows by holding the messages of a plan.
+fn bytes_of_messages(
+    cluster: &Rig,
+    gateways: &Couriers,
+    process: &GatewayProcess,
+    plan: Vec<Planned>,
+    recorder: &Recorder,
+) -> Result<f64, RunError> {
+    let count = plan.len();
+    let progress = Progress::default();
+    let empty = resident_bytes(process.id())?;
+    std::thread::scope(|scope| {
+        let client = scope.spawn(|| {
+            let habits = Habits { deferred: true, ..Habits::default() };
+            Client::new(&cluster.clients[0], habits, gateways, plan, recorder.clone(), &progress)?.run()
+        });
+        for _ in 0..MAX_POLLS {
+            let lines = recorder.lines();
+            if lines.iter().filter(|line| matches!(line.seen, Seen::Taken { .. })).count() >= count {
+                break;
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        let full = resident_bytes(process.id());
+        progress.stop.store(true, Ordering::Relaxed);
+        client.join().unwrap_or_else(|_| Err(std::io::Error::other("the client panicked")))?;
+        Ok(full? - empty)
+    })
+}
--- /dev/null
+++ b/crates/testbench/src/benchmark/sockets.rs
@@ -0,0 +1,74 @@
+//! Throughput of one gateway over sockets.
+
+use super::workload::scenario;
+use crate::scenario_run::RunError;
+use cloverstile_as2_gateway::rig::{Rig, RigError};
+use cloverstile_as2_gateway::{load, Service};
+use cloverstile_fakes::client::{Client, Habits, Progress};
+use cloverstile_fakes::record::{Line, Recorder, Seen};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use std::path::Path;
+use std::time::Duration;
+
+/// What one gateway does over sockets.
+#[derive(Clone, Debug, Serialize)]
+pub struct SocketCost {
+    /// Number of messages.
+    pub messages: u32,
+    /// Threads for cryptography.
+    pub workers: usize,
+    /// Messages a second from the first submission to the last answer.
+    pub messages_per_second: f64,
+    /// Share of the loop's working time that the engine and the policy take.
+    #[serde(rename = "module_share")]
+    pub decision_share: f64,
+    /// Share of the wall time in which the loop worked.
+    pub loop_busy: f64,
+}
+
+/// Submits messages as fast as they are accepted.
+///
+/// # Errors
+/// The test cluster, the gateway or the client fails.
+pub fn measure_sockets(messages: u32, workers: usize, folder: &Path) -> Result<SocketCost, RunError> {
+    let scenario = scenario(messages)?;
+    let mut cluster_spec = scenario.cluster_spec();
+    cluster_spec.courier_lines =
+        format!("  call_slots = 64\n  most_held = 1000000\n  stop_within = \"5s\"\n  workers = {workers}");
+    let recorder = Recorder::default();
+    let cluster = Rig::build(folder, cluster_spec, recorder.clone(), 1)?;
+    let (config, directory) = load(&cluster.files[0]).map_err(RigError::Load)?;
+    let (started, start) = std::sync::mpsc::channel();
+    let gateway = std::thread::spawn(move || {
+        let mut service = Service::start(config, directory, None, 1).ok()?;
+        let _ = started.send((service.address(), service.stopper()));
+        service.run().ok()
+    });
+    let (address, stopper) = start.recv().map_err(|_| RigError::Start(0))?;
+    let gateways = cluster.couriers(vec![address]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let [plan, _] = scenario.plan_messages(&mut rng, 1, recorder.now());
+    let progress = Progress::default();
+    let habits = Habits { deferred: true, ..Habits::default() };
+    Client::new(&cluster.clients[0], habits, &gateways, plan, recorder.clone(), &progress)?.run()?;
+    stopper.stop();
+    let elapsed = time_to_last_answer(&recorder.lines());
+    let ending = gateway.join().ok().flatten().ok_or(RigError::Start(0))?;
+    Ok(SocketCost {
+        messages,
+        workers,
+        messages_per_second: f64::from(messages) / elapsed.as_secs_f64(),
+        decision_share: ending.deciding.as_secs_f64() / ending.working.as_secs_f64(),
+        loop_busy: ending.working.as_secs_f64() / elapsed.as_secs_f64(),
+    })
+}
+
+/// From the first submission to the last answer.
+fn time_to_last_answer(lines: &[Line]) -> Duration {
+    let first = lines.iter().find(|line| matches!(line.seen, Seen::HandIn { .. }));
+    let last = lines.iter().rev().find(|line| matches!(line.seen, Seen::Answer { .. }));
+    let at = |line: Option<&Line>| line.map_or(0, |line| line.at);
+    Duration::from_micros(at(last).saturating_sub(at(first)).max(1))
+}
--- /dev/null
+++ b/crates/testbench/src/bin/cloverstile-testbench/scenario.rs
@@ -0,0 +1,146 @@
+//! `cloverstile-testbench scenario`, `replay` and `check`.
+
+use crate::scenario_report::{write_record, ReportOptions};
+use crate::{progress, scenario_files};
+use clap::Args;
+use cloverstile_fakes::record::Line;
+use cloverstile_testbench::invariants::{check_invariants, InvariantSettings};
+use cloverstile_testbench::replay::{self, ReplayScale};
+use cloverstile_testbench::scenario::{read, FaultScenario, BUILT_IN};
+use cloverstile_testbench::scenario_run::{play, GatewayCommand};
+use std::path::PathBuf;
+
+/// What is played.
+#[derive(Args)]
+pub struct ScenarioCommand {
+    /// Name or file (HCL).
+    #[arg(value_name = "SCENARIO")]
+    scenario: String,
+    #[command(flatten)]
+    options: RunOptions,
+}
+
+/// The bench day that is played.
+#[derive(Args)]
+pub struct ReplayCommand {
+    /// The day as the bench draws it (JSON).
+    file: PathBuf,
+    /// Messages a second.
+    #[arg(long, default_value_t = 200.0)]
+    rate: f64,
+    /// Bench seconds in one of the scenario.
+    #[arg(long = "pace", default_value_t = 3.0)]
+    speed: f64,
+    #[command(flatten)]
+    options: RunOptions,
+}
+
+/// The record that is checked.
+#[derive(Args)]
+pub struct CheckCommand {
+    /// The scenario that it is of: name or file.
+    scenario: String,
+    /// The record (JSON lines).
+    record: PathBuf,
+}
+
+/// How a scenario is played and reported.
+#[derive(Args)]
+struct RunOptions {
+    /// Seed of chance.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Runs in a row, each with the next seed.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Number of gateway processes; the scenario's own where left out.
+    #[arg(long = "couriers")]
+    gateways: Option<usize>,
+    /// Threads for cryptography in each gateway; the scenario's own number where left out.
+    #[arg(long)]
+    workers: Option<usize>,
+    /// Number of messages; the scenario's own where left out.
+    #[arg(long)]
+    messages: Option<u32>,
+    /// Writes all that was seen, as JSON lines.
+    #[arg(long)]
+    record: Option<PathBuf>,
+    /// Prints each window of 100 ms at recovering sites, as JSON lines.
+    #[arg(long)]
+    windows: bool,
+    /// One line of JSON for each run.
+    #[arg(long)]
+    json: bool,
+    /// What the gateways log on standard error.
+    #[arg(long, default_value = "error")]
+    log: String,
+}
+
+fn load(name: &str) -> Result<FaultScenario, String> {
+    scenario_files::load(name, &BUILT_IN, read)
+}
+
+impl ScenarioCommand {
+    /// Plays all runs; true if no invariant was violated.
+    pub fn play(&self) -> Result<bool, String> {
+        self.options.play(load(&self.scenario)?)
+    }
+}
+
+impl ReplayCommand {
+    /// Converts the day and plays all runs; true if no invariant was violated.
+    pub fn play(&self) -> Result<bool, String> {
+        let name = self.file.display();
+        let text = std::fs::read_to_string(&self.file).map_err(|error| format!("{name}: {error}"))?;
+        let scale = ReplayScale { rate: self.rate, speed: self.speed, ..ReplayScale::default() };
+        let replay = replay::read(&text, scale).map_err(|error| format!("{name}: {error}"))?;
+        for line in &replay.omissions {
+            eprintln!("left out or changed: {line}");
+        }
+        self.options.play(replay.scenario)
+    }
+}
+
+impl CheckCommand {
+    /// Checks the record; true if no invariant was violated.
+    pub fn check(&self) -> Result<bool, String> {
+        let scenario = load(&self.scenario)?;
+        let name = self.record.display();
+        let text = std::fs::read_to_string(&self.record).map_err(|error| format!("{name}: {error}"))?;
+        let lines: Vec<Line> = text
+            .lines()
+            .map(serde_json::from_str)
+            .collect::<Result<_, _>>()
+            .map_err(|error| format!("{name}: {error}"))?;
+        let report = check_invariants(&lines, &InvariantSettings::from(&scenario));
+        println!("{}", serde_json::to_string(&report).map_err(|error| error.to_string())?);
+        Ok(report.violations.is_empty())
+    }
+}
+
+impl RunOptions {
+    fn play(&self, mut scenario: FaultScenario) -> Result<bool, String> {
+        scenario.gateways = self.gateways.unwrap_or(scenario.gateways).max(1);
+        scenario.workers = self.workers.unwrap_or(scenario.workers);
+        scenario.messages = self.messages.unwrap_or(scenario.messages).max(1);
+        let program = std::env::current_exe().map_err(|error| format!("the own program: {error}"))?;
+        let command = GatewayCommand { program, log: self.log.clone() };
+        let options = ReportOptions { windows: self.windows, json: self.json };
+        let mut clean = true;
+        for seed in self.seed..self.seed + self.seeds.max(1) {
+            let folder =
+                std::env::temp_dir().join(format!("cloverstile-testbench-{}-{seed}", std::process::id()));
+            let bar = progress::bar(self.json, u64::from(scenario.messages), "answered");
+            let result = play(&scenario, seed, &folder, &command, &|done| bar.set_position(done as u64));
+            bar.finish_and_clear();
+            let result = result.map_err(|error| error.to_string())?;
+            options.print_windows(&scenario, &result);
+            if let Some(path) = &self.record {
+                write_record(path, &result.lines).map_err(|error| format!("{}: {error}", path.display()))?;
+            }
+            options.print_report(&scenario, seed, &result);
+            clean &= result.report.violations.is_empty();
+        }
+        Ok(clean)
+    }
+}
--- a/crates/testbench/src/bin/cloverstile-testbench/simulate.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/simulate.rs
@@ -1,32 +1,49 @@
 //! `cloverstile-testbench simulate`: scenarios on virtual time.
 
+use crate::scenario_files;
 use clap::Args;
 use cloverstile_simulator::{play, read, PolicyKind, Run, Scenario, BUILT_IN};
-use cloverstile_testbench::simulation_metrics::{figures, worth_by_second, Figures};
+use cloverstile_testbench::simulation_metrics::{value_by_second, SimulationMetrics};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::time::{Duration, Instant};
 
-/// What is emulated.
+const HEADINGS: [&str; 13] = [
+    "policy",
+    "seed",
+    "worth",
+    "worst 10 s",
+    "full after s",
+    "windows over",
+    "worst of bound",
+    "of capacity",
+    "of share",
+    "excess",
+    "spilled",
+    "violations",
+    "messages/s",
+];
+
+/// What is simulated.
 #[derive(Args)]
-pub struct Options {
-    /// Name of a scenario that comes along, or a file (HCL).
+pub struct Simulation {
+    /// Name of a built-in scenario, or a file (HCL).
     scenario: String,
-    /// Who spreads messages over tiers: planner, everything, stays or healthy-share; all four where left out.
-    #[arg(long, value_parser = policy)]
-    policy: Vec<PolicyKind>,
+    /// Policy that spreads messages over tiers: planner, everything, stays or healthy-share; all four where left out.
+    #[arg(long = "policy", value_parser = parse_policy)]
+    policies: Vec<PolicyKind>,
     /// Seed of chance.
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Runs in a row, each with the next seed.
     #[arg(long, default_value_t = 1)]
     seeds: u64,
-    /// Couriers; the scenario's own number where left out.
-    #[arg(long)]
-    couriers: Option<usize>,
+    /// Number of gateways; the scenario's own where left out.
+    #[arg(long = "couriers")]
+    gateways: Option<usize>,
     /// Prints every second of each run.
     #[arg(long)]
     seconds: bool,
-    /// Prints every window of 100 ms at returning sites.
+    /// Prints every window of 100 ms at recovering sites.
     #[arg(long)]
     windows: bool,
     /// One line of JSON for each run.
@@ -34,116 +51,126 @@
     json: bool,
 }
 
-fn policy(name: &str) -> Result<PolicyKind, String> {
+/// One run.
+struct SimulatedRun {
+    policy: PolicyKind,
+    seed: u64,
+    metrics: SimulationMetrics,
+    elapsed: Duration,
+}
+
+impl SimulatedRun {
+    fn messages_per_second(&self) -> f64 {
+        self.metrics.messages as f64 / self.elapsed.as_secs_f64()
+    }
+}
+
+fn parse_policy(name: &str) -> Result<PolicyKind, String> {
     let names: Vec<&str> = PolicyKind::ALL.into_iter().map(PolicyKind::name).collect();
     PolicyKind::named(name).ok_or_else(|| format!("one of these is allowed: {}", names.join(", ")))
 }
 
 /// Reads a scenario by its name or from its file.
-pub fn find(scenario: &str) -> Result<Scenario, String> {
-    let text = match BUILT_IN.iter().find(|(name, _)| *name == scenario) {
-        Some((_, text)) => (*text).to_owned(),
-        None => std::fs::read_to_string(scenario).map_err(|error| {
-            let names: Vec<&str> = BUILT_IN.iter().map(|(name, _)| *name).collect();
-            format!("{scenario}: {error}; scenarios that come along: {}", names.join(", "))
-        })?,
-    };
-    read(&text).map_err(|error| format!("{scenario}: {error}"))
+pub fn load_scenario(name: &str) -> Result<Scenario, String> {
+    scenario_files::load(name, &BUILT_IN, read)
 }
 
-/// Plays all that is asked for; true if no run of the planner broke a rule.
-pub fn simulate(options: &Options) -> Result<bool, String> {
-    let mut scenario = find(&options.scenario)?;
-    scenario.couriers = options.couriers.unwrap_or(scenario.couriers).max(1);
-    let policies = if options.policy.is_empty() { PolicyKind::ALL.to_vec() } else { options.policy.clone() };
-    let mut kept = true;
-    let mut rows = Vec::new();
-    for seed in options.seed..options.seed + options.seeds.max(1) {
-        for policy in &policies {
-            let began = Instant::now();
-            let run = play(&scenario, *policy, seed);
-            let (took, told) = (began.elapsed(), figures(&scenario, &run));
-            kept &= *policy != PolicyKind::Planner || told.broken == 0;
-            if options.json {
-                let mut line = serde_json::json!(told);
-                line["policy"] = policy.name().into();
-                line["seed"] = seed.into();
-                line["emulated_messages_per_s"] = (told.messages as f64 / took.as_secs_f64()).into();
-                println!("{line}");
+impl Simulation {
+    /// Plays all runs; true if no run of the planner violated an invariant.
+    pub fn play(&self) -> Result<bool, String> {
+        let mut scenario = load_scenario(&self.scenario)?;
+        scenario.couriers = self.gateways.unwrap_or(scenario.couriers).max(1);
+        let policies =
+            if self.policies.is_empty() { PolicyKind::ALL.to_vec() } else { self.policies.clone() };
+        let mut clean = true;
+        let mut runs = Vec::new();
+        for seed in self.seed..self.seed + self.seeds.max(1) {
+            for policy in policies.iter().copied() {
+                let began = Instant::now();
+                let run = play(&scenario, policy, seed);
+                let elapsed = began.elapsed();
+                let metrics = SimulationMetrics::new(&scenario, &run);
+                clean &= policy != PolicyKind::Planner || metrics.violations == 0;
+                let simulated = SimulatedRun { policy, seed, metrics, elapsed };
+                if self.json {
+                    print_json(&simulated);
+                }
+                self.print_details(&scenario, &run);
+                runs.push(simulated);
             }
-            details(options, &scenario, &run);
-            rows.push((*policy, seed, told, took));
         }
+        if !self.json {
+            println!("{}", table(&runs));
+        }
+        Ok(clean)
     }
-    if !options.json {
-        println!("{}", table(&rows));
+
+    fn print_details(&self, scenario: &Scenario, run: &Run) {
+        if self.seconds {
+            print_seconds(scenario, run);
+        }
+        if self.windows {
+            print_windows(run);
+        }
     }
-    Ok(kept)
 }
 
-fn details(options: &Options, scenario: &Scenario, run: &Run) {
-    if options.seconds {
-        for (place, ((offered, earned), second)) in
-            worth_by_second(scenario, run).into_iter().zip(&run.seconds).enumerate()
-        {
-            println!(
-                "second {place}: handed {} earned {:.2} spilt {} lost {} requests {}",
-                second.handed,
-                earned / offered.max(1e-9),
-                second.spilt,
-                second.lost,
-                second.requests
-            );
-        }
+fn print_json(run: &SimulatedRun) {
+    let mut line = serde_json::json!(run.metrics);
+    line["policy"] = run.policy.name().into();
+    line["seed"] = run.seed.into();
+    line["emulated_messages_per_s"] = run.messages_per_second().into();
+    println!("{line}");
+}
+
+fn print_seconds(scenario: &Scenario, run: &Run) {
+    let values = value_by_second(scenario, run);
+    for (number, (value, second)) in values.into_iter().zip(&run.seconds).enumerate() {
+        println!(
+            "second {number}: submitted {} earned {:.2} spilled {} lost {} requests {}",
+            second.handed,
+            value.earned / value.offered.max(1e-9),
+            second.spilt,
+            second.lost,
+            second.requests
+        );
     }
-    if options.windows {
-        for w in &run.windows {
-            println!(
-                "site {} return {} after {} ms: received {} capacity {:.1} bound {:.1}",
-                w.site,
-                w.spell,
-                w.after.as_millis(),
-                w.received,
-                w.capacity,
-                w.bound
-            );
-        }
+}
+
+fn print_windows(run: &Run) {
+    for window in &run.windows {
+        println!(
+            "site {} return {} after {} ms: received {} capacity {:.1} bound {:.1}",
+            window.site,
+            window.spell,
+            window.after.as_millis(),
+            window.received,
+            window.capacity,
+            window.bound
+        );
     }
 }
 
-fn table(rows: &[(PolicyKind, u64, Figures, Duration)]) -> Table {
+fn table(runs: &[SimulatedRun]) -> Table {
     let mut table = Table::new();
     table.load_preset(UTF8_BORDERS_ONLY);
-    table.set_header([
-        "policy",
-        "seed",
-        "worth",
-        "worst 10 s",
-        "full after s",
-        "windows over",
-        "worst of bound",
-        "of capacity",
-        "of share",
-        "excess",
-        "spilt",
-        "broken",
-        "messages/s",
-    ]);
-    for (policy, seed, told, took) in rows {
+    table.set_header(HEADINGS);
+    for run in runs {
+        let metrics = &run.metrics;
         table.add_row([
-            policy.name().to_owned(),
-            seed.to_string(),
-            format!("{:.3}", told.worth),
-            format!("{:.3}", told.worst_ten_s),
-            told.full_service_s.map_or("-".into(), |s| format!("{s:.1}")),
-            format!("{}/{}", told.windows_over_bound, told.windows),
-            format!("{:.2}", told.worst_of_bound),
-            format!("{:.2}", told.worst_of_capacity),
-            format!("{:.2}", told.worst_spill),
-            format!("{:.2}", told.spill_excess),
-            told.spilt.to_string(),
-            format!("{:?}", told.broken_by_kind),
-            format!("{:.0}", told.messages as f64 / took.as_secs_f64()),
+            run.policy.name().to_owned(),
+            run.seed.to_string(),
+            format!("{:.3}", metrics.value_ratio),
+            format!("{:.3}", metrics.worst_ten_s),
+            metrics.full_service_s.map_or("-".into(), |seconds| format!("{seconds:.1}")),
+            format!("{}/{}", metrics.windows_over_bound, metrics.windows),
+            format!("{:.2}", metrics.worst_of_bound),
+            format!("{:.2}", metrics.worst_of_capacity),
+            format!("{:.2}", metrics.worst_spill),
+            format!("{:.2}", metrics.spill_excess),
+            metrics.spilled.to_string(),
+            format!("{:?}", metrics.violations_by_kind),
+            format!("{:.0}", run.messages_per_second()),
         ]);
     }
     table
--- /dev/null
+++ b/crates/testbench/src/experiment/record.rs
@@ -0,0 +1,158 @@
+//! The record of an experiment as tables. Names of columns are read by others and must stay.
+
+use crate::simulation_metrics::{value_by_second, SimulationMetrics};
+use crate::table::Table;
+use cloverstile_engine::FinalOutcome;
+use cloverstile_simulator::{PolicyKind, Run, Scenario};
+use std::collections::BTreeMap;
+
+/// The record of an experiment.
+#[derive(Clone, Debug, Default)]
+pub struct ExperimentRecord {
+    /// One row for each run.
+    pub runs: Table,
+    /// One row for each second of a run.
+    pub seconds: Table,
+    /// One row for each 100 ms after a return, over all sites of a run: the fullest of them.
+    pub windows: Table,
+    /// One row for each class of a run.
+    pub classes: Table,
+}
+
+impl ExperimentRecord {
+    /// Adds the rows of another record behind these.
+    pub(super) fn append(&mut self, other: ExperimentRecord) {
+        self.runs.append(other.runs);
+        self.seconds.append(other.seconds);
+        self.windows.append(other.windows);
+        self.classes.append(other.classes);
+    }
+}
+
+/// The columns that name a run in each table.
+struct RunKey<'a> {
+    texts: [(&'static str, &'a str); 2],
+    seed: (&'static str, f64),
+}
+
+/// The record of one run.
+pub(super) fn record_run(
+    scenario_name: &str,
+    scenario: &Scenario,
+    policy: PolicyKind,
+    seed: u64,
+    run: &Run,
+) -> ExperimentRecord {
+    let key = RunKey {
+        texts: [("scenario", scenario_name), ("policy", policy.name())],
+        seed: ("seed", seed as f64),
+    };
+    let mut record = ExperimentRecord::default();
+    record_metrics(&mut record.runs, &key, scenario, run);
+    record_seconds(&mut record.seconds, &key, scenario, run);
+    record_windows(&mut record.windows, &key, run);
+    record_classes(&mut record.classes, &key, scenario, run);
+    record
+}
+
+fn record_metrics(table: &mut Table, key: &RunKey, scenario: &Scenario, run: &Run) {
+    let metrics = SimulationMetrics::new(scenario, run);
+    table.push(
+        &key.texts,
+        &[
+            key.seed,
+            ("messages", metrics.messages as f64),
+            ("delivered", metrics.delivered),
+            ("worth", metrics.value_ratio),
+            ("worst_ten_s", metrics.worst_ten_s),
+            ("full_service_s", metrics.full_service_s.unwrap_or(f64::NAN)),
+            ("windows", metrics.windows as f64),
+            ("windows_over_bound", metrics.windows_over_bound as f64),
+            ("worst_of_bound", metrics.worst_of_bound),
+            ("worst_of_capacity", metrics.worst_of_capacity),
+            ("worst_spill", metrics.worst_spill),
+            ("spilt", metrics.spilled as f64),
+            ("broken", metrics.violations as f64),
+        ],
+    );
+}
+
+fn record_seconds(table: &mut Table, key: &RunKey, scenario: &Scenario, run: &Run) {
+    let values = value_by_second(scenario, run);
+    for (number, (value, second)) in values.iter().zip(&run.seconds).enumerate() {
+        let spill_share = f64::from(second.spilt) / f64::from(second.tiered.max(1));
+        table.push(
+            &key.texts,
+            &[
+                key.seed,
+                ("second", number as f64),
+                ("offered", value.offered),
+                ("earned", value.earned),
+                ("worth_delivered", second.worth),
+                ("spilt_of_handed", spill_share),
+            ],
+        );
+    }
+}
+
+/// Load of all sites in one window after a return.
+#[derive(Default)]
+struct WindowLoad {
+    fullest_of_bound: f64,
+    fullest_of_capacity: f64,
+    received: f64,
+}
+
+fn record_windows(table: &mut Table, key: &RunKey, run: &Run) {
+    let mut windows: BTreeMap<u128, WindowLoad> = BTreeMap::new();
+    for window in &run.windows {
+        let received = f64::from(window.received);
+        let load = windows.entry(window.after.as_millis()).or_default();
+        load.fullest_of_bound = load.fullest_of_bound.max(received / window.bound.max(1.0));
+        load.fullest_of_capacity = load.fullest_of_capacity.max(received / window.capacity.max(1.0));
+        load.received += received;
+    }
+    for (after_ms, load) in windows {
+        table.push(
+            &key.texts,
+            &[
+                key.seed,
+                ("after_ms", after_ms as f64),
+                ("fullest_of_bound", load.fullest_of_bound),
+                ("fullest_of_capacity", load.fullest_of_capacity),
+                ("received", load.received),
+            ],
+        );
+    }
+}
+
+fn record_classes(table: &mut Table, key: &RunKey, scenario: &Scenario, run: &Run) {
+    for (number, (name, class)) in scenario.class.iter().enumerate() {
+        let mut messages = 0.0_f64;
+        let mut ages: Vec<f64> = Vec::new();
+        for message in run.messages.iter().filter(|message| usize::from(message.class) == number) {
+            messages += 1.0;
+            if let Some((FinalOutcome::Delivered, at)) = message.answer {
+                ages.push(at.saturating_sub(message.handed).as_secs_f64());
+            }
+        }
+        ages.sort_by(f64::total_cmp);
+        let late = ages.iter().filter(|age| **age > class.aim).count() as f64;
+        table.push(
+            &[key.texts[0], key.texts[1], ("class", name)],
+            &[
+                key.seed,
+                ("p50_s", quantile(&ages, 0.5)),
+                ("p99_s", quantile(&ages, 0.99)),
+                ("late", late / messages.max(1.0)),
+                ("not_delivered", 1.0 - ages.len() as f64 / messages.max(1.0)),
+            ],
+        );
+    }
+}
+
+/// A quantile of sorted values; not a number where there are none.
+fn quantile(sorted: &[f64], quantile: f64) -> f64 {
+    let position = ((sorted.len() as f64 * quantile) as usize).min(sorted.len().saturating_sub(1));
+    sorted.get(position).copied().unwrap_or(f64::NAN)
+}
--- /dev/null
+++ b/crates/testbench/src/experiment/statistics.rs
@@ -0,0 +1,43 @@
+//! Means with confidence intervals.
+
+use crate::table::Table;
+use serde::Serialize;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+/// Quantile of Student's t distribution at which a two-sided 95 % interval ends.
+const UPPER_QUANTILE: f64 = 0.975;
+
+/// A mean with the half width of its 95 % confidence interval (Student's t).
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct ConfidenceInterval {
+    /// The mean.
+    pub mean: f64,
+    /// Half of the interval's width; zero for a single value.
+    pub half: f64,
+    /// Number of values.
+    pub count: usize,
+}
+
+/// The mean of some values and its interval; values that are not finite are skipped.
+pub fn confidence_interval(values: impl Iterator<Item = f64>) -> ConfidenceInterval {
+    let values: Vec<f64> = values.filter(|value| value.is_finite()).collect();
+    let count = values.len();
+    let mean = values.iter().sum::<f64>() / count.max(1) as f64;
+    let squares = values.iter().map(|value| (value - mean).powi(2)).sum::<f64>();
+    let half = match (count, StudentsT::new(0.0, 1.0, count.saturating_sub(1).max(1) as f64)) {
+        (0 | 1, _) | (_, Err(_)) => 0.0,
+        (_, Ok(distribution)) => {
+            distribution.inverse_cdf(UPPER_QUANTILE) * (squares / (count - 1) as f64 / count as f64).sqrt()
+        }
+    };
+    ConfidenceInterval { mean, half, count }
+}
+
+/// Values of a column of the runs of one scenario and policy, in the order of seeds.
+pub fn column_values(runs: &Table, scenario: &str, policy: &str, column: &str) -> Vec<f64> {
+    let of_run = runs.text("scenario").iter().zip(runs.text("policy"));
+    let rows = of_run.zip(runs.number(column));
+    rows.filter(|((of_scenario, of_policy), _)| *of_scenario == scenario && *of_policy == policy)
+        .map(|(_, value)| *value)
+        .collect()
+}
--- /dev/null
+++ b/crates/testbench/src/experiment/tests.rs
@@ -0,0 +1,32 @@
+//! Intervals against a table of Student's t, records against the number of threads, and errors of bad files.
+
+use super::{
+    confidence_interval, run_experiment, ConfidenceInterval, Experiment, NamedScenario, ScenarioOverrides,
+};
+use cloverstile_simulator::PolicyKind;
+
+#[test]
+fn confidence_interval_uses_students_t() {
+    // Five values, mean 3, deviation sqrt(2.5): t of four degrees is 2.776.
+    let interval = confidence_interval([1.0, 2.0, 3.0, 4.0, 5.0, f64::NAN].into_iter());
+    assert_eq!((interval.mean, interval.count), (3.0, 5));
+    assert!((interval.half - 2.776 * (2.5_f64 / 5.0).sqrt()).abs() < 1e-3, "{interval:?}");
+    let single = ConfidenceInterval { mean: 7.0, half: 0.0, count: 1 };
+    assert_eq!(confidence_interval([7.0].into_iter()), single);
+}
+
+#[test]
+fn record_is_independent_of_threads_and_invalid_files_are_explained() {
+    let (_, text) = cloverstile_simulator::BUILT_IN[0];
+    let mut scenario = cloverstile_simulator::read(text).unwrap();
+    let overrides = ScenarioOverrides { seconds: Some(4.0), rate: Some(100.0), ..Default::default() };
+    overrides.apply(&mut scenario);
+    let scenarios = [NamedScenario { name: "surge".to_owned(), scenario }];
+    let played = |threads| run_experiment(&scenarios, &PolicyKind::ALL, 2, threads, &|_, _| {});
+    let (one, many) = (played(1), played(3));
+    assert_eq!(one.runs.rows(), 8);
+    assert_eq!(format!("{one:?}"), format!("{many:?}"));
+    let error = |text: &str| Experiment::parse(text).unwrap_err().to_string();
+    assert!(error("seeds = 0\nscenario \"surge\" {}").contains("above zero"));
+    assert!(error("seeds = 1\npolicies = [\"x\"]\nscenario \"surge\" {}").contains("'x'"));
+}
--- /dev/null
+++ b/crates/testbench/src/invariants/send_restrictions.rs
@@ -0,0 +1,104 @@
+//! Nothing is sent to draining endpoints, nor before the end of a `Retry-After`.
+
+use super::history::{Request, RequestEnd, RunHistory};
+use super::report::{Invariant, InvariantReport};
+use super::settings::{InvariantSettings, CLOCK_SKEW_US};
+use cloverstile_as2_gateway::rig::courier_name;
+use cloverstile_fakes::record::{End, Line, Seen};
+use std::collections::HashMap;
+
+/// A change of an endpoint's state in the endpoint list.
+struct ListChange {
+    at: u64,
+    ready: bool,
+}
+
+/// A time during which a partner wants no requests.
+struct RetryAfter {
+    from: u64,
+    until: u64,
+}
+
+/// Checks every request against drains and `Retry-After`.
+pub(super) fn check(
+    lines: &[Line],
+    run: &RunHistory,
+    settings: &InvariantSettings,
+    report: &mut InvariantReport,
+) {
+    let list_changes = list_changes(lines);
+    let retry_afters = retry_afters(run);
+    for (id, history) in &run.messages {
+        for request in &history.requests {
+            let changes = list_changes.get(&(request.partner, request.endpoint));
+            if let Some(changes) = changes {
+                check_drain(id, request, changes, settings, report);
+            }
+            let waits = retry_afters.get(&(request.gateway, request.partner));
+            if let Some(waits) = waits {
+                check_retry_after(id, request, waits, run, report);
+            }
+        }
+    }
+}
+
+/// Changes of the endpoint list by partner and endpoint.
+fn list_changes(lines: &[Line]) -> HashMap<(&str, usize), Vec<ListChange>> {
+    let mut changes: HashMap<(&str, usize), Vec<ListChange>> = HashMap::new();
+    for line in lines {
+        if let Seen::Listed { partner, endpoint, ready } = &line.seen {
+            let change = ListChange { at: line.at, ready: *ready };
+            changes.entry((partner, *endpoint)).or_default().push(change);
+        }
+    }
+    changes
+}
+
+/// Times of `Retry-After` by gateway and partner.
+fn retry_afters<'a>(run: &'a RunHistory) -> HashMap<(&'a str, &'a str), Vec<RetryAfter>> {
+    let mut waits: HashMap<(&str, &str), Vec<RetryAfter>> = HashMap::new();
+    for request in run.messages.values().flat_map(|history| &history.requests) {
+        if let Some(RequestEnd { at, how: End::Refused(Some(ms)) }) = request.end {
+            let wait = RetryAfter { from: at, until: at + ms * 1000 };
+            waits.entry((request.gateway, request.partner)).or_default().push(wait);
+        }
+    }
+    waits
+}
+
+fn check_drain(
+    id: &str,
+    request: &Request,
+    changes: &[ListChange],
+    settings: &InvariantSettings,
+    report: &mut InvariantReport,
+) {
+    let Some(latest) = changes.iter().rev().find(|change| change.at <= request.at) else { return };
+    if !latest.ready && request.at > latest.at + settings.drain_grace + CLOCK_SKEW_US {
+        let what = format!("sent to draining {} e{}", request.partner, request.endpoint);
+        report.violation(Invariant::NoSendToDraining, id, request.at, what);
+    }
+}
+
+fn check_retry_after(
+    id: &str,
+    request: &Request,
+    waits: &[RetryAfter],
+    run: &RunHistory,
+    report: &mut InvariantReport,
+) {
+    let violated = waits
+        .iter()
+        // A gateway that was killed since is another one by the same name: it was told nothing.
+        .filter(|wait| !was_killed_between(run, request.gateway, wait.from, request.at))
+        .any(|wait| request.at > wait.from + CLOCK_SKEW_US && request.at + CLOCK_SKEW_US < wait.until);
+    if violated {
+        let what =
+            format!("{} sent to {} before the end of its Retry-After", request.gateway, request.partner);
+        report.violation(Invariant::RetryAfterHonoured, id, request.at, what);
+    }
+}
+
+fn was_killed_between(run: &RunHistory, gateway: &str, from: u64, to: u64) -> bool {
+    run.kills.iter().any(|kill| courier_name(kill.gateway) == gateway && (from..to).contains(&kill.at))
+}
--- a/crates/testbench/src/load_report.rs
+++ b/crates/testbench/src/load_report.rs
@@ -1,108 +1,119 @@
-//! Figures of a run of even load, whoever played it.
+//! Metrics of a run of even load, on sockets or simulated.
 
 use cloverstile_load_metrics::measure;
 use cloverstile_simulator::{Scene, SpreadRun};
 use serde::Serialize;
 use std::time::Duration;
 
-/// All that is told of a run, or the mean of several.
+/// The metrics of a run, or the means of several.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct Told {
-    /// Couriers.
-    pub couriers: usize,
-    /// Endpoints.
+pub struct LoadReport {
+    /// Number of gateways.
+    #[serde(rename = "couriers")]
+    pub gateways: usize,
+    /// Number of endpoints.
     pub endpoints: usize,
-    /// Messages handed in.
+    /// Messages submitted.
     pub messages: u64,
-    /// ... that have their final answer.
+    /// ... that have their final outcome.
     pub answered: u64,
-    /// ... refused.
-    pub refused: u64,
+    /// ... rejected.
+    #[serde(rename = "refused")]
+    pub rejected: u64,
     /// ... failed.
     pub failed: u64,
-    /// Worth delivered over worth handed in.
-    pub worth: f64,
-    /// Load of the fullest endpoint of a partner in a window over what it should have had.
+    /// Value delivered over value submitted, each message by its priority weight.
+    #[serde(rename = "worth")]
+    pub value_ratio: f64,
+    /// Load of the fullest endpoint of a partner in a window over its fair share.
     pub peak_over_mean: f64,
-    /// The same calls by one dispatcher that sees all.
+    /// The same for a central balancer that sees everything.
     pub central_peak_over_mean: f64,
-    /// The same calls by chance.
+    /// The same for a random choice.
     pub random_peak_over_mean: f64,
-    /// 99th percentile of an endpoint's load in a window over what it should have had.
+    /// 99th percentile of an endpoint's load in a window over its fair share.
     pub p99_over_mean: f64,
-    /// Jain's index over the whole run.
+    /// Jain's fairness index over the whole run.
     pub jain: f64,
     /// Share of the time in which an endpoint idles while its partner is busy.
     pub idle_share: f64,
-    /// Use of limits in the seconds in which messages wait for them.
+    /// Utilization of limits in the seconds in which messages wait for them.
     pub limit_use_while_waiting: f64,
-    /// Calls close behind another courier's, over what chance gives.
-    pub herds: f64,
-    /// ...
-    pub new_connections_a_message: f64,
-    /// ...
-    pub refusals_a_message: f64,
-    /// ...
-    pub calls_a_message: f64,
-    /// ...
-    pub rules_broken: u64,
-    /// Wall time.
+    /// Requests close behind another gateway's, over the number that chance gives.
+    #[serde(rename = "herds")]
+    pub herding: f64,
+    /// New connections for each message.
+    #[serde(rename = "new_connections_a_message")]
+    pub new_connections_per_message: f64,
+    /// Rejected requests for each message.
+    #[serde(rename = "refusals_a_message")]
+    pub rejections_per_message: f64,
+    /// Requests for each message.
+    #[serde(rename = "calls_a_message")]
+    pub requests_per_message: f64,
+    /// Violations of the delivery invariants.
+    #[serde(rename = "rules_broken")]
+    pub violations: u64,
+    /// Wall time in seconds.
     pub seconds: f64,
 }
 
-/// Figures of one run.
-pub fn figures(scene: &Scene, run: &SpreadRun, seed: u64, took: Duration) -> Told {
-    let even = measure(&run.record, Duration::from_secs_f64(scene.window), seed);
-    let [delivered, refused, failed] = run.answers;
-    Told {
-        couriers: scene.couriers,
-        endpoints: run.record.endpoints.len(),
-        messages: run.record.messages,
-        answered: delivered + refused + failed,
-        refused,
-        failed,
-        worth: run.earned / run.offered.max(1e-9),
-        peak_over_mean: even.own.peak_over_mean,
-        central_peak_over_mean: even.central.peak_over_mean,
-        random_peak_over_mean: even.random.peak_over_mean,
-        p99_over_mean: even.own.p99,
-        jain: even.own.jain,
-        idle_share: even.own.idle_share,
-        limit_use_while_waiting: even.limit_use_while_waiting,
-        herds: even.herds,
-        new_connections_a_message: even.new_connections_a_message,
-        refusals_a_message: even.refusals_a_message,
-        calls_a_message: even.calls_a_message,
-        rules_broken: run.audit.broken(),
-        seconds: took.as_secs_f64(),
+impl LoadReport {
+    /// The metrics of one run; `seed` is that of the baselines.
+    pub fn new(scenario: &Scene, run: &SpreadRun, seed: u64, elapsed: Duration) -> LoadReport {
+        let metrics = measure(&run.record, Duration::from_secs_f64(scenario.window), seed);
+        let [delivered, rejected, failed] = run.answers;
+        LoadReport {
+            gateways: scenario.couriers,
+            endpoints: run.record.endpoints.len(),
+            messages: run.record.messages,
+            answered: delivered + rejected + failed,
+            rejected,
+            failed,
+            value_ratio: run.earned / run.offered.max(1e-9),
+            peak_over_mean: metrics.own.peak_over_mean,
+            central_peak_over_mean: metrics.central.peak_over_mean,
+            random_peak_over_mean: metrics.random.peak_over_mean,
+            p99_over_mean: metrics.own.p99,
+            jain: metrics.own.jain,
+            idle_share: metrics.own.idle_share,
+            limit_use_while_waiting: metrics.limit_use_while_waiting,
+            herding: metrics.herds,
+            new_connections_per_message: metrics.new_connections_a_message,
+            rejections_per_message: metrics.refusals_a_message,
+            requests_per_message: metrics.calls_a_message,
+            violations: run.audit.broken(),
+            seconds: elapsed.as_secs_f64(),
+        }
     }
-}
 
-/// Means of shares and ratios, sums of counts.
-pub fn mean_of(all: &[Told]) -> Told {
-    let mean = |of: fn(&Told) -> f64| all.iter().map(of).sum::<f64>() / all.len().max(1) as f64;
-    let sum = |of: fn(&Told) -> u64| all.iter().map(of).sum();
-    let first = all.first().copied().unwrap_or_default();
-    Told {
-        couriers: first.couriers,
-        endpoints: first.endpoints,
-        messages: sum(|told| told.messages),
-        answered: sum(|told| told.answered),
-        refused: sum(|told| told.refused),
-        failed: sum(|told| told.failed),
-        worth: mean(|told| told.worth),
-        peak_over_mean: mean(|told| told.peak_over_mean),
-        central_peak_over_mean: mean(|told| told.central_peak_over_mean),
-        random_peak_over_mean: mean(|told| told.random_peak_over_mean),
-        p99_over_mean: mean(|told| told.p99_over_mean),
-        jain: mean(|told| told.jain),
-        idle_share: mean(|told| told.idle_share),
-        limit_use_while_waiting: mean(|told| told.limit_use_while_waiting),
-        herds: mean(|told| told.herds),
-        new_connections_a_message: mean(|told| told.new_connections_a_message),
-        refusals_a_message: mean(|told| told.refusals_a_message),
-        calls_a_message: mean(|told| told.calls_a_message),
-        rules_broken: sum(|told| told.rules_broken),
-        seconds: all.iter().map(|told| told.seconds).sum(),
+    /// Several runs of one scenario: means of shares and ratios, sums of counts.
+    pub fn mean(reports: &[LoadReport]) -> LoadReport {
+        let mean =
+            |of: fn(&LoadReport) -> f64| reports.iter().map(of).sum::<f64>() / reports.len().max(1) as f64;
+        let sum = |of: fn(&LoadReport) -> u64| reports.iter().map(of).sum();
+        let first = reports.first().copied().unwrap_or_default();
+        LoadReport {
+            gateways: first.gateways,
+            endpoints: first.endpoints,
+            messages: sum(|report| report.messages),
+            answered: sum(|report| report.answered),
+            rejected: sum(|report| report.rejected),
+            failed: sum(|report| report.failed),
+            value_ratio: mean(|report| report.value_ratio),
+            peak_over_mean: mean(|report| report.peak_over_mean),
+            central_peak_over_mean: mean(|report| report.central_peak_over_mean),
+            random_peak_over_mean: mean(|report| report.random_peak_over_mean),
+            p99_over_mean: mean(|report| report.p99_over_mean),
+            jain: mean(|report| report.jain),
+            idle_share: mean(|report| report.idle_share),
+            limit_use_while_waiting: mean(|report| report.limit_use_while_waiting),
+            herding: mean(|report| report.herding),
+            new_connections_per_message: mean(|report| report.new_connections_per_message),
+            rejections_per_message: mean(|report| report.rejections_per_message),
+            requests_per_message: mean(|report| report.requests_per_message),
+            violations: sum(|report| report.violations),
+            seconds: reports.iter().map(|report| report.seconds).sum(),
+        }
     }
 }
--- a/crates/testbench/src/recovery_windows.rs
+++ b/crates/testbench/src/recovery_windows.rs
@@ -1,86 +1,89 @@
-//! Load of returning sites in short windows, from the record of a day over sockets.
+//! Load of recovering zones in short windows, from the record of a scenario over sockets.
 
 use crate::scenario::FaultScenario;
-use cloverstile_fakes::model::Nature;
+use cloverstile_as2_gateway::rig::PartnerSpec;
 use cloverstile_fakes::record::{Line, Seen};
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Length of a window.
 pub const WINDOW: Duration = Duration::from_millis(100);
-/// A return is watched for so many times the cold time.
-const WATCHED: f64 = 2.0;
+/// A recovery is measured for this many times the warm-up time.
+const MEASURED_WARM_UPS: f64 = 2.0;
 
-/// A window of a returning site.
+/// A window of a recovering zone.
 #[derive(Clone, Debug, Serialize)]
-pub struct Window {
-    /// Partner.
+pub struct RecoveryWindow {
+    /// Name of the partner.
     pub partner: String,
     /// Its zone.
     pub zone: usize,
-    /// Beginning of the window, in milliseconds since the site's return.
+    /// Beginning of the window, in milliseconds since the zone's return.
     pub after_ms: u64,
     /// Requests that reached it.
     pub received: u32,
-    /// Requests that it can serve in that time, cold as it is.
+    /// Requests that it can serve in that time with the capacity it has then.
     pub capacity: f64,
-    /// Requests that it survives in that time: the rules' multiple of its capacity.
+    /// Requests that it survives in that time: the overload multiple of its capacity.
     pub bound: f64,
 }
 
-/// All windows of all returns of a day.
-pub fn recovery_windows(day: &FaultScenario, lines: &[Line]) -> Vec<Window> {
-    let spec = day.spec();
+impl RecoveryWindow {
+    /// Whether the zone got more than it survives.
+    pub fn exceeds_bound(&self) -> bool {
+        f64::from(self.received) > self.bound.max(1.0)
+    }
+}
+
+/// All windows of all recoveries in a record.
+pub fn recovery_windows(scenario: &FaultScenario, lines: &[Line]) -> Vec<RecoveryWindow> {
+    let cluster = scenario.cluster_spec();
     let mut windows = Vec::new();
     for line in lines {
         let Seen::Outage { partner, zone, began: false } = &line.seen else { continue };
-        let Some(told) = spec.partners.iter().find(|told| told.name == *partner) else { continue };
-        let mut zones: Vec<usize> = told.zones.clone();
-        zones.sort_unstable();
-        zones.dedup();
-        for zone in zones.into_iter().filter(|each| zone.is_none_or(|zone| zone == *each)) {
-            windows.extend(of_return(lines, line.at, (partner, zone), &told.zones, &told.nature));
+        let Some(partner) = cluster.partners.iter().find(|spec| spec.name == *partner) else { continue };
+        let zones: BTreeSet<usize> = partner.zones.iter().copied().collect();
+        for recovered in zones.into_iter().filter(|each| zone.is_none_or(|zone| zone == *each)) {
+            windows.extend(windows_of_recovery(lines, line.at, partner, recovered));
         }
     }
     windows
 }
 
-fn of_return(
+/// Windows of one zone of a partner that returned at a time in microseconds.
+fn windows_of_recovery(
     lines: &[Line],
-    since: u64,
-    (partner, zone): (&str, usize),
-    zones: &[usize],
-    nature: &Nature,
-) -> Vec<Window> {
-    let last = lines.last().map_or(since, |line| line.at);
-    let watched = nature.cold.1.mul_f64(WATCHED).min(Duration::from_micros(last.saturating_sub(since)));
-    let mut received = vec![0_u32; (watched.as_nanos() / WINDOW.as_nanos()) as usize];
-    for line in lines.iter().filter(|line| line.at >= since) {
-        let Seen::Request { partner: to, endpoint, .. } = &line.seen else { continue };
-        let place = (u128::from(line.at - since) * 1000 / WINDOW.as_nanos()) as usize;
-        if to == partner && zones.get(*endpoint) == Some(&zone) {
-            if let Some(count) = received.get_mut(place) {
+    returned_at: u64,
+    partner: &PartnerSpec,
+    zone: usize,
+) -> Vec<RecoveryWindow> {
+    let profile = &partner.nature;
+    let last = lines.last().map_or(returned_at, |line| line.at);
+    let recorded = Duration::from_micros(last.saturating_sub(returned_at));
+    let measured = profile.cold.1.mul_f64(MEASURED_WARM_UPS).min(recorded);
+    let mut received = vec![0_u32; (measured.as_nanos() / WINDOW.as_nanos()) as usize];
+    for line in lines.iter().filter(|line| line.at >= returned_at) {
+        let Seen::Request { partner: receiver, endpoint, .. } = &line.seen else { continue };
+        let position = (u128::from(line.at - returned_at) * 1000 / WINDOW.as_nanos()) as usize;
+        if *receiver == partner.name && partner.zones.get(*endpoint) == Some(&zone) {
+            if let Some(count) = received.get_mut(position) {
                 *count += 1;
             }
         }
     }
-    let window = |(place, received): (usize, u32)| {
-        let after = WINDOW * place as u32;
-        // As warm as it is at the window's end.
-        let capacity = nature.rate() * nature.warmth(after + WINDOW) * WINDOW.as_secs_f64();
-        Window {
-            partner: partner.to_owned(),
+    let window = |(position, received): (usize, u32)| {
+        let after = WINDOW * position as u32;
+        // The capacity at the window's end.
+        let capacity = profile.rate() * profile.warmth(after + WINDOW) * WINDOW.as_secs_f64();
+        RecoveryWindow {
+            partner: partner.name.clone(),
             zone,
             after_ms: after.as_millis() as u64,
             received,
             capacity,
-            bound: nature.tip_multiple * capacity,
+            bound: profile.tip_multiple * capacity,
         }
     };
     received.into_iter().enumerate().map(window).collect()
 }
-
-/// Whether a window got more than the site survives.
-pub fn exceeds_bound(window: &Window) -> bool {
-    f64::from(window.received) > window.bound.max(1.0)
-}
--- /dev/null
+++ b/crates/testbench/src/scenario/cluster.rs
@@ -0,0 +1,96 @@
+//! The test cluster that plays a scenario: partners, classes and settings of the gateways.
+
+use super::settings::{ClassSettings, FaultScenario, PartnerSettings, RuleSettings};
+use cloverstile_as2::NewKey;
+use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Spec};
+use cloverstile_fakes::model::Nature;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// Number of clients: the second one submits the ordered classes.
+const CLIENTS: usize = 2;
+/// Fewest requests that a gateway may have in flight.
+const MIN_CONCURRENCY: usize = 24;
+/// Requests in flight for each message a second: a quarter of a second's traffic.
+const CONCURRENCY_SECONDS: f64 = 0.25;
+
+impl FaultScenario {
+    /// The test cluster that plays this scenario.
+    pub fn cluster_spec(&self) -> Spec {
+        let most_in_flight = (self.rate * CONCURRENCY_SECONDS / self.gateways as f64).ceil() as usize;
+        let concurrency = most_in_flight.max(MIN_CONCURRENCY);
+        let zones = self.partners.values().flat_map(PartnerSettings::endpoint_zones).max();
+        Spec {
+            couriers: self.gateways,
+            clients: CLIENTS,
+            partners: self
+                .partners
+                .iter()
+                .map(|(name, partner)| partner_spec(name, partner, &self.rules))
+                .collect(),
+            classes: self.classes.iter().map(|(name, class)| class_spec(name, class)).collect(),
+            zones: zones.map_or(1, |last| last + 1),
+            courier_lines: format!(
+                "  call_slots = {concurrency}\n  most_held = 4000\n  stop_within = \"4s\"\n  workers = {}",
+                self.workers
+            ),
+            blocks: self.rule_blocks(),
+        }
+    }
+
+    /// The blocks `rules` and `kind` of a gateway's settings.
+    fn rule_blocks(&self) -> String {
+        let rules = &self.rules;
+        let batches: BTreeSet<u32> = self.partners.values().map(|partner| partner.batch).collect();
+        let kinds: Vec<String> =
+            batches.iter().map(|batch| format!("kind \"batch-{batch}\" {{ batch = {batch} }}\n")).collect();
+        format!(
+            "rules {{\n  answer_slack = \"{}ms\"\n  order_settle = \"{}ms\"\n  cold = \"{}ms\"\n  \
+             cold_from = {}\n  tip_multiple = {}\n  fall = \"{}ms\"\n}}\n{}",
+            rules.answer_slack_ms,
+            rules.order_settle_ms,
+            rules.warm_up_ms,
+            rules.initial_capacity_share,
+            rules.overload_multiple,
+            rules.overload_window_ms,
+            kinds.concat(),
+        )
+    }
+}
+
+fn partner_spec(name: &str, partner: &PartnerSettings, rules: &RuleSettings) -> PartnerSpec {
+    let [least, mean_extra] = partner.service_ms.map(Duration::from_millis);
+    PartnerSpec {
+        name: name.to_owned(),
+        kind: format!("batch-{}", partner.batch),
+        nature: Nature {
+            servers: partner.servers,
+            queue: partner.queue,
+            service: (least, mean_extra),
+            limit: partner.limit,
+            tells_wait: partner.sends_retry_after,
+            repeat_window: Duration::from_secs_f64(partner.deduplication_s),
+            cold: (rules.initial_capacity_share, Duration::from_millis(rules.warm_up_ms)),
+            tip_multiple: rules.overload_multiple,
+            fall: Duration::from_millis(rules.overload_window_ms),
+        },
+        zones: partner.endpoint_zones(),
+        key: if partner.encrypted { NewKey::Rsa2048 } else { NewKey::P256 },
+        deferred: partner.deferred,
+        mismatched: partner.certificate_mismatch,
+        spill_share: partner.spill_share,
+    }
+}
+
+fn class_spec(name: &str, class: &ClassSettings) -> ClassSpec {
+    ClassSpec {
+        name: name.to_owned(),
+        effect: class.effect.clone(),
+        group: class.group.clone(),
+        in_order: class.ordered,
+        aim: Duration::from_secs_f64(class.latency_objective),
+        deadline: Duration::from_secs_f64(class.deadline),
+        window: Duration::from_secs_f64(class.retry_window),
+        worth: class.priority_weight,
+    }
+}
--- /dev/null
+++ b/crates/testbench/src/scenario/faults.rs
@@ -0,0 +1,113 @@
+//! The faults of a scenario: the typed events that they stand for.
+
+use super::error::ScenarioError;
+use super::settings::{FaultScenario, FaultSettings};
+use cloverstile_fakes::model::Fault;
+use cloverstile_fakes::partner::Twist;
+
+/// What a fault does. Partners are numbered in the order of their names.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum FaultEvent {
+    /// A partner fails, in one zone or in all.
+    Partner {
+        /// Number of the partner.
+        partner: usize,
+        /// How it fails.
+        fault: Fault,
+        /// The only zone that fails.
+        zone: Option<usize>,
+    },
+    /// A partner sends faulty receipts.
+    Receipts {
+        /// Number of the partner.
+        partner: usize,
+        /// How the receipts are faulty.
+        fault: Twist,
+    },
+    /// An endpoint drains and comes back.
+    Drain {
+        /// Number of the partner.
+        partner: usize,
+        /// Number of the endpoint at the partner.
+        endpoint: usize,
+    },
+    /// A gateway is killed and started again.
+    Kill {
+        /// Number of the gateway.
+        gateway: usize,
+    },
+    /// A gateway is shut down gracefully and started again.
+    Stop {
+        /// Number of the gateway.
+        gateway: usize,
+    },
+    /// The traffic is multiplied.
+    Burst {
+        /// Factor of the rate.
+        factor: f64,
+    },
+}
+
+/// A fault event with its times in seconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ScheduledFault {
+    /// When it begins.
+    pub at: f64,
+    /// How long it lasts.
+    pub duration: f64,
+    /// Seconds by which chance may delay its beginning.
+    pub jitter: f64,
+    /// What it does.
+    pub event: FaultEvent,
+}
+
+impl FaultScenario {
+    /// The faults as events, in the order of their names.
+    ///
+    /// # Errors
+    /// A fault has an unknown kind, or names a partner or gateway that does not exist.
+    pub fn fault_schedule(&self) -> Result<Vec<ScheduledFault>, ScenarioError> {
+        let schedule = |(name, fault): (&String, &FaultSettings)| {
+            let event = self
+                .fault_event(fault)
+                .map_err(|reason| ScenarioError::InvalidFault { fault: name.clone(), reason })?;
+            Ok(ScheduledFault { at: fault.at, duration: fault.duration, jitter: fault.jitter, event })
+        };
+        self.faults.iter().map(schedule).collect()
+    }
+
+    fn fault_event(&self, fault: &FaultSettings) -> Result<FaultEvent, String> {
+        let receipts = |kind: Twist| -> Result<FaultEvent, String> {
+            Ok(FaultEvent::Receipts { partner: self.affected_partner(fault)?, fault: kind })
+        };
+        match fault.kind.as_str() {
+            "wrong-mic" => receipts(Twist::WrongMic),
+            "wrong-signer" => receipts(Twist::WrongSigner),
+            "twice" => receipts(Twist::Twice),
+            "late-receipts" => receipts(Twist::Late((fault.size * 1000.0) as u64)),
+            "drain" => {
+                Ok(FaultEvent::Drain { partner: self.affected_partner(fault)?, endpoint: fault.endpoint })
+            }
+            "kill" => Ok(FaultEvent::Kill { gateway: self.affected_gateway(fault)? }),
+            "stop" => Ok(FaultEvent::Stop { gateway: self.affected_gateway(fault)? }),
+            "burst" => Ok(FaultEvent::Burst { factor: fault.size }),
+            other => {
+                let kind = Fault::named(other, fault.size)
+                    .ok_or_else(|| format!("has the unknown kind '{other}'"))?;
+                let partner = self.affected_partner(fault)?;
+                Ok(FaultEvent::Partner { partner, fault: kind, zone: fault.zone })
+            }
+        }
+    }
+
+    fn affected_partner(&self, fault: &FaultSettings) -> Result<usize, String> {
+        let name = fault.partner.as_ref().ok_or("names no partner")?;
+        let position = self.partners.keys().position(|partner| partner == name);
+        position.ok_or_else(|| "names an unknown partner".into())
+    }
+
+    fn affected_gateway(&self, fault: &FaultSettings) -> Result<usize, String> {
+        let existing = fault.gateway.filter(|gateway| *gateway < self.gateways);
+        existing.ok_or_else(|| "names no gateway that exists".into())
+    }
+}
--- a/crates/testbench/src/scenario_run.rs
+++ b/crates/testbench/src/scenario_run.rs
@@ -1,358 +1,183 @@
-//! Plays a day: courier processes, partners and clients on loopback, troubles by the clock.
+//! Plays a fault scenario: gateway processes, fake partners and clients on loopback, fault events by the clock.
 
-use crate::invariants::{judge, ClassRule, Figures, InvariantReport, PartnerRule};
-use crate::scenario::{FaultEvent, FaultScenario, ScenarioError};
-use cloverstile_as2_gateway::rig::{Rig, RigError};
-use cloverstile_fakes::client::{Client, Couriers, Habits, Progress};
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Line, Recorder, Seen};
+mod error;
+mod gateway_command;
+mod gateways;
+
+pub use error::RunError;
+pub use gateway_command::GatewayCommand;
+
+use crate::invariants::{check_invariants, InvariantReport, InvariantSettings};
+use crate::scenario::{FaultEvent, FaultScenario};
+use cloverstile_as2_gateway::rig::Rig;
+use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
+use cloverstile_fakes::record::{Line, Recorder};
+use gateways::ScenarioGateways;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rustix::process::{kill_process, Pid, Signal};
-use std::collections::BTreeSet;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-/// Why a day could not be played.
-#[derive(Debug, thiserror::Error)]
-pub enum RunError {
-    /// Its script.
-    #[error(transparent)]
-    FaultScenario(#[from] ScenarioError),
-    /// Keys, files or partners.
-    #[error(transparent)]
-    Rig(#[from] RigError),
-    /// A courier that nobody told to end.
-    #[error("run: courier {0} ended by itself; its standard error says why")]
-    Died(usize),
-    /// Processes or sockets.
-    #[error("run: {0}")]
-    Io(#[from] std::io::Error),
-}
-
-/// How couriers are started.
-#[derive(Clone, Debug)]
-pub struct GatewayCommand {
-    /// Program that takes `courier FILE` and prints where it listens.
-    pub program: PathBuf,
-    /// What their logs show on standard error.
-    pub log: String,
-}
-
-/// What came of a day.
+/// The first message comes this long after everything is started.
+const LEAD_TIME: Duration = Duration::from_millis(200);
+/// Fault events, processes and clients are looked at in this interval.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Told to end, each gateway is waited for this long.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
+/// Clients are stopped after this multiple of the scenario's mean length ...
+const TIME_LIMIT_FACTOR: f64 = 1.5;
+/// ... and the longest deadline and this many seconds.
+const TIME_LIMIT_SLACK_S: f64 = 10.0;
+
+/// What came of a scenario.
 pub struct RunResult {
-    /// All that was seen.
+    /// The record of fake partners and clients.
     pub lines: Vec<Line>,
-    /// What the judge says.
-    pub verdict: InvariantReport,
+    /// What the check of the invariants found.
+    pub report: InvariantReport,
     /// Wall time.
-    pub took: Duration,
-}
-
-/// How far a day is, for people who wait: answered messages.
-pub type Watch<'a> = &'a (dyn Fn(usize) + Sync);
-
-/// A courier process; killed where it is dropped.
-pub(crate) struct Process {
-    child: Child,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // Already ended in the ordinary course; this is for errors on the way.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Process {
-    /// Starts a courier and waits until it listens.
-    pub(crate) fn start(
-        launch: &GatewayCommand,
-        file: &Path,
-        number: usize,
-    ) -> Result<(Process, SocketAddr), RunError> {
-        let mut child = Command::new(&launch.program)
-            .arg("courier")
-            .arg(file)
-            .args(["--log", &launch.log])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()?;
-        let mut line = String::new();
-        if let Some(stdout) = child.stdout.take() {
-            BufReader::new(stdout).read_line(&mut line)?;
-        }
-        let process = Process { child };
-        let told: Option<SocketAddr> = serde_json::from_str::<serde_json::Value>(&line)
-            .ok()
-            .and_then(|value| value.get("listening")?.as_str()?.parse().ok());
-        told.map(|address| (process, address)).ok_or(RunError::Rig(RigError::Start(number)))
-    }
-
-    pub(crate) fn id(&self) -> u32 {
-        self.child.id()
-    }
-
-    fn signal(&self, signal: Signal) {
-        if let Some(pid) = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw) {
-            // One that has ended needs no signal.
-            let _ = kill_process(pid, signal);
-        }
-    }
-
-    /// Waits for the end; false if it took longer than `most`.
-    fn ended(&mut self, most: Duration) -> bool {
-        let began = Instant::now();
-        loop {
-            if matches!(self.child.try_wait(), Ok(Some(_)) | Err(_)) {
-                return true;
-            }
-            if began.elapsed() >= most {
-                return false;
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        }
-    }
-}
-
-/// What the judge needs to know of a day.
-pub fn figures(day: &FaultScenario) -> Figures {
-    let micros = |seconds: f64| (seconds * 1e6) as u64;
-    let spec = day.spec();
-    Figures {
-        classes: day
-            .class
-            .iter()
-            .map(|(name, class)| {
-                let rule = ClassRule {
-                    safe: class.effect == "safe",
-                    window: (class.effect == "keyed").then(|| micros(class.window)),
-                    by_zone: class.group == "zone",
-                    in_order: class.in_order,
-                };
-                (name.clone(), rule)
-            })
-            .collect(),
-        partners: spec
-            .partners
-            .iter()
-            .map(|partner| {
-                let capacity = partner.nature.capacity();
-                let capacity = partner.nature.limit.map_or(capacity, |limit| limit.min(capacity));
-                (partner.name.clone(), PartnerRule { capacity, zones: partner.zones.clone() })
-            })
-            .collect(),
-        answer_slack: day.rules.answer_slack_ms * 1000,
-        drain_grace: day.rules.drain_grace_ms * 1000,
-        order_settle: day.rules.order_settle_ms * 1000,
-        cold_from: day.rules.cold_from,
-        cold: day.rules.cold_ms * 1000,
-        tip_multiple: day.rules.tip_multiple,
-        fall: day.rules.fall_ms * 1000,
-    }
+    pub elapsed: Duration,
 }
 
-/// Something to do at a time.
-struct Step {
-    at: Duration,
-    begins: bool,
-    lasts: Duration,
-    act: FaultEvent,
-}
-
-struct ScenarioRun<'a> {
-    rig: Rig,
-    launch: &'a GatewayCommand,
-    processes: Vec<Option<Process>>,
-    /// Told to stop, and still answering.
-    stopping: Vec<(usize, Process)>,
-    addresses: Vec<SocketAddr>,
-    draining: BTreeSet<(usize, usize)>,
-    recorder: Recorder,
-}
+/// Called now and then with the number of answered messages, for people who wait.
+pub type ProgressCallback<'a> = &'a (dyn Fn(usize) + Sync);
 
-/// Plays a day and judges it.
+/// Plays a scenario in a folder of its own, and checks its record.
+///
+/// # Errors
+/// The test cluster can't be set up, a gateway does not start or exits by itself, or a client fails.
 pub fn play(
-    day: &FaultScenario,
+    scenario: &FaultScenario,
     seed: u64,
     folder: &Path,
-    launch: &GatewayCommand,
-    watch: Watch,
+    command: &GatewayCommand,
+    on_progress: ProgressCallback,
 ) -> Result<RunResult, RunError> {
     let began = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let recorder = Recorder::default();
-    let rig = Rig::build(folder, day.spec(), recorder.clone(), seed)?;
-    let mut stage = ScenarioRun {
-        rig,
-        launch,
-        processes: Vec::new(),
-        stopping: Vec::new(),
-        addresses: Vec::new(),
-        draining: BTreeSet::new(),
-        recorder: recorder.clone(),
-    };
-    for number in 0..day.couriers {
-        let (process, address) = Process::start(launch, &stage.rig.files[number], number)?;
-        stage.processes.push(Some(process));
-        stage.addresses.push(address);
-        // One that is started again must be found where it was.
-        stage.rig.write_settings(number, address, &BTreeSet::new())?;
-    }
-    let couriers = stage.rig.couriers(stage.addresses.clone());
-    let from = recorder.now() + Duration::from_millis(200);
-    let plans = day.plan(&mut rng, seed, from);
-    let steps = steps(day, &mut rng, from)?;
-    let progress = Progress::default();
-    let identities = stage.rig.clients.clone();
-    std::thread::scope(|scope| -> Result<(), RunError> {
-        let mut clients = Vec::new();
-        for (number, plan) in plans.into_iter().enumerate() {
-            let (couriers, progress, recorder) = (&couriers, &progress, recorder.clone());
-            let identity = &identities[number];
-            clients.push(scope.spawn(move || {
-                let habits = Habits { deferred: number == 1, ..Habits::default() };
-                Client::new(identity, habits, couriers, plan, recorder, progress)?.run()
-            }));
-        }
-        let mut left = steps.into_iter().peekable();
-        // A client that never ends must not keep the judge from saying what was not answered.
-        let longest = day.class.values().map(|class| class.deadline).fold(0.0, f64::max);
-        let most = from + Duration::from_secs_f64(f64::from(day.messages) / day.rate * 1.5 + longest + 10.0);
-        while clients.iter().any(|client| !client.is_finished()) {
-            while left.peek().is_some_and(|step| step.at <= recorder.now()) {
-                if let Some(step) = left.next() {
-                    if let Err(error) = stage.take(&step, &couriers) {
-                        progress.stop.store(true, Ordering::Relaxed);
-                        return Err(error);
-                    }
-                }
-            }
-            stage.note_stopped(&couriers);
-            if let Some(number) = stage.died() {
-                progress.stop.store(true, Ordering::Relaxed);
-                return Err(RunError::Died(number));
-            }
-            if recorder.now() > most {
-                progress.stop.store(true, Ordering::Relaxed);
-            }
-            watch(progress.done.load(Ordering::Relaxed));
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        for client in clients {
-            client.join().unwrap_or_else(|_| Err(std::io::Error::other("a client panicked")))?;
-        }
-        Ok(())
-    })?;
-    for process in stage.processes.iter_mut().flatten() {
-        process.signal(Signal::TERM);
-    }
-    for process in stage.processes.iter_mut().flatten() {
-        process.ended(Duration::from_secs(10));
-    }
+    let cluster = Rig::build(folder, scenario.cluster_spec(), recorder.clone(), seed)?;
+    let mut gateways = ScenarioGateways::start(cluster, command, scenario.gateways, recorder.clone())?;
+    let start = recorder.now() + LEAD_TIME;
+    let plans = scenario.plan_messages(&mut rng, seed, start);
+    let mut steps = fault_steps(scenario, &mut rng, start)?;
+    // The earliest step is taken from the back.
+    steps.reverse();
+    let longest = scenario.classes.values().map(|class| class.deadline).fold(0.0, f64::max);
+    let mean_length = f64::from(scenario.messages) / scenario.rate;
+    let time_limit =
+        start + Duration::from_secs_f64(mean_length * TIME_LIMIT_FACTOR + longest + TIME_LIMIT_SLACK_S);
+    let run = ScenarioRun { steps, time_limit, recorder: recorder.clone(), on_progress };
+    run.play(&mut gateways, plans)?;
+    gateways.shut_down(SHUTDOWN_TIMEOUT);
     let lines = recorder.lines();
-    let verdict = judge(&lines, &figures(day));
-    Ok(RunResult { lines, verdict, took: began.elapsed() })
+    let report = check_invariants(&lines, &InvariantSettings::from(scenario));
+    Ok(RunResult { lines, report, elapsed: began.elapsed() })
+}
+
+/// The beginning or the end of a fault.
+struct FaultStep {
+    at: Duration,
+    begins: bool,
+    duration: Duration,
+    event: FaultEvent,
 }
 
-fn steps(day: &FaultScenario, rng: &mut ChaCha8Rng, from: Duration) -> Result<Vec<Step>, RunError> {
+/// The steps of all faults, the earliest first.
+fn fault_steps(
+    scenario: &FaultScenario,
+    rng: &mut ChaCha8Rng,
+    start: Duration,
+) -> Result<Vec<FaultStep>, RunError> {
     let mut steps = Vec::new();
-    for (at, lasts, sway, act) in day.acts()? {
-        let moved = if sway > 0.0 { rng.random_range(0.0..sway) } else { 0.0 };
-        let at = from + Duration::from_secs_f64((at + moved).max(0.0));
-        let lasts = Duration::from_secs_f64(lasts.max(0.0));
-        steps.push(Step { at, begins: true, lasts, act });
-        steps.push(Step { at: at + lasts, begins: false, lasts, act });
+    for fault in scenario.fault_schedule()? {
+        let delay = if fault.jitter > 0.0 { rng.random_range(0.0..fault.jitter) } else { 0.0 };
+        let at = start + Duration::from_secs_f64((fault.at + delay).max(0.0));
+        let duration = Duration::from_secs_f64(fault.duration.max(0.0));
+        let event = fault.event;
+        steps.push(FaultStep { at, begins: true, duration, event });
+        steps.push(FaultStep { at: at + duration, begins: false, duration, event });
     }
     steps.sort_by_key(|step| step.at);
     Ok(steps)
 }
 
+struct ScenarioRun<'a> {
+    /// Steps that are still to be taken, the earliest last.
+    steps: Vec<FaultStep>,
+    /// When the clients are stopped.
+    time_limit: Duration,
+    recorder: Recorder,
+    on_progress: ProgressCallback<'a>,
+}
+
 impl ScenarioRun<'_> {
-    fn take(&mut self, step: &Step, couriers: &Couriers) -> Result<(), RunError> {
-        match (step.act, step.begins) {
-            (FaultEvent::Fault(partner, fault, zone), true) => {
-                self.rig.partners.order(Order::Fault { partner, fault, zone, lasts: step.lasts });
+    fn play(mut self, gateways: &mut ScenarioGateways, plans: [Vec<Planned>; 2]) -> Result<(), RunError> {
+        let addresses = gateways.client_view();
+        let identities = gateways.client_identities();
+        let (progress, recorder) = (Progress::default(), self.recorder.clone());
+        std::thread::scope(|scope| {
+            let mut clients = Vec::new();
+            for (number, plan) in plans.into_iter().enumerate() {
+                let (addresses, progress, recorder) = (&addresses, &progress, recorder.clone());
+                let identity = &identities[number];
+                clients.push(scope.spawn(move || {
+                    let habits = Habits { deferred: number == 1, ..Habits::default() };
+                    Client::new(identity, habits, addresses, plan, recorder, progress)?.run()
+                }));
             }
-            (FaultEvent::Receipts(partner, twist), begins) => {
-                self.rig.partners.order(Order::Twist { partner, twist: begins.then_some(twist) });
+            while clients.iter().any(|client| !client.is_finished()) {
+                if let Err(error) = self.advance(gateways, &addresses) {
+                    progress.stop.store(true, Ordering::Relaxed);
+                    return Err(error);
+                }
+                // A client that never ends must not keep the check from saying what was not answered.
+                if self.recorder.now() > self.time_limit {
+                    progress.stop.store(true, Ordering::Relaxed);
+                }
+                (self.on_progress)(progress.done.load(Ordering::Relaxed));
+                std::thread::sleep(POLL_INTERVAL);
             }
-            (FaultEvent::Drain(partner, endpoint), begins) => self.drain(partner, endpoint, begins)?,
-            (FaultEvent::Kill(courier), true) => self.end(courier, true, couriers),
-            (FaultEvent::Stop(courier), true) => self.end(courier, false, couriers),
-            (FaultEvent::Kill(courier) | FaultEvent::Stop(courier), false) => {
-                self.start_again(courier, couriers)?
+            for client in clients {
+                client.join().unwrap_or_else(|_| Err(std::io::Error::other("a client panicked")))?;
             }
-            (FaultEvent::Fault(..), false) | (FaultEvent::Burst(_), _) => {}
-        }
-        Ok(())
+            Ok(())
+        })
     }
 
-    fn drain(&mut self, partner: usize, endpoint: usize, begins: bool) -> Result<(), RunError> {
-        match begins {
-            true => self.draining.insert((partner, endpoint)),
-            false => self.draining.remove(&(partner, endpoint)),
-        };
-        for number in 0..self.processes.len() {
-            self.rig.write_settings(number, self.addresses[number], &self.draining)?;
-        }
-        let name = self.rig.spec.partners[partner].name.clone();
-        if !begins {
-            // Whoever hears of it first may send at once.
-            self.recorder.note(Seen::Listed { partner: name.clone(), endpoint, ready: true });
-        }
-        for process in self.processes.iter().flatten() {
-            process.signal(Signal::HUP);
+    /// Takes the steps that are due, and looks after the gateway processes.
+    fn advance(&mut self, gateways: &mut ScenarioGateways, clients: &Couriers) -> Result<(), RunError> {
+        while self.steps.last().is_some_and(|step| step.at <= self.recorder.now()) {
+            if let Some(step) = self.steps.pop() {
+                apply(&step, gateways, clients)?;
+            }
         }
-        if begins {
-            self.recorder.note(Seen::Listed { partner: name, endpoint, ready: false });
+        gateways.record_stopped(clients);
+        match gateways.find_exited() {
+            Some(gateway) => Err(RunError::GatewayExited(gateway)),
+            None => Ok(()),
         }
-        Ok(())
     }
+}
 
-    fn end(&mut self, courier: usize, killed: bool, couriers: &Couriers) {
-        let Some(process) = self.processes[courier].take() else { return };
-        if killed {
-            // Clients learn first, so that a lost connection is not taken for a passing fault.
-            self.note_end(courier, true, couriers);
-            return drop(process);
+fn apply(step: &FaultStep, gateways: &mut ScenarioGateways, clients: &Couriers) -> Result<(), RunError> {
+    match (step.event, step.begins) {
+        (FaultEvent::Partner { partner, fault, zone }, true) => {
+            gateways.begin_partner_fault(partner, fault, zone, step.duration);
         }
-        // It answers what it holds; until it has ended, what it holds is in good hands.
-        process.signal(Signal::TERM);
-        self.stopping.push((courier, process));
-    }
-
-    fn note_end(&self, courier: usize, killed: bool, couriers: &Couriers) {
-        couriers.running[courier].store(false, Ordering::Relaxed);
-        self.recorder.note(Seen::Courier { courier, running: false, killed });
-    }
-
-    fn note_stopped(&mut self, couriers: &Couriers) {
-        let mut left = Vec::new();
-        for (courier, mut process) in std::mem::take(&mut self.stopping) {
-            match process.ended(Duration::ZERO) {
-                true => self.note_end(courier, false, couriers),
-                false => left.push((courier, process)),
-            }
+        (FaultEvent::Receipts { partner, fault }, begins) => {
+            gateways.set_receipt_fault(partner, begins.then_some(fault));
         }
-        self.stopping = left;
-    }
-
-    fn died(&mut self) -> Option<usize> {
-        let ended = |process: &mut Option<Process>| process.as_mut().is_some_and(|p| p.ended(Duration::ZERO));
-        self.processes.iter_mut().position(ended)
-    }
-
-    fn start_again(&mut self, courier: usize, couriers: &Couriers) -> Result<(), RunError> {
-        let (process, _) = Process::start(self.launch, &self.rig.files[courier], courier)?;
-        self.processes[courier] = Some(process);
-        self.recorder.note(Seen::Courier { courier, running: true, killed: false });
-        couriers.running[courier].store(true, Ordering::Relaxed);
-        Ok(())
+        (FaultEvent::Drain { partner, endpoint }, begins) => {
+            gateways.set_draining(partner, endpoint, begins)?;
+        }
+        (FaultEvent::Kill { gateway }, true) => gateways.kill(gateway, clients),
+        (FaultEvent::Stop { gateway }, true) => gateways.stop(gateway),
+        (FaultEvent::Kill { gateway } | FaultEvent::Stop { gateway }, false) => {
+            gateways.restart(gateway, clients)?;
+        }
+        (FaultEvent::Partner { .. }, false) | (FaultEvent::Burst { .. }, _) => {}
     }
+    Ok(())
 }
--- /dev/null
+++ b/crates/testbench/src/scenario_run/gateways.rs
@@ -0,0 +1,172 @@
+//! The gateways of a scenario and the test cluster around them.
+
+use super::error::RunError;
+use super::gateway_command::{GatewayCommand, StartedGateway};
+use crate::process::GatewayProcess;
+use cloverstile_as2::Identity;
+use cloverstile_as2_gateway::rig::Rig;
+use cloverstile_fakes::client::Couriers;
+use cloverstile_fakes::model::Fault;
+use cloverstile_fakes::partner::{Order, Twist};
+use cloverstile_fakes::record::{Recorder, Seen};
+use rustix::process::Signal;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A gateway that was told to stop and still answers what it holds.
+struct StoppingGateway {
+    gateway: usize,
+    process: GatewayProcess,
+}
+
+/// Processes of all gateways, their partners, and which endpoints drain.
+pub(super) struct ScenarioGateways<'a> {
+    cluster: Rig,
+    command: &'a GatewayCommand,
+    /// The process of each gateway while it runs.
+    processes: Vec<Option<GatewayProcess>>,
+    stopping: Vec<StoppingGateway>,
+    addresses: Vec<SocketAddr>,
+    /// Partner and endpoint.
+    draining: BTreeSet<(usize, usize)>,
+    recorder: Recorder,
+}
+
+impl<'a> ScenarioGateways<'a> {
+    /// Starts so many gateways of a cluster.
+    pub fn start(
+        cluster: Rig,
+        command: &'a GatewayCommand,
+        count: usize,
+        recorder: Recorder,
+    ) -> Result<Self, RunError> {
+        let mut gateways = ScenarioGateways {
+            cluster,
+            command,
+            processes: Vec::new(),
+            stopping: Vec::new(),
+            addresses: Vec::new(),
+            draining: BTreeSet::new(),
+            recorder,
+        };
+        for number in 0..count {
+            let StartedGateway { process, address } =
+                command.start(&gateways.cluster.files[number], number)?;
+            gateways.processes.push(Some(process));
+            gateways.addresses.push(address);
+            // One that is started again must be found where it was.
+            gateways.cluster.write_settings(number, address, &BTreeSet::new())?;
+        }
+        Ok(gateways)
+    }
+
+    /// Addresses and states of the gateways, as the clients see them.
+    pub fn client_view(&self) -> Couriers {
+        self.cluster.couriers(self.addresses.clone())
+    }
+
+    /// Identities of the clients.
+    pub fn client_identities(&self) -> Arc<Vec<Identity>> {
+        self.cluster.clients.clone()
+    }
+
+    /// Lets a partner fail for a time, in one zone or in all.
+    pub fn begin_partner_fault(&self, partner: usize, fault: Fault, zone: Option<usize>, duration: Duration) {
+        self.cluster.partners.order(Order::Fault { partner, fault, zone, lasts: duration });
+    }
+
+    /// Lets a partner's receipts be faulty from now on, or sound again.
+    pub fn set_receipt_fault(&self, partner: usize, fault: Option<Twist>) {
+        self.cluster.partners.order(Order::Twist { partner, twist: fault });
+    }
+
+    /// Drains an endpoint or takes it back, and lets all gateways read their settings again.
+    pub fn set_draining(&mut self, partner: usize, endpoint: usize, draining: bool) -> Result<(), RunError> {
+        if draining {
+            self.draining.insert((partner, endpoint));
+        } else {
+            self.draining.remove(&(partner, endpoint));
+        }
+        for (number, address) in self.addresses.iter().enumerate() {
+            self.cluster.write_settings(number, *address, &self.draining)?;
+        }
+        if !draining {
+            // Whoever hears of it first may send at once.
+            self.record_listed(partner, endpoint, true);
+        }
+        for process in self.processes.iter().flatten() {
+            process.signal(Signal::HUP);
+        }
+        if draining {
+            self.record_listed(partner, endpoint, false);
+        }
+        Ok(())
+    }
+
+    fn record_listed(&self, partner: usize, endpoint: usize, ready: bool) {
+        let partner = self.cluster.spec.partners[partner].name.clone();
+        self.recorder.note(Seen::Listed { partner, endpoint, ready });
+    }
+
+    /// Kills a gateway.
+    pub fn kill(&mut self, gateway: usize, clients: &Couriers) {
+        if let Some(process) = self.processes[gateway].take() {
+            // Clients learn first, so that a lost connection is not taken for a transient failure.
+            self.record_end(gateway, true, clients);
+            drop(process);
+        }
+    }
+
+    /// Tells a gateway to stop. It answers what it holds; until it has exited, clients take it for running.
+    pub fn stop(&mut self, gateway: usize) {
+        if let Some(process) = self.processes[gateway].take() {
+            process.signal(Signal::TERM);
+            self.stopping.push(StoppingGateway { gateway, process });
+        }
+    }
+
+    fn record_end(&self, gateway: usize, killed: bool, clients: &Couriers) {
+        clients.running[gateway].store(false, Ordering::Relaxed);
+        self.recorder.note(Seen::Courier { courier: gateway, running: false, killed });
+    }
+
+    /// Records the gateways that were told to stop and have exited.
+    pub fn record_stopped(&mut self, clients: &Couriers) {
+        for StoppingGateway { gateway, mut process } in std::mem::take(&mut self.stopping) {
+            if process.has_exited() {
+                self.record_end(gateway, false, clients);
+            } else {
+                self.stopping.push(StoppingGateway { gateway, process });
+            }
+        }
+    }
+
+    /// The first gateway that exited without having been told to.
+    pub fn find_exited(&mut self) -> Option<usize> {
+        let exited =
+            |process: &mut Option<GatewayProcess>| process.as_mut().is_some_and(GatewayProcess::has_exited);
+        self.processes.iter_mut().position(exited)
+    }
+
+    /// Starts a gateway again that was killed or stopped.
+    pub fn restart(&mut self, gateway: usize, clients: &Couriers) -> Result<(), RunError> {
+        let started = self.command.start(&self.cluster.files[gateway], gateway)?;
+        self.processes[gateway] = Some(started.process);
+        self.recorder.note(Seen::Courier { courier: gateway, running: true, killed: false });
+        clients.running[gateway].store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Tells all gateways to stop and waits for each up to `timeout`.
+    pub fn shut_down(&mut self, timeout: Duration) {
+        for process in self.processes.iter().flatten() {
+            process.signal(Signal::TERM);
+        }
+        for process in self.processes.iter_mut().flatten() {
+            process.wait_until(Instant::now() + timeout);
+        }
+    }
+}
--- a/crates/testbench/src/simulation_metrics.rs
+++ b/crates/testbench/src/simulation_metrics.rs
@@ -1,187 +1,220 @@
-//! Figures of an emulated run: worth, the worst ten seconds, time to full service, load at returning sites, spill.
+//! Metrics of a simulated run: delivered value, the worst ten seconds, time to full service, load of recovering sites,
+//! spillover.
 
 use cloverstile_engine::FinalOutcome;
-use cloverstile_simulator::{Run, Scenario};
+use cloverstile_simulator::{Message, Run, Scenario, Window};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-/// Seconds of hand-ins in which the worst is looked for.
+/// Seconds of submissions in which the worst is looked for.
 const WORST_SECONDS: usize = 10;
-/// Service is full where this part of the worth handed in is earned ...
-const FULL: f64 = 0.95;
-/// ... in so many seconds in a row.
-const FULL_SECONDS: usize = 3;
+/// Service is full where this share of the submitted value is earned ...
+const FULL_SERVICE_SHARE: f64 = 0.95;
+/// ... in this many seconds in a row.
+const FULL_SERVICE_SECONDS: usize = 3;
+/// Seconds in which fewer messages are wanted say nothing of a share.
+const MIN_WANTED: f64 = 50.0;
 
-/// What one run came to.
+/// The metrics of one run.
 #[derive(Clone, Debug, Default, Serialize)]
-pub struct Figures {
-    /// Messages handed in.
+pub struct SimulationMetrics {
+    /// Messages submitted.
     pub messages: usize,
     /// Share of them that was delivered.
     pub delivered: f64,
-    /// Worth earned, as a part of what all on time would have been worth.
-    pub worth: f64,
-    /// The same of the messages handed in during the worst ten seconds in a row.
+    /// Value earned, as a share of what all messages in time would have earned.
+    #[serde(rename = "worth")]
+    pub value_ratio: f64,
+    /// The same of the messages submitted during the worst ten seconds in a row.
     pub worst_ten_s: f64,
     /// From the last return of a site until full service, in seconds; none where there was no return or it never came.
     pub full_service_s: Option<f64>,
-    /// Windows of 100 ms at returning sites.
+    /// Windows of 100 ms at recovering sites.
     pub windows: usize,
     /// ... that got more than the site survives.
     pub windows_over_bound: usize,
-    /// Most that a window got, as a part of what the site survives, and of what it can serve.
+    /// Most that a window got, as a share of what the site survives.
     pub worst_of_bound: f64,
-    /// ...
+    /// Most that a window got, as a share of what the site can serve.
     pub worst_of_capacity: f64,
-    /// Most that spilt in a second, as a part of the stated share of what was wanted in it: of the messages handed in
-    /// then and those that waited for the bank.
+    /// Most that spilled in a second, as a share of what was permitted: the spill share of the messages that were
+    /// submitted then or waited for the destination.
     pub worst_spill: f64,
-    /// Most by which what a courier spilt was above the share of what it had taken for a bank since the bank's last
-    /// trouble began, in messages. A message can't be split, so that one is allowed.
+    /// Most by which what a gateway spilled was above its share of what it had accepted for a destination since the
+    /// first fault, in messages. A message can't be split, so that one is allowed.
     pub spill_excess: f64,
     /// Messages that first reached a tier behind the preferred one.
-    pub spilt: u64,
-    /// Broken rules.
-    pub broken: u64,
-    /// Which.
-    pub broken_by_kind: [u64; 7],
+    #[serde(rename = "spilt")]
+    pub spilled: u64,
+    /// Violations of the delivery invariants.
+    #[serde(rename = "broken")]
+    pub violations: u64,
+    /// Violations by kind: no single outcome, late or untrue outcome, repeated effect, order, send to a draining
+    /// endpoint, overloaded site, `Retry-After` ignored.
+    #[serde(rename = "broken_by_kind")]
+    pub violations_by_kind: [u64; 7],
     /// Requests at the sites.
     pub requests: u64,
 }
 
-/// Worth that each message earned, in the order of hand-ins.
-fn earned(scenario: &Scenario, run: &Run) -> Vec<(usize, f64, f64)> {
-    let classes: Vec<_> = scenario.class.values().collect();
-    let of = |message: &cloverstile_simulator::Message| {
-        let class = classes[usize::from(message.class)];
-        let earned = match message.answer {
-            Some((FinalOutcome::Delivered, at)) => {
-                class.worth_at(at.saturating_sub(message.handed).as_secs_f64())
-            }
-            _ => 0.0,
-        };
-        (message.handed.as_secs() as usize, class.worth, earned)
+/// Value of messages: what they would earn in time, and what they earned.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Value {
+    /// Sum of the priority weights.
+    pub offered: f64,
+    /// Sum of the values of those delivered, by their age then.
+    pub earned: f64,
+}
+
+fn value_of(scenario: &Scenario, message: &Message) -> Value {
+    // Classes are numbered in the order of their names.
+    let Some(class) = scenario.class.values().nth(usize::from(message.class)) else {
+        return Value::default();
     };
-    run.messages.iter().map(of).collect()
+    let earned = match message.answer {
+        Some((FinalOutcome::Delivered, at)) => {
+            class.worth_at(at.saturating_sub(message.handed).as_secs_f64())
+        }
+        _ => 0.0,
+    };
+    Value { offered: class.worth, earned }
 }
 
-/// Offered and earned worth by second of the hand-in.
-pub fn worth_by_second(scenario: &Scenario, run: &Run) -> Vec<(f64, f64)> {
-    let mut seconds = vec![(0.0, 0.0); scenario.seconds.ceil() as usize];
-    for (second, offered, earned) in earned(scenario, run) {
-        if let Some(sums) = seconds.get_mut(second) {
-            sums.0 += offered;
-            sums.1 += earned;
+/// Value of the messages by the second of their submission.
+pub fn value_by_second(scenario: &Scenario, run: &Run) -> Vec<Value> {
+    let mut seconds = vec![Value::default(); scenario.seconds.ceil() as usize];
+    for message in &run.messages {
+        if let Some(sum) = seconds.get_mut(message.handed.as_secs() as usize) {
+            let value = value_of(scenario, message);
+            sum.offered += value.offered;
+            sum.earned += value.earned;
         }
     }
     seconds
 }
 
-/// Sums up a run.
-pub fn figures(scenario: &Scenario, run: &Run) -> Figures {
-    let seconds = worth_by_second(scenario, run);
-    let ratio = |part: &[(f64, f64)]| {
-        let (offered, earned) =
-            part.iter().fold((0.0, 0.0), |sum, second| (sum.0 + second.0, sum.1 + second.1));
-        if offered > 0.0 {
-            earned / offered
-        } else {
-            1.0
+/// Earned over offered value; 1 where nothing was offered.
+fn ratio(seconds: &[Value]) -> f64 {
+    let offered = seconds.iter().fold(0.0, |sum, second| sum + second.offered);
+    let earned = seconds.iter().fold(0.0, |sum, second| sum + second.earned);
+    if offered > 0.0 {
+        earned / offered
+    } else {
+        1.0
+    }
+}
+
+/// Seconds from a time until full service begins.
+fn time_to_full_service(seconds: &[Value], since: Duration) -> Option<f64> {
+    let first = since.as_secs() as usize;
+    let rest = seconds.get(first..).unwrap_or_default();
+    let begin = rest.windows(FULL_SERVICE_SECONDS).position(|part| ratio(part) >= FULL_SERVICE_SHARE)?;
+    Some(((first + begin) as f64 - since.as_secs_f64()).max(0.0))
+}
+
+impl SimulationMetrics {
+    /// The metrics of a run.
+    pub fn new(scenario: &Scenario, run: &Run) -> SimulationMetrics {
+        let seconds = value_by_second(scenario, run);
+        let last_return = run.windows.iter().map(|window| window.at - window.after).max();
+        let is_delivered = |message: &&Message| matches!(message.answer, Some((FinalOutcome::Delivered, _)));
+        let delivered = run.messages.iter().filter(is_delivered).count();
+        let most = |of: fn(&Window) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
+        let is_over_bound = |window: &&Window| f64::from(window.received) > window.bound.max(1.0);
+        let audit = &run.audit;
+        SimulationMetrics {
+            messages: run.messages.len(),
+            delivered: delivered as f64 / run.messages.len().max(1) as f64,
+            value_ratio: ratio(&seconds),
+            worst_ten_s: seconds.windows(WORST_SECONDS).map(ratio).fold(1.0, f64::min),
+            full_service_s: last_return.and_then(|since| time_to_full_service(&seconds, since)),
+            windows: run.windows.len(),
+            windows_over_bound: run.windows.iter().filter(is_over_bound).count(),
+            worst_of_bound: most(|window| f64::from(window.received) / window.bound.max(1.0)),
+            worst_of_capacity: most(|window| f64::from(window.received) / window.capacity.max(1.0)),
+            worst_spill: worst_spill(scenario, run),
+            spill_excess: spill_excess(scenario, run),
+            spilled: run.seconds.iter().map(|second| u64::from(second.spilt)).sum(),
+            violations: audit.broken(),
+            violations_by_kind: [
+                audit.unanswered,
+                audit.late_or_untrue,
+                audit.twice,
+                audit.out_of_order,
+                audit.after_drain,
+                audit.pushed_over,
+                audit.waits_broken,
+            ],
+            requests: run.requests,
         }
-    };
-    let back = run.windows.iter().map(|window| window.at - window.after).max();
-    let full = |back: Duration| {
-        let from = back.as_secs() as usize;
-        let tail = seconds.get(from..).unwrap_or_default();
-        let starts = tail.windows(FULL_SECONDS).position(|three| ratio(three) >= FULL)?;
-        Some(((from + starts) as f64 - back.as_secs_f64()).max(0.0))
-    };
-    let delivered =
-        run.messages.iter().filter(|m| matches!(m.answer, Some((FinalOutcome::Delivered, _)))).count();
-    let audit = &run.audit;
-    let most =
-        |of: &dyn Fn(&cloverstile_simulator::Window) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
-    Figures {
-        messages: run.messages.len(),
-        delivered: delivered as f64 / run.messages.len().max(1) as f64,
-        worth: ratio(&seconds),
-        worst_ten_s: seconds.windows(WORST_SECONDS).map(ratio).fold(1.0, f64::min),
-        full_service_s: back.and_then(full),
-        windows: run.windows.len(),
-        windows_over_bound: run.windows.iter().filter(|w| f64::from(w.received) > w.bound.max(1.0)).count(),
-        worst_of_bound: most(&|window| f64::from(window.received) / window.bound.max(1.0)),
-        worst_of_capacity: most(&|window| f64::from(window.received) / window.capacity.max(1.0)),
-        worst_spill: worst_spill(scenario, run),
-        spill_excess: spill_excess(scenario, run),
-        spilt: run.seconds.iter().map(|second| u64::from(second.spilt)).sum(),
-        broken: audit.broken(),
-        broken_by_kind: [
-            audit.unanswered,
-            audit.late_or_untrue,
-            audit.twice,
-            audit.out_of_order,
-            audit.after_drain,
-            audit.pushed_over,
-            audit.waits_broken,
-        ],
-        requests: run.requests,
     }
 }
 
-/// Fewer messages than this in a second tell nothing of a share.
-const LEAST_WANTED: f64 = 50.0;
+/// The spill share of each destination, in the order of their numbers.
+fn spill_shares(scenario: &Scenario) -> Vec<f64> {
+    let destinations = scenario.bank.values();
+    destinations
+        .flat_map(|destination| std::iter::repeat_n(destination.spill_share, destination.copies))
+        .collect()
+}
 
-/// The spill share of each bank, in the order of their numbers.
-fn shares(scenario: &Scenario) -> Vec<f64> {
-    let banks = scenario.bank.values();
-    banks.flat_map(|bank| std::iter::repeat_n(bank.spill_share, bank.copies)).collect()
+/// Spillover of one second.
+#[derive(Clone, Copy, Default)]
+struct SpillSecond {
+    /// Sum of the spill shares of the messages that were wanted.
+    permitted: f64,
+    /// Messages that were submitted, or waited.
+    wanted: f64,
+    /// Messages that spilled.
+    spilled: f64,
 }
 
-/// Spill of each second against the share of what was wanted then, over all banks that spilt at all.
+/// Spill of each second against the share of what was wanted then, over all destinations that spilled at all.
 fn worst_spill(scenario: &Scenario, run: &Run) -> f64 {
-    let shares = shares(scenario);
-    let spilling: BTreeSet<u32> = run.messages.iter().filter(|m| m.spilt.is_some()).map(|m| m.bank).collect();
-    let mut seconds = vec![(0.0, 0.0, 0.0); run.seconds.len() + 1];
+    let shares = spill_shares(scenario);
+    let spilling: BTreeSet<u32> =
+        run.messages.iter().filter(|message| message.spilt.is_some()).map(|message| message.bank).collect();
+    let mut seconds = vec![SpillSecond::default(); run.seconds.len() + 1];
     for message in run.messages.iter().filter(|message| spilling.contains(&message.bank)) {
-        let over = message.answer.map_or(message.deadline, |(_, at)| at);
-        let until = message.spilt.map_or(over, |at| at.min(over));
+        let completed_at = message.answer.map_or(message.deadline, |(_, at)| at);
+        let until = message.spilt.map_or(completed_at, |at| at.min(completed_at));
         for second in message.handed.as_secs()..=until.as_secs() {
-            if let Some(sums) = seconds.get_mut(second as usize) {
-                sums.0 += shares[message.bank as usize];
-                sums.1 += 1.0;
+            if let Some(second) = seconds.get_mut(second as usize) {
+                second.permitted += shares[message.bank as usize];
+                second.wanted += 1.0;
             }
         }
-        if let Some(sums) = message.spilt.and_then(|at| seconds.get_mut(at.as_secs() as usize)) {
-            sums.2 += 1.0;
+        if let Some(second) = message.spilt.and_then(|at| seconds.get_mut(at.as_secs() as usize)) {
+            second.spilled += 1.0;
         }
     }
-    let told =
-        seconds.into_iter().filter(|(permitted, wanted, _)| *wanted >= LEAST_WANTED && *permitted > 0.0);
-    told.map(|(permitted, _, spilt)| spilt / permitted).fold(0.0, f64::max)
+    let measured = seconds.iter().filter(|second| second.wanted >= MIN_WANTED && second.permitted > 0.0);
+    measured.map(|second| second.spilled / second.permitted).fold(0.0, f64::max)
 }
 
-/// By how much a courier's spill for a bank was above its share of what it took since the first trouble.
+/// By how much a gateway's spill for a destination was above its share of what it accepted since the first fault.
 fn spill_excess(scenario: &Scenario, run: &Run) -> f64 {
-    let shares = shares(scenario);
-    let begins = scenario.trouble.values().map(|trouble| trouble.at).fold(f64::INFINITY, f64::min);
+    let shares = spill_shares(scenario);
+    let first_fault = scenario.trouble.values().map(|fault| fault.at).fold(f64::INFINITY, f64::min);
     let longest = scenario.class.values().map(|class| class.deadline).fold(0.0, f64::max);
+    // Times at which a message was submitted (false) or spilled (true), by gateway and destination.
     let mut events: BTreeMap<(u32, u32), Vec<(Duration, bool)>> = BTreeMap::new();
     for message in &run.messages {
-        // What was handed in before may have waited still.
-        if message.handed.as_secs_f64() >= begins - longest {
-            let of = events.entry((message.courier, message.bank)).or_default();
-            of.push((message.handed, false));
-            of.extend(message.spilt.map(|at| (at, true)));
+        // What was submitted shortly before may have waited still.
+        if message.handed.as_secs_f64() >= first_fault - longest {
+            let events = events.entry((message.courier, message.bank)).or_default();
+            events.push((message.handed, false));
+            events.extend(message.spilt.map(|at| (at, true)));
         }
     }
     let mut most = 0.0_f64;
-    for ((_, bank), mut of) in events {
-        of.sort();
-        let mut above = 0.0;
-        for (_, spilt) in of {
-            above += if spilt { 1.0 } else { -shares[bank as usize] };
-            most = most.max(above);
+    for ((_, destination), mut events) in events {
+        events.sort_unstable();
+        let mut excess = 0.0;
+        for (_, spilled) in events {
+            excess += if spilled { 1.0 } else { -shares[destination as usize] };
+            most = most.max(excess);
         }
     }
     most
--- a/crates/testbench/src/table.rs
+++ b/crates/testbench/src/table.rs
@@ -1,4 +1,4 @@
-//! Tables as Parquet files: columns of texts and of numbers.
+//! Tables in memory and as Parquet files: columns of texts and of numbers.
 
 use arrow_array::cast::AsArray;
 use arrow_array::types::Float64Type;
@@ -23,14 +23,14 @@
 
 /// Why a table can't be written or read.
 #[derive(Debug, thiserror::Error)]
-#[error("{file}: {why}")]
+#[error("{file}: {reason}")]
 pub struct TableError {
     file: String,
-    why: String,
+    reason: String,
 }
 
 impl Table {
-    /// Adds a row; each one names the same columns.
+    /// Adds a row; each row names the same columns.
     pub fn push(&mut self, texts: &[(&str, &str)], numbers: &[(&str, f64)]) {
         for (name, text) in texts {
             self.texts.entry((*name).to_owned()).or_default().push((*text).to_owned());
@@ -40,7 +40,17 @@
         }
     }
 
-    /// Rows.
+    /// Adds the rows of another table behind these.
+    pub fn append(&mut self, other: Table) {
+        for (name, column) in other.texts {
+            self.texts.entry(name).or_default().extend(column);
+        }
+        for (name, column) in other.numbers {
+            self.numbers.entry(name).or_default().extend(column);
+        }
+    }
+
+    /// Number of rows.
     pub fn rows(&self) -> usize {
         self.texts.values().map(Vec::len).chain(self.numbers.values().map(Vec::len)).max().unwrap_or(0)
     }
@@ -55,12 +65,12 @@
         self.numbers.get(name).map_or(&[], Vec::as_slice)
     }
 
-    /// Writes it as a Parquet file; the same table gives the same bytes.
+    /// Writes the table as a Parquet file; the same table gives the same bytes.
     ///
     /// # Errors
     /// The file can't be written.
     pub fn write(&self, file: &Path) -> Result<(), TableError> {
-        let wrong = |why: String| TableError { file: file.display().to_string(), why };
+        let failed = |reason: String| TableError { file: file.display().to_string(), reason };
         let texts = self.texts.iter().map(|(name, column)| {
             (name.as_str(), Arc::new(StringArray::from_iter_values(column)) as ArrayRef)
         });
@@ -68,29 +78,29 @@
             (name.as_str(), Arc::new(Float64Array::from_iter_values(column.iter().copied())) as ArrayRef)
         });
         let batch =
-            RecordBatch::try_from_iter(texts.chain(numbers)).map_err(|error| wrong(error.to_string()))?;
+            RecordBatch::try_from_iter(texts.chain(numbers)).map_err(|error| failed(error.to_string()))?;
         let properties = WriterProperties::builder().set_compression(Compression::SNAPPY).build();
-        let out = File::create(file).map_err(|error| wrong(error.to_string()))?;
+        let out = File::create(file).map_err(|error| failed(error.to_string()))?;
         let mut writer = ArrowWriter::try_new(out, batch.schema(), Some(properties))
-            .map_err(|error| wrong(error.to_string()))?;
-        writer.write(&batch).map_err(|error| wrong(error.to_string()))?;
-        writer.close().map_err(|error| wrong(error.to_string()))?;
+            .map_err(|error| failed(error.to_string()))?;
+        writer.write(&batch).map_err(|error| failed(error.to_string()))?;
+        writer.close().map_err(|error| failed(error.to_string()))?;
         Ok(())
     }
 
-    /// Reads a file that [`Table::write`] wrote; columns of other kinds are passed over.
+    /// Reads a file that [`Table::write`] wrote; columns of other types are skipped.
     ///
     /// # Errors
-    /// The file can't be read, or is none.
+    /// The file can't be read, or is not a Parquet file.
     pub fn read(file: &Path) -> Result<Table, TableError> {
-        let wrong = |why: String| TableError { file: file.display().to_string(), why };
-        let open = File::open(file).map_err(|error| wrong(error.to_string()))?;
+        let failed = |reason: String| TableError { file: file.display().to_string(), reason };
+        let open = File::open(file).map_err(|error| failed(error.to_string()))?;
         let reader = ParquetRecordBatchReaderBuilder::try_new(open)
             .and_then(ParquetRecordBatchReaderBuilder::build)
-            .map_err(|error| wrong(error.to_string()))?;
+            .map_err(|error| failed(error.to_string()))?;
         let mut table = Table::default();
         for batch in reader {
-            let batch = batch.map_err(|error| wrong(error.to_string()))?;
+            let batch = batch.map_err(|error| failed(error.to_string()))?;
             for (field, column) in batch.schema().fields().iter().zip(batch.columns()) {
                 if let Some(texts) = column.as_string_opt::<i32>() {
                     let kept = texts.iter().map(|text| text.unwrap_or_default().to_owned());
@@ -106,22 +116,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_table_comes_back_as_it_was_written() {
-        let mut table = Table::default();
-        table.push(&[("policy", "planner")], &[("worth", 0.5), ("seed", 1.0)]);
-        table.push(&[("policy", "stays")], &[("worth", 0.25), ("seed", 2.0)]);
-        let file = std::env::temp_dir().join(format!("cloverstile-table-{}.parquet", std::process::id()));
-        table.write(&file).unwrap();
-        let first = std::fs::read(&file).unwrap();
-        table.write(&file).unwrap();
-        assert!(first == std::fs::read(&file).unwrap(), "two files of one table differ");
-        assert_eq!(Table::read(&file).unwrap(), table);
-        std::fs::write(&file, &first[..first.len() / 2]).unwrap();
-        assert!(Table::read(&file).is_err());
-        std::fs::remove_file(&file).unwrap();
-    }
-}
+mod tests;
--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -1,16 +1,16 @@
-//! A small fleet of real processes on loopback: couriers killed, endpoints replaced, limits lowered. Judged from what
-//! passed on our sockets.
+//! A small fleet of real processes on loopback: gateways killed, endpoints replaced, traffic bursts. Checked from what
+//! passed on the sockets of the load harness.
 
 use cloverstile_simulator::{read_spread, Scene};
 use cloverstile_testbench::fleet::play_fleet;
-use cloverstile_testbench::load_report::figures;
+use cloverstile_testbench::load_report::LoadReport;
 use std::path::Path;
 use std::time::Duration;
 
-/// Its `node` is what `cloverstile node` runs.
+/// Its subcommand `node` is what `cloverstile node` runs.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile-testbench");
 
-fn scene(seconds: f64, rate: f64, troubles: &str) -> Scene {
+fn scenario(seconds: f64, rate: f64, faults: &str) -> Scene {
     let text = format!(
         r#"
         couriers = 6
@@ -42,16 +42,16 @@
           share     = 0.5
           endpoints = 3
         }}
-        {troubles}
+        {faults}
         "#
     );
-    read_spread(&text).expect("the scene is right")
+    read_spread(&text).expect("the scenario is valid")
 }
 
-/// Every process is one that was killed or ended in order, and no rule was broken.
+/// Every process was killed by the test or exited successfully, and no invariant was violated.
 #[test]
-fn kills_and_replaced_endpoints_break_no_rule_and_leave_no_endpoint_idle() {
-    let troubles = r#"
+fn killed_gateways_and_replaced_endpoints_violate_no_invariant_and_idle_no_endpoint() {
+    let faults = r#"
         trouble "killed" {
           kind = "restart"
           at   = 1.5
@@ -64,23 +64,23 @@
           lasts   = 1
           size    = 0.3
         }"#;
-    let scene = scene(4.0, 100.0, troubles);
-    let run = play_fleet(&scene, Path::new(PROGRAM), 1).expect("it can be played");
+    let scenario = scenario(4.0, 100.0, faults);
+    let run = play_fleet(&scenario, Path::new(PROGRAM), 1).expect("it can be played");
     assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
-    let told = figures(&scene, &run, 1, Duration::ZERO);
-    assert_eq!(told.answered, told.messages);
-    assert!(told.messages > 250, "{told:?}");
-    assert_eq!(told.endpoints, 6, "one was replaced");
-    // What three killed couriers were being handed is lost to its client; what they had taken on is not.
-    assert!(run.answers[0] as f64 > 0.85 * told.messages as f64, "{told:?}");
-    // All calls to one of three would leave two thirds of that partner idle.
-    assert!(told.idle_share < 0.1, "{told:?}");
-    assert!(told.new_connections_a_message < 0.6, "{told:?}");
+    let report = LoadReport::new(&scenario, &run, 1, Duration::ZERO);
+    assert_eq!(report.answered, report.messages);
+    assert!(report.messages > 250, "{report:?}");
+    assert_eq!(report.endpoints, 6, "one was replaced");
+    // Submissions in progress at the three killed gateways are lost to their clients; accepted messages are not.
+    assert!(run.answers[0] as f64 > 0.85 * report.messages as f64, "{report:?}");
+    // All requests to one of three would leave two thirds of that partner idle.
+    assert!(report.idle_share < 0.1, "{report:?}");
+    assert!(report.new_connections_per_message < 0.6, "{report:?}");
 }
 
-/// The yardstick on sockets: a limit that is wanted half as much again stands used while messages wait.
+/// The metrics on sockets: a limit for which there is half as much demand again is used while messages wait.
 #[test]
-fn a_shared_limit_is_used_while_messages_wait() {
+fn shared_limit_is_utilized_while_messages_wait() {
     let burst = r#"
         trouble "burst" {
           kind  = "burst"
@@ -88,18 +88,18 @@
           lasts = 3
           size  = 2.6
         }"#;
-    let scene = scene(4.0, 100.0, burst);
-    let run = play_fleet(&scene, Path::new(PROGRAM), 2).expect("it can be played");
+    let scenario = scenario(4.0, 100.0, burst);
+    let run = play_fleet(&scenario, Path::new(PROGRAM), 2).expect("it can be played");
     assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
-    let told = figures(&scene, &run, 2, Duration::ZERO);
+    let report = LoadReport::new(&scenario, &run, 2, Duration::ZERO);
     assert!(run.record.stays.len() > 30, "nobody waited: not the case that is tested");
-    assert!(told.limit_use_while_waiting > 0.5, "{told:?}");
-    assert_eq!(told.answered, told.messages);
+    assert!(report.limit_use_while_waiting > 0.5, "{report:?}");
+    assert_eq!(report.answered, report.messages);
 }
 
 #[test]
-fn a_program_that_is_no_courier_is_named() {
-    let error = play_fleet(&scene(1.0, 10.0, ""), Path::new("/nowhere/cloverstile"), 3).err();
-    let told = error.expect("it can't be played").to_string();
-    assert!(told.contains("/nowhere/cloverstile node"), "{told}");
+fn program_that_is_not_a_gateway_is_named_in_the_error() {
+    let error = play_fleet(&scenario(1.0, 10.0, ""), Path::new("/nowhere/cloverstile"), 3).err();
+    let error = error.expect("it can't be played").to_string();
+    assert!(error.contains("/nowhere/cloverstile node"), "{error}");
 }
--- a/crates/testbench/tests/invariants.rs
+++ b/crates/testbench/tests/invariants.rs
@@ -1,27 +1,32 @@
-//! Each rule is broken in a doctored record, and found out; the record without the doctoring is clean.
+//! Each invariant is violated in a forged record, and found; the record without the forgery is clean.
 
 use cloverstile_fakes::record::{End, Line, Seen, Told};
-use cloverstile_testbench::invariants::{judge, ClassRule, Figures, InvariantReport, PartnerRule};
+use cloverstile_testbench::invariants::{
+    check_invariants, ClassRule, InvariantReport, InvariantSettings, PartnerRule,
+};
+use cloverstile_testbench::repeat_rule::RepeatRule;
 use std::collections::HashMap;
+use std::time::Duration;
 
 const MS: u64 = 1000;
 
-fn figures() -> Figures {
-    let class = |safe, window: Option<u64>, by_zone, in_order| ClassRule { safe, window, by_zone, in_order };
-    Figures {
+fn settings() -> InvariantSettings {
+    let class = |repeats, by_zone, ordered| ClassRule { repeats, by_zone, ordered };
+    let window = RepeatRule::Within(Duration::from_millis(2000));
+    InvariantSettings {
         classes: HashMap::from([
-            ("pay".into(), class(false, None, false, false)),
-            ("notice".into(), class(false, Some(2000 * MS), true, true)),
-            ("status".into(), class(true, None, false, false)),
+            ("pay".into(), class(RepeatRule::Forbidden, false, false)),
+            ("notice".into(), class(window, true, true)),
+            ("status".into(), class(RepeatRule::Harmless, false, false)),
         ]),
         partners: HashMap::from([("bank".into(), PartnerRule { capacity: 20.0, zones: vec![0, 1] })]),
         answer_slack: 100 * MS,
         drain_grace: 500 * MS,
         order_settle: 400 * MS,
-        cold_from: 0.2,
-        cold: 4000 * MS,
-        tip_multiple: 2.0,
-        fall: 1000 * MS,
+        initial_capacity_share: 0.2,
+        warm_up: 4000 * MS,
+        overload_multiple: 2.0,
+        overload_window: 1000 * MS,
     }
 }
 
@@ -37,19 +42,19 @@
         self
     }
 
-    fn hand_in(&mut self, ms: u64, id: &str, class: &str) -> &mut Self {
+    fn submit(&mut self, ms: u64, id: &str, class: &str) -> &mut Self {
         let key = (class == "notice").then(|| "employee".to_owned());
         let (id, class, partner, courier) = (id.to_owned(), class.to_owned(), "bank".to_owned(), 0);
         let deadline = (ms + 5000) * MS;
         self.at(ms, Seen::HandIn { id, courier, class, partner, key, deadline, after_loss: false })
     }
 
-    fn taken(&mut self, ms: u64, id: &str) -> &mut Self {
+    fn accepted(&mut self, ms: u64, id: &str) -> &mut Self {
         self.at(ms, Seen::Taken { id: id.to_owned(), courier: 0 })
     }
 
-    /// A call from begin to end.
-    fn call(&mut self, from: u64, to: u64, id: &str, endpoint: usize, how: End) -> &mut Self {
+    /// A request from begin to end.
+    fn request(&mut self, from: u64, to: u64, id: &str, endpoint: usize, how: End) -> &mut Self {
         self.calls += 1;
         let (courier, partner, call) = ("courier-0".to_owned(), "bank".to_owned(), self.calls);
         self.at(from, Seen::Request { id: id.to_owned(), courier, partner, endpoint, call });
@@ -64,147 +69,153 @@
         self.at(ms, Seen::Answer { id: id.to_owned(), courier: 0, told })
     }
 
-    fn judged(&self) -> InvariantReport {
+    fn report(&self) -> InvariantReport {
         let mut lines = self.lines.clone();
         lines.sort_by_key(|line| line.at);
-        judge(&lines, &figures())
+        check_invariants(&lines, &settings())
     }
 
-    /// The rules found broken, each once.
-    fn broken(&self) -> Vec<&'static str> {
-        let mut rules: Vec<_> = self.judged().broken.iter().map(|broken| broken.rule).collect();
-        rules.dedup();
-        rules
+    /// The invariants found violated, each once.
+    fn violated(&self) -> Vec<&'static str> {
+        let report = self.report();
+        let mut names: Vec<_> =
+            report.violations.iter().map(|violation| violation.invariant.name()).collect();
+        names.dedup();
+        names
     }
 }
 
-/// A payment delivered, a notice repeated inside window and group, a second notice in turn.
+/// A payment delivered, a notice repeated inside window and group, a second notice in its order.
 fn good() -> Record {
     let mut record = Record::default();
-    record.hand_in(0, "p", "pay").call(10, 30, "p", 0, End::Refused(None));
-    record.call(400, 430, "p", 1, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
-    record.hand_in(1000, "n1", "notice").taken(1010, "n1");
-    record.call(1020, 1300, "n1", 0, End::Left).effect(1290, "n1");
-    record.call(1500, 1600, "n1", 0, End::Processed).answer(1620, "n1", Told::Delivered);
-    record.hand_in(1100, "n2", "notice").taken(1110, "n2");
-    record.call(1800, 1850, "n2", 1, End::Processed).effect(1840, "n2").answer(1860, "n2", Told::Delivered);
+    record.submit(0, "p", "pay").request(10, 30, "p", 0, End::Refused(None));
+    record.request(400, 430, "p", 1, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
+    record.submit(1000, "n1", "notice").accepted(1010, "n1");
+    record.request(1020, 1300, "n1", 0, End::Left).effect(1290, "n1");
+    record.request(1500, 1600, "n1", 0, End::Processed).answer(1620, "n1", Told::Delivered);
+    record.submit(1100, "n2", "notice").accepted(1110, "n2");
+    record.request(1800, 1850, "n2", 1, End::Processed).effect(1840, "n2").answer(
+        1860,
+        "n2",
+        Told::Delivered,
+    );
     record
 }
 
 #[test]
-fn a_record_that_keeps_the_rules_is_clean() {
-    let verdict = good().judged();
-    assert_eq!((verdict.broken, verdict.messages, verdict.delivered), (vec![], 3, 3));
+fn valid_record_has_no_violation() {
+    let report = good().report();
+    assert_eq!((report.violations, report.messages, report.delivered), (vec![], 3, 3));
 }
 
 #[test]
-fn a_message_without_an_answer_or_with_a_late_one_is_lost() {
+fn missing_or_late_outcome_is_a_violation() {
     let mut silent = good();
     silent.lines.retain(|line| !matches!(&line.seen, Seen::Answer { id, .. } if id == "n1"));
-    assert_eq!(silent.broken(), ["lost"]);
+    assert_eq!(silent.violated(), ["lost"]);
     let mut late = good();
-    late.hand_in(2000, "q", "pay").answer(7400, "q", Told::Refused);
-    assert_eq!((late.broken(), late.judged().late_answers), (vec!["lost"], 1));
+    late.submit(2000, "q", "pay").answer(7400, "q", Told::Refused);
+    assert_eq!((late.violated(), late.report().late_answers), (vec!["lost"], 1));
 }
 
 #[test]
-fn two_words_about_one_message_and_a_send_after_its_answer_are_found() {
+fn changed_outcome_and_request_after_outcome_are_violations() {
     let mut two = good();
     two.answer(2000, "p", Told::Failed);
-    assert_eq!(two.broken(), ["lost"]);
+    assert_eq!(two.violated(), ["lost"]);
     let mut after = good();
-    after.call(700, 720, "p", 0, End::Refused(None));
-    assert!(after.broken().contains(&"lost"));
+    after.request(700, 720, "p", 0, End::Refused(None));
+    assert!(after.violated().contains(&"lost"));
     let mut unclear = good();
-    unclear.hand_in(2000, "q", "pay").answer(2100, "q", Told::Unclear);
-    assert_eq!(unclear.broken(), ["lost"]);
+    unclear.submit(2000, "q", "pay").answer(2100, "q", Told::Unclear);
+    assert_eq!(unclear.violated(), ["lost"]);
 }
 
 #[test]
-fn effects_twice_and_repeats_that_are_not_permitted_are_found() {
+fn repeated_effect_and_forbidden_repeat_are_violations() {
     let mut twice = good();
     twice.effect(1590, "n1");
-    assert_eq!((twice.broken(), twice.judged().effects_twice), (vec!["twice"], 1));
+    assert_eq!((twice.violated(), twice.report().repeated_effects), (vec!["twice"], 1));
     let mut again = Record::default();
-    again.hand_in(0, "p", "pay").call(10, 100, "p", 0, End::Broken);
-    again.call(400, 430, "p", 0, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
-    assert_eq!(again.broken(), ["twice"]);
+    again.submit(0, "p", "pay").request(10, 100, "p", 0, End::Broken);
+    again.request(400, 430, "p", 0, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
+    assert_eq!(again.violated(), ["twice"]);
     let mut late = Record::default();
-    late.hand_in(0, "n", "notice").call(10, 100, "n", 0, End::Left);
-    late.call(2100, 2130, "n", 0, End::Processed).answer(2140, "n", Told::Delivered);
-    assert_eq!(late.broken(), ["twice"]);
+    late.submit(0, "n", "notice").request(10, 100, "n", 0, End::Left);
+    late.request(2100, 2130, "n", 0, End::Processed).answer(2140, "n", Told::Delivered);
+    assert_eq!(late.violated(), ["twice"]);
     let mut elsewhere = Record::default();
-    elsewhere.hand_in(0, "n", "notice").call(10, 100, "n", 0, End::Left);
-    elsewhere.call(900, 930, "n", 1, End::Processed).answer(940, "n", Told::Delivered);
-    assert_eq!(elsewhere.broken(), ["twice"]);
+    elsewhere.submit(0, "n", "notice").request(10, 100, "n", 0, End::Left);
+    elsewhere.request(900, 930, "n", 1, End::Processed).answer(940, "n", Told::Delivered);
+    assert_eq!(elsewhere.violated(), ["twice"]);
     let mut side = Record::default();
-    side.hand_in(0, "s", "status").call(10, 900, "s", 0, End::Processed);
-    side.call(300, 330, "s", 1, End::Processed).answer(940, "s", Told::Delivered);
-    assert_eq!(side.broken(), ["twice"]);
+    side.submit(0, "s", "status").request(10, 900, "s", 0, End::Processed);
+    side.request(300, 330, "s", 1, End::Processed).answer(940, "s", Told::Delivered);
+    assert_eq!(side.violated(), ["twice"]);
 }
 
 #[test]
-fn a_refusal_of_what_may_have_run_is_found() {
+fn rejection_of_a_message_that_may_have_run_is_a_violation() {
     let mut record = Record::default();
-    record.hand_in(0, "p", "pay").call(10, 100, "p", 0, End::Left).answer(500, "p", Told::Refused);
-    assert_eq!(record.broken(), ["twice"]);
+    record.submit(0, "p", "pay").request(10, 100, "p", 0, End::Left).answer(500, "p", Told::Refused);
+    assert_eq!(record.violated(), ["twice"]);
     let mut safe = Record::default();
-    safe.hand_in(0, "s", "status").call(10, 100, "s", 0, End::Left).answer(500, "s", Told::Refused);
-    assert!(safe.broken().is_empty());
+    safe.submit(0, "s", "status").request(10, 100, "s", 0, End::Left).answer(500, "s", Told::Refused);
+    assert!(safe.violated().is_empty());
 }
 
 #[test]
-fn what_is_sent_to_a_draining_endpoint_is_found() {
+fn request_to_a_draining_endpoint_is_a_violation() {
     let listed = |ready| Seen::Listed { partner: "bank".into(), endpoint: 1, ready };
     let mut inside = good();
     inside.at(1000, listed(false));
     inside.at(1700, listed(true));
-    assert!(inside.broken().is_empty());
+    assert!(inside.violated().is_empty());
     let mut record = good();
     record.at(1000, listed(false));
-    assert_eq!(record.broken(), ["drain"]);
+    assert_eq!(record.violated(), ["drain"]);
 }
 
 #[test]
-fn what_is_sent_inside_a_wait_is_found_for_any_message() {
+fn request_before_the_end_of_retry_after_is_a_violation_for_any_message() {
     let mut record = good();
-    record.hand_in(1590, "s", "status").call(1595, 1610, "s", 0, End::Refused(Some(1000)));
+    record.submit(1590, "s", "status").request(1595, 1610, "s", 0, End::Refused(Some(1000)));
     record.answer(4000, "s", Told::Refused);
-    assert_eq!(record.broken(), ["wait"]);
-    // One that was killed in between comes back as another, which was told nothing.
+    assert_eq!(record.violated(), ["wait"]);
+    // A gateway killed in between comes back as another, which was told nothing.
     record.at(1650, Seen::Courier { courier: 0, running: false, killed: true });
-    assert!(record.broken().is_empty());
+    assert!(record.violated().is_empty());
 }
 
 #[test]
-fn messages_of_a_key_out_of_turn_or_too_soon_are_found() {
+fn messages_of_a_key_out_of_order_or_too_soon_are_violations() {
     let mut record = Record::default();
-    record.hand_in(0, "n1", "notice").taken(10, "n1").hand_in(20, "n2", "notice").taken(30, "n2");
-    record.call(50, 80, "n2", 0, End::Processed).answer(90, "n2", Told::Delivered);
-    record.call(500, 530, "n1", 0, End::Processed).answer(540, "n1", Told::Delivered);
-    assert_eq!(record.broken(), ["order"]);
+    record.submit(0, "n1", "notice").accepted(10, "n1").submit(20, "n2", "notice").accepted(30, "n2");
+    record.request(50, 80, "n2", 0, End::Processed).answer(90, "n2", Told::Delivered);
+    record.request(500, 530, "n1", 0, End::Processed).answer(540, "n1", Told::Delivered);
+    assert_eq!(record.violated(), ["order"]);
     let mut soon = Record::default();
-    soon.hand_in(0, "n1", "notice").taken(10, "n1").hand_in(20, "n2", "notice").taken(30, "n2");
-    soon.call(50, 500, "n1", 0, End::Left).answer(510, "n1", Told::Failed);
-    soon.call(600, 630, "n2", 0, End::Processed).answer(640, "n2", Told::Delivered);
-    assert_eq!(soon.broken(), ["order"]);
+    soon.submit(0, "n1", "notice").accepted(10, "n1").submit(20, "n2", "notice").accepted(30, "n2");
+    soon.request(50, 500, "n1", 0, End::Left).answer(510, "n1", Told::Failed);
+    soon.request(600, 630, "n2", 0, End::Processed).answer(640, "n2", Told::Delivered);
+    assert_eq!(soon.violated(), ["order"]);
 }
 
 #[test]
-fn a_returning_partner_that_is_pushed_over_is_found() {
+fn overloading_a_recovering_partner_is_a_violation() {
     let outage = |began| Seen::Outage { partner: "bank".into(), zone: None, began };
-    let day = |every: u64| {
+    let scenario = |every: u64| {
         let mut record = Record::default();
         record.at(1000, outage(true)).at(2000, outage(false));
-        record.hand_in(900, "first", "status").call(1500, 1900, "first", 0, End::Left);
+        record.submit(900, "first", "status").request(1500, 1900, "first", 0, End::Left);
         record.answer(2500, "first", Told::Refused);
         for number in 0..20 {
             let (id, at) = (format!("s{number}"), 2010 + number * every);
-            record.hand_in(900, &id, "status").call(at, at + 5, &id, 0, End::Processed);
+            record.submit(900, &id, "status").request(at, at + 5, &id, 0, End::Processed);
             record.answer(at + 6, &id, Told::Delivered);
         }
         record
     };
-    assert_eq!(day(20).broken(), ["fail-back"]);
-    assert!(day(150).broken().is_empty());
+    assert_eq!(scenario(20).violated(), ["fail-back"]);
+    assert!(scenario(150).violated().is_empty());
 }
--- a/crates/testbench/tests/replay.rs
+++ b/crates/testbench/tests/replay.rs
@@ -1,12 +1,12 @@
-//! A bench day becomes a script; what can't be played is said.
+//! A bench day becomes a fault scenario; what can't be played is listed.
 
 use cloverstile_fakes::model::Fault;
-use cloverstile_testbench::replay::{read, Scale};
+use cloverstile_testbench::replay::{read, ReplayScale};
 use cloverstile_testbench::scenario::FaultEvent;
 use serde_json::json;
 use std::time::Duration;
 
-fn drawn(troubles: serde_json::Value) -> String {
+fn bench_day(troubles: serde_json::Value) -> String {
     json!({
         "length": 30e6, "drain_grace": 1e6, "fall_multiple": 2.0, "fall_for": 3e6, "order_settle": 1e5,
         "traffic": { "load": 0.5 },
@@ -28,49 +28,57 @@
     .to_string()
 }
 
-fn trouble(kind: &str, size: f64, on: &[usize]) -> serde_json::Value {
+fn bench_fault(kind: &str, size: f64, on: &[usize]) -> serde_json::Value {
     json!({ "kind": kind, "at": 6e6, "len": 9e6, "size": size, "extra": 3.0, "on": on })
 }
 
+/// A fault of the first partner, in all its zones.
+fn partner_fault(fault: Fault) -> FaultEvent {
+    FaultEvent::Partner { partner: 0, fault, zone: None }
+}
+
 #[test]
-fn sizes_and_times_are_scaled_and_what_a_partner_takes_of_what_it_is_sent_stays() {
-    let replay = read(&drawn(json!([])), Scale { rate: 200.0, pace: 3.0, ..Scale::default() }).unwrap();
-    let day = &replay.day;
-    assert_eq!((day.messages, day.couriers, day.partner.len()), (2000, 3, 2));
-    assert_eq!((day.class["pay"].deadline, day.class["note"].window), (8.0, 3.0));
+fn replay_scales_sizes_and_times_and_keeps_the_utilization_of_partners() {
+    let replay =
+        read(&bench_day(json!([])), ReplayScale { rate: 200.0, speed: 3.0, ..ReplayScale::default() })
+            .unwrap();
+    let scenario = &replay.scenario;
+    assert_eq!((scenario.messages, scenario.gateways, scenario.partners.len()), (2000, 3, 2));
+    assert_eq!((scenario.classes["pay"].deadline, scenario.classes["note"].retry_window), (8.0, 3.0));
     // Sent 37.5 of the 60 that it takes; at our rate 150, so that it must take 240.
-    assert_eq!(day.partner["dest-001"].limit, Some(240.0));
-    assert_eq!((day.partner["dest-000"].endpoints, day.partner["dest-000"].batch), (2, 2));
-    assert!(replay.left_out[0].contains("4 couriers"));
+    assert_eq!(scenario.partners["dest-001"].limit, Some(240.0));
+    assert_eq!((scenario.partners["dest-000"].endpoints, scenario.partners["dest-000"].batch), (2, 2));
+    assert!(replay.omissions[0].contains("4 gateways"));
 }
 
 #[test]
-fn each_kind_of_trouble_is_played_or_said_to_be_left_out() {
-    for (kind, size, act) in [
-        ("hang", 0.0, Some(FaultEvent::Fault(0, Fault::Silent, None))),
-        ("crash", 0.0, Some(FaultEvent::Fault(0, Fault::Refuse, None))),
-        ("vanish", 0.0, Some(FaultEvent::Fault(0, Fault::Refuse, None))),
-        ("fast_errors", 0.4, Some(FaultEvent::Fault(0, Fault::Errors(0.4), None))),
-        ("fast_errors", 1.0, Some(FaultEvent::Fault(0, Fault::Shut, None))),
-        ("slow", 8.0, Some(FaultEvent::Fault(0, Fault::Slow(8.0), None))),
-        ("answer_lost", 0.3, Some(FaultEvent::Fault(0, Fault::LoseAnswers(0.3), None))),
-        ("idle_reap", 1.5, Some(FaultEvent::Fault(0, Fault::Reap(Duration::from_millis(500)), None))),
-        ("pauses", 300.0, Some(FaultEvent::Fault(0, Fault::Late(Duration::from_millis(300)), None))),
-        ("deploy", 0.0, Some(FaultEvent::Drain(0, 0))),
-        ("burst", 2.0, Some(FaultEvent::Burst(2.0))),
-        ("balancer_crash", 0.0, Some(FaultEvent::Kill(0))),
+fn replay_converts_or_lists_each_kind_of_fault() {
+    for (kind, size, event) in [
+        ("hang", 0.0, Some(partner_fault(Fault::Silent))),
+        ("crash", 0.0, Some(partner_fault(Fault::Refuse))),
+        ("vanish", 0.0, Some(partner_fault(Fault::Refuse))),
+        ("fast_errors", 0.4, Some(partner_fault(Fault::Errors(0.4)))),
+        ("fast_errors", 1.0, Some(partner_fault(Fault::Shut))),
+        ("slow", 8.0, Some(partner_fault(Fault::Slow(8.0)))),
+        ("answer_lost", 0.3, Some(partner_fault(Fault::LoseAnswers(0.3)))),
+        ("idle_reap", 1.5, Some(partner_fault(Fault::Reap(Duration::from_millis(500))))),
+        ("pauses", 300.0, Some(partner_fault(Fault::Late(Duration::from_millis(300))))),
+        ("deploy", 0.0, Some(FaultEvent::Drain { partner: 0, endpoint: 0 })),
+        ("burst", 2.0, Some(FaultEvent::Burst { factor: 2.0 })),
+        ("balancer_crash", 0.0, Some(FaultEvent::Kill { gateway: 0 })),
         ("heavy_tail", 9.0, None),
     ] {
-        let replay = read(&drawn(json!([trouble(kind, size, &[1])])), Scale::default()).unwrap();
-        let acts = replay.day.acts().unwrap();
-        assert_eq!(acts.first().map(|played| played.3), act, "{kind}");
-        if let Some((at, ..)) = acts.first() {
-            assert_eq!(*at, 2.0, "{kind}");
+        let replay =
+            read(&bench_day(json!([bench_fault(kind, size, &[1])])), ReplayScale::default()).unwrap();
+        let schedule = replay.scenario.fault_schedule().unwrap();
+        assert_eq!(schedule.first().map(|played| played.event), event, "{kind}");
+        if let Some(played) = schedule.first() {
+            assert_eq!(played.at, 2.0, "{kind}");
         } else {
-            assert!(replay.left_out.iter().any(|line| line.contains("not played")), "{kind}");
+            assert!(replay.omissions.iter().any(|line| line.contains("not played")), "{kind}");
         }
     }
-    let elsewhere = read(&drawn(json!([trouble("hang", 0.0, &[])])), Scale::default()).unwrap();
-    assert!(elsewhere.left_out.iter().any(|line| line.contains("strikes none")));
-    assert!(read("{}", Scale::default()).is_err());
+    let elsewhere = read(&bench_day(json!([bench_fault("hang", 0.0, &[])])), ReplayScale::default()).unwrap();
+    assert!(elsewhere.omissions.iter().any(|line| line.contains("strikes none")));
+    assert!(read("{}", ReplayScale::default()).is_err());
 }
