--- a/crates/as2-gateway/src/service.rs
+++ b/crates/as2-gateway/src/service.rs
@@ -9,7 +9,7 @@
 use cloverstile_engine::{
     Attempt, Command, Counters, Engine, FinalOutcome, ResultCacheLimits, TransportOutcome,
 };
-use cloverstile_failover::{Fleet, Planner, Tiers};
+use cloverstile_failover::{FailoverPlanner, FleetParameters, TierConfig};
 use cloverstile_http::Headers;
 use cloverstile_net::{ConnId, Net, NetEvent, SignalKind, Waker};
 use cloverstile_settings::Config;
@@ -45,15 +45,15 @@
 
 /// How a run ended.
 #[derive(Clone, Copy, Debug)]
-pub struct Ending {
+pub struct RunSummary {
     /// Running sums of the engine.
     pub counts: Counters,
     /// Messages without an answer at the end; zero unless it was told twice to stop.
     pub unanswered: usize,
     /// Time spent in the module and its table.
-    pub deciding: Duration,
+    pub decision_time: Duration,
     /// Time spent in the loop without waiting.
-    pub working: Duration,
+    pub busy_time: Duration,
 }
 
 /// A message, from its hand-in until its answer is forgotten.
@@ -145,32 +145,32 @@
     DestinationId((config.partners.len() + before + tier - 1) as u16)
 }
 
-fn planner(config: &Config, seed: u64) -> Planner {
+fn planner(config: &Config, seed: u64) -> FailoverPlanner {
     let couriers = config.module.instance_count.max(1);
     let tiered = config.partners.iter().enumerate().filter(|(_, partner)| partner.tiers.len() > 1);
-    let tiers = tiered.map(|(number, partner)| Tiers {
+    let tiers = tiered.map(|(number, partner)| TierConfig {
         destinations: (0..partner.tiers.len()).map(|tier| destination(config, number, tier)).collect(),
         zones: partner.tiers.iter().map(|tier| ZoneId(tier.zone)).collect(),
-        rates: partner.tiers.iter().map(|tier| tier.rate).collect(),
+        capacities: partner.tiers.iter().map(|tier| tier.rate).collect(),
         spill_share: partner.spill_share,
         // Couriers share nothing: each keeps to an even part of what all may spill together.
         spill_rate: partner.spill_rate.map(|rate| rate / f64::from(couriers)),
-        lost_after: partner.lost_after,
-        ramp: partner.ramp,
+        down_after: partner.lost_after,
+        recovery_ramp: partner.ramp,
     });
-    let fleet = Fleet {
-        couriers,
-        place: config.station.place.unwrap_or((seed % u64::from(couriers)) as u32),
+    let fleet = FleetParameters {
+        instance_count: couriers,
+        instance_index: config.station.place.unwrap_or((seed % u64::from(couriers)) as u32),
         // Slots go by the time of day, which machines agree on as well as their clocks are kept.
         epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
-        ..Fleet::of(&config.module.rules)
+        ..FleetParameters::for_rules(&config.module.rules)
     };
-    Planner::new(Time::ZERO, fleet, tiers.collect())
+    FailoverPlanner::new(Time::ZERO, fleet, tiers.collect())
 }
 
 /// Runs a program's own courier from its settings to its end. With `announce` the address that it listens on is
 /// printed as a line of JSON, for whoever started the program.
-pub fn serve(file: &Path, announce: bool, seed: u64) -> Result<Ending, ServiceError> {
+pub fn serve(file: &Path, announce: bool, seed: u64) -> Result<RunSummary, ServiceError> {
     let (config, directory) = load(file)?;
     let mut service = Service::start(config, directory, Some(file), seed)?;
     if announce {
@@ -183,14 +183,14 @@
 
 /// Tells a running courier to stop, from another thread.
 #[derive(Clone)]
-pub struct Stopper {
+pub struct ShutdownHandle {
     flag: Arc<AtomicBool>,
     waker: Waker,
 }
 
-impl Stopper {
+impl ShutdownHandle {
     /// As a signal would.
-    pub fn stop(&self) {
+    pub fn shut_down(&self) {
         self.flag.store(true, Ordering::SeqCst);
         self.waker.wake();
     }
@@ -220,7 +220,8 @@
             retention: config.limits.answers_kept,
         };
         let mut service = Service {
-            engine: Engine::new(config.module.clone(), bounds, seed).with_planner(planner(&config, seed)),
+            engine: Engine::new(config.module.clone(), bounds, seed)
+                .with_failover_policy(planner(&config, seed)),
             directory: Arc::new(directory),
             net,
             pool,
@@ -250,8 +251,8 @@
     }
 
     /// For stopping it from another thread.
-    pub fn stopper(&self) -> Stopper {
-        Stopper { flag: self.stop.clone(), waker: self.net.waker() }
+    pub fn shutdown_handle(&self) -> ShutdownHandle {
+        ShutdownHandle { flag: self.stop.clone(), waker: self.net.waker() }
     }
 
     pub(crate) fn now(&self) -> Time {
@@ -263,7 +264,7 @@
     }
 
     /// Serves until it is told to stop and all is answered.
-    pub fn run(&mut self) -> Result<Ending, ServiceError> {
+    pub fn run(&mut self) -> Result<RunSummary, ServiceError> {
         loop {
             let now = self.now();
             let next = [self.engine.next_timeout(), self.timers.first().map(|(at, _)| *at), self.stopping];
@@ -472,10 +473,10 @@
                 && self.front.unsent(&self.net) == 0)
     }
 
-    fn ending(&self) -> Ending {
+    fn ending(&self) -> RunSummary {
         let counts = self.engine.counters();
         let unanswered = self.engine.pending_messages();
         info!(?counts, unanswered, "ended");
-        Ending { counts, unanswered, deciding: self.deciding, working: self.working }
+        RunSummary { counts, unanswered, decision_time: self.deciding, busy_time: self.working }
     }
 }
--- a/crates/testbench/src/benchmark/memory.rs
+++ b/crates/testbench/src/benchmark/memory.rs
@@ -3,11 +3,11 @@
 use super::workload::scenario;
 use crate::process::GatewayProcess;
 use crate::scenario_run::{GatewayCommand, RunError};
-use cloverstile_as2_gateway::rig::Rig;
-use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
+use cloverstile_as2_gateway::test_cluster::TestCluster;
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, PlannedMessage, Progress};
 use cloverstile_fakes::model::Fault;
-use cloverstile_fakes::partner::Order;
-use cloverstile_fakes::record::{Recorder, Seen};
+use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::record::{ObservedEvent, Recorder};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use serde::Serialize;
@@ -63,16 +63,16 @@
 ) -> Result<MemoryCost, RunError> {
     let scenario = scenario(held)?;
     let mut cluster_spec = scenario.cluster_spec();
-    cluster_spec.courier_lines = "  call_slots = 8\n  most_held = 1000000\n  stop_within = \"1s\"".into();
+    cluster_spec.gateway_settings = "  call_slots = 8\n  most_held = 1000000\n  stop_within = \"1s\"".into();
     let recorder = Recorder::default();
-    let cluster = Rig::build(folder, cluster_spec, recorder.clone(), 1)?;
+    let cluster = TestCluster::build(folder, cluster_spec, recorder.clone(), 1)?;
     let text = std::fs::read_to_string(&cluster.files[0])?;
     std::fs::write(&cluster.files[0], text.replace("connections = 4000", "connections = 20000"))?;
     let started = command.start(&cluster.files[0], 0)?;
     let of_connections = bytes_of_connections(&started.process, started.address, connections)?;
     let fault = Fault::Silent;
-    cluster.partners.order(Order::Fault { partner: 0, fault, zone: None, lasts: SILENCE });
-    let gateways = cluster.couriers(vec![started.address]);
+    cluster.partners.send(PartnerCommand::Fault { partner: 0, fault, zone: None, duration: SILENCE });
+    let gateways = cluster.gateways(vec![started.address]);
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let [mut plan, _] = scenario.plan_messages(&mut rng, 1, recorder.now());
     plan.iter_mut().for_each(|planned| planned.body = vec![b'x'; CONTENT_LENGTH]);
@@ -99,10 +99,10 @@
 
 /// How much a process grows by holding the messages of a plan.
 fn bytes_of_messages(
-    cluster: &Rig,
-    gateways: &Couriers,
+    cluster: &TestCluster,
+    gateways: &GatewaySet,
     process: &GatewayProcess,
-    plan: Vec<Planned>,
+    plan: Vec<PlannedMessage>,
     recorder: &Recorder,
 ) -> Result<f64, RunError> {
     let count = plan.len();
@@ -110,12 +110,14 @@
     let empty = resident_bytes(process.id())?;
     std::thread::scope(|scope| {
         let client = scope.spawn(|| {
-            let habits = Habits { deferred: true, ..Habits::default() };
+            let habits = ClientBehaviour { deferred_receipts: true, ..ClientBehaviour::default() };
             Client::new(&cluster.clients[0], habits, gateways, plan, recorder.clone(), &progress)?.run()
         });
         for _ in 0..MAX_POLLS {
             let lines = recorder.lines();
-            if lines.iter().filter(|line| matches!(line.seen, Seen::Taken { .. })).count() >= count {
+            if lines.iter().filter(|line| matches!(line.event, ObservedEvent::Accepted { .. })).count()
+                >= count
+            {
                 break;
             }
             std::thread::sleep(POLL_INTERVAL);
--- a/crates/testbench/src/bin/cloverstile-testbench/scenario.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/scenario.rs
@@ -3,7 +3,7 @@
 use crate::scenario_report::{write_record, ReportOptions};
 use crate::{progress, scenario_files};
 use clap::Args;
-use cloverstile_fakes::record::Line;
+use cloverstile_fakes::record::RecordLine;
 use cloverstile_testbench::invariants::{check_invariants, InvariantSettings};
 use cloverstile_testbench::replay::{self, ReplayScale};
 use cloverstile_testbench::scenario::{read, FaultScenario, BUILT_IN};
@@ -107,7 +107,7 @@
         let scenario = load(&self.scenario)?;
         let name = self.record.display();
         let text = std::fs::read_to_string(&self.record).map_err(|error| format!("{name}: {error}"))?;
-        let lines: Vec<Line> = text
+        let lines: Vec<RecordLine> = text
             .lines()
             .map(serde_json::from_str)
             .collect::<Result<_, _>>()
--- a/crates/testbench/src/bin/cloverstile-testbench/scenario_report.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/scenario_report.rs
@@ -1,6 +1,6 @@
 //! What is printed and written of a fault scenario.
 
-use cloverstile_fakes::record::{Line, Seen};
+use cloverstile_fakes::record::{ObservedEvent, RecordLine};
 use cloverstile_testbench::recovery_windows::{recovery_windows, RecoveryWindow};
 use cloverstile_testbench::scenario::FaultScenario;
 use cloverstile_testbench::scenario_run::RunResult;
@@ -103,16 +103,16 @@
 }
 
 impl AnswerTimes {
-    fn of(lines: &[Line]) -> AnswerTimes {
+    fn of(lines: &[RecordLine]) -> AnswerTimes {
         let mut submitted_at: HashMap<&str, u64> = HashMap::new();
         let mut histogram = Histogram::new_with_bounds(1, MAX_ANSWER_TIME_US, SIGNIFICANT_DIGITS)
             .unwrap_or_else(|_| Histogram::new(SIGNIFICANT_DIGITS).expect("valid precision"));
         for line in lines {
-            match &line.seen {
-                Seen::HandIn { id, .. } => {
+            match &line.event {
+                ObservedEvent::Submitted { id, .. } => {
                     submitted_at.entry(id).or_insert(line.at);
                 }
-                Seen::Answer { id, .. } => {
+                ObservedEvent::Answered { id, .. } => {
                     if let Some(since) = submitted_at.remove(id.as_str()) {
                         histogram.saturating_record(line.at.saturating_sub(since).max(1));
                     }
@@ -129,7 +129,7 @@
 }
 
 /// Writes a record as JSON lines.
-pub fn write_record(path: &Path, lines: &[Line]) -> std::io::Result<()> {
+pub fn write_record(path: &Path, lines: &[RecordLine]) -> std::io::Result<()> {
     let mut file = std::io::BufWriter::new(std::fs::File::create(path)?);
     for line in lines {
         serde_json::to_writer(&mut file, line)?;
--- a/crates/testbench/src/fleet/endpoint_requests.rs
+++ b/crates/testbench/src/fleet/endpoint_requests.rs
@@ -30,9 +30,9 @@
         let partner = self.sites.endpoints[endpoint].partner;
         self.tracker.on_request(now, message, endpoint, self.has_own_limit(endpoint));
         let reached = self.sites.reach(now, endpoint, &message.to_string());
-        let (reply, respond_at) = (reached.verdict.reply, reached.verdict.answer_at);
-        let may_have_run = !matches!(reply, Reply::Full(_));
-        self.tracker.on_processed(now, message, may_have_run, reached.verdict.effect);
+        let (reply, respond_at) = (reached.verdict.reply, reached.verdict.respond_at);
+        let may_have_run = !matches!(reply, Reply::Rejected(_));
+        self.tracker.on_processed(now, message, may_have_run, reached.verdict.takes_effect);
         let call = Call {
             at: now,
             endpoint,
@@ -76,11 +76,11 @@
         self.tracker.on_request_completed(now, message);
         match reply {
             Reply::Processed => self.tracker.on_final_outcome(now, message, FinalOutcome::Delivered),
-            Reply::Full(Some(wait)) => {
+            Reply::Rejected(Some(wait)) => {
                 let own_limit = self.has_own_limit(endpoint);
                 self.tracker.on_retry_after(now, message, endpoint, own_limit, wait);
             }
-            Reply::Full(None) | Reply::Error | Reply::Half | Reply::Reset => {}
+            Reply::Rejected(None) | Reply::Error | Reply::Truncated | Reply::Reset => {}
         }
     }
 
--- a/crates/testbench/src/fleet/endpoints.rs
+++ b/crates/testbench/src/fleet/endpoints.rs
@@ -1,6 +1,6 @@
 //! HTTP connections of gateways to the fake endpoints and to discovery, and the requests at endpoints.
 
-use cloverstile_fakes::limit::Told;
+use cloverstile_fakes::limit::AdvertisedLimit;
 use cloverstile_fakes::model::Reply;
 use cloverstile_http::{response, Decoder, Headers, Item, Limits, Message};
 use cloverstile_net::{ConnId, ListenerId};
@@ -97,7 +97,7 @@
     /// What will be replied.
     pub reply: Reply,
     /// The shared limit that the response advertises.
-    pub advertised_limit: Option<Told>,
+    pub advertised_limit: Option<AdvertisedLimit>,
     /// It occupies a server of the endpoint until its response.
     pub in_service: bool,
     /// It was answered, or its connection closed.
@@ -105,18 +105,20 @@
 }
 
 /// The HTTP response to a request.
-pub(super) fn encode_response(reply: Reply, advertised_limit: Option<Told>) -> Vec<u8> {
+pub(super) fn encode_response(reply: Reply, advertised_limit: Option<AdvertisedLimit>) -> Vec<u8> {
     let mut headers = Headers::new();
     if let Some(limit) = advertised_limit {
-        headers.add("Srv-Load", format!("x0={:.4},x1={:.3}", limit.left, limit.limit));
+        headers.add("Srv-Load", format!("x0={:.4},x1={:.3}", limit.remaining, limit.limit));
     }
     match reply {
         Reply::Processed => response(200, "OK", &headers, b""),
-        Reply::Full(Some(wait)) => {
+        Reply::Rejected(Some(wait)) => {
             headers.add("Retry-After", format!("{:.4}", wait.as_secs_f64()));
             response(429, "Too Many Requests", &headers, b"")
         }
-        Reply::Full(None) => response(503, "Service Unavailable", &headers, b""),
-        Reply::Error | Reply::Half | Reply::Reset => response(500, "Internal Server Error", &headers, b""),
+        Reply::Rejected(None) => response(503, "Service Unavailable", &headers, b""),
+        Reply::Error | Reply::Truncated | Reply::Reset => {
+            response(500, "Internal Server Error", &headers, b"")
+        }
     }
 }
--- a/crates/testbench/src/fleet/faults.rs
+++ b/crates/testbench/src/fleet/faults.rs
@@ -26,7 +26,7 @@
             StrikeKind::Slow => self.fail_endpoints(now, &endpoints, Wrong::Slow, begins),
             StrikeKind::Burst => self.traffic.multiply(&partners, if begins { fault.size } else { 1.0 }),
             StrikeKind::Limit => self.multiply_limits(now, &partners, if begins { fault.size } else { 1.0 }),
-            StrikeKind::Still => self.sites.stand_still(begins),
+            StrikeKind::Still => self.sites.freeze_reports(begins),
             StrikeKind::SlowFor => {
                 self.delayed_gateways = if begins { self.share_of_gateways(fault.size) } else { 0 };
             }
--- a/crates/testbench/src/invariants.rs
+++ b/crates/testbench/src/invariants.rs
@@ -15,11 +15,11 @@
 pub use report::{Invariant, InvariantReport, Violation};
 pub use settings::{ClassRule, InvariantSettings, PartnerRule, CLOCK_SKEW_US};
 
-use cloverstile_fakes::record::Line;
+use cloverstile_fakes::record::RecordLine;
 use history::RunHistory;
 
 /// Checks a record against all invariants.
-pub fn check_invariants(lines: &[Line], settings: &InvariantSettings) -> InvariantReport {
+pub fn check_invariants(lines: &[RecordLine], settings: &InvariantSettings) -> InvariantReport {
     let run = RunHistory::from_lines(lines);
     let mut report = InvariantReport {
         messages: run.messages.len(),
--- a/crates/testbench/src/invariants/history.rs
+++ b/crates/testbench/src/invariants/history.rs
@@ -1,6 +1,6 @@
 //! The record of a run, sorted by message. Times are in microseconds from its start.
 
-use cloverstile_fakes::record::{End, Line, Seen, Told};
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, ReportedOutcome, RequestEnd};
 use std::collections::{BTreeMap, HashMap};
 
 /// A submission of a message to a gateway.
@@ -13,14 +13,14 @@
 pub(super) struct Answer {
     pub at: u64,
     pub gateway: usize,
-    pub told: Told,
+    pub outcome: ReportedOutcome,
 }
 
 /// The end of a request, as its partner saw it.
 #[derive(Clone, Copy)]
-pub(super) struct RequestEnd {
+pub(super) struct TimedEnd {
     pub at: u64,
-    pub how: End,
+    pub how: RequestEnd,
 }
 
 /// A request at a partner's endpoint.
@@ -30,13 +30,13 @@
     pub gateway: &'a str,
     pub partner: &'a str,
     pub endpoint: usize,
-    pub end: Option<RequestEnd>,
+    pub end: Option<TimedEnd>,
 }
 
 impl Request<'_> {
     /// Only a rejection proves that the message did not run.
     pub fn may_have_run(&self) -> bool {
-        !matches!(self.end, Some(RequestEnd { how: End::Refused(_), .. }))
+        !matches!(self.end, Some(TimedEnd { how: RequestEnd::Rejected(_), .. }))
     }
 }
 
@@ -58,7 +58,7 @@
 impl MessageHistory<'_> {
     /// When the message was first answered as rejected, which promises that it never ran.
     pub fn rejected_at(&self) -> Option<u64> {
-        self.answers.iter().find(|answer| answer.told == Told::Refused).map(|answer| answer.at)
+        self.answers.iter().find(|answer| answer.outcome == ReportedOutcome::Rejected).map(|answer| answer.at)
     }
 }
 
@@ -77,23 +77,23 @@
 
 impl<'a> RunHistory<'a> {
     /// Sorts a record by message.
-    pub fn from_lines(lines: &'a [Line]) -> RunHistory<'a> {
+    pub fn from_lines(lines: &'a [RecordLine]) -> RunHistory<'a> {
         let mut run = RunHistory::default();
         // Message and position of each request, by the number of the call.
         let mut calls: HashMap<u64, (&str, usize)> = HashMap::new();
         for line in lines {
-            match &line.seen {
-                Seen::Request { id, call, .. } => {
+            match &line.event {
+                ObservedEvent::RequestReceived { id, request: call, .. } => {
                     let position = run.messages.get(id.as_str()).map_or(0, |history| history.requests.len());
                     calls.insert(*call, (id, position));
                     run.add(line);
                 }
-                Seen::End { call, how } => {
+                ObservedEvent::RequestEnded { request: call, end: how } => {
                     let request = calls
                         .get(call)
                         .and_then(|(id, position)| run.messages.get_mut(id)?.requests.get_mut(*position));
                     if let Some(request) = request {
-                        request.end = Some(RequestEnd { at: line.at, how: *how });
+                        request.end = Some(TimedEnd { at: line.at, how: *how });
                     }
                 }
                 _ => run.add(line),
@@ -102,26 +102,26 @@
         run
     }
 
-    fn add(&mut self, line: &'a Line) {
+    fn add(&mut self, line: &'a RecordLine) {
         let at = line.at;
-        match &line.seen {
-            Seen::HandIn { id, courier, class, key, deadline, .. } => {
+        match &line.event {
+            ObservedEvent::Submitted { id, gateway, class, key, deadline, .. } => {
                 let history = self.messages.entry(id).or_default();
                 (history.class, history.key, history.deadline) = (class, key.as_deref(), *deadline);
-                history.submissions.push(Submission { at, gateway: *courier });
+                history.submissions.push(Submission { at, gateway: *gateway });
             }
-            Seen::Taken { id, .. } => self.messages.entry(id).or_default().accepted_at.push(at),
-            Seen::Answer { id, courier, told } => {
-                let answer = Answer { at, gateway: *courier, told: *told };
+            ObservedEvent::Accepted { id, .. } => self.messages.entry(id).or_default().accepted_at.push(at),
+            ObservedEvent::Answered { id, gateway, outcome } => {
+                let answer = Answer { at, gateway: *gateway, outcome: *outcome };
                 self.messages.entry(id).or_default().answers.push(answer);
             }
-            Seen::Request { id, courier, partner, endpoint, .. } => {
-                let request = Request { at, gateway: courier, partner, endpoint: *endpoint, end: None };
+            ObservedEvent::RequestReceived { id, gateway, partner, endpoint, .. } => {
+                let request = Request { at, gateway, partner, endpoint: *endpoint, end: None };
                 self.messages.entry(id).or_default().requests.push(request);
             }
-            Seen::Effect { id, .. } => self.messages.entry(id).or_default().effects.push(at),
-            Seen::Courier { courier, running: false, killed: true } => {
-                self.kills.push(Kill { at, gateway: *courier });
+            ObservedEvent::EffectApplied { id, .. } => self.messages.entry(id).or_default().effects.push(at),
+            ObservedEvent::GatewayProcess { gateway, running: false, killed: true } => {
+                self.kills.push(Kill { at, gateway: *gateway });
             }
             _ => {}
         }
--- a/crates/testbench/src/invariants/ordering.rs
+++ b/crates/testbench/src/invariants/ordering.rs
@@ -1,9 +1,9 @@
 //! Messages of one key are sent in the order in which one gateway accepted them.
 
-use super::history::{MessageHistory, RequestEnd, RunHistory};
+use super::history::{MessageHistory, RunHistory, TimedEnd};
 use super::report::{Invariant, InvariantReport};
 use super::settings::{InvariantSettings, CLOCK_SKEW_US};
-use cloverstile_fakes::record::End;
+use cloverstile_fakes::record::RequestEnd;
 use std::collections::HashMap;
 
 /// A message of an ordered key. The gateway accepted it between the two times.
@@ -60,10 +60,10 @@
     };
     let what = if last.at > first.at + CLOCK_SKEW_US {
         Some(format!("sent before {}, which was accepted earlier", earlier.id))
-    } else if let Some(RequestEnd { at, how }) = last.end {
+    } else if let Some(TimedEnd { at, how }) = last.end {
         let cooldown = match how {
-            End::Left | End::Broken => settings.order_settle,
-            End::Processed | End::Error | End::Refused(_) | End::Deferred => 0,
+            RequestEnd::ClientClosed | RequestEnd::Broken => settings.order_settle,
+            RequestEnd::Processed | RequestEnd::Error | RequestEnd::Rejected(_) | RequestEnd::Deferred => 0,
         };
         let too_soon = first.at + CLOCK_SKEW_US < at + cooldown;
         too_soon.then(|| format!("sent too soon after {}: {how:?}", earlier.id))
--- a/crates/testbench/src/invariants/outcomes.rs
+++ b/crates/testbench/src/invariants/outcomes.rs
@@ -3,7 +3,7 @@
 use super::history::{Answer, MessageHistory, RunHistory};
 use super::report::{Invariant, InvariantReport};
 use super::settings::{InvariantSettings, CLOCK_SKEW_US};
-use cloverstile_fakes::record::Told;
+use cloverstile_fakes::record::ReportedOutcome;
 
 /// Checks the final outcome of a message.
 pub(super) fn check(
@@ -13,24 +13,26 @@
     settings: &InvariantSettings,
     report: &mut InvariantReport,
 ) {
-    for answer in history.answers.iter().filter(|answer| answer.told == Told::Unclear) {
+    for answer in history.answers.iter().filter(|answer| answer.outcome == ReportedOutcome::Unclear) {
         let what = "an answer that does not count as one";
         report.violation(Invariant::SingleOutcome, id, answer.at, what);
     }
-    match history.answers.iter().rev().find(|answer| answer.told != Told::NotTaken) {
-        Some(last) => count_outcome(last.told, report),
+    match history.answers.iter().rev().find(|answer| answer.outcome != ReportedOutcome::NotAccepted) {
+        Some(last) => count_outcome(last.outcome, report),
         None => check_missing_outcome(id, history, run, report),
     }
     check_in_time(id, history, run, settings, report);
     check_single_outcome(id, history, run, report);
 }
 
-fn count_outcome(told: Told, report: &mut InvariantReport) {
+fn count_outcome(outcome: ReportedOutcome, report: &mut InvariantReport) {
     report.answered += 1;
-    match told {
-        Told::Delivered => report.delivered += 1,
-        Told::Refused => report.rejected += 1,
-        Told::Failed | Told::NotTaken | Told::Unclear => report.failed += 1,
+    match outcome {
+        ReportedOutcome::Delivered => report.delivered += 1,
+        ReportedOutcome::Rejected => report.rejected += 1,
+        ReportedOutcome::Failed | ReportedOutcome::NotAccepted | ReportedOutcome::Unclear => {
+            report.failed += 1
+        }
     }
 }
 
@@ -53,7 +55,10 @@
     settings: &InvariantSettings,
     report: &mut InvariantReport,
 ) {
-    let Some(first) = history.answers.iter().find(|answer| answer.told != Told::NotTaken) else { return };
+    let Some(first) = history.answers.iter().find(|answer| answer.outcome != ReportedOutcome::NotAccepted)
+    else {
+        return;
+    };
     let latest = history.deadline + settings.answer_slack + CLOCK_SKEW_US;
     if first.at > latest && !run.lost_a_gateway_of(history) {
         report.late_answers += 1;
@@ -71,11 +76,11 @@
         let request = history.requests.iter().find(|request| {
             request.at > answer.at + CLOCK_SKEW_US && resubmitted_at.is_none_or(|again| request.at < again)
         });
-        if let (Some(request), true) = (request, answer.told != Told::NotTaken) {
-            let what = format!("sent after it was answered as {:?}", answer.told);
+        if let (Some(request), true) = (request, answer.outcome != ReportedOutcome::NotAccepted) {
+            let what = format!("sent after it was answered as {:?}", answer.outcome);
             report.violation(Invariant::SingleOutcome, id, request.at, what);
         }
-        if matches!(answer.told, Told::Delivered | Told::Failed) {
+        if matches!(answer.outcome, ReportedOutcome::Delivered | ReportedOutcome::Failed) {
             check_not_changed(id, answer, &history.answers[position + 1..], run, report);
         }
     }
@@ -88,11 +93,12 @@
     run: &RunHistory,
     report: &mut InvariantReport,
 ) {
-    let changed = later.iter().find(|later| later.gateway == answer.gateway && later.told != answer.told);
+    let changed =
+        later.iter().find(|later| later.gateway == answer.gateway && later.outcome != answer.outcome);
     // A killed gateway's successor knows nothing of what was answered.
     let was_restarted = run.kills.iter().any(|kill| kill.gateway == answer.gateway && kill.at > answer.at);
     if let (Some(other), false) = (changed, was_restarted) {
-        let what = format!("answered as {:?}, later as {:?}", answer.told, other.told);
+        let what = format!("answered as {:?}, later as {:?}", answer.outcome, other.outcome);
         report.violation(Invariant::SingleOutcome, id, other.at, what);
     }
 }
--- a/crates/testbench/src/invariants/recovery.rs
+++ b/crates/testbench/src/invariants/recovery.rs
@@ -3,7 +3,7 @@
 use super::history::{Request, RunHistory};
 use super::report::{Invariant, InvariantReport};
 use super::settings::{InvariantSettings, PartnerRule};
-use cloverstile_fakes::record::{Line, Seen};
+use cloverstile_fakes::record::{ObservedEvent, RecordLine};
 use std::collections::{HashMap, HashSet};
 
 /// Requests that a partner survives in every window on top of its share, so that small windows do not count.
@@ -20,7 +20,7 @@
 
 /// Checks every recovery of a partner.
 pub(super) fn check(
-    lines: &[Line],
+    lines: &[RecordLine],
     run: &RunHistory,
     settings: &InvariantSettings,
     report: &mut InvariantReport,
@@ -28,15 +28,15 @@
     let requests = requests_by_partner(run);
     let mut began_at: HashMap<&str, u64> = HashMap::new();
     for line in lines {
-        match &line.seen {
-            Seen::Outage { partner, began: true, .. } => {
+        match &line.event {
+            ObservedEvent::Outage { partner, began: true, .. } => {
                 began_at.insert(partner, line.at);
             }
-            Seen::Fell { partner } => {
+            ObservedEvent::Collapsed { partner } => {
                 let what = "it was overloaded as it recovered";
                 report.violation(Invariant::GentleRecovery, partner, line.at, what);
             }
-            Seen::Outage { partner, zone, began: false } => {
+            ObservedEvent::Outage { partner, zone, began: false } => {
                 let from = began_at.remove(partner.as_str()).unwrap_or(0);
                 let outage = Outage { partner, zone: *zone, from, until: line.at };
                 let requests = requests.get(partner.as_str()).map_or(&[][..], Vec::as_slice);
--- a/crates/testbench/src/invariants/send_restrictions.rs
+++ b/crates/testbench/src/invariants/send_restrictions.rs
@@ -1,10 +1,10 @@
 //! Nothing is sent to draining endpoints, nor before the end of a `Retry-After`.
 
-use super::history::{Request, RequestEnd, RunHistory};
+use super::history::{Request, RunHistory, TimedEnd};
 use super::report::{Invariant, InvariantReport};
 use super::settings::{InvariantSettings, CLOCK_SKEW_US};
-use cloverstile_as2_gateway::rig::courier_name;
-use cloverstile_fakes::record::{End, Line, Seen};
+use cloverstile_as2_gateway::test_cluster::gateway_name;
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, RequestEnd};
 use std::collections::HashMap;
 
 /// A change of an endpoint's state in the endpoint list.
@@ -21,7 +21,7 @@
 
 /// Checks every request against drains and `Retry-After`.
 pub(super) fn check(
-    lines: &[Line],
+    lines: &[RecordLine],
     run: &RunHistory,
     settings: &InvariantSettings,
     report: &mut InvariantReport,
@@ -43,10 +43,10 @@
 }
 
 /// Changes of the endpoint list by partner and endpoint.
-fn list_changes(lines: &[Line]) -> HashMap<(&str, usize), Vec<ListChange>> {
+fn list_changes(lines: &[RecordLine]) -> HashMap<(&str, usize), Vec<ListChange>> {
     let mut changes: HashMap<(&str, usize), Vec<ListChange>> = HashMap::new();
     for line in lines {
-        if let Seen::Listed { partner, endpoint, ready } = &line.seen {
+        if let ObservedEvent::EndpointListed { partner, endpoint, ready } = &line.event {
             let change = ListChange { at: line.at, ready: *ready };
             changes.entry((partner, *endpoint)).or_default().push(change);
         }
@@ -58,7 +58,7 @@
 fn retry_afters<'a>(run: &'a RunHistory) -> HashMap<(&'a str, &'a str), Vec<RetryAfter>> {
     let mut waits: HashMap<(&str, &str), Vec<RetryAfter>> = HashMap::new();
     for request in run.messages.values().flat_map(|history| &history.requests) {
-        if let Some(RequestEnd { at, how: End::Refused(Some(ms)) }) = request.end {
+        if let Some(TimedEnd { at, how: RequestEnd::Rejected(Some(ms)) }) = request.end {
             let wait = RetryAfter { from: at, until: at + ms * 1000 };
             waits.entry((request.gateway, request.partner)).or_default().push(wait);
         }
@@ -100,5 +100,5 @@
 }
 
 fn was_killed_between(run: &RunHistory, gateway: &str, from: u64, to: u64) -> bool {
-    run.kills.iter().any(|kill| courier_name(kill.gateway) == gateway && (from..to).contains(&kill.at))
+    run.kills.iter().any(|kill| gateway_name(kill.gateway) == gateway && (from..to).contains(&kill.at))
 }
--- a/crates/testbench/src/invariants/settings.rs
+++ b/crates/testbench/src/invariants/settings.rs
@@ -79,8 +79,8 @@
         let classes = scenario.classes.iter().map(|(name, class)| (name.clone(), class.into()));
         let cluster = scenario.cluster_spec();
         let partners = cluster.partners.iter().map(|partner| {
-            let capacity = partner.nature.capacity();
-            let capacity = partner.nature.limit.map_or(capacity, |limit| limit.min(capacity));
+            let capacity = partner.profile.capacity();
+            let capacity = partner.profile.limit.map_or(capacity, |limit| limit.min(capacity));
             (partner.name.clone(), PartnerRule { capacity, zones: partner.zones.clone() })
         });
         let rules = &scenario.rules;
--- a/crates/testbench/src/recovery_windows.rs
+++ b/crates/testbench/src/recovery_windows.rs
@@ -1,8 +1,8 @@
 //! Load of recovering zones in short windows, from the record of a scenario over sockets.
 
 use crate::scenario::FaultScenario;
-use cloverstile_as2_gateway::rig::PartnerSpec;
-use cloverstile_fakes::record::{Line, Seen};
+use cloverstile_as2_gateway::test_cluster::PartnerSpec;
+use cloverstile_fakes::record::{ObservedEvent, RecordLine};
 use serde::Serialize;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -37,11 +37,11 @@
 }
 
 /// All windows of all recoveries in a record.
-pub fn recovery_windows(scenario: &FaultScenario, lines: &[Line]) -> Vec<RecoveryWindow> {
+pub fn recovery_windows(scenario: &FaultScenario, lines: &[RecordLine]) -> Vec<RecoveryWindow> {
     let cluster = scenario.cluster_spec();
     let mut windows = Vec::new();
     for line in lines {
-        let Seen::Outage { partner, zone, began: false } = &line.seen else { continue };
+        let ObservedEvent::Outage { partner, zone, began: false } = &line.event else { continue };
         let Some(partner) = cluster.partners.iter().find(|spec| spec.name == *partner) else { continue };
         let zones: BTreeSet<usize> = partner.zones.iter().copied().collect();
         for recovered in zones.into_iter().filter(|each| zone.is_none_or(|zone| zone == *each)) {
@@ -53,18 +53,20 @@
 
 /// Windows of one zone of a partner that returned at a time in microseconds.
 fn windows_of_recovery(
-    lines: &[Line],
+    lines: &[RecordLine],
     returned_at: u64,
     partner: &PartnerSpec,
     zone: usize,
 ) -> Vec<RecoveryWindow> {
-    let profile = &partner.nature;
+    let profile = &partner.profile;
     let last = lines.last().map_or(returned_at, |line| line.at);
     let recorded = Duration::from_micros(last.saturating_sub(returned_at));
     let measured = profile.cold.1.mul_f64(MEASURED_WARM_UPS).min(recorded);
     let mut received = vec![0_u32; (measured.as_nanos() / WINDOW.as_nanos()) as usize];
     for line in lines.iter().filter(|line| line.at >= returned_at) {
-        let Seen::Request { partner: receiver, endpoint, .. } = &line.seen else { continue };
+        let ObservedEvent::RequestReceived { partner: receiver, endpoint, .. } = &line.event else {
+            continue;
+        };
         let position = (u128::from(line.at - returned_at) * 1000 / WINDOW.as_nanos()) as usize;
         if *receiver == partner.name && partner.zones.get(*endpoint) == Some(&zone) {
             if let Some(count) = received.get_mut(position) {
@@ -75,14 +77,14 @@
     let window = |(position, received): (usize, u32)| {
         let after = WINDOW * position as u32;
         // The capacity at the window's end.
-        let capacity = profile.rate() * profile.warmth(after + WINDOW) * WINDOW.as_secs_f64();
+        let capacity = profile.rate() * profile.capacity_share(after + WINDOW) * WINDOW.as_secs_f64();
         RecoveryWindow {
             partner: partner.name.clone(),
             zone,
             after_ms: after.as_millis() as u64,
             received,
             capacity,
-            bound: profile.tip_multiple * capacity,
+            bound: profile.collapse_multiple * capacity,
         }
     };
     received.into_iter().enumerate().map(window).collect()
--- a/crates/testbench/src/scenario/cluster.rs
+++ b/crates/testbench/src/scenario/cluster.rs
@@ -2,8 +2,8 @@
 
 use super::settings::{ClassSettings, FaultScenario, PartnerSettings, RuleSettings};
 use cloverstile_as2::NewKey;
-use cloverstile_as2_gateway::rig::{ClassSpec, PartnerSpec, Spec};
-use cloverstile_fakes::model::Nature;
+use cloverstile_as2_gateway::test_cluster::{ClassSpec, ClusterSpec, PartnerSpec};
+use cloverstile_fakes::model::ServerProfile;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
@@ -16,12 +16,12 @@
 
 impl FaultScenario {
     /// The test cluster that plays this scenario.
-    pub fn cluster_spec(&self) -> Spec {
+    pub fn cluster_spec(&self) -> ClusterSpec {
         let most_in_flight = (self.rate * CONCURRENCY_SECONDS / self.gateways as f64).ceil() as usize;
         let concurrency = most_in_flight.max(MIN_CONCURRENCY);
         let zones = self.partners.values().flat_map(PartnerSettings::endpoint_zones).max();
-        Spec {
-            couriers: self.gateways,
+        ClusterSpec {
+            gateways: self.gateways,
             clients: CLIENTS,
             partners: self
                 .partners
@@ -30,7 +30,7 @@
                 .collect(),
             classes: self.classes.iter().map(|(name, class)| class_spec(name, class)).collect(),
             zones: zones.map_or(1, |last| last + 1),
-            courier_lines: format!(
+            gateway_settings: format!(
                 "  call_slots = {concurrency}\n  most_held = 4000\n  stop_within = \"4s\"\n  workers = {}",
                 self.workers
             ),
@@ -63,16 +63,16 @@
     PartnerSpec {
         name: name.to_owned(),
         kind: format!("batch-{}", partner.batch),
-        nature: Nature {
+        profile: ServerProfile {
             servers: partner.servers,
             queue: partner.queue,
             service: (least, mean_extra),
             limit: partner.limit,
-            tells_wait: partner.sends_retry_after,
+            sends_retry_after: partner.sends_retry_after,
             repeat_window: Duration::from_secs_f64(partner.deduplication_s),
             cold: (rules.initial_capacity_share, Duration::from_millis(rules.warm_up_ms)),
-            tip_multiple: rules.overload_multiple,
-            fall: Duration::from_millis(rules.overload_window_ms),
+            collapse_multiple: rules.overload_multiple,
+            collapse_window: Duration::from_millis(rules.overload_window_ms),
         },
         zones: partner.endpoint_zones(),
         key: if partner.encrypted { NewKey::Rsa2048 } else { NewKey::P256 },
@@ -87,10 +87,10 @@
         name: name.to_owned(),
         effect: class.effect.clone(),
         group: class.group.clone(),
-        in_order: class.ordered,
-        aim: Duration::from_secs_f64(class.latency_objective),
+        ordered: class.ordered,
+        latency_objective: Duration::from_secs_f64(class.latency_objective),
         deadline: Duration::from_secs_f64(class.deadline),
-        window: Duration::from_secs_f64(class.retry_window),
-        worth: class.priority_weight,
+        repeat_window: Duration::from_secs_f64(class.retry_window),
+        priority_weight: class.priority_weight,
     }
 }
--- a/crates/testbench/src/scenario/faults.rs
+++ b/crates/testbench/src/scenario/faults.rs
@@ -3,7 +3,7 @@
 use super::error::ScenarioError;
 use super::settings::{FaultScenario, FaultSettings};
 use cloverstile_fakes::model::Fault;
-use cloverstile_fakes::partner::Twist;
+use cloverstile_fakes::partner::ResponseFault;
 
 /// What a fault does. Partners are numbered in the order of their names.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,7 +22,7 @@
         /// Number of the partner.
         partner: usize,
         /// How the receipts are faulty.
-        fault: Twist,
+        fault: ResponseFault,
     },
     /// An endpoint drains and comes back.
     Drain {
@@ -77,14 +77,14 @@
     }
 
     fn fault_event(&self, fault: &FaultSettings) -> Result<FaultEvent, String> {
-        let receipts = |kind: Twist| -> Result<FaultEvent, String> {
+        let receipts = |kind: ResponseFault| -> Result<FaultEvent, String> {
             Ok(FaultEvent::Receipts { partner: self.affected_partner(fault)?, fault: kind })
         };
         match fault.kind.as_str() {
-            "wrong-mic" => receipts(Twist::WrongMic),
-            "wrong-signer" => receipts(Twist::WrongSigner),
-            "twice" => receipts(Twist::Twice),
-            "late-receipts" => receipts(Twist::Late((fault.size * 1000.0) as u64)),
+            "wrong-mic" => receipts(ResponseFault::WrongMic),
+            "wrong-signer" => receipts(ResponseFault::WrongSigner),
+            "twice" => receipts(ResponseFault::Duplicate),
+            "late-receipts" => receipts(ResponseFault::Delay((fault.size * 1000.0) as u64)),
             "drain" => {
                 Ok(FaultEvent::Drain { partner: self.affected_partner(fault)?, endpoint: fault.endpoint })
             }
@@ -92,7 +92,7 @@
             "stop" => Ok(FaultEvent::Stop { gateway: self.affected_gateway(fault)? }),
             "burst" => Ok(FaultEvent::Burst { factor: fault.size }),
             other => {
-                let kind = Fault::named(other, fault.size)
+                let kind = Fault::from_name(other, fault.size)
                     .ok_or_else(|| format!("has the unknown kind '{other}'"))?;
                 let partner = self.affected_partner(fault)?;
                 Ok(FaultEvent::Partner { partner, fault: kind, zone: fault.zone })
--- a/crates/testbench/src/scenario/traffic.rs
+++ b/crates/testbench/src/scenario/traffic.rs
@@ -2,7 +2,7 @@
 
 use super::faults::{FaultEvent, ScheduledFault};
 use super::settings::FaultScenario;
-use cloverstile_fakes::client::Planned;
+use cloverstile_fakes::client::PlannedMessage;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -20,7 +20,12 @@
 
 impl FaultScenario {
     /// The messages of each client, from `start` on: those of ordered classes come from the second one.
-    pub fn plan_messages(&self, rng: &mut ChaCha8Rng, seed: u64, start: Duration) -> [Vec<Planned>; 2] {
+    pub fn plan_messages(
+        &self,
+        rng: &mut ChaCha8Rng,
+        seed: u64,
+        start: Duration,
+    ) -> [Vec<PlannedMessage>; 2] {
         let bursts = self.bursts();
         let mut plan = [Vec::new(), Vec::new()];
         let mut at = 0.0;
@@ -33,7 +38,7 @@
             let key = class.ordered.then(|| format!("employee-{}", rng.random_range(0..class.keys.max(1))));
             let client = usize::from(class.ordered);
             let length = rng.random_range(CONTENT_LENGTH);
-            plan[client].push(Planned {
+            plan[client].push(PlannedMessage {
                 at: start + Duration::from_secs_f64(at),
                 id: format!("m{number}.{seed}@client-{client}"),
                 class: class_name.clone(),
@@ -42,7 +47,7 @@
                 key,
                 deadline: Duration::from_secs_f64(class.deadline),
                 body: vec![b'a' + (number % 26) as u8; length],
-                drops: rng.random_bool(self.dropped_connection_share.clamp(0.0, 1.0)),
+                disconnects_after_submission: rng.random_bool(self.dropped_connection_share.clamp(0.0, 1.0)),
             });
         }
         plan
--- a/crates/testbench/src/scenario_run.rs
+++ b/crates/testbench/src/scenario_run.rs
@@ -9,9 +9,9 @@
 
 use crate::invariants::{check_invariants, InvariantReport, InvariantSettings};
 use crate::scenario::{FaultEvent, FaultScenario};
-use cloverstile_as2_gateway::rig::Rig;
-use cloverstile_fakes::client::{Client, Couriers, Habits, Planned, Progress};
-use cloverstile_fakes::record::{Line, Recorder};
+use cloverstile_as2_gateway::test_cluster::TestCluster;
+use cloverstile_fakes::client::{Client, ClientBehaviour, GatewaySet, PlannedMessage, Progress};
+use cloverstile_fakes::record::{RecordLine, Recorder};
 use gateways::ScenarioGateways;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +23,7 @@
 const LEAD_TIME: Duration = Duration::from_millis(200);
 /// Fault events, processes and clients are looked at in this interval.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Told to end, each gateway is waited for this long.
+/// ReportedOutcome to end, each gateway is waited for this long.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Clients are stopped after this multiple of the scenario's mean length ...
 const TIME_LIMIT_FACTOR: f64 = 1.5;
@@ -33,7 +33,7 @@
 /// What came of a scenario.
 pub struct RunResult {
     /// The record of fake partners and clients.
-    pub lines: Vec<Line>,
+    pub lines: Vec<RecordLine>,
     /// What the check of the invariants found.
     pub report: InvariantReport,
     /// Wall time.
@@ -57,7 +57,7 @@
     let began = Instant::now();
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let recorder = Recorder::default();
-    let cluster = Rig::build(folder, scenario.cluster_spec(), recorder.clone(), seed)?;
+    let cluster = TestCluster::build(folder, scenario.cluster_spec(), recorder.clone(), seed)?;
     let mut gateways = ScenarioGateways::start(cluster, command, scenario.gateways, recorder.clone())?;
     let start = recorder.now() + LEAD_TIME;
     let plans = scenario.plan_messages(&mut rng, seed, start);
@@ -113,7 +113,11 @@
 }
 
 impl ScenarioRun<'_> {
-    fn play(mut self, gateways: &mut ScenarioGateways, plans: [Vec<Planned>; 2]) -> Result<(), RunError> {
+    fn play(
+        mut self,
+        gateways: &mut ScenarioGateways,
+        plans: [Vec<PlannedMessage>; 2],
+    ) -> Result<(), RunError> {
         let addresses = gateways.client_view();
         let identities = gateways.client_identities();
         let (progress, recorder) = (Progress::default(), self.recorder.clone());
@@ -123,7 +127,8 @@
                 let (addresses, progress, recorder) = (&addresses, &progress, recorder.clone());
                 let identity = &identities[number];
                 clients.push(scope.spawn(move || {
-                    let habits = Habits { deferred: number == 1, ..Habits::default() };
+                    let habits =
+                        ClientBehaviour { deferred_receipts: number == 1, ..ClientBehaviour::default() };
                     Client::new(identity, habits, addresses, plan, recorder, progress)?.run()
                 }));
             }
@@ -136,7 +141,7 @@
                 if self.recorder.now() > self.time_limit {
                     progress.stop.store(true, Ordering::Relaxed);
                 }
-                (self.on_progress)(progress.done.load(Ordering::Relaxed));
+                (self.on_progress)(progress.completed.load(Ordering::Relaxed));
                 std::thread::sleep(POLL_INTERVAL);
             }
             for client in clients {
@@ -147,7 +152,7 @@
     }
 
     /// Takes the steps that are due, and looks after the gateway processes.
-    fn advance(&mut self, gateways: &mut ScenarioGateways, clients: &Couriers) -> Result<(), RunError> {
+    fn advance(&mut self, gateways: &mut ScenarioGateways, clients: &GatewaySet) -> Result<(), RunError> {
         while self.steps.last().is_some_and(|step| step.at <= self.recorder.now()) {
             if let Some(step) = self.steps.pop() {
                 apply(&step, gateways, clients)?;
@@ -161,7 +166,7 @@
     }
 }
 
-fn apply(step: &FaultStep, gateways: &mut ScenarioGateways, clients: &Couriers) -> Result<(), RunError> {
+fn apply(step: &FaultStep, gateways: &mut ScenarioGateways, clients: &GatewaySet) -> Result<(), RunError> {
     match (step.event, step.begins) {
         (FaultEvent::Partner { partner, fault, zone }, true) => {
             gateways.begin_partner_fault(partner, fault, zone, step.duration);
--- a/crates/testbench/src/scenario_run/error.rs
+++ b/crates/testbench/src/scenario_run/error.rs
@@ -1,7 +1,7 @@
 //! Why a scenario could not be played.
 
 use crate::scenario::ScenarioError;
-use cloverstile_as2_gateway::rig::RigError;
+use cloverstile_as2_gateway::test_cluster::TestClusterError;
 
 /// Why a scenario could not be played.
 #[derive(Debug, thiserror::Error)]
@@ -11,7 +11,7 @@
     Scenario(#[from] ScenarioError),
     /// Keys, files or fake partners of the test cluster could not be set up.
     #[error(transparent)]
-    Cluster(#[from] RigError),
+    Cluster(#[from] TestClusterError),
     /// A gateway exited without having been told to.
     #[error("run: gateway {0} exited by itself; its standard error says why")]
     GatewayExited(usize),
--- a/crates/testbench/src/scenario_run/gateway_command.rs
+++ b/crates/testbench/src/scenario_run/gateway_command.rs
@@ -2,7 +2,7 @@
 
 use super::error::RunError;
 use crate::process::GatewayProcess;
-use cloverstile_as2_gateway::rig::RigError;
+use cloverstile_as2_gateway::test_cluster::TestClusterError;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -40,7 +40,7 @@
         if let Some(stdout) = process.take_stdout() {
             BufReader::new(stdout).read_line(&mut line)?;
         }
-        let address = read_announcement(&line).ok_or(RunError::Cluster(RigError::Start(number)))?;
+        let address = read_announcement(&line).ok_or(RunError::Cluster(TestClusterError::Start(number)))?;
         Ok(StartedGateway { process, address })
     }
 }
--- a/crates/testbench/src/scenario_run/gateways.rs
+++ b/crates/testbench/src/scenario_run/gateways.rs
@@ -4,11 +4,11 @@
 use super::gateway_command::{GatewayCommand, StartedGateway};
 use crate::process::GatewayProcess;
 use cloverstile_as2::Identity;
-use cloverstile_as2_gateway::rig::Rig;
-use cloverstile_fakes::client::Couriers;
+use cloverstile_as2_gateway::test_cluster::TestCluster;
+use cloverstile_fakes::client::GatewaySet;
 use cloverstile_fakes::model::Fault;
-use cloverstile_fakes::partner::{Order, Twist};
-use cloverstile_fakes::record::{Recorder, Seen};
+use cloverstile_fakes::partner::{PartnerCommand, ResponseFault};
+use cloverstile_fakes::record::{ObservedEvent, Recorder};
 use rustix::process::Signal;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
 
 /// Processes of all gateways, their partners, and which endpoints drain.
 pub(super) struct ScenarioGateways<'a> {
-    cluster: Rig,
+    cluster: TestCluster,
     command: &'a GatewayCommand,
     /// The process of each gateway while it runs.
     processes: Vec<Option<GatewayProcess>>,
@@ -38,7 +38,7 @@
 impl<'a> ScenarioGateways<'a> {
     /// Starts so many gateways of a cluster.
     pub fn start(
-        cluster: Rig,
+        cluster: TestCluster,
         command: &'a GatewayCommand,
         count: usize,
         recorder: Recorder,
@@ -64,8 +64,8 @@
     }
 
     /// Addresses and states of the gateways, as the clients see them.
-    pub fn client_view(&self) -> Couriers {
-        self.cluster.couriers(self.addresses.clone())
+    pub fn client_view(&self) -> GatewaySet {
+        self.cluster.gateways(self.addresses.clone())
     }
 
     /// Identities of the clients.
@@ -75,12 +75,12 @@
 
     /// Lets a partner fail for a time, in one zone or in all.
     pub fn begin_partner_fault(&self, partner: usize, fault: Fault, zone: Option<usize>, duration: Duration) {
-        self.cluster.partners.order(Order::Fault { partner, fault, zone, lasts: duration });
+        self.cluster.partners.send(PartnerCommand::Fault { partner, fault, zone, duration });
     }
 
     /// Lets a partner's receipts be faulty from now on, or sound again.
-    pub fn set_receipt_fault(&self, partner: usize, fault: Option<Twist>) {
-        self.cluster.partners.order(Order::Twist { partner, twist: fault });
+    pub fn set_receipt_fault(&self, partner: usize, fault: Option<ResponseFault>) {
+        self.cluster.partners.send(PartnerCommand::SetResponseFault { partner, fault });
     }
 
     /// Drains an endpoint or takes it back, and lets all gateways read their settings again.
@@ -108,11 +108,11 @@
 
     fn record_listed(&self, partner: usize, endpoint: usize, ready: bool) {
         let partner = self.cluster.spec.partners[partner].name.clone();
-        self.recorder.note(Seen::Listed { partner, endpoint, ready });
+        self.recorder.record(ObservedEvent::EndpointListed { partner, endpoint, ready });
     }
 
     /// Kills a gateway.
-    pub fn kill(&mut self, gateway: usize, clients: &Couriers) {
+    pub fn kill(&mut self, gateway: usize, clients: &GatewaySet) {
         if let Some(process) = self.processes[gateway].take() {
             // Clients learn first, so that a lost connection is not taken for a transient failure.
             self.record_end(gateway, true, clients);
@@ -128,13 +128,13 @@
         }
     }
 
-    fn record_end(&self, gateway: usize, killed: bool, clients: &Couriers) {
+    fn record_end(&self, gateway: usize, killed: bool, clients: &GatewaySet) {
         clients.running[gateway].store(false, Ordering::Relaxed);
-        self.recorder.note(Seen::Courier { courier: gateway, running: false, killed });
+        self.recorder.record(ObservedEvent::GatewayProcess { gateway, running: false, killed });
     }
 
     /// Records the gateways that were told to stop and have exited.
-    pub fn record_stopped(&mut self, clients: &Couriers) {
+    pub fn record_stopped(&mut self, clients: &GatewaySet) {
         for StoppingGateway { gateway, mut process } in std::mem::take(&mut self.stopping) {
             if process.has_exited() {
                 self.record_end(gateway, false, clients);
@@ -152,10 +152,10 @@
     }
 
     /// Starts a gateway again that was killed or stopped.
-    pub fn restart(&mut self, gateway: usize, clients: &Couriers) -> Result<(), RunError> {
+    pub fn restart(&mut self, gateway: usize, clients: &GatewaySet) -> Result<(), RunError> {
         let started = self.command.start(&self.cluster.files[gateway], gateway)?;
         self.processes[gateway] = Some(started.process);
-        self.recorder.note(Seen::Courier { courier: gateway, running: true, killed: false });
+        self.recorder.record(ObservedEvent::GatewayProcess { gateway, running: true, killed: false });
         clients.running[gateway].store(true, Ordering::Relaxed);
         Ok(())
     }
--- a/crates/testbench/tests/invariants.rs
+++ b/crates/testbench/tests/invariants.rs
@@ -1,6 +1,7 @@
 //! Each invariant is violated in a forged record, and found; the record without the forgery is clean.
 
-use cloverstile_fakes::record::{End, Line, Seen, Told};
+use cloverstile_as2_gateway::test_cluster::gateway_name;
+use cloverstile_fakes::record::{ObservedEvent, RecordLine, ReportedOutcome, RequestEnd};
 use cloverstile_testbench::invariants::{
     check_invariants, ClassRule, InvariantReport, InvariantSettings, PartnerRule,
 };
@@ -32,41 +33,46 @@
 
 #[derive(Default)]
 struct Record {
-    lines: Vec<Line>,
-    calls: u64,
+    lines: Vec<RecordLine>,
+    requests: u64,
 }
 
 impl Record {
-    fn at(&mut self, ms: u64, seen: Seen) -> &mut Self {
-        self.lines.push(Line { at: ms * MS, seen });
+    fn at(&mut self, ms: u64, event: ObservedEvent) -> &mut Self {
+        self.lines.push(RecordLine { at: ms * MS, event });
         self
     }
 
     fn submit(&mut self, ms: u64, id: &str, class: &str) -> &mut Self {
         let key = (class == "notice").then(|| "employee".to_owned());
-        let (id, class, partner, courier) = (id.to_owned(), class.to_owned(), "bank".to_owned(), 0);
+        let (id, class, partner) = (id.to_owned(), class.to_owned(), "bank".to_owned());
         let deadline = (ms + 5000) * MS;
-        self.at(ms, Seen::HandIn { id, courier, class, partner, key, deadline, after_loss: false })
+        let gateway = 0;
+        self.at(
+            ms,
+            ObservedEvent::Submitted { id, gateway, class, partner, key, deadline, after_loss: false },
+        )
     }
 
     fn accepted(&mut self, ms: u64, id: &str) -> &mut Self {
-        self.at(ms, Seen::Taken { id: id.to_owned(), courier: 0 })
+        self.at(ms, ObservedEvent::Accepted { id: id.to_owned(), gateway: 0 })
     }
 
     /// A request from begin to end.
-    fn request(&mut self, from: u64, to: u64, id: &str, endpoint: usize, how: End) -> &mut Self {
-        self.calls += 1;
-        let (courier, partner, call) = ("courier-0".to_owned(), "bank".to_owned(), self.calls);
-        self.at(from, Seen::Request { id: id.to_owned(), courier, partner, endpoint, call });
-        self.at(to, Seen::End { call, how })
+    fn request(&mut self, from: u64, to: u64, id: &str, endpoint: usize, end: RequestEnd) -> &mut Self {
+        self.requests += 1;
+        let (id, gateway, partner) = (id.to_owned(), gateway_name(0), "bank".to_owned());
+        let request = self.requests;
+        self.at(from, ObservedEvent::RequestReceived { id, gateway, partner, endpoint, request });
+        self.at(to, ObservedEvent::RequestEnded { request, end })
     }
 
     fn effect(&mut self, ms: u64, id: &str) -> &mut Self {
-        self.at(ms, Seen::Effect { id: id.to_owned(), partner: "bank".into() })
+        self.at(ms, ObservedEvent::EffectApplied { id: id.to_owned(), partner: "bank".into() })
     }
 
-    fn answer(&mut self, ms: u64, id: &str, told: Told) -> &mut Self {
-        self.at(ms, Seen::Answer { id: id.to_owned(), courier: 0, told })
+    fn answer(&mut self, ms: u64, id: &str, outcome: ReportedOutcome) -> &mut Self {
+        self.at(ms, ObservedEvent::Answered { id: id.to_owned(), gateway: 0, outcome })
     }
 
     fn report(&self) -> InvariantReport {
@@ -88,16 +94,20 @@
 /// A payment delivered, a notice repeated inside window and group, a second notice in its order.
 fn good() -> Record {
     let mut record = Record::default();
-    record.submit(0, "p", "pay").request(10, 30, "p", 0, End::Refused(None));
-    record.request(400, 430, "p", 1, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
+    record.submit(0, "p", "pay").request(10, 30, "p", 0, RequestEnd::Rejected(None));
+    record.request(400, 430, "p", 1, RequestEnd::Processed).effect(425, "p").answer(
+        440,
+        "p",
+        ReportedOutcome::Delivered,
+    );
     record.submit(1000, "n1", "notice").accepted(1010, "n1");
-    record.request(1020, 1300, "n1", 0, End::Left).effect(1290, "n1");
-    record.request(1500, 1600, "n1", 0, End::Processed).answer(1620, "n1", Told::Delivered);
+    record.request(1020, 1300, "n1", 0, RequestEnd::ClientClosed).effect(1290, "n1");
+    record.request(1500, 1600, "n1", 0, RequestEnd::Processed).answer(1620, "n1", ReportedOutcome::Delivered);
     record.submit(1100, "n2", "notice").accepted(1110, "n2");
-    record.request(1800, 1850, "n2", 1, End::Processed).effect(1840, "n2").answer(
+    record.request(1800, 1850, "n2", 1, RequestEnd::Processed).effect(1840, "n2").answer(
         1860,
         "n2",
-        Told::Delivered,
+        ReportedOutcome::Delivered,
     );
     record
 }
@@ -111,23 +121,23 @@
 #[test]
 fn missing_or_late_outcome_is_a_violation() {
     let mut silent = good();
-    silent.lines.retain(|line| !matches!(&line.seen, Seen::Answer { id, .. } if id == "n1"));
+    silent.lines.retain(|line| !matches!(&line.event, ObservedEvent::Answered { id, .. } if id == "n1"));
     assert_eq!(silent.violated(), ["lost"]);
     let mut late = good();
-    late.submit(2000, "q", "pay").answer(7400, "q", Told::Refused);
+    late.submit(2000, "q", "pay").answer(7400, "q", ReportedOutcome::Rejected);
     assert_eq!((late.violated(), late.report().late_answers), (vec!["lost"], 1));
 }
 
 #[test]
 fn changed_outcome_and_request_after_outcome_are_violations() {
     let mut two = good();
-    two.answer(2000, "p", Told::Failed);
+    two.answer(2000, "p", ReportedOutcome::Failed);
     assert_eq!(two.violated(), ["lost"]);
     let mut after = good();
-    after.request(700, 720, "p", 0, End::Refused(None));
+    after.request(700, 720, "p", 0, RequestEnd::Rejected(None));
     assert!(after.violated().contains(&"lost"));
     let mut unclear = good();
-    unclear.submit(2000, "q", "pay").answer(2100, "q", Told::Unclear);
+    unclear.submit(2000, "q", "pay").answer(2100, "q", ReportedOutcome::Unclear);
     assert_eq!(unclear.violated(), ["lost"]);
 }
 
@@ -137,36 +147,48 @@
     twice.effect(1590, "n1");
     assert_eq!((twice.violated(), twice.report().repeated_effects), (vec!["twice"], 1));
     let mut again = Record::default();
-    again.submit(0, "p", "pay").request(10, 100, "p", 0, End::Broken);
-    again.request(400, 430, "p", 0, End::Processed).effect(425, "p").answer(440, "p", Told::Delivered);
+    again.submit(0, "p", "pay").request(10, 100, "p", 0, RequestEnd::Broken);
+    again.request(400, 430, "p", 0, RequestEnd::Processed).effect(425, "p").answer(
+        440,
+        "p",
+        ReportedOutcome::Delivered,
+    );
     assert_eq!(again.violated(), ["twice"]);
     let mut late = Record::default();
-    late.submit(0, "n", "notice").request(10, 100, "n", 0, End::Left);
-    late.request(2100, 2130, "n", 0, End::Processed).answer(2140, "n", Told::Delivered);
+    late.submit(0, "n", "notice").request(10, 100, "n", 0, RequestEnd::ClientClosed);
+    late.request(2100, 2130, "n", 0, RequestEnd::Processed).answer(2140, "n", ReportedOutcome::Delivered);
     assert_eq!(late.violated(), ["twice"]);
     let mut elsewhere = Record::default();
-    elsewhere.submit(0, "n", "notice").request(10, 100, "n", 0, End::Left);
-    elsewhere.request(900, 930, "n", 1, End::Processed).answer(940, "n", Told::Delivered);
+    elsewhere.submit(0, "n", "notice").request(10, 100, "n", 0, RequestEnd::ClientClosed);
+    elsewhere.request(900, 930, "n", 1, RequestEnd::Processed).answer(940, "n", ReportedOutcome::Delivered);
     assert_eq!(elsewhere.violated(), ["twice"]);
     let mut side = Record::default();
-    side.submit(0, "s", "status").request(10, 900, "s", 0, End::Processed);
-    side.request(300, 330, "s", 1, End::Processed).answer(940, "s", Told::Delivered);
+    side.submit(0, "s", "status").request(10, 900, "s", 0, RequestEnd::Processed);
+    side.request(300, 330, "s", 1, RequestEnd::Processed).answer(940, "s", ReportedOutcome::Delivered);
     assert_eq!(side.violated(), ["twice"]);
 }
 
 #[test]
 fn rejection_of_a_message_that_may_have_run_is_a_violation() {
     let mut record = Record::default();
-    record.submit(0, "p", "pay").request(10, 100, "p", 0, End::Left).answer(500, "p", Told::Refused);
+    record.submit(0, "p", "pay").request(10, 100, "p", 0, RequestEnd::ClientClosed).answer(
+        500,
+        "p",
+        ReportedOutcome::Rejected,
+    );
     assert_eq!(record.violated(), ["twice"]);
     let mut safe = Record::default();
-    safe.submit(0, "s", "status").request(10, 100, "s", 0, End::Left).answer(500, "s", Told::Refused);
+    safe.submit(0, "s", "status").request(10, 100, "s", 0, RequestEnd::ClientClosed).answer(
+        500,
+        "s",
+        ReportedOutcome::Rejected,
+    );
     assert!(safe.violated().is_empty());
 }
 
 #[test]
 fn request_to_a_draining_endpoint_is_a_violation() {
-    let listed = |ready| Seen::Listed { partner: "bank".into(), endpoint: 1, ready };
+    let listed = |ready| ObservedEvent::EndpointListed { partner: "bank".into(), endpoint: 1, ready };
     let mut inside = good();
     inside.at(1000, listed(false));
     inside.at(1700, listed(true));
@@ -179,11 +201,11 @@
 #[test]
 fn request_before_the_end_of_retry_after_is_a_violation_for_any_message() {
     let mut record = good();
-    record.submit(1590, "s", "status").request(1595, 1610, "s", 0, End::Refused(Some(1000)));
-    record.answer(4000, "s", Told::Refused);
+    record.submit(1590, "s", "status").request(1595, 1610, "s", 0, RequestEnd::Rejected(Some(1000)));
+    record.answer(4000, "s", ReportedOutcome::Rejected);
     assert_eq!(record.violated(), ["wait"]);
     // A gateway killed in between comes back as another, which was told nothing.
-    record.at(1650, Seen::Courier { courier: 0, running: false, killed: true });
+    record.at(1650, ObservedEvent::GatewayProcess { gateway: 0, running: false, killed: true });
     assert!(record.violated().is_empty());
 }
 
@@ -191,28 +213,28 @@
 fn messages_of_a_key_out_of_order_or_too_soon_are_violations() {
     let mut record = Record::default();
     record.submit(0, "n1", "notice").accepted(10, "n1").submit(20, "n2", "notice").accepted(30, "n2");
-    record.request(50, 80, "n2", 0, End::Processed).answer(90, "n2", Told::Delivered);
-    record.request(500, 530, "n1", 0, End::Processed).answer(540, "n1", Told::Delivered);
+    record.request(50, 80, "n2", 0, RequestEnd::Processed).answer(90, "n2", ReportedOutcome::Delivered);
+    record.request(500, 530, "n1", 0, RequestEnd::Processed).answer(540, "n1", ReportedOutcome::Delivered);
     assert_eq!(record.violated(), ["order"]);
     let mut soon = Record::default();
     soon.submit(0, "n1", "notice").accepted(10, "n1").submit(20, "n2", "notice").accepted(30, "n2");
-    soon.request(50, 500, "n1", 0, End::Left).answer(510, "n1", Told::Failed);
-    soon.request(600, 630, "n2", 0, End::Processed).answer(640, "n2", Told::Delivered);
+    soon.request(50, 500, "n1", 0, RequestEnd::ClientClosed).answer(510, "n1", ReportedOutcome::Failed);
+    soon.request(600, 630, "n2", 0, RequestEnd::Processed).answer(640, "n2", ReportedOutcome::Delivered);
     assert_eq!(soon.violated(), ["order"]);
 }
 
 #[test]
 fn overloading_a_recovering_partner_is_a_violation() {
-    let outage = |began| Seen::Outage { partner: "bank".into(), zone: None, began };
+    let outage = |began| ObservedEvent::Outage { partner: "bank".into(), zone: None, began };
     let scenario = |every: u64| {
         let mut record = Record::default();
         record.at(1000, outage(true)).at(2000, outage(false));
-        record.submit(900, "first", "status").request(1500, 1900, "first", 0, End::Left);
-        record.answer(2500, "first", Told::Refused);
+        record.submit(900, "first", "status").request(1500, 1900, "first", 0, RequestEnd::ClientClosed);
+        record.answer(2500, "first", ReportedOutcome::Rejected);
         for number in 0..20 {
             let (id, at) = (format!("s{number}"), 2010 + number * every);
-            record.submit(900, &id, "status").request(at, at + 5, &id, 0, End::Processed);
-            record.answer(at + 6, &id, Told::Delivered);
+            record.submit(900, &id, "status").request(at, at + 5, &id, 0, RequestEnd::Processed);
+            record.answer(at + 6, &id, ReportedOutcome::Delivered);
         }
         record
     };
--- a/crates/testbench/tests/socket_scenarios.rs
+++ b/crates/testbench/tests/socket_scenarios.rs
@@ -1,6 +1,6 @@
 //! Hard cases, each a small fault scenario over sockets with real gateway processes, checked from the records.
 
-use cloverstile_fakes::record::{End, Seen, Told};
+use cloverstile_fakes::record::{ObservedEvent, ReportedOutcome, RequestEnd};
 use cloverstile_testbench::scenario::read;
 use cloverstile_testbench::scenario_run::{play, GatewayCommand, RunResult};
 use std::collections::HashMap;
@@ -31,7 +31,7 @@
 fn requests(played: &RunResult) -> HashMap<&str, Vec<(u64, usize, u64)>> {
     let mut all: HashMap<&str, Vec<(u64, usize, u64)>> = HashMap::new();
     for line in &played.lines {
-        if let Seen::Request { id, endpoint, call, .. } = &line.seen {
+        if let ObservedEvent::RequestReceived { id, endpoint, request: call, .. } = &line.event {
             all.entry(id).or_default().push((line.at, *endpoint, *call));
         }
     }
@@ -114,15 +114,15 @@
         let to_bank: Vec<&str> = played
             .lines
             .iter()
-            .filter_map(|line| match &line.seen {
-                Seen::HandIn { id, partner, .. } if partner == "bank" => Some(id.as_str()),
+            .filter_map(|line| match &line.event {
+                ObservedEvent::Submitted { id, partner, .. } if partner == "bank" => Some(id.as_str()),
                 _ => None,
             })
             .collect();
         for line in &played.lines {
-            if let Seen::Answer { id, told, .. } = &line.seen {
+            if let ObservedEvent::Answered { id, outcome, .. } = &line.event {
                 if to_bank.contains(&id.as_str()) {
-                    assert_eq!(*told == Told::Delivered, delivered, "{kind}: {id} {told:?}");
+                    assert_eq!(*outcome == ReportedOutcome::Delivered, delivered, "{kind}: {id} {outcome:?}");
                 }
             }
         }
@@ -144,7 +144,7 @@
     let patient = UNSAFE.replace("deadline = 2.5", "deadline = 12");
     let played = play_scenario("mismatch", &script(20, 60.0, &format!("{patient}{rest}")));
     assert_eq!(played.report.failed, 20, "{:?}", played.report);
-    assert!(!played.lines.iter().any(|line| matches!(line.seen, Seen::Effect { .. })));
+    assert!(!played.lines.iter().any(|line| matches!(line.event, ObservedEvent::EffectApplied { .. })));
 }
 
 #[test]
@@ -153,19 +153,19 @@
                 trouble \"x\" {\n kind = \"drain\"\n partner = \"bank\"\n endpoint = 1\n at = 0.6\n lasts = 3\n}\n";
     // With threads: a signal that one of them takes by itself would end the gateway.
     let played = play_scenario("drain", &script(120, 60.0, &format!("workers = 2\n{UNSAFE}{rest}")));
-    let drained = played.lines.iter().find_map(|line| match line.seen {
-        Seen::Listed { ready: false, .. } => Some(line.at),
+    let drained = played.lines.iter().find_map(|line| match line.event {
+        ObservedEvent::EndpointListed { ready: false, .. } => Some(line.at),
         _ => None,
     });
     let drained = drained.expect("a drain");
     let requests = requests(&played);
     let ended = |call: u64| {
-        played.lines.iter().find_map(|line| match line.seen {
-            Seen::End { call: other, how } if other == call => Some((line.at, how)),
+        played.lines.iter().find_map(|line| match line.event {
+            ObservedEvent::RequestEnded { request: other, end: how } if other == call => Some((line.at, how)),
             _ => None,
         })
     };
-    let in_flight: Vec<(u64, End)> = requests
+    let in_flight: Vec<(u64, RequestEnd)> = requests
         .values()
         .flatten()
         .filter(|(at, endpoint, _)| *endpoint == 1 && *at < drained)
@@ -173,7 +173,7 @@
         .filter(|(at, _)| *at > drained)
         .collect();
     assert!(
-        !in_flight.is_empty() && in_flight.iter().all(|(_, how)| *how == End::Processed),
+        !in_flight.is_empty() && in_flight.iter().all(|(_, how)| *how == RequestEnd::Processed),
         "{in_flight:?}"
     );
 }
@@ -182,8 +182,9 @@
 fn retry_after_is_honoured_for_every_message() {
     let rest = "partner \"bank\" {\n share = 1\n servers = 20\n limit = 15\n tells_wait = true\n}\n";
     let played = play_scenario("wait", &script(150, 60.0, &format!("{KEYED}{rest}")));
-    let waits =
-        played.lines.iter().filter(|line| matches!(line.seen, Seen::End { how: End::Refused(Some(_)), .. }));
+    let waits = played.lines.iter().filter(|line| {
+        matches!(line.event, ObservedEvent::RequestEnded { end: RequestEnd::Rejected(Some(_)), .. })
+    });
     assert!(waits.count() > 0);
 }
 
@@ -200,10 +201,9 @@
     let rest = "partner \"bank\" {\n share = 1\n servers = 30\n service_ms = [100, 100]\n}\n\
                 trouble \"x\" {\n kind = \"stop\"\n courier = 1\n at = 0.8\n lasts = 5\n}\n";
     let played = play_scenario("stop", &script(200, 100.0, &format!("{UNSAFE}{rest}")));
-    let stopped = played
-        .lines
-        .iter()
-        .any(|line| matches!(line.seen, Seen::Courier { courier: 1, running: false, killed: false }));
+    let stopped = played.lines.iter().any(|line| {
+        matches!(line.event, ObservedEvent::GatewayProcess { gateway: 1, running: false, killed: false })
+    });
     assert!(stopped, "it exited after the graceful shutdown");
     assert_eq!(played.report.failed, 0, "{:?}", played.report);
 }
@@ -225,8 +225,8 @@
     let answers: HashMap<&str, u64> = played
         .lines
         .iter()
-        .filter_map(|line| match &line.seen {
-            Seen::Answer { id, .. } => Some((id.as_str(), line.at)),
+        .filter_map(|line| match &line.event {
+            ObservedEvent::Answered { id, .. } => Some((id.as_str(), line.at)),
             _ => None,
         })
         .collect();
@@ -234,7 +234,7 @@
     let mut seconds: HashMap<u64, (f64, f64)> = HashMap::new();
     let mut seen = std::collections::HashSet::new();
     for line in &played.lines {
-        let Seen::HandIn { id, .. } = &line.seen else { continue };
+        let ObservedEvent::Submitted { id, .. } = &line.event else { continue };
         if seen.insert(id.as_str()) {
             let tries = requests.get(id.as_str()).map_or(&[][..], Vec::as_slice);
             let spilt = tries.iter().find(|(_, endpoint, _)| *endpoint >= 2).map(|(at, ..)| *at);
