--- a/crates/testbench/src/invariants/outcomes.rs
+++ b/crates/testbench/src/invariants/outcomes.rs
@@ -31,7 +31,7 @@
         ReportedOutcome::Delivered => report.delivered += 1,
         ReportedOutcome::Rejected => report.rejected += 1,
         ReportedOutcome::Failed | ReportedOutcome::NotAccepted | ReportedOutcome::Unclear => {
-            report.failed += 1
+            report.failed += 1;
         }
     }
 }
--- a/crates/testbench/src/scenario_run.rs
+++ b/crates/testbench/src/scenario_run.rs
@@ -23,7 +23,7 @@
 const LEAD_TIME: Duration = Duration::from_millis(200);
 /// Fault events, processes and clients are looked at in this interval.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// ReportedOutcome to end, each gateway is waited for this long.
+/// Told to stop, each gateway is waited for this long.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(10);
 /// Clients are stopped after this multiple of the scenario's mean length ...
 const TIME_LIMIT_FACTOR: f64 = 1.5;
--- a/crates/testbench/tests/replay.rs
+++ b/crates/testbench/tests/replay.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use std::time::Duration;
 
-fn bench_day(troubles: serde_json::Value) -> String {
+fn bench_day(faults: &serde_json::Value) -> String {
     json!({
         "length": 30e6, "drain_grace": 1e6, "fall_multiple": 2.0, "fall_for": 3e6, "order_settle": 1e5,
         "traffic": { "load": 0.5 },
@@ -18,7 +18,7 @@
         "tiers": [{ "kinds": [{ "cold_from": 0.2, "cold": 12e6 }] }],
         "servers": [{ "cell": 0 }, { "cell": 0 }, { "cell": 1 }],
         "balancers": [{}, {}, {}, {}],
-        "troubles": troubles,
+        "troubles": faults,
         "fam": {
             "capacity": 100.0, "kind": [0, 0], "share": [0.25, 0.75],
             "gates": [{ "dest": 0, "limit": 20.0, "room": 30.0 }, { "dest": 1, "limit": 60.0, "room": 90.0 }],
@@ -40,7 +40,7 @@
 #[test]
 fn replay_scales_sizes_and_times_and_keeps_the_utilization_of_partners() {
     let replay =
-        read(&bench_day(json!([])), ReplayScale { rate: 200.0, speed: 3.0, ..ReplayScale::default() })
+        read(&bench_day(&json!([])), ReplayScale { rate: 200.0, speed: 3.0, ..ReplayScale::default() })
             .unwrap();
     let scenario = &replay.scenario;
     assert_eq!((scenario.messages, scenario.gateways, scenario.partners.len()), (2000, 3, 2));
@@ -69,7 +69,7 @@
         ("heavy_tail", 9.0, None),
     ] {
         let replay =
-            read(&bench_day(json!([bench_fault(kind, size, &[1])])), ReplayScale::default()).unwrap();
+            read(&bench_day(&json!([bench_fault(kind, size, &[1])])), ReplayScale::default()).unwrap();
         let schedule = replay.scenario.fault_schedule().unwrap();
         assert_eq!(schedule.first().map(|played| played.event), event, "{kind}");
         if let Some(played) = schedule.first() {
@@ -78,7 +78,8 @@
             assert!(replay.omissions.iter().any(|line| line.contains("not played")), "{kind}");
         }
     }
-    let elsewhere = read(&bench_day(json!([bench_fault("hang", 0.0, &[])])), ReplayScale::default()).unwrap();
+    let elsewhere =
+        read(&bench_day(&json!([bench_fault("hang", 0.0, &[])])), ReplayScale::default()).unwrap();
     assert!(elsewhere.omissions.iter().any(|line| line.contains("strikes none")));
     assert!(read("{}", ReplayScale::default()).is_err());
 }
