--- a/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/experiment.rs
@@ -3,7 +3,7 @@
 use crate::progress;
 use crate::simulate::load_scenario;
 use clap::Args;
-use cloverstile_simulator::PolicyKind;
+use cloverstile_simulator::SpilloverPolicy;
 use cloverstile_testbench::experiment::{run_experiment, Experiment, ExperimentRecord, NamedScenario};
 use cloverstile_testbench::html_report::{self, FILES, PAGE_FILE};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
@@ -57,7 +57,7 @@
             }
         }
         let mut violations = record.runs.text("policy").iter().zip(record.runs.number("broken"));
-        Ok(violations.all(|(policy, count)| policy != PolicyKind::Planner.name() || *count == 0.0))
+        Ok(violations.all(|(policy, count)| policy != SpilloverPolicy::Planner.name() || *count == 0.0))
     }
 
     fn write(&self, record: &ExperimentRecord) -> Result<(), String> {
--- a/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/fleet.rs
@@ -3,7 +3,10 @@
 use crate::scenario_files;
 use clap::{Args, Subcommand};
 use cloverstile_load_metrics::{limit_use, measure, Outcome};
-use cloverstile_simulator::{play_spread, read_spread, Choice, Limiter, Scene, SpreadRun, Who, SCENES};
+use cloverstile_simulator::{
+    read_load_balance_scenario, simulate_load_balance, ClientPolicy, EndpointSelection, Limiter,
+    LoadBalanceRun, LoadBalanceScenario, LOAD_BALANCE_SCENARIOS,
+};
 use cloverstile_testbench::fleet::play_fleet;
 use cloverstile_testbench::load_report::LoadReport;
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
@@ -83,27 +86,28 @@
 }
 
 /// The policy, every choice of endpoint with additive increase, and every limiter with a random choice.
-fn all_deciders() -> Vec<Who> {
-    let choices = Choice::ALL.into_iter().map(|choice| Who::Plain(choice, Limiter::Aimd));
+fn all_deciders() -> Vec<ClientPolicy> {
+    let choices =
+        EndpointSelection::ALL.into_iter().map(|choice| ClientPolicy::Baseline(choice, Limiter::Aimd));
     let limiters = Limiter::ALL.into_iter().filter(|limiter| *limiter != Limiter::Aimd);
-    let limiters = limiters.map(|limiter| Who::Plain(Choice::Random, limiter));
-    std::iter::once(Who::Module).chain(choices).chain(limiters).collect()
+    let limiters = limiters.map(|limiter| ClientPolicy::Baseline(EndpointSelection::Random, limiter));
+    std::iter::once(ClientPolicy::Delivery).chain(choices).chain(limiters).collect()
 }
 
-fn parse_deciders(name: &str) -> Result<Vec<Who>, String> {
+fn parse_deciders(name: &str) -> Result<Vec<ClientPolicy>, String> {
     if name == "all" {
         return Ok(all_deciders());
     }
     if name == "module" {
-        return Ok(vec![Who::Module]);
+        return Ok(vec![ClientPolicy::Delivery]);
     }
     let (choice, limiter) = name.split_once('+').unwrap_or((name, "aimd"));
-    let choice = Choice::ALL.into_iter().find(|known| known.name() == choice);
+    let choice = EndpointSelection::ALL.into_iter().find(|known| known.name() == choice);
     let limiter = Limiter::ALL.into_iter().find(|known| known.name() == limiter);
     if let (Some(choice), Some(limiter)) = (choice, limiter) {
-        return Ok(vec![Who::Plain(choice, limiter)]);
+        return Ok(vec![ClientPolicy::Baseline(choice, limiter)]);
     }
-    let choices: Vec<&str> = Choice::ALL.into_iter().map(Choice::name).collect();
+    let choices: Vec<&str> = EndpointSelection::ALL.into_iter().map(EndpointSelection::name).collect();
     let limiters: Vec<&str> = Limiter::ALL.into_iter().map(Limiter::name).collect();
     Err(format!(
         "--who {name}: allowed are module, all, or one of {} with + and one of {}",
@@ -122,8 +126,9 @@
         Ok(if beside.is_file() { beside } else { own })
     }
 
-    fn load_scenario(&self) -> Result<Scene, String> {
-        let scenario = scenario_files::load(&self.scenario, &SCENES, read_spread)?;
+    fn load_scenario(&self) -> Result<LoadBalanceScenario, String> {
+        let scenario =
+            scenario_files::load(&self.scenario, &LOAD_BALANCE_SCENARIOS, read_load_balance_scenario)?;
         Ok(match self.gateways {
             Some(gateways) => scenario.scaled(gateways),
             None => scenario,
@@ -136,7 +141,7 @@
         for name in &self.deciders {
             deciders.extend(parse_deciders(name)?);
         }
-        if !self.simulate && deciders != [Who::Module] {
+        if !self.simulate && deciders != [ClientPolicy::Delivery] {
             return Err("--who: real processes decide by the module alone; add --emulate for others".into());
         }
         let mut clean = true;
@@ -146,7 +151,7 @@
         for decider in deciders {
             let reports = self.play_seeds(&scenario, decider)?;
             let mean = LoadReport::mean(&reports);
-            clean &= decider != Who::Module || mean.violations == 0;
+            clean &= decider != ClientPolicy::Delivery || mean.violations == 0;
             if self.json {
                 println!("{}", json_line(&decider.name(), &mean, format!("{} seeds", reports.len()).into()));
             }
@@ -159,12 +164,16 @@
     }
 
     /// Plays all seeds of one decider and prints what is wanted of each.
-    fn play_seeds(&self, scenario: &Scene, decider: Who) -> Result<Vec<LoadReport>, String> {
+    fn play_seeds(
+        &self,
+        scenario: &LoadBalanceScenario,
+        decider: ClientPolicy,
+    ) -> Result<Vec<LoadReport>, String> {
         let mut reports = Vec::new();
         for seed in self.seed..self.seed + self.seeds.max(1) {
             let began = Instant::now();
             let run = if self.simulate {
-                play_spread(scenario, decider, seed)
+                simulate_load_balance(scenario, decider, seed)
             } else {
                 play_fleet(scenario, &self.program()?, seed).map_err(|error| error.to_string())?
             };
@@ -185,19 +194,19 @@
 }
 
 /// Prints how even the load of each partner is.
-fn print_partners(scenario: &Scene, run: &SpreadRun, seed: u64) {
+fn print_partners(scenario: &LoadBalanceScenario, run: &LoadBalanceRun, seed: u64) {
     for partner in 0..run.record.partners.len() {
         let record = run.record.of(partner);
         let metrics = measure(&record, Duration::from_secs_f64(scenario.window), seed);
         println!(
             "partner {partner}: requests {} peak {:.2} central {:.2} random {:.2} jain {:.3} (random {:.3}) idle {:.3} limit use {:.3}",
             record.calls.len(),
-            metrics.own.peak_over_mean,
+            metrics.observed.peak_over_mean,
             metrics.central.peak_over_mean,
             metrics.random.peak_over_mean,
-            metrics.own.jain,
+            metrics.observed.jain,
             metrics.random.jain,
-            metrics.own.idle_share,
+            metrics.observed.idle_share,
             metrics.limit_use_while_waiting
         );
     }
@@ -211,14 +220,14 @@
 }
 
 /// Prints each partner that has a limit, by second.
-fn print_limits(run: &SpreadRun) {
+fn print_limits(run: &LoadBalanceRun) {
     let mut counts: BTreeMap<(usize, u64), RequestCount> = BTreeMap::new();
     for call in &run.record.calls {
         let partner = run.record.endpoints[call.endpoint].partner;
         let count = counts.entry((partner, call.at.as_secs())).or_default();
         match call.outcome {
             Outcome::Served => count.served += 1,
-            Outcome::TurnedAway => count.rejected += 1,
+            Outcome::Rejected => count.rejected += 1,
             Outcome::Failed => {}
         }
     }
--- a/crates/testbench/src/bin/cloverstile-testbench/scale.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/scale.rs
@@ -2,7 +2,7 @@
 
 use crate::simulate::load_scenario;
 use clap::Args;
-use cloverstile_simulator::{play, PolicyKind, Scenario};
+use cloverstile_simulator::{simulate_failover, FailoverScenario, SpilloverPolicy};
 use cloverstile_testbench::html_report::SCALE_FILE;
 use cloverstile_testbench::table::Table as Columns;
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
@@ -46,10 +46,10 @@
 }
 
 /// The scenario with another number of endpoints and the same load.
-fn scaled_scenario(endpoints: usize) -> Result<Scenario, String> {
+fn scaled_scenario(endpoints: usize) -> Result<FailoverScenario, String> {
     let mut scenario = load_scenario(SCENARIO)?;
     let factor = endpoints as f64 / scenario.endpoints() as f64;
-    for destination in scenario.bank.values_mut() {
+    for destination in scenario.destinations.values_mut() {
         destination.copies = ((destination.copies as f64 * factor).round() as usize).max(1);
     }
     Ok(scenario)
@@ -81,11 +81,11 @@
         let mut scenario = scaled_scenario(endpoints)?;
         scenario.seconds = self.seconds;
         let began = Instant::now();
-        let run = play(&scenario, PolicyKind::Planner, 1);
+        let run = simulate_failover(&scenario, SpilloverPolicy::Planner, 1);
         let seconds = began.elapsed().as_secs_f64();
         Ok(ScaleMeasurement {
             endpoints: scenario.endpoints(),
-            gateways: scenario.couriers,
+            gateways: scenario.instances,
             messages_per_second: run.messages.len() as f64 / seconds,
             us_per_turn: seconds * 1e6 / run.turns.max(1) as f64,
             peak_memory_mib: peak_memory_mib(),
--- a/crates/testbench/src/bin/cloverstile-testbench/simulate.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/simulate.rs
@@ -2,7 +2,10 @@
 
 use crate::scenario_files;
 use clap::Args;
-use cloverstile_simulator::{play, read, PolicyKind, Run, Scenario, BUILT_IN};
+use cloverstile_simulator::{
+    read_failover_scenario, simulate_failover, FailoverRun, FailoverScenario, SpilloverPolicy,
+    FAILOVER_SCENARIOS,
+};
 use cloverstile_testbench::simulation_metrics::{value_by_second, SimulationMetrics};
 use comfy_table::{presets::UTF8_BORDERS_ONLY, Table};
 use std::time::{Duration, Instant};
@@ -30,7 +33,7 @@
     scenario: String,
     /// Policy that spreads messages over tiers: planner, everything, stays or healthy-share; all four where left out.
     #[arg(long = "policy", value_parser = parse_policy)]
-    policies: Vec<PolicyKind>,
+    policies: Vec<SpilloverPolicy>,
     /// Seed of chance.
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -53,7 +56,7 @@
 
 /// One run.
 struct SimulatedRun {
-    policy: PolicyKind,
+    policy: SpilloverPolicy,
     seed: u64,
     metrics: SimulationMetrics,
     elapsed: Duration,
@@ -65,32 +68,32 @@
     }
 }
 
-fn parse_policy(name: &str) -> Result<PolicyKind, String> {
-    let names: Vec<&str> = PolicyKind::ALL.into_iter().map(PolicyKind::name).collect();
-    PolicyKind::named(name).ok_or_else(|| format!("one of these is allowed: {}", names.join(", ")))
+fn parse_policy(name: &str) -> Result<SpilloverPolicy, String> {
+    let names: Vec<&str> = SpilloverPolicy::ALL.into_iter().map(SpilloverPolicy::name).collect();
+    SpilloverPolicy::named(name).ok_or_else(|| format!("one of these is allowed: {}", names.join(", ")))
 }
 
 /// Reads a scenario by its name or from its file.
-pub fn load_scenario(name: &str) -> Result<Scenario, String> {
-    scenario_files::load(name, &BUILT_IN, read)
+pub fn load_scenario(name: &str) -> Result<FailoverScenario, String> {
+    scenario_files::load(name, &FAILOVER_SCENARIOS, read_failover_scenario)
 }
 
 impl Simulation {
     /// Plays all runs; true if no run of the planner violated an invariant.
     pub fn play(&self) -> Result<bool, String> {
         let mut scenario = load_scenario(&self.scenario)?;
-        scenario.couriers = self.gateways.unwrap_or(scenario.couriers).max(1);
+        scenario.instances = self.gateways.unwrap_or(scenario.instances).max(1);
         let policies =
-            if self.policies.is_empty() { PolicyKind::ALL.to_vec() } else { self.policies.clone() };
+            if self.policies.is_empty() { SpilloverPolicy::ALL.to_vec() } else { self.policies.clone() };
         let mut clean = true;
         let mut runs = Vec::new();
         for seed in self.seed..self.seed + self.seeds.max(1) {
             for policy in policies.iter().copied() {
                 let began = Instant::now();
-                let run = play(&scenario, policy, seed);
+                let run = simulate_failover(&scenario, policy, seed);
                 let elapsed = began.elapsed();
                 let metrics = SimulationMetrics::new(&scenario, &run);
-                clean &= policy != PolicyKind::Planner || metrics.violations == 0;
+                clean &= policy != SpilloverPolicy::Planner || metrics.violations == 0;
                 let simulated = SimulatedRun { policy, seed, metrics, elapsed };
                 if self.json {
                     print_json(&simulated);
@@ -105,7 +108,7 @@
         Ok(clean)
     }
 
-    fn print_details(&self, scenario: &Scenario, run: &Run) {
+    fn print_details(&self, scenario: &FailoverScenario, run: &FailoverRun) {
         if self.seconds {
             print_seconds(scenario, run);
         }
@@ -123,26 +126,26 @@
     println!("{line}");
 }
 
-fn print_seconds(scenario: &Scenario, run: &Run) {
+fn print_seconds(scenario: &FailoverScenario, run: &FailoverRun) {
     let values = value_by_second(scenario, run);
     for (number, (value, second)) in values.into_iter().zip(&run.seconds).enumerate() {
         println!(
             "second {number}: submitted {} earned {:.2} spilled {} lost {} requests {}",
-            second.handed,
+            second.submitted,
             value.earned / value.offered.max(1e-9),
-            second.spilt,
+            second.spilled,
             second.lost,
             second.requests
         );
     }
 }
 
-fn print_windows(run: &Run) {
+fn print_windows(run: &FailoverRun) {
     for window in &run.windows {
         println!(
             "site {} return {} after {} ms: received {} capacity {:.1} bound {:.1}",
             window.site,
-            window.spell,
+            window.recovery,
             window.after.as_millis(),
             window.received,
             window.capacity,
--- a/crates/testbench/src/experiment.rs
+++ b/crates/testbench/src/experiment.rs
@@ -6,7 +6,7 @@
 pub use record::ExperimentRecord;
 pub use statistics::{column_values, confidence_interval, ConfidenceInterval};
 
-use cloverstile_simulator::{play, PolicyKind, Scenario};
+use cloverstile_simulator::{simulate_failover, FailoverScenario, SpilloverPolicy};
 use record::record_run;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -44,11 +44,11 @@
 
 impl ScenarioOverrides {
     /// Changes a scenario.
-    pub fn apply(&self, scenario: &mut Scenario) {
-        scenario.couriers = self.gateways.unwrap_or(scenario.couriers).max(1);
+    pub fn apply(&self, scenario: &mut FailoverScenario) {
+        scenario.instances = self.gateways.unwrap_or(scenario.instances).max(1);
         scenario.rate = self.rate.unwrap_or(scenario.rate);
         scenario.seconds = self.seconds.unwrap_or(scenario.seconds);
-        for destination in scenario.bank.values_mut() {
+        for destination in scenario.destinations.values_mut() {
             destination.spill_share = self.spill_share.unwrap_or(destination.spill_share).clamp(0.0, 1.0);
         }
     }
@@ -91,14 +91,14 @@
     ///
     /// # Errors
     /// A policy is unknown.
-    pub fn policy_kinds(&self) -> Result<Vec<PolicyKind>, ExperimentError> {
+    pub fn policy_kinds(&self) -> Result<Vec<SpilloverPolicy>, ExperimentError> {
         if self.policies.is_empty() {
-            return Ok(PolicyKind::ALL.to_vec());
+            return Ok(SpilloverPolicy::ALL.to_vec());
         }
         let kind = |name: &String| {
-            PolicyKind::named(name).ok_or_else(|| ExperimentError::UnknownPolicy {
+            SpilloverPolicy::named(name).ok_or_else(|| ExperimentError::UnknownPolicy {
                 name: name.clone(),
-                known: PolicyKind::ALL.into_iter().map(PolicyKind::name).collect(),
+                known: SpilloverPolicy::ALL.into_iter().map(SpilloverPolicy::name).collect(),
             })
         };
         self.policies.iter().map(kind).collect()
@@ -108,8 +108,8 @@
 /// One run of the grid.
 struct Job<'a> {
     scenario_name: &'a str,
-    scenario: &'a Scenario,
-    policy: PolicyKind,
+    scenario: &'a FailoverScenario,
+    policy: SpilloverPolicy,
     seed: u64,
 }
 
@@ -118,14 +118,14 @@
     /// The name.
     pub name: String,
     /// The scenario.
-    pub scenario: Scenario,
+    pub scenario: FailoverScenario,
 }
 
 /// Runs the whole grid on so many threads. The record does not depend on their number. `on_progress` gets the number
 /// of runs done and of all runs.
 pub fn run_experiment(
     scenarios: &[NamedScenario],
-    policies: &[PolicyKind],
+    policies: &[SpilloverPolicy],
     seeds: u64,
     threads: usize,
     on_progress: &dyn Fn(usize, usize),
@@ -150,7 +150,7 @@
             scope.spawn(move || loop {
                 let position = next.fetch_add(1, Ordering::Relaxed);
                 let Some(job) = jobs.get(position) else { return };
-                let run = play(job.scenario, job.policy, job.seed);
+                let run = simulate_failover(job.scenario, job.policy, job.seed);
                 let record = record_run(job.scenario_name, job.scenario, job.policy, job.seed, &run);
                 *records[position].lock().unwrap_or_else(PoisonError::into_inner) = Some(record);
                 // The receiver is gone only if the caller has panicked.
--- a/crates/testbench/src/experiment/record.rs
+++ b/crates/testbench/src/experiment/record.rs
@@ -3,7 +3,7 @@
 use crate::simulation_metrics::{value_by_second, SimulationMetrics};
 use crate::table::Table;
 use cloverstile_engine::FinalOutcome;
-use cloverstile_simulator::{PolicyKind, Run, Scenario};
+use cloverstile_simulator::{FailoverRun, FailoverScenario, SpilloverPolicy};
 use std::collections::BTreeMap;
 
 /// The record of an experiment.
@@ -38,10 +38,10 @@
 /// The record of one run.
 pub(super) fn record_run(
     scenario_name: &str,
-    scenario: &Scenario,
-    policy: PolicyKind,
+    scenario: &FailoverScenario,
+    policy: SpilloverPolicy,
     seed: u64,
-    run: &Run,
+    run: &FailoverRun,
 ) -> ExperimentRecord {
     let key = RunKey {
         texts: [("scenario", scenario_name), ("policy", policy.name())],
@@ -55,7 +55,7 @@
     record
 }
 
-fn record_metrics(table: &mut Table, key: &RunKey, scenario: &Scenario, run: &Run) {
+fn record_metrics(table: &mut Table, key: &RunKey, scenario: &FailoverScenario, run: &FailoverRun) {
     let metrics = SimulationMetrics::new(scenario, run);
     table.push(
         &key.texts,
@@ -77,10 +77,10 @@
     );
 }
 
-fn record_seconds(table: &mut Table, key: &RunKey, scenario: &Scenario, run: &Run) {
+fn record_seconds(table: &mut Table, key: &RunKey, scenario: &FailoverScenario, run: &FailoverRun) {
     let values = value_by_second(scenario, run);
     for (number, (value, second)) in values.iter().zip(&run.seconds).enumerate() {
-        let spill_share = f64::from(second.spilt) / f64::from(second.tiered.max(1));
+        let spill_share = f64::from(second.spilled) / f64::from(second.tiered.max(1));
         table.push(
             &key.texts,
             &[
@@ -103,7 +103,7 @@
     received: f64,
 }
 
-fn record_windows(table: &mut Table, key: &RunKey, run: &Run) {
+fn record_windows(table: &mut Table, key: &RunKey, run: &FailoverRun) {
     let mut windows: BTreeMap<u128, WindowLoad> = BTreeMap::new();
     for window in &run.windows {
         let received = f64::from(window.received);
@@ -126,14 +126,14 @@
     }
 }
 
-fn record_classes(table: &mut Table, key: &RunKey, scenario: &Scenario, run: &Run) {
+fn record_classes(table: &mut Table, key: &RunKey, scenario: &FailoverScenario, run: &FailoverRun) {
     for (number, (name, class)) in scenario.class.iter().enumerate() {
         let mut messages = 0.0_f64;
         let mut ages: Vec<f64> = Vec::new();
         for message in run.messages.iter().filter(|message| usize::from(message.class) == number) {
             messages += 1.0;
             if let Some((FinalOutcome::Delivered, at)) = message.answer {
-                ages.push(at.saturating_sub(message.handed).as_secs_f64());
+                ages.push(at.saturating_sub(message.submitted_at).as_secs_f64());
             }
         }
         ages.sort_by(f64::total_cmp);
--- a/crates/testbench/src/experiment/tests.rs
+++ b/crates/testbench/src/experiment/tests.rs
@@ -3,7 +3,7 @@
 use super::{
     confidence_interval, run_experiment, ConfidenceInterval, Experiment, NamedScenario, ScenarioOverrides,
 };
-use cloverstile_simulator::PolicyKind;
+use cloverstile_simulator::SpilloverPolicy;
 
 #[test]
 fn confidence_interval_uses_students_t() {
@@ -17,12 +17,12 @@
 
 #[test]
 fn record_is_independent_of_threads_and_invalid_files_are_explained() {
-    let (_, text) = cloverstile_simulator::BUILT_IN[0];
-    let mut scenario = cloverstile_simulator::read(text).unwrap();
+    let (_, text) = cloverstile_simulator::FAILOVER_SCENARIOS[0];
+    let mut scenario = cloverstile_simulator::read_failover_scenario(text).unwrap();
     let overrides = ScenarioOverrides { seconds: Some(4.0), rate: Some(100.0), ..Default::default() };
     overrides.apply(&mut scenario);
     let scenarios = [NamedScenario { name: "surge".to_owned(), scenario }];
-    let played = |threads| run_experiment(&scenarios, &PolicyKind::ALL, 2, threads, &|_, _| {});
+    let played = |threads| run_experiment(&scenarios, &SpilloverPolicy::ALL, 2, threads, &|_, _| {});
     let (one, many) = (played(1), played(3));
     assert_eq!(one.runs.rows(), 8);
     assert_eq!(format!("{one:?}"), format!("{many:?}"));
--- a/crates/testbench/src/fleet/endpoint_list.rs
+++ b/crates/testbench/src/fleet/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! The endpoint list that service discovery hands out.
 
-use cloverstile_simulator::Sites;
+use cloverstile_simulator::SimulatedPartners;
 use std::net::SocketAddr;
 
 /// The list, with its version.
@@ -40,7 +40,7 @@
     }
 
     /// The whole list in discovery's form.
-    pub fn to_json(&self, sites: &mut Sites) -> serde_json::Value {
+    pub fn to_json(&self, sites: &mut SimulatedPartners) -> serde_json::Value {
         let entry = |(endpoint, address): (usize, &SocketAddr)| {
             let partner = sites.endpoints[endpoint].partner;
             let apart = sites.partners[partner].spec.apart;
--- a/crates/testbench/src/fleet/endpoint_requests.rs
+++ b/crates/testbench/src/fleet/endpoint_requests.rs
@@ -36,7 +36,7 @@
         let call = Call {
             at: now,
             endpoint,
-            courier: gateway as u32,
+            instance: gateway as u32,
             outcome: reached.outcome(),
             took: respond_at.map_or(Duration::ZERO, |at| at.saturating_sub(now)),
         };
--- a/crates/testbench/src/fleet/faults.rs
+++ b/crates/testbench/src/fleet/faults.rs
@@ -2,7 +2,7 @@
 
 use super::harness_state::HarnessState;
 use super::timers::Timer;
-use cloverstile_simulator::{StrikeKind, Wrong};
+use cloverstile_simulator::{EndpointFault, LoadBalanceFault};
 use std::time::Duration;
 
 /// By so much later the first endpoint of each partner responds to the affected gateways of a `slow-for` fault.
@@ -15,35 +15,41 @@
 impl HarnessState<'_> {
     /// Begins or ends the fault at a position of the scenario.
     pub(super) fn apply_fault(&mut self, now: Duration, position: usize, begins: bool) {
-        let Some(fault) = self.scenario.trouble.values().nth(position) else { return };
-        let Some(kind) = fault.act() else { return };
-        let partners = self.scenario.struck(fault);
+        let Some(fault) = self.scenario.faults.values().nth(position) else { return };
+        let Some(kind) = fault.fault_kind() else { return };
+        let partners = self.scenario.affected_partners(fault);
         let endpoints: Vec<usize> =
             partners.iter().flat_map(|partner| self.sites.part(*partner, fault.size)).collect();
         match kind {
-            StrikeKind::Errors => self.fail_endpoints(now, &endpoints, Wrong::Errors, begins),
-            StrikeKind::Silent => self.fail_endpoints(now, &endpoints, Wrong::Silent, begins),
-            StrikeKind::Slow => self.fail_endpoints(now, &endpoints, Wrong::Slow, begins),
-            StrikeKind::Burst => self.traffic.multiply(&partners, if begins { fault.size } else { 1.0 }),
-            StrikeKind::Limit => self.multiply_limits(now, &partners, if begins { fault.size } else { 1.0 }),
-            StrikeKind::Still => self.sites.freeze_reports(begins),
-            StrikeKind::SlowFor => {
+            LoadBalanceFault::Errors => self.fail_endpoints(now, &endpoints, EndpointFault::Errors, begins),
+            LoadBalanceFault::Silent => self.fail_endpoints(now, &endpoints, EndpointFault::Silent, begins),
+            LoadBalanceFault::Slow => self.fail_endpoints(now, &endpoints, EndpointFault::Slow, begins),
+            LoadBalanceFault::Burst => {
+                self.traffic.multiply(&partners, if begins { fault.size } else { 1.0 })
+            }
+            LoadBalanceFault::Limit => {
+                self.multiply_limits(now, &partners, if begins { fault.size } else { 1.0 })
+            }
+            LoadBalanceFault::Still => self.sites.freeze_reports(begins),
+            LoadBalanceFault::SlowFor => {
                 self.delayed_gateways = if begins { self.share_of_gateways(fault.size) } else { 0 };
             }
-            StrikeKind::Replace if begins => {
+            LoadBalanceFault::Replace if begins => {
                 self.begin_replacement(now, &endpoints, Duration::from_secs_f64(fault.lasts));
             }
-            StrikeKind::Replace => self.shut_replaced_endpoints(now),
-            StrikeKind::Restart if begins => self.kill_gateways(now, self.share_of_gateways(fault.size)),
-            StrikeKind::Restart => {}
+            LoadBalanceFault::Replace => self.shut_replaced_endpoints(now),
+            LoadBalanceFault::Restart if begins => {
+                self.kill_gateways(now, self.share_of_gateways(fault.size))
+            }
+            LoadBalanceFault::Restart => {}
         }
     }
 
     fn share_of_gateways(&self, share: f64) -> usize {
-        (self.scenario.couriers as f64 * share) as usize
+        (self.scenario.instances as f64 * share) as usize
     }
 
-    fn fail_endpoints(&mut self, now: Duration, endpoints: &[usize], fault: Wrong, begins: bool) {
+    fn fail_endpoints(&mut self, now: Duration, endpoints: &[usize], fault: EndpointFault, begins: bool) {
         for endpoint in endpoints {
             self.sites.wrong(now, *endpoint, fault, begins);
         }
--- a/crates/testbench/src/fleet/gateway_config.rs
+++ b/crates/testbench/src/fleet/gateway_config.rs
@@ -1,6 +1,6 @@
 //! The configuration that a gateway process is started with, in the form of the users' platform.
 
-use cloverstile_simulator::{ClassSpec, Scene};
+use cloverstile_simulator::{ClassSpec, LoadBalanceScenario};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 
@@ -10,7 +10,7 @@
 /// The settings file of one gateway of a fleet.
 pub(super) struct GatewayConfig<'a> {
     /// The scenario.
-    pub scenario: &'a Scene,
+    pub scenario: &'a LoadBalanceScenario,
     /// Where service discovery listens.
     pub discovery: SocketAddr,
     /// The endpoint list at the start, in discovery's form.
@@ -51,7 +51,7 @@
     fn settings(&self) -> Value {
         let (scenario, rules) = (self.scenario, &self.scenario.rules);
         json!({
-            "Balancers": scenario.couriers, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
+            "Balancers": scenario.instances, "Discovery": "push", "Locality": 0, "ClientHabits": {"MarksRetry": false},
             "FamilyInfo": {"CallsOut": scenario.call_slots, "KindBatch": [1, 1], "OwnLimits": [false, true], "Decay": "line",
                 "ReportX0": "share_of_the_allowance_that_is_left", "ReportX1": "calls_a_second"},
             "Lanes": scenario.class.iter().map(|(name, class)| lane(name, class)).collect::<Vec<_>>(),
--- a/crates/testbench/src/fleet/harness.rs
+++ b/crates/testbench/src/fleet/harness.rs
@@ -10,7 +10,7 @@
 use super::timers::Timer;
 use cloverstile_http::{response, Headers, Message, Start};
 use cloverstile_net::{ConnId, NetEvent};
-use cloverstile_simulator::{Scene, SpreadRun};
+use cloverstile_simulator::{LoadBalanceRun, LoadBalanceScenario};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -26,7 +26,11 @@
 ///
 /// # Errors
 /// Sockets, files or processes fail, a gateway exits by itself, or the run is interrupted.
-pub fn play_fleet(scenario: &Scene, program: &Path, seed: u64) -> Result<SpreadRun, FleetError> {
+pub fn play_fleet(
+    scenario: &LoadBalanceScenario,
+    program: &Path,
+    seed: u64,
+) -> Result<LoadBalanceRun, FleetError> {
     let mut state = HarnessState::new(scenario, seed)?;
     let discovery = state.listen()?;
     let endpoint_list = state.endpoint_list.to_json(&mut state.sites);
@@ -46,7 +50,7 @@
     fn schedule_scenario(&mut self) {
         self.state.started = Instant::now();
         let timers = &mut self.state.timers;
-        for (position, fault) in self.state.scenario.trouble.values().enumerate() {
+        for (position, fault) in self.state.scenario.faults.values().enumerate() {
             let begin = Duration::from_secs_f64(fault.at);
             timers.schedule(begin, Timer::Fault { position, begins: true });
             let end = Duration::from_secs_f64(fault.at + fault.lasts);
@@ -83,7 +87,7 @@
     }
 
     /// Stops the gateways, each of which must exit successfully, and returns the record.
-    fn finish(mut self) -> SpreadRun {
+    fn finish(mut self) -> LoadBalanceRun {
         let now = self.state.started.elapsed();
         let clean = self.state.supervisor.as_mut().is_none_or(ProcessSupervisor::shut_down);
         if !clean {
--- a/crates/testbench/src/fleet/harness_state.rs
+++ b/crates/testbench/src/fleet/harness_state.rs
@@ -10,7 +10,7 @@
 use super::timers::{Timer, TimerQueue};
 use cloverstile_load_metrics::Partner;
 use cloverstile_net::{ListenerId, Net, SignalKind};
-use cloverstile_simulator::{Scene, Sites, Traffic};
+use cloverstile_simulator::{LoadBalanceScenario, SimulatedPartners, Traffic};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -21,12 +21,12 @@
 
 /// The state of a run. Times are since its start.
 pub(super) struct HarnessState<'a> {
-    pub scenario: &'a Scene,
+    pub scenario: &'a LoadBalanceScenario,
     pub net: Net,
     pub started: Instant,
     pub rng: ChaCha8Rng,
     /// The model of partners and endpoints.
-    pub sites: Sites,
+    pub sites: SimulatedPartners,
     pub traffic: Traffic,
     pub endpoint_list: EndpointList,
     pub watches: Watches,
@@ -47,9 +47,9 @@
 
 impl<'a> HarnessState<'a> {
     /// The state before anything listens.
-    pub fn new(scenario: &'a Scene, seed: u64) -> Result<Self, FleetError> {
+    pub fn new(scenario: &'a LoadBalanceScenario, seed: u64) -> Result<Self, FleetError> {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let sites = Sites::new(scenario, &mut rng);
+        let sites = SimulatedPartners::new(scenario, &mut rng);
         let mut net = Net::new().map_err(FleetError::io("event loop"))?;
         // Guards against gateways that outlive the testbench: interrupted, it ends them first.
         net.watch_signals(&[SignalKind::SIGINT, SignalKind::SIGTERM]).map_err(FleetError::io("signals"))?;
@@ -60,7 +60,7 @@
             watches: Watches::default(),
             servers: HttpServers::default(),
             endpoint_listeners: Vec::new(),
-            clients: ClientConnections::new(scenario.couriers),
+            clients: ClientConnections::new(scenario.instances),
             timers: TimerQueue::default(),
             requests: Vec::new(),
             tracker: InvariantTracker::new(scenario.class.values().cloned()),
--- a/crates/testbench/src/fleet/invariants.rs
+++ b/crates/testbench/src/fleet/invariants.rs
@@ -1,8 +1,8 @@
 //! Online checks of the delivery invariants, fed with what passed on sockets in its order. Free of I/O.
 
 use crate::repeat_rule::RepeatRule;
-use cloverstile_load_metrics::Stay;
-use cloverstile_simulator::{ClassSpec, SpreadAudit, SpreadRun};
+use cloverstile_load_metrics::WaitingInterval;
+use cloverstile_simulator::{ClassSpec, LoadBalanceRun, LoadBalanceViolations};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -86,7 +86,7 @@
     /// When all gateways had been told that an endpoint drains.
     draining_since: HashMap<usize, Duration>,
     /// The record of the run so far.
-    pub run: SpreadRun,
+    pub run: LoadBalanceRun,
 }
 
 impl InvariantTracker {
@@ -97,7 +97,7 @@
             messages: Vec::new(),
             retry_after: HashMap::new(),
             draining_since: HashMap::new(),
-            run: SpreadRun::default(),
+            run: LoadBalanceRun::default(),
         }
     }
 
@@ -139,7 +139,11 @@
             (true, None) => message.waiting_since = Some(now),
             (false, Some(from)) => {
                 message.waiting_since = None;
-                self.run.record.stays.push(Stay { partner: message.partner, from, until: now });
+                self.run.record.waiting_intervals.push(WaitingInterval {
+                    partner: message.partner,
+                    from,
+                    until: now,
+                });
             }
             (true, Some(_)) | (false, None) => {}
         }
@@ -161,9 +165,9 @@
         let early =
             retry_after.is_some_and(|wait| now > wait.written_at + RETRY_AFTER_SLACK && now < wait.until);
         let drained = self.draining_since.get(&endpoint).is_some_and(|since| now > *since + DRAIN_GRACE);
-        self.run.audit.twice += u64::from(forbidden);
-        self.run.audit.waits_broken += u64::from(early);
-        self.run.audit.after_drain += u64::from(drained);
+        self.run.violations.twice += u64::from(forbidden);
+        self.run.violations.waits_broken += u64::from(early);
+        self.run.violations.after_drain += u64::from(drained);
         self.messages[number].requests_in_flight += 1;
         self.update_waiting(now, number);
     }
@@ -218,7 +222,7 @@
         }
         message.completed = true;
         if now > message.deadline + OUTCOME_SLACK {
-            self.run.audit.unanswered += 1;
+            self.run.violations.unanswered += 1;
         }
         match outcome {
             FinalOutcome::Delivered => {
@@ -228,7 +232,7 @@
             }
             FinalOutcome::Rejected => {
                 // A rejection promises that the message never ran.
-                self.run.audit.twice += u64::from(message.took_effect);
+                self.run.violations.twice += u64::from(message.took_effect);
                 self.run.answers[1] += 1;
             }
             FinalOutcome::Failed => self.run.answers[2] += 1,
@@ -237,10 +241,10 @@
     }
 
     /// Ends the run: messages without a final outcome are lost.
-    pub fn finish(mut self, now: Duration) -> SpreadRun {
+    pub fn finish(mut self, now: Duration) -> LoadBalanceRun {
         for number in 0..self.messages.len() {
             if !self.messages[number].completed {
-                self.run.audit.unanswered += 1;
+                self.run.violations.unanswered += 1;
                 self.messages[number].completed = true;
                 self.update_waiting(now, number);
             }
@@ -249,8 +253,8 @@
     }
 
     /// The violations found so far.
-    pub fn audit(&mut self) -> &mut SpreadAudit {
-        &mut self.run.audit
+    pub fn audit(&mut self) -> &mut LoadBalanceViolations {
+        &mut self.run.violations
     }
 }
 
--- a/crates/testbench/src/fleet/invariants/tests.rs
+++ b/crates/testbench/src/fleet/invariants/tests.rs
@@ -35,7 +35,7 @@
     }
     assert_eq!(unsafe_again.audit().twice, 1);
     // Nothing ended it.
-    assert_eq!(unsafe_again.finish(ms(9000)).audit.unanswered, 1);
+    assert_eq!(unsafe_again.finish(ms(9000)).violations.unanswered, 1);
 
     let mut keyed = tracker("keyed");
     let number = keyed.on_submission(ms(0), 0, 0, 0);
@@ -77,7 +77,8 @@
     tracker.on_request_completed(ms(20), number);
     tracker.on_request(ms(100), number, 0, false);
     tracker.on_final_outcome(ms(110), number, FinalOutcome::Delivered);
-    let stays: Vec<_> = tracker.run.record.stays.iter().map(|stay| (stay.from, stay.until)).collect();
+    let stays: Vec<_> =
+        tracker.run.record.waiting_intervals.iter().map(|stay| (stay.from, stay.until)).collect();
     assert_eq!(stays, [(ms(20), ms(100))]);
     assert_eq!(tracker.incomplete(), 0);
 }
--- a/crates/testbench/src/fleet/submissions.rs
+++ b/crates/testbench/src/fleet/submissions.rs
@@ -5,7 +5,7 @@
 use super::invariants::FinalOutcome;
 use super::timers::Timer;
 use cloverstile_net::ConnId;
-use cloverstile_simulator::Drawn;
+use cloverstile_simulator::Arrival;
 use std::time::Duration;
 
 /// A client that can't connect tries again after this time: its gateway is being started.
@@ -22,7 +22,7 @@
         if next.as_secs_f64() < self.scenario.seconds {
             self.timers.schedule(next, Timer::NextSubmission);
         }
-        let Drawn { class, partner, courier: gateway } = self.traffic.draw(&mut self.rng);
+        let Arrival { class, partner, instance: gateway } = self.traffic.draw(&mut self.rng);
         let message = self.tracker.on_submission(now, gateway, partner, class);
         self.submit(now, message);
     }
--- a/crates/testbench/src/fleet/supervisor.rs
+++ b/crates/testbench/src/fleet/supervisor.rs
@@ -61,7 +61,7 @@
     pub fn start(program: &Path, config: &GatewayConfig) -> Result<ProcessSupervisor, FleetError> {
         static FLEETS: AtomicU8 = AtomicU8::new(0);
         let fleet = FLEETS.fetch_add(1, Ordering::Relaxed);
-        let gateways = config.scenario.couriers;
+        let gateways = config.scenario.instances;
         if gateways > MAX_GATEWAYS {
             return Err(FleetError::TooMany { gateways, max: MAX_GATEWAYS });
         }
--- a/crates/testbench/src/load_report.rs
+++ b/crates/testbench/src/load_report.rs
@@ -1,7 +1,7 @@
 //! Metrics of a run of even load, on sockets or simulated.
 
 use cloverstile_load_metrics::measure;
-use cloverstile_simulator::{Scene, SpreadRun};
+use cloverstile_simulator::{LoadBalanceRun, LoadBalanceScenario};
 use serde::Serialize;
 use std::time::Duration;
 
@@ -60,29 +60,34 @@
 
 impl LoadReport {
     /// The metrics of one run; `seed` is that of the baselines.
-    pub fn new(scenario: &Scene, run: &SpreadRun, seed: u64, elapsed: Duration) -> LoadReport {
+    pub fn new(
+        scenario: &LoadBalanceScenario,
+        run: &LoadBalanceRun,
+        seed: u64,
+        elapsed: Duration,
+    ) -> LoadReport {
         let metrics = measure(&run.record, Duration::from_secs_f64(scenario.window), seed);
         let [delivered, rejected, failed] = run.answers;
         LoadReport {
-            gateways: scenario.couriers,
+            gateways: scenario.instances,
             endpoints: run.record.endpoints.len(),
             messages: run.record.messages,
             answered: delivered + rejected + failed,
             rejected,
             failed,
             value_ratio: run.earned / run.offered.max(1e-9),
-            peak_over_mean: metrics.own.peak_over_mean,
+            peak_over_mean: metrics.observed.peak_over_mean,
             central_peak_over_mean: metrics.central.peak_over_mean,
             random_peak_over_mean: metrics.random.peak_over_mean,
-            p99_over_mean: metrics.own.p99,
-            jain: metrics.own.jain,
-            idle_share: metrics.own.idle_share,
+            p99_over_mean: metrics.observed.p99,
+            jain: metrics.observed.jain,
+            idle_share: metrics.observed.idle_share,
             limit_use_while_waiting: metrics.limit_use_while_waiting,
-            herding: metrics.herds,
-            new_connections_per_message: metrics.new_connections_a_message,
-            rejections_per_message: metrics.refusals_a_message,
-            requests_per_message: metrics.calls_a_message,
-            violations: run.audit.broken(),
+            herding: metrics.herding_ratio,
+            new_connections_per_message: metrics.new_connections_per_message,
+            rejections_per_message: metrics.rejections_per_message,
+            requests_per_message: metrics.calls_per_message,
+            violations: run.violations.total(),
             seconds: elapsed.as_secs_f64(),
         }
     }
--- a/crates/testbench/src/simulation_metrics.rs
+++ b/crates/testbench/src/simulation_metrics.rs
@@ -2,7 +2,7 @@
 //! spillover.
 
 use cloverstile_engine::FinalOutcome;
-use cloverstile_simulator::{Message, Run, Scenario, Window};
+use cloverstile_simulator::{FailoverRun, FailoverScenario, MessageHistory, RecoveryWindow};
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -67,14 +67,14 @@
     pub earned: f64,
 }
 
-fn value_of(scenario: &Scenario, message: &Message) -> Value {
+fn value_of(scenario: &FailoverScenario, message: &MessageHistory) -> Value {
     // Classes are numbered in the order of their names.
     let Some(class) = scenario.class.values().nth(usize::from(message.class)) else {
         return Value::default();
     };
     let earned = match message.answer {
         Some((FinalOutcome::Delivered, at)) => {
-            class.worth_at(at.saturating_sub(message.handed).as_secs_f64())
+            class.worth_at(at.saturating_sub(message.submitted_at).as_secs_f64())
         }
         _ => 0.0,
     };
@@ -82,10 +82,10 @@
 }
 
 /// Value of the messages by the second of their submission.
-pub fn value_by_second(scenario: &Scenario, run: &Run) -> Vec<Value> {
+pub fn value_by_second(scenario: &FailoverScenario, run: &FailoverRun) -> Vec<Value> {
     let mut seconds = vec![Value::default(); scenario.seconds.ceil() as usize];
     for message in &run.messages {
-        if let Some(sum) = seconds.get_mut(message.handed.as_secs() as usize) {
+        if let Some(sum) = seconds.get_mut(message.submitted_at.as_secs() as usize) {
             let value = value_of(scenario, message);
             sum.offered += value.offered;
             sum.earned += value.earned;
@@ -115,14 +115,15 @@
 
 impl SimulationMetrics {
     /// The metrics of a run.
-    pub fn new(scenario: &Scenario, run: &Run) -> SimulationMetrics {
+    pub fn new(scenario: &FailoverScenario, run: &FailoverRun) -> SimulationMetrics {
         let seconds = value_by_second(scenario, run);
         let last_return = run.windows.iter().map(|window| window.at - window.after).max();
-        let is_delivered = |message: &&Message| matches!(message.answer, Some((FinalOutcome::Delivered, _)));
+        let is_delivered =
+            |message: &&MessageHistory| matches!(message.answer, Some((FinalOutcome::Delivered, _)));
         let delivered = run.messages.iter().filter(is_delivered).count();
-        let most = |of: fn(&Window) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
-        let is_over_bound = |window: &&Window| f64::from(window.received) > window.bound.max(1.0);
-        let audit = &run.audit;
+        let most = |of: fn(&RecoveryWindow) -> f64| run.windows.iter().map(of).fold(0.0, f64::max);
+        let is_over_bound = |window: &&RecoveryWindow| f64::from(window.received) > window.bound.max(1.0);
+        let audit = &run.violations;
         SimulationMetrics {
             messages: run.messages.len(),
             delivered: delivered as f64 / run.messages.len().max(1) as f64,
@@ -135,8 +136,8 @@
             worst_of_capacity: most(|window| f64::from(window.received) / window.capacity.max(1.0)),
             worst_spill: worst_spill(scenario, run),
             spill_excess: spill_excess(scenario, run),
-            spilled: run.seconds.iter().map(|second| u64::from(second.spilt)).sum(),
-            violations: audit.broken(),
+            spilled: run.seconds.iter().map(|second| u64::from(second.spilled)).sum(),
+            violations: audit.total(),
             violations_by_kind: [
                 audit.unanswered,
                 audit.late_or_untrue,
@@ -152,8 +153,8 @@
 }
 
 /// The spill share of each destination, in the order of their numbers.
-fn spill_shares(scenario: &Scenario) -> Vec<f64> {
-    let destinations = scenario.bank.values();
+fn spill_shares(scenario: &FailoverScenario) -> Vec<f64> {
+    let destinations = scenario.destinations.values();
     destinations
         .flat_map(|destination| std::iter::repeat_n(destination.spill_share, destination.copies))
         .collect()
@@ -171,21 +172,25 @@
 }
 
 /// Spill of each second against the share of what was wanted then, over all destinations that spilled at all.
-fn worst_spill(scenario: &Scenario, run: &Run) -> f64 {
+fn worst_spill(scenario: &FailoverScenario, run: &FailoverRun) -> f64 {
     let shares = spill_shares(scenario);
-    let spilling: BTreeSet<u32> =
-        run.messages.iter().filter(|message| message.spilt.is_some()).map(|message| message.bank).collect();
+    let spilling: BTreeSet<u32> = run
+        .messages
+        .iter()
+        .filter(|message| message.spilled_at.is_some())
+        .map(|message| message.destination)
+        .collect();
     let mut seconds = vec![SpillSecond::default(); run.seconds.len() + 1];
-    for message in run.messages.iter().filter(|message| spilling.contains(&message.bank)) {
+    for message in run.messages.iter().filter(|message| spilling.contains(&message.destination)) {
         let completed_at = message.answer.map_or(message.deadline, |(_, at)| at);
-        let until = message.spilt.map_or(completed_at, |at| at.min(completed_at));
-        for second in message.handed.as_secs()..=until.as_secs() {
+        let until = message.spilled_at.map_or(completed_at, |at| at.min(completed_at));
+        for second in message.submitted_at.as_secs()..=until.as_secs() {
             if let Some(second) = seconds.get_mut(second as usize) {
-                second.permitted += shares[message.bank as usize];
+                second.permitted += shares[message.destination as usize];
                 second.wanted += 1.0;
             }
         }
-        if let Some(second) = message.spilt.and_then(|at| seconds.get_mut(at.as_secs() as usize)) {
+        if let Some(second) = message.spilled_at.and_then(|at| seconds.get_mut(at.as_secs() as usize)) {
             second.spilled += 1.0;
         }
     }
@@ -194,18 +199,18 @@
 }
 
 /// By how much a gateway's spill for a destination was above its share of what it accepted since the first fault.
-fn spill_excess(scenario: &Scenario, run: &Run) -> f64 {
+fn spill_excess(scenario: &FailoverScenario, run: &FailoverRun) -> f64 {
     let shares = spill_shares(scenario);
-    let first_fault = scenario.trouble.values().map(|fault| fault.at).fold(f64::INFINITY, f64::min);
+    let first_fault = scenario.faults.values().map(|fault| fault.at).fold(f64::INFINITY, f64::min);
     let longest = scenario.class.values().map(|class| class.deadline).fold(0.0, f64::max);
     // Times at which a message was submitted (false) or spilled (true), by gateway and destination.
     let mut events: BTreeMap<(u32, u32), Vec<(Duration, bool)>> = BTreeMap::new();
     for message in &run.messages {
         // What was submitted shortly before may have waited still.
-        if message.handed.as_secs_f64() >= first_fault - longest {
-            let events = events.entry((message.courier, message.bank)).or_default();
-            events.push((message.handed, false));
-            events.extend(message.spilt.map(|at| (at, true)));
+        if message.submitted_at.as_secs_f64() >= first_fault - longest {
+            let events = events.entry((message.instance, message.destination)).or_default();
+            events.push((message.submitted_at, false));
+            events.extend(message.spilled_at.map(|at| (at, true)));
         }
     }
     let mut most = 0.0_f64;
--- a/crates/testbench/tests/fleet.rs
+++ b/crates/testbench/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! A small fleet of real processes on loopback: gateways killed, endpoints replaced, traffic bursts. Checked from what
 //! passed on the sockets of the load harness.
 
-use cloverstile_simulator::{read_spread, Scene};
+use cloverstile_simulator::{read_load_balance_scenario, LoadBalanceScenario};
 use cloverstile_testbench::fleet::play_fleet;
 use cloverstile_testbench::load_report::LoadReport;
 use std::path::Path;
@@ -10,7 +10,7 @@
 /// Its subcommand `node` is what `cloverstile node` runs.
 const PROGRAM: &str = env!("CARGO_BIN_EXE_cloverstile-testbench");
 
-fn scenario(seconds: f64, rate: f64, faults: &str) -> Scene {
+fn scenario(seconds: f64, rate: f64, faults: &str) -> LoadBalanceScenario {
     let text = format!(
         r#"
         couriers = 6
@@ -45,7 +45,7 @@
         {faults}
         "#
     );
-    read_spread(&text).expect("the scenario is valid")
+    read_load_balance_scenario(&text).expect("the scenario is valid")
 }
 
 /// Every process was killed by the test or exited successfully, and no invariant was violated.
@@ -66,7 +66,7 @@
         }"#;
     let scenario = scenario(4.0, 100.0, faults);
     let run = play_fleet(&scenario, Path::new(PROGRAM), 1).expect("it can be played");
-    assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
+    assert_eq!(run.violations.total(), 0, "{:?}", run.violations);
     let report = LoadReport::new(&scenario, &run, 1, Duration::ZERO);
     assert_eq!(report.answered, report.messages);
     assert!(report.messages > 250, "{report:?}");
@@ -90,9 +90,9 @@
         }"#;
     let scenario = scenario(4.0, 100.0, burst);
     let run = play_fleet(&scenario, Path::new(PROGRAM), 2).expect("it can be played");
-    assert_eq!(run.audit.broken(), 0, "{:?}", run.audit);
+    assert_eq!(run.violations.total(), 0, "{:?}", run.violations);
     let report = LoadReport::new(&scenario, &run, 2, Duration::ZERO);
-    assert!(run.record.stays.len() > 30, "nobody waited: not the case that is tested");
+    assert!(run.record.waiting_intervals.len() > 30, "nobody waited: not the case that is tested");
     assert!(report.limit_use_while_waiting > 0.5, "{report:?}");
     assert_eq!(report.answered, report.messages);
 }
--- a/crates/testbench/tests/simulated_zone_loss.rs
+++ b/crates/testbench/tests/simulated_zone_loss.rs
@@ -1,12 +1,12 @@
 //! Hard cases of losing and regaining a zone, on virtual time: no invariant violated, spillover inside its share,
 //! recoveries inside what a site survives.
 
-use cloverstile_simulator::{play, read, PolicyKind, BUILT_IN};
+use cloverstile_simulator::{read_failover_scenario, simulate_failover, SpilloverPolicy, FAILOVER_SCENARIOS};
 use cloverstile_testbench::simulation_metrics::SimulationMetrics;
 
 /// The built-in scenario of a surge, scaled down, with other faults.
 fn surge(gateways: usize, rate: f64, faults: &str) -> SimulationMetrics {
-    let (_, text) = BUILT_IN.iter().find(|(name, _)| *name == "surge").unwrap();
+    let (_, text) = FAILOVER_SCENARIOS.iter().find(|(name, _)| *name == "surge").unwrap();
     let begins = text.find("trouble").unwrap();
     let text = format!("{}{faults}", &text[..begins])
         .replace("couriers = 8", &format!("couriers = {gateways}"))
@@ -14,10 +14,10 @@
         .replace("seconds  = 40", "seconds = 30")
         .replace("servers   = 12", "servers = 5")
         .replace("servers = 5\n  }\n}", "servers = 3\n  }\n}");
-    let scenario = read(&text).unwrap();
-    let run = play(&scenario, PolicyKind::Planner, 7);
+    let scenario = read_failover_scenario(&text).unwrap();
+    let run = simulate_failover(&scenario, SpilloverPolicy::Planner, 7);
     let metrics = SimulationMetrics::new(&scenario, &run);
-    assert_eq!(metrics.violations, 0, "{:?}", run.audit);
+    assert_eq!(metrics.violations, 0, "{:?}", run.violations);
     assert_eq!(metrics.windows_over_bound, 0, "{metrics:?}");
     // A share of the demand; a whole message cannot be split.
     assert!(metrics.worst_spill <= 1.05, "{metrics:?}");
