--- a/crates/simulator/src/failover/scenario.rs
+++ b/crates/simulator/src/failover/scenario.rs
@@ -1,62 +1,44 @@
-//! Scenarios: HCL in, instances, banks, classes and troubles out. Times are in seconds, rates in a second.
+//! Failover scenarios, read from HCL: instances, destinations, classes and faults. Times are in seconds, rates
+//! per second.
 
-use cloverstile::{Class, Effect, Group, Rules};
+use crate::scenario::{longest_retry_window, one, span, ClassSpec, RuleSpec, ScenarioError};
 use cloverstile_fakes::model::{Fault, ServerProfile};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-/// A scenario that can't be played.
-#[derive(Debug, thiserror::Error)]
-pub enum ScenarioError {
-    /// Not read.
-    #[error("scenario: {0}; see docs/laboratory.md for what may stand there")]
-    Read(String),
-    /// A block names what is not there, or asks for what can't be.
-    #[error("scenario: {block} \"{name}\": {what}")]
-    Block {
-        /// Kind of block.
-        block: &'static str,
-        /// Its name.
-        name: String,
-        /// Event is wrong.
-        what: String,
-    },
-}
-
-/// A scenario.
+/// A failover scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FailoverScenario {
     /// Gateways.
     #[serde(rename = "couriers")]
     pub instances: usize,
-    /// Messages are submitted for so long; what is left is answered afterwards.
+    /// Messages are submitted for so long; the run lasts until the rest is completed.
     pub seconds: f64,
     /// Messages a second from all clients together.
     pub rate: f64,
-    /// Unevenness of the instances' load: instance n gets a part that goes by `1 / (n + 1) ^ skew`.
+    /// Skew of the load of instances: instance n gets a share in proportion to `1 / (n + 1) ^ skew`.
     #[serde(default)]
     pub skew: f64,
-    /// Calls out at once from a instance.
+    /// Concurrency limit of an instance, in requests in flight.
     #[serde(default = "call_slots")]
     pub call_slots: usize,
-    /// Messages that a instance holds.
+    /// Most messages that an instance queues.
     #[serde(default = "most_held")]
     pub most_held: usize,
-    /// Least time on the way between instance and site, and the mean of what chance adds, in milliseconds.
+    /// One-way network delay: its least value and the mean of its random part, in milliseconds.
     #[serde(default = "network_delay_ms", rename = "way_ms")]
     pub network_delay_ms: [f64; 2],
     /// Class blocks, by name.
     pub class: BTreeMap<String, ClassSpec>,
-    /// Bank blocks, by name.
+    /// Destination blocks, by name.
     #[serde(rename = "bank")]
     pub destinations: BTreeMap<String, DestinationSpec>,
-    /// Event goes wrong, by a name for people.
+    /// Faults, by a descriptive name.
     #[serde(default)]
     #[serde(rename = "trouble")]
     pub faults: BTreeMap<String, FailoverFaultSpec>,
-    /// Figures of the rules.
+    /// Parameters of the platform's rules.
     #[serde(default)]
     pub rules: RuleSpec,
 }
@@ -73,102 +55,11 @@
     [0.5, 0.5]
 }
 
-/// Figures of the rules; see [`Rules`].
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct RuleSpec {
-    /// An answer counts so long after the deadline.
-    pub answer_slack: f64,
-    /// Nothing new to a draining endpoint so long after it was told.
-    pub drain_grace: f64,
-    /// A key rests so long after an attempt of unknown fate.
-    pub order_settle: f64,
-    /// A site comes back with this share of its capacity ...
-    pub cold_from: f64,
-    /// ... and is warm after so long.
-    pub cold: f64,
-    /// Event it survives meanwhile, as a multiple of what it can do ...
-    pub tip_multiple: f64,
-    /// ... over so long.
-    pub fall: f64,
-}
-
-impl Default for RuleSpec {
-    fn default() -> Self {
-        RuleSpec {
-            answer_slack: 0.2,
-            drain_grace: 0.3,
-            order_settle: 0.5,
-            cold_from: 0.2,
-            cold: 10.0,
-            tip_multiple: 2.0,
-            fall: 2.0,
-        }
-    }
-}
-
-/// A class of message.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ClassSpec {
-    /// Share of the messages.
-    pub share: f64,
-    /// `safe`, `keyed` or `unsafe`.
-    pub effect: String,
-    /// `all` or `zone`.
-    #[serde(default = "all")]
-    pub group: String,
-    /// Keeps its order by key.
-    #[serde(default)]
-    pub in_order: bool,
-    /// Keys of each bank, for classes in order.
-    #[serde(default = "keys")]
-    pub keys: u32,
-    /// Wanted within.
-    pub aim: f64,
-    /// Given up after.
-    pub deadline: f64,
-    /// Repeats are dropped for so long.
-    #[serde(default)]
-    pub window: f64,
-    /// Worth of one on time.
-    #[serde(default = "one")]
-    pub worth: f64,
-    /// Share of the worth that is left at the deadline.
-    #[serde(default = "late_share")]
-    pub late_share: f64,
-}
-
-impl ClassSpec {
-    /// Worth of a message delivered at this age, in seconds: all of it within the aim, then falling evenly to
-    /// `late_share` at the deadline.
-    pub fn worth_at(&self, age: f64) -> f64 {
-        let late = ((age - self.aim) / (self.deadline - self.aim).max(0.001)).clamp(0.0, 1.0);
-        self.worth * (1.0 - (1.0 - self.late_share) * late)
-    }
-}
-
-fn all() -> String {
-    "all".into()
-}
-
-fn keys() -> u32 {
-    200
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-fn late_share() -> f64 {
-    0.3
-}
-
-/// A bank, or many that are alike.
+/// A destination, or several equal ones.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DestinationSpec {
-    /// So many of them.
+    /// Number of equal ones.
     #[serde(default = "one_copy")]
     pub copies: usize,
     /// Share of the messages, of all copies together.
@@ -198,31 +89,31 @@
     10.0
 }
 
-/// A site of a bank.
+/// A site of a destination.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct SiteSpec {
-    /// Its place in the bank's order of preference, from 0; two sites may not share one.
+    /// Its tier in the destination's order of preference, from 0; two sites may not share one.
     pub tier: usize,
-    /// The place where it stands, shared by all sites of that name; left out, the sites of this block, of all
-    /// copies of the bank, stand in a place of their own.
+    /// Its zone, shared by all sites of that zone name; left out, the sites of this block, of all
+    /// copies of the destination, are in a zone of their own.
     #[serde(default)]
     pub zone: Option<String>,
-    /// Its addresses.
+    /// Number of its endpoints.
     #[serde(default = "two")]
     pub endpoints: usize,
-    /// Calls served at once.
+    /// Requests served concurrently.
     pub servers: usize,
-    /// Calls that may wait.
+    /// Requests that may queue.
     #[serde(default = "queue")]
     pub queue: usize,
-    /// Least time of a call and the mean of what chance adds, in milliseconds.
+    /// Service time: its least value and the mean of its random part, in milliseconds.
     #[serde(default = "service")]
     pub service_ms: [f64; 2],
-    /// Calls a second that it takes from all instances together.
+    /// Rate limit over all instances together, in requests per second.
     #[serde(default)]
     pub limit: Option<f64>,
-    /// Refusals tell how long to wait.
+    /// Rejections carry a `Retry-After`.
     #[serde(default)]
     pub tells_wait: bool,
 }
@@ -239,35 +130,35 @@
     [8.0, 12.0]
 }
 
-/// Something that goes wrong.
+/// A fault.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct FailoverFaultSpec {
-    /// When it begins; moved by chance within `sway`.
+    /// Beginning; delayed at random within `sway`.
     pub at: f64,
     /// How long it lasts.
     #[serde(default = "one")]
     pub lasts: f64,
-    /// Seconds by which chance may move its beginning.
+    /// Most by which the beginning is delayed at random, in seconds.
     #[serde(default)]
     pub sway: f64,
-    /// It comes so often ...
+    /// Number of its occurrences.
     #[serde(default = "once")]
     pub times: u32,
-    /// ... at this distance from beginning to beginning.
+    /// Time from the beginning of one occurrence to that of the next.
     #[serde(default)]
     pub every: f64,
-    /// Banks affected_partners; all copies together. None: every bank that has the tier.
+    /// Destination block that it affects, all copies together. None: every destination that has the tier.
     #[serde(default)]
     #[serde(rename = "bank")]
     pub destination: Option<String>,
-    /// Tier affected_partners.
+    /// Tier affected.
     #[serde(default)]
     pub tier: usize,
-    /// Endpoints of the site that `part` and `drain` fault.
+    /// Number of the site's endpoints that `part` and `drain` affect.
     #[serde(default = "one_copy")]
     pub endpoints: usize,
-    /// Gateways that `restart` scheduled_faults, from the first.
+    /// Gateways that `restart` affects, from the first.
     #[serde(default = "one_copy")]
     #[serde(rename = "couriers")]
     pub instances: usize,
@@ -283,23 +174,23 @@
     1
 }
 
-/// Event a trouble does.
+/// Kind of a fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum FailoverFault {
     /// A fault of the whole site.
     Fault(Fault),
     /// Some endpoints refuse connections.
     Part,
-    /// Some endpoints are told as draining.
+    /// Some endpoints are listed as draining.
     Drain,
-    /// Some instances are lost and start again, knowing nothing.
+    /// Some instances are lost and restart without their state.
     Restart,
     /// Traffic is multiplied.
     Burst,
 }
 
 impl FailoverFaultSpec {
-    /// Event it does; none if the kind is not known.
+    /// Its kind; none if the kind is not known.
     pub fn fault_kind(&self) -> Option<FailoverFault> {
         match self.kind.as_str() {
             "part" => Some(FailoverFault::Part),
@@ -311,7 +202,7 @@
     }
 }
 
-/// Reads a scenario and checks it.
+/// Reads and validates a failover scenario.
 pub fn read_failover_scenario(text: &str) -> Result<FailoverScenario, ScenarioError> {
     let scenario: FailoverScenario =
         hcl::from_str(text).map_err(|error| ScenarioError::Read(error.to_string()))?;
@@ -319,10 +210,6 @@
     Ok(scenario)
 }
 
-fn span(seconds: f64) -> Duration {
-    Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
-}
-
 impl FailoverScenario {
     fn check(&self) -> Result<(), ScenarioError> {
         let positive = |name: &str, ok: bool| match ok {
@@ -372,7 +259,7 @@
         Ok(())
     }
 
-    /// Endpoints of all banks together.
+    /// Number of endpoints of all destinations together.
     pub fn endpoints(&self) -> usize {
         self.destinations
             .values()
@@ -380,50 +267,18 @@
             .sum()
     }
 
-    /// The classes as the module wants them, in the order of their names.
-    pub fn classes(&self) -> Vec<Class> {
-        let class = |spec: &ClassSpec| Class {
-            latency_objective: span(spec.aim),
-            deadline: span(spec.deadline),
-            effect: match spec.effect.as_str() {
-                "safe" => Effect::Safe,
-                "keyed" => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            group: if spec.group == "zone" { Group::Zone } else { Group::All },
-            retry_window: span(spec.window),
-            ordered: spec.in_order,
-            priority_weight: spec.worth,
-            late_value_ratio: spec.late_share,
-        };
-        self.class.values().map(class).collect()
-    }
-
-    /// Event the instances are told of the rules.
-    pub fn rules(&self) -> Rules {
-        let rules = &self.rules;
-        Rules {
-            answer_grace: span(rules.answer_slack),
-            warm_up_capacity: rules.cold_from,
-            warm_up_time: span(rules.cold),
-            overload_multiple: rules.tip_multiple,
-            overload_window: span(rules.fall),
-            key_cooldown: span(rules.order_settle),
-            discovery_interval: span(10.0),
-        }
-    }
-
-    /// Event a site is like.
+    /// The server profile of a site.
     pub fn nature(&self, site: &SiteSpec) -> ServerProfile {
-        let longest = self.class.values().map(|class| class.window).fold(0.0, f64::max);
         ServerProfile {
             servers: site.servers,
             queue: site.queue,
-            service: (span(site.service_ms[0] / 1e3), span(site.service_ms[1] / 1e3)),
+            min_service_time: span(site.service_ms[0] / 1e3),
+            mean_extra_service_time: span(site.service_ms[1] / 1e3),
             limit: site.limit,
             sends_retry_after: site.tells_wait,
-            repeat_window: span(longest),
-            cold: (self.rules.cold_from, span(self.rules.cold)),
+            repeat_window: longest_retry_window(&self.class),
+            initial_capacity_share: self.rules.cold_from,
+            warm_up_time: span(self.rules.cold),
             collapse_multiple: self.rules.tip_multiple,
             collapse_window: span(self.rules.fall),
         }
--- a/crates/testbench/src/recovery_windows.rs
+++ b/crates/testbench/src/recovery_windows.rs
@@ -61,7 +61,7 @@
     let profile = &partner.profile;
     let last = lines.last().map_or(returned_at, |line| line.at);
     let recorded = Duration::from_micros(last.saturating_sub(returned_at));
-    let measured = profile.cold.1.mul_f64(MEASURED_WARM_UPS).min(recorded);
+    let measured = profile.warm_up_time.mul_f64(MEASURED_WARM_UPS).min(recorded);
     let mut received = vec![0_u32; (measured.as_nanos() / WINDOW.as_nanos()) as usize];
     for line in lines.iter().filter(|line| line.at >= returned_at) {
         let ObservedEvent::RequestReceived { partner: receiver, endpoint, .. } = &line.event else {
--- a/crates/testbench/src/scenario/cluster.rs
+++ b/crates/testbench/src/scenario/cluster.rs
@@ -59,18 +59,20 @@
 }
 
 fn partner_spec(name: &str, partner: &PartnerSettings, rules: &RuleSettings) -> PartnerSpec {
-    let [least, mean_extra] = partner.service_ms.map(Duration::from_millis);
+    let [min_service_time, mean_extra_service_time] = partner.service_ms.map(Duration::from_millis);
     PartnerSpec {
         name: name.to_owned(),
         kind: format!("batch-{}", partner.batch),
         profile: ServerProfile {
             servers: partner.servers,
             queue: partner.queue,
-            service: (least, mean_extra),
+            min_service_time,
+            mean_extra_service_time,
             limit: partner.limit,
             sends_retry_after: partner.sends_retry_after,
             repeat_window: Duration::from_secs_f64(partner.deduplication_s),
-            cold: (rules.initial_capacity_share, Duration::from_millis(rules.warm_up_ms)),
+            initial_capacity_share: rules.initial_capacity_share,
+            warm_up_time: Duration::from_millis(rules.warm_up_ms),
             collapse_multiple: rules.overload_multiple,
             collapse_window: Duration::from_millis(rules.overload_window_ms),
         },
