--- /dev/null
+++ b/crates/testbench/src/scenario.rs
@@ -0,0 +1,49 @@
+//! Fault scenarios over sockets: HCL in; partners, messages and fault events out.
+
+mod cluster;
+mod error;
+mod faults;
+mod settings;
+mod traffic;
+
+pub use error::ScenarioError;
+pub use faults::{FaultEvent, ScheduledFault};
+pub use settings::{ClassSettings, FaultScenario, FaultSettings, PartnerSettings, RuleSettings};
+
+/// Scenarios that come with the program, by name.
+pub const BUILT_IN: [(&str, &str); 4] = [
+    ("payday", include_str!("../days/payday.hcl")),
+    ("quiet", include_str!("../days/quiet.hcl")),
+    ("zone", include_str!("../days/zone.hcl")),
+    ("receipts", include_str!("../days/receipts.hcl")),
+];
+
+/// Reads a scenario.
+///
+/// # Errors
+/// The text is no HCL, a value is missing or out of its range, or a fault names what does not exist.
+pub fn read(text: &str) -> Result<FaultScenario, ScenarioError> {
+    let scenario: FaultScenario =
+        hcl::from_str(text).map_err(|error| ScenarioError::Invalid(error.to_string()))?;
+    if scenario.messages == 0
+        || scenario.rate <= 0.0
+        || scenario.gateways == 0
+        || scenario.classes.is_empty()
+        || scenario.partners.is_empty()
+    {
+        let needed = "messages, rate, couriers, a class and a partner are needed";
+        return Err(ScenarioError::Invalid(needed.into()));
+    }
+    scenario.fault_schedule()?;
+    // The zones of a fake partner do not know each other's keys. A class that says they do would take effect twice as
+    // soon as a message changes its zone, and the invariant checker would blame the gateways.
+    let shared = |class: &ClassSettings| class.effect == "keyed" && class.group == "all";
+    if scenario.partners.values().any(PartnerSettings::has_several_zones)
+        && scenario.classes.values().any(shared)
+    {
+        let reason =
+            "a partner has several zones, which drop repeats apart: keyed classes need group = \"zone\"";
+        return Err(ScenarioError::Invalid(reason.into()));
+    }
+    Ok(scenario)
+}
