--- a/crates/testbench/src/fleet/faults.rs
+++ b/crates/testbench/src/fleet/faults.rs
@@ -25,10 +25,10 @@
             LoadBalanceFault::Silent => self.fail_endpoints(now, &endpoints, EndpointFault::Silent, begins),
             LoadBalanceFault::Slow => self.fail_endpoints(now, &endpoints, EndpointFault::Slow, begins),
             LoadBalanceFault::Burst => {
-                self.traffic.multiply(&partners, if begins { fault.size } else { 1.0 })
+                self.traffic.multiply(&partners, if begins { fault.size } else { 1.0 });
             }
             LoadBalanceFault::Limit => {
-                self.multiply_limits(now, &partners, if begins { fault.size } else { 1.0 })
+                self.multiply_limits(now, &partners, if begins { fault.size } else { 1.0 });
             }
             LoadBalanceFault::Still => self.sites.freeze_reports(begins),
             LoadBalanceFault::SlowFor => {
@@ -39,7 +39,7 @@
             }
             LoadBalanceFault::Replace => self.shut_replaced_endpoints(now),
             LoadBalanceFault::Restart if begins => {
-                self.kill_gateways(now, self.share_of_gateways(fault.size))
+                self.kill_gateways(now, self.share_of_gateways(fault.size));
             }
             LoadBalanceFault::Restart => {}
         }
