--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,10 +1,10 @@
 //! The wire page's byte examples, a round trip for every record, and bad input.
 
 #[path = "../src/bin/cloverstile-sim-adapter/host.rs"]
-#[allow(dead_code)]
+#[allow(dead_code, reason = "the tests use only a part of the adapter")]
 mod host;
 #[path = "../src/bin/cloverstile-sim-adapter/wire.rs"]
-#[allow(dead_code)]
+#[allow(dead_code, reason = "the tests use only a part of the adapter")]
 mod wire;
 
 use std::io::Write;
