Simulator: one constructor of a gateway instead of its fields twice

Change: Gateway::new; behaviour as it was. Measured: cargo clippy -D warnings and cargo test of cloverstile-simulator, 9 passed.

--- a/crates/simulator/src/load_balance/simulation/gateways.rs
+++ b/crates/simulator/src/load_balance/simulation/gateways.rs
@@ -61,17 +61,7 @@
                 Client::BaselineClient(Box::new(BaselineClient::new(settings, seed)))
             }
         };
-        let mut gateway = Gateway {
-            client,
-            epoch: 0,
-            wake: None,
-            waits: HashMap::new(),
-            held: HashMap::new(),
-            holds: Vec::new(),
-            idle: HashMap::new(),
-            received_updates: 0,
-            down: false,
-        };
+        let mut gateway = Gateway::new(client);
         self.update_list(&mut gateway);
         gateway
     }
@@ -383,18 +373,10 @@
 }
 
 impl Gateway {
-    /// Placeholder while a gateway is being changed.
-    fn placeholder() -> Gateway {
-        let settings = BaselineSettings {
-            number: 0,
-            instances: 1,
-            choice: EndpointSelection::Random,
-            limiter: Limiter::None,
-            slots: 0,
-            held: 0,
-        };
+    /// A gateway that has just started: nothing queued, nothing learned.
+    fn new(client: Client) -> Gateway {
         Gateway {
-            client: Client::BaselineClient(Box::new(BaselineClient::new(settings, 0))),
+            client,
             epoch: 0,
             wake: None,
             waits: HashMap::new(),
@@ -405,4 +387,17 @@
             down: false,
         }
     }
+
+    /// Placeholder while a gateway is being changed.
+    fn placeholder() -> Gateway {
+        let settings = BaselineSettings {
+            number: 0,
+            instances: 1,
+            choice: EndpointSelection::Random,
+            limiter: Limiter::None,
+            slots: 0,
+            held: 0,
+        };
+        Gateway::new(Client::BaselineClient(Box::new(BaselineClient::new(settings, 0))))
+    }
 }
