--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -15,6 +15,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tracing::debug;
 
 /// Most bytes read in one poll from all connections, and one connection's more. Guards against memory that many fast
 /// peers take together: what is read stands in events until it is handled. The rest is read in the next poll.
@@ -306,6 +307,9 @@
         self.bytes_read += read.bytes.len();
         if let ConnectionState::Lingering { discarded } = &mut connection.state {
             *discarded += read.bytes.len();
+            if !read.bytes.is_empty() {
+                debug!(connection = id.0, bytes = read.bytes.len(), "bytes discarded behind our close");
+            }
             if *discarded > MAX_DISCARDED_BYTES {
                 self.close(id);
             }
