--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -26,11 +26,19 @@
     Connecting,
     /// It carries bytes in both directions.
     Open,
-    /// Closed by its owner and on our side; what the peer still sends is discarded.
-    Lingering {
-        /// Bytes discarded so far.
-        discarded: usize,
-    },
+    /// Closed by its owner and on our side; what the peer still sends is left unread.
+    Lingering,
+}
+
+/// Whether a connection is read from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadState {
+    /// What arrives is read at once.
+    Active,
+    /// Its owner wants no bytes for now.
+    Paused,
+    /// Never again: its owner has closed it, or its peer has ended its sending.
+    Ended,
 }
 
 /// How the peer's side of a connection ended.
@@ -71,8 +79,10 @@
     pub token: RegistrationToken,
     /// How far it has come.
     pub state: ConnectionState,
-    /// Its owner wants no bytes for now.
-    pub read_paused: bool,
+    /// Whether it is read from.
+    pub read_state: ReadState,
+    /// It stays open for writing when its peer ends its sending.
+    pub half_open: bool,
     /// Its owner has closed it: it ends once all queued bytes are written.
     pub close_after_flush: bool,
     output: OutputBuffer,
@@ -86,8 +96,16 @@
         token: RegistrationToken,
         state: ConnectionState,
     ) -> Self {
-        let output = OutputBuffer::default();
-        Connection { stream, source, token, state, read_paused: false, close_after_flush: false, output }
+        Connection {
+            stream,
+            source,
+            token,
+            state,
+            read_state: ReadState::Active,
+            half_open: false,
+            close_after_flush: false,
+            output: OutputBuffer::default(),
+        }
     }
 
     /// Whether it is still being established.
@@ -97,7 +115,7 @@
 
     /// Whether its owner has closed it and only its peer's end is awaited.
     pub fn is_lingering(&self) -> bool {
-        matches!(self.state, ConnectionState::Lingering { .. })
+        self.state == ConnectionState::Lingering
     }
 
     /// Queues bytes for writing.
@@ -113,7 +131,7 @@
     /// What the event loop should report of it.
     pub fn interest(&self) -> Interest {
         let writable = self.is_connecting() || self.unsent_bytes() > 0;
-        let readable = !self.is_connecting() && !self.read_paused;
+        let readable = self.state == ConnectionState::Open && self.read_state == ReadState::Active;
         Interest { readable, writable }
     }
 
--- a/crates/net/src/event.rs
+++ b/crates/net/src/event.rs
@@ -29,6 +29,9 @@
     Bytes(ConnId, Vec<u8>),
     /// All queued bytes have been handed to the system.
     Flushed(ConnId),
+    /// The peer has ended its sending and may still read; only on connections of a listener that is half-open. Its owner
+    /// closes the connection once it has replied.
+    PeerFinished(ConnId),
     /// The peer closed, or the connection broke; its id is no longer valid.
     Closed {
         /// The connection.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -8,7 +8,7 @@
 //! | `event` | ids of connections and listeners, and the events of a poll |
 //! | `connection` | one connection: its state, its queued bytes, reading and writing |
 //! | `listener` | one listening socket, paused while the process is out of descriptors |
-//! | `lingering` | closed connections that are read from until their peers have closed too |
+//! | `lingering` | closed connections that are held, unread, until their peers have closed too |
 //! | `readiness` | what the event loop reports of one source |
 //! | `net` | all connections of one thread, and the poll of their event loop |
 #![forbid(unsafe_code)]
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -20,6 +20,8 @@
     pub token: RegistrationToken,
     /// Out of descriptors: not watched until one may be free.
     pub paused: bool,
+    /// Its connections stay open for writing when their peers end their sending.
+    pub half_open: bool,
 }
 
 /// Binds a non-blocking listening socket.
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -1,8 +1,8 @@
 //! All connections of one thread, and the poll of their event loop.
 
-use crate::connection::{start_connect, Connection, ConnectionState, StreamEnd};
+use crate::connection::{start_connect, Connection, ConnectionState, ReadState, StreamEnd};
 use crate::event::{ConnId, ListenerId, NetEvent};
-use crate::lingering::{LingerQueue, MAX_DISCARDED_BYTES};
+use crate::lingering::LingerQueue;
 use crate::listener::{self, Listener, LISTENER_PAUSE};
 use crate::readiness::{Ready, ReadyList};
 use calloop::generic::Generic;
@@ -15,7 +15,6 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::debug;
 
 /// Most bytes read in one poll from all connections, and one connection's more. Guards against memory that many fast
 /// peers take together: what is read stands in events until it is handled. The rest is read in the next poll.
@@ -113,10 +112,18 @@
             Ok(PostAction::Continue)
         };
         let token = self.handle.insert_source(source, on_ready).map_err(other)?;
-        self.listeners.insert(id, Listener { socket, token, paused: false });
+        self.listeners.insert(id, Listener { socket, token, paused: false, half_open: false });
         Ok((id, bound))
     }
 
+    /// Connections that a listener accepts from here on stay open for writing when their peers end their sending, which
+    /// is reported as [`NetEvent::PeerFinished`]: a client may wait for its reply behind the end of its requests.
+    pub fn set_half_open(&mut self, id: ListenerId) {
+        if let Some(listener) = self.listeners.get_mut(&id) {
+            listener.half_open = true;
+        }
+    }
+
     /// Stops listening: further connections are refused. Those that the system took for us are accepted first: they
     /// would be reset with the listener.
     pub fn stop_listening(&mut self, id: ListenerId) {
@@ -174,25 +181,32 @@
 
     /// Stops or resumes reading from a connection.
     pub fn pause(&mut self, id: ConnId, paused: bool) {
-        if let Some(connection) = self.connections.get_mut(&id) {
-            if connection.read_paused != paused {
-                connection.read_paused = paused;
-                self.update_interest(id);
-            }
+        let wanted = if paused { ReadState::Paused } else { ReadState::Active };
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.read_state != wanted && connection.read_state != ReadState::Ended {
+            connection.read_state = wanted;
+            self.update_interest(id);
         }
     }
 
     /// Closes a connection once all queued bytes have been written. No event follows.
     ///
-    /// Our side is closed then, and what the peer still sends is read and discarded for a moment, until it closes too.
-    /// Guards against a reset: closing with bytes unread sends one, and it overtakes the response that the peer has not
-    /// read yet.
+    /// From this call on nothing is read from it: what still arrives was not taken, and its sender learns so by an end
+    /// without a reply. Our side is shut down behind the queued bytes, and the socket is held for a moment, until the
+    /// peer has closed too. Guards against a reset that overtakes the reply: closing with bytes unread sends one.
     pub fn close_after_flush(&mut self, id: ConnId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
+        if connection.close_after_flush {
+            return;
+        }
         connection.close_after_flush = true;
+        connection.read_state = ReadState::Ended;
         if connection.unsent_bytes() == 0 && !connection.is_connecting() {
-            self.start_lingering(id);
+            return self.start_lingering(id);
         }
+        self.lingering.start_flush(id);
+        self.update_interest(id);
+        self.close_expired_lingering(None);
     }
 
     fn start_lingering(&mut self, id: ConnId) {
@@ -204,9 +218,8 @@
         if connection.stream.shutdown(Shutdown::Write).is_err() {
             return self.close(id);
         }
-        connection.state = ConnectionState::Lingering { discarded: 0 };
-        connection.read_paused = false;
-        self.lingering.push(id);
+        connection.state = ConnectionState::Lingering;
+        self.lingering.start_linger(id);
         self.update_interest(id);
         self.close_expired_lingering(None);
     }
@@ -226,12 +239,12 @@
 
     /// Connections closed by [`Net::close_after_flush`] that have bytes to write, or whose peers have not closed yet.
     pub fn lingering_count(&self) -> usize {
-        self.connections.values().filter(|connection| connection.close_after_flush).count()
+        self.lingering.len()
     }
 
     /// Closes what has lingered long enough, and the oldest where there are too many.
     fn close_expired_lingering(&mut self, now: Option<Instant>) {
-        while let Some(id) = self.lingering.pop_expired(now, |id| self.connections.contains_key(&id)) {
+        while let Some(id) = self.lingering.pop_expired(now) {
             self.close(id);
         }
     }
@@ -240,6 +253,7 @@
     pub fn close(&mut self, id: ConnId) {
         if let Some(connection) = self.connections.remove(&id) {
             self.handle.remove(connection.token);
+            self.lingering.remove(id);
         }
     }
 
@@ -262,8 +276,8 @@
     }
 
     fn on_ended(&mut self, id: ConnId, end: StreamEnd) {
-        // Nothing is reported of one that is closed already, also where it only lingers.
-        let is_reported = self.is_open(id);
+        // Nothing is reported of one that its owner has closed already.
+        let is_reported = self.connections.get(&id).is_some_and(|connection| !connection.close_after_flush);
         self.close(id);
         if is_reported {
             self.pending.push(NetEvent::Closed { conn: id, clean: end == StreamEnd::Orderly });
@@ -290,30 +304,37 @@
     /// The system takes no more of our bytes. Guards against a response that is lost with them: what the peer sent ahead
     /// of its reset is still there, and is reported first.
     fn on_write_failed(&mut self, id: ConnId) {
-        self.read_bytes(id);
+        if self.connections.get(&id).is_some_and(|connection| connection.read_state != ReadState::Ended) {
+            self.read_bytes(id);
+        }
         self.on_ended(id, StreamEnd::Broken);
     }
 
     fn read(&mut self, id: ConnId) {
-        if let Some(end) = self.read_bytes(id) {
-            self.on_ended(id, end);
+        match self.read_bytes(id) {
+            Some(StreamEnd::Orderly) if self.is_half_open(id) => self.on_peer_finished(id),
+            Some(end) => self.on_ended(id, end),
+            None => {}
         }
     }
 
+    fn is_half_open(&self, id: ConnId) -> bool {
+        self.connections.get(&id).is_some_and(|connection| connection.half_open)
+    }
+
+    fn on_peer_finished(&mut self, id: ConnId) {
+        let Some(connection) = self.connections.get_mut(&id) else { return };
+        connection.read_state = ReadState::Ended;
+        self.pending.push(NetEvent::PeerFinished(id));
+        self.update_interest(id);
+    }
+
     /// Reports the bytes that have arrived; returns the end of the peer's side, if it has come.
     fn read_bytes(&mut self, id: ConnId) -> Option<StreamEnd> {
         let connection = self.connections.get_mut(&id)?;
         let read = connection.read_available();
         self.bytes_read += read.bytes.len();
-        if let ConnectionState::Lingering { discarded } = &mut connection.state {
-            *discarded += read.bytes.len();
-            if !read.bytes.is_empty() {
-                debug!(connection = id.0, bytes = read.bytes.len(), "bytes discarded behind our close");
-            }
-            if *discarded > MAX_DISCARDED_BYTES {
-                self.close(id);
-            }
-        } else if !read.bytes.is_empty() {
+        if !read.bytes.is_empty() {
             self.pending.push(NetEvent::Bytes(id, read.bytes));
         }
         read.end
@@ -339,10 +360,14 @@
             let Some(listener) = self.listeners.get_mut(&id) else { return };
             match listener.socket.accept() {
                 Ok((stream, _)) => {
+                    let half_open = listener.half_open;
                     let conn = ConnId(self.next_id());
                     if self.register(conn, stream, ConnectionState::Open).is_ok() {
                         self.pending.push(NetEvent::Accepted { listener: id, conn });
                     }
+                    if let Some(connection) = self.connections.get_mut(&conn) {
+                        connection.half_open = half_open;
+                    }
                 }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
@@ -391,16 +416,28 @@
             Ready::Signal(signal) => self.pending.push(NetEvent::Signal(signal)),
             Ready::Woken => self.pending.push(NetEvent::Woken),
             Ready::Connection { id, readable, writable } => {
-                if self.connections.get(&id).is_some_and(Connection::is_connecting) {
-                    return self.finish_connect(id);
-                }
-                if writable {
-                    self.write(id);
-                }
-                if readable && self.bytes_read < MAX_READ_PER_POLL {
-                    self.read(id);
-                }
+                self.on_connection_ready(id, readable, writable);
             }
         }
     }
+
+    fn on_connection_ready(&mut self, id: ConnId, readable: bool, writable: bool) {
+        let Some(connection) = self.connections.get(&id) else { return };
+        match connection.state {
+            ConnectionState::Connecting => return self.finish_connect(id),
+            // It asks for nothing, so that this is its peer's end.
+            ConnectionState::Lingering => return self.close(id),
+            ConnectionState::Open => {}
+        }
+        if writable {
+            self.write(id);
+        }
+        let may_read = |connection: &Connection| {
+            connection.state == ConnectionState::Open && connection.read_state != ReadState::Ended
+        };
+        if readable && self.bytes_read < MAX_READ_PER_POLL && self.connections.get(&id).is_some_and(may_read)
+        {
+            self.read(id);
+        }
+    }
 }
--- a/crates/net/src/tests.rs
+++ b/crates/net/src/tests.rs
@@ -98,7 +98,7 @@
     net.send(server, b"+OK\r\n");
     net.close_after_flush(server);
     assert_eq!((net.is_open(server), net.lingering_count()), (false, 1));
-    // It has no events of its own any more; what its peer still sends is discarded.
+    // It has no events of its own any more; what its peer still sends is left unread.
     let reader = std::thread::spawn(move || {
         client.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
         let mut text = Vec::new();
@@ -195,7 +195,7 @@
     });
     servers.iter().for_each(|conn| net.close_after_flush(*conn));
     assert_eq!(net.lingering_count(), DEFAULT_MAX_LINGERING);
-    // The last one sends without end, and is closed for it; the rest are silent until their time is over.
+    // The last one sends without end, of which nothing is read; the rest are silent. All are closed when their time is over.
     clients[39].set_write_timeout(Some(Duration::from_secs(5))).unwrap();
     let mut last = clients.pop().unwrap();
     let sender = std::thread::spawn(move || while last.write_all(&[7; 64 << 10]).is_ok() {});
--- a/crates/platform/src/client_sessions.rs
+++ b/crates/platform/src/client_sessions.rs
@@ -58,6 +58,14 @@
         }
     }
 
+    /// Why it is disconnected for `reason`, which is not the client's doing.
+    fn reason_or_interruption(&self, reason: DisconnectReason) -> DisconnectReason {
+        match self.state() {
+            SessionState::ReceivingCommand { .. } => DisconnectReason::CommandInterrupted,
+            SessionState::Idle | SessionState::AwaitingFirstCommand => reason,
+        }
+    }
+
     fn timeout_reason(&self) -> DisconnectReason {
         match self.state() {
             SessionState::ReceivingCommand { .. } => DisconnectReason::CommandTimeout,
@@ -87,8 +95,14 @@
     CommandTimeout,
     /// It sent nothing for too long.
     IdleTimeout,
+    /// It has ended its sending.
+    ClientFinished,
     /// There are too many connections, and another client connected.
     ConnectionLimit,
+    /// The gateway ends.
+    Shutdown,
+    /// In the middle of a command, for another reason than the command: part of it was read, and gets a reply.
+    CommandInterrupted,
 }
 
 impl DisconnectReason {
@@ -102,7 +116,11 @@
             DisconnectReason::CommandTimeout => {
                 Some(format!("ERR a command took longer than {COMMAND_TIMEOUT:?}"))
             }
-            DisconnectReason::IdleTimeout | DisconnectReason::ConnectionLimit => None,
+            DisconnectReason::CommandInterrupted => Some("BUSY".to_owned()),
+            DisconnectReason::IdleTimeout
+            | DisconnectReason::ClientFinished
+            | DisconnectReason::ConnectionLimit
+            | DisconnectReason::Shutdown => None,
         }
     }
 }
@@ -112,6 +130,8 @@
 pub struct ReceivedCommands {
     /// Complete commands, in order.
     pub commands: Vec<Command>,
+    /// Number of further commands that were read, beside the one that the disconnect's error answers: not to be executed.
+    pub refused_commands: usize,
     /// Why the client must be disconnected after the replies to these commands, if it must.
     pub disconnect: Option<DisconnectReason>,
 }
@@ -153,10 +173,8 @@
         self.sessions.contains_key(&connection)
     }
 
-    /// Adds a connection that was accepted. Where there are too many, this returns the one that must be disconnected for
-    /// it: of those between two requests the one idle the longest, as its next request only needs another connection;
-    /// then of those that have sent nothing yet, whose first request is lost with it.
-    pub fn accept(&mut self, now: Time, connection: ConnectionId) -> Option<ConnectionId> {
+    /// Adds a connection that was accepted.
+    pub fn accept(&mut self, now: Time, connection: ConnectionId) {
         let session = Session {
             decoder: Decoder::new(self.limits),
             accepted_at: now,
@@ -165,17 +183,39 @@
             partial_command_since: None,
         };
         self.sessions.insert(connection, session);
-        if self.sessions.len() <= self.max_sessions {
-            return None;
+    }
+
+    /// Removes and returns connections until there are no more than allowed: of those between two requests the one idle
+    /// the longest, as its next request only needs another connection; then of those that have sent nothing yet. Call it
+    /// once all that was read is handled: a connection whose bytes are on their way here is not idle.
+    pub fn evict_surplus(&mut self) -> Vec<Disconnect> {
+        let mut evicted = Vec::new();
+        while self.sessions.len() > self.max_sessions {
+            let least = self.sessions.iter().min_by_key(|(_, session)| session.eviction_rank());
+            let Some(connection) = least.map(|(connection, _)| *connection) else { break };
+            evicted.extend(self.disconnect(connection, DisconnectReason::ConnectionLimit));
         }
-        let (&evicted, _) = self.sessions.iter().min_by_key(|(_, session)| session.eviction_rank())?;
-        self.sessions.remove(&evicted);
-        Some(evicted)
+        evicted
+    }
+
+    /// Removes and returns all connections, as the gateway ends.
+    pub fn take_all(&mut self) -> Vec<Disconnect> {
+        let connections: Vec<ConnectionId> = self.sessions.keys().copied().collect();
+        connections
+            .into_iter()
+            .filter_map(|connection| self.disconnect(connection, DisconnectReason::Shutdown))
+            .collect()
+    }
+
+    /// Removes a connection for a reason that is not its client's doing.
+    fn disconnect(&mut self, connection: ConnectionId, reason: DisconnectReason) -> Option<Disconnect> {
+        let session = self.sessions.remove(&connection)?;
+        Some(Disconnect { connection, reason: session.reason_or_interruption(reason) })
     }
 
-    /// Removes and returns all connections.
-    pub fn take_all(&mut self) -> Vec<ConnectionId> {
-        std::mem::take(&mut self.sessions).into_keys().collect()
+    /// The client has ended its sending: removes its connection, which is closed behind its replies.
+    pub fn on_peer_finished(&mut self, connection: ConnectionId) -> Option<Disconnect> {
+        self.disconnect(connection, DisconnectReason::ClientFinished)
     }
 
     /// Removes a connection that has ended.
@@ -186,7 +226,7 @@
     /// Bytes were received on a connection: the complete commands among them. A client that must be disconnected is
     /// removed.
     pub fn on_bytes(&mut self, now: Time, connection: ConnectionId, bytes: &[u8]) -> ReceivedCommands {
-        let mut received = ReceivedCommands { commands: Vec::new(), disconnect: None };
+        let mut received = ReceivedCommands { commands: Vec::new(), refused_commands: 0, disconnect: None };
         let Some(session) = self.sessions.get_mut(&connection) else { return received };
         session.last_byte_at = now;
         session.decoder.feed(bytes);
@@ -206,6 +246,9 @@
         }
         let since = session.partial_command_since.unwrap_or(now);
         session.partial_command_since = (session.decoder.buffered_bytes() > 0).then_some(since);
+        if received.disconnect == Some(DisconnectReason::TooManyCommands) {
+            received.refused_commands = count_commands(&mut session.decoder);
+        }
         if received.disconnect.is_some() {
             self.sessions.remove(&connection);
         }
@@ -246,3 +289,12 @@
         idle
     }
 }
+
+/// How many commands a decoder holds, one that is not complete among them.
+fn count_commands(decoder: &mut Decoder) -> usize {
+    let mut complete = 0;
+    while let Ok(Some(_)) = decoder.next_command() {
+        complete += 1;
+    }
+    complete + usize::from(decoder.buffered_bytes() > 0)
+}
--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -8,12 +8,12 @@
 use cloverstile_engine::{Admission, FinalOutcome};
 use cloverstile_net::Net;
 use cloverstile_platform::client_request::{self, ClientRequest, PutRequest, RequestClasses};
-use cloverstile_platform::client_sessions::{ClientSessions, DisconnectReason};
+use cloverstile_platform::client_sessions::{ClientSessions, Disconnect};
 use cloverstile_platform::ConnectionId;
 use cloverstile_resp::{error, simple};
 use cloverstile_wal::Record;
 use std::time::Duration;
-use tracing::trace;
+use tracing::{debug, trace};
 
 /// Bytes of replies that a client has not read, above which its connection is closed.
 const MAX_UNREAD_BYTES: usize = 256 << 10;
@@ -23,8 +23,6 @@
     sessions: ClientSessions,
     classes: Vec<Class>,
     class_names: Vec<String>,
-    /// The gateway no longer listens: each client is disconnected after its next reply.
-    draining: bool,
     /// Replies of this turn.
     pub replies: ClientReplies,
 }
@@ -33,7 +31,7 @@
     /// No clients yet, `max_clients` at most. `classes` and `class_names` are those under which they may submit.
     pub fn new(max_clients: usize, classes: Vec<Class>, class_names: Vec<String>) -> Self {
         let (sessions, replies) = (ClientSessions::new(max_clients), ClientReplies::default());
-        ClientCommands { sessions, classes, class_names, draining: false, replies }
+        ClientCommands { sessions, classes, class_names, replies }
     }
 
     /// Number of connected clients.
@@ -51,12 +49,10 @@
         self.sessions.next_timeout()
     }
 
-    /// A client connected; another one may be disconnected for it.
-    pub fn on_accepted(&mut self, now: Time, connection: ConnectionId, net: &mut Net) {
+    /// A client connected.
+    pub fn on_accepted(&mut self, now: Time, connection: ConnectionId) {
         trace!(?connection, clients = self.len(), "client connected");
-        if let Some(evicted) = self.sessions.accept(now, connection) {
-            self.disconnect(evicted, &DisconnectReason::ConnectionLimit, net);
-        }
+        self.sessions.accept(now, connection);
     }
 
     /// A client's connection ended.
@@ -64,20 +60,30 @@
         self.sessions.remove(connection);
     }
 
-    /// Disconnects clients whose time is over.
-    pub fn on_tick(&mut self, now: Time, net: &mut Net) {
+    /// A client has ended its sending: it is disconnected behind its replies.
+    pub fn on_peer_finished(&mut self, connection: ConnectionId) {
+        if let Some(finished) = self.sessions.on_peer_finished(connection) {
+            self.disconnect(&finished);
+        }
+    }
+
+    /// Disconnects clients whose time is over, and those that are too many. Call it once the turn's events are handled.
+    pub fn on_tick(&mut self, now: Time) {
         for expired in self.sessions.on_tick(now) {
-            self.disconnect(expired.connection, &expired.reason, net);
+            self.disconnect(&expired);
+        }
+        for evicted in self.sessions.evict_surplus() {
+            self.disconnect(&evicted);
         }
     }
 
-    /// Disconnects a client that is no longer among the sessions.
-    fn disconnect(&self, connection: ConnectionId, reason: &DisconnectReason, net: &mut Net) {
-        trace!(?connection, ?reason, clients = self.len(), "client disconnected");
+    /// Disconnects a client that is no longer among the sessions, behind this turn's replies to it.
+    fn disconnect(&mut self, Disconnect { connection, reason }: &Disconnect) {
+        debug!(connection = connection.0, ?reason, clients = self.len(), "client disconnected");
         if let Some(text) = reason.error_text() {
-            net.send(socket_id(connection), &error(&text));
+            self.replies.push(*connection, Reply::Bytes(error(&text)));
         }
-        net.close_after_flush(socket_id(connection));
+        self.replies.close_after_replies(*connection);
     }
 
     /// Executes the commands that a client's bytes complete.
@@ -88,11 +94,10 @@
             self.replies.push(connection, reply);
         }
         if let Some(reason) = received.disconnect {
-            trace!(?connection, ?reason, "client disconnected after its replies");
-            if let Some(text) = reason.error_text() {
-                self.replies.push(connection, Reply::Bytes(error(&text)));
+            for _ in 0..received.refused_commands {
+                self.replies.push(connection, Reply::Bytes(busy(Duration::ZERO)));
             }
-            self.replies.close_after_replies(connection);
+            self.disconnect(&Disconnect { connection, reason });
         }
     }
 
@@ -151,10 +156,9 @@
             let socket = socket_id(connection);
             net.send(socket, &bytes);
             if net.unsent_bytes(socket) > MAX_UNREAD_BYTES {
+                debug!(connection = connection.0, "client closed, it does not read its replies");
                 self.sessions.remove(connection);
                 net.close(socket);
-            } else if self.draining {
-                self.replies.close_after_replies(connection);
             }
         }
         for connection in self.replies.take_closing() {
@@ -163,22 +167,19 @@
         }
     }
 
-    /// From here on each client is disconnected after its next reply.
-    pub fn start_draining(&mut self) {
-        self.draining = true;
-    }
-
     /// Disconnects clients that are between two requests.
     pub fn close_idle(&mut self, net: &mut Net) {
         for connection in self.sessions.take_idle() {
+            debug!(connection = connection.0, "client disconnected, the gateway drains");
             net.close_after_flush(socket_id(connection));
         }
     }
 
-    /// Disconnects all clients.
+    /// Disconnects all clients; one in the middle of a command may submit it again.
     pub fn close_all(&mut self, net: &mut Net) {
-        for connection in self.sessions.take_all() {
-            net.close_after_flush(socket_id(connection));
+        for disconnect in self.sessions.take_all() {
+            self.disconnect(&disconnect);
         }
+        self.send_replies(net);
     }
 }
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -67,16 +67,17 @@
     fn on_tick(&mut self, now: Time) {
         self.discovery.watch.on_tick(now, &mut Sockets(&mut self.net));
         self.pipeline.outgoing.requests.on_tick(now, &mut Sockets(&mut self.net));
-        self.pipeline.clients.on_tick(now, &mut self.net);
+        self.pipeline.clients.on_tick(now);
     }
 
     fn on_event(&mut self, now: Time, event: NetEvent) {
         match event {
             NetEvent::Accepted { conn, .. } => {
-                self.pipeline.clients.on_accepted(now, connection_id(conn), &mut self.net);
+                self.pipeline.clients.on_accepted(now, connection_id(conn));
             }
             NetEvent::Connected(conn) => self.on_connected(now, connection_id(conn)),
             NetEvent::ConnectFailed(conn, _) => self.on_closed(now, connection_id(conn), false),
+            NetEvent::PeerFinished(conn) => self.pipeline.clients.on_peer_finished(connection_id(conn)),
             NetEvent::Closed { conn, clean } => self.on_closed(now, connection_id(conn), clean),
             NetEvent::Flushed(conn) => self.pipeline.outgoing.requests.on_flushed(connection_id(conn)),
             NetEvent::Bytes(conn, bytes) => self.on_bytes(now, connection_id(conn), &bytes),
--- a/crates/resp-gateway/src/shutdown.rs
+++ b/crates/resp-gateway/src/shutdown.rs
@@ -95,7 +95,6 @@
 fn stop_listening(listener: ListenerId, pipeline: &mut MessagePipeline, net: &mut Net) {
     info!(pending = ?pipeline.pending_work(), "listener closed");
     net.stop_listening(listener);
-    pipeline.clients.start_draining();
     // No client connects any more: all that are disconnected now may be read from until they have their replies.
     net.set_max_lingering(usize::MAX);
     net.waker().wake();
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -74,6 +74,7 @@
         let (listener, address) = net
             .listen(config.listen)
             .map_err(GatewayError::failed_to(format!("listen on {}", config.listen)))?;
+        net.set_half_open(listener);
         info!(name = %config.name, %address, recovered_messages, "ready");
         let configuration = ConfigurationFile::new(environment.config.clone());
         let run_state = RunState::Serving { listener };
