Fault library for processes under test, and three failing tests of a disk that fails

Change: crates/fault-injection: a preloaded library (libc) for errors, short, torn and slow results, kills inside a write, hold-ups and steps of the wall clock, steered by a mapped file while the process runs; three tests of the real program, listed in KNOWN-RED.txt.

--- a/crates/cli/tests/gateway_harness/mod.rs
+++ b/crates/cli/tests/gateway_harness/mod.rs
@@ -5,6 +5,7 @@
 pub mod streams;
 
 use cloverstile_fakes::platform::{check_invariants, read_line, Platform, PlatformEvent, PutCommand};
+use cloverstile_fault_injection::FaultControl;
 use std::fs;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -109,6 +110,24 @@
         self.start_as(&mut command);
     }
 
+    /// Starts the gateway under faults of the machine and waits until it replies.
+    pub fn start_with_faults(&mut self, faults: &FaultControl) {
+        let mut command = self.command();
+        faults.attach(&mut command).unwrap();
+        self.start_as(&mut command);
+    }
+
+    /// A control of the gateway's faults, without one so far.
+    pub fn fault_control(&self) -> FaultControl {
+        FaultControl::create(&self.directory.join("faults")).unwrap()
+    }
+
+    /// Whether a notification of this status came for a message.
+    pub fn is_notified(&self, id: &str, wanted: &str) -> bool {
+        let is_notification = |seen: &PlatformEvent| matches!(seen, PlatformEvent::Notification { id: of, status, .. } if of == id && status == wanted);
+        self.platform.events().iter().any(|(_, seen)| is_notification(seen))
+    }
+
     /// Starts the gateway by another command and waits until it replies.
     pub fn start_as(&mut self, command: &mut Command) {
         self.gateway = Some(command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap());
