--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -241,6 +241,11 @@
         self.state.has_policy_events = true;
     }
 
+    /// Whether sending is paused.
+    pub fn is_sending_paused(&self) -> bool {
+        self.state.sending_paused
+    }
+
     /// Whether the policy has something to act on that happened since [`Engine::advance`].
     pub fn has_pending_events(&self) -> bool {
         self.state.has_policy_events && !self.state.sending_paused
--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -5,7 +5,7 @@
 use crate::transport::{ConnectionId, Transport};
 use cloverstile::{OrderKey, Time};
 use cloverstile_http::{Headers, Start};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,6 +39,15 @@
     pub order_key: Option<OrderKey>,
 }
 
+/// When a notification may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// At once.
+    AtOnce,
+    /// After the next [`Notifications::release_held`].
+    OnceStored,
+}
+
 /// Notifications that a response of the platform settles, by number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct SettledNotifications {
@@ -52,6 +61,8 @@
 pub struct Notifications {
     agent: DiscoveryConnection,
     pending: BTreeMap<u32, Notification>,
+    /// Those of the pending ones that may not be sent yet.
+    held: BTreeSet<u32>,
     /// Number of pending notifications by order key.
     blocked_keys: HashMap<OrderKey, usize>,
     /// Numbers in the request in flight.
@@ -66,6 +77,7 @@
         Notifications {
             agent: DiscoveryConnection::new(address, MAX_BODY_BYTES),
             pending: BTreeMap::new(),
+            held: BTreeSet::new(),
             blocked_keys: HashMap::new(),
             in_flight: Vec::new(),
             batch_limit: MAX_BATCH,
@@ -73,13 +85,25 @@
     }
 
     /// Adds a notification.
-    pub fn enqueue(&mut self, number: u32, notification: Notification) {
+    pub fn enqueue(&mut self, number: u32, notification: Notification, release: Release) {
+        if release == Release::OnceStored {
+            self.held.insert(number);
+        }
         if let Some(key) = notification.order_key {
             *self.blocked_keys.entry(key).or_default() += 1;
         }
         self.pending.insert(number, notification);
     }
 
+    /// Lets all be sent that were held back.
+    pub fn release_held(&mut self) {
+        self.held.clear();
+    }
+
+    fn has_sendable(&self) -> bool {
+        self.pending.len() > self.held.len()
+    }
+
     /// Whether a notification of a message with this order key is pending.
     pub fn is_key_blocked(&self, key: OrderKey) -> bool {
         self.blocked_keys.contains_key(&key)
@@ -97,9 +121,9 @@
 
     /// When [`Notifications::on_tick`] must be called, if at all.
     pub fn next_timeout(&self) -> Option<Time> {
-        match (self.agent.status(), self.pending.is_empty()) {
-            (ConnectionStatus::Closed, true) => None,
-            (ConnectionStatus::Idle, false) => Some(Time::ZERO),
+        match (self.agent.status(), self.has_sendable()) {
+            (ConnectionStatus::Closed, false) => None,
+            (ConnectionStatus::Idle, true) => Some(Time::ZERO),
             _ => Some(self.agent.next_timeout()),
         }
     }
@@ -114,13 +138,14 @@
             ConnectionStatus::Connecting | ConnectionStatus::AwaitingResponse => {
                 self.agent.close(now + RECONNECT_DELAY, transport);
             }
-            ConnectionStatus::Idle if self.pending.is_empty() => self.agent.close(now, transport),
+            ConnectionStatus::Idle if !self.has_sendable() => self.agent.close(now, transport),
             ConnectionStatus::Idle => self.send_batch(now, transport),
         }
     }
 
     fn send_batch(&mut self, now: Time, transport: &mut impl Transport) {
-        let batch = || self.pending.iter().take(self.batch_limit);
+        let is_sendable = |(number, _): &(&u32, &Notification)| !self.held.contains(number);
+        let batch = || self.pending.iter().filter(is_sendable).take(self.batch_limit);
         let body: Vec<u8> = batch().flat_map(|(_, notification)| json_line(notification)).collect();
         self.in_flight = batch().map(|(number, _)| *number).collect();
         let host = self.agent.address().to_string();
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -205,16 +205,6 @@
         self.complete(attempt, TransportOutcome::NotStarted.into());
     }
 
-    /// Ends an attempt that could not be logged, and closes its connection, which has most of the request.
-    ///
-    /// Unlike [`Requests::abort_before_send`] this counts as an attempt: the policy waits before the next one, and a log
-    /// that can't be written is not tried without a pause.
-    pub fn discard_uncommitted(&mut self, attempt: Attempt, transport: &mut impl Transport) {
-        let Some(id) = self.detach(attempt) else { return };
-        self.pool.close(id, transport);
-        self.complete(attempt, TransportOutcome::Unsent.into());
-    }
-
     /// Abandons an attempt: no result of it is reported. Its connection is closed, as its response must not be taken for
     /// another's; after a whole request only our side is shut down at first. Guards against a `Retry-After` that is on
     /// its way at this moment: it binds from its writing on, whoever still reads it.
--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -39,6 +39,8 @@
     pub requests: usize,
     /// Notifications that were not acknowledged.
     pub notifications: usize,
+    /// Some records of the log are not stored: outcomes that the next process would not know.
+    pub unstored_records: bool,
     /// Clients that are connected. Once the idle ones are disconnected, these are new, or in the middle of a request.
     pub clients: usize,
 }
@@ -59,7 +61,10 @@
     pub fn phase(&self, now: Time, pending: PendingWork) -> ShutdownPhase {
         let elapsed = now - self.requested_at;
         // Pending messages stay in the log; only what is in flight is worth waiting for.
-        let has_work_in_flight = pending.requests > 0 || pending.notifications > 0 || pending.clients > 0;
+        let has_work_in_flight = pending.requests > 0
+            || pending.notifications > 0
+            || pending.unstored_records
+            || pending.clients > 0;
         match elapsed {
             _ if elapsed < ACCEPT_PERIOD => ShutdownPhase::Accepting,
             _ if elapsed >= END || pending == PendingWork::default() => ShutdownPhase::Finished,
--- a/crates/platform/tests/platform/notifications.rs
+++ b/crates/platform/tests/platform/notifications.rs
@@ -3,7 +3,7 @@
 use crate::support::{address, at, FakeTransport};
 use cloverstile::OrderKey;
 use cloverstile_platform::notifications::{
-    Notification, NotificationStatus, Notifications, SettledNotifications,
+    Notification, NotificationStatus, Notifications, Release, SettledNotifications,
 };
 use cloverstile_platform::ConnectionId;
 
@@ -21,8 +21,8 @@
 fn notifications_are_sent_until_acknowledged_and_block_their_keys() {
     let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
     assert_eq!(notifications.next_timeout(), None);
-    notifications.enqueue(7, notification("a", true, 3));
-    notifications.enqueue(8, notification("b", false, 4));
+    notifications.enqueue(7, notification("a", true, 3), Release::AtOnce);
+    notifications.enqueue(8, notification("b", false, 4), Release::AtOnce);
     notifications.on_tick(at(0), &mut transport);
     notifications.on_connected(at(1), ConnectionId(1));
     notifications.on_tick(at(1), &mut transport);
@@ -39,10 +39,33 @@
     assert!(notifications.is_empty() && !notifications.is_key_blocked(OrderKey(3)));
 }
 
+/// A notification that the log does not have yet is not sent, neither alone nor in the batch of another one.
+#[test]
+fn held_notification_is_sent_once_it_is_stored() {
+    let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
+    notifications.enqueue(7, notification("held", true, 3), Release::OnceStored);
+    assert_eq!(notifications.next_timeout(), None);
+    assert!(notifications.is_key_blocked(OrderKey(3)));
+    notifications.enqueue(8, notification("free", true, 4), Release::AtOnce);
+    notifications.on_tick(at(0), &mut transport);
+    notifications.on_connected(at(1), ConnectionId(1));
+    notifications.on_tick(at(1), &mut transport);
+    assert!(transport.written[0].1.contains("free") && !transport.written[0].1.contains("held"));
+    let settled = notifications.on_bytes(at(2), ConnectionId(1), DONE, &mut transport);
+    assert_eq!(settled.acknowledged, [8]);
+    notifications.on_tick(at(3), &mut transport);
+    assert_eq!(transport.written.len(), 1);
+    notifications.release_held();
+    notifications.on_tick(at(4), &mut transport);
+    assert!(transport.written[1].1.contains("held"));
+}
+
 #[test]
 fn rejected_notification_does_not_hold_back_the_others() {
     let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
-    (1..=2).for_each(|number| notifications.enqueue(number, notification(&format!("n{number}"), true, 0)));
+    (1..=2).for_each(|number| {
+        notifications.enqueue(number, notification(&format!("n{number}"), true, 0), Release::AtOnce)
+    });
     let (mut acknowledged, mut rejected) = (vec![], vec![]);
     for round in 0..8u64 {
         let now = at(round * 100);
@@ -65,7 +88,7 @@
 #[test]
 fn pending_notifications_are_sent_to_a_new_address() {
     let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
-    notifications.enqueue(1, notification("a", true, 3));
+    notifications.enqueue(1, notification("a", true, 3), Release::AtOnce);
     notifications.on_tick(at(0), &mut transport);
     notifications.on_connected(at(0), ConnectionId(1));
     notifications.on_tick(at(0), &mut transport);
--- a/crates/platform/tests/platform/requests.rs
+++ b/crates/platform/tests/platform/requests.rs
@@ -152,7 +152,7 @@
 }
 
 #[test]
-fn discard_uncommitted_closes_the_connection_and_reports_unsent() {
+fn abort_of_an_unlogged_request_closes_the_connection_and_reports_not_started() {
     let (mut requests, mut transport) = (requests(9), FakeTransport::default());
     requests.connect(at(0), attempt(1), ENDPOINT, address(1), &mut transport);
     requests.on_connected(ConnectionId(1));
@@ -160,11 +160,11 @@
     requests.send_all_but_last_byte(at(0), attempt(1), b"call", &mut transport);
     requests.on_tick(at(1), &mut transport);
     assert_eq!(requests.take_ready_to_commit(), [attempt(1)]);
-    requests.discard_uncommitted(attempt(1), &mut transport);
+    requests.abort_before_send(at(1), attempt(1), false, &mut transport);
     requests.commit(attempt(1), &mut transport);
     assert_eq!(
         (completed(&mut requests), transport.closed),
-        (vec![(1, TransportOutcome::Unsent)], vec![ConnectionId(1)])
+        (vec![(1, TransportOutcome::NotStarted)], vec![ConnectionId(1)])
     );
     assert_eq!(transport.written.len(), 1);
 }
--- a/crates/platform/tests/platform/shutdown.rs
+++ b/crates/platform/tests/platform/shutdown.rs
@@ -19,6 +19,10 @@
         phase(2500, PendingWork { clients: 1, ..PendingWork::default() }),
         ShutdownPhase::AwaitingResponses
     );
+    // Outcomes that the log could not store so far are waited for as well.
+    let unstored = PendingWork { unstored_records: true, ..PendingWork::default() };
+    assert_eq!(phase(1000, unstored), ShutdownPhase::Draining);
+    assert_eq!(phase(2500, unstored), ShutdownPhase::AwaitingResponses);
     assert_eq!(phase(3600, busy), ShutdownPhase::Finished);
     let mut now = at(1000);
     for _ in 0..10 {
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -52,13 +52,14 @@
         if self.pipeline.has_pending_events() {
             return Some(now);
         }
-        let MessagePipeline { clients, delivery, outgoing } = &self.pipeline;
+        let MessagePipeline { clients, delivery, outgoing, .. } = &self.pipeline;
         let timeouts = [
             delivery.engine.next_timeout(),
             outgoing.requests.next_timeout(),
             clients.next_timeout(),
             Some(self.discovery.watch.next_timeout()),
             delivery.notifications.next_timeout(),
+            delivery.log.next_timeout(),
             self.run_state.next_timeout(now),
         ];
         timeouts.into_iter().flatten().min()
@@ -94,7 +95,7 @@
     }
 
     fn on_closed(&mut self, now: Time, connection: ConnectionId, clean: bool) {
-        let MessagePipeline { clients, delivery, outgoing } = &mut self.pipeline;
+        let MessagePipeline { clients, delivery, outgoing, .. } = &mut self.pipeline;
         clients.on_closed(connection);
         outgoing.requests.on_closed(now, connection, clean, &mut Sockets(&mut self.net));
         self.discovery.watch.on_closed(now, connection);
--- a/crates/resp-gateway/src/message_log.rs
+++ b/crates/resp-gateway/src/message_log.rs
@@ -1,27 +1,51 @@
 //! The write-ahead log of a gateway, and whether it can be written at present.
+//!
+//! A commit that fails is tried again by a timer of its own, at growing gaps, until it succeeds. Meanwhile nothing is
+//! accepted and nothing sent; what happens to requests in flight is kept in memory and stored with the next commit.
 
-use cloverstile::MessageId;
+use cloverstile::{MessageId, Time};
 use cloverstile_wal::store::DirectoryStore;
 use cloverstile_wal::{LiveMessage, Log, Record, Recovered};
 use std::io;
 use std::path::Path;
-use tracing::{info, trace, warn};
+use std::time::Duration;
+use tracing::{debug, info, trace, warn};
+
+/// Gap before a failed commit is tried again; doubled after each failure.
+const FIRST_RETRY_DELAY: Duration = Duration::from_millis(5);
+/// Longest gap between two tries.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// The log can't be written at present: nothing of this turn is stored.
+#[derive(Debug)]
+pub struct LogUnwritable;
+
+/// When a failed commit is tried again.
+struct CommitRetry {
+    at: Time,
+    delay: Duration,
+}
 
 /// The log of all messages that the gateway holds.
 pub struct MessageLog {
     log: Log<DirectoryStore>,
-    /// The last commit succeeded.
-    writable: bool,
+    /// The last commit failed.
+    retry: Option<CommitRetry>,
 }
 
 impl MessageLog {
     /// Opens the log in a directory, with at most `max_bytes` on disk, and reads what an earlier process left.
     pub fn open(directory: &Path, max_bytes: u64) -> io::Result<(MessageLog, Recovered)> {
         let (log, recovered) = Log::open(DirectoryStore::new(directory), max_bytes)?;
-        if recovered.discarded_bytes > 0 {
-            warn!(bytes = recovered.discarded_bytes, "torn or damaged end of the log discarded");
+        if let Some(reason) = &recovered.decode_error {
+            warn!(bytes = recovered.discarded_bytes, %reason, "torn or damaged end of the log discarded");
+        } else if recovered.discarded_bytes > 0 {
+            warn!(bytes = recovered.discarded_bytes, "log without a readable head discarded");
         }
-        Ok((MessageLog { log, writable: true }, recovered))
+        for error in &recovered.leftovers {
+            warn!(%error, "file of an earlier log can't be removed, it does not count");
+        }
+        Ok((MessageLog { log, retry: None }, recovered))
     }
 
     /// Adds a record to this turn's write.
@@ -41,24 +65,57 @@
 
     /// Whether a message with a body of so many bytes may be accepted.
     pub fn can_accept(&self, body_bytes: usize) -> bool {
-        let can_accept = self.writable && self.log.has_room(body_bytes);
+        let can_accept = self.is_writable() && self.log.has_room(body_bytes);
         if !can_accept {
-            trace!(writable = self.writable, body_bytes, "no room in the log");
+            trace!(writable = self.is_writable(), body_bytes, "no room in the log");
         }
         can_accept
     }
 
-    /// Writes this turn's records in one write.
-    pub fn commit(&mut self) -> io::Result<()> {
-        let committed = self.log.commit();
-        let was_writable = std::mem::replace(&mut self.writable, committed.is_ok());
-        match &committed {
-            Ok(()) if !was_writable => info!("log writable again"),
-            Err(error) if was_writable => {
-                warn!(%error, "log not writable, nothing is accepted or sent until it is");
+    /// Whether the last commit succeeded.
+    pub fn is_writable(&self) -> bool {
+        self.retry.is_none()
+    }
+
+    /// Whether all records are stored.
+    pub fn is_stored(&self) -> bool {
+        self.is_writable() && self.log.is_stored()
+    }
+
+    /// When a failed commit is tried again.
+    pub fn next_timeout(&self) -> Option<Time> {
+        self.retry.as_ref().map(|retry| retry.at)
+    }
+
+    /// Writes this turn's records in one write; after a failure only once the next try is due.
+    pub fn commit(&mut self, now: Time) -> Result<(), LogUnwritable> {
+        if self.retry.as_ref().is_some_and(|retry| retry.at > now) {
+            return Err(LogUnwritable);
+        }
+        match self.log.commit() {
+            Ok(()) => {
+                if self.retry.take().is_some() {
+                    info!("log writable again");
+                }
+                Ok(())
             }
-            Ok(()) | Err(_) => {}
+            Err(error) => {
+                self.postpone(now, &error);
+                Err(LogUnwritable)
+            }
+        }
+    }
+
+    fn postpone(&mut self, now: Time, error: &io::Error) {
+        let delay = match &self.retry {
+            Some(retry) => (retry.delay * 2).min(MAX_RETRY_DELAY),
+            None => FIRST_RETRY_DELAY,
+        };
+        if self.retry.is_none() {
+            warn!(%error, "log not writable, nothing is accepted or sent until it is");
+        } else {
+            debug!(%error, ?delay, "log still not writable");
         }
-        committed
+        self.retry = Some(CommitRetry { at: now + delay, delay });
     }
 }
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -12,6 +12,7 @@
 use cloverstile::{MessageId, Time};
 use cloverstile_engine::{Command, FinalOutcome};
 use cloverstile_net::Net;
+use cloverstile_platform::notifications::Release;
 use cloverstile_platform::shutdown::PendingWork;
 use cloverstile_platform::ConnectionId;
 use cloverstile_wal::{Record, TerminalState};
@@ -29,6 +30,8 @@
     pub delivery: Delivery,
     /// Requests to endpoints.
     pub outgoing: OutgoingRequests,
+    /// A shutdown has gone so far that nothing new is sent.
+    pub sending_ended: bool,
 }
 
 impl MessagePipeline {
@@ -43,6 +46,7 @@
             messages: self.delivery.engine.pending_messages(),
             requests: self.outgoing.requests.in_flight(),
             notifications: self.delivery.notifications.len(),
+            unstored_records: !self.delivery.log.is_stored(),
             clients: self.clients.len(),
         }
     }
@@ -74,14 +78,31 @@
     /// Runs one turn: decides, writes the log, then sends.
     pub fn run_turn(&mut self, now: Time, net: &mut Net) {
         self.decide(now, net);
-        if self.delivery.log.commit().is_err() {
+        if self.delivery.log.commit(now).is_ok() {
+            self.delivery.notifications.release_held();
+        } else {
             self.undo_unlogged(now, net);
         }
+        self.update_sending();
         self.outgoing.commit(&mut self.delivery.engine, &mut Sockets(net));
         self.clients.send_replies(net);
         self.delivery.notifications.on_tick(now, &mut Sockets(net));
     }
 
+    /// Ends sending: a shutdown waits for the requests in flight alone.
+    pub fn end_sending(&mut self) {
+        self.sending_ended = true;
+        self.update_sending();
+    }
+
+    /// Lets the engine send unless the log can't be written, which must know of each attempt, or sending has ended.
+    fn update_sending(&mut self) {
+        let paused = self.sending_ended || !self.delivery.log.is_writable();
+        if paused != self.delivery.engine.is_sending_paused() {
+            self.delivery.engine.set_sending_paused(paused);
+        }
+    }
+
     /// Reports what happened to the engine and executes what it decides, until nothing more follows.
     fn decide(&mut self, now: Time, net: &mut Net) {
         for _ in 0..MAX_ROUNDS {
@@ -100,7 +121,7 @@
 
     /// Guards against effects that the log knows nothing of: without a log nothing is accepted and nothing sent.
     fn undo_unlogged(&mut self, now: Time, net: &mut Net) {
-        self.outgoing.discard_uncommitted(&mut self.delivery, &mut Sockets(net));
+        self.outgoing.withdraw_uncommitted(now, &mut self.delivery, &mut Sockets(net));
         for id in self.clients.replies.reject_accepted(&busy(Duration::ZERO)) {
             // Guards against a "+OK" for a resubmission, as of a message that was accepted.
             self.delivery.engine.reject(now, id);
@@ -117,7 +138,7 @@
             Command::Abandon { attempt, started } => {
                 self.outgoing.abandon(now, attempt, started, &mut self.delivery, sockets);
             }
-            Command::Complete { message, outcome, .. } => self.complete(message, outcome),
+            Command::Complete { message, outcome, .. } => self.complete(now, message, outcome),
             Command::CloseIdle { endpoint } => self.outgoing.requests.close_idle(endpoint, sockets),
             Command::Log { text } => info!(text, "policy message"),
             Command::LateReceipt { .. } | Command::Evicted { .. } | Command::Probe { .. } => {}
@@ -126,7 +147,7 @@
 
     /// Records a message's final outcome and reports it: to the client within the turn of its submission, to the platform
     /// later. A delivered message is not reported.
-    fn complete(&mut self, id: MessageId, outcome: FinalOutcome) {
+    fn complete(&mut self, now: Time, id: MessageId, outcome: FinalOutcome) {
         let in_this_turn = self.clients.replies.has_submission(id);
         trace!(message_id = id.0, ?outcome, in_this_turn, "message completed");
         let (reply, state) = match outcome {
@@ -143,7 +164,12 @@
             return self.delivery.log.record_completed(id.0);
         }
         let Some(message) = self.delivery.log.message(id) else { return };
-        self.delivery.notifications.enqueue(id.0, message_record::notification(message, state));
+        let notification = message_record::notification(message, state);
+        // What the log does not know may be delivered by the next process, but for a message whose time is over: the log
+        // knows that. So its notification is not held back, it would be too late behind a disk that fails for long.
+        let is_over = Time(message.deadline) <= now;
+        let release = if is_over { Release::AtOnce } else { Release::OnceStored };
+        self.delivery.notifications.enqueue(id.0, notification, release);
         self.delivery.log.record(Record::NotificationPending { message_number: id.0, state });
     }
 }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -165,12 +165,17 @@
         }
     }
 
-    /// Discards the requests whose start could not be logged.
-    pub fn discard_uncommitted(&mut self, delivery: &mut Delivery, sockets: &mut Sockets<'_>) {
+    /// Takes back the requests whose start could not be logged: they use no attempt.
+    pub fn withdraw_uncommitted(&mut self, now: Time, delivery: &mut Delivery, sockets: &mut Sockets<'_>) {
         for attempt in std::mem::take(&mut self.uncommitted) {
             let message_number = attempt.message.0;
-            delivery.log.record(Record::AttemptCompleted { message_number, may_have_run: false });
-            self.requests.discard_uncommitted(attempt, sockets);
+            debug!(
+                message_id = message_number,
+                attempt = attempt.number,
+                "request withdrawn, its start is not logged"
+            );
+            delivery.log.record(Record::AttemptWithdrawn { message_number });
+            self.requests.abort_before_send(now, attempt, false, sockets);
         }
     }
 
--- a/crates/resp-gateway/src/recovery.rs
+++ b/crates/resp-gateway/src/recovery.rs
@@ -4,6 +4,7 @@
 use crate::message_record::{self, RecoveredSubmission};
 use crate::name_table;
 use cloverstile::{Class, Time};
+use cloverstile_platform::notifications::Release;
 use cloverstile_wal::{LiveMessage, NameTable, Record, Recovered};
 use tracing::trace;
 
@@ -33,7 +34,8 @@
     if let Some(state) = message.pending_notification {
         // Numbers from the far end: those of the engine begin at one.
         let message_number = u32::MAX - u32::try_from(index).unwrap_or(0);
-        delivery.notifications.enqueue(message_number, message_record::notification(&message, state));
+        let notification = message_record::notification(&message, state);
+        delivery.notifications.enqueue(message_number, notification, Release::AtOnce);
         return delivery.log.record(Record::Submitted { message_number, message: Box::new(message) });
     }
     let class = classes.get(usize::from(message.class));
--- a/crates/resp-gateway/src/shutdown.rs
+++ b/crates/resp-gateway/src/shutdown.rs
@@ -68,20 +68,25 @@
                 pipeline.clients.close_idle(net);
                 let phase = shutdown.phase(now, pipeline.pending_work());
                 if phase >= ShutdownPhase::AwaitingResponses {
-                    pipeline.delivery.engine.set_sending_paused(true);
+                    pipeline.end_sending();
                 }
                 if phase < ShutdownPhase::Finished {
                     return ControlFlow::Continue(());
                 }
                 pipeline.clients.close_all(net);
                 *self = RunState::FinalFlush { until: now + FINAL_FLUSH_TIMEOUT };
-                break_if(net.lingering_count() == 0)
+                break_if(is_flushed(pipeline, net))
             }
-            RunState::FinalFlush { until } => break_if(until <= now || net.lingering_count() == 0),
+            RunState::FinalFlush { until } => break_if(until <= now || is_flushed(pipeline, net)),
         }
     }
 }
 
+/// Whether clients have read their last replies, and the log has every outcome.
+fn is_flushed(pipeline: &MessagePipeline, net: &Net) -> bool {
+    net.lingering_count() == 0 && pipeline.delivery.log.is_stored()
+}
+
 fn break_if(is_over: bool) -> ControlFlow<()> {
     if is_over {
         ControlFlow::Break(())
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -17,19 +17,23 @@
 use crate::shutdown::RunState;
 use cloverstile::Settings;
 use cloverstile_engine::{Engine, ResultCacheLimits};
-use cloverstile_net::{Net, SignalKind};
+use cloverstile_net::{Net, NetEvent, SignalKind};
 use cloverstile_platform::config::Config;
 use cloverstile_platform::endpoint_list::EndpointList;
 use cloverstile_platform::endpoint_watch::EndpointWatch;
 use cloverstile_platform::notifications::Notifications;
 use cloverstile_platform::requests::ConnectionLimits;
 use cloverstile_platform::response::ReportFields;
+use cloverstile_wal::{Record, Recovered};
+use std::path::Path;
 use std::time::Duration;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Final outcomes that are kept for resubmissions: for longer than a client takes to submit again.
 const RESULT_CACHE: ResultCacheLimits =
     ResultCacheLimits { max_results: 4096, retention: Duration::from_secs(2) };
+/// Gap between two tries to read the log.
+const LOG_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Bytes in a megabyte of the configuration's disk limit.
 const BYTES_PER_MB: f64 = 1e6;
 
@@ -39,17 +43,18 @@
 /// A configuration that is not valid, or an operation of the system that failed.
 pub fn run(environment: &Environment) -> Result<(), GatewayError> {
     let config = load(&environment.config)?;
-    Gateway::start(config, environment)?.run()
+    match Gateway::start(config, environment)? {
+        Some(gateway) => gateway.run(),
+        None => Ok(()),
+    }
 }
 
 impl Gateway {
-    /// Recovers what an earlier process held, and listens.
+    /// Recovers what an earlier process held, and listens; none where a shutdown signal came before the log could be read.
     ///
     /// # Errors
-    /// An operation of the system that failed: the event loop, the log's directory, the listening address.
-    pub fn start(config: Config, environment: &Environment) -> Result<Gateway, GatewayError> {
-        let clock = Clock::new();
-        let now = clock.now();
+    /// An operation of the system that failed: the event loop, the listening address.
+    pub fn start(config: Config, environment: &Environment) -> Result<Option<Gateway>, GatewayError> {
         let descriptors = DescriptorLimits::new(config.limits.sockets);
         let mut net = open_event_loop(descriptors)?;
         let mut settings = config.parsed.settings.clone();
@@ -57,9 +62,16 @@
         let names = name_table::name_table(&config.names, &settings.classes);
 
         let max_log_bytes = (config.limits.disk_mb * BYTES_PER_MB) as u64;
-        let (log, recovered) = MessageLog::open(&environment.state, max_log_bytes)
-            .map_err(GatewayError::failed_to(environment.state.display().to_string()))?;
+        let Some((log, recovered)) = open_log(&environment.state, max_log_bytes, &mut net)? else {
+            return Ok(None);
+        };
         let recovered_messages = recovered.messages.len();
+        let mut clock = Clock::new();
+        if recovered.clock.is_some_and(|reference| !clock.resume(&reference)) {
+            warn!("the log is of another boot: the wall clock tells how much time has passed since");
+        }
+        let now = clock.now();
+        let wall_clock_ahead_ms = clock.wall_clock_ahead_ms();
 
         let mut pipeline = build_pipeline(&config, &settings, descriptors, log);
         let known_version = config.known_endpoints.as_ref().map_or(0, |known| known.version);
@@ -68,6 +80,9 @@
         if let Some(known) = &config.known_endpoints {
             discovery.apply(now, known, &mut pipeline, &mut net);
         }
+        if let Some(reference) = clock.reference() {
+            pipeline.delivery.log.record(Record::ClockReference(reference));
+        }
         recover_messages(now, recovered, &names, &settings.classes, &mut pipeline.delivery);
         pipeline.run_turn(now, &mut net);
 
@@ -75,10 +90,32 @@
             .listen(config.listen)
             .map_err(GatewayError::failed_to(format!("listen on {}", config.listen)))?;
         net.set_half_open(listener);
-        info!(name = %config.name, %address, recovered_messages, "ready");
+        info!(name = %config.name, %address, recovered_messages, wall_clock_ahead_ms, "ready");
         let configuration = ConfigurationFile::new(environment.config.clone());
         let run_state = RunState::Serving { listener };
-        Ok(Gateway { clock, net, configuration, discovery, pipeline, run_state })
+        Ok(Some(Gateway { clock, net, configuration, discovery, pipeline, run_state }))
+    }
+}
+
+/// Opens the log, as often as it takes: without what an earlier process was given nothing can be served. None where a
+/// shutdown signal came first.
+fn open_log(
+    directory: &Path,
+    max_bytes: u64,
+    net: &mut Net,
+) -> Result<Option<(MessageLog, Recovered)>, GatewayError> {
+    loop {
+        match MessageLog::open(directory, max_bytes) {
+            Ok(opened) => return Ok(Some(opened)),
+            Err(error) => warn!(directory = %directory.display(), %error, "log can't be read, tried again"),
+        }
+        let events = net.poll(Some(LOG_RETRY_DELAY)).map_err(GatewayError::failed_to("event loop"))?;
+        let is_shutdown =
+            |event: &NetEvent| matches!(event, NetEvent::Signal(signal) if *signal != SignalKind::SIGHUP);
+        if events.iter().any(is_shutdown) {
+            info!("stopped before the log could be read");
+            return Ok(None);
+        }
     }
 }
 
@@ -107,6 +144,7 @@
             notifications: Notifications::new(config.discovery),
         },
         outgoing: OutgoingRequests::new(connection_limits(config, settings, descriptors)),
+        sending_ended: false,
     }
 }
 
--- a/crates/wal/src/codec.rs
+++ b/crates/wal/src/codec.rs
@@ -4,7 +4,11 @@
 //! Fields that later versions added stand at the end of a payload, and a payload of an earlier version ends before
 //! them: logs of every version stay readable.
 
-use crate::record::{AttemptStart, ClassName, LiveMessage, NameTable, Record, TerminalState, UNKNOWN_INDEX};
+use crate::frame::MAX_BATCH_BYTES;
+use crate::record::{
+    AttemptStart, BootId, ClassName, ClockReference, LiveMessage, NameTable, Record, TerminalState,
+    UNKNOWN_INDEX,
+};
 
 /// Bytes of a record's header: the payload's length and its checksum, four bytes each.
 const HEADER_BYTES: usize = 8;
@@ -21,6 +25,8 @@
     pub const NOTIFICATION_PENDING: u8 = 4;
     pub const COMPLETED: u8 = 5;
     pub const NAME_TABLE: u8 = 6;
+    pub const CLOCK_REFERENCE: u8 = 7;
+    pub const ATTEMPT_WITHDRAWN: u8 = 8;
 }
 
 /// Codes of a message's pending notification.
@@ -36,9 +42,12 @@
     /// The bytes end before the record does, as after a torn write.
     #[error("the record ends early")]
     Truncated,
-    /// The header gives a payload that is longer than any record's.
-    #[error("a payload of {0} bytes; at most {MAX_PAYLOAD_BYTES} are allowed")]
+    /// The header gives a payload that is longer than any record's, or a batch that is longer than any.
+    #[error("a payload of {0} bytes; a record has at most {MAX_PAYLOAD_BYTES}, a batch {MAX_BATCH_BYTES}")]
     TooLong(usize),
+    /// A batch stands where another one is expected.
+    #[error("the batch has another sequence number than the one that follows the batch before")]
+    OutOfSequence,
     /// The payload does not have the checksum that the header gives.
     #[error("the checksum does not match")]
     ChecksumMismatch,
@@ -117,6 +126,17 @@
                 payload.u32(*message_number);
             }),
             Record::NameTable(names) => append_framed(out, |payload| payload.name_table(names)),
+            Record::ClockReference(reference) => append_framed(out, |payload| {
+                payload.u8(kind::CLOCK_REFERENCE);
+                payload.u32(0);
+                payload.u64(reference.unix_time);
+                payload.u64(reference.monotonic);
+                payload.out.extend_from_slice(&reference.boot.0);
+            }),
+            Record::AttemptWithdrawn { message_number } => append_framed(out, |payload| {
+                payload.u8(kind::ATTEMPT_WITHDRAWN);
+                payload.u32(*message_number);
+            }),
         }
     }
 
@@ -270,7 +290,7 @@
 
     fn record(&mut self) -> Result<Record, DecodeError> {
         let kind = self.u8()?;
-        // The number of a message, or of classes in a name table.
+        // The number of a message, or of classes in a name table; none in a clock reference.
         let number = self.u32()?;
         Ok(match kind {
             kind::SUBMITTED => {
@@ -289,6 +309,12 @@
             }
             kind::COMPLETED => Record::Completed { message_number: number },
             kind::NAME_TABLE => Record::NameTable(self.name_table(number)?),
+            kind::CLOCK_REFERENCE => Record::ClockReference(ClockReference {
+                unix_time: self.u64()?,
+                monotonic: self.u64()?,
+                boot: BootId(self.array()?),
+            }),
+            kind::ATTEMPT_WITHDRAWN => Record::AttemptWithdrawn { message_number: number },
             _ => return Err(DecodeError::InvalidPayload),
         })
     }
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,7 +1,8 @@
 //! State of the log: live messages, records of the current turn, commit, compaction and recovery.
 
 use crate::codec::{encode_submitted, DecodeError};
-use crate::record::{LiveMessage, NameTable, Record};
+use crate::frame::{append_frame, decode_frame};
+use crate::record::{ClockReference, LiveMessage, NameTable, Record};
 use crate::store::SegmentStore;
 use std::collections::BTreeMap;
 use std::io;
@@ -19,8 +20,10 @@
 const MESSAGE_OVERHEAD_BYTES: usize = 96;
 /// Upper bound of what a message takes in a segment beside its body, in bytes.
 const MAX_BYTES_BESIDE_BODY: u64 = 512;
-/// Head of a segment: what the file is, and the version of its records.
-const SEGMENT_HEADER: &[u8] = b"cloverstile-log 1\n";
+/// Head of a segment: what the file is, and the version of its form.
+const SEGMENT_HEADER: &[u8] = b"cloverstile-log 2\n";
+/// Head of a segment of the first version, whose records stand without frames.
+const SEGMENT_HEADER_WITHOUT_FRAMES: &[u8] = b"cloverstile-log 1\n";
 /// Name of a segment that is being written.
 const TEMPORARY_NAME: &str = "log.tmp";
 
@@ -35,6 +38,10 @@
     pub decode_error: Option<DecodeError>,
     /// What indices in the messages mean; empty where the log's version did not store it.
     pub names: NameTable,
+    /// The clock of the messages' times; none where the log's version did not store it.
+    pub clock: Option<ClockReference>,
+    /// Files of earlier segments that could not be removed, with the reason. The next process removes them.
+    pub leftovers: Vec<io::Error>,
 }
 
 /// A write-ahead log in a [`SegmentStore`].
@@ -49,9 +56,12 @@
     live_messages: BTreeMap<u32, LiveMessage>,
     /// What the live messages take in a segment, at most.
     live_bytes: u64,
+    /// Frames in the segment.
+    frames: u64,
     /// Encoded records of the current turn.
     batch: Vec<u8>,
     names: NameTable,
+    clock: Option<ClockReference>,
     /// The segment can't be appended to, after recovery or a failed write: the next commit starts a new one.
     needs_new_segment: bool,
 }
@@ -77,7 +87,7 @@
     ///
     /// # Errors
     ///
-    /// Any of the store's.
+    /// The files can't be listed or read. One that can't be removed is none: it does not count, and is removed later.
     pub fn open(store: S, capacity: u64) -> io::Result<(Self, Recovered)> {
         let mut log = Log {
             store,
@@ -86,11 +96,12 @@
             segment_length: 0,
             live_messages: BTreeMap::new(),
             live_bytes: 0,
+            frames: 0,
             batch: Vec::new(),
             names: NameTable::default(),
+            clock: None,
             needs_new_segment: true,
         };
-        log.store.remove(TEMPORARY_NAME)?;
         let mut segments: Vec<u64> =
             log.store.file_names()?.iter().filter_map(|name| segment_number(name)).collect();
         segments.sort_unstable();
@@ -100,8 +111,9 @@
             let bytes = log.store.read(&segment_name(newest))?;
             recovered = log.recover(&bytes);
         }
-        for older in segments {
-            log.store.remove(&segment_name(older))?;
+        let older = segments.into_iter().map(segment_name);
+        for name in older.chain([TEMPORARY_NAME.to_owned()]) {
+            recovered.leftovers.extend(log.store.remove(&name).err());
         }
         Ok((log, recovered))
     }
@@ -109,18 +121,42 @@
     /// Replays a segment's records; the log holds none of their messages afterwards.
     fn recover(&mut self, segment: &[u8]) -> Recovered {
         let mut recovered = Recovered::default();
-        match segment.strip_prefix(SEGMENT_HEADER) {
-            Some(records) => self.replay(records, &mut recovered),
-            None => recovered.discarded_bytes = segment.len(),
+        if let Some(frames) = segment.strip_prefix(SEGMENT_HEADER) {
+            self.replay_frames(frames, &mut recovered);
+        } else if let Some(records) = segment.strip_prefix(SEGMENT_HEADER_WITHOUT_FRAMES) {
+            self.replay_records(records, &mut recovered);
+        } else {
+            recovered.discarded_bytes = segment.len();
         }
+        recovered.clock = self.clock.take();
         recovered.messages = std::mem::take(&mut self.live_messages).into_values().collect();
         recovered.names = std::mem::take(&mut self.names);
         self.live_bytes = 0;
         recovered
     }
 
+    /// Applies batches up to the first one that can't be read.
+    fn replay_frames(&mut self, mut frames: &[u8], recovered: &mut Recovered) {
+        for sequence in 0.. {
+            if frames.is_empty() {
+                return;
+            }
+            match decode_frame(sequence, frames) {
+                Ok(decoded) => {
+                    decoded.records.into_iter().for_each(|record| self.apply(record));
+                    frames = &frames[decoded.length..];
+                }
+                Err(error) => {
+                    recovered.discarded_bytes = frames.len();
+                    recovered.decode_error = Some(error);
+                    return;
+                }
+            }
+        }
+    }
+
     /// Applies records up to the first one that can't be read.
-    fn replay(&mut self, mut records: &[u8], recovered: &mut Recovered) {
+    fn replay_records(&mut self, mut records: &[u8], recovered: &mut Recovered) {
         while !records.is_empty() {
             match Record::decode(records) {
                 Ok(decoded) => {
@@ -169,14 +205,22 @@
                 }
             }
             Record::NameTable(names) => self.names = names,
+            Record::ClockReference(reference) => self.clock = Some(reference),
+            Record::AttemptWithdrawn { message_number } => {
+                if let Some(message) = self.live_messages.get_mut(&message_number) {
+                    message.attempts = message.attempts.saturating_sub(1);
+                    message.open_attempt = None;
+                }
+            }
         }
     }
 
     /// Adds a record to the current turn. A record of a message that is not live is dropped.
     pub fn record(&mut self, record: Record) {
         let applies = match &record {
-            Record::Submitted { .. } | Record::NameTable(_) => true,
-            Record::AttemptStarted { message_number, .. }
+            Record::Submitted { .. } | Record::NameTable(_) | Record::ClockReference(_) => true,
+            Record::AttemptWithdrawn { message_number }
+            | Record::AttemptStarted { message_number, .. }
             | Record::AttemptCompleted { message_number, .. }
             | Record::NotificationPending { message_number, .. }
             | Record::Completed { message_number } => self.live_messages.contains_key(message_number),
@@ -208,27 +252,44 @@
         needed <= (self.capacity as f64 * LIVE_MESSAGES_SHARE) as u64
     }
 
+    /// Whether all records are stored; not after a commit that failed, whose successor stores them.
+    pub fn is_stored(&self) -> bool {
+        self.batch.is_empty() && !self.needs_new_segment
+    }
+
     /// Writes the turn's records in one write, or compacts into a new segment where that is due.
     ///
     /// # Errors
     ///
-    /// Any of the store's. None of the turn's records is stored then, and the caller must take back what must not
-    /// happen unlogged; the next commit starts a new segment.
+    /// Any of the store's. No recovery finds any of the turn's records then, and the caller must take back what must not
+    /// happen unlogged; the next commit starts a new segment with all that the log holds. A write that failed though all
+    /// of it is in the file, and can't be cut off again, is no error: recovery finds it.
     pub fn commit(&mut self) -> io::Result<()> {
         if self.batch.is_empty() && !self.needs_new_segment {
             return Ok(());
         }
-        let batch = std::mem::take(&mut self.batch);
-        if self.needs_new_segment || self.is_compaction_due(batch.len()) {
+        let records = std::mem::take(&mut self.batch);
+        if self.needs_new_segment || self.is_compaction_due(records.len()) {
             return self.compact();
         }
-        if let Err(error) = self.store.append(&segment_name(self.segment), &batch) {
-            // Guards against a torn write with later records behind it, which no recovery would read.
+        let mut frame = Vec::with_capacity(records.len());
+        append_frame(self.frames, &mut frame, |out| out.extend_from_slice(&records));
+        self.append(&frame)
+    }
+
+    /// Appends a frame to the segment.
+    fn append(&mut self, frame: &[u8]) -> io::Result<()> {
+        let name = segment_name(self.segment);
+        let end = self.segment_length + frame.len() as u64;
+        if let Err(error) = self.store.append(&name, frame) {
+            // Guards against a torn write with later frames behind it, which no recovery would read.
             self.needs_new_segment = true;
-            let _ = self.store.truncate(&segment_name(self.segment), self.segment_length);
-            return Err(error);
+            let is_cut = self.store.truncate(&name, self.segment_length).is_ok();
+            let is_whole = !is_cut && self.store.length(&name).is_ok_and(|length| length >= end);
+            return if is_whole { Ok(()) } else { Err(error) };
         }
-        self.segment_length += batch.len() as u64;
+        self.segment_length = end;
+        self.frames += 1;
         Ok(())
     }
 
@@ -246,13 +307,20 @@
         let next = self.segment + 1;
         let written = self.store.append(TEMPORARY_NAME, &bytes);
         if let Err(error) = written.and_then(|()| self.store.rename(TEMPORARY_NAME, &segment_name(next))) {
-            let _ = self.store.remove(TEMPORARY_NAME);
-            return Err(error);
+            // A rename that failed may have happened all the same: then recovery finds the new segment.
+            let is_renamed = self.store.length(&segment_name(next)).is_ok();
+            if !is_renamed || self.store.remove(&segment_name(next)).is_ok() {
+                // Where it can't be removed it does not count, and the next compaction removes it.
+                let _ = self.store.remove(TEMPORARY_NAME);
+                return Err(error);
+            }
         }
         // From here on the new segment counts, whether the old one could be removed or not.
         let old = std::mem::replace(&mut self.segment, next);
         self.segment_length = bytes.len() as u64;
+        self.frames = 1;
         self.needs_new_segment = false;
+        // Recovery reads the newest segment, and removes older ones.
         let _ = self.store.remove(&segment_name(old));
         Ok(())
     }
@@ -260,12 +328,17 @@
     /// Bytes of a segment with the state of the log and nothing more.
     fn encode_segment(&self) -> Vec<u8> {
         let mut bytes = SEGMENT_HEADER.to_vec();
-        if self.names != NameTable::default() {
-            Record::NameTable(self.names.clone()).encode(&mut bytes);
-        }
-        for (message_number, message) in &self.live_messages {
-            encode_submitted(*message_number, message, &mut bytes);
-        }
+        append_frame(0, &mut bytes, |out| {
+            if let Some(reference) = self.clock {
+                Record::ClockReference(reference).encode(out);
+            }
+            if self.names != NameTable::default() {
+                Record::NameTable(self.names.clone()).encode(out);
+            }
+            for (message_number, message) in &self.live_messages {
+                encode_submitted(*message_number, message, out);
+            }
+        });
         bytes
     }
 }
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -70,6 +70,21 @@
     pub zones: Vec<String>,
 }
 
+/// A moment on two clocks, by which a later process tells how much real time has passed since.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClockReference {
+    /// The writer's time, in Unix nanoseconds: that of all times in the log.
+    pub unix_time: u64,
+    /// The machine's monotonic clock at that moment, in nanoseconds.
+    pub monotonic: u64,
+    /// The boot of the machine that the monotonic clock belongs to.
+    pub boot: BootId,
+}
+
+/// Identifies one boot of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BootId(pub [u8; 16]);
+
 /// One entry of the log.
 ///
 /// `message_number` is the gateway's own number of a message, unique while the message is live.
@@ -110,4 +125,11 @@
     },
     /// What the indices in the messages of this segment mean.
     NameTable(NameTable),
+    /// The clock of the times in this segment.
+    ClockReference(ClockReference),
+    /// The attempt in flight was not sent after all: it counts as if it had never been started.
+    AttemptWithdrawn {
+        /// The message's number.
+        message_number: u32,
+    },
 }
--- a/crates/wal/src/store.rs
+++ b/crates/wal/src/store.rs
@@ -19,6 +19,12 @@
     ///
     /// The file does not exist or can't be read.
     fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+    /// Length of a file, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// The file does not exist or can't be looked at.
+    fn length(&self, name: &str) -> io::Result<u64>;
     /// Appends to a file, which is created if need be, in one write.
     ///
     /// # Errors
@@ -81,6 +87,10 @@
         fs::read(self.path.join(name))
     }
 
+    fn length(&self, name: &str) -> io::Result<u64> {
+        Ok(fs::metadata(self.path.join(name))?.len())
+    }
+
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         if self.open.as_ref().is_none_or(|open| open.name != name) {
             let file = OpenOptions::new().create(true).append(true).open(self.path.join(name))?;
@@ -93,7 +103,10 @@
     }
 
     fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        OpenOptions::new().write(true).open(self.path.join(name))?.set_len(length)
+        match &self.open {
+            Some(open) if open.name == name => open.file.set_len(length),
+            _ => OpenOptions::new().write(true).open(self.path.join(name))?.set_len(length),
+        }
     }
 
     fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
@@ -144,6 +157,11 @@
         self.files.get(name).cloned().ok_or_else(|| io::ErrorKind::NotFound.into())
     }
 
+    fn length(&self, name: &str) -> io::Result<u64> {
+        let file = self.files.get(name).ok_or(io::ErrorKind::NotFound)?;
+        Ok(file.len() as u64)
+    }
+
     fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let written = self.free_bytes.map_or(bytes.len(), |free| free.min(bytes.len()));
         self.files.entry(name.to_owned()).or_default().extend_from_slice(&bytes[..written]);
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -2,7 +2,8 @@
 
 use cloverstile_wal::store::{DirectoryStore, MemoryStore, SegmentStore};
 use cloverstile_wal::{
-    AttemptStart, ClassName, DecodeError, LiveMessage, Log, NameTable, Record, TerminalState, UNKNOWN_INDEX,
+    AttemptStart, BootId, ClassName, ClockReference, DecodeError, LiveMessage, Log, NameTable, Record,
+    TerminalState, UNKNOWN_INDEX,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -270,6 +271,9 @@
     fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
         self.store.read(name)
     }
+    fn length(&self, name: &str) -> std::io::Result<u64> {
+        self.store.length(name)
+    }
     fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
         if self.changes_left == 1 {
             self.store.append(name, &bytes[..bytes.len() / 2])?;
@@ -339,6 +343,110 @@
     assert!(crashes > 60 && commits > 40, "{crashes} crashes, {commits} commits");
 }
 
+/// A frame of these records, by its definition: length, checksum over sequence number and records, sequence number.
+fn frame(sequence: u64, records: &[u8]) -> Vec<u8> {
+    let checked = [&sequence.to_le_bytes()[..], records].concat();
+    let length = (records.len() as u32).to_le_bytes();
+    [&length[..], &crc32fast::hash(&checked).to_le_bytes(), &checked].concat()
+}
+
+/// A batch cut at any byte is absent: a message that was submitted and refused in one turn is not a submitted one.
+#[test]
+fn recovery_after_a_cut_inside_a_batch_finds_none_of_it() {
+    let (mut log, ..) = open(MemoryStore::default());
+    log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) });
+    log.commit().unwrap();
+    let before = log.store().clone();
+    log.record(Record::Submitted { message_number: 2, message: Box::new(message(2, 30)) });
+    log.record(Record::Completed { message_number: 2 });
+    log.record(Record::Submitted { message_number: 3, message: Box::new(message(3, 30)) });
+    log.commit().unwrap();
+    let (name, whole) = (newest(&before), log.store().clone());
+    for cut in before.files[&name].len()..whole.files[&name].len() {
+        let mut store = whole.clone();
+        store.files.get_mut(&name).unwrap().truncate(cut);
+        assert_eq!(open(store).1, open(before.clone()).1, "cut at {cut}");
+    }
+    assert_eq!(open(whole).1.len(), 2);
+}
+
+/// A store whose next write is torn after some bytes, and which can't be cut back.
+struct TornStore {
+    store: MemoryStore,
+    torn_after: Option<usize>,
+}
+
+impl SegmentStore for TornStore {
+    fn file_names(&self) -> std::io::Result<Vec<String>> {
+        self.store.file_names()
+    }
+    fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
+        self.store.read(name)
+    }
+    fn length(&self, name: &str) -> std::io::Result<u64> {
+        self.store.length(name)
+    }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+        let Some(written) = self.torn_after.take() else { return self.store.append(name, bytes) };
+        self.store.append(name, &bytes[..written.min(bytes.len())])?;
+        Err(std::io::Error::other("torn"))
+    }
+    fn truncate(&mut self, _: &str, _: u64) -> std::io::Result<()> {
+        Err(std::io::Error::other("can't be cut"))
+    }
+    fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
+        self.store.rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> std::io::Result<()> {
+        self.store.remove(name)
+    }
+}
+
+/// A commit that fails after any number of bytes: recovery finds all of the turn where it was reported as done, and none of
+/// it where it was reported as failed.
+#[test]
+fn recovery_agrees_with_the_result_of_every_torn_commit() {
+    for written in 0..300 {
+        let store = TornStore { store: MemoryStore::default(), torn_after: None };
+        let (mut log, _) = Log::open(store, CAPACITY_BYTES).unwrap();
+        log.commit().unwrap();
+        log.store_mut().torn_after = Some(written);
+        log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) });
+        log.record(Record::Submitted { message_number: 2, message: Box::new(message(2, 30)) });
+        let committed = log.commit().is_ok();
+        let found = open(log.store().store.clone()).1.len();
+        assert_eq!(found, if committed { 2 } else { 0 }, "{written} bytes");
+        assert!(!log.is_stored(), "the next commit starts a new segment");
+        log.commit().unwrap();
+        assert!(log.is_stored() && open(log.store().store.clone()).1.len() == 2);
+    }
+}
+
+/// An attempt that was logged and not sent counts as none.
+#[test]
+fn withdrawn_attempt_leaves_no_trace_on_its_message() {
+    let (mut log, ..) = open(MemoryStore::default());
+    log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) });
+    log.record(Record::AttemptStarted { message_number: 1, start: start(11) });
+    log.record(Record::AttemptWithdrawn { message_number: 1 });
+    log.commit().unwrap();
+    assert_eq!(open(log.store().clone()).1, [message(1, 30)]);
+}
+
+/// The clock of a log's times is in every segment.
+#[test]
+fn clock_reference_is_recovered_from_every_segment() {
+    let reference = ClockReference { unix_time: 1 << 60, monotonic: 77, boot: BootId([9; 16]) };
+    let mut store = MemoryStore::default();
+    for round in 0..3 {
+        let (mut log, recovered) = Log::open(store, CAPACITY_BYTES).unwrap();
+        assert_eq!(recovered.clock, (round > 0).then_some(reference));
+        log.record(Record::ClockReference(reference));
+        log.commit().unwrap();
+        store = log.store().clone();
+    }
+}
+
 /// A discarded tail is reported with the reason; a whole segment without one.
 #[test]
 fn recovery_reports_why_a_tail_was_discarded() {
@@ -352,10 +460,21 @@
     assert_eq!(error_after(|_| ()), None);
     assert_eq!(error_after(|bytes| bytes.truncate(bytes.len() - 1)), Some(DecodeError::Truncated));
     assert_eq!(error_after(|bytes| *bytes.last_mut().unwrap() ^= 1), Some(DecodeError::ChecksumMismatch));
-    assert_eq!(error_after(|bytes| bytes.extend([0xff; 8])), Some(DecodeError::TooLong(0xffff_ffff)));
+    assert_eq!(error_after(|bytes| bytes.extend([0xff; 16])), Some(DecodeError::TooLong(0xffff_ffff)));
     let unknown_kind = [&[1, 0, 0, 0][..], &crc32fast::hash(&[99]).to_le_bytes(), &[99]].concat();
-    let mut store = whole.clone();
-    store.files.get_mut(&name).unwrap().extend(unknown_kind);
+    let error_of_tail = |tail: Vec<u8>| {
+        let mut store = whole.clone();
+        store.files.get_mut(&name).unwrap().extend(tail);
+        let recovered = Log::open(store, CAPACITY_BYTES).unwrap().1;
+        (recovered.decode_error, recovered.discarded_bytes)
+    };
+    // The first frame is that of the new segment, and each of the eleven records has one.
+    let (of_unknown_kind, repeated) = (frame(12, &unknown_kind), frame(11, &[]));
+    assert_eq!(error_of_tail(of_unknown_kind), (Some(DecodeError::InvalidPayload), 25));
+    assert_eq!(error_of_tail(repeated), (Some(DecodeError::OutOfSequence), 16));
+    // The same record in a segment of the first version.
+    let files = BTreeMap::from([("log.3".to_owned(), [b"cloverstile-log 1\n", &unknown_kind[..]].concat())]);
+    let store = MemoryStore { files, ..MemoryStore::default() };
     let recovered = Log::open(store, CAPACITY_BYTES).unwrap().1;
     assert_eq!((recovered.decode_error, recovered.discarded_bytes), (Some(DecodeError::InvalidPayload), 9));
 }
