--- a/crates/cli/tests/machine_faults.rs
+++ b/crates/cli/tests/machine_faults.rs
@@ -3,9 +3,10 @@
 
 mod gateway_harness;
 
-use cloverstile_fakes::platform::PutCommand;
+use cloverstile_fakes::platform::{read_line, EndpointBehaviour, PutCommand};
 use cloverstile_fault_injection::{Call, Effect, FaultControl, Rule};
-use gateway_harness::{notice, payment, GatewayHarness, EVENT_TIMEOUT};
+use gateway_harness::{notice, payment, send_signal, GatewayHarness, EVENT_TIMEOUT};
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 /// How long a fault lasts that a message must outlive: long enough for all attempts of a message to be used up.
@@ -108,3 +109,126 @@
     assert!(wait_until(EVENT_TIMEOUT, || submit(&harness, &payment("then".into())) == "+OK"));
     assert_eq!((harness.request_count("held"), harness.request_count("too-soon")), (1, 0));
 }
+
+/// A message is delivered while the log can't be written. Nothing else happens until the disk recovers, and then the process
+/// is killed: the outcome was stored by then.
+#[test]
+fn outcome_is_stored_soon_after_the_disk_recovers_without_another_event() {
+    let mut harness = GatewayHarness::new("own-retry", &[3]);
+    let faults = harness.fault_control();
+    harness.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(300)));
+    harness.start_with_faults(&faults);
+    assert_eq!(submit(&harness, &notice("delivered".into(), 0)), "+OK");
+    assert!(wait_until(EVENT_TIMEOUT, || harness.request_count("delivered") == 1));
+    fail_writes(&faults, 0);
+    std::thread::sleep(Duration::from_millis(700));
+    faults.clear_rule(0).unwrap();
+    std::thread::sleep(Duration::from_millis(400));
+    harness.kill();
+    harness.start();
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(harness.violations_at_the_end(), [""; 0]);
+    assert_eq!(harness.request_count("delivered"), 1, "the outcome was forgotten");
+}
+
+/// The same behind a shutdown signal, with the disk back in time: the process does not end without the outcome.
+#[test]
+fn shutdown_waits_for_a_disk_that_recovers_to_store_an_outcome() {
+    let mut harness = GatewayHarness::new("outcome-at-end", &[3]);
+    let faults = harness.fault_control();
+    harness.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(300)));
+    harness.start_with_faults(&faults);
+    assert_eq!(submit(&harness, &notice("delivered".into(), 0)), "+OK");
+    assert!(wait_until(EVENT_TIMEOUT, || harness.request_count("delivered") == 1));
+    fail_writes(&faults, 0);
+    let signalled = harness.request_shutdown();
+    std::thread::sleep(Duration::from_millis(1500));
+    faults.clear_rule(0).unwrap();
+    harness.wait_for_exit(signalled);
+    harness.start();
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(harness.request_count("delivered"), 1, "the outcome was forgotten");
+}
+
+/// The wall clock is stepped by an hour between two processes: a message with time left is delivered, and one whose time is
+/// over is not.
+#[test]
+fn wall_clock_step_between_two_processes_moves_no_deadline() {
+    let hour = Duration::from_secs(3600);
+    for (name, ahead) in [("step-ahead", true), ("step-back", false)] {
+        let mut harness = harness_that_holds(name);
+        let faults = harness.fault_control();
+        harness.start_with_faults(&faults);
+        assert_eq!(submit(&harness, &payment("in-time".into())), "+OK");
+        let short = PutCommand { time_left_ms: 1200, ..payment("over".into()) };
+        assert_eq!(submit(&harness, &short), "+OK");
+        harness.kill();
+        std::thread::sleep(Duration::from_millis(1300));
+        faults.set_wall_clock(ahead, hour).unwrap();
+        harness.platform.set_lifecycle(0, "SERVING");
+        harness.edit_config(|config| config["known"] = harness.platform.endpoint_list());
+        harness.start_with_faults(&faults);
+        // And once more inside the process, with a message that is held there.
+        faults.set_wall_clock(!ahead, hour).unwrap();
+        assert_eq!(submit(&harness, &payment("after".into())), "+OK");
+        assert_eq!(harness.violations_at_the_end(), [""; 0], "{name}");
+        let counts = ["in-time", "over", "after"].map(|id| harness.request_count(id));
+        assert_eq!(counts, [1, 0, 1], "{name}");
+        assert!(harness.is_notified("over", "deferred"), "{name}");
+    }
+}
+
+/// Connections that the system took before the listener closes are served though accepting them fails at first.
+#[test]
+fn failed_accepts_at_a_shutdown_lose_no_connection() {
+    for errno in [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS] {
+        let mut harness = GatewayHarness::new(&format!("accept-{errno}"), &[3]);
+        let faults = harness.fault_control();
+        harness.start_with_faults(&faults);
+        let signalled = harness.request_shutdown();
+        // The signal is handled in the turn of this reply at the latest.
+        assert_eq!(submit(&harness, &payment("first".into())), "+OK");
+        send_signal(harness.gateway.as_ref().unwrap(), "-STOP");
+        let mut clients: Vec<_> = (0..4).map(|_| harness.connect_client()).collect();
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.write_all(&payment(format!("taken{number}")).encode()).unwrap();
+        }
+        faults.set_rule(0, &Rule { count: 3, ..Rule::always(Call::Accept, Effect::Error(errno)) }).unwrap();
+        std::thread::sleep(Duration::from_millis(600).saturating_sub(signalled.elapsed()));
+        send_signal(harness.gateway.as_ref().unwrap(), "-CONT");
+        for client in &mut clients {
+            assert_eq!(read_line(client).expect("a reply"), "+OK", "errno {errno}");
+        }
+        harness.wait_for_exit(signalled);
+        assert_eq!(faults.hits(0).unwrap(), 3, "the fault was met");
+    }
+}
+
+/// No connection can be made for longer than all attempts of a message would take, for a reason of this machine: the
+/// message is delivered behind it, and so is what was accepted meanwhile.
+#[test]
+fn connects_that_fail_on_this_machine_use_no_attempts() {
+    let failures = [
+        (Call::Connect, libc::EADDRNOTAVAIL),
+        (Call::Connect, libc::ENETUNREACH),
+        (Call::Socket, libc::ENFILE),
+        (Call::SocketOption, libc::ENOBUFS),
+    ];
+    let threads = failures.map(|(call, errno)| {
+        std::thread::spawn(move || {
+            let mut harness = GatewayHarness::new(&format!("connect-{}-{errno}", call as u64), &[3]);
+            let faults = harness.fault_control();
+            harness.start_with_faults(&faults);
+            let mut client = harness.connect_client();
+            faults.set_rule(0, &Rule::always(call, Effect::Error(errno))).unwrap();
+            assert_eq!(harness.platform.submit(&mut client, &payment("held".into())).unwrap(), "+OK");
+            assert_eq!(submit(&harness, &notice("later".into(), 0)), "+OK", "a new client is served");
+            std::thread::sleep(LONG_FAULT);
+            faults.clear_rule(0).unwrap();
+            assert_eq!(harness.violations_at_the_end(), [""; 0], "{call:?} {errno}");
+            let counts = (harness.request_count("held"), harness.request_count("later"));
+            assert_eq!(counts, (1, 1), "{call:?} {errno}");
+        })
+    });
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+}
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -329,6 +329,23 @@
     }
 }
 
+/// A shutdown ends while an unsafe message is being prepared for its attempt: nothing of it has left, so it may be submitted
+/// again. Guards against the flaw behind `graceful_shutdown_at_full_load_answers_all_held_messages` on a busy machine, where
+/// composing a message or establishing its connection takes until the end.
+#[test]
+fn shutdown_rejects_an_unsafe_message_whose_attempt_was_never_sent() {
+    for (started, expected) in [(false, FinalOutcome::Rejected(Duration::ZERO)), (true, FinalOutcome::Failed)]
+    {
+        let mut harness = Harness::new(10);
+        harness.submit("only", UNSAFE);
+        let attempt = harness.next_sent();
+        harness.engine.set_attempt_started(attempt, started);
+        harness.engine.shut_down_by(harness.now + ms(500));
+        assert_eq!(harness.next_outcome(), expected, "sent: {started}");
+        assert!(!harness.engine.may_send_now(harness.now, attempt), "nothing is sent after the outcome");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, rng_seed: RngSeed::Fixed(17), failure_persistence: None, ..Default::default() })]
 
--- a/crates/platform/tests/platform/notifications.rs
+++ b/crates/platform/tests/platform/notifications.rs
@@ -64,7 +64,7 @@
 fn rejected_notification_does_not_hold_back_the_others() {
     let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
     (1..=2).for_each(|number| {
-        notifications.enqueue(number, notification(&format!("n{number}"), true, 0), Release::AtOnce)
+        notifications.enqueue(number, notification(&format!("n{number}"), true, 0), Release::AtOnce);
     });
     let (mut acknowledged, mut rejected) = (vec![], vec![]);
     for round in 0..8u64 {
