--- a/crates/engine/src/message_record.rs
+++ b/crates/engine/src/message_record.rs
@@ -108,9 +108,10 @@
         repeat_is_safe && self.may_attempt(settings)
     }
 
-    /// The outcome where the policy is not asked: rejected only if nothing can have taken effect.
+    /// The outcome where the policy is not asked: rejected only if nothing can have taken effect. An attempt that was
+    /// decided on and not sent can't.
     pub fn outcome_without_policy(&self) -> FinalOutcome {
-        if self.may_have_run || self.in_flight.is_some() {
+        if self.may_have_run || self.in_flight.is_some_and(|attempt| attempt.started) {
             FinalOutcome::Failed
         } else {
             FinalOutcome::Rejected(Duration::ZERO)
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -1,5 +1,6 @@
 //! One connection: its state, its queued bytes, reading and writing.
 
+use crate::failures::{is_in_progress, leaves_connection_open};
 use crate::readiness::ReadyList;
 use calloop::generic::Generic;
 use calloop::{Dispatcher, Interest, RegistrationToken};
@@ -7,14 +8,13 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use tracing::debug;
 
 /// Most bytes read from one connection in one poll, up to one read buffer more: a fast peer must not keep the others
 /// waiting.
 pub const MAX_READ_PER_CONNECTION: usize = 256 << 10;
 /// Bytes of the buffer of one read call.
 const READ_BUFFER: usize = 64 << 10;
-/// Linux's error number of a non-blocking connect that goes on by itself; `std::io::ErrorKind` has no stable name for it.
-const EINPROGRESS: i32 = 115;
 
 /// The event source of a connection.
 pub type StreamSource = Dispatcher<'static, Generic<Rc<TcpStream>>, ReadyList>;
@@ -83,6 +83,8 @@
     pub read_state: ReadState,
     /// It stays open for writing when its peer ends its sending.
     pub half_open: bool,
+    /// Small writes may be held back by the system, which could not be told otherwise so far.
+    may_delay_writes: bool,
     /// Its owner has closed it: it ends once all queued bytes are written.
     pub close_after_flush: bool,
     output: OutputBuffer,
@@ -103,6 +105,7 @@
             state,
             read_state: ReadState::Active,
             half_open: false,
+            may_delay_writes: true,
             close_after_flush: false,
             output: OutputBuffer::default(),
         }
@@ -135,16 +138,30 @@
         Interest { readable, writable }
     }
 
+    /// Tells the system not to hold back small writes: a reset would take them along, replies of ours among them.
+    pub fn send_without_delay(&mut self) {
+        if self.may_delay_writes {
+            match self.stream.set_nodelay(true) {
+                Ok(()) => self.may_delay_writes = false,
+                Err(error) => debug!(%error, "TCP_NODELAY can't be set, tried again with the next write"),
+            }
+        }
+    }
+
     /// Writes queued bytes until all are written or the system takes no more for now.
     pub fn write_queued(&mut self) -> Result<(), WriteFailed> {
+        self.send_without_delay();
         let OutputBuffer { bytes, written } = &mut self.output;
         while *written < bytes.len() {
             match (&*self.stream).write(&bytes[*written..]) {
                 Ok(0) => return Err(WriteFailed),
                 Ok(count) => *written += count,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(WriteFailed),
+                Err(error) if leaves_connection_open(&error) => return Ok(()),
+                Err(error) => {
+                    debug!(%error, "write failed");
+                    return Err(WriteFailed);
+                }
             }
         }
         bytes.clear();
@@ -161,9 +178,12 @@
             match (&*self.stream).read(&mut buffer) {
                 Ok(0) => break Some(StreamEnd::Orderly),
                 Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break None,
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => break Some(StreamEnd::Broken),
+                Err(error) if leaves_connection_open(&error) => break None,
+                Err(error) => {
+                    debug!(%error, "read failed");
+                    break Some(StreamEnd::Broken);
+                }
             }
             if bytes.len() >= MAX_READ_PER_CONNECTION {
                 break None;
@@ -177,9 +197,6 @@
 pub fn start_connect(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_nonblocking(true)?;
-    let is_in_progress = |error: &io::Error| {
-        error.raw_os_error() == Some(EINPROGRESS) || error.kind() == ErrorKind::WouldBlock
-    };
     match socket.connect(&address.into()) {
         Err(error) if !is_in_progress(&error) => Err(error),
         Ok(()) | Err(_) => Ok(socket.into()),
--- a/crates/net/src/listener.rs
+++ b/crates/net/src/listener.rs
@@ -22,6 +22,8 @@
     pub paused: bool,
     /// Its connections stay open for writing when their peers end their sending.
     pub half_open: bool,
+    /// It ends once the connections that the system has taken are accepted.
+    pub closing: bool,
 }
 
 /// Binds a non-blocking listening socket.
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -1,24 +1,27 @@
 //! All connections of one thread, and the poll of their event loop.
 
-use crate::connection::{start_connect, Connection, ConnectionState, ReadState, StreamEnd};
+use crate::connection::{Connection, ConnectionState, ReadState, StreamEnd};
 use crate::event::{ConnId, ListenerId, NetEvent};
 use crate::lingering::LingerQueue;
-use crate::listener::{self, Listener, LISTENER_PAUSE};
+use crate::listener::{Listener, LISTENER_PAUSE};
 use crate::readiness::{Ready, ReadyList};
-use calloop::generic::Generic;
+use crate::retries::Retries;
 use calloop::ping::{make_ping, Ping};
 use calloop::signals::{Signal, Signals};
-use calloop::{Dispatcher, EventLoop, Interest, LoopHandle, Mode, PostAction};
+use calloop::{EventLoop, LoopHandle};
 use socket2::SockRef;
 use std::collections::HashMap;
-use std::io::{self, ErrorKind};
-use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::io;
+use std::net::Shutdown;
 use std::time::{Duration, Instant};
+use tracing::{debug, warn};
 
 /// Most bytes read in one poll from all connections, and one connection's more. Guards against memory that many fast
 /// peers take together: what is read stands in events until it is handled. The rest is read in the next poll.
 pub(crate) const MAX_READ_PER_POLL: usize = 2 << 20;
+/// Waits in a row that may fail before the event loop counts as broken, and the pause behind each.
+const MAX_FAILED_WAITS: u32 = 500;
+const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Wakes a [`Net`] from another thread.
 #[derive(Clone)]
@@ -34,20 +37,23 @@
 /// All connections and listeners of one thread, on one event loop.
 pub struct Net {
     event_loop: EventLoop<'static, ReadyList>,
-    handle: LoopHandle<'static, ReadyList>,
-    connections: HashMap<ConnId, Connection>,
-    listeners: HashMap<ListenerId, Listener>,
+    pub(crate) handle: LoopHandle<'static, ReadyList>,
+    pub(crate) connections: HashMap<ConnId, Connection>,
+    pub(crate) listeners: HashMap<ListenerId, Listener>,
+    pub(crate) retries: Retries,
     lingering: LingerQueue,
+    /// Waits that failed since the last one that did not.
+    failed_waits: u32,
     /// Bytes read in this poll.
     bytes_read: usize,
     waker: Waker,
     /// The last id that was given to a connection or listener.
     last_id: u64,
     /// Events that the next poll returns, also those of operations outside a poll.
-    pending: Vec<NetEvent>,
+    pub(crate) pending: Vec<NetEvent>,
 }
 
-fn other(error: impl std::fmt::Display) -> io::Error {
+pub(crate) fn other(error: impl std::fmt::Display) -> io::Error {
     io::Error::other(error.to_string())
 }
 
@@ -67,7 +73,9 @@
             handle,
             connections: HashMap::new(),
             listeners: HashMap::new(),
+            retries: Retries::default(),
             lingering: LingerQueue::new(),
+            failed_waits: 0,
             bytes_read: 0,
             waker: Waker(ping),
             last_id: 0,
@@ -93,73 +101,11 @@
         Ok(())
     }
 
-    fn next_id(&mut self) -> u64 {
+    pub(crate) fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
     }
 
-    /// Listens on an address; port 0 chooses a free one. Returns the address with its port.
-    ///
-    /// # Errors
-    /// The system's, where the address is in use or not this machine's, or no descriptor is left.
-    pub fn listen(&mut self, address: SocketAddr) -> io::Result<(ListenerId, SocketAddr)> {
-        let socket = Rc::new(listener::bind(address)?);
-        let bound = socket.local_addr()?;
-        let id = ListenerId(self.next_id());
-        let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
-        let on_ready = move |_, _: &mut _, ready: &mut ReadyList| {
-            ready.push(Ready::Listener(id));
-            Ok(PostAction::Continue)
-        };
-        let token = self.handle.insert_source(source, on_ready).map_err(other)?;
-        self.listeners.insert(id, Listener { socket, token, paused: false, half_open: false });
-        Ok((id, bound))
-    }
-
-    /// Connections that a listener accepts from here on stay open for writing when their peers end their sending, which
-    /// is reported as [`NetEvent::PeerFinished`]: a client may wait for its reply behind the end of its requests.
-    pub fn set_half_open(&mut self, id: ListenerId) {
-        if let Some(listener) = self.listeners.get_mut(&id) {
-            listener.half_open = true;
-        }
-    }
-
-    /// Stops listening: further connections are refused. Those that the system took for us are accepted first: they
-    /// would be reset with the listener.
-    pub fn stop_listening(&mut self, id: ListenerId) {
-        self.accept(id);
-        if let Some(listener) = self.listeners.remove(&id) {
-            self.handle.remove(listener.token);
-        }
-    }
-
-    /// Starts a connection. Its result comes as an event, never at once.
-    pub fn connect(&mut self, address: SocketAddr) -> ConnId {
-        let id = ConnId(self.next_id());
-        let started =
-            start_connect(address).and_then(|stream| self.register(id, stream, ConnectionState::Connecting));
-        if let Err(error) = started {
-            self.pending.push(NetEvent::ConnectFailed(id, error.kind()));
-        }
-        id
-    }
-
-    fn register(&mut self, id: ConnId, stream: TcpStream, state: ConnectionState) -> io::Result<()> {
-        stream.set_nonblocking(true)?;
-        stream.set_nodelay(true)?;
-        let stream = Rc::new(stream);
-        let interest = if state == ConnectionState::Connecting { Interest::WRITE } else { Interest::READ };
-        let on_ready = move |readiness: calloop::Readiness, _: &mut _, ready: &mut ReadyList| {
-            let calloop::Readiness { readable, writable, .. } = readiness;
-            ready.push(Ready::Connection { id, readable, writable });
-            Ok(PostAction::Continue)
-        };
-        let source = Dispatcher::new(Generic::new(stream.clone(), interest, Mode::Level), on_ready);
-        let token = self.handle.register_dispatcher(source.clone()).map_err(other)?;
-        self.connections.insert(id, Connection::new(stream, source, token, state));
-        Ok(())
-    }
-
     /// Queues bytes and writes at once what the system takes.
     pub fn send(&mut self, id: ConnId, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
@@ -251,6 +197,7 @@
 
     /// Closes a connection at once; queued bytes are lost. No event follows.
     pub fn close(&mut self, id: ConnId) {
+        self.retries.remove(id);
         if let Some(connection) = self.connections.remove(&id) {
             self.handle.remove(connection.token);
             self.lingering.remove(id);
@@ -266,12 +213,14 @@
         self.close(id);
     }
 
-    fn update_interest(&mut self, id: ConnId) {
+    pub(crate) fn update_interest(&mut self, id: ConnId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let interest = connection.interest();
         connection.source.as_source_mut().interest = interest;
-        if self.handle.update(&connection.token).is_err() {
-            self.on_ended(id, StreamEnd::Broken);
+        if let Err(error) = self.handle.update(&connection.token) {
+            debug!(connection = id.0, %error, "event source can't be changed, tried again");
+            self.retries.interests.insert(id);
+            self.retries.schedule();
         }
     }
 
@@ -284,7 +233,7 @@
         }
     }
 
-    fn write(&mut self, id: ConnId) {
+    pub(crate) fn write(&mut self, id: ConnId) {
         let Some(connection) = self.connections.get_mut(&id) else { return };
         let had_unsent_bytes = connection.unsent_bytes() > 0;
         if connection.write_queued().is_err() {
@@ -340,46 +289,6 @@
         read.end
     }
 
-    fn finish_connect(&mut self, id: ConnId) {
-        let Some(connection) = self.connections.get_mut(&id) else { return };
-        match connection.stream.take_error() {
-            Ok(None) => {
-                connection.state = ConnectionState::Open;
-                self.pending.push(NetEvent::Connected(id));
-                self.write(id);
-            }
-            Ok(Some(error)) | Err(error) => {
-                self.close(id);
-                self.pending.push(NetEvent::ConnectFailed(id, error.kind()));
-            }
-        }
-    }
-
-    fn accept(&mut self, id: ListenerId) {
-        loop {
-            let Some(listener) = self.listeners.get_mut(&id) else { return };
-            match listener.socket.accept() {
-                Ok((stream, _)) => {
-                    let half_open = listener.half_open;
-                    let conn = ConnId(self.next_id());
-                    if self.register(conn, stream, ConnectionState::Open).is_ok() {
-                        self.pending.push(NetEvent::Accepted { listener: id, conn });
-                    }
-                    if let Some(connection) = self.connections.get_mut(&conn) {
-                        connection.half_open = half_open;
-                    }
-                }
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
-                // Guards against a loop without a pause: out of descriptors, the listener stays ready all the time.
-                Err(_) => {
-                    listener.paused = self.handle.disable(&listener.token).is_ok();
-                    return;
-                }
-            }
-        }
-    }
-
     /// Waits until something happens, at most for `timeout`, and returns what did.
     ///
     /// # Errors
@@ -388,9 +297,10 @@
         self.close_expired_lingering(Some(Instant::now()));
         let timeout = self.dispatch_timeout(timeout);
         let mut ready_list = ReadyList::new();
-        self.event_loop.dispatch(timeout, &mut ready_list).map_err(other)?;
-        for listener in self.listeners.values_mut().filter(|listener| listener.paused) {
-            listener.paused = self.handle.enable(&listener.token).is_err();
+        self.wait(timeout, &mut ready_list)?;
+        self.resume_listeners();
+        if self.retries.take_due(Instant::now()) {
+            self.retry_failed();
         }
         self.bytes_read = 0;
         for ready in ready_list {
@@ -399,15 +309,32 @@
         Ok(std::mem::take(&mut self.pending))
     }
 
+    /// Waits for readiness. A wait that fails is as one that returns early, unless it fails again and again.
+    fn wait(&mut self, timeout: Option<Duration>, ready_list: &mut ReadyList) -> io::Result<()> {
+        match self.event_loop.dispatch(timeout, ready_list) {
+            Ok(()) => self.failed_waits = 0,
+            Err(error) => {
+                warn!(%error, "event loop failed to wait, tried again");
+                self.failed_waits += 1;
+                if self.failed_waits > MAX_FAILED_WAITS {
+                    return Err(other(error));
+                }
+                std::thread::sleep(FAILED_WAIT_PAUSE);
+            }
+        }
+        Ok(())
+    }
+
     /// How long the event loop may wait: until its caller's timeout, the end of a listener's pause, or the next lingering
     /// connection's; not at all where events are pending.
     fn dispatch_timeout(&self, timeout: Option<Duration>) -> Option<Duration> {
         let timeout = if self.pending.is_empty() { timeout } else { Some(Duration::ZERO) };
         let is_listener_paused = self.listeners.values().any(|listener| listener.paused);
         let pause = is_listener_paused.then_some(LISTENER_PAUSE);
-        let lingering =
-            self.lingering.next_timeout().map(|until| until.saturating_duration_since(Instant::now()));
-        [timeout, pause, lingering].into_iter().flatten().min()
+        let from_now = |until: Instant| until.saturating_duration_since(Instant::now());
+        let lingering = self.lingering.next_timeout().map(from_now);
+        let retry = self.retries.next_timeout().map(from_now);
+        [timeout, pause, lingering, retry].into_iter().flatten().min()
     }
 
     fn on_ready(&mut self, ready: Ready) {
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -41,13 +41,13 @@
     }
 
     /// What a shutdown waits for.
-    pub fn pending_work(&self) -> PendingWork {
+    pub fn pending_work(&self, net: &Net) -> PendingWork {
         PendingWork {
             messages: self.delivery.engine.pending_messages(),
             requests: self.outgoing.requests.in_flight(),
             notifications: self.delivery.notifications.len(),
             unstored_records: !self.delivery.log.is_stored(),
-            clients: self.clients.len(),
+            clients: self.clients.len() + usize::from(net.has_unaccepted_connections()),
         }
     }
 
--- a/crates/resp-gateway/src/shutdown.rs
+++ b/crates/resp-gateway/src/shutdown.rs
@@ -58,7 +58,7 @@
         match *self {
             RunState::Serving { .. } => ControlFlow::Continue(()),
             RunState::ShutdownRequested { listener, shutdown } => {
-                if shutdown.phase(now, pipeline.pending_work()) >= ShutdownPhase::Draining {
+                if shutdown.phase(now, pipeline.pending_work(net)) >= ShutdownPhase::Draining {
                     stop_listening(listener, pipeline, net);
                     *self = RunState::Draining { shutdown };
                 }
@@ -66,7 +66,7 @@
             }
             RunState::Draining { shutdown } => {
                 pipeline.clients.close_idle(net);
-                let phase = shutdown.phase(now, pipeline.pending_work());
+                let phase = shutdown.phase(now, pipeline.pending_work(net));
                 if phase >= ShutdownPhase::AwaitingResponses {
                     pipeline.end_sending();
                 }
@@ -98,7 +98,7 @@
 /// Guards against clients that are disconnected with a request in the system's buffers: those that the system took for
 /// us are accepted, and all are read once more, before anyone is disconnected.
 fn stop_listening(listener: ListenerId, pipeline: &mut MessagePipeline, net: &mut Net) {
-    info!(pending = ?pipeline.pending_work(), "listener closed");
+    info!(pending = ?pipeline.pending_work(net), "listener closed");
     net.stop_listening(listener);
     // No client connects any more: all that are disconnected now may be read from until they have their replies.
     net.set_max_lingering(usize::MAX);
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -25,6 +25,7 @@
 use cloverstile_platform::requests::ConnectionLimits;
 use cloverstile_platform::response::ReportFields;
 use cloverstile_wal::{Record, Recovered};
+use std::io;
 use std::path::Path;
 use std::time::Duration;
 use tracing::{info, warn};
@@ -34,6 +35,9 @@
     ResultCacheLimits { max_results: 4096, retention: Duration::from_secs(2) };
 /// Gap between two tries to read the log.
 const LOG_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// How often, and at what gaps, other operations of the start are tried again: for two seconds.
+const MAX_START_RETRIES: u32 = 40;
+const START_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Bytes in a megabyte of the configuration's disk limit.
 const BYTES_PER_MB: f64 = 1e6;
 
@@ -86,8 +90,7 @@
         recover_messages(now, recovered, &names, &settings.classes, &mut pipeline.delivery);
         pipeline.run_turn(now, &mut net);
 
-        let (listener, address) = net
-            .listen(config.listen)
+        let (listener, address) = persistently(|| net.listen(config.listen))
             .map_err(GatewayError::failed_to(format!("listen on {}", config.listen)))?;
         net.set_half_open(listener);
         info!(name = %config.name, %address, recovered_messages, wall_clock_ahead_ms, "ready");
@@ -119,10 +122,23 @@
     }
 }
 
+/// Tries an operation of the start again while it fails, for a time: the system may be short of descriptors or buffers, or
+/// still hold the address of the process before.
+fn persistently<T>(mut operation: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    for _ in 0..MAX_START_RETRIES {
+        match operation() {
+            Ok(value) => return Ok(value),
+            Err(error) => warn!(%error, "operation of the start failed, tried again"),
+        }
+        std::thread::sleep(START_RETRY_DELAY);
+    }
+    operation()
+}
+
 fn open_event_loop(descriptors: DescriptorLimits) -> Result<Net, GatewayError> {
-    let mut net = Net::new().map_err(GatewayError::failed_to("event loop"))?;
-    net.watch_signals(&[SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP])
-        .map_err(GatewayError::failed_to("signals"))?;
+    let mut net = persistently(Net::new).map_err(GatewayError::failed_to("event loop"))?;
+    let signals = [SignalKind::SIGTERM, SignalKind::SIGINT, SignalKind::SIGHUP];
+    persistently(|| net.watch_signals(&signals)).map_err(GatewayError::failed_to("signals"))?;
     net.set_max_lingering(descriptors.lingering);
     Ok(net)
 }
