--- a/crates/cli/tests/machine_faults.rs
+++ b/crates/cli/tests/machine_faults.rs
@@ -232,3 +232,22 @@
     });
     threads.into_iter().for_each(|thread| thread.join().unwrap());
 }
+
+/// The log takes longer to write a repeat's start than is left of its window: the repeat does not leave behind it.
+#[test]
+fn repeat_held_up_by_a_slow_log_does_not_leave_behind_its_window() {
+    let mut harness = GatewayHarness::new("slow-log", &[3]);
+    harness.edit_config(|config| {
+        config["settings"]["Lanes"][0]["RepeatWindow"] = 1_500_000_000u64.into();
+    });
+    let faults = harness.fault_control();
+    harness.platform.set_behaviour(0, EndpointBehaviour::Disconnect);
+    harness.start_with_faults(&faults);
+    // Three writes pass: the submission, the first attempt's start and its end.
+    let slow = Effect::Delay(Duration::from_millis(1600));
+    faults.set_rule(0, &Rule { skip: 3, count: 1, ..Rule::always(Call::FileWrite, slow) }).unwrap();
+    assert_eq!(submit(&harness, &notice("repeat".into(), 0)), "+OK");
+    assert_eq!(harness.violations_at_the_end(), [""; 0]);
+    assert_eq!((faults.hits(0).unwrap(), harness.request_count("repeat")), (1, 1));
+    assert!(harness.is_notified("repeat", "undeliverable"));
+}
--- a/tests/send_permission.rs
+++ b/tests/send_permission.rs
@@ -147,3 +147,13 @@
     let end = harness.run_until_action(Duration::from_secs(3));
     assert_eq!(end, [Action::Fail { message: MessageId(1) }], "that one may have run");
 }
+
+/// A process may be held up for 0.15 s between its check of the window and its write: every window leaves room for that.
+#[test]
+fn retry_window_leaves_room_for_a_hold_up() {
+    let sent = Harness::new(settings(vec![keyed()]), vec![]).now;
+    for (window, end) in [(8000, 7200), (1500, 1350), (600, 450), (100, 0)] {
+        let class = Class { retry_window: ms(window), ..keyed() };
+        assert_eq!(retry_window_end(&class, sent), sent + ms(end), "a window of {window} ms");
+    }
+}
