--- a/crates/platform/src/shutdown.rs
+++ b/crates/platform/src/shutdown.rs
@@ -11,8 +11,9 @@
 const ACCEPT_PERIOD: Duration = Duration::from_millis(450);
 /// Time after the signal from which nothing new is sent. Requests in flight have what remains until [`END`] to end.
 const SEND_PERIOD: Duration = Duration::from_millis(2200);
-/// Time after the signal at which the process ends, whatever is pending: it is killed a little later.
-const END: Duration = Duration::from_millis(3400);
+/// Time after the signal at which the process ends, whatever is pending: it is killed 3.7 s after it, and what remains covers
+/// the final flush and a hold-up of 0.15 s.
+const END: Duration = Duration::from_millis(3350);
 /// How long the end waits for clients to read their last replies and close. Ending before them with bytes unread resets
 /// their connections; the kill comes no sooner than 3.7 s after the signal (protocol page).
 pub const FINAL_FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -43,7 +43,7 @@
                 self.on_event(now, event);
             }
             self.on_tick(now);
-            self.pipeline.run_turn(now, &mut self.net);
+            self.pipeline.run_turn(now, &self.clock, &mut self.net);
         }
     }
 
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -5,6 +5,7 @@
 
 use crate::client_commands::ClientCommands;
 use crate::client_replies::{busy, undeliverable};
+use crate::clock::Clock;
 use crate::delivery::Delivery;
 use crate::message_record;
 use crate::outgoing_requests::OutgoingRequests;
@@ -75,8 +76,8 @@
         self.outgoing.connect_unblocked(now, delivery, &mut Sockets(net));
     }
 
-    /// Runs one turn: decides, writes the log, then sends.
-    pub fn run_turn(&mut self, now: Time, net: &mut Net) {
+    /// Runs one turn: decides, writes the log, then sends. `clock` tells how long the log took.
+    pub fn run_turn(&mut self, now: Time, clock: &Clock, net: &mut Net) {
         self.decide(now, net);
         if self.delivery.log.commit(now).is_ok() {
             self.delivery.notifications.release_held();
@@ -84,7 +85,7 @@
             self.undo_unlogged(now, net);
         }
         self.update_sending();
-        self.outgoing.commit(&mut self.delivery.engine, &mut Sockets(net));
+        self.outgoing.commit(clock.now(), &mut self.delivery, &mut Sockets(net));
         self.clients.send_replies(net);
         self.delivery.notifications.on_tick(now, &mut Sockets(net));
     }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -157,28 +157,38 @@
         true
     }
 
-    /// Sends the last bytes of the requests whose start is in the log now.
-    pub fn commit(&mut self, engine: &mut Engine, sockets: &mut Sockets<'_>) {
+    /// Sends the last bytes of the requests whose start is in the log now. `now` is the time behind the write, which may
+    /// have taken long: what may not be sent any more is withdrawn.
+    pub fn commit(&mut self, now: Time, delivery: &mut Delivery, sockets: &mut Sockets<'_>) {
         for attempt in std::mem::take(&mut self.uncommitted) {
-            engine.set_attempt_started(attempt, true);
-            self.requests.commit(attempt, sockets);
+            if delivery.engine.may_send_now(now, attempt) {
+                delivery.engine.set_attempt_started(attempt, true);
+                self.requests.commit(attempt, sockets);
+            } else {
+                self.withdraw(now, attempt, delivery, sockets);
+            }
         }
     }
 
-    /// Takes back the requests whose start could not be logged: they use no attempt.
+    /// Takes back the requests whose start could not be logged.
     pub fn withdraw_uncommitted(&mut self, now: Time, delivery: &mut Delivery, sockets: &mut Sockets<'_>) {
         for attempt in std::mem::take(&mut self.uncommitted) {
-            let message_number = attempt.message.0;
-            debug!(
-                message_id = message_number,
-                attempt = attempt.number,
-                "request withdrawn, its start is not logged"
-            );
-            delivery.log.record(Record::AttemptWithdrawn { message_number });
-            self.requests.abort_before_send(now, attempt, false, sockets);
+            self.withdraw(now, attempt, delivery, sockets);
         }
     }
 
+    /// Takes back a request whose last byte has not left: it uses no attempt.
+    fn withdraw(&mut self, now: Time, attempt: Attempt, delivery: &mut Delivery, sockets: &mut Sockets<'_>) {
+        let message_number = attempt.message.0;
+        debug!(
+            message_id = message_number,
+            attempt = attempt.number,
+            "request withdrawn before its last byte"
+        );
+        delivery.log.record(Record::AttemptWithdrawn { message_number });
+        self.requests.abort_before_send(now, attempt, false, sockets);
+    }
+
     /// Abandons an attempt that nobody waits for any longer; `started` tells whether it may have run.
     pub fn abandon(
         &mut self,
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -88,7 +88,7 @@
             pipeline.delivery.log.record(Record::ClockReference(reference));
         }
         recover_messages(now, recovered, &names, &settings.classes, &mut pipeline.delivery);
-        pipeline.run_turn(now, &mut net);
+        pipeline.run_turn(now, &clock, &mut net);
 
         let (listener, address) = persistently(|| net.listen(config.listen))
             .map_err(GatewayError::failed_to(format!("listen on {}", config.listen)))?;
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -8,6 +8,8 @@
 pub(super) const RETRY_BACKOFF: Backoff = Backoff { first: 0.05, longest: 0.7 };
 /// A keyed message is not resent in this last part of its window: the request must still arrive inside it.
 const RETRY_WINDOW_MARGIN: f64 = 0.1;
+/// Shortest such margin: a process may be held up for so long between the check of the window and its write.
+const LONGEST_HOLD_UP: Duration = Duration::from_millis(150);
 /// Time-out of a repeatable attempt, in latencies (mean and deviation) of its route.
 pub(super) const TIMEOUT_LATENCIES: f64 = 4.0;
 /// Bounds of that time-out, in latency objectives.
@@ -78,5 +80,6 @@
 
 /// Until when a keyed message may be resent that may first have run in an attempt sent at `first_sent`.
 pub fn retry_window_end(class: &Class, first_sent: Time) -> Time {
-    first_sent + class.retry_window.mul_f64(1.0 - RETRY_WINDOW_MARGIN)
+    let margin = class.retry_window.mul_f64(RETRY_WINDOW_MARGIN).max(LONGEST_HOLD_UP);
+    first_sent + class.retry_window.saturating_sub(margin)
 }
