--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -8,7 +8,7 @@
 mod submission;
 
 pub use events::{PlatformEvent, TimedEvent};
-pub use invariants::check_invariants;
+pub use invariants::{check_invariants, find_violations, InvariantRules, Violation, ViolationKind};
 pub use state::EndpointBehaviour;
 pub use submission::{read_line, PutCommand};
 
@@ -64,6 +64,16 @@
         self.shared.notify_changed();
     }
 
+    /// Records an event that the platform does not see itself: what a client or a process met.
+    pub fn record(&self, event: PlatformEvent) {
+        self.shared.record(event);
+    }
+
+    /// Time since the platform's start, by which its events are timed.
+    pub fn elapsed(&self) -> Duration {
+        self.shared.now()
+    }
+
     /// All events so far.
     pub fn events(&self) -> Vec<TimedEvent> {
         self.shared.state().events.clone()
--- a/crates/fakes/src/platform/events.rs
+++ b/crates/fakes/src/platform/events.rs
@@ -44,6 +44,42 @@
         /// Index of the discovery address that it came to.
         address: usize,
     },
+    /// A client has written the whole command that submits a message.
+    Submitted {
+        /// Message id.
+        id: String,
+        /// Number of the gateway.
+        gateway: usize,
+        /// How long the message may still be delivered.
+        time_left: Duration,
+    },
+    /// A client read that its message is not accepted and may be submitted again.
+    Refused {
+        /// Message id.
+        id: String,
+    },
+    /// A command was read by its gateway, which ended the connection without a reply.
+    Unanswered {
+        /// Message id.
+        id: String,
+    },
+    /// A gateway process ended, or was told to.
+    GatewayDown {
+        /// Its number.
+        gateway: usize,
+    },
+    /// A gateway process replied to a PING.
+    GatewayReady {
+        /// Its number.
+        gateway: usize,
+    },
+    /// A fault began or ended.
+    Fault {
+        /// Number of the gateway, if it is one's.
+        gateway: Option<usize>,
+        /// What it is.
+        description: String,
+    },
     /// The endpoint list was requested.
     DiscoveryRequested {
         /// Index of the discovery address.
--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -121,7 +121,9 @@
     }
 
     fn submit(&mut self, now: Time, put: PutRequest, delivery: &mut Delivery) -> Reply {
-        if !delivery.log.can_accept(put.body.len()) {
+        // Guards against a refusal of what is held: a resubmission needs no room.
+        let is_known = delivery.engine.message_id(&put.submission.idempotency_key).is_some();
+        if !is_known && !delivery.log.can_accept(put.body.len()) {
             return Reply::Bytes(busy(Duration::ZERO));
         }
         let PutRequest { submission, idempotency_key, body } = put;
--- /dev/null
+++ b/crates/testbench/src/bin/cloverstile-testbench/machine_faults.rs
@@ -0,0 +1,121 @@
+//! The subcommand that plays seeds of machine faults.
+
+use clap::Args;
+use cloverstile_testbench::machine_faults::{play_seed, RunOptions, SeedResult, Summary};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+/// Plays seeds of machine faults through real gateways: stepped clocks, failing disks and system calls, kills.
+///
+/// A seed on which something is broken is named, and its logs and timeline are kept.
+#[derive(Args)]
+pub struct MachineFaultsCommand {
+    /// Number of seeds.
+    #[arg(long, default_value_t = 20)]
+    seeds: u64,
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    first_seed: u64,
+    /// Seeds played beside each other.
+    #[arg(long, default_value_t = 8)]
+    jobs: usize,
+    /// The gateway program, which takes `node --log FILTER`; this program itself, unless given.
+    #[arg(long)]
+    program: Option<PathBuf>,
+    /// Filter of the gateways' logs.
+    #[arg(long, default_value = "cloverstile_resp_gateway=debug,cloverstile_net=debug,info")]
+    log: String,
+    /// Where logs and timelines of failed seeds are kept.
+    #[arg(long, default_value = "found/machine-faults")]
+    directory: PathBuf,
+    /// Prints the summary as one JSON object in the last line.
+    #[arg(long)]
+    json: bool,
+}
+
+impl MachineFaultsCommand {
+    /// Plays the seeds; true if nothing was broken.
+    pub fn play(&self) -> Result<bool, String> {
+        let own = || std::env::current_exe().map_err(|error| format!("this program's path: {error}"));
+        let directory = std::path::absolute(&self.directory)
+            .map_err(|error| format!("{}: {error}", self.directory.display()))?;
+        let program = self.program.clone().map_or_else(own, Ok)?;
+        let options = RunOptions { program, log: self.log.clone(), directory };
+        let started = Instant::now();
+        let summary = Mutex::new(Summary::default());
+        let failure = Mutex::new(None);
+        let next = AtomicU64::new(self.first_seed);
+        std::thread::scope(|scope| {
+            for _ in 0..self.jobs.max(1) {
+                scope.spawn(|| self.play_next(&next, &options, &summary, &failure));
+            }
+        });
+        if let Some(error) = failure.into_inner().ok().flatten() {
+            return Err(error);
+        }
+        let mut summary = summary.into_inner().map_err(|error| error.to_string())?;
+        summary.failed_seeds.sort_unstable();
+        summary.seconds = started.elapsed().as_secs_f64();
+        self.print(&summary)?;
+        Ok(summary.failed_seeds.is_empty())
+    }
+
+    fn play_next(
+        &self,
+        next: &AtomicU64,
+        options: &RunOptions,
+        summary: &Mutex<Summary>,
+        failure: &Mutex<Option<String>>,
+    ) {
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= self.first_seed + self.seeds {
+                return;
+            }
+            match play_seed(seed, options) {
+                Ok(result) => {
+                    report(&result, options);
+                    if let Ok(mut summary) = summary.lock() {
+                        summary.add(&result);
+                    }
+                }
+                Err(error) => {
+                    if let Ok(mut failure) = failure.lock() {
+                        *failure = Some(format!("seed {seed}: {error}"));
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn print(&self, summary: &Summary) -> Result<(), String> {
+        let text = if self.json {
+            serde_json::to_string(summary).map_err(|error| error.to_string())?
+        } else {
+            format!("{summary:#?}")
+        };
+        println!("{text}");
+        Ok(())
+    }
+}
+
+fn report(result: &SeedResult, options: &RunOptions) {
+    if !result.is_broken() {
+        return;
+    }
+    println!(
+        "seed {} broken, replay with --first-seed {} --seeds 1; kept in {}",
+        result.seed,
+        result.seed,
+        options.folder(result.seed).display()
+    );
+    for violation in &result.violations {
+        println!("  {:?}: {violation}", violation.kind);
+    }
+    if result.crashes > 0 {
+        println!("  crashes: {}", result.crashes);
+    }
+}
--- a/crates/testbench/src/bin/cloverstile-testbench/main.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/main.rs
@@ -5,6 +5,7 @@
 mod experiment;
 mod fleet;
 mod gateway;
+mod machine_faults;
 mod progress;
 mod scale;
 mod scenario;
@@ -47,6 +48,8 @@
     /// Plays many gateways at once.
     #[command(subcommand)]
     Fleet(fleet::FleetCommand),
+    /// Plays seeds of machine faults through real gateways.
+    MachineFaults(machine_faults::MachineFaultsCommand),
     /// Makes one HTML page and SVG plots of an experiment's record.
     Report(experiment::ReportCommand),
     /// Measures speed, memory and the cost of a decision as endpoints grow.
@@ -58,7 +61,7 @@
     Bench(benchmark::BenchmarkCommand),
     /// Runs one gateway on the users' platform, as `cloverstile node` does; used by the testbench itself.
     #[command(hide = true, alias = "node")]
-    RespGateway,
+    RespGateway(gateway::RespGatewayCommand),
     /// Runs one AS2 gateway; used by the testbench itself.
     #[command(hide = true, alias = "courier", name = "as2-gateway")]
     As2Gateway(gateway::As2GatewayCommand),
@@ -71,11 +74,12 @@
         Command::Simulate(command) => command.play(),
         Command::Experiment(command) => command.play(),
         Command::Fleet(command) => command.play(),
+        Command::MachineFaults(command) => command.play(),
         Command::Report(command) => command.write(),
         Command::Scale(command) => command.measure(),
         Command::Check(command) => command.check(),
         Command::Bench(command) => command.measure(),
-        Command::RespGateway => gateway::run_resp_gateway(),
+        Command::RespGateway(command) => command.run(),
         Command::As2Gateway(command) => command.run(),
     };
     match result {
--- a/crates/testbench/src/lib.rs
+++ b/crates/testbench/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`fleet`] runs hundreds of gateway processes under an even load; [`load_report`] sums such a run up.
 //! - [`simulation_metrics`] sums up what the simulator ran, [`experiment`] runs grids of it and keeps them as
 //!   [`table`]s, and [`html_report`] draws them.
+//! - [`machine_faults`] plays seeds of machine faults (clocks, disks, system calls, kills) with real gateways.
 //! - [`benchmark`] measures what one gateway costs.
 #![forbid(unsafe_code)]
 
@@ -15,6 +16,7 @@
 pub mod html_report;
 pub mod invariants;
 pub mod load_report;
+pub mod machine_faults;
 mod process;
 pub mod recovery_windows;
 pub mod repeat_rule;
--- /dev/null
+++ b/crates/testbench/src/machine_faults/config.rs
@@ -0,0 +1,49 @@
+//! The configuration of a gateway under test, in the form of the users' platform.
+
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// How long a message with an idempotency key may be repeated.
+pub const REPEAT_WINDOW: Duration = Duration::from_millis(2500);
+/// Class of messages with an idempotency key, in order of their key.
+pub const KEYED_CLASS: &str = "notice";
+/// Class of messages that may not be repeated.
+pub const UNSAFE_CLASS: &str = "payment";
+/// Destinations, one endpoint each.
+pub const DESTINATIONS: [u16; 4] = [1, 2, 3, 4];
+
+fn nanoseconds(time: Duration) -> u64 {
+    u64::try_from(time.as_nanos()).unwrap_or(u64::MAX)
+}
+
+fn class(name: &str, effect: &str, in_order: bool) -> Value {
+    json!({
+        "Name": name, "Effect": effect, "Group": "all", "Aim": 1_000_000_000u64, "Deadline": 12_000_000_000u64,
+        "RepeatWindow": nanoseconds(REPEAT_WINDOW), "OneAtATime": in_order, "Worth": 1.0, "LateShare": 0.4,
+    })
+}
+
+/// The configuration of one of `gateways` gateways.
+pub fn gateway_config(
+    gateway: usize,
+    gateways: usize,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    endpoint_list: &Value,
+) -> Value {
+    json!({
+        "name": format!("n{gateway}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
+        "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256, "disk_mb": 1}, "known": endpoint_list,
+        "settings": {
+            "Balancers": gateways, "ClientHabits": {"MarksRetry": false}, "Discovery": "push", "Locality": 0,
+            "FamilyInfo": {"CallsOut": 16, "KindBatch": [1], "OwnLimits": [false], "Decay": "line"},
+            "Lanes": [class(KEYED_CLASS, "idempotency_key", true), class(UNSAFE_CLASS, "non_idempotent", false)],
+            "MachineTypes": ["any"], "Zones": ["here"], "WeightSource": "nominal",
+            "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true, "RetryAfter": false,
+                "ConnIdle": 5_000_000_000u64, "ConnectTimeout": 1_000_000_000u64},
+            "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Cold": 10_000_000_000u64,
+                "ColdFrom": 0.2, "TipMultiple": 2.0, "Fall": 2_000_000_000u64},
+        },
+    })
+}
--- /dev/null
+++ b/crates/testbench/src/machine_faults/gateways.rs
@@ -0,0 +1,242 @@
+//! The gateway processes of a run, each under the control of its faults.
+
+use super::config::{gateway_config, DESTINATIONS};
+use super::plan::Restart;
+use super::run::RunOptions;
+use crate::process::GatewayProcess;
+use cloverstile_fakes::platform::{read_line, Platform, PlatformEvent};
+use cloverstile_fault_injection::{Call, Effect, FaultControl, Rule};
+use rustix::process::Signal;
+use std::fs::{self, File};
+use std::io::{self, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// The port on which gateways listen.
+const GATEWAY_PORT: u16 = 6379;
+/// Second bytes of the addresses of all runs beside each other.
+const FIRST_SECOND_BYTE: u8 = 200;
+const SECOND_BYTES: u64 = 50;
+/// The platform kills a process this long after its shutdown signal.
+const KILL_AFTER: Duration = Duration::from_millis(3700);
+/// A process is started again this long after the one before has ended.
+const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// How long a process may take to be ready, also while faults last.
+const READY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a kill inside a call is waited for before the process is killed from outside.
+const KILLED_IN_CALL_TIMEOUT: Duration = Duration::from_millis(800);
+const POLL_INTERVAL: Duration = Duration::from_millis(3);
+/// Place of the rule for kills in the control; faults of calls take the others.
+const KILL_PLACE: usize = 15;
+
+/// One gateway: its processes, one after another.
+pub struct Gateway<'a> {
+    number: usize,
+    platform: &'a Platform,
+    options: &'a RunOptions,
+    folder: PathBuf,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its faults.
+    pub faults: FaultControl,
+    process: Mutex<Option<GatewayProcess>>,
+    /// When processes were killed.
+    kills: Mutex<Vec<Instant>>,
+    starts: Mutex<usize>,
+    crashes: Mutex<u64>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl<'a> Gateway<'a> {
+    /// Prepares a gateway's folder and configuration; nothing runs yet.
+    ///
+    /// # Errors
+    /// The folder can't be written.
+    pub fn new(
+        number: usize,
+        gateways: usize,
+        seed: u64,
+        platform: &'a Platform,
+        options: &'a RunOptions,
+    ) -> io::Result<Gateway<'a>> {
+        let folder = options.folder(seed).join(format!("n{number}"));
+        fs::create_dir_all(folder.join("state"))?;
+        let second = FIRST_SECOND_BYTE + (seed % SECOND_BYTES) as u8;
+        let last = 1 + (std::process::id() % 250) as u8;
+        let address = SocketAddr::from((Ipv4Addr::new(127, second, number as u8, last), GATEWAY_PORT));
+        let config =
+            gateway_config(number, gateways, address, platform.discovery[0], &platform.endpoint_list());
+        fs::write(folder.join("config.json"), config.to_string())?;
+        let faults = FaultControl::create(&folder.join("faults"))?;
+        Ok(Gateway {
+            number,
+            platform,
+            options,
+            folder,
+            address,
+            faults,
+            process: Mutex::new(None),
+            kills: Mutex::new(Vec::new()),
+            starts: Mutex::new(0),
+            crashes: Mutex::new(0),
+        })
+    }
+
+    /// Starts a process and waits until it replies. One that is not ready in time counts as a crash.
+    ///
+    /// # Errors
+    /// The process can't be started at all.
+    pub fn start(&self) -> io::Result<()> {
+        let attempt = {
+            let mut starts = lock(&self.starts);
+            *starts += 1;
+            *starts
+        };
+        let log = File::create(self.folder.join(format!("process-{attempt}.log")))?;
+        let mut command = Command::new(&self.options.program);
+        command
+            .args(["node", "--log", &self.options.log])
+            .env("ROUTER_CONFIG", self.folder.join("config.json"))
+            .env("ROUTER_STATE", self.folder.join("state"))
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::from(log));
+        self.faults.attach(&mut command)?;
+        *lock(&self.process) = Some(GatewayProcess::spawn(&mut command)?);
+        let end = Instant::now() + READY_TIMEOUT;
+        while !self.answers_ping() {
+            if Instant::now() > end || self.has_exited() {
+                self.count_crash("not ready in time");
+                return Ok(());
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.platform.record(PlatformEvent::GatewayReady { gateway: self.number });
+        Ok(())
+    }
+
+    fn answers_ping(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
+        stream.set_read_timeout(Some(Duration::from_millis(500))).is_ok()
+            && stream.write_all(&cloverstile_resp::command(&[b"PING"])).is_ok()
+            && read_line(&mut stream).is_ok_and(|line| line == "+PONG")
+    }
+
+    fn has_exited(&self) -> bool {
+        lock(&self.process).as_mut().is_none_or(GatewayProcess::has_exited)
+    }
+
+    fn count_crash(&self, reason: &str) {
+        *lock(&self.crashes) += 1;
+        self.describe(format!("crash: {reason}"));
+    }
+
+    fn describe(&self, description: String) {
+        self.platform.record(PlatformEvent::Fault { gateway: Some(self.number), description });
+    }
+
+    /// Number of processes that ended by themselves, did not get ready, or did not end when told to.
+    pub fn crashes(&self) -> u64 {
+        *lock(&self.crashes)
+    }
+
+    /// Whether a process of this gateway was killed at or after a moment.
+    pub fn was_killed_since(&self, moment: Instant) -> bool {
+        lock(&self.kills).iter().any(|at| *at >= moment)
+    }
+
+    /// Stops the process for a time.
+    pub fn hold_up(&self, time: Duration) {
+        if let Some(process) = lock(&self.process).as_ref() {
+            process.signal(Signal::STOP);
+            std::thread::sleep(time);
+            process.signal(Signal::CONT);
+        }
+    }
+
+    /// Ends the process and starts the next one.
+    ///
+    /// # Errors
+    /// The next process can't be started.
+    pub fn restart(&self, restart: Restart) -> io::Result<()> {
+        if self.has_exited() {
+            self.count_crash("ended by itself");
+        }
+        self.platform.record(PlatformEvent::GatewayDown { gateway: self.number });
+        match restart {
+            Restart::Terminated => self.terminate(),
+            Restart::Killed => self.kill(),
+            Restart::KilledInWrite(bytes) => self.kill_in_call(Call::FileWrite, bytes)?,
+            Restart::KilledBehindSend => self.kill_in_call(Call::Send, u64::MAX)?,
+        }
+        std::thread::sleep(RESTART_DELAY);
+        self.start()
+    }
+
+    fn kill(&self) {
+        lock(&self.kills).push(Instant::now());
+        *lock(&self.process) = None;
+        lock(&self.kills).push(Instant::now());
+    }
+
+    fn kill_in_call(&self, call: Call, bytes: u64) -> io::Result<()> {
+        self.faults.set_rule(KILL_PLACE, &Rule::once(call, Effect::Kill { bytes }))?;
+        let end = Instant::now() + KILLED_IN_CALL_TIMEOUT;
+        while !self.has_exited() && Instant::now() < end {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.kill();
+        self.faults.clear_rule(KILL_PLACE)
+    }
+
+    /// Tells the process to end, and kills it once the platform would; true if it ended by itself, in order.
+    pub fn shut_down(&self) -> bool {
+        if let Some(process) = lock(&self.process).as_ref() {
+            process.signal(Signal::TERM);
+        }
+        let end = Instant::now() + KILL_AFTER;
+        let status = lock(&self.process).as_mut().and_then(|process| process.wait_until(end));
+        if status.is_none() {
+            self.kill();
+        }
+        status.is_some_and(|status| status.success())
+    }
+
+    fn terminate(&self) {
+        if !self.shut_down() {
+            self.count_crash("did not end in order when told to");
+        }
+    }
+
+    /// Ends all faults.
+    ///
+    /// # Errors
+    /// The control file can't be written.
+    pub fn clear_faults(&self) -> io::Result<()> {
+        (0..cloverstile_fault_injection::MAX_RULES).try_for_each(|place| self.faults.clear_rule(place))
+    }
+
+    /// Counts a process that has ended by itself, and starts another one, so that what it held gets its end.
+    ///
+    /// # Errors
+    /// The next process can't be started.
+    pub fn revive(&self) -> io::Result<()> {
+        if !self.has_exited() {
+            return Ok(());
+        }
+        self.count_crash("ended by itself");
+        self.platform.record(PlatformEvent::GatewayDown { gateway: self.number });
+        self.start()
+    }
+}
+
+/// Destinations of the platform's endpoints.
+pub fn destinations() -> &'static [u16] {
+    &DESTINATIONS
+}
