--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -86,15 +86,18 @@
     match behaviour {
         EndpointBehaviour::Deliver(after) => {
             std::thread::sleep(after);
+            // The gateway may act on the response before this thread goes on.
+            let written_at = shared.now();
             stream.write_all(&response(200, "OK", &Headers::new(), b""))?;
-            shared.record(PlatformEvent::Delivered { id });
+            shared.record_at(written_at, PlatformEvent::Delivered { id });
         }
         EndpointBehaviour::Respond(bytes) => {
+            let written_at = shared.now();
             stream.write_all(&bytes)?;
             if String::from_utf8_lossy(&bytes).contains("HTTP/1.1 200") {
-                shared.record(PlatformEvent::Delivered { id });
+                shared.record_at(written_at, PlatformEvent::Delivered { id });
             } else if bytes.starts_with(b"HTTP/1.1 429") || bytes.starts_with(b"HTTP/1.1 503") {
-                shared.record(PlatformEvent::NotExecuted { id });
+                shared.record_at(written_at, PlatformEvent::NotExecuted { id });
             }
         }
         // Until the gateway abandons the request.
--- a/crates/fakes/src/platform/state.rs
+++ b/crates/fakes/src/platform/state.rs
@@ -104,7 +104,11 @@
     }
 
     pub(super) fn record(&self, event: PlatformEvent) {
-        let at = self.now();
+        self.record_at(self.now(), event);
+    }
+
+    /// Records an event of a moment ago.
+    pub(super) fn record_at(&self, at: Duration, event: PlatformEvent) {
         self.state().events.push((at, event));
         self.changed.notify_all();
     }
