--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -11,8 +11,10 @@
 
 mod control;
 mod layout;
+mod planted;
 mod rule;
 
 pub use control::{preload_library, FaultControl};
 pub use layout::{rule_offset, CONTROL_BYTES, CONTROL_VARIABLE, MAX_RULES, RULE_WORDS, WALL_CLOCK_OFFSET};
+pub use planted::{is_planted, PlantedDefect, DEFECT_VARIABLE};
 pub use rule::{Call, Effect, Rule};
--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -4,6 +4,8 @@
 use crate::readiness::ReadyList;
 use calloop::generic::Generic;
 use calloop::{Dispatcher, Interest, RegistrationToken};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use socket2::{Domain, Socket, Type};
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -135,6 +137,8 @@
     pub fn interest(&self) -> Interest {
         let writable = self.is_connecting() || self.unsent_bytes() > 0;
         let readable = self.state == ConnectionState::Open && self.read_state == ReadState::Active;
+        #[cfg(feature = "planted-defects")]
+        let readable = readable || self.is_lingering() && is_planted(PlantedDefect::LingeringReads);
         Interest { readable, writable }
     }
 
--- a/crates/net/src/listening.rs
+++ b/crates/net/src/listening.rs
@@ -8,6 +8,8 @@
 use crate::readiness::{Ready, ReadyList};
 use calloop::generic::Generic;
 use calloop::{Interest, Mode, PostAction};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -85,6 +87,8 @@
     /// Accepts what the system has taken; closes the listener behind that, where it is closing.
     pub(crate) fn accept(&mut self, id: ListenerId) {
         let accepted = self.accept_all(id);
+        #[cfg(feature = "planted-defects")]
+        let accepted = if is_planted(PlantedDefect::ListenerEnds) { Accepted::All } else { accepted };
         let Some(listener) = self.listeners.get_mut(&id) else { return };
         match accepted {
             Accepted::All if listener.closing => {
@@ -119,6 +123,10 @@
                 Err(error) => {
                     debug!(%error, "connection lost before it was accepted");
                     failures += 1;
+                    #[cfg(feature = "planted-defects")]
+                    if is_planted(PlantedDefect::ListenerEnds) {
+                        return Accepted::Paused;
+                    }
                 }
             }
         }
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -9,6 +9,8 @@
 use calloop::ping::{make_ping, Ping};
 use calloop::signals::{Signal, Signals};
 use calloop::{EventLoop, LoopHandle};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use socket2::SockRef;
 use std::collections::HashMap;
 use std::io;
@@ -352,6 +354,13 @@
         let Some(connection) = self.connections.get(&id) else { return };
         match connection.state {
             ConnectionState::Connecting => return self.finish_connect(id),
+            #[cfg(feature = "planted-defects")]
+            ConnectionState::Lingering if readable && is_planted(PlantedDefect::LingeringReads) => {
+                if connection.read_available().end.is_some() {
+                    self.close(id);
+                }
+                return;
+            }
             // It asks for nothing, so that this is its peer's end.
             ConnectionState::Lingering => return self.close(id),
             ConnectionState::Open => {}
--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -13,7 +13,7 @@
 use cloverstile_resp::{error, simple};
 use cloverstile_wal::Record;
 use std::time::Duration;
-use tracing::{debug, trace};
+use tracing::debug;
 
 /// Bytes of replies that a client has not read, above which its connection is closed.
 const MAX_UNREAD_BYTES: usize = 256 << 10;
@@ -51,7 +51,7 @@
 
     /// A client connected.
     pub fn on_accepted(&mut self, now: Time, connection: ConnectionId) {
-        trace!(?connection, clients = self.len(), "client connected");
+        debug!(connection = connection.0, clients = self.len(), "client connected");
         self.sessions.accept(now, connection);
     }
 
@@ -114,7 +114,7 @@
             Ok(ClientRequest::Ping) => Reply::Bytes(simple("PONG")),
             Ok(ClientRequest::Put(put)) => self.submit(now, *put, delivery),
             Err(problem) => {
-                trace!(?connection, %problem, "request rejected");
+                debug!(connection = connection.0, %problem, "request rejected");
                 Reply::Bytes(error(&problem.to_string()))
             }
         }
@@ -124,31 +124,46 @@
         // Guards against a refusal of what is held: a resubmission needs no room.
         let is_known = delivery.engine.message_id(&put.submission.idempotency_key).is_some();
         if !is_known && !delivery.log.can_accept(put.body.len()) {
+            debug!(client_id = %put.submission.idempotency_key, "message refused, the log has no room for it");
             return Reply::Bytes(busy(Duration::ZERO));
         }
         let PutRequest { submission, idempotency_key, body } = put;
         let message = message_record::from_submission(now, &submission, idempotency_key, body);
         match delivery.engine.submit(now, submission) {
             Admission::New(id) => {
-                let (destination, class) = (message.destination, message.class);
-                trace!(message_id = id.0, destination, class, "message accepted");
+                debug!(
+                    client_id = %String::from_utf8_lossy(&message.id),
+                    message_id = id.0,
+                    destination = message.destination,
+                    class = message.class,
+                    "message accepted"
+                );
                 delivery.log.record(Record::Submitted { message_number: id.0, message: Box::new(message) });
                 self.replies.add_submission(id);
                 Reply::Submission(id)
             }
+            known => {
+                let client_id = String::from_utf8_lossy(&message.id);
+                debug!(%client_id, reason = ?known, "message not accepted anew");
+                self.reply_to_known(&known)
+            }
+        }
+    }
+
+    /// The reply to a message that is not new: it is held or completed, or there is no room for it.
+    fn reply_to_known(&self, admission: &Admission) -> Reply {
+        match *admission {
             // A resubmission: the first reply was lost on the way, or belongs to this very turn.
             Admission::InFlight(id) if self.replies.has_submission(id) => Reply::Submission(id),
-            Admission::InFlight(_)
+            Admission::New(_)
+            | Admission::InFlight(_)
             | Admission::Completed(_, FinalOutcome::Delivered | FinalOutcome::Cancelled) => {
                 Reply::Bytes(simple("OK"))
             }
             Admission::Completed(_, FinalOutcome::Rejected(retry_after)) => Reply::Bytes(busy(retry_after)),
             Admission::Completed(_, FinalOutcome::Failed) => Reply::Bytes(undeliverable()),
             Admission::Conflict => Reply::Bytes(error("ERR id: in use for another message")),
-            Admission::Overloaded | Admission::ShuttingDown => {
-                trace!("message rejected, the gateway holds as many as it may");
-                Reply::Bytes(busy(Duration::ZERO))
-            }
+            Admission::Overloaded | Admission::ShuttingDown => Reply::Bytes(busy(Duration::ZERO)),
         }
     }
 
--- a/crates/resp-gateway/src/clock.rs
+++ b/crates/resp-gateway/src/clock.rs
@@ -6,6 +6,8 @@
 //! the monotonic clock has begun anew, does the wall clock have to tell how much time has passed.
 
 use cloverstile::Time;
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_wal::{BootId, ClockReference};
 use rustix::time::{clock_gettime, ClockId};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -36,6 +38,10 @@
 
     /// The current time.
     pub fn now(&self) -> Time {
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::WallClock) {
+            return Time::ZERO + SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        }
         Time::ZERO + (self.time_at_start + self.started.elapsed())
     }
 
--- a/crates/resp-gateway/src/message_log.rs
+++ b/crates/resp-gateway/src/message_log.rs
@@ -9,7 +9,7 @@
 use std::io;
 use std::path::Path;
 use std::time::Duration;
-use tracing::{debug, info, trace, warn};
+use tracing::{debug, info, warn};
 
 /// Gap before a failed commit is tried again; doubled after each failure.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(5);
@@ -42,7 +42,7 @@
         } else if recovered.discarded_bytes > 0 {
             warn!(bytes = recovered.discarded_bytes, "log without a readable head discarded");
         }
-        for error in &recovered.leftovers {
+        if let Some(error) = &recovered.leftovers {
             warn!(%error, "file of an earlier log can't be removed, it does not count");
         }
         Ok((MessageLog { log, retry: None }, recovered))
@@ -63,11 +63,16 @@
         self.log.message(id.0)
     }
 
+    /// The client's id of a message, as log lines name it; empty for one that the gateway does not hold.
+    pub fn client_id(&self, id: MessageId) -> String {
+        self.message(id).map_or_else(String::new, |message| String::from_utf8_lossy(&message.id).into_owned())
+    }
+
     /// Whether a message with a body of so many bytes may be accepted.
     pub fn can_accept(&self, body_bytes: usize) -> bool {
         let can_accept = self.is_writable() && self.log.has_room(body_bytes);
         if !can_accept {
-            trace!(writable = self.is_writable(), body_bytes, "no room in the log");
+            debug!(writable = self.is_writable(), body_bytes, "no room in the log");
         }
         can_accept
     }
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -12,13 +12,15 @@
 use crate::sockets::Sockets;
 use cloverstile::{MessageId, Time};
 use cloverstile_engine::{Command, FinalOutcome};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_net::Net;
 use cloverstile_platform::notifications::Release;
 use cloverstile_platform::shutdown::PendingWork;
 use cloverstile_platform::ConnectionId;
 use cloverstile_wal::{Record, TerminalState};
 use std::time::Duration;
-use tracing::{info, trace, warn};
+use tracing::{debug, info, warn};
 
 /// Rounds of decisions in one turn: what a decision leads to at once may lead to more.
 const MAX_ROUNDS: usize = 16;
@@ -71,6 +73,8 @@
             warn!(message_id = message_number, "notification rejected by the platform, not sent again");
         }
         for message_number in settled.acknowledged.into_iter().chain(settled.rejected) {
+            let id = MessageId(message_number);
+            debug!(client_id = %delivery.log.client_id(id), message_id = id.0, "notification settled");
             delivery.log.record_completed(message_number);
         }
         self.outgoing.connect_unblocked(now, delivery, &mut Sockets(net));
@@ -79,6 +83,10 @@
     /// Runs one turn: decides, writes the log, then sends. `clock` tells how long the log took.
     pub fn run_turn(&mut self, now: Time, clock: &Clock, net: &mut Net) {
         self.decide(now, net);
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::ReplyBeforeLog) {
+            self.clients.send_replies(net);
+        }
         if self.delivery.log.commit(now).is_ok() {
             self.delivery.notifications.release_held();
         } else {
@@ -124,6 +132,8 @@
     fn undo_unlogged(&mut self, now: Time, net: &mut Net) {
         self.outgoing.withdraw_uncommitted(now, &mut self.delivery, &mut Sockets(net));
         for id in self.clients.replies.reject_accepted(&busy(Duration::ZERO)) {
+            let client_id = self.delivery.log.client_id(id);
+            debug!(%client_id, message_id = id.0, "message refused, it could not be logged");
             // Guards against a "+OK" for a resubmission, as of a message that was accepted.
             self.delivery.engine.reject(now, id);
             self.delivery.log.record_completed(id.0);
@@ -150,7 +160,13 @@
     /// later. A delivered message is not reported.
     fn complete(&mut self, now: Time, id: MessageId, outcome: FinalOutcome) {
         let in_this_turn = self.clients.replies.has_submission(id);
-        trace!(message_id = id.0, ?outcome, in_this_turn, "message completed");
+        debug!(
+            client_id = %self.delivery.log.client_id(id),
+            message_id = id.0,
+            ?outcome,
+            in_this_turn,
+            "message completed"
+        );
         let (reply, state) = match outcome {
             FinalOutcome::Delivered | FinalOutcome::Cancelled => {
                 return self.delivery.log.record_completed(id.0);
@@ -170,6 +186,7 @@
         // knows that. So its notification is not held back, it would be too late behind a disk that fails for long.
         let is_over = Time(message.deadline) <= now;
         let release = if is_over { Release::AtOnce } else { Release::OnceStored };
+        debug!(client_id = %notification.message_id, message_id = id.0, ?state, ?release, "notification pending");
         self.delivery.notifications.enqueue(id.0, notification, release);
         self.delivery.log.record(Record::NotificationPending { message_number: id.0, state });
     }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -10,7 +10,7 @@
 use cloverstile_engine::{Attempt, Engine, TransportOutcome};
 use cloverstile_platform::requests::{CompletedAttempt, ConnectionLimits, Requests, RetryAfter};
 use cloverstile_wal::{AttemptStart, Record, UNKNOWN_INDEX};
-use tracing::{debug, trace};
+use tracing::debug;
 
 /// An attempt that the engine decided on, without a connection so far.
 struct PlannedRequest {
@@ -102,7 +102,8 @@
                 continue;
             };
             let time_left = deadline - now;
-            trace!(
+            debug!(
+                client_id = %delivery.log.client_id(attempt.message),
                 message_id = attempt.message.0,
                 destination = message.destination,
                 attempt = attempt.number,
@@ -148,6 +149,7 @@
             return false;
         }
         debug!(
+            client_id = %delivery.log.client_id(attempt.message),
             message_id = attempt.message.0,
             attempt = attempt.number,
             listed,
@@ -181,6 +183,7 @@
     fn withdraw(&mut self, now: Time, attempt: Attempt, delivery: &mut Delivery, sockets: &mut Sockets<'_>) {
         let message_number = attempt.message.0;
         debug!(
+            client_id = %delivery.log.client_id(attempt.message),
             message_id = message_number,
             attempt = attempt.number,
             "request withdrawn before its last byte"
@@ -198,7 +201,13 @@
         delivery: &mut Delivery,
         sockets: &mut Sockets<'_>,
     ) {
-        trace!(message_id = attempt.message.0, attempt = attempt.number, "attempt abandoned");
+        debug!(
+            client_id = %delivery.log.client_id(attempt.message),
+            message_id = attempt.message.0,
+            attempt = attempt.number,
+            started,
+            "attempt abandoned"
+        );
         self.awaiting_notification.retain(|planned| planned.attempt != attempt);
         self.uncommitted.retain(|uncommitted| *uncommitted != attempt);
         let message_number = attempt.message.0;
@@ -212,7 +221,8 @@
     let Some(message) = delivery.log.message(attempt.message) else { return };
     let elapsed_ms =
         message.open_attempt.map_or(0, |start| now.0.saturating_sub(start.started_at) / 1_000_000);
-    trace!(
+    debug!(
+        client_id = %String::from_utf8_lossy(&message.id),
         message_id = attempt.message.0,
         class = message.class,
         destination = message.destination,
--- a/crates/resp-gateway/src/recovery.rs
+++ b/crates/resp-gateway/src/recovery.rs
@@ -6,7 +6,7 @@
 use cloverstile::{Class, Time};
 use cloverstile_platform::notifications::Release;
 use cloverstile_wal::{LiveMessage, NameTable, Record, Recovered};
-use tracing::trace;
+use tracing::debug;
 
 /// Takes over what the log held, and records it anew under numbers of this process. `names` are those of this process's
 /// settings, `classes` its classes with the fallback class behind them.
@@ -42,7 +42,8 @@
     let RecoveredSubmission { request, attempts } = message_record::recover(&mut message, class);
     let time_left = request.deadline - now;
     let id = delivery.engine.recover(now, request, attempts);
-    trace!(
+    debug!(
+        client_id = %String::from_utf8_lossy(&message.id),
         message_id = id.0,
         destination = message.destination,
         attempts = attempts.attempts,
--- a/crates/testbench/src/machine_faults/gateways.rs
+++ b/crates/testbench/src/machine_faults/gateways.rs
@@ -29,8 +29,13 @@
 /// How long a kill inside a call is waited for before the process is killed from outside.
 const KILLED_IN_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 const POLL_INTERVAL: Duration = Duration::from_millis(3);
-/// Place of the rule for kills in the control; faults of calls take the others.
+/// Places of the rules for restarts in the control; faults of calls take the others.
 const KILL_PLACE: usize = 15;
+const TRUNCATE_PLACE: usize = 14;
+/// How long the disk is torn ahead of a kill: one write is, and its clients have their replies.
+const TORN_DISK_TIME: Duration = Duration::from_millis(60);
+/// Linux's error number of a disk that fails.
+const EIO: i32 = 5;
 
 /// One gateway: its processes, one after another.
 pub struct Gateway<'a> {
@@ -172,6 +177,7 @@
         match restart {
             Restart::Terminated => self.terminate(),
             Restart::Killed => self.kill(),
+            Restart::KilledOnTornDisk(bytes) => self.kill_on_torn_disk(bytes)?,
             Restart::KilledInWrite(bytes) => self.kill_in_call(Call::FileWrite, bytes)?,
             Restart::KilledBehindSend => self.kill_in_call(Call::Send, u64::MAX)?,
         }
@@ -185,6 +191,16 @@
         lock(&self.kills).push(Instant::now());
     }
 
+    fn kill_on_torn_disk(&self, bytes: u64) -> io::Result<()> {
+        let torn = Effect::Torn { bytes, errno: EIO };
+        self.faults.set_rule(TRUNCATE_PLACE, &Rule::always(Call::FileTruncate, Effect::Error(EIO)))?;
+        self.faults.set_rule(KILL_PLACE, &Rule::always(Call::FileWrite, torn))?;
+        std::thread::sleep(TORN_DISK_TIME);
+        self.kill();
+        self.faults.clear_rule(KILL_PLACE)?;
+        self.faults.clear_rule(TRUNCATE_PLACE)
+    }
+
     fn kill_in_call(&self, call: Call, bytes: u64) -> io::Result<()> {
         self.faults.set_rule(KILL_PLACE, &Rule::once(call, Effect::Kill { bytes }))?;
         let end = Instant::now() + KILLED_IN_CALL_TIMEOUT;
--- a/crates/testbench/src/machine_faults/plan.rs
+++ b/crates/testbench/src/machine_faults/plan.rs
@@ -31,6 +31,8 @@
     Killed,
     /// By a kill inside its next write to the log, after so many bytes.
     KilledInWrite(u64),
+    /// By a kill while writes to the log are torn after so many bytes and can't be cut back.
+    KilledOnTornDisk(u64),
     /// By a kill right behind its next bytes on a socket.
     KilledBehindSend,
 }
@@ -82,6 +84,7 @@
             Fault::Restart(Restart::Terminated) => "sigterm".to_owned(),
             Fault::Restart(Restart::Killed) => "sigkill".to_owned(),
             Fault::Restart(Restart::KilledInWrite(_)) => "kill_in_write".to_owned(),
+            Fault::Restart(Restart::KilledOnTornDisk(_)) => "kill_on_torn_disk".to_owned(),
             Fault::Restart(Restart::KilledBehindSend) => "kill_behind_send".to_owned(),
             Fault::Endpoint { fault, .. } => format!("endpoint_{fault:?}").to_lowercase(),
         }
@@ -171,7 +174,8 @@
     match rng.random_range(0..10) {
         0..4 => Restart::Terminated,
         4..6 => Restart::Killed,
-        6..8 => Restart::KilledInWrite(rng.random_range(1..600)),
+        6 => Restart::KilledInWrite(rng.random_range(1..600)),
+        7 => Restart::KilledOnTornDisk(rng.random_range(1..1200)),
         _ => Restart::KilledBehindSend,
     }
 }
--- a/crates/wal/src/frame.rs
+++ b/crates/wal/src/frame.rs
@@ -9,7 +9,7 @@
 /// Largest batch. A header that gives a larger one is damaged.
 pub const MAX_BATCH_BYTES: usize = 1 << 30;
 /// Bytes of a frame's header: length and checksum of four bytes each, sequence number of eight.
-const HEADER_BYTES: usize = 16;
+pub const FRAME_HEADER_BYTES: usize = 16;
 const CHECKSUM_OFFSET: usize = 4;
 const SEQUENCE_OFFSET: usize = 8;
 
@@ -24,11 +24,11 @@
 /// Appends the frame of a batch; `write_records` appends the records.
 pub fn append_frame(sequence: u64, out: &mut Vec<u8>, write_records: impl FnOnce(&mut Vec<u8>)) {
     let start = out.len();
-    out.extend([0; HEADER_BYTES]);
+    out.extend([0; FRAME_HEADER_BYTES]);
     write_records(out);
     let sequence_start = start + SEQUENCE_OFFSET;
-    let length = u32::try_from(out.len() - start - HEADER_BYTES).unwrap_or(u32::MAX);
-    out[sequence_start..start + HEADER_BYTES].copy_from_slice(&sequence.to_le_bytes());
+    let length = u32::try_from(out.len() - start - FRAME_HEADER_BYTES).unwrap_or(u32::MAX);
+    out[sequence_start..start + FRAME_HEADER_BYTES].copy_from_slice(&sequence.to_le_bytes());
     let checksum = crc32fast::hash(&out[sequence_start..]);
     let checksum_start = start + CHECKSUM_OFFSET;
     out[start..checksum_start].copy_from_slice(&length.to_le_bytes());
@@ -37,7 +37,7 @@
 
 /// Reads the frame that the bytes begin with, which must have this sequence number.
 pub fn decode_frame(sequence: u64, bytes: &[u8]) -> Result<DecodedFrame, DecodeError> {
-    let header: &[u8; HEADER_BYTES] = bytes.first_chunk().ok_or(DecodeError::Truncated)?;
+    let header: &[u8; FRAME_HEADER_BYTES] = bytes.first_chunk().ok_or(DecodeError::Truncated)?;
     let number = |offset: usize| {
         let [a, b, c, d] = [0, 1, 2, 3].map(|index| header[offset + index]);
         u32::from_le_bytes([a, b, c, d])
@@ -46,7 +46,7 @@
     if records_length > MAX_BATCH_BYTES {
         return Err(DecodeError::TooLong(records_length));
     }
-    let length = HEADER_BYTES + records_length;
+    let length = FRAME_HEADER_BYTES + records_length;
     let checked = bytes.get(SEQUENCE_OFFSET..length).ok_or(DecodeError::Truncated)?;
     if crc32fast::hash(checked) != number(CHECKSUM_OFFSET) {
         return Err(DecodeError::ChecksumMismatch);
@@ -54,7 +54,7 @@
     if !checked.starts_with(&sequence.to_le_bytes()) {
         return Err(DecodeError::OutOfSequence);
     }
-    let mut rest = &bytes[HEADER_BYTES..length];
+    let mut rest = &bytes[FRAME_HEADER_BYTES..length];
     let mut records = Vec::new();
     while !rest.is_empty() {
         let decoded = Record::decode(rest)?;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,9 +1,13 @@
 //! State of the log: live messages, records of the current turn, commit, compaction and recovery.
 
 use crate::codec::{encode_submitted, DecodeError};
+#[cfg(feature = "planted-defects")]
+use crate::frame::FRAME_HEADER_BYTES;
 use crate::frame::{append_frame, decode_frame};
 use crate::record::{ClockReference, LiveMessage, NameTable, Record};
 use crate::store::SegmentStore;
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use std::collections::BTreeMap;
 use std::io;
 
@@ -40,8 +44,8 @@
     pub names: NameTable,
     /// The clock of the messages' times; none where the log's version did not store it.
     pub clock: Option<ClockReference>,
-    /// Files of earlier segments that could not be removed, with the reason. The next process removes them.
-    pub leftovers: Vec<io::Error>,
+    /// Why files of earlier segments could not be removed. They do not count; the log removes them later.
+    pub leftovers: Option<io::Error>,
 }
 
 /// A write-ahead log in a [`SegmentStore`].
@@ -62,6 +66,9 @@
     batch: Vec<u8>,
     names: NameTable,
     clock: Option<ClockReference>,
+    /// Files that count no longer and could not be removed. No new segment is written before they are: the capacity holds
+    /// for all files together.
+    leftovers: Vec<String>,
     /// The segment can't be appended to, after recovery or a failed write: the next commit starts a new one.
     needs_new_segment: bool,
 }
@@ -100,6 +107,7 @@
             batch: Vec::new(),
             names: NameTable::default(),
             clock: None,
+            leftovers: Vec::new(),
             needs_new_segment: true,
         };
         let mut segments: Vec<u64> =
@@ -112,9 +120,8 @@
             recovered = log.recover(&bytes);
         }
         let older = segments.into_iter().map(segment_name);
-        for name in older.chain([TEMPORARY_NAME.to_owned()]) {
-            recovered.leftovers.extend(log.store.remove(&name).err());
-        }
+        log.leftovers = older.chain([TEMPORARY_NAME.to_owned()]).collect();
+        recovered.leftovers = log.remove_leftovers().err();
         Ok((log, recovered))
     }
 
@@ -147,6 +154,11 @@
                     frames = &frames[decoded.length..];
                 }
                 Err(error) => {
+                    #[cfg(feature = "planted-defects")]
+                    if is_planted(PlantedDefect::HalfBatch) {
+                        let records = frames.get(FRAME_HEADER_BYTES..).unwrap_or_default();
+                        return self.replay_records(records, recovered);
+                    }
                     recovered.discarded_bytes = frames.len();
                     recovered.decode_error = Some(error);
                     return;
@@ -302,16 +314,15 @@
     /// Writes the live messages to a new segment, which then replaces the old one.
     fn compact(&mut self) -> io::Result<()> {
         self.needs_new_segment = true;
+        self.remove_leftovers()?;
         let bytes = self.encode_segment();
-        self.store.remove(TEMPORARY_NAME)?;
         let next = self.segment + 1;
         let written = self.store.append(TEMPORARY_NAME, &bytes);
         if let Err(error) = written.and_then(|()| self.store.rename(TEMPORARY_NAME, &segment_name(next))) {
             // A rename that failed may have happened all the same: then recovery finds the new segment.
             let is_renamed = self.store.length(&segment_name(next)).is_ok();
             if !is_renamed || self.store.remove(&segment_name(next)).is_ok() {
-                // Where it can't be removed it does not count, and the next compaction removes it.
-                let _ = self.store.remove(TEMPORARY_NAME);
+                self.leftovers.push(TEMPORARY_NAME.to_owned());
                 return Err(error);
             }
         }
@@ -320,8 +331,18 @@
         self.segment_length = bytes.len() as u64;
         self.frames = 1;
         self.needs_new_segment = false;
-        // Recovery reads the newest segment, and removes older ones.
-        let _ = self.store.remove(&segment_name(old));
+        // Recovery reads the newest segment. One that can't be removed now is removed ahead of the next segment.
+        self.leftovers.push(segment_name(old));
+        let _ = self.remove_leftovers();
+        Ok(())
+    }
+
+    /// Removes files that count no longer; those that can't be removed stay for the next call.
+    fn remove_leftovers(&mut self) -> io::Result<()> {
+        while let Some(name) = self.leftovers.last() {
+            self.store.remove(name)?;
+            self.leftovers.pop();
+        }
         Ok(())
     }
 
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -422,6 +422,60 @@
     }
 }
 
+/// A store in which nothing can be removed for a while.
+struct KeepingStore {
+    store: MemoryStore,
+    keeps: bool,
+}
+
+impl SegmentStore for KeepingStore {
+    fn file_names(&self) -> std::io::Result<Vec<String>> {
+        self.store.file_names()
+    }
+    fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
+        self.store.read(name)
+    }
+    fn length(&self, name: &str) -> std::io::Result<u64> {
+        self.store.length(name)
+    }
+    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
+        self.store.append(name, bytes)
+    }
+    fn truncate(&mut self, name: &str, length: u64) -> std::io::Result<()> {
+        self.store.truncate(name, length)
+    }
+    fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
+        self.store.rename(from, to)
+    }
+    fn remove(&mut self, name: &str) -> std::io::Result<()> {
+        if self.keeps {
+            return Err(std::io::Error::other("can't be removed"));
+        }
+        self.store.remove(name)
+    }
+}
+
+/// Segments that can't be removed do not add up: over its capacity the platform takes the process for crashed.
+#[test]
+fn segments_that_can_not_be_removed_stay_under_the_capacity() {
+    let store = KeepingStore { store: MemoryStore::default(), keeps: false };
+    let (mut log, _) = Log::open(store, CAPACITY_BYTES).unwrap();
+    log.commit().unwrap();
+    log.store_mut().keeps = true;
+    let mut failed = 0;
+    for number in 1..3000u32 {
+        log.record(Record::Submitted { message_number: number, message: Box::new(message(number, 900)) });
+        log.record(Record::Completed { message_number: number });
+        failed += u32::from(log.commit().is_err());
+    }
+    assert!(log.store().store.peak_bytes <= CAPACITY_BYTES as usize && failed > 0);
+    log.store_mut().keeps = false;
+    log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 9)) });
+    log.commit().unwrap();
+    assert_eq!(log.store().store.files.len(), 1);
+    assert_eq!(open(log.store().store.clone()).1.len(), 1);
+}
+
 /// An attempt that was logged and not sent counts as none.
 #[test]
 fn withdrawn_attempt_leaves_no_trace_on_its_message() {
