--- a/crates/fakes/src/platform/events.rs
+++ b/crates/fakes/src/platform/events.rs
@@ -63,6 +63,11 @@
         /// Message id.
         id: String,
     },
+    /// A gateway reset a connection that it, or the system for it, had taken, without having been killed.
+    ConnectionDropped {
+        /// What was sent on it.
+        id: String,
+    },
     /// A gateway process ended, or was told to.
     GatewayDown {
         /// Its number.
--- a/crates/fakes/src/platform/invariants.rs
+++ b/crates/fakes/src/platform/invariants.rs
@@ -34,6 +34,8 @@
 pub enum ViolationKind {
     /// A command was read and had no reply, or an accepted message had its end too late.
     Lost,
+    /// A connection that the system had taken was dropped.
+    Dropped,
     /// A message whose client was told that it is refused was sent.
     RefusedAndForwarded,
     /// A message was sent after the notification of its end.
@@ -69,6 +71,7 @@
         }
         match self.kind {
             ViolationKind::Lost => write!(formatter, "{id} had no reply, or its end too late"),
+            ViolationKind::Dropped => write!(formatter, "{id}: its connection was dropped"),
             ViolationKind::RefusedAndForwarded => write!(formatter, "{id} was refused and sent"),
             ViolationKind::ForwardedAfterEnd => write!(formatter, "{id} was sent after its end"),
             ViolationKind::Duplicate => write!(formatter, "{id} was sent again, which may have run"),
@@ -196,6 +199,7 @@
             PlatformEvent::Delivered { id } => self.on_end(at, id),
             PlatformEvent::Notification { id, status, .. } => self.on_notification(at, id, status),
             PlatformEvent::Unanswered { id } => self.violate(ViolationKind::Lost, at, id),
+            PlatformEvent::ConnectionDropped { id } => self.violate(ViolationKind::Dropped, at, id),
             _ => {}
         }
     }
--- a/crates/testbench/src/machine_faults/gateways.rs
+++ b/crates/testbench/src/machine_faults/gateways.rs
@@ -32,10 +32,18 @@
 /// Places of the rules for restarts in the control; faults of calls take the others.
 const KILL_PLACE: usize = 15;
 const TRUNCATE_PLACE: usize = 14;
+const ACCEPT_PLACE: usize = 13;
+/// Accepts fail from shortly before the listener closes, 0.45 s behind the signal, until shortly behind it.
+const BEFORE_LISTENER_CLOSES: Duration = Duration::from_millis(410);
+const FAILING_ACCEPTS: Duration = Duration::from_millis(90);
+/// Connections that the system takes meanwhile.
+const CONNECTIONS_TAKEN: usize = 3;
 /// How long the disk is torn ahead of a kill: one write is, and its clients have their replies.
 const TORN_DISK_TIME: Duration = Duration::from_millis(60);
 /// Linux's error number of a disk that fails.
 const EIO: i32 = 5;
+/// Linux's error number of a connection that was lost before it was accepted.
+const ECONNABORTED: i32 = 103;
 
 /// One gateway: its processes, one after another.
 pub struct Gateway<'a> {
@@ -176,6 +184,10 @@
         self.platform.record(PlatformEvent::GatewayDown { gateway: self.number });
         match restart {
             Restart::Terminated => self.terminate(),
+            Restart::TerminatedWhileAcceptsFail => {
+                self.fail_accepts_at_shutdown()?;
+                self.terminate();
+            }
             Restart::Killed => self.kill(),
             Restart::KilledOnTornDisk(bytes) => self.kill_on_torn_disk(bytes)?,
             Restart::KilledInWrite(bytes) => self.kill_in_call(Call::FileWrite, bytes)?,
@@ -191,6 +203,31 @@
         lock(&self.kills).push(Instant::now());
     }
 
+    /// Signals the shutdown, and connects while accepts fail about the time at which the listener closes: connections that
+    /// the system took have to be served all the same.
+    fn fail_accepts_at_shutdown(&self) -> io::Result<()> {
+        if let Some(process) = lock(&self.process).as_ref() {
+            process.signal(Signal::TERM);
+        }
+        std::thread::sleep(BEFORE_LISTENER_CLOSES);
+        let errors = Rule::always(Call::Accept, Effect::Error(ECONNABORTED));
+        self.faults.set_rule(ACCEPT_PLACE, &errors)?;
+        let taken: Vec<TcpStream> =
+            (0..CONNECTIONS_TAKEN).filter_map(|_| TcpStream::connect(self.address).ok()).collect();
+        std::thread::sleep(FAILING_ACCEPTS);
+        self.faults.clear_rule(ACCEPT_PLACE)?;
+        for (position, mut stream) in taken.into_iter().enumerate() {
+            stream.set_read_timeout(Some(READY_TIMEOUT))?;
+            let is_served = stream.write_all(&cloverstile_resp::command(&[b"PING"])).is_ok()
+                && read_line(&mut stream).is_ok();
+            if !is_served {
+                let id = format!("connection {position} to gateway {}", self.number);
+                self.platform.record(PlatformEvent::ConnectionDropped { id });
+            }
+        }
+        Ok(())
+    }
+
     fn kill_on_torn_disk(&self, bytes: u64) -> io::Result<()> {
         let torn = Effect::Torn { bytes, errno: EIO };
         self.faults.set_rule(TRUNCATE_PLACE, &Rule::always(Call::FileTruncate, Effect::Error(EIO)))?;
--- a/crates/testbench/src/machine_faults/plan.rs
+++ b/crates/testbench/src/machine_faults/plan.rs
@@ -27,6 +27,8 @@
 pub enum Restart {
     /// By SIGTERM, and by a kill 3.7 s later if it still runs.
     Terminated,
+    /// By SIGTERM, while accepts fail as the listener closes.
+    TerminatedWhileAcceptsFail,
     /// By a kill.
     Killed,
     /// By a kill inside its next write to the log, after so many bytes.
@@ -82,6 +84,7 @@
             }
             Fault::HoldUp(_) => "hold_up".to_owned(),
             Fault::Restart(Restart::Terminated) => "sigterm".to_owned(),
+            Fault::Restart(Restart::TerminatedWhileAcceptsFail) => "sigterm_accept_error".to_owned(),
             Fault::Restart(Restart::Killed) => "sigkill".to_owned(),
             Fault::Restart(Restart::KilledInWrite(_)) => "kill_in_write".to_owned(),
             Fault::Restart(Restart::KilledOnTornDisk(_)) => "kill_on_torn_disk".to_owned(),
@@ -172,7 +175,8 @@
 
 fn draw_restart(rng: &mut ChaCha8Rng) -> Restart {
     match rng.random_range(0..10) {
-        0..4 => Restart::Terminated,
+        0..3 => Restart::Terminated,
+        3 => Restart::TerminatedWhileAcceptsFail,
         4..6 => Restart::Killed,
         6 => Restart::KilledInWrite(rng.random_range(1..600)),
         7 => Restart::KilledOnTornDisk(rng.random_range(1..1200)),
--- a/crates/testbench/src/machine_faults/run.rs
+++ b/crates/testbench/src/machine_faults/run.rs
@@ -24,8 +24,8 @@
 const END_TIMEOUT: Duration = Duration::from_secs(8);
 /// A rejection with a wait, in seconds.
 const REJECTION: &[u8] = b"HTTP/1.1 429 Wait\r\nRetry-After: 0.2\r\nContent-Length: 0\r\n\r\n";
-/// Places of a control for faults of calls; the last two are those of restarts.
-const CALL_PLACES: usize = 14;
+/// Places of a control for faults of calls; the others are those of restarts.
+const CALL_PLACES: usize = 13;
 
 /// How runs are played.
 #[derive(Clone, Debug)]
--- a/crates/testbench/src/machine_faults/summary.rs
+++ b/crates/testbench/src/machine_faults/summary.rs
@@ -16,6 +16,8 @@
     pub faults: BTreeMap<String, u64>,
     /// Commands that were read without a reply, and ends that came too late.
     pub lost: u64,
+    /// Connections that the system had taken and that were dropped.
+    pub dropped: u64,
     /// Messages that were refused and sent.
     pub refused_and_forwarded: u64,
     /// Messages that were sent after the notification of their end.
@@ -56,6 +58,7 @@
     fn count_of(&mut self, kind: ViolationKind) -> &mut u64 {
         match kind {
             ViolationKind::Lost => &mut self.lost,
+            ViolationKind::Dropped => &mut self.dropped,
             ViolationKind::RefusedAndForwarded => &mut self.refused_and_forwarded,
             ViolationKind::ForwardedAfterEnd => &mut self.forwarded_after_end,
             ViolationKind::Duplicate => &mut self.duplicates,
