--- a/crates/testbench/src/bin/cloverstile-testbench/machine_faults.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/machine_faults.rs
@@ -27,6 +27,9 @@
     /// Filter of the gateways' logs.
     #[arg(long, default_value = "cloverstile_resp_gateway=debug,cloverstile_net=debug,info")]
     log: String,
+    /// Plays the load of the seeds alone, for what it costs the gateways.
+    #[arg(long)]
+    no_faults: bool,
     /// Where logs and timelines of failed seeds are kept.
     #[arg(long, default_value = "found/machine-faults")]
     directory: PathBuf,
@@ -42,7 +45,8 @@
         let directory = std::path::absolute(&self.directory)
             .map_err(|error| format!("{}: {error}", self.directory.display()))?;
         let program = self.program.clone().map_or_else(own, Ok)?;
-        let options = RunOptions { program, log: self.log.clone(), directory };
+        let with_faults = !self.no_faults;
+        let options = RunOptions { program, log: self.log.clone(), with_faults, directory };
         let started = Instant::now();
         let summary = Mutex::new(Summary::default());
         let failure = Mutex::new(None);
--- a/crates/testbench/src/machine_faults/gateways.rs
+++ b/crates/testbench/src/machine_faults/gateways.rs
@@ -40,6 +40,8 @@
 const CONNECTIONS_TAKEN: usize = 3;
 /// How long the disk is torn ahead of a kill: one write is, and its clients have their replies.
 const TORN_DISK_TIME: Duration = Duration::from_millis(60);
+/// Linux's ticks of processor time.
+const TICKS_PER_SECOND: f64 = 100.0;
 /// Linux's error number of a disk that fails.
 const EIO: i32 = 5;
 /// Linux's error number of a connection that was lost before it was accepted.
@@ -159,6 +161,11 @@
         *lock(&self.crashes)
     }
 
+    /// Processor time of the process so far, in seconds; zero where none runs.
+    pub fn cpu_seconds(&self) -> f64 {
+        lock(&self.process).as_ref().and_then(|process| cpu_seconds(process.id())).unwrap_or_default()
+    }
+
     /// Whether a process of this gateway was killed at or after a moment.
     pub fn was_killed_since(&self, moment: Instant) -> bool {
         lock(&self.kills).iter().any(|at| *at >= moment)
@@ -289,6 +296,16 @@
     }
 }
 
+/// Processor time of a process, in user and system mode, from `/proc` (fields 14 and 15 of `stat`, in ticks).
+fn cpu_seconds(process: u32) -> Option<f64> {
+    let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    let (_, behind_name) = stat.rsplit_once(')')?;
+    let mut fields = behind_name.split_whitespace().skip(11);
+    let user: f64 = fields.next()?.parse().ok()?;
+    let system: f64 = fields.next()?.parse().ok()?;
+    Some((user + system) / TICKS_PER_SECOND)
+}
+
 /// Destinations of the platform's endpoints.
 pub fn destinations() -> &'static [u16] {
     &DESTINATIONS
--- a/crates/testbench/src/machine_faults/plan.rs
+++ b/crates/testbench/src/machine_faults/plan.rs
@@ -125,6 +125,11 @@
 }
 
 impl FaultPlan {
+    /// The same load without a fault, to see what it costs.
+    pub fn without_faults(self) -> FaultPlan {
+        FaultPlan { faults: Vec::new(), ..self }
+    }
+
     /// The plan of a seed, with so many endpoints.
     pub fn new(seed: u64, endpoints: usize) -> FaultPlan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/testbench/src/machine_faults/run.rs
+++ b/crates/testbench/src/machine_faults/run.rs
@@ -34,6 +34,8 @@
     pub program: PathBuf,
     /// Filter of the gateways' logs.
     pub log: String,
+    /// Whether faults are played; without them a run shows what its load costs.
+    pub with_faults: bool,
     /// Where the folders of runs lie; those of runs on which something was broken stay.
     pub directory: PathBuf,
 }
@@ -58,6 +60,8 @@
     pub violations: Vec<Violation>,
     /// Processes that ended by themselves, were not ready in time or did not end when told to.
     pub crashes: u64,
+    /// Processor time of the gateways' last processes, in seconds.
+    pub cpu_seconds: f64,
 }
 
 impl SeedResult {
@@ -73,6 +77,7 @@
 /// Files, sockets or processes of the testbench itself fail.
 pub fn play_seed(seed: u64, options: &RunOptions) -> io::Result<SeedResult> {
     let plan = FaultPlan::new(seed, destinations().len());
+    let plan = if options.with_faults { plan } else { plan.without_faults() };
     let platform = Platform::start(destinations())?;
     let gateways: Vec<Gateway> = (0..plan.gateways)
         .map(|number| Gateway::new(number, plan.gateways, seed, &platform, options))
@@ -80,6 +85,7 @@
     gateways.iter().try_for_each(Gateway::start)?;
     let run = Run { plan: &plan, platform: &platform, gateways: &gateways };
     let messages = run.play()?;
+    let cpu_seconds = gateways.iter().map(Gateway::cpu_seconds).sum();
     run.finish()?;
     let rules = InvariantRules {
         repeat_window: REPEAT_WINDOW + WINDOW_SLACK,
@@ -94,6 +100,7 @@
         fault_kinds: plan.faults.iter().map(|planned| planned.fault.kind()).collect(),
         violations: find_violations(&events, rules),
         crashes: gateways.iter().map(Gateway::crashes).sum(),
+        cpu_seconds,
     };
     let folder = options.folder(seed);
     if result.is_broken() {
--- a/crates/testbench/src/machine_faults/summary.rs
+++ b/crates/testbench/src/machine_faults/summary.rs
@@ -32,6 +32,8 @@
     pub no_end: u64,
     /// Processes that ended by themselves, were not ready in time or did not end when told to.
     pub crashes: u64,
+    /// Processor time of the gateways, in seconds; without faults, what the messages cost.
+    pub gateway_cpu_seconds: f64,
     /// Seeds on which something was broken.
     pub failed_seeds: Vec<u64>,
     /// Real time of the series.
@@ -44,6 +46,7 @@
         self.seeds += 1;
         self.messages += result.messages;
         self.crashes += result.crashes;
+        self.gateway_cpu_seconds += result.cpu_seconds;
         for kind in &result.fault_kinds {
             *self.faults.entry(kind.clone()).or_default() += 1;
         }
