--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -9,7 +9,7 @@
 
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
-use wire::*;
+use wire::{read_batch, write_frame, write_reply, Entry, Record, Reply, WireError};
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
