Read-through: two tests' common beginning stands once, an unused method is gone

Need: two tests of machine_faults.rs began alike, three let the endpoint serve by the same lines; Platform::elapsed had no caller.

--- a/crates/cli/tests/machine_faults.rs
+++ b/crates/cli/tests/machine_faults.rs
@@ -23,6 +23,25 @@
     harness
 }
 
+/// Lists the endpoint as serving, also for the next process.
+fn let_endpoint_serve(harness: &GatewayHarness) {
+    harness.platform.set_lifecycle(0, "SERVING");
+    harness.edit_config(|config| config["known"] = harness.platform.endpoint_list());
+}
+
+/// A gateway whose request for the message `delivered` has reached its endpoint, and whose log can't be written from here on:
+/// the response comes 0.3 s after the request.
+fn harness_with_a_delivery_under_way_as_writes_fail(name: &str) -> (GatewayHarness, FaultControl) {
+    let mut harness = GatewayHarness::new(name, &[3]);
+    let faults = harness.fault_control();
+    harness.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(300)));
+    harness.start_with_faults(&faults);
+    assert_eq!(submit(&harness, &notice("delivered".into(), 0)), "+OK");
+    assert!(wait_until(EVENT_TIMEOUT, || harness.request_count("delivered") == 1));
+    fail_writes(&faults, 0);
+    (harness, faults)
+}
+
 fn submit(harness: &GatewayHarness, put: &PutCommand) -> String {
     harness.platform.submit(&mut harness.connect_client(), put).unwrap()
 }
@@ -57,8 +76,7 @@
         let reply = submit(&harness, &payment("torn".into()));
         assert!(reply == "+OK" || reply.starts_with("-BUSY"), "{reply}");
         harness.kill();
-        harness.platform.set_lifecycle(0, "SERVING");
-        harness.edit_config(|config| config["known"] = harness.platform.endpoint_list());
+        let_endpoint_serve(&harness);
         harness.start();
         assert_eq!(submit(&harness, &payment("after".into())), "+OK");
         assert_eq!(harness.violations_at_the_end(), [""; 0]);
@@ -93,8 +111,7 @@
     harness.start();
     assert_eq!(submit(&harness, &payment("held".into())), "+OK");
     harness.kill();
-    harness.platform.set_lifecycle(0, "SERVING");
-    harness.edit_config(|config| config["known"] = harness.platform.endpoint_list());
+    let_endpoint_serve(&harness);
     let faults = harness.fault_control();
     for (place, call) in [Call::FileWrite, Call::FileRemove, Call::FileRename].into_iter().enumerate() {
         faults.set_rule(place, &Rule::always(call, Effect::Error(libc::EIO))).unwrap();
@@ -114,13 +131,7 @@
 /// is killed: the outcome was stored by then.
 #[test]
 fn outcome_is_stored_soon_after_the_disk_recovers_without_another_event() {
-    let mut harness = GatewayHarness::new("own-retry", &[3]);
-    let faults = harness.fault_control();
-    harness.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(300)));
-    harness.start_with_faults(&faults);
-    assert_eq!(submit(&harness, &notice("delivered".into(), 0)), "+OK");
-    assert!(wait_until(EVENT_TIMEOUT, || harness.request_count("delivered") == 1));
-    fail_writes(&faults, 0);
+    let (mut harness, faults) = harness_with_a_delivery_under_way_as_writes_fail("own-retry");
     std::thread::sleep(Duration::from_millis(700));
     faults.clear_rule(0).unwrap();
     std::thread::sleep(Duration::from_millis(400));
@@ -134,13 +145,7 @@
 /// The same behind a shutdown signal, with the disk back in time: the process does not end without the outcome.
 #[test]
 fn shutdown_waits_for_a_disk_that_recovers_to_store_an_outcome() {
-    let mut harness = GatewayHarness::new("outcome-at-end", &[3]);
-    let faults = harness.fault_control();
-    harness.platform.set_behaviour(0, EndpointBehaviour::Deliver(Duration::from_millis(300)));
-    harness.start_with_faults(&faults);
-    assert_eq!(submit(&harness, &notice("delivered".into(), 0)), "+OK");
-    assert!(wait_until(EVENT_TIMEOUT, || harness.request_count("delivered") == 1));
-    fail_writes(&faults, 0);
+    let (mut harness, faults) = harness_with_a_delivery_under_way_as_writes_fail("outcome-at-end");
     let signalled = harness.request_shutdown();
     std::thread::sleep(Duration::from_millis(1500));
     faults.clear_rule(0).unwrap();
@@ -165,8 +170,7 @@
         harness.kill();
         std::thread::sleep(Duration::from_millis(1300));
         faults.set_wall_clock(ahead, hour).unwrap();
-        harness.platform.set_lifecycle(0, "SERVING");
-        harness.edit_config(|config| config["known"] = harness.platform.endpoint_list());
+        let_endpoint_serve(&harness);
         harness.start_with_faults(&faults);
         // And once more inside the process, with a message that is held there.
         faults.set_wall_clock(!ahead, hour).unwrap();
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -69,11 +69,6 @@
         self.shared.record(event);
     }
 
-    /// Time since the platform's start, by which its events are timed.
-    pub fn elapsed(&self) -> Duration {
-        self.shared.now()
-    }
-
     /// All events so far.
     pub fn events(&self) -> Vec<TimedEvent> {
         self.shared.state().events.clone()
