--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -269,6 +269,13 @@
         timeouts.into_iter().flatten().min()
     }
 
+    /// Ends the attempts whose time is over, and returns what is to be done for that. Call it ahead of the events of a poll
+    /// where a response behind that time counts for nothing: an attempt that is over takes none.
+    pub fn time_out_attempts(&mut self, now: Time) -> Vec<Command> {
+        self.state.time_out_attempts(now);
+        std::mem::take(&mut self.state.commands)
+    }
+
     /// Lets the policy act on all that happened up to `now`, and returns what is to be done. Call it after every batch
     /// of events and at [`Engine::next_timeout`].
     pub fn advance(&mut self, now: Time) -> Vec<Command> {
@@ -276,9 +283,7 @@
         while let Some(token) = state.policy_timers.pop_due(now) {
             state.notify_policy(now, Event::TimerFired(token));
         }
-        while let Some(message) = state.requests.pop_timed_out(now) {
-            state.abandon_attempt(now, message, AttemptOutcome::Timeout);
-        }
+        state.time_out_attempts(now);
         if self.shutdown_deadline.is_some_and(|deadline| deadline <= now) {
             state.complete_all(now);
         }
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -160,6 +160,13 @@
         self.finish_attempt(now, message, outcome.into());
     }
 
+    /// Stops waiting for the attempts whose time is over.
+    pub fn time_out_attempts(&mut self, now: Time) {
+        while let Some(message) = self.requests.pop_timed_out(now) {
+            self.abandon_attempt(now, message, AttemptOutcome::Timeout);
+        }
+    }
+
     /// Ends the attempt in flight of a message, if there is one.
     pub fn finish_attempt(&mut self, now: Time, message: MessageId, end: AttemptEnd) {
         let Some(record) = self.messages.get_mut(message) else { return };
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -39,9 +39,7 @@
             let timeout = self.next_timeout(now).map(|at| at - now);
             let events = self.net.poll(timeout).map_err(GatewayError::failed_to("event loop"))?;
             let now = self.clock.now();
-            for event in events {
-                self.on_event(now, event);
-            }
+            self.on_events(now, events);
             self.on_tick(now);
             self.pipeline.run_turn(now, &self.clock, &mut self.net);
         }
@@ -71,6 +69,20 @@
         self.pipeline.clients.on_tick(now);
     }
 
+    /// Handles a poll's events. What left comes first: it decides how an attempt is abandoned that has timed out. What was
+    /// read comes behind the time-outs.
+    fn on_events(&mut self, now: Time, events: Vec<NetEvent>) {
+        let (flushed, others): (Vec<_>, Vec<_>) =
+            events.into_iter().partition(|event| matches!(event, NetEvent::Flushed(_)));
+        for event in flushed {
+            self.on_event(now, event);
+        }
+        self.pipeline.time_out_attempts(now, &mut self.net);
+        for event in others {
+            self.on_event(now, event);
+        }
+    }
+
     fn on_event(&mut self, now: Time, event: NetEvent) {
         match event {
             NetEvent::Accepted { conn, .. } => {
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -54,6 +54,14 @@
         }
     }
 
+    /// Ends the attempts whose time is over. Call it ahead of a poll's events: what was read of a response meanwhile came
+    /// behind the time that its request has told the endpoint, and counts for nothing but its `Retry-After`.
+    pub fn time_out_attempts(&mut self, now: Time, net: &mut Net) {
+        for command in self.delivery.engine.time_out_attempts(now) {
+            self.execute(now, command, net);
+        }
+    }
+
     /// Executes the commands that a client's bytes complete.
     pub fn on_client_bytes(&mut self, now: Time, connection: ConnectionId, bytes: &[u8]) {
         self.clients.on_bytes(now, connection, bytes, &mut self.delivery);
