--- a/crates/cli/tests/late_responses.rs
+++ b/crates/cli/tests/late_responses.rs
@@ -3,7 +3,7 @@
 
 mod gateway_harness;
 
-use cloverstile_fakes::platform::PutCommand;
+use cloverstile_fakes::platform::{read_line, PutCommand};
 use gateway_harness::manual_endpoint::ManualEndpoint;
 use gateway_harness::streams::read_request;
 use gateway_harness::{notice, send_signal, GatewayHarness};
@@ -15,6 +15,10 @@
 const KEY: u64 = 7;
 /// Time that a message has whose attempt ends with it.
 const SHORT_TIME: Duration = Duration::from_millis(800);
+/// How long a process may be held up.
+const HOLD_UP: Duration = Duration::from_millis(150);
+/// A moment behind another one.
+const MOMENT: Duration = Duration::from_millis(20);
 /// How late the end of a message may be, with the hold-up of the test.
 const END_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -57,6 +61,30 @@
     assert!(read_request(&mut stream).contains("Req-Id: second"));
 }
 
+/// incident-10321: the time of a message was counted from when its submission was read. A 200 that came behind its time, as its
+/// client counts it, was taken for a delivery where the process had been held up ahead of that.
+#[test]
+fn response_behind_the_time_of_a_submission_that_was_read_late_is_no_delivery() {
+    let (mut harness, endpoint) = harness_with_manual_endpoint("late-submission");
+    harness.start();
+    let mut client = harness.connect_client();
+    let put = PutCommand { time_left_ms: SHORT_TIME.as_millis() as u64, ..notice("first".into(), KEY) };
+    send_signal(harness.gateway.as_ref().unwrap(), "-STOP");
+    client.write_all(&put.encode()).unwrap();
+    let over = Instant::now() + SHORT_TIME;
+    std::thread::sleep(HOLD_UP - 2 * MOMENT);
+    send_signal(harness.gateway.as_ref().unwrap(), "-CONT");
+    assert_eq!(read_line(&mut client).unwrap(), "+OK");
+    let late = over.max(Instant::now() + SHORT_TIME - HOLD_UP) + MOMENT;
+    let mut stream = endpoint.accept();
+    assert!(read_request(&mut stream).contains("Req-Id: first"));
+    std::thread::sleep(late.saturating_duration_since(Instant::now()));
+    // The gateway may have given the request up.
+    let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let is_notified = || harness.is_notified("first", "undeliverable");
+    assert!(wait_until(END_TIMEOUT, is_notified), "the message has no end");
+}
+
 fn wait_until(timeout: Duration, condition: impl Fn() -> bool) -> bool {
     let end = Instant::now() + timeout;
     while Instant::now() < end {
--- a/crates/platform/src/client_request.rs
+++ b/crates/platform/src/client_request.rs
@@ -13,6 +13,11 @@
 const MAX_FIELDS_BYTES: usize = 4096;
 /// Longest time until a message's deadline; one that is longer is cut to it.
 const MAX_TIME_LEFT: Duration = Duration::from_secs(24 * 3600);
+/// How long after its sending a submission may be read: a process may be held up for so long (standing page). A message's time
+/// counts from its sending, and a response behind it is no delivery.
+const LONGEST_READ_DELAY: Duration = Duration::from_millis(150);
+/// Largest share of a message's time that is set aside for [`LONGEST_READ_DELAY`].
+const MAX_READ_DELAY_SHARE: f64 = 0.25;
 
 /// What a command asks for.
 #[derive(Clone, Debug)]
@@ -117,7 +122,7 @@
     let order_key = parse_order_key(key)?;
     let fields = Fields::parse(fields)?;
     let class = fields.class(classes)?;
-    let deadline = now + fields.time_left()?;
+    let deadline = now + usable_time(fields.time_left()?);
     let destination = fields.destination(is_destination)?;
     let idempotency_key = fields.idempotency_key(class.effect)?;
     let submission = SubmitRequest {
@@ -138,6 +143,11 @@
     Ok(ClientRequest::Put(Box::new(PutRequest { submission, idempotency_key, body: body.clone() })))
 }
 
+/// What is left of a message's time when its submission is read, at least.
+fn usable_time(time_left: Duration) -> Duration {
+    time_left - LONGEST_READ_DELAY.min(time_left.mul_f64(MAX_READ_DELAY_SHARE))
+}
+
 /// The order key in an argument; none for the key 0.
 fn parse_order_key(argument: &[u8]) -> Result<Option<OrderKey>, RequestError> {
     let digits = utf8("key", argument)?;
