A key rests from the end of an abandoned attempt's connection, hold-ups included

Callers saw messages of one key overtake each other: the next one was sent milliseconds behind an attempt that might still run, in place of Rules.OrderSettle. Cause: PolicyState::on_attempt_completed counted the cooldown from the turn's reading of the clock; the connection is ended behind it, up to 0.15 s later in a hold-up. Change: the cooldown of attempts that we end ourselves begins LONGEST_HOLD_UP later; that of a broken connection as before.

--- a/crates/cli/tests/late_responses.rs
+++ b/crates/cli/tests/late_responses.rs
@@ -4,10 +4,11 @@
 mod gateway_harness;
 
 use cloverstile_fakes::platform::{read_line, PutCommand};
+use cloverstile_fault_injection::{Call, Effect, Rule};
 use gateway_harness::manual_endpoint::ManualEndpoint;
 use gateway_harness::streams::read_request;
-use gateway_harness::{notice, send_signal, GatewayHarness};
-use std::io::Write;
+use gateway_harness::{notice, payment, send_signal, GatewayHarness};
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -15,6 +16,10 @@
 const KEY: u64 = 7;
 /// Time that a message has whose attempt ends with it.
 const SHORT_TIME: Duration = Duration::from_millis(800);
+/// How long a key rests behind an attempt that may still run (`Rules.OrderSettle`).
+const SETTLE_TIME: Duration = Duration::from_millis(100);
+/// More readings of the clock than a turn has ahead of the end of its attempts.
+const READINGS_IN_A_TURN: u64 = 8;
 /// How long a process may be held up.
 const HOLD_UP: Duration = Duration::from_millis(150);
 /// A moment behind another one.
@@ -85,6 +90,43 @@
     assert!(wait_until(END_TIMEOUT, is_notified), "the message has no end");
 }
 
+/// The settle time of a key counted from the time at which an attempt was abandoned as the process read it: where it was held up
+/// behind that reading, the next message of the key was sent a few milliseconds behind the end of the attempt's connection.
+#[test]
+fn key_rests_behind_an_attempt_that_was_abandoned_in_a_hold_up() {
+    // One of the first readings of the clock behind the time-out is the one that the turn goes by.
+    let play =
+        |skipped: u64| std::thread::spawn(move || (skipped, rest_behind_an_abandoned_attempt(skipped)));
+    for thread in (0..READINGS_IN_A_TURN).map(play).collect::<Vec<_>>() {
+        let (skipped, rest) = thread.join().unwrap();
+        assert!(rest >= SETTLE_TIME - MOMENT, "reading {skipped}: {rest:?} behind the end of the attempt");
+    }
+}
+
+/// How long behind the end of an abandoned attempt the next message of its key is sent, where the process is held up behind one
+/// reading of its clock, after so many others.
+fn rest_behind_an_abandoned_attempt(skipped: u64) -> Duration {
+    let (mut harness, endpoint) = harness_with_manual_endpoint(&format!("settle-hold-up-{skipped}"));
+    harness.edit_config(|config| config["settings"]["Lanes"][1]["OneAtATime"] = true.into());
+    let faults = harness.fault_control();
+    harness.start_with_faults(&faults);
+    let ordered = |id: &str| PutCommand { key: KEY, ..payment(id.into()) };
+    let first = PutCommand { time_left_ms: SHORT_TIME.as_millis() as u64, ..ordered("first") };
+    let mut client = harness.connect_client();
+    assert_eq!(harness.platform.submit(&mut client, &first).unwrap(), "+OK");
+    assert_eq!(harness.platform.submit(&mut client, &ordered("second")).unwrap(), "+OK");
+    let mut stream = endpoint.accept();
+    assert!(read_request(&mut stream).contains("Req-Id: first"));
+    std::thread::sleep(MOMENT);
+    let effect = Effect::Delay(HOLD_UP - MOMENT);
+    faults.set_rule(0, &Rule { skip: skipped, ..Rule::once(Call::MonotonicClock, effect) }).unwrap();
+    assert_eq!(stream.read(&mut [0; 16]).expect("the gateway ends its sending"), 0);
+    let ended = Instant::now();
+    let mut stream = endpoint.accept();
+    assert!(read_request(&mut stream).contains("Req-Id: second"));
+    ended.elapsed()
+}
+
 fn wait_until(timeout: Duration, condition: impl Fn() -> bool) -> bool {
     let end = Instant::now() + timeout;
     while Instant::now() < end {
--- a/src/policy/completion.rs
+++ b/src/policy/completion.rs
@@ -1,9 +1,10 @@
 //! Completion: what the end of an attempt changes for its message, endpoint, connection and route.
 
 use super::idle_connections::{PRESSURE_DECAY_GAIN, PRESSURE_GAIN};
-use super::retry::RETRY_BACKOFF;
-use crate::interface::{AttemptCompleted, AttemptOutcome, EndpointId, Time};
+use super::retry::{LONGEST_HOLD_UP, RETRY_BACKOFF};
+use crate::interface::{AttemptCompleted, AttemptOutcome, EndpointId, OrderKey, Time};
 use crate::policy_state::{update_ewma, FirstSend, InFlightRequest, PolicyState};
+use std::time::Duration;
 
 impl PolicyState {
     pub fn on_attempt_completed(&mut self, now: Time, done: &AttemptCompleted) {
@@ -26,8 +27,7 @@
         }
         // After an attempt that may still be running, its key cools down before the next message of the key.
         if let (true, true, Some(key)) = (done.outcome.is_lost(), class.ordered, message.submission.key) {
-            self.key_cooldowns.retain(|_, until| *until > now);
-            self.key_cooldowns.insert(key, now + self.settings.rules.key_cooldown);
+            self.start_key_cooldown(now, key, done.outcome);
         }
         // Only a request's last outcome counts for the route: its messages share its outcome.
         if let Some(request) = self.take_completed_request(request_id) {
@@ -44,6 +44,15 @@
         self.forget_if_done(done.message);
     }
 
+    /// The cooldown begins with the end of the attempt's connection: a broken one has ended, any other ends
+    /// behind this decision.
+    fn start_key_cooldown(&mut self, now: Time, key: OrderKey, outcome: AttemptOutcome) {
+        let has_ended = outcome == AttemptOutcome::Reset;
+        let until_ended = if has_ended { Duration::ZERO } else { LONGEST_HOLD_UP };
+        self.key_cooldowns.retain(|_, until| *until > now);
+        self.key_cooldowns.insert(key, now + until_ended + self.settings.rules.key_cooldown);
+    }
+
     /// Records the outcome of a request for its endpoint, connection and route.
     fn on_request_completed(&mut self, now: Time, request: &InFlightRequest, done: &AttemptCompleted) {
         let lost = done.outcome.is_lost();
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -8,8 +8,8 @@
 pub(super) const RETRY_BACKOFF: Backoff = Backoff { first: 0.05, longest: 0.7 };
 /// A keyed message is not resent in this last part of its window: the request must still arrive inside it.
 const RETRY_WINDOW_MARGIN: f64 = 0.1;
-/// Shortest such margin: a process may be held up for so long between the check of the window and its write.
-const LONGEST_HOLD_UP: Duration = Duration::from_millis(150);
+/// Shortest such margin: a process may be held up for so long between a reading of its clock and its write.
+pub(super) const LONGEST_HOLD_UP: Duration = Duration::from_millis(150);
 /// Time-out of a repeatable attempt, in latencies (mean and deviation) of its route.
 pub(super) const TIMEOUT_LATENCIES: f64 = 4.0;
 /// Bounds of that time-out, in latency objectives.
