A restart lets every key rest: attempts that nobody remembers may still run

Callers would see messages of one key overtake each other over a restart, where the settle time is longer than the restart. Cause: only an attempt that was in flight at the kill let its key cool down. One that had timed out, or whose message had ended and was acknowledged, was forgotten by the log. Change: Event::Restarted in place of RecoveredAttempts::last_attempt_open; every key waits Rules.OrderSettle from the start of a process that finds an earlier one's log.

--- a/crates/cli/tests/late_responses.rs
+++ b/crates/cli/tests/late_responses.rs
@@ -18,6 +18,8 @@
 const SHORT_TIME: Duration = Duration::from_millis(800);
 /// How long a key rests behind an attempt that may still run (`Rules.OrderSettle`).
 const SETTLE_TIME: Duration = Duration::from_millis(100);
+/// The same of another customer, longer than a restart takes.
+const LONG_SETTLE_TIME: Duration = Duration::from_secs(2);
 /// More readings of the clock than a turn has ahead of the end of its attempts.
 const READINGS_IN_A_TURN: u64 = 8;
 /// How long a process may be held up.
@@ -127,6 +129,43 @@
     ended.elapsed()
 }
 
+/// Only an attempt that was in flight at a kill let its key rest in the next process. One that had been abandoned just before,
+/// its message ended and acknowledged, was forgotten.
+#[test]
+fn key_rests_over_a_restart_behind_an_attempt_that_was_abandoned() {
+    for (name, submitted_before) in [("settle-held", true), ("settle-new", false)] {
+        let (mut harness, endpoint) = harness_with_manual_endpoint(name);
+        harness.edit_config(|config| {
+            config["settings"]["Lanes"][1]["OneAtATime"] = true.into();
+            config["settings"]["Rules"]["OrderSettle"] = (LONG_SETTLE_TIME.as_nanos() as u64).into();
+        });
+        harness.start();
+        let ordered = |id: &str| PutCommand { key: KEY, ..payment(id.into()) };
+        let submit = |harness: &GatewayHarness, put: &PutCommand| {
+            assert_eq!(harness.platform.submit(&mut harness.connect_client(), put).unwrap(), "+OK");
+        };
+        submit(&harness, &PutCommand { time_left_ms: 500, ..ordered("first") });
+        let mut stream = endpoint.accept();
+        assert!(read_request(&mut stream).contains("Req-Id: first"));
+        if submitted_before {
+            submit(&harness, &ordered("second"));
+        }
+        assert_eq!(stream.read(&mut [0; 16]).expect("the gateway ends its sending"), 0);
+        let ended = Instant::now();
+        assert!(wait_until(END_TIMEOUT, || harness.is_notified("first", "undeliverable")));
+        std::thread::sleep(MOMENT);
+        harness.kill();
+        harness.start();
+        if !submitted_before {
+            submit(&harness, &ordered("second"));
+        }
+        let mut stream = endpoint.accept();
+        assert!(read_request(&mut stream).contains("Req-Id: second"));
+        let rest = ended.elapsed();
+        assert!(rest >= LONG_SETTLE_TIME - MOMENT, "{name}: {rest:?} behind the end of the attempt");
+    }
+}
+
 fn wait_until(timeout: Duration, condition: impl Fn() -> bool) -> bool {
     let end = Instant::now() + timeout;
     while Instant::now() < end {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -101,8 +101,13 @@
         Admission::New(id)
     }
 
-    /// Adds a message that was admitted before a restart and is still pending. Call it in the order of admission,
-    /// before all else.
+    /// An earlier process has ended, whose attempts may still run. Call it before all else.
+    pub fn on_restarted(&mut self, now: Time) {
+        self.state.notify_policy(now, Event::Restarted);
+    }
+
+    /// Adds a message that was admitted before a restart and is still pending. Call it in the order of admission, behind
+    /// [`Engine::on_restarted`].
     pub fn recover(&mut self, now: Time, request: SubmitRequest, recovered: RecoveredAttempts) -> MessageId {
         // Nothing is final at once for one whose deadline passed meanwhile: the policy gives the outcome.
         let deadline = request.deadline.max(now);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -22,6 +22,7 @@
 //! | --- | --- |
 //! | `Event::EndpointsUpdated` | [`Engine::update_endpoints`]: a new version of the endpoint list; a recovery gate that opened or closed |
 //! | `Event::Submitted` | [`Engine::submit`], where nothing under that idempotency key is known; a message that changed its tier |
+//! | `Event::Restarted` | [`Engine::on_restarted`] |
 //! | `Event::Recovered` | [`Engine::recover`] |
 //! | `Event::AttemptCompleted` | [`Engine::on_attempt_completed`], an attempt's time-out, `Action::AbandonAttempt`, a send that could not be carried out |
 //! | `Event::RetryAfter` | [`Engine::on_retry_after`] |
--- a/crates/resp-gateway/src/message_record.rs
+++ b/crates/resp-gateway/src/message_record.rs
@@ -55,7 +55,6 @@
         submitted_at: Time(message.submitted_at),
         attempts: u32::from(message.attempts),
         may_have_run: first_possible_run(message, class),
-        last_attempt_open: open_attempt.is_some(),
     };
     let request = SubmitRequest {
         client: 0,
--- a/crates/resp-gateway/src/message_record/tests.rs
+++ b/crates/resp-gateway/src/message_record/tests.rs
@@ -30,12 +30,12 @@
         let attempts = recover(&mut message, None).attempts;
         let stored = message.may_have_run.map(|start| (Time(start.started_at), Some(ZoneId(1))));
         assert_eq!((message.open_attempt, stored), (None, attempts.may_have_run));
-        (attempts.may_have_run.map(|(at, _)| at.0 / SECOND), attempts.last_attempt_open, attempts.attempts)
+        (attempts.may_have_run.map(|(at, _)| at.0 / SECOND), attempts.attempts)
     };
-    assert_eq!(recovered(None, None), (None, false, 2));
-    assert_eq!(recovered(None, Some(103)), (Some(103), true, 2));
-    assert_eq!(recovered(Some(101), Some(103)), (Some(101), true, 2));
-    assert_eq!(recovered(Some(101), None), (Some(101), false, 2));
+    assert_eq!(recovered(None, None), (None, 2));
+    assert_eq!(recovered(None, Some(103)), (Some(103), 2));
+    assert_eq!(recovered(Some(101), Some(103)), (Some(101), 2));
+    assert_eq!(recovered(Some(101), None), (Some(101), 2));
 }
 
 #[test]
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -70,6 +70,7 @@
             return Ok(None);
         };
         let recovered_messages = recovered.messages.len();
+        let is_restart = recovered.clock.is_some() || recovered_messages > 0;
         let mut clock = Clock::new();
         if recovered.clock.is_some_and(|reference| !clock.resume(&reference)) {
             warn!("the log is of another boot: the wall clock tells how much time has passed since");
@@ -87,6 +88,9 @@
         if let Some(reference) = clock.reference() {
             pipeline.delivery.log.record(Record::ClockReference(reference));
         }
+        if is_restart {
+            pipeline.delivery.engine.on_restarted(now);
+        }
         recover_messages(now, recovered, &names, &settings.classes, &mut pipeline.delivery);
         pipeline.run_turn(now, &clock, &mut net);
 
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -89,8 +89,6 @@
     pub attempts: u32,
     /// When the first attempt was sent that may have run, and in which zone, if that is known.
     pub may_have_run: Option<(Time, Option<ZoneId>)>,
-    /// Its last attempt was in flight when the process ended.
-    pub last_attempt_open: bool,
 }
 
 /// How an attempt ended.
@@ -164,6 +162,9 @@
     EndpointsUpdated(EndpointListUpdate),
     /// A message was accepted.
     Submitted(Submission),
+    /// An earlier process of this instance has ended. Ahead of what was recovered of it: attempts that nobody knows any
+    /// longer may still run.
+    Restarted,
     /// A message was recovered after a restart; its final answer is still owed. In the order accepted.
     Recovered(Submission, RecoveredAttempts),
     /// An attempt completed.
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -38,14 +38,19 @@
         self.messages.insert(id, message);
     }
 
-    /// A restart forgives nothing: attempts used stay used, the window runs from the first one that may have
-    /// run, and a request in flight then lets its key cool down. What can never go again is answered at once.
+    /// Attempts of an earlier process may still run, also of messages that nobody knows any longer: every key
+    /// cools down.
+    pub fn on_restarted(&mut self, now: Time) {
+        self.all_keys_cooldown = now + self.settings.rules.key_cooldown;
+    }
+
+    /// A restart forgives nothing: attempts used stay used, and the window runs from the first one that may
+    /// have run. What can never go again is answered at once.
     pub fn on_recovered(&mut self, now: Time, submission: Submission, past: RecoveredAttempts) {
-        let (id, key, cooldown) = (submission.id, submission.key, self.settings.rules.key_cooldown);
+        let id = submission.id;
         self.on_submitted(now, submission);
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.restore(past);
-        self.key_cooldowns.extend(key.filter(|_| past.last_attempt_open).map(|key| (key, now + cooldown)));
         let Some(message) = self.messages.get(&id) else { return };
         self.set_deadline(self.last_send_time(message).max(now).min(message.submission.deadline), id);
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -43,6 +43,7 @@
         match event {
             Event::EndpointsUpdated(update) => state.on_endpoint_list(now, update),
             Event::Submitted(submission) => state.on_submitted(now, submission),
+            Event::Restarted => state.on_restarted(now),
             Event::Recovered(submission, past) => state.on_recovered(now, submission, past),
             Event::AttemptCompleted(attempt) => state.on_attempt_completed(now, &attempt),
             Event::RetryAfter { endpoint, wait } => state.on_retry_after(now, endpoint, wait),
--- a/src/policy_state/mod.rs
+++ b/src/policy_state/mod.rs
@@ -50,6 +50,8 @@
     pub key_queues: BTreeMap<OrderKey, Vec<MessageId>>,
     /// Until when the next message of a key must wait.
     pub key_cooldowns: BTreeMap<OrderKey, Time>,
+    /// Until when the next message of every key must wait.
+    pub all_keys_cooldown: Time,
     pub requests: BTreeMap<RequestId, InFlightRequest>,
     pub last_request: RequestId,
     /// Latency over all destinations: what one that was never called is assumed to need.
@@ -211,7 +213,7 @@
 
     /// Until when the next message of a key must wait; zero if it need not.
     pub fn cooldown_end(&self, key: OrderKey) -> Time {
-        self.key_cooldowns.get(&key).copied().unwrap_or(Time::ZERO)
+        self.key_cooldowns.get(&key).copied().unwrap_or(Time::ZERO).max(self.all_keys_cooldown)
     }
 
     /// Queues a new message for its destination and its key, with its deadline.
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -30,12 +30,8 @@
 
 #[test]
 fn recovered_unsafe_message_that_may_have_run_fails_at_once() {
-    let past = |now| RecoveredAttempts {
-        attempts: 1,
-        may_have_run: Some((now - ms(700), None)),
-        last_attempt_open: true,
-        ..fresh(now)
-    };
+    let past =
+        |now| RecoveredAttempts { attempts: 1, may_have_run: Some((now - ms(700), None)), ..fresh(now) };
     let mut harness = recovered(&unsafe_class(), past, None);
     let actions = harness.next_actions();
     assert!(actions.contains(&Action::Fail { message: MessageId(1) }), "{actions:?}");
@@ -69,19 +65,16 @@
 }
 
 #[test]
-fn recovered_attempt_in_flight_starts_the_key_cooldown() {
+fn restart_lets_every_key_cool_down() {
     let class = Class { ordered: true, ..keyed() };
-    let past = |now| RecoveredAttempts {
-        attempts: 1,
-        may_have_run: Some((now - ms(700), None)),
-        last_attempt_open: true,
-        ..fresh(now)
-    };
+    let past =
+        |now| RecoveredAttempts { attempts: 1, may_have_run: Some((now - ms(700), None)), ..fresh(now) };
     let mut harness = recovered(&class, past, Some(5));
     harness.settings.rules.key_cooldown = ms(100);
     harness.policy = DeliveryPolicy::new(harness.settings.clone(), 1);
     harness.on_event(Event::EndpointsUpdated(EndpointListUpdate::Snapshot(vec![endpoint(7, 1)])));
     let classes = harness.settings.classes.clone();
+    harness.on_event(Event::Restarted);
     for id in [1, 2] {
         let submission = submission(harness.now, id, (ClassId(0), &classes[0]), 1, Some(5));
         let past = if id == 1 { past(harness.now) } else { fresh(harness.now) };
