A response that stops inside its status line is no delivery

Cause: Decoder::status took the code for known behind the blank that follows it. Either way it is safe now: a keyed message goes again under its key, any other ends as undeliverable, which does no harm to one that is over. Test: response_that_stops_inside_its_status_line_is_no_delivery, every cut, failing before. status_200_is_processed_whatever_follows took 'HTTP/1.1 200 O' for a status line that is read; it has the whole line now.

--- a/crates/http/src/decode.rs
+++ b/crates/http/src/decode.rs
@@ -63,11 +63,12 @@
         self.buffer.len()
     }
 
-    /// Status of the response being read, as soon as its start line is there, whatever the rest is like; interim
-    /// responses are ignored.
+    /// Status of the response being read, as soon as its start line is there to its end, whatever the rest is like;
+    /// interim responses are ignored.
     pub fn status(&self) -> Option<u16> {
         self.head.as_ref().map(|(status, _)| *status).or_else(|| {
-            let line = self.buffer.strip_prefix(b"HTTP/1.").filter(|_| !self.is_server)?;
+            let line_end = self.buffer.iter().position(|byte| *byte == b'\n')?;
+            let line = self.buffer[..=line_end].strip_prefix(b"HTTP/1.").filter(|_| !self.is_server)?;
             let digits = line.get(2..5).filter(|_| line[0].is_ascii_digit() && line[1] == b' ')?;
             let ended =
                 matches!(line.get(5), Some(b' ' | b'\r' | b'\n')) && digits.iter().all(u8::is_ascii_digit);
--- a/crates/platform/tests/platform/response.rs
+++ b/crates/platform/tests/platform/response.rs
@@ -117,11 +117,21 @@
     );
     // Once the status line is read, a lost connection changes nothing.
     let mut reader = ResponseReader::new();
-    let progress = reader.on_bytes(Duration::ZERO, b"HTTP/1.1 200 O", &fields());
+    let progress = reader.on_bytes(Duration::ZERO, b"HTTP/1.1 200 OK\r\n", &fields());
     assert_eq!(progress.result, Some(TransportOutcome::Processed.into()));
     assert_eq!(reader.end(false, &fields()), None);
 }
 
+#[test]
+fn response_that_stops_inside_its_status_line_is_no_delivery() {
+    let line = b"HTTP/1.1 200 OK\r\n";
+    for cut in 0..line.len() {
+        let mut reader = ResponseReader::new();
+        assert_eq!(reader.on_bytes(Duration::ZERO, &line[..cut], &fields()).result, None, "{cut}");
+        assert_eq!(reader.end(false, &fields()), Some(TransportOutcome::Reset.into()), "{cut}");
+    }
+}
+
 #[test]
 fn unreadable_response_is_an_error_even_with_a_rejection_status() {
     for text in [
