An unanswered notification holds up no other; one on a silent connection goes out again

Callers would see an end that comes over 0.5 s late (lost), and messages of a key waiting behind it. Cause: one connection carried one request at a time, for which 0.5 s were waited: the next notifications waited behind it, and one on a connection that had fallen silent went out again only then. An end may be 0.3 s late. Change: up to three connections; what is unanswered for 0.2 s goes out again on another, and where all are taken the oldest gives way. Tests, failing before: unanswered_notification_does_not_hold_up_the_next_ones, notification_on_a_silent_connection_is_sent_again_on_another. The division of descriptors counts the three.

--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -5,14 +5,21 @@
 use crate::transport::{ConnectionId, Transport};
 use cloverstile::{OrderKey, Time};
 use cloverstile_http::{Headers, Start};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Most notifications in one request, which keeps its body under [`MAX_BODY_BYTES`].
 const MAX_BATCH: usize = 256;
-/// How long a connection may take to be established, and a response to arrive: the agent answers at once.
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a connection may take to be established: the agent is on this machine.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a response is waited for.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long after its sending a notification goes out again on another connection: an end may be 0.3 s late, and the agent
+/// answers at once.
+const RESEND_DELAY: Duration = Duration::from_millis(200);
+/// Most connections to the agent.
+pub const MAX_CHANNELS: usize = 3;
 /// How long a connection without a request is kept.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -57,51 +64,86 @@
     pub rejected: Vec<u32>,
 }
 
+/// One connection to the agent, with what its request holds.
+struct Channel {
+    agent: DiscoveryConnection,
+    /// Numbers in the request in flight.
+    in_flight: Vec<u32>,
+    /// When the request in flight gives way to notifications that were never sent, where no other connection is free.
+    yields_at: Time,
+}
+
+impl Channel {
+    fn new(address: SocketAddr) -> Self {
+        let agent = DiscoveryConnection::new(address, MAX_BODY_BYTES);
+        Channel { agent, in_flight: Vec::new(), yields_at: Time::ZERO }
+    }
+
+    fn is_waiting(&self) -> bool {
+        matches!(self.agent.status(), ConnectionStatus::Connecting | ConnectionStatus::AwaitingResponse)
+    }
+
+    fn close(&mut self, now: Time, transport: &mut impl Transport) {
+        self.in_flight.clear();
+        self.agent.close(now, transport);
+    }
+}
+
+/// A notification that was not acknowledged.
+struct PendingNotification {
+    notification: Notification,
+    /// It may not be sent yet.
+    is_held: bool,
+    /// When it may be sent again; none if it was never sent.
+    resend_at: Option<Time>,
+}
+
+impl PendingNotification {
+    /// When it may be sent; none if not before it is released.
+    fn sendable_at(&self) -> Option<Time> {
+        (!self.is_held).then(|| self.resend_at.unwrap_or(Time::ZERO))
+    }
+}
+
 /// All notifications that were not acknowledged, by the log's number of the message.
+///
+/// Each goes out at once, on another connection where a request is waited for: an agent that leaves one unanswered must not
+/// hold up the others, whose time may be over. One that is not acknowledged in time goes out again.
 pub struct Notifications {
-    agent: DiscoveryConnection,
-    pending: BTreeMap<u32, Notification>,
-    /// Those of the pending ones that may not be sent yet.
-    held: BTreeSet<u32>,
+    channels: Vec<Channel>,
+    pending: BTreeMap<u32, PendingNotification>,
     /// Number of pending notifications by order key.
     blocked_keys: HashMap<OrderKey, usize>,
-    /// Numbers in the request in flight.
-    in_flight: Vec<u32>,
     /// How many the next request may hold: one after a rejection, so that the bad one is found and the others pass.
     batch_limit: usize,
+    /// No connection is opened before.
+    connect_at: Time,
 }
 
 impl Notifications {
     /// Nothing pending; the agent is at this address.
     pub fn new(address: SocketAddr) -> Self {
         Notifications {
-            agent: DiscoveryConnection::new(address, MAX_BODY_BYTES),
+            channels: (0..MAX_CHANNELS).map(|_| Channel::new(address)).collect(),
             pending: BTreeMap::new(),
-            held: BTreeSet::new(),
             blocked_keys: HashMap::new(),
-            in_flight: Vec::new(),
             batch_limit: MAX_BATCH,
+            connect_at: Time::ZERO,
         }
     }
 
     /// Adds a notification.
     pub fn enqueue(&mut self, number: u32, notification: Notification, release: Release) {
-        if release == Release::OnceStored {
-            self.held.insert(number);
-        }
         if let Some(key) = notification.order_key {
             *self.blocked_keys.entry(key).or_default() += 1;
         }
-        self.pending.insert(number, notification);
+        let is_held = release == Release::OnceStored;
+        self.pending.insert(number, PendingNotification { notification, is_held, resend_at: None });
     }
 
     /// Lets all be sent that were held back.
     pub fn release_held(&mut self) {
-        self.held.clear();
-    }
-
-    fn has_sendable(&self) -> bool {
-        self.pending.len() > self.held.len()
+        self.pending.values_mut().for_each(|pending| pending.is_held = false);
     }
 
     /// Whether a notification of a message with this order key is pending.
@@ -121,59 +163,135 @@
 
     /// When [`Notifications::on_tick`] must be called, if at all.
     pub fn next_timeout(&self) -> Option<Time> {
-        match (self.agent.status(), self.has_sendable()) {
-            (ConnectionStatus::Closed, false) => None,
-            (ConnectionStatus::Idle, true) => Some(Time::ZERO),
-            _ => Some(self.agent.next_timeout()),
-        }
+        let has_status =
+            |wanted: ConnectionStatus| self.channels.iter().any(|channel| channel.agent.status() == wanted);
+        let sendable_at = self.pending.values().filter_map(PendingNotification::sendable_at).min();
+        let send_at = sendable_at.and_then(|at| {
+            if has_status(ConnectionStatus::Idle) {
+                return Some(at);
+            }
+            if has_status(ConnectionStatus::Connecting) {
+                return None;
+            }
+            if has_status(ConnectionStatus::Closed) {
+                return Some(at.max(self.connect_at));
+            }
+            let yields_at = self.channels.iter().map(|channel| channel.yields_at).min();
+            yields_at.filter(|_| self.has_unsent()).map(|yields_at| at.max(yields_at))
+        });
+        let open = self.channels.iter().filter(|channel| channel.agent.status() != ConnectionStatus::Closed);
+        open.map(|channel| channel.agent.next_timeout()).chain(send_at).min()
     }
 
     /// Sends what is pending, or connects for it. Must be called after the turn's records are in the log.
     pub fn on_tick(&mut self, now: Time, transport: &mut impl Transport) {
-        if self.next_timeout().is_none_or(|at| at > now) {
+        for channel in &mut self.channels {
+            let is_open = channel.agent.status() != ConnectionStatus::Closed;
+            if is_open && channel.agent.next_timeout() <= now {
+                if channel.is_waiting() {
+                    self.connect_at = now + RECONNECT_DELAY;
+                }
+                channel.close(now, transport);
+            }
+        }
+        let is_sendable = |pending: &PendingNotification| pending.sendable_at().is_some_and(|at| at <= now);
+        if !self.pending.values().any(is_sendable) {
             return;
         }
-        match self.agent.status() {
-            ConnectionStatus::Closed => self.agent.connect(now + RESPONSE_TIMEOUT, transport),
-            ConnectionStatus::Connecting | ConnectionStatus::AwaitingResponse => {
-                self.agent.close(now + RECONNECT_DELAY, transport);
-            }
-            ConnectionStatus::Idle if !self.has_sendable() => self.agent.close(now, transport),
-            ConnectionStatus::Idle => self.send_batch(now, transport),
+        let with_status = |channels: &[Channel], wanted: ConnectionStatus| {
+            channels.iter().position(|channel| channel.agent.status() == wanted)
+        };
+        if let Some(idle) = with_status(&self.channels, ConnectionStatus::Idle) {
+            return self.send_batch(now, idle, transport);
+        }
+        if with_status(&self.channels, ConnectionStatus::Connecting).is_some() || now < self.connect_at {
+            return;
+        }
+        let free = with_status(&self.channels, ConnectionStatus::Closed);
+        if let Some(free) = free.or_else(|| self.free_channel(now, transport)) {
+            self.channels[free].agent.connect(now + CONNECT_TIMEOUT, transport);
+        }
+    }
+
+    /// Whether a notification may be sent that never was.
+    fn has_unsent(&self) -> bool {
+        self.pending.values().any(|pending| !pending.is_held && pending.resend_at.is_none())
+    }
+
+    /// Closes the connection whose request has been unanswered the longest, where it gives way; all are taken.
+    fn free_channel(&mut self, now: Time, transport: &mut impl Transport) -> Option<usize> {
+        let channels = self.channels.iter().enumerate();
+        let (place, _) = channels.min_by_key(|(_, channel)| channel.yields_at)?;
+        if !self.has_unsent() || now < self.channels[place].yields_at {
+            return None;
         }
+        self.channels[place].close(now, transport);
+        Some(place)
     }
 
-    fn send_batch(&mut self, now: Time, transport: &mut impl Transport) {
-        let is_sendable = |(number, _): &(&u32, &Notification)| !self.held.contains(number);
-        let batch = || self.pending.iter().filter(is_sendable).take(self.batch_limit);
-        let body: Vec<u8> = batch().flat_map(|(_, notification)| json_line(notification)).collect();
-        self.in_flight = batch().map(|(number, _)| *number).collect();
-        let host = self.agent.address().to_string();
+    fn send_batch(&mut self, now: Time, channel: usize, transport: &mut impl Transport) {
+        let is_sendable = |pending: &PendingNotification| pending.sendable_at().is_some_and(|at| at <= now);
+        let batch = self.pending.iter_mut().filter(|(_, pending)| is_sendable(pending));
+        let (mut numbers, mut body) = (Vec::new(), Vec::new());
+        for (number, pending) in batch.take(self.batch_limit) {
+            pending.resend_at = Some(now + RESEND_DELAY);
+            numbers.push(*number);
+            body.extend(json_line(&pending.notification));
+        }
+        let channel = &mut self.channels[channel];
+        let host = channel.agent.address().to_string();
         let headers = Headers::new().with("Host", host).with("Content-Type", "application/x-ndjson");
         let request = cloverstile_http::request("POST", "/v1/notices", &headers, &body);
-        self.agent.send(&request, now + RESPONSE_TIMEOUT, transport);
+        channel.in_flight = numbers;
+        channel.yields_at = now + RESEND_DELAY;
+        channel.agent.send(&request, now + RESPONSE_TIMEOUT, transport);
     }
 
     /// Changes the agent's address: notifications go there from now on, pending ones again.
     pub fn set_address(&mut self, now: Time, address: SocketAddr, transport: &mut impl Transport) {
-        self.agent.set_address(now, address, transport);
+        let mut has_moved = false;
+        for channel in &mut self.channels {
+            has_moved |= channel.agent.set_address(now, address, transport);
+            channel.in_flight.clear();
+        }
+        if has_moved {
+            self.connect_at = now;
+            self.pending.values_mut().for_each(|pending| pending.resend_at = None);
+        }
     }
 
-    /// Whether a connection is that of the notifications.
+    fn channel_of(&self, connection: ConnectionId) -> Option<usize> {
+        self.channels.iter().position(|channel| channel.agent.owns(connection))
+    }
+
+    /// Whether a connection is one of the notifications.
     pub fn owns(&self, connection: ConnectionId) -> bool {
-        self.agent.owns(connection)
+        self.channel_of(connection).is_some()
     }
 
     /// A connection was established.
     pub fn on_connected(&mut self, now: Time, connection: ConnectionId) {
-        self.agent.on_connected(connection, now + IDLE_TIMEOUT);
+        if let Some(channel) = self.channel_of(connection) {
+            self.channels[channel].agent.on_connected(connection, now + IDLE_TIMEOUT);
+        }
     }
 
     /// A connection failed or ended; what was sent and not acknowledged is sent again.
     pub fn on_closed(&mut self, now: Time, connection: ConnectionId) {
-        if self.owns(connection) {
-            let is_idle = self.agent.status() == ConnectionStatus::Idle;
-            self.agent.on_closed(if is_idle { now } else { now + RECONNECT_DELAY });
+        let Some(channel) = self.channel_of(connection) else { return };
+        if self.channels[channel].is_waiting() {
+            self.connect_at = now + RECONNECT_DELAY;
+        }
+        self.channels[channel].agent.on_closed(now);
+        self.resend_in_flight(channel);
+    }
+
+    /// Lets the notifications of a request that has failed be sent again.
+    fn resend_in_flight(&mut self, channel: usize) {
+        for number in std::mem::take(&mut self.channels[channel].in_flight) {
+            if let Some(pending) = self.pending.get_mut(&number) {
+                pending.resend_at = None;
+            }
         }
     }
 
@@ -186,46 +304,51 @@
         transport: &mut impl Transport,
     ) -> SettledNotifications {
         let mut settled = SettledNotifications::default();
-        if !self.owns(connection) {
-            return settled;
-        }
-        let Some(response) = self.agent.on_bytes(now, bytes, now + IDLE_TIMEOUT, transport) else {
+        let Some(place) = self.channel_of(connection) else { return settled };
+        let channel = &mut self.channels[place];
+        let Some(response) = channel.agent.on_bytes(now, bytes, now + IDLE_TIMEOUT, transport) else {
             return settled;
         };
-        if self.agent.has_surplus_bytes() {
-            self.agent.close(now + RECONNECT_DELAY, transport);
+        if channel.agent.has_surplus_bytes() {
+            channel.agent.close(now, transport);
         }
-        let sent = std::mem::take(&mut self.in_flight);
         match response.map(|response| response.start) {
             Ok(Start::Response { status: 200..=299 }) => {
                 self.batch_limit = MAX_BATCH;
-                sent.iter().for_each(|number| self.remove(*number));
-                settled.acknowledged = sent;
+                settled.acknowledged = self.settle_in_flight(place);
             }
             // It can't be read, alone: sending it again for ever would keep all others from being sent.
-            Ok(Start::Response { status: 400..=499 }) if sent.len() == 1 => {
-                sent.iter().for_each(|number| self.remove(*number));
-                settled.rejected = sent;
+            Ok(Start::Response { status: 400..=499 }) if channel.in_flight.len() == 1 => {
+                settled.rejected = self.settle_in_flight(place);
             }
             _ => {
                 // Not again at once: an agent that rejects everything would be asked without a pause.
-                self.agent.close(now + RECONNECT_DELAY, transport);
+                channel.agent.close(now, transport);
+                self.connect_at = now + RECONNECT_DELAY;
                 self.batch_limit = 1;
+                self.resend_in_flight(place);
             }
         }
         settled
     }
 
-    fn remove(&mut self, number: u32) {
-        let Some(key) = self.pending.remove(&number).and_then(|notification| notification.order_key) else {
-            return;
-        };
+    /// Removes the notifications of a request that has its response; returns those that were still pending.
+    fn settle_in_flight(&mut self, channel: usize) -> Vec<u32> {
+        let sent = std::mem::take(&mut self.channels[channel].in_flight);
+        sent.into_iter().filter(|number| self.remove(*number)).collect()
+    }
+
+    /// Removes a notification; whether it was pending.
+    fn remove(&mut self, number: u32) -> bool {
+        let Some(pending) = self.pending.remove(&number) else { return false };
+        let Some(key) = pending.notification.order_key else { return true };
         if let Some(count) = self.blocked_keys.get_mut(&key) {
             *count -= 1;
             if *count == 0 {
                 self.blocked_keys.remove(&key);
             }
         }
+        true
     }
 }
 
--- a/crates/platform/tests/platform/notifications.rs
+++ b/crates/platform/tests/platform/notifications.rs
@@ -85,6 +85,59 @@
     assert_eq!((acknowledged, rejected), (vec![2], vec![1]));
 }
 
+/// Seed 8 of the soak: an agent left one notification unanswered, and the next ones waited for half a second behind it, though
+/// the time of their messages was over.
+#[test]
+fn unanswered_notification_does_not_hold_up_the_next_ones() {
+    let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
+    let mut unsent = Vec::new();
+    for millisecond in 0..3000u64 {
+        let now = at(millisecond);
+        if millisecond % 50 == 0 {
+            let number = u32::try_from(millisecond).unwrap();
+            let next = notification(&format!("m{millisecond}x"), true, 3);
+            notifications.enqueue(number, next, Release::AtOnce);
+            unsent.push(millisecond);
+        }
+        if notifications.next_timeout().is_some_and(|timeout| timeout <= now) {
+            let connections = transport.connected.len();
+            notifications.on_tick(now, &mut transport);
+            if transport.connected.len() > connections {
+                let connection = ConnectionId(transport.connected.len() as u64);
+                notifications.on_connected(now, connection);
+                notifications.on_tick(now, &mut transport);
+            }
+        }
+        // Each has left 0.2 s after it was due, whatever is unanswered.
+        for due in unsent.extract_if(.., |due| millisecond >= *due + 210) {
+            let name = format!("m{due}x");
+            assert!(transport.written.iter().any(|(_, text)| text.contains(&name)), "{name}");
+        }
+    }
+    assert!(transport.closed.len() + 3 >= transport.connected.len(), "three connections at most");
+    assert!(notifications.is_key_blocked(OrderKey(3)));
+}
+
+/// A notification whose connection has fallen silent goes out again on another one.
+#[test]
+fn notification_on_a_silent_connection_is_sent_again_on_another() {
+    let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
+    notifications.enqueue(7, notification("a", true, 3), Release::AtOnce);
+    notifications.on_tick(at(0), &mut transport);
+    notifications.on_connected(at(0), ConnectionId(1));
+    notifications.on_tick(at(0), &mut transport);
+    assert_eq!(notifications.next_timeout(), Some(at(200)));
+    notifications.on_tick(at(200), &mut transport);
+    notifications.on_connected(at(200), ConnectionId(2));
+    notifications.on_tick(at(200), &mut transport);
+    assert_eq!((transport.written.len(), transport.closed.len()), (2, 0));
+    // Either response settles it, once.
+    assert_eq!(notifications.on_bytes(at(201), ConnectionId(1), DONE, &mut transport).acknowledged, [7]);
+    let again = notifications.on_bytes(at(202), ConnectionId(2), DONE, &mut transport);
+    assert_eq!(again, SettledNotifications::default());
+    assert!(notifications.is_empty() && !notifications.is_key_blocked(OrderKey(3)));
+}
+
 #[test]
 fn pending_notifications_are_sent_to_a_new_address() {
     let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
--- a/crates/resp-gateway/src/descriptor_limits/tests.rs
+++ b/crates/resp-gateway/src/descriptor_limits/tests.rs
@@ -2,8 +2,8 @@
 
 use super::DescriptorLimits;
 
-/// Standard streams, event loop, signals, listener, log, discovery and notifications.
-const OTHER_DESCRIPTORS: usize = 12;
+/// Standard streams, event loop, signals, listener, log, discovery and connections for notifications.
+const OTHER_DESCRIPTORS: usize = 11 + cloverstile_platform::notifications::MAX_CHANNELS;
 
 #[test]
 fn descriptor_limits_fit_into_the_total_and_leave_a_third_for_clients() {
