--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -1,6 +1,8 @@
 //! The users' platform on loopback: endpoints, discovery with its watch, notifications, and a client's side of a
 //! submission. It records what passed on its sockets, and [`check_invariants`] reads that alone.
 
+mod agent;
+mod endpoint;
 mod events;
 mod invariants;
 mod server;
@@ -8,48 +10,75 @@
 mod submission;
 
 pub use events::{PlatformEvent, TimedEvent};
-pub use invariants::{check_invariants, find_violations, InvariantRules, Violation, ViolationKind};
-pub use state::EndpointBehaviour;
+pub use invariants::{
+    check_invariants, find_violations, InvariantRules, SlowStartRule, Violation, ViolationKind,
+};
+pub use state::{AgentBehaviour, EndpointBehaviour};
 pub use submission::{read_line, PutCommand};
 
-use server::{listen, serve_discovery, serve_endpoint};
+use agent::serve_discovery;
+use endpoint::serve_endpoint;
+use server::listen;
 use state::{Shared, State};
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Connections that the system queues for an endpoint until it accepts them.
+const ENDPOINT_BACKLOG: i32 = 16;
+/// The same for a discovery agent.
+const AGENT_BACKLOG: i32 = 128;
+
+/// Addresses of discovery that a gateway may be moved between.
+pub const AGENTS_OF_A_GATEWAY: usize = 2;
+
 /// A running platform on loopback.
 pub struct Platform {
     shared: Arc<Shared>,
     /// Addresses of the endpoints.
     pub endpoints: Vec<SocketAddr>,
-    /// Two addresses of discovery; a configuration names the one that counts.
-    pub discovery: [SocketAddr; 2],
+    /// Addresses of discovery; a configuration names the one that counts.
+    pub discovery: Vec<SocketAddr>,
 }
 
 impl Platform {
-    /// Starts one endpoint for each of these destinations; each delivers at once until its behaviour is set.
+    /// Starts one endpoint for each of these destinations, and the discovery of one gateway.
     ///
     /// # Errors
     ///
     /// If a port can't be listened on.
     pub fn start(cells: &[u16]) -> io::Result<Platform> {
-        let shared = Arc::new(Shared::new(State::new(cells)));
+        Platform::start_for(cells, 1)
+    }
+
+    /// Starts one endpoint for each of these destinations, and for so many gateways [`AGENTS_OF_A_GATEWAY`] addresses of
+    /// discovery each, in the order of the gateways. Each endpoint delivers at once, and each agent answers at once, until
+    /// its behaviour is set.
+    ///
+    /// # Errors
+    ///
+    /// If a port can't be listened on.
+    pub fn start_for(cells: &[u16], gateways: usize) -> io::Result<Platform> {
+        let agents = gateways * AGENTS_OF_A_GATEWAY;
+        let shared = Arc::new(Shared::new(State::new(cells, agents)));
         let mut endpoints = Vec::new();
         for endpoint in 0..cells.len() {
-            endpoints.push(listen(&shared, move |shared, message, stream| {
+            let is_closed = move |shared: &Shared| shared.state().closed_to_connections.contains(&endpoint);
+            let serve = move |shared: &Shared, message, stream: &mut _| {
                 serve_endpoint(shared, endpoint, message, stream)
-            })?);
+            };
+            endpoints.push(listen(&shared, ENDPOINT_BACKLOG, is_closed, serve)?);
         }
         let listed = Arc::new(endpoints.clone());
         let listen_discovery = |address: usize| {
             let listed = listed.clone();
-            listen(&shared, move |shared, message, stream| {
+            let serve = move |shared: &Shared, message, stream: &mut _| {
                 serve_discovery(shared, address, &listed, &message, stream)
-            })
+            };
+            listen(&shared, AGENT_BACKLOG, |_| false, serve)
         };
-        let discovery = [listen_discovery(0)?, listen_discovery(1)?];
+        let discovery = (0..agents).map(listen_discovery).collect::<io::Result<_>>()?;
         Ok(Platform { shared, endpoints, discovery })
     }
 
@@ -58,6 +87,22 @@
         self.shared.state().behaviour[endpoint] = behaviour;
     }
 
+    /// Sets how an agent answers from now on.
+    pub fn set_agent(&self, address: usize, behaviour: AgentBehaviour) {
+        self.shared.state().agents[address] = behaviour;
+    }
+
+    /// Lets an endpoint accept connections or not. While it does not, a few come up and are reset in the end, and others come
+    /// up late or never.
+    pub fn set_accepting(&self, endpoint: usize, accepting: bool) {
+        let mut state = self.shared.state();
+        if accepting {
+            state.closed_to_connections.remove(&endpoint);
+        } else {
+            state.closed_to_connections.insert(endpoint);
+        }
+    }
+
     /// Sets an endpoint's state in the endpoint list from now on.
     pub fn set_lifecycle(&self, endpoint: usize, lifecycle: &'static str) {
         self.shared.state().set_lifecycle(endpoint, lifecycle);
--- a/crates/fakes/src/platform/events.rs
+++ b/crates/fakes/src/platform/events.rs
@@ -35,7 +35,36 @@
         /// Message id.
         id: String,
     },
-    /// A notification was acknowledged.
+    /// A response with status 200 was written behind the time of its message: it is no delivery.
+    LateResponse {
+        /// Message id.
+        id: String,
+    },
+    /// A response was written by which a message is over and nothing more is owed (status 410).
+    Released {
+        /// Message id.
+        id: String,
+    },
+    /// Another whole response was written: the request is over, and may have run.
+    Failed {
+        /// Message id.
+        id: String,
+    },
+    /// A connection ended under a request without a response to it: the request may still run.
+    AttemptEnded {
+        /// Message id.
+        id: String,
+    },
+    /// A rejection was written that asks to wait.
+    RetryAfter {
+        /// Message id.
+        id: String,
+        /// Index of the endpoint.
+        endpoint: usize,
+        /// How long, from its writing on.
+        wait: Duration,
+    },
+    /// A notification was received.
     Notification {
         /// Message id.
         id: String,
@@ -44,6 +73,28 @@
         /// Index of the discovery address that it came to.
         address: usize,
     },
+    /// A notification was acknowledged.
+    NotificationAnswered {
+        /// Message id.
+        id: String,
+    },
+    /// An endpoint is out of order from now on.
+    EndpointFailed {
+        /// Its index.
+        endpoint: usize,
+    },
+    /// An endpoint that was out of order serves again.
+    EndpointReturned {
+        /// Its index.
+        endpoint: usize,
+    },
+    /// An agent has written the endpoint list.
+    ListSent {
+        /// Index of the discovery address.
+        address: usize,
+        /// Indices of the endpoints that drain.
+        draining: Vec<usize>,
+    },
     /// A client has written the whole command that submits a message.
     Submitted {
         /// Message id.
@@ -58,6 +109,13 @@
         /// Message id.
         id: String,
     },
+    /// A client got bytes that are no reply to its command, or more than the replies to its commands.
+    WrongReply {
+        /// Message id.
+        id: String,
+        /// What it read.
+        line: String,
+    },
     /// A command was read by its gateway, which ended the connection without a reply.
     Unanswered {
         /// Message id.
--- a/crates/fakes/src/platform/state.rs
+++ b/crates/fakes/src/platform/state.rs
@@ -1,7 +1,7 @@
 //! State that the threads of a fake platform share: events so far, endpoint behaviour, the endpoint list.
 
 use super::events::{PlatformEvent, TimedEvent};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Condvar, Mutex, MutexGuard, PoisonError};
@@ -18,6 +18,30 @@
     Silent,
     /// Closes the connection.
     Disconnect,
+    /// Resets the connection after this time.
+    Reset(Duration),
+    /// Responds with status 200 and closes the connection, on which the next request may be on its way.
+    DeliverAndClose,
+    /// Responds with status 200 so long after the time that the request states, and its message's own, are over: that is no
+    /// delivery.
+    DeliverLate(Duration),
+}
+
+/// What a discovery agent does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AgentBehaviour {
+    /// Answers at once, the list once it has changed.
+    Prompt,
+    /// Reads notifications and never answers them.
+    LeavesNotifications,
+    /// Answers notifications after this time.
+    AnswersNotificationsLate(Duration),
+    /// Reads notifications and closes the connection.
+    BreaksNotifications,
+    /// Answers no question for the list: discovery is down.
+    WithholdsLists,
+    /// Its lists break off half-way.
+    TearsLists,
 }
 
 /// An instance in the endpoint list.
@@ -32,6 +56,11 @@
 pub(super) struct State {
     pub(super) events: Vec<TimedEvent>,
     pub(super) behaviour: Vec<EndpointBehaviour>,
+    /// Endpoints that accept no connection at present.
+    pub(super) closed_to_connections: BTreeSet<usize>,
+    pub(super) agents: Vec<AgentBehaviour>,
+    /// When the time of a message is over, as its client counts it.
+    pub(super) message_ends: HashMap<String, Duration>,
     /// Version of the endpoint list.
     pub(super) generation: u64,
     pub(super) instances: BTreeMap<String, ListedInstance>,
@@ -39,13 +68,16 @@
 
 impl State {
     /// Endpoints of these destinations, all serving.
-    pub(super) fn new(cells: &[u16]) -> Self {
+    pub(super) fn new(cells: &[u16], agents: usize) -> Self {
         let instance = |(endpoint, cell): (usize, &u16)| {
             (instance_id(endpoint), ListedInstance { endpoint, cell: *cell, lifecycle: "SERVING" })
         };
         State {
             events: Vec::new(),
             behaviour: vec![EndpointBehaviour::Deliver(Duration::ZERO); cells.len()],
+            closed_to_connections: BTreeSet::new(),
+            agents: vec![AgentBehaviour::Prompt; agents],
+            message_ends: HashMap::new(),
             generation: 1,
             instances: cells.iter().enumerate().map(instance).collect(),
         }
@@ -58,6 +90,12 @@
         }
     }
 
+    /// The endpoints that drain.
+    pub(super) fn draining(&self) -> Vec<usize> {
+        let is_draining = |instance: &&ListedInstance| instance.lifecycle == "DRAINING";
+        self.instances.values().filter(is_draining).map(|instance| instance.endpoint).collect()
+    }
+
     /// The endpoint list in the form of discovery's responses.
     pub(super) fn list_json(&self, addresses: &[SocketAddr]) -> serde_json::Value {
         let instance = |(id, instance): (&String, &ListedInstance)| {
@@ -109,7 +147,12 @@
 
     /// Records an event of a moment ago.
     pub(super) fn record_at(&self, at: Duration, event: PlatformEvent) {
-        self.state().events.push((at, event));
+        let mut state = self.state();
+        if let PlatformEvent::Submitted { id, time_left, .. } = &event {
+            state.message_ends.insert(id.clone(), at + *time_left);
+        }
+        state.events.push((at, event));
+        drop(state);
         self.changed.notify_all();
     }
 
--- /dev/null
+++ b/crates/fakes/tests/invariants.rs
@@ -0,0 +1,189 @@
+//! The checks of the platform's invariants: histories that keep all of them, and the same with one event that breaks one.
+
+use cloverstile_fakes::platform::{
+    find_violations, InvariantRules, PlatformEvent, SlowStartRule, TimedEvent, ViolationKind,
+};
+use std::time::Duration;
+
+const KEY: u64 = 7;
+
+fn at(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn rules() -> InvariantRules {
+    InvariantRules {
+        repeat_window: at(2000),
+        outcome_slack: at(500),
+        restart_grace: at(1500),
+        given_up_share: 0.7,
+        settle_time: at(100),
+        drain_grace: at(1000),
+        slow_start: Some(SlowStartRule {
+            capacity: 10.0,
+            cold_share: 0.2,
+            warm_up_time: at(10_000),
+            overload_multiple: 2.0,
+            overload_window: at(1000),
+        }),
+    }
+}
+
+fn submitted(id: &str) -> PlatformEvent {
+    PlatformEvent::Submitted { id: id.into(), gateway: 0, time_left: at(4000) }
+}
+
+fn accepted(id: &str) -> PlatformEvent {
+    PlatformEvent::Accepted { id: id.into(), key: KEY, unrepeatable: true }
+}
+
+fn request(id: &str) -> PlatformEvent {
+    PlatformEvent::RequestReceived { id: id.into(), idempotency: None, endpoint: 0, body: Vec::new() }
+}
+
+fn delivered(id: &str) -> PlatformEvent {
+    PlatformEvent::Delivered { id: id.into() }
+}
+
+fn ended(id: &str) -> PlatformEvent {
+    PlatformEvent::AttemptEnded { id: id.into() }
+}
+
+fn notification(id: &str, status: &str) -> PlatformEvent {
+    PlatformEvent::Notification { id: id.into(), status: status.into(), address: 0 }
+}
+
+fn answered(id: &str) -> PlatformEvent {
+    PlatformEvent::NotificationAnswered { id: id.into() }
+}
+
+/// Two messages of a key: the first is abandoned and notified of, the second delivered behind its rest.
+fn history() -> Vec<TimedEvent> {
+    vec![
+        (at(0), submitted("a")),
+        (at(1), accepted("a")),
+        (at(2), submitted("b")),
+        (at(3), accepted("b")),
+        (at(10), request("a")),
+        (at(3990), ended("a")),
+        (at(4000), notification("a", "undeliverable")),
+        (at(4001), answered("a")),
+        (at(4095), request("b")),
+        (at(4100), delivered("b")),
+    ]
+}
+
+/// The kinds of violations of a history, with the events of it that are not among `left_out`, and more.
+fn kinds(left_out: &[PlatformEvent], added: Vec<TimedEvent>) -> Vec<ViolationKind> {
+    let mut events: Vec<TimedEvent> = history();
+    events.retain(|(_, event)| !left_out.contains(event));
+    events.extend(added);
+    find_violations(&events, rules()).into_iter().map(|violation| violation.kind).collect()
+}
+
+#[test]
+fn history_that_keeps_every_invariant_has_no_violation() {
+    assert_eq!(kinds(&[], vec![]), []);
+}
+
+#[test]
+fn end_that_is_missing_or_late_is_found() {
+    let end = [notification("a", "undeliverable"), answered("a")];
+    assert!(kinds(&end, vec![]).contains(&ViolationKind::NoEnd));
+    let late = vec![(at(4501), notification("a", "undeliverable")), (at(4502), answered("a"))];
+    assert!(kinds(&end, late).contains(&ViolationKind::Lost));
+    // Unless its gateway was restarted meanwhile.
+    let restart = [
+        (at(4002), PlatformEvent::GatewayDown { gateway: 0 }),
+        (at(4003), PlatformEvent::GatewayReady { gateway: 0 }),
+    ];
+    let late = vec![(at(4080), notification("a", "undeliverable")), (at(4081), answered("a"))];
+    assert_eq!(kinds(&end, restart.into_iter().chain(late).collect()), []);
+}
+
+#[test]
+fn late_response_is_no_end() {
+    let late = vec![(at(4001), PlatformEvent::LateResponse { id: "a".into() })];
+    let end = [notification("a", "undeliverable"), answered("a")];
+    assert!(kinds(&end, late).contains(&ViolationKind::NoEnd));
+}
+
+#[test]
+fn reply_that_is_none_or_never_came_is_found() {
+    let wrong = PlatformEvent::WrongReply { id: "a".into(), line: "+PONG".into() };
+    assert_eq!(kinds(&[], vec![(at(1), wrong)]), [ViolationKind::WrongReply]);
+    let unanswered = PlatformEvent::Unanswered { id: "c".into() };
+    assert_eq!(kinds(&[], vec![(at(1), unanswered)]), [ViolationKind::Lost]);
+    let dropped = PlatformEvent::ConnectionDropped { id: "c".into() };
+    assert_eq!(kinds(&[], vec![(at(1), dropped)]), [ViolationKind::Dropped]);
+}
+
+#[test]
+fn message_sent_behind_its_end_or_refusal_is_found() {
+    assert!(kinds(&[], vec![(at(4060), request("a"))]).contains(&ViolationKind::ForwardedAfterEnd));
+    let refused = vec![(at(20), PlatformEvent::Refused { id: "c".into() }), (at(30), request("c"))];
+    assert_eq!(kinds(&[], refused), [ViolationKind::RefusedAndForwarded]);
+}
+
+#[test]
+fn second_request_against_the_class_is_found() {
+    assert!(kinds(&[], vec![(at(300), request("a"))]).contains(&ViolationKind::Duplicate));
+}
+
+#[test]
+fn message_given_up_early_without_a_request_is_found() {
+    let early = vec![(at(100), notification("a", "deferred")), (at(101), answered("a"))];
+    let usual = [request("a"), ended("a"), notification("a", "undeliverable"), answered("a")];
+    assert_eq!(kinds(&usual, early), [ViolationKind::EarlyGivenUp]);
+}
+
+#[test]
+fn next_message_of_a_key_sent_too_soon_is_found() {
+    let next = [request("b"), delivered("b")];
+    // Ahead of the end of the one before, ahead of the answer to its notification, inside the rest.
+    for (name, time) in [("running", 100), ("unanswered", 4000), ("resting", 4002)] {
+        let soon = vec![(at(time), request("b")), (at(time + 1), delivered("b"))];
+        assert_eq!(kinds(&next, soon), [ViolationKind::OrderBroken], "{name}");
+    }
+}
+
+#[test]
+fn request_inside_a_retry_after_is_found() {
+    let wait = |time| PlatformEvent::RetryAfter { id: "a".into(), endpoint: 0, wait: at(time) };
+    assert_eq!(kinds(&[], vec![(at(3500), wait(700))]), [ViolationKind::RetryAfterBroken]);
+    assert_eq!(kinds(&[], vec![(at(3500), wait(500))]), []);
+    // One that crosses the rejection, and a restart, are excused.
+    assert_eq!(kinds(&[], vec![(at(4000), wait(700))]), []);
+    let down = PlatformEvent::GatewayDown { gateway: 0 };
+    assert_eq!(kinds(&[], vec![(at(3500), wait(700)), (at(3600), down)]), []);
+}
+
+#[test]
+fn request_to_a_draining_endpoint_is_found() {
+    let list = |draining: Vec<usize>| PlatformEvent::ListSent { address: 1, draining };
+    assert_eq!(kinds(&[], vec![(at(3000), list(vec![0]))]), [ViolationKind::DrainBroken]);
+    assert_eq!(kinds(&[], vec![(at(3100), list(vec![0]))]), []);
+    assert_eq!(kinds(&[], vec![(at(2000), list(vec![0])), (at(3000), list(vec![]))]), []);
+}
+
+#[test]
+fn recovering_endpoint_pushed_over_by_those_who_knew_is_found() {
+    let failed = PlatformEvent::EndpointFailed { endpoint: 0 };
+    let returned = PlatformEvent::EndpointReturned { endpoint: 0 };
+    let outage = |told: bool| {
+        let mut events = vec![(at(5000), failed.clone()), (at(7000), returned.clone())];
+        for number in 0..14 {
+            let id = format!("n{number}");
+            events.push((at(4990), submitted(&id)));
+            events.push((at(7010 + number), request(&id)));
+            events.push((at(7010 + number), PlatformEvent::Failed { id }));
+        }
+        if told {
+            events.extend([(at(4999), submitted("x")), (at(5001), request("x")), (at(5002), ended("x"))]);
+        }
+        kinds(&[], events)
+    };
+    // Four requests in a window, and nine more for chance.
+    assert_eq!(outage(true), [ViolationKind::SlowStartBroken]);
+    assert_eq!(outage(false), []);
+}
--- a/crates/fault-injection/src/planted.rs
+++ b/crates/fault-injection/src/planted.rs
@@ -20,16 +20,37 @@
     ListenerEnds,
     /// A closed connection is read from, and the bytes are discarded.
     LingeringReads,
+    /// Responses are handled ahead of the time-outs of their turn (incident-10321).
+    LateResponses,
+    /// A restart forgets that keys rest.
+    SettleForgotten,
+    /// A key's next message does not wait for the notification of the one before.
+    NotificationNotAwaited,
+    /// Messages are recovered in the reverse order.
+    RecoveredInReverse,
+    /// Each SIGTERM starts the shutdown's clock anew.
+    ShutdownClock,
+    /// The reply to a client that has left goes to another one.
+    ReplyToAnother,
+    /// SIGHUP in a shutdown listens anew.
+    ReloadListens,
 }
 
 impl PlantedDefect {
     /// All of them.
-    pub const ALL: [PlantedDefect; 5] = [
+    pub const ALL: [PlantedDefect; 12] = [
         PlantedDefect::ReplyBeforeLog,
         PlantedDefect::HalfBatch,
         PlantedDefect::WallClock,
         PlantedDefect::ListenerEnds,
         PlantedDefect::LingeringReads,
+        PlantedDefect::LateResponses,
+        PlantedDefect::SettleForgotten,
+        PlantedDefect::NotificationNotAwaited,
+        PlantedDefect::RecoveredInReverse,
+        PlantedDefect::ShutdownClock,
+        PlantedDefect::ReplyToAnother,
+        PlantedDefect::ReloadListens,
     ];
 
     /// Its name in [`DEFECT_VARIABLE`].
@@ -40,6 +61,13 @@
             PlantedDefect::WallClock => "wall-clock",
             PlantedDefect::ListenerEnds => "listener-ends",
             PlantedDefect::LingeringReads => "lingering-reads",
+            PlantedDefect::LateResponses => "late-responses",
+            PlantedDefect::SettleForgotten => "settle-forgotten",
+            PlantedDefect::NotificationNotAwaited => "notification-not-awaited",
+            PlantedDefect::RecoveredInReverse => "recovered-in-reverse",
+            PlantedDefect::ShutdownClock => "shutdown-clock",
+            PlantedDefect::ReplyToAnother => "reply-to-another",
+            PlantedDefect::ReloadListens => "reload-listens",
         }
     }
 }
--- a/crates/platform/src/client_sessions.rs
+++ b/crates/platform/src/client_sessions.rs
@@ -168,6 +168,11 @@
         self.sessions.is_empty()
     }
 
+    /// The connection that was accepted last, of those that are left.
+    pub fn newest(&self) -> Option<ConnectionId> {
+        self.sessions.keys().next_back().copied()
+    }
+
     /// Whether a connection is a client's.
     pub fn owns(&self, connection: ConnectionId) -> bool {
         self.sessions.contains_key(&connection)
--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -6,6 +6,8 @@
 use crate::sockets::socket_id;
 use cloverstile::{Class, Time};
 use cloverstile_engine::{Admission, FinalOutcome};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_net::Net;
 use cloverstile_platform::client_request::{self, ClientRequest, PutRequest, RequestClasses};
 use cloverstile_platform::client_sessions::{ClientSessions, Disconnect};
@@ -170,6 +172,8 @@
     /// Sends this turn's replies. Call it once the turn's records are in the log.
     pub fn send_replies(&mut self, net: &mut Net) {
         for EncodedReply { connection, bytes } in self.replies.take_replies() {
+            #[cfg(feature = "planted-defects")]
+            let connection = self.another_client(connection);
             let socket = socket_id(connection);
             net.send(socket, &bytes);
             if net.unsent_bytes(socket) > MAX_UNREAD_BYTES {
@@ -184,6 +188,14 @@
         }
     }
 
+    /// The connection of another client in place of one that has left.
+    #[cfg(feature = "planted-defects")]
+    fn another_client(&self, connection: ConnectionId) -> ConnectionId {
+        let has_left = is_planted(PlantedDefect::ReplyToAnother) && !self.owns(connection);
+        let another = if has_left { self.sessions.newest() } else { None };
+        another.unwrap_or(connection)
+    }
+
     /// Disconnects clients that are between two requests.
     pub fn close_idle(&mut self, net: &mut Net) {
         for connection in self.sessions.take_idle() {
--- a/crates/resp-gateway/src/configuration.rs
+++ b/crates/resp-gateway/src/configuration.rs
@@ -27,6 +27,12 @@
         ConfigurationFile { path }
     }
 
+    /// Where the file says that clients connect.
+    #[cfg(feature = "planted-defects")]
+    pub fn listen_address(&self) -> Option<std::net::SocketAddr> {
+        load(&self.path).ok().map(|config| config.listen)
+    }
+
     /// Reads the file again and applies what may change while the gateway runs: the address of discovery. A file that is
     /// not valid changes nothing.
     pub fn reload(
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -131,6 +131,8 @@
         let Gateway { net, pipeline, discovery, configuration, .. } = self;
         let notifications = &mut pipeline.delivery.notifications;
         configuration.reload(now, &mut discovery.watch, notifications, &mut Sockets(net));
+        #[cfg(feature = "planted-defects")]
+        self.run_state.listen_anew(&mut self.net, &self.configuration);
     }
 
     fn on_shutdown_signal(&mut self, now: Time, signal: SignalKind) {
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -57,6 +57,10 @@
     /// Ends the attempts whose time is over. Call it ahead of a poll's events: what was read of a response meanwhile came
     /// behind the time that its request has told the endpoint, and counts for nothing but its `Retry-After`.
     pub fn time_out_attempts(&mut self, now: Time, net: &mut Net) {
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::LateResponses) {
+            return;
+        }
         for command in self.delivery.engine.time_out_attempts(now) {
             self.execute(now, command, net);
         }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -8,6 +8,8 @@
 use crate::sockets::Sockets;
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::{Attempt, Engine, TransportOutcome};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_platform::requests::{CompletedAttempt, ConnectionLimits, Requests, RetryAfter};
 use cloverstile_wal::{AttemptStart, Record, UNKNOWN_INDEX};
 use tracing::debug;
@@ -58,6 +60,8 @@
             let PlannedRequest { attempt, endpoint } = planned;
             let Some(message) = delivery.log.message(attempt.message) else { continue };
             let key = message_record::order_key(message);
+            #[cfg(feature = "planted-defects")]
+            let key = key.filter(|_| !is_planted(PlantedDefect::NotificationNotAwaited));
             if key.is_some_and(|key| delivery.notifications.is_key_blocked(key)) {
                 self.awaiting_notification.push(planned);
                 continue;
--- a/crates/resp-gateway/src/recovery.rs
+++ b/crates/resp-gateway/src/recovery.rs
@@ -4,6 +4,8 @@
 use crate::message_record::{self, RecoveredSubmission};
 use crate::name_table;
 use cloverstile::{Class, Time};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_platform::notifications::Release;
 use cloverstile_wal::{LiveMessage, NameTable, Record, Recovered};
 use tracing::debug;
@@ -18,7 +20,14 @@
     delivery: &mut Delivery,
 ) {
     delivery.log.record(Record::NameTable(names.clone()));
-    for (index, mut message) in recovered.messages.into_iter().enumerate() {
+    let messages = recovered.messages;
+    #[cfg(feature = "planted-defects")]
+    let messages = if is_planted(PlantedDefect::RecoveredInReverse) {
+        messages.into_iter().rev().collect()
+    } else {
+        messages
+    };
+    for (index, mut message) in messages.into_iter().enumerate() {
         name_table::remap(&mut message, &recovered.names, names);
         recover_message(now, index, message, classes, delivery);
     }
--- a/crates/resp-gateway/src/shutdown.rs
+++ b/crates/resp-gateway/src/shutdown.rs
@@ -1,7 +1,11 @@
 //! The gateway's way from a shutdown signal to its end.
 
+#[cfg(feature = "planted-defects")]
+use crate::configuration::ConfigurationFile;
 use crate::message_pipeline::MessagePipeline;
 use cloverstile::Time;
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_net::{ListenerId, Net};
 use cloverstile_platform::shutdown::{GracefulShutdown, ShutdownPhase, FINAL_FLUSH_TIMEOUT};
 use std::ops::ControlFlow;
@@ -37,11 +41,27 @@
 impl RunState {
     /// A shutdown signal arrived; false where an earlier one did already.
     pub fn request_shutdown(&mut self, now: Time) -> bool {
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::ShutdownClock) {
+            if let RunState::ShutdownRequested { shutdown, .. } | RunState::Draining { shutdown } = self {
+                *shutdown = GracefulShutdown::new(now);
+            }
+        }
         let RunState::Serving { listener } = *self else { return false };
         *self = RunState::ShutdownRequested { listener, shutdown: GracefulShutdown::new(now) };
         true
     }
 
+    /// Listens anew in a shutdown.
+    #[cfg(feature = "planted-defects")]
+    pub fn listen_anew(&mut self, net: &mut Net, configuration: &ConfigurationFile) {
+        let RunState::Draining { .. } = self else { return };
+        let address = configuration.listen_address().filter(|_| is_planted(PlantedDefect::ReloadListens));
+        if let Some((listener, _)) = address.and_then(|address| net.listen(address).ok()) {
+            net.set_half_open(listener);
+        }
+    }
+
     /// When [`RunState::advance`] has something to do next.
     pub fn next_timeout(&self, now: Time) -> Option<Time> {
         match self {
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -17,6 +17,8 @@
 use crate::shutdown::RunState;
 use cloverstile::Settings;
 use cloverstile_engine::{Engine, ResultCacheLimits};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_net::{Net, NetEvent, SignalKind};
 use cloverstile_platform::config::Config;
 use cloverstile_platform::endpoint_list::EndpointList;
@@ -88,6 +90,8 @@
         if let Some(reference) = clock.reference() {
             pipeline.delivery.log.record(Record::ClockReference(reference));
         }
+        #[cfg(feature = "planted-defects")]
+        let is_restart = is_restart && !is_planted(PlantedDefect::SettleForgotten);
         if is_restart {
             pipeline.delivery.engine.on_restarted(now);
         }
--- a/crates/testbench/src/bin/cloverstile-testbench/main.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/main.rs
@@ -5,15 +5,16 @@
 mod experiment;
 mod fleet;
 mod gateway;
-mod machine_faults;
 mod progress;
 mod scale;
 mod scenario;
 mod scenario_files;
 mod scenario_report;
 mod simulate;
+mod soak;
 
 use clap::{Parser, Subcommand};
+use cloverstile_testbench::soak::Profile;
 use std::process::ExitCode;
 
 /// An invariant was violated.
@@ -48,8 +49,10 @@
     /// Plays many gateways at once.
     #[command(subcommand)]
     Fleet(fleet::FleetCommand),
-    /// Plays seeds of machine faults through real gateways.
-    MachineFaults(machine_faults::MachineFaultsCommand),
+    /// Plays seeds of all troubles through real gateways.
+    Soak(soak::SoakCommand),
+    /// Plays seeds of machine faults alone through real gateways.
+    MachineFaults(soak::SoakCommand),
     /// Makes one HTML page and SVG plots of an experiment's record.
     Report(experiment::ReportCommand),
     /// Measures speed, memory and the cost of a decision as endpoints grow.
@@ -74,7 +77,8 @@
         Command::Simulate(command) => command.play(),
         Command::Experiment(command) => command.play(),
         Command::Fleet(command) => command.play(),
-        Command::MachineFaults(command) => command.play(),
+        Command::Soak(command) => command.play(Profile::Soak),
+        Command::MachineFaults(command) => command.play(Profile::MachineFaults),
         Command::Report(command) => command.write(),
         Command::Scale(command) => command.measure(),
         Command::Check(command) => command.check(),
--- a/crates/testbench/src/bin/cloverstile-testbench/soak.rs
+++ b/crates/testbench/src/bin/cloverstile-testbench/soak.rs
@@ -1,17 +1,17 @@
-//! The subcommand that plays seeds of machine faults.
+//! The subcommands that play seeds of troubles.
 
 use clap::Args;
-use cloverstile_testbench::machine_faults::{play_seed, RunOptions, SeedResult, Summary};
+use cloverstile_testbench::soak::{play_seed, Profile, RunOptions, SeedResult, Summary};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 use std::time::Instant;
 
-/// Plays seeds of machine faults through real gateways: stepped clocks, failing disks and system calls, kills.
+/// Plays seeds of troubles through real gateways.
 ///
 /// A seed on which something is broken is named, and its logs and timeline are kept.
 #[derive(Args)]
-pub struct MachineFaultsCommand {
+pub struct SoakCommand {
     /// Number of seeds.
     #[arg(long, default_value_t = 20)]
     seeds: u64,
@@ -31,22 +31,22 @@
     #[arg(long)]
     no_faults: bool,
     /// Where logs and timelines of failed seeds are kept.
-    #[arg(long, default_value = "found/machine-faults")]
-    directory: PathBuf,
+    #[arg(long, alias = "directory", default_value = "found/soak")]
+    keep: PathBuf,
     /// Prints the summary as one JSON object in the last line.
     #[arg(long)]
     json: bool,
 }
 
-impl MachineFaultsCommand {
+impl SoakCommand {
     /// Plays the seeds; true if nothing was broken.
-    pub fn play(&self) -> Result<bool, String> {
+    pub fn play(&self, profile: Profile) -> Result<bool, String> {
         let own = || std::env::current_exe().map_err(|error| format!("this program's path: {error}"));
-        let directory = std::path::absolute(&self.directory)
-            .map_err(|error| format!("{}: {error}", self.directory.display()))?;
+        let directory =
+            std::path::absolute(&self.keep).map_err(|error| format!("{}: {error}", self.keep.display()))?;
         let program = self.program.clone().map_or_else(own, Ok)?;
         let with_faults = !self.no_faults;
-        let options = RunOptions { program, log: self.log.clone(), with_faults, directory };
+        let options = RunOptions { program, profile, log: self.log.clone(), with_faults, directory };
         let started = Instant::now();
         let summary = Mutex::new(Summary::default());
         let failure = Mutex::new(None);
--- a/crates/testbench/src/lib.rs
+++ b/crates/testbench/src/lib.rs
@@ -6,7 +6,7 @@
 //! - [`fleet`] runs hundreds of gateway processes under an even load; [`load_report`] sums such a run up.
 //! - [`simulation_metrics`] sums up what the simulator ran, [`experiment`] runs grids of it and keeps them as
 //!   [`table`]s, and [`html_report`] draws them.
-//! - [`machine_faults`] plays seeds of machine faults (clocks, disks, system calls, kills) with real gateways.
+//! - [`soak`] plays seeds of troubles (faults of the machine, signals, crowds, endpoints, discovery) with real gateways.
 //! - [`benchmark`] measures what one gateway costs.
 #![forbid(unsafe_code)]
 
@@ -16,7 +16,6 @@
 pub mod html_report;
 pub mod invariants;
 pub mod load_report;
-pub mod machine_faults;
 mod process;
 pub mod recovery_windows;
 pub mod repeat_rule;
@@ -24,4 +23,5 @@
 pub mod scenario;
 pub mod scenario_run;
 pub mod simulation_metrics;
+pub mod soak;
 pub mod table;
--- a/crates/testbench/src/soak/client.rs
+++ b/crates/testbench/src/soak/client.rs
@@ -23,6 +23,31 @@
     Abandoned,
 }
 
+/// A reply to a `MSG.PUT`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reply {
+    /// `+OK`.
+    Accepted,
+    /// `-BUSY`, perhaps with a number of milliseconds.
+    Refused,
+    /// `-ERR` with a reason.
+    Failed,
+}
+
+impl Reply {
+    /// The reply in a whole line; none where it is not one of a submission.
+    fn parse(line: &str) -> Option<Self> {
+        let is_number = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+        match line {
+            "+OK" => Some(Reply::Accepted),
+            "-BUSY" => Some(Reply::Refused),
+            _ if line.strip_prefix("-BUSY ").is_some_and(is_number) => Some(Reply::Refused),
+            _ if line.strip_prefix("-ERR ").is_some_and(|reason| !reason.is_empty()) => Some(Reply::Failed),
+            _ => None,
+        }
+    }
+}
+
 /// A connection with its gateway.
 pub struct Client<'a> {
     platform: &'a Platform,
@@ -57,6 +82,22 @@
         self.stream.write_all(bytes).is_ok()
     }
 
+    /// Checks that nothing has come behind the reply to a command that is the last one so far.
+    pub fn check_nothing_follows(&self, put: &PutCommand) {
+        let mut surplus = [0; 64];
+        let is_quiet = self.stream.set_nonblocking(true).is_err();
+        let peeked = self.stream.peek(&mut surplus);
+        let _ = self.stream.set_nonblocking(false);
+        if let (false, Ok(count @ 1..)) = (is_quiet, peeked) {
+            self.record_wrong_reply(put, &String::from_utf8_lossy(&surplus[..count]));
+        }
+    }
+
+    fn record_wrong_reply(&self, put: &PutCommand, line: &str) {
+        let (id, line) = (put.id.clone(), line.to_owned());
+        self.platform.record(PlatformEvent::WrongReply { id, line });
+    }
+
     /// Waits until the gateway ends the connection, at most for a time; whether it did.
     pub fn rest(&mut self, time: Duration) -> bool {
         let _ = self.stream.set_read_timeout(Some(time));
@@ -68,9 +109,9 @@
         ended
     }
 
-    /// Reads a reply that is not recorded; whether it came.
-    pub fn read_any_reply(&mut self) -> bool {
-        read_line(&mut self.stream).is_ok()
+    /// Reads the reply to a `PING`; whether it came.
+    pub fn read_pong(&mut self) -> bool {
+        read_line(&mut self.stream).is_ok_and(|line| line == "+PONG")
     }
 
     /// Reads the reply to a command that was written at `sent`, and records what it says.
@@ -90,11 +131,14 @@
 
     fn record_reply(&self, put: &PutCommand, line: &str) {
         let id = put.id.clone();
-        if line.starts_with('+') {
-            let unrepeatable = put.idempotency.is_none();
-            self.platform.record(PlatformEvent::Accepted { id, key: put.key, unrepeatable });
-        } else if line.starts_with("-BUSY") {
-            self.platform.record(PlatformEvent::Refused { id });
+        match Reply::parse(line) {
+            Some(Reply::Accepted) => {
+                let unrepeatable = put.idempotency.is_none();
+                self.platform.record(PlatformEvent::Accepted { id, key: put.key, unrepeatable });
+            }
+            Some(Reply::Refused) => self.platform.record(PlatformEvent::Refused { id }),
+            Some(Reply::Failed) => {}
+            None => self.record_wrong_reply(put, line),
         }
     }
 
--- a/crates/testbench/src/soak/client_kinds.rs
+++ b/crates/testbench/src/soak/client_kinds.rs
@@ -3,6 +3,7 @@
 use super::client::{Client, ReplyResult};
 use super::config::{DESTINATIONS, KEYED_CLASS, UNSAFE_CLASS};
 use super::gateways::Gateway;
+use super::keys::KeyLease;
 use cloverstile_fakes::platform::{Platform, PutCommand};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +15,8 @@
 const PAUSE_MS: Range<u64> = 15..120;
 /// Time that messages have, in milliseconds.
 const TIME_LEFT_MS: Range<u64> = 1500..5000;
+/// Share of the messages of the ordered class that have an order key, where one is free.
+const ORDERED_SHARE: f64 = 0.8;
 /// Time of messages that have very little.
 const LITTLE_TIME_MS: Range<u64> = 1..300;
 /// Commands that are sent at once.
@@ -49,7 +52,6 @@
     number: usize,
     kind: ClientKind,
     name: String,
-    order_key: u64,
     messages: u64,
     rng: ChaCha8Rng,
 }
@@ -64,10 +66,10 @@
         seed: u64,
     ) -> Self {
         let name = format!("g{number}c{position}");
-        let order_key = (number as u64) << 8 | (position as u64 + 1);
-        let rng = ChaCha8Rng::seed_from_u64(seed ^ order_key << 32);
+        let client = (number as u64) << 8 | (position as u64 + 1);
+        let rng = ChaCha8Rng::seed_from_u64(seed ^ client << 32);
         let kind = CLIENTS[position];
-        ClientLoop { platform, gateway, number, kind, name, order_key, messages: 0, rng }
+        ClientLoop { platform, gateway, number, kind, name, messages: 0, rng }
     }
 
     /// Submits messages until it is told to stop; returns their number.
@@ -89,7 +91,7 @@
     fn turn(&mut self, client: Client<'a>) -> Option<Client<'a>> {
         match self.kind {
             ClientKind::Usual => {
-                let put = self.next_message();
+                let (put, _lease) = self.next_message();
                 self.submit(client, &put)
             }
             ClientKind::Pipelining => self.pipeline(client),
@@ -98,21 +100,26 @@
         }
     }
 
-    fn next_message(&mut self) -> PutCommand {
+    /// The next message; where it has an order key, with the client's turn with that key, to be held until the reply.
+    fn next_message(&mut self) -> (PutCommand, Option<KeyLease<'a>>) {
         self.messages += 1;
         let id = format!("{}m{}", self.name, self.messages);
         let keyed = self.rng.random_bool(0.5);
         let time_left = if self.rng.random_bool(0.1) { LITTLE_TIME_MS } else { TIME_LEFT_MS };
         let time_left_ms = self.rng.random_range(time_left);
-        PutCommand {
-            key: if keyed && self.rng.random_bool(0.6) { self.order_key } else { 0 },
+        let choice = self.rng.random();
+        let lease = (keyed && self.rng.random_bool(ORDERED_SHARE)).then(|| self.gateway.keys.lease(choice));
+        let lease = lease.flatten();
+        let put = PutCommand {
+            key: lease.as_ref().map_or(0, |lease| lease.key),
             class: if keyed { KEYED_CLASS } else { UNSAFE_CLASS }.to_owned(),
             time_left_ms,
             destination: DESTINATIONS[self.rng.random_range(0..DESTINATIONS.len())],
             idempotency: keyed.then(|| format!("k-{id}")),
             body: vec![b'x'; self.rng.random_range(0..400)],
             id,
-        }
+        };
+        (put, lease)
     }
 
     /// Submits a message, again on a new connection where it was not read.
@@ -123,7 +130,10 @@
             let result =
                 if client.write(&put.encode()) { client.read_reply(put, sent) } else { ReplyResult::Unread };
             match result {
-                ReplyResult::Replied => return Some(client),
+                ReplyResult::Replied => {
+                    client.check_nothing_follows(put);
+                    return Some(client);
+                }
                 ReplyResult::Abandoned => return None,
                 ReplyResult::Unread => {
                     client = Client::connect(self.platform, self.gateway, self.number).ok()?;
@@ -137,7 +147,7 @@
         let count = self.rng.random_range(PIPELINED);
         // Messages of one key are submitted one after another.
         let puts: Vec<PutCommand> =
-            (0..count).map(|_| PutCommand { key: 0, ..self.next_message() }).collect();
+            (0..count).map(|_| PutCommand { key: 0, ..self.next_message().0 }).collect();
         let sent = Instant::now();
         puts.iter().for_each(|put| client.record_submission(put));
         let bytes: Vec<u8> = puts.iter().flat_map(PutCommand::encode).collect();
@@ -149,7 +159,7 @@
     }
 
     fn submit_in_pieces(&mut self, mut client: Client<'a>) -> Option<Client<'a>> {
-        let put = self.next_message();
+        let (put, _lease) = self.next_message();
         let bytes = put.encode();
         let first = self.rng.random_range(1..bytes.len());
         let gap = Duration::from_millis(self.rng.random_range(HALF_MS));
@@ -167,12 +177,12 @@
 
     /// Rests behind a reply. Where the gateway ends the connection meanwhile, a request crosses that end.
     fn rest_and_submit(&mut self, mut client: Client<'a>) -> Option<Client<'a>> {
-        if !client.write(&cloverstile_resp::command(&[b"PING"])) || !client.read_any_reply() {
+        if !client.write(&cloverstile_resp::command(&[b"PING"])) || !client.read_pong() {
             return None;
         }
         let time = Duration::from_millis(self.rng.random_range(REST_MS));
         client.rest(time);
-        let put = self.next_message();
+        let (put, _lease) = self.next_message();
         self.submit(client, &put)
     }
 }
--- a/crates/testbench/src/soak/config.rs
+++ b/crates/testbench/src/soak/config.rs
@@ -6,6 +6,18 @@
 
 /// How long a message with an idempotency key may be repeated.
 pub const REPEAT_WINDOW: Duration = Duration::from_millis(2500);
+/// How long a key rests behind an attempt that may still run.
+pub const SETTLE_TIME: Duration = Duration::from_millis(100);
+/// How long after it was told of a drain a gateway may send to the endpoint.
+pub const DRAIN_GRACE: Duration = Duration::from_secs(1);
+/// Requests a second that the endpoint list states for an endpoint.
+pub const CAPACITY: f64 = 100.0;
+/// What a recovering endpoint bears: this share of its capacity at once, all of it after the warm-up time, and not more than
+/// the multiple of that for the window.
+pub const COLD_SHARE: f64 = 0.2;
+pub const WARM_UP_TIME: Duration = Duration::from_secs(10);
+pub const OVERLOAD_MULTIPLE: f64 = 2.0;
+pub const OVERLOAD_WINDOW: Duration = Duration::from_secs(2);
 /// Class of messages with an idempotency key, in order of their key.
 pub const KEYED_CLASS: &str = "notice";
 /// Class of messages that may not be repeated.
@@ -42,8 +54,9 @@
             "MachineTypes": ["any"], "Zones": ["here"], "WeightSource": "nominal",
             "Permissions": {"MostHeld": 400, "SendCap": 8, "Cancel": true, "RetryAfter": false,
                 "ConnIdle": 5_000_000_000u64, "ConnectTimeout": 1_000_000_000u64},
-            "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": 100_000_000, "Cold": 10_000_000_000u64,
-                "ColdFrom": 0.2, "TipMultiple": 2.0, "Fall": 2_000_000_000u64},
+            "Rules": {"AnswerSlack": 20_000_000, "OrderSettle": nanoseconds(SETTLE_TIME), "Cold": nanoseconds(WARM_UP_TIME),
+                "ColdFrom": COLD_SHARE, "TipMultiple": OVERLOAD_MULTIPLE, "Fall": nanoseconds(OVERLOAD_WINDOW),
+                "StopSendingWithin": nanoseconds(DRAIN_GRACE)},
         },
     })
 }
--- a/crates/testbench/src/soak/gateways.rs
+++ b/crates/testbench/src/soak/gateways.rs
@@ -1,10 +1,11 @@
 //! The gateway processes of a run, each under the control of its faults.
 
 use super::config::{gateway_config, DESTINATIONS};
-use super::plan::Restart;
+use super::faults::Restart;
+use super::keys::SharedKeys;
 use super::run::RunOptions;
 use crate::process::GatewayProcess;
-use cloverstile_fakes::platform::{read_line, Platform, PlatformEvent};
+use cloverstile_fakes::platform::{read_line, Platform, PlatformEvent, AGENTS_OF_A_GATEWAY};
 use cloverstile_fault_injection::{Call, Effect, FaultControl, Rule};
 use rustix::process::Signal;
 use std::fs::{self, File};
@@ -21,7 +22,7 @@
 const FIRST_SECOND_BYTE: u8 = 200;
 const SECOND_BYTES: u64 = 50;
 /// The platform kills a process this long after its shutdown signal.
-const KILL_AFTER: Duration = Duration::from_millis(3700);
+pub(super) const KILL_AFTER: Duration = Duration::from_millis(3700);
 /// A process is started again this long after the one before has ended.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
 /// How long a process may take to be ready, also while faults last.
@@ -57,14 +58,21 @@
     pub address: SocketAddr,
     /// Its faults.
     pub faults: FaultControl,
+    /// The order keys that its clients share.
+    pub keys: SharedKeys,
     process: Mutex<Option<GatewayProcess>>,
+    /// Held while the process is ended and started: one restart follows another.
+    pub(super) lifecycle: Mutex<()>,
+    /// Which of its discovery addresses the configuration names.
+    discovery: Mutex<usize>,
+    gateways: usize,
     /// When processes were killed.
     kills: Mutex<Vec<Instant>>,
     starts: Mutex<usize>,
     crashes: Mutex<u64>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -85,22 +93,68 @@
         let second = FIRST_SECOND_BYTE + (seed % SECOND_BYTES) as u8;
         let last = 1 + (std::process::id() % 250) as u8;
         let address = SocketAddr::from((Ipv4Addr::new(127, second, number as u8, last), GATEWAY_PORT));
-        let config =
-            gateway_config(number, gateways, address, platform.discovery[0], &platform.endpoint_list());
-        fs::write(folder.join("config.json"), config.to_string())?;
         let faults = FaultControl::create(&folder.join("faults"))?;
-        Ok(Gateway {
+        let gateway = Gateway {
             number,
             platform,
             options,
             folder,
             address,
             faults,
+            keys: SharedKeys::new(number),
             process: Mutex::new(None),
+            lifecycle: Mutex::new(()),
+            discovery: Mutex::new(0),
+            gateways,
             kills: Mutex::new(Vec::new()),
             starts: Mutex::new(0),
             crashes: Mutex::new(0),
-        })
+        };
+        gateway.write_config()?;
+        Ok(gateway)
+    }
+
+    /// Writes the configuration, and replaces the old one by it.
+    fn write_config(&self) -> io::Result<()> {
+        let agent = self.number * AGENTS_OF_A_GATEWAY + *lock(&self.discovery);
+        let discovery = self.platform.discovery[agent];
+        let list = self.platform.endpoint_list();
+        let config = gateway_config(self.number, self.gateways, self.address, discovery, &list);
+        let new = self.folder.join("config.new");
+        fs::write(&new, config.to_string())?;
+        fs::rename(new, self.folder.join("config.json"))
+    }
+
+    /// Tells the process to read its configuration again, with discovery at the other address where `elsewhere`.
+    ///
+    /// # Errors
+    /// The configuration can't be written.
+    pub fn reload(&self, elsewhere: bool) -> io::Result<()> {
+        if elsewhere {
+            let mut discovery = lock(&self.discovery);
+            *discovery = (*discovery + 1) % AGENTS_OF_A_GATEWAY;
+            drop(discovery);
+            self.write_config()?;
+        }
+        self.signal(Signal::HUP);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if one runs.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(process) = lock(&self.process).as_ref() {
+            process.signal(signal);
+        }
+    }
+
+    /// Discovery addresses of this gateway, by their index.
+    pub fn agents(&self) -> std::ops::Range<usize> {
+        self.number * AGENTS_OF_A_GATEWAY..(self.number + 1) * AGENTS_OF_A_GATEWAY
+    }
+
+    /// Number of processes started.
+    pub fn starts(&self) -> usize {
+        *lock(&self.starts)
     }
 
     /// Starts a process and waits until it replies. One that is not ready in time counts as a crash.
@@ -108,6 +162,46 @@
     /// # Errors
     /// The process can't be started at all.
     pub fn start(&self) -> io::Result<()> {
+        self.spawn()?;
+        let end = Instant::now() + READY_TIMEOUT;
+        while !self.answers_ping() {
+            if Instant::now() > end || self.has_exited() {
+                self.count_crash("not ready in time");
+                return Ok(());
+            }
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.platform.record(PlatformEvent::GatewayReady { gateway: self.number });
+        Ok(())
+    }
+
+    /// Starts a process that is killed as it recovers, in a write to its log after so many bytes, or once it has replied.
+    ///
+    /// # Errors
+    /// The process can't be started at all, or the control file can't be written.
+    pub fn start_and_kill_in_recovery(&self, bytes: u64) -> io::Result<()> {
+        self.faults.set_rule(KILL_PLACE, &Rule::once(Call::FileWrite, Effect::Kill { bytes }))?;
+        self.spawn()?;
+        let end = Instant::now() + KILLED_IN_CALL_TIMEOUT;
+        while !self.has_exited() && Instant::now() < end {
+            std::thread::sleep(POLL_INTERVAL);
+        }
+        self.kill();
+        self.faults.clear_rule(KILL_PLACE)
+    }
+
+    /// Starts a process and tells it to end at once; it is killed once the platform would.
+    ///
+    /// # Errors
+    /// The process can't be started at all.
+    pub fn start_and_terminate(&self) -> io::Result<()> {
+        self.spawn()?;
+        self.shut_down();
+        Ok(())
+    }
+
+    /// Starts a process.
+    fn spawn(&self) -> io::Result<()> {
         let attempt = {
             let mut starts = lock(&self.starts);
             *starts += 1;
@@ -124,15 +218,6 @@
             .stderr(Stdio::from(log));
         self.faults.attach(&mut command)?;
         *lock(&self.process) = Some(GatewayProcess::spawn(&mut command)?);
-        let end = Instant::now() + READY_TIMEOUT;
-        while !self.answers_ping() {
-            if Instant::now() > end || self.has_exited() {
-                self.count_crash("not ready in time");
-                return Ok(());
-            }
-            std::thread::sleep(POLL_INTERVAL);
-        }
-        self.platform.record(PlatformEvent::GatewayReady { gateway: self.number });
         Ok(())
     }
 
@@ -143,11 +228,11 @@
             && read_line(&mut stream).is_ok_and(|line| line == "+PONG")
     }
 
-    fn has_exited(&self) -> bool {
+    pub(super) fn has_exited(&self) -> bool {
         lock(&self.process).as_mut().is_none_or(GatewayProcess::has_exited)
     }
 
-    fn count_crash(&self, reason: &str) {
+    pub(super) fn count_crash(&self, reason: &str) {
         *lock(&self.crashes) += 1;
         self.describe(format!("crash: {reason}"));
     }
@@ -173,11 +258,9 @@
 
     /// Stops the process for a time.
     pub fn hold_up(&self, time: Duration) {
-        if let Some(process) = lock(&self.process).as_ref() {
-            process.signal(Signal::STOP);
-            std::thread::sleep(time);
-            process.signal(Signal::CONT);
-        }
+        self.signal(Signal::STOP);
+        std::thread::sleep(time);
+        self.signal(Signal::CONT);
     }
 
     /// Ends the process and starts the next one.
@@ -185,6 +268,7 @@
     /// # Errors
     /// The next process can't be started.
     pub fn restart(&self, restart: Restart) -> io::Result<()> {
+        let _lifecycle = lock(&self.lifecycle);
         if self.has_exited() {
             self.count_crash("ended by itself");
         }
@@ -204,7 +288,7 @@
         self.start()
     }
 
-    fn kill(&self) {
+    pub(super) fn kill(&self) {
         lock(&self.kills).push(Instant::now());
         *lock(&self.process) = None;
         lock(&self.kills).push(Instant::now());
@@ -213,9 +297,7 @@
     /// Signals the shutdown, and connects while accepts fail about the time at which the listener closes: connections that
     /// the system took have to be served all the same.
     fn fail_accepts_at_shutdown(&self) -> io::Result<()> {
-        if let Some(process) = lock(&self.process).as_ref() {
-            process.signal(Signal::TERM);
-        }
+        self.signal(Signal::TERM);
         std::thread::sleep(BEFORE_LISTENER_CLOSES);
         let errors = Rule::always(Call::Accept, Effect::Error(ECONNABORTED));
         self.faults.set_rule(ACCEPT_PLACE, &errors)?;
@@ -257,9 +339,7 @@
 
     /// Tells the process to end, and kills it once the platform would; true if it ended by itself, in order.
     pub fn shut_down(&self) -> bool {
-        if let Some(process) = lock(&self.process).as_ref() {
-            process.signal(Signal::TERM);
-        }
+        self.signal(Signal::TERM);
         let end = Instant::now() + KILL_AFTER;
         let status = lock(&self.process).as_mut().and_then(|process| process.wait_until(end));
         if status.is_none() {
--- a/crates/testbench/src/soak/summary.rs
+++ b/crates/testbench/src/soak/summary.rs
@@ -14,8 +14,14 @@
     pub messages: u64,
     /// Faults by kind.
     pub faults: BTreeMap<String, u64>,
+    /// Processes started.
+    pub processes: u64,
+    /// Processes started behind the first ones.
+    pub restarts: u64,
     /// Commands that were read without a reply, and ends that came too late.
     pub lost: u64,
+    /// Replies that were none, or more than the commands.
+    pub wrong_replies: u64,
     /// Connections that the system had taken and that were dropped.
     pub dropped: u64,
     /// Messages that were refused and sent.
@@ -28,6 +34,12 @@
     pub early_given_up: u64,
     /// Messages sent before an earlier one of their key was over.
     pub order_broken: u64,
+    /// Requests inside a wait that an endpoint asked for.
+    pub retry_after_broken: u64,
+    /// Requests to endpoints that were known to drain.
+    pub drain_broken: u64,
+    /// Recovering endpoints that were pushed over.
+    pub slow_start_broken: u64,
     /// Accepted messages without an end.
     pub no_end: u64,
     /// Processes that ended by themselves, were not ready in time or did not end when told to.
@@ -46,9 +58,11 @@
         self.seeds += 1;
         self.messages += result.messages;
         self.crashes += result.crashes;
+        self.processes += result.processes;
+        self.restarts += result.processes - result.gateways;
         self.gateway_cpu_seconds += result.cpu_seconds;
         for kind in &result.fault_kinds {
-            *self.faults.entry(kind.clone()).or_default() += 1;
+            *self.faults.entry((*kind).to_owned()).or_default() += 1;
         }
         for violation in &result.violations {
             *self.count_of(violation.kind) += 1;
@@ -61,6 +75,10 @@
     fn count_of(&mut self, kind: ViolationKind) -> &mut u64 {
         match kind {
             ViolationKind::Lost => &mut self.lost,
+            ViolationKind::WrongReply => &mut self.wrong_replies,
+            ViolationKind::RetryAfterBroken => &mut self.retry_after_broken,
+            ViolationKind::DrainBroken => &mut self.drain_broken,
+            ViolationKind::SlowStartBroken => &mut self.slow_start_broken,
             ViolationKind::Dropped => &mut self.dropped,
             ViolationKind::RefusedAndForwarded => &mut self.refused_and_forwarded,
             ViolationKind::ForwardedAfterEnd => &mut self.forwarded_after_end,
--- a/crates/testbench/tests/soak.rs
+++ b/crates/testbench/tests/soak.rs
@@ -1,31 +1,48 @@
-//! A few seeds of machine faults, and what a seed decides.
+//! A few seeds of troubles, and what a seed decides.
 
-use cloverstile_testbench::machine_faults::{play_seed, FaultPlan, RunOptions, SeedResult};
+use cloverstile_testbench::soak::{play_seed, FaultPlan, Profile, RunOptions, SeedResult};
 
 #[test]
 fn plan_of_a_seed_is_always_the_same() {
     for seed in 0..50 {
-        let (first, again) = (FaultPlan::new(seed, 4), FaultPlan::new(seed, 4));
-        assert_eq!((first.gateways, first.load, first.faults), (again.gateways, again.load, again.faults));
+        for profile in [Profile::MachineFaults, Profile::Soak] {
+            let (first, again) = (FaultPlan::new(seed, profile, 4), FaultPlan::new(seed, profile, 4));
+            assert_eq!(
+                (first.gateways, first.load, first.faults),
+                (again.gateways, again.load, again.faults)
+            );
+        }
     }
 }
 
-#[test]
-fn seeds_of_machine_faults_violate_no_invariant() {
+/// Plays seeds beside each other, and checks that each had a load and broke nothing.
+fn assert_nothing_broken(profile: Profile, seeds: &[u64]) {
+    let name = format!("cloverstile-{profile:?}-{}", std::process::id());
     let options = RunOptions {
         program: env!("CARGO_BIN_EXE_cloverstile-testbench").into(),
+        profile,
         log: "debug".to_owned(),
         with_faults: true,
-        directory: std::env::temp_dir().join(format!("cloverstile-machine-faults-{}", std::process::id())),
+        directory: std::env::temp_dir().join(name),
     };
-    let play = |seed: u64| {
-        let options = options.clone();
+    let play = |seed: &u64| {
+        let (options, seed) = (options.clone(), *seed);
         std::thread::spawn(move || play_seed(seed, &options).unwrap())
     };
-    let results: Vec<SeedResult> =
-        [4, 18, 21].map(play).into_iter().map(|thread| thread.join().unwrap()).collect();
+    let threads: Vec<_> = seeds.iter().map(play).collect();
+    let results: Vec<SeedResult> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
     for result in results {
         assert!(!result.is_broken(), "{result:#?}");
         assert!(result.messages > 100, "{result:#?}");
     }
 }
+
+#[test]
+fn seeds_of_machine_faults_violate_no_invariant() {
+    assert_nothing_broken(Profile::MachineFaults, &[4, 18, 21]);
+}
+
+#[test]
+fn seeds_of_the_soak_violate_no_invariant() {
+    assert_nothing_broken(Profile::Soak, &[1, 8, 23]);
+}
