--- a/crates/testbench/src/soak.rs
+++ b/crates/testbench/src/soak.rs
@@ -13,12 +13,14 @@
 mod faults;
 mod gateways;
 mod keys;
+mod options;
 mod plan;
 mod run;
 mod signals;
 mod summary;
 mod troubles;
 
+pub use options::RunOptions;
 pub use plan::{FaultPlan, Profile};
-pub use run::{play_seed, RunOptions, SeedResult};
+pub use run::{play_seed, SeedResult};
 pub use summary::Summary;
--- a/crates/testbench/src/soak/gateways.rs
+++ b/crates/testbench/src/soak/gateways.rs
@@ -3,7 +3,7 @@
 use super::config::{gateway_config, DESTINATIONS};
 use super::faults::Restart;
 use super::keys::SharedKeys;
-use super::run::RunOptions;
+use super::options::RunOptions;
 use crate::process::GatewayProcess;
 use cloverstile_fakes::platform::{read_line, Platform, PlatformEvent, AGENTS_OF_A_GATEWAY};
 use cloverstile_fault_injection::{Call, Effect, FaultControl, Rule};
@@ -18,9 +18,13 @@
 
 /// The port on which gateways listen.
 const GATEWAY_PORT: u16 = 6379;
-/// Second bytes of the addresses of all runs beside each other.
+/// Addresses of the gateways of all runs beside each other: the second byte and the upper half of the third are the seed's,
+/// the lower half of the third is the gateway's number, the last byte is the testbench's.
 const FIRST_SECOND_BYTE: u8 = 200;
 const SECOND_BYTES: u64 = 50;
+const SEED_HALVES: u64 = 16;
+const GATEWAYS_OF_A_SEED: u8 = 16;
+const LAST_BYTES: u32 = 250;
 /// The platform kills a process this long after its shutdown signal.
 pub(super) const KILL_AFTER: Duration = Duration::from_millis(3700);
 /// A process is started again this long after the one before has ended.
@@ -90,9 +94,7 @@
     ) -> io::Result<Gateway<'a>> {
         let folder = options.folder(seed).join(format!("n{number}"));
         fs::create_dir_all(folder.join("state"))?;
-        let second = FIRST_SECOND_BYTE + (seed % SECOND_BYTES) as u8;
-        let last = 1 + (std::process::id() % 250) as u8;
-        let address = SocketAddr::from((Ipv4Addr::new(127, second, number as u8, last), GATEWAY_PORT));
+        let address = SocketAddr::from((gateway_address(seed, number), GATEWAY_PORT));
         let faults = FaultControl::create(&folder.join("faults"))?;
         let gateway = Gateway {
             number,
@@ -376,6 +378,14 @@
     }
 }
 
+/// The loopback address of a gateway.
+fn gateway_address(seed: u64, number: usize) -> Ipv4Addr {
+    let second = FIRST_SECOND_BYTE + (seed % SECOND_BYTES) as u8;
+    let third = (seed / SECOND_BYTES % SEED_HALVES) as u8 * GATEWAYS_OF_A_SEED + number as u8;
+    let last = 1 + (std::process::id() % LAST_BYTES) as u8;
+    Ipv4Addr::new(127, second, third, last)
+}
+
 /// Processor time of a process, in user and system mode, from `/proc` (fields 14 and 15 of `stat`, in ticks).
 fn cpu_seconds(process: u32) -> Option<f64> {
     let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
--- a/crates/testbench/src/soak/run.rs
+++ b/crates/testbench/src/soak/run.rs
@@ -8,7 +8,8 @@
 use super::crowds::{crowd, take_cores};
 use super::faults::{EndpointFault, Fault};
 use super::gateways::{destinations, Gateway};
-use super::plan::{FaultPlan, PlannedFault, Profile};
+use super::options::RunOptions;
+use super::plan::{FaultPlan, PlannedFault};
 use super::signals::SignalSeries;
 use cloverstile_fakes::platform::{
     find_violations, AgentBehaviour, EndpointBehaviour, InvariantRules, Platform, PlatformEvent,
@@ -17,7 +18,6 @@
 use cloverstile_fault_injection::Rule;
 use std::collections::BTreeSet;
 use std::fmt::Write;
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use std::{fs, io};
@@ -37,28 +37,6 @@
 /// Places of a control for faults of calls; the others are those of restarts.
 const CALL_PLACES: usize = 13;
 
-/// How runs are played.
-#[derive(Clone, Debug)]
-pub struct RunOptions {
-    /// The program, which takes `node --log FILTER`.
-    pub program: PathBuf,
-    /// Which troubles are played.
-    pub profile: Profile,
-    /// Filter of the gateways' logs.
-    pub log: String,
-    /// Whether faults are played; without them a run shows what its load costs.
-    pub with_faults: bool,
-    /// Where the folders of runs lie; those of runs on which something was broken stay.
-    pub directory: PathBuf,
-}
-
-impl RunOptions {
-    /// The folder of a seed's run.
-    pub fn folder(&self, seed: u64) -> PathBuf {
-        self.directory.join(format!("seed-{seed}"))
-    }
-}
-
 /// What a seed came to.
 #[derive(Debug)]
 pub struct SeedResult {
--- a/crates/wal/src/codec.rs
+++ b/crates/wal/src/codec.rs
@@ -4,7 +4,6 @@
 //! Fields that later versions added stand at the end of a payload, and a payload of an earlier version ends before
 //! them: logs of every version stay readable.
 
-use crate::frame::MAX_BATCH_BYTES;
 use crate::record::{
     AttemptStart, BootId, ClassName, ClockReference, LiveMessage, NameTable, Record, TerminalState,
     UNKNOWN_INDEX,
@@ -14,6 +13,8 @@
 const HEADER_BYTES: usize = 8;
 /// Offset of the checksum in the header.
 const CHECKSUM_OFFSET: usize = 4;
+/// Largest batch. A header that gives a larger one is damaged.
+pub const MAX_BATCH_BYTES: usize = 1 << 30;
 /// Largest payload. A header that gives a larger one is damaged.
 const MAX_PAYLOAD_BYTES: usize = 256 << 10;
 
--- a/crates/wal/src/frame.rs
+++ b/crates/wal/src/frame.rs
@@ -3,11 +3,9 @@
 //! A frame is a header and the records. The header has the records' length, a checksum over sequence number and records,
 //! and the sequence number, which counts the segment's frames from zero. All numbers are little-endian.
 
-use crate::codec::DecodeError;
+use crate::codec::{DecodeError, MAX_BATCH_BYTES};
 use crate::record::Record;
 
-/// Largest batch. A header that gives a larger one is damaged.
-pub const MAX_BATCH_BYTES: usize = 1 << 30;
 /// Bytes of a frame's header: length and checksum of four bytes each, sequence number of eight.
 pub const FRAME_HEADER_BYTES: usize = 16;
 const CHECKSUM_OFFSET: usize = 4;
