--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -92,6 +92,13 @@
         self.shared.state().agents[address] = behaviour;
     }
 
+    /// Sets how many requests a second the endpoint list states for each endpoint.
+    pub fn set_weight(&self, weight: f64) {
+        let mut state = self.shared.state();
+        state.generation += 1;
+        state.weight = weight;
+    }
+
     /// Lets an endpoint accept connections or not. While it does not, a few come up and are reset in the end, and others come
     /// up late or never.
     pub fn set_accepting(&self, endpoint: usize, accepting: bool) {
--- a/crates/testbench/src/soak.rs
+++ b/crates/testbench/src/soak.rs
@@ -15,6 +15,7 @@
 mod keys;
 mod options;
 mod plan;
+mod restarts;
 mod run;
 mod signals;
 mod summary;
