--- a/crates/fakes/src/platform/agent.rs
+++ b/crates/fakes/src/platform/agent.rs
@@ -1,5 +1,6 @@
 //! Discovery agents of a fake platform: the endpoint list with its watch, and notifications.
 
+use super::endpoint::ends_within;
 use super::events::PlatformEvent;
 use super::server::Next;
 use super::state::{AgentBehaviour, Shared};
@@ -36,6 +37,10 @@
         }
         _ => {}
     }
+    // A list that is written to a connection that the gateway has left is told to nobody.
+    if ends_within(stream, Duration::ZERO) {
+        return Ok(Next::Close);
+    }
     stream.write_all(&bytes)?;
     shared.record(PlatformEvent::ListSent { address, draining });
     Ok(Next::KeepOpen)
--- a/crates/fakes/src/platform/endpoint.rs
+++ b/crates/fakes/src/platform/endpoint.rs
@@ -51,7 +51,8 @@
             return Ok(Next::Close);
         }
         EndpointBehaviour::Reset(after) => {
-            std::thread::sleep(after);
+            // Unless the gateway abandons the request meanwhile.
+            ends_within(stream, after);
             shared.record(PlatformEvent::AttemptEnded { id });
             SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
             return Ok(Next::Close);
@@ -143,7 +144,7 @@
 }
 
 /// Waits for a time; true, and earlier, where the gateway ends its sending meanwhile.
-fn ends_within(stream: &mut TcpStream, time: Duration) -> bool {
+pub(super) fn ends_within(stream: &mut TcpStream, time: Duration) -> bool {
     let _ = stream.set_read_timeout(Some(time.max(Duration::from_millis(1))));
     let ended = match stream.read(&mut [0]) {
         Ok(count) => count == 0,
--- a/crates/testbench/src/soak/crowds.rs
+++ b/crates/testbench/src/soak/crowds.rs
@@ -6,6 +6,7 @@
 use cloverstile_fakes::platform::PutCommand;
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// Clients that leave begin so far apart.
@@ -25,11 +26,8 @@
             drop(connections);
         }
         Crowd::Leaving => {
-            for number in 0_u64.. {
-                if Instant::now() >= end {
-                    return;
-                }
-                submit_and_leave(gateway, number);
+            while Instant::now() < end {
+                submit_and_leave(gateway);
                 std::thread::sleep(LEAVING_GAP);
             }
         }
@@ -37,9 +35,10 @@
 }
 
 /// Submits a message and closes at once: nobody reads its reply, so that it counts for nothing.
-fn submit_and_leave(gateway: &Gateway, number: u64) {
+fn submit_and_leave(gateway: &Gateway) {
+    static LAST_NUMBER: AtomicU64 = AtomicU64::new(0);
     let Ok(mut stream) = TcpStream::connect_timeout(&gateway.address, CONNECT_TIMEOUT) else { return };
-    let id = format!("left-{}-{}-{number}", gateway.address.port(), gateway.starts());
+    let id = format!("left-{}", LAST_NUMBER.fetch_add(1, Ordering::Relaxed));
     let put = PutCommand {
         key: 0,
         class: KEYED_CLASS.to_owned(),
