--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -130,6 +130,7 @@
             return Reply::Bytes(busy(Duration::ZERO));
         }
         let PutRequest { submission, idempotency_key, body } = put;
+        let time_left = submission.deadline - now;
         let message = message_record::from_submission(now, &submission, idempotency_key, body);
         match delivery.engine.submit(now, submission) {
             Admission::New(id) => {
@@ -138,6 +139,8 @@
                     message_id = id.0,
                     destination = message.destination,
                     class = message.class,
+                    order_key = %format_args!("{:016x}", message.order_key),
+                    ?time_left,
                     "message accepted"
                 );
                 delivery.log.record(Record::Submitted { message_number: id.0, message: Box::new(message) });
--- a/crates/resp-gateway/src/recovery.rs
+++ b/crates/resp-gateway/src/recovery.rs
@@ -55,6 +55,7 @@
         client_id = %String::from_utf8_lossy(&message.id),
         message_id = id.0,
         destination = message.destination,
+        order_key = %format_args!("{:016x}", message.order_key),
         attempts = attempts.attempts,
         may_have_run = ?attempts.may_have_run,
         ?time_left,
