--- a/crates/fakes/src/platform/events.rs
+++ b/crates/fakes/src/platform/events.rs
@@ -131,6 +131,11 @@
         /// Its number.
         gateway: usize,
     },
+    /// A gateway process was started: what an earlier one was told it does not know.
+    GatewayStarted {
+        /// Its number.
+        gateway: usize,
+    },
     /// A gateway process replied to a PING.
     GatewayReady {
         /// Its number.
--- a/crates/fakes/src/platform/invariants/endpoint_limits.rs
+++ b/crates/fakes/src/platform/invariants/endpoint_limits.rs
@@ -78,7 +78,10 @@
             PlatformEvent::ListSent { address, draining } => {
                 self.on_list(at, *address / AGENTS_OF_A_GATEWAY, draining);
             }
-            PlatformEvent::GatewayDown { gateway } => self.on_gateway_down(*gateway),
+            // Lists reach a process that ends as long as it runs.
+            PlatformEvent::GatewayDown { gateway } | PlatformEvent::GatewayStarted { gateway } => {
+                self.on_restart(*gateway);
+            }
             PlatformEvent::EndpointFailed { endpoint } => {
                 self.outages.insert(*endpoint, Outage::default());
             }
@@ -91,7 +94,7 @@
     }
 
     /// A restart ends waits; the list that the next process starts with may be old, and it has seen no request fail.
-    fn on_gateway_down(&mut self, gateway: usize) {
+    fn on_restart(&mut self, gateway: usize) {
         self.waits.retain(|path, _| path.gateway != gateway);
         self.drains.retain(|path, _| path.gateway != gateway);
         for outage in self.outages.values_mut() {
--- a/crates/fakes/tests/invariants.rs
+++ b/crates/fakes/tests/invariants.rs
@@ -164,6 +164,9 @@
     assert_eq!(kinds(&[], vec![(at(3000), list(vec![0]))]), [ViolationKind::DrainBroken]);
     assert_eq!(kinds(&[], vec![(at(3100), list(vec![0]))]), []);
     assert_eq!(kinds(&[], vec![(at(2000), list(vec![0])), (at(3000), list(vec![]))]), []);
+    // The next process has not been told.
+    let started = PlatformEvent::GatewayStarted { gateway: 0 };
+    assert_eq!(kinds(&[], vec![(at(2000), list(vec![0])), (at(3000), started)]), []);
 }
 
 #[test]
--- a/crates/testbench/src/soak/gateways.rs
+++ b/crates/testbench/src/soak/gateways.rs
@@ -203,6 +203,7 @@
             .stdout(Stdio::null())
             .stderr(Stdio::from(log));
         self.faults.attach(&mut command)?;
+        self.platform.record(PlatformEvent::GatewayStarted { gateway: self.number });
         *lock(&self.process) = Some(GatewayProcess::spawn(&mut command)?);
         Ok(())
     }
