Read-through: the tests' wait and endpoint harness, and the wait for a kill, stand once

Behaviour unchanged. wait_until and the harness with an endpoint controlled by the test were written again in late_responses.rs; killing a process as it recovers repeated kill_in_call; a series of signals held what its gateway knows. The profile of machine faults said that faults follow one another at a gateway, which is no longer so.

--- a/crates/cli/tests/gateway_harness/mod.rs
+++ b/crates/cli/tests/gateway_harness/mod.rs
@@ -6,6 +6,7 @@
 
 use cloverstile_fakes::platform::{check_invariants, read_line, Platform, PlatformEvent, PutCommand};
 use cloverstile_fault_injection::FaultControl;
+use manual_endpoint::ManualEndpoint;
 use std::fs;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -36,6 +37,27 @@
     }
 }
 
+/// Waits until a condition holds, at most for a time; whether it does.
+pub fn wait_until(timeout: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + timeout;
+    while Instant::now() < end {
+        if condition() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    condition()
+}
+
+/// A gateway whose one endpoint of destination 3 is controlled by the test.
+pub fn harness_with_manual_endpoint(name: &str) -> (GatewayHarness, ManualEndpoint) {
+    let (harness, endpoint) = (GatewayHarness::new(name, &[3]), ManualEndpoint::new());
+    harness.edit_config(|config| {
+        config["known"]["instances"][0]["hostPort"] = endpoint.address.to_string().into();
+    });
+    (harness, endpoint)
+}
+
 /// Sends a signal, by its option of `kill`, to a process.
 pub fn send_signal(child: &Child, name: &str) {
     assert!(Command::new("kill").args([name, &child.id().to_string()]).status().unwrap().success());
--- a/crates/cli/tests/late_responses.rs
+++ b/crates/cli/tests/late_responses.rs
@@ -7,7 +7,9 @@
 use cloverstile_fault_injection::{Call, Effect, Rule};
 use gateway_harness::manual_endpoint::ManualEndpoint;
 use gateway_harness::streams::read_request;
-use gateway_harness::{notice, payment, send_signal, GatewayHarness};
+use gateway_harness::{
+    harness_with_manual_endpoint, notice, payment, send_signal, wait_until, GatewayHarness,
+};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
@@ -29,15 +31,6 @@
 /// How late the end of a message may be, with the hold-up of the test.
 const END_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A gateway whose one endpoint of destination 3 is controlled by the test.
-fn harness_with_manual_endpoint(name: &str) -> (GatewayHarness, ManualEndpoint) {
-    let (harness, endpoint) = (GatewayHarness::new(name, &[3]), ManualEndpoint::new());
-    harness.edit_config(|config| {
-        config["known"]["instances"][0]["hostPort"] = endpoint.address.to_string().into();
-    });
-    (harness, endpoint)
-}
-
 /// Submits two messages of a key, the first with little time, and returns the connection with the request of the first.
 fn first_in_flight_and_second_waiting(harness: &GatewayHarness, endpoint: &ManualEndpoint) -> TcpStream {
     let first = PutCommand { time_left_ms: SHORT_TIME.as_millis() as u64, ..notice("first".into(), KEY) };
@@ -165,14 +158,3 @@
         assert!(rest >= LONG_SETTLE_TIME - MOMENT, "{name}: {rest:?} behind the end of the attempt");
     }
 }
-
-fn wait_until(timeout: Duration, condition: impl Fn() -> bool) -> bool {
-    let end = Instant::now() + timeout;
-    while Instant::now() < end {
-        if condition() {
-            return true;
-        }
-        std::thread::sleep(Duration::from_millis(5));
-    }
-    false
-}
--- a/crates/cli/tests/machine_faults.rs
+++ b/crates/cli/tests/machine_faults.rs
@@ -5,9 +5,9 @@
 
 use cloverstile_fakes::platform::{read_line, EndpointBehaviour, PutCommand};
 use cloverstile_fault_injection::{Call, Effect, FaultControl, Rule};
-use gateway_harness::{notice, payment, send_signal, GatewayHarness, EVENT_TIMEOUT};
+use gateway_harness::{notice, payment, send_signal, wait_until, GatewayHarness, EVENT_TIMEOUT};
 use std::io::Write;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// How long a fault lasts that a message must outlive: long enough for all attempts of a message to be used up.
 const LONG_FAULT: Duration = Duration::from_secs(4);
@@ -51,17 +51,6 @@
     faults.set_rule(place, &Rule::always(Call::FileWrite, Effect::Error(libc::EIO))).unwrap();
 }
 
-fn wait_until(timeout: Duration, mut condition: impl FnMut() -> bool) -> bool {
-    let end = Instant::now() + timeout;
-    while Instant::now() < end {
-        if condition() {
-            return true;
-        }
-        std::thread::sleep(Duration::from_millis(5));
-    }
-    condition()
-}
-
 /// A write that is torn, or whole but reported as failed, and can't be cut back: a message whose client is told that it is
 /// refused is not sent by the next process, and one that is accepted is.
 #[test]
--- a/crates/cli/tests/race_conditions.rs
+++ b/crates/cli/tests/race_conditions.rs
@@ -11,11 +11,10 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-/// A gateway whose one endpoint of destination 3 is controlled by the test.
+/// A gateway whose one endpoint of destination 3 is controlled by the test, and whose connections may come up late.
 fn harness_with_manual_endpoint(name: &str) -> (GatewayHarness, ManualEndpoint) {
-    let (harness, endpoint) = (GatewayHarness::new(name, &[3]), ManualEndpoint::new());
+    let (harness, endpoint) = gateway_harness::harness_with_manual_endpoint(name);
     harness.edit_config(|config| {
-        config["known"]["instances"][0]["hostPort"] = endpoint.address.to_string().into();
         config["settings"]["Permissions"]["ConnectTimeout"] = 6_000_000_000u64.into();
     });
     (harness, endpoint)
--- a/crates/testbench/src/soak/gateways.rs
+++ b/crates/testbench/src/soak/gateways.rs
@@ -5,7 +5,7 @@
 use super::options::RunOptions;
 use crate::process::GatewayProcess;
 use cloverstile_fakes::platform::{read_line, Platform, PlatformEvent, AGENTS_OF_A_GATEWAY};
-use cloverstile_fault_injection::{Call, Effect, FaultControl, Rule};
+use cloverstile_fault_injection::FaultControl;
 use rustix::process::Signal;
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -28,11 +28,7 @@
 pub(super) const KILL_AFTER: Duration = Duration::from_millis(3700);
 /// How long a process may take to be ready, also while faults last.
 pub(super) const READY_TIMEOUT: Duration = Duration::from_secs(10);
-/// How long a kill inside a call is waited for before the process is killed from outside.
-pub(super) const KILLED_IN_CALL_TIMEOUT: Duration = Duration::from_millis(800);
 pub(super) const POLL_INTERVAL: Duration = Duration::from_millis(3);
-/// Places of the rules for restarts in the control; faults of calls take the others.
-pub(super) const KILL_PLACE: usize = 15;
 /// Linux's ticks of processor time.
 const TICKS_PER_SECOND: f64 = 100.0;
 
@@ -161,21 +157,6 @@
         Ok(())
     }
 
-    /// Starts a process that is killed as it recovers, in a write to its log after so many bytes, or once it has replied.
-    ///
-    /// # Errors
-    /// The process can't be started at all, or the control file can't be written.
-    pub fn start_and_kill_in_recovery(&self, bytes: u64) -> io::Result<()> {
-        self.faults.set_rule(KILL_PLACE, &Rule::once(Call::FileWrite, Effect::Kill { bytes }))?;
-        self.spawn()?;
-        let end = Instant::now() + KILLED_IN_CALL_TIMEOUT;
-        while !self.has_exited() && Instant::now() < end {
-            std::thread::sleep(POLL_INTERVAL);
-        }
-        self.kill();
-        self.faults.clear_rule(KILL_PLACE)
-    }
-
     /// Starts a process and tells it to end at once; it is killed once the platform would.
     ///
     /// # Errors
@@ -187,7 +168,7 @@
     }
 
     /// Starts a process.
-    fn spawn(&self) -> io::Result<()> {
+    pub(super) fn spawn(&self) -> io::Result<()> {
         let attempt = {
             let mut starts = lock(&self.starts);
             *starts += 1;
--- a/crates/testbench/src/soak/plan.rs
+++ b/crates/testbench/src/soak/plan.rs
@@ -28,7 +28,7 @@
 /// Which troubles a run is drawn from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Profile {
-    /// Faults of the machine, one after another at each gateway.
+    /// Faults of the machine, one at each moment; one that lasts may meet the next.
     MachineFaults = 0,
     /// All troubles, several at once.
     Soak = 1,
--- a/crates/testbench/src/soak/restarts.rs
+++ b/crates/testbench/src/soak/restarts.rs
@@ -1,7 +1,7 @@
 //! Restarts of a gateway: by signals, and by kills inside a call or on a disk that fails.
 
 use super::faults::Restart;
-use super::gateways::{lock, Gateway, KILLED_IN_CALL_TIMEOUT, KILL_PLACE, POLL_INTERVAL, READY_TIMEOUT};
+use super::gateways::{lock, Gateway, POLL_INTERVAL, READY_TIMEOUT};
 use cloverstile_fakes::platform::{read_line, PlatformEvent};
 use cloverstile_fault_injection::{Call, Effect, Rule};
 use rustix::process::Signal;
@@ -11,6 +11,10 @@
 
 /// A process is started again this long after the one before has ended.
 const RESTART_DELAY: Duration = Duration::from_millis(300);
+/// How long a kill inside a call is waited for before the process is killed from outside.
+const KILLED_IN_CALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Places of the rules for restarts in the control; faults of calls take the others.
+const KILL_PLACE: usize = 15;
 const TRUNCATE_PLACE: usize = 14;
 const ACCEPT_PLACE: usize = 13;
 /// Accepts fail from shortly before the listener closes, 0.45 s behind the signal, until shortly behind it.
@@ -86,6 +90,21 @@
 
     fn kill_in_call(&self, call: Call, bytes: u64) -> io::Result<()> {
         self.faults.set_rule(KILL_PLACE, &Rule::once(call, Effect::Kill { bytes }))?;
+        self.await_kill()
+    }
+
+    /// Starts a process that is killed as it recovers, in a write to its log after so many bytes, or once it has replied.
+    ///
+    /// # Errors
+    /// The process can't be started at all, or the control file can't be written.
+    pub fn start_and_kill_in_recovery(&self, bytes: u64) -> io::Result<()> {
+        self.faults.set_rule(KILL_PLACE, &Rule::once(Call::FileWrite, Effect::Kill { bytes }))?;
+        self.spawn()?;
+        self.await_kill()
+    }
+
+    /// Waits for the kill inside a call, and kills the process from outside if none comes.
+    fn await_kill(&self) -> io::Result<()> {
         let end = Instant::now() + KILLED_IN_CALL_TIMEOUT;
         while !self.has_exited() && Instant::now() < end {
             std::thread::sleep(POLL_INTERVAL);
--- a/crates/testbench/src/soak/run.rs
+++ b/crates/testbench/src/soak/run.rs
@@ -175,9 +175,7 @@
                 Ok(())
             }
             Fault::Restart(restart) => gateway.restart(*restart),
-            Fault::Signals(rounds) => {
-                SignalSeries { platform: self.platform, gateway, number: planned.gateway }.play(rounds)
-            }
+            Fault::Signals(rounds) => SignalSeries { gateway }.play(rounds),
             Fault::Reload => gateway.reload(true),
             Fault::Endpoint { endpoint, fault, lasts } => {
                 let is_outage = fault.is_outage() && *lasts >= SHORTEST_OUTAGE;
--- a/crates/testbench/src/soak/signals.rs
+++ b/crates/testbench/src/soak/signals.rs
@@ -5,7 +5,7 @@
 use super::config::{DESTINATIONS, KEYED_CLASS};
 use super::faults::{SignalRound, SignalStep};
 use super::gateways::{lock, Gateway, KILL_AFTER};
-use cloverstile_fakes::platform::{Platform, PlatformEvent, PutCommand};
+use cloverstile_fakes::platform::{PlatformEvent, PutCommand};
 use rustix::process::Signal;
 use std::io;
 use std::time::{Duration, Instant};
@@ -19,10 +19,7 @@
 
 /// The gateway that rounds are played on.
 pub struct SignalSeries<'a> {
-    pub platform: &'a Platform,
     pub gateway: &'a Gateway<'a>,
-    /// Its number.
-    pub number: usize,
 }
 
 impl SignalSeries<'_> {
@@ -40,7 +37,7 @@
         if self.gateway.has_exited() {
             self.gateway.count_crash("ended by itself");
         }
-        self.platform.record(PlatformEvent::GatewayDown { gateway: self.number });
+        self.gateway.platform.record(PlatformEvent::GatewayDown { gateway: self.gateway.number });
         if round.is_graceful {
             self.terminate(place, round)?;
         }
@@ -90,12 +87,12 @@
 
     /// Clients connect together and submit a message each; those whose connection is taken get their replies.
     fn connect_burst(&self, name: &str) {
-        let connect = |_| Client::connect(self.platform, self.gateway, self.number).ok();
+        let connect = |_| Client::connect(self.gateway.platform, self.gateway, self.gateway.number).ok();
         let clients: Vec<Client> = (0..BURST).filter_map(connect).collect();
         let mut waiting = Vec::new();
         let starts = self.gateway.starts();
         for (position, mut client) in clients.into_iter().enumerate() {
-            let put = burst_message(format!("g{}{name}p{starts}n{position}", self.number), position);
+            let put = burst_message(format!("g{}{name}p{starts}n{position}", self.gateway.number), position);
             let sent = Instant::now();
             client.record_submission(&put);
             if client.write(&put.encode()) {
