Log and count bytes that answer no request, with the connection and the message in doubt

Change: each read of unsolicited bytes, on connections to endpoints, of the endpoint watch and of notifications, is a warning with connection, source, number of bytes, status, time since the last response, phase and message, and is counted; the total stands in each line and in that of the stop. 'request sent' and 'attempt completed' name the connection.

One test compares CompletedAttempt as a whole, which has the connection now; it expects the one that it used.

--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -108,6 +108,10 @@
     pub reader: ResponseReader,
     /// Whether the connection has carried an earlier request.
     pub is_reused: bool,
+    /// When its last complete response was read.
+    pub response_at: Option<Time>,
+    /// The attempt that it carries, or that it carried last.
+    pub last_attempt: Attempt,
 }
 
 impl Connection {
--- a/crates/platform/src/discovery_connection.rs
+++ b/crates/platform/src/discovery_connection.rs
@@ -3,6 +3,9 @@
 //! The endpoint watch and the notifications decide what to request and when.
 
 use crate::transport::{ConnectionId, Transport};
+use crate::unsolicited::{
+    response_status, time_since, UnsolicitedBytes, UnsolicitedLog, UnsolicitedPhase, UnsolicitedSource,
+};
 use cloverstile::Time;
 use cloverstile_http::{DecodedItem, Decoder, HttpError, Limits, Message};
 use std::net::SocketAddr;
@@ -37,18 +40,31 @@
     address: SocketAddr,
     limits: Limits,
     state: State,
+    /// What unsolicited bytes on this connection are recorded as.
+    source: UnsolicitedSource,
+    /// When the last complete response was read on the current connection.
+    response_at: Option<Time>,
+    unsolicited: UnsolicitedLog,
 }
 
 impl DiscoveryConnection {
     /// Creates the connection in the closed state. Response bodies are limited to `max_body_bytes`.
-    pub fn new(address: SocketAddr, max_body_bytes: usize) -> Self {
+    pub fn new(address: SocketAddr, max_body_bytes: usize, source: UnsolicitedSource) -> Self {
         DiscoveryConnection {
             address,
             limits: Limits { max_body_bytes, ..Limits::default() },
             state: State::Closed { until: Time::ZERO },
+            source,
+            response_at: None,
+            unsolicited: UnsolicitedLog::default(),
         }
     }
 
+    /// Takes the bytes that answered no request, in the order in which they were read.
+    pub fn take_unsolicited(&mut self) -> Vec<UnsolicitedBytes> {
+        self.unsolicited.take()
+    }
+
     pub fn address(&self) -> SocketAddr {
         self.address
     }
@@ -98,6 +114,7 @@
     /// closed.
     pub fn connect(&mut self, until: Time, transport: &mut impl Transport) {
         self.close(until, transport);
+        self.response_at = None;
         self.state = State::Connecting { connection: transport.connect(self.address), until };
     }
 
@@ -149,6 +166,7 @@
         let clock = Duration::from_nanos(now.0);
         let State::AwaitingResponse { decoder, .. } = &mut self.state else {
             // No request is in flight: these bytes could be mistaken for the response to a later request.
+            self.record_unsolicited(now, UnsolicitedPhase::Idle, bytes.len(), response_status(bytes));
             self.close(now, transport);
             return None;
         };
@@ -158,6 +176,11 @@
             Ok(Some(DecodedItem::Message(message))) => Ok(message),
             Err(error) => Err(error),
         };
+        let (surplus, status) = (decoder.buffered_bytes(), decoder.status());
+        self.response_at = Some(now);
+        if response.is_ok() && surplus > 0 {
+            self.record_unsolicited(now, UnsolicitedPhase::AfterResponse, surplus, status);
+        }
         let is_reusable = response.as_ref().is_ok_and(|response| response.keep_alive);
         match std::mem::replace(&mut self.state, State::Closed { until: now + RECONNECT_DELAY }) {
             State::AwaitingResponse { connection, decoder, .. } if is_reusable => {
@@ -169,6 +192,26 @@
         Some(response)
     }
 
+    /// Records bytes that answer no request.
+    fn record_unsolicited(
+        &mut self,
+        now: Time,
+        phase: UnsolicitedPhase,
+        byte_count: usize,
+        status: Option<u16>,
+    ) {
+        let Some(connection) = self.connection() else { return };
+        self.unsolicited.push(UnsolicitedBytes {
+            connection,
+            source: self.source,
+            byte_count,
+            status,
+            since_response: time_since(now, self.response_at),
+            phase,
+            attempt: None,
+        });
+    }
+
     /// Whether unrequested bytes were received after the last response.
     pub fn has_surplus_bytes(&self) -> bool {
         matches!(&self.state, State::Idle { decoder, .. } if decoder.buffered_bytes() > 0)
--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -3,6 +3,7 @@
 use crate::discovery_connection::{ConnectionStatus, DiscoveryConnection, RECONNECT_DELAY};
 use crate::endpoint_list_response::EndpointListResponse;
 use crate::transport::{ConnectionId, Transport};
+use crate::unsolicited::{UnsolicitedBytes, UnsolicitedSource};
 use cloverstile::Time;
 use cloverstile_http::{Headers, HttpError, Message, StartLine};
 use std::net::SocketAddr;
@@ -47,10 +48,15 @@
 impl EndpointWatch {
     /// Creates a watch for changes after `version`, through the discovery agent at `address`.
     pub fn new(address: SocketAddr, version: u64) -> Self {
-        let agent = DiscoveryConnection::new(address, MAX_LIST_BYTES);
+        let agent = DiscoveryConnection::new(address, MAX_LIST_BYTES, UnsolicitedSource::EndpointWatch);
         EndpointWatch { agent, version, requested_at: Time::ZERO }
     }
 
+    /// Takes the bytes that answered no request, in the order in which they were read.
+    pub fn take_unsolicited(&mut self) -> Vec<UnsolicitedBytes> {
+        self.agent.take_unsolicited()
+    }
+
     /// When [`EndpointWatch::on_tick`] must be called at the latest.
     pub fn next_timeout(&self) -> Time {
         self.agent.next_timeout()
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`response`] | an endpoint's response: outcome, whether it may have run, reuse of the connection |
 //! | `connection_pool` | connections to endpoints and their states |
 //! | [`requests`] | requests to endpoints, from an attempt to its result |
+//! | [`unsolicited`] | bytes of an endpoint that answer no request, as events for the log |
 //! | [`shutdown`] | phases of a graceful shutdown |
 //! | `transport` | [`Transport`] and [`ConnectionId`] |
 //! | `limits` | [`MAX_BODY_BYTES`] |
@@ -39,6 +40,7 @@
 pub mod settings_validation;
 pub mod shutdown;
 mod transport;
+pub mod unsolicited;
 
 pub use limits::MAX_BODY_BYTES;
 pub use transport::{ConnectionId, Transport};
--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -4,6 +4,7 @@
 use crate::discovery_connection::{ConnectionStatus, DiscoveryConnection, RECONNECT_DELAY};
 use crate::limits::MAX_BODY_BYTES;
 use crate::transport::{ConnectionId, Transport};
+use crate::unsolicited::{UnsolicitedBytes, UnsolicitedSource};
 use cloverstile::{OrderKey, Time};
 use cloverstile_http::{Headers, StartLine};
 use std::collections::{BTreeMap, HashMap};
@@ -77,7 +78,7 @@
 
 impl AgentConnection {
     fn new(address: SocketAddr) -> Self {
-        let connection = DiscoveryConnection::new(address, MAX_BODY_BYTES);
+        let connection = DiscoveryConnection::new(address, MAX_BODY_BYTES, UnsolicitedSource::Notifications);
         AgentConnection { connection, in_flight: Vec::new(), droppable_at: Time::ZERO }
     }
 
@@ -155,6 +156,11 @@
         self.blocked_keys.contains_key(&key)
     }
 
+    /// Takes the bytes that answered no request, by connection and in the order in which they were read.
+    pub fn take_unsolicited(&mut self) -> Vec<UnsolicitedBytes> {
+        self.agent_connections.iter_mut().flat_map(|agent| agent.connection.take_unsolicited()).collect()
+    }
+
     /// Number of pending notifications.
     pub fn len(&self) -> usize {
         self.pending.len()
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -10,6 +10,9 @@
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
 use crate::response::{AttemptResult, ConnectionReuse, LoadReportFields, ResponseProgress, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
+use crate::unsolicited::{
+    response_status, time_since, UnsolicitedBytes, UnsolicitedLog, UnsolicitedPhase, UnsolicitedSource,
+};
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
 use std::collections::HashMap;
@@ -43,6 +46,8 @@
 pub struct CompletedAttempt {
     /// The message, and the number of this attempt at it.
     pub attempt: Attempt,
+    /// The connection that it used last; none if it never had one.
+    pub connection: Option<ConnectionId>,
     /// The outcome, and the rate limit that the response reported.
     pub result: AttemptResult,
 }
@@ -67,6 +72,7 @@
     ready_to_commit: Vec<Attempt>,
     completed: Vec<CompletedAttempt>,
     retry_after: Vec<RetryAfter>,
+    unsolicited: UnsolicitedLog,
 }
 
 impl Requests {
@@ -81,6 +87,7 @@
             ready_to_commit: Vec::new(),
             completed: Vec::new(),
             retry_after: Vec::new(),
+            unsolicited: UnsolicitedLog::default(),
         }
     }
 
@@ -114,6 +121,11 @@
         std::mem::take(&mut self.retry_after)
     }
 
+    /// Takes the bytes that answered no request, in the order in which they were read.
+    pub fn take_unsolicited(&mut self) -> Vec<UnsolicitedBytes> {
+        self.unsolicited.take()
+    }
+
     /// Whether any attempt that connected, became ready to commit or ended has not been taken yet.
     pub fn has_pending_events(&self) -> bool {
         !self.connected.is_empty() || !self.ready_to_commit.is_empty() || !self.completed.is_empty()
@@ -135,6 +147,7 @@
             connection.state =
                 ConnectionState::Active(ActiveRequest { attempt, phase, stale_connections: 0 });
             connection.reader = ResponseReader::new();
+            connection.last_attempt = attempt;
             self.attempts.insert(attempt, id);
             self.connected.push(attempt);
         } else if self.pool.ensure_capacity(transport) {
@@ -143,7 +156,7 @@
             let request = ActiveRequest { attempt, phase, stale_connections: 0 };
             self.open_connection(request, endpoint, address, transport);
         } else {
-            self.complete(attempt, TransportOutcome::Unsent.into());
+            self.complete(attempt, None, TransportOutcome::Unsent.into());
         }
     }
 
@@ -155,10 +168,18 @@
         transport: &mut impl Transport,
     ) {
         let id = transport.connect(address);
-        self.attempts.insert(request.attempt, id);
-        let state = ConnectionState::Active(request);
-        let reader = ResponseReader::new();
-        self.pool.insert(id, Connection { endpoint, address, state, reader, is_reused: false });
+        let last_attempt = request.attempt;
+        self.attempts.insert(last_attempt, id);
+        let connection = Connection {
+            endpoint,
+            address,
+            state: ConnectionState::Active(request),
+            reader: ResponseReader::new(),
+            is_reused: false,
+            response_at: None,
+            last_attempt,
+        };
+        self.pool.insert(id, connection);
     }
 
     /// Writes the request of a connected attempt except for its last byte.
@@ -207,7 +228,7 @@
         } else {
             self.pool.close(id, transport);
         }
-        self.complete(attempt, TransportOutcome::NotStarted.into());
+        self.complete(attempt, Some(id), TransportOutcome::NotStarted.into());
     }
 
     /// Abandons an attempt without reporting a result. Its connection is not reused, because the late response would be
@@ -232,14 +253,24 @@
         self.attempts.remove(&attempt)
     }
 
-    fn complete(&mut self, attempt: Attempt, result: AttemptResult) {
-        self.completed.push(CompletedAttempt { attempt, result });
+    fn complete(&mut self, attempt: Attempt, connection: Option<ConnectionId>, result: AttemptResult) {
+        self.completed.push(CompletedAttempt { attempt, connection, result });
     }
 
     fn connection_of(&self, attempt: Attempt) -> Option<&Connection> {
         self.attempts.get(&attempt).and_then(|id| self.pool.get(*id))
     }
 
+    /// The connection of an attempt that has no outcome yet.
+    pub fn connection(&self, attempt: Attempt) -> Option<ConnectionId> {
+        self.attempts.get(&attempt).copied()
+    }
+
+    /// Whether the connection of an attempt has carried an earlier request.
+    pub fn is_connection_reused(&self, attempt: Attempt) -> bool {
+        self.connection_of(attempt).is_some_and(|connection| connection.is_reused)
+    }
+
     /// The endpoint of an attempt that has no outcome yet.
     pub fn endpoint(&self, attempt: Attempt) -> Option<EndpointId> {
         self.connection_of(attempt).map(|connection| connection.endpoint)
@@ -321,7 +352,9 @@
             // The request was not written completely, so it was never processed.
             _ => Some(TransportOutcome::ConnectFailed.into()),
         };
-        self.completed.extend(result.map(|result| CompletedAttempt { attempt, result }));
+        if let Some(result) = result {
+            self.complete(attempt, Some(connection), result);
+        }
     }
 
     /// Handles bytes received on a connection.
@@ -335,6 +368,7 @@
         let Some(pooled) = self.pool.get_mut(connection) else { return };
         if let ConnectionState::Idle { .. } = pooled.state {
             // No request is outstanding. A duplicate response or garbage would be taken for the next response.
+            self.record_unsolicited(now, connection, UnsolicitedPhase::Idle, bytes);
             return self.pool.close(connection, transport);
         }
         let progress = pooled.reader.on_bytes(Duration::from_nanos(now.0), bytes, &self.report_fields);
@@ -347,12 +381,50 @@
             // Bytes that arrive before the whole request was written cannot be its response: they are garbage, or the
             // endpoint refuses the connection.
             Some(_) => {
+                self.record_unsolicited(now, connection, UnsolicitedPhase::BeforeLastByte, bytes);
                 transport.close(connection);
                 self.on_closed(now, connection, false, transport);
             }
         }
     }
 
+    /// Records bytes that answer no request.
+    fn record_unsolicited(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        phase: UnsolicitedPhase,
+        bytes: &[u8],
+    ) {
+        let Some(pooled) = self.pool.get(connection) else { return };
+        self.unsolicited.push(UnsolicitedBytes {
+            connection,
+            source: UnsolicitedSource::Endpoint(pooled.endpoint),
+            byte_count: bytes.len(),
+            status: response_status(bytes),
+            since_response: time_since(now, pooled.response_at),
+            phase,
+            attempt: Some(pooled.last_attempt),
+        });
+    }
+
+    /// Records bytes that followed a response in the same read.
+    fn record_surplus(&mut self, connection: ConnectionId) {
+        let Some(pooled) = self.pool.get(connection) else { return };
+        let byte_count = pooled.reader.surplus_bytes();
+        if byte_count > 0 {
+            self.unsolicited.push(UnsolicitedBytes {
+                connection,
+                source: UnsolicitedSource::Endpoint(pooled.endpoint),
+                byte_count,
+                status: pooled.reader.surplus_status(),
+                since_response: Some(Duration::ZERO),
+                phase: UnsolicitedPhase::AfterResponse,
+                attempt: Some(pooled.last_attempt),
+            });
+        }
+    }
+
     /// Reports the attempt's result once the response gives it, and closes the connection or returns it to the pool.
     fn on_response(
         &mut self,
@@ -365,11 +437,15 @@
         let is_request_sent = is_request_sent(&pooled.state);
         let is_abandoned = matches!(pooled.state, ConnectionState::Abandoned { .. });
         let attempt = pooled.active().map(|request| request.attempt);
+        if progress.reuse != ConnectionReuse::Incomplete {
+            pooled.response_at = Some(now);
+        }
         if let (Some(result), Some(attempt)) = (progress.result, attempt) {
             pooled.state = ConnectionState::ReadingRemainder { timeout_at: now + REMAINDER_TIMEOUT };
             self.attempts.remove(&attempt);
-            self.complete(attempt, result);
+            self.complete(attempt, Some(connection), result);
         }
+        self.record_surplus(connection);
         match progress.reuse {
             // The remaining bytes of the response would add nothing.
             _ if is_abandoned && (progress.result.is_some() || progress.retry_after.is_some()) => {
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -79,6 +79,8 @@
     decoder: Decoder,
     has_reported_result: bool,
     has_reported_retry_after: bool,
+    /// Whether the final response was read to its end.
+    is_complete: bool,
 }
 
 impl Default for ResponseReader {
@@ -96,9 +98,24 @@
             decoder: Decoder::client(limits),
             has_reported_result: false,
             has_reported_retry_after: false,
+            is_complete: false,
         }
     }
 
+    /// Number of bytes that were read after the end of the response.
+    pub fn surplus_bytes(&self) -> usize {
+        if self.is_complete {
+            self.decoder.buffered_bytes()
+        } else {
+            0
+        }
+    }
+
+    /// Status in the status line that begins the surplus bytes, if they begin with one.
+    pub fn surplus_status(&self) -> Option<u16> {
+        self.decoder.status().filter(|_| self.is_complete)
+    }
+
     /// Returns the result the first time it is called, and none after that.
     fn report_once(&mut self, result: AttemptResult) -> Option<AttemptResult> {
         (!std::mem::replace(&mut self.has_reported_result, true)).then_some(result)
@@ -113,6 +130,7 @@
         let retry_after_from_head = rejection.and_then(|(_, headers)| retry_after(headers));
         let (result, reuse) = match next {
             Ok(Some(DecodedItem::Message(message))) => {
+                self.is_complete = true;
                 // Surplus bytes after a response would be taken for the response to the next request.
                 let is_reusable = message.keep_alive && self.decoder.buffered_bytes() == 0;
                 let reuse = if is_reusable { ConnectionReuse::Reusable } else { ConnectionReuse::Unusable };
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -7,6 +7,7 @@
 use crate::message_pipeline::MessagePipeline;
 use crate::shutdown::RunState;
 use crate::sockets::{connection_id, Sockets};
+use crate::unsolicited_bytes::UnsolicitedCounter;
 use cloverstile::Time;
 use cloverstile_net::{Net, NetEvent, SignalKind};
 use cloverstile_platform::ConnectionId;
@@ -20,6 +21,7 @@
     pub(crate) discovery: EndpointDiscovery,
     pub(crate) pipeline: MessagePipeline,
     pub(crate) run_state: RunState,
+    pub(crate) unsolicited: UnsolicitedCounter,
 }
 
 impl Gateway {
@@ -33,7 +35,8 @@
             let now = self.clock.now();
             if self.run_state.advance(now, &mut self.pipeline, &mut self.net).is_break() {
                 let pending_messages = self.pipeline.delivery.engine.pending_messages();
-                info!(pending_messages, "stopped, pending messages stay in the log");
+                let unsolicited = self.unsolicited.total();
+                info!(pending_messages, unsolicited, "stopped, pending messages stay in the log");
                 return Ok(());
             }
             let timeout = self.next_timeout(now).map(|at| at - now);
@@ -41,6 +44,8 @@
             let now = self.clock.now();
             self.on_events(now, events);
             self.on_tick(now);
+            // Ahead of the turn, in which the messages concerned may end.
+            self.unsolicited.log_new(&mut self.pipeline, &mut self.discovery);
             self.pipeline.run_turn(now, &self.clock, &mut self.net);
         }
     }
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod shutdown;
 mod sockets;
 mod startup;
+mod unsolicited_bytes;
 
 pub use environment::Environment;
 pub use error::GatewayError;
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -87,7 +87,7 @@
     pub fn report_completed(&mut self, now: Time, delivery: &mut DeliveryState) {
         for completed in self.requests.take_completed() {
             trace_completed(now, &completed, delivery);
-            let CompletedAttempt { attempt, result } = completed;
+            let CompletedAttempt { attempt, result, .. } = completed;
             delivery.log.record(Record::AttemptCompleted {
                 message_number: attempt.message.0,
                 may_have_run: result.outcome.may_have_run(),
@@ -112,6 +112,8 @@
                 message_id = attempt.message.0,
                 destination = message.destination,
                 attempt = attempt.number,
+                connection = ?self.requests.connection(attempt).map(|connection| connection.0),
+                reused = self.requests.is_connection_reused(attempt),
                 ?time_left,
                 "request sent"
             );
@@ -235,7 +237,7 @@
 }
 
 fn trace_completed(now: Time, completed: &CompletedAttempt, delivery: &DeliveryState) {
-    let CompletedAttempt { attempt, result } = completed;
+    let CompletedAttempt { attempt, connection, result } = completed;
     let Some(message) = delivery.log.message(attempt.message) else { return };
     let elapsed_ms =
         message.open_attempt.map_or(0, |start| now.0.saturating_sub(start.started_at) / 1_000_000);
@@ -245,6 +247,7 @@
         class = message.class,
         destination = message.destination,
         attempt = attempt.number,
+        connection = ?connection.map(|connection| connection.0),
         outcome = ?result.outcome,
         rate_limit = ?result.rate_limit,
         elapsed_ms,
--- a/crates/resp-gateway/src/sockets/tests.rs
+++ b/crates/resp-gateway/src/sockets/tests.rs
@@ -28,6 +28,7 @@
     let (mut requests, now) = (Requests::new(limits), Time::ZERO + SECOND);
     let (attempt, endpoint) = (Attempt { message: MessageId(1), number: 0 }, EndpointId(1));
     requests.connect(now, attempt, endpoint, listener.local_addr().unwrap(), &mut Sockets(&mut net));
+    let connection = requests.connection(attempt);
     let (mut stream, _) = listener.accept().unwrap();
     while requests.take_connected().is_empty() {
         for event in net.poll(Some(SECOND)).unwrap() {
@@ -68,5 +69,5 @@
     let retry_after = Duration::from_millis(2500);
     assert_eq!(requests.take_retry_after(), [RetryAfter { endpoint, delay: retry_after }]);
     let result = TransportOutcome::Rejected(Some(retry_after)).into();
-    assert_eq!(requests.take_completed(), [CompletedAttempt { attempt, result }]);
+    assert_eq!(requests.take_completed(), [CompletedAttempt { attempt, connection, result }]);
 }
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -15,6 +15,7 @@
 use crate::outgoing_requests::OutgoingRequests;
 use crate::recovery::recover_messages;
 use crate::shutdown::RunState;
+use crate::unsolicited_bytes::UnsolicitedCounter;
 use cloverstile::Settings;
 use cloverstile_engine::{Engine, ResultCacheLimits};
 #[cfg(feature = "planted-defects")]
@@ -105,7 +106,8 @@
         info!(name = %config.name, %address, recovered_messages, wall_clock_ahead_ms, "ready");
         let configuration = ConfigurationFile::new(environment.config_path.clone());
         let run_state = RunState::Serving { listener };
-        Ok(Some(Gateway { clock, net, configuration, discovery, pipeline, run_state }))
+        let unsolicited = UnsolicitedCounter::default();
+        Ok(Some(Gateway { clock, net, configuration, discovery, pipeline, run_state, unsolicited }))
     }
 }
 
