Reuse a connection only when it is quiet, and look at its socket before writing

Cause: a connection was used again at once after a response, and a response names no request. A second copy of it behind the next request's last byte was credited to that request; from then on each response was credited to the request behind its own. Bytes that were in the socket ahead of the last byte were not seen either, as the socket is read in the poll alone.

A reused connection is read once more ahead of the first bytes and ahead of the last one (Transport::receive_now): what came by then closes it, and the attempt goes out on a new one. Where its start is in the log already, that is withdrawn there. Why this works: a copy up to the quiet period behind its response has come by the time of the last read, however long the process was held up since, and nothing that ran is lost, as an endpoint begins with the last byte.

--- a/crates/net/src/connection.rs
+++ b/crates/net/src/connection.rs
@@ -52,7 +52,8 @@
     Broken,
 }
 
-/// Result of reading a connection once in a poll.
+/// Result of reading a connection once.
+#[derive(Debug, Default)]
 pub struct ReadResult {
     /// The bytes received, in order; empty if none had arrived.
     pub bytes: Vec<u8>,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -29,6 +29,7 @@
 mod retries;
 
 pub use calloop::signals::Signal as SignalKind;
+pub use connection::{ReadResult, StreamEnd};
 pub use event::{ConnId, ListenerId, NetEvent};
 pub use net::{Net, Waker};
 
--- a/crates/net/src/net.rs
+++ b/crates/net/src/net.rs
@@ -1,6 +1,6 @@
 //! All connections and listeners of one thread, and polling their event loop.
 
-use crate::connection::{Connection, ConnectionState, ReadState, StreamEnd};
+use crate::connection::{Connection, ConnectionState, ReadResult, ReadState, StreamEnd};
 use crate::event::{ConnId, ListenerId, NetEvent};
 use crate::lingering::LingerQueue;
 use crate::listener::{Listener, LISTENER_PAUSE};
@@ -124,6 +124,19 @@
         self.connections.get(&id).map_or(0, Connection::unsent_bytes)
     }
 
+    /// Reads what has arrived on a connection until this moment, without waiting for the next poll. These bytes and this end
+    /// are not reported as events; after an end the caller closes the connection. Nothing is read from a connection that is
+    /// unknown, not established or closed for reading.
+    pub fn receive_now(&mut self, id: ConnId) -> ReadResult {
+        let may_read = |connection: &&Connection| {
+            connection.state == ConnectionState::Open && connection.read_state != ReadState::Ended
+        };
+        self.connections
+            .get(&id)
+            .filter(may_read)
+            .map_or_else(ReadResult::default, Connection::read_available)
+    }
+
     /// Whether a connection is known and not in lingering close.
     pub fn is_open(&self, id: ConnId) -> bool {
         self.connections.get(&id).is_some_and(|connection| !connection.is_lingering())
--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -1,7 +1,8 @@
 //! The pool of connections to endpoints, with the state of each connection.
 //!
-//! A connection carries one request at a time. After a complete response it is idle and can be reused for the same
-//! endpoint; the most recently used connection is reused first.
+//! A connection carries one request at a time. After a complete response it is idle and, once it has been quiet for a
+//! while, can be reused for the same endpoint. Of these the most recently used one is reused first: it is the least likely
+//! to be closed by the endpoint, and the others reach their idle timeout.
 
 use crate::response::ResponseReader;
 use crate::transport::{ConnectionId, Transport};
@@ -122,6 +123,11 @@
             _ => None,
         }
     }
+
+    /// Whether the last response on the connection is at least this long ago.
+    fn is_quiet(&self, now: Time, quiet_period: Duration) -> bool {
+        self.response_at.is_none_or(|response_at| response_at + quiet_period <= now)
+    }
 }
 
 /// All connections to endpoints, at most `max_connections` at once.
@@ -165,12 +171,7 @@
     /// Removes a connection from the pool without closing it.
     pub fn remove(&mut self, id: ConnectionId) -> Option<Connection> {
         let connection = self.connections.remove(&id)?;
-        if let Some(idle) = self.idle.get_mut(&connection.endpoint) {
-            idle.retain(|other| *other != id);
-            if idle.is_empty() {
-                self.idle.remove(&connection.endpoint);
-            }
-        }
+        self.remove_idle(connection.endpoint, id);
         Some(connection)
     }
 
@@ -180,28 +181,40 @@
         transport.close(id);
     }
 
-    /// Takes an idle connection to an endpoint at this address for another request. Closes those that it finds at
-    /// another address or past their idle timeout.
+    /// Takes an idle connection to an endpoint at this address for another request: of those without a response in the
+    /// last `quiet_period` the one used last. Closes those that it finds at another address or past their idle timeout.
     pub fn take_idle(
         &mut self,
         now: Time,
         endpoint: EndpointId,
         address: SocketAddr,
+        quiet_period: Duration,
         transport: &mut impl Transport,
     ) -> Option<ConnectionId> {
-        while let Some(id) = self.idle.get_mut(&endpoint).and_then(Vec::pop) {
+        for id in self.idle.get(&endpoint).cloned().unwrap_or_default().into_iter().rev() {
             let Some(connection) = self.connections.get(&id) else { continue };
             // The endpoint may be about to close a connection that is past its idle timeout.
             let is_expired =
                 matches!(connection.state, ConnectionState::Idle { timeout_at } if timeout_at <= now);
-            if !is_expired && connection.address == address {
+            if is_expired || connection.address != address {
+                self.close(id, transport);
+            } else if connection.is_quiet(now, quiet_period) {
+                self.remove_idle(endpoint, id);
                 return Some(id);
             }
-            self.close(id, transport);
         }
         None
     }
 
+    /// Removes a connection from the idle ones.
+    fn remove_idle(&mut self, endpoint: EndpointId, id: ConnectionId) {
+        let Some(idle) = self.idle.get_mut(&endpoint) else { return };
+        idle.retain(|other| *other != id);
+        if idle.is_empty() {
+            self.idle.remove(&endpoint);
+        }
+    }
+
     /// Marks a connection as idle, which makes it available for another request.
     pub fn make_idle(&mut self, now: Time, id: ConnectionId) {
         let timeout_at = now + self.idle_timeout.mul_f64(IDLE_TIMEOUT_FRACTION);
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -8,6 +8,7 @@
 //! fails before then was never processed.
 
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
+use crate::connection_reuse::ReusePolicy;
 use crate::response::{AttemptResult, ConnectionReuse, LoadReportFields, ResponseProgress, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{
@@ -64,6 +65,7 @@
 /// All requests in flight. Events are queued until the caller takes them with one of the `take_` methods.
 pub struct Requests {
     pool: ConnectionPool,
+    reuse: ReusePolicy,
     connect_timeout: Duration,
     report_fields: LoadReportFields,
     /// Connection of each attempt that has no outcome yet.
@@ -80,6 +82,7 @@
     pub fn new(limits: ConnectionLimits) -> Self {
         Requests {
             pool: ConnectionPool::new(limits.idle_timeout, limits.max_connections),
+            reuse: ReusePolicy::default(),
             connect_timeout: limits.connect_timeout,
             report_fields: limits.report_fields,
             attempts: HashMap::new(),
@@ -141,7 +144,8 @@
         address: SocketAddr,
         transport: &mut impl Transport,
     ) {
-        let idle = self.pool.take_idle(now, endpoint, address, transport);
+        let quiet_period = self.reuse.quiet_period(now);
+        let idle = self.pool.take_idle(now, endpoint, address, quiet_period, transport);
         if let Some((id, connection)) = idle.and_then(|id| Some((id, self.pool.get_mut(id)?))) {
             let phase = RequestPhase::Connected;
             connection.state =
@@ -182,7 +186,8 @@
         self.pool.insert(id, connection);
     }
 
-    /// Writes the request of a connected attempt except for its last byte.
+    /// Writes the request of a connected attempt except for its last byte, unless its connection turns out to be unusable
+    /// (see [`Requests::is_silent`]).
     pub fn send_all_but_last_byte(
         &mut self,
         now: Time,
@@ -191,6 +196,9 @@
         transport: &mut impl Transport,
     ) {
         let Some((last_byte, first_bytes)) = bytes.split_last() else { return };
+        if !self.is_silent(now, attempt, transport) {
+            return;
+        }
         let Some(&id) = self.attempts.get(&attempt) else { return };
         let Some(request) = self.pool.get_mut(id).and_then(Connection::active) else { return };
         if let RequestPhase::Connected = request.phase {
@@ -200,6 +208,27 @@
         }
     }
 
+    /// Whether a reused connection has received nothing since its last response, as far as the socket tells in this very
+    /// moment; always true for a new connection. Bytes on it are not the response to a request that is not written yet, but
+    /// would be taken for it later. If there are any, or the connection has ended, the attempt continues on a new
+    /// connection or ends as a failed connect; if its start is in the log, that has to be withdrawn.
+    pub fn is_silent(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) -> bool {
+        let Some(&id) = self.attempts.get(&attempt) else { return true };
+        if !self.is_connection_reused(attempt) {
+            return true;
+        }
+        let received = transport.receive_now(id);
+        if !received.bytes.is_empty() {
+            self.on_bytes(now, id, &received.bytes, transport);
+            return false;
+        }
+        if received.has_ended {
+            transport.close(id);
+            self.on_closed(now, id, false, transport);
+        }
+        !received.has_ended
+    }
+
     /// Writes the last byte of an attempt that is ready to commit. The attempt must already be recorded in the log.
     pub fn commit(&mut self, attempt: Attempt, transport: &mut impl Transport) {
         let Some(&id) = self.attempts.get(&attempt) else { return };
@@ -397,12 +426,16 @@
         bytes: &[u8],
     ) {
         let Some(pooled) = self.pool.get(connection) else { return };
+        let since_response = time_since(now, pooled.response_at);
+        if let Some(since_response) = since_response {
+            self.reuse.on_unsolicited(now, since_response);
+        }
         self.unsolicited.push(UnsolicitedBytes {
             connection,
             source: UnsolicitedSource::Endpoint(pooled.endpoint),
             byte_count: bytes.len(),
             status: response_status(bytes),
-            since_response: time_since(now, pooled.response_at),
+            since_response,
             phase,
             attempt: Some(pooled.last_attempt),
         });
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod client_request;
 mod client_sessions;
 mod config;
+mod connection_reuse;
 mod endpoint_list;
 mod endpoint_watch;
 mod notifications;
--- a/crates/platform/tests/platform/support.rs
+++ b/crates/platform/tests/platform/support.rs
@@ -1,7 +1,8 @@
 //! A transport that records operations on connections, and helpers that build times and addresses.
 
 use cloverstile::Time;
-use cloverstile_platform::{ConnectionId, Transport};
+use cloverstile_platform::{ConnectionId, ReceivedNow, Transport};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
     pub written: Vec<(ConnectionId, String)>,
     pub shut_down: Vec<ConnectionId>,
     pub closed: Vec<ConnectionId>,
+    /// What the next read outside of the event loop finds on a connection.
+    pub unread: HashMap<ConnectionId, ReceivedNow>,
 }
 
 impl FakeTransport {
@@ -29,6 +32,9 @@
     fn write(&mut self, connection: ConnectionId, bytes: &[u8]) {
         self.written.push((connection, String::from_utf8_lossy(bytes).into_owned()));
     }
+    fn receive_now(&mut self, connection: ConnectionId) -> ReceivedNow {
+        self.unread.remove(&connection).unwrap_or_default()
+    }
     fn shutdown_write(&mut self, connection: ConnectionId) {
         self.shut_down.push(connection);
     }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -169,14 +169,18 @@
     }
 
     /// Sends the last bytes of the requests whose start is now in the log. `now` is the time after the log write, which may
-    /// have taken long: requests that may no longer be sent are withdrawn.
+    /// have taken long: requests that may no longer be sent are withdrawn, and those whose connection can't be used any more
+    /// go out on another one.
     pub fn commit(&mut self, now: Time, delivery: &mut DeliveryState, sockets: &mut Sockets<'_>) {
         for attempt in std::mem::take(&mut self.uncommitted) {
-            if delivery.engine.may_send_now(now, attempt) {
+            if !delivery.engine.may_send_now(now, attempt) {
+                self.withdraw(now, attempt, delivery, sockets);
+            } else if self.requests.is_silent(now, attempt, sockets) {
                 delivery.engine.set_attempt_started(attempt, true);
                 self.requests.commit(attempt, sockets);
             } else {
-                self.withdraw(now, attempt, delivery, sockets);
+                let message_number = attempt.message.0;
+                delivery.log.record(Record::AttemptWithdrawn { message_number });
             }
         }
     }
--- a/crates/resp-gateway/src/sockets.rs
+++ b/crates/resp-gateway/src/sockets.rs
@@ -1,7 +1,7 @@
 //! Implements the [`Transport`] of the platform's state machines on TCP sockets.
 
-use cloverstile_net::{ConnId, Net};
-use cloverstile_platform::{ConnectionId, Transport};
+use cloverstile_net::{ConnId, Net, ReadResult};
+use cloverstile_platform::{ConnectionId, ReceivedNow, Transport};
 use std::net::SocketAddr;
 
 /// Converts the event loop's id of a connection to that of the platform's state machines.
@@ -24,6 +24,10 @@
     fn write(&mut self, connection: ConnectionId, bytes: &[u8]) {
         self.0.send(socket_id(connection), bytes);
     }
+    fn receive_now(&mut self, connection: ConnectionId) -> ReceivedNow {
+        let ReadResult { bytes, end } = self.0.receive_now(socket_id(connection));
+        ReceivedNow { bytes, has_ended: end.is_some() }
+    }
     fn shutdown_write(&mut self, connection: ConnectionId) {
         self.0.shutdown_write(socket_id(connection));
     }
