Credit a response that may be a copy only if nothing follows it; distrust its endpoint

Cause: nothing counted responses against requests. A copy that comes later than the quiet period can still fall behind the next request's last byte.

Change: an endpoint that sent unsolicited bytes is distrusted for a minute. A response of it on a reused connection that equals the one before on that connection (digest of all its bytes) is held: it counts if nothing follows for the quiet period, or for the longest response time known of that endpoint, a second at most; if something follows, the attempt may have run (Error), and the connection is closed. The same holds for an equal response in under half of the shortest of 20 or more response times of that endpoint. Two equal responses in one read on a reused connection leave the attempt in doubt as well. Unrepeatable messages get new connections to a distrusted endpoint. The copy of a 429 is no new wait. An unsolicited 408 is no reason for distrust. Why this works: the connection carries nothing while a response is in doubt, so that the true response of the same request shows up behind a copy and can't be credited to another one. A doubt outlives the process: the log has the attempt as started.

What is left: an equal copy that comes later than the quiet period, from an endpoint that never sent one to this process, at a plausible time. It costs the message that it crosses.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -149,6 +149,12 @@
         self.state.messages.get(id).map(|record| record.idempotency_key.as_str())
     }
 
+    /// What a second delivery of a message does; `None` if the message or its class is unknown.
+    pub fn effect(&self, id: MessageId) -> Option<Effect> {
+        let class = self.state.messages.get(id)?.class_settings(&self.state.settings)?;
+        Some(class.effect)
+    }
+
     /// Whether a message is known and has no final outcome. Nothing may be sent for a message that is not pending.
     pub fn is_pending(&self, id: MessageId) -> bool {
         self.state.messages.is_pending(id)
--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -4,7 +4,7 @@
 //! while, can be reused for the same endpoint. Of these the most recently used one is reused first: it is the least likely
 //! to be closed by the endpoint, and the others reach their idle timeout.
 
-use crate::response::ResponseReader;
+use crate::response::{AttemptResult, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::Attempt;
@@ -41,6 +41,8 @@
     Committed {
         /// Whether the transport has passed the whole request to the operating system.
         flushed: bool,
+        /// When the last byte was written.
+        committed_at: Time,
     },
 }
 
@@ -56,6 +58,16 @@
 pub(crate) enum ConnectionState {
     /// The connection carries an attempt that has no outcome yet.
     Active(ActiveRequest),
+    /// The response is complete, but may be a copy of the one before it. It counts if nothing follows it.
+    Unconfirmed {
+        attempt: Attempt,
+        /// The result if it counts.
+        result: AttemptResult,
+        /// Time from the last byte of the request to the response.
+        response_time: Duration,
+        /// When it counts.
+        timeout_at: Time,
+    },
     /// The attempt's outcome is known, but the response is incomplete.
     ReadingRemainder {
         /// When the connection is closed.
@@ -85,6 +97,7 @@
                 | RequestPhase::ReadyToCommit { .. }
                 | RequestPhase::Committed { .. } => None,
             },
+            ConnectionState::Unconfirmed { timeout_at, .. } => Some(*timeout_at),
             _ => self.eviction_time(),
         }
     }
@@ -92,7 +105,7 @@
     /// When the timeout closes a connection that has no active attempt; none for one that has, which is never evicted.
     fn eviction_time(&self) -> Option<Time> {
         match self {
-            ConnectionState::Active(_) => None,
+            ConnectionState::Active(_) | ConnectionState::Unconfirmed { .. } => None,
             ConnectionState::ReadingRemainder { timeout_at }
             | ConnectionState::Abandoned { timeout_at }
             | ConnectionState::Idle { timeout_at } => Some(*timeout_at),
@@ -111,6 +124,8 @@
     pub is_reused: bool,
     /// When its last complete response was read.
     pub response_at: Option<Time>,
+    /// Digest of the last complete response.
+    pub previous_response: Option<u64>,
     /// The attempt that it carries, or that it carried last.
     pub last_attempt: Attempt,
 }
@@ -124,6 +139,22 @@
         }
     }
 
+    /// Whether what was read is a complete response that equals the one before it on this connection.
+    pub fn is_possible_copy(&self) -> bool {
+        self.previous_response.is_some() && self.previous_response == self.reader.digest()
+    }
+
+    /// Time from the last byte of the request in flight until `now`; none if it was not written.
+    pub fn response_time(&self, now: Time) -> Option<Duration> {
+        match &self.state {
+            ConnectionState::Active(ActiveRequest {
+                phase: RequestPhase::Committed { committed_at, .. },
+                ..
+            }) => Some(now - *committed_at),
+            _ => None,
+        }
+    }
+
     /// Whether the last response on the connection is at least this long ago.
     fn is_quiet(&self, now: Time, quiet_period: Duration) -> bool {
         self.response_at.is_none_or(|response_at| response_at + quiet_period <= now)
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`notifications`] | messages that the platform must be notified of, until it acknowledges them |
 //! | [`response`] | an endpoint's response: outcome, whether it may have run, reuse of the connection |
 //! | `connection_pool` | connections to endpoints and their states |
-//! | `connection_reuse` | when a connection may carry another request |
+//! | [`connection_reuse`] | when a connection may carry another request, and which responses count at once |
 //! | [`requests`] | requests to endpoints, from an attempt to its result |
 //! | [`unsolicited`] | bytes of an endpoint that answer no request, as events for the log |
 //! | [`shutdown`] | phases of a graceful shutdown |
@@ -30,7 +30,7 @@
 pub mod client_sessions;
 pub mod config;
 mod connection_pool;
-mod connection_reuse;
+pub mod connection_reuse;
 mod discovery_connection;
 pub mod endpoint_list;
 pub mod endpoint_list_response;
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -8,7 +8,7 @@
 //! fails before then was never processed.
 
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
-use crate::connection_reuse::ReusePolicy;
+use crate::connection_reuse::{Repeatability, ReusePolicy};
 use crate::response::{AttemptResult, ConnectionReuse, LoadReportFields, ResponseProgress, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{
@@ -29,6 +29,14 @@
 /// attempt.
 const REMAINDER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// What a response gives its attempt.
+enum Credit {
+    /// This result.
+    Certain(AttemptResult),
+    /// This result, if nothing follows until the time-out: the response may be a copy of the one before it.
+    Unconfirmed { result: AttemptResult, response_time: Duration, timeout_at: Time },
+}
+
 /// Limits on connections to endpoints, and the load report fields to read from responses.
 #[derive(Clone, Debug)]
 pub struct ConnectionLimits {
@@ -53,6 +61,17 @@
     pub result: AttemptResult,
 }
 
+/// Where a request goes, and what may become of its message.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestTarget {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its address in the endpoint list.
+    pub address: SocketAddr,
+    /// Whether the message may be sent again after an attempt that may have taken effect.
+    pub repeatability: Repeatability,
+}
+
 /// A `Retry-After` received from an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct RetryAfter {
@@ -140,12 +159,16 @@
         &mut self,
         now: Time,
         attempt: Attempt,
-        endpoint: EndpointId,
-        address: SocketAddr,
+        target: RequestTarget,
         transport: &mut impl Transport,
     ) {
+        let RequestTarget { endpoint, address, repeatability } = target;
         let quiet_period = self.reuse.quiet_period(now);
-        let idle = self.pool.take_idle(now, endpoint, address, quiet_period, transport);
+        let idle = if self.reuse.allows_reuse(now, endpoint, repeatability) {
+            self.pool.take_idle(now, endpoint, address, quiet_period, transport)
+        } else {
+            None
+        };
         if let Some((id, connection)) = idle.and_then(|id| Some((id, self.pool.get_mut(id)?))) {
             let phase = RequestPhase::Connected;
             connection.state =
@@ -181,6 +204,7 @@
             reader: ResponseReader::new(),
             is_reused: false,
             response_at: None,
+            previous_response: None,
             last_attempt,
         };
         self.pool.insert(id, connection);
@@ -230,11 +254,11 @@
     }
 
     /// Writes the last byte of an attempt that is ready to commit. The attempt must already be recorded in the log.
-    pub fn commit(&mut self, attempt: Attempt, transport: &mut impl Transport) {
+    pub fn commit(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) {
         let Some(&id) = self.attempts.get(&attempt) else { return };
         let Some(request) = self.pool.get_mut(id).and_then(Connection::active) else { return };
         if let RequestPhase::ReadyToCommit { last_byte } = request.phase {
-            request.phase = RequestPhase::Committed { flushed: false };
+            request.phase = RequestPhase::Committed { flushed: false, committed_at: now };
             transport.write(id, &[last_byte]);
         }
     }
@@ -327,6 +351,7 @@
         address: impl Fn(EndpointId) -> Option<SocketAddr>,
         transport: &mut impl Transport,
     ) {
+        self.reuse.retain_listed(|endpoint| address(endpoint).is_some());
         self.pool.retain_listed(address, transport);
     }
 
@@ -347,7 +372,7 @@
     /// Handles the report that all bytes written on a connection were passed to the operating system.
     pub fn on_flushed(&mut self, connection: ConnectionId) {
         let Some(request) = self.pool.get_mut(connection).and_then(Connection::active) else { return };
-        if let RequestPhase::Committed { flushed } = &mut request.phase {
+        if let RequestPhase::Committed { flushed, .. } = &mut request.phase {
             *flushed = true;
         }
     }
@@ -363,7 +388,15 @@
         transport: &mut impl Transport,
     ) {
         let Some(mut closed) = self.pool.remove(connection) else { return };
-        let ConnectionState::Active(request) = closed.state else { return };
+        let request = match closed.state {
+            ConnectionState::Active(request) => request,
+            // The end of the connection is no further response.
+            ConnectionState::Unconfirmed { attempt, result, .. } => {
+                self.attempts.remove(&attempt);
+                return self.complete(attempt, Some(connection), result);
+            }
+            _ => return,
+        };
         let attempt = request.attempt;
         self.detach(attempt);
         let result = match request.phase {
@@ -377,7 +410,7 @@
                 let request = ActiveRequest { attempt, phase, stale_connections };
                 return self.open_connection(request, closed.endpoint, closed.address, transport);
             }
-            RequestPhase::Committed { flushed: true } => closed.reader.end(clean, &self.report_fields),
+            RequestPhase::Committed { flushed: true, .. } => closed.reader.end(clean, &self.report_fields),
             // The request was not written completely, so it was never processed.
             _ => Some(TransportOutcome::ConnectFailed.into()),
         };
@@ -395,14 +428,28 @@
         transport: &mut impl Transport,
     ) {
         let Some(pooled) = self.pool.get_mut(connection) else { return };
-        if let ConnectionState::Idle { .. } = pooled.state {
+        match pooled.state {
             // No request is outstanding. A duplicate response or garbage would be taken for the next response.
-            self.record_unsolicited(now, connection, UnsolicitedPhase::Idle, bytes);
-            return self.pool.close(connection, transport);
+            ConnectionState::Idle { .. } => {
+                self.record_unsolicited(now, connection, UnsolicitedPhase::Idle, bytes);
+                return self.pool.close(connection, transport);
+            }
+            // Two responses to one request: which of them is the copy is not known.
+            ConnectionState::Unconfirmed { attempt, .. } => {
+                self.record_unsolicited(now, connection, UnsolicitedPhase::AfterResponse, bytes);
+                self.attempts.remove(&attempt);
+                self.complete(attempt, Some(connection), TransportOutcome::Error.into());
+                return self.pool.close(connection, transport);
+            }
+            _ => {}
         }
         let progress = pooled.reader.on_bytes(Duration::from_nanos(now.0), bytes, &self.report_fields);
         let endpoint = pooled.endpoint;
-        self.retry_after.extend(progress.retry_after.map(|delay| RetryAfter { endpoint, delay }));
+        let is_unwritten = pooled.active().is_some() && pooled.response_time(now).is_none();
+        // The wait that a copy states has been counted already.
+        if !(is_unwritten && pooled.is_possible_copy()) {
+            self.retry_after.extend(progress.retry_after.map(|delay| RetryAfter { endpoint, delay }));
+        }
         match pooled.active().map(|request| &request.phase) {
             Some(RequestPhase::Committed { .. }) | None => {
                 self.on_response(now, connection, &progress, transport);
@@ -427,14 +474,15 @@
     ) {
         let Some(pooled) = self.pool.get(connection) else { return };
         let since_response = time_since(now, pooled.response_at);
+        let status = response_status(bytes);
         if let Some(since_response) = since_response {
-            self.reuse.on_unsolicited(now, since_response);
+            self.reuse.on_unsolicited(now, pooled.endpoint, since_response, status);
         }
         self.unsolicited.push(UnsolicitedBytes {
             connection,
             source: UnsolicitedSource::Endpoint(pooled.endpoint),
             byte_count: bytes.len(),
-            status: response_status(bytes),
+            status,
             since_response,
             phase,
             attempt: Some(pooled.last_attempt),
@@ -442,15 +490,17 @@
     }
 
     /// Records bytes that followed a response in the same read.
-    fn record_surplus(&mut self, connection: ConnectionId) {
+    fn record_surplus(&mut self, now: Time, connection: ConnectionId) {
         let Some(pooled) = self.pool.get(connection) else { return };
         let byte_count = pooled.reader.surplus_bytes();
         if byte_count > 0 {
+            let status = pooled.reader.surplus_status();
+            self.reuse.on_unsolicited(now, pooled.endpoint, Duration::ZERO, status);
             self.unsolicited.push(UnsolicitedBytes {
                 connection,
                 source: UnsolicitedSource::Endpoint(pooled.endpoint),
                 byte_count,
-                status: pooled.reader.surplus_status(),
+                status,
                 since_response: Some(Duration::ZERO),
                 phase: UnsolicitedPhase::AfterResponse,
                 attempt: Some(pooled.last_attempt),
@@ -458,6 +508,31 @@
         }
     }
 
+    /// What the bytes read so far give the attempt on a connection; none if they give it no result.
+    fn credit(&mut self, now: Time, connection: ConnectionId, progress: &ResponseProgress) -> Option<Credit> {
+        let result = progress.result?;
+        let pooled = self.pool.get(connection)?;
+        let Some(response_time) = pooled.response_time(now) else { return Some(Credit::Certain(result)) };
+        let endpoint = pooled.endpoint;
+        if !pooled.is_possible_copy() {
+            if result.outcome == TransportOutcome::Processed {
+                self.reuse.on_response(endpoint, response_time);
+            }
+            return Some(Credit::Certain(result));
+        }
+        if pooled.reader.surplus_bytes() > 0 {
+            // One of the two may be a copy of the response before.
+            return Some(Credit::Certain(TransportOutcome::Error.into()));
+        }
+        if progress.reuse == ConnectionReuse::Reusable
+            && self.reuse.needs_confirmation(now, endpoint, response_time)
+        {
+            let timeout_at = now + self.reuse.confirmation_time(now, endpoint);
+            return Some(Credit::Unconfirmed { result, response_time, timeout_at });
+        }
+        Some(Credit::Certain(result))
+    }
+
     /// Reports the attempt's result once the response gives it, and closes the connection or returns it to the pool.
     fn on_response(
         &mut self,
@@ -466,19 +541,30 @@
         progress: &ResponseProgress,
         transport: &mut impl Transport,
     ) {
+        let credit = self.credit(now, connection, progress);
         let Some(pooled) = self.pool.get_mut(connection) else { return };
         let is_request_sent = is_request_sent(&pooled.state);
         let is_abandoned = matches!(pooled.state, ConnectionState::Abandoned { .. });
         let attempt = pooled.active().map(|request| request.attempt);
         if progress.reuse != ConnectionReuse::Incomplete {
             pooled.response_at = Some(now);
+            pooled.previous_response = pooled.reader.digest();
         }
-        if let (Some(result), Some(attempt)) = (progress.result, attempt) {
-            pooled.state = ConnectionState::ReadingRemainder { timeout_at: now + REMAINDER_TIMEOUT };
-            self.attempts.remove(&attempt);
-            self.complete(attempt, Some(connection), result);
+        if let (Some(credit), Some(attempt)) = (credit, attempt) {
+            match credit {
+                Credit::Certain(result) => {
+                    pooled.state = ConnectionState::ReadingRemainder { timeout_at: now + REMAINDER_TIMEOUT };
+                    self.attempts.remove(&attempt);
+                    self.complete(attempt, Some(connection), result);
+                }
+                Credit::Unconfirmed { result, response_time, timeout_at } => {
+                    pooled.state =
+                        ConnectionState::Unconfirmed { attempt, result, response_time, timeout_at };
+                    return;
+                }
+            }
         }
-        self.record_surplus(connection);
+        self.record_surplus(now, connection);
         match progress.reuse {
             // The remaining bytes of the response would add nothing.
             _ if is_abandoned && (progress.result.is_some() || progress.retry_after.is_some()) => {
@@ -500,13 +586,28 @@
     /// Marks attempts whose last byte was held long enough as ready to commit, and closes connections that timed out.
     pub fn on_tick(&mut self, now: Time, transport: &mut impl Transport) {
         for id in self.pool.timed_out(now) {
-            if !self.release_last_byte(id) {
+            if !self.release_last_byte(id) && !self.confirm(now, id) {
                 transport.close(id);
                 self.on_closed(now, id, false, transport);
             }
         }
     }
 
+    /// Reports the result of an unconfirmed response that nothing followed; returns whether there was one.
+    fn confirm(&mut self, now: Time, connection: ConnectionId) -> bool {
+        let Some(pooled) = self.pool.get(connection) else { return false };
+        let ConnectionState::Unconfirmed { attempt, result, response_time, .. } = pooled.state else {
+            return false;
+        };
+        if result.outcome == TransportOutcome::Processed {
+            self.reuse.on_response(pooled.endpoint, response_time);
+        }
+        self.attempts.remove(&attempt);
+        self.complete(attempt, Some(connection), result);
+        self.pool.make_idle(now, connection);
+        true
+    }
+
     /// Marks the attempt on a connection as ready to commit if its last byte is held; returns whether it was.
     fn release_last_byte(&mut self, connection: ConnectionId) -> bool {
         let Some(request) = self.pool.get_mut(connection).and_then(Connection::active) else { return false };
@@ -521,9 +622,11 @@
 fn is_request_sent(state: &ConnectionState) -> bool {
     match state {
         ConnectionState::Active(request) => {
-            matches!(request.phase, RequestPhase::Committed { flushed: true })
+            matches!(request.phase, RequestPhase::Committed { flushed: true, .. })
         }
-        ConnectionState::ReadingRemainder { .. } | ConnectionState::Abandoned { .. } => true,
+        ConnectionState::Unconfirmed { .. }
+        | ConnectionState::ReadingRemainder { .. }
+        | ConnectionState::Abandoned { .. } => true,
         ConnectionState::Idle { .. } => false,
     }
 }
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -19,6 +19,7 @@
 use cloverstile::RateLimitStatus;
 use cloverstile_engine::TransportOutcome;
 use cloverstile_http::{DecodedItem, Decoder, Headers, Limits, Message, StartLine};
+use std::hash::{DefaultHasher, Hasher};
 use std::time::Duration;
 
 /// Maximum `Retry-After`; longer values are reduced to it.
@@ -81,6 +82,8 @@
     has_reported_retry_after: bool,
     /// Whether the final response was read to its end.
     is_complete: bool,
+    /// Digest of the bytes of the response, without surplus bytes.
+    digest: DefaultHasher,
 }
 
 impl Default for ResponseReader {
@@ -99,6 +102,7 @@
             has_reported_result: false,
             has_reported_retry_after: false,
             is_complete: false,
+            digest: DefaultHasher::new(),
         }
     }
 
@@ -111,6 +115,11 @@
         }
     }
 
+    /// Digest of the bytes of the response, by which two responses can be compared once both are complete; none before.
+    pub fn digest(&self) -> Option<u64> {
+        self.is_complete.then(|| self.digest.finish())
+    }
+
     /// Status in the status line that begins the surplus bytes, if they begin with one.
     pub fn surplus_status(&self) -> Option<u16> {
         self.decoder.status().filter(|_| self.is_complete)
@@ -125,12 +134,15 @@
     pub fn on_bytes(&mut self, clock: Duration, bytes: &[u8], fields: &LoadReportFields) -> ResponseProgress {
         self.decoder.feed(clock, bytes);
         let next = self.decoder.next(clock);
+        if let Ok(Some(DecodedItem::Message(_))) = next {
+            self.is_complete = true;
+        }
+        self.digest.write(&bytes[..bytes.len().saturating_sub(self.surplus_bytes())]);
         let is_processed = self.decoder.status() == Some(200);
         let rejection = self.decoder.head().filter(|(status, _)| is_rejection(*status));
         let retry_after_from_head = rejection.and_then(|(_, headers)| retry_after(headers));
         let (result, reuse) = match next {
             Ok(Some(DecodedItem::Message(message))) => {
-                self.is_complete = true;
                 // Surplus bytes after a response would be taken for the response to the next request.
                 let is_reusable = message.keep_alive && self.decoder.buffered_bytes() == 0;
                 let reuse = if is_reusable { ConnectionReuse::Reusable } else { ConnectionReuse::Unusable };
--- a/crates/platform/tests/platform/requests.rs
+++ b/crates/platform/tests/platform/requests.rs
@@ -3,7 +3,8 @@
 use crate::support::{address, at, FakeTransport};
 use cloverstile::{EndpointId, MessageId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
-use cloverstile_platform::requests::{ConnectionLimits, Requests, RetryAfter};
+use cloverstile_platform::connection_reuse::Repeatability;
+use cloverstile_platform::requests::{ConnectionLimits, RequestTarget, Requests, RetryAfter};
 use cloverstile_platform::response::LoadReportFields;
 use cloverstile_platform::ConnectionId;
 use std::time::Duration;
@@ -25,6 +26,11 @@
     })
 }
 
+/// The endpoint at its address, for a message that may be repeated.
+pub fn target() -> RequestTarget {
+    RequestTarget { endpoint: ENDPOINT, address: address(1), repeatability: Repeatability::Repeatable }
+}
+
 /// Sends a complete request on a new connection and returns the connection.
 pub fn send_request(
     requests: &mut Requests,
@@ -32,7 +38,7 @@
     now: Time,
     message: u32,
 ) -> ConnectionId {
-    requests.connect(now, attempt(message), ENDPOINT, address(1), transport);
+    requests.connect(now, attempt(message), target(), transport);
     let connection = ConnectionId(transport.connected.len() as u64);
     requests.on_connected(connection);
     assert_eq!(requests.take_connected(), [attempt(message)]);
@@ -45,7 +51,7 @@
     requests.send_all_but_last_byte(now, attempt(message), b"call", transport);
     requests.on_tick(now + Duration::from_millis(1), transport);
     assert_eq!(requests.take_ready_to_commit(), [attempt(message)]);
-    requests.commit(attempt(message), transport);
+    requests.commit(now + Duration::from_millis(1), attempt(message), transport);
     let last: Vec<&str> = transport.written.iter().rev().take(2).map(|(_, text)| text.as_str()).collect();
     assert_eq!(last, ["l", "cal"]);
 }
@@ -65,7 +71,7 @@
 #[test]
 fn connection_loss_before_the_last_byte_is_a_failed_connect_and_after_it_a_reset() {
     let (mut requests, mut transport) = (requests(9), FakeTransport::default());
-    requests.connect(at(0), attempt(1), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(0), attempt(1), target(), &mut transport);
     requests.on_closed(at(0), ConnectionId(1), false, &mut transport);
     assert_eq!(completed(&mut requests), [(1, TransportOutcome::ConnectFailed)]);
     let connection = send_request(&mut requests, &mut transport, at(0), 2);
@@ -77,7 +83,7 @@
         requests.on_closed(at(0), connection, clean, &mut transport);
         assert_eq!(completed(&mut requests), [(3, TransportOutcome::Reset)]);
     }
-    requests.connect(at(0), attempt(4), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(0), attempt(4), target(), &mut transport);
     requests.on_tick(at(999), &mut transport);
     assert_eq!(completed(&mut requests), []);
     requests.on_tick(at(1000), &mut transport);
@@ -92,8 +98,8 @@
     requests.on_flushed(connection);
     requests.on_bytes(at(10), connection, OK_RESPONSE, &mut transport);
     assert_eq!(completed(&mut requests), [(1, TransportOutcome::Processed)]);
-    requests.connect(at(220), attempt(2), ENDPOINT, address(1), &mut transport);
-    requests.connect(at(220), attempt(3), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(220), attempt(2), target(), &mut transport);
+    requests.connect(at(220), attempt(3), target(), &mut transport);
     assert_eq!(requests.take_connected(), [attempt(2)]);
     assert_eq!(transport.connected.len(), 2);
     write_and_commit(&mut requests, &mut transport, at(220), 2);
@@ -121,7 +127,7 @@
     let connection = send_request(&mut requests, &mut transport, at(3), 2);
     requests.on_flushed(connection);
     requests.on_bytes(at(4), connection, OK_RESPONSE, &mut transport);
-    requests.connect(at(300), attempt(3), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(300), attempt(3), target(), &mut transport);
     assert_eq!(requests.connection(attempt(3)), Some(connection));
     requests.on_bytes(at(300), connection, OK_RESPONSE, &mut transport);
     completed(&mut requests);
@@ -139,7 +145,7 @@
     requests.on_flushed(reused);
     requests.on_bytes(at(5), reused, OK_RESPONSE, &mut transport);
     completed(&mut requests);
-    requests.connect(at(250), attempt(2), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(250), attempt(2), target(), &mut transport);
     assert_eq!(requests.connection(attempt(2)), Some(reused));
     requests.take_connected();
     requests.send_all_but_last_byte(at(250), attempt(2), b"call", &mut transport);
@@ -160,14 +166,14 @@
 #[test]
 fn abort_of_an_uncommitted_request_closes_the_connection_and_reports_not_started() {
     let (mut requests, mut transport) = (requests(9), FakeTransport::default());
-    requests.connect(at(0), attempt(1), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(0), attempt(1), target(), &mut transport);
     requests.on_connected(ConnectionId(1));
     requests.take_connected();
     requests.send_all_but_last_byte(at(0), attempt(1), b"call", &mut transport);
     requests.on_tick(at(1), &mut transport);
     assert_eq!(requests.take_ready_to_commit(), [attempt(1)]);
     requests.abort_before_send(at(1), attempt(1), false, &mut transport);
-    requests.commit(attempt(1), &mut transport);
+    requests.commit(at(0), attempt(1), &mut transport);
     assert_eq!(
         (completed(&mut requests), transport.closed),
         (vec![(1, TransportOutcome::NotStarted)], vec![ConnectionId(1)])
@@ -184,7 +190,7 @@
         (transport.closed.clone(), requests.in_flight(), completed(&mut requests)),
         (vec![connection], 0, vec![])
     );
-    requests.connect(at(1), attempt(2), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(1), attempt(2), target(), &mut transport);
     assert_eq!(transport.connected.len(), 2);
 }
 
@@ -229,10 +235,11 @@
         let connection = send_request(&mut requests, &mut transport, at(0), message);
         requests.on_flushed(connection);
     }
-    requests.connect(at(0), attempt(3), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(0), attempt(3), target(), &mut transport);
     assert_eq!(completed(&mut requests), [(3, TransportOutcome::Unsent)]);
     requests.on_bytes(at(1), ConnectionId(1), OK_RESPONSE, &mut transport);
-    requests.connect(at(2), attempt(4), EndpointId(6), address(2), &mut transport);
+    let other = RequestTarget { endpoint: EndpointId(6), address: address(2), ..target() };
+    requests.connect(at(2), attempt(4), other, &mut transport);
     assert_eq!((transport.closed.clone(), requests.connections()), (vec![ConnectionId(1)], 2));
     requests.on_bytes(at(3), ConnectionId(2), OK_RESPONSE, &mut transport);
     requests.retain_listed(|_| Some(address(1)), &mut transport);
@@ -246,7 +253,7 @@
 #[test]
 fn abort_before_send_reports_not_started_and_reuses_a_connection_with_nothing_written() {
     let (mut requests, mut transport) = (requests(9), FakeTransport::default());
-    requests.connect(at(0), attempt(1), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(0), attempt(1), target(), &mut transport);
     requests.on_connected(ConnectionId(1));
     assert!(requests.targets_listed_endpoint(attempt(1), |_| Some(address(1))));
     assert!(
@@ -260,13 +267,13 @@
         (vec![(1, TransportOutcome::NotStarted)], 0, vec![])
     );
     assert_eq!(transport.written.len() + transport.closed.len(), 0);
-    requests.connect(at(6), attempt(2), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(6), attempt(2), target(), &mut transport);
     assert_eq!((requests.take_connected(), transport.connected.len()), (vec![attempt(2)], 1));
     requests.send_all_but_last_byte(at(6), attempt(2), b"call", &mut transport);
     requests.on_tick(at(7), &mut transport);
     assert_eq!(requests.take_ready_to_commit(), [attempt(2)]);
     requests.abort_before_send(at(7), attempt(2), true, &mut transport);
-    requests.commit(attempt(2), &mut transport);
+    requests.commit(at(0), attempt(2), &mut transport);
     assert_eq!(
         (completed(&mut requests), transport.closed),
         (vec![(2, TransportOutcome::NotStarted)], vec![ConnectionId(1)])
@@ -274,7 +281,7 @@
     assert_eq!(transport.written, [(ConnectionId(1), "cal".to_owned())], "the last byte was written");
     // If the endpoint is no longer listed, the connection is closed.
     let mut transport = FakeTransport { connected: vec![address(1)], ..FakeTransport::default() };
-    requests.connect(at(8), attempt(3), ENDPOINT, address(1), &mut transport);
+    requests.connect(at(8), attempt(3), target(), &mut transport);
     requests.on_connected(ConnectionId(2));
     requests.abort_before_send(at(9), attempt(3), false, &mut transport);
     assert_eq!((transport.closed, requests.connections()), (vec![ConnectionId(2)], 0));
@@ -295,7 +302,7 @@
     requests.on_closed(at(3), connection, false, &mut transport);
     assert_eq!(completed(&mut requests), [(1, TransportOutcome::Reset)]);
     for text in [&rejection_head[..], b"HTTP/1.1 429 Wait\r\nRetry-After: 0.7\r\nContent-Length: 0\r\n\r\n"] {
-        requests.connect(at(4), attempt(2), ENDPOINT, address(1), &mut transport);
+        requests.connect(at(4), attempt(2), target(), &mut transport);
         let connection = ConnectionId(transport.connected.len() as u64);
         requests.on_connected(connection);
         requests.take_connected();
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -7,11 +7,14 @@
 use crate::delivery::DeliveryState;
 use crate::message_record;
 use crate::sockets::Sockets;
-use cloverstile::{EndpointId, Time};
+use cloverstile::{Effect, EndpointId, Time};
 use cloverstile_engine::{Attempt, Engine, TransportOutcome};
 #[cfg(feature = "planted-defects")]
 use cloverstile_fault_injection::{is_planted, PlantedDefect};
-use cloverstile_platform::requests::{CompletedAttempt, ConnectionLimits, Requests, RetryAfter};
+use cloverstile_platform::connection_reuse::Repeatability;
+use cloverstile_platform::requests::{
+    CompletedAttempt, ConnectionLimits, RequestTarget, Requests, RetryAfter,
+};
 use cloverstile_wal::{AttemptStart, Record, UNKNOWN_INDEX};
 use tracing::debug;
 
@@ -68,7 +71,12 @@
                 continue;
             }
             if let Some(address) = delivery.endpoints.address(endpoint) {
-                self.requests.connect(now, attempt, endpoint, address, sockets);
+                let repeatability = match delivery.engine.effect(attempt.message) {
+                    Some(Effect::Safe | Effect::Keyed) => Repeatability::Repeatable,
+                    Some(Effect::Unsafe) | None => Repeatability::Unrepeatable,
+                };
+                let target = RequestTarget { endpoint, address, repeatability };
+                self.requests.connect(now, attempt, target, sockets);
             } else {
                 let outcome = TransportOutcome::NotStarted;
                 delivery.engine.on_attempt_completed(now, attempt, outcome, None);
@@ -177,7 +185,7 @@
                 self.withdraw(now, attempt, delivery, sockets);
             } else if self.requests.is_silent(now, attempt, sockets) {
                 delivery.engine.set_attempt_started(attempt, true);
-                self.requests.commit(attempt, sockets);
+                self.requests.commit(now, attempt, sockets);
             } else {
                 let message_number = attempt.message.0;
                 delivery.log.record(Record::AttemptWithdrawn { message_number });
--- a/crates/resp-gateway/src/sockets/tests.rs
+++ b/crates/resp-gateway/src/sockets/tests.rs
@@ -4,7 +4,10 @@
 use cloverstile::{EndpointId, MessageId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
 use cloverstile_net::{Net, NetEvent};
-use cloverstile_platform::requests::{CompletedAttempt, ConnectionLimits, Requests, RetryAfter};
+use cloverstile_platform::connection_reuse::Repeatability;
+use cloverstile_platform::requests::{
+    CompletedAttempt, ConnectionLimits, RequestTarget, Requests, RetryAfter,
+};
 use cloverstile_platform::response::LoadReportFields;
 use cloverstile_platform::ConnectionId;
 use std::io::{Read, Write};
@@ -27,7 +30,9 @@
     };
     let (mut requests, now) = (Requests::new(limits), Time::ZERO + SECOND);
     let (attempt, endpoint) = (Attempt { message: MessageId(1), number: 0 }, EndpointId(1));
-    requests.connect(now, attempt, endpoint, listener.local_addr().unwrap(), &mut Sockets(&mut net));
+    let (address, repeatability) = (listener.local_addr().unwrap(), Repeatability::Unrepeatable);
+    let target = RequestTarget { endpoint, address, repeatability };
+    requests.connect(now, attempt, target, &mut Sockets(&mut net));
     let connection = requests.connection(attempt);
     let (mut stream, _) = listener.accept().unwrap();
     while requests.take_connected().is_empty() {
@@ -51,7 +56,7 @@
     // The sockets are not polled between the reset and the last byte.
     requests.on_tick(now + SECOND, &mut Sockets(&mut net));
     assert_eq!(requests.take_ready_to_commit(), [attempt]);
-    requests.commit(attempt, &mut Sockets(&mut net));
+    requests.commit(now, attempt, &mut Sockets(&mut net));
     while requests.connections() > 0 {
         for event in net.poll(Some(SECOND)).unwrap() {
             match event {
