Endpoint watch: reject the copy of an older list, close a connection that brought a copy

Fault: a list is credited to whatever request is in flight. A copy of an older list behind a newer one is applied, so that an endpoint that drains counts as serving again until the next answer; surplus bytes behind a list stay in the decoder, and later lists are credited to the request behind their own.

Change: on a connection that has carried a response, a list older than the version asked for is rejected, and the watch asks again on a new connection, on which any version counts (discovery may have started anew). A connection with surplus bytes is closed, and one that answers early without a change, which may be a copy.

--- a/crates/platform/src/endpoint_watch.rs
+++ b/crates/platform/src/endpoint_watch.rs
@@ -33,6 +33,15 @@
     /// Its body is not an endpoint list; the error says where and why.
     #[error("{0}")]
     Json(String),
+    /// The list is older than the version after which the request asked for changes. On a connection that has carried an
+    /// earlier response this is a copy of one, not the response to the request.
+    #[error("version {version} is older than version {known}, after which changes were requested")]
+    Outdated {
+        /// Version of the list.
+        version: u64,
+        /// Version of the list read before.
+        known: u64,
+    },
 }
 
 /// The watch of the endpoint list. It sends the next request as soon as it has read a response, so that no change is
@@ -43,13 +52,15 @@
     version: u64,
     /// When the last request was sent.
     requested_at: Time,
+    /// Whether the connection has carried an earlier response.
+    is_connection_reused: bool,
 }
 
 impl EndpointWatch {
     /// Creates a watch for changes after `version`, through the discovery agent at `address`.
     pub fn new(address: SocketAddr, version: u64) -> Self {
         let agent = DiscoveryConnection::new(address, MAX_LIST_BYTES, UnsolicitedSource::EndpointWatch);
-        EndpointWatch { agent, version, requested_at: Time::ZERO }
+        EndpointWatch { agent, version, requested_at: Time::ZERO, is_connection_reused: false }
     }
 
     /// Takes the bytes that answered no request, in the order in which they were read.
@@ -89,6 +100,7 @@
     /// A connection was established. If it belongs to this watch, the watch sends a request.
     pub fn on_connected(&mut self, now: Time, connection: ConnectionId, transport: &mut impl Transport) {
         if self.agent.on_connected(connection, now) {
+            self.is_connection_reused = false;
             self.request(now, transport);
         }
     }
@@ -127,8 +139,10 @@
         let Some(response) = self.agent.on_bytes(now, bytes, now + RECONNECT_DELAY, transport) else {
             return Ok(None);
         };
-        match response.map_err(EndpointListError::from).and_then(|message| parse_list(&message)) {
+        let list = response.map_err(EndpointListError::from).and_then(|message| parse_list(&message));
+        match list.and_then(|list| self.check_version(list)) {
             Ok(list) => {
+                self.is_connection_reused = true;
                 self.continue_watch(now, &list, transport);
                 Ok(Some(list))
             }
@@ -139,14 +153,27 @@
         }
     }
 
-    /// Requests the changes after the list that was just read.
+    /// Checks that a list can be the response to the last request. On a new connection any version is accepted: service
+    /// discovery may have started anew.
+    fn check_version(&self, list: EndpointListResponse) -> Result<EndpointListResponse, EndpointListError> {
+        if self.is_connection_reused && list.version < self.version {
+            return Err(EndpointListError::Outdated { version: list.version, known: self.version });
+        }
+        Ok(list)
+    }
+
+    /// Requests the changes after the list that was just read. A connection with unsolicited bytes is closed, and one on
+    /// which a response without a change came early: it may have been a copy, and the true response would be taken for that
+    /// to the next request.
     fn continue_watch(&mut self, now: Time, list: &EndpointListResponse, transport: &mut impl Transport) {
         let is_early = list.version == self.version && now < self.requested_at + MIN_LONG_POLL;
         self.version = list.version;
+        if is_early {
+            // `on_tick` connects again.
+            return self.agent.close(now + RECONNECT_DELAY, transport);
+        }
         match self.agent.status() {
-            // `on_tick` sends the next request.
-            ConnectionStatus::Idle | ConnectionStatus::Closed if is_early => {}
-            ConnectionStatus::Idle => self.request(now, transport),
+            ConnectionStatus::Idle if !self.agent.has_surplus_bytes() => self.request(now, transport),
             _ => self.agent.connect(now + GRACE_PERIOD, transport),
         }
     }
--- a/crates/platform/tests/platform/endpoint_watch.rs
+++ b/crates/platform/tests/platform/endpoint_watch.rs
@@ -1,7 +1,7 @@
 //! The endpoint list watch, on a transport that records operations on connections.
 
 use crate::support::{address, at, FakeTransport};
-use cloverstile_platform::endpoint_watch::EndpointWatch;
+use cloverstile_platform::endpoint_watch::{EndpointListError, EndpointWatch};
 use cloverstile_platform::ConnectionId;
 use std::time::Duration;
 
@@ -108,3 +108,69 @@
         assert_eq!(transport.written.len(), before + 3, "polled again immediately after a long poll");
     }
 }
+
+/// Answers the watch's request on the newest connection with a change to this version.
+fn answer(
+    watch: &mut EndpointWatch,
+    transport: &mut FakeTransport,
+    now: u64,
+    version: u64,
+) -> Result<bool, EndpointListError> {
+    let text = list_response(version);
+    let connection = transport.newest();
+    watch.on_bytes(at(now), connection, text.as_bytes(), transport).map(|list| list.is_some())
+}
+
+fn list_response(version: u64) -> String {
+    let body = format!(r#"{{"generation":{version},"reset":true,"instances":[]}}"#);
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn connected_watch(transport: &mut FakeTransport) -> EndpointWatch {
+    let mut watch = EndpointWatch::new(address(1), 40);
+    watch.on_tick(at(0), transport);
+    watch.on_connected(at(0), transport.newest(), transport);
+    watch
+}
+
+/// Guards against the copy of an older list, behind a newer one: an endpoint that drains would count as serving again.
+#[test]
+fn list_older_than_the_one_before_on_its_connection_is_rejected_and_requested_again() {
+    let mut transport = FakeTransport::default();
+    let mut watch = connected_watch(&mut transport);
+    assert_eq!(answer(&mut watch, &mut transport, 5, 41), Ok(true));
+    assert_eq!(answer(&mut watch, &mut transport, 10, 42), Ok(true));
+    let outdated = EndpointListError::Outdated { version: 41, known: 42 };
+    assert_eq!(answer(&mut watch, &mut transport, 12, 41), Err(outdated));
+    assert_eq!(transport.closed, [ConnectionId(1)]);
+    watch.on_tick(at(62), &mut transport);
+    watch.on_connected(at(62), ConnectionId(2), &mut transport);
+    assert!(transport.written.last().unwrap().1.contains("after=42"));
+    // On a new connection discovery may have started anew.
+    assert_eq!(answer(&mut watch, &mut transport, 70, 3), Ok(true));
+}
+
+/// A copy of the last list answers the next request early and without a change. The true response to that request must not
+/// be taken for the response to the one after it.
+#[test]
+fn connection_of_the_watch_is_closed_after_a_copy_of_a_list() {
+    // In the read of the list, and later, when the next request is in flight.
+    for in_the_same_read in [true, false] {
+        let mut transport = FakeTransport::default();
+        let mut watch = connected_watch(&mut transport);
+        let list = list_response(41);
+        let first = if in_the_same_read { list.repeat(2) } else { list.clone() };
+        assert!(watch.on_bytes(at(5), ConnectionId(1), first.as_bytes(), &mut transport).unwrap().is_some());
+        if !in_the_same_read {
+            assert!(watch
+                .on_bytes(at(6), ConnectionId(1), list.as_bytes(), &mut transport)
+                .unwrap()
+                .is_some());
+        }
+        assert_eq!(transport.closed, [ConnectionId(1)]);
+        watch.on_tick(at(56), &mut transport);
+        watch.on_connected(at(56), ConnectionId(2), &mut transport);
+        assert!(transport.written.last().unwrap().1.contains("after=41"));
+        assert_eq!((transport.written.last().unwrap().0, transport.connected.len()), (ConnectionId(2), 2));
+    }
+}
