Notifications: one request a connection, so that no copy acknowledges the next batch

Fault: an acknowledgement settles the batch in flight when it is read. A second copy of it, behind the next batch, settled that one; if the agent had dropped it with the connection, its messages had no end (lost), and their keys went on (order).

Change: a connection for notifications is closed with its response. Up to three at a time, as before. Considered: a quiet period and a look at the socket as for endpoints (safe only up to the period; the agent is on this machine, a connection costs little).

Evidence: copy_of_an_acknowledgement_does_not_acknowledge_the_next_notification fails with the file as it was (2 is acknowledged) and passes with this. held_notification_is_sent_once_it_is_stored expected the second request on the first connection; it expects it on a new one now. cloverstile-platform 58 passed.

--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -22,7 +22,7 @@
 const RESEND_DELAY: Duration = Duration::from_millis(200);
 /// Maximum number of simultaneous connections to the discovery agent for notifications.
 pub const MAX_AGENT_CONNECTIONS: usize = 3;
-/// How long an idle connection is kept open.
+/// How long a connection that has carried no request is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// How an undelivered message ended.
@@ -112,7 +112,7 @@
 ///
 /// Each is sent as soon as possible, on another connection if a request is still unanswered: an agent that leaves one
 /// request unanswered must not delay the other notifications, whose messages may be past their deadline. A notification
-/// that is not acknowledged in time is sent again.
+/// that is not acknowledged in time is sent again. A connection carries one request and is closed with its response.
 pub struct Notifications {
     agent_connections: Vec<AgentConnection>,
     pending: BTreeMap<u32, PendingNotification>,
@@ -328,9 +328,8 @@
         let Some(response) = agent.connection.on_bytes(now, bytes, now + IDLE_TIMEOUT, transport) else {
             return settled;
         };
-        if agent.connection.has_surplus_bytes() {
-            agent.connection.close(now, transport);
-        }
+        // A second copy of this response would acknowledge the next batch, so a connection carries a single one.
+        agent.connection.close(now, transport);
         match response.map(|response| response.start_line) {
             Ok(StartLine::Response { status: 200..=299 }) => {
                 self.batch_limit = MAX_BATCH_SIZE;
@@ -343,7 +342,6 @@
             _ => {
                 // Wait before reconnecting: an agent that rejects everything would otherwise get requests without
                 // pause.
-                agent.connection.close(now, transport);
                 self.connect_at = now + RECONNECT_DELAY;
                 self.batch_limit = 1;
                 self.resend_in_flight(index);
--- a/crates/platform/tests/platform/notifications.rs
+++ b/crates/platform/tests/platform/notifications.rs
@@ -57,9 +57,43 @@
     assert_eq!(transport.written.len(), 1);
     notifications.release_held();
     notifications.on_tick(at(4), &mut transport);
+    notifications.on_connected(at(4), ConnectionId(2));
+    notifications.on_tick(at(4), &mut transport);
     assert!(transport.written[1].1.contains("held"));
 }
 
+/// Guards against a notification acknowledged by the second copy of the response to the one before it: the agent dropped the
+/// request unread with its connection, and the message had no end.
+#[test]
+fn copy_of_an_acknowledgement_does_not_acknowledge_the_next_notification() {
+    for copy_in_the_same_read in [true, false] {
+        let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
+        notifications.enqueue(1, notification("first", true, 3), Release::AtOnce);
+        notifications.on_tick(at(0), &mut transport);
+        notifications.on_connected(at(1), ConnectionId(1));
+        notifications.on_tick(at(1), &mut transport);
+        let response =
+            if copy_in_the_same_read { [NO_CONTENT, NO_CONTENT].concat() } else { NO_CONTENT.to_vec() };
+        let settled = notifications.on_bytes(at(2), ConnectionId(1), &response, &mut transport);
+        assert_eq!(settled.acknowledged, [1]);
+        notifications.enqueue(2, notification("second", true, 3), Release::AtOnce);
+        notifications.on_tick(at(3), &mut transport);
+        notifications.on_connected(at(3), transport.newest());
+        notifications.on_tick(at(3), &mut transport);
+        assert!(transport.written.last().unwrap().1.contains("second"));
+        let settled = notifications.on_bytes(at(4), ConnectionId(1), NO_CONTENT, &mut transport);
+        assert_eq!(settled, SettledNotifications::default());
+        // The request is dropped with its connection, and sent again.
+        let dropped = transport.newest();
+        notifications.on_closed(at(5), dropped);
+        notifications.on_tick(at(100), &mut transport);
+        notifications.on_connected(at(100), transport.newest());
+        notifications.on_tick(at(100), &mut transport);
+        assert_eq!(transport.written.iter().filter(|(_, text)| text.contains("second")).count(), 2);
+        assert!(notifications.is_key_blocked(OrderKey(3)));
+    }
+}
+
 #[test]
 fn rejected_notification_does_not_block_the_others() {
     let (mut notifications, mut transport) = (Notifications::new(address(1)), FakeTransport::default());
