AS2: a connection rests after a response, and unsolicited bytes close it

What callers saw: with a partner that writes each response twice, messages that were processed ended as 'may have taken effect' (exit code 11 of send): the copy of a receipt was taken for that of the next message, failed its check, and the true receipt was taken for the one after that. The copy of a rejection would have sent an unsafe message again while it ran.

Cause: an idle connection was used again at once, also between the messages of a batch; surplus bytes stayed in the decoder; bytes that came while a receipt was verified were dropped, and the connection went on.

Change: as for the RESP gateway's endpoints, with the same constant (cloverstile_http::RESPONSE_QUIET_PERIOD): a connection is used again 160 ms after its last response, the next message of a batch included, and read once more ahead of the request. Deferred receipts come in on connections of the partner and name their message: not affected.

Evidence: copy_of_a_receipt_is_not_taken_for_the_receipt_of_the_next_message fails with the gateway as it was (exit codes 0 0 11 0 11 0 with copies 60 ms behind) and passes with this; cli/tests/program.rs 11 passed.

--- a/crates/as2-gateway/src/outbound_client.rs
+++ b/crates/as2-gateway/src/outbound_client.rs
@@ -120,6 +120,13 @@
         if !context.engine.may_send_now(now, attempt) {
             return self.end_attempt(context, id, TransportOutcome::NotStarted, None);
         }
+        // What a reused connection has received by now answers no request.
+        if matches!(self.pool.use_of(connection), Some(ConnectionUse::Batch { is_reused: true, .. })) {
+            let received = context.net.receive_now(connection);
+            if !received.bytes.is_empty() || received.end.is_some() {
+                return self.on_unsolicited_bytes(context, id, connection, received.bytes.len());
+            }
+        }
         let Some(endpoint) = context.endpoints.get(&batch.endpoint) else { return };
         context.engine.set_attempt_started(attempt, true);
         batch.stage = AttemptStage::AwaitingResponse;
@@ -139,8 +146,8 @@
     /// Sends the request that waits for this connection, or ends the probe as successful.
     pub fn on_connected(&mut self, context: &mut Context, connection: ConnId) {
         match self.pool.use_of(connection) {
-            Some(ConnectionUse::Batch(id, _)) => {
-                let id = *id;
+            Some(ConnectionUse::Batch { batch, .. }) => {
+                let id = *batch;
                 if let Some(batch) = self.batches.get_mut(&id) {
                     batch.connection = BatchConnection::Established(connection);
                 }
@@ -157,7 +164,7 @@
     /// Ends the batch or the probe that the connection was opened for.
     pub fn on_connect_failed(&mut self, context: &mut Context, connection: ConnId) {
         match self.pool.remove(connection) {
-            Some(ConnectionUse::Batch(id, _)) => self.fail_unconnected_batch(context, id),
+            Some(ConnectionUse::Batch { batch, .. }) => self.fail_unconnected_batch(context, batch),
             Some(ConnectionUse::Probe { endpoint, started }) => {
                 context.net.close(connection);
                 report_probe(context, endpoint, started, false);
@@ -177,8 +184,8 @@
     /// Treats a connection that is still not established as failed.
     pub fn on_connect_timeout(&mut self, context: &mut Context, connection: ConnId) {
         let connecting = match self.pool.use_of(connection) {
-            Some(ConnectionUse::Batch(id, _)) => {
-                self.batches.get(id).is_some_and(|batch| batch.connection.established().is_none())
+            Some(ConnectionUse::Batch { batch, .. }) => {
+                self.batches.get(batch).is_some_and(|batch| batch.connection.established().is_none())
             }
             Some(ConnectionUse::Probe { .. }) => true,
             Some(ConnectionUse::Idle(_)) | None => false,
@@ -194,15 +201,27 @@
     /// Decodes bytes of a response and handles the response once it is complete.
     pub fn on_bytes(&mut self, context: &mut Context, connection: ConnId, bytes: &[u8]) {
         let now = context.since_start();
-        let Some(ConnectionUse::Batch(id, decoder)) = self.pool.use_of_mut(connection) else {
+        let Some(ConnectionUse::Batch { batch, decoder, .. }) = self.pool.use_of_mut(connection) else {
             // The endpoint sent bytes without a request, so the connection can't be used again.
+            log_unsolicited(connection, bytes.len(), "idle");
             self.on_closed(context, connection);
             return context.net.close(connection);
         };
-        let id = *id;
+        let id = *batch;
+        let stage = self.batches.get(&id).map(|batch| batch.stage);
+        if stage != Some(AttemptStage::AwaitingResponse) {
+            return self.on_unsolicited_bytes(context, id, connection, bytes.len());
+        }
         decoder.feed(now, bytes);
         match decoder.next(now) {
-            Ok(Some(DecodedItem::Message(message))) => self.on_response(context, id, message),
+            Ok(Some(DecodedItem::Message(mut message))) => {
+                let surplus = decoder.buffered_bytes();
+                if surplus > 0 {
+                    log_unsolicited(connection, surplus, "after the response");
+                    message.keep_alive = false;
+                }
+                self.on_response(context, id, message);
+            }
             Ok(_) => {}
             Err(error) => {
                 debug!(%error, "invalid response");
@@ -212,6 +231,28 @@
         }
     }
 
+    /// Handles bytes, or the end if there are none, on the connection of a batch that awaits no response. Bytes would be taken for the response to the next
+    /// request, so the connection carries no further one; a request that was not sent goes out on another connection.
+    fn on_unsolicited_bytes(
+        &mut self,
+        context: &mut Context,
+        id: BatchId,
+        connection: ConnId,
+        byte_count: usize,
+    ) {
+        if byte_count > 0 {
+            log_unsolicited(connection, byte_count, "no response awaited");
+        }
+        let Some(batch) = self.batches.get_mut(&id) else { return self.pool.close(context, connection) };
+        if batch.stage == AttemptStage::Preparing {
+            batch.connection = BatchConnection::None;
+            self.pool.close(context, connection);
+            self.prepare_attempt(context, id);
+        } else {
+            batch.keep_alive = false;
+        }
+    }
+
     fn on_response(&mut self, context: &mut Context, id: BatchId, message: Message) {
         let is_awaiting_response = |batch: &&mut Batch| batch.stage == AttemptStage::AwaitingResponse;
         let Some(batch) = self.batches.get_mut(&id).filter(is_awaiting_response) else { return };
@@ -245,7 +286,9 @@
         let VerifiedResponse { batch: id, attempt, outcome, error } = verified;
         let is_verifying =
             |batch: &Batch| batch.stage == AttemptStage::VerifyingReceipt && batch.current == attempt;
-        if self.batches.get(&id).is_some_and(is_verifying) {
+        if let Some(batch) = self.batches.get_mut(&id).filter(|batch| is_verifying(batch)) {
+            // A receipt for another message is a copy, behind which the receipt for this one may follow.
+            batch.keep_alive &= error.is_none();
             self.end_attempt(context, id, outcome, error);
         } else if outcome == TransportOutcome::Processed {
             // The attempt was abandoned while its receipt was being verified; the receipt still counts for the message.
@@ -297,16 +340,23 @@
         self.start_next_attempt(context, id);
     }
 
-    /// Starts the next attempt of a batch, or releases the connection after the last one.
+    /// Starts the next attempt of a batch, or releases the connection after the last one. After a response the next attempt
+    /// gets another connection, as a copy of the response may follow on this one.
     fn start_next_attempt(&mut self, context: &mut Context, id: BatchId) {
         let Some(batch) = self.batches.get_mut(&id) else { return };
-        batch.stage = AttemptStage::Preparing;
-        if !batch.keep_alive {
-            if let Some(connection) = batch.take_connection() {
+        let stage = std::mem::replace(&mut batch.stage, AttemptStage::Preparing);
+        let keep_alive = std::mem::replace(&mut batch.keep_alive, true);
+        let (endpoint, connection) = (batch.endpoint, batch.connection);
+        if !keep_alive {
+            batch.connection = BatchConnection::None;
+            if let Some(connection) = connection.id() {
                 self.pool.close(context, connection);
             }
-            batch.keep_alive = true;
+        } else if stage != AttemptStage::Preparing {
+            batch.connection = BatchConnection::None;
+            self.pool.release(context, endpoint, connection);
         }
+        let Some(batch) = self.batches.get_mut(&id) else { return };
         if let Some(next) = batch.queue.pop_front() {
             batch.current = next;
             self.prepare_attempt(context, id);
@@ -320,7 +370,7 @@
     /// Handles a connection that the endpoint closed or that broke.
     pub fn on_closed(&mut self, context: &mut Context, connection: ConnId) {
         match self.pool.remove(connection) {
-            Some(ConnectionUse::Batch(id, mut decoder)) => match decoder.on_connection_end() {
+            Some(ConnectionUse::Batch { batch: id, mut decoder, .. }) => match decoder.on_connection_end() {
                 // The end of the connection completes a response that has no Content-Length.
                 Ok(Some(message)) => {
                     if let Some(batch) = self.batches.get_mut(&id) {
@@ -392,6 +442,10 @@
     }
 }
 
+fn log_unsolicited(connection: ConnId, byte_count: usize, phase: &str) {
+    warn!(connection = connection.0, byte_count, phase, "unsolicited bytes received, connection closed");
+}
+
 /// Starts to compose a message on a worker thread, unless that has begun already.
 fn start_composing(context: &mut Context, message: MessageId) {
     let receipts_url = context.receipts_url();
--- a/crates/as2-gateway/src/outbound_client/connection_pool.rs
+++ b/crates/as2-gateway/src/outbound_client/connection_pool.rs
@@ -1,9 +1,12 @@
 //! Pool of outbound connections: those in use, idle ones kept for reuse, and probes.
+//!
+//! A status line names no message, so a connection is used again only once it has been quiet for a while: a second copy of
+//! a response would be taken for the response to the next request.
 
 use crate::context::{Context, Timer};
 use crate::identifiers::BatchId;
 use cloverstile::{EndpointId, Time};
-use cloverstile_http::{Decoder, Limits};
+use cloverstile_http::{Decoder, Limits, RESPONSE_QUIET_PERIOD};
 use cloverstile_net::ConnId;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,20 +15,32 @@
 
 /// What an outbound connection is used for.
 pub(crate) enum ConnectionUse {
-    /// Sends the requests of a batch; the decoder reads their responses.
-    Batch(BatchId, Box<Decoder>),
+    /// Sends a request of a batch; the decoder reads its response.
+    Batch {
+        batch: BatchId,
+        decoder: Box<Decoder>,
+        /// Whether the connection has carried an earlier request.
+        is_reused: bool,
+    },
     /// Idle, kept for reuse.
     Idle(EndpointId),
     /// Checks whether the endpoint accepts connections; opened at `started`.
     Probe { endpoint: EndpointId, started: Time },
 }
 
+/// An idle connection.
+struct IdleConnection {
+    id: ConnId,
+    /// When it became idle, after a response.
+    since: Time,
+}
+
 /// All outbound connections to partners.
 #[derive(Default)]
 pub(crate) struct ConnectionPool {
     connections: HashMap<ConnId, ConnectionUse>,
     /// Idle connections of each endpoint, the most recently used last.
-    idle: HashMap<EndpointId, Vec<ConnId>>,
+    idle: HashMap<EndpointId, Vec<IdleConnection>>,
     /// Idle connections of all endpoints together.
     idle_count: usize,
 }
@@ -54,28 +69,36 @@
         context.net.close(connection);
     }
 
-    /// Takes the most recently used idle connection to an endpoint or opens a new one; `None` if the endpoint is
-    /// unknown.
+    /// Takes the most recently used idle connection to an endpoint that has been quiet for [`RESPONSE_QUIET_PERIOD`], or
+    /// opens a new one; `None` if the endpoint is unknown.
     pub fn acquire(
         &mut self,
         context: &mut Context,
         endpoint: EndpointId,
         batch: BatchId,
     ) -> Option<BatchConnection> {
-        let connection = match self.idle.get_mut(&endpoint).and_then(Vec::pop) {
-            Some(id) => {
-                self.idle_count -= 1;
-                BatchConnection::Established(id)
-            }
+        let quiet = self.take_quiet(context.now(), endpoint);
+        let is_reused = quiet.is_some();
+        let connection = match quiet {
+            Some(id) => BatchConnection::Established(id),
             None => BatchConnection::Connecting(connect(context, endpoint)?),
         };
         let limits =
             Limits { message_timeout: Duration::MAX, head_timeout: Duration::MAX, ..Limits::default() };
         let decoder = Box::new(Decoder::client(limits));
-        self.connections.insert(connection.id()?, ConnectionUse::Batch(batch, decoder));
+        self.connections.insert(connection.id()?, ConnectionUse::Batch { batch, decoder, is_reused });
         Some(connection)
     }
 
+    /// Takes the most recently used idle connection that has been quiet for long enough.
+    fn take_quiet(&mut self, now: Time, endpoint: EndpointId) -> Option<ConnId> {
+        let idle = self.idle.get_mut(&endpoint)?;
+        let is_quiet = |connection: &IdleConnection| connection.since + RESPONSE_QUIET_PERIOD <= now;
+        let index = idle.iter().rposition(is_quiet)?;
+        self.idle_count -= 1;
+        Some(idle.remove(index).id)
+    }
+
     /// Keeps an established connection for reuse. Any other is closed, as is one above the limit of idle connections.
     pub fn release(&mut self, context: &mut Context, endpoint: EndpointId, connection: BatchConnection) {
         let Some(id) = connection.id() else { return };
@@ -85,7 +108,8 @@
             return self.close(context, id);
         }
         self.connections.insert(id, ConnectionUse::Idle(endpoint));
-        self.idle.entry(endpoint).or_default().push(id);
+        let since = context.now();
+        self.idle.entry(endpoint).or_default().push(IdleConnection { id, since });
         self.idle_count += 1;
         let timeout = context.config.policy.connection_idle_timeout;
         context.set_timer(context.now() + timeout, Timer::IdleTimeout(id));
@@ -103,10 +127,10 @@
 
     /// Closes all idle connections to an endpoint.
     pub fn close_idle(&mut self, context: &mut Context, endpoint: EndpointId) {
-        for connection in self.idle.remove(&endpoint).unwrap_or_default() {
-            self.connections.remove(&connection);
+        for IdleConnection { id, .. } in self.idle.remove(&endpoint).unwrap_or_default() {
+            self.connections.remove(&id);
             self.idle_count -= 1;
-            context.net.close(connection);
+            context.net.close(id);
         }
     }
 
@@ -120,7 +144,7 @@
     fn remove_idle(&mut self, endpoint: EndpointId, connection: ConnId) {
         if let Some(idle) = self.idle.get_mut(&endpoint) {
             let before = idle.len();
-            idle.retain(|other| *other != connection);
+            idle.retain(|other| other.id != connection);
             self.idle_count -= before - idle.len();
         }
     }
--- a/crates/cli/tests/program.rs
+++ b/crates/cli/tests/program.rs
@@ -4,7 +4,7 @@
 use cloverstile_as2::NewKey;
 use cloverstile_as2_gateway::test_cluster::{ClassSpec, ClusterSpec, PartnerSpec, TestCluster};
 use cloverstile_fakes::model::{Fault, ServerProfile};
-use cloverstile_fakes::partner::PartnerCommand;
+use cloverstile_fakes::partner::{PartnerCommand, ReceiptFault};
 use cloverstile_fakes::record::Recorder;
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -356,3 +356,24 @@
         assert_eq!(sent.join().unwrap(), 11, "exit code 11: it may have taken effect");
     });
 }
+
+/// Guards against a receipt taken for that of the next message on its connection: the partner writes each response a second
+/// time, when the next message is in progress. Its receipt then failed verification, and the message counted as one that may
+/// have taken effect.
+#[test]
+fn copy_of_a_receipt_is_not_taken_for_the_receipt_of_the_next_message() {
+    let mut spec = default_cluster_spec();
+    spec.partners[0].profile = ServerProfile {
+        min_service_time: Duration::from_millis(90),
+        mean_extra_service_time: Duration::ZERO,
+        ..ServerProfile::default()
+    };
+    for copy_delay_ms in [30, 60, 90, 120] {
+        let harness = start_gateway_with(&format!("copy-{copy_delay_ms}"), spec.clone(), |text| text);
+        let fault = Some(ReceiptFault::RepeatedResponse(copy_delay_ms));
+        harness.cluster.partners.send(PartnerCommand::SetReceiptFault { partner: 0, fault });
+        let exit_code = |number| harness.send_exit_code(&["--id", &format!("m{number}@client-0")]);
+        let exit_codes: Vec<i32> = (0..6).map(exit_code).collect();
+        assert_eq!(exit_codes, [0; 6], "copies after {copy_delay_ms} ms");
+    }
+}
--- a/crates/fakes/src/partner/config.rs
+++ b/crates/fakes/src/partner/config.rs
@@ -43,6 +43,8 @@
     Duplicate,
     /// Deferred receipts are sent this many milliseconds late.
     Delay(u64),
+    /// Each response is written a second time, this many milliseconds after the first.
+    RepeatedResponse(u64),
 }
 
 /// A command to the thread that runs the partners.
--- a/crates/fakes/src/partner/server.rs
+++ b/crates/fakes/src/partner/server.rs
@@ -45,6 +45,12 @@
     takes_effect: bool,
 }
 
+/// The second copy of a response.
+struct RepeatedResponse {
+    connection: ConnId,
+    bytes: Vec<u8>,
+}
+
 /// A receipt that is sent on a separate connection.
 struct DeferredReceipt {
     address: SocketAddr,
@@ -66,6 +72,8 @@
     unsent_receipts: HashMap<ConnId, Vec<u8>>,
     /// Scheduled deferred receipts, by time and sequence number.
     deferred_receipts: BTreeMap<(Duration, u64), DeferredReceipt>,
+    /// Second copies of responses, by time and sequence number.
+    repeated_responses: BTreeMap<(Duration, u64), RepeatedResponse>,
     /// Last number given to a request or a deferred receipt.
     last_sequence_number: u64,
 }
@@ -88,6 +96,7 @@
             pending_responses: BTreeMap::new(),
             unsent_receipts: HashMap::new(),
             deferred_receipts: BTreeMap::new(),
+            repeated_responses: BTreeMap::new(),
             last_sequence_number: 0,
         };
         for (partner, config) in partners.into_iter().enumerate() {
@@ -143,6 +152,7 @@
         let next = [
             self.pending_responses.first_key_value().map(|((at, _), _)| *at),
             self.deferred_receipts.first_key_value().map(|((at, _), _)| *at),
+            self.repeated_responses.first_key_value().map(|((at, _), _)| *at),
             self.partners.iter().filter_map(|partner| partner.fault_ends_at).min(),
         ];
         next.into_iter().flatten().min()
@@ -159,6 +169,10 @@
             let due = due.remove();
             self.respond(&due);
         }
+        while let Some(due) = self.repeated_responses.first_entry().filter(|entry| entry.key().0 <= now) {
+            let RepeatedResponse { connection, bytes } = due.remove();
+            self.net.send(connection, &bytes);
+        }
         while let Some(due) = self.deferred_receipts.first_entry().filter(|entry| entry.key().0 <= now) {
             let receipt = due.remove();
             let connection = self.net.connect(receipt.address);
@@ -375,6 +389,12 @@
         }
         self.recorder.record(ObservedEvent::RequestEnded { request: due.request, end });
         self.net.send(due.connection, &bytes);
+        if let Some(ReceiptFault::RepeatedResponse(ms)) = self.partners[due.partner].receipt_fault {
+            self.last_sequence_number += 1;
+            let at = now + Duration::from_millis(ms);
+            let repeated = RepeatedResponse { connection: due.connection, bytes };
+            self.repeated_responses.insert((at, self.last_sequence_number), repeated);
+        }
     }
 
     /// Sends the first half of a response and closes the connection.
--- a/crates/platform/src/connection_reuse.rs
+++ b/crates/platform/src/connection_reuse.rs
@@ -6,12 +6,10 @@
 //! counts only if nothing follows it.
 
 use cloverstile::{EndpointId, Time};
+use cloverstile_http::RESPONSE_QUIET_PERIOD;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// Time without a byte after a response before the next request. A process may be held up for 0.15 s between writing a
-/// response and its copy.
-const MIN_QUIET_PERIOD: Duration = Duration::from_millis(160);
 /// Longest time without a byte that a connection is kept waiting for.
 const MAX_QUIET_PERIOD: Duration = Duration::from_secs(1);
 /// The quiet period as a multiple of the longest known time between a response and unsolicited bytes.
@@ -67,7 +65,7 @@
     /// How long a connection must have been quiet after a response before it carries another request.
     pub fn quiet_period(&self, now: Time) -> Duration {
         let learned = self.learned.as_ref().filter(|learned| now < learned.until);
-        learned.map_or(MIN_QUIET_PERIOD, |learned| learned.period)
+        learned.map_or(RESPONSE_QUIET_PERIOD, |learned| learned.period)
     }
 
     /// Whether a request may use a connection that has carried an earlier one. Unrepeatable messages get new connections
