Soak: peers that write bytes which belong to no request

The summary has connections, requests, deliveries, the median time to delivery, and for each range of delays the copies written and those that crossed a request.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -6,6 +6,7 @@
 mod endpoint;
 mod events;
 mod invariants;
+mod repeated_responses;
 mod server;
 mod state;
 mod submission;
@@ -14,6 +15,7 @@
 pub use invariants::{
     check_invariants, find_violations, InvariantRules, SlowStartRule, Violation, ViolationKind,
 };
+pub use repeated_responses::{RepeatedResponse, Surplus};
 pub use state::{AgentBehaviour, EndpointBehaviour};
 pub use submission::{read_line, PutCommand};
 
@@ -66,18 +68,19 @@
         let mut endpoints = Vec::new();
         for endpoint in 0..destinations.len() {
             let is_closed = move |shared: &Shared| shared.state().closed_to_connections.contains(&endpoint);
-            let serve = move |shared: &Shared, message, stream: &mut _| {
+            let serve = move |shared: &Arc<Shared>, message, stream: &mut _| {
                 serve_endpoint(shared, endpoint, message, stream)
             };
-            endpoints.push(listen(&shared, ENDPOINT_BACKLOG, is_closed, serve)?);
+            let on_accepted = |shared: &Shared| shared.record(PlatformEvent::ConnectionAccepted);
+            endpoints.push(listen(&shared, ENDPOINT_BACKLOG, is_closed, on_accepted, serve)?);
         }
         let addresses = Arc::new(endpoints.clone());
         let listen_discovery = |address: usize| {
             let addresses = addresses.clone();
-            let serve = move |shared: &Shared, message, stream: &mut _| {
+            let serve = move |shared: &Arc<Shared>, message, stream: &mut _| {
                 serve_discovery(shared, address, &addresses, &message, stream)
             };
-            listen(&shared, AGENT_BACKLOG, |_| false, serve)
+            listen(&shared, AGENT_BACKLOG, |_| false, |_| {}, serve)
         };
         let discovery = (0..agents).map(listen_discovery).collect::<io::Result<_>>()?;
         Ok(Platform { shared, endpoints, discovery })
--- a/crates/fakes/src/platform/agent.rs
+++ b/crates/fakes/src/platform/agent.rs
@@ -3,17 +3,19 @@
 
 use super::endpoint::closes_within;
 use super::events::PlatformEvent;
+use super::repeated_responses::{write_behind, Surplus};
 use super::server::AfterResponse;
 use super::state::{AgentBehaviour, Shared};
 use cloverstile_http::{encode_response, Headers, Message, StartLine};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Serves one request at a discovery address: a batch of notifications, or a request for the endpoint list, which is
 /// answered once the list is newer than the version that the request names, or after the wait that it names.
 pub(super) fn serve_discovery(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     address: usize,
     endpoints: &[SocketAddr],
     message: &Message,
@@ -46,29 +48,49 @@
     }
     stream.write_all(&bytes)?;
     shared.record(PlatformEvent::ListSent { address, draining });
+    if let AgentBehaviour::RepeatsLists(delay) = behaviour {
+        write_behind(shared, stream, &bytes, delay, Surplus::Copy)?;
+    }
     Ok(AfterResponse::KeepOpen)
 }
 
 /// Records a batch of notifications, and answers it as the agent's behaviour says.
 fn serve_notifications(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     address: usize,
     body: &[u8],
     stream: &mut TcpStream,
 ) -> io::Result<AfterResponse> {
     let behaviour = shared.state().agents[address];
+    let peer = stream.peer_addr()?;
+    if let AgentBehaviour::RepeatsAcknowledgements(delay) = behaviour {
+        if shared.state().acknowledged_connections.contains(&peer) {
+            // Until the copy of the response before has been written.
+            std::thread::sleep(delay);
+            return Ok(AfterResponse::Close);
+        }
+    }
     let ids = record_notifications(shared, address, body);
     match behaviour {
         AgentBehaviour::LeavesNotifications => return stream.read(&mut [0]).map(|_| AfterResponse::Close),
         AgentBehaviour::BreaksNotifications => return Ok(AfterResponse::Close),
         AgentBehaviour::AnswersNotificationsLate(time) => std::thread::sleep(time),
-        AgentBehaviour::Prompt | AgentBehaviour::WithholdsLists | AgentBehaviour::TearsLists => {}
+        AgentBehaviour::Prompt
+        | AgentBehaviour::WithholdsLists
+        | AgentBehaviour::TearsLists
+        | AgentBehaviour::RepeatsAcknowledgements(_)
+        | AgentBehaviour::RepeatsLists(_) => {}
     }
     let answered_at = shared.now();
-    stream.write_all(&encode_response(204, "No Content", &Headers::new(), b""))?;
+    let response = encode_response(204, "No Content", &Headers::new(), b"");
+    stream.write_all(&response)?;
     for id in ids {
         shared.record_at(answered_at, PlatformEvent::NotificationAnswered { id });
     }
+    if let AgentBehaviour::RepeatsAcknowledgements(delay) = behaviour {
+        shared.state().acknowledged_connections.insert(peer);
+        write_behind(shared, stream, &response, delay, Surplus::Copy)?;
+    }
     Ok(AfterResponse::KeepOpen)
 }
 
--- a/crates/fakes/src/platform/endpoint.rs
+++ b/crates/fakes/src/platform/endpoint.rs
@@ -1,20 +1,24 @@
 //! Endpoints of a fake platform: they respond to requests as configured and record what they receive and write.
 
 use super::events::PlatformEvent;
+use super::repeated_responses::{write_behind, RepeatedResponse};
 use super::server::AfterResponse;
 use super::state::{EndpointBehaviour, Shared};
 use cloverstile_http::{encode_response, Headers, Message};
 use socket2::SockRef;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::time::Duration;
 
+/// `Retry-After` of repeated rejections, in seconds.
+const REPEATED_RETRY_AFTER: &str = "0.2";
 /// End of the header section, and so of every complete response without a body.
 const HEADER_END: &[u8] = b"\r\n\r\n";
 
 /// Serves one request at an endpoint as its behaviour says.
 pub(super) fn serve_endpoint(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     endpoint: usize,
     message: Message,
     stream: &mut TcpStream,
@@ -43,6 +47,9 @@
         EndpointBehaviour::DeliverLate(delay) => {
             return deliver_late(shared, id, shared.now() + time_left, delay, stream)
         }
+        EndpointBehaviour::Repeat(repeat) => {
+            return respond_and_repeat(shared, id, endpoint, &repeat, stream)
+        }
         EndpointBehaviour::Respond(bytes) => return respond(shared, id, endpoint, &bytes, stream),
         // The connection stays open until the gateway abandons the request.
         EndpointBehaviour::Silent => return await_abandonment(shared, id, stream),
@@ -133,6 +140,34 @@
     Ok(AfterResponse::KeepOpen)
 }
 
+/// Responds after the service time, and writes the surplus behind the response where it is its turn.
+fn respond_and_repeat(
+    shared: &Arc<Shared>,
+    id: String,
+    endpoint: usize,
+    repeat: &RepeatedResponse,
+    stream: &mut TcpStream,
+) -> io::Result<AfterResponse> {
+    let peer = stream.peer_addr()?;
+    shared.state().open_requests.insert(peer, id.clone());
+    std::thread::sleep(repeat.service_time);
+    let response = match repeat.status {
+        200 => ok_response(),
+        429 => encode_response(429, "Wait", &Headers::new().with("Retry-After", REPEATED_RETRY_AFTER), b""),
+        status => encode_response(status, "Rejected", &Headers::new(), b""),
+    };
+    shared.state().open_requests.remove(&peer);
+    let after = respond(shared, id, endpoint, &response, stream)?;
+    let mut state = shared.state();
+    state.repeatable_responses += 1;
+    let is_followed = state.repeatable_responses.is_multiple_of(repeat.every);
+    drop(state);
+    if is_followed {
+        write_behind(shared, stream, &response, repeat.delay, repeat.surplus)?;
+    }
+    Ok(after)
+}
+
 /// Value of a header field in the text of a response.
 fn header_value<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
--- a/crates/fakes/src/platform/events.rs
+++ b/crates/fakes/src/platform/events.rs
@@ -64,6 +64,15 @@
         /// Time to wait, from the writing of the response on.
         wait: Duration,
     },
+    /// Bytes that answer no request were written behind a response.
+    SurplusWritten {
+        /// Time since the response.
+        delay: Duration,
+        /// Id of the message whose request was in progress on that connection, if there was one.
+        crossed: Option<String>,
+    },
+    /// An endpoint accepted a connection.
+    ConnectionAccepted,
     /// A notification was received.
     Notification {
         /// Message id, chosen by the client.
--- a/crates/fakes/src/platform/server.rs
+++ b/crates/fakes/src/platform/server.rs
@@ -20,12 +20,14 @@
     Close,
 }
 
-/// Serves HTTP on a free loopback port; returns its address. No connection is accepted while `is_closed` returns true.
+/// Serves HTTP on a free loopback port; returns its address. No connection is accepted while `is_closed` returns true;
+/// `on_accepted` is called for each that is.
 pub(super) fn listen(
     shared: &Arc<Shared>,
     backlog: i32,
     is_closed: impl Fn(&Shared) -> bool + Send + 'static,
-    serve: impl Fn(&Shared, Message, &mut TcpStream) -> io::Result<AfterResponse> + Clone + Send + 'static,
+    on_accepted: impl Fn(&Shared) + Send + 'static,
+    serve: impl Fn(&Arc<Shared>, Message, &mut TcpStream) -> io::Result<AfterResponse> + Clone + Send + 'static,
 ) -> io::Result<SocketAddr> {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
     socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
@@ -49,6 +51,7 @@
                 return;
             }
             let Ok((mut stream, _)) = stream else { continue };
+            on_accepted(&shared);
             let (shared, serve) = (shared.clone(), serve.clone());
             std::thread::spawn(move || {
                 // The gateway sees the failure of a connection by itself.
@@ -69,9 +72,9 @@
 }
 
 fn serve_connection(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     stream: &mut TcpStream,
-    serve: impl Fn(&Shared, Message, &mut TcpStream) -> io::Result<AfterResponse>,
+    serve: impl Fn(&Arc<Shared>, Message, &mut TcpStream) -> io::Result<AfterResponse>,
 ) -> io::Result<()> {
     let mut decoder = Decoder::server(Limits::default());
     let mut buffer = [0; READ_BUFFER];
--- a/crates/fakes/src/platform/state.rs
+++ b/crates/fakes/src/platform/state.rs
@@ -1,6 +1,7 @@
 //! State that the threads of a fake platform share: recorded events, configured behaviour and the endpoint list.
 
 use super::events::{PlatformEvent, TimedEvent};
+use super::repeated_responses::RepeatedResponse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,6 +24,8 @@
     Reset(Duration),
     /// Responds with status 200 and closes the connection, on which the next request may already be on its way.
     DeliverAndClose,
+    /// Responds, and writes something behind the response.
+    Repeat(RepeatedResponse),
     /// Responds with status 200 this long after both the deadline of the request and that of its message, so that the
     /// response does not count as delivery.
     DeliverLate(Duration),
@@ -43,6 +46,11 @@
     WithholdsLists,
     /// Closes the connection after half of the response with the endpoint list.
     TearsLists,
+    /// Acknowledges notifications twice, the second time after this delay, and closes a connection on which another request
+    /// arrives, unread.
+    RepeatsAcknowledgements(Duration),
+    /// Writes each endpoint list twice, the second time after this delay.
+    RepeatsLists(Duration),
 }
 
 /// Rate limit in requests per second that the endpoint list states for an endpoint until another one is set.
@@ -75,6 +83,12 @@
     pub(super) instances: BTreeMap<String, ListedInstance>,
     /// Rate limit in requests per second that the list states for each endpoint.
     pub(super) weight: f64,
+    /// Id of the message of the request in progress on a connection to an endpoint, by the gateway's address.
+    pub(super) open_requests: HashMap<SocketAddr, String>,
+    /// Number of responses so far that may have been repeated.
+    pub(super) repeatable_responses: u64,
+    /// Connections for notifications on which a request was acknowledged, by the gateway's address.
+    pub(super) acknowledged_connections: BTreeSet<SocketAddr>,
 }
 
 impl State {
@@ -95,6 +109,9 @@
             generation: 1,
             instances: destinations.iter().enumerate().map(instance).collect(),
             weight: DEFAULT_WEIGHT,
+            open_requests: HashMap::new(),
+            repeatable_responses: 0,
+            acknowledged_connections: BTreeSet::new(),
         }
     }
 
--- a/crates/testbench/src/soak.rs
+++ b/crates/testbench/src/soak.rs
@@ -20,9 +20,11 @@
 mod run;
 mod signals;
 mod summary;
+mod traffic;
 mod troubles;
 
 pub use options::RunOptions;
 pub use plan::{FaultPlan, Profile};
 pub use run::{run_seed, SeedResult};
 pub use summary::Summary;
+pub use traffic::{SurplusCount, Traffic};
--- a/crates/testbench/src/soak/faults.rs
+++ b/crates/testbench/src/soak/faults.rs
@@ -1,6 +1,6 @@
 //! The faults of a run. The names of types, variants and fields appear in timelines through their `Debug` form.
 
-use cloverstile_fakes::platform::AgentBehaviour;
+use cloverstile_fakes::platform::{AgentBehaviour, RepeatedResponse};
 use cloverstile_fault_injection::{Call, Effect};
 use std::fmt;
 use std::time::Duration;
@@ -55,7 +55,7 @@
 }
 
 /// How an endpoint fails for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum EndpointFault {
     /// It never responds, and keeps connections open.
     Hangs,
@@ -77,11 +77,13 @@
     AcceptsLate,
     /// The endpoint list shows it as draining.
     Drains,
+    /// It writes something behind responses.
+    Repeats(RepeatedResponse),
 }
 
 impl EndpointFault {
     /// Whether the endpoint is down meanwhile, so that slow start applies to its recovery.
-    pub fn is_outage(self) -> bool {
+    pub fn is_outage(&self) -> bool {
         matches!(
             self,
             EndpointFault::Hangs
--- a/crates/testbench/src/soak/plan.rs
+++ b/crates/testbench/src/soak/plan.rs
@@ -26,6 +26,11 @@
 /// How long after that time each fault begins, in milliseconds.
 const CONCURRENT_FAULT_DELAY_MS: Range<u64> = 0..400;
 
+/// How many faults of bytes that belong to no request a run of [`Profile::Soak`] has in addition.
+const UNSOLICITED_FAULTS: Range<usize> = 6..15;
+/// The generator that they are drawn from is seeded with the seed plus this.
+const UNSOLICITED_SEED_OFFSET: u64 = 1 << 32;
+
 /// Which kinds of faults a run draws from. The value is the index into their weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Profile {
@@ -90,10 +95,24 @@
         if profile == Profile::Soak && rng.random_bool(QUIET_SHARE) {
             plan.insert_quiet_time();
         }
+        if profile == Profile::Soak {
+            plan.add_unsolicited_faults(endpoints);
+        }
         plan.faults.sort_by_key(|planned| planned.at);
         plan
     }
 
+    /// Adds faults of bytes that belong to no request.
+    fn add_unsolicited_faults(&mut self, endpoints: usize) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed + UNSOLICITED_SEED_OFFSET);
+        for _ in 0..rng.random_range(UNSOLICITED_FAULTS) {
+            let at = self.load.mul_f64(rng.random_range(0.0..0.9));
+            let gateway = rng.random_range(0..self.gateways);
+            let (kind, fault) = troubles::draw_unsolicited(&mut rng, endpoints);
+            self.faults.push(PlannedFault { at, gateway, kind, fault });
+        }
+    }
+
     /// Delays the faults of the second half, which leaves a period without new faults in the middle.
     fn insert_quiet_time(&mut self) {
         let middle = self.load / 2;
--- a/crates/testbench/src/soak/run.rs
+++ b/crates/testbench/src/soak/run.rs
@@ -11,6 +11,7 @@
 use super::options::RunOptions;
 use super::plan::{FaultPlan, PlannedFault};
 use super::signals::SignalSeries;
+use super::traffic::Traffic;
 use cloverstile_fakes::platform::{
     find_violations, AgentBehaviour, EndpointBehaviour, InvariantRules, Platform, PlatformEvent,
     SlowStartRule, TimedEvent, Violation,
@@ -61,6 +62,8 @@
     pub crashes: u64,
     /// CPU time of the gateways' last processes, in seconds.
     pub cpu_seconds: f64,
+    /// What passed between the gateways and the endpoints.
+    pub traffic: Traffic,
 }
 
 impl SeedResult {
@@ -113,6 +116,7 @@
         violations: find_violations(&events, rules),
         crashes: gateways.iter().map(Gateway::crashes).sum(),
         cpu_seconds,
+        traffic: Traffic::count(&events),
     };
     let folder = options.folder(seed);
     if result.has_failed() {
@@ -190,7 +194,7 @@
                 if is_outage {
                     self.platform.record(PlatformEvent::EndpointFailed { endpoint: *endpoint });
                 }
-                self.fail_endpoint(*endpoint, *fault);
+                self.fail_endpoint(*endpoint, fault);
                 std::thread::sleep(*lasts);
                 self.restore_endpoint(*endpoint);
                 if is_outage {
@@ -219,16 +223,17 @@
         gateway.agents().for_each(|agent| self.platform.set_agent_behaviour(agent, AgentBehaviour::Prompt));
     }
 
-    fn fail_endpoint(&self, endpoint: usize, fault: EndpointFault) {
+    fn fail_endpoint(&self, endpoint: usize, fault: &EndpointFault) {
         let behaviour = match fault {
             EndpointFault::Hangs => EndpointBehaviour::Silent,
             EndpointFault::Disconnects => EndpointBehaviour::Disconnect,
-            EndpointFault::Resets(after) => EndpointBehaviour::Reset(after),
-            EndpointFault::Rejects(wait) => EndpointBehaviour::Respond(rejection(wait)),
-            EndpointFault::RespondsWith(status) => EndpointBehaviour::Respond(empty_response(status)),
+            EndpointFault::Resets(after) => EndpointBehaviour::Reset(*after),
+            EndpointFault::Rejects(wait) => EndpointBehaviour::Respond(rejection(*wait)),
+            EndpointFault::RespondsWith(status) => EndpointBehaviour::Respond(empty_response(*status)),
             EndpointFault::StopsInStatusLine => EndpointBehaviour::Respond(HALF_STATUS_LINE.to_vec()),
-            EndpointFault::RespondsLate(delay) => EndpointBehaviour::DeliverLate(delay),
+            EndpointFault::RespondsLate(delay) => EndpointBehaviour::DeliverLate(*delay),
             EndpointFault::ClosesIdle => EndpointBehaviour::DeliverAndClose,
+            EndpointFault::Repeats(repeat) => EndpointBehaviour::Repeat(repeat.clone()),
             EndpointFault::AcceptsLate => return self.platform.set_accepting(endpoint, false),
             EndpointFault::Drains => return self.platform.set_lifecycle(endpoint, "DRAINING"),
         };
--- a/crates/testbench/src/soak/summary.rs
+++ b/crates/testbench/src/soak/summary.rs
@@ -1,9 +1,14 @@
 //! Totals over the seeds of a series. The field names are keys of the printed JSON.
 
 use super::run::SeedResult;
+use super::traffic::{SurplusCount, Traffic};
 use cloverstile_fakes::platform::ViolationKind;
 use serde::Serialize;
 use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Bounds of the ranges into which the delays of bytes behind a response are sorted.
+const SURPLUS_DELAY_RANGES_MS: [u64; 7] = [0, 1, 5, 15, 60, 100, 151];
 
 /// Totals over a series of seeds.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -46,6 +51,18 @@
     pub crashes: u64,
     /// CPU time of the gateways' last processes, in seconds. Without faults, this is what the messages cost.
     pub gateway_cpu_seconds: f64,
+    /// Connections that endpoints accepted.
+    pub connections: u64,
+    /// Requests that endpoints received.
+    pub requests: u64,
+    /// Messages that were delivered.
+    pub deliveries: u64,
+    /// Median time from the submission of a delivered message to its delivery, in milliseconds.
+    pub median_delivery_ms: f64,
+    /// Bytes that peers wrote behind a response, by the time since the response in milliseconds.
+    pub surplus: BTreeMap<String, SurplusCount>,
+    #[serde(skip)]
+    delivery_times: Vec<Duration>,
     /// Seeds on which an invariant was violated or a process crashed.
     pub failed_seeds: Vec<u64>,
     /// Elapsed real time of the series, in seconds.
@@ -67,11 +84,27 @@
         for violation in &result.violations {
             *self.count_of(violation.kind) += 1;
         }
+        self.add_traffic(&result.traffic);
         if result.has_failed() {
             self.failed_seeds.push(result.seed);
         }
     }
 
+    fn add_traffic(&mut self, traffic: &Traffic) {
+        self.connections += traffic.connections;
+        self.requests += traffic.requests;
+        self.deliveries += traffic.delivery_times.len() as u64;
+        self.delivery_times.extend(&traffic.delivery_times);
+        self.delivery_times.sort_unstable();
+        let median = self.delivery_times.get(self.delivery_times.len() / 2);
+        self.median_delivery_ms = median.map_or(0.0, |median| median.as_secs_f64() * 1000.0);
+        for (delay_ms, count) in &traffic.surplus {
+            let total = self.surplus.entry(delay_range(*delay_ms)).or_default();
+            total.written += count.written;
+            total.crossed += count.crossed;
+        }
+    }
+
     fn count_of(&mut self, kind: ViolationKind) -> &mut u64 {
         match kind {
             ViolationKind::Lost => &mut self.lost,
@@ -89,3 +122,9 @@
         }
     }
 }
+
+/// Name of the range of delays that a delay falls into.
+fn delay_range(delay_ms: u64) -> String {
+    let range = SURPLUS_DELAY_RANGES_MS.windows(2).find(|range| (range[0]..range[1]).contains(&delay_ms));
+    range.map_or_else(|| format!("{delay_ms}"), |range| format!("{:03}-{:03} ms", range[0], range[1]))
+}
--- a/crates/testbench/src/soak/troubles.rs
+++ b/crates/testbench/src/soak/troubles.rs
@@ -2,7 +2,7 @@
 
 use super::faults::{Crowd, EndpointFault, Fault, Restart, SignalRound, SignalStep};
 use super::plan::Profile;
-use cloverstile_fakes::platform::AgentBehaviour;
+use cloverstile_fakes::platform::{AgentBehaviour, RepeatedResponse, Surplus};
 use cloverstile_fault_injection::{Call, Effect};
 use rand::seq::IndexedRandom;
 use rand::Rng;
@@ -86,6 +86,24 @@
     FaultKind::new("crowd_leaving",         [0, 3],  |rng, _| crowd_fault(rng, |_| Crowd::Leaving)),
 ];
 
+/// Kinds of bytes that belong to no request, drawn for [`Profile::Soak`] in addition to the faults above. Their draws come
+/// from a generator of their own, so that the other faults of a seed stay the same.
+#[rustfmt::skip]
+const UNSOLICITED_KINDS: &[FaultKind] = &[
+    // Endpoints: a response once or twice more, in two parts, a 408 on an idle connection, noise.
+    FaultKind::new("endpoint_repeats",       [0, 12], |rng, n| repeating_endpoint(rng, n, Surplus::Copy, &REPEATED_STATUSES)),
+    FaultKind::new("endpoint_repeats_twice", [0, 3],  |rng, n| repeating_endpoint(rng, n, Surplus::TwoCopies, &REPEATED_STATUSES)),
+    FaultKind::new("endpoint_repeats_split", [0, 3],  |rng, n| repeating_endpoint(rng, n, Surplus::HalvedCopy, &REPEATED_STATUSES)),
+    FaultKind::new("endpoint_408",           [0, 2],  |rng, n| repeating_endpoint(rng, n, Surplus::RequestTimeout, &[200])),
+    FaultKind::new("endpoint_noise",         [0, 2],  |rng, n| repeating_endpoint(rng, n, Surplus::Noise, &[200])),
+    // Agents: notifications acknowledged twice and the next request dropped; copies of endpoint lists.
+    FaultKind::new("agent_repeats",          [0, 5],  |rng, _| { let delay = surplus_delay(rng); agent_fault(rng, AgentBehaviour::RepeatsAcknowledgements(delay), 1000..5000) }),
+    FaultKind::new("lists_repeated",         [0, 3],  |rng, _| { let delay = surplus_delay(rng); agent_fault(rng, AgentBehaviour::RepeatsLists(delay), 1000..5000) }),
+];
+
+/// Statuses of responses that are repeated, each as likely as it occurs here.
+const REPEATED_STATUSES: [u16; 8] = [200, 200, 200, 200, 200, 503, 429, 500];
+
 /// Linux error numbers for the file system: EIO, ENOSPC.
 const DISK_ERRORS: [i32; 2] = [5, 28];
 /// ECONNABORTED, ENFILE, EMFILE, ENOBUFS.
@@ -110,6 +128,32 @@
     (kind.name, (kind.draw)(rng, endpoints))
 }
 
+/// Draws a fault of bytes that belong to no request; returns the name of its kind and the fault.
+pub(super) fn draw_unsolicited(rng: &mut ChaCha8Rng, endpoints: usize) -> (&'static str, Fault) {
+    let drawn = UNSOLICITED_KINDS.choose_weighted(rng, |kind| kind.weight(Profile::Soak));
+    let kind = drawn.unwrap_or(&UNSOLICITED_KINDS[0]);
+    (kind.name, (kind.draw)(rng, endpoints))
+}
+
+/// Time from a response to what is written behind it: in half of the cases a few milliseconds.
+fn surplus_delay(rng: &mut ChaCha8Rng) -> Duration {
+    let microseconds =
+        if rng.random_bool(0.5) { rng.random_range(100..15_000) } else { rng.random_range(15_000..150_000) };
+    Duration::from_micros(microseconds)
+}
+
+fn repeating_endpoint(rng: &mut ChaCha8Rng, endpoints: usize, surplus: Surplus, statuses: &[u16]) -> Fault {
+    let repeat = RepeatedResponse {
+        service_time: ms(rng, 0..80),
+        status: statuses.choose(rng).copied().unwrap_or(200),
+        delay: surplus_delay(rng),
+        surplus,
+        every: [1, 2, 10].choose(rng).copied().unwrap_or(1),
+    };
+    let duration_ms = if repeat.status == 200 { 1000..6000 } else { 100..800 };
+    endpoint_fault(rng, endpoints, EndpointFault::Repeats(repeat), duration_ms)
+}
+
 /// A duration from a range in milliseconds.
 fn ms(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
