Split responses from requests.rs; planted defects of unsolicited bytes

Change: responses, credit and unsolicited bytes stand in requests/responses.rs, with one function that records the latter; is_silent, which also moves a request, is check_connection. The feature planted-defects of cloverstile-platform has reuse-at-once (no quiet period, no look at the socket), surplus-ignored, copy-acknowledges and doubt-ignored.

--- a/crates/fault-injection/src/planted.rs
+++ b/crates/fault-injection/src/planted.rs
@@ -36,11 +36,19 @@
     ReplyToAnother,
     /// SIGHUP during a shutdown opens the listener again.
     ReloadListens,
+    /// A connection to an endpoint is reused at once, without a look at its socket (incident-63ba54).
+    ReuseAtOnce,
+    /// Bytes on an idle connection to an endpoint are discarded, and the connection is kept.
+    SurplusIgnored,
+    /// A connection for notifications is kept for the next batch.
+    CopyAcknowledges,
+    /// A response that may be a copy counts at once, also from an endpoint that has sent copies.
+    DoubtIgnored,
 }
 
 impl PlantedDefect {
     /// Every defect, for tests that activate each of them in turn.
-    pub const ALL: [PlantedDefect; 12] = [
+    pub const ALL: [PlantedDefect; 16] = [
         PlantedDefect::ReplyBeforeLog,
         PlantedDefect::HalfBatch,
         PlantedDefect::WallClock,
@@ -53,6 +61,10 @@
         PlantedDefect::ShutdownClock,
         PlantedDefect::ReplyToAnother,
         PlantedDefect::ReloadListens,
+        PlantedDefect::ReuseAtOnce,
+        PlantedDefect::SurplusIgnored,
+        PlantedDefect::CopyAcknowledges,
+        PlantedDefect::DoubtIgnored,
     ];
 
     /// The value of [`DEFECT_VARIABLE`] that activates the defect.
@@ -70,6 +82,10 @@
             PlantedDefect::ShutdownClock => "shutdown-clock",
             PlantedDefect::ReplyToAnother => "reply-to-another",
             PlantedDefect::ReloadListens => "reload-listens",
+            PlantedDefect::ReuseAtOnce => "reuse-at-once",
+            PlantedDefect::SurplusIgnored => "surplus-ignored",
+            PlantedDefect::CopyAcknowledges => "copy-acknowledges",
+            PlantedDefect::DoubtIgnored => "doubt-ignored",
         }
     }
 }
--- a/crates/platform/src/connection_reuse.rs
+++ b/crates/platform/src/connection_reuse.rs
@@ -6,6 +6,8 @@
 //! counts only if nothing follows it.
 
 use cloverstile::{EndpointId, Time};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_http::RESPONSE_QUIET_PERIOD;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -64,6 +66,10 @@
 impl ReusePolicy {
     /// How long a connection must have been quiet after a response before it carries another request.
     pub fn quiet_period(&self, now: Time) -> Duration {
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::ReuseAtOnce) {
+            return Duration::ZERO;
+        }
         let learned = self.learned.as_ref().filter(|learned| now < learned.until);
         learned.map_or(RESPONSE_QUIET_PERIOD, |learned| learned.period)
     }
@@ -81,6 +87,10 @@
     /// Whether a response that equals the one before it on its connection counts only if nothing follows it: from a
     /// distrusted endpoint, and where it came implausibly fast.
     pub fn needs_confirmation(&self, now: Time, endpoint: EndpointId, response_time: Duration) -> bool {
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::DoubtIgnored) {
+            return false;
+        }
         let times = self.response_times.get(&endpoint);
         self.is_distrusted(now, endpoint) || times.is_some_and(|times| times.is_implausible(response_time))
     }
--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -6,6 +6,8 @@
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{UnsolicitedBytes, UnsolicitedSource};
 use cloverstile::{OrderKey, Time};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_http::{Headers, StartLine};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -329,7 +331,9 @@
             return settled;
         };
         // A second copy of this response would acknowledge the next batch, so a connection carries a single one.
-        agent.connection.close(now, transport);
+        if !keeps_connections() {
+            agent.connection.close(now, transport);
+        }
         match response.map(|response| response.start_line) {
             Ok(StartLine::Response { status: 200..=299 }) => {
                 self.batch_limit = MAX_BATCH_SIZE;
@@ -370,6 +374,15 @@
     }
 }
 
+/// Whether connections are kept for the next batch, which is a planted defect.
+fn keeps_connections() -> bool {
+    #[cfg(feature = "planted-defects")]
+    if is_planted(PlantedDefect::CopyAcknowledges) {
+        return true;
+    }
+    false
+}
+
 /// Encodes a notification as a line of newline-delimited JSON.
 fn json_line(notification: &Notification) -> Vec<u8> {
     let (status, retry_after_ms) = match notification.status {
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -7,15 +7,17 @@
 //! ([`Requests::commit`]). An endpoint starts to process a request only when it has the last byte, so an attempt that
 //! fails before then was never processed.
 
+mod responses;
+
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
 use crate::connection_reuse::{Repeatability, ReusePolicy};
-use crate::response::{AttemptResult, ConnectionReuse, LoadReportFields, ResponseProgress, ResponseReader};
+use crate::response::{AttemptResult, LoadReportFields, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
-use crate::unsolicited::{
-    response_status, time_since, UnsolicitedBytes, UnsolicitedLog, UnsolicitedPhase, UnsolicitedSource,
-};
+use crate::unsolicited::{UnsolicitedBytes, UnsolicitedLog};
 use cloverstile::{EndpointId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -29,14 +31,6 @@
 /// attempt.
 const REMAINDER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What a response gives its attempt.
-enum Credit {
-    /// This result.
-    Certain(AttemptResult),
-    /// This result, if nothing follows until the time-out: the response may be a copy of the one before it.
-    Unconfirmed { result: AttemptResult, response_time: Duration, timeout_at: Time },
-}
-
 /// Limits on connections to endpoints, and the load report fields to read from responses.
 #[derive(Clone, Debug)]
 pub struct ConnectionLimits {
@@ -211,7 +205,7 @@
     }
 
     /// Writes the request of a connected attempt except for its last byte, unless its connection turns out to be unusable
-    /// (see [`Requests::is_silent`]).
+    /// (see [`Requests::check_connection`]).
     pub fn send_all_but_last_byte(
         &mut self,
         now: Time,
@@ -220,7 +214,7 @@
         transport: &mut impl Transport,
     ) {
         let Some((last_byte, first_bytes)) = bytes.split_last() else { return };
-        if !self.is_silent(now, attempt, transport) {
+        if !self.check_connection(now, attempt, transport) {
             return;
         }
         let Some(&id) = self.attempts.get(&attempt) else { return };
@@ -232,12 +226,16 @@
         }
     }
 
-    /// Whether a reused connection has received nothing since its last response, as far as the socket tells in this very
-    /// moment; always true for a new connection. Bytes on it are not the response to a request that is not written yet, but
+    /// Checks that a reused connection has received nothing since its last response, as far as the socket tells in this very
+    /// moment; a new connection always passes. Bytes on it are not the response to a request that is not written yet, but
     /// would be taken for it later. If there are any, or the connection has ended, the attempt continues on a new
     /// connection or ends as a failed connect; if its start is in the log, that has to be withdrawn.
-    pub fn is_silent(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) -> bool {
+    pub fn check_connection(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) -> bool {
         let Some(&id) = self.attempts.get(&attempt) else { return true };
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::ReuseAtOnce) {
+            return true;
+        }
         if !self.is_connection_reused(attempt) {
             return true;
         }
@@ -419,165 +417,6 @@
         }
     }
 
-    /// Handles bytes received on a connection.
-    pub fn on_bytes(
-        &mut self,
-        now: Time,
-        connection: ConnectionId,
-        bytes: &[u8],
-        transport: &mut impl Transport,
-    ) {
-        let Some(pooled) = self.pool.get_mut(connection) else { return };
-        match pooled.state {
-            // No request is outstanding. A duplicate response or garbage would be taken for the next response.
-            ConnectionState::Idle { .. } => {
-                self.record_unsolicited(now, connection, UnsolicitedPhase::Idle, bytes);
-                return self.pool.close(connection, transport);
-            }
-            // Two responses to one request: which of them is the copy is not known.
-            ConnectionState::Unconfirmed { attempt, .. } => {
-                self.record_unsolicited(now, connection, UnsolicitedPhase::AfterResponse, bytes);
-                self.attempts.remove(&attempt);
-                self.complete(attempt, Some(connection), TransportOutcome::Error.into());
-                return self.pool.close(connection, transport);
-            }
-            _ => {}
-        }
-        let progress = pooled.reader.on_bytes(Duration::from_nanos(now.0), bytes, &self.report_fields);
-        let endpoint = pooled.endpoint;
-        let is_unwritten = pooled.active().is_some() && pooled.response_time(now).is_none();
-        // The wait that a copy states has been counted already.
-        if !(is_unwritten && pooled.is_possible_copy()) {
-            self.retry_after.extend(progress.retry_after.map(|delay| RetryAfter { endpoint, delay }));
-        }
-        match pooled.active().map(|request| &request.phase) {
-            Some(RequestPhase::Committed { .. }) | None => {
-                self.on_response(now, connection, &progress, transport);
-            }
-            // Bytes that arrive before the whole request was written cannot be its response: they are garbage, or the
-            // endpoint refuses the connection.
-            Some(_) => {
-                self.record_unsolicited(now, connection, UnsolicitedPhase::BeforeLastByte, bytes);
-                transport.close(connection);
-                self.on_closed(now, connection, false, transport);
-            }
-        }
-    }
-
-    /// Records bytes that answer no request.
-    fn record_unsolicited(
-        &mut self,
-        now: Time,
-        connection: ConnectionId,
-        phase: UnsolicitedPhase,
-        bytes: &[u8],
-    ) {
-        let Some(pooled) = self.pool.get(connection) else { return };
-        let since_response = time_since(now, pooled.response_at);
-        let status = response_status(bytes);
-        if let Some(since_response) = since_response {
-            self.reuse.on_unsolicited(now, pooled.endpoint, since_response, status);
-        }
-        self.unsolicited.push(UnsolicitedBytes {
-            connection,
-            source: UnsolicitedSource::Endpoint(pooled.endpoint),
-            byte_count: bytes.len(),
-            status,
-            since_response,
-            phase,
-            attempt: Some(pooled.last_attempt),
-        });
-    }
-
-    /// Records bytes that followed a response in the same read.
-    fn record_surplus(&mut self, now: Time, connection: ConnectionId) {
-        let Some(pooled) = self.pool.get(connection) else { return };
-        let byte_count = pooled.reader.surplus_bytes();
-        if byte_count > 0 {
-            let status = pooled.reader.surplus_status();
-            self.reuse.on_unsolicited(now, pooled.endpoint, Duration::ZERO, status);
-            self.unsolicited.push(UnsolicitedBytes {
-                connection,
-                source: UnsolicitedSource::Endpoint(pooled.endpoint),
-                byte_count,
-                status,
-                since_response: Some(Duration::ZERO),
-                phase: UnsolicitedPhase::AfterResponse,
-                attempt: Some(pooled.last_attempt),
-            });
-        }
-    }
-
-    /// What the bytes read so far give the attempt on a connection; none if they give it no result.
-    fn credit(&mut self, now: Time, connection: ConnectionId, progress: &ResponseProgress) -> Option<Credit> {
-        let result = progress.result?;
-        let pooled = self.pool.get(connection)?;
-        let Some(response_time) = pooled.response_time(now) else { return Some(Credit::Certain(result)) };
-        let endpoint = pooled.endpoint;
-        if !pooled.is_possible_copy() {
-            if result.outcome == TransportOutcome::Processed {
-                self.reuse.on_response(endpoint, response_time);
-            }
-            return Some(Credit::Certain(result));
-        }
-        if pooled.reader.surplus_bytes() > 0 {
-            // One of the two may be a copy of the response before.
-            return Some(Credit::Certain(TransportOutcome::Error.into()));
-        }
-        if progress.reuse == ConnectionReuse::Reusable
-            && self.reuse.needs_confirmation(now, endpoint, response_time)
-        {
-            let timeout_at = now + self.reuse.confirmation_time(now, endpoint);
-            return Some(Credit::Unconfirmed { result, response_time, timeout_at });
-        }
-        Some(Credit::Certain(result))
-    }
-
-    /// Reports the attempt's result once the response gives it, and closes the connection or returns it to the pool.
-    fn on_response(
-        &mut self,
-        now: Time,
-        connection: ConnectionId,
-        progress: &ResponseProgress,
-        transport: &mut impl Transport,
-    ) {
-        let credit = self.credit(now, connection, progress);
-        let Some(pooled) = self.pool.get_mut(connection) else { return };
-        let is_request_sent = is_request_sent(&pooled.state);
-        let is_abandoned = matches!(pooled.state, ConnectionState::Abandoned { .. });
-        let attempt = pooled.active().map(|request| request.attempt);
-        if progress.reuse != ConnectionReuse::Incomplete {
-            pooled.response_at = Some(now);
-            pooled.previous_response = pooled.reader.digest();
-        }
-        if let (Some(credit), Some(attempt)) = (credit, attempt) {
-            match credit {
-                Credit::Certain(result) => {
-                    pooled.state = ConnectionState::ReadingRemainder { timeout_at: now + REMAINDER_TIMEOUT };
-                    self.attempts.remove(&attempt);
-                    self.complete(attempt, Some(connection), result);
-                }
-                Credit::Unconfirmed { result, response_time, timeout_at } => {
-                    pooled.state =
-                        ConnectionState::Unconfirmed { attempt, result, response_time, timeout_at };
-                    return;
-                }
-            }
-        }
-        self.record_surplus(now, connection);
-        match progress.reuse {
-            // The remaining bytes of the response would add nothing.
-            _ if is_abandoned && (progress.result.is_some() || progress.retry_after.is_some()) => {
-                self.pool.close(connection, transport);
-            }
-            ConnectionReuse::Incomplete => {}
-            // If the response came before the request was fully written, the connection cannot be reused: the remaining
-            // request bytes would precede the next request.
-            ConnectionReuse::Reusable if is_request_sent => self.pool.make_idle(now, connection),
-            ConnectionReuse::Reusable | ConnectionReuse::Unusable => self.pool.close(connection, transport),
-        }
-    }
-
     /// The latest time at which [`Requests::on_tick`] must be called, if any connection has a timeout.
     pub fn next_timeout(&self) -> Option<Time> {
         self.pool.next_timeout()
@@ -593,21 +432,6 @@
         }
     }
 
-    /// Reports the result of an unconfirmed response that nothing followed; returns whether there was one.
-    fn confirm(&mut self, now: Time, connection: ConnectionId) -> bool {
-        let Some(pooled) = self.pool.get(connection) else { return false };
-        let ConnectionState::Unconfirmed { attempt, result, response_time, .. } = pooled.state else {
-            return false;
-        };
-        if result.outcome == TransportOutcome::Processed {
-            self.reuse.on_response(pooled.endpoint, response_time);
-        }
-        self.attempts.remove(&attempt);
-        self.complete(attempt, Some(connection), result);
-        self.pool.make_idle(now, connection);
-        true
-    }
-
     /// Marks the attempt on a connection as ready to commit if its last byte is held; returns whether it was.
     fn release_last_byte(&mut self, connection: ConnectionId) -> bool {
         let Some(request) = self.pool.get_mut(connection).and_then(Connection::active) else { return false };
--- a/crates/platform/tests/platform/connection_reuse.rs
+++ b/crates/platform/tests/platform/connection_reuse.rs
@@ -76,7 +76,7 @@
                 requests.on_tick(now + Duration::from_millis(1), &mut transport);
                 assert_eq!(requests.take_ready_to_commit(), [attempt(2)]);
                 transport.unread.insert(connection, unread(bytes));
-                assert!(!requests.is_silent(now, attempt(2), &mut transport));
+                assert!(!requests.check_connection(now, attempt(2), &mut transport));
                 requests.commit(at(0), attempt(2), &mut transport);
                 assert_eq!(transport.written, [(connection, "cal".to_owned())], "the last byte was written");
             }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -183,7 +183,7 @@
         for attempt in std::mem::take(&mut self.uncommitted) {
             if !delivery.engine.may_send_now(now, attempt) {
                 self.withdraw(now, attempt, delivery, sockets);
-            } else if self.requests.is_silent(now, attempt, sockets) {
+            } else if self.requests.check_connection(now, attempt, sockets) {
                 delivery.engine.set_attempt_started(attempt, true);
                 self.requests.commit(now, attempt, sockets);
             } else {
