A new connection takes the place of one that rests, for endpoints that hold few

Cause: connections that rest stay open beside the new ones that are opened meanwhile, and endpoints there hold few.

Change: where no idle connection of an endpoint is quiet, or none may be used, the one used last is closed when a new one is opened.

--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -271,6 +271,13 @@
         evictable.map(|(_, id)| self.close(id, transport)).is_some()
     }
 
+    /// Closes the idle connection to an endpoint that was used last, if there is one.
+    pub fn close_one_idle(&mut self, endpoint: EndpointId, transport: &mut impl Transport) {
+        if let Some(id) = self.idle.get(&endpoint).and_then(|idle| idle.last().copied()) {
+            self.close(id, transport);
+        }
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: EndpointId, transport: &mut impl Transport) {
         for id in self.idle.remove(&endpoint).unwrap_or_default() {
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -147,8 +147,8 @@
         !self.connected.is_empty() || !self.ready_to_commit.is_empty() || !self.completed.is_empty()
     }
 
-    /// Assigns a connection to an attempt: an idle one, which counts as connected at once, or a new one. If the
-    /// connection limit leaves no room, the attempt ends as unsent.
+    /// Assigns a connection to an attempt: an idle one, which counts as connected at once, or a new one in place of one that
+    /// can't be used yet. If the connection limit leaves no room, the attempt ends as unsent.
     pub fn connect(
         &mut self,
         now: Time,
@@ -171,11 +171,26 @@
             connection.last_attempt = attempt;
             self.attempts.insert(attempt, id);
             self.connected.push(attempt);
-        } else if self.pool.ensure_capacity(transport) {
+        } else {
+            // The number of connections to the endpoint, which holds only so many, stays as it is.
+            self.pool.close_one_idle(endpoint, transport);
+            self.open_or_fail(now, attempt, target, transport);
+        }
+    }
+
+    /// Opens a connection for an attempt; if the connection limit leaves no room, the attempt ends as unsent.
+    fn open_or_fail(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        target: RequestTarget,
+        transport: &mut impl Transport,
+    ) {
+        if self.pool.ensure_capacity(transport) {
             let timeout_at = now + self.connect_timeout;
             let phase = RequestPhase::Connecting { timeout_at };
             let request = ActiveRequest { attempt, phase, stale_connections: 0 };
-            self.open_connection(request, endpoint, address, transport);
+            self.open_connection(request, target.endpoint, target.address, transport);
         } else {
             self.complete(attempt, None, TransportOutcome::Unsent.into());
         }
--- a/crates/platform/tests/platform/connection_reuse.rs
+++ b/crates/platform/tests/platform/connection_reuse.rs
@@ -23,6 +23,16 @@
     connection
 }
 
+/// Sends requests for these messages at once, each on a new connection, and answers them at these times.
+fn answered_requests(requests: &mut Requests, transport: &mut FakeTransport, answered_at: &[(u32, u64)]) {
+    let send = |(message, at_ms): &(u32, u64)| (send_request(requests, transport, at(0), *message), *at_ms);
+    let sent: Vec<(ConnectionId, u64)> = answered_at.iter().map(send).collect();
+    for (connection, at_ms) in sent {
+        requests.on_flushed(connection);
+        requests.on_bytes(at(at_ms), connection, OK_RESPONSE, transport);
+    }
+}
+
 fn unread(bytes: &[u8]) -> ReceivedNow {
     ReceivedNow { bytes: bytes.to_vec(), has_ended: false }
 }
@@ -41,11 +51,7 @@
 #[test]
 fn most_recently_used_quiet_connection_is_reused() {
     let (mut requests, mut transport) = (requests(9), FakeTransport::default());
-    for (message, answered_at) in [(1, 10), (2, 50), (3, 200)] {
-        let connection = send_request(&mut requests, &mut transport, at(0), message);
-        requests.on_flushed(connection);
-        requests.on_bytes(at(answered_at), connection, OK_RESPONSE, &mut transport);
-    }
+    answered_requests(&mut requests, &mut transport, &[(1, 10), (2, 50), (3, 200)]);
     for (message, expected) in
         [(4, Some(ConnectionId(2))), (5, Some(ConnectionId(1))), (6, Some(ConnectionId(4)))]
     {
@@ -54,6 +60,18 @@
     }
 }
 
+/// An endpoint holds only so many connections: where none can be reused yet, a new one takes the place of the one used last.
+#[test]
+fn new_connection_takes_the_place_of_an_idle_one_that_is_not_quiet() {
+    let (mut requests, mut transport) = (requests(9), FakeTransport::default());
+    answered_requests(&mut requests, &mut transport, &[(1, 10), (2, 50)]);
+    requests.connect(at(60), attempt(3), target(), &mut transport);
+    assert_eq!(requests.connection(attempt(3)), Some(ConnectionId(3)));
+    assert_eq!((&transport.closed[..], requests.connections()), (&[ConnectionId(2)][..], 2));
+    requests.connect(at(170), attempt(4), target(), &mut transport);
+    assert_eq!(requests.connection(attempt(4)), Some(ConnectionId(1)));
+}
+
 /// Guards against a copy that lies in the socket when the request is written: the socket was last read in an earlier turn.
 #[test]
 fn bytes_in_the_socket_before_the_first_or_the_last_byte_move_the_request_to_a_new_connection() {
