Keep resting connections unless an endpoint had no room for a connection

Cause: closing a resting connection for each new one makes the next request open one as well, which costs time where endpoints have room.

--- a/crates/platform/src/connection_reuse.rs
+++ b/crates/platform/src/connection_reuse.rs
@@ -20,6 +20,8 @@
 const QUIET_PERIOD_MEMORY: Duration = Duration::from_secs(600);
 /// How long an endpoint is distrusted after it sent unsolicited bytes.
 const DISTRUST_PERIOD: Duration = Duration::from_secs(60);
+/// How long endpoints count as crowded after one of them had no room for a connection.
+const CROWDING_MEMORY: Duration = Duration::from_secs(60);
 /// Number of response times that must be known before one counts as implausibly short.
 const MIN_RESPONSE_TIMES: u32 = 20;
 /// A response is implausibly fast if it took less than this fraction of the shortest time known.
@@ -47,6 +49,8 @@
     /// When the distrust of an endpoint ends.
     distrusted: HashMap<EndpointId, Time>,
     response_times: HashMap<EndpointId, ResponseTimes>,
+    /// Until when endpoints count as crowded.
+    crowded_until: Time,
 }
 
 /// A quiet period that follows from unsolicited bytes.
@@ -128,6 +132,17 @@
         self.learned = Some(LearnedQuietPeriod { period, until: now + QUIET_PERIOD_MEMORY });
     }
 
+    /// Learns that an endpoint had no room for another connection.
+    pub fn on_no_room(&mut self, now: Time) {
+        self.crowded_until = now + CROWDING_MEMORY;
+    }
+
+    /// Whether a new connection replaces one that can't be used yet. Where endpoints have no room, connections that rest
+    /// would take that of others; elsewhere they are worth keeping, as a new one costs time.
+    pub fn replaces_resting_connections(&self, now: Time) -> bool {
+        now < self.crowded_until
+    }
+
     /// Forgets endpoints that are no longer listed.
     pub fn retain_listed(&mut self, is_listed: impl Fn(EndpointId) -> bool) {
         self.distrusted.retain(|endpoint, _| is_listed(*endpoint));
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -147,8 +147,8 @@
         !self.connected.is_empty() || !self.ready_to_commit.is_empty() || !self.completed.is_empty()
     }
 
-    /// Assigns a connection to an attempt: an idle one, which counts as connected at once, or a new one in place of one that
-    /// can't be used yet. If the connection limit leaves no room, the attempt ends as unsent.
+    /// Assigns a connection to an attempt: an idle one, which counts as connected at once, or a new one, which
+    /// replaces one that can't be used yet where endpoints are short of room. If the connection limit leaves no room, the attempt ends as unsent.
     pub fn connect(
         &mut self,
         now: Time,
@@ -172,8 +172,9 @@
             self.attempts.insert(attempt, id);
             self.connected.push(attempt);
         } else {
-            // The number of connections to the endpoint, which holds only so many, stays as it is.
-            self.pool.close_one_idle(endpoint, transport);
+            if self.reuse.replaces_resting_connections(now) {
+                self.pool.close_one_idle(endpoint, transport);
+            }
             self.open_or_fail(now, attempt, target, transport);
         }
     }
--- a/crates/platform/src/requests/responses.rs
+++ b/crates/platform/src/requests/responses.rs
@@ -131,6 +131,9 @@
         let pooled = self.pool.get(connection)?;
         let Some(response_time) = pooled.response_time(now) else { return Some(Credit::Certain(result)) };
         let endpoint = pooled.endpoint;
+        if result.outcome == TransportOutcome::ConnectFailed {
+            self.reuse.on_no_room(now);
+        }
         if !pooled.is_possible_copy() {
             if result.outcome == TransportOutcome::Processed {
                 self.reuse.on_response(endpoint, response_time);
