--- a/crates/as2-gateway/src/outbound_client.rs
+++ b/crates/as2-gateway/src/outbound_client.rs
@@ -231,8 +231,9 @@
         }
     }
 
-    /// Handles bytes, or the end if there are none, on the connection of a batch that awaits no response. Bytes would be taken for the response to the next
-    /// request, so the connection carries no further one; a request that was not sent goes out on another connection.
+    /// Handles bytes, or the end if there are none, on the connection of a batch that awaits no response. Bytes would be
+    /// taken for the response to the next request, so the connection carries no further one; a request that was not sent
+    /// goes out on another connection.
     fn on_unsolicited_bytes(
         &mut self,
         context: &mut Context,
@@ -346,17 +347,14 @@
         let Some(batch) = self.batches.get_mut(&id) else { return };
         let stage = std::mem::replace(&mut batch.stage, AttemptStage::Preparing);
         let keep_alive = std::mem::replace(&mut batch.keep_alive, true);
-        let (endpoint, connection) = (batch.endpoint, batch.connection);
         if !keep_alive {
-            batch.connection = BatchConnection::None;
-            if let Some(connection) = connection.id() {
+            if let Some(connection) = batch.take_connection() {
                 self.pool.close(context, connection);
             }
         } else if stage != AttemptStage::Preparing {
-            batch.connection = BatchConnection::None;
-            self.pool.release(context, endpoint, connection);
+            let connection = std::mem::replace(&mut batch.connection, BatchConnection::None);
+            self.pool.release(context, batch.endpoint, connection);
         }
-        let Some(batch) = self.batches.get_mut(&id) else { return };
         if let Some(next) = batch.queue.pop_front() {
             batch.current = next;
             self.prepare_attempt(context, id);
--- a/crates/platform/src/connection_reuse.rs
+++ b/crates/platform/src/connection_reuse.rs
@@ -24,8 +24,8 @@
 const CROWDING_MEMORY: Duration = Duration::from_secs(60);
 /// Number of response times that must be known before one counts as implausibly short.
 const MIN_RESPONSE_TIMES: u32 = 20;
-/// A response is implausibly fast if it took less than this fraction of the shortest time known.
-const IMPLAUSIBLE_FRACTION: u32 = 2;
+/// A response is implausibly fast if it took less than the shortest time known divided by this.
+const IMPLAUSIBLE_TIME_DIVISOR: u32 = 2;
 /// Status with which servers announce that they close an idle connection (RFC 9110, section 15.5.9). It is unsolicited,
 /// but no sign of an endpoint that repeats responses.
 const REQUEST_TIMEOUT_STATUS: u16 = 408;
@@ -152,6 +152,6 @@
 
 impl ResponseTimes {
     fn is_implausible(&self, response_time: Duration) -> bool {
-        self.count >= MIN_RESPONSE_TIMES && response_time < self.shortest / IMPLAUSIBLE_FRACTION
+        self.count >= MIN_RESPONSE_TIMES && response_time < self.shortest / IMPLAUSIBLE_TIME_DIVISOR
     }
 }
--- a/crates/testbench/src/soak/traffic.rs
+++ b/crates/testbench/src/soak/traffic.rs
@@ -14,7 +14,7 @@
     pub requests: u64,
     /// Time from the submission of each delivered message to its delivery.
     pub delivery_times: Vec<Duration>,
-    /// Reads of bytes that were written behind a response, by the time since the response in milliseconds.
+    /// Writes of bytes behind a response, by the time since the response in milliseconds.
     pub surplus: HashMap<u64, SurplusCount>,
 }
 
--- a/crates/testbench/src/soak/troubles.rs
+++ b/crates/testbench/src/soak/troubles.rs
@@ -123,15 +123,22 @@
 
 /// Draws a fault of a profile, for this number of endpoints; returns the name of its kind and the fault.
 pub(super) fn draw(rng: &mut ChaCha8Rng, profile: Profile, endpoints: usize) -> (&'static str, Fault) {
-    let drawn = FAULT_KINDS.choose_weighted(rng, |kind| kind.weight(profile));
-    let kind = drawn.unwrap_or(&FAULT_KINDS[0]);
-    (kind.name, (kind.draw)(rng, endpoints))
+    draw_from(FAULT_KINDS, rng, profile, endpoints)
 }
 
 /// Draws a fault of bytes that belong to no request; returns the name of its kind and the fault.
 pub(super) fn draw_unsolicited(rng: &mut ChaCha8Rng, endpoints: usize) -> (&'static str, Fault) {
-    let drawn = UNSOLICITED_KINDS.choose_weighted(rng, |kind| kind.weight(Profile::Soak));
-    let kind = drawn.unwrap_or(&UNSOLICITED_KINDS[0]);
+    draw_from(UNSOLICITED_KINDS, rng, Profile::Soak, endpoints)
+}
+
+fn draw_from(
+    kinds: &[FaultKind],
+    rng: &mut ChaCha8Rng,
+    profile: Profile,
+    endpoints: usize,
+) -> (&'static str, Fault) {
+    let drawn = kinds.choose_weighted(rng, |kind| kind.weight(profile));
+    let kind = drawn.unwrap_or(&kinds[0]);
     (kind.name, (kind.draw)(rng, endpoints))
 }
 
