Log why a message is sent again, and what became of a response in doubt

Change: `message sent again` (info) with how the attempt before ended, `response in doubt dropped` (warning), `response in doubt credited` (debug); 50 lines of a kind in 10 s, all counted, sums in the last line of a process. Nothing is decided otherwise.

--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -7,7 +7,7 @@
 use crate::response::{AttemptResult, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
 use cloverstile::{EndpointId, Time};
-use cloverstile_engine::Attempt;
+use cloverstile_engine::{Attempt, TransportOutcome};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -65,6 +65,8 @@
         result: AttemptResult,
         /// Time from the last byte of the request to the response.
         response_time: Duration,
+        /// When it was read.
+        held_since: Time,
         /// When it counts.
         timeout_at: Time,
     },
@@ -139,6 +141,14 @@
         }
     }
 
+    /// The outcome that a held response states, if there is one.
+    pub fn held_outcome(&self) -> Option<TransportOutcome> {
+        match &self.state {
+            ConnectionState::Unconfirmed { result, .. } => Some(result.outcome),
+            _ => None,
+        }
+    }
+
     /// Whether what was read is a complete response that equals the one before it on this connection.
     pub fn is_possible_copy(&self) -> bool {
         self.previous_response.is_some() && self.previous_response == self.reader.digest()
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`response`] | an endpoint's response: outcome, whether it may have run, reuse of the connection |
 //! | `connection_pool` | connections to endpoints and their states |
 //! | [`connection_reuse`] | when a connection may carry another request, and which responses count at once |
+//! | [`doubted_responses`] | responses that were held as possible copies, as events for the log |
 //! | [`requests`] | requests to endpoints, from an attempt to its result |
 //! | [`unsolicited`] | bytes of an endpoint that answer no request, as events for the log |
 //! | [`shutdown`] | phases of a graceful shutdown |
@@ -32,6 +33,7 @@
 mod connection_pool;
 pub mod connection_reuse;
 mod discovery_connection;
+pub mod doubted_responses;
 pub mod endpoint_list;
 pub mod endpoint_list_response;
 pub mod endpoint_watch;
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -11,6 +11,7 @@
 
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
 use crate::connection_reuse::{Repeatability, ReusePolicy};
+use crate::doubted_responses::{DoubtEnd, DoubtedResponse};
 use crate::response::{AttemptResult, LoadReportFields, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{UnsolicitedBytes, UnsolicitedLog};
@@ -88,6 +89,7 @@
     completed: Vec<CompletedAttempt>,
     retry_after: Vec<RetryAfter>,
     unsolicited: UnsolicitedLog,
+    doubted: Vec<DoubtedResponse>,
 }
 
 impl Requests {
@@ -104,6 +106,7 @@
             completed: Vec::new(),
             retry_after: Vec::new(),
             unsolicited: UnsolicitedLog::default(),
+            doubted: Vec::new(),
         }
     }
 
@@ -142,6 +145,11 @@
         self.unsolicited.take()
     }
 
+    /// Takes the responses that were held and about which the doubt has ended.
+    pub fn take_doubted(&mut self) -> Vec<DoubtedResponse> {
+        std::mem::take(&mut self.doubted)
+    }
+
     /// Whether any attempt that connected, became ready to commit or ended has not been taken yet.
     pub fn has_pending_events(&self) -> bool {
         !self.connected.is_empty() || !self.ready_to_commit.is_empty() || !self.completed.is_empty()
@@ -304,6 +312,7 @@
     /// response is still awaited.
     pub fn abandon(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) {
         let Some(id) = self.detach(attempt) else { return };
+        self.record_doubt_end(now, id, DoubtEnd::AttemptEnded, None);
         match self.pool.get_mut(id) {
             Some(Connection { state, .. }) if is_request_sent(state) => {
                 *state = ConnectionState::Abandoned { timeout_at: now + REMAINDER_TIMEOUT };
@@ -401,6 +410,9 @@
         clean: bool,
         transport: &mut impl Transport,
     ) {
+        if let Some(credited) = self.pool.get(connection).and_then(Connection::held_outcome) {
+            self.record_doubt_end(now, connection, DoubtEnd::ConnectionEnded, Some(credited));
+        }
         let Some(mut closed) = self.pool.remove(connection) else { return };
         let request = match closed.state {
             ConnectionState::Active(request) => request,
--- a/crates/platform/src/requests/responses.rs
+++ b/crates/platform/src/requests/responses.rs
@@ -2,6 +2,7 @@
 
 use super::{is_request_sent, Requests, RetryAfter, REMAINDER_TIMEOUT};
 use crate::connection_pool::{ConnectionState, RequestPhase};
+use crate::doubted_responses::{DoubtEnd, DoubtedResponse};
 use crate::response::{AttemptResult, ConnectionReuse, ResponseProgress};
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{
@@ -64,6 +65,8 @@
                     connection,
                     Unsolicited::new(UnsolicitedPhase::AfterResponse, bytes),
                 );
+                let end = DoubtEnd::Followed(response_status(bytes));
+                self.record_doubt_end(now, connection, end, Some(TransportOutcome::Error));
                 self.attempts.remove(&attempt);
                 self.complete(attempt, Some(connection), TransportOutcome::Error.into());
                 return self.pool.close(connection, transport);
@@ -165,7 +168,13 @@
                 self.complete(attempt, Some(connection), result);
             }
             Credit::Unconfirmed { result, response_time, timeout_at } => {
-                pooled.state = ConnectionState::Unconfirmed { attempt, result, response_time, timeout_at };
+                pooled.state = ConnectionState::Unconfirmed {
+                    attempt,
+                    result,
+                    response_time,
+                    held_since: now,
+                    timeout_at,
+                };
             }
         }
         Some(credit)
@@ -215,9 +224,31 @@
         if result.outcome == TransportOutcome::Processed {
             self.reuse.on_response(pooled.endpoint, response_time);
         }
+        self.record_doubt_end(now, connection, DoubtEnd::NothingFollowed, Some(result.outcome));
         self.attempts.remove(&attempt);
         self.complete(attempt, Some(connection), result);
         self.pool.make_idle(now, connection);
         true
     }
+
+    /// Records that the doubt about a held response has ended; does nothing if the connection holds none.
+    pub(super) fn record_doubt_end(
+        &mut self,
+        now: Time,
+        connection: ConnectionId,
+        end: DoubtEnd,
+        credited: Option<TransportOutcome>,
+    ) {
+        let Some(pooled) = self.pool.get(connection) else { return };
+        let ConnectionState::Unconfirmed { attempt, result, held_since, .. } = pooled.state else { return };
+        self.doubted.push(DoubtedResponse {
+            attempt,
+            connection,
+            endpoint: pooled.endpoint,
+            stated: result.outcome,
+            credited,
+            held_for: now - held_since,
+            end,
+        });
+    }
 }
--- a/crates/resp-gateway/src/gateway.rs
+++ b/crates/resp-gateway/src/gateway.rs
@@ -36,7 +36,12 @@
             if self.run_state.advance(now, &mut self.pipeline, &mut self.net).is_break() {
                 let pending_messages = self.pipeline.delivery.engine.pending_messages();
                 let unsolicited = self.unsolicited.total();
-                info!(pending_messages, unsolicited, "stopped, pending messages stay in the log");
+                let attempt_log = &self.pipeline.outgoing.attempt_log;
+                let (resent, doubted) = (attempt_log.resent(), attempt_log.doubted());
+                info!(
+                    pending_messages,
+                    unsolicited, resent, doubted, "stopped, pending messages stay in the log"
+                );
                 return Ok(());
             }
             let timeout = self.next_timeout(now).map(|at| at - now);
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! | `message_pipeline` | one turn: decisions, a single log write, then output |
 //! | `client_commands`, `client_replies` | clients, their commands, and the replies of one turn |
 //! | `outgoing_requests` | requests to endpoints, from the engine's decision to the last byte |
+//! | `attempt_log`, `log_limit` | why messages are sent again, responses in doubt; limits on log lines |
 //! | `delivery` | state shared by commands and requests: engine, log, endpoint list, notifications |
 //! | `endpoint_discovery` | updates to the endpoint list |
 //! | `shutdown` | the phases from a shutdown signal to the end of the process |
@@ -20,6 +21,7 @@
 //! | `clock`, `descriptor_limits`, `sockets` | time, allocation of file descriptors, connections |
 #![forbid(unsafe_code)]
 
+mod attempt_log;
 mod client_commands;
 mod client_replies;
 mod clock;
@@ -30,6 +32,7 @@
 mod environment;
 mod error;
 mod gateway;
+mod log_limit;
 mod message_log;
 mod message_pipeline;
 mod message_record;
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -174,6 +174,7 @@
     /// Records a message's final outcome and reports it: in the reply to the client if the message was submitted in this
     /// turn, otherwise as a notification to the platform. Delivered and cancelled messages are not reported.
     fn complete(&mut self, now: Time, id: MessageId, outcome: FinalOutcome) {
+        self.outgoing.attempt_log.on_message_completed(id);
         let in_this_turn = self.clients.replies.has_submission(id);
         debug!(
             client_id = %self.delivery.log.client_id(id),
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -4,6 +4,7 @@
 //! is checked again before all but its last byte is sent, and once more before its start is recorded. The last byte is
 //! sent once the start is in the log, if the request may still be sent then.
 
+use crate::attempt_log::{AttemptEnd, AttemptLog};
 use crate::delivery::DeliveryState;
 use crate::message_record;
 use crate::sockets::Sockets;
@@ -32,13 +33,20 @@
     awaiting_notification: Vec<PlannedRequest>,
     /// Attempts whose start is among this turn's records. Their last bytes are sent once the records are in the log.
     uncommitted: Vec<Attempt>,
+    /// Logs why messages are sent again.
+    pub attempt_log: AttemptLog,
 }
 
 impl OutgoingRequests {
     /// Creates the state without any request.
     pub fn new(limits: ConnectionLimits) -> Self {
         let requests = Requests::new(limits);
-        OutgoingRequests { requests, awaiting_notification: Vec::new(), uncommitted: Vec::new() }
+        OutgoingRequests {
+            requests,
+            awaiting_notification: Vec::new(),
+            uncommitted: Vec::new(),
+            attempt_log: AttemptLog::default(),
+        }
     }
 
     /// Schedules attempts that the engine has decided on.
@@ -93,9 +101,13 @@
 
     /// Records completed attempts and reports them to the engine.
     pub fn report_completed(&mut self, now: Time, delivery: &mut DeliveryState) {
+        for doubted in self.requests.take_doubted() {
+            self.attempt_log.on_doubted_response(now, &doubted, delivery);
+        }
         for completed in self.requests.take_completed() {
             trace_completed(now, &completed, delivery);
             let CompletedAttempt { attempt, result, .. } = completed;
+            self.attempt_log.on_attempt_ended(now, attempt, AttemptEnd::Completed(result.outcome), delivery);
             delivery.log.record(Record::AttemptCompleted {
                 message_number: attempt.message.0,
                 may_have_run: result.outcome.may_have_run(),
@@ -186,6 +198,7 @@
             } else if self.requests.check_connection(now, attempt, sockets) {
                 delivery.engine.set_attempt_started(attempt, true);
                 self.requests.commit(now, attempt, sockets);
+                self.attempt_log.on_attempt_sent(now, attempt, delivery);
             } else {
                 let message_number = attempt.message.0;
                 delivery.log.record(Record::AttemptWithdrawn { message_number });
@@ -240,6 +253,7 @@
             started,
             "attempt abandoned"
         );
+        self.attempt_log.on_attempt_ended(now, attempt, AttemptEnd::Abandoned { started }, delivery);
         self.awaiting_notification.retain(|planned| planned.attempt != attempt);
         self.uncommitted.retain(|uncommitted| *uncommitted != attempt);
         let message_number = attempt.message.0;
