Failing test: a message is sent again after a 410 that equals the response before

What the report saw: messages sent again 0.6 to 1.0 s after their 410. Reproduced with the real process: an endpoint that answers 410 at once, most 200s after 40 ms and one in ten after 450 ms, 160 messages a second for 8 s. Failed tries: long responses of 950 ms time out, so that the hold is 160 ms only and no 410 is lost; an endpoint list that replaced the test's endpoint after 3 s.

--- /dev/null
+++ b/crates/cli/tests/final_responses.rs
@@ -0,0 +1,163 @@
+//! Responses that end a message or its attempts: nothing is sent for the message behind them. Judged from what the endpoint
+//! read and wrote.
+
+mod gateway_harness;
+
+use cloverstile_fakes::platform::AgentBehaviour;
+use gateway_harness::streams::next_request;
+use gateway_harness::{notice, GatewayHarness, EVENT_TIMEOUT};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+/// Time of most responses with status 200.
+const SERVICE_TIME: Duration = Duration::from_millis(40);
+/// Time of few responses with status 200.
+const LONG_SERVICE_TIME: Duration = Duration::from_millis(450);
+
+/// Longer than a message waits for its next attempt.
+const RETRY_TIME: Duration = Duration::from_secs(3);
+
+/// What the endpoint writes in response to a request.
+#[derive(Clone, Copy)]
+struct Answer {
+    delay: Duration,
+    /// The connection is kept open behind it.
+    bytes: &'static [u8],
+}
+
+impl Answer {
+    const fn new(delay: Duration, bytes: &'static [u8]) -> Self {
+        Answer { delay, bytes }
+    }
+}
+
+/// A request that the endpoint read.
+#[derive(Clone, Debug)]
+struct ReceivedRequest {
+    id: String,
+}
+
+/// An endpoint whose answer depends on the message id.
+struct ScriptedEndpoint {
+    address: SocketAddr,
+    requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+}
+
+impl ScriptedEndpoint {
+    fn start(answer: fn(&str) -> Answer) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(Mutex::new(Vec::new()));
+        let shared = requests.clone();
+        std::thread::spawn(move || {
+            while let Ok((stream, _)) = listener.accept() {
+                let shared = shared.clone();
+                std::thread::spawn(move || serve(stream, answer, &shared));
+            }
+        });
+        ScriptedEndpoint { address, requests }
+    }
+
+    /// How many requests came for a message.
+    fn request_count(&self, id: &str) -> usize {
+        self.requests.lock().unwrap().iter().filter(|request| request.id == id).count()
+    }
+
+    /// The messages of this prefix for which more than one request came.
+    fn sent_again(&self, prefix: &str) -> Vec<String> {
+        let requests = self.requests.lock().unwrap().clone();
+        let ids = requests.iter().map(|request| request.id.clone()).filter(|id| id.starts_with(prefix));
+        let mut repeated: Vec<String> = ids.filter(|id| self.request_count(id) > 1).collect();
+        repeated.sort();
+        repeated.dedup();
+        repeated
+    }
+}
+
+fn serve(mut stream: TcpStream, answer: fn(&str) -> Answer, requests: &Mutex<Vec<ReceivedRequest>>) {
+    stream.set_nodelay(true).unwrap();
+    stream.set_read_timeout(Some(EVENT_TIMEOUT)).unwrap();
+    while let Some(request) = next_request(&mut stream) {
+        let id = request.lines().find_map(|line| line.strip_prefix("Req-Id: ")).unwrap().to_owned();
+        requests.lock().unwrap().push(ReceivedRequest { id: id.clone() });
+        let Answer { delay, bytes } = answer(&id);
+        std::thread::sleep(delay);
+        if stream.write_all(bytes).is_err() {
+            return;
+        }
+    }
+}
+
+/// A running gateway whose only endpoint for destination 3 answers as `answer` says.
+fn harness_with_scripted_endpoint(
+    name: &str,
+    answer: fn(&str) -> Answer,
+) -> (GatewayHarness, ScriptedEndpoint) {
+    let (mut harness, endpoint) = (GatewayHarness::new(name, &[3]), ScriptedEndpoint::start(answer));
+    harness.edit_config(|config| {
+        config["known"]["instances"][0]["hostPort"] = endpoint.address.to_string().into();
+    });
+    // The platform's own list has another endpoint.
+    harness.platform.set_agent_behaviour(0, AgentBehaviour::WithholdsLists);
+    harness.start();
+    (harness, endpoint)
+}
+
+/// Draws numbers from a seed.
+struct Draw(u64);
+
+impl Draw {
+    /// A number below `bound`, by a linear congruential generator.
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+/// Number of gateways that run at once, each with an endpoint of its own.
+const RUNS: u64 = 8;
+/// How long messages are submitted.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+/// Time between two messages.
+const SUBMISSION_INTERVAL: Duration = Duration::from_millis(6);
+
+/// Submits messages for a while, one in ten of them already over, and returns those of them that were sent again.
+fn messages_sent_again_after_their_end(seed: u64, answer: fn(&str) -> Answer) -> Vec<String> {
+    let (harness, endpoint) = harness_with_scripted_endpoint(&format!("final-{seed}"), answer);
+    let (mut client, mut draw) = (harness.connect_client(), Draw(seed));
+    let started = Instant::now();
+    for number in 0.. {
+        if started.elapsed() >= LOAD_TIME {
+            break;
+        }
+        let kind = match draw.below(200) {
+            0..20 => "over",
+            20..40 => "long",
+            _ => "ok",
+        };
+        let put = notice(format!("{kind}-{number}"), 0);
+        let _ = harness.platform.submit(&mut client, &put);
+        std::thread::sleep(SUBMISSION_INTERVAL);
+    }
+    std::thread::sleep(RETRY_TIME);
+    endpoint.sent_again("over")
+}
+
+/// Guards against a 410 that is read, held as a possible copy of the 410 before it, and forgotten when its attempt times
+/// out: the message was sent again 0.4 to 2.7 s after its end.
+#[test]
+fn message_is_not_sent_again_after_a_410_that_equals_the_response_before() {
+    let answer = |id: &str| match id {
+        _ if id.starts_with("over") => Answer::new(Duration::ZERO, GONE),
+        _ if id.starts_with("long") => Answer::new(LONG_SERVICE_TIME, OK),
+        _ => Answer::new(SERVICE_TIME, OK),
+    };
+    let run = |seed| std::thread::spawn(move || messages_sent_again_after_their_end(seed, answer));
+    let runs: Vec<_> = (0..RUNS).map(run).collect();
+    let sent_again: Vec<Vec<String>> = runs.into_iter().map(|thread| thread.join().unwrap()).collect();
+    assert!(sent_again.iter().all(Vec::is_empty), "sent again after their 410: {sent_again:?}");
+}
