A held response decides, whatever ends its attempt; a 410 in doubt ends its message at once

The engine did not know: its time-out or the policy's abandon ended the attempt, Requests::abandon dropped the result, and the message was sent again. A 410 costs no work, so it is both fast and alike. Change: response_doubt decides per status. Only a 200 is held. A 410 behind a 410 on its connection ends its message at once, by a notification, which does no harm where it was over. An equal 429 or 503 counts as one that may have run where the endpoint has repeated responses, else as what it is: how fast it comes says nothing. The engine is told of a held 200, and credits it in abandon_attempt, the one place where an attempt ends without the transport. Two 200s to one request are a delivery, whichever of them is the copy.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -189,6 +189,18 @@
         }
     }
 
+    /// Reports that a response with this outcome was read but may be contradicted until the attempt is reported as
+    /// completed. From now on the attempt ends with this outcome if it times out or is abandoned before.
+    pub fn on_response_held(&mut self, attempt: Attempt, outcome: TransportOutcome) {
+        if !self.state.is_in_flight(attempt) {
+            return;
+        }
+        let record = self.state.messages.get_mut(attempt.message);
+        if let Some(in_flight) = record.and_then(|record| record.in_flight.as_mut()) {
+            in_flight.held_response = Some(outcome);
+        }
+    }
+
     /// Reports that an attempt ended on the transport, with the rate limit status that the partner sent, if any.
     pub fn on_attempt_completed(
         &mut self,
@@ -198,9 +210,7 @@
         rate_limit: Option<RateLimitStatus>,
     ) {
         if self.state.is_in_flight(attempt) {
-            if outcome == TransportOutcome::Obsolete {
-                self.cancel(now, attempt.message);
-            }
+            self.complete_if_obsolete(now, attempt.message, outcome);
             let result = AttemptResult { outcome: outcome.attempt_outcome(), rate_limit };
             self.state.finish_attempt(now, attempt.message, result);
         } else if outcome == TransportOutcome::Processed {
@@ -208,6 +218,17 @@
         }
     }
 
+    /// Completes a message whose response says that it is over.
+    fn complete_if_obsolete(&mut self, now: Time, message: MessageId, outcome: TransportOutcome) {
+        match outcome {
+            TransportOutcome::Obsolete => self.cancel(now, message),
+            TransportOutcome::ObsoleteInDoubt => {
+                self.state.complete_without_policy(now, message, FinalOutcome::Failed);
+            }
+            _ => {}
+        }
+    }
+
     /// Reports a valid receipt that arrived on a separate connection, possibly after its attempt was abandoned.
     pub fn on_receipt(&mut self, now: Time, message: MessageId, outcome: TransportOutcome) {
         let Some(record) = self.state.messages.get(message) else { return };
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -85,6 +85,9 @@
     Unsent,
     /// Not processed, because the message was cancelled or has expired. Nobody waits for its outcome.
     Obsolete,
+    /// As `Obsolete`, but the response may have been meant for another message. The message fails, which is reported and does
+    /// no harm if it has ended.
+    ObsoleteInDoubt,
     /// Not sent, because [`crate::Engine::may_send_now`] returned false. It does not count as an attempt.
     NotStarted,
 }
@@ -98,7 +101,9 @@
             TransportOutcome::Rejected(wait) => AttemptOutcome::Rejected(wait),
             TransportOutcome::ConnectFailed => AttemptOutcome::ConnectFailed,
             TransportOutcome::Reset => AttemptOutcome::Reset,
-            TransportOutcome::Unsent | TransportOutcome::Obsolete => AttemptOutcome::Unsent,
+            TransportOutcome::Unsent | TransportOutcome::Obsolete | TransportOutcome::ObsoleteInDoubt => {
+                AttemptOutcome::Unsent
+            }
             TransportOutcome::NotStarted => AttemptOutcome::NotStarted,
         }
     }
@@ -113,6 +118,6 @@
 
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
-        self.attempt_outcome().may_have_run()
+        self == TransportOutcome::ObsoleteInDoubt || self.attempt_outcome().may_have_run()
     }
 }
--- a/crates/engine/src/message_record.rs
+++ b/crates/engine/src/message_record.rs
@@ -1,6 +1,6 @@
 //! The engine's record of one message, kept from its submission until its outcome is evicted.
 
-use crate::message::{FinalOutcome, SubmitRequest};
+use crate::message::{FinalOutcome, SubmitRequest, TransportOutcome};
 use crate::requests::InFlightAttempt;
 use cloverstile::{
     Class, ClassId, DestinationId, Effect, Group, MessageId, OrderKey, Settings, Submission, TenantId, Time,
@@ -113,7 +113,10 @@
     /// The outcome of a message that is completed without the policy: rejected only if it can't have taken effect. An
     /// attempt that was scheduled but not started can't have taken effect.
     pub fn outcome_without_policy(&self) -> FinalOutcome {
-        if self.may_have_run || self.in_flight.is_some_and(|attempt| attempt.started) {
+        let held_response = self.in_flight.and_then(|attempt| attempt.held_response);
+        if held_response == Some(TransportOutcome::Processed) {
+            FinalOutcome::Delivered
+        } else if self.may_have_run || self.in_flight.is_some_and(|attempt| attempt.started) {
             FinalOutcome::Failed
         } else {
             FinalOutcome::Rejected(Duration::ZERO)
--- a/crates/engine/src/policy_turn.rs
+++ b/crates/engine/src/policy_turn.rs
@@ -128,6 +128,7 @@
             sent_at: self.now,
             deadline: self.now + timeout,
             started: true,
+            held_response: None,
         };
         state.requests.add_attempt(attempt.message, &in_flight);
         if let Some(record) = state.messages.get_mut(attempt.message) {
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -1,7 +1,7 @@
 //! Requests in flight: the number of attempts in each request, and the time-out of each attempt.
 
 use crate::deadlines::DeadlineQueue;
-use crate::message::Attempt;
+use crate::message::{Attempt, TransportOutcome};
 use cloverstile::{EndpointId, MessageId, Time};
 use std::collections::BTreeMap;
 
@@ -22,6 +22,9 @@
     pub deadline: Time,
     /// False while the attempt is known not to have been written to a connection, so that it can't have run.
     pub started: bool,
+    /// The outcome that a response states which was read and is still in doubt. If nothing contradicts it, the attempt ends
+    /// with it, whatever ends the attempt.
+    pub held_response: Option<TransportOutcome>,
 }
 
 /// A request that is being filled with attempts before it is sent. Never empty.
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -149,13 +149,18 @@
         record.is_some_and(|record| record.in_flight.is_some() && record.attempts == attempt.number + 1)
     }
 
-    /// Ends the attempt in flight of a message and tells the gateway to close its connection.
+    /// Ends the attempt in flight of a message and tells the gateway to close its connection. If a response was read, the
+    /// attempt ends with that response in place of `outcome`.
     pub fn abandon_attempt(&mut self, now: Time, message: MessageId, outcome: AttemptOutcome) {
         let record = self.messages.get(message);
         let number = record.map_or(0, MessageRecord::last_attempt_number);
         let in_flight = record.and_then(|record| record.in_flight);
         let started = in_flight.is_none_or(|attempt| attempt.started);
-        self.commands.push(Command::Abandon { attempt: Attempt { message, number }, started });
+        let credited = in_flight.and_then(|attempt| attempt.held_response);
+        self.commands.push(Command::Abandon { attempt: Attempt { message, number }, started, credited });
+        if let Some(credited) = credited {
+            return self.finish_attempt(now, message, credited.attempt_outcome().into());
+        }
         // An attempt that was not started has had no effect. Reporting it as such keeps a message whose connection was
         // never established from ending as one that may have taken effect.
         let outcome = if started { outcome } else { AttemptOutcome::ConnectFailed };
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -415,6 +415,49 @@
     assert_eq!(harness.engine.pending_messages(), 0);
 }
 
+/// A response that says that the message is over, but may have been meant for another one, ends it with a report.
+#[test]
+fn message_that_may_be_obsolete_fails_and_is_not_sent_again() {
+    for class in [UNSAFE, KEYED, SAFE] {
+        let mut harness = Harness::new(10);
+        harness.submit("a", class);
+        let attempt = harness.next_attempt();
+        let outcome = TransportOutcome::ObsoleteInDoubt;
+        harness.engine.on_attempt_completed(harness.now, attempt, outcome, None);
+        assert_eq!(harness.next_outcome(), FinalOutcome::Failed);
+        assert_eq!(harness.engine.pending_messages(), 0);
+    }
+}
+
+/// Guards against a response that was read and is forgotten because its attempt ends while it is held.
+#[test]
+fn held_response_decides_when_its_attempt_times_out_or_the_engine_is_shut_down() {
+    for class in [UNSAFE, KEYED, SAFE] {
+        for shuts_down in [false, true] {
+            let mut harness = Harness::new(10);
+            harness.submit("a", class);
+            let attempt = harness.next_attempt();
+            harness.engine.on_response_held(attempt, TransportOutcome::Processed);
+            if shuts_down {
+                harness.engine.shut_down_by(harness.now);
+            }
+            assert_eq!(harness.next_outcome(), FinalOutcome::Delivered);
+            assert_eq!(harness.engine.counters().attempts, 1);
+        }
+    }
+}
+
+/// A held response that is contradicted does not count.
+#[test]
+fn outcome_reported_for_an_attempt_replaces_its_held_response() {
+    let mut harness = Harness::new(10);
+    harness.submit("a", UNSAFE);
+    let attempt = harness.next_attempt();
+    harness.engine.on_response_held(attempt, TransportOutcome::Processed);
+    harness.engine.on_attempt_completed(harness.now, attempt, TransportOutcome::Error, None);
+    assert_eq!(harness.next_outcome(), FinalOutcome::Failed);
+}
+
 #[test]
 fn paused_engine_sends_nothing_but_completes_attempts_in_flight() {
     let mut harness = Harness::new(10);
--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -130,6 +130,8 @@
     pub previous_response: Option<u64>,
     /// The attempt that it carries, or that it carried last.
     pub last_attempt: Attempt,
+    /// Status of the response before the one that is read now.
+    pub previous_status: Option<u16>,
 }
 
 impl Connection {
--- a/crates/platform/src/connection_reuse.rs
+++ b/crates/platform/src/connection_reuse.rs
@@ -2,8 +2,8 @@
 //!
 //! A response names no request. A second copy of a response that arrives while the next request is in flight would be
 //! taken for the response to that request. So a connection is not used again until it has been quiet for a while, and a
-//! copy that arrives in this time closes it. Where a copy may have come later than that, a response that looks like one
-//! counts only if nothing follows it.
+//! copy that arrives in this time closes it. Where a copy may have come later than that, `response_doubt` decides what a
+//! response that looks like one gives its attempt.
 
 use cloverstile::{EndpointId, Time};
 #[cfg(feature = "planted-defects")]
@@ -59,7 +59,7 @@
     until: Time,
 }
 
-/// Times from the last byte of a request to its response, of responses that can't be copies.
+/// Times from the last byte of a request to its response with status 200, of responses that count.
 #[derive(Clone, Copy)]
 struct ResponseTimes {
     count: u32,
@@ -84,19 +84,15 @@
         repeatability == Repeatability::Repeatable || !self.is_distrusted(now, endpoint)
     }
 
-    fn is_distrusted(&self, now: Time, endpoint: EndpointId) -> bool {
+    /// Whether an endpoint has repeated a response lately.
+    pub fn is_distrusted(&self, now: Time, endpoint: EndpointId) -> bool {
         self.distrusted.get(&endpoint).is_some_and(|until| now < *until)
     }
 
-    /// Whether a response that equals the one before it on its connection counts only if nothing follows it: from a
-    /// distrusted endpoint, and where it came implausibly fast.
-    pub fn needs_confirmation(&self, now: Time, endpoint: EndpointId, response_time: Duration) -> bool {
-        #[cfg(feature = "planted-defects")]
-        if is_planted(PlantedDefect::DoubtIgnored) {
-            return false;
-        }
+    /// Whether a delivery that took this time came implausibly fast.
+    pub fn is_implausibly_fast(&self, endpoint: EndpointId, response_time: Duration) -> bool {
         let times = self.response_times.get(&endpoint);
-        self.is_distrusted(now, endpoint) || times.is_some_and(|times| times.is_implausible(response_time))
+        times.is_some_and(|times| times.is_implausible(response_time))
     }
 
     /// How long to wait for what may follow such a response: if it is a copy, the true response follows.
@@ -105,7 +101,7 @@
         longest.min(MAX_QUIET_PERIOD).max(self.quiet_period(now))
     }
 
-    /// Learns from a response that can't be a copy, or was confirmed.
+    /// Learns from a response that can't be a copy, came at a plausible time, or was confirmed.
     pub fn on_response(&mut self, endpoint: EndpointId, response_time: Duration) {
         let new = ResponseTimes { count: 0, shortest: response_time, longest: response_time };
         let times = self.response_times.entry(endpoint).or_insert(new);
--- a/crates/platform/src/doubted_responses.rs
+++ b/crates/platform/src/doubted_responses.rs
@@ -5,6 +5,15 @@
 use cloverstile_engine::{Attempt, TransportOutcome};
 use std::time::Duration;
 
+/// A response that was read and is held. Its attempt ends with the stated outcome unless something contradicts it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HeldResponse {
+    /// The attempt in flight when it was read.
+    pub attempt: Attempt,
+    /// The outcome that it states.
+    pub stated: TransportOutcome,
+}
+
 /// What ended the doubt about a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DoubtEnd {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`endpoint_watch`] | the watch of the endpoint list by long polls, and reconnection after failures |
 //! | [`notifications`] | messages that the platform must be notified of, until it acknowledges them |
 //! | [`response`] | an endpoint's response: outcome, whether it may have run, reuse of the connection |
+//! | `response_doubt` | what a response that may be a copy gives its attempt |
 //! | `connection_pool` | connections to endpoints and their states |
 //! | [`connection_reuse`] | when a connection may carry another request, and which responses count at once |
 //! | [`doubted_responses`] | responses that were held as possible copies, as events for the log |
@@ -41,6 +42,7 @@
 pub mod notifications;
 pub mod requests;
 pub mod response;
+mod response_doubt;
 pub mod settings_validation;
 pub mod shutdown;
 mod transport;
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -11,7 +11,7 @@
 
 use crate::connection_pool::{ActiveRequest, Connection, ConnectionPool, ConnectionState, RequestPhase};
 use crate::connection_reuse::{Repeatability, ReusePolicy};
-use crate::doubted_responses::{DoubtEnd, DoubtedResponse};
+use crate::doubted_responses::{DoubtEnd, DoubtedResponse, HeldResponse};
 use crate::response::{AttemptResult, LoadReportFields, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{UnsolicitedBytes, UnsolicitedLog};
@@ -90,6 +90,7 @@
     retry_after: Vec<RetryAfter>,
     unsolicited: UnsolicitedLog,
     doubted: Vec<DoubtedResponse>,
+    held: Vec<HeldResponse>,
 }
 
 impl Requests {
@@ -107,6 +108,7 @@
             retry_after: Vec::new(),
             unsolicited: UnsolicitedLog::default(),
             doubted: Vec::new(),
+            held: Vec::new(),
         }
     }
 
@@ -145,6 +147,11 @@
         self.unsolicited.take()
     }
 
+    /// Takes the responses that were read and are held since the last call.
+    pub fn take_held(&mut self) -> Vec<HeldResponse> {
+        std::mem::take(&mut self.held)
+    }
+
     /// Takes the responses that were held and about which the doubt has ended.
     pub fn take_doubted(&mut self) -> Vec<DoubtedResponse> {
         std::mem::take(&mut self.doubted)
@@ -223,6 +230,7 @@
             is_reused: false,
             response_at: None,
             previous_response: None,
+            previous_status: None,
             last_attempt,
         };
         self.pool.insert(id, connection);
@@ -306,13 +314,16 @@
         self.complete(attempt, Some(id), TransportOutcome::NotStarted.into());
     }
 
-    /// Abandons an attempt without reporting a result. Its connection is not reused, because the late response would be
+    /// Abandons an attempt without reporting a result; a held response of it counts (see [`Requests::take_held`]). Its connection is not reused, because the late response would be
     /// taken for that of the next request. If the whole request was sent, only the write side is shut down for now: a
     /// `Retry-After` may be on its way, and it applies from the moment the endpoint sends it, whether or not the
     /// response is still awaited.
     pub fn abandon(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) {
         let Some(id) = self.detach(attempt) else { return };
-        self.record_doubt_end(now, id, DoubtEnd::AttemptEnded, None);
+        if let Some(held) = self.pool.get(id).and_then(Connection::held_outcome) {
+            self.record_doubt_end(now, id, DoubtEnd::AttemptEnded, Some(held));
+            return self.pool.close(id, transport);
+        }
         match self.pool.get_mut(id) {
             Some(Connection { state, .. }) if is_request_sent(state) => {
                 *state = ConnectionState::Abandoned { timeout_at: now + REMAINDER_TIMEOUT };
--- a/crates/platform/src/requests/responses.rs
+++ b/crates/platform/src/requests/responses.rs
@@ -2,8 +2,9 @@
 
 use super::{is_request_sent, Requests, RetryAfter, REMAINDER_TIMEOUT};
 use crate::connection_pool::{ConnectionState, RequestPhase};
-use crate::doubted_responses::{DoubtEnd, DoubtedResponse};
+use crate::doubted_responses::{DoubtEnd, DoubtedResponse, HeldResponse};
 use crate::response::{AttemptResult, ConnectionReuse, ResponseProgress};
+use crate::response_doubt::{outcome_of_two, Doubt, Verdict};
 use crate::transport::{ConnectionId, Transport};
 use crate::unsolicited::{
     response_status, time_since, UnsolicitedBytes, UnsolicitedPhase, UnsolicitedSource,
@@ -59,16 +60,17 @@
                 return self.pool.close(connection, transport);
             }
             // Two responses to one request: which of them is the copy is not known.
-            ConnectionState::Unconfirmed { attempt, .. } => {
+            ConnectionState::Unconfirmed { attempt, result, .. } => {
                 self.record_unsolicited(
                     now,
                     connection,
                     Unsolicited::new(UnsolicitedPhase::AfterResponse, bytes),
                 );
-                let end = DoubtEnd::Followed(response_status(bytes));
-                self.record_doubt_end(now, connection, end, Some(TransportOutcome::Error));
+                let status = response_status(bytes);
+                let outcome = outcome_of_two(result.outcome, status);
+                self.record_doubt_end(now, connection, DoubtEnd::Followed(status), Some(outcome));
                 self.attempts.remove(&attempt);
-                self.complete(attempt, Some(connection), TransportOutcome::Error.into());
+                self.complete(attempt, Some(connection), outcome.into());
                 return self.pool.close(connection, transport);
             }
             _ => {}
@@ -137,23 +139,44 @@
         if result.outcome == TransportOutcome::ConnectFailed {
             self.reuse.on_no_room(now);
         }
-        if !pooled.is_possible_copy() {
-            if result.outcome == TransportOutcome::Processed {
-                self.reuse.on_response(endpoint, response_time);
-            }
-            return Some(Credit::Certain(result));
-        }
-        if pooled.reader.surplus_bytes() > 0 {
+        if pooled.is_possible_copy() && pooled.reader.surplus_bytes() > 0 {
             // One of the two may be a copy of the response before.
-            return Some(Credit::Certain(TransportOutcome::Error.into()));
+            let outcome = outcome_of_two(result.outcome, pooled.reader.surplus_status());
+            return Some(Credit::Certain(outcome.into()));
         }
-        if progress.reuse == ConnectionReuse::Reusable
-            && self.reuse.needs_confirmation(now, endpoint, response_time)
-        {
-            let timeout_at = now + self.reuse.confirmation_time(now, endpoint);
-            return Some(Credit::Unconfirmed { result, response_time, timeout_at });
+        let credit = match self.doubt(now, connection, response_time)?.verdict(result.outcome) {
+            Verdict::Hold if progress.reuse == ConnectionReuse::Reusable => {
+                let timeout_at = now + self.reuse.confirmation_time(now, endpoint);
+                Credit::Unconfirmed { result, response_time, timeout_at }
+            }
+            Verdict::Credit(outcome) if outcome != result.outcome => {
+                Credit::Certain(AttemptResult { outcome, ..result })
+            }
+            Verdict::Hold | Verdict::Credit(_) => {
+                if result.outcome == TransportOutcome::Processed {
+                    self.reuse.on_response(endpoint, response_time);
+                }
+                Credit::Certain(result)
+            }
+        };
+        Some(credit)
+    }
+
+    /// Why the response that was just read on a connection may be a copy of the one before.
+    fn doubt(&self, now: Time, connection: ConnectionId, response_time: Duration) -> Option<Doubt> {
+        let pooled = self.pool.get(connection)?;
+        let status = pooled.reader.status();
+        let doubt = Doubt {
+            is_equal: pooled.is_possible_copy(),
+            has_equal_status: status.is_some() && status == pooled.previous_status,
+            is_distrusted: self.reuse.is_distrusted(now, pooled.endpoint),
+            is_implausibly_fast: self.reuse.is_implausibly_fast(pooled.endpoint, response_time),
+        };
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::DoubtIgnored) {
+            return Some(Doubt { is_equal: false, has_equal_status: false, ..doubt });
         }
-        Some(Credit::Certain(result))
+        Some(doubt)
     }
 
     /// Reports the result of a connection's attempt, or holds it until it is confirmed. Returns what was applied; none if
@@ -175,6 +198,7 @@
                     held_since: now,
                     timeout_at,
                 };
+                self.held.push(HeldResponse { attempt, stated: result.outcome });
             }
         }
         Some(credit)
@@ -195,6 +219,7 @@
         if progress.reuse != ConnectionReuse::Incomplete {
             pooled.response_at = Some(now);
             pooled.previous_response = pooled.reader.digest();
+            pooled.previous_status = pooled.reader.status();
         }
         if let Some(Credit::Unconfirmed { .. }) =
             credit.and_then(|credit| self.apply(now, connection, credit))
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -82,6 +82,8 @@
     has_reported_retry_after: bool,
     /// Whether the final response was read to its end.
     is_complete: bool,
+    /// Status of the final response, once its status line is complete.
+    status: Option<u16>,
     /// Digest of the bytes of the response, without surplus bytes.
     digest: DefaultHasher,
 }
@@ -102,6 +104,7 @@
             has_reported_result: false,
             has_reported_retry_after: false,
             is_complete: false,
+            status: None,
             digest: DefaultHasher::new(),
         }
     }
@@ -120,6 +123,11 @@
         self.is_complete.then(|| self.digest.finish())
     }
 
+    /// Status of the response, once its status line is complete.
+    pub fn status(&self) -> Option<u16> {
+        self.status
+    }
+
     /// Status in the status line that begins the surplus bytes, if they begin with one.
     pub fn surplus_status(&self) -> Option<u16> {
         self.decoder.status().filter(|_| self.is_complete)
@@ -134,8 +142,13 @@
     pub fn on_bytes(&mut self, clock: Duration, bytes: &[u8], fields: &LoadReportFields) -> ResponseProgress {
         self.decoder.feed(clock, bytes);
         let next = self.decoder.next(clock);
-        if let Ok(Some(DecodedItem::Message(_))) = next {
+        if let Ok(Some(DecodedItem::Message(message))) = &next {
             self.is_complete = true;
+            if let StartLine::Response { status } = message.start_line {
+                self.status = Some(status);
+            }
+        } else if !self.is_complete {
+            self.status = self.decoder.status();
         }
         self.digest.write(&bytes[..bytes.len().saturating_sub(self.surplus_bytes())]);
         let is_processed = self.decoder.status() == Some(200);
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -13,6 +13,7 @@
 #[cfg(feature = "planted-defects")]
 use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_platform::connection_reuse::Repeatability;
+use cloverstile_platform::doubted_responses::HeldResponse;
 use cloverstile_platform::requests::{
     CompletedAttempt, ConnectionLimits, RequestTarget, Requests, RetryAfter,
 };
@@ -101,6 +102,9 @@
 
     /// Records completed attempts and reports them to the engine.
     pub fn report_completed(&mut self, now: Time, delivery: &mut DeliveryState) {
+        for HeldResponse { attempt, stated } in self.requests.take_held() {
+            delivery.engine.on_response_held(attempt, stated);
+        }
         for doubted in self.requests.take_doubted() {
             self.attempt_log.on_doubted_response(now, &doubted, delivery);
         }
