A 504 ends its message: no attempt is left, and the platform waits for the end

Cause: attempt_result mapped 504 to Unsent, which the policy retries like a request that found no slot. Change: TransportOutcome::AttemptsExhausted completes the message with what its earlier attempts allow: deferred if none may have run, undeliverable otherwise; behind a 504 on the same connection it is in doubt like a 410, and reported as undeliverable.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -210,7 +210,11 @@
         rate_limit: Option<RateLimitStatus>,
     ) {
         if self.state.is_in_flight(attempt) {
-            self.complete_if_obsolete(now, attempt.message, outcome);
+            // The attempt had no effect, so that it doesn't count for the message's outcome.
+            if outcome == TransportOutcome::AttemptsExhausted {
+                self.set_attempt_started(attempt, false);
+            }
+            self.complete_if_ended(now, attempt.message, outcome);
             let result = AttemptResult { outcome: outcome.attempt_outcome(), rate_limit };
             self.state.finish_attempt(now, attempt.message, result);
         } else if outcome == TransportOutcome::Processed {
@@ -218,9 +222,15 @@
         }
     }
 
-    /// Completes a message whose response says that it is over.
-    fn complete_if_obsolete(&mut self, now: Time, message: MessageId, outcome: TransportOutcome) {
+    /// Completes a message whose response says that it is over or has no attempt left.
+    fn complete_if_ended(&mut self, now: Time, message: MessageId, outcome: TransportOutcome) {
         match outcome {
+            TransportOutcome::AttemptsExhausted => {
+                let known = self.state.messages.get(message).map(MessageRecord::outcome_without_policy);
+                if let Some(outcome) = known {
+                    self.state.complete_without_policy(now, message, outcome);
+                }
+            }
             TransportOutcome::Obsolete => self.cancel(now, message),
             TransportOutcome::ObsoleteInDoubt => {
                 self.state.complete_without_policy(now, message, FinalOutcome::Failed);
--- a/crates/engine/src/message.rs
+++ b/crates/engine/src/message.rs
@@ -85,6 +85,8 @@
     Unsent,
     /// Not processed, because the message was cancelled or has expired. Nobody waits for its outcome.
     Obsolete,
+    /// Not processed, because the message has had all its attempts. Its outcome is still to be reported.
+    AttemptsExhausted,
     /// As `Obsolete`, but the response may have been meant for another message. The message fails, which is reported and does
     /// no harm if it has ended.
     ObsoleteInDoubt,
@@ -101,9 +103,10 @@
             TransportOutcome::Rejected(wait) => AttemptOutcome::Rejected(wait),
             TransportOutcome::ConnectFailed => AttemptOutcome::ConnectFailed,
             TransportOutcome::Reset => AttemptOutcome::Reset,
-            TransportOutcome::Unsent | TransportOutcome::Obsolete | TransportOutcome::ObsoleteInDoubt => {
-                AttemptOutcome::Unsent
-            }
+            TransportOutcome::Unsent
+            | TransportOutcome::Obsolete
+            | TransportOutcome::AttemptsExhausted
+            | TransportOutcome::ObsoleteInDoubt => AttemptOutcome::Unsent,
             TransportOutcome::NotStarted => AttemptOutcome::NotStarted,
         }
     }
@@ -116,6 +119,16 @@
         }
     }
 
+    /// Whether no further attempt may be made at the message.
+    pub fn ends_message(self) -> bool {
+        matches!(
+            self,
+            TransportOutcome::Obsolete
+                | TransportOutcome::AttemptsExhausted
+                | TransportOutcome::ObsoleteInDoubt
+        )
+    }
+
     /// Whether the attempt may have taken effect.
     pub fn may_have_run(self) -> bool {
         self == TransportOutcome::ObsoleteInDoubt || self.attempt_outcome().may_have_run()
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -429,6 +429,22 @@
     }
 }
 
+/// Guards against a message that is sent again after a response that says that all its attempts are used up.
+#[test]
+fn message_with_exhausted_attempts_ends_with_what_its_earlier_attempts_allow() {
+    for (first, is_failed) in [(TransportOutcome::Rejected(None), false), (TransportOutcome::Error, true)] {
+        let mut harness = Harness::new(10);
+        harness.submit("a", KEYED);
+        let attempt = harness.next_attempt();
+        harness.engine.on_attempt_completed(harness.now, attempt, first, None);
+        let attempt = harness.next_attempt();
+        let exhausted = TransportOutcome::AttemptsExhausted;
+        harness.engine.on_attempt_completed(harness.now, attempt, exhausted, None);
+        assert_eq!(harness.next_outcome() == FinalOutcome::Failed, is_failed);
+        assert_eq!(harness.engine.pending_messages(), 0);
+    }
+}
+
 /// Guards against a response that was read and is forgotten because its attempt ends while it is held.
 #[test]
 fn held_response_decides_when_its_attempt_times_out_or_the_engine_is_shut_down() {
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -7,7 +7,7 @@
 //! | 429 | complete | rejected, with the `Retry-After` if it is valid |
 //! | 503 | complete | rejected; unsent if `X-Line-Busy: 1` is set |
 //! | 503 | complete, closes the connection, no `Retry-After` | connect failed: no room for another connection |
-//! | 504 | complete | unsent: the message's attempts are used up, so the endpoint did not run the request |
+//! | 504 | complete | attempts exhausted: the endpoint did not run the request and will run no other of the message |
 //! | 410 | complete | obsolete: the message has already ended |
 //! | any other | complete | error, may have been processed |
 //! | not 200 | malformed or over a limit | error, may have been processed, even with a rejecting status |
@@ -200,7 +200,7 @@
         // so that idle ones do not fill the endpoint.
         503 if !message.keep_alive && retry_after(headers).is_none() => TransportOutcome::ConnectFailed,
         _ if is_rejection(status) => TransportOutcome::Rejected(retry_after(headers)),
-        504 => TransportOutcome::Unsent,
+        504 => TransportOutcome::AttemptsExhausted,
         410 => TransportOutcome::Obsolete,
         _ => TransportOutcome::Error,
     };
--- a/crates/platform/src/response_doubt.rs
+++ b/crates/platform/src/response_doubt.rs
@@ -42,7 +42,7 @@
             {
                 Verdict::Hold
             }
-            TransportOutcome::Obsolete if self.has_equal_status => {
+            TransportOutcome::Obsolete | TransportOutcome::AttemptsExhausted if self.has_equal_status => {
                 Verdict::Credit(TransportOutcome::ObsoleteInDoubt)
             }
             // How fast a rejection comes says nothing: it costs the endpoint no work.
@@ -61,9 +61,8 @@
     match (first, second_status) {
         // Whichever of them is the copy, the other one is the response.
         (TransportOutcome::Processed, Some(200)) => TransportOutcome::Processed,
-        (TransportOutcome::Obsolete | TransportOutcome::ObsoleteInDoubt, _) | (_, Some(410 | 504)) => {
-            TransportOutcome::ObsoleteInDoubt
-        }
+        (first, _) if first.ends_message() => TransportOutcome::ObsoleteInDoubt,
+        (_, Some(410 | 504)) => TransportOutcome::ObsoleteInDoubt,
         _ => TransportOutcome::Error,
     }
 }
