The status line of a 410 or 504 decides, even if the rest never comes

Cause: ResponseReader reported a result for a 200 at its status line, for any other status when the response was complete. Change: outcome_of_status_line names the statuses whose first line proves the outcome (200, 410, 504). A 429 or 503 keeps waiting for its head, which has the wait; where the rest never comes, the attempt times out and may have run, as before. Tests, failing before: message_is_not_sent_again_after_a_part_of_a_410 (real process), status_line_of_410_and_504_ends_the_message_whatever_follows (also behind 1xx and in pieces).

--- a/crates/cli/tests/final_responses.rs
+++ b/crates/cli/tests/final_responses.rs
@@ -15,6 +15,8 @@
 const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 const GONE: &[u8] = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
 const EXHAUSTED: &[u8] = b"HTTP/1.1 504 Timeout\r\nContent-Length: 0\r\n\r\n";
+const GONE_STATUS_LINE: &[u8] = b"HTTP/1.1 410 Gone\r\n";
+const GONE_HEAD: &[u8] = b"HTTP/1.1 410 Gone\r\nContent-Length: 9\r\n\r\n";
 /// Time of most responses with status 200.
 const SERVICE_TIME: Duration = Duration::from_millis(40);
 /// Time of few responses with status 200.
@@ -196,3 +198,12 @@
 fn message_is_not_sent_again_after_a_504() {
     assert_none_is_sent_again("status-504", |id| answer_or_end(id, EXHAUSTED));
 }
+
+/// Guards against a 410 of which only the status line or the head arrives: its message was sent again after the time-out.
+#[test]
+fn message_is_not_sent_again_after_a_part_of_a_410() {
+    assert_none_is_sent_again("part-410", |id| {
+        let part = if id.ends_with(['0', '2', '4', '6', '8']) { GONE_STATUS_LINE } else { GONE_HEAD };
+        answer_or_end(id, part)
+    });
+}
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -4,13 +4,13 @@
 //! | status | rest of the response | outcome |
 //! | --- | --- | --- |
 //! | 200 | anything | processed, as soon as the status line is read |
+//! | 410 | anything | obsolete: the message has already ended; as soon as the status line is read |
+//! | 504 | anything | attempts exhausted: the endpoint did not run the request and will run no other of the message; as soon as the status line is read |
 //! | 429 | complete | rejected, with the `Retry-After` if it is valid |
 //! | 503 | complete | rejected; unsent if `X-Line-Busy: 1` is set |
 //! | 503 | complete, closes the connection, no `Retry-After` | connect failed: no room for another connection |
-//! | 504 | complete | attempts exhausted: the endpoint did not run the request and will run no other of the message |
-//! | 410 | complete | obsolete: the message has already ended |
 //! | any other | complete | error, may have been processed |
-//! | not 200 | malformed or over a limit | error, may have been processed, even with a rejecting status |
+//! | not 200, 410 or 504 | malformed or over a limit | error, may have been processed, even with a rejecting status |
 //!
 //! The outcome and the `Retry-After` are reported independently: the latter counts as soon as the head is read, even if
 //! the rest of the response never arrives or is malformed.
@@ -151,7 +151,7 @@
             self.status = self.decoder.status();
         }
         self.digest.write(&bytes[..bytes.len().saturating_sub(self.surplus_bytes())]);
-        let is_processed = self.decoder.status() == Some(200);
+        let known_from_status_line = self.status.and_then(outcome_of_status_line);
         let rejection = self.decoder.head().filter(|(status, _)| is_rejection(*status));
         let retry_after_from_head = rejection.and_then(|(_, headers)| retry_after(headers));
         let (result, reuse) = match next {
@@ -161,13 +161,12 @@
                 let reuse = if is_reusable { ConnectionReuse::Reusable } else { ConnectionReuse::Unusable };
                 (self.report_once(attempt_result(&message, fields)), reuse)
             }
-            Ok(_) if is_processed => {
-                (self.report_once(TransportOutcome::Processed.into()), ConnectionReuse::Incomplete)
+            Ok(_) => {
+                let result = known_from_status_line.and_then(|outcome| self.report_once(outcome.into()));
+                (result, ConnectionReuse::Incomplete)
             }
-            Ok(_) => (None, ConnectionReuse::Incomplete),
             Err(_) => {
-                let outcome =
-                    if is_processed { TransportOutcome::Processed } else { TransportOutcome::Error };
+                let outcome = known_from_status_line.unwrap_or(TransportOutcome::Error);
                 (self.report_once(outcome.into()), ConnectionReuse::Unusable)
             }
         };
@@ -192,21 +191,30 @@
 fn attempt_result(message: &Message, fields: &LoadReportFields) -> AttemptResult {
     let StartLine::Response { status } = message.start_line else { return TransportOutcome::Error.into() };
     let headers = &message.headers;
-    let outcome = match status {
-        200 => TransportOutcome::Processed,
+    let from_head = || match status {
         503 if headers.get("x-line-busy") == Some("1") => TransportOutcome::Unsent,
         // A rate limit applies to requests and leaves the connection open, so a 503 that closes it is about the number
         // of connections. It counts as a failed connection because only that makes the policy keep fewer connections,
         // so that idle ones do not fill the endpoint.
         503 if !message.keep_alive && retry_after(headers).is_none() => TransportOutcome::ConnectFailed,
         _ if is_rejection(status) => TransportOutcome::Rejected(retry_after(headers)),
-        504 => TransportOutcome::AttemptsExhausted,
-        410 => TransportOutcome::Obsolete,
         _ => TransportOutcome::Error,
     };
+    let outcome = outcome_of_status_line(status).unwrap_or_else(from_head);
     AttemptResult { outcome, rate_limit: rate_limit(headers, fields) }
 }
 
+/// The outcome that a status proves even if the rest of the response never arrives. A 429 or 503 says that the request was
+/// not run, but whether and when to try again depends on its head.
+fn outcome_of_status_line(status: u16) -> Option<TransportOutcome> {
+    match status {
+        200 => Some(TransportOutcome::Processed),
+        410 => Some(TransportOutcome::Obsolete),
+        504 => Some(TransportOutcome::AttemptsExhausted),
+        _ => None,
+    }
+}
+
 fn is_rejection(status: u16) -> bool {
     matches!(status, 429 | 503)
 }
--- a/crates/platform/tests/platform/response.rs
+++ b/crates/platform/tests/platform/response.rs
@@ -93,6 +93,28 @@
     }
 }
 
+/// Guards against a message that is sent again after the status line of a 410 or a 504, whose rest never came.
+#[test]
+fn status_line_of_410_and_504_ends_the_message_whatever_follows() {
+    for (line, outcome) in [
+        ("HTTP/1.1 410 Gone\r\n", TransportOutcome::Obsolete),
+        ("HTTP/1.1 504 Gateway Timeout\r\n", TransportOutcome::AttemptsExhausted),
+    ] {
+        for rest in ["", "Content-Length: 9\r\n\r\n", "Content-Length: -5\r\n\r\n", "\x00 noise"] {
+            for interim in ["", "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early\r\nA: b\r\n\r\n"] {
+                let text = format!("{interim}{line}{rest}");
+                assert_eq!(read([text.as_bytes()]).result, Some(outcome.into()), "{text:?}");
+                let mut reader = ResponseReader::new();
+                let pieces = text.as_bytes().chunks(7);
+                let progress = pieces.map(|piece| reader.on_bytes(Duration::ZERO, piece, &fields()));
+                let results: Vec<_> = progress.filter_map(|progress| progress.result).collect();
+                assert_eq!(results, [outcome.into()], "{text:?} in pieces");
+                assert_eq!(reader.end(false, &fields()), None);
+            }
+        }
+    }
+}
+
 #[test]
 fn status_200_is_processed_regardless_of_what_follows() {
     for rest in [
