A 410 or 504 behind the time-out of its attempt ends the message, also ahead of its retry

Change: on the connection of an abandoned attempt a response that ends the message is reported, and the engine completes the message, whether its retry waits or is planned; before a retry's last byte those connections are read once more, as the last poll may be older than a pause. The log gets no second end of an abandoned attempt.

--- a/crates/cli/tests/final_responses.rs
+++ b/crates/cli/tests/final_responses.rs
@@ -144,18 +144,40 @@
 const RUNS: u64 = 6;
 /// How long messages are submitted.
 const LOAD_TIME: Duration = Duration::from_secs(8);
+/// Length of a pause of the process.
+const PAUSE: Duration = Duration::from_millis(150);
+/// Time from the start of a pause to the next one.
+const PAUSE_INTERVAL: Duration = Duration::from_millis(450);
+
+/// Whether the gateway's process is paused now and then.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Pauses {
+    Never,
+    Regular,
+}
+
 /// Time between two messages.
 const SUBMISSION_INTERVAL: Duration = Duration::from_millis(6);
 
 /// Submits messages for a while, one in ten of them already over, and returns those of them that were sent again.
-fn messages_sent_again_after_their_end(name: &str, seed: u64, answer: fn(&str) -> Answer) -> Vec<String> {
+fn messages_sent_again_after_their_end(
+    name: &str,
+    seed: u64,
+    pauses: Pauses,
+    answer: fn(&str) -> Answer,
+) -> Vec<String> {
     let (harness, endpoint) = harness_with_scripted_endpoint(&format!("{name}-{seed}"), answer);
     let (mut client, mut draw) = (harness.connect_client(), Draw(seed));
     let started = Instant::now();
+    let mut next_pause = started + PAUSE_INTERVAL;
     for number in 0.. {
         if started.elapsed() >= LOAD_TIME {
             break;
         }
+        if pauses == Pauses::Regular && Instant::now() >= next_pause {
+            harness.pause(PAUSE);
+            next_pause += PAUSE_INTERVAL;
+        }
         let kind = match draw.below(200) {
             0..20 => "over",
             20..40 => "long",
@@ -170,8 +192,9 @@
 }
 
 /// Plays [`RUNS`] seeds at once and checks that no message was sent again after the endpoint's answer ended it.
-fn assert_none_is_sent_again(name: &'static str, answer: fn(&str) -> Answer) {
-    let run = |seed| std::thread::spawn(move || messages_sent_again_after_their_end(name, seed, answer));
+fn assert_none_is_sent_again(name: &'static str, pauses: Pauses, answer: fn(&str) -> Answer) {
+    let run =
+        |seed| std::thread::spawn(move || messages_sent_again_after_their_end(name, seed, pauses, answer));
     let runs: Vec<_> = (0..RUNS).map(run).collect();
     let sent_again: Vec<Vec<String>> = runs.into_iter().map(|thread| thread.join().unwrap()).collect();
     assert!(sent_again.iter().all(Vec::is_empty), "sent again after their end: {sent_again:?}");
@@ -190,20 +213,32 @@
 /// out: the message was sent again 0.4 to 2.7 s after its end.
 #[test]
 fn message_is_not_sent_again_after_a_410_that_equals_the_response_before() {
-    assert_none_is_sent_again("equal-410", |id| answer_or_end(id, GONE));
+    assert_none_is_sent_again("equal-410", Pauses::Never, |id| answer_or_end(id, GONE));
 }
 
 /// Guards against a 504 taken for a request that was not sent: the message had no attempt left and got many.
 #[test]
 fn message_is_not_sent_again_after_a_504() {
-    assert_none_is_sent_again("status-504", |id| answer_or_end(id, EXHAUSTED));
+    assert_none_is_sent_again("status-504", Pauses::Never, |id| answer_or_end(id, EXHAUSTED));
 }
 
 /// Guards against a 410 of which only the status line or the head arrives: its message was sent again after the time-out.
 #[test]
 fn message_is_not_sent_again_after_a_part_of_a_410() {
-    assert_none_is_sent_again("part-410", |id| {
+    assert_none_is_sent_again("part-410", Pauses::Never, |id| {
         let part = if id.ends_with(['0', '2', '4', '6', '8']) { GONE_STATUS_LINE } else { GONE_HEAD };
         answer_or_end(id, part)
     });
 }
+
+/// Guards against a 410 that arrives about when its attempt times out, or in a pause of the process at that time: only a
+/// `Retry-After` was read then, and the message was sent again.
+#[test]
+fn message_is_not_sent_again_after_a_410_at_the_timeout_of_its_attempt() {
+    assert_none_is_sent_again("late-410", Pauses::Regular, |id| {
+        let last_digit = id.bytes().last().map_or(0, |byte| u64::from(byte - b'0'));
+        let Answer { delay, bytes } = answer_or_end(id, GONE);
+        let delay = if bytes == GONE { Duration::from_millis(270 + 30 * last_digit) } else { delay };
+        Answer { delay, bytes }
+    });
+}
--- a/crates/cli/tests/gateway_harness/mod.rs
+++ b/crates/cli/tests/gateway_harness/mod.rs
@@ -167,6 +167,14 @@
         }
     }
 
+    /// Pauses the gateway with SIGSTOP and SIGCONT.
+    pub fn pause(&self, time: Duration) {
+        let gateway = self.gateway.as_ref().unwrap();
+        send_signal(gateway, "-STOP");
+        std::thread::sleep(time);
+        send_signal(gateway, "-CONT");
+    }
+
     /// Kills the gateway with SIGKILL, if it runs, and waits for its exit.
     pub fn kill(&mut self) {
         if let Some(mut gateway) = self.gateway.take() {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -201,7 +201,13 @@
         }
     }
 
-    /// Reports that an attempt ended on the transport, with the rate limit status that the partner sent, if any.
+    /// Whether this attempt was sent and has not ended.
+    pub fn is_in_flight(&self, attempt: Attempt) -> bool {
+        self.state.is_in_flight(attempt)
+    }
+
+    /// Reports that an attempt ended on the transport, with the rate limit status that the partner sent, if any. Of an attempt
+    /// that has been abandoned, only a receipt counts, and that no further attempt may be made.
     pub fn on_attempt_completed(
         &mut self,
         now: Time,
@@ -219,6 +225,8 @@
             self.state.finish_attempt(now, attempt.message, result);
         } else if outcome == TransportOutcome::Processed {
             self.on_late_receipt(now, attempt.message);
+        } else {
+            self.complete_if_ended(now, attempt.message, outcome);
         }
     }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -463,6 +463,32 @@
     }
 }
 
+/// Guards against a message that is sent again although the response to its abandoned attempt says that it is over: while
+/// its retry waits, and while the retry has no connection yet.
+#[test]
+fn late_response_that_ends_the_message_prevents_its_retry() {
+    for outcome in
+        [TransportOutcome::Obsolete, TransportOutcome::AttemptsExhausted, TransportOutcome::ObsoleteInDoubt]
+    {
+        for retry_is_planned in [false, true] {
+            let mut harness = Harness::new(10);
+            harness.submit("a", KEYED);
+            let first = harness.next_attempt();
+            let abandoned = |command: &Command| matches!(command, Command::Abandon { .. }).then_some(());
+            harness.advance_until(Duration::from_secs(12), abandoned).expect("a time-out");
+            let retry = retry_is_planned.then(|| harness.next_attempt());
+            if let Some(retry) = retry {
+                harness.engine.set_attempt_started(retry, false);
+            }
+            harness.engine.on_attempt_completed(harness.now, first, outcome, None);
+            assert_eq!(harness.engine.pending_messages(), 0);
+            assert!(retry.is_none_or(|retry| !harness.engine.may_send_now(harness.now, retry)));
+            let sent = |command: &Command| matches!(command, Command::Send { .. }).then_some(());
+            assert_eq!(harness.advance_until(Duration::from_secs(30), sent), None);
+        }
+    }
+}
+
 /// A held response that is contradicted does not count.
 #[test]
 fn outcome_reported_for_an_attempt_replaces_its_held_response() {
--- a/crates/platform/src/connection_pool.rs
+++ b/crates/platform/src/connection_pool.rs
@@ -6,7 +6,7 @@
 
 use crate::response::{AttemptResult, ResponseReader};
 use crate::transport::{ConnectionId, Transport};
-use cloverstile::{EndpointId, Time};
+use cloverstile::{EndpointId, MessageId, Time};
 use cloverstile_engine::{Attempt, TransportOutcome};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -75,7 +75,8 @@
         /// When the connection is closed.
         timeout_at: Time,
     },
-    /// The attempt was abandoned and the write side is shut down; of the response only a `Retry-After` still counts.
+    /// The attempt was abandoned and the write side is shut down. Of the response only a `Retry-After` still counts, and that
+    /// no further attempt may be made.
     Abandoned {
         /// When the connection is closed.
         timeout_at: Time,
@@ -321,6 +322,19 @@
         unlisted.into_iter().for_each(|id| self.close(id, transport));
     }
 
+    /// Connections of abandoned attempts at a message whose response may still come.
+    pub fn abandoned_connections(&self, message: MessageId) -> Vec<ConnectionId> {
+        let is_of_message = |connection: &Connection| {
+            matches!(connection.state, ConnectionState::Abandoned { .. })
+                && connection.last_attempt.message == message
+        };
+        self.connections
+            .iter()
+            .filter(|(_, connection)| is_of_message(connection))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
     /// The earliest time at which the state of a connection times out.
     pub fn next_timeout(&self) -> Option<Time> {
         self.connections.values().filter_map(|connection| connection.state.timeout_at()).min()
--- a/crates/platform/src/requests.rs
+++ b/crates/platform/src/requests.rs
@@ -316,8 +316,8 @@
 
     /// Abandons an attempt without reporting a result; a held response of it counts (see [`Requests::take_held`]). Its connection is not reused, because the late response would be
     /// taken for that of the next request. If the whole request was sent, only the write side is shut down for now: a
-    /// `Retry-After` may be on its way, and it applies from the moment the endpoint sends it, whether or not the
-    /// response is still awaited.
+    /// `Retry-After` or the end of the message may be on its way, and it applies from the moment the endpoint sends it,
+    /// whether or not the response is still awaited.
     pub fn abandon(&mut self, now: Time, attempt: Attempt, transport: &mut impl Transport) {
         let Some(id) = self.detach(attempt) else { return };
         if let Some(held) = self.pool.get(id).and_then(Connection::held_outcome) {
--- a/crates/platform/src/requests/responses.rs
+++ b/crates/platform/src/requests/responses.rs
@@ -9,7 +9,7 @@
 use crate::unsolicited::{
     response_status, time_since, UnsolicitedBytes, UnsolicitedPhase, UnsolicitedSource,
 };
-use cloverstile::Time;
+use cloverstile::{MessageId, Time};
 use cloverstile_engine::TransportOutcome;
 #[cfg(feature = "planted-defects")]
 use cloverstile_fault_injection::{is_planted, PlantedDefect};
@@ -204,6 +204,32 @@
         Some(credit)
     }
 
+    /// Reports the response to an abandoned attempt if it ends the message: its attempt is over, but no other may follow.
+    fn report_late_end(&mut self, connection: ConnectionId, progress: &ResponseProgress) {
+        let Some(result) = progress.result.filter(|result| result.outcome.ends_message()) else { return };
+        let Some(pooled) = self.pool.get(connection) else { return };
+        if let ConnectionState::Abandoned { .. } = pooled.state {
+            let is_doubted = pooled.reader.status() == pooled.previous_status;
+            let outcome = if is_doubted { TransportOutcome::ObsoleteInDoubt } else { result.outcome };
+            let attempt = pooled.last_attempt;
+            self.complete(attempt, Some(connection), AttemptResult { outcome, ..result });
+        }
+    }
+
+    /// Reads what has arrived by now for earlier attempts at a message, which were abandoned. Call it before the message is
+    /// sent again: the last poll may be older than a pause of the process.
+    pub fn receive_late_responses(&mut self, now: Time, message: MessageId, transport: &mut impl Transport) {
+        for connection in self.pool.abandoned_connections(message) {
+            let received = transport.receive_now(connection);
+            if !received.bytes.is_empty() {
+                self.on_bytes(now, connection, &received.bytes, transport);
+            }
+            if received.has_ended && self.pool.contains(connection) {
+                self.pool.close(connection, transport);
+            }
+        }
+    }
+
     /// Reports the attempt's result once the response gives it, and closes the connection or returns it to the pool.
     fn on_response(
         &mut self,
@@ -212,6 +238,7 @@
         progress: &ResponseProgress,
         transport: &mut impl Transport,
     ) {
+        self.report_late_end(connection, progress);
         let credit = self.credit(now, connection, progress);
         let Some(pooled) = self.pool.get_mut(connection) else { return };
         let is_request_sent = is_request_sent(&pooled.state);
--- a/crates/platform/tests/platform/requests.rs
+++ b/crates/platform/tests/platform/requests.rs
@@ -6,7 +6,7 @@
 use cloverstile_platform::connection_reuse::Repeatability;
 use cloverstile_platform::requests::{ConnectionLimits, RequestTarget, Requests, RetryAfter};
 use cloverstile_platform::response::LoadReportFields;
-use cloverstile_platform::ConnectionId;
+use cloverstile_platform::{ConnectionId, ReceivedNow};
 use std::time::Duration;
 
 pub fn attempt(message: u32) -> Attempt {
@@ -314,3 +314,40 @@
         );
     }
 }
+
+/// Guards against a message that is sent again because its 410 arrived, in whole or in part, behind the time-out of its attempt.
+#[test]
+fn response_to_an_abandoned_attempt_is_reported_only_if_it_ends_the_message() {
+    let gone = b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n".as_slice();
+    let exhausted = b"HTTP/1.1 504 Timeout\r\nContent-Length: 0\r\n\r\n".as_slice();
+    let busy = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n".as_slice();
+    for (response, expected) in [
+        (gone, vec![(1, TransportOutcome::Obsolete)]),
+        (&gone[..19], vec![(1, TransportOutcome::Obsolete)]),
+        (exhausted, vec![(1, TransportOutcome::AttemptsExhausted)]),
+        (busy, vec![]),
+        (OK_RESPONSE, vec![]),
+    ] {
+        for bytes_before in [0, 1, 12] {
+            for in_the_socket in [false, true] {
+                let (mut requests, mut transport) = (requests(9), FakeTransport::default());
+                let connection = send_request(&mut requests, &mut transport, at(0), 1);
+                requests.on_flushed(connection);
+                requests.on_bytes(at(5), connection, &response[..bytes_before], &mut transport);
+                requests.abandon(at(100), attempt(1), &mut transport);
+                let rest = &response[bytes_before..];
+                if in_the_socket {
+                    let received = ReceivedNow { bytes: rest.to_vec(), has_ended: true };
+                    transport.unread.insert(connection, received);
+                    requests.receive_late_responses(at(400), MessageId(2), &mut transport);
+                    assert_eq!(completed(&mut requests), []);
+                    requests.receive_late_responses(at(400), MessageId(1), &mut transport);
+                } else {
+                    requests.on_bytes(at(400), connection, rest, &mut transport);
+                }
+                assert_eq!(completed(&mut requests), expected);
+                assert_eq!(requests.in_flight(), 0);
+            }
+        }
+    }
+}
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -112,10 +112,13 @@
             trace_completed(now, &completed, delivery);
             let CompletedAttempt { attempt, result, .. } = completed;
             self.attempt_log.on_attempt_ended(now, attempt, AttemptEnd::Completed(result.outcome), delivery);
-            delivery.log.record(Record::AttemptCompleted {
-                message_number: attempt.message.0,
-                may_have_run: result.outcome.may_have_run(),
-            });
+            // The end of an abandoned attempt is in the log; a later one of its message may be in flight.
+            if delivery.engine.is_in_flight(attempt) {
+                delivery.log.record(Record::AttemptCompleted {
+                    message_number: attempt.message.0,
+                    may_have_run: result.outcome.may_have_run(),
+                });
+            }
             delivery.engine.on_attempt_completed(now, attempt, result.outcome, result.rate_limit);
         }
     }
@@ -197,6 +200,7 @@
     /// go out on another one.
     pub fn commit(&mut self, now: Time, delivery: &mut DeliveryState, sockets: &mut Sockets<'_>) {
         for attempt in std::mem::take(&mut self.uncommitted) {
+            self.read_late_responses(now, attempt, delivery, sockets);
             if !delivery.engine.may_send_now(now, attempt) {
                 self.withdraw(now, attempt, delivery, sockets);
             } else if self.requests.check_connection(now, attempt, sockets) {
@@ -210,6 +214,20 @@
         }
     }
 
+    /// Reads responses to earlier attempts at the message of an attempt that is about to be sent: one of them may end it.
+    fn read_late_responses(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        delivery: &mut DeliveryState,
+        sockets: &mut Sockets<'_>,
+    ) {
+        if attempt.number > 0 {
+            self.requests.receive_late_responses(now, attempt.message, sockets);
+            self.report_completed(now, delivery);
+        }
+    }
+
     /// Withdraws the requests whose start could not be logged.
     pub fn withdraw_uncommitted(
         &mut self,
