Credit held responses before the process ends

Change: Engine::credit_held_responses, called when a shutdown is finished, ahead of the last write of the log. A SIGKILL within the hold (a second at most) still forgets it: the log has the attempt as started. Test: held_responses_are_credited_before_the_process_ends.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -334,6 +334,15 @@
         std::mem::take(&mut self.state.commands)
     }
 
+    /// Ends the attempts whose response is held with that response, and returns the resulting commands. To be called before
+    /// the process ends: the next one would know only that they may have taken effect.
+    pub fn credit_held_responses(&mut self, now: Time) -> Vec<Command> {
+        for message in self.state.messages.ids_with_held_response() {
+            self.state.abandon_attempt(now, message, AttemptOutcome::Abandoned);
+        }
+        std::mem::take(&mut self.state.commands)
+    }
+
     /// Lets the policy act on everything that happened up to `now` and returns the resulting commands. Call this after
     /// every batch of events and at [`Engine::next_timeout`].
     pub fn advance(&mut self, now: Time) -> Vec<Command> {
--- a/crates/engine/src/message_table.rs
+++ b/crates/engine/src/message_table.rs
@@ -87,6 +87,13 @@
         pending.map(|(id, _)| *id).collect()
     }
 
+    /// The messages whose attempt in flight has a response that is held, in ascending order of their ids.
+    pub fn ids_with_held_response(&self) -> Vec<MessageId> {
+        let is_held =
+            |record: &MessageRecord| record.in_flight.is_some_and(|attempt| attempt.held_response.is_some());
+        self.records.iter().filter(|(_, record)| is_held(record)).map(|(id, _)| *id).collect()
+    }
+
     /// Sets the final outcome of a pending message; `None` if the message is unknown or already completed.
     pub fn complete(&mut self, id: MessageId, outcome: FinalOutcome) -> Option<&MessageRecord> {
         let record = self.records.get_mut(&id).filter(|record| record.outcome.is_none())?;
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -489,6 +489,24 @@
     }
 }
 
+/// Guards against a delivery that the next process takes for an attempt that may have run.
+#[test]
+fn held_responses_are_credited_before_the_process_ends() {
+    let mut harness = Harness::new(10);
+    for (name, is_held) in [("held", true), ("open", false)] {
+        harness.submit(name, UNSAFE);
+        let attempt = harness.next_attempt();
+        if is_held {
+            harness.engine.on_response_held(attempt, TransportOutcome::Processed);
+        }
+    }
+    let commands = harness.engine.credit_held_responses(harness.now);
+    let is_delivered =
+        |command: &Command| matches!(command, Command::Complete { outcome: FinalOutcome::Delivered, .. });
+    assert_eq!(commands.iter().filter(|command| is_delivered(command)).count(), 1, "{commands:?}");
+    assert_eq!((harness.engine.pending_messages(), harness.engine.requests_in_flight()), (1, 1));
+}
+
 /// A held response that is contradicted does not count.
 #[test]
 fn outcome_reported_for_an_attempt_replaces_its_held_response() {
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Credits the responses that are held, before the process ends.
+    pub fn credit_held_responses(&mut self, now: Time, net: &mut Net) {
+        for command in self.delivery.engine.credit_held_responses(now) {
+            self.execute(now, command, net);
+        }
+    }
+
     /// Executes the commands that are complete once these bytes from a client have arrived.
     pub fn on_client_bytes(&mut self, now: Time, connection: ConnectionId, bytes: &[u8]) {
         self.clients.on_bytes(now, connection, bytes, &mut self.delivery);
--- a/crates/resp-gateway/src/shutdown.rs
+++ b/crates/resp-gateway/src/shutdown.rs
@@ -93,6 +93,7 @@
                 if phase < ShutdownPhase::Finished {
                     return ControlFlow::Continue(());
                 }
+                pipeline.credit_held_responses(now, net);
                 pipeline.clients.close_all(net);
                 *self = RunState::FinalFlush { until: now + FINAL_FLUSH_TIMEOUT };
                 break_if(is_flushed(pipeline, net))
