Notifications: no request is given up for others; one copy, after the measured response time

What callers saw: with an agent that answers each request after 0.3 s or more, no acknowledgement was ever used; notifications went out 49 times in the median or never (from outside; the same). Cause: after 200 ms the connection that had waited longest was closed for notifications that were unsent, of which there were always some, and its batch became unsent again: a time limit below the peer's latency whose retry keeps the load up. Change: a request is out until its answer or 3 s. First sends go ahead of copies, the oldest first. So that one connection is always free, three requests go at once and further ones every 200 ms, on up to 18 connections (3 before). Changed, as its bound was the old number of connections: unanswered_notification_does_not_delay_the_next_ones, now MAX_AGENT_CONNECTIONS; its 0.21 s stay.

--- a/crates/fault-injection/src/planted.rs
+++ b/crates/fault-injection/src/planted.rs
@@ -44,11 +44,13 @@
     CopyAcknowledges,
     /// A response that may be a copy counts at once, also from an endpoint that has sent copies.
     DoubtIgnored,
+    /// The unanswered request for notifications that was sent first is given up for notifications that are due.
+    UnansweredDropped,
 }
 
 impl PlantedDefect {
     /// Every defect, for tests that activate each of them in turn.
-    pub const ALL: [PlantedDefect; 16] = [
+    pub const ALL: [PlantedDefect; 17] = [
         PlantedDefect::ReplyBeforeLog,
         PlantedDefect::HalfBatch,
         PlantedDefect::WallClock,
@@ -65,6 +67,7 @@
         PlantedDefect::SurplusIgnored,
         PlantedDefect::CopyAcknowledges,
         PlantedDefect::DoubtIgnored,
+        PlantedDefect::UnansweredDropped,
     ];
 
     /// The value of [`DEFECT_VARIABLE`] that activates the defect.
@@ -86,6 +89,7 @@
             PlantedDefect::SurplusIgnored => "surplus-ignored",
             PlantedDefect::CopyAcknowledges => "copy-acknowledges",
             PlantedDefect::DoubtIgnored => "doubt-ignored",
+            PlantedDefect::UnansweredDropped => "unanswered-dropped",
         }
     }
 }
--- a/crates/platform/src/notifications.rs
+++ b/crates/platform/src/notifications.rs
@@ -1,6 +1,8 @@
 //! Notifications to the platform about messages that ended undelivered. Each is sent through the discovery agent and
 //! repeated until the platform acknowledges or rejects it.
 
+mod pending;
+
 use crate::discovery_connection::{ConnectionStatus, DiscoveryConnection, RECONNECT_DELAY};
 use crate::limits::MAX_BODY_BYTES;
 use crate::transport::{ConnectionId, Transport};
@@ -9,7 +11,7 @@
 #[cfg(feature = "planted-defects")]
 use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_http::{Headers, StartLine};
-use std::collections::{BTreeMap, HashMap};
+use pending::PendingNotifications;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,13 +19,24 @@
 const MAX_BATCH_SIZE: usize = 256;
 /// Time limit for establishing a connection; short, as the agent is on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time limit for the response to a request.
-const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Delay after which an unacknowledged notification is sent again on another connection. The agent normally answers at
-/// once, and the platform allows the end of a message to be reported at most 0.3 s late.
-const RESEND_DELAY: Duration = Duration::from_millis(200);
-/// Maximum number of simultaneous connections to the discovery agent for notifications.
-pub const MAX_AGENT_CONNECTIONS: usize = 3;
+/// Time limit for the response to a request. It is longer than an agent takes that is merely slow: a response that comes
+/// behind it is lost, and with it the request.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shortest delay after which an unanswered notification is sent a second time. The agent normally answers at once, and the
+/// platform allows the end of a message to be reported at most 0.3 s late.
+const MIN_COPY_DELAY: Duration = Duration::from_millis(200);
+/// The second request follows after the measured response time times this.
+const COPY_DELAY_MULTIPLE: u32 = 2;
+/// Weight of the newest response time in the measured one, if it is shorter; a longer one counts at once.
+const LATENCY_GAIN: f64 = 0.125;
+/// Number of requests that may be unanswered without a delay of the next one.
+const PROMPT_REQUESTS: usize = 3;
+/// Delay between two further requests.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(200);
+/// Maximum number of simultaneous connections to the discovery agent for notifications: as many as can be opened at that
+/// interval until the first request is answered or times out, so that one is always free.
+pub const MAX_AGENT_CONNECTIONS: usize =
+    PROMPT_REQUESTS + (RESPONSE_TIMEOUT.as_millis() / REQUEST_INTERVAL.as_millis()) as usize;
 /// How long a connection that has carried no request is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -73,58 +86,41 @@
     connection: DiscoveryConnection,
     /// Message numbers of the notifications in the request in flight.
     in_flight: Vec<u32>,
-    /// When the request in flight may be dropped in favour of notifications that were never sent, if all connections
-    /// are in use.
-    droppable_at: Time,
+    /// When the request in flight was sent.
+    sent_at: Time,
 }
 
 impl AgentConnection {
     fn new(address: SocketAddr) -> Self {
         let connection = DiscoveryConnection::new(address, MAX_BODY_BYTES, UnsolicitedSource::Notifications);
-        AgentConnection { connection, in_flight: Vec::new(), droppable_at: Time::ZERO }
-    }
-
-    fn is_waiting(&self) -> bool {
-        matches!(self.connection.status(), ConnectionStatus::Connecting | ConnectionStatus::AwaitingResponse)
+        AgentConnection { connection, in_flight: Vec::new(), sent_at: Time::ZERO }
     }
 
-    fn close(&mut self, now: Time, transport: &mut impl Transport) {
-        self.in_flight.clear();
-        self.connection.close(now, transport);
+    fn has_status(&self, status: ConnectionStatus) -> bool {
+        self.connection.status() == status
     }
-}
-
-/// A notification that has not been settled.
-struct PendingNotification {
-    notification: Notification,
-    /// Whether it must not be sent until [`Notifications::release_held`].
-    is_held: bool,
-    /// When it may be sent again; none if it was never sent or must be resent at once.
-    resend_at: Option<Time>,
-}
 
-impl PendingNotification {
-    /// The earliest time at which it may be sent; none while it is held.
-    fn sendable_at(&self) -> Option<Time> {
-        (!self.is_held).then(|| self.resend_at.unwrap_or(Time::ZERO))
+    fn is_waiting(&self) -> bool {
+        self.has_status(ConnectionStatus::Connecting) || self.has_status(ConnectionStatus::AwaitingResponse)
     }
 }
 
 /// All notifications that have not been settled, by the number that the log assigned to the message.
 ///
 /// Each is sent as soon as possible, on another connection if a request is still unanswered: an agent that leaves one
-/// request unanswered must not delay the other notifications, whose messages may be past their deadline. A notification
-/// that is not acknowledged in time is sent again. A connection carries one request and is closed with its response.
+/// request unanswered must not delay the other notifications, whose messages may be past their deadline. A request that is out
+/// is not given up for others. A notification whose request is unanswered for longer than usual is sent once more. A
+/// connection carries one request and is closed with its response.
 pub struct Notifications {
     agent_connections: Vec<AgentConnection>,
-    pending: BTreeMap<u32, PendingNotification>,
-    /// Number of pending notifications by order key.
-    blocked_keys: HashMap<OrderKey, usize>,
+    pending: PendingNotifications,
     /// Maximum number of notifications in the next request. It is 1 after a failed request, so that an invalid
     /// notification is identified and the others are accepted.
     batch_limit: usize,
     /// The earliest time at which a connection may be opened.
     connect_at: Time,
+    /// Measured time to a response; zero before the first.
+    latency: Duration,
 }
 
 impl Notifications {
@@ -132,30 +128,26 @@
     pub fn new(address: SocketAddr) -> Self {
         Notifications {
             agent_connections: (0..MAX_AGENT_CONNECTIONS).map(|_| AgentConnection::new(address)).collect(),
-            pending: BTreeMap::new(),
-            blocked_keys: HashMap::new(),
+            pending: PendingNotifications::default(),
             batch_limit: MAX_BATCH_SIZE,
             connect_at: Time::ZERO,
+            latency: Duration::ZERO,
         }
     }
 
     /// Adds a notification of the message with this number.
     pub fn enqueue(&mut self, message_number: u32, notification: Notification, release: Release) {
-        if let Some(key) = notification.order_key {
-            *self.blocked_keys.entry(key).or_default() += 1;
-        }
-        let is_held = release == Release::OnceStored;
-        self.pending.insert(message_number, PendingNotification { notification, is_held, resend_at: None });
+        self.pending.insert(message_number, notification, release == Release::OnceStored);
     }
 
     /// Allows all held notifications to be sent.
     pub fn release_held(&mut self) {
-        self.pending.values_mut().for_each(|pending| pending.is_held = false);
+        self.pending.release_held();
     }
 
     /// Whether a notification with this order key is pending, which blocks the key's next message.
     pub fn is_key_blocked(&self, key: OrderKey) -> bool {
-        self.blocked_keys.contains_key(&key)
+        self.pending.is_key_blocked(key)
     }
 
     /// Takes the bytes that answered no request, by connection and in the order in which they were read.
@@ -170,101 +162,107 @@
 
     /// Whether no notification is pending.
     pub fn is_empty(&self) -> bool {
-        self.pending.is_empty()
+        self.pending.len() == 0
     }
 
     /// The latest time at which [`Notifications::on_tick`] must be called, if there is one.
     pub fn next_timeout(&self) -> Option<Time> {
-        let has_status = |status: ConnectionStatus| {
-            self.agent_connections.iter().any(|agent| agent.connection.status() == status)
-        };
-        let sendable_at = self.pending.values().filter_map(PendingNotification::sendable_at).min();
-        let send_at = sendable_at.and_then(|at| {
-            if has_status(ConnectionStatus::Idle) {
-                return Some(at);
-            }
-            if has_status(ConnectionStatus::Connecting) {
-                return None;
-            }
-            if has_status(ConnectionStatus::Closed) {
-                return Some(at.max(self.connect_at));
-            }
-            let droppable_at = self.agent_connections.iter().map(|agent| agent.droppable_at).min();
-            droppable_at.filter(|_| self.has_unsent()).map(|droppable_at| at.max(droppable_at))
-        });
-        let open = self
-            .agent_connections
-            .iter()
-            .filter(|agent| agent.connection.status() != ConnectionStatus::Closed);
-        open.map(|agent| agent.connection.next_timeout()).chain(send_at).min()
+        let open = self.agent_connections.iter().filter(|agent| !agent.has_status(ConnectionStatus::Closed));
+        open.map(|agent| agent.connection.next_timeout()).chain(self.next_send_at()).min()
+    }
+
+    /// When the next request can be sent or a connection opened for it; none if that waits for an event on a connection.
+    fn next_send_at(&self) -> Option<Time> {
+        let at = self.pending.sendable_at()?;
+        if self.position(ConnectionStatus::Idle).is_some() {
+            return Some(at);
+        }
+        if self.position(ConnectionStatus::Connecting).is_some() {
+            return None;
+        }
+        self.position(ConnectionStatus::Closed)?;
+        Some(at.max(self.connect_at).max(self.next_request_at()))
+    }
+
+    /// The first connection with this status.
+    fn position(&self, status: ConnectionStatus) -> Option<usize> {
+        self.agent_connections.iter().position(|agent| agent.has_status(status))
+    }
+
+    /// The earliest time of the next request, so that the connections last until the first unanswered request ends.
+    fn next_request_at(&self) -> Time {
+        let is_unanswered = |agent: &&AgentConnection| agent.has_status(ConnectionStatus::AwaitingResponse);
+        let unanswered = self.agent_connections.iter().filter(is_unanswered);
+        let newest = unanswered.clone().map(|agent| agent.sent_at).max();
+        newest
+            .filter(|_| unanswered.count() >= PROMPT_REQUESTS)
+            .map_or(Time::ZERO, |newest| newest + REQUEST_INTERVAL)
+    }
+
+    /// Time without a response after which a notification is sent a second time.
+    fn copy_delay(&self) -> Duration {
+        MIN_COPY_DELAY.max(self.latency * COPY_DELAY_MULTIPLE)
     }
 
     /// Sends pending notifications or opens a connection for them, and closes connections that timed out. Must be
     /// called after the records of the current event loop turn are written to the log.
     pub fn on_tick(&mut self, now: Time, transport: &mut impl Transport) {
-        for agent in &mut self.agent_connections {
-            let is_open = agent.connection.status() != ConnectionStatus::Closed;
-            if is_open && agent.connection.next_timeout() <= now {
-                if agent.is_waiting() {
-                    self.connect_at = now + RECONNECT_DELAY;
-                }
-                agent.close(now, transport);
-            }
-        }
-        let is_sendable = |pending: &PendingNotification| pending.sendable_at().is_some_and(|at| at <= now);
-        if !self.pending.values().any(is_sendable) {
-            return;
-        }
-        let position_with_status = |agents: &[AgentConnection], status: ConnectionStatus| {
-            agents.iter().position(|agent| agent.connection.status() == status)
-        };
-        if let Some(idle) = position_with_status(&self.agent_connections, ConnectionStatus::Idle) {
-            return self.send_batch(now, idle, transport);
-        }
-        if position_with_status(&self.agent_connections, ConnectionStatus::Connecting).is_some()
-            || now < self.connect_at
-        {
+        self.close_timed_out(now, transport);
+        #[cfg(feature = "planted-defects")]
+        self.close_longest_unanswered(now, transport);
+        if self.next_send_at().is_none_or(|at| at > now) {
             return;
         }
-        let free = position_with_status(&self.agent_connections, ConnectionStatus::Closed);
-        if let Some(free) = free.or_else(|| self.close_longest_unanswered(now, transport)) {
-            self.agent_connections[free].connection.connect(now + CONNECT_TIMEOUT, transport);
+        if let Some(idle) = self.position(ConnectionStatus::Idle) {
+            self.send_batch(now, idle, transport);
+        } else if let Some(closed) = self.position(ConnectionStatus::Closed) {
+            self.agent_connections[closed].connection.connect(now + CONNECT_TIMEOUT, transport);
         }
     }
 
-    /// Whether a notification that may be sent is still unsent, or must be resent at once.
-    fn has_unsent(&self) -> bool {
-        self.pending.values().any(|pending| !pending.is_held && pending.resend_at.is_none())
+    /// Closes connections that timed out. The notifications in their requests may be sent again.
+    fn close_timed_out(&mut self, now: Time, transport: &mut impl Transport) {
+        for index in 0..self.agent_connections.len() {
+            let agent = &mut self.agent_connections[index];
+            if agent.has_status(ConnectionStatus::Closed) || agent.connection.next_timeout() > now {
+                continue;
+            }
+            if agent.is_waiting() {
+                self.connect_at = now + RECONNECT_DELAY;
+            }
+            agent.connection.close(now, transport);
+            self.on_request_failed(now, index);
+        }
     }
 
-    /// Closes the connection whose request has been unanswered the longest and returns its index, if that request may
-    /// be dropped for unsent notifications. Called when all connections are in use.
-    fn close_longest_unanswered(&mut self, now: Time, transport: &mut impl Transport) -> Option<usize> {
-        let agents = self.agent_connections.iter().enumerate();
-        let (index, _) = agents.min_by_key(|(_, agent)| agent.droppable_at)?;
-        if !self.has_unsent() || now < self.agent_connections[index].droppable_at {
-            return None;
+    /// Planted defect: closes the connection that has waited longest for a response, for notifications that are unsent.
+    #[cfg(feature = "planted-defects")]
+    fn close_longest_unanswered(&mut self, now: Time, transport: &mut impl Transport) {
+        let unanswered = self.agent_connections.iter().enumerate();
+        let unanswered = unanswered.filter(|(_, agent)| agent.has_status(ConnectionStatus::AwaitingResponse));
+        let is_crowded = unanswered.clone().count() >= PROMPT_REQUESTS;
+        let longest = unanswered.min_by_key(|(_, agent)| agent.sent_at).map(|(index, _)| index);
+        let Some(index) = longest.filter(|_| is_crowded && is_planted(PlantedDefect::UnansweredDropped))
+        else {
+            return;
+        };
+        let is_overdue = self.agent_connections[index].sent_at + MIN_COPY_DELAY <= now;
+        if is_overdue && self.pending.sendable_at().is_some_and(|at| at <= now) {
+            self.agent_connections[index].connection.close(now, transport);
+            self.on_request_failed(now, index);
         }
-        self.agent_connections[index].close(now, transport);
-        Some(index)
     }
 
     /// Sends the notifications that are due, up to the batch limit, on an idle connection.
     fn send_batch(&mut self, now: Time, index: usize, transport: &mut impl Transport) {
-        let is_sendable = |pending: &PendingNotification| pending.sendable_at().is_some_and(|at| at <= now);
-        let batch = self.pending.iter_mut().filter(|(_, pending)| is_sendable(pending));
-        let (mut message_numbers, mut body) = (Vec::new(), Vec::new());
-        for (message_number, pending) in batch.take(self.batch_limit) {
-            pending.resend_at = Some(now + RESEND_DELAY);
-            message_numbers.push(*message_number);
-            body.extend(json_line(&pending.notification));
-        }
+        let batch = self.pending.take_batch(now, self.batch_limit, self.copy_delay());
+        let body: Vec<u8> = batch.iter().flat_map(|(_, notification)| json_line(notification)).collect();
         let agent = &mut self.agent_connections[index];
         let host = agent.connection.address().to_string();
         let headers = Headers::new().with("Host", host).with("Content-Type", "application/x-ndjson");
         let request = cloverstile_http::encode_request("POST", "/v1/notices", &headers, &body);
-        agent.in_flight = message_numbers;
-        agent.droppable_at = now + RESEND_DELAY;
+        agent.in_flight = batch.into_iter().map(|(message_number, _)| message_number).collect();
+        agent.sent_at = now;
         agent.connection.send(&request, now + RESPONSE_TIMEOUT, transport);
     }
 
@@ -277,7 +275,7 @@
         }
         if is_changed {
             self.connect_at = now;
-            self.pending.values_mut().for_each(|pending| pending.resend_at = None);
+            self.pending.reset();
         }
     }
 
@@ -304,18 +302,23 @@
             self.connect_at = now + RECONNECT_DELAY;
         }
         self.agent_connections[index].connection.on_closed(now);
-        self.resend_in_flight(index);
+        self.on_request_failed(now, index);
     }
 
-    /// Makes the notifications in a failed request due again at once.
-    fn resend_in_flight(&mut self, index: usize) {
+    /// Allows the notifications in a failed request to be sent again.
+    fn on_request_failed(&mut self, now: Time, index: usize) {
+        let copy_delay = self.copy_delay();
         for message_number in std::mem::take(&mut self.agent_connections[index].in_flight) {
-            if let Some(pending) = self.pending.get_mut(&message_number) {
-                pending.resend_at = None;
-            }
+            self.pending.on_request_failed(now, message_number, copy_delay);
         }
     }
 
+    /// Updates the measured response time with that of a request.
+    fn record_latency(&mut self, latency: Duration) {
+        let smoothed = self.latency.mul_f64(1.0 - LATENCY_GAIN) + latency.mul_f64(LATENCY_GAIN);
+        self.latency = latency.max(smoothed);
+    }
+
     /// Handles bytes received on a connection and returns the notifications that they settle.
     pub fn on_bytes(
         &mut self,
@@ -334,13 +337,17 @@
         if !keeps_connections() {
             agent.connection.close(now, transport);
         }
+        let latency = now - agent.sent_at;
         match response.map(|response| response.start_line) {
             Ok(StartLine::Response { status: 200..=299 }) => {
+                self.record_latency(latency);
                 self.batch_limit = MAX_BATCH_SIZE;
                 settled.acknowledged = self.settle_in_flight(index);
             }
             // The platform rejects this notification even on its own. Sending it again forever would block all others.
-            Ok(StartLine::Response { status: 400..=499 }) if agent.in_flight.len() == 1 => {
+            Ok(StartLine::Response { status: 400..=499 })
+                if self.agent_connections[index].in_flight.len() == 1 =>
+            {
                 settled.rejected = self.settle_in_flight(index);
             }
             _ => {
@@ -348,7 +355,7 @@
                 // pause.
                 self.connect_at = now + RECONNECT_DELAY;
                 self.batch_limit = 1;
-                self.resend_in_flight(index);
+                self.on_request_failed(now, index);
             }
         }
         settled
@@ -357,20 +364,7 @@
     /// Removes the notifications in a request that was answered, and returns those that were still pending.
     fn settle_in_flight(&mut self, index: usize) -> Vec<u32> {
         let sent = std::mem::take(&mut self.agent_connections[index].in_flight);
-        sent.into_iter().filter(|message_number| self.remove(*message_number)).collect()
-    }
-
-    /// Removes a notification and returns whether it was pending.
-    fn remove(&mut self, message_number: u32) -> bool {
-        let Some(pending) = self.pending.remove(&message_number) else { return false };
-        let Some(key) = pending.notification.order_key else { return true };
-        if let Some(count) = self.blocked_keys.get_mut(&key) {
-            *count -= 1;
-            if *count == 0 {
-                self.blocked_keys.remove(&key);
-            }
-        }
-        true
+        sent.into_iter().filter(|message_number| self.pending.remove(*message_number)).collect()
     }
 }
 
--- a/crates/platform/tests/platform/notifications.rs
+++ b/crates/platform/tests/platform/notifications.rs
@@ -3,9 +3,10 @@
 use crate::support::{address, at, FakeTransport};
 use cloverstile::OrderKey;
 use cloverstile_platform::notifications::{
-    Notification, NotificationStatus, Notifications, Release, SettledNotifications,
+    Notification, NotificationStatus, Notifications, Release, SettledNotifications, MAX_AGENT_CONNECTIONS,
 };
 use cloverstile_platform::ConnectionId;
+use std::collections::HashMap;
 
 fn notification(id: &str, failed: bool, key: u64) -> Notification {
     let status = match failed {
@@ -150,7 +151,8 @@
             assert!(transport.written.iter().any(|(_, text)| text.contains(&id)), "{id}");
         }
     }
-    assert!(transport.closed.len() + 3 >= transport.connected.len(), "more than three connections are open");
+    let open = transport.connected.len() - transport.closed.len();
+    assert!(open <= MAX_AGENT_CONNECTIONS, "{open} connections are open");
     assert!(notifications.is_key_blocked(OrderKey(3)));
 }
 
@@ -191,3 +193,122 @@
         (vec![address(1), address(2)], vec![ConnectionId(1)])
     );
 }
+
+/// An agent that reads each request at once and answers it later, in virtual time.
+struct SlowAgent {
+    notifications: Notifications,
+    transport: FakeTransport,
+    /// Requests that are not answered yet, with the time of their answer; none if they are never answered.
+    unanswered: Vec<(ConnectionId, Option<u64>)>,
+    /// Requests whose arrival the agent has noticed.
+    read: usize,
+    connected: usize,
+    /// Number of requests that carried each notification.
+    requests: HashMap<String, u32>,
+    /// When each notification was sent first.
+    first_sent: HashMap<String, u64>,
+}
+
+impl SlowAgent {
+    fn new() -> Self {
+        SlowAgent {
+            notifications: Notifications::new(address(1)),
+            transport: FakeTransport::default(),
+            unanswered: Vec::new(),
+            read: 0,
+            connected: 0,
+            requests: HashMap::new(),
+            first_sent: HashMap::new(),
+        }
+    }
+
+    /// Plays one millisecond; requests that are read in it are answered `latency_ms` later, or never.
+    fn play(&mut self, millisecond: u64, latency_ms: Option<u64>) {
+        let now = at(millisecond);
+        for _ in 0..4 {
+            if self.notifications.next_timeout().is_some_and(|timeout| timeout <= now) {
+                self.notifications.on_tick(now, &mut self.transport);
+            }
+            while self.connected < self.transport.connected.len() {
+                self.connected += 1;
+                self.notifications.on_connected(now, ConnectionId(self.connected as u64));
+            }
+        }
+        for (connection, text) in &self.transport.written[self.read..] {
+            self.unanswered.push((*connection, latency_ms.map(|latency| millisecond + latency)));
+            for line in text.lines().filter(|line| line.contains("\"id\"")) {
+                let id = line.split("\"id\":\"").nth(1).unwrap().split('"').next().unwrap().to_owned();
+                self.first_sent.entry(id.clone()).or_insert(millisecond);
+                *self.requests.entry(id).or_default() += 1;
+            }
+        }
+        self.read = self.transport.written.len();
+        let is_due = |at: &Option<u64>| at.is_some_and(|at| at <= millisecond);
+        for (connection, _) in self.unanswered.extract_if(.., |(_, at)| is_due(at)).collect::<Vec<_>>() {
+            self.notifications.on_bytes(now, connection, NO_CONTENT, &mut self.transport);
+        }
+    }
+
+    fn enqueue(&mut self, number: u32) {
+        self.notifications.enqueue(number, notification(&format!("m{number}"), true, 3), Release::AtOnce);
+    }
+}
+
+/// Guards against a time limit below the agent's response time: the request that had waited longest was given up for
+/// notifications that were unsent, of which there were always some, so that none was ever acknowledged.
+#[test]
+fn every_notification_is_acknowledged_by_an_agent_slower_than_the_copy_delay() {
+    for latency in [10, 150, 300, 500, 1900, 2500, 2900] {
+        let mut agent = SlowAgent::new();
+        let mut enqueued_at = HashMap::new();
+        for millisecond in 0..12_000 {
+            if millisecond < 8000 && millisecond % 6 == 0 {
+                let number = u32::try_from(millisecond).unwrap();
+                agent.enqueue(number);
+                enqueued_at.insert(format!("m{number}"), millisecond);
+            }
+            agent.play(millisecond, Some(latency));
+        }
+        assert!(agent.notifications.is_empty(), "{latency} ms: {} are pending", agent.notifications.len());
+        for (id, sent_at) in &agent.first_sent {
+            let waited = sent_at - enqueued_at[id];
+            assert!(waited <= 210, "{latency} ms: {id} was sent first after {waited} ms");
+            assert!(agent.requests[id] <= 2, "{latency} ms: {id} is in {} requests", agent.requests[id]);
+        }
+        let repeated = agent.requests.values().filter(|count| **count > 1).count();
+        // A copy is sent only until the response time is known.
+        let unknown = if latency < 200 { 0 } else { latency / 6 + 1 };
+        assert!(repeated as u64 <= unknown, "{latency} ms: {repeated} were sent twice");
+    }
+}
+
+/// An agent that answers nothing for ten seconds gets few requests for each notification, and each is acknowledged afterwards.
+#[test]
+fn notifications_are_resent_with_backoff_to_an_agent_that_answers_nothing_for_a_while() {
+    let mut agent = SlowAgent::new();
+    for millisecond in 0..17_000 {
+        if millisecond < 8000 && millisecond % 6 == 0 {
+            agent.enqueue(u32::try_from(millisecond).unwrap());
+        }
+        agent.play(millisecond, (millisecond >= 10_000).then_some(1));
+    }
+    assert!(agent.notifications.is_empty(), "{} are pending", agent.notifications.len());
+    let most = agent.requests.values().max();
+    // Two in each three seconds, the time limit of a response.
+    assert!(most <= Some(&8), "{most:?} requests for a notification");
+    let open = agent.transport.connected.len() - agent.transport.closed.len();
+    assert!(open <= MAX_AGENT_CONNECTIONS);
+}
+
+/// A request has room for 256 notifications: those that were never sent go first.
+#[test]
+fn first_requests_go_ahead_of_copies() {
+    let mut agent = SlowAgent::new();
+    (0..256).for_each(|number| agent.enqueue(number));
+    agent.play(0, None);
+    (256..400).for_each(|number| agent.enqueue(number));
+    agent.play(300, None);
+    let second: Vec<&str> = agent.transport.written[1].1.lines().filter(|line| line.contains("id")).collect();
+    assert_eq!(second.len(), 256);
+    assert!((256..400).zip(&second).all(|(number, line)| line.contains(&format!("\"m{number}\""))));
+}
