Soak: responses that end a message at once or in part, slow agents, series of pauses; judged

Change: endpoints that answer every second to seventh request with 410, 504, 503, 429 or 200 at once and alike, 410 and 504 also in two parts, as status line or as head alone, beside deliveries of 5 to 50 ms and some of 200 to 480 ms; agents that answer each notification 0.05 to 2 s late for up to 9 s; series of pauses of 0.15 s.

--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -6,6 +6,7 @@
 mod endpoint;
 mod events;
 mod invariants;
+mod mixed_responses;
 mod repeated_responses;
 mod server;
 mod state;
@@ -15,6 +16,7 @@
 pub use invariants::{
     check_invariants, find_violations, InvariantRules, SlowStartRule, Violation, ViolationKind,
 };
+pub use mixed_responses::{MixedResponses, ResponsePart};
 pub use repeated_responses::{RepeatedResponse, Surplus};
 pub use state::{AgentBehaviour, EndpointBehaviour};
 pub use submission::{read_line, PutCommand};
--- a/crates/fakes/src/platform/endpoint.rs
+++ b/crates/fakes/src/platform/endpoint.rs
@@ -1,6 +1,7 @@
 //! Endpoints of a fake platform: they respond to requests as configured and record what they receive and write.
 
 use super::events::PlatformEvent;
+use super::mixed_responses::{MixedAction, MixedResponses, ResponsePart};
 use super::repeated_responses::{write_behind, RepeatedResponse};
 use super::server::AfterResponse;
 use super::state::{EndpointBehaviour, Shared};
@@ -50,6 +51,7 @@
         EndpointBehaviour::Repeat(repeat) => {
             return respond_and_repeat(shared, id, endpoint, &repeat, stream)
         }
+        EndpointBehaviour::Mixed(mixed) => return serve_mixed(shared, id, &mixed, stream),
         EndpointBehaviour::Respond(bytes) => return respond(shared, id, endpoint, &bytes, stream),
         // The connection stays open until the gateway abandons the request.
         EndpointBehaviour::Silent => return await_abandonment(shared, id, stream),
@@ -130,7 +132,9 @@
         shared.record_at(written_at, PlatformEvent::Delivered { id });
     } else if text.starts_with("HTTP/1.1 410") {
         shared.record_at(written_at, PlatformEvent::Released { id });
-    } else if ["429", "503", "504"].iter().any(|status| text.starts_with(&format!("HTTP/1.1 {status}"))) {
+    } else if text.starts_with("HTTP/1.1 504") {
+        shared.record_at(written_at, PlatformEvent::AttemptsExhausted { id });
+    } else if ["429", "503"].iter().any(|status| text.starts_with(&format!("HTTP/1.1 {status}"))) {
         shared.record_at(written_at, PlatformEvent::NotExecuted { id });
     } else if is_complete {
         shared.record_at(written_at, PlatformEvent::Failed { id });
@@ -140,6 +144,44 @@
     Ok(AfterResponse::KeepOpen)
 }
 
+/// Answers at once or delivers, as it is the request's turn. A gateway that has given up the request meanwhile gets nothing.
+fn serve_mixed(
+    shared: &Shared,
+    id: String,
+    mixed: &MixedResponses,
+    stream: &mut TcpStream,
+) -> io::Result<AfterResponse> {
+    let number = {
+        let mut state = shared.state();
+        state.mixed_requests += 1;
+        state.mixed_requests
+    };
+    let pieces = match mixed.action(number) {
+        MixedAction::Deliver(time) => {
+            if closes_within(stream, time) {
+                shared.record(PlatformEvent::AttemptEnded { id });
+                return Ok(AfterResponse::Close);
+            }
+            deliver(shared, id, stream)?;
+            return Ok(AfterResponse::KeepOpen);
+        }
+        MixedAction::Answer(pieces) => pieces,
+    };
+    let mut written_at = shared.now();
+    for (delay, bytes) in pieces {
+        std::thread::sleep(delay);
+        written_at = write_response(shared, &id, &bytes, stream)?;
+    }
+    mixed.record(shared, written_at, id.clone());
+    match mixed.part {
+        ResponsePart::Whole | ResponsePart::TwoParts(_) => Ok(AfterResponse::KeepOpen),
+        ResponsePart::StatusLine | ResponsePart::Head => {
+            // The connection stays open until the gateway closes it.
+            stream.read(&mut [0]).map(|_| AfterResponse::Close)
+        }
+    }
+}
+
 /// Responds after the service time, and writes the surplus behind the response where it is its turn.
 fn respond_and_repeat(
     shared: &Arc<Shared>,
--- a/crates/fakes/src/platform/events.rs
+++ b/crates/fakes/src/platform/events.rs
@@ -30,7 +30,7 @@
         /// Message id, chosen by the client.
         id: String,
     },
-    /// A response was written that proves that the request was not executed (status 429, 503 or 504).
+    /// A response was written that proves that the request was not executed (status 429 or 503).
     NotExecuted {
         /// Message id, chosen by the client.
         id: String,
@@ -45,6 +45,12 @@
         /// Message id, chosen by the client.
         id: String,
     },
+    /// A response with status 504 was written: the request was not executed and no other may follow; the message's final outcome
+    /// is still due.
+    AttemptsExhausted {
+        /// Message id, chosen by the client.
+        id: String,
+    },
     /// Another complete response was written: the request has ended, and may have been executed.
     Failed {
         /// Message id, chosen by the client.
--- a/crates/fakes/src/platform/invariants.rs
+++ b/crates/fakes/src/platform/invariants.rs
@@ -76,8 +76,10 @@
     Dropped,
     /// A message was sent although its client had been told that it is not accepted.
     RefusedAndForwarded,
-    /// A message was sent after the notification of its final outcome.
+    /// A message was sent after the notification of its final outcome, or after a response that ended it or its attempts.
     ForwardedAfterEnd,
+    /// An unrepeatable message was reported as undeliverable although its response with status 200 had been read.
+    DeliveredAndFailed,
     /// A message that may have been processed was sent again, which its class forbids.
     Duplicate,
     /// An accepted message was given up without a request too long before its deadline.
@@ -125,6 +127,9 @@
             ViolationKind::Dropped => write!(formatter, "{id}: its connection was dropped"),
             ViolationKind::RefusedAndForwarded => write!(formatter, "{id} was refused, but sent"),
             ViolationKind::ForwardedAfterEnd => write!(formatter, "{id} was sent after its final outcome"),
+            ViolationKind::DeliveredAndFailed => {
+                write!(formatter, "{id} was reported as undeliverable long after its delivery")
+            }
             ViolationKind::Duplicate => write!(formatter, "{id} was sent again, but may have been processed"),
             ViolationKind::EarlyGivenUp => write!(formatter, "{id} was given up early without a request"),
             ViolationKind::OrderBroken => {
--- a/crates/fakes/src/platform/invariants/endpoint_limits.rs
+++ b/crates/fakes/src/platform/invariants/endpoint_limits.rs
@@ -79,7 +79,9 @@
                 self.endpoint_of.insert(id, *endpoint);
                 return self.on_request(at, id, *endpoint);
             }
-            PlatformEvent::AttemptEnded { id } | PlatformEvent::NotExecuted { id } => self.on_failure(id),
+            PlatformEvent::AttemptEnded { id }
+            | PlatformEvent::NotExecuted { id }
+            | PlatformEvent::AttemptsExhausted { id } => self.on_failure(id),
             PlatformEvent::RetryAfter { id, endpoint, wait } => self.on_retry_after(at, id, *endpoint, *wait),
             PlatformEvent::ListSent { address, draining } => {
                 self.on_list(at, *address / AGENTS_PER_GATEWAY, draining);
--- a/crates/fakes/src/platform/invariants/key_order.rs
+++ b/crates/fakes/src/platform/invariants/key_order.rs
@@ -42,6 +42,7 @@
             }
             PlatformEvent::NotificationAnswered { id } => drop(self.settled.insert(id)),
             PlatformEvent::NotExecuted { id }
+            | PlatformEvent::AttemptsExhausted { id }
             | PlatformEvent::Failed { id }
             | PlatformEvent::LateResponse { id } => drop(self.open_requests.remove(id.as_str())),
             PlatformEvent::AttemptEnded { id } => self.on_attempt_ended(at, id),
--- a/crates/fakes/src/platform/state.rs
+++ b/crates/fakes/src/platform/state.rs
@@ -1,6 +1,7 @@
 //! State that the threads of a fake platform share: recorded events, configured behaviour and the endpoint list.
 
 use super::events::{PlatformEvent, TimedEvent};
+use super::mixed_responses::MixedResponses;
 use super::repeated_responses::RepeatedResponse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -24,6 +25,8 @@
     Reset(Duration),
     /// Responds with status 200 and closes the connection, on which the next request may already be on its way.
     DeliverAndClose,
+    /// Answers some requests at once, all alike, and delivers the others.
+    Mixed(MixedResponses),
     /// Responds, and writes something behind the response.
     Repeat(RepeatedResponse),
     /// Responds with status 200 this long after both the deadline of the request and that of its message, so that the
@@ -85,6 +88,8 @@
     pub(super) weight: f64,
     /// Id of the message of the request in progress on a connection to an endpoint, by the gateway's address.
     pub(super) open_requests: HashMap<SocketAddr, String>,
+    /// Number of requests so far to endpoints that answer some of them at once.
+    pub(super) mixed_requests: u64,
     /// Number of responses so far that may have been repeated.
     pub(super) repeatable_responses: u64,
     /// Connections for notifications on which a request was acknowledged, by the gateway's address.
@@ -110,6 +115,7 @@
             instances: destinations.iter().enumerate().map(instance).collect(),
             weight: DEFAULT_WEIGHT,
             open_requests: HashMap::new(),
+            mixed_requests: 0,
             repeatable_responses: 0,
             acknowledged_connections: BTreeSet::new(),
         }
--- a/crates/testbench/src/soak/faults.rs
+++ b/crates/testbench/src/soak/faults.rs
@@ -1,10 +1,15 @@
 //! The faults of a run. The names of types, variants and fields appear in timelines through their `Debug` form.
 
-use cloverstile_fakes::platform::{AgentBehaviour, RepeatedResponse};
+use cloverstile_fakes::platform::{AgentBehaviour, MixedResponses, RepeatedResponse};
 use cloverstile_fault_injection::{Call, Effect};
 use std::fmt;
 use std::time::Duration;
 
+/// Length of each of several pauses: the longest that the platform allows.
+pub const REPEATED_HOLD_UP: Duration = Duration::from_millis(150);
+/// Time from the start of a pause to the next one.
+pub const HOLD_UP_INTERVAL: Duration = Duration::from_millis(600);
+
 /// How a gateway's process ends before it is started again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Restart {
@@ -77,6 +82,8 @@
     AcceptsLate,
     /// The endpoint list shows it as draining.
     Drains,
+    /// It answers some requests at once, all alike, and delivers the others.
+    Mixed(MixedResponses),
     /// It writes something behind responses.
     Repeats(RepeatedResponse),
 }
@@ -112,6 +119,8 @@
     Calls { call: Call, effect: Effect, count: u64, lasts: Duration },
     /// A gateway is paused (SIGSTOP, SIGCONT) for a time.
     HoldUp(Duration),
+    /// A gateway is paused several times, each time for [`REPEATED_HOLD_UP`].
+    HoldUps(u32),
     /// A gateway process ends and is started again.
     Restart(Restart),
     /// A gateway goes through rounds of signals, each with a restart.
--- a/crates/testbench/src/soak/plan.rs
+++ b/crates/testbench/src/soak/plan.rs
@@ -31,6 +31,11 @@
 /// The generator that they are drawn from is seeded with the seed plus this.
 const UNSOLICITED_SEED_OFFSET: u64 = 1 << 32;
 
+/// How many faults of responses that end a message, and of slow agents, a run of [`Profile::Soak`] has in addition.
+const FINAL_RESPONSE_FAULTS: Range<usize> = 4..10;
+/// The generator that they are drawn from is seeded with the seed plus this.
+const FINAL_RESPONSE_SEED_OFFSET: u64 = 2 << 32;
+
 /// Which kinds of faults a run draws from. The value is the index into their weights.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Profile {
@@ -40,6 +45,9 @@
     Soak = 1,
 }
 
+/// Draws a fault for this number of endpoints, with the name of its kind.
+type DrawFault = fn(&mut ChaCha8Rng, usize) -> (&'static str, Fault);
+
 /// A fault with the time at which it begins and the gateway that it affects.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlannedFault {
@@ -96,19 +104,30 @@
             plan.insert_quiet_time();
         }
         if profile == Profile::Soak {
-            plan.add_unsolicited_faults(endpoints);
+            plan.add_faults(
+                UNSOLICITED_SEED_OFFSET,
+                UNSOLICITED_FAULTS,
+                endpoints,
+                troubles::draw_unsolicited,
+            );
+            plan.add_faults(
+                FINAL_RESPONSE_SEED_OFFSET,
+                FINAL_RESPONSE_FAULTS,
+                endpoints,
+                troubles::draw_final_response,
+            );
         }
         plan.faults.sort_by_key(|planned| planned.at);
         plan
     }
 
-    /// Adds faults of bytes that belong to no request.
-    fn add_unsolicited_faults(&mut self, endpoints: usize) {
-        let mut rng = ChaCha8Rng::seed_from_u64(self.seed + UNSOLICITED_SEED_OFFSET);
-        for _ in 0..rng.random_range(UNSOLICITED_FAULTS) {
+    /// Adds faults from a generator of their own, so that the other faults of the seed stay the same.
+    fn add_faults(&mut self, seed_offset: u64, count: Range<usize>, endpoints: usize, draw: DrawFault) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed + seed_offset);
+        for _ in 0..rng.random_range(count) {
             let at = self.load.mul_f64(rng.random_range(0.0..0.9));
             let gateway = rng.random_range(0..self.gateways);
-            let (kind, fault) = troubles::draw_unsolicited(&mut rng, endpoints);
+            let (kind, fault) = draw(&mut rng, endpoints);
             self.faults.push(PlannedFault { at, gateway, kind, fault });
         }
     }
--- a/crates/testbench/src/soak/run.rs
+++ b/crates/testbench/src/soak/run.rs
@@ -6,7 +6,7 @@
     REPEAT_WINDOW, SETTLE_TIME, WARM_UP_TIME,
 };
 use super::crowds::{occupy_cores, run_crowd};
-use super::faults::{EndpointFault, Fault};
+use super::faults::{EndpointFault, Fault, HOLD_UP_INTERVAL, REPEATED_HOLD_UP};
 use super::gateways::{destinations, Gateway};
 use super::options::RunOptions;
 use super::plan::{FaultPlan, PlannedFault};
@@ -186,6 +186,13 @@
                 gateway.pause(*time);
                 Ok(())
             }
+            Fault::HoldUps(count) => {
+                for _ in 0..*count {
+                    gateway.pause(REPEATED_HOLD_UP);
+                    std::thread::sleep(HOLD_UP_INTERVAL - REPEATED_HOLD_UP);
+                }
+                Ok(())
+            }
             Fault::Restart(restart) => gateway.restart(*restart),
             Fault::Signals(rounds) => SignalSeries { gateway }.run(rounds),
             Fault::Reload => gateway.reload(true),
@@ -233,6 +240,7 @@
             EndpointFault::StopsInStatusLine => EndpointBehaviour::Respond(HALF_STATUS_LINE.to_vec()),
             EndpointFault::RespondsLate(delay) => EndpointBehaviour::DeliverLate(*delay),
             EndpointFault::ClosesIdle => EndpointBehaviour::DeliverAndClose,
+            EndpointFault::Mixed(mixed) => EndpointBehaviour::Mixed(mixed.clone()),
             EndpointFault::Repeats(repeat) => EndpointBehaviour::Repeat(repeat.clone()),
             EndpointFault::AcceptsLate => return self.platform.set_accepting(endpoint, false),
             EndpointFault::Drains => return self.platform.set_lifecycle(endpoint, "DRAINING"),
--- a/crates/testbench/src/soak/summary.rs
+++ b/crates/testbench/src/soak/summary.rs
@@ -31,8 +31,10 @@
     pub dropped: u64,
     /// Messages that were refused to the client and sent to the endpoint all the same.
     pub refused_and_forwarded: u64,
-    /// Messages that were sent after the notification of their final outcome.
+    /// Messages that were sent after the notification of their final outcome, a 410 or a 504.
     pub forwarded_after_end: u64,
+    /// Unrepeatable messages that were reported as undeliverable long after their delivery.
+    pub delivered_and_failed: u64,
     /// Messages sent again after an attempt that may have taken effect, though their class forbids it.
     pub duplicates: u64,
     /// Messages given up before any request was sent, with most of the time to their deadline left.
@@ -115,6 +117,7 @@
             ViolationKind::Dropped => &mut self.dropped,
             ViolationKind::RefusedAndForwarded => &mut self.refused_and_forwarded,
             ViolationKind::ForwardedAfterEnd => &mut self.forwarded_after_end,
+            ViolationKind::DeliveredAndFailed => &mut self.delivered_and_failed,
             ViolationKind::Duplicate => &mut self.duplicates,
             ViolationKind::EarlyGivenUp => &mut self.early_given_up,
             ViolationKind::OrderBroken => &mut self.order_broken,
--- a/crates/testbench/src/soak/troubles.rs
+++ b/crates/testbench/src/soak/troubles.rs
@@ -2,7 +2,7 @@
 
 use super::faults::{Crowd, EndpointFault, Fault, Restart, SignalRound, SignalStep};
 use super::plan::Profile;
-use cloverstile_fakes::platform::{AgentBehaviour, RepeatedResponse, Surplus};
+use cloverstile_fakes::platform::{AgentBehaviour, MixedResponses, RepeatedResponse, ResponsePart, Surplus};
 use cloverstile_fault_injection::{Call, Effect};
 use rand::seq::IndexedRandom;
 use rand::Rng;
@@ -101,6 +101,29 @@
     FaultKind::new("lists_repeated",         [0, 3],  |rng, _| { let delay = surplus_delay(rng); agent_fault(rng, AgentBehaviour::RepeatsLists(delay), 1000..5000) }),
 ];
 
+/// Kinds of responses that end a message or its attempts, of agents that are slow throughout, and series of pauses, drawn for
+/// [`Profile::Soak`] in addition, from a generator of their own.
+#[rustfmt::skip]
+const FINAL_RESPONSE_KINDS: &[FaultKind] = &[
+    // Endpoints: one status at once and alike, whole or in part, among slower deliveries.
+    FaultKind::new("endpoint_mixed_410",   [0, 8], |rng, n| mixed_endpoint(rng, n, 410, &FINAL_PARTS)),
+    FaultKind::new("endpoint_mixed_504",   [0, 3], |rng, n| mixed_endpoint(rng, n, 504, &FINAL_PARTS)),
+    FaultKind::new("endpoint_mixed_503",   [0, 2], |rng, n| mixed_endpoint(rng, n, 503, &[ResponsePart::Whole])),
+    FaultKind::new("endpoint_mixed_429",   [0, 2], |rng, n| mixed_endpoint(rng, n, 429, &[ResponsePart::Whole])),
+    FaultKind::new("endpoint_mixed_200",   [0, 3], |rng, n| mixed_endpoint(rng, n, 200, &[ResponsePart::Whole])),
+    FaultKind::new("agent_slow",           [0, 4], |rng, _| { let late = AgentBehaviour::AnswersNotificationsLate(ms(rng, 50..2000)); agent_fault(rng, late, 1000..9000) }),
+    FaultKind::new("hold_up_series",       [0, 1], |rng, _| Fault::HoldUps(rng.random_range(2..6))),
+];
+
+/// Parts of a response that ends a message.
+const FINAL_PARTS: [ResponsePart; 5] = [
+    ResponsePart::Whole,
+    ResponsePart::Whole,
+    ResponsePart::TwoParts(Duration::from_millis(20)),
+    ResponsePart::StatusLine,
+    ResponsePart::Head,
+];
+
 /// Statuses of responses that are repeated, each as likely as it occurs here.
 const REPEATED_STATUSES: [u16; 8] = [200, 200, 200, 200, 200, 503, 429, 500];
 
@@ -131,6 +154,11 @@
     draw_from(UNSOLICITED_KINDS, rng, Profile::Soak, endpoints)
 }
 
+/// Draws a fault of responses that end a message, of slow agents, or a series of pauses.
+pub(super) fn draw_final_response(rng: &mut ChaCha8Rng, endpoints: usize) -> (&'static str, Fault) {
+    draw_from(FINAL_RESPONSE_KINDS, rng, Profile::Soak, endpoints)
+}
+
 fn draw_from(
     kinds: &[FaultKind],
     rng: &mut ChaCha8Rng,
@@ -161,6 +189,18 @@
     endpoint_fault(rng, endpoints, EndpointFault::Repeats(repeat), duration_ms)
 }
 
+fn mixed_endpoint(rng: &mut ChaCha8Rng, endpoints: usize, status: u16, parts: &[ResponsePart]) -> Fault {
+    let mixed = MixedResponses {
+        status,
+        part: parts.choose(rng).copied().unwrap_or(ResponsePart::Whole),
+        every: rng.random_range(2..8),
+        service_time: ms(rng, 5..50),
+        slow_service_time: ms(rng, 200..480),
+        slow_every: rng.random_range(5..20),
+    };
+    endpoint_fault(rng, endpoints, EndpointFault::Mixed(mixed), 1000..6000)
+}
+
 /// A duration from a range in milliseconds.
 fn ms(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
