Planted defects: held response dropped, doubted end and 504 sent again, late end ignored

Four defects behind the feature planted-defects, beside unanswered-dropped; releases never have them.

--- a/crates/fault-injection/src/planted.rs
+++ b/crates/fault-injection/src/planted.rs
@@ -46,11 +46,19 @@
     DoubtIgnored,
     /// The unanswered request for notifications that was sent first is given up for notifications that are due.
     UnansweredDropped,
+    /// The engine isn't told of a response that is held, so that a time-out of its attempt drops it (incident-bc06e3).
+    HeldResponseDropped,
+    /// A response that ends a message and is in doubt counts as an error.
+    DoubtedEndResent,
+    /// A response with status 504 counts as a request that was not sent.
+    ExhaustedResent,
+    /// Of the response to an abandoned attempt only a `Retry-After` counts.
+    LateEndIgnored,
 }
 
 impl PlantedDefect {
     /// Every defect, for tests that activate each of them in turn.
-    pub const ALL: [PlantedDefect; 17] = [
+    pub const ALL: [PlantedDefect; 21] = [
         PlantedDefect::ReplyBeforeLog,
         PlantedDefect::HalfBatch,
         PlantedDefect::WallClock,
@@ -68,6 +76,10 @@
         PlantedDefect::CopyAcknowledges,
         PlantedDefect::DoubtIgnored,
         PlantedDefect::UnansweredDropped,
+        PlantedDefect::HeldResponseDropped,
+        PlantedDefect::DoubtedEndResent,
+        PlantedDefect::ExhaustedResent,
+        PlantedDefect::LateEndIgnored,
     ];
 
     /// The value of [`DEFECT_VARIABLE`] that activates the defect.
@@ -90,6 +102,10 @@
             PlantedDefect::CopyAcknowledges => "copy-acknowledges",
             PlantedDefect::DoubtIgnored => "doubt-ignored",
             PlantedDefect::UnansweredDropped => "unanswered-dropped",
+            PlantedDefect::HeldResponseDropped => "held-response-dropped",
+            PlantedDefect::DoubtedEndResent => "doubted-end-resent",
+            PlantedDefect::ExhaustedResent => "exhausted-resent",
+            PlantedDefect::LateEndIgnored => "late-end-ignored",
         }
     }
 }
--- a/crates/platform/src/requests/responses.rs
+++ b/crates/platform/src/requests/responses.rs
@@ -149,6 +149,12 @@
                 let timeout_at = now + self.reuse.confirmation_time(now, endpoint);
                 Credit::Unconfirmed { result, response_time, timeout_at }
             }
+            #[cfg(feature = "planted-defects")]
+            Verdict::Credit(TransportOutcome::ObsoleteInDoubt)
+                if is_planted(PlantedDefect::DoubtedEndResent) =>
+            {
+                Credit::Certain(AttemptResult { outcome: TransportOutcome::Error, ..result })
+            }
             Verdict::Credit(outcome) if outcome != result.outcome => {
                 Credit::Certain(AttemptResult { outcome, ..result })
             }
@@ -206,6 +212,10 @@
 
     /// Reports the response to an abandoned attempt if it ends the message: its attempt is over, but no other may follow.
     fn report_late_end(&mut self, connection: ConnectionId, progress: &ResponseProgress) {
+        #[cfg(feature = "planted-defects")]
+        if is_planted(PlantedDefect::LateEndIgnored) {
+            return;
+        }
         let Some(result) = progress.result.filter(|result| result.outcome.ends_message()) else { return };
         let Some(pooled) = self.pool.get(connection) else { return };
         if let ConnectionState::Abandoned { .. } = pooled.state {
--- a/crates/platform/src/response.rs
+++ b/crates/platform/src/response.rs
@@ -18,6 +18,8 @@
 use crate::limits::MAX_BODY_BYTES;
 use cloverstile::RateLimitStatus;
 use cloverstile_engine::TransportOutcome;
+#[cfg(feature = "planted-defects")]
+use cloverstile_fault_injection::{is_planted, PlantedDefect};
 use cloverstile_http::{DecodedItem, Decoder, Headers, Limits, Message, StartLine};
 use std::hash::{DefaultHasher, Hasher};
 use std::time::Duration;
@@ -210,6 +212,8 @@
     match status {
         200 => Some(TransportOutcome::Processed),
         410 => Some(TransportOutcome::Obsolete),
+        #[cfg(feature = "planted-defects")]
+        504 if is_planted(PlantedDefect::ExhaustedResent) => Some(TransportOutcome::Unsent),
         504 => Some(TransportOutcome::AttemptsExhausted),
         _ => None,
     }
--- a/crates/resp-gateway/src/outgoing_requests.rs
+++ b/crates/resp-gateway/src/outgoing_requests.rs
@@ -103,6 +103,10 @@
     /// Records completed attempts and reports them to the engine.
     pub fn report_completed(&mut self, now: Time, delivery: &mut DeliveryState) {
         for HeldResponse { attempt, stated } in self.requests.take_held() {
+            #[cfg(feature = "planted-defects")]
+            if is_planted(PlantedDefect::HeldResponseDropped) {
+                continue;
+            }
             delivery.engine.on_response_held(attempt, stated);
         }
         for doubted in self.requests.take_doubted() {
