Read-through: a field that nothing read, two comments of the judge, the engine's table

Command::Abandon had the credited response, which no gateway read: the held response is in the engine, and the log has it from the connection. The engine's table of actions names how an attempt with a held response ends; the judge's two times are told apart. Nothing behaves otherwise.

--- a/crates/engine/src/command.rs
+++ b/crates/engine/src/command.rs
@@ -1,6 +1,6 @@
 //! Commands from the engine to the gateway that drives it.
 
-use crate::message::{Attempt, FinalOutcome, TransportOutcome};
+use crate::message::{Attempt, FinalOutcome};
 use cloverstile::{EndpointId, MessageId};
 
 /// An operation for the gateway to carry out. Commands are carried out in the order in which they are returned.
@@ -20,8 +20,6 @@
         attempt: Attempt,
         /// Whether the attempt was started, as far as the engine knows, and so may have taken effect.
         started: bool,
-        /// The outcome of a response that was held and now counts; none if no response was read.
-        credited: Option<TransportOutcome>,
     },
     /// Report the final outcome of a message. Issued exactly once per message.
     Complete {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,7 +11,7 @@
 //! | `Action::Send` | [`Command::Send`]; consecutive sends to one endpoint in one batch of actions share a request, up to the `max_batch` of the endpoint's kind. If the endpoint does not accept requests, no slot is free, the message is not pending or no attempt is left: an immediate `Event::AttemptCompleted` with `AttemptOutcome::Unsent` |
 //! | `Action::Reject` | [`Command::Complete`] with [`FinalOutcome::Rejected`] |
 //! | `Action::Fail` | [`Command::Complete`] with [`FinalOutcome::Failed`] |
-//! | `Action::AbandonAttempt` | [`Command::Abandon`], and an immediate `Event::AttemptCompleted`: with `AttemptOutcome::Abandoned`, or with `AttemptOutcome::ConnectFailed` if the attempt was not started |
+//! | `Action::AbandonAttempt` | [`Command::Abandon`], and an immediate `Event::AttemptCompleted`: with `AttemptOutcome::Abandoned`, or with `AttemptOutcome::ConnectFailed` if the attempt was not started, or with the response that was held |
 //! | `Action::SetTimer` | taken into account by [`Engine::next_timeout`], then `Event::TimerFired` |
 //! | `Action::CloseIdle` | [`Command::CloseIdle`] |
 //! | `Action::Probe` | [`Command::Probe`]: a connection is opened and closed; `Event::ProbeCompleted` reports whether it opened |
--- a/crates/engine/src/state.rs
+++ b/crates/engine/src/state.rs
@@ -156,10 +156,9 @@
         let number = record.map_or(0, MessageRecord::last_attempt_number);
         let in_flight = record.and_then(|record| record.in_flight);
         let started = in_flight.is_none_or(|attempt| attempt.started);
-        let credited = in_flight.and_then(|attempt| attempt.held_response);
-        self.commands.push(Command::Abandon { attempt: Attempt { message, number }, started, credited });
-        if let Some(credited) = credited {
-            return self.finish_attempt(now, message, credited.attempt_outcome().into());
+        self.commands.push(Command::Abandon { attempt: Attempt { message, number }, started });
+        if let Some(held) = in_flight.and_then(|attempt| attempt.held_response) {
+            return self.finish_attempt(now, message, held.attempt_outcome().into());
         }
         // An attempt that was not started has had no effect. Reporting it as such keeps a message whose connection was
         // never established from ending as one that may have taken effect.
--- a/crates/fakes/src/platform/invariants/outcomes.rs
+++ b/crates/fakes/src/platform/invariants/outcomes.rs
@@ -7,11 +7,9 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-/// By then a running gateway has read a response: the longest pause of a process, and the
-/// slack of the protocol.
+/// Time within which a running gateway reads a response: the longest pause of a process, and the slack of the protocol.
 const READING_TIME: Duration = Duration::from_millis(200);
-
-/// By then it has stored that, also on a disk that fails for a while.
+/// Time within which it has also stored what follows from the response, on a disk that fails for a while.
 const STORING_TIME: Duration = Duration::from_millis(1700);
 /// How long a gateway whose agent answers late may hold a notification back.
 const MAX_NOTIFICATION_DELAY: Duration = Duration::from_millis(250);
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -168,7 +168,7 @@
             Command::Send { endpoint, attempts } => {
                 self.outgoing.schedule(now, endpoint, attempts, &mut self.delivery, sockets);
             }
-            Command::Abandon { attempt, started, .. } => {
+            Command::Abandon { attempt, started } => {
                 self.outgoing.abandon(now, attempt, started, &mut self.delivery, sockets);
             }
             Command::Complete { message, outcome, .. } => self.complete(now, message, outcome),
