Review case 1: capacity with the site's spare, eight couriers, a clump of 3.4 s

The partner can do 1.2 times its listed rate now (spare of the site file), which is what the rule counts by.

--- a/review/standins/src/failback.rs
+++ b/review/standins/src/failback.rs
@@ -14,9 +14,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-const COURIERS: usize = 5;
+const COURIERS: usize = 8;
 /// Calls a second that the partner takes from all couriers together, as the list says.
-const CAPACITY: f64 = 35.0;
+const LISTED_RATE: f64 = 35.0;
+/// Calls a second that it can do; the site file has its machines 1.2 to 1.4 times as large as its limit (`spare`).
+const CAPACITY: f64 = 1.2 * LISTED_RATE;
 /// Time that a call takes at the usual pace.
 const WORK: Duration = Duration::from_millis(150);
 /// Calls in hand from which on the partner answers that its queue is full: 6 in work and 5 waiting for each of them.
@@ -24,8 +26,8 @@
 const OUTAGE: Duration = Duration::from_secs(10);
 /// Time from the return of the partner to the clump.
 const CLUMP_AFTER: Duration = Duration::from_millis(500);
-/// As many messages as the partner takes in two seconds.
-const CLUMP: usize = 70;
+/// As many messages as the partner takes in 3.4 seconds.
+const CLUMP: usize = 120;
 
 /// How the partner is.
 #[derive(Clone, Copy, PartialEq, Debug)]
@@ -98,7 +100,7 @@
     while let Some(request) = read_request(stream, &mut buffer, &now)? {
         let (id, at) = (request.header("req-id").to_owned(), request.last_byte);
         let courier = courier_of(&id);
-        let report = format!("Srv-Load: x0=0.9,x1={CAPACITY}\r\n");
+        let report = format!("Srv-Load: x0=0.9,x1={LISTED_RATE}\r\n");
         let mut state = partner.lock().unwrap();
         let was_well = state.health != Health::Fallen;
         state.count(at, courier, settings);
@@ -147,7 +149,7 @@
     while let Some(request) = read_request(stream, &mut buffer, &now)? {
         std::thread::sleep(WORK);
         record.line_at(request.last_byte, &format!("partner 2: call {} has run, answered 200", request.header("req-id")));
-        respond(stream, "200 OK", &format!("Srv-Load: x0=0.9,x1={CAPACITY}\r\n"), "")?;
+        respond(stream, "200 OK", &format!("Srv-Load: x0=0.9,x1={LISTED_RATE}\r\n"), "")?;
     }
     Ok(())
 }
@@ -178,7 +180,7 @@
         serve(move |stream| serve_other(&record, stream))?
     };
     let entry = |id: &str, address: SocketAddr, kind, cell| Entry {
-        id: id.to_owned(), address, kind, cell, lifecycle: "SERVING", weight: CAPACITY, changed: 0,
+        id: id.to_owned(), address, kind, cell, lifecycle: "SERVING", weight: LISTED_RATE, changed: 0,
     };
     let mut agents = Vec::new();
     let mut couriers = Vec::new();
@@ -212,7 +214,7 @@
     let outage_began = record.now();
     for second in 0..OUTAGE.as_secs() {
         for (number, listen) in listen.iter().enumerate() {
-            if second == 2 * number as u64 + 1 {
+            if second == number as u64 + 1 {
                 payment(format!("c{number}-during"), 1).hand_in(*listen, record);
             }
             payment(format!("c{number}-during-{second}-2"), 2).hand_in(*listen, record);
