Review case 3: couriers restarted into an outage push the partner over at its return

Shown by review/3/run.sh: a partner is down for 10 s, seven of ten couriers restart 0.35 s before its return, take the outage for a transient failure and send what they recovered at the full rate. Only what a running process saw counts as told.

--- a/review/standins/src/agent.rs
+++ b/review/standins/src/agent.rs
@@ -39,8 +39,6 @@
     silent: bool,
     /// When a list that contains this version was written to the courier last.
     told: HashMap<u64, Duration>,
-    /// Status of the notices that were received, by message id.
-    notices: HashMap<String, (Duration, String)>,
 }
 
 /// An agent on a port of its own.
@@ -91,7 +89,11 @@
     /// Sets whether discovery is down, so that the agent is silent about the list.
     pub fn set_silent(&self, silent: bool) {
         self.shared.0.lock().unwrap().silent = silent;
-        self.record.line(&format!("agent {}: discovery is {}", self.name, if silent { "down" } else { "up" }));
+        self.record.line(&format!(
+            "agent {}: discovery is {}",
+            self.name,
+            if silent { "down" } else { "up" }
+        ));
         self.shared.1.notify_all();
     }
 
@@ -105,11 +107,6 @@
         let state = self.shared.0.lock().unwrap();
         state.told.iter().filter(|(told, _)| **told >= version).map(|(_, at)| *at).min()
     }
-
-    /// Time and status of the first notice for a message.
-    pub fn notice(&self, id: &str) -> Option<(Duration, String)> {
-        self.shared.0.lock().unwrap().notices.get(id).cloned()
-    }
 }
 
 fn serve_connection(
@@ -122,7 +119,7 @@
     let now = || record.now();
     while let Some(request) = read_request(stream, &mut buffer, &now)? {
         if request.line.starts_with("POST /v1/notices") {
-            on_notices(shared, record, name, &request);
+            on_notices(record, name, &request);
             respond(stream, "204 No Content", "", "")?;
         } else if request.line.starts_with("GET /registry/instances") {
             let (generation, body) = await_list(shared, &request);
@@ -157,13 +154,14 @@
         state = shared.1.wait_timeout(state, pause).unwrap().0;
     }
     let reset = after == 0;
-    let is_included = |entry: &&Entry| if reset { entry.lifecycle != "DELETED" } else { entry.changed > after };
+    let is_included =
+        |entry: &&Entry| if reset { entry.lifecycle != "DELETED" } else { entry.changed > after };
     let entries: Vec<&Entry> = state.entries.iter().filter(is_included).collect();
     (state.generation, list_json(state.generation, reset, &entries))
 }
 
 /// Records the notices of a body of JSON lines.
-fn on_notices(shared: &Arc<(Mutex<State>, Condvar)>, record: &Record, name: &str, request: &Request) {
+fn on_notices(record: &Record, name: &str, request: &Request) {
     let text = String::from_utf8_lossy(&request.body).into_owned();
     for line in text.lines() {
         let value = |key: &str| {
@@ -172,7 +170,5 @@
         };
         let (id, status) = (value("id").unwrap_or_default(), value("status").unwrap_or_default());
         record.line_at(request.last_byte, &format!("agent {name}: notice {id} {status}"));
-        let mut state = shared.0.lock().unwrap();
-        state.notices.entry(id).or_insert((request.last_byte, status));
     }
 }
--- a/review/standins/src/courier.rs
+++ b/review/standins/src/courier.rs
@@ -30,7 +30,9 @@
     let text = std::fs::read_to_string(root().join("deploy/balancer.toml"))?;
     let line = text.lines().find_map(|line| line.strip_prefix(name)?.trim_start().strip_prefix('='));
     let command = line.and_then(|line| line.split('"').nth(1));
-    command.map(str::to_owned).ok_or_else(|| io::Error::other(format!("no command {name} in the deploy file")))
+    command
+        .map(str::to_owned)
+        .ok_or_else(|| io::Error::other(format!("no command {name} in the deploy file")))
 }
 
 /// A folder for the run, removed at its end.
@@ -118,14 +120,6 @@
             && reply == *b"+PONG\r\n"
     }
 
-    /// Sends a signal, named as an option of `kill`.
-    pub fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            self.record.line(&format!("courier {}: signal {name}", self.name));
-            let _ = Command::new("kill").arg(name).arg(child.id().to_string()).status();
-        }
-    }
-
     /// Ends the process with SIGKILL.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -60,7 +60,8 @@
 
 /// Writes a response with a body.
 pub fn respond(stream: &mut TcpStream, status: &str, headers: &str, body: &str) -> io::Result<()> {
-    let length = if status.starts_with("204") { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
+    let length =
+        if status.starts_with("204") { String::new() } else { format!("Content-Length: {}\r\n", body.len()) };
     stream.write_all(format!("HTTP/1.1 {status}\r\n{headers}{length}\r\n{body}").as_bytes())
 }
 
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,7 +7,9 @@
 mod courier;
 mod failback;
 mod http;
+mod partner;
 mod record;
+mod restart;
 mod settings;
 mod stale_list;
 
@@ -37,6 +39,7 @@
     record.line(&format!("case {case}, {} the disruption", if has_trouble { "with" } else { "without" }));
     let verdict = match case.as_str() {
         "failback" => failback::run(&record, has_trouble),
+        "restart" => restart::run(&record, has_trouble),
         "stale-list" => stale_list::run(&record, has_trouble),
         _ => Ok(Verdict::CouldNotRun(format!("no case {case}"))),
     };
--- a/review/standins/src/stale_list.rs
+++ b/review/standins/src/stale_list.rs
@@ -33,7 +33,8 @@
         let id = request.header("req-id").to_owned();
         calls.lock().unwrap().push((request.first_byte, address, id.clone()));
         std::thread::sleep(WORK);
-        record.line_at(request.first_byte, &format!("endpoint at {address}: call {id} has run, answered 200"));
+        record
+            .line_at(request.first_byte, &format!("endpoint at {address}: call {id} has run, answered 200"));
         respond(stream, "200 OK", "Srv-Load: x0=0.9,x1=35.0\r\n", "")?;
     }
     Ok(())
@@ -76,7 +77,9 @@
     courier.configure(agent.address, &agent.known(), &settings.json())?;
     courier.start()?;
     let mut count = 0;
-    let mut play = |seconds: f64| hand_in_until(record.now() + Duration::from_secs_f64(seconds), courier.listen, record, &mut count);
+    let mut play = |seconds: f64| {
+        hand_in_until(record.now() + Duration::from_secs_f64(seconds), courier.listen, record, &mut count)
+    };
     play(2.0);
     // s-1 is replaced by s-4.
     agent.publish(entry("s-4", start_endpoint()?, "banks", 1, "SERVING"));
@@ -114,7 +117,12 @@
     let late: Vec<&(Duration, SocketAddr, String)> =
         calls.iter().filter(|(at, address, _)| *address == first && *at > limit).collect();
     for (at, _, id) in &late {
-        record.line_at(*at, &format!("new call to s-1, which is gone: {id}, a payment for partner 1, ran at s-5 of partner 2"));
+        record.line_at(
+            *at,
+            &format!(
+                "new call to s-1, which is gone: {id}, a payment for partner 1, ran at s-5 of partner 2"
+            ),
+        );
     }
     record.line(&format!("{} calls, {} of them to s-1 later than {limit:?}", calls.len(), late.len()));
     Ok(match late.first() {
