--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -7,8 +7,8 @@
 use crate::results::{Counters, ResultCacheLimits};
 use crate::state::{AttemptResult, EngineState};
 use cloverstile::{
-    AttemptOutcome, DestinationId, Effect, Endpoint, EndpointId, Event, MessageId, RateLimitStatus,
-    RecoveredAttempts, Settings, Submission, Time,
+    AttemptOutcome, DestinationId, Effect, Endpoint, EndpointId, Event, HealthChange, MessageId,
+    RateLimitStatus, RecoveredAttempts, Settings, Submission, Time,
 };
 use cloverstile_failover::{FailoverPolicy, TierStatus};
 use std::time::Duration;
@@ -43,6 +43,11 @@
         self.state.counters
     }
 
+    /// Takes the changes of health of destinations since the last call, for the log.
+    pub fn take_health_changes(&mut self) -> Vec<HealthChange> {
+        self.state.policy.take_health_changes()
+    }
+
     /// Number of messages without a final outcome.
     pub fn pending_messages(&self) -> usize {
         self.state.messages.pending()
--- a/crates/resp-gateway/src/lib.rs
+++ b/crates/resp-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `client_commands`, `client_replies` | clients, their commands, and the replies of one turn |
 //! | `outgoing_requests` | requests to endpoints, from the engine's decision to the last byte |
 //! | `attempt_log`, `log_limit` | why messages are sent again, responses in doubt; limits on log lines |
+//! | `health_log` | outages of destinations and how they ended |
 //! | `delivery` | state shared by commands and requests: engine, log, endpoint list, notifications |
 //! | `endpoint_discovery` | updates to the endpoint list |
 //! | `shutdown` | the phases from a shutdown signal to the end of the process |
@@ -32,6 +33,7 @@
 mod environment;
 mod error;
 mod gateway;
+mod health_log;
 mod log_limit;
 mod message_log;
 mod message_pipeline;
--- a/crates/resp-gateway/src/message_pipeline.rs
+++ b/crates/resp-gateway/src/message_pipeline.rs
@@ -7,6 +7,7 @@
 use crate::client_replies::{busy, undeliverable};
 use crate::clock::Clock;
 use crate::delivery::DeliveryState;
+use crate::health_log::HealthLog;
 use crate::message_record;
 use crate::outgoing_requests::OutgoingRequests;
 use crate::sockets::Sockets;
@@ -33,6 +34,8 @@
     pub delivery: DeliveryState,
     /// Requests to endpoints.
     pub outgoing: OutgoingRequests,
+    /// Logs changes of the health of destinations.
+    pub health_log: HealthLog,
     /// Whether a shutdown has reached the phase in which no new request is sent.
     pub sending_ended: bool,
 }
@@ -112,6 +115,7 @@
         } else {
             self.undo_unlogged(now, net);
         }
+        self.health_log.log_new(now, &mut self.delivery.engine);
         self.update_sending_paused();
         self.outgoing.commit(clock.now(), &mut self.delivery, &mut Sockets(net));
         self.clients.send_replies(net);
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -9,6 +9,7 @@
 use crate::environment::Environment;
 use crate::error::GatewayError;
 use crate::gateway::Gateway;
+use crate::health_log::HealthLog;
 use crate::message_log::MessageLog;
 use crate::message_pipeline::MessagePipeline;
 use crate::name_table;
@@ -171,6 +172,7 @@
             notifications: Notifications::new(config.discovery),
         },
         outgoing: OutgoingRequests::new(connection_limits(config, settings, descriptors)),
+        health_log: HealthLog::default(),
         sending_ended: false,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,9 +47,9 @@
 
 pub use interface::{
     Action, AttemptCompleted, AttemptOutcome, Class, ClassId, Decay, DestinationId, Discovery, Effect,
-    Endpoint, EndpointId, EndpointListUpdate, EndpointState, Event, Group, Kind, KindId, MessageId, OrderKey,
-    RateLimitStatus, RecoveredAttempts, Rules, Settings, Submission, Tenant, TenantId, Time, WeightSource,
-    ZoneId,
+    Endpoint, EndpointId, EndpointListUpdate, EndpointState, Event, Group, HealthChange, HealthChangeKind,
+    Kind, KindId, MessageId, OrderKey, RateLimitStatus, RecoveredAttempts, Rules, Settings, Submission,
+    Tenant, TenantId, Time, WeightSource, ZoneId,
 };
 pub use policy::{retry_window_end, DeliveryPolicy};
 pub use settings_parser::{parse_settings, ParsedSettings, SettingError};
--- a/src/policy/concurrency.rs
+++ b/src/policy/concurrency.rs
@@ -20,8 +20,10 @@
         if route.retry_after_until > now {
             return Some(route.retry_after_until);
         }
+        let before = route.health();
         let oldest = route.in_flight.first().and_then(|request| self.requests.get(request));
         route.open_silent_outage(now, oldest.map(|request| request.sent_at), stall_timeout);
+        self.health_changes.record(now, id, before, route);
         let in_flight = route.in_flight.len();
         if let Some(outage) = &route.outage {
             // Otherwise hanging probes would accumulate until they occupy the slots of healthy destinations.
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -31,6 +31,14 @@
 impl PolicyState {
     /// Updates the latency, rate and outage of a route with the outcome of one request.
     pub fn update_route(&mut self, now: Time, attempt: &AttemptCompleted, request: &InFlightRequest) {
+        let before = self.routes.get(&request.route).map(RouteState::health);
+        self.apply_outcome(now, attempt, request);
+        if let (Some(before), Some(route)) = (before, self.routes.get(&request.route)) {
+            self.health_changes.record(now, request.route, before, route);
+        }
+    }
+
+    fn apply_outcome(&mut self, now: Time, attempt: &AttemptCompleted, request: &InFlightRequest) {
         let stall_timeout = self.stall_timeout(request.route);
         let (settings, random) = (&self.settings, self.rng.f64());
         let queued = self.queued_per_route(request.route.destination);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -15,7 +15,7 @@
 
 pub use retry::retry_window_end;
 
-use crate::interface::{Action, Event, MessageId, Settings, Time};
+use crate::interface::{Action, Event, HealthChange, MessageId, Settings, Time};
 use crate::policy_state::{shortest_objective_s, LatencyEstimate, PolicyState, WakeTime};
 
 /// Latency assumed before the first response, as a fraction of the shortest latency objective.
@@ -69,6 +69,12 @@
         actions.append(&mut state.actions);
     }
 
+    /// Takes the changes of health since the last call, the oldest first. If the caller does not take them, only the
+    /// first few are kept.
+    pub fn take_health_changes(&mut self) -> Vec<HealthChange> {
+        self.state.health_changes.take()
+    }
+
     /// Whether a scheduled request may still be sent: while it waits for its connection, a `Retry-After`, a
     /// drain or an outage may forbid it. Call this as late as possible before the first byte is written. If
     /// it returns false, complete the attempt as [`crate::AttemptOutcome::NotStarted`]; the message is
--- a/src/policy_state/mod.rs
+++ b/src/policy_state/mod.rs
@@ -1,11 +1,13 @@
 //! The in-memory state of the delivery policy: types, bookkeeping and arithmetic. All decisions and tuned
 //! constants are in `policy`.
 
+mod health_changes;
 mod ids;
 mod message;
 mod route;
 mod statistics;
 
+pub use health_changes::HealthChanges;
 pub use ids::{route_range, RequestId, RouteId};
 pub use message::{remaining_value, FirstSend, InFlightRequest, Message, SelectedMessage};
 pub use route::{Candidate, EndpointRecord, Outage, RouteFeedback, RouteState};
@@ -70,6 +72,8 @@
     pub last_timer_token: u64,
     /// Actions that `next_actions` has not returned yet.
     pub actions: Vec<Action>,
+    /// Changes of health that the caller has not taken yet.
+    pub health_changes: HealthChanges,
 }
 
 impl PolicyState {
--- a/src/policy_state/route.rs
+++ b/src/policy_state/route.rs
@@ -132,6 +132,15 @@
         self.last_success > request.sent_at + timeout
     }
 
+    /// What [`super::HealthChanges`] compares before and after an event.
+    pub fn health(&self) -> RouteHealth {
+        RouteHealth {
+            in_outage: self.outage.is_some(),
+            failure_score: self.failure_score,
+            last_success: self.last_success,
+        }
+    }
+
     /// Messages accepted per second for each endpoint of the route, averaged with this time constant.
     pub fn demand_per_endpoint(&mut self, now: Time, time_constant_s: f64) -> f64 {
         self.demand.rate(now, time_constant_s, 0.0) / self.endpoints.len() as f64
@@ -145,6 +154,14 @@
     }
 }
 
+/// The health of a route at one time.
+#[derive(Clone, Copy)]
+pub struct RouteHealth {
+    pub in_outage: bool,
+    pub failure_score: u32,
+    pub last_success: Time,
+}
+
 /// The input for the update of a route after the outcome of one request.
 pub struct RouteFeedback<'a> {
     pub now: Time,
