--- a/tests/common/shared_destination.rs
+++ b/tests/common/shared_destination.rs
@@ -38,6 +38,8 @@
     BurstAfterOutage,
     /// As `BurstAfterOutage`, but the messages during the outage go to random instances: some get none, some several.
     BurstAfterRandomFailures,
+    /// As `BurstAfterOutage`, but the messages during the outage come in its last second.
+    BurstAfterLateFailures,
 }
 
 /// Parameters of a simulation run.
@@ -90,6 +92,8 @@
 /// The endpoints of the destination have consecutive ids from this one on.
 const FIRST_ENDPOINT: u32 = 7;
 const BURST_CAPACITY_S: f64 = 3.4;
+/// The last part of the outage, in which late failures come.
+const LATE_FAILURES: Duration = Duration::from_secs(1);
 /// Time from the end of the outage to the burst.
 const BURST_DELAY: Duration = Duration::from_millis(200);
 /// Interval at which the advertised remaining part of the limit is updated.
@@ -245,7 +249,10 @@
         schedule.extend(times.drain(..).map(|at| ScheduledMessage { at, instance }));
         let random = scenario.traffic == Traffic::BurstAfterRandomFailures;
         let instance = if random { rng.usize(..instances) } else { instance };
-        schedule.push(ScheduledMessage { at: outage_start + OUTAGE_DURATION.mul_f64(rng.f64()), instance });
+        let late = scenario.traffic == Traffic::BurstAfterLateFailures;
+        let failures_for = if late { LATE_FAILURES } else { OUTAGE_DURATION };
+        let at = outage_start + OUTAGE_DURATION - failures_for.mul_f64(rng.f64());
+        schedule.push(ScheduledMessage { at, instance });
     }
     let burst_at = outage_start + OUTAGE_DURATION + BURST_DELAY;
     let burst = (scenario.capacity * BURST_CAPACITY_S) as usize;
--- a/tests/overload_collapse.rs
+++ b/tests/overload_collapse.rs
@@ -154,6 +154,22 @@
     assert_burst_is_survived(Scenario { capacity: 400.0, ..many });
 }
 
+/// Guards against a burst at the full rate where the one failure of each instance came just before the return, so that
+/// the next success seems to show that it was transient.
+#[test]
+fn burst_after_failures_in_the_last_second_of_the_outage_does_not_collapse_the_destination() {
+    let late = Scenario { traffic: Traffic::BurstAfterLateFailures, ..BURST };
+    assert_burst_is_survived(Scenario { instances: 2, ..late });
+    assert_burst_is_survived(late);
+}
+
+/// Guards against the same where the instances are so many that the share of each is about one request.
+#[test]
+fn burst_of_thirty_instances_after_failures_in_the_last_second_does_not_collapse_the_destination() {
+    let late = Scenario { traffic: Traffic::BurstAfterLateFailures, instances: 30, ..BURST };
+    assert_burst_is_survived(late);
+}
+
 /// Without an outage the same burst is delivered whole.
 #[test]
 fn burst_without_an_outage_is_delivered() {
