Review case 6: a large endpoint list makes the log unreadable at the next start

Looked for: accepted messages that a restart loses. Shown by review/6/run.sh, which builds on the stand-ins of review/standins-2 (review/build-2.sh): after a whole list that changes 2,000 entries the log holds a record that is encoded but not decoded, and a SIGKILL loses all that was taken on.

--- /dev/null
+++ b/review/standins-2/src/cases.rs
@@ -0,0 +1,245 @@
+//! The cases.
+
+use crate::agent::{Agent, Entry, List};
+use crate::client::{put_once, Put};
+use crate::endpoint::{Answer, Calls, Endpoint};
+use crate::gateway::{Gateway, SIGHUP, SIGKILL};
+use crate::record::Record;
+use std::sync::atomic::Ordering;
+use std::thread::sleep;
+use std::time::Duration;
+
+const CELL: u16 = 3;
+
+/// What was seen that breaks the rule; none if it held. An error if the case couldn't run.
+type Outcome = Result<Vec<String>, String>;
+
+pub fn run(case: &str, trouble: bool, record: &Record) -> Outcome {
+    match case {
+        "stale-list" => stale_list(trouble, record),
+        "reload-notice" => reload_notice(trouble, record),
+        "large-list" => large_list(trouble, record),
+        other => Err(format!("no case {other}")),
+    }
+}
+
+fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+fn text<T: std::fmt::Display>(error: T) -> String {
+    error.to_string()
+}
+
+fn entry(endpoint: &Endpoint, lifecycle: &'static str) -> Entry {
+    Entry { id: endpoint.name.clone(), address: endpoint.address, cell: CELL, lifecycle }
+}
+
+fn list(generation: u64, endpoints: &[&Endpoint]) -> List {
+    List { generation, entries: endpoints.iter().map(|endpoint| entry(endpoint, "SERVING")).collect() }
+}
+
+/// Hands in keyed messages with keys of their own, one each `gap`, for `time`.
+fn load(record: &Record, gateway: &Gateway, number: &mut u64, time: Duration, gap: Duration) {
+    let until = record.now() + time;
+    while record.now() < until {
+        *number += 1;
+        let (id, k) = (format!("{:016x}", 0x1000 + *number), format!("{:016x}", 0x77_0000 + *number));
+        let fields = format!("c=pay-notice,d=24000,k={k},dest={CELL}");
+        put_once(record, gateway.listen, &Put { id: &id, key: *number, fields, body: b"notice" });
+        sleep(gap);
+    }
+}
+
+/// A courier hears that an endpoint is gone, and restarts with a copy of the list that is a little older than that.
+fn stale_list(trouble: bool, record: &Record) -> Outcome {
+    let calls = Calls::default();
+    let start = |name: &str| {
+        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", "")).map_err(text)
+    };
+    let (stays, replaced, new) = (start("s-stays")?, start("s-replaced")?, start("s-new")?);
+    let lists = [list(10, &[&stays]), list(20, &[&stays, &replaced]), list(30, &[&stays, &new])];
+    let agent = Agent::start("first", record, lists[0].clone()).map_err(text)?;
+    let mut gateway = Gateway::new(record)?;
+    gateway.configure(agent.address, &lists[0])?;
+    gateway.start()?;
+    let mut number = 0;
+    load(record, &gateway, &mut number, ms(1500), ms(50));
+    agent.set_list(lists[1].clone());
+    load(record, &gateway, &mut number, ms(2500), ms(50));
+    agent.set_list(lists[2].clone());
+    load(record, &gateway, &mut number, ms(3000), ms(50));
+    let told = agent.told(30).ok_or("the last list was not told")?;
+    if trouble {
+        gateway.signal(SIGKILL);
+        gateway.wait();
+        sleep(ms(600));
+        gateway.configure(agent.address, &lists[1])?;
+        gateway.start()?;
+    }
+    load(record, &gateway, &mut number, ms(8000), ms(50));
+    let allowed_until = told + ms(2000) + ms(50);
+    let calls = calls.lock().unwrap();
+    let before = calls.iter().filter(|call| call.endpoint == replaced.name && call.at < told).count();
+    if before == 0 {
+        return Err("the endpoint got no call while it was listed".to_owned());
+    }
+    let late: Vec<_> =
+        calls.iter().filter(|call| call.endpoint == replaced.name && call.at > allowed_until).collect();
+    record.line(format!(
+        "told at {:.3} that {} is gone; {before} calls there before that, {} later than {:.3}; {} calls in all",
+        told.as_secs_f64(),
+        replaced.name,
+        late.len(),
+        allowed_until.as_secs_f64(),
+        calls.len()
+    ));
+    Ok(late
+        .first()
+        .map(|first| {
+            format!(
+                "{} calls to an endpoint that is gone, the first one {:.3} s after that was told",
+                late.len(),
+                (first.at - told).as_secs_f64()
+            )
+        })
+        .into_iter()
+        .collect())
+}
+
+/// The configuration is replaced twice while the new agent is crowded and a notice is on its way to it.
+fn reload_notice(trouble: bool, record: &Record) -> Outcome {
+    let calls = Calls::default();
+    let endpoint = Endpoint::start("s-bank", record, &calls, |call| {
+        if call.id.starts_with("00000000dead") {
+            Answer::Close(ms(1500))
+        } else {
+            Answer::After(ms(50), "200 OK", "")
+        }
+    })
+    .map_err(text)?;
+    let known = list(10, &[&endpoint]);
+    let first = Agent::start("first", record, known.clone()).map_err(text)?;
+    let second = Agent::start("second", record, known.clone()).map_err(text)?;
+    let mut gateway = Gateway::new(record)?;
+    gateway.configure(first.address, &known)?;
+    gateway.start()?;
+    let mut number = 0;
+    load(record, &gateway, &mut number, ms(1500), ms(50));
+    // A message that may not be repeated, whose call breaks 1.5 s later: it ends by a notice then.
+    let (id, time) = ("00000000dead0001", 8000);
+    let fields = format!("c=salary-payment,d={time},dest={CELL}");
+    let sent = record.now();
+    let answer = put_once(record, gateway.listen, &Put { id, key: 0, fields, body: b"payment" });
+    if answer.as_deref() != Some("+OK") {
+        return Err("the message was not taken on".to_owned());
+    }
+    sleep(ms(1000));
+    second.crowded.store(true, Ordering::SeqCst);
+    gateway.configure(second.address, &known)?;
+    gateway.signal(SIGHUP);
+    sleep(ms(1000));
+    if trouble {
+        // A second configuration, right behind the first one, in which other fields are new.
+        gateway.configure(second.address, &known)?;
+        gateway.signal(SIGHUP);
+    }
+    sleep(ms(300));
+    second.crowded.store(false, Ordering::SeqCst);
+    let due = sent + ms(time) + ms(300) + ms(50);
+    while record.now() < due + ms(1500) {
+        load(record, &gateway, &mut number, ms(400), ms(100));
+    }
+    if !gateway.is_running() {
+        return Ok(vec!["the courier ended on SIGHUP".to_owned()]);
+    }
+    let notices: Vec<_> = first.notices().into_iter().chain(second.notices()).collect();
+    let notice = notices.iter().find(|notice| notice.id == id && notice.at <= due);
+    record.line(format!(
+        "{id} was handed in at {:.3} and due to end at {:.3} at the latest",
+        sent.as_secs_f64(),
+        due.as_secs_f64()
+    ));
+    Ok(match notice {
+        Some(_) => Vec::new(),
+        None => vec![format!("{id} was taken on, was not delivered, and no notice came")],
+    })
+}
+
+/// A large fleet of endpoints is replaced in part, which the courier hears; then it is killed while it holds messages.
+fn large_list(trouble: bool, record: &Record) -> Outcome {
+    const FLEET: usize = 2000;
+    const REPLACED: usize = 1000;
+    const MESSAGES: u64 = 60;
+    let calls = Calls::default();
+    let bank =
+        Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(400), "200 OK", "")).map_err(text)?;
+    // The endpoints of the other partners, for which no message comes.
+    let filler = |number: usize| Entry {
+        id: format!("s-{number:08x}"),
+        address: ([127, 0, (100 + number / 250) as u8, (1 + number % 250) as u8], 6379).into(),
+        cell: 100 + (number % (FLEET / 2)) as u16,
+        lifecycle: "SERVING",
+    };
+    let fleet = |generation: u64, first: usize| {
+        let entries =
+            [entry(&bank, "SERVING")].into_iter().chain((first..first + FLEET).map(filler)).collect();
+        List { generation, entries }
+    };
+    let (known, latest) = (fleet(10, 0), fleet(20, REPLACED));
+    let agent = Agent::start("first", record, known.clone()).map_err(text)?;
+    let mut gateway = Gateway::new(record)?;
+    (gateway.slots, gateway.disk_mb) = (3, 8);
+    gateway.configure(agent.address, &known)?;
+    gateway.start()?;
+    agent.set_list(latest.clone());
+    sleep(ms(1500));
+    agent.told(20).ok_or("the list was not told")?;
+    let time = 20_000;
+    let mut taken = Vec::new();
+    let first_sent = record.now();
+    for number in 0..MESSAGES {
+        let (id, k) = (format!("{:016x}", 0x2000 + number), format!("{:016x}", 0x88_0000 + number));
+        let fields = format!("c=pay-notice,d={time},k={k},dest={CELL}");
+        let put = Put { id: &id, key: 0x5000 + number, fields, body: b"notice" };
+        if put_once(record, gateway.listen, &put).as_deref() == Some("+OK") {
+            taken.push(id);
+        }
+    }
+    sleep(ms(1000));
+    let last_sent = record.now();
+    if trouble {
+        gateway.signal(SIGKILL);
+        gateway.wait();
+        sleep(ms(600));
+        gateway.configure(agent.address, &known)?;
+        gateway.start()?;
+    }
+    let due = last_sent + ms(time) + ms(300) + ms(50);
+    let is_over = |id: &String| {
+        let is_delivered = |call: &crate::endpoint::Call| call.id == *id && call.answered.is_some();
+        calls.lock().unwrap().iter().any(is_delivered)
+            || agent.notices().iter().any(|notice| notice.id == *id)
+    };
+    while record.now() < due && !taken.iter().all(is_over) {
+        sleep(ms(100));
+    }
+    let lost: Vec<&String> = taken.iter().filter(|id| !is_over(id)).collect();
+    record.line(format!(
+        "{} messages taken on from {:.3} on, {} neither delivered nor ended by a notice by {:.3}",
+        taken.len(),
+        first_sent.as_secs_f64(),
+        lost.len(),
+        record.now().as_secs_f64()
+    ));
+    if taken.is_empty() {
+        return Err("no message was taken on".to_owned());
+    }
+    Ok(lost
+        .first()
+        .map(|id| {
+            format!("{} of {} messages taken on are lost, the first one is {id}", lost.len(), taken.len())
+        })
+        .into_iter()
+        .collect())
+}
