--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -1,12 +1,15 @@
 //! The cases.
 
 use crate::agent::{Agent, Entry, List};
-use crate::client::{put_once, Put};
+use crate::client::{put_once, Client, Put};
 use crate::endpoint::{Answer, Calls, Endpoint};
 use crate::gateway::{Gateway, SIGHUP, SIGKILL};
 use crate::record::Record;
+use std::path::Path;
 use std::sync::atomic::Ordering;
-use std::thread::sleep;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::Arc;
+use std::thread::{sleep, spawn};
 use std::time::Duration;
 
 const CELL: u16 = 3;
@@ -19,6 +22,7 @@
         "stale-list" => stale_list(trouble, record),
         "reload-notice" => reload_notice(trouble, record),
         "large-list" => large_list(trouble, record),
+        "same-again" => same_again(trouble, record),
         other => Err(format!("no case {other}")),
     }
 }
@@ -243,3 +247,95 @@
         .into_iter()
         .collect())
 }
+
+/// What a folder holds, with each file counted in whole 512 bytes.
+fn folder_bytes(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    files.filter_map(|file| Some(file.metadata().ok()?.len().next_multiple_of(512))).sum()
+}
+
+/// A client sends the same thing again as soon as it is turned away, while much is held.
+fn same_again(trouble: bool, record: &Record) -> Outcome {
+    let calls = Calls::default();
+    let bank =
+        Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(100), "200 OK", "")).map_err(text)?;
+    let known = list(10, &[&bank]);
+    let agent = Agent::start("first", record, known.clone()).map_err(text)?;
+    let mut gateway = Gateway::new(record)?;
+    (gateway.slots, gateway.most_held) = (3, 120);
+    gateway.configure(agent.address, &known)?;
+    gateway.start()?;
+    let limit = u64::from(gateway.disk_mb) << 20;
+    let (ended, most) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
+    let watch = {
+        let (ended, most, state) = (ended.clone(), most.clone(), gateway.state());
+        spawn(move || {
+            while !ended.load(Ordering::SeqCst) {
+                most.fetch_max(folder_bytes(&state), Ordering::SeqCst);
+                sleep(Duration::from_micros(500));
+            }
+        })
+    };
+    // A clump for one partner, more than the courier may hold.
+    let put = |client: &mut Client, number: u64, body: &[u8]| {
+        let (id, k) = (format!("{:016x}", 0x3000 + number), format!("{:016x}", 0x99_0000 + number));
+        let fields = format!("c=pay-notice,d=24000,k={k},dest={CELL}");
+        client.put(&Put { id: &id, key: 0x6000 + number, fields, body })
+    };
+    let mut client = Client::connect(gateway.listen).map_err(text)?;
+    let mut taken = 0;
+    for number in 0..160 {
+        taken += usize::from(put(&mut client, number, b"notice").map_err(text)? == "+OK");
+    }
+    record.line(format!("clients: 160 messages handed in, {taken} taken on"));
+    // 110 large messages on a few connections, each sent again as soon as it is turned away, for 5 s at most.
+    let body = vec![b'n'; 60_000];
+    let until = record.now() + ms(5000);
+    let clients: Vec<_> = (0..5)
+        .map(|connection| {
+            let (record, listen, body) = (record.clone(), gateway.listen, body.clone());
+            spawn(move || -> Result<(u64, u64, u64), String> {
+                let (mut sent, mut refused, mut taken) = (0, 0, 0);
+                let mut client = Client::connect(listen).map_err(text)?;
+                let mut left: Vec<u64> = (0..22).map(|number| 1000 + connection * 100 + number).collect();
+                while !left.is_empty() && record.now() < until {
+                    let mut turned_away = Vec::new();
+                    for number in left {
+                        let answer = put(&mut client, number, &body).map_err(text)?;
+                        sent += 1;
+                        if answer == "+OK" {
+                            taken += 1;
+                        } else {
+                            refused += 1;
+                            turned_away.push(number);
+                        }
+                    }
+                    left = if trouble { turned_away } else { Vec::new() };
+                }
+                Ok((sent, refused, taken))
+            })
+        })
+        .collect();
+    for client in clients {
+        match client.join() {
+            Ok(Ok((sent, refused, taken))) => {
+                record.line(format!("bad client: {sent} sent, {refused} turned away, {taken} taken on"));
+            }
+            Ok(Err(problem)) => record.line(format!("bad client: {problem}")),
+            Err(_) => return Err("a client panicked".to_owned()),
+        }
+        record.line(format!("folder that lasts: {} bytes now", folder_bytes(&gateway.state())));
+    }
+    sleep(ms(1000));
+    ended.store(true, Ordering::SeqCst);
+    let _ = watch.join();
+    let most = most.load(Ordering::SeqCst);
+    record.line(format!("folder that lasts: {most} bytes at most; the limit is {limit}"));
+    Ok(if !gateway.is_running() {
+        vec!["the courier ended".to_owned()]
+    } else if most > limit {
+        vec![format!("the folder held {most} bytes, the limit is {limit}: the courier has crashed")]
+    } else {
+        Vec::new()
+    })
+}
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -19,7 +19,7 @@
 pub const SIGKILL: i32 = 9;
 
 /// The figures of a small deployment, of the form that the users' wire page shows. `lanes` is a list of classes.
-fn settings(lanes: &str, slots: u32) -> String {
+fn settings(lanes: &str, slots: u32, most_held: u32) -> String {
     format!(
         r#"{{"Balancers":2,"ClientHabits":{{"MarksRetry":true}},"Discovery":"push","Family":"deliver",
  "FamilyInfo":{{"CallsOut":{slots},"Decay":"line","FeeByZone":[0.0],"KindBatch":[1,1],"OwnLimits":[false,false],
@@ -28,7 +28,7 @@
  "Lanes":{lanes},
  "Locality":0,"MachineTypes":["banks","employer-systems"],"OverShareWorth":0.1,
  "Permissions":{{"Cancel":true,"ConnIdle":15000000000,"ConnectTimeout":1000000000,"CpuUsPerRequest":0.0,
-  "CpuUsPerS":500000,"MaxRetryAfter":2000000000,"MaxStreams":1,"MostHeld":519,"Peers":false,"Probes":false,
+  "CpuUsPerS":500000,"MaxRetryAfter":2000000000,"MaxStreams":1,"MostHeld":{most_held},"Peers":false,"Probes":false,
   "RetryAfter":false,"SecondCopies":false,"SendCap":8}},
  "Projects":[],"Rank":0,"Report":{{"Fields":["x0","x1"],"Source":"piggyback"}},
  "Rules":{{"AnswerSlack":20000000,"AskEvery":10000000000,"Cold":14000000000,"ColdFrom":0.16,"Fall":2000000000,
@@ -54,6 +54,7 @@
     pub lanes: &'static str,
     pub slots: u32,
     pub disk_mb: u32,
+    pub most_held: u32,
 }
 
 static GATEWAYS: AtomicU32 = AtomicU32::new(0);
@@ -107,6 +108,7 @@
             lanes: LANES,
             slots: 28,
             disk_mb: 3,
+            most_held: 519,
         })
     }
 
@@ -116,14 +118,14 @@
 
     /// Writes the configuration, as the platform does before a start and ahead of SIGHUP.
     pub fn configure(&self, discovery: SocketAddr, known: &List) -> Result<(), String> {
-        let Gateway { listen, lanes, slots, disk_mb, starts, .. } = self;
+        let Gateway { listen, lanes, slots, disk_mb, most_held, starts, .. } = self;
         let text = format!(
             "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"{:016x}\",\n\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":{disk_mb}}},\n\
              \"known\":{},\n\"settings\":{}}}\n",
             0x8c1f_30d2_7a5b_e964_u64 + u64::from(*starts),
             known.json(),
-            settings(lanes, *slots)
+            settings(lanes, *slots, *most_held)
         );
         self.record.line(format!(
             "platform: configuration with discovery {discovery}, known version {}",
@@ -187,6 +189,11 @@
         self.child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
+    /// The folder that lasts.
+    pub fn state(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
     /// What the program logged since its last start.
     pub fn log(&self) -> String {
         std::fs::read_to_string(self.folder.join(format!("log-{}.txt", self.starts))).unwrap_or_default()
