--- a/review/standins-2/src/agent.rs
+++ b/review/standins-2/src/agent.rs
@@ -63,6 +63,8 @@
     record: Record,
     /// While set, requests with notices wait unread; when it is cleared, those that wait are closed.
     pub crowded: Arc<AtomicBool>,
+    /// While set, discovery is down: calls for lists get no answer until it is back.
+    pub down: Arc<AtomicBool>,
 }
 
 impl Agent {
@@ -74,6 +76,7 @@
             shared: Arc::new(Mutex::new(Shared { list, ..Shared::default() })),
             record: record.clone(),
             crowded: Arc::default(),
+            down: Arc::default(),
         };
         let served = agent.clone();
         std::thread::spawn(move || {
@@ -154,7 +157,8 @@
         let until = Instant::now() + Duration::from_millis(parameter("wait_ms").unwrap_or(0).min(60_000));
         let list = loop {
             let list = self.shared.lock().unwrap().list.clone();
-            if after.is_none_or(|after| list.generation > after) || Instant::now() >= until {
+            let is_due = after.is_none_or(|after| list.generation > after) || Instant::now() >= until;
+            if is_due && !self.down.load(Ordering::SeqCst) {
                 break list;
             }
             std::thread::sleep(Duration::from_millis(2));
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -23,6 +23,7 @@
         "reload-notice" => reload_notice(trouble, record),
         "large-list" => large_list(trouble, record),
         "same-again" => same_again(trouble, record),
+        "unkept-list" => unkept_list(trouble, record),
         other => Err(format!("no case {other}")),
     }
 }
@@ -82,18 +83,23 @@
         gateway.start()?;
     }
     load(record, &gateway, &mut number, ms(8000), ms(50));
+    judge_gone(record, &calls, &replaced, told)
+}
+
+/// Whether an endpoint that is gone got a call later than the grace allows, counted from when its end was told.
+fn judge_gone(record: &Record, calls: &Calls, gone: &Endpoint, told: Duration) -> Outcome {
     let allowed_until = told + ms(2000) + ms(50);
     let calls = calls.lock().unwrap();
-    let before = calls.iter().filter(|call| call.endpoint == replaced.name && call.at < told).count();
+    let before = calls.iter().filter(|call| call.endpoint == gone.name && call.at < told).count();
     if before == 0 {
         return Err("the endpoint got no call while it was listed".to_owned());
     }
     let late: Vec<_> =
-        calls.iter().filter(|call| call.endpoint == replaced.name && call.at > allowed_until).collect();
+        calls.iter().filter(|call| call.endpoint == gone.name && call.at > allowed_until).collect();
     record.line(format!(
         "told at {:.3} that {} is gone; {before} calls there before that, {} later than {:.3}; {} calls in all",
         told.as_secs_f64(),
-        replaced.name,
+        gone.name,
         late.len(),
         allowed_until.as_secs_f64(),
         calls.len()
@@ -170,6 +176,18 @@
     })
 }
 
+/// A list with these endpoints and those of other partners, for which no message comes.
+fn fleet(generation: u64, endpoints: &[&Endpoint], others: std::ops::Range<usize>) -> List {
+    let mut list = list(generation, endpoints);
+    list.entries.extend(others.map(|number| Entry {
+        id: format!("s-{number:08x}"),
+        address: ([127, 0, (100 + number / 250) as u8, (1 + number % 250) as u8], 6379).into(),
+        cell: 100 + (number % 800) as u16,
+        lifecycle: "SERVING",
+    }));
+    list
+}
+
 /// A large fleet of endpoints is replaced in part, which the courier hears; then it is killed while it holds messages.
 fn large_list(trouble: bool, record: &Record) -> Outcome {
     const FLEET: usize = 2000;
@@ -339,3 +357,38 @@
         Vec::new()
     })
 }
+
+/// A large fleet of endpoints is replaced in part, which the courier hears; it is killed while discovery is down.
+fn unkept_list(trouble: bool, record: &Record) -> Outcome {
+    const FLEET: usize = 1600;
+    const REPLACED: usize = 800;
+    let calls = Calls::default();
+    let start = |name: &str| {
+        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", "")).map_err(text)
+    };
+    let (stays, gone) = (start("s-stays")?, start("s-gone")?);
+    let known = fleet(10, &[&stays, &gone], 0..FLEET);
+    let agent = Agent::start("first", record, known.clone()).map_err(text)?;
+    let mut gateway = Gateway::new(record)?;
+    gateway.configure(agent.address, &known)?;
+    gateway.start()?;
+    let mut number = 0;
+    load(record, &gateway, &mut number, ms(1500), ms(50));
+    agent.set_list(fleet(20, &[&stays], REPLACED..FLEET + REPLACED));
+    load(record, &gateway, &mut number, ms(3000), ms(50));
+    let told = agent.told(20).ok_or("the list was not told")?;
+    if trouble {
+        record.line("platform: discovery is down");
+        agent.down.store(true, Ordering::SeqCst);
+        gateway.signal(SIGKILL);
+        gateway.wait();
+        sleep(ms(600));
+        gateway.configure(agent.address, &known)?;
+        gateway.start()?;
+    }
+    load(record, &gateway, &mut number, ms(7000), ms(50));
+    record.line("platform: discovery is up");
+    agent.down.store(false, Ordering::SeqCst);
+    load(record, &gateway, &mut number, ms(1000), ms(50));
+    judge_gone(record, &calls, &gone, told)
+}
