--- a/review/standins-2/src/agent.rs
+++ b/review/standins-2/src/agent.rs
@@ -13,6 +13,8 @@
     pub id: String,
     pub address: SocketAddr,
     pub cell: u16,
+    /// Calls a second that the destination takes from all couriers together.
+    pub weight: f64,
     pub lifecycle: &'static str,
 }
 
@@ -29,10 +31,10 @@
             .entries
             .iter()
             .map(|entry| {
-                let Entry { id, address, cell, lifecycle } = entry;
+                let Entry { id, address, cell, weight, lifecycle } = entry;
                 format!(
                     "{{\"instanceId\":\"{id}\",\"hostPort\":\"{address}\",\"zone\":\"kingston-dc\",\
-                     \"machineType\":\"banks\",\"cell\":{cell},\"lifecycle\":\"{lifecycle}\",\"weight\":100.0,\
+                     \"machineType\":\"banks\",\"cell\":{cell},\"lifecycle\":\"{lifecycle}\",\"weight\":{weight:.1},\
                      \"startedAtMs\":0}}"
                 )
             })
--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -2,13 +2,13 @@
 
 use crate::agent::{Agent, Entry, List};
 use crate::client::{put_once, Client, Put};
-use crate::endpoint::{Answer, Calls, Endpoint};
+use crate::endpoint::{Answer, Call, Calls, Endpoint};
 use crate::gateway::{Gateway, SIGHUP, SIGKILL};
 use crate::record::Record;
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
 
@@ -24,6 +24,7 @@
         "large-list" => large_list(trouble, record),
         "same-again" => same_again(trouble, record),
         "unkept-list" => unkept_list(trouble, record),
+        "late-failures" => late_failures(trouble, record),
         other => Err(format!("no case {other}")),
     }
 }
@@ -37,7 +38,7 @@
 }
 
 fn entry(endpoint: &Endpoint, lifecycle: &'static str) -> Entry {
-    Entry { id: endpoint.name.clone(), address: endpoint.address, cell: CELL, lifecycle }
+    Entry { id: endpoint.name.clone(), address: endpoint.address, cell: CELL, weight: 100.0, lifecycle }
 }
 
 fn list(generation: u64, endpoints: &[&Endpoint]) -> List {
@@ -60,7 +61,8 @@
 fn stale_list(trouble: bool, record: &Record) -> Outcome {
     let calls = Calls::default();
     let start = |name: &str| {
-        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", "")).map_err(text)
+        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", String::new()))
+            .map_err(text)
     };
     let (stays, replaced, new) = (start("s-stays")?, start("s-replaced")?, start("s-new")?);
     let lists = [list(10, &[&stays]), list(20, &[&stays, &replaced]), list(30, &[&stays, &new])];
@@ -124,7 +126,7 @@
         if call.id.starts_with("00000000dead") {
             Answer::Close(ms(1500))
         } else {
-            Answer::After(ms(50), "200 OK", "")
+            Answer::After(ms(50), "200 OK", String::new())
         }
     })
     .map_err(text)?;
@@ -183,6 +185,7 @@
         id: format!("s-{number:08x}"),
         address: ([127, 0, (100 + number / 250) as u8, (1 + number % 250) as u8], 6379).into(),
         cell: 100 + (number % 800) as u16,
+        weight: 10.0,
         lifecycle: "SERVING",
     }));
     list
@@ -194,21 +197,9 @@
     const REPLACED: usize = 1000;
     const MESSAGES: u64 = 60;
     let calls = Calls::default();
-    let bank =
-        Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(400), "200 OK", "")).map_err(text)?;
-    // The endpoints of the other partners, for which no message comes.
-    let filler = |number: usize| Entry {
-        id: format!("s-{number:08x}"),
-        address: ([127, 0, (100 + number / 250) as u8, (1 + number % 250) as u8], 6379).into(),
-        cell: 100 + (number % (FLEET / 2)) as u16,
-        lifecycle: "SERVING",
-    };
-    let fleet = |generation: u64, first: usize| {
-        let entries =
-            [entry(&bank, "SERVING")].into_iter().chain((first..first + FLEET).map(filler)).collect();
-        List { generation, entries }
-    };
-    let (known, latest) = (fleet(10, 0), fleet(20, REPLACED));
+    let bank = Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(400), "200 OK", String::new()))
+        .map_err(text)?;
+    let (known, latest) = (fleet(10, &[&bank], 0..FLEET), fleet(20, &[&bank], REPLACED..FLEET + REPLACED));
     let agent = Agent::start("first", record, known.clone()).map_err(text)?;
     let mut gateway = Gateway::new(record)?;
     (gateway.slots, gateway.disk_mb) = (3, 8);
@@ -239,7 +230,7 @@
     }
     let due = last_sent + ms(time) + ms(300) + ms(50);
     let is_over = |id: &String| {
-        let is_delivered = |call: &crate::endpoint::Call| call.id == *id && call.answered.is_some();
+        let is_delivered = |call: &Call| call.id == *id && call.answered.is_some();
         calls.lock().unwrap().iter().any(is_delivered)
             || agent.notices().iter().any(|notice| notice.id == *id)
     };
@@ -275,8 +266,8 @@
 /// A client sends the same thing again as soon as it is turned away, while much is held.
 fn same_again(trouble: bool, record: &Record) -> Outcome {
     let calls = Calls::default();
-    let bank =
-        Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(100), "200 OK", "")).map_err(text)?;
+    let bank = Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(100), "200 OK", String::new()))
+        .map_err(text)?;
     let known = list(10, &[&bank]);
     let agent = Agent::start("first", record, known.clone()).map_err(text)?;
     let mut gateway = Gateway::new(record)?;
@@ -364,7 +355,8 @@
     const REPLACED: usize = 800;
     let calls = Calls::default();
     let start = |name: &str| {
-        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", "")).map_err(text)
+        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", String::new()))
+            .map_err(text)
     };
     let (stays, gone) = (start("s-stays")?, start("s-gone")?);
     let known = fleet(10, &[&stays, &gone], 0..FLEET);
@@ -392,3 +384,154 @@
     load(record, &gateway, &mut number, ms(1000), ms(50));
     judge_gone(record, &calls, &gone, told)
 }
+
+/// A partner that fails for a while and comes back cold.
+#[derive(Default)]
+struct Partner {
+    /// It answers every call with 500.
+    is_failing: bool,
+    /// When it came back.
+    returned_at: Option<Duration>,
+    /// Couriers of which a call failed.
+    told: Vec<bool>,
+    /// Calls since its return, and whether their courier was told.
+    calls: Vec<(Duration, bool)>,
+    in_hand: Vec<Duration>,
+    /// What is left of its limit, and when that was counted.
+    tokens: f64,
+    counted_at: Duration,
+    fallen: Option<String>,
+}
+
+impl Partner {
+    /// Calls a second that the list gives, and those that it can do when it is warm.
+    const LISTED: f64 = 35.0;
+    const CAPACITY: f64 = 42.0;
+    const DEPTH: f64 = 0.9 * Partner::LISTED;
+
+    /// The share of its capacity that it has.
+    fn share(&self, now: Duration) -> f64 {
+        self.returned_at.map_or(1.0, |at| (0.16 + 0.84 * (now - at).as_secs_f64() / 14.0).min(1.0))
+    }
+
+    fn answer(&mut self, call: &Call, courier: usize) -> Answer {
+        let now = call.at;
+        self.tokens =
+            (self.tokens + (now - self.counted_at).as_secs_f64() * Partner::LISTED).min(Partner::DEPTH);
+        self.counted_at = now;
+        let report =
+            format!("Srv-Load: x0={:.2},x1={:.0}\r\n", self.tokens / Partner::DEPTH, Partner::LISTED);
+        if self.is_failing {
+            self.told[courier] = true;
+            return Answer::After(ms(20), "500 Internal Server Error", report);
+        }
+        if self.returned_at.is_some() {
+            self.calls.push((now, self.told[courier]));
+            let window: Vec<bool> =
+                self.calls.iter().filter(|(at, _)| *at + ms(2000) > now).map(|(_, told)| *told).collect();
+            let allowed = 2.5 * Partner::CAPACITY * self.share(now) * 2.0;
+            let slack = if allowed < 30.0 { 3.0 * allowed.sqrt() + 3.0 } else { 2.0 * allowed.sqrt() + 2.0 };
+            let told = window.iter().filter(|told| **told).count();
+            if self.fallen.is_none() && window.len() as f64 > allowed + slack {
+                self.fallen = Some(format!(
+                    "{} calls in 2 s, {told} of them from couriers that saw a call fail, where {:.1} are allowed with \
+                     slack, {:.2} s behind the return",
+                    window.len(),
+                    allowed + slack,
+                    (now - self.returned_at.unwrap_or(now)).as_secs_f64()
+                ));
+            }
+        }
+        if self.fallen.is_some() {
+            return Answer::Close(ms(20));
+        }
+        self.in_hand.retain(|until| *until > now);
+        if self.tokens < 1.0 || self.in_hand.len() >= 7 + 7 * 6 {
+            // Four in five refusals tell how long to wait.
+            let wait =
+                if self.calls.len() % 5 == 0 { String::new() } else { "Retry-After: 0.5\r\n".to_owned() };
+            return Answer::After(ms(10), "429 Too Many Requests", report + &wait);
+        }
+        self.tokens -= 1.0;
+        // Seven calls run at a time, each for 7 / capacity seconds.
+        let time = Duration::from_secs_f64(7.0 / (Partner::CAPACITY * self.share(now)));
+        let free_at = if self.in_hand.len() < 7 { now } else { self.in_hand[self.in_hand.len() - 7] };
+        let until = free_at.max(now) + time;
+        self.in_hand.push(until);
+        self.in_hand.sort_unstable();
+        Answer::After(until - now, "200 OK", report)
+    }
+}
+
+/// A partner fails its calls and comes back cold; each of thirty couriers saw one call fail, shortly before that.
+fn late_failures(trouble: bool, record: &Record) -> Outcome {
+    const COURIERS: usize = 30;
+    const CLUMP: usize = 140;
+    let partner = Arc::new(Mutex::new(Partner {
+        told: vec![false; COURIERS],
+        tokens: Partner::DEPTH,
+        ..Partner::default()
+    }));
+    let calls = Calls::default();
+    let decide = {
+        let partner = partner.clone();
+        // The first digits of an id name the courier that it is handed to.
+        move |call: &Call| {
+            let courier = call.id.get(..4).and_then(|digits| digits.parse().ok()).unwrap_or(0);
+            partner.lock().unwrap().answer(call, courier)
+        }
+    };
+    let bank = Endpoint::start("s-bank", record, &calls, decide).map_err(text)?;
+    let mut known = list(10, &[&bank]);
+    known.entries[0].weight = Partner::LISTED;
+    let agent = Agent::start("first", record, known.clone()).map_err(text)?;
+    let mut gateways = Vec::new();
+    for _ in 0..COURIERS {
+        let mut gateway = Gateway::new(record)?;
+        (gateway.couriers, gateway.slots) = (COURIERS as u32, 14);
+        gateway.configure(agent.address, &known)?;
+        gateway.start()?;
+        gateways.push(gateway);
+    }
+    let number = AtomicU64::new(0);
+    let put = |courier: usize| {
+        let id = format!("{courier:04}{:012}", number.fetch_add(1, Ordering::SeqCst));
+        let fields = format!("c=salary-payment,d=20000,dest={CELL}");
+        put_once(record, gateways[courier].listen, &Put { id: &id, key: 0, fields, body: b"payment" })
+    };
+    // Three seconds of ordinary traffic: a message for each courier and second.
+    for message in 0..3 * COURIERS {
+        put(message % COURIERS);
+        sleep(ms(33));
+    }
+    sleep(ms(1000));
+    let start = record.now();
+    if trouble {
+        record.line("partner: fails its calls");
+        partner.lock().unwrap().is_failing = true;
+        sleep(ms(9000));
+        for courier in 0..COURIERS {
+            put(courier);
+            sleep(ms(25));
+        }
+        sleep((start + ms(10_000)).saturating_sub(record.now()));
+        let now = record.at("partner: is back, cold");
+        let mut partner = partner.lock().unwrap();
+        (partner.is_failing, partner.returned_at) = (false, Some(now));
+    } else {
+        sleep(ms(10_000));
+    }
+    sleep(ms(200));
+    record.line(format!("clients: a clump of {CLUMP} messages"));
+    for message in 0..CLUMP {
+        put(message % COURIERS);
+    }
+    sleep(ms(4000));
+    let partner = partner.lock().unwrap();
+    let told = partner.told.iter().filter(|told| **told).count();
+    record.line(format!("{told} couriers saw a call fail; {} calls since the return", partner.calls.len()));
+    if trouble && told < COURIERS {
+        return Err(format!("only {told} couriers saw a call fail"));
+    }
+    Ok(partner.fallen.iter().cloned().collect())
+}
--- a/review/standins-2/src/endpoint.rs
+++ b/review/standins-2/src/endpoint.rs
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug)]
 pub enum Answer {
     /// This status line and these header lines, after this time.
-    After(Duration, &'static str, &'static str),
+    After(Duration, &'static str, String),
     /// The connection ends after this time, with no answer.
     Close(Duration),
 }
@@ -71,7 +71,7 @@
         match decide(&call) {
             Answer::After(delay, status, headers) => {
                 std::thread::sleep(delay);
-                if reader.stream.write_all(&response(status, headers, "")).is_err() {
+                if reader.stream.write_all(&response(status, &headers, "")).is_err() {
                     return;
                 }
                 let at = record.at(format!("endpoint {name}: {status} to {id}"));
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -19,9 +19,9 @@
 pub const SIGKILL: i32 = 9;
 
 /// The figures of a small deployment, of the form that the users' wire page shows. `lanes` is a list of classes.
-fn settings(lanes: &str, slots: u32, most_held: u32) -> String {
+fn settings(lanes: &str, slots: u32, most_held: u32, couriers: u32) -> String {
     format!(
-        r#"{{"Balancers":2,"ClientHabits":{{"MarksRetry":true}},"Discovery":"push","Family":"deliver",
+        r#"{{"Balancers":{couriers},"ClientHabits":{{"MarksRetry":true}},"Discovery":"push","Family":"deliver",
  "FamilyInfo":{{"CallsOut":{slots},"Decay":"line","FeeByZone":[0.0],"KindBatch":[1,1],"OwnLimits":[false,false],
   "RefusalCost":0.05,"Notes":"","ReportX0":"","ReportX1":""}},
  "Goal":{{"Whole":0.55,"WorstClass":0.2,"WorstTenant":0.0,"WorstWindow":0.25}},
@@ -55,6 +55,8 @@
     pub slots: u32,
     pub disk_mb: u32,
     pub most_held: u32,
+    /// How many couriers the deployment has.
+    pub couriers: u32,
 }
 
 static GATEWAYS: AtomicU32 = AtomicU32::new(0);
@@ -109,6 +111,7 @@
             slots: 28,
             disk_mb: 3,
             most_held: 519,
+            couriers: 2,
         })
     }
 
@@ -118,14 +121,14 @@
 
     /// Writes the configuration, as the platform does before a start and ahead of SIGHUP.
     pub fn configure(&self, discovery: SocketAddr, known: &List) -> Result<(), String> {
-        let Gateway { listen, lanes, slots, disk_mb, most_held, starts, .. } = self;
+        let Gateway { listen, lanes, slots, disk_mb, most_held, couriers, starts, .. } = self;
         let text = format!(
             "{{\"name\":\"n1\",\"listen\":\"{listen}\",\"discovery\":\"{discovery}\",\"seed\":\"{:016x}\",\n\
              \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":{disk_mb}}},\n\
              \"known\":{},\n\"settings\":{}}}\n",
             0x8c1f_30d2_7a5b_e964_u64 + u64::from(*starts),
             known.json(),
-            settings(lanes, *slots, *most_held)
+            settings(lanes, *slots, *most_held, *couriers)
         );
         self.record.line(format!(
             "platform: configuration with discovery {discovery}, known version {}",
