--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -45,43 +45,75 @@
     List { generation, entries: endpoints.iter().map(|endpoint| entry(endpoint, "SERVING")).collect() }
 }
 
-/// Hands in keyed messages with keys of their own, one each `gap`, for `time`.
-fn load(record: &Record, gateway: &Gateway, number: &mut u64, time: Duration, gap: Duration) {
+/// Hands in keyed messages with keys of their own for a partner, one each `gap`, for `time`.
+fn load_for(cell: u16, record: &Record, gateway: &Gateway, number: &mut u64, time: Duration, gap: Duration) {
     let until = record.now() + time;
     while record.now() < until {
         *number += 1;
         let (id, k) = (format!("{:016x}", 0x1000 + *number), format!("{:016x}", 0x77_0000 + *number));
-        let fields = format!("c=pay-notice,d=24000,k={k},dest={CELL}");
+        let fields = format!("c=pay-notice,d=24000,k={k},dest={cell}");
         put_once(record, gateway.listen, &Put { id: &id, key: *number, fields, body: b"notice" });
         sleep(gap);
     }
 }
 
-/// A courier hears that an endpoint is gone, and restarts with a copy of the list that is a little older than that.
+fn load(record: &Record, gateway: &Gateway, number: &mut u64, time: Duration, gap: Duration) {
+    load_for(CELL, record, gateway, number, time, gap);
+}
+
+/// An endpoint that serves until it is told to drain; from then on it turns every new call away, as one that shuts.
+fn start_draining(
+    name: &str,
+    record: &Record,
+    calls: &Calls,
+    drains: &Arc<AtomicBool>,
+) -> Result<Endpoint, String> {
+    let drains = drains.clone();
+    let decide = move |_: &Call| match drains.load(Ordering::SeqCst) {
+        true => Answer::After(ms(5), "503 Service Unavailable", String::new()),
+        false => Answer::After(ms(150), "200 OK", String::new()),
+    };
+    Endpoint::start(name, record, calls, decide).map_err(text)
+}
+
+fn start_serving(name: &str, record: &Record, calls: &Calls) -> Result<Endpoint, String> {
+    Endpoint::start(name, record, calls, |_| Answer::After(ms(150), "200 OK", String::new())).map_err(text)
+}
+
+/// A courier hears that an endpoint drains and is gone, and restarts with a copy of the list from before that.
 fn stale_list(trouble: bool, record: &Record) -> Outcome {
     let calls = Calls::default();
-    let start = |name: &str| {
-        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", String::new()))
-            .map_err(text)
+    let drains = Arc::new(AtomicBool::new(false));
+    let stays = start_serving("s-stays", record, &calls)?;
+    let replaced = start_draining("s-replaced", record, &calls, &drains)?;
+    let new = start_serving("s-new", record, &calls)?;
+    let draining = List {
+        generation: 30,
+        entries: vec![entry(&stays, "SERVING"), entry(&replaced, "DRAINING"), entry(&new, "SERVING")],
     };
-    let (stays, replaced, new) = (start("s-stays")?, start("s-replaced")?, start("s-new")?);
-    let lists = [list(10, &[&stays]), list(20, &[&stays, &replaced]), list(30, &[&stays, &new])];
-    let agent = Agent::start("first", record, lists[0].clone()).map_err(text)?;
+    let (first, added, last) =
+        (list(10, &[&stays]), list(20, &[&stays, &replaced]), list(40, &[&stays, &new]));
+    let agent = Agent::start("first", record, first.clone()).map_err(text)?;
     let mut gateway = Gateway::new(record)?;
-    gateway.configure(agent.address, &lists[0])?;
+    (gateway.slots, gateway.most_held) = (6, 120);
+    gateway.configure(agent.address, &first)?;
     gateway.start()?;
     let mut number = 0;
     load(record, &gateway, &mut number, ms(1500), ms(50));
-    agent.set_list(lists[1].clone());
+    agent.set_list(added.clone());
     load(record, &gateway, &mut number, ms(2500), ms(50));
-    agent.set_list(lists[2].clone());
-    load(record, &gateway, &mut number, ms(3000), ms(50));
-    let told = agent.told(30).ok_or("the last list was not told")?;
+    drains.store(true, Ordering::SeqCst);
+    agent.set_list(draining);
+    load(record, &gateway, &mut number, ms(4000), ms(50));
+    agent.set_list(last);
+    load(record, &gateway, &mut number, ms(2000), ms(50));
+    let told = agent.told(30).ok_or("the drain was not told")?;
+    agent.told(40).ok_or("the last list was not told")?;
     if trouble {
         gateway.signal(SIGKILL);
         gateway.wait();
         sleep(ms(600));
-        gateway.configure(agent.address, &lists[1])?;
+        gateway.configure(agent.address, &added)?;
         gateway.start()?;
     }
     load(record, &gateway, &mut number, ms(8000), ms(50));
@@ -99,7 +131,7 @@
     let late: Vec<_> =
         calls.iter().filter(|call| call.endpoint == gone.name && call.at > allowed_until).collect();
     record.line(format!(
-        "told at {:.3} that {} is gone; {before} calls there before that, {} later than {:.3}; {} calls in all",
+        "told at {:.3} that {} drains; {before} calls there before that, {} later than {:.3}; {} calls in all",
         told.as_secs_f64(),
         gone.name,
         late.len(),
@@ -110,7 +142,7 @@
         .first()
         .map(|first| {
             format!(
-                "{} calls to an endpoint that is gone, the first one {:.3} s after that was told",
+                "{} calls to an endpoint that drained and is gone, the first one {:.3} s after the drain was told",
                 late.len(),
                 (first.at - told).as_secs_f64()
             )
@@ -178,48 +210,76 @@
     })
 }
 
-/// A list with these endpoints and those of other partners, for which no message comes.
-fn fleet(generation: u64, endpoints: &[&Endpoint], others: std::ops::Range<usize>) -> List {
-    let mut list = list(generation, endpoints);
-    list.entries.extend(others.map(|number| Entry {
+/// A list with these entries and those of other partners, for which no message comes: some drain, the others serve.
+fn fleet(
+    generation: u64,
+    entries: Vec<Entry>,
+    serving: impl Iterator<Item = usize>,
+    draining: impl Iterator<Item = usize>,
+) -> List {
+    let other = |number: usize, lifecycle: &'static str| Entry {
         id: format!("s-{number:08x}"),
         address: ([127, 0, (100 + number / 250) as u8, (1 + number % 250) as u8], 6379).into(),
         cell: 100 + (number % 800) as u16,
         weight: 10.0,
-        lifecycle: "SERVING",
-    }));
-    list
+        lifecycle,
+    };
+    let mut entries = entries;
+    entries.extend(serving.map(|number| other(number, "SERVING")));
+    entries.extend(draining.map(|number| other(number, "DRAINING")));
+    List { generation, entries }
+}
+
+/// How the other partners' endpoints are replaced: in so many steps, one each `STEP`.
+const STEPS: usize = 5;
+const STEP: Duration = Duration::from_millis(4200);
+
+/// The list behind a step of a deployment that replaces the first `replaced` of `size` endpoints, a fifth in each step: those
+/// of this step drain beside their replacements, those of earlier steps are gone.
+fn deployment(step: usize, size: usize, replaced: usize, entries: Vec<Entry>) -> List {
+    let at = |step: usize| (replaced * step.min(STEPS)).div_ceil(STEPS);
+    let (gone, draining) = (at(step - 1), at(step));
+    fleet(10 + step as u64, entries, draining..size + draining, gone..draining)
 }
 
 /// A large fleet of endpoints is replaced in part, which the courier hears; then it is killed while it holds messages.
 fn large_list(trouble: bool, record: &Record) -> Outcome {
     const FLEET: usize = 2000;
-    const REPLACED: usize = 1000;
-    const MESSAGES: u64 = 60;
+    const REPLACED: usize = 1090;
+    const CLUMP: u64 = 24;
+    const OTHER: u16 = 4;
     let calls = Calls::default();
-    let bank = Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(400), "200 OK", String::new()))
-        .map_err(text)?;
-    let (known, latest) = (fleet(10, &[&bank], 0..FLEET), fleet(20, &[&bank], REPLACED..FLEET + REPLACED));
+    let (bank, other) = (start_serving("s-bank", record, &calls)?, start_serving("s-other", record, &calls)?);
+    let entries = || {
+        let bank = Entry { weight: 10.0, ..entry(&bank, "SERVING") };
+        vec![bank, Entry { cell: OTHER, weight: 20.0, ..entry(&other, "SERVING") }]
+    };
+    let known = fleet(10, entries(), 0..FLEET, 0..0);
     let agent = Agent::start("first", record, known.clone()).map_err(text)?;
     let mut gateway = Gateway::new(record)?;
-    (gateway.slots, gateway.disk_mb) = (3, 8);
+    (gateway.couriers, gateway.slots, gateway.most_held, gateway.disk_mb) = (40, 3, 72, 8);
     gateway.configure(agent.address, &known)?;
     gateway.start()?;
-    agent.set_list(latest.clone());
-    sleep(ms(1500));
-    agent.told(20).ok_or("the list was not told")?;
+    // Ordinary traffic, while endpoints are replaced.
+    let mut number = 0;
+    for step in 1..=STEPS + 1 {
+        agent.set_list(deployment(step, FLEET, REPLACED, entries()));
+        load_for(OTHER, record, &gateway, &mut number, STEP, ms(83));
+    }
+    agent.told(10 + STEPS as u64 + 1).ok_or("the last list was not told")?;
+    // A clump for one partner.
     let time = 20_000;
     let mut taken = Vec::new();
     let first_sent = record.now();
-    for number in 0..MESSAGES {
-        let (id, k) = (format!("{:016x}", 0x2000 + number), format!("{:016x}", 0x88_0000 + number));
+    for message in 0..CLUMP {
+        let (id, k) = (format!("{:016x}", 0x2000_0000 + message), format!("{:016x}", 0x88_0000 + message));
         let fields = format!("c=pay-notice,d={time},k={k},dest={CELL}");
-        let put = Put { id: &id, key: 0x5000 + number, fields, body: b"notice" };
+        let put = Put { id: &id, key: 0x5000_0000 + message, fields, body: b"notice" };
         if put_once(record, gateway.listen, &put).as_deref() == Some("+OK") {
             taken.push(id);
         }
     }
-    sleep(ms(1000));
+    sleep(ms(400));
     let last_sent = record.now();
     if trouble {
         gateway.signal(SIGKILL);
@@ -239,7 +299,8 @@
     }
     let lost: Vec<&String> = taken.iter().filter(|id| !is_over(id)).collect();
     record.line(format!(
-        "{} messages taken on from {:.3} on, {} neither delivered nor ended by a notice by {:.3}",
+        "{number} messages of ordinary traffic; {} of the clump taken on from {:.3} on, {} neither delivered nor ended \
+         by a notice by {:.3}",
         taken.len(),
         first_sent.as_secs_f64(),
         lost.len(),
@@ -248,13 +309,10 @@
     if taken.is_empty() {
         return Err("no message was taken on".to_owned());
     }
-    Ok(lost
-        .first()
-        .map(|id| {
-            format!("{} of {} messages taken on are lost, the first one is {id}", lost.len(), taken.len())
-        })
-        .into_iter()
-        .collect())
+    let what = |id: &&&String| {
+        format!("{} of {} messages taken on are lost, the first one is {id}", lost.len(), taken.len())
+    };
+    Ok(lost.first().iter().map(what).collect())
 }
 
 /// What a folder holds, with each file counted in whole 512 bytes.
@@ -265,13 +323,15 @@
 
 /// A client sends the same thing again as soon as it is turned away, while much is held.
 fn same_again(trouble: bool, record: &Record) -> Outcome {
+    const OTHER: u16 = 4;
     let calls = Calls::default();
-    let bank = Endpoint::start("s-bank", record, &calls, |_| Answer::After(ms(100), "200 OK", String::new()))
-        .map_err(text)?;
-    let known = list(10, &[&bank]);
+    let (bank, other) = (start_serving("s-bank", record, &calls)?, start_serving("s-other", record, &calls)?);
+    let mut known = list(10, &[&bank, &other]);
+    known.entries[0].weight = 46.0;
+    (known.entries[1].cell, known.entries[1].weight) = (OTHER, 46.0);
     let agent = Agent::start("first", record, known.clone()).map_err(text)?;
     let mut gateway = Gateway::new(record)?;
-    (gateway.slots, gateway.most_held) = (3, 120);
+    (gateway.slots, gateway.most_held) = (6, 120);
     gateway.configure(agent.address, &known)?;
     gateway.start()?;
     let limit = u64::from(gateway.disk_mb) << 20;
@@ -285,18 +345,22 @@
             }
         })
     };
-    // A clump for one partner, more than the courier may hold.
+    // Ordinary traffic, and behind it a clump for one partner, more than the courier may hold.
+    let mut ordinary = 0;
+    load_for(OTHER, record, &gateway, &mut ordinary, ms(38_000), ms(54));
     let put = |client: &mut Client, number: u64, body: &[u8]| {
-        let (id, k) = (format!("{:016x}", 0x3000 + number), format!("{:016x}", 0x99_0000 + number));
+        let (id, k) = (format!("{:016x}", 0x3000_0000 + number), format!("{:016x}", 0x9900_0000 + number));
         let fields = format!("c=pay-notice,d=24000,k={k},dest={CELL}");
-        client.put(&Put { id: &id, key: 0x6000 + number, fields, body })
+        client.put(&Put { id: &id, key: 0x6000_0000 + number, fields, body })
     };
     let mut client = Client::connect(gateway.listen).map_err(text)?;
     let mut taken = 0;
-    for number in 0..160 {
+    for number in 0..130 {
         taken += usize::from(put(&mut client, number, b"notice").map_err(text)? == "+OK");
     }
-    record.line(format!("clients: 160 messages handed in, {taken} taken on"));
+    record.line(format!(
+        "clients: {ordinary} messages of ordinary traffic; 130 of the clump handed in, {taken} taken on"
+    ));
     // 110 large messages on a few connections, each sent again as soon as it is turned away, for 5 s at most.
     let body = vec![b'n'; 60_000];
     let until = record.now() + ms(5000);
@@ -351,24 +415,33 @@
 
 /// A large fleet of endpoints is replaced in part, which the courier hears; it is killed while discovery is down.
 fn unkept_list(trouble: bool, record: &Record) -> Outcome {
-    const FLEET: usize = 1600;
-    const REPLACED: usize = 800;
+    const FLEET: usize = 1300;
+    const REPLACED: usize = 710;
     let calls = Calls::default();
-    let start = |name: &str| {
-        Endpoint::start(name, record, &calls, |_| Answer::After(ms(50), "200 OK", String::new()))
-            .map_err(text)
-    };
-    let (stays, gone) = (start("s-stays")?, start("s-gone")?);
-    let known = fleet(10, &[&stays, &gone], 0..FLEET);
+    let drains = Arc::new(AtomicBool::new(false));
+    let stays = start_serving("s-stays", record, &calls)?;
+    let gone = start_draining("s-gone", record, &calls, &drains)?;
+    let known = fleet(10, vec![entry(&stays, "SERVING"), entry(&gone, "SERVING")], 0..FLEET, 0..0);
     let agent = Agent::start("first", record, known.clone()).map_err(text)?;
     let mut gateway = Gateway::new(record)?;
+    (gateway.couriers, gateway.slots, gateway.most_held) = (40, 4, 72);
     gateway.configure(agent.address, &known)?;
     gateway.start()?;
     let mut number = 0;
-    load(record, &gateway, &mut number, ms(1500), ms(50));
-    agent.set_list(fleet(20, &[&stays], REPLACED..FLEET + REPLACED));
-    load(record, &gateway, &mut number, ms(3000), ms(50));
-    let told = agent.told(20).ok_or("the list was not told")?;
+    // The endpoint drains in the last step and goes behind it.
+    for step in 1..=STEPS + 1 {
+        let mut entries = vec![entry(&stays, "SERVING")];
+        match step.cmp(&STEPS) {
+            std::cmp::Ordering::Less => entries.push(entry(&gone, "SERVING")),
+            std::cmp::Ordering::Equal => entries.push(entry(&gone, "DRAINING")),
+            std::cmp::Ordering::Greater => {}
+        }
+        drains.store(step >= STEPS, Ordering::SeqCst);
+        agent.set_list(deployment(step, FLEET, REPLACED, entries));
+        load(record, &gateway, &mut number, STEP, ms(83));
+    }
+    let told = agent.told(10 + STEPS as u64).ok_or("the drain was not told")?;
+    agent.told(10 + STEPS as u64 + 1).ok_or("the last list was not told")?;
     if trouble {
         record.line("platform: discovery is down");
         agent.down.store(true, Ordering::SeqCst);
@@ -378,10 +451,10 @@
         gateway.configure(agent.address, &known)?;
         gateway.start()?;
     }
-    load(record, &gateway, &mut number, ms(7000), ms(50));
+    load(record, &gateway, &mut number, ms(7000), ms(83));
     record.line("platform: discovery is up");
     agent.down.store(false, Ordering::SeqCst);
-    load(record, &gateway, &mut number, ms(1000), ms(50));
+    load(record, &gateway, &mut number, ms(1000), ms(83));
     judge_gone(record, &calls, &gone, told)
 }
 
@@ -467,6 +540,7 @@
 fn late_failures(trouble: bool, record: &Record) -> Outcome {
     const COURIERS: usize = 30;
     const CLUMP: usize = 140;
+    const OTHER: u16 = 4;
     let partner = Arc::new(Mutex::new(Partner {
         told: vec![false; COURIERS],
         tokens: Partner::DEPTH,
@@ -482,27 +556,56 @@
         }
     };
     let bank = Endpoint::start("s-bank", record, &calls, decide).map_err(text)?;
-    let mut known = list(10, &[&bank]);
+    let other = start_serving("s-other", record, &calls)?;
+    let mut known = list(10, &[&bank, &other]);
     known.entries[0].weight = Partner::LISTED;
+    (known.entries[1].cell, known.entries[1].weight) = (OTHER, 80.0);
     let agent = Agent::start("first", record, known.clone()).map_err(text)?;
     let mut gateways = Vec::new();
     for _ in 0..COURIERS {
         let mut gateway = Gateway::new(record)?;
-        (gateway.couriers, gateway.slots) = (COURIERS as u32, 14);
+        (gateway.couriers, gateway.slots, gateway.most_held) = (COURIERS as u32, 3, 20);
         gateway.configure(agent.address, &known)?;
         gateway.start()?;
         gateways.push(gateway);
     }
     let number = AtomicU64::new(0);
-    let put = |courier: usize| {
+    let listens: Vec<_> = gateways.iter().map(|gateway| gateway.listen).collect();
+    let put = |cell: u16, courier: usize| {
         let id = format!("{courier:04}{:012}", number.fetch_add(1, Ordering::SeqCst));
-        let fields = format!("c=salary-payment,d=20000,dest={CELL}");
-        put_once(record, gateways[courier].listen, &Put { id: &id, key: 0, fields, body: b"payment" })
+        let fields = format!("c=salary-payment,d=20000,dest={cell}");
+        put_once(record, listens[courier], &Put { id: &id, key: 0, fields, body: b"payment" })
     };
-    // Three seconds of ordinary traffic: a message for each courier and second.
-    for message in 0..3 * COURIERS {
-        put(message % COURIERS);
-        sleep(ms(33));
+    let ended = AtomicBool::new(false);
+    let ordinary = AtomicU64::new(0);
+    std::thread::scope(|scope| {
+        // Ordinary traffic for another partner throughout.
+        scope.spawn(|| {
+            while !ended.load(Ordering::SeqCst) {
+                put(OTHER, ordinary.fetch_add(1, Ordering::SeqCst) as usize % COURIERS);
+                sleep(ms(18));
+            }
+        });
+        let result =
+            play_late_failures(trouble, record, &partner, CLUMP, COURIERS, |courier| put(CELL, courier));
+        ended.store(true, Ordering::SeqCst);
+        record.line(format!("{} messages for the other partner", ordinary.load(Ordering::SeqCst)));
+        result
+    })
+}
+
+fn play_late_failures(
+    trouble: bool,
+    record: &Record,
+    partner: &Mutex<Partner>,
+    clump: usize,
+    couriers: usize,
+    put: impl Fn(usize) -> Option<String>,
+) -> Outcome {
+    // Three seconds of ordinary traffic for the partner.
+    for message in 0..66 {
+        put(message % couriers);
+        sleep(ms(45));
     }
     sleep(ms(1000));
     let start = record.now();
@@ -510,7 +613,7 @@
         record.line("partner: fails its calls");
         partner.lock().unwrap().is_failing = true;
         sleep(ms(9000));
-        for courier in 0..COURIERS {
+        for courier in 0..couriers {
             put(courier);
             sleep(ms(25));
         }
@@ -522,15 +625,15 @@
         sleep(ms(10_000));
     }
     sleep(ms(200));
-    record.line(format!("clients: a clump of {CLUMP} messages"));
-    for message in 0..CLUMP {
-        put(message % COURIERS);
+    record.line(format!("clients: a clump of {clump} messages"));
+    for message in 0..clump {
+        put(message % couriers);
     }
     sleep(ms(4000));
     let partner = partner.lock().unwrap();
     let told = partner.told.iter().filter(|told| **told).count();
     record.line(format!("{told} couriers saw a call fail; {} calls since the return", partner.calls.len()));
-    if trouble && told < COURIERS {
+    if trouble && told < couriers {
         return Err(format!("only {told} couriers saw a call fail"));
     }
     Ok(partner.fallen.iter().cloned().collect())
