--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -484,11 +484,13 @@
 
     /// The share of its capacity that it has.
     fn share(&self, now: Duration) -> f64 {
-        self.returned_at.map_or(1.0, |at| (0.16 + 0.84 * (now - at).as_secs_f64() / 14.0).min(1.0))
+        self.returned_at
+            .map_or(1.0, |at| (0.16 + 0.84 * now.saturating_sub(at).as_secs_f64() / 14.0).min(1.0))
     }
 
     fn answer(&mut self, call: &Call, courier: usize) -> Answer {
-        let now = call.at;
+        // Calls come here in the order in which they take the lock, which is not quite that of their times.
+        let now = call.at.max(self.counted_at);
         self.tokens =
             (self.tokens + (now - self.counted_at).as_secs_f64() * Partner::LISTED).min(Partner::DEPTH);
         self.counted_at = now;
@@ -511,7 +513,7 @@
                      slack, {:.2} s behind the return",
                     window.len(),
                     allowed + slack,
-                    (now - self.returned_at.unwrap_or(now)).as_secs_f64()
+                    now.saturating_sub(self.returned_at.unwrap_or(now)).as_secs_f64()
                 ));
             }
         }
@@ -532,7 +534,7 @@
         let until = free_at.max(now) + time;
         self.in_hand.push(until);
         self.in_hand.sort_unstable();
-        Answer::After(until - now, "200 OK", report)
+        Answer::After(until.saturating_sub(now), "200 OK", report)
     }
 }
 
--- a/review/standins-2/src/gateway.rs
+++ b/review/standins-2/src/gateway.rs
@@ -60,6 +60,8 @@
 }
 
 static GATEWAYS: AtomicU32 = AtomicU32::new(0);
+/// Folders that were made and not removed.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
 /// Processes that were started and not waited for.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -71,6 +73,9 @@
             // SAFETY: kill takes two integers; these are children that were not waited for.
             unsafe { kill(*id as i32, SIGKILL) };
         }
+        for folder in FOLDERS.lock().unwrap().iter() {
+            let _ = std::fs::remove_dir_all(folder);
+        }
         eprintln!("the case took too long");
         std::process::exit(2);
     });
@@ -100,6 +105,7 @@
         let number = GATEWAYS.fetch_add(1, Ordering::SeqCst);
         let folder = std::env::temp_dir().join(format!("review-{}-{number}", std::process::id()));
         std::fs::create_dir_all(folder.join("state")).map_err(|error| error.to_string())?;
+        FOLDERS.lock().unwrap().push(folder.clone());
         let listen = free_address().map_err(|error| error.to_string())?;
         Ok(Gateway {
             folder,
