--- a/crates/cli/tests/gateway_harness/mod.rs
+++ b/crates/cli/tests/gateway_harness/mod.rs
@@ -5,6 +5,7 @@
 pub mod hostile_clients;
 pub mod manual_endpoint;
 pub mod process_memory;
+pub mod state_folder;
 pub mod streams;
 pub mod usual_clients;
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -63,26 +63,34 @@
     /// Submits a message. A message whose idempotency key is already known is not admitted a second time, unless it was
     /// rejected and has no attempt in flight.
     pub fn submit(&mut self, now: Time, request: SubmitRequest) -> Admission {
-        let known = self.message_id(&request.idempotency_key);
-        let Some((id, record)) = known.and_then(|id| Some((id, self.state.messages.get(id)?))) else {
+        let Some(known) = self.message_id(&request.idempotency_key) else {
             return self.admit(now, &request);
         };
         self.state.counters.duplicates += 1;
+        if let Some(admission) = self.known_admission(&request) {
+            return admission;
+        }
+        self.state.remove(known);
+        self.admit(now, &SubmitRequest { resubmitted: true, ..request })
+    }
+
+    /// The result of a submission that adds no message, since one with its idempotency key is pending or completed. `None` if
+    /// [`Engine::submit`] would admit the message anew, also one that was rejected before.
+    pub fn known_admission(&self, request: &SubmitRequest) -> Option<Admission> {
+        let id = self.message_id(&request.idempotency_key)?;
+        let record = self.state.messages.get(id)?;
         // An idempotency key reused for other content is ambiguous: either message may be the intended one. The key
         // must also be unique across clients, because the partner sees only the key and would drop another client's
         // message under it as a duplicate.
         if record.fingerprint != request.fingerprint || record.client != request.client {
-            return Admission::Conflict;
+            return Some(Admission::Conflict);
         }
         match record.outcome {
-            None => Admission::InFlight(id),
+            None => Some(Admission::InFlight(id)),
             // A rejection permits the client to resubmit. A safe message may be rejected while an attempt is still in
             // flight; until that attempt ends, a second one must not run concurrently with it.
-            Some(FinalOutcome::Rejected(_)) if record.in_flight.is_none() => {
-                self.state.remove(id);
-                self.admit(now, &SubmitRequest { resubmitted: true, ..request })
-            }
-            Some(outcome) => Admission::Completed(id, outcome),
+            Some(FinalOutcome::Rejected(_)) if record.in_flight.is_none() => None,
+            Some(outcome) => Some(Admission::Completed(id, outcome)),
         }
     }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -125,6 +125,26 @@
     assert_eq!(harness.engine.submit(harness.now, from_another_client), Admission::Conflict);
 }
 
+/// Guards against room that is asked for new idempotency keys only (review/9): a rejected message that comes again is admitted
+/// anew, so that it needs the same room as a new one.
+#[test]
+fn known_admission_is_none_exactly_if_a_submission_adds_a_message() {
+    let mut harness = Harness::new(100);
+    for name in ["pending", "rejected", "new"] {
+        if name != "new" {
+            let Admission::New(id) = harness.submit(name, UNSAFE) else { panic!() };
+            if name == "rejected" {
+                harness.engine.reject(harness.now, id);
+            }
+        }
+        let known = harness.engine.known_admission(&harness.message(name, UNSAFE));
+        let admission = harness.submit(name, UNSAFE);
+        let adds_message = matches!(admission, Admission::New(_));
+        assert_eq!((known.is_none(), adds_message), (name != "pending", name != "pending"), "{name}");
+        assert!(known.is_none_or(|known| known == admission), "{name}");
+    }
+}
+
 #[test]
 fn unsafe_message_without_receipt_fails_and_a_late_receipt_is_reported() {
     let mut harness = Harness::new(100);
--- a/crates/resp-gateway/src/client_commands.rs
+++ b/crates/resp-gateway/src/client_commands.rs
@@ -149,9 +149,10 @@
     }
 
     fn submit(&mut self, now: Time, put: PutRequest, delivery: &mut DeliveryState) -> Reply {
-        // A resubmission needs no room in the log, so a full log must not reject a message that is already held.
         let is_resubmission = delivery.engine.message_id(&put.submission.idempotency_key).is_some();
-        if !is_resubmission && !delivery.log.can_accept(put.body.len()) {
+        // A message that is held or completed needs no room in the log. One that was rejected before does, like a new one.
+        let adds_message = delivery.engine.known_admission(&put.submission).is_none();
+        if adds_message && !delivery.log.can_accept(put.body.len()) {
             debug!(client_id = %put.submission.idempotency_key, "message refused, the log has no room for it");
             return Reply::Bytes(busy(Duration::ZERO));
         }
@@ -167,6 +168,8 @@
                     class = message.class,
                     order_key = %format_args!("{:016x}", message.order_key),
                     ?time_left,
+                    resubmission = is_resubmission,
+                    usage = ?delivery.log.usage(),
                     "message accepted"
                 );
                 delivery.log.record(Record::Submitted { message_number: id.0, message: Box::new(message) });
--- a/crates/resp-gateway/src/message_log.rs
+++ b/crates/resp-gateway/src/message_log.rs
@@ -5,7 +5,7 @@
 
 use cloverstile::{MessageId, Time};
 use cloverstile_wal::store::DirectoryStore;
-use cloverstile_wal::{LiveMessage, Log, Record, RecoveredState};
+use cloverstile_wal::{LiveMessage, Log, LogUsage, Record, RecoveredState};
 use std::io;
 use std::path::Path;
 use std::time::Duration;
@@ -88,6 +88,11 @@
         can_accept
     }
 
+    /// What the log holds.
+    pub fn usage(&self) -> LogUsage {
+        self.log.usage()
+    }
+
     /// Whether the last commit succeeded.
     pub fn is_writable(&self) -> bool {
         self.retry.is_none()
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod store;
 
 pub use codec::DecodeError;
-pub use log::{Log, RecoveredState};
+pub use log::{Log, LogUsage, RecoveredState};
 pub use record::{
     AttemptStart, BootId, ClassEntry, ClockReference, FinishedMessage, FinishedOutcome, LiveMessage,
     NameTable, Record, TerminalState, UNKNOWN_INDEX,
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -61,6 +61,15 @@
     pub cleanup_error: Option<io::Error>,
 }
 
+/// What the log holds, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogUsage {
+    /// Upper bound of the encoded size of the live messages.
+    pub live: u64,
+    /// Size of the current segment, without records that are not committed yet.
+    pub segment: u64,
+}
+
 /// A write-ahead log in a [`SegmentStore`].
 pub struct Log<S> {
     store: S,
@@ -311,6 +320,11 @@
         needed <= (self.capacity as f64 * MAX_LIVE_FRACTION) as u64
     }
 
+    /// Returns what the log holds.
+    pub fn usage(&self) -> LogUsage {
+        LogUsage { live: self.live_bytes, segment: self.segment_length }
+    }
+
     /// Whether all records are stored and no new segment is due. After a failed write this is false until a commit has
     /// written a new segment.
     pub fn is_stored(&self) -> bool {
