--- /dev/null
+++ b/crates/cli/tests/endpoint_list_over_restart.rs
@@ -0,0 +1,122 @@
+//! What the real program was told of the endpoint list outlives it, however large the list is and whatever the configuration of
+//! the next start says.
+
+mod gateway_harness;
+
+use cloverstile_fakes::platform::{
+    AgentBehaviour, ExternalEndpoint, PlatformEvent, PutCommand, AGENTS_PER_GATEWAY,
+};
+use gateway_harness::endpoint_process::EndpointProcess;
+use gateway_harness::{payment, GatewayHarness, EVENT_TIMEOUT};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Destination of the endpoint that goes, and of the one that stays.
+const DESTINATION: u16 = 3;
+/// Destination that is listed all the time, at an endpoint of its own.
+const OTHER_DESTINATION: u16 = 5;
+/// First of the destinations of the rest of the fleet, to which nothing is submitted.
+const FIRST_FLEET_DESTINATION: u16 = 100;
+/// Number of destinations of the rest of the fleet.
+const FLEET_DESTINATIONS: usize = 50;
+/// Payments that are submitted after the restart.
+const PAYMENTS: usize = 20;
+/// Time in which requests for them arrive.
+const REQUESTS_ARRIVE: Duration = Duration::from_millis(500);
+
+/// Lists these endpoints, and waits until the gateway was told and has recorded it.
+fn tell(harness: &GatewayHarness, endpoints: Vec<ExternalEndpoint>) {
+    let is_list = |event: &PlatformEvent| matches!(event, PlatformEvent::ListSent { .. });
+    let is_request = |event: &PlatformEvent| matches!(event, PlatformEvent::DiscoveryRequested { .. });
+    let lists_before = harness.platform.events().iter().filter(|(_, event)| is_list(event)).count();
+    harness.platform.replace_external_endpoints(endpoints);
+    let is_read = harness.platform.wait_until(EVENT_TIMEOUT, |events| {
+        // The gateway sends the next request when it has read the list.
+        let list = events.iter().enumerate().filter(|(_, (_, event))| is_list(event)).nth(lists_before);
+        list.is_some_and(|(index, _)| events[index..].iter().any(|(_, event)| is_request(event)))
+    });
+    assert!(is_read, "the list was not read");
+    // The reply to a submission comes behind the record of what was read before.
+    let settled = PutCommand { destination: OTHER_DESTINATION, ..payment(format!("told-{lists_before}")) };
+    assert_eq!(harness.platform.submit(&mut harness.connect_client(), &settled).unwrap(), "+OK");
+}
+
+fn endpoint(id: &str, address: SocketAddr) -> ExternalEndpoint {
+    ExternalEndpoint { id: id.to_owned(), address, destination: DESTINATION }
+}
+
+/// Endpoints of other destinations with these numbers. Nothing listens at their addresses.
+fn fleet(numbers: std::ops::Range<usize>) -> Vec<ExternalEndpoint> {
+    let endpoint = |number: usize| ExternalEndpoint {
+        id: format!("s-{number:08x}"),
+        address: SocketAddr::from(([127, 0, (100 + number / 250) as u8, (1 + number % 250) as u8], 6379)),
+        destination: FIRST_FLEET_DESTINATION + (number % FLEET_DESTINATIONS) as u16,
+    };
+    numbers.map(endpoint).collect()
+}
+
+/// A gateway, not yet started, with the processes of the endpoint that goes and of the one that stays.
+struct Deployment {
+    harness: GatewayHarness,
+    goes: EndpointProcess,
+    stays: EndpointProcess,
+}
+
+impl Deployment {
+    fn new(name: &str) -> Deployment {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (goes, stays) = (EndpointProcess::start(any_port), EndpointProcess::start(any_port));
+        Deployment { harness: GatewayHarness::new(name, &[OTHER_DESTINATION]), goes, stays }
+    }
+
+    /// Both endpoints beside the others.
+    fn with_both(&self, others: Vec<ExternalEndpoint>) -> Vec<ExternalEndpoint> {
+        let both = [endpoint("s-goes", self.goes.address()), endpoint("s-stays", self.stays.address())];
+        [both.to_vec(), others].concat()
+    }
+
+    /// The endpoint that stays beside the others.
+    fn without_gone(&self, others: Vec<ExternalEndpoint>) -> Vec<ExternalEndpoint> {
+        [vec![endpoint("s-stays", self.stays.address())], others].concat()
+    }
+
+    /// Makes the present list of discovery that of the configuration.
+    fn configure_known(&self) {
+        self.harness.edit_config(|config| config["known"] = self.harness.platform.endpoint_list());
+    }
+
+    /// Kills the gateway while discovery is silent, and starts it with the configuration as it is.
+    fn restart_without_discovery(&mut self) {
+        for agent in 0..AGENTS_PER_GATEWAY {
+            self.harness.platform.set_agent_behaviour(agent, AgentBehaviour::WithholdsLists);
+        }
+        self.harness.kill();
+        self.harness.start();
+    }
+
+    /// Submits payments. Returns the numbers of those that arrived at the endpoint that is gone, and at the one that stays.
+    fn submit_payments(self) -> (usize, usize) {
+        let mut stream = self.harness.connect_client();
+        for number in 0..PAYMENTS {
+            self.harness.platform.submit(&mut stream, &payment(format!("after-{number}"))).unwrap();
+        }
+        std::thread::sleep(REQUESTS_ARRIVE);
+        let count = |process: EndpointProcess| {
+            process.end().iter().filter(|request| request.id.starts_with("after-")).count()
+        };
+        (count(self.goes), count(self.stays))
+    }
+}
+
+/// Guards against a list of changes that is not kept at all because it is too large (review/10): half of a fleet is replaced, and
+/// the gateway is killed while discovery is down.
+#[test]
+fn endpoint_that_is_gone_gets_nothing_after_a_restart_behind_a_large_deployment() {
+    let mut deployment = Deployment::new("list-large");
+    deployment.harness.platform.replace_external_endpoints(deployment.with_both(fleet(0..400)));
+    deployment.configure_known();
+    deployment.harness.start();
+    tell(&deployment.harness, deployment.without_gone(fleet(400..800)));
+    deployment.restart_without_discovery();
+    assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
+}
--- a/crates/fakes/src/platform.rs
+++ b/crates/fakes/src/platform.rs
@@ -18,7 +18,7 @@
 };
 pub use mixed_responses::{MixedResponses, ResponsePart};
 pub use repeated_responses::{RepeatedResponse, Surplus};
-pub use state::{AgentBehaviour, EndpointBehaviour};
+pub use state::{AgentBehaviour, EndpointBehaviour, ExternalEndpoint};
 pub use submission::{read_line, PutCommand};
 
 use agent::serve_discovery;
@@ -132,6 +132,18 @@
         self.shared.notify_changed();
     }
 
+    /// Replaces all endpoints that the test serves by itself, each with its id, address and destination, and publishes the list.
+    pub fn replace_external_endpoints(&self, endpoints: impl IntoIterator<Item = ExternalEndpoint>) {
+        let mut state = self.shared.state();
+        state.generation += 1;
+        let instance = |endpoint: ExternalEndpoint| {
+            (endpoint.id, ExternalInstance { address: endpoint.address, destination: endpoint.destination })
+        };
+        state.external = endpoints.into_iter().map(instance).collect();
+        drop(state);
+        self.shared.notify_changed();
+    }
+
     /// Removes an endpoint that the test serves by itself from the list, and publishes the list.
     pub fn unlist_external_endpoint(&self, id: &str) {
         let mut state = self.shared.state();
--- a/crates/fakes/src/platform/state.rs
+++ b/crates/fakes/src/platform/state.rs
@@ -69,6 +69,17 @@
     pub(super) lifecycle: &'static str,
 }
 
+/// An endpoint that a test serves by itself.
+#[derive(Clone, Debug)]
+pub struct ExternalEndpoint {
+    /// Id in the endpoint list.
+    pub id: String,
+    /// Address that the list states.
+    pub address: SocketAddr,
+    /// Destination that the endpoint serves.
+    pub destination: u16,
+}
+
 /// Entry of the endpoint list for an endpoint that does not belong to the platform.
 pub(super) struct ExternalInstance {
     /// Address that the list states.
--- a/crates/platform/src/endpoint_list.rs
+++ b/crates/platform/src/endpoint_list.rs
@@ -1,7 +1,7 @@
 //! The gateway's endpoint list, updated from the responses of service discovery.
 
 use crate::config::SettingNames;
-use crate::endpoint_list_response::{EndpointEntry, EndpointListResponse, DELETED};
+use crate::endpoint_list_response::{EndpointEntry, EndpointListResponse, DELETED, DRAINING, SERVING};
 use cloverstile::{DestinationId, Endpoint, EndpointId, EndpointState, KindId, ZoneId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -116,8 +116,8 @@
 /// The change that an entry makes; `None` if its lifecycle or address can't be parsed.
 fn parse_entry(entry: &EndpointEntry) -> Option<EntryChange> {
     let state = match entry.lifecycle.as_str() {
-        "SERVING" => EndpointState::Ready,
-        "DRAINING" => EndpointState::Draining,
+        SERVING => EndpointState::Ready,
+        DRAINING => EndpointState::Draining,
         DELETED => return Some(EntryChange::Deleted),
         _ => return None,
     };
--- a/crates/platform/src/endpoint_list_changes.rs
+++ b/crates/platform/src/endpoint_list_changes.rs
@@ -1,6 +1,7 @@
 //! What a gateway was told of the endpoint list beyond its configuration, in a form that the next process can apply.
 
-use crate::endpoint_list_response::{EndpointEntry, EndpointListResponse, DELETED};
+use crate::endpoint_list_codec::{encode, EncodedEndpointList};
+use crate::endpoint_list_response::{EndpointEntry, EndpointListResponse, DELETED, SERVING};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The changes of the endpoint list since the one in the configuration.
@@ -50,6 +51,17 @@
             entries: self.changed.values().cloned().collect(),
         })
     }
+
+    /// The changes in their stored form; `None` if the list in the configuration is the latest. What does not fit in `max_bytes`
+    /// is left out: new endpoints first, which only discovery can tell then; last of all what is gone, drains or has changed,
+    /// without which the next process would go by the list in the configuration.
+    pub fn encode(&self, max_bytes: usize) -> Option<EncodedEndpointList> {
+        let is_new =
+            |entry: &&EndpointEntry| entry.lifecycle == SERVING && !self.known.contains_key(&entry.id);
+        let (new, needed): (Vec<_>, Vec<_>) = self.changed.values().partition(is_new);
+        let entries = [needed, new].concat();
+        (self.version > self.known_version).then(|| encode(self.version, &entries, max_bytes))
+    }
 }
 
 /// The entry that says that an endpoint is gone.
--- a/crates/platform/src/endpoint_list_response.rs
+++ b/crates/platform/src/endpoint_list_response.rs
@@ -2,6 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Lifecycle of an endpoint that accepts requests.
+pub(crate) const SERVING: &str = "SERVING";
+/// Lifecycle of an endpoint that accepts no further requests.
+pub(crate) const DRAINING: &str = "DRAINING";
 /// Lifecycle of an endpoint that was removed.
 pub(crate) const DELETED: &str = "DELETED";
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`client_request`] | parsing and validation of a client's command |
 //! | [`client_sessions`] | client connections: decoding of commands, timeouts and eviction |
 //! | [`endpoint_list_changes`] | what a process was told of the list, kept for the next one |
+//! | [`endpoint_list_codec`] | the binary form in which the list is kept |
 //! | [`endpoint_list_response`] | JSON responses of service discovery |
 //! | [`endpoint_list`] | the endpoint list: snapshots, changes and the policy's endpoint ids |
 //! | `discovery_connection` | the connection to the discovery agent, which the next two modules use |
@@ -38,6 +39,7 @@
 pub mod doubted_responses;
 pub mod endpoint_list;
 pub mod endpoint_list_changes;
+pub mod endpoint_list_codec;
 pub mod endpoint_list_response;
 pub mod endpoint_watch;
 mod limits;
--- a/crates/platform/tests/platform/endpoint_list_changes.rs
+++ b/crates/platform/tests/platform/endpoint_list_changes.rs
@@ -1,6 +1,7 @@
 //! The endpoint list that a process was told, kept for the next one.
 
 use cloverstile_platform::endpoint_list_changes::EndpointListChanges;
+use cloverstile_platform::endpoint_list_codec::decode;
 use cloverstile_platform::endpoint_list_response::{EndpointEntry, EndpointListResponse};
 
 fn entry(id: &str, address: &str, lifecycle: &str) -> EndpointEntry {
@@ -43,3 +44,22 @@
     next.apply(&response(10, false, &[drains]));
     assert_eq!(next.to_response().map(|changes| changes.entries.len()), Some(2));
 }
+
+/// Guards against going back to the configured entry of an endpoint that is gone, drains or has moved, for want of room
+/// (review/10): new endpoints are left out before these.
+#[test]
+fn changes_without_room_leave_out_new_endpoints_first() {
+    let known =
+        response(1, true, &[entry("t-1", "127.0.0.1:1", "SERVING"), entry("t-2", "127.0.0.1:2", "SERVING")]);
+    let moved = entry("t-2", "127.0.0.1:9", "SERVING");
+    let drains = entry("t-3", "127.0.0.1:3", "DRAINING");
+    let new = (0..50).map(|number| entry(&format!("a-{number}"), "127.0.0.1:4", "SERVING"));
+    let told: Vec<EndpointEntry> = new.chain([moved, drains]).collect();
+    let mut changes = EndpointListChanges::new(Some(&known));
+    changes.apply(&response(2, true, &told));
+    let encoded = changes.encode(400).unwrap();
+    let stored = decode(&encoded.bytes).unwrap();
+    assert!(encoded.omitted > 30 && encoded.bytes.len() <= 400, "{} omitted", encoded.omitted);
+    let ids: Vec<&str> = stored.entries.iter().map(|entry| entry.id.as_str()).collect();
+    assert_eq!(ids[..3], ["t-1", "t-2", "t-3"]);
+}
--- a/crates/platform/tests/platform/main.rs
+++ b/crates/platform/tests/platform/main.rs
@@ -6,6 +6,7 @@
 mod connection_reuse;
 mod endpoint_list;
 mod endpoint_list_changes;
+mod endpoint_list_codec;
 mod endpoint_watch;
 mod notifications;
 mod requests;
--- a/crates/resp-gateway/src/endpoint_discovery.rs
+++ b/crates/resp-gateway/src/endpoint_discovery.rs
@@ -6,6 +6,7 @@
 use cloverstile_net::Net;
 use cloverstile_platform::config::SettingNames;
 use cloverstile_platform::endpoint_list_changes::EndpointListChanges;
+use cloverstile_platform::endpoint_list_codec::EncodedEndpointList;
 use cloverstile_platform::endpoint_list_response::EndpointListResponse;
 use cloverstile_platform::endpoint_watch::EndpointWatch;
 use cloverstile_platform::ConnectionId;
@@ -56,13 +57,15 @@
             return;
         }
         self.changes.apply(response);
-        let Some(Ok(list)) = self.changes.to_response().map(|changes| serde_json::to_vec(&changes)) else {
-            return;
-        };
-        let bytes = list.len();
-        if !pipeline.delivery.log.record_endpoint_list(list) {
-            warn!(bytes, "endpoint list is too large to be kept for the next process");
+        let max_bytes = pipeline.delivery.log.max_endpoint_list_bytes();
+        let Some(EncodedEndpointList { bytes, omitted }) = self.changes.encode(max_bytes) else { return };
+        if omitted > 0 {
+            warn!(
+                omitted,
+                max_bytes, "endpoint list is too large, entries are not kept for the next process"
+            );
         }
+        pipeline.delivery.log.record_endpoint_list(bytes);
     }
 
     /// Applies a snapshot of the endpoint list or changes to it.
--- a/crates/resp-gateway/src/message_log.rs
+++ b/crates/resp-gateway/src/message_log.rs
@@ -58,12 +58,15 @@
         self.log.record(Record::Completed { message_number });
     }
 
-    /// Records what the process was told of the endpoint list, for the next process. Returns false if it is too large to be
-    /// kept; then the one before stays.
-    pub fn record_endpoint_list(&mut self, list: Vec<u8>) -> bool {
-        let fits = self.log.fits_endpoint_list(list.len());
+    /// Records what the process was told of the endpoint list, for the next process, in at most
+    /// [`MessageLog::max_endpoint_list_bytes`].
+    pub fn record_endpoint_list(&mut self, list: Vec<u8>) {
         self.log.record(Record::EndpointList(list));
-        fits
+    }
+
+    /// Maximum size of what is recorded of the endpoint list.
+    pub fn max_endpoint_list_bytes(&self) -> usize {
+        self.log.max_endpoint_list_bytes()
     }
 
     /// The message with this id, if the gateway holds it.
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -25,6 +25,7 @@
 use cloverstile_net::{Net, NetEvent, SignalKind};
 use cloverstile_platform::config::{Config, Limits};
 use cloverstile_platform::endpoint_list::EndpointList;
+use cloverstile_platform::endpoint_list_codec::{self, StoredEndpointList};
 use cloverstile_platform::endpoint_list_response::EndpointListResponse;
 use cloverstile_platform::endpoint_watch::EndpointWatch;
 use cloverstile_platform::notifications::Notifications;
@@ -112,7 +113,7 @@
 }
 
 /// Applies the endpoint list of the configuration, and behind it what an earlier process was told, and prepares the watch for
-/// later changes.
+/// later changes. The watch asks for all changes since the configuration if some of what was told could not be kept.
 fn start_discovery(
     now: Time,
     config: &Config,
@@ -122,32 +123,33 @@
 ) -> EndpointDiscovery {
     let known = config.known_endpoints.as_ref();
     let known_version = known.map_or(0, |known| known.version);
-    let told = told_endpoint_list(kept_list, known_version);
-    let version = told.as_ref().map_or(known_version, |told| told.version);
+    let told = told_endpoint_list(kept_list).filter(|told| told.version > known_version);
+    let complete = told.as_ref().filter(|told| told.omitted == 0);
+    let version = complete.map_or(known_version, |told| told.version);
     let watch = EndpointWatch::new(config.discovery, version);
     let mut discovery = EndpointDiscovery::new(watch, config.names.clone(), known);
     if let Some(known) = known {
         discovery.apply(now, known, pipeline, net);
     }
-    if let Some(told) = &told {
-        let changes = told.entries.len();
-        info!(version, known_version, changes, "endpoint list of the earlier process applied");
-        discovery.apply_told(now, told, pipeline, net);
+    if let Some(StoredEndpointList { version, omitted, entries }) = told {
+        let changes = entries.len();
+        info!(version, known_version, changes, omitted, "endpoint list of the earlier process applied");
+        let told = EndpointListResponse { version, is_snapshot: false, entries };
+        discovery.apply_told(now, &told, pipeline, net);
     }
     discovery
 }
 
-/// What an earlier process was told of the endpoint list, if that is newer than the list in the configuration. A list that
-/// can't be read is left out.
-fn told_endpoint_list(kept: &[u8], known_version: u64) -> Option<EndpointListResponse> {
+/// What an earlier process was told of the endpoint list. A list that can't be read is left out.
+fn told_endpoint_list(kept: &[u8]) -> Option<StoredEndpointList> {
     if kept.is_empty() {
         return None;
     }
-    let told: Result<EndpointListResponse, _> = serde_json::from_slice(kept);
-    if let Err(error) = &told {
-        warn!(%error, "kept endpoint list can't be read, the one in the configuration is used");
-    }
-    told.ok().filter(|told| told.version > known_version)
+    endpoint_list_codec::decode(kept)
+        .inspect_err(
+            |error| warn!(%error, "kept endpoint list can't be read, the one in the configuration is used"),
+        )
+        .ok()
 }
 
 /// Opens the log and retries until it succeeds: nothing can be served without the messages that an earlier process
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -19,7 +19,7 @@
 const MAX_LIVE_FRACTION: f64 = 0.36;
 /// Fraction of the capacity that finished messages may use; the oldest are forgotten beyond it.
 const MAX_FINISHED_FRACTION: f64 = 0.06;
-/// Fraction of the capacity that the endpoint list may use; a larger one is not kept.
+/// Fraction of the capacity that the endpoint list may use.
 const MAX_ENDPOINT_LIST_FRACTION: f64 = 0.06;
 /// Fraction of the capacity above which a segment is compacted.
 const COMPACTION_FRACTION: f64 = 0.5;
@@ -276,7 +276,7 @@
     /// Adds a record to the batch of the current turn. A record of a message that is not live is dropped.
     pub fn record(&mut self, record: Record) {
         let applies = match &record {
-            Record::EndpointList(list) => self.fits_endpoint_list(list.len()),
+            Record::EndpointList(list) => list.len() <= self.max_endpoint_list_bytes(),
             Record::Submitted { .. }
             | Record::Finished(_)
             | Record::NameTable(_)
@@ -293,9 +293,9 @@
         }
     }
 
-    /// Whether an endpoint list of this size is kept.
-    pub fn fits_endpoint_list(&self, bytes: usize) -> bool {
-        bytes as f64 <= self.capacity as f64 * MAX_ENDPOINT_LIST_FRACTION
+    /// Maximum size of the endpoint list, in bytes. A record of a larger one is dropped.
+    pub fn max_endpoint_list_bytes(&self) -> usize {
+        (self.capacity as f64 * MAX_ENDPOINT_LIST_FRACTION) as usize
     }
 
     /// Returns a live message, including the effect of records that are not committed yet.
