--- a/crates/cli/tests/endpoint_list_over_restart.rs
+++ b/crates/cli/tests/endpoint_list_over_restart.rs
@@ -120,3 +120,25 @@
     deployment.restart_without_discovery();
     assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
 }
+
+/// Guards against a list that is stored and can't be read, with which all messages are discarded (review/6): a record of over
+/// 256 KiB, written ahead of the messages that the gateway holds at a kill.
+#[test]
+fn messages_held_behind_a_large_endpoint_list_survive_a_kill() {
+    let mut deployment = Deployment::new("list-record");
+    deployment.harness.edit_config(|config| config["limits"]["disk_mb"] = 8.into());
+    deployment.configure_known();
+    deployment.harness.start();
+    let long_id =
+        |endpoint: ExternalEndpoint| ExternalEndpoint { id: format!("{:0>80}", endpoint.id), ..endpoint };
+    tell(&deployment.harness, deployment.without_gone(fleet(0..3100).into_iter().map(long_id).collect()));
+    let mut stream = deployment.harness.connect_client();
+    for number in 0..PAYMENTS {
+        // Nothing listens at the address of the endpoint, so that the message is held until its time is over.
+        let held = PutCommand { destination: FIRST_FLEET_DESTINATION, ..payment(format!("held-{number}")) };
+        let held = PutCommand { time_left_ms: 3000, ..held };
+        assert_eq!(deployment.harness.platform.submit(&mut stream, &held).unwrap(), "+OK");
+    }
+    deployment.restart_without_discovery();
+    assert_eq!(deployment.harness.final_violations(), Vec::<String>::new());
+}
--- a/crates/wal/src/codec.rs
+++ b/crates/wal/src/codec.rs
@@ -13,10 +13,9 @@
 const RECORD_HEADER_BYTES: usize = 8;
 /// Offset of the checksum in the record header.
 const CHECKSUM_OFFSET: usize = 4;
-/// Maximum size of a batch. A frame header with a larger length is treated as damaged.
+/// Maximum size of the records of a batch: none larger is written, and a frame header with a larger length is treated as
+/// damaged. A single record is bounded by its batch alone.
 pub const MAX_BATCH_BYTES: usize = 1 << 30;
-/// Maximum size of a record payload. A record header with a larger length is treated as damaged.
-const MAX_PAYLOAD_BYTES: usize = 256 << 10;
 
 /// Record kinds, stored in the first byte of a payload.
 mod kind {
@@ -51,9 +50,8 @@
     /// The input ends before the record or batch does, for example after a torn write.
     #[error("truncated record or batch")]
     Truncated,
-    /// The length in the header exceeds the maximum for a record payload or for a batch. The value is that length in
-    /// bytes.
-    #[error("length of {0} bytes exceeds the maximum: {MAX_PAYLOAD_BYTES} for a record, {MAX_BATCH_BYTES} for a batch")]
+    /// The length in the header exceeds the maximum for a batch. The value is that length in bytes.
+    #[error("length of {0} bytes exceeds the maximum for a batch: {MAX_BATCH_BYTES}")]
     TooLong(usize),
     /// The sequence number of the batch does not match its position in the segment.
     #[error("the sequence number of the batch does not follow that of the previous batch")]
@@ -161,9 +159,6 @@
         let mut header = Decoder { rest: bytes.get(..RECORD_HEADER_BYTES).ok_or(DecodeError::Truncated)? };
         let payload_length = header.u32()? as usize;
         let checksum = header.u32()?;
-        if payload_length > MAX_PAYLOAD_BYTES {
-            return Err(DecodeError::TooLong(payload_length));
-        }
         let length = RECORD_HEADER_BYTES + payload_length;
         let payload = bytes.get(RECORD_HEADER_BYTES..length).ok_or(DecodeError::Truncated)?;
         if crc32fast::hash(payload) != checksum {
--- a/crates/wal/src/frame.rs
+++ b/crates/wal/src/frame.rs
@@ -23,18 +23,35 @@
     pub length: usize,
 }
 
+/// The records of a batch are larger than [`MAX_BATCH_BYTES`], so that they could not be read again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("records of {bytes} bytes exceed the maximum for a batch: {MAX_BATCH_BYTES}")]
+pub struct BatchTooLong {
+    /// Size of the records.
+    pub bytes: usize,
+}
+
 /// Appends the frame of a batch, whose records `write_records` appends.
-pub fn append_frame(sequence: u64, out: &mut Vec<u8>, write_records: impl FnOnce(&mut Vec<u8>)) {
+pub fn append_frame(
+    sequence: u64,
+    out: &mut Vec<u8>,
+    write_records: impl FnOnce(&mut Vec<u8>),
+) -> Result<(), BatchTooLong> {
     let start = out.len();
     out.extend([0; FRAME_HEADER_BYTES]);
     write_records(out);
     let sequence_start = start + SEQUENCE_OFFSET;
-    let length = u32::try_from(out.len() - start - FRAME_HEADER_BYTES).unwrap_or(u32::MAX);
+    let bytes = out.len() - start - FRAME_HEADER_BYTES;
+    let length = u32::try_from(bytes).map_err(|_| BatchTooLong { bytes })?;
+    if bytes > MAX_BATCH_BYTES {
+        return Err(BatchTooLong { bytes });
+    }
     out[sequence_start..start + FRAME_HEADER_BYTES].copy_from_slice(&sequence.to_le_bytes());
     let checksum = crc32fast::hash(&out[sequence_start..]);
     let checksum_start = start + CHECKSUM_OFFSET;
     out[start..checksum_start].copy_from_slice(&length.to_le_bytes());
     out[checksum_start..sequence_start].copy_from_slice(&checksum.to_le_bytes());
+    Ok(())
 }
 
 /// Decodes the frame at the start of `bytes`. Fails with [`DecodeError::OutOfSequence`] if its sequence number is not
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,10 +1,10 @@
 //! The log itself: live messages, the batch of the current turn, commit, compaction and recovery.
 
-use crate::codec::{encode_submitted, DecodeError};
+use crate::codec::{encode_submitted, DecodeError, MAX_BATCH_BYTES};
 use crate::finished::FinishedMessages;
 #[cfg(feature = "planted-defects")]
 use crate::frame::FRAME_HEADER_BYTES;
-use crate::frame::{append_frame, decode_frame};
+use crate::frame::{append_frame, decode_frame, BatchTooLong};
 use crate::record::{ClockReference, FinishedMessage, LiveMessage, NameTable, Record};
 use crate::store::SegmentStore;
 #[cfg(feature = "planted-defects")]
@@ -115,7 +115,7 @@
 }
 
 impl<S: SegmentStore> Log<S> {
-    /// Opens a log of at most `capacity` bytes and recovers the state that an earlier process left. The caller must log
+    /// Opens a log of at most `capacity` bytes, or 1 GiB if that is less, and recovers the state that an earlier process left. The caller must log
     /// the recovered messages again with [`Record::Submitted`], under message numbers of its own choice, and commit.
     /// The old segment is kept until then.
     ///
@@ -126,7 +126,7 @@
     pub fn open(store: S, capacity: u64) -> io::Result<(Self, RecoveredState)> {
         let mut log = Log {
             store,
-            capacity,
+            capacity: capacity.min(MAX_BATCH_BYTES as u64),
             segment: 0,
             segment_length: 0,
             live_messages: BTreeMap::new(),
@@ -348,7 +348,11 @@
             return self.compact();
         }
         let mut frame = Vec::with_capacity(records.len());
-        append_frame(self.frame_count, &mut frame, |out| out.extend_from_slice(&records));
+        if let Err(error) = append_frame(self.frame_count, &mut frame, |out| out.extend_from_slice(&records))
+        {
+            self.needs_new_segment = true;
+            return Err(io::Error::other(error));
+        }
         self.append(&frame)
     }
 
@@ -380,7 +384,7 @@
     fn compact(&mut self) -> io::Result<()> {
         self.needs_new_segment = true;
         self.remove_obsolete_files()?;
-        let bytes = self.encode_segment();
+        let bytes = self.encode_segment().map_err(io::Error::other)?;
         let next = self.segment + 1;
         let written = self.store.append(TEMPORARY_NAME, &bytes);
         if let Err(error) = written.and_then(|()| self.store.rename(TEMPORARY_NAME, &segment_name(next))) {
@@ -413,7 +417,7 @@
     }
 
     /// Encodes a segment with one batch that holds the complete state of the log.
-    fn encode_segment(&self) -> Vec<u8> {
+    fn encode_segment(&self) -> Result<Vec<u8>, BatchTooLong> {
         let mut bytes = SEGMENT_HEADER.to_vec();
         append_frame(0, &mut bytes, |out| {
             if let Some(reference) = self.clock {
@@ -431,7 +435,7 @@
             for (message_number, message) in &self.live_messages {
                 encode_submitted(*message_number, message, out);
             }
-        });
-        bytes
+        })?;
+        Ok(bytes)
     }
 }
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -589,3 +589,31 @@
     let newest = recovered.finished.last().map(|finished| finished.id.clone());
     assert!(newest == Some(b"m19999".to_vec()) && recovered.finished.len() > 1000);
 }
+
+/// Guards against records that are written and can't be read, which cost all messages in their batch and behind it (review/6).
+/// `by_compaction` is whether the records are read from the batch that compaction writes or from the batches of the turns.
+#[test]
+fn records_of_any_size_within_the_capacity_are_recovered() {
+    const LARGE_CAPACITY_BYTES: u64 = 64 << 20;
+    let sizes = [1, 256 << 10, (256 << 10) + 1, 3 << 20];
+    for (size, by_compaction) in sizes.into_iter().flat_map(|size| [(size, false), (size, true)]) {
+        let (mut log, _) = Log::open(MemoryStore::default(), LARGE_CAPACITY_BYTES).unwrap();
+        if !by_compaction {
+            log.commit().unwrap();
+        }
+        let names =
+            NameTable { classes: vec![class_entry(&"c".repeat(size), 1)], zones: vec!["z".repeat(size)] };
+        let submitted = [message(1, size), LiveMessage { id: vec![b'i'; size], ..message(2, 1) }];
+        assert!(size <= log.max_endpoint_list_bytes(), "the test's list is larger than the log takes");
+        log.record(Record::NameTable(names.clone()));
+        log.record(Record::EndpointList(vec![7; size]));
+        for (number, message) in (1..).zip(&submitted) {
+            log.record(Record::Submitted { message_number: number, message: Box::new(message.clone()) });
+        }
+        log.commit().unwrap();
+        let recovered = Log::open(log.store().clone(), LARGE_CAPACITY_BYTES).unwrap().1;
+        assert_eq!((recovered.discarded_bytes, recovered.decode_error), (0, None), "{size} bytes");
+        assert!(recovered.messages == submitted && recovered.names == names, "{size} bytes");
+        assert_eq!(recovered.endpoint_list.len(), size);
+    }
+}
