--- a/crates/cli/tests/endpoint_list_over_restart.rs
+++ b/crates/cli/tests/endpoint_list_over_restart.rs
@@ -142,3 +142,52 @@
     deployment.restart_without_discovery();
     assert_eq!(deployment.harness.final_violations(), Vec::<String>::new());
 }
+
+/// Guards against changes of the list that are applied to another configuration than the one to which they were made
+/// (review/7): an endpoint came and went, and the next configuration is of the time in between.
+#[test]
+fn endpoint_that_came_and_went_gets_nothing_with_a_configuration_of_the_time_between() {
+    let mut deployment = Deployment::new("list-between");
+    deployment.harness.platform.replace_external_endpoints(deployment.without_gone(Vec::new()));
+    deployment.configure_known();
+    deployment.harness.start();
+    tell(&deployment.harness, deployment.with_both(Vec::new()));
+    let between = deployment.harness.platform.endpoint_list();
+    tell(&deployment.harness, deployment.without_gone(fleet(0..1)));
+    deployment.harness.edit_config(|config| config["known"] = between);
+    deployment.restart_without_discovery();
+    assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
+}
+
+/// Guards against a list that a process starts with and does not keep (review/7): the configuration is newer at the second start,
+/// and older again at the third, before discovery has answered.
+#[test]
+fn endpoint_that_is_gone_gets_nothing_after_a_newer_and_then_an_older_configuration() {
+    let mut deployment = Deployment::new("list-twice");
+    deployment.harness.platform.replace_external_endpoints(deployment.with_both(Vec::new()));
+    deployment.configure_known();
+    let older = deployment.harness.platform.endpoint_list();
+    deployment.harness.start();
+    // Tells the gateway nothing: its discovery agent is silent from the next start on.
+    deployment.harness.kill();
+    deployment.harness.platform.replace_external_endpoints(deployment.without_gone(Vec::new()));
+    deployment.configure_known();
+    deployment.restart_without_discovery();
+    deployment.harness.edit_config(|config| config["known"] = older);
+    deployment.restart_without_discovery();
+    assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
+}
+
+/// Guards against a list that does not fit and is not kept (review/10), where even the entries alone are too many: 2,500 endpoints
+/// take more than 0.06 of 1 MB.
+#[test]
+fn list_that_does_not_fit_is_completed_by_the_configuration() {
+    let mut deployment = Deployment::new("list-fingerprints");
+    deployment.harness.platform.replace_external_endpoints(deployment.with_both(fleet(0..2500)));
+    deployment.configure_known();
+    deployment.harness.start();
+    tell(&deployment.harness, deployment.without_gone(fleet(100..2600)));
+    deployment.restart_without_discovery();
+    // The endpoint that stays is served as it is in the configuration, the one that is gone is not.
+    assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -11,10 +11,10 @@
 //! | [`settings_validation`] | which settings are required, and which values they may have |
 //! | [`client_request`] | parsing and validation of a client's command |
 //! | [`client_sessions`] | client connections: decoding of commands, timeouts and eviction |
-//! | [`endpoint_list_changes`] | what a process was told of the list, kept for the next one |
-//! | [`endpoint_list_codec`] | the binary form in which the list is kept |
+//! | [`endpoint_list_codec`] | the binary form in which the list outlives the process |
 //! | [`endpoint_list_response`] | JSON responses of service discovery |
 //! | [`endpoint_list`] | the endpoint list: snapshots, changes and the policy's endpoint ids |
+//! | [`told_endpoint_list`] | the list as last told, and the list that a process starts with |
 //! | `discovery_connection` | the connection to the discovery agent, which the next two modules use |
 //! | [`endpoint_watch`] | the watch of the endpoint list by long polls, and reconnection after failures |
 //! | [`notifications`] | messages that the platform must be notified of, until it acknowledges them |
@@ -38,7 +38,6 @@
 mod discovery_connection;
 pub mod doubted_responses;
 pub mod endpoint_list;
-pub mod endpoint_list_changes;
 pub mod endpoint_list_codec;
 pub mod endpoint_list_response;
 pub mod endpoint_watch;
@@ -49,6 +48,7 @@
 mod response_doubt;
 pub mod settings_validation;
 pub mod shutdown;
+pub mod told_endpoint_list;
 mod transport;
 pub mod unsolicited;
 
--- a/crates/resp-gateway/src/endpoint_discovery.rs
+++ b/crates/resp-gateway/src/endpoint_discovery.rs
@@ -1,14 +1,15 @@
 //! Applies the endpoint list that discovery reports.
 
+use crate::message_log::MessageLog;
 use crate::message_pipeline::MessagePipeline;
 use crate::sockets::Sockets;
 use cloverstile::Time;
 use cloverstile_net::Net;
 use cloverstile_platform::config::SettingNames;
-use cloverstile_platform::endpoint_list_changes::EndpointListChanges;
 use cloverstile_platform::endpoint_list_codec::EncodedEndpointList;
 use cloverstile_platform::endpoint_list_response::EndpointListResponse;
 use cloverstile_platform::endpoint_watch::EndpointWatch;
+use cloverstile_platform::told_endpoint_list::ToldEndpointList;
 use cloverstile_platform::ConnectionId;
 use tracing::{debug, warn};
 
@@ -18,14 +19,16 @@
     pub watch: EndpointWatch,
     /// The configured names, by which entries of the list refer to kinds and zones.
     names: SettingNames,
-    /// What was told beyond the configuration, which the next process takes over.
-    changes: EndpointListChanges,
+    /// The list as last told, which the next process takes over.
+    told: ToldEndpointList,
+    /// Whether the list was too large to be kept whole.
+    is_reduced: bool,
 }
 
 impl EndpointDiscovery {
-    /// Creates the state from a watch that is not connected yet; `known` is the list in the configuration.
-    pub fn new(watch: EndpointWatch, names: SettingNames, known: Option<&EndpointListResponse>) -> Self {
-        EndpointDiscovery { watch, names, changes: EndpointListChanges::new(known) }
+    /// Creates the state from a watch that is not connected yet; `told` is the list that the process starts with.
+    pub fn new(watch: EndpointWatch, names: SettingNames, told: ToldEndpointList) -> Self {
+        EndpointDiscovery { watch, names, told, is_reduced: false }
     }
 
     /// Handles bytes received from discovery.
@@ -44,28 +47,42 @@
         }
     }
 
-    /// Applies what this or an earlier process was told, and keeps it for the next one.
-    pub fn apply_told(
+    /// Applies what discovery told, and keeps it for the next process.
+    fn apply_told(
         &mut self,
         now: Time,
         response: &EndpointListResponse,
         pipeline: &mut MessagePipeline,
         net: &mut Net,
     ) {
-        self.apply(now, response, pipeline, net);
         if response.changes_nothing() {
             return;
         }
-        self.changes.apply(response);
-        let max_bytes = pipeline.delivery.log.max_endpoint_list_bytes();
-        let Some(EncodedEndpointList { bytes, omitted }) = self.changes.encode(max_bytes) else { return };
-        if omitted > 0 {
+        self.apply(now, response, pipeline, net);
+        self.told.apply(response);
+        self.keep(&mut pipeline.delivery.log);
+    }
+
+    /// Applies the list that the process starts with.
+    pub fn apply_starting_list(&self, now: Time, pipeline: &mut MessagePipeline, net: &mut Net) {
+        self.apply(now, &self.told.to_response(), pipeline, net);
+    }
+
+    /// Records the list for the next process.
+    pub fn keep(&mut self, log: &mut MessageLog) {
+        let max_bytes = log.max_endpoint_list_bytes();
+        let EncodedEndpointList { bytes, fingerprinted, omitted } = self.told.encode(max_bytes);
+        let was_reduced = std::mem::replace(&mut self.is_reduced, fingerprinted + omitted > 0);
+        if self.is_reduced && !was_reduced {
             warn!(
+                version = self.told.version(),
+                max_bytes,
+                fingerprinted,
                 omitted,
-                max_bytes, "endpoint list is too large, entries are not kept for the next process"
+                "endpoint list is too large to be kept whole for the next process"
             );
         }
-        pipeline.delivery.log.record_endpoint_list(bytes);
+        log.record_endpoint_list(bytes);
     }
 
     /// Applies a snapshot of the endpoint list or changes to it.
--- a/crates/resp-gateway/src/startup.rs
+++ b/crates/resp-gateway/src/startup.rs
@@ -26,11 +26,11 @@
 use cloverstile_platform::config::{Config, Limits};
 use cloverstile_platform::endpoint_list::EndpointList;
 use cloverstile_platform::endpoint_list_codec::{self, StoredEndpointList};
-use cloverstile_platform::endpoint_list_response::EndpointListResponse;
 use cloverstile_platform::endpoint_watch::EndpointWatch;
 use cloverstile_platform::notifications::Notifications;
 use cloverstile_platform::requests::ConnectionLimits;
 use cloverstile_platform::response::LoadReportFields;
+use cloverstile_platform::told_endpoint_list::ToldEndpointList;
 use cloverstile_wal::{Record, RecoveredState};
 use std::io;
 use std::path::Path;
@@ -112,8 +112,8 @@
     }
 }
 
-/// Applies the endpoint list of the configuration, and behind it what an earlier process was told, and prepares the watch for
-/// later changes. The watch asks for all changes since the configuration if some of what was told could not be kept.
+/// Applies the newer one of the endpoint list in the configuration and the list that an earlier process was told, keeps it for
+/// the next process, and prepares the watch for later changes.
 fn start_discovery(
     now: Time,
     config: &Config,
@@ -122,26 +122,27 @@
     net: &mut Net,
 ) -> EndpointDiscovery {
     let known = config.known_endpoints.as_ref();
-    let known_version = known.map_or(0, |known| known.version);
-    let told = told_endpoint_list(kept_list).filter(|told| told.version > known_version);
-    let complete = told.as_ref().filter(|told| told.omitted == 0);
-    let version = complete.map_or(known_version, |told| told.version);
-    let watch = EndpointWatch::new(config.discovery, version);
-    let mut discovery = EndpointDiscovery::new(watch, config.names.clone(), known);
+    let start = ToldEndpointList::at_start(known, read_kept_list(kept_list));
+    let version = start.told.version();
+    let watch = EndpointWatch::new(config.discovery, start.changes_after);
+    let mut discovery = EndpointDiscovery::new(watch, config.names.clone(), start.told);
+    // Its destinations remain destinations, also those of which another list has no endpoint.
     if let Some(known) = known {
         discovery.apply(now, known, pipeline, net);
     }
-    if let Some(StoredEndpointList { version, omitted, entries }) = told {
-        let changes = entries.len();
-        info!(version, known_version, changes, omitted, "endpoint list of the earlier process applied");
-        let told = EndpointListResponse { version, is_snapshot: false, entries };
-        discovery.apply_told(now, &told, pipeline, net);
+    if start.is_from_earlier_process {
+        let (known_version, changes_after) = (known.map(|known| known.version), start.changes_after);
+        info!(version, ?known_version, changes_after, "endpoint list of the earlier process applied");
+        discovery.apply_starting_list(now, pipeline, net);
+    }
+    if version > 0 {
+        discovery.keep(&mut pipeline.delivery.log);
     }
     discovery
 }
 
-/// What an earlier process was told of the endpoint list. A list that can't be read is left out.
-fn told_endpoint_list(kept: &[u8]) -> Option<StoredEndpointList> {
+/// What an earlier process kept of the endpoint list. A list that can't be read is left out.
+fn read_kept_list(kept: &[u8]) -> Option<StoredEndpointList> {
     if kept.is_empty() {
         return None;
     }
