fakes: a message that a gateway did not accept is not lost when it stops

graceful_shutdown_at_full_load_answers_all_held_messages failed in a third of its runs: one of 200 messages ends as failed, 199 requests reach the partner, no invariant is broken.

Evidence: the records of a failed run (trial: the test printed them). Gateway 1 answers the message's submission with 503 during its shutdown at 1.347 s; its process ends at 1.644 s; the client records the connection as lost at 1.647 s, though none was open, and submits the message to gateway 0 as one that may have been lost. Gateway 0 fails it, as it is unsafe. So the gateways did what they have to; the cause is the fake client.

Cause: when a gateway stops, the client took every unfinished message of which the last submission went there for lost, also those that were refused and wait for their retry, 0.3 s later. Whether the process ends within that time decides.

Change: lost with a gateway are messages that it may hold: accepted, or their connection ended behind the request. The test is as it was. Also, a connection that the client itself drops counts as such a message from then on, and a rejection ends that.

--- a/crates/fakes/src/client.rs
+++ b/crates/fakes/src/client.rs
@@ -155,6 +155,7 @@
         match event {
             ConnectionEvent::Flushed { connection, message } => {
                 if self.messages.get(message).disconnects_now() {
+                    self.messages.get_mut(message).possibly_accepted = true;
                     self.connections.close(connection);
                 }
             }
@@ -166,12 +167,13 @@
         }
     }
 
-    /// Resubmits messages that wait for a deferred receipt from a gateway that stopped. They have no open connection
-    /// that would report the loss.
+    /// Resubmits messages that a gateway which stopped may hold without an open connection, which would report the loss: those
+    /// that wait for a deferred receipt, and those whose connection ended before. A message that the gateway did not accept is
+    /// not lost with it.
     fn resubmit_after_gateway_stops(&mut self) {
         for gateway in self.selector.newly_stopped(self.gateways) {
             let awaited = self.connections.awaited_messages();
-            let mut lost = self.messages.waiting_for(gateway);
+            let mut lost = self.messages.possibly_held_by(gateway);
             lost.retain(|index| !awaited.contains(index));
             for index in lost {
                 self.record_connection_loss(index, gateway);
@@ -229,7 +231,7 @@
             // The message was composed for the previous gateway, and the new one does not know whether that one
             // accepted it.
             message.composed = None;
-            message.after_loss |= message.possibly_accepted;
+            message.after_loss |= std::mem::take(&mut message.possibly_accepted);
         }
         message.gateway = Some(gateway);
         let deadline = *message.deadline.get_or_insert(now + message.planned.deadline);
@@ -354,6 +356,7 @@
                 if message.rejections < resubmissions && message.planned.key.is_none() =>
             {
                 message.rejections += 1;
+                message.possibly_accepted = false;
                 self.messages.schedule(now + retry_after, index);
             }
             _ => self.finish(index),
--- a/crates/fakes/src/client/messages.rs
+++ b/crates/fakes/src/client/messages.rs
@@ -49,7 +49,7 @@
     pub(super) deadline: Option<Duration>,
     /// Number of rejections after which the message was resubmitted.
     pub(super) rejections: u32,
-    /// Whether a gateway accepted the message or may have done so.
+    /// Whether the gateway of the last submission accepted the message or may have done so.
     pub(super) possibly_accepted: bool,
     /// Whether a gateway that may have accepted the message was lost or replaced by another one.
     pub(super) after_loss: bool,
@@ -190,13 +190,13 @@
         !was_finished
     }
 
-    /// Unfinished messages whose last submission went to this gateway.
-    pub(super) fn waiting_for(&self, gateway: usize) -> Vec<MessageIndex> {
-        let is_waiting = |message: &PendingMessage| {
-            !message.finished && message.submissions > 0 && message.gateway == Some(gateway)
+    /// Unfinished messages that this gateway may hold.
+    pub(super) fn possibly_held_by(&self, gateway: usize) -> Vec<MessageIndex> {
+        let is_held = |message: &PendingMessage| {
+            !message.finished && message.possibly_accepted && message.gateway == Some(gateway)
         };
         (0..self.messages.len())
-            .filter(|position| is_waiting(&self.messages[*position]))
+            .filter(|position| is_held(&self.messages[*position]))
             .map(MessageIndex)
             .collect()
     }
