wal: a record that can't be decoded costs itself, not its batch and all behind it

Change: such a record is skipped, counted in RecoveredState::skipped_records and logged as 'records of the log can't be decoded, skipped'. It may have said that an attempt was started, so that its message counts as one that may have run since its submission: an unsafe one is not sent again.

--- a/crates/resp-gateway/src/message_log.rs
+++ b/crates/resp-gateway/src/message_log.rs
@@ -42,6 +42,10 @@
         } else if recovered.discarded_bytes > 0 {
             warn!(bytes = recovered.discarded_bytes, "log without a readable header discarded");
         }
+        if let Some(first) = recovered.skipped_records.first() {
+            let (records, reason) = (recovered.skipped_records.len(), first.error);
+            warn!(records, %reason, "records of the log can't be decoded, skipped");
+        }
         if let Some(error) = &recovered.cleanup_error {
             warn!(%error, "file of an earlier log can't be removed, it does not count");
         }
--- a/crates/wal/src/codec.rs
+++ b/crates/wal/src/codec.rs
@@ -29,6 +29,8 @@
     pub const ATTEMPT_WITHDRAWN: u8 = 8;
     pub const FINISHED: u8 = 9;
     pub const ENDPOINT_LIST: u8 = 10;
+    /// Kinds that are about no message. A kind that is not known counts as one about a message, unless its number is 0.
+    pub const ABOUT_NO_MESSAGE: [u8; 4] = [NAME_TABLE, CLOCK_REFERENCE, FINISHED, ENDPOINT_LIST];
 }
 
 /// Codes for the outcome of a finished message.
@@ -64,6 +66,35 @@
     InvalidPayload,
 }
 
+/// A record in an intact batch that can't be decoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UndecodableRecord {
+    /// Why it can't be decoded.
+    pub error: DecodeError,
+    /// Its length including its header, in bytes; that of the rest of the batch if the header states more.
+    pub length: usize,
+    /// Message that the record may be about.
+    pub message_number: Option<u32>,
+}
+
+impl UndecodableRecord {
+    /// Describes the record at the start of `bytes`, the rest of its batch.
+    pub(crate) fn new(error: DecodeError, bytes: &[u8]) -> Self {
+        let mut header = Decoder { rest: bytes };
+        let payload_length = header.u32().map_or(usize::MAX, |length| length as usize);
+        let length = RECORD_HEADER_BYTES.saturating_add(payload_length).min(bytes.len());
+        let mut payload = Decoder { rest: bytes.get(RECORD_HEADER_BYTES..length).unwrap_or_default() };
+        let kind = payload.u8().ok();
+        let number = payload.u32().ok();
+        let is_about_message = kind.is_some_and(|kind| !kind::ABOUT_NO_MESSAGE.contains(&kind));
+        UndecodableRecord {
+            error,
+            length,
+            message_number: number.filter(|number| is_about_message && *number > 0),
+        }
+    }
+}
+
 /// A decoded record and its encoded length.
 pub(crate) struct DecodedRecord {
     pub record: Record,
--- a/crates/wal/src/frame.rs
+++ b/crates/wal/src/frame.rs
@@ -5,7 +5,7 @@
 //! number and the records, and the sequence number, which counts the frames of a segment from zero. All integers are
 //! little-endian.
 
-use crate::codec::{DecodeError, MAX_BATCH_BYTES};
+use crate::codec::{DecodeError, UndecodableRecord, MAX_BATCH_BYTES};
 use crate::record::Record;
 
 /// Size of a frame header: length and checksum of four bytes each, and a sequence number of eight bytes.
@@ -17,8 +17,9 @@
 
 /// A decoded batch and the length of its frame.
 pub struct DecodedFrame {
-    /// The records, in the order in which they were logged.
-    pub records: Vec<Record>,
+    /// The records, in the order in which they were logged. One that can't be decoded does not affect the others: the checksum
+    /// of the frame says that it was written like this, for example by a later version.
+    pub records: Vec<Result<Record, UndecodableRecord>>,
     /// Length of the frame including its header, in bytes.
     pub length: usize,
 }
@@ -77,9 +78,16 @@
     let mut rest = &bytes[FRAME_HEADER_BYTES..length];
     let mut records = Vec::new();
     while !rest.is_empty() {
-        let decoded = Record::decode(rest)?;
-        rest = &rest[decoded.length..];
-        records.push(decoded.record);
+        let (record, length) = match Record::decode(rest) {
+            Ok(decoded) => (Ok(decoded.record), decoded.length),
+            Err(error) => {
+                let undecodable = UndecodableRecord::new(error, rest);
+                let length = undecodable.length;
+                (Err(undecodable), length)
+            }
+        };
+        rest = &rest[length..];
+        records.push(record);
     }
     Ok(DecodedFrame { records, length })
 }
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,11 +1,13 @@
 //! The log itself: live messages, the batch of the current turn, commit, compaction and recovery.
 
-use crate::codec::{encode_submitted, DecodeError, MAX_BATCH_BYTES};
+use crate::codec::{encode_submitted, DecodeError, UndecodableRecord, MAX_BATCH_BYTES};
 use crate::finished::FinishedMessages;
 #[cfg(feature = "planted-defects")]
 use crate::frame::FRAME_HEADER_BYTES;
 use crate::frame::{append_frame, decode_frame, BatchTooLong};
-use crate::record::{ClockReference, FinishedMessage, LiveMessage, NameTable, Record};
+use crate::record::{
+    AttemptStart, ClockReference, FinishedMessage, LiveMessage, NameTable, Record, UNKNOWN_INDEX,
+};
 use crate::store::SegmentStore;
 #[cfg(feature = "planted-defects")]
 use cloverstile_fault_injection::{is_planted, PlantedDefect};
@@ -52,6 +54,8 @@
     pub discarded_bytes: usize,
     /// Why bytes were discarded. `None` if none were, or if the whole segment was because it has no valid header.
     pub decode_error: Option<DecodeError>,
+    /// Records in intact batches that can't be decoded. All others were applied.
+    pub skipped_records: Vec<UndecodableRecord>,
     /// Names behind the class and zone indices in the messages; empty if the version that wrote the log did not store
     /// them.
     pub names: NameTable,
@@ -183,7 +187,12 @@
             }
             match decode_frame(sequence, frames) {
                 Ok(decoded) => {
-                    decoded.records.into_iter().for_each(|record| self.apply(record));
+                    for record in decoded.records {
+                        match record {
+                            Ok(record) => self.apply(record),
+                            Err(undecodable) => self.skip(undecodable, recovered),
+                        }
+                    }
                     frames = &frames[decoded.length..];
                 }
                 Err(error) => {
@@ -200,6 +209,18 @@
         }
     }
 
+    /// Skips a record that can't be decoded. It may have said that an attempt was started, so that its message counts as one
+    /// that may have run since its submission.
+    fn skip(&mut self, undecodable: UndecodableRecord, recovered: &mut RecoveredState) {
+        recovered.skipped_records.push(undecodable);
+        let message = undecodable.message_number.and_then(|number| self.live_messages.get_mut(&number));
+        if let Some(message) = message {
+            let start = AttemptStart { started_at: message.submitted_at, zone: UNKNOWN_INDEX };
+            message.attempts = message.attempts.max(1);
+            message.first_possible_run = Some(start);
+        }
+    }
+
     /// Applies records without frames up to the first one that can't be decoded.
     fn replay_records(&mut self, mut records: &[u8], recovered: &mut RecoveredState) {
         while !records.is_empty() {
