--- a/crates/resp-gateway/src/message_log.rs
+++ b/crates/resp-gateway/src/message_log.rs
@@ -37,15 +37,7 @@
     /// Opens the log in `directory`, limited to `max_bytes` on disk, and reads the records of an earlier process.
     pub fn open(directory: &Path, max_bytes: u64) -> io::Result<(MessageLog, RecoveredState)> {
         let (log, recovered) = Log::open(DirectoryStore::new(directory), max_bytes)?;
-        if let Some(reason) = &recovered.decode_error {
-            warn!(bytes = recovered.discarded_bytes, %reason, "torn or damaged end of the log discarded");
-        } else if recovered.discarded_bytes > 0 {
-            warn!(bytes = recovered.discarded_bytes, "log without a readable header discarded");
-        }
-        if let Some(first) = recovered.skipped_records.first() {
-            let (records, reason) = (recovered.skipped_records.len(), first.error);
-            warn!(records, %reason, "records of the log can't be decoded, skipped");
-        }
+        log_damage(&recovered);
         if let Some(error) = &recovered.cleanup_error {
             warn!(%error, "file of an earlier log can't be removed, it does not count");
         }
@@ -147,3 +139,16 @@
         self.retry = Some(CommitRetry { due_at: now + delay, delay });
     }
 }
+
+/// Logs what could not be read.
+fn log_damage(recovered: &RecoveredState) {
+    if let Some(reason) = &recovered.decode_error {
+        warn!(bytes = recovered.discarded_bytes, %reason, "torn or damaged end of the log discarded");
+    } else if recovered.discarded_bytes > 0 {
+        warn!(bytes = recovered.discarded_bytes, "log without a readable header discarded");
+    }
+    if let Some(first) = recovered.skipped_records.first() {
+        let (records, reason) = (recovered.skipped_records.len(), first.error);
+        warn!(records, %reason, "records of the log can't be decoded, skipped");
+    }
+}
