wal: a segment that is removed with an error does not become the current one

Callers saw: nothing so far; a model of the log in work found it. A disk that reports an error for a renaming and for the removal that undoes it, each behind its effect, costs the whole log: all messages held are lost at the next kill.

Cause: compaction took the failed removal for a proof that the new segment is still there, made it the current one and removed the old one.

Change: it looks whether the new segment is there. Also: what the stores of the tests share is a module of its own.

Measured: old_segment_is_kept_if_the_new_one_is_removed_with_an_error failed before (the commit reported success, with no segment left that holds the messages) and passes now.

--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -409,9 +409,13 @@
         let next = self.segment + 1;
         let written = self.store.append(TEMPORARY_NAME, &bytes);
         if let Err(error) = written.and_then(|()| self.store.rename(TEMPORARY_NAME, &segment_name(next))) {
-            // The rename may have taken effect although it reported an error. Recovery would then find the new segment.
-            let is_renamed = self.store.length(&segment_name(next)).is_ok();
-            if !is_renamed || self.store.remove(&segment_name(next)).is_ok() {
+            // The rename may have taken effect although it reported an error. Recovery would then find the new segment, so
+            // that it is removed, or is the current one if it can't be. A removal may report an error behind its effect, too.
+            let new_name = segment_name(next);
+            let is_renamed = self.store.length(&new_name).is_ok();
+            let is_left =
+                is_renamed && self.store.remove(&new_name).is_err() && self.store.length(&new_name).is_ok();
+            if !is_left {
                 self.obsolete_files.push(TEMPORARY_NAME.to_owned());
                 return Err(error);
             }
--- a/crates/wal/tests/log.rs
+++ b/crates/wal/tests/log.rs
@@ -1,36 +1,15 @@
 //! Recovery after truncation at every byte, corruption and crashes; commits that fail; the capacity limit.
 
+mod support;
+
 use cloverstile_wal::store::{DirectoryStore, MemoryStore, SegmentStore};
 use cloverstile_wal::{
-    AttemptStart, BootId, ClassEntry, ClockReference, DecodeError, FinishedOutcome, LiveMessage, Log,
-    NameTable, Record, TerminalState, UndecodableRecord, UNKNOWN_INDEX,
+    AttemptStart, BootId, ClockReference, DecodeError, FinishedOutcome, LiveMessage, Log, NameTable, Record,
+    TerminalState, UndecodableRecord, UNKNOWN_INDEX,
 };
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-
-const CAPACITY_BYTES: u64 = 1 << 20;
-
-fn message(number: u32, body_length: usize) -> LiveMessage {
-    LiveMessage {
-        id: format!("m{number}").into_bytes(),
-        idempotency_key: number.is_multiple_of(2).then(|| b"key".to_vec()),
-        class: 1,
-        destination: 7,
-        order_key: u64::from(number % 3),
-        submitted_at: 10,
-        deadline: 20,
-        body: vec![number as u8; body_length],
-        ..LiveMessage::default()
-    }
-}
-
-fn attempt_start(at: u64) -> AttemptStart {
-    AttemptStart { started_at: at, zone: at as u8 % 3 }
-}
-
-fn class_entry(name: &str, effect: u8) -> ClassEntry {
-    ClassEntry { name: name.to_owned(), effect }
-}
+use support::{attempt_start, class_entry, frame, message, FailingStore, CAPACITY_BYTES};
 
 /// Opens a log; returns it with the recovered messages and the number of discarded bytes.
 fn open(store: MemoryStore) -> (Log<MemoryStore>, Vec<LiveMessage>, usize) {
@@ -361,14 +340,6 @@
     assert!(crashes > 60 && commits > 40, "{crashes} crashes, {commits} commits");
 }
 
-/// Encodes a frame independently of the implementation: length, checksum of sequence number and records, sequence
-/// number, records.
-fn frame(sequence: u64, records: &[u8]) -> Vec<u8> {
-    let checked = [&sequence.to_le_bytes()[..], records].concat();
-    let length = (records.len() as u32).to_le_bytes();
-    [&length[..], &crc32fast::hash(&checked).to_le_bytes(), &checked].concat()
-}
-
 /// Guards against recovering part of a batch: a message that was submitted and rejected in the same turn would come
 /// back as a live one.
 #[test]
@@ -390,50 +361,6 @@
     assert_eq!(open(whole).1.len(), 2);
 }
 
-/// A store with injected faults.
-#[derive(Default)]
-struct FailingStore {
-    store: MemoryStore,
-    /// The next append writes only this many bytes and fails.
-    tear_append_after: Option<usize>,
-    /// Every truncation fails.
-    truncate_fails: bool,
-    /// Every removal fails.
-    remove_fails: bool,
-}
-
-impl SegmentStore for FailingStore {
-    fn file_names(&self) -> std::io::Result<Vec<String>> {
-        self.store.file_names()
-    }
-    fn read(&self, name: &str) -> std::io::Result<Vec<u8>> {
-        self.store.read(name)
-    }
-    fn length(&self, name: &str) -> std::io::Result<u64> {
-        self.store.length(name)
-    }
-    fn append(&mut self, name: &str, bytes: &[u8]) -> std::io::Result<()> {
-        let Some(written) = self.tear_append_after.take() else { return self.store.append(name, bytes) };
-        self.store.append(name, &bytes[..written.min(bytes.len())])?;
-        Err(std::io::Error::other("torn"))
-    }
-    fn truncate(&mut self, name: &str, length: u64) -> std::io::Result<()> {
-        if self.truncate_fails {
-            return Err(std::io::Error::other("can't be truncated"));
-        }
-        self.store.truncate(name, length)
-    }
-    fn rename(&mut self, from: &str, to: &str) -> std::io::Result<()> {
-        self.store.rename(from, to)
-    }
-    fn remove(&mut self, name: &str) -> std::io::Result<()> {
-        if self.remove_fails {
-            return Err(std::io::Error::other("can't be removed"));
-        }
-        self.store.remove(name)
-    }
-}
-
 /// A write can fail after any number of bytes. Recovery must find all records of the turn if the commit reported
 /// success, and none if it reported an error.
 #[test]
@@ -475,6 +402,24 @@
     assert_eq!(open(log.store().store.clone()).1.len(), 1);
 }
 
+/// Guards against the loss of both segments: a renaming that reports an error behind its effect is undone by a removal, which may
+/// report an error behind its effect as well. The old segment then is the current one.
+#[test]
+fn old_segment_is_kept_if_the_new_one_is_removed_with_an_error() {
+    let (mut log, _) = Log::open(FailingStore::default(), CAPACITY_BYTES).unwrap();
+    log.record(Record::Submitted { message_number: 1, message: Box::new(message(1, 30)) });
+    log.commit().unwrap();
+    log.store_mut().tear_append_after = Some(0);
+    log.record(Record::Submitted { message_number: 2, message: Box::new(message(2, 30)) });
+    assert!(log.commit().is_err());
+    log.store_mut().fails_behind_effect = true;
+    assert!(log.commit().is_err());
+    assert_eq!(open(log.store().store.clone()).1, [message(1, 30)]);
+    log.store_mut().fails_behind_effect = false;
+    log.commit().unwrap();
+    assert_eq!(open(log.store().store.clone()).1.len(), 2);
+}
+
 /// An attempt that was logged but not sent must not count as an attempt.
 #[test]
 fn withdrawn_attempt_is_not_counted() {
