fakes: the judge does not forget at a restart which endpoints drain

PROTOCOL.md: "Whatever the agent has counts as told to the courier"; nothing says that a restart ends it, as it does for a wait.

Change: EndpointLimits keeps drains over a restart, until a list says otherwise. The line of the test that asked for the excuse now asks for the violation, and for none where the next list has the endpoint serve again.

--- a/crates/fakes/src/platform/invariants/endpoint_limits.rs
+++ b/crates/fakes/src/platform/invariants/endpoint_limits.rs
@@ -101,11 +101,10 @@
         Vec::new()
     }
 
-    /// Forgets what a gateway process knew. The next process does not know earlier waits or failed requests, and may
-    /// start with an old endpoint list.
+    /// Forgets what a gateway process knew of waits, which a restart ends, and of failed requests. The drains that it was told
+    /// are not forgotten: the endpoint list has to outlive the process, and "whatever the agent has counts as told".
     fn on_restart(&mut self, gateway: usize) {
         self.waits.retain(|pair, _| pair.gateway != gateway);
-        self.drains.retain(|pair, _| pair.gateway != gateway);
         for outage in self.outages.values_mut() {
             outage.informed.remove(&gateway);
         }
--- a/crates/fakes/tests/invariants.rs
+++ b/crates/fakes/tests/invariants.rs
@@ -199,9 +199,11 @@
     assert_eq!(violation_kinds(&[], vec![(at(3000), list(vec![0]))]), [ViolationKind::DrainBroken]);
     assert_eq!(violation_kinds(&[], vec![(at(3100), list(vec![0]))]), []);
     assert_eq!(violation_kinds(&[], vec![(at(2000), list(vec![0])), (at(3000), list(vec![]))]), []);
-    // A restarted process has not received the endpoint list yet.
+    // A restarted process knows what the one before was told, until it is told otherwise.
     let started = PlatformEvent::GatewayStarted { gateway: 0 };
-    assert_eq!(violation_kinds(&[], vec![(at(2000), list(vec![0])), (at(3000), started)]), []);
+    let restart = vec![(at(2000), list(vec![0])), (at(3000), started)];
+    assert_eq!(violation_kinds(&[], restart.clone()), [ViolationKind::DrainBroken]);
+    assert_eq!(violation_kinds(&[], [restart, vec![(at(3100), list(vec![]))]].concat()), []);
 }
 
 #[test]
