wal: the shares of the capacity are one type, whose sum is checked when it is compiled

Change: CapacityShares divides the capacity; a constant assertion keeps 0.02 for headers and whole blocks. No share has changed.

Measured: crates/wal, 4, 23 and 1 tests, and disk_limit, pass.

--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -16,6 +16,7 @@
 //! | module | contents |
 //! | --- | --- |
 //! | `record` | record types and the message state |
+//! | `capacity` | division of the capacity among live and finished messages, the endpoint list and the old segment |
 //! | `codec` | binary encoding of records, with checksums |
 //! | `finished` | completed messages whose ids may come again |
 //! | `frame` | binary encoding of batches |
@@ -23,6 +24,7 @@
 //! | [`store`] | storage of segments in a directory, or in memory for tests |
 #![forbid(unsafe_code)]
 
+mod capacity;
 mod codec;
 mod finished;
 mod frame;
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -1,5 +1,6 @@
 //! The log itself: live messages, the batch of the current turn, commit, compaction and recovery.
 
+use crate::capacity::CapacityShares;
 use crate::codec::{encode_submitted, DecodeError, UndecodableRecord, MAX_BATCH_BYTES};
 use crate::finished::FinishedMessages;
 #[cfg(feature = "planted-defects")]
@@ -14,17 +15,6 @@
 use std::collections::BTreeMap;
 use std::io;
 
-/// Fraction of the capacity that live messages may use together with the names. While compaction writes the new segment, the old one still
-/// exists: the live messages and the names ([`MAX_LIVE_FRACTION`]), the finished ones ([`MAX_FINISHED_FRACTION`]), the endpoint list
-/// ([`MAX_ENDPOINT_LIST_FRACTION`]), the old segment
-/// ([`COMPACTION_FRACTION`]) and the records of one turn must fit together. The rest is reserved for rounding up to whole file system blocks.
-const MAX_LIVE_FRACTION: f64 = 0.36;
-/// Fraction of the capacity that finished messages may use; the oldest are forgotten beyond it.
-const MAX_FINISHED_FRACTION: f64 = 0.06;
-/// Fraction of the capacity that the endpoint list may use.
-const MAX_ENDPOINT_LIST_FRACTION: f64 = 0.06;
-/// Fraction of the capacity above which a segment is compacted.
-const COMPACTION_FRACTION: f64 = 0.5;
 /// A segment is compacted once its size exceeds the size of the live and the kept finished messages times this ratio, plus
 /// [`MIN_DEAD_BYTES`].
 const COMPACTION_SIZE_RATIO: u64 = 4;
@@ -77,8 +67,8 @@
 /// A write-ahead log in a [`SegmentStore`].
 pub struct Log<S> {
     store: S,
-    /// Maximum size of all files of the log together, in bytes.
-    capacity: u64,
+    /// Limits of what the files may hold.
+    shares: CapacityShares,
     /// Number of the current segment, to which batches are appended.
     segment: u64,
     /// Committed length of the current segment, in bytes.
@@ -138,7 +128,7 @@
     pub fn open(store: S, capacity: u64) -> io::Result<(Self, RecoveredState)> {
         let mut log = Log {
             store,
-            capacity: capacity.min(MAX_BATCH_BYTES as u64),
+            shares: CapacityShares::new(capacity.min(MAX_BATCH_BYTES as u64)),
             segment: 0,
             segment_length: 0,
             live_messages: BTreeMap::new(),
@@ -303,8 +293,7 @@
     /// Keeps a finished message, and forgets those that have expired or no longer fit.
     fn keep_finished(&mut self, message: FinishedMessage) {
         self.finished.push(message);
-        let max_bytes = (self.capacity as f64 * MAX_FINISHED_FRACTION) as u64;
-        self.finished.prune(self.latest_time, max_bytes);
+        self.finished.prune(self.latest_time, self.shares.finished);
     }
 
     /// Adds a record to the batch of the current turn. A record of a message that is not live is dropped.
@@ -329,7 +318,7 @@
 
     /// Maximum size of the endpoint list, in bytes. A record of a larger one is dropped.
     pub fn max_endpoint_list_bytes(&self) -> usize {
-        (self.capacity as f64 * MAX_ENDPOINT_LIST_FRACTION) as usize
+        usize::try_from(self.shares.endpoint_list).unwrap_or(usize::MAX)
     }
 
     /// Returns a live message, including the effect of records that are not committed yet.
@@ -351,7 +340,7 @@
     /// with all live messages and the names that they refer to.
     pub fn has_room(&self, body_length: usize) -> bool {
         let needed = self.live_bytes + self.names_bytes + body_length as u64 + MAX_METADATA_BYTES;
-        needed <= (self.capacity as f64 * MAX_LIVE_FRACTION) as u64
+        needed <= self.shares.live
     }
 
     /// Returns what the log holds.
@@ -408,8 +397,7 @@
 
     /// Whether the current segment would become too large with the batch, or consists mostly of completed messages.
     fn is_compaction_due(&self, batch_length: usize) -> bool {
-        let is_full =
-            self.segment_length + batch_length as u64 > (self.capacity as f64 * COMPACTION_FRACTION) as u64;
+        let is_full = self.segment_length + batch_length as u64 > self.shares.segment;
         let kept_bytes =
             self.live_bytes + self.names_bytes + self.finished.bytes() + self.endpoint_list.len() as u64;
         is_full || self.segment_length > kept_bytes * COMPACTION_SIZE_RATIO + MIN_DEAD_BYTES
