--- a/crates/cli/tests/endpoint_list_over_restart.rs
+++ b/crates/cli/tests/endpoint_list_over_restart.rs
@@ -9,6 +9,7 @@
 use gateway_harness::endpoint_process::EndpointProcess;
 use gateway_harness::{payment, GatewayHarness, EVENT_TIMEOUT};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 /// Destination of the endpoint that goes, and of the one that stays.
@@ -85,7 +86,7 @@
         self.harness.edit_config(|config| config["known"] = self.harness.platform.endpoint_list());
     }
 
-    /// Kills the gateway while discovery is silent, and starts it with the configuration as it is.
+    /// Kills the gateway, if it runs, while discovery is silent, and starts it with the configuration as it is.
     fn restart_without_discovery(&mut self) {
         for agent in 0..AGENTS_PER_GATEWAY {
             self.harness.platform.set_agent_behaviour(agent, AgentBehaviour::WithholdsLists);
@@ -191,3 +192,16 @@
     // The endpoint that stays is served as it is in the configuration, the one that is gone is not.
     assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
 }
+
+/// Guards an upgrade: version 0.2.0 stored changes to its configuration as JSON, here that `s-goes` is gone
+/// (`crates/wal/tests/data/README.md`).
+#[test]
+fn changes_that_an_earlier_version_stored_are_applied() {
+    let mut deployment = Deployment::new("list-json");
+    deployment.harness.platform.replace_external_endpoints(deployment.with_both(Vec::new()));
+    deployment.configure_known();
+    let stored = Path::new(env!("CARGO_MANIFEST_DIR")).join("../wal/tests/data/json-endpoint-list/log.1");
+    std::fs::copy(stored, deployment.harness.directory.join("state/log.1")).unwrap();
+    deployment.restart_without_discovery();
+    assert_eq!(deployment.submit_payments(), (0, PAYMENTS));
+}
