--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -8,7 +8,8 @@
 //!
 //! Recovery, in [`Log::open`], reads the newest segment up to the first torn or damaged batch. A batch holds the
 //! records of one commit in a frame with a length, a checksum and a sequence number, so that it is recovered as a whole
-//! or not at all. A record in an intact batch that this version can't decode is skipped alone. Segments of format version 1, whose records have no frames, can still be read.
+//! or not at all. A record in an intact batch that this version can't decode is skipped alone. Segments of format
+//! version 1, whose records have no frames, can still be read.
 //!
 //! File names: `log.N` is a segment, which is complete as soon as it has this name; the segment with the highest `N` is
 //! the current one. `log.tmp` is a segment that was being written when the process ended; it is ignored and removed.
--- a/crates/wal/src/log.rs
+++ b/crates/wal/src/log.rs
@@ -117,9 +117,9 @@
 }
 
 impl<S: SegmentStore> Log<S> {
-    /// Opens a log of at most `capacity` bytes, or 1 GiB if that is less, and recovers the state that an earlier process left. The caller must log
-    /// the recovered messages again with [`Record::Submitted`], under message numbers of its own choice, and commit.
-    /// The old segment is kept until then.
+    /// Opens a log of at most `capacity` bytes, or 1 GiB if that is less, and recovers the state that an earlier process
+    /// left. The caller must log the recovered messages again with [`Record::Submitted`], under message numbers of its own
+    /// choice, and commit. The old segment is kept until then.
     ///
     /// # Errors
     ///
